--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,280 @@
+"""Starts a fleet as processes: platform, targets and entry VMs."""
+
+import hashlib
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import json5
+import urllib3
+
+__all__ = ('EntryVm', 'Fleet', 'wait_until')
+
+CALLER_PORT: Final = 8080
+PEER_PORT: Final = 8081
+PLATFORM_PORT: Final = 7400
+_CLAIM_PORT: Final = 7399
+_EXAMPLE_NET: Final = '127.1.'
+_TOKEN: Final = 'demo-operator-token'
+_START_SECONDS: Final = 20.0
+_STOP_SECONDS: Final = 15.0
+
+
+class EntryVm(NamedTuple):
+    """An entry VM of the fleet: its name, zone and address."""
+
+    name: str
+    zone: str
+    address: str
+
+    @property
+    def url(self) -> str:
+        """Return the URL at which callers reach the VM."""
+        return f'http://{self.address}:{CALLER_PORT}'
+
+
+def wait_until(
+    holds: Callable[[], bool],
+    what: str,
+    seconds: float = _START_SECONDS,
+) -> None:
+    """Return once a condition holds; raise when it does not in time."""
+    deadline = time.monotonic() + seconds
+    while not holds():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f'{what} did not happen in {seconds} s')
+        time.sleep(0.05)
+
+
+class Fleet:
+    """The processes of one fleet, on a loopback network of their own."""
+
+    def __init__(self, *, catalogue: Path, vms_per_zone: int = 1) -> None:
+        """Prepare a fleet for an example catalogue; nothing is started."""
+        self._claim, self.net = _claim_net()
+        self.folder = Path(tempfile.mkdtemp(prefix='toucanhall-'))
+        self.text = catalogue.read_text().replace(
+            _EXAMPLE_NET,
+            f'127.{self.net}.',
+        )
+        self.catalogue: dict[str, Any] = json5.loads(self.text)
+        self.catalogue_file = self.folder / 'catalogue.jsonc'
+        self.catalogue_file.write_text(self.text)
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.http = urllib3.PoolManager(retries=False, maxsize=16)
+        self.platform = f'http://127.{self.net}.200.1:{PLATFORM_PORT}'
+        self.vms = tuple(
+            EntryVm(
+                f'{zone}-{index}',
+                zone,
+                f'127.{self.net}.{100 + number}.{index}',
+            )
+            for number, zone in enumerate(sorted(self.catalogue['zones']))
+            for index in range(1, vms_per_zone + 1)
+        )
+
+    def start(self) -> None:
+        """Start every process and wait until each answers."""
+        self.start_platform()
+        for name in self.catalogue['targets']:
+            self.start_target(name)
+        for vm in self.vms:
+            self.start_vm(vm)
+        for vm in self.vms:
+            wait_until(partial(self.is_up, vm.url), f'{vm.name} up')
+
+    def start_platform(self) -> None:
+        """Start the stand-in of the platform and list the VMs there."""
+        self._start(
+            'platform',
+            'standins.platform',
+            f'--address=127.{self.net}.200.1',
+            f'--port={PLATFORM_PORT}',
+        )
+        wait_until(self._is_platform_up, 'platform up')
+        self.list_vms()
+
+    def start_target(self, name: str) -> None:
+        """Start the stand-in of one target."""
+        self._start(
+            name,
+            'standins.target',
+            f'--name={name}',
+            f'--address={self.catalogue["targets"][name]["address"]}',
+            f'--journal={self.folder / name}.journal',
+        )
+
+    def start_vm(self, vm: EntryVm) -> None:
+        """Write the settings of an entry VM and start it."""
+        settings = self.folder / f'{vm.name}.jsonc'
+        settings.write_text(json.dumps(self.make_settings(vm)))
+        self._start(
+            vm.name, 'toucanhall', 'entry', f'--settings={settings}',
+        )  # fmt: skip
+
+    def make_settings(self, vm: EntryVm) -> dict[str, Any]:
+        """Return the settings of an entry VM."""
+        return {
+            'vm': vm.name,
+            'zone': vm.zone,
+            'address': vm.address,
+            'caller_port': CALLER_PORT,
+            'peer_port': PEER_PORT,
+            'platform': self.platform,
+            'secret_variable': 'TOUCANHALL_SECRET',
+            'operators': [
+                {
+                    'name': 'demo',
+                    'digest': hashlib.sha256(_TOKEN.encode()).hexdigest(),
+                    'role': 'administer',
+                },
+            ],
+        }
+
+    def list_vms(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Tell the platform which VMs are there."""
+        listed = [
+            (vm.name, vm.zone, vm.address, vm.name in leaving)
+            for vm in self.vms
+        ]
+        self.switch('vms', listed)
+
+    def switch(self, name: str, content: object) -> None:
+        """Throw a switch of the platform stand-in."""
+        self.http.request(
+            'PUT',
+            f'{self.platform}/standin/{name}',
+            body=json.dumps(content),
+        )
+
+    def switch_target(self, name: str, **content: object) -> dict[str, Any]:
+        """Change how a target stand-in behaves; return its peak load."""
+        address = self.catalogue['targets'][name]['address']
+        response = self.http.request(
+            'PUT',
+            f'http://{address}/standin/mode',
+            body=json.dumps(content),
+        )
+        return dict(response.json())
+
+    def run_command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the real command line as an operator does."""
+        return subprocess.run(
+            (sys.executable, '-m', 'toucanhall', *arguments),
+            env=self._make_environment(),
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=30,
+        )
+
+    def apply(self) -> None:
+        """Apply the catalogue and wait until it is in force on every VM."""
+        done = self.run_command(
+            'catalogue-apply',
+            str(self.catalogue_file),
+            f'--at={self.vms[0].url}',
+        )
+        if done.returncode:
+            raise RuntimeError(f'apply failed: {done.stdout}{done.stderr}')
+        for vm in self.vms:
+            wait_until(partial(self.is_ready, vm.url), f'{vm.name} ready')
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process of the fleet."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill one process of the fleet and wait until it is gone."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def read_journals(self) -> list[dict[str, Any]]:
+        """Return all that ran on the targets."""
+        return [
+            json.loads(line)
+            for path in sorted(self.folder.glob('*.journal'))
+            for line in path.read_text().splitlines()
+        ]
+
+    def read_log(self, name: str) -> str:
+        """Return what a process wrote to standard error."""
+        return (self.folder / f'{name}.log').read_text()
+
+    def is_up(self, url: str) -> bool:
+        """Return whether an entry VM answers."""
+        return self._read_health(url) is not None
+
+    def is_ready(self, url: str) -> bool:
+        """Return whether an entry VM has a catalogue in force."""
+        health = self._read_health(url)
+        return bool(health and health['ready'])
+
+    def stop(self) -> None:
+        """End every process that was started and remove the folder."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait(_STOP_SECONDS)
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self._claim.close()
+
+    def _start(self, name: str, module: str, *arguments: str) -> None:
+        log = (self.folder / f'{name}.log').open('ab')
+        self.processes[name] = subprocess.Popen(
+            (sys.executable, '-m', module, *arguments),
+            env=self._make_environment(),
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def _make_environment(self) -> dict[str, str]:
+        return {
+            **os.environ,
+            'TOUCANHALL_SECRET': 'demo-secret',
+            'TOUCANHALL_TOKEN': _TOKEN,
+        }
+
+    def _is_platform_up(self) -> bool:
+        try:
+            self.http.request('GET', f'{self.platform}/standin/calls')
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
+    def _read_health(self, url: str) -> dict[str, Any] | None:
+        try:
+            response = self.http.request(
+                'GET',
+                f'{url}/.toucanhall/health',
+                timeout=2,
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+        return dict(response.json())
+
+
+def _claim_net() -> tuple[socket.socket, int]:
+    nets = random.sample(range(2, 250), 100)
+    for net in nets:
+        claim = socket.socket()
+        try:
+            claim.bind((f'127.{net}.255.1', _CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return claim, net
+    raise OSError('no free loopback network')
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of toucanhall."""
--- /dev/null
+++ b/tests/models/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: models."""
--- /dev/null
+++ b/tests/unit/test_shares.py
@@ -0,0 +1,48 @@
+"""Tests of buckets and of the slot table."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from toucanhall.shares import Holding, Table, claim, count_slots
+from toucanhall.shares.bucket import Bucket, resize, take
+
+FIRST = Holding('a', 's1')
+SECOND = Holding('b', 's2')
+
+
+def test_new_bucket_starts_empty():
+    _, admitted = take(Bucket(0, 0, 1, 5), 0)
+    assert not admitted
+
+
+@given(st.lists(st.floats(0, 5), max_size=60))
+def test_admissions_stay_within_burst_and_rate(gaps):
+    bucket, now, admitted = Bucket(3, 0, 2, 3), 0.0, 0
+    for gap in gaps:
+        now += gap
+        bucket, taken = take(bucket, now)
+        admitted += taken
+        assert admitted <= 3 + 2 * now + 1e-6
+
+
+def test_smaller_share_never_adds_tokens():
+    bucket = resize(Bucket(4, 0, 1, 8), 0.5, 2, 0)
+    assert bucket.tokens == 2
+    assert resize(bucket, 1, 8, 0).tokens == 2
+
+
+def test_slots_are_divided_evenly():
+    live = frozenset(('a', 'b'))
+    table = claim(Table({}), FIRST, live, 5)
+    table = claim(table, SECOND, live, 5)
+    assert count_slots(table, FIRST) == 3
+    assert count_slots(table, SECOND) == 2
+
+
+def test_restarted_vm_takes_over_its_earlier_slots():
+    live = frozenset('a')
+    table = claim(Table({}), FIRST, live, 4)
+    restarted = Holding('a', 's9')
+    table = claim(table, restarted, live, 4)
+    assert count_slots(table, restarted) == 4
+    assert not count_slots(table, FIRST)
--- /dev/null
+++ b/toucanhall/admin/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' API."""
+
+from toucanhall.admin.service import Admin
+
+__all__ = ('Admin',)
--- /dev/null
+++ b/toucanhall/catalogue/reading.py
@@ -0,0 +1,170 @@
+"""Reads catalogue documents: shape first, then references between entries."""
+
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from toucanhall import documents
+from toucanhall.catalogue.model import (
+    Catalogue,
+    Drains,
+    Key,
+    Link,
+    Revision,
+    Route,
+    Target,
+    Team,
+    Zone,
+)
+from toucanhall.catalogue.schema import SCHEMA
+from toucanhall.documents import Document, Finding
+
+__all__ = ('read', 'read_text', 'revise')
+
+_SLOTS_PER_ZONE: Final = 12
+_HOLD_SECONDS: Final = 5.0
+_DEADLINE_SECONDS: Final = 10.0
+_FRACTION_SLACK: Final = 1e-9
+
+
+def read_text(text: str) -> Result[Catalogue, tuple[Finding, ...]]:
+    """Read a catalogue with comments, as operators write it."""
+    return documents.parse(text).bind(read)
+
+
+def read(document: Document) -> Result[Catalogue, tuple[Finding, ...]]:
+    """Check a parsed document whole and return the catalogue."""
+    return documents.check(document, SCHEMA).bind(_check_references)
+
+
+def revise(
+    number: int,
+    change: str,
+    document: bytes,
+) -> Result[Revision, tuple[Finding, ...]]:
+    """Read a plain JSON document that was accepted as a numbered revision."""
+    try:
+        parsed = msgspec.json.decode(document, type=dict)
+    except msgspec.MsgspecError as error:
+        return Failure((Finding('$', str(error), 'a JSON object'),))
+    return read(parsed).map(
+        lambda catalogue: Revision(number, change, document, catalogue),
+    )
+
+
+def _check_references(
+    document: Document,
+) -> Result[Catalogue, tuple[Finding, ...]]:
+    findings = tuple(
+        finding
+        for find in (_find_targets, _find_routes, _find_keys, _find_fractions)
+        for finding in find(document)
+    )
+    if findings:
+        return Failure(findings)
+    return Success(_build(document))
+
+
+def _find_targets(document: Document) -> Iterator[Finding]:
+    for name, target in document['targets'].items():
+        if target['zone'] not in document['zones']:
+            yield Finding(
+                f'$.targets.{name}.zone',
+                repr(target['zone']),
+                'a name in $.zones',
+            )
+
+
+def _find_routes(document: Document) -> Iterator[Finding]:
+    services = {entry['service'] for entry in document['targets'].values()}
+    paths: set[str] = set()
+    for index, route in enumerate(document['routes']):
+        where = f'$.routes[{index}]'
+        if route['service'] not in services:
+            yield Finding(
+                f'{where}.service',
+                repr(route['service']),
+                'a service that some target runs',
+            )
+        if route['path'] in paths:
+            yield Finding(f'{where}.path', repr(route['path']), 'a new path')
+        paths.add(route['path'])
+
+
+def _find_keys(document: Document) -> Iterator[Finding]:
+    digests: dict[str, str] = {}
+    for name, key in document.get('keys', {}).items():
+        if key['team'] not in document['teams']:
+            yield Finding(
+                f'$.keys.{name}.team',
+                repr(key['team']),
+                'a name in $.teams',
+            )
+        twin = digests.setdefault(key['digest'], name)
+        if twin != name:
+            yield Finding(
+                f'$.keys.{name}.digest',
+                f'the digest of key {twin!r}',
+                'a digest of its own',
+            )
+
+
+def _find_fractions(document: Document) -> Iterator[Finding]:
+    total = sum(zone['fraction'] for zone in document['zones'].values())
+    if total > 1 + _FRACTION_SLACK:
+        yield Finding(
+            '$.zones.*.fraction',
+            f'a sum of {total:g}',
+            'a sum of at most 1',
+        )
+
+
+def _build(document: Document) -> Catalogue:
+    drains = document.get('drains', {})
+    return Catalogue(
+        zones={
+            name: Zone(name, **entry)
+            for name, entry in document['zones'].items()
+        },
+        targets={
+            name: Target(name, **entry)
+            for name, entry in document['targets'].items()
+        },
+        routes=_build_routes(document),
+        teams={
+            name: Team(
+                name, entry['rate'], entry['burst'], entry.get('weight', 1),
+            )
+            for name, entry in document['teams'].items()
+        },
+        keys={
+            entry['digest']: Key(name, **entry)
+            for name, entry in document.get('keys', {}).items()
+        },
+        links=tuple(
+            Link(tuple(entry['regions']), entry['mbit_per_second'])
+            for entry in document.get('links', ())
+        ),
+        drains=Drains(
+            **{name: frozenset(entries) for name, entries in drains.items()},
+        ),
+        slots_per_zone=document.get('slots_per_zone', _SLOTS_PER_ZONE),
+        hold_seconds=document.get('hold_seconds', _HOLD_SECONDS),
+    )  # fmt: skip
+
+
+def _build_routes(document: Document) -> tuple[Route, ...]:
+    routes = (
+        Route(
+            path=entry['path'],
+            owner=entry['owner'],
+            service=entry['service'],
+            kind=entry['kind'],
+            public=entry.get('public', False),
+            deadline=entry.get('deadline_seconds', _DEADLINE_SECONDS),
+        )
+        for entry in document['routes']
+    )
+    return tuple(sorted(routes, key=lambda route: -len(route.path)))
--- /dev/null
+++ b/toucanhall/documents.py
@@ -0,0 +1,97 @@
+"""Reads JSON documents with comments and checks them against a schema."""
+
+import difflib
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple, TypeAlias
+
+import json5
+import jsonschema
+from jsonschema.exceptions import ValidationError
+from returns.result import Failure, Result, Success
+
+__all__ = ('Document', 'Finding', 'check', 'parse', 'render')
+
+Document: TypeAlias = Mapping[str, Any]
+
+_FOUND_LENGTH = 60  # characters of an offending value that an error repeats
+
+
+class Finding(NamedTuple):
+    """One error of a document: where it is, what was found, what is allowed."""
+
+    path: str
+    found: str
+    allowed: str
+
+
+def render(finding: Finding) -> str:
+    """Return a finding as one line of text."""
+    return f'{finding.path}: found {finding.found}, allowed: {finding.allowed}'
+
+
+def parse(text: str) -> Result[Document, tuple[Finding, ...]]:
+    """Parse a JSON document with comments; duplicate names are an error."""
+    try:
+        parsed = json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        return Failure((Finding('$', str(error), 'JSON with comments'),))
+    if not isinstance(parsed, dict):
+        return Failure((Finding('$', _quote(parsed), 'an object'),))
+    return Success(parsed)
+
+
+def check(
+    document: Document,
+    schema: Document,
+) -> Result[Document, tuple[Finding, ...]]:
+    """Check a whole document and return every error in document order."""
+    validator = jsonschema.Draft202012Validator(schema)
+    errors = sorted(validator.iter_errors(document), key=_order)
+    findings = tuple(finding for error in errors for finding in _explain(error))
+    if findings:
+        return Failure(findings)
+    return Success(document)
+
+
+def _order(error: ValidationError) -> str:
+    return error.json_path
+
+
+def _explain(error: ValidationError) -> Iterator[Finding]:
+    explain = _EXPLANATIONS.get(str(error.validator), _explain_value)
+    return explain(error)
+
+
+def _explain_value(error: ValidationError) -> Iterator[Finding]:
+    allowed = f'{error.validator} {error.validator_value}'
+    yield Finding(error.json_path, _quote(error.instance), allowed)
+
+
+def _explain_unknown(error: ValidationError) -> Iterator[Finding]:
+    schema: Document = error.schema  # type: ignore[assignment]
+    instance: Document = error.instance  # type: ignore[assignment]
+    known = sorted(schema.get('properties', ()))
+    for name in sorted(set(instance) - set(known)):
+        nearest = difflib.get_close_matches(name, known, n=1)
+        allowed = (
+            f'did you mean {nearest[0]!r}?' if nearest else ', '.join(known)
+        )
+        yield Finding(error.json_path, f'unknown field {name!r}', allowed)
+
+
+def _explain_missing(error: ValidationError) -> Iterator[Finding]:
+    missing = error.message.split(' is a required')[0]
+    yield Finding(error.json_path, f'no field {missing}', 'the field is needed')
+
+
+def _quote(found: object) -> str:
+    text = repr(found)
+    if len(text) > _FOUND_LENGTH:
+        return f'{text[:_FOUND_LENGTH]}...'
+    return text
+
+
+_EXPLANATIONS = {
+    'additionalProperties': _explain_unknown,
+    'required': _explain_missing,
+}
--- /dev/null
+++ b/toucanhall/entry.py
@@ -0,0 +1,277 @@
+"""An entry VM: builds the slices, joins them and runs until told to stop."""
+
+import signal
+import threading
+from collections.abc import Mapping
+from functools import partial
+from typing import Any, Final
+
+import msgspec
+
+from toucanhall import events, runtime
+from toucanhall.admin import Admin
+from toucanhall.admin.service import PREFIX as ADMIN_PREFIX
+from toucanhall.catalogue import Holder, Revision
+from toucanhall.counters import Counters
+from toucanhall.forwarding import (
+    Answer,
+    Parts,
+    Request,
+    make_refusal,
+    render,
+    serve,
+)
+from toucanhall.forwarding.credentials import digest_key, find_key
+from toucanhall.forwarding.dispatch import Dispatcher
+from toucanhall.forwarding.server import make_server
+from toucanhall.forwarding.web import make_application
+from toucanhall.idempotency import Keeper
+from toucanhall.membership import Health, Heartbeat, Membership, View
+from toucanhall.membership.actor import Beat, Heard, Leave, ReadList
+from toucanhall.membership.view import HEARTBEAT_SECONDS
+from toucanhall.platform import connect
+from toucanhall.settings import Settings
+from toucanhall.shares import Holding, Ledger
+from toucanhall.shares.claimer import Claimer, Place
+from toucanhall.spread import Offer, Spread, Watcher
+from toucanhall.spread.actor import Behind, Offered, Push
+from toucanhall.steering import AdvisedVm, Hop, Loads, advise
+from toucanhall.transport import Envelope, Exchange
+from toucanhall.transport.exchange import Handler, Identity
+
+__all__ = ('Entry',)
+
+_LIST_SECONDS: Final = 2.0
+_CLAIM_SECONDS: Final = 2.0
+_ADVICE_PATH: Final = '/.toucanhall/entry-vms'
+_HEALTH_PATH: Final = '/.toucanhall/health'
+
+
+class Entry:
+    """One entry VM with all its duties."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        """Build the slices; nothing runs before `run`."""
+        self._settings = settings
+        self._stopping = threading.Event()
+        self._view = View({}, {})
+        self._counters = Counters(
+            host=settings.statsd_host,
+            port=settings.statsd_port,
+        )
+        self._identity = Identity(
+            settings.vm,
+            runtime.make_id(),
+            settings.secret,
+        )
+        self._platform = connect(settings.platform)
+        self._holder = Holder()
+        self._ledger = Ledger()
+        self._exchange = Exchange(
+            identity=self._identity,
+            address=settings.address,
+            port=settings.peer_port,
+            counters=self._counters,
+        )
+        self._claimer = Claimer(
+            place=Place(
+                settings.zone,
+                Holding(settings.vm, self._identity.start),
+            ),
+            platform=self._platform,
+            ledger=self._ledger,
+        )
+        self._parts = Parts(
+            identity=self._identity,
+            zone=settings.zone,
+            holder=self._holder,
+            ledger=self._ledger,
+            loads=Loads(),
+            keeper=Keeper(platform=self._platform),
+            dispatcher=Dispatcher(),
+            counters=self._counters,
+            list_hops=self._list_hops,
+        )
+        self._admin = Admin(
+            operators=settings.operators,
+            holder=self._holder,
+            platform=self._platform,
+            read_status=self._read_status,
+        )
+
+    def run(self) -> None:
+        """Serve until SIGTERM, then leave, finish what runs and return."""
+        server = make_server(self._settings, make_application(self.serve))
+        self._start_actors()
+        signal.signal(signal.SIGTERM, lambda *_args: self._leave(server))
+        signal.signal(signal.SIGINT, lambda *_args: self._leave(server))
+        events.log(events.ENTRY_STARTED, zone=self._settings.zone)
+        server.run()
+        self._finish(server)
+        events.log(events.ENTRY_STOPPED)
+
+    def serve(self, request: Request) -> Answer:
+        """Answer a caller, an operator or a question which VM to use."""
+        if request.path == _ADVICE_PATH:
+            return self._advise(request)
+        if request.path == _HEALTH_PATH:
+            return _answer_json({'ready': self._holder.current is not None})
+        if request.path.startswith(ADMIN_PREFIX):
+            return self._admin.serve(request)
+        return serve(self._parts, request)
+
+    def _start_actors(self) -> None:
+        self._spread = Spread.start(
+            holder=self._holder,
+            send=self._exchange.send,
+            list_contacts=self._list_contacts,
+        )
+        self._membership = Membership.start(
+            settings=self._settings,
+            platform=self._platform,
+            send=self._exchange.send,
+            redial=self._exchange.redial,
+            read_revision=self._read_revision,
+            publish=self._publish,
+        )
+        self._holder.listen(self._take_revision)
+        self._exchange.start(
+            (
+                Handler(Heartbeat, self._hear),
+                Handler(Offer, self._take_offer),
+            )
+        )
+        Watcher(
+            platform=self._platform,
+            holder=self._holder,
+            stopping=self._stopping,
+        ).start()
+        self._membership.tell(ReadList())
+        for period, call in (
+            (HEARTBEAT_SECONDS, partial(self._membership.tell, Beat())),
+            (_LIST_SECONDS, partial(self._membership.tell, ReadList())),
+            (_CLAIM_SECONDS, self._claim),
+        ):
+            runtime.start_ticker(period, call, self._stopping)
+
+    def _hear(self, envelope: Envelope, heartbeat: Heartbeat) -> None:
+        self._membership.tell(Heard(envelope.vm, envelope.start, heartbeat))
+        if heartbeat.revision < self._read_revision():
+            self._spread.tell(Behind(heartbeat.address, heartbeat.revision))
+
+    def _take_offer(self, _envelope: Envelope, offer: Offer) -> None:
+        self._spread.tell(Offered(offer))
+
+    def _take_revision(self, revision: Revision) -> None:
+        self._spread.tell(Push(revision))
+        self._claimer.size_ledger(revision.catalogue)
+
+    def _publish(self, view: View) -> None:
+        self._view = view
+
+    def _read_revision(self) -> int:
+        held = self._holder.current
+        return held.number if held else 0
+
+    def _list_contacts(self) -> tuple[str, ...]:
+        return tuple(member.address for member in self._view.members.values())
+
+    def _list_hops(self) -> tuple[Hop, ...]:
+        now = runtime.read_clock()
+        return tuple(
+            Hop(
+                member.vm,
+                member.zone,
+                f'{member.address}:{self._settings.caller_port}',
+            )
+            for member in self._view.select(Health.ALIVE, now)
+            if member.zone != self._settings.zone
+        )
+
+    def _claim(self) -> None:
+        held = self._holder.current
+        if held is None or self._stopping.is_set():
+            return
+        live = frozenset(
+            member.vm
+            for member in self._view.members.values()
+            if member.zone == self._settings.zone
+            and (member.listed or member.heard_at is not None)
+        )
+        self._claimer.claim(held.catalogue, live | {self._settings.vm})
+
+    def _advise(self, request: Request) -> Answer:
+        held = self._holder.current
+        if held is None:
+            return render(make_refusal('not-ready', 'no catalogue yet', 1))
+        granted = held.catalogue.keys.get(digest_key(find_key(request)))
+        team = granted.team if granted else ''
+        advice = advise(
+            held.catalogue,
+            team,
+            self._settings.zone,
+            self._list_usable_vms(),
+        )
+        return _answer_json(advice._asdict())
+
+    def _list_usable_vms(self) -> tuple[AdvisedVm, ...]:
+        now = runtime.read_clock()
+        port = self._settings.caller_port
+        vms = [
+            AdvisedVm(
+                member.vm, member.zone, f'http://{member.address}:{port}',
+            )
+            for member in self._view.select(Health.ALIVE, now)
+        ]  # fmt: skip
+        if not self._stopping.is_set():
+            own = self._settings
+            vms.append(
+                AdvisedVm(own.vm, own.zone, f'http://{own.address}:{port}'),
+            )
+        return tuple(vms)
+
+    def _read_status(self) -> Mapping[str, Any]:
+        now = runtime.read_clock()
+        return {
+            'vm': self._settings.vm,
+            'revision': self._read_revision(),
+            'in_force': self._view.confirmed,
+            'members': [
+                {'vm': member.vm, 'zone': member.zone, 'health': health.value}
+                for health in Health
+                for member in self._view.select(health, now)
+            ],
+            'shares': {
+                team: bucket._asdict()
+                for team, bucket in self._ledger.read().items()
+            },
+            'counters': self._counters.read(),
+        }
+
+    def _leave(self, server: Any) -> None:
+        if self._stopping.is_set():
+            return
+        events.log(events.ENTRY_LEAVING)
+        self._stopping.set()
+        self._membership.tell(Leave())
+        linger = threading.Timer(
+            self._settings.bounds.linger_seconds,
+            server.close,
+        )
+        linger.daemon = True
+        linger.start()
+
+    def _finish(self, server: Any) -> None:
+        server.task_dispatcher.shutdown(cancel_pending=False)
+        self._membership.stop()
+        self._spread.stop()
+        self._exchange.stop()
+
+
+def _answer_json(content: Mapping[str, Any]) -> Answer:
+    body = msgspec.json.encode(content)
+    headers = (
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+    )
+    return Answer(200, 'OK', headers, (body,))
--- /dev/null
+++ b/toucanhall/events.py
@@ -0,0 +1,77 @@
+"""Catalogue of numbered log events, and the logger that writes them."""
+
+import logging
+import sys
+from typing import Final, NamedTuple
+
+from pythonjsonlogger.json import JsonFormatter
+
+__all__ = ('CATALOGUE', 'Event', 'configure', 'log')
+
+
+class Event(NamedTuple):
+    """A log event: its number, its level and what it says."""
+
+    number: int
+    level: int
+    text: str
+
+
+ENTRY_STARTED: Final = Event(100, logging.INFO, 'entry VM started')
+ENTRY_LEAVING: Final = Event(101, logging.INFO, 'entry VM is leaving')
+ENTRY_STOPPED: Final = Event(102, logging.INFO, 'entry VM stopped')
+CATALOGUE_TAKEN: Final = Event(200, logging.INFO, 'revision taken into force')
+CATALOGUE_STALE: Final = Event(201, logging.WARNING, 'older revision refused')
+CATALOGUE_INVALID: Final = Event(202, logging.ERROR, 'revision is invalid')
+CATALOGUE_RESTORED: Final = Event(
+    203, logging.WARNING, 'store was older and got the revision in force',
+)  # fmt: skip
+PLATFORM_UNAVAILABLE: Final = Event(300, logging.WARNING, 'store unavailable')
+PLATFORM_AVAILABLE: Final = Event(301, logging.INFO, 'store available')
+PEER_JOINED: Final = Event(400, logging.INFO, 'peer is alive')
+PEER_SUSPECTED: Final = Event(401, logging.WARNING, 'peer is suspected')
+PEER_LEAVING: Final = Event(402, logging.INFO, 'peer is leaving')
+MESSAGE_DROPPED: Final = Event(403, logging.WARNING, 'peer message dropped')
+SLOTS_CLAIMED: Final = Event(500, logging.INFO, 'slots of the zone claimed')
+REQUEST_REFUSED: Final = Event(600, logging.INFO, 'request refused')
+TARGET_FAILED: Final = Event(601, logging.WARNING, 'target failed')
+ANSWER_BROKEN: Final = Event(602, logging.WARNING, 'answer was not whole')
+CLAIM_UNSETTLED: Final = Event(700, logging.WARNING, 'claim not settled')
+CHANGE_ACCEPTED: Final = Event(800, logging.INFO, 'operator change accepted')
+CHANGE_REFUSED: Final = Event(801, logging.INFO, 'operator change refused')
+
+CATALOGUE: Final[tuple[Event, ...]] = tuple(
+    found for found in tuple(globals().values()) if isinstance(found, Event)
+)
+
+_LOGGER: Final = logging.getLogger('toucanhall')
+_LEVELS: Final = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
+
+
+def configure(level: str, vm: str) -> None:
+    """Write events of this process as JSON lines to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            '%(asctime)s %(levelname)s %(message)s',
+            static_fields={'vm': vm},
+        ),
+    )
+    _LOGGER.handlers.clear()
+    _LOGGER.addHandler(handler)
+    _LOGGER.setLevel(_LEVELS[level])
+    _LOGGER.propagate = False
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event with its fields; secrets are never passed as fields."""
+    _LOGGER.log(
+        event.level,
+        event.text,
+        extra={'event': event.number, 'fields': fields},
+    )
--- /dev/null
+++ b/toucanhall/forwarding/__init__.py
@@ -0,0 +1,15 @@
+"""The request path: admit, choose, dispatch, return the whole answer."""
+
+from toucanhall.forwarding.pipeline import Parts, serve
+from toucanhall.forwarding.problems import Refusal, make_refusal, render
+from toucanhall.forwarding.records import Answer, Request
+
+__all__ = (
+    'Answer',
+    'Parts',
+    'Refusal',
+    'Request',
+    'make_refusal',
+    'render',
+    'serve',
+)
--- /dev/null
+++ b/toucanhall/forwarding/credentials.py
@@ -0,0 +1,92 @@
+"""Finds a caller's key, names its team, and removes the key."""
+
+import hashlib
+from typing import Final, NamedTuple
+from urllib.parse import parse_qsl, unquote, unquote_plus
+
+from returns.result import Failure, Result, Success
+
+from toucanhall.catalogue import Catalogue, Route
+from toucanhall.forwarding.problems import Refusal, make_refusal
+from toucanhall.forwarding.records import Request, find_header
+
+__all__ = ('Caller', 'digest_key', 'identify', 'strip_key')
+
+_KEY_HEADERS: Final = frozenset(('authorization', 'x-api-key'))
+_KEY_FIELD: Final = 'key'
+_BEARER: Final = 'bearer '
+_PUBLIC_TEAM: Final = ''
+
+
+class Caller(NamedTuple):
+    """Who calls: the team, '' on a public route, and the key as shown."""
+
+    team: str
+    key: str
+
+
+def digest_key(key: str) -> str:
+    """Return the SHA-256 digest by which a key is known."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def identify(
+    catalogue: Catalogue,
+    route: Route,
+    request: Request,
+) -> Result[Caller, Refusal]:
+    """Name the team whose key came with a request."""
+    key = find_key(request)
+    if route.public:
+        return Success(Caller(_PUBLIC_TEAM, key))
+    if not key:
+        return Failure(make_refusal('key-missing', f'route {route.path!r}'))
+    granted = catalogue.keys.get(digest_key(key))
+    if granted is None:
+        return Failure(make_refusal('key-unknown', f'route {route.path!r}'))
+    return Success(Caller(granted.team, key))
+
+
+def find_key(request: Request) -> str:
+    """Return the key of a request: bearer token, header or query field."""
+    bearer = find_header(request.headers, 'authorization')
+    if bearer.lower().startswith(_BEARER):
+        return bearer[len(_BEARER) :].strip()
+    header = find_header(request.headers, 'x-api-key')
+    if header:
+        return header.strip()
+    return dict(parse_qsl(request.query)).get(_KEY_FIELD, '')
+
+
+def strip_key(request: Request, key: str) -> Request:
+    """Return the request without the key, wherever it stood."""
+    headers = tuple(
+        (name, content)
+        for name, content in request.headers
+        if name.lower() not in _KEY_HEADERS and not _contains(content, key)
+    )
+    fields = [
+        field
+        for field in request.query.split('&')
+        if field and not _shows_key(field, key)
+    ]
+    query = '&'.join(fields)
+    path = request.target.split('?', 1)[0]
+    return request._replace(
+        headers=headers,
+        query=query,
+        target=f'{path}?{query}' if query else path,
+    )
+
+
+def _shows_key(field: str, key: str) -> bool:
+    name = unquote_plus(field.split('=', 1)[0])
+    return name == _KEY_FIELD or _contains(field, key)
+
+
+def _contains(text: str, key: str) -> bool:
+    if not key:
+        return False
+    return any(
+        key in form for form in (text, unquote(text), unquote_plus(text))
+    )
--- /dev/null
+++ b/toucanhall/forwarding/problems.py
@@ -0,0 +1,94 @@
+"""Refusals: their reasons, statuses and rendering as problem+json."""
+
+import math
+from typing import Final, NamedTuple
+
+import msgspec
+
+from toucanhall.forwarding.records import Answer
+
+__all__ = ('REASONS', 'RAN_HEADER', 'Refusal', 'make_refusal', 'render')
+
+RAN_HEADER: Final = 'Toucanhall-Ran'
+
+
+class Reason(NamedTuple):
+    """A reason: HTTP status, its phrase, and whether the request ran."""
+
+    status: int
+    phrase: str
+    title: str
+    ran: str
+
+
+REASONS: Final = {
+    'bad-request': Reason(400, 'Bad Request', 'request is malformed', 'no'),
+    'key-missing': Reason(401, 'Unauthorized', 'a key is needed', 'no'),
+    'key-unknown': Reason(401, 'Unauthorized', 'key is not granted', 'no'),
+    'no-route': Reason(404, 'Not Found', 'no route has this path', 'no'),
+    'claim-open': Reason(
+        409, 'Conflict', 'a request with this key was started', 'maybe',
+    ),
+    'claim-mismatch': Reason(
+        422, 'Unprocessable Content',
+        'this idempotency key was used for another request', 'no',
+    ),
+    'rate': Reason(429, 'Too Many Requests', 'team is over its rate', 'no'),
+    'target-failed': Reason(
+        502, 'Bad Gateway', 'target gave no whole answer', 'maybe',
+    ),
+    'no-target': Reason(
+        503, 'Service Unavailable', 'no target has room', 'no',
+    ),
+    'not-ready': Reason(
+        503, 'Service Unavailable', 'no catalogue is in force yet', 'no',
+    ),
+    'store-unavailable': Reason(
+        503, 'Service Unavailable', 'the store cannot be reached', 'no',
+    ),
+    'deadline': Reason(504, 'Gateway Timeout', 'deadline has passed', 'no'),
+}  # fmt: skip
+
+
+class Refusal(NamedTuple):
+    """A final answer to a request that was given up on.
+
+    `retry_after` is in seconds; 0 means that coming back does not help.
+    """
+
+    reason: str
+    detail: str
+    retry_after: float = 0.0
+
+
+def make_refusal(
+    reason: str,
+    detail: str,
+    retry_after: float = 0.0,
+) -> Refusal:
+    """Return a refusal with one of the known reasons."""
+    if reason not in REASONS:
+        raise KeyError(f'refusal reason {reason!r} is not in the table')
+    return Refusal(reason, detail, retry_after)
+
+
+def render(refusal: Refusal) -> Answer:
+    """Return the refusal as an answer for the caller."""
+    reason = REASONS[refusal.reason]
+    body = msgspec.json.encode(
+        {
+            'type': f'urn:toucanhall:{refusal.reason}',
+            'title': reason.title,
+            'status': reason.status,
+            'detail': refusal.detail,
+            'reason': refusal.reason,
+        }
+    )
+    headers = [
+        ('Content-Type', 'application/problem+json'),
+        ('Content-Length', str(len(body))),
+        (RAN_HEADER, reason.ran),
+    ]
+    if refusal.retry_after > 0:
+        headers.append(('Retry-After', str(math.ceil(refusal.retry_after))))
+    return Answer(reason.status, reason.phrase, tuple(headers), (body,))
--- /dev/null
+++ b/toucanhall/forwarding/server.py
@@ -0,0 +1,33 @@
+"""The HTTP server of an entry VM."""
+
+from typing import Any, Final
+
+from waitress.server import create_server
+
+from toucanhall.forwarding.web import Application
+from toucanhall.settings import Settings
+
+__all__ = ('make_server',)
+
+_BUFFER_BYTES: Final = 67108864  # beyond it waitress would write to disk
+_HIGH_WATERMARK: Final = 1048576
+
+
+def make_server(settings: Settings, application: Application) -> Any:
+    """Return a server that listens on the callers' port of this VM."""
+    bounds = settings.bounds
+    return create_server(
+        application,
+        listen=f'{settings.address}:{settings.caller_port}',
+        threads=bounds.threads,
+        ident='toucanhall',
+        max_request_header_size=bounds.header_bytes,
+        max_request_body_size=bounds.body_bytes,
+        channel_timeout=bounds.idle_seconds,
+        inbuf_overflow=_BUFFER_BYTES,
+        outbuf_overflow=_BUFFER_BYTES,
+        outbuf_high_watermark=_HIGH_WATERMARK,
+        connection_limit=1000,
+        clear_untrusted_proxy_headers=False,
+        asyncore_use_poll=True,
+    )
--- /dev/null
+++ b/toucanhall/idempotency/__init__.py
@@ -0,0 +1,22 @@
+"""At most once: claims, stored outcomes and true refusals."""
+
+from toucanhall.idempotency.claims import (
+    Claim,
+    Found,
+    Outcome,
+    Standing,
+    judge,
+    name_claim,
+)
+from toucanhall.idempotency.keeper import Begun, Keeper
+
+__all__ = (
+    'Begun',
+    'Claim',
+    'Found',
+    'Keeper',
+    'Outcome',
+    'Standing',
+    'judge',
+    'name_claim',
+)
--- /dev/null
+++ b/toucanhall/membership/actor.py
@@ -0,0 +1,174 @@
+"""The actor of membership: beats, listens and reads the list of VMs."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Final, NamedTuple, Protocol
+
+import pykka
+from returns.result import Result, Success
+
+from toucanhall import events, runtime
+from toucanhall.membership.messages import Heartbeat
+from toucanhall.membership.view import (
+    Health,
+    Member,
+    View,
+    assess,
+    hear,
+    merge_list,
+)
+from toucanhall.platform import Listed
+from toucanhall.settings import Settings
+
+__all__ = ('Beat', 'Heard', 'Leave', 'Membership', 'Platform', 'ReadList')
+
+_CONTACTS_PER_ZONE: Final = 2
+
+
+class Beat(NamedTuple):
+    """Time to send heartbeats."""
+
+
+class ReadList(NamedTuple):
+    """Time to read the platform's list of VMs."""
+
+
+class Leave(NamedTuple):
+    """This VM begins to leave."""
+
+
+class Heard(NamedTuple):
+    """A heartbeat arrived."""
+
+    vm: str
+    start: str
+    heartbeat: Heartbeat
+
+
+class Platform(Protocol):
+    """The part of the platform client that membership needs."""
+
+    def list_vms(self) -> Result[tuple[Listed, ...], Any]:
+        """Return the live and leaving VMs as the platform knows them."""
+
+
+class Membership(pykka.ThreadingActor):
+    """Keeps the view of this VM and publishes it as `view`."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        platform: Platform,
+        send: Callable[[str, Heartbeat], None],
+        redial: Callable[[str], None],
+        read_revision: Callable[[], int],
+        publish: Callable[[View], None],
+    ) -> None:
+        """Start with an empty view; `publish` gets each new one."""
+        super().__init__()
+        self._settings = settings
+        self._platform = platform
+        self._send = send
+        self._redial = redial
+        self._read_revision = read_revision
+        self._publish = publish
+        self._view = View({}, {})
+        self._sequence = 0
+        self._leaving = False
+        self._health: dict[str, Health] = {}
+        self._handlers: Mapping[type, Callable[[Any], None]] = {
+            Beat: self._beat,
+            ReadList: self._read_list,
+            Leave: self._leave,
+            Heard: self._hear,
+        }
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message of this actor."""
+        self._handlers[type(message)](message)
+
+    def _beat(self, _message: Beat) -> None:
+        now = runtime.read_clock()
+        self._sequence += 1
+        confirmed = self._confirm(now)
+        heartbeat = Heartbeat(
+            zone=self._settings.zone,
+            address=self._settings.address,
+            sequence=self._sequence,
+            leaving=self._leaving,
+            revision=self._read_revision(),
+            confirmed=confirmed,
+        )
+        self._view = self._view._replace(confirmed=confirmed)
+        self._watch_health(now)
+        for member in self._select_contacts():
+            self._send(member.address, heartbeat)
+        self._publish(self._view)
+
+    def _read_list(self, _message: ReadList) -> None:
+        listed = self._platform.list_vms()
+        if isinstance(listed, Success):
+            self._view = merge_list(
+                self._view,
+                listed.unwrap(),
+                self._settings.vm,
+                runtime.read_clock(),
+            )
+            self._publish(self._view)
+
+    def _leave(self, _message: Leave) -> None:
+        self._leaving = True
+        self._beat(Beat())
+
+    def _hear(self, message: Heard) -> None:
+        self._view = hear(
+            self._view,
+            message.vm,
+            message.start,
+            message.heartbeat,
+            runtime.read_clock(),
+        )
+        self._publish(self._view)
+
+    def _confirm(self, now: float) -> Mapping[str, int]:
+        zone = self._settings.zone
+        own = [
+            member.revision
+            for member in self._view.select(Health.ALIVE, now)
+            if member.zone == zone
+        ]
+        in_force = min([*own, self._read_revision()])
+        known = self._view.confirmed
+        return {**known, zone: max(known.get(zone, 0), in_force)}
+
+    def _select_contacts(self) -> tuple[Member, ...]:
+        own_zone = self._settings.zone
+        contacts: list[Member] = []
+        taken: dict[str, int] = {}
+        for member in sorted(self._view.members.values()):
+            count = taken.get(member.zone, 0)
+            if member.zone == own_zone or count < _CONTACTS_PER_ZONE:
+                contacts.append(member)
+                taken[member.zone] = count + 1
+        return tuple(contacts)
+
+    def _watch_health(self, now: float) -> None:
+        for vm, member in self._view.members.items():
+            health = assess(member, now)
+            if self._health.get(vm) is health:
+                continue
+            self._health[vm] = health
+            event = _HEALTH_EVENTS.get(health)
+            if event:
+                events.log(event, peer=vm)
+            if health is Health.SUSPECTED:
+                self._redial(member.address)
+
+
+_HEALTH_EVENTS: Final = {
+    Health.ALIVE: events.PEER_JOINED,
+    Health.SUSPECTED: events.PEER_SUSPECTED,
+    Health.LEAVING: events.PEER_LEAVING,
+}
--- /dev/null
+++ b/toucanhall/membership/view.py
@@ -0,0 +1,152 @@
+"""What one VM knows of the others, and the decisions that change it."""
+
+import enum
+from collections.abc import Iterator, Mapping
+from typing import Final, NamedTuple
+
+from toucanhall.membership.messages import Heartbeat
+from toucanhall.platform import Listed
+
+__all__ = (
+    'HEARTBEAT_SECONDS',
+    'Health',
+    'Member',
+    'View',
+    'assess',
+    'hear',
+    'merge_list',
+)
+
+HEARTBEAT_SECONDS: Final = 1.0
+_SUSPECT_SECONDS: Final = 3.5
+_FORGET_SECONDS: Final = 60.0
+
+
+class Health(enum.Enum):
+    """How far a member can be relied on."""
+
+    UNHEARD = 'unheard'
+    ALIVE = 'alive'
+    SUSPECTED = 'suspected'
+    LEAVING = 'leaving'
+
+
+class Member(NamedTuple):
+    """A VM: `heard_at` is in seconds on the clock of this process."""
+
+    vm: str
+    zone: str
+    address: str
+    start: str = ''
+    sequence: int = 0
+    leaving: bool = False
+    revision: int = 0
+    heard_at: float | None = None
+    listed: bool = False
+
+
+class View(NamedTuple):
+    """All known members by VM, without the VM that holds the view."""
+
+    members: Mapping[str, Member]
+    confirmed: Mapping[str, int]
+
+    def select(self, health: Health, now: float) -> Iterator[Member]:
+        """Yield the members of one health."""
+        for member in self.members.values():
+            if assess(member, now) is health:
+                yield member
+
+
+def assess(member: Member, now: float) -> Health:
+    """Return the health of a member at a time."""
+    if member.leaving:
+        return Health.LEAVING
+    if member.heard_at is None:
+        return Health.UNHEARD
+    if now - member.heard_at > _SUSPECT_SECONDS:
+        return Health.SUSPECTED
+    return Health.ALIVE
+
+
+def hear(
+    view: View,
+    vm: str,
+    start: str,
+    heartbeat: Heartbeat,
+    now: float,
+) -> View:
+    """Return the view after a heartbeat; an overtaken one changes nothing."""
+    known = view.members.get(vm)
+    if known and known.start == start and known.sequence >= heartbeat.sequence:
+        return view
+    member = Member(
+        vm=vm,
+        zone=heartbeat.zone,
+        address=heartbeat.address,
+        start=start,
+        sequence=heartbeat.sequence,
+        leaving=heartbeat.leaving,
+        revision=heartbeat.revision,
+        heard_at=now,
+        listed=known.listed if known else False,
+    )
+    return View(
+        members={**view.members, vm: member},
+        confirmed=_merge_confirmed(view.confirmed, heartbeat.confirmed),
+    )
+
+
+def merge_list(
+    view: View,
+    listed: tuple[Listed, ...],
+    own_vm: str,
+    now: float,
+) -> View:
+    """Return the view after the platform's list of VMs was read.
+
+    The list brings unknown VMs and marks leaving ones. A VM that is missing
+    from it stays a member while its heartbeats arrive.
+    """
+    members = {
+        vm: member._replace(listed=False)
+        for vm, member in view.members.items()
+        if not _is_forgotten(member, now)
+    }
+    for entry in listed:
+        if entry.vm != own_vm:
+            members[entry.vm] = _merge_entry(members.get(entry.vm), entry)
+    return view._replace(members=members)
+
+
+def _merge_entry(known: Member | None, entry: Listed) -> Member:
+    if known is None:
+        return Member(
+            entry.vm,
+            entry.zone,
+            entry.address,
+            leaving=entry.leaving,
+            listed=True,
+        )
+    return known._replace(
+        listed=True,
+        leaving=known.leaving or entry.leaving,
+    )
+
+
+def _is_forgotten(member: Member, now: float) -> bool:
+    if member.heard_at is None:
+        return not member.listed
+    return now - member.heard_at > _FORGET_SECONDS and not member.listed
+
+
+def _merge_confirmed(
+    known: Mapping[str, int],
+    heard: Mapping[str, int],
+) -> Mapping[str, int]:
+    newer = {
+        zone: revision
+        for zone, revision in heard.items()
+        if revision > known.get(zone, 0)
+    }
+    return {**known, **newer}
--- /dev/null
+++ b/toucanhall/platform/client.py
@@ -0,0 +1,172 @@
+"""Calls the platform by HTTP: read, conditional write, watch, list VMs."""
+
+from typing import Final
+from urllib.parse import quote
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from toucanhall.platform.errors import (
+    Ambiguous,
+    Conflict,
+    PlatformError,
+    Unavailable,
+)
+from toucanhall.platform.model import ABSENT, Listed, Stored
+
+__all__ = ('Client', 'connect')
+
+_CONNECT_SECONDS: Final = 0.5
+_CALL_SECONDS: Final = 2.0
+_WATCH_MARGIN_SECONDS: Final = 2.0
+_CONNECTIONS: Final = 16
+_OK: Final = 200
+_CREATED: Final = 201
+_NOT_FOUND: Final = 404
+_PRECONDITION_FAILED: Final = 412
+_NEVER_SENT: Final = (NewConnectionError, ConnectTimeoutError)
+
+
+class Client:
+    """The narrow interface to the platform; another platform replaces it."""
+
+    def __init__(self, *, base: str, pool: urllib3.PoolManager) -> None:
+        """Use a pool of connections to the platform at a base URL."""
+        self._base = base
+        self._pool = pool
+
+    def read(self, name: str) -> Result[Stored, PlatformError]:
+        """Return an object; version 0 with empty content when absent."""
+        return self._get(f'/objects/{quote(name)}', _CALL_SECONDS).bind(
+            lambda response: _read_object(name, response),
+        )
+
+    def write(
+        self,
+        name: str,
+        content: bytes,
+        expected: int,
+    ) -> Result[int, PlatformError]:
+        """Write an object if its version is the expected one.
+
+        Returns the new version. A version of 0 expects no object. A failure
+        is `Conflict` or `Unavailable` when nothing was written, `Ambiguous`
+        when the write may have taken effect.
+        """
+        condition = (
+            {'If-None-Match': '*'}
+            if expected == ABSENT
+            else {'If-Match': f'"{expected}"'}
+        )
+        try:
+            response = self._pool.request(
+                'PUT',
+                f'{self._base}/objects/{quote(name)}',
+                body=content,
+                headers=condition,
+                timeout=_make_timeout(_CALL_SECONDS),
+                retries=False,
+            )
+        except _NEVER_SENT as error:
+            return Failure(Unavailable(f'write {name}: {error}'))
+        except HTTPError as error:
+            return Failure(Ambiguous(name, str(error)))
+        return _read_written(name, expected, response)
+
+    def watch(
+        self,
+        name: str,
+        known: int,
+        wait_seconds: float,
+    ) -> Result[Stored, PlatformError]:
+        """Wait until an object's version differs from the known one.
+
+        Returns the object as it is after at most `wait_seconds`.
+        """
+        path = f'/watch/{quote(name)}?known={known}&wait={wait_seconds}'
+        return self._get(path, wait_seconds + _WATCH_MARGIN_SECONDS).bind(
+            lambda response: _read_object(name, response),
+        )
+
+    def list_vms(self) -> Result[tuple[Listed, ...], PlatformError]:
+        """Return the live and leaving VMs as the platform knows them."""
+        return self._get('/vms', _CALL_SECONDS).bind(_read_vms)
+
+    def _get(
+        self,
+        path: str,
+        seconds: float,
+    ) -> Result[urllib3.BaseHTTPResponse, PlatformError]:
+        try:
+            response = self._pool.request(
+                'GET',
+                f'{self._base}{path}',
+                timeout=_make_timeout(seconds),
+                retries=False,
+            )
+        except HTTPError as error:
+            return Failure(Unavailable(f'read {path}: {error}'))
+        return Success(response)
+
+
+def connect(base: str) -> Client:
+    """Return a client of the platform at a URL such as `http://ip:port`."""
+    pool = urllib3.PoolManager(maxsize=_CONNECTIONS, retries=False)
+    return Client(base=base, pool=pool)
+
+
+def _make_timeout(seconds: float) -> urllib3.Timeout:
+    return urllib3.Timeout(connect=_CONNECT_SECONDS, read=seconds)
+
+
+def _read_object(
+    name: str,
+    response: urllib3.BaseHTTPResponse,
+) -> Result[Stored, PlatformError]:
+    if response.status == _NOT_FOUND:
+        return Success(Stored(name, ABSENT, b''))
+    if response.status != _OK:
+        return Failure(Unavailable(f'read {name}: status {response.status}'))
+    return _read_version(response).map(
+        lambda version: Stored(name, version, response.data),
+    )
+
+
+def _read_written(
+    name: str,
+    expected: int,
+    response: urllib3.BaseHTTPResponse,
+) -> Result[int, PlatformError]:
+    if response.status == _PRECONDITION_FAILED:
+        return Failure(Conflict(name, expected))
+    if response.status not in {_OK, _CREATED}:
+        return Failure(Unavailable(f'write {name}: status {response.status}'))
+    return _read_version(response)
+
+
+def _read_version(
+    response: urllib3.BaseHTTPResponse,
+) -> Result[int, PlatformError]:
+    tag = response.headers.get('ETag', '').strip('"')
+    if not tag.isdigit():
+        return Failure(Unavailable(f'answer has no version: ETag {tag!r}'))
+    return Success(int(tag))
+
+
+def _read_vms(
+    response: urllib3.BaseHTTPResponse,
+) -> Result[tuple[Listed, ...], PlatformError]:
+    if response.status != _OK:
+        return Failure(Unavailable(f'list VMs: status {response.status}'))
+    try:
+        return Success(
+            msgspec.json.decode(response.data, type=tuple[Listed, ...]),
+        )
+    except msgspec.MsgspecError as error:
+        return Failure(Unavailable(f'list VMs: {error}'))
--- /dev/null
+++ b/toucanhall/settings.py
@@ -0,0 +1,163 @@
+"""Settings of one entry VM: the file's schema and its checked reading."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from toucanhall import documents
+from toucanhall.documents import Document, Finding
+
+__all__ = ('Bounds', 'Operator', 'Settings', 'load', 'read')
+
+_PORT: Final = {'type': 'integer', 'minimum': 1, 'maximum': 65535}
+_NAME: Final = {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}
+_ADDRESS: Final = {
+    'type': 'string',
+    'pattern': '^([0-9]{1,3}[.]){3}[0-9]{1,3}$',
+}
+_ROLES: Final = ('read', 'operate', 'administer')
+
+_SCHEMA: Final[Document] = {
+    'type': 'object',
+    'additionalProperties': False,
+    'required': [
+        'vm', 'zone', 'address', 'caller_port', 'peer_port',
+        'platform', 'secret_variable', 'operators',
+    ],
+    'properties': {
+        'vm': _NAME,
+        'zone': _NAME,
+        'address': _ADDRESS,
+        'caller_port': _PORT,
+        'peer_port': _PORT,
+        'platform': {'type': 'string', 'pattern': '^http://[^/]+$'},
+        'secret_variable': {'type': 'string', 'minLength': 1},
+        'operators': {
+            'type': 'array',
+            'items': {
+                'type': 'object',
+                'additionalProperties': False,
+                'required': ['name', 'digest', 'role'],
+                'properties': {
+                    'name': _NAME,
+                    'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'},
+                    'role': {'enum': list(_ROLES)},
+                },
+            },
+        },
+        'statsd': {
+            'type': 'object',
+            'additionalProperties': False,
+            'required': ['host', 'port'],
+            'properties': {'host': _ADDRESS, 'port': _PORT},
+        },
+        'bounds': {
+            'type': 'object',
+            'additionalProperties': False,
+            'properties': {
+                'header_bytes': {'type': 'integer', 'minimum': 1024},
+                'body_bytes': {'type': 'integer', 'minimum': 0},
+                'idle_seconds': {'type': 'integer', 'minimum': 1},
+                'threads': {'type': 'integer', 'minimum': 2, 'maximum': 512},
+                'linger_seconds': {'type': 'integer', 'minimum': 0},
+            },
+        },
+        'log_level': {'enum': ['debug', 'info', 'warning', 'error']},
+    },
+}  # fmt: skip
+
+
+class Operator(NamedTuple):
+    """An operator's credential: SHA-256 digest of the token, and the role."""
+
+    name: str
+    digest: str
+    role: str
+
+
+class Bounds(NamedTuple):
+    """Limits on what one caller's connection may use."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 1048576
+    idle_seconds: int = 20
+    threads: int = 48
+    linger_seconds: int = 6
+
+
+class Settings(NamedTuple):
+    """What one entry VM learns from its settings file and environment."""
+
+    vm: str
+    zone: str
+    address: str
+    caller_port: int
+    peer_port: int
+    platform: str
+    secret: bytes
+    operators: tuple[Operator, ...]
+    statsd_host: str
+    statsd_port: int
+    bounds: Bounds
+    log_level: str
+
+
+def load(
+    path: Path,
+    environment: Mapping[str, str] = os.environ,
+) -> Result[Settings, tuple[Finding, ...]]:
+    """Read and check a settings file; a failure holds every error found."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((Finding(str(path), str(error), 'a readable file'),))
+    return read(text, environment)
+
+
+def read(
+    text: str,
+    environment: Mapping[str, str],
+) -> Result[Settings, tuple[Finding, ...]]:
+    """Check the text of a settings file and return the settings."""
+    return (
+        documents.parse(text)
+        .bind(lambda document: documents.check(document, _SCHEMA))
+        .bind(lambda document: _with_secret(document, environment))
+    )
+
+
+def _with_secret(
+    document: Document,
+    environment: Mapping[str, str],
+) -> Result[Settings, tuple[Finding, ...]]:
+    name = document['secret_variable']
+    secret = environment.get(name, '')
+    if not secret:
+        finding = Finding(
+            '$.secret_variable',
+            f'no value in environment variable {name!r}',
+            'the name of a variable that holds the secret of the fleet',
+        )
+        return Failure((finding,))
+    return Success(_build(document, secret.encode()))
+
+
+def _build(document: Document, secret: bytes) -> Settings:
+    statsd: Mapping[str, Any] = document.get('statsd', {})
+    return Settings(
+        vm=document['vm'],
+        zone=document['zone'],
+        address=document['address'],
+        caller_port=document['caller_port'],
+        peer_port=document['peer_port'],
+        platform=document['platform'],
+        secret=secret,
+        operators=tuple(Operator(**entry) for entry in document['operators']),
+        statsd_host=statsd.get('host', ''),
+        statsd_port=statsd.get('port', 0),
+        bounds=Bounds(**document.get('bounds', {})),
+        log_level=document.get('log_level', 'info'),
+    )
--- /dev/null
+++ b/toucanhall/transport/exchange.py
@@ -0,0 +1,137 @@
+"""Sends messages to peers and hands arriving ones to their handlers."""
+
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any, Final, NamedTuple
+
+import msgspec
+import pynng
+from returns.result import Result, Success
+
+from toucanhall import events
+from toucanhall.counters import Counters
+from toucanhall.transport.frames import Envelope, FrameError, seal, unseal
+
+__all__ = ('Exchange', 'Handler', 'Identity')
+
+_SEND_BUFFER: Final = 64  # messages
+_RECONNECT_MS: Final = 100
+_RECONNECT_MAX_MS: Final = 1000
+
+
+class Identity(NamedTuple):
+    """Who this process is: VM, start id, and the secret of the fleet."""
+
+    vm: str
+    start: str
+    secret: bytes
+
+
+class Handler(NamedTuple):
+    """The type of a message and the function that takes it."""
+
+    kind: type
+    take: Callable[[Envelope, Any], None]
+
+
+class Exchange:
+    """One listening socket, and one sending socket per peer."""
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        address: str,
+        port: int,
+        counters: Counters,
+    ) -> None:
+        """Listen on an address and port of this VM."""
+        self._identity = identity
+        self._address = address
+        self._port = port
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._peers: dict[str, pynng.Push0] = {}
+        self._handlers: Mapping[str, Handler] = {}
+        self._socket = pynng.Pull0()
+
+    def start(self, handlers: tuple[Handler, ...]) -> None:
+        """Begin to take messages; each kind has one handler."""
+        self._handlers = {
+            handler.kind.__name__: handler for handler in handlers
+        }
+        self._socket.listen(f'tcp://{self._address}:{self._port}')
+        thread = threading.Thread(
+            target=self._receive,
+            name='exchange',
+            daemon=True,
+        )
+        thread.start()
+
+    def send(self, address: str, message: tuple[Any, ...]) -> None:
+        """Send a message to the VM at an address; it may be lost."""
+        frame = seal(
+            self._identity.secret,
+            self._identity.vm,
+            self._identity.start,
+            message,
+        )
+        with self._lock:
+            peer = self._peers.get(address) or self._dial(address)
+            try:
+                peer.send(frame, block=False)
+            except pynng.TryAgain:
+                self._counters.add('message.unsent')
+
+    def redial(self, address: str) -> None:
+        """Replace the connection to a peer that went silent."""
+        with self._lock:
+            peer = self._peers.pop(address, None)
+        if peer is not None:
+            peer.close()
+
+    def stop(self) -> None:
+        """Close every socket."""
+        with self._lock:
+            peers = tuple(self._peers.values())
+            self._peers.clear()
+        for peer in peers:
+            peer.close()
+        self._socket.close()
+
+    def _dial(self, address: str) -> pynng.Push0:
+        peer = pynng.Push0(
+            send_buffer_size=_SEND_BUFFER,
+            reconnect_time_min=_RECONNECT_MS,
+            reconnect_time_max=_RECONNECT_MAX_MS,
+        )
+        peer.dial(f'tcp://{address}:{self._port}', block=False)
+        self._peers[address] = peer
+        return peer
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                frame = self._socket.recv()
+            except pynng.Closed:
+                return
+            opened = unseal(self._identity.secret, frame).bind(self._take)
+            opened.alt(self._drop)
+
+    def _take(self, envelope: Envelope) -> Result[None, FrameError]:
+        handler = self._handlers.get(envelope.kind)
+        if handler is None:
+            return Result.from_failure(FrameError('unknown', envelope.kind))
+        try:
+            message: Any = msgspec.msgpack.decode(
+                envelope.body,
+                type=handler.kind,
+            )
+        except msgspec.MsgspecError as error:
+            return Result.from_failure(FrameError('damaged', str(error)))
+        handler.take(envelope, message)
+        return Success(None)
+
+    def _drop(self, error: FrameError) -> None:
+        self._counters.add(f'message.dropped.{error.reason}')
+        events.log(events.MESSAGE_DROPPED, reason=error.reason)
