Split the request path by duty and add a relay between zones for tests

Cause: admission, attempts and claims stood in one module of 380 lines, which four matters are about to change.

--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each a module with a `main` that takes arguments."""
--- /dev/null
+++ b/benches/__main__.py
@@ -0,0 +1,23 @@
+"""Runs one measurement by name."""
+
+import sys
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from benches import relay
+
+BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
+    'relay': relay.main,
+}
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run the measurement that the first argument names."""
+    if not arguments or arguments[0] not in BENCHES:
+        print(f'usage: bench NAME [options]; names: {sorted(BENCHES)}')
+        return 2
+    return BENCHES[arguments[0]](arguments[1:])
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,11 +19,12 @@
 import json5
 import urllib3
 
-__all__ = ('EntryVm', 'Fleet', 'wait_until')
+__all__ = ('EntryVm', 'Fleet', 'name_line', 'wait_until')
 
 CALLER_PORT: Final = 8080
 PEER_PORT: Final = 8081
 PLATFORM_PORT: Final = 7400
+CONTROL_PORT: Final = 7401
 _CLAIM_PORT: Final = 7399
 _EXAMPLE_NET: Final = '127.1.'
 _TOKEN: Final = 'demo-operator-token'
@@ -60,8 +61,19 @@
 class Fleet:
     """The processes of one fleet, on a loopback network of their own."""
 
-    def __init__(self, *, catalogue: Path, vms_per_zone: int = 1) -> None:
-        """Prepare a fleet for an example catalogue; nothing is started."""
+    def __init__(
+        self,
+        *,
+        catalogue: Path,
+        vms_per_zone: int = 1,
+        relayed: bool = False,
+    ) -> None:
+        """Prepare a fleet for an example catalogue; nothing is started.
+
+        In a relayed fleet all that leaves a zone, to the platform or to VMs of
+        other zones, passes a relay, so that `set_line` can cut it.
+        """
+        self._relayed = relayed
         self._claim, self.net = _claim_net()
         self.folder = Path(tempfile.mkdtemp(prefix='toucanhall-'))
         self.text = catalogue.read_text().replace(
@@ -86,6 +98,8 @@
 
     def start(self) -> None:
         """Start every process and wait until each answers."""
+        if self._relayed:
+            self.start_relay()
         self.start_platform()
         for name in self.catalogue['targets']:
             self.start_target(name)
@@ -94,6 +108,66 @@
         for vm in self.vms:
             wait_until(partial(self.is_up, vm.url), f'{vm.name} up')
 
+    def start_relay(self) -> None:
+        """Start the relay between the zones and to the platform."""
+        lines = [
+            (f'{near}:{port}', f'{vm.address}:{port}', name_line(zone, vm.zone))
+            for zone in self.catalogue['zones']
+            for vm in self.vms
+            if vm.zone != zone
+            for near in (self.find_address(zone, vm),)
+            for port in (CALLER_PORT, PEER_PORT)
+        ]
+        platform = self.platform.removeprefix('http://')
+        lines.extend(
+            (
+                self.find_platform(zone).removeprefix('http://'),
+                platform,
+                name_line(zone, 'platform'),
+            )
+            for zone in self.catalogue['zones']
+        )
+        path = self.folder / 'lines.json'
+        path.write_text(json.dumps(lines))
+        self._start(
+            'relay',
+            'standins.relay',
+            f'--lines={path}',
+            f'--control=127.{self.net}.200.1:{CONTROL_PORT}',
+        )
+        wait_until(lambda: self.set_lines({}), 'relay up')
+
+    def set_lines(self, modes: dict[str, str]) -> bool:
+        """Change the modes of lines between zones; see the relay."""
+        address = (f'127.{self.net}.200.1', CONTROL_PORT)
+        try:
+            with socket.create_connection(address, timeout=5) as control:
+                control.sendall(json.dumps(modes).encode() + b'\n')
+                return control.recv(16) == b'done\n'
+        except OSError:
+            return False
+
+    def set_zone(self, zone: str, mode: str) -> None:
+        """Change the mode of every line of a zone, also to the platform."""
+        others = (*self.catalogue['zones'], 'platform')
+        self.set_lines(
+            {name_line(zone, other): mode for other in others if other != zone}
+        )
+
+    def find_address(self, zone: str, vm: EntryVm) -> str:
+        """Return the address at which a zone reaches a VM."""
+        if not self._relayed or zone == vm.zone:
+            return vm.address
+        number = sorted(self.catalogue['zones']).index(zone)
+        return f'127.{self.net}.{150 + number}.{self.vms.index(vm) + 1}'
+
+    def find_platform(self, zone: str) -> str:
+        """Return the URL at which a zone reaches the platform."""
+        if not self._relayed:
+            return self.platform
+        number = sorted(self.catalogue['zones']).index(zone)
+        return f'http://127.{self.net}.201.{number + 1}:{PLATFORM_PORT}'
+
     def start_platform(self) -> None:
         """Start the stand-in of the platform and list the VMs there."""
         self._start(
@@ -131,7 +205,7 @@
             'address': vm.address,
             'caller_port': CALLER_PORT,
             'peer_port': PEER_PORT,
-            'platform': self.platform,
+            'platform': self.find_platform(vm.zone),
             'secret_variable': 'TOUCANHALL_SECRET',
             'operators': [
                 {
@@ -142,12 +216,32 @@
             ],
         }
 
+    def start_bare(self, target: str) -> str:
+        """Start the relay with no decisions and return its URL."""
+        listen = f'127.{self.net}.202.1:{CALLER_PORT}'
+        address = self.catalogue['targets'][target]['address']
+        self._start(
+            'bare',
+            'standins.bare',
+            f'--listen={listen}',
+            f'--target={address}',
+        )
+        return f'http://{listen}'
+
     def list_vms(self, leaving: frozenset[str] = frozenset()) -> None:
         """Tell the platform which VMs are there."""
-        listed = [
-            (vm.name, vm.zone, vm.address, vm.name in leaving)
-            for vm in self.vms
-        ]
+        listed = {
+            zone: [
+                (
+                    vm.name,
+                    vm.zone,
+                    self.find_address(zone, vm),
+                    vm.name in leaving,
+                )
+                for vm in self.vms
+            ]
+            for zone in self.catalogue['zones']
+        }
         self.switch('vms', listed)
 
     def switch(self, name: str, content: object) -> None:
@@ -267,6 +361,11 @@
         return dict(response.json())
 
 
+def name_line(zone: str, other: str) -> str:
+    """Return the name of the line between two zones, in either order."""
+    return '|'.join(sorted((zone, other)))
+
+
 def _claim_net() -> tuple[socket.socket, int]:
     nets = random.sample(range(2, 250), 100)
     for net in nets:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,7 +23,7 @@
         self.calls: dict[str, int] = {}
         self.mode = 'up'
         self.list_lag = list_lag
-        self.vm_lists: list[tuple[float, Any]] = [(0, [])]
+        self.vm_lists: list[tuple[float, Any]] = [(0, {})]
 
     def write(self, name: str, content: bytes) -> int:
         """Write an object and wake its watchers."""
@@ -40,12 +40,16 @@
         self.objects[name] = (self.version, earlier)
         self.changed.notify_all()
 
-    def list_vms(self) -> Any:
-        """Return the newest list that is older than the lag."""
+    def list_vms(self, zone: str) -> Any:
+        """Return the newest list that is older than the lag.
+
+        Addresses are those at which the asking zone reaches the VMs.
+        """
         until = time.monotonic() - self.list_lag
-        return [
+        listed = [
             vms for since, vms in self.vm_lists if since <= until or since == 0
         ][-1]
+        return listed.get(zone, [])
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -68,7 +72,8 @@
             self._send(503, b'')
         elif url.path == '/vms':
             self._count('list')
-            self._send(200, json.dumps(self.store.list_vms()).encode())
+            zone = parse_qs(url.query).get('zone', [''])[0]
+            self._send(200, json.dumps(self.store.list_vms(zone)).encode())
         elif url.path.startswith('/watch/'):
             self._count('watch')
             query = parse_qs(url.query)
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -8,8 +8,7 @@
 from typing import Final
 
 _ROOT: Final = Path(__file__).parent.parent
-_BIN: Final = Path(sys.executable).parent
-_SOURCES: Final = ('toucanhall', 'standins', 'tests')
+_SOURCES: Final = ('toucanhall', 'standins', 'benches', 'tests')
 _FAILED: Final = re.compile(r'^(?:FAILED|ERROR) (\S+)', re.MULTILINE)
 
 
@@ -17,7 +16,7 @@
     """Return a check that runs a tool and passes when it exits with 0."""
 
     def check() -> bool:
-        done = subprocess.run((_BIN / arguments[0], *arguments[1:]), cwd=_ROOT)
+        done = subprocess.run((sys.executable, '-m', *arguments), cwd=_ROOT)
         return done.returncode == 0
 
     return check
@@ -28,7 +27,15 @@
 
     def check() -> bool:
         done = subprocess.run(
-            (_BIN / 'pytest', '-rfE', '-p', 'no:cacheprovider', *arguments),
+            (
+                sys.executable,
+                '-m',
+                'pytest',
+                '-rfE',
+                '-p',
+                'no:cacheprovider',
+                *arguments,
+            ),
             cwd=_ROOT,
             stdout=subprocess.PIPE,
             text=True,
@@ -60,7 +67,7 @@
 CHECKS: Final = {
     'format': run_tool('ruff', 'format', '--check', *_SOURCES),
     'lint': run_tool('flake8', *_SOURCES),
-    'types': run_tool('mypy', 'toucanhall', 'standins'),
+    'types': run_tool('mypy', 'toucanhall', 'standins', 'benches'),
     'tests': run_tests('tests/unit'),
     'models': run_tests('tests/models'),
     'processes': run_tests('tests/processes'),
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -2,29 +2,19 @@
 
 import signal
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Any, Final
 
-import msgspec
-
 from toucanhall import events, runtime
 from toucanhall.admin import Admin
-from toucanhall.admin.service import PREFIX as ADMIN_PREFIX
 from toucanhall.catalogue import Holder, Revision
 from toucanhall.counters import Counters
-from toucanhall.forwarding import (
-    Answer,
-    Parts,
-    Request,
-    make_refusal,
-    render,
-    serve,
-)
-from toucanhall.forwarding.credentials import digest_key, find_key
+from toucanhall.forwarding import Parts
 from toucanhall.forwarding.dispatch import Dispatcher
 from toucanhall.forwarding.server import make_server
 from toucanhall.forwarding.web import make_application
+from toucanhall.frontdoor import Frontdoor
 from toucanhall.idempotency import Keeper
 from toucanhall.membership import Health, Heartbeat, Membership, View
 from toucanhall.membership.actor import Beat, Heard, Leave, ReadList
@@ -35,7 +25,7 @@
 from toucanhall.shares.claimer import Claimer, Place
 from toucanhall.spread import Offer, Spread, Watcher
 from toucanhall.spread.actor import Behind, Offered, Push
-from toucanhall.steering import AdvisedVm, Hop, Loads, advise
+from toucanhall.steering import AdvisedVm, Hop, Loads
 from toucanhall.transport import Envelope, Exchange
 from toucanhall.transport.exchange import Handler, Identity
 
@@ -43,8 +33,6 @@
 
 _LIST_SECONDS: Final = 2.0
 _CLAIM_SECONDS: Final = 2.0
-_ADVICE_PATH: Final = '/.toucanhall/entry-vms'
-_HEALTH_PATH: Final = '/.toucanhall/health'
 
 
 class Entry:
@@ -92,16 +80,22 @@
             counters=self._counters,
             list_hops=self._list_hops,
         )
-        self._admin = Admin(
-            operators=settings.operators,
+        self._door = Frontdoor(
+            zone=settings.zone,
             holder=self._holder,
-            platform=self._platform,
-            read_status=self._read_status,
+            parts=self._parts,
+            admin=Admin(
+                operators=settings.operators,
+                holder=self._holder,
+                platform=self._platform,
+                read_status=self._read_status,
+            ),
+            list_usable_vms=self._list_usable_vms,
         )
 
     def run(self) -> None:
         """Serve until SIGTERM, then leave, finish what runs and return."""
-        server = make_server(self._settings, make_application(self.serve))
+        server = make_server(self._settings, make_application(self._door.serve))
         self._start_actors()
         signal.signal(signal.SIGTERM, lambda *_args: self._leave(server))
         signal.signal(signal.SIGINT, lambda *_args: self._leave(server))
@@ -110,16 +104,6 @@
         self._finish(server)
         events.log(events.ENTRY_STOPPED)
 
-    def serve(self, request: Request) -> Answer:
-        """Answer a caller, an operator or a question which VM to use."""
-        if request.path == _ADVICE_PATH:
-            return self._advise(request)
-        if request.path == _HEALTH_PATH:
-            return _answer_json({'ready': self._holder.current is not None})
-        if request.path.startswith(ADMIN_PREFIX):
-            return self._admin.serve(request)
-        return serve(self._parts, request)
-
     def _start_actors(self) -> None:
         self._spread = Spread.start(
             holder=self._holder,
@@ -147,17 +131,28 @@
             stopping=self._stopping,
         ).start()
         self._membership.tell(ReadList())
-        for period, call in (
+        for period, call in self._list_tickers():
+            runtime.start_ticker(period, call, self._stopping)
+
+    def _list_handlers(self) -> tuple[Handler, ...]:
+        return (
+            Handler(Heartbeat, self._hear),
+            Handler(Offer, self._take_offer),
+        )
+
+    def _list_tickers(self) -> tuple[tuple[float, Callable[[], None]], ...]:
+        return (
             (HEARTBEAT_SECONDS, partial(self._membership.tell, Beat())),
             (_LIST_SECONDS, partial(self._membership.tell, ReadList())),
             (_CLAIM_SECONDS, self._claim),
-        ):
-            runtime.start_ticker(period, call, self._stopping)
+        )
 
     def _hear(self, envelope: Envelope, heartbeat: Heartbeat) -> None:
         self._membership.tell(Heard(envelope.vm, envelope.start, heartbeat))
         if heartbeat.revision < self._read_revision():
-            self._spread.tell(Behind(heartbeat.address, heartbeat.revision))
+            known = self._view.members.get(envelope.vm)
+            address = known.address if known else heartbeat.address
+            self._spread.tell(Behind(address, heartbeat.revision))
 
     def _take_offer(self, _envelope: Envelope, offer: Offer) -> None:
         self._spread.tell(Offered(offer))
@@ -200,20 +195,6 @@
         )
         self._claimer.claim(held.catalogue, live | {self._settings.vm})
 
-    def _advise(self, request: Request) -> Answer:
-        held = self._holder.current
-        if held is None:
-            return render(make_refusal('not-ready', 'no catalogue yet', 1))
-        granted = held.catalogue.keys.get(digest_key(find_key(request)))
-        team = granted.team if granted else ''
-        advice = advise(
-            held.catalogue,
-            team,
-            self._settings.zone,
-            self._list_usable_vms(),
-        )
-        return _answer_json(advice._asdict())
-
     def _list_usable_vms(self) -> tuple[AdvisedVm, ...]:
         now = runtime.read_clock()
         port = self._settings.caller_port
@@ -266,12 +247,3 @@
         self._membership.stop()
         self._spread.stop()
         self._exchange.stop()
-
-
-def _answer_json(content: Mapping[str, Any]) -> Answer:
-    body = msgspec.json.encode(content)
-    headers = (
-        ('Content-Type', 'application/json'),
-        ('Content-Length', str(len(body))),
-    )
-    return Answer(200, 'OK', headers, (body,))
--- a/toucanhall/forwarding/__init__.py
+++ b/toucanhall/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """The request path: admit, choose, dispatch, return the whole answer."""
 
-from toucanhall.forwarding.pipeline import Parts, serve
+from toucanhall.forwarding.jobs import Parts
+from toucanhall.forwarding.pipeline import serve
 from toucanhall.forwarding.problems import Refusal, make_refusal, render
 from toucanhall.forwarding.records import Answer, Request
 
--- /dev/null
+++ b/toucanhall/forwarding/admission.py
@@ -0,0 +1,99 @@
+"""Admits requests: route, key, limit, or the hop of another entry VM."""
+
+from returns.result import Result, Success
+
+from toucanhall import runtime
+from toucanhall.catalogue import Catalogue, Route
+from toucanhall.forwarding import hops
+from toucanhall.forwarding.credentials import Caller, identify, strip_key
+from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
+from toucanhall.forwarding.problems import Refusal, refuse
+from toucanhall.forwarding.records import Request, find_header
+
+__all__ = ('admit', 'find_route')
+
+
+def find_route(catalogue: Catalogue, path: str) -> Route | None:
+    """Return the route with the longest path that a request path lies in."""
+    for route in catalogue.routes:
+        prefix = route.path.rstrip('/')
+        if path == route.path or path.startswith(f'{prefix}/'):
+            return route
+    return None
+
+
+def admit(parts: Parts, request: Request) -> Result[Job, Refusal]:
+    """Return the job of a request that may run, or why it may not."""
+    revision = parts.holder.current
+    if revision is None:
+        return refuse('not-ready', 'no catalogue yet', BACK_SOON_SECONDS)
+    catalogue = revision.catalogue
+    route = find_route(catalogue, request.path)
+    if route is None or '..' in request.path.split('/'):
+        return refuse('no-route', f'path {request.path!r}')
+    token = find_header(request.headers, hops.HOP_HEADER)
+    if token:
+        return _admit_hop(parts, request, catalogue, route)
+    return identify(catalogue, route, request).bind(
+        lambda caller: _admit_caller(parts, request, catalogue, route, caller),
+    )
+
+
+def _admit_caller(
+    parts: Parts,
+    request: Request,
+    catalogue: Catalogue,
+    route: Route,
+    caller: Caller,
+) -> Result[Job, Refusal]:
+    if caller.team:
+        wait = parts.ledger.admit(caller.team)
+        if wait is not None:
+            retry_after = max(wait, BACK_SOON_SECONDS)
+            return refuse('rate', f'team {caller.team!r}', retry_after)
+    return Success(
+        Job(
+            request=strip_key(request, caller.key),
+            caller=caller,
+            route=route,
+            catalogue=catalogue,
+            request_id=runtime.make_id(),
+            give_up_at=runtime.read_clock() + route.deadline,
+            is_hopped=False,
+        ),
+    )
+
+
+def _admit_hop(
+    parts: Parts,
+    request: Request,
+    catalogue: Catalogue,
+    route: Route,
+) -> Result[Job, Refusal]:
+    token = find_header(request.headers, hops.HOP_HEADER)
+    opened = hops.read_token(parts.identity.secret, token)
+    if not isinstance(opened, Success):
+        parts.counters.add(f'hop.dropped.{opened.failure().reason}')
+        return refuse('bad-request', 'hop is not authentic')
+    hop = opened.unwrap()
+    if (hop.method, hop.target) != (request.method, request.target):
+        return refuse('bad-request', 'hop is for another request')
+    granted = catalogue.keys.get(hop.key_digest)
+    if not route.public and (granted is None or granted.team != hop.team):
+        return refuse('key-unknown', f'route {route.path!r}')
+    headers = tuple(
+        entry
+        for entry in request.headers
+        if entry[0].lower() != hops.HOP_HEADER
+    )
+    return Success(
+        Job(
+            request=request._replace(headers=headers),
+            caller=Caller(hop.team, ''),
+            route=route,
+            catalogue=catalogue,
+            request_id=hop.request_id,
+            give_up_at=runtime.read_clock() + route.deadline,
+            is_hopped=True,
+        ),
+    )
--- /dev/null
+++ b/toucanhall/forwarding/jobs.py
@@ -0,0 +1,51 @@
+"""The state of the request path, and requests that were admitted."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from toucanhall.catalogue import Catalogue, Holder, Route
+from toucanhall.counters import Counters
+from toucanhall.forwarding.credentials import Caller
+from toucanhall.forwarding.dispatch import Dispatcher
+from toucanhall.forwarding.records import Request
+from toucanhall.idempotency import Keeper
+from toucanhall.shares import Ledger
+from toucanhall.steering import Hop, Loads
+from toucanhall.transport.exchange import Identity
+
+__all__ = ('BACK_SOON_SECONDS', 'Job', 'Parts')
+
+BACK_SOON_SECONDS: Final = 1.0
+
+_SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
+
+
+class Parts(NamedTuple):
+    """The state that the request path reads and changes."""
+
+    identity: Identity
+    zone: str
+    holder: Holder
+    ledger: Ledger
+    loads: Loads
+    keeper: Keeper
+    dispatcher: Dispatcher
+    counters: Counters
+    list_hops: Callable[[], tuple[Hop, ...]]
+
+
+class Job(NamedTuple):
+    """An admitted request: what is sent, for whom, and until when."""
+
+    request: Request
+    caller: Caller
+    route: Route
+    catalogue: Catalogue
+    request_id: str
+    give_up_at: float
+    is_hopped: bool
+
+    @property
+    def is_safe(self) -> bool:
+        """Whether the request may be sent again after it was sent once."""
+        return self.request.method in _SAFE_METHODS
--- a/toucanhall/forwarding/problems.py
+++ b/toucanhall/forwarding/problems.py
@@ -1,13 +1,21 @@
 """Refusals: their reasons, statuses and rendering as problem+json."""
 
 import math
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import msgspec
+from returns.result import Failure, Result
 
 from toucanhall.forwarding.records import Answer
 
-__all__ = ('REASONS', 'RAN_HEADER', 'Refusal', 'make_refusal', 'render')
+__all__ = (
+    'REASONS',
+    'RAN_HEADER',
+    'Refusal',
+    'make_refusal',
+    'refuse',
+    'render',
+)
 
 RAN_HEADER: Final = 'Toucanhall-Ran'
 
@@ -72,6 +80,15 @@
     return Refusal(reason, detail, retry_after)
 
 
+def refuse(
+    reason: str,
+    detail: str,
+    retry_after: float = 0.0,
+) -> Result[Any, Refusal]:
+    """Return the failure that holds a refusal with a known reason."""
+    return Failure(make_refusal(reason, detail, retry_after))
+
+
 def render(refusal: Refusal) -> Answer:
     """Return the refusal as an answer for the caller."""
     reason = REASONS[refusal.reason]
--- /dev/null
+++ b/toucanhall/frontdoor.py
@@ -0,0 +1,78 @@
+"""Answers what is asked of the entry VM itself, and passes on the rest."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from toucanhall.admin import Admin
+from toucanhall.admin.service import PREFIX as ADMIN_PREFIX
+from toucanhall.catalogue import Holder
+from toucanhall.forwarding import (
+    Answer,
+    Parts,
+    Request,
+    make_refusal,
+    render,
+    serve,
+)
+from toucanhall.forwarding.credentials import digest_key, find_key
+from toucanhall.steering import AdvisedVm, advise
+
+__all__ = ('Frontdoor', 'answer_json')
+
+_ADVICE_PATH: Final = '/.toucanhall/entry-vms'
+_HEALTH_PATH: Final = '/.toucanhall/health'
+
+
+class Frontdoor(NamedTuple):
+    """What answers callers and operators of one entry VM."""
+
+    zone: str
+    holder: Holder
+    parts: Parts
+    admin: Admin
+    list_usable_vms: Callable[[], tuple[AdvisedVm, ...]]
+
+    def serve(self, request: Request) -> Answer:
+        """Answer a caller, an operator or a question which VM to use."""
+        if request.path.startswith(ADMIN_PREFIX):
+            return self.admin.serve(request)
+        answer = _ANSWERS.get(request.path)
+        if answer is not None:
+            return answer(self, request)
+        return serve(self.parts, request)
+
+
+def answer_json(content: Mapping[str, Any]) -> Answer:
+    """Return an answer that carries a JSON object."""
+    body = msgspec.json.encode(content)
+    headers = (
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+    )
+    return Answer(200, 'OK', headers, (body,))
+
+
+def _tell_health(door: Frontdoor, _request: Request) -> Answer:
+    return answer_json({'ready': door.holder.current is not None})
+
+
+def _advise(door: Frontdoor, request: Request) -> Answer:
+    held = door.holder.current
+    if held is None:
+        return render(make_refusal('not-ready', 'no catalogue yet', 1))
+    granted = held.catalogue.keys.get(digest_key(find_key(request)))
+    advice = advise(
+        held.catalogue,
+        granted.team if granted else '',
+        door.zone,
+        door.list_usable_vms(),
+    )
+    return answer_json(advice._asdict())
+
+
+_ANSWERS: Final[Mapping[str, Callable[[Frontdoor, Request], Answer]]] = {
+    _ADVICE_PATH: _advise,
+    _HEALTH_PATH: _tell_health,
+}
--- a/toucanhall/membership/actor.py
+++ b/toucanhall/membership/actor.py
@@ -47,8 +47,8 @@
 class Platform(Protocol):
     """The part of the platform client that membership needs."""
 
-    def list_vms(self) -> Result[tuple[Listed, ...], Any]:
-        """Return the live and leaving VMs as the platform knows them."""
+    def list_vms(self, zone: str) -> Result[tuple[Listed, ...], Any]:
+        """Return live and leaving VMs, by the addresses that a zone uses."""
 
 
 class Membership(pykka.ThreadingActor):
@@ -108,7 +108,7 @@
         self._publish(self._view)
 
     def _read_list(self, _message: ReadList) -> None:
-        listed = self._platform.list_vms()
+        listed = self._platform.list_vms(self._settings.zone)
         if isinstance(listed, Success):
             self._view = merge_list(
                 self._view,
--- a/toucanhall/membership/view.py
+++ b/toucanhall/membership/view.py
@@ -76,14 +76,17 @@
     heartbeat: Heartbeat,
     now: float,
 ) -> View:
-    """Return the view after a heartbeat; an overtaken one changes nothing."""
+    """Return the view after a heartbeat; an overtaken one changes nothing.
+
+    The address of a VM that the platform listed stays as it was listed.
+    """
     known = view.members.get(vm)
     if known and known.start == start and known.sequence >= heartbeat.sequence:
         return view
     member = Member(
         vm=vm,
         zone=heartbeat.zone,
-        address=heartbeat.address,
+        address=known.address if known else heartbeat.address,
         start=start,
         sequence=heartbeat.sequence,
         leaving=heartbeat.leaving,
@@ -130,6 +133,7 @@
         )
     return known._replace(
         listed=True,
+        address=entry.address,
         leaving=known.leaving or entry.leaving,
     )
 
--- a/toucanhall/platform/client.py
+++ b/toucanhall/platform/client.py
@@ -94,9 +94,10 @@
             lambda response: _read_object(name, response),
         )
 
-    def list_vms(self) -> Result[tuple[Listed, ...], PlatformError]:
-        """Return the live and leaving VMs as the platform knows them."""
-        return self._get('/vms', _CALL_SECONDS).bind(_read_vms)
+    def list_vms(self, zone: str) -> Result[tuple[Listed, ...], PlatformError]:
+        """Return live and leaving VMs, by the addresses that a zone uses."""
+        path = f'/vms?zone={quote(zone)}'
+        return self._get(path, _CALL_SECONDS).bind(_read_vms)
 
     def _get(
         self,
