Measure a fleet under a seeded schedule of faults, and what a process costs

benches/faults runs real processes under kills, freezes, cuts, silence and store faults, and holds what callers were told against what ran at targets.

--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -4,9 +4,12 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from benches import relay
+from benches import catalogue, faults, footprint, relay
 
 BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
+    'catalogue': catalogue.main,
+    'faults': faults.main,
+    'footprint': footprint.main,
     'relay': relay.main,
 }
 
--- /dev/null
+++ b/benches/catalogue.py
@@ -0,0 +1,105 @@
+"""What a revision costs an entry VM, by the size of the catalogue."""
+
+import argparse
+import json
+import time
+import tracemalloc
+from collections.abc import Sequence
+from typing import Any, Final
+
+import msgspec
+
+from toucanhall.catalogue.reading import revise
+
+_SIZES: Final = (200, 400, 800, 1600, 3100)
+_ROUNDS: Final = 5
+_TEAMS_PER_TARGET: Final = 0.1
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Print a line per size, and the slopes as JSON at the end."""
+    argparse.ArgumentParser(prog='bench catalogue').parse_args(arguments)
+    rows = [measure(size) for size in _SIZES]
+    for row in rows:
+        print(json.dumps(row))
+    first, last = rows[0], rows[-1]
+    span = last['targets'] - first['targets']
+    print(
+        json.dumps(
+            {
+                f'{name}_per_target': round(
+                    (last[name] - first[name]) / span, 3
+                )
+                for name in ('document_bytes', 'held_bytes', 'read_us')
+            }
+        )
+    )
+    return 0
+
+
+def measure(size: int) -> dict[str, Any]:
+    """Read a catalogue with some targets as a new revision."""
+    document = msgspec.json.encode(make_document(size))
+    times = []
+    for number in range(_ROUNDS):
+        started = time.perf_counter()
+        revise(number, 'bench', document).unwrap()
+        times.append(time.perf_counter() - started)
+    tracemalloc.start()
+    held = revise(1, 'bench', document).unwrap()
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {
+        'targets': len(held.catalogue.targets),
+        'document_bytes': len(document),
+        'held_bytes': held_bytes,
+        'read_us': round(sorted(times)[_ROUNDS // 2] * 1_000_000),
+    }
+
+
+def make_document(size: int) -> dict[str, Any]:
+    """Return a catalogue of the target's shape with some targets."""
+    zones = {
+        f'zone-{number}': {
+            'region': f'region-{number % 29}',
+            'fraction': 1 / 72,
+        }
+        for number in range(72)
+    }
+    targets = {
+        f'target-{number}': {
+            'zone': f'zone-{number % 72}',
+            'service': f'service-{number % 20}',
+            'address': f'127.1.{number // 250}.{number % 250}:9000',
+            'slots': 9,
+            'connections': 800,
+        }
+        for number in range(size)
+    }
+    teams = {
+        f'team-{number}': {'rate': 50, 'burst': 100}
+        for number in range(int(size * _TEAMS_PER_TARGET))
+    }
+    keys = {
+        f'key-{number}': {
+            'team': f'team-{number % len(teams)}',
+            'digest': f'{number:064x}',
+        }
+        for number in range(len(teams) * 2)
+    }
+    routes = [
+        {
+            'path': f'/route-{number}',
+            'owner': 'owner',
+            'service': f'service-{number}',
+            'kind': 'read',
+        }
+        for number in range(20)
+    ]
+    return {
+        'zones': zones,
+        'targets': targets,
+        'routes': routes,
+        'teams': teams,
+        'keys': keys,
+    }
--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,154 @@
+"""Callers: they ask which entry VM to use, and follow what they are told."""
+
+import time
+import uuid
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import urllib3
+
+__all__ = ('ATTEMPT_HEADER', 'Attempt', 'Caller', 'Call')
+
+ATTEMPT_HEADER: Final = 'X-Attempt'
+MAY_HAVE_RUN: Final = 'refused for good, may have run'
+
+_CALL_SECONDS: Final = 5.0
+_ASK_SECONDS: Final = 1.0
+_PAUSE_SECONDS: Final = 0.05
+_OK: Final = 200
+
+
+class Call(NamedTuple):
+    """What a caller wants; a path that is unique tells answers apart."""
+
+    kind: str
+    method: str
+    path: str
+    key: str
+
+
+class Attempt(NamedTuple):
+    """One try of a call at one entry VM, in seconds on the caller's clock."""
+
+    call: Call
+    attempt_id: str
+    url: str
+    started: float
+    ended: float
+    result: str
+    ran: str
+    retry_after: float
+
+
+class Caller:
+    """One caller, which holds the last answer to "which entry VM"."""
+
+    def __init__(
+        self,
+        *,
+        urls: tuple[str, ...],
+        record: Callable[[Attempt], None],
+        patience: float,
+    ) -> None:
+        """Know some entry VMs to ask, and give up after `patience` seconds."""
+        self._urls = urls
+        self._record = record
+        self._patience = patience
+        self._vms: list[str] = []
+        self._hold_until = 0.0
+        self._http = urllib3.PoolManager(retries=False)
+
+    def make(self, kind: str, method: str, path: str, key: str) -> str:
+        """Make one call and return how it ended."""
+        call = Call(kind, method, f'{path}?n={uuid.uuid4().hex}', key)
+        until = time.monotonic() + self._patience
+        while True:
+            attempt = self._try(call)
+            self._record(attempt)
+            pause = _choose_pause(attempt)
+            if pause <= 0 or time.monotonic() + pause > until:
+                return _name_end(attempt)
+            time.sleep(pause)
+
+    def _try(self, call: Call) -> Attempt:
+        url = self._choose(call.key)
+        attempt_id = uuid.uuid4().hex
+        headers = {ATTEMPT_HEADER: attempt_id}
+        if call.key:
+            headers['X-Api-Key'] = call.key
+        if call.method == 'POST':
+            headers['Idempotency-Key'] = call.path
+        started = time.monotonic()
+        result, ran, retry_after = self._send(call, url, headers)
+        if result == 'unanswered':
+            self._vms = [vm for vm in self._vms if vm != url]
+        return Attempt(
+            call,
+            attempt_id,
+            url,
+            started,
+            time.monotonic(),
+            result,
+            ran,
+            retry_after,
+        )
+
+    def _send(
+        self,
+        call: Call,
+        url: str,
+        headers: dict[str, str],
+    ) -> tuple[str, str, float]:
+        try:
+            response = self._http.request(
+                call.method,
+                f'{url}{call.path}',
+                body=call.path.encode() if call.method == 'POST' else None,
+                headers=headers,
+                timeout=_CALL_SECONDS,
+            )
+        except urllib3.exceptions.HTTPError:
+            return 'unanswered', 'maybe', _PAUSE_SECONDS
+        if response.status == _OK:
+            echoed = response.json()
+            is_own = echoed['path'] == call.path
+            return 'answered' if is_own else 'wrong', 'yes', 0
+        return (
+            f'refused: {response.json().get("reason", response.status)}',
+            response.headers.get('Toucanhall-Ran', 'none'),
+            float(response.headers.get('Retry-After', 0)),
+        )
+
+    def _choose(self, key: str) -> str:
+        if not self._vms or time.monotonic() > self._hold_until:
+            self._ask(key)
+        return self._vms[0] if self._vms else self._urls[0]
+
+    def _ask(self, key: str) -> None:
+        for url in self._urls:
+            try:
+                response = self._http.request(
+                    'GET',
+                    f'{url}/.toucanhall/entry-vms',
+                    headers={'X-Api-Key': key},
+                    timeout=_ASK_SECONDS,
+                )
+            except urllib3.exceptions.HTTPError:
+                continue
+            if response.status == _OK:
+                advice = response.json()
+                self._vms = [vm[2] for vm in advice['vms']]
+                self._hold_until = time.monotonic() + advice['hold_seconds']
+                return
+
+
+def _choose_pause(attempt: Attempt) -> float:
+    if attempt.result in {'answered', 'wrong'}:
+        return 0
+    return attempt.retry_after
+
+
+def _name_end(attempt: Attempt) -> str:
+    if attempt.result.startswith('refused') and attempt.ran == 'maybe':
+        return MAY_HAVE_RUN
+    return attempt.result
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -67,9 +67,12 @@
         catalogue: Path,
         vms_per_zone: int = 1,
         relayed: bool = False,
+        teams: dict[str, dict[str, float]] | None = None,
     ) -> None:
         """Prepare a fleet for an example catalogue; nothing is started.
 
+        Limits in `teams` replace those of the catalogue.
+
         In a relayed fleet all that leaves a zone, to the platform or to VMs of
         other zones, passes a relay, so that `set_line` can cut it.
         """
@@ -81,6 +84,9 @@
             f'127.{self.net}.',
         )
         self.catalogue: dict[str, Any] = json5.loads(self.text)
+        if teams:
+            self.catalogue['teams'] = teams
+            self.text = json.dumps(self.catalogue)
         self.catalogue_file = self.folder / 'catalogue.jsonc'
         self.catalogue_file.write_text(self.text)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -285,6 +291,19 @@
         for vm in self.vms:
             wait_until(partial(self.is_ready, vm.url), f'{vm.name} ready')
 
+    def grant(self, name: str, team: str) -> str:
+        """Grant a key with the real command line and return it."""
+        done = self.run_command(
+            'key-grant',
+            name,
+            f'--team={team}',
+            f'--at={self.vms[0].url}',
+        )
+        if done.returncode:
+            raise RuntimeError(f'grant failed: {done.stdout}{done.stderr}')
+        granted: dict[str, Any] = json.loads(done.stdout)
+        return str(granted['key'])
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process of the fleet."""
         self.processes[name].send_signal(number)
--- a/standins/target.py
+++ b/standins/target.py
@@ -76,6 +76,7 @@
         time.sleep(float(query.get('delay', [self.state.delay])[0]))
         self.state.record(
             {
+                'at': time.monotonic(),
                 'target': self.state.name,
                 'method': self.command,
                 'path': self.path,
