--- a/benches/faults.py
+++ b/benches/faults.py
@@ -23,8 +23,8 @@
     'guides': {'rate': 300, 'burst': 300},
     'hostels': {'rate': 60, 'burst': 60},
 }
-_CALLERS: Final = 12
-_HAMMERS: Final = 12
+_CALLERS: Final = 12  # of each team; half of one team do not heed refusals
+_PAUSE_SECONDS: Final = 0.1
 _FAULT_GAP: Final = (1.0, 3.0)  # seconds between the starts of two faults
 
 
@@ -98,11 +98,10 @@
         threads = [
             threading.Thread(
                 target=self._call,
-                args=(urls[number:] + urls[:number], team, pause),
-            )
-            for number, (team, pause) in enumerate(
-                [('guides', 0.1)] * _CALLERS + [('hostels', 0.0)] * _HAMMERS,
+                args=(urls[number:] + urls[:number], team, number % 2 == 0),
             )
+            for team in ('guides', 'hostels')
+            for number in range(_CALLERS)
         ]
         for thread in threads:
             thread.start()
@@ -140,17 +139,20 @@
             'over_limit': int(over > 1),
         }
 
-    def _call(self, urls: tuple[str, ...], team: str, pause: float) -> None:
+    def _call(self, urls: tuple[str, ...], team: str, heeds: bool) -> None:
+        is_hammer = team == 'hostels' and not heeds
         caller = Caller(
             urls=urls,
             record=self._record,
             patience=_PATIENCE_SECONDS,
+            heeds=not is_hammer,
         )
+        pause = 0 if is_hammer else _PAUSE_SECONDS
         while time.monotonic() < self._until:
             for method, path in (('GET', '/feed/times'), ('POST', '/bookings')):
                 end = caller.make(team, method, path, self._keys[team])
                 with self._lock:
-                    self._ends[team, end] += 1
+                    self._ends[f'{team}!' if is_hammer else team, end] += 1
                 time.sleep(pause)
 
     def _record(self, attempt: Attempt) -> None:
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -1,5 +1,6 @@
 """Callers: they ask which entry VM to use, and follow what they are told."""
 
+import itertools
 import time
 import uuid
 from collections.abc import Callable
@@ -7,7 +8,7 @@
 
 import urllib3
 
-__all__ = ('ATTEMPT_HEADER', 'Attempt', 'Caller', 'Call')
+__all__ = ('ATTEMPT_HEADER', 'Attempt', 'Call', 'Caller')
 
 ATTEMPT_HEADER: Final = 'X-Attempt'
 MAY_HAVE_RUN: Final = 'refused for good, may have run'
@@ -49,8 +50,15 @@
         urls: tuple[str, ...],
         record: Callable[[Attempt], None],
         patience: float,
+        heeds: bool = True,
     ) -> None:
-        """Know some entry VMs to ask, and give up after `patience` seconds."""
+        """Know some entry VMs to ask, and give up after `patience` seconds.
+
+        A caller that does not heed uses the known VMs in turn, and comes back
+        at once whatever it is told.
+        """
+        self._heeds = heeds
+        self._turns = itertools.cycle(urls)
         self._urls = urls
         self._record = record
         self._patience = patience
@@ -65,7 +73,7 @@
         while True:
             attempt = self._try(call)
             self._record(attempt)
-            pause = _choose_pause(attempt)
+            pause = _choose_pause(attempt) if self._heeds else 0
             if pause <= 0 or time.monotonic() + pause > until:
                 return _name_end(attempt)
             time.sleep(pause)
@@ -120,6 +128,8 @@
         )
 
     def _choose(self, key: str) -> str:
+        if not self._heeds:
+            return next(self._turns)
         if not self._vms or time.monotonic() > self._hold_until:
             self._ask(key)
         return self._vms[0] if self._vms else self._urls[0]
