--- a/benches/relay.py
+++ b/benches/relay.py
@@ -44,7 +44,7 @@
         fleet.apply()
         key = json.loads(
             fleet.run_command(
-                'key-grant', 'bench', '--team=hostels',
+                'key', 'grant', 'bench', '--team=hostels', '--json',
                 f'--at={fleet.vms[0].url}',
             ).stdout,
         )['key']  # fmt: skip
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -152,10 +152,10 @@
         print('killed target guide-4', flush=True)
         _sleep_until(started + _WITHDRAW_AT)
         done = self._fleet.run_command(
-            'key-withdraw', 'hostels-key', f'--at={self._fleet.vms[0].url}',
+            'key', 'withdraw', 'hostels-key', f'--at={self._fleet.vms[0].url}',
         )  # fmt: skip
         if done.returncode:
-            raise RuntimeError(f'withdrawal failed: {done.stdout}')
+            raise RuntimeError(f'withdrawal failed: {done.stderr}')
         self._withdrawn_at = time.monotonic()
         print('withdrew key hostels-key', flush=True)
 
@@ -245,7 +245,7 @@
 
 def _grant(fleet: Fleet, team: str) -> str:
     done = fleet.run_command(
-        'key-grant', f'{team}-key', f'--team={team}',
+        'key', 'grant', f'{team}-key', f'--team={team}', '--json',
         f'--at={fleet.vms[0].url}',
     )  # fmt: skip
     granted: dict[str, Any] = json.loads(done.stdout)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -276,7 +276,8 @@
     def apply(self) -> None:
         """Apply the catalogue and wait until it is in force on every VM."""
         done = self.run_command(
-            'catalogue-apply',
+            'catalogue',
+            'apply',
             str(self.catalogue_file),
             f'--at={self.vms[0].url}',
         )
--- a/tests/features/steps/settings.py
+++ b/tests/features/steps/settings.py
@@ -3,7 +3,7 @@
 import io
 import os
 import tempfile
-from contextlib import redirect_stdout
+from contextlib import redirect_stderr
 from pathlib import Path
 
 from behave import given, then, when
@@ -29,7 +29,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'vm.jsonc'
         path.write_text(context.settings_text)
-        with redirect_stdout(output):
+        with redirect_stderr(output):
             context.code = cmdline.run(['check-settings', str(path)])
     context.output = output.getvalue()
 
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -27,8 +27,10 @@
 def grant_key(fleet: Fleet) -> str:
     """Grant a key that works on every VM."""
     done = fleet.run_command(
-        'key-grant',
+        'key',
+        'grant',
         'tests-key',
+        '--json',
         '--team=hostels',
         f'--at={fleet.vms[0].url}',
     )
@@ -84,14 +86,16 @@
 
 def test_withdrawn_key_stops_on_every_vm(fleet):
     at = f'--at={fleet.vms[0].url}'
-    done = fleet.run_command('key-grant', 'brief', '--team=guides', at)
+    done = fleet.run_command(
+        'key', 'grant', 'brief', '--team=guides', '--json', at
+    )
     key = json.loads(done.stdout)['key']
     for vm in fleet.vms:
         wait_until(
             lambda url=vm.url: fetch(fleet, url, key).status == 200,
             f'key on {vm.name}',
         )
-    fleet.run_command('key-withdraw', 'brief', at)
+    fleet.run_command('key', 'withdraw', 'brief', at)
     for vm in fleet.vms:
         wait_until(
             lambda url=vm.url: fetch(fleet, url, key).status == 401,
--- /dev/null
+++ b/toucanhall/admin/answers.py
@@ -0,0 +1,58 @@
+"""Answers of the operators' API: JSON, or problem+json for errors."""
+
+from collections.abc import Mapping
+from typing import Any, Final, TypeAlias
+
+import msgspec
+
+from toucanhall.forwarding.records import Answer, Headers
+
+__all__ = ('STORE_DOWN', 'Reply', 'explain', 'render')
+
+Reply: TypeAlias = tuple[int, Mapping[str, Any]]
+
+STORE_DOWN: Final = 'the store cannot be reached'
+
+_FIRST_ERROR: Final = 400
+_PHRASES: Final = {
+    200: 'OK',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    403: 'Forbidden',
+    404: 'Not Found',
+    405: 'Method Not Allowed',
+    412: 'Precondition Failed',
+    428: 'Precondition Required',
+    503: 'Service Unavailable',
+}
+
+
+def explain(detail: str) -> Mapping[str, Any]:
+    """Return the body of an error."""
+    return {'detail': detail}
+
+
+def render(reply: Reply, extra: Headers = ()) -> Answer:
+    """Return the answer for a reply; a revision in it becomes the ETag."""
+    status, body = reply
+    is_error = status >= _FIRST_ERROR
+    kind = 'application/problem+json' if is_error else 'application/json'
+    phrase = _PHRASES[status]
+    described = (
+        {'type': 'about:blank', 'title': phrase, 'status': status}
+        if is_error
+        else {}
+    )
+    content = msgspec.json.encode({**described, **body})
+    headers = (
+        ('Content-Type', kind),
+        ('Content-Length', str(len(content))),
+        *_make_tag(body),
+        *extra,
+    )
+    return Answer(status, phrase, headers, (content,))
+
+
+def _make_tag(body: Mapping[str, Any]) -> Headers:
+    revision = body.get('accepted', body.get('revision'))
+    return () if revision is None else (('ETag', f'"{revision}"'),)
--- /dev/null
+++ b/toucanhall/admin/audit.py
@@ -0,0 +1,142 @@
+"""The history of accepted changes, in the catalogue and beside it.
+
+The newest entries travel inside the document that they changed, so that an
+accepted change always has its entry. After the write the entries are copied to
+pages `audit/<n>` of the store; what could not be copied is copied with the
+next change.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, Final, NamedTuple
+
+import msgspec
+from returns.result import Success
+
+from toucanhall import events
+from toucanhall.documents import Document
+from toucanhall.platform import Client, Conflict
+
+__all__ = ('NOTES', 'Audit', 'AuditEntry', 'add_entry', 'list_entries')
+
+CARRIED: Final = 8  # entries inside the document
+NOTES: Final = 'changes'
+_DIFFERENCES: Final = 16  # per entry, at most
+_PAGE_REVISIONS: Final = 100
+_PAGES: Final = 100
+_COPY_TRIES: Final = 4
+
+
+class AuditEntry(NamedTuple):
+    """Who changed what in which revision, and when by the VM's clock (UTC)."""
+
+    id: str
+    operator: str
+    at: str
+    revision: int
+    what: tuple[str, ...]
+
+
+def add_entry(
+    document: Document,
+    carried: Iterable[AuditEntry],
+    entry: AuditEntry,
+) -> dict[str, Any]:
+    """Return the document with its own entry after the newest earlier ones."""
+    hidden = len(entry.what) - _DIFFERENCES
+    what = entry.what[:_DIFFERENCES]
+    if hidden > 0:
+        what = (*what, f'and {hidden} more')
+    entries = (*carried, entry._replace(what=what))[-CARRIED:]
+    return {**document, NOTES: [found._asdict() for found in entries]}
+
+
+def list_entries(document: Document) -> tuple[AuditEntry, ...]:
+    """Return the entries that a document carries, oldest first."""
+    return tuple(
+        msgspec.convert(
+            tuple(found[name] for name in AuditEntry._fields),
+            AuditEntry,
+        )
+        for found in document.get(NOTES, ())
+    )
+
+
+class Audit:
+    """Copies entries to the pages of the store and reads them back."""
+
+    def __init__(self, *, platform: Client) -> None:
+        """Use the store of the platform."""
+        self._platform = platform
+
+    def copy(self, entries: tuple[AuditEntry, ...]) -> bool:
+        """Copy entries to their pages; return whether all are there."""
+        pages: dict[str, list[AuditEntry]] = {}
+        for entry in entries:
+            pages.setdefault(_name_page(entry.revision), []).append(entry)
+        copied = [self._copy_page(*page) for page in pages.items()]
+        if not all(copied):
+            events.log(events.AUDIT_DELAYED, newest=entries[-1].revision)
+        return all(copied)
+
+    def read(self, revision: int) -> tuple[AuditEntry, ...] | None:
+        """Return the entries of a revision's page and the one before it.
+
+        The answer is `None` when the store cannot be reached.
+        """
+        found: list[AuditEntry] = []
+        for number in (max(0, revision - _PAGE_REVISIONS), revision):
+            page = self._platform.read(_name_page(number))
+            if not isinstance(page, Success):
+                return None
+            found.extend(_decode(page.unwrap().content))
+        return tuple({entry.id: entry for entry in found}.values())
+
+    def _copy_page(self, name: str, entries: list[AuditEntry]) -> bool:
+        for _ in range(_COPY_TRIES):
+            page = self._platform.read(name)
+            if not isinstance(page, Success):
+                return False
+            stored = page.unwrap()
+            merged = _merge(_decode(stored.content), entries)
+            if merged is None:
+                return True
+            content = msgspec.json.encode(merged)
+            written = self._platform.write(name, content, stored.version)
+            if isinstance(written, Success):
+                return True
+            if not isinstance(written.failure(), Conflict):
+                return False
+        return False
+
+
+def _name_page(revision: int) -> str:
+    return f'audit/{revision // _PAGE_REVISIONS % _PAGES}'
+
+
+def _decode(content: bytes) -> tuple[AuditEntry, ...]:
+    try:
+        return msgspec.json.decode(content, type=tuple[AuditEntry, ...])
+    except msgspec.MsgspecError:
+        return ()
+
+
+def _merge(
+    known: tuple[AuditEntry, ...],
+    added: list[AuditEntry],
+) -> tuple[AuditEntry, ...] | None:
+    """Return the page with the entries added, or `None` if all are there."""
+    by_id: Mapping[str, AuditEntry] = {entry.id: entry for entry in known}
+    if all(entry.id in by_id for entry in added):
+        return None
+    entries = {**by_id, **{entry.id: entry for entry in added}}.values()
+    lap = max(entry.revision for entry in entries) // _PAGE_REVISIONS
+    return tuple(
+        sorted(
+            (
+                entry
+                for entry in entries
+                if entry.revision // _PAGE_REVISIONS == lap
+            ),
+            key=lambda entry: entry.revision,
+        ),
+    )
--- /dev/null
+++ b/toucanhall/admin/routes.py
@@ -0,0 +1,95 @@
+"""The routes of the operators' API: one table for the server and its page."""
+
+from collections.abc import Iterator
+from typing import Final, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+__all__ = ('PREFIX', 'ROUTES', 'Match', 'Mismatch', 'Route', 'match')
+
+PREFIX: Final = '/.toucanhall/admin/v1/'
+
+_ALL: Final = ('read', 'owner', 'operate', 'administer')
+_KEYS: Final = ('owner', 'operate', 'administer')
+_DRAINS: Final = ('operate', 'administer')
+_WRITE_STATUSES: Final = (200, 400, 401, 403, 412, 503)
+
+
+class Route(NamedTuple):
+    """A method and a path, the roles that may use it, and its statuses."""
+
+    method: str
+    path: str
+    summary: str
+    roles: tuple[str, ...] = _ALL
+    statuses: tuple[int, ...] = (200, 401)
+    body: str = ''
+
+
+class Match(NamedTuple):
+    """A route and the names that stood in its path."""
+
+    route: Route
+    names: tuple[str, ...]
+
+
+class Mismatch(NamedTuple):
+    """No route matches; `allowed` has the methods that the path knows."""
+
+    allowed: tuple[str, ...]
+
+
+ROUTES: Final = (
+    Route('GET', 'catalogue', 'Show the catalogue in force'),
+    Route(
+        'PUT', 'catalogue', 'Replace the revision that If-Match names',
+        _KEYS, (*_WRITE_STATUSES, 428), 'Catalogue',
+    ),
+    Route(
+        'GET', 'history', 'List accepted changes; ?change=ID finds one',
+        statuses=(200, 401, 503),
+    ),
+    Route('GET', 'status', 'Tell what this VM knows of the fleet'),
+    Route('GET', 'keys', 'List granted keys by name, team and digest'),
+    Route(
+        'PUT', 'keys/{name}', 'Grant a key, given its team and digest',
+        _KEYS, _WRITE_STATUSES, 'Key',
+    ),
+    Route('DELETE', 'keys/{name}', 'Withdraw a key', _KEYS, _WRITE_STATUSES),
+    Route('GET', 'drains', 'List drained targets, VMs and zones'),
+    Route(
+        'PUT', 'drains/{kind}/{name}', 'Start a drain of targets, vms or zones',
+        _DRAINS, _WRITE_STATUSES,
+    ),
+    Route(
+        'DELETE', 'drains/{kind}/{name}', 'End a drain',
+        _DRAINS, _WRITE_STATUSES,
+    ),
+)  # fmt: skip
+
+
+def match(method: str, path: str) -> Result[Match, Mismatch]:
+    """Find the route of a method and a path below the prefix."""
+    found = tuple(_list_matches(path))
+    for matched in found:
+        if matched.route.method == method:
+            return Success(matched)
+    return Failure(Mismatch(tuple(entry.route.method for entry in found)))
+
+
+def _list_matches(path: str) -> Iterator[Match]:
+    parts = path.split('/')
+    for route in ROUTES:
+        pattern = route.path.split('/')
+        if len(pattern) != len(parts):
+            continue
+        pairs = tuple(zip(pattern, parts, strict=True))
+        if all(_fits(*pair) for pair in pairs):
+            names = tuple(
+                part for wanted, part in pairs if wanted.startswith('{')
+            )
+            yield Match(route, names)
+
+
+def _fits(wanted: str, part: str) -> bool:
+    return wanted.startswith('{') or wanted == part
--- a/toucanhall/admin/service.py
+++ b/toucanhall/admin/service.py
@@ -1,16 +1,22 @@
-"""Answers operators: the catalogue, changes to it, and the status."""
+"""Answers operators: finds who calls, and what serves the call."""
 
 import hashlib
 import hmac
 from collections.abc import Callable, Mapping
-from typing import Any, Final, NamedTuple, TypeAlias
+from typing import Any, Final
 
-import msgspec
 from returns.result import Success
 
 from toucanhall import documents, events, runtime
+from toucanhall.admin.answers import Reply, explain, render
+from toucanhall.admin.audit import Audit
+from toucanhall.admin.calls import Call
+from toucanhall.admin.changes import Changes
+from toucanhall.admin.routes import PREFIX, Mismatch, match
+from toucanhall.admin.views import Views
 from toucanhall.catalogue import Holder, Revision
 from toucanhall.catalogue.reading import revise
+from toucanhall.counters import Counters
 from toucanhall.forwarding.records import Answer, Request, find_header
 from toucanhall.platform import Ambiguous, Client
 from toucanhall.settings import Operator
@@ -18,27 +24,7 @@
 
 __all__ = ('Admin', 'PREFIX')
 
-PREFIX: Final = '/.toucanhall/admin/v1/'
-
-_ROLE_RANKS: Final = {'read': 0, 'operate': 1, 'administer': 2}
-_PHRASES: Final = {
-    200: 'OK',
-    400: 'Bad Request',
-    401: 'Unauthorized',
-    403: 'Forbidden',
-    404: 'Not Found',
-    409: 'Conflict',
-    412: 'Precondition Failed',
-    503: 'Service Unavailable',
-}
-Reply: TypeAlias = tuple[int, Mapping[str, Any]]
-
-
-class Action(NamedTuple):
-    """What serves a method and path, and the role that it needs."""
-
-    role: str
-    act: Callable[[Request, Operator], Reply]
+_explain: Final = explain
 
 
 class Admin:
@@ -50,35 +36,37 @@
         operators: tuple[Operator, ...],
         holder: Holder,
         platform: Client,
+        counters: Counters,
         read_status: Callable[[], Mapping[str, Any]],
     ) -> None:
         """Serve the operators that the settings name."""
+        audit = Audit(platform=platform)
         self._operators = operators
         self._holder = holder
         self._platform = platform
-        self._read_status = read_status
-        self._actions = {
-            ('GET', 'catalogue'): Action('read', self._show),
-            ('PUT', 'catalogue'): Action('administer', self._apply),
-            ('GET', 'status'): Action('read', self._tell_status),
-        }
+        self._counters = counters
+        self.handlers = _list_handlers(
+            Views(holder=holder, audit=audit, read_status=read_status),
+            Changes(holder=holder, audit=audit, apply=self._apply),
+        )
 
     def serve(self, request: Request) -> Answer:
         """Answer one operator's request."""
         operator = self._identify(request)
         if operator is None:
-            return _answer(401, _explain('operator token is not known'))
-        name = request.path.removeprefix(PREFIX)
-        action = self._actions.get((request.method, name))
-        if action is None:
-            return _answer(404, _explain(f'{request.method} {name!r}'))
-        if _ROLE_RANKS[operator.role] < _ROLE_RANKS[action.role]:
-            return _answer(
-                403,
-                _explain(f'role {operator.role!r}, needed {action.role!r}'),
-            )
-        status, body = action.act(request, operator)
-        return _answer(status, body)
+            self._counters.add('admin.token-unknown')
+            reply = (401, explain('operator token is not known'))
+            return render(reply, (('WWW-Authenticate', 'Bearer'),))
+        matched = match(request.method, request.path.removeprefix(PREFIX))
+        if not isinstance(matched, Success):
+            return _answer_mismatch(request, matched.failure())
+        route, names = matched.unwrap()
+        if operator.role not in route.roles:
+            needed = ', '.join(route.roles)
+            detail = f'role {operator.role!r}, needed one of {needed}'
+            return render((403, explain(detail)))
+        answer = self.handlers[route.method, route.path]
+        return render(answer(Call(request, operator, names)))
 
     def _identify(self, request: Request) -> Operator | None:
         shown = find_header(request.headers, 'authorization')
@@ -89,19 +77,6 @@
                 return operator
         return None
 
-    def _show(self, _request: Request, _operator: Operator) -> Reply:
-        held = self._holder.current
-        if held is None:
-            return 200, {'revision': 0, 'catalogue': None}
-        return 200, {
-            'revision': held.number,
-            'change': held.change,
-            'catalogue': msgspec.json.decode(held.document),
-        }
-
-    def _tell_status(self, _request: Request, _operator: Operator) -> Reply:
-        return 200, self._read_status()
-
     def _apply(self, request: Request, operator: Operator) -> Reply:
         expected = find_header(request.headers, 'if-match').strip('"')
         if not expected.isdigit():
@@ -160,15 +135,27 @@
     return found.unwrap().number if isinstance(found, Success) else 0
 
 
-def _explain(detail: str) -> Mapping[str, Any]:
-    return {'detail': detail}
-
-
-def _answer(status: int, body: Mapping[str, Any]) -> Answer:
-    is_error = status >= 400
-    kind = 'application/problem+json' if is_error else 'application/json'
-    phrase = _PHRASES[status]
-    described = {'title': phrase, 'status': status} if is_error else {}
-    content = msgspec.json.encode({**described, **body})
-    headers = (('Content-Type', kind), ('Content-Length', str(len(content))))
-    return Answer(status, phrase, headers, (content,))
+def _list_handlers(
+    views: Views,
+    changes: Changes,
+) -> Mapping[tuple[str, str], Callable[[Call], Reply]]:
+    return {
+        ('GET', 'catalogue'): views.show_catalogue,
+        ('PUT', 'catalogue'): changes.replace,
+        ('GET', 'history'): views.show_history,
+        ('GET', 'status'): views.tell_status,
+        ('GET', 'keys'): views.list_keys,
+        ('PUT', 'keys/{name}'): changes.grant,
+        ('DELETE', 'keys/{name}'): changes.withdraw,
+        ('GET', 'drains'): views.list_drains,
+        ('PUT', 'drains/{kind}/{name}'): changes.drain,
+        ('DELETE', 'drains/{kind}/{name}'): changes.undrain,
+    }
+
+
+def _answer_mismatch(request: Request, mismatch: Mismatch) -> Answer:
+    detail = f'{request.method} {request.path!r}'
+    if not mismatch.allowed:
+        return render((404, explain(detail)))
+    allow = ('Allow', ', '.join(mismatch.allowed))
+    return render((405, explain(detail)), (allow,))
--- /dev/null
+++ b/toucanhall/admin/views.py
@@ -0,0 +1,87 @@
+"""What the operators' API shows of the revision in force and the fleet."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+from urllib.parse import parse_qs
+
+from toucanhall.admin.answers import STORE_DOWN, Reply, explain
+from toucanhall.admin.audit import Audit
+from toucanhall.admin.calls import Call, read_base
+from toucanhall.catalogue import Holder
+
+__all__ = ('Views',)
+
+
+class Views:
+    """Shows catalogue, history, status, keys and drains."""
+
+    def __init__(
+        self,
+        *,
+        holder: Holder,
+        audit: Audit,
+        read_status: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        """Show the revision held and the status that a function reads."""
+        self._holder = holder
+        self._audit = audit
+        self._read_status = read_status
+
+    def show_catalogue(self, _call: Call) -> Reply:
+        """Show the catalogue in force and its revision."""
+        held = self._holder.current
+        base = read_base(held)
+        change = base.carried[-1].id if base.carried else ''
+        return 200, {
+            'revision': base.number,
+            'change': change,
+            'catalogue': base.document if held else None,
+        }
+
+    def show_history(self, call: Call) -> Reply:
+        """List accepted changes, or the one that the query names."""
+        base = read_base(self._holder.current)
+        copied = self._audit.read(base.number)
+        known = {entry.id: entry for entry in (*(copied or ()), *base.carried)}
+        wanted = parse_qs(call.request.query).get('change', [''])[0]
+        if copied is None and wanted not in known:
+            return 503, explain(STORE_DOWN)
+        entries = sorted(known.values(), key=lambda entry: entry.revision)
+        return 200, {
+            'revision': base.number,
+            'changes': [
+                entry._asdict() for entry in entries if wanted in {'', entry.id}
+            ],
+        }
+
+    def tell_status(self, _call: Call) -> Reply:
+        """Tell the status of this VM, and what each zone has confirmed."""
+        status = self._read_status()
+        held = self._holder.current
+        confirmed = status.get('in_force', {})
+        zones = held.catalogue.zones if held else ()
+        return 200, {
+            **status,
+            'zones': {
+                zone: {
+                    'in_force': confirmed.get(zone, 0),
+                    'confirmed': confirmed.get(zone, 0) >= status['revision'],
+                }
+                for zone in sorted(zones)
+            },
+        }
+
+    def list_keys(self, _call: Call) -> Reply:
+        """List granted keys by name."""
+        return self._show_section('keys')
+
+    def list_drains(self, _call: Call) -> Reply:
+        """List what is drained."""
+        return self._show_section('drains')
+
+    def _show_section(self, section: str) -> Reply:
+        base = read_base(self._holder.current)
+        return 200, {
+            'revision': base.number,
+            section: base.document.get(section, {}),
+        }
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -57,11 +57,7 @@
 def _check_references(
     document: Document,
 ) -> Result[Catalogue, tuple[Finding, ...]]:
-    findings = tuple(
-        finding
-        for find in (_find_targets, _find_routes, _find_keys, _find_fractions)
-        for finding in find(document)
-    )
+    findings = tuple(finding for find in _FINDERS for finding in find(document))
     if findings:
         return Failure(findings)
     return Success(_build(document))
@@ -121,6 +117,39 @@
         )
 
 
+def _find_links(document: Document) -> Iterator[Finding]:
+    regions = {zone['region'] for zone in document['zones'].values()}
+    for index, link in enumerate(document.get('links', ())):
+        for region in sorted(set(link['regions']) - regions):
+            yield Finding(
+                f'$.links[{index}].regions',
+                repr(region),
+                'a region of some zone',
+            )
+
+
+def _find_drains(document: Document) -> Iterator[Finding]:
+    drains = document.get('drains', {})
+    for kind in ('targets', 'zones'):
+        drained = set(drains.get(kind, ()))
+        for name in sorted(drained.difference(document[kind])):
+            yield Finding(
+                f'$.drains.{kind}',
+                repr(name),
+                f'a name in $.{kind}; end its drain first',
+            )
+
+
+_FINDERS: Final = (
+    _find_targets,
+    _find_routes,
+    _find_keys,
+    _find_fractions,
+    _find_links,
+    _find_drains,
+)
+
+
 def _build(document: Document) -> Catalogue:
     drains = document.get('drains', {})
     return Catalogue(
--- a/toucanhall/catalogue/schema.py
+++ b/toucanhall/catalogue/schema.py
@@ -1,115 +1,131 @@
 """Schema of the catalogue document."""
 
-from typing import Any, Final
+from typing import Final
 
 from toucanhall.documents import Document
+from toucanhall.schemas import (
+    COUNT,
+    DIGEST,
+    NAME,
+    NAMES,
+    POSITIVE,
+    describe,
+    make_array,
+    make_record,
+    make_table,
+    make_text,
+)
 
 __all__ = ('ROUTE_KINDS', 'SCHEMA')
 
 ROUTE_KINDS: Final = ('read', 'bulk', 'once')
 
-_NAME: Final[Document] = {
-    'type': 'string',
-    'pattern': '^[a-z0-9][a-z0-9-]{0,62}$',
-}
-_POSITIVE: Final[Document] = {'type': 'number', 'exclusiveMinimum': 0}
-_COUNT: Final[Document] = {'type': 'integer', 'minimum': 1}
-_NAMES: Final[Document] = {
-    'type': 'array',
-    'items': _NAME,
-    'uniqueItems': True,
-}
-
-
-def _record(
-    required: dict[str, Document],
-    optional: dict[str, Document] | None = None,
-) -> dict[str, Any]:
-    return {
-        'type': 'object',
-        'additionalProperties': False,
-        'required': list(required),
-        'properties': required | (optional or {}),
-    }
-
-
-def _table(record: Document) -> Document:
-    return {
-        'type': 'object',
-        'propertyNames': {'pattern': _NAME['pattern']},
-        'additionalProperties': record,
-    }
+_TEXT: Final[Document] = {'type': 'string', 'maxLength': 512}
 
-
-_ZONE: Final = _record(
+_ZONE: Final = make_record(
     {
-        'region': _NAME,
-        'fraction': {'type': 'number', 'minimum': 0, 'maximum': 1},
-    }
+        'region': describe(NAME, 'Region of the availability zone.'),
+        'fraction': describe(
+            {'type': 'number', 'minimum': 0, 'maximum': 1},
+            'Part of every limit that the zone holds; all sum to at most 1.',
+        ),
+    },
 )
-_TARGET: Final = _record(
+_TARGET: Final = make_record(
     {
-        'zone': _NAME,
-        'service': _NAME,
-        'address': {
-            'type': 'string',
-            'pattern': '^([0-9]{1,3}[.]){3}[0-9]{1,3}:[0-9]{1,5}$',
-        },
-        'slots': _COUNT,
-        'connections': _COUNT,
-    }
+        'zone': describe(NAME, 'Availability zone of the target.'),
+        'service': describe(NAME, 'Service that the target runs.'),
+        'address': describe(make_text('endpoint'), 'IPv4 address and port.'),
+        'slots': describe(COUNT, 'Requests that it runs at the same time.'),
+        'connections': describe(COUNT, 'Connections that it accepts.'),
+    },
 )
-_ROUTE: Final = _record(
+_ROUTE: Final = make_record(
     {
-        'path': {'type': 'string', 'pattern': '^/'},
-        'owner': _NAME,
-        'service': _NAME,
-        'kind': {'enum': list(ROUTE_KINDS)},
+        'path': describe(make_text('path'), 'Path prefix; the longest wins.'),
+        'owner': describe(NAME, 'Who answers for the route.'),
+        'service': describe(NAME, 'Service whose targets serve the route.'),
+        'kind': describe(
+            {'enum': list(ROUTE_KINDS)},
+            '`read`, `bulk` (large and shared) or `once` (must not run twice).',
+        ),
     },
     {
-        'public': {'type': 'boolean'},
-        'deadline_seconds': _POSITIVE,
+        'public': describe({'type': 'boolean'}, 'Open without a key; false.'),
+        'deadline_seconds': describe(
+            POSITIVE,
+            'Seconds until a request is given up; 10.',
+        ),
     },
 )
-_TEAM: Final = _record(
-    {'rate': _POSITIVE, 'burst': _POSITIVE},
-    {'weight': _POSITIVE},
+_TEAM: Final = make_record(
+    {
+        'rate': describe(POSITIVE, 'Requests per second over the whole fleet.'),
+        'burst': describe(POSITIVE, 'Requests at once over the whole fleet.'),
+    },
+    {'weight': describe(POSITIVE, 'Part of scarce slots; 1.')},
 )
-_KEY: Final = _record(
+_KEY: Final = make_record(
     {
-        'team': _NAME,
-        'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'},
-    }
+        'team': describe(NAME, 'Team that the key belongs to.'),
+        'digest': describe(DIGEST, 'SHA-256 digest of the key.'),
+    },
 )
-_LINK: Final = _record(
+_LINK: Final = make_record(
     {
-        'regions': {
-            'type': 'array',
-            'items': _NAME,
-            'minItems': 2,
-            'maxItems': 2,
-            'uniqueItems': True,
-        },
-        'mbit_per_second': _POSITIVE,
-    }
+        'regions': describe(
+            {**NAMES, 'minItems': 2, 'maxItems': 2},
+            'The two regions that the link joins.',
+        ),
+        'mbit_per_second': describe(POSITIVE, 'Capacity each way.'),
+    },
 )
-_DRAINS: Final = _record(
+_DRAINS: Final = make_record(
     {},
-    {'targets': _NAMES, 'vms': _NAMES, 'zones': _NAMES},
+    {
+        'targets': describe(NAMES, 'Targets that take no new work.'),
+        'vms': describe(NAMES, 'Entry VMs that callers are not sent to.'),
+        'zones': describe(NAMES, 'Availability zones that take no new work.'),
+    },
+)
+_CHANGE: Final = make_record(
+    {
+        'id': describe(_TEXT, 'Identifier of the change.'),
+        'operator': describe(NAME, 'Who made the change.'),
+        'at': describe(_TEXT, 'When, in UTC by the clock of the VM.'),
+        'revision': describe(COUNT, 'Revision that the change made.'),
+        'what': describe(make_array(_TEXT), 'Entries that it changed.'),
+    },
 )
 
-SCHEMA: Final[Document] = _record(
+SCHEMA: Final[Document] = make_record(
     {
-        'zones': _table(_ZONE),
-        'targets': _table(_TARGET),
-        'routes': {'type': 'array', 'items': _ROUTE},
-        'teams': _table(_TEAM),
+        'zones': describe(make_table(_ZONE), 'Availability zones by name.'),
+        'targets': describe(make_table(_TARGET), 'Targets by name.'),
+        'routes': describe(make_array(_ROUTE), 'Routes, in any order.'),
+        'teams': describe(make_table(_TEAM), 'Teams by name.'),
     },
     {
-        'keys': _table(_KEY),
-        'links': {'type': 'array', 'items': _LINK},
-        'drains': _DRAINS,
-        'slots_per_zone': {'type': 'integer', 'minimum': 1, 'maximum': 256},
-        'hold_seconds': _POSITIVE,
+        'keys': describe(
+            make_table(_KEY),
+            'Granted keys by name; kept by `catalogue apply` when absent.',
+        ),
+        'links': describe(make_array(_LINK), 'Capacities between regions.'),
+        'drains': describe(
+            _DRAINS,
+            'What is drained; kept by `catalogue apply` when absent.',
+        ),
+        'slots_per_zone': describe(
+            {'type': 'integer', 'minimum': 1, 'maximum': 256},
+            'Parts into which a zone divides its limits; 12.',
+        ),
+        'hold_seconds': describe(
+            POSITIVE,
+            'Seconds that callers rely on an answer about entry VMs; 5.',
+        ),
+        'changes': describe(
+            make_array(_CHANGE),
+            'Newest changes; set by the system, ignored in a file.',
+        ),
     },
 )
--- a/toucanhall/cmdline.py
+++ b/toucanhall/cmdline.py
@@ -1,46 +1,100 @@
-"""The command line: one table of subcommands."""
+"""The command line: a parser made from the table of subcommands."""
 
 import argparse
 import sys
+from argparse import ArgumentParser
 from collections.abc import Sequence
-from typing import Final
+from functools import partial
+from typing import Any, Final, TypeAlias
 
-from toucanhall import __version__, commands
+from toucanhall import __version__
+from toucanhall.commands import COMMANDS, GROUPS, Command, Console
 
-__all__ = ('run',)
+__all__ = ('make_parser', 'run')
 
 EXIT_CODES: Final = """exit codes:
   0  done
   1  refused by the system; nothing was changed
   2  the command, the settings or the document is wrong
-  3  no entry VM could be reached, or the outcome is not known
+  3  no entry VM could be reached, the outcome is not known, or a change was
+     accepted but is not in force everywhere yet
+
+environment:
+  TOUCANHALL_TOKEN  the operator's token
+  TOUCANHALL_AT     URLs of entry VMs, comma-separated, when --at is not given
 """
 
+_HELP_WIDTH: Final = 80
+_HELP_POSITION: Final = 24
+
+Subparsers: TypeAlias = Any
+
 
 def run(arguments: Sequence[str]) -> int:
     """Parse the arguments, run the subcommand and return the exit code."""
-    options = _make_parser().parse_args(arguments)
-    command: commands.Command = options.command
-    return command.run(options, sys.stdout)
+    options = make_parser().parse_args(arguments)
+    command: Command = options.command
+    return command.run(options, Console(sys.stdout, sys.stderr))
 
 
-def _make_parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(
+def make_parser() -> ArgumentParser:
+    """Return the parser of every subcommand and its older names."""
+    parser = ArgumentParser(
         prog='toucanhall',
         description='Global traffic steering for small fleets of entry VMs.',
         epilog=EXIT_CODES,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
+        formatter_class=_make_formatter,
     )
     parser.add_argument('--version', action='version', version=__version__)
     subparsers = parser.add_subparsers(required=True, metavar='COMMAND')
-    for command in commands.COMMANDS:
-        subparser = subparsers.add_parser(
-            command.name,
-            help=command.summary,
-            description=command.summary,
-            epilog=f'example: toucanhall {command.example}',
-        )
-        for flag, keywords in command.arguments:
-            subparser.add_argument(flag, **keywords)
-        subparser.set_defaults(command=command)
+    groups = {
+        name: _add_group(subparsers, name, summary)
+        for name, summary in GROUPS.items()
+    }
+    for command in COMMANDS:
+        holder = groups[command.words[0]] if command.words[1:] else subparsers
+        _add_command(holder, command.words[-1], command, help=command.summary)
+        if command.alias:
+            alias = _add_command(subparsers, command.alias, command)
+            alias.set_defaults(json=True)
+    return parser
+
+
+def _add_group(
+    subparsers: Subparsers,
+    name: str,
+    summary: str,
+) -> Subparsers:
+    group = subparsers.add_parser(
+        name,
+        help=summary,
+        description=summary,
+        formatter_class=_make_formatter,
+    )
+    return group.add_subparsers(required=True, metavar='COMMAND')
+
+
+def _add_command(
+    subparsers: Subparsers,
+    name: str,
+    command: Command,
+    **shown: str,
+) -> ArgumentParser:
+    parser: ArgumentParser = subparsers.add_parser(
+        name,
+        description=command.summary,
+        epilog=f'example:\n  toucanhall {command.example}',
+        formatter_class=_make_formatter,
+        **shown,
+    )
+    for flag, keywords in command.arguments:
+        parser.add_argument(flag, **keywords)
+    parser.set_defaults(command=command)
     return parser
+
+
+_make_formatter: Final = partial(
+    argparse.RawDescriptionHelpFormatter,
+    width=_HELP_WIDTH,
+    max_help_position=_HELP_POSITION,
+)
--- /dev/null
+++ b/toucanhall/commands/__init__.py
@@ -0,0 +1,22 @@
+"""The subcommands: their arguments, examples and what they run."""
+
+from typing import Final
+
+from toucanhall.commands import catalogues, drains, keys, local, status
+from toucanhall.commands.model import Code, Command, Console
+
+__all__ = ('COMMANDS', 'GROUPS', 'Code', 'Command', 'Console')
+
+COMMANDS: Final[tuple[Command, ...]] = (
+    *local.COMMANDS,
+    *catalogues.COMMANDS,
+    *keys.COMMANDS,
+    *drains.COMMANDS,
+    *status.COMMANDS,
+)
+
+GROUPS: Final = {
+    'catalogue': 'check, apply, show and compare catalogues',
+    'key': 'grant, withdraw and list keys',
+    'drain': 'take targets, VMs and zones out of use and back',
+}
--- /dev/null
+++ b/toucanhall/commands/catalogues.py
@@ -0,0 +1,223 @@
+"""Subcommands about the catalogue: check, apply, show, diff and history."""
+
+from argparse import Namespace
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from toucanhall import catalogue, documents
+from toucanhall.catalogue.differences import compare, describe
+from toucanhall.commands.api import ApiError, connect, fail
+from toucanhall.commands.model import (
+    AT,
+    FILE,
+    JSON,
+    WAIT,
+    Argument,
+    Code,
+    Command,
+    Console,
+)
+from toucanhall.commands.printing import (
+    print_findings,
+    print_json,
+    print_table,
+    print_taken,
+)
+from toucanhall.commands.waiting import wait_in_force
+from toucanhall.documents import Document, Finding
+
+__all__ = ('COMMANDS',)
+
+_CONFLICT: Final = 412
+_KEPT: Final = ('keys', 'drains')
+_UNREADABLE: Final = 'a readable file'
+
+
+def check_catalogue(options: Namespace, console: Console) -> int:
+    """Check a catalogue file without applying it."""
+    read = _read_catalogue(options.file)
+    if not isinstance(read, Success):
+        return print_findings(console, options.file, read.failure())
+    console.say(f'{options.file}: catalogue is valid')
+    return Code.DONE
+
+
+def apply_catalogue(options: Namespace, console: Console) -> int:
+    """Apply a catalogue file; keys and drains it does not name are kept."""
+    read = _read_catalogue(options.file)
+    if not isinstance(read, Success):
+        return print_findings(console, options.file, read.failure())
+    opened = connect(options)
+    shown = opened.bind(lambda api: api.read('catalogue'))
+    if not isinstance(shown, Success):
+        return fail(console, shown.failure())
+    api, held = opened.unwrap(), shown.unwrap()
+    document = _keep(held['catalogue'] or {}, read.unwrap())
+    revision = held['revision']
+    if options.replace is not None:
+        revision = options.replace
+    applied = api.write('PUT', 'catalogue', document, revision)
+    if not isinstance(applied, Success):
+        return _fail_apply(options, console, applied.failure())
+    print_taken(console, options, applied.unwrap())
+    return wait_in_force(api, options, console, applied.unwrap()['accepted'])
+
+
+def show_catalogue(options: Namespace, console: Console) -> int:
+    """Print the catalogue in force at an entry VM."""
+    shown = connect(options).bind(lambda api: api.read('catalogue'))
+    if not isinstance(shown, Success):
+        return fail(console, shown.failure())
+    return print_json(console, shown.unwrap())
+
+
+def diff_catalogue(options: Namespace, console: Console) -> int:
+    """Print what applying a file would change."""
+    read = _read_catalogue(options.file)
+    if not isinstance(read, Success):
+        return print_findings(console, options.file, read.failure())
+    shown = connect(options).bind(lambda api: api.read('catalogue'))
+    if not isinstance(shown, Success):
+        return fail(console, shown.failure())
+    held = shown.unwrap()['catalogue'] or {}
+    differences = compare(held, _keep(held, read.unwrap()))
+    if options.json:
+        found = [entry._asdict() for entry in differences]
+        revision = shown.unwrap()['revision']
+        return print_json(
+            console, {'revision': revision, 'differences': found},
+        )  # fmt: skip
+    console.say(f'against revision {shown.unwrap()["revision"]}:')
+    for entry in differences:
+        console.say(f'  {describe(entry)}')
+    if not differences:
+        console.say('  no difference')
+    return Code.DONE
+
+
+def show_history(options: Namespace, console: Console) -> int:
+    """Print the accepted changes that are kept."""
+    query = f'?change={options.change}' if options.change else ''
+    shown = connect(options).bind(lambda api: api.read(f'history{query}'))
+    if not isinstance(shown, Success):
+        return fail(console, shown.failure())
+    if options.json:
+        return print_json(console, shown.unwrap())
+    changes = shown.unwrap()['changes']
+    if options.change and not changes:
+        console.complain(f'change {options.change} was not accepted')
+        return Code.REFUSED
+    print_table(
+        console,
+        ('revision', 'when (UTC)', 'operator', 'change', 'what'),
+        (_make_row(change) for change in changes),
+    )
+    return Code.DONE
+
+
+def _make_row(change: Mapping[str, Any]) -> tuple[object, ...]:
+    return (
+        change['revision'],
+        change['at'],
+        change['operator'],
+        change['id'],
+        ', '.join(change['what']),
+    )
+
+
+def _keep(held: Document, document: Document) -> dict[str, Any]:
+    kept = {name: held[name] for name in _KEPT if name in held}
+    return {**kept, **document}
+
+
+def _fail_apply(options: Namespace, console: Console, error: ApiError) -> int:
+    fail(console, error)
+    if error.body.get('status') == _CONFLICT and 'current' in error.body:
+        current = error.body['current']
+        newest = error.body['newest_change'] or {}
+        console.complain(
+            f'revision {current} was made by {newest.get("operator", "?")} '
+            f'at {newest.get("at", "?")}: {", ".join(newest.get("what", ()))}',
+        )
+        console.complain(
+            f'see `catalogue diff {options.file}`, then go on with '
+            f'`catalogue apply {options.file} --replace {current}`',
+        )
+    return error.code
+
+
+def _read_catalogue(path: Path) -> Result[Document, tuple[Finding, ...]]:
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((Finding(str(path), str(error), _UNREADABLE),))
+    return documents.parse(text).bind(
+        lambda document: catalogue.read(document).map(lambda _: document),
+    )
+
+
+_URL: Final = '--at http://127.0.1.1:8080'
+
+COMMANDS: Final = (
+    Command(
+        ('catalogue', 'check'),
+        'check a catalogue file whole, without applying it',
+        'catalogue check lumina.jsonc',
+        (FILE,),
+        check_catalogue,
+        'catalogue-check',
+    ),
+    Command(
+        ('catalogue', 'apply'),
+        'put a catalogue file into force',
+        f'catalogue apply lumina.jsonc --wait 10 {_URL}',
+        (
+            FILE,
+            AT,
+            Argument(
+                '--replace',
+                {
+                    'type': int,
+                    'metavar': 'REV',
+                    'help': 'replace this revision and no other',
+                },
+            ),
+            WAIT,
+            JSON,
+        ),
+        apply_catalogue,
+        'catalogue-apply',
+    ),
+    Command(
+        ('catalogue', 'show'),
+        'print the catalogue in force as JSON',
+        f'catalogue show {_URL}',
+        (AT, JSON),
+        show_catalogue,
+        'catalogue-show',
+    ),
+    Command(
+        ('catalogue', 'diff'),
+        'print what applying a file would change',
+        f'catalogue diff lumina.jsonc {_URL}',
+        (FILE, AT, JSON),
+        diff_catalogue,
+    ),
+    Command(
+        ('catalogue', 'history'),
+        'print accepted changes: who, what, revision and when',
+        f'catalogue history {_URL}',
+        (
+            AT,
+            Argument(
+                '--change',
+                {'metavar': 'ID', 'help': 'only the change with this id'},
+            ),
+            JSON,
+        ),
+        show_history,
+    ),
+)
--- /dev/null
+++ b/toucanhall/commands/drains.py
@@ -0,0 +1,89 @@
+"""Subcommands about drains: start, stop and status."""
+
+from argparse import Namespace
+from collections.abc import Callable
+from typing import Final
+
+from returns.result import Success
+
+from toucanhall.commands.api import connect, fail
+from toucanhall.commands.model import (
+    AT,
+    JSON,
+    WAIT,
+    Argument,
+    Code,
+    Command,
+    Console,
+)
+from toucanhall.commands.printing import print_json, print_table, print_taken
+from toucanhall.commands.waiting import wait_in_force
+
+__all__ = ('COMMANDS',)
+
+_KINDS: Final = {'target': 'targets', 'vm': 'vms', 'zone': 'zones'}
+
+
+def _make_change(method: str) -> Callable[[Namespace, Console], int]:
+    def change(options: Namespace, console: Console) -> int:
+        opened = connect(options)
+        path = f'drains/{_KINDS[options.kind]}/{options.name}'
+        changed = opened.bind(lambda api: api.write(method, path))
+        if not isinstance(changed, Success):
+            return fail(console, changed.failure())
+        body = changed.unwrap()
+        print_taken(console, options, body)
+        return wait_in_force(
+            opened.unwrap(), options, console, body['accepted'],
+        )  # fmt: skip
+
+    return change
+
+
+def show_drains(options: Namespace, console: Console) -> int:
+    """Print what is drained."""
+    shown = connect(options).bind(lambda api: api.read('drains'))
+    if not isinstance(shown, Success):
+        return fail(console, shown.failure())
+    if options.json:
+        return print_json(console, shown.unwrap())
+    drains = shown.unwrap()['drains']
+    rows = [
+        (kind, name)
+        for kind, section in _KINDS.items()
+        for name in sorted(drains.get(section, ()))
+    ]
+    print_table(console, ('kind', 'drained'), rows)
+    return Code.DONE
+
+
+_URL: Final = '--at http://127.0.1.1:8080'
+_KIND: Final = Argument(
+    'kind',
+    {'choices': tuple(_KINDS), 'help': 'what is drained'},
+)
+_NAME: Final = Argument('name', {'help': 'its name'})
+
+COMMANDS: Final = (
+    Command(
+        ('drain', 'start'),
+        'give a target, VM or zone no new work',
+        f'drain start target guide-1 --wait 10 {_URL}',
+        (_KIND, _NAME, AT, WAIT, JSON),
+        _make_change('PUT'),
+    ),
+    Command(
+        ('drain', 'stop'),
+        'end a drain',
+        f'drain stop target guide-1 {_URL}',
+        (_KIND, _NAME, AT, WAIT, JSON),
+        _make_change('DELETE'),
+    ),
+    Command(
+        ('drain', 'status'),
+        'list what is drained',
+        f'drain status {_URL}',
+        (AT, JSON),
+        show_drains,
+    ),
+)
--- /dev/null
+++ b/toucanhall/commands/keys.py
@@ -0,0 +1,107 @@
+"""Subcommands about keys: grant, withdraw and list."""
+
+import secrets
+from argparse import Namespace
+from typing import Final
+
+from returns.result import Success
+
+from toucanhall.commands.api import connect, fail
+from toucanhall.commands.model import (
+    AT,
+    JSON,
+    WAIT,
+    Argument,
+    Code,
+    Command,
+    Console,
+)
+from toucanhall.commands.printing import print_json, print_table, print_taken
+from toucanhall.commands.waiting import wait_in_force
+from toucanhall.forwarding.credentials import digest_key
+
+__all__ = ('COMMANDS',)
+
+_KEY_BYTES: Final = 24
+
+
+def grant_key(options: Namespace, console: Console) -> int:
+    """Grant a key to a team and print it, the only time it is shown."""
+    opened = connect(options)
+    key = secrets.token_urlsafe(_KEY_BYTES)
+    entry = {'team': options.team, 'digest': digest_key(key)}
+    granted = opened.bind(
+        lambda api: api.write('PUT', f'keys/{options.name}', entry),
+    )
+    if not isinstance(granted, Success):
+        return fail(console, granted.failure())
+    body = granted.unwrap()
+    if options.json:
+        print_json(console, {**body, 'key': key})
+    else:
+        print_taken(console, options, body)
+        console.say(f'key {key}')
+        console.say('it is not kept and cannot be shown again')
+    return wait_in_force(opened.unwrap(), options, console, body['accepted'])
+
+
+def withdraw_key(options: Namespace, console: Console) -> int:
+    """Withdraw a key."""
+    opened = connect(options)
+    withdrawn = opened.bind(
+        lambda api: api.write('DELETE', f'keys/{options.name}'),
+    )
+    if not isinstance(withdrawn, Success):
+        return fail(console, withdrawn.failure())
+    body = withdrawn.unwrap()
+    print_taken(console, options, body)
+    return wait_in_force(opened.unwrap(), options, console, body['accepted'])
+
+
+def list_keys(options: Namespace, console: Console) -> int:
+    """Print the granted keys by name, never the keys themselves."""
+    shown = connect(options).bind(lambda api: api.read('keys'))
+    if not isinstance(shown, Success):
+        return fail(console, shown.failure())
+    if options.json:
+        return print_json(console, shown.unwrap())
+    keys = shown.unwrap()['keys']
+    rows = (
+        (name, key['team'], key['digest']) for name, key in sorted(keys.items())
+    )
+    print_table(console, ('key', 'team', 'digest'), rows)
+    return Code.DONE
+
+
+_URL: Final = '--at http://127.0.1.1:8080'
+_NAME: Final = Argument('name', {'help': 'the name of the key'})
+_TEAM: Final = Argument(
+    '--team',
+    {'required': True, 'help': 'the team that the key belongs to'},
+)
+
+COMMANDS: Final = (
+    Command(
+        ('key', 'grant'),
+        'grant a key to a team; it is shown once and kept only as digest',
+        f'key grant hostel-1 --team hostels {_URL}',
+        (_NAME, _TEAM, AT, WAIT, JSON),
+        grant_key,
+        'key-grant',
+    ),
+    Command(
+        ('key', 'withdraw'),
+        'withdraw a key',
+        f'key withdraw hostel-1 --wait 10 {_URL}',
+        (_NAME, AT, WAIT, JSON),
+        withdraw_key,
+        'key-withdraw',
+    ),
+    Command(
+        ('key', 'list'),
+        'list granted keys by name, team and digest',
+        f'key list {_URL}',
+        (AT, JSON),
+        list_keys,
+    ),
+)
--- /dev/null
+++ b/toucanhall/commands/model.py
@@ -0,0 +1,100 @@
+"""What a subcommand is, its exit codes and its common arguments."""
+
+import enum
+import os
+from argparse import Namespace
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final, NamedTuple, TextIO
+
+__all__ = (
+    'AT_VARIABLE',
+    'Argument',
+    'Code',
+    'Command',
+    'Console',
+    'TOKEN_VARIABLE',
+)
+
+TOKEN_VARIABLE: Final = 'TOUCANHALL_TOKEN'
+AT_VARIABLE: Final = 'TOUCANHALL_AT'
+
+
+class Code(enum.IntEnum):
+    """Exit codes of the program."""
+
+    DONE = 0
+    REFUSED = 1
+    WRONG = 2
+    UNKNOWN = 3
+
+
+class Console(NamedTuple):
+    """Where results and errors are written."""
+
+    out: TextIO
+    err: TextIO
+
+    def say(self, text: str) -> None:
+        """Write a line of the result."""
+        print(text, file=self.out)
+
+    def complain(self, text: str) -> None:
+        """Write a line about an error."""
+        print(f'toucanhall: {text}', file=self.err)
+
+
+class Argument(NamedTuple):
+    """An argument of a subcommand, as argparse takes it."""
+
+    flag: str
+    keywords: dict[str, Any]
+
+
+class Command(NamedTuple):
+    """A subcommand: its words, arguments, and the function that runs it.
+
+    `alias` is an older name that still works and always prints JSON.
+    """
+
+    words: tuple[str, ...]
+    summary: str
+    example: str
+    arguments: tuple[Argument, ...]
+    run: Callable[[Namespace, Console], int]
+    alias: str = ''
+
+
+def _list_bases() -> list[str]:
+    return [base for base in os.environ.get(AT_VARIABLE, '').split(',') if base]
+
+
+FILE: Final = Argument('file', {'type': Path, 'help': 'the file to read'})
+AT: Final = Argument(
+    '--at',
+    {
+        'action': 'append',
+        'metavar': 'URL',
+        'help': 'URL of an entry VM; may be repeated, the next one is tried '
+        f'when one cannot be reached (else {AT_VARIABLE}, comma-separated)',
+    },
+)
+JSON: Final = Argument(
+    '--json',
+    {'action': 'store_true', 'help': 'print JSON for scripts'},
+)
+WAIT: Final = Argument(
+    '--wait',
+    {
+        'type': float,
+        'metavar': 'SECONDS',
+        'help': 'return when the change is in force in every zone, or name '
+        'the zones that have not confirmed it after so long',
+    },
+)
+
+
+def find_bases(options: Namespace) -> list[str]:
+    """Return the URLs of entry VMs to call, in order."""
+    given: list[str] = options.at or _list_bases()
+    return [base.rstrip('/') for base in given]
--- /dev/null
+++ b/toucanhall/commands/status.py
@@ -0,0 +1,92 @@
+"""The subcommand that tells the state of the fleet."""
+
+from argparse import Namespace
+from collections.abc import Mapping
+from typing import Any, Final
+
+from returns.result import Success
+
+from toucanhall.commands.api import connect, fail
+from toucanhall.commands.model import AT, JSON, Code, Command, Console
+from toucanhall.commands.printing import print_json, print_table
+
+__all__ = ('COMMANDS',)
+
+_REFUSED: Final = 'refused.'
+_TOP: Final = 8  # refusal reasons
+
+
+def show_status(options: Namespace, console: Console) -> int:
+    """Print what an entry VM knows of the fleet."""
+    shown = connect(options).bind(lambda api: api.read('status'))
+    if not isinstance(shown, Success):
+        return fail(console, shown.failure())
+    status = shown.unwrap()
+    if options.json:
+        return print_json(console, status)
+    console.say(f'as seen by {status["vm"]}, revision {status["revision"]}')
+    _print_zones(console, status)
+    _print_members(console, status)
+    _print_shares(console, status)
+    _print_refusals(console, status)
+    return Code.DONE
+
+
+def _print_zones(console: Console, status: Mapping[str, Any]) -> None:
+    console.say('')
+    rows = (
+        (
+            zone,
+            found['in_force'],
+            'yes' if found['confirmed'] else 'NOT YET',
+        )
+        for zone, found in sorted(status['zones'].items())
+    )
+    print_table(console, ('zone', 'in force', 'confirmed'), rows)
+
+
+def _print_members(console: Console, status: Mapping[str, Any]) -> None:
+    console.say('')
+    rows = sorted(
+        (member['zone'], member['vm'], member['health'])
+        for member in status['members']
+    )
+    print_table(console, ('zone', 'other VM', 'health'), rows)
+
+
+def _print_shares(console: Console, status: Mapping[str, Any]) -> None:
+    console.say('')
+    rows = (
+        (team, f'{share["rate"]:.4g}', f'{share["cap"]:.4g}', _tell_used(share))
+        for team, share in sorted(status['shares'].items())
+    )
+    header = ('team', 'rate/s here', 'burst here', 'burst used')
+    print_table(console, header, rows)
+
+
+def _tell_used(share: Mapping[str, Any]) -> str:
+    if not share['cap']:
+        return '-'
+    return f'{1 - share["tokens"] / share["cap"]:.0%}'
+
+
+def _print_refusals(console: Console, status: Mapping[str, Any]) -> None:
+    console.say('')
+    counted = sorted(
+        (-count, name.removeprefix(_REFUSED))
+        for name, count in status['counters'].items()
+        if name.startswith(_REFUSED)
+    )
+    rows = [(name, -count) for count, name in counted[:_TOP]]
+    print_table(console, ('refused for', 'requests'), rows)
+
+
+COMMANDS: Final = (
+    Command(
+        ('status',),
+        'tell what is in force where, members, limits used and refusals',
+        'status --at http://127.0.1.1:8080',
+        (AT, JSON),
+        show_status,
+    ),
+)
--- a/toucanhall/documents.py
+++ b/toucanhall/documents.py
@@ -1,19 +1,25 @@
 """Reads JSON documents with comments and checks them against a schema."""
 
 import difflib
+import math
 from collections.abc import Iterator, Mapping
-from typing import Any, NamedTuple, TypeAlias
+from typing import Any, Final, NamedTuple, TypeAlias
 
 import json5
 import jsonschema
 from jsonschema.exceptions import ValidationError
+from jsonschema.validators import extend
 from returns.result import Failure, Result, Success
 
-__all__ = ('Document', 'Finding', 'check', 'parse', 'render')
+from toucanhall.formats import FORMATS, CHECKER
+
+__all__ = ('Document', 'Finding', 'check', 'check_object', 'parse', 'render')
 
 Document: TypeAlias = Mapping[str, Any]
 
-_FOUND_LENGTH = 60  # characters of an offending value that an error repeats
+_FOUND_LENGTH: Final = (
+    60  # characters of an offending value that an error repeats
+)
 
 
 class Finding(NamedTuple):
@@ -35,9 +41,15 @@
         parsed = json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
         return Failure((Finding('$', str(error), 'JSON with comments'),))
+    return check_object(parsed)
+
+
+def check_object(parsed: object) -> Result[Document, tuple[Finding, ...]]:
+    """Check that a parsed document is an object with finite numbers."""
     if not isinstance(parsed, dict):
         return Failure((Finding('$', _quote(parsed), 'an object'),))
-    return Success(parsed)
+    endless = tuple(_find_endless(parsed, '$'))
+    return Failure(endless) if endless else Success(parsed)
 
 
 def check(
@@ -45,7 +57,7 @@
     schema: Document,
 ) -> Result[Document, tuple[Finding, ...]]:
     """Check a whole document and return every error in document order."""
-    validator = jsonschema.Draft202012Validator(schema)
+    validator = _Validator(schema, format_checker=CHECKER)
     errors = sorted(validator.iter_errors(document), key=_order)
     findings = tuple(finding for error in errors for finding in _explain(error))
     if findings:
@@ -53,6 +65,24 @@
     return Success(document)
 
 
+def _find_endless(found: object, path: str) -> Iterator[Finding]:
+    if isinstance(found, float) and not math.isfinite(found):
+        yield Finding(path, str(found), 'a finite number')
+    for step, entry in _list_entries(found):
+        yield from _find_endless(entry, f'{path}{step}')
+
+
+def _list_entries(found: object) -> Iterator[tuple[str, object]]:
+    if isinstance(found, dict):
+        yield from ((f'.{name}', entry) for name, entry in found.items())
+    elif isinstance(found, list):
+        yield from ((f'[{index}]', entry) for index, entry in enumerate(found))
+
+
+def _is_integer(_checker: object, found: object) -> bool:
+    return isinstance(found, int) and not isinstance(found, bool)
+
+
 def _order(error: ValidationError) -> str:
     return error.json_path
 
@@ -67,6 +97,11 @@
     yield Finding(error.json_path, _quote(error.instance), allowed)
 
 
+def _explain_format(error: ValidationError) -> Iterator[Finding]:
+    allowed = FORMATS[str(error.validator_value)].allowed
+    yield Finding(error.json_path, _quote(error.instance), allowed)
+
+
 def _explain_unknown(error: ValidationError) -> Iterator[Finding]:
     schema: Document = error.schema  # type: ignore[assignment]
     instance: Document = error.instance  # type: ignore[assignment]
@@ -91,7 +126,15 @@
     return text
 
 
-_EXPLANATIONS = {
+_Validator: Final = extend(  # type: ignore[no-untyped-call]
+    jsonschema.Draft202012Validator,
+    type_checker=jsonschema.Draft202012Validator.TYPE_CHECKER.redefine(
+        'integer',
+        _is_integer,
+    ),
+)
+_EXPLANATIONS: Final = {
     'additionalProperties': _explain_unknown,
+    'format': _explain_format,
     'required': _explain_missing,
 }
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -88,6 +88,7 @@
                 operators=settings.operators,
                 holder=self._holder,
                 platform=self._platform,
+                counters=self._counters,
                 read_status=self._read_status,
             ),
             list_usable_vms=self._list_usable_vms,
--- a/toucanhall/events.py
+++ b/toucanhall/events.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import time
 from typing import Final, NamedTuple
 
 from pythonjsonlogger.json import JsonFormatter
@@ -39,6 +40,7 @@
 CLAIM_UNSETTLED: Final = Event(700, logging.WARNING, 'claim not settled')
 CHANGE_ACCEPTED: Final = Event(800, logging.INFO, 'operator change accepted')
 CHANGE_REFUSED: Final = Event(801, logging.INFO, 'operator change refused')
+AUDIT_DELAYED: Final = Event(810, logging.WARNING, 'audit copy is delayed')
 
 CATALOGUE: Final[tuple[Event, ...]] = tuple(
     found for found in tuple(globals().values()) if isinstance(found, Event)
@@ -55,13 +57,14 @@
 
 def configure(level: str, vm: str) -> None:
     """Write events of this process as JSON lines to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        JsonFormatter(
-            '%(asctime)s %(levelname)s %(message)s',
-            static_fields={'vm': vm},
-        ),
+    formatter = JsonFormatter(
+        '%(asctime)s %(levelname)s %(message)s',
+        datefmt='%Y-%m-%dT%H:%M:%SZ',
+        static_fields={'vm': vm},
     )
+    formatter.converter = time.gmtime
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
     _LOGGER.handlers.clear()
     _LOGGER.addHandler(handler)
     _LOGGER.setLevel(_LEVELS[level])
--- /dev/null
+++ b/toucanhall/formats.py
@@ -0,0 +1,78 @@
+"""Formats of text fields: names, addresses and paths."""
+
+import ipaddress
+import re
+from collections.abc import Callable, Mapping
+from typing import Final, NamedTuple
+
+from jsonschema import FormatChecker
+
+__all__ = ('CHECKER', 'FORMATS', 'Format')
+
+_LARGEST_PORT: Final = 65535
+_BASE_SCHEME: Final = 'http://'
+
+
+class Format(NamedTuple):
+    """A format: the check of a text, and what an error says is allowed."""
+
+    holds: Callable[[str], bool]
+    allowed: str
+
+
+def _make_pattern(pattern: str) -> Callable[[str], bool]:
+    compiled = re.compile(pattern)
+    return lambda text: compiled.fullmatch(text) is not None
+
+
+def _is_ipv4(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_endpoint(text: str) -> bool:
+    address, colon, port = text.rpartition(':')
+    if not (colon and port.isascii() and port.isdecimal()):
+        return False
+    return _is_ipv4(address) and 0 < int(port[:6]) <= _LARGEST_PORT
+
+
+def _is_base(text: str) -> bool:
+    is_http = text.startswith(_BASE_SCHEME)
+    return is_http and _is_endpoint(text.removeprefix(_BASE_SCHEME))
+
+
+FORMATS: Final[Mapping[str, Format]] = {
+    'name': Format(
+        _make_pattern('[a-z0-9][a-z0-9-]{0,62}'),
+        'a name of a-z, 0-9 and -, at most 63 characters',
+    ),
+    'digest': Format(
+        _make_pattern('[0-9a-f]{64}'),
+        'a SHA-256 digest of 64 hexadecimal digits',
+    ),
+    'path': Format(
+        _make_pattern('/[!-~]{0,255}'),
+        'a path that begins with / and has no spaces',
+    ),
+    'address': Format(_is_ipv4, 'an IPv4 address such as 127.0.0.1'),
+    'endpoint': Format(
+        _is_endpoint,
+        'an IPv4 address and port such as 127.0.0.1:9000',
+    ),
+    'base': Format(_is_base, 'a URL such as http://127.0.0.1:7400'),
+}
+
+CHECKER: Final = FormatChecker(formats=())
+
+
+def _check_text(holds: Callable[[str], bool]) -> Callable[[object], bool]:
+    return lambda found: not isinstance(found, str) or holds(found)
+
+
+CHECKER.checkers = {
+    name: (_check_text(entry.holds), ()) for name, entry in FORMATS.items()
+}
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -4,9 +4,10 @@
 import threading
 import time
 from collections.abc import Callable
+from datetime import UTC, datetime
 from typing import Final
 
-__all__ = ('make_id', 'read_clock', 'start_ticker')
+__all__ = ('make_id', 'read_clock', 'read_utc', 'start_ticker')
 
 _ID_BYTES: Final = 12
 
@@ -16,6 +17,11 @@
     return time.monotonic()
 
 
+def read_utc() -> str:
+    """Return the time of day in UTC, to the second, as ISO 8601."""
+    return datetime.now(UTC).isoformat(timespec='seconds')
+
+
 def make_id() -> str:
     """Return a random identifier that no other process makes."""
     return secrets.token_hex(_ID_BYTES)
--- a/toucanhall/settings.py
+++ b/toucanhall/settings.py
@@ -3,79 +3,28 @@
 import os
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Any, NamedTuple
 
 from returns.result import Failure, Result, Success
 
 from toucanhall import documents
 from toucanhall.documents import Document, Finding
+from toucanhall.settingsschema import SCHEMA
 
 __all__ = ('Bounds', 'Operator', 'Settings', 'load', 'read')
 
-_PORT: Final = {'type': 'integer', 'minimum': 1, 'maximum': 65535}
-_NAME: Final = {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}
-_ADDRESS: Final = {
-    'type': 'string',
-    'pattern': '^([0-9]{1,3}[.]){3}[0-9]{1,3}$',
-}
-_ROLES: Final = ('read', 'operate', 'administer')
-
-_SCHEMA: Final[Document] = {
-    'type': 'object',
-    'additionalProperties': False,
-    'required': [
-        'vm', 'zone', 'address', 'caller_port', 'peer_port',
-        'platform', 'secret_variable', 'operators',
-    ],
-    'properties': {
-        'vm': _NAME,
-        'zone': _NAME,
-        'address': _ADDRESS,
-        'caller_port': _PORT,
-        'peer_port': _PORT,
-        'platform': {'type': 'string', 'pattern': '^http://[^/]+$'},
-        'secret_variable': {'type': 'string', 'minLength': 1},
-        'operators': {
-            'type': 'array',
-            'items': {
-                'type': 'object',
-                'additionalProperties': False,
-                'required': ['name', 'digest', 'role'],
-                'properties': {
-                    'name': _NAME,
-                    'digest': {'type': 'string', 'pattern': '^[0-9a-f]{64}$'},
-                    'role': {'enum': list(_ROLES)},
-                },
-            },
-        },
-        'statsd': {
-            'type': 'object',
-            'additionalProperties': False,
-            'required': ['host', 'port'],
-            'properties': {'host': _ADDRESS, 'port': _PORT},
-        },
-        'bounds': {
-            'type': 'object',
-            'additionalProperties': False,
-            'properties': {
-                'header_bytes': {'type': 'integer', 'minimum': 1024},
-                'body_bytes': {'type': 'integer', 'minimum': 0},
-                'idle_seconds': {'type': 'integer', 'minimum': 1},
-                'threads': {'type': 'integer', 'minimum': 2, 'maximum': 512},
-                'linger_seconds': {'type': 'integer', 'minimum': 0},
-            },
-        },
-        'log_level': {'enum': ['debug', 'info', 'warning', 'error']},
-    },
-}  # fmt: skip
-
 
 class Operator(NamedTuple):
-    """An operator's credential: SHA-256 digest of the token, and the role."""
+    """An operator's credential: SHA-256 digest of the token, and the role.
+
+    `teams` and `routes` are what a role of `owner` owns.
+    """
 
     name: str
     digest: str
     role: str
+    teams: frozenset[str] = frozenset()
+    routes: frozenset[str] = frozenset()
 
 
 class Bounds(NamedTuple):
@@ -124,7 +73,7 @@
     """Check the text of a settings file and return the settings."""
     return (
         documents.parse(text)
-        .bind(lambda document: documents.check(document, _SCHEMA))
+        .bind(lambda document: documents.check(document, SCHEMA))
         .bind(lambda document: _with_secret(document, environment))
     )
 
@@ -155,9 +104,19 @@
         peer_port=document['peer_port'],
         platform=document['platform'],
         secret=secret,
-        operators=tuple(Operator(**entry) for entry in document['operators']),
+        operators=tuple(map(_build_operator, document['operators'])),
         statsd_host=statsd.get('host', ''),
         statsd_port=statsd.get('port', 0),
         bounds=Bounds(**document.get('bounds', {})),
         log_level=document.get('log_level', 'info'),
     )
+
+
+def _build_operator(entry: Document) -> Operator:
+    return Operator(
+        name=entry['name'],
+        digest=entry['digest'],
+        role=entry['role'],
+        teams=frozenset(entry.get('teams', ())),
+        routes=frozenset(entry.get('routes', ())),
+    )
