--- /dev/null
+++ b/release/boot.py
@@ -0,0 +1,92 @@
+"""Starts the binary: imports from the archive, extensions through a file.
+
+The dynamic loader opens files only, so each C extension is unpacked into the
+temporary folder, loaded, and removed at once. Nothing stays behind, also after
+a kill.
+"""
+
+import sys
+import sysconfig
+import tempfile
+from importlib.abc import Loader, MetaPathFinder
+from importlib.machinery import EXTENSION_SUFFIXES, ModuleSpec
+from importlib.machinery import ExtensionFileLoader as FileLoader
+from pathlib import Path
+from types import ModuleType
+from zipfile import ZipFile
+
+ARCHIVE = Path(__file__).parent
+VERSION_ENTRY = 'python-version'
+
+
+class Unpacking(Loader):
+    """Loads one extension from the archive."""
+
+    def __init__(self, *, name: str, content: bytes) -> None:
+        """Load a module from the bytes of its shared object."""
+        self._name = name
+        self._content = content
+
+    def create_module(self, spec: ModuleSpec) -> ModuleType:
+        """Unpack, load and remove the shared object."""
+        suffix = sysconfig.get_config_var('SHLIB_SUFFIX')
+        with tempfile.NamedTemporaryFile(suffix=suffix) as unpacked:
+            unpacked.write(self._content)
+            unpacked.flush()
+            self._loader = FileLoader(self._name, unpacked.name)
+            origin = unpacked.name
+            return self._loader.create_module(
+                ModuleSpec(spec.name, self._loader, origin=origin),
+            )
+
+    def exec_module(self, module: ModuleType) -> None:
+        """Run the initialisation of the loaded module."""
+        self._loader.exec_module(module)
+
+
+class Finder(MetaPathFinder):
+    """Finds extensions in the archive."""
+
+    def __init__(self, *, archive: ZipFile) -> None:
+        """Look in an archive that is open."""
+        self._archive = archive
+        self._entries = frozenset(archive.namelist())
+
+    def find_spec(
+        self,
+        fullname: str,
+        path: object,
+        target: ModuleType | None = None,
+    ) -> ModuleSpec | None:
+        """Return how to load an extension, or `None` for other modules."""
+        stem = fullname.replace('.', '/')
+        for suffix in EXTENSION_SUFFIXES:
+            entry = f'{stem}{suffix}'
+            if entry in self._entries:
+                unpacking = Unpacking(
+                    name=fullname,
+                    content=self._archive.read(entry),
+                )
+                origin = str(ARCHIVE / entry)
+                return ModuleSpec(fullname, unpacking, origin=origin)
+        return None
+
+
+def boot() -> int:
+    """Make the archive importable and run the command line."""
+    archive = ZipFile(ARCHIVE)
+    wanted = archive.read(VERSION_ENTRY).decode()
+    found = sysconfig.get_python_version()
+    if found != wanted:
+        sys.stderr.write(
+            f'toucanhall: built for Python {wanted}, run by {found}\n',
+        )
+        return 2
+    sys.meta_path.insert(0, Finder(archive=archive))
+    from toucanhall.__main__ import main  # noqa: PLC0415
+
+    return main()
+
+
+if __name__ == '__main__':
+    sys.exit(boot())
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 _ROOT: Final = Path(__file__).parent.parent
-_SOURCES: Final = ('toucanhall', 'standins', 'benches', 'tests')
+_SOURCES: Final = ('toucanhall', 'standins', 'benches', 'release', 'tests')
 _FAILED: Final = re.compile(r'^(?:FAILED|ERROR) (\S+)', re.MULTILINE)
 
 
@@ -67,7 +67,7 @@
 CHECKS: Final = {
     'format': run_tool('ruff', 'format', '--check', *_SOURCES),
     'lint': run_tool('flake8', *_SOURCES),
-    'types': run_tool('mypy', 'toucanhall', 'standins', 'benches'),
+    'types': run_tool('mypy', 'toucanhall', 'standins', 'benches', 'release'),
     'tests': run_tests('tests/unit'),
     'models': run_tests('tests/models'),
     'processes': run_tests('tests/processes'),
--- /dev/null
+++ b/tests/stores.py
@@ -0,0 +1,45 @@
+"""A store in memory, with the failures that the platform may have."""
+
+from returns.result import Failure, Success
+
+from toucanhall.platform import Ambiguous, Conflict, Stored, Unavailable
+
+
+class MemoryStore:
+    """Objects by name with a version; `modes` breaks names by prefix.
+
+    A mode is `down` (nothing is read or written) or `lost` (a write takes
+    effect, but its reply is lost).
+    """
+
+    def __init__(self):
+        """Start empty and whole."""
+        self.stored = {}
+        self.modes = {}
+        self.before_write = str
+
+    def read(self, name):
+        """Return an object, or that the store is down."""
+        if self._find_mode(name) == 'down':
+            return Failure(Unavailable(name))
+        version, content = self.stored.get(name, (0, b''))
+        return Success(Stored(name, version, content))
+
+    def write(self, name, content, expected):
+        """Write an object if its version is the expected one."""
+        self.before_write(name)
+        mode = self._find_mode(name)
+        if mode == 'down':
+            return Failure(Unavailable(name))
+        if self.stored.get(name, (0, b''))[0] != expected:
+            return Failure(Conflict(name, expected))
+        self.stored[name] = (expected + 1, content)
+        if mode == 'lost':
+            return Failure(Ambiguous(name, 'no reply'))
+        return Success(expected + 1)
+
+    def _find_mode(self, name):
+        for prefix, mode in self.modes.items():
+            if name.startswith(prefix):
+                return mode
+        return ''
--- /dev/null
+++ b/tests/unit/test_admin.py
@@ -0,0 +1,219 @@
+"""Tests of the operators' API."""
+
+import json
+
+import msgspec
+import pytest
+
+from tests.builders import make_document, make_request
+from tests.stores import MemoryStore
+from toucanhall.admin import Admin
+from toucanhall.admin.routes import PREFIX, ROUTES
+from toucanhall.catalogue import Holder
+from toucanhall.counters import Counters
+from toucanhall.forwarding.credentials import digest_key
+from toucanhall.settings import Operator
+from toucanhall.settingsschema import ROLES
+
+KEY = {'team': 'hostels', 'digest': 'b' * 64}
+OWNED = {'teams': frozenset(('hostels',)), 'routes': frozenset(('/bookings',))}
+
+
+class Api:
+    """The API of one VM, its store, and who calls it."""
+
+    def __init__(self, store=None):
+        self.store = store or MemoryStore()
+        self.counters = Counters(host='', port=0)
+        self.admin = Admin(
+            operators=tuple(
+                Operator(role, digest_key(role), role, **OWNED)
+                for role in ROLES
+            ),
+            holder=Holder(),
+            platform=self.store,
+            counters=self.counters,
+            read_status=lambda: {'revision': 1, 'in_force': {'north-a': 1}},
+        )
+
+    def call(self, method, name, body=None, token='administer', **headers):
+        """Return the status and the body of an answer."""
+        path, _, query = name.partition('?')
+        answer = self.admin.serve(
+            make_request(
+                method=method,
+                path=f'{PREFIX}{path}',
+                query=query,
+                headers=(
+                    ('Authorization', f'Bearer {token}'),
+                    *((key.replace('_', '-'), headers[key]) for key in headers),
+                ),
+                body=b'' if body is None else msgspec.json.encode(body),
+            ),
+        )
+        return answer.status, json.loads(b''.join(answer.body))
+
+    def apply(self, revision=0, token='administer', **changes):
+        """Replace the catalogue."""
+        return self.call(
+            'PUT',
+            'catalogue',
+            make_document(**changes),
+            token,
+            If_Match=f'"{revision}"',
+        )
+
+
+@pytest.fixture(name='api')
+def make_api(monkeypatch):
+    """Return an API with a catalogue in force; pauses take no time."""
+    monkeypatch.setattr('time.sleep', lambda _seconds: None)
+    api = Api()
+    assert api.apply()[0] == 200
+    return api
+
+
+def test_unknown_token_is_refused_and_counted(api):
+    assert api.call('GET', 'status', token='guess')[0] == 401
+    assert api.counters.read() == {'admin.token-unknown': 1}
+
+
+def test_every_route_has_a_handler(api):
+    assert {(route.method, route.path) for route in ROUTES} == set(
+        api.admin.handlers
+    )
+
+
+def test_unknown_path_and_method_are_told_apart(api):
+    assert api.call('GET', 'nothing')[0] == 404
+    assert api.call('POST', 'catalogue')[0] == 405
+
+
+@pytest.mark.parametrize(
+    ('role', 'expected'),
+    [('read', 403), ('owner', 200), ('operate', 200), ('administer', 200)],
+)
+def test_role_grants_a_key_of_its_team(api, role, expected):
+    assert api.call('PUT', 'keys/new', KEY, role)[0] == expected
+
+
+@pytest.mark.parametrize(
+    ('changes', 'owner', 'operate'),
+    [
+        ({'keys': {}}, 200, 200),
+        ({'drains': {'targets': ['guide-1']}}, 403, 200),
+        ({'hold_seconds': 9}, 403, 403),
+        ({'teams': {'hostels': {'rate': 11, 'burst': 20}}}, 403, 403),
+        ({'teams': {'hostels': {'rate': 9, 'burst': 20}}}, 200, 403),
+        ({'routes': make_document()['routes'][:1]}, 200, 403),
+        ({'routes': make_document()['routes'][1:]}, 403, 403),
+    ],
+)
+def test_role_replaces_only_what_it_may(api, changes, owner, operate):
+    assert api.apply(1, 'owner', **changes)[0] == owner
+    held = api.admin.handlers['GET', 'catalogue'](None)[1]['revision']
+    other = Api()
+    other.apply()
+    assert other.apply(1, 'operate', **changes)[0] == operate
+    assert held == 1 + (owner == 200)
+
+
+def test_owner_cannot_take_over_a_key_of_another_team():
+    api = Api()
+    teams = {name: {'rate': 1, 'burst': 1} for name in ('hostels', 'others')}
+    key = {'team': 'others', 'digest': 'c' * 64}
+    api.apply(teams=teams, keys={'theirs': key})
+    assert api.call('PUT', 'keys/theirs', KEY, 'owner')[0] == 403
+    assert api.call('DELETE', 'keys/theirs', token='owner')[0] == 403
+
+
+def test_loser_of_a_race_sees_both_revisions(api):
+    api.apply(1, hold_seconds=2)
+    status, body = api.apply(1, hold_seconds=3)
+    assert (status, body['expected'], body['current']) == (412, 1, 2)
+    assert body['newest_change']['what'] == ['hold_seconds added']
+
+
+def test_replacing_needs_the_revision(api):
+    assert api.call('PUT', 'catalogue', make_document())[0] == 428
+
+
+def test_key_edit_is_made_again_after_a_conflict(api):
+    rival = Api(api.store)
+    rival.admin._holder.offer(api.admin._holder.current)
+
+    def race(name):
+        api.store.before_write = lambda _name: None
+        rival.call('PUT', 'keys/rival', {**KEY, 'digest': 'd' * 64})
+        api.admin._holder.offer(rival.admin._holder.current)
+
+    api.store.before_write = race
+    status, body = api.call('PUT', 'keys/mine', KEY)
+    assert (status, body['accepted']) == (200, 3)
+    keys = api.call('GET', 'keys')[1]['keys']
+    assert {'rival', 'mine', 'hostels-key'} == set(keys)
+
+
+def test_drain_starts_and_stops(api):
+    api.call('PUT', 'drains/targets/guide-1')
+    assert api.call('GET', 'drains')[1]['drains'] == {'targets': ['guide-1']}
+    api.call('DELETE', 'drains/targets/guide-1')
+    assert api.call('GET', 'drains')[1]['drains'] == {'targets': []}
+
+
+def test_drain_of_nothing_known_is_refused(api):
+    assert api.call('PUT', 'drains/targets/guide-9')[0] == 400
+    assert api.call('PUT', 'drains/racks/guide-1')[0] == 400
+
+
+def test_broken_bodies_are_refused(api):
+    for body in ([], {'team': 1}, {'team': 'hostels', 'digest': 'short'}):
+        assert api.call('PUT', 'keys/new', body)[0] == 400
+
+
+def test_history_tells_who_what_and_when(api):
+    api.call('PUT', 'keys/new', KEY, 'operate', Toucanhall_Change='my-id')
+    found = api.call('GET', 'history?change=my-id')[1]['changes']
+    assert [(entry['operator'], entry['revision']) for entry in found] == [
+        ('operate', 2),
+    ]
+    assert found[0]['what'] == ['keys new added']
+    assert found[0]['at'].endswith('+00:00')
+
+
+def test_lost_reply_is_found_by_the_change_id(api):
+    api.store.modes = {'catalogue': 'lost'}
+    for _ in range(2):
+        status, body = api.call('PUT', 'keys/a', KEY, Toucanhall_Change='id-1')
+        assert (status, body['accepted'], body['change']) == (200, 2, 'id-1')
+
+
+def test_store_that_is_down_changes_nothing_and_says_so(api):
+    api.store.modes = {'': 'down'}
+    status, body = api.call('PUT', 'keys/a', KEY)
+    assert (status, body['outcome']) == (503, 'not changed')
+
+
+def test_audit_that_cannot_be_copied_follows_later(api):
+    api.store.modes = {'audit/': 'down'}
+    status, body = api.call('PUT', 'keys/a', KEY)
+    assert (status, body['audited']) == (200, False)
+    api.store.modes = {}
+    assert api.call('DELETE', 'keys/a')[1]['audited'] is True
+    copied = json.loads(api.store.stored['audit/0'][1])
+    assert [entry[3] for entry in copied] == [1, 2, 3]
+
+
+def test_audit_is_kept_beyond_the_entries_in_the_document(api):
+    for number in range(2, 14):
+        api.apply(number - 1, hold_seconds=number)
+    changes = api.call('GET', 'history')[1]['changes']
+    assert [entry['revision'] for entry in changes] == list(range(1, 14))
+    assert len(json.loads(api.admin._holder.current.document)['changes']) == 8
+
+
+def test_status_names_zones_that_have_not_confirmed(api):
+    assert api.call('GET', 'status')[1]['zones'] == {
+        'north-a': {'in_force': 1, 'confirmed': True},
+        'south-a': {'in_force': 0, 'confirmed': False},
+    }
--- a/toucanhall/admin/rights.py
+++ b/toucanhall/admin/rights.py
@@ -58,8 +58,7 @@
         return False
     if difference.name not in operator.teams:
         return False
-    rest = set(after) - set(_LIMITS)
-    if any(before.get(name) != after[name] for name in rest):
+    if _drop_limits(before) != _drop_limits(after):
         return False
     return all(
         _read_limit(after, name) <= _read_limit(before, name)
@@ -67,6 +66,10 @@
     )
 
 
+def _drop_limits(team: Mapping[str, Any]) -> Mapping[str, Any]:
+    return {name: team[name] for name in team if name not in _LIMITS}
+
+
 def _read_limit(team: Mapping[str, Any], name: str) -> float:
     limit: float = team.get(name, _DEFAULT_LIMIT)
     return limit
