--- /dev/null
+++ b/tests/processes/test_operators.py
@@ -0,0 +1,152 @@
+"""Tests of operators' commands against a fleet of real processes."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from standins.fleet import Fleet
+
+EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+_IN_FORCE = '--wait=8'  # seconds, the bound that the users ask for
+
+
+@pytest.fixture(scope='module', name='fleet')
+def start_fleet():
+    """Start a fleet with a catalogue in force."""
+    fleet = Fleet(catalogue=EXAMPLE)
+    try:
+        fleet.start()
+        fleet.apply()
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def run(fleet, *arguments, vm=0):
+    """Run a command at a VM; return its code, output and errors."""
+    done = fleet.run_command(*arguments, f'--at={fleet.vms[vm].url}')
+    return done.returncode, done.stdout, done.stderr
+
+
+def read(fleet, *arguments):
+    """Run a command and return the JSON that it prints."""
+    code, out, err = run(fleet, *arguments, '--json')
+    assert code == 0, err
+    return json.loads(out)
+
+
+def write_catalogue(fleet, name, **changes):
+    """Write a catalogue that differs from the example."""
+    path = fleet.folder / name
+    path.write_text(json.dumps(fleet.catalogue | changes))
+    return str(path)
+
+
+def test_change_is_in_force_everywhere_when_the_command_returns(fleet):
+    path = write_catalogue(fleet, 'hold.jsonc', hold_seconds=4)
+    assert run(fleet, 'catalogue', 'apply', path, _IN_FORCE)[0] == 0
+    revision = read(fleet, 'status')['revision']
+    zones = read(fleet, 'status')['zones']
+    assert set(zones) == set(fleet.catalogue['zones'])
+    assert all(zone['in_force'] >= revision for zone in zones.values())
+
+
+def test_one_of_two_racing_catalogues_wins(fleet):
+    revision = read(fleet, 'catalogue', 'show')['revision']
+    paths = [
+        write_catalogue(fleet, f'{hold}.jsonc', hold_seconds=hold)
+        for hold in (5, 6)
+    ]
+    replace = f'--replace={revision}'
+    first = run(fleet, 'catalogue', 'apply', paths[0], replace)
+    second = run(fleet, 'catalogue', 'apply', paths[1], replace, vm=3)
+    assert (first[0], second[0]) == (0, 1)
+    assert f'revision {revision} was expected' in second[2]
+    assert f'--replace {revision + 1}' in second[2]
+    assert run(fleet, 'catalogue', 'diff', paths[0])[1].endswith(
+        'no difference\n',
+    )
+
+
+def test_key_is_shown_once_and_kept_as_digest(fleet):
+    granted = read(fleet, 'key', 'grant', 'once-key', '--team=guides')
+    for words in (('key', 'list'), ('catalogue', 'show'), ('status',)):
+        assert granted['key'] not in run(fleet, *words)[1]
+    assert 'once-key' in read(fleet, 'key', 'list')['keys']
+    assert run(fleet, 'key', 'withdraw', 'once-key', _IN_FORCE)[0] == 0
+    assert 'once-key' not in read(fleet, 'key', 'list')['keys']
+
+
+def test_drain_starts_and_stops(fleet):
+    for kind, name in (
+        ('target', 'guide-1'),
+        ('vm', 'kzn-a-1'),
+        ('zone', 'kzn-b'),
+    ):
+        assert run(fleet, 'drain', 'start', kind, name, _IN_FORCE)[0] == 0
+        assert name in run(fleet, 'drain', 'status')[1]
+        assert run(fleet, 'drain', 'stop', kind, name, _IN_FORCE)[0] == 0
+        assert name not in run(fleet, 'drain', 'status')[1]
+
+
+def test_flat_names_still_work(fleet):
+    code, out, _ = run(fleet, 'key-grant', 'flat', '--team=guides')
+    assert code == 0
+    assert json.loads(out)['key']
+    assert run(fleet, 'key-withdraw', 'flat')[0] == 0
+
+
+def test_history_names_the_operator(fleet):
+    change = read(fleet, 'drain', 'start', 'vm', 'any')['change']
+    assert run(fleet, 'drain', 'stop', 'vm', 'any', _IN_FORCE)[0] == 0
+    code, out, _ = run(fleet, 'catalogue', 'history', f'--change={change}')
+    assert code == 0
+    assert 'demo' in out
+    assert 'drains vms/any added' in out
+
+
+def test_next_vm_is_tried(fleet):
+    done = fleet.run_command(
+        'status', '--at=http://127.0.0.1:1', f'--at={fleet.vms[1].url}',
+    )  # fmt: skip
+    assert done.returncode == 0, done.stderr
+
+
+def test_lost_reply_of_the_store_is_settled(fleet):
+    fleet.switch('mode', 'lose-replies')
+    try:
+        code, _, err = run(fleet, 'drain', 'start', 'vm', 'lost')
+    finally:
+        fleet.switch('mode', 'up')
+    assert code == 0, err
+    assert run(fleet, 'drain', 'stop', 'vm', 'lost')[0] == 0
+
+
+def test_store_that_is_down_refuses_and_changes_nothing(fleet):
+    before = read(fleet, 'drain', 'status')['drains']
+    fleet.switch('mode', 'down')
+    try:
+        code, _, err = run(fleet, 'drain', 'start', 'vm', 'down')
+    finally:
+        fleet.switch('mode', 'up')
+    assert code in {1, 3}, err
+    assert read(fleet, 'drain', 'status')['drains'] == before
+
+
+def test_logs_are_numbered_and_hold_no_secret(fleet):
+    granted = read(fleet, 'key', 'grant', 'logged', '--team=hostels')
+    key = granted['key']
+    for vm in fleet.vms:
+        headers = {'X-Api-Key': key}
+        url = f'{vm.url}/feed/x?key={key}&other={key}'
+        fleet.http.request('GET', url, headers=headers)
+        fleet.http.request('GET', f'{vm.url}/nothing?key={key}')
+    for vm in fleet.vms:
+        log = fleet.read_log(vm.name)
+        for secret in (key, 'demo-operator-token', 'demo-secret'):
+            assert secret not in log
+        for line in map(json.loads, log.splitlines()):
+            assert line['vm'] == vm.name
+            assert line['asctime'].endswith('Z')
+            assert {'event', 'levelname', 'message', 'fields'} <= set(line)
