--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,36 @@
+"""Documents with a few wrong entries, for property tests."""
+
+import json5
+from hypothesis import strategies as st
+
+VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(),
+    st.text(max_size=8),
+    st.sampled_from(('127.1.1.1:9000', '300.1.1.1:1', '1.1.1.1:0', 'a\n')),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.none(), max_size=2),
+)
+
+
+def list_places(found):
+    """Yield each entry of a document, as its container and key."""
+    pairs = found.items() if isinstance(found, dict) else enumerate(found)
+    for key, entry in pairs:
+        yield found, key
+        if isinstance(entry, (dict, list)):
+            yield from list_places(entry)
+
+
+@st.composite
+def mutate(draw, text):
+    """Return a document with a few entries changed, added or removed."""
+    document = json5.loads(text)
+    for _ in range(draw(st.integers(1, 3))):
+        container, key = draw(st.sampled_from(list(list_places(document))))
+        container[key] = draw(VALUES)
+        if isinstance(container, dict) and draw(st.booleans()):
+            container[f'{key}x'] = container.pop(key)
+    return document
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -150,3 +150,20 @@
             assert line['vm'] == vm.name
             assert line['asctime'].endswith('Z')
             assert {'event', 'levelname', 'message', 'fields'} <= set(line)
+
+
+def test_zone_that_is_cut_off_is_named():
+    fleet = Fleet(catalogue=EXAMPLE, relayed=True)
+    try:
+        fleet.start()
+        fleet.apply()
+        fleet.set_zone('kzn-a', 'cut')
+        path = write_catalogue(fleet, 'cut.jsonc', hold_seconds=7)
+        code, _, err = run(fleet, 'catalogue', 'apply', path, '--wait=4')
+        assert code == 3
+        assert err.endswith('not confirmed after 4 s by: kzn-a\n')
+        fleet.set_zone('kzn-a', 'open')
+        path = write_catalogue(fleet, 'open.jsonc', hold_seconds=8)
+        assert run(fleet, 'catalogue', 'apply', path, '--wait=30')[0] == 0
+    finally:
+        fleet.stop()
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -2,66 +2,15 @@
 
 import json
 
-import msgspec
 import pytest
+from hypothesis import given, settings
 
-from tests.builders import make_document, make_request
-from tests.stores import MemoryStore
-from toucanhall.admin import Admin
-from toucanhall.admin.routes import PREFIX, ROUTES
-from toucanhall.catalogue import Holder
-from toucanhall.counters import Counters
-from toucanhall.forwarding.credentials import digest_key
-from toucanhall.settings import Operator
-from toucanhall.settingsschema import ROLES
+from tests.builders import make_document
+from tests.mutations import mutate
+from tests.operators import Api
+from toucanhall.admin.routes import ROUTES
 
 KEY = {'team': 'hostels', 'digest': 'b' * 64}
-OWNED = {'teams': frozenset(('hostels',)), 'routes': frozenset(('/bookings',))}
-
-
-class Api:
-    """The API of one VM, its store, and who calls it."""
-
-    def __init__(self, store=None):
-        self.store = store or MemoryStore()
-        self.counters = Counters(host='', port=0)
-        self.admin = Admin(
-            operators=tuple(
-                Operator(role, digest_key(role), role, **OWNED)
-                for role in ROLES
-            ),
-            holder=Holder(),
-            platform=self.store,
-            counters=self.counters,
-            read_status=lambda: {'revision': 1, 'in_force': {'north-a': 1}},
-        )
-
-    def call(self, method, name, body=None, token='administer', **headers):
-        """Return the status and the body of an answer."""
-        path, _, query = name.partition('?')
-        answer = self.admin.serve(
-            make_request(
-                method=method,
-                path=f'{PREFIX}{path}',
-                query=query,
-                headers=(
-                    ('Authorization', f'Bearer {token}'),
-                    *((key.replace('_', '-'), headers[key]) for key in headers),
-                ),
-                body=b'' if body is None else msgspec.json.encode(body),
-            ),
-        )
-        return answer.status, json.loads(b''.join(answer.body))
-
-    def apply(self, revision=0, token='administer', **changes):
-        """Replace the catalogue."""
-        return self.call(
-            'PUT',
-            'catalogue',
-            make_document(**changes),
-            token,
-            If_Match=f'"{revision}"',
-        )
 
 
 @pytest.fixture(name='api')
@@ -217,3 +166,16 @@
         'north-a': {'in_force': 1, 'confirmed': True},
         'south-a': {'in_force': 0, 'confirmed': False},
     }
+
+
+@given(mutate(json.dumps(make_document(drains={'vms': ['v']}))))
+@settings(max_examples=100, deadline=None, derandomize=True)
+def test_broken_catalogue_changes_nothing_at_all(document):
+    api = Api()
+    api.apply()
+    before = api.call('GET', 'catalogue')[1], dict(api.store.stored)
+    status, body = api.call('PUT', 'catalogue', document, If_Match='"1"')
+    assert status in {200, 400}
+    if status == 400:
+        assert before == (api.call('GET', 'catalogue')[1], api.store.stored)
+        assert body['detail']
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -11,43 +11,13 @@
 from returns.result import Success
 
 from tests.builders import make_document, make_settings_text, make_target
+from tests.mutations import mutate
 from toucanhall import catalogue, documents
 from toucanhall import settings as settings_slice
 from toucanhall.catalogue.reading import revise
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
 CATALOGUES = ('lumina.jsonc', 'qureshi.jsonc', 'demo.jsonc', 'bench.jsonc')
-VALUES = st.one_of(
-    st.none(),
-    st.booleans(),
-    st.integers(),
-    st.floats(),
-    st.text(max_size=8),
-    st.sampled_from(('127.1.1.1:9000', '300.1.1.1:1', '1.1.1.1:0', 'a\n')),
-    st.lists(st.integers(), max_size=2),
-    st.dictionaries(st.text(max_size=3), st.none(), max_size=2),
-)
-
-
-def list_places(found):
-    """Yield each entry of a document, as its container and key."""
-    pairs = found.items() if isinstance(found, dict) else enumerate(found)
-    for key, entry in pairs:
-        yield found, key
-        if isinstance(entry, (dict, list)):
-            yield from list_places(entry)
-
-
-@st.composite
-def mutate(draw, text):
-    """Return a document with a few entries changed, added or removed."""
-    document = json5.loads(text)
-    for _ in range(draw(st.integers(1, 3))):
-        container, key = draw(st.sampled_from(list(list_places(document))))
-        container[key] = draw(VALUES)
-        if isinstance(container, dict) and draw(st.booleans()):
-            container[f'{key}x'] = container.pop(key)
-    return document
 
 
 @pytest.mark.parametrize('name', CATALOGUES)
@@ -168,3 +138,25 @@
 
 def test_deep_nesting_is_an_error():
     assert documents.parse('[' * 100000).failure()
+
+
+@given(mutate(json5.dumps(make_document())))
+@hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
+def test_skipping_known_entries_finds_the_same_errors(document):
+    whole = documents.check_object(document).bind(catalogue.read)
+    known = make_document()
+    partly = documents.check_object(document).bind(
+        lambda checked: catalogue.read(checked, known),
+    )
+    assert partly == whole
+
+
+@pytest.mark.parametrize('slots', [9.0, True])
+def test_equal_value_of_another_type_is_not_taken_as_known(slots):
+    known = make_document(
+        targets={'guide-1': make_target('north-a', 1, int(slots))},
+    )
+    document = make_document(
+        targets={'guide-1': make_target('north-a', 1, slots)},
+    )
+    assert catalogue.read(document, known).failure()
--- a/toucanhall/admin/changes.py
+++ b/toucanhall/admin/changes.py
@@ -111,7 +111,7 @@
                 return _OK, {'accepted': earlier.revision, 'change': change}
         if expected not in {None, base.number}:
             return self._explain_conflict(expected, base.number)
-        refused = _check(document)
+        refused = _check(document, base.document)
         if refused is not None:
             return refused
         differences = compare(base.document, document)
@@ -175,8 +175,11 @@
         return held.number if held else 0
 
 
-def _check(document: Mapping[str, Any]) -> Reply | None:
-    checked = catalogue.read(document)
+def _check(
+    document: Mapping[str, Any],
+    known: Mapping[str, Any],
+) -> Reply | None:
+    checked = catalogue.read(document, known)
     if isinstance(checked, Success):
         return None
     errors = [documents.render(found) for found in checked.failure()]
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -1,6 +1,7 @@
 """Reads catalogue documents: shape first, then references between entries."""
 
 from collections.abc import Iterator
+from types import MappingProxyType
 from typing import Final
 
 import msgspec
@@ -27,6 +28,8 @@
 _HOLD_SECONDS: Final = 5.0
 _DEADLINE_SECONDS: Final = 10.0
 _FRACTION_SLACK: Final = 1e-9
+_NOTHING: Final[Document] = MappingProxyType({})
+_TABLES: Final = ('zones', 'targets', 'teams', 'keys')
 
 
 def read_text(text: str) -> Result[Catalogue, tuple[Finding, ...]]:
@@ -34,26 +37,57 @@
     return documents.parse(text).bind(read)
 
 
-def read(document: Document) -> Result[Catalogue, tuple[Finding, ...]]:
-    """Check a parsed document whole and return the catalogue."""
-    return documents.check(document, SCHEMA).bind(_check_references)
+def read(
+    document: Document,
+    known: Document = _NOTHING,
+) -> Result[Catalogue, tuple[Finding, ...]]:
+    """Check a parsed document whole and return the catalogue.
+
+    The shape of entries that stand alike in `known`, a document that was found
+    valid before, is not checked again.
+    """
+    return documents.check(_drop_known(document, known), SCHEMA).bind(
+        lambda _: _check_references(document),
+    )
 
 
 def revise(
     number: int,
     change: str,
     document: bytes,
+    known: Document = _NOTHING,
 ) -> Result[Revision, tuple[Finding, ...]]:
-    """Read a plain JSON document that was accepted as a numbered revision."""
+    """Read a plain JSON document that was accepted as a numbered revision.
+
+    `known` is as in `read`.
+    """
     try:
         parsed = msgspec.json.decode(document, type=dict)
     except msgspec.MsgspecError as error:
         return Failure((Finding('$', str(error), 'a JSON object'),))
-    return read(parsed).map(
+    return read(parsed, known).map(
         lambda catalogue: Revision(number, change, document, catalogue),
     )
 
 
+def _drop_known(document: Document, known: Document) -> Document:
+    changed = dict(document)
+    for section in _TABLES:
+        entries, before = document.get(section), known.get(section)
+        if isinstance(entries, dict) and isinstance(before, dict):
+            changed[section] = {
+                name: entry
+                for name, entry in entries.items()
+                if name not in before or not _is_same(before[name], entry)
+            }
+    return changed
+
+
+def _is_same(before: object, entry: object) -> bool:
+    # 1, 1.0 and True are equal; their representations differ.
+    return before == entry and repr(before) == repr(entry)
+
+
 def _check_references(
     document: Document,
 ) -> Result[Catalogue, tuple[Finding, ...]]:
