Tell a lost race from a store that takes no write; log refused changes

Cause: a write that the store did not take was answered like a lost race, and told the operator to replace a revision that nobody had made. If-Match that holds no revision was taken as no condition on single entries; it is refused now.

--- a/tests/stores.py
+++ b/tests/stores.py
@@ -8,8 +8,9 @@
 class MemoryStore:
     """Objects by name with a version; `modes` breaks names by prefix.
 
-    A mode is `down` (nothing is read or written) or `lost` (a write takes
-    effect, but its reply is lost).
+    A mode is `down` (nothing is read or written), `lost` (a write takes effect,
+    but its reply is lost), `gone` (the same, and the store is down after it) or
+    `full` (reads work, nothing is written).
     """
 
     def __init__(self):
@@ -29,12 +30,13 @@
         """Write an object if its version is the expected one."""
         self.before_write(name)
         mode = self._find_mode(name)
-        if mode == 'down':
+        if mode in {'down', 'full'}:
             return Failure(Unavailable(name))
         if self.stored.get(name, (0, b''))[0] != expected:
             return Failure(Conflict(name, expected))
         self.stored[name] = (expected + 1, content)
-        if mode == 'lost':
+        if mode in {'lost', 'gone'}:
+            self.modes = {'': 'lost' if mode == 'lost' else 'down'}
             return Failure(Ambiguous(name, 'no reply'))
         return Success(expected + 1)
 
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -9,6 +9,7 @@
 from tests.mutations import mutate
 from tests.operators import Api
 from toucanhall.admin.routes import ROUTES
+from toucanhall.spread.record import decode
 
 KEY = {'team': 'hostels', 'digest': 'b' * 64}
 
@@ -143,6 +144,33 @@
     assert (status, body['outcome']) == (503, 'not changed')
 
 
+def test_outcome_is_unknown_when_the_store_went_away(api):
+    api.store.modes = {'catalogue': 'gone'}
+    status, body = api.call('PUT', 'keys/a', KEY, Toucanhall_Change='id-2')
+    assert (status, body['outcome'], body['change']) == (503, 'unknown', 'id-2')
+    api.store.modes = {}
+    other = Api(api.store)
+    stored = decode(api.store.stored['catalogue'][1]).unwrap()
+    other.admin._holder.offer(stored)
+    assert other.call('GET', 'history?change=id-2')[1]['changes']
+
+
+def test_write_that_the_store_does_not_take_is_no_race(api):
+    api.store.modes = {'catalogue': 'full'}
+    status, body = api.call('PUT', 'keys/a', KEY)
+    assert (status, body['outcome']) == (503, 'not changed')
+
+
+def test_unreadable_condition_is_refused(api):
+    assert api.call('DELETE', 'keys/hostels-key', If_Match='"x"')[0] == 400
+    assert 'hostels-key' in api.call('GET', 'keys')[1]['keys']
+
+
+def test_condition_on_a_single_entry_holds(api):
+    assert api.call('DELETE', 'keys/hostels-key', If_Match='"0"')[0] == 412
+    assert api.call('DELETE', 'keys/hostels-key', If_Match='"1"')[0] == 200
+
+
 def test_audit_that_cannot_be_copied_follows_later(api):
     api.store.modes = {'audit/': 'down'}
     status, body = api.call('PUT', 'keys/a', KEY)
--- a/tests/unit/test_events.py
+++ b/tests/unit/test_events.py
@@ -1,8 +1,11 @@
 """Tests of the event catalogue and its page."""
 
+import json
 import logging
+from datetime import datetime, timedelta
 from pathlib import Path
 
+from toucanhall import events
 from toucanhall.events import CATALOGUE
 
 PAGE = Path(__file__).parents[2] / 'docs' / 'EVENTS.md'
@@ -21,3 +24,23 @@
     ]
     lines = PAGE.read_text().splitlines()
     assert [line for line in lines if line[2:3].isdigit()] == rows
+
+
+def test_line_carries_number_level_time_vm_and_fields(capsys):
+    events.configure('info', 'north-a-1')
+    try:
+        events.log(events.CATALOGUE_TAKEN, revision=7)
+    finally:
+        logger = logging.getLogger('toucanhall')
+        logger.handlers.clear()
+        logger.propagate = True
+    line = json.loads(capsys.readouterr().err)
+    stamp = datetime.strptime(line.pop('asctime'), '%Y-%m-%dT%H:%M:%S%z')
+    assert stamp.utcoffset() == timedelta(0)
+    assert line == {
+        'event': 200,
+        'levelname': 'INFO',
+        'message': 'revision taken into force',
+        'vm': 'north-a-1',
+        'fields': {'revision': 7},
+    }
--- a/toucanhall/admin/calls.py
+++ b/toucanhall/admin/calls.py
@@ -16,6 +16,7 @@
     'CHANGE_HEADER',
     'Base',
     'Call',
+    'is_conditional',
     'parse',
     'read_base',
     'read_change',
@@ -71,6 +72,11 @@
     return int(tag) if tag.isascii() and tag.isdecimal() else None
 
 
+def is_conditional(request: Request) -> bool:
+    """Return whether a request has an If-Match, readable or not."""
+    return find_header(request.headers, 'if-match') != ''
+
+
 def read_change(request: Request) -> str:
     """Return the change id that the operator chose, or a new one."""
     shown = find_header(request.headers, CHANGE_HEADER.lower())
--- a/toucanhall/admin/changes.py
+++ b/toucanhall/admin/changes.py
@@ -1,55 +1,35 @@
-"""Makes operators' changes: checks them, notes who made them, writes them."""
+"""The changes that operators make: the whole catalogue, or single entries."""
 
 import time
-from collections.abc import Callable, Mapping
-from typing import Any, Final
+from typing import Final
 
-import msgspec
 from returns.result import Success
 
-from toucanhall import catalogue, documents, runtime
 from toucanhall.admin import edits
-from toucanhall.admin.answers import STORE_DOWN, Reply, explain
-from toucanhall.admin.audit import Audit, AuditEntry, add_entry, list_entries
+from toucanhall.admin.answers import Reply, explain
 from toucanhall.admin.calls import (
-    Base,
     Call,
     parse,
     read_base,
     read_change,
     read_expected,
 )
-from toucanhall.admin.rights import find_violations
+from toucanhall.admin.writer import CONFLICT, Writer
 from toucanhall.catalogue import Holder
-from toucanhall.catalogue.differences import Difference, compare, describe
-from toucanhall.forwarding.records import Request
-from toucanhall.settings import Operator
 
 __all__ = ('Changes',)
 
 _EDIT_TRIES: Final = 5
 _EDIT_PAUSE_SECONDS: Final = 0.2
-_CATCH_UP_TRIES: Final = 20
-_CATCH_UP_SECONDS: Final = 0.1
-_OK: Final = 200
-_CONFLICT: Final = 412
-_UNAVAILABLE: Final = 503
 
 
 class Changes:
     """Changes the catalogue whole, or single entries of it."""
 
-    def __init__(
-        self,
-        *,
-        holder: Holder,
-        audit: Audit,
-        apply: Callable[[Request, Operator], Reply],
-    ) -> None:
-        """Write whole documents with `apply`, which checks the revision."""
+    def __init__(self, *, holder: Holder, writer: Writer) -> None:
+        """Start from the revision held, and write with the writer."""
         self._holder = holder
-        self._audit = audit
-        self._apply = apply
+        self._writer = writer
 
     def replace(self, call: Call) -> Reply:
         """Replace the catalogue if its revision is the one in If-Match."""
@@ -59,9 +39,11 @@
         parsed = parse(call.request.body)
         if not isinstance(parsed, Success):
             return parsed.failure()
-        self._catch_up(expected)
+        self._writer.catch_up(expected)
         base = read_base(self._holder.current)
-        return self._submit(call, base, parsed.unwrap())
+        document = parsed.unwrap()
+        change = read_change(call.request)
+        return self._writer.submit(call, base, document, change)
 
     def grant(self, call: Call) -> Reply:
         """Grant a key."""
@@ -88,113 +70,16 @@
         tries = _EDIT_TRIES if read_expected(call.request) is None else 1
         # A chosen id finds the change again when an earlier try was accepted.
         change = read_change(call.request)
-        reply: Reply = (_CONFLICT, {})
+        reply: Reply = (CONFLICT, {})
         for _ in range(tries):
             base = read_base(self._holder.current)
-            reply = self._submit(call, base, edit(base.document), change)
-            if reply[0] != _CONFLICT:
+            reply = self._writer.submit(
+                call,
+                base,
+                edit(base.document),
+                change,
+            )
+            if reply[0] != CONFLICT:
                 return reply
             time.sleep(_EDIT_PAUSE_SECONDS)
         return reply
-
-    def _submit(
-        self,
-        call: Call,
-        base: Base,
-        document: Mapping[str, Any],
-        change: str = '',
-    ) -> Reply:
-        change = change or read_change(call.request)
-        expected = read_expected(call.request)
-        for earlier in base.carried:
-            if earlier.id == change:
-                return _OK, {'accepted': earlier.revision, 'change': change}
-        if expected not in {None, base.number}:
-            return self._explain_conflict(expected, base.number)
-        refused = _check(document, base.document)
-        if refused is not None:
-            return refused
-        differences = compare(base.document, document)
-        refused = _judge(call.operator, base, differences)
-        if refused is not None:
-            return refused
-        entry = AuditEntry(
-            id=change,
-            operator=call.operator.name,
-            at=runtime.read_utc(),
-            revision=base.number + 1,
-            what=tuple(describe(difference) for difference in differences),
-        )
-        return self._write(call, base, add_entry(document, base.carried, entry))
-
-    def _write(
-        self,
-        call: Call,
-        base: Base,
-        document: Mapping[str, Any],
-    ) -> Reply:
-        entries = list_entries(document)
-        change = entries[-1].id
-        request = call.request._replace(
-            headers=(('If-Match', f'"{base.number}"'),),
-            body=msgspec.json.encode(document),
-        )
-        status, body = self._apply(request, call.operator)
-        if status == _CONFLICT:
-            _, conflict = self._explain_conflict(base.number, base.number)
-            return status, {**conflict, **body}
-        if status == _UNAVAILABLE:
-            is_unchanged = body.get('detail') == STORE_DOWN
-            outcome = 'not changed' if is_unchanged else 'unknown'
-            return status, {**body, 'outcome': outcome, 'change': change}
-        if status != _OK:
-            return status, body
-        is_copied = self._audit.copy(entries)
-        return status, {**body, 'change': change, 'audited': is_copied}
-
-    def _explain_conflict(self, expected: int | None, current: int) -> Reply:
-        newest = max(current, self._read_number())
-        carried = read_base(self._holder.current).carried
-        detail = f'revision {expected} was expected, {newest} is in force'
-        return _CONFLICT, {
-            'expected': expected,
-            'current': newest,
-            'newest_change': carried[-1]._asdict() if carried else None,
-            **explain(detail),
-        }
-
-    def _catch_up(self, expected: int) -> None:
-        """Wait a little until this VM has the revision that a caller saw."""
-        for _ in range(_CATCH_UP_TRIES):
-            if expected <= self._read_number():
-                return
-            time.sleep(_CATCH_UP_SECONDS)
-
-    def _read_number(self) -> int:
-        held = self._holder.current
-        return held.number if held else 0
-
-
-def _check(
-    document: Mapping[str, Any],
-    known: Mapping[str, Any],
-) -> Reply | None:
-    checked = catalogue.read(document, known)
-    if isinstance(checked, Success):
-        return None
-    errors = [documents.render(found) for found in checked.failure()]
-    return 400, {'errors': errors, **explain('catalogue is invalid')}
-
-
-def _judge(
-    operator: Operator,
-    base: Base,
-    differences: tuple[Difference, ...],
-) -> Reply | None:
-    violations = find_violations(operator, differences)
-    if violations:
-        detail = f'role {operator.role!r} may not change this'
-        return 403, {'violations': violations, **explain(detail)}
-    if differences:
-        return None
-    return _OK, {'accepted': base.number, 'change': '', 'changed': False}
--- a/toucanhall/admin/service.py
+++ b/toucanhall/admin/service.py
@@ -10,10 +10,11 @@
 from toucanhall import documents, events, runtime
 from toucanhall.admin.answers import Reply, explain, render
 from toucanhall.admin.audit import Audit
-from toucanhall.admin.calls import Call
+from toucanhall.admin.calls import Call, is_conditional, read_expected
 from toucanhall.admin.changes import Changes
-from toucanhall.admin.routes import PREFIX, Mismatch, match
+from toucanhall.admin.routes import PREFIX, Mismatch, Route, match
 from toucanhall.admin.views import Views
+from toucanhall.admin.writer import Writer
 from toucanhall.catalogue import Holder, Revision
 from toucanhall.catalogue.reading import revise
 from toucanhall.counters import Counters
@@ -25,6 +26,7 @@
 __all__ = ('Admin', 'PREFIX')
 
 _explain: Final = explain
+_FIRST_ERROR: Final = 400
 
 
 class Admin:
@@ -47,7 +49,14 @@
         self._counters = counters
         self.handlers = _list_handlers(
             Views(holder=holder, audit=audit, read_status=read_status),
-            Changes(holder=holder, audit=audit, apply=self._apply),
+            Changes(
+                holder=holder,
+                writer=Writer(
+                    holder=holder,
+                    audit=audit,
+                    apply=self._apply,
+                ),
+            ),
         )
 
     def serve(self, request: Request) -> Answer:
@@ -65,8 +74,12 @@
             needed = ', '.join(route.roles)
             detail = f'role {operator.role!r}, needed one of {needed}'
             return render((403, explain(detail)))
+        if is_conditional(request) and read_expected(request) is None:
+            return render((400, explain('If-Match is no revision')))
         answer = self.handlers[route.method, route.path]
-        return render(answer(Call(request, operator, names)))
+        reply = answer(Call(request, operator, names))
+        _log_refusal(route, operator, reply)
+        return render(reply)
 
     def _identify(self, request: Request) -> Operator | None:
         shown = find_header(request.headers, 'authorization')
@@ -153,6 +166,18 @@
     }
 
 
+def _log_refusal(route: Route, operator: Operator, reply: Reply) -> None:
+    status, body = reply
+    if route.method != 'GET' and status >= _FIRST_ERROR:
+        events.log(
+            events.CHANGE_REFUSED,
+            operator=operator.name,
+            route=f'{route.method} {route.path}',
+            status=status,
+            detail=body.get('detail', ''),
+        )
+
+
 def _answer_mismatch(request: Request, mismatch: Mismatch) -> Answer:
     detail = f'{request.method} {request.path!r}'
     if not mismatch.allowed:
