--- a/tests/unit/test_commands.py
+++ b/tests/unit/test_commands.py
@@ -191,7 +191,9 @@
         {
             'vm': 'a-1',
             'revision': 3,
-            'zones': {'a': {'in_force': 2, 'confirmed': False}},
+            'zones': {
+                'a': {'in_force': 2, 'confirmed': False, 'waiting': ['a-2']}
+            },
             'members': [{'vm': 'a-2', 'zone': 'a', 'health': 'alive'}],
             'shares': {'t': {'tokens': 1.0, 'rate': 2.0, 'cap': 4.0}},
             'counters': {'refused.rate': 5, 'retry.unsent': 9},
@@ -200,6 +202,6 @@
     code, out, _ = vms.run('status', *AT)
     rows = [line.split() for line in out.splitlines()]
     assert code == 0
-    assert ['a', '2', 'NOT', 'YET'] in rows
+    assert ['a', '2', 'NOT', 'YET', 'a-2'] in rows
     assert ['t', '2', '4', '75%'] in rows
     assert ['rate', '5'] in rows
--- a/tests/unit/test_events.py
+++ b/tests/unit/test_events.py
@@ -31,9 +31,8 @@
     try:
         events.log(events.CATALOGUE_TAKEN, revision=7)
     finally:
-        logger = logging.getLogger('toucanhall')
-        logger.handlers.clear()
-        logger.propagate = True
+        logging.getLogger('toucanhall').handlers.clear()
+        logging.getLogger('toucanhall').propagate = True
     line = json.loads(capsys.readouterr().err)
     stamp = datetime.strptime(line.pop('asctime'), '%Y-%m-%dT%H:%M:%S%z')
     assert stamp.utcoffset() == timedelta(0)
--- a/toucanhall/admin/views.py
+++ b/toucanhall/admin/views.py
@@ -59,11 +59,13 @@
         status = self._read_status()
         held = self._holder.current
         confirmed = status.get('in_force', {})
+        reported = status.get('zones', {})
         zones = held.catalogue.zones if held else ()
         return 200, {
             **status,
             'zones': {
                 zone: {
+                    **reported.get(zone, {}),
                     'in_force': confirmed.get(zone, 0),
                     'confirmed': confirmed.get(zone, 0) >= status['revision'],
                 }
--- a/toucanhall/admin/writer.py
+++ b/toucanhall/admin/writer.py
@@ -10,7 +10,13 @@
 from toucanhall import catalogue, documents, runtime
 from toucanhall.admin.answers import STORE_DOWN, Reply, explain
 from toucanhall.admin.audit import Audit, AuditEntry, add_entry, list_entries
-from toucanhall.admin.calls import Base, Call, read_base, read_expected
+from toucanhall.admin.calls import (
+    CHANGE_HEADER,
+    Base,
+    Call,
+    read_base,
+    read_expected,
+)
 from toucanhall.admin.rights import find_violations
 from toucanhall.catalogue import Holder
 from toucanhall.catalogue.differences import Difference, compare, describe
@@ -26,6 +32,13 @@
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
 _UNCHANGED: Final = 'not changed'
+# Any other detail of a 503 leaves the outcome unknown.
+_NOT_WRITTEN: Final = (
+    STORE_DOWN,
+    'nothing was written',
+    'this VM has not compared its revision yet',
+    'the store came back',
+)
 
 
 class Writer:
@@ -89,7 +102,10 @@
         entries = list_entries(document)
         change = entries[-1].id
         request = call.request._replace(
-            headers=(('If-Match', f'"{base.number}"'),),
+            headers=(
+                ('If-Match', f'"{base.number}"'),
+                (CHANGE_HEADER, change),
+            ),
             body=msgspec.json.encode(document),
         )
         status, body = self._apply(request, call.operator)
@@ -99,7 +115,7 @@
         if status == CONFLICT:
             return self._tell_conflict(base, body)
         if status == _UNAVAILABLE:
-            is_unchanged = body.get('detail') == STORE_DOWN
+            is_unchanged = str(body.get('detail')).startswith(_NOT_WRITTEN)
             outcome = _UNCHANGED if is_unchanged else 'unknown'
             return status, {**body, 'outcome': outcome, 'change': change}
         return status, body
--- a/toucanhall/commands/status.py
+++ b/toucanhall/commands/status.py
@@ -39,10 +39,11 @@
             zone,
             found['in_force'],
             'yes' if found['confirmed'] else 'NOT YET',
+            ', '.join(found.get('waiting', ())),
         )
         for zone, found in sorted(status['zones'].items())
     )
-    print_table(console, ('zone', 'in force', 'confirmed'), rows)
+    print_table(console, ('zone', 'in force', 'confirmed', 'waiting for'), rows)
 
 
 def _print_members(console: Console, status: Mapping[str, Any]) -> None:
