--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -8,6 +8,8 @@
 from tests.builders import make_document
 from tests.mutations import mutate
 from tests.operators import Api
+from tests.stores import MemoryStore
+from toucanhall.admin.audit import Audit, AuditEntry
 from toucanhall.admin.routes import ROUTES
 from toucanhall.spread.record import decode
 
@@ -207,3 +209,27 @@
     if status == 400:
         assert before == (api.call('GET', 'catalogue')[1], api.store.stored)
         assert body['detail']
+
+
+def test_pages_of_the_audit_are_used_again_after_a_lap():
+    store = MemoryStore()
+    audit = Audit(platform=store)
+    first = AuditEntry('old', 'lead', 'noon', 1, ())
+    assert audit.copy((first,))
+    assert audit.copy((first._replace(id='new', revision=10001),))
+    assert list(store.stored) == ['audit/0']
+    assert [entry.id for entry in audit.read(10001)] == ['new']
+
+
+def test_page_that_another_vm_wrote_meanwhile_is_merged():
+    store = MemoryStore()
+    entry = AuditEntry('mine', 'lead', 'noon', 2, ())
+
+    def race(_name):
+        store.before_write = str
+        Audit(platform=store).copy((entry._replace(id='theirs', revision=1),))
+
+    store.before_write = race
+    assert Audit(platform=store).copy((entry,))
+    found = Audit(platform=store).read(2)
+    assert [copied.id for copied in found] == ['theirs', 'mine']
