--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -8,7 +8,10 @@
 from tests.builders import make_document
 from tests.mutations import mutate
 from tests.operators import Api
+from tests.stores import MemoryStore
+from toucanhall.admin.audit import Audit, AuditEntry
 from toucanhall.admin.routes import ROUTES
+from toucanhall.spread.record import decode
 
 KEY = {'team': 'hostels', 'digest': 'b' * 64}
 
@@ -143,6 +146,33 @@
     assert (status, body['outcome']) == (503, 'not changed')
 
 
+def test_outcome_is_unknown_when_the_store_went_away(api):
+    api.store.modes = {'catalogue': 'gone'}
+    status, body = api.call('PUT', 'keys/a', KEY, Toucanhall_Change='id-2')
+    assert (status, body['outcome'], body['change']) == (503, 'unknown', 'id-2')
+    api.store.modes = {}
+    other = Api(api.store)
+    stored = decode(api.store.stored['catalogue'][1]).unwrap()
+    other.admin._holder.offer(stored)
+    assert other.call('GET', 'history?change=id-2')[1]['changes']
+
+
+def test_write_that_the_store_does_not_take_is_no_race(api):
+    api.store.modes = {'catalogue': 'full'}
+    status, body = api.call('PUT', 'keys/a', KEY)
+    assert (status, body['outcome']) == (503, 'not changed')
+
+
+def test_unreadable_condition_is_refused(api):
+    assert api.call('DELETE', 'keys/hostels-key', If_Match='"x"')[0] == 400
+    assert 'hostels-key' in api.call('GET', 'keys')[1]['keys']
+
+
+def test_condition_on_a_single_entry_holds(api):
+    assert api.call('DELETE', 'keys/hostels-key', If_Match='"0"')[0] == 412
+    assert api.call('DELETE', 'keys/hostels-key', If_Match='"1"')[0] == 200
+
+
 def test_audit_that_cannot_be_copied_follows_later(api):
     api.store.modes = {'audit/': 'down'}
     status, body = api.call('PUT', 'keys/a', KEY)
@@ -179,3 +209,27 @@
     if status == 400:
         assert before == (api.call('GET', 'catalogue')[1], api.store.stored)
         assert body['detail']
+
+
+def test_pages_of_the_audit_are_used_again_after_a_lap():
+    store = MemoryStore()
+    audit = Audit(platform=store)
+    first = AuditEntry('old', 'lead', 'noon', 1, ())
+    assert audit.copy((first,))
+    assert audit.copy((first._replace(id='new', revision=10001),))
+    assert list(store.stored) == ['audit/0']
+    assert [entry.id for entry in audit.read(10001)] == ['new']
+
+
+def test_page_that_another_vm_wrote_meanwhile_is_merged():
+    store = MemoryStore()
+    entry = AuditEntry('mine', 'lead', 'noon', 2, ())
+
+    def race(_name):
+        store.before_write = str
+        Audit(platform=store).copy((entry._replace(id='theirs', revision=1),))
+
+    store.before_write = race
+    assert Audit(platform=store).copy((entry,))
+    found = Audit(platform=store).read(2)
+    assert [copied.id for copied in found] == ['theirs', 'mine']
