Run claims by pure steps, and send on connections that tell what was sent

Claims: each step of a claim is a function of state, event and time, which the keeper and the model run. A write without a reply is settled by claim id; a claim given up before the first byte is released by a conditional write that is tried again until it is settled. After a pause the deadline is looked at again.

Dispatch: connecting and sending are apart, so 'not sent' is known and not guessed from an exception. Found on the way, with tests: a safe request that was sent and then found no target was refused as 'not run'; 103 was taken for the final answer; an answer cut at a part boundary of a read was taken for whole; a target could set Toucanhall-Ran.

--- a/tests/models/test_claims_model.py
+++ b/tests/models/test_claims_model.py
@@ -1,88 +1,276 @@
-"""Model of at most once: two claimants of one key, and a lossy store."""
+"""Model of at most once: claimants of one key, a lossy store, and time.
+
+The claimants run the protocol's own steps. A write without a reply is under
+way: it may land at any later moment, at once or never. Time may pass between
+any two steps, which is a pause. A claimant that dies is one that takes no
+further step, so the states in which the others go on without it are covered.
+When time has passed the retention, the store drops the claim.
+"""
 
 from typing import NamedTuple
 
+import pytest
 from minicheck import Protocol, check_safety
 
-from toucanhall.idempotency import Claim, Standing, judge
+from toucanhall.idempotency import Claim, Found, Outcome, messages, protocol
+from toucanhall.idempotency.attempt import Attempt, Stage, Verdict
+
+DEADLINE = 1
+RETENTION = 2
+TRIES = 2
+FIRST_STATES = 60_000  # enough to meet each counterexample
+OUTCOME = Outcome(201, (), b'')
+ENDED = Attempt(Claim('', ''), DEADLINE, Stage.ENDED)
+STAGE_EVENTS = {
+    Stage.HELD: {
+        'is ready': messages.Ready(),
+        'gives up': messages.Unsent(),
+    },
+    Stage.SENT: {
+        'gets the answer': messages.Answered(OUTCOME),
+        'gets no answer': messages.Failed(),
+    },
+}
+NOT_RUN = frozenset((Verdict.MISMATCH, Verdict.UNCLAIMED, Verdict.LATE))
+
 
-CLAIMANTS = ('one', 'two')
-DIGEST = 'd'
+class Claimant(NamedTuple):
+    """An attempt, what it waits for, what it told, and how often it sent."""
+
+    attempt: Attempt | None = None
+    waits: object = None
+    told: Verdict | None = None
+    sent: int = 0
 
 
 class State(NamedTuple):
-    """The claim in the store, each claimant's step, and the executions."""
-
-    stored: Claim | None = None
-    one: str = 'start'
-    two: str = 'start'
-    runs: int = 0
-
-
-def list_steps(state: State, judge_claim):
-    """Yield what can happen next; a write's reply may be lost."""
-    for name in CLAIMANTS:
-        step = getattr(state, name)
-        if step == 'start':
-            yield from create(state, name)
-        elif step == 'unsure':
-            yield from settle(state, name, judge_claim)
-        elif step == 'mine':
-            yield (
-                f'{name} sends',
-                state._replace(
-                    **{name: 'sent'},
-                    runs=state.runs + 1,
-                ),
-            )
-
-
-def create(state, name):
-    """Create the claim on the condition that there is none."""
-    if state.stored is None:
-        stored = state._replace(stored=Claim(name, DIGEST))
-        yield f'{name} creates', stored._replace(**{name: 'mine'})
-        yield (
-            f'{name} creates, reply lost',
-            stored._replace(
-                **{name: 'unsure'},
-            ),
-        )
+    """The claim in the store, writes that may still land, and claimants."""
+
+    stored: Found | None = None
+    version: int = 0
+    flying: frozenset = frozenset()
+    clock: int = 0
+    expired: bool = False
+    one: Claimant = Claimant()
+    two: Claimant = Claimant()
+
+
+class Rules(NamedTuple):
+    """The step under test and the digests of the two requests."""
+
+    step: object = protocol.step
+    digests: tuple = ('d', 'd')
+    start: object = protocol.start
+
+
+def list_steps(state, rules):
+    """Yield what can happen next."""
+    for name, digest in zip(('one', 'two'), rules.digests, strict=True):
+        actor = getattr(state, name)
+        for label, after in list_actions(state, name, actor, digest, rules):
+            yield f'{name} {label}', after
+    for write in state.flying:
+        landed, done = land(state, write)
+        if done:
+            yield f'late write lands {write}', landed
+    if state.clock < RETENTION:
+        yield 'time passes', state._replace(clock=state.clock + 1)
+    elif state.stored is not None and not state.expired:
+        yield 'claim expires', state._replace(stored=None, expired=True)
+
+
+def list_actions(state, name, actor, digest, rules):
+    """Yield what one claimant can do or meet."""
+    if actor.attempt is None:
+        if state.clock < DEADLINE:
+            moved = rules.start(Claim(name, digest), DEADLINE)
+            short = moved.attempt._replace(tries=TRIES)
+            yield 'starts', take(state, name, moved._replace(attempt=short))
+        return
+    if actor.attempt.stage is Stage.ENDED:
+        return
+    for label, after, event in list_events(state, actor):
+        moved = rules.step(actor.attempt, event, state.clock)
+        yield label, take(after, name, moved)
+
+
+def list_events(state, actor):
+    """Yield label, state and event of what a claimant waits for."""
+    if actor.waits is None:
+        for label, event in STAGE_EVENTS[actor.attempt.stage].items():
+            yield label, state, event
+    elif isinstance(actor.waits, messages.Write):
+        yield from list_write_events(state, actor.waits)
+    elif isinstance(actor.waits, messages.Look):
+        yield 'reads', state, messages.Seen(state.stored)
+        yield 'cannot read', state, messages.Down()
+    else:
+        yield 'retries', state, messages.Retry()
+
+
+def list_write_events(state, write):
+    """Yield the fates of a write: done, refused, under way, or not sent."""
+    landed, done = land(state, write)
+    if done:
+        yield 'writes', landed, messages.Written(landed.version)
     else:
-        yield f'{name} conflicts', state._replace(**{name: 'unsure'})
+        yield 'conflicts', state, messages.Conflicted()
+    late = state._replace(flying=state.flying | {write})
+    yield 'write gets no reply', late, messages.Lost()
+    yield 'store is down', state, messages.Down()
+
+
+def land(state, write):
+    """Return the state after a conditional write, and if it took effect."""
+    current = state.stored.version if state.stored else 0
+    if current != write.expected:
+        return state, False
+    version = state.version + 1
+    found = Found(write.claim, version)
+    return state._replace(stored=found, version=version), True
+
+
+def forget(state):
+    """Drop writes that can never land."""
+    current = state.stored.version if state.stored else 0
+    live = frozenset(
+        write
+        for write in state.flying
+        if write.expected == current
+        or (write.expected == 0 and not state.expired)
+    )
+    return state._replace(flying=live)
+
 
+def take(state, name, moved):
+    """Apply the effects of a claimant's step."""
+    actor = getattr(state, name)._replace(attempt=moved.attempt, waits=None)
+    for effect in moved.effects:
+        if isinstance(effect, messages.Tell):
+            actor = actor._replace(told=effect.verdict)
+        elif isinstance(effect, messages.Send):
+            actor = actor._replace(sent=actor.sent + 1)
+        else:
+            actor = actor._replace(waits=effect)
+    if actor.attempt.stage is Stage.ENDED:
+        actor = actor._replace(attempt=ENDED)
+    return put(state, name, actor)
 
-def settle(state, name, judge_claim):
-    """Read back and judge what is there."""
-    standing = judge_claim(state.stored, name, DIGEST)
-    ends = 'mine' if standing is Standing.MINE else 'refused'
-    yield f'{name} reads back', state._replace(**{name: ends})
 
+def put(state, name, actor):
+    return state._replace(**{name: actor})
 
-def check(judge_claim):
-    """Check that the request runs at most once."""
-    protocol = Protocol(
+
+def check(rules, max_states=400_000):
+    """Check every reachable state, or the first ones."""
+    protocol_model = Protocol(
         name='claims',
         candidate=False,
         fields=State._fields,
         initial=tuple(State()),
-        transitions=lambda state: [
-            (label, tuple(after))
-            for label, after in list_steps(State(*state), judge_claim)
+        transitions=lambda fields: [
+            (label, tuple(forget(after)))
+            for label, after in list_steps(State(*fields), rules)
         ],
-        invariants={'at_most_once': lambda fields: fields['runs'] <= 1},
+        invariants={
+            'at_most_once': runs_at_most_once,
+            'refusals_true': tells_the_truth,
+        },
+    )
+    return check_safety(protocol_model, max_states=max_states)
+
+
+def runs_at_most_once(fields):
+    """Each sent request may run, so at most one is ever sent."""
+    return fields['one'].sent + fields['two'].sent <= 1
+
+
+def tells_the_truth(fields):
+    """Who was told that the request did not run never sent it."""
+    return not any(
+        actor.sent and actor.told in NOT_RUN
+        for actor in (fields['one'], fields['two'])
     )
-    return check_safety(protocol)
 
 
-def test_request_runs_at_most_once():
-    checked = check(judge)
+def find(checked, name):
+    return checked['properties'][name]
+
+
+@pytest.mark.parametrize('digests', [('d', 'd'), ('d', 'x')])
+def test_claims_hold_in_every_state(digests):
+    checked = check(Rules(digests=digests))
     print(f'states: {checked["reachable_states"]}')
-    assert checked['properties']['at_most_once']['holds']
+    assert checked['exhaustive']
+    assert find(checked, 'at_most_once')['holds']
+    assert find(checked, 'refusals_true')['holds']
+
+
+def trust_any_claim(attempt, event, now):
+    """Take a claim for its own whoever wrote it."""
+    if isinstance(event, messages.Seen) and event.found:
+        own = event.found.claim._replace(claim_id=attempt.claim.claim_id)
+        event = messages.Seen(event.found._replace(claim=own))
+    return protocol.step(attempt, event, now)
+
+
+def trust_lost_write(attempt, event, now):
+    """Take a write without a reply for done."""
+    if isinstance(event, messages.Lost) and attempt.stage is Stage.WRITING:
+        event = messages.Written(1)
+    return protocol.step(attempt, event, now)
+
+
+def skip_deadline(attempt, event, now):
+    """Send after any pause."""
+    return protocol.step(attempt, event, 0)
+
+
+def release_after_sending(attempt, event, now):
+    """Release a claim when no answer came."""
+    if isinstance(event, messages.Failed):
+        attempt = attempt._replace(stage=Stage.HELD)
+        event = messages.Unsent()
+    return protocol.step(attempt, event, now)
+
+
+def send_again(attempt, event, now):
+    """Send again when no answer came."""
+    if isinstance(event, messages.Failed):
+        event = messages.Disclaimed()
+    return protocol.step(attempt, event, now)
+
+
+def send_while_releasing(attempt, event, now):
+    """Send although the claim is being given up."""
+    moved = protocol.step(attempt, event, now)
+    if isinstance(event, messages.Down) and attempt.stage is Stage.WRITING:
+        return moved._replace(effects=(*moved.effects, messages.Send()))
+    return moved
+
+
+def take_open_claim(attempt, event, now):
+    """Take over a claim whose outcome is not known."""
+    found = getattr(event, 'found', None)
+    if found and not found.claim.outcome:
+        freed = found.claim._replace(released=True)
+        event = messages.Seen(found._replace(claim=freed))
+    return protocol.step(attempt, event, now)
 
 
-def test_claim_id_is_needed():
-    broken = check(lambda _claim, _name, _digest: Standing.MINE)
-    found = broken['properties']['at_most_once']
+@pytest.mark.parametrize(
+    ('broken', 'invariant'),
+    [
+        (trust_any_claim, 'at_most_once'),
+        (trust_lost_write, 'at_most_once'),
+        (skip_deadline, 'at_most_once'),
+        (release_after_sending, 'at_most_once'),
+        (send_again, 'at_most_once'),
+        (take_open_claim, 'at_most_once'),
+        (send_while_releasing, 'refusals_true'),
+    ],
+)
+def test_each_guard_is_needed(broken, invariant):
+    found = find(check(Rules(step=broken), FIRST_STATES), invariant)
     assert not found['holds']
-    assert len(found['counterexample']) == 6
+    assert found['counterexample']
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -33,6 +33,7 @@
 
 _LIST_SECONDS: Final = 2.0
 _CLAIM_SECONDS: Final = 2.0
+_SETTLE_SECONDS: Final = 1.0
 
 
 class Entry:
@@ -145,6 +146,7 @@
             (HEARTBEAT_SECONDS, partial(self._membership.tell, Beat())),
             (_LIST_SECONDS, partial(self._membership.tell, ReadList())),
             (_CLAIM_SECONDS, self._claim),
+            (_SETTLE_SECONDS, self._parts.keeper.settle),
         )
 
     def _hear(self, envelope: Envelope, heartbeat: Heartbeat) -> None:
--- a/toucanhall/forwarding/admission.py
+++ b/toucanhall/forwarding/admission.py
@@ -93,7 +93,7 @@
             route=route,
             catalogue=catalogue,
             request_id=hop.request_id,
-            give_up_at=runtime.read_clock() + route.deadline,
+            give_up_at=runtime.read_clock() + min(route.deadline, hop.seconds),
             is_hopped=True,
         ),
     )
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -9,40 +9,50 @@
 from toucanhall.forwarding import hops
 from toucanhall.forwarding.bodies import SettledBody, close_body
 from toucanhall.forwarding.credentials import digest_key
-from toucanhall.forwarding.dispatch import SendError
+from toucanhall.forwarding.dispatch import ID_HEADER, SendError
+from toucanhall.forwarding.headers import drop_own
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
 from toucanhall.forwarding.problems import Refusal, refuse
 from toucanhall.forwarding.records import Answer, Request, find_header
+from toucanhall.idempotency import may_send
 from toucanhall.steering import Choice, Terrain, rank
 
 __all__ = ('forward',)
 
 _ATTEMPTS: Final = 3
 _SERVER_ERROR: Final = 500
-_ID_HEADER: Final = 'Toucanhall-Request-Id'
 
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
     """Send an admitted request; a failure is final and truly says if it ran."""
-    last: SendError | None = None
+    was_sent = False
     for choice in _rank(parts, job)[:_ATTEMPTS]:
-        seconds = job.give_up_at - runtime.read_clock()
-        if seconds <= 0:
-            return refuse('deadline', 'nothing was sent', BACK_SOON_SECONDS)
-        sent = _send(parts, job, choice, seconds)
+        if _is_over(job, was_sent=was_sent):
+            break
+        sent = _send(parts, job, choice)
         if isinstance(sent, Success):
             return sent
-        last = sent.failure()
-        _note_failure(parts, job, choice, last)
-        if last.sent and not job.is_safe:
-            return refuse('target-failed', 'it may have run')
-    if last is None or not last.sent:
-        return refuse(
-            'no-target',
-            f'service {job.route.service!r}',
-            BACK_SOON_SECONDS,
-        )
-    return refuse('target-failed', 'no whole answer', BACK_SOON_SECONDS)
+        _note_failure(parts, job, choice, sent.failure())
+        was_sent = was_sent or sent.failure().sent
+    return refuse(*_explain(job, was_sent=was_sent))
+
+
+def _is_over(job: Job, *, was_sent: bool) -> bool:
+    if was_sent and not job.is_safe:
+        return True
+    return not may_send(job.give_up_at, runtime.read_clock())
+
+
+def _explain(job: Job, *, was_sent: bool) -> tuple[str, str, float]:
+    is_late = not may_send(job.give_up_at, runtime.read_clock())
+    if was_sent and not job.is_safe:
+        return 'target-failed', 'it may have run', BACK_SOON_SECONDS
+    if was_sent:
+        reason = 'target-late' if is_late else 'target-failed'
+        return reason, 'no whole answer', BACK_SOON_SECONDS
+    if is_late:
+        return 'deadline', 'nothing was sent', BACK_SOON_SECONDS
+    return 'no-target', f'service {job.route.service!r}', BACK_SOON_SECONDS
 
 
 def _rank(parts: Parts, job: Job) -> tuple[Choice, ...]:
@@ -64,19 +74,18 @@
     parts: Parts,
     job: Job,
     choice: Choice,
-    seconds: float,
 ) -> Result[Answer, SendError]:
     parts.loads.start(choice.name)
     sent = parts.dispatcher.send(
         choice.address,
         _prepare(parts, job, choice),
-        seconds,
+        job.give_up_at - runtime.read_clock(),
         fresh=not job.is_safe,
     )
     if not isinstance(sent, Success):
         parts.loads.finish(choice.name, healthy=False)
         return sent
-    answer = sent.unwrap()
+    answer = _take_answer(sent.unwrap(), is_hop=choice.is_hop)
     if choice.is_hop and find_header(answer.headers, 'toucanhall-ran') == 'no':
         parts.loads.finish(choice.name, healthy=True)
         close_body(answer.body)
@@ -87,6 +96,12 @@
     return Success(answer._replace(body=body))
 
 
+def _take_answer(answer: Answer, *, is_hop: bool) -> Answer:
+    if is_hop:
+        return answer
+    return answer._replace(headers=drop_own(answer.headers))
+
+
 def _settle_after(
     parts: Parts,
     choice: Choice,
@@ -106,7 +121,7 @@
 
 
 def _prepare(parts: Parts, job: Job, choice: Choice) -> Request:
-    added = [(_ID_HEADER, job.request_id)]
+    added = [(ID_HEADER, job.request_id)]
     if choice.is_hop:
         hop = hops.Hop(
             team=job.caller.team,
@@ -114,9 +129,11 @@
             request_id=job.request_id,
             method=job.request.method,
             target=job.request.target,
+            seconds=job.give_up_at - runtime.read_clock(),
         )
         added.append((hops.HOP_HEADER, hops.make_token(parts.identity, hop)))
-    return job.request._replace(headers=(*job.request.headers, *added))
+    kept = drop_own(job.request.headers)
+    return job.request._replace(headers=(*kept, *added))
 
 
 def _note_failure(
--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -1,40 +1,40 @@
 """Sends one request to one address and reads back the whole answer."""
 
 from collections.abc import Iterator
+from http.client import HTTPException
+from itertools import chain
 from typing import Final, NamedTuple
 
-import urllib3
 from returns.result import Failure, Result, Success
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-)
-from urllib3.util import SKIP_HEADER
 
-from toucanhall.forwarding.records import Answer, Headers, Request
+from toucanhall import events, runtime
+from toucanhall.forwarding.headers import (
+    BrokenAnswer,
+    check_framing,
+    drop_hop_by_hop,
+    make_heads,
+)
+from toucanhall.forwarding.lines import (
+    FinalResponse,
+    Line,
+    Lines,
+    Pace,
+    open_line,
+)
+from toucanhall.forwarding.records import Answer, Request, find_header
+from toucanhall.idempotency import may_send
 
-__all__ = ('Dispatcher', 'SendError')
+__all__ = ('ID_HEADER', 'Dispatcher', 'SendError')
 
+ID_HEADER: Final = 'Toucanhall-Request-Id'
 _CONNECT_SECONDS: Final = 1.0
 # Answers up to this size are read whole before any byte is returned.
-_WHOLE_BYTES: Final = 65536
-_CHUNK_BYTES: Final = 65536
-_CONNECTIONS: Final = 64
-_HOP_BY_HOP: Final = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
+_PART_BYTES: Final = 65536
 _NO_BODY: Final = frozenset((204, 304))
+# An open connection may be silent for this part of the time that is left.
+_SILENT_PART: Final = 0.25
+_SILENT_PART_WHEN_NEW: Final = 0.5
+_BROKEN: Final = (OSError, HTTPException)
 
 
 class SendError(NamedTuple):
@@ -46,15 +46,11 @@
 
 
 class Dispatcher:
-    """Connections to targets and to entry VMs of other zones."""
+    """Sends requests to targets and to entry VMs of other zones."""
 
     def __init__(self) -> None:
         """Start with no connection."""
-        self._pool = urllib3.PoolManager(
-            num_pools=256,
-            maxsize=_CONNECTIONS,
-            retries=False,
-        )
+        self._lines = Lines()
 
     def send(
         self,
@@ -64,87 +60,130 @@
         *,
         fresh: bool,
     ) -> Result[Answer, SendError]:
-        """Send a request; `fresh` uses a connection that nobody used before."""
-        pool = self._make_pool(address) if fresh else self._find_pool(address)
+        """Send a request; `fresh` uses a connection that nobody used before.
+
+        A request that need not be fresh is safe to send again: when an open
+        connection fails it, a new one is tried.
+        """
+        give_up_at = runtime.read_clock() + seconds
+        if fresh:
+            return self._send_new(address, request, Pace(give_up_at, seconds))
+        line = self._lines.take(address)
+        if line is not None:
+            pace = Pace(give_up_at, seconds * _SILENT_PART)
+            sent = self._exchange(address, line, request, pace)
+            if isinstance(sent, Success):
+                return sent
+        left = max(0, give_up_at - runtime.read_clock())
+        pace = Pace(give_up_at, left * _SILENT_PART_WHEN_NEW)
+        return self._send_new(address, request, pace).alt(
+            lambda error: error._replace(sent=error.sent or line is not None),
+        )
+
+    def _send_new(
+        self,
+        address: str,
+        request: Request,
+        pace: Pace,
+    ) -> Result[Answer, SendError]:
+        left = pace.give_up_at - runtime.read_clock()
+        if left <= 0:
+            return Failure(SendError(address, sent=False, what='deadline'))
         try:
-            response = pool.urlopen(
-                request.method,
-                request.target,
-                body=request.body or None,
-                headers=_prepare_headers(request.headers),
-                timeout=urllib3.Timeout(connect=_CONNECT_SECONDS, read=seconds),
-                retries=False,
-                redirect=False,
-                preload_content=False,
-                decode_content=False,
-            )
-            return Success(_read_answer(request.method, response))
-        except (NewConnectionError, ConnectTimeoutError) as error:
+            line = open_line(address, min(_CONNECT_SECONDS, left))
+        except OSError as error:
             return Failure(SendError(address, sent=False, what=str(error)))
-        except HTTPError as error:
-            return Failure(SendError(address, sent=True, what=str(error)))
-
-    def _make_pool(self, address: str) -> urllib3.HTTPConnectionPool:
-        host, port = address.split(':')
-        return urllib3.HTTPConnectionPool(host, int(port), maxsize=1)
-
-    def _find_pool(self, address: str) -> urllib3.HTTPConnectionPool:
-        host, port = address.split(':')
-        return self._pool.connection_from_host(host, int(port), 'http')
-
-
-def _prepare_headers(headers: Headers) -> urllib3.HTTPHeaderDict:
-    prepared = urllib3.HTTPHeaderDict()
-    for name, content in _drop_hop_by_hop(headers):
-        prepared.add(name, content)
-    for name in ('Accept-Encoding', 'User-Agent'):
-        if name not in prepared:
-            prepared.add(name, SKIP_HEADER)
-    return prepared
-
-
-def _drop_hop_by_hop(headers: Headers) -> Headers:
-    named = {
-        token.strip().lower()
-        for name, content in headers
-        if name.lower() == 'connection'
-        for token in content.split(',')
-    }
-    return tuple(
-        (name, content)
-        for name, content in headers
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in named
-    )
-
-
-def _read_answer(
-    method: str,
-    response: urllib3.BaseHTTPResponse,
-) -> Answer:
-    headers = _drop_hop_by_hop(tuple(response.headers.items()))
-    length = response.headers.get('Content-Length', '')
-    has_body = method != 'HEAD' and response.status not in _NO_BODY
-    body: Iterator[bytes] | tuple[bytes, ...] = ()
-    if has_body and length.isdigit() and int(length) <= _WHOLE_BYTES:
-        body = (response.read(),)
-    elif has_body:
+        if not may_send(pace.give_up_at, runtime.read_clock()):
+            line.close()
+            return Failure(SendError(address, sent=False, what='deadline'))
+        return self._exchange(address, line, request, pace)
+
+    def _exchange(
+        self,
+        address: str,
+        line: Line,
+        request: Request,
+        pace: Pace,
+    ) -> Result[Answer, SendError]:
+        line.sock.pace = pace
+        try:
+            return Success(self._ask(address, line, request))
+        except _BROKEN as error:
+            line.close()
+            what = f'{type(error).__name__}: {error}'
+            return Failure(SendError(address, sent=True, what=what))
+
+    def _ask(self, address: str, line: Line, request: Request) -> Answer:
+        line.sock.settimeout(line.sock.measure())
+        line.putrequest(
+            request.method,
+            request.target,
+            skip_host=True,
+            skip_accept_encoding=True,
+        )
+        for name, content in make_heads(request, address):
+            line.putheader(name, content)
+        line.endheaders(request.body or None)
+        response = line.read_head()
+        _check_identity(request, response)
+        has_body = request.method != 'HEAD' and response.status not in _NO_BODY
+        check_framing(response, has_body=has_body)
         return Answer(
             response.status,
             response.reason or '',
-            headers,
-            _stream(response),
+            drop_hop_by_hop(tuple(response.headers.items())),
+            self._read_body(address, line, response),
         )
-    response.release_conn()
-    return Answer(response.status, response.reason or '', headers, body)
-
-
-def _stream(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    is_whole = False
-    try:
-        yield from response.stream(_CHUNK_BYTES)
-        is_whole = True
-    finally:
-        if is_whole:
-            response.release_conn()
+
+    def _read_body(
+        self,
+        address: str,
+        line: Line,
+        response: FinalResponse,
+    ) -> tuple[bytes, ...] | Iterator[bytes]:
+        first = _read_part(response)
+        if response.isclosed():
+            self._settle(address, line, response)
+            return (first,)
+        return chain((first,), self._stream(address, line, response))
+
+    def _stream(
+        self,
+        address: str,
+        line: Line,
+        response: FinalResponse,
+    ) -> Iterator[bytes]:
+        try:
+            while not response.isclosed():
+                yield _read_part(response)
+        except _BROKEN as error:
+            events.log(events.ANSWER_BROKEN, address=address, what=str(error))
+            raise BrokenAnswer(str(error)) from error
+        finally:
+            self._settle(address, line, response)
+
+    def _settle(
+        self,
+        address: str,
+        line: Line,
+        response: FinalResponse,
+    ) -> None:
+        is_whole = response.isclosed() and not response.length
+        if is_whole and not response.will_close and not response.has_stray:
+            self._lines.give(address, line)
         else:
-            response.close()
+            line.close()
+
+
+def _read_part(response: FinalResponse) -> bytes:
+    part = response.read(_PART_BYTES)
+    if response.isclosed() and response.length:
+        raise BrokenAnswer(f'{response.length} bytes are missing')
+    return part
+
+
+def _check_identity(request: Request, response: FinalResponse) -> None:
+    own = find_header(request.headers, ID_HEADER.lower())
+    echoed = set(response.headers.get_all(ID_HEADER, []))
+    if own and echoed - {own}:
+        raise BrokenAnswer('the answer belongs to another request')
--- /dev/null
+++ b/toucanhall/forwarding/headers.py
@@ -0,0 +1,96 @@
+"""Headers that leave for a target, and the framing of its answers."""
+
+from email import errors
+from typing import Final
+
+from toucanhall.forwarding.lines import FinalResponse
+from toucanhall.forwarding.records import Headers, Request
+
+__all__ = (
+    'BrokenAnswer',
+    'check_framing',
+    'drop_hop_by_hop',
+    'drop_own',
+    'make_heads',
+)
+
+_HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'trailers',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_FRAMING: Final = frozenset(('content-length', 'expect'))
+_OWN_PREFIX: Final = 'toucanhall-'
+_BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
+_DEFECTS: Final = (
+    errors.MissingHeaderBodySeparatorDefect,
+    errors.FirstHeaderLineIsContinuationDefect,
+)
+
+
+class BrokenAnswer(OSError):
+    """An answer that is not whole, or not to the request."""
+
+
+def make_heads(request: Request, address: str) -> Headers:
+    """Return the headers of a request as they are sent to an address."""
+    kept = tuple(
+        entry
+        for entry in drop_hop_by_hop(request.headers)
+        if entry[0].lower() not in _FRAMING
+    )
+    if not any(name.lower() == 'host' for name, _ in kept):
+        kept = (('Host', address), *kept)
+    if request.body or request.method in _BODY_METHODS:
+        return (*kept, ('Content-Length', str(len(request.body))))
+    return kept
+
+
+def drop_hop_by_hop(headers: Headers) -> Headers:
+    """Return the headers without those that hold for one connection."""
+    named = {
+        token.strip().lower()
+        for name, content in headers
+        if name.lower() == 'connection'
+        for token in content.split(',')
+    }
+    dropped = _HOP_BY_HOP | named
+    return tuple(entry for entry in headers if entry[0].lower() not in dropped)
+
+
+def drop_own(headers: Headers) -> Headers:
+    """Return the headers without those that only entry VMs may set."""
+    return tuple(
+        entry
+        for entry in headers
+        if not entry[0].lower().startswith(_OWN_PREFIX)
+    )
+
+
+def check_framing(response: FinalResponse, *, has_body: bool) -> None:
+    """Raise BrokenAnswer when the end of an answer could not be told."""
+    fault = _find_fault(response, has_body=has_body)
+    if fault:
+        raise BrokenAnswer(f'the answer {fault}')
+
+
+def _find_fault(response: FinalResponse, *, has_body: bool) -> str:
+    lengths = set(response.headers.get_all('Content-Length', []))
+    if any(isinstance(found, _DEFECTS) for found in response.headers.defects):
+        return 'has a malformed header'
+    if len(lengths) > 1 or not all(length.isdigit() for length in lengths):
+        return f'has the lengths {sorted(lengths)}'
+    if lengths and 'Transfer-Encoding' in response.headers:
+        return 'has a length and a transfer coding'
+    if has_body and not lengths and not response.chunked:
+        return 'does not tell where it ends'
+    return ''
--- a/toucanhall/forwarding/hops.py
+++ b/toucanhall/forwarding/hops.py
@@ -16,13 +16,14 @@
 
 
 class Hop(NamedTuple):
-    """What the first VM decided: team, digest of the key, request id."""
+    """What the first VM decided, and the seconds left for the request."""
 
     team: str
     key_digest: str
     request_id: str
     method: str
     target: str
+    seconds: float
 
 
 def make_token(identity: Identity, hop: Hop) -> str:
--- a/toucanhall/forwarding/pipeline.py
+++ b/toucanhall/forwarding/pipeline.py
@@ -1,19 +1,43 @@
 """Takes a caller's request through every decision to its answer."""
 
 import hashlib
+from typing import Final
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from toucanhall import events
 from toucanhall.forwarding.admission import admit
 from toucanhall.forwarding.attempts import forward
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
-from toucanhall.forwarding.problems import Refusal, refuse, render
+from toucanhall.forwarding.bodies import close_body
+from toucanhall.forwarding.problems import (
+    NOT_RUN,
+    REASONS,
+    Refusal,
+    refuse,
+    render,
+)
 from toucanhall.forwarding.records import Answer, Request, find_header
-from toucanhall.idempotency import Begun, Outcome, Standing, name_claim
+from toucanhall.idempotency import Begun, Outcome, Verdict, name_claim
 
 __all__ = ('serve',)
 
+_VERDICTS: Final = {
+    Verdict.DONE: Refusal('claim-done', 'its answer was too large to keep'),
+    Verdict.OPEN: Refusal(
+        'claim-open',
+        'it may have run and its outcome is not known yet',
+        BACK_SOON_SECONDS,
+    ),
+    Verdict.MISMATCH: Refusal('claim-mismatch', 'the earlier request differs'),
+    Verdict.UNCLAIMED: Refusal(
+        'store-unavailable',
+        'the claim was not made',
+        BACK_SOON_SECONDS,
+    ),
+    Verdict.LATE: Refusal('deadline', 'nothing was sent', BACK_SOON_SECONDS),
+}
+
 
 def serve(parts: Parts, request: Request) -> Answer:
     """Answer a request: forward it, or refuse it for good at once."""
@@ -39,14 +63,13 @@
         return forward(parts, job)
     name = name_claim(job.caller.team, job.route.path, key)
     digest = _digest_request(job.request)
-    begun = parts.keeper.begin(name, digest)
-    if not isinstance(begun, Success):
-        return refuse(
-            'store-unavailable',
-            'the claim was not made',
-            BACK_SOON_SECONDS,
-        )
-    return _run_claimed(parts, job, begun.unwrap())
+    begun = parts.keeper.begin(name, digest, job.give_up_at)
+    if begun.verdict is Verdict.MINE:
+        return _run_claimed(parts, job, begun)
+    outcome = begun.claim.outcome
+    if begun.verdict is Verdict.DONE and outcome and outcome.is_kept:
+        return Success(_replay(outcome))
+    return Failure(_VERDICTS[begun.verdict])
 
 
 def _run_claimed(
@@ -54,28 +77,26 @@
     job: Job,
     begun: Begun,
 ) -> Result[Answer, Refusal]:
-    if begun.standing is Standing.MISMATCH:
-        return refuse('claim-mismatch', 'the earlier request differs')
-    if begun.standing is Standing.OPEN:
-        return refuse(
-            'claim-open',
-            'it may have run and its outcome is not known yet',
-            BACK_SOON_SECONDS,
-        )
-    if begun.standing is Standing.DONE and begun.claim.outcome:
-        return Success(_replay(begun.claim.outcome))
     forwarded = forward(parts, job)
     if isinstance(forwarded, Success):
-        return Success(_keep_outcome(parts, begun, forwarded.unwrap()))
-    if forwarded.failure().reason != 'target-failed':
+        return _keep_outcome(parts, begun, forwarded.unwrap())
+    if REASONS[forwarded.failure().reason].ran == NOT_RUN:
         parts.keeper.release(begun)
     return forwarded
 
 
-def _keep_outcome(parts: Parts, begun: Begun, answer: Answer) -> Answer:
-    body = b''.join(answer.body)
+def _keep_outcome(
+    parts: Parts,
+    begun: Begun,
+    answer: Answer,
+) -> Result[Answer, Refusal]:
+    try:
+        body = b''.join(answer.body)
+    except OSError as error:
+        close_body(answer.body)
+        return refuse('target-failed', f'no whole answer: {error}')
     parts.keeper.finish(begun, Outcome(answer.status, answer.headers, body))
-    return answer._replace(body=(body,))
+    return Success(answer._replace(body=(body,)))
 
 
 def _replay(outcome: Outcome) -> Answer:
--- a/toucanhall/forwarding/problems.py
+++ b/toucanhall/forwarding/problems.py
@@ -9,6 +9,7 @@
 from toucanhall.forwarding.records import Answer
 
 __all__ = (
+    'NOT_RUN',
     'REASONS',
     'RAN_HEADER',
     'Refusal',
@@ -18,6 +19,7 @@
 )
 
 RAN_HEADER: Final = 'Toucanhall-Ran'
+NOT_RUN: Final = 'no'
 
 
 class Reason(NamedTuple):
@@ -37,6 +39,9 @@
     'claim-open': Reason(
         409, 'Conflict', 'a request with this key was started', 'maybe',
     ),
+    'claim-done': Reason(
+        409, 'Conflict', 'a request with this key has run', 'maybe',
+    ),
     'claim-mismatch': Reason(
         422, 'Unprocessable Content',
         'this idempotency key was used for another request', 'no',
@@ -55,6 +60,12 @@
         503, 'Service Unavailable', 'the store cannot be reached', 'no',
     ),
     'deadline': Reason(504, 'Gateway Timeout', 'deadline has passed', 'no'),
+    'target-late': Reason(
+        504, 'Gateway Timeout', 'no whole answer before the deadline', 'maybe',
+    ),
+    'internal': Reason(
+        500, 'Internal Server Error', 'the entry VM failed', 'maybe',
+    ),
 }  # fmt: skip
 
 
--- a/toucanhall/forwarding/server.py
+++ b/toucanhall/forwarding/server.py
@@ -30,4 +30,5 @@
         connection_limit=1000,
         clear_untrusted_proxy_headers=False,
         asyncore_use_poll=True,
+        log_socket_errors=False,
     )
--- a/toucanhall/idempotency/__init__.py
+++ b/toucanhall/idempotency/__init__.py
@@ -1,5 +1,6 @@
 """At most once: claims, stored outcomes and true refusals."""
 
+from toucanhall.idempotency.attempt import Verdict, may_send
 from toucanhall.idempotency.claims import (
     Claim,
     Found,
@@ -17,6 +18,8 @@
     'Keeper',
     'Outcome',
     'Standing',
+    'Verdict',
     'judge',
+    'may_send',
     'name_claim',
 )
--- a/toucanhall/idempotency/claims.py
+++ b/toucanhall/idempotency/claims.py
@@ -8,11 +8,15 @@
 
 
 class Outcome(NamedTuple):
-    """The stored answer of a request that ran."""
+    """The stored answer of a request that ran.
+
+    A body that is too large for the store is not kept.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    is_kept: bool = True
 
 
 class Claim(NamedTuple):
--- a/toucanhall/idempotency/keeper.py
+++ b/toucanhall/idempotency/keeper.py
@@ -1,114 +1,150 @@
-"""Makes, settles and finishes claims in the platform's store."""
+"""Carries out the steps of claims in the platform's store."""
 
+from collections import deque
 from typing import Final, NamedTuple
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Success
 
 from toucanhall import events, runtime
-from toucanhall.idempotency.claims import (
-    Claim,
-    Found,
-    Outcome,
-    Standing,
-    judge,
+from toucanhall.idempotency import messages, protocol
+from toucanhall.idempotency.attempt import Attempt, Verdict
+from toucanhall.idempotency.claims import Claim, Found, Outcome
+from toucanhall.idempotency.protocol import Moved
+from toucanhall.platform import (
+    Ambiguous,
+    Client,
+    Conflict,
+    Stored,
+    Unavailable,
 )
-from toucanhall.platform import Client, Conflict, Unavailable
 from toucanhall.platform.errors import PlatformError
 from toucanhall.platform.model import ABSENT
 
 __all__ = ('Begun', 'Keeper')
 
-_TRIES: Final = 3
 _LARGEST_OUTCOME: Final = 262144  # bytes of an answer kept for repeats
+_LARGEST_BACKLOG: Final = 4096  # claims whose last write is still owed
+_SETTLED_PER_ROUND: Final = 64
 
 
 class Begun(NamedTuple):
-    """A claim that stands: whose it is, and what to write it with."""
+    """How a claim stands, the claim found, and what continues it."""
 
-    standing: Standing
-    name: str
+    verdict: Verdict
     claim: Claim
-    version: int
+    name: str
+    attempt: Attempt
 
 
 class Keeper:
-    """Holds no state of its own: every claim lies in the store."""
+    """Runs claims; holds only what could not be written to the store yet."""
 
     def __init__(self, *, platform: Client) -> None:
         """Keep claims in a platform's store."""
         self._platform = platform
+        self._owed: deque[tuple[str, Attempt]] = deque(maxlen=_LARGEST_BACKLOG)
 
-    def begin(self, name: str, digest: str) -> Result[Begun, PlatformError]:
-        """Claim a name before the first byte is sent.
-
-        A failure means that the request must not run. After a write whose
-        reply was lost the same claim is written again: only one of the two
-        writes can take effect, and both carry the same claim id.
-        """
+    def begin(self, name: str, digest: str, give_up_at: float) -> Begun:
+        """Claim a name; the request may be sent only if the verdict is MINE."""
         claim = Claim(runtime.make_id(), digest)
-        expected = ABSENT
-        error: PlatformError = Unavailable(f'claim {name}')
-        for _try in range(_TRIES):
-            written = self._write(name, claim, expected)
-            if isinstance(written, Success):
-                version = written.unwrap()
-                return Success(Begun(Standing.MINE, name, claim, version))
-            error = written.failure()
-            if isinstance(error, Unavailable):
-                break
-            found = self._find(name)
-            if not isinstance(found, Success):
-                return Failure(found.failure())
-            begun = _settle(name, claim, found.unwrap())
-            if begun.standing is not Standing.FREE:
-                return Success(begun)
-            expected = begun.version
-        return Failure(error)
+        attempt, told = self._run(name, protocol.start(claim, give_up_at))
+        verdict = told.verdict if told else Verdict.UNCLAIMED
+        return Begun(verdict, told.claim if told else claim, name, attempt)
 
     def finish(self, begun: Begun, outcome: Outcome) -> None:
         """Store the outcome of a request that ran."""
         if len(outcome.body) > _LARGEST_OUTCOME:
-            return
-        self._replace(begun, begun.claim._replace(outcome=outcome))
+            outcome = outcome._replace(body=b'', is_kept=False)
+        self._post(begun, messages.Ready(), messages.Answered(outcome))
 
     def release(self, begun: Begun) -> None:
         """Give up a claim whose request was never sent."""
-        self._replace(begun, begun.claim._replace(released=True))
-
-    def _replace(self, begun: Begun, claim: Claim) -> None:
-        for _try in range(_TRIES):
-            written = self._write(begun.name, claim, begun.version)
-            if isinstance(written, Success):
+        self._post(begun, messages.Unsent())
+
+    def settle(self) -> None:
+        """Try again to write what is owed to the store."""
+        for _ in range(min(_SETTLED_PER_ROUND, len(self._owed))):
+            name, attempt = self._owed.popleft()
+            owed = len(self._owed)
+            self._advance(name, attempt, messages.Retry())
+            if len(self._owed) > owed:
                 return
-            if isinstance(written.failure(), Conflict):
-                return
-        events.log(events.CLAIM_UNSETTLED, claim=begun.name)
 
-    def _write(
+    def _post(self, begun: Begun, *happened: messages.Event) -> None:
+        attempt = begun.attempt
+        for event in happened:
+            attempt = self._advance(begun.name, attempt, event)
+
+    def _advance(
         self,
         name: str,
-        claim: Claim,
-        expected: int,
-    ) -> Result[int, PlatformError]:
-        return self._platform.write(name, msgspec.json.encode(claim), expected)
+        attempt: Attempt,
+        event: messages.Event,
+    ) -> Attempt:
+        moved = protocol.step(attempt, event, runtime.read_clock())
+        return self._run(name, moved)[0]
 
-    def _find(self, name: str) -> Result[Found | None, PlatformError]:
+    def _run(
+        self,
+        name: str,
+        moved: Moved,
+    ) -> tuple[Attempt, messages.Tell | None]:
+        told: messages.Tell | None = None
+        while True:
+            for effect in moved.effects:
+                if isinstance(effect, messages.Tell):
+                    told = effect
+            event = self._perform(name, moved)
+            if event is None:
+                return moved.attempt, told
+            moved = protocol.step(moved.attempt, event, runtime.read_clock())
+
+    def _perform(self, name: str, moved: Moved) -> messages.Event | None:
+        event: messages.Event | None = None
+        for effect in moved.effects:
+            if isinstance(effect, messages.Write):
+                event = self._write(name, effect)
+            elif isinstance(effect, messages.Look):
+                event = self._look(name)
+            elif isinstance(effect, messages.Later):
+                self._owe(name, moved.attempt)
+        return event
+
+    def _owe(self, name: str, attempt: Attempt) -> None:
+        self._owed.append((name, attempt))
+        events.log(events.CLAIM_UNSETTLED, claim=name)
+
+    def _write(self, name: str, effect: messages.Write) -> messages.Event:
+        written = self._platform.write(
+            name,
+            msgspec.json.encode(effect.claim),
+            effect.expected,
+        )
+        if isinstance(written, Success):
+            return messages.Written(written.unwrap())
+        return _WRITE_EVENTS[type(written.failure())]
+
+    def _look(self, name: str) -> messages.Event:
         read = self._platform.read(name)
         if not isinstance(read, Success):
-            return Failure(read.failure())
-        stored = read.unwrap()
-        if stored.version == ABSENT:
-            return Success(None)
-        try:
-            claim = msgspec.json.decode(stored.content, type=Claim)
-        except msgspec.MsgspecError as error:
-            return Failure(Unavailable(f'claim {name} is damaged: {error}'))
-        return Success(Found(claim, stored.version))
-
-
-def _settle(name: str, claim: Claim, found: Found | None) -> Begun:
-    if found is None:
-        return Begun(Standing.FREE, name, claim, ABSENT)
-    standing = judge(found.claim, claim.claim_id, claim.digest)
-    return Begun(standing, name, found.claim, found.version)
+            return messages.Down()
+        return _decode(read.unwrap())
+
+
+def _decode(stored: Stored) -> messages.Event:
+    if stored.version == ABSENT:
+        return messages.Seen(None)
+    try:
+        claim = msgspec.json.decode(stored.content, type=Claim)
+    except msgspec.MsgspecError as error:
+        events.log(events.CLAIM_DAMAGED, claim=stored.name, what=str(error))
+        return messages.Down()
+    return messages.Seen(Found(claim, stored.version))
+
+
+_WRITE_EVENTS: Final[dict[type[PlatformError], messages.Event]] = {
+    Conflict: messages.Conflicted(),
+    Ambiguous: messages.Lost(),
+    Unavailable: messages.Down(),
+}
--- /dev/null
+++ b/toucanhall/idempotency/messages.py
@@ -0,0 +1,109 @@
+"""What can happen to a claim, and what is to be done about it."""
+
+from typing import NamedTuple, TypeAlias
+
+from toucanhall.idempotency.attempt import Verdict
+from toucanhall.idempotency.claims import Claim, Found, Outcome
+
+__all__ = (
+    'Answered',
+    'Conflicted',
+    'Disclaimed',
+    'Down',
+    'Effect',
+    'Event',
+    'Failed',
+    'Later',
+    'Look',
+    'Lost',
+    'Ready',
+    'Retry',
+    'Seen',
+    'Send',
+    'Tell',
+    'Unsent',
+    'Write',
+    'Written',
+)
+
+
+class Written(NamedTuple):
+    """A write took effect and gave the object a version."""
+
+    version: int
+
+
+class Conflicted(NamedTuple):
+    """A write found another version and had no effect."""
+
+
+class Lost(NamedTuple):
+    """A write got no reply; it took effect, never will, or will later."""
+
+
+class Down(NamedTuple):
+    """The store was not reached; the call had no effect."""
+
+
+class Seen(NamedTuple):
+    """The store was read."""
+
+    found: Found | None
+
+
+class Ready(NamedTuple):
+    """A connection stands and the first byte can leave."""
+
+
+class Unsent(NamedTuple):
+    """The request was given up before the first byte."""
+
+
+class Disclaimed(NamedTuple):
+    """The entry VM that got the request truly said it did not run it."""
+
+
+class Answered(NamedTuple):
+    """A whole answer came."""
+
+    outcome: Outcome
+
+
+class Failed(NamedTuple):
+    """No whole answer came after the first byte."""
+
+
+class Retry(NamedTuple):
+    """It is time to try a write again that was put off."""
+
+
+class Write(NamedTuple):
+    """Write a claim on the condition that its version is the expected."""
+
+    claim: Claim
+    expected: int
+
+
+class Look(NamedTuple):
+    """Read what lies in the store."""
+
+
+class Send(NamedTuple):
+    """Send the first byte."""
+
+
+class Tell(NamedTuple):
+    """Tell the request path how the claim stands."""
+
+    verdict: Verdict
+    claim: Claim
+
+
+class Later(NamedTuple):
+    """Come back with `Retry` after a while."""
+
+
+StoreEvent: TypeAlias = Written | Conflicted | Lost | Down | Seen | Retry
+RequestEvent: TypeAlias = Ready | Unsent | Disclaimed | Answered | Failed
+Event: TypeAlias = StoreEvent | RequestEvent
+Effect: TypeAlias = Write | Look | Send | Tell | Later
