Refuse ambiguous requests at the edge, and list every refusal

The server's parser is followed by a check that refuses what two readers could read in two ways, each as problem+json with a closed connection. A key that stands in the path is refused, and one encoded twice is removed.

--- a/tests/unit/test_credentials.py
+++ b/tests/unit/test_credentials.py
@@ -1,5 +1,7 @@
 """Tests of keys: finding them, judging them, and removing them."""
 
+import pytest
+
 from tests.builders import make_catalogue, make_request
 from toucanhall.forwarding import credentials
 
@@ -54,3 +56,54 @@
     stripped = credentials.strip_key(request, KEY)
     assert stripped.target == '/tours/x?a=1&b=2'
     assert stripped.headers == (('Accept', 'text/plain'),)
+
+
+@pytest.mark.parametrize(
+    'field',
+    [
+        'key=other',
+        'k%65y=other',
+        'k%2565y=other',
+        'a=open+sesame%2B1',
+        'a=open%20sesame%2b1',
+        'a=open%2520sesame%252B1',
+        'open%20sesame%2B1=a',
+    ],
+)
+def test_field_that_holds_a_key_is_removed(field):
+    request = make_request(target=f'/tours/x?{field}&b=', query=f'{field}&b=')
+    assert credentials.strip_key(request, KEY).target == '/tours/x?b='
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        ('Authorization', 'Basic b3RoZXI='),
+        ('AUTHORIZATION', f'Bearer {KEY}, Bearer {KEY}'),
+        ('Cookie', 'a=1; session=open%20sesame%2B1'),
+        ('Referer', 'http://a/?key=open%2520sesame%252B1'),
+        ('Forwarded', f'for="{KEY}"'),
+    ],
+)
+def test_header_that_holds_a_key_is_removed(header):
+    request = make_request(headers=(header, ('Cookie', 'b=2')))
+    stripped = credentials.strip_key(request, KEY)
+    assert stripped.headers == (('Cookie', 'b=2'),)
+
+
+@pytest.mark.parametrize('query', ['', 'a=1&&b', 'a=%2F+x&b=%zz'])
+def test_query_without_key_is_unchanged(query):
+    target = f'/tours/x?{query}'
+    request = make_request(target=target, query=query)
+    assert credentials.strip_key(request, KEY) == request
+
+
+def test_repeated_key_header_names_nobody():
+    """The server joins repeated headers by commas."""
+    catalogue = make_granted()
+    identified = credentials.identify(
+        catalogue,
+        find_booking_route(catalogue),
+        make_request(headers=(('X-Api-Key', f'{KEY}, {KEY}'),)),
+    )
+    assert identified.failure().reason == 'key-unknown'
--- a/toucanhall/forwarding/admission.py
+++ b/toucanhall/forwarding/admission.py
@@ -5,7 +5,12 @@
 from toucanhall import runtime
 from toucanhall.catalogue import Catalogue, Route
 from toucanhall.forwarding import hops
-from toucanhall.forwarding.credentials import Caller, identify, strip_key
+from toucanhall.forwarding.credentials import (
+    Caller,
+    contains_key,
+    identify,
+    strip_key,
+)
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
 from toucanhall.forwarding.problems import Refusal, refuse
 from toucanhall.forwarding.records import Request, find_header
@@ -29,8 +34,8 @@
         return refuse('not-ready', 'no catalogue yet', BACK_SOON_SECONDS)
     catalogue = revision.catalogue
     route = find_route(catalogue, request.path)
-    if route is None or '..' in request.path.split('/'):
-        return refuse('no-route', f'path {request.path!r}')
+    if route is None:
+        return refuse('no-route', 'see the routes of the catalogue')
     token = find_header(request.headers, hops.HOP_HEADER)
     if token:
         return _admit_hop(parts, request, catalogue, route)
@@ -46,6 +51,8 @@
     route: Route,
     caller: Caller,
 ) -> Result[Job, Refusal]:
+    if contains_key(request.target.split('?', 1)[0], caller.key):
+        return refuse('bad-request', 'the path holds the key')
     if caller.team:
         wait = parts.ledger.admit(caller.team)
         if wait is not None:
--- a/toucanhall/forwarding/credentials.py
+++ b/toucanhall/forwarding/credentials.py
@@ -10,7 +10,7 @@
 from toucanhall.forwarding.problems import Refusal, make_refusal
 from toucanhall.forwarding.records import Request, find_header
 
-__all__ = ('Caller', 'digest_key', 'identify', 'strip_key')
+__all__ = ('Caller', 'contains_key', 'digest_key', 'identify', 'strip_key')
 
 _KEY_HEADERS: Final = frozenset(('authorization', 'x-api-key'))
 _KEY_FIELD: Final = 'key'
@@ -63,14 +63,15 @@
     headers = tuple(
         (name, content)
         for name, content in request.headers
-        if name.lower() not in _KEY_HEADERS and not _contains(content, key)
+        if name.lower() not in _KEY_HEADERS and not contains_key(content, key)
     )
-    fields = [
+    if not request.query:
+        return request._replace(headers=headers)
+    query = '&'.join(
         field
         for field in request.query.split('&')
-        if field and not _shows_key(field, key)
-    ]
-    query = '&'.join(fields)
+        if not _shows_key(field, key)
+    )
     path = request.target.split('?', 1)[0]
     return request._replace(
         headers=headers,
@@ -79,14 +80,22 @@
     )
 
 
+def contains_key(text: str, key: str) -> bool:
+    """Return whether a text holds a key, encoded up to twice."""
+    if not key:
+        return False
+    if key in text:
+        return True
+    return any(key in form for form in _decode(text))
+
+
 def _shows_key(field: str, key: str) -> bool:
-    name = unquote_plus(field.split('=', 1)[0])
-    return name == _KEY_FIELD or _contains(field, key)
+    name = field.split('=', 1)[0]
+    return _KEY_FIELD in {name, *_decode(name)} or contains_key(field, key)
 
 
-def _contains(text: str, key: str) -> bool:
-    if not key:
-        return False
-    return any(
-        key in form for form in (text, unquote(text), unquote_plus(text))
-    )
+def _decode(text: str) -> tuple[str, ...]:
+    if '%' not in text and '+' not in text:
+        return ()
+    once = (unquote(text), unquote_plus(text))
+    return (*once, *map(unquote, once), *map(unquote_plus, once))
--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from toucanhall import events, runtime
+from toucanhall.forwarding.bodies import SettledBody
 from toucanhall.forwarding.headers import (
     BrokenAnswer,
     check_framing,
@@ -140,27 +141,15 @@
         address: str,
         line: Line,
         response: FinalResponse,
-    ) -> tuple[bytes, ...] | Iterator[bytes]:
-        first = _read_part(response)
+    ) -> tuple[bytes, ...] | SettledBody:
+        first = _read_first(response)
         if response.isclosed():
             self._settle(address, line, response)
             return (first,)
-        return chain((first,), self._stream(address, line, response))
-
-    def _stream(
-        self,
-        address: str,
-        line: Line,
-        response: FinalResponse,
-    ) -> Iterator[bytes]:
-        try:
-            while not response.isclosed():
-                yield _read_part(response)
-        except _BROKEN as error:
-            events.log(events.ANSWER_BROKEN, address=address, what=str(error))
-            raise BrokenAnswer(str(error)) from error
-        finally:
-            self._settle(address, line, response)
+        return SettledBody(
+            body=chain((first,), _stream(address, response)),
+            settle=lambda _whole: self._settle(address, line, response),
+        )
 
     def _settle(
         self,
@@ -175,6 +164,24 @@
             line.close()
 
 
+def _read_first(response: FinalResponse) -> bytes:
+    parts = [_read_part(response)]
+    size = len(parts[0])
+    while size < _PART_BYTES and not response.isclosed():
+        parts.append(_read_part(response))
+        size += len(parts[-1])
+    return b''.join(parts)
+
+
+def _stream(address: str, response: FinalResponse) -> Iterator[bytes]:
+    try:
+        while not response.isclosed():
+            yield _read_part(response)
+    except _BROKEN as error:
+        events.log(events.ANSWER_BROKEN, address=address, what=str(error))
+        raise BrokenAnswer(str(error)) from error
+
+
 def _read_part(response: FinalResponse) -> bytes:
     part = response.read(_PART_BYTES)
     if response.isclosed() and response.length:
--- a/toucanhall/forwarding/lines.py
+++ b/toucanhall/forwarding/lines.py
@@ -88,6 +88,8 @@
     paced.is_peeking = True
     try:
         return bool(buffered.peek())
+    except OSError:
+        return True
     finally:
         paced.is_peeking = False
 
--- a/toucanhall/forwarding/pipeline.py
+++ b/toucanhall/forwarding/pipeline.py
@@ -1,6 +1,7 @@
 """Takes a caller's request through every decision to its answer."""
 
 import hashlib
+import traceback
 from typing import Final
 
 from returns.result import Failure, Result, Success
@@ -41,9 +42,12 @@
 
 def serve(parts: Parts, request: Request) -> Answer:
     """Answer a request: forward it, or refuse it for good at once."""
-    served: Result[Answer, Refusal] = admit(parts, request).bind(
-        lambda job: _run(parts, job),
-    )
+    served: Result[Answer, Refusal]
+    try:
+        served = _serve(parts, request)
+    except Exception as error:
+        events.log(events.REQUEST_CRASHED, what=_locate(error))
+        served = refuse('internal', 'see the log of the entry VM')
     if isinstance(served, Success):
         answer: Answer = served.unwrap()
         return answer
@@ -57,6 +61,17 @@
     return render(refusal)
 
 
+def _serve(parts: Parts, request: Request) -> Result[Answer, Refusal]:
+    return admit(parts, request).bind(lambda job: _run(parts, job))
+
+
+def _locate(error: Exception) -> str:
+    """Name an error and its line; its text could hold a caller's key."""
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    name = type(error).__name__
+    return f'{name} at {frame.name}:{frame.lineno}'
+
+
 def _run(parts: Parts, job: Job) -> Result[Answer, Refusal]:
     key = find_header(job.request.headers, 'idempotency-key')
     if job.is_safe or job.is_hopped or not key:
--- a/toucanhall/forwarding/problems.py
+++ b/toucanhall/forwarding/problems.py
@@ -33,6 +33,19 @@
 
 REASONS: Final = {
     'bad-request': Reason(400, 'Bad Request', 'request is malformed', 'no'),
+    'too-slow': Reason(
+        408, 'Request Timeout', 'request was not received in time', 'no',
+    ),
+    'body-too-large': Reason(
+        413, 'Content Too Large', 'body of the request is too large', 'no',
+    ),
+    'head-too-large': Reason(
+        431, 'Request Header Fields Too Large',
+        'headers of the request are too large', 'no',
+    ),
+    'not-supported': Reason(
+        501, 'Not Implemented', 'transfer coding is not supported', 'no',
+    ),
     'key-missing': Reason(401, 'Unauthorized', 'a key is needed', 'no'),
     'key-unknown': Reason(401, 'Unauthorized', 'key is not granted', 'no'),
     'no-route': Reason(404, 'Not Found', 'no route has this path', 'no'),
--- a/toucanhall/forwarding/server.py
+++ b/toucanhall/forwarding/server.py
@@ -4,6 +4,7 @@
 
 from waitress.server import create_server
 
+from toucanhall.forwarding.edge import Channel
 from toucanhall.forwarding.web import Application
 from toucanhall.settings import Settings
 
@@ -16,7 +17,7 @@
 def make_server(settings: Settings, application: Application) -> Any:
     """Return a server that listens on the callers' port of this VM."""
     bounds = settings.bounds
-    return create_server(
+    server: Any = create_server(
         application,
         listen=f'{settings.address}:{settings.caller_port}',
         threads=bounds.threads,
@@ -24,7 +25,7 @@
         max_request_header_size=bounds.header_bytes,
         max_request_body_size=bounds.body_bytes,
         channel_timeout=bounds.idle_seconds,
-        inbuf_overflow=_BUFFER_BYTES,
+        inbuf_overflow=max(_BUFFER_BYTES, bounds.body_bytes + 1),
         outbuf_overflow=_BUFFER_BYTES,
         outbuf_high_watermark=_HIGH_WATERMARK,
         connection_limit=1000,
@@ -32,3 +33,5 @@
         asyncore_use_poll=True,
         log_socket_errors=False,
     )
+    server.channel_class = Channel
+    return server
