Take a hop's refusal for 'not run' only when the other VM signed it

A refusal of another entry VM carries a sealed word for the id of the request; without it the hop counts as sent. Process tests: whole answers and hidden keys.

--- /dev/null
+++ b/tests/processes/test_answers.py
@@ -0,0 +1,163 @@
+"""Tests of whole answers and hidden keys through real processes."""
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import urllib3
+
+from standins.fleet import Fleet, wait_until
+
+EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+LARGE_BYTES = 20971520
+
+
+@pytest.fixture(scope='module', name='fleet')
+def start_fleet() -> Iterator[Fleet]:
+    """Start a relayed fleet with a catalogue in force."""
+    fleet = Fleet(catalogue=EXAMPLE, relayed=True)
+    try:
+        fleet.start()
+        fleet.apply()
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+@pytest.fixture(scope='module', name='key')
+def grant_key(fleet: Fleet) -> str:
+    """Grant a key that works on the first VM."""
+    at = f'--at={fleet.vms[0].url}'
+    done = fleet.run_command('key-grant', 'answers', '--team=hostels', at)
+    key = json.loads(done.stdout)['key']
+    for vm in fleet.vms:
+        wait_until(
+            lambda vm=vm: ask(fleet, '/feed/x', key, vm=vm).status == 200,
+            f'key on {vm.name}',
+        )
+    return key
+
+
+def ask(fleet, path, key='', method='GET', vm=None, body=None, headers=()):
+    """Send one request to an entry VM, the first if none is named."""
+    headers = dict(headers)
+    if key:
+        headers['X-Api-Key'] = key
+    vm = vm or fleet.vms[0]
+    return fleet.http.request(
+        method, f'{vm.url}{path}', headers=headers, body=body,
+    )  # fmt: skip
+
+
+def find_run(fleet, mark):
+    """Return the journal entry of the request with a mark in its path."""
+    return next(run for run in fleet.read_journals() if mark in run['path'])
+
+
+@pytest.mark.parametrize('method', ['POST', 'PUT', 'PATCH', 'DELETE'])
+def test_methods_and_bodies_arrive_unchanged(fleet, method):
+    body = bytes(range(256)) * 40
+    path = f'/tours/{method}?a=%2F+x&b=&&c'
+    answer = ask(fleet, path, method=method, body=body)
+    assert answer.json()['method'] == method
+    assert answer.json()['path'] == path
+    assert answer.json()['body'].encode('latin-1') == body
+
+
+def test_large_answer_comes_whole(fleet):
+    answer = ask(fleet, '/tours/x?large=1')
+    assert answer.headers['Content-Length'] == str(LARGE_BYTES)
+    assert answer.data == bytes(LARGE_BYTES)
+
+
+def test_validators_and_head(fleet):
+    tag = ask(fleet, '/tours/x').headers['ETag']
+    same = ask(fleet, '/tours/x', headers={'If-None-Match': tag})
+    assert (same.status, same.data) == (304, b'')
+    assert same.headers['ETag'] == tag
+    head = ask(fleet, '/tours/x', method='HEAD')
+    assert head.status == 200
+    assert int(head.headers['Content-Length']) > 0
+
+
+def test_cut_answer_is_asked_for_elsewhere(fleet):
+    fleet.switch_target('guide-1', mode='cut')
+    try:
+        wait_until(
+            lambda: ask(fleet, '/tours/cut').status == 200,
+            'another zone asked',
+        )
+        answer = ask(fleet, '/tours/cut')
+    finally:
+        fleet.switch_target('guide-1', mode='well')
+    assert answer.json()['target'] != 'guide-1'
+
+
+def test_cut_stream_has_no_clean_end(fleet):
+    """The target dies while the caller has not read its large answer."""
+    answer = fleet.http.request(
+        'GET',
+        f'{fleet.vms[1].url}/tours/x?large=1',
+        preload_content=False,
+    )
+    answer.read(1)
+    fleet.kill('guide-2')
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        answer.read()
+    fleet.start_target('guide-2')
+
+
+def test_hop_that_was_refused_goes_elsewhere(fleet, key):
+    """The first two zones have no target, and the second VM says so."""
+    fleet.kill('feed-1')
+    fleet.kill('feed-2')
+    try:
+        answer = ask(fleet, '/feed/x', key, method='POST')
+    finally:
+        fleet.start_target('feed-1')
+        fleet.start_target('feed-2')
+    assert answer.status == 200
+    assert answer.json()['target'] in {'feed-3', 'feed-4', 'feed-5', 'feed-6'}
+
+
+def test_key_reaches_no_target_by_a_hop(fleet, key):
+    fleet.kill('feed-1')
+    twice = key.replace(key[0], f'%25{ord(key[0]):x}')
+    try:
+        answer = ask(
+            fleet,
+            f'/feed/hopped?key={key}&a={key}&b={twice}&c=1',
+            key,
+            headers={'Cookie': f'session={key}', 'Forwarded': f'for={key}'},
+        )
+    finally:
+        fleet.start_target('feed-1')
+    run = find_run(fleet, '/feed/hopped')
+    assert run['target'] == answer.json()['target']
+    assert run['target'] != 'feed-1'
+    assert run['path'] == '/feed/hopped?c=1'
+    assert not {'Cookie', 'Forwarded', 'Toucanhall-Hop'} & run['headers'].keys()
+
+
+def test_key_is_in_no_journal_log_or_refusal(fleet, key):
+    refusals = [
+        ask(fleet, f'/feed/{key}', key),
+        ask(fleet, f'/feed/%{ord(key[0]):x}{key[1:]}', key),
+        ask(fleet, f'/nowhere/{key}?key={key}', key),
+        ask(fleet, f'/feed/../{key}', key),
+        ask(fleet, '/feed/x', f'{key}-withdrawn'),
+    ]
+    assert all(answer.status in {400, 401, 404} for answer in refusals)
+    told = [answer.data.decode() for answer in refusals]
+    logs = [fleet.read_log(vm.name) for vm in fleet.vms]
+    ran = [json.dumps(run) for run in fleet.read_journals()]
+    assert not any(key in text for text in (*told, *logs, *ran))
+
+
+def test_callers_cannot_speak_as_an_entry_vm(fleet):
+    ask(fleet, '/tours/spoof', headers={'Toucanhall-Request-Id': 'spoofed'})
+    run = find_run(fleet, '/tours/spoof')
+    assert 'spoofed' not in json.dumps(run)
+    forged = ask(fleet, '/tours/x', headers={'Toucanhall-Hop': 'forged'})
+    assert forged.json()['reason'] == 'bad-request'
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -12,7 +12,7 @@
 from toucanhall.forwarding.dispatch import ID_HEADER, SendError
 from toucanhall.forwarding.headers import drop_own
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
-from toucanhall.forwarding.problems import Refusal, refuse
+from toucanhall.forwarding.problems import RAN_HEADER, Refusal, refuse
 from toucanhall.forwarding.records import Answer, Request, find_header
 from toucanhall.idempotency import may_send
 from toucanhall.steering import Choice, Terrain, rank
@@ -85,21 +85,27 @@
     if not isinstance(sent, Success):
         parts.loads.finish(choice.name, healthy=False)
         return sent
-    answer = _take_answer(sent.unwrap(), is_hop=choice.is_hop)
-    if choice.is_hop and find_header(answer.headers, 'toucanhall-ran') == 'no':
+    answer = sent.unwrap()
+    if choice.is_hop and find_header(answer.headers, RAN_HEADER.lower()):
         parts.loads.finish(choice.name, healthy=True)
         close_body(answer.body)
-        return Failure(
-            SendError(choice.address, sent=False, what='refused by entry VM'),
-        )
+        return Failure(_read_hop_refusal(parts, job, choice, answer))
+    if not choice.is_hop:
+        answer = answer._replace(headers=drop_own(answer.headers))
     body = _settle_after(parts, choice, answer)
     return Success(answer._replace(body=body))
 
 
-def _take_answer(answer: Answer, *, is_hop: bool) -> Answer:
-    if is_hop:
-        return answer
-    return answer._replace(headers=drop_own(answer.headers))
+def _read_hop_refusal(
+    parts: Parts,
+    job: Job,
+    choice: Choice,
+    answer: Answer,
+) -> SendError:
+    token = find_header(answer.headers, hops.HOP_HEADER)
+    secret = parts.identity.secret
+    is_sent = not hops.is_disclaimed(secret, token, job.request_id)
+    return SendError(choice.address, sent=is_sent, what='refused by entry VM')
 
 
 def _settle_after(
--- a/toucanhall/forwarding/hops.py
+++ b/toucanhall/forwarding/hops.py
@@ -2,18 +2,28 @@
 
 import base64
 import binascii
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from toucanhall.transport import FrameError, seal, unseal
+from toucanhall.transport import Envelope, FrameError, seal, unseal
 from toucanhall.transport.exchange import Identity
 
-__all__ = ('HOP_HEADER', 'Hop', 'make_token', 'read_token')
+__all__ = (
+    'HOP_HEADER',
+    'Disclaimer',
+    'Hop',
+    'is_disclaimed',
+    'make_disclaimer',
+    'make_token',
+    'read_token',
+)
 
 HOP_HEADER: Final = 'toucanhall-hop'
 
+_Record = TypeVar('_Record')
+
 
 class Hop(NamedTuple):
     """What the first VM decided, and the seconds left for the request."""
@@ -26,6 +36,27 @@
     seconds: float
 
 
+class Disclaimer(NamedTuple):
+    """An entry VM's word that it did not run a request and will not."""
+
+    request_id: str
+
+
+def make_disclaimer(identity: Identity, request_id: str) -> str:
+    """Return the authenticated header value of a disclaimer."""
+    disclaimer = Disclaimer(request_id)
+    frame = seal(identity.secret, identity.vm, identity.start, disclaimer)
+    return base64.urlsafe_b64encode(frame).decode()
+
+
+def is_disclaimed(secret: bytes, token: str, request_id: str) -> bool:
+    """Return whether a header value truly disclaims a request."""
+    opened = _open(secret, token).bind(
+        lambda envelope: _decode(envelope.kind, envelope.body, Disclaimer),
+    )
+    return opened == Success(Disclaimer(request_id))
+
+
 def make_token(identity: Identity, hop: Hop) -> str:
     """Return the authenticated header value of a hop."""
     frame = seal(identity.secret, identity.vm, identity.start, hop)
@@ -34,19 +65,27 @@
 
 def read_token(secret: bytes, token: str) -> Result[Hop, FrameError]:
     """Check a header value and return the hop that it carries."""
+    return _open(secret, token).bind(
+        lambda envelope: _decode(envelope.kind, envelope.body, Hop),
+    )
+
+
+def _open(secret: bytes, token: str) -> Result[Envelope, FrameError]:
     try:
         frame = base64.urlsafe_b64decode(token.encode())
     except (binascii.Error, ValueError) as error:
         return Failure(FrameError('damaged', str(error)))
-    return unseal(secret, frame).bind(
-        lambda envelope: _read_hop(envelope.kind, envelope.body),
-    )
+    return unseal(secret, frame)
 
 
-def _read_hop(kind: str, body: msgspec.Raw) -> Result[Hop, FrameError]:
-    if kind != Hop.__name__:
+def _decode(
+    kind: str,
+    body: msgspec.Raw,
+    record: type[_Record],
+) -> Result[_Record, FrameError]:
+    if kind != record.__name__:
         return Failure(FrameError('unknown', kind))
     try:
-        return Success(msgspec.msgpack.decode(body, type=Hop))
+        return Success(msgspec.msgpack.decode(body, type=record))
     except msgspec.MsgspecError as error:
         return Failure(FrameError('damaged', str(error)))
--- a/toucanhall/forwarding/pipeline.py
+++ b/toucanhall/forwarding/pipeline.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from toucanhall import events
+from toucanhall.forwarding import hops
 from toucanhall.forwarding.admission import admit
 from toucanhall.forwarding.attempts import forward
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
@@ -58,7 +59,21 @@
         reason=refusal.reason,
         detail=refusal.detail,
     )
-    return render(refusal)
+    return _disclaim(parts, request, refusal)
+
+
+def _disclaim(parts: Parts, request: Request, refusal: Refusal) -> Answer:
+    """Render a refusal; tell the VM that sent a hop if it did not run."""
+    answer = render(refusal)
+    token = find_header(request.headers, hops.HOP_HEADER)
+    if REASONS[refusal.reason].ran != NOT_RUN or not token:
+        return answer
+    opened = hops.read_token(parts.identity.secret, token)
+    if not isinstance(opened, Success):
+        return answer
+    word = hops.make_disclaimer(parts.identity, opened.unwrap().request_id)
+    headers = (*answer.headers, (hops.HOP_HEADER, word))
+    return answer._replace(headers=headers)
 
 
 def _serve(parts: Parts, request: Request) -> Result[Answer, Refusal]:
