Answer a refusal before the claim is given back, and owe nothing when down

A refused booking waited for its release to be written: up to six seconds with a silent store. The release is now owed and written by the next round; a claim whose writes all certainly failed owes none.

--- a/toucanhall/idempotency/attempt.py
+++ b/toucanhall/idempotency/attempt.py
@@ -36,13 +36,17 @@
 
 
 class Attempt(NamedTuple):
-    """One VM's attempt: its claim and the version its next write expects."""
+    """One VM's attempt: its claim and the version its next write expects.
+
+    `is_loose` says that a write got no reply and may still take effect.
+    """
 
     claim: Claim
     give_up_at: float
     stage: Stage = Stage.WRITING
     expected: int = ABSENT
     tries: int = _TRIES
+    is_loose: bool = False
 
 
 def may_send(give_up_at: float, now: float) -> bool:
--- a/toucanhall/idempotency/keeper.py
+++ b/toucanhall/idempotency/keeper.py
@@ -10,7 +10,7 @@
 from toucanhall.idempotency import messages, protocol
 from toucanhall.idempotency.attempt import Attempt, Verdict
 from toucanhall.idempotency.claims import Claim, Found, Outcome
-from toucanhall.idempotency.protocol import Moved
+from toucanhall.idempotency.messages import Moved
 from toucanhall.platform import (
     Ambiguous,
     Client,
--- a/toucanhall/idempotency/messages.py
+++ b/toucanhall/idempotency/messages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, TypeAlias
 
-from toucanhall.idempotency.attempt import Verdict
+from toucanhall.idempotency.attempt import Attempt, Verdict
 from toucanhall.idempotency.claims import Claim, Found, Outcome
 
 __all__ = (
@@ -16,6 +16,7 @@
     'Later',
     'Look',
     'Lost',
+    'Moved',
     'Ready',
     'Retry',
     'Seen',
@@ -107,3 +108,10 @@
 RequestEvent: TypeAlias = Ready | Unsent | Disclaimed | Answered | Failed
 Event: TypeAlias = StoreEvent | RequestEvent
 Effect: TypeAlias = Write | Look | Send | Tell | Later
+
+
+class Moved(NamedTuple):
+    """The state after an event, and what is to be done now."""
+
+    attempt: Attempt
+    effects: tuple[Effect, ...] = ()
--- a/toucanhall/idempotency/protocol.py
+++ b/toucanhall/idempotency/protocol.py
@@ -1,21 +1,15 @@
 """The life of one claim as pure steps of state, event and time."""
 
 from collections.abc import Callable, Mapping
-from typing import Any, Final, NamedTuple, TypeAlias
+from typing import Any, Final, TypeAlias
 
 from toucanhall.idempotency import messages
 from toucanhall.idempotency.attempt import Attempt, Stage, Verdict, may_send
 from toucanhall.idempotency.claims import Claim, Standing, judge
+from toucanhall.idempotency.messages import Moved
 from toucanhall.platform.model import ABSENT
 
-__all__ = ('Moved', 'start', 'step')
-
-
-class Moved(NamedTuple):
-    """The state after an event, and what is to be done now."""
-
-    attempt: Attempt
-    effects: tuple[messages.Effect, ...] = ()
+__all__ = ('start', 'step')
 
 
 def start(claim: Claim, give_up_at: float) -> Moved:
@@ -38,7 +32,7 @@
 def _hold(attempt: Attempt, version: int, now: float) -> Moved:
     held = attempt._replace(stage=Stage.HELD, expected=version)
     if not may_send(attempt.give_up_at, now):
-        return _release(held, Verdict.LATE, now)
+        return _release(held, Verdict.LATE)
     return Moved(held, (messages.Tell(Verdict.MINE, attempt.claim),))
 
 
@@ -52,6 +46,14 @@
     return Moved(attempt._replace(stage=Stage.READING), (messages.Look(),))
 
 
+def _settle_lost(
+    attempt: Attempt,
+    event: messages.Event,
+    now: float,
+) -> Moved:
+    return _look(attempt._replace(is_loose=True), event, now)
+
+
 def _settle(attempt: Attempt, event: messages.Seen, now: float) -> Moved:
     found = event.found
     if found is None:
@@ -72,20 +74,32 @@
 def _write_again(attempt: Attempt, expected: int, now: float) -> Moved:
     seen = attempt._replace(expected=expected)
     if not may_send(attempt.give_up_at, now):
-        return _release(seen, Verdict.LATE, now)
+        return _forgo(seen, Verdict.LATE)
     if attempt.tries <= 1:
-        return _release(seen, Verdict.UNCLAIMED, now)
+        return _forgo(seen, Verdict.UNCLAIMED)
     again = seen._replace(stage=Stage.WRITING, tries=attempt.tries - 1)
     return Moved(again, (messages.Write(attempt.claim, expected),))
 
 
-def _abandon(attempt: Attempt, _event: messages.Event, now: float) -> Moved:
-    return _release(attempt, Verdict.UNCLAIMED, now)
+def _abandon(
+    attempt: Attempt,
+    _event: messages.Event,
+    _now: float,
+) -> Moved:
+    return _forgo(attempt, Verdict.UNCLAIMED)
+
+
+def _forgo(attempt: Attempt, verdict: Verdict) -> Moved:
+    """Give up a claim that does not stand, unless a write may make it."""
+    if attempt.is_loose:
+        return _release(attempt, verdict)
+    ended = attempt._replace(stage=Stage.ENDED)
+    return Moved(ended, (messages.Tell(verdict, attempt.claim),))
 
 
 def _make_ready(attempt: Attempt, _event: messages.Event, now: float) -> Moved:
     if not may_send(attempt.give_up_at, now):
-        return _release(attempt, Verdict.LATE, now)
+        return _release(attempt, Verdict.LATE)
     return Moved(attempt._replace(stage=Stage.SENT), (messages.Send(),))
 
 
@@ -93,10 +107,12 @@
     return Moved(attempt._replace(stage=Stage.HELD))
 
 
-def _release(attempt: Attempt, verdict: Verdict, now: float) -> Moved:
-    told = messages.Tell(verdict, attempt.claim)
-    moved = _write_release(attempt, messages.Unsent(), now)
-    return moved._replace(effects=(told, *moved.effects))
+def _release(attempt: Attempt, verdict: Verdict) -> Moved:
+    """Answer first; the release is written when the caller is gone."""
+    return Moved(
+        attempt._replace(stage=Stage.RELEASING),
+        (messages.Tell(verdict, attempt.claim), messages.Later()),
+    )
 
 
 def _write_release(
@@ -139,26 +155,27 @@
     )
 
 
-def _put_off_release(
-    attempt: Attempt, _event: messages.Event, _now: float
+def _put_off(
+    attempt: Attempt,
+    _event: messages.Event,
+    _now: float,
 ) -> Moved:
-    return Moved(attempt._replace(stage=Stage.RELEASING), (messages.Later(),))
-
-
-def _put_off(attempt: Attempt, _event: messages.Event, _now: float) -> Moved:
-    return Moved(attempt, (messages.Later(),))
+    stage = _AFTER_PUT_OFF.get(attempt.stage, attempt.stage)
+    return Moved(attempt._replace(stage=stage), (messages.Later(),))
 
 
 def _end(attempt: Attempt, _event: messages.Event, _now: float) -> Moved:
     return Moved(attempt._replace(stage=Stage.ENDED))
 
 
+_AFTER_PUT_OFF: Final = {Stage.CHECKING: Stage.RELEASING}
+
 _Move: TypeAlias = Callable[[Attempt, Any, float], Moved]
 
 _MOVES: Final[Mapping[tuple[Stage, type[Any]], _Move]] = {
     (Stage.WRITING, messages.Written): _take_written,
     (Stage.WRITING, messages.Conflicted): _look,
-    (Stage.WRITING, messages.Lost): _look,
+    (Stage.WRITING, messages.Lost): _settle_lost,
     (Stage.WRITING, messages.Down): _abandon,
     (Stage.READING, messages.Seen): _settle,
     (Stage.READING, messages.Down): _abandon,
@@ -178,5 +195,5 @@
     (Stage.RELEASING, messages.Down): _put_off,
     (Stage.RELEASING, messages.Retry): _write_release,
     (Stage.CHECKING, messages.Seen): _release_seen,
-    (Stage.CHECKING, messages.Down): _put_off_release,
+    (Stage.CHECKING, messages.Down): _put_off,
 }
