--- a/toucanhall/forwarding/problems.py
+++ b/toucanhall/forwarding/problems.py
@@ -9,6 +9,7 @@
 from toucanhall.forwarding.records import Answer
 
 __all__ = (
+    'NOT_RUN',
     'REASONS',
     'RAN_HEADER',
     'Refusal',
@@ -18,6 +19,7 @@
 )
 
 RAN_HEADER: Final = 'Toucanhall-Ran'
+NOT_RUN: Final = 'no'
 
 
 class Reason(NamedTuple):
@@ -31,12 +33,28 @@
 
 REASONS: Final = {
     'bad-request': Reason(400, 'Bad Request', 'request is malformed', 'no'),
+    'too-slow': Reason(
+        408, 'Request Timeout', 'request was not received in time', 'no',
+    ),
+    'body-too-large': Reason(
+        413, 'Content Too Large', 'body of the request is too large', 'no',
+    ),
+    'head-too-large': Reason(
+        431, 'Request Header Fields Too Large',
+        'headers of the request are too large', 'no',
+    ),
+    'not-supported': Reason(
+        501, 'Not Implemented', 'transfer coding is not supported', 'no',
+    ),
     'key-missing': Reason(401, 'Unauthorized', 'a key is needed', 'no'),
     'key-unknown': Reason(401, 'Unauthorized', 'key is not granted', 'no'),
     'no-route': Reason(404, 'Not Found', 'no route has this path', 'no'),
     'claim-open': Reason(
         409, 'Conflict', 'a request with this key was started', 'maybe',
     ),
+    'claim-done': Reason(
+        409, 'Conflict', 'a request with this key has run', 'maybe',
+    ),
     'claim-mismatch': Reason(
         422, 'Unprocessable Content',
         'this idempotency key was used for another request', 'no',
@@ -55,6 +73,12 @@
         503, 'Service Unavailable', 'the store cannot be reached', 'no',
     ),
     'deadline': Reason(504, 'Gateway Timeout', 'deadline has passed', 'no'),
+    'target-late': Reason(
+        504, 'Gateway Timeout', 'no whole answer before the deadline', 'maybe',
+    ),
+    'internal': Reason(
+        500, 'Internal Server Error', 'the entry VM failed', 'maybe',
+    ),
 }  # fmt: skip
 
 
