Read folded headers, keep the request id, and count the largest body in

A folded header of an answer broke the answer; a caller could name the request id in its Connection header and so have it dropped; a body of exactly the largest size was refused.

--- a/tests/unit/test_forwarding_dispatch.py
+++ b/tests/unit/test_forwarding_dispatch.py
@@ -3,6 +3,9 @@
 import socket
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Success
 
 from tests.builders import make_request
 from tests.scripted import (
@@ -168,3 +171,44 @@
         address = f'127.0.0.1:{closed.getsockname()[1]}'
     sent = Dispatcher().send(address, make_request(), SECONDS, fresh=True)
     assert not sent.failure().sent
+
+
+def test_folded_header_comes_on_one_line():
+    with start_target(make_answer('X-Long: a\r\n b')) as target:
+        headers = send(Dispatcher(), target).unwrap().headers
+    assert headers[-1] == ('X-Long', 'a b')
+
+
+def test_caller_cannot_drop_the_request_id():
+    request = make_request(headers=(('Connection', ID[0]), ID))
+    with start_target(make_answer()) as target:
+        Dispatcher().send(target.address, request, SECONDS, fresh=True)
+        assert f'{ID[0]}: own' in target.requests[0]
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(min_size=1, max_size=40),
+            st.sampled_from(
+                [
+                    b'HTTP/1.1 200 OK\r\n',
+                    b'HTTP/1.1 103 \r\n\r\n',
+                    b'Content-Length: 3\r\n',
+                    b'Content-Length: \xb2\r\n',
+                    b'Transfer-Encoding: chunked\r\n',
+                    b'\r\n',
+                    b'-3\r\nabc\r\n',
+                ]
+            ),
+        ),
+        min_size=1,
+        max_size=8,
+    )
+)
+def test_no_answer_crashes_the_dispatcher(parts):
+    with start_target(b''.join(parts), closes=True) as target:
+        sent = send(Dispatcher(), target, fresh=True)
+        if not isinstance(sent, Success):
+            assert sent.failure().sent
--- a/tests/unit/test_forwarding_edge.py
+++ b/tests/unit/test_forwarding_edge.py
@@ -6,13 +6,19 @@
 from contextlib import contextmanager
 
 import pytest
+from freezegun import freeze_time
 from hypothesis import given
 from hypothesis import strategies as st
 from waitress.adjustments import Adjustments
 
 from tests.builders import make_settings_text
 from toucanhall import settings
-from toucanhall.forwarding.edge import Parser, check_head, check_target
+from toucanhall.forwarding.edge import (
+    Channel,
+    Parser,
+    check_head,
+    check_target,
+)
 from toucanhall.forwarding.records import Answer
 from toucanhall.forwarding.server import make_server
 from toucanhall.forwarding.web import make_application
@@ -163,6 +169,38 @@
         assert reader.read().endswith(b'\r\n\r\n')
 
 
+class QuietServer:
+    """What a channel needs of its server."""
+
+    def __init__(self):
+        """Start with no task."""
+        self.active_channels = {}
+        self.tasks = []
+        self.add_task = self.tasks.append
+
+
+def test_request_that_trickles_is_refused():
+    server = QuietServer()
+    near, far = socket.socketpair()
+    with far, freeze_time() as clock:
+        channel = Channel(server, near, ('', 0), Adjustments(), map={})
+        channel.received(b'GET / HTTP/1.1\r\n')
+        clock.tick(20)
+        channel.received(b'Host: a\r\n')
+        assert not server.tasks
+        clock.tick(20)
+        channel.received(b'X-A: a\r\n')
+        assert channel.requests[0].error.code == 408
+        assert server.tasks == [channel]
+        channel.handle_close()
+
+
+def test_body_of_the_largest_size_passes(address):
+    text = f'{POST}Content-Length: 1000\r\nConnection: close\r\n\r\n'
+    with send(address, text + 'a' * 1000) as reader:
+        assert reader.read().endswith(b'a' * 1000)
+
+
 HEADS = st.one_of(
     st.binary(max_size=300),
     st.lists(
--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -14,6 +14,7 @@
     check_framing,
     drop_hop_by_hop,
     make_heads,
+    unfold,
 )
 from toucanhall.forwarding.lines import (
     FinalResponse,
@@ -35,7 +36,7 @@
 # An open connection may be silent for this part of the time that is left.
 _SILENT_PART: Final = 0.25
 _SILENT_PART_WHEN_NEW: Final = 0.5
-_BROKEN: Final = (OSError, HTTPException)
+_BROKEN: Final = (OSError, HTTPException, ValueError)
 
 
 class SendError(NamedTuple):
@@ -131,7 +132,7 @@
         return Answer(
             response.status,
             response.reason or '',
-            drop_hop_by_hop(tuple(response.headers.items())),
+            drop_hop_by_hop(unfold(tuple(response.headers.items()))),
             self._read_body(address, line, response),
         )
 
--- a/toucanhall/forwarding/edge.py
+++ b/toucanhall/forwarding/edge.py
@@ -57,7 +57,7 @@
         return 'target is not a path'
     if '#' in target:
         return 'target has a fragment'
-    for form in (path, unquote(path), unquote(unquote(path))):
+    for form in _decode(path):
         if any(mark in form.lower() for mark in _SLASHES):
             return 'path has an encoded slash or a backslash'
         if _DOTS & set(form.split('/')):
@@ -67,6 +67,13 @@
     return ''
 
 
+def _decode(path: str) -> tuple[str, ...]:
+    if '%' not in path:
+        return (path,)
+    once = unquote(path)
+    return path, once, unquote(once)
+
+
 def _check_lines(first: bytes, lines: list[bytes]) -> str:
     if any(line[:1] in {b' ', b'\t'} for line in lines):
         return 'a header is folded'
--- a/toucanhall/forwarding/headers.py
+++ b/toucanhall/forwarding/headers.py
@@ -12,6 +12,7 @@
     'drop_hop_by_hop',
     'drop_own',
     'make_heads',
+    'unfold',
 )
 
 _HOP_BY_HOP: Final = frozenset(
@@ -28,7 +29,7 @@
         'upgrade',
     )
 )
-_FRAMING: Final = frozenset(('content-length', 'expect'))
+_FRAMING: Final = _HOP_BY_HOP | {'content-length', 'expect'}
 _OWN_PREFIX: Final = 'toucanhall-'
 _BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
 _DEFECTS: Final = (
@@ -43,11 +44,7 @@
 
 def make_heads(request: Request, address: str) -> Headers:
     """Return the headers of a request as they are sent to an address."""
-    kept = tuple(
-        entry
-        for entry in drop_hop_by_hop(request.headers)
-        if entry[0].lower() not in _FRAMING
-    )
+    kept = _drop(request.headers, _FRAMING)
     if not any(name.lower() == 'host' for name, _ in kept):
         kept = (('Host', address), *kept)
     if request.body or request.method in _BODY_METHODS:
@@ -57,14 +54,27 @@
 
 def drop_hop_by_hop(headers: Headers) -> Headers:
     """Return the headers without those that hold for one connection."""
+    return _drop(headers, _HOP_BY_HOP)
+
+
+def _drop(headers: Headers, dropped: frozenset[str]) -> Headers:
     named = {
         token.strip().lower()
         for name, content in headers
         if name.lower() == 'connection'
         for token in content.split(',')
+        if not token.strip().lower().startswith(_OWN_PREFIX)
     }
-    dropped = _HOP_BY_HOP | named
-    return tuple(entry for entry in headers if entry[0].lower() not in dropped)
+    every = dropped | named if named else dropped
+    return tuple(entry for entry in headers if entry[0].lower() not in every)
+
+
+def unfold(headers: Headers) -> Headers:
+    """Return the headers with folded values on one line each."""
+    return tuple(
+        (name, ' '.join(content.split()) if '\n' in content else content)
+        for name, content in headers
+    )
 
 
 def drop_own(headers: Headers) -> Headers:
--- a/toucanhall/forwarding/server.py
+++ b/toucanhall/forwarding/server.py
@@ -23,7 +23,7 @@
         threads=bounds.threads,
         ident='toucanhall',
         max_request_header_size=bounds.header_bytes,
-        max_request_body_size=bounds.body_bytes,
+        max_request_body_size=bounds.body_bytes + 1,
         channel_timeout=bounds.idle_seconds,
         inbuf_overflow=max(_BUFFER_BYTES, bounds.body_bytes + 1),
         outbuf_overflow=_BUFFER_BYTES,
