Name a claim by the request's path, so that a revision cannot free it

The name held the route's path. After a revision that split the route, a repeat found no claim and ran a second time; the test shows it. A planned stop now writes what is owed to the store before it ends.

--- /dev/null
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -0,0 +1,150 @@
+"""Tests of the request path with a scripted target and a store in memory."""
+
+import json
+
+import pytest
+from returns.result import Failure, Success
+
+from tests.builders import make_document, make_request
+from tests.scripted import make_answer, start_target
+from toucanhall.catalogue.reading import revise
+from toucanhall.counters import Counters
+from toucanhall.forwarding import Parts, serve
+from toucanhall.forwarding.credentials import digest_key
+from toucanhall.forwarding.dispatch import Dispatcher
+from toucanhall.idempotency import Keeper
+from toucanhall.platform import Conflict, Stored
+from toucanhall.steering import Loads
+from toucanhall.transport.exchange import Identity
+
+KEY = 'open-sesame'
+
+
+class Shelf:
+    """Objects by name with versions."""
+
+    def __init__(self):
+        """Start empty."""
+        self.shelved = {}
+
+    def read(self, name):
+        """Return an object."""
+        return Success(self.shelved.get(name, Stored(name, 0, b'')))
+
+    def write(self, name, content, expected):
+        """Write an object if its version is the expected one."""
+        if self.read(name).unwrap().version != expected:
+            return Failure(Conflict(name, expected))
+        self.shelved[name] = Stored(name, expected + 1, content)
+        return Success(expected + 1)
+
+
+class Free:
+    """Limits that admit everything."""
+
+    def admit(self, _team):
+        """Admit a request of any team."""
+
+
+class Held:
+    """The revision in force."""
+
+    def __init__(self, current):
+        """Hold a revision."""
+        self.current = current
+
+
+def make_held(target, routes=None):
+    """Return a revision in force with one target and one key."""
+    document = make_document()
+    entry = document['targets']['guide-1'] | {'address': target.address}
+    document['targets'] = {'guide-1': entry}
+    digest = digest_key(KEY)
+    document['keys'] = {'k': {'team': 'hostels', 'digest': digest}}
+    document['routes'] = routes or document['routes']
+    return Held(revise(1, 'c', json.dumps(document).encode()).unwrap())
+
+
+def make_parts(held):
+    """Return the state of the request path of one VM."""
+    return Parts(
+        identity=Identity('north-a-1', 's', b'x'),
+        zone='north-a',
+        holder=held,
+        ledger=Free(),
+        loads=Loads(),
+        keeper=Keeper(platform=Shelf()),
+        dispatcher=Dispatcher(),
+        counters=Counters(host='', port=0),
+        list_hops=tuple,
+    )
+
+
+def book(parts, seat='', path='/bookings/vip'):
+    """Book at a path, with an idempotency key if one is named."""
+    headers = [('X-Api-Key', KEY)]
+    if seat:
+        headers.append(('Idempotency-Key', seat))
+    request = make_request(
+        method='POST', target=path, path=path, headers=tuple(headers),
+    )  # fmt: skip
+    return serve(parts, request)
+
+
+def test_repeat_after_a_revision_of_the_routes_runs_once():
+    with start_target(make_answer(), make_answer(body=b'second')) as target:
+        held = make_held(target)
+        parts = make_parts(held)
+        first = book(parts, 'seat')
+        route = make_document()['routes'][1] | {'path': '/bookings/vip'}
+        held.current = make_held(target, [route]).current
+        again = book(parts, 'seat')
+        assert tuple(again.body) == tuple(first.body)
+        assert len(target.requests) == 1
+
+
+def test_request_without_idempotency_key_is_one_of_its_own():
+    cut = make_answer('Content-Length: 9')
+    with start_target(cut, make_answer(), closes=True) as target:
+        parts = make_parts(make_held(target))
+        assert dict(book(parts).headers)['Toucanhall-Ran'] == 'maybe'
+        assert len(target.requests) == 1
+        assert book(parts).status == 200
+
+
+def test_target_cannot_speak_as_an_entry_vm():
+    with start_target(make_answer('Toucanhall-Ran: no')) as target:
+        answer = book(make_parts(make_held(target)), 'seat')
+        assert 'Toucanhall-Ran' not in dict(answer.headers)
+
+
+def test_safe_request_that_was_sent_is_not_called_unsent():
+    """The target cuts the first answer and then is gone."""
+    with start_target(make_answer('Content-Length: 9'), closes=True) as target:
+        parts = make_parts(make_held(target))
+        refused = serve(parts, make_request())
+        assert dict(refused.headers)['Toucanhall-Ran'] == 'maybe'
+
+
+@pytest.mark.parametrize(
+    'path', [f'/bookings/{KEY}', '/bookings/open%2Dsesame']
+)
+def test_key_in_the_path_is_refused(path):
+    with start_target() as target:
+        answer = book(make_parts(make_held(target)), path=path)
+        assert answer.status == 400
+        assert not target.requests
+
+
+def test_crash_is_a_refusal_without_the_callers_text(monkeypatch, caplog):
+    with start_target() as target:
+        parts = make_parts(make_held(target))
+
+        def crash(*_arguments, **_options):
+            raise KeyError(KEY)
+
+        monkeypatch.setattr(parts.dispatcher, 'send', crash)
+        answer = book(parts)
+        assert answer.status == 500
+        assert dict(answer.headers)['Toucanhall-Ran'] == 'maybe'
+        assert KEY not in caplog.text
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -246,6 +246,7 @@
 
     def _finish(self, server: Any) -> None:
         server.task_dispatcher.shutdown(cancel_pending=False)
+        self._parts.keeper.settle()
         self._membership.stop()
         self._spread.stop()
         self._exchange.stop()
--- a/toucanhall/forwarding/pipeline.py
+++ b/toucanhall/forwarding/pipeline.py
@@ -91,7 +91,7 @@
     key = find_header(job.request.headers, 'idempotency-key')
     if job.is_safe or job.is_hopped or not key:
         return forward(parts, job)
-    name = name_claim(job.caller.team, job.route.path, key)
+    name = name_claim(job.caller.team, job.request.path, key)
     digest = _digest_request(job.request)
     begun = parts.keeper.begin(name, digest, job.give_up_at)
     if begun.verdict is Verdict.MINE:
--- a/toucanhall/idempotency/claims.py
+++ b/toucanhall/idempotency/claims.py
@@ -62,6 +62,10 @@
 
 
 def name_claim(team: str, path: str, key: str) -> str:
-    """Return the name of the claim object of a team's idempotency key."""
+    """Return the name of the claim object of a team's idempotency key.
+
+    The path is that of the request: that of the route would change with a
+    revision of the catalogue, and a repeat after it would run again.
+    """
     text = '\0'.join((team, path, key))
     return f'claims/{hashlib.sha256(text.encode()).hexdigest()}'
