Never release a claim whose answer came at the deadline

The keeper looked at the clock again when it stored an outcome. The model did not see it because the fault lay in the events that the keeper posted; it has the matching broken variant now, and hops that truly did not run.

--- a/tests/models/test_claims_model.py
+++ b/tests/models/test_claims_model.py
@@ -60,7 +60,6 @@
 
     step: object = protocol.step
     digests: tuple = ('d', 'd')
-    start: object = protocol.start
 
 
 def list_steps(state, rules):
@@ -83,7 +82,7 @@
     """Yield what one claimant can do or meet."""
     if actor.attempt is None:
         if state.clock < DEADLINE:
-            moved = rules.start(Claim(name, digest), DEADLINE)
+            moved = protocol.start(Claim(name, digest), DEADLINE)
             short = moved.attempt._replace(tries=TRIES)
             yield 'starts', take(state, name, moved._replace(attempt=short))
         return
@@ -91,7 +90,18 @@
         return
     for label, after, event in list_events(state, actor):
         moved = rules.step(actor.attempt, event, state.clock)
-        yield label, take(after, name, moved)
+        yield label, note(take(after, name, moved), name, event)
+    if actor.attempt.stage is Stage.SENT:
+        unsent = put(state, name, actor._replace(sent=actor.sent - 1))
+        moved = rules.step(actor.attempt, messages.Disclaimed(), state.clock)
+        yield (
+            'is told by the other VM that it did not run',
+            take(
+                unsent,
+                name,
+                moved,
+            ),
+        )
 
 
 def list_events(state, actor):
@@ -130,6 +140,14 @@
     return state._replace(stored=found, version=version), True
 
 
+def note(state, name, event):
+    """Note that who gave up before sending tells the caller so."""
+    if not isinstance(event, messages.Unsent):
+        return state
+    actor = getattr(state, name)
+    return put(state, name, actor._replace(told=Verdict.UNCLAIMED))
+
+
 def forget(state):
     """Drop writes that can never land."""
     current = state.stored.version if state.stored else 0
@@ -234,6 +252,14 @@
     return protocol.step(attempt, event, now)
 
 
+def release_a_late_answer(attempt, event, now):
+    """Release a claim whose answer came after the deadline."""
+    if isinstance(event, messages.Answered) and now >= DEADLINE:
+        attempt = attempt._replace(stage=Stage.HELD)
+        event = messages.Unsent()
+    return protocol.step(attempt, event, now)
+
+
 def send_again(attempt, event, now):
     """Send again when no answer came."""
     if isinstance(event, messages.Failed):
@@ -265,6 +291,7 @@
         (trust_lost_write, 'at_most_once'),
         (skip_deadline, 'at_most_once'),
         (release_after_sending, 'at_most_once'),
+        (release_a_late_answer, 'at_most_once'),
         (send_again, 'at_most_once'),
         (take_open_claim, 'at_most_once'),
         (send_while_releasing, 'refusals_true'),
--- a/tests/unit/test_idempotency_keeper.py
+++ b/tests/unit/test_idempotency_keeper.py
@@ -136,3 +136,14 @@
     keeper.finish(begin(keeper), OUTCOME._replace(body=bytes(300_000)))
     outcome = begin(keeper).claim.outcome
     assert (outcome.is_kept, outcome.body) == (False, b'')
+
+
+def test_answer_that_came_at_the_deadline_is_stored():
+    """A release here would let a repeat run a second time."""
+    keeper = Keeper(platform=LossyStore())
+    with freeze_time() as clock:
+        begun = begin(keeper)
+        clock.tick(11)
+        keeper.finish(begun, OUTCOME)
+        keeper.settle()
+        assert begin(keeper).verdict is Verdict.DONE
--- a/toucanhall/idempotency/keeper.py
+++ b/toucanhall/idempotency/keeper.py
@@ -56,34 +56,26 @@
         """Store the outcome of a request that ran."""
         if len(outcome.body) > _LARGEST_OUTCOME:
             outcome = outcome._replace(body=b'', is_kept=False)
-        self._post(begun, messages.Ready(), messages.Answered(outcome))
+        self._advance(begun, messages.Answered(outcome))
 
     def release(self, begun: Begun) -> None:
         """Give up a claim whose request was never sent."""
-        self._post(begun, messages.Unsent())
+        self._advance(begun, messages.Unsent())
 
     def settle(self) -> None:
         """Try again to write what is owed to the store."""
         for _ in range(min(_SETTLED_PER_ROUND, len(self._owed))):
             name, attempt = self._owed.popleft()
             owed = len(self._owed)
-            self._advance(name, attempt, messages.Retry())
+            now = runtime.read_clock()
+            self._run(name, protocol.step(attempt, messages.Retry(), now))
             if len(self._owed) > owed:
                 return
 
-    def _post(self, begun: Begun, *happened: messages.Event) -> None:
-        attempt = begun.attempt
-        for event in happened:
-            attempt = self._advance(begun.name, attempt, event)
-
-    def _advance(
-        self,
-        name: str,
-        attempt: Attempt,
-        event: messages.Event,
-    ) -> Attempt:
-        moved = protocol.step(attempt, event, runtime.read_clock())
-        return self._run(name, moved)[0]
+    def _advance(self, begun: Begun, event: messages.Event) -> None:
+        now = runtime.read_clock()
+        moved = protocol.step(begun.attempt, event, now)
+        self._run(begun.name, moved)
 
     def _run(
         self,
--- a/toucanhall/idempotency/protocol.py
+++ b/toucanhall/idempotency/protocol.py
@@ -181,6 +181,7 @@
     (Stage.READING, messages.Down): _abandon,
     (Stage.HELD, messages.Ready): _make_ready,
     (Stage.HELD, messages.Unsent): _write_release,
+    (Stage.HELD, messages.Answered): _finish,
     (Stage.SENT, messages.Disclaimed): _hold_again,
     (Stage.SENT, messages.Answered): _finish,
     (Stage.SENT, messages.Failed): _end,
