Let modelled claimants start at different times

They may start later now. The test of the variants took 'not decided' for a counterexample; it asks for one now.

--- a/tests/models/test_claims_model.py
+++ b/tests/models/test_claims_model.py
@@ -15,7 +15,7 @@
 from toucanhall.idempotency import Claim, Found, Outcome, messages, protocol
 from toucanhall.idempotency.attempt import Attempt, Stage, Verdict
 
-DEADLINE = 1
+DEADLINE = 1  # ticks after the start of an attempt
 RETENTION = 2
 TRIES = 2
 FIRST_STATES = 60_000  # enough to meet each counterexample
@@ -81,8 +81,9 @@
 def list_actions(state, name, actor, digest, rules):
     """Yield what one claimant can do or meet."""
     if actor.attempt is None:
-        if state.clock < DEADLINE:
-            moved = protocol.start(Claim(name, digest), DEADLINE)
+        if state.clock < RETENTION:
+            give_up_at = state.clock + DEADLINE
+            moved = protocol.start(Claim(name, digest), give_up_at)
             short = moved.attempt._replace(tries=TRIES)
             yield 'starts', take(state, name, moved._replace(attempt=short))
         return
@@ -179,7 +180,7 @@
     return state._replace(**{name: actor})
 
 
-def check(rules, max_states=400_000):
+def check(rules, max_states=600_000):
     """Check every reachable state, or the first ones."""
     protocol_model = Protocol(
         name='claims',
@@ -254,7 +255,7 @@
 
 def release_a_late_answer(attempt, event, now):
     """Release a claim whose answer came after the deadline."""
-    if isinstance(event, messages.Answered) and now >= DEADLINE:
+    if isinstance(event, messages.Answered) and now >= attempt.give_up_at:
         attempt = attempt._replace(stage=Stage.HELD)
         event = messages.Unsent()
     return protocol.step(attempt, event, now)
@@ -299,5 +300,5 @@
 )
 def test_each_guard_is_needed(broken, invariant):
     found = find(check(Rules(step=broken), FIRST_STATES), invariant)
-    assert not found['holds']
+    assert found['holds'] is False
     assert found['counterexample']
