Invite no repeat of a request that may have run without a key

Retry-After went with every failed target; for an unsafe request coming back does not help, and without an idempotency key it could run twice.

--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -107,7 +107,9 @@
     cut = make_answer('Content-Length: 9')
     with start_target(cut, make_answer(), closes=True) as target:
         parts = make_parts(make_held(target))
-        assert dict(book(parts).headers)['Toucanhall-Ran'] == 'maybe'
+        headers = dict(book(parts).headers)
+        assert headers['Toucanhall-Ran'] == 'maybe'
+        assert 'Retry-After' not in headers
         assert len(target.requests) == 1
         assert book(parts).status == 200
 
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -46,7 +46,7 @@
 def _explain(job: Job, *, was_sent: bool) -> tuple[str, str, float]:
     is_late = not may_send(job.give_up_at, runtime.read_clock())
     if was_sent and not job.is_safe:
-        return 'target-failed', 'it may have run', BACK_SOON_SECONDS
+        return 'target-failed', 'it may have run', 0
     if was_sent:
         reason = 'target-late' if is_late else 'target-failed'
         return reason, 'no whole answer', BACK_SOON_SECONDS
