Fence slots by confirmation, move unused tokens, hold the least of two revisions

Slots were claimed without any fence: a paused holder went on spending after its slot was taken. A holder now spends only while its own read or a majority of the holders in its table confirmed it; a taker tells a majority and waits. Unused tokens move between the VMs of a zone; the giver keeps the room empty. Until every zone has confirmed a revision, each slot holds the least of them.

--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -3,8 +3,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from toucanhall.shares import Holding, Table, claim, count_slots
+from toucanhall.shares import Holding, Table
 from toucanhall.shares.bucket import Bucket, resize, take
+from toucanhall.shares.slots import claim, find_slots
 
 FIRST = Holding('a', 's1')
 SECOND = Holding('b', 's2')
@@ -35,8 +36,8 @@
     live = frozenset(('a', 'b'))
     table = claim(Table({}), FIRST, live, 5)
     table = claim(table, SECOND, live, 5)
-    assert count_slots(table, FIRST) == 3
-    assert count_slots(table, SECOND) == 2
+    assert len(find_slots(table, FIRST)) == 3
+    assert len(find_slots(table, SECOND)) == 2
 
 
 def test_restarted_vm_takes_over_its_earlier_slots():
@@ -44,5 +45,5 @@
     table = claim(Table({}), FIRST, live, 4)
     restarted = Holding('a', 's9')
     table = claim(table, restarted, live, 4)
-    assert count_slots(table, restarted) == 4
-    assert not count_slots(table, FIRST)
+    assert len(find_slots(table, restarted)) == 4
+    assert not len(find_slots(table, FIRST))
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -22,7 +22,9 @@
 from toucanhall.platform import connect
 from toucanhall.settings import Settings
 from toucanhall.shares import Holding, Ledger
-from toucanhall.shares.claimer import Claimer, Place
+from toucanhall.shares.claimer import Claimer, Place, Surroundings
+from toucanhall.shares.gifts import Gifts
+from toucanhall.shares.messages import Ask, Gift, Known, Probe
 from toucanhall.spread import Offer, Spread, Watcher
 from toucanhall.spread.actor import Behind, Offered, Push
 from toucanhall.steering import AdvisedVm, Hop, Loads
@@ -32,7 +34,7 @@
 __all__ = ('Entry',)
 
 _LIST_SECONDS: Final = 2.0
-_CLAIM_SECONDS: Final = 2.0
+_CLAIM_SECONDS: Final = 1.0
 
 
 class Entry:
@@ -68,7 +70,15 @@
             ),
             platform=self._platform,
             ledger=self._ledger,
+            send=self._exchange.send,
         )
+        self._gifts = Gifts(
+            start=self._identity.start,
+            ledger=self._ledger,
+            send=self._exchange.send,
+            list_peers=self._list_peers,
+        )
+        self._ledger.listen(self._gifts.request)
         self._parts = Parts(
             identity=self._identity,
             zone=settings.zone,
@@ -119,12 +129,7 @@
             publish=self._publish,
         )
         self._holder.listen(self._take_revision)
-        self._exchange.start(
-            (
-                Handler(Heartbeat, self._hear),
-                Handler(Offer, self._take_offer),
-            )
-        )
+        self._exchange.start(self._list_handlers())
         Watcher(
             platform=self._platform,
             holder=self._holder,
@@ -135,9 +140,16 @@
             runtime.start_ticker(period, call, self._stopping)
 
     def _list_handlers(self) -> tuple[Handler, ...]:
+        limits = (
+            Handler(Probe, self._answer_probe),
+            Handler(Known, self._claimer.hear),
+            Handler(Ask, self._gifts.give),
+            Handler(Gift, self._gifts.accept),
+        )
         return (
             Handler(Heartbeat, self._hear),
             Handler(Offer, self._take_offer),
+            *limits,
         )
 
     def _list_tickers(self) -> tuple[tuple[float, Callable[[], None]], ...]:
@@ -159,7 +171,7 @@
 
     def _take_revision(self, revision: Revision) -> None:
         self._spread.tell(Push(revision))
-        self._claimer.size_ledger(revision.catalogue)
+        self._claimer.take_revision(revision)
 
     def _publish(self, view: View) -> None:
         self._view = view
@@ -183,17 +195,35 @@
             if member.zone != self._settings.zone
         )
 
+    def _list_peers(self) -> Mapping[str, str]:
+        now = runtime.read_clock()
+        return {
+            member.vm: member.address
+            for member in self._view.select(Health.ALIVE, now)
+            if member.zone == self._settings.zone
+        }
+
+    def _answer_probe(self, envelope: Envelope, probe: Probe) -> None:
+        member = self._view.members.get(envelope.vm)
+        if member is not None:
+            self._claimer.answer(envelope, probe, member.address)
+
     def _claim(self) -> None:
-        held = self._holder.current
-        if held is None or self._stopping.is_set():
+        if self._stopping.is_set():
             return
+        peers = self._list_peers()
         live = frozenset(
             member.vm
             for member in self._view.members.values()
-            if member.zone == self._settings.zone
-            and (member.listed or member.heard_at is not None)
+            if member.listed or member.vm in peers
+        )
+        self._claimer.tick(
+            Surroundings(
+                peers,
+                live | {self._settings.vm},
+                self._view.confirmed,
+            ),
         )
-        self._claimer.claim(held.catalogue, live | {self._settings.vm})
 
     def _list_usable_vms(self) -> tuple[AdvisedVm, ...]:
         now = runtime.read_clock()
--- a/toucanhall/shares/__init__.py
+++ b/toucanhall/shares/__init__.py
@@ -1,6 +1,6 @@
 """Fleet-wide limits, divided into shares that never sum to more."""
 
 from toucanhall.shares.ledger import Ledger
-from toucanhall.shares.slots import Holding, Table, claim, count_slots
+from toucanhall.shares.slots import Holding, Table
 
-__all__ = ('Holding', 'Ledger', 'Table', 'claim', 'count_slots')
+__all__ = ('Holding', 'Ledger', 'Table')
--- a/toucanhall/shares/bucket.py
+++ b/toucanhall/shares/bucket.py
@@ -1,8 +1,30 @@
 """A token bucket, as pure functions of its state and the time."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
-__all__ = ('Bucket', 'resize', 'take', 'wait_for')
+__all__ = (
+    'Bucket',
+    'GIFT_SECONDS',
+    'Loan',
+    'give',
+    'receive',
+    'refill',
+    'resize',
+    'take',
+    'wait_for',
+)
+
+GIFT_SECONDS: Final = 0.25  # life of a gift on the clock of its receiver
+CLOCK_MARGIN: Final = 0.01  # bound on the difference in speed of two clocks
+LOAN_SECONDS: Final = GIFT_SECONDS * (1 + CLOCK_MARGIN)
+_SPARE_PART: Final = 0.5  # of its tokens that a giver parts with
+
+
+class Loan(NamedTuple):
+    """Room that stays empty until a gift of so many tokens is out of use."""
+
+    tokens: float
+    until: float
 
 
 class Bucket(NamedTuple):
@@ -12,19 +34,28 @@
     updated_at: float
     rate: float
     cap: float
+    loans: tuple[Loan, ...] = ()
 
 
 def refill(bucket: Bucket, now: float) -> Bucket:
-    """Return the bucket at a later time."""
-    elapsed = max(0.0, now - bucket.updated_at)
-    tokens = min(bucket.cap, bucket.tokens + elapsed * bucket.rate)
-    return bucket._replace(tokens=tokens, updated_at=now)
+    """Return the bucket at a later time.
+
+    It refills up to the end of each loan in turn: what did not fit while a
+    gift was under way is not made up for afterwards.
+    """
+    for loan in sorted(bucket.loans, key=lambda entry: entry.until):
+        if loan.until > now:
+            break
+        bucket = _accrue(bucket, loan.until)
+        bucket = bucket._replace(
+            loans=tuple(kept for kept in bucket.loans if kept is not loan),
+        )
+    return _accrue(bucket, now)
 
 
 def resize(bucket: Bucket, rate: float, cap: float, now: float) -> Bucket:
     """Return the bucket with another rate and cap; tokens only shrink."""
-    filled = refill(bucket, now)
-    return filled._replace(rate=rate, cap=cap, tokens=min(cap, filled.tokens))
+    return _accrue(refill(bucket, now)._replace(rate=rate, cap=cap), now)
 
 
 def take(bucket: Bucket, now: float) -> tuple[Bucket, bool]:
@@ -35,8 +66,50 @@
     return filled._replace(tokens=filled.tokens - 1), True
 
 
+def give(bucket: Bucket, wanted: float, now: float) -> tuple[Bucket, float]:
+    """Return the bucket after a gift was debited, and the tokens of it.
+
+    The bucket keeps that room empty until the receiver has used or dropped
+    the gift.
+    """
+    filled = refill(bucket, now)
+    tokens = max(0.0, min(wanted, filled.tokens * _SPARE_PART))
+    loan = Loan(tokens, now + LOAN_SECONDS)
+    debited = filled._replace(
+        tokens=filled.tokens - tokens,
+        loans=(*filled.loans, loan),
+    )
+    return (debited, tokens) if tokens else (filled, 0.0)
+
+
+def receive(
+    bucket: Bucket,
+    tokens: float,
+    asked_at: float,
+    now: float,
+) -> Bucket:
+    """Return the bucket after a gift; one that is too old is dropped."""
+    filled = refill(bucket, now)
+    if now - asked_at >= GIFT_SECONDS:
+        return filled
+    return filled._replace(tokens=min(_room(filled), filled.tokens + tokens))
+
+
 def wait_for(bucket: Bucket) -> float:
     """Return the seconds until one token is there, if ever."""
     if bucket.rate <= 0:
         return 0.0
     return max(0.0, (1 - bucket.tokens) / bucket.rate)
+
+
+def _accrue(bucket: Bucket, now: float) -> Bucket:
+    elapsed = max(0.0, now - bucket.updated_at)
+    tokens = min(_room(bucket), bucket.tokens + elapsed * bucket.rate)
+    return bucket._replace(
+        tokens=tokens,
+        updated_at=max(now, bucket.updated_at),
+    )
+
+
+def _room(bucket: Bucket) -> float:
+    return max(0.0, bucket.cap - sum(loan.tokens for loan in bucket.loans))
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -1,20 +1,39 @@
-"""Claims slots of the zone in the platform and sizes the ledger by them."""
+"""Keeps this VM's slots in the table of its zone and sizes the ledger."""
 
-from typing import Final, NamedTuple
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any, Final, NamedTuple
 
 import msgspec
-from returns.pipeline import is_successful
 from returns.result import Success
 
-from toucanhall import events
-from toucanhall.catalogue import Catalogue
+from toucanhall import events, runtime
+from toucanhall.catalogue import Catalogue, Revision
 from toucanhall.platform import Client, Stored
+from toucanhall.shares.bucket import LOAN_SECONDS
+from toucanhall.shares.fence import (
+    CONFIRM_SECONDS,
+    Fence,
+    adopt,
+    answer_probe,
+    find_usable,
+    hear_known,
+    note_read,
+    plan,
+    read_until,
+)
 from toucanhall.shares.ledger import Ledger
-from toucanhall.shares.slots import Holding, Table, claim, count_slots
+from toucanhall.shares.messages import Known, Probe
+from toucanhall.shares.parts import hold_least
+from toucanhall.shares.revisions import Confirmed, list_pending, note_confirmed
+from toucanhall.shares.slots import Holding, Table, find_slots
+from toucanhall.transport import Envelope
 
-__all__ = ('Claimer', 'Place')
+__all__ = ('Claimer', 'Place', 'Surroundings')
 
-_TRIES: Final = 8
+_TRIES: Final = 4
+_READ_SECONDS: Final = 10.0  # between reads while a majority confirms
+_SOON_SECONDS: Final = CONFIRM_SECONDS / 2  # left when a read is due
 
 
 class Place(NamedTuple):
@@ -24,8 +43,16 @@
     holder: Holding
 
 
+class Surroundings(NamedTuple):
+    """Addresses of the zone's other VMs, those live, and confirmations."""
+
+    peers: Mapping[str, str]
+    live_vms: frozenset[str]
+    confirmed: Mapping[str, int]
+
+
 class Claimer:
-    """Keeps this VM's slots in the table of its zone."""
+    """The fence of this VM, the table in the store, and the revisions."""
 
     def __init__(
         self,
@@ -33,51 +60,161 @@
         place: Place,
         platform: Client,
         ledger: Ledger,
+        send: Callable[[str, Any], None],
     ) -> None:
         """Start with no slot."""
         self._place = place
         self._platform = platform
         self._ledger = ledger
-        self._slots = 0
-
-    def claim(self, catalogue: Catalogue, live_vms: frozenset[str]) -> None:
-        """Bring the slot table up to date and size the ledger by it."""
-        size = catalogue.slots_per_zone
-        for _try in range(_TRIES):
-            if self._try_claim(size, live_vms):
-                break
-        self.size_ledger(catalogue)
-
-    def size_ledger(self, catalogue: Catalogue) -> None:
-        """Size the ledger by the slots that are held."""
-        zone = catalogue.zones.get(self._place.zone)
-        fraction = zone.fraction if zone else 0.0
-        part = fraction * self._slots / catalogue.slots_per_zone
-        self._ledger.resize(catalogue.teams, part)
-
-    def _try_claim(self, size: int, live_vms: frozenset[str]) -> bool:
+        self._send = send
+        self._lock = threading.RLock()
+        self._fence = Fence(place.holder)
+        self._known: dict[int, Catalogue] = {}
+        self._confirmed = Confirmed()
+        self._released: dict[int, float] = {}
+        self._next_read = 0.0
+
+    def take_revision(self, revision: Revision) -> None:
+        """Hold the least of this revision and those that may still run."""
+        with self._lock:
+            self._known[revision.number] = revision.catalogue
+        self._size()
+
+    def tick(self, around: Surroundings) -> None:
+        """Probe the peers, and read the table when that is due."""
+        with self._lock:
+            self._confirmed = note_confirmed(
+                self._confirmed, around.confirmed, runtime.read_clock(),
+            )  # fmt: skip
+            catalogue = self._known.get(max(self._known, default=0))
+        if catalogue is None:
+            return
+        self._probe(around.peers)
+        if self._is_read_due(around.live_vms, catalogue.slots_per_zone):
+            for _try in range(_TRIES):
+                if self._try_claim(around.live_vms, catalogue.slots_per_zone):
+                    break
+        self._size()
+
+    def answer(self, envelope: Envelope, probe: Probe, address: str) -> None:
+        """Answer the probe of a peer."""
+        with self._lock:
+            fence, known = answer_probe(
+                self._fence,
+                envelope.start,
+                probe,
+                max(self._known, default=0),
+                runtime.read_clock(),
+            )
+            self._fence = fence
+        self._send(address, known)
+
+    def hear(self, envelope: Envelope, known: Known) -> None:
+        """Take a peer's answer to a probe."""
+        with self._lock:
+            # A peer with a newer revision confirms nothing for an older one.
+            if known.revision > max(self._known, default=0):
+                return
+            self._fence = hear_known(
+                self._fence,
+                Holding(envelope.vm, envelope.start),
+                known,
+                runtime.read_clock(),
+            )
+        self._size()
+
+    def find_holders(self) -> Mapping[int, str]:
+        """Return the VM that holds each slot of the zone."""
+        with self._lock:
+            holdings = self._fence.table.holdings
+        return {slot: held.vm for slot, held in holdings.items()}
+
+    def _probe(self, peers: Mapping[str, str]) -> None:
+        with self._lock:
+            fence = self._fence
+        now = runtime.read_clock()
+        for vm, address in peers.items():
+            heard = fence.heard.get(vm)
+            knows = heard is not None and heard.number >= fence.table.number
+            table = None if knows else fence.table
+            self._send(address, Probe(now, fence.table.number, table))
+
+    def _is_read_due(self, live_vms: frozenset[str], size: int) -> bool:
+        now = runtime.read_clock()
+        with self._lock:
+            until = read_until(self._fence) or 0
+            planned = plan(self._fence, live_vms, size, now)
+            is_changing = planned != self._fence.table
+            return (
+                is_changing
+                or now >= self._next_read
+                or until - now < _SOON_SECONDS
+            )
+
+    def _try_claim(self, live_vms: frozenset[str], size: int) -> bool:
         name = f'slots/{self._place.zone}'
+        read_at = runtime.read_clock()
         read = self._platform.read(name)
         if not isinstance(read, Success):
             return True
         stored = read.unwrap()
-        table = _decode(stored)
-        claimed = claim(table, self._place.holder, live_vms, size)
-        if claimed != table:
-            content = msgspec.json.encode(claimed)
-            written = self._platform.write(name, content, stored.version)
-            if not is_successful(written):
-                return False
-        self._note(count_slots(claimed, self._place.holder))
+        with self._lock:
+            now = runtime.read_clock()
+            self._next_read = now + _READ_SECONDS
+            self._fence = note_read(self._fence, decode(stored), read_at, now)
+            before = self._fence.table
+            planned = plan(self._fence, live_vms, size, now)
+            is_ready = self._release(find_slots(planned, self._place.holder))
+        self._size()
+        if planned == before or not is_ready:
+            return True
+        return self._write(stored, before, planned)
+
+    def _release(self, kept: frozenset[int]) -> bool:
+        """Stop using slots; return whether they may be given back."""
+        now = runtime.read_clock()
+        own = find_slots(self._fence.table, self._place.holder)
+        self._released = {
+            slot: self._released.get(slot, now) for slot in own - kept
+        }
+        return all(
+            now - since > LOAN_SECONDS for since in self._released.values()
+        )
+
+    def _write(self, stored: Stored, before: Table, planned: Table) -> bool:
+        content = msgspec.json.encode(planned)
+        written = self._platform.write(stored.name, content, stored.version)
+        if not isinstance(written, Success):
+            return False
+        with self._lock:
+            free = frozenset(planned.holdings) - frozenset(before.holdings)
+            self._fence = adopt(
+                self._fence, planned, runtime.read_clock(), free,
+            )  # fmt: skip
+            slots = len(find_slots(planned, self._place.holder))
+        events.log(events.SLOTS_CLAIMED, slots=slots, number=planned.number)
         return True
 
-    def _note(self, slots: int) -> None:
-        if slots != self._slots:
-            self._slots = slots
-            events.log(events.SLOTS_CLAIMED, slots=slots)
-
-
-def _decode(stored: Stored) -> Table:
+    def _size(self) -> None:
+        with self._lock:
+            now = runtime.read_clock()
+            numbers = list_pending(self._known, self._confirmed.settled)
+            if numbers:
+                self._known = {
+                    number: self._known[number] for number in numbers
+                }
+            catalogues = [self._known[number] for number in numbers]
+            slots = find_usable(self._fence, now) - self._released.keys()
+            teams = catalogues[-1].teams if catalogues else {}
+            limits = {
+                team: hold_least(catalogues, self._place.zone, team, slots)
+                for team in teams
+            }
+            self._ledger.resize(limits, read_until(self._fence) or 0)
+
+
+def decode(stored: Stored) -> Table:
+    """Return the table of a stored object, or the first empty one."""
     if not stored.content:
         return Table({})
     return msgspec.json.decode(stored.content, type=Table)
--- /dev/null
+++ b/toucanhall/shares/fence.py
@@ -0,0 +1,207 @@
+"""When a holder may use its slots, as pure functions.
+
+A holder uses its slots only while, within `CONFIRM_SECONDS`, it read its own
+entry in the table or a majority of the holders in its table knew of none newer.
+Whoever takes a slot from a holder first makes a majority of the earlier holders
+know the new table, then waits until every earlier confirmation has lapsed.
+"""
+
+import math
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from toucanhall.shares.bucket import CLOCK_MARGIN
+from toucanhall.shares.messages import Known, Probe
+from toucanhall.shares.slots import Holding, Table, claim, find_slots
+
+__all__ = (
+    'CONFIRM_SECONDS',
+    'Fence',
+    'adopt',
+    'answer_probe',
+    'find_usable',
+    'hear_known',
+    'list_waiting',
+    'note_read',
+    'plan',
+    'read_until',
+)
+
+CONFIRM_SECONDS: Final = 5.0
+WAIT_SECONDS: Final = CONFIRM_SECONDS * (1 + CLOCK_MARGIN)
+_NO_SLOTS: Final[frozenset[int]] = frozenset()
+
+
+class Heard(NamedTuple):
+    """The start of a peer and the number of the table that it knew."""
+
+    start: str
+    number: int
+
+
+class Fence(NamedTuple):
+    """What one holder knows: the table, who confirmed it, and since when.
+
+    `waiting` maps slots that were taken from a holder to the time from which
+    they may be used, or to `None` until a majority knows of it.
+    """
+
+    own: Holding
+    table: Table = Table({})
+    read_at: float | None = None
+    votes: Mapping[Holding, float] = {}
+    heard: Mapping[str, Heard] = {}
+    waiting: Mapping[int, float | None] = {}
+
+
+def adopt(
+    fence: Fence,
+    table: Table,
+    now: float,
+    instant: frozenset[int] = _NO_SLOTS,
+) -> Fence:
+    """Return the fence with a newer table; an older one changes nothing.
+
+    Slots that the table gives to this holder wait, except `instant` ones.
+    """
+    if table.number <= fence.table.number:
+        return fence
+    gained = find_slots(table, fence.own) - find_slots(fence.table, fence.own)
+    waiting: dict[int, float | None] = {
+        # The writer of a later table saw that a majority knew this one.
+        slot: now + WAIT_SECONDS if until is None else until
+        for slot, until in fence.waiting.items()
+        if slot in find_slots(table, fence.own)
+    }
+    waiting.update(dict.fromkeys(gained - instant))
+    return _settle(
+        fence._replace(table=table, votes={}, read_at=None, waiting=waiting),
+        now,
+    )
+
+
+def note_read(fence: Fence, table: Table, read_at: float, now: float) -> Fence:
+    """Return the fence after the table was read, begun at `read_at`.
+
+    A store that came back with an older table confirms nothing.
+    """
+    newest = adopt(fence, table, now)
+    if table.number < newest.table.number:
+        return newest
+    return newest._replace(read_at=read_at)
+
+
+def answer_probe(
+    fence: Fence,
+    start: str,
+    probe: Probe,
+    revision: int,
+    now: float,
+) -> tuple[Fence, Known]:
+    """Return the fence after a probe, and the answer to it."""
+    if probe.table is not None:
+        fence = adopt(fence, probe.table, now)
+    number = fence.table.number
+    table = fence.table if number > probe.number else None
+    answer = Known(
+        start, probe.asked_at, probe.number, number, revision, table,
+    )  # fmt: skip
+    return fence, answer
+
+
+def hear_known(fence: Fence, peer: Holding, known: Known, now: float) -> Fence:
+    """Return the fence after a peer's answer to a probe of this start."""
+    if known.start != fence.own.start:
+        return fence
+    if known.table is not None:
+        fence = adopt(fence, known.table, now)
+    heard = fence.heard.get(peer.vm)
+    if heard is None or heard.start != peer.start:
+        heard = Heard(peer.start, 0)
+    number = max(heard.number, known.number)
+    heard = heard._replace(number=number)
+    fence = fence._replace(heard={**fence.heard, peer.vm: heard})
+    is_newest = known.number <= fence.table.number
+    if is_newest and known.asked == fence.table.number:
+        at = max(known.asked_at, fence.votes.get(peer, known.asked_at))
+        fence = fence._replace(votes={**fence.votes, peer: at})
+    return _settle(fence, now)
+
+
+def read_until(fence: Fence) -> float | None:
+    """Return the time up to which the slots are confirmed, if they are."""
+    times = [
+        found
+        for found in (fence.read_at, _find_majority(fence))
+        if found is not None
+    ]
+    return max(times) + CONFIRM_SECONDS if times else None
+
+
+def find_usable(fence: Fence, now: float) -> frozenset[int]:
+    """Return the slots that this holder may use while it is confirmed."""
+    return find_slots(fence.table, fence.own) - {
+        slot
+        for slot, until in fence.waiting.items()
+        if until is None or now < until
+    }
+
+
+def list_waiting(fence: Fence, now: float) -> frozenset[int]:
+    """Return the slots that this holder took and may not use yet."""
+    return find_slots(fence.table, fence.own) - find_usable(fence, now)
+
+
+def plan(
+    fence: Fence,
+    live_vms: frozenset[str],
+    size: int,
+    now: float,
+) -> Table:
+    """Return the table to write, or the known one if there is none."""
+    if list_waiting(fence, now) or not is_told(fence):
+        return fence.table
+    return claim(fence.table, fence.own, live_vms, size)
+
+
+def is_told(fence: Fence) -> bool:
+    """Return whether a majority of the previous holders knows the table.
+
+    A holder whose VM came back with another start has ended.
+    """
+    previous = fence.table.previous
+    told = sum(_is_silenced(fence, holder) for holder in previous)
+    return not previous or told > len(previous) // 2
+
+
+def _is_silenced(fence: Fence, holder: Holding) -> bool:
+    if holder.vm == fence.own.vm:
+        return True
+    heard = fence.heard.get(holder.vm)
+    if heard is None:
+        return False
+    return heard.start != holder.start or heard.number >= fence.table.number
+
+
+def _settle(fence: Fence, now: float) -> Fence:
+    if None not in fence.waiting.values() or not is_told(fence):
+        return fence
+    waiting = {
+        slot: now + WAIT_SECONDS if until is None else until
+        for slot, until in fence.waiting.items()
+    }
+    return fence._replace(waiting=waiting)
+
+
+def _find_majority(fence: Fence) -> float | None:
+    holders = fence.table.list_holders()
+    if fence.own not in holders:
+        return None
+    needed = len(holders) // 2
+    times = sorted(
+        (fence.votes[peer] for peer in holders if peer in fence.votes),
+        reverse=True,
+    )
+    if not needed:
+        return math.inf
+    return times[needed - 1] if len(times) >= needed else None
--- /dev/null
+++ b/toucanhall/shares/messages.py
@@ -0,0 +1,47 @@
+"""Messages between the slot holders of a zone."""
+
+from typing import NamedTuple
+
+from toucanhall.shares.slots import Table
+
+__all__ = ('Ask', 'Gift', 'Known', 'Probe')
+
+
+class Probe(NamedTuple):
+    """Asks a peer whether it knows of a table newer than `number`.
+
+    `asked_at` is on the clock of the asking process. The table comes along
+    when the peer is not known to have it.
+    """
+
+    asked_at: float
+    number: int
+    table: Table | None
+
+
+class Known(NamedTuple):
+    """Answers a probe, which it repeats; a newer table comes along."""
+
+    start: str
+    asked_at: float
+    asked: int
+    number: int
+    revision: int
+    table: Table | None
+
+
+class Ask(NamedTuple):
+    """Asks a peer for unused tokens of a team."""
+
+    team: str
+    tokens: float
+    asked_at: float
+
+
+class Gift(NamedTuple):
+    """Tokens that the giver has debited, with the ask that they answer."""
+
+    start: str
+    team: str
+    tokens: float
+    asked_at: float
--- /dev/null
+++ b/toucanhall/shares/parts.py
@@ -0,0 +1,94 @@
+"""Which part of each team's limit a slot holds, and the revision in between."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final, NamedTuple
+
+import xxhash
+
+from toucanhall.catalogue import Catalogue, Team
+
+__all__ = (
+    'Limit',
+    'find_zone_part',
+    'hold_least',
+    'list_slots',
+)
+
+_LEAST_TOKENS: Final = 2.0  # burst of one slot below which fewer slots hold it
+
+
+class Limit(NamedTuple):
+    """A rate in tokens/s and the most tokens at once."""
+
+    rate: float
+    burst: float
+
+
+def find_zone_part(catalogue: Catalogue, zone: str, team: Team) -> float:
+    """Return the part, from 0 to 1, of a team's limit that a zone holds.
+
+    A burst that is too small for every zone is held by a few of them.
+    """
+    chosen = _rank(team.name, catalogue.zones)
+    while len(chosen) > 1:
+        total = sum(catalogue.zones[name].fraction for name in chosen)
+        least = min(catalogue.zones[name].fraction for name in chosen)
+        if total and team.burst * least / total >= 1:
+            break
+        chosen.pop()
+    if zone not in chosen:
+        return 0.0
+    if len(chosen) == len(catalogue.zones):
+        return catalogue.zones[zone].fraction
+    total = sum(catalogue.zones[name].fraction for name in chosen)
+    return catalogue.zones[zone].fraction / total if total else 0.0
+
+
+def list_slots(catalogue: Catalogue, zone: str, team: Team) -> tuple[int, ...]:
+    """Return the slots of a zone that hold a team's limit."""
+    size = catalogue.slots_per_zone
+    tokens = team.burst * find_zone_part(catalogue, zone, team)
+    count = min(size, max(1, int(tokens / _LEAST_TOKENS)))
+    ranked = _rank(team.name, (str(slot) for slot in range(size)))
+    return tuple(int(slot) for slot in ranked[:count])
+
+
+def find_limit(
+    catalogue: Catalogue,
+    zone: str,
+    team: str,
+) -> Mapping[int, Limit]:
+    """Return what each slot of a zone holds of a team's limit."""
+    found = catalogue.teams.get(team)
+    if found is None or zone not in catalogue.zones:
+        return {}
+    slots = list_slots(catalogue, zone, found)
+    part = find_zone_part(catalogue, zone, found) / len(slots)
+    return dict.fromkeys(slots, Limit(found.rate * part, found.burst * part))
+
+
+def hold_least(
+    catalogues: Iterable[Catalogue],
+    zone: str,
+    team: str,
+    slots: frozenset[int],
+) -> Limit:
+    """Return what slots hold together: the least of some catalogues, each."""
+    found = [find_limit(catalogue, zone, team) for catalogue in catalogues]
+    nothing = Limit(0, 0)
+    rate = sum(
+        min((limits.get(slot, nothing).rate for limits in found), default=0)
+        for slot in slots
+    )
+    burst = sum(
+        min((limits.get(slot, nothing).burst for limits in found), default=0)
+        for slot in slots
+    )
+    return Limit(rate, burst)
+
+
+def _rank(team: str, names: Iterable[str]) -> list[str]:
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh64_intdigest(f'{team}/{name}'.encode()),
+    )
--- a/toucanhall/shares/slots.py
+++ b/toucanhall/shares/slots.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-__all__ = ('Holding', 'Table', 'claim', 'count_slots')
+__all__ = ('Holding', 'Table', 'claim', 'find_slots', 'make_next')
 
 
 class Holding(NamedTuple):
@@ -14,14 +14,27 @@
 
 
 class Table(NamedTuple):
-    """The holder of each slot; a slot that is missing is free."""
+    """The holder of each slot; a slot that is missing is free.
+
+    `number` grows by one with each write. `previous` are the holders in the
+    table before this one: a majority of them has to know of this table before
+    it is replaced, or before a slot that it takes from a holder is used.
+    """
 
     holdings: Mapping[int, Holding]
+    number: int = 0
+    previous: tuple[Holding, ...] = ()
 
+    def list_holders(self) -> tuple[Holding, ...]:
+        """Return each holder once, in order."""
+        return tuple(sorted(set(self.holdings.values())))
 
-def count_slots(table: Table, holder: Holding) -> int:
-    """Return how many slots a holder has."""
-    return sum(held == holder for held in table.holdings.values())
+
+def find_slots(table: Table, holder: Holding) -> frozenset[int]:
+    """Return the slots of a holder."""
+    return frozenset(
+        slot for slot, held in table.holdings.items() if held == holder
+    )
 
 
 def claim(
@@ -42,11 +55,23 @@
         for slot, held in table.holdings.items()
         if slot < size and held != holder and _keeps(held, holder, live_vms)
     }
-    own = [slot for slot, held in table.holdings.items() if held == holder]
+    own = find_slots(table, holder)
     free = [slot for slot in range(size) if slot not in holdings]
     wanted = sorted(free, key=lambda slot: (slot not in own, slot))
     holdings.update(dict.fromkeys(wanted[:even], holder))
-    return Table(holdings)
+    others = {
+        slot: held
+        for slot, held in table.holdings.items()
+        if held != holder and slot not in holdings
+    }
+    return make_next(table, holdings | others)
+
+
+def make_next(table: Table, holdings: Mapping[int, Holding]) -> Table:
+    """Return the table that replaces one, or that one if nothing changed."""
+    if holdings == table.holdings:
+        return table
+    return Table(holdings, table.number + 1, table.list_holders())
 
 
 def _keeps(held: Holding, holder: Holding, live_vms: frozenset[str]) -> bool:
