--- a/tests/models/test_shares_gifts_model.py
+++ b/tests/models/test_shares_gifts_model.py
@@ -66,7 +66,13 @@
     if kept.updated_at <= -MAX_LAG * TICK:
         kept = bucket.refill(kept, 0)
     return Purse(
-        kept._replace(tokens=round(kept.tokens, DIGITS)),
+        kept._replace(
+            tokens=round(kept.tokens, DIGITS),
+            loans=tuple(
+                loan._replace(tokens=round(loan.tokens, DIGITS))
+                for loan in kept.loans
+            ),
+        ),
         tuple(at for at in found.asks if at > -LOAN_SECONDS),
         0 if found.asked_at == 0 else -math.inf,
     )
@@ -85,11 +91,14 @@
     yield from list_spending(state)
     after, wanted = purse.ask(state.receiver, 0)
     if wanted:
-        yield 'asks', state._replace(receiver=after, asked=(wanted, 0.0))
+        yield (
+            'asks',
+            state._replace(receiver=after, asked=(round(wanted, DIGITS), 0.0)),
+        )
     if state.asked and not state.down:
         after, tokens = purse.part_with(state.giver, state.asked[0], 0)
         if tokens and state.gift is None:
-            gift = tokens, state.asked[1]
+            gift = round(tokens, DIGITS), state.asked[1]
             yield 'gives', state._replace(giver=after, gift=gift, is_used=False)
     if state.gift:
         after = purse.accept(state.receiver, *state.gift, 0)
@@ -118,12 +127,13 @@
     down = max(0, state.down - 1)
     rate = state.giver.bucket.rate
     giver = make(START_TOKENS, rate) if state.down else shift(state.giver)
+    meter = min(BURST, state.meter + rate * 2 * TICK)
     return state._replace(
         giver=giver,
         receiver=shift(state.receiver),
         asked=asked if is_fresh(asked) else None,
         gift=gift if is_fresh(gift) else None,
-        meter=min(BURST, state.meter + rate * 2 * TICK),
+        meter=round(meter, DIGITS),
         down=down,
     )
 
