--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -36,6 +36,10 @@
 _TRIES: Final = 4
 _READ_SECONDS: Final = 10.0  # between reads while a majority confirms
 _SOON_SECONDS: Final = CONFIRM_SECONDS / 2  # left when a read is due
+_CONFIRM_EVENTS: Final = {
+    True: events.SHARE_CONFIRMED,
+    False: events.SHARE_UNCONFIRMED,
+}
 
 
 class Place(NamedTuple):
@@ -75,6 +79,7 @@
         self._confirmed = Confirmed()
         self._released: dict[int, float] = {}
         self._next_read = 0.0
+        self._is_confirmed = False
 
     def take_revision(self, revision: Revision) -> None:
         """Hold the least of this revision and those that may still run."""
@@ -94,11 +99,14 @@
         now = runtime.read_clock()
         for vm, address in around.peers.items():
             self._send(address, make_probe(self._fence, vm, now))
-        if self._is_read_due(around.live_vms, catalogue.slots_per_zone):
-            for _try in range(_TRIES):
-                if self._try_claim(around.live_vms, catalogue.slots_per_zone):
-                    break
+        size = catalogue.slots_per_zone
+        if self._is_read_due(around.live_vms, size):
+            any(self._try_claim(around.live_vms, size) for _ in range(_TRIES))
         self._size()
+        is_confirmed = runtime.read_clock() < (read_until(self._fence) or 0)
+        if is_confirmed is not self._is_confirmed:
+            self._is_confirmed = is_confirmed
+            events.log(_CONFIRM_EVENTS[is_confirmed])
 
     def answer(self, envelope: Envelope, probe: Probe, address: str) -> None:
         """Answer the probe of a peer."""
