--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -20,9 +20,13 @@
 
 
 @pytest.fixture(name='fleet')
-def start_fleet(tmp_path) -> Iterator[Fleet]:
+def start_fleet(request, tmp_path) -> Iterator[Fleet]:
     """Start two zones of three VMs with a small limit in force."""
-    fleet = Fleet(catalogue=write_example(tmp_path), vms_per_zone=VMS_PER_ZONE)
+    fleet = Fleet(
+        catalogue=write_example(tmp_path),
+        vms_per_zone=VMS_PER_ZONE,
+        relayed=getattr(request, 'param', False),
+    )
     try:
         fleet.start()
         fleet.apply()
@@ -185,3 +189,15 @@
     hammer.wait_for(fleet.vms)
     bound = hammer.stop()
     assert count_run(fleet) <= bound
+
+
+@pytest.mark.parametrize('fleet', [True], indirect=True)
+def test_zone_that_is_cut_off_serves_its_part(fleet, hammer):
+    cut = [vm for vm in fleet.vms if vm.zone == fleet.vms[0].zone]
+    hammer.wait_for(fleet.vms)
+    fleet.set_zone(cut[0].zone, 'cut')
+    hammer.wait_for(cut, count=60)
+    fleet.set_zone(cut[0].zone, 'open')
+    hammer.wait_for(fleet.vms)
+    bound = hammer.stop()
+    assert count_run(fleet) <= bound
