--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from benches import catalogue, faults, footprint, relay
+from benches import catalogue, faults, footprint, limits, relay
 
 BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
     'catalogue': catalogue.main,
     'faults': faults.main,
     'footprint': footprint.main,
+    'limits': limits.main,
     'relay': relay.main,
 }
 
