Settle operators' changes by change id and refuse to serve unchecked revisions

An accepted write whose reply was lost was told as 'another change came first' when the write was still on its way, and a resumed or fresh VM served whatever it held. Changes are now decided by a pure function over the change ids that the store keeps; a VM serves only after it compared its revision since its start or latest pause.

--- /dev/null
+++ b/tests/unit/test_spread.py
@@ -0,0 +1,132 @@
+"""Tests of the decisions on changes, comparisons and freshness."""
+
+import pytest
+
+from toucanhall.spread import comparison, freshness
+from toucanhall.spread.acceptance import (
+    Attempt,
+    Found,
+    Known,
+    ReadFailed,
+    Standing,
+    Step,
+    Unsure,
+    Unwritten,
+    check_base,
+    proceed,
+)
+from toucanhall.spread.comparison import Comparison
+from toucanhall.spread.messages import Told
+from toucanhall.spread.record import Record
+
+BASE = Record(4, 'base', '{}', ('older',))
+OURS = Record(5, 'ours', '{}', ('older', 'base'))
+THEIRS = Record(5, 'theirs', '{}', ('older', 'base'))
+LATER = Record(6, 'later', '{}', ('older', 'base', 'ours'))
+FOREIGN = Record(40, 'foreign', '{}', ('unrelated',))
+SENT = Attempt('ours', 'base', 7, is_sent=True, tries=1)
+HELD = Known(5, 'a')
+
+
+@pytest.mark.parametrize(
+    ('stored', 'known', 'standing'),
+    [
+        (BASE, Known(4, 'base'), Standing.OPEN),
+        (THEIRS, Known(5, 'theirs'), Standing.CONFLICT),
+        (BASE, Known(5, 'ours'), Standing.STORE_BEHIND),
+        (LATER, Known(6, 'later'), Standing.DONE),
+    ],
+)
+def test_base_of_a_change_is_judged(stored, known, standing):
+    assert check_base(4, 'ours', known, stored) is standing
+
+
+@pytest.mark.parametrize(
+    ('event', 'step'),
+    [
+        (Found(8, OURS), Step.ACCEPTED),
+        (Found(9, LATER), Step.ACCEPTED),
+        (Found(8, THEIRS), Step.CONFLICT),
+        (Found(8, FOREIGN), Step.UNKNOWN),
+        (Found(7, BASE), Step.WRITE),
+        (ReadFailed(), Step.READ),
+        (Unwritten(conflict=True), Step.READ),
+    ],
+)
+def test_lost_reply_is_settled_by_the_change_id(event, step):
+    assert proceed(SENT, event)[1] is step
+
+
+def test_first_try_that_had_no_effect_is_final():
+    fresh = Attempt('ours', 'base', 7)
+    assert proceed(fresh, Unwritten(conflict=True))[1] is Step.CONFLICT
+    assert proceed(fresh, Unwritten(conflict=False))[1] is Step.REFUSED
+
+
+def test_change_without_any_reply_ends_as_unknown():
+    attempt, step = proceed(Attempt('ours', 'base', 7), Unsure())
+    while step is Step.READ:
+        attempt, step = proceed(attempt, ReadFailed())
+    assert step is Step.UNKNOWN
+
+
+def test_pause_takes_the_right_to_serve_until_fresh_evidence():
+    state = freshness.learn(freshness.begin(0), 0, 0)
+    assert freshness.may_serve(state, 1, 60)
+    assert not freshness.may_serve(state, 10, 60)
+    state = freshness.tick(state, 10)
+    assert not freshness.may_serve(state, 10, 60)
+    state = freshness.learn(state, 9.5, 10)
+    assert freshness.may_serve(state, 10, 60)
+
+
+def test_cut_off_vm_serves_up_to_the_bound():
+    state = freshness.learn(freshness.begin(0), 0, 0)
+    for now in range(1, 61):
+        state = freshness.tick(state, now)
+        assert freshness.may_serve(state, now, 60)
+    assert not freshness.may_serve(freshness.tick(state, 61), 61, 60)
+
+
+def test_fresh_vm_in_a_cut_off_zone_starts_after_a_bound():
+    state = freshness.learn(freshness.begin(100), 40, 100)
+    for now in (102, 103):
+        state = freshness.tick(state, now)
+        assert not freshness.may_serve(state, now, 600)
+    state = freshness.tick(state, 100 + freshness.SETTLE_SECONDS)
+    assert freshness.may_serve(state, 104, 600)
+
+
+def make_comparison(now=0):
+    """Return a comparison with one question, asked at a time."""
+    start = Comparison(freshness.begin(now), {})
+    return comparison.ask(start, HELD, '127.2.0.1', now)[0]
+
+
+def test_answer_counts_from_when_it_was_asked():
+    state = make_comparison(now=10)
+    state = comparison.hear_told(state, HELD, Told(1, 5, 'a', 2), 12)
+    assert state.freshness.as_of == 8
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        Told(9, 5, 'a', 0),
+        Told(1, 5, 'a', None),
+        Told(1, 6, 'b', 0),
+        Told(1, 5, 'b', 0),
+    ],
+)
+def test_answer_that_proves_nothing(answer):
+    state = comparison.hear_told(make_comparison(), HELD, answer, 1)
+    assert state.freshness.as_of is None
+    assert state.heard == (answer.number, answer.change)
+
+
+def test_paused_peer_proves_nothing():
+    asking = make_comparison()
+    peer = Comparison(freshness.learn(freshness.begin(0), 0, 0), {})
+    question = comparison.ask(asking, HELD, '127.2.0.1', 20)[1]
+    assert comparison.tell(peer, HELD, question, 1).age == 1
+    assert comparison.tell(peer, HELD, question, 20).age is None
--- a/toucanhall/admin/service.py
+++ b/toucanhall/admin/service.py
@@ -8,17 +8,22 @@
 import msgspec
 from returns.result import Success
 
-from toucanhall import documents, events, runtime
-from toucanhall.catalogue import Holder, Revision
-from toucanhall.catalogue.reading import revise
+from toucanhall import documents, runtime
+from toucanhall.catalogue import Holder
 from toucanhall.forwarding.records import Answer, Request, find_header
-from toucanhall.platform import Ambiguous, Client
 from toucanhall.settings import Operator
-from toucanhall.spread.record import CATALOGUE_NAME, decode, encode
+from toucanhall.spread import Accepting, Change
+from toucanhall.spread.accepting import (
+    ChangeConflict,
+    ChangeUnknown,
+    Invalid,
+    Unaccepted,
+)
 
 __all__ = ('Admin', 'PREFIX')
 
 PREFIX: Final = '/.toucanhall/admin/v1/'
+CHANGE_HEADER: Final = 'toucanhall-change'
 
 _ROLE_RANKS: Final = {'read': 0, 'operate': 1, 'administer': 2}
 _PHRASES: Final = {
@@ -49,13 +54,13 @@
         *,
         operators: tuple[Operator, ...],
         holder: Holder,
-        platform: Client,
+        accepting: Accepting,
         read_status: Callable[[], Mapping[str, Any]],
     ) -> None:
         """Serve the operators that the settings name."""
         self._operators = operators
         self._holder = holder
-        self._platform = platform
+        self._accepting = accepting
         self._read_status = read_status
         self._actions = {
             ('GET', 'catalogue'): Action('read', self._show),
@@ -106,58 +111,55 @@
         expected = find_header(request.headers, 'if-match').strip('"')
         if not expected.isdigit():
             return 400, _explain('If-Match needs the revision to replace')
-        read = self._platform.read(CATALOGUE_NAME)
-        if not isinstance(read, Success):
-            return 503, _explain('the store cannot be reached')
-        stored = read.unwrap()
-        number = _read_number(stored.content)
-        held = self._holder.current
-        if number != int(expected) or (held and held.number > number):
-            return 412, _explain(
-                f'revision {expected} was expected, {number} is in the store',
-            )
-        revised = revise(number + 1, runtime.make_id(), request.body)
-        if not isinstance(revised, Success):
-            errors = [documents.render(entry) for entry in revised.failure()]
-            return 400, {'errors': errors, **_explain('catalogue is invalid')}
-        return self._accept(revised.unwrap(), stored.version, operator)
-
-    def _accept(
-        self,
-        revision: Revision,
-        version: int,
-        operator: Operator,
-    ) -> Reply:
-        number, change, document, _ = revision
-        content = encode(number, change, document)
-        written = self._platform.write(CATALOGUE_NAME, content, version)
-        if not isinstance(written, Success):
-            return self._settle(change, written.failure())
-        self._holder.offer(revision)
-        events.log(
-            events.CHANGE_ACCEPTED,
-            operator=operator.name,
-            revision=number,
-            change=change,
+        change = find_header(request.headers, CHANGE_HEADER)
+        accepted = self._accepting.accept(
+            Change(
+                int(expected),
+                change or runtime.make_id(),
+                request.body,
+                operator.name,
+            ),
         )
-        return 200, {'accepted': number, 'change': change}
-
-    def _settle(self, change: str, error: object) -> Reply:
-        if not isinstance(error, Ambiguous):
-            return 412, _explain(f'nothing was written: {error}')
-        read = self._platform.read(CATALOGUE_NAME)
-        if not isinstance(read, Success):
-            return 503, _explain('the write may have taken effect')
-        found = decode(read.unwrap().content)
-        if isinstance(found, Success) and found.unwrap().change == change:
-            self._holder.offer(found.unwrap())
-            return 200, {'accepted': found.unwrap().number, 'change': change}
-        return 412, _explain('another change came first')
-
-
-def _read_number(content: bytes) -> int:
-    found = decode(content)
-    return found.unwrap().number if isinstance(found, Success) else 0
+        if isinstance(accepted, Success):
+            done = accepted.unwrap()
+            return 200, {'accepted': done.number, 'change': done.change}
+        error = accepted.failure()
+        return _ERROR_REPLIES[type(error)](error)
+
+
+def _reply_invalid(error: Invalid) -> Reply:
+    errors = [documents.render(entry) for entry in error.findings]
+    return 400, {'errors': errors, **_explain('catalogue is invalid')}
+
+
+def _reply_conflict(error: ChangeConflict) -> Reply:
+    return 412, {
+        'expected': error.expected,
+        'found': error.found,
+        'found_change': error.found_change,
+        **_explain(
+            f'revision {error.expected} was expected, '
+            f'{error.found} is in the store',
+        ),
+    }
+
+
+def _reply_unknown(error: ChangeUnknown) -> Reply:
+    return 503, {
+        'change': error.change,
+        **_explain(
+            'the change may have been accepted; ask again with header '
+            f'{CHANGE_HEADER}: {error.change}',
+        ),
+    }
+
+
+_ERROR_REPLIES: Final[Mapping[type, Callable[[Any], Reply]]] = {
+    ChangeConflict: _reply_conflict,
+    ChangeUnknown: _reply_unknown,
+    Invalid: _reply_invalid,
+    Unaccepted: lambda error: (503, _explain(error.what)),
+}
 
 
 def _explain(detail: str) -> Mapping[str, Any]:
--- a/toucanhall/catalogue/model.py
+++ b/toucanhall/catalogue/model.py
@@ -90,6 +90,7 @@
     drains: Drains
     slots_per_zone: int
     hold_seconds: float
+    key_hold_seconds: float
 
 
 class Revision(NamedTuple):
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -23,8 +23,17 @@
 from toucanhall.settings import Settings
 from toucanhall.shares import Holding, Ledger
 from toucanhall.shares.claimer import Claimer, Place
-from toucanhall.spread import Offer, Spread, Watcher
-from toucanhall.spread.actor import Behind, Offered, Push
+from toucanhall.spread import (
+    Accepting,
+    Ask,
+    Currency,
+    Offer,
+    Spread,
+    Told,
+    Watcher,
+)
+from toucanhall.spread.acceptance import Known
+from toucanhall.spread.actor import Arrived, Compare, Push, read_held
 from toucanhall.steering import AdvisedVm, Hop, Loads
 from toucanhall.transport import Envelope, Exchange
 from toucanhall.transport.exchange import Handler, Identity
@@ -33,6 +42,8 @@
 
 _LIST_SECONDS: Final = 2.0
 _CLAIM_SECONDS: Final = 2.0
+_TICK_SECONDS: Final = 0.5
+_COMPARE_SECONDS: Final = 1.0
 
 
 class Entry:
@@ -53,7 +64,11 @@
             settings.secret,
         )
         self._platform = connect(settings.platform)
-        self._holder = Holder()
+        self._currency = Currency()
+        self._holder = Holder(
+            is_settled=self._currency.is_settled,
+            may_serve=self._currency.may_serve,
+        )
         self._ledger = Ledger()
         self._exchange = Exchange(
             identity=self._identity,
@@ -87,7 +102,12 @@
             admin=Admin(
                 operators=settings.operators,
                 holder=self._holder,
-                platform=self._platform,
+                accepting=Accepting(
+                    platform=self._platform,
+                    holder=self._holder,
+                    read_known=self._read_known,
+                    is_settled=self._currency.is_settled,
+                ),
                 read_status=self._read_status,
             ),
             list_usable_vms=self._list_usable_vms,
@@ -107,6 +127,8 @@
     def _start_actors(self) -> None:
         self._spread = Spread.start(
             holder=self._holder,
+            currency=self._currency,
+            own_address=self._settings.address,
             send=self._exchange.send,
             list_contacts=self._list_contacts,
         )
@@ -119,15 +141,12 @@
             publish=self._publish,
         )
         self._holder.listen(self._take_revision)
-        self._exchange.start(
-            (
-                Handler(Heartbeat, self._hear),
-                Handler(Offer, self._take_offer),
-            )
-        )
+        self._exchange.start(self._list_handlers())
         Watcher(
             platform=self._platform,
             holder=self._holder,
+            currency=self._currency,
+            may_watch=self._may_watch,
             stopping=self._stopping,
         ).start()
         self._membership.tell(ReadList())
@@ -137,7 +156,9 @@
     def _list_handlers(self) -> tuple[Handler, ...]:
         return (
             Handler(Heartbeat, self._hear),
-            Handler(Offer, self._take_offer),
+            Handler(Ask, self._take_spread),
+            Handler(Offer, self._take_spread),
+            Handler(Told, self._take_spread),
         )
 
     def _list_tickers(self) -> tuple[tuple[float, Callable[[], None]], ...]:
@@ -145,17 +166,29 @@
             (HEARTBEAT_SECONDS, partial(self._membership.tell, Beat())),
             (_LIST_SECONDS, partial(self._membership.tell, ReadList())),
             (_CLAIM_SECONDS, self._claim),
+            (_TICK_SECONDS, self._currency.tick),
+            (_COMPARE_SECONDS, partial(self._spread.tell, Compare())),
         )
 
     def _hear(self, envelope: Envelope, heartbeat: Heartbeat) -> None:
         self._membership.tell(Heard(envelope.vm, envelope.start, heartbeat))
-        if heartbeat.revision < self._read_revision():
-            known = self._view.members.get(envelope.vm)
-            address = known.address if known else heartbeat.address
-            self._spread.tell(Behind(address, heartbeat.revision))
 
-    def _take_offer(self, _envelope: Envelope, offer: Offer) -> None:
-        self._spread.tell(Offered(offer))
+    def _take_spread(
+        self,
+        envelope: Envelope,
+        message: Ask | Offer | Told,
+    ) -> None:
+        known = self._view.members.get(envelope.vm)
+        if known:
+            self._spread.tell(Arrived(known.address, message))
+        elif isinstance(message, Ask):
+            self._spread.tell(Arrived(message.address, message))
+
+    def _may_watch(self) -> bool:
+        return True
+
+    def _read_known(self) -> Known:
+        return max(self._currency.read_heard(), read_held(self._holder))
 
     def _take_revision(self, revision: Revision) -> None:
         self._spread.tell(Push(revision))
--- a/toucanhall/events.py
+++ b/toucanhall/events.py
@@ -26,6 +26,16 @@
 CATALOGUE_RESTORED: Final = Event(
     203, logging.WARNING, 'store was older and got the revision in force',
 )  # fmt: skip
+CATALOGUE_COLLISION: Final = Event(
+    210, logging.ERROR, 'two changes under one revision number',
+)  # fmt: skip
+CHANGE_UNKNOWN: Final = Event(
+    211, logging.WARNING, 'change may have been accepted',
+)  # fmt: skip
+FRESHNESS_LOST: Final = Event(
+    212, logging.WARNING, 'keys are not relied on until revisions are compared',
+)  # fmt: skip
+FRESHNESS_GAINED: Final = Event(213, logging.INFO, 'keys are relied on')
 PLATFORM_UNAVAILABLE: Final = Event(300, logging.WARNING, 'store unavailable')
 PLATFORM_AVAILABLE: Final = Event(301, logging.INFO, 'store available')
 PEER_JOINED: Final = Event(400, logging.INFO, 'peer is alive')
--- a/toucanhall/forwarding/admission.py
+++ b/toucanhall/forwarding/admission.py
@@ -25,12 +25,14 @@
 def admit(parts: Parts, request: Request) -> Result[Job, Refusal]:
     """Return the job of a request that may run, or why it may not."""
     revision = parts.holder.current
-    if revision is None:
+    if revision is None or not parts.holder.is_ready():
         return refuse('not-ready', 'no catalogue yet', BACK_SOON_SECONDS)
     catalogue = revision.catalogue
     route = find_route(catalogue, request.path)
     if route is None or '..' in request.path.split('/'):
         return refuse('no-route', f'path {request.path!r}')
+    if not route.public and not parts.holder.may_rely_on_keys():
+        return refuse('not-ready', 'keys may be outdated', BACK_SOON_SECONDS)
     token = find_header(request.headers, hops.HOP_HEADER)
     if token:
         return _admit_hop(parts, request, catalogue, route)
--- a/toucanhall/frontdoor.py
+++ b/toucanhall/frontdoor.py
@@ -55,7 +55,7 @@
 
 
 def _tell_health(door: Frontdoor, _request: Request) -> Answer:
-    return answer_json({'ready': door.holder.current is not None})
+    return answer_json({'ready': door.holder.is_ready()})
 
 
 def _advise(door: Frontdoor, request: Request) -> Answer:
--- a/toucanhall/platform/client.py
+++ b/toucanhall/platform/client.py
@@ -76,6 +76,7 @@
         except _NEVER_SENT as error:
             return Failure(Unavailable(f'write {name}: {error}'))
         except HTTPError as error:
+            self._pool.clear()
             return Failure(Ambiguous(name, str(error)))
         return _read_written(name, expected, response)
 
@@ -112,6 +113,8 @@
                 retries=False,
             )
         except HTTPError as error:
+            # A call that timed out may have met a connection gone silent.
+            self._pool.clear()
             return Failure(Unavailable(f'read {path}: {error}'))
         return Success(response)
 
--- a/toucanhall/spread/__init__.py
+++ b/toucanhall/spread/__init__.py
@@ -1,7 +1,18 @@
 """Carries catalogue revisions between the store and the VMs."""
 
+from toucanhall.spread.accepting import Accepting, Change
 from toucanhall.spread.actor import Spread
-from toucanhall.spread.messages import Offer
+from toucanhall.spread.currency import Currency
+from toucanhall.spread.messages import Ask, Offer, Told
 from toucanhall.spread.watcher import Watcher
 
-__all__ = ('Offer', 'Spread', 'Watcher')
+__all__ = (
+    'Accepting',
+    'Ask',
+    'Change',
+    'Currency',
+    'Offer',
+    'Spread',
+    'Told',
+    'Watcher',
+)
--- /dev/null
+++ b/toucanhall/spread/acceptance.py
@@ -0,0 +1,137 @@
+"""Decides on an operator's change: when it may be written, when it counts."""
+
+import enum
+from typing import Final, NamedTuple, TypeAlias
+
+from toucanhall.spread.record import Record
+
+__all__ = (
+    'Attempt',
+    'Found',
+    'Known',
+    'ReadFailed',
+    'Standing',
+    'Step',
+    'Unsure',
+    'Unwritten',
+    'Written',
+    'check_base',
+    'proceed',
+)
+
+_TRIES: Final = 4
+
+
+class Standing(enum.Enum):
+    """Whether a change may be written on top of what the store holds."""
+
+    OPEN = 'open'
+    DONE = 'done'
+    CONFLICT = 'conflict'
+    STORE_BEHIND = 'store-behind'
+
+
+class Step(enum.Enum):
+    """What comes next for a change that is being written."""
+
+    WRITE = 'write'
+    READ = 'read'
+    ACCEPTED = 'accepted'
+    CONFLICT = 'conflict'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
+class Known(NamedTuple):
+    """The newest number that this VM holds or heard of, and its change."""
+
+    number: int = 0
+    change: str = ''
+
+
+class Attempt(NamedTuple):
+    """A change on its way: its base, the version it replaces, its tries.
+
+    `is_sent` tells that an earlier try may still take effect.
+    """
+
+    change: str
+    base_change: str
+    version: int
+    is_sent: bool = False
+    tries: int = 0
+
+
+class Written(NamedTuple):
+    """The store told that the write took effect."""
+
+
+class Unwritten(NamedTuple):
+    """This try had no effect; `conflict` tells that the version moved on."""
+
+    conflict: bool
+
+
+class Unsure(NamedTuple):
+    """The reply was lost: the write took effect, or may do so later."""
+
+
+class Found(NamedTuple):
+    """The store was read after a try."""
+
+    version: int
+    record: Record
+
+
+class ReadFailed(NamedTuple):
+    """The store could not be read after a try."""
+
+
+Event: TypeAlias = Written | Unwritten | Unsure | Found | ReadFailed
+
+
+def check_base(
+    expected: int,
+    change: str,
+    known: Known,
+    stored: Record,
+) -> Standing:
+    """Judge a change that replaces revision `expected`.
+
+    A store that came back older is repaired before it takes a change, so that
+    no number is used twice.
+    """
+    if change in {stored.change, *stored.history}:
+        return Standing.DONE
+    if (stored.number, stored.change) < (known.number, known.change):
+        return Standing.STORE_BEHIND
+    if stored.number != expected:
+        return Standing.CONFLICT
+    return Standing.OPEN
+
+
+def proceed(attempt: Attempt, event: Event) -> tuple[Attempt, Step]:
+    """Return the attempt and its next step after a reply of the store."""
+    if isinstance(event, Written):
+        return attempt, Step.ACCEPTED
+    if isinstance(event, Found):
+        return _judge_found(attempt, event)
+    tried = attempt._replace(tries=attempt.tries + 1)
+    if isinstance(event, Unwritten) and not attempt.is_sent:
+        return tried, Step.CONFLICT if event.conflict else Step.REFUSED
+    is_sent = attempt.is_sent or isinstance(event, Unsure)
+    ends = tried.tries >= _TRIES
+    return tried._replace(is_sent=is_sent), Step.UNKNOWN if ends else Step.READ
+
+
+def _judge_found(attempt: Attempt, found: Found) -> tuple[Attempt, Step]:
+    record = found.record
+    changes = (*record.history, record.change)
+    if attempt.change in changes:
+        return attempt, Step.ACCEPTED
+    if found.version == attempt.version:
+        # Writing again is what keeps a delayed write from landing later.
+        return attempt, Step.WRITE
+    if attempt.base_change in changes:
+        return attempt, Step.CONFLICT
+    return attempt, Step.UNKNOWN
--- /dev/null
+++ b/toucanhall/spread/accepting.py
@@ -0,0 +1,231 @@
+"""Writes an operator's change to the store and settles a lost reply."""
+
+from collections.abc import Callable
+from typing import NamedTuple, TypeAlias
+
+from returns.result import Failure, Result, Success
+
+from toucanhall import events
+from toucanhall.catalogue import Holder, Revision
+from toucanhall.catalogue.reading import revise
+from toucanhall.documents import Finding
+from toucanhall.platform import Ambiguous, Client, Conflict
+from toucanhall.platform.errors import PlatformError
+from toucanhall.spread.acceptance import (
+    Attempt,
+    Event,
+    Found,
+    Known,
+    ReadFailed,
+    Standing,
+    Step,
+    Unsure,
+    Unwritten,
+    Written,
+    check_base,
+    proceed,
+)
+from toucanhall.spread.record import CATALOGUE_NAME, Record, encode, parse
+
+__all__ = (
+    'Accepted',
+    'Accepting',
+    'Change',
+    'ChangeConflict',
+    'ChangeError',
+    'ChangeUnknown',
+    'Invalid',
+    'Unaccepted',
+)
+
+
+class Change(NamedTuple):
+    """A document that shall replace revision `expected`."""
+
+    expected: int
+    change: str
+    document: bytes
+    operator: str
+
+
+class Accepted(NamedTuple):
+    """The change is kept by the store under this number."""
+
+    number: int
+    change: str
+
+
+class ChangeConflict(NamedTuple):
+    """Another change came first; `found` is its revision."""
+
+    expected: int
+    found: int
+    found_change: str
+
+
+class Invalid(NamedTuple):
+    """The document is no valid catalogue."""
+
+    findings: tuple[Finding, ...]
+
+
+class Unaccepted(NamedTuple):
+    """Nothing was written, and nothing will be."""
+
+    what: str
+
+
+class ChangeUnknown(NamedTuple):
+    """The change may have been accepted: ask again by its change id."""
+
+    change: str
+
+
+ChangeError: TypeAlias = ChangeConflict | Invalid | Unaccepted | ChangeUnknown
+Outcome: TypeAlias = Result[Accepted, ChangeError]
+
+
+class Accepting:
+    """Takes operators' changes; a change is accepted once the store has it."""
+
+    def __init__(
+        self,
+        *,
+        platform: Client,
+        holder: Holder,
+        read_known: Callable[[], Known],
+        is_settled: Callable[[], bool],
+    ) -> None:
+        """Refuse while this VM may not know what the fleet knows."""
+        self._platform = platform
+        self._holder = holder
+        self._read_known = read_known
+        self._is_settled = is_settled
+
+    def accept(self, change: Change) -> Outcome:
+        """Write a change, or say why not; the outcome is the true one."""
+        if not self._is_settled():
+            return _refuse('this VM has not compared its revision yet')
+        read = self._read()
+        if not isinstance(read, Success):
+            return _refuse(f'nothing was written: {read.failure()}')
+        found: Found = read.unwrap()
+        standing = check_base(
+            change.expected,
+            change.change,
+            self._read_known(),
+            found.record,
+        )
+        if standing is Standing.DONE:
+            return Success(Accepted(found.record.number, change.change))
+        if standing is Standing.CONFLICT:
+            return _conflict(change, found.record)
+        if standing is Standing.STORE_BEHIND:
+            return _refuse(
+                f'the store came back at revision {found.record.number} and '
+                'is being repaired; nothing was written',
+            )
+        return self._write(change, found)
+
+    def _write(self, change: Change, found: Found) -> Outcome:
+        number = found.record.number + 1
+        revised = revise(number, change.change, change.document)
+        if not isinstance(revised, Success):
+            return Failure(Invalid(revised.failure()))
+        revision = revised.unwrap()
+        content = encode(
+            number,
+            change.change,
+            change.document,
+            found.record,
+        )
+        attempt = Attempt(change.change, found.record.change, found.version)
+        step, latest = self._drive(attempt, content)
+        return self._conclude(step, change, revision, latest)
+
+    def _drive(
+        self,
+        attempt: Attempt,
+        content: bytes,
+    ) -> tuple[Step, Record]:
+        step = Step.WRITE
+        latest = Record()
+        while step in {Step.WRITE, Step.READ}:
+            event = (
+                self._try_write(attempt, content)
+                if step is Step.WRITE
+                else self._try_read()
+            )
+            if isinstance(event, Found):
+                latest = event.record
+            attempt, step = proceed(attempt, event)
+        return step, latest
+
+    def _conclude(
+        self,
+        step: Step,
+        change: Change,
+        revision: Revision,
+        latest: Record,
+    ) -> Outcome:
+        if step is Step.ACCEPTED:
+            self._holder.offer(revision)
+            events.log(
+                events.CHANGE_ACCEPTED,
+                operator=change.operator,
+                revision=revision.number,
+                change=change.change,
+            )
+            return Success(Accepted(revision.number, change.change))
+        if step is Step.UNKNOWN:
+            events.log(events.CHANGE_UNKNOWN, change=change.change)
+            return Failure(ChangeUnknown(change.change))
+        if step is Step.REFUSED:
+            return _refuse('nothing was written: the store cannot be reached')
+        if not latest.number:
+            read = self._read()
+            latest = read.unwrap().record if _is_done(read) else latest
+        return _conflict(change, latest)
+
+    def _read(self) -> Result[Found, object]:
+        read = self._platform.read(CATALOGUE_NAME)
+        if not isinstance(read, Success):
+            return Failure(read.failure())
+        stored = read.unwrap()
+        return parse(stored.content).map(
+            lambda record: Found(stored.version, record),
+        )
+
+    def _try_read(self) -> Event:
+        read = self._read()
+        return read.unwrap() if _is_done(read) else ReadFailed()
+
+    def _try_write(self, attempt: Attempt, content: bytes) -> Event:
+        written = self._platform.write(
+            CATALOGUE_NAME,
+            content,
+            attempt.version,
+        )
+        if isinstance(written, Success):
+            return Written()
+        return _read_failure(written.failure())
+
+
+def _is_done(read: Result[Found, object]) -> bool:
+    return isinstance(read, Success)
+
+
+def _read_failure(error: PlatformError) -> Event:
+    if isinstance(error, Ambiguous):
+        return Unsure()
+    return Unwritten(isinstance(error, Conflict))
+
+
+def _refuse(what: str) -> Outcome:
+    return Failure(Unaccepted(what))
+
+
+def _conflict(change: Change, found: Record) -> Outcome:
+    return Failure(
+        ChangeConflict(change.expected, found.number, found.change),
+    )
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -1,7 +1,7 @@
-"""The actor that offers revisions to peers and takes theirs."""
+"""The actor that compares revisions with peers, offers and takes them."""
 
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import pykka
 
@@ -9,22 +9,24 @@
 from toucanhall.catalogue import Holder, Revision, Verdict
 from toucanhall.catalogue.reading import revise
 from toucanhall.documents import Finding, render
-from toucanhall.spread.messages import Offer
+from toucanhall.spread.acceptance import Known
+from toucanhall.spread.currency import Currency
+from toucanhall.spread.messages import Ask, Offer, Told
 
-__all__ = ('Behind', 'Offered', 'Push', 'Spread')
+__all__ = ('Arrived', 'Compare', 'Push', 'Spread', 'read_held')
 
+Message = Ask | Offer | Told
 
-class Offered(NamedTuple):
-    """A peer offered a revision."""
 
-    offer: Offer
+class Arrived(NamedTuple):
+    """A message of the peer at an address."""
 
+    address: str
+    message: Message
 
-class Behind(NamedTuple):
-    """A peer at an address was heard to hold an older revision."""
 
-    address: str
-    revision: int
+class Compare(NamedTuple):
+    """Time to compare revisions with the contacts."""
 
 
 class Push(NamedTuple):
@@ -34,7 +36,7 @@
 
 
 class Spread(pykka.ThreadingActor):
-    """Offers the revision in force to peers that hold an older one."""
+    """Brings the newest revision to peers and learns it from them."""
 
     use_daemon_thread = True
 
@@ -42,17 +44,21 @@
         self,
         *,
         holder: Holder,
-        send: Callable[[str, Offer], None],
+        currency: Currency,
+        own_address: str,
+        send: Callable[[str, Message], None],
         list_contacts: Callable[[], tuple[str, ...]],
     ) -> None:
-        """Send offers with `send` to the addresses of the contacts."""
+        """Send with `send` to the addresses of the contacts."""
         super().__init__()
         self._holder = holder
+        self._currency = currency
+        self._own_address = own_address
         self._send = send
         self._list_contacts = list_contacts
         self._handlers: Mapping[type, Callable[[Any], None]] = {
-            Offered: self._take,
-            Behind: self._answer,
+            Arrived: self._take,
+            Compare: self._compare,
             Push: self._push,
         }
 
@@ -60,19 +66,39 @@
         """Handle one message of this actor."""
         self._handlers[type(message)](message)
 
-    def _take(self, message: Offered) -> None:
-        offer = message.offer
-        held = self._holder.current
-        if held and offer.number <= held.number:
+    def _take(self, arrived: Arrived) -> None:
+        _TAKERS[type(arrived.message)](self, arrived.address, arrived.message)
+
+    def _take_ask(self, address: str, question: Ask) -> None:
+        held = read_held(self._holder)
+        self._send(address, self._currency.answer(held, question))
+        self._help(address, Known(question.number, question.change))
+
+    def _take_told(self, address: str, answer: Told) -> None:
+        self._currency.hear(read_held(self._holder), answer)
+        self._help(address, Known(answer.number, answer.change))
+
+    def _take_offer(self, address: str, offer: Offer) -> None:
+        if (offer.number, offer.change) <= read_held(self._holder):
             return
         revised = revise(offer.number, offer.change, offer.document)
         revised.map(self._holder.offer)
         revised.alt(log_invalid)
+        self._ask(address)
+
+    def _help(self, address: str, theirs: Known) -> None:
+        revision = self._holder.current
+        if revision and theirs < read_held(self._holder):
+            self._send(address, make_offer(revision))
 
-    def _answer(self, message: Behind) -> None:
-        held = self._holder.current
-        if held and message.revision < held.number:
-            self._send(message.address, make_offer(held))
+    def _compare(self, _message: Compare) -> None:
+        for address in self._list_contacts():
+            self._ask(address)
+
+    def _ask(self, address: str) -> None:
+        held = read_held(self._holder)
+        question = self._currency.ask(held, self._own_address)
+        self._send(address, question)
 
     def _push(self, message: Push) -> None:
         offer = make_offer(message.revision)
@@ -80,6 +106,19 @@
             self._send(address, offer)
 
 
+_TAKERS: Final[Mapping[type, Callable[[Spread, str, Any], None]]] = {
+    Ask: Spread._take_ask,
+    Offer: Spread._take_offer,
+    Told: Spread._take_told,
+}
+
+
+def read_held(holder: Holder) -> Known:
+    """Return the number and change of the revision in force."""
+    held = holder.current
+    return Known(held.number, held.change) if held else Known()
+
+
 def make_offer(revision: Revision) -> Offer:
     """Return the message that carries a revision."""
     return Offer(revision.number, revision.change, revision.document)
--- /dev/null
+++ b/toucanhall/spread/currency.py
@@ -0,0 +1,109 @@
+"""Holds what this process knows of the currency of its revision."""
+
+import threading
+from collections.abc import Callable
+
+from toucanhall import events, runtime
+from toucanhall.spread import comparison
+from toucanhall.spread.acceptance import Known
+from toucanhall.spread.comparison import Comparison
+from toucanhall.spread.freshness import (
+    FRESH_SECONDS,
+    begin,
+    is_settled,
+    learn,
+    may_serve,
+    tick,
+)
+from toucanhall.spread.messages import Ask, Told
+
+__all__ = ('Currency',)
+
+
+class Currency:
+    """The comparison state, read per request and changed under a lock."""
+
+    def __init__(self) -> None:
+        """Start without any evidence."""
+        self._lock = threading.Lock()
+        self._state = Comparison(begin(runtime.read_clock()), {})
+        self._was_settled = False
+
+    def tick(self) -> None:
+        """Note that the process runs; called several times a second."""
+        now = runtime.read_clock()
+        self._change(
+            lambda state: state._replace(freshness=tick(state.freshness, now)),
+        )
+        settled = self.is_settled()
+        if settled is not self._was_settled:
+            self._was_settled = settled
+            events.log(
+                events.FRESHNESS_GAINED if settled else events.FRESHNESS_LOST,
+            )
+
+    def learn(self, as_of: float) -> None:
+        """Note that the store held no newer revision at a time."""
+        now = runtime.read_clock()
+        self._change(
+            lambda state: state._replace(
+                freshness=learn(state.freshness, as_of, now),
+            ),
+        )
+
+    def ask(self, held: Known, address: str) -> Ask:
+        """Return a question for a peer."""
+        now = runtime.read_clock()
+        with self._lock:
+            asked = comparison.ask(self._state, held, address, now)
+            self._state = asked[0]
+        return asked[1]
+
+    def answer(self, held: Known, question: Ask) -> Told:
+        """Return the answer to a peer's question."""
+        self._change(lambda state: comparison.hear_ask(state, question))
+        return comparison.tell(
+            self._state,
+            held,
+            question,
+            runtime.read_clock(),
+        )
+
+    def hear(self, held: Known, answer: Told) -> None:
+        """Take a peer's answer."""
+        now = runtime.read_clock()
+        self._change(
+            lambda state: comparison.hear_told(state, held, answer, now),
+        )
+
+    def is_settled(self) -> bool:
+        """Return whether revisions were compared since start or pause."""
+        return is_settled(self._state.freshness, runtime.read_clock())
+
+    def may_serve(self, hold_seconds: float) -> bool:
+        """Return whether keys may be relied on."""
+        return may_serve(
+            self._state.freshness,
+            runtime.read_clock(),
+            hold_seconds,
+        )
+
+    def is_fresh(self) -> bool:
+        """Return whether there is recent evidence of the store's content."""
+        as_of = self._state.freshness.as_of
+        if as_of is None:
+            return False
+        return runtime.read_clock() - as_of <= FRESH_SECONDS
+
+    def read_age(self) -> float | None:
+        """Return the seconds since the revision was known to be newest."""
+        as_of = self._state.freshness.as_of
+        return None if as_of is None else runtime.read_clock() - as_of
+
+    def read_heard(self) -> Known:
+        """Return the newest revision that any peer named."""
+        return self._state.heard
+
+    def _change(self, change: Callable[[Comparison], Comparison]) -> None:
+        with self._lock:
+            self._state = change(self._state)
--- a/toucanhall/spread/messages.py
+++ b/toucanhall/spread/messages.py
@@ -2,7 +2,29 @@
 
 from typing import NamedTuple
 
-__all__ = ('Offer',)
+__all__ = ('Ask', 'Offer', 'Told')
+
+
+class Ask(NamedTuple):
+    """A VM asks a peer to compare revisions; `nonce` names the question."""
+
+    nonce: int
+    address: str
+    number: int
+    change: str
+
+
+class Told(NamedTuple):
+    """The answer to an `Ask`.
+
+    `age` is how many seconds ago the peer's revision was known to be the
+    newest of the store; none when the peer may not rely on it itself.
+    """
+
+    nonce: int
+    number: int
+    change: str
+    age: float | None
 
 
 class Offer(NamedTuple):
--- a/toucanhall/spread/record.py
+++ b/toucanhall/spread/record.py
@@ -3,34 +3,68 @@
 from typing import Final, NamedTuple
 
 import msgspec
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from toucanhall.catalogue import Revision
 from toucanhall.catalogue.reading import revise
 from toucanhall.documents import Finding
 
-__all__ = ('CATALOGUE_NAME', 'Record', 'decode', 'encode')
+__all__ = ('CATALOGUE_NAME', 'Record', 'decode', 'encode', 'parse', 'succeed')
 
 CATALOGUE_NAME: Final = 'catalogue'
+_HISTORY_LENGTH: Final = 32  # change ids
 
 
 class Record(NamedTuple):
-    """The number of a revision, its change id and its JSON document."""
+    """The number of a revision, its change id and its JSON document.
 
-    number: int
-    change: str
-    document: str
+    `history` holds the change ids that led to it, the latest one last.
+    """
 
+    number: int = 0
+    change: str = ''
+    document: str = ''
+    history: tuple[str, ...] = ()
 
-def encode(number: int, change: str, document: bytes) -> bytes:
+
+def succeed(
+    base: Record,
+    number: int,
+    change: str,
+    document: bytes,
+) -> Record:
+    """Return the record that replaces a base."""
+    history = (*base.history, base.change)[-_HISTORY_LENGTH:]
+    return Record(number, change, document.decode(), history)
+
+
+def encode(
+    number: int,
+    change: str,
+    document: bytes,
+    base: Record | None = None,
+) -> bytes:
     """Return the content of the catalogue object."""
-    return msgspec.json.encode(Record(number, change, document.decode()))
+    record = succeed(base or Record(), number, change, document)
+    return msgspec.json.encode(record)
 
 
-def decode(content: bytes) -> Result[Revision, tuple[Finding, ...]]:
-    """Read the content of the catalogue object."""
+def parse(content: bytes) -> Result[Record, tuple[Finding, ...]]:
+    """Read the record without its catalogue; empty content is revision 0."""
+    if not content:
+        return Success(Record())
     try:
-        record = msgspec.json.decode(content, type=Record)
+        return Success(msgspec.json.decode(content, type=Record))
     except msgspec.MsgspecError as error:
         return Failure((Finding(CATALOGUE_NAME, str(error), 'a record'),))
-    return revise(record.number, record.change, record.document.encode())
+
+
+def decode(content: bytes) -> Result[Revision, tuple[Finding, ...]]:
+    """Read the content of the catalogue object."""
+    return parse(content).bind(
+        lambda record: revise(
+            record.number,
+            record.change,
+            record.document.encode(),
+        ),
+    )
--- a/toucanhall/spread/watcher.py
+++ b/toucanhall/spread/watcher.py
@@ -1,20 +1,28 @@
 """Follows the catalogue object in the store and repairs an older one."""
 
 import threading
+from collections.abc import Callable
 from typing import Final
 
 from returns.pipeline import is_successful
+from returns.result import Success
 
-from toucanhall import events
+from toucanhall import events, runtime
 from toucanhall.catalogue import Holder
 from toucanhall.platform import Client, Stored
-from toucanhall.platform.model import ABSENT
-from toucanhall.spread.actor import log_invalid
-from toucanhall.spread.record import CATALOGUE_NAME, decode, encode
+from toucanhall.spread.actor import log_invalid, read_held
+from toucanhall.spread.currency import Currency
+from toucanhall.spread.record import (
+    CATALOGUE_NAME,
+    Record,
+    decode,
+    encode,
+    parse,
+)
 
 __all__ = ('Watcher',)
 
-_WAIT_SECONDS: Final = 10.0
+_WAIT_SECONDS: Final = 2.0
 _PAUSE_SECONDS: Final = 1.0
 
 
@@ -26,13 +34,18 @@
         *,
         platform: Client,
         holder: Holder,
+        currency: Currency,
+        may_watch: Callable[[], bool],
         stopping: threading.Event,
     ) -> None:
         """Offer what the store holds to the holder until stopping is set."""
         self._platform = platform
         self._holder = holder
+        self._currency = currency
+        self._may_watch = may_watch
         self._stopping = stopping
         self._available = True
+        self._version = -1
 
     def start(self) -> None:
         """Begin to follow the store."""
@@ -40,40 +53,51 @@
         thread.start()
 
     def _run(self) -> None:
-        known = -1
         while not self._stopping.is_set():
-            watched = self._platform.watch(CATALOGUE_NAME, known, _WAIT_SECONDS)
-            self._note_available(available=is_successful(watched))
-            if is_successful(watched):
-                stored = watched.unwrap()
-                known = stored.version
-                self._take(stored)
-            else:
+            if not self._may_watch() or not self._watch():
                 self._stopping.wait(_PAUSE_SECONDS)
 
-    def _take(self, stored: Stored) -> None:
-        if stored.version == ABSENT:
-            self._restore(stored)
-            return
-        decoded = decode(stored.content)
-        decoded.alt(log_invalid)
-        if not is_successful(decoded):
-            return
-        revision = decoded.unwrap()
-        held = self._holder.current
-        if held and revision.number < held.number:
-            self._restore(stored)
-            return
-        self._holder.offer(revision)
+    def _watch(self) -> bool:
+        started_at = runtime.read_clock()
+        watched = self._platform.watch(
+            CATALOGUE_NAME,
+            self._version,
+            _WAIT_SECONDS,
+        )
+        self._note_available(available=is_successful(watched))
+        if not isinstance(watched, Success):
+            return False
+        stored = watched.unwrap()
+        if not self._take(stored):
+            return False
+        self._version = stored.version
+        self._currency.learn(started_at)
+        return True
+
+    def _take(self, stored: Stored) -> bool:
+        parsed = parse(stored.content)
+        parsed.alt(log_invalid)
+        if not isinstance(parsed, Success):
+            return False
+        record: Record = parsed.unwrap()
+        rank = (record.number, record.change)
+        if rank < read_held(self._holder):
+            return self._restore(stored, record)
+        if rank > read_held(self._holder):
+            decoded = decode(stored.content)
+            decoded.alt(log_invalid)
+            decoded.map(self._holder.offer)
+        return read_held(self._holder) >= rank
 
-    def _restore(self, stored: Stored) -> None:
+    def _restore(self, stored: Stored, older: Record) -> bool:
         held = self._holder.current
         if held is None:
-            return
-        content = encode(held.number, held.change, held.document)
+            return False
+        content = encode(held.number, held.change, held.document, older)
         written = self._platform.write(CATALOGUE_NAME, content, stored.version)
         if is_successful(written):
             events.log(events.CATALOGUE_RESTORED, revision=held.number)
+        return is_successful(written)
 
     def _note_available(self, *, available: bool) -> None:
         if available == self._available:
