--- /dev/null
+++ b/tests/models/test_freshness_model.py
@@ -0,0 +1,194 @@
+"""Model of a VM that is paused or cut off while a key is withdrawn.
+
+A second passes at a time. While the VM runs and is connected, it compares its
+revision with two sources each second. An answer that was under way when a pause
+began waits in a buffer until the VM resumes. A pause lasts longer than a step;
+a VM that ticks in time is taken to run and to be answered. Times are relative
+to now, and end at one that is past every bound, so that the state space is
+finite.
+"""
+
+from typing import NamedTuple
+
+from minicheck import Protocol, check_safety
+
+from toucanhall.spread import freshness
+from toucanhall.spread.freshness import Freshness
+
+HOLD_SECONDS = 9
+OLDEST = -11
+# An accepted configuration is to be in force within this, as the target says.
+BOUND_SECONDS = 8
+SOURCES = (freshness.STORE, 'peer')
+
+
+class State(NamedTuple):
+    """The VM, its buffer, and when the key was withdrawn.
+
+    `was_cut` tells that it ran cut off and has not been connected since, nor
+    been paused for long.
+    """
+
+    freshness: Freshness = Freshness(0, settled=True, as_of=0)
+    is_paused: bool = False
+    is_cut: bool = False
+    was_cut: bool = False
+    has_newest: bool = True
+    withdrawn_at: int | None = None
+    buffered_at: int | None = None
+
+
+class Rules(NamedTuple):
+    """The decisions that the model runs; a variant replaces one."""
+
+    tick: object = freshness.tick
+    learn: object = freshness.learn
+    may_serve: object = freshness.may_serve
+
+
+def list_steps(state, rules):
+    """Yield what can happen next."""
+    if state.withdrawn_at is None:
+        withdrawn = state._replace(withdrawn_at=0, has_newest=False)
+        yield 'key is withdrawn', withdrawn
+    yield 'a second passes', pass_second(state, rules)
+    if state.is_paused:
+        if -state.freshness.ticked_at > freshness.STEP_SECONDS:
+            yield 'resumes', state._replace(is_paused=False)
+    else:
+        paused = state._replace(is_paused=True)
+        yield 'pauses', paused
+        if not state.is_cut and state.has_newest:
+            asked = paused._replace(buffered_at=0)
+            yield 'pauses with an answer under way', asked
+    if not state.is_paused:
+        ticked = rules.tick(state.freshness, 0, 1)
+        yield 'ticks', state._replace(freshness=ticked)
+    if not state.is_paused and state.buffered_at is not None:
+        heard = learn(state, rules, state.buffered_at)
+        yield 'reads its buffer', heard._replace(buffered_at=None)
+    yield 'is cut or healed', state._replace(is_cut=not state.is_cut)
+
+
+def pass_second(state, rules):
+    """Let a second pass, with the regular work of a VM that runs."""
+    state = shift(state)
+    if state.is_paused:
+        is_long = -state.freshness.ticked_at > freshness.PAUSE_SECONDS
+        return state._replace(was_cut=state.was_cut and not is_long)
+    ticked = rules.tick(state.freshness, 0, 1)
+    state = state._replace(freshness=ticked)
+    if state.is_cut:
+        return state._replace(was_cut=True)
+    return learn(state._replace(has_newest=True, was_cut=False), rules, 0)
+
+
+def shift(state):
+    """Move every time a second into the past."""
+    known = state.freshness
+    return state._replace(
+        freshness=known._replace(
+            ticked_at=age(known.ticked_at),
+            as_of=age(known.as_of),
+        ),
+        withdrawn_at=age(state.withdrawn_at),
+        buffered_at=age(state.buffered_at),
+    )
+
+
+def age(time):
+    """Return a relative time as it is a second later."""
+    return None if time is None else max(time - 1, OLDEST)
+
+
+def learn(state, rules, asked_at):
+    """Take the answers to questions that were sent at a time."""
+    known = state.freshness
+    for source in SOURCES:
+        known = rules.learn(known, asked_at, source, 0)
+    return state._replace(freshness=known)
+
+
+def serves_withdrawn(fields, rules):
+    """Return for how many seconds the VM has served a withdrawn key."""
+    serves = not fields['is_paused'] and rules.may_serve(
+        fields['freshness'],
+        0,
+        HOLD_SECONDS,
+    )
+    if fields['has_newest'] or not serves:
+        return 0
+    return -fields['withdrawn_at']
+
+
+def check(**variant):
+    """Check the complete state space under the rules of a variant."""
+    rules = Rules(**variant)
+
+    def is_bounded(fields):
+        lag = serves_withdrawn(fields, rules)
+        return lag <= BOUND_SECONDS or fields['was_cut']
+
+    protocol = Protocol(
+        name='freshness',
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(State()),
+        transitions=lambda fields: [
+            (label, tuple(after))
+            for label, after in list_steps(State(*fields), rules)
+        ],
+        invariants={
+            'bounded': is_bounded,
+            'held': lambda fields: (
+                serves_withdrawn(fields, rules) <= HOLD_SECONDS
+            ),
+        },
+    )
+    return check_safety(protocol, max_states=2_000_000)
+
+
+def list_broken(checked):
+    """Return the names of the invariants that do not hold."""
+    return {
+        name
+        for name, found in checked['properties'].items()
+        if not found['holds']
+    }
+
+
+def test_withdrawn_key_is_served_for_a_bounded_time():
+    checked = check()
+    print(f'states: {checked["reachable_states"]}')
+    assert not list_broken(checked)
+
+
+def test_check_of_the_own_clock_is_needed():
+    def serve_settled(state, now, hold_seconds):
+        return freshness.may_serve(
+            state._replace(ticked_at=now), now, hold_seconds,
+        )  # fmt: skip
+
+    assert 'bounded' in list_broken(check(may_serve=serve_settled))
+
+
+def test_pause_must_be_noticed_by_the_tick():
+    def tick_on(state, now, peers):
+        ticked_at = max(state.ticked_at, now - freshness.STEP_SECONDS)
+        return freshness.tick(state._replace(ticked_at=ticked_at), now, peers)
+
+    assert 'bounded' in list_broken(check(tick=tick_on))
+
+
+def test_answer_must_count_from_its_question():
+    def learn_on_arrival(state, _asked_at, source, now):
+        return freshness.learn(state, now, source, now)
+
+    assert 'bounded' in list_broken(check(learn=learn_on_arrival))
+
+
+def test_bound_on_an_outdated_revision_is_needed():
+    def serve_for_ever(state, now, _hold_seconds):
+        return freshness.may_serve(state, now, -OLDEST)
+
+    assert 'held' in list_broken(check(may_serve=serve_for_ever))
--- /dev/null
+++ b/tests/models/test_spread_model.py
@@ -0,0 +1,349 @@
+"""Model of accepted changes: two operators, two VMs, a store that forgets.
+
+`left` goes through VM one and `right` through VM two, both for revision 1.
+Writes may be lost, delayed, or lose their replies. The store may come back
+older once. VM two restarts with nothing, as long as one has all that it had.
+"""
+
+from functools import partial
+from typing import NamedTuple
+
+from minicheck import Protocol, check_safety
+
+from toucanhall.catalogue.holder import Verdict, judge
+from toucanhall.spread import comparison, freshness
+from toucanhall.spread.acceptance import (
+    Attempt,
+    Found,
+    Known,
+    Standing,
+    Step,
+    Unsure,
+    Unwritten,
+    Written,
+    check_base,
+    proceed,
+)
+from toucanhall.spread.comparison import Comparison
+from toucanhall.spread.record import Record, succeed
+
+BASE = Record(1, 'base')
+SETTLED = freshness.Freshness(0, settled=True, as_of=0)
+VIA = {'left': 'one', 'right': 'two'}
+ENDS = frozenset((Step.ACCEPTED, Step.CONFLICT, Step.REFUSED, Step.UNKNOWN))
+MOST_STATES = 2_000_000
+
+
+class Operator(NamedTuple):
+    """A change: its next step, attempt, base and content, and late copies."""
+
+    step: Step | None = None
+    attempt: Attempt | None = None
+    content: Record | None = None
+    is_late: bool = False
+    told_behind: bool = False
+
+
+class State(NamedTuple):
+    """The store, what the VMs hold, and what was seen so far."""
+
+    stored: Record = BASE
+    version: int = 1
+    earlier: Record | None = None
+    has_forgotten: bool = False
+    one: Record = BASE
+    two: Record = BASE
+    evidence: freshness.Freshness = SETTLED
+    has_restarted: bool = False
+    left: Operator = Operator()
+    right: Operator = Operator()
+    served: Known = Known(1, 'base')
+    went_back: bool = False
+
+
+class Rules(NamedTuple):
+    """The decisions that the model runs; a variant replaces one."""
+
+    judge: object = judge
+    check_base: object = check_base
+    proceed: object = proceed
+    needed: int = freshness.SOURCES_NEEDED
+    forgets: str = 'known'
+
+
+def rank(record):
+    """Return the place of a record in the order of revisions."""
+    return Known(record.number, record.change)
+
+
+def changes(record):
+    """Return every change that led to a record."""
+    return {*record.history, record.change}
+
+
+def list_steps(state, rules):
+    """Yield what can happen next."""
+    for name in VIA:
+        yield from run_operator(state, rules, name)
+    for vm in ('one', 'two'):
+        yield f'{vm} watches', watch(state, rules, vm)
+    yield 'one hears two', take(state, rules, 'one', state.two)
+    yield 'two hears one', hear(state, rules)
+    if can_forget(state, rules):
+        forgotten = state._replace(
+            stored=state.earlier,
+            version=state.version + 1,
+            has_forgotten=True,
+        )
+        yield 'store comes back older', forgotten
+    if not state.has_restarted and rank(state.one) >= rank(state.two):
+        started = freshness.begin(0)._replace(needed=rules.needed)
+        yield (
+            'two restarts',
+            state._replace(
+                two=Record(),
+                evidence=started,
+                has_restarted=True,
+            ),
+        )
+
+
+def can_forget(state, rules):
+    """Return whether the store may come back older here."""
+    if state.has_forgotten or state.earlier is None:
+        return False
+    known = state.one == state.two == state.stored
+    return rules.forgets == 'sudden' or (rules.forgets == 'known' and known)
+
+
+def run_operator(state, rules, name):
+    """Yield the steps of one change."""
+    operator = getattr(state, name)
+    if operator.step is None:
+        yield f'{name} reads', begin(state, rules, name)
+    elif operator.step is Step.WRITE:
+        yield from write(state, rules, name)
+    elif operator.step is Step.READ:
+        found = Found(state.version, state.stored)
+        yield f'{name} reads back', go_on(state, rules, name, found)
+    if operator.is_late:
+        late = state._replace(**{name: operator._replace(is_late=False)})
+        yield f'{name} late write is lost', late
+        if state.version == operator.attempt.version:
+            yield f'{name} late write lands', store(late, operator.content)
+
+
+def begin(state, rules, name):
+    """Judge the base; VM two takes none before it is settled."""
+    vm = VIA[name]
+    if vm == 'two' and not freshness.is_settled(state.evidence, 0):
+        return state
+    held = getattr(state, vm)
+    standing = rules.check_base(1, name, rank(held), state.stored)
+    if standing is Standing.STORE_BEHIND:
+        return state
+    if standing is not Standing.OPEN:
+        return state._replace(**{name: Operator(Step.CONFLICT)})
+    content = succeed(state.stored, state.stored.number + 1, name, b'')
+    attempt = Attempt(name, state.stored.change, state.version)
+    return state._replace(**{name: Operator(Step.WRITE, attempt, content)})
+
+
+def write(state, rules, name):
+    """Yield the fates of one try of a conditional write."""
+    operator = getattr(state, name)
+    on = partial(go_on, rules=rules, name=name)
+    if state.version == operator.attempt.version:
+        done = store(state, operator.content)
+        yield f'{name} writes', on(done, event=Written())
+        yield f'{name} writes, reply lost', on(done, event=Unsure())
+        late = state._replace(**{name: operator._replace(is_late=True)})
+        yield f'{name} write is delayed', on(late, event=Unsure())
+    else:
+        yield f'{name} conflicts', on(state, event=Unwritten(conflict=True))
+    yield f'{name} is not sent', on(state, event=Unwritten(conflict=False))
+
+
+def go_on(state, rules, name, event):
+    """Take the next step of a change; an accepted one is in force at its VM."""
+    operator = getattr(state, name)
+    attempt, step = rules.proceed(operator.attempt, event)
+    state = state._replace(
+        **{name: operator._replace(attempt=attempt, step=step)},
+    )
+    if step is Step.ACCEPTED:
+        return take(state, rules, VIA[name], operator.content)
+    return state
+
+
+def store(state, content):
+    """Put a content into the store."""
+    return state._replace(
+        stored=content,
+        version=state.version + 1,
+        earlier=state.stored,
+    )
+
+
+def take(state, rules, vm, record):
+    """Offer a record to a VM, and note whether what it serves went back."""
+    held = getattr(state, vm)
+    known = held if held.number else None
+    verdict = rules.judge(known, record.number, record.change)
+    if record.number and verdict in {Verdict.TAKE, Verdict.REPLACE}:
+        went_back = rank(record) < rank(held)
+        state = state._replace(
+            **{vm: record},
+            went_back=state.went_back or went_back,
+        )
+    return note_served(state)
+
+
+def note_served(state):
+    """Note the newest revision that VM two served, across its restarts."""
+    if not freshness.is_settled(state.evidence, 0):
+        return state
+    return state._replace(
+        went_back=state.went_back or rank(state.two) < state.served,
+        served=max(state.served, rank(state.two)),
+    )
+
+
+def watch(state, rules, vm):
+    """Read the store; an older content is replaced by the held one."""
+    held = getattr(state, vm)
+    if rank(state.stored) < rank(held):
+        return store(state, held)
+    state = take(state, rules, vm, state.stored)
+    return learn(state, freshness.STORE) if vm == 'two' else state
+
+
+def learn(state, source):
+    """Note evidence of VM two; its sources matter only until it is settled."""
+    if freshness.is_settled(state.evidence, 0):
+        return state
+    learnt = freshness.learn(state.evidence, 0, source, 0)
+    return note_served(state._replace(evidence=learnt))
+
+
+def hear(state, rules):
+    """Let VM two compare with one, which offers what is missing."""
+    state = take(state, rules, 'two', state.one)
+    if freshness.is_settled(state.evidence, 0):
+        return state
+    start = Comparison(state.evidence, {})
+    asking, question = comparison.ask(start, rank(state.two), '', 0)
+    answer = comparison.tell(
+        Comparison(SETTLED, {}), rank(state.one), question, 0
+    )
+    heard = comparison.hear_told(asking, rank(state.two), answer, 'one', 0)
+    return note_served(state._replace(evidence=heard.freshness))
+
+
+def is_kept(fields):
+    """Return whether every accepted change is part of the newest revision."""
+    newest = max((fields['stored'], fields['one'], fields['two']), key=rank)
+    return all(
+        name in changes(newest)
+        for name in VIA
+        if fields[name].step is Step.ACCEPTED
+    )
+
+
+def is_true(fields):
+    """Return whether no change that was told as not written is anywhere."""
+    return not any(
+        name in changes(fields[place])
+        for name in VIA
+        if fields[name].step in {Step.CONFLICT, Step.REFUSED}
+        for place in ('stored', 'one', 'two')
+    )
+
+
+def is_unique(fields):
+    """Return whether one number has one content at the VMs."""
+    first, second = fields['one'], fields['two']
+    return first.number != second.number or first.change == second.change
+
+
+def check(**variant):
+    """Check the complete state space under the rules of a variant."""
+    rules = Rules(**variant)
+    protocol = Protocol(
+        name='spread',
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(State()),
+        transitions=lambda fields: [
+            (label, tuple(after))
+            for label, after in list_steps(State(*fields), rules)
+            if tuple(after) != fields
+        ],
+        invariants={
+            'never_back': lambda fields: not fields['went_back'],
+            'kept': is_kept,
+            'true': is_true,
+            'unique': is_unique,
+        },
+    )
+    return check_safety(protocol, max_states=MOST_STATES)
+
+
+def list_broken(checked):
+    """Return the names of the invariants that do not hold."""
+    return {
+        name
+        for name, found in checked['properties'].items()
+        if not found['holds']
+    }
+
+
+def test_changes_are_kept_and_told_truly():
+    checked = check()
+    print(f'states: {checked["reachable_states"]}')
+    assert not list_broken(checked)
+
+
+def test_store_that_forgets_before_a_second_vm_heard_is_the_known_limit():
+    checked = check(forgets='sudden')
+    print(f'states: {checked["reachable_states"]}')
+    assert list_broken(checked) == {'kept', 'true', 'unique'}
+
+
+def test_order_of_revisions_is_needed():
+    def take_any(_held, _number, _change):
+        return Verdict.TAKE
+
+    assert 'never_back' in list_broken(check(judge=take_any))
+
+
+def test_second_source_is_needed_after_a_start():
+    assert 'never_back' in list_broken(check(needed=1))
+
+
+def test_repair_before_a_change_is_needed():
+    def check_loosely(expected, change, _known, stored):
+        return check_base(expected, change, Known(), stored)
+
+    assert 'unique' in list_broken(check(check_base=check_loosely))
+
+
+def test_second_write_against_a_delayed_one_is_needed():
+    def give_up(attempt, event):
+        attempt, step = proceed(attempt, event)
+        is_again = isinstance(event, Found) and step is Step.WRITE
+        return attempt, Step.CONFLICT if is_again else step
+
+    assert 'true' in list_broken(check(proceed=give_up))
+
+
+def test_history_of_change_ids_is_needed():
+    def forget(attempt, event):
+        if isinstance(event, Found):
+            record = event.record._replace(history=())
+            attempt, step = proceed(attempt, event._replace(record=record))
+            is_foreign = step in {Step.READ, Step.UNKNOWN}
+            return attempt, Step.CONFLICT if is_foreign else step
+        return proceed(attempt, event)
+
+    assert 'true' in list_broken(check(proceed=forget))
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -47,7 +47,8 @@
         (Found(8, OURS), Step.ACCEPTED),
         (Found(9, LATER), Step.ACCEPTED),
         (Found(8, THEIRS), Step.CONFLICT),
-        (Found(8, FOREIGN), Step.UNKNOWN),
+        (Found(8, FOREIGN), Step.READ),
+        (Found(8, BASE), Step.READ),
         (Found(7, BASE), Step.WRITE),
         (ReadFailed(), Step.READ),
         (Unwritten(conflict=True), Step.READ),
@@ -70,33 +71,53 @@
     assert step is Step.UNKNOWN
 
 
+def learn_twice(state, as_of, now):
+    """Return the state after evidence of the store and of a peer."""
+    state = freshness.learn(state, as_of, freshness.STORE, now)
+    return freshness.learn(state, as_of, 'peer', now)
+
+
 def test_pause_takes_the_right_to_serve_until_fresh_evidence():
-    state = freshness.learn(freshness.begin(0), 0, 0)
+    state = learn_twice(freshness.begin(0), 0, 0)
     assert freshness.may_serve(state, 1, 60)
     assert not freshness.may_serve(state, 10, 60)
-    state = freshness.tick(state, 10)
+    state = freshness.tick(state, 10, 5)
     assert not freshness.may_serve(state, 10, 60)
-    state = freshness.learn(state, 9.5, 10)
+    state = learn_twice(state, 9.5, 10)
     assert freshness.may_serve(state, 10, 60)
 
 
+def test_one_source_is_enough_only_where_there_is_no_peer():
+    state = freshness.learn(freshness.begin(0), 0, freshness.STORE, 0)
+    assert not freshness.is_settled(freshness.tick(state, 0, None), 0)
+    assert not freshness.is_settled(freshness.tick(state, 0, 1), 0)
+    assert freshness.is_settled(freshness.tick(state, 0, 0), 0)
+
+
 def test_cut_off_vm_serves_up_to_the_bound():
-    state = freshness.learn(freshness.begin(0), 0, 0)
+    state = learn_twice(freshness.begin(0), 0, 0)
     for now in range(1, 61):
-        state = freshness.tick(state, now)
+        state = freshness.tick(state, now, 5)
         assert freshness.may_serve(state, now, 60)
-    assert not freshness.may_serve(freshness.tick(state, 61), 61, 60)
+    assert not freshness.may_serve(freshness.tick(state, 61, 5), 61, 60)
 
 
 def test_fresh_vm_in_a_cut_off_zone_starts_after_a_bound():
-    state = freshness.learn(freshness.begin(100), 40, 100)
-    for now in (102, 103):
-        state = freshness.tick(state, now)
+    state = learn_twice(freshness.begin(100), 40, 100)
+    for now in (101, 102, 103):
+        state = freshness.tick(state, now, 5)
         assert not freshness.may_serve(state, now, 600)
-    state = freshness.tick(state, 100 + freshness.SETTLE_SECONDS)
+    state = freshness.tick(state, 100 + freshness.SETTLE_SECONDS, 5)
     assert freshness.may_serve(state, 104, 600)
 
 
+def test_vm_that_stutters_is_not_taken_for_cut_off():
+    state = learn_twice(freshness.begin(0), 0, 0)
+    for now in range(2, 20, 2):
+        state = freshness.tick(state, now, 5)
+    assert not freshness.may_serve(state, 18, 60)
+
+
 def make_comparison(now=0):
     """Return a comparison with one question, asked at a time."""
     start = Comparison(freshness.begin(now), {})
@@ -104,8 +125,8 @@
 
 
 def test_answer_counts_from_when_it_was_asked():
-    state = make_comparison(now=10)
-    state = comparison.hear_told(state, HELD, Told(1, 5, 'a', 2), 12)
+    answer = Told(1, 5, 'a', 2)
+    state = comparison.hear_told(make_comparison(10), HELD, answer, 'b', 12)
     assert state.freshness.as_of == 8
 
 
@@ -119,14 +140,14 @@
     ],
 )
 def test_answer_that_proves_nothing(answer):
-    state = comparison.hear_told(make_comparison(), HELD, answer, 1)
+    state = comparison.hear_told(make_comparison(), HELD, answer, 'b', 1)
     assert state.freshness.as_of is None
     assert state.heard == (answer.number, answer.change)
 
 
 def test_paused_peer_proves_nothing():
     asking = make_comparison()
-    peer = Comparison(freshness.learn(freshness.begin(0), 0, 0), {})
+    peer = Comparison(learn_twice(freshness.begin(0), 0, 0), {})
     question = comparison.ask(asking, HELD, '127.2.0.1', 20)[1]
     assert comparison.tell(peer, HELD, question, 1).age == 1
     assert comparison.tell(peer, HELD, question, 20).age is None
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -18,6 +18,7 @@
 from toucanhall.idempotency import Keeper
 from toucanhall.membership import Health, Heartbeat, Membership, View
 from toucanhall.membership.actor import Beat, Heard, Leave, ReadList
+from toucanhall.membership.confirming import report_zones
 from toucanhall.membership.view import HEARTBEAT_SECONDS
 from toucanhall.platform import connect
 from toucanhall.settings import Settings
@@ -106,7 +107,7 @@
                     platform=self._platform,
                     holder=self._holder,
                     read_known=self._read_known,
-                    is_settled=self._currency.is_settled,
+                    wait_settled=self._currency.wait_settled,
                 ),
                 read_status=self._read_status,
             ),
@@ -166,7 +167,7 @@
             (HEARTBEAT_SECONDS, partial(self._membership.tell, Beat())),
             (_LIST_SECONDS, partial(self._membership.tell, ReadList())),
             (_CLAIM_SECONDS, self._claim),
-            (_TICK_SECONDS, self._currency.tick),
+            (_TICK_SECONDS, self._tick),
             (_COMPARE_SECONDS, partial(self._spread.tell, Compare())),
         )
 
@@ -180,9 +181,13 @@
     ) -> None:
         known = self._view.members.get(envelope.vm)
         if known:
-            self._spread.tell(Arrived(known.address, message))
+            self._spread.tell(Arrived(envelope.vm, known.address, message))
         elif isinstance(message, Ask):
-            self._spread.tell(Arrived(message.address, message))
+            self._spread.tell(Arrived(envelope.vm, message.address, message))
+
+    def _tick(self) -> None:
+        view = self._view
+        self._currency.tick(len(view.members) if view.is_listed else None)
 
     def _may_watch(self) -> bool:
         return True
@@ -195,7 +200,10 @@
         self._claimer.size_ledger(revision.catalogue)
 
     def _publish(self, view: View) -> None:
+        is_first = view.is_listed and not self._view.is_listed
         self._view = view
+        if is_first:
+            self._spread.tell(Compare())
 
     def _read_revision(self) -> int:
         held = self._holder.current
@@ -249,7 +257,9 @@
         return {
             'vm': self._settings.vm,
             'revision': self._read_revision(),
+            'age': self._currency.read_age(),
             'in_force': self._view.confirmed,
+            'zones': self._report_zones(now),
             'members': [
                 {'vm': member.vm, 'zone': member.zone, 'health': health.value}
                 for health in Health
@@ -262,6 +272,18 @@
             'counters': self._counters.read(),
         }
 
+    def _report_zones(self, now: float) -> Mapping[str, Any]:
+        held = self._holder.current
+        if held is None:
+            return {}
+        reports = report_zones(
+            self._view,
+            sorted(held.catalogue.zones),
+            held.number,
+            now,
+        )
+        return {zone: report._asdict() for zone, report in reports.items()}
+
     def _leave(self, server: Any) -> None:
         if self._stopping.is_set():
             return
--- a/toucanhall/membership/actor.py
+++ b/toucanhall/membership/actor.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 
 from toucanhall import events, runtime
+from toucanhall.membership.confirming import confirm
 from toucanhall.membership.messages import Heartbeat
 from toucanhall.membership.view import (
     Health,
@@ -92,13 +93,15 @@
     def _beat(self, _message: Beat) -> None:
         now = runtime.read_clock()
         self._sequence += 1
-        confirmed = self._confirm(now)
+        revision = self._read_revision()
+        zone = self._settings.zone
+        confirmed = confirm(self._view, zone, revision, now)
         heartbeat = Heartbeat(
-            zone=self._settings.zone,
+            zone=zone,
             address=self._settings.address,
             sequence=self._sequence,
             leaving=self._leaving,
-            revision=self._read_revision(),
+            revision=revision,
             confirmed=confirmed,
         )
         self._view = self._view._replace(confirmed=confirmed)
@@ -132,17 +135,6 @@
         )
         self._publish(self._view)
 
-    def _confirm(self, now: float) -> Mapping[str, int]:
-        zone = self._settings.zone
-        own = [
-            member.revision
-            for member in self._view.select(Health.ALIVE, now)
-            if member.zone == zone
-        ]
-        in_force = min([*own, self._read_revision()])
-        known = self._view.confirmed
-        return {**known, zone: max(known.get(zone, 0), in_force)}
-
     def _select_contacts(self) -> tuple[Member, ...]:
         own_zone = self._settings.zone
         contacts: list[Member] = []
--- a/toucanhall/membership/view.py
+++ b/toucanhall/membership/view.py
@@ -46,10 +46,14 @@
 
 
 class View(NamedTuple):
-    """All known members by VM, without the VM that holds the view."""
+    """All known members by VM, without the VM that holds the view.
+
+    `is_listed` tells that the platform's list was read at least once.
+    """
 
     members: Mapping[str, Member]
     confirmed: Mapping[str, int]
+    is_listed: bool = False
 
     def select(self, health: Health, now: float) -> Iterator[Member]:
         """Yield the members of one health."""
@@ -94,7 +98,7 @@
         heard_at=now,
         listed=known.listed if known else False,
     )
-    return View(
+    return view._replace(
         members={**view.members, vm: member},
         confirmed=_merge_confirmed(view.confirmed, heartbeat.confirmed),
     )
@@ -119,7 +123,7 @@
     for entry in listed:
         if entry.vm != own_vm:
             members[entry.vm] = _merge_entry(members.get(entry.vm), entry)
-    return view._replace(members=members)
+    return view._replace(members=members, is_listed=True)
 
 
 def _merge_entry(known: Member | None, entry: Listed) -> Member:
--- a/toucanhall/spread/acceptance.py
+++ b/toucanhall/spread/acceptance.py
@@ -116,22 +116,25 @@
         return attempt, Step.ACCEPTED
     if isinstance(event, Found):
         return _judge_found(attempt, event)
-    tried = attempt._replace(tries=attempt.tries + 1)
     if isinstance(event, Unwritten) and not attempt.is_sent:
-        return tried, Step.CONFLICT if event.conflict else Step.REFUSED
+        return attempt, Step.CONFLICT if event.conflict else Step.REFUSED
     is_sent = attempt.is_sent or isinstance(event, Unsure)
-    ends = tried.tries >= _TRIES
-    return tried._replace(is_sent=is_sent), Step.UNKNOWN if ends else Step.READ
+    return _read_again(attempt._replace(is_sent=is_sent))
 
 
 def _judge_found(attempt: Attempt, found: Found) -> tuple[Attempt, Step]:
     record = found.record
-    changes = (*record.history, record.change)
-    if attempt.change in changes:
+    if attempt.change in {*record.history, record.change}:
         return attempt, Step.ACCEPTED
     if found.version == attempt.version:
         # Writing again is what keeps a delayed write from landing later.
         return attempt, Step.WRITE
-    if attempt.base_change in changes:
+    if attempt.base_change in record.history:
         return attempt, Step.CONFLICT
-    return attempt, Step.UNKNOWN
+    # The store came back older; what it lost may be this change.
+    return _read_again(attempt)
+
+
+def _read_again(attempt: Attempt) -> tuple[Attempt, Step]:
+    tried = attempt._replace(tries=attempt.tries + 1)
+    return tried, Step.READ if tried.tries < _TRIES else Step.UNKNOWN
--- a/toucanhall/spread/accepting.py
+++ b/toucanhall/spread/accepting.py
@@ -94,17 +94,17 @@
         platform: Client,
         holder: Holder,
         read_known: Callable[[], Known],
-        is_settled: Callable[[], bool],
+        wait_settled: Callable[[], bool],
     ) -> None:
-        """Refuse while this VM may not know what the fleet knows."""
+        """Refuse when this VM may not know what the fleet knows."""
         self._platform = platform
         self._holder = holder
         self._read_known = read_known
-        self._is_settled = is_settled
+        self._wait_settled = wait_settled
 
     def accept(self, change: Change) -> Outcome:
         """Write a change, or say why not; the outcome is the true one."""
-        if not self._is_settled():
+        if not self._wait_settled():
             return _refuse('this VM has not compared its revision yet')
         read = self._read()
         if not isinstance(read, Success):
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -19,10 +19,11 @@
 
 
 class Arrived(NamedTuple):
-    """A message of the peer at an address."""
+    """A message of a peer, and the address at which it is reached."""
 
+    peer: str
     address: str
-    message: Message
+    message: Any
 
 
 class Compare(NamedTuple):
@@ -67,24 +68,27 @@
         self._handlers[type(message)](message)
 
     def _take(self, arrived: Arrived) -> None:
-        _TAKERS[type(arrived.message)](self, arrived.address, arrived.message)
+        _TAKERS[type(arrived.message)](self, arrived)
 
-    def _take_ask(self, address: str, question: Ask) -> None:
+    def _take_ask(self, arrived: Arrived) -> None:
+        question: Ask = arrived.message
         held = read_held(self._holder)
-        self._send(address, self._currency.answer(held, question))
-        self._help(address, Known(question.number, question.change))
+        self._send(arrived.address, self._currency.answer(held, question))
+        self._help(arrived.address, Known(question.number, question.change))
 
-    def _take_told(self, address: str, answer: Told) -> None:
-        self._currency.hear(read_held(self._holder), answer)
-        self._help(address, Known(answer.number, answer.change))
+    def _take_told(self, arrived: Arrived) -> None:
+        answer: Told = arrived.message
+        self._currency.hear(read_held(self._holder), answer, arrived.peer)
+        self._help(arrived.address, Known(answer.number, answer.change))
 
-    def _take_offer(self, address: str, offer: Offer) -> None:
+    def _take_offer(self, arrived: Arrived) -> None:
+        offer: Offer = arrived.message
         if (offer.number, offer.change) <= read_held(self._holder):
             return
         revised = revise(offer.number, offer.change, offer.document)
         revised.map(self._holder.offer)
         revised.alt(log_invalid)
-        self._ask(address)
+        self._ask(arrived.address)
 
     def _help(self, address: str, theirs: Known) -> None:
         revision = self._holder.current
@@ -106,7 +110,7 @@
             self._send(address, offer)
 
 
-_TAKERS: Final[Mapping[type, Callable[[Spread, str, Any], None]]] = {
+_TAKERS: Final[Mapping[type, Callable[[Spread, Arrived], None]]] = {
     Ask: Spread._take_ask,
     Offer: Spread._take_offer,
     Told: Spread._take_told,
--- a/toucanhall/spread/comparison.py
+++ b/toucanhall/spread/comparison.py
@@ -58,9 +58,10 @@
     state: Comparison,
     held: Known,
     answer: Told,
+    peer: str,
     now: float,
 ) -> Comparison:
-    """Return the state after an answer.
+    """Return the state after an answer of a peer.
 
     It proves something only when it answers an open question, comes from a
     peer that relies on its own revision, and names none newer than the held.
@@ -76,7 +77,8 @@
     if answer.age is None or (answer.number, answer.change) > held:
         return state
     as_of = asked_at - max(0, answer.age)
-    return state._replace(freshness=learn(state.freshness, as_of, now))
+    freshness = learn(state.freshness, as_of, peer, now)
+    return state._replace(freshness=freshness)
 
 
 def _note(state: Comparison, known: Known) -> Comparison:
--- a/toucanhall/spread/currency.py
+++ b/toucanhall/spread/currency.py
@@ -8,7 +8,8 @@
 from toucanhall.spread.acceptance import Known
 from toucanhall.spread.comparison import Comparison
 from toucanhall.spread.freshness import (
-    FRESH_SECONDS,
+    SETTLE_SECONDS,
+    STORE,
     begin,
     is_settled,
     learn,
@@ -25,15 +26,17 @@
 
     def __init__(self) -> None:
         """Start without any evidence."""
-        self._lock = threading.Lock()
+        self._lock = threading.Condition()
         self._state = Comparison(begin(runtime.read_clock()), {})
         self._was_settled = False
 
-    def tick(self) -> None:
+    def tick(self, peers: int | None) -> None:
         """Note that the process runs; called several times a second."""
         now = runtime.read_clock()
         self._change(
-            lambda state: state._replace(freshness=tick(state.freshness, now)),
+            lambda state: state._replace(
+                freshness=tick(state.freshness, now, peers),
+            ),
         )
         settled = self.is_settled()
         if settled is not self._was_settled:
@@ -43,11 +46,11 @@
             )
 
     def learn(self, as_of: float) -> None:
-        """Note that the store held no newer revision at a time."""
+        """Note that the store itself held no newer revision at a time."""
         now = runtime.read_clock()
         self._change(
             lambda state: state._replace(
-                freshness=learn(state.freshness, as_of, now),
+                freshness=learn(state.freshness, as_of, STORE, now),
             ),
         )
 
@@ -69,17 +72,22 @@
             runtime.read_clock(),
         )
 
-    def hear(self, held: Known, answer: Told) -> None:
-        """Take a peer's answer."""
+    def hear(self, held: Known, answer: Told, peer: str) -> None:
+        """Take the answer of a peer."""
         now = runtime.read_clock()
         self._change(
-            lambda state: comparison.hear_told(state, held, answer, now),
+            lambda state: comparison.hear_told(state, held, answer, peer, now),
         )
 
     def is_settled(self) -> bool:
         """Return whether revisions were compared since start or pause."""
         return is_settled(self._state.freshness, runtime.read_clock())
 
+    def wait_settled(self) -> bool:
+        """Wait until revisions were compared; return whether they were."""
+        with self._lock:
+            return self._lock.wait_for(self.is_settled, SETTLE_SECONDS)
+
     def may_serve(self, hold_seconds: float) -> bool:
         """Return whether keys may be relied on."""
         return may_serve(
@@ -88,13 +96,6 @@
             hold_seconds,
         )
 
-    def is_fresh(self) -> bool:
-        """Return whether there is recent evidence of the store's content."""
-        as_of = self._state.freshness.as_of
-        if as_of is None:
-            return False
-        return runtime.read_clock() - as_of <= FRESH_SECONDS
-
     def read_age(self) -> float | None:
         """Return the seconds since the revision was known to be newest."""
         as_of = self._state.freshness.as_of
@@ -107,3 +108,4 @@
     def _change(self, change: Callable[[Comparison], Comparison]) -> None:
         with self._lock:
             self._state = change(self._state)
+            self._lock.notify_all()
--- a/toucanhall/spread/freshness.py
+++ b/toucanhall/spread/freshness.py
@@ -13,6 +13,9 @@
     'Freshness',
     'PAUSE_SECONDS',
     'SETTLE_SECONDS',
+    'SOURCES_NEEDED',
+    'STEP_SECONDS',
+    'STORE',
     'begin',
     'is_settled',
     'learn',
@@ -20,49 +23,81 @@
     'tick',
 )
 
+STORE: Final = 'store'  # the source that is no VM
+STEP_SECONDS: Final = 1.0
 PAUSE_SECONDS: Final = 3.0
 FRESH_SECONDS: Final = 5.0
 SETTLE_SECONDS: Final = 4.0
+SOURCES_NEEDED: Final = 2
 
 
 class Freshness(NamedTuple):
     """What a VM knows of the age of its revision.
 
-    `settling_since` is set after a start and after a pause, until the VM has
-    fresh evidence or has waited long enough to take itself for cut off.
+    After a start or a pause it is not settled until `needed` sources gave
+    fresh evidence; one is not enough where there are more, as the store may
+    have come back older. `ran` counts the seconds in which the VM ran without
+    a gap and got no fresh evidence: after enough of them it is cut off, and
+    goes on with what it has.
     """
 
     ticked_at: float
-    settling_since: float | None
+    settled: bool = False
     as_of: float | None = None
+    ran: float = 0.0
+    sources: frozenset[str] = frozenset()
+    needed: int = SOURCES_NEEDED
 
 
 def begin(now: float) -> Freshness:
     """Return the state of a VM that has just started."""
-    return Freshness(now, now)
+    return Freshness(now)
 
 
-def tick(state: Freshness, now: float) -> Freshness:
-    """Return the state after a regular call, which detects a pause."""
-    since = state.settling_since
-    if now - state.ticked_at > PAUSE_SECONDS:
-        since = now
-    elif since is not None and now - since >= SETTLE_SECONDS:
-        since = None
-    return _settle(state._replace(ticked_at=now, settling_since=since), now)
+def tick(state: Freshness, now: float, peers: int | None) -> Freshness:
+    """Return the state after a regular call, which detects a pause.
 
-
-def learn(state: Freshness, as_of: float, now: float) -> Freshness:
-    """Return the state after evidence of a time."""
+    `peers` is the number of other VMs, none before they are known.
+    """
+    gap = now - state.ticked_at
+    state = state._replace(ticked_at=now)
+    if peers is not None:
+        state = state._replace(needed=min(SOURCES_NEEDED, 1 + peers))
+    if gap > PAUSE_SECONDS:
+        return state._replace(settled=False, ran=0.0, sources=frozenset())
+    if gap <= STEP_SECONDS:
+        state = state._replace(ran=min(state.ran + gap, SETTLE_SECONDS))
+    return _settle(state)
+
+
+def learn(
+    state: Freshness,
+    as_of: float,
+    source: str,
+    now: float,
+) -> Freshness:
+    """Return the state after evidence of a time from the store or a VM."""
     newest = as_of if state.as_of is None else max(as_of, state.as_of)
-    return _settle(state._replace(as_of=newest), now)
+    learnt = state._replace(as_of=newest)
+    if now - state.ticked_at > PAUSE_SECONDS or now - as_of > FRESH_SECONDS:
+        return learnt
+    if state.settled:
+        return learnt._replace(ran=0.0)
+    return _settle(
+        learnt._replace(ran=0.0, sources=state.sources | {source}),
+    )
 
 
 def is_settled(state: Freshness, now: float) -> bool:
-    """Return whether the VM was checked since its start or latest pause."""
-    if now - state.ticked_at > PAUSE_SECONDS:
+    """Return whether the VM compared its revision, or is known to be cut off.
+
+    A VM that keeps being paused for a moment has neither.
+    """
+    if not state.settled or now - state.ticked_at > PAUSE_SECONDS:
         return False
-    return state.settling_since is None
+    if state.ran >= SETTLE_SECONDS:
+        return True
+    return state.as_of is not None and now - state.as_of <= FRESH_SECONDS
 
 
 def may_serve(state: Freshness, now: float, hold_seconds: float) -> bool:
@@ -72,8 +107,8 @@
     return now - state.as_of <= hold_seconds
 
 
-def _settle(state: Freshness, now: float) -> Freshness:
-    paused = now - state.ticked_at > PAUSE_SECONDS
-    if paused or state.as_of is None or now - state.as_of > FRESH_SECONDS:
-        return state
-    return state._replace(settling_since=None)
+def _settle(state: Freshness) -> Freshness:
+    is_enough = len(state.sources) >= state.needed
+    if is_enough or state.ran >= SETTLE_SECONDS:
+        return state._replace(settled=True, sources=frozenset())
+    return state
