Choose contacts by a ring and bridges instead of sending to everyone

A VM sent a heartbeat to every VM of its zone and two of every other one. It now sends to two VMs of its zone a second, at distances that double, with rows of what it heard; two VMs a side speak between two zones; two a zone read the store and the list.

--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from benches import relay
+from benches import membership, relay, spread
 
 BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
+    'membership': membership.main,
     'relay': relay.main,
+    'spread': spread.main,
 }
 
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -1,8 +1,11 @@
 """Tests of the view of a VM on its peers."""
 
 from tests.builders import make_heartbeat
-from toucanhall.membership import Health, View, hear, merge_list
-from toucanhall.membership.view import assess
+from toucanhall.membership import Health, Member, View, hear, merge_list
+from toucanhall.membership.confirming import confirm, report_zones
+from toucanhall.membership.contacts import is_reader, select_near
+from toucanhall.membership.messages import Row
+from toucanhall.membership.view import assess, forgive
 from toucanhall.platform import Listed
 
 EMPTY = View({}, {})
@@ -32,3 +35,83 @@
     listed = (Listed('b', 'north-a', '127.2.0.2', False),)
     view = merge_list(EMPTY, listed, 'a', 0)
     assert assess(view.members['b'], 0) is Health.UNHEARD
+
+
+def make_zone(size, zone='north-a', heard_at=0.0):
+    """Return a view of a zone's VMs, without the first one."""
+    members = {
+        f'{zone}-{index}': Member(
+            f'{zone}-{index}', zone, f'127.2.0.{index}',
+            start='s', sequence=1, revision=7, heard_at=heard_at,
+        )
+        for index in range(1, size)
+    }  # fmt: skip
+    return View(members, {})
+
+
+def test_news_of_a_vm_passes_through_the_largest_zone_in_few_rounds():
+    size, rounds = 62, 12
+    vms = [f'north-a-{index}' for index in range(size)]
+    every = make_zone(size + 1).members | {
+        vms[0]: Member(vms[0], 'north-a', '127.2.0.99'),
+    }
+    heard = {vms[0]}
+    for turn in range(rounds):
+        sent = {
+            member.vm
+            for vm in heard
+            for member in select_near(
+                View({key: every[key] for key in vms if key != vm}, {}),
+                vm, 'north-a', turn,
+            )
+        }  # fmt: skip
+        heard |= sent
+    assert heard == set(vms)
+
+
+def test_row_tells_of_a_known_vm_only_and_never_of_an_older_time():
+    view = make_zone(3)
+    rows = (
+        Row('north-a-1', 's', 5, 9, leaving=False),
+        Row('north-a-2', 's', 0, 1, leaving=True),
+        Row('stranger', 's', 5, 9, leaving=False),
+    )
+    after = hear(view, 'b', 's', make_heartbeat(rows=rows), 4)
+    assert after.members['north-a-1'].revision == 9
+    assert after.members['north-a-1'].heard_at == 4
+    assert after.members['north-a-2'] == view.members['north-a-2']
+    assert 'stranger' not in after.members
+
+
+def test_reader_of_the_platform_is_replaced_when_it_is_suspected():
+    zone = make_zone(9).members
+
+    def list_readers(now):
+        return {
+            vm
+            for vm in zone
+            if is_reader(
+                View({key: zone[key] for key in zone if key != vm}, {}),
+                vm,
+                'north-a',
+                now,
+            )
+        }
+
+    assert len(list_readers(0)) == 2
+    assert list_readers(60) == set(zone)
+
+
+def test_own_pause_makes_nobody_suspected():
+    view = forgive(make_zone(3, heard_at=10.0), 30, 41)
+    assert all(
+        assess(member, 41) is Health.ALIVE for member in view.members.values()
+    )
+
+
+def test_silent_vm_holds_back_the_confirmation_of_its_zone():
+    view = make_zone(3)
+    assert confirm(view, 'north-a', 9, 1) == {'north-a': 7}
+    assert confirm(view, 'north-a', 9, 500) == {'north-a': 7}
+    report = report_zones(view, ['north-a'], 9, 500)['north-a']
+    assert report.waiting == ('north-a-1', 'north-a-2')
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -1,5 +1,6 @@
 """An entry VM: builds the slices, joins them and runs until told to stop."""
 
+import random
 import signal
 import threading
 from collections.abc import Callable, Mapping
@@ -19,6 +20,7 @@
 from toucanhall.membership import Health, Heartbeat, Membership, View
 from toucanhall.membership.actor import Beat, Heard, Leave, ReadList
 from toucanhall.membership.confirming import report_zones
+from toucanhall.membership.contacts import is_reader, select_contacts
 from toucanhall.membership.view import HEARTBEAT_SECONDS
 from toucanhall.platform import connect
 from toucanhall.settings import Settings
@@ -34,6 +36,7 @@
     Watcher,
 )
 from toucanhall.spread.acceptance import Known
+from toucanhall.spread.freshness import FRESH_SECONDS
 from toucanhall.spread.actor import Arrived, Compare, Push, read_held
 from toucanhall.steering import AdvisedVm, Hop, Loads
 from toucanhall.transport import Envelope, Exchange
@@ -44,6 +47,7 @@
 _LIST_SECONDS: Final = 2.0
 _CLAIM_SECONDS: Final = 2.0
 _TICK_SECONDS: Final = 0.5
+_LATE_WATCH_CHANCE: Final = 0.1  # a second, where the readers bring nothing
 _COMPARE_SECONDS: Final = 1.0
 
 
@@ -54,6 +58,7 @@
         """Build the slices; nothing runs before `run`."""
         self._settings = settings
         self._stopping = threading.Event()
+        self._turn = 0
         self._view = View({}, {})
         self._counters = Counters(
             host=settings.statsd_host,
@@ -190,7 +195,13 @@
         self._currency.tick(len(view.members) if view.is_listed else None)
 
     def _may_watch(self) -> bool:
-        return True
+        own = self._settings
+        age = self._currency.read_age()
+        if age is None:
+            return True
+        if age > FRESH_SECONDS and random.random() < _LATE_WATCH_CHANCE:
+            return True
+        return is_reader(self._view, own.vm, own.zone, runtime.read_clock())
 
     def _read_known(self) -> Known:
         return max(self._currency.read_heard(), read_held(self._holder))
@@ -210,7 +221,16 @@
         return held.number if held else 0
 
     def _list_contacts(self) -> tuple[str, ...]:
-        return tuple(member.address for member in self._view.members.values())
+        own = self._settings
+        self._turn += 1
+        contacts = select_contacts(
+            self._view,
+            own.vm,
+            own.zone,
+            self._turn,
+            runtime.read_clock(),
+        )
+        return tuple(member.address for member in contacts)
 
     def _list_hops(self) -> tuple[Hop, ...]:
         now = runtime.read_clock()
--- a/toucanhall/membership/actor.py
+++ b/toucanhall/membership/actor.py
@@ -8,12 +8,19 @@
 
 from toucanhall import events, runtime
 from toucanhall.membership.confirming import confirm
+from toucanhall.membership.contacts import is_reader, select_contacts
+from toucanhall.membership.digest import (
+    list_rows,
+    sample_confirmed,
+    set_patience,
+)
 from toucanhall.membership.messages import Heartbeat
 from toucanhall.membership.view import (
     Health,
     Member,
     View,
     assess,
+    forgive,
     hear,
     merge_list,
 )
@@ -22,7 +29,8 @@
 
 __all__ = ('Beat', 'Heard', 'Leave', 'Membership', 'Platform', 'ReadList')
 
-_CONTACTS_PER_ZONE: Final = 2
+PAUSE_SECONDS: Final = 3.0
+_READS_BY_ALL: Final = 15  # every so many times, each VM reads the list
 
 
 class Beat(NamedTuple):
@@ -76,7 +84,9 @@
         self._read_revision = read_revision
         self._publish = publish
         self._view = View({}, {})
-        self._sequence = 0
+        self._sequence = runtime.read_wall_milliseconds()
+        self._beaten_at = runtime.read_clock()
+        self._reads = 0
         self._leaving = False
         self._health: dict[str, Health] = {}
         self._handlers: Mapping[type, Callable[[Any], None]] = {
@@ -92,33 +102,47 @@
 
     def _beat(self, _message: Beat) -> None:
         now = runtime.read_clock()
+        self._note_pause(now)
         self._sequence += 1
         revision = self._read_revision()
+        confirmed = confirm(self._view, self._settings.zone, revision, now)
+        self._view = self._view._replace(confirmed=confirmed)
+        self._watch_health(now)
+        for member in self._select_contacts(now):
+            self._send(member.address, self._make_heartbeat(member, now))
+        self._publish(self._view)
+
+    def _note_pause(self, now: float) -> None:
+        gap = now - self._beaten_at
+        self._beaten_at = now
+        if gap > PAUSE_SECONDS:
+            self._view = forgive(self._view, gap, now)
+
+    def _make_heartbeat(self, member: Member, now: float) -> Heartbeat:
         zone = self._settings.zone
-        confirmed = confirm(self._view, zone, revision, now)
-        heartbeat = Heartbeat(
+        is_near = member.zone == zone
+        turn = self._sequence
+        return Heartbeat(
             zone=zone,
             address=self._settings.address,
             sequence=self._sequence,
             leaving=self._leaving,
-            revision=revision,
-            confirmed=confirmed,
+            revision=self._read_revision(),
+            confirmed=sample_confirmed(self._view.confirmed, zone, turn),
+            rows=list_rows(self._view, zone, turn, now, is_near=is_near),
         )
-        self._view = self._view._replace(confirmed=confirmed)
-        self._watch_health(now)
-        for member in self._select_contacts():
-            self._send(member.address, heartbeat)
-        self._publish(self._view)
 
     def _read_list(self, _message: ReadList) -> None:
+        now = runtime.read_clock()
+        self._reads += 1
+        own = self._settings
+        if self._view.is_listed and self._reads % _READS_BY_ALL:
+            if not is_reader(self._view, own.vm, own.zone, now):
+                return
         listed = self._platform.list_vms(self._settings.zone)
         if isinstance(listed, Success):
-            self._view = merge_list(
-                self._view,
-                listed.unwrap(),
-                self._settings.vm,
-                runtime.read_clock(),
-            )
+            merged = merge_list(self._view, listed.unwrap(), own.vm, now)
+            self._view = set_patience(merged, own.zone)
             self._publish(self._view)
 
     def _leave(self, _message: Leave) -> None:
@@ -135,16 +159,14 @@
         )
         self._publish(self._view)
 
-    def _select_contacts(self) -> tuple[Member, ...]:
-        own_zone = self._settings.zone
-        contacts: list[Member] = []
-        taken: dict[str, int] = {}
-        for member in sorted(self._view.members.values()):
-            count = taken.get(member.zone, 0)
-            if member.zone == own_zone or count < _CONTACTS_PER_ZONE:
-                contacts.append(member)
-                taken[member.zone] = count + 1
-        return tuple(contacts)
+    def _select_contacts(self, now: float) -> tuple[Member, ...]:
+        return select_contacts(
+            self._view,
+            self._settings.vm,
+            self._settings.zone,
+            self._sequence,
+            now,
+        )
 
     def _watch_health(self, now: float) -> None:
         for vm, member in self._view.members.items():
--- a/toucanhall/membership/view.py
+++ b/toucanhall/membership/view.py
@@ -4,21 +4,23 @@
 from collections.abc import Iterator, Mapping
 from typing import Final, NamedTuple
 
-from toucanhall.membership.messages import Heartbeat
+from toucanhall.membership.messages import Heartbeat, Row
 from toucanhall.platform import Listed
 
 __all__ = (
     'HEARTBEAT_SECONDS',
+    'SUSPECT_SECONDS',
     'Health',
     'Member',
     'View',
     'assess',
+    'forgive',
     'hear',
     'merge_list',
 )
 
 HEARTBEAT_SECONDS: Final = 1.0
-_SUSPECT_SECONDS: Final = 3.5
+SUSPECT_SECONDS: Final = 3.5
 _FORGET_SECONDS: Final = 60.0
 
 
@@ -43,6 +45,7 @@
     revision: int = 0
     heard_at: float | None = None
     listed: bool = False
+    patience: float = SUSPECT_SECONDS
 
 
 class View(NamedTuple):
@@ -68,7 +71,7 @@
         return Health.LEAVING
     if member.heard_at is None:
         return Health.UNHEARD
-    if now - member.heard_at > _SUSPECT_SECONDS:
+    if now - member.heard_at > member.patience:
         return Health.SUSPECTED
     return Health.ALIVE
 
@@ -97,9 +100,11 @@
         revision=heartbeat.revision,
         heard_at=now,
         listed=known.listed if known else False,
+        patience=known.patience if known else SUSPECT_SECONDS,
     )
+    rows = _merge_rows(view.members, heartbeat.rows, now)
     return view._replace(
-        members={**view.members, vm: member},
+        members={**view.members, **rows, vm: member},
         confirmed=_merge_confirmed(view.confirmed, heartbeat.confirmed),
     )
 
@@ -126,6 +131,42 @@
     return view._replace(members=members, is_listed=True)
 
 
+def forgive(view: View, pause: float, now: float) -> View:
+    """Return the view after this VM itself was paused for some seconds."""
+    members = {
+        vm: _delay(member, pause, now) for vm, member in view.members.items()
+    }
+    return view._replace(members=members)
+
+
+def _delay(member: Member, pause: float, now: float) -> Member:
+    if member.heard_at is None:
+        return member
+    return member._replace(heard_at=min(member.heard_at + pause, now))
+
+
+def _merge_rows(
+    members: Mapping[str, Member],
+    rows: tuple[Row, ...],
+    now: float,
+) -> Mapping[str, Member]:
+    """Return the members that rows tell something newer of.
+
+    A row brings no unknown VM, since it does not tell where it is.
+    """
+    return {
+        row.vm: members[row.vm]._replace(
+            start=row.start,
+            sequence=row.sequence,
+            revision=row.revision,
+            leaving=row.leaving,
+            heard_at=now,
+        )
+        for row in rows
+        if row.vm in members and row.sequence > members[row.vm].sequence
+    }
+
+
 def _merge_entry(known: Member | None, entry: Listed) -> Member:
     if known is None:
         return Member(
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 from typing import Final
 
-__all__ = ('make_id', 'read_clock', 'start_ticker')
+__all__ = ('make_id', 'read_clock', 'read_wall_milliseconds', 'start_ticker')
 
 _ID_BYTES: Final = 12
+_NANOSECONDS: Final = 1_000_000  # per millisecond
 
 
 def read_clock() -> float:
@@ -16,6 +17,11 @@
     return time.monotonic()
 
 
+def read_wall_milliseconds() -> int:
+    """Return milliseconds on the wall clock, which may be set back."""
+    return time.time_ns() // _NANOSECONDS
+
+
 def make_id() -> str:
     """Return a random identifier that no other process makes."""
     return secrets.token_hex(_ID_BYTES)
