Replace connections that go silent one way and tell all of a leaving VM

With rows, only live VMs were told of, so a leaving VM stayed 'alive' to those it did not send to; the process test failed first. Sockets to peers are bounded at 64.

--- /dev/null
+++ b/tests/processes/test_membership.py
@@ -0,0 +1,71 @@
+"""Tests of membership by real processes."""
+
+import signal
+from collections.abc import Iterator
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from standins.fleet import Fleet, wait_until
+
+EXAMPLE = Path(__file__).parents[2] / 'examples' / 'bench.jsonc'
+STATUS = '/.toucanhall/admin/v1/status'
+HEADERS = {'Authorization': 'Bearer demo-operator-token'}
+
+
+@pytest.fixture(scope='module', name='fleet')
+def start_fleet() -> Iterator[Fleet]:
+    """Start five VMs of one zone with a catalogue in force."""
+    fleet = Fleet(catalogue=EXAMPLE, vms_per_zone=5)
+    try:
+        fleet.start()
+        fleet.apply()
+        for vm in fleet.vms:
+            wait_until(partial(sees, fleet, vm, 'alive', 4), f'{vm.name} full')
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def read_health(fleet, vm):
+    """Return the health of each other VM, as one VM sees it."""
+    response = fleet.http.request('GET', f'{vm.url}{STATUS}', headers=HEADERS)
+    return {
+        member['vm']: member['health'] for member in response.json()['members']
+    }
+
+
+def sees(fleet, vm, health, count):
+    """Return whether a VM sees a number of others in a state of health."""
+    return list(read_health(fleet, vm).values()).count(health) == count
+
+
+def test_killed_vm_is_suspected_by_all_and_alive_after_its_restart(fleet):
+    *others, killed = fleet.vms
+    fleet.kill(killed.name)
+    for vm in others:
+        wait_until(partial(sees, fleet, vm, 'suspected', 1), 'suspicion')
+        assert read_health(fleet, vm)[killed.name] == 'suspected'
+    fleet.start_vm(killed)
+    for vm in others:
+        wait_until(partial(sees, fleet, vm, 'alive', 4), 'return')
+
+
+def test_paused_vm_suspects_nobody_when_it_resumes(fleet):
+    *others, paused = fleet.vms
+    fleet.signal(paused.name, signal.SIGSTOP)
+    for vm in others:
+        wait_until(partial(sees, fleet, vm, 'suspected', 1), 'suspicion')
+    fleet.signal(paused.name, signal.SIGCONT)
+    for vm in others:
+        wait_until(partial(sees, fleet, vm, 'alive', 4), 'return')
+    log = fleet.read_log(paused.name)
+    assert '"event": 401' not in log
+
+
+def test_leaving_vm_is_known_to_all_as_leaving(fleet):
+    leaving, *others = fleet.vms
+    fleet.signal(leaving.name, signal.SIGTERM)
+    for vm in others:
+        wait_until(partial(sees, fleet, vm, 'leaving', 1), 'leaving')
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -18,6 +18,11 @@
 from toucanhall.spread.comparison import Comparison
 from toucanhall.spread.messages import Told
 from toucanhall.spread.record import Record
+from toucanhall.spread.silence import (
+    SILENT_SECONDS,
+    note_answered,
+    note_asked,
+)
 
 BASE = Record(4, 'base', '{}', ('older',))
 OURS = Record(5, 'ours', '{}', ('older', 'base'))
@@ -151,3 +156,19 @@
     question = comparison.ask(asking, HELD, '127.2.0.1', 20)[1]
     assert comparison.tell(peer, HELD, question, 1).age == 1
     assert comparison.tell(peer, HELD, question, 20).age is None
+
+
+def test_connection_without_answers_is_replaced():
+    state, is_silent = note_asked({}, 'peer', 0)
+    assert not is_silent
+    state, is_silent = note_asked(state, 'peer', 1)
+    assert not is_silent
+    state, is_silent = note_asked(state, 'peer', SILENT_SECONDS)
+    assert is_silent
+    assert not note_asked(state, 'peer', SILENT_SECONDS + 1)[1]
+
+
+def test_answer_ends_the_wait():
+    state, _ = note_asked({}, 'peer', 0)
+    state = note_answered(state, 'peer')
+    assert not note_asked(state, 'peer', SILENT_SECONDS)[1]
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -136,6 +136,7 @@
             currency=self._currency,
             own_address=self._settings.address,
             send=self._exchange.send,
+            redial=self._exchange.redial,
             list_contacts=self._list_contacts,
         )
         self._membership = Membership.start(
--- a/toucanhall/membership/actor.py
+++ b/toucanhall/membership/actor.py
@@ -147,7 +147,11 @@
 
     def _leave(self, _message: Leave) -> None:
         self._leaving = True
+        now = runtime.read_clock()
         self._beat(Beat())
+        for member in tuple(self._view.members.values()):
+            if member.zone == self._settings.zone:
+                self._send(member.address, self._make_heartbeat(member, now))
 
     def _hear(self, message: Heard) -> None:
         self._view = hear(
--- a/toucanhall/membership/digest.py
+++ b/toucanhall/membership/digest.py
@@ -10,6 +10,7 @@
     Health,
     Member,
     View,
+    assess,
 )
 
 __all__ = ('list_rows', 'sample_confirmed', 'set_patience')
@@ -20,6 +21,7 @@
 _SECONDS_PER_DOUBLING: Final = 1.0
 _FAR_SECONDS: Final = 20.0
 _SMALL_ZONE: Final = 4
+_TOLD: Final = frozenset((Health.ALIVE, Health.LEAVING))
 
 Item = TypeVar('Item')
 
@@ -37,18 +39,9 @@
     The own zone hears of all its VMs and in turns of those of other zones;
     other zones hear of the VMs of this zone in turns.
     """
-    near = [
-        _make_row(member)
-        for member in view.select(Health.ALIVE, now)
-        if member.zone == zone
-    ]
+    near, far = _split_told(view, zone, now)
     if not is_near:
         return _rotate(near, turn, _NEAR_ROWS_ABROAD)
-    far = [
-        _make_row(member)
-        for member in view.select(Health.ALIVE, now)
-        if member.zone != zone
-    ]
     return (*near, *_rotate(far, turn, _FAR_ROWS))
 
 
@@ -80,6 +73,21 @@
     )
 
 
+def _split_told(
+    view: View,
+    zone: str,
+    now: float,
+) -> tuple[list[Row], list[Row]]:
+    """Return rows of the own zone and of others, also of VMs that leave."""
+    near: list[Row] = []
+    far: list[Row] = []
+    for member in view.members.values():
+        if assess(member, now) in _TOLD and member.heard_at is not None:
+            rows = near if member.zone == zone else far
+            rows.append(_make_row(member))
+    return near, far
+
+
 def _make_row(member: Member) -> Row:
     return Row(
         member.vm,
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -5,13 +5,14 @@
 
 import pykka
 
-from toucanhall import events
+from toucanhall import events, runtime
 from toucanhall.catalogue import Holder, Revision, Verdict
 from toucanhall.catalogue.reading import revise
 from toucanhall.documents import Finding, render
 from toucanhall.spread.acceptance import Known
 from toucanhall.spread.currency import Currency
 from toucanhall.spread.messages import Ask, Offer, Told
+from toucanhall.spread.silence import note_answered, note_asked
 
 __all__ = ('Arrived', 'Compare', 'Push', 'Spread', 'read_held')
 
@@ -48,6 +49,7 @@
         currency: Currency,
         own_address: str,
         send: Callable[[str, Message], None],
+        redial: Callable[[str], None],
         list_contacts: Callable[[], tuple[str, ...]],
     ) -> None:
         """Send with `send` to the addresses of the contacts."""
@@ -56,6 +58,8 @@
         self._currency = currency
         self._own_address = own_address
         self._send = send
+        self._redial = redial
+        self._unanswered: Mapping[str, float] = {}
         self._list_contacts = list_contacts
         self._handlers: Mapping[type, Callable[[Any], None]] = {
             Arrived: self._take,
@@ -78,6 +82,7 @@
 
     def _take_told(self, arrived: Arrived) -> None:
         answer: Told = arrived.message
+        self._unanswered = note_answered(self._unanswered, arrived.address)
         self._currency.hear(read_held(self._holder), answer, arrived.peer)
         self._help(arrived.address, Known(answer.number, answer.change))
 
@@ -100,6 +105,11 @@
             self._ask(address)
 
     def _ask(self, address: str) -> None:
+        now = runtime.read_clock()
+        unanswered, is_silent = note_asked(self._unanswered, address, now)
+        self._unanswered = unanswered
+        if is_silent:
+            self._redial(address)
         held = read_held(self._holder)
         question = self._currency.ask(held, self._own_address)
         self._send(address, question)
--- a/toucanhall/transport/exchange.py
+++ b/toucanhall/transport/exchange.py
@@ -15,6 +15,7 @@
 __all__ = ('Exchange', 'Handler', 'Identity')
 
 _SEND_BUFFER: Final = 64  # messages
+_MOST_PEERS: Final = 64  # connections
 _RECONNECT_MS: Final = 100
 _RECONNECT_MAX_MS: Final = 1000
 
@@ -77,7 +78,8 @@
             message,
         )
         with self._lock:
-            peer = self._peers.get(address) or self._dial(address)
+            peer = self._peers.pop(address, None) or self._dial(address)
+            self._peers[address] = peer
             try:
                 peer.send(frame, block=False)
             except pynng.TryAgain:
@@ -106,7 +108,9 @@
             reconnect_time_max=_RECONNECT_MAX_MS,
         )
         peer.dial(f'tcp://{address}:{self._port}', block=False)
-        self._peers[address] = peer
+        if len(self._peers) >= _MOST_PEERS:
+            idlest = next(iter(self._peers))
+            self._peers.pop(idlest).close()
         return peer
 
     def _receive(self) -> None:
