Send changes as merge patches and settle a fleet that starts at once

A VM that holds the revision before gets a patch with a digest, any other the whole. Documents are kept in one canonical form, so that a patch leads to the same bytes; one that does not goes as a whole.

Fault found by a start under load: VMs that all start at once cannot be sources for one another, and fresh evidence of the store reset the wait, so they settled only when the list of VMs was still empty. The wait after a start is now counted apart; the unit test for it was written with the mend.

--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -116,6 +116,14 @@
     assert freshness.may_serve(state, 104, 600)
 
 
+def test_vms_that_all_start_at_once_settle_with_the_store_alone():
+    state = freshness.begin(0)
+    for now in range(1, 5):
+        state = freshness.tick(state, now, 5)
+        state = freshness.learn(state, now, freshness.STORE, now)
+    assert freshness.may_serve(state, 4, 60)
+
+
 def test_vm_that_stutters_is_not_taken_for_cut_off():
     state = learn_twice(freshness.begin(0), 0, 0)
     for now in range(2, 20, 2):
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -30,6 +30,7 @@
     Accepting,
     Ask,
     Currency,
+    Delta,
     Offer,
     Spread,
     Told,
@@ -164,6 +165,7 @@
         return (
             Handler(Heartbeat, self._hear),
             Handler(Ask, self._take_spread),
+            Handler(Delta, self._take_spread),
             Handler(Offer, self._take_spread),
             Handler(Told, self._take_spread),
         )
@@ -183,7 +185,7 @@
     def _take_spread(
         self,
         envelope: Envelope,
-        message: Ask | Offer | Told,
+        message: Ask | Delta | Offer | Told,
     ) -> None:
         known = self._view.members.get(envelope.vm)
         if known:
--- a/toucanhall/spread/__init__.py
+++ b/toucanhall/spread/__init__.py
@@ -3,7 +3,7 @@
 from toucanhall.spread.accepting import Accepting, Change
 from toucanhall.spread.actor import Spread
 from toucanhall.spread.currency import Currency
-from toucanhall.spread.messages import Ask, Offer, Told
+from toucanhall.spread.messages import Ask, Delta, Offer, Told
 from toucanhall.spread.watcher import Watcher
 
 __all__ = (
@@ -11,6 +11,7 @@
     'Ask',
     'Change',
     'Currency',
+    'Delta',
     'Offer',
     'Spread',
     'Told',
--- a/toucanhall/spread/accepting.py
+++ b/toucanhall/spread/accepting.py
@@ -25,6 +25,7 @@
     check_base,
     proceed,
 )
+from toucanhall.spread.patches import canonicalise
 from toucanhall.spread.record import CATALOGUE_NAME, Record, encode, parse
 
 __all__ = (
@@ -129,14 +130,15 @@
 
     def _write(self, change: Change, found: Found) -> Outcome:
         number = found.record.number + 1
-        revised = revise(number, change.change, change.document)
+        document = canonicalise(change.document)
+        revised = revise(number, change.change, document)
         if not isinstance(revised, Success):
             return Failure(Invalid(revised.failure()))
         revision = revised.unwrap()
         content = encode(
             number,
             change.change,
-            change.document,
+            document,
             found.record,
         )
         attempt = Attempt(change.change, found.record.change, found.version)
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -11,12 +11,13 @@
 from toucanhall.documents import Finding, render
 from toucanhall.spread.acceptance import Known
 from toucanhall.spread.currency import Currency
-from toucanhall.spread.messages import Ask, Offer, Told
+from toucanhall.spread.messages import Ask, Delta, Offer, Told
+from toucanhall.spread.patches import apply_delta, find_delta
 from toucanhall.spread.silence import note_answered, note_asked
 
 __all__ = ('Arrived', 'Compare', 'Push', 'Spread', 'read_held')
 
-Message = Ask | Offer | Told
+Message = Ask | Delta | Offer | Told
 
 
 class Arrived(NamedTuple):
@@ -60,6 +61,8 @@
         self._send = send
         self._redial = redial
         self._unanswered: Mapping[str, float] = {}
+        self._pushed: Revision | None = None
+        self._delta: Delta | None = None
         self._list_contacts = list_contacts
         self._handlers: Mapping[type, Callable[[Any], None]] = {
             Arrived: self._take,
@@ -88,16 +91,40 @@
 
     def _take_offer(self, arrived: Arrived) -> None:
         offer: Offer = arrived.message
-        if (offer.number, offer.change) <= read_held(self._holder):
+        held = read_held(self._holder)
+        if (offer.number, offer.change) > held:
+            self._revise(offer.number, offer.change, offer.document)
+            self._ask(arrived.address)
+
+    def _take_delta(self, arrived: Arrived) -> None:
+        delta: Delta = arrived.message
+        held = self._holder.current
+        if (delta.number, delta.change) <= read_held(self._holder):
             return
-        revised = revise(offer.number, offer.change, offer.document)
+        if held is not None:
+            apply_delta(held, delta).map(
+                lambda document: self._revise(
+                    delta.number,
+                    delta.change,
+                    document,
+                ),
+            )
+        # The answer proves the new revision, or brings it whole.
+        self._ask(arrived.address)
+
+    def _revise(self, number: int, change: str, document: bytes) -> None:
+        revised = revise(number, change, document)
         revised.map(self._holder.offer)
         revised.alt(log_invalid)
-        self._ask(arrived.address)
 
     def _help(self, address: str, theirs: Known) -> None:
         revision = self._holder.current
-        if revision and theirs < read_held(self._holder):
+        if revision is None or theirs >= read_held(self._holder):
+            return
+        delta = self._delta
+        if delta and theirs == (delta.base_number, delta.base_change):
+            self._send(address, delta)
+        else:
             self._send(address, make_offer(revision))
 
     def _compare(self, _message: Compare) -> None:
@@ -115,13 +142,17 @@
         self._send(address, question)
 
     def _push(self, message: Push) -> None:
-        offer = make_offer(message.revision)
+        revision = message.revision
+        self._delta = find_delta(self._pushed, revision)
+        self._pushed = revision
+        update = self._delta or make_offer(revision)
         for address in self._list_contacts():
-            self._send(address, offer)
+            self._send(address, update)
 
 
 _TAKERS: Final[Mapping[type, Callable[[Spread, Arrived], None]]] = {
     Ask: Spread._take_ask,
+    Delta: Spread._take_delta,
     Offer: Spread._take_offer,
     Told: Spread._take_told,
 }
--- a/toucanhall/spread/currency.py
+++ b/toucanhall/spread/currency.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from typing import Final
 
 from toucanhall import events, runtime
 from toucanhall.spread import comparison
@@ -20,6 +21,8 @@
 
 __all__ = ('Currency',)
 
+_WAIT_SECONDS: Final = SETTLE_SECONDS + 2
+
 
 class Currency:
     """The comparison state, read per request and changed under a lock."""
@@ -86,7 +89,7 @@
     def wait_settled(self) -> bool:
         """Wait until revisions were compared; return whether they were."""
         with self._lock:
-            return self._lock.wait_for(self.is_settled, SETTLE_SECONDS)
+            return self._lock.wait_for(self.is_settled, _WAIT_SECONDS)
 
     def may_serve(self, hold_seconds: float) -> bool:
         """Return whether keys may be relied on."""
--- a/toucanhall/spread/freshness.py
+++ b/toucanhall/spread/freshness.py
@@ -38,7 +38,9 @@
     fresh evidence; one is not enough where there are more, as the store may
     have come back older. `ran` counts the seconds in which the VM ran without
     a gap and got no fresh evidence: after enough of them it is cut off, and
-    goes on with what it has.
+    goes on with what it has. `waited` counts the seconds that it ran without
+    being settled, whatever it heard: when all VMs start at once, none of them
+    can be a source for the others.
     """
 
     ticked_at: float
@@ -47,6 +49,7 @@
     ran: float = 0.0
     sources: frozenset[str] = frozenset()
     needed: int = SOURCES_NEEDED
+    waited: float = 0.0
 
 
 def begin(now: float) -> Freshness:
@@ -64,9 +67,11 @@
     if peers is not None:
         state = state._replace(needed=min(SOURCES_NEEDED, 1 + peers))
     if gap > PAUSE_SECONDS:
-        return state._replace(settled=False, ran=0.0, sources=frozenset())
+        return begin(now)._replace(as_of=state.as_of, needed=state.needed)
     if gap <= STEP_SECONDS:
-        state = state._replace(ran=min(state.ran + gap, SETTLE_SECONDS))
+        waited = 0.0 if state.settled else state.waited + gap
+        ran = min(state.ran + gap, SETTLE_SECONDS)
+        state = state._replace(ran=ran, waited=waited)
     return _settle(state)
 
 
@@ -109,6 +114,6 @@
 
 def _settle(state: Freshness) -> Freshness:
     is_enough = len(state.sources) >= state.needed
-    if is_enough or state.ran >= SETTLE_SECONDS:
-        return state._replace(settled=True, sources=frozenset())
+    if is_enough or state.waited >= SETTLE_SECONDS:
+        return state._replace(settled=True, waited=0.0, sources=frozenset())
     return state
--- a/toucanhall/spread/messages.py
+++ b/toucanhall/spread/messages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ('Ask', 'Offer', 'Told')
+__all__ = ('Ask', 'Delta', 'Offer', 'Told')
 
 
 class Ask(NamedTuple):
@@ -33,3 +33,14 @@
     number: int
     change: str
     document: bytes
+
+
+class Delta(NamedTuple):
+    """A revision as a merge patch of the one before; `digest` checks it."""
+
+    number: int
+    change: str
+    base_number: int
+    base_change: str
+    patch: bytes
+    digest: bytes
