--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -4,14 +4,24 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from benches import catalogue, faults, footprint, limits, relay
+from benches import (
+    catalogue,
+    faults,
+    footprint,
+    limits,
+    membership,
+    relay,
+    spread,
+)
 
 BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
     'catalogue': catalogue.main,
     'faults': faults.main,
     'footprint': footprint.main,
     'limits': limits.main,
+    'membership': membership.main,
     'relay': relay.main,
+    'spread': spread.main,
 }
 
 
--- a/tests/models/test_shares_fence_model.py
+++ b/tests/models/test_shares_fence_model.py
@@ -16,7 +16,7 @@
 
 from toucanhall.shares import Holding, Table, fence
 from toucanhall.shares.fence import CONFIRM_SECONDS, Fence
-from toucanhall.shares.messages import Known, Probe
+from toucanhall.shares.messages import Acknowledgement, Probe
 
 TICK = fence.WAIT_SECONDS / 2
 SLOT = 0  # of the holder; others count as usable at once, which allows more
@@ -35,7 +35,7 @@
     holder: Fence
     near: Fence
     far: Fence
-    answer: tuple[Holding, Known] | None = None
+    answer: tuple[Holding, Acknowledgement] | None = None
 
 
 def freeze(found):
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -13,6 +13,8 @@
 from toucanhall.forwarding.credentials import digest_key
 from toucanhall.settings import Operator
 from toucanhall.settingsschema import ROLES
+from toucanhall.spread import Accepting
+from toucanhall.spread.actor import read_held
 
 OWNED = {'teams': frozenset(('hostels',)), 'routes': frozenset(('/bookings',))}
 
@@ -23,14 +25,21 @@
     def __init__(self, store=None):
         self.store = store or MemoryStore()
         self.counters = Counters(host='', port=0)
+        holder = Holder()
         self.admin = Admin(
             operators=tuple(
                 Operator(role, digest_key(role), role, **OWNED)
                 for role in ROLES
             ),
-            holder=Holder(),
+            holder=holder,
             platform=self.store,
             counters=self.counters,
+            accepting=Accepting(
+                platform=self.store,
+                holder=holder,
+                read_known=lambda: read_held(holder),
+                wait_settled=lambda: True,
+            ),
             read_status=lambda: {'revision': 1, 'in_force': {'north-a': 1}},
         )
 
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -82,7 +82,7 @@
             thread.start()
 
     def ask(self, vm, key):
-        """Ask one VM over and over."""
+        """GiftRequest one VM over and over."""
         pool = urllib3.PoolManager(retries=False)
         while not self.stopping.wait(0.002):
             try:
--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -7,6 +7,7 @@
 
 from tests.builders import make_document, make_request
 from tests.scripted import make_answer, start_target
+from toucanhall.catalogue import Holder
 from toucanhall.catalogue.reading import revise
 from toucanhall.counters import Counters
 from toucanhall.forwarding import Parts, serve
@@ -46,14 +47,6 @@
         """Admit a request of any team."""
 
 
-class Held:
-    """The revision in force."""
-
-    def __init__(self, current):
-        """Hold a revision."""
-        self.current = current
-
-
 def make_held(target, routes=None):
     """Return a revision in force with one target and one key."""
     document = make_document()
@@ -62,7 +55,9 @@
     digest = digest_key(KEY)
     document['keys'] = {'k': {'team': 'hostels', 'digest': digest}}
     document['routes'] = routes or document['routes']
-    return Held(revise(1, 'c', json.dumps(document).encode()).unwrap())
+    holder = Holder()
+    holder.offer(revise(1, 'c', json.dumps(document).encode()).unwrap())
+    return holder
 
 
 def make_parts(held):
--- a/toucanhall/admin/service.py
+++ b/toucanhall/admin/service.py
@@ -7,7 +7,7 @@
 
 from returns.result import Success
 
-from toucanhall import documents, events, runtime
+from toucanhall import events
 from toucanhall.admin.answers import Reply, explain, render
 from toucanhall.admin.audit import Audit
 from toucanhall.admin.calls import Call, is_conditional, read_expected
@@ -15,17 +15,15 @@
 from toucanhall.admin.routes import PREFIX, Mismatch, Route, match
 from toucanhall.admin.views import Views
 from toucanhall.admin.writer import Writer
-from toucanhall.catalogue import Holder, Revision
-from toucanhall.catalogue.reading import revise
+from toucanhall.catalogue import Holder
 from toucanhall.counters import Counters
 from toucanhall.forwarding.records import Answer, Request, find_header
-from toucanhall.platform import Ambiguous, Client
+from toucanhall.platform import Client
 from toucanhall.settings import Operator
-from toucanhall.spread.record import CATALOGUE_NAME, decode, encode
+from toucanhall.spread import Accepting
 
 __all__ = ('Admin', 'PREFIX')
 
-_explain: Final = explain
 _FIRST_ERROR: Final = 400
 
 
@@ -39,13 +37,13 @@
         holder: Holder,
         platform: Client,
         counters: Counters,
+        accepting: Accepting,
         read_status: Callable[[], Mapping[str, Any]],
     ) -> None:
         """Serve the operators that the settings name."""
         audit = Audit(platform=platform)
         self._operators = operators
         self._holder = holder
-        self._platform = platform
         self._counters = counters
         self.handlers = _list_handlers(
             Views(holder=holder, audit=audit, read_status=read_status),
@@ -54,7 +52,7 @@
                 writer=Writer(
                     holder=holder,
                     audit=audit,
-                    apply=self._apply,
+                    accept=accepting.accept,
                 ),
             ),
         )
@@ -90,63 +88,6 @@
                 return operator
         return None
 
-    def _apply(self, request: Request, operator: Operator) -> Reply:
-        expected = find_header(request.headers, 'if-match').strip('"')
-        if not expected.isdigit():
-            return 400, _explain('If-Match needs the revision to replace')
-        read = self._platform.read(CATALOGUE_NAME)
-        if not isinstance(read, Success):
-            return 503, _explain('the store cannot be reached')
-        stored = read.unwrap()
-        number = _read_number(stored.content)
-        held = self._holder.current
-        if number != int(expected) or (held and held.number > number):
-            return 412, _explain(
-                f'revision {expected} was expected, {number} is in the store',
-            )
-        revised = revise(number + 1, runtime.make_id(), request.body)
-        if not isinstance(revised, Success):
-            errors = [documents.render(entry) for entry in revised.failure()]
-            return 400, {'errors': errors, **_explain('catalogue is invalid')}
-        return self._accept(revised.unwrap(), stored.version, operator)
-
-    def _accept(
-        self,
-        revision: Revision,
-        version: int,
-        operator: Operator,
-    ) -> Reply:
-        number, change, document, _ = revision
-        content = encode(number, change, document)
-        written = self._platform.write(CATALOGUE_NAME, content, version)
-        if not isinstance(written, Success):
-            return self._settle(change, written.failure())
-        self._holder.offer(revision)
-        events.log(
-            events.CHANGE_ACCEPTED,
-            operator=operator.name,
-            revision=number,
-            change=change,
-        )
-        return 200, {'accepted': number, 'change': change}
-
-    def _settle(self, change: str, error: object) -> Reply:
-        if not isinstance(error, Ambiguous):
-            return 412, _explain(f'nothing was written: {error}')
-        read = self._platform.read(CATALOGUE_NAME)
-        if not isinstance(read, Success):
-            return 503, _explain('the write may have taken effect')
-        found = decode(read.unwrap().content)
-        if isinstance(found, Success) and found.unwrap().change == change:
-            self._holder.offer(found.unwrap())
-            return 200, {'accepted': found.unwrap().number, 'change': change}
-        return 412, _explain('another change came first')
-
-
-def _read_number(content: bytes) -> int:
-    found = decode(content)
-    return found.unwrap().number if isinstance(found, Success) else 0
-
 
 def _list_handlers(
     views: Views,
--- a/toucanhall/admin/writer.py
+++ b/toucanhall/admin/writer.py
@@ -8,20 +8,21 @@
 from returns.result import Success
 
 from toucanhall import catalogue, documents, runtime
-from toucanhall.admin.answers import STORE_DOWN, Reply, explain
+from toucanhall.admin.answers import Reply, explain
 from toucanhall.admin.audit import Audit, AuditEntry, add_entry, list_entries
-from toucanhall.admin.calls import (
-    CHANGE_HEADER,
-    Base,
-    Call,
-    read_base,
-    read_expected,
-)
+from toucanhall.admin.calls import Base, Call, read_base, read_expected
 from toucanhall.admin.rights import find_violations
 from toucanhall.catalogue import Holder
 from toucanhall.catalogue.differences import Difference, compare, describe
-from toucanhall.forwarding.records import Request
 from toucanhall.settings import Operator
+from toucanhall.spread import Change
+from toucanhall.spread.accepting import (
+    ChangeConflict,
+    ChangeUnknown,
+    Invalid,
+    Outcome,
+    Unaccepted,
+)
 
 __all__ = ('CONFLICT', 'Writer')
 
@@ -30,15 +31,10 @@
 _CATCH_UP_TRIES: Final = 20
 _CATCH_UP_SECONDS: Final = 0.1
 _OK: Final = 200
+_INVALID: Final = 400
 _UNAVAILABLE: Final = 503
 _UNCHANGED: Final = 'not changed'
-# Any other detail of a 503 leaves the outcome unknown.
-_NOT_WRITTEN: Final = (
-    STORE_DOWN,
-    'nothing was written',
-    'this VM has not compared its revision yet',
-    'the store came back',
-)
+_UNKNOWN: Final = 'unknown'
 
 
 class Writer:
@@ -49,12 +45,12 @@
         *,
         holder: Holder,
         audit: Audit,
-        apply: Callable[[Request, Operator], Reply],
+        accept: Callable[[Change], Outcome],
     ) -> None:
-        """Write whole documents with `apply`, which checks the revision."""
+        """Write whole documents with `accept`, which checks the revision."""
         self._holder = holder
         self._audit = audit
-        self._apply = apply
+        self._accept = accept
 
     def submit(
         self,
@@ -101,32 +97,30 @@
     ) -> Reply:
         entries = list_entries(document)
         change = entries[-1].id
-        request = call.request._replace(
-            headers=(
-                ('If-Match', f'"{base.number}"'),
-                (CHANGE_HEADER, change),
+        accepted = self._accept(
+            Change(
+                base.number,
+                change,
+                msgspec.json.encode(document),
+                call.operator.name,
             ),
-            body=msgspec.json.encode(document),
         )
-        status, body = self._apply(request, call.operator)
-        if status == _OK:
+        if isinstance(accepted, Success):
+            done = accepted.unwrap()
             is_copied = self._audit.copy(entries)
-            return status, {**body, 'change': change, 'audited': is_copied}
-        if status == CONFLICT:
-            return self._tell_conflict(base, body)
-        if status == _UNAVAILABLE:
-            is_unchanged = str(body.get('detail')).startswith(_NOT_WRITTEN)
-            outcome = _UNCHANGED if is_unchanged else 'unknown'
-            return status, {**body, 'outcome': outcome, 'change': change}
-        return status, body
-
-    def _tell_conflict(self, base: Base, body: Mapping[str, Any]) -> Reply:
-        """Tell a lost race from a store that did not take the write."""
-        self.catch_up(base.number + 1)
-        if self._read_number() <= base.number:
-            return _UNAVAILABLE, {**body, 'outcome': _UNCHANGED}
-        _, conflict = self._explain_conflict(base.number, base.number)
-        return CONFLICT, {**body, **conflict}
+            return _OK, {
+                'accepted': done.number,
+                'change': change,
+                'audited': is_copied,
+            }
+        error = accepted.failure()
+        if isinstance(error, ChangeConflict):
+            return self._tell_conflict(error)
+        return _REPLIES[type(error)](error, change)
+
+    def _tell_conflict(self, error: ChangeConflict) -> Reply:
+        self.catch_up(error.found)
+        return self._explain_conflict(error.expected, error.found)
 
     def _explain_conflict(self, expected: int | None, current: int) -> Reply:
         newest = max(current, self._read_number())
@@ -167,3 +161,32 @@
     if differences:
         return None
     return _OK, {'accepted': base.number, 'change': '', 'changed': False}
+
+
+def _reply_invalid(error: Invalid, _change: str) -> Reply:
+    errors = [documents.render(found) for found in error.findings]
+    return _INVALID, {'errors': errors, **explain('catalogue is invalid')}
+
+
+def _reply_unaccepted(error: Unaccepted, change: str) -> Reply:
+    return _UNAVAILABLE, {
+        'outcome': _UNCHANGED,
+        'change': change,
+        **explain(error.what),
+    }
+
+
+def _reply_unknown(error: ChangeUnknown, change: str) -> Reply:
+    detail = f'change {error.change} may have been accepted'
+    return _UNAVAILABLE, {
+        'outcome': _UNKNOWN,
+        'change': change,
+        **explain(detail),
+    }
+
+
+_REPLIES: Final[Mapping[type, Callable[[Any, str], Reply]]] = {
+    Invalid: _reply_invalid,
+    Unaccepted: _reply_unaccepted,
+    ChangeUnknown: _reply_unknown,
+}
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -22,10 +22,11 @@
 from toucanhall.catalogue.schema import SCHEMA
 from toucanhall.documents import Document, Finding
 
-__all__ = ('read', 'read_text', 'revise')
+__all__ = ('read', 'read_text', 'revise', 'revise_after')
 
 _SLOTS_PER_ZONE: Final = 12
 _HOLD_SECONDS: Final = 5.0
+_KEY_HOLD_SECONDS: Final = 14400.0
 _DEADLINE_SECONDS: Final = 10.0
 _FRACTION_SLACK: Final = 1e-9
 _NOTHING: Final[Document] = MappingProxyType({})
@@ -70,6 +71,17 @@
     )
 
 
+def revise_after(
+    held: Revision | None,
+    number: int,
+    change: str,
+    document: bytes,
+) -> Result[Revision, tuple[Finding, ...]]:
+    """Read a revision; entries that the held one has are not checked again."""
+    known = msgspec.json.decode(held.document) if held else _NOTHING
+    return revise(number, change, document, known)
+
+
 def _drop_known(document: Document, known: Document) -> Document:
     changed = dict(document)
     for section in _TABLES:
@@ -215,6 +227,7 @@
         ),
         slots_per_zone=document.get('slots_per_zone', _SLOTS_PER_ZONE),
         hold_seconds=document.get('hold_seconds', _HOLD_SECONDS),
+        key_hold_seconds=document.get('key_hold_seconds', _KEY_HOLD_SECONDS),
     )  # fmt: skip
 
 
--- a/toucanhall/catalogue/schema.py
+++ b/toucanhall/catalogue/schema.py
@@ -127,5 +127,9 @@
             make_array(_CHANGE),
             'Newest changes; set by the system, ignored in a file.',
         ),
+        'key_hold_seconds': describe(
+            POSITIVE,
+            'Seconds that a VM cut off from all others serves keys; 14400.',
+        ),
     },
 )
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -1,5 +1,6 @@
 """An entry VM: builds the slices, joins them and runs until told to stop."""
 
+import random
 import signal
 import threading
 from collections.abc import Callable, Mapping
@@ -18,15 +19,33 @@
 from toucanhall.idempotency import Keeper
 from toucanhall.membership import Health, Heartbeat, Membership, View
 from toucanhall.membership.actor import Beat, Heard, Leave, ReadList
+from toucanhall.membership.confirming import report_zones
+from toucanhall.membership.contacts import is_reader, select_contacts
 from toucanhall.membership.view import HEARTBEAT_SECONDS
 from toucanhall.platform import connect
 from toucanhall.settings import Settings
 from toucanhall.shares import Holding, Ledger
 from toucanhall.shares.claimer import Claimer, Place, Surroundings
 from toucanhall.shares.gifts import Gifts
-from toucanhall.shares.messages import Ask, Gift, Known, Probe
-from toucanhall.spread import Offer, Spread, Watcher
-from toucanhall.spread.actor import Behind, Offered, Push
+from toucanhall.shares.messages import (
+    Acknowledgement,
+    Gift,
+    GiftRequest,
+    Probe,
+)
+from toucanhall.spread import (
+    Accepting,
+    Currency,
+    Delta,
+    Offer,
+    RevisionAnswer,
+    RevisionQuery,
+    Spread,
+    Watcher,
+)
+from toucanhall.spread.acceptance import Known
+from toucanhall.spread.actor import Arrived, Compare, Message, Push, read_held
+from toucanhall.spread.freshness import FRESH_SECONDS
 from toucanhall.steering import AdvisedVm, Hop, Loads
 from toucanhall.transport import Envelope, Exchange
 from toucanhall.transport.exchange import Handler, Identity
@@ -36,6 +55,9 @@
 _LIST_SECONDS: Final = 2.0
 _CLAIM_SECONDS: Final = 1.0
 _SETTLE_SECONDS: Final = 1.0
+_TICK_SECONDS: Final = 0.5
+_LATE_WATCH_CHANCE: Final = 0.1  # a second, where the readers bring nothing
+_COMPARE_SECONDS: Final = 1.0
 
 
 class Entry:
@@ -45,6 +67,7 @@
         """Build the slices; nothing runs before `run`."""
         self._settings = settings
         self._stopping = threading.Event()
+        self._turn = 0
         self._view = View({}, {})
         self._counters = Counters(
             host=settings.statsd_host,
@@ -56,7 +79,11 @@
             settings.secret,
         )
         self._platform = connect(settings.platform)
-        self._holder = Holder()
+        self._currency = Currency()
+        self._holder = Holder(
+            is_settled=self._currency.is_settled,
+            may_serve=self._currency.may_serve,
+        )
         self._ledger = Ledger()
         self._exchange = Exchange(
             identity=self._identity,
@@ -100,6 +127,12 @@
                 holder=self._holder,
                 platform=self._platform,
                 counters=self._counters,
+                accepting=Accepting(
+                    platform=self._platform,
+                    holder=self._holder,
+                    read_known=self._read_known,
+                    wait_settled=self._currency.wait_settled,
+                ),
                 read_status=self._read_status,
             ),
             list_usable_vms=self._list_usable_vms,
@@ -120,7 +153,10 @@
     def _start_actors(self) -> None:
         self._spread = Spread.start(
             holder=self._holder,
+            currency=self._currency,
+            own_address=self._settings.address,
             send=self._exchange.send,
+            redial=self._exchange.redial,
             list_contacts=self._list_contacts,
         )
         self._membership = Membership.start(
@@ -136,6 +172,8 @@
         Watcher(
             platform=self._platform,
             holder=self._holder,
+            currency=self._currency,
+            may_watch=self._may_watch,
             stopping=self._stopping,
         ).start()
         self._membership.tell(ReadList())
@@ -145,13 +183,16 @@
     def _list_handlers(self) -> tuple[Handler, ...]:
         limits = (
             Handler(Probe, self._answer_probe),
-            Handler(Known, self._claimer.hear),
-            Handler(Ask, self._gifts.give),
+            Handler(Acknowledgement, self._claimer.hear),
+            Handler(GiftRequest, self._gifts.give),
             Handler(Gift, self._gifts.accept),
         )
         return (
             Handler(Heartbeat, self._hear),
-            Handler(Offer, self._take_offer),
+            Handler(RevisionQuery, self._take_spread),
+            Handler(Delta, self._take_spread),
+            Handler(Offer, self._take_spread),
+            Handler(RevisionAnswer, self._take_spread),
             *limits,
         )
 
@@ -161,31 +202,65 @@
             (_LIST_SECONDS, partial(self._membership.tell, ReadList())),
             (_CLAIM_SECONDS, self._claim),
             (_SETTLE_SECONDS, self._parts.keeper.settle),
+            (_TICK_SECONDS, self._tick),
+            (_COMPARE_SECONDS, partial(self._spread.tell, Compare())),
         )
 
     def _hear(self, envelope: Envelope, heartbeat: Heartbeat) -> None:
         self._membership.tell(Heard(envelope.vm, envelope.start, heartbeat))
-        if heartbeat.revision < self._read_revision():
-            known = self._view.members.get(envelope.vm)
-            address = known.address if known else heartbeat.address
-            self._spread.tell(Behind(address, heartbeat.revision))
 
-    def _take_offer(self, _envelope: Envelope, offer: Offer) -> None:
-        self._spread.tell(Offered(offer))
+    def _take_spread(
+        self,
+        envelope: Envelope,
+        message: Message,
+    ) -> None:
+        known = self._view.members.get(envelope.vm)
+        if known:
+            self._spread.tell(Arrived(envelope.vm, known.address, message))
+        elif isinstance(message, RevisionQuery):
+            self._spread.tell(Arrived(envelope.vm, message.address, message))
+
+    def _tick(self) -> None:
+        view = self._view
+        self._currency.tick(len(view.members) if view.is_listed else None)
+
+    def _may_watch(self) -> bool:
+        own = self._settings
+        age = self._currency.read_age()
+        if age is None:
+            return True
+        if age > FRESH_SECONDS and random.random() < _LATE_WATCH_CHANCE:
+            return True
+        return is_reader(self._view, own.vm, own.zone, runtime.read_clock())
+
+    def _read_known(self) -> Known:
+        return max(self._currency.read_heard(), read_held(self._holder))
 
     def _take_revision(self, revision: Revision) -> None:
         self._spread.tell(Push(revision))
         self._claimer.take_revision(revision)
 
     def _publish(self, view: View) -> None:
+        is_first = view.is_listed and not self._view.is_listed
         self._view = view
+        if is_first:
+            self._spread.tell(Compare())
 
     def _read_revision(self) -> int:
         held = self._holder.current
         return held.number if held else 0
 
     def _list_contacts(self) -> tuple[str, ...]:
-        return tuple(member.address for member in self._view.members.values())
+        own = self._settings
+        self._turn += 1
+        contacts = select_contacts(
+            self._view,
+            own.vm,
+            own.zone,
+            self._turn,
+            runtime.read_clock(),
+        )
+        return tuple(member.address for member in contacts)
 
     def _list_hops(self) -> tuple[Hop, ...]:
         now = runtime.read_clock()
@@ -251,7 +326,9 @@
         return {
             'vm': self._settings.vm,
             'revision': self._read_revision(),
+            'age': self._currency.read_age(),
             'in_force': self._view.confirmed,
+            'zones': self._report_zones(now),
             'members': [
                 {'vm': member.vm, 'zone': member.zone, 'health': health.value}
                 for health in Health
@@ -265,6 +342,18 @@
             'counters': self._counters.read(),
         }
 
+    def _report_zones(self, now: float) -> Mapping[str, Any]:
+        held = self._holder.current
+        if held is None:
+            return {}
+        reports = report_zones(
+            self._view,
+            sorted(held.catalogue.zones),
+            held.number,
+            now,
+        )
+        return {zone: report._asdict() for zone, report in reports.items()}
+
     def _leave(self, server: Any) -> None:
         if self._stopping.is_set():
             return
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -7,9 +7,16 @@
 from datetime import UTC, datetime
 from typing import Final
 
-__all__ = ('make_id', 'read_clock', 'read_utc', 'start_ticker')
+__all__ = (
+    'make_id',
+    'read_clock',
+    'read_utc',
+    'read_wall_milliseconds',
+    'start_ticker',
+)
 
 _ID_BYTES: Final = 12
+_NANOSECONDS: Final = 1_000_000  # per millisecond
 
 
 def read_clock() -> float:
@@ -22,6 +29,11 @@
     return datetime.now(UTC).isoformat(timespec='seconds')
 
 
+def read_wall_milliseconds() -> int:
+    """Return milliseconds on the wall clock, which may be set back."""
+    return time.time_ns() // _NANOSECONDS
+
+
 def make_id() -> str:
     """Return a random identifier that no other process makes."""
     return secrets.token_hex(_ID_BYTES)
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -25,7 +25,7 @@
     read_until,
 )
 from toucanhall.shares.ledger import Ledger
-from toucanhall.shares.messages import Known, Probe
+from toucanhall.shares.messages import Acknowledgement, Probe
 from toucanhall.shares.parts import hold_least, list_slots
 from toucanhall.shares.revisions import Confirmed, list_pending, note_confirmed
 from toucanhall.shares.slots import Holding, Table, find_slots
@@ -121,7 +121,7 @@
             self._fence = fence
         self._send(address, known)
 
-    def hear(self, envelope: Envelope, known: Known) -> None:
+    def hear(self, envelope: Envelope, known: Acknowledgement) -> None:
         """Take a peer's answer to a probe."""
         with self._lock:
             # A peer with a newer revision confirms nothing for an older one.
--- a/toucanhall/shares/fence.py
+++ b/toucanhall/shares/fence.py
@@ -11,7 +11,7 @@
 from typing import Final, NamedTuple
 
 from toucanhall.shares.bucket import CLOCK_MARGIN
-from toucanhall.shares.messages import Known, Probe
+from toucanhall.shares.messages import Acknowledgement, Probe
 from toucanhall.shares.slots import Holding, Table, claim, find_slots
 
 __all__ = (
@@ -106,19 +106,21 @@
     probe: Probe,
     revision: int,
     now: float,
-) -> tuple[Fence, Known]:
+) -> tuple[Fence, Acknowledgement]:
     """Return the fence after a probe, and the answer to it."""
     if probe.table is not None:
         fence = adopt(fence, probe.table, now)
     number = fence.table.number
     table = fence.table if number > probe.number else None
-    answer = Known(
+    answer = Acknowledgement(
         start, probe.asked_at, probe.number, number, revision, table,
     )  # fmt: skip
     return fence, answer
 
 
-def hear_known(fence: Fence, peer: Holding, known: Known, now: float) -> Fence:
+def hear_known(
+    fence: Fence, peer: Holding, known: Acknowledgement, now: float
+) -> Fence:
     """Return the fence after a peer's answer to a probe of this start."""
     if known.start != fence.own.start:
         return fence
--- a/toucanhall/shares/gifts.py
+++ b/toucanhall/shares/gifts.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from toucanhall.shares.ledger import Ledger
-from toucanhall.shares.messages import Ask, Gift
+from toucanhall.shares.messages import GiftRequest, Gift
 from toucanhall.transport import Envelope
 
 __all__ = ('Gifts',)
@@ -27,14 +27,14 @@
         self._send = send
         self._list_peers = list_peers
 
-    def request(self, asked: Ask, turn: int) -> None:
+    def request(self, asked: GiftRequest, turn: int) -> None:
         """Send an ask to the peer whose turn it is."""
         peers = self._list_peers()
         if peers:
             vm = sorted(peers)[turn % len(peers)]
             self._send(peers[vm], asked)
 
-    def give(self, envelope: Envelope, asked: Ask) -> None:
+    def give(self, envelope: Envelope, asked: GiftRequest) -> None:
         """Answer an ask with what can be spared."""
         address = self._list_peers().get(envelope.vm)
         if address is None:
--- a/toucanhall/shares/ledger.py
+++ b/toucanhall/shares/ledger.py
@@ -6,7 +6,7 @@
 
 from toucanhall import runtime
 from toucanhall.shares.bucket import Bucket
-from toucanhall.shares.messages import Ask
+from toucanhall.shares.messages import GiftRequest
 from toucanhall.shares.parts import Limit
 from toucanhall.shares.purse import (
     Purse,
@@ -31,9 +31,9 @@
         self._lock = threading.Lock()
         self._purses: dict[str, Purse] = {}
         self._until = 0.0
-        self._request: Callable[[Ask, int], None] | None = None
+        self._request: Callable[[GiftRequest, int], None] | None = None
 
-    def listen(self, request: Callable[[Ask, int], None]) -> None:
+    def listen(self, request: Callable[[GiftRequest, int], None]) -> None:
         """Call a function with each ask for tokens, and its turn."""
         self._request = request
 
@@ -57,7 +57,7 @@
             purse, wanted = ask(purse, now)
             self._purses[team] = purse
         if wanted and self._request is not None:
-            self._request(Ask(team, wanted, now), purse.turn)
+            self._request(GiftRequest(team, wanted, now), purse.turn)
         return wait
 
     def part_with(self, team: str, wanted: float) -> float:
--- a/toucanhall/shares/messages.py
+++ b/toucanhall/shares/messages.py
@@ -4,7 +4,7 @@
 
 from toucanhall.shares.slots import Table
 
-__all__ = ('Ask', 'Gift', 'Known', 'Probe')
+__all__ = ('GiftRequest', 'Gift', 'Acknowledgement', 'Probe')
 
 
 class Probe(NamedTuple):
@@ -19,7 +19,7 @@
     table: Table | None
 
 
-class Known(NamedTuple):
+class Acknowledgement(NamedTuple):
     """Answers a probe, which it repeats; a newer table comes along."""
 
     start: str
@@ -30,7 +30,7 @@
     table: Table | None
 
 
-class Ask(NamedTuple):
+class GiftRequest(NamedTuple):
     """Asks a peer for unused tokens of a team."""
 
     team: str
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -1,30 +1,40 @@
-"""The actor that offers revisions to peers and takes theirs."""
+"""The actor that compares revisions with peers, offers and takes them."""
 
 from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import pykka
 
-from toucanhall import events
+from toucanhall import events, runtime
 from toucanhall.catalogue import Holder, Revision, Verdict
-from toucanhall.catalogue.reading import revise
+from toucanhall.catalogue.reading import revise_after
 from toucanhall.documents import Finding, render
-from toucanhall.spread.messages import Offer
+from toucanhall.spread.acceptance import Known
+from toucanhall.spread.currency import Currency
+from toucanhall.spread.messages import (
+    RevisionQuery,
+    Delta,
+    Offer,
+    RevisionAnswer,
+)
+from toucanhall.spread.patches import apply_delta, find_delta
+from toucanhall.spread.silence import note_answered, note_asked
 
-__all__ = ('Behind', 'Offered', 'Push', 'Spread')
+__all__ = ('Arrived', 'Compare', 'Push', 'Spread', 'read_held')
 
+Message = RevisionQuery | Delta | Offer | RevisionAnswer
 
-class Offered(NamedTuple):
-    """A peer offered a revision."""
 
-    offer: Offer
+class Arrived(NamedTuple):
+    """A message of a peer, and the address at which it is reached."""
 
+    peer: str
+    address: str
+    message: Any
 
-class Behind(NamedTuple):
-    """A peer at an address was heard to hold an older revision."""
 
-    address: str
-    revision: int
+class Compare(NamedTuple):
+    """Time to compare revisions with the contacts."""
 
 
 class Push(NamedTuple):
@@ -34,7 +44,7 @@
 
 
 class Spread(pykka.ThreadingActor):
-    """Offers the revision in force to peers that hold an older one."""
+    """Brings the newest revision to peers and learns it from them."""
 
     use_daemon_thread = True
 
@@ -42,17 +52,26 @@
         self,
         *,
         holder: Holder,
-        send: Callable[[str, Offer], None],
+        currency: Currency,
+        own_address: str,
+        send: Callable[[str, Message], None],
+        redial: Callable[[str], None],
         list_contacts: Callable[[], tuple[str, ...]],
     ) -> None:
-        """Send offers with `send` to the addresses of the contacts."""
+        """Send with `send` to the addresses of the contacts."""
         super().__init__()
         self._holder = holder
+        self._currency = currency
+        self._own_address = own_address
         self._send = send
+        self._redial = redial
+        self._unanswered: Mapping[str, float] = {}
+        self._pushed: Revision | None = None
+        self._delta: Delta | None = None
         self._list_contacts = list_contacts
         self._handlers: Mapping[type, Callable[[Any], None]] = {
-            Offered: self._take,
-            Behind: self._answer,
+            Arrived: self._take,
+            Compare: self._compare,
             Push: self._push,
         }
 
@@ -60,24 +79,95 @@
         """Handle one message of this actor."""
         self._handlers[type(message)](message)
 
-    def _take(self, message: Offered) -> None:
-        offer = message.offer
+    def _take(self, arrived: Arrived) -> None:
+        _TAKERS[type(arrived.message)](self, arrived)
+
+    def _take_ask(self, arrived: Arrived) -> None:
+        question: RevisionQuery = arrived.message
+        held = read_held(self._holder)
+        self._send(arrived.address, self._currency.answer(held, question))
+        self._help(arrived.address, Known(question.number, question.change))
+
+    def _take_told(self, arrived: Arrived) -> None:
+        answer: RevisionAnswer = arrived.message
+        self._unanswered = note_answered(self._unanswered, arrived.address)
+        self._currency.hear(read_held(self._holder), answer, arrived.peer)
+        self._help(arrived.address, Known(answer.number, answer.change))
+
+    def _take_offer(self, arrived: Arrived) -> None:
+        offer: Offer = arrived.message
+        held = read_held(self._holder)
+        if (offer.number, offer.change) > held:
+            self._revise(offer.number, offer.change, offer.document)
+            self._ask(arrived.address)
+
+    def _take_delta(self, arrived: Arrived) -> None:
+        delta: Delta = arrived.message
         held = self._holder.current
-        if held and offer.number <= held.number:
+        if (delta.number, delta.change) <= read_held(self._holder):
             return
-        revised = revise(offer.number, offer.change, offer.document)
+        if held is not None:
+            apply_delta(held, delta).map(
+                lambda document: self._revise(
+                    delta.number,
+                    delta.change,
+                    document,
+                ),
+            )
+        # The answer proves the new revision, or brings it whole.
+        self._ask(arrived.address)
+
+    def _revise(self, number: int, change: str, document: bytes) -> None:
+        held = self._holder.current
+        revised = revise_after(held, number, change, document)
         revised.map(self._holder.offer)
         revised.alt(log_invalid)
 
-    def _answer(self, message: Behind) -> None:
-        held = self._holder.current
-        if held and message.revision < held.number:
-            self._send(message.address, make_offer(held))
+    def _help(self, address: str, theirs: Known) -> None:
+        revision = self._holder.current
+        if revision is None or theirs >= read_held(self._holder):
+            return
+        delta = self._delta
+        if delta and theirs == (delta.base_number, delta.base_change):
+            self._send(address, delta)
+        else:
+            self._send(address, make_offer(revision))
+
+    def _compare(self, _message: Compare) -> None:
+        for address in self._list_contacts():
+            self._ask(address)
+
+    def _ask(self, address: str) -> None:
+        now = runtime.read_clock()
+        unanswered, is_silent = note_asked(self._unanswered, address, now)
+        self._unanswered = unanswered
+        if is_silent:
+            self._redial(address)
+        held = read_held(self._holder)
+        question = self._currency.ask(held, self._own_address)
+        self._send(address, question)
 
     def _push(self, message: Push) -> None:
-        offer = make_offer(message.revision)
+        revision = message.revision
+        self._delta = find_delta(self._pushed, revision)
+        self._pushed = revision
+        update = self._delta or make_offer(revision)
         for address in self._list_contacts():
-            self._send(address, offer)
+            self._send(address, update)
+
+
+_TAKERS: Final[Mapping[type, Callable[[Spread, Arrived], None]]] = {
+    RevisionQuery: Spread._take_ask,
+    Delta: Spread._take_delta,
+    Offer: Spread._take_offer,
+    RevisionAnswer: Spread._take_told,
+}
+
+
+def read_held(holder: Holder) -> Known:
+    """Return the number and change of the revision in force."""
+    held = holder.current
+    return Known(held.number, held.change) if held else Known()
 
 
 def make_offer(revision: Revision) -> Offer:
--- /dev/null
+++ b/toucanhall/spread/freshness.py
@@ -0,0 +1,119 @@
+"""Decides whether a VM may rely on the revision that it holds.
+
+`as_of` is the latest time, on the clock of this process, at which the store is
+known to have held no newer revision. It comes from a question that this VM
+sent at that time, so an answer that waited in a buffer during a pause proves
+nothing about the time of the pause.
+"""
+
+from typing import Final, NamedTuple
+
+__all__ = (
+    'FRESH_SECONDS',
+    'Freshness',
+    'PAUSE_SECONDS',
+    'SETTLE_SECONDS',
+    'SOURCES_NEEDED',
+    'STEP_SECONDS',
+    'STORE',
+    'begin',
+    'is_settled',
+    'learn',
+    'may_serve',
+    'tick',
+)
+
+STORE: Final = 'store'  # the source that is no VM
+STEP_SECONDS: Final = 1.0
+PAUSE_SECONDS: Final = 3.0
+FRESH_SECONDS: Final = 5.0
+SETTLE_SECONDS: Final = 4.0
+SOURCES_NEEDED: Final = 2
+
+
+class Freshness(NamedTuple):
+    """What a VM knows of the age of its revision.
+
+    After a start or a pause it is not settled until `needed` sources gave
+    fresh evidence; one is not enough where there are more, as the store may
+    have come back older. `ran` counts the seconds in which the VM ran without
+    a gap and got no fresh evidence: after enough of them it is cut off, and
+    goes on with what it has. `waited` counts the seconds that it ran without
+    being settled, whatever it heard: when all VMs start at once, none of them
+    can be a source for the others.
+    """
+
+    ticked_at: float
+    settled: bool = False
+    as_of: float | None = None
+    ran: float = 0.0
+    sources: frozenset[str] = frozenset()
+    needed: int = SOURCES_NEEDED
+    waited: float = 0.0
+
+
+def begin(now: float) -> Freshness:
+    """Return the state of a VM that has just started."""
+    return Freshness(now)
+
+
+def tick(state: Freshness, now: float, peers: int | None) -> Freshness:
+    """Return the state after a regular call, which detects a pause.
+
+    `peers` is the number of other VMs, none before they are known.
+    """
+    gap = now - state.ticked_at
+    state = state._replace(ticked_at=now)
+    if peers is not None:
+        state = state._replace(needed=min(SOURCES_NEEDED, 1 + peers))
+    if gap > PAUSE_SECONDS:
+        return begin(now)._replace(as_of=state.as_of, needed=state.needed)
+    if gap <= STEP_SECONDS:
+        waited = 0.0 if state.settled else state.waited + gap
+        ran = min(state.ran + gap, SETTLE_SECONDS)
+        state = state._replace(ran=ran, waited=waited)
+    return _settle(state)
+
+
+def learn(
+    state: Freshness,
+    as_of: float,
+    source: str,
+    now: float,
+) -> Freshness:
+    """Return the state after evidence of a time from the store or a VM."""
+    newest = as_of if state.as_of is None else max(as_of, state.as_of)
+    learnt = state._replace(as_of=newest)
+    if now - state.ticked_at > PAUSE_SECONDS or now - as_of > FRESH_SECONDS:
+        return learnt
+    if state.settled:
+        return learnt._replace(ran=0.0)
+    return _settle(
+        learnt._replace(ran=0.0, sources=state.sources | {source}),
+    )
+
+
+def is_settled(state: Freshness, now: float) -> bool:
+    """Return whether the VM compared its revision, or is known to be cut off.
+
+    A VM that keeps being paused for a moment has neither.
+    """
+    if not state.settled or now - state.ticked_at > PAUSE_SECONDS:
+        return False
+    if state.ran >= SETTLE_SECONDS:
+        return True
+    return state.as_of is not None and now - state.as_of <= FRESH_SECONDS
+
+
+def may_serve(state: Freshness, now: float, hold_seconds: float) -> bool:
+    """Return whether keys of the held revision may still be relied on."""
+    if state.as_of is None or not is_settled(state, now):
+        return False
+    return now - state.as_of <= hold_seconds
+
+
+def _settle(state: Freshness) -> Freshness:
+    is_enough = len(state.sources) >= state.needed
+    if is_enough or state.waited >= SETTLE_SECONDS:
+        return state._replace(settled=True, waited=0.0, sources=frozenset())
+    return state
