Decide on zone, target, queue and retry by one pure policy

Cause: loads.read() copied every load and ranked every target per request, hops went to any VM that looked alive, and nothing waited, so a full zone refused. The policy is now decide(state, event, now). A VM owns slots of its zone's targets by the zone slots that it holds, and admits hops only into those. Ruled out: counts of peers as the guard against overload, because they lag.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,8 @@
 from toucanhall.catalogue.reading import revise
 from toucanhall.forwarding.records import Request
 from toucanhall.membership import Heartbeat
+from toucanhall.steering.policy import decide
+from toucanhall.steering.records import Arrive, Resize, State
 
 
 def make_document(**changes):
@@ -88,3 +90,14 @@
         'operators': [],
     }
     return msgspec.json.encode(document | changes).decode()
+
+
+def make_state(*places, peers=(), shift_per_second=1) -> State:
+    """Return the steering state of a service with warm places."""
+    size = Resize(places, peers, shift_per_second)
+    return decide(State({}, {}), size, 0)[0]
+
+
+def make_arrival(ticket='t', **changes) -> Arrive:
+    """Return the arrival of a caller's request with some fields changed."""
+    return Arrive(ticket, 'team', 1, 10)._replace(**changes)
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -1,47 +1,190 @@
-"""Tests of the choice of targets and entry VMs."""
-
-from tests.builders import make_catalogue, make_target
-from toucanhall.steering import AdvisedVm, Hop, Terrain, advise, rank
-from toucanhall.steering.loads import Load
-
-HOP = Hop('south-a-1', 'south-a', '127.2.0.2:8080')
-
-
-def make_terrain(loads, **changes):
-    return Terrain(make_catalogue(**changes), 'north-a', loads, (HOP,))
+"""Tests of the steering policy on single events."""
+
+from tests.builders import make_arrival, make_catalogue, make_state
+from toucanhall.steering import AdvisedVm, Outcome, advise
+from toucanhall.steering.ownership import divide
+from toucanhall.steering.peers import Distance, Peer
+from toucanhall.steering.places import Place
+from toucanhall.steering.policy import count_spare, decide
+from toucanhall.steering.records import (
+    Carry,
+    End,
+    Expire,
+    Origin,
+    Refuse,
+    Report,
+    Resize,
+    Run,
+    Wait,
+)
+
+SIBLING = Peer('own-2', 'own', 'near', '127.2.0.2:8080', Distance.ZONE)
+NEAR = Peer('near-1', 'near-b', 'near', '127.2.0.3:8080', Distance.REGION)
+FAR = Peer('far-1', 'far-a', 'far', '127.2.0.4:8080', Distance.FAR)
+HEALTHY = Outcome(healthy=True, seconds=0.04)
+FAILED = Outcome(healthy=False)
+
+
+def arrive(state, ticket='t', now=0, **changes):
+    """Decide on one arrival; return the state and the last effect."""
+    state, effects = decide(state, make_arrival(ticket, **changes), now)
+    return state, effects[-1]
+
+
+def fill(state, count, now=0):
+    """Send requests until `count` run; return the state."""
+    for number in range(count):
+        state, effect = arrive(state, f'fill-{number}', now)
+        assert isinstance(effect, Run)
+    return state
 
 
 def test_least_loaded_own_target_comes_first():
-    terrain = make_terrain({'guide-1': Load(in_flight=2)})
-    ranked = rank(terrain, 'guide', 0, may_hop=True)
-    names = [choice.name for choice in ranked]
-    assert names == ['guide-2', 'guide-1', 'south-a-1']
-
-
-def test_full_and_tripped_targets_are_passed_over():
-    loads = {
-        'guide-1': Load(in_flight=9),
-        'guide-2': Load(failures=3, open_until=5),
-    }
-    ranked = rank(make_terrain(loads), 'guide', 1, may_hop=True)
-    assert [choice.name for choice in ranked] == ['south-a-1']
-
-
-def test_tripped_target_is_probed_after_its_time():
-    loads = {'guide-2': Load(failures=3, open_until=5)}
-    ranked = rank(make_terrain(loads), 'guide', 6, may_hop=False)
-    assert {choice.name for choice in ranked} == {'guide-1', 'guide-2'}
+    state, first = arrive(make_state(Place('a', '', 3), Place('b', '', 3)))
+    _, second = arrive(state)
+    assert {first.name, second.name} == {'a', 'b'}
+
+
+def test_full_zone_goes_to_sibling_then_region():
+    state = fill(make_state(Place('a', '', 1), peers=(SIBLING, NEAR)), 1)
+    state, first = arrive(state)
+    state, second = arrive(state)
+    assert [first.name, second.name] == ['own-2', 'near-1']
+
+
+def test_short_wait_goes_before_another_region():
+    state = fill(make_state(Place('a', '', 4), peers=(FAR,)), 4)
+    state, first = arrive(state, 'one')
+    assert isinstance(first, Wait)
+    for number in range(8):
+        state, later = arrive(state, f'more-{number}')
+    assert isinstance(later, Wait | Carry)
+    assert state.peers['far-1'].in_flight == 1
+
+
+def test_region_without_link_bytes_gets_nothing():
+    state = fill(make_state(Place('a', '', 1), peers=(FAR,)), 1)
+    for number in range(8):
+        state, _ = arrive(
+            state, str(number), closed_regions=frozenset(('far',))
+        )
+    assert state.peers['far-1'].in_flight == 0
+
+
+def test_request_that_cannot_make_it_is_refused_at_once():
+    state = fill(make_state(Place('a', '', 1)), 1)
+    _, effect = arrive(state, expires_at=0.06)
+    assert isinstance(effect, Refuse)
+    assert effect.retry_after >= 1
+
+
+def test_waiting_request_runs_when_a_slot_is_free():
+    state = fill(make_state(Place('a', '', 1)), 1)
+    state, _ = arrive(state, 'next')
+    _, effects = decide(state, End('a', HEALTHY), 0.04)
+    assert effects == (Run('next', 'a', ''),)
+
+
+def test_expired_request_gets_its_final_answer():
+    state = fill(make_state(Place('a', '', 1)), 1)
+    state, _ = arrive(state, 'next')
+    state, effects = decide(state, Expire('next'), 5)
+    assert effects[0].reason == 'deadline'
+    assert not state.queue.waiting
+
+
+def test_circuit_opens_and_comes_back_by_one_probe():
+    state = make_state(Place('a', '', 9))
+    for _ in range(3):
+        state, effect = arrive(state)
+        state, _ = decide(state, End(effect.name, FAILED), 0)
+    assert isinstance(arrive(state, now=0.5)[1], Refuse)
+    state, probe = arrive(state, now=2)
+    assert isinstance(probe, Run)
+    assert isinstance(arrive(state, now=2)[1], Refuse)
+    state, _ = decide(state, End('a', HEALTHY), 2.1)
+    state = fill(state, 1, now=2.1)
+    assert count_spare(state, 2.1, shifting=False) < 8
+
+
+def test_target_that_reports_idle_and_fails_is_judged_by_outcomes():
+    state = make_state(Place('a', '', 9), Place('b', '', 9))
+    state, _ = decide(state, Report('a', 0), 0)
+    state, _ = decide(state, Report('b', 1), 0)
+    state, first = arrive(state)
+    assert first.name == 'a'
+    state, _ = decide(state, End('a', FAILED), 0)
+    _, second = arrive(state)
+    assert second.name == 'b'
 
 
 def test_draining_target_gets_nothing_new():
-    terrain = make_terrain({}, drains={'targets': ['guide-1']})
-    ranked = rank(terrain, 'guide', 0, may_hop=False)
-    assert [choice.name for choice in ranked] == ['guide-2']
-
-
-def test_hopped_request_does_not_hop_again():
-    terrain = make_terrain({}, targets={'guide-3': make_target('south-a', 3)})
-    assert rank(terrain, 'guide', 0, may_hop=False) == ()
+    state = make_state(Place('a', '', 9), Place('b', '', 9))
+    draining = Place('a', '', 9, is_draining=True)
+    state, _ = decide(state, Resize((draining, Place('b', '', 9)), (), 1), 0)
+    for _ in range(9):
+        state, effect = arrive(state)
+        assert effect.name == 'b'
+
+
+def test_new_target_starts_slowly():
+    state = make_state(Place('a', '', 10))
+    places = (Place('a', '', 10), Place('b', '', 10))
+    state, _ = decide(state, Resize(places, (), 1), 0)
+    assert count_spare(state, 0, shifting=False) == 12
+    assert count_spare(state, 20, shifting=False) == 20
+
+
+def test_hop_runs_only_in_spare_room_and_never_waits():
+    state = fill(make_state(Place('a', '', 2)), 1)
+    state, hop = arrive(state, origin=Origin.SIBLING)
+    _, refused = arrive(state, origin=Origin.SIBLING)
+    assert isinstance(hop, Run)
+    assert isinstance(refused, Refuse)
+
+
+def test_shift_from_other_zones_grows_under_its_cap():
+    state = make_state(Place('a', '', 100), shift_per_second=10)
+    ran = 0
+    for tick in range(21):
+        for _ in range(20):
+            state, effect = arrive(state, now=tick / 10, origin=Origin.ZONE)
+            ran += isinstance(effect, Run)
+    assert ran <= 1 + 2 * 10
+
+
+def test_retries_are_a_fraction_of_successes():
+    state = make_state(Place('a', '', 9))
+    retried = 0
+    for _ in range(100):
+        state, effect = arrive(state)
+        state, _ = decide(state, End('a', HEALTHY), 0)
+        state, effect = arrive(state, attempts=1)
+        if isinstance(effect, Run):
+            retried += 1
+            state, _ = decide(state, End('a', Outcome(healthy=None)), 0)
+    assert retried <= 0.1 * 100
+
+
+def test_flooding_team_pushes_out_its_own_requests():
+    state = fill(make_state(Place('a', '', 1)), 1)
+    for number in range(40):
+        state, _ = arrive(state, f'flood-{number}', team='big')
+    state, effect = arrive(state, 'small', team='small')
+    assert 'small' in {entry.ticket for entry in state.queue.waiting}
+    _, effects = decide(state, End('a', HEALTHY), 0.04)
+    assert effects[-1].ticket in {'small', 'flood-0'}
+
+
+def test_holders_own_no_slot_in_common():
+    targets = tuple(make_catalogue().targets.values())
+    parts = [
+        divide(targets, frozenset(held), 12)
+        for held in ((0, 1, 2, 3), (4, 5, 6, 7, 8), (9, 10, 11))
+    ]
+    for target in targets:
+        total = sum(part[target.name] for part in parts)
+        assert total == target.slots
 
 
 def test_advice_prefers_own_zone_and_skips_drained_vms():
--- a/toucanhall/catalogue/model.py
+++ b/toucanhall/catalogue/model.py
@@ -79,7 +79,11 @@
 
 
 class Catalogue(NamedTuple):
-    """One whole catalogue; mappings are by name, keys by digest."""
+    """One whole catalogue; mappings are by name, keys by digest.
+
+    `shift_share` is the share of a zone's slots by which the traffic that
+    comes from other zones may grow in a second.
+    """
 
     zones: Mapping[str, Zone]
     targets: Mapping[str, Target]
@@ -90,6 +94,7 @@
     drains: Drains
     slots_per_zone: int
     hold_seconds: float
+    shift_share: float = 0.1
 
 
 class Revision(NamedTuple):
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -26,6 +26,7 @@
 _SLOTS_PER_ZONE: Final = 12
 _HOLD_SECONDS: Final = 5.0
 _DEADLINE_SECONDS: Final = 10.0
+_SHIFT_SHARE: Final = 0.1
 _FRACTION_SLACK: Final = 1e-9
 
 
@@ -152,6 +153,7 @@
         ),
         slots_per_zone=document.get('slots_per_zone', _SLOTS_PER_ZONE),
         hold_seconds=document.get('hold_seconds', _HOLD_SECONDS),
+        shift_share=document.get('shift_share_per_second', _SHIFT_SHARE),
     )  # fmt: skip
 
 
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -25,7 +25,14 @@
 from toucanhall.shares.claimer import Claimer, Place
 from toucanhall.spread import Offer, Spread, Watcher
 from toucanhall.spread.actor import Behind, Offered, Push
-from toucanhall.steering import AdvisedVm, Hop, Loads
+from toucanhall.steering import (
+    AdvisedVm,
+    Hop,
+    Seat,
+    Steerer,
+    size_links,
+    size_services,
+)
 from toucanhall.transport import Envelope, Exchange
 from toucanhall.transport.exchange import Handler, Identity
 
@@ -33,6 +40,7 @@
 
 _LIST_SECONDS: Final = 2.0
 _CLAIM_SECONDS: Final = 2.0
+_RESIZE_SECONDS: Final = 0.5
 
 
 class Entry:
@@ -42,6 +50,7 @@
         """Build the slices; nothing runs before `run`."""
         self._settings = settings
         self._stopping = threading.Event()
+        self._has_claimed = False
         self._view = View({}, {})
         self._counters = Counters(
             host=settings.statsd_host,
@@ -55,6 +64,7 @@
         self._platform = connect(settings.platform)
         self._holder = Holder()
         self._ledger = Ledger()
+        self._steerer = Steerer()
         self._exchange = Exchange(
             identity=self._identity,
             address=settings.address,
@@ -74,11 +84,10 @@
             zone=settings.zone,
             holder=self._holder,
             ledger=self._ledger,
-            loads=Loads(),
+            steerer=self._steerer,
             keeper=Keeper(platform=self._platform),
             dispatcher=Dispatcher(),
             counters=self._counters,
-            list_hops=self._list_hops,
         )
         self._door = Frontdoor(
             zone=settings.zone,
@@ -145,6 +154,7 @@
             (HEARTBEAT_SECONDS, partial(self._membership.tell, Beat())),
             (_LIST_SECONDS, partial(self._membership.tell, ReadList())),
             (_CLAIM_SECONDS, self._claim),
+            (_RESIZE_SECONDS, self._tend_steerer),
         )
 
     def _hear(self, envelope: Envelope, heartbeat: Heartbeat) -> None:
@@ -160,6 +170,7 @@
     def _take_revision(self, revision: Revision) -> None:
         self._spread.tell(Push(revision))
         self._claimer.size_ledger(revision.catalogue)
+        self._resize_steerer()
 
     def _publish(self, view: View) -> None:
         self._view = view
@@ -180,7 +191,21 @@
                 f'{member.address}:{self._settings.caller_port}',
             )
             for member in self._view.select(Health.ALIVE, now)
-            if member.zone != self._settings.zone
+        )
+
+    def _tend_steerer(self) -> None:
+        if not self._has_claimed:
+            self._claim()
+        self._resize_steerer()
+
+    def _resize_steerer(self) -> None:
+        held = self._holder.current
+        if held is None or not self._has_claimed:
+            return
+        seat = Seat(self._settings.zone, self._claimer.held)
+        self._steerer.resize(
+            size_services(held.catalogue, seat, self._list_hops()),
+            size_links(held.catalogue, seat),
         )
 
     def _claim(self) -> None:
@@ -194,6 +219,7 @@
             and (member.listed or member.heard_at is not None)
         )
         self._claimer.claim(held.catalogue, live | {self._settings.vm})
+        self._has_claimed = True
 
     def _list_usable_vms(self) -> tuple[AdvisedVm, ...]:
         now = runtime.read_clock()
--- a/toucanhall/forwarding/admission.py
+++ b/toucanhall/forwarding/admission.py
@@ -9,6 +9,7 @@
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
 from toucanhall.forwarding.problems import Refusal, refuse
 from toucanhall.forwarding.records import Request, find_header
+from toucanhall.steering import Origin
 
 __all__ = ('admit', 'find_route')
 
@@ -93,7 +94,9 @@
             route=route,
             catalogue=catalogue,
             request_id=hop.request_id,
-            give_up_at=runtime.read_clock() + route.deadline,
+            give_up_at=runtime.read_clock() + min(hop.seconds, route.deadline),
             is_hopped=True,
+            origin=Origin.SIBLING if hop.zone == parts.zone else Origin.ZONE,
+            is_retry=hop.is_retry,
         ),
     )
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -1,135 +1,125 @@
 """Tries the ways to a target until one gives a whole answer."""
 
-from collections.abc import Iterable
-from typing import Final
+from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
 from toucanhall import events, runtime
-from toucanhall.forwarding import hops
-from toucanhall.forwarding.bodies import SettledBody, close_body
-from toucanhall.forwarding.credentials import digest_key
+from toucanhall.forwarding.bodies import close_body
 from toucanhall.forwarding.dispatch import SendError
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
-from toucanhall.forwarding.problems import Refusal, refuse
-from toucanhall.forwarding.records import Answer, Request, find_header
-from toucanhall.steering import Choice, Terrain, rank
+from toucanhall.forwarding.preparation import prepare
+from toucanhall.forwarding.problems import Refusal, make_refusal, refuse
+from toucanhall.forwarding.records import Answer, find_header
+from toucanhall.forwarding.transfers import Transfer, read_spare, settle
+from toucanhall.steering import Arrive, Carry, Refuse, Run
 
 __all__ = ('forward',)
 
-_ATTEMPTS: Final = 3
-_SERVER_ERROR: Final = 500
-_ID_HEADER: Final = 'Toucanhall-Request-Id'
+
+class _Tried(NamedTuple):
+    """What was tried for a request, and whether it may have run."""
+
+    names: frozenset[str] = frozenset()
+    attempts: int = 0
+    sent: bool = False
 
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
     """Send an admitted request; a failure is final and truly says if it ran."""
-    last: SendError | None = None
-    for choice in _rank(parts, job)[:_ATTEMPTS]:
-        seconds = job.give_up_at - runtime.read_clock()
-        if seconds <= 0:
-            return refuse('deadline', 'nothing was sent', BACK_SOON_SECONDS)
-        sent = _send(parts, job, choice, seconds)
+    tried = _Tried()
+    while True:
+        way = parts.steerer.choose(job.route.service, _ask(job, tried))
+        if isinstance(way, Refuse):
+            return Failure(_make_refusal(job, way, tried))
+        sent = _send(parts, job, way, tried)
         if isinstance(sent, Success):
             return sent
-        last = sent.failure()
-        _note_failure(parts, job, choice, last)
-        if last.sent and not job.is_safe:
-            return refuse('target-failed', 'it may have run')
-    if last is None or not last.sent:
-        return refuse(
-            'no-target',
-            f'service {job.route.service!r}',
-            BACK_SOON_SECONDS,
+        error = sent.failure()
+        _note_failure(parts, job, way, error)
+        tried = _Tried(
+            tried.names | {way.name},
+            tried.attempts + 1,
+            tried.sent or error.sent,
         )
-    return refuse('target-failed', 'no whole answer', BACK_SOON_SECONDS)
+        if tried.sent and not job.is_safe:
+            return refuse('target-failed', 'it may have run')
+        if job.is_retry:
+            return Failure(_make_refusal(job, None, tried))
+
+
+def _ask(job: Job, tried: _Tried) -> Arrive:
+    team = job.catalogue.teams.get(job.caller.team)
+    return Arrive(
+        ticket=f'{job.request_id}/{tried.attempts}',
+        team=job.caller.team,
+        weight=team.weight if team else 1,
+        expires_at=job.give_up_at,
+        origin=job.origin,
+        is_safe=job.is_safe,
+        attempts=tried.attempts,
+        passed=tried.names,
+    )
 
 
-def _rank(parts: Parts, job: Job) -> tuple[Choice, ...]:
-    terrain = Terrain(
-        job.catalogue,
-        parts.zone,
-        parts.loads.read(),
-        parts.list_hops(),
-    )
-    return rank(
-        terrain,
-        job.route.service,
-        runtime.read_clock(),
-        may_hop=not job.is_hopped,
-    )
+def _make_refusal(job: Job, refused: Refuse | None, tried: _Tried) -> Refusal:
+    if tried.sent:
+        return make_refusal(
+            'target-failed',
+            'no whole answer',
+            BACK_SOON_SECONDS,
+        )
+    detail = f'service {job.route.service!r}'
+    if refused is None:
+        return make_refusal('no-target', detail, BACK_SOON_SECONDS)
+    return make_refusal(refused.reason, detail, refused.retry_after)
 
 
 def _send(
     parts: Parts,
     job: Job,
-    choice: Choice,
-    seconds: float,
+    way: Run | Carry,
+    tried: _Tried,
 ) -> Result[Answer, SendError]:
-    parts.loads.start(choice.name)
+    transfer = Transfer(
+        parts.steerer, job.route.service, way, job.origin,
+        runtime.read_clock(),
+    )  # fmt: skip
+    seconds = max(0, job.give_up_at - transfer.started_at)
     sent = parts.dispatcher.send(
-        choice.address,
-        _prepare(parts, job, choice),
-        seconds,
+        way.address,
+        prepare(parts, job, way, is_retry=tried.attempts > 0),
+        seconds if tried.attempts or not job.is_safe else seconds / 2,
         fresh=not job.is_safe,
     )
     if not isinstance(sent, Success):
-        parts.loads.finish(choice.name, healthy=False)
+        transfer.finish(healthy=False)
         return sent
     answer = sent.unwrap()
-    if choice.is_hop and find_header(answer.headers, 'toucanhall-ran') == 'no':
-        parts.loads.finish(choice.name, healthy=True)
+    if isinstance(way, Carry) and _is_refused(answer):
+        transfer.finish(healthy=None, spare=0)
         close_body(answer.body)
         return Failure(
-            SendError(choice.address, sent=False, what='refused by entry VM'),
+            SendError(way.address, sent=False, what='refused by entry VM'),
         )
-    body = _settle_after(parts, choice, answer)
-    return Success(answer._replace(body=body))
-
+    return Success(settle(transfer, answer, read_spare(way, answer)))
 
-def _settle_after(
-    parts: Parts,
-    choice: Choice,
-    answer: Answer,
-) -> Iterable[bytes]:
-    healthy = answer.status < _SERVER_ERROR
-    if isinstance(answer.body, tuple):
-        parts.loads.finish(choice.name, healthy=healthy)
-        return answer.body
-    return SettledBody(
-        body=answer.body,
-        settle=lambda whole: parts.loads.finish(
-            choice.name,
-            healthy=healthy and whole,
-        ),
-    )
 
-
-def _prepare(parts: Parts, job: Job, choice: Choice) -> Request:
-    added = [(_ID_HEADER, job.request_id)]
-    if choice.is_hop:
-        hop = hops.Hop(
-            team=job.caller.team,
-            key_digest=digest_key(job.caller.key) if job.caller.key else '',
-            request_id=job.request_id,
-            method=job.request.method,
-            target=job.request.target,
-        )
-        added.append((hops.HOP_HEADER, hops.make_token(parts.identity, hop)))
-    return job.request._replace(headers=(*job.request.headers, *added))
+def _is_refused(answer: Answer) -> bool:
+    return find_header(answer.headers, 'toucanhall-ran') == 'no'
 
 
 def _note_failure(
     parts: Parts,
     job: Job,
-    choice: Choice,
+    way: Run | Carry,
     error: SendError,
 ) -> None:
     reason = 'unanswered' if error.sent else 'unsent'
     parts.counters.add(f'retry.{reason}')
     events.log(
         events.TARGET_FAILED,
-        target=choice.name,
+        target=way.name,
         request_id=job.request_id,
         sent=error.sent,
         what=error.what,
--- a/toucanhall/forwarding/hops.py
+++ b/toucanhall/forwarding/hops.py
@@ -16,13 +16,19 @@
 
 
 class Hop(NamedTuple):
-    """What the first VM decided: team, digest of the key, request id."""
+    """What the first VM decided: team, digest of the key, request id.
+
+    `seconds` remain until the caller's deadline.
+    """
 
     team: str
     key_digest: str
     request_id: str
     method: str
     target: str
+    zone: str = ''
+    seconds: float = 0.0
+    is_retry: bool = False
 
 
 def make_token(identity: Identity, hop: Hop) -> str:
--- a/toucanhall/forwarding/jobs.py
+++ b/toucanhall/forwarding/jobs.py
@@ -1,6 +1,5 @@
 """The state of the request path, and requests that were admitted."""
 
-from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from toucanhall.catalogue import Catalogue, Holder, Route
@@ -10,7 +9,7 @@
 from toucanhall.forwarding.records import Request
 from toucanhall.idempotency import Keeper
 from toucanhall.shares import Ledger
-from toucanhall.steering import Hop, Loads
+from toucanhall.steering import Origin, Steerer
 from toucanhall.transport.exchange import Identity
 
 __all__ = ('BACK_SOON_SECONDS', 'Job', 'Parts')
@@ -27,15 +26,17 @@
     zone: str
     holder: Holder
     ledger: Ledger
-    loads: Loads
+    steerer: Steerer
     keeper: Keeper
     dispatcher: Dispatcher
     counters: Counters
-    list_hops: Callable[[], tuple[Hop, ...]]
 
 
 class Job(NamedTuple):
-    """An admitted request: what is sent, for whom, and until when."""
+    """An admitted request: what is sent, for whom, and until when.
+
+    `is_retry` tells that another entry VM tried it before.
+    """
 
     request: Request
     caller: Caller
@@ -44,6 +45,8 @@
     request_id: str
     give_up_at: float
     is_hopped: bool
+    origin: Origin = Origin.CALLER
+    is_retry: bool = False
 
     @property
     def is_safe(self) -> bool:
--- /dev/null
+++ b/toucanhall/forwarding/preparation.py
@@ -0,0 +1,36 @@
+"""Prepares what goes to a target or to another entry VM."""
+
+from toucanhall import runtime
+from toucanhall.forwarding import hops
+from toucanhall.forwarding.credentials import digest_key
+from toucanhall.forwarding.jobs import Job, Parts
+from toucanhall.forwarding.records import Request
+from toucanhall.steering import Carry, Run
+
+__all__ = ('prepare',)
+
+_ID_HEADER = 'Toucanhall-Request-Id'
+
+
+def prepare(
+    parts: Parts,
+    job: Job,
+    way: Run | Carry,
+    *,
+    is_retry: bool,
+) -> Request:
+    """Return the request with its id, and with a token when it hops."""
+    added = [(_ID_HEADER, job.request_id)]
+    if isinstance(way, Carry):
+        hop = hops.Hop(
+            team=job.caller.team,
+            key_digest=digest_key(job.caller.key) if job.caller.key else '',
+            request_id=job.request_id,
+            method=job.request.method,
+            target=job.request.target,
+            zone=parts.zone,
+            seconds=job.give_up_at - runtime.read_clock(),
+            is_retry=is_retry,
+        )
+        added.append((hops.HOP_HEADER, hops.make_token(parts.identity, hop)))
+    return job.request._replace(headers=(*job.request.headers, *added))
--- a/toucanhall/forwarding/problems.py
+++ b/toucanhall/forwarding/problems.py
@@ -48,6 +48,12 @@
     'no-target': Reason(
         503, 'Service Unavailable', 'no target has room', 'no',
     ),
+    'overloaded': Reason(
+        503, 'Service Unavailable', 'too many requests wait', 'no',
+    ),
+    'retry-budget': Reason(
+        503, 'Service Unavailable', 'too many requests are retried', 'no',
+    ),
     'not-ready': Reason(
         503, 'Service Unavailable', 'no catalogue is in force yet', 'no',
     ),
--- a/toucanhall/frontdoor.py
+++ b/toucanhall/frontdoor.py
@@ -55,7 +55,8 @@
 
 
 def _tell_health(door: Frontdoor, _request: Request) -> Answer:
-    return answer_json({'ready': door.holder.current is not None})
+    is_ready = door.holder.current is not None and door.parts.steerer.is_sized
+    return answer_json({'ready': is_ready})
 
 
 def _advise(door: Frontdoor, request: Request) -> Answer:
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
-__all__ = ('make_id', 'read_clock', 'start_ticker')
+__all__ = ('make_id', 'pause', 'read_clock', 'start_ticker')
 
 _ID_BYTES: Final = 12
 
@@ -21,6 +21,11 @@
     return secrets.token_hex(_ID_BYTES)
 
 
+def pause(seconds: float) -> None:
+    """Hold the calling thread for some seconds."""
+    time.sleep(seconds)
+
+
 def start_ticker(
     period: float,
     call: Callable[[], None],
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -39,6 +39,7 @@
         self._platform = platform
         self._ledger = ledger
         self._slots = 0
+        self.held: frozenset[int] = frozenset()
 
     def claim(self, catalogue: Catalogue, live_vms: frozenset[str]) -> None:
         """Bring the slot table up to date and size the ledger by it."""
@@ -68,6 +69,11 @@
             written = self._platform.write(name, content, stored.version)
             if not is_successful(written):
                 return False
+        self.held = frozenset(
+            slot
+            for slot, holder in claimed.holdings.items()
+            if holder == self._place.holder
+        )
         self._note(count_slots(claimed, self._place.holder))
         return True
 
--- a/toucanhall/steering/__init__.py
+++ b/toucanhall/steering/__init__.py
@@ -1,16 +1,26 @@
 """Where a caller goes, and which zone and target serve a request."""
 
 from toucanhall.steering.advice import Advice, AdvisedVm, advise
-from toucanhall.steering.choice import Choice, Hop, Terrain, rank
-from toucanhall.steering.loads import Loads
+from toucanhall.steering.places import Outcome
+from toucanhall.steering.records import Arrive, Carry, End, Origin, Refuse, Run
+from toucanhall.steering.sizes import Hop, Seat, size_links, size_services
+from toucanhall.steering.steerer import Decision, Steerer
 
 __all__ = (
     'Advice',
     'AdvisedVm',
-    'Choice',
+    'Arrive',
+    'Carry',
+    'Decision',
+    'End',
     'Hop',
-    'Loads',
-    'Terrain',
+    'Origin',
+    'Outcome',
+    'Refuse',
+    'Run',
+    'Seat',
+    'Steerer',
     'advise',
-    'rank',
+    'size_links',
+    'size_services',
 )
--- /dev/null
+++ b/toucanhall/steering/arrivals.py
@@ -0,0 +1,207 @@
+"""Decides where an arriving request goes: a target, a peer, the queue."""
+
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+from toucanhall.steering import fairness, peers, places
+from toucanhall.steering.budget import spend
+from toucanhall.steering.fairness import Waiting, count_before
+from toucanhall.steering.peers import Distance, Peer
+from toucanhall.steering.places import Place
+from toucanhall.steering.ramps import advance
+from toucanhall.steering.records import (
+    Arrive,
+    Carry,
+    Effect,
+    Origin,
+    Refuse,
+    Run,
+    State,
+    Wait,
+)
+
+__all__ = ('BACK_SOON_SECONDS', 'arrive', 'count_free', 'place_request')
+
+BACK_SOON_SECONDS: Final = 1.0
+
+_LONGEST_BACK_SECONDS: Final = 5.0
+_MOST_ATTEMPTS: Final = 3
+_MOST_WAITING: Final = 16
+_FIRST_LATENCY_SECONDS: Final = 0.05
+_FAR_SECONDS: Final = 0.05
+_RESERVE_SHARE: Final = 0.1
+
+Decided: TypeAlias = tuple[State, tuple[Effect, ...]]
+Found: TypeAlias = Decided | None
+
+
+def arrive(state: State, event: Arrive, now: float) -> Decided:
+    """Decide on a request that arrived, or that comes back for a retry."""
+    if event.expires_at <= now:
+        return state, (Refuse(event.ticket, 'deadline', BACK_SOON_SECONDS),)
+    may_retry = True
+    if event.attempts:
+        budget, may_retry = spend(state.budget)
+        state = state._replace(budget=budget)
+    if not may_retry or event.attempts >= _MOST_ATTEMPTS:
+        refusal = Refuse(event.ticket, 'retry-budget', BACK_SOON_SECONDS)
+        return state, (refusal,)
+    return _ARRIVALS[event.origin](state, event, now)
+
+
+def count_free(state: State, now: float) -> int:
+    """Return the free slots that this VM owns."""
+    return sum(places.count_free(place, now) for place in state.places.values())
+
+
+def count_reserve(state: State, now: float) -> int:
+    """Return the slots that are kept free of requests of other zones."""
+    usable = sum(
+        places.count_usable(place, now) for place in state.places.values()
+    )
+    return int(usable * _RESERVE_SHARE)
+
+
+def read_latency(state: State) -> float:
+    """Return the mean seconds of a request, as far as it is known."""
+    return state.latency or _FIRST_LATENCY_SECONDS
+
+
+def place_request(state: State, place: Place) -> State:
+    """Return the state after a request was sent to a place."""
+    return state._replace(
+        places={**state.places, place.target: places.begin(place)},
+    )
+
+
+def _arrive_from_caller(state: State, event: Arrive, now: float) -> Decided:
+    for find in _WAYS:
+        found = find(state, event, now)
+        if found is not None:
+            return found
+    seconds = min(_estimate_wait(state, event, now), _LONGEST_BACK_SECONDS)
+    return state, (
+        Refuse(event.ticket, 'no-target', max(BACK_SOON_SECONDS, seconds)),
+    )
+
+
+def _arrive_from_sibling(state: State, event: Arrive, now: float) -> Decided:
+    found = _run(state, event, now)
+    if found is not None:
+        return found
+    return state, (Refuse(event.ticket, 'no-target', BACK_SOON_SECONDS),)
+
+
+def _arrive_from_zone(state: State, event: Arrive, now: float) -> Decided:
+    ramp = advance(state.ramp, state.shifted, now)
+    state = state._replace(ramp=ramp)
+    has_room = count_free(state, now) > count_reserve(state, now)
+    found = None
+    if has_room and state.shifted + 1 <= ramp.level:
+        found = _run(state, event, now)
+    if found is None:
+        return state, (Refuse(event.ticket, 'no-target', BACK_SOON_SECONDS),)
+    ran, effects = found
+    return ran._replace(shifted=ran.shifted + 1), effects
+
+
+def _run(state: State, event: Arrive, now: float) -> Found:
+    if state.queue.waiting:
+        return None
+    place = places.pick(
+        (
+            place
+            for name, place in state.places.items()
+            if name not in event.passed
+        ),
+        now,
+        may_probe=event.is_safe,
+    )
+    if place is None:
+        return None
+    queue = fairness.charge(state.queue, event.team, event.weight)
+    state = place_request(state._replace(queue=queue), place)
+    return state, (Run(event.ticket, place.target, place.address),)
+
+
+def _carry(distance: Distance) -> Callable[[State, Arrive, float], Found]:
+    def find(state: State, event: Arrive, now: float) -> Found:
+        peer = peers.pick(
+            (
+                peer
+                for vm, peer in state.peers.items()
+                if vm not in event.passed
+            ),
+            distance,
+            event.closed_regions,
+            now,
+        )
+        if peer is None:
+            return None
+        begun = {**state.peers, peer.vm: peers.begin(peer)}
+        return state._replace(peers=begun), (_make_carry(event, peer),)
+
+    return find
+
+
+def _make_carry(event: Arrive, peer: Peer) -> Carry:
+    return Carry(
+        event.ticket,
+        peer.vm,
+        peer.address,
+        peer.region,
+        is_far=peer.distance is Distance.FAR,
+    )
+
+
+def _wait_briefly(state: State, event: Arrive, now: float) -> Found:
+    if _estimate_wait(state, event, now) > _FAR_SECONDS:
+        return None
+    return _wait(state, event, now)
+
+
+def _wait(state: State, event: Arrive, now: float) -> Found:
+    estimate = _estimate_wait(state, event, now) + read_latency(state)
+    if estimate > event.expires_at - now:
+        return None
+    waiting = Waiting(0, event.ticket, event.team, event.expires_at)
+    queue, pushed_out = fairness.push(
+        state.queue,
+        waiting,
+        event.weight,
+        _MOST_WAITING,
+    )
+    state = state._replace(queue=queue)
+    wait = Wait(event.ticket, event.expires_at)
+    if pushed_out is None:
+        return state, (wait,)
+    refusal = Refuse(pushed_out.ticket, 'overloaded', BACK_SOON_SECONDS)
+    if pushed_out.ticket == event.ticket:
+        return state, (refusal,)
+    return state, (wait, refusal)
+
+
+def _estimate_wait(state: State, event: Arrive, now: float) -> float:
+    usable = sum(
+        places.count_usable(place, now) for place in state.places.values()
+    )
+    if not usable:
+        return event.expires_at - now
+    before = count_before(state.queue, event.team) + 1
+    return before * read_latency(state) / usable
+
+
+_WAYS: Final = (
+    _run,
+    _carry(Distance.ZONE),
+    _carry(Distance.REGION),
+    _wait_briefly,
+    _carry(Distance.FAR),
+    _wait,
+)
+
+_ARRIVALS: Final = {
+    Origin.CALLER: _arrive_from_caller,
+    Origin.SIBLING: _arrive_from_sibling,
+    Origin.ZONE: _arrive_from_zone,
+}
--- /dev/null
+++ b/toucanhall/steering/circuit.py
@@ -0,0 +1,56 @@
+"""The circuit of a target or peer: opened by failures, closed by a probe."""
+
+from typing import Final, NamedTuple
+
+__all__ = ('Circuit', 'admits', 'begin', 'release', 'settle')
+
+_NEW_WEIGHT: Final = 0.25
+_TRIP_SHARE: Final = 0.5
+_FIRST_OPEN_SECONDS: Final = 1.0
+_LONGEST_OPEN_SECONDS: Final = 16.0
+
+
+class Circuit(NamedTuple):
+    """The recent share of failures; `open_seconds` is 0 while closed."""
+
+    failure_share: float = 0.0
+    open_until: float = 0.0
+    open_seconds: float = 0.0
+    is_probing: bool = False
+
+
+def admits(circuit: Circuit, now: float) -> bool:
+    """Return whether a request may be sent; half-open admits one probe."""
+    if not circuit.open_seconds:
+        return True
+    return now >= circuit.open_until and not circuit.is_probing
+
+
+def begin(circuit: Circuit) -> Circuit:
+    """Return the circuit after a request was sent."""
+    return circuit._replace(is_probing=circuit.open_seconds > 0)
+
+
+def settle(circuit: Circuit, now: float, *, healthy: bool) -> Circuit:
+    """Return the circuit after an outcome."""
+    if circuit.open_seconds:
+        return _settle_open(circuit, now, healthy=healthy)
+    newest = 0 if healthy else _NEW_WEIGHT
+    share = circuit.failure_share * (1 - _NEW_WEIGHT) + newest
+    if share < _TRIP_SHARE:
+        return Circuit(share)
+    return Circuit(share, now + _FIRST_OPEN_SECONDS, _FIRST_OPEN_SECONDS)
+
+
+def release(circuit: Circuit) -> Circuit:
+    """Return the circuit after a request that ended without an outcome."""
+    return circuit._replace(is_probing=False)
+
+
+def _settle_open(circuit: Circuit, now: float, *, healthy: bool) -> Circuit:
+    if not circuit.is_probing:
+        return circuit
+    if healthy:
+        return Circuit()
+    seconds = min(_LONGEST_OPEN_SECONDS, circuit.open_seconds * 2)
+    return Circuit(circuit.failure_share, now + seconds, seconds)
--- /dev/null
+++ b/toucanhall/steering/fairness.py
@@ -0,0 +1,84 @@
+"""A bounded queue that serves teams by weight (start-time fair queueing)."""
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+__all__ = ('Queue', 'Waiting', 'charge', 'drop', 'pop', 'push')
+
+_NO_TEAMS: Final[Mapping[str, float]] = {}
+
+
+class Waiting(NamedTuple):
+    """A request that waits; the smallest tag is served first."""
+
+    tag: float
+    ticket: str
+    team: str
+    expires_at: float
+
+
+class Queue(NamedTuple):
+    """Waiting requests, the virtual time, and where each team stands in it."""
+
+    waiting: tuple[Waiting, ...] = ()
+    virtual: float = 0.0
+    finish_tags: Mapping[str, float] = _NO_TEAMS
+
+
+def charge(queue: Queue, team: str, weight: float) -> Queue:
+    """Return the queue after a team's request was served without waiting."""
+    tagged, tag = _tag(queue, team, weight)
+    return tagged._replace(virtual=max(queue.virtual, tag))
+
+
+def push(
+    queue: Queue,
+    waiting: Waiting,
+    weight: float,
+    bound: int,
+) -> tuple[Queue, Waiting | None]:
+    """Return the queue with one more, and the one that found no room.
+
+    The one that would be served last finds no room, so that a team which
+    floods the queue pushes out its own requests.
+    """
+    tagged, tag = _tag(queue, waiting.team, weight)
+    entries = sorted((*queue.waiting, waiting._replace(tag=tag)))
+    if len(entries) <= bound:
+        return tagged._replace(waiting=tuple(entries)), None
+    last = entries.pop()
+    return _untag(tagged, last.team, weight)._replace(
+        waiting=tuple(entries),
+    ), last
+
+
+def pop(queue: Queue) -> tuple[Queue, Waiting]:
+    """Return the queue without its first, and the first."""
+    first = queue.waiting[0]
+    return queue._replace(
+        waiting=queue.waiting[1:],
+        virtual=max(queue.virtual, first.tag),
+    ), first
+
+
+def drop(queue: Queue, ticket: str) -> Queue:
+    """Return the queue without a ticket."""
+    kept = tuple(entry for entry in queue.waiting if entry.ticket != ticket)
+    return queue._replace(waiting=kept)
+
+
+def count_before(queue: Queue, team: str) -> int:
+    """Return how many waiting requests come before a team's next one."""
+    tag = max(queue.virtual, queue.finish_tags.get(team, 0))
+    return sum(entry.tag <= tag for entry in queue.waiting)
+
+
+def _tag(queue: Queue, team: str, weight: float) -> tuple[Queue, float]:
+    tag = max(queue.virtual, queue.finish_tags.get(team, 0))
+    finish_tags = {**queue.finish_tags, team: tag + 1 / weight}
+    return queue._replace(finish_tags=finish_tags), tag
+
+
+def _untag(queue: Queue, team: str, weight: float) -> Queue:
+    tag = queue.finish_tags[team] - 1 / weight
+    return queue._replace(finish_tags={**queue.finish_tags, team: tag})
--- /dev/null
+++ b/toucanhall/steering/ownership.py
@@ -0,0 +1,41 @@
+"""Which slots of which targets a VM owns, by its part of the zone."""
+
+from collections.abc import Mapping
+
+from toucanhall.catalogue import Catalogue, Target
+
+__all__ = ('divide', 'select_targets')
+
+
+def select_targets(
+    catalogue: Catalogue,
+    zone: str,
+) -> Mapping[str, tuple[Target, ...]]:
+    """Return the targets of a zone by service, in the order of their names."""
+    selected: dict[str, tuple[Target, ...]] = {}
+    for name in sorted(catalogue.targets):
+        target = catalogue.targets[name]
+        if target.zone == zone:
+            known = selected.get(target.service, ())
+            selected[target.service] = (*known, target)
+    return selected
+
+
+def divide(
+    targets: tuple[Target, ...],
+    held: frozenset[int],
+    size: int,
+) -> Mapping[str, int]:
+    """Return how many slots of each target the holder of zone slots owns.
+
+    The slots of all targets are numbered through, and slot k belongs to the
+    holder of zone slot `k % size`. Holders with no zone slot in common own no
+    slot of a target in common.
+    """
+    owned: dict[str, int] = {}
+    first = 0
+    for target in targets:
+        numbers = range(first, first + target.slots)
+        owned[target.name] = sum(number % size in held for number in numbers)
+        first += target.slots
+    return owned
--- /dev/null
+++ b/toucanhall/steering/places.py
@@ -0,0 +1,130 @@
+"""Targets of the own zone, with the part of their slots that this VM owns."""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from toucanhall.steering import circuit as circuits
+from toucanhall.steering.circuit import Circuit
+
+__all__ = ('Outcome', 'Place', 'begin', 'count_free', 'end', 'pick')
+
+_WARM_SECONDS: Final = 10.0
+_COLD_SHARE: Final = 0.2
+_LATENCY_WEIGHT: Final = 0.1
+_REPORT_SECONDS: Final = 3.0
+_FAILURE_COST: Final = 4.0
+
+
+class Place(NamedTuple):
+    """A target: `slots` are owned by this VM, `cold_at` starts the warm-up.
+
+    `reported` is the busy share that the target itself told at `reported_at`.
+    """
+
+    target: str
+    address: str
+    slots: int
+    is_draining: bool = False
+    in_flight: int = 0
+    circuit: Circuit = Circuit()
+    cold_at: float | None = None
+    latency: float = 0.0
+    reported: float = 0.0
+    reported_at: float | None = None
+
+
+class Outcome(NamedTuple):
+    """How a request ended; `healthy` is None when it tells nothing."""
+
+    healthy: bool | None
+    seconds: float = 0.0
+
+
+def limit(place: Place, now: float) -> int:
+    """Return how many requests the target may run for this VM."""
+    if place.is_draining or not place.slots:
+        return 0
+    if place.cold_at is None:
+        return place.slots
+    warm = (now - place.cold_at) / _WARM_SECONDS
+    share = min(1.0, _COLD_SHARE + (1 - _COLD_SHARE) * max(0.0, warm))
+    return max(1, int(place.slots * share))
+
+
+def count_free(place: Place, now: float) -> int:
+    """Return how many more requests the target may take now."""
+    if not circuits.admits(place.circuit, now):
+        return 0
+    free = max(0, limit(place, now) - place.in_flight)
+    return min(1, free) if place.circuit.open_seconds else free
+
+
+def count_usable(place: Place, now: float) -> int:
+    """Return the limit, or 0 while the circuit is open."""
+    return 0 if place.circuit.open_seconds else limit(place, now)
+
+
+def pick(
+    places: Iterable[Place],
+    now: float,
+    *,
+    may_probe: bool,
+) -> Place | None:
+    """Return the best place with room: outcomes first, reports last.
+
+    A place that needs a probe comes first for a request that may be sent
+    again, and last for any other.
+    """
+    free = [place for place in places if count_free(place, now)]
+    probe_rank = -1 if may_probe else 1
+    return min(
+        free,
+        key=lambda place: (
+            probe_rank if place.circuit.open_seconds else 0,
+            _weigh(place, now),
+        ),
+        default=None,
+    )
+
+
+def begin(place: Place) -> Place:
+    """Return the place after a request was sent to it."""
+    return place._replace(
+        in_flight=place.in_flight + 1,
+        circuit=circuits.begin(place.circuit),
+    )
+
+
+def end(place: Place, outcome: Outcome, now: float) -> Place:
+    """Return the place after a request ended."""
+    ended = place._replace(in_flight=max(0, place.in_flight - 1))
+    if outcome.healthy is None:
+        return ended._replace(circuit=circuits.release(place.circuit))
+    circuit = circuits.settle(place.circuit, now, healthy=outcome.healthy)
+    is_closed_again = place.circuit.open_seconds and not circuit.open_seconds
+    return ended._replace(
+        circuit=circuit,
+        cold_at=now if is_closed_again else place.cold_at,
+        latency=blend(place.latency, outcome),
+    )
+
+
+def blend(latency: float, outcome: Outcome) -> float:
+    """Return the moving mean of the seconds of healthy requests."""
+    if not outcome.healthy:
+        return latency
+    if not latency:
+        return outcome.seconds
+    return latency + (outcome.seconds - latency) * _LATENCY_WEIGHT
+
+
+def _weigh(place: Place, now: float) -> tuple[float, float, float, str]:
+    busy = (place.in_flight + 1) / limit(place, now)
+    failing = 1 + _FAILURE_COST * place.circuit.failure_share
+    return busy * failing, place.latency, _read_report(place, now), place.target
+
+
+def _read_report(place: Place, now: float) -> float:
+    if place.reported_at is None:
+        return 0.0
+    return place.reported if now - place.reported_at < _REPORT_SECONDS else 0.0
--- /dev/null
+++ b/toucanhall/steering/policy.py
@@ -0,0 +1,158 @@
+"""The steering policy: `(state, event, now) -> (state, effects)`."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeAlias
+
+from toucanhall.steering import arrivals, peers, places
+from toucanhall.steering.fairness import drop
+from toucanhall.steering.budget import earn
+from toucanhall.steering.peers import Peer
+from toucanhall.steering.places import Place
+from toucanhall.steering.ramps import advance
+from toucanhall.steering.records import (
+    Effect,
+    End,
+    Event,
+    Expire,
+    Arrive,
+    Origin,
+    Refuse,
+    Report,
+    Resize,
+    State,
+)
+from toucanhall.steering.waiting import serve
+
+__all__ = ('count_spare', 'decide')
+
+Decided: TypeAlias = tuple[State, tuple[Effect, ...]]
+
+
+def decide(state: State, event: Event, now: float) -> Decided:
+    """Return the state after an event, and what is to be done."""
+    return _DECISIONS[type(event)](state, event, now)
+
+
+def count_spare(state: State, now: float, *, shifting: bool) -> int:
+    """Return the room that is told to other VMs; none while requests wait."""
+    if state.queue.waiting:
+        return 0
+    free = arrivals.count_free(state, now)
+    if not shifting:
+        return free
+    ramp = advance(state.ramp, state.shifted, now)
+    spare = free - arrivals.count_reserve(state, now)
+    return max(0, min(spare, int(ramp.level) - state.shifted))
+
+
+def _arrive(state: State, event: Arrive, now: float) -> Decided:
+    served, effects = serve(state, now)
+    arrived, last_effects = arrivals.arrive(served, event, now)
+    return arrived, (*effects, *last_effects)
+
+
+def _end(state: State, event: End, now: float) -> Decided:
+    peer = state.peers.get(event.name)
+    place = state.places.get(event.name)
+    if peer is not None:
+        peer = peers.end(
+            peer,
+            event.outcome,
+            event.spare,
+            now,
+        )
+        ended = state._replace(peers={**state.peers, event.name: peer})
+    elif place is not None:
+        place = places.end(place, event.outcome, now)
+        ended = state._replace(
+            places={**state.places, event.name: place},
+            latency=places.blend(state.latency, event.outcome),
+        )
+    else:
+        ended = state
+    return serve(_count_end(ended, event, now), now)
+
+
+def _count_end(state: State, event: End, now: float) -> State:
+    if event.outcome.healthy:
+        state = state._replace(budget=earn(state.budget))
+    if event.origin is not Origin.ZONE:
+        return state
+    return state._replace(
+        ramp=advance(state.ramp, state.shifted, now),
+        shifted=max(0, state.shifted - 1),
+    )
+
+
+def _expire(state: State, event: Expire, _now: float) -> Decided:
+    queue = drop(state.queue, event.ticket)
+    if queue == state.queue:
+        return state, ()
+    refusal = Refuse(event.ticket, 'deadline', arrivals.BACK_SOON_SECONDS)
+    return state._replace(queue=queue), (refusal,)
+
+
+def _report(state: State, event: Report, now: float) -> Decided:
+    place = state.places.get(event.target)
+    if place is None:
+        return state, ()
+    told = place._replace(reported=event.busy, reported_at=now)
+    return state._replace(places={**state.places, event.target: told}), ()
+
+
+def _resize(state: State, event: Resize, now: float) -> Decided:
+    cold_at = now if state.is_sized else None
+    resized = state._replace(
+        is_sized=True,
+        places={
+            place.target: _keep_place(
+                state.places.get(place.target),
+                place._replace(cold_at=cold_at),
+            )
+            for place in event.places
+        }
+        | _list_busy(state, event),
+        peers={
+            peer.vm: _keep_peer(state.peers.get(peer.vm), peer)
+            for peer in event.peers
+        },
+        ramp=advance(state.ramp, state.shifted, now)._replace(
+            per_second=event.shift_per_second,
+        ),
+    )
+    return serve(resized, now)
+
+
+def _keep_place(known: Place | None, place: Place) -> Place:
+    if known is None or known.address != place.address:
+        return place
+    was_drained = known.is_draining and not place.is_draining
+    return known._replace(
+        slots=place.slots,
+        is_draining=place.is_draining,
+        cold_at=place.cold_at if was_drained else known.cold_at,
+    )
+
+
+def _keep_peer(known: Peer | None, peer: Peer) -> Peer:
+    if known is None or known.address != peer.address:
+        return peer
+    return known
+
+
+def _list_busy(state: State, event: Resize) -> dict[str, Place]:
+    named = {place.target for place in event.places}
+    return {
+        name: place._replace(slots=0)
+        for name, place in state.places.items()
+        if name not in named and place.in_flight
+    }
+
+
+_DECISIONS: Final[Mapping[type, Callable[[State, Any, float], Decided]]] = {
+    Arrive: _arrive,
+    End: _end,
+    Expire: _expire,
+    Report: _report,
+    Resize: _resize,
+}
--- /dev/null
+++ b/toucanhall/steering/sizes.py
@@ -0,0 +1,120 @@
+"""Sizes the policy by the catalogue, the slots held and the live VMs."""
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from toucanhall.catalogue import Catalogue, Target, Zone
+from toucanhall.steering import links
+from toucanhall.steering.ownership import divide, select_targets
+from toucanhall.steering.peers import Distance, Peer
+from toucanhall.steering.places import Place
+from toucanhall.steering.records import Resize
+
+__all__ = ('Hop', 'Seat', 'size_links', 'size_services')
+
+
+class Hop(NamedTuple):
+    """Another entry VM that can carry a request to its targets."""
+
+    vm: str
+    zone: str
+    address: str
+
+
+class Seat(NamedTuple):
+    """The zone of a VM, and the numbers of the zone's slots that it holds."""
+
+    zone: str
+    held: frozenset[int]
+
+
+def size_services(
+    catalogue: Catalogue,
+    seat: Seat,
+    hops: tuple[Hop, ...],
+) -> Mapping[str, Resize]:
+    """Return the size of each service of the catalogue."""
+    own = select_targets(catalogue, seat.zone)
+    sizes: dict[str, Resize] = {}
+    for service, zones in _list_serving(catalogue).items():
+        targets = own.get(service, ())
+        places = tuple(_list_places(catalogue, seat, targets))
+        sizes[service] = Resize(
+            places,
+            tuple(_list_peers(catalogue, seat.zone, hops, zones)),
+            catalogue.shift_share * sum(place.slots for place in places),
+        )
+    return sizes
+
+
+def size_links(catalogue: Catalogue, seat: Seat) -> Mapping[str, float]:
+    """Return this VM's part of each link of its region, in bytes/s."""
+    zone = catalogue.zones.get(seat.zone)
+    if zone is None:
+        return {}
+    share = len(seat.held) / catalogue.slots_per_zone
+    return {
+        region: links.read_part(catalogue, seat.zone, region, share)
+        for link in catalogue.links
+        if zone.region in link.regions
+        for region in link.regions
+        if region != zone.region
+    }
+
+
+def _list_serving(catalogue: Catalogue) -> Mapping[str, frozenset[str]]:
+    serving: dict[str, frozenset[str]] = {}
+    for target in catalogue.targets.values():
+        zones = serving.get(target.service, frozenset())
+        if target.zone not in catalogue.drains.zones:
+            zones = zones | {target.zone}
+        serving[target.service] = zones
+    return serving
+
+
+def _list_places(
+    catalogue: Catalogue,
+    seat: Seat,
+    targets: tuple[Target, ...],
+) -> Iterator[Place]:
+    drains = catalogue.drains
+    owned = divide(targets, seat.held, catalogue.slots_per_zone)
+    for target in targets:
+        is_draining = (
+            target.name in drains.targets or target.zone in drains.zones
+        )
+        yield Place(
+            target.name,
+            target.address,
+            owned[target.name],
+            is_draining=is_draining,
+        )
+
+
+def _list_peers(
+    catalogue: Catalogue,
+    own_zone: str,
+    hops: tuple[Hop, ...],
+    zones: frozenset[str],
+) -> Iterator[Peer]:
+    for hop in hops:
+        zone = catalogue.zones.get(hop.zone)
+        if zone is None or hop.zone not in zones:
+            continue
+        if hop.vm in catalogue.drains.vms:
+            continue
+        distance = _measure(catalogue.zones, own_zone, zone)
+        yield Peer(hop.vm, hop.zone, zone.region, hop.address, distance)
+
+
+def _measure(
+    zones: Mapping[str, Zone],
+    own_zone: str,
+    zone: Zone,
+) -> Distance:
+    if zone.name == own_zone:
+        return Distance.ZONE
+    own = zones.get(own_zone)
+    if own is not None and own.region == zone.region:
+        return Distance.REGION
+    return Distance.FAR
