--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -4,15 +4,18 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from benches import relay
+from benches import relay, steering
 
 BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
     'relay': relay.main,
+    'steering': steering.main,
 }
 
 
 def main(arguments: Sequence[str]) -> int:
     """Run the measurement that the first argument names."""
+    if arguments and arguments[0].startswith('--'):
+        return steering.main(arguments)
     if not arguments or arguments[0] not in BENCHES:
         print(f'usage: bench NAME [options]; names: {sorted(BENCHES)}')
         return 2
