--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -204,7 +204,12 @@
             return
         seat = Seat(self._settings.zone, self._claimer.held)
         self._steerer.resize(
-            size_services(held.catalogue, seat, self._list_hops()),
+            size_services(
+                held.catalogue,
+                seat,
+                self._list_hops(),
+                runtime.read_clock(),
+            ),
             size_links(held.catalogue, seat),
         )
 
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -23,6 +23,7 @@
     names: frozenset[str] = frozenset()
     attempts: int = 0
     sent: bool = False
+    is_bounced: bool = False
 
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
@@ -41,6 +42,7 @@
             tried.names | {way.name},
             tried.attempts + 1,
             tried.sent or error.sent,
+            isinstance(way, Carry) and not error.sent,
         )
         if tried.sent and not job.is_safe:
             return refuse('target-failed', 'it may have run')
@@ -58,6 +60,7 @@
         origin=job.origin,
         is_safe=job.is_safe,
         attempts=tried.attempts,
+        is_bounced=tried.is_bounced,
         passed=tried.names,
     )
 
--- a/toucanhall/forwarding/transfers.py
+++ b/toucanhall/forwarding/transfers.py
@@ -43,7 +43,7 @@
 def read_spare(way: Run | Carry, answer: Answer) -> int | None:
     """Return the room that the answer of an entry VM tells."""
     told = find_header(answer.headers, _SPARE_HEADER)
-    if isinstance(way, Run) or not told.isdigit():
+    if isinstance(way, Run) or not told.removeprefix('-').isdigit():
         return None
     return int(told)
 
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -8,7 +8,7 @@
 from toucanhall.steering.fairness import Waiting, count_before
 from toucanhall.steering.peers import Distance, Peer
 from toucanhall.steering.places import Place
-from toucanhall.steering.ramps import advance
+from toucanhall.steering.ramps import touch
 from toucanhall.steering.records import (
     Arrive,
     Carry,
@@ -26,7 +26,8 @@
 
 _LONGEST_BACK_SECONDS: Final = 5.0
 _MOST_ATTEMPTS: Final = 3
-_MOST_WAITING: Final = 16
+_MOST_WAITING: Final = 24
+_QUEUE_SLACK: Final = 4
 _FIRST_LATENCY_SECONDS: Final = 0.05
 _FAR_SECONDS: Final = 0.05
 _RESERVE_SHARE: Final = 0.1
@@ -39,19 +40,25 @@
     """Decide on a request that arrived, or that comes back for a retry."""
     if event.expires_at <= now:
         return state, (Refuse(event.ticket, 'deadline', BACK_SOON_SECONDS),)
-    may_retry = True
-    if event.attempts:
-        budget, may_retry = spend(state.budget)
-        state = state._replace(budget=budget)
-    if not may_retry or event.attempts >= _MOST_ATTEMPTS:
-        refusal = Refuse(event.ticket, 'retry-budget', BACK_SOON_SECONDS)
-        return state, (refusal,)
-    return _ARRIVALS[event.origin](state, event, now)
+    if not event.attempts:
+        return _ARRIVALS[event.origin](state, event, now)
+    budget, may_retry = spend(state.budget)
+    state = state._replace(budget=budget)
+    if may_retry and event.attempts < _MOST_ATTEMPTS:
+        return _ARRIVALS[event.origin](state, event, now)
+    if event.is_bounced:
+        return _try_ways(_OWN_WAYS, state, event, now)
+    refusal = Refuse(event.ticket, 'retry-budget', BACK_SOON_SECONDS)
+    return state, (refusal,)
 
 
 def count_free(state: State, now: float) -> int:
     """Return the free slots that this VM owns."""
-    return sum(places.count_free(place, now) for place in state.places.values())
+    return sum(
+        places.count_free(place, now)
+        for place in state.places.values()
+        if place.draining_at is None
+    )
 
 
 def count_reserve(state: State, now: float) -> int:
@@ -75,7 +82,16 @@
 
 
 def _arrive_from_caller(state: State, event: Arrive, now: float) -> Decided:
-    for find in _WAYS:
+    return _try_ways(_WAYS, state, event, now)
+
+
+def _try_ways(
+    ways: tuple[Callable[[State, Arrive, float], Found], ...],
+    state: State,
+    event: Arrive,
+    now: float,
+) -> Decided:
+    for find in ways:
         found = find(state, event, now)
         if found is not None:
             return found
@@ -86,14 +102,11 @@
 
 
 def _arrive_from_sibling(state: State, event: Arrive, now: float) -> Decided:
-    found = _run(state, event, now)
-    if found is not None:
-        return found
-    return state, (Refuse(event.ticket, 'no-target', BACK_SOON_SECONDS),)
+    return _try_ways(_OWN_WAYS, state, event, now)
 
 
 def _arrive_from_zone(state: State, event: Arrive, now: float) -> Decided:
-    ramp = advance(state.ramp, state.shifted, now)
+    ramp = touch(state.ramp, state.shifted, now)
     state = state._replace(ramp=ramp)
     has_room = count_free(state, now) > count_reserve(state, now)
     found = None
@@ -138,12 +151,39 @@
         )
         if peer is None:
             return None
-        begun = {**state.peers, peer.vm: peers.begin(peer)}
-        return state._replace(peers=begun), (_make_carry(event, peer),)
+        return _send_to(state, event, peer)
 
     return find
 
 
+def _wait_at_shorter(state: State, event: Arrive, now: float) -> Found:
+    backlog = len(state.queue.waiting) - _QUEUE_SLACK
+    return _wait_at_sibling(state, event, now, most=backlog)
+
+
+def _wait_at_sibling(
+    state: State,
+    event: Arrive,
+    now: float,
+    most: int = _MOST_WAITING,
+) -> Found:
+    peer = peers.pick_to_wait(
+        (peer for vm, peer in state.peers.items() if vm not in event.passed),
+        now,
+    )
+    if peer is None or -peer.spare > most:
+        return None
+    return _send_to(state, event, peer)
+
+
+def _send_to(state: State, event: Arrive, peer: Peer) -> Decided:
+    sent = state._replace(
+        peers={**state.peers, peer.vm: peers.begin(peer)},
+        queue=fairness.reserve(state.queue, event.team, event.weight),
+    )
+    return sent, (_make_carry(event, peer),)
+
+
 def _make_carry(event: Arrive, peer: Peer) -> Carry:
     return Carry(
         event.ticket,
@@ -164,13 +204,15 @@
     estimate = _estimate_wait(state, event, now) + read_latency(state)
     if estimate > event.expires_at - now:
         return None
-    waiting = Waiting(0, event.ticket, event.team, event.expires_at)
-    queue, pushed_out = fairness.push(
-        state.queue,
-        waiting,
+    waiting = Waiting(
+        event.origin is not Origin.CALLER,
+        0,
+        event.ticket,
+        event.team,
         event.weight,
-        _MOST_WAITING,
+        event.expires_at,
     )
+    queue, pushed_out = fairness.push(state.queue, waiting, _MOST_WAITING)
     state = state._replace(queue=queue)
     wait = Wait(event.ticket, event.expires_at)
     if pushed_out is None:
@@ -187,7 +229,14 @@
     )
     if not usable:
         return event.expires_at - now
-    before = count_before(state.queue, event.team) + 1
+    before = (
+        count_before(
+            state.queue,
+            event.team,
+            is_hopped=event.origin is not Origin.CALLER,
+        )
+        + 1
+    )
     return before * read_latency(state) / usable
 
 
@@ -197,9 +246,13 @@
     _carry(Distance.REGION),
     _wait_briefly,
     _carry(Distance.FAR),
+    _wait_at_shorter,
     _wait,
+    _wait_at_sibling,
 )
 
+_OWN_WAYS: Final = (_run, _wait)
+
 _ARRIVALS: Final = {
     Origin.CALLER: _arrive_from_caller,
     Origin.SIBLING: _arrive_from_sibling,
--- a/toucanhall/steering/fairness.py
+++ b/toucanhall/steering/fairness.py
@@ -3,17 +3,23 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-__all__ = ('Queue', 'Waiting', 'charge', 'drop', 'pop', 'push')
+__all__ = ('Queue', 'Waiting', 'charge', 'drop', 'pop', 'push', 'reserve')
 
 _NO_TEAMS: Final[Mapping[str, float]] = {}
 
 
 class Waiting(NamedTuple):
-    """A request that waits; the smallest tag is served first."""
+    """A request that waits; those of own callers and of small tags go first.
 
+    Each VM serves its own callers first, because a team is at home on a few
+    VMs: a team that floods those would else take the slots of the others too.
+    """
+
+    is_hopped: bool
     tag: float
     ticket: str
     team: str
+    weight: float
     expires_at: float
 
 
@@ -31,10 +37,17 @@
     return tagged._replace(virtual=max(queue.virtual, tag))
 
 
+def reserve(queue: Queue, team: str, weight: float) -> Queue:
+    """Return the queue after a team's request was sent to another VM.
+
+    A team that gets much elsewhere waits behind those that get little.
+    """
+    return _tag(queue, team, weight)[0]
+
+
 def push(
     queue: Queue,
     waiting: Waiting,
-    weight: float,
     bound: int,
 ) -> tuple[Queue, Waiting | None]:
     """Return the queue with one more, and the one that found no room.
@@ -42,12 +55,12 @@
     The one that would be served last finds no room, so that a team which
     floods the queue pushes out its own requests.
     """
-    tagged, tag = _tag(queue, waiting.team, weight)
+    tagged, tag = _tag(queue, waiting.team, waiting.weight)
     entries = sorted((*queue.waiting, waiting._replace(tag=tag)))
     if len(entries) <= bound:
         return tagged._replace(waiting=tuple(entries)), None
     last = entries.pop()
-    return _untag(tagged, last.team, weight)._replace(
+    return _untag(tagged, last.team, last.weight)._replace(
         waiting=tuple(entries),
     ), last
 
@@ -67,10 +80,10 @@
     return queue._replace(waiting=kept)
 
 
-def count_before(queue: Queue, team: str) -> int:
+def count_before(queue: Queue, team: str, *, is_hopped: bool) -> int:
     """Return how many waiting requests come before a team's next one."""
     tag = max(queue.virtual, queue.finish_tags.get(team, 0))
-    return sum(entry.tag <= tag for entry in queue.waiting)
+    return sum(entry[:2] <= (is_hopped, tag) for entry in queue.waiting)
 
 
 def _tag(queue: Queue, team: str, weight: float) -> tuple[Queue, float]:
--- a/toucanhall/steering/ownership.py
+++ b/toucanhall/steering/ownership.py
@@ -1,12 +1,17 @@
 """Which slots of which targets a VM owns, by its part of the zone."""
 
+import math
 from collections.abc import Mapping
+from typing import Final
 
 from toucanhall.catalogue import Catalogue, Target
 
 __all__ = ('divide', 'select_targets')
 
 
+_GOLDEN_SHARE: Final = 0.618
+
+
 def select_targets(
     catalogue: Catalogue,
     zone: str,
@@ -28,14 +33,25 @@
 ) -> Mapping[str, int]:
     """Return how many slots of each target the holder of zone slots owns.
 
-    The slots of all targets are numbered through, and slot k belongs to the
-    holder of zone slot `k % size`. Holders with no zone slot in common own no
+    The slots of all targets are numbered through, and number k belongs to the
+    holder of zone slot `k * stride % size`. The stride spreads a service with
+    few slots over holders of neighbouring zone slots. Holders with no zone slot in common own no
     slot of a target in common.
     """
     owned: dict[str, int] = {}
     first = 0
+    stride = _find_stride(size)
     for target in targets:
         numbers = range(first, first + target.slots)
-        owned[target.name] = sum(number % size in held for number in numbers)
+        owned[target.name] = sum(
+            number * stride % size in held for number in numbers
+        )
         first += target.slots
     return owned
+
+
+def _find_stride(size: int) -> int:
+    stride = max(1, round(size * _GOLDEN_SHARE))
+    while math.gcd(stride, size) > 1:
+        stride += 1
+    return stride
--- a/toucanhall/steering/places.py
+++ b/toucanhall/steering/places.py
@@ -8,6 +8,7 @@
 
 __all__ = ('Outcome', 'Place', 'begin', 'count_free', 'end', 'pick')
 
+DRAIN_SECONDS: Final = 4.0
 _WARM_SECONDS: Final = 10.0
 _COLD_SHARE: Final = 0.2
 _LATENCY_WEIGHT: Final = 0.1
@@ -18,13 +19,15 @@
 class Place(NamedTuple):
     """A target: `slots` are owned by this VM, `cold_at` starts the warm-up.
 
+    For a short time after `draining_at` it runs what finds no other room.
+
     `reported` is the busy share that the target itself told at `reported_at`.
     """
 
     target: str
     address: str
     slots: int
-    is_draining: bool = False
+    draining_at: float | None = None
     in_flight: int = 0
     circuit: Circuit = Circuit()
     cold_at: float | None = None
@@ -42,7 +45,7 @@
 
 def limit(place: Place, now: float) -> int:
     """Return how many requests the target may run for this VM."""
-    if place.is_draining or not place.slots:
+    if is_drained(place, now) or not place.slots:
         return 0
     if place.cold_at is None:
         return place.slots
@@ -51,6 +54,13 @@
     return max(1, int(place.slots * share))
 
 
+def is_drained(place: Place, now: float) -> bool:
+    """Return whether a draining target no longer takes new work."""
+    if place.draining_at is None:
+        return False
+    return now - place.draining_at >= DRAIN_SECONDS
+
+
 def count_free(place: Place, now: float) -> int:
     """Return how many more requests the target may take now."""
     if not circuits.admits(place.circuit, now):
@@ -60,8 +70,9 @@
 
 
 def count_usable(place: Place, now: float) -> int:
-    """Return the limit, or 0 while the circuit is open."""
-    return 0 if place.circuit.open_seconds else limit(place, now)
+    """Return the limit, or 0 while the circuit is open or it drains."""
+    is_away = place.circuit.open_seconds or place.draining_at is not None
+    return 0 if is_away else limit(place, now)
 
 
 def pick(
--- a/toucanhall/steering/policy.py
+++ b/toucanhall/steering/policy.py
@@ -34,13 +34,15 @@
 
 
 def count_spare(state: State, now: float, *, shifting: bool) -> int:
-    """Return the room that is told to other VMs; none while requests wait."""
-    if state.queue.waiting:
-        return 0
-    free = arrivals.count_free(state, now)
+    """Return the room that is told to other VMs.
+
+    VMs of the own zone are told the number of waiting requests as less than
+    no room, because theirs may wait here.
+    """
+    free = arrivals.count_free(state, now) - len(state.queue.waiting)
     if not shifting:
         return free
-    ramp = advance(state.ramp, state.shifted, now)
+    ramp = advance(state.ramp, now)
     spare = free - arrivals.count_reserve(state, now)
     return max(0, min(spare, int(ramp.level) - state.shifted))
 
@@ -79,7 +81,7 @@
     if event.origin is not Origin.ZONE:
         return state
     return state._replace(
-        ramp=advance(state.ramp, state.shifted, now),
+        ramp=advance(state.ramp, now),
         shifted=max(0, state.shifted - 1),
     )
 
@@ -116,7 +118,7 @@
             peer.vm: _keep_peer(state.peers.get(peer.vm), peer)
             for peer in event.peers
         },
-        ramp=advance(state.ramp, state.shifted, now)._replace(
+        ramp=advance(state.ramp, now)._replace(
             per_second=event.shift_per_second,
         ),
     )
@@ -126,14 +128,20 @@
 def _keep_place(known: Place | None, place: Place) -> Place:
     if known is None or known.address != place.address:
         return place
-    was_drained = known.is_draining and not place.is_draining
+    was_drained = known.draining_at is not None and place.draining_at is None
     return known._replace(
         slots=place.slots,
-        is_draining=place.is_draining,
+        draining_at=_keep_earlier(known.draining_at, place.draining_at),
         cold_at=place.cold_at if was_drained else known.cold_at,
     )
 
 
+def _keep_earlier(known: float | None, new: float | None) -> float | None:
+    if known is None or new is None:
+        return new
+    return min(known, new)
+
+
 def _keep_peer(known: Peer | None, peer: Peer) -> Peer:
     if known is None or known.address != peer.address:
         return peer
--- a/toucanhall/steering/sizes.py
+++ b/toucanhall/steering/sizes.py
@@ -32,13 +32,14 @@
     catalogue: Catalogue,
     seat: Seat,
     hops: tuple[Hop, ...],
+    now: float,
 ) -> Mapping[str, Resize]:
     """Return the size of each service of the catalogue."""
     own = select_targets(catalogue, seat.zone)
     sizes: dict[str, Resize] = {}
     for service, zones in _list_serving(catalogue).items():
         targets = own.get(service, ())
-        places = tuple(_list_places(catalogue, seat, targets))
+        places = tuple(_list_places(catalogue, seat, targets, now))
         sizes[service] = Resize(
             places,
             tuple(_list_peers(catalogue, seat.zone, hops, zones)),
@@ -76,6 +77,7 @@
     catalogue: Catalogue,
     seat: Seat,
     targets: tuple[Target, ...],
+    now: float,
 ) -> Iterator[Place]:
     drains = catalogue.drains
     owned = divide(targets, seat.held, catalogue.slots_per_zone)
@@ -87,7 +89,7 @@
             target.name,
             target.address,
             owned[target.name],
-            is_draining=is_draining,
+            draining_at=now if is_draining else None,
         )
 
 
--- a/toucanhall/steering/waiting.py
+++ b/toucanhall/steering/waiting.py
@@ -15,7 +15,15 @@
     """Send waiting requests to free places, the smallest tag first."""
     effects: list[Effect] = []
     while state.queue.waiting:
-        place = places.pick(state.places.values(), now, may_probe=False)
+        place = places.pick(
+            (
+                place
+                for place in state.places.values()
+                if place.draining_at is None
+            ),
+            now,
+            may_probe=False,
+        )
         if place is None:
             break
         queue, first = pop(state.queue)
