--- a/toucanhall/settings.py
+++ b/toucanhall/settings.py
@@ -84,7 +84,7 @@
     header_bytes: int = 16384
     body_bytes: int = 1048576
     idle_seconds: int = 20
-    threads: int = 48
+    threads: int = 128
     linger_seconds: int = 6
 
 
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -26,8 +26,8 @@
 
 _LONGEST_BACK_SECONDS: Final = 5.0
 _MOST_ATTEMPTS: Final = 3
-_MOST_WAITING: Final = 24
-_QUEUE_SLACK: Final = 4
+_MOST_WAITING: Final = 48
+_QUEUE_SLACK: Final = 1
 _FIRST_LATENCY_SECONDS: Final = 0.05
 _FAR_SECONDS: Final = 0.05
 _RESERVE_SHARE: Final = 0.1
@@ -121,11 +121,26 @@
 def _run(state: State, event: Arrive, now: float) -> Found:
     if state.queue.waiting:
         return None
+    return _run_at(state, event, now, is_draining=False)
+
+
+def _run_at_draining(state: State, event: Arrive, now: float) -> Found:
+    return _run_at(state, event, now, is_draining=True)
+
+
+def _run_at(
+    state: State,
+    event: Arrive,
+    now: float,
+    *,
+    is_draining: bool,
+) -> Found:
     place = places.pick(
         (
             place
             for name, place in state.places.items()
             if name not in event.passed
+            and is_draining == (place.draining_at is not None)
         ),
         now,
         may_probe=event.is_safe,
@@ -246,6 +261,7 @@
     _carry(Distance.REGION),
     _wait_briefly,
     _carry(Distance.FAR),
+    _run_at_draining,
     _wait_at_shorter,
     _wait,
     _wait_at_sibling,
