--- a/benches/steering.py
+++ b/benches/steering.py
@@ -73,8 +73,6 @@
     """Run one policy and return its measures."""
     chosen = SCENARIOS[scenario]
     fleet = Fleet(deployment=deployment, seed=seed, load=chosen.load)
-    fleet.reports = 'true'
-    fleet.drained = None
     fleet.make_policy = POLICIES[policy](fleet)
     fleet.start(seconds)
     fleet.clock.at(strike, chosen.strike, fleet)
@@ -123,12 +121,17 @@
     }  # fmt: skip
 
 
-def measure_teams(fleet, scenario, seconds, strike) -> dict[str, float]:
+def measure_teams(
+    fleet: Fleet,
+    scenario: str,
+    seconds: float,
+    strike: float,
+) -> dict[str, float]:
     """Return each team's answers over its requests within its rate."""
     served = {}
     for number, _ in enumerate(TEAM_SHARES):
         team = f'team-{number}'
-        fair = fleet.offered[team]
+        fair = float(fleet.offered[team])
         if scenario == 'surge' and number == 0:
             fair *= seconds / (strike + 5 * (seconds - strike))
         answers = sum(entry[1] == team for entry in fleet.answered)
--- a/benches/steering_fleet.py
+++ b/benches/steering_fleet.py
@@ -4,12 +4,21 @@
 import random
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable
-from typing import Any, Final
-
-from benches.steering_places import TEAM_SHARES, Deployment, make_catalogue
+from typing import Any, Final, TypeAlias
+
+from benches.steering_places import (
+    TEAM_SHARES,
+    Deployment,
+    Service,
+    make_catalogue,
+)
+from toucanhall.catalogue.model import Catalogue
+from toucanhall.catalogue.model import Target as Entry
 from toucanhall.shares.slots import Holding, Table, claim
 from toucanhall.steering import AdvisedVm, Hop, advise
 
+Done: TypeAlias = Callable[[bool], None]
+
 DEADLINE: Final = 10.0
 _SUSPECT: Final = 3.5
 _COLD_REQUESTS: Final = 30
@@ -43,11 +52,21 @@
 class Request:
     """A caller's request; `work` is in seconds on a warm target."""
 
-    def __init__(self, *, number, team, service, zone, born, work) -> None:
+    def __init__(
+        self,
+        *,
+        number: int,
+        team: str,
+        zone: str,
+        born: float,
+        work: float,
+        service: Service,
+    ) -> None:
         """Remember what the caller sent."""
         self.number = number
         self.team = team
-        self.service = service
+        self.service = service.name
+        self.size = service.size
         self.zone = zone
         self.born = born
         self.work = work
@@ -57,7 +76,13 @@
 class Target:
     """A target with slots and a queue; `mode` is how it misbehaves."""
 
-    def __init__(self, *, entry, clock, rng) -> None:
+    def __init__(
+        self,
+        *,
+        entry: Entry,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
         """Start idle and warm."""
         self.entry = entry
         self.clock = clock
@@ -67,8 +92,9 @@
         self.running = 0
         self.queue: deque[Any] = deque()
         self.last_end = 0.0
+        self.first_report = 0.0
 
-    def take(self, request: Request, done: Callable[[bool], None]) -> None:
+    def take(self, request: Request, done: Done) -> None:
         """Run a request, or let it wait for a slot."""
         if self.mode == 'dead':
             return
@@ -83,7 +109,7 @@
         else:
             done(False)
 
-    def _start(self, request, done) -> None:
+    def _start(self, request: Request, done: Done) -> None:
         self.running += 1
         work = request.work
         if self.cold or self.mode == 'slow':
@@ -91,7 +117,7 @@
             self.cold = max(0, self.cold - 1)
         self.clock.at(work, self._end, done)
 
-    def _end(self, done) -> None:
+    def _end(self, done: Done) -> None:
         self.running -= 1
         self.last_end = self.clock.now
         if self.mode == 'dead':
@@ -104,7 +130,14 @@
 class Vm:
     """An entry VM: whether it lives, and the catalogue that it has."""
 
-    def __init__(self, *, name, zone, catalogue, born) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        catalogue: Catalogue,
+        born: float,
+    ) -> None:
         """Start alive."""
         self.name = name
         self.zone = zone
@@ -118,14 +151,20 @@
     def is_seen(self, now: float) -> bool:
         """Return whether others take the VM for alive."""
         if self.is_leaving or now < self.born + 1:
-            return self.born == 0 and not self.is_leaving
+            return not self.born and not self.is_leaving
         return self.died is None or now - self.died < _SUSPECT
 
 
 class Fleet:
     """One run: a deployment under one policy and one scenario."""
 
-    def __init__(self, *, deployment: Deployment, seed: int, load: float):
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        seed: int,
+        load: float,
+    ) -> None:
         """Build the places; the policies are set by the caller."""
         self.deployment = deployment
         self.clock = Clock()
@@ -160,6 +199,9 @@
         self.headroom: list[float] = []
         self.shifted: Counter[str] = Counter()
         self.shift_samples: dict[str, list[int]] = defaultdict(list)
+        self.reports = 'true'
+        self.drained: str | None = None
+        self.drained_at = 0.0
         self.make_policy: Callable[[Vm], Any] = lambda _vm: None
 
     def delay(self, zone: str, other: str) -> float:
@@ -220,14 +262,26 @@
             if (target.service, target.zone) == (service, zone)
         )
 
-    def _start_load(self, service, zone, until) -> None:
+    def _start_load(
+        self,
+        service: Service,
+        zone: str,
+        until: float,
+    ) -> None:
         slots = self.count_slots(service.name, zone)
         for team, share in enumerate(TEAM_SHARES):
             rate = slots / service.seconds * self.load * share
             if rate:
                 self._schedule(service, zone, f'team-{team}', rate, until)
 
-    def _schedule(self, service, zone, team, rate, until) -> None:
+    def _schedule(
+        self,
+        service: Service,
+        zone: str,
+        team: str,
+        rate: float,
+        until: float,
+    ) -> None:
         factor = self.factors.get(team, 1) * self.zone_factors.get(
             (service.name, zone), 1,
         )  # fmt: skip
@@ -235,18 +289,24 @@
         if self.clock.now + wait < until:
             self.clock.at(wait, self._send, service, zone, team, rate, until)
 
-    def _send(self, service, zone, team, rate, until) -> None:
+    def _send(
+        self,
+        service: Service,
+        zone: str,
+        team: str,
+        rate: float,
+        until: float,
+    ) -> None:
         self.counts['sent'] += 1
         self.offered[team] += 1
         request = Request(
             number=self.counts['sent'],
             team=team,
-            service=service.name,
+            service=service,
             zone=zone,
             born=self.clock.now,
             work=self.rng.gammavariate(4, service.seconds / 4),
         )
-        request.size = service.size
         self._call(request, 0)
         self._schedule(service, zone, team, rate, until)
 
@@ -295,7 +355,13 @@
         else:
             self.refused.append((request.born, request.team, what))
 
-    def run_at(self, request, target: Target, zone: str, done) -> None:
+    def run_at(
+        self,
+        request: Request,
+        target: Target,
+        zone: str,
+        done: Done,
+    ) -> None:
         """Send a request to a target and count overloads."""
         self.counts['attempts'] += 1
         latency = self.delay(zone, target.entry.zone)
@@ -313,7 +379,7 @@
 
         self.clock.at(latency, arrive)
 
-    def carry_bytes(self, request, zone: str, other: str) -> None:
+    def carry_bytes(self, request: Request, zone: str, other: str) -> None:
         """Count the bytes that an answer moves over a link."""
         regions = frozenset(
             self.catalogue.zones[name].region for name in (zone, other)
--- a/benches/steering_policies.py
+++ b/benches/steering_policies.py
@@ -1,9 +1,10 @@
 """The policy of the product and the baselines, on the fleet of the bench."""
 
 from collections import Counter
-from typing import Any, Final
+from collections.abc import Callable, Collection
+from typing import Any, Final, TypeAlias
 
-from benches.steering_fleet import DEADLINE, Fleet, Vm
+from benches.steering_fleet import DEADLINE, Fleet, Request, Target, Vm
 from toucanhall.steering import (
     Arrive,
     Carry,
@@ -21,6 +22,9 @@
 from toucanhall.steering.policy import count_spare, decide
 from toucanhall.steering.records import Expire, Report, State, Wait
 
+MakePolicy: TypeAlias = Callable[[Vm], Any]
+Choose: TypeAlias = Callable[[Any, Request], Target | None]
+
 _RESIZE: Final = 0.5
 _CLAIM: Final = 2.0
 _REPORT: Final = 1.0
@@ -31,7 +35,14 @@
 class Job:
     """A request at one VM: who gets the answer and what was tried."""
 
-    def __init__(self, *, request, origin, back, is_retry=False) -> None:
+    def __init__(
+        self,
+        *,
+        request: Request,
+        origin: Origin,
+        back: Callable[[str, int | None], None],
+        is_retry: bool = False,
+    ) -> None:
         """Start with nothing tried."""
         self.request = request
         self.origin = origin
@@ -58,7 +69,7 @@
         fleet.clock.at(_CLAIM * fleet.rng.random(), self._claim)
         fleet.clock.at(_REPORT * fleet.rng.random(), self._hear_reports)
 
-    def arrive(self, request) -> None:
+    def arrive(self, request: Request) -> None:
         """Take a request from a caller."""
         self._submit(
             Job(
@@ -97,13 +108,10 @@
         if self.vm.died is not None:
             return
         for target in self.fleet.targets.values():
-            if target.entry.zone == self.vm.zone:
-                busy = read_report(self.fleet, target)
-                if busy is not None:
-                    self._decide(
-                        target.entry.service,
-                        Report(target.entry.name, busy),
-                    )
+            entry = target.entry
+            busy = read_report(self.fleet, target)
+            if entry.zone == self.vm.zone and busy is not None:
+                self._decide(entry.service, Report(entry.name, busy))
         self.fleet.clock.at(_REPORT, self._hear_reports)
 
     def _submit(self, job: Job) -> None:
@@ -143,7 +151,8 @@
         for effect in effects:
             if effect.ticket not in self.jobs:
                 continue
-            _EFFECTS[type(effect)](self, self.jobs.get(effect.ticket), effect)
+            follow: Any = _EFFECTS[type(effect)]
+            follow(self, self.jobs[effect.ticket], effect)
 
     def _run(self, job: Job, effect: Run) -> None:
         started = self.fleet.clock.now
@@ -217,7 +226,13 @@
         self.meters[region] = links.spend(self.meters[region], size, now)
         return links.wait_for(self.meters[region])
 
-    def _end(self, job, name, outcome, spare=None) -> None:
+    def _end(
+        self,
+        job: Job,
+        name: str,
+        outcome: Outcome,
+        spare: int | None = None,
+    ) -> None:
         if self.vm.died is None:
             self._decide(
                 job.request.service,
@@ -273,14 +288,14 @@
 class Baseline:
     """Sends each request to the target that a function chooses."""
 
-    def __init__(self, *, fleet: Fleet, vm: Vm, choose) -> None:
+    def __init__(self, *, fleet: Fleet, vm: Vm, choose: Choose) -> None:
         """Start with nothing in flight."""
         self.fleet = fleet
         self.vm = vm
         self.choose = choose
         self.in_flight: Counter[str] = Counter()
 
-    def arrive(self, request, attempts: int = 0) -> None:
+    def arrive(self, request: Request, attempts: int = 0) -> None:
         """Take a request from a caller, or try it again."""
         if self.vm.died is not None:
             self.fleet.end(request, 'lost')
@@ -312,7 +327,11 @@
     def fail_all(self) -> None:
         """Requests under way are lost with the VM when they end."""
 
-    def list_targets(self, service: str, zones) -> list[Any]:
+    def list_targets(
+        self,
+        service: str,
+        zones: Collection[str],
+    ) -> list[Target]:
         """Return the targets of some zones that are not drained."""
         drains = self.vm.catalogue.drains
         return [
@@ -324,14 +343,14 @@
         ]
 
 
-def choose_randomly(policy: Baseline, request) -> Any:
+def choose_randomly(policy: Baseline, request: Request) -> Target | None:
     """Choose any target."""
     zones = policy.fleet.catalogue.zones
     targets = policy.list_targets(request.service, zones)
     return policy.fleet.rng.choice(targets) if targets else None
 
 
-def choose_least(policy: Baseline, request) -> Any:
+def choose_least(policy: Baseline, request: Request) -> Target | None:
     """Choose the target of the own zone with the least in flight."""
     targets = policy.list_targets(request.service, {policy.vm.zone})
     return min(
@@ -341,7 +360,7 @@
     )
 
 
-def choose_weighted(policy: Baseline, request) -> Any:
+def choose_weighted(policy: Baseline, request: Request) -> Target | None:
     """Choose a target of the own region, weighted by the reported load."""
     zones = policy.fleet.catalogue.zones
     region = zones[policy.vm.zone].region
@@ -355,7 +374,7 @@
     return policy.fleet.rng.choices(targets, weights)[0]
 
 
-def read_report(fleet: Fleet, target) -> float | None:
+def read_report(fleet: Fleet, target: Target) -> float | None:
     """Return the busy share that a target reports, as the scenario has it."""
     if fleet.reports == 'stopped':
         return None
@@ -366,12 +385,12 @@
     return min(1.0, target.running / target.entry.slots)
 
 
-def make_ours(fleet: Fleet):
+def make_ours(fleet: Fleet) -> MakePolicy:
     """Return the maker of the product's policy."""
     return lambda vm: Ours(fleet=fleet, vm=vm)
 
 
-def make_baseline(choose):
+def make_baseline(choose: Choose) -> Callable[[Fleet], MakePolicy]:
     """Return a maker of a baseline policy."""
     return lambda fleet: lambda vm: Baseline(fleet=fleet, vm=vm, choose=choose)
 
--- a/benches/steering_scenarios.py
+++ b/benches/steering_scenarios.py
@@ -40,7 +40,7 @@
 
 def lose_zone(fleet: Fleet) -> None:
     """Lose one zone, its VMs and its targets."""
-    _lose(fleet, frozenset([list(fleet.catalogue.zones)[0]]))
+    _lose(fleet, frozenset((next(iter(fleet.catalogue.zones)),)))
 
 
 def lose_region(fleet: Fleet) -> None:
@@ -84,10 +84,10 @@
 
 def drain(fleet: Fleet) -> None:
     """Drain one zone; each VM hears of it within a second."""
-    zone = list(fleet.catalogue.zones)[0]
+    zone = next(iter(fleet.catalogue.zones))
     fleet.drained = zone
     fleet.drained_at = fleet.clock.now
-    changed = fleet.catalogue._replace(drains=Drains(zones=frozenset([zone])))
+    changed = fleet.catalogue._replace(drains=Drains(zones=frozenset((zone,))))
     for vm in fleet.vms.values():
         fleet.clock.at(
             fleet.rng.uniform(0.1, 1), setattr, vm, 'catalogue', changed,
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -9,7 +9,7 @@
 from toucanhall.forwarding.dispatch import SendError
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
 from toucanhall.forwarding.preparation import prepare
-from toucanhall.forwarding.problems import Refusal, make_refusal, refuse
+from toucanhall.forwarding.problems import Refusal, make_refusal
 from toucanhall.forwarding.records import Answer, find_header
 from toucanhall.forwarding.transfers import Transfer, read_spare, settle
 from toucanhall.steering import Arrive, Carry, Refuse, Run
@@ -38,18 +38,20 @@
             return sent
         error = sent.failure()
         _note_failure(parts, job, way, error)
-        tried = _Tried(
-            tried.names | {way.name},
-            tried.attempts + 1,
-            tried.sent or error.sent,
-            isinstance(way, Carry) and not error.sent,
-        )
-        if tried.sent and not job.is_safe:
-            return refuse('target-failed', 'it may have run')
-        if job.is_retry:
+        tried = _note_tried(tried, way, error)
+        if job.is_retry or (tried.sent and not job.is_safe):
             return Failure(_make_refusal(job, None, tried))
 
 
+def _note_tried(tried: _Tried, way: Run | Carry, error: SendError) -> _Tried:
+    return _Tried(
+        tried.names | {way.name},
+        tried.attempts + 1,
+        tried.sent or error.sent,
+        isinstance(way, Carry) and not error.sent,
+    )
+
+
 def _ask(job: Job, tried: _Tried) -> Arrive:
     team = job.catalogue.teams.get(job.caller.team)
     return Arrive(
@@ -66,6 +68,8 @@
 
 
 def _make_refusal(job: Job, refused: Refuse | None, tried: _Tried) -> Refusal:
+    if tried.sent and not job.is_safe:
+        return make_refusal('target-failed', 'it may have run')
     if tried.sent:
         return make_refusal(
             'target-failed',
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -163,6 +163,7 @@
             distance,
             event.closed_regions,
             now,
+            can_ask=state.budget.retries >= 1,
         )
         if peer is None:
             return None
--- a/toucanhall/steering/ownership.py
+++ b/toucanhall/steering/ownership.py
@@ -44,7 +44,7 @@
     for target in targets:
         numbers = range(first, first + target.slots)
         owned[target.name] = sum(
-            number * stride % size in held for number in numbers
+            (number * stride) % size in held for number in numbers
         )
         first += target.slots
     return owned
--- a/toucanhall/steering/peers.py
+++ b/toucanhall/steering/peers.py
@@ -56,6 +56,8 @@
     distance: Distance,
     closed_regions: frozenset[str],
     now: float,
+    *,
+    can_ask: bool,
 ) -> Peer | None:
     """Return the peer at a distance that told the most spare room.
 
@@ -70,7 +72,7 @@
         and circuits.admits(peer.circuit, now)
     ]
     with_room = [peer for peer in usable if has_room(peer, now)]
-    if not with_room and not _was_refused(usable, now):
+    if can_ask and not with_room and not _was_refused(usable, now):
         with_room = [peer for peer in usable if may_ask(peer, now)]
     return max(
         with_room,
