Stop without cutting a request, and find the zone of a client's block

Cause: server.close() closed the trigger under running task threads, and idle connections held the loop for ever. The stop now runs on the loop's own thread: it lingers, closes connections after their answers, accepts what has connected and ends when nothing is under way. Fault found by the drain test: with its retry budget spent by a refused hop, a VM without slots asked no other zone again, and refused for good. The budget now gets one retry in 5 s from time.

--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from benches import relay, steering
+from benches import blocks, relay, steering
 
 BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
+    'blocks': blocks.main,
     'relay': relay.main,
     'steering': steering.main,
 }
--- a/benches/steering_fleet.py
+++ b/benches/steering_fleet.py
@@ -100,7 +100,7 @@
             return
         if self.mode == 'error':
             self.clock.at(_ERROR_SECONDS, done, False)
-        elif self.mode == 'silent' and self.rng.random() < 0.3:
+        elif self.mode == 'silent' and not self.rng.randrange(3):
             return
         elif self.running < self.entry.slots:
             self._start(request, done)
--- a/benches/steering_policies.py
+++ b/benches/steering_policies.py
@@ -120,6 +120,7 @@
             return
         now = self.fleet.clock.now
         request = job.request
+        team = self.fleet.catalogue.teams[request.team]
         ticket = f'{request.number}/{job.attempts}'
         self.jobs[ticket] = job
         self._decide(
@@ -127,7 +128,7 @@
             Arrive(
                 ticket,
                 request.team,
-                self.fleet.catalogue.teams[request.team].weight,
+                team.weight,
                 request.born + DEADLINE,
                 job.origin,
                 attempts=job.attempts,
--- /dev/null
+++ b/tests/processes/test_drain.py
@@ -0,0 +1,109 @@
+"""Tests of planned stops and drains through real processes."""
+
+import json
+import signal
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+import urllib3
+
+from standins.fleet import Fleet, wait_until
+
+EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+LARGE_BYTES = 20971520
+
+
+@pytest.fixture(name='fleet')
+def start_fleet():
+    """Start a fleet with two VMs in each zone."""
+    fleet = Fleet(catalogue=EXAMPLE, vms_per_zone=2)
+    try:
+        fleet.start()
+        fleet.apply()
+        yield fleet
+    finally:
+        fleet.stop()
+
+
+def fetch(url, path='/tours/x'):
+    """Fetch a public route on a connection of its own."""
+    return urllib3.request('GET', f'{url}{path}', retries=False, timeout=30)
+
+
+def list_advised(fleet, url):
+    """Return the URLs that a VM advises."""
+    answer = fleet.http.request('GET', f'{url}/.toucanhall/entry-vms').json()
+    return [
+        vm['url'] if isinstance(vm, dict) else vm[2] for vm in answer['vms']
+    ]
+
+
+def has_exited(process):
+    """Return whether a process is gone."""
+    return process.poll() is not None
+
+
+def read_slowly(vm, started):
+    """Read a large answer in small parts, and return its length."""
+    reader = socket.create_connection((vm.address, 8080), timeout=30)
+    reader.sendall(b'GET /tours/x?large=1 HTTP/1.1\r\nHost: x\r\n\r\n')
+    head = reader.recv(65536)
+    started.append(head)
+    count = len(head) - head.index(b'\r\n\r\n') - 4
+    while count < LARGE_BYTES:
+        part = reader.recv(32768)
+        if not part:
+            break
+        count += len(part)
+        if count < LARGE_BYTES / 2:
+            reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    return count
+
+
+def test_planned_stop_cuts_no_request(fleet):
+    vm, other = fleet.vms[:2]
+    started = []
+    with ThreadPoolExecutor(4) as pool:
+        kept = urllib3.HTTPConnectionPool(vm.address, 8080, maxsize=1)
+        assert kept.request('GET', '/tours/x').status == 200
+        waiting = pool.submit(fetch, vm.url, '/tours/x?delay=8')
+        reading = pool.submit(read_slowly, vm, started)
+        wait_until(lambda: bool(started), 'transfer')
+        fleet.signal(vm.name, signal.SIGTERM)
+        wait_until(
+            lambda: vm.url not in list_advised(fleet, other.url),
+            'advice without the VM',
+        )
+        late = fetch(vm.url)
+        on_kept = kept.request('GET', '/tours/x')
+        assert (late.status, on_kept.status) == (200, 200)
+        assert on_kept.headers['Connection'] == 'close'
+        assert waiting.result().status == 200
+        assert reading.result() == LARGE_BYTES
+    wait_until(lambda: has_exited(fleet.processes[vm.name]), 'exit')
+    assert fleet.processes[vm.name].returncode == 0
+    assert fetch(other.url).status == 200
+
+
+def test_idle_connection_does_not_hold_a_stop(fleet):
+    vm = fleet.vms[0]
+    idle = socket.create_connection((vm.address, 8080))
+    fleet.signal(vm.name, signal.SIGTERM)
+    wait_until(lambda: has_exited(fleet.processes[vm.name]), 'exit')
+    assert idle.recv(1) == b''
+
+
+def test_drained_target_gets_nothing_new_with_the_platform_down(fleet):
+    vm = next(vm for vm in fleet.vms if vm.zone == 'gauteng-a')
+    drained = fleet.catalogue | {'drains': {'targets': ['guide-1']}}
+    fleet.catalogue_file.write_text(json.dumps(drained))
+    fleet.apply()
+    fleet.switch('mode', 'down')
+    wait_until(
+        lambda: fetch(vm.url).json()['target'] != 'guide-1',
+        'drain in force',
+    )
+    targets = [fetch(vm.url).json()['target'] for _ in range(20)]
+    assert 'guide-1' not in targets
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -13,6 +13,7 @@
 from toucanhall.forwarding import Parts
 from toucanhall.forwarding.dispatch import Dispatcher
 from toucanhall.forwarding.server import make_server
+from toucanhall.forwarding.stop import stop_after
 from toucanhall.forwarding.web import make_application
 from toucanhall.frontdoor import Frontdoor
 from toucanhall.idempotency import Keeper
@@ -266,12 +267,8 @@
         events.log(events.ENTRY_LEAVING)
         self._stopping.set()
         self._membership.tell(Leave())
-        linger = threading.Timer(
-            self._settings.bounds.linger_seconds,
-            server.close,
-        )
-        linger.daemon = True
-        linger.start()
+        bounds = self._settings.bounds
+        stop_after(server, bounds.linger_seconds, bounds.idle_seconds)
 
     def _finish(self, server: Any) -> None:
         server.task_dispatcher.shutdown(cancel_pending=False)
--- /dev/null
+++ b/toucanhall/forwarding/stop.py
@@ -0,0 +1,107 @@
+"""Stops the HTTP server without cutting a request."""
+
+import math
+import time
+from collections.abc import Callable
+from threading import Event
+from typing import Any, Final
+
+from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
+
+from toucanhall import runtime
+
+__all__ = ('stop_after',)
+
+_LOOK_SECONDS: Final = 0.1
+_QUIET_SECONDS: Final = 1.0
+
+
+class _ClosingParser(HTTPRequestParser):
+    """Reads requests as if each asked to close its connection."""
+
+    headers: dict[str, str]
+
+    def parse_header(self, header_plus: bytes) -> None:
+        """Parse the header, and close after the answer."""
+        super().parse_header(header_plus)
+        self.headers['CONNECTION'] = 'close'
+
+
+class _ClosingChannel(HTTPChannel):
+    """A connection that is closed after its next answer."""
+
+    parser_class = _ClosingParser
+
+
+def stop_after(server: Any, linger_seconds: float, idle_seconds: float) -> None:
+    """Stop a server once callers had the time to learn that it leaves.
+
+    It goes on accepting for `linger_seconds`, and closes each connection after
+    an answer, so that callers ask again which VM to use. Then it accepts what
+    has already connected, closes its socket, and ends its loop when no
+    connection has a request under way. A connection whose caller reads nothing
+    for `idle_seconds` is closed. Every step runs on the thread of the loop.
+    """
+    ends_at = runtime.read_clock() + linger_seconds
+    stopped = Event()
+
+    def look() -> None:
+        _close_after_answers(server)
+        if runtime.read_clock() < ends_at:
+            return
+        if server.accepting:
+            _stop_accepting(server)
+        elif _close_quiet(server, idle_seconds):
+            stopped.set()
+            server.trigger.close()
+
+    runtime.start_ticker(_LOOK_SECONDS, _pull(server, look, stopped), stopped)
+
+
+def _pull(
+    server: Any,
+    look: Callable[[], None],
+    stopped: Event,
+) -> Callable[[], None]:
+    def pull() -> None:
+        if not stopped.is_set():
+            server.trigger.pull_trigger(look)
+
+    return pull
+
+
+def _close_after_answers(server: Any) -> None:
+    server.channel_class = _ClosingChannel
+    for channel in tuple(server.active_channels.values()):
+        channel.parser_class = _ClosingParser
+
+
+def _stop_accepting(server: Any) -> None:
+    known = -1
+    while known < len(server.active_channels):
+        known = len(server.active_channels)
+        server.handle_accept()
+    server.accepting = False
+    server.del_channel()
+    server.socket.close()
+
+
+def _close_quiet(server: Any, idle_seconds: float) -> bool:
+    """Close connections with nothing under way; return whether none is left.
+
+    A connection is left open for a moment, because a request may be on its
+    way to it.
+    """
+    now = time.time()
+    for channel in tuple(server.active_channels.values()):
+        quiet = now - channel.last_activity
+        if quiet > _read_patience(channel, idle_seconds):
+            channel.handle_close()
+    return not server.active_channels
+
+
+def _read_patience(channel: Any, idle_seconds: float) -> float:
+    if channel.total_outbufs_len:
+        return idle_seconds
+    return math.inf if channel.requests else _QUIET_SECONDS
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
-from toucanhall.steering import fairness, peers, places
-from toucanhall.steering.budget import spend
-from toucanhall.steering.fairness import Waiting, count_before
+from toucanhall.steering import fairness, peers, places, room
+from toucanhall.steering.budget import refill, spend
+from toucanhall.steering.fairness import Waiting
 from toucanhall.steering.peers import Distance, Peer
 from toucanhall.steering.places import Place
 from toucanhall.steering.ramps import touch
@@ -20,7 +20,7 @@
     Wait,
 )
 
-__all__ = ('BACK_SOON_SECONDS', 'arrive', 'count_free', 'place_request')
+__all__ = ('BACK_SOON_SECONDS', 'arrive', 'place_request')
 
 BACK_SOON_SECONDS: Final = 1.0
 
@@ -28,9 +28,7 @@
 _MOST_ATTEMPTS: Final = 3
 _MOST_WAITING: Final = 48
 _QUEUE_SLACK: Final = 1
-_FIRST_LATENCY_SECONDS: Final = 0.05
 _FAR_SECONDS: Final = 0.05
-_RESERVE_SHARE: Final = 0.1
 
 Decided: TypeAlias = tuple[State, tuple[Effect, ...]]
 Found: TypeAlias = Decided | None
@@ -40,6 +38,7 @@
     """Decide on a request that arrived, or that comes back for a retry."""
     if event.expires_at <= now:
         return state, (Refuse(event.ticket, 'deadline', BACK_SOON_SECONDS),)
+    state = state._replace(budget=refill(state.budget, now))
     if not event.attempts:
         return _ARRIVALS[event.origin](state, event, now)
     budget, may_retry = spend(state.budget)
@@ -52,28 +51,6 @@
     return state, (refusal,)
 
 
-def count_free(state: State, now: float) -> int:
-    """Return the free slots that this VM owns."""
-    return sum(
-        places.count_free(place, now)
-        for place in state.places.values()
-        if place.draining_at is None
-    )
-
-
-def count_reserve(state: State, now: float) -> int:
-    """Return the slots that are kept free of requests of other zones."""
-    usable = sum(
-        places.count_usable(place, now) for place in state.places.values()
-    )
-    return int(usable * _RESERVE_SHARE)
-
-
-def read_latency(state: State) -> float:
-    """Return the mean seconds of a request, as far as it is known."""
-    return state.latency or _FIRST_LATENCY_SECONDS
-
-
 def place_request(state: State, place: Place) -> State:
     """Return the state after a request was sent to a place."""
     return state._replace(
@@ -95,7 +72,7 @@
         found = find(state, event, now)
         if found is not None:
             return found
-    seconds = min(_estimate_wait(state, event, now), _LONGEST_BACK_SECONDS)
+    seconds = min(room.estimate_wait(state, event, now), _LONGEST_BACK_SECONDS)
     return state, (
         Refuse(event.ticket, 'no-target', max(BACK_SOON_SECONDS, seconds)),
     )
@@ -108,7 +85,7 @@
 def _arrive_from_zone(state: State, event: Arrive, now: float) -> Decided:
     ramp = touch(state.ramp, state.shifted, now)
     state = state._replace(ramp=ramp)
-    has_room = count_free(state, now) > count_reserve(state, now)
+    has_room = room.count_free(state, now) > room.count_reserve(state, now)
     found = None
     if has_room and state.shifted + 1 <= ramp.level:
         found = _run(state, event, now)
@@ -163,7 +140,7 @@
             distance,
             event.closed_regions,
             now,
-            can_ask=state.budget.retries >= 1,
+            can_ask=_may_ask(state, now),
         )
         if peer is None:
             return None
@@ -210,14 +187,18 @@
     )
 
 
+def _may_ask(state: State, now: float) -> bool:
+    return state.budget.retries >= 1 or not room.count_usable(state, now)
+
+
 def _wait_briefly(state: State, event: Arrive, now: float) -> Found:
-    if _estimate_wait(state, event, now) > _FAR_SECONDS:
+    if room.estimate_wait(state, event, now) > _FAR_SECONDS:
         return None
     return _wait(state, event, now)
 
 
 def _wait(state: State, event: Arrive, now: float) -> Found:
-    estimate = _estimate_wait(state, event, now) + read_latency(state)
+    estimate = room.estimate_wait(state, event, now) + room.read_latency(state)
     if estimate > event.expires_at - now:
         return None
     waiting = Waiting(
@@ -239,23 +220,6 @@
     return state, (wait, refusal)
 
 
-def _estimate_wait(state: State, event: Arrive, now: float) -> float:
-    usable = sum(
-        places.count_usable(place, now) for place in state.places.values()
-    )
-    if not usable:
-        return event.expires_at - now
-    before = (
-        count_before(
-            state.queue,
-            event.team,
-            is_hopped=event.origin is not Origin.CALLER,
-        )
-        + 1
-    )
-    return before * read_latency(state) / usable
-
-
 _WAYS: Final = (
     _run,
     _carry(Distance.ZONE),
--- /dev/null
+++ b/toucanhall/steering/blocks.py
@@ -0,0 +1,134 @@
+"""Which zone a client address is nearest to, by its longest known block."""
+
+import ipaddress
+from array import array
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Final, NamedTuple
+
+__all__ = ('Block', 'Blocks', 'find_zone', 'make_blocks', 'parse_blocks')
+
+_NOWHERE: Final = 0
+_V4_BITS: Final = 32
+_V6_BITS: Final = 128
+_V6_KEPT_BITS: Final = 64
+_V4_CODE: Final = 'I'
+_V6_CODE: Final = 'Q'
+_ZONE_CODE: Final = 'H'
+
+
+class Block(NamedTuple):
+    """A block of one version: first address, prefix length, zone."""
+
+    first: int
+    length: int
+    zone: str
+
+
+class _Table(NamedTuple):
+    """Ranges of addresses: where each starts, and the number of its zone."""
+
+    starts: 'array[int]'
+    zones: 'array[int]'
+
+
+class Blocks(NamedTuple):
+    """Two tables of ranges; zone number 0 means that no block holds it."""
+
+    version4: _Table
+    version6: _Table
+    zones: tuple[str, ...]
+
+
+def parse_blocks(
+    prefixes: Mapping[str, str],
+) -> tuple[tuple[Block, ...], tuple[Block, ...]]:
+    """Return the IPv4 and the IPv6 blocks of a map from prefix to zone."""
+    parsed: dict[int, list[Block]] = {4: [], 6: []}
+    for prefix, zone in prefixes.items():
+        network = ipaddress.ip_network(prefix)
+        first = int(network.network_address)
+        parsed[network.version].append(Block(first, network.prefixlen, zone))
+    return tuple(parsed[4]), tuple(parsed[6])
+
+
+def make_blocks(
+    version4: Iterable[Block],
+    version6: Iterable[Block],
+) -> Blocks:
+    """Return the tables for blocks, which may lie within each other.
+
+    IPv6 blocks count by their first 64 bits; a longer one is taken as the
+    block of 64 bits that holds it.
+    """
+    numbers: dict[str, int] = {}
+    table4 = _make_table(version4, _V4_BITS, _V4_BITS, _V4_CODE, numbers)
+    table6 = _make_table(version6, _V6_BITS, _V6_KEPT_BITS, _V6_CODE, numbers)
+    return Blocks(table4, table6, ('', *numbers))
+
+
+def find_zone(blocks: Blocks, address: str) -> str:
+    """Return the zone of the longest block that holds an address, or ''."""
+    parsed = ipaddress.ip_address(address)
+    if parsed.version == 4:
+        return find_version4(blocks, int(parsed))
+    mapped = getattr(parsed, 'ipv4_mapped', None)
+    if mapped is not None:
+        return find_version4(blocks, int(mapped))
+    kept = int(parsed) >> (_V6_BITS - _V6_KEPT_BITS)
+    return blocks.zones[_find(blocks.version6, kept)]
+
+
+def find_version4(blocks: Blocks, number: int) -> str:
+    """Return the zone of an IPv4 address that is given as a number, or ''."""
+    return blocks.zones[_find(blocks.version4, number)]
+
+
+def _find(table: _Table, number: int) -> int:
+    index = bisect_right(table.starts, number) - 1
+    return table.zones[index] if index >= 0 else _NOWHERE
+
+
+def _make_table(
+    blocks: Iterable[Block],
+    bits: int,
+    kept: int,
+    code: str,
+    numbers: dict[str, int],
+) -> _Table:
+    table = _Table(array(code), array(_ZONE_CODE))
+    for start, number in _flatten(sorted(blocks), bits, numbers):
+        _append(table, start >> (bits - kept), number)
+    return table
+
+
+def _append(table: _Table, start: int, number: int) -> None:
+    if table.starts and table.starts[-1] == start:
+        table.zones[-1] = number
+    elif not table.zones or table.zones[-1] != number:
+        table.starts.append(start)
+        table.zones.append(number)
+
+
+def _flatten(
+    blocks: Iterable[Block],
+    bits: int,
+    numbers: dict[str, int],
+) -> Iterator[tuple[int, int]]:
+    """Yield where the innermost block changes, and the number of its zone."""
+    outer: list[tuple[int, int]] = [(1 << bits, _NOWHERE)]
+    for block in blocks:
+        yield from _close(outer, block.first)
+        number = numbers.setdefault(block.zone, len(numbers) + 1)
+        outer.append((block.first + (1 << (bits - block.length)), number))
+        yield block.first, number
+    yield from _close(outer, (1 << bits) - 1)
+
+
+def _close(
+    outer: list[tuple[int, int]],
+    until: int,
+) -> Iterator[tuple[int, int]]:
+    while outer[-1][0] <= until:
+        end, _ = outer.pop()
+        yield end, outer[-1][1]
--- a/toucanhall/steering/budget.py
+++ b/toucanhall/steering/budget.py
@@ -2,22 +2,36 @@
 
 from typing import Final, NamedTuple
 
-__all__ = ('Budget', 'earn', 'spend')
+__all__ = ('Budget', 'earn', 'refill', 'spend')
 
 _MOST_RETRIES: Final = 10.0
+_SUCCESS_SHARE: Final = 0.08
+_RETRIES_PER_SECOND: Final = 0.2
 
 
 class Budget(NamedTuple):
-    """Retries that may be spent, and what each success adds."""
+    """Retries that may be spent, as of a time in seconds."""
 
     retries: float = 1.0
-    ratio: float = 0.08
+    updated_at: float = 0.0
 
 
 def earn(budget: Budget) -> Budget:
     """Return the budget after a success."""
-    retries = min(_MOST_RETRIES, budget.retries + budget.ratio)
-    return budget._replace(retries=retries)
+    return _add(budget, _SUCCESS_SHARE)
+
+
+def refill(budget: Budget, now: float) -> Budget:
+    """Return the budget at a later time.
+
+    A few retries come with time, or a VM whose requests all fail would never
+    find out that other ways work again. The wait for one retry is the most
+    that time brings.
+    """
+    elapsed = max(0.0, now - budget.updated_at)
+    missing = max(0.0, 1 - budget.retries)
+    added = min(missing, elapsed * _RETRIES_PER_SECOND)
+    return _add(budget, added)._replace(updated_at=now)
 
 
 def spend(budget: Budget) -> tuple[Budget, bool]:
@@ -25,3 +39,9 @@
     if budget.retries < 1:
         return budget, False
     return budget._replace(retries=budget.retries - 1), True
+
+
+def _add(budget: Budget, retries: float) -> Budget:
+    return budget._replace(
+        retries=min(_MOST_RETRIES, budget.retries + retries),
+    )
--- a/toucanhall/steering/ownership.py
+++ b/toucanhall/steering/ownership.py
@@ -35,8 +35,8 @@
 
     The slots of all targets are numbered through, and number k belongs to the
     holder of zone slot `k * stride % size`. The stride spreads a service with
-    few slots over holders of neighbouring zone slots. Holders with no zone slot in common own no
-    slot of a target in common.
+    few slots over holders of neighbouring zone slots. Holders
+    with no zone slot in common own no slot of a target in common.
     """
     owned: dict[str, int] = {}
     first = 0
--- a/toucanhall/steering/policy.py
+++ b/toucanhall/steering/policy.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, TypeAlias
 
-from toucanhall.steering import arrivals, peers, places
+from toucanhall.steering import arrivals, peers, places, room
 from toucanhall.steering.fairness import drop
 from toucanhall.steering.budget import earn
 from toucanhall.steering.peers import Peer
@@ -39,11 +39,11 @@
     VMs of the own zone are told the number of waiting requests as less than
     no room, because theirs may wait here.
     """
-    free = arrivals.count_free(state, now) - len(state.queue.waiting)
+    free = room.count_free(state, now) - len(state.queue.waiting)
     if not shifting:
         return free
     ramp = advance(state.ramp, now)
-    spare = free - arrivals.count_reserve(state, now)
+    spare = free - room.count_reserve(state, now)
     return max(0, min(spare, int(ramp.level) - state.shifted))
 
 
--- /dev/null
+++ b/toucanhall/steering/room.py
@@ -0,0 +1,57 @@
+"""How much room a VM has for a service, and how long a request waits."""
+
+from typing import Final
+
+from toucanhall.steering import places
+from toucanhall.steering.fairness import count_before
+from toucanhall.steering.records import Arrive, Origin, State
+
+__all__ = (
+    'count_free',
+    'count_reserve',
+    'count_usable',
+    'estimate_wait',
+    'read_latency',
+)
+
+_FIRST_LATENCY_SECONDS: Final = 0.05
+_RESERVE_SHARE: Final = 0.1
+
+
+def count_free(state: State, now: float) -> int:
+    """Return the free slots that this VM owns."""
+    return sum(
+        places.count_free(place, now)
+        for place in state.places.values()
+        if place.draining_at is None
+    )
+
+
+def count_usable(state: State, now: float) -> int:
+    """Return the owned slots of targets that work and do not drain."""
+    return sum(
+        places.count_usable(place, now) for place in state.places.values()
+    )
+
+
+def count_reserve(state: State, now: float) -> int:
+    """Return the slots that are kept free of requests of other zones."""
+    return int(count_usable(state, now) * _RESERVE_SHARE)
+
+
+def read_latency(state: State) -> float:
+    """Return the mean seconds of a request, as far as it is known."""
+    return state.latency or _FIRST_LATENCY_SECONDS
+
+
+def estimate_wait(state: State, event: Arrive, now: float) -> float:
+    """Return the seconds that a request would wait in the queue."""
+    usable = count_usable(state, now)
+    if not usable:
+        return event.expires_at - now
+    before = count_before(
+        state.queue,
+        event.team,
+        is_hopped=event.origin is not Origin.CALLER,
+    )
+    return (before + 1) * read_latency(state) / usable
