--- /dev/null
+++ b/tests/unit/test_steering_load.py
@@ -0,0 +1,68 @@
+"""Tests of the policy under load on a paused clock, by the bench's fleet."""
+
+import pytest
+
+from benches.steering import run
+from benches.steering_places import DEPLOYMENTS
+
+SECONDS = 7
+STRIKE = 2
+ATTEMPTS_WITH_A_ZONE_DOWN = 1.1
+OTHERS_KEPT_IN_A_SURGE = 0.98
+
+
+def measure(scenario, deployment='qureshi', seed=1):
+    """Run the product's policy on a small load and return the measures."""
+    places = DEPLOYMENTS[deployment]
+    return run(places, scenario, seed, 'ours', SECONDS, STRIKE)
+
+
+def check_caps(measured):
+    """Check what must hold in every scenario."""
+    caps = ('overloads', 'link_cap_passed', 'shift_cap_passed')
+    assert {name: measured[name] for name in caps} == dict.fromkeys(caps, 0)
+
+
+@pytest.mark.parametrize('seed', (1, 2, 3))
+def test_steady_load_refuses_nobody(seed):
+    measured = measure('steady', seed=seed)
+    check_caps(measured)
+    assert not measured['wrongful']
+
+
+def test_same_seed_makes_the_same_decisions():
+    assert measure('zone-lost') == measure('zone-lost')
+
+
+@pytest.mark.parametrize('seed', (1, 2, 3))
+def test_surge_of_one_team_leaves_the_others_theirs(seed):
+    measured = measure('surge', seed=seed)
+    check_caps(measured)
+    calm = measure('steady', seed=seed)
+    kept = measured['worst_other_team'] / calm['worst_other_team']
+    assert kept >= OTHERS_KEPT_IN_A_SURGE
+
+
+@pytest.mark.parametrize('seed', (1, 2, 3))
+def test_lost_zone_refuses_nobody_after_three_seconds(seed):
+    measured = measure('zone-lost', seed=seed)
+    check_caps(measured)
+    assert not measured['wrongful_settled']
+    assert measured['attempts'] <= ATTEMPTS_WITH_A_ZONE_DOWN
+
+
+@pytest.mark.parametrize(
+    'scenario',
+    (
+        'cold',
+        'cut-and-healed',
+        'drain',
+        'morning-pull',
+        'region-lost',
+        'reports-late',
+        'reports-lying',
+        'reports-stopped',
+    ),
+)
+def test_no_fault_passes_a_cap(scenario):
+    check_caps(measure(scenario))
