Share one transfer over a link among identical bulk requests

Cause: each of the morning's identical pulls crossed the link. The first that needs the link leads; like requests that arrive meanwhile get its whole answer under their own id. Ruled out: keeping answers after the transfer, which would be a cache. Each caller's key is checked before it joins.

--- a/tests/processes/test_drain.py
+++ b/tests/processes/test_drain.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import socket
+import threading
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -45,31 +46,31 @@
     return process.poll() is not None
 
 
-def read_slowly(vm, started):
-    """Read a large answer in small parts, and return its length."""
+def read_late(vm, started, go_on):
+    """Read a large answer only later to its end, and return its length."""
     reader = socket.create_connection((vm.address, 8080), timeout=30)
     reader.sendall(b'GET /tours/x?large=1 HTTP/1.1\r\nHost: x\r\n\r\n')
     head = reader.recv(65536)
     started.append(head)
     count = len(head) - head.index(b'\r\n\r\n') - 4
+    go_on.wait(60)
     while count < LARGE_BYTES:
-        part = reader.recv(32768)
+        part = reader.recv(65536)
         if not part:
             break
         count += len(part)
-        if count < LARGE_BYTES / 2:
-            reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     return count
 
 
 def test_planned_stop_cuts_no_request(fleet):
     vm, other = fleet.vms[:2]
     started = []
+    go_on = threading.Event()
     with ThreadPoolExecutor(4) as pool:
         kept = urllib3.HTTPConnectionPool(vm.address, 8080, maxsize=1)
         assert kept.request('GET', '/tours/x').status == 200
         waiting = pool.submit(fetch, vm.url, '/tours/x?delay=8')
-        reading = pool.submit(read_slowly, vm, started)
+        reading = pool.submit(read_late, vm, started, go_on)
         wait_until(lambda: bool(started), 'transfer')
         fleet.signal(vm.name, signal.SIGTERM)
         wait_until(
@@ -81,6 +82,7 @@
         assert (late.status, on_kept.status) == (200, 200)
         assert on_kept.headers['Connection'] == 'close'
         assert waiting.result().status == 200
+        go_on.set()
         assert reading.result() == LARGE_BYTES
     wait_until(lambda: has_exited(fleet.processes[vm.name]), 'exit')
     assert fleet.processes[vm.name].returncode == 0
--- /dev/null
+++ b/tests/unit/test_attempts_sharing.py
@@ -0,0 +1,56 @@
+"""Tests of transfers that identical requests share."""
+
+import threading
+
+from tests.builders import make_catalogue, make_request
+from toucanhall import runtime
+from toucanhall.forwarding.records import Answer
+from toucanhall.forwarding.sharing import Sharing, make_key
+
+ANSWER = Answer(200, 'OK', (('Toucanhall-Request-Id', 'leader'),), (b'whole',))
+
+
+def find_key(kind='bulk', **changes):
+    """Return the key of a request on a route of some kind."""
+    route = make_catalogue().routes[0]._replace(kind=kind)
+    return make_key(route, make_request(**changes))
+
+
+def join(sharing, key, answers):
+    """Join in a thread; return the thread."""
+    until = runtime.read_clock() + 10
+    thread = threading.Thread(
+        target=lambda: answers.append(sharing.join(key, 'own', until)),
+    )
+    thread.start()
+    return thread
+
+
+def test_only_like_bulk_reads_share():
+    key = find_key()
+    assert key == find_key(headers=(('User-Agent', 'other'),))
+    assert key != find_key(headers=(('If-None-Match', '"v1"'),))
+    assert key != find_key(target='/tours/y')
+    assert find_key(kind='read') is None
+    assert find_key(method='POST') is None
+
+
+def test_each_caller_gets_the_whole_answer_under_its_own_id():
+    sharing = Sharing()
+    answers = []
+    assert sharing.lead(find_key())
+    assert not sharing.lead(find_key())
+    thread = join(sharing, find_key(), answers)
+    while not sharing.joined:
+        thread.join(0.01)
+    sharing.publish(find_key(), ANSWER)
+    thread.join()
+    assert answers[0].body == (b'whole',)
+    assert answers[0].headers == (('Toucanhall-Request-Id', 'own'),)
+
+
+def test_transfer_that_broke_is_not_shared():
+    sharing = Sharing()
+    sharing.lead(find_key())
+    sharing.publish(find_key(), None)
+    assert sharing.join(find_key(), 'own', 0) is None
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -13,6 +13,7 @@
 from toucanhall.forwarding import Parts
 from toucanhall.forwarding.dispatch import Dispatcher
 from toucanhall.forwarding.server import make_server
+from toucanhall.forwarding.sharing import Sharing
 from toucanhall.forwarding.stop import stop_after
 from toucanhall.forwarding.web import make_application
 from toucanhall.frontdoor import Frontdoor
@@ -86,6 +87,7 @@
             holder=self._holder,
             ledger=self._ledger,
             steerer=self._steerer,
+            sharing=Sharing(),
             keeper=Keeper(platform=self._platform),
             dispatcher=Dispatcher(),
             counters=self._counters,
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
+from urllib3.exceptions import HTTPError
 
 from toucanhall import events, runtime
 from toucanhall.forwarding.bodies import close_body
@@ -11,7 +12,13 @@
 from toucanhall.forwarding.preparation import prepare
 from toucanhall.forwarding.problems import Refusal, make_refusal
 from toucanhall.forwarding.records import Answer, find_header
-from toucanhall.forwarding.transfers import Transfer, read_spare, settle
+from toucanhall.forwarding.sharing import Key, can_collect, make_key
+from toucanhall.forwarding.transfers import (
+    Transfer,
+    collect,
+    read_spare,
+    settle,
+)
 from toucanhall.steering import Arrive, Carry, Refuse, Run
 
 __all__ = ('forward',)
@@ -28,12 +35,27 @@
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
     """Send an admitted request; a failure is final and truly says if it ran."""
+    key = None if job.is_hopped else make_key(job.route, job.request)
+    joined = None
+    if key:
+        joined = parts.sharing.join(key, job.request_id, job.give_up_at)
+    if joined is not None:
+        parts.counters.add('transfer.shared')
+        return Success(joined)
+    return _try_ways(parts, job, key)
+
+
+def _try_ways(
+    parts: Parts,
+    job: Job,
+    key: Key | None,
+) -> Result[Answer, Refusal]:
     tried = _Tried()
     while True:
         way = parts.steerer.choose(job.route.service, _ask(job, tried))
         if isinstance(way, Refuse):
             return Failure(_make_refusal(job, way, tried))
-        sent = _send(parts, job, way, tried)
+        sent = _lead(parts, job, way, tried, key)
         if isinstance(sent, Success):
             return sent
         error = sent.failure()
@@ -112,6 +134,30 @@
     return Success(settle(transfer, answer, read_spare(way, answer)))
 
 
+def _lead(
+    parts: Parts,
+    job: Job,
+    way: Run | Carry,
+    tried: _Tried,
+    key: Key | None,
+) -> Result[Answer, SendError]:
+    """Send a request; over a link, share its answer with all who ask alike."""
+    is_far = isinstance(way, Carry) and way.is_far
+    if key is None or not is_far or not parts.sharing.lead(key):
+        return _send(parts, job, way, tried)
+    whole: Answer | None = None
+    try:
+        sent = _send(parts, job, way, tried)
+        if isinstance(sent, Success) and can_collect(sent.unwrap()):
+            whole = collect(sent.unwrap())
+            return Success(whole)
+        return sent
+    except (HTTPError, OSError) as error:
+        return Failure(SendError(way.address, sent=True, what=str(error)))
+    finally:
+        parts.sharing.publish(key, whole)
+
+
 def _is_refused(answer: Answer) -> bool:
     return find_header(answer.headers, 'toucanhall-ran') == 'no'
 
--- a/toucanhall/forwarding/jobs.py
+++ b/toucanhall/forwarding/jobs.py
@@ -7,6 +7,7 @@
 from toucanhall.forwarding.credentials import Caller
 from toucanhall.forwarding.dispatch import Dispatcher
 from toucanhall.forwarding.records import Request
+from toucanhall.forwarding.sharing import Sharing
 from toucanhall.idempotency import Keeper
 from toucanhall.shares import Ledger
 from toucanhall.steering import Origin, Steerer
@@ -27,6 +28,7 @@
     holder: Holder
     ledger: Ledger
     steerer: Steerer
+    sharing: Sharing
     keeper: Keeper
     dispatcher: Dispatcher
     counters: Counters
--- /dev/null
+++ b/toucanhall/forwarding/sharing.py
@@ -0,0 +1,102 @@
+"""Lets identical bulk requests share one transfer over a link."""
+
+import threading
+from typing import Final, NamedTuple, TypeAlias
+
+from toucanhall import runtime
+from toucanhall.catalogue import Route
+from toucanhall.forwarding.records import (
+    Answer,
+    Headers,
+    Request,
+    find_header,
+)
+
+__all__ = ('Key', 'Sharing', 'can_collect', 'make_key')
+
+Key: TypeAlias = tuple[str, str, Headers]
+
+_LARGEST_BYTES: Final = 16777216
+_ID_HEADER: Final = 'toucanhall-request-id'
+# Headers that do not change what a target answers.
+_NEUTRAL: Final = frozenset(
+    ('user-agent', 'connection', 'host', 'x-forwarded-for', 'date'),
+)
+
+
+class _Transfer(NamedTuple):
+    """A transfer under way, and the whole answer once it is there."""
+
+    done: threading.Event
+    answers: list[Answer]
+
+
+class Sharing:
+    """The transfers that run for more than one caller."""
+
+    def __init__(self) -> None:
+        """Start with no transfer."""
+        self._lock = threading.Lock()
+        self._transfers: dict[Key, _Transfer] = {}
+        self.joined = 0
+
+    def lead(self, key: Key) -> bool:
+        """Begin a transfer; return whether none was under way."""
+        with self._lock:
+            if key in self._transfers:
+                return False
+            self._transfers[key] = _Transfer(threading.Event(), [])
+            return True
+
+    def publish(self, key: Key, answer: Answer | None) -> None:
+        """End a transfer with its whole answer, or with none."""
+        with self._lock:
+            transfer = self._transfers.pop(key, None)
+        if transfer is None:
+            return
+        if answer is not None:
+            transfer.answers.append(answer)
+        transfer.done.set()
+
+    def join(
+        self,
+        key: Key,
+        request_id: str,
+        give_up_at: float,
+    ) -> Answer | None:
+        """Return the answer of a transfer under way, under the caller's id."""
+        with self._lock:
+            transfer = self._transfers.get(key)
+            self.joined += transfer is not None
+        if transfer is None:
+            return None
+        transfer.done.wait(max(0, give_up_at - runtime.read_clock()))
+        if not transfer.answers:
+            return None
+        return _readdress(transfer.answers[0], request_id)
+
+
+def make_key(route: Route, request: Request) -> Key | None:
+    """Return what identical requests have in common, or None if not shared."""
+    if route.kind != 'bulk' or request.method != 'GET' or request.body:
+        return None
+    headers = sorted(
+        (name.lower(), content)
+        for name, content in request.headers
+        if name.lower() not in _NEUTRAL
+    )
+    return route.path, request.target, tuple(headers)
+
+
+def can_collect(answer: Answer) -> bool:
+    """Return whether an answer may be held whole for several callers."""
+    length = find_header(answer.headers, 'content-length')
+    return length.isdigit() and int(length) <= _LARGEST_BYTES
+
+
+def _readdress(answer: Answer, request_id: str) -> Answer:
+    headers = tuple(
+        (name, request_id if name.lower() == _ID_HEADER else content)
+        for name, content in answer.headers
+    )
+    return answer._replace(headers=headers)
--- a/toucanhall/forwarding/transfers.py
+++ b/toucanhall/forwarding/transfers.py
@@ -8,7 +8,7 @@
 from toucanhall.forwarding.records import Answer, find_header
 from toucanhall.steering import Carry, End, Origin, Outcome, Run, Steerer
 
-__all__ = ('Transfer', 'read_spare', 'settle')
+__all__ = ('Transfer', 'collect', 'read_spare', 'settle')
 
 _SPARE_HEADER: Final = 'toucanhall-spare'
 _SERVER_ERROR: Final = 500
@@ -66,6 +66,14 @@
     return answer._replace(body=body, headers=_tell_spare(transfer, answer))
 
 
+def collect(answer: Answer) -> Answer:
+    """Return the answer with its whole body read."""
+    try:
+        return answer._replace(body=(b''.join(answer.body),))
+    finally:
+        close_body(answer.body)
+
+
 def _judge(transfer: Transfer, answer: Answer) -> bool | None:
     if answer.status < _SERVER_ERROR:
         return True
