Leave a slow first attempt most of its deadline

Cause: the drain test's 6 s request was cut at half of its 10 s deadline. The first attempt now has 80 % of what remains; the rest is for one more on another connection. Ruled out: no bound, because a silent connection would then take the whole deadline.

--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -20,6 +20,7 @@
     settle,
 )
 from toucanhall.steering import Arrive, Carry, Refuse, Run
+from toucanhall.steering.budget import limit_attempt
 
 __all__ = ('forward',)
 
@@ -118,7 +119,7 @@
     sent = parts.dispatcher.send(
         way.address,
         prepare(parts, job, way, is_retry=tried.attempts > 0),
-        seconds if tried.attempts or not job.is_safe else seconds / 2,
+        limit_attempt(seconds, may_retry=job.is_safe and not tried.attempts),
         fresh=not job.is_safe,
     )
     if not isinstance(sent, Success):
--- a/toucanhall/forwarding/stop.py
+++ b/toucanhall/forwarding/stop.py
@@ -41,13 +41,14 @@
     an answer, so that callers ask again which VM to use. Then it accepts what
     has already connected, closes its socket, and ends its loop when no
     connection has a request under way. A connection whose caller reads nothing
-    for `idle_seconds` is closed. Every step runs on the thread of the loop.
+    for `idle_seconds` is closed. This is called, and
+    every step runs, on the thread of the loop.
     """
     ends_at = runtime.read_clock() + linger_seconds
     stopped = Event()
+    _close_after_answers(server)
 
     def look() -> None:
-        _close_after_answers(server)
         if runtime.read_clock() < ends_at:
             return
         if server.accepting:
--- a/toucanhall/steering/budget.py
+++ b/toucanhall/steering/budget.py
@@ -2,10 +2,11 @@
 
 from typing import Final, NamedTuple
 
-__all__ = ('Budget', 'earn', 'refill', 'spend')
+__all__ = ('Budget', 'earn', 'limit_attempt', 'refill', 'spend')
 
 _MOST_RETRIES: Final = 10.0
 _SUCCESS_SHARE: Final = 0.08
+_RETRY_TIME_SHARE: Final = 0.2
 _RETRIES_PER_SECOND: Final = 0.2
 
 
@@ -34,6 +35,15 @@
     return _add(budget, added)._replace(updated_at=now)
 
 
+def limit_attempt(remaining: float, *, may_retry: bool) -> float:
+    """Return how long an attempt may take, out of the seconds that remain.
+
+    The first attempt of a request that may be sent again leaves time for one
+    more, in case that its connection has gone silent.
+    """
+    return remaining * (1 - _RETRY_TIME_SHARE) if may_retry else remaining
+
+
 def spend(budget: Budget) -> tuple[Budget, bool]:
     """Return the budget and whether one retry was taken from it."""
     if budget.retries < 1:
