--- a/tests/unit/test_steering_blocks.py
+++ b/tests/unit/test_steering_blocks.py
@@ -5,7 +5,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from toucanhall.steering.blocks import find_zone, make_blocks, parse_blocks
+from tests.builders import make_catalogue, make_document
+from toucanhall.catalogue import read
+from toucanhall.steering.blocks import (
+    BlockIndex,
+    find_zone,
+    make_blocks,
+    parse_blocks,
+)
 
 PREFIXES = st.dictionaries(
     st.builds(
@@ -46,6 +53,20 @@
         assert find_zone(blocks, address) == search(prefixes, address)
 
 
+def test_index_follows_the_catalogue():
+    index = BlockIndex()
+    assert index.find('10.0.0.1') == ''
+    blocks = {'10.0.0.0/8': 'north-a', '10.0.0.0/24': 'south-a'}
+    index.size(make_catalogue(blocks=blocks).blocks)
+    assert index.find('10.0.0.1') == 'south-a'
+    assert index.find('10.9.0.1') == 'north-a'
+
+
+def test_catalogue_tells_which_block_is_wrong():
+    document = make_document(blocks={'10.0.0.0/99': 'north-a'})
+    assert read(document).failure()[0].path == '$.blocks.10.0.0.0/99'
+
+
 def test_both_versions_are_told_apart():
     blocks = build({'10.0.0.0/8': 'a', '2001:db8::/32': 'b', 'a00::/8': 'c'})
     assert find_zone(blocks, '10.1.2.3') == 'a'
--- a/toucanhall/catalogue/model.py
+++ b/toucanhall/catalogue/model.py
@@ -1,6 +1,7 @@
 """Records of the catalogue, as the other slices read them."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 __all__ = (
@@ -82,7 +83,8 @@
     """One whole catalogue; mappings are by name, keys by digest.
 
     `shift_share` is the share of a zone's slots by which the traffic that
-    comes from other zones may grow in a second.
+    comes from other zones may grow in a second. `blocks` maps a prefix of
+    client addresses to the nearest zone.
     """
 
     zones: Mapping[str, Zone]
@@ -95,6 +97,7 @@
     slots_per_zone: int
     hold_seconds: float
     shift_share: float = 0.1
+    blocks: Mapping[str, str] = MappingProxyType({})
 
 
 class Revision(NamedTuple):
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -1,5 +1,6 @@
 """Reads catalogue documents: shape first, then references between entries."""
 
+import ipaddress
 from collections.abc import Iterator
 from typing import Final
 
@@ -58,11 +59,7 @@
 def _check_references(
     document: Document,
 ) -> Result[Catalogue, tuple[Finding, ...]]:
-    findings = tuple(
-        finding
-        for find in (_find_targets, _find_routes, _find_keys, _find_fractions)
-        for finding in find(document)
-    )
+    findings = tuple(finding for find in _FINDERS for finding in find(document))
     if findings:
         return Failure(findings)
     return Success(_build(document))
@@ -122,6 +119,26 @@
         )
 
 
+def _find_blocks(document: Document) -> Iterator[Finding]:
+    for prefix, zone in document.get('blocks', {}).items():
+        where = f'$.blocks.{prefix}'
+        if zone not in document['zones']:
+            yield Finding(where, repr(zone), 'a name in $.zones')
+        try:
+            ipaddress.ip_network(prefix)
+        except ValueError as error:
+            yield Finding(where, str(error), 'a prefix such as 10.0.0.0/8')
+
+
+_FINDERS: Final = (
+    _find_targets,
+    _find_routes,
+    _find_keys,
+    _find_fractions,
+    _find_blocks,
+)
+
+
 def _build(document: Document) -> Catalogue:
     drains = document.get('drains', {})
     return Catalogue(
@@ -153,6 +170,7 @@
         ),
         slots_per_zone=document.get('slots_per_zone', _SLOTS_PER_ZONE),
         hold_seconds=document.get('hold_seconds', _HOLD_SECONDS),
+        blocks=document.get('blocks', {}),
         shift_share=document.get('shift_share_per_second', _SHIFT_SHARE),
     )  # fmt: skip
 
--- a/toucanhall/catalogue/schema.py
+++ b/toucanhall/catalogue/schema.py
@@ -112,5 +112,6 @@
         'slots_per_zone': {'type': 'integer', 'minimum': 1, 'maximum': 256},
         'hold_seconds': _POSITIVE,
         'shift_share_per_second': _POSITIVE,
+        'blocks': {'type': 'object', 'additionalProperties': _NAME},
     },
 )
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -29,6 +29,7 @@
 from toucanhall.spread.actor import Behind, Offered, Push
 from toucanhall.steering import (
     AdvisedVm,
+    BlockIndex,
     Hop,
     Seat,
     Steerer,
@@ -67,6 +68,7 @@
         self._holder = Holder()
         self._ledger = Ledger()
         self._steerer = Steerer()
+        self._blocks = BlockIndex()
         self._exchange = Exchange(
             identity=self._identity,
             address=settings.address,
@@ -174,6 +176,7 @@
         self._spread.tell(Push(revision))
         self._claimer.size_ledger(revision.catalogue)
         self._resize_steerer()
+        self._blocks.size(revision.catalogue.blocks)
 
     def _publish(self, view: View) -> None:
         self._view = view
--- a/toucanhall/steering/__init__.py
+++ b/toucanhall/steering/__init__.py
@@ -1,6 +1,7 @@
 """Where a caller goes, and which zone and target serve a request."""
 
 from toucanhall.steering.advice import Advice, AdvisedVm, advise
+from toucanhall.steering.blocks import BlockIndex
 from toucanhall.steering.places import Outcome
 from toucanhall.steering.records import Arrive, Carry, End, Origin, Refuse, Run
 from toucanhall.steering.sizes import Hop, Seat, size_links, size_services
@@ -10,6 +11,7 @@
     'Advice',
     'AdvisedVm',
     'Arrive',
+    'BlockIndex',
     'Carry',
     'Decision',
     'End',
--- a/toucanhall/steering/blocks.py
+++ b/toucanhall/steering/blocks.py
@@ -6,7 +6,14 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Final, NamedTuple
 
-__all__ = ('Block', 'Blocks', 'find_zone', 'make_blocks', 'parse_blocks')
+__all__ = (
+    'Block',
+    'BlockIndex',
+    'Blocks',
+    'find_zone',
+    'make_blocks',
+    'parse_blocks',
+)
 
 _NOWHERE: Final = 0
 _V4_BITS: Final = 32
@@ -132,3 +139,22 @@
     while outer[-1][0] <= until:
         end, _ = outer.pop()
         yield end, outer[-1][1]
+
+
+class BlockIndex:
+    """The tables of the revision in force, read without a lock."""
+
+    def __init__(self) -> None:
+        """Start with no block."""
+        self._prefixes: Mapping[str, str] = {}
+        self._blocks = make_blocks((), ())
+
+    def size(self, prefixes: Mapping[str, str]) -> None:
+        """Build the tables anew when the blocks of the catalogue changed."""
+        if prefixes != self._prefixes:
+            self._blocks = make_blocks(*parse_blocks(prefixes))
+            self._prefixes = prefixes
+
+    def find(self, address: str) -> str:
+        """Return the zone that a client address is nearest to, or ''."""
+        return find_zone(self._blocks, address)
