Use gained slots only after their earlier holder has let them go

Cause: a VM that took zone slots over used their target slots at once, while the earlier holder, who learns it at its next look, still used them. They are used 3 s later; a fresh VM is ready after that. The stand-in of a target counted a request as running until its answer was sent, so that the next one showed as an overload; it now counts the work.

--- a/standins/target.py
+++ b/standins/target.py
@@ -67,10 +67,10 @@
         finally:
             with self.state.lock:
                 self.state.running -= 1
+        self._answer(body)
 
     def _work(self, body: bytes) -> None:
-        mode = self.state.mode
-        if mode == 'silent':
+        if self.state.mode == 'silent':
             time.sleep(60)
         query = parse_qs(urlsplit(self.path).query)
         time.sleep(float(query.get('delay', [self.state.delay])[0]))
@@ -83,6 +83,10 @@
                 'body': body.decode('latin-1'),
             }
         )
+
+    def _answer(self, body: bytes) -> None:
+        mode = self.state.mode
+        query = parse_qs(urlsplit(self.path).query)
         if mode == 'fail':
             self._send(500, b'{}')
         elif 'large' in query:
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -2,7 +2,7 @@
 
 from tests.builders import make_arrival, make_catalogue, make_state
 from toucanhall.steering import AdvisedVm, Outcome, advise
-from toucanhall.steering.ownership import divide
+from toucanhall.steering.ownership import divide, note_gains, select_settled
 from toucanhall.steering.peers import Distance, Peer
 from toucanhall.steering.places import Place
 from toucanhall.steering.policy import count_spare, decide
@@ -189,6 +189,14 @@
         assert total == target.slots
 
 
+def test_gained_slots_are_used_once_their_holder_knows():
+    gained = note_gains({}, frozenset((1,)), 0)
+    gained = note_gains(gained, frozenset((1, 2)), 2)
+    assert select_settled(gained, 3) == {1}
+    assert select_settled(gained, 5) == {1, 2}
+    assert not select_settled(note_gains(gained, frozenset(), 6), 9)
+
+
 def test_advice_prefers_own_zone_and_skips_drained_vms():
     vms = (
         AdvisedVm('north-a-1', 'north-a', 'one'),
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -36,6 +36,7 @@
     size_links,
     size_services,
 )
+from toucanhall.steering.ownership import note_gains, select_settled
 from toucanhall.transport import Envelope, Exchange
 from toucanhall.transport.exchange import Handler, Identity
 
@@ -54,6 +55,7 @@
         self._settings = settings
         self._stopping = threading.Event()
         self._has_claimed = False
+        self._gained: Mapping[int, float] = {}
         self._view = View({}, {})
         self._counters = Counters(
             host=settings.statsd_host,
@@ -208,13 +210,18 @@
         held = self._holder.current
         if held is None or not self._has_claimed:
             return
-        seat = Seat(self._settings.zone, self._claimer.held)
+        now = runtime.read_clock()
+        self._gained = note_gains(self._gained, self._claimer.held, now)
+        settled = select_settled(self._gained, now)
+        if self._gained and not settled and not self._steerer.is_sized:
+            return
+        seat = Seat(self._settings.zone, settled)
         self._steerer.resize(
             size_services(
                 held.catalogue,
                 seat,
                 self._list_hops(),
-                runtime.read_clock(),
+                now,
             ),
             size_links(held.catalogue, seat),
         )
--- a/toucanhall/steering/ownership.py
+++ b/toucanhall/steering/ownership.py
@@ -6,10 +6,11 @@
 
 from toucanhall.catalogue import Catalogue, Target
 
-__all__ = ('divide', 'select_targets')
+__all__ = ('divide', 'note_gains', 'select_settled', 'select_targets')
 
 
 _GOLDEN_SHARE: Final = 0.618
+_SETTLE_SECONDS: Final = 3.0
 
 
 def select_targets(
@@ -55,3 +56,23 @@
     while math.gcd(stride, size) > 1:
         stride += 1
     return stride
+
+
+def note_gains(
+    gained: Mapping[int, float],
+    held: frozenset[int],
+    now: float,
+) -> Mapping[int, float]:
+    """Return since when each zone slot is held."""
+    return {slot: gained.get(slot, now) for slot in held}
+
+
+def select_settled(gained: Mapping[int, float], now: float) -> frozenset[int]:
+    """Return the zone slots whose earlier holder no longer uses them.
+
+    It learns that it lost a slot at its next look into the table, and needs
+    some time to finish what runs.
+    """
+    return frozenset(
+        slot for slot, since in gained.items() if now - since >= _SETTLE_SECONDS
+    )
