--- a/toucanhall/catalogue/model.py
+++ b/toucanhall/catalogue/model.py
@@ -96,7 +96,7 @@
     drains: Drains
     slots_per_zone: int
     hold_seconds: float
-    shift_share: float = 0.1
+    shift_share: float = 0.2
     blocks: Mapping[str, str] = MappingProxyType({})
 
 
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -27,7 +27,7 @@
 _SLOTS_PER_ZONE: Final = 12
 _HOLD_SECONDS: Final = 5.0
 _DEADLINE_SECONDS: Final = 10.0
-_SHIFT_SHARE: Final = 0.1
+_SHIFT_SHARE: Final = 0.2
 _FRACTION_SLACK: Final = 1e-9
 
 
