--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -237,6 +237,11 @@
             and (member.listed or member.heard_at is not None)
         )
         self._claimer.claim(held.catalogue, live | {self._settings.vm})
+        self._gained = {
+            slot: since
+            for slot, since in self._gained.items()
+            if slot not in self._claimer.gained
+        }
         self._has_claimed = True
 
     def _list_usable_vms(self) -> tuple[AdvisedVm, ...]:
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -40,6 +40,7 @@
         self._ledger = ledger
         self._slots = 0
         self.held: frozenset[int] = frozenset()
+        self.gained: frozenset[int] = frozenset()
 
     def claim(self, catalogue: Catalogue, live_vms: frozenset[str]) -> None:
         """Bring the slot table up to date and size the ledger by it."""
@@ -69,13 +70,17 @@
             written = self._platform.write(name, content, stored.version)
             if not is_successful(written):
                 return False
-        self.held = frozenset(
+        self.held = self._select_own(claimed)
+        self.gained = self.held - self._select_own(table)
+        self._note(count_slots(claimed, self._place.holder))
+        return True
+
+    def _select_own(self, table: Table) -> frozenset[int]:
+        return frozenset(
             slot
-            for slot, holder in claimed.holdings.items()
+            for slot, holder in table.holdings.items()
             if holder == self._place.holder
         )
-        self._note(count_slots(claimed, self._place.holder))
-        return True
 
     def _note(self, slots: int) -> None:
         if slots != self._slots:
