--- /dev/null
+++ b/tests/models/test_steering_model.py
@@ -0,0 +1,54 @@
+"""Model of admission: any order of requests, hops, ends and faults."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.builders import make_arrival, make_state
+from toucanhall.steering import Outcome
+from toucanhall.steering.places import Place
+from toucanhall.steering.policy import decide
+from toucanhall.steering.records import End, Expire, Origin, Run
+
+SLOTS = 3
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(('arrive', 'end', 'expire')),
+        st.sampled_from(tuple(Origin)),
+        st.sampled_from((True, False, None)),
+        st.floats(0, 2),
+    ),
+    max_size=60,
+)
+
+
+def take_step(state, step, number, running, now):
+    """Apply one step of the model; return the state and the effects."""
+    kind, origin, healthy, _ = step
+    if kind == 'arrive':
+        arrival = make_arrival(str(number), origin=origin, expires_at=now + 5)
+        return decide(state, arrival, now)
+    if kind == 'end' and running:
+        name, started_by = running.pop(number % len(running))
+        end = End(name, Outcome(healthy, 0.05), started_by)
+        return decide(state, end, now)
+    return decide(state, Expire(str(number - 1)), now)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(STEPS)
+def test_no_order_of_events_overloads_a_target(steps):
+    state = make_state(Place('a', '', SLOTS), Place('b', '', SLOTS))
+    running = []
+    origins = {}
+    now = 0
+    for number, step in enumerate(steps):
+        now += step[3]
+        origins[str(number)] = step[1]
+        state, effects = take_step(state, step, number, running, now)
+        for effect in effects:
+            if isinstance(effect, Run):
+                running.append((effect.name, origins[effect.ticket]))
+        for name, place in state.places.items():
+            count = sum(entry[0] == name for entry in running)
+            assert place.in_flight == count
+            assert count <= SLOTS
