--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from benches import (
+    blocks,
     catalogue,
     faults,
     footprint,
@@ -12,9 +13,11 @@
     membership,
     relay,
     spread,
+    steering,
 )
 
 BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
+    'blocks': blocks.main,
     'catalogue': catalogue.main,
     'faults': faults.main,
     'footprint': footprint.main,
@@ -22,11 +25,14 @@
     'membership': membership.main,
     'relay': relay.main,
     'spread': spread.main,
+    'steering': steering.main,
 }
 
 
 def main(arguments: Sequence[str]) -> int:
     """Run the measurement that the first argument names."""
+    if arguments and arguments[0].startswith('--'):
+        return steering.main(arguments)
     if not arguments or arguments[0] not in BENCHES:
         print(f'usage: bench NAME [options]; names: {sorted(BENCHES)}')
         return 2
--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -13,9 +13,10 @@
 from toucanhall.forwarding import Parts, serve
 from toucanhall.forwarding.credentials import digest_key
 from toucanhall.forwarding.dispatch import Dispatcher
+from toucanhall.forwarding.sharing import Sharing
 from toucanhall.idempotency import Keeper
 from toucanhall.platform import Conflict, Stored
-from toucanhall.steering import Loads
+from toucanhall.steering import Seat, Steerer, size_links, size_services
 from toucanhall.transport.exchange import Identity
 
 KEY = 'open-sesame'
@@ -60,6 +61,17 @@
     return holder
 
 
+def make_steerer(catalogue):
+    """Return a policy that owns every slot of the zone."""
+    steerer = Steerer()
+    seat = Seat('north-a', frozenset(range(catalogue.slots_per_zone)))
+    steerer.resize(
+        size_services(catalogue, seat, (), 0),
+        size_links(catalogue, seat),
+    )
+    return steerer
+
+
 def make_parts(held):
     """Return the state of the request path of one VM."""
     return Parts(
@@ -67,11 +79,11 @@
         zone='north-a',
         holder=held,
         ledger=Free(),
-        loads=Loads(),
+        steerer=make_steerer(held.current.catalogue),
+        sharing=Sharing(),
         keeper=Keeper(platform=Shelf()),
         dispatcher=Dispatcher(),
         counters=Counters(host='', port=0),
-        list_hops=tuple,
     )
 
 
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -1,5 +1,6 @@
 """Reads catalogue documents: shape first, then references between entries."""
 
+import ipaddress
 from collections.abc import Iterator
 from types import MappingProxyType
 from typing import Final
@@ -28,6 +29,7 @@
 _HOLD_SECONDS: Final = 5.0
 _KEY_HOLD_SECONDS: Final = 14400.0
 _DEADLINE_SECONDS: Final = 10.0
+_SHIFT_SHARE: Final = 0.2
 _FRACTION_SLACK: Final = 1e-9
 _NOTHING: Final[Document] = MappingProxyType({})
 _TABLES: Final = ('zones', 'targets', 'teams', 'keys')
@@ -186,6 +188,17 @@
             )
 
 
+def _find_blocks(document: Document) -> Iterator[Finding]:
+    for prefix, zone in document.get('blocks', {}).items():
+        where = f'$.blocks.{prefix}'
+        if zone not in document['zones']:
+            yield Finding(where, repr(zone), 'a name in $.zones')
+        try:
+            ipaddress.ip_network(prefix)
+        except ValueError as error:
+            yield Finding(where, str(error), 'a prefix such as 10.0.0.0/8')
+
+
 _FINDERS: Final = (
     _find_targets,
     _find_routes,
@@ -193,6 +206,7 @@
     _find_fractions,
     _find_links,
     _find_drains,
+    _find_blocks,
 )
 
 
@@ -228,6 +242,8 @@
         slots_per_zone=document.get('slots_per_zone', _SLOTS_PER_ZONE),
         hold_seconds=document.get('hold_seconds', _HOLD_SECONDS),
         key_hold_seconds=document.get('key_hold_seconds', _KEY_HOLD_SECONDS),
+        blocks=document.get('blocks', {}),
+        shift_share=document.get('shift_share_per_second', _SHIFT_SHARE),
     )  # fmt: skip
 
 
--- a/toucanhall/catalogue/schema.py
+++ b/toucanhall/catalogue/schema.py
@@ -131,5 +131,13 @@
             POSITIVE,
             'Seconds that a VM cut off from all others serves keys; 14400.',
         ),
+        'shift_share_per_second': describe(
+            POSITIVE,
+            'Part of its slots by which a zone takes more work of others; 0.2.',
+        ),
+        'blocks': describe(
+            {'type': 'object', 'additionalProperties': NAME},
+            'Nearest availability zone by block of client addresses.',
+        ),
     },
 )
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -14,6 +14,8 @@
 from toucanhall.forwarding import Parts
 from toucanhall.forwarding.dispatch import Dispatcher
 from toucanhall.forwarding.server import make_server
+from toucanhall.forwarding.sharing import Sharing
+from toucanhall.forwarding.stop import stop_after
 from toucanhall.forwarding.web import make_application
 from toucanhall.frontdoor import Frontdoor
 from toucanhall.idempotency import Keeper
@@ -46,7 +48,16 @@
 from toucanhall.spread.acceptance import Known
 from toucanhall.spread.actor import Arrived, Compare, Message, Push, read_held
 from toucanhall.spread.freshness import FRESH_SECONDS
-from toucanhall.steering import AdvisedVm, Hop, Loads
+from toucanhall.steering import (
+    AdvisedVm,
+    BlockIndex,
+    Hop,
+    Seat,
+    Steerer,
+    size_links,
+    size_services,
+)
+from toucanhall.steering.ownership import note_gains, select_settled
 from toucanhall.transport import Envelope, Exchange
 from toucanhall.transport.exchange import Handler, Identity
 
@@ -58,6 +69,7 @@
 _TICK_SECONDS: Final = 0.5
 _LATE_WATCH_CHANCE: Final = 0.1  # a second, where the readers bring nothing
 _COMPARE_SECONDS: Final = 1.0
+_RESIZE_SECONDS: Final = 0.5
 
 
 class Entry:
@@ -68,6 +80,8 @@
         self._settings = settings
         self._stopping = threading.Event()
         self._turn = 0
+        self._seat_lock = threading.Lock()
+        self._gained: Mapping[int, float] = {}
         self._view = View({}, {})
         self._counters = Counters(
             host=settings.statsd_host,
@@ -85,6 +99,8 @@
             may_serve=self._currency.may_serve,
         )
         self._ledger = Ledger()
+        self._steerer = Steerer()
+        self._blocks = BlockIndex()
         self._exchange = Exchange(
             identity=self._identity,
             address=settings.address,
@@ -112,11 +128,11 @@
             zone=settings.zone,
             holder=self._holder,
             ledger=self._ledger,
-            loads=Loads(),
+            steerer=self._steerer,
+            sharing=Sharing(),
             keeper=Keeper(platform=self._platform),
             dispatcher=Dispatcher(),
             counters=self._counters,
-            list_hops=self._list_hops,
         )
         self._door = Frontdoor(
             zone=settings.zone,
@@ -204,6 +220,7 @@
             (_SETTLE_SECONDS, self._parts.keeper.settle),
             (_TICK_SECONDS, self._tick),
             (_COMPARE_SECONDS, partial(self._spread.tell, Compare())),
+            (_RESIZE_SECONDS, self._resize_steerer),
         )
 
     def _hear(self, envelope: Envelope, heartbeat: Heartbeat) -> None:
@@ -239,6 +256,8 @@
     def _take_revision(self, revision: Revision) -> None:
         self._spread.tell(Push(revision))
         self._claimer.take_revision(revision)
+        self._resize_steerer()
+        self._blocks.size(revision.catalogue.blocks)
 
     def _publish(self, view: View) -> None:
         is_first = view.is_listed and not self._view.is_listed
@@ -271,9 +290,25 @@
                 f'{member.address}:{self._settings.caller_port}',
             )
             for member in self._view.select(Health.ALIVE, now)
-            if member.zone != self._settings.zone
         )
 
+    def _resize_steerer(self) -> None:
+        held = self._holder.current
+        own = self._claimer.list_own()
+        if held is None or own is None:
+            return
+        with self._seat_lock:
+            now = runtime.read_clock()
+            self._gained = note_gains(self._gained, own, now)
+            settled = select_settled(self._gained, now)
+            if own and not settled and not self._steerer.is_sized:
+                return
+            seat = Seat(self._settings.zone, settled)
+            self._steerer.resize(
+                size_services(held.catalogue, seat, self._list_hops(), now),
+                size_links(held.catalogue, seat),
+            )
+
     def _list_peers(self) -> Mapping[str, str]:
         now = runtime.read_clock()
         return {
@@ -360,12 +395,8 @@
         events.log(events.ENTRY_LEAVING)
         self._stopping.set()
         self._membership.tell(Leave())
-        linger = threading.Timer(
-            self._settings.bounds.linger_seconds,
-            server.close,
-        )
-        linger.daemon = True
-        linger.start()
+        bounds = self._settings.bounds
+        stop_after(server, bounds.linger_seconds, bounds.idle_seconds)
 
     def _finish(self, server: Any) -> None:
         server.task_dispatcher.shutdown(cancel_pending=False)
--- a/toucanhall/forwarding/admission.py
+++ b/toucanhall/forwarding/admission.py
@@ -14,6 +14,7 @@
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
 from toucanhall.forwarding.problems import Refusal, refuse
 from toucanhall.forwarding.records import Request, find_header
+from toucanhall.steering import Origin
 
 __all__ = ('admit', 'find_route')
 
@@ -104,5 +105,7 @@
             request_id=hop.request_id,
             give_up_at=runtime.read_clock() + min(route.deadline, hop.seconds),
             is_hopped=True,
+            origin=Origin.SIBLING if hop.zone == parts.zone else Origin.ZONE,
+            is_retry=hop.is_retry,
         ),
     )
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -1,158 +1,202 @@
 """Tries the ways to a target until one gives a whole answer."""
 
-from collections.abc import Iterable
-from typing import Final
+from typing import Final, NamedTuple
 
 from returns.result import Failure, Result, Success
+from urllib3.exceptions import HTTPError
 
 from toucanhall import events, runtime
 from toucanhall.forwarding import hops
-from toucanhall.forwarding.bodies import SettledBody, close_body
-from toucanhall.forwarding.credentials import digest_key
-from toucanhall.forwarding.dispatch import ID_HEADER, SendError
+from toucanhall.forwarding.bodies import close_body
+from toucanhall.forwarding.dispatch import SendError
 from toucanhall.forwarding.headers import drop_own
 from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
-from toucanhall.forwarding.problems import RAN_HEADER, Refusal, refuse
-from toucanhall.forwarding.records import Answer, Request, find_header
+from toucanhall.forwarding.preparation import prepare
+from toucanhall.forwarding.problems import RAN_HEADER, Refusal, make_refusal
+from toucanhall.forwarding.records import Answer, find_header
+from toucanhall.forwarding.sharing import Key, can_collect, make_key
+from toucanhall.forwarding.transfers import (
+    Transfer,
+    collect,
+    read_spare,
+    settle,
+)
 from toucanhall.idempotency import may_send
-from toucanhall.steering import Choice, Terrain, rank
+from toucanhall.steering import Arrive, Carry, Refuse, Run
+from toucanhall.steering.budget import limit_attempt
 
 __all__ = ('forward',)
 
-_ATTEMPTS: Final = 3
-_SERVER_ERROR: Final = 500
+_RAN: Final = RAN_HEADER.lower()
+
+
+class _Tried(NamedTuple):
+    """What was tried for a request, and whether it may have run."""
+
+    names: frozenset[str] = frozenset()
+    attempts: int = 0
+    sent: bool = False
+    is_bounced: bool = False
 
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
     """Send an admitted request; a failure is final and truly says if it ran."""
-    was_sent = False
-    for choice in _rank(parts, job)[:_ATTEMPTS]:
-        if _is_over(job, was_sent=was_sent):
-            break
-        sent = _send(parts, job, choice)
+    key = None if job.is_hopped else make_key(job.route, job.request)
+    joined = None
+    if key:
+        joined = parts.sharing.join(key, job.request_id, job.give_up_at)
+    if joined is not None:
+        parts.counters.add('transfer.shared')
+        return Success(joined)
+    return _try_ways(parts, job, key)
+
+
+def _try_ways(
+    parts: Parts,
+    job: Job,
+    key: Key | None,
+) -> Result[Answer, Refusal]:
+    tried = _Tried()
+    while True:
+        way = parts.steerer.choose(job.route.service, _ask(job, tried))
+        if isinstance(way, Refuse):
+            return Failure(_make_refusal(job, way, tried))
+        sent = _lead(parts, job, way, tried, key)
         if isinstance(sent, Success):
             return sent
-        _note_failure(parts, job, choice, sent.failure())
-        was_sent = was_sent or sent.failure().sent
-    return refuse(*_explain(job, was_sent=was_sent))
+        error = sent.failure()
+        _note_failure(parts, job, way, error)
+        tried = _note_tried(tried, way, error)
+        if _is_over(job, tried):
+            return Failure(_make_refusal(job, None, tried))
 
 
-def _is_over(job: Job, *, was_sent: bool) -> bool:
-    if was_sent and not job.is_safe:
+def _is_over(job: Job, tried: _Tried) -> bool:
+    if job.is_retry or (tried.sent and not job.is_safe):
         return True
     return not may_send(job.give_up_at, runtime.read_clock())
 
 
-def _explain(job: Job, *, was_sent: bool) -> tuple[str, str, float]:
-    is_late = not may_send(job.give_up_at, runtime.read_clock())
-    if was_sent and not job.is_safe:
-        return 'target-failed', 'it may have run', 0
-    if was_sent:
-        reason = 'target-late' if is_late else 'target-failed'
-        return reason, 'no whole answer', BACK_SOON_SECONDS
-    if is_late:
-        return 'deadline', 'nothing was sent', BACK_SOON_SECONDS
-    return 'no-target', f'service {job.route.service!r}', BACK_SOON_SECONDS
+def _note_tried(tried: _Tried, way: Run | Carry, error: SendError) -> _Tried:
+    return _Tried(
+        tried.names | {way.name},
+        tried.attempts + 1,
+        tried.sent or error.sent,
+        isinstance(way, Carry) and not error.sent,
+    )
 
 
-def _rank(parts: Parts, job: Job) -> tuple[Choice, ...]:
-    terrain = Terrain(
-        job.catalogue,
-        parts.zone,
-        parts.loads.read(),
-        parts.list_hops(),
-    )
-    return rank(
-        terrain,
-        job.route.service,
-        runtime.read_clock(),
-        may_hop=not job.is_hopped,
+def _ask(job: Job, tried: _Tried) -> Arrive:
+    team = job.catalogue.teams.get(job.caller.team)
+    return Arrive(
+        ticket=f'{job.request_id}/{tried.attempts}',
+        team=job.caller.team,
+        weight=team.weight if team else 1,
+        expires_at=job.give_up_at,
+        origin=job.origin,
+        is_safe=job.is_safe,
+        attempts=tried.attempts,
+        is_bounced=tried.is_bounced,
+        passed=tried.names,
     )
 
 
+def _make_refusal(job: Job, refused: Refuse | None, tried: _Tried) -> Refusal:
+    is_late = not may_send(job.give_up_at, runtime.read_clock())
+    if tried.sent and not job.is_safe:
+        return make_refusal('target-failed', 'it may have run')
+    if tried.sent:
+        reason = 'target-late' if is_late else 'target-failed'
+        return make_refusal(reason, 'no whole answer', BACK_SOON_SECONDS)
+    if is_late:
+        return make_refusal('deadline', 'nothing was sent', BACK_SOON_SECONDS)
+    detail = f'service {job.route.service!r}'
+    if refused is None:
+        return make_refusal('no-target', detail, BACK_SOON_SECONDS)
+    return make_refusal(refused.reason, detail, refused.retry_after)
+
+
 def _send(
     parts: Parts,
     job: Job,
-    choice: Choice,
+    way: Run | Carry,
+    tried: _Tried,
 ) -> Result[Answer, SendError]:
-    parts.loads.start(choice.name)
+    transfer = Transfer(
+        parts.steerer, job.route.service, way, job.origin,
+        runtime.read_clock(),
+    )  # fmt: skip
+    if not may_send(job.give_up_at, transfer.started_at):
+        transfer.finish(healthy=None)
+        return Failure(SendError(way.address, sent=False, what='too late'))
+    seconds = job.give_up_at - transfer.started_at
     sent = parts.dispatcher.send(
-        choice.address,
-        _prepare(parts, job, choice),
-        job.give_up_at - runtime.read_clock(),
+        way.address,
+        prepare(parts, job, way, is_retry=tried.attempts > 0),
+        limit_attempt(seconds, may_retry=job.is_safe and not tried.attempts),
         fresh=not job.is_safe,
     )
     if not isinstance(sent, Success):
-        parts.loads.finish(choice.name, healthy=False)
+        transfer.finish(healthy=False)
         return sent
     answer = sent.unwrap()
-    if choice.is_hop and find_header(answer.headers, RAN_HEADER.lower()):
-        parts.loads.finish(choice.name, healthy=True)
+    if isinstance(way, Carry) and find_header(answer.headers, _RAN):
+        transfer.finish(healthy=None, spare=0)
         close_body(answer.body)
-        return Failure(_read_hop_refusal(parts, job, choice, answer))
-    if not choice.is_hop:
+        return Failure(_read_hop_refusal(parts, job, way, answer))
+    spare = read_spare(way, answer)
+    if isinstance(way, Run):
         answer = answer._replace(headers=drop_own(answer.headers))
-    body = _settle_after(parts, choice, answer)
-    return Success(answer._replace(body=body))
+    return Success(settle(transfer, answer, spare))
 
 
 def _read_hop_refusal(
     parts: Parts,
     job: Job,
-    choice: Choice,
+    way: Carry,
     answer: Answer,
 ) -> SendError:
     token = find_header(answer.headers, hops.HOP_HEADER)
     secret = parts.identity.secret
     is_sent = not hops.is_disclaimed(secret, token, job.request_id)
-    return SendError(choice.address, sent=is_sent, what='refused by entry VM')
+    return SendError(way.address, sent=is_sent, what='refused by entry VM')
 
 
-def _settle_after(
+def _lead(
     parts: Parts,
-    choice: Choice,
-    answer: Answer,
-) -> Iterable[bytes]:
-    healthy = answer.status < _SERVER_ERROR
-    if isinstance(answer.body, tuple):
-        parts.loads.finish(choice.name, healthy=healthy)
-        return answer.body
-    return SettledBody(
-        body=answer.body,
-        settle=lambda whole: parts.loads.finish(
-            choice.name,
-            healthy=healthy and whole,
-        ),
-    )
-
-
-def _prepare(parts: Parts, job: Job, choice: Choice) -> Request:
-    added = [(ID_HEADER, job.request_id)]
-    if choice.is_hop:
-        hop = hops.Hop(
-            team=job.caller.team,
-            key_digest=digest_key(job.caller.key) if job.caller.key else '',
-            request_id=job.request_id,
-            method=job.request.method,
-            target=job.request.target,
-            seconds=job.give_up_at - runtime.read_clock(),
-        )
-        added.append((hops.HOP_HEADER, hops.make_token(parts.identity, hop)))
-    kept = drop_own(job.request.headers)
-    return job.request._replace(headers=(*kept, *added))
+    job: Job,
+    way: Run | Carry,
+    tried: _Tried,
+    key: Key | None,
+) -> Result[Answer, SendError]:
+    """Send a request; over a link, share its answer with all who ask alike."""
+    is_far = isinstance(way, Carry) and way.is_far
+    if key is None or not is_far or not parts.sharing.lead(key):
+        return _send(parts, job, way, tried)
+    whole: Answer | None = None
+    try:
+        sent = _send(parts, job, way, tried)
+        if isinstance(sent, Success) and can_collect(sent.unwrap()):
+            whole = collect(sent.unwrap())
+            return Success(whole)
+        return sent
+    except (HTTPError, OSError) as error:
+        return Failure(SendError(way.address, sent=True, what=str(error)))
+    finally:
+        parts.sharing.publish(key, whole)
 
 
 def _note_failure(
     parts: Parts,
     job: Job,
-    choice: Choice,
+    way: Run | Carry,
     error: SendError,
 ) -> None:
     reason = 'unanswered' if error.sent else 'unsent'
     parts.counters.add(f'retry.{reason}')
     events.log(
         events.TARGET_FAILED,
-        target=choice.name,
+        target=way.name,
         request_id=job.request_id,
         sent=error.sent,
         what=error.what,
--- a/toucanhall/forwarding/hops.py
+++ b/toucanhall/forwarding/hops.py
@@ -34,6 +34,8 @@
     method: str
     target: str
     seconds: float
+    zone: str = ''
+    is_retry: bool = False
 
 
 class Disclaimer(NamedTuple):
--- a/toucanhall/frontdoor.py
+++ b/toucanhall/frontdoor.py
@@ -56,7 +56,8 @@
 
 
 def _tell_health(door: Frontdoor, _request: Request) -> Answer:
-    return answer_json({'ready': door.holder.is_ready()})
+    is_ready = door.holder.is_ready() and door.parts.steerer.is_sized
+    return answer_json({'ready': is_ready})
 
 
 def _advise(door: Frontdoor, request: Request) -> Answer:
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -9,6 +9,7 @@
 
 __all__ = (
     'make_id',
+    'pause',
     'read_clock',
     'read_utc',
     'read_wall_milliseconds',
@@ -39,6 +40,11 @@
     return secrets.token_hex(_ID_BYTES)
 
 
+def pause(seconds: float) -> None:
+    """Hold the calling thread for some seconds."""
+    time.sleep(seconds)
+
+
 def start_ticker(
     period: float,
     call: Callable[[], None],
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -77,7 +77,7 @@
         self._fence = Fence(place.holder)
         self._known: dict[int, Catalogue] = {}
         self._confirmed = Confirmed()
-        self._released: dict[int, float] = {}
+        self._released: Mapping[int, float] = {}
         self._next_read = 0.0
         self._is_confirmed = False
 
@@ -147,6 +147,19 @@
             holdings[slot].vm for slot in slots if slot in holdings
         )
 
+    def list_own(self) -> frozenset[int] | None:
+        """Return the slots that nobody else uses; none without a table.
+
+        Limits need a confirmed fence besides. Target slots do not: a VM that
+        is cut off from all others goes on serving.
+        """
+        with self._lock:
+            if not self._fence.table.holdings:
+                return None
+            own = find_slots(self._fence.table, self._place.holder)
+            waiting = list_waiting(self._fence, runtime.read_clock())
+            return own - waiting - self._released.keys()
+
     def read_status(self) -> Mapping[str, object]:
         """Return the slots held, those waiting, and the pending revisions."""
         with self._lock:
@@ -184,23 +197,14 @@
             self._fence = note_read(self._fence, decode(stored), read_at, now)
             before = self._fence.table
             planned = plan(self._fence, live_vms, size, now)
-            is_ready = self._release(find_slots(planned, self._place.holder))
+            dropped = _find_dropped(before, planned, self._place.holder)
+            self._released = _note_released(self._released, dropped, now)
+            is_ready = _may_give_back(self._released, now)
         self._size()
         if planned == before or not is_ready:
             return True
         return self._write(stored, before, planned)
 
-    def _release(self, kept: frozenset[int]) -> bool:
-        """Stop using slots; return whether they may be given back."""
-        now = runtime.read_clock()
-        own = find_slots(self._fence.table, self._place.holder)
-        self._released = {
-            slot: self._released.get(slot, now) for slot in own - kept
-        }
-        return all(
-            now - since > LOAN_SECONDS for since in self._released.values()
-        )
-
     def _write(self, stored: Stored, before: Table, planned: Table) -> bool:
         content = msgspec.json.encode(planned)
         written = self._platform.write(stored.name, content, stored.version)
@@ -233,6 +237,27 @@
             self._ledger.resize(limits, read_until(self._fence) or 0)
 
 
+def _find_dropped(
+    before: Table,
+    planned: Table,
+    holder: Holding,
+) -> frozenset[int]:
+    return find_slots(before, holder) - find_slots(planned, holder)
+
+
+def _note_released(
+    released: Mapping[int, float],
+    dropped: frozenset[int],
+    now: float,
+) -> Mapping[int, float]:
+    """Return since when the slots to give back are no longer used."""
+    return {slot: released.get(slot, now) for slot in dropped}
+
+
+def _may_give_back(released: Mapping[int, float], now: float) -> bool:
+    return all(now - since > LOAN_SECONDS for since in released.values())
+
+
 def decode(stored: Stored) -> Table:
     """Return the table of a stored object, or the first empty one."""
     if not stored.content:
--- /dev/null
+++ b/toucanhall/steering/ownership.py
@@ -0,0 +1,78 @@
+"""Which slots of which targets a VM owns, by its part of the zone."""
+
+import math
+from collections.abc import Mapping
+from typing import Final
+
+from toucanhall.catalogue import Catalogue, Target
+
+__all__ = ('divide', 'note_gains', 'select_settled', 'select_targets')
+
+
+_GOLDEN_SHARE: Final = 0.618
+_SETTLE_SECONDS: Final = 3.0
+
+
+def select_targets(
+    catalogue: Catalogue,
+    zone: str,
+) -> Mapping[str, tuple[Target, ...]]:
+    """Return the targets of a zone by service, in the order of their names."""
+    selected: dict[str, tuple[Target, ...]] = {}
+    for name in sorted(catalogue.targets):
+        target = catalogue.targets[name]
+        if target.zone == zone:
+            known = selected.get(target.service, ())
+            selected[target.service] = (*known, target)
+    return selected
+
+
+def divide(
+    targets: tuple[Target, ...],
+    held: frozenset[int],
+    size: int,
+) -> Mapping[str, int]:
+    """Return how many slots of each target the holder of zone slots owns.
+
+    The slots of all targets are numbered through, and number k belongs to the
+    holder of zone slot `k * stride % size`. The stride spreads a service with
+    few slots over holders of neighbouring zone slots. Holders
+    with no zone slot in common own no slot of a target in common.
+    """
+    owned: dict[str, int] = {}
+    first = 0
+    stride = _find_stride(size)
+    for target in targets:
+        numbers = range(first, first + target.slots)
+        owned[target.name] = sum(
+            (number * stride) % size in held for number in numbers
+        )
+        first += target.slots
+    return owned
+
+
+def _find_stride(size: int) -> int:
+    stride = max(1, round(size * _GOLDEN_SHARE))
+    while math.gcd(stride, size) > 1:
+        stride += 1
+    return stride
+
+
+def note_gains(
+    gained: Mapping[int, float],
+    held: frozenset[int],
+    now: float,
+) -> Mapping[int, float]:
+    """Return since when each zone slot is held."""
+    return {slot: gained.get(slot, now) for slot in held}
+
+
+def select_settled(gained: Mapping[int, float], now: float) -> frozenset[int]:
+    """Return the zone slots whose earlier holder no longer uses them.
+
+    It learns that it lost a slot at its next look into the table, and needs
+    some time to finish what runs.
+    """
+    return frozenset(
+        slot for slot, since in gained.items() if now - since >= _SETTLE_SECONDS
+    )
