Keep serving in an outage of the store, and try another way after a failure

The count now begins at the time of the newest evidence. Retries wait for an untried target only; a fresh budget holds three, earned at 0.07 a success. Silence alone bounds the body now.

--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -133,8 +133,8 @@
     status, body = put(fleet, fleet.vms[5], shown, 'b')
     assert status == 412
     assert body['expected'] == shown['revision']
-    assert body['found'] == first['accepted']
-    assert body['found_change'] == 'change-a'
+    assert body['current'] == first['accepted']
+    assert body['newest_change']['id'] == 'change-a'
 
 
 def test_lost_reply_is_settled_and_a_repeated_change_is_one(fleet):
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -195,3 +195,31 @@
     assert select_settled(gained, 3) == {1}
     assert select_settled(gained, 5) == {1, 2}
     assert not select_settled(note_gains(gained, frozenset(), 6), 9)
+
+
+def test_retry_does_not_wait_for_the_target_that_failed():
+    state = make_state(Place('a', '', 9), peers=(NEAR,))
+    state, first = arrive(state)
+    state, _ = decide(state, End('a', FAILED), 0)
+    state, second = arrive(state, attempts=1, passed=frozenset(('a',)))
+    assert (first.name, second.name) == ('a', NEAR.vm)
+
+
+def test_retry_without_any_other_way_is_refused_at_once():
+    state = make_state(Place('a', '', 9))
+    state, _ = arrive(state)
+    state, _ = decide(state, End('a', FAILED), 0)
+    _, retried = arrive(state, attempts=1, passed=frozenset(('a',)))
+    assert isinstance(retried, Refuse)
+
+
+def test_fresh_vm_may_try_two_more_ways():
+    state = make_state(Place('a', '', 9), peers=(NEAR, FAR))
+    state, _ = arrive(state)
+    state, _ = decide(state, End('a', FAILED), 0)
+    state, _ = arrive(state, attempts=1, passed=frozenset(('a',)))
+    bounced = Outcome(healthy=None)
+    state, _ = decide(state, End(NEAR.vm, bounced, spare=0), 0)
+    passed = frozenset(('a', NEAR.vm))
+    _, third = arrive(state, attempts=2, passed=passed, is_bounced=True)
+    assert third.name == FAR.vm
--- /dev/null
+++ b/tests/unit/test_steering_sizes.py
@@ -0,0 +1,23 @@
+"""Tests of the sizes of services."""
+
+from tests.builders import make_catalogue
+from toucanhall.steering import Hop, Seat, size_services
+
+HOPS = (
+    Hop('north-a-2', 'north-a', '127.2.0.2:8080'),
+    Hop('south-a-1', 'south-a', '127.2.0.3:8080'),
+)
+SEAT = Seat('north-a', frozenset(range(12)))
+
+
+def list_peers(**changes):
+    """Return the VMs that may be asked for room for a service."""
+    size = size_services(make_catalogue(**changes), SEAT, HOPS, 0)['guide']
+    return [peer.vm for peer in size.peers]
+
+
+def test_zone_whose_targets_all_drain_is_not_asked():
+    assert list_peers() == ['north-a-2', 'south-a-1']
+    drains = {'targets': ['guide-1', 'guide-2']}
+    assert list_peers(drains=drains) == ['south-a-1']
+    assert list_peers(drains={'zones': ['north-a']}) == ['south-a-1']
--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -1,5 +1,6 @@
 """Sends one request to one address and reads back the whole answer."""
 
+import math
 from collections.abc import Iterator
 from http.client import HTTPException
 from itertools import chain
@@ -35,7 +36,6 @@
 _NO_BODY: Final = frozenset((204, 304))
 # An open connection may be silent for this part of the time that is left.
 _SILENT_PART: Final = 0.25
-_SILENT_PART_WHEN_NEW: Final = 0.5
 _BROKEN: Final = (OSError, HTTPException, ValueError)
 
 
@@ -77,7 +77,7 @@
             if isinstance(sent, Success):
                 return sent
         left = max(0, give_up_at - runtime.read_clock())
-        pace = Pace(give_up_at, left * _SILENT_PART_WHEN_NEW)
+        pace = Pace(give_up_at, left)
         return self._send_new(address, request, pace).alt(
             lambda error: error._replace(sent=error.sent or line is not None),
         )
@@ -146,6 +146,9 @@
         if response.isclosed():
             self._settle(address, line, response)
             return (first,)
+        # A slow caller may take longer over a large body than the deadline;
+        # the sender still may not fall silent.
+        line.sock.pace = line.sock.pace._replace(give_up_at=math.inf)
         return SettledBody(
             body=chain((first,), _stream(address, response)),
             settle=lambda _whole: self._settle(address, line, response),
--- a/toucanhall/spread/freshness.py
+++ b/toucanhall/spread/freshness.py
@@ -37,10 +37,10 @@
     After a start or a pause it is not settled until `needed` sources gave
     fresh evidence; one is not enough where there are more, as the store may
     have come back older. `ran` counts the seconds in which the VM ran without
-    a gap and got no fresh evidence: after enough of them it is cut off, and
-    goes on with what it has. `waited` counts the seconds that it ran without
-    being settled, whatever it heard: when all VMs start at once, none of them
-    can be a source for the others.
+    a gap since the time of its newest evidence: after enough of them the VM or
+    the store is cut off, and it goes on with what it has. `waited` counts the
+    seconds that it ran without being settled, whatever it heard: when all VMs
+    start at once, none of them can be a source for the others.
     """
 
     ticked_at: float
@@ -84,12 +84,14 @@
     """Return the state after evidence of a time from the store or a VM."""
     newest = as_of if state.as_of is None else max(as_of, state.as_of)
     learnt = state._replace(as_of=newest)
+    # Old evidence that peers go on telling does not begin the count anew.
+    ran = min(state.ran, max(0.0, now - as_of))
     if now - state.ticked_at > PAUSE_SECONDS or now - as_of > FRESH_SECONDS:
         return learnt
     if state.settled:
-        return learnt._replace(ran=0.0)
+        return learnt._replace(ran=ran)
     return _settle(
-        learnt._replace(ran=0.0, sources=state.sources | {source}),
+        learnt._replace(ran=ran, sources=state.sources | {source}),
     )
 
 
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -140,7 +140,7 @@
             distance,
             event.closed_regions,
             now,
-            can_ask=_may_ask(state, now),
+            can_ask=_may_ask(state, event, now),
         )
         if peer is None:
             return None
@@ -187,7 +187,8 @@
     )
 
 
-def _may_ask(state: State, now: float) -> bool:
+def _may_ask(state: State, event: Arrive, now: float) -> bool:
+    # A retry was paid for when it arrived.
     return state.budget.retries >= 1 or not room.count_usable(state, now)
 
 
@@ -198,6 +199,8 @@
 
 
 def _wait(state: State, event: Arrive, now: float) -> Found:
+    if event.attempts and not _has_untried(state, event, now):
+        return None
     estimate = room.estimate_wait(state, event, now) + room.read_latency(state)
     if estimate > event.expires_at - now:
         return None
@@ -220,6 +223,14 @@
     return state, (wait, refusal)
 
 
+def _has_untried(state: State, event: Arrive, now: float) -> bool:
+    return any(
+        places.limit(place, now)
+        for name, place in state.places.items()
+        if name not in event.passed
+    )
+
+
 _WAYS: Final = (
     _run,
     _carry(Distance.ZONE),
@@ -232,7 +243,7 @@
     _wait_at_sibling,
 )
 
-_OWN_WAYS: Final = (_run, _wait)
+_OWN_WAYS: Final = (_run, _run_at_draining, _wait)
 
 _ARRIVALS: Final = {
     Origin.CALLER: _arrive_from_caller,
--- a/toucanhall/steering/budget.py
+++ b/toucanhall/steering/budget.py
@@ -5,15 +5,16 @@
 __all__ = ('Budget', 'earn', 'limit_attempt', 'refill', 'spend')
 
 _MOST_RETRIES: Final = 10.0
-_SUCCESS_SHARE: Final = 0.08
+_SUCCESS_SHARE: Final = 0.07
 _RETRY_TIME_SHARE: Final = 0.2
 _RETRIES_PER_SECOND: Final = 0.2
+_LEAST_RETRIES: Final = 3.0  # one target and one entry VM that have gone
 
 
 class Budget(NamedTuple):
     """Retries that may be spent, as of a time in seconds."""
 
-    retries: float = 1.0
+    retries: float = _LEAST_RETRIES
     updated_at: float = 0.0
 
 
@@ -26,11 +27,11 @@
     """Return the budget at a later time.
 
     A few retries come with time, or a VM whose requests all fail would never
-    find out that other ways work again. The wait for one retry is the most
-    that time brings.
+    find out that other ways work again. Time brings no more than is enough
+    for one request.
     """
     elapsed = max(0.0, now - budget.updated_at)
-    missing = max(0.0, 1 - budget.retries)
+    missing = max(0.0, _LEAST_RETRIES - budget.retries)
     added = min(missing, elapsed * _RETRIES_PER_SECOND)
     return _add(budget, added)._replace(updated_at=now)
 
--- a/toucanhall/steering/sizes.py
+++ b/toucanhall/steering/sizes.py
@@ -67,29 +67,30 @@
     serving: dict[str, frozenset[str]] = {}
     for target in catalogue.targets.values():
         zones = serving.get(target.service, frozenset())
-        if target.zone not in catalogue.drains.zones:
+        if not _is_draining(catalogue, target):
             zones = zones | {target.zone}
         serving[target.service] = zones
     return serving
 
 
+def _is_draining(catalogue: Catalogue, target: Target) -> bool:
+    drains = catalogue.drains
+    return target.name in drains.targets or target.zone in drains.zones
+
+
 def _list_places(
     catalogue: Catalogue,
     seat: Seat,
     targets: tuple[Target, ...],
     now: float,
 ) -> Iterator[Place]:
-    drains = catalogue.drains
     owned = divide(targets, seat.held, catalogue.slots_per_zone)
     for target in targets:
-        is_draining = (
-            target.name in drains.targets or target.zone in drains.zones
-        )
         yield Place(
             target.name,
             target.address,
             owned[target.name],
-            draining_at=now if is_draining else None,
+            draining_at=now if _is_draining(catalogue, target) else None,
         )
 
 
