Choose the VMs that share a zone's slots in one function

The choice is now membership.view.select_live, which the unit tests run.

With it all of tests/unit/test_membership.py passes.

--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -5,8 +5,9 @@
 from toucanhall.membership.confirming import confirm, report_zones
 from toucanhall.membership.contacts import is_reader, select_near
 from toucanhall.membership.messages import Row
-from toucanhall.membership.view import assess, forgive
+from toucanhall.membership.view import assess, forgive, select_live
 from toucanhall.platform import Listed
+from toucanhall.shares.slots import Holding, Table, claim
 
 EMPTY = View({}, {})
 
@@ -115,3 +116,42 @@
     assert confirm(view, 'north-a', 9, 500) == {'north-a': 7}
     report = report_zones(view, ['north-a'], 9, 500)['north-a']
     assert report.waiting == ('north-a-1', 'north-a-2')
+
+
+def make_two_zones():
+    """Return the VMs of two zones, three in each, all heard and listed."""
+    listed = tuple(
+        Listed(f'{zone}-{index}', zone, f'127.2.{index}.1', False)
+        for zone in ('north-a', 'south-a')
+        for index in range(3)
+    )
+    view = EMPTY
+    for entry in listed:
+        heartbeat = make_heartbeat(zone=entry.zone)
+        view = hear(view, entry.vm, 's', heartbeat, 0)
+    return merge_list(view, listed, '', 0)
+
+
+def test_only_vms_of_the_zone_share_its_slots():
+    live = select_live(make_two_zones(), 'north-a', 'north-a-0', 1)
+    assert live == {'north-a-0', 'north-a-1', 'north-a-2'}
+
+
+def test_vms_of_a_zone_hold_all_of_its_slots():
+    size, view, table = 12, make_two_zones(), Table({})
+    for vm in ('north-a-0', 'north-a-1', 'north-a-2'):
+        live = select_live(view, 'north-a', vm, 1)
+        table = claim(table, Holding(vm, 's'), live, size)
+    assert set(table.holdings) == set(range(size))
+
+
+def test_silent_vm_keeps_its_slots_while_it_is_listed():
+    listed = (Listed('b', 'north-a', '127.2.0.2', False),)
+    view = merge_list(EMPTY, listed, 'a', 0)
+    assert select_live(view, 'north-a', 'a', 1) == {'a', 'b'}
+
+
+def test_vm_off_the_list_keeps_its_slots_while_it_is_alive():
+    view = hear(EMPTY, 'b', 's', make_heartbeat(zone='north-a'), 0)
+    assert select_live(view, 'north-a', 'a', 1) == {'a', 'b'}
+    assert select_live(view, 'north-a', 'a', 9) == {'a'}
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -23,7 +23,7 @@
 from toucanhall.membership.actor import Beat, Heard, Leave, ReadList
 from toucanhall.membership.confirming import report_zones
 from toucanhall.membership.contacts import is_reader, select_contacts
-from toucanhall.membership.view import HEARTBEAT_SECONDS
+from toucanhall.membership.view import HEARTBEAT_SECONDS, select_live
 from toucanhall.platform import connect
 from toucanhall.settings import Settings
 from toucanhall.shares import Holding, Ledger
@@ -325,19 +325,10 @@
     def _claim(self) -> None:
         if self._stopping.is_set():
             return
-        peers = self._list_peers()
-        live = frozenset(
-            member.vm
-            for member in self._view.members.values()
-            if member.zone == self._settings.zone
-            and (member.listed or member.vm in peers)
-        )
+        view, own = self._view, self._settings
+        live = select_live(view, own.zone, own.vm, runtime.read_clock())
         self._claimer.tick(
-            Surroundings(
-                peers,
-                live | {self._settings.vm},
-                self._view.confirmed,
-            ),
+            Surroundings(self._list_peers(), live, view.confirmed),
         )
 
     def _list_usable_vms(self) -> tuple[AdvisedVm, ...]:
--- a/toucanhall/membership/view.py
+++ b/toucanhall/membership/view.py
@@ -17,6 +17,7 @@
     'forgive',
     'hear',
     'merge_list',
+    'select_live',
 )
 
 HEARTBEAT_SECONDS: Final = 1.0
@@ -76,6 +77,23 @@
     return Health.ALIVE
 
 
+def select_live(
+    view: View, zone: str, own_vm: str, now: float
+) -> frozenset[str]:
+    """Return the VMs among which the slots of one zone are divided.
+
+    These are this VM and the zone's others that are alive or still listed.
+    VMs of other zones have slots of their own.
+    """
+    others = (
+        member.vm
+        for member in view.members.values()
+        if member.zone == zone
+        and (member.listed or assess(member, now) is Health.ALIVE)
+    )
+    return frozenset((own_vm, *others))
+
+
 def hear(
     view: View,
     vm: str,
