Work out each decision of the fence model once for equal parts

The profile showed the time in freezing, thawing and comparing whole states, though a step changes one or two of their parts. States are now the numbers of their parts, and what a step makes of a part, or of a pair, is kept for the run. The steps, the canonical form and the decisions that are run are the same; no symmetry is used.

--- a/tests/models/test_shares_fence_model.py
+++ b/tests/models/test_shares_fence_model.py
@@ -8,6 +8,7 @@
 what they tell stays true; the answer to the holder also comes late and often.
 """
 
+from functools import cache
 from typing import NamedTuple
 from unittest import mock
 
@@ -29,13 +30,16 @@
 
 
 class State(NamedTuple):
-    """The store, the holders, and one answer on its way to the holder."""
+    """The store, the holders, and one answer on its way to the holder.
 
-    stored: Table
-    holder: Fence
-    near: Fence
-    far: Fence
-    answer: tuple[Holding, Acknowledgement] | None = None
+    The checker's states have the numbers of these parts in their place.
+    """
+
+    stored: Table | int
+    holder: Fence | int
+    near: Fence | int
+    far: Fence | int
+    answer: tuple[Holding, Acknowledgement] | int | None = None
 
 
 def freeze(found):
@@ -114,47 +118,175 @@
     return peer, known._replace(table=known.table and thaw_table(known.table))
 
 
-def pack(state):
-    """Return a state of the checker."""
-    fences = (freeze(found) for found in (state.holder, state.near, state.far))
-    return (
-        freeze_table(state.stored),
-        *fences,
-        freeze_answer(state.answer, state.holder),
-    )
+class Codes:
+    """Small numbers for hashable forms, so that states are quick to compare."""
+
+    def __init__(self):
+        """Start with none."""
+        self.numbers = {}
+        self.forms = []
+
+    def encode(self, form):
+        """Return the number of a form, a new one if it has none."""
+        number = self.numbers.setdefault(form, len(self.forms))
+        if number == len(self.forms):
+            self.forms.append(form)
+        return number
+
+
+class Steps:
+    """What each part of a state becomes; worked out once for equal parts.
+
+    Each decision looks at one or two parts, and far fewer pairs of parts occur
+    than states. One object serves one run, since a run may replace decisions.
+    """
+
+    def __init__(self):
+        """Start with nothing worked out."""
+        self.fences = Codes()
+        self.tables = Codes()
+        self.answers = Codes()
+        for name in (
+            'age_answer', 'age_fence', 'answer', 'hear', 'is_restartable',
+            'keep_answer', 'list_plans', 'list_used', 'may_use', 'read',
+            'restart', 'tell',
+        ):  # fmt: skip
+            setattr(self, name, cache(getattr(self, name)))
+
+    def pack(self, state):
+        """Return a state of the checker: the numbers of its parts."""
+        return State(
+            self.put_table(state.stored),
+            *(self.put(getattr(state, name)) for name in NAMES),
+            self.answers.encode(freeze_answer(state.answer, state.holder)),
+        )
+
+    def put(self, found):
+        """Return the number of a fence."""
+        return self.fences.encode(freeze(found))
+
+    def get(self, number):
+        """Return the fence of a number."""
+        return thaw(self.fences.forms[number])
+
+    def put_table(self, table):
+        """Return the number of a table."""
+        return self.tables.encode(freeze_table(table))
+
+    def get_table(self, number):
+        """Return the table of a number."""
+        return thaw_table(self.tables.forms[number])
+
+    def put_answer(self, answer, holder):
+        """Return the number of an answer on its way to the holder."""
+        return self.answers.encode(freeze_answer(answer, self.get(holder)))
+
+    def get_answer(self, number):
+        """Return the answer of a number."""
+        return thaw_answer(self.answers.forms[number])
+
+    def keep_answer(self, answer, holder):
+        """Return the answer as far as it is of use to the holder as it is."""
+        return self.put_answer(self.get_answer(answer), holder)
+
+    def age_fence(self, number):
+        """Return a fence after a tick."""
+        return self.put(age(self.get(number)))
+
+    def age_answer(self, number, holder):
+        """Return an answer on its way to an aged holder after a tick."""
+        answer = self.get_answer(number)
+        if answer is not None:
+            asked_at = answer[1].asked_at - TICK
+            answer = answer[0], answer[1]._replace(asked_at=asked_at)
+        return self.put_answer(answer, holder)
+
+    def read(self, number, stored):
+        """Return a fence that read the table in the store."""
+        table = self.get_table(stored)
+        return self.put(fence.note_read(self.get(number), table, 0, 0))
+
+    def answer(self, number, holder):
+        """Return a peer that answers the holder, and its answer."""
+        peer, asker = self.get(number), self.get(holder)
+        probe = Probe(0, asker.table.number, asker.table)
+        told, known = fence.answer_probe(peer, HOLDER.start, probe, 1, 0)
+        return self.put(told), self.put_answer((peer.own, known), holder)
+
+    def hear(self, holder, answer):
+        """Return the holder that heard an answer, if there is one."""
+        found = self.get_answer(answer)
+        if found is None:
+            return None
+        return self.put(fence.hear_known(self.get(holder), *found, 0))
+
+    def list_plans(self, number, stored):
+        """Return what a taker may write: live VMs, table, and its fence."""
+        own, table = self.get(number), self.get_table(stored)
+        if own.table.number != table.number:
+            return ()
+        found = []
+        for live in (set(NAMES), set(NAMES[1:])):
+            planned = fence.plan(own, frozenset(live), 3, 0)
+            if planned == own.table or planned.number > LAST_NUMBER:
+                continue
+            free = frozenset(planned.holdings) - frozenset(own.table.holdings)
+            adopted = fence.adopt(own, planned, 0, free)
+            found.append(
+                (len(live), self.put_table(planned), self.put(adopted)),
+            )
+        return tuple(found)
+
+    def tell(self, number, other):
+        """Return a peer that was told a taker's table, and the taker."""
+        own, peer = self.get(number), self.get(other)
+        probe = Probe(0, own.table.number, own.table)
+        told, known = fence.answer_probe(peer, own.own.start, probe, 1, 0)
+        heard = fence.hear_known(own, told.own, known, 0)
+        return self.put(told), self.put(heard)
 
+    def is_restartable(self, number):
+        """Return whether a taker is at its first start."""
+        return self.get(number).own == NEAR
 
-def unpack(fields):
-    """Return the state of a checker's state."""
-    stored, *fences, answer = fields
-    return State(
-        thaw_table(stored), *map(thaw, fences), thaw_answer(answer),
-    )  # fmt: skip
+    def restart(self):
+        """Return the fence of a taker that starts again."""
+        return self.put(Fence(RESTARTED))
+
+    def may_use(self, number):
+        """Return whether the holder is confirmed."""
+        until = fence.read_until(self.get(number))
+        return until is not None and until > 0
 
+    def list_used(self, number):
+        """Return the slots that a fence leaves to its holder."""
+        return fence.find_usable(self.get(number), 0)
 
-def list_steps(state):
-    """Yield what can happen next."""
-    yield 'time passes', pass_time(state)
+
+def list_steps(steps, state):
+    """Yield what can happen next, with the answer as it was."""
+    yield 'time passes', pass_time(steps, state)
     for name in NAMES:
-        own = getattr(state, name)
-        read = fence.note_read(own, state.stored, 0, 0)
+        read = steps.read(getattr(state, name), state.stored)
         yield f'{name} reads', state._replace(**{name: read})
-    yield from list_answers(state)
+    yield from list_answers(steps, state)
     for name in NAMES[1:]:
-        yield from list_writes(state, name)
-        yield from list_told(state, name)
-    if state.near.own == NEAR:
-        yield 'near restarts', state._replace(near=Fence(RESTARTED))
+        yield from list_writes(steps, state, name)
+        yield from list_told(steps, state, name)
+    if steps.is_restartable(state.near):
+        yield 'near restarts', state._replace(near=steps.restart())
 
 
-def pass_time(state):
+def pass_time(steps, state):
     """Let the clock of all advance; the present stays 0."""
-    fences = {name: age(getattr(state, name)) for name in NAMES}
-    answer = state.answer
-    if answer is not None:
-        asked_at = answer[1].asked_at - TICK
-        answer = answer[0], answer[1]._replace(asked_at=asked_at)
-    return state._replace(**fences, answer=answer)
+    holder = steps.age_fence(state.holder)
+    return State(
+        state.stored,
+        holder,
+        steps.age_fence(state.near),
+        steps.age_fence(state.far),
+        steps.age_answer(state.answer, holder),
+    )
 
 
 def age(found):
@@ -169,50 +301,39 @@
     )
 
 
-def list_answers(state):
+def list_answers(steps, state):
     """Let peers answer the holder; the answer arrives late, twice or never."""
     for name in NAMES[1:]:
-        peer = getattr(state, name)
-        probe = Probe(0, state.holder.table.number, state.holder.table)
-        told, known = fence.answer_probe(peer, HOLDER.start, probe, 1, 0)
+        told, answer = steps.answer(getattr(state, name), state.holder)
         yield (
             f'{name} answers',
-            state._replace(**{name: told}, answer=(peer.own, known)),
+            state._replace(**{name: told}, answer=answer),
         )
-    if state.answer is not None:
-        heard = fence.hear_known(state.holder, *state.answer, 0)
+    heard = steps.hear(state.holder, state.answer)
+    if heard is not None:
         yield 'holder hears', state._replace(holder=heard)
 
 
-def list_writes(state, name):
+def list_writes(steps, state, name):
     """Let a taker write what it plans, with or without a reply."""
-    own = getattr(state, name)
-    if own.table.number != state.stored.number:
-        return
-    for live in (set(NAMES), set(NAMES[1:])):
-        planned = fence.plan(own, frozenset(live), 3, 0)
-        if planned == own.table or planned.number > LAST_NUMBER:
-            continue
-        written = state._replace(stored=planned)
-        free = frozenset(planned.holdings) - frozenset(own.table.holdings)
-        adopted = fence.adopt(own, planned, 0, free)
+    plans = steps.list_plans(getattr(state, name), state.stored)
+    for live, planned, adopted in plans:
         yield (
-            f'{name} writes with {len(live)} live',
-            written._replace(**{name: adopted}),
+            f'{name} writes with {live} live',
+            state._replace(stored=planned, **{name: adopted}),
+        )
+        yield (
+            f'{name} writes with {live} live, reply lost',
+            state._replace(stored=planned),
         )
-        yield f'{name} writes with {len(live)} live, reply lost', written
 
 
-def list_told(state, name):
+def list_told(steps, state, name):
     """Let a taker tell its table to a peer and hear that it did."""
-    own = getattr(state, name)
     for other in NAMES:
         if other == name:
             continue
-        probe = Probe(0, own.table.number, own.table)
-        peer = getattr(state, other)
-        told, known = fence.answer_probe(peer, own.own.start, probe, 1, 0)
-        heard = fence.hear_known(own, told.own, known, 0)
+        told, heard = steps.tell(getattr(state, name), getattr(state, other))
         yield (
             f'{name} tells {other}',
             state._replace(**{other: told, name: heard}),
@@ -220,31 +341,32 @@
         yield f'{name} tells {other}, lost', state._replace(**{other: told})
 
 
-def is_held_once(fields):
+def is_held_once(steps, state):
     """Return whether no other uses a slot while the holder does."""
-    state = unpack(tuple(fields.values()))
-    until = fence.read_until(state.holder)
-    if until is None or until <= 0:
+    if not steps.may_use(state.holder):
         return True
-    used = fence.find_usable(state.holder, 0)
+    used = steps.list_used(state.holder)
     return not any(
-        used & fence.find_usable(other, 0) for other in (state.near, state.far)
+        used & steps.list_used(other) for other in (state.near, state.far)
     )
 
 
 def check():
     """Check that each slot has one user at a time; stop at a fault."""
     faults = []
+    steps = Steps()
 
-    def expand(fields):
+    def expand(state):
         if faults:
-            return []
-        return [
-            (label, pack(after)) for label, after in list_steps(unpack(fields))
-        ]
+            return
+        for label, after in list_steps(steps, state):
+            if after.holder != state.holder:
+                kept = steps.keep_answer(after.answer, after.holder)
+                after = after._replace(answer=kept)
+            yield label, after
 
     def judge(fields):
-        held = is_held_once(fields)
+        held = is_held_once(steps, State(**fields))
         if not held:
             faults.append(fields)
         return held
@@ -256,7 +378,7 @@
         name='fence',
         candidate=False,
         fields=State._fields,
-        initial=pack(start),
+        initial=steps.pack(start),
         transitions=expand,
         invariants={'held_once': judge},
     )
