Print states, time and counterexample lengths of the models

The output of passed model tests was captured and lost. The steering model stands for random histories, so it prints how many states of how many histories.

--- a/tests/checks.py
+++ b/tests/checks.py
@@ -69,7 +69,8 @@
     'lint': run_tool('flake8', *_SOURCES),
     'types': run_tool('mypy', 'toucanhall', 'standins', 'benches', 'release'),
     'tests': run_tests('tests/unit'),
-    'models': run_tests('tests/models'),
+    # P shows what passed tests printed: states, times, counterexamples.
+    'models': run_tests('-rfEP', 'tests/models'),
     'processes': run_tests('tests/processes'),
     'features': run_tool('behave', '--format=progress', 'tests/features'),
 }
--- a/tests/models/test_claims_model.py
+++ b/tests/models/test_claims_model.py
@@ -10,8 +10,9 @@
 from typing import NamedTuple
 
 import pytest
-from minicheck import Protocol, check_safety
+from minicheck import Protocol
 
+from tests.models.reports import explore, report_model, report_variant
 from toucanhall.idempotency import Claim, Found, Outcome, messages, protocol
 from toucanhall.idempotency.attempt import Attempt, Stage, Verdict
 
@@ -196,7 +197,7 @@
             'refusals_true': tells_the_truth,
         },
     )
-    return check_safety(protocol_model, max_states=max_states)
+    return explore(protocol_model, max_states)
 
 
 def runs_at_most_once(fields):
@@ -219,7 +220,7 @@
 @pytest.mark.parametrize('digests', [('d', 'd'), ('d', 'x')])
 def test_claims_hold_in_every_state(digests):
     checked = check(Rules(digests=digests))
-    print(f'states: {checked["reachable_states"]}')
+    report_model(f'claims digests {" ".join(digests)}', checked)
     assert checked['exhaustive']
     assert find(checked, 'at_most_once')['holds']
     assert find(checked, 'refusals_true')['holds']
@@ -300,5 +301,6 @@
 )
 def test_each_guard_is_needed(broken, invariant):
     found = find(check(Rules(step=broken), FIRST_STATES), invariant)
+    report_variant(f'claims {broken.__name__}', found)
     assert found['holds'] is False
     assert found['counterexample']
--- a/tests/models/test_freshness_model.py
+++ b/tests/models/test_freshness_model.py
@@ -10,8 +10,9 @@
 
 from typing import NamedTuple
 
-from minicheck import Protocol, check_safety
+from minicheck import Protocol
 
+from tests.models.reports import explore, report_model, report_variants
 from toucanhall.spread import freshness
 from toucanhall.spread.freshness import Freshness
 
@@ -145,7 +146,7 @@
             ),
         },
     )
-    return check_safety(protocol, max_states=2_000_000)
+    return explore(protocol, max_states=2_000_000)
 
 
 def list_broken(checked):
@@ -159,7 +160,7 @@
 
 def test_withdrawn_key_is_served_for_a_bounded_time():
     checked = check()
-    print(f'states: {checked["reachable_states"]}')
+    report_model('freshness', checked)
     assert not list_broken(checked)
 
 
@@ -169,7 +170,9 @@
             state._replace(ticked_at=now), now, hold_seconds,
         )  # fmt: skip
 
-    assert 'bounded' in list_broken(check(may_serve=serve_settled))
+    checked = check(may_serve=serve_settled)
+    report_variants('freshness serve_settled', checked)
+    assert 'bounded' in list_broken(checked)
 
 
 def test_pause_must_be_noticed_by_the_tick():
@@ -177,18 +180,24 @@
         ticked_at = max(state.ticked_at, now - freshness.STEP_SECONDS)
         return freshness.tick(state._replace(ticked_at=ticked_at), now, peers)
 
-    assert 'bounded' in list_broken(check(tick=tick_on))
+    checked = check(tick=tick_on)
+    report_variants('freshness tick_on', checked)
+    assert 'bounded' in list_broken(checked)
 
 
 def test_answer_must_count_from_its_question():
     def learn_on_arrival(state, _asked_at, source, now):
         return freshness.learn(state, now, source, now)
 
-    assert 'bounded' in list_broken(check(learn=learn_on_arrival))
+    checked = check(learn=learn_on_arrival)
+    report_variants('freshness learn_on_arrival', checked)
+    assert 'bounded' in list_broken(checked)
 
 
 def test_bound_on_an_outdated_revision_is_needed():
     def serve_for_ever(state, now, _hold_seconds):
         return freshness.may_serve(state, now, -OLDEST)
 
-    assert 'held' in list_broken(check(may_serve=serve_for_ever))
+    checked = check(may_serve=serve_for_ever)
+    report_variants('freshness serve_for_ever', checked)
+    assert 'held' in list_broken(checked)
--- a/tests/models/test_shares_fence_model.py
+++ b/tests/models/test_shares_fence_model.py
@@ -12,8 +12,9 @@
 from unittest import mock
 
 import pytest
-from minicheck import Protocol, check_safety
+from minicheck import Protocol
 
+from tests.models.reports import explore, report_model, report_variant
 from toucanhall.shares import Holding, Table, fence
 from toucanhall.shares.fence import CONFIRM_SECONDS, Fence
 from toucanhall.shares.messages import Acknowledgement, Probe
@@ -260,14 +261,13 @@
         transitions=expand,
         invariants={'held_once': judge},
     )
-    checked = check_safety(protocol, max_states=MAX_STATES)
-    return checked['reachable_states'], checked['properties']['held_once']
+    return explore(protocol, MAX_STATES)
 
 
 def test_slot_has_one_user_at_a_time():
-    states, found = check()
-    print(f'states: {states}')
-    assert found['holds'] is True
+    checked = check()
+    report_model('fence', checked)
+    assert checked['properties']['held_once']['holds'] is True
 
 
 def confirm_on_arrival(own, peer, known, now):
@@ -296,5 +296,6 @@
 )
 def test_each_guard_is_needed(guard, broken):
     with mock.patch.object(fence, guard, broken):
-        _, found = check()
+        found = check()['properties']['held_once']
+    report_variant(f'fence {guard}', found)
     assert found['holds'] is False
--- a/tests/models/test_shares_gifts_model.py
+++ b/tests/models/test_shares_gifts_model.py
@@ -14,8 +14,9 @@
 from unittest import mock
 
 import pytest
-from minicheck import Protocol, check_safety
+from minicheck import Protocol
 
+from tests.models.reports import explore, report_model, report_variant
 from toucanhall.shares import bucket, fence, purse
 from toucanhall.shares.bucket import LOAN_SECONDS, Bucket
 from toucanhall.shares.purse import Purse
@@ -176,8 +177,7 @@
         ],
         invariants={'stock': is_stock_bounded},
     )
-    checked = check_safety(protocol)
-    return checked['reachable_states'], checked['properties']['stock']
+    return explore(protocol)
 
 
 @pytest.fixture(autouse=True)
@@ -187,16 +187,22 @@
         yield
 
 
-def find_faults():
+def find_faults(variant):
     """Return which rates lead to a counterexample."""
-    return {rate for rate in RATES if check(rate)[1]['holds'] is False}
+    faults = set()
+    for rate in RATES:
+        found = check(rate)['properties']['stock']
+        report_variant(f'gifts {variant}, rate {rate:.0f}', found)
+        if found['holds'] is False:
+            faults.add(rate)
+    return faults
 
 
 @pytest.mark.parametrize('rate', RATES)
 def test_stock_stays_within_the_limit(rate):
-    states, found = check(rate)
-    print(f'states: {states}')
-    assert found['holds'] is True
+    checked = check(rate)
+    report_model(f'gifts rate {rate:.0f}', checked)
+    assert checked['properties']['stock']['holds'] is True
 
 
 def test_wait_of_a_taker_outlives_gifts():
@@ -235,11 +241,11 @@
 )
 def test_each_guard_is_needed(module, guard, broken):
     with mock.patch.object(module, guard, broken):
-        faults = find_faults()
+        faults = find_faults(guard)
     assert faults
 
 
 def test_restart_needs_an_empty_bucket():
     with mock.patch(f'{__name__}.START_TOKENS', CAP):
-        faults = find_faults()
+        faults = find_faults('START_TOKENS')
     assert faults
--- a/tests/models/test_shares_revisions_model.py
+++ b/tests/models/test_shares_revisions_model.py
@@ -8,9 +8,10 @@
 from typing import NamedTuple
 
 import pytest
-from minicheck import Protocol, check_safety
+from minicheck import Protocol
 
 from tests.builders import make_catalogue
+from tests.models.reports import explore, report_model, report_variant
 from toucanhall.shares import parts, revisions
 
 ZONES = ('north-a', 'south-a')
@@ -106,14 +107,13 @@
             'refill': lambda fields: is_bounded(State(**fields), list_pending),
         },
     )
-    checked = check_safety(protocol)
-    return checked['reachable_states'], checked['properties']['refill']
+    return explore(protocol)
 
 
 def test_parts_in_force_stay_within_the_limit():
-    states, found = check(revisions.list_pending)
-    print(f'states: {states}')
-    assert found['holds'] is True
+    checked = check(revisions.list_pending)
+    report_model('revisions', checked)
+    assert checked['properties']['refill']['holds'] is True
 
 
 def use_newest(known, _confirmed):
@@ -129,5 +129,6 @@
 
 @pytest.mark.parametrize('broken', [use_newest, pass_over_unknown])
 def test_each_guard_is_needed(broken):
-    _, found = check(broken)
+    found = check(broken)['properties']['refill']
+    report_variant(f'revisions {broken.__name__}', found)
     assert found['holds'] is False
--- a/tests/models/test_spread_model.py
+++ b/tests/models/test_spread_model.py
@@ -8,8 +8,9 @@
 from functools import partial
 from typing import NamedTuple
 
-from minicheck import Protocol, check_safety
+from minicheck import Protocol
 
+from tests.models.reports import explore, report_model, report_variants
 from toucanhall.catalogue.holder import Verdict, judge
 from toucanhall.spread import comparison, freshness
 from toucanhall.spread.acceptance import (
@@ -286,7 +287,7 @@
             'unique': is_unique,
         },
     )
-    return check_safety(protocol, max_states=MOST_STATES)
+    return explore(protocol, MOST_STATES)
 
 
 def list_broken(checked):
@@ -300,13 +301,14 @@
 
 def test_changes_are_kept_and_told_truly():
     checked = check()
-    print(f'states: {checked["reachable_states"]}')
+    report_model('spread', checked)
     assert not list_broken(checked)
 
 
 def test_store_that_forgets_before_a_second_vm_heard_is_the_known_limit():
     checked = check(forgets='sudden')
-    print(f'states: {checked["reachable_states"]}')
+    report_model('spread store forgets', checked)
+    report_variants('spread store forgets', checked)
     assert list_broken(checked) == {'kept', 'true', 'unique'}
 
 
@@ -314,18 +316,24 @@
     def take_any(_held, _number, _change):
         return Verdict.TAKE
 
-    assert 'never_back' in list_broken(check(judge=take_any))
+    checked = check(judge=take_any)
+    report_variants('spread take_any', checked)
+    assert 'never_back' in list_broken(checked)
 
 
 def test_second_source_is_needed_after_a_start():
-    assert 'never_back' in list_broken(check(needed=1))
+    checked = check(needed=1)
+    report_variants('spread needed_1', checked)
+    assert 'never_back' in list_broken(checked)
 
 
 def test_repair_before_a_change_is_needed():
     def check_loosely(expected, change, _known, stored):
         return check_base(expected, change, Known(), stored)
 
-    assert 'unique' in list_broken(check(check_base=check_loosely))
+    checked = check(check_base=check_loosely)
+    report_variants('spread check_loosely', checked)
+    assert 'unique' in list_broken(checked)
 
 
 def test_second_write_against_a_delayed_one_is_needed():
@@ -334,7 +342,9 @@
         is_again = isinstance(event, Found) and step is Step.WRITE
         return attempt, Step.CONFLICT if is_again else step
 
-    assert 'true' in list_broken(check(proceed=give_up))
+    checked = check(proceed=give_up)
+    report_variants('spread give_up', checked)
+    assert 'true' in list_broken(checked)
 
 
 def test_history_of_change_ids_is_needed():
@@ -346,4 +356,6 @@
             return attempt, Step.CONFLICT if is_foreign else step
         return proceed(attempt, event)
 
-    assert 'true' in list_broken(check(proceed=forget))
+    checked = check(proceed=forget)
+    report_variants('spread forget', checked)
+    assert 'true' in list_broken(checked)
--- a/tests/models/test_steering_model.py
+++ b/tests/models/test_steering_model.py
@@ -1,9 +1,12 @@
 """Model of admission: any order of requests, hops, ends and faults."""
 
+import time
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.builders import make_arrival, make_state
+from tests.models.reports import report_size
 from toucanhall.steering import Outcome
 from toucanhall.steering.places import Place
 from toucanhall.steering.policy import decide
@@ -34,9 +37,8 @@
     return decide(state, Expire(str(number - 1)), now)
 
 
-@settings(max_examples=300, deadline=None, derandomize=True)
-@given(STEPS)
-def test_no_order_of_events_overloads_a_target(steps):
+def check_history(steps):
+    """Check that no target ever runs more than its slots."""
     state = make_state(Place('a', '', SLOTS), Place('b', '', SLOTS))
     running = []
     origins = {}
@@ -52,3 +54,19 @@
             count = sum(entry[0] == name for entry in running)
             assert place.in_flight == count
             assert count <= SLOTS
+
+
+def test_no_order_of_events_overloads_a_target():
+    lengths = []
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(STEPS)
+    def check_histories(steps):
+        lengths.append(len(steps))
+        check_history(steps)
+
+    started = time.perf_counter()
+    check_histories()
+    seconds = time.perf_counter() - started
+    size = f'{sum(lengths)} states of {len(lengths)} random histories'
+    report_size('steering', size, seconds)
