--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -6,6 +6,7 @@
 
 from benches import (
     blocks,
+    capacity,
     catalogue,
     faults,
     footprint,
@@ -18,6 +19,7 @@
 
 BENCHES: Final[dict[str, Callable[[Sequence[str]], int]]] = {
     'blocks': blocks.main,
+    'capacity': capacity.main,
     'catalogue': catalogue.main,
     'faults': faults.main,
     'footprint': footprint.main,
--- a/benches/blocks.py
+++ b/benches/blocks.py
@@ -1,13 +1,19 @@
 """Bytes per block and look-ups per second of the table of client blocks."""
 
 import argparse
+import ipaddress
 import json
 import random
 import time
 from collections.abc import Iterator, Sequence
 from typing import Final
 
-from toucanhall.steering.blocks import Block, find_version4, make_blocks
+from toucanhall.steering.blocks import (
+    Block,
+    find_version4,
+    find_zone,
+    make_blocks,
+)
 
 _SIZES: Final = (3500, 35000, 350000, 3500000)
 _ZONES: Final = 72
@@ -35,6 +41,11 @@
     for address in addresses:
         find_version4(blocks, address)
     seconds = time.perf_counter() - started
+    texts = [str(ipaddress.ip_address(number)) for number in addresses]
+    started = time.perf_counter()
+    for text in texts:
+        find_zone(blocks, text)
+    text_seconds = time.perf_counter() - started
     table = blocks.version4
     room = sum(column.itemsize * len(column) for column in table)
     return {
@@ -44,6 +55,7 @@
         'bytes_per_block': round(room / size, 2),
         'build_s': round(built, 2),
         'lookups_per_s': round(_LOOKUPS / seconds),
+        'text_lookups_per_s': round(_LOOKUPS / text_seconds),
     }
 
 
--- /dev/null
+++ b/benches/capacity.py
@@ -0,0 +1,340 @@
+"""What control holds and spends on one entry VM, by the size of the fleet.
+
+Each part runs the functions of the product at four sizes. Times are of the
+processor, medians of some rounds; memory is what `tracemalloc` counts.
+"""
+
+import argparse
+import json
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any, Final, TypeAlias, cast
+
+import msgspec
+
+from benches.catalogue import change_key, make_document
+from benches.membership import make_list
+from toucanhall.admin.audit import AuditEntry
+from toucanhall.catalogue import Catalogue, Revision
+from toucanhall.catalogue.differences import compare
+from toucanhall.catalogue.reading import read, revise, revise_after
+from toucanhall.membership.contacts import select_contacts
+from toucanhall.membership.view import View, merge_list
+from toucanhall.platform import Listed
+from toucanhall.shares import Holding, Ledger
+from toucanhall.shares.claimer import Claimer, Place
+from toucanhall.shares.messages import Acknowledgement, Probe
+from toucanhall.shares.slots import Table
+from toucanhall.spread.messages import RevisionAnswer, RevisionQuery
+from toucanhall.spread.patches import apply_delta, canonicalise, find_delta
+from toucanhall.spread.record import encode
+from toucanhall.steering import (
+    AdvisedVm,
+    Hop,
+    Seat,
+    Steerer,
+    advise,
+    size_links,
+    size_services,
+)
+from toucanhall.transport import Envelope, seal, unseal
+
+Row: TypeAlias = dict[str, float]
+
+_TARGETS: Final = (400, 800, 1600, 3100)
+_VMS: Final = (8, 16, 32, 62)
+_ENTRIES: Final = (10, 25, 50, 100)
+_ZONES: Final = 72
+_ROUNDS: Final = 5
+_PENDING: Final = 6  # revisions that some zone may still run
+_SECRET: Final = b'bench'
+_START: Final = 'start-of-24-hex-digits--'
+_ZONE: Final = 'zone-0'
+_CHANGE: Final = 'change-of-24-hex-digits-'
+_MICRO: Final = 1_000_000
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Print a line per part and size, and the slopes of each part."""
+    parser = argparse.ArgumentParser(prog='bench capacity')
+    parser.add_argument('--part', choices=sorted(_PARTS))
+    options = parser.parse_args(arguments)
+    for name, (sizes, measure) in _PARTS.items():
+        if options.part in {None, name}:
+            print_part(name, sizes, measure)
+    return 0
+
+
+def print_part(
+    name: str,
+    sizes: Sequence[int],
+    measure: Callable[[int], Row],
+) -> None:
+    """Measure one part at its sizes and print what each unit adds."""
+    rows = [measure(size) for size in sizes]
+    for size, row in zip(sizes, rows):
+        print(json.dumps({'part': name, 'size': size, **row}), flush=True)
+    slopes = {
+        column: round(
+            statistics.linear_regression(
+                sizes, [row[column] for row in rows],
+            ).slope,
+            3,
+        )
+        for column in rows[0]
+    }  # fmt: skip
+    print(json.dumps({'part': name, 'slope_per_unit': slopes}), flush=True)
+
+
+def measure_us(call: Callable[[], object], repeats: int = 1) -> float:
+    """Return the processor microseconds of a call."""
+    times = []
+    for _ in range(_ROUNDS):
+        started = time.process_time()
+        for _ in range(repeats):
+            call()
+        times.append((time.process_time() - started) / repeats)
+    return round(statistics.median(times) * _MICRO, 1)
+
+
+def measure_bytes(make: Callable[[], object]) -> int:
+    """Return the memory that is held by what a call makes."""
+    tracemalloc.start()
+    held = make()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return size
+
+
+def measure_spread(targets: int) -> Row:
+    """Measure the difference of one key, and the object in the store."""
+    base = make_revision(1, make_document(targets))
+    wanted = make_revision(2, change_key(make_document(targets)))
+    delta = find_delta(base, wanted)
+    if delta is None:
+        raise ValueError('a canonical document has no delta')
+    return {
+        'delta_bytes': len(seal(_SECRET, 'vm', _START, delta)),
+        'object_bytes': len(encode(2, _CHANGE, wanted.document)),
+        'find_us': measure_us(partial(find_delta, base, wanted)),
+        'apply_us': measure_us(partial(apply_delta, base, delta)),
+        'revise_us': measure_us(
+            partial(revise_after, base, 2, _CHANGE, wanted.document),
+        ),
+    }
+
+
+def measure_admin(targets: int) -> Row:
+    """Measure the check and the comparison of one edit at the API."""
+    known = make_document(targets)
+    changed = change_key(known)
+    return {
+        'check_us': measure_us(partial(read, changed, known)),
+        'compare_us': measure_us(partial(compare, known, changed)),
+    }
+
+
+def measure_audit(entries: int) -> Row:
+    """Measure the size of a page of the history."""
+    page = [
+        AuditEntry(
+            f'{_CHANGE}{number}', 'operator', '2027-01-01T00:00:00Z', number,
+            (f'keys.key-{number}: added',),
+        )
+        for number in range(entries)
+    ]  # fmt: skip
+    return {'page_bytes': len(msgspec.json.encode(page))}
+
+
+def measure_steering(targets: int) -> Row:
+    """Measure the steerer of a VM, and one look at its sizes."""
+    catalogue = make_catalogue(targets)
+    hops = make_hops(_VMS[-1])
+    steerer = Steerer()
+    resize_steerer(steerer, catalogue, hops)
+    return {
+        'held_bytes': measure_bytes(
+            partial(resize_steerer, Steerer(), catalogue, hops),
+        ),
+        'resize_us': measure_us(
+            partial(resize_steerer, steerer, catalogue, hops),
+        ),
+    }
+
+
+def resize_steerer(
+    steerer: Steerer,
+    catalogue: Catalogue,
+    hops: tuple[Hop, ...],
+) -> Steerer:
+    """Size a steerer as an entry VM does."""
+    seat = Seat(_ZONE, frozenset((0,)))
+    steerer.resize(
+        size_services(catalogue, seat, hops, 0),
+        size_links(catalogue, seat),
+    )
+    return steerer
+
+
+def measure_shares(targets: int) -> Row:
+    """Measure one answer to a probe, with a tenth as many teams."""
+    catalogue = make_catalogue(targets)
+    envelope = Envelope('Acknowledgement', 'vm-1', _START, msgspec.Raw())
+    answer = Acknowledgement(_START, 0, 0, 0, 1, None)
+    row: Row = {'teams': len(catalogue.teams)}
+    for pending in (1, _PENDING):
+        claimer = make_claimer(catalogue, pending)
+        row[f'answer_us_at_{pending}'] = measure_us(
+            partial(claimer.hear, envelope, answer),
+        )
+    row['held_bytes'] = measure_bytes(partial(make_claimer, catalogue, 1))
+    return row
+
+
+def make_claimer(catalogue: Catalogue, pending: int) -> Claimer:
+    """Return a claimer that holds the least of some revisions."""
+    claimer = Claimer(
+        place=Place(_ZONE, Holding('vm', _START)),
+        platform=cast(Any, None),
+        ledger=Ledger(),
+        send=lambda _address, _message: None,
+    )
+    for number in range(1, pending + 1):
+        claimer.take_revision(Revision(number, _CHANGE, b'', catalogue))
+    return claimer
+
+
+def measure_zone(vms: int) -> Row:
+    """Measure the messages of the fence, the view and advice of a VM."""
+    probe = seal(_SECRET, 'zone-00-00', _START, Probe(1000.5, 9, None))
+    answer = seal(
+        _SECRET, 'zone-00-00', _START,
+        Acknowledgement(_START, 1000.5, 9, 9, 50000, None),
+    )  # fmt: skip
+    listed = make_list([f'zone-00-{number:02}' for number in range(vms)])
+    advised = tuple(
+        AdvisedVm(entry.vm, 'zone-0', 'http://127.0.0.1:8000')
+        for entry in listed
+    )
+    catalogue = make_catalogue(_TARGETS[0])
+    return {
+        'fence_messages_s': 2 * (vms - 1),
+        'fence_payload_bytes_s': (vms - 1) * (len(probe) + len(answer)),
+        'fence_codec_us_s': 2 * (vms - 1) * measure_us(
+            lambda: unseal(_SECRET, seal(
+                _SECRET, 'zone-00-00', _START, Probe(1000.5, 9, None),
+            )),
+            repeats=200,
+        ),
+        'view_bytes': measure_bytes(
+            partial(merge_list, View({}, {}), listed, '', 0),
+        ),
+        'table_bytes': len(msgspec.json.encode(make_table(vms))),
+        'advise_us': measure_us(
+            partial(advise, catalogue, 'team-1', 'zone-0', advised),
+            repeats=10,
+        ),
+    }  # fmt: skip
+
+
+def make_table(vms: int) -> Table:
+    """Return the slot table of a zone with a slot for each VM."""
+    holdings = [
+        Holding(f'zone-00-{number:02}', _START) for number in range(vms)
+    ]
+    return Table(dict(enumerate(holdings)), 9, tuple(holdings))
+
+
+def measure_fleet(vms: int) -> Row:
+    """Measure a view of every VM of a fleet of 72 zones."""
+    listed = tuple(
+        Listed(
+            f'vm-{number}',
+            f'zone-{number % _ZONES:02}',
+            f'127.9.{number // 250}.{number % 250}',
+            leaving=False,
+        )
+        for number in range(vms)
+    )
+    view = merge_list(View({}, {}), listed, '', 0)
+    hops = tuple(
+        Hop(entry.vm, f'zone-{number % _ZONES}', f'{entry.address}:8000')
+        for number, entry in enumerate(listed)
+    )
+    advised = tuple(
+        AdvisedVm(hop.vm, hop.zone, f'http://{hop.address}') for hop in hops
+    )
+    catalogue = make_catalogue(_TARGETS[-1])
+    steerer = resize_steerer(Steerer(), catalogue, hops)
+    return {
+        'view_bytes': measure_bytes(
+            partial(merge_list, View({}, {}), listed, '', 0),
+        ),
+        'list_bytes': len(msgspec.json.encode(listed)),
+        'merge_us': measure_us(partial(merge_list, view, listed, '', 0)),
+        'select_us': measure_us(
+            partial(select_contacts, view, 'vm-0', 'zone-00', 1, 0),
+        ),
+        'steerer_bytes': measure_bytes(
+            partial(resize_steerer, Steerer(), catalogue, hops),
+        ),
+        'resize_us': measure_us(
+            partial(resize_steerer, steerer, catalogue, hops),
+        ),
+        'advise_us': measure_us(
+            partial(advise, catalogue, 'team-1', _ZONE, advised),
+        ),
+    }
+
+
+def measure_compare(contacts: int) -> Row:
+    """Measure the comparisons of revisions with some contacts a second."""
+    question = RevisionQuery(1 << 62, '127.9.0.1', 50000, _CHANGE)
+    answer = RevisionAnswer(1 << 62, 50000, _CHANGE, 1.5)
+    sizes = [
+        len(seal(_SECRET, 'zone-00-00', _START, message))
+        for message in (question, answer)
+    ]
+    return {
+        'messages_s': 2 * contacts,
+        'payload_bytes_s': contacts * sum(sizes),
+    }
+
+
+def make_revision(number: int, document: dict[str, Any]) -> Revision:
+    """Return a revision in the canonical form."""
+    content = canonicalise(msgspec.json.encode(document))
+    return revise(number, _CHANGE, content).unwrap()
+
+
+def make_catalogue(targets: int) -> Catalogue:
+    """Return a catalogue with some targets."""
+    return make_revision(1, make_document(targets)).catalogue
+
+
+def make_hops(vms: int) -> tuple[Hop, ...]:
+    """Return the VMs of the own zone and two of each other one."""
+    near = [
+        Hop(f'vm-{number}', _ZONE, '127.0.0.1:8000') for number in range(vms)
+    ]
+    far = [
+        Hop(f'far-{number}', f'zone-{number % 71 + 1}', '127.0.0.1:8000')
+        for number in range(142)
+    ]
+    return (*near, *far)
+
+
+_PARTS: Final[dict[str, tuple[Sequence[int], Callable[[int], Row]]]] = {
+    'spread': (_TARGETS, measure_spread),
+    'compare': ((1, 2, 4, 8), measure_compare),
+    'admin': (_TARGETS, measure_admin),
+    'audit': (_ENTRIES, measure_audit),
+    'steering': (_TARGETS, measure_steering),
+    'shares': (_TARGETS, measure_shares),
+    'zone': (_VMS, measure_zone),
+    'fleet': ((562, 1125, 2250, 4500), measure_fleet),
+}
--- a/benches/catalogue.py
+++ b/benches/catalogue.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from toucanhall.catalogue.reading import revise
+from toucanhall.catalogue.reading import revise, revise_after
 
 _SIZES: Final = (200, 400, 800, 1600, 3100)
 _ROUNDS: Final = 5
@@ -30,7 +30,12 @@
                 f'{name}_per_target': round(
                     (last[name] - first[name]) / span, 3
                 )
-                for name in ('document_bytes', 'held_bytes', 'read_us')
+                for name in (
+                    'document_bytes',
+                    'held_bytes',
+                    'read_us',
+                    'next_us',
+                )
             }
         )
     )
@@ -45,6 +50,7 @@
         started = time.perf_counter()
         revise(number, 'bench', document).unwrap()
         times.append(time.perf_counter() - started)
+    next_us = measure_next(size, document)
     tracemalloc.start()
     held = revise(1, 'bench', document).unwrap()
     held_bytes, _ = tracemalloc.get_traced_memory()
@@ -54,9 +60,28 @@
         'document_bytes': len(document),
         'held_bytes': held_bytes,
         'read_us': round(sorted(times)[_ROUNDS // 2] * 1_000_000),
+        'next_us': next_us,
     }
 
 
+def measure_next(size: int, document: bytes) -> int:
+    """Read a revision in which one key differs from the one held."""
+    held = revise(0, 'bench', document).unwrap()
+    changed = msgspec.json.encode(change_key(make_document(size)))
+    times = []
+    for number in range(_ROUNDS):
+        started = time.perf_counter()
+        revise_after(held, number, 'bench', changed).unwrap()
+        times.append(time.perf_counter() - started)
+    return round(sorted(times)[_ROUNDS // 2] * 1_000_000)
+
+
+def change_key(document: dict[str, Any]) -> dict[str, Any]:
+    """Return the document with another digest of its first key."""
+    key = {**document['keys']['key-0'], 'digest': 'f' * 64}
+    return {**document, 'keys': {**document['keys'], 'key-0': key}}
+
+
 def make_document(size: int) -> dict[str, Any]:
     """Return a catalogue of the target's shape with some targets."""
     zones = {
