Write changes of keys and drains from one place

Granting, withdrawing and draining each connected, wrote, printed and waited by themselves. make_change does it for the three; output and exit codes stay, as tests/unit/test_commands.py checks.

--- a/toucanhall/commands/api.py
+++ b/toucanhall/commands/api.py
@@ -26,7 +26,7 @@
     find_bases,
 )
 
-__all__ = ('Api', 'ApiError', 'connect', 'fail')
+__all__ = ('Api', 'ApiError', 'Body', 'connect', 'fail')
 
 Body: TypeAlias = Mapping[str, Any]
 
--- a/toucanhall/commands/drains.py
+++ b/toucanhall/commands/drains.py
@@ -16,8 +16,8 @@
     Command,
     Console,
 )
-from toucanhall.commands.printing import print_json, print_table, print_taken
-from toucanhall.commands.waiting import wait_in_force
+from toucanhall.commands.printing import print_json, print_table
+from toucanhall.commands.waiting import make_change
 
 __all__ = ('COMMANDS',)
 
@@ -26,15 +26,9 @@
 
 def _make_change(method: str) -> Callable[[Namespace, Console], int]:
     def change(options: Namespace, console: Console) -> int:
-        opened = connect(options)
         path = f'drains/{_KINDS[options.kind]}/{options.name}'
-        changed = opened.bind(lambda api: api.write(method, path))
-        if not isinstance(changed, Success):
-            return fail(console, changed.failure())
-        body = changed.unwrap()
-        print_taken(console, options, body)
-        return wait_in_force(
-            opened.unwrap(), options, console, body['accepted'],
+        return make_change(
+            options, console, lambda api: api.write(method, path),
         )  # fmt: skip
 
     return change
--- a/toucanhall/commands/keys.py
+++ b/toucanhall/commands/keys.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from toucanhall.commands.api import connect, fail
+from toucanhall.commands.api import Body, connect, fail
 from toucanhall.commands.model import (
     AT,
     JSON,
@@ -17,7 +17,7 @@
     Console,
 )
 from toucanhall.commands.printing import print_json, print_table, print_taken
-from toucanhall.commands.waiting import wait_in_force
+from toucanhall.commands.waiting import make_change
 from toucanhall.forwarding.credentials import digest_key
 
 __all__ = ('COMMANDS',)
@@ -27,35 +27,32 @@
 
 def grant_key(options: Namespace, console: Console) -> int:
     """Grant a key to a team and print it, the only time it is shown."""
-    opened = connect(options)
     key = secrets.token_urlsafe(_KEY_BYTES)
     entry = {'team': options.team, 'digest': digest_key(key)}
-    granted = opened.bind(
-        lambda api: api.write('PUT', f'keys/{options.name}', entry),
-    )
-    if not isinstance(granted, Success):
-        return fail(console, granted.failure())
-    body = granted.unwrap()
-    if options.json:
-        print_json(console, {**body, 'key': key})
-    else:
+
+    def print_granted(console: Console, options: Namespace, body: Body) -> None:
+        if options.json:
+            print_json(console, {**body, 'key': key})
+            return
         print_taken(console, options, body)
         console.say(f'key {key}')
         console.say('it is not kept and cannot be shown again')
-    return wait_in_force(opened.unwrap(), options, console, body['accepted'])
+
+    return make_change(
+        options,
+        console,
+        lambda api: api.write('PUT', f'keys/{options.name}', entry),
+        print_granted,
+    )
 
 
 def withdraw_key(options: Namespace, console: Console) -> int:
     """Withdraw a key."""
-    opened = connect(options)
-    withdrawn = opened.bind(
+    return make_change(
+        options,
+        console,
         lambda api: api.write('DELETE', f'keys/{options.name}'),
     )
-    if not isinstance(withdrawn, Success):
-        return fail(console, withdrawn.failure())
-    body = withdrawn.unwrap()
-    print_taken(console, options, body)
-    return wait_in_force(opened.unwrap(), options, console, body['accepted'])
 
 
 def list_keys(options: Namespace, console: Console) -> int:
--- a/toucanhall/commands/waiting.py
+++ b/toucanhall/commands/waiting.py
@@ -1,21 +1,38 @@
-"""Waits until a change is in force in every availability zone."""
+"""Makes a change, and waits until it is in force in every availability zone."""
 
 import time
 from argparse import Namespace
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
-from returns.result import Success
+from returns.result import Result, Success
 
 from toucanhall import runtime
-from toucanhall.commands.api import Api
+from toucanhall.commands.api import Api, ApiError, Body, connect, fail
 from toucanhall.commands.model import Code, Console
+from toucanhall.commands.printing import print_taken
 
-__all__ = ('wait_in_force',)
+__all__ = ('make_change', 'wait_in_force')
 
 _PAUSE_SECONDS: Final = 0.25
 
 
+def make_change(
+    options: Namespace,
+    console: Console,
+    write: Callable[[Api], Result[Body, ApiError]],
+    report: Callable[[Console, Namespace, Body], object] = print_taken,
+) -> int:
+    """Write a change, print what became of it, and wait if asked to."""
+    opened = connect(options)
+    written = opened.bind(write)
+    if not isinstance(written, Success):
+        return fail(console, written.failure())
+    body = written.unwrap()
+    report(console, options, body)
+    return wait_in_force(opened.unwrap(), options, console, body['accepted'])
+
+
 def wait_in_force(
     api: Api,
     options: Namespace,
