Let the demo use the callers of standins/callers.py

The demo had a second Caller. The shared one now also compares the method of an answer, and calls a refusal final only without Retry-After, as the demo's did, so that no check of the demo is looser.

--- a/benches/faults.py
+++ b/benches/faults.py
@@ -139,13 +139,15 @@
             'over_limit': int(over > 1),
         }
 
-    def _call(self, urls: tuple[str, ...], team: str, heeds: bool) -> None:
-        is_hammer = team == 'hostels' and not heeds
+    def _call(
+        self, urls: tuple[str, ...], team: str, follows_advice: bool
+    ) -> None:
+        is_hammer = team == 'hostels' and not follows_advice
         caller = Caller(
             urls=urls,
             record=self._record,
             patience=_PATIENCE_SECONDS,
-            heeds=not is_hammer,
+            follows_advice=not is_hammer,
         )
         pause = 0 if is_hammer else _PAUSE_SECONDS
         while time.monotonic() < self._until:
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -1,4 +1,4 @@
-"""Callers: they ask which entry VM to use, and follow what they are told."""
+"""Callers, which ask which entry VM to use and follow refusals."""
 
 import itertools
 import time
@@ -8,7 +8,7 @@
 
 import urllib3
 
-__all__ = ('ATTEMPT_HEADER', 'Attempt', 'Call', 'Caller')
+__all__ = ('ATTEMPT_HEADER', 'MAY_HAVE_RUN', 'Attempt', 'Call', 'Caller')
 
 ATTEMPT_HEADER: Final = 'X-Attempt'
 MAY_HAVE_RUN: Final = 'refused for good, may have run'
@@ -50,14 +50,14 @@
         urls: tuple[str, ...],
         record: Callable[[Attempt], None],
         patience: float,
-        heeds: bool = True,
+        follows_advice: bool = True,
     ) -> None:
         """Know some entry VMs to ask, and give up after `patience` seconds.
 
-        A caller that does not heed uses the known VMs in turn, and comes back
-        at once whatever it is told.
+        A caller that does not follow advice uses the known VMs in turn, and
+        ends a call at its first answer.
         """
-        self._heeds = heeds
+        self._follows_advice = follows_advice
         self._turns = itertools.cycle(urls)
         self._urls = urls
         self._record = record
@@ -73,7 +73,7 @@
         while True:
             attempt = self._try(call)
             self._record(attempt)
-            pause = _choose_pause(attempt) if self._heeds else 0
+            pause = _choose_pause(attempt) if self._follows_advice else 0
             if pause <= 0 or time.monotonic() + pause > until:
                 return _name_end(attempt)
             time.sleep(pause)
@@ -119,7 +119,10 @@
             return 'unanswered', 'maybe', _PAUSE_SECONDS
         if response.status == _OK:
             echoed = response.json()
-            is_own = echoed['path'] == call.path
+            is_own = (echoed['method'], echoed['path']) == (
+                call.method,
+                call.path,
+            )
             return 'answered' if is_own else 'wrong', 'yes', 0
         return (
             f'refused: {response.json().get("reason", response.status)}',
@@ -128,7 +131,7 @@
         )
 
     def _choose(self, key: str) -> str:
-        if not self._heeds:
+        if not self._follows_advice:
             return next(self._turns)
         if not self._vms or time.monotonic() > self._hold_until:
             self._ask(key)
@@ -159,6 +162,7 @@
 
 
 def _name_end(attempt: Attempt) -> str:
-    if attempt.result.startswith('refused') and attempt.ran == 'maybe':
+    is_final = attempt.result.startswith('refused') and not attempt.retry_after
+    if is_final and attempt.ran == 'maybe':
         return MAY_HAVE_RUN
     return attempt.result
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -6,13 +6,11 @@
 import sys
 import threading
 import time
-import uuid
 from collections import Counter
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
-import urllib3
-
+from standins.callers import MAY_HAVE_RUN, Caller
 from standins.fleet import Fleet
 
 _EXAMPLE: Final = Path(__file__).parent.parent / 'examples' / 'demo.jsonc'
@@ -23,11 +21,8 @@
 _WITHDRAW_AT: Final = 6.0
 _WITHDRAWN_WITHIN: Final = 8.0
 _PATIENCE_SECONDS: Final = 10.0
-_CALL_SECONDS: Final = 5.0
-_OK: Final = 200
-_MAY_HAVE_RUN: Final = 'refused for good, may have run'
 # A booking whose target was killed while it ran has no better true answer.
-_ENDED_WELL: Final = frozenset(('answered', _MAY_HAVE_RUN))
+_ENDED_WELL: Final = frozenset(('answered', MAY_HAVE_RUN))
 
 
 class Outcome(NamedTuple):
@@ -38,81 +33,6 @@
     asked_at: float
 
 
-class Caller:
-    """Asks which entry VM to use, then sends requests and follows refusals."""
-
-    def __init__(self, *, fleet: Fleet, key: str, known: int) -> None:
-        """Know one entry VM to ask first."""
-        self._fleet = fleet
-        self.key = key
-        self._known = known
-        self._vms: list[str] = []
-        self._hold_until = 0.0
-        self._http = urllib3.PoolManager(retries=False)
-
-    def fetch(self, kind: str, method: str, path: str) -> Outcome:
-        """Send one request until it has an answer or patience ends."""
-        nonce = uuid.uuid4().hex
-        asked_at = time.monotonic()
-        headers = {'X-Api-Key': self.key} if kind != 'public' else {}
-        if method == 'POST':
-            headers['Idempotency-Key'] = nonce
-        ended = 'unanswered'
-        while time.monotonic() < asked_at + _PATIENCE_SECONDS:
-            ended, pause = self._try(method, f'{path}?n={nonce}', headers)
-            if not pause:
-                break
-            time.sleep(pause)
-        return Outcome(kind, ended, asked_at)
-
-    def _try(
-        self,
-        method: str,
-        path: str,
-        headers: dict[str, str],
-    ) -> tuple[str, float]:
-        url = self._choose()
-        body = path.encode() if method == 'POST' else None
-        try:
-            response = self._http.request(
-                method, f'{url}{path}', body=body, headers=headers,
-                timeout=_CALL_SECONDS,
-            )  # fmt: skip
-        except urllib3.exceptions.HTTPError:
-            self._vms = [vm for vm in self._vms if vm != url]
-            return 'unanswered', 0.05
-        if response.status == _OK:
-            echoed = response.json()
-            is_own = echoed['path'] == path and echoed['method'] == method
-            return ('answered' if is_own else 'wrong'), 0
-        reason = response.json().get('reason', 'none')
-        pause = float(response.headers.get('Retry-After', 0))
-        if response.headers.get('Toucanhall-Ran') == 'maybe' and not pause:
-            return _MAY_HAVE_RUN, 0
-        return f'refused: {reason}', pause
-
-    def _choose(self) -> str:
-        if not self._vms or time.monotonic() > self._hold_until:
-            self._ask()
-        return self._vms[0] if self._vms else self._fleet.vms[self._known].url
-
-    def _ask(self) -> None:
-        for offset in range(len(self._fleet.vms)):
-            number = (self._known + offset) % len(self._fleet.vms)
-            url = f'{self._fleet.vms[number].url}/.toucanhall/entry-vms'
-            try:
-                response = self._http.request(
-                    'GET', url, headers={'X-Api-Key': self.key}, timeout=1,
-                )  # fmt: skip
-            except urllib3.exceptions.HTTPError:
-                continue
-            if response.status == _OK:
-                advice = response.json()
-                self._vms = [vm[2] for vm in advice['vms']]
-                self._hold_until = time.monotonic() + advice['hold_seconds']
-                return
-
-
 class Demo:
     """The callers of the demo, its operator, and what they saw."""
 
@@ -159,23 +79,32 @@
         self._withdrawn_at = time.monotonic()
         print('withdrew key hostels-key', flush=True)
 
+    def _make_caller(self, known: int) -> Caller:
+        urls = [vm.url for vm in self._fleet.vms]
+        first = known % len(urls)
+        return Caller(
+            urls=(*urls[first:], *urls[:first]),
+            record=lambda _attempt: None,
+            patience=_PATIENCE_SECONDS,
+        )
+
     def _call(self, key: str, number: int) -> None:
-        caller = Caller(fleet=self._fleet, key=key, known=number)
+        caller = self._make_caller(number)
         while time.monotonic() < self._until:
-            for kind, method, path in (
-                ('public', 'GET', '/tours/night'),
-                ('team', 'GET', '/feed/times'),
-                ('booking', 'POST', '/bookings'),
+            for kind, method, path, shown in (
+                ('public', 'GET', '/tours/night', ''),
+                ('team', 'GET', '/feed/times', key),
+                ('booking', 'POST', '/bookings', key),
             ):
-                outcome = caller.fetch(kind, method, path)
+                outcome = _fetch(caller, kind, method, path, shown)
                 with self._lock:
                     self._outcomes.append(outcome)
             time.sleep(0.02)
 
     def _call_withdrawn(self, key: str) -> None:
-        caller = Caller(fleet=self._fleet, key=key, known=3)
+        caller = self._make_caller(3)
         while time.monotonic() < self._until + 2:
-            outcome = caller.fetch('withdrawn', 'GET', '/feed/times')
+            outcome = _fetch(caller, 'withdrawn', 'GET', '/feed/times', key)
             with self._lock:
                 self._late.append(outcome)
             time.sleep(0.05)
@@ -215,6 +144,17 @@
         return sum(count > 1 for count in runs.values())
 
 
+def _fetch(
+    caller: Caller,
+    kind: str,
+    method: str,
+    path: str,
+    key: str,
+) -> Outcome:
+    asked_at = time.monotonic()
+    return Outcome(kind, caller.make(kind, method, path, key), asked_at)
+
+
 def main() -> int:
     """Run the demo; with `--keep` leave the fleet up until Ctrl-C."""
     parser = argparse.ArgumentParser(prog='demo', description=main.__doc__)
