--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -82,13 +82,13 @@
     def _take(self, arrived: Arrived) -> None:
         _TAKERS[type(arrived.message)](self, arrived)
 
-    def _take_ask(self, arrived: Arrived) -> None:
+    def _answer_query(self, arrived: Arrived) -> None:
         question: RevisionQuery = arrived.message
         held = read_held(self._holder)
         self._send(arrived.address, self._currency.answer(held, question))
         self._help(arrived.address, Known(question.number, question.change))
 
-    def _take_told(self, arrived: Arrived) -> None:
+    def _take_answer(self, arrived: Arrived) -> None:
         answer: RevisionAnswer = arrived.message
         self._unanswered = note_answered(self._unanswered, arrived.address)
         self._currency.hear(read_held(self._holder), answer, arrived.peer)
@@ -157,10 +157,10 @@
 
 
 _TAKERS: Final[Mapping[type, Callable[[Spread, Arrived], None]]] = {
-    RevisionQuery: Spread._take_ask,
+    RevisionQuery: Spread._answer_query,
     Delta: Spread._take_delta,
     Offer: Spread._take_offer,
-    RevisionAnswer: Spread._take_told,
+    RevisionAnswer: Spread._take_answer,
 }
 
 
