--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -33,8 +33,8 @@
 from toucanhall.spread.record import encode
 from toucanhall.steering import (
     AdvisedVm,
-    Hop,
-    Seat,
+    EntryVm,
+    OwnedSlots,
     Steerer,
     advise,
     size_links,
@@ -169,13 +169,13 @@
 def resize_steerer(
     steerer: Steerer,
     catalogue: Catalogue,
-    hops: tuple[Hop, ...],
+    hops: tuple[EntryVm, ...],
 ) -> Steerer:
     """Size a steerer as an entry VM does."""
-    seat = Seat(_ZONE, frozenset((0,)))
+    owned = OwnedSlots(_ZONE, frozenset((0,)))
     steerer.resize(
-        size_services(catalogue, seat, hops, 0),
-        size_links(catalogue, seat),
+        size_services(catalogue, owned, hops, 0),
+        size_links(catalogue, owned),
     )
     return steerer
 
@@ -262,7 +262,7 @@
     )
     view = merge_list(View({}, {}), listed, '', 0)
     hops = tuple(
-        Hop(entry.vm, f'zone-{number % _ZONES}', f'{entry.address}:8000')
+        EntryVm(entry.vm, f'zone-{number % _ZONES}', f'{entry.address}:8000')
         for number, entry in enumerate(listed)
     )
     advised = tuple(
@@ -316,13 +316,14 @@
     return make_revision(1, make_document(targets)).catalogue
 
 
-def make_hops(vms: int) -> tuple[Hop, ...]:
+def make_hops(vms: int) -> tuple[EntryVm, ...]:
     """Return the VMs of the own zone and two of each other one."""
     near = [
-        Hop(f'vm-{number}', _ZONE, '127.0.0.1:8000') for number in range(vms)
+        EntryVm(f'vm-{number}', _ZONE, '127.0.0.1:8000')
+        for number in range(vms)
     ]
     far = [
-        Hop(f'far-{number}', f'zone-{number % 71 + 1}', '127.0.0.1:8000')
+        EntryVm(f'far-{number}', f'zone-{number % 71 + 1}', '127.0.0.1:8000')
         for number in range(142)
     ]
     return (*near, *far)
--- a/benches/limits.py
+++ b/benches/limits.py
@@ -15,13 +15,13 @@
 from toucanhall.shares.bucket import refill
 from toucanhall.shares.fence import CONFIRM_SECONDS
 from toucanhall.shares.parts import Limit
-from toucanhall.shares.purse import (
-    Purse,
+from toucanhall.shares.share import (
+    Share,
     accept,
     ask,
     hold,
-    make_purse,
-    part_with,
+    make_share,
+    give_tokens,
     spend,
 )
 
@@ -78,23 +78,23 @@
             deliver(at)
 
 
-def make_purses(vms: int) -> list[Purse]:
-    """Return an empty purse with an even part for each VM."""
+def make_shares(vms: int) -> list[Share]:
+    """Return an empty share with an even part for each VM."""
     limit = Limit(RATE / vms, BURST / vms)
-    return [hold(make_purse(0), limit, 0) for _ in range(vms)]
+    return [hold(make_share(0), limit, 0) for _ in range(vms)]
 
 
 def share(vms: int, chance: random.Random, *, gifts: bool) -> Way:
     """Return the way of shares, with gifts or with fixed parts."""
-    purses = make_purses(vms)
+    shares = make_shares(vms)
     messages = Messages(chance=chance)
 
     def give(vm: int, asker: int, wanted: float, asked_at: float) -> None:
         def deliver(tokens: float, at: float) -> None:
-            purses[asker] = accept(purses[asker], tokens, asked_at, at)
+            shares[asker] = accept(shares[asker], tokens, asked_at, at)
 
         def answer(at: float) -> None:
-            purses[vm], tokens = part_with(purses[vm], wanted, at)
+            shares[vm], tokens = give_tokens(shares[vm], wanted, at)
             if tokens:
                 messages.send(at, partial(deliver, tokens))
 
@@ -103,14 +103,14 @@
     def admit(arrival: Arrival) -> bool:
         at, vm = arrival
         messages.run(at)
-        purse, wait = spend(purses[vm], at)
+        share, wait = spend(shares[vm], at)
         if gifts:
-            purse, wanted = ask(purse, at)
+            share, wanted = ask(share, at)
             if wanted:
                 others = [peer for peer in range(vms) if peer != vm]
-                peer = others[purse.turn % len(others)]
+                peer = others[share.turn % len(others)]
                 give(peer, vm, wanted, at)
-        purses[vm] = purse
+        shares[vm] = share
         return wait is None
 
     probes = vms * (vms - 1) * 2  # each second
@@ -129,7 +129,7 @@
     A VM that is short reads the store's bucket and debits a second's worth of
     its load from it; unused tokens lapse with the lease.
     """
-    store = hold(make_purse(0), Limit(RATE, BURST), 0)
+    store = hold(make_share(0), Limit(RATE, BURST), 0)
     held = [0.0] * vms
     until = [0.0] * vms
     calls = 0
@@ -143,7 +143,7 @@
             calls += LEASE_CALLS
             bucket = refill(store.bucket, at)
             batch = min(bucket.tokens, RATE / vms * LEASE_SECONDS)
-            store = Purse(bucket._replace(tokens=bucket.tokens - batch))
+            store = Share(bucket._replace(tokens=bucket.tokens - batch))
             held[vm], until[vm] = batch, at + LEASE_SECONDS
         if held[vm] < 1:
             return False
--- a/benches/steering_fleet.py
+++ b/benches/steering_fleet.py
@@ -15,7 +15,7 @@
 from toucanhall.catalogue.model import Catalogue
 from toucanhall.catalogue.model import Target as Entry
 from toucanhall.shares.slots import Holding, Table, claim
-from toucanhall.steering import AdvisedVm, Hop, advise
+from toucanhall.steering import AdvisedVm, EntryVm, advise
 
 Done: TypeAlias = Callable[[bool], None]
 
@@ -217,11 +217,11 @@
         """Return whether two zones cannot reach each other."""
         return (zone in self.cut) != (other in self.cut)
 
-    def list_hops(self, vm: Vm) -> tuple[Hop, ...]:
+    def list_hops(self, vm: Vm) -> tuple[EntryVm, ...]:
         """Return the other VMs as a VM sees them."""
         now = self.clock.now
         return tuple(
-            Hop(other.name, other.zone, other.name)
+            EntryVm(other.name, other.zone, other.name)
             for other in self.vms.values()
             if other is not vm and other.is_seen(now)
         )
--- a/benches/steering_policies.py
+++ b/benches/steering_policies.py
@@ -13,7 +13,7 @@
     Outcome,
     Refuse,
     Run,
-    Seat,
+    OwnedSlots,
     links,
     size_links,
     size_services,
@@ -94,13 +94,13 @@
         if self.vm.died is not None:
             return
         now = self.fleet.clock.now
-        seat = Seat(self.vm.zone, self.held)
+        owned = OwnedSlots(self.vm.zone, self.held)
         hops = self.fleet.list_hops(self.vm)
-        sizes = size_services(self.vm.catalogue, seat, hops, now)
+        sizes = size_services(self.vm.catalogue, owned, hops, now)
         for service, size in sizes.items():
             self.states.setdefault(service, State({}, {}))
             self._decide(service, size)
-        for region, part in size_links(self.vm.catalogue, seat).items():
+        for region, part in size_links(self.vm.catalogue, owned).items():
             meter = self.meters.get(region, Meter(updated_at=now))
             self.meters[region] = links.resize(meter, part, now)
         self.fleet.clock.at(_RESIZE, self._resize)
--- a/tests/models/test_shares_gifts_model.py
+++ b/tests/models/test_shares_gifts_model.py
@@ -17,9 +17,9 @@
 from minicheck import Protocol
 
 from tests.models.reports import explore, report_model, report_variant
-from toucanhall.shares import bucket, fence, purse
+from toucanhall.shares import bucket, fence, share
 from toucanhall.shares.bucket import LOAN_SECONDS, Bucket
-from toucanhall.shares.purse import Purse
+from toucanhall.shares.share import Share
 
 TICK = LOAN_SECONDS / 2
 CAP = 2.0  # of each
@@ -32,10 +32,10 @@
 
 
 class State(NamedTuple):
-    """Both purses, an ask and a gift on their way, and the meter."""
+    """Both shares, an ask and a gift on their way, and the meter."""
 
-    giver: Purse
-    receiver: Purse
+    giver: Share
+    receiver: Share
     asked: tuple[float, float] | None = None  # tokens, asked at
     gift: tuple[float, float] | None = None
     meter: float = BURST
@@ -44,12 +44,12 @@
 
 
 def make(tokens, rate):
-    """Return a purse at the present, which is 0."""
-    return Purse(Bucket(tokens, 0, rate, CAP))
+    """Return a share at the present, which is 0."""
+    return Share(Bucket(tokens, 0, rate, CAP))
 
 
 def shift(found):
-    """Return a purse at the next tick, at which the present is 0 again."""
+    """Return a share at the next tick, at which the present is 0 again."""
     kept = found.bucket
     loans = tuple(
         loan._replace(until=round(loan.until - TICK, DIGITS))
@@ -58,15 +58,15 @@
     updated_at = round(kept.updated_at - TICK, DIGITS)
     asks = tuple(round(at - TICK, DIGITS) for at in found.asks)
     moved = kept._replace(loans=loans, updated_at=updated_at)
-    return Purse(moved, asks, found.asked_at - TICK)
+    return Share(moved, asks, found.asked_at - TICK)
 
 
 def tidy(found):
-    """Return a purse in which lags that make no difference are alike."""
+    """Return a share in which lags that make no difference are alike."""
     kept = found.bucket
     if kept.updated_at <= -MAX_LAG * TICK:
         kept = bucket.refill(kept, 0)
-    return Purse(
+    return Share(
         kept._replace(
             tokens=round(kept.tokens, DIGITS),
             loans=tuple(
@@ -90,19 +90,19 @@
         return
     yield 'time passes', pass_time(state)
     yield from list_spending(state)
-    after, wanted = purse.ask(state.receiver, 0)
+    after, wanted = share.ask(state.receiver, 0)
     if wanted:
         yield (
             'asks',
             state._replace(receiver=after, asked=(round(wanted, DIGITS), 0.0)),
         )
     if state.asked and not state.down:
-        after, tokens = purse.part_with(state.giver, state.asked[0], 0)
+        after, tokens = share.give_tokens(state.giver, state.asked[0], 0)
         if tokens and state.gift is None:
             gift = round(tokens, DIGITS), state.asked[1]
             yield 'gives', state._replace(giver=after, gift=gift, is_used=False)
     if state.gift:
-        after = purse.accept(state.receiver, *state.gift, 0)
+        after = share.accept(state.receiver, *state.gift, 0)
         yield 'accepts', state._replace(receiver=after, is_used=True)
     if not state.down:
         giver = make(START_TOKENS, state.giver.bucket.rate)
@@ -111,10 +111,10 @@
 
 def list_spending(state):
     """Let each admit a request."""
-    after, wait = purse.spend(state.receiver, 0)
+    after, wait = share.spend(state.receiver, 0)
     if wait is None:
         yield 'spends', state._replace(receiver=after, meter=state.meter - 1)
-    after, wait = purse.spend(state.giver, 0)
+    after, wait = share.spend(state.giver, 0)
     if wait is None and not state.down:
         yield 'giver spends', state._replace(giver=after, meter=state.meter - 1)
 
@@ -228,14 +228,14 @@
 
 GIVE = bucket.give
 RECEIVE = bucket.receive
-ACCEPT = purse.accept
+ACCEPT = share.accept
 
 
 @pytest.mark.parametrize(
     ('module', 'guard', 'broken'),
     [
-        (purse, 'give', give_without_loan),
-        (purse, 'accept', accept_again),
+        (share, 'give', give_without_loan),
+        (share, 'accept', accept_again),
         (bucket, 'LOAN_SECONDS', 0.0),
     ],
 )
--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -16,7 +16,7 @@
 from toucanhall.forwarding.sharing import Sharing
 from toucanhall.idempotency import Keeper
 from toucanhall.platform import Conflict, Stored
-from toucanhall.steering import Seat, Steerer, size_links, size_services
+from toucanhall.steering import OwnedSlots, Steerer, size_links, size_services
 from toucanhall.transport.exchange import Identity
 
 KEY = 'open-sesame'
@@ -64,10 +64,10 @@
 def make_steerer(catalogue):
     """Return a policy that owns every slot of the zone."""
     steerer = Steerer()
-    seat = Seat('north-a', frozenset(range(catalogue.slots_per_zone)))
+    owned = OwnedSlots('north-a', frozenset(range(catalogue.slots_per_zone)))
     steerer.resize(
-        size_services(catalogue, seat, (), 0),
-        size_links(catalogue, seat),
+        size_services(catalogue, owned, (), 0),
+        size_links(catalogue, owned),
     )
     return steerer
 
@@ -87,11 +87,11 @@
     )
 
 
-def book(parts, seat='', path='/bookings/vip'):
+def book(parts, owned='', path='/bookings/vip'):
     """Book at a path, with an idempotency key if one is named."""
     headers = [('X-Api-Key', KEY)]
-    if seat:
-        headers.append(('Idempotency-Key', seat))
+    if owned:
+        headers.append(('Idempotency-Key', owned))
     request = make_request(
         method='POST', target=path, path=path, headers=tuple(headers),
     )  # fmt: skip
@@ -102,10 +102,10 @@
     with start_target(make_answer(), make_answer(body=b'second')) as target:
         held = make_held(target)
         parts = make_parts(held)
-        first = book(parts, 'seat')
+        first = book(parts, 'owned')
         route = make_document()['routes'][1] | {'path': '/bookings/vip'}
         held.current = make_held(target, [route]).current
-        again = book(parts, 'seat')
+        again = book(parts, 'owned')
         assert tuple(again.body) == tuple(first.body)
         assert len(target.requests) == 1
 
@@ -123,7 +123,7 @@
 
 def test_target_cannot_speak_as_an_entry_vm():
     with start_target(make_answer('Toucanhall-Ran: no')) as target:
-        answer = book(make_parts(make_held(target)), 'seat')
+        answer = book(make_parts(make_held(target)), 'owned')
         assert 'Toucanhall-Ran' not in dict(answer.headers)
 
 
--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -16,7 +16,7 @@
     take,
 )
 from toucanhall.shares.parts import Limit
-from toucanhall.shares.purse import accept, ask, hold, make_purse
+from toucanhall.shares.share import accept, ask, hold, make_share
 from toucanhall.shares.slots import claim, find_slots
 
 FIRST = Holding('a', 's1')
@@ -62,11 +62,11 @@
 
 
 def test_no_two_asks_bear_the_same_time():
-    purse = hold(make_purse(0), Limit(1, 2), 0)
-    purse, wanted = ask(purse, 0)
+    share = hold(make_share(0), Limit(1, 2), 0)
+    share, wanted = ask(share, 0)
     assert wanted == 2
-    purse = accept(purse, 1, 0, 0)
-    _, wanted = ask(purse, 0)
+    share = accept(share, 1, 0, 0)
+    _, wanted = ask(share, 0)
     assert not wanted
 
 
--- a/tests/unit/test_shares_histories.py
+++ b/tests/unit/test_shares_histories.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from toucanhall.shares import Holding, Table, fence, purse
+from toucanhall.shares import Holding, Table, fence, share
 from toucanhall.shares.parts import Limit
 
 RATES = (2, 120)  # the burst refills in 15 s, or in the life of a gift
@@ -42,7 +42,7 @@
         self.fences = {
             holder.vm: fence.Fence(holder, self.stored) for holder in holders
         }
-        self.purses = dict.fromkeys(VMS, purse.make_purse(0))
+        self.shares = dict.fromkeys(VMS, share.make_share(0))
         self.under_way = []
         self.paused = None
 
@@ -60,11 +60,11 @@
         self.level = max(0.0, self.level - self.rate * span)
 
     def can_spend(self, vm):
-        """Size the purse of a VM and return whether it is confirmed."""
+        """Size the share of a VM and return whether it is confirmed."""
         now = self.read_clock(vm)
         slots = len(fence.find_usable(self.fences[vm], now))
         limit = Limit(self.rate * slots / SIZE, BURST * slots / SIZE)
-        self.purses[vm] = purse.hold(self.purses[vm], limit, now)
+        self.shares[vm] = share.hold(self.shares[vm], limit, now)
         until = fence.read_until(self.fences[vm])
         return until is not None and now < until
 
@@ -74,8 +74,8 @@
             return
         now = self.read_clock(vm)
         for _ in range(1 + int(amount * BURST)):
-            left, wait = purse.spend(self.purses[vm], now)
-            self.purses[vm] = left
+            left, wait = share.spend(self.shares[vm], now)
+            self.shares[vm] = left
             self.level += wait is None
         self.worst = max(self.worst, self.level)
 
@@ -84,13 +84,13 @@
         now = self.read_clock(vm)
         if peer == vm or not self.can_spend(peer):
             return
-        asking, wanted = purse.ask(self.purses[vm], now)
-        self.purses[vm] = asking
+        asking, wanted = share.ask(self.shares[vm], now)
+        self.shares[vm] = asking
         if wanted:
-            left, tokens = purse.part_with(
-                self.purses[peer], wanted, self.read_clock(peer),
+            left, tokens = share.give_tokens(
+                self.shares[peer], wanted, self.read_clock(peer),
             )  # fmt: skip
-            self.purses[peer] = left
+            self.shares[peer] = left
             start = self.fences[vm].own.start
             self.under_way.append((vm, start, tokens, now))
 
@@ -102,8 +102,8 @@
         vm, start, tokens, asked_at = self.under_way[index]
         if start == self.fences[vm].own.start:
             self.can_spend(vm)
-            self.purses[vm] = purse.accept(
-                self.purses[vm], tokens, asked_at, self.read_clock(vm),
+            self.shares[vm] = share.accept(
+                self.shares[vm], tokens, asked_at, self.read_clock(vm),
             )  # fmt: skip
 
     def drain(self, vm, peer, amount):
@@ -165,7 +165,7 @@
         """Replace a VM's process by one that knows nothing."""
         self.starts += 1
         self.fences[vm] = fence.Fence(Holding(vm, f's{self.starts}'))
-        self.purses[vm] = purse.make_purse(self.read_clock(vm))
+        self.shares[vm] = share.make_share(self.read_clock(vm))
 
 
 STEPS = (
@@ -205,20 +205,20 @@
 
 
 def hold_full(held, limit, now):
-    """Return a purse of which a greater part is full at once."""
+    """Return a share of which a greater part is full at once."""
     bucket = HOLD(held, limit, now).bucket
     if limit.burst > held.bucket.cap:
         bucket = bucket._replace(tokens=limit.burst)
     return held._replace(bucket=bucket)
 
 
-HOLD = purse.hold
+HOLD = share.hold
 
 
 @pytest.mark.parametrize(
     ('module', 'guard', 'broken'),
     [
-        (purse, 'hold', hold_full),
+        (share, 'hold', hold_full),
         (fence, 'WAIT_SECONDS', 0),
     ],
 )
--- a/tests/unit/test_shares_parts.py
+++ b/tests/unit/test_shares_parts.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from tests.builders import make_catalogue
-from toucanhall.shares.parts import find_limit, hold_least
+from toucanhall.shares.parts import find_limit, find_least
 from toucanhall.shares.revisions import (
     Confirmed,
     list_pending,
@@ -30,7 +30,7 @@
 def test_parts_never_sum_to_more_than_the_limit(rate, burst, fraction):
     catalogue = make(rate, burst, fraction)
     held = [
-        hold_least([catalogue], zone, 'hostels', EVERY_SLOT)
+        find_least([catalogue], zone, 'hostels', EVERY_SLOT)
         for zone in catalogue.zones
     ]
     assert sum(limit.rate for limit in held) <= rate * (1 + 1e-9)
@@ -52,7 +52,7 @@
 
 def test_least_of_two_revisions_is_held():
     older, newer = make(10, 1000), make(20, 400, 0.2)
-    held = hold_least([older, newer], 'north-a', 'hostels', EVERY_SLOT)
+    held = find_least([older, newer], 'north-a', 'hostels', EVERY_SLOT)
     assert held.rate <= 4 + 1e-9
     assert held.burst <= 80 + 1e-9
 
--- a/tests/unit/test_steering_sizes.py
+++ b/tests/unit/test_steering_sizes.py
@@ -1,13 +1,13 @@
 """Tests of the sizes of services."""
 
 from tests.builders import make_catalogue
-from toucanhall.steering import Hop, Seat, size_services
+from toucanhall.steering import EntryVm, OwnedSlots, size_services
 
 HOPS = (
-    Hop('north-a-2', 'north-a', '127.2.0.2:8080'),
-    Hop('south-a-1', 'south-a', '127.2.0.3:8080'),
+    EntryVm('north-a-2', 'north-a', '127.2.0.2:8080'),
+    EntryVm('south-a-1', 'south-a', '127.2.0.3:8080'),
 )
-SEAT = Seat('north-a', frozenset(range(12)))
+SEAT = OwnedSlots('north-a', frozenset(range(12)))
 
 
 def list_peers(**changes):
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -37,7 +37,7 @@
 )
 from toucanhall.spread import (
     Accepting,
-    Currency,
+    FreshnessMonitor,
     Delta,
     Offer,
     RevisionAnswer,
@@ -51,8 +51,8 @@
 from toucanhall.steering import (
     AdvisedVm,
     BlockIndex,
-    Hop,
-    Seat,
+    EntryVm,
+    OwnedSlots,
     Steerer,
     size_links,
     size_services,
@@ -93,10 +93,10 @@
             settings.secret,
         )
         self._platform = connect(settings.platform)
-        self._currency = Currency()
+        self._monitor = FreshnessMonitor()
         self._holder = Holder(
-            is_settled=self._currency.is_settled,
-            may_serve=self._currency.may_serve,
+            is_settled=self._monitor.is_settled,
+            may_serve=self._monitor.may_serve,
         )
         self._ledger = Ledger()
         self._steerer = Steerer()
@@ -147,7 +147,7 @@
                     platform=self._platform,
                     holder=self._holder,
                     read_known=self._read_known,
-                    wait_settled=self._currency.wait_settled,
+                    wait_settled=self._monitor.wait_settled,
                 ),
                 read_status=self._read_status,
             ),
@@ -170,7 +170,7 @@
     def _start_actors(self) -> None:
         self._spread = Spread.start(
             holder=self._holder,
-            currency=self._currency,
+            monitor=self._monitor,
             own_address=self._settings.address,
             send=self._exchange.send,
             redial=self._exchange.redial,
@@ -189,7 +189,7 @@
         Watcher(
             platform=self._platform,
             holder=self._holder,
-            currency=self._currency,
+            monitor=self._monitor,
             may_watch=self._may_watch,
             stopping=self._stopping,
         ).start()
@@ -240,11 +240,11 @@
 
     def _tick(self) -> None:
         view = self._view
-        self._currency.tick(len(view.members) if view.is_listed else None)
+        self._monitor.tick(len(view.members) if view.is_listed else None)
 
     def _may_watch(self) -> bool:
         own = self._settings
-        age = self._currency.read_age()
+        age = self._monitor.read_age()
         if age is None:
             return True
         if age > FRESH_SECONDS and random.random() < _LATE_WATCH_CHANCE:
@@ -252,7 +252,7 @@
         return is_reader(self._view, own.vm, own.zone, runtime.read_clock())
 
     def _read_known(self) -> Known:
-        return max(self._currency.read_heard(), read_held(self._holder))
+        return max(self._monitor.read_heard(), read_held(self._holder))
 
     def _take_revision(self, revision: Revision) -> None:
         self._spread.tell(Push(revision))
@@ -282,10 +282,10 @@
         )
         return tuple(member.address for member in contacts)
 
-    def _list_hops(self) -> tuple[Hop, ...]:
+    def _list_hops(self) -> tuple[EntryVm, ...]:
         now = runtime.read_clock()
         return tuple(
-            Hop(
+            EntryVm(
                 member.vm,
                 member.zone,
                 f'{member.address}:{self._settings.caller_port}',
@@ -304,10 +304,10 @@
             settled = select_settled(self._gained, now)
             if own and not settled and not self._steerer.is_sized:
                 return
-            seat = Seat(self._settings.zone, settled)
+            owned = OwnedSlots(self._settings.zone, settled)
             self._steerer.resize(
-                size_services(held.catalogue, seat, self._list_hops(), now),
-                size_links(held.catalogue, seat),
+                size_services(held.catalogue, owned, self._list_hops(), now),
+                size_links(held.catalogue, owned),
             )
 
     def _list_peers(self) -> Mapping[str, str]:
@@ -353,7 +353,7 @@
         return {
             'vm': self._settings.vm,
             'revision': self._read_revision(),
-            'age': self._currency.read_age(),
+            'age': self._monitor.read_age(),
             'in_force': self._view.confirmed,
             'zones': self._report_zones(now),
             'members': [
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -26,7 +26,7 @@
 )
 from toucanhall.shares.ledger import Ledger
 from toucanhall.shares.messages import Acknowledgement, Probe
-from toucanhall.shares.parts import hold_least, list_slots
+from toucanhall.shares.parts import find_least, list_slots
 from toucanhall.shares.revisions import Confirmed, list_pending, note_confirmed
 from toucanhall.shares.slots import Holding, Table, find_slots
 from toucanhall.transport import Envelope
@@ -237,7 +237,7 @@
             slots = usable - self._released.keys()
             teams = catalogues[-1].teams if catalogues else {}
             limits = {
-                team: hold_least(catalogues, self._place.zone, team, slots)
+                team: find_least(catalogues, self._place.zone, team, slots)
                 for team in teams
             }
             self._ledger.resize(limits, read_until(self._fence) or 0)
--- a/toucanhall/shares/gifts.py
+++ b/toucanhall/shares/gifts.py
@@ -39,7 +39,7 @@
         address = self._list_peers().get(envelope.vm)
         if address is None:
             return
-        tokens = self._ledger.part_with(asked.team, asked.tokens)
+        tokens = self._ledger.give_tokens(asked.team, asked.tokens)
         if tokens:
             gift = Gift(envelope.start, asked.team, tokens, asked.asked_at)
             self._send(address, gift)
--- a/toucanhall/shares/ledger.py
+++ b/toucanhall/shares/ledger.py
@@ -8,13 +8,13 @@
 from toucanhall.shares.bucket import Bucket
 from toucanhall.shares.messages import GiftRequest
 from toucanhall.shares.parts import Limit
-from toucanhall.shares.purse import (
-    Purse,
+from toucanhall.shares.share import (
+    Share,
     accept,
     ask,
     hold,
-    make_purse,
-    part_with,
+    make_share,
+    give_tokens,
     spend,
 )
 
@@ -24,12 +24,12 @@
 
 
 class Ledger:
-    """The purses of this VM, one per team, and until when they are valid."""
+    """The shares of this VM, one per team, and until when they are valid."""
 
     def __init__(self) -> None:
         """Start with no share of any limit."""
         self._lock = threading.Lock()
-        self._purses: dict[str, Purse] = {}
+        self._shares: dict[str, Share] = {}
         self._until = 0.0
         self._request: Callable[[GiftRequest, int], None] | None = None
 
@@ -42,7 +42,7 @@
         now = runtime.read_clock()
         with self._lock:
             self._until = until
-            self._purses = {
+            self._shares = {
                 team: hold(self._find(team, now), limit, now)
                 for team, limit in limits.items()
             }
@@ -51,36 +51,36 @@
         """Take one token; return `None`, or the seconds to wait for one."""
         with self._lock:
             now = runtime.read_clock()
-            if now >= self._until or team not in self._purses:
+            if now >= self._until or team not in self._shares:
                 return _UNCONFIRMED_SECONDS
-            purse, wait = spend(self._find(team, now), now)
-            purse, wanted = ask(purse, now)
-            self._purses[team] = purse
+            share, wait = spend(self._find(team, now), now)
+            share, wanted = ask(share, now)
+            self._shares[team] = share
         if wanted and self._request is not None:
-            self._request(GiftRequest(team, wanted, now), purse.turn)
+            self._request(GiftRequest(team, wanted, now), share.turn)
         return wait
 
-    def part_with(self, team: str, wanted: float) -> float:
+    def give_tokens(self, team: str, wanted: float) -> float:
         """Debit a gift and return its tokens; none while not confirmed."""
         with self._lock:
             now = runtime.read_clock()
-            if now >= self._until or team not in self._purses:
+            if now >= self._until or team not in self._shares:
                 return 0.0
-            purse, tokens = part_with(self._find(team, now), wanted, now)
-            self._purses[team] = purse
+            share, tokens = give_tokens(self._find(team, now), wanted, now)
+            self._shares[team] = share
         return tokens
 
     def accept(self, team: str, tokens: float, asked_at: float) -> None:
         """Add a gift that answers an ask of this process."""
         with self._lock:
             now = runtime.read_clock()
-            purse = accept(self._find(team, now), tokens, asked_at, now)
-            self._purses[team] = purse
+            share = accept(self._find(team, now), tokens, asked_at, now)
+            self._shares[team] = share
 
     def read(self) -> Mapping[str, Bucket]:
         """Return the buckets as they were last used."""
         with self._lock:
-            return {team: purse.bucket for team, purse in self._purses.items()}
+            return {team: share.bucket for team, share in self._shares.items()}
 
-    def _find(self, team: str, now: float) -> Purse:
-        return self._purses.get(team, make_purse(now))
+    def _find(self, team: str, now: float) -> Share:
+        return self._shares.get(team, make_share(now))
--- a/toucanhall/shares/parts.py
+++ b/toucanhall/shares/parts.py
@@ -10,7 +10,7 @@
 __all__ = (
     'Limit',
     'find_zone_part',
-    'hold_least',
+    'find_least',
     'list_slots',
 )
 
@@ -67,7 +67,7 @@
     return dict.fromkeys(slots, Limit(found.rate * part, found.burst * part))
 
 
-def hold_least(
+def find_least(
     catalogues: Iterable[Catalogue],
     zone: str,
     team: str,
--- /dev/null
+++ b/toucanhall/shares/share.py
@@ -0,0 +1,92 @@
+"""A team's tokens on one VM and its asks for gifts, as pure functions."""
+
+import math
+from typing import Final, NamedTuple
+
+from toucanhall.shares.bucket import (
+    CLOCK_MARGIN,
+    GIFT_SECONDS,
+    Bucket,
+    give,
+    receive,
+    refill,
+    resize,
+    take,
+    wait_for,
+)
+from toucanhall.shares.parts import Limit
+
+__all__ = (
+    'Share',
+    'accept',
+    'ask',
+    'hold',
+    'make_share',
+    'give_tokens',
+    'spend',
+)
+
+ASK_GAP_SECONDS: Final = 0.01
+_ASK_BELOW: Final = 0.25  # of the cap
+_LEAST_ASKED: Final = 0.01  # tokens
+
+
+class Share(NamedTuple):
+    """The bucket, when its open asks were sent, and the latest of all.
+
+    The time of an ask names it, so no two are sent at once. `turn` counts them.
+    """
+
+    bucket: Bucket
+    asks: tuple[float, ...] = ()
+    asked_at: float = -math.inf
+    turn: int = 0
+
+
+def make_share(now: float) -> Share:
+    """Return a share that holds no part of a limit."""
+    return Share(Bucket(0, now, 0, 0))
+
+
+def hold(share: Share, limit: Limit, now: float) -> Share:
+    """Return the share with another part of the limit; tokens only shrink.
+
+    A clock that is fast within the margin refills no faster than the limit.
+    """
+    rate = limit.rate / (1 + CLOCK_MARGIN)
+    bucket = resize(share.bucket, rate, limit.burst, now)
+    return share._replace(bucket=bucket)
+
+
+def spend(share: Share, now: float) -> tuple[Share, float | None]:
+    """Take one token; return the share and the wait for one, if refused."""
+    bucket, taken = take(share.bucket, now)
+    wait = None if taken else wait_for(bucket)
+    return share._replace(bucket=bucket), wait
+
+
+def ask(share: Share, now: float) -> tuple[Share, float]:
+    """Return the share after it may have asked, and the tokens asked for."""
+    bucket = refill(share.bucket, now)
+    asks = tuple(at for at in share.asks if now - at < GIFT_SECONDS)
+    wanted = bucket.cap - bucket.tokens
+    is_recent = now - share.asked_at < ASK_GAP_SECONDS
+    is_short = bucket.tokens < max(1, bucket.cap * _ASK_BELOW)
+    if is_recent or not is_short or wanted < _LEAST_ASKED:
+        return share._replace(bucket=bucket, asks=asks), 0.0
+    return Share(bucket, (*asks, now), now, share.turn + 1), wanted
+
+
+def give_tokens(share: Share, wanted: float, now: float) -> tuple[Share, float]:
+    """Return the share after a gift was debited, and the tokens of it."""
+    bucket, tokens = give(share.bucket, wanted, now)
+    return share._replace(bucket=bucket), tokens
+
+
+def accept(share: Share, tokens: float, asked_at: float, now: float) -> Share:
+    """Return the share after a gift; each ask is answered once."""
+    if asked_at not in share.asks:
+        return share
+    bucket = receive(share.bucket, tokens, asked_at, now)
+    asks = tuple(at for at in share.asks if at != asked_at)
+    return share._replace(bucket=bucket, asks=asks)
--- a/toucanhall/spread/__init__.py
+++ b/toucanhall/spread/__init__.py
@@ -2,7 +2,7 @@
 
 from toucanhall.spread.accepting import Accepting, Change
 from toucanhall.spread.actor import Spread
-from toucanhall.spread.currency import Currency
+from toucanhall.spread.monitor import FreshnessMonitor
 from toucanhall.spread.messages import (
     RevisionQuery,
     Delta,
@@ -15,7 +15,7 @@
     'Accepting',
     'RevisionQuery',
     'Change',
-    'Currency',
+    'FreshnessMonitor',
     'Delta',
     'Offer',
     'Spread',
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -10,7 +10,7 @@
 from toucanhall.catalogue.reading import revise_after
 from toucanhall.documents import Finding, render
 from toucanhall.spread.acceptance import Known
-from toucanhall.spread.currency import Currency
+from toucanhall.spread.monitor import FreshnessMonitor
 from toucanhall.spread.messages import (
     RevisionQuery,
     Delta,
@@ -52,7 +52,7 @@
         self,
         *,
         holder: Holder,
-        currency: Currency,
+        monitor: FreshnessMonitor,
         own_address: str,
         send: Callable[[str, Message], None],
         redial: Callable[[str], None],
@@ -61,7 +61,7 @@
         """Send with `send` to the addresses of the contacts."""
         super().__init__()
         self._holder = holder
-        self._currency = currency
+        self._monitor = monitor
         self._own_address = own_address
         self._send = send
         self._redial = redial
@@ -85,13 +85,13 @@
     def _answer_query(self, arrived: Arrived) -> None:
         question: RevisionQuery = arrived.message
         held = read_held(self._holder)
-        self._send(arrived.address, self._currency.answer(held, question))
+        self._send(arrived.address, self._monitor.answer(held, question))
         self._help(arrived.address, Known(question.number, question.change))
 
     def _take_answer(self, arrived: Arrived) -> None:
         answer: RevisionAnswer = arrived.message
         self._unanswered = note_answered(self._unanswered, arrived.address)
-        self._currency.hear(read_held(self._holder), answer, arrived.peer)
+        self._monitor.hear(read_held(self._holder), answer, arrived.peer)
         self._help(arrived.address, Known(answer.number, answer.change))
 
     def _take_offer(self, arrived: Arrived) -> None:
@@ -144,7 +144,7 @@
         if is_silent:
             self._redial(address)
         held = read_held(self._holder)
-        question = self._currency.ask(held, self._own_address)
+        question = self._monitor.ask(held, self._own_address)
         self._send(address, question)
 
     def _push(self, message: Push) -> None:
--- a/toucanhall/spread/currency.py
+++ b/toucanhall/spread/monitor.py
@@ -1,4 +1,4 @@
-"""Holds what this process knows of the currency of its revision."""
+"""Holds what this process knows of the freshness of its revision."""
 
 import threading
 from collections.abc import Callable
@@ -19,12 +19,12 @@
 )
 from toucanhall.spread.messages import RevisionQuery, RevisionAnswer
 
-__all__ = ('Currency',)
+__all__ = ('FreshnessMonitor',)
 
 _WAIT_SECONDS: Final = SETTLE_SECONDS + 2
 
 
-class Currency:
+class FreshnessMonitor:
     """The comparison state, read per request and changed under a lock."""
 
     def __init__(self) -> None:
--- a/toucanhall/spread/watcher.py
+++ b/toucanhall/spread/watcher.py
@@ -11,7 +11,7 @@
 from toucanhall.catalogue import Holder
 from toucanhall.platform import Client, Stored
 from toucanhall.spread.actor import log_invalid, read_held
-from toucanhall.spread.currency import Currency
+from toucanhall.spread.monitor import FreshnessMonitor
 from toucanhall.spread.record import (
     CATALOGUE_NAME,
     Record,
@@ -34,14 +34,14 @@
         *,
         platform: Client,
         holder: Holder,
-        currency: Currency,
+        monitor: FreshnessMonitor,
         may_watch: Callable[[], bool],
         stopping: threading.Event,
     ) -> None:
         """Offer what the store holds to the holder until stopping is set."""
         self._platform = platform
         self._holder = holder
-        self._currency = currency
+        self._monitor = monitor
         self._may_watch = may_watch
         self._stopping = stopping
         self._available = True
@@ -71,7 +71,7 @@
         if not self._take(stored):
             return False
         self._version = stored.version
-        self._currency.learn(started_at)
+        self._monitor.learn(started_at)
         return True
 
     def _take(self, stored: Stored) -> bool:
--- a/toucanhall/steering/__init__.py
+++ b/toucanhall/steering/__init__.py
@@ -4,7 +4,12 @@
 from toucanhall.steering.blocks import BlockIndex
 from toucanhall.steering.places import Outcome
 from toucanhall.steering.records import Arrive, Carry, End, Origin, Refuse, Run
-from toucanhall.steering.sizes import Hop, Seat, size_links, size_services
+from toucanhall.steering.sizes import (
+    EntryVm,
+    OwnedSlots,
+    size_links,
+    size_services,
+)
 from toucanhall.steering.steerer import Decision, Steerer
 
 __all__ = (
@@ -15,12 +20,12 @@
     'Carry',
     'Decision',
     'End',
-    'Hop',
+    'EntryVm',
     'Origin',
     'Outcome',
     'Refuse',
     'Run',
-    'Seat',
+    'OwnedSlots',
     'Steerer',
     'advise',
     'size_links',
--- a/toucanhall/steering/sizes.py
+++ b/toucanhall/steering/sizes.py
@@ -10,10 +10,10 @@
 from toucanhall.steering.places import Place
 from toucanhall.steering.records import Resize
 
-__all__ = ('Hop', 'Seat', 'size_links', 'size_services')
+__all__ = ('EntryVm', 'OwnedSlots', 'size_links', 'size_services')
 
 
-class Hop(NamedTuple):
+class EntryVm(NamedTuple):
     """Another entry VM that can carry a request to its targets."""
 
     vm: str
@@ -21,7 +21,7 @@
     address: str
 
 
-class Seat(NamedTuple):
+class OwnedSlots(NamedTuple):
     """The zone of a VM, and the numbers of the zone's slots that it holds."""
 
     zone: str
@@ -30,32 +30,32 @@
 
 def size_services(
     catalogue: Catalogue,
-    seat: Seat,
-    hops: tuple[Hop, ...],
+    owned: OwnedSlots,
+    hops: tuple[EntryVm, ...],
     now: float,
 ) -> Mapping[str, Resize]:
     """Return the size of each service of the catalogue."""
-    own = select_targets(catalogue, seat.zone)
+    own = select_targets(catalogue, owned.zone)
     sizes: dict[str, Resize] = {}
     for service, zones in _list_serving(catalogue).items():
         targets = own.get(service, ())
-        places = tuple(_list_places(catalogue, seat, targets, now))
+        places = tuple(_list_places(catalogue, owned, targets, now))
         sizes[service] = Resize(
             places,
-            tuple(_list_peers(catalogue, seat.zone, hops, zones)),
+            tuple(_list_peers(catalogue, owned.zone, hops, zones)),
             catalogue.shift_share * sum(place.slots for place in places),
         )
     return sizes
 
 
-def size_links(catalogue: Catalogue, seat: Seat) -> Mapping[str, float]:
+def size_links(catalogue: Catalogue, owned: OwnedSlots) -> Mapping[str, float]:
     """Return this VM's part of each link of its region, in bytes/s."""
-    zone = catalogue.zones.get(seat.zone)
+    zone = catalogue.zones.get(owned.zone)
     if zone is None:
         return {}
-    share = len(seat.held) / catalogue.slots_per_zone
+    share = len(owned.held) / catalogue.slots_per_zone
     return {
-        region: links.read_part(catalogue, seat.zone, region, share)
+        region: links.read_part(catalogue, owned.zone, region, share)
         for link in catalogue.links
         if zone.region in link.regions
         for region in link.regions
@@ -80,16 +80,16 @@
 
 def _list_places(
     catalogue: Catalogue,
-    seat: Seat,
+    owned: OwnedSlots,
     targets: tuple[Target, ...],
     now: float,
 ) -> Iterator[Place]:
-    owned = divide(targets, seat.held, catalogue.slots_per_zone)
+    parts = divide(targets, owned.held, catalogue.slots_per_zone)
     for target in targets:
         yield Place(
             target.name,
             target.address,
-            owned[target.name],
+            parts[target.name],
             draining_at=now if _is_draining(catalogue, target) else None,
         )
 
@@ -97,7 +97,7 @@
 def _list_peers(
     catalogue: Catalogue,
     own_zone: str,
-    hops: tuple[Hop, ...],
+    hops: tuple[EntryVm, ...],
     zones: frozenset[str],
 ) -> Iterator[Peer]:
     for hop in hops:
