Grant keys, list broken invariants and show the example URL in one place each

Fleet.grant stood again in the demo, the relay measurement and three test modules, list_broken in two models, the URL of examples in three tables of commands. Behaviour and assertions are as before.

--- a/benches/relay.py
+++ b/benches/relay.py
@@ -42,12 +42,7 @@
     try:
         fleet.start()
         fleet.apply()
-        key = json.loads(
-            fleet.run_command(
-                'key', 'grant', 'bench', '--team=hostels', '--json',
-                f'--at={fleet.vms[0].url}',
-            ).stdout,
-        )['key']  # fmt: skip
+        key = fleet.grant('bench', 'hostels')
         relay = fleet.start_bare('feed-1')
         time.sleep(4)
         result = measure_all(
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,14 +1,13 @@
 """Runs a fleet, acts as its callers and operators, and tells how it went."""
 
 import argparse
-import json
 import signal
 import sys
 import threading
 import time
 from collections import Counter
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 from standins.callers import MAY_HAVE_RUN, Caller
 from standins.fleet import Fleet
@@ -173,7 +172,9 @@
 def _run(fleet: Fleet, *, keep: bool) -> int:
     fleet.start()
     fleet.apply()
-    keys = {team: _grant(fleet, team) for team in ('guides', 'hostels')}
+    keys = {
+        team: fleet.grant(f'{team}-key', team) for team in ('guides', 'hostels')
+    }
     print(f'{len(fleet.processes)} processes are up', flush=True)
     if keep:
         _tell_how(fleet, keys['guides'])
@@ -183,15 +184,6 @@
     return demo.report()
 
 
-def _grant(fleet: Fleet, team: str) -> str:
-    done = fleet.run_command(
-        'key', 'grant', f'{team}-key', f'--team={team}', '--json',
-        f'--at={fleet.vms[0].url}',
-    )  # fmt: skip
-    granted: dict[str, Any] = json.loads(done.stdout)
-    return str(granted['key'])
-
-
 def _tell_how(fleet: Fleet, key: str) -> None:
     for vm in fleet.vms:
         print(f'{vm.name:<18}{vm.url}')
--- a/tests/models/reports.py
+++ b/tests/models/reports.py
@@ -37,3 +37,12 @@
     """Print the length of each counterexample of a variant."""
     for invariant, found in checked['properties'].items():
         report_variant(f'{name} ({invariant})', found)
+
+
+def list_broken(checked: dict) -> set:
+    """Return the names of the invariants that do not hold."""
+    return {
+        name
+        for name, found in checked['properties'].items()
+        if not found['holds']
+    }
--- a/tests/models/test_freshness_model.py
+++ b/tests/models/test_freshness_model.py
@@ -12,7 +12,12 @@
 
 from minicheck import Protocol
 
-from tests.models.reports import explore, report_model, report_variants
+from tests.models.reports import (
+    explore,
+    list_broken,
+    report_model,
+    report_variants,
+)
 from toucanhall.spread import freshness
 from toucanhall.spread.freshness import Freshness
 
@@ -149,15 +154,6 @@
     return explore(protocol, max_states=2_000_000)
 
 
-def list_broken(checked):
-    """Return the names of the invariants that do not hold."""
-    return {
-        name
-        for name, found in checked['properties'].items()
-        if not found['holds']
-    }
-
-
 def test_withdrawn_key_is_served_for_a_bounded_time():
     checked = check()
     report_model('freshness', checked)
--- a/tests/models/test_spread_model.py
+++ b/tests/models/test_spread_model.py
@@ -10,7 +10,12 @@
 
 from minicheck import Protocol
 
-from tests.models.reports import explore, report_model, report_variants
+from tests.models.reports import (
+    explore,
+    list_broken,
+    report_model,
+    report_variants,
+)
 from toucanhall.catalogue.holder import Verdict, judge
 from toucanhall.spread import comparison, freshness
 from toucanhall.spread.acceptance import (
@@ -290,15 +295,6 @@
     return explore(protocol, MOST_STATES)
 
 
-def list_broken(checked):
-    """Return the names of the invariants that do not hold."""
-    return {
-        name
-        for name, found in checked['properties'].items()
-        if not found['holds']
-    }
-
-
 def test_changes_are_kept_and_told_truly():
     checked = check()
     report_model('spread', checked)
--- a/tests/processes/test_answers.py
+++ b/tests/processes/test_answers.py
@@ -30,9 +30,7 @@
 @pytest.fixture(scope='module', name='key')
 def grant_key(fleet: Fleet) -> str:
     """Grant a key that works on the first VM."""
-    at = f'--at={fleet.vms[0].url}'
-    done = fleet.run_command('key-grant', 'answers', '--team=hostels', at)
-    key = json.loads(done.stdout)['key']
+    key = fleet.grant('answers', 'hostels')
     for vm in fleet.vms:
         wait_until(
             lambda vm=vm: ask(fleet, '/feed/x', key, vm=vm).status == 200,
--- a/tests/processes/test_once.py
+++ b/tests/processes/test_once.py
@@ -1,6 +1,5 @@
 """Tests of at most once through real processes, lost replies and pauses."""
 
-import json
 import signal
 import time
 from collections.abc import Iterator
@@ -38,10 +37,7 @@
 @pytest.fixture(scope='module', name='key')
 def grant_key(fleet: Fleet) -> str:
     """Grant a key that works on every VM."""
-    done = fleet.run_command(
-        'key-grant', 'once', f'--team={TEAM}', f'--at={fleet.vms[0].url}',
-    )  # fmt: skip
-    key = json.loads(done.stdout)['key']
+    key = fleet.grant('once', TEAM)
     for vm in fleet.vms:
         wait_until(
             lambda vm=vm: book(fleet, vm, key, 'probe').status in {200, 409},
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -26,15 +26,7 @@
 @pytest.fixture(scope='module', name='key')
 def grant_key(fleet: Fleet) -> str:
     """Grant a key that works on every VM."""
-    done = fleet.run_command(
-        'key',
-        'grant',
-        'tests-key',
-        '--json',
-        '--team=hostels',
-        f'--at={fleet.vms[0].url}',
-    )
-    key = json.loads(done.stdout)['key']
+    key = fleet.grant('tests-key', 'hostels')
     for vm in fleet.vms:
         wait_until(
             lambda url=vm.url: fetch(fleet, url, key).status == 200,
--- a/toucanhall/commands/catalogues.py
+++ b/toucanhall/commands/catalogues.py
@@ -12,6 +12,7 @@
 from toucanhall.commands.api import ApiError, connect, fail
 from toucanhall.commands.model import (
     AT,
+    AT_EXAMPLE,
     FILE,
     JSON,
     WAIT,
@@ -159,8 +160,6 @@
     )
 
 
-_URL: Final = '--at http://127.0.1.1:8080'
-
 COMMANDS: Final = (
     Command(
         ('catalogue', 'check'),
@@ -173,7 +172,7 @@
     Command(
         ('catalogue', 'apply'),
         'put a catalogue file into force',
-        f'catalogue apply lumina.jsonc --wait 10 {_URL}',
+        f'catalogue apply lumina.jsonc --wait 10 {AT_EXAMPLE}',
         (
             FILE,
             AT,
@@ -194,7 +193,7 @@
     Command(
         ('catalogue', 'show'),
         'print the catalogue in force as JSON',
-        f'catalogue show {_URL}',
+        f'catalogue show {AT_EXAMPLE}',
         (AT, JSON),
         show_catalogue,
         'catalogue-show',
@@ -202,14 +201,14 @@
     Command(
         ('catalogue', 'diff'),
         'print what applying a file would change',
-        f'catalogue diff lumina.jsonc {_URL}',
+        f'catalogue diff lumina.jsonc {AT_EXAMPLE}',
         (FILE, AT, JSON),
         diff_catalogue,
     ),
     Command(
         ('catalogue', 'history'),
         'print accepted changes: who, what, revision and when',
-        f'catalogue history {_URL}',
+        f'catalogue history {AT_EXAMPLE}',
         (
             AT,
             Argument(
--- a/toucanhall/commands/drains.py
+++ b/toucanhall/commands/drains.py
@@ -9,6 +9,7 @@
 from toucanhall.commands.api import connect, fail
 from toucanhall.commands.model import (
     AT,
+    AT_EXAMPLE,
     JSON,
     WAIT,
     Argument,
@@ -51,7 +52,6 @@
     return Code.DONE
 
 
-_URL: Final = '--at http://127.0.1.1:8080'
 _KIND: Final = Argument(
     'kind',
     {'choices': tuple(_KINDS), 'help': 'what is drained'},
@@ -62,21 +62,21 @@
     Command(
         ('drain', 'start'),
         'give a target, VM or zone no new work',
-        f'drain start target guide-1 --wait 10 {_URL}',
+        f'drain start target guide-1 --wait 10 {AT_EXAMPLE}',
         (_KIND, _NAME, AT, WAIT, JSON),
         _make_change('PUT'),
     ),
     Command(
         ('drain', 'stop'),
         'end a drain',
-        f'drain stop target guide-1 {_URL}',
+        f'drain stop target guide-1 {AT_EXAMPLE}',
         (_KIND, _NAME, AT, WAIT, JSON),
         _make_change('DELETE'),
     ),
     Command(
         ('drain', 'status'),
         'list what is drained',
-        f'drain status {_URL}',
+        f'drain status {AT_EXAMPLE}',
         (AT, JSON),
         show_drains,
     ),
--- a/toucanhall/commands/keys.py
+++ b/toucanhall/commands/keys.py
@@ -9,6 +9,7 @@
 from toucanhall.commands.api import Body, connect, fail
 from toucanhall.commands.model import (
     AT,
+    AT_EXAMPLE,
     JSON,
     WAIT,
     Argument,
@@ -70,7 +71,6 @@
     return Code.DONE
 
 
-_URL: Final = '--at http://127.0.1.1:8080'
 _NAME: Final = Argument('name', {'help': 'the name of the key'})
 _TEAM: Final = Argument(
     '--team',
@@ -81,7 +81,7 @@
     Command(
         ('key', 'grant'),
         'grant a key to a team; it is shown once and kept only as digest',
-        f'key grant hostel-1 --team hostels {_URL}',
+        f'key grant hostel-1 --team hostels {AT_EXAMPLE}',
         (_NAME, _TEAM, AT, WAIT, JSON),
         grant_key,
         'key-grant',
@@ -89,7 +89,7 @@
     Command(
         ('key', 'withdraw'),
         'withdraw a key',
-        f'key withdraw hostel-1 --wait 10 {_URL}',
+        f'key withdraw hostel-1 --wait 10 {AT_EXAMPLE}',
         (_NAME, AT, WAIT, JSON),
         withdraw_key,
         'key-withdraw',
@@ -97,7 +97,7 @@
     Command(
         ('key', 'list'),
         'list granted keys by name, team and digest',
-        f'key list {_URL}',
+        f'key list {AT_EXAMPLE}',
         (AT, JSON),
         list_keys,
     ),
--- a/toucanhall/commands/model.py
+++ b/toucanhall/commands/model.py
@@ -8,6 +8,7 @@
 from typing import Any, Final, NamedTuple, TextIO
 
 __all__ = (
+    'AT_EXAMPLE',
     'AT_VARIABLE',
     'Argument',
     'Code',
@@ -18,6 +19,7 @@
 
 TOKEN_VARIABLE: Final = 'TOUCANHALL_TOKEN'
 AT_VARIABLE: Final = 'TOUCANHALL_AT'
+AT_EXAMPLE: Final = '--at http://127.0.1.1:8080'
 
 
 class Code(enum.IntEnum):
