--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -23,7 +23,7 @@
 from toucanhall.catalogue.reading import read, revise, revise_after
 from toucanhall.membership.contacts import select_contacts
 from toucanhall.membership.view import View, merge_list
-from toucanhall.platform import Listed
+from toucanhall.objectstore import Listed
 from toucanhall.shares import Holding, Ledger
 from toucanhall.shares.claimer import Claimer, Place
 from toucanhall.shares.messages import Acknowledgement, Probe
--- a/benches/membership.py
+++ b/benches/membership.py
@@ -24,7 +24,7 @@
 )
 from toucanhall.membership.messages import Heartbeat
 from toucanhall.membership.view import Health, View, assess, hear, merge_list
-from toucanhall.platform import Listed
+from toucanhall.objectstore import Listed
 from toucanhall.transport import seal, unseal
 
 _SIZES: Final = (4, 8, 16, 32, 62)
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -2,7 +2,7 @@
 
 from returns.result import Failure, Success
 
-from toucanhall.platform import Ambiguous, Conflict, Stored, Unavailable
+from toucanhall.objectstore import Ambiguous, Conflict, Stored, Unavailable
 
 
 class MemoryStore:
--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -15,7 +15,7 @@
 from toucanhall.forwarding.dispatch import Dispatcher
 from toucanhall.forwarding.sharing import Sharing
 from toucanhall.idempotency import Keeper
-from toucanhall.platform import Conflict, Stored
+from toucanhall.objectstore import Conflict, Stored
 from toucanhall.steering import OwnedSlots, Steerer, size_links, size_services
 from toucanhall.transport.exchange import Identity
 
--- a/tests/unit/test_idempotency_keeper.py
+++ b/tests/unit/test_idempotency_keeper.py
@@ -5,7 +5,7 @@
 
 from toucanhall import runtime
 from toucanhall.idempotency import Keeper, Outcome, Verdict
-from toucanhall.platform import Ambiguous, Conflict, Stored, Unavailable
+from toucanhall.objectstore import Ambiguous, Conflict, Stored, Unavailable
 
 NAME = 'claims/x'
 OUTCOME = Outcome(201, (('ETag', '"x"'),), b'booked')
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -6,7 +6,7 @@
 from toucanhall.membership.contacts import is_reader, select_near
 from toucanhall.membership.messages import Row
 from toucanhall.membership.view import assess, forgive, select_live
-from toucanhall.platform import Listed
+from toucanhall.objectstore import Listed
 from toucanhall.shares.slots import Holding, Table, claim
 
 EMPTY = View({}, {})
--- a/toucanhall/admin/audit.py
+++ b/toucanhall/admin/audit.py
@@ -14,7 +14,7 @@
 
 from toucanhall import events
 from toucanhall.documents import Document
-from toucanhall.platform import Client, Conflict
+from toucanhall.objectstore import Client, Conflict
 
 __all__ = ('NOTES', 'Audit', 'AuditEntry', 'add_entry', 'list_entries')
 
--- a/toucanhall/admin/service.py
+++ b/toucanhall/admin/service.py
@@ -18,7 +18,7 @@
 from toucanhall.catalogue import Holder
 from toucanhall.counters import Counters
 from toucanhall.forwarding.records import Answer, Request, find_header
-from toucanhall.platform import Client
+from toucanhall.objectstore import Client
 from toucanhall.settings import Operator
 from toucanhall.spread import Accepting
 
--- /dev/null
+++ b/toucanhall/edge/pool.py
@@ -0,0 +1,100 @@
+"""Connections to targets that are kept between requests."""
+
+from collections.abc import Callable
+from typing import Final
+
+from toucanhall.fleet.model import Address
+from toucanhall.web.client import ServerConnection, open_connection
+
+__all__ = ('Pool',)
+
+# A handshake between regions takes two of their one-way times, 110 ms.
+_CONNECT_SECONDS: Final = 0.5
+# Targets close idle connections after ten seconds, at times without a word.
+_IDLE_SECONDS: Final = 7.0
+# A request that must not be sent twice uses a connection that was in use just
+# now: a target that closes it meanwhile leaves open whether the request ran.
+_FRESH_SECONDS: Final = 2.0
+_KEPT_PER_TARGET: Final = 24
+_KEEP_ALIVE_MARGIN: Final = 1.0  # seconds before the time that a target told
+
+
+class Pool:
+    """Idle connections by address; the last one used is taken first."""
+
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        id_header: bytes,
+    ) -> None:
+        """Match answers by the header that repeats the id of a request."""
+        self._clock = clock
+        self._id_header = id_header
+        self._idle: dict[Address, list[ServerConnection]] = {}
+        self.opened = 0
+
+    async def take(
+        self,
+        address: Address,
+        *,
+        may_repeat: bool,
+    ) -> tuple[ServerConnection, bool]:
+        """Return a connection, and whether it was used before."""
+        longest = _IDLE_SECONDS if may_repeat else _FRESH_SECONDS
+        now = self._clock()
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable and self._is_fresh(connection, now, longest):
+                return connection, True
+            if connection.is_usable and not may_repeat:
+                idle.append(connection)
+                break
+            connection.close()
+        self.opened += 1
+        opened = await open_connection(
+            address,
+            seconds=_CONNECT_SECONDS,
+            id_header=self._id_header,
+        )
+        return opened, False
+
+    def give_back(self, address: Address, connection: ServerConnection) -> None:
+        """Keep a connection whose answer was read whole."""
+        idle = self._idle.setdefault(address, [])
+        if not connection.is_usable or len(idle) >= _KEPT_PER_TARGET:
+            connection.close()
+            return
+        connection.idle_since = self._clock()
+        idle.append(connection)
+
+    def sweep(self) -> None:
+        """Close connections that were idle for too long."""
+        now = self._clock()
+        for address, idle in tuple(self._idle.items()):
+            kept = []
+            for connection in idle:
+                if connection.is_usable and self._is_fresh(
+                    connection,
+                    now,
+                    _IDLE_SECONDS,
+                ):
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                self._idle.pop(address)
+
+    def _is_fresh(
+        self,
+        connection: ServerConnection,
+        now: float,
+        longest: float,
+    ) -> bool:
+        told = connection.idle_seconds
+        if told is not None:
+            longest = min(longest, told - _KEEP_ALIVE_MARGIN)
+        return now - connection.idle_since < longest
--- /dev/null
+++ b/toucanhall/edge/process.py
@@ -0,0 +1,346 @@
+"""The process of a VM: puts its parts together, starts and stops them."""
+
+import asyncio
+import contextlib
+import gc
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path as FilePath
+from typing import Final
+
+from toucanhall.edge.directory import Choice, pick_vms
+from toucanhall.edge.fleetmate import Fleetmate
+from toucanhall.edge.path import Path
+from toucanhall.edge.pool import Pool
+from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.model import Address, Environment, Introduction
+from toucanhall.limits.quota import Demand, Quotas
+from toucanhall.observe import events
+from toucanhall.observe.journal import Journal
+from toucanhall.observe.metrics import Metrics
+from toucanhall.placement.field import Field
+from toucanhall.placement.order import Place
+from toucanhall.platform import boot
+from toucanhall.platform.entrance import (
+    make_readiness,
+    read_question,
+    write_directory,
+)
+from toucanhall.platform.following import Follower
+from toucanhall.platform.headers import REQUEST_ID
+from toucanhall.platform.store import Store, StoreError
+from toucanhall.web.messages import Answer, Request, make_answer
+from toucanhall.web.server import Connection, Handler, ServerLimits
+
+__all__ = ('run',)
+
+WATCHERS_PER_ZONE: Final = 1
+METRICS_PORT: Final = 9464
+_BACKLOG: Final = 1024
+_SWEEP_SECONDS: Final = 1.0
+_RELOAD_SECONDS: Final = 1.0  # between looks at the settings file
+_FIRST_READ_SECONDS: Final = 0.1
+_LONGEST_READ_SECONDS: Final = 1.0
+# Before a configuration is known; of the order of what operators allow.
+_SMALL: Final = ServerLimits(65536, 1 << 26, 5.0, 30.0)
+# Part of the grace after which idle callers are sent away, and the end.
+_CLOSE_IDLE_SHARE: Final = 0.75
+_END_SHARE: Final = 0.93
+
+
+class Process:
+    """One VM of the fleet."""
+
+    def __init__(self, *, settings: FilePath, environment: Environment) -> None:
+        """Prepare a VM; nothing is opened yet."""
+        self._settings = settings
+        self._settings_seen = _read_stamp(settings)
+        self._environment = environment
+        self._loop = asyncio.get_running_loop()
+        self._journal = Journal(vm=environment.vm)
+        self._metrics = Metrics()
+        self._stopping = asyncio.Event()
+        self._connections: set[Connection] = set()
+        place = Place(environment.zone, environment.region)
+        self._field = Field(place=place, regions=environment.regions)
+        self._knowledge = Knowledge(on_change=self._take_change)
+        self._demand = Demand(now=self._loop.time())
+        self._quotas = Quotas()
+        self._pool = Pool(clock=self._loop.time, id_header=REQUEST_ID)
+        self._store = Store(address=environment.store)
+        self._follower = Follower(
+            store=self._store,
+            knowledge=self._knowledge,
+            journal=self._journal,
+        )
+        self._path = Path(
+            knowledge=self._knowledge,
+            field=self._field,
+            pool=self._pool,
+            quotas=self._quotas,
+            demand=self._demand,
+            bounds=environment.bounds,
+            journal=self._journal,
+            metrics=self._metrics,
+        )
+        self._mate = Fleetmate(
+            environment=environment,
+            knowledge=self._knowledge,
+            demand=self._demand,
+            journal=self._journal,
+            is_ready=self._is_ready,
+            is_watching=lambda: self._follower.is_watching,
+            on_beat=self._take_beat,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then end what is under way."""
+        for name, act in (
+            (signal.SIGTERM, self._stopping.set),
+            (signal.SIGINT, self._stopping.set),
+            (signal.SIGHUP, self._reload),
+        ):
+            self._loop.add_signal_handler(name, act)
+        await self._listen()
+        await self._mate.start()
+        reading = self._loop.create_task(self._read_tables())
+        self._loop.call_later(_SWEEP_SECONDS, self._sweep)
+        self._journal.write(events.STARTED, zone=self._environment.zone)
+        gc.collect()
+        gc.freeze()
+        await self._stopping.wait()
+        reading.cancel()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        began = self._loop.time()
+        grace = self._environment.bounds.grace
+        self._journal.write(events.STOPPING, in_flight=self._path.in_flight)
+        self._mate.tell()
+        await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
+        end = began + grace * _END_SHARE
+        while self._loop.time() < end:
+            for connection in tuple(self._connections):
+                connection.close_idle()
+            await asyncio.sleep(0.05)
+            if not self._connections:
+                break
+        self._journal.write(events.STOPPED, in_flight=self._path.in_flight)
+
+    async def _listen(self) -> None:
+        listeners = self._environment.listeners
+        plain = {
+            listeners.readiness: make_readiness(self._is_ready),
+            listeners.directory: self._answer_directory,
+            listeners.control: self._mate.answer,
+            Address(self._environment.ip, METRICS_PORT): self._answer_metrics,
+        }
+        for address, answer in plain.items():
+            if address is not None:
+                await self._serve(address, _make_plain(answer), set())
+        if listeners.requests is not None:
+            await self._serve(
+                listeners.requests,
+                self._path.serve,
+                self._connections,
+            )
+
+    async def _serve(
+        self,
+        address: Address,
+        serve: Callable[[Request], Awaitable[Answer]],
+        connections: set[Connection],
+    ) -> None:
+        handler = Handler(
+            serve=serve,
+            is_cancellable=self._path.is_cancellable,
+            get_limits=self._get_limits,
+            is_stopping=self._stopping.is_set,
+            connections=connections,
+        )
+        await self._loop.create_server(
+            lambda: Connection(handler=handler),
+            address.host,
+            address.port,
+            backlog=_BACKLOG,
+        )
+
+    async def _read_tables(self) -> None:
+        own = Introduction(
+            self._environment.vm,
+            self._environment.zone,
+            self._environment.ip,
+        )
+        wait = _FIRST_READ_SECONDS
+        while True:
+            try:
+                await self._follower.read_all()
+                self._mate.meet(await self._follower.register(own))
+                break
+            except StoreError as error:
+                self._journal.write(events.STORE_LOST, why=str(error))
+            await asyncio.sleep(wait)
+            wait = min(_LONGEST_READ_SECONDS, wait * 2)
+        await asyncio.sleep(2.0)
+        with contextlib.suppress(StoreError):
+            self._mate.meet(await self._follower.list_vms())
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._stopping.is_set()
+            and self._knowledge.configuration is not None
+        )
+
+    def _get_limits(self) -> ServerLimits:
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return _SMALL
+        return ServerLimits(*configuration.limits)
+
+    def _take_change(self, table: str) -> None:
+        now = self._loop.time()
+        knowledge = self._knowledge
+        if table == 'targets':
+            self._field.take_targets(knowledge.targets, now)
+            self._journal.write(
+                events.TARGETS_CHANGED,
+                revision=knowledge.revisions.targets,
+                targets=len(knowledge.targets),
+            )
+        elif table == 'evacuations':
+            self._field.take_evacuations(
+                knowledge.evacuated,
+                knowledge.configuration,
+                now,
+            )
+            self._journal.write(
+                events.EVACUATIONS_CHANGED,
+                revision=knowledge.revisions.evacuations,
+                zones=sorted(knowledge.evacuated),
+            )
+        elif knowledge.configuration is not None:
+            self._journal.write(
+                events.CONFIGURATION_TAKEN,
+                revision=knowledge.revisions.configuration,
+                version=knowledge.configuration.version,
+            )
+        self._mate.tell()
+
+    def _take_beat(self) -> None:
+        now = self._loop.time()
+        environment = self._environment
+        alive = self._mate.members.list_alive(now)
+        zones: dict[str, list[str]] = {environment.zone: [environment.vm]}
+        for found in alive:
+            if found.is_ready:
+                zones.setdefault(found.zone, []).append(found.vm)
+        self._field.take_vms(
+            environment.vm,
+            {zone: sorted(vms) for zone, vms in zones.items()},
+        )
+        self._path.resize(len(alive) + 1)
+        remembered = self._mate.members.list_remembered(now)
+        self._quotas.divide(
+            self._mate.own_demand,
+            (found.demand for found in remembered),
+        )
+        near = [found.vm for found in alive if found.zone == environment.zone]
+        watchers = sorted((environment.vm, *near))[:WATCHERS_PER_ZONE]
+        if environment.vm in watchers and not self._stopping.is_set():
+            self._follower.start()
+        else:
+            self._follower.stop()
+
+    def _answer_directory(self, request: Request) -> Answer:
+        question = read_question(request)
+        if question is None:
+            return make_answer(404, 'no such path')
+        picked = pick_vms(
+            self._list_choices(),
+            question.zone,
+            question.region,
+            self._find_homes(question.host),
+        )
+        listener = self._environment.listeners.requests
+        port = listener.port if listener else 0
+        return write_directory(
+            [Address(found.ip, port) for found in picked],
+            self._environment.bounds.directory_ttl,
+        )
+
+    def _list_choices(self) -> list[Choice]:
+        environment = self._environment
+        choices = [
+            Choice(
+                found.vm,
+                found.zone,
+                environment.regions.get(found.zone, ''),
+                found.ip,
+            )
+            for found in self._mate.members.list_alive(self._loop.time())
+            if found.is_ready
+        ]
+        if self._is_ready() or not choices:
+            own = Choice(
+                environment.vm,
+                environment.zone,
+                environment.region,
+                environment.ip,
+            )
+            choices.append(own)
+        return choices
+
+    def _find_homes(self, host: str) -> frozenset[str]:
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return frozenset()
+        homes = [route.homes for route in configuration.hosts.get(host, ())]
+        return frozenset().union(*homes)
+
+    def _answer_metrics(self, _request: Request) -> Answer:
+        return make_answer(200, self._metrics.render())
+
+    def _sweep(self) -> None:
+        self._pool.sweep()
+        self._journal.tell_dropped()
+        if _read_stamp(self._settings) != self._settings_seen:
+            self._reload()
+        self._loop.call_later(_SWEEP_SECONDS, self._sweep)
+
+    def _reload(self) -> None:
+        self._settings_seen = _read_stamp(self._settings)
+        try:
+            environment = boot.load(self._settings)
+        except boot.BadSettings as error:
+            self._journal.write(events.RELOAD_FAILED, why=str(error))
+            return
+        self._environment = self._environment._replace(
+            bounds=environment.bounds,
+            regions=environment.regions,
+        )
+        self._journal.write(events.RELOADED)
+
+
+def run(settings: FilePath) -> None:
+    """Run a VM until it is told to stop; raises BadSettings."""
+    asyncio.run(_run(settings, boot.load(settings)))
+
+
+async def _run(settings: FilePath, environment: Environment) -> None:
+    await Process(settings=settings, environment=environment).run()
+
+
+def _make_plain(
+    answer: Callable[[Request], Answer],
+) -> Callable[[Request], Awaitable[Answer]]:
+    async def serve(request: Request) -> Answer:  # noqa: RUF029
+        return answer(request)
+
+    return serve
+
+
+def _read_stamp(path: FilePath) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
--- /dev/null
+++ b/toucanhall/edge/refusals.py
@@ -0,0 +1,38 @@
+"""Answers of the VM itself, and what they promise."""
+
+from typing import Final, NamedTuple
+
+from toucanhall.web.messages import Answer, make_answer
+
+__all__ = (
+    'Refusal',
+    'make_refusal',
+)
+
+
+class Refusal(NamedTuple):
+    """A final answer; `retry_after` is in seconds, None where it is useless."""
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+NO_CONFIGURATION: Final = Refusal(503, 'no-configuration', 0.5)
+NO_ROUTE: Final = Refusal(404, 'no-route')
+UNKNOWN_KEY: Final = Refusal(401, 'unknown-key')
+FULL: Final = Refusal(503, 'targets-full', 0.25)
+NO_TARGET: Final = Refusal(503, 'no-target', 0.5)
+NOT_RUN: Final = Refusal(503, 'not-run', 0.25)
+NO_TIME: Final = Refusal(503, 'no-time-left')
+MAY_HAVE_RUN: Final = Refusal(502, 'answer-lost')
+TIMED_OUT: Final = Refusal(504, 'timeout')
+CRASHED: Final = Refusal(502, 'internal-error')
+
+
+def make_refusal(refusal: Refusal) -> Answer:
+    """Return the answer of a refusal."""
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    if refusal.retry_after is not None:
+        headers = ((b'retry-after', b'%.3f' % refusal.retry_after),)
+    return make_answer(refusal.status, refusal.reason, *headers)
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -24,7 +24,7 @@
 from toucanhall.membership.confirming import report_zones
 from toucanhall.membership.contacts import is_reader, select_contacts
 from toucanhall.membership.view import HEARTBEAT_SECONDS, select_live
-from toucanhall.platform import connect
+from toucanhall.objectstore import connect
 from toucanhall.settings import Settings
 from toucanhall.shares import Holding, Ledger
 from toucanhall.shares.claimer import Claimer, Place, Surroundings
--- /dev/null
+++ b/toucanhall/fleet/membership.py
@@ -0,0 +1,102 @@
+"""Which VMs are alive, and what they last told."""
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from toucanhall.fleet.knowledge import Revisions
+from toucanhall.fleet.model import Introduction
+
+__all__ = ('ALIVE_SECONDS', 'Heartbeat', 'Members', 'Peer', 'pick_watchers')
+
+# Two heartbeats may be lost before a VM counts as dead.
+ALIVE_SECONDS: Final = 2.6
+# A VM that fell silent may still admit requests of teams: its part of their
+# limits is given to others only after this time.
+FORGET_SECONDS: Final = 20.0
+
+
+class Heartbeat(NamedTuple):
+    """What a VM tells the others.
+
+    `started_at` tells its starts apart (Unix milliseconds), `demand` holds
+    the requests per second of each team, `introduced` the VMs it knows when
+    it answers one that is new.
+    """
+
+    vm: str
+    started_at: int
+    zone: str
+    ip: str
+    is_ready: bool
+    is_watching: bool
+    revisions: Revisions
+    demand: Mapping[str, float]
+    introduced: tuple[Introduction, ...] = ()
+
+
+class Peer(NamedTuple):
+    """The last heartbeat of a VM and when it was heard."""
+
+    heartbeat: Heartbeat
+    heard_at: float
+
+
+class Members:
+    """The other VMs, by name."""
+
+    def __init__(self) -> None:
+        """Start without knowing any VM."""
+        self.peers: dict[str, Peer] = {}
+        self.introduced: dict[str, Introduction] = {}
+
+    def hear(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat; tell whether its VM is new or started again."""
+        known = self.peers.get(heartbeat.vm)
+        if known and heartbeat.started_at < known.heartbeat.started_at:
+            return False
+        self.peers[heartbeat.vm] = Peer(heartbeat, now)
+        self.introduced[heartbeat.vm] = Introduction(
+            heartbeat.vm,
+            heartbeat.zone,
+            heartbeat.ip,
+        )
+        return (
+            known is None
+            or known.heartbeat.started_at != heartbeat.started_at
+            or now - known.heard_at > ALIVE_SECONDS
+        )
+
+    def introduce(self, introduction: Introduction) -> bool:
+        """Note where a VM may be found; tell whether it was unknown."""
+        is_new = introduction.vm not in self.introduced
+        if is_new:
+            self.introduced[introduction.vm] = introduction
+        return is_new
+
+    def excuse(self, seconds: float) -> None:
+        """Forgive silence for the time in which this VM did not run."""
+        self.peers = {
+            vm: peer._replace(heard_at=peer.heard_at + seconds)
+            for vm, peer in self.peers.items()
+        }
+
+    def list_alive(self, now: float) -> list[Heartbeat]:
+        """Return the last heartbeats of the VMs that are alive."""
+        return [
+            peer.heartbeat
+            for peer in self.peers.values()
+            if now - peer.heard_at <= ALIVE_SECONDS
+        ]
+
+    def list_remembered(self, now: float) -> list[Heartbeat]:
+        """Return the last heartbeats, also of VMs that fell silent."""
+        return [
+            peer.heartbeat
+            for peer in self.peers.values()
+            if now - peer.heard_at <= FORGET_SECONDS
+        ]
+
+
+def pick_watchers(zone: str, alive: list[Heartbeat], count: int) -> list[str]:
+    """Return the names of the VMs of a zone that watch the store."""
+    return sorted(found.vm for found in alive if found.zone == zone)[:count]
--- a/toucanhall/idempotency/attempt.py
+++ b/toucanhall/idempotency/attempt.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from toucanhall.idempotency.claims import Claim
-from toucanhall.platform.model import ABSENT
+from toucanhall.objectstore.model import ABSENT
 
 __all__ = ('Attempt', 'Stage', 'Verdict', 'may_send')
 
--- a/toucanhall/idempotency/keeper.py
+++ b/toucanhall/idempotency/keeper.py
@@ -11,15 +11,15 @@
 from toucanhall.idempotency.attempt import Attempt, Verdict
 from toucanhall.idempotency.claims import Claim, Found, Outcome
 from toucanhall.idempotency.messages import Moved
-from toucanhall.platform import (
+from toucanhall.objectstore import (
     Ambiguous,
     Client,
     Conflict,
     Stored,
     Unavailable,
 )
-from toucanhall.platform.errors import PlatformError
-from toucanhall.platform.model import ABSENT
+from toucanhall.objectstore.errors import PlatformError
+from toucanhall.objectstore.model import ABSENT
 
 __all__ = ('Begun', 'Keeper')
 
--- a/toucanhall/idempotency/protocol.py
+++ b/toucanhall/idempotency/protocol.py
@@ -7,7 +7,7 @@
 from toucanhall.idempotency.attempt import Attempt, Stage, Verdict, may_send
 from toucanhall.idempotency.claims import Claim, Standing, judge
 from toucanhall.idempotency.messages import Moved
-from toucanhall.platform.model import ABSENT
+from toucanhall.objectstore.model import ABSENT
 
 __all__ = ('start', 'step')
 
--- /dev/null
+++ b/toucanhall/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of the whole fleet, kept by each VM in its part."""
--- /dev/null
+++ b/toucanhall/limits/retries.py
@@ -0,0 +1,58 @@
+"""This VM's part of the repeats that a service may get.
+
+Load pattern: many targets of a service fail at once and every request would
+be repeated. The parts of all VMs add up to the ratio of the requests and the
+slack that the fleet is allowed in each window.
+"""
+
+from typing import Final
+
+from toucanhall.fleet.model import Bounds
+
+__all__ = ('Retries',)
+
+# Requests of a window are counted by their arrival here, those that are
+# repeated arrive a little later: a part of the ratio is kept for that.
+_SAFE_SHARE: Final = 0.8
+_BURST_SHARE: Final = 0.25  # of the slack, spent at once
+
+
+class Retries:
+    """Tokens of one service."""
+
+    def __init__(self, *, bounds: Bounds, vms: int, now: float) -> None:
+        """Start with a part of the slack of the fleet."""
+        self._bounds = bounds
+        self._vms = vms
+        self._updated_at = now
+        self._tokens = self._most
+
+    @property
+    def _most(self) -> float:
+        return max(1.0, self._bounds.retry_slack * _BURST_SHARE / self._vms)
+
+    def resize(self, vms: int) -> None:
+        """Take how many VMs share the slack."""
+        self._vms = max(1, vms)
+
+    def earn(self) -> None:
+        """Count a request for the service."""
+        self._tokens += self._bounds.retry_ratio * _SAFE_SHARE
+
+    def spend(self, now: float) -> bool:
+        """Take one repeat if there is one."""
+        bounds = self._bounds
+        per_second = (
+            bounds.retry_slack
+            * (_SAFE_SHARE - _BURST_SHARE)
+            / self._vms
+            / bounds.retry_window
+        )
+        self._tokens += (now - self._updated_at) * per_second
+        self._updated_at = now
+        # Tokens earned by requests are kept for two bursts at most.
+        self._tokens = min(self._tokens, self._most * 2)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- a/toucanhall/membership/actor.py
+++ b/toucanhall/membership/actor.py
@@ -24,7 +24,7 @@
     hear,
     merge_list,
 )
-from toucanhall.platform import Listed
+from toucanhall.objectstore import Listed
 from toucanhall.settings import Settings
 
 __all__ = ('Beat', 'Heard', 'Leave', 'Membership', 'Platform', 'ReadList')
--- a/toucanhall/membership/view.py
+++ b/toucanhall/membership/view.py
@@ -5,7 +5,7 @@
 from typing import Final, NamedTuple
 
 from toucanhall.membership.messages import Heartbeat, Row
-from toucanhall.platform import Listed
+from toucanhall.objectstore import Listed
 
 __all__ = (
     'HEARTBEAT_SECONDS',
--- a/toucanhall/platform/client.py
+++ b/toucanhall/objectstore/client.py
@@ -12,13 +12,13 @@
     NewConnectionError,
 )
 
-from toucanhall.platform.errors import (
+from toucanhall.objectstore.errors import (
     Ambiguous,
     Conflict,
     PlatformError,
     Unavailable,
 )
-from toucanhall.platform.model import ABSENT, Listed, Stored
+from toucanhall.objectstore.model import ABSENT, Listed, Stored
 
 __all__ = ('Client', 'connect')
 
--- /dev/null
+++ b/toucanhall/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What a VM tells about itself: log lines and metrics."""
--- /dev/null
+++ b/toucanhall/observe/journal.py
@@ -0,0 +1,80 @@
+"""Writes log lines to standard output, bounded and without ever waiting."""
+
+import os
+import time
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from toucanhall.events import Event
+from toucanhall.observe.events import LINES_DROPPED
+
+__all__ = ('Journal',)
+
+# Lines of one event: a burst, then so many a second.
+_BURST: Final = 50.0
+_LINES_PER_SECOND: Final = 5.0
+_LEVELS: Final = {10: 'debug', 20: 'info', 30: 'warning', 40: 'error'}
+
+
+class Journal:
+    """The log of a process: JSON lines on a descriptor that may be full."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        descriptor: int = 1,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Write to a descriptor, set not to block."""
+        self._vm = vm
+        self._descriptor = descriptor
+        self._clock = clock
+        self._room: dict[int, tuple[float, float]] = {}
+        self.dropped: dict[int, int] = {}
+        self._told = 0
+
+    def write(self, event: Event, **fields: object) -> None:
+        """Write one event, or count it as dropped."""
+        if not self._admit(event.number):
+            self._drop(event.number)
+            return
+        line = {
+            'at': time.time_ns() // 1_000_000,
+            'vm': self._vm,
+            'level': _LEVELS[event.level],
+            'event': event.number,
+            'message': event.text,
+            **fields,
+        }
+        self._put(event.number, line)
+
+    def tell_dropped(self) -> None:
+        """Write how many lines of each event were dropped since the start."""
+        total = sum(self.dropped.values())
+        if total != self._told:
+            self._told = total
+            self.write(LINES_DROPPED, counts=dict(self.dropped))
+
+    def _put(self, number: int, line: dict[str, object]) -> None:
+        encoded = msgspec.json.encode(line, enc_hook=str) + b'\n'
+        try:
+            written = os.write(self._descriptor, encoded)
+        except (BlockingIOError, BrokenPipeError):
+            self._drop(number)
+        else:
+            if written != len(encoded):
+                self._drop(number)
+
+    def _admit(self, number: int) -> bool:
+        now = self._clock()
+        room, since = self._room.get(number, (_BURST, now))
+        room = min(_BURST, room + (now - since) * _LINES_PER_SECOND)
+        admitted = room >= 1
+        self._room[number] = (room - 1 if admitted else room, now)
+        return admitted
+
+    def _drop(self, number: int) -> None:
+        self.dropped[number] = self.dropped.get(number, 0) + 1
--- /dev/null
+++ b/toucanhall/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which target serves a request; knows no sockets and no clock."""
--- /dev/null
+++ b/toucanhall/placement/choice.py
@@ -0,0 +1,82 @@
+"""Chooses a target by its place in the order and its load.
+
+Load patterns: one object much wanted (its first target fills: the next in the
+order takes the rest, the same one at every VM); one target slow (it counts as
+fuller than it is); all targets full (what would be late is refused at once).
+"""
+
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from toucanhall.fleet.model import Target
+from toucanhall.placement.load import TargetLoad
+
+__all__ = ('Ask', 'Candidate', 'choose')
+
+# Targets that keep an object warm.
+_WARM_TARGETS: Final = 3
+# Share of the slots up to which a target is not full.
+_ROOMY: Final = 0.85
+# Part of the time to the objective that may be spent waiting for a slot.
+_WAIT_SHARE: Final = 0.8
+# Less urgent requests leave room in the queue for urgent ones.
+_URGENT_PRIORITY: Final = 1
+_LESS_URGENT_SHARE: Final = 0.5
+# Requests of a longer objective may not wait for more than this many slots'
+# worth of other requests, since those in front may be cold.
+_MOST_WAITING: Final = 1.5
+
+
+class Ask(NamedTuple):
+    """What a request needs; times in seconds."""
+
+    seconds_to_objective: float
+    usual_seconds: float
+    priority: int
+
+
+class Candidate(NamedTuple):
+    """A target and what is known of its load."""
+
+    target: Target
+    load: TargetLoad
+
+
+def choose(
+    candidates: Sequence[Candidate],
+    ask: Ask,
+    now: float,
+) -> Candidate | None:
+    """Return the target that serves a request, or None when all are full."""
+    fills = [
+        _fill(candidate.load, now) for candidate in candidates
+    ]
+    for index, fill in enumerate(fills[:_WARM_TARGETS]):
+        if fill < _ROOMY:
+            return candidates[index]
+    limit = _limit_fill(ask)
+    best = _find_least(fills[:_WARM_TARGETS])
+    if best is not None and fills[best] < limit:
+        return candidates[best]
+    spill = _find_least(fills)
+    if spill is not None and fills[spill] < _ROOMY:
+        return candidates[spill]
+    return None
+
+
+def _fill(load: TargetLoad, now: float) -> float:
+    return (load.estimate(now) + 1) * max(1.0, load.slowness) / load.slots
+
+
+def _limit_fill(ask: Ask) -> float:
+    spare = ask.seconds_to_objective - ask.usual_seconds
+    waiting = _WAIT_SHARE * spare / max(ask.usual_seconds, 0.001)
+    if ask.priority > _URGENT_PRIORITY:
+        waiting *= _LESS_URGENT_SHARE
+    return 1 + max(0.0, min(_MOST_WAITING, waiting))
+
+
+def _find_least(fills: Sequence[float]) -> int | None:
+    if not fills:
+        return None
+    return min(range(len(fills)), key=fills.__getitem__)
--- /dev/null
+++ b/toucanhall/platform/boot.py
@@ -0,0 +1,88 @@
+"""Reads the settings file of a process."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+import yaml
+
+from toucanhall.fleet.model import Address, Bounds, Environment, Listeners
+from toucanhall.platform.units import read_seconds
+
+__all__ = ('BadSettings', 'load')
+
+# Clients may keep a directory answer for three times its life: with this one
+# they have left a VM that stops before the usual grace of six seconds ends.
+_DIRECTORY_TTL: Final = 2.0  # seconds
+_DEFAULT_GRACE: Final = '6s'
+
+
+class BadSettings(ValueError):
+    """The settings file lacks something or holds what cannot be read."""
+
+
+def load(path: Path) -> Environment:
+    """Read the settings at a path; raise BadSettings when they are wrong."""
+    try:
+        document = yaml.load(path.read_bytes(), Loader=_Loader)
+        return _decode(document)
+    except OSError as error:
+        raise BadSettings(f'{path}: {error.strerror}') from error
+    except yaml.YAMLError as error:
+        raise BadSettings(f'{path}: not YAML: {error}') from error
+    except KeyError as error:
+        raise BadSettings(f'{path}: no field {error}') from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise BadSettings(f'{path}: {error}') from error
+
+
+_Loader: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+
+
+def _decode(document: Mapping[str, Any]) -> Environment:
+    listen = document['listen']
+    limits = document.get('limits') or {}
+    return Environment(
+        vm=document['node_name'],
+        zone=document['zone'],
+        region=document['region'],
+        regions=dict(document['zones']),
+        ip=document['ip'],
+        listeners=Listeners(
+            requests=_read_listener(listen, 'front'),
+            readiness=_read_listener(listen, 'ready'),
+            directory=_read_listener(listen, 'directory'),
+            control=_read_listener(listen, 'control'),
+        ),
+        gossip_port=int(document['internal_port_range'][0]),
+        seeds=tuple(read_address(seed) for seed in document.get('seeds') or ()),
+        store=read_address(document['platform']['address']),
+        bounds=_decode_bounds(document['bounds']),
+        max_descriptors=int(limits.get('max_fds', 1024)),
+    )
+
+
+def _decode_bounds(bounds: Mapping[str, Any]) -> Bounds:
+    return Bounds(
+        grace=read_seconds(bounds.get('grace', _DEFAULT_GRACE)),
+        directory_ttl=min(
+            _DIRECTORY_TTL,
+            read_seconds(bounds.get('ttl_max', '5s')),
+        ),
+        retry_ratio=float(bounds.get('retry_budget_ratio', 0.2)),
+        retry_window=read_seconds(bounds.get('budget_window', '10s')),
+        retry_slack=float(bounds.get('budget_slack', 0)),
+        cold_slack=float(bounds.get('cold_slack', 0)),
+    )
+
+
+def _read_listener(listen: Mapping[str, str], name: str) -> Address | None:
+    return read_address(listen[name]) if listen.get(name) else None
+
+
+def read_address(text: str) -> Address:
+    """Read `host:port`; raise ValueError when it is something else."""
+    host, _, port = text.rpartition(':')
+    if not host:
+        raise ValueError(f'{text!r} is not host:port')
+    return Address(host, int(port))
--- /dev/null
+++ b/toucanhall/platform/following.py
@@ -0,0 +1,227 @@
+"""Reads the platform's tables into what the VM knows, and follows them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.model import Introduction, Target
+from toucanhall.observe import events
+from toucanhall.observe.journal import Journal
+from toucanhall.platform import names
+from toucanhall.platform.documents import (
+    BadDocument,
+    decode_configuration,
+    decode_target,
+    decode_vm,
+    encode_vm,
+)
+from toucanhall.platform.store import (
+    Change,
+    Conflict,
+    HistoryLost,
+    Store,
+    StoreError,
+    Table,
+)
+
+__all__ = ('Follower',)
+
+# A watch is renewed well before half of the store's 20 s of history is over.
+_WATCH_SECONDS: Final = 8.0
+_FIRST_WAIT_SECONDS: Final = 0.1
+_LONGEST_WAIT_SECONDS: Final = 1.0
+
+# Changes that follow one another within this time are read by one call.
+_GATHER_SECONDS: Final = {
+    names.CONFIGURATIONS: 0.05,
+    names.TARGETS: 0.2,
+    names.EVACUATIONS: 0.05,
+}
+
+Take = Callable[[Table, bool], None]
+
+
+class Follower:
+    """Keeps the tables of a VM up to date from the store."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        knowledge: Knowledge,
+        journal: Journal,
+    ) -> None:
+        """Write what the store holds into `knowledge`."""
+        self._store = store
+        self._knowledge = knowledge
+        self._journal = journal
+        self._loop = asyncio.get_running_loop()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._failing: set[str] = set()
+        self._revisions: dict[str, int] = {}
+        self._takers: dict[str, Take] = {
+            names.CONFIGURATIONS: self._take_configurations,
+            names.TARGETS: self._take_targets,
+            names.EVACUATIONS: self._take_evacuations,
+        }
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether the store is being watched."""
+        return bool(self._tasks)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the last calls of every table succeeded."""
+        return not self._failing
+
+    async def read_all(self) -> None:
+        """Read each table once; raise StoreError when one cannot be read."""
+        await asyncio.gather(*(self._read(kind) for kind in self._takers))
+
+    async def register(self, own: Introduction) -> list[Introduction]:
+        """Write the entry of this VM and return those of all VMs."""
+        table = await self._store.read(names.VMS)
+        found = []
+        for change in table.changes:
+            try:
+                found.append(decode_vm(change.name, change.spec))
+            except BadDocument as error:
+                self._journal.write(events.ENTRY_IGNORED, why=str(error))
+        if own not in found:
+            spec = encode_vm(own)
+            try:
+                await self._store.create(names.VMS, own.vm, spec)
+            except Conflict:
+                await self._store.replace(names.VMS, own.vm, spec)
+        return found
+
+    async def list_vms(self) -> list[Introduction]:
+        """Return the entries of all VMs, as of some seconds ago."""
+        table = await self._store.read(names.VMS, is_stale=True)
+        return [decode_vm(found.name, found.spec) for found in table.changes]
+
+    def start(self) -> None:
+        """Watch the store from now on."""
+        if not self._tasks:
+            self._journal.write(events.WATCH_STARTED)
+            self._tasks = [
+                self._loop.create_task(self._follow(kind))
+                for kind in self._takers
+            ]
+
+    def stop(self) -> None:
+        """Watch the store no longer."""
+        if self._tasks:
+            self._journal.write(events.WATCH_ENDED)
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+        self._revisions = {}
+        self._failing = set()
+
+    async def _follow(self, kind: str) -> None:
+        wait = _FIRST_WAIT_SECONDS
+        while True:
+            try:
+                await self._step(kind)
+            except StoreError as error:
+                self._fail(kind, error)
+                await asyncio.sleep(wait * random.uniform(0.5, 1.5))
+                wait = min(_LONGEST_WAIT_SECONDS, wait * 2)
+            else:
+                wait = _FIRST_WAIT_SECONDS
+                self._recover(kind)
+
+    async def _step(self, kind: str) -> None:
+        revision = self._revisions.get(kind)
+        if revision is None:
+            await self._read(kind)
+            return
+        try:
+            table = await self._store.watch(kind, revision, _WATCH_SECONDS)
+        except HistoryLost:
+            self._journal.write(events.HISTORY_LOST, table=kind)
+            await self._read(kind)
+            return
+        if table.changes:
+            self._takers[kind](table, False)
+        self._revisions[kind] = max(revision, table.revision)
+        if table.changes:
+            await asyncio.sleep(_GATHER_SECONDS[kind])
+
+    async def _read(self, kind: str) -> None:
+        table = await self._store.read(kind)
+        self._takers[kind](table, True)
+        self._revisions[kind] = table.revision
+
+    def _take_configurations(self, table: Table, _is_whole: bool) -> None:
+        for change in table.changes:
+            if change.name != names.CONFIGURATION_NAME or change.spec is None:
+                continue
+            try:
+                configuration = decode_configuration(change.spec)
+            except BadDocument as error:
+                self._journal.write(events.ENTRY_IGNORED, why=str(error))
+            else:
+                self._knowledge.take_configuration(
+                    change.revision,
+                    configuration,
+                )
+
+    def _take_targets(self, table: Table, is_whole: bool) -> None:
+        decoded = {
+            change.name: self._decode_target(change) for change in table.changes
+        }
+        now = self._loop.time()
+        if not is_whole:
+            self._knowledge.change_targets(table.revision, decoded, now)
+            return
+        targets = {
+            name: found
+            for name, found in decoded.items()
+            if isinstance(found, Target)
+        }
+        self._knowledge.take_targets(table.revision, targets, now)
+
+    def _decode_target(self, change: Change) -> Target | int:
+        if change.spec is None:
+            return change.revision
+        try:
+            return decode_target(change.name, change.spec, change.revision)
+        except BadDocument as error:
+            self._journal.write(events.ENTRY_IGNORED, why=str(error))
+            return change.revision
+
+    def _take_evacuations(self, table: Table, is_whole: bool) -> None:
+        zones = {
+            change.name: change.spec is not None for change in table.changes
+        }
+        if is_whole:
+            self._knowledge.take_evacuations(table.revision, zones)
+        else:
+            self._knowledge.change_evacuations(table.revision, zones)
+
+    def _fail(self, kind: str, error: StoreError) -> None:
+        if not self._failing:
+            self._journal.write(events.STORE_LOST, table=kind, why=str(error))
+            self._knowledge.start_lapse()
+        self._failing.add(kind)
+
+    def _recover(self, kind: str) -> None:
+        if kind not in self._failing:
+            return
+        self._failing.discard(kind)
+        if not self._failing:
+            self._journal.write(events.STORE_REGAINED)
+            until = self._knowledge.end_lapse(self._loop.time())
+            self._loop.call_at(until, self._drop_lapsed)
+
+    def _drop_lapsed(self) -> None:
+        dropped = self._knowledge.drop_lapsed(self._loop.time())
+        if dropped:
+            self._journal.write(events.TARGETS_LAPSED, targets=dropped)
+
+
--- /dev/null
+++ b/toucanhall/platform/headers.py
@@ -0,0 +1,158 @@
+"""Headers of requests and answers, in the platform's spelling."""
+
+from typing import Final, NamedTuple
+
+from toucanhall.platform import names
+from toucanhall.web.client import Reply
+from toucanhall.web.messages import (
+    Answer,
+    Headers,
+    Request,
+    drop_hop_by_hop,
+    get_header,
+)
+
+__all__ = (
+    'REQUEST_ID',
+    'CallerMarks',
+    'TargetMarks',
+    'make_forwarded',
+    'make_passed_on',
+    'read_caller_marks',
+    'read_target_marks',
+)
+
+REQUEST_ID: Final = names.REQUEST_ID
+_BEARER: Final = b'bearer '
+_OWN: Final = frozenset((
+    b'authorization',
+    names.DEADLINE,
+    names.EXPECTED_TARGET,
+    names.TEAM,
+))
+_NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
+_MISDIRECTED: Final = 421
+_LOAD_FIELDS: Final = 3
+
+
+class CallerMarks(NamedTuple):
+    """What the headers of a caller's request say.
+
+    `seconds_left` is None when the caller does not tell how long it waits;
+    `key` is None without a key; `object_key` names the object concerned.
+    """
+
+    request_id: bytes
+    host: str
+    path: str
+    seconds_left: float | None
+    key: str | None
+    object_key: str | None
+
+
+class TargetMarks(NamedTuple):
+    """What the headers of a target's answer say.
+
+    `is_not_run` is true when the target says that it did not run the request,
+    `is_misdirected` when another target has the address; `busy` counts the
+    requests that it runs and holds, if it tells.
+    """
+
+    is_not_run: bool
+    is_misdirected: bool
+    is_stamped: bool
+    busy: int | None
+
+
+def read_caller_marks(request: Request) -> CallerMarks:
+    """Read the headers of a caller."""
+    found = dict(reversed(request.headers))
+    host = found.get(b'host', b'').decode('latin-1').lower()
+    return CallerMarks(
+        request_id=found.get(names.REQUEST_ID, b''),
+        host=host.partition(':')[0],
+        path=request.path.decode('latin-1'),
+        seconds_left=_read_milliseconds(found.get(names.DEADLINE)),
+        key=_read_key(found.get(b'authorization')),
+        object_key=_read_object(request.headers),
+    )
+
+
+def make_forwarded(
+    request: Request,
+    *,
+    target: str,
+    team: str | None,
+    seconds_left: float,
+) -> Request:
+    """Return the request as a target gets it."""
+    kept = tuple(
+        header
+        for header in drop_hop_by_hop(request.headers)
+        if header[0] not in _OWN
+    )
+    added: list[tuple[bytes, bytes]] = [
+        (names.DEADLINE, b'%d' % max(1, int(seconds_left * 1000))),
+        (names.EXPECTED_TARGET, target.encode()),
+    ]
+    if team is not None:
+        added.append((names.TEAM, team.encode()))
+    return request._replace(headers=(*kept, *added))
+
+
+def read_target_marks(reply: Reply) -> TargetMarks:
+    """Read the headers of a target."""
+    is_misdirected = reply.status == _MISDIRECTED
+    return TargetMarks(
+        is_not_run=is_misdirected
+        or (
+            reply.status in _NOT_RUN_STATUSES
+            and get_header(reply.headers, names.NOT_EXECUTED) is not None
+        ),
+        is_misdirected=is_misdirected,
+        is_stamped=get_header(reply.headers, names.STAMP) is not None,
+        busy=_read_busy(get_header(reply.headers, names.LOAD)),
+    )
+
+
+def make_passed_on(reply: Reply) -> Answer:
+    """Return the answer of a target as its caller gets it."""
+    headers: Headers = tuple(
+        header
+        for header in drop_hop_by_hop(reply.headers)
+        if header[0] != names.LOAD
+    )
+    return Answer(reply.status, headers, reply.body)
+
+
+def _read_milliseconds(content: bytes | None) -> float | None:
+    if content is None or not content.isdigit():
+        return None
+    return int(content) / 1000
+
+
+def _read_key(content: bytes | None) -> str | None:
+    if content is None or content[: len(_BEARER)].lower() != _BEARER:
+        return None
+    return content[len(_BEARER) :].strip().decode('latin-1')
+
+
+def _read_object(headers: Headers) -> str | None:
+    for name, content in headers:
+        if name != b'cookie':
+            continue
+        for part in content.decode('latin-1').split(';'):
+            found, _, named = part.strip().partition('=')
+            if found == names.OBJECT_COOKIE:
+                return named
+    return None
+
+
+def _read_busy(content: bytes | None) -> int | None:
+    parts = (content or b'').split(b',')
+    if len(parts) != _LOAD_FIELDS:
+        return None
+    running, waiting = parts[0].strip(), parts[1].strip()
+    if not running.isdigit() or not waiting.isdigit():
+        return None
+    return int(running) + int(waiting)
--- /dev/null
+++ b/toucanhall/platform/store.py
@@ -0,0 +1,193 @@
+"""Client of the platform's store."""
+
+import asyncio
+import time
+from collections.abc import Mapping
+from typing import Any, Final, NamedTuple
+from urllib.parse import quote
+
+import msgspec
+
+from toucanhall.fleet.model import Address
+from toucanhall.platform import names
+from toucanhall.web.client import (
+    Broken,
+    Reply,
+    ServerConnection,
+    Unreachable,
+    open_connection,
+)
+from toucanhall.web.messages import Request, write_request
+
+__all__ = ('Change', 'Conflict', 'HistoryLost', 'Store', 'StoreError', 'Table')
+
+# A slow store takes up to a hundred times its usual 4 ms.
+_CALL_SECONDS: Final = 1.0
+_CONNECT_SECONDS: Final = 0.5
+_WATCH_SLACK_SECONDS: Final = 1.0
+_IDLE_SECONDS: Final = 5.0
+_CONFLICT: Final = 409
+_GONE: Final = 410
+_SUCCESS: Final = range(200, 300)
+
+
+class StoreError(Exception):
+    """A call that the store did not answer with success."""
+
+
+class HistoryLost(StoreError):
+    """The changes since a revision are not kept any more."""
+
+
+class Conflict(StoreError):
+    """The object exists, or is not at the revision that the call names."""
+
+
+class Change(NamedTuple):
+    """An object of the store; `spec` is None once it was deleted."""
+
+    name: str
+    revision: int
+    spec: Any
+
+
+class Table(NamedTuple):
+    """Objects or changes, as of a revision of the store."""
+
+    revision: int
+    changes: tuple[Change, ...]
+
+
+class Store:
+    """Calls of one process to the store, on connections that are kept."""
+
+    def __init__(self, *, address: Address) -> None:
+        """Make calls to the store at an address."""
+        self._address = address
+        self._host = f'{address.host}:{address.port}'.encode()
+        self._idle: list[ServerConnection] = []
+        self.calls: dict[str, int] = {}
+
+    async def read(self, kind: str, *, is_stale: bool = False) -> Table:
+        """Return all objects of a kind."""
+        changes: list[Change] = []
+        after = ''
+        while True:
+            query = '?allow_stale=1' if is_stale else '?'
+            query += f'&after={quote(after)}' if after else ''
+            found = await self._call('GET', kind + query.rstrip('?'))
+            changes.extend(_read_changes(found['items']))
+            if not found.get('more'):
+                return Table(int(found['as_of']), tuple(changes))
+            after = changes[-1].name
+
+    async def watch(self, kind: str, revision: int, seconds: float) -> Table:
+        """Wait for changes after a revision; may return none of them."""
+        wait = round(seconds * 1000)
+        found = await self._call(
+            'GET',
+            f'{kind}?watch={revision}&wait_ms={wait}',
+            seconds=seconds + _WATCH_SLACK_SECONDS,
+        )
+        events = found['events']
+        changes = tuple(
+            Change(change.name, change.revision, None)
+            if event.get('deleted')
+            else change
+            for event in events
+            for change in _read_changes((event['object'],))
+        )
+        return Table(int(found['as_of']), changes)
+
+    async def create(self, kind: str, name: str, spec: object) -> None:
+        """Create an object; raise Conflict when it exists."""
+        await self._call('POST', kind, {'metadata': {'name': name}, 'spec': spec})
+
+    async def replace(self, kind: str, name: str, spec: object) -> None:
+        """Replace the contents of an object."""
+        await self._call(
+            'PUT',
+            f'{kind}/{quote(name)}',
+            {'metadata': {'name': name}, 'spec': spec},
+        )
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object."""
+        await self._call('DELETE', f'{kind}/{quote(name)}')
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        seconds: float = _CALL_SECONDS,
+    ) -> Mapping[str, Any]:
+        sent = write_request(
+            Request(
+                method=method.encode(),
+                path=f'{names.OBJECTS_PATH}{path}'.encode(),
+                headers=(
+                    (b'host', self._host),
+                    (b'content-type', b'application/json'),
+                ),
+                body=b'' if body is None else msgspec.json.encode(body),
+            ),
+        )
+        try:
+            async with asyncio.timeout(seconds):
+                reply = await self._exchange(sent)
+        except TimeoutError as error:
+            self._count('timeout')
+            raise StoreError(f'no answer in {seconds} s') from error
+        except ConnectionError as error:
+            self._count('broken')
+            raise StoreError(str(error)) from error
+        self._count(str(reply.status))
+        return _read_reply(reply)
+
+    async def _exchange(self, sent: bytes) -> Reply:
+        connection = await self._take_connection()
+        reply = await connection.exchange(sent)
+        if connection.is_usable:
+            connection.idle_since = time.monotonic()
+            self._idle.append(connection)
+        return reply
+
+    async def _take_connection(self) -> ServerConnection:
+        oldest = time.monotonic() - _IDLE_SECONDS
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable and connection.idle_since > oldest:
+                return connection
+            connection.close()
+        return await open_connection(self._address, seconds=_CONNECT_SECONDS)
+
+    def _count(self, outcome: str) -> None:
+        self.calls[outcome] = self.calls.get(outcome, 0) + 1
+
+
+def _read_changes(items: Any) -> list[Change]:
+    return [
+        Change(
+            name=entry['metadata']['name'],
+            revision=int(entry['metadata']['revision']),
+            spec=entry.get('spec'),
+        )
+        for entry in items
+    ]
+
+
+def _read_reply(reply: Reply) -> Mapping[str, Any]:
+    if reply.status == _CONFLICT:
+        raise Conflict('the object is at another revision')
+    if reply.status == _GONE:
+        raise HistoryLost('the history of the store is gone')
+    if reply.status not in _SUCCESS:
+        raise StoreError(f'status {reply.status}')
+    try:
+        found = msgspec.json.decode(reply.body) if reply.body else {}
+    except msgspec.DecodeError as error:
+        raise StoreError(f'answer cannot be read: {error}') from error
+    if not isinstance(found, dict):
+        raise StoreError('answer is not an object')
+    return found
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -9,7 +9,7 @@
 
 from toucanhall import events, runtime
 from toucanhall.catalogue import Catalogue, Revision
-from toucanhall.platform import Client, Stored
+from toucanhall.objectstore import Client, Stored
 from toucanhall.shares.bucket import LOAN_SECONDS
 from toucanhall.shares.fence import (
     CONFIRM_SECONDS,
--- a/toucanhall/spread/accepting.py
+++ b/toucanhall/spread/accepting.py
@@ -9,8 +9,8 @@
 from toucanhall.catalogue import Holder, Revision
 from toucanhall.catalogue.reading import revise_after
 from toucanhall.documents import Finding
-from toucanhall.platform import Ambiguous, Client, Conflict
-from toucanhall.platform.errors import PlatformError
+from toucanhall.objectstore import Ambiguous, Client, Conflict
+from toucanhall.objectstore.errors import PlatformError
 from toucanhall.spread.acceptance import (
     Attempt,
     Event,
--- a/toucanhall/spread/watcher.py
+++ b/toucanhall/spread/watcher.py
@@ -9,7 +9,7 @@
 
 from toucanhall import events, runtime
 from toucanhall.catalogue import Holder
-from toucanhall.platform import Client, Stored
+from toucanhall.objectstore import Client, Stored
 from toucanhall.spread.actor import log_invalid, read_held
 from toucanhall.spread.monitor import FreshnessMonitor
 from toucanhall.spread.record import (
--- /dev/null
+++ b/toucanhall/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 connections on an event loop, parsed by httptools."""
--- /dev/null
+++ b/toucanhall/web/server.py
@@ -0,0 +1,232 @@
+"""Connections of callers: requests run side by side, answers keep order."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+import httptools
+
+from toucanhall.web.messages import (
+    Answer,
+    Request,
+    get_header,
+    make_answer,
+    write_answer,
+)
+
+__all__ = ('Connection', 'Handler', 'ServerLimits')
+
+# Requests of one connection that run side by side; the rest stays unread.
+PIPELINE_DEPTH: Final = 16
+_CHECK_SECONDS: Final = 0.5  # between checks of the idle and header times
+
+
+class ServerLimits(NamedTuple):
+    """What a caller may send (bytes) and how long it may take (seconds)."""
+
+    head_bytes: int
+    body_bytes: int
+    head_seconds: float
+    idle_seconds: float
+
+
+class Handler(NamedTuple):
+    """What a connection asks its server for.
+
+    `is_cancellable` tells whether a request is ended once its caller left.
+    """
+
+    serve: Callable[[Request], Awaitable[Answer]]
+    is_cancellable: Callable[[Request], bool]
+    get_limits: Callable[[], ServerLimits]
+    is_stopping: Callable[[], bool]
+    connections: set['Connection']
+
+
+class _Exchange:
+    """A request under way and its answer once there is one."""
+
+    __slots__ = ('answer', 'keep', 'request', 'task')
+
+    def __init__(self, *, request: Request | None, keep: bool) -> None:
+        self.request = request
+        self.keep = keep
+        self.answer: Answer | None = None
+        self.task: asyncio.Task[None] | None = None
+
+
+class Connection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, *, handler: Handler) -> None:
+        """Serve the requests of a connection by a handler."""
+        self._handler = handler
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._exchanges: deque[_Exchange] = deque()
+        self._is_closing = False
+        self._is_paused = False
+        self._limits = handler.get_limits()
+        self._since = self._loop.time()
+        self._reads = False
+        self._reset()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and start the check of the idle time."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._handler.connections.add(self)
+        self._check = self._loop.call_later(_CHECK_SECONDS, self._check_times)
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """End the requests whose caller has left."""
+        self._check.cancel()
+        self._handler.connections.discard(self)
+        self._is_closing = True
+        for exchange in self._exchanges:
+            task, request = exchange.task, exchange.request
+            if task and request and self._handler.is_cancellable(request):
+                task.cancel()
+        self._exchanges.clear()
+        self._transport = None
+
+    def data_received(self, received: bytes) -> None:
+        """Parse what came; start each request that is whole."""
+        if self._is_closing:
+            return
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._parser = httptools.HttpRequestParser(self)
+            rest = received[upgrade.args[0] :]
+            if rest:
+                self.data_received(rest)
+        except httptools.HttpParserError:
+            if not self._is_closing:
+                self._reject(400, 'malformed request')
+
+    def close_idle(self) -> bool:
+        """Close the connection if nothing is under way; tell whether."""
+        if self._exchanges or self._reads or self._transport is None:
+            return False
+        self._is_closing = True
+        self._transport.close()
+        return True
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        """Start a request (called by the parser)."""
+        self._reset()
+        self._reads = True
+        self._since = self._loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target (called by the parser)."""
+        self._path += url
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Take a header (called by the parser)."""
+        self._head_size += len(name) + len(content)
+        if self._head_size + len(self._path) > self._limits.head_bytes:
+            self._reject(431, 'header fields too large')
+        self._headers.append((name.lower(), content))
+
+    def on_headers_complete(self) -> None:
+        """Answer an expectation before the body (called by the parser)."""
+        expected = get_header(tuple(self._headers), b'expect')
+        if expected and expected.lower() == b'100-continue' and self._transport:
+            if not self._exchanges:
+                self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body (called by the parser)."""
+        self._body_size += len(body)
+        if self._body_size > self._limits.body_bytes:
+            self._reject(413, 'body too large')
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Start to serve a whole request (called by the parser)."""
+        if self._is_closing:
+            return
+        self._reads = False
+        request = Request(
+            method=self._parser.get_method(),
+            path=bytes(self._path),
+            headers=tuple(self._headers),
+            body=b''.join(self._body),
+        )
+        keep = bool(self._parser.should_keep_alive())
+        exchange = _Exchange(request=request, keep=keep)
+        self._exchanges.append(exchange)
+        exchange.task = self._loop.create_task(self._serve(exchange, request))
+        self._limits = self._handler.get_limits()
+        if len(self._exchanges) >= PIPELINE_DEPTH and self._transport:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    async def _serve(self, exchange: _Exchange, request: Request) -> None:
+        exchange.answer = await self._handler.serve(request)
+        self._flush()
+
+    def _flush(self) -> None:
+        while self._exchanges and self._exchanges[0].answer is not None:
+            exchange = self._exchanges.popleft()
+            if self._transport is None or self._transport.is_closing():
+                return
+            self._write(exchange)
+        self._since = self._loop.time()
+        if self._is_paused and self._transport and not self._is_closing:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def _write(self, exchange: _Exchange) -> None:
+        answer, transport = exchange.answer, self._transport
+        assert answer is not None and transport is not None
+        is_last = not exchange.keep or (
+            self._handler.is_stopping() and not self._exchanges
+        )
+        request = exchange.request
+        has_body = request is None or request.method != b'HEAD'
+        transport.write(
+            write_answer(answer, is_last=is_last, has_body=has_body),
+        )
+        if is_last:
+            self._is_closing = True
+            transport.close()
+
+    def _reject(self, status: int, text: str) -> None:
+        self._is_closing = True
+        exchange = _Exchange(request=None, keep=False)
+        exchange.answer = make_answer(status, text)
+        self._exchanges.append(exchange)
+        self._flush()
+
+    def _check_times(self) -> None:
+        if self._transport is None:
+            return
+        waited = self._loop.time() - self._since
+        if self._reads and waited > self._limits.head_seconds * 2:
+            self._reject(408, 'request took too long')
+        elif not self._exchanges and not self._reads:
+            if waited > self._limits.idle_seconds:
+                self.close_idle()
+        if self._transport is not None:
+            self._check = self._loop.call_later(
+                _CHECK_SECONDS,
+                self._check_times,
+            )
+
+    def _reset(self) -> None:
+        self._path = bytearray()
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._head_size = 0
+        self._body_size = 0
