Divide a team's window by what every VM told it admitted

Cause: buckets of 1/25 of a small rate held one request; callers of teams within their rate got 429. Deeper buckets were ruled out: a team of eight times its rate would overrun the bound before the next heartbeat.

--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -16,7 +16,7 @@
     Introduction,
     Snapshot,
 )
-from toucanhall.limits.quota import Demand
+from toucanhall.limits.quota import Quotas, Usage
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.web.client import open_connection
@@ -25,6 +25,8 @@
 __all__ = ('HEARTBEAT_SECONDS', 'Fleetmate')
 
 HEARTBEAT_SECONDS: Final = 0.8
+# Other regions hear each second heartbeat, unless a team nears its limit.
+FAR_BEATS: Final = 2
 SNAPSHOT_PATH: Final = b'/fleet/tables'
 # A VM of the own zone that watches the store is a few milliseconds ahead of
 # the others: those of other zones are asked only when it does not answer.
@@ -41,7 +43,7 @@
         *,
         environment: Environment,
         knowledge: Knowledge,
-        demand: Demand,
+        quotas: Quotas,
         journal: Journal,
         is_ready: Callable[[], bool],
         is_watching: Callable[[], bool],
@@ -50,7 +52,7 @@
         """Tell others what this VM knows; call `on_beat` with each beat."""
         self._environment = environment
         self._knowledge = knowledge
-        self._demand = demand
+        self._quotas = quotas
         self._journal = journal
         self._is_ready = is_ready
         self._is_watching = is_watching
@@ -63,7 +65,8 @@
         self._lost: set[str] = set()
         self._beat_at = self._loop.time()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._rates: dict[str, float] = {}
+        self._usage: dict[str, Usage] = {}
+        self._beats = 0
         self.members = Members()
 
     async def start(self) -> None:
@@ -194,7 +197,7 @@
         if late > _PAUSE_SECONDS:
             self._journal.write(events.RESUMED, seconds=round(late, 2))
             self.members.excuse(late)
-        self._rates = self._demand.measure(now)
+        self._usage = self._quotas.measure(now)
         if self._gossip is not None:
             self._gossip.send(self._make_heartbeat(), self._list_addresses())
         alive = {found.vm for found in self.members.list_alive(now)}
@@ -205,11 +208,17 @@
         self._loop.call_later(HEARTBEAT_SECONDS, self._beat)
 
     def _list_addresses(self) -> list[Address]:
-        port = self._environment.gossip_port
+        self._beats += 1
+        environment = self._environment
+        is_far_beat = self._quotas.is_busy or not self._beats % FAR_BEATS
         return [
-            Address(found.ip, port)
+            Address(found.ip, environment.gossip_port)
             for found in self.members.introduced.values()
-            if found.vm != self._environment.vm
+            if found.vm != environment.vm
+            and (
+                is_far_beat
+                or environment.regions.get(found.zone) == environment.region
+            )
         ]
 
     def _make_heartbeat(self) -> Heartbeat:
@@ -221,13 +230,13 @@
             is_ready=self._is_ready(),
             is_watching=self._is_watching(),
             revisions=self._knowledge.revisions,
-            demand=self._rates,
+            usage=self._usage,
         )
 
     @property
-    def own_demand(self) -> dict[str, float]:
-        """The rates that were told last."""
-        return self._rates
+    def own_usage(self) -> dict[str, Usage]:
+        """What was told last of the requests of each team."""
+        return self._usage
 
     def _drop(self, why: str) -> None:
         self._journal.write(events.MESSAGE_DROPPED, why=why)
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -17,7 +17,7 @@
     Target,
     Team,
 )
-from toucanhall.limits.quota import Demand, Quotas
+from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import Retries
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
@@ -86,7 +86,6 @@
         field: Field,
         pool: Pool,
         quotas: Quotas,
-        demand: Demand,
         bounds: Bounds,
         journal: Journal,
         metrics: Metrics,
@@ -96,7 +95,6 @@
         self._field = field
         self._pool = pool
         self._quotas = quotas
-        self._demand = demand
         self._bounds = bounds
         self._journal = journal
         self._metrics = metrics
@@ -158,10 +156,9 @@
         if team is None and not route.is_public and configuration.teams:
             return refusals.UNKNOWN_KEY
         if team is not None:
-            self._demand.count(team.name)
             wait = self._quotas.admit(team, now)
             if wait:
-                return Refusal(429, 'over-quota', wait)
+                return Refusal(429, 'over-quota', wait, team.name)
         homes = _join_homes(route, team)
         if homes is None:
             return refusals.NO_TARGET
@@ -439,6 +436,7 @@
             status=refusal.status,
             reason=refusal.reason,
             retry_after=refusal.retry_after,
+            team=refusal.team,
             **fields,
         )
         return make_refusal(refusal)
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -9,12 +9,12 @@
 from typing import Final
 
 from toucanhall.edge.directory import Choice, pick_vms
-from toucanhall.edge.fleetmate import Fleetmate
+from toucanhall.edge.fleetmate import HEARTBEAT_SECONDS, Fleetmate
 from toucanhall.edge.path import Path
 from toucanhall.edge.pool import Pool
 from toucanhall.fleet.knowledge import Knowledge
 from toucanhall.fleet.model import Address, Environment, Introduction
-from toucanhall.limits.quota import Demand, Quotas
+from toucanhall.limits.quota import Quotas
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
@@ -64,8 +64,11 @@
         place = Place(environment.zone, environment.region)
         self._field = Field(place=place, regions=environment.regions)
         self._knowledge = Knowledge(on_change=self._take_change)
-        self._demand = Demand(now=self._loop.time())
-        self._quotas = Quotas()
+        self._quotas = Quotas(
+            window=environment.bounds.quota_window,
+            beat=HEARTBEAT_SECONDS,
+            now=self._loop.time(),
+        )
         self._pool = Pool(clock=self._loop.time, id_header=REQUEST_ID)
         self._store = Store(address=environment.store)
         self._follower = Follower(
@@ -78,7 +81,6 @@
             field=self._field,
             pool=self._pool,
             quotas=self._quotas,
-            demand=self._demand,
             bounds=environment.bounds,
             journal=self._journal,
             metrics=self._metrics,
@@ -86,7 +88,7 @@
         self._mate = Fleetmate(
             environment=environment,
             knowledge=self._knowledge,
-            demand=self._demand,
+            quotas=self._quotas,
             journal=self._journal,
             is_ready=self._is_ready,
             is_watching=lambda: self._follower.is_watching,
@@ -240,9 +242,12 @@
         )
         self._path.resize(len(alive) + 1)
         remembered = self._mate.members.list_remembered(now)
+        configuration = self._knowledge.configuration
         self._quotas.divide(
-            self._mate.own_demand,
-            (found.demand for found in remembered),
+            configuration.teams.values() if configuration else (),
+            self._mate.own_usage,
+            (found.usage for found in remembered),
+            now,
         )
         near = [found.vm for found in alive if found.zone == environment.zone]
         watchers = sorted((environment.vm, *near))[:WATCHERS_PER_ZONE]
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -16,6 +16,7 @@
     status: int
     reason: str
     retry_after: float | None = None
+    team: str | None = None
 
 
 NO_CONFIGURATION: Final = Refusal(503, 'no-configuration', 0.5)
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -5,6 +5,7 @@
 
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.model import Introduction
+from toucanhall.limits.quota import Usage
 
 __all__ = ('ALIVE_SECONDS', 'Heartbeat', 'Members', 'Peer', 'pick_watchers')
 
@@ -18,8 +19,8 @@
 class Heartbeat(NamedTuple):
     """What a VM tells the others.
 
-    `started_at` tells its starts apart (Unix milliseconds), `demand` holds
-    the requests per second of each team, `introduced` the VMs it knows when
+    `started_at` tells its starts apart (Unix milliseconds), `usage` holds
+    the requests of each team, `introduced` the VMs it knows when
     it answers one that is new.
     """
 
@@ -30,7 +31,7 @@
     is_ready: bool
     is_watching: bool
     revisions: Revisions
-    demand: Mapping[str, float]
+    usage: Mapping[str, Usage]
     introduced: tuple[Introduction, ...] = ()
 
 
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -45,6 +45,7 @@
     retry_window: float
     retry_slack: float
     cold_slack: float
+    quota_window: float
 
 
 class Environment(NamedTuple):
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -73,6 +73,7 @@
         retry_window=read_seconds(bounds.get('budget_window', '10s')),
         retry_slack=float(bounds.get('budget_slack', 0)),
         cold_slack=float(bounds.get('cold_slack', 0)),
+        quota_window=read_seconds(bounds.get('quota_window', '5s')),
     )
 
 
