--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -112,7 +112,7 @@
         """Answer a VM that asks for the tables."""
         if request.path != SNAPSHOT_PATH:
             return make_answer(404, 'no such path')
-        snapshot = self._knowledge.make_snapshot()
+        snapshot = self._knowledge.make_snapshot(self._loop.time())
         return Answer(200, (), msgspec.msgpack.encode(snapshot))
 
     async def pull(self, address: Address) -> None:
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -231,6 +231,9 @@
     def _take_beat(self) -> None:
         now = self._loop.time()
         environment = self._environment
+        dropped = self._knowledge.drop_lapsed(now)
+        if dropped:
+            self._journal.write(events.TARGETS_LAPSED, targets=dropped)
         alive = self._mate.members.list_alive(now)
         zones: dict[str, list[str]] = {environment.zone: [environment.vm]}
         for found in alive:
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/knowledge.py
@@ -42,7 +42,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.revisions = Revisions()
         self.lapsed: dict[str, float] = {}
-        self.is_lapsing = False
+        self._lapse_until = 0.0
         self._on_change = on_change
 
     def take_configuration(
@@ -90,12 +90,9 @@
         """Replace the list of targets unless a newer one is known."""
         if revision <= self.revisions.targets:
             return
-        self.revisions = self.revisions._replace(targets=revision)
         missing = self.targets.keys() - targets.keys()
-        kept = self._keep_lapsed(missing, now)
-        self.lapsed = {name: self.lapsed[name] for name in kept}
-        self.targets = {**{name: self.targets[name] for name in kept}, **targets}
-        self._on_change('targets')
+        held = {name: self.targets[name] for name in self._hold(missing, now)}
+        self._put_targets(revision, {**held, **targets})
 
     def change_targets(
         self,
@@ -106,51 +103,52 @@
         """Take changed targets; an integer is the revision of a removal."""
         if revision <= self.revisions.targets:
             return
-        self.revisions = self.revisions._replace(targets=revision)
+        targets = dict(self.targets)
         gone = set()
         for name, change in changes.items():
-            known = self.targets.get(name)
+            known = targets.get(name)
             if isinstance(change, int):
                 if known and known.revision <= change:
                     gone.add(name)
             elif known is None or known.revision < change.revision:
-                self.targets[name] = change
+                targets[name] = change
                 self.lapsed.pop(name, None)
-        for name in gone - self._keep_lapsed(gone, now):
-            self.targets.pop(name)
-            self.lapsed.pop(name, None)
-        self._on_change('targets')
+        for name in gone - self._hold(gone, now):
+            targets.pop(name)
+        self._put_targets(revision, targets)
 
     def start_lapse(self) -> None:
-        """Keep targets that are dropped from now on: the store is away."""
-        self.is_lapsing = True
+        """Note that the store is away: targets that it drops are kept."""
+        self._lapse_until = float('inf')
+
+    def end_lapse(self, now: float) -> None:
+        """Start the wait for targets that were dropped meanwhile.
 
-    def end_lapse(self, now: float) -> float:
-        """Start the last wait for lapsed targets; return when it ends."""
-        self.is_lapsing = False
-        until = now + LAPSE_SECONDS
-        self.lapsed = dict.fromkeys(self.lapsed, until)
-        return until
+        There is none if another VM told of changes all the while: then only
+        this VM had lost the store, and what is dropped has gone.
+        """
+        if self._lapse_until == float('inf'):
+            self._lapse_until = now + LAPSE_SECONDS
 
     def drop_lapsed(self, now: float) -> tuple[str, ...]:
         """Drop targets that did not register again in time."""
-        if self.is_lapsing:
-            return ()
         over = tuple(name for name, end in self.lapsed.items() if end <= now)
-        for name in over:
-            self.lapsed.pop(name)
-            self.targets.pop(name, None)
         if over:
-            self._on_change('targets')
+            kept = self.targets.keys() - set(over)
+            self._put_targets(
+                self.revisions.targets,
+                {name: self.targets[name] for name in kept},
+            )
         return over
 
-    def make_snapshot(self) -> Snapshot:
+    def make_snapshot(self, now: float) -> Snapshot:
         """Return all tables for a peer that is behind."""
         return Snapshot(
             configuration_revision=self.revisions.configuration,
             configuration=self.configuration,
             targets_revision=self.revisions.targets,
             targets=self.targets,
+            lapsed={name: end - now for name, end in self.lapsed.items()},
             evacuations_revision=self.revisions.evacuations,
             evacuated=self.evacuated,
         )
@@ -161,14 +159,31 @@
             snapshot.configuration_revision,
             snapshot.configuration,
         )
-        self.take_targets(snapshot.targets_revision, snapshot.targets, now)
+        if snapshot.targets_revision > self.revisions.targets:
+            self._lapse_until = 0.0
+            self.lapsed = {
+                name: now + left for name, left in snapshot.lapsed.items()
+            }
+            self._put_targets(snapshot.targets_revision, snapshot.targets)
         self.take_evacuations(
             snapshot.evacuations_revision,
             snapshot.evacuated,
         )
 
-    def _keep_lapsed(self, names: Iterable[str], now: float) -> set[str]:
-        if self.is_lapsing:
+    def _hold(self, names: Iterable[str], now: float) -> set[str]:
+        if now < self._lapse_until:
             for name in names:
-                self.lapsed.setdefault(name, float('inf'))
+                self.lapsed.setdefault(name, self._lapse_until)
         return {name for name in names if self.lapsed.get(name, 0) > now}
+
+    def _put_targets(
+        self,
+        revision: int,
+        targets: Mapping[str, Target],
+    ) -> None:
+        self.revisions = self.revisions._replace(targets=revision)
+        self.targets = dict(targets)
+        self.lapsed = {
+            name: end for name, end in self.lapsed.items() if name in targets
+        }
+        self._on_change('targets')
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -165,11 +165,16 @@
 
 
 class Snapshot(NamedTuple):
-    """All that a VM knows from the store, with the revision of each table."""
+    """All that a VM knows from the store, with the revision of each table.
+
+    `lapsed` maps targets that were dropped while the store was away to the
+    seconds in which they may register again.
+    """
 
     configuration_revision: int
     configuration: Configuration | None
     targets_revision: int
     targets: Mapping[str, Target]
+    lapsed: Mapping[str, float]
     evacuations_revision: int
     evacuated: frozenset[str]
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -133,7 +133,6 @@
                 wait = min(_LONGEST_WAIT_SECONDS, wait * 2)
             else:
                 wait = _FIRST_WAIT_SECONDS
-                self._recover(kind)
 
     async def _step(self, kind: str) -> None:
         revision = self._revisions.get(kind)
@@ -146,6 +145,7 @@
             self._journal.write(events.HISTORY_LOST, table=kind)
             await self._read(kind)
             return
+        self._recover(kind)
         if table.changes:
             self._takers[kind](table, False)
         self._revisions[kind] = max(revision, table.revision)
@@ -154,6 +154,7 @@
 
     async def _read(self, kind: str) -> None:
         table = await self._store.read(kind)
+        self._recover(kind)
         self._takers[kind](table, True)
         self._revisions[kind] = table.revision
 
@@ -207,6 +208,7 @@
     def _fail(self, kind: str, error: StoreError) -> None:
         if not self._failing:
             self._journal.write(events.STORE_LOST, table=kind, why=str(error))
+        if kind == names.TARGETS and kind not in self._failing:
             self._knowledge.start_lapse()
         self._failing.add(kind)
 
@@ -216,12 +218,5 @@
         self._failing.discard(kind)
         if not self._failing:
             self._journal.write(events.STORE_REGAINED)
-            until = self._knowledge.end_lapse(self._loop.time())
-            self._loop.call_at(until, self._drop_lapsed)
-
-    def _drop_lapsed(self) -> None:
-        dropped = self._knowledge.drop_lapsed(self._loop.time())
-        if dropped:
-            self._journal.write(events.TARGETS_LAPSED, targets=dropped)
-
-
+        if kind == names.TARGETS:
+            self._knowledge.end_lapse(self._loop.time())
