Give each object two targets, agreed by the VMs of a region

Targets remember a few dozen objects, so all of them met all objects, forgot them, and each request ran cold: p50 of route-view 547 ms for an objective of 250, 94 of 100 answers late, long after the burst.

--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -2,7 +2,11 @@
 
 Load patterns: one object much wanted (its first target fills: the next in the
 order takes the rest, the same one at every VM); one target slow (it counts as
-fuller than it is); all targets full (what would be late is refused at once).
+fuller than it is); more requests than cold targets bear. A target remembers a
+few dozen objects. Were each object sent to whichever target has room, all
+targets would meet all objects, forget them again and run each request cold:
+the overload would feed itself. So an object has two targets, and what finds no
+room there is refused at once.
 """
 
 from collections.abc import Sequence
@@ -13,8 +17,8 @@
 
 __all__ = ('Ask', 'Candidate', 'choose')
 
-# Targets that keep an object warm.
-_WARM_TARGETS: Final = 3
+# Targets that serve an object, as long as they are there.
+_WARM_TARGETS: Final = 2
 # Share of the slots up to which a target is not full.
 _ROOMY: Final = 0.85
 # Part of the time to the objective that may be spent waiting for a slot.
@@ -25,6 +29,7 @@
 # Requests of a longer objective may not wait for more than this many slots'
 # worth of other requests, since those in front may be cold.
 _MOST_WAITING: Final = 1.5
+_FULL: Final = float('inf')
 
 
 class Ask(NamedTuple):
@@ -48,20 +53,15 @@
     now: float,
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
-    fills = [
-        _fill(candidate.load, now) for candidate in candidates
-    ]
-    for index, fill in enumerate(fills[:_WARM_TARGETS]):
+    near = candidates[:_WARM_TARGETS]
+    fills = [_fill(candidate.load, now) for candidate in near]
+    for candidate, fill in zip(near, fills, strict=True):
         if fill < _ROOMY:
-            return candidates[index]
-    limit = _limit_fill(ask)
-    best = _find_least(fills[:_WARM_TARGETS])
-    if best is not None and fills[best] < limit:
-        return candidates[best]
-    spill = _find_least(fills)
-    if spill is not None and fills[spill] < _ROOMY:
-        return candidates[spill]
-    return None
+            return candidate
+    least = min(fills, default=_FULL)
+    if least >= _limit_fill(ask):
+        return None
+    return near[fills.index(least)]
 
 
 def _fill(load: TargetLoad, now: float) -> float:
@@ -74,9 +74,3 @@
     if ask.priority > _URGENT_PRIORITY:
         waiting *= _LESS_URGENT_SHARE
     return 1 + max(0.0, min(_MOST_WAITING, waiting))
-
-
-def _find_least(fills: Sequence[float]) -> int | None:
-    if not fills:
-        return None
-    return min(range(len(fills)), key=fills.__getitem__)
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -5,8 +5,8 @@
 __all__ = ('TargetLoad',)
 
 # A report tells how busy a target was; what others sent since is not known,
-# so it counts less with age. Half a second is the usual time of a request.
-_REPORT_HALF_LIFE: Final = 0.5
+# so it counts less with age: requests take about a quarter of a second.
+_REPORT_HALF_LIFE: Final = 0.25
 # Failures in a row after which a target is left alone for a while.
 _MOST_FAILURES: Final = 3
 _FIRST_SUSPENSION_SECONDS: Final = 0.5
--- a/toucanhall/placement/order.py
+++ b/toucanhall/placement/order.py
@@ -1,8 +1,8 @@
 """The order in which targets are preferred for an object.
 
 Load pattern: requests for the same object repeat, and a target that handled
-the object lately needs a third of the time. Every VM of a zone computes the
-same order, and targets that come or go move few objects.
+the object lately needs a third of the time. Every VM of a region computes
+the same order, and targets that come or go move few objects.
 """
 
 import math
@@ -15,11 +15,10 @@
 
 __all__ = ('Place', 'rank')
 
-# A near target is preferred for this many times as many objects as one of
-# another region: more would leave too few targets per object at a region
-# that has few of them.
-_ZONE_WEIGHT: Final = 3.0
-_REGION_WEIGHT: Final = 2.0
+# A target of the own region is preferred for this many times as many objects
+# as one of another region. VMs of both zones of a region agree on the order,
+# so that an object is warm at few targets; docs/STEERING.md has the table.
+_REGION_WEIGHT: Final = 6.0
 _FAR_WEIGHT: Final = 1.0
 _HASHES: Final = float(1 << 64)
 
@@ -51,8 +50,6 @@
 
 
 def _weigh(target: Target, place: Place, regions: dict[str, str]) -> float:
-    if target.zone == place.zone:
-        return _ZONE_WEIGHT
     if regions.get(target.zone) == place.region:
         return _REGION_WEIGHT
     return _FAR_WEIGHT
