Keep teams within their rate when VMs are cut off at the moment of a burst

Now silent VMs count as having spent their part, the own demand is as old as theirs, and a VM that hears few others keeps its part.

--- /dev/null
+++ b/tests/fleetdata.py
@@ -0,0 +1,64 @@
+"""Builders of configurations, targets and heartbeats for tests."""
+
+from toucanhall.fleet.knowledge import Revisions
+from toucanhall.fleet.membership import Heartbeat
+from toucanhall.fleet.model import Address, Bounds, Target, Team
+
+__all__ = ('make_bounds', 'make_heartbeat', 'make_target', 'make_team')
+
+
+def make_target(name: str = 't1', **fields: object) -> Target:
+    """Return a warm target that is ready."""
+    target = Target(
+        id=name,
+        service='guide',
+        address=Address('127.0.0.1', 9000),
+        zone='east-a',
+        slots=9,
+        is_draining=False,
+        cold_seconds=0.0,
+        started_at=1,
+        revision=1,
+    )
+    return target._replace(**fields)
+
+
+def make_team(name: str = 'guides', **fields: object) -> Team:
+    """Return a team without homes."""
+    team = Team(
+        name=name,
+        priority=None,
+        rate=100.0,
+        burst=100.0,
+        homes=frozenset(),
+    )
+    return team._replace(**fields)
+
+
+def make_bounds(**fields: object) -> Bounds:
+    """Return the bounds of today's deployments."""
+    bounds = Bounds(
+        grace=6.0,
+        directory_ttl=2.0,
+        retry_ratio=0.2,
+        retry_window=10.0,
+        retry_slack=133.0,
+        cold_slack=5.0,
+        quota_window=5.0,
+    )
+    return bounds._replace(**fields)
+
+
+def make_heartbeat(vm: str = 'vm-1', **fields: object) -> Heartbeat:
+    """Return the heartbeat of a VM that is ready."""
+    heartbeat = Heartbeat(
+        vm=vm,
+        started_at=1,
+        zone='east-a',
+        ip='127.0.0.1',
+        is_ready=True,
+        is_watching=False,
+        revisions=Revisions(),
+        usage={},
+    )
+    return heartbeat._replace(**fields)
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -243,6 +243,4 @@
 
 
 def _is_ahead(found: Revisions, own: Revisions) -> bool:
-    return any(
-        theirs > ours for theirs, ours in zip(found, own, strict=True)
-    )
+    return any(theirs > ours for theirs, ours in zip(found, own, strict=True))
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -46,7 +46,9 @@
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
-            if connection.is_usable and self._is_fresh(connection, now, longest):
+            if connection.is_usable and self._is_fresh(
+                connection, now, longest
+            ):
                 return connection, True
             if connection.is_usable and not may_repeat:
                 idle.append(connection)
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -244,12 +244,11 @@
             {zone: sorted(vms) for zone, vms in zones.items()},
         )
         self._path.resize(len(alive) + 1)
-        remembered = self._mate.members.list_remembered(now)
         configuration = self._knowledge.configuration
         self._quotas.divide(
             configuration.teams.values() if configuration else (),
             self._mate.own_usage,
-            (found.usage for found in remembered),
+            self._mate.members.list_told(now),
             now,
         )
         near = [found.vm for found in alive if found.zone == environment.zone]
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -58,7 +58,10 @@
     on_bad: Callable[[str], None],
 ) -> Gossip:
     """Listen for heartbeats at an address."""
-    _transport, gossip = await asyncio.get_running_loop().create_datagram_endpoint(
+    (
+        _transport,
+        gossip,
+    ) = await asyncio.get_running_loop().create_datagram_endpoint(
         lambda: Gossip(hear=hear, on_bad=on_bad),
         local_addr=address,
     )
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -5,15 +5,18 @@
 
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.model import Introduction
-from toucanhall.limits.quota import Usage
+from toucanhall.limits.quota import Told, Usage
 
-__all__ = ('ALIVE_SECONDS', 'Heartbeat', 'Members', 'Peer', 'pick_watchers')
+__all__ = ('ALIVE_SECONDS', 'LATE_SECONDS', 'Heartbeat', 'Members', 'Peer', 'pick_watchers')
 
 # Two heartbeats may be lost before a VM counts as dead.
 ALIVE_SECONDS: Final = 2.6
 # A VM that fell silent may still admit requests of teams: its part of their
 # limits is given to others only after this time.
 FORGET_SECONDS: Final = 20.0
+# Heartbeats between regions come each 1.6 s: a VM that told nothing for longer
+# may be cut off and admit requests that nobody hears of.
+LATE_SECONDS: Final = 1.8
 
 
 class Heartbeat(NamedTuple):
@@ -89,10 +92,10 @@
             if now - peer.heard_at <= ALIVE_SECONDS
         ]
 
-    def list_remembered(self, now: float) -> list[Heartbeat]:
-        """Return the last heartbeats, also of VMs that fell silent."""
+    def list_told(self, now: float) -> list[Told]:
+        """Return what VMs told of teams, also those that fell silent."""
         return [
-            peer.heartbeat
+            Told(peer.heartbeat.usage, now - peer.heard_at > LATE_SECONDS)
             for peer in self.peers.values()
             if now - peer.heard_at <= FORGET_SECONDS
         ]
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -15,15 +15,24 @@
 
 from toucanhall.fleet.model import Team
 
-__all__ = ('Quotas', 'Usage')
+__all__ = ('Quotas', 'Told', 'Usage')
 
-_DEMAND_WEIGHT: Final = 0.4  # of the last beat in the smoothed demand
+_DEMAND_WEIGHT: Final = 0.25  # of the last beat in the smoothed demand
 # Part of the average demand that a VM without any keeps, to admit the first.
-_IDLE_SHARE: Final = 0.2
+_IDLE_SHARE: Final = 0.5
 _SPEND_SHARE: Final = 0.5  # of the own part of the room, between two beats
 # Part of the window that a VM which has just started takes as spent before.
 _START_SHARE: Final = 0.8
 _LEAST_TOKENS: Final = 1.0
+# A VM whose demand jumps spends so much more than its part of the limit until
+# the others know: if they do not hear of it, the overrun stays in the overage.
+_MOST_PART: Final = 1.5
+# The own demand counts as of some beats ago, as old as what others told: or
+# the parts of all VMs would add up to more than the whole when demand jumps.
+_OWN_BEATS: Final = 3
+# Part of the burst that is handed out; the rest covers VMs that are cut off.
+_BURST_SHARE: Final = 0.5
+_LEAST_WINDOW: Final = 5.0  # requests of a window, where parts are small
 _LONGEST_RETRY_SECONDS: Final = 1.5
 # Share of the limit above which the others have to hear of each request soon.
 _BUSY_SHARE: Final = 0.55
@@ -36,15 +45,33 @@
     demand: float = 0.0
 
 
+class Told(NamedTuple):
+    """What a VM told last; `is_late` when it should have told more since."""
+
+    usage: Mapping[str, Usage]
+    is_late: bool = False
+
+
 class _Meter:
     """Requests of one team at this VM."""
 
-    __slots__ = ('admitted', 'arrived', 'demand', 'past', 'room', 'tokens')
+    __slots__ = (
+        'admitted',
+        'arrived',
+        'demand',
+        'demands',
+        'part',
+        'past',
+        'room',
+        'tokens',
+    )
 
     def __init__(self) -> None:
         self.admitted = 0
         self.arrived = 0
         self.demand = 0.0
+        self.demands: list[float] = []
+        self.part: float | None = None
         self.past: list[int] = []
         self.room = 0.0
         self.tokens = 0.0
@@ -56,7 +83,7 @@
     def __init__(self, *, window: float, beat: float, now: float) -> None:
         """Take the window of the limits and the time between beats (s)."""
         self._window = window
-        self._beats = int(window / beat) + 1
+        self._beats = int(window / beat)
         self._started_at = now
         self._beat_at = now
         self._meters: dict[str, _Meter] = {}
@@ -87,6 +114,7 @@
         for name, meter in self._meters.items():
             rate = meter.arrived / elapsed
             meter.demand += (rate - meter.demand) * _DEMAND_WEIGHT
+            meter.demands = [meter.demand, *meter.demands][:_OWN_BEATS]
             meter.past = [meter.admitted, *meter.past][: self._beats]
             meter.arrived = 0
             meter.admitted = 0
@@ -99,32 +127,49 @@
         self,
         teams: Iterable[Team],
         own: Mapping[str, Usage],
-        others: Iterable[Mapping[str, Usage]],
+        others: Iterable[Told],
         now: float,
     ) -> None:
-        """Fill the tokens of each team from what all VMs told."""
-        all_vms = [own, *others]
+        """Fill the tokens of each team from what all VMs told.
+
+        A VM that is late may be cut off and go on: it counts as if it had
+        spent its whole part of the limit.
+        """
+        all_vms = [Told(own), *others]
         self.is_busy = False
         for team in teams:
-            if team.rate is None:
-                continue
-            usages = [told.get(team.name, _NOTHING) for told in all_vms]
-            self._fill(team, team.rate, own.get(team.name, _NOTHING), usages, now)
+            reports = [
+                _Report(told.usage.get(team.name, _NOTHING), told.is_late)
+                for told in all_vms
+            ]
+            if team.rate is not None:
+                self._fill(team, team.rate, reports, now)
 
     def _fill(
         self,
         team: Team,
         rate: float,
-        own: Usage,
-        usages: list[Usage],
+        reports: 'list[_Report]',
         now: float,
     ) -> None:
         meter = self._meters.setdefault(team.name, _Meter())
-        limit = rate * self._window + team.burst
-        admitted = sum(usage.admitted for usage in usages)
+        limit = rate * self._window + team.burst * _BURST_SHARE
+        own_demand = meter.demands[-1] if meter.demands else 0.0
+        others = [report.usage.demand for report in reports[1:]]
+        parts = _divide([own_demand, *others])
+        admitted = sum(
+            max(report.usage.admitted, part * limit)
+            if report.is_late
+            else report.usage.admitted
+            for report, part in zip(reports, parts, strict=True)
+        )
         started = max(0.0, 1 - (now - self._started_at) / self._window)
         spent = max(admitted, _START_SHARE * limit * started)
-        room = max(0.0, limit - spent) * _divide(own, usages)
+        part = self._find_part(meter, reports, parts)
+        room = max(0.0, limit - spent) * part
+        own = reports[0].usage.admitted
+        room = min(room, max(_LEAST_WINDOW, _MOST_PART * part * limit) - own)
+        room = max(0.0, room)
         if admitted > _BUSY_SHARE * limit:
             self.is_busy = True
         meter.room = room
@@ -133,6 +178,22 @@
             meter.tokens + room * _SPEND_SHARE,
         )
 
+    def _find_part(
+        self,
+        meter: _Meter,
+        reports: 'list[_Report]',
+        parts: list[float],
+    ) -> float:
+        """Return the own part of the room.
+
+        A VM that hears from few others keeps the part that it had: what they
+        ask for now is not known.
+        """
+        late = sum(report.is_late for report in reports)
+        if meter.part is None or late * 2 < len(reports):
+            meter.part = parts[0] / _sum_present(reports, parts)
+        return meter.part
+
     def _find_wait(self, meter: _Meter, now: float) -> float:
         if meter.room * _SPEND_SHARE >= 1:
             next_beat = self._beat_at + self._window / self._beats
@@ -140,10 +201,24 @@
         return _LONGEST_RETRY_SECONDS
 
 
-def _divide(own: Usage, usages: list[Usage]) -> float:
-    total = sum(usage.demand for usage in usages)
-    floor = _IDLE_SHARE * total / len(usages) or 1.0
-    return (own.demand + floor) / (total + floor * len(usages))
+class _Report(NamedTuple):
+    usage: Usage
+    is_late: bool
+
+
+def _divide(demands: list[float]) -> list[float]:
+    total = sum(demands)
+    floor = _IDLE_SHARE * total / len(demands) or 1.0
+    whole = total + floor * len(demands)
+    return [(demand + floor) / whole for demand in demands]
+
+
+def _sum_present(reports: list[_Report], parts: list[float]) -> float:
+    return sum(
+        part
+        for report, part in zip(reports, parts, strict=True)
+        if not report.is_late
+    )
 
 
 _NOTHING: Final = Usage()
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -24,12 +24,14 @@
 
 REQUEST_ID: Final = names.REQUEST_ID
 _BEARER: Final = b'bearer '
-_OWN: Final = frozenset((
-    b'authorization',
-    names.DEADLINE,
-    names.EXPECTED_TARGET,
-    names.TEAM,
-))
+_OWN: Final = frozenset(
+    (
+        b'authorization',
+        names.DEADLINE,
+        names.EXPECTED_TARGET,
+        names.TEAM,
+    )
+)
 _NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
 _MISDIRECTED: Final = 421
 _LOAD_FIELDS: Final = 3
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -101,7 +101,9 @@
 
     async def create(self, kind: str, name: str, spec: object) -> None:
         """Create an object; raise Conflict when it exists."""
-        await self._call('POST', kind, {'metadata': {'name': name}, 'spec': spec})
+        await self._call(
+            'POST', kind, {'metadata': {'name': name}, 'spec': spec}
+        )
 
     async def replace(self, kind: str, name: str, spec: object) -> None:
         """Replace the contents of an object."""
--- a/toucanhall/web/messages.py
+++ b/toucanhall/web/messages.py
@@ -16,19 +16,21 @@
 
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
-_HOP_BY_HOP: Final = frozenset((
-    b'connection',
-    b'keep-alive',
-    b'proxy-authenticate',
-    b'proxy-authorization',
-    b'proxy-connection',
-    b'te',
-    b'trailer',
-    b'transfer-encoding',
-    b'upgrade',
-    b'content-length',
-    b'expect',
-))
+_HOP_BY_HOP: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
 _REASONS: Final = {
     status.value: status.phrase.encode() for status in HTTPStatus
 }
@@ -59,7 +61,9 @@
     return None
 
 
-def make_answer(status: int, text: str, *headers: tuple[bytes, bytes]) -> Answer:
+def make_answer(
+    status: int, text: str, *headers: tuple[bytes, bytes]
+) -> Answer:
     """Return a short plain answer of the VM itself."""
     return Answer(
         status,
