Hear of configurations at once in a zone whose watching VM is cut off

Changes of configuration and evacuations are now told to all VMs, and who is behind asks 0.15 s after the first heartbeat. Also found, by a process test: the return of the store was noticed only when a watch ended, 8 s later, and the wait for lapsed targets began there; a failed watch is now followed by a list.

--- /dev/null
+++ b/standins/site/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: store, targets, callers, a deployment."""
--- /dev/null
+++ b/standins/site/deployment.py
@@ -0,0 +1,284 @@
+"""A deployment on loopback: a store, targets, and VMs as real processes."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import uuid
+from collections.abc import Callable, Coroutine, Mapping
+from pathlib import Path
+from typing import Any, Final, NamedTuple, TypeVar
+
+import urllib3
+import yaml
+
+from standins.site.documents import (
+    HOST,
+    KEY,
+    make_configuration,
+    make_settings,
+    make_target_entry,
+)
+from standins.site.store import StoreStandin
+from standins.site.target import TargetStandin
+
+__all__ = ('Deployment', 'Outcome')
+
+ZONES: Final = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
+_ROOT: Final = Path(__file__).parents[2]
+_STORE_PORT: Final = 8382
+_TARGET_PORT: Final = 9000
+_READY_SECONDS: Final = 15.0
+_STEP_SECONDS: Final = 0.02
+
+Found = TypeVar('Found')
+
+
+class Outcome(NamedTuple):
+    """What a caller got; status 0 is a connection that broke."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: str
+    request_id: str
+    seconds: float
+
+
+class Deployment:
+    """A store, some targets, and VMs by name, on a network of their own.
+
+    Addresses are 127.`net`.Z.N. Store and targets run on a thread here.
+    """
+
+    def __init__(
+        self, *, net: int, zones: tuple[str, ...] = ('east-a',)
+    ) -> None:
+        """Use loopback addresses of one network, VMs in some zones."""
+        self.net = net
+        self.zones = zones
+        self.targets: dict[str, TargetStandin] = {}
+        self.vms: dict[str, subprocess.Popen[bytes]] = {}
+        self.folder = Path(tempfile.mkdtemp(prefix='toucanhall-site-'))
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever,
+            daemon=True,
+        )
+        self._thread.start()
+        self.store = self.call(_make_store())
+        self._http = urllib3.PoolManager(retries=False, maxsize=32)
+        self._ips: dict[str, str] = {}
+
+    def __enter__(self) -> 'Deployment':
+        """Start the store with a first configuration."""
+        self.call(self.store.start(self._make_ip(200, 1), _STORE_PORT))
+        self.write('config', 'main', make_configuration())
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        """End every process that was started."""
+        for process in self.vms.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.do(self.store.stop)
+        for target in self.targets.values():
+            self.do(target.stop)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def call(self, work: Coroutine[Any, Any, Found]) -> Found:
+        """Run something on the thread of the stand-ins."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
+
+    def do(self, act: Callable[..., object], *arguments: object) -> None:
+        """Call a function on the thread of the stand-ins."""
+
+        async def run() -> None:  # noqa: RUF029
+            act(*arguments)
+
+        self.call(run())
+
+    def write(self, kind: str, name: str, spec: object) -> None:
+        """Write an object of the store as operators and targets do."""
+        self.do(self.store.put, kind, name, spec)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object of the store."""
+        self.do(self.store.remove, kind, name)
+
+    def add_target(self, name: str, zone: str = 'east-a') -> TargetStandin:
+        """Start a target and register it."""
+        target = self.call(_make_target(name))
+        self.targets[name] = target
+        ip = self._make_ip(100 + ZONES_ORDER[zone], len(self.targets))
+        self._ips[name] = ip
+        self.call(target.start(ip, _TARGET_PORT))
+        self.register(name, zone)
+        return target
+
+    def register(
+        self, name: str, zone: str = 'east-a', **fields: object
+    ) -> None:
+        """Write the entry of a target."""
+        address = f'{self._ips[name]}:{_TARGET_PORT}'
+        self.write('servers', name, make_target_entry(address, zone, **fields))
+
+    def start_vm(
+        self,
+        name: str,
+        zone: str = 'east-a',
+        *,
+        store: str = '',
+    ) -> None:
+        """Start a VM as a process of its own."""
+        number = len(self._ips) + 1
+        ip = self._ips.setdefault(
+            name,
+            self._make_ip(ZONES_ORDER[zone] + 1, number),
+        )
+        seeds = [f'{self._ips[vm]}:8381' for vm in list(self.vms)[:3]]
+        settings = make_settings(
+            name,
+            ip,
+            zone,
+            zones=ZONES,
+            store=store or f'{self._make_ip(200, 1)}:{_STORE_PORT}',
+            seeds=seeds,
+        )
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        with (self.folder / f'{name}.log').open('ab') as log:
+            self.vms[name] = subprocess.Popen(
+                (sys.executable, '-m', 'toucanhall.edge'),
+                cwd=_ROOT,
+                env={'PATH': os.environ['PATH'], 'TOUCANHALL_BOOT': str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def wait_ready(self, *names: str) -> None:
+        """Wait until VMs say that they take requests."""
+        wait_until(
+            lambda: all(self.is_ready(name) for name in names or self.vms),
+            f'ready: {names or tuple(self.vms)}',
+        )
+
+    def is_ready(self, name: str) -> bool:
+        """Whether a VM says that it takes requests."""
+        url = f'http://{self._ips[name]}:8384/toucanhall/ready'
+        try:
+            return self._http.request('GET', url, timeout=1.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def ask_directory(self, vm: str, zone: str) -> list[str]:
+        """Return the addresses of VMs that a client of a zone is given."""
+        url = (
+            f'http://{self._ips[vm]}:8383/toucanhall/resolve'
+            f'?name={HOST}&region={ZONES[zone]}&zone={zone}'
+        )
+        try:
+            found = self._http.request('GET', url, timeout=1.0)
+        except urllib3.exceptions.HTTPError:
+            return []
+        addresses: list[str] = found.json()['addresses']
+        return addresses
+
+    def read_metrics(self, vm: str) -> str:
+        """Return the metrics of a VM as text."""
+        url = f'http://{self._ips[vm]}:9464/metrics'
+        return self._http.request('GET', url, timeout=1.0).data.decode()
+
+    def get_ip(self, name: str) -> str:
+        """Return the address of a VM or a target."""
+        return self._ips[name]
+
+    def request(
+        self,
+        vm: str,
+        path: str = '/view/1',
+        *,
+        method: str = 'GET',
+        key: str | None = KEY,
+        wait_ms: int = 3000,
+        item: str = '1',
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Outcome:
+        """Make one request to a VM."""
+        request_id = uuid.uuid4().hex[:16]
+        sent = {
+            'Host': HOST,
+            'X-Toucanhall-Request-Id': request_id,
+            'X-Toucanhall-Request-Deadline': str(wait_ms),
+            'Cookie': f'X-Toucanhall-Affinity-Key={item}',
+            **(headers or {}),
+        }
+        if key is not None:
+            sent['Authorization'] = f'Bearer {key}'
+        began = time.monotonic()
+        try:
+            found = self._http.request(
+                method,
+                f'http://{self._ips[vm]}:8388{path}',
+                headers=sent,
+                body=body,
+                timeout=wait_ms / 1000,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            elapsed = time.monotonic() - began
+            return Outcome(0, {}, type(error).__name__, request_id, elapsed)
+        return Outcome(
+            found.status,
+            found.headers,
+            found.data.decode(),
+            request_id,
+            time.monotonic() - began,
+        )
+
+    def signal_vm(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to the process of a VM."""
+        self.vms[name].send_signal(number)
+
+    def read_log(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of a VM."""
+        lines = (self.folder / f'{name}.log').read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith('{')]
+
+    def find_events(self, name: str, number: int) -> list[dict[str, Any]]:
+        """Return the log lines of a VM with an event number."""
+        return [line for line in self.read_log(name) if line['event'] == number]
+
+    def _make_ip(self, third: int, fourth: int) -> str:
+        return f'127.{self.net}.{third}.{fourth}'
+
+
+def wait_until(
+    holds: Callable[[], object],
+    what: str,
+    seconds: float = _READY_SECONDS,
+) -> None:
+    """Wait until something holds; raise TimeoutError otherwise."""
+    until = time.monotonic() + seconds
+    while not holds():
+        if time.monotonic() > until:
+            raise TimeoutError(f'not within {seconds} s: {what}')
+        time.sleep(_STEP_SECONDS)
+
+
+async def _make_store() -> StoreStandin:  # noqa: RUF029
+    return StoreStandin()
+
+
+async def _make_target(name: str) -> TargetStandin:  # noqa: RUF029
+    return TargetStandin(name=name)
+
+
+ZONES_ORDER: Final = {zone: index for index, zone in enumerate(ZONES)}
--- /dev/null
+++ b/tests/processes/test_site.py
@@ -0,0 +1,300 @@
+"""VMs as real processes on a stand-in of the platform: the path of requests."""
+
+import signal
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from standins.site.deployment import Deployment, wait_until
+from standins.site.documents import HOST, KEY, make_configuration, make_rule
+from toucanhall.observe import events
+
+NET = 61
+
+
+@pytest.fixture(scope='module')
+def site():
+    with Deployment(net=NET) as deployment:
+        for name in ('t1', 't2'):
+            deployment.add_target(name)
+        for vm in ('vm-1', 'vm-2'):
+            deployment.start_vm(vm)
+        deployment.wait_ready()
+        yield deployment
+
+
+@pytest.fixture(autouse=True)
+def well(site):
+    yield
+    for target in site.targets.values():
+        target.mode = 'well'
+        target.seconds = 0.01
+        target.runs.clear()
+        target.ended.clear()
+    wait_until(lambda: serves(site), 'all targets in use again')
+
+
+def serves(site):
+    outcomes = [site.request('vm-1', item=str(item)) for item in range(8)]
+    outcomes.append(site.request('vm-1', '/book/1', method='POST'))
+    return all(found.status == 200 for found in outcomes)
+
+
+def list_runs(site, request_id):
+    return [
+        run
+        for target in site.targets.values()
+        for run in target.runs
+        if run.request_id == request_id
+    ]
+
+
+def test_request_reaches_one_target_with_its_team_and_without_its_key(site):
+    found = site.request('vm-1', headers={'X-Toucanhall-Tenant-Id': 'forged'})
+    (run,) = list_runs(site, found.request_id)
+    assert found.status == 200
+    assert found.body == f'{run.target} /view/1 '
+    assert found.headers['X-Toucanhall-Response-Stamp'] == 'stamp'
+    assert run.team == 'guides'
+    assert run.key == ''
+    assert 0 < run.deadline <= 2000
+
+
+def test_same_object_goes_to_the_same_target_from_each_vm(site):
+    for item in range(6):
+        bodies = {
+            site.request(vm, item=str(item)).body
+            for vm in ('vm-1', 'vm-2')
+            for _time in range(2)
+        }
+        assert len(bodies) == 1
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    (
+        ('/nowhere/1', KEY, 404),
+        ('/view/1', 'unknown', 401),
+        ('/view/1', None, 401),
+    ),
+)
+def test_what_no_configuration_allows_is_denied(site, path, key, status):
+    assert site.request('vm-1', path, key=key).status == status
+
+
+@pytest.mark.parametrize('mode', ('shed', 'fail', 'cut', 'lost'))
+def test_idempotent_request_is_sent_once_more(site, mode):
+    site.targets['t1'].mode = mode
+    outcomes = [site.request('vm-1', item=str(item)) for item in range(8)]
+    assert [found.status for found in outcomes] == [200] * 8
+    assert all(found.body.startswith('t2') for found in outcomes)
+
+
+@pytest.mark.parametrize('mode', ('stray', 'twice', 'unframed', 'leaving'))
+def test_answer_is_the_one_of_its_request(site, mode):
+    for target in site.targets.values():
+        target.mode = mode
+    with ThreadPoolExecutor(4) as pool:
+        outcomes = list(
+            pool.map(
+                lambda item: site.request('vm-1', f'/view/{item}'),
+                range(40),
+            ),
+        )
+    assert {found.status for found in outcomes} == {200}
+    for item, found in enumerate(outcomes):
+        assert found.body.endswith(f' /view/{item} ')
+        assert found.headers['X-Toucanhall-Request-Id'] == found.request_id
+
+
+@pytest.mark.parametrize(
+    ('mode', 'status', 'runs'),
+    (('lost', 502, 1), ('cut', 502, 1), ('fail', 500, 1), ('shed', 503, 0)),
+)
+def test_booking_runs_once_at_most_and_a_refusal_is_true(
+    site,
+    mode,
+    status,
+    runs,
+):
+    for target in site.targets.values():
+        target.mode = mode
+    found = site.request('vm-1', '/book/1', method='POST', body=b'seat')
+    assert found.status == status
+    assert len(list_runs(site, found.request_id)) == runs
+    assert ('Retry-After' in found.headers) == (status == 503)
+
+
+def test_body_is_passed_on_unchanged(site):
+    found = site.request('vm-1', '/book/2?a=b', method='POST', body=b'seat 4')
+    assert found.body.endswith(' /book/2?a=b seat 4')
+
+
+def test_final_answer_comes_at_the_timeout_of_the_route(site):
+    site.write(
+        'config',
+        'main',
+        make_configuration(
+            site.store.revision,
+            rules=[
+                make_rule('/view/'),
+                make_rule('/quick/', timeout='300ms'),
+                make_rule('/book/', route_type='non_idempotent'),
+            ],
+        ),
+    )
+    wait_until(lambda: site.request('vm-1', '/quick/1').status == 200, 'route')
+    for target in site.targets.values():
+        target.seconds = 1.0
+    found = site.request('vm-1', '/quick/1')
+    assert found.status == 504
+    assert 0.25 < found.seconds < 0.5
+
+
+def test_work_ends_when_the_caller_of_an_idempotent_request_leaves(site):
+    for target in site.targets.values():
+        target.seconds = 2.0
+    found = site.request('vm-1', wait_ms=200)
+    assert found.status == 0
+    wait_until(
+        lambda: any(
+            found.request_id in target.ended for target in site.targets.values()
+        ),
+        'work ended',
+        seconds=0.5,
+    )
+
+
+def test_pipelined_requests_run_side_by_side_and_keep_their_order(site):
+    for target in site.targets.values():
+        target.seconds = 0.3
+    with socket.create_connection((site.get_ip('vm-1'), 8388)) as caller:
+        caller.settimeout(3)
+        sent = b''.join(
+            f'GET /view/{item} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'X-Toucanhall-Request-Id: pipelined-{item}\r\n'
+            f'Cookie: X-Toucanhall-Affinity-Key={item}\r\n'
+            f'X-Toucanhall-Request-Deadline: 3000\r\n'
+            f'Authorization: Bearer {KEY}\r\n\r\n'.encode()
+            for item in range(4)
+        )
+        began = time.monotonic()
+        caller.sendall(sent)
+        received = b''
+        while received.count(b' /view/') < 4:
+            received += caller.recv(65536)
+    assert time.monotonic() - began < 0.9
+    places = [received.index(b' /view/%d ' % item) for item in range(4)]
+    assert places == sorted(places)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    (
+        (b'BAD\r\n\r\n', b'400'),
+        (b'GET / HTTP/1.1\r\nX: ' + b'a' * 20000 + b'\r\n\r\n', b'431'),
+        (
+            b'POST / HTTP/1.1\r\nContent-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n',
+            b'400',
+        ),
+        (
+            b'POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n'
+            + b'a' * 1100000,
+            b'413',
+        ),
+    ),
+)
+def test_request_beyond_the_limits_is_rejected(site, sent, status):
+    with socket.create_connection((site.get_ip('vm-1'), 8388)) as caller:
+        caller.settimeout(3)
+        try:
+            caller.sendall(sent)
+        except ConnectionError:
+            return
+        assert caller.recv(65536).split()[1] == status
+
+
+def test_split_keeps_to_its_weights(site):
+    site.write(
+        'config',
+        'main',
+        make_configuration(
+            site.store.revision,
+            rules=[
+                make_rule('/view/'),
+                make_rule('/book/', route_type='non_idempotent'),
+                make_rule(
+                    '/split/',
+                    service=None,
+                    traffic_split=[
+                        {'service': 'guide', 'weight': 75},
+                        {'service': 'feed', 'weight': 25},
+                    ],
+                ),
+            ],
+        ),
+    )
+    wait_until(
+        lambda: site.request('vm-1', '/split/1').status in {200, 503},
+        'route',
+    )
+    statuses = [site.request('vm-1', '/split/1').status for _time in range(200)]
+    assert 0.65 < statuses.count(200) / 200 < 0.85
+    assert set(statuses) == {200, 503}
+
+
+def test_crashed_target_is_left_alone_and_used_again(site):
+    third = site.add_target('t3')
+    wait_until(
+        lambda: any(
+            site.request('vm-1', item=str(item)).body.startswith('t3')
+            for item in range(30)
+        ),
+        'the third target serves',
+    )
+    site.do(third.stop)
+    statuses = {
+        site.request('vm-1', item=str(item)).status for item in range(30)
+    }
+    site.remove('servers', 't3')
+    assert statuses == {200}
+    assert site.find_events('vm-1', events.TARGET_SUSPENDED.number)
+
+
+def test_metrics_count_requests_and_refusals(site):
+    site.request('vm-1')
+    site.request('vm-1', key='unknown')
+    text = site.read_metrics('vm-1')
+    assert 'toucanhall_request_seconds_count{route="view"}' in text
+    assert (
+        'toucanhall_refusals_total{reason="unknown-key",status="401"}' in text
+    )
+
+
+def test_stop_finishes_what_was_read_and_tells_callers_to_leave(site):
+    site.start_vm('vm-3')
+    site.wait_ready('vm-3')
+    for target in site.targets.values():
+        target.seconds = 0.4
+    with ThreadPoolExecutor(4) as pool:
+        under_way = [pool.submit(site.request, 'vm-3') for _call in range(4)]
+        time.sleep(0.2)
+        site.signal_vm('vm-3', signal.SIGTERM)
+        outcomes = [found.result() for found in under_way]
+    assert {found.status for found in outcomes} == {200}
+    assert not site.is_ready('vm-3')
+    late = site.request('vm-3')
+    assert late.status == 200
+    assert late.headers['Connection'] == 'close'
+    wait_until(
+        lambda: (
+            site.get_ip('vm-3') + ':8388'
+            not in site.ask_directory('vm-1', 'east-a')
+        ),
+        'not named by the directory',
+        seconds=1.0,
+    )
+    assert site.vms['vm-3'].wait(5) == 0
--- a/tests/replays.py
+++ b/tests/replays.py
@@ -111,7 +111,9 @@
     def start(server: _Server, job: _Job, now: float) -> None:
         server.running += 1
         ends = now + server.time(job.key)
-        heapq.heappush(events, (ends, len(events) + draw.randrange(1 << 30), server, job))
+        heapq.heappush(
+            events, (ends, len(events) + draw.randrange(1 << 30), server, job)
+        )
 
     def finish(server: _Server, job: _Job, now: float) -> None:
         server.running -= 1
@@ -123,7 +125,9 @@
         load.succeed(min(4.0, (now - job.arrived) / usual[0]))
         if job.arrived >= since:
             by_target[server.target.id] += 1
-            name = 'in time' if now - job.arrived <= pattern.objective else 'late'
+            name = (
+                'in time' if now - job.arrived <= pattern.objective else 'late'
+            )
             counts[name] += 1
 
     for now, key in _arrive(pattern, draw):
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -30,7 +30,7 @@
 SNAPSHOT_PATH: Final = b'/fleet/tables'
 # A VM of the own zone that watches the store is a few milliseconds ahead of
 # the others: those of other zones are asked only when it does not answer.
-_FAR_PULL_SECONDS: Final = 0.3
+_FAR_PULL_SECONDS: Final = 0.15
 _PULL_SECONDS: Final = 1.0
 _PAUSE_SECONDS: Final = 1.0  # a timer that is this late: the VM stood still
 
@@ -60,8 +60,7 @@
         self._loop = asyncio.get_running_loop()
         self._gossip: Gossip | None = None
         self._started_at = time.time_ns() // 1_000_000
-        self._pulling = False
-        self._behind_since: float | None = None
+        self._pulling: set[str] = set()
         self._lost: set[str] = set()
         self._beat_at = self._loop.time()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -96,15 +95,19 @@
         if self._gossip is not None:
             self._gossip.send(self._make_heartbeat(), fresh)
 
-    def tell(self) -> None:
-        """Send a heartbeat now to the VMs of the own zone."""
+    def tell(self, *, is_urgent: bool = False) -> None:
+        """Send a heartbeat now to the own zone, or to all if it is urgent.
+
+        Configurations and evacuations are urgent: the VM that watches the
+        store for a zone may be cut off from it, or from the zone.
+        """
         if self._gossip is None:
             return
         addresses = [
             Address(found.ip, self._environment.gossip_port)
             for found in self.members.introduced.values()
-            if found.zone == self._environment.zone
-            and found.vm != self._environment.vm
+            if found.vm != self._environment.vm
+            and (is_urgent or found.zone == self._environment.zone)
         ]
         self._gossip.send(self._make_heartbeat(), addresses)
 
@@ -151,7 +154,7 @@
             self._journal.write(events.PEER_JOINED, peer=heartbeat.vm)
             self._introduce(heartbeat)
         self.meet(list(heartbeat.introduced))
-        self._compare(heartbeat, now)
+        self._compare(heartbeat)
 
     def _introduce(self, heartbeat: Heartbeat) -> None:
         if self._gossip is None:
@@ -162,33 +165,36 @@
             [Address(heartbeat.ip, self._environment.gossip_port)],
         )
 
-    def _compare(self, heartbeat: Heartbeat, now: float) -> None:
+    def _compare(self, heartbeat: Heartbeat) -> None:
         own = self._knowledge.revisions
         if not _is_ahead(heartbeat.revisions, own):
             return
-        if self._behind_since is None:
-            self._behind_since = now
-        is_near = heartbeat.zone == self._environment.zone
-        has_nothing = not own.configuration
-        waited = now - self._behind_since >= _FAR_PULL_SECONDS
-        if self._pulling or not (is_near or waited or has_nothing):
-            return
         control = self._environment.listeners.control
-        if control is None:
+        if heartbeat.vm in self._pulling or control is None:
             return
-        self._pulling = True
+        is_near = heartbeat.zone == self._environment.zone
+        wait = 0.0 if is_near or not own.configuration else _FAR_PULL_SECONDS
+        self._pulling.add(heartbeat.vm)
         task = self._loop.create_task(
-            self._pull_from(Address(heartbeat.ip, control.port)),
+            self._pull_from(
+                heartbeat, Address(heartbeat.ip, control.port), wait
+            ),
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _pull_from(self, address: Address) -> None:
+    async def _pull_from(
+        self,
+        heartbeat: Heartbeat,
+        address: Address,
+        wait: float,
+    ) -> None:
         try:
-            await self.pull(address)
+            await asyncio.sleep(wait)
+            if _is_ahead(heartbeat.revisions, self._knowledge.revisions):
+                await self.pull(address)
         finally:
-            self._pulling = False
-            self._behind_since = None
+            self._pulling.discard(heartbeat.vm)
 
     def _beat(self) -> None:
         now = self._loop.time()
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -226,7 +226,8 @@
                 revision=knowledge.revisions.configuration,
                 version=knowledge.configuration.version,
             )
-        self._mate.tell()
+        is_urgent = table != 'targets' and self._follower.is_watching
+        self._mate.tell(is_urgent=is_urgent)
 
     def _take_beat(self) -> None:
         now = self._loop.time()
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -7,7 +7,14 @@
 from toucanhall.fleet.model import Introduction
 from toucanhall.limits.quota import Told, Usage
 
-__all__ = ('ALIVE_SECONDS', 'LATE_SECONDS', 'Heartbeat', 'Members', 'Peer', 'pick_watchers')
+__all__ = (
+    'ALIVE_SECONDS',
+    'LATE_SECONDS',
+    'Heartbeat',
+    'Members',
+    'Peer',
+    'pick_watchers',
+)
 
 # Two heartbeats may be lost before a VM counts as dead.
 ALIVE_SECONDS: Final = 2.6
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -129,6 +129,8 @@
                 await self._step(kind)
             except StoreError as error:
                 self._fail(kind, error)
+                # A list is answered at once, a watch only with a change.
+                self._revisions.pop(kind, None)
                 await asyncio.sleep(wait * random.uniform(0.5, 1.5))
                 wait = min(_LONGEST_WAIT_SECONDS, wait * 2)
             else:
