Split the path of a request; test it on stand-ins of the platform

Found by them: no watch of a zone while its watching VM stops (it counted as alive); an outage shorter than three heartbeats lets no entry lapse, so the test's outage is a second now.

--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -57,6 +57,7 @@
         zone='east-a',
         ip='127.0.0.1',
         is_ready=True,
+        is_leaving=False,
         is_watching=False,
         revisions=Revisions(),
         usage={},
--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -128,6 +128,9 @@
         'store lost',
         seconds=12,
     )
+    # Entries lapse after three heartbeats: no outage of that kind is shorter
+    # than the time in which every watch has failed.
+    time.sleep(1.0)
     site.remove('servers', 't1')
     site.remove('servers', 't2')
     set_fault(site, None)
--- a/tests/unit/test_knowledge.py
+++ b/tests/unit/test_knowledge.py
@@ -129,8 +129,8 @@
 )
 def test_first_vms_of_a_zone_watch(count, expected):
     alive = [
-        make_heartbeat('vm-2'),
         make_heartbeat('vm-1'),
         make_heartbeat('vm-0', zone='west-a'),
+        make_heartbeat('vm-0', is_leaving=True),
     ]
-    assert pick_watchers('east-a', alive, count) == expected
+    assert pick_watchers('vm-2', 'east-a', alive, count) == expected
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -39,8 +39,8 @@
         address: Address,
         *,
         may_repeat: bool,
-    ) -> tuple[ServerConnection, bool]:
-        """Return a connection, and whether it was used before."""
+    ) -> ServerConnection:
+        """Return a connection that was idle, or a new one."""
         longest = _IDLE_SECONDS if may_repeat else _FRESH_SECONDS
         now = self._clock()
         idle = self._idle.get(address)
@@ -49,18 +49,17 @@
             if connection.is_usable and self._is_fresh(
                 connection, now, longest
             ):
-                return connection, True
+                return connection
             if connection.is_usable and not may_repeat:
                 idle.append(connection)
                 break
             connection.close()
         self.opened += 1
-        opened = await open_connection(
+        return await open_connection(
             address,
             seconds=_CONNECT_SECONDS,
             id_header=self._id_header,
         )
-        return opened, False
 
     def give_back(self, address: Address, connection: ServerConnection) -> None:
         """Keep a connection whose answer was read whole."""
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -1,31 +1,31 @@
 """The process of a VM: puts its parts together, starts and stops them."""
 
 import asyncio
-import contextlib
 import gc
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path as FilePath
 from typing import Final
 
-from toucanhall.edge.directory import Choice, pick_vms
-from toucanhall.edge.fleetmate import HEARTBEAT_SECONDS, Fleetmate
+from toucanhall.edge.directory import Directory
+from toucanhall.edge.duties import Duties
+from toucanhall.edge.fleetmate import HEARTBEAT_SECONDS, Fleetmate, Standing
 from toucanhall.edge.path import Path
 from toucanhall.edge.pool import Pool
+from toucanhall.edge.reporting import Reporter
+from toucanhall.edge.sending import Sender
+from toucanhall.edge.tables import TableExchange
 from toucanhall.fleet.knowledge import Knowledge
 from toucanhall.fleet.model import Address, Environment, Introduction
 from toucanhall.limits.quota import Quotas
+from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
 from toucanhall.placement.field import Field
 from toucanhall.placement.order import Place
 from toucanhall.platform import boot
-from toucanhall.platform.entrance import (
-    make_readiness,
-    read_question,
-    write_directory,
-)
+from toucanhall.platform.entrance import make_readiness
 from toucanhall.platform.following import Follower
 from toucanhall.platform.headers import REQUEST_ID
 from toucanhall.platform.store import Store, StoreError
@@ -34,18 +34,19 @@
 
 __all__ = ('run',)
 
-WATCHERS_PER_ZONE: Final = 1
 METRICS_PORT: Final = 9464
-_BACKLOG: Final = 1024
-_SWEEP_SECONDS: Final = 1.0
-_RELOAD_SECONDS: Final = 1.0  # between looks at the settings file
+_BACKLOG: Final = 1024  # of each listener, as many as a busy second brings
+_SWEEP_SECONDS: Final = 1.0  # between looks at idle connections and settings
 _FIRST_READ_SECONDS: Final = 0.1
 _LONGEST_READ_SECONDS: Final = 1.0
+# VMs that started together with this one have written their entries by then.
+_SECOND_LOOK_SECONDS: Final = 2.0
 # Before a configuration is known; of the order of what operators allow.
-_SMALL: Final = ServerLimits(65536, 1 << 26, 5.0, 30.0)
-# Part of the grace after which idle callers are sent away, and the end.
+_FIRST_LIMITS: Final = ServerLimits(65536, 1 << 26, 5.0, 30.0)
+# Parts of the grace after which idle connections are closed, and the end.
 _CLOSE_IDLE_SHARE: Final = 0.75
 _END_SHARE: Final = 0.93
+_CLOSE_STEP_SECONDS: Final = 0.05
 
 
 class Process:
@@ -76,24 +77,55 @@
             knowledge=self._knowledge,
             journal=self._journal,
         )
+        self._retries = RetryBudget(bounds=environment.bounds)
         self._path = Path(
             knowledge=self._knowledge,
             field=self._field,
-            pool=self._pool,
+            sender=Sender(
+                field=self._field,
+                pool=self._pool,
+                journal=self._journal,
+            ),
             quotas=self._quotas,
-            bounds=environment.bounds,
+            retries=self._retries,
+            reporter=Reporter(
+                knowledge=self._knowledge,
+                journal=self._journal,
+                metrics=self._metrics,
+            ),
+        )
+        self._duties = Duties(
+            environment=environment,
+            knowledge=self._knowledge,
+            field=self._field,
+            quotas=self._quotas,
+            retries=self._retries,
+            journal=self._journal,
+            clock=self._loop.time,
+        )
+        control = environment.listeners.control
+        self._tables = TableExchange(
+            knowledge=self._knowledge,
             journal=self._journal,
-            metrics=self._metrics,
+            zone=environment.zone,
+            port=control.port if control else 0,
         )
         self._mate = Fleetmate(
             environment=environment,
             knowledge=self._knowledge,
             quotas=self._quotas,
             journal=self._journal,
-            is_ready=self._is_ready,
-            is_watching=lambda: self._follower.is_watching,
+            find_standing=self._find_standing,
+            on_heard=self._tables.compare,
             on_beat=self._take_beat,
         )
+        self._directory = Directory(
+            environment=environment,
+            knowledge=self._knowledge,
+            members=self._mate.members,
+            is_ready=self._is_ready,
+            clock=self._loop.time,
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM, then end what is under way."""
@@ -124,7 +156,7 @@
         while self._loop.time() < end:
             for connection in tuple(self._connections):
                 connection.close_idle()
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(_CLOSE_STEP_SECONDS)
             if not self._connections:
                 break
         self._journal.write(events.STOPPED, in_flight=self._path.in_flight)
@@ -133,8 +165,8 @@
         listeners = self._environment.listeners
         plain = {
             listeners.readiness: make_readiness(self._is_ready),
-            listeners.directory: self._answer_directory,
-            listeners.control: self._mate.answer,
+            listeners.directory: self._directory.answer,
+            listeners.control: self._tables.answer,
             Address(self._environment.ip, METRICS_PORT): self._answer_metrics,
         }
         for address, answer in plain.items():
@@ -183,9 +215,11 @@
                 self._journal.write(events.STORE_LOST, why=str(error))
             await asyncio.sleep(wait)
             wait = min(_LONGEST_READ_SECONDS, wait * 2)
-        await asyncio.sleep(2.0)
-        with contextlib.suppress(StoreError):
-            self._mate.meet(await self._follower.list_vms())
+        await asyncio.sleep(_SECOND_LOOK_SECONDS)
+        try:
+            self._mate.meet(await self._follower.list_vms(is_stale=True))
+        except StoreError as error:
+            self._journal.write(events.STORE_LOST, why=str(error))
 
     def _is_ready(self) -> bool:
         return (
@@ -196,115 +230,29 @@
     def _get_limits(self) -> ServerLimits:
         configuration = self._knowledge.configuration
         if configuration is None:
-            return _SMALL
+            return _FIRST_LIMITS
         return ServerLimits(*configuration.limits)
 
+    def _find_standing(self) -> Standing:
+        return Standing(
+            is_ready=self._is_ready(),
+            is_leaving=self._stopping.is_set(),
+            is_watching=self._follower.is_watching,
+        )
+
     def _take_change(self, table: str) -> None:
-        now = self._loop.time()
-        knowledge = self._knowledge
-        if table == 'targets':
-            self._field.take_targets(knowledge.targets, now)
-            self._journal.write(
-                events.TARGETS_CHANGED,
-                revision=knowledge.revisions.targets,
-                targets=len(knowledge.targets),
-            )
-        elif table == 'evacuations':
-            self._field.take_evacuations(
-                knowledge.evacuated,
-                knowledge.configuration,
-                now,
-            )
-            self._journal.write(
-                events.EVACUATIONS_CHANGED,
-                revision=knowledge.revisions.evacuations,
-                zones=sorted(knowledge.evacuated),
-            )
-        elif knowledge.configuration is not None:
-            self._journal.write(
-                events.CONFIGURATION_TAKEN,
-                revision=knowledge.revisions.configuration,
-                version=knowledge.configuration.version,
-            )
+        self._duties.take_change(table)
         is_urgent = table != 'targets' and self._follower.is_watching
         self._mate.tell(is_urgent=is_urgent)
 
     def _take_beat(self) -> None:
-        now = self._loop.time()
-        environment = self._environment
-        dropped = self._knowledge.drop_lapsed(now)
-        if dropped:
-            self._journal.write(events.TARGETS_LAPSED, targets=dropped)
-        alive = self._mate.members.list_alive(now)
-        zones: dict[str, list[str]] = {environment.zone: [environment.vm]}
-        for found in alive:
-            if found.is_ready:
-                zones.setdefault(found.zone, []).append(found.vm)
-        self._field.take_vms(
-            environment.vm,
-            {zone: sorted(vms) for zone, vms in zones.items()},
-        )
-        self._path.resize(len(alive) + 1)
-        configuration = self._knowledge.configuration
-        self._quotas.divide(
-            configuration.teams.values() if configuration else (),
-            self._mate.own_usage,
-            self._mate.members.list_told(now),
-            now,
-        )
-        near = [found.vm for found in alive if found.zone == environment.zone]
-        watchers = sorted((environment.vm, *near))[:WATCHERS_PER_ZONE]
-        if environment.vm in watchers and not self._stopping.is_set():
+        members = self._mate.members
+        self._duties.take_beat(members, self._mate.usage)
+        if self._duties.is_watcher(members) and not self._stopping.is_set():
             self._follower.start()
         else:
             self._follower.stop()
 
-    def _answer_directory(self, request: Request) -> Answer:
-        question = read_question(request)
-        if question is None:
-            return make_answer(404, 'no such path')
-        picked = pick_vms(
-            self._list_choices(),
-            question.zone,
-            question.region,
-            self._find_homes(question.host),
-        )
-        listener = self._environment.listeners.requests
-        port = listener.port if listener else 0
-        return write_directory(
-            [Address(found.ip, port) for found in picked],
-            self._environment.bounds.directory_ttl,
-        )
-
-    def _list_choices(self) -> list[Choice]:
-        environment = self._environment
-        choices = [
-            Choice(
-                found.vm,
-                found.zone,
-                environment.regions.get(found.zone, ''),
-                found.ip,
-            )
-            for found in self._mate.members.list_alive(self._loop.time())
-            if found.is_ready
-        ]
-        if self._is_ready() or not choices:
-            own = Choice(
-                environment.vm,
-                environment.zone,
-                environment.region,
-                environment.ip,
-            )
-            choices.append(own)
-        return choices
-
-    def _find_homes(self, host: str) -> frozenset[str]:
-        configuration = self._knowledge.configuration
-        if configuration is None:
-            return frozenset()
-        homes = [route.homes for route in configuration.hosts.get(host, ())]
-        return frozenset().union(*homes)
-
     def _answer_metrics(self, _request: Request) -> Answer:
         return make_answer(200, self._metrics.render())
 
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -1,13 +1,13 @@
-"""Answers of the VM itself, and what they promise."""
+"""Answers of the VM itself, and what they promise.
+
+A status of 429 or 503 says that the request has not run and never will.
+"""
 
 from typing import Final, NamedTuple
 
 from toucanhall.web.messages import Answer, make_answer
 
-__all__ = (
-    'Refusal',
-    'make_refusal',
-)
+__all__ = ('Refusal', 'make_over_limit', 'make_refusal')
 
 
 class Refusal(NamedTuple):
@@ -19,18 +19,24 @@
     team: str | None = None
 
 
+# A quarter of a second is the usual time of a request: slots are free again.
+FULL: Final = Refusal(503, 'targets-full', 0.25)
+NOT_RUN: Final = Refusal(503, 'not-run', 0.25)
+# Configurations and targets are read within half a second of a start.
 NO_CONFIGURATION: Final = Refusal(503, 'no-configuration', 0.5)
+NO_TARGET: Final = Refusal(503, 'no-target', 0.5)
 NO_ROUTE: Final = Refusal(404, 'no-route')
 UNKNOWN_KEY: Final = Refusal(401, 'unknown-key')
-FULL: Final = Refusal(503, 'targets-full', 0.25)
-NO_TARGET: Final = Refusal(503, 'no-target', 0.5)
-NOT_RUN: Final = Refusal(503, 'not-run', 0.25)
-NO_TIME: Final = Refusal(503, 'no-time-left')
 MAY_HAVE_RUN: Final = Refusal(502, 'answer-lost')
 TIMED_OUT: Final = Refusal(504, 'timeout')
 CRASHED: Final = Refusal(502, 'internal-error')
 
 
+def make_over_limit(team: str, retry_after: float) -> Refusal:
+    """Return the refusal of a team that is over its limit."""
+    return Refusal(429, 'over-quota', retry_after, team)
+
+
 def make_refusal(refusal: Refusal) -> Answer:
     """Return the answer of a refusal."""
     headers: tuple[tuple[bytes, bytes], ...] = ()
--- /dev/null
+++ b/toucanhall/edge/reporting.py
@@ -0,0 +1,112 @@
+"""Tells what became of requests, in log lines and metrics."""
+
+from typing import Final
+
+from toucanhall.edge.refusals import Refusal, make_refusal
+from toucanhall.events import Event
+from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.observe import events
+from toucanhall.observe.journal import Journal
+from toucanhall.observe.metrics import Metrics
+from toucanhall.platform.headers import CallerMarks
+from toucanhall.web.messages import Answer
+
+__all__ = ('Reporter',)
+
+# One line for so many requests that were served; all are in the histogram.
+_SERVED_SAMPLE: Final = 64
+
+
+class Reporter:
+    """Writes one line for each decision that touches a request."""
+
+    def __init__(
+        self,
+        *,
+        knowledge: Knowledge,
+        journal: Journal,
+        metrics: Metrics,
+    ) -> None:
+        """Add to each line the versions of what the VM knows."""
+        self._knowledge = knowledge
+        self._journal = journal
+        self._metrics = metrics
+        self._served = 0
+
+    def refuse(
+        self,
+        marks: CallerMarks,
+        refusal: Refusal,
+        **fields: object,
+    ) -> Answer:
+        """Count and write a refusal; return its answer."""
+        self._metrics.count(
+            'refusals',
+            reason=refusal.reason,
+            status=str(refusal.status),
+        )
+        self.write(
+            events.REQUEST_REFUSED,
+            marks,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after=refusal.retry_after,
+            team=refusal.team,
+            **fields,
+        )
+        return make_refusal(refusal)
+
+    def pass_on(self, marks: CallerMarks, reason: str, target: str) -> None:
+        """Count and write a failure of a target that its caller gets."""
+        self._metrics.count('failures_passed_on', reason=reason)
+        self.write(events.REQUEST_FAILED, marks, why=reason, target=target)
+
+    def fail_attempt(
+        self,
+        marks: CallerMarks,
+        reason: str,
+        **fields: object,
+    ) -> None:
+        """Count and write an attempt without success."""
+        self._metrics.count('attempts_failed', reason=reason)
+        self.write(events.ATTEMPT_FAILED, marks, why=reason, **fields)
+
+    def refuse_repeat(self, marks: CallerMarks, service: str) -> None:
+        """Count and write a repeat that the budget has no room for."""
+        self._metrics.count('repeats_refused', service=service)
+        self.write(events.REPEAT_REFUSED, marks, service=service)
+
+    def leave(self, marks: CallerMarks, route: str) -> None:
+        """Count and write a request whose caller has left."""
+        self._metrics.count('callers_left', route=route)
+        self.write(events.CALLER_LEFT, marks)
+
+    def serve(
+        self,
+        marks: CallerMarks,
+        route: str,
+        seconds: float,
+        **fields: object,
+    ) -> None:
+        """Observe the time of a request that was served; write some."""
+        self._metrics.observe('request', seconds, route=route)
+        self._served += 1
+        if self._served % _SERVED_SAMPLE == 0:
+            self.write(
+                events.REQUEST_SERVED,
+                marks,
+                seconds=round(seconds, 4),
+                **fields,
+            )
+
+    def write(self, event: Event, marks: CallerMarks, **fields: object) -> None:
+        """Write a line with the id of a request and what the VM knows."""
+        configuration = self._knowledge.configuration
+        self._journal.write(
+            event,
+            request=marks.request_id.decode('latin-1'),
+            path=marks.path,
+            configuration=configuration.version if configuration else None,
+            targets=self._knowledge.revisions.targets,
+            **fields,
+        )
--- /dev/null
+++ b/toucanhall/edge/sending.py
@@ -0,0 +1,161 @@
+"""Sends a request to a target and judges its answer."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+from toucanhall.edge.admission import Admitted
+from toucanhall.edge.pool import Pool
+from toucanhall.fleet.model import Target
+from toucanhall.observe import events
+from toucanhall.observe.journal import Journal
+from toucanhall.placement.choice import Candidate
+from toucanhall.placement.field import Field
+from toucanhall.platform.headers import (
+    TargetMarks,
+    make_forwarded,
+    read_target_marks,
+)
+from toucanhall.web.client import Broken, Reply, Unreachable
+from toucanhall.web.messages import write_request
+
+__all__ = ('Failure', 'Sender', 'Success')
+
+_FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
+_REDIRECTED_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
+
+
+class Success(NamedTuple):
+    """An answer to pass on; `seconds` from the start of the attempt.
+
+    `fill` is how full the target seemed when the request was sent, 1 for as
+    many requests as it has slots.
+    """
+
+    reply: Reply
+    seconds: float
+    fill: float
+
+
+class Failure(NamedTuple):
+    """An attempt that brought no success.
+
+    `was_sent` tells that bytes left for the target, `may_have_run` that it may
+    have worked on them; `reply` is its own answer, if there was one.
+    """
+
+    reason: str
+    target: str
+    was_sent: bool = True
+    may_have_run: bool = True
+    reply: Reply | None = None
+
+
+class Sender:
+    """Attempts on pooled connections; notes the health of targets."""
+
+    def __init__(self, *, field: Field, pool: Pool, journal: Journal) -> None:
+        """Keep loads and health in `field`."""
+        self._field = field
+        self._pool = pool
+        self._journal = journal
+        self._loop = asyncio.get_running_loop()
+
+    async def attempt(
+        self,
+        admitted: Admitted,
+        candidate: Candidate,
+    ) -> Success | Failure:
+        """Send a request to a target once."""
+        target, load = candidate
+        started_at = self._loop.time()
+        fill = load.estimate(started_at) / load.slots
+        load.in_flight += 1
+        try:
+            reply = await self._exchange(admitted, target)
+        except Unreachable as error:
+            self._fail(target, is_lost=True, why=str(error))
+            return Failure(
+                'unreachable',
+                target.id,
+                was_sent=False,
+                may_have_run=False,
+            )
+        except Broken as error:
+            self._fail(target, is_lost=False, why=str(error))
+            return Failure('broken', target.id)
+        finally:
+            load.in_flight -= 1
+        seconds = self._loop.time() - started_at
+        return self._judge(candidate, Success(reply, seconds, fill))
+
+    def succeed(self, candidate: Candidate, ratio: float | None) -> None:
+        """Note an answer; `ratio` is its time over the usual time."""
+        if candidate.load.succeed(ratio):
+            self._journal.write(
+                events.TARGET_RESUMED,
+                target=candidate.target.id,
+            )
+
+    async def _exchange(self, admitted: Admitted, target: Target) -> Reply:
+        connection = await self._pool.take(
+            target.address,
+            may_repeat=admitted.route.is_idempotent,
+        )
+        forwarded = make_forwarded(
+            admitted.request,
+            target=target.id,
+            team=admitted.team.name if admitted.team else None,
+            seconds_left=admitted.deadline - self._loop.time(),
+        )
+        reply = await connection.exchange(
+            write_request(forwarded),
+            admitted.marks.request_id,
+        )
+        self._pool.give_back(target.address, connection)
+        return reply
+
+    def _judge(
+        self,
+        candidate: Candidate,
+        success: Success,
+    ) -> Success | Failure:
+        target, load = candidate
+        reply = success.reply
+        marks = read_target_marks(reply)
+        now = self._loop.time()
+        if marks.busy is not None:
+            load.report(marks.busy, now)
+        if marks.is_not_run:
+            return self._take_not_run(candidate, marks, now)
+        if reply.status >= _FAILED_STATUS:
+            self._fail(target, is_lost=False, why=f'status {reply.status}')
+            return Failure(f'status-{reply.status}', target.id, reply=reply)
+        if reply.status < _REDIRECTED_STATUS and not marks.is_stamped:
+            self._fail(target, is_lost=False, why='answer without a stamp')
+            return Failure('unstamped', target.id)
+        return success
+
+    def _take_not_run(
+        self,
+        candidate: Candidate,
+        marks: TargetMarks,
+        now: float,
+    ) -> Failure:
+        target, load = candidate
+        if marks.is_misdirected:
+            self._field.lose(target.id, now)
+            return Failure('misdirected', target.id, may_have_run=False)
+        load.fill(now)
+        return Failure('not-run', target.id, may_have_run=False)
+
+    def _fail(self, target: Target, *, is_lost: bool, why: str) -> None:
+        load = self._field.loads.get(target.id)
+        now = self._loop.time()
+        if load is not None and load.fail(now, is_lost=is_lost):
+            self._journal.write(
+                events.TARGET_SUSPENDED,
+                target=target.id,
+                why=why,
+                seconds=round(load.suspended_until - now, 2),
+            )
--- /dev/null
+++ b/toucanhall/edge/tables.py
@@ -0,0 +1,103 @@
+"""Passes tables on between VMs: who is behind asks one that is ahead."""
+
+import asyncio
+from typing import Final
+
+import msgspec
+
+from toucanhall.fleet.knowledge import Knowledge, Revisions
+from toucanhall.fleet.membership import Heartbeat
+from toucanhall.fleet.model import Address, Snapshot
+from toucanhall.observe import events
+from toucanhall.observe.journal import Journal
+from toucanhall.web.client import open_connection
+from toucanhall.web.messages import Answer, Request, make_answer, write_request
+
+__all__ = ('TableExchange',)
+
+_PATH: Final = b'/fleet/tables'
+# The VM of the own zone that watches the store tells its zone within some
+# milliseconds: others are asked only if it does not.
+_FAR_WAIT_SECONDS: Final = 0.15
+_PULL_SECONDS: Final = 1.0  # a snapshot of some 10 kB between regions
+
+
+class TableExchange:
+    """Gives tables to other VMs and takes theirs."""
+
+    def __init__(
+        self,
+        *,
+        knowledge: Knowledge,
+        journal: Journal,
+        zone: str,
+        port: int,
+    ) -> None:
+        """Ask VMs at the port at which each answers such questions."""
+        self._knowledge = knowledge
+        self._journal = journal
+        self._zone = zone
+        self._port = port
+        self._loop = asyncio.get_running_loop()
+        self._asked: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def answer(self, request: Request) -> Answer:
+        """Answer a VM that asks for the tables."""
+        if request.path != _PATH:
+            return make_answer(404, 'no such path')
+        snapshot = self._knowledge.make_snapshot(self._loop.time())
+        return Answer(200, (), msgspec.msgpack.encode(snapshot))
+
+    def compare(self, heartbeat: Heartbeat) -> None:
+        """Ask the VM of a heartbeat for its tables if they are newer."""
+        own = self._knowledge.revisions
+        if heartbeat.vm in self._asked:
+            return
+        if not _is_ahead(heartbeat.revisions, own):
+            return
+        is_near = heartbeat.zone == self._zone or not own.configuration
+        self._asked.add(heartbeat.vm)
+        task = self._loop.create_task(
+            self._pull(heartbeat, 0.0 if is_near else _FAR_WAIT_SECONDS),
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _pull(self, heartbeat: Heartbeat, wait: float) -> None:
+        try:
+            await asyncio.sleep(wait)
+            if _is_ahead(heartbeat.revisions, self._knowledge.revisions):
+                await self._take(heartbeat)
+        finally:
+            self._asked.discard(heartbeat.vm)
+
+    async def _take(self, heartbeat: Heartbeat) -> None:
+        try:
+            snapshot = await self._read(Address(heartbeat.ip, self._port))
+        except (OSError, msgspec.MsgspecError) as error:
+            self._journal.write(
+                events.SNAPSHOT_FAILED,
+                peer=heartbeat.vm,
+                why=str(error) or type(error).__name__,
+            )
+            return
+        self._knowledge.take_snapshot(snapshot, self._loop.time())
+        self._journal.write(
+            events.SNAPSHOT_TAKEN,
+            peer=heartbeat.vm,
+            revisions=self._knowledge.revisions,
+        )
+
+    async def _read(self, address: Address) -> Snapshot:
+        host = f'{address.host}:{address.port}'.encode()
+        request = Request(b'GET', _PATH, ((b'host', host),), b'')
+        async with asyncio.timeout(_PULL_SECONDS):
+            connection = await open_connection(address, seconds=_PULL_SECONDS)
+            reply = await connection.exchange(write_request(request))
+        connection.close()
+        return msgspec.msgpack.decode(reply.body, type=Snapshot)
+
+
+def _is_ahead(found: Revisions, own: Revisions) -> bool:
+    return any(theirs > ours for theirs, ours in zip(found, own, strict=True))
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/knowledge.py
@@ -103,16 +103,21 @@
         """Take changed targets; an integer is the revision of a removal."""
         if revision <= self.revisions.targets:
             return
-        targets = dict(self.targets)
-        gone = set()
-        for name, change in changes.items():
-            known = targets.get(name)
-            if isinstance(change, int):
-                if known and known.revision <= change:
-                    gone.add(name)
-            elif known is None or known.revision < change.revision:
-                targets[name] = change
-                self.lapsed.pop(name, None)
+        written = {
+            name: change
+            for name, change in changes.items()
+            if isinstance(change, Target)
+            and change.revision > self._get_revision(name)
+        }
+        gone = {
+            name
+            for name, change in changes.items()
+            if isinstance(change, int)
+            and 0 < self._get_revision(name) <= change
+        }
+        for name in written:
+            self.lapsed.pop(name, None)
+        targets = {**self.targets, **written}
         for name in gone - self._hold(gone, now):
             targets.pop(name)
         self._put_targets(revision, targets)
@@ -170,6 +175,10 @@
             snapshot.evacuated,
         )
 
+    def _get_revision(self, name: str) -> int:
+        known = self.targets.get(name)
+        return known.revision if known else 0
+
     def _hold(self, names: Iterable[str], now: float) -> set[str]:
         if now < self._lapse_until:
             for name in names:
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -39,6 +39,7 @@
     zone: str
     ip: str
     is_ready: bool
+    is_leaving: bool
     is_watching: bool
     revisions: Revisions
     usage: Mapping[str, Usage]
@@ -108,6 +109,16 @@
         ]
 
 
-def pick_watchers(zone: str, alive: list[Heartbeat], count: int) -> list[str]:
-    """Return the names of the VMs of a zone that watch the store."""
-    return sorted(found.vm for found in alive if found.zone == zone)[:count]
+def pick_watchers(
+    own: str,
+    zone: str,
+    alive: list[Heartbeat],
+    count: int,
+) -> list[str]:
+    """Return the names of the VMs of the own zone that watch the store."""
+    near = [
+        found.vm
+        for found in alive
+        if found.zone == zone and not found.is_leaving
+    ]
+    return sorted((own, *near))[:count]
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -154,28 +154,21 @@
     ) -> None:
         meter = self._meters.setdefault(team.name, _Meter())
         limit = rate * self._window + team.burst * _BURST_SHARE
-        own_demand = meter.demands[-1] if meter.demands else 0.0
-        others = [report.usage.demand for report in reports[1:]]
-        parts = _divide([own_demand, *others])
-        admitted = sum(
-            max(report.usage.admitted, part * limit)
-            if report.is_late
-            else report.usage.admitted
-            for report, part in zip(reports, parts, strict=True)
-        )
+        demands = [report.usage.demand for report in reports]
+        demands[0] = meter.demands[-1] if meter.demands else 0.0
+        parts = _divide(demands)
+        admitted = _count_admitted(reports, parts, limit)
+        if admitted > _BUSY_SHARE * limit:
+            self.is_busy = True
         started = max(0.0, 1 - (now - self._started_at) / self._window)
         spent = max(admitted, _START_SHARE * limit * started)
         part = self._find_part(meter, reports, parts)
-        room = max(0.0, limit - spent) * part
-        own = reports[0].usage.admitted
-        room = min(room, max(_LEAST_WINDOW, _MOST_PART * part * limit) - own)
-        room = max(0.0, room)
-        if admitted > _BUSY_SHARE * limit:
-            self.is_busy = True
-        meter.room = room
+        most = max(_LEAST_WINDOW, _MOST_PART * part * limit)
+        own_room = most - reports[0].usage.admitted
+        meter.room = max(0.0, min((limit - spent) * part, own_room))
         meter.tokens = min(
-            max(_LEAST_TOKENS, room),
-            meter.tokens + room * _SPEND_SHARE,
+            max(_LEAST_TOKENS, meter.room),
+            meter.tokens + meter.room * _SPEND_SHARE,
         )
 
     def _find_part(
@@ -213,6 +206,20 @@
     return [(demand + floor) / whole for demand in demands]
 
 
+def _count_admitted(
+    reports: list[_Report],
+    parts: list[float],
+    limit: float,
+) -> float:
+    """Return what all VMs admitted; a late one as if it spent its part."""
+    return sum(
+        max(report.usage.admitted, part * limit)
+        if report.is_late
+        else report.usage.admitted
+        for report, part in zip(reports, parts, strict=True)
+    )
+
+
 def _sum_present(reports: list[_Report], parts: list[float]) -> float:
     return sum(
         part
--- a/toucanhall/limits/retries.py
+++ b/toucanhall/limits/retries.py
@@ -9,7 +9,7 @@
 
 from toucanhall.fleet.model import Bounds
 
-__all__ = ('Retries',)
+__all__ = ('Retries', 'RetryBudget')
 
 # Requests of a window are counted by their arrival here, those that are
 # repeated arrive a little later: a part of the ratio is kept for that.
@@ -21,15 +21,11 @@
     """Tokens of one service."""
 
     def __init__(self, *, bounds: Bounds, vms: int, now: float) -> None:
-        """Start with a part of the slack of the fleet."""
+        """Start with one repeat: what was spent before is not known."""
         self._bounds = bounds
         self._vms = vms
         self._updated_at = now
-        self._tokens = self._most
-
-    @property
-    def _most(self) -> float:
-        return max(1.0, self._bounds.retry_slack * _BURST_SHARE / self._vms)
+        self._tokens = 1.0
 
     def resize(self, vms: int) -> None:
         """Take how many VMs share the slack."""
@@ -51,8 +47,42 @@
         self._tokens += (now - self._updated_at) * per_second
         self._updated_at = now
         # Tokens earned by requests are kept for two bursts at most.
-        self._tokens = min(self._tokens, self._most * 2)
+        self._tokens = min(self._tokens, self._find_most() * 2)
         if self._tokens < 1:
             return False
         self._tokens -= 1
         return True
+
+    def _find_most(self) -> float:
+        return max(1.0, self._bounds.retry_slack * _BURST_SHARE / self._vms)
+
+
+class RetryBudget:
+    """The tokens of each service."""
+
+    def __init__(self, *, bounds: Bounds) -> None:
+        """Start without having heard of any service or other VM."""
+        self._bounds = bounds
+        self._vms = 1
+        self._services: dict[str, Retries] = {}
+
+    def resize(self, vms: int) -> None:
+        """Take how many VMs there are."""
+        self._vms = vms
+        for retries in self._services.values():
+            retries.resize(vms)
+
+    def earn(self, service: str, now: float) -> None:
+        """Count a request for a service."""
+        self._get(service, now).earn()
+
+    def spend(self, service: str, now: float) -> bool:
+        """Take one repeat for a service if there is one."""
+        return self._get(service, now).spend(now)
+
+    def _get(self, service: str, now: float) -> Retries:
+        found = self._services.get(service)
+        if found is None:
+            found = Retries(bounds=self._bounds, vms=self._vms, now=now)
+            self._services[service] = found
+        return found
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -31,6 +31,9 @@
 REQUEST_FAILED: Final = Event(601, logging.WARNING, 'request failed')
 ATTEMPT_FAILED: Final = Event(602, logging.WARNING, 'attempt failed')
 REQUEST_SERVED: Final = Event(603, logging.INFO, 'request served')
+REPEAT_REFUSED: Final = Event(
+    605, logging.INFO, 'no repeat left in the budget',
+)  # fmt: skip
 CALLER_LEFT: Final = Event(604, logging.INFO, 'caller left')
 REQUEST_CRASHED: Final = Event(610, logging.ERROR, 'request path failed')
 TARGET_SUSPENDED: Final = Event(620, logging.WARNING, 'target suspended')
--- a/toucanhall/observe/journal.py
+++ b/toucanhall/observe/journal.py
@@ -59,7 +59,7 @@
             self.write(LINES_DROPPED, counts=dict(self.dropped))
 
     def _put(self, number: int, line: dict[str, object]) -> None:
-        encoded = msgspec.json.encode(line, enc_hook=str) + b'\n'
+        encoded = b'%s\n' % msgspec.json.encode(line, enc_hook=str)
         try:
             written = os.write(self._descriptor, encoded)
         except (BlockingIOError, BrokenPipeError):
--- a/toucanhall/observe/metrics.py
+++ b/toucanhall/observe/metrics.py
@@ -32,7 +32,7 @@
         key = (name, tuple(sorted(labels.items())))
         found = self._histograms.get(key)
         if found is None:
-            found = [0.0] * (len(_BUCKETS) + 2)
+            found = [0.0 for _bound in (*_BUCKETS, 'more', 'sum')]
             self._histograms[key] = found
         found[bisect_left(_BUCKETS, seconds)] += 1
         found[-1] += seconds
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -1,5 +1,6 @@
 """What this VM knows about the load and the health of one target."""
 
+import math
 from typing import Final
 
 __all__ = ('TargetLoad',)
@@ -35,7 +36,7 @@
     def estimate(self, now: float) -> float:
         """Return how many requests the target runs and holds."""
         age = max(0.0, now - self._reported_at)
-        others = self._others * 0.5 ** (age / _REPORT_HALF_LIFE)
+        others = self._others * math.exp2(-age / _REPORT_HALF_LIFE)
         estimate = self.in_flight + others
         if now < self._full_until:
             return max(estimate, float(self.slots * 2))
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -24,18 +24,14 @@
 def load(path: Path) -> Environment:
     """Read the settings at a path; raise BadSettings when they are wrong."""
     try:
-        document = yaml.load(path.read_bytes(), Loader=_Loader)
-        return _decode(document)
-    except OSError as error:
-        raise BadSettings(f'{path}: {error.strerror}') from error
-    except yaml.YAMLError as error:
-        raise BadSettings(f'{path}: not YAML: {error}') from error
+        return _decode(yaml.load(path.read_bytes(), Loader=_Loader))
     except KeyError as error:
         raise BadSettings(f'{path}: no field {error}') from error
-    except (TypeError, ValueError, AttributeError) as error:
+    except _WRONG as error:
         raise BadSettings(f'{path}: {error}') from error
 
 
+_WRONG: Final = (OSError, yaml.YAMLError, TypeError, ValueError, AttributeError)
 _Loader: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -30,6 +30,9 @@
 
 Document = Mapping[str, Any]
 
+# What decoding raises when a field is missing or of another type.
+_WRONG: Final = (KeyError, TypeError, ValueError, AttributeError)
+
 
 class BadDocument(ValueError):
     """An object of the store that cannot be used."""
@@ -39,7 +42,7 @@
     """Decode a configuration; raise BadDocument when it cannot be read."""
     try:
         return _decode_configuration(spec)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _WRONG as error:
         raise BadDocument(f'configuration: {error!r}') from error
 
 
@@ -57,7 +60,7 @@
             started_at=int(spec.get('born') or 0),
             revision=revision,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _WRONG as error:
         raise BadDocument(f'target {name}: {error!r}') from error
 
 
@@ -69,7 +72,7 @@
             zone=_read_text(spec['zone']),
             ip=_read_text(spec['ip']),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except _WRONG as error:
         raise BadDocument(f'VM {name}: {error!r}') from error
 
 
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -2,29 +2,16 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from typing import Final
 
 from toucanhall.fleet.knowledge import Knowledge
-from toucanhall.fleet.model import Introduction, Target
+from toucanhall.fleet.model import Introduction
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
-from toucanhall.platform.documents import (
-    BadDocument,
-    decode_configuration,
-    decode_target,
-    decode_vm,
-    encode_vm,
-)
-from toucanhall.platform.store import (
-    Change,
-    Conflict,
-    HistoryLost,
-    Store,
-    StoreError,
-    Table,
-)
+from toucanhall.platform.documents import BadDocument, decode_vm, encode_vm
+from toucanhall.platform.store import Conflict, HistoryLost, Store, StoreError
+from toucanhall.platform.tables import KINDS, Tables
 
 __all__ = ('Follower',)
 
@@ -40,8 +27,6 @@
     names.EVACUATIONS: 0.05,
 }
 
-Take = Callable[[Table, bool], None]
-
 
 class Follower:
     """Keeps the tables of a VM up to date from the store."""
@@ -61,35 +46,24 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._failing: set[str] = set()
         self._revisions: dict[str, int] = {}
-        self._takers: dict[str, Take] = {
-            names.CONFIGURATIONS: self._take_configurations,
-            names.TARGETS: self._take_targets,
-            names.EVACUATIONS: self._take_evacuations,
-        }
+        self._tables = Tables(
+            knowledge=knowledge,
+            journal=journal,
+            clock=self._loop.time,
+        )
 
     @property
     def is_watching(self) -> bool:
         """Whether the store is being watched."""
         return bool(self._tasks)
 
-    @property
-    def is_connected(self) -> bool:
-        """Whether the last calls of every table succeeded."""
-        return not self._failing
-
     async def read_all(self) -> None:
         """Read each table once; raise StoreError when one cannot be read."""
-        await asyncio.gather(*(self._read(kind) for kind in self._takers))
+        await asyncio.gather(*(self._read(kind) for kind in KINDS))
 
     async def register(self, own: Introduction) -> list[Introduction]:
         """Write the entry of this VM and return those of all VMs."""
-        table = await self._store.read(names.VMS)
-        found = []
-        for change in table.changes:
-            try:
-                found.append(decode_vm(change.name, change.spec))
-            except BadDocument as error:
-                self._journal.write(events.ENTRY_IGNORED, why=str(error))
+        found = await self.list_vms(is_stale=False)
         if own not in found:
             spec = encode_vm(own)
             try:
@@ -98,18 +72,23 @@
                 await self._store.replace(names.VMS, own.vm, spec)
         return found
 
-    async def list_vms(self) -> list[Introduction]:
-        """Return the entries of all VMs, as of some seconds ago."""
-        table = await self._store.read(names.VMS, is_stale=True)
-        return [decode_vm(found.name, found.spec) for found in table.changes]
+    async def list_vms(self, *, is_stale: bool) -> list[Introduction]:
+        """Return the entries of all VMs; stale ones are some seconds old."""
+        table = await self._store.read(names.VMS, is_stale=is_stale)
+        found = []
+        for change in table.changes:
+            try:
+                found.append(decode_vm(change.name, change.spec))
+            except BadDocument as error:
+                self._journal.write(events.ENTRY_IGNORED, why=str(error))
+        return found
 
     def start(self) -> None:
         """Watch the store from now on."""
         if not self._tasks:
             self._journal.write(events.WATCH_STARTED)
             self._tasks = [
-                self._loop.create_task(self._follow(kind))
-                for kind in self._takers
+                self._loop.create_task(self._follow(kind)) for kind in KINDS
             ]
 
     def stop(self) -> None:
@@ -149,7 +128,7 @@
             return
         self._recover(kind)
         if table.changes:
-            self._takers[kind](table, False)
+            self._tables.take(kind, table, is_whole=False)
         self._revisions[kind] = max(revision, table.revision)
         if table.changes:
             await asyncio.sleep(_GATHER_SECONDS[kind])
@@ -157,56 +136,9 @@
     async def _read(self, kind: str) -> None:
         table = await self._store.read(kind)
         self._recover(kind)
-        self._takers[kind](table, True)
+        self._tables.take(kind, table, is_whole=True)
         self._revisions[kind] = table.revision
 
-    def _take_configurations(self, table: Table, _is_whole: bool) -> None:
-        for change in table.changes:
-            if change.name != names.CONFIGURATION_NAME or change.spec is None:
-                continue
-            try:
-                configuration = decode_configuration(change.spec)
-            except BadDocument as error:
-                self._journal.write(events.ENTRY_IGNORED, why=str(error))
-            else:
-                self._knowledge.take_configuration(
-                    change.revision,
-                    configuration,
-                )
-
-    def _take_targets(self, table: Table, is_whole: bool) -> None:
-        decoded = {
-            change.name: self._decode_target(change) for change in table.changes
-        }
-        now = self._loop.time()
-        if not is_whole:
-            self._knowledge.change_targets(table.revision, decoded, now)
-            return
-        targets = {
-            name: found
-            for name, found in decoded.items()
-            if isinstance(found, Target)
-        }
-        self._knowledge.take_targets(table.revision, targets, now)
-
-    def _decode_target(self, change: Change) -> Target | int:
-        if change.spec is None:
-            return change.revision
-        try:
-            return decode_target(change.name, change.spec, change.revision)
-        except BadDocument as error:
-            self._journal.write(events.ENTRY_IGNORED, why=str(error))
-            return change.revision
-
-    def _take_evacuations(self, table: Table, is_whole: bool) -> None:
-        zones = {
-            change.name: change.spec is not None for change in table.changes
-        }
-        if is_whole:
-            self._knowledge.take_evacuations(table.revision, zones)
-        else:
-            self._knowledge.change_evacuations(table.revision, zones)
-
     def _fail(self, kind: str, error: StoreError) -> None:
         if not self._failing:
             self._journal.write(events.STORE_LOST, table=kind, why=str(error))
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -11,10 +11,8 @@
 from toucanhall.fleet.model import Address
 from toucanhall.platform import names
 from toucanhall.web.client import (
-    Broken,
     Reply,
     ServerConnection,
-    Unreachable,
     open_connection,
 )
 from toucanhall.web.messages import Request, write_request
@@ -180,16 +178,18 @@
 
 
 def _read_reply(reply: Reply) -> Mapping[str, Any]:
-    if reply.status == _CONFLICT:
-        raise Conflict('the object is at another revision')
-    if reply.status == _GONE:
-        raise HistoryLost('the history of the store is gone')
+    error = _ERRORS.get(reply.status)
+    if error is not None:
+        raise error
     if reply.status not in _SUCCESS:
         raise StoreError(f'status {reply.status}')
     try:
-        found = msgspec.json.decode(reply.body) if reply.body else {}
-    except msgspec.DecodeError as error:
-        raise StoreError(f'answer cannot be read: {error}') from error
-    if not isinstance(found, dict):
-        raise StoreError('answer is not an object')
-    return found
+        return msgspec.json.decode(reply.body or b'{}', type=dict[str, Any])
+    except msgspec.MsgspecError as found:
+        raise StoreError(f'answer cannot be read: {found}') from found
+
+
+_ERRORS: Final = {
+    _CONFLICT: Conflict('the object is at another revision'),
+    _GONE: HistoryLost('the history of the store is gone'),
+}
--- a/toucanhall/web/messages.py
+++ b/toucanhall/web/messages.py
@@ -95,8 +95,8 @@
     lines.append(b'content-length: %d' % len(answer.body))
     if is_last:
         lines.append(b'connection: close')
-    head = b'\r\n'.join(lines) + b'\r\n\r\n'
-    return head + answer.body if has_body else head
+    body = answer.body if has_body else b''
+    return b'\r\n'.join((*lines, b'', body))
 
 
 def write_request(request: Request) -> bytes:
@@ -105,4 +105,4 @@
     lines.extend(b'%s: %s' % header for header in request.headers)
     if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
         lines.append(b'content-length: %d' % len(request.body))
-    return b'\r\n'.join(lines) + b'\r\n\r\n' + request.body
+    return b'\r\n'.join((*lines, b'', request.body))
