--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -34,7 +34,10 @@
 
 
 def get_statuses(site, vms=VMS, **fields):
-    return {vm: site.request(vm, **fields).status for vm in vms}
+    outcomes = {vm: site.request(vm, **fields) for vm in vms}
+    # Shown when a test fails: the reason of each answer.
+    print({vm: (found.status, found.body) for vm, found in outcomes.items()})
+    return {vm: found.status for vm, found in outcomes.items()}
 
 
 def withdraw_key(site):
--- /dev/null
+++ b/tests/unit/test_adapter.py
@@ -0,0 +1,291 @@
+"""Tests of the adapter: what it decodes, what it passes on, its words."""
+
+import re
+from pathlib import Path
+
+import pytest
+import yaml
+
+from standins.site.documents import (
+    make_configuration,
+    make_rule,
+    make_settings,
+    make_target_entry,
+)
+from toucanhall.edge.directory import Choice, pick_vms
+from toucanhall.fleet.knowledge import find_route
+from toucanhall.fleet.model import Address
+from toucanhall.platform import boot
+from toucanhall.platform.documents import (
+    BadDocument,
+    decode_configuration,
+    decode_target,
+)
+from toucanhall.platform.entrance import read_question, write_directory
+from toucanhall.platform.headers import (
+    make_forwarded,
+    make_passed_on,
+    read_caller_marks,
+    read_target_marks,
+)
+from toucanhall.platform.units import read_seconds, read_version, write_seconds
+from toucanhall.web.client import Reply
+from toucanhall.web.messages import Request
+
+PACKAGE = Path(__file__).parents[2] / 'toucanhall'
+# Slices of the program on the platform; the others do not run there.
+SLICES = ('edge', 'fleet', 'limits', 'observe', 'placement', 'web')
+PLATFORM_WORDS = re.compile(
+    r'x-toucanhall|/toucanhall/|tenant|backend|virtual_hosts|path_rules'
+    r'|home_regions|traffic_split|cold_left|api_keys|allow_stale|wait_ms'
+    r'|rate_per_s|node_name|boot\.yaml',
+    re.IGNORECASE,
+)
+
+
+@pytest.mark.parametrize(
+    ('text', 'seconds'),
+    (('1500ms', 1.5), ('2.5s', 2.5), ('0ms', 0.0)),
+)
+def test_duration_is_read(text, seconds):
+    assert read_seconds(text) == seconds
+    assert read_seconds(write_seconds(seconds)) == seconds
+
+
+@pytest.mark.parametrize('text', ('5', '5 s', 's', '', None, 5, '-1s'))
+def test_other_text_is_no_duration(text):
+    with pytest.raises(ValueError, match='not a duration'):
+        read_seconds(text)
+
+
+def test_version_is_hexadecimal():
+    assert read_version('0000001c') == 28
+    with pytest.raises(TypeError):
+        read_version(28)
+
+
+def test_longest_prefix_of_the_host_is_the_route():
+    rules = [make_rule('/a/'), make_rule('/a/b/'), make_rule('/')]
+    configuration = decode_configuration(make_configuration(rules=rules))
+    found = [
+        find_route(configuration, 'tours.example', path)
+        for path in ('/a/b/c', '/a/c', '/x')
+    ]
+    assert [route.prefix for route in found if route] == ['/a/b/', '/a/', '/']
+    assert find_route(configuration, 'other.example', '/a/') is None
+
+
+@pytest.mark.parametrize(
+    'fields',
+    (
+        {'version': 7},
+        {'virtual_hosts': None},
+        {'virtual_hosts': [{'host': 'a', 'path_rules': [{}]}]},
+        {'services': 'guide'},
+        {'limits': {'header_timeout': 'soon'}},
+    ),
+)
+def test_configuration_that_cannot_be_read_is_told(fields):
+    with pytest.raises(BadDocument):
+        decode_configuration({**make_configuration(), **fields})
+
+
+def test_target_is_decoded():
+    entry = make_target_entry(
+        '127.0.0.1:9000',
+        'east-a',
+        state='draining',
+        cold_left='2s',
+        born=17,
+    )
+    target = decode_target('t1', entry, 4)
+    assert target.address == Address('127.0.0.1', 9000)
+    assert target.is_draining
+    assert target.cold_seconds == 2
+    assert target.started_at == 17
+
+
+@pytest.mark.parametrize(
+    'fields',
+    (
+        {'service': None},
+        {'address': 'nowhere'},
+        {'address': ':90'},
+        {'zone': 4},
+        {'slots': '9'},
+        {'slots': True},
+        {'slots': 0},
+        {'state': 'odd'},
+        {'cold_left': 7},
+    ),
+)
+def test_target_that_cannot_be_read_is_told(fields):
+    entry = {**make_target_entry('127.0.0.1:9000', 'east-a'), **fields}
+    with pytest.raises(BadDocument, match='target t1'):
+        decode_target('t1', entry, 4)
+
+
+def write_settings(folder, **fields):
+    settings = make_settings(
+        'vm-1',
+        '127.0.0.1',
+        'east-a',
+        zones={'east-a': 'east'},
+        store='127.0.0.9:1',
+    )
+    path = folder / 'settings.yaml'
+    path.write_text(yaml.safe_dump({**settings, **fields}))
+    return path
+
+
+def test_settings_are_read(tmp_path):
+    found = boot.load(write_settings(tmp_path, unknown_field=1))
+    assert found.vm == 'vm-1'
+    assert found.region == 'east'
+    assert found.listeners.requests == Address('127.0.0.1', 8388)
+    assert found.bounds.grace == 2.0
+
+
+@pytest.mark.parametrize(
+    ('fields', 'told'),
+    (
+        ({'zone': None, 'listen': {'front': 'x'}}, 'not host:port'),
+        ({'bounds': {'grace': 5}}, 'not a duration'),
+        ({'platform': {}}, "no field 'address'"),
+        ({'internal_port_range': []}, 'index'),
+    ),
+)
+def test_wrong_settings_are_told(tmp_path, fields, told):
+    path = write_settings(tmp_path, **fields)
+    with pytest.raises(boot.BadSettings, match=told):
+        boot.load(path)
+
+
+def test_missing_settings_are_told(tmp_path):
+    with pytest.raises(boot.BadSettings, match='No such file'):
+        boot.load(tmp_path / 'none.yaml')
+
+
+def make_request(*headers):
+    return Request(b'GET', b'/view/1', headers, b'')
+
+
+def test_marks_of_a_caller_are_read():
+    marks = read_caller_marks(
+        make_request(
+            (b'host', b'Tours.Example:80'),
+            (b'x-toucanhall-request-id', b'r1'),
+            (b'x-toucanhall-request-deadline', b'1500'),
+            (b'cookie', b'a=b; X-Toucanhall-Affinity-Key=17'),
+            (b'authorization', b'Bearer k1'),
+        ),
+    )
+    assert marks == (b'r1', 'tours.example', '/view/1', 1.5, 'k1', '17')
+
+
+def test_forwarded_request_hides_the_key_and_names_team_and_target():
+    forwarded = make_forwarded(
+        make_request(
+            (b'authorization', b'Bearer k1'),
+            (b'x-toucanhall-tenant-id', b'forged'),
+            (b'connection', b'close, x-private'),
+            (b'x-private', b'1'),
+            (b'accept', b'*/*'),
+        ),
+        target='t1',
+        team='guides',
+        seconds_left=1.2345,
+    )
+    assert dict(forwarded.headers) == {
+        b'accept': b'*/*',
+        b'x-toucanhall-request-deadline': b'1234',
+        b'x-toucanhall-expect-instance': b't1',
+        b'x-toucanhall-tenant-id': b'guides',
+    }
+
+
+def make_reply(status, *headers):
+    return Reply(status, headers, b'', keep=True, may_have_more=False)
+
+
+@pytest.mark.parametrize(
+    ('status', 'has_mark', 'is_not_run'),
+    (
+        (503, True, True),
+        (429, True, True),
+        (503, False, False),
+        (421, False, True),
+        (500, True, False),
+        (200, True, False),
+    ),
+)
+def test_only_the_target_proves_that_a_request_did_not_run(
+    status,
+    has_mark,
+    is_not_run,
+):
+    headers = ((b'x-toucanhall-not-executed', b'1'),) if has_mark else ()
+    marks = read_target_marks(make_reply(status, *headers))
+    assert marks.is_not_run is is_not_run
+
+
+@pytest.mark.parametrize(
+    ('content', 'busy'),
+    ((b'3,2,8', 5), (b'3, 0, 8', 3), (b'odd', None), (b'1,x,8', None)),
+)
+def test_load_of_a_target_is_read(content, busy):
+    reply = make_reply(200, (b'x-toucanhall-backend-load', content))
+    assert read_target_marks(reply).busy == busy
+
+
+def test_answer_is_passed_on_with_its_stamp():
+    reply = make_reply(
+        200,
+        (b'x-toucanhall-response-stamp', b's1'),
+        (b'x-toucanhall-backend-load', b'1,0,9'),
+        (b'keep-alive', b'timeout=5'),
+    )
+    answer = make_passed_on(reply)
+    assert answer.headers == ((b'x-toucanhall-response-stamp', b's1'),)
+
+
+def test_question_to_the_directory_is_read():
+    path = b'/toucanhall/resolve?name=Tours.Example&region=east&zone=east-a'
+    found = read_question(Request(b'GET', path, (), b''))
+    assert found == ('tours.example', 'east-a', 'east')
+    assert read_question(make_request()) is None
+    answer = write_directory([Address('127.0.0.1', 80)], 2.0)
+    assert answer.body == b'{"addresses":["127.0.0.1:80"],"ttl":"2000ms"}'
+
+
+VMS = (
+    Choice('vm-1', 'east-a', 'east', '1'),
+    Choice('vm-2', 'east-b', 'east', '2'),
+    Choice('vm-3', 'west-a', 'west', '3'),
+    Choice('vm-4', 'south-a', 'south', '4'),
+)
+
+
+@pytest.mark.parametrize(
+    ('zone', 'region', 'homes', 'expected'),
+    (
+        ('east-a', 'east', (), ['vm-1']),
+        ('east-c', 'east', (), ['vm-1', 'vm-2']),
+        ('north-a', 'north', ('south',), ['vm-4']),
+        ('north-a', 'north', (), ['vm-1', 'vm-2', 'vm-3', 'vm-4']),
+    ),
+)
+def test_directory_names_the_nearest(zone, region, homes, expected):
+    found = pick_vms(VMS, zone, region, frozenset(homes))
+    assert [choice.vm for choice in found] == expected
+
+
+def test_words_of_the_platform_stand_in_the_adapter_only():
+    paths = [path for name in SLICES for path in (PACKAGE / name).glob('*.py')]
+    found = {
+        path.name: match.group()
+        for path in paths
+        for match in PLATFORM_WORDS.finditer(path.read_text())
+    }
+    assert paths
+    assert not found
--- a/tests/unit/test_knowledge.py
+++ b/tests/unit/test_knowledge.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.fleetdata import make_heartbeat, make_target
-from toucanhall.fleet.knowledge import LAPSE_SECONDS, Knowledge
+from toucanhall.fleet.knowledge import LAPSE_SECONDS, Knowledge, Revisions
 from toucanhall.fleet.membership import ALIVE_SECONDS, Members, pick_watchers
 from toucanhall.fleet.model import Introduction
 
@@ -65,7 +65,7 @@
     peer = make_knowledge('t2', revision=15)
     knowledge = make_knowledge('t1', 't2')
     knowledge.start_lapse()
-    knowledge.take_snapshot(peer.make_snapshot(1.0), 1.0)
+    knowledge.take_snapshot(peer.make_snapshot(Revisions(), 1.0), 1.0)
     assert set(knowledge.targets) == {'t2'}
     knowledge.end_lapse(2.0)
     knowledge.change_targets(16, {'t2': 16}, 2.0)
@@ -78,7 +78,7 @@
     peer.end_lapse(10.0)
     peer.take_targets(20, {}, 10.5)
     knowledge = make_knowledge()
-    knowledge.take_snapshot(peer.make_snapshot(11.0), 100.0)
+    knowledge.take_snapshot(peer.make_snapshot(Revisions(), 11.0), 100.0)
     assert set(knowledge.targets) == {'t1'}
     assert knowledge.drop_lapsed(102.0) == ('t1',)
 
@@ -134,3 +134,33 @@
         make_heartbeat('vm-0', is_leaving=True),
     ]
     assert pick_watchers('vm-2', 'east-a', alive, count) == expected
+
+
+def test_snapshot_holds_newer_tables_only():
+    peer = make_knowledge('t1', revision=10)
+    snapshot = peer.make_snapshot(Revisions(0, 10, 0), 1.0)
+    assert not snapshot.targets
+    knowledge = make_knowledge('t2', revision=10)
+    knowledge.take_snapshot(snapshot, 1.0)
+    assert set(knowledge.targets) == {'t2'}
+
+
+def test_table_that_was_heard_of_before_the_loss_does_not_end_the_wait():
+    peer = make_knowledge('t1', 't2', revision=11)
+    knowledge = make_knowledge('t1', revision=10)
+    knowledge.hear(peer.revisions)
+    knowledge.start_lapse()
+    knowledge.take_snapshot(peer.make_snapshot(Revisions(), 1.0), 1.0)
+    knowledge.end_lapse(2.0)
+    knowledge.take_targets(12, {}, 2.0)
+    assert set(knowledge.targets) == {'t1', 't2'}
+
+
+def test_same_table_at_a_later_revision_does_not_end_the_wait():
+    peer = make_knowledge('t1', revision=11)
+    knowledge = make_knowledge('t1', revision=10)
+    knowledge.start_lapse()
+    knowledge.take_snapshot(peer.make_snapshot(Revisions(), 1.0), 1.0)
+    knowledge.end_lapse(2.0)
+    knowledge.take_targets(12, {}, 2.0)
+    assert set(knowledge.targets) == {'t1'}
--- a/toucanhall/commands/__init__.py
+++ b/toucanhall/commands/__init__.py
@@ -2,7 +2,14 @@
 
 from typing import Final
 
-from toucanhall.commands import catalogues, drains, keys, local, status
+from toucanhall.commands import (
+    catalogues,
+    drains,
+    keys,
+    local,
+    logs,
+    status,
+)
 from toucanhall.commands.model import Code, Command, Console
 
 __all__ = ('COMMANDS', 'GROUPS', 'Code', 'Command', 'Console')
@@ -13,6 +20,7 @@
     *keys.COMMANDS,
     *drains.COMMANDS,
     *status.COMMANDS,
+    *logs.COMMANDS,
 )
 
 GROUPS: Final = {
--- /dev/null
+++ b/toucanhall/commands/logs.py
@@ -0,0 +1,70 @@
+"""Subcommands that read log files of VMs."""
+
+from argparse import Namespace
+from pathlib import Path
+from typing import Final
+
+from toucanhall.commands.model import Argument, Code, Command, Console
+from toucanhall.observe.stories import Line, explain, read_lines, summarise
+
+__all__ = ('COMMANDS',)
+
+
+def explain_request(options: Namespace, console: Console) -> int:
+    """Print the lines of a request and what its VMs believed then."""
+    lines = _read(options.files, console)
+    if lines is None:
+        return Code.WRONG
+    for text in explain(lines, options.request):
+        console.say(text)
+    return Code.DONE
+
+
+def report_reasons(options: Namespace, console: Console) -> int:
+    """Print how often each event and reason stands in log files."""
+    lines = _read(options.files, console)
+    if lines is None:
+        return Code.WRONG
+    for text in summarise(lines):
+        console.say(text)
+    return Code.DONE
+
+
+def _read(files: list[Path], console: Console) -> list[Line] | None:
+    try:
+        texts = [file.read_text(errors='replace') for file in files]
+    except OSError as error:
+        console.complain(f'{error.filename}: {error.strerror}')
+        return None
+    return read_lines(line for text in texts for line in text.splitlines())
+
+
+_FILES: Final = Argument(
+    'files',
+    {
+        'nargs': '+',
+        'type': Path,
+        'metavar': 'FILE',
+        'help': 'log files of one or more VMs',
+    },
+)
+
+COMMANDS: Final = (
+    Command(
+        ('explain',),
+        'tell the story of a request from log files',
+        'explain 9c41d07be2a35f68 vm-1.log vm-2.log',
+        (
+            Argument('request', {'help': 'the id of the request'}),
+            _FILES,
+        ),
+        explain_request,
+    ),
+    Command(
+        ('report',),
+        'count events and reasons in log files',
+        'report vm-1.log vm-2.log',
+        (_FILES,),
+        report_reasons,
+    ),
+)
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -19,6 +19,8 @@
 HEARTBEAT_SECONDS: Final = 0.8
 # Other regions hear each second heartbeat, unless a team nears its limit.
 FAR_BEATS: Final = 2
+# By then the seeds have introduced all VMs, over two times between regions.
+_FIRST_BEAT_SECONDS: Final = 0.2
 _PAUSE_SECONDS: Final = 1.0  # a timer that is this late: the VM stood still
 
 
@@ -75,7 +77,8 @@
             if seed.host != environment.ip
         }
         self._send(seeds)
-        self._loop.call_later(HEARTBEAT_SECONDS, self._beat)
+        self._beat_at = self._loop.time()
+        self._loop.call_later(_FIRST_BEAT_SECONDS, self._beat)
 
     def meet(self, introductions: Iterable[Introduction]) -> None:
         """Send a heartbeat to VMs that were not known."""
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -8,8 +8,6 @@
 
 __all__ = ('Pool',)
 
-# A handshake between regions takes two of their one-way times, 110 ms.
-_CONNECT_SECONDS: Final = 0.5
 # Targets close idle connections after ten seconds, at times without a word.
 _IDLE_SECONDS: Final = 7.0
 # A request that must not be sent twice uses a connection that was in use just
@@ -39,8 +37,9 @@
         address: Address,
         *,
         may_repeat: bool,
+        seconds: float,
     ) -> ServerConnection:
-        """Return a connection that was idle, or a new one."""
+        """Return a connection that was idle, or one made in some seconds."""
         longest = _IDLE_SECONDS if may_repeat else _FRESH_SECONDS
         now = self._clock()
         idle = self._idle.get(address)
@@ -57,7 +56,7 @@
         self.opened += 1
         return await open_connection(
             address,
-            seconds=_CONNECT_SECONDS,
+            seconds=seconds,
             id_header=self._id_header,
         )
 
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -71,7 +71,7 @@
             now=self._loop.time(),
         )
         self._pool = Pool(clock=self._loop.time, id_header=REQUEST_ID)
-        self._store = Store(address=environment.store)
+        self._store = Store(address=environment.store, on_call=self._count_call)
         self._follower = Follower(
             store=self._store,
             knowledge=self._knowledge,
@@ -138,6 +138,7 @@
         await self._listen()
         await self._mate.start()
         reading = self._loop.create_task(self._read_tables())
+        self._watch_gauges()
         self._loop.call_later(_SWEEP_SECONDS, self._sweep)
         self._journal.write(events.STARTED, zone=self._environment.zone)
         gc.collect()
@@ -253,6 +254,28 @@
         else:
             self._follower.stop()
 
+    def _count_call(self, outcome: str, seconds: float) -> None:
+        self._metrics.observe('store_call', seconds, outcome=outcome)
+
+    def _watch_gauges(self) -> None:
+        knowledge = self._knowledge
+        gauges: dict[str, Callable[[], float]] = {
+            'requests_in_flight': lambda: self._path.in_flight,
+            'connections_of_callers': lambda: len(self._connections),
+            'connections_to_targets_opened': lambda: self._pool.opened,
+            'vms_alive': lambda: len(
+                self._mate.members.list_alive(self._loop.time()),
+            ),
+            'targets_known': lambda: len(knowledge.targets),
+            'configuration_revision': lambda: knowledge.revisions.configuration,
+            'targets_revision': lambda: knowledge.revisions.targets,
+            'evacuations_revision': lambda: knowledge.revisions.evacuations,
+            'watches_store': lambda: self._follower.is_watching,
+            'log_lines_dropped': lambda: sum(self._journal.dropped.values()),
+        }
+        for name, read in gauges.items():
+            self._metrics.gauge(name, read)
+
     def _answer_metrics(self, _request: Request) -> Answer:
         return make_answer(200, self._metrics.render())
 
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -22,6 +22,9 @@
 __all__ = ('Failure', 'Sender', 'Success')
 
 _FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
+# Three times the way there and back: 2 ms in a region, 110 ms between them,
+# where a VM may also be slow to accept.
+_CONNECT_SECONDS: Final = {True: 0.15, False: 0.35}
 _REDIRECTED_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
 
 
@@ -101,6 +104,7 @@
         connection = await self._pool.take(
             target.address,
             may_repeat=admitted.route.is_idempotent,
+            seconds=_CONNECT_SECONDS[self._field.is_near(target)],
         )
         forwarded = make_forwarded(
             admitted.request,
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from toucanhall.fleet.knowledge import Knowledge, Revisions
+from toucanhall.fleet.knowledge import Knowledge, Revisions, is_ahead
 from toucanhall.fleet.membership import Heartbeat
 from toucanhall.fleet.model import Address, Snapshot
 from toucanhall.observe import events
@@ -17,8 +17,10 @@
 
 _PATH: Final = b'/fleet/tables'
 # The VM of the own zone that watches the store tells its zone within some
-# milliseconds: others are asked only if it does not.
-_FAR_WAIT_SECONDS: Final = 0.15
+# milliseconds of a configuration or an evacuation, and within the time in
+# which it gathers changes of targets: others are asked only if it does not.
+_URGENT_WAIT_SECONDS: Final = 0.15
+_TARGETS_WAIT_SECONDS: Final = 0.5
 _PULL_SECONDS: Final = 1.0  # a snapshot of some 10 kB between regions
 
 
@@ -44,30 +46,42 @@
 
     def answer(self, request: Request) -> Answer:
         """Answer a VM that asks for the tables."""
-        if request.path != _PATH:
+        path, _, query = request.path.partition(b'?')
+        if path != _PATH:
             return make_answer(404, 'no such path')
-        snapshot = self._knowledge.make_snapshot(self._loop.time())
+        try:
+            known = Revisions(*map(int, query.split(b',')))
+        except (TypeError, ValueError):
+            return make_answer(400, 'three revisions are needed')
+        snapshot = self._knowledge.make_snapshot(known, self._loop.time())
         return Answer(200, (), msgspec.msgpack.encode(snapshot))
 
     def compare(self, heartbeat: Heartbeat) -> None:
         """Ask the VM of a heartbeat for its tables if they are newer."""
         own = self._knowledge.revisions
+        self._knowledge.hear(heartbeat.revisions)
         if heartbeat.vm in self._asked:
             return
-        if not _is_ahead(heartbeat.revisions, own):
+        if not is_ahead(heartbeat.revisions, own):
             return
-        is_near = heartbeat.zone == self._zone or not own.configuration
         self._asked.add(heartbeat.vm)
         task = self._loop.create_task(
-            self._pull(heartbeat, 0.0 if is_near else _FAR_WAIT_SECONDS),
+            self._pull(heartbeat, self._find_wait(heartbeat, own)),
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _find_wait(self, heartbeat: Heartbeat, own: Revisions) -> float:
+        if heartbeat.zone == self._zone or not own.configuration:
+            return 0.0
+        if is_ahead(heartbeat.revisions._replace(targets=0), own):
+            return _URGENT_WAIT_SECONDS
+        return _TARGETS_WAIT_SECONDS
+
     async def _pull(self, heartbeat: Heartbeat, wait: float) -> None:
         try:
             await asyncio.sleep(wait)
-            if _is_ahead(heartbeat.revisions, self._knowledge.revisions):
+            if is_ahead(heartbeat.revisions, self._knowledge.revisions):
                 await self._take(heartbeat)
         finally:
             self._asked.discard(heartbeat.vm)
@@ -91,13 +105,11 @@
 
     async def _read(self, address: Address) -> Snapshot:
         host = f'{address.host}:{address.port}'.encode()
-        request = Request(b'GET', _PATH, ((b'host', host),), b'')
+        known = ','.join(map(str, self._knowledge.revisions))
+        path = b'%s?%s' % (_PATH, known.encode())
+        request = Request(b'GET', path, ((b'host', host),), b'')
         async with asyncio.timeout(_PULL_SECONDS):
             connection = await open_connection(address, seconds=_PULL_SECONDS)
             reply = await connection.exchange(write_request(request))
         connection.close()
         return msgspec.msgpack.decode(reply.body, type=Snapshot)
-
-
-def _is_ahead(found: Revisions, own: Revisions) -> bool:
-    return any(theirs > ours for theirs, ours in zip(found, own, strict=True))
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/knowledge.py
@@ -5,7 +5,7 @@
 
 from toucanhall.fleet.model import Configuration, Route, Snapshot, Target
 
-__all__ = ('Knowledge', 'Revisions', 'find_route')
+__all__ = ('Knowledge', 'Revisions', 'find_route', 'is_ahead')
 
 # Targets that were dropped while the store was away get this long to register
 # again: the platform promises about two seconds after its return.
@@ -20,6 +20,11 @@
     evacuations: int = 0
 
 
+def is_ahead(found: Revisions, own: Revisions) -> bool:
+    """Whether any table of a peer is newer than the own one."""
+    return any(theirs > ours for theirs, ours in zip(found, own, strict=True))
+
+
 def find_route(
     configuration: Configuration,
     host: str,
@@ -43,6 +48,8 @@
         self.revisions = Revisions()
         self.lapsed: dict[str, float] = {}
         self._lapse_until = 0.0
+        self._heard_targets = 0
+        self._heard_at_loss = 0
         self._on_change = on_change
 
     def take_configuration(
@@ -125,6 +132,11 @@
     def start_lapse(self) -> None:
         """Note that the store is away: targets that it drops are kept."""
         self._lapse_until = float('inf')
+        self._heard_at_loss = max(self._heard_targets, self.revisions.targets)
+
+    def hear(self, revisions: Revisions) -> None:
+        """Note how far another VM is."""
+        self._heard_targets = max(self._heard_targets, revisions.targets)
 
     def end_lapse(self, now: float) -> None:
         """Start the wait for targets that were dropped meanwhile.
@@ -146,15 +158,18 @@
             )
         return over
 
-    def make_snapshot(self, now: float) -> Snapshot:
-        """Return all tables for a peer that is behind."""
+    def make_snapshot(self, known: Revisions, now: float) -> Snapshot:
+        """Return the tables that are newer than those a peer knows."""
+        own = self.revisions
+        has_targets = own.targets > known.targets
+        has_configuration = own.configuration > known.configuration
         return Snapshot(
-            configuration_revision=self.revisions.configuration,
-            configuration=self.configuration,
-            targets_revision=self.revisions.targets,
-            targets=self.targets,
+            configuration_revision=own.configuration,
+            configuration=self.configuration if has_configuration else None,
+            targets_revision=own.targets if has_targets else 0,
+            targets=self.targets if has_targets else {},
             lapsed={name: end - now for name, end in self.lapsed.items()},
-            evacuations_revision=self.revisions.evacuations,
+            evacuations_revision=own.evacuations,
             evacuated=self.evacuated,
         )
 
@@ -165,7 +180,10 @@
             snapshot.configuration,
         )
         if snapshot.targets_revision > self.revisions.targets:
-            self._lapse_until = 0.0
+            # Only this VM lost the store if another heard of changes since.
+            is_newer = snapshot.targets_revision > self._heard_at_loss
+            if is_newer and snapshot.targets != self.targets:
+                self._lapse_until = 0.0
             self.lapsed = {
                 name: now + left for name, left in snapshot.lapsed.items()
             }
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -165,7 +165,7 @@
 
 
 class Snapshot(NamedTuple):
-    """All that a VM knows from the store, with the revision of each table.
+    """Tables of a VM with their revisions; 0 for one that is not newer.
 
     `lapsed` maps targets that were dropped while the store was away to the
     seconds in which they may register again.
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -160,17 +160,21 @@
         admitted = _count_admitted(reports, parts, limit)
         if admitted > _BUSY_SHARE * limit:
             self.is_busy = True
-        started = max(0.0, 1 - (now - self._started_at) / self._window)
-        spent = max(admitted, _START_SHARE * limit * started)
+        spent = max(admitted, limit * self._assume_spent(now))
         part = self._find_part(meter, reports, parts)
         most = max(_LEAST_WINDOW, _MOST_PART * part * limit)
-        own_room = most - reports[0].usage.admitted
-        meter.room = max(0.0, min((limit - spent) * part, own_room))
+        most -= reports[0].usage.admitted
+        meter.room = max(0.0, min((limit - spent) * part, most))
         meter.tokens = min(
             max(_LEAST_TOKENS, meter.room),
             meter.tokens + meter.room * _SPEND_SHARE,
         )
 
+    def _assume_spent(self, now: float) -> float:
+        """Return the part of the window that counts as spent before."""
+        elapsed = (now - self._started_at) / self._window
+        return _START_SHARE * max(0.0, 1 - elapsed)
+
     def _find_part(
         self,
         meter: _Meter,
--- a/toucanhall/observe/journal.py
+++ b/toucanhall/observe/journal.py
@@ -31,6 +31,7 @@
         """Write to a descriptor, set not to block."""
         self._vm = vm
         self._descriptor = descriptor
+        os.set_blocking(descriptor, False)
         self._clock = clock
         self._room: dict[int, tuple[float, float]] = {}
         self.dropped: dict[int, int] = {}
--- /dev/null
+++ b/toucanhall/observe/stories.py
@@ -0,0 +1,141 @@
+"""Tells the story of a request from the log lines of several VMs."""
+
+import json
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import Any, Final, NamedTuple
+
+from toucanhall.observe import events
+
+__all__ = ('Line', 'explain', 'read_lines', 'summarise')
+
+_BELIEFS: Final = frozenset(
+    (
+        events.CONFIGURATION_TAKEN.number,
+        events.TARGETS_CHANGED.number,
+        events.EVACUATIONS_CHANGED.number,
+        events.STORE_LOST.number,
+        events.STORE_REGAINED.number,
+        events.RESUMED.number,
+        events.STARTED.number,
+        events.STOPPING.number,
+    )
+)
+_TARGET_BELIEFS: Final = frozenset(
+    (
+        events.TARGET_SUSPENDED.number,
+        events.TARGET_RESUMED.number,
+    )
+)
+_COMMON: Final = frozenset(('at', 'vm', 'level', 'event', 'message'))
+_MILLISECONDS: Final = 1000
+
+
+class Line(NamedTuple):
+    """A log line: Unix milliseconds, the VM, the event and its fields."""
+
+    at: int
+    vm: str
+    event: int
+    message: str
+    fields: dict[str, Any]
+
+
+def read_lines(texts: Iterable[str]) -> list[Line]:
+    """Read log lines in any order; text before an object is passed over."""
+    found = []
+    for text in texts:
+        start = text.find('{"at"')
+        if start < 0:
+            continue
+        try:
+            document = json.loads(text[start:])
+        except ValueError:
+            continue
+        fields = {
+            name: content
+            for name, content in document.items()
+            if name not in _COMMON
+        }
+        found.append(
+            Line(
+                at=document['at'],
+                vm=document['vm'],
+                event=document['event'],
+                message=document['message'],
+                fields=fields,
+            ),
+        )
+    return sorted(found, key=_get_time)
+
+
+def explain(lines: list[Line], request: str) -> Iterator[str]:
+    """Yield the lines of a request, each after what its VM believed then."""
+    told: set[int] = set()
+    story = [line for line in lines if line.fields.get('request') == request]
+    if not story:
+        yield f'no line has the request {request}; it may have been dropped'
+        return
+    for line in story:
+        targets = _list_targets(line)
+        for belief in _find_beliefs(lines, line, targets):
+            if id(belief) not in told:
+                told.add(id(belief))
+                age = (line.at - belief.at) / _MILLISECONDS
+                yield f'  {age:.3f} s before: {_render(belief)}'
+        yield f'{line.at} {line.vm}: {_render(line)}'
+
+
+def summarise(lines: list[Line]) -> Iterator[str]:
+    """Yield how often each reason stands in the lines, by event."""
+    counts = Counter(
+        (line.event, line.message, _get_reason(line)) for line in lines
+    )
+    for (event, message, reason), count in counts.most_common():
+        yield f'{count:7d}  {event} {message}{reason}'
+
+
+def _find_beliefs(
+    lines: list[Line],
+    line: Line,
+    targets: set[str],
+) -> list[Line]:
+    """Return the last line of each belief of a VM before one of its lines."""
+    latest = {
+        (found.event, found.fields.get('target', '')): found
+        for found in lines
+        if found.vm == line.vm
+        and found.at <= line.at
+        and _is_belief(found, targets)
+    }
+    return sorted(latest.values(), key=_get_time)
+
+
+def _is_belief(line: Line, targets: set[str]) -> bool:
+    if line.event in _TARGET_BELIEFS:
+        return line.fields.get('target', '') in targets
+    return line.event in _BELIEFS
+
+
+def _list_targets(line: Line) -> set[str]:
+    targets = set(line.fields.get('tried') or ())
+    targets.add(line.fields.get('target', ''))
+    return targets
+
+
+def _render(line: Line) -> str:
+    fields = ' '.join(
+        f'{name}={json.dumps(content)}'
+        for name, content in line.fields.items()
+        if name != 'request' and content is not None
+    )
+    return f'[{line.event}] {line.message} {fields}'.rstrip()
+
+
+def _get_reason(line: Line) -> str:
+    reason = line.fields.get('reason') or line.fields.get('why')
+    return f': {reason}' if reason else ''
+
+
+def _get_time(line: Line) -> int:
+    return line.at
--- a/toucanhall/placement/field.py
+++ b/toucanhall/placement/field.py
@@ -100,6 +100,10 @@
             if self._may_serve(target, need, now)
         ]
 
+    def is_near(self, target: Target) -> bool:
+        """Whether a target is in the region of this VM."""
+        return self._regions.get(target.zone) == self._place.region
+
     def is_cold(self, target: str, now: float) -> bool:
         """Whether a target is still cold."""
         return now < self._cold_until.get(target, 0.0)
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -31,7 +31,14 @@
         raise BadSettings(f'{path}: {error}') from error
 
 
-_WRONG: Final = (OSError, yaml.YAMLError, TypeError, ValueError, AttributeError)
+_WRONG: Final = (
+    OSError,
+    yaml.YAMLError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+)
 _Loader: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 from urllib.parse import quote
 
@@ -59,12 +59,17 @@
 class Store:
     """Calls of one process to the store, on connections that are kept."""
 
-    def __init__(self, *, address: Address) -> None:
-        """Make calls to the store at an address."""
+    def __init__(
+        self,
+        *,
+        address: Address,
+        on_call: Callable[[str, float], None],
+    ) -> None:
+        """Tell `on_call` the outcome and the seconds of each call."""
+        self._on_call = on_call
         self._address = address
         self._host = f'{address.host}:{address.port}'.encode()
         self._idle: list[ServerConnection] = []
-        self.calls: dict[str, int] = {}
 
     async def read(self, kind: str, *, is_stale: bool = False) -> Table:
         """Return all objects of a kind."""
@@ -133,16 +138,19 @@
                 body=b'' if body is None else msgspec.json.encode(body),
             ),
         )
+        began = time.monotonic()
+        outcome = 'broken'
         try:
             async with asyncio.timeout(seconds):
                 reply = await self._exchange(sent)
+            outcome = str(reply.status)
         except TimeoutError as error:
-            self._count('timeout')
+            outcome = 'timeout'
             raise StoreError(f'no answer in {seconds} s') from error
         except ConnectionError as error:
-            self._count('broken')
             raise StoreError(str(error)) from error
-        self._count(str(reply.status))
+        finally:
+            self._on_call(outcome, time.monotonic() - began)
         return _read_reply(reply)
 
     async def _exchange(self, sent: bytes) -> Reply:
@@ -162,9 +170,6 @@
             connection.close()
         return await open_connection(self._address, seconds=_CONNECT_SECONDS)
 
-    def _count(self, outcome: str) -> None:
-        self.calls[outcome] = self.calls.get(outcome, 0) + 1
-
 
 def _read_changes(items: Any) -> list[Change]:
     return [
