--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -313,6 +313,14 @@
     assert admitted <= (20 * 5 + 20) * 1.1 + 20
     assert admitted >= 40
     assert set(statuses) == {200, 429}
+    line = next(
+        found
+        for found in site.find_events('vm-1', events.REQUEST_REFUSED.number)
+        if found['reason'] == 'over-quota'
+    )
+    assert line['team'] == 'guides'
+    assert line['limit'] == 110
+    assert {'spent', 'part', 'age', 'retry_after'} <= line.keys()
 
 
 def test_failed_request_is_explained_by_its_log_line(site):
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -65,7 +65,11 @@
         return refusals.UNKNOWN_KEY
     wait = quotas.admit(team, now) if team else 0.0
     if team and wait:
-        return refusals.make_over_limit(team.name, wait)
+        return refusals.make_over_limit(
+            team.name,
+            wait,
+            quotas.describe(team.name, now),
+        )
     return _bind(request, marks, configuration, route, team, now)
 
 
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -3,6 +3,8 @@
 A status of 429 or 503 says that the request has not run and never will.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final, NamedTuple
 
 from toucanhall.web.messages import Answer, make_answer
@@ -11,12 +13,16 @@
 
 
 class Refusal(NamedTuple):
-    """A final answer; `retry_after` is in seconds, None where it is useless."""
+    """A final answer; `retry_after` is in seconds, None where it is useless.
+
+    `inputs` are the figures that decided it, for the log.
+    """
 
     status: int
     reason: str
     retry_after: float | None = None
     team: str | None = None
+    inputs: Mapping[str, float] = MappingProxyType({})
 
 
 # A quarter of a second is the usual time of a request: slots are free again.
@@ -32,9 +38,13 @@
 CRASHED: Final = Refusal(502, 'internal-error')
 
 
-def make_over_limit(team: str, retry_after: float) -> Refusal:
+def make_over_limit(
+    team: str,
+    retry_after: float,
+    inputs: Mapping[str, float],
+) -> Refusal:
     """Return the refusal of a team that is over its limit."""
-    return Refusal(429, 'over-quota', retry_after, team)
+    return Refusal(429, 'over-quota', retry_after, team, inputs)
 
 
 def make_refusal(refusal: Refusal) -> Answer:
--- a/toucanhall/edge/reporting.py
+++ b/toucanhall/edge/reporting.py
@@ -52,6 +52,7 @@
             reason=refusal.reason,
             retry_after=refusal.retry_after,
             team=refusal.team,
+            **refusal.inputs,
             **fields,
         )
         return make_refusal(refusal)
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -60,9 +60,11 @@
         'arrived',
         'demand',
         'demands',
+        'limit',
         'part',
         'past',
         'room',
+        'spent',
         'tokens',
     )
 
@@ -71,6 +73,8 @@
         self.arrived = 0
         self.demand = 0.0
         self.demands: list[float] = []
+        self.limit = 0.0
+        self.spent = 0.0
         self.part: float | None = None
         self.past: list[int] = []
         self.room = 0.0
@@ -106,6 +110,20 @@
         self.is_busy = True
         return self._find_wait(meter, now)
 
+    def describe(self, team: str, now: float) -> dict[str, float]:
+        """Return what a refusal of a team was decided by.
+
+        `limit` and `spent` are requests of all VMs in a window, `part` is the
+        share of this VM, `age` the seconds since the last heartbeat.
+        """
+        meter = self._meters[team]
+        return {
+            'limit': round(meter.limit),
+            'spent': round(meter.spent),
+            'part': round(meter.part or 0.0, 4),
+            'age': round(now - self._beat_at, 3),
+        }
+
     def measure(self, now: float) -> dict[str, Usage]:
         """End a beat; return what is to be told to the other VMs."""
         elapsed = max(0.001, now - self._beat_at)
@@ -161,6 +179,8 @@
         if admitted > _BUSY_SHARE * limit:
             self.is_busy = True
         spent = max(admitted, limit * self._assume_spent(now))
+        meter.limit = limit
+        meter.spent = spent
         part = self._find_part(meter, reports, parts)
         most = max(_LEAST_WINDOW, _MOST_PART * part * limit)
         most -= reports[0].usage.admitted
