Refuse in a VM that does not keep up, and share its clients with its region

Now a late loop reads the end of a connection before it sends its request on, refuses the less urgent requests first, and the directory names the VMs of the region.

--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -52,6 +52,7 @@
             is_cancellable=lambda _request: True,
             get_limits=lambda: _LIMITS,
             is_stopping=lambda: False,
+            is_lagging=lambda: False,
             connections=set(),
         )
         self._server = await asyncio.get_running_loop().create_server(
--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -45,6 +45,7 @@
         retry_slack=133.0,
         cold_slack=5.0,
         quota_window=5.0,
+        target_heartbeat=1.5,
     )
     return bounds._replace(**fields)
 
@@ -59,6 +60,7 @@
         is_ready=True,
         is_leaving=False,
         is_watching=False,
+        lag=0.0,
         revisions=Revisions(),
         usage={},
     )
--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -131,9 +131,9 @@
         'store lost',
         seconds=12,
     )
-    # Entries lapse after three heartbeats: no outage of that kind is shorter
-    # than the time in which every watch has failed.
-    time.sleep(1.0)
+    # Entries lapse after three heartbeats of 1.5 s, the last of which may have
+    # been 1.5 s before.
+    time.sleep(3.1)
     site.remove('servers', 't1')
     site.remove('servers', 't2')
     set_fault(site, None)
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -280,6 +280,15 @@
     assert [choice.vm for choice in found] == expected
 
 
+def test_zone_that_does_not_keep_up_shares_its_clients():
+    late = [VMS[0]._replace(lag=0.3), *VMS[1:]]
+    found = pick_vms(late, 'east-a', 'east', frozenset())
+    assert [choice.vm for choice in found] == ['vm-2']
+    late[1] = late[1]._replace(lag=0.4)
+    found = pick_vms(late, 'east-a', 'east', frozenset())
+    assert [choice.vm for choice in found] == ['vm-1', 'vm-2']
+
+
 def test_words_of_the_platform_stand_in_the_adapter_only():
     paths = [path for name in SLICES for path in (PACKAGE / name).glob('*.py')]
     found = {
--- a/tests/unit/test_knowledge.py
+++ b/tests/unit/test_knowledge.py
@@ -45,7 +45,7 @@
 def test_targets_that_lapsed_with_the_store_get_time_to_return():
     knowledge = make_knowledge('t1', 't2')
     knowledge.start_lapse()
-    knowledge.end_lapse(10.0)
+    knowledge.end_lapse(10.0, may_have_lapsed=True)
     knowledge.take_targets(20, {}, 10.0)
     knowledge.change_targets(21, {'t1': make_target('t1', revision=21)}, 11.0)
     assert knowledge.drop_lapsed(10 + LAPSE_SECONDS - 0.1) == ()
@@ -56,7 +56,7 @@
 def test_removal_after_the_wait_is_taken_at_once():
     knowledge = make_knowledge('t1')
     knowledge.start_lapse()
-    knowledge.end_lapse(10.0)
+    knowledge.end_lapse(10.0, may_have_lapsed=True)
     knowledge.change_targets(11, {'t1': 11}, 10 + LAPSE_SECONDS)
     assert not knowledge.targets
 
@@ -67,7 +67,7 @@
     knowledge.start_lapse()
     knowledge.take_snapshot(peer.make_snapshot(Revisions(), 1.0), 1.0)
     assert set(knowledge.targets) == {'t2'}
-    knowledge.end_lapse(2.0)
+    knowledge.end_lapse(2.0, may_have_lapsed=True)
     knowledge.change_targets(16, {'t2': 16}, 2.0)
     assert not knowledge.targets
 
@@ -75,7 +75,7 @@
 def test_vm_that_takes_a_table_drops_lapsed_targets_by_itself():
     peer = make_knowledge('t1')
     peer.start_lapse()
-    peer.end_lapse(10.0)
+    peer.end_lapse(10.0, may_have_lapsed=True)
     peer.take_targets(20, {}, 10.5)
     knowledge = make_knowledge()
     knowledge.take_snapshot(peer.make_snapshot(Revisions(), 11.0), 100.0)
@@ -151,7 +151,7 @@
     knowledge.hear(peer.revisions)
     knowledge.start_lapse()
     knowledge.take_snapshot(peer.make_snapshot(Revisions(), 1.0), 1.0)
-    knowledge.end_lapse(2.0)
+    knowledge.end_lapse(2.0, may_have_lapsed=True)
     knowledge.take_targets(12, {}, 2.0)
     assert set(knowledge.targets) == {'t1', 't2'}
 
@@ -161,6 +161,18 @@
     knowledge = make_knowledge('t1', revision=10)
     knowledge.start_lapse()
     knowledge.take_snapshot(peer.make_snapshot(Revisions(), 1.0), 1.0)
-    knowledge.end_lapse(2.0)
+    knowledge.end_lapse(2.0, may_have_lapsed=True)
     knowledge.take_targets(12, {}, 2.0)
     assert set(knowledge.targets) == {'t1'}
+
+
+def test_short_absence_of_the_store_lets_no_target_lapse():
+    knowledge = make_knowledge('t1')
+    knowledge.start_lapse()
+    knowledge.end_lapse(2.0, may_have_lapsed=False)
+    knowledge.change_targets(12, {'t1': 12}, 2.0)
+    assert not knowledge.targets
+
+
+def test_wait_ends_before_a_target_that_left_must_get_nothing():
+    assert LAPSE_SECONDS < 2.5 - 0.2
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -7,11 +7,14 @@
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Address, Environment
 from toucanhall.platform.entrance import read_question, write_directory
+from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request, make_answer
 
-__all__ = ('Choice', 'Directory', 'pick_vms')
+__all__ = ('LAGGING_SECONDS', 'Choice', 'Directory', 'pick_vms')
 
 _MOST_VMS: Final = 64
+# A fifth of the shortest objective.
+LAGGING_SECONDS: Final = 0.05
 
 
 class Choice(NamedTuple):
@@ -21,6 +24,7 @@
     zone: str
     region: str
     ip: str
+    lag: float = 0.0
 
 
 def pick_vms(
@@ -31,11 +35,18 @@
 ) -> list[Choice]:
     """Return the nearest VMs: of the zone, else of the region, else any.
 
-    Far ones in a home region of the host go before other far ones.
+    Far ones in a home region of the host go before other far ones. A zone
+    whose VMs do not keep up shares its clients with the rest of the region.
     """
+    near = [found for found in vms if found.zone == zone]
+    around = [found for found in vms if found.region == region]
+    if any(found.lag > LAGGING_SECONDS for found in near):
+        near = [
+            found for found in around if found.lag <= LAGGING_SECONDS
+        ] or around
     rings = (
-        [found for found in vms if found.zone == zone],
-        [found for found in vms if found.region == region],
+        near,
+        around,
         [found for found in vms if found.region in homes],
         list(vms),
     )
@@ -51,6 +62,7 @@
         environment: Environment,
         knowledge: Knowledge,
         members: Members,
+        lag: LoopLag,
         is_ready: Callable[[], bool],
         clock: Callable[[], float],
     ) -> None:
@@ -58,6 +70,7 @@
         self._environment = environment
         self._knowledge = knowledge
         self._members = members
+        self._lag = lag
         self._is_ready = is_ready
         self._clock = clock
 
@@ -87,6 +100,7 @@
                 found.zone,
                 environment.regions.get(found.zone, ''),
                 found.ip,
+                found.lag,
             )
             for found in self._members.list_alive(self._clock())
             if found.is_ready
@@ -97,6 +111,7 @@
                 environment.zone,
                 environment.region,
                 environment.ip,
+                self._lag.seconds,
             )
             choices.append(own)
         return choices
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -30,6 +30,7 @@
     is_ready: bool
     is_leaving: bool
     is_watching: bool
+    lag: float
 
 
 class Fleetmate:
@@ -167,6 +168,7 @@
             is_ready=standing.is_ready,
             is_leaving=standing.is_leaving,
             is_watching=standing.is_watching,
+            lag=standing.lag,
             revisions=self._knowledge.revisions,
             usage=self.usage,
             introduced=introduced,
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -16,10 +16,16 @@
 from toucanhall.placement.field import Field, Need
 from toucanhall.placement.times import UsualTimes
 from toucanhall.platform.headers import make_passed_on, read_caller_marks
+from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
 
 __all__ = ('Path',)
 
+# Requests that waited for longer in this VM are refused, the less urgent ones
+# sooner: a caller gives up on a VM that reads nothing for a second.
+_MOST_LAG_SECONDS: Final = 0.6
+_LESS_URGENT_LAG_SECONDS: Final = 0.3
+_URGENT_PRIORITY: Final = 1
 # Connections that failed without a byte sent do not count as attempts.
 _MOST_UNSENT: Final = 3
 
@@ -55,6 +61,7 @@
         quotas: Quotas,
         retries: RetryBudget,
         reporter: Reporter,
+        lag: LoopLag,
     ) -> None:
         """Decide by what the VM knows; send on pooled connections."""
         self._knowledge = knowledge
@@ -63,6 +70,7 @@
         self._quotas = quotas
         self._retries = retries
         self._reporter = reporter
+        self._lag = lag
         self._loop = asyncio.get_running_loop()
         self._times = UsualTimes()
         self.in_flight = 0
@@ -88,6 +96,12 @@
         )
         if isinstance(admitted, Refusal):
             return self._reporter.refuse(marks, admitted)
+        if self._lag.seconds > _find_most_lag(admitted.priority):
+            return self._reporter.refuse(
+                marks,
+                refusals.OVERLOADED,
+                lag=round(self._lag.seconds, 3),
+            )
         self.in_flight += 1
         try:
             return await self._run(admitted)
@@ -233,3 +247,9 @@
             why=failure.reason,
             tried=sorted(attempts.tried),
         )
+
+
+def _find_most_lag(priority: int) -> float:
+    if priority > _URGENT_PRIORITY:
+        return _LESS_URGENT_LAG_SECONDS
+    return _MOST_LAG_SECONDS
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -7,7 +7,7 @@
 from pathlib import Path as FilePath
 from typing import Final
 
-from toucanhall.edge.directory import Directory
+from toucanhall.edge.directory import LAGGING_SECONDS, Directory
 from toucanhall.edge.duties import Duties
 from toucanhall.edge.fleetmate import HEARTBEAT_SECONDS, Fleetmate, Standing
 from toucanhall.edge.path import Path
@@ -29,6 +29,7 @@
 from toucanhall.platform.following import Follower
 from toucanhall.platform.headers import REQUEST_ID
 from toucanhall.platform.store import Store, StoreError
+from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request, make_answer
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
@@ -76,9 +77,12 @@
             store=self._store,
             knowledge=self._knowledge,
             journal=self._journal,
+            lapse_seconds=2 * environment.bounds.target_heartbeat,
         )
         self._retries = RetryBudget(bounds=environment.bounds)
+        self._lag = LoopLag()
         self._path = Path(
+            lag=self._lag,
             knowledge=self._knowledge,
             field=self._field,
             sender=Sender(
@@ -123,6 +127,7 @@
             environment=environment,
             knowledge=self._knowledge,
             members=self._mate.members,
+            lag=self._lag,
             is_ready=self._is_ready,
             clock=self._loop.time,
         )
@@ -139,6 +144,7 @@
         await self._mate.start()
         reading = self._loop.create_task(self._read_tables())
         self._watch_gauges()
+        self._lag.start()
         self._loop.call_later(_SWEEP_SECONDS, self._sweep)
         self._journal.write(events.STARTED, zone=self._environment.zone)
         gc.collect()
@@ -191,6 +197,7 @@
             is_cancellable=self._path.is_cancellable,
             get_limits=self._get_limits,
             is_stopping=self._stopping.is_set,
+            is_lagging=lambda: self._lag.seconds > LAGGING_SECONDS,
             connections=connections,
         )
         await self._loop.create_server(
@@ -239,6 +246,7 @@
             is_ready=self._is_ready(),
             is_leaving=self._stopping.is_set(),
             is_watching=self._follower.is_watching,
+            lag=round(self._lag.seconds, 3),
         )
 
     def _take_change(self, table: str) -> None:
@@ -260,6 +268,7 @@
     def _watch_gauges(self) -> None:
         knowledge = self._knowledge
         gauges: dict[str, Callable[[], float]] = {
+            'loop_lag_seconds': lambda: self._lag.seconds,
             'requests_in_flight': lambda: self._path.in_flight,
             'connections_of_callers': lambda: len(self._connections),
             'connections_to_targets_opened': lambda: self._pool.opened,
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/knowledge.py
@@ -8,8 +8,9 @@
 __all__ = ('Knowledge', 'Revisions', 'find_route', 'is_ahead')
 
 # Targets that were dropped while the store was away get this long to register
-# again: the platform promises about two seconds after its return.
-LAPSE_SECONDS: Final = 2.5
+# again: the platform promises about two seconds after its return. It is less
+# than the 2.5 s in which a target that has left must get nothing more.
+LAPSE_SECONDS: Final = 2.1
 
 
 class Revisions(NamedTuple):
@@ -138,14 +139,16 @@
         """Note how far another VM is."""
         self._heard_targets = max(self._heard_targets, revisions.targets)
 
-    def end_lapse(self, now: float) -> None:
+    def end_lapse(self, now: float, *, may_have_lapsed: bool) -> None:
         """Start the wait for targets that were dropped meanwhile.
 
-        There is none if another VM told of changes all the while: then only
-        this VM had lost the store, and what is dropped has gone.
+        There is none after an absence in which no target can lapse, or if
+        another VM told of changes all the while: then only this VM had lost
+        the store, and what is dropped has gone.
         """
         if self._lapse_until == float('inf'):
-            self._lapse_until = now + LAPSE_SECONDS
+            wait = LAPSE_SECONDS if may_have_lapsed else 0.0
+            self._lapse_until = now + wait
 
     def drop_lapsed(self, now: float) -> tuple[str, ...]:
         """Drop targets that did not register again in time."""
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -29,7 +29,8 @@
 class Heartbeat(NamedTuple):
     """What a VM tells the others.
 
-    `started_at` tells its starts apart (Unix milliseconds), `usage` holds
+    `started_at` tells its starts apart (Unix milliseconds), `lag` is how late
+    its loop is (seconds), `usage` holds
     the requests of each team, `introduced` the VMs it knows when
     it answers one that is new.
     """
@@ -41,6 +42,7 @@
     is_ready: bool
     is_leaving: bool
     is_watching: bool
+    lag: float
     revisions: Revisions
     usage: Mapping[str, Usage]
     introduced: tuple[Introduction, ...] = ()
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -46,6 +46,7 @@
     retry_slack: float
     cold_slack: float
     quota_window: float
+    target_heartbeat: float
 
 
 class Environment(NamedTuple):
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -60,12 +60,18 @@
         gossip_port=int(document['internal_port_range'][0]),
         seeds=tuple(read_address(seed) for seed in document.get('seeds') or ()),
         store=read_address(document['platform']['address']),
-        bounds=_decode_bounds(document['bounds']),
+        bounds=_decode_bounds(
+            document['bounds'],
+            read_seconds(document.get('heartbeat', '1500ms')),
+        ),
         max_descriptors=int(limits.get('max_fds', 1024)),
     )
 
 
-def _decode_bounds(bounds: Mapping[str, Any]) -> Bounds:
+def _decode_bounds(
+    bounds: Mapping[str, Any],
+    target_heartbeat: float,
+) -> Bounds:
     return Bounds(
         grace=read_seconds(bounds.get('grace', _DEFAULT_GRACE)),
         directory_ttl=min(
@@ -77,6 +83,7 @@
         retry_slack=float(bounds.get('budget_slack', 0)),
         cold_slack=float(bounds.get('cold_slack', 0)),
         quota_window=read_seconds(bounds.get('quota_window', '5s')),
+        target_heartbeat=target_heartbeat,
     )
 
 
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -37,14 +37,20 @@
         store: Store,
         knowledge: Knowledge,
         journal: Journal,
+        lapse_seconds: float,
     ) -> None:
-        """Write what the store holds into `knowledge`."""
+        """Write what the store holds into `knowledge`.
+
+        No target lapses in an absence of less than `lapse_seconds`.
+        """
+        self._lapse_seconds = lapse_seconds
         self._store = store
         self._knowledge = knowledge
         self._journal = journal
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
         self._failing: set[str] = set()
+        self._answered_at = self._loop.time()
         self._revisions: dict[str, int] = {}
         self._tables = Tables(
             knowledge=knowledge,
@@ -147,10 +153,16 @@
         self._failing.add(kind)
 
     def _recover(self, kind: str) -> None:
-        if kind not in self._failing:
-            return
-        self._failing.discard(kind)
-        if not self._failing:
-            self._journal.write(events.STORE_REGAINED)
+        now = self._loop.time()
+        if kind in self._failing:
+            self._failing.discard(kind)
+            if not self._failing:
+                self._journal.write(events.STORE_REGAINED)
+            if kind == names.TARGETS:
+                away = now - self._answered_at
+                self._knowledge.end_lapse(
+                    now,
+                    may_have_lapsed=away > self._lapse_seconds,
+                )
         if kind == names.TARGETS:
-            self._knowledge.end_lapse(self._loop.time())
+            self._answered_at = now
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -34,13 +34,15 @@
 class Handler(NamedTuple):
     """What a connection asks its server for.
 
-    `is_cancellable` tells whether a request is ended once its caller left.
+    `is_cancellable` tells whether a request is ended once its caller left,
+    `is_lagging` whether requests wait before they are looked at.
     """
 
     serve: Callable[[Request], Awaitable[Answer]]
     is_cancellable: Callable[[Request], bool]
     get_limits: Callable[[], ServerLimits]
     is_stopping: Callable[[], bool]
+    is_lagging: Callable[[], bool]
     connections: set['Connection']
 
 
@@ -173,6 +175,11 @@
             self._transport.pause_reading()
 
     async def _serve(self, exchange: _Exchange, request: Request) -> None:
+        if self._handler.is_lagging():
+            # Behind a request that waited there may be the end of its
+            # connection: two rounds of the loop read it, and end this task.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
         exchange.answer = await self._handler.serve(request)
         self._flush()
 
