--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -298,3 +298,29 @@
         seconds=1.0,
     )
     assert site.vms['vm-3'].wait(5) == 0
+
+
+def test_requests_that_waited_unread_are_not_sent_on_after_their_callers(site):
+    for target in site.targets.values():
+        target.seconds = 0.2
+    with ThreadPoolExecutor(16) as pool:
+        # Leaves idle connections to the targets, on which a request is sent
+        # without a wait.
+        list(
+            pool.map(
+                lambda item: site.request('vm-2', item=str(item)),
+                range(16),
+            ),
+        )
+        site.signal_vm('vm-2', signal.SIGSTOP)
+        outcomes = list(
+            pool.map(
+                lambda item: site.request('vm-2', item=str(item), wait_ms=300),
+                range(16),
+            ),
+        )
+    time.sleep(0.7)
+    site.signal_vm('vm-2', signal.SIGCONT)
+    wait_until(lambda: site.request('vm-2').status == 200, 'serves again')
+    assert {found.status for found in outcomes} == {0}
+    assert not any(list_runs(site, found.request_id) for found in outcomes)
