Delete the entries of VMs that have gone; drop what nothing uses

An entry stayed for ever, and each VM greeted each address that ever was. The VM that watches for a zone deletes those of its own zone after a minute of silence; all look at the entries again each minute, and one that was cut off writes its own anew.

--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -43,7 +43,6 @@
         retry_ratio=0.2,
         retry_window=10.0,
         retry_slack=133.0,
-        cold_slack=5.0,
         quota_window=5.0,
         target_heartbeat=1.5,
     )
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -205,7 +205,7 @@
 
 
 def make_reply(status, *headers):
-    return Reply(status, headers, b'', keep=True, may_have_more=False)
+    return Reply(status, headers, b'', keep=True)
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_knowledge.py
+++ b/tests/unit/test_knowledge.py
@@ -4,7 +4,12 @@
 
 from tests.fleetdata import make_heartbeat, make_target
 from toucanhall.fleet.knowledge import LAPSE_SECONDS, Knowledge, Revisions
-from toucanhall.fleet.membership import ALIVE_SECONDS, Members, pick_watchers
+from toucanhall.fleet.membership import (
+    ALIVE_SECONDS,
+    GONE_SECONDS,
+    Members,
+    pick_watchers,
+)
 from toucanhall.fleet.model import Introduction
 
 
@@ -176,3 +181,13 @@
 
 def test_wait_ends_before_a_target_that_left_must_get_nothing():
     assert LAPSE_SECONDS < 2.5 - 0.2
+
+
+def test_vm_that_has_gone_is_dropped_and_can_be_introduced_again():
+    members = Members()
+    members.hear(make_heartbeat('vm-1'), 1.0)
+    assert members.drop_gone(GONE_SECONDS) == []
+    (found,) = members.drop_gone(1.5 + GONE_SECONDS)
+    assert found.vm == 'vm-1'
+    assert not members.peers
+    assert members.introduce(found)
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -26,6 +26,7 @@
 from toucanhall.placement.order import Place
 from toucanhall.platform import boot
 from toucanhall.platform.entrance import make_readiness
+from toucanhall.platform.entries import Entries
 from toucanhall.platform.following import Follower
 from toucanhall.platform.headers import REQUEST_ID
 from toucanhall.platform.store import Store, StoreError
@@ -42,6 +43,8 @@
 _LONGEST_READ_SECONDS: Final = 1.0
 # VMs that started together with this one have written their entries by then.
 _SECOND_LOOK_SECONDS: Final = 2.0
+# Between looks at the entries of VMs: a fleet replaces a VM each minute.
+_TEND_SECONDS: Final = 60.0
 # Before a configuration is known; of the order of what operators allow.
 _FIRST_LIMITS: Final = ServerLimits(65536, 1 << 26, 5.0, 30.0)
 # Parts of the grace after which idle connections are closed, and the end.
@@ -73,6 +76,7 @@
         )
         self._pool = Pool(clock=self._loop.time, id_header=REQUEST_ID)
         self._store = Store(address=environment.store, on_call=self._count_call)
+        self._entries = Entries(store=self._store, journal=self._journal)
         self._follower = Follower(
             store=self._store,
             knowledge=self._knowledge,
@@ -214,20 +218,40 @@
             self._environment.ip,
         )
         wait = _FIRST_READ_SECONDS
-        while True:
-            try:
-                await self._follower.read_all()
-                self._mate.meet(await self._follower.register(own))
-                break
-            except StoreError as error:
-                self._journal.write(events.STORE_LOST, why=str(error))
+        while not await self._try(self._meet_all(own)):
             await asyncio.sleep(wait)
             wait = min(_LONGEST_READ_SECONDS, wait * 2)
         await asyncio.sleep(_SECOND_LOOK_SECONDS)
+        while True:
+            await self._try(self._tend_entries(own))
+            await asyncio.sleep(_TEND_SECONDS)
+
+    async def _try(self, work: Awaitable[None]) -> bool:
         try:
-            self._mate.meet(await self._follower.list_vms(is_stale=True))
+            await work
         except StoreError as error:
             self._journal.write(events.STORE_LOST, why=str(error))
+            return False
+        return True
+
+    async def _meet_all(self, own: Introduction) -> None:
+        await self._follower.read_all()
+        self._mate.meet(await self._entries.register(own))
+
+    async def _tend_entries(self, own: Introduction) -> None:
+        """Find VMs by their entries; delete those of the own zone's dead.
+
+        The VM that watches for a zone does it. One that is cut off from its
+        zone watches too: it writes its entry again if that was deleted.
+        """
+        gone = self._mate.members.drop_gone(self._loop.time())
+        if not self._follower.is_watching:
+            self._mate.meet(await self._entries.list_vms(is_stale=True))
+            return
+        for found in gone:
+            if found.zone == own.zone:
+                await self._entries.forget(found.vm)
+        self._mate.meet(await self._entries.register(own))
 
     def _is_ready(self) -> bool:
         return (
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -9,6 +9,7 @@
 
 __all__ = (
     'ALIVE_SECONDS',
+    'GONE_SECONDS',
     'LATE_SECONDS',
     'Heartbeat',
     'Members',
@@ -21,6 +22,9 @@
 # A VM that fell silent may still admit requests of teams: its part of their
 # limits is given to others only after this time.
 FORGET_SECONDS: Final = 20.0
+# A VM that is silent for so long is greeted no more, until the store or another
+# VM tells of it again: replacements take some seconds.
+GONE_SECONDS: Final = 60.0
 # Heartbeats between regions come each 1.6 s: a VM that told nothing for longer
 # may be cut off and admit requests that nobody hears of.
 LATE_SECONDS: Final = 1.8
@@ -94,6 +98,18 @@
             for vm, peer in self.peers.items()
         }
 
+    def drop_gone(self, now: float) -> list[Introduction]:
+        """Drop and return the VMs that were silent for a minute."""
+        gone = [
+            self.introduced[vm]
+            for vm, peer in self.peers.items()
+            if now - peer.heard_at > GONE_SECONDS and vm in self.introduced
+        ]
+        for found in gone:
+            self.introduced.pop(found.vm)
+            self.peers.pop(found.vm)
+        return gone
+
     def list_alive(self, now: float) -> list[Heartbeat]:
         """Return the last heartbeats of the VMs that are alive."""
         return [
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -44,7 +44,6 @@
     retry_ratio: float
     retry_window: float
     retry_slack: float
-    cold_slack: float
     quota_window: float
     target_heartbeat: float
 
@@ -66,7 +65,6 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
-    max_descriptors: int
 
 
 class Part(NamedTuple):
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -12,7 +12,6 @@
 _MOST_FAILURES: Final = 3
 _FIRST_SUSPENSION_SECONDS: Final = 0.5
 _LONGEST_SUSPENSION_SECONDS: Final = 4.0
-_FAILURE_WEIGHT: Final = 0.15
 _SLOW_WEIGHT: Final = 0.2
 _FULL_SECONDS: Final = 0.15
 
@@ -25,7 +24,6 @@
         self.slots = slots
         self.in_flight = 0
         self.failures = 0
-        self.failure_share = 0.0
         self.slowness = 1.0
         self.suspended_until = 0.0
         self._suspension = _FIRST_SUSPENSION_SECONDS
@@ -68,7 +66,6 @@
         self.failures = 0
         self._suspension = _FIRST_SUSPENSION_SECONDS
         self.suspended_until = 0.0
-        self.failure_share -= self.failure_share * _FAILURE_WEIGHT
         if ratio is not None:
             self.slowness += (ratio - self.slowness) * _SLOW_WEIGHT
         return was_on_trial
@@ -79,7 +76,6 @@
         Returns whether the target is suspended from now on.
         """
         self.failures += _MOST_FAILURES if is_lost else 1
-        self.failure_share += (1 - self.failure_share) * _FAILURE_WEIGHT
         if self.failures < _MOST_FAILURES or self.is_suspended(now):
             return False
         self.suspended_until = now + self._suspension
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -44,7 +44,6 @@
 
 def _decode(document: Mapping[str, Any]) -> Environment:
     listen = document['listen']
-    limits = document.get('limits') or {}
     return Environment(
         vm=document['node_name'],
         zone=document['zone'],
@@ -64,7 +63,6 @@
             document['bounds'],
             read_seconds(document.get('heartbeat', '1500ms')),
         ),
-        max_descriptors=int(limits.get('max_fds', 1024)),
     )
 
 
@@ -81,7 +79,6 @@
         retry_ratio=float(bounds.get('retry_budget_ratio', 0.2)),
         retry_window=read_seconds(bounds.get('budget_window', '10s')),
         retry_slack=float(bounds.get('budget_slack', 0)),
-        cold_slack=float(bounds.get('cold_slack', 0)),
         quota_window=read_seconds(bounds.get('quota_window', '5s')),
         target_heartbeat=target_heartbeat,
     )
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -5,12 +5,10 @@
 from typing import Final
 
 from toucanhall.fleet.knowledge import Knowledge
-from toucanhall.fleet.model import Introduction
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
-from toucanhall.platform.documents import BadDocument, decode_vm, encode_vm
-from toucanhall.platform.store import Conflict, HistoryLost, Store, StoreError
+from toucanhall.platform.store import HistoryLost, Store, StoreError
 from toucanhall.platform.tables import KINDS, Tables
 
 __all__ = ('Follower',)
@@ -67,28 +65,6 @@
         """Read each table once; raise StoreError when one cannot be read."""
         await asyncio.gather(*(self._read(kind) for kind in KINDS))
 
-    async def register(self, own: Introduction) -> list[Introduction]:
-        """Write the entry of this VM and return those of all VMs."""
-        found = await self.list_vms(is_stale=False)
-        if own not in found:
-            spec = encode_vm(own)
-            try:
-                await self._store.create(names.VMS, own.vm, spec)
-            except Conflict:
-                await self._store.replace(names.VMS, own.vm, spec)
-        return found
-
-    async def list_vms(self, *, is_stale: bool) -> list[Introduction]:
-        """Return the entries of all VMs; stale ones are some seconds old."""
-        table = await self._store.read(names.VMS, is_stale=is_stale)
-        found = []
-        for change in table.changes:
-            try:
-                found.append(decode_vm(change.name, change.spec))
-            except BadDocument as error:
-                self._journal.write(events.ENTRY_IGNORED, why=str(error))
-        return found
-
     def start(self) -> None:
         """Watch the store from now on."""
         if not self._tasks:
--- a/toucanhall/platform/names.py
+++ b/toucanhall/platform/names.py
@@ -22,4 +22,3 @@
 LOAD: Final = b'x-toucanhall-backend-load'  # running, waiting, slots
 STAMP: Final = b'x-toucanhall-response-stamp'
 OBJECT_COOKIE: Final = 'X-Toucanhall-Affinity-Key'
-COLD_LEFT: Final = b'x-toucanhall-cold-remaining'
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -41,7 +41,6 @@
     headers: Headers
     body: bytes
     keep: bool
-    may_have_more: bool
 
 
 class ServerConnection(asyncio.Protocol):
@@ -59,7 +58,6 @@
         self._waiter: asyncio.Future[Reply] | None = None
         self._expected = b''
         self._is_tainted = False
-        self._in_message = False
         self.idle_since = 0.0
         self.idle_seconds: float | None = None
         self._start()
@@ -140,7 +138,6 @@
         if self._waiter is None or self._waiter.done():
             self._is_tainted = True
         self._start()
-        self._in_message = True
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Take a header (called by the parser)."""
@@ -165,7 +162,6 @@
 
     def on_message_complete(self) -> None:
         """Hand over a whole answer (called by the parser)."""
-        self._in_message = False
         status = self._parser.get_status_code()
         waiter = self._waiter
         if status < _BAD_STATUS_BELOW or waiter is None or waiter.done():
@@ -182,7 +178,6 @@
                 headers=headers,
                 body=b''.join(self._body),
                 keep=bool(keep),
-                may_have_more=self._is_tainted,
             ),
         )
 
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -117,11 +117,6 @@
         self._transport.close()
         return True
 
-    def abort(self) -> None:
-        """Drop the connection at once."""
-        if self._transport is not None:
-            self._transport.abort()
-
     def on_message_begin(self) -> None:
         """Start a request (called by the parser)."""
         self._reset()
