--- /dev/null
+++ b/tests/unit/test_path.py
@@ -0,0 +1,102 @@
+"""Tests of the path of a request where no target is reached."""
+
+import asyncio
+import os
+
+import pytest
+
+from standins.site.documents import HOST, KEY, make_configuration, make_rule
+from tests.fleetdata import make_bounds
+from toucanhall.edge.path import Path
+from toucanhall.edge.pool import Pool
+from toucanhall.edge.reporting import Reporter
+from toucanhall.edge.sending import Sender
+from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.limits.quota import Quotas
+from toucanhall.limits.retries import RetryBudget
+from toucanhall.observe.journal import Journal
+from toucanhall.observe.metrics import Metrics
+from toucanhall.placement.field import Field
+from toucanhall.placement.order import Place
+from toucanhall.platform.documents import decode_configuration
+from toucanhall.web.lag import LoopLag
+from toucanhall.web.messages import Request, get_header
+
+RULES = (
+    make_rule('/urgent/', priority=1),
+    make_rule('/other/', priority=2),
+)
+
+
+@pytest.fixture
+def journal():
+    reader, writer = os.pipe()
+    yield Journal(vm='vm-1', descriptor=writer)
+    os.close(reader)
+    os.close(writer)
+
+
+def make_path(journal, late):
+    knowledge = Knowledge(on_change=lambda _table: None)
+    document = make_configuration(rules=RULES)
+    knowledge.take_configuration(1, decode_configuration(document))
+    field = Field(place=Place('east-a', 'east'), regions={'east-a': 'east'})
+    clock = asyncio.get_running_loop().time
+    lag = LoopLag()
+    for _tick in range(30):
+        lag.take(late)
+    return Path(
+        knowledge=knowledge,
+        field=field,
+        sender=Sender(
+            field=field,
+            pool=Pool(clock=clock, id_header=b''),
+            journal=journal,
+        ),
+        quotas=Quotas(window=5.0, beat=0.8, now=0.0),
+        retries=RetryBudget(bounds=make_bounds()),
+        reporter=Reporter(
+            knowledge=knowledge,
+            journal=journal,
+            metrics=Metrics(),
+        ),
+        lag=lag,
+    )
+
+
+def serve(journal, path, late):
+    async def run():
+        headers = (
+            (b'host', HOST.encode()),
+            (b'authorization', f'Bearer {KEY}'.encode()),
+        )
+        request = Request(b'GET', path.encode(), headers, b'')
+        return await make_path(journal, late).serve(request)
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('path', 'late', 'reason'),
+    (
+        ('/urgent/1', 0.0, b'targets-full'),
+        ('/other/1', 0.0, b'targets-full'),
+        ('/urgent/1', 0.4, b'targets-full'),
+        ('/other/1', 0.4, b'vm-overloaded'),
+        ('/urgent/1', 0.7, b'vm-overloaded'),
+        ('/nowhere/1', 0.7, b'no-route'),
+    ),
+)
+def test_vm_that_does_not_keep_up_refuses_less_urgent_requests_first(
+    journal,
+    path,
+    late,
+    reason,
+):
+    assert serve(journal, path, late).body == reason
+
+
+def test_refusal_that_has_not_run_says_when_to_come_back(journal):
+    answer = serve(journal, '/other/1', 0.7)
+    assert answer.status == 503
+    assert get_header(answer.headers, b'retry-after') == b'0.500'
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -6,8 +6,8 @@
 
 Each VM tells with its heartbeat how many requests it admitted for each team
 in the last window, and how many a second arrived. What the window still has
-room for is divided by demand. A VM spends at most a half of its part between
-two heartbeats: a quarter where the others hear of it late.
+room for is divided by demand, and a VM spends at most a half of its part of it
+between two heartbeats, since it hears of the others one or two beats late.
 """
 
 from collections.abc import Iterable, Mapping
