Drop a field nobody reads, name one urgent priority, raise fresh store errors

The heartbeat told who watches the store, which no receiver used. Waiting and refusing had a constant each for what is urgent. Errors of the store were single instances, whose tracebacks grew with each raise. A check of idle connections stood twice.

--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -58,7 +58,6 @@
         ip='127.0.0.1',
         is_ready=True,
         is_leaving=False,
-        is_watching=False,
         lag=0.0,
         revisions=Revisions(),
         usage={},
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -29,7 +29,6 @@
 
     is_ready: bool
     is_leaving: bool
-    is_watching: bool
     lag: float
 
 
@@ -167,7 +166,6 @@
             ip=self._environment.ip,
             is_ready=standing.is_ready,
             is_leaving=standing.is_leaving,
-            is_watching=standing.is_watching,
             lag=standing.lag,
             revisions=self._knowledge.revisions,
             usage=self.usage,
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -12,7 +12,12 @@
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe import events
-from toucanhall.placement.choice import Ask, Candidate, choose
+from toucanhall.placement.choice import (
+    URGENT_PRIORITY,
+    Ask,
+    Candidate,
+    choose,
+)
 from toucanhall.placement.field import Field, Need
 from toucanhall.placement.times import UsualTimes
 from toucanhall.platform.headers import make_passed_on, read_caller_marks
@@ -25,7 +30,6 @@
 # sooner: a caller gives up on a VM that reads nothing for a second.
 _MOST_LAG_SECONDS: Final = 0.6
 _LESS_URGENT_LAG_SECONDS: Final = 0.3
-_URGENT_PRIORITY: Final = 1
 # Connections that failed without a byte sent do not count as attempts.
 _MOST_UNSENT: Final = 3
 
@@ -250,6 +254,6 @@
 
 
 def _find_most_lag(priority: int) -> float:
-    if priority > _URGENT_PRIORITY:
+    if priority > URGENT_PRIORITY:
         return _LESS_URGENT_LAG_SECONDS
     return _MOST_LAG_SECONDS
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -45,9 +45,7 @@
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
-            if connection.is_usable and self._is_fresh(
-                connection, now, longest
-            ):
+            if self._may_use(connection, now, longest):
                 return connection
             if connection.is_usable and not may_repeat:
                 idle.append(connection)
@@ -75,11 +73,7 @@
         for address, idle in tuple(self._idle.items()):
             kept = []
             for connection in idle:
-                if connection.is_usable and self._is_fresh(
-                    connection,
-                    now,
-                    _IDLE_SECONDS,
-                ):
+                if self._may_use(connection, now, _IDLE_SECONDS):
                     kept.append(connection)
                 else:
                     connection.close()
@@ -88,7 +82,7 @@
             else:
                 self._idle.pop(address)
 
-    def _is_fresh(
+    def _may_use(
         self,
         connection: ServerConnection,
         now: float,
@@ -97,4 +91,4 @@
         told = connection.idle_seconds
         if told is not None:
             longest = min(longest, told - _KEEP_ALIVE_MARGIN)
-        return now - connection.idle_since < longest
+        return connection.is_usable and now - connection.idle_since < longest
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -269,7 +269,6 @@
         return Standing(
             is_ready=self._is_ready(),
             is_leaving=self._stopping.is_set(),
-            is_watching=self._follower.is_watching,
             lag=round(self._lag.seconds, 3),
         )
 
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -45,7 +45,6 @@
     ip: str
     is_ready: bool
     is_leaving: bool
-    is_watching: bool
     lag: float
     revisions: Revisions
     usage: Mapping[str, Usage]
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -15,7 +15,7 @@
 from toucanhall.fleet.model import Target
 from toucanhall.placement.load import TargetLoad
 
-__all__ = ('Ask', 'Candidate', 'choose')
+__all__ = ('URGENT_PRIORITY', 'Ask', 'Candidate', 'choose')
 
 # Targets that serve an object, as long as they are there.
 _WARM_TARGETS: Final = 2
@@ -24,7 +24,7 @@
 # Part of the time to the objective that may be spent waiting for a slot.
 _WAIT_SHARE: Final = 0.8
 # Less urgent requests leave room in the queue for urgent ones.
-_URGENT_PRIORITY: Final = 1
+URGENT_PRIORITY: Final = 1
 _LESS_URGENT_SHARE: Final = 0.5
 # Requests of a longer objective may not wait for more than this many slots'
 # worth of other requests, since those in front may be cold.
@@ -71,6 +71,6 @@
 def _limit_fill(ask: Ask) -> float:
     spare = ask.seconds_to_objective - ask.usual_seconds
     waiting = _WAIT_SHARE * spare / max(ask.usual_seconds, 0.001)
-    if ask.priority > _URGENT_PRIORITY:
+    if ask.priority > URGENT_PRIORITY:
         waiting *= _LESS_URGENT_SHARE
     return 1 + max(0.0, min(_MOST_WAITING, waiting))
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import msgspec
 
@@ -76,9 +76,11 @@
         changes: list[Change] = []
         after = ''
         while True:
-            query = '?allow_stale=1' if is_stale else '?'
-            query += f'&after={quote(after)}' if after else ''
-            found = await self._call('GET', kind + query.rstrip('?'))
+            query = {'after': after} if after else {}
+            if is_stale:
+                query['allow_stale'] = '1'
+            path = f'{kind}?{urlencode(query)}' if query else kind
+            found = await self._call('GET', path)
             changes.extend(_read_changes(found['items']))
             if not found.get('more'):
                 return Table(int(found['as_of']), tuple(changes))
@@ -183,18 +185,16 @@
 
 
 def _read_reply(reply: Reply) -> Mapping[str, Any]:
-    error = _ERRORS.get(reply.status)
-    if error is not None:
-        raise error
     if reply.status not in _SUCCESS:
-        raise StoreError(f'status {reply.status}')
+        error = _ERRORS.get(reply.status, StoreError)
+        raise error(f'status {reply.status}')
     try:
         return msgspec.json.decode(reply.body or b'{}', type=dict[str, Any])
     except msgspec.MsgspecError as found:
         raise StoreError(f'answer cannot be read: {found}') from found
 
 
-_ERRORS: Final = {
-    _CONFLICT: Conflict('the object is at another revision'),
-    _GONE: HistoryLost('the history of the store is gone'),
+_ERRORS: Final[Mapping[int, type[StoreError]]] = {
+    _CONFLICT: Conflict,
+    _GONE: HistoryLost,
 }
