--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -3,8 +3,16 @@
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.membership import Heartbeat
 from toucanhall.fleet.model import Address, Bounds, Target, Team
+from toucanhall.fleet.reports import Member, ZoneReport
 
-__all__ = ('make_bounds', 'make_heartbeat', 'make_target', 'make_team')
+__all__ = (
+    'make_bounds',
+    'make_heartbeat',
+    'make_member',
+    'make_report',
+    'make_target',
+    'make_team',
+)
 
 
 def make_target(name: str = 't1', **fields: object) -> Target:
@@ -44,6 +52,8 @@
         retry_window=10.0,
         retry_slack=133.0,
         quota_window=5.0,
+        quota_overage=0.1,
+        quota_slack=20.0,
         target_heartbeat=1.5,
     )
     return bounds._replace(**fields)
@@ -59,7 +69,36 @@
         is_ready=True,
         is_leaving=False,
         lag=0.0,
+        capacity=600.0,
         revisions=Revisions(),
         usage={},
     )
     return heartbeat._replace(**fields)
+
+
+def make_member(vm: str = 'vm-1', **fields: object) -> Member:
+    """Return a VM that is alive and ready."""
+    member = Member(
+        vm=vm,
+        zone='east-a',
+        ip='127.0.0.1',
+        is_ready=True,
+        is_leaving=False,
+        lag=0.0,
+        capacity=600.0,
+    )
+    return member._replace(**fields)
+
+
+def make_report(speaker: str = 'vm-7', **fields: object) -> ZoneReport:
+    """Return the report of a zone without VMs."""
+    report = ZoneReport(
+        zone='west-a',
+        speaker=speaker,
+        ip='127.0.0.7',
+        stamp=(1, 1),
+        revisions=Revisions(),
+        members=(),
+        told=(),
+    )
+    return report._replace(**fields)
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -12,7 +12,8 @@
     make_settings,
     make_target_entry,
 )
-from toucanhall.edge.directory import Choice, pick_vms
+from tests.fleetdata import make_member
+from toucanhall.edge.directory import pick_vms
 from toucanhall.fleet.knowledge import find_route
 from toucanhall.fleet.model import Address
 from toucanhall.platform import boot
@@ -259,34 +260,36 @@
 
 
 VMS = (
-    Choice('vm-1', 'east-a', 'east', '1'),
-    Choice('vm-2', 'east-b', 'east', '2'),
-    Choice('vm-3', 'west-a', 'west', '3'),
-    Choice('vm-4', 'south-a', 'south', '4'),
+    make_member('vm-1', zone='east-a'),
+    make_member('vm-2', zone='east-b'),
+    make_member('vm-3', zone='west-a'),
+    make_member('vm-4', zone='south-a'),
 )
+EAST = frozenset(('east-a', 'east-b', 'east-c'))
+NORTH = frozenset(('north-a',))
 
 
 @pytest.mark.parametrize(
-    ('zone', 'region', 'homes', 'expected'),
+    ('zone', 'around', 'homes', 'expected'),
     (
-        ('east-a', 'east', (), ['vm-1']),
-        ('east-c', 'east', (), ['vm-1', 'vm-2']),
-        ('north-a', 'north', ('south',), ['vm-4']),
-        ('north-a', 'north', (), ['vm-1', 'vm-2', 'vm-3', 'vm-4']),
+        ('east-a', EAST, (), ['vm-1']),
+        ('east-c', EAST, (), ['vm-1', 'vm-2']),
+        ('north-a', NORTH, ('south-a',), ['vm-4']),
+        ('north-a', NORTH, (), ['vm-1', 'vm-2', 'vm-3', 'vm-4']),
     ),
 )
-def test_directory_names_the_nearest(zone, region, homes, expected):
-    found = pick_vms(VMS, zone, region, frozenset(homes))
-    assert [choice.vm for choice in found] == expected
+def test_directory_names_the_nearest(zone, around, homes, expected):
+    found = pick_vms(VMS, zone, around, frozenset(homes))
+    assert sorted(member.vm for member in found) == expected
 
 
 def test_zone_that_does_not_keep_up_shares_its_clients():
     late = [VMS[0]._replace(lag=0.3), *VMS[1:]]
-    found = pick_vms(late, 'east-a', 'east', frozenset())
-    assert [choice.vm for choice in found] == ['vm-2']
+    found = pick_vms(late, 'east-a', EAST, frozenset())
+    assert [member.vm for member in found] == ['vm-2']
     late[1] = late[1]._replace(lag=0.4)
-    found = pick_vms(late, 'east-a', 'east', frozenset())
-    assert [choice.vm for choice in found] == ['vm-1', 'vm-2']
+    found = pick_vms(late, 'east-a', EAST, frozenset())
+    assert sorted(member.vm for member in found) == ['vm-1', 'vm-2']
 
 
 def test_words_of_the_platform_stand_in_the_adapter_only():
--- /dev/null
+++ b/tests/unit/test_fleet_members.py
@@ -0,0 +1,150 @@
+"""Tests of what a VM knows of the others: heartbeats, reports, duties."""
+
+import pytest
+
+from tests.fleetdata import make_heartbeat, make_member, make_report
+from toucanhall.fleet.membership import (
+    ALIVE_SECONDS,
+    GONE_SECONDS,
+    REPORT_LATE_SECONDS,
+    REPORT_SECONDS,
+    Members,
+)
+from toucanhall.fleet.model import Introduction
+from toucanhall.fleet.reports import sum_told
+from toucanhall.fleet.selection import pick_serving, pick_speakers
+from toucanhall.limits.quota import Told, Usage
+
+
+def test_silent_vm_is_not_alive_but_remembered():
+    members = Members()
+    assert members.hear(make_heartbeat('vm-1'), 1.0)
+    assert not members.hear(make_heartbeat('vm-1'), 1.5)
+    late = 1.5 + ALIVE_SECONDS + 0.1
+    assert members.list_alive(late) == []
+    told = members.list_near_told(late, {'vm-1'})
+    assert [found.is_late for found in told] == [True]
+    assert members.hear(make_heartbeat('vm-1'), late)
+
+
+def test_heartbeat_of_an_earlier_start_is_passed_over():
+    members = Members()
+    members.hear(make_heartbeat('vm-1', started_at=5), 1.0)
+    assert not members.hear(make_heartbeat('vm-1', started_at=4), 2.0)
+    assert members.peers['vm-1'].heartbeat.started_at == 5
+
+
+def test_vm_that_stood_still_does_not_take_the_others_for_dead():
+    members = Members()
+    members.hear(make_heartbeat('vm-1'), 1.0)
+    members.excuse(6.0)
+    assert members.list_alive(8.0)
+
+
+def test_introduction_is_new_once():
+    members = Members()
+    found = Introduction('vm-9', 'east-a', '127.0.0.9')
+    assert members.introduce(found)
+    assert not members.introduce(found)
+
+
+def test_vm_that_has_gone_is_dropped_and_can_be_introduced_again():
+    members = Members()
+    members.hear(make_heartbeat('vm-1'), 1.0)
+    assert members.drop_gone(GONE_SECONDS) == []
+    (found,) = members.drop_gone(1.5 + GONE_SECONDS)
+    assert found.vm == 'vm-1'
+    assert not members.peers
+    assert members.introduce(found)
+
+
+def test_vms_of_a_zone_are_alive_as_long_as_it_reports():
+    members = Members()
+    report = make_report(members=(make_member('vm-7', zone='west-a'),))
+    assert members.hear_report(report, 1.0)
+    alive = members.list_zone('west-a', 1.0 + REPORT_SECONDS)
+    assert [found.vm for found in alive] == ['vm-7']
+    assert not members.list_zone('west-a', 1.1 + REPORT_SECONDS)
+
+
+def test_report_that_came_two_ways_is_new_once():
+    members = Members()
+    assert members.hear_report(make_report(stamp=(5, 2)), 1.0)
+    assert not members.hear_report(make_report(stamp=(5, 2)), 1.1)
+    assert not members.hear_report(make_report(stamp=(5, 1)), 1.2)
+    assert members.hear_report(make_report(stamp=(6, 1)), 1.3)
+
+
+def test_zone_that_told_nothing_lately_counts_as_late():
+    members = Members()
+    told = (Told({'guides': Usage(3, 1.0)}, vms=4.0),)
+    members.hear_report(make_report(told=told), 1.0)
+    assert members.list_far_told(1.0 + REPORT_LATE_SECONDS) == list(told)
+    (late,) = members.list_far_told(1.1 + REPORT_LATE_SECONDS)
+    assert late.is_late
+    assert late.usage == told[0].usage
+
+
+def test_speaker_that_has_just_started_does_not_hide_its_zone():
+    members = Members()
+    many = tuple(make_member(f'vm-{index}') for index in range(4))
+    told = Told({'guides': Usage(8, 4.0)}, vms=4.0)
+    members.hear_report(make_report('vm-0', members=many, told=(told,)), 1.0)
+    members.hear_report(make_report('vm-9', told=(Told({}),)), 1.2)
+    assert members.list_far_told(1.3) == [told]
+
+
+def test_told_requests_are_added_up_apart_for_late_vms():
+    total = sum_told(
+        (
+            Told({'a': Usage(1, 0.5), 'b': Usage(2, 1.0)}),
+            Told({'a': Usage(4, 2.0)}, vms=0.1),
+            Told({'a': Usage(7, 3.0)}, is_late=True),
+        ),
+    )
+    present, late = total
+    assert present.usage == {'a': Usage(5, 2.5), 'b': Usage(2, 1.0)}
+    assert present.vms == pytest.approx(1.1)
+    assert late == Told({'a': Usage(7, 3.0)}, is_late=True)
+
+
+def test_vms_that_are_not_listed_are_forgotten_elsewhere():
+    members = Members()
+    members.hear(make_heartbeat('vm-1'), 1.0)
+    members.hear_report(
+        make_report(members=(make_member('vm-7', zone='west-a'),)), 1.0
+    )
+    for vm in ('vm-8', 'vm-9'):
+        members.introduce(Introduction(vm, 'west-a', '127.0.0.8'))
+    members.forget_unlisted([Introduction('vm-9', 'west-a', '127.0.0.8')])
+    assert set(members.introduced) == {'vm-1', 'vm-7', 'vm-9'}
+
+
+ZONE = [
+    make_member('vm-1', capacity=150.0),
+    make_member('vm-2', capacity=2000.0),
+    make_member('vm-3', capacity=150.0),
+    make_member('vm-4', capacity=150.0),
+    make_member('vm-5', capacity=2000.0, is_leaving=True, is_ready=False),
+    make_member('vm-6', capacity=150.0),
+    make_member('vm-7', capacity=150.0),
+]
+
+
+def get_names(members):
+    return [found.vm for found in members]
+
+
+def test_vms_that_bear_most_take_requests():
+    assert get_names(pick_serving(ZONE)) == ['vm-2', 'vm-1', 'vm-3', 'vm-4']
+    assert pick_serving(reversed(ZONE)) == pick_serving(ZONE)
+
+
+def test_all_vms_take_part_when_one_does_not_keep_up():
+    zone = [ZONE[0], ZONE[1]._replace(lag=0.2), *ZONE[2:]]
+    assert len(pick_serving(zone)) == 6
+
+
+def test_leaving_vms_do_not_speak_for_their_zone():
+    assert get_names(pick_speakers(ZONE)) == ['vm-2', 'vm-1']
+    assert get_names(pick_speakers([ZONE[4]])) == ['vm-5']
--- a/tests/unit/test_knowledge.py
+++ b/tests/unit/test_knowledge.py
@@ -1,16 +1,7 @@
-"""Tests of the tables that a VM knows, and of the other VMs."""
+"""Tests of the tables that a VM knows."""
 
-import pytest
-
-from tests.fleetdata import make_heartbeat, make_target
+from tests.fleetdata import make_target
 from toucanhall.fleet.knowledge import LAPSE_SECONDS, Knowledge, Revisions
-from toucanhall.fleet.membership import (
-    ALIVE_SECONDS,
-    GONE_SECONDS,
-    Members,
-    pick_watchers,
-)
-from toucanhall.fleet.model import Introduction
 
 
 def make_knowledge(*names, revision=10):
@@ -97,50 +88,6 @@
     assert knowledge.evacuated == {'west-a'}
 
 
-def test_silent_vm_is_not_alive_but_remembered():
-    members = Members()
-    assert members.hear(make_heartbeat('vm-1'), 1.0)
-    assert not members.hear(make_heartbeat('vm-1'), 1.5)
-    late = 1.5 + ALIVE_SECONDS + 0.1
-    assert members.list_alive(late) == []
-    assert [told.is_late for told in members.list_told(late)] == [True]
-    assert members.hear(make_heartbeat('vm-1'), late)
-
-
-def test_heartbeat_of_an_earlier_start_is_passed_over():
-    members = Members()
-    members.hear(make_heartbeat('vm-1', started_at=5), 1.0)
-    assert not members.hear(make_heartbeat('vm-1', started_at=4), 2.0)
-    assert members.peers['vm-1'].heartbeat.started_at == 5
-
-
-def test_vm_that_stood_still_does_not_take_the_others_for_dead():
-    members = Members()
-    members.hear(make_heartbeat('vm-1'), 1.0)
-    members.excuse(6.0)
-    assert members.list_alive(8.0)
-
-
-def test_introduction_is_new_once():
-    members = Members()
-    found = Introduction('vm-9', 'east-a', '127.0.0.9')
-    assert members.introduce(found)
-    assert not members.introduce(found)
-
-
-@pytest.mark.parametrize(
-    ('count', 'expected'),
-    ((1, ['vm-1']), (2, ['vm-1', 'vm-2'])),
-)
-def test_first_vms_of_a_zone_watch(count, expected):
-    alive = [
-        make_heartbeat('vm-1'),
-        make_heartbeat('vm-0', zone='west-a'),
-        make_heartbeat('vm-0', is_leaving=True),
-    ]
-    assert pick_watchers('vm-2', 'east-a', alive, count) == expected
-
-
 def test_snapshot_holds_newer_tables_only():
     peer = make_knowledge('t1', revision=10)
     snapshot = peer.make_snapshot(Revisions(0, 10, 0), 1.0)
@@ -181,13 +128,3 @@
 
 def test_wait_ends_before_a_target_that_left_must_get_nothing():
     assert LAPSE_SECONDS < 2.5 - 0.2
-
-
-def test_vm_that_has_gone_is_dropped_and_can_be_introduced_again():
-    members = Members()
-    members.hear(make_heartbeat('vm-1'), 1.0)
-    assert members.drop_gone(GONE_SECONDS) == []
-    (found,) = members.drop_gone(1.5 + GONE_SECONDS)
-    assert found.vm == 'vm-1'
-    assert not members.peers
-    assert members.introduce(found)
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -53,7 +53,7 @@
             pool=Pool(clock=clock, id_header=b''),
             journal=journal,
         ),
-        quotas=Quotas(window=5.0, beat=0.8, now=0.0),
+        quotas=Quotas(bounds=make_bounds(), beat=0.8, now=0.0),
         retries=RetryBudget(bounds=make_bounds()),
         reporter=Reporter(
             knowledge=knowledge,
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -7,7 +7,9 @@
 
 from tests.fleetdata import make_bounds, make_team
 from toucanhall.fleet.membership import LATE_SECONDS
-from toucanhall.limits.quota import Quotas, Told, Usage
+from toucanhall.fleet.membership import REPORT_LATE_SECONDS as REPORT_LATE
+from toucanhall.fleet.reports import sum_told
+from toucanhall.limits.quota import RESERVE_VMS, Quotas, Told, Usage
 from toucanhall.limits.retries import Retries
 
 BEAT = 0.8
@@ -26,14 +28,23 @@
 
 
 class Fleet:
-    """VMs that exchange what they admitted at each beat, at times of theirs."""
+    """VMs that exchange what they admitted at each beat, at times of theirs.
 
-    def __init__(self, *, loads, team, cut=()):
+    Each zone has as many VMs as `per_zone`; those of others are heard of by
+    reports of two speakers, each with every second of its beats.
+    """
+
+    def __init__(self, *, loads, team, cut=(), per_zone=None, reserve=()):
         self.team = team
         self.loads = loads
         self.cut = cut
+        self.per_zone = per_zone or len(loads)
+        self.reserve = reserve
+        self.reports = {}
+        self.beats = [0] * len(loads)
         self.vms = [
-            Quotas(window=WINDOW, beat=BEAT, now=-WINDOW) for _load in loads
+            Quotas(bounds=make_bounds(), beat=BEAT, now=-WINDOW)
+            for _load in loads
         ]
         self.told = [{} for _load in loads]
         self.heard = [[({}, 0.0)] * len(loads) for _load in loads]
@@ -62,16 +73,37 @@
     def beat(self, index, vm, now):
         told = vm.measure(now)
         self.told[index] = told
-        for other in range(len(self.vms)):
+        self.beats[index] += 1
+        zone = index // self.per_zone
+        mates = range(zone * self.per_zone, (zone + 1) * self.per_zone)
+        for other in mates:
             if other in self.cut or index in self.cut:
                 continue
             self.heard[other][index] = (told, now)
-        others = [
-            Told(told_before, now - at > LATE_SECONDS)
-            for place, (told_before, at) in enumerate(self.heard[index])
-            if place != index
+        own = Told(told, vms=self.weigh(index))
+        near = [
+            Told(
+                self.heard[index][mate][0],
+                is_late=now - self.heard[index][mate][1] > LATE_SECONDS,
+                vms=self.weigh(mate),
+            )
+            for mate in mates
+            if mate != index
+        ]
+        speakers = [mate for mate in mates if mate not in self.cut][:2]
+        if index in speakers and self.beats[index] % 2:
+            self.reports[zone] = (sum_told([own, *near]), now)
+        far = [
+            told._replace(is_late=told.is_late or now - at > REPORT_LATE)
+            for found, (report, at) in self.reports.items()
+            if found != zone
+            for told in report
         ]
-        vm.divide([self.team], told, others, now)
+        vm.divide([self.team], own, [*near, *far], now)
+
+    def weigh(self, index):
+        is_reserve = index % self.per_zone in self.reserve
+        return RESERVE_VMS if is_reserve else 1.0
 
     def find_most(self):
         """Return the most admissions in any window."""
@@ -137,22 +169,66 @@
 
 def test_fleet_that_starts_again_does_not_spend_a_window_twice():
     team = make_team(rate=100.0, burst=100.0)
-    quotas = Quotas(window=WINDOW, beat=BEAT, now=0.0)
-    quotas.divide([team], {}, [], 0.1)
+    quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=0.0)
+    quotas.divide([team], Told({}), [], 0.1)
     admitted = sum(not quotas.admit(team, 0.2) for _try in range(500))
     assert admitted <= (1 - 0.8) * 600
 
 
+# Six zones of sixteen VMs, of which four take requests, and a small team.
+LARGE = {'per_zone': 16, 'reserve': range(4, 16)}
+
+
+def make_large(rate, later=None):
+    steps = ((0, rate / 24), (8, (later or rate) / 24))
+    busy = Load(steps)
+    idle = Load(((0, 0.0),))
+    return ([busy] * 4 + [idle] * 12) * 6
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_teams_of_a_large_fleet_are_seldom_refused(seed):
+    asked = refused = 0
+    for rate in (8.0, 40.0, 40.0, 40.0):
+        team = make_team(rate=rate * 1.6, burst=rate * 1.6)
+        fleet = Fleet(loads=make_large(rate), team=team, **LARGE)
+        fleet.play(20, seed=seed, since=6)
+        asked += fleet.asked
+        refused += fleet.asked - fleet.count_admitted(6)
+    assert refused < 0.01 * asked
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_large_fleet_keeps_to_the_limit_of_a_hot_team(seed):
+    team = make_team(rate=64.0, burst=64.0)
+    fleet = Fleet(loads=make_large(40.0, 320.0), team=team, **LARGE)
+    fleet.play(20, seed=seed)
+    assert fleet.find_most() <= find_bound(team)
+    assert fleet.count_admitted(13) > 0.75 * team.rate * 7
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_cut_third_of_a_large_fleet_keep_to_the_limit(seed):
+    team = make_team(rate=64.0, burst=64.0)
+    fleet = Fleet(loads=make_large(40.0), team=team, **LARGE)
+    fleet.play(8, seed=seed)
+    # The first speaker of each zone and the second ones of two.
+    fleet.cut = (*range(0, 96, 16), 1, 17)
+    fleet.loads = make_large(320.0)
+    fleet.play(20, seed=seed)
+    assert fleet.find_most() <= find_bound(team)
+
+
 def test_team_without_a_rate_has_no_limit():
-    quotas = Quotas(window=WINDOW, beat=BEAT, now=0.0)
+    quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=0.0)
     team = make_team(rate=None)
     assert not any(quotas.admit(team, 0.0) for _try in range(1000))
 
 
 def test_refusal_says_when_to_come_back():
-    quotas = Quotas(window=WINDOW, beat=BEAT, now=-10.0)
+    quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=-10.0)
     team = make_team(rate=1.0, burst=0.0)
-    quotas.divide([team], {}, [Told({'guides': Usage(5, 9.0)})], 0.0)
+    quotas.divide([team], Told({}), [Told({'guides': Usage(5, 9.0)})], 0.0)
     waits = [quotas.admit(team, 0.1) for _try in range(5)]
     assert waits[-1] == 1.5
 
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -1,12 +1,14 @@
 """What a VM does when its knowledge changes and with each heartbeat."""
 
-from collections.abc import Callable
-from typing import Final
+import math
+from collections.abc import Callable, Mapping, Sequence
 
 from toucanhall.fleet.knowledge import Knowledge
-from toucanhall.fleet.membership import Members, pick_watchers
+from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Environment
-from toucanhall.limits.quota import Quotas, Usage
+from toucanhall.fleet.reports import Member
+from toucanhall.fleet.selection import pick_serving
+from toucanhall.limits.quota import RESERVE_VMS, Quotas, Told, Usage
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
@@ -14,10 +16,6 @@
 
 __all__ = ('Duties',)
 
-# One VM of each zone watches the store; the others of the zone hear from it,
-# and from the VMs of other zones when it is cut off.
-_WATCHERS_PER_ZONE: Final = 1
-
 
 class Duties:
     """Brings targets, limits and the watch of the store up to date."""
@@ -51,41 +49,54 @@
         """Act on a changed table."""
         self._changes[table]()
 
-    def take_beat(self, members: Members, own: dict[str, Usage]) -> None:
-        """Act on what the other VMs told since the last heartbeat."""
+    def take_beat(
+        self,
+        members: Members,
+        zone: Sequence[Member],
+        own: Mapping[str, Usage],
+    ) -> None:
+        """Act on what the other VMs told since the last heartbeat.
+
+        `zone` holds the VMs of the own zone, `own` the requests of this VM.
+        """
         now = self._clock()
         dropped = self._knowledge.drop_lapsed(now)
         if dropped:
             self._journal.write(events.TARGETS_LAPSED, targets=dropped)
-        alive = members.list_alive(now)
-        zone, vm = self._environment.zone, self._environment.vm
-        zones: dict[str, list[str]] = {zone: [vm]}
-        for found in alive:
-            if found.is_ready:
-                zones.setdefault(found.zone, []).append(found.vm)
+        serving = {self._environment.zone: _pick_names(zone)}
+        for other in members.list_zones():
+            if other != self._environment.zone:
+                serving[other] = _pick_names(members.list_zone(other, now))
+        self._divide(members, serving, own, now)
+
+    def _divide(
+        self,
+        members: Members,
+        serving: Mapping[str, list[str]],
+        own: Mapping[str, Usage],
+        now: float,
+    ) -> None:
+        vm = self._environment.vm
+        near = set(serving[self._environment.zone])
+        is_serving = vm in near
         self._field.take_vms(
             vm,
-            {name: sorted(vms) for name, vms in zones.items()},
+            {zone: sorted(vms) for zone, vms in serving.items() if vms},
+        )
+        self._retries.resize(
+            sum(map(len, serving.values())) if is_serving else math.inf,
         )
-        self._retries.resize(len(alive) + 1)
         configuration = self._knowledge.configuration
         self._quotas.divide(
             configuration.teams.values() if configuration else (),
-            own,
-            members.list_told(now),
+            Told(own, vms=1.0 if is_serving else RESERVE_VMS),
+            [
+                *members.list_near_told(now, near),
+                *members.list_far_told(now),
+            ],
             now,
         )
 
-    def is_watcher(self, members: Members) -> bool:
-        """Whether this VM is one that watches the store for its zone."""
-        watchers = pick_watchers(
-            self._environment.vm,
-            self._environment.zone,
-            members.list_alive(self._clock()),
-            _WATCHERS_PER_ZONE,
-        )
-        return self._environment.vm in watchers
-
     def _take_configuration(self) -> None:
         configuration = self._knowledge.configuration
         if configuration is not None:
@@ -114,3 +125,7 @@
             revision=self._knowledge.revisions.evacuations,
             zones=sorted(self._knowledge.evacuated),
         )
+
+
+def _pick_names(members: Sequence[Member]) -> list[str]:
+    return [found.vm for found in pick_serving(members)]
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -1,24 +1,24 @@
-"""Exchanges heartbeats with the other VMs."""
+"""Exchanges heartbeats with the VMs of the zone, and reports with others."""
 
 import asyncio
 import time
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from toucanhall.fleet.gossip import Gossip, open_gossip
-from toucanhall.fleet.knowledge import Knowledge
-from toucanhall.fleet.membership import Heartbeat, Members
+from toucanhall.edge.speaker import Speaker
+from toucanhall.fleet.gossip import Gossip, Message, open_gossip
+from toucanhall.fleet.knowledge import Knowledge, Revisions
+from toucanhall.fleet.membership import Heartbeat, Members, make_member
 from toucanhall.fleet.model import Address, Environment, Introduction
+from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.limits.quota import Quotas, Usage
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 
-__all__ = ('HEARTBEAT_SECONDS', 'Fleetmate', 'Standing')
+__all__ = ('HEARTBEAT_SECONDS', 'Fleetmate', 'Source', 'Standing')
 
 # Two of three heartbeats may be lost before others look for a new watcher.
 HEARTBEAT_SECONDS: Final = 0.8
-# Other regions hear each second heartbeat, unless a team nears its limit.
-FAR_BEATS: Final = 2
 # By then the seeds have introduced all VMs, over two times between regions.
 _FIRST_BEAT_SECONDS: Final = 0.2
 _PAUSE_SECONDS: Final = 1.0  # a timer that is this late: the VM stood still
@@ -32,6 +32,15 @@
     lag: float
 
 
+class Source(NamedTuple):
+    """A VM that told which tables it has, maybe through one of the zone."""
+
+    vm: str
+    zone: str
+    ip: str
+    is_relayed: bool
+
+
 class Fleetmate:
     """This VM among the others."""
 
@@ -43,7 +52,7 @@
         quotas: Quotas,
         journal: Journal,
         find_standing: Callable[[], Standing],
-        on_heard: Callable[[Heartbeat], None],
+        on_heard: Callable[[Source, Revisions], None],
         on_beat: Callable[[], None],
     ) -> None:
         """Tell others what this VM knows; call `on_beat` with each beat."""
@@ -59,12 +68,16 @@
         self._started_at = time.time_ns() // 1_000_000
         self._lost: set[str] = set()
         self._beat_at = self._loop.time()
-        self._beats = 0
         self.usage: dict[str, Usage] = {}
         self.members = Members()
+        self._speaker = Speaker(
+            members=self.members,
+            send=self._send,
+            clock=self._loop.time,
+        )
 
     async def start(self) -> None:
-        """Listen for heartbeats and send the first ones."""
+        """Listen to the other VMs and ask the seeds for them."""
         environment = self._environment
         self._gossip = await open_gossip(
             Address(environment.ip, environment.gossip_port),
@@ -76,65 +89,96 @@
             for seed in environment.seeds
             if seed.host != environment.ip
         }
-        self._send(seeds)
+        asking = self._make_heartbeat()._replace(is_asking=True)
+        self._send(Message(heartbeat=asking), seeds)
         self._beat_at = self._loop.time()
         self._loop.call_later(_FIRST_BEAT_SECONDS, self._beat)
 
     def meet(self, introductions: Iterable[Introduction]) -> None:
-        """Send a heartbeat to VMs that were not known."""
+        """Greet VMs of the own zone that were not known."""
         own = self._environment.vm
-        self._send(
-            found.ip
+        new = [
+            found
             for found in introductions
             if found.vm != own and self.members.introduce(found)
+        ]
+        self._greet(
+            found.ip for found in new if found.zone == self._environment.zone
         )
 
-    def tell(self, *, is_urgent: bool = False) -> None:
-        """Send a heartbeat now to the own zone, or to all if it is urgent.
+    def tell(self, *, is_first: bool) -> None:
+        """Tell the own zone which tables this VM has.
 
-        Configurations and evacuations are urgent: the VM that watches the
-        store for a zone may be cut off from it, or from the zone.
+        The first one of a zone to know of them tells the other zones too:
+        the VM that watches the store for one may be cut off.
         """
-        self._send(
-            found.ip
-            for found in self._list_others()
-            if is_urgent or found.zone == self._environment.zone
-        )
+        self._greet(self._list_near_ips())
+        if is_first:
+            self._speaker.tell(self._make_heartbeat())
 
-    def _hear(self, heartbeat: Heartbeat) -> None:
-        if heartbeat.vm == self._environment.vm:
+    def list_zone(self) -> list[Member]:
+        """Return the VMs of the own zone that are alive, this one first."""
+        now = self._loop.time()
+        own = make_member(self._make_heartbeat())
+        return [own, *self.members.list_near(now)]
+
+    def _hear(self, message: Message) -> None:
+        if message.report is not None:
+            self._hear_report(message.report, is_relayed=message.is_relayed)
+        heartbeat = message.heartbeat
+        if heartbeat is None or heartbeat.vm == self._environment.vm:
             return
-        if self.members.hear(heartbeat, self._loop.time()):
-            self._lost.discard(heartbeat.vm)
-            self._journal.write(events.PEER_JOINED, peer=heartbeat.vm)
-            known = tuple(self.members.introduced.values())
-            self._send((heartbeat.ip,), introduced=known)
+        if heartbeat.zone == self._environment.zone:
+            self._hear_near(heartbeat)
+        if heartbeat.is_asking:
+            self._introduce_all(heartbeat)
         self.meet(heartbeat.introduced)
-        self._on_heard(heartbeat)
+        source = Source(heartbeat.vm, heartbeat.zone, heartbeat.ip, False)
+        self._on_heard(source, heartbeat.revisions)
+
+    def _hear_near(self, heartbeat: Heartbeat) -> None:
+        if not self.members.hear(heartbeat, self._loop.time()):
+            return
+        self._lost.discard(heartbeat.vm)
+        self._journal.write(events.PEER_JOINED, peer=heartbeat.vm)
+        self._greet((heartbeat.ip,))
+
+    def _hear_report(self, report: ZoneReport, *, is_relayed: bool) -> None:
+        if report.zone == self._environment.zone:
+            return
+        if not self.members.hear_report(report, self._loop.time()):
+            return
+        if not is_relayed:
+            self._send(
+                Message(report=report, is_relayed=True),
+                self._list_near_ips(),
+            )
+        source = Source(report.speaker, report.zone, report.ip, is_relayed)
+        self._on_heard(source, report.revisions)
+
+    def _introduce_all(self, asking: Heartbeat) -> None:
+        known = tuple(self.members.introduced.values())
+        answer = self._make_heartbeat()._replace(introduced=known)
+        self._send(Message(heartbeat=answer), (asking.ip,))
+        self.meet((Introduction(asking.vm, asking.zone, asking.ip),))
 
     def _beat(self) -> None:
         now = self._loop.time()
         late = now - self._beat_at - HEARTBEAT_SECONDS
         self._beat_at = now
-        self._beats += 1
         if late > _PAUSE_SECONDS:
             self._journal.write(events.RESUMED, seconds=round(late, 2))
             self.members.excuse(late)
         self.usage = self._quotas.measure(now)
-        regions = self._environment.regions
-        is_far_beat = self._quotas.is_busy or not self._beats % FAR_BEATS
-        self._send(
-            found.ip
-            for found in self._list_others()
-            if is_far_beat
-            or regions.get(found.zone) == self._environment.region
-        )
+        heartbeat = self._make_heartbeat()
+        self._send(Message(heartbeat=heartbeat), self._list_near_ips())
+        self._speaker.beat(heartbeat)
         self._find_lost(now)
         self._on_beat()
         self._loop.call_later(HEARTBEAT_SECONDS, self._beat)
 
     def _find_lost(self, now: float) -> None:
-        alive = {found.vm for found in self.members.list_alive(now)}
+        alive = {found.vm for found in self.members.list_near(now)}
         for vm in self.members.peers.keys() - alive - self._lost:
             self._lost.add(vm)
             self._journal.write(
@@ -143,36 +187,37 @@
                 silent=round(now - self.members.peers[vm].heard_at, 2),
             )
 
-    def _list_others(self) -> list[Introduction]:
-        own = self._environment.vm
+    def _list_near_ips(self) -> list[str]:
+        environment = self._environment
         return [
-            found
+            found.ip
             for found in self.members.introduced.values()
-            if found.vm != own
+            if found.zone == environment.zone and found.vm != environment.vm
         ]
 
-    def _send(
-        self,
-        ips: Iterable[str],
-        introduced: tuple[Introduction, ...] = (),
-    ) -> None:
-        if self._gossip is None:
-            return
+    def _greet(self, ips: Iterable[str]) -> None:
+        self._send(Message(heartbeat=self._make_heartbeat()), ips)
+
+    def _make_heartbeat(self) -> Heartbeat:
+        environment = self._environment
         standing = self._find_standing()
-        heartbeat = Heartbeat(
-            vm=self._environment.vm,
+        return Heartbeat(
+            vm=environment.vm,
             started_at=self._started_at,
-            zone=self._environment.zone,
-            ip=self._environment.ip,
+            zone=environment.zone,
+            ip=environment.ip,
             is_ready=standing.is_ready,
             is_leaving=standing.is_leaving,
             lag=standing.lag,
+            capacity=environment.capacity,
             revisions=self._knowledge.revisions,
             usage=self.usage,
-            introduced=introduced,
         )
+
+    def _send(self, message: Message, ips: Iterable[str]) -> None:
         port = self._environment.gossip_port
-        self._gossip.send(heartbeat, [Address(ip, port) for ip in ips])
+        if self._gossip is not None:
+            self._gossip.send(message, [Address(ip, port) for ip in ips])
 
     def _drop(self, why: str) -> None:
         self._journal.write(events.MESSAGE_DROPPED, why=why)
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -7,9 +7,14 @@
 from pathlib import Path as FilePath
 from typing import Final
 
-from toucanhall.edge.directory import LAGGING_SECONDS, Directory
+from toucanhall.edge.directory import Directory
 from toucanhall.edge.duties import Duties
-from toucanhall.edge.fleetmate import HEARTBEAT_SECONDS, Fleetmate, Standing
+from toucanhall.edge.fleetmate import (
+    HEARTBEAT_SECONDS,
+    Fleetmate,
+    Source,
+    Standing,
+)
 from toucanhall.edge.path import Path
 from toucanhall.edge.pool import Pool
 from toucanhall.edge.reporting import Reporter
@@ -17,6 +22,7 @@
 from toucanhall.edge.tables import TableExchange
 from toucanhall.fleet.knowledge import Knowledge
 from toucanhall.fleet.model import Address, Environment, Introduction
+from toucanhall.fleet.selection import LAGGING_SECONDS, pick_speakers
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe import events
@@ -70,7 +76,7 @@
         self._field = Field(place=place, regions=environment.regions)
         self._knowledge = Knowledge(on_change=self._take_change)
         self._quotas = Quotas(
-            window=environment.bounds.quota_window,
+            bounds=environment.bounds,
             beat=HEARTBEAT_SECONDS,
             now=self._loop.time(),
         )
@@ -117,6 +123,7 @@
             journal=self._journal,
             zone=environment.zone,
             port=control.port if control else 0,
+            on_taken=self._take_snapshot,
         )
         self._mate = Fleetmate(
             environment=environment,
@@ -131,8 +138,7 @@
             environment=environment,
             knowledge=self._knowledge,
             members=self._mate.members,
-            lag=self._lag,
-            is_ready=self._is_ready,
+            list_zone=self._mate.list_zone,
             clock=self._loop.time,
         )
 
@@ -161,7 +167,7 @@
         began = self._loop.time()
         grace = self._environment.bounds.grace
         self._journal.write(events.STOPPING, in_flight=self._path.in_flight)
-        self._mate.tell()
+        self._mate.tell(is_first=False)
         await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
         end = began + grace * _END_SHARE
         while self._loop.time() < end:
@@ -246,12 +252,15 @@
         """
         gone = self._mate.members.drop_gone(self._loop.time())
         if not self._follower.is_watching:
-            self._mate.meet(await self._entries.list_vms(is_stale=True))
+            self._meet_listed(await self._entries.list_vms(is_stale=True))
             return
         for found in gone:
-            if found.zone == own.zone:
-                await self._entries.forget(found.vm)
-        self._mate.meet(await self._entries.register(own))
+            await self._entries.forget(found.vm)
+        self._meet_listed(await self._entries.register(own))
+
+    def _meet_listed(self, listed: list[Introduction]) -> None:
+        self._mate.members.forget_unlisted(listed)
+        self._mate.meet(listed)
 
     def _is_ready(self) -> bool:
         return (
@@ -274,13 +283,19 @@
 
     def _take_change(self, table: str) -> None:
         self._duties.take_change(table)
-        is_urgent = table != 'targets' and self._follower.is_watching
-        self._mate.tell(is_urgent=is_urgent)
+        if self._follower.is_watching:
+            self._mate.tell(is_first=True)
+
+    def _take_snapshot(self, source: Source) -> None:
+        if source.zone != self._environment.zone:
+            self._mate.tell(is_first=False)
 
     def _take_beat(self) -> None:
-        members = self._mate.members
-        self._duties.take_beat(members, self._mate.usage)
-        if self._duties.is_watcher(members) and not self._stopping.is_set():
+        zone = self._mate.list_zone()
+        self._duties.take_beat(self._mate.members, zone, self._mate.usage)
+        watcher = pick_speakers(zone)[0]
+        is_watcher = watcher.vm == self._environment.vm
+        if is_watcher and not self._stopping.is_set():
             self._follower.start()
         else:
             self._follower.stop()
--- /dev/null
+++ b/toucanhall/edge/speaker.py
@@ -0,0 +1,96 @@
+"""Speaks for the own zone to the VMs that listen for other zones."""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from toucanhall.fleet.gossip import Message
+from toucanhall.fleet.membership import Heartbeat, Members, make_member
+from toucanhall.fleet.reports import ZoneReport, sum_told
+from toucanhall.fleet.selection import pick_serving, pick_speakers
+from toucanhall.limits.quota import Told
+
+__all__ = ('Speaker',)
+
+# A speaker reports with each second heartbeat; there are two of them.
+_BEATS_PER_REPORT: Final = 2
+
+Send = Callable[[Message, Iterable[str]], None]
+
+
+class Speaker:
+    """This VM's part in the exchange between zones."""
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        send: Send,
+        clock: Callable[[], float],
+    ) -> None:
+        """Send messages to IP addresses by `send`."""
+        self._members = members
+        self._send = send
+        self._clock = clock
+        self._beats = 0
+
+    def beat(self, own: Heartbeat) -> None:
+        """Report to the other zones if this VM speaks and it is time."""
+        self._beats += 1
+        if self._beats % _BEATS_PER_REPORT or not self._is_speaker(own):
+            return
+        turn = self._beats // _BEATS_PER_REPORT
+        self._send(
+            Message(report=self._compose(own)),
+            [
+                listeners[turn % len(listeners)]
+                for listeners in self._list_listeners(own.zone)
+            ],
+        )
+
+    def tell(self, own: Heartbeat) -> None:
+        """Tell all listeners at once which tables this VM has."""
+        news = Message(heartbeat=own._replace(usage={}))
+        for listeners in self._list_listeners(own.zone):
+            self._send(news, listeners)
+
+    def _is_speaker(self, own: Heartbeat) -> bool:
+        near = self._members.list_near(self._clock())
+        speakers = pick_speakers([make_member(own), *near])
+        return own.vm in {found.vm for found in speakers}
+
+    def _compose(self, own: Heartbeat) -> ZoneReport:
+        now = self._clock()
+        members = [make_member(own), *self._members.list_near(now)]
+        serving = {found.vm for found in pick_serving(members)}
+        told = self._members.list_near_told(now, serving)
+        return ZoneReport(
+            zone=own.zone,
+            speaker=own.vm,
+            ip=own.ip,
+            stamp=(own.started_at, self._beats),
+            revisions=own.revisions,
+            members=tuple(members),
+            told=sum_told([Told(own.usage), *told]),
+        )
+
+    def _list_listeners(self, zone: str) -> list[list[str]]:
+        """Return the IP addresses to speak to, for each other zone."""
+        now = self._clock()
+        found: list[list[str]] = []
+        for other in self._members.list_zones():
+            if other == zone:
+                continue
+            alive = self._members.list_zone(other, now)
+            ips = [member.ip for member in pick_speakers(alive)]
+            found.append(ips or self._guess(other))
+        return [ips for ips in found if ips]
+
+    def _guess(self, zone: str) -> list[str]:
+        """Return two VMs of a zone of which nothing is heard."""
+        ips = [
+            found.ip
+            for found in self._members.introduced.values()
+            if found.zone == zone
+        ]
+        return random.sample(ips, min(2, len(ips)))
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -1,12 +1,13 @@
 """Passes tables on between VMs: who is behind asks one that is ahead."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
 
+from toucanhall.edge.fleetmate import Source
 from toucanhall.fleet.knowledge import Knowledge, Revisions, is_ahead
-from toucanhall.fleet.membership import Heartbeat
 from toucanhall.fleet.model import Address, Snapshot
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
@@ -21,6 +22,9 @@
 # which it gathers changes of targets: others are asked only if it does not.
 _URGENT_WAIT_SECONDS: Final = 0.15
 _TARGETS_WAIT_SECONDS: Final = 0.5
+# What came through a VM of the zone is fetched by that VM, which tells its
+# zone: the others ask far away only if it fails.
+_RELAYED_WAIT_SECONDS: Final = 0.4
 _PULL_SECONDS: Final = 1.0  # a snapshot of some 10 kB between regions
 
 
@@ -34,8 +38,13 @@
         journal: Journal,
         zone: str,
         port: int,
+        on_taken: Callable[[Source], None],
     ) -> None:
-        """Ask VMs at the port at which each answers such questions."""
+        """Ask VMs at the port at which each answers such questions.
+
+        `on_taken` gets the VM whose tables were taken.
+        """
+        self._on_taken = on_taken
         self._knowledge = knowledge
         self._journal = journal
         self._zone = zone
@@ -56,52 +65,57 @@
         snapshot = self._knowledge.make_snapshot(known, self._loop.time())
         return Answer(200, (), msgspec.msgpack.encode(snapshot))
 
-    def compare(self, heartbeat: Heartbeat) -> None:
-        """Ask the VM of a heartbeat for its tables if they are newer."""
+    def compare(self, source: Source, revisions: Revisions) -> None:
+        """Ask a VM for its tables if they are newer."""
         own = self._knowledge.revisions
-        self._knowledge.hear(heartbeat.revisions)
-        if heartbeat.vm in self._asked:
-            return
-        if not is_ahead(heartbeat.revisions, own):
+        self._knowledge.hear(revisions)
+        if source.vm in self._asked or not is_ahead(revisions, own):
             return
-        self._asked.add(heartbeat.vm)
-        task = self._loop.create_task(
-            self._pull(heartbeat, self._find_wait(heartbeat, own)),
-        )
+        self._asked.add(source.vm)
+        wait = self._find_wait(source, revisions)
+        task = self._loop.create_task(self._pull(source, revisions, wait))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _find_wait(self, heartbeat: Heartbeat, own: Revisions) -> float:
-        if heartbeat.zone == self._zone or not own.configuration:
+    def _find_wait(self, source: Source, revisions: Revisions) -> float:
+        own = self._knowledge.revisions
+        if source.zone == self._zone or not own.configuration:
             return 0.0
-        if is_ahead(heartbeat.revisions._replace(targets=0), own):
-            return _URGENT_WAIT_SECONDS
-        return _TARGETS_WAIT_SECONDS
+        relayed = _RELAYED_WAIT_SECONDS if source.is_relayed else 0.0
+        if is_ahead(revisions._replace(targets=0), own):
+            return _URGENT_WAIT_SECONDS + relayed
+        return _TARGETS_WAIT_SECONDS + relayed
 
-    async def _pull(self, heartbeat: Heartbeat, wait: float) -> None:
+    async def _pull(
+        self,
+        source: Source,
+        revisions: Revisions,
+        wait: float,
+    ) -> None:
         try:
             await asyncio.sleep(wait)
-            if is_ahead(heartbeat.revisions, self._knowledge.revisions):
-                await self._take(heartbeat)
+            if is_ahead(revisions, self._knowledge.revisions):
+                await self._take(source)
         finally:
-            self._asked.discard(heartbeat.vm)
+            self._asked.discard(source.vm)
 
-    async def _take(self, heartbeat: Heartbeat) -> None:
+    async def _take(self, source: Source) -> None:
         try:
-            snapshot = await self._read(Address(heartbeat.ip, self._port))
+            snapshot = await self._read(Address(source.ip, self._port))
         except (OSError, msgspec.MsgspecError) as error:
             self._journal.write(
                 events.SNAPSHOT_FAILED,
-                peer=heartbeat.vm,
+                peer=source.vm,
                 why=str(error) or type(error).__name__,
             )
             return
         self._knowledge.take_snapshot(snapshot, self._loop.time())
         self._journal.write(
             events.SNAPSHOT_TAKEN,
-            peer=heartbeat.vm,
+            peer=source.vm,
             revisions=self._knowledge.revisions,
         )
+        self._on_taken(source)
 
     async def _read(self, address: Address) -> Snapshot:
         host = f'{address.host}:{address.port}'.encode()
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -1,26 +1,36 @@
-"""Carries heartbeats between VMs as datagrams."""
+"""Carries messages between VMs as datagrams."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, cast
+from collections.abc import Callable, Iterable
+from typing import Final, NamedTuple, cast
 
 import msgspec
 
 from toucanhall.fleet.membership import Heartbeat
 from toucanhall.fleet.model import Address
+from toucanhall.fleet.reports import ZoneReport
 
-__all__ = ('Gossip', 'open_gossip')
+__all__ = ('Gossip', 'Message', 'open_gossip')
 
 _MOST_BYTES: Final = 60000  # a UDP datagram holds a little more
 
-Hear = Callable[[Heartbeat], None]
+
+class Message(NamedTuple):
+    """A heartbeat or a report; `is_relayed` when a VM of the zone passed it."""
+
+    heartbeat: Heartbeat | None = None
+    report: ZoneReport | None = None
+    is_relayed: bool = False
+
+
+Hear = Callable[[Message], None]
 
 
 class Gossip(asyncio.DatagramProtocol):
-    """The socket on which heartbeats come and go."""
+    """The socket on which messages come and go."""
 
     def __init__(self, *, hear: Hear, on_bad: Callable[[str], None]) -> None:
-        """Pass each heartbeat to `hear`; tell `on_bad` why one was dropped."""
+        """Pass each message to `hear`; tell `on_bad` why one was dropped."""
         self._hear = hear
         self._on_bad = on_bad
         self._transport: asyncio.DatagramTransport | None = None
@@ -30,23 +40,26 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, received: bytes, _address: object) -> None:
-        """Decode a heartbeat."""
+        """Decode a message."""
         try:
-            heartbeat = _DECODER.decode(received)
+            message = _DECODER.decode(received)
         except msgspec.MsgspecError as error:
             self._on_bad(str(error))
             return
-        self._hear(heartbeat)
+        self._hear(message)
 
     def error_received(self, error: Exception) -> None:
         """Note that a datagram could not be delivered."""
         self._on_bad(str(error))
 
-    def send(self, heartbeat: Heartbeat, addresses: list[Address]) -> None:
-        """Send a heartbeat to each address."""
-        if self._transport is None or not addresses:
+    def send(self, message: Message, addresses: Iterable[Address]) -> None:
+        """Send a message to each address."""
+        if self._transport is None:
+            return
+        sent = _ENCODER.encode(message)
+        if len(sent) > _MOST_BYTES:
+            self._on_bad(f'{len(sent)} bytes do not fit in a datagram')
             return
-        sent = _ENCODER.encode(heartbeat)[:_MOST_BYTES]
         for address in addresses:
             self._transport.sendto(sent, address)
 
@@ -57,7 +70,7 @@
     hear: Hear,
     on_bad: Callable[[str], None],
 ) -> Gossip:
-    """Listen for heartbeats at an address."""
+    """Listen for messages at an address."""
     (
         _transport,
         gossip,
@@ -69,4 +82,4 @@
 
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODER: Final = msgspec.msgpack.Decoder(Heartbeat)
+_DECODER: Final = msgspec.msgpack.Decoder(Message)
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -1,20 +1,24 @@
 """Which VMs are alive, and what they last told."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import chain
 from typing import Final, NamedTuple
 
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.model import Introduction
-from toucanhall.limits.quota import Told, Usage
+from toucanhall.fleet.reports import Member, ZoneReport
+from toucanhall.limits.quota import RESERVE_VMS, Told, Usage
 
 __all__ = (
     'ALIVE_SECONDS',
     'GONE_SECONDS',
     'LATE_SECONDS',
+    'REPORT_LATE_SECONDS',
+    'REPORT_SECONDS',
     'Heartbeat',
     'Members',
     'Peer',
-    'pick_watchers',
+    'make_member',
 )
 
 # Two heartbeats may be lost before a VM counts as dead.
@@ -25,18 +29,25 @@
 # A VM that is silent for so long is greeted no more, until the store or another
 # VM tells of it again: replacements take some seconds.
 GONE_SECONDS: Final = 60.0
-# Heartbeats between regions come each 1.6 s: a VM that told nothing for longer
+# Heartbeats come each 0.8 s: a VM that missed one and told nothing for longer
 # may be cut off and admit requests that nobody hears of.
 LATE_SECONDS: Final = 1.8
+# Two speakers of a zone report each 1.6 s, each to one of two listeners in
+# turn: after this time more than one report was lost.
+REPORT_LATE_SECONDS: Final = 2.6
+# The VMs of a zone are named for so long after its last report: with the
+# heartbeats before it a dead VM is named for less than six seconds, the least
+# that deployments allow.
+REPORT_SECONDS: Final = 4.0
 
 
 class Heartbeat(NamedTuple):
-    """What a VM tells the others.
+    """What a VM tells the others of its zone, and its seeds at a start.
 
     `started_at` tells its starts apart (Unix milliseconds), `lag` is how late
-    its loop is (seconds), `usage` holds
-    the requests of each team, `introduced` the VMs it knows when
-    it answers one that is new.
+    its loop is (seconds), `capacity` what it bears (requests a second),
+    `usage` holds the requests of each team. `is_asking` asks for `introduced`,
+    the VMs that the other one knows.
     """
 
     vm: str
@@ -46,8 +57,10 @@
     is_ready: bool
     is_leaving: bool
     lag: float
+    capacity: float
     revisions: Revisions
     usage: Mapping[str, Usage]
+    is_asking: bool = False
     introduced: tuple[Introduction, ...] = ()
 
 
@@ -58,24 +71,32 @@
     heard_at: float
 
 
+class _Heard(NamedTuple):
+    report: ZoneReport
+    heard_at: float
+
+
 class Members:
-    """The other VMs, by name."""
+    """The other VMs: those of the own zone by name, the others by zone."""
 
     def __init__(self) -> None:
         """Start without knowing any VM."""
         self.peers: dict[str, Peer] = {}
         self.introduced: dict[str, Introduction] = {}
+        # The last report of each speaker, by zone.
+        self._reports: dict[str, dict[str, _Heard]] = {}
 
     def hear(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Take a heartbeat; tell whether its VM is new or started again."""
+        """Take a heartbeat of the own zone.
+
+        Returns whether its VM is new, started again or was taken as dead.
+        """
         known = self.peers.get(heartbeat.vm)
         if known and heartbeat.started_at < known.heartbeat.started_at:
             return False
         self.peers[heartbeat.vm] = Peer(heartbeat, now)
-        self.introduced[heartbeat.vm] = Introduction(
-            heartbeat.vm,
-            heartbeat.zone,
-            heartbeat.ip,
+        self.introduce(
+            Introduction(heartbeat.vm, heartbeat.zone, heartbeat.ip),
         )
         return (
             known is None
@@ -83,22 +104,50 @@
             or now - known.heard_at > ALIVE_SECONDS
         )
 
+    def hear_report(self, report: ZoneReport, now: float) -> bool:
+        """Take a report of another zone; tell whether it was not heard yet."""
+        speakers = self._reports.setdefault(report.zone, {})
+        known = speakers.get(report.speaker)
+        if known and known.report.stamp >= report.stamp:
+            return False
+        speakers[report.speaker] = _Heard(report, now)
+        for found in report.members:
+            self.introduce(Introduction(found.vm, report.zone, found.ip))
+        return True
+
     def introduce(self, introduction: Introduction) -> bool:
         """Note where a VM may be found; tell whether it was unknown."""
-        is_new = introduction.vm not in self.introduced
-        if is_new:
-            self.introduced[introduction.vm] = introduction
+        is_new = self.introduced.get(introduction.vm) != introduction
+        self.introduced[introduction.vm] = introduction
         return is_new
 
+    def forget_unlisted(self, listed: Iterable[Introduction]) -> None:
+        """Drop VMs of other zones that have no entry and are not heard of."""
+        names = {found.vm for found in listed}
+        names.update(self.peers)
+        for speakers in self._reports.values():
+            for heard in speakers.values():
+                names.update(found.vm for found in heard.report.members)
+        self.introduced = {
+            vm: found for vm, found in self.introduced.items() if vm in names
+        }
+
     def excuse(self, seconds: float) -> None:
         """Forgive silence for the time in which this VM did not run."""
         self.peers = {
             vm: peer._replace(heard_at=peer.heard_at + seconds)
             for vm, peer in self.peers.items()
         }
+        self._reports = {
+            zone: {
+                speaker: heard._replace(heard_at=heard.heard_at + seconds)
+                for speaker, heard in speakers.items()
+            }
+            for zone, speakers in self._reports.items()
+        }
 
     def drop_gone(self, now: float) -> list[Introduction]:
-        """Drop and return the VMs that were silent for a minute."""
+        """Drop and return VMs of the own zone that were silent for a minute."""
         gone = [
             self.introduced[vm]
             for vm, peer in self.peers.items()
@@ -109,33 +158,92 @@
             self.peers.pop(found.vm)
         return gone
 
-    def list_alive(self, now: float) -> list[Heartbeat]:
-        """Return the last heartbeats of the VMs that are alive."""
+    def list_near(self, now: float) -> list[Member]:
+        """Return the VMs of the own zone that are alive."""
         return [
-            peer.heartbeat
+            make_member(peer.heartbeat)
             for peer in self.peers.values()
             if now - peer.heard_at <= ALIVE_SECONDS
         ]
 
-    def list_told(self, now: float) -> list[Told]:
-        """Return what VMs told of teams, also those that fell silent."""
+    def list_zone(self, zone: str, now: float) -> list[Member]:
+        """Return the VMs of another zone that its reports name."""
+        found = {
+            member.vm: member
+            for heard in self._list_heard(zone, now, REPORT_SECONDS)
+            for member in heard.report.members
+        }
+        return list(found.values())
+
+    def list_alive(self, now: float) -> list[Member]:
+        """Return the VMs of all zones that are alive."""
+        far = (self.list_zone(zone, now) for zone in self._reports)
+        return [*self.list_near(now), *chain.from_iterable(far)]
+
+    def list_zones(self) -> list[str]:
+        """Return the names of the zones in which VMs are known."""
+        return sorted({found.zone for found in self.introduced.values()})
+
+    def list_near_told(self, now: float, serving: set[str]) -> list[Told]:
+        """Return what VMs of the own zone told, also those now silent."""
         return [
-            Told(peer.heartbeat.usage, now - peer.heard_at > LATE_SECONDS)
+            Told(
+                peer.heartbeat.usage,
+                is_late=now - peer.heard_at > LATE_SECONDS,
+                vms=1.0 if peer.heartbeat.vm in serving else RESERVE_VMS,
+            )
             for peer in self.peers.values()
             if now - peer.heard_at <= FORGET_SECONDS
         ]
 
+    def list_far_told(self, now: float) -> list[Told]:
+        """Return what the other zones told."""
+        return [
+            told
+            for zone in self._reports
+            for told in self._find_zone_told(zone, now)
+        ]
+
+    def _find_zone_told(self, zone: str, now: float) -> Sequence[Told]:
+        recent = self._list_heard(zone, now, REPORT_LATE_SECONDS)
+        if recent:
+            # A speaker that has just started knows few VMs of its zone.
+            return max(recent, key=_get_size).report.told
+        last = self._list_heard(zone, now, FORGET_SECONDS)
+        if not last:
+            return ()
+        found = max(last, key=_get_heard_at).report.told
+        return [told._replace(is_late=True) for told in found]
+
+    def _list_heard(
+        self,
+        zone: str,
+        now: float,
+        seconds: float,
+    ) -> list[_Heard]:
+        return [
+            heard
+            for heard in self._reports.get(zone, {}).values()
+            if now - heard.heard_at <= seconds
+        ]
+
+
+def make_member(heartbeat: Heartbeat) -> Member:
+    """Return the VM of a heartbeat."""
+    return Member(
+        vm=heartbeat.vm,
+        zone=heartbeat.zone,
+        ip=heartbeat.ip,
+        is_ready=heartbeat.is_ready,
+        is_leaving=heartbeat.is_leaving,
+        lag=heartbeat.lag,
+        capacity=heartbeat.capacity,
+    )
+
+
+def _get_size(heard: _Heard) -> tuple[int, float]:
+    return len(heard.report.members), heard.heard_at
+
 
-def pick_watchers(
-    own: str,
-    zone: str,
-    alive: list[Heartbeat],
-    count: int,
-) -> list[str]:
-    """Return the names of the VMs of the own zone that watch the store."""
-    near = [
-        found.vm
-        for found in alive
-        if found.zone == zone and not found.is_leaving
-    ]
-    return sorted((own, *near))[:count]
+def _get_heard_at(heard: _Heard) -> float:
+    return heard.heard_at
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -37,7 +37,11 @@
 
 
 class Bounds(NamedTuple):
-    """Bounds that the whole fleet keeps; times in seconds."""
+    """Bounds that the whole fleet keeps; times in seconds.
+
+    Beyond the limit of a team, `quota_overage` of it and `quota_slack`
+    requests are borne in a window.
+    """
 
     grace: float
     directory_ttl: float
@@ -45,6 +49,8 @@
     retry_window: float
     retry_slack: float
     quota_window: float
+    quota_overage: float
+    quota_slack: float
     target_heartbeat: float
 
 
@@ -52,7 +58,8 @@
     """What a VM is told at its start.
 
     `regions` maps each availability zone to its region, `seeds` are control
-    addresses of VMs that may be down.
+    addresses of VMs that may be down, `capacity` is what the VM bears in
+    requests a second.
     """
 
     vm: str
@@ -65,6 +72,7 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
+    capacity: float
 
 
 class Part(NamedTuple):
--- /dev/null
+++ b/toucanhall/fleet/reports.py
@@ -0,0 +1,66 @@
+"""What a zone tells the other zones: its VMs and what they admitted."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from toucanhall.fleet.knowledge import Revisions
+from toucanhall.limits.quota import Told, Usage
+
+__all__ = ('Member', 'ZoneReport', 'sum_told')
+
+
+class Member(NamedTuple):
+    """A VM that is alive; `capacity` is in requests a second."""
+
+    vm: str
+    zone: str
+    ip: str
+    is_ready: bool
+    is_leaving: bool
+    lag: float
+    capacity: float
+
+
+class ZoneReport(NamedTuple):
+    """The state of a zone as one of its speakers sees it.
+
+    `stamp` grows with each report of the speaker (Unix milliseconds of its
+    start, number of the report); `told` holds the requests of the VMs that
+    were heard lately, then of those that fell silent, each summed.
+    """
+
+    zone: str
+    speaker: str
+    ip: str
+    stamp: tuple[int, int]
+    revisions: Revisions
+    members: tuple[Member, ...]
+    told: tuple[Told, ...]
+
+
+def sum_told(told: Iterable[Told]) -> tuple[Told, ...]:
+    """Add up what VMs told: those heard lately, then those that are late."""
+    groups: dict[bool, list[Told]] = {False: [], True: []}
+    for found in told:
+        groups[found.is_late].append(found)
+    return tuple(
+        Told(
+            _sum_usage(found.usage for found in group),
+            is_late=is_late,
+            vms=sum(found.vms for found in group),
+        )
+        for is_late, group in groups.items()
+        if group
+    )
+
+
+def _sum_usage(usages: Iterable[Mapping[str, Usage]]) -> dict[str, Usage]:
+    total: dict[str, Usage] = {}
+    for usage in usages:
+        for team, found in usage.items():
+            known = total.get(team, Usage())
+            total[team] = Usage(
+                known.admitted + found.admitted,
+                round(known.demand + found.demand, 2),
+            )
+    return total
--- /dev/null
+++ b/toucanhall/fleet/selection.py
@@ -0,0 +1,54 @@
+"""Picks the VMs of a zone that take requests, speak for it and hear for it.
+
+Load pattern: a zone has a few large VMs and a dozen small ones. Were its
+clients spread over all of them, each VM would see a few requests a second:
+too few to know how full targets are, to keep connections open, and to divide
+the limit of a team into parts of a request or more. So the directory names the
+VMs that bear most; the rest stands by.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from toucanhall.fleet.reports import Member
+
+__all__ = ('LAGGING_SECONDS', 'pick_serving', 'pick_speakers', 'rank')
+
+# A client leaves out addresses that failed it and needs others to turn to: one
+# of three VMs may be cut off (share of the deployments' cuts) together with
+# another one that is being stopped.
+_SERVING: Final = 4
+# One speaks while the death of the other is not noticed.
+_SPEAKERS: Final = 2
+LAGGING_SECONDS: Final = 0.05  # a fifth of the shortest objective
+
+
+def rank(members: Iterable[Member]) -> list[Member]:
+    """Return VMs from the one that bears most, alike at every VM."""
+    return sorted(members, key=_get_rank)
+
+
+def pick_serving(members: Iterable[Member]) -> list[Member]:
+    """Return the VMs of a zone that its clients should use.
+
+    All that are ready take part once one of those picked does not keep up.
+    """
+    ready = [found for found in rank(members) if found.is_ready]
+    picked = ready[:_SERVING]
+    if any(found.lag > LAGGING_SECONDS for found in picked):
+        return ready
+    return picked
+
+
+def pick_speakers(members: Iterable[Member]) -> Sequence[Member]:
+    """Return the VMs that watch the store and speak for their zone.
+
+    The first one watches; both report to other zones.
+    """
+    ranked = rank(members)
+    staying = [found for found in ranked if not found.is_leaving]
+    return (staying or ranked)[:_SPEAKERS]
+
+
+def _get_rank(member: Member) -> tuple[float, str]:
+    return -member.capacity, member.vm
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -13,17 +13,28 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
-from toucanhall.fleet.model import Team
+from toucanhall.fleet.model import Bounds, Team
 
-__all__ = ('Quotas', 'Told', 'Usage')
+__all__ = ('RESERVE_VMS', 'Quotas', 'Told', 'Usage')
 
 _DEMAND_WEIGHT: Final = 0.25  # of the last beat in the smoothed demand
 # Part of the average demand that a VM without any keeps, to admit the first.
 _IDLE_SHARE: Final = 0.5
+# A VM that the directory does not name counts as this part of one: some
+# clients come with an old answer.
+RESERVE_VMS: Final = 0.02
+# Demand that each VM counts as having at least, in requests a second: a team of
+# a few requests a second is divided evenly, since what each VM saw is chance.
+_LEAST_DEMAND: Final = 0.4
+# Tokens that a VM may keep at most while its part of the room is smaller.
+_MOST_KEPT: Final = 3.0
+# Part of what the fleet may still admit, the slack beyond the limit included,
+# that all VMs together keep as tokens.
+_KEPT_SHARE: Final = 0.8
 _SPEND_SHARE: Final = 0.5  # of the own part of the room, between two beats
 # Part of the window that a VM which has just started takes as spent before.
 _START_SHARE: Final = 0.8
-_LEAST_TOKENS: Final = 1.0
+_FIRST_TOKENS: Final = 1.0
 # A VM whose demand jumps spends so much more than its part of the limit until
 # the others know: if they do not hear of it, the overrun stays in the overage.
 _MOST_PART: Final = 1.5
@@ -46,10 +57,15 @@
 
 
 class Told(NamedTuple):
-    """What a VM told last; `is_late` when it should have told more since."""
+    """What a VM told last, or the sum of several.
+
+    `is_late` when more should have been told since; `vms` is how many VMs take
+    requests.
+    """
 
     usage: Mapping[str, Usage]
     is_late: bool = False
+    vms: float = 1.0
 
 
 class _Meter:
@@ -84,8 +100,10 @@
 class Quotas:
     """The part of each team's limit that this VM may spend."""
 
-    def __init__(self, *, window: float, beat: float, now: float) -> None:
-        """Take the window of the limits and the time between beats (s)."""
+    def __init__(self, *, bounds: Bounds, beat: float, now: float) -> None:
+        """Take the bounds of the limits and the time between beats (s)."""
+        self._bounds = bounds
+        window = bounds.quota_window
         self._window = window
         self._beats = int(window / beat)
         self._started_at = now
@@ -100,7 +118,7 @@
         meter = self._meters.get(team.name)
         if meter is None:
             meter = _Meter()
-            meter.tokens = _LEAST_TOKENS
+            meter.tokens = _FIRST_TOKENS
             self._meters[team.name] = meter
         meter.arrived += 1
         if meter.tokens >= 1:
@@ -144,7 +162,7 @@
     def divide(
         self,
         teams: Iterable[Team],
-        own: Mapping[str, Usage],
+        own: Told,
         others: Iterable[Told],
         now: float,
     ) -> None:
@@ -153,11 +171,15 @@
         A VM that is late may be cut off and go on: it counts as if it had
         spent its whole part of the limit.
         """
-        all_vms = [Told(own), *others]
+        all_vms = [own, *others]
         self.is_busy = False
         for team in teams:
             reports = [
-                _Report(told.usage.get(team.name, _NOTHING), told.is_late)
+                _Report(
+                    told.usage.get(team.name, _NOTHING),
+                    told.is_late,
+                    told.vms,
+                )
                 for told in all_vms
             ]
             if team.rate is not None:
@@ -174,7 +196,7 @@
         limit = rate * self._window + team.burst * _BURST_SHARE
         demands = [report.usage.demand for report in reports]
         demands[0] = meter.demands[-1] if meter.demands else 0.0
-        parts = _divide(demands)
+        parts = _divide(demands, [report.vms for report in reports])
         admitted = _count_admitted(reports, parts, limit)
         if admitted > _BUSY_SHARE * limit:
             self.is_busy = True
@@ -185,11 +207,23 @@
         most = max(_LEAST_WINDOW, _MOST_PART * part * limit)
         most -= reports[0].usage.admitted
         meter.room = max(0.0, min((limit - spent) * part, most))
+        vms = sum(report.vms for report in reports)
         meter.tokens = min(
-            max(_LEAST_TOKENS, meter.room),
+            max(self._find_kept(team, limit - spent, vms), meter.room),
             meter.tokens + meter.room * _SPEND_SHARE,
         )
 
+    def _find_kept(self, team: Team, left: float, vms: float) -> float:
+        """Return the tokens that a VM may keep while its part is small.
+
+        `left` is what the window has room for.
+        """
+        bounds = self._bounds
+        beyond = bounds.quota_slack + (1 - _BURST_SHARE) * team.burst
+        beyond += bounds.quota_overage * (team.rate or 0) * self._window
+        kept = _KEPT_SHARE * (max(0.0, left) + beyond) / max(1.0, vms)
+        return min(_MOST_KEPT, _FIRST_TOKENS + kept)
+
     def _assume_spent(self, now: float) -> float:
         """Return the part of the window that counts as spent before."""
         elapsed = (now - self._started_at) / self._window
@@ -206,8 +240,9 @@
         A VM that hears from few others keeps the part that it had: what they
         ask for now is not known.
         """
-        late = sum(report.is_late for report in reports)
-        if meter.part is None or late * 2 < len(reports):
+        vms = sum(report.vms for report in reports)
+        late = sum(report.vms for report in reports if report.is_late)
+        if meter.part is None or late * 2 < vms:
             meter.part = parts[0] / _sum_present(reports, parts)
         return meter.part
 
@@ -221,13 +256,17 @@
 class _Report(NamedTuple):
     usage: Usage
     is_late: bool
+    vms: float
 
 
-def _divide(demands: list[float]) -> list[float]:
+def _divide(demands: list[float], vms: list[float]) -> list[float]:
     total = sum(demands)
-    floor = _IDLE_SHARE * total / len(demands) or 1.0
-    whole = total + floor * len(demands)
-    return [(demand + floor) / whole for demand in demands]
+    floor = max(_LEAST_DEMAND, _IDLE_SHARE * total / sum(vms))
+    whole = total + floor * sum(vms)
+    return [
+        (demand + floor * count) / whole
+        for demand, count in zip(demands, vms, strict=True)
+    ]
 
 
 def _count_admitted(
--- a/toucanhall/limits/retries.py
+++ b/toucanhall/limits/retries.py
@@ -20,16 +20,16 @@
 class Retries:
     """Tokens of one service."""
 
-    def __init__(self, *, bounds: Bounds, vms: int, now: float) -> None:
+    def __init__(self, *, bounds: Bounds, vms: float, now: float) -> None:
         """Start with one repeat: what was spent before is not known."""
         self._bounds = bounds
         self._vms = vms
         self._updated_at = now
         self._tokens = 1.0
 
-    def resize(self, vms: int) -> None:
-        """Take how many VMs share the slack."""
-        self._vms = max(1, vms)
+    def resize(self, vms: float) -> None:
+        """Take how many VMs share the slack; inf for one without a part."""
+        self._vms = max(1.0, vms)
 
     def earn(self) -> None:
         """Count a request for the service."""
@@ -63,11 +63,11 @@
     def __init__(self, *, bounds: Bounds) -> None:
         """Start without having heard of any service or other VM."""
         self._bounds = bounds
-        self._vms = 1
+        self._vms = 1.0
         self._services: dict[str, Retries] = {}
 
-    def resize(self, vms: int) -> None:
-        """Take how many VMs there are."""
+    def resize(self, vms: float) -> None:
+        """Take how many VMs share the slack; inf for one without a part."""
         self._vms = vms
         for retries in self._services.values():
             retries.resize(vms)
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -15,6 +15,11 @@
 # they have left a VM that stops before the usual grace of six seconds ends.
 _DIRECTORY_TTL: Final = 2.0  # seconds
 _DEFAULT_GRACE: Final = '6s'
+# What a request takes of a VM: processor seconds (docs/OPERATIONS.md) and the
+# bytes of the larger direction of its link.
+_REQUEST_CORE_SECONDS: Final = 0.001
+_REQUEST_BYTES: Final = 4000
+_BYTES_PER_MEGABIT: Final = 125_000
 
 
 class BadSettings(ValueError):
@@ -63,6 +68,18 @@
             document['bounds'],
             read_seconds(document.get('heartbeat', '1500ms')),
         ),
+        capacity=_read_capacity(document.get('limits') or {}),
+    )
+
+
+def _read_capacity(limits: Mapping[str, Any]) -> float:
+    cores = float(limits.get('cpu_share', 1)) * float(
+        limits.get('cpu_cores', 1),
+    )
+    link = float(limits.get('link_mbps', 1000)) * _BYTES_PER_MEGABIT
+    return round(
+        min(cores / _REQUEST_CORE_SECONDS, link / _REQUEST_BYTES),
+        1,
     )
 
 
@@ -80,6 +97,8 @@
         retry_window=read_seconds(bounds.get('budget_window', '10s')),
         retry_slack=float(bounds.get('budget_slack', 0)),
         quota_window=read_seconds(bounds.get('quota_window', '5s')),
+        quota_overage=float(bounds.get('quota_overage', 0)),
+        quota_slack=float(bounds.get('quota_slack', 0)),
         target_heartbeat=target_heartbeat,
     )
 
