--- /dev/null
+++ b/standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults against real programs, and the promises that must hold."""
