--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -39,12 +39,19 @@
         self._retries = retries
         self._journal = journal
         self._clock = clock
+        self._serving: dict[str, list[str]] = {}
         self._changes = {
             'configuration': self._take_configuration,
             'targets': self._take_targets,
             'evacuations': self._take_evacuations,
         }
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the directory names this VM."""
+        near = self._serving.get(self._environment.zone, [])
+        return self._environment.vm in near
+
     def take_change(self, table: str) -> None:
         """Act on a changed table."""
         self._changes[table]()
@@ -67,8 +74,27 @@
         for other in members.list_zones():
             if other != self._environment.zone:
                 serving[other] = _pick_names(members.list_zone(other, now))
+        self._take_serving(serving)
         self._divide(members, serving, own, now)
 
+    def _take_serving(self, serving: dict[str, list[str]]) -> None:
+        changed = [
+            zone
+            for zone, vms in serving.items()
+            if vms != self._serving.get(zone, [])
+        ]
+        for name in changed:
+            self._journal.write(
+                events.SERVING_CHANGED,
+                zone=name,
+                vms=serving[name],
+            )
+        self._serving = serving
+        self._field.take_vms(
+            self._environment.vm,
+            {zone: sorted(vms) for zone, vms in serving.items() if vms},
+        )
+
     def _divide(
         self,
         members: Members,
@@ -76,13 +102,8 @@
         own: Mapping[str, Usage],
         now: float,
     ) -> None:
-        vm = self._environment.vm
         near = set(serving[self._environment.zone])
-        is_serving = vm in near
-        self._field.take_vms(
-            vm,
-            {zone: sorted(vms) for zone, vms in serving.items() if vms},
-        )
+        is_serving = self.is_serving
         self._retries.resize(
             sum(map(len, serving.values())) if is_serving else math.inf,
         )
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -313,6 +313,7 @@
             'vms_alive': lambda: len(
                 self._mate.members.list_alive(self._loop.time()),
             ),
+            'takes_requests': lambda: self._duties.is_serving,
             'targets_known': lambda: len(knowledge.targets),
             'configuration_revision': lambda: knowledge.revisions.configuration,
             'targets_revision': lambda: knowledge.revisions.targets,
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -25,7 +25,10 @@
 EVACUATIONS_CHANGED: Final = Event(312, logging.INFO, 'evacuated zones changed')
 PEER_JOINED: Final = Event(400, logging.INFO, 'VM is alive')
 PEER_LOST: Final = Event(401, logging.WARNING, 'VM fell silent')
-MESSAGE_DROPPED: Final = Event(403, logging.WARNING, 'heartbeat dropped')
+SERVING_CHANGED: Final = Event(
+    402, logging.INFO, 'VMs that take requests changed',
+)  # fmt: skip
+MESSAGE_DROPPED: Final = Event(403, logging.WARNING, 'message of a VM dropped')
 SNAPSHOT_TAKEN: Final = Event(404, logging.INFO, 'tables taken from a VM')
 SNAPSHOT_FAILED: Final = Event(405, logging.WARNING, 'VM sent no tables')
 REQUEST_REFUSED: Final = Event(600, logging.INFO, 'request refused')
