Count silent zones by the entries of all VMs once they were read

A zone of the settings without VMs would hold back its part of each team's limit for 20 s after a start. Its test fails on the code before.

--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -121,7 +121,7 @@
     )
     for vm in ('vm-8', 'vm-9'):
         members.introduce(Introduction(vm, 'west-a', '127.0.0.8'))
-    members.forget_unlisted([Introduction('vm-9', 'west-a', '127.0.0.8')])
+    members.take_listing([Introduction('vm-9', 'west-a', '127.0.0.8')])
     assert set(members.introduced) == {'vm-1', 'vm-7', 'vm-9'}
 
 
@@ -167,3 +167,10 @@
         told.usage is None for told in members.list_near_told(1.5, {'vm-own'})
     )
     assert not members.list_far_told(FORGET_SECONDS)
+
+
+def test_zone_without_vms_does_not_count_once_all_entries_were_read():
+    members = make_members('west-a', 'empty-a', now=0.0)
+    assert len(members.list_far_told(1.0)) == 2
+    members.take_listing([Introduction('vm-9', 'west-a', '127.0.0.9')])
+    assert members.list_far_told(2.5) == [make_unheard(MOST_SERVING)]
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -259,7 +259,7 @@
         self._meet_listed(await self._entries.register(own))
 
     def _meet_listed(self, listed: list[Introduction]) -> None:
-        self._mate.members.forget_unlisted(listed)
+        self._mate.members.take_listing(listed)
         self._mate.meet(listed)
 
     def _is_ready(self) -> bool:
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -89,6 +89,8 @@
     ) -> None:
         """Start without knowing any VM but the own one."""
         self._own = own
+        # Zones in which there should be VMs: those of the settings, until the
+        # entries of all VMs were read some time after a start.
         self._zones = frozenset(zones)
         self._started_at = now
         self.peers: dict[str, Peer] = {}
@@ -131,8 +133,9 @@
         self.introduced[introduction.vm] = introduction
         return is_new
 
-    def forget_unlisted(self, listed: Iterable[Introduction]) -> None:
+    def take_listing(self, listed: Sequence[Introduction]) -> None:
         """Drop VMs of other zones that have no entry and are not heard of."""
+        self._zones = frozenset(found.zone for found in listed)
         names = {found.vm for found in listed}
         names.update(self.peers)
         for speakers in self._reports.values():
