--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -1,195 +1,13 @@
 """Plays random faults by seed and tells which promises were broken."""
 
 import argparse
-import random
 import sys
-import threading
-import time
-from collections import Counter
 from collections.abc import Sequence
-from concurrent.futures import ThreadPoolExecutor
-from http import HTTPStatus
-from typing import Final
 
-from standins.site.deployment import wait_until
-from standins.site.documents import KEY
-from standins.soak.field import OTHER_KEY, OTHER_TEAM, TEAM, Field
-from standins.soak.promises import Call, check_calls, check_runs
-from standins.soak.schedule import Subjects, draw
-from toucanhall.observe import events
+from standins.soak.play import play
+from standins.soak.regressions import REGRESSIONS
 
-_CALLERS: Final = 6
-_PAUSE_SECONDS: Final = 0.03  # of a caller between two requests
-_PATIENCE_MS: Final = 3000
-_BOOKINGS: Final = 0.3  # share of the requests
-_ITEMS: Final = 40
-_RECOVERY_SECONDS: Final = 15.0
-# In force everywhere, for VMs that hear of it from others (the bounds of the
-# deployments, from the acknowledgement).
-_WITHDRAWN_SECONDS: Final = 7.5
-_FIRST_NET: Final = 100
-_NETS: Final = 100  # seeds that may be played at the same time
-
-
-class _Callers:
-    """Callers that make requests until they are told to stop."""
-
-    def __init__(self, *, field: Field, subjects: Subjects, seed: int) -> None:
-        self._field = field
-        self._vms = subjects.vms
-        self._seed = seed
-        self._stopping = threading.Event()
-        self.calls: list[Call] = []
-        self._threads = [
-            threading.Thread(target=self._call_on, args=(number,))
-            for number in range(_CALLERS)
-        ]
-
-    def start(self) -> None:
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self) -> None:
-        self._stopping.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _call_on(self, caller: int) -> None:
-        chance = random.Random(f'{self._seed} {caller}')
-        number = 0
-        while not self._stopping.wait(_PAUSE_SECONDS):
-            number += 1
-            is_booking = chance.random() < _BOOKINGS
-            route = 'book' if is_booking else 'view'
-            self.calls.append(
-                call(
-                    self._field,
-                    chance.choice(self._vms),
-                    f'/{route}/{caller}-{number}',
-                    item=str(chance.randrange(_ITEMS)),
-                ),
-            )
-
-
-def call(
-    field: Field,
-    vm: str,
-    path: str,
-    *,
-    item: str = '1',
-    is_other: bool = False,
-) -> Call:
-    """Make a request of a caller, or of one whose key may be withdrawn."""
-    is_booking = path.startswith('/book/')
-    began = time.monotonic()
-    outcome = field.site.request(
-        vm,
-        path,
-        method='POST' if is_booking else 'GET',
-        body=b'deposit' if is_booking else None,
-        item=item,
-        key=OTHER_KEY if is_other else KEY,
-        wait_ms=_PATIENCE_MS,
-    )
-    return Call(
-        request_id=outcome.request_id,
-        vm=vm,
-        path=path,
-        team=OTHER_TEAM if is_other else TEAM,
-        is_booking=is_booking,
-        status=outcome.status,
-        body=outcome.body,
-        seconds=outcome.seconds,
-        is_calm=field.was_calm(vm, began),
-        may_be_denied=is_other,
-    )
-
-
-def play(seed: int, seconds: float) -> list[str]:
-    """Play one run; return what was wrong."""
-    field = Field(net=_FIRST_NET + seed % _NETS)
-    try:
-        subjects = field.start()
-        callers = _Callers(field=field, subjects=subjects, seed=seed)
-        faults = draw(seed, seconds, subjects)
-        began = time.monotonic()
-        callers.start()
-        with ThreadPoolExecutor(len(faults) + 1) as pool:
-            struck = []
-            for fault in faults:
-                time.sleep(max(0.0, began + fault.at - time.monotonic()))
-                struck.append(pool.submit(field.strike, fault))
-        callers.stop()
-        wrong = [
-            repr(found.exception()) for found in struck if found.exception()
-        ]
-        wrong += _check_recovery(field, subjects)
-        runs = [
-            run for found in field.site.targets.values() for run in found.runs
-        ]
-        asked = [*callers.calls, *field.checks]
-        wrong += check_calls(asked, runs)
-        wrong += check_runs(asked, runs)
-        wrong += _check_programs(field, subjects)
-        statuses = dict(
-            sorted(Counter(found.status for found in asked).items())
-        )
-        kinds = dict(sorted(Counter(found.kind for found in faults).items()))
-        print(
-            f'seed {seed}: {len(wrong)} wrong, {len(asked)} requests '
-            f'{statuses}, faults {kinds}, logs {field.site.folder}',
-            flush=True,
-        )
-        return wrong
-    finally:
-        field.stop()
-
-
-def _check_recovery(field: Field, subjects: Subjects) -> list[str]:
-    """Check that all VMs serve again, and deny a key that is withdrawn."""
-
-    def is_served(vm: str) -> bool:
-        return ask(vm, is_other=False).status == HTTPStatus.OK
-
-    def is_denied(vm: str) -> bool:
-        return ask(vm, is_other=True).status == HTTPStatus.UNAUTHORIZED
-
-    def ask(vm: str, *, is_other: bool) -> Call:
-        path = f'/view/last-{time.monotonic_ns()}'
-        found = call(field, vm, path, is_other=is_other)
-        field.checks.append(found)
-        return found
-
-    wrong = []
-    try:
-        wait_until(
-            lambda: all(is_served(vm) for vm in subjects.vms),
-            'all VMs serve',
-            _RECOVERY_SECONDS,
-        )
-        field.withdraw_for_good()
-        wait_until(
-            lambda: all(is_denied(vm) for vm in subjects.vms),
-            'the withdrawn key is denied',
-            _WITHDRAWN_SECONDS,
-        )
-    except TimeoutError as error:
-        wrong.append(str(error))
-    return wrong
-
-
-def _check_programs(field: Field, subjects: Subjects) -> list[str]:
-    wrong = [
-        f'{vm} ended by itself'
-        for vm in subjects.vms
-        if field.site.vms[vm].poll() is not None
-    ]
-    wrong += [
-        f'{vm}: {line}'
-        for vm in subjects.vms
-        for line in field.site.find_events(vm, events.REQUEST_CRASHED.number)
-    ]
-    return wrong
+_LINES_SHOWN = 20
 
 
 def main(arguments: Sequence[str]) -> int:
@@ -198,17 +16,27 @@
     parser.add_argument('--seed', type=int, default=1, help='the first seed')
     parser.add_argument('--seeds', type=int, default=1, help='how many')
     parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument(
+        '--regressions',
+        action='store_true',
+        help='play the seeds that failed before as well',
+    )
     options = parser.parse_args(arguments)
-    failed = []
-    for seed in range(options.seed, options.seed + options.seeds):
-        wrong = play(seed, options.seconds)
-        for line in wrong[:20]:
-            print(f'  {line}', flush=True)
-        if wrong:
-            failed.append(seed)
+    seeds = range(options.seed, options.seed + options.seeds)
+    runs = [(seed, options.seconds) for seed in seeds]
+    if options.regressions:
+        runs += [(found.seed, found.seconds) for found in REGRESSIONS]
+    failed = [seed for seed, seconds in runs if not _is_kept(seed, seconds)]
     print(f'seeds that failed: {failed}' if failed else 'no promise was broken')
     return 1 if failed else 0
 
 
+def _is_kept(seed: int, seconds: float) -> bool:
+    wrong = play(seed, seconds)
+    for line in wrong[:_LINES_SHOWN]:
+        print(f'  {line}', flush=True)
+    return not wrong
+
+
 if __name__ == '__main__':
     sys.exit(main(sys.argv[1:]))
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -100,6 +100,9 @@
     # P shows what passed tests printed: states, times, counterexamples.
     'models': run_tests('tests/models', report='-rfEP'),
     'processes': run_tests('tests/processes', workers=_WORKERS),
+    'soak': run_tool(
+        'standins.soak', '--seed', '1', '--seconds', '12', '--regressions'
+    ),
     'features': run_tool('behave', '--format=progress', 'tests/features'),
 }
 
