--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -7,6 +7,7 @@
 
 from standins.site.deployment import Deployment, wait_until
 from standins.site.documents import KEY, make_configuration, make_rule
+from toucanhall import cmdline
 from toucanhall.observe import events
 
 NET = 62
@@ -329,3 +330,39 @@
     assert line['reason'] == 'unknown-key'
     assert line['configuration'] == 1
     assert line['status'] == 401
+
+
+def test_refusal_of_a_team_over_its_limit_is_explained(site, capsys):
+    team = {'name': 'guides', 'api_keys': [KEY], 'rate_per_s': 2, 'burst': 2}
+    site.write(
+        'config',
+        'main',
+        make_configuration(site.store.revision, teams=[team]),
+    )
+    refused = []
+
+    def is_refused():
+        # The first ones come before a heartbeat has divided the limit.
+        site.request('vm-1')
+        refused[:] = [
+            line['request']
+            for line in site.find_events('vm-1', events.REQUEST_REFUSED.number)
+            if line.get('limit')
+        ]
+        return refused
+
+    wait_until(is_refused, 'over the limit')
+    logs = [str(path) for path in site.folder.glob('*.log')]
+    assert cmdline.run(['explain', refused[-1], *logs]) == 0
+    story = capsys.readouterr().out
+    for told in (
+        '[310] configuration in force',
+        '[402] VMs that take requests changed',
+        'status=429 reason="over-quota"',
+        'team="guides"',
+        'limit=',
+        'spent=',
+        'part=',
+        'age=',
+    ):
+        assert told in story, story
--- a/toucanhall/observe/stories.py
+++ b/toucanhall/observe/stories.py
@@ -16,6 +16,7 @@
         events.EVACUATIONS_CHANGED.number,
         events.STORE_LOST.number,
         events.STORE_REGAINED.number,
+        events.SERVING_CHANGED.number,
         events.RESUMED.number,
         events.STARTED.number,
         events.STOPPING.number,
