Name as many VMs of a zone as its load asks for

Four VMs a zone were named whatever the load: with fifty small VMs of 150 requests a second each, 1,500 requests a second would choke the four until their lag named all fifty, and back. VMs tell what they take; those named bear four times the load of their zone, four of them at least.

--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -77,6 +77,7 @@
         is_leaving=False,
         lag=0.0,
         capacity=600.0,
+        load=0.0,
         revisions=Revisions(),
         usage={},
     )
@@ -93,6 +94,7 @@
         is_leaving=False,
         lag=0.0,
         capacity=600.0,
+        load=0.0,
     )
     return member._replace(**fields)
 
--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -344,11 +344,8 @@
     def is_refused():
         # The first ones come before a heartbeat has divided the limit.
         site.request('vm-1')
-        refused[:] = [
-            line['request']
-            for line in site.find_events('vm-1', events.REQUEST_REFUSED.number)
-            if line.get('limit')
-        ]
+        lines = site.find_events('vm-1', events.REQUEST_REFUSED.number)
+        refused.extend(line['request'] for line in lines if line.get('limit'))
         return refused
 
     wait_until(is_refused, 'over the limit')
--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -17,7 +17,11 @@
 )
 from toucanhall.fleet.model import Introduction
 from toucanhall.fleet.reports import sum_told
-from toucanhall.fleet.selection import MOST_SERVING, pick_serving, pick_speakers
+from toucanhall.fleet.selection import (
+    LEAST_SERVING,
+    pick_serving,
+    pick_speakers,
+)
 from toucanhall.limits.quota import Told, Usage, make_unheard
 
 
@@ -145,6 +149,26 @@
     assert pick_serving(reversed(ZONE)) == pick_serving(ZONE)
 
 
+@pytest.mark.parametrize(
+    ('load', 'count'),
+    ((0.0, 4), (600.0, 4), (700.0, 6), (100000.0, 6)),
+)
+def test_as_many_vms_take_requests_as_the_load_asks_for(load, count):
+    zone = [ZONE[0]._replace(load=load / 2), *ZONE[1:]]
+    zone[1] = zone[1]._replace(load=load / 2)
+    assert len(pick_serving(zone)) == count
+
+
+def test_zone_of_small_vms_shares_a_large_load():
+    zone = [
+        make_member(f'vm-{index:02}', capacity=150.0, load=30.0)
+        for index in range(50)
+    ]
+    # 1,500 requests a second of 7,500 that all of them bear.
+    picked = pick_serving(zone)
+    assert 4 * 1500 <= sum(found.capacity for found in picked) <= 4 * 1500 + 150
+
+
 def test_all_vms_take_part_when_one_does_not_keep_up():
     zone = [ZONE[0], ZONE[1]._replace(lag=0.2), *ZONE[2:]]
     assert len(pick_serving(zone)) == 6
@@ -158,11 +182,11 @@
 def test_zones_and_vms_that_told_nothing_count_after_a_start():
     members = make_members('west-a', 'west-b', now=0.0)
     members.introduce(Introduction('vm-2', 'east-a', '127.0.0.2'))
-    assert members.list_far_told(1.0) == [make_unheard(MOST_SERVING)] * 2
+    assert members.list_far_told(1.0) == [make_unheard(LEAST_SERVING)] * 2
     assert members.list_near_told(1.0, {'vm-own'}) == [make_unheard(1)]
     members.hear_report(make_report(), 1.0)
     members.hear(make_heartbeat('vm-2'), 1.0)
-    assert members.list_far_told(1.5) == [make_unheard(MOST_SERVING)]
+    assert members.list_far_told(1.5) == [make_unheard(LEAST_SERVING)]
     assert not any(
         told.usage is None for told in members.list_near_told(1.5, {'vm-own'})
     )
@@ -173,4 +197,4 @@
     members = make_members('west-a', 'empty-a', now=0.0)
     assert len(members.list_far_told(1.0)) == 2
     members.take_listing([Introduction('vm-9', 'west-a', '127.0.0.9')])
-    assert members.list_far_told(2.5) == [make_unheard(MOST_SERVING)]
+    assert members.list_far_told(2.5) == [make_unheard(LEAST_SERVING)]
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -25,11 +25,12 @@
 
 
 class Standing(NamedTuple):
-    """What a VM tells of its own state."""
+    """What a VM tells of its own state; see Heartbeat."""
 
     is_ready: bool
     is_leaving: bool
     lag: float
+    load: float
 
 
 class Source(NamedTuple):
@@ -214,6 +215,7 @@
             is_leaving=standing.is_leaving,
             lag=standing.lag,
             capacity=environment.capacity,
+            load=standing.load,
             revisions=self._knowledge.revisions,
             usage=self.usage,
         )
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -5,6 +5,7 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import Admitted, admit
+from toucanhall.edge.arrivals import Arrivals
 from toucanhall.edge.refusals import Refusal
 from toucanhall.edge.reporting import Reporter
 from toucanhall.edge.sending import Failure, Sender, Success
@@ -77,6 +78,7 @@
         self._lag = lag
         self._loop = asyncio.get_running_loop()
         self._times = UsualTimes()
+        self.arrivals = Arrivals(now=self._loop.time())
         self.in_flight = 0
 
     def is_cancellable(self, request: Request) -> bool:
@@ -90,6 +92,7 @@
 
     async def serve(self, request: Request) -> Answer:
         """Return the final answer to a request."""
+        self.arrivals.add()
         marks = read_caller_marks(request)
         admitted = admit(
             request,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -279,6 +279,7 @@
             is_ready=self._is_ready(),
             is_leaving=self._stopping.is_set(),
             lag=round(self._lag.seconds, 3),
+            load=round(self._path.arrivals.per_second, 1),
         )
 
     def _take_change(self, table: str) -> None:
@@ -291,6 +292,7 @@
             self._mate.tell(is_first=False)
 
     def _take_beat(self) -> None:
+        self._path.arrivals.measure(self._loop.time())
         zone = self._mate.list_zone()
         self._duties.take_beat(self._mate.members, zone, self._mate.usage)
         watcher = pick_speakers(zone)[0]
@@ -308,6 +310,7 @@
         gauges: dict[str, Callable[[], float]] = {
             'loop_lag_seconds': lambda: self._lag.seconds,
             'requests_in_flight': lambda: self._path.in_flight,
+            'requests_per_second': lambda: self._path.arrivals.per_second,
             'connections_of_callers': lambda: len(self._connections),
             'connections_to_targets_opened': lambda: self._pool.opened,
             'vms_alive': lambda: len(
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -7,7 +7,7 @@
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.model import Introduction
 from toucanhall.fleet.reports import Member, ZoneReport
-from toucanhall.fleet.selection import MOST_SERVING
+from toucanhall.fleet.selection import LEAST_SERVING
 from toucanhall.limits.quota import RESERVE_VMS, Told, Usage, make_unheard
 
 __all__ = (
@@ -46,9 +46,9 @@
     """What a VM tells the others of its zone, and its seeds at a start.
 
     `started_at` tells its starts apart (Unix milliseconds), `lag` is how late
-    its loop is (seconds), `capacity` what it bears (requests a second),
-    `usage` holds the requests of each team. `is_asking` asks for `introduced`,
-    the VMs that the other one knows.
+    its loop is (seconds), `capacity` what it bears and `load` what it takes
+    (requests a second), `usage` holds the requests of each team. `is_asking`
+    asks for `introduced`, the VMs that the other one knows.
     """
 
     vm: str
@@ -59,6 +59,7 @@
     is_leaving: bool
     lag: float
     capacity: float
+    load: float
     revisions: Revisions
     usage: Mapping[str, Usage]
     is_asking: bool = False
@@ -216,7 +217,7 @@
             for vm, found in self.introduced.items()
             if vm != self._own.vm and vm not in self.peers
         )
-        missing = min(unheard, MOST_SERVING - len(serving))
+        missing = min(unheard, LEAST_SERVING - len(serving))
         if missing > 0 and self._is_new(now):
             told.append(make_unheard(missing))
         return told
@@ -230,7 +231,7 @@
         ]
         unheard = self._zones - self._reports.keys() - {self._own.zone}
         if self._is_new(now):
-            told += [make_unheard(MOST_SERVING) for _zone in unheard]
+            told += [make_unheard(LEAST_SERVING) for _zone in unheard]
         return told
 
     def _is_new(self, now: float) -> bool:
@@ -270,6 +271,7 @@
         is_leaving=heartbeat.is_leaving,
         lag=heartbeat.lag,
         capacity=heartbeat.capacity,
+        load=heartbeat.load,
     )
 
 
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -10,7 +10,7 @@
 
 
 class Member(NamedTuple):
-    """A VM that is alive; `capacity` is in requests a second."""
+    """A VM that is alive; `capacity` and `load` are in requests a second."""
 
     vm: str
     zone: str
@@ -19,6 +19,7 @@
     is_leaving: bool
     lag: float
     capacity: float
+    load: float
 
 
 class ZoneReport(NamedTuple):
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -4,17 +4,18 @@
 clients spread over all of them, each VM would see a few requests a second:
 too few to know how full targets are, to keep connections open, and to divide
 the limit of a team into parts of a request or more. So the directory names the
-VMs that bear most; the rest stands by.
+VMs that bear most, as many as the load asks for; the rest stands by.
 """
 
 from collections.abc import Iterable, Sequence
+from itertools import accumulate
 from typing import Final
 
 from toucanhall.fleet.reports import Member
 
 __all__ = (
     'LAGGING_SECONDS',
-    'MOST_SERVING',
+    'LEAST_SERVING',
     'pick_serving',
     'pick_speakers',
     'rank',
@@ -23,7 +24,10 @@
 # A client leaves out addresses that failed it and needs others to turn to: one
 # of three VMs may be cut off (share of the deployments' cuts) together with
 # another one that is being stopped.
-MOST_SERVING: Final = 4
+LEAST_SERVING: Final = 4
+# What the VMs that take requests bear, over what their zone takes: bursts of
+# 1.7 times the load, one VM of three lost, and room so that none queue.
+_HEADROOM: Final = 4.0
 # One speaks while the death of the other is not noticed.
 _SPEAKERS: Final = 2
 LAGGING_SECONDS: Final = 0.05  # a fifth of the shortest objective
@@ -39,8 +43,12 @@
 
     All that are ready take part once one of those picked does not keep up.
     """
-    ready = [found for found in rank(members) if found.is_ready]
-    picked = ready[:MOST_SERVING]
+    ranked = rank(members)
+    ready = [found for found in ranked if found.is_ready]
+    wanted = _HEADROOM * sum(found.load for found in ranked)
+    borne = accumulate(found.capacity for found in ready)
+    count = 1 + sum(capacity < wanted for capacity in borne)
+    picked = ready[: max(LEAST_SERVING, count)]
     if any(found.lag > LAGGING_SECONDS for found in picked):
         return ready
     return picked
