--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -1,5 +1,7 @@
 """Builders of configurations, targets and heartbeats for tests."""
 
+from collections.abc import Mapping
+
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import (
@@ -10,6 +12,7 @@
     Team,
 )
 from toucanhall.fleet.reports import Member, ZoneReport
+from toucanhall.limits.quota import Usage
 
 __all__ = (
     'make_bounds',
@@ -66,22 +69,20 @@
     return bounds._replace(**fields)
 
 
-def make_heartbeat(vm: str = 'vm-1', **fields: object) -> Heartbeat:
-    """Return the heartbeat of a VM that is ready."""
-    heartbeat = Heartbeat(
-        vm=vm,
-        started_at=1,
-        zone='east-a',
-        ip='127.0.0.1',
-        is_ready=True,
-        is_leaving=False,
-        lag=0.0,
-        capacity=600.0,
-        load=0.0,
+def make_heartbeat(
+    vm: str = 'vm-1',
+    *,
+    started_at: int = 1,
+    usage: Mapping[str, Usage] | None = None,
+    **fields: object,
+) -> Heartbeat:
+    """Return the heartbeat of a VM that is ready; fields are its member's."""
+    return Heartbeat(
+        member=make_member(vm, **fields),
+        started_at=started_at,
         revisions=Revisions(),
-        usage={},
+        usage=usage or {},
     )
-    return heartbeat._replace(**fields)
 
 
 def make_member(vm: str = 'vm-1', **fields: object) -> Member:
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -1,13 +1,9 @@
 """Tests of the entries of VMs, against the stand-in of the store."""
 
 import asyncio
-import os
-
-import pytest
 
 from standins.site.store import StoreStandin
 from toucanhall.fleet.model import Address, Introduction
-from toucanhall.observe.journal import Journal
 from toucanhall.platform.entries import Entries
 from toucanhall.platform.store import Store
 
@@ -15,14 +11,6 @@
 OWN = Introduction('vm-1', 'east-a', '127.64.1.1')
 
 
-@pytest.fixture
-def journal():
-    reader, writer = os.pipe()
-    yield Journal(vm='vm-1', descriptor=writer)
-    os.close(reader)
-    os.close(writer)
-
-
 def run(act, journal):
     async def start():
         standin = StoreStandin()
--- a/tests/unit/test_following.py
+++ b/tests/unit/test_following.py
@@ -1,15 +1,11 @@
 """Tests of how the tables of the store are followed, against its stand-in."""
 
 import asyncio
-import os
-
-import pytest
 
 from standins.site.documents import make_target_entry
 from standins.site.store import StoreStandin
 from toucanhall.fleet.knowledge import LAPSE_SECONDS, Knowledge
 from toucanhall.fleet.model import Address
-from toucanhall.observe.journal import Journal
 from toucanhall.platform.following import Follower
 from toucanhall.platform.store import Store
 
@@ -18,14 +14,6 @@
 NOTICE = 2.2  # seconds in which an absence is noticed: a probe and its time
 
 
-@pytest.fixture
-def journal():
-    reader, writer = os.pipe()
-    yield Journal(vm='vm-1', descriptor=writer)
-    os.close(reader)
-    os.close(writer)
-
-
 def _fail_all_but_watches(request):
     return None if b'watch=' in request.path else 503
 
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -1,7 +1,6 @@
 """Tests of the path of a request where no target is reached."""
 
 import asyncio
-import os
 
 import pytest
 
@@ -14,7 +13,6 @@
 from toucanhall.fleet.knowledge import Knowledge
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import RetryBudget
-from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
 from toucanhall.placement.field import Field
 from toucanhall.placement.order import Place
@@ -28,14 +26,6 @@
 )
 
 
-@pytest.fixture
-def journal():
-    reader, writer = os.pipe()
-    yield Journal(vm='vm-1', descriptor=writer)
-    os.close(reader)
-    os.close(writer)
-
-
 def make_path(journal, late):
     knowledge = Knowledge(on_change=lambda _table: None)
     document = make_configuration(rules=RULES)
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -8,14 +8,14 @@
 from toucanhall.edge.speaker import Speaker
 from toucanhall.fleet.gossip import Gossip, Message, open_gossip
 from toucanhall.fleet.knowledge import Knowledge, Revisions
-from toucanhall.fleet.membership import Heartbeat, Members, make_member
+from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import Address, Environment, Introduction
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.limits.quota import Quotas, Usage
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 
-__all__ = ('HEARTBEAT_SECONDS', 'Fleetmate', 'Source', 'Standing')
+__all__ = ('HEARTBEAT_SECONDS', 'Fleetmate', 'Source')
 
 # Two of three heartbeats may be lost before others look for a new watcher.
 HEARTBEAT_SECONDS: Final = 0.8
@@ -24,15 +24,6 @@
 _PAUSE_SECONDS: Final = 1.0  # a timer that is this late: the VM stood still
 
 
-class Standing(NamedTuple):
-    """What a VM tells of its own state; see Heartbeat."""
-
-    is_ready: bool
-    is_leaving: bool
-    lag: float
-    load: float
-
-
 class Source(NamedTuple):
     """A VM that told which tables it has, maybe through one of the zone."""
 
@@ -52,7 +43,7 @@
         knowledge: Knowledge,
         quotas: Quotas,
         journal: Journal,
-        find_standing: Callable[[], Standing],
+        find_self: Callable[[], Member],
         on_heard: Callable[[Source, Revisions], None],
         on_beat: Callable[[], None],
     ) -> None:
@@ -61,7 +52,7 @@
         self._knowledge = knowledge
         self._quotas = quotas
         self._journal = journal
-        self._find_standing = find_standing
+        self._find_self = find_self
         self._on_heard = on_heard
         self._on_beat = on_beat
         self._loop = asyncio.get_running_loop()
@@ -124,29 +115,29 @@
     def list_zone(self) -> list[Member]:
         """Return the VMs of the own zone that are alive, this one first."""
         now = self._loop.time()
-        own = make_member(self._make_heartbeat())
-        return [own, *self.members.list_near(now)]
+        return [self._find_self(), *self.members.list_near(now)]
 
     def _hear(self, message: Message) -> None:
         if message.report is not None:
             self._hear_report(message.report, is_relayed=message.is_relayed)
         heartbeat = message.heartbeat
-        if heartbeat is None or heartbeat.vm == self._environment.vm:
+        if heartbeat is None or heartbeat.member.vm == self._environment.vm:
             return
-        if heartbeat.zone == self._environment.zone:
+        if heartbeat.member.zone == self._environment.zone:
             self._hear_near(heartbeat)
         if heartbeat.is_asking:
             self._introduce_all(heartbeat)
         self.meet(heartbeat.introduced)
-        source = Source(heartbeat.vm, heartbeat.zone, heartbeat.ip, False)
+        source = Source(*heartbeat.member.introduction, is_relayed=False)
         self._on_heard(source, heartbeat.revisions)
 
     def _hear_near(self, heartbeat: Heartbeat) -> None:
         if not self.members.hear(heartbeat, self._loop.time()):
             return
-        self._lost.discard(heartbeat.vm)
-        self._journal.write(events.PEER_JOINED, peer=heartbeat.vm)
-        self._greet((heartbeat.ip,))
+        vm = heartbeat.member.vm
+        self._lost.discard(vm)
+        self._journal.write(events.PEER_JOINED, peer=vm)
+        self._greet((heartbeat.member.ip,))
 
     def _hear_report(self, report: ZoneReport, *, is_relayed: bool) -> None:
         if report.zone == self._environment.zone:
@@ -164,8 +155,8 @@
     def _introduce_all(self, asking: Heartbeat) -> None:
         known = tuple(self.members.introduced.values())
         answer = self._make_heartbeat()._replace(introduced=known)
-        self._send(Message(heartbeat=answer), (asking.ip,))
-        self.meet((Introduction(asking.vm, asking.zone, asking.ip),))
+        self._send(Message(heartbeat=answer), (asking.member.ip,))
+        self.meet((asking.member.introduction,))
 
     def _beat(self) -> None:
         now = self._loop.time()
@@ -204,18 +195,9 @@
         self._send(Message(heartbeat=self._make_heartbeat()), ips)
 
     def _make_heartbeat(self) -> Heartbeat:
-        environment = self._environment
-        standing = self._find_standing()
         return Heartbeat(
-            vm=environment.vm,
+            member=self._find_self(),
             started_at=self._started_at,
-            zone=environment.zone,
-            ip=environment.ip,
-            is_ready=standing.is_ready,
-            is_leaving=standing.is_leaving,
-            lag=standing.lag,
-            capacity=environment.capacity,
-            load=standing.load,
             revisions=self._knowledge.revisions,
             usage=self.usage,
         )
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -13,7 +13,6 @@
     HEARTBEAT_SECONDS,
     Fleetmate,
     Source,
-    Standing,
 )
 from toucanhall.edge.path import Path
 from toucanhall.edge.pool import Pool
@@ -22,6 +21,7 @@
 from toucanhall.edge.tables import TableExchange
 from toucanhall.fleet.knowledge import Knowledge
 from toucanhall.fleet.model import Address, Environment, Introduction
+from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import LAGGING_SECONDS, pick_speakers
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import RetryBudget
@@ -130,7 +130,7 @@
             knowledge=self._knowledge,
             quotas=self._quotas,
             journal=self._journal,
-            find_standing=self._find_standing,
+            find_self=self._find_self,
             on_heard=self._tables.compare,
             on_beat=self._take_beat,
         )
@@ -274,11 +274,16 @@
             return _FIRST_LIMITS
         return ServerLimits(*configuration.limits)
 
-    def _find_standing(self) -> Standing:
-        return Standing(
+    def _find_self(self) -> Member:
+        environment = self._environment
+        return Member(
+            vm=environment.vm,
+            zone=environment.zone,
+            ip=environment.ip,
             is_ready=self._is_ready(),
             is_leaving=self._stopping.is_set(),
             lag=round(self._lag.seconds, 3),
+            capacity=environment.capacity,
             load=round(self._path.arrivals.per_second, 1),
         )
 
--- a/toucanhall/edge/speaker.py
+++ b/toucanhall/edge/speaker.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from toucanhall.fleet.gossip import Message
-from toucanhall.fleet.membership import Heartbeat, Members, make_member
+from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.reports import ZoneReport, sum_told
 from toucanhall.fleet.selection import pick_serving, pick_speakers
 from toucanhall.limits.quota import Told
@@ -44,30 +44,30 @@
             Message(report=self._compose(own)),
             [
                 listeners[turn % len(listeners)]
-                for listeners in self._list_listeners(own.zone)
+                for listeners in self._list_listeners(own.member.zone)
             ],
         )
 
     def tell(self, own: Heartbeat) -> None:
         """Tell all listeners at once which tables this VM has."""
         news = Message(heartbeat=own._replace(usage={}))
-        for listeners in self._list_listeners(own.zone):
+        for listeners in self._list_listeners(own.member.zone):
             self._send(news, listeners)
 
     def _is_speaker(self, own: Heartbeat) -> bool:
         near = self._members.list_near(self._clock())
-        speakers = pick_speakers([make_member(own), *near])
-        return own.vm in {found.vm for found in speakers}
+        speakers = pick_speakers([own.member, *near])
+        return own.member in speakers
 
     def _compose(self, own: Heartbeat) -> ZoneReport:
         now = self._clock()
-        members = [make_member(own), *self._members.list_near(now)]
+        members = [own.member, *self._members.list_near(now)]
         serving = {found.vm for found in pick_serving(members)}
         told = self._members.list_near_told(now, serving)
         return ZoneReport(
-            zone=own.zone,
-            speaker=own.vm,
-            ip=own.ip,
+            zone=own.member.zone,
+            speaker=own.member.vm,
+            ip=own.member.ip,
             stamp=(own.started_at, self._beats),
             revisions=own.revisions,
             members=tuple(members),
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -19,7 +19,6 @@
     'Heartbeat',
     'Members',
     'Peer',
-    'make_member',
 )
 
 # Two heartbeats may be lost before a VM counts as dead.
@@ -45,21 +44,13 @@
 class Heartbeat(NamedTuple):
     """What a VM tells the others of its zone, and its seeds at a start.
 
-    `started_at` tells its starts apart (Unix milliseconds), `lag` is how late
-    its loop is (seconds), `capacity` what it bears and `load` what it takes
-    (requests a second), `usage` holds the requests of each team. `is_asking`
-    asks for `introduced`, the VMs that the other one knows.
+    `started_at` tells its starts apart (Unix milliseconds), `usage` holds the
+    requests of each team. `is_asking` asks for `introduced`, the VMs that the
+    other one knows.
     """
 
-    vm: str
+    member: Member
     started_at: int
-    zone: str
-    ip: str
-    is_ready: bool
-    is_leaving: bool
-    lag: float
-    capacity: float
-    load: float
     revisions: Revisions
     usage: Mapping[str, Usage]
     is_asking: bool = False
@@ -104,13 +95,12 @@
 
         Returns whether its VM is new, started again or was taken as dead.
         """
-        known = self.peers.get(heartbeat.vm)
+        vm = heartbeat.member.vm
+        known = self.peers.get(vm)
         if known and heartbeat.started_at < known.heartbeat.started_at:
             return False
-        self.peers[heartbeat.vm] = Peer(heartbeat, now)
-        self.introduce(
-            Introduction(heartbeat.vm, heartbeat.zone, heartbeat.ip),
-        )
+        self.peers[vm] = Peer(heartbeat, now)
+        self.introduce(heartbeat.member.introduction)
         return (
             known is None
             or known.heartbeat.started_at != heartbeat.started_at
@@ -125,7 +115,7 @@
             return False
         speakers[report.speaker] = _Heard(report, now)
         for found in report.members:
-            self.introduce(Introduction(found.vm, report.zone, found.ip))
+            self.introduce(found.introduction)
         return True
 
     def introduce(self, introduction: Introduction) -> bool:
@@ -175,7 +165,7 @@
     def list_near(self, now: float) -> list[Member]:
         """Return the VMs of the own zone that are alive."""
         return [
-            make_member(peer.heartbeat)
+            peer.heartbeat.member
             for peer in self.peers.values()
             if now - peer.heard_at <= ALIVE_SECONDS
         ]
@@ -207,9 +197,9 @@
             Told(
                 peer.heartbeat.usage,
                 is_late=now - peer.heard_at > LATE_SECONDS,
-                vms=1.0 if peer.heartbeat.vm in serving else RESERVE_VMS,
+                vms=1.0 if vm in serving else RESERVE_VMS,
             )
-            for peer in self.peers.values()
+            for vm, peer in self.peers.items()
             if now - peer.heard_at <= FORGET_SECONDS
         ]
         unheard = sum(
@@ -261,20 +251,6 @@
         ]
 
 
-def make_member(heartbeat: Heartbeat) -> Member:
-    """Return the VM of a heartbeat."""
-    return Member(
-        vm=heartbeat.vm,
-        zone=heartbeat.zone,
-        ip=heartbeat.ip,
-        is_ready=heartbeat.is_ready,
-        is_leaving=heartbeat.is_leaving,
-        lag=heartbeat.lag,
-        capacity=heartbeat.capacity,
-        load=heartbeat.load,
-    )
-
-
 def _get_size(heard: _Heard) -> tuple[int, float]:
     return len(heard.report.members), heard.heard_at
 
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -4,13 +4,18 @@
 from typing import NamedTuple
 
 from toucanhall.fleet.knowledge import Revisions
+from toucanhall.fleet.model import Introduction
 from toucanhall.limits.quota import Told, Usage
 
 __all__ = ('Member', 'ZoneReport', 'sum_told')
 
 
 class Member(NamedTuple):
-    """A VM that is alive; `capacity` and `load` are in requests a second."""
+    """What a VM tells of itself.
+
+    `lag` is how late its loop is (seconds), `capacity` what it bears and `load`
+    what it takes (requests a second).
+    """
 
     vm: str
     zone: str
@@ -21,6 +26,11 @@
     capacity: float
     load: float
 
+    @property
+    def introduction(self) -> Introduction:
+        """Where the VM may be found."""
+        return Introduction(self.vm, self.zone, self.ip)
+
 
 class ZoneReport(NamedTuple):
     """The state of a zone as one of its speakers sees it.
