--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -198,3 +198,13 @@
     assert len(members.list_far_told(1.0)) == 2
     members.take_listing([Introduction('vm-9', 'west-a', '127.0.0.9')])
     assert members.list_far_told(2.5) == [make_unheard(LEAST_SERVING)]
+
+
+def test_reports_of_speakers_that_have_gone_are_dropped():
+    members = make_members()
+    member = make_member('vm-7', zone='west-a')
+    members.hear_report(make_report('vm-7', members=(member,)), 1.0)
+    members.hear_report(make_report('vm-8'), 3.0 + GONE_SECONDS)
+    members.drop_gone(3.0 + GONE_SECONDS)
+    members.take_listing([])
+    assert not members.introduced
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -151,7 +151,15 @@
         }
 
     def drop_gone(self, now: float) -> list[Introduction]:
-        """Drop and return VMs of the own zone that were silent for a minute."""
+        """Drop what was silent for a minute; return VMs of the own zone."""
+        self._reports = {
+            zone: {
+                speaker: heard
+                for speaker, heard in speakers.items()
+                if now - heard.heard_at <= GONE_SECONDS
+            }
+            for zone, speakers in self._reports.items()
+        }
         gone = [
             self.introduced[vm]
             for vm, peer in self.peers.items()
