Let a hop spend all the time that it was given

The first VM kept a fifth of 10 s for another attempt and lost a second on an idle connection; the hop kept a fifth of the 7 s that were left, so it gave up on a healthy target after 5.6 s (events 601, 'silent for too long', at both VMs of the hop). The stop had nothing to do with it.

Left: on an idle connection the hop waits 0.9 s before it opens a new one, so 6.1 s remain for 6 s; the entry of KNOWN-RED.txt stays until that is measured.

--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -10,7 +10,7 @@
 from toucanhall.catalogue import Holder
 from toucanhall.catalogue.reading import revise
 from toucanhall.counters import Counters
-from toucanhall.forwarding import Parts, serve
+from toucanhall.forwarding import Parts, hops, serve
 from toucanhall.forwarding.credentials import digest_key
 from toucanhall.forwarding.dispatch import Dispatcher
 from toucanhall.forwarding.sharing import Sharing
@@ -157,3 +157,33 @@
         assert answer.status == 500
         assert dict(answer.headers)['Toucanhall-Ran'] == 'maybe'
         assert KEY not in caplog.text
+
+
+class Timed(Dispatcher):
+    """Notes the seconds that each attempt may take."""
+
+    def __init__(self):
+        """Start without any attempt."""
+        super().__init__()
+        self.limits = []
+
+    def send(self, address, request, seconds, *, fresh):
+        """Note the limit and send."""
+        self.limits.append(seconds)
+        return super().send(address, request, seconds, fresh=fresh)
+
+
+def test_hop_spends_all_the_time_that_it_was_given():
+    with start_target(make_answer()) as target:
+        parts = make_parts(make_held(target))._replace(dispatcher=Timed())
+        path = '/tours/x'
+        hop = hops.Hop('', '', 'id-1', 'GET', path, 7.0)
+        sender = Identity('south-a-1', 's', b'x')
+        request = make_request(
+            target=path,
+            path=path,
+            headers=((hops.HOP_HEADER, hops.make_token(sender, hop)),),
+        )
+        assert serve(parts, request).status == 200
+        (limit,) = parts.dispatcher.limits
+        assert limit == pytest.approx(7.0, abs=0.5)
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -130,10 +130,13 @@
         transfer.finish(healthy=None)
         return Failure(SendError(way.address, sent=False, what='too late'))
     seconds = job.give_up_at - transfer.started_at
+    # The entry VM that the caller asked has kept time for another attempt: a
+    # hop that kept some of the rest would cut targets that are only slow.
+    may_retry = job.is_safe and not (tried.attempts or job.is_hopped)
     sent = parts.dispatcher.send(
         way.address,
         prepare(parts, job, way, is_retry=tried.attempts > 0),
-        limit_attempt(seconds, may_retry=job.is_safe and not tried.attempts),
+        limit_attempt(seconds, may_retry=may_retry),
         fresh=not job.is_safe,
     )
     if not isinstance(sent, Success):
