--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -9,6 +9,7 @@
 MODES: Final[tuple[Mode, ...]] = ('slow', 'reset', 'silent', 'no_answers')
 _CHUNK_BYTES: Final = 65536
 _DELAY_SECONDS: Final = 0.2
+_END_SECONDS: Final = 1.0  # in which the ends of reset connections are read
 
 
 class Link:
@@ -43,10 +44,8 @@
         if self._server is not None:
             self._server.close()
         self._reset_all()
-        tasks = tuple(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._tasks:
+            await asyncio.wait(tuple(self._tasks), timeout=_END_SECONDS)
 
     def _reset_all(self) -> None:
         for writer in tuple(self._writers):
