Retry for free after a target that refuses connections

Cause, traced for the known red test_dead_target_is_passed_over (503 where 200 is promised): reason retry-budget. The circuit of the dead target lets a probe through now and then; the request that is the probe is refused the connection and needs another target, and the budget (0.08 a success, one in 5 s) is empty after two of them. Beside a full machine the probes are more of the twenty requests.

An attempt that sent nothing adds no load, so the next one is free, three at most.

Two unit tests, the first failing before.

--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -223,3 +223,28 @@
     passed = frozenset(('a', NEAR.vm))
     _, third = arrive(state, attempts=2, passed=passed, is_bounced=True)
     assert third.name == FAR.vm
+
+
+def test_target_that_refuses_connections_costs_no_retry():
+    """Load pattern: the circuit of a dead target lets a probe through."""
+    state = make_state(Place('a', '', 9), peers=(NEAR,))
+    state = state._replace(budget=state.budget._replace(retries=0))
+    for number in range(20):
+        state, _ = arrive(state, f'{number}')
+        state, _ = decide(state, End('a', FAILED), 0)
+        state, second = arrive(
+            state,
+            f'{number}',
+            attempts=1,
+            is_unsent=True,
+            passed=frozenset(('a',)),
+        )
+        assert isinstance(second, Carry)
+        state, _ = decide(state, End(NEAR.vm, HEALTHY, spare=9), 0)
+
+
+def test_attempts_that_sent_nothing_come_to_an_end():
+    state = make_state(Place('a', '', 9), peers=(NEAR, FAR))
+    state = state._replace(budget=state.budget._replace(retries=0))
+    _, effect = arrive(state, attempts=3, is_unsent=True)
+    assert isinstance(effect, Refuse)
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -37,6 +37,7 @@
     attempts: int = 0
     sent: bool = False
     is_bounced: bool = False
+    is_unsent: bool = False
 
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
@@ -82,7 +83,8 @@
         tried.names | {way.name},
         tried.attempts + 1,
         tried.sent or error.sent,
-        isinstance(way, Carry) and not error.sent,
+        is_bounced=isinstance(way, Carry) and not error.sent,
+        is_unsent=isinstance(way, Run) and not error.sent,
     )
 
 
@@ -97,6 +99,7 @@
         is_safe=job.is_safe,
         attempts=tried.attempts,
         is_bounced=tried.is_bounced,
+        is_unsent=tried.is_unsent,
         passed=tried.names,
     )
 
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -39,7 +39,11 @@
     if event.expires_at <= now:
         return state, (Refuse(event.ticket, 'deadline', BACK_SOON_SECONDS),)
     state = state._replace(budget=refill(state.budget, now))
-    if not event.attempts:
+    is_free = not event.attempts or (
+        # A target that refuses connections is given no work by a retry.
+        event.is_unsent and event.attempts < _MOST_ATTEMPTS
+    )
+    if is_free:
         return _ARRIVALS[event.origin](state, event, now)
     budget, may_retry = spend(state.budget)
     state = state._replace(budget=budget)
@@ -188,8 +192,10 @@
 
 
 def _may_ask(state: State, event: Arrive, now: float) -> bool:
-    # A retry was paid for when it arrived.
-    return state.budget.retries >= 1 or not room.count_usable(state, now)
+    # A retry was paid for when it arrived, or need not be.
+    if event.is_unsent or state.budget.retries >= 1:
+        return True
+    return not room.count_usable(state, now)
 
 
 def _wait_briefly(state: State, event: Arrive, now: float) -> Found:
--- a/toucanhall/steering/records.py
+++ b/toucanhall/steering/records.py
@@ -56,7 +56,8 @@
     """A request needs a target; `attempts` were made for it before.
 
     `is_safe` tells that it may be sent again after it was sent once.
-    `is_bounced` tells that the last attempt was a hop that did not run.
+    `is_bounced` tells that the last attempt was a hop that did not run,
+    `is_unsent` that it was a target to which nothing was sent.
     `passed` names places and peers that were tried. `closed_regions` are those
     whose link has no bytes left.
     """
@@ -68,6 +69,7 @@
     origin: Origin = Origin.CALLER
     is_safe: bool = True
     is_bounced: bool = False
+    is_unsent: bool = False
     attempts: int = 0
     passed: frozenset[str] = frozenset()
     closed_regions: frozenset[str] = frozenset()
