List other zones in one place; build the directory's far rings on demand

Read-through of the change, no change of behaviour: - the loop over zones but the own one stood in three modules: Members.list_zones leaves out the own zone itself - a question to the directory picked the serving VMs of every zone, though nearly all are answered by the own one: the other rings are built when they are needed - a speaker listed its zone twice for each report - rank of fleet/selection.py was public without a caller - the soak worked out the addresses of links anew at each use

--- a/standins/soak/field.py
+++ b/standins/soak/field.py
@@ -42,6 +42,7 @@
         self._net = net
         self._modes: dict[tuple[str, str], list[str]] = defaultdict(list)
         self._links: dict[tuple[str, str], Link] = {}
+        self._addresses: dict[str, str] = {}
         self._zones: dict[str, str] = {}
         self._busy: set[str] = set()
         self._unrest: dict[str, list[list[float]]] = defaultdict(list)
@@ -116,9 +117,8 @@
         self._register(name)
 
     def _register(self, name: str, state: str = 'ready') -> None:
-        number = 1 + list(self.site.targets).index(name)
         entry = make_target_entry(
-            f'127.{self._net}.150.{number}:{_TARGET_PORT}',
+            self._addresses[name],
             self._zones[name],
             state=state,
         )
@@ -131,11 +131,10 @@
         self._start_vm(name)
 
     def _start_vm(self, name: str) -> None:
-        number = 1 + [*self.site.vms, name].index(name)
         self.site.start_vm(
             name,
             self._zones[name],
-            store=f'127.{self._net}.160.{number}:{_STORE_PORT}',
+            store=self._addresses[name],
         )
 
     def _open(self, kind: str, name: str, far: str, host: str) -> None:
@@ -143,6 +142,7 @@
         link = Link(host=far, port=port)
         self.site.call(link.start(host, port))
         self._links[kind, name] = link
+        self._addresses[name] = f'{host}:{port}'
 
     def _hold(
         self,
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -1,6 +1,7 @@
 """Which VMs a client should use."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from itertools import chain
 from typing import Final
 
 from toucanhall.fleet.knowledge import Knowledge
@@ -31,24 +32,25 @@
     zones: dict[str, list[Member]] = {}
     for found in vms:
         zones.setdefault(found.zone, []).append(found)
-    serving = {name: pick_serving(members) for name, members in zones.items()}
-    near = serving.get(zone, [])
-    region = _join(serving, around)
+
+    def list_serving(names: Iterable[str]) -> list[Member]:
+        return [
+            found
+            for name in names
+            for found in pick_serving(zones.get(name, ()))
+        ]
+
+    near = list_serving((zone,))
     if any(found.lag > LAGGING_SECONDS for found in near):
+        region = list_serving(around)
         near = [
             found for found in region if found.lag <= LAGGING_SECONDS
         ] or region
-    rings = (near, region, _join(serving, homes), _join(serving, serving))
+    # Most questions are answered by the first ring: the others are not built.
+    rings = chain((near,), map(list_serving, (around, homes, zones)))
     return next((ring[:_MOST_VMS] for ring in rings if ring), [])
 
 
-def _join(
-    serving: Mapping[str, list[Member]],
-    zones: Iterable[str],
-) -> list[Member]:
-    return [found for zone in zones for found in serving.get(zone, ())]
-
-
 class Directory:
     """Answers clients by the VMs that are alive."""
 
@@ -96,7 +98,6 @@
         return [
             found
             for zone in self._members.list_zones()
-            if zone != self._environment.zone
             for found in self._members.list_zone(zone, now)
             if found.is_ready
         ]
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -72,8 +72,7 @@
             self._journal.write(events.TARGETS_LAPSED, targets=dropped)
         serving = {self._environment.zone: _pick_names(zone)}
         for other in members.list_zones():
-            if other != self._environment.zone:
-                serving[other] = _pick_names(members.list_zone(other, now))
+            serving[other] = _pick_names(members.list_zone(other, now))
         self._take_serving(serving)
         self._divide(members, serving, own, now)
 
--- a/toucanhall/edge/speaker.py
+++ b/toucanhall/edge/speaker.py
@@ -6,7 +6,7 @@
 
 from toucanhall.fleet.gossip import Message
 from toucanhall.fleet.membership import Heartbeat, Members
-from toucanhall.fleet.reports import ZoneReport, sum_told
+from toucanhall.fleet.reports import Member, ZoneReport, sum_told
 from toucanhall.fleet.selection import pick_serving, pick_speakers
 from toucanhall.limits.quota import Told
 
@@ -37,32 +37,34 @@
     def beat(self, own: Heartbeat) -> None:
         """Report to the other zones if this VM speaks and it is time."""
         self._beats += 1
-        if self._beats % _BEATS_PER_REPORT or not self._is_speaker(own):
+        if self._beats % _BEATS_PER_REPORT:
+            return
+        now = self._clock()
+        zone = (own.member, *self._members.list_near(now))
+        if own.member not in pick_speakers(zone):
             return
         turn = self._beats // _BEATS_PER_REPORT
         self._send(
-            Message(report=self._compose(own)),
+            Message(report=self._compose(own, zone, now)),
             [
                 listeners[turn % len(listeners)]
-                for listeners in self._list_listeners(own.member.zone)
+                for listeners in self._list_listeners()
             ],
         )
 
     def tell(self, own: Heartbeat) -> None:
         """Tell all listeners at once which tables this VM has."""
         news = Message(heartbeat=own._replace(usage={}))
-        for listeners in self._list_listeners(own.member.zone):
+        for listeners in self._list_listeners():
             self._send(news, listeners)
 
-    def _is_speaker(self, own: Heartbeat) -> bool:
-        near = self._members.list_near(self._clock())
-        speakers = pick_speakers([own.member, *near])
-        return own.member in speakers
-
-    def _compose(self, own: Heartbeat) -> ZoneReport:
-        now = self._clock()
-        members = [own.member, *self._members.list_near(now)]
-        serving = {found.vm for found in pick_serving(members)}
+    def _compose(
+        self,
+        own: Heartbeat,
+        zone: tuple[Member, ...],
+        now: float,
+    ) -> ZoneReport:
+        serving = {found.vm for found in pick_serving(zone)}
         told = self._members.list_near_told(now, serving)
         return ZoneReport(
             zone=own.member.zone,
@@ -70,17 +72,15 @@
             ip=own.member.ip,
             stamp=(own.started_at, self._beats),
             revisions=own.revisions,
-            members=tuple(members),
+            members=zone,
             told=sum_told([Told(own.usage), *told]),
         )
 
-    def _list_listeners(self, zone: str) -> list[list[str]]:
+    def _list_listeners(self) -> list[list[str]]:
         """Return the IP addresses to speak to, for each other zone."""
         now = self._clock()
         found: list[list[str]] = []
         for other in self._members.list_zones():
-            if other == zone:
-                continue
             alive = self._members.list_zone(other, now)
             ips = [member.ip for member in pick_speakers(alive)]
             found.append(ips or self._guess(other))
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -193,8 +193,9 @@
         return [*self.list_near(now), *chain.from_iterable(far)]
 
     def list_zones(self) -> list[str]:
-        """Return the names of the zones in which VMs are known."""
-        return sorted({found.zone for found in self.introduced.values()})
+        """Return the names of the other zones in which VMs are known."""
+        zones = {found.zone for found in self.introduced.values()}
+        return sorted(zones - {self._own.zone})
 
     def list_near_told(self, now: float, serving: set[str]) -> list[Told]:
         """Return what VMs of the own zone told, also those now silent.
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -18,7 +18,6 @@
     'LEAST_SERVING',
     'pick_serving',
     'pick_speakers',
-    'rank',
 )
 
 # A client leaves out addresses that failed it and needs others to turn to: one
@@ -33,17 +32,12 @@
 LAGGING_SECONDS: Final = 0.05  # a fifth of the shortest objective
 
 
-def rank(members: Iterable[Member]) -> list[Member]:
-    """Return VMs from the one that bears most, alike at every VM."""
-    return sorted(members, key=_get_rank)
-
-
 def pick_serving(members: Iterable[Member]) -> list[Member]:
     """Return the VMs of a zone that its clients should use.
 
     All that are ready take part once one of those picked does not keep up.
     """
-    ranked = rank(members)
+    ranked = _rank(members)
     ready = [found for found in ranked if found.is_ready]
     wanted = _HEADROOM * sum(found.load for found in ranked)
     borne = accumulate(found.capacity for found in ready)
@@ -59,10 +53,14 @@
 
     The first one watches; both report to other zones.
     """
-    ranked = rank(members)
+    ranked = _rank(members)
     staying = [found for found in ranked if not found.is_leaving]
     return (staying or ranked)[:_SPEAKERS]
 
 
+def _rank(members: Iterable[Member]) -> list[Member]:
+    return sorted(members, key=_get_rank)
+
+
 def _get_rank(member: Member) -> tuple[float, str]:
     return -member.capacity, member.vm
