Keep the bound of a cold target when VMs disagree; choose by a ring

An owner now spends its part by how much of its zone it hears, of the VMs that have an entry in the store; who has not read the entries owns nothing; the first token takes time.

Ruled out: targets that crashed and came back (VMs knew that they were cold); tables that were late (all VMs had the same revision).

--- a/tests/replays.py
+++ b/tests/replays.py
@@ -8,6 +8,7 @@
 
 from tests.fleetdata import make_target
 from toucanhall.fleet.model import Target
+from toucanhall.placement import choice
 from toucanhall.placement.choice import Ask, choose
 from toucanhall.placement.field import Field, Need
 from toucanhall.placement.order import Place
@@ -137,7 +138,7 @@
         field = draw.choice(fields)
         need = Need('guide', key, frozenset(), frozenset())
         chosen = choose(
-            field.list_candidates(need, now),
+            field.list_candidates(need, now, choice.WARM_TARGETS),
             Ask(pattern.objective, usual[0], 1),
             now,
         )
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -12,6 +12,7 @@
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
+from toucanhall.placement.cold import Group
 from toucanhall.placement.field import Field
 
 __all__ = ('Duties',)
@@ -70,10 +71,23 @@
         dropped = self._knowledge.drop_lapsed(now)
         if dropped:
             self._journal.write(events.TARGETS_LAPSED, targets=dropped)
-        serving = {self._environment.zone: _pick_names(zone)}
+        alive = {self._environment.zone: zone}
         for other in members.list_zones():
-            serving[other] = _pick_names(members.list_zone(other, now))
+            alive[other] = members.list_zone(other, now)
+        serving = {name: _pick_names(vms) for name, vms in alive.items()}
         self._take_serving(serving)
+        known = members.count_known()
+        self._field.take_vms(
+            self._environment.vm,
+            {
+                name: Group(
+                    serving=tuple(sorted(serving[name])),
+                    heard=len(vms),
+                    known=known.get(name, 0),
+                )
+                for name, vms in alive.items()
+            },
+        )
         self._divide(members, serving, own, now)
 
     def _take_serving(self, serving: dict[str, list[str]]) -> None:
@@ -89,10 +103,6 @@
                 vms=serving[name],
             )
         self._serving = serving
-        self._field.take_vms(
-            self._environment.vm,
-            {zone: sorted(vms) for zone, vms in serving.items() if vms},
-        )
 
     def _divide(
         self,
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -15,6 +15,7 @@
 from toucanhall.observe import events
 from toucanhall.placement.choice import (
     URGENT_PRIORITY,
+    WARM_TARGETS,
     Ask,
     Candidate,
     choose,
@@ -182,13 +183,13 @@
             ),
             priority=admitted.priority,
         )
-        candidates = self._field.list_candidates(need, now)
-        chosen = choose(candidates, ask, now)
         rate = admitted.service.cold_per_second
-        while chosen and not self._field.spend(chosen.target, rate, now):
-            candidates.remove(chosen)
-            chosen = choose(candidates, ask, now)
-        return chosen
+        while True:
+            found = self._field.list_candidates(need, now, WARM_TARGETS)
+            chosen = choose(found, ask, now)
+            if not chosen or self._field.spend(chosen.target, rate, now):
+                return chosen
+            need = need._replace(tried=need.tried | {chosen.target.id})
 
     def _may_repeat(
         self,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -243,6 +243,7 @@
     async def _meet_all(self, own: Introduction) -> None:
         await self._follower.read_all()
         self._mate.meet(await self._entries.register(own))
+        self._mate.members.note_listing()
 
     async def _tend_entries(self, own: Introduction) -> None:
         """Find VMs by their entries; delete those of the own zone's dead.
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -1,5 +1,6 @@
 """Which VMs are alive, and what they last told."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from itertools import chain
 from typing import Final, NamedTuple
@@ -87,6 +88,7 @@
         self._started_at = now
         self.peers: dict[str, Peer] = {}
         self.introduced: dict[str, Introduction] = {}
+        self._is_listed = False
         # The last report of each speaker, by zone.
         self._reports: dict[str, dict[str, _Heard]] = {}
 
@@ -124,6 +126,22 @@
         self.introduced[introduction.vm] = introduction
         return is_new
 
+    def note_listing(self) -> None:
+        """Note that the entries of all VMs were read since the start."""
+        self._is_listed = True
+
+    def count_known(self) -> Counter[str]:
+        """Return how many VMs each zone has, this one included.
+
+        There are none until the entries of all VMs were read: who has just
+        started knows only a few of them.
+        """
+        if not self._is_listed:
+            return Counter()
+        zones = Counter(found.zone for found in self.introduced.values())
+        zones[self._own.zone] += 1
+        return zones
+
     def take_listing(self, listed: Sequence[Introduction]) -> None:
         """Drop VMs of other zones that have no entry and are not heard of."""
         self._zones = frozenset(found.zone for found in listed)
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -15,10 +15,10 @@
 from toucanhall.fleet.model import Target
 from toucanhall.placement.load import TargetLoad
 
-__all__ = ('URGENT_PRIORITY', 'Ask', 'Candidate', 'choose')
+__all__ = ('URGENT_PRIORITY', 'WARM_TARGETS', 'Ask', 'Candidate', 'choose')
 
 # Targets that serve an object, as long as they are there.
-_WARM_TARGETS: Final = 2
+WARM_TARGETS: Final = 2
 # Share of the slots up to which a target is not full.
 _ROOMY: Final = 0.85
 # Part of the time to the objective that may be spent waiting for a slot.
@@ -53,7 +53,7 @@
     now: float,
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
-    near = candidates[:_WARM_TARGETS]
+    near = candidates[:WARM_TARGETS]
     fills = [_fill(candidate.load, now) for candidate in near]
     for candidate, fill in zip(near, fills, strict=True):
         if fill < _ROOMY:
--- a/toucanhall/placement/field.py
+++ b/toucanhall/placement/field.py
@@ -1,19 +1,21 @@
 """The targets of all services as this VM sees them."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Set
+from itertools import islice
 from typing import Final, NamedTuple
 
 from toucanhall.fleet.model import Configuration, Target
 from toucanhall.placement.choice import Candidate
-from toucanhall.placement.cold import ColdPart, pick_owners
+from toucanhall.placement.cold import ColdPart, Group, find_part, pick_groups
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.order import Place, rank
+from toucanhall.placement.order import Place, Ring, count_points
 
 __all__ = ('Field', 'Need')
 
-_ORDERS_KEPT: Final = 4096  # objects whose order is remembered
 # Time for which a target that was named by its address alone is left alone.
 _GONE_SECONDS: Final = 3.0
+# Rings that are kept: twenty services with a few sets of home regions each.
+_MOST_RINGS: Final = 100
 
 
 class Need(NamedTuple):
@@ -32,38 +34,44 @@
         """Start without targets."""
         self._place = place
         self._regions = dict(regions)
-        self._services: dict[str, tuple[Target, ...]] = {}
         self._targets: dict[str, Target] = {}
-        self._orders: dict[tuple[str, str], tuple[Target, ...]] = {}
+        self._rings: dict[tuple[str, frozenset[str]], Ring] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._cold_until: dict[str, float] = {}
         self._cold_parts: dict[str, ColdPart] = {}
-        self._owned: dict[str, bool] = {}
-        self._vms: tuple[str, Mapping[str, list[str]]] = ('', {})
+        self._parts: dict[str, float] = {}
+        self._vm = ''
+        self._groups: Mapping[str, Group] = {}
         self.loads: dict[str, TargetLoad] = {}
 
     def take_targets(self, targets: Mapping[str, Target], now: float) -> None:
         """Take the list of targets; new incarnations start anew."""
-        for name, target in targets.items():
+        gone = self._targets.keys() - targets.keys()
+        written = {
+            name: target
+            for name, target in targets.items()
+            if self._targets.get(name) is not target
+        }
+        started = {
+            name
+            for name, target in written.items()
+            if not _is_same(self._targets.get(name), target)
+        }
+        for name in gone | started:
+            self._cold_parts.pop(name, None)
+            self._parts.pop(name, None)
+        for name in gone:
+            self.loads.pop(name, None)
+            self._cold_until.pop(name, None)
+        for name in started:
+            self.loads[name] = TargetLoad(slots=targets[name].slots)
+        for name, target in written.items():
             known = self._targets.get(name)
-            if known is None or not _is_same(known, target):
-                self.loads[name] = TargetLoad(slots=target.slots)
-                self._cold_parts.pop(name, None)
             if known is None or known.cold_seconds != target.cold_seconds:
                 self._cold_until[name] = now + target.cold_seconds
-        for name in self._targets.keys() - targets.keys():
-            self.loads.pop(name, None)
-            self._cold_until.pop(name, None)
-            self._cold_parts.pop(name, None)
-            self._owned.pop(name, None)
         self._targets = dict(targets)
-        services: dict[str, list[Target]] = {}
-        for target in targets.values():
-            services.setdefault(target.service, []).append(target)
-        self._services = {
-            name: tuple(found) for name, found in services.items()
-        }
-        self._orders = {}
+        for (service, homes), ring in self._rings.items():
+            self._change_ring(ring, gone | started, started, service, homes)
 
     def take_evacuations(
         self,
@@ -82,23 +90,21 @@
                 self._cold_until[name] = now + service.cold_seconds
                 self._cold_parts.pop(name, None)
 
-    def take_vms(self, own: str, vms: Mapping[str, list[str]]) -> None:
-        """Take the names of the live VMs of each zone."""
-        if (own, vms) != self._vms:
-            self._vms = (own, vms)
-            self._owned = {}
+    def take_vms(self, own: str, groups: Mapping[str, Group]) -> None:
+        """Take the VMs of each zone as this VM sees them."""
+        if (own, groups) != (self._vm, self._groups):
+            self._vm = own
+            self._groups = groups
+            self._parts = {}
 
     def list_candidates(
         self,
         need: Need,
         now: float,
+        most: int,
     ) -> list[Candidate]:
-        """Return the targets that may serve a request, best first."""
-        return [
-            Candidate(target, self.loads[target.id])
-            for target in self._order(need.service, need.key)
-            if self._may_serve(target, need, now)
-        ]
+        """Return the first targets that may serve a request, best first."""
+        return list(islice(self._list_able(need, now), most))
 
     def is_near(self, target: Target) -> bool:
         """Whether a target is in the region of this VM."""
@@ -114,12 +120,9 @@
             return True
         part = self._cold_parts.get(target.id)
         if part is None:
-            part = ColdPart(per_second=per_second, now=now)
+            part = ColdPart(now=now)
             self._cold_parts[target.id] = part
-        if not self._is_owner(target) or not part.has_room(now):
-            return False
-        part.spend()
-        return True
+        return part.spend(per_second * self._find_part(target), now)
 
     def lose(self, target: str, now: float) -> None:
         """Leave a target alone whose address another target has."""
@@ -132,54 +135,60 @@
             return False
         if target.id in need.tried:
             return False
-        if need.homes and self._regions.get(target.zone) not in need.homes:
-            return False
         load = self.loads[target.id]
         if load.is_suspended(now) or (load.is_on_trial() and load.in_flight):
             return False
-        return not self.is_cold(target.id, now) or self._is_owner(target)
+        return not self.is_cold(target.id, now) or self._find_part(target) > 0
 
-    def _is_owner(self, target: Target) -> bool:
-        found = self._owned.get(target.id)
+    def _list_able(self, need: Need, now: float) -> Iterator[Candidate]:
+        ring = self._find_ring(need.service, need.homes)
+        for name in ring.walk(need.key):
+            target = self._targets[name]
+            if self._may_serve(target, need, now):
+                yield Candidate(target, self.loads[name])
+
+    def _find_part(self, target: Target) -> float:
+        found = self._parts.get(target.id)
         if found is None:
-            own, vms = self._vms
-            near = vms.get(target.zone) or self._list_region(target.zone, vms)
-            found = own in pick_owners(target.id, near)
-            self._owned[target.id] = found
+            groups = pick_groups(target.zone, self._groups, self._regions)
+            found = find_part(self._vm, target.id, groups)
+            self._parts[target.id] = found
         return found
 
-    def _list_region(
+    def _find_ring(self, service: str, homes: frozenset[str]) -> Ring:
+        ring = self._rings.get((service, homes))
+        if ring is None:
+            if len(self._rings) >= _MOST_RINGS:
+                self._rings.clear()
+            ring = Ring()
+            self._change_ring(ring, set(), self._targets, service, homes)
+            self._rings[service, homes] = ring
+        return ring
+
+    def _change_ring(
         self,
-        zone: str,
-        vms: Mapping[str, list[str]],
-    ) -> Iterable[str]:
-        region = self._regions.get(zone)
-        near = [
-            vm
-            for found, names in vms.items()
-            if self._regions.get(found) == region
-            for vm in names
-        ]
-        return near or [vm for names in vms.values() for vm in names]
-
-    def _order(self, service: str, key: str) -> tuple[Target, ...]:
-        order = self._orders.get((service, key))
-        if order is None:
-            if len(self._orders) >= _ORDERS_KEPT:
-                self._orders.clear()
-            order = rank(
-                self._services.get(service, ()),
-                self._place,
-                self._regions,
-                key,
-            )
-            self._orders[service, key] = order
-        return order
+        ring: Ring,
+        gone: Set[str],
+        added: Iterable[str],
+        service: str,
+        homes: frozenset[str],
+    ) -> None:
+        found = [self._targets[name] for name in added]
+        points = {
+            target.id: count_points(target.zone, self._place, self._regions)
+            for target in found
+            if target.service == service
+            and (not homes or self._regions.get(target.zone) in homes)
+        }
+        if points or not gone.isdisjoint(ring):
+            ring.change(gone, points)
 
 
-def _is_same(known: Target, target: Target) -> bool:
+def _is_same(known: Target | None, target: Target) -> bool:
     return (
-        known.started_at == target.started_at
+        known is not None
+        and known.started_at == target.started_at
         and known.address == target.address
         and known.service == target.service
+        and known.zone == target.zone
     )
