Bound what is read of answers and requests, and what a process holds

Callers had the same way in by one header without end.

Bytes beside the body are counted as they come (64 KiB), a body ends at a 24th of the process's memory, all bodies held, answers that callers do not read among them, at a twelfth: what holds most is cut. Interim answers and late copies of other answers are counted. The reason of a broken attempt is in its log line (602, detail). A success that lacks the id of its request is not taken.

Ruled out: bodies in chunks of one byte as legal (a list of them took 41 bytes a byte, and the parser a second per megabyte); they are cut by their framing.

--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -24,6 +24,7 @@
     make_settings,
     make_target_entry,
 )
+from standins.site.endless import EndlessServer
 from standins.site.store import StoreStandin
 from standins.site.target import TargetStandin
 
@@ -35,6 +36,7 @@
 _TARGET_PORT: Final = 9000
 _READY_SECONDS: Final = 15.0
 _STEP_SECONDS: Final = 0.02
+_BYTES_PER_KIB: Final = 1024
 
 Found = TypeVar('Found')
 
@@ -62,6 +64,7 @@
         self.net = net
         self.zones = zones
         self.targets: dict[str, TargetStandin] = {}
+        self.endless: dict[str, EndlessServer] = {}
         self.vms: dict[str, subprocess.Popen[bytes]] = {}
         self.folder = Path(tempfile.mkdtemp(prefix='toucanhall-site-'))
         self._loop = asyncio.new_event_loop()
@@ -89,6 +92,8 @@
         self.do(self.store.stop)
         for target in self.targets.values():
             self.do(target.stop)
+        for server in self.endless.values():
+            self.do(server.stop)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
@@ -117,12 +122,22 @@
         """Start a target and register it."""
         target = self.call(_make_target(name))
         self.targets[name] = target
-        ip = self._make_ip(100 + ZONES_ORDER[zone], len(self.targets))
-        self._ips[name] = ip
-        self.call(target.start(ip, _TARGET_PORT))
-        self.register(name, zone)
+        self._serve_as(name, zone, target)
         return target
 
+    def add_endless(self, name: str, kind: str) -> EndlessServer:
+        """Start and register a target that answers without end."""
+        server = EndlessServer(name=kind)
+        self.endless[name] = server
+        self._serve_as(name, 'east-a', server)
+        return server
+
+    def read_peak_memory(self, vm: str) -> int:
+        """Return the most memory that a VM has had resident, in bytes."""
+        status = Path(f'/proc/{self.vms[vm].pid}/status').read_text()
+        fields = dict(line.split(':', 1) for line in status.splitlines())
+        return int(fields['VmHWM'].split()[0]) * _BYTES_PER_KIB
+
     def register(
         self, name: str, zone: str = 'east-a', **fields: object
     ) -> None:
@@ -256,6 +271,18 @@
         """Return the log lines of a VM with an event number."""
         return [line for line in self.read_log(name) if line['event'] == number]
 
+    def _serve_as(
+        self,
+        name: str,
+        zone: str,
+        server: TargetStandin | EndlessServer,
+    ) -> None:
+        number = len(self.targets) + len(self.endless)
+        ip = self._make_ip(100 + ZONES_ORDER[zone], number)
+        self._ips[name] = ip
+        self.call(server.start(ip, _TARGET_PORT))
+        self.register(name, zone)
+
     def _make_ip(self, third: int, fourth: int) -> str:
         return f'127.{self.net}.{third}.{fourth}'
 
--- a/standins/site/documents.py
+++ b/standins/site/documents.py
@@ -122,7 +122,7 @@
         },
         'internal_port_range': [7560, 7575],
         'seeds': list(seeds),
-        'limits': {'max_fds': 2870},
+        'limits': {'max_fds': 2870, 'memory_mb': 152},
         'bounds': {
             'grace': grace,
             'ttl_max': '5s',
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -6,6 +6,7 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import parse_qs, unquote
 
+from toucanhall.web.memory import HeldBytes
 from toucanhall.web.messages import Answer, Request
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
@@ -14,6 +15,7 @@
 _PREFIX: Final = '/toucanhall/objects/'
 _PAGE: Final = 500
 _LIMITS: Final = ServerLimits(65536, 1 << 21, 10.0, 60.0)
+_HELD_BYTES: Final = 1 << 26
 _JSON: Final = ((b'content-type', b'application/json'),)
 
 Document = dict[str, Any]
@@ -54,6 +56,7 @@
             is_stopping=lambda: False,
             is_lagging=lambda: False,
             connections=set(),
+            held=HeldBytes(most=_HELD_BYTES),
         )
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(handler=handler),
--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -13,12 +13,16 @@
 )
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.limits.quota import Usage
+from toucanhall.web.client import Opening
+from toucanhall.web.memory import make_bounds as make_answer_bounds
+from toucanhall.web.memory import make_held_bytes
 
 __all__ = (
     'make_bounds',
     'make_heartbeat',
     'make_member',
     'make_members',
+    'make_opening',
     'make_report',
     'make_target',
     'make_team',
@@ -118,3 +122,12 @@
     """Return what a VM of `east-a` knows that started long ago."""
     own = Introduction('vm-own', 'east-a', '127.0.0.99')
     return Members(own=own, zones=('east-a', *zones), now=now)
+
+
+def make_opening(memory: int = 152_000_000, id_header: bytes = b'') -> Opening:
+    """Return how a VM with so many bytes of memory opens connections."""
+    return Opening(
+        bounds=make_answer_bounds(memory),
+        held=make_held_bytes(memory),
+        id_header=id_header,
+    )
--- /dev/null
+++ b/tests/unit/test_client.py
@@ -0,0 +1,164 @@
+"""Tests of connections to servers whose answers are no answers."""
+
+import asyncio
+import time
+
+import pytest
+
+from standins.site.endless import ENDLESS, EndlessServer
+from tests.fleetdata import make_opening
+from toucanhall.fleet.model import Address
+from toucanhall.web.client import Broken, open_connection
+from toucanhall.web.memory import HeldBytes
+
+ADDRESS = Address('127.64.201.1', 9001)
+REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\nx-id: own\r\n\r\n'
+# Of the sockets between both ends, and of pieces read at once.
+ON_THE_WAY = 12_000_000
+
+
+def answer_with(*answers, keep=True):
+    """Return a server that answers each request with the next bytes."""
+    left = list(answers)
+
+    async def serve(reader, writer):
+        while left:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(left.pop(0))
+            await writer.drain()
+        if not keep:
+            writer.close()
+
+    return serve
+
+
+def run(serve, act, opening=None):
+    opening = opening or make_opening(id_header=b'x-id')
+
+    async def start():
+        server = await asyncio.start_server(serve, *ADDRESS)
+        try:
+            connection = await open_connection(
+                ADDRESS,
+                seconds=1.0,
+                opening=opening,
+            )
+            return await act(connection)
+        finally:
+            server.close()
+
+    return asyncio.run(start())
+
+
+@pytest.mark.parametrize('name', ENDLESS)
+def test_bytes_without_end_are_cut_at_a_bound(name):
+    opening = make_opening(id_header=b'x-id')
+
+    async def act():
+        server = EndlessServer(name=name)
+        await server.start(*ADDRESS)
+        began = time.perf_counter()
+        connection = await open_connection(
+            ADDRESS,
+            seconds=1.0,
+            opening=opening,
+        )
+        with pytest.raises(Broken) as caught:
+            async with asyncio.timeout(4.0):
+                await connection.exchange(REQUEST, b'own')
+        seconds = time.perf_counter() - began
+        server.stop()
+        return str(caught.value), server.sent, seconds, connection.is_usable
+
+    why, sent, seconds, is_usable = asyncio.run(act())
+    assert 'over' in why or 'malformed' in why
+    assert sent < opening.bounds.body_bytes + ON_THE_WAY
+    assert opening.held.total == 0
+    assert not is_usable
+    assert seconds < 3.0
+
+
+def make_body(size, request_id=b'own'):
+    return (
+        b'HTTP/1.1 200 OK\r\nx-id: %s\r\ncontent-length: %d\r\n\r\n'
+        % (request_id, size)
+    ) + b'b' * size
+
+
+def test_answers_within_the_bounds_are_whole():
+    async def act(connection):
+        first = await connection.exchange(REQUEST, b'own')
+        second = await connection.exchange(REQUEST, b'own')
+        return [len(first.body), len(second.body)]
+
+    opening = make_opening(id_header=b'x-id')
+    large = opening.bounds.body_bytes
+    assert run(answer_with(make_body(large), make_body(3)), act) == [large, 3]
+
+
+def test_late_copy_of_an_answer_is_never_the_next_one():
+    async def act(connection):
+        first = await connection.exchange(REQUEST, b'own')
+        await asyncio.sleep(0.05)
+        return first.body, connection.is_usable
+
+    twice = make_body(3) + make_body(3)
+    assert run(answer_with(twice), act) == (b'bbb', False)
+
+
+def test_late_copy_before_an_answer_is_read_past():
+    async def act(connection):
+        reply = await connection.exchange(REQUEST, b'own')
+        return len(reply.body), connection.is_usable
+
+    both = make_body(3, b'earlier') + make_body(5)
+    assert run(answer_with(both), act) == (5, False)
+
+
+def test_success_without_the_id_of_its_request_is_not_taken():
+    async def act(connection):
+        with pytest.raises(Broken, match='without the id'):
+            await connection.exchange(REQUEST, b'own')
+
+    run(answer_with(b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx'), act)
+
+
+@pytest.mark.parametrize(
+    'cut',
+    (
+        b'HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: 9\r\n\r\nhalf',
+        b'HTTP/1.1 200 OK\r\nx-id: own\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'4\r\nhalf\r\n',
+        b'HTTP/1.1 200 OK\r\nx-id: own\r\n',
+        b'HTTP/1.1 102 Processing\r\n\r\n',
+        b'',
+    ),
+)
+def test_answer_that_breaks_off_is_no_answer(cut):
+    async def act(connection):
+        with pytest.raises(Broken):
+            await connection.exchange(REQUEST, b'own')
+
+    run(answer_with(cut, keep=False), act)
+
+
+class Cuttable:
+    def __init__(self, held):
+        self.held = held
+        self.why = ''
+
+    def cut(self, why):
+        self.why = why
+
+
+def test_holder_of_most_is_cut_where_all_are_over_the_bound():
+    held = HeldBytes(most=100)
+    small, large, last = (Cuttable(held) for _holder in range(3))
+    held.put(small, 10)
+    held.put(large, 80)
+    held.put(last, 20)
+    assert (bool(small.why), bool(large.why), bool(last.why)) == (0, 1, 0)
+    assert held.total == 30
+    held.put(small, 0)
+    held.put(last, 0)
+    assert held.total == 0
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from standins.site.store import StoreStandin
+from tests.fleetdata import make_opening
 from toucanhall.fleet.model import Address, Introduction
 from toucanhall.platform.entries import Entries
 from toucanhall.platform.store import Store
@@ -15,7 +16,11 @@
     async def start():
         standin = StoreStandin()
         await standin.start(*ADDRESS)
-        store = Store(address=ADDRESS, on_call=lambda _call, _seconds: None)
+        store = Store(
+            address=ADDRESS,
+            opening=make_opening(),
+            on_call=lambda _call, _seconds: None,
+        )
         try:
             return await act(standin, Entries(store=store, journal=journal))
         finally:
--- a/tests/unit/test_following.py
+++ b/tests/unit/test_following.py
@@ -5,6 +5,7 @@
 from standins.site.documents import make_target_entry
 from standins.site.store import StoreStandin
 from toucanhall.fleet.knowledge import LAPSE_SECONDS, Knowledge
+from tests.fleetdata import make_opening
 from toucanhall.fleet.model import Address
 from toucanhall.platform.following import Follower
 from toucanhall.platform.store import Store
@@ -27,7 +28,11 @@
         )
         knowledge = Knowledge(on_change=lambda _table: None)
         follower = Follower(
-            store=Store(address=ADDRESS, on_call=lambda _call, _seconds: None),
+            store=Store(
+                address=ADDRESS,
+                opening=make_opening(),
+                on_call=lambda _call, _seconds: None,
+            ),
             knowledge=knowledge,
             journal=journal,
             lapse_seconds=LAPSE_AFTER,
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -5,7 +5,7 @@
 import pytest
 
 from standins.site.documents import HOST, KEY, make_configuration, make_rule
-from tests.fleetdata import make_bounds
+from tests.fleetdata import make_bounds, make_opening
 from toucanhall.edge.path import Path
 from toucanhall.edge.pool import Pool
 from toucanhall.edge.reporting import Reporter
@@ -40,7 +40,7 @@
         field=field,
         sender=Sender(
             field=field,
-            pool=Pool(clock=clock, id_header=b''),
+            pool=Pool(clock=clock, opening=make_opening()),
             journal=journal,
         ),
         quotas=Quotas(bounds=make_bounds(), beat=0.8, now=0.0),
--- /dev/null
+++ b/tests/unit/test_server.py
@@ -0,0 +1,117 @@
+"""Tests of connections of callers that send what no request is."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from toucanhall.fleet.model import Address
+from toucanhall.web.memory import HeldBytes
+from toucanhall.web.messages import Answer
+from toucanhall.web.server import Connection, Handler, ServerLimits
+
+ADDRESS = Address('127.64.202.1', 9002)
+LIMITS = ServerLimits(16384, 1 << 20, 5.0, 30.0)
+PIECE = b'x' * 8192
+# Of the sockets between both ends, and of pieces read at once.
+ON_THE_WAY = 12_000_000
+
+
+def make_handler(answer, held):
+    async def serve(_request):
+        return answer
+
+    return Handler(
+        serve=serve,
+        is_cancellable=lambda _request: True,
+        get_limits=lambda: LIMITS,
+        is_stopping=bool,
+        is_lagging=bool,
+        connections=set(),
+        held=held,
+    )
+
+
+def run(act, answer=None, held=None):
+    handler = make_handler(answer or Answer(200), held or HeldBytes(most=1000))
+
+    async def start():
+        server = await asyncio.get_running_loop().create_server(
+            lambda: Connection(handler=handler),
+            *ADDRESS,
+        )
+        reader, writer = await asyncio.open_connection(*ADDRESS)
+        try:
+            async with asyncio.timeout(5.0):
+                return await act(reader, writer)
+        finally:
+            writer.close()
+            server.close()
+
+    return asyncio.run(start())
+
+
+@pytest.mark.parametrize(
+    ('first', 'part', 'statuses'),
+    (
+        (b'GET / HTTP/1.1\r\nh: ', PIECE, (b'431',)),
+        (b'GET / HTTP/1.1\r\n', PIECE, (b'431', b'400')),
+        (b'GET /', PIECE, (b'431', b'400')),
+        (b'GET / HTTP/1.1\r\n', b'h: v\r\n' * 1024, (b'431',)),
+        (
+            b'POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1;a=',
+            PIECE,
+            (b'431', b'400'),
+        ),
+        (
+            b'POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n',
+            b'h: v\r\n' * 1024,
+            (b'431', b'400'),
+        ),
+    ),
+)
+def test_request_without_end_is_refused_at_a_bound(first, part, statuses):
+    async def act(reader, writer):
+        sent = 0
+        writer.write(first)
+        reading = asyncio.ensure_future(reader.read(64))
+        with contextlib.suppress(ConnectionError):
+            while not reading.done():
+                writer.write(part)
+                await writer.drain()
+                sent += len(part)
+        found = await asyncio.gather(reading, return_exceptions=True)
+        return found[0], sent
+
+    answer, sent = run(act)
+    assert sent < ON_THE_WAY
+    if isinstance(answer, bytes) and answer:
+        assert answer.split()[1] in statuses
+
+
+def test_many_small_requests_are_no_request_without_end():
+    async def act(reader, writer):
+        request = b'GET / HTTP/1.1\r\nh: %s\r\n\r\n' % (b'v' * 900)
+        writer.write(request * 320)
+        answers = 0
+        while answers < 320:
+            answers += (await reader.readline()).startswith(b'HTTP/1.1 200')
+        return True
+
+    assert run(act)
+
+
+def test_caller_that_reads_nothing_is_cut_where_memory_is_short():
+    held = HeldBytes(most=3_000_000)
+
+    async def act(reader, writer):
+        writer.write(b'GET / HTTP/1.1\r\n\r\n' * 8)
+        await asyncio.sleep(0.3)
+        with pytest.raises(ConnectionError):
+            while await reader.read(1 << 20):
+                await asyncio.sleep(0)
+            raise ConnectionError('cut')
+        return held.total
+
+    large = Answer(200, (), b'b' * 4_000_000)
+    assert run(act, large, held) <= held.most
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -159,6 +159,7 @@
                 outcome.reason,
                 target=outcome.target,
                 may_have_run=outcome.may_have_run,
+                detail=outcome.detail,
             )
             if not self._may_repeat(admitted, attempts, outcome):
                 return self._give_up(admitted, attempts)
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.client import ServerConnection, open_connection
+from toucanhall.web.client import Opening, ServerConnection, open_connection
 
 __all__ = ('Pool',)
 
@@ -24,11 +24,11 @@
         self,
         *,
         clock: Callable[[], float],
-        id_header: bytes,
+        opening: Opening,
     ) -> None:
-        """Match answers by the header that repeats the id of a request."""
+        """Read answers within the bounds of `opening`."""
         self._clock = clock
-        self._id_header = id_header
+        self._opening = opening
         self._idle: dict[Address, list[ServerConnection]] = {}
         self.opened = 0
 
@@ -55,7 +55,7 @@
         return await open_connection(
             address,
             seconds=seconds,
-            id_header=self._id_header,
+            opening=self._opening,
         )
 
     def give_back(self, address: Address, connection: ServerConnection) -> None:
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -36,7 +36,9 @@
 from toucanhall.platform.following import Follower
 from toucanhall.platform.headers import REQUEST_ID
 from toucanhall.platform.store import Store, StoreError
+from toucanhall.web.client import Opening
 from toucanhall.web.lag import LoopLag
+from toucanhall.web.memory import make_bounds, make_held_bytes
 from toucanhall.web.messages import Answer, Request, make_answer
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
@@ -52,7 +54,7 @@
 # Between looks at the entries of VMs: a fleet replaces a VM each minute.
 _TEND_SECONDS: Final = 60.0
 # Before a configuration is known; of the order of what operators allow.
-_FIRST_LIMITS: Final = ServerLimits(65536, 1 << 26, 5.0, 30.0)
+_FIRST_LIMITS: Final = ServerLimits(65536, 1 << 20, 5.0, 30.0)
 # Parts of the grace after which idle connections are closed, and the end.
 _CLOSE_IDLE_SHARE: Final = 0.75
 _END_SHARE: Final = 0.93
@@ -80,8 +82,17 @@
             beat=HEARTBEAT_SECONDS,
             now=self._loop.time(),
         )
-        self._pool = Pool(clock=self._loop.time, id_header=REQUEST_ID)
-        self._store = Store(address=environment.store, on_call=self._count_call)
+        self._held = make_held_bytes(environment.memory)
+        opening = Opening(make_bounds(environment.memory), self._held)
+        self._pool = Pool(
+            clock=self._loop.time,
+            opening=opening._replace(id_header=REQUEST_ID),
+        )
+        self._store = Store(
+            address=environment.store,
+            opening=opening,
+            on_call=self._count_call,
+        )
         self._entries = Entries(store=self._store, journal=self._journal)
         self._follower = Follower(
             store=self._store,
@@ -123,6 +134,7 @@
             journal=self._journal,
             zone=environment.zone,
             port=control.port if control else 0,
+            opening=opening,
             on_taken=self._take_snapshot,
         )
         self._mate = Fleetmate(
@@ -209,6 +221,7 @@
             is_stopping=self._stopping.is_set,
             is_lagging=lambda: self._lag.seconds > LAGGING_SECONDS,
             connections=connections,
+            held=self._held,
         )
         await self._loop.create_server(
             lambda: Connection(handler=handler),
@@ -327,6 +340,7 @@
             'configuration_revision': lambda: knowledge.revisions.configuration,
             'targets_revision': lambda: knowledge.revisions.targets,
             'evacuations_revision': lambda: knowledge.revisions.evacuations,
+            'bytes_held': lambda: self._held.total,
             'watches_store': lambda: self._follower.is_watching,
             'log_lines_dropped': lambda: sum(self._journal.dropped.values()),
         }
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -52,6 +52,7 @@
     was_sent: bool = True
     may_have_run: bool = True
     reply: Reply | None = None
+    detail: str = ''
 
 
 class Sender:
@@ -83,10 +84,11 @@
                 target.id,
                 was_sent=False,
                 may_have_run=False,
+                detail=str(error),
             )
         except Broken as error:
             self._fail(target, is_lost=False, why=str(error))
-            return Failure('broken', target.id)
+            return Failure('broken', target.id, detail=str(error))
         finally:
             load.in_flight -= 1
         seconds = self._loop.time() - started_at
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -11,7 +11,7 @@
 from toucanhall.fleet.model import Address, Snapshot
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.web.client import open_connection
+from toucanhall.web.client import Opening, open_connection
 from toucanhall.web.messages import Answer, Request, make_answer, write_request
 
 __all__ = ('TableExchange',)
@@ -38,6 +38,7 @@
         journal: Journal,
         zone: str,
         port: int,
+        opening: Opening,
         on_taken: Callable[[Source], None],
     ) -> None:
         """Ask VMs at the port at which each answers such questions.
@@ -45,6 +46,7 @@
         `on_taken` gets the VM whose tables were taken.
         """
         self._on_taken = on_taken
+        self._opening = opening
         self._knowledge = knowledge
         self._journal = journal
         self._zone = zone
@@ -123,7 +125,11 @@
         path = b'%s?%s' % (_PATH, known.encode())
         request = Request(b'GET', path, ((b'host', host),), b'')
         async with asyncio.timeout(_PULL_SECONDS):
-            connection = await open_connection(address, seconds=_PULL_SECONDS)
+            connection = await open_connection(
+                address,
+                seconds=_PULL_SECONDS,
+                opening=self._opening,
+            )
             reply = await connection.exchange(write_request(request))
         connection.close()
         return msgspec.msgpack.decode(reply.body, type=Snapshot)
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -59,7 +59,7 @@
 
     `regions` maps each availability zone to its region, `seeds` are control
     addresses of VMs that may be down, `capacity` is what the VM bears in
-    requests a second.
+    requests a second, `memory` the bytes that its process may use.
     """
 
     vm: str
@@ -73,6 +73,7 @@
     store: Address
     bounds: Bounds
     capacity: float
+    memory: int
 
 
 class Part(NamedTuple):
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -20,6 +20,8 @@
 _REQUEST_CORE_SECONDS: Final = 0.001
 _REQUEST_BYTES: Final = 4000
 _BYTES_PER_MEGABIT: Final = 125_000
+_BYTES_PER_MEGABYTE: Final = 1_000_000
+_DEFAULT_MEGABYTES: Final = 152  # of the smallest VM of today's deployments
 
 
 class BadSettings(ValueError):
@@ -69,6 +71,7 @@
             read_seconds(document.get('heartbeat', '1500ms')),
         ),
         capacity=_read_capacity(document.get('limits') or {}),
+        memory=_read_memory(document.get('limits') or {}),
     )
 
 
@@ -83,6 +86,11 @@
     )
 
 
+def _read_memory(limits: Mapping[str, Any]) -> int:
+    megabytes = float(limits.get('memory_mb') or _DEFAULT_MEGABYTES)
+    return int(megabytes * _BYTES_PER_MEGABYTE)
+
+
 def _decode_bounds(
     bounds: Mapping[str, Any],
     target_heartbeat: float,
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -11,6 +11,7 @@
 from toucanhall.fleet.model import Address
 from toucanhall.platform import names
 from toucanhall.web.client import (
+    Opening,
     Reply,
     ServerConnection,
     open_connection,
@@ -63,9 +64,11 @@
         self,
         *,
         address: Address,
+        opening: Opening,
         on_call: Callable[[str, float], None],
     ) -> None:
         """Tell `on_call` the outcome and the seconds of each call."""
+        self._opening = opening
         self._on_call = on_call
         self._address = address
         self._host = f'{address.host}:{address.port}'.encode()
@@ -170,7 +173,11 @@
             if connection.is_usable and connection.idle_since > oldest:
                 return connection
             connection.close()
-        return await open_connection(self._address, seconds=_CONNECT_SECONDS)
+        return await open_connection(
+            self._address,
+            seconds=_CONNECT_SECONDS,
+            opening=self._opening,
+        )
 
 
 def _read_changes(items: Any) -> list[Change]:
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -7,10 +7,12 @@
 import httptools
 
 from toucanhall.fleet.model import Address
+from toucanhall.web.memory import Bounds, Framing, HeldBytes
 from toucanhall.web.messages import Headers, get_header
 
 __all__ = (
     'Broken',
+    'Opening',
     'Reply',
     'ServerConnection',
     'Unreachable',
@@ -22,8 +24,10 @@
 _SILENCE_MILLISECONDS: Final = 1500
 _PROBE_AFTER_SECONDS: Final = 1
 _PROBES: Final = 2
-_BODY_BYTES: Final = 1 << 26  # of an answer that is held whole
-_BAD_STATUS_BELOW: Final = 200
+# Bytes that are parsed between two looks at the bounds.
+_PIECE_BYTES: Final = 1 << 14
+_FINAL_STATUS: Final = 200
+_REDIRECTED_STATUS: Final = 300
 
 
 class Unreachable(ConnectionError):
@@ -43,6 +47,17 @@
     keep: bool
 
 
+class Opening(NamedTuple):
+    """How connections to servers are made, and what is read of them.
+
+    Answers are matched by `id_header`, which repeats the id of a request.
+    """
+
+    bounds: Bounds
+    held: HeldBytes
+    id_header: bytes = b''
+
+
 class ServerConnection(asyncio.Protocol):
     """One connection on which one request at a time is answered.
 
@@ -50,13 +65,17 @@
     connection is not used again.
     """
 
-    def __init__(self, *, id_header: bytes = b'') -> None:
-        """Match answers by the header that repeats the id of a request."""
-        self._id_header = id_header
+    def __init__(self, *, opening: Opening) -> None:
+        """Read answers within the bounds of `opening`."""
+        self._opening = opening
+        self._framing = Framing(most=opening.bounds.head_bytes)
+        self._interim = 0
+        self._stray = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[Reply] | None = None
         self._expected = b''
+        self._excess = ''
         self._is_tainted = False
         self.idle_since = 0.0
         self.idle_seconds: float | None = None
@@ -83,7 +102,7 @@
         waiter = self._waiter
         if waiter is None or waiter.done():
             return
-        if self._ends_by_close and _error is None:
+        if self._ends_by_close and _error is None and not self._excess:
             self.on_message_complete()
         if not waiter.done():
             waiter.set_exception(Broken('connection ended without an answer'))
@@ -93,12 +112,17 @@
         if self._waiter is None or self._waiter.done():
             self.close()
             return
-        try:
-            self._parser.feed_data(received)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self._waiter and not self._waiter.done():
-                self._waiter.set_exception(Broken('malformed answer'))
-            self.close()
+        for start in range(0, len(received), _PIECE_BYTES):
+            why = self._feed(received[start : start + _PIECE_BYTES])
+            if why:
+                self.cut(why)
+                return
+
+    def cut(self, why: str) -> None:
+        """Fail the request under way and reset the connection."""
+        if self._waiter and not self._waiter.done():
+            self._waiter.set_exception(Broken(why))
+        self.abort()
 
     async def exchange(self, sent: bytes, request_id: bytes = b'') -> Reply:
         """Send a request and return its answer.
@@ -109,6 +133,9 @@
         if not self.is_usable or self._transport is None:
             raise Unreachable('connection is closed')
         self._expected = request_id
+        self._interim = 0
+        self._stray = 0
+        self._framing.start()
         waiter = asyncio.get_running_loop().create_future()
         self._waiter = waiter
         self._transport.write(sent)
@@ -117,6 +144,8 @@
         except asyncio.CancelledError:
             self.abort()
             raise
+        finally:
+            self._drop_body()
         if not reply.keep:
             self.close()
         return reply
@@ -156,41 +185,94 @@
     def on_body(self, body: bytes) -> None:
         """Take a part of the body (called by the parser)."""
         self._size += len(body)
-        self._body.append(body)
-        if self._size > _BODY_BYTES:
-            raise ValueError('answer is too large')
+        self._fed_body += len(body)
+        if self._size > self._opening.bounds.body_bytes:
+            self._excess = (
+                f'body is over {self._opening.bounds.body_bytes} bytes'
+            )
+        elif not self._excess and not self._is_answered():
+            self._body += body
+            self._opening.held.put(self, self._size)
 
     def on_message_complete(self) -> None:
         """Hand over a whole answer (called by the parser)."""
         status = self._parser.get_status_code()
         waiter = self._waiter
-        if status < _BAD_STATUS_BELOW or waiter is None or waiter.done():
+        if waiter is None or waiter.done():
             return
         headers = tuple(self._headers)
-        if self._is_stray(headers):
+        if status < _FINAL_STATUS:
+            self._interim += 1
+        elif self._is_stray(headers):
+            self._stray += 1
             self._is_tainted = True
-            return
+        elif self._lacks_id(status, headers):
+            waiter.set_exception(Broken('answer without the id of a request'))
+            self.abort()
+        else:
+            self._hand_over(status, headers, waiter)
+
+    def _hand_over(
+        self,
+        status: int,
+        headers: Headers,
+        waiter: 'asyncio.Future[Reply]',
+    ) -> None:
         keep = not self._ends_by_close and self._parser.should_keep_alive()
         self.idle_seconds = _read_keep_alive(headers)
         waiter.set_result(
             Reply(
                 status=status,
                 headers=headers,
-                body=b''.join(self._body),
+                body=bytes(self._body),
                 keep=bool(keep),
             ),
         )
 
+    def _feed(self, piece: bytes) -> str:
+        """Parse bytes; return why the answer is not read on, if so."""
+        self._fed_body = 0
+        try:
+            self._parser.feed_data(piece)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return 'malformed answer'
+        if self._is_answered():
+            return ''
+        bounds = self._opening.bounds
+        if not self._framing.take(len(piece), self._fed_body):
+            return f'head or framing is over {bounds.head_bytes} bytes'
+        if self._interim > bounds.most_interim:
+            return f'over {bounds.most_interim} interim answers'
+        if self._stray > bounds.most_stray:
+            return f'over {bounds.most_stray} answers to other requests'
+        return self._excess
+
+    def _is_answered(self) -> bool:
+        return self._waiter is None or self._waiter.done()
+
     def _is_stray(self, headers: Headers) -> bool:
         if not self._expected:
             return False
-        found = get_header(headers, self._id_header)
+        found = get_header(headers, self._opening.id_header)
         return found is not None and found != self._expected
 
+    def _lacks_id(self, status: int, headers: Headers) -> bool:
+        is_success = status < _REDIRECTED_STATUS
+        expected = self._expected and self._opening.id_header
+        return bool(
+            is_success and expected and get_header(headers, expected) is None,
+        )
+
+    def _drop_body(self) -> None:
+        self._body = bytearray()
+        self._opening.held.put(self, 0)
+
     def _start(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
+        self._fed_body = 0
+        self._excess = ''
         self._ends_by_close = False
 
 
@@ -198,14 +280,14 @@
     address: Address,
     *,
     seconds: float,
-    id_header: bytes = b'',
+    opening: Opening,
 ) -> ServerConnection:
     """Connect within some seconds; raise Unreachable otherwise."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(seconds):
             _transport, connection = await loop.create_connection(
-                lambda: ServerConnection(id_header=id_header),
+                lambda: ServerConnection(opening=opening),
                 address.host,
                 address.port,
             )
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from toucanhall.web.memory import Framing, HeldBytes
 from toucanhall.web.messages import (
     Answer,
     Request,
@@ -19,6 +20,8 @@
 
 # Requests of one connection that run side by side; the rest stays unread.
 PIPELINE_DEPTH: Final = 16
+# Bytes that are parsed between two looks at the limits.
+_PIECE_BYTES: Final = 1 << 14
 _CHECK_SECONDS: Final = 0.5  # between checks of the idle and header times
 
 
@@ -44,6 +47,7 @@
     is_stopping: Callable[[], bool]
     is_lagging: Callable[[], bool]
     connections: set['Connection']
+    held: HeldBytes
 
 
 class _Exchange:
@@ -70,7 +74,10 @@
         self._exchanges: deque[_Exchange] = deque()
         self._is_closing = False
         self._is_paused = False
+        self._is_unread = False
         self._limits = handler.get_limits()
+        self._framing = Framing(most=self._limits.head_bytes + _PIECE_BYTES)
+        self._fed_body = 0
         self._since = self._loop.time()
         self._reads = False
         self._reset()
@@ -86,6 +93,7 @@
         """End the requests whose caller has left."""
         self._check.cancel()
         self._handler.connections.discard(self)
+        self._handler.held.put(self, 0)
         self._is_closing = True
         for exchange in self._exchanges:
             task, request = exchange.task, exchange.request
@@ -96,18 +104,25 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse what came; start each request that is whole."""
-        if self._is_closing:
-            return
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade as upgrade:
-            self._parser = httptools.HttpRequestParser(self)
-            rest = received[upgrade.args[0] :]
-            if rest:
-                self.data_received(rest)
-        except httptools.HttpParserError:
-            if not self._is_closing:
-                self._reject(400, 'malformed request')
+        for start in range(0, len(received), _PIECE_BYTES):
+            if self._is_closing:
+                return
+            self._feed(received[start : start + _PIECE_BYTES])
+
+    def pause_writing(self) -> None:
+        """Count answers that the caller does not read."""
+        self._is_unread = True
+        self._count_unread()
+
+    def resume_writing(self) -> None:
+        """Count the answers as read."""
+        self._is_unread = False
+        self._handler.held.put(self, 0)
+
+    def cut(self, _why: str) -> None:
+        """Reset the connection of a caller that does not read its answers."""
+        if self._transport is not None:
+            self._transport.abort()
 
     def close_idle(self) -> bool:
         """Close the connection if nothing is under way; tell whether."""
@@ -144,6 +159,7 @@
     def on_body(self, body: bytes) -> None:
         """Take a part of the body (called by the parser)."""
         self._body_size += len(body)
+        self._fed_body += len(body)
         if self._body_size > self._limits.body_bytes:
             self._reject(413, 'body too large')
         else:
@@ -154,6 +170,7 @@
         if self._is_closing:
             return
         self._reads = False
+        self._framing.start()
         request = Request(
             method=self._parser.get_method(),
             path=bytes(self._path),
@@ -169,6 +186,21 @@
             self._is_paused = True
             self._transport.pause_reading()
 
+    def _feed(self, piece: bytes) -> None:
+        self._fed_body = 0
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._parser = httptools.HttpRequestParser(self)
+            rest = piece[upgrade.args[0] :]
+            if rest:
+                self._feed(rest)
+        except httptools.HttpParserError:
+            self._reject(400, 'malformed request')
+        else:
+            if not self._framing.take(len(piece), self._fed_body):
+                self._reject(431, 'header fields too large')
+
     async def _serve(self, exchange: _Exchange, request: Request) -> None:
         if self._handler.is_lagging():
             # Behind a request that waited there may be the end of its
@@ -200,11 +232,20 @@
         transport.write(
             write_answer(answer, is_last=is_last, has_body=has_body),
         )
+        if self._is_unread:
+            self._count_unread()
         if is_last:
             self._is_closing = True
             transport.close()
 
+    def _count_unread(self) -> None:
+        if self._transport is not None:
+            unread = self._transport.get_write_buffer_size()
+            self._handler.held.put(self, unread)
+
     def _reject(self, status: int, text: str) -> None:
+        if self._is_closing:
+            return
         self._is_closing = True
         exchange = _Exchange(request=None, keep=False)
         exchange.answer = make_answer(status, text)
