Limits of teams from the first configuration on, short beats after a start

It divides the limit as soon as it knows one, beats each 0.2 s for two seconds, counts zones by their entries, and starts with half of what may be kept. What short beats add is paced by the limit's rate: reports of other zones are older.

--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.fleetdata import make_bounds, make_team
+from toucanhall.edge.fleetmate import FIRST_BEAT_SECONDS, find_beat_seconds
 from toucanhall.fleet.membership import LATE_SECONDS
 from toucanhall.fleet.membership import REPORT_LATE_SECONDS as REPORT_LATE
 from toucanhall.fleet.reports import sum_told
@@ -57,16 +58,21 @@
         self.admitted = []
         self.asked = 0
         self.now = 0.0
+        self.started_at = None
 
     def play(self, seconds, *, seed, since=0.0):
         draw = random.Random(seed)
         step = 0.01
         now = self.now
         beats = [now + draw.uniform(0, BEAT) for _vm in self.vms]
+        if self.started_at is not None:
+            beats = [now + FIRST_BEAT_SECONDS for _vm in self.vms]
+            for index, vm in enumerate(self.vms):
+                self.divide(index, vm, {}, now)
         while now < seconds:
             for index, vm in enumerate(self.vms):
                 if now >= beats[index]:
-                    beats[index] += BEAT
+                    beats[index] += self.find_beat(now)
                     self.beat(index, vm, now)
                 rate = self.loads[index].find_rate(now)
                 if draw.random() < rate * step:
@@ -80,6 +86,14 @@
         told = vm.measure(now)
         self.told[index] = told
         self.beats[index] += 1
+        self.divide(index, vm, told, now)
+
+    def find_beat(self, now):
+        if self.started_at is None:
+            return BEAT
+        return find_beat_seconds(now - self.started_at)
+
+    def divide(self, index, vm, told, now):
         zone = index // self.per_zone
         mates = range(zone * self.per_zone, (zone + 1) * self.per_zone)
         for other in mates:
@@ -112,6 +126,7 @@
     def restart(self, now):
         """Start all VMs anew."""
         self.now = now
+        self.started_at = now
         self.beats = [0] * len(self.loads)
         self.reports = {}
         self.heard = [[({}, now)] * len(self.loads) for _load in self.loads]
@@ -239,6 +254,38 @@
     assert again > 0.75 * team.rate * WINDOW
 
 
+@pytest.mark.parametrize('seed', range(2))
+@pytest.mark.parametrize(
+    ('rate', 'zones'), ((400.0, 6), (100.0, 6), (100.0, 9))
+)
+def test_team_within_its_rate_is_seldom_refused_after_a_start(
+    rate,
+    zones,
+    seed,
+):
+    team = make_team(rate=rate, burst=rate)
+    vms = zones * 4
+    loads = [Load(((0, rate / 1.6 / vms),)) for _vm in range(vms)]
+    fleet = Fleet(loads=loads, team=team, per_zone=4)
+    fleet.play(8, seed=seed)
+    fleet.restart(8.9)
+    fleet.asked = 0
+    fleet.play(10.9, seed=seed)
+    assert 1 - fleet.count_admitted(8.9) / fleet.asked < 0.1
+
+
+@pytest.mark.parametrize('seed', range(2))
+@pytest.mark.parametrize('rate', (10.0, 30.0, 100.0, 400.0))
+def test_hot_team_keeps_to_its_limit_over_a_start(rate, seed):
+    team = make_team(rate=rate, burst=rate)
+    loads = [Load(((0, rate * 3 / 24),)) for _vm in range(24)]
+    fleet = Fleet(loads=loads, team=team, per_zone=4)
+    fleet.play(8, seed=seed)
+    fleet.restart(8.9)
+    fleet.play(14, seed=seed)
+    assert fleet.find_most() <= find_bound(team)
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_cut_third_of_a_large_fleet_keep_to_the_limit(seed):
     team = make_team(rate=64.0, burst=64.0)
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -15,15 +15,30 @@
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 
-__all__ = ('HEARTBEAT_SECONDS', 'Fleetmate', 'Source')
+__all__ = (
+    'FIRST_BEAT_SECONDS',
+    'HEARTBEAT_SECONDS',
+    'Fleetmate',
+    'Source',
+    'find_beat_seconds',
+)
 
 # Two of three heartbeats may be lost before others look for a new watcher.
 HEARTBEAT_SECONDS: Final = 0.8
 # By then the seeds have introduced all VMs, over two times between regions.
-_FIRST_BEAT_SECONDS: Final = 0.2
+FIRST_BEAT_SECONDS: Final = 0.2
+# A VM that has just started knows little of what others spent: it tells and
+# hears more often until the first window's reports have gone round twice.
+_EARLY_BEAT_SECONDS: Final = 0.2
+_EARLY_SECONDS: Final = 2.0
 _PAUSE_SECONDS: Final = 1.0  # a timer that is this late: the VM stood still
 
 
+def find_beat_seconds(age: float) -> float:
+    """Return the time to the next beat of a VM that started so long ago."""
+    return _EARLY_BEAT_SECONDS if age < _EARLY_SECONDS else HEARTBEAT_SECONDS
+
+
 class Source(NamedTuple):
     """A VM that told which tables it has, maybe through one of the zone."""
 
@@ -59,7 +74,9 @@
         self._gossip: Gossip | None = None
         self._started_at = time.time_ns() // 1_000_000
         self._lost: set[str] = set()
-        self._beat_at = self._loop.time()
+        self._began_at = self._loop.time()
+        self._beat_at = self._began_at
+        self._beat_seconds = FIRST_BEAT_SECONDS
         self.usage: dict[str, Usage] = {}
         self.members = Members(
             own=Introduction(environment.vm, environment.zone, environment.ip),
@@ -88,7 +105,7 @@
         asking = self._make_heartbeat()._replace(is_asking=True)
         self._send(Message(heartbeat=asking), seeds)
         self._beat_at = self._loop.time()
-        self._loop.call_later(_FIRST_BEAT_SECONDS, self._beat)
+        self._loop.call_later(FIRST_BEAT_SECONDS, self._beat)
 
     def meet(self, introductions: Iterable[Introduction]) -> None:
         """Greet VMs of the own zone that were not known."""
@@ -160,7 +177,7 @@
 
     def _beat(self) -> None:
         now = self._loop.time()
-        late = now - self._beat_at - HEARTBEAT_SECONDS
+        late = now - self._beat_at - self._beat_seconds
         self._beat_at = now
         if late > _PAUSE_SECONDS:
             self._journal.write(events.RESUMED, seconds=round(late, 2))
@@ -171,7 +188,8 @@
         self._speaker.beat(heartbeat)
         self._find_lost(now)
         self._on_beat()
-        self._loop.call_later(HEARTBEAT_SECONDS, self._beat)
+        self._beat_seconds = find_beat_seconds(now - self._began_at)
+        self._loop.call_later(self._beat_seconds, self._beat)
 
     def _find_lost(self, now: float) -> None:
         alive = {found.vm for found in self.members.list_near(now)}
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -100,6 +100,7 @@
             journal=self._journal,
             lapse_seconds=2 * environment.bounds.target_heartbeat,
         )
+        self._has_divided = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
         self._path = Path(
@@ -303,6 +304,9 @@
 
     def _take_change(self, table: str) -> None:
         self._duties.take_change(table)
+        if table == 'configuration' and not self._has_divided:
+            # Until then no team has a limit to take from.
+            self._divide()
         if self._follower.is_watching:
             self._mate.tell(is_first=True)
 
@@ -312,8 +316,7 @@
 
     def _take_beat(self) -> None:
         self._path.arrivals.measure(self._loop.time())
-        zone = self._mate.list_zone()
-        self._duties.take_beat(self._mate.members, zone, self._mate.usage)
+        zone = self._divide()
         watcher = pick_speakers(zone)[0]
         is_watcher = watcher.vm == self._environment.vm
         if is_watcher and not self._stopping.is_set():
@@ -321,6 +324,12 @@
         else:
             self._follower.stop()
 
+    def _divide(self) -> list[Member]:
+        self._has_divided = self._knowledge.configuration is not None
+        zone = self._mate.list_zone()
+        self._duties.take_beat(self._mate.members, zone, self._mate.usage)
+        return zone
+
     def _count_call(self, outcome: str, seconds: float) -> None:
         self._metrics.observe('store_call', seconds, outcome=outcome)
 
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -248,7 +248,11 @@
         ]
         unheard = self._zones - self._reports.keys() - {self._own.zone}
         if self._is_new(now):
-            told += [make_unheard(LEAST_SERVING) for _zone in unheard]
+            known = self.count_known()
+            told += [
+                make_unheard(min(LEAST_SERVING, known[zone] or LEAST_SERVING))
+                for zone in unheard
+            ]
         return told
 
     def _is_new(self, now: float) -> bool:
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -35,6 +35,9 @@
 # Part of the window that a VM which has just started takes as spent before.
 _START_SHARE: Final = 0.8
 _FIRST_TOKENS: Final = 1.0
+# Part of the tokens that may be kept which a start brings: the process before
+# may have spent its own just now.
+_FIRST_KEPT_SHARE: Final = 0.5
 # A VM whose demand jumps spends so much more than its part of the limit until
 # the others know: if they do not hear of it, the overrun stays in the overage.
 _MOST_PART: Final = 1.5
@@ -71,6 +74,13 @@
     return Told(None, is_late=True, vms=vms)
 
 
+class _Admitted(NamedTuple):
+    """Requests that were admitted in a beat, and when it ended."""
+
+    ended_at: float
+    requests: int
+
+
 class _Meter:
     """Requests of one team at this VM."""
 
@@ -79,6 +89,7 @@
         'arrived',
         'demand',
         'demands',
+        'is_divided',
         'limit',
         'part',
         'past',
@@ -92,10 +103,11 @@
         self.arrived = 0
         self.demand = 0.0
         self.demands: list[float] = []
+        self.is_divided = False
         self.limit = 0.0
         self.spent = 0.0
         self.part: float | None = None
-        self.past: list[int] = []
+        self.past: list[_Admitted] = []
         self.room = 0.0
         self.tokens = 0.0
 
@@ -108,9 +120,11 @@
         self._bounds = bounds
         window = bounds.quota_window
         self._window = window
-        self._beats = int(window / beat)
+        self._beat = beat
         self._started_at = now
         self._beat_at = now
+        self._divided_at = now
+        self._elapsed = beat
         self._meters: dict[str, _Meter] = {}
 
     def admit(self, team: Team, now: float) -> float:
@@ -152,10 +166,18 @@
             rate = meter.arrived / elapsed
             meter.demand += (rate - meter.demand) * _DEMAND_WEIGHT
             meter.demands = [meter.demand, *meter.demands][:_OWN_BEATS]
-            meter.past = [meter.admitted, *meter.past][: self._beats]
+            meter.past = [
+                _Admitted(now, meter.admitted),
+                *(
+                    found
+                    for found in meter.past
+                    if now - found.ended_at < self._window - elapsed
+                ),
+            ]
             meter.arrived = 0
             meter.admitted = 0
-            usage = Usage(sum(meter.past), round(meter.demand, 2))
+            admitted = sum(found.requests for found in meter.past)
+            usage = Usage(admitted, round(meter.demand, 2))
             if usage.admitted or usage.demand:
                 told[name] = usage
         return told
@@ -172,6 +194,8 @@
         A VM that is late may be cut off and go on: it counts as if it had
         spent its whole part of the limit.
         """
+        self._elapsed = now - self._divided_at
+        self._divided_at = now
         all_vms = [own, *others]
         for team in teams:
             reports = [
@@ -200,11 +224,26 @@
         most -= _get_admitted(reports[0])
         meter.room = max(0.0, min((limit - spent) * part, most))
         vms = sum(report.vms for report in reports)
+        kept = self._find_kept(team, limit - spent, vms)
+        if not meter.is_divided:
+            meter.tokens += _FIRST_KEPT_SHARE * (kept - _FIRST_TOKENS)
         meter.tokens = min(
-            max(self._find_kept(team, limit - spent, vms), meter.room),
-            meter.tokens + meter.room * _SPEND_SHARE,
+            max(kept, meter.room),
+            meter.tokens + self._find_inflow(meter, part * limit),
         )
 
+    def _find_inflow(self, meter: _Meter, owned: float) -> float:
+        """Return the tokens that a beat adds; `owned` is the part of the limit.
+
+        Short beats bring no newer reports from other zones: what they add is
+        what the limit allows in their time.
+        """
+        inflow = meter.room * _SPEND_SHARE
+        if meter.is_divided and self._elapsed < self._beat / 2:
+            inflow = min(inflow, owned * self._elapsed / self._window)
+        meter.is_divided = True
+        return inflow
+
     def _find_kept(self, team: Team, left: float, vms: float) -> float:
         """Return the tokens that a VM may keep while its part is small.
 
@@ -263,7 +302,7 @@
 
     def _find_wait(self, meter: _Meter, now: float) -> float:
         if meter.room * _SPEND_SHARE >= 1:
-            next_beat = self._beat_at + self._window / self._beats
+            next_beat = self._beat_at + self._beat
             return max(0.05, next_beat - now)
         return _LONGEST_RETRY_SECONDS
 
