--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -11,7 +11,13 @@
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.observe.stories import explain, read_lines, summarise
+from toucanhall.observe.limits import sort_refusals
+from toucanhall.observe.stories import (
+    Line,
+    explain,
+    read_lines,
+    summarise,
+)
 
 PAGE = Path(__file__).parents[2] / 'docs' / 'LOGS.md'
 
@@ -152,3 +158,43 @@
     assert 'answer-lost' in capsys.readouterr().out
     assert cmdline.run(['report', str(tmp_path / 'none.log')]) == 2
     assert 'No such file' in capsys.readouterr().err
+
+
+def make_refused(at, vm, limit, spent):
+    return Line(
+        at=at,
+        vm=vm,
+        event=events.REQUEST_REFUSED.number,
+        message='',
+        fields={'reason': 'over-quota', 'limit': limit, 'spent': spent},
+    )
+
+
+def make_belief(at, vm, event):
+    return Line(at=at, vm=vm, event=event.number, message='', fields={})
+
+
+def test_refusals_are_sorted_by_why_the_limit_did_not_allow_them():
+    lines = [
+        make_refused(1, 'vm-1', 0, 0),
+        make_refused(2, 'vm-1', 100, 10),
+        make_refused(3, 'vm-1', 100, 10),
+        make_refused(4, 'vm-1', 100, 10),
+        make_belief(5, 'vm-1', events.STOPPING),
+        make_refused(6, 'vm-1', 100, 10),
+        make_refused(7, 'vm-1', 100, 80),
+        make_refused(8, 'vm-2', 100, 79),
+        make_belief(9, 'vm-1', events.STARTED),
+        make_refused(10, 'vm-1', 100, 10),
+        make_refused(11, 'vm-2', 100, 81),
+    ]
+    found = {
+        text.partition(': ')[2]: int(text.split()[0])
+        for text in sort_refusals(lines)
+    }
+    assert found == {
+        'no limit known yet': 1,
+        'own part spent, within the limit': 5,
+        'VM stopping, within the limit': 1,
+        'limit spent': 2,
+    }
--- a/toucanhall/commands/logs.py
+++ b/toucanhall/commands/logs.py
@@ -1,10 +1,12 @@
 """Subcommands that read log files of VMs."""
 
 from argparse import Namespace
+from itertools import chain
 from pathlib import Path
 from typing import Final
 
 from toucanhall.commands.model import Argument, Code, Command, Console
+from toucanhall.observe.limits import sort_refusals
 from toucanhall.observe.stories import Line, explain, read_lines, summarise
 
 __all__ = ('COMMANDS',)
@@ -25,7 +27,7 @@
     lines = _read(options.files, console)
     if lines is None:
         return Code.WRONG
-    for text in summarise(lines):
+    for text in chain(summarise(lines), sort_refusals(lines)):
         console.say(text)
     return Code.DONE
 
--- /dev/null
+++ b/toucanhall/observe/limits.py
@@ -0,0 +1,44 @@
+"""Sorts refusals of teams by why their limit did not allow the request."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from toucanhall.observe import events
+from toucanhall.observe.stories import Line
+
+__all__ = ('sort_refusals',)
+
+_REASON: Final = 'over-quota'
+# Part of the limit of a window from which a team counts as near it.
+_NEAR_SHARE: Final = 0.8
+
+
+def sort_refusals(lines: Iterable[Line]) -> Iterator[str]:
+    """Yield how many refusals over a limit had each cause, the rarest last.
+
+    Lines come in the order of their times. Only the last cause says that the
+    team had spent its limit; a bounded log holds a part of all refusals.
+    """
+    stopping: set[str] = set()
+    causes: Counter[str] = Counter()
+    for line in lines:
+        if line.event == events.STARTED.number:
+            stopping.discard(line.vm)
+        elif line.event == events.STOPPING.number:
+            stopping.add(line.vm)
+        elif line.fields.get('reason') == _REASON:
+            causes[_find_cause(line, line.vm in stopping)] += 1
+    for cause, count in causes.most_common():
+        yield f'{count:7d}  over the limit of a team: {cause}'
+
+
+def _find_cause(line: Line, is_stopping: bool) -> str:
+    limit = line.fields.get('limit', 0)
+    if not limit:
+        return 'no limit known yet'
+    if line.fields.get('spent', 0) >= _NEAR_SHARE * limit:
+        return 'limit spent'
+    if is_stopping:
+        return 'VM stopping, within the limit'
+    return 'own part spent, within the limit'
