Tell the truth when stopping and when targets refuse; outlive odd messages

Of what operators of similar systems met, four could happen here, each with a test that failed first on processes: - A target's 503, 429 or 408 without its proof was passed on, and told a caller that a booking which ran had not run. It is 502 now, or another target. - A planned stop closed connections that had just been opened, and cut requests that it could not end: it refuses at once what has no time left, closes its listener before connections, leaves those used in the last 0.3 s, and answers all others before the process ends. - A count of 5,000 digits from a target or a caller raised an error on the path: 502 for an answer, a request without an answer. Counts have 12 digits at most. - An error in a heartbeat, a list of the store or an object ended the heartbeats or the watch for good.

Could not be shown to happen: a late copy of an answer on a connection in use (matched by id, test_client.py), a broken answer passed on as whole (five ways), datagrams and heads that are no messages ending a process.

--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qs, unquote
 
 from toucanhall.web.memory import HeldBytes
-from toucanhall.web.messages import Answer, Request
+from toucanhall.web.messages import Answer, Request, make_failed
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
 __all__ = ('StoreStandin',)
@@ -51,6 +51,7 @@
         """Listen for calls."""
         handler = Handler(
             serve=self._serve,
+            fail=make_failed,
             is_cancellable=lambda _request: True,
             get_limits=lambda: _LIMITS,
             is_stopping=lambda: False,
--- a/standins/site/target.py
+++ b/standins/site/target.py
@@ -25,7 +25,9 @@
 class TargetStandin:
     """A target that answers after some time, in one of the modes.
 
-    Modes: well, shed (not run), fail (status 500), stray (an answer of
+    Modes: well, shed (not run), fail (status 500), busy, limit and slow
+    (runs, then a status that promises the opposite), odd (a load of thousands
+    of digits), stray (an answer of
     another request first), twice (the answer again), cut (half an answer),
     lost (runs and closes), silent (runs and answers never), unframed (an
     answer that ends with its connection), leaving (says close).
@@ -100,7 +102,9 @@
             await asyncio.Event().wait()
         load = f'{self.running},{self.waiting},{self.slots}'
         body = f'{self.name} {found.path} {found.body.decode()}'.encode()
-        status = 500 if mode == 'fail' else 200
+        if mode == 'odd':
+            load = f'{"9" * 5000},0,9'
+        status = _STATUSES.get(mode, 200)
         answer = _write(found.request_id, status, body, load=load)
         return _MODES.get(mode, _send_well)(answer, found.request_id)
 
@@ -245,6 +249,12 @@
     return [answer.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n', 1)]
 
 
+_STATUSES: Final = {
+    'fail': 500,
+    'busy': 503,
+    'limit': 429,
+    'slow': 408,
+}
 _MODES: Final = {
     'stray': _send_stray,
     'twice': _send_twice,
--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -111,7 +111,15 @@
 
 @pytest.mark.parametrize(
     ('mode', 'status', 'runs'),
-    (('lost', 502, 1), ('cut', 502, 1), ('fail', 500, 1), ('shed', 503, 0)),
+    (
+        ('lost', 502, 1),
+        ('cut', 502, 1),
+        ('fail', 500, 1),
+        ('shed', 503, 0),
+        ('busy', 502, 1),
+        ('limit', 502, 1),
+        ('slow', 502, 1),
+    ),
 )
 def test_booking_runs_once_at_most_and_a_refusal_is_true(
     site,
@@ -127,6 +135,31 @@
     assert ('Retry-After' in found.headers) == (status == 503)
 
 
+def test_figures_that_cannot_be_read_are_passed_over(site):
+    for target in site.targets.values():
+        target.mode = 'odd'
+    assert site.request('vm-1').status == 200
+    headers = {'X-Toucanhall-Request-Deadline': '9' * 5000}
+    assert site.request('vm-1', headers=headers).status == 200
+
+
+def test_bytes_that_are_no_message_end_no_process(site):
+    ip = site.get_ip('vm-1')
+    junk = (b'', b'x' * 1400, b'\x93\xc0\xc0\xc2', b'\x93\x91\x01\xc0\xc3')
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+        for sent in junk:
+            datagrams.sendto(sent, (ip, 7560))
+    for port in (8388, 8384, 8383, 8381, 9464):
+        for sent in (b'\x00' * 512, b'GET /%ff%00?a=%zz HTTP/1.1\r\n\r\n'):
+            with socket.create_connection((ip, port)) as caller:
+                caller.sendall(sent)
+    time.sleep(1.0)
+    assert site.vms['vm-1'].poll() is None
+    assert site.request('vm-1').status == 200
+    assert len(site.ask_directory('vm-2', 'east-a')) == 2
+    assert site.find_events('vm-1', events.MESSAGE_DROPPED.number)
+
+
 def test_body_is_passed_on_unchanged(site):
     found = site.request('vm-1', '/book/2?a=b', method='POST', body=b'seat 4')
     assert found.body.endswith(' /book/2?a=b seat 4')
@@ -300,6 +333,62 @@
     assert site.vms['vm-3'].wait(5) == 0
 
 
+def test_stop_refuses_at_once_what_it_has_no_time_for(site):
+    site.start_vm('vm-4')
+    site.wait_ready('vm-4')
+    for target in site.targets.values():
+        target.seconds = 0.8
+    for item in range(24):
+        site.request('vm-4', item=str(item))
+    site.signal_vm('vm-4', signal.SIGTERM)
+    time.sleep(1.2)
+    found = site.request('vm-4')
+    assert found.status == 503
+    assert found.body == 'vm-stopping'
+    assert found.seconds < 0.3
+    assert not list_runs(site, found.request_id)
+    assert site.vms['vm-4'].wait(5) == 0
+
+
+def test_stop_under_load_cuts_off_no_request_without_an_answer(site):
+    site.start_vm('vm-5')
+    site.wait_ready('vm-5')
+    for target in site.targets.values():
+        target.seconds = 0.1
+    address = (site.get_ip('vm-5'), 8388)
+    head = (
+        f'GET /view/1 HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'Authorization: Bearer {KEY}\r\n'
+        'X-Toucanhall-Request-Deadline: 2000\r\n\r\n'
+    ).encode()
+    cut = []
+
+    def call_until_refused():
+        while True:
+            try:
+                caller = socket.create_connection(address, timeout=3)
+            except OSError:
+                return
+            with caller:
+                time.sleep(0.05)
+                try:
+                    caller.sendall(head)
+                    answered = caller.recv(65536).startswith(b'HTTP/1.1 ')
+                except ConnectionError:
+                    answered = False
+                if not answered:
+                    cut.append(time.monotonic())
+
+    with ThreadPoolExecutor(8) as pool:
+        calls = [pool.submit(call_until_refused) for _call in range(8)]
+        time.sleep(0.3)
+        site.signal_vm('vm-5', signal.SIGTERM)
+        for call in calls:
+            call.result()
+    assert site.vms['vm-5'].wait(5) == 0
+    assert not cut
+
+
 def test_requests_that_waited_unread_are_not_sent_on_after_their_callers(site):
     for target in site.targets.values():
         target.seconds = 0.2
--- a/tests/unit/test_server.py
+++ b/tests/unit/test_server.py
@@ -7,7 +7,7 @@
 
 from toucanhall.fleet.model import Address
 from toucanhall.web.memory import HeldBytes
-from toucanhall.web.messages import Answer
+from toucanhall.web.messages import Answer, make_failed
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
 ADDRESS = Address('127.64.202.1', 9002)
@@ -23,6 +23,7 @@
 
     return Handler(
         serve=serve,
+        fail=make_failed,
         is_cancellable=lambda _request: True,
         get_limits=lambda: LIMITS,
         is_stopping=bool,
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -179,6 +179,9 @@
         now = self._loop.time()
         late = now - self._beat_at - self._beat_seconds
         self._beat_at = now
+        # An error in what follows must not end the heartbeats.
+        self._beat_seconds = find_beat_seconds(now - self._began_at)
+        self._loop.call_later(self._beat_seconds, self._beat)
         if late > _PAUSE_SECONDS:
             self._journal.write(events.RESUMED, seconds=round(late, 2))
             self.members.excuse(late)
@@ -188,8 +191,6 @@
         self._speaker.beat(heartbeat)
         self._find_lost(now)
         self._on_beat()
-        self._beat_seconds = find_beat_seconds(now - self._began_at)
-        self._loop.call_later(self._beat_seconds, self._beat)
 
     def _find_lost(self, now: float) -> None:
         alive = {found.vm for found in self.members.list_near(now)}
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -1,6 +1,7 @@
 """The path of a request: admit, choose a target, send, answer."""
 
 import asyncio
+import math
 from typing import Final
 
 from toucanhall.edge import refusals
@@ -32,6 +33,9 @@
 # sooner: a caller gives up on a VM that reads nothing for a second.
 _MOST_LAG_SECONDS: Final = 0.6
 _LESS_URGENT_LAG_SECONDS: Final = 0.3
+# Times of a route differ: a target that lacks the object takes three times as
+# long as one that has it, and the usual time lies between.
+_SPREAD: Final = 2.0
 # Connections that failed without a byte sent do not count as attempts.
 _MOST_UNSENT: Final = 3
 
@@ -79,9 +83,19 @@
         self._lag = lag
         self._loop = asyncio.get_running_loop()
         self._times = UsualTimes()
+        self._ends_at = math.inf
+        self._timeouts: set[asyncio.Timeout] = set()
         self.arrivals = Arrivals(now=self._loop.time())
         self.in_flight = 0
 
+    def stop(self, ends_at: float) -> None:
+        """Give each request its final answer by a time of the loop's clock."""
+        self._ends_at = ends_at
+        for timeout in self._timeouts:
+            when = timeout.when()
+            if when is not None and when > ends_at:
+                timeout.reschedule(ends_at)
+
     def is_cancellable(self, request: Request) -> bool:
         """Whether a request is ended when its caller has left."""
         configuration = self._knowledge.configuration
@@ -110,6 +124,12 @@
                 refusals.OVERLOADED,
                 lag=round(self._lag.seconds, 3),
             )
+        if not self._may_end(admitted):
+            return self._reporter.refuse(
+                marks,
+                refusals.STOPPING,
+                seconds_left=round(self._ends_at - self._loop.time(), 3),
+            )
         self.in_flight += 1
         try:
             return await self._run(admitted)
@@ -130,8 +150,11 @@
         self._retries.earn(admitted.service.name, admitted.received_at)
         attempts = _Attempts()
         try:
-            async with asyncio.timeout_at(admitted.deadline):
-                return await self._attempt_all(admitted, attempts)
+            return await self._attempt_until(
+                min(admitted.deadline, self._ends_at),
+                admitted,
+                attempts,
+            )
         except TimeoutError:
             return self._reporter.refuse(
                 admitted.marks,
@@ -140,6 +163,25 @@
                 tried=sorted(attempts.tried),
             )
 
+    async def _attempt_until(
+        self,
+        until: float,
+        admitted: Admitted,
+        attempts: _Attempts,
+    ) -> Answer:
+        async with asyncio.timeout_at(until) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                return await self._attempt_all(admitted, attempts)
+            finally:
+                self._timeouts.discard(timeout)
+
+    def _may_end(self, admitted: Admitted) -> bool:
+        """Whether a request may be answered before this VM ends."""
+        usual = self._times.get(admitted.route.name, admitted.objective)
+        needed = min(admitted.deadline, admitted.received_at + usual * _SPREAD)
+        return needed <= self._ends_at
+
     async def _attempt_all(
         self,
         admitted: Admitted,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -5,7 +5,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path as FilePath
-from typing import Final
+from typing import Any, Final
 
 from toucanhall.edge.directory import Directory
 from toucanhall.edge.duties import Duties
@@ -39,7 +39,7 @@
 from toucanhall.web.client import Opening
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.memory import make_bounds, make_held_bytes
-from toucanhall.web.messages import Answer, Request, make_answer
+from toucanhall.web.messages import Answer, Request, make_answer, make_failed
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
 __all__ = ('run',)
@@ -55,9 +55,14 @@
 _TEND_SECONDS: Final = 60.0
 # Before a configuration is known; of the order of what operators allow.
 _FIRST_LIMITS: Final = ServerLimits(65536, 1 << 20, 5.0, 30.0)
-# Parts of the grace after which idle connections are closed, and the end.
+# Parts of the grace after which idle connections are closed, requests that are
+# still under way get their final answer, and the process ends.
 _CLOSE_IDLE_SHARE: Final = 0.75
+_ANSWER_SHARE: Final = 0.91
 _END_SHARE: Final = 0.93
+# A request may be on its way on a connection that was used so lately: twice
+# the longest way of today's deployments, and the opening of a connection.
+_QUIET_SECONDS: Final = 0.3
 _CLOSE_STEP_SECONDS: Final = 0.05
 
 
@@ -74,6 +79,7 @@
         self._metrics = Metrics()
         self._stopping = asyncio.Event()
         self._connections: set[Connection] = set()
+        self._listener: asyncio.Server | None = None
         place = Place(environment.zone, environment.region)
         self._field = Field(place=place, regions=environment.regions)
         self._knowledge = Knowledge(on_change=self._take_change)
@@ -163,6 +169,7 @@
             (signal.SIGHUP, self._reload),
         ):
             self._loop.add_signal_handler(name, act)
+        self._loop.set_exception_handler(self._note_error)
         await self._listen()
         await self._mate.start()
         reading = self._loop.create_task(self._read_tables())
@@ -180,15 +187,16 @@
         began = self._loop.time()
         grace = self._environment.bounds.grace
         self._journal.write(events.STOPPING, in_flight=self._path.in_flight)
+        self._path.stop(began + grace * _ANSWER_SHARE)
         self._mate.tell(is_first=False)
         await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
+        if self._listener is not None:
+            self._listener.close()
         end = began + grace * _END_SHARE
-        while self._loop.time() < end:
+        while self._connections and self._loop.time() < end:
             for connection in tuple(self._connections):
-                connection.close_idle()
+                connection.close_idle(quiet=_QUIET_SECONDS)
             await asyncio.sleep(_CLOSE_STEP_SECONDS)
-            if not self._connections:
-                break
         self._journal.write(events.STOPPED, in_flight=self._path.in_flight)
 
     async def _listen(self) -> None:
@@ -203,7 +211,7 @@
             if address is not None:
                 await self._serve(address, _make_plain(answer), set())
         if listeners.requests is not None:
-            await self._serve(
+            self._listener = await self._serve(
                 listeners.requests,
                 self._path.serve,
                 self._connections,
@@ -214,9 +222,10 @@
         address: Address,
         serve: Callable[[Request], Awaitable[Answer]],
         connections: set[Connection],
-    ) -> None:
+    ) -> asyncio.Server:
         handler = Handler(
             serve=serve,
+            fail=self._answer_error,
             is_cancellable=self._path.is_cancellable,
             get_limits=self._get_limits,
             is_stopping=self._stopping.is_set,
@@ -224,7 +233,7 @@
             connections=connections,
             held=self._held,
         )
-        await self._loop.create_server(
+        return await self._loop.create_server(
             lambda: Connection(handler=handler),
             address.host,
             address.port,
@@ -252,6 +261,9 @@
         except StoreError as error:
             self._journal.write(events.STORE_LOST, why=str(error))
             return False
+        except Exception as error:  # noqa: BLE001
+            self._journal.write(events.UNEXPECTED, why=repr(error))
+            return False
         return True
 
     async def _meet_all(self, own: Introduction) -> None:
@@ -356,15 +368,30 @@
         for name, read in gauges.items():
             self._metrics.gauge(name, read)
 
+    def _answer_error(self, error: Exception) -> Answer:
+        self._journal.write(events.UNEXPECTED, why=repr(error))
+        return make_failed(error)
+
+    def _note_error(
+        self,
+        _loop: asyncio.AbstractEventLoop,
+        context: dict[str, Any],
+    ) -> None:
+        self._journal.write(
+            events.UNEXPECTED,
+            why=repr(context.get('exception') or context['message']),
+            where=str(context.get('handle') or context.get('task') or ''),
+        )
+
     def _answer_metrics(self, _request: Request) -> Answer:
         return make_answer(200, self._metrics.render())
 
     def _sweep(self) -> None:
+        self._loop.call_later(_SWEEP_SECONDS, self._sweep)
         self._pool.sweep()
         self._journal.tell_dropped()
         if _read_stamp(self._settings) != self._settings_seen:
             self._reload()
-        self._loop.call_later(_SWEEP_SECONDS, self._sweep)
 
     def _reload(self) -> None:
         self._settings_seen = _read_stamp(self._settings)
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -30,6 +30,8 @@
 NOT_RUN: Final = Refusal(503, 'not-run', 0.25)
 # The directory names other VMs by the next time that clients ask.
 OVERLOADED: Final = Refusal(503, 'vm-overloaded', 0.5)
+# Other VMs take requests at once; a client leaves the address that refused.
+STOPPING: Final = Refusal(503, 'vm-stopping', 0.05)
 # Configurations and targets are read within half a second of a start.
 NO_CONFIGURATION: Final = Refusal(503, 'no-configuration', 0.5)
 NO_TARGET: Final = Refusal(503, 'no-target', 0.5)
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -134,6 +134,11 @@
             load.report(marks.busy, now)
         if marks.is_not_run:
             return self._take_not_run(candidate, marks, now)
+        if marks.is_unproven:
+            # Passed on, the status would promise that the request never ran.
+            why = f'status {reply.status} without a proof'
+            self._fail(target, is_lost=False, why=why)
+            return Failure('unproven', target.id, detail=why)
         if reply.status >= _FAILED_STATUS:
             self._fail(target, is_lost=False, why=f'status {reply.status}')
             return Failure(f'status-{reply.status}', target.id, reply=reply)
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -1,6 +1,7 @@
 """Carries messages between VMs as datagrams."""
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple, cast
 
@@ -46,6 +47,9 @@
         except msgspec.MsgspecError as error:
             self._on_bad(str(error))
             return
+        if not _is_sane(message):
+            self._on_bad('figures out of range')
+            return
         self._hear(message)
 
     def error_received(self, error: Exception) -> None:
@@ -81,5 +85,22 @@
     return gossip
 
 
+def _is_sane(message: Message) -> bool:
+    """Whether all figures can be worked with: none is negative or no number."""
+    heartbeat, report = message.heartbeat, message.report
+    members = list(report.members) if report else []
+    usages = [told.usage for told in report.told] if report else []
+    figures = [told.vms for told in report.told] if report else []
+    if heartbeat is not None:
+        members.append(heartbeat.member)
+        usages.append(heartbeat.usage)
+    for member in members:
+        figures.extend((member.lag, member.capacity, member.load))
+    for usage in usages:
+        for found in (usage or {}).values():
+            figures.extend(found)
+    return all(0 <= figure < math.inf for figure in figures)
+
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(Message)
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -102,6 +102,15 @@
                 self._revisions.pop(kind, None)
                 await asyncio.sleep(wait * random.uniform(0.5, 1.5))
                 wait = min(_LONGEST_WAIT_SECONDS, wait * 2)
+            except Exception as error:  # noqa: BLE001
+                # What one object holds must not end the watch of the others.
+                self._journal.write(
+                    events.UNEXPECTED,
+                    why=repr(error),
+                    where=kind,
+                )
+                self._revisions.pop(kind, None)
+                await asyncio.sleep(_LONGEST_WAIT_SECONDS)
             else:
                 wait = _FIRST_WAIT_SECONDS
 
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -35,6 +35,9 @@
 _NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
 _MISDIRECTED: Final = 421
 _LOAD_FIELDS: Final = 3
+_MOST_DIGITS: Final = 12  # of a count or of milliseconds: thirty years
+# Each says that the request did not run, and a target proves it by a header.
+_PROMISING_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
 class CallerMarks(NamedTuple):
@@ -56,11 +59,13 @@
     """What the headers of a target's answer say.
 
     `is_not_run` is true when the target says that it did not run the request,
-    `is_misdirected` when another target has the address; `busy` counts the
-    requests that it runs and holds, if it tells.
+    `is_misdirected` when another target has the address; `is_unproven` when its
+    status alone says that the request did not run. `busy` counts the requests
+    that it runs and holds, if it tells.
     """
 
     is_not_run: bool
+    is_unproven: bool
     is_misdirected: bool
     is_stamped: bool
     busy: int | None
@@ -105,12 +110,13 @@
 def read_target_marks(reply: Reply) -> TargetMarks:
     """Read the headers of a target."""
     is_misdirected = reply.status == _MISDIRECTED
+    is_marked = get_header(reply.headers, names.NOT_EXECUTED) is not None
+    is_not_run = is_misdirected or (
+        is_marked and reply.status in _NOT_RUN_STATUSES
+    )
     return TargetMarks(
-        is_not_run=is_misdirected
-        or (
-            reply.status in _NOT_RUN_STATUSES
-            and get_header(reply.headers, names.NOT_EXECUTED) is not None
-        ),
+        is_not_run=is_not_run,
+        is_unproven=not is_not_run and reply.status in _PROMISING_STATUSES,
         is_misdirected=is_misdirected,
         is_stamped=get_header(reply.headers, names.STAMP) is not None,
         busy=_read_busy(get_header(reply.headers, names.LOAD)),
@@ -128,9 +134,14 @@
 
 
 def _read_milliseconds(content: bytes | None) -> float | None:
-    if content is None or not content.isdigit():
+    found = _read_count(content)
+    return None if found is None else found / 1000
+
+
+def _read_count(content: bytes | None) -> int | None:
+    if content is None or not content.isdigit() or len(content) > _MOST_DIGITS:
         return None
-    return int(content) / 1000
+    return int(content)
 
 
 def _read_key(content: bytes | None) -> str | None:
@@ -154,7 +165,8 @@
     parts = (content or b'').split(b',')
     if len(parts) != _LOAD_FIELDS:
         return None
-    running, waiting = parts[0].strip(), parts[1].strip()
-    if not running.isdigit() or not waiting.isdigit():
+    running = _read_count(parts[0].strip())
+    waiting = _read_count(parts[1].strip())
+    if running is None or waiting is None:
         return None
-    return int(running) + int(waiting)
+    return running + waiting
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -84,9 +84,10 @@
                 query['allow_stale'] = '1'
             path = f'{kind}?{urlencode(query)}' if query else kind
             found = await self._call('GET', path)
-            changes.extend(_read_changes(found['items']))
-            if not found.get('more'):
-                return Table(int(found['as_of']), tuple(changes))
+            page = _read_page(found)
+            changes.extend(page.changes)
+            if not found.get('more') or not page.changes:
+                return Table(page.revision, tuple(changes))
             after = changes[-1].name
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Table:
@@ -97,15 +98,7 @@
             f'{kind}?watch={revision}&wait_ms={wait}',
             seconds=seconds + _WATCH_SLACK_SECONDS,
         )
-        events = found['events']
-        changes = tuple(
-            Change(change.name, change.revision, None)
-            if event.get('deleted')
-            else change
-            for event in events
-            for change in _read_changes((event['object'],))
-        )
-        return Table(int(found['as_of']), changes)
+        return _read_events(found)
 
     async def create(self, kind: str, name: str, spec: object) -> None:
         """Create an object; raise Conflict when it exists."""
@@ -180,15 +173,39 @@
         )
 
 
-def _read_changes(items: Any) -> list[Change]:
-    return [
-        Change(
-            name=entry['metadata']['name'],
-            revision=int(entry['metadata']['revision']),
-            spec=entry.get('spec'),
+def _read_page(found: Mapping[str, Any]) -> Table:
+    try:
+        return Table(
+            int(found['as_of']),
+            tuple(map(_read_change, found['items'])),
+        )
+    except _WRONG as error:
+        raise StoreError(f'list cannot be read: {error!r}') from error
+
+
+def _read_events(found: Mapping[str, Any]) -> Table:
+    try:
+        return Table(
+            int(found['as_of']),
+            tuple(map(_read_event, found['events'])),
         )
-        for entry in items
-    ]
+    except _WRONG as error:
+        raise StoreError(f'events cannot be read: {error!r}') from error
+
+
+def _read_event(event: Mapping[str, Any]) -> Change:
+    change = _read_change(event['object'])
+    if event.get('deleted'):
+        return change._replace(spec=None)
+    return change
+
+
+def _read_change(entry: Mapping[str, Any]) -> Change:
+    return Change(
+        name=entry['metadata']['name'],
+        revision=int(entry['metadata']['revision']),
+        spec=entry.get('spec'),
+    )
 
 
 def _read_reply(reply: Reply) -> Mapping[str, Any]:
@@ -201,6 +218,7 @@
         raise StoreError(f'answer cannot be read: {found}') from found
 
 
+_WRONG: Final = (KeyError, TypeError, ValueError, AttributeError)
 _ERRORS: Final[Mapping[int, type[StoreError]]] = {
     _CONFLICT: Conflict,
     _GONE: HistoryLost,
--- a/toucanhall/web/messages.py
+++ b/toucanhall/web/messages.py
@@ -10,6 +10,7 @@
     'drop_hop_by_hop',
     'get_header',
     'make_answer',
+    'make_failed',
     'write_answer',
     'write_request',
 )
@@ -72,6 +73,11 @@
     )
 
 
+def make_failed(_error: Exception) -> Answer:
+    """Return the answer where an error left the outcome open."""
+    return make_answer(HTTPStatus.BAD_GATEWAY, 'internal-error')
+
+
 def drop_hop_by_hop(headers: Headers) -> Headers:
     """Return the headers that concern more than one connection."""
     listed: set[bytes] = set()
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -37,11 +37,13 @@
 class Handler(NamedTuple):
     """What a connection asks its server for.
 
-    `is_cancellable` tells whether a request is ended once its caller left,
-    `is_lagging` whether requests wait before they are looked at.
+    `fail` answers a request whose handling raised an error, `is_cancellable`
+    tells whether a request is ended once its caller left, `is_lagging` whether
+    requests wait before they are looked at.
     """
 
     serve: Callable[[Request], Awaitable[Answer]]
+    fail: Callable[[Exception], Answer]
     is_cancellable: Callable[[Request], bool]
     get_limits: Callable[[], ServerLimits]
     is_stopping: Callable[[], bool]
@@ -124,10 +126,16 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def close_idle(self) -> bool:
-        """Close the connection if nothing is under way; tell whether."""
+    def close_idle(self, *, quiet: float = 0.0) -> bool:
+        """Close the connection if nothing is under way; tell whether.
+
+        One that was opened or used less than `quiet` seconds ago stays: a
+        request may be on its way.
+        """
         if self._exchanges or self._reads or self._transport is None:
             return False
+        if self._loop.time() - self._since < quiet:
+            return False
         self._is_closing = True
         self._transport.close()
         return True
@@ -207,7 +215,10 @@
             # connection: two rounds of the loop read it, and end this task.
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-        exchange.answer = await self._handler.serve(request)
+        try:
+            exchange.answer = await self._handler.serve(request)
+        except Exception as error:  # noqa: BLE001
+            exchange.answer = self._handler.fail(error)
         self._flush()
 
     def _flush(self) -> None:
