--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -62,6 +62,6 @@
         for index in range(1200):
             entry = {'zone': 'east-a', 'ip': '127.64.1.2'}
             standin.put('vms', f'vm-{index:04d}', entry)
-        return await entries.list_vms()
+        return await entries.list_vms(is_stale=False)
 
     assert len(run(act, journal)) == 1200
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -279,7 +279,7 @@
         """
         gone = self._mate.members.drop_gone(self._loop.time())
         if not self._follower.is_watching:
-            self._meet_listed(await self._entries.list_vms())
+            self._meet_listed(await self._entries.list_vms(is_stale=True))
             return
         for found in gone:
             await self._entries.forget(found.vm)
--- a/toucanhall/platform/entries.py
+++ b/toucanhall/platform/entries.py
@@ -19,12 +19,8 @@
         self._journal = journal
 
     async def register(self, own: Introduction) -> list[Introduction]:
-        """Write the entry of this VM if it is missing; return those of all VMs.
-
-        The list may be some seconds old: a call for it costs a tenth, and VMs
-        of these seconds are met by their heartbeats.
-        """
-        found = await self.list_vms()
+        """Write the entry of this VM and return those of all VMs."""
+        found = await self.list_vms(is_stale=False)
         if own not in found:
             spec = encode_vm(own)
             try:
@@ -33,9 +29,9 @@
                 await self._store.replace(names.VMS, own.vm, spec)
         return found
 
-    async def list_vms(self) -> list[Introduction]:
-        """Return the entries of all VMs, some seconds old."""
-        table = await self._store.read(names.VMS, is_stale=True)
+    async def list_vms(self, *, is_stale: bool) -> list[Introduction]:
+        """Return the entries of all VMs; stale ones are some seconds old."""
+        table = await self._store.read(names.VMS, is_stale=is_stale)
         found = []
         for change in table.changes:
             try:
