--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -22,6 +22,9 @@
     'silent',
     'unframed',
     'leaving',
+    'busy',
+    'limit',
+    'odd',
 )
 _STORE_MODES: Final = ('503', '429', 'silent', 'lost')
 _CHANGES: Final = ('routes', 'withdraw', 'evacuate', 'drain', 'compact')
--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -7,7 +7,9 @@
 from toucanhall.fleet.model import (
     Address,
     Bounds,
+    Environment,
     Introduction,
+    Listeners,
     Target,
     Team,
 )
@@ -19,6 +21,7 @@
 
 __all__ = (
     'make_bounds',
+    'make_environment',
     'make_heartbeat',
     'make_member',
     'make_members',
@@ -73,6 +76,25 @@
     return bounds._replace(**fields)
 
 
+def make_environment(**fields: object) -> Environment:
+    """Return what a VM of a zone of its own is told at its start."""
+    environment = Environment(
+        vm='vm-1',
+        zone='east-a',
+        region='east',
+        regions={'east-a': 'east'},
+        ip='127.64.203.2',
+        listeners=Listeners(None, None, None, None),
+        gossip_port=7560,
+        seeds=(),
+        store=Address('127.64.203.1', 8382),
+        bounds=make_bounds(),
+        capacity=600.0,
+        memory=152_000_000,
+    )
+    return environment._replace(**fields)
+
+
 def make_heartbeat(
     vm: str = 'vm-1',
     *,
--- /dev/null
+++ b/tests/unit/test_errors.py
@@ -0,0 +1,128 @@
+"""Tests of errors that must end neither heartbeats nor the watch."""
+
+import asyncio
+
+import pytest
+
+from standins.site.documents import make_target_entry
+from standins.site.store import StoreStandin
+from tests.fleetdata import make_environment, make_member, make_opening
+from toucanhall.edge.fleetmate import Fleetmate
+from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.model import Address
+from toucanhall.limits.quota import Quotas
+from toucanhall.platform.following import Follower
+from toucanhall.platform.store import Store, StoreError
+from toucanhall.platform.tables import Tables
+
+ADDRESS = Address('127.64.203.1', 8382)
+
+
+def make_store():
+    return Store(
+        address=ADDRESS,
+        opening=make_opening(),
+        on_call=lambda _call, _seconds: None,
+    )
+
+
+@pytest.mark.parametrize(
+    'body',
+    (
+        b'{}',
+        b'[]',
+        b'{"items": 5, "as_of": 1}',
+        b'{"items": [{}], "as_of": 1}',
+        b'{"items": [{"metadata": {"name": "t1"}}], "as_of": 1}',
+        b'{"items": [], "as_of": "x"}',
+        b'{"items": [], "events": [{}], "as_of": null}',
+    ),
+)
+@pytest.mark.parametrize('is_watch', (False, True))
+def test_answer_of_the_store_that_lacks_something_is_an_error_of_the_store(
+    body,
+    is_watch,
+):
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(
+            b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+        )
+        writer.write(body)
+        await writer.drain()
+
+    async def start():
+        server = await asyncio.start_server(serve, *ADDRESS)
+        try:
+            with pytest.raises(StoreError):
+                if is_watch:
+                    await make_store().watch('servers', 1, 0.1)
+                else:
+                    await make_store().read('servers')
+        finally:
+            server.close()
+
+    asyncio.run(start())
+
+
+def test_watch_goes_on_after_an_unexpected_error(journal, monkeypatch):
+    take = Tables.take
+    failures = []
+
+    def fail_once(tables, kind, table, *, is_whole):
+        if kind == 'servers' and not failures:
+            failures.append(kind)
+            raise ValueError('an object of an unexpected form')
+        take(tables, kind, table, is_whole=is_whole)
+
+    monkeypatch.setattr(Tables, 'take', fail_once)
+
+    async def start():
+        standin = StoreStandin()
+        await standin.start(*ADDRESS)
+        standin.put('servers', 't1', make_target_entry('127.0.0.1:9', 'east-a'))
+        knowledge = Knowledge(on_change=lambda _table: None)
+        follower = Follower(
+            store=make_store(),
+            knowledge=knowledge,
+            journal=journal,
+            lapse_seconds=3.0,
+        )
+        follower.start()
+        await asyncio.sleep(1.5)
+        follower.stop()
+        standin.stop()
+        return set(knowledge.targets)
+
+    assert asyncio.run(start()) == {'t1'}
+    assert failures
+
+
+def test_heartbeats_go_on_after_an_unexpected_error(journal):
+    beats = []
+
+    def fail():
+        beats.append(1)
+        raise ValueError('figures of an unexpected form')
+
+    async def start():
+        loop = asyncio.get_running_loop()
+        errors = []
+        loop.set_exception_handler(lambda _loop, found: errors.append(found))
+        environment = make_environment()
+        mate = Fleetmate(
+            environment=environment,
+            knowledge=Knowledge(on_change=lambda _table: None),
+            quotas=Quotas(bounds=environment.bounds, beat=0.8, now=loop.time()),
+            journal=journal,
+            find_self=make_member,
+            on_heard=lambda _source, _revisions: None,
+            on_beat=fail,
+        )
+        await mate.start()
+        await asyncio.sleep(1.0)
+        return errors
+
+    errors = asyncio.run(start())
+    assert len(beats) >= 3
+    assert len(errors) == len(beats)
