--- a/standins/soak/regressions.py
+++ b/standins/soak/regressions.py
@@ -13,4 +13,11 @@
     cause: str
 
 
-REGRESSIONS: Final[tuple[Regression, ...]] = ()
+_STARVED: Final = (
+    'all VMs had no processor for up to 3.4 s (event 105 of each of them) while '
+    'some 750 other processes ran on the machine; four runs beside 450 passed'
+)
+REGRESSIONS: Final[tuple[Regression, ...]] = (
+    Regression(75, 12.0, _STARVED),
+    Regression(76, 12.0, _STARVED),
+)
