Let the caller of a test leave before its deadline

The caller left after 200 ms and told a deadline of 200 ms: the VM's final answer and the end of the caller's patience are due at the same moment, and on a late machine the answer comes first. It now tells 3 s and leaves after 200 ms; that the work ends within 0.5 s of it can no longer be the deadline's doing, so the test is stricter.

--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -189,7 +189,11 @@
 def test_work_ends_when_the_caller_of_an_idempotent_request_leaves(site):
     for target in site.targets.values():
         target.seconds = 2.0
-    found = site.request('vm-1', wait_ms=200)
+    found = site.request(
+        'vm-1',
+        wait_ms=200,
+        headers={'X-Toucanhall-Request-Deadline': '3000'},
+    )
     assert found.status == 0
     wait_until(
         lambda: any(
