--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -16,7 +16,7 @@
 
 _MOST_BYTES: Final = 60000  # a UDP datagram holds a little more
 _MOST_DECODED: Final = 1 << 20  # bytes: ten times the largest report
-# Reports name VMs and teams over and over: they shrink to less than a half.
+# Reports name VMs and teams over and over: they shrink below three fifths.
 # What fits in one packet of a link gains too little for the time.
 _COMPRESS_FROM: Final = 1200
 _LEVEL: Final = 1
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -84,7 +84,7 @@
                 query['allow_stale'] = '1'
             path = f'{kind}?{urlencode(query)}' if query else kind
             found = await self._call('GET', path)
-            page = _read_page(found)
+            page = _read_table(found, 'items', _read_change)
             changes.extend(page.changes)
             if not found.get('more') or not page.changes:
                 return Table(page.revision, tuple(changes))
@@ -98,7 +98,7 @@
             f'{kind}?watch={revision}&wait_ms={wait}',
             seconds=seconds + _WATCH_SLACK_SECONDS,
         )
-        return _read_events(found)
+        return _read_table(found, 'events', _read_event)
 
     async def create(self, kind: str, name: str, spec: object) -> None:
         """Create an object; raise Conflict when it exists."""
@@ -173,24 +173,16 @@
         )
 
 
-def _read_page(found: Mapping[str, Any]) -> Table:
+def _read_table(
+    found: Mapping[str, Any],
+    field: str,
+    read: Callable[[Mapping[str, Any]], Change],
+) -> Table:
+    """Return what a field of an answer lists; raise StoreError if it lacks."""
     try:
-        return Table(
-            int(found['as_of']),
-            tuple(map(_read_change, found['items'])),
-        )
-    except _WRONG as error:
-        raise StoreError(f'list cannot be read: {error!r}') from error
-
-
-def _read_events(found: Mapping[str, Any]) -> Table:
-    try:
-        return Table(
-            int(found['as_of']),
-            tuple(map(_read_event, found['events'])),
-        )
+        return Table(int(found['as_of']), tuple(map(read, found[field])))
     except _WRONG as error:
-        raise StoreError(f'events cannot be read: {error!r}') from error
+        raise StoreError(f'{field} cannot be read: {error!r}') from error
 
 
 def _read_event(event: Mapping[str, Any]) -> Change:
