--- a/tests/checks.py
+++ b/tests/checks.py
@@ -1,4 +1,4 @@
-"""Runs the checks in order: format, lint, types, tests, models, features."""
+"""Runs the checks in order and ends with the tests that failed."""
 
 import re
 import subprocess
@@ -13,6 +13,8 @@
 _SOURCES: Final = ('toucanhall', 'standins', 'benches', 'release', 'tests')
 _WORKERS: Final = 4  # fleets that run side by side
 _FAILED: Final = re.compile(r'^(?:FAILED|ERROR) (\S+)', re.MULTILINE)
+_REASONS: Final = re.compile(r'^(?:FAILED|ERROR) .*|^E  .*', re.MULTILINE)
+_MOST_REASONS: Final = 40  # lines that the end of a run repeats, a check
 
 
 def run_tool(*arguments: str) -> Callable[[], bool]:
@@ -71,6 +73,8 @@
     output = '\n'.join(run.stdout for run in done)
     print(output, flush=True)
     failed = set(_FAILED.findall(output))
+    if failed:
+        reasons.append((folder, _REASONS.findall(output)[-_MOST_REASONS:]))
     known = {test for test in read_known_red() if test.startswith(folder)}
     for test in sorted(known & failed):
         print(f'known red: {test}')
@@ -92,6 +96,9 @@
     }
 
 
+# The end of a run repeats these: a log may be kept without its middle.
+reasons: Final[list[tuple[str, list[str]]]] = []
+
 CHECKS: Final = {
     'format': run_tool('ruff', 'format', '--check', *_SOURCES),
     'lint': run_tool('flake8', *_SOURCES),
@@ -119,6 +126,8 @@
         if not CHECKS[name]():
             failed.append(name)
     passed = len(names or CHECKS) - len(failed)
+    for folder, lines in reasons:
+        print(f'== failed in {folder}', *lines, sep='\n')
     print(f'failed checks: {failed}' if failed else 'all checks passed')
     print(f'checks: {passed} passed, {len(failed)} failed')
     return 1 if failed else 0
--- a/tests/unit/test_checks.py
+++ b/tests/unit/test_checks.py
@@ -22,6 +22,17 @@
     assert not checks.judge('tests/unit', [*runs, other])
 
 
+def test_end_of_a_run_repeats_what_failed(monkeypatch, capsys):
+    known_red = f'{RED}\nE       assert 1 == 2\n'
+    failing = {'slow': lambda: checks.judge('x', [make_run(1, known_red)])}
+    monkeypatch.setattr(checks, 'CHECKS', failing)
+    monkeypatch.setattr(checks, 'reasons', [])
+    assert checks.main(['slow']) == 1
+    end = capsys.readouterr().out.rpartition('== failed in x')[2]
+    assert RED in end
+    assert 'assert 1 == 2' in end
+
+
 def test_run_that_broke_off_does_not_pass():
     assert not checks.judge('tests/unit', [make_run(2)])
     assert not checks.judge('tests/unit', [make_run(5)])
