Accept and answer what came before a planned stop ends

Cause: a VM that did not run for a moment while its listener closed, or while its grace ended, cut callers off. asyncio resets a connection that it accepted but had not given its protocol when the server closes (it counts connections of a server, and a closed one takes none); the system resets those that were not accepted; and with no connection made yet the wait for them ended at once. Seen once in 37 tests of one run at a load of 31 (test_stop_under_load_cuts_off_no_request_without_an_answer).

Ruled out: the end of the grace alone (answers were due 0.04 s before it).

What remains: a connection opened in the microseconds between the last accept and the close.

--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -354,45 +354,65 @@
     assert site.vms['vm-4'].wait(5) == 0
 
 
-def test_stop_under_load_cuts_off_no_request_without_an_answer(site):
-    site.start_vm('vm-5')
-    site.wait_ready('vm-5')
-    for target in site.targets.values():
-        target.seconds = 0.1
-    address = (site.get_ip('vm-5'), 8388)
+def call_until_refused(address, cut):
+    """Call on new connections until none is accepted; note calls cut off."""
     head = (
         f'GET /view/1 HTTP/1.1\r\nHost: {HOST}\r\n'
         f'Authorization: Bearer {KEY}\r\n'
         'X-Toucanhall-Request-Deadline: 2000\r\n\r\n'
     ).encode()
-    cut = []
-
-    def call_until_refused():
-        while True:
+    while True:
+        try:
+            caller = socket.create_connection(address, timeout=3)
+        except OSError:
+            return
+        with caller:
+            time.sleep(0.05)
             try:
-                caller = socket.create_connection(address, timeout=3)
-            except OSError:
-                return
-            with caller:
-                time.sleep(0.05)
-                try:
-                    caller.sendall(head)
-                    answered = caller.recv(65536).startswith(b'HTTP/1.1 ')
-                except ConnectionError:
-                    answered = False
-                if not answered:
-                    cut.append(time.monotonic())
+                caller.sendall(head)
+                answered = caller.recv(65536).startswith(b'HTTP/1.1 ')
+            except ConnectionError:
+                answered = False
+            if not answered:
+                cut.append(time.monotonic())
+
 
+# The VM does not run from the first time after the signal to the second: its
+# listener closes at 1.5 s, what is unanswered gets its answer at 1.82 s.
+@pytest.mark.parametrize(
+    'frozen',
+    ((0.0, 0.0), (1.3, 1.55), (1.45, 1.7), (1.3, 1.9), (1.75, 1.95)),
+)
+def test_stop_under_load_cuts_off_no_request_without_an_answer(site, frozen):
+    site.start_vm('vm-5')
+    site.wait_ready('vm-5')
+    for target in site.targets.values():
+        target.seconds = 0.1
+    address = (site.get_ip('vm-5'), 8388)
+    cut = []
     with ThreadPoolExecutor(8) as pool:
-        calls = [pool.submit(call_until_refused) for _call in range(8)]
+        calls = [
+            pool.submit(call_until_refused, address, cut) for _call in range(8)
+        ]
         time.sleep(0.3)
         site.signal_vm('vm-5', signal.SIGTERM)
+        freeze(site, 'vm-5', frozen)
         for call in calls:
             call.result()
     assert site.vms['vm-5'].wait(5) == 0
     assert not cut
 
 
+def freeze(site, vm, frozen):
+    """Let a VM not run from one time to another, in seconds from now."""
+    start, end = frozen
+    if end:
+        time.sleep(start)
+        site.signal_vm(vm, signal.SIGSTOP)
+        time.sleep(end - start)
+        site.signal_vm(vm, signal.SIGCONT)
+
+
 def test_requests_that_waited_unread_are_not_sent_on_after_their_callers(site):
     for target in site.targets.values():
         target.seconds = 0.2
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -7,6 +7,7 @@
 from pathlib import Path as FilePath
 from typing import Any, Final
 
+from toucanhall.edge.callers import Callers
 from toucanhall.edge.directory import Directory
 from toucanhall.edge.duties import Duties
 from toucanhall.edge.fleetmate import (
@@ -40,12 +41,11 @@
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.memory import make_bounds, make_held_bytes
 from toucanhall.web.messages import Answer, Request, make_answer, make_failed
-from toucanhall.web.server import Connection, Handler, ServerLimits
+from toucanhall.web.server import Handler, ServerLimits
 
 __all__ = ('run',)
 
 METRICS_PORT: Final = 9464
-_BACKLOG: Final = 1024  # of each listener, as many as a busy second brings
 _SWEEP_SECONDS: Final = 1.0  # between looks at idle connections and settings
 _FIRST_READ_SECONDS: Final = 0.1
 _LONGEST_READ_SECONDS: Final = 1.0
@@ -66,10 +66,6 @@
 _FILES: Final = 200
 _CALLERS_SHARE: Final = 0.4
 _IDLE_TARGETS_SHARE: Final = 0.15
-# A request may be on its way on a connection that was used so lately: twice
-# the longest way of today's deployments, and the opening of a connection.
-_QUIET_SECONDS: Final = 0.3
-_CLOSE_STEP_SECONDS: Final = 0.05
 
 
 class Process:
@@ -84,8 +80,6 @@
         self._journal = Journal(vm=environment.vm)
         self._metrics = Metrics()
         self._stopping = asyncio.Event()
-        self._connections: set[Connection] = set()
-        self._listener: asyncio.Server | None = None
         place = Place(environment.zone, environment.region)
         self._field = Field(place=place, regions=environment.regions)
         self._knowledge = Knowledge(on_change=self._take_change)
@@ -135,6 +129,19 @@
                 metrics=self._metrics,
             ),
         )
+        sockets = environment.descriptors - _FILES
+        handler = Handler(
+            serve=self._path.serve,
+            fail=self._answer_error,
+            is_cancellable=self._path.is_cancellable,
+            get_limits=self._get_limits,
+            is_stopping=self._stopping.is_set,
+            is_lagging=lambda: self._lag.seconds > LAGGING_SECONDS,
+            connections=set(),
+            held=self._held,
+            most_connections=round(sockets * _CALLERS_SHARE),
+        )
+        self._callers = Callers(handler=handler)
         self._duties = Duties(
             environment=environment,
             knowledge=self._knowledge,
@@ -199,13 +206,7 @@
         self._path.stop(began + grace * _ANSWER_SHARE)
         self._mate.tell(is_first=False)
         await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
-        if self._listener is not None:
-            self._listener.close()
-        end = began + grace * _END_SHARE
-        while self._connections and self._loop.time() < end:
-            for connection in tuple(self._connections):
-                connection.close_idle(quiet=_QUIET_SECONDS)
-            await asyncio.sleep(_CLOSE_STEP_SECONDS)
+        await self._callers.close(began + grace * _END_SHARE)
         self._journal.write(events.STOPPED, in_flight=self._path.in_flight)
 
     async def _listen(self) -> None:
@@ -218,38 +219,9 @@
         }
         for address, answer in plain.items():
             if address is not None:
-                await self._serve(address, _make_plain(answer), set())
+                await self._callers.open_plain(address, answer)
         if listeners.requests is not None:
-            self._listener = await self._serve(
-                listeners.requests,
-                self._path.serve,
-                self._connections,
-            )
-
-    async def _serve(
-        self,
-        address: Address,
-        serve: Callable[[Request], Awaitable[Answer]],
-        connections: set[Connection],
-    ) -> asyncio.Server:
-        sockets = self._environment.descriptors - _FILES
-        handler = Handler(
-            serve=serve,
-            fail=self._answer_error,
-            is_cancellable=self._path.is_cancellable,
-            get_limits=self._get_limits,
-            is_stopping=self._stopping.is_set,
-            is_lagging=lambda: self._lag.seconds > LAGGING_SECONDS,
-            connections=connections,
-            held=self._held,
-            most_connections=round(sockets * _CALLERS_SHARE),
-        )
-        return await self._loop.create_server(
-            lambda: Connection(handler=handler),
-            address.host,
-            address.port,
-            backlog=_BACKLOG,
-        )
+            await self._callers.open(listeners.requests)
 
     async def _read_tables(self) -> None:
         own = Introduction(
@@ -362,7 +334,7 @@
             'loop_lag_seconds': lambda: self._lag.seconds,
             'requests_in_flight': lambda: self._path.in_flight,
             'requests_per_second': lambda: self._path.arrivals.per_second,
-            'connections_of_callers': lambda: len(self._connections),
+            'connections_of_callers': self._callers.count,
             'connections_to_targets_opened': lambda: self._pool.opened,
             'vms_alive': lambda: len(
                 self._mate.members.list_alive(self._loop.time()),
@@ -427,15 +399,6 @@
     await Process(settings=settings, environment=environment).run()
 
 
-def _make_plain(
-    answer: Callable[[Request], Answer],
-) -> Callable[[Request], Awaitable[Answer]]:
-    async def serve(request: Request) -> Answer:  # noqa: RUF029
-        return answer(request)
-
-    return serve
-
-
 def _read_stamp(path: FilePath) -> int:
     try:
         return path.stat().st_mtime_ns
