Tell peers the changes of targets since the table they know

Cause: each change of targets sent the whole list (some 50 kB at 813 targets) to each VM of a zone and each zone: the bytes of the busiest VM grew by the power 1.25 of the fleet (docs/CAPACITY.md). A VM now remembers removals as far back as its own last whole table, at most 1,024, and tells a peer that is not further behind what was written and removed since.

--- a/tests/unit/test_knowledge.py
+++ b/tests/unit/test_knowledge.py
@@ -2,6 +2,7 @@
 
 from tests.fleetdata import make_target
 from toucanhall.fleet.knowledge import LAPSE_SECONDS, Knowledge, Revisions
+from toucanhall.fleet.removals import Removals
 
 
 def make_knowledge(*names, revision=10):
@@ -146,3 +147,86 @@
     knowledge.change_targets(11, {'t1': 11}, 1.0)
     knowledge.end_lapse(1.5, may_have_lapsed=False)
     assert knowledge.drop_lapsed(1.5) == ('t1',)
+
+
+def pass_on(peer, knowledge, now=1.0):
+    """Let a VM take what a peer has; return what was sent."""
+    snapshot = peer.make_snapshot(knowledge.revisions, now)
+    knowledge.take_snapshot(snapshot, now)
+    assert knowledge.targets == peer.targets
+    assert knowledge.lapsed.keys() == peer.lapsed.keys()
+    return snapshot
+
+
+def test_peer_that_knows_an_earlier_table_is_told_what_has_changed():
+    peer = make_knowledge(*(f't{number}' for number in range(800)))
+    knowledge = make_knowledge(revision=1)
+    assert len(pass_on(peer, knowledge).targets) == 800
+    written = make_target('t1', revision=11)
+    peer.change_targets(12, {'t1': written, 't2': 12}, 1.0)
+    snapshot = pass_on(peer, knowledge)
+    assert snapshot.targets == {'t1': written}
+    assert snapshot.removed == {'t2': 12}
+    third = make_knowledge(revision=1)
+    pass_on(knowledge, third)
+    knowledge.change_targets(13, {'t3': 13}, 1.0)
+    assert pass_on(knowledge, third).removed == {'t3': 13}
+
+
+def test_target_that_came_and_went_between_two_tables_is_told_as_gone():
+    peer = make_knowledge('t1')
+    knowledge = make_knowledge('t1')
+    knowledge.change_targets(11, {'t2': make_target('t2', revision=11)}, 1.0)
+    peer.change_targets(12, {'t2': 12}, 1.0)
+    assert pass_on(peer, knowledge).removed == {'t2': 12}
+
+
+def test_whole_table_is_told_after_a_list_of_the_store():
+    peer = make_knowledge('t1', 't2')
+    knowledge = make_knowledge('t1', 't2')
+    peer.take_targets(12, {'t2': make_target('t2')}, 1.0)
+    assert pass_on(peer, knowledge).targets_since == 0
+
+
+def test_target_held_for_a_lapse_is_told_with_its_time():
+    peer = make_knowledge('t1', 't2')
+    knowledge = make_knowledge('t1', 't2')
+    peer.start_lapse()
+    peer.end_lapse(10.0, may_have_lapsed=True)
+    peer.change_targets(11, {'t1': 11}, 10.5)
+    assert pass_on(peer, knowledge, 11.0).removed == {'t1': 11}
+    assert set(knowledge.targets) == {'t1', 't2'}
+    third = make_knowledge('t1', 't2')
+    assert knowledge.drop_lapsed(13.0) == ('t1',)
+    assert pass_on(knowledge, third, 13.0).removed == {'t1': 11}
+
+
+def test_changes_end_the_hold_of_a_vm_that_lost_the_store_alone():
+    peer = make_knowledge('t1', 't2')
+    knowledge = make_knowledge('t1', 't2')
+    peer.change_targets(11, {'t1': 11}, 1.0)
+    knowledge.start_lapse()
+    knowledge.change_targets(11, {'t1': 11}, 1.0)
+    assert knowledge.lapsed
+    peer.change_targets(12, {'t2': make_target('t2', revision=12)}, 1.0)
+    pass_on(peer, knowledge)
+    assert set(knowledge.targets) == {'t2'}
+
+
+def test_changes_that_build_on_a_later_table_are_passed_over():
+    peer = make_knowledge('t1', revision=10)
+    peer.change_targets(12, {'t1': 12}, 1.0)
+    knowledge = make_knowledge('t1', revision=9)
+    knowledge.take_snapshot(peer.make_snapshot(Revisions(0, 11, 0), 1.0), 1.0)
+    assert knowledge.revisions.targets == 9
+    assert set(knowledge.targets) == {'t1'}
+
+
+def test_removals_are_bounded():
+    removals = Removals(most_names=2)
+    removals.restart(10)
+    for revision in (11, 12, 13):
+        removals.note(f't{revision}', revision)
+    assert not removals.knows_all_since(10)
+    assert removals.knows_all_since(11)
+    assert removals.list_since(11) == {'t12': 12, 't13': 13}
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/knowledge.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from toucanhall.fleet.model import Configuration, Route, Snapshot, Target
+from toucanhall.fleet.removals import Removals
 
 __all__ = ('Knowledge', 'Revisions', 'find_route', 'is_ahead')
 
@@ -51,6 +52,7 @@
         self._lapse_until = 0.0
         self._heard_targets = 0
         self._heard_at_loss = 0
+        self.removals = Removals()
         self._on_change = on_change
 
     def take_configuration(
@@ -100,6 +102,7 @@
             return
         missing = self.targets.keys() - targets.keys()
         held = {name: self.targets[name] for name in self._hold(missing, now)}
+        self.removals.restart(revision)
         self._put_targets(revision, {**held, **targets})
 
     def change_targets(
@@ -117,14 +120,17 @@
             if isinstance(change, Target)
             and change.revision > self._get_revision(name)
         }
-        gone = {
-            name
+        removed = {
+            name: change
             for name, change in changes.items()
-            if isinstance(change, int)
-            and 0 < self._get_revision(name) <= change
+            if isinstance(change, int) and self._get_revision(name) <= change
         }
         for name in written:
             self.lapsed.pop(name, None)
+            self.removals.forget(name)
+        for name, removed_at in removed.items():
+            self.removals.note(name, removed_at)
+        gone = self.targets.keys() & removed.keys()
         targets = {**self.targets, **written}
         for name in gone - self._hold(gone, now):
             targets.pop(name)
@@ -167,19 +173,37 @@
         return over
 
     def make_snapshot(self, known: Revisions, now: float) -> Snapshot:
-        """Return the tables that are newer than those a peer knows."""
+        """Return what a peer lacks that knows these revisions."""
         own = self.revisions
-        has_targets = own.targets > known.targets
         has_configuration = own.configuration > known.configuration
-        return Snapshot(
+        snapshot = Snapshot(
             configuration_revision=own.configuration,
             configuration=self.configuration if has_configuration else None,
-            targets_revision=own.targets if has_targets else 0,
-            targets=self.targets if has_targets else {},
+            targets_revision=0,
+            targets_since=0,
+            targets={},
+            removed={},
             lapsed={name: end - now for name, end in self.lapsed.items()},
             evacuations_revision=own.evacuations,
             evacuated=self.evacuated,
         )
+        if own.targets <= known.targets:
+            return snapshot
+        if not self.removals.knows_all_since(known.targets):
+            return snapshot._replace(
+                targets_revision=own.targets,
+                targets=self.targets,
+            )
+        return snapshot._replace(
+            targets_revision=own.targets,
+            targets_since=known.targets,
+            targets={
+                name: target
+                for name, target in self.targets.items()
+                if target.revision > known.targets
+            },
+            removed=self.removals.list_since(known.targets),
+        )
 
     def take_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Take each table of a peer that is newer than the own one."""
@@ -187,20 +211,51 @@
             snapshot.configuration_revision,
             snapshot.configuration,
         )
-        if snapshot.targets_revision > self.revisions.targets:
-            # Only this VM lost the store if another heard of changes since.
-            is_newer = snapshot.targets_revision > self._heard_at_loss
-            if is_newer and snapshot.targets != self.targets:
-                self._lapse_until = 0.0
-            self.lapsed = {
-                name: now + left for name, left in snapshot.lapsed.items()
-            }
-            self._put_targets(snapshot.targets_revision, snapshot.targets)
+        own = self.revisions.targets
+        if snapshot.targets_since <= own < snapshot.targets_revision:
+            self._take_targets_of(snapshot, now)
         self.take_evacuations(
             snapshot.evacuations_revision,
             snapshot.evacuated,
         )
 
+    def _take_targets_of(self, snapshot: Snapshot, now: float) -> None:
+        if snapshot.targets_since:
+            targets = self._merge(snapshot)
+        else:
+            targets = dict(snapshot.targets)
+            self.removals.restart(snapshot.targets_revision)
+        # Only this VM lost the store if another heard of changes since.
+        is_newer = snapshot.targets_revision > self._heard_at_loss
+        if is_newer and targets != self.targets:
+            self._lapse_until = 0.0
+        self.lapsed = {
+            name: now + left for name, left in snapshot.lapsed.items()
+        }
+        self._put_targets(snapshot.targets_revision, targets)
+
+    def _merge(self, snapshot: Snapshot) -> dict[str, Target]:
+        """Return the own targets with the changes of a snapshot.
+
+        What only this VM still holds for a lapse goes: it is not in the table
+        of the peer.
+        """
+        for name, revision in snapshot.removed.items():
+            self.removals.note(name, revision)
+        for name in snapshot.targets:
+            self.removals.forget(name)
+        gone = (snapshot.removed.keys() | self.lapsed.keys()) - (
+            snapshot.lapsed.keys()
+        )
+        return {
+            **{
+                name: target
+                for name, target in self.targets.items()
+                if name not in gone
+            },
+            **snapshot.targets,
+        }
+
     def _get_revision(self, name: str) -> int:
         known = self.targets.get(name)
         return known.revision if known else 0
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -177,6 +177,8 @@
 class Snapshot(NamedTuple):
     """Tables of a VM with their revisions; 0 for one that is not newer.
 
+    `targets` and `removed` (with the revision of each removal) are what has
+    changed after `targets_since`; where it is 0, `targets` is the whole table.
     `lapsed` maps targets that were dropped while the store was away to the
     seconds in which they may register again.
     """
@@ -184,7 +186,9 @@
     configuration_revision: int
     configuration: Configuration | None
     targets_revision: int
+    targets_since: int
     targets: Mapping[str, Target]
+    removed: Mapping[str, int]
     lapsed: Mapping[str, float]
     evacuations_revision: int
     evacuated: frozenset[str]
