Wait for the threads of the older entry VM before it ends

Seen once: the built file ended with SIGABRT after SIGTERM (test_entry_vm_is_one_process_and_writes_only_temporary_files, fourth run of all process modules in a loop, load about 15; its log was removed with its folder). Not seen again in 78 runs of the test, up to five side by side.

A thread of the message exchange that comes back from the library, or one that holds standard error, while the interpreter ends can abort the process, and nothing waited for these threads: now the exchange and the tickers are joined, each for a second at most. The new unit test failed before.

--- a/tests/unit/test_transport.py
+++ b/tests/unit/test_transport.py
@@ -1,12 +1,20 @@
 """Tests of authenticated frames."""
 
+import threading
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from tests.builders import make_heartbeat
-from toucanhall.transport import seal, unseal
+from toucanhall import runtime
+from toucanhall.counters import Counters
+from toucanhall.membership import Heartbeat
+from toucanhall.transport import Exchange, seal, unseal
+from toucanhall.transport.exchange import Handler, Identity
 
 SECRET = b'fleet'
+ADDRESS = '127.64.203.1'
+TAKE_SECONDS = 0.3
 
 
 def test_frame_comes_through():
@@ -22,3 +30,23 @@
 @given(st.binary(max_size=200))
 def test_any_bytes_are_refused_and_nothing_is_raised(frame):
     assert unseal(SECRET, frame).failure().reason == 'forged'
+
+
+def test_stop_waits_for_the_thread_that_takes_messages():
+    exchange = Exchange(
+        identity=Identity('vm-1', 's', SECRET),
+        address=ADDRESS,
+        port=9101,
+        counters=Counters(host=ADDRESS, port=9102),
+    )
+    taken = threading.Event()
+
+    def take(_envelope, _heartbeat):
+        taken.set()
+        runtime.pause(TAKE_SECONDS)
+
+    exchange.start((Handler(Heartbeat, take),))
+    exchange.send(ADDRESS, make_heartbeat())
+    assert taken.wait(5)
+    exchange.stop()
+    assert 'exchange' not in {thread.name for thread in threading.enumerate()}
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -70,6 +70,7 @@
 _LATE_WATCH_CHANCE: Final = 0.1  # a second, where the readers bring nothing
 _COMPARE_SECONDS: Final = 1.0
 _RESIZE_SECONDS: Final = 0.5
+_JOIN_SECONDS: Final = 1.0  # for a duty in hand when the VM stops
 
 
 class Entry:
@@ -194,8 +195,10 @@
             stopping=self._stopping,
         ).start()
         self._membership.tell(ReadList())
-        for period, call in self._list_tickers():
+        self._tickers = tuple(
             runtime.start_ticker(period, call, self._stopping)
+            for period, call in self._list_tickers()
+        )
 
     def _list_handlers(self) -> tuple[Handler, ...]:
         limits = (
@@ -392,6 +395,8 @@
 
     def _finish(self, server: Any) -> None:
         server.task_dispatcher.shutdown(cancel_pending=False)
+        for ticker in self._tickers:
+            ticker.join(_JOIN_SECONDS)
         self._parts.keeper.settle()
         self._membership.stop()
         self._spread.stop()
--- a/toucanhall/transport/exchange.py
+++ b/toucanhall/transport/exchange.py
@@ -15,6 +15,7 @@
 __all__ = ('Exchange', 'Handler', 'Identity')
 
 _SEND_BUFFER: Final = 64  # messages
+_JOIN_SECONDS: Final = 1.0  # for the message in hand when a VM stops
 _MOST_PEERS: Final = 64  # connections
 _RECONNECT_MS: Final = 100
 _RECONNECT_MAX_MS: Final = 1000
@@ -55,6 +56,11 @@
         self._peers: dict[str, pynng.Push0] = {}
         self._handlers: Mapping[str, Handler] = {}
         self._socket = pynng.Pull0()
+        self._thread = threading.Thread(
+            target=self._receive,
+            name='exchange',
+            daemon=True,
+        )
 
     def start(self, handlers: tuple[Handler, ...]) -> None:
         """Begin to take messages; each kind has one handler."""
@@ -65,12 +71,7 @@
             kinds = [handler.kind.__name__ for handler in handlers]
             raise ValueError(f'a kind has two handlers: {sorted(kinds)}')
         self._socket.listen(f'tcp://{self._address}:{self._port}')
-        thread = threading.Thread(
-            target=self._receive,
-            name='exchange',
-            daemon=True,
-        )
-        thread.start()
+        self._thread.start()
 
     def send(self, address: str, message: tuple[Any, ...]) -> None:
         """Send a message to the VM at an address; it may be lost."""
@@ -96,13 +97,19 @@
             peer.close()
 
     def stop(self) -> None:
-        """Close every socket."""
+        """Close every socket and wait for the message in hand.
+
+        A thread that comes back from the library while the interpreter ends
+        may abort the process.
+        """
         with self._lock:
             peers = tuple(self._peers.values())
             self._peers.clear()
         for peer in peers:
             peer.close()
         self._socket.close()
+        if self._thread.is_alive():
+            self._thread.join(_JOIN_SECONDS)
 
     def _dial(self, address: str) -> pynng.Push0:
         peer = pynng.Push0(
