Divide limits among VMs added up, not one by one

Parts of VMs that are heard add up, as do those of silent ones that told of no team; late ones that told of some still count alone.

--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -15,8 +15,11 @@
     Quotas,
     Told,
     Usage,
+    add_up,
     make_unheard,
 )
+from toucanhall.limits.quota import _divide as divide_limit
+from toucanhall.limits.quota import _Report as Report
 from toucanhall.limits.retries import Retries
 
 BEAT = 0.8
@@ -349,3 +352,58 @@
     bound = bounds.retry_ratio * requests + bounds.retry_slack
     assert repeats <= max(bound, vms)
     assert repeats > 0.5 * min(bound, 2 * requests)
+
+
+def test_vms_that_are_heard_count_together_and_late_ones_alone():
+    present = [Told({'a': Usage(number, 0.5)}, vms=2.0) for number in range(40)]
+    reserve = [Told({}, vms=RESERVE_VMS) for _vm in range(50)]
+    silent = [Told({}, is_late=True, vms=1.0) for _vm in range(3)]
+    late = Told({'a': Usage(7, 1.0)}, is_late=True)
+    unheard = make_unheard(4)
+    found = add_up([*present, *reserve, late, unheard, *silent])
+    assert found[:2] == [late, unheard]
+    together, without = found[2:]
+    assert together.usage == {'a': Usage(780, 20.0)}
+    assert together.vms == pytest.approx(81.0)
+    assert without == Told({}, is_late=True, vms=3.0)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_parts_of_vms_added_up_are_those_of_each(seed):
+    chance = random.Random(seed)
+    own = Told({'team': Usage(3, 1.5)})
+    others = [
+        Told(
+            {'team': Usage(chance.randrange(9), chance.random())}
+            if chance.random() < 0.6
+            else {},
+            is_late=chance.random() < 0.3,
+            vms=chance.choice((RESERVE_VMS, 1.0, 4.0)),
+        )
+        for _vm in range(40)
+    ]
+    each = list_reports([own, *others])
+    together = list_reports([own, *add_up(others)])
+    parts, added = divide_limit(1.5, each), divide_limit(1.5, together)
+    assert added[0] == pytest.approx(parts[0])
+    assert sum(added) == pytest.approx(1.0)
+    assert find_late_spent(together, added) == pytest.approx(
+        find_late_spent(each, parts),
+    )
+
+
+def list_reports(told):
+    """Return what VMs told of a team."""
+    return [
+        Report(found.usage.get('team', Usage()), found.is_late, found.vms)
+        for found in told
+    ]
+
+
+def find_late_spent(reports, parts, limit=100.0):
+    """Return what counts for VMs that are late."""
+    return sum(
+        max(report.usage.admitted, part * limit)
+        for report, part in zip(reports, parts, strict=True)
+        if report.is_late
+    )
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -5,7 +5,7 @@
 
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.model import Introduction
-from toucanhall.limits.quota import Told, Usage
+from toucanhall.limits.quota import Told, Usage, sum_usage
 
 __all__ = ('Member', 'ZoneReport', 'sum_told')
 
@@ -56,7 +56,7 @@
         groups[found.is_late].append(found)
     return tuple(
         Told(
-            _sum_usage(found.usage for found in group if found.usage),
+            _round(sum_usage(found.usage for found in group if found.usage)),
             is_late=is_late,
             vms=sum(found.vms for found in group),
         )
@@ -65,13 +65,8 @@
     )
 
 
-def _sum_usage(usages: Iterable[Mapping[str, Usage]]) -> dict[str, Usage]:
-    total: dict[str, Usage] = {}
-    for usage in usages:
-        for team, found in usage.items():
-            known = total.get(team, Usage())
-            total[team] = Usage(
-                known.admitted + found.admitted,
-                round(known.demand + found.demand, 2),
-            )
-    return total
+def _round(usage: Mapping[str, Usage]) -> dict[str, Usage]:
+    return {
+        team: found._replace(demand=round(found.demand, 2))
+        for team, found in usage.items()
+    }
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -10,12 +10,20 @@
 between two heartbeats, since it hears of the others one or two beats late.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final, NamedTuple
 
 from toucanhall.fleet.model import Bounds, Team
 
-__all__ = ('RESERVE_VMS', 'Quotas', 'Told', 'Usage', 'make_unheard')
+__all__ = (
+    'RESERVE_VMS',
+    'Quotas',
+    'Told',
+    'Usage',
+    'add_up',
+    'make_unheard',
+    'sum_usage',
+)
 
 _DEMAND_WEIGHT: Final = 0.25  # of the last beat in the smoothed demand
 # Part of the average demand that a VM without any keeps, to admit the first.
@@ -77,6 +85,48 @@
     return Told(None, is_late=True, vms=vms)
 
 
+def add_up(told: Iterable[Told]) -> list[Told]:
+    """Return what VMs told with those that are not late added up.
+
+    Their parts add up too, so a team is divided among a few instead of among
+    all VMs. One that is late counts for its part at least: it stays alone,
+    but for those that told of no team at all.
+    """
+    alone: list[Told] = []
+    present: list[Told] = []
+    silent: list[Told] = []
+    for one in told:
+        if one.usage is None or (one.is_late and one.usage):
+            alone.append(one)
+        elif one.is_late:
+            silent.append(one)
+        else:
+            present.append(one)
+    groups = (group for group in (present, silent) if group)
+    return [*alone, *map(_add_group, groups)]
+
+
+def sum_usage(usages: Iterable[Mapping[str, Usage]]) -> dict[str, Usage]:
+    """Add up the requests of each team."""
+    total: dict[str, Usage] = {}
+    for usage in usages:
+        for team, found in usage.items():
+            known = total.get(team, _NOTHING)
+            total[team] = Usage(
+                known.admitted + found.admitted,
+                known.demand + found.demand,
+            )
+    return total
+
+
+def _add_group(group: Sequence[Told]) -> Told:
+    return Told(
+        sum_usage(found.usage for found in group if found.usage),
+        is_late=group[0].is_late,
+        vms=sum(found.vms for found in group),
+    )
+
+
 class _Admitted(NamedTuple):
     """Requests that were admitted in a beat, and when it ended."""
 
@@ -199,13 +249,17 @@
         """
         self._elapsed = now - self._divided_at
         self._divided_at = now
-        all_vms = [own, *others]
+        all_vms = (own, *add_up(others))
         for team in teams:
-            reports = [
-                _Report(_find_usage(told, team.name), told.is_late, told.vms)
-                for told in all_vms
-            ]
             if team.rate is not None:
+                reports = [
+                    _Report(
+                        _find_usage(told, team.name),
+                        told.is_late,
+                        told.vms,
+                    )
+                    for told in all_vms
+                ]
                 self._fill(team, team.rate, reports, now)
 
     def _fill(
