Add up what VMs told, size pieces and read limits in one place each

Found when the whole change was read again; behaviour is as before. - A report and the division of limits added up groups of VMs by two copies: add_group serves both, a report rounds its result. - The size of a parsed piece stood in the client and the server of HTTP. - Descriptors left for sockets were computed twice at a start, the limits of the settings looked up three times.

--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -88,13 +88,12 @@
             beat=HEARTBEAT_SECONDS,
             now=self._loop.time(),
         )
+        sockets = environment.descriptors - _FILES
         self._held = make_held_bytes(environment.memory)
         opening = Opening(make_bounds(environment.memory), self._held)
         self._pool = Pool(
             clock=self._loop.time,
-            most_idle=round(
-                (environment.descriptors - _FILES) * _IDLE_TARGETS_SHARE,
-            ),
+            most_idle=round(sockets * _IDLE_TARGETS_SHARE),
             opening=opening._replace(id_header=REQUEST_ID),
         )
         self._store = Store(
@@ -129,7 +128,6 @@
                 metrics=self._metrics,
             ),
         )
-        sockets = environment.descriptors - _FILES
         handler = Handler(
             serve=self._path.serve,
             fail=self._answer_error,
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -1,11 +1,11 @@
 """What a zone tells the other zones: its VMs and what they admitted."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.model import Introduction
-from toucanhall.limits.quota import Told, Usage, sum_usage
+from toucanhall.limits.quota import Told, add_group
 
 __all__ = ('Member', 'ZoneReport', 'sum_told')
 
@@ -54,19 +54,12 @@
     groups: dict[bool, list[Told]] = {False: [], True: []}
     for found in told:
         groups[found.is_late].append(found)
-    return tuple(
-        Told(
-            _round(sum_usage(found.usage for found in group if found.usage)),
-            is_late=is_late,
-            vms=sum(found.vms for found in group),
-        )
-        for is_late, group in groups.items()
-        if group
-    )
-
-
-def _round(usage: Mapping[str, Usage]) -> dict[str, Usage]:
-    return {
+    return tuple(_round(add_group(group)) for group in groups.values() if group)
+
+
+def _round(told: Told) -> Told:
+    usage = {
         team: found._replace(demand=round(found.demand, 2))
-        for team, found in usage.items()
+        for team, found in (told.usage or {}).items()
     }
+    return told._replace(usage=usage)
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -20,9 +20,9 @@
     'Quotas',
     'Told',
     'Usage',
+    'add_group',
     'add_up',
     'make_unheard',
-    'sum_usage',
 )
 
 _DEMAND_WEIGHT: Final = 0.25  # of the last beat in the smoothed demand
@@ -103,11 +103,19 @@
         else:
             present.append(one)
     groups = (group for group in (present, silent) if group)
-    return [*alone, *map(_add_group, groups)]
+    return [*alone, *map(add_group, groups)]
 
 
-def sum_usage(usages: Iterable[Mapping[str, Usage]]) -> dict[str, Usage]:
-    """Add up the requests of each team."""
+def add_group(group: Sequence[Told]) -> Told:
+    """Add up what some VMs told, all of them late or none."""
+    return Told(
+        _sum_usage(found.usage for found in group if found.usage),
+        is_late=group[0].is_late,
+        vms=sum(found.vms for found in group),
+    )
+
+
+def _sum_usage(usages: Iterable[Mapping[str, Usage]]) -> dict[str, Usage]:
     total: dict[str, Usage] = {}
     for usage in usages:
         for team, found in usage.items():
@@ -119,14 +127,6 @@
     return total
 
 
-def _add_group(group: Sequence[Told]) -> Told:
-    return Told(
-        sum_usage(found.usage for found in group if found.usage),
-        is_late=group[0].is_late,
-        vms=sum(found.vms for found in group),
-    )
-
-
 class _Admitted(NamedTuple):
     """Requests that were admitted in a beat, and when it ended."""
 
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -52,6 +52,7 @@
 
 def _decode(document: Mapping[str, Any]) -> Environment:
     listen = document['listen']
+    limits = document.get('limits') or {}
     return Environment(
         vm=document['node_name'],
         zone=document['zone'],
@@ -71,12 +72,9 @@
             document['bounds'],
             read_seconds(document.get('heartbeat', '1500ms')),
         ),
-        capacity=_read_capacity(document.get('limits') or {}),
-        memory=_read_memory(document.get('limits') or {}),
-        descriptors=int(
-            (document.get('limits') or {}).get('max_fds')
-            or _DEFAULT_DESCRIPTORS,
-        ),
+        capacity=_read_capacity(limits),
+        memory=_read_memory(limits),
+        descriptors=int(limits.get('max_fds') or _DEFAULT_DESCRIPTORS),
     )
 
 
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -8,7 +8,7 @@
 import httptools
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.memory import Bounds, Framing, HeldBytes
+from toucanhall.web.memory import PIECE_BYTES, Bounds, Framing, HeldBytes
 from toucanhall.web.messages import Headers, get_header
 
 __all__ = (
@@ -26,8 +26,6 @@
 _SILENCE_MILLISECONDS: Final = 1500
 _PROBE_AFTER_SECONDS: Final = 1
 _PROBES: Final = 2
-# Bytes that are parsed between two looks at the bounds.
-_PIECE_BYTES: Final = 1 << 14
 _FINAL_STATUS: Final = 200
 _REDIRECTED_STATUS: Final = 300
 
@@ -118,8 +116,8 @@
         if self._waiter is None or self._waiter.done():
             self.close()
             return
-        for start in range(0, len(received), _PIECE_BYTES):
-            why = self._feed(received[start : start + _PIECE_BYTES])
+        for start in range(0, len(received), PIECE_BYTES):
+            why = self._feed(received[start : start + PIECE_BYTES])
             if why:
                 self.cut(why)
                 return
--- a/toucanhall/web/memory.py
+++ b/toucanhall/web/memory.py
@@ -8,6 +8,7 @@
 from typing import Final, NamedTuple, Protocol
 
 __all__ = (
+    'PIECE_BYTES',
     'Bounds',
     'Framing',
     'HeldBytes',
@@ -16,6 +17,8 @@
     'make_held_bytes',
 )
 
+# Bytes that are parsed between two looks at the bounds.
+PIECE_BYTES: Final = 1 << 14
 # Deployments allow a caller 16 KiB of headers; a target may add some.
 _HEAD_BYTES: Final = 1 << 16
 # Informational answers before the final one: 100 and 103, and a few repeats.
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from toucanhall.web.memory import Framing, HeldBytes
+from toucanhall.web.memory import PIECE_BYTES, Framing, HeldBytes
 from toucanhall.web.messages import (
     Answer,
     Request,
@@ -20,8 +20,6 @@
 
 # Requests of one connection that run side by side; the rest stays unread.
 PIPELINE_DEPTH: Final = 16
-# Bytes that are parsed between two looks at the limits.
-_PIECE_BYTES: Final = 1 << 14
 # Part of the connections that may be open from which each answer closes its
 # own, and the part of quiet ones that are closed at once for a new one.
 _CROWDED_SHARE: Final = 0.5
@@ -84,7 +82,7 @@
         self._is_paused = False
         self._is_unread = False
         self._limits = handler.get_limits()
-        self._framing = Framing(most=self._limits.head_bytes + _PIECE_BYTES)
+        self._framing = Framing(most=self._limits.head_bytes + PIECE_BYTES)
         self._fed_body = 0
         self._since = self._loop.time()
         self._reads = False
@@ -115,10 +113,10 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse what came; start each request that is whole."""
-        for start in range(0, len(received), _PIECE_BYTES):
+        for start in range(0, len(received), PIECE_BYTES):
             if self._is_closing:
                 return
-            self._feed(received[start : start + _PIECE_BYTES])
+            self._feed(received[start : start + PIECE_BYTES])
 
     def pause_writing(self) -> None:
         """Count answers that the caller does not read."""
