Count waits without any answer against their target

Change: a wait of more than three usual times, in which the target answered this VM nothing at all, counts as one failure of three in a row. A target that is only slow or full answers others meanwhile and keeps its place.

--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -69,8 +69,12 @@
         self,
         admitted: Admitted,
         candidate: Candidate,
+        usual: float,
     ) -> Success | Failure:
-        """Send a request to a target once."""
+        """Send a request to a target once.
+
+        `usual` is how long an answer usually takes (seconds).
+        """
         target, load = candidate
         started_at = self._loop.time()
         fill = load.estimate(started_at) / load.slots
@@ -90,9 +94,13 @@
         except Broken as error:
             self._fail(target, is_lost=False, why=str(error))
             return Failure('broken', target.id, detail=str(error))
+        except asyncio.CancelledError:
+            self._note_silence(candidate, started_at, usual)
+            raise
         finally:
             load.in_flight -= 1
-        seconds = self._loop.time() - started_at
+        load.answered_at = self._loop.time()
+        seconds = load.answered_at - started_at
         return self._judge(candidate, Success(reply, seconds, fill))
 
     def succeed(self, candidate: Candidate, ratio: float | None) -> None:
@@ -161,6 +169,18 @@
         load.fill(now)
         return Failure('not-run', target.id, may_have_run=False)
 
+    def _note_silence(
+        self,
+        candidate: Candidate,
+        since: float,
+        usual: float,
+    ) -> None:
+        """Count a wait that its caller or its deadline has ended."""
+        now = self._loop.time()
+        if candidate.load.is_silent(since, usual, now):
+            why = f'no answer in {now - since:.2f} s'
+            self._fail(candidate.target, is_lost=False, why=why)
+
     def _fail(self, target: Target, *, is_lost: bool, why: str) -> None:
         load = self._field.loads.get(target.id)
         now = self._loop.time()
