Keep threads of the older entry VM alive after an unexpected error

By reading: an unexpected error ended the thread that takes messages, a ticker, and the actors of membership and of spread, without a line in the log; a VM then hears of nobody for good, as seen.

Change: such an error is logged as event 110 with its place and the thread goes on. A start of five VMs that fails prints who sees whom and the logs.

--- a/tests/processes/test_membership.py
+++ b/tests/processes/test_membership.py
@@ -11,6 +11,7 @@
 
 EXAMPLE = Path(__file__).parents[2] / 'examples' / 'bench.jsonc'
 STATUS = '/.toucanhall/admin/v1/status'
+LOG_BYTES = 2000  # of each VM, in the note of a failure
 HEADERS = {'Authorization': 'Bearer demo-operator-token'}
 
 
@@ -21,13 +22,24 @@
     try:
         fleet.start()
         fleet.apply()
-        for vm in fleet.vms:
-            wait_until(partial(sees, fleet, vm, 'alive', 4), f'{vm.name} full')
+        wait_until_full(fleet)
         yield fleet
     finally:
         fleet.stop()
 
 
+def wait_until_full(fleet):
+    """Return once each VM sees the other four; say who sees whom else."""
+    for vm in fleet.vms:
+        try:
+            wait_until(partial(sees, fleet, vm, 'alive', 4), f'{vm.name} full')
+        except TimeoutError as error:
+            for other in fleet.vms:
+                error.add_note(f'{other.name} {read_health(fleet, other)}')
+                error.add_note(fleet.read_log(other.name)[-LOG_BYTES:])
+            raise
+
+
 def read_health(fleet, vm):
     """Return the health of each other VM, as one VM sees it."""
     response = fleet.http.request('GET', f'{vm.url}{STATUS}', headers=HEADERS)
--- a/tests/unit/test_transport.py
+++ b/tests/unit/test_transport.py
@@ -50,3 +50,27 @@
     assert taken.wait(5)
     exchange.stop()
     assert 'exchange' not in {thread.name for thread in threading.enumerate()}
+
+
+def test_handler_that_fails_once_does_not_end_the_messages():
+    exchange = Exchange(
+        identity=Identity('vm-1', 's', SECRET),
+        address=ADDRESS,
+        port=9103,
+        counters=Counters(host=ADDRESS, port=9104),
+    )
+    taken = []
+    is_taken = threading.Event()
+
+    def take(_envelope, heartbeat):
+        taken.append(heartbeat.sequence)
+        if len(taken) == 1:
+            raise ValueError('nobody expected this')
+        is_taken.set()
+
+    exchange.start((Handler(Heartbeat, take),))
+    for sequence in (1, 2):
+        exchange.send(ADDRESS, make_heartbeat(sequence=sequence))
+    assert is_taken.wait(5)
+    assert taken == [1, 2]
+    exchange.stop()
--- a/toucanhall/events.py
+++ b/toucanhall/events.py
@@ -21,6 +21,9 @@
 ENTRY_STARTED: Final = Event(100, logging.INFO, 'entry VM started')
 ENTRY_LEAVING: Final = Event(101, logging.INFO, 'entry VM is leaving')
 ENTRY_STOPPED: Final = Event(102, logging.INFO, 'entry VM stopped')
+WORK_FAILED: Final = Event(
+    110, logging.ERROR, 'unexpected error, the thread goes on',
+)  # fmt: skip
 CATALOGUE_TAKEN: Final = Event(200, logging.INFO, 'revision taken into force')
 CATALOGUE_STALE: Final = Event(201, logging.WARNING, 'older revision refused')
 CATALOGUE_INVALID: Final = Event(202, logging.ERROR, 'revision is invalid')
--- a/toucanhall/membership/actor.py
+++ b/toucanhall/membership/actor.py
@@ -98,7 +98,7 @@
 
     def on_receive(self, message: Any) -> None:
         """Handle one message of this actor."""
-        self._handlers[type(message)](message)
+        runtime.dispatch(self._handlers, message)
 
     def _beat(self, _message: Beat) -> None:
         now = runtime.read_clock()
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -3,11 +3,16 @@
 import secrets
 import threading
 import time
-from collections.abc import Callable
+import traceback
+from collections.abc import Callable, Mapping
 from datetime import UTC, datetime
-from typing import Final
+from typing import Any, Final
+
+from toucanhall import events
 
 __all__ = (
+    'dispatch',
+    'go_on',
     'make_id',
     'pause',
     'read_clock',
@@ -45,16 +50,50 @@
     time.sleep(seconds)
 
 
+def dispatch(
+    handlers: Mapping[type, Callable[[Any], None]],
+    message: object,
+) -> None:
+    """Hand a message to the handler of its type, as `go_on` does."""
+    go_on(_hand, handlers, message)
+
+
+def _hand(
+    handlers: Mapping[type, Callable[[Any], None]],
+    message: object,
+) -> None:
+    handlers[type(message)](message)
+
+
+def go_on(call: Callable[..., Any], *arguments: Any) -> None:
+    """Call a function; write an unexpected error to the log.
+
+    For threads that serve many: one message must not end them.
+    """
+    try:
+        call(*arguments)
+    except Exception as error:  # noqa: BLE001
+        where = traceback.extract_tb(error.__traceback__)[-1]
+        events.log(
+            events.WORK_FAILED,
+            work=f'{where.name}:{where.lineno}',
+            why=repr(error),
+        )
+
+
 def start_ticker(
     period: float,
     call: Callable[[], None],
     stopping: threading.Event,
 ) -> threading.Thread:
-    """Call a function every `period` seconds until the event is set."""
+    """Call a function every `period` seconds until the event is set.
+
+    An unexpected error is logged and does not end the calls.
+    """
 
     def tick() -> None:
         while not stopping.wait(period):
-            call()
+            go_on(call)
 
     thread = threading.Thread(target=tick, name='ticker', daemon=True)
     thread.start()
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -77,7 +77,7 @@
 
     def on_receive(self, message: Any) -> None:
         """Handle one message of this actor."""
-        self._handlers[type(message)](message)
+        runtime.dispatch(self._handlers, message)
 
     def _take(self, arrived: Arrived) -> None:
         _TAKERS[type(arrived.message)](self, arrived)
--- a/toucanhall/transport/exchange.py
+++ b/toucanhall/transport/exchange.py
@@ -8,7 +8,7 @@
 import pynng
 from returns.result import Result, Success
 
-from toucanhall import events
+from toucanhall import events, runtime
 from toucanhall.counters import Counters
 from toucanhall.transport.frames import Envelope, FrameError, seal, unseal
 
@@ -129,8 +129,11 @@
                 frame = self._socket.recv()
             except pynng.Closed:
                 return
-            opened = unseal(self._identity.secret, frame).bind(self._take)
-            opened.alt(self._drop)
+            runtime.go_on(self._open, frame)
+
+    def _open(self, frame: bytes) -> None:
+        opened = unseal(self._identity.secret, frame).bind(self._take)
+        opened.alt(self._drop)
 
     def _take(self, envelope: Envelope) -> Result[None, FrameError]:
         handler = self._handlers.get(envelope.kind)
