Refuse addresses that are none, and figures that no number holds

- A heartbeat, a report or the store's entry of a VM with an address such as 'a\0b' made asyncio close the datagram socket for good: the VM heard and told nothing any more, without a line in the log.
A name instead of an address is looked up while the event loop waits.
Both are dropped with their message now (event of a dropped message, reason 'no IP address').
- The entry of a target with such an address, or a port over 65535, crashed each request that was sent there; with a number beyond all floats it was an unexpected error instead of one bad entry.
- Names and amounts of a configuration are checked as what they are held to be.

A lost datagram socket is told in the log.

--- /dev/null
+++ b/tests/unit/test_fuzz_edge.py
@@ -0,0 +1,142 @@
+"""Documents and messages with wrong entries end nothing but themselves."""
+
+import json
+
+import msgspec
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from standins.site.documents import make_configuration, make_target_entry
+from tests.exchange import Vm
+from tests.fleetdata import (
+    make_bounds,
+    make_heartbeat,
+    make_member,
+    make_report,
+    make_team,
+)
+from tests.mutations import mutate
+from toucanhall.edge.admission import admit
+from toucanhall.fleet.gossip import Gossip, Message
+from toucanhall.fleet.model import Introduction
+from toucanhall.limits.quota import Quotas, Told, Usage
+from toucanhall.placement.field import Field, Need
+from toucanhall.placement.order import Place
+from toucanhall.platform.documents import (
+    BadDocument,
+    decode_configuration,
+    decode_target,
+    decode_vm,
+)
+from toucanhall.platform.headers import read_caller_marks
+from toucanhall.web.messages import Request
+
+TEAM = {
+    'name': 'guides',
+    'api_keys': ['key-1'],
+    'rate_per_s': 20,
+    'burst': 20,
+    'home_regions': ['east'],
+}
+CONFIGURATION = json.dumps(make_configuration(teams=[TEAM]))
+TARGET = json.dumps(make_target_entry('127.0.0.1:9000', 'east-a'))
+ENTRY = json.dumps({'zone': 'east-a', 'ip': '127.0.0.1'})
+USAGE = {'guides': Usage(4, 2.0)}
+HEARTBEAT = Message(
+    heartbeat=make_heartbeat('vm-2', usage=USAGE)._replace(
+        is_asking=True,
+        introduced=(Introduction('vm-3', 'east-a', '127.0.0.3'),),
+    ),
+)
+REPORT = Message(
+    report=make_report(
+        members=(make_member('vm-7', zone='west-a'),),
+        told=(Told(USAGE, vms=2.0), Told(None, is_late=True)),
+    ),
+)
+MESSAGES = [
+    json.dumps(msgspec.to_builtins(message)) for message in (HEARTBEAT, REPORT)
+]
+
+
+def ask(configuration):
+    """Admit a request by a configuration and divide its limits."""
+    headers = (
+        (b'host', b'guide.example'),
+        (b'authorization', b'Bearer key-1'),
+    )
+    request = Request(b'GET', b'/view/1', headers, b'')
+    quotas = Quotas(bounds=make_bounds(), beat=0.8, now=0.0)
+    marks = read_caller_marks(request)
+    for now in (0.0, 1.0):
+        quotas.divide(configuration.teams.values(), Told({}), (), now)
+        admit(request, marks, configuration, quotas, now)
+        quotas.measure(now + 0.5)
+
+
+@given(mutate(CONFIGURATION))
+def test_configuration_is_refused_or_works(document):
+    try:
+        configuration = decode_configuration(document)
+    except BadDocument:
+        return
+    ask(configuration)
+
+
+@given(mutate(TARGET))
+@example({**json.loads(TARGET), 'born': float('inf')})
+@example({**json.loads(TARGET), 'address': 'a\0b:9000'})
+@example({**json.loads(TARGET), 'address': '127.0.0.1:99999'})
+def test_entry_of_a_target_is_refused_or_works(document):
+    try:
+        target = decode_target('t1', document, 1)
+    except BadDocument:
+        return
+    assert 0 < target.address.port < 65536
+    field = Field(place=Place('east-a', 'east'), regions={'east-a': 'east'})
+    field.take_targets({'t1': target}, 0.0)
+    need = Need(target.service, 'a', frozenset(), frozenset())
+    assert len(field.list_candidates(need, 10.0, 2)) <= 1
+
+
+@given(mutate(ENTRY))
+@example({'zone': 'east-a', 'ip': 'a\0b'})
+def test_entry_of_a_vm_is_refused_or_names_an_address(document):
+    try:
+        found = decode_vm('vm-1', document)
+    except BadDocument:
+        return
+    assert is_reachable(found.ip)
+
+
+@given(st.sampled_from(MESSAGES).flatmap(mutate))
+def test_message_is_dropped_or_taken_whole(document):
+    heard, dropped, sent = [], [], []
+    gossip = Gossip(hear=heard.append, on_bad=dropped.append)
+    gossip.datagram_received(b'\x00' + encode(document), None)
+    assert len(heard) + len(dropped) == 1
+    vm = Vm(
+        member=make_member('vm-1', zone='east-a'),
+        zones=('east-a', 'west-a'),
+        now=0.0,
+        send=lambda _message, ips: sent.extend(ips),
+    )
+    for message in heard:
+        vm.hear(message, 1.0)
+    for now in (1.0, 1.2, 2.0):
+        vm.beat(make_team(), now)
+    assert all(map(is_reachable, sent))
+
+
+def encode(document):
+    """Encode a message; integers that do not fit become the largest."""
+    try:
+        return msgspec.msgpack.encode(document)
+    except OverflowError:
+        return msgspec.msgpack.encode(2**64 - 1)
+
+
+def is_reachable(ip):
+    """Whether a socket takes an address as it stands, without a look-up."""
+    parts = ip.split('.')
+    return len(parts) == 4 and all(part.isdigit() for part in parts)
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from toucanhall.fleet.addresses import is_ip
 from toucanhall.fleet.membership import Heartbeat
 from toucanhall.fleet.model import Address
 from toucanhall.fleet.reports import ZoneReport
@@ -48,6 +49,11 @@
         """Keep the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
 
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell that the socket was lost, unless it was closed on purpose."""
+        if error is not None:
+            self._on_bad(f'socket lost: {error}')
+
     def datagram_received(self, received: bytes, _address: object) -> None:
         """Decode a message."""
         try:
@@ -58,6 +64,9 @@
         if not _is_sane(message):
             self._on_bad('figures out of range')
             return
+        if not all(map(is_ip, _list_ips(message))):
+            self._on_bad('no IP address')
+            return
         self._hear(message)
 
     def error_received(self, error: Exception) -> None:
@@ -107,6 +116,19 @@
     return zlib.decompressobj().decompress(rest, _MOST_DECODED)
 
 
+def _list_ips(message: Message) -> list[str]:
+    """Return every address that a message names."""
+    heartbeat, report = message.heartbeat, message.report
+    found: list[str] = []
+    if report is not None:
+        found.append(report.ip)
+        found.extend(member.ip for member in report.members)
+    if heartbeat is not None:
+        found.append(heartbeat.member.ip)
+        found.extend(member.ip for member in heartbeat.introduced)
+    return found
+
+
 def _is_sane(message: Message) -> bool:
     """Whether all figures can be worked with: none is negative or no number."""
     heartbeat, report = message.heartbeat, message.report
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -1,8 +1,10 @@
 """Decodes what operators and targets wrote to the store."""
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
+from toucanhall.fleet.addresses import is_ip, read_target_address
 from toucanhall.fleet.model import (
     ClientLimits,
     Configuration,
@@ -13,7 +15,6 @@
     Target,
     Team,
 )
-from toucanhall.platform.boot import read_address
 from toucanhall.platform.units import read_seconds, read_version
 
 __all__ = (
@@ -31,7 +32,13 @@
 Document = Mapping[str, Any]
 
 # What decoding raises when a field is missing or of another type.
-_WRONG: Final = (KeyError, TypeError, ValueError, AttributeError)
+_WRONG: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 class BadDocument(ValueError):
@@ -52,7 +59,7 @@
         return Target(
             id=name,
             service=_read_text(spec['service']),
-            address=read_address(spec['address']),
+            address=read_target_address(spec['address']),
             zone=_read_text(spec['zone']),
             slots=_read_positive(spec['slots']),
             is_draining=_STATES[spec['state']],
@@ -70,7 +77,7 @@
         return Introduction(
             vm=name,
             zone=_read_text(spec['zone']),
-            ip=_read_text(spec['ip']),
+            ip=_read_ip(spec['ip']),
         )
     except _WRONG as error:
         raise BadDocument(f'VM {name}: {error!r}') from error
@@ -87,15 +94,18 @@
     return Configuration(
         version=read_version(spec['version']),
         hosts={
-            entry['host'].lower(): _decode_routes(entry)
+            _read_text(entry['host']).lower(): _decode_routes(entry)
             for entry in spec['virtual_hosts']
         },
         services={
-            entry['name']: _decode_service(entry) for entry in spec['services']
+            _read_text(entry['name']): _decode_service(entry)
+            for entry in spec['services']
+        },
+        teams={
+            _read_text(entry['name']): _decode_team(entry) for entry in teams
         },
-        teams={entry['name']: _decode_team(entry) for entry in teams},
         keys={
-            key: entry['name']
+            _read_text(key): entry['name']
             for entry in teams
             for key in entry.get('api_keys') or ()
         },
@@ -122,9 +132,9 @@
 
 def _decode_route(host: str, rule: Document) -> Route:
     return Route(
-        name=rule['name'],
+        name=_read_any_text(rule['name']),
         host=host,
-        prefix=rule['path_prefix'],
+        prefix=_read_any_text(rule['path_prefix']),
         is_idempotent=rule['route_type'] == _IDEMPOTENT,
         timeout=_read_optional_seconds(rule.get('timeout')),
         objective=_read_optional_seconds(rule.get('target_latency')),
@@ -132,18 +142,18 @@
         parts=_decode_parts(rule),
         attempts=max(1, int(rule.get('attempts') or _DEFAULT_ATTEMPTS)),
         is_public=bool(rule.get('public')),
-        homes=frozenset(rule.get('home_regions') or ()),
+        homes=_read_names(rule.get('home_regions')),
     )
 
 
 def _decode_parts(rule: Document) -> tuple[Part, ...]:
     split: Iterable[Document] = rule.get('traffic_split') or ()
     parts = tuple(
-        Part(part['service'], float(part['weight']))
+        Part(_read_text(part['service']), _read_amount(part['weight']))
         for part in split
         if part['weight'] > 0
     )
-    return parts or (Part(rule['service'], 1.0),)
+    return parts or (Part(_read_text(rule['service']), 1.0),)
 
 
 def _decode_service(entry: Document) -> Service:
@@ -151,19 +161,19 @@
         name=entry['name'],
         health_path=entry.get('health_path') or '/health',
         cold_seconds=_read_optional_seconds(entry.get('cold_start')) or 0.0,
-        cold_per_second=float(entry.get('cold_per_s') or 0),
+        cold_per_second=_read_amount(entry.get('cold_per_s') or 0),
     )
 
 
 def _decode_team(entry: Document) -> Team:
-    rate = float(entry.get('rate_per_s') or 0)
+    rate = _read_amount(entry.get('rate_per_s') or 0)
     priority = entry.get('priority')
     return Team(
         name=entry['name'],
         priority=None if priority is None else int(priority),
         rate=rate or None,
-        burst=float(entry.get('burst') or 0),
-        homes=frozenset(entry.get('home_regions') or ()),
+        burst=_read_amount(entry.get('burst') or 0),
+        homes=_read_names(entry.get('home_regions')),
     )
 
 
@@ -172,11 +182,38 @@
 
 
 def _read_text(found: object) -> str:
-    if not isinstance(found, str) or not found:
+    if not found:
+        raise ValueError('a text is empty')
+    return _read_any_text(found)
+
+
+def _read_any_text(found: object) -> str:
+    """Read a text that may be empty, as the prefix of all paths is."""
+    if not isinstance(found, str):
         raise TypeError(f'{found!r} is not a text')
     return found
 
 
+def _read_names(found: object) -> frozenset[str]:
+    if found is not None and not isinstance(found, list | tuple):
+        raise TypeError(f'{found!r} is not a list of names')
+    return frozenset(map(_read_text, found or ()))
+
+
+def _read_ip(found: object) -> str:
+    text = _read_text(found)
+    if not is_ip(text):
+        raise ValueError(f'{text!r} is not an address')
+    return text
+
+
+def _read_amount(found: Any) -> float:
+    amount = float(found)
+    if not 0 <= amount < math.inf:
+        raise ValueError(f'{found!r} is not an amount')
+    return amount
+
+
 def _read_positive(found: object) -> int:
     if not isinstance(found, int) or isinstance(found, bool) or found < 1:
         raise TypeError(f'{found!r} is not a positive number')
