--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 
-from toucanhall.edge.admission import Admitted
 from toucanhall.fleet.knowledge import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import (
@@ -11,21 +10,16 @@
     Environment,
     Introduction,
     Listeners,
-    Route,
-    Service,
     Target,
     Team,
 )
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.limits.quota import Usage
-from toucanhall.platform.headers import CallerMarks
 from toucanhall.web.client import Opening
 from toucanhall.web.memory import make_bounds as make_answer_bounds
 from toucanhall.web.memory import make_held_bytes
-from toucanhall.web.messages import Request
 
 __all__ = (
-    'make_admitted',
     'make_bounds',
     'make_environment',
     'make_heartbeat',
@@ -38,37 +32,6 @@
 )
 
 
-def make_admitted(**fields: object) -> Admitted:
-    """Return a request that may be asked again, with ten seconds left."""
-    route = Route(
-        name='walks',
-        host='guide.example',
-        prefix='/walks/',
-        is_idempotent=True,
-        timeout=None,
-        objective=0.3,
-        priority=1,
-        parts=(),
-        attempts=2,
-        is_public=True,
-        homes=frozenset(),
-    )
-    request = Request(b'GET', b'/walks/1', ((b'host', b'guide.example'),), b'')
-    admitted = Admitted(
-        request=request,
-        marks=CallerMarks(b'id-1', route.host, '/walks/1', None, None, '1'),
-        route=route,
-        team=None,
-        service=Service('guide', '/health', 0.0, 1.0),
-        homes=frozenset(),
-        priority=1,
-        received_at=0.0,
-        deadline=10.0,
-        objective_at=0.3,
-    )
-    return admitted._replace(**fields)
-
-
 def make_target(name: str = 't1', **fields: object) -> Target:
     """Return a warm target that is ready."""
     target = Target(
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -178,7 +178,7 @@
 
     def _may_end(self, admitted: Admitted) -> bool:
         """Whether a request may be answered before this VM ends."""
-        usual = _get_usual(self._times, admitted)
+        usual = self._times.get(admitted.route.name, admitted.objective)
         needed = min(admitted.deadline, admitted.received_at + usual * _SPREAD)
         return needed <= self._ends_at
 
@@ -192,11 +192,7 @@
             if candidate is None:
                 return self._give_up(admitted, attempts)
             attempts.tried.add(candidate.target.id)
-            outcome = await self._sender.attempt(
-                admitted,
-                candidate,
-                _get_usual(self._times, admitted),
-            )
+            outcome = await self._sender.attempt(admitted, candidate)
             if isinstance(outcome, Success):
                 return self._succeed(admitted, candidate, outcome)
             attempts.take(outcome)
@@ -224,7 +220,10 @@
         )
         ask = Ask(
             seconds_to_objective=admitted.objective_at - now,
-            usual_seconds=_get_usual(self._times, admitted),
+            usual_seconds=self._times.get(
+                admitted.route.name,
+                admitted.objective,
+            ),
             priority=admitted.priority,
         )
         rate = admitted.service.cold_per_second
@@ -246,7 +245,7 @@
         if attempts.sent >= admitted.route.attempts:
             return False
         now = self._loop.time()
-        usual = _get_usual(self._times, admitted)
+        usual = self._times.get(admitted.route.name, admitted.objective)
         if (
             attempts.unsent > _MOST_UNSENT
             or now + usual / 2 > admitted.deadline
@@ -301,10 +300,6 @@
         )
 
 
-def _get_usual(times: UsualTimes, admitted: Admitted) -> float:
-    return times.get(admitted.route.name, admitted.objective)
-
-
 def _find_most_lag(priority: int) -> float:
     if priority > URGENT_PRIORITY:
         return _LESS_URGENT_LAG_SECONDS
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -69,12 +69,8 @@
         self,
         admitted: Admitted,
         candidate: Candidate,
-        usual: float,
     ) -> Success | Failure:
-        """Send a request to a target once.
-
-        `usual` is how long an answer usually takes (seconds).
-        """
+        """Send a request to a target once."""
         target, load = candidate
         started_at = self._loop.time()
         fill = load.estimate(started_at) / load.slots
@@ -94,13 +90,9 @@
         except Broken as error:
             self._fail(target, is_lost=False, why=str(error))
             return Failure('broken', target.id, detail=str(error))
-        except asyncio.CancelledError:
-            self._note_silence(candidate, started_at, usual)
-            raise
         finally:
             load.in_flight -= 1
-        load.answered_at = self._loop.time()
-        seconds = load.answered_at - started_at
+        seconds = self._loop.time() - started_at
         return self._judge(candidate, Success(reply, seconds, fill))
 
     def succeed(self, candidate: Candidate, ratio: float | None) -> None:
@@ -169,18 +161,6 @@
         load.fill(now)
         return Failure('not-run', target.id, may_have_run=False)
 
-    def _note_silence(
-        self,
-        candidate: Candidate,
-        since: float,
-        usual: float,
-    ) -> None:
-        """Count a wait that its caller or its deadline has ended."""
-        now = self._loop.time()
-        if candidate.load.is_silent(since, usual, now):
-            why = f'no answer in {now - since:.2f} s'
-            self._fail(candidate.target, is_lost=False, why=why)
-
     def _fail(self, target: Target, *, is_lost: bool, why: str) -> None:
         load = self._field.loads.get(target.id)
         now = self._loop.time()
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -12,9 +12,6 @@
 _MOST_FAILURES: Final = 3
 _FIRST_SUSPENSION_SECONDS: Final = 0.5
 _LONGEST_SUSPENSION_SECONDS: Final = 4.0
-# A request that waits for so many usual times, while its target answers none
-# at all, counts as failed when its wait ends.
-_SILENT_TIMES: Final = 3.0
 _SLOW_WEIGHT: Final = 0.2
 _FULL_SECONDS: Final = 0.15
 
@@ -29,7 +26,6 @@
         self.failures = 0
         self.slowness = 1.0
         self.suspended_until = 0.0
-        self.answered_at = 0.0
         self._suspension = _FIRST_SUSPENSION_SECONDS
         self._others = 0.0
         self._reported_at = 0.0
@@ -61,14 +57,6 @@
         """Note that the target turned a request away as full."""
         self._full_until = now + _FULL_SECONDS
 
-    def is_silent(self, since: float, usual: float, now: float) -> bool:
-        """Whether the target has answered nothing for long.
-
-        `since` is when a request was sent that still waits, `usual` the
-        seconds that an answer to it usually takes.
-        """
-        return self.answered_at < since < now - _SILENT_TIMES * usual
-
     def succeed(self, ratio: float | None) -> bool:
         """Note an answer; `ratio` is its time over the usual time.
 
