Use a connection to the store for reads of one kind, or one write

Cause: an answer of the store bears no mark of its question, and connections were shared by all calls. A late second copy of one table on a connection in use again was taken for the next table that was asked for (a list of evacuations as the list of targets, at a newer revision), and a copy of any answer acknowledged a write.

Change: connections are kept by the kind that is read; a copy is then an older answer to the same question, which the revisions pass over.

--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -58,7 +58,12 @@
 
 
 class Store:
-    """Calls of one process to the store, on connections that are kept."""
+    """Calls of one process to the store, on connections that are kept.
+
+    An answer bears no mark of its question. So a connection is used for reads
+    of one kind only, where a late copy of an earlier answer is older than what
+    is known, and for one write.
+    """
 
     def __init__(
         self,
@@ -72,7 +77,7 @@
         self._on_call = on_call
         self._address = address
         self._host = f'{address.host}:{address.port}'.encode()
-        self._idle: list[ServerConnection] = []
+        self._idle: dict[str, list[ServerConnection]] = {}
 
     async def read(self, kind: str, *, is_stale: bool = False) -> Table:
         """Return all objects of a kind."""
@@ -140,7 +145,7 @@
         outcome = 'broken'
         try:
             async with asyncio.timeout(seconds):
-                reply = await self._exchange(sent)
+                reply = await self._exchange(sent, _find_use(method, path))
             outcome = str(reply.status)
         except TimeoutError as error:
             outcome = 'timeout'
@@ -151,18 +156,21 @@
             self._on_call(outcome, time.monotonic() - began)
         return _read_reply(reply)
 
-    async def _exchange(self, sent: bytes) -> Reply:
-        connection = await self._take_connection()
+    async def _exchange(self, sent: bytes, use: str) -> Reply:
+        connection = await self._take_connection(use)
         reply = await connection.exchange(sent)
-        if connection.is_usable:
+        if not use:
+            connection.close()
+        elif connection.is_usable:
             connection.idle_since = time.monotonic()
-            self._idle.append(connection)
+            self._idle.setdefault(use, []).append(connection)
         return reply
 
-    async def _take_connection(self) -> ServerConnection:
+    async def _take_connection(self, use: str) -> ServerConnection:
         oldest = time.monotonic() - _IDLE_SECONDS
-        while self._idle:
-            connection = self._idle.pop()
+        idle = self._idle.get(use)
+        while idle:
+            connection = idle.pop()
             if connection.is_usable and connection.idle_since > oldest:
                 return connection
             connection.close()
@@ -173,6 +181,11 @@
         )
 
 
+def _find_use(method: str, path: str) -> str:
+    """Return the kind that a call reads; none for a write."""
+    return path.partition('?')[0] if method == 'GET' else ''
+
+
 def _read_table(
     found: Mapping[str, Any],
     field: str,
