Replay random kills, cuts and pauses beside a hot team: known red

Cause: a VM that started takes the larger of what it assumes was spent before and of what it hears, and each start hands out a fifth of the limit.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -129,6 +129,8 @@
         self.find_rate = find_rate
         self.zones = tuple(f'zone-{index}' for index in range(zones))
         self.now = 0.0
+        self.cut = frozenset()
+        self.paused = frozenset()
         self.admitted = []
         self.asked = []
         self.posted = []
@@ -143,6 +145,7 @@
             for zone in range(zones)
             for index in range(vms)
         ]
+        self.zone_by_ip = {found.ip: found.zone for found in self.entries}
         self.seeds = [f'127.{zone}.0.0' for zone in range(zones)]
         for found in self.entries:
             vm = self.start(found, -100.0)
@@ -162,7 +165,17 @@
         return vm
 
     def post(self, message, ips):
-        self.posted.extend((self.now + 0.02, ip, message) for ip in ips)
+        told = message.heartbeat.member if message.heartbeat else message.report
+        self.posted.extend(
+            (self.now + 0.02, ip, message)
+            for ip in ips
+            if not self.is_cut(told.zone, ip)
+        )
+
+    def is_cut(self, zone, ip):
+        """Whether zones that are cut off lie between a zone and a VM."""
+        other = self.zone_by_ip[ip]
+        return other != zone and bool(self.cut & {zone, other})
 
     def choose(self, count):
         """Return the addresses of some VMs."""
@@ -195,7 +208,8 @@
         while self.now < until:
             self.deliver()
             for vm in list(self.vms.values()):
-                if self.now >= vm.beat_at:
+                is_running = vm.member.ip not in self.paused
+                if is_running and self.now >= vm.beat_at:
                     vm.beat(self.team, self.now)
             self.call()
             self.now += STEP
@@ -221,10 +235,11 @@
     def list_serving(self):
         """Return the VMs that the directory names: the first four of a zone."""
         found = {}
-        for ip in sorted(self.vms):
-            vm = self.vms[ip]
+        for ip, vm in sorted(self.vms.items()):
             found.setdefault(vm.member.zone, []).append(vm)
-        return [vm for vms in found.values() for vm in vms[:4]]
+        named = [vm for vms in found.values() for vm in vms[:4]]
+        running = [vm for vm in named if vm.member.ip not in self.paused]
+        return running or named
 
     def find_most(self, window=5.0):
         """Return the most admissions in any window."""
