Rename what fleet and observe define, in the whole tree

Knowledge is FleetTables, take_* is replace_* or apply_*, hear is receive, told is usage_reports, a speaker is a delegate, near and far are local and remote, an introduction is a contact.

No change of behaviour.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -10,7 +10,7 @@
     find_beat_seconds,
 )
 from toucanhall.edge.speaker import Speaker
-from toucanhall.fleet.knowledge import Revisions
+from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.selection import pick_serving
 from toucanhall.limits.quota import RESERVE_VMS, Quotas, Told
@@ -51,7 +51,7 @@
         self.quotas = Quotas(
             bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=now
         )
-        self.members = Members(own=member.introduction, zones=zones, now=now)
+        self.members = Members(own=member.contact, zones=zones, now=now)
         self.send = send
         self.speaker = Speaker(
             members=self.members, send=send, clock=lambda: self.now
@@ -68,7 +68,7 @@
     def list_near_ips(self):
         return [
             found.ip
-            for found in self.members.introduced.values()
+            for found in self.members.known_vms.values()
             if found.zone == self.member.zone and found.vm != self.member.vm
         ]
 
@@ -82,20 +82,20 @@
         self.divide(team, now)
 
     def divide(self, team, now):
-        zone = (self.member, *self.members.list_near(now))
+        zone = (self.member, *self.members.list_local(now))
         near = {found.vm for found in pick_serving(zone)}
         is_serving = self.member.vm in near
         self.quotas.divide(
             [team],
             Told(self.usage, vms=1.0 if is_serving else RESERVE_VMS),
             [
-                *self.members.list_near_told(now, near),
-                *self.members.list_far_told(now),
+                *self.members.list_local_usage_reports(now, near),
+                *self.members.list_remote_usage_reports(now),
             ],
             now,
         )
 
-    def hear(self, message, now):
+    def receive(self, message, now):
         self.now = now
         heartbeat = message.heartbeat
         if heartbeat is not None:
@@ -103,28 +103,28 @@
         report = message.report
         if report is None or report.zone == self.member.zone:
             return
-        if self.members.hear_report(report, now) and not message.is_relayed:
+        if self.members.receive_report(report, now) and not message.is_relayed:
             relayed = Message(report=report, is_relayed=True)
             self.send(relayed, self.list_near_ips())
 
     def hear_heartbeat(self, heartbeat, now):
         if heartbeat.member.zone == self.member.zone:
-            if self.members.hear(heartbeat, now):
+            if self.members.receive(heartbeat, now):
                 self.send(
                     Message(self.make_heartbeat()), (heartbeat.member.ip,)
                 )
-        if heartbeat.is_asking:
-            known = tuple(self.members.introduced.values())
-            answer = self.make_heartbeat()._replace(introduced=known)
+        if heartbeat.is_requesting_vms:
+            known = tuple(self.members.known_vms.values())
+            answer = self.make_heartbeat()._replace(known_vms=known)
             self.send(Message(answer), (heartbeat.member.ip,))
-            self.meet((heartbeat.member.introduction,))
-        self.meet(heartbeat.introduced)
+            self.meet((heartbeat.member.contact,))
+        self.meet(heartbeat.known_vms)
 
     def meet(self, introductions):
         new = [
             found
             for found in introductions
-            if found.vm != self.member.vm and self.members.introduce(found)
+            if found.vm != self.member.vm and self.members.add_known_vm(found)
         ]
         for found in new:
             if found.zone == self.member.zone:
@@ -170,8 +170,8 @@
         for found in self.entries:
             vm = self.start(found, -100.0)
             for other in self.entries:
-                vm.members.introduce(other.introduction)
-            vm.members.introduced.pop(found.vm)
+                vm.members.add_known_vm(other.contact)
+            vm.members.known_vms.pop(found.vm)
             vm.beat_at = self.draw.uniform(0, HEARTBEAT_SECONDS)
 
     def start(self, member, now):
@@ -214,12 +214,12 @@
                 [self.team],
                 Told({}),
                 [
-                    *vm.members.list_near_told(self.now, set()),
-                    *vm.members.list_far_told(self.now),
+                    *vm.members.list_local_usage_reports(self.now, set()),
+                    *vm.members.list_remote_usage_reports(self.now),
                 ],
                 self.now,
             )
-            asking = vm.make_heartbeat()._replace(is_asking=True)
+            asking = vm.make_heartbeat()._replace(is_requesting_vms=True)
             self.post(
                 Message(asking), [ip for ip in self.seeds if ip != member.ip]
             )
@@ -240,7 +240,7 @@
         for _at, ip, message in due:
             vm = self.vms.get(ip)
             if vm:
-                vm.hear(message, self.now)
+                vm.receive(message, self.now)
 
     def call(self):
         expected = self.find_rate(self.now) * STEP
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -14,7 +14,7 @@
 )
 from tests.fleetdata import make_member
 from toucanhall.edge.directory import pick_vms
-from toucanhall.fleet.knowledge import find_route
+from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Address
 from toucanhall.platform import boot
 from toucanhall.platform.documents import (
@@ -144,7 +144,7 @@
     assert found.vm == 'vm-1'
     assert found.region == 'east'
     assert found.listeners.requests == Address('127.0.0.1', 8388)
-    assert found.bounds.grace == 2.0
+    assert found.bounds.shutdown_grace_seconds == 2.0
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -4,11 +4,11 @@
 
 from standins.site.store import StoreStandin
 from tests.fleetdata import make_store
-from toucanhall.fleet.model import Address, Introduction
+from toucanhall.fleet.model import Address, VmContact
 from toucanhall.platform.entries import Entries
 
 ADDRESS = Address('127.64.200.1', 8382)
-OWN = Introduction('vm-1', 'east-a', '127.64.1.1')
+OWN = VmContact('vm-1', 'east-a', '127.64.1.1')
 
 
 def run(act, journal):
--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -8,7 +8,7 @@
 from standins.site.store import StoreStandin
 from tests.fleetdata import make_environment, make_member, make_store
 from toucanhall.edge.fleetmate import Fleetmate
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Address
 from toucanhall.limits.quota import Quotas
 from toucanhall.platform.following import Follower
@@ -73,10 +73,10 @@
         standin = StoreStandin()
         await standin.start(*ADDRESS)
         standin.put('servers', 't1', make_target_entry('127.0.0.1:9', 'east-a'))
-        knowledge = Knowledge(on_change=lambda _table: None)
+        fleet_tables = FleetTables(on_change=lambda _table: None)
         follower = Follower(
             store=make_store(ADDRESS),
-            knowledge=knowledge,
+            fleet_tables=fleet_tables,
             journal=journal,
             lapse_seconds=3.0,
         )
@@ -84,7 +84,7 @@
         await asyncio.sleep(1.5)
         follower.stop()
         standin.stop()
-        return set(knowledge.targets)
+        return set(fleet_tables.targets)
 
     assert asyncio.run(start()) == {'t1'}
     assert failures
@@ -104,7 +104,7 @@
         environment = make_environment()
         mate = Fleetmate(
             environment=environment,
-            knowledge=Knowledge(on_change=lambda _table: None),
+            fleet_tables=FleetTables(on_change=lambda _table: None),
             quotas=Quotas(bounds=environment.bounds, beat=0.8, now=loop.time()),
             journal=journal,
             find_self=make_member,
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -18,7 +18,7 @@
 from tests.mutations import mutate
 from toucanhall.edge.admission import admit
 from toucanhall.fleet.gossip import Gossip, Message
-from toucanhall.fleet.model import Introduction
+from toucanhall.fleet.model import VmContact
 from toucanhall.limits.quota import Quotas, Told, Usage
 from toucanhall.placement.field import Field, Need
 from toucanhall.placement.order import Place
@@ -44,14 +44,14 @@
 USAGE = {'guides': Usage(4, 2.0)}
 HEARTBEAT = Message(
     heartbeat=make_heartbeat('vm-2', usage=USAGE)._replace(
-        is_asking=True,
-        introduced=(Introduction('vm-3', 'east-a', '127.0.0.3'),),
+        is_requesting_vms=True,
+        known_vms=(VmContact('vm-3', 'east-a', '127.0.0.3'),),
     ),
 )
 REPORT = Message(
     report=make_report(
         members=(make_member('vm-7', zone='west-a'),),
-        told=(Told(USAGE, vms=2.0), Told(None, is_late=True)),
+        usage_reports=(Told(USAGE, vms=2.0), Told(None, is_late=True)),
     ),
 )
 MESSAGES = [
@@ -112,7 +112,7 @@
 @given(st.sampled_from(MESSAGES).flatmap(mutate))
 def test_message_is_dropped_or_taken_whole(document):
     heard, dropped, sent = [], [], []
-    gossip = Gossip(hear=heard.append, on_bad=dropped.append)
+    gossip = Gossip(receive=heard.append, on_error=dropped.append)
     gossip.datagram_received(b'\x00' + encode(document), None)
     assert len(heard) + len(dropped) == 1
     vm = Vm(
@@ -122,7 +122,7 @@
         send=lambda _message, ips: sent.extend(ips),
     )
     for message in heard:
-        vm.hear(message, 1.0)
+        vm.receive(message, 1.0)
     for now in (1.0, 1.2, 2.0):
         vm.beat(make_team(), now)
     assert all(map(is_reachable, sent))
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -10,7 +10,7 @@
 from toucanhall.edge.pool import Pool
 from toucanhall.edge.reporting import Reporter
 from toucanhall.edge.sending import Sender
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe.metrics import Metrics
@@ -27,16 +27,16 @@
 
 
 def make_path(journal, late):
-    knowledge = Knowledge(on_change=lambda _table: None)
+    fleet_tables = FleetTables(on_change=lambda _table: None)
     document = make_configuration(rules=RULES)
-    knowledge.take_configuration(1, decode_configuration(document))
+    fleet_tables.replace_configuration(1, decode_configuration(document))
     field = Field(place=Place('east-a', 'east'), regions={'east-a': 'east'})
     clock = asyncio.get_running_loop().time
     lag = LoopLag()
     for _tick in range(30):
         lag.take(late)
     return Path(
-        knowledge=knowledge,
+        fleet_tables=fleet_tables,
         field=field,
         sender=Sender(
             field=field,
@@ -46,7 +46,7 @@
         quotas=Quotas(bounds=make_bounds(), beat=0.8, now=0.0),
         retries=RetryBudget(bounds=make_bounds()),
         reporter=Reporter(
-            knowledge=knowledge,
+            fleet_tables=fleet_tables,
             journal=journal,
             metrics=Metrics(),
         ),
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -8,9 +8,9 @@
 from tests.exchange import WINDOW, find_bound, find_most
 from tests.fleetdata import make_bounds, make_team
 from toucanhall.edge.fleetmate import FIRST_BEAT_SECONDS, find_beat_seconds
-from toucanhall.fleet.membership import LATE_SECONDS
-from toucanhall.fleet.membership import REPORT_LATE_SECONDS as REPORT_LATE
-from toucanhall.fleet.reports import sum_told
+from toucanhall.fleet.membership import USAGE_STALE_SECONDS
+from toucanhall.fleet.membership import REPORT_STALE_SECONDS as REPORT_LATE
+from toucanhall.fleet.reports import sum_usage_reports
 from toucanhall.limits.quota import (
     RESERVE_VMS,
     Quotas,
@@ -105,7 +105,7 @@
         near = [
             Told(
                 self.heard[index][mate][0],
-                is_late=now - self.heard[index][mate][1] > LATE_SECONDS,
+                is_late=now - self.heard[index][mate][1] > USAGE_STALE_SECONDS,
                 vms=self.weigh(mate),
             )
             for mate in mates
@@ -113,7 +113,7 @@
         ]
         speakers = [mate for mate in mates if mate not in self.cut][:2]
         if index in speakers and self.beats[index] % 2 == 0:
-            self.reports[zone] = (sum_told([own, *near]), now)
+            self.reports[zone] = (sum_usage_reports([own, *near]), now)
         zones = range(len(self.loads) // self.per_zone)
         far = [make_unheard(4) for found in zones if found not in self.reports]
         far += [
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -6,7 +6,7 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.refusals import Refusal
-from toucanhall.fleet.knowledge import find_route
+from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Configuration, Route, Service, Team
 from toucanhall.limits.quota import Quotas
 from toucanhall.platform.headers import CallerMarks
@@ -124,11 +124,11 @@
     route: Route,
     draw: Callable[[], float] = random.random,
 ) -> str:
-    if len(route.parts) == 1:
-        return route.parts[0].service
-    point = draw() * sum(part.weight for part in route.parts)
-    for part in route.parts:
+    if len(route.weighted_services) == 1:
+        return route.weighted_services[0].service
+    point = draw() * sum(part.weight for part in route.weighted_services)
+    for part in route.weighted_services:
         point -= part.weight
         if point < 0:
             return part.service
-    return route.parts[-1].service
+    return route.weighted_services[-1].service
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -4,11 +4,11 @@
 from itertools import chain
 from typing import Final
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Address, Environment
 from toucanhall.fleet.reports import Member
-from toucanhall.fleet.selection import LAGGING_SECONDS, pick_serving
+from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_serving
 from toucanhall.platform.entrance import read_question, write_directory
 from toucanhall.web.messages import Answer, Request, make_answer
 
@@ -41,10 +41,10 @@
         ]
 
     near = list_serving((zone,))
-    if any(found.lag > LAGGING_SECONDS for found in near):
+    if any(found.lag > MAX_LOOP_LAG_SECONDS for found in near):
         region = list_serving(around)
         near = [
-            found for found in region if found.lag <= LAGGING_SECONDS
+            found for found in region if found.lag <= MAX_LOOP_LAG_SECONDS
         ] or region
     # Most questions are answered by the first ring: the others are not built.
     rings = chain((near,), map(list_serving, (around, homes, zones)))
@@ -58,14 +58,14 @@
         self,
         *,
         environment: Environment,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         members: Members,
         list_zone: Callable[[], list[Member]],
         clock: Callable[[], float],
     ) -> None:
         """Name VMs of the own zone by `list_zone`, the others by report."""
         self._environment = environment
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._members = members
         self._list_zone = list_zone
         self._clock = clock
@@ -90,7 +90,7 @@
         port = listener.port if listener else 0
         return write_directory(
             [Address(found.ip, port) for found in picked],
-            self._environment.bounds.directory_ttl,
+            self._environment.bounds.directory_ttl_seconds,
         )
 
     def _list_far(self) -> list[Member]:
@@ -111,7 +111,7 @@
         )
 
     def _find_homes(self, host: str) -> frozenset[str]:
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is None:
             return frozenset()
         homes = [route.homes for route in configuration.hosts.get(host, ())]
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable, Mapping, Sequence
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Environment
 from toucanhall.fleet.reports import Member
@@ -25,7 +25,7 @@
         self,
         *,
         environment: Environment,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         field: Field,
         quotas: Quotas,
         retries: RetryBudget,
@@ -34,7 +34,7 @@
     ) -> None:
         """Work on what the path of requests decides by."""
         self._environment = environment
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._field = field
         self._quotas = quotas
         self._retries = retries
@@ -68,15 +68,15 @@
         `zone` holds the VMs of the own zone, `own` the requests of this VM.
         """
         now = self._clock()
-        dropped = self._knowledge.drop_lapsed(now)
+        dropped = self._fleet_tables.drop_expired_targets(now)
         if dropped:
-            self._journal.write(events.TARGETS_LAPSED, targets=dropped)
+            self._journal.write(events.TARGETS_EXPIRED, targets=dropped)
         alive = {self._environment.zone: zone}
         for other in members.list_zones():
             alive[other] = members.list_zone(other, now)
         serving = {name: _pick_names(vms) for name, vms in alive.items()}
         self._take_serving(serving)
-        known = members.count_known()
+        known = members.count_vms_by_zone()
         self._field.take_vms(
             self._environment.vm,
             {
@@ -116,44 +116,44 @@
         self._retries.resize(
             sum(map(len, serving.values())) if is_serving else math.inf,
         )
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         self._quotas.divide(
             configuration.teams.values() if configuration else (),
             Told(own, vms=1.0 if is_serving else RESERVE_VMS),
             [
-                *members.list_near_told(now, near),
-                *members.list_far_told(now),
+                *members.list_local_usage_reports(now, near),
+                *members.list_remote_usage_reports(now),
             ],
             now,
         )
 
     def _take_configuration(self) -> None:
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is not None:
             self._journal.write(
-                events.CONFIGURATION_TAKEN,
-                revision=self._knowledge.revisions.configuration,
+                events.CONFIGURATION_APPLIED,
+                revision=self._fleet_tables.revisions.configuration,
                 version=configuration.version,
             )
 
     def _take_targets(self) -> None:
-        self._field.take_targets(self._knowledge.targets, self._clock())
+        self._field.take_targets(self._fleet_tables.targets, self._clock())
         self._journal.write(
             events.TARGETS_CHANGED,
-            revision=self._knowledge.revisions.targets,
-            targets=len(self._knowledge.targets),
+            revision=self._fleet_tables.revisions.targets,
+            targets=len(self._fleet_tables.targets),
         )
 
     def _take_evacuations(self) -> None:
         self._field.take_evacuations(
-            self._knowledge.evacuated,
-            self._knowledge.configuration,
+            self._fleet_tables.evacuated_zones,
+            self._fleet_tables.configuration,
             self._clock(),
         )
         self._journal.write(
             events.EVACUATIONS_CHANGED,
-            revision=self._knowledge.revisions.evacuations,
-            zones=sorted(self._knowledge.evacuated),
+            revision=self._fleet_tables.revisions.evacuations,
+            zones=sorted(self._fleet_tables.evacuated_zones),
         )
 
 
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -7,9 +7,9 @@
 
 from toucanhall.edge.speaker import Speaker
 from toucanhall.fleet.gossip import Gossip, Message, open_gossip
-from toucanhall.fleet.knowledge import Knowledge, Revisions
+from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
-from toucanhall.fleet.model import Address, Environment, Introduction
+from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.limits.quota import Quotas, Usage
 from toucanhall.observe import events
@@ -55,7 +55,7 @@
         self,
         *,
         environment: Environment,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         quotas: Quotas,
         journal: Journal,
         find_self: Callable[[], Member],
@@ -64,7 +64,7 @@
     ) -> None:
         """Tell others what this VM knows; call `on_beat` with each beat."""
         self._environment = environment
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._quotas = quotas
         self._journal = journal
         self._find_self = find_self
@@ -79,7 +79,7 @@
         self._beat_seconds = FIRST_BEAT_SECONDS
         self.usage: dict[str, Usage] = {}
         self.members = Members(
-            own=Introduction(environment.vm, environment.zone, environment.ip),
+            own=VmContact(environment.vm, environment.zone, environment.ip),
             zones=environment.regions,
             now=self._loop.time(),
         )
@@ -94,26 +94,26 @@
         environment = self._environment
         self._gossip = await open_gossip(
             Address(environment.ip, environment.gossip_port),
-            hear=self._hear,
-            on_bad=self._drop,
+            receive=self._hear,
+            on_error=self._drop,
         )
         seeds = {
             seed.host
             for seed in environment.seeds
             if seed.host != environment.ip
         }
-        asking = self._make_heartbeat()._replace(is_asking=True)
+        asking = self._make_heartbeat()._replace(is_requesting_vms=True)
         self._send(Message(heartbeat=asking), seeds)
         self._beat_at = self._loop.time()
         self._loop.call_later(FIRST_BEAT_SECONDS, self._beat)
 
-    def meet(self, introductions: Iterable[Introduction]) -> None:
+    def meet(self, introductions: Iterable[VmContact]) -> None:
         """Greet VMs of the own zone that were not known."""
         own = self._environment.vm
         new = [
             found
             for found in introductions
-            if found.vm != own and self.members.introduce(found)
+            if found.vm != own and self.members.add_known_vm(found)
         ]
         self._greet(
             found.ip for found in new if found.zone == self._environment.zone
@@ -132,7 +132,7 @@
     def list_zone(self) -> list[Member]:
         """Return the VMs of the own zone that are alive, this one first."""
         now = self._loop.time()
-        return [self._find_self(), *self.members.list_near(now)]
+        return [self._find_self(), *self.members.list_local(now)]
 
     def _hear(self, message: Message) -> None:
         if message.report is not None:
@@ -142,14 +142,14 @@
             return
         if heartbeat.member.zone == self._environment.zone:
             self._hear_near(heartbeat)
-        if heartbeat.is_asking:
+        if heartbeat.is_requesting_vms:
             self._introduce_all(heartbeat)
-        self.meet(heartbeat.introduced)
-        source = Source(*heartbeat.member.introduction, is_relayed=False)
+        self.meet(heartbeat.known_vms)
+        source = Source(*heartbeat.member.contact, is_relayed=False)
         self._on_heard(source, heartbeat.revisions)
 
     def _hear_near(self, heartbeat: Heartbeat) -> None:
-        if not self.members.hear(heartbeat, self._loop.time()):
+        if not self.members.receive(heartbeat, self._loop.time()):
             return
         vm = heartbeat.member.vm
         self._lost.discard(vm)
@@ -159,21 +159,21 @@
     def _hear_report(self, report: ZoneReport, *, is_relayed: bool) -> None:
         if report.zone == self._environment.zone:
             return
-        if not self.members.hear_report(report, self._loop.time()):
+        if not self.members.receive_report(report, self._loop.time()):
             return
         if not is_relayed:
             self._send(
                 Message(report=report, is_relayed=True),
                 self._list_near_ips(),
             )
-        source = Source(report.speaker, report.zone, report.ip, is_relayed)
+        source = Source(report.delegate, report.zone, report.ip, is_relayed)
         self._on_heard(source, report.revisions)
 
     def _introduce_all(self, asking: Heartbeat) -> None:
-        known = tuple(self.members.introduced.values())
-        answer = self._make_heartbeat()._replace(introduced=known)
+        known = tuple(self.members.known_vms.values())
+        answer = self._make_heartbeat()._replace(known_vms=known)
         self._send(Message(heartbeat=answer), (asking.member.ip,))
-        self.meet((asking.member.introduction,))
+        self.meet((asking.member.contact,))
 
     def _beat(self) -> None:
         now = self._loop.time()
@@ -184,7 +184,7 @@
         self._loop.call_later(self._beat_seconds, self._beat)
         if late > _PAUSE_SECONDS:
             self._journal.write(events.RESUMED, seconds=round(late, 2))
-            self.members.excuse(late)
+            self.members.discount_pause(late)
         self.usage = self._quotas.measure(now)
         heartbeat = self._make_heartbeat()
         self._send(Message(heartbeat=heartbeat), self._list_near_ips())
@@ -193,20 +193,20 @@
         self._on_beat()
 
     def _find_lost(self, now: float) -> None:
-        alive = {found.vm for found in self.members.list_near(now)}
+        alive = {found.vm for found in self.members.list_local(now)}
         for vm in self.members.peers.keys() - alive - self._lost:
             self._lost.add(vm)
             self._journal.write(
                 events.PEER_LOST,
                 peer=vm,
-                silent=round(now - self.members.peers[vm].heard_at, 2),
+                silent=round(now - self.members.peers[vm].received_at, 2),
             )
 
     def _list_near_ips(self) -> list[str]:
         environment = self._environment
         return [
             found.ip
-            for found in self.members.introduced.values()
+            for found in self.members.known_vms.values()
             if found.zone == environment.zone and found.vm != environment.vm
         ]
 
@@ -217,7 +217,7 @@
         return Heartbeat(
             member=self._find_self(),
             started_at=self._started_at,
-            revisions=self._knowledge.revisions,
+            revisions=self._fleet_tables.revisions,
             usage=self.usage,
         )
 
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -10,7 +10,7 @@
 from toucanhall.edge.refusals import Refusal
 from toucanhall.edge.reporting import Reporter
 from toucanhall.edge.sending import Failure, Sender, Success
-from toucanhall.fleet.knowledge import Knowledge, find_route
+from toucanhall.fleet.tables import FleetTables, find_route
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe import events
@@ -65,7 +65,7 @@
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         field: Field,
         sender: Sender,
         quotas: Quotas,
@@ -74,7 +74,7 @@
         lag: LoopLag,
     ) -> None:
         """Decide by what the VM knows; send on pooled connections."""
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._field = field
         self._sender = sender
         self._quotas = quotas
@@ -98,7 +98,7 @@
 
     def is_cancellable(self, request: Request) -> bool:
         """Whether a request is ended when its caller has left."""
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is None:
             return True
         marks = read_caller_marks(request)
@@ -112,7 +112,7 @@
         admitted = admit(
             request,
             marks,
-            self._knowledge.configuration,
+            self._fleet_tables.configuration,
             self._quotas,
             self._loop.time(),
         )
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -20,10 +20,10 @@
 from toucanhall.edge.reporting import Reporter
 from toucanhall.edge.sending import Sender
 from toucanhall.edge.tables import TableExchange
-from toucanhall.fleet.knowledge import Knowledge
-from toucanhall.fleet.model import Address, Environment, Introduction
+from toucanhall.fleet.tables import FleetTables
+from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member
-from toucanhall.fleet.selection import LAGGING_SECONDS, pick_speakers
+from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_delegates
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe import events
@@ -82,13 +82,13 @@
         self._stopping = asyncio.Event()
         place = Place(environment.zone, environment.region)
         self._field = Field(place=place, regions=environment.regions)
-        self._knowledge = Knowledge(on_change=self._take_change)
+        self._fleet_tables = FleetTables(on_change=self._take_change)
         self._quotas = Quotas(
             bounds=environment.bounds,
             beat=HEARTBEAT_SECONDS,
             now=self._loop.time(),
         )
-        sockets = environment.descriptors - _FILES
+        sockets = environment.max_descriptors - _FILES
         self._held = make_held_bytes(environment.memory)
         opening = Opening(make_bounds(environment.memory), self._held)
         self._pool = Pool(
@@ -104,16 +104,16 @@
         self._entries = Entries(store=self._store, journal=self._journal)
         self._follower = Follower(
             store=self._store,
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             journal=self._journal,
-            lapse_seconds=2 * environment.bounds.target_heartbeat,
+            lapse_seconds=2 * environment.bounds.target_heartbeat_seconds,
         )
         self._has_divided = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
         self._path = Path(
             lag=self._lag,
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             field=self._field,
             sender=Sender(
                 field=self._field,
@@ -123,7 +123,7 @@
             quotas=self._quotas,
             retries=self._retries,
             reporter=Reporter(
-                knowledge=self._knowledge,
+                fleet_tables=self._fleet_tables,
                 journal=self._journal,
                 metrics=self._metrics,
             ),
@@ -134,7 +134,7 @@
             is_cancellable=self._path.is_cancellable,
             get_limits=self._get_limits,
             is_stopping=self._stopping.is_set,
-            is_lagging=lambda: self._lag.seconds > LAGGING_SECONDS,
+            is_lagging=lambda: self._lag.seconds > MAX_LOOP_LAG_SECONDS,
             connections=set(),
             held=self._held,
             most_connections=round(sockets * _CALLERS_SHARE),
@@ -142,7 +142,7 @@
         self._callers = Callers(handler=handler)
         self._duties = Duties(
             environment=environment,
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             field=self._field,
             quotas=self._quotas,
             retries=self._retries,
@@ -151,7 +151,7 @@
         )
         control = environment.listeners.control
         self._tables = TableExchange(
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             journal=self._journal,
             zone=environment.zone,
             regions=environment.regions,
@@ -161,7 +161,7 @@
         )
         self._mate = Fleetmate(
             environment=environment,
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             quotas=self._quotas,
             journal=self._journal,
             find_self=self._find_self,
@@ -170,7 +170,7 @@
         )
         self._directory = Directory(
             environment=environment,
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             members=self._mate.members,
             list_zone=self._mate.list_zone,
             clock=self._loop.time,
@@ -200,7 +200,7 @@
 
     async def _stop(self) -> None:
         began = self._loop.time()
-        grace = self._environment.bounds.grace
+        grace = self._environment.bounds.shutdown_grace_seconds
         self._journal.write(events.STOPPING, in_flight=self._path.in_flight)
         self._path.stop(began + grace * _ANSWER_SHARE)
         self._mate.tell(is_first=False)
@@ -223,7 +223,7 @@
             await self._callers.open(listeners.requests)
 
     async def _read_tables(self) -> None:
-        own = Introduction(
+        own = VmContact(
             self._environment.vm,
             self._environment.zone,
             self._environment.ip,
@@ -248,18 +248,18 @@
             return False
         return True
 
-    async def _meet_all(self, own: Introduction) -> None:
+    async def _meet_all(self, own: VmContact) -> None:
         await self._follower.read_all()
         self._mate.meet(await self._entries.register(own))
-        self._mate.members.note_listing()
+        self._mate.members.mark_listing_complete()
 
-    async def _tend_entries(self, own: Introduction) -> None:
+    async def _tend_entries(self, own: VmContact) -> None:
         """Find VMs by their entries; delete those of the own zone's dead.
 
         The VM that watches for a zone does it. One that is cut off from its
         zone watches too: it writes its entry again if that was deleted.
         """
-        gone = self._mate.members.drop_gone(self._loop.time())
+        gone = self._mate.members.drop_expired(self._loop.time())
         if not self._follower.is_watching:
             self._meet_listed(await self._entries.list_vms(is_stale=True))
             return
@@ -267,18 +267,18 @@
             await self._entries.forget(found.vm)
         self._meet_listed(await self._entries.register(own))
 
-    def _meet_listed(self, listed: list[Introduction]) -> None:
-        self._mate.members.take_listing(listed)
+    def _meet_listed(self, listed: list[VmContact]) -> None:
+        self._mate.members.apply_listing(listed)
         self._mate.meet(listed)
 
     def _is_ready(self) -> bool:
         return (
             not self._stopping.is_set()
-            and self._knowledge.configuration is not None
+            and self._fleet_tables.configuration is not None
         )
 
     def _get_limits(self) -> ServerLimits:
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is None:
             return _FIRST_LIMITS
         return ServerLimits(*configuration.limits)
@@ -311,7 +311,7 @@
     def _take_beat(self) -> None:
         self._path.arrivals.measure(self._loop.time())
         zone = self._divide()
-        watcher = pick_speakers(zone)[0]
+        watcher = pick_delegates(zone)[0]
         is_watcher = watcher.vm == self._environment.vm
         if is_watcher and not self._stopping.is_set():
             self._follower.start()
@@ -319,7 +319,7 @@
             self._follower.stop()
 
     def _divide(self) -> list[Member]:
-        self._has_divided = self._knowledge.configuration is not None
+        self._has_divided = self._fleet_tables.configuration is not None
         zone = self._mate.list_zone()
         self._duties.take_beat(self._mate.members, zone, self._mate.usage)
         return zone
@@ -328,7 +328,7 @@
         self._metrics.observe('store_call', seconds, outcome=outcome)
 
     def _watch_gauges(self) -> None:
-        knowledge = self._knowledge
+        fleet_tables = self._fleet_tables
         gauges: dict[str, Callable[[], float]] = {
             'loop_lag_seconds': lambda: self._lag.seconds,
             'requests_in_flight': lambda: self._path.in_flight,
@@ -339,10 +339,12 @@
                 self._mate.members.list_alive(self._loop.time()),
             ),
             'takes_requests': lambda: self._duties.is_serving,
-            'targets_known': lambda: len(knowledge.targets),
-            'configuration_revision': lambda: knowledge.revisions.configuration,
-            'targets_revision': lambda: knowledge.revisions.targets,
-            'evacuations_revision': lambda: knowledge.revisions.evacuations,
+            'targets_known': lambda: len(fleet_tables.targets),
+            'configuration_revision': lambda: (
+                fleet_tables.revisions.configuration
+            ),
+            'targets_revision': lambda: fleet_tables.revisions.targets,
+            'evacuations_revision': lambda: fleet_tables.revisions.evacuations,
             'bytes_held': lambda: self._held.total,
             'watches_store': lambda: self._follower.is_watching,
             'log_lines_dropped': lambda: sum(self._journal.dropped.values()),
@@ -371,7 +373,7 @@
     def _sweep(self) -> None:
         self._loop.call_later(_SWEEP_SECONDS, self._sweep)
         self._pool.sweep()
-        self._journal.tell_dropped()
+        self._journal.log_dropped_counts()
         if _read_stamp(self._settings) != self._settings_seen:
             self._reload()
 
--- a/toucanhall/edge/reporting.py
+++ b/toucanhall/edge/reporting.py
@@ -4,7 +4,7 @@
 
 from toucanhall.edge.refusals import Refusal, make_refusal
 from toucanhall.events import Event
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
@@ -23,12 +23,12 @@
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         metrics: Metrics,
     ) -> None:
         """Add to each line the versions of what the VM knows."""
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._metrics = metrics
         self._served = 0
@@ -75,12 +75,12 @@
     def refuse_repeat(self, marks: CallerMarks, service: str) -> None:
         """Count and write a repeat that the budget has no room for."""
         self._metrics.count('repeats_refused', service=service)
-        self.write(events.REPEAT_REFUSED, marks, service=service)
+        self.write(events.RETRY_REFUSED, marks, service=service)
 
     def leave(self, marks: CallerMarks, route: str) -> None:
         """Count and write a request whose caller has left."""
         self._metrics.count('callers_left', route=route)
-        self.write(events.CALLER_LEFT, marks)
+        self.write(events.CALLER_DISCONNECTED, marks)
 
     def serve(
         self,
@@ -102,12 +102,12 @@
 
     def write(self, event: Event, marks: CallerMarks, **fields: object) -> None:
         """Write a line with the id of a request and what the VM knows."""
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         self._journal.write(
             event,
             request=marks.request_id.decode('latin-1'),
             path=marks.path,
             configuration=configuration.version if configuration else None,
-            targets=self._knowledge.revisions.targets,
+            targets=self._fleet_tables.revisions.targets,
             **fields,
         )
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from toucanhall.edge.fleetmate import Source
-from toucanhall.fleet.knowledge import Knowledge, Revisions, is_ahead
+from toucanhall.fleet.tables import FleetTables, Revisions, is_ahead
 from toucanhall.fleet.model import Address, Snapshot
 from toucanhall.fleet.packing import pack, unpack
 from toucanhall.observe import events
@@ -48,7 +48,7 @@
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         zone: str,
         regions: Mapping[str, str],
@@ -63,7 +63,7 @@
         """
         self._on_taken = on_taken
         self._opening = opening
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._zone = zone
         self._regions = regions
@@ -82,13 +82,13 @@
             known = Revisions(*map(int, query.split(b',')))
         except (TypeError, ValueError):
             return make_answer(400, 'three revisions are needed')
-        snapshot = self._knowledge.make_snapshot(known, self._loop.time())
+        snapshot = self._fleet_tables.make_snapshot(known, self._loop.time())
         return Answer(200, (), pack(msgspec.msgpack.encode(snapshot)))
 
     def compare(self, source: Source, revisions: Revisions) -> None:
         """Ask a VM for its tables if they are newer."""
-        own = self._knowledge.revisions
-        self._knowledge.hear(revisions)
+        own = self._fleet_tables.revisions
+        self._fleet_tables.record_peer_revisions(revisions)
         if source.vm in self._asked or not is_ahead(revisions, own):
             return
         self._asked.add(source.vm)
@@ -98,7 +98,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def _find_wait(self, source: Source, revisions: Revisions) -> float:
-        own = self._knowledge.revisions
+        own = self._fleet_tables.revisions
         if source.zone == self._zone:
             return 0.0
         if not own.configuration:
@@ -122,7 +122,7 @@
             await asyncio.sleep(wait)
             if self._reads:
                 await asyncio.wait(self._reads, timeout=_TURN_SECONDS)
-            if is_ahead(revisions, self._knowledge.revisions):
+            if is_ahead(revisions, self._fleet_tables.revisions):
                 await self._start_read(source)
         finally:
             self._asked.discard(source.vm)
@@ -143,17 +143,17 @@
                 why=str(error) or type(error).__name__,
             )
             return
-        self._knowledge.take_snapshot(snapshot, self._loop.time())
+        self._fleet_tables.apply_snapshot(snapshot, self._loop.time())
         self._journal.write(
-            events.SNAPSHOT_TAKEN,
+            events.SNAPSHOT_APPLIED,
             peer=source.vm,
-            revisions=self._knowledge.revisions,
+            revisions=self._fleet_tables.revisions,
         )
         self._on_taken(source)
 
     async def _read(self, address: Address) -> Snapshot:
         host = f'{address.host}:{address.port}'.encode()
-        known = ','.join(map(str, self._knowledge.revisions))
+        known = ','.join(map(str, self._fleet_tables.revisions))
         path = b'%s?%s' % (_PATH, known.encode())
         request = Request(b'GET', path, ((b'host', host),), b'')
         async with asyncio.timeout(_PULL_SECONDS):
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -173,7 +173,7 @@
     def __init__(self, *, bounds: Bounds, beat: float, now: float) -> None:
         """Take the bounds of the limits and the time between beats (s)."""
         self._bounds = bounds
-        window = bounds.quota_window
+        window = bounds.quota_window_seconds
         self._window = window
         self._beat = beat
         self._started_at = now
--- a/toucanhall/limits/retries.py
+++ b/toucanhall/limits/retries.py
@@ -42,7 +42,7 @@
             bounds.retry_slack
             * (_SAFE_SHARE - _BURST_SHARE)
             / self._vms
-            / bounds.retry_window
+            / bounds.retry_window_seconds
         )
         self._tokens += (now - self._updated_at) * per_second
         self._updated_at = now
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -74,7 +74,7 @@
         ),
         capacity=_read_capacity(limits),
         memory=_read_memory(limits),
-        descriptors=int(limits.get('max_fds') or _DEFAULT_DESCRIPTORS),
+        max_descriptors=int(limits.get('max_fds') or _DEFAULT_DESCRIPTORS),
     )
 
 
@@ -99,18 +99,20 @@
     target_heartbeat: float,
 ) -> Bounds:
     return Bounds(
-        grace=read_seconds(bounds.get('grace', _DEFAULT_GRACE)),
-        directory_ttl=min(
+        shutdown_grace_seconds=read_seconds(
+            bounds.get('grace', _DEFAULT_GRACE)
+        ),
+        directory_ttl_seconds=min(
             _DIRECTORY_TTL,
             read_seconds(bounds.get('ttl_max', '5s')),
         ),
         retry_ratio=float(bounds.get('retry_budget_ratio', 0.2)),
-        retry_window=read_seconds(bounds.get('budget_window', '10s')),
+        retry_window_seconds=read_seconds(bounds.get('budget_window', '10s')),
         retry_slack=float(bounds.get('budget_slack', 0)),
-        quota_window=read_seconds(bounds.get('quota_window', '5s')),
+        quota_window_seconds=read_seconds(bounds.get('quota_window', '5s')),
         quota_overage=float(bounds.get('quota_overage', 0)),
         quota_slack=float(bounds.get('quota_slack', 0)),
-        target_heartbeat=target_heartbeat,
+        target_heartbeat_seconds=target_heartbeat,
     )
 
 
--- a/toucanhall/platform/entries.py
+++ b/toucanhall/platform/entries.py
@@ -1,6 +1,6 @@
 """Entries in the store by which VMs find each other."""
 
-from toucanhall.fleet.model import Introduction
+from toucanhall.fleet.model import VmContact
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
@@ -18,7 +18,7 @@
         self._store = store
         self._journal = journal
 
-    async def register(self, own: Introduction) -> list[Introduction]:
+    async def register(self, own: VmContact) -> list[VmContact]:
         """Write the entry of this VM and return those of all VMs."""
         found = await self.list_vms(is_stale=False)
         if own not in found:
@@ -29,7 +29,7 @@
                 await self._store.replace(names.VMS, own.vm, spec)
         return found
 
-    async def list_vms(self, *, is_stale: bool) -> list[Introduction]:
+    async def list_vms(self, *, is_stale: bool) -> list[VmContact]:
         """Return the entries of all VMs; stale ones are some seconds old."""
         table = await self._store.read(names.VMS, is_stale=is_stale)
         found = []
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -4,7 +4,7 @@
 import random
 from typing import Final
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
@@ -38,17 +38,17 @@
         self,
         *,
         store: Store,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         lapse_seconds: float,
     ) -> None:
-        """Write what the store holds into `knowledge`.
+        """Write what the store holds into `fleet_tables`.
 
         No target lapses in an absence of less than `lapse_seconds`.
         """
         self._lapse_seconds = lapse_seconds
         self._store = store
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
@@ -57,7 +57,7 @@
         self._answered_at = self._loop.time()
         self._revisions: dict[str, int] = {}
         self._tables = Tables(
-            knowledge=knowledge,
+            fleet_tables=fleet_tables,
             journal=journal,
             clock=self._loop.time,
         )
@@ -154,19 +154,19 @@
         self._failing.add(kind)
         if not self._is_away:
             self._is_away = True
-            self._knowledge.start_lapse()
+            self._fleet_tables.start_store_outage()
 
     def _recover(self, kind: str) -> None:
         now = self._loop.time()
         if kind in self._failing:
             self._failing.discard(kind)
             if not self._failing:
-                self._journal.write(events.STORE_REGAINED)
+                self._journal.write(events.STORE_RECOVERED)
         if self._is_away:
             self._is_away = False
             away = now - self._answered_at
-            self._knowledge.end_lapse(
+            self._fleet_tables.end_store_outage(
                 now,
-                may_have_lapsed=away > self._lapse_seconds,
+                may_have_expired=away > self._lapse_seconds,
             )
         self._answered_at = now
--- a/toucanhall/platform/tables.py
+++ b/toucanhall/platform/tables.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Target
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
@@ -26,12 +26,12 @@
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         clock: Callable[[], float],
     ) -> None:
-        """Write what is decoded into `knowledge`."""
-        self._knowledge = knowledge
+        """Write what is decoded into `fleet_tables`."""
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._clock = clock
         self._takers: dict[str, Callable[[Table, bool], None]] = {
@@ -53,7 +53,7 @@
             except BadDocument as error:
                 self._journal.write(events.ENTRY_IGNORED, why=str(error))
             else:
-                self._knowledge.take_configuration(
+                self._fleet_tables.replace_configuration(
                     change.revision,
                     configuration,
                 )
@@ -63,7 +63,7 @@
             change.name: self._decode_target(change) for change in table.changes
         }
         if not is_whole:
-            self._knowledge.change_targets(
+            self._fleet_tables.apply_target_changes(
                 table.revision,
                 decoded,
                 self._clock(),
@@ -74,7 +74,9 @@
             for name, found in decoded.items()
             if isinstance(found, Target)
         }
-        self._knowledge.take_targets(table.revision, targets, self._clock())
+        self._fleet_tables.replace_targets(
+            table.revision, targets, self._clock()
+        )
 
     def _decode_target(self, change: Change) -> Target | int:
         if change.spec is None:
@@ -90,6 +92,6 @@
             change.name: change.spec is not None for change in table.changes
         }
         if is_whole:
-            self._knowledge.take_evacuations(table.revision, zones)
+            self._fleet_tables.replace_evacuations(table.revision, zones)
         else:
-            self._knowledge.change_evacuations(table.revision, zones)
+            self._fleet_tables.apply_evacuation_changes(table.revision, zones)
