Rename what web and platform define, in the whole tree

Errors end in Error, headers in _HEADER, kinds in _KIND; Opening is ConnectionSettings, HeldBytes is BufferBudget, Reply is ReceivedAnswer, Tables is TableLoader, Follower is StoreWatch.

No change of behaviour.

--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -6,8 +6,8 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import parse_qs, unquote
 
-from toucanhall.web.memory import HeldBytes
-from toucanhall.web.messages import Answer, Request, make_failed
+from toucanhall.web.memory import BufferBudget
+from toucanhall.web.messages import Answer, Request, make_error_answer
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
 __all__ = ('StoreStandin',)
@@ -52,14 +52,14 @@
         """Listen for calls."""
         handler = Handler(
             serve=self._serve,
-            fail=make_failed,
+            answer_error=make_error_answer,
             is_cancellable=lambda _request: True,
             get_limits=lambda: _LIMITS,
             is_stopping=lambda: False,
             is_lagging=lambda: False,
             connections=set(),
-            held=HeldBytes(most=_HELD_BYTES),
-            most_connections=_MOST_CONNECTIONS,
+            buffer_budget=BufferBudget(max_bytes=_HELD_BYTES),
+            max_connections=_MOST_CONNECTIONS,
         )
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(handler=handler),
--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -16,9 +16,9 @@
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.limits.quota import Usage
 from toucanhall.platform.store import Store
-from toucanhall.web.client import Opening
-from toucanhall.web.memory import make_bounds as make_answer_bounds
-from toucanhall.web.memory import make_held_bytes
+from toucanhall.web.client import ConnectionSettings
+from toucanhall.web.memory import compute_answer_bounds as make_answer_bounds
+from toucanhall.web.memory import make_buffer_budget
 
 __all__ = (
     'make_bounds',
@@ -149,11 +149,13 @@
     return Members(own=own, zones=('east-a', *zones), now=now)
 
 
-def make_opening(memory: int = 152_000_000, id_header: bytes = b'') -> Opening:
+def make_opening(
+    memory: int = 152_000_000, id_header: bytes = b''
+) -> ConnectionSettings:
     """Return how a VM with so many bytes of memory opens connections."""
-    return Opening(
+    return ConnectionSettings(
         bounds=make_answer_bounds(memory),
-        held=make_held_bytes(memory),
+        buffer_budget=make_buffer_budget(memory),
         id_header=id_header,
     )
 
@@ -162,6 +164,6 @@
     """Return a client of a store whose calls nobody counts."""
     return Store(
         address=address,
-        opening=make_opening(),
+        settings=make_opening(),
         on_call=lambda _call, _seconds: None,
     )
--- a/tests/unit/test_closing.py
+++ b/tests/unit/test_closing.py
@@ -17,10 +17,10 @@
         connections.add(self)
         self.closed_at = None
 
-    def close_idle(self, *, quiet):
+    def close_idle(self, *, min_idle_seconds):
         """Close if nothing was sent for some seconds."""
         now = asyncio.get_running_loop().time()
-        if now - self._used_at >= quiet:
+        if now - self._used_at >= min_idle_seconds:
             self.closed_at = now
             self._connections.discard(self)
 
--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -11,9 +11,9 @@
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Address
 from toucanhall.limits.quota import Quotas
-from toucanhall.platform.following import Follower
+from toucanhall.platform.following import StoreWatch
 from toucanhall.platform.store import StoreError
-from toucanhall.platform.tables import Tables
+from toucanhall.platform.tables import TableLoader
 
 ADDRESS = Address('127.64.203.1', 8382)
 
@@ -58,7 +58,7 @@
 
 
 def test_watch_goes_on_after_an_unexpected_error(journal, monkeypatch):
-    take = Tables.take
+    take = TableLoader.take
     failures = []
 
     def fail_once(tables, kind, table, *, is_whole):
@@ -67,14 +67,14 @@
             raise ValueError('an object of an unexpected form')
         take(tables, kind, table, is_whole=is_whole)
 
-    monkeypatch.setattr(Tables, 'take', fail_once)
+    monkeypatch.setattr(TableLoader, 'take', fail_once)
 
     async def start():
         standin = StoreStandin()
         await standin.start(*ADDRESS)
         standin.put('servers', 't1', make_target_entry('127.0.0.1:9', 'east-a'))
         fleet_tables = FleetTables(on_change=lambda _table: None)
-        follower = Follower(
+        follower = StoreWatch(
             store=make_store(ADDRESS),
             fleet_tables=fleet_tables,
             journal=journal,
--- a/tests/unit/test_following.py
+++ b/tests/unit/test_following.py
@@ -7,7 +7,7 @@
 from toucanhall.fleet.tables import REREGISTRATION_SECONDS, FleetTables
 from tests.fleetdata import make_store
 from toucanhall.fleet.model import Address
-from toucanhall.platform.following import Follower
+from toucanhall.platform.following import StoreWatch
 
 ADDRESS = Address('127.64.202.1', 8384)
 LAPSE_AFTER = 3.0  # seconds, two heartbeats of a target
@@ -26,7 +26,7 @@
             'servers', 't1', make_target_entry('127.0.0.1:9000', 'east-a')
         )
         fleet_tables = FleetTables(on_change=lambda _table: None)
-        follower = Follower(
+        follower = StoreWatch(
             store=make_store(ADDRESS),
             fleet_tables=fleet_tables,
             journal=journal,
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -23,12 +23,12 @@
 from toucanhall.placement.field import Field, Need
 from toucanhall.placement.order import Place
 from toucanhall.platform.documents import (
-    BadDocument,
+    InvalidDocumentError,
     decode_configuration,
     decode_target,
     decode_vm,
 )
-from toucanhall.platform.headers import read_caller_marks
+from toucanhall.platform.headers import read_caller_headers
 from toucanhall.web.messages import Request
 
 TEAM = {
@@ -67,7 +67,7 @@
     )
     request = Request(b'GET', b'/view/1', headers, b'')
     quotas = Quotas(bounds=make_bounds(), beat=0.8, now=0.0)
-    marks = read_caller_marks(request)
+    marks = read_caller_headers(request)
     for now in (0.0, 1.0):
         quotas.divide(configuration.teams.values(), Told({}), (), now)
         admit(request, marks, configuration, quotas, now)
@@ -78,7 +78,7 @@
 def test_configuration_is_refused_or_works(document):
     try:
         configuration = decode_configuration(document)
-    except BadDocument:
+    except InvalidDocumentError:
         return
     ask(configuration)
 
@@ -90,7 +90,7 @@
 def test_entry_of_a_target_is_refused_or_works(document):
     try:
         target = decode_target('t1', document, 1)
-    except BadDocument:
+    except InvalidDocumentError:
         return
     assert 0 < target.address.port < 65536
     field = Field(place=Place('east-a', 'east'), regions={'east-a': 'east'})
@@ -104,7 +104,7 @@
 def test_entry_of_a_vm_is_refused_or_names_an_address(document):
     try:
         found = decode_vm('vm-1', document)
-    except BadDocument:
+    except InvalidDocumentError:
         return
     assert is_reachable(found.ip)
 
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -34,13 +34,13 @@
     clock = asyncio.get_running_loop().time
     lag = LoopLag()
     for _tick in range(30):
-        lag.take(late)
+        lag.record(late)
     return Path(
         fleet_tables=fleet_tables,
         field=field,
         sender=Sender(
             field=field,
-            pool=Pool(clock=clock, opening=make_opening(), most_idle=10),
+            pool=Pool(clock=clock, settings=make_opening(), most_idle=10),
             journal=journal,
         ),
         quotas=Quotas(bounds=make_bounds(), beat=0.8, now=0.0),
--- a/tests/unit/test_tables.py
+++ b/tests/unit/test_tables.py
@@ -70,7 +70,7 @@
         zone=zone,
         regions=REGIONS,
         port=PORT,
-        opening=make_opening(),
+        settings=make_opening(),
         on_taken=lambda _source: None,
     )
 
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -9,7 +9,7 @@
 from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Configuration, Route, Service, Team
 from toucanhall.limits.quota import Quotas
-from toucanhall.platform.headers import CallerMarks
+from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Request
 
 __all__ = ('Admitted', 'admit')
@@ -25,7 +25,7 @@
     """
 
     request: Request
-    marks: CallerMarks
+    marks: CallerHeaders
     route: Route
     team: Team | None
     service: Service
@@ -48,7 +48,7 @@
 
 def admit(
     request: Request,
-    marks: CallerMarks,
+    marks: CallerHeaders,
     configuration: Configuration | None,
     quotas: Quotas,
     now: float,
@@ -75,7 +75,7 @@
 
 def _bind(
     request: Request,
-    marks: CallerMarks,
+    marks: CallerHeaders,
     configuration: Configuration,
     route: Route,
     team: Team | None,
@@ -85,7 +85,7 @@
     service = configuration.services.get(_pick_part(route))
     if homes is None or service is None:
         return refusals.NO_TARGET
-    patience = marks.seconds_left or _DEFAULT_PATIENCE
+    patience = marks.remaining_seconds or _DEFAULT_PATIENCE
     return Admitted(
         request=request,
         marks=marks,
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -9,7 +9,10 @@
 from toucanhall.fleet.model import Address, Environment
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_serving
-from toucanhall.platform.entrance import read_question, write_directory
+from toucanhall.platform.entrance import (
+    read_directory_query,
+    make_directory_answer,
+)
 from toucanhall.web.messages import Answer, Request, make_answer
 
 __all__ = ('Directory', 'pick_vms')
@@ -72,7 +75,7 @@
 
     def answer(self, request: Request) -> Answer:
         """Return the addresses of VMs for the client that asks."""
-        question = read_question(request)
+        question = read_directory_query(request)
         if question is None:
             return make_answer(404, 'no such path')
         own, *near = self._list_zone()
@@ -88,7 +91,7 @@
         )
         listener = self._environment.listeners.requests
         port = listener.port if listener else 0
-        return write_directory(
+        return make_directory_answer(
             [Address(found.ip, port) for found in picked],
             self._environment.bounds.directory_ttl_seconds,
         )
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -23,7 +23,7 @@
 )
 from toucanhall.placement.field import Field, Need
 from toucanhall.placement.times import UsualTimes
-from toucanhall.platform.headers import make_passed_on, read_caller_marks
+from toucanhall.platform.headers import make_caller_answer, read_caller_headers
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
 
@@ -101,14 +101,14 @@
         configuration = self._fleet_tables.configuration
         if configuration is None:
             return True
-        marks = read_caller_marks(request)
+        marks = read_caller_headers(request)
         route = find_route(configuration, marks.host, marks.path)
         return route is None or route.is_idempotent
 
     async def serve(self, request: Request) -> Answer:
         """Return the final answer to a request."""
         self.arrivals.add()
-        marks = read_caller_marks(request)
+        marks = read_caller_headers(request)
         admitted = admit(
             request,
             marks,
@@ -276,7 +276,7 @@
             target=candidate.target.id,
             fill=round(success.fill, 2),
         )
-        return make_passed_on(success.reply)
+        return make_caller_answer(success.reply)
 
     def _give_up(self, admitted: Admitted, attempts: _Attempts) -> Answer:
         failure = attempts.failure
@@ -288,7 +288,7 @@
                 failure.reason,
                 failure.target,
             )
-            return make_passed_on(failure.reply)
+            return make_caller_answer(failure.reply)
         refusal = refusals.NOT_RUN
         if failure.may_have_run:
             refusal = refusals.MAY_HAVE_RUN
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -4,7 +4,11 @@
 from typing import Final
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.client import Opening, ServerConnection, open_connection
+from toucanhall.web.client import (
+    ConnectionSettings,
+    ServerConnection,
+    open_connection,
+)
 
 __all__ = ('Pool',)
 
@@ -24,14 +28,14 @@
         self,
         *,
         clock: Callable[[], float],
-        opening: Opening,
+        settings: ConnectionSettings,
         most_idle: int,
     ) -> None:
-        """Read answers within the bounds of `opening`; keep `most_idle`."""
+        """Read answers within the bounds of `settings`; keep `most_idle`."""
         self._clock = clock
         self._most_idle = most_idle
         self._idle_count = 0
-        self._opening = opening
+        self._opening = settings
         self._idle: dict[Address, list[ServerConnection]] = {}
         self.opened = 0
 
@@ -60,7 +64,7 @@
         return await open_connection(
             address,
             seconds=seconds,
-            opening=self._opening,
+            settings=self._opening,
         )
 
     def give_back(self, address: Address, connection: ServerConnection) -> None:
@@ -98,7 +102,7 @@
         now: float,
         longest: float,
     ) -> bool:
-        told = connection.idle_seconds
+        told = connection.keep_alive_seconds
         if told is not None:
             longest = min(longest, told - _KEEP_ALIVE_MARGIN)
         return connection.is_usable and now - connection.idle_since < longest
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -32,15 +32,20 @@
 from toucanhall.placement.field import Field
 from toucanhall.placement.order import Place
 from toucanhall.platform import boot
-from toucanhall.platform.entrance import make_readiness
-from toucanhall.platform.entries import Entries
-from toucanhall.platform.following import Follower
-from toucanhall.platform.headers import REQUEST_ID
+from toucanhall.platform.entrance import make_readiness_handler
+from toucanhall.platform.entries import VmRegistry
+from toucanhall.platform.following import StoreWatch
+from toucanhall.platform.headers import REQUEST_ID_HEADER
 from toucanhall.platform.store import Store, StoreError
-from toucanhall.web.client import Opening
+from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.lag import LoopLag
-from toucanhall.web.memory import make_bounds, make_held_bytes
-from toucanhall.web.messages import Answer, Request, make_answer, make_failed
+from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
+from toucanhall.web.messages import (
+    Answer,
+    Request,
+    make_answer,
+    make_error_answer,
+)
 from toucanhall.web.server import Handler, ServerLimits
 
 __all__ = ('run',)
@@ -89,20 +94,22 @@
             now=self._loop.time(),
         )
         sockets = environment.max_descriptors - _FILES
-        self._held = make_held_bytes(environment.memory)
-        opening = Opening(make_bounds(environment.memory), self._held)
+        self._held = make_buffer_budget(environment.memory)
+        opening = ConnectionSettings(
+            compute_answer_bounds(environment.memory), self._held
+        )
         self._pool = Pool(
             clock=self._loop.time,
             most_idle=round(sockets * _IDLE_TARGETS_SHARE),
-            opening=opening._replace(id_header=REQUEST_ID),
+            settings=opening._replace(id_header=REQUEST_ID_HEADER),
         )
         self._store = Store(
             address=environment.store,
-            opening=opening,
+            settings=opening,
             on_call=self._count_call,
         )
-        self._entries = Entries(store=self._store, journal=self._journal)
-        self._follower = Follower(
+        self._entries = VmRegistry(store=self._store, journal=self._journal)
+        self._follower = StoreWatch(
             store=self._store,
             fleet_tables=self._fleet_tables,
             journal=self._journal,
@@ -130,14 +137,14 @@
         )
         handler = Handler(
             serve=self._path.serve,
-            fail=self._answer_error,
+            answer_error=self._answer_error,
             is_cancellable=self._path.is_cancellable,
             get_limits=self._get_limits,
             is_stopping=self._stopping.is_set,
             is_lagging=lambda: self._lag.seconds > MAX_LOOP_LAG_SECONDS,
             connections=set(),
-            held=self._held,
-            most_connections=round(sockets * _CALLERS_SHARE),
+            buffer_budget=self._held,
+            max_connections=round(sockets * _CALLERS_SHARE),
         )
         self._callers = Callers(handler=handler)
         self._duties = Duties(
@@ -156,7 +163,7 @@
             zone=environment.zone,
             regions=environment.regions,
             port=control.port if control else 0,
-            opening=opening,
+            settings=opening,
             on_taken=self._take_snapshot,
         )
         self._mate = Fleetmate(
@@ -211,7 +218,7 @@
     async def _listen(self) -> None:
         listeners = self._environment.listeners
         plain = {
-            listeners.readiness: make_readiness(self._is_ready),
+            listeners.readiness: make_readiness_handler(self._is_ready),
             listeners.directory: self._directory.answer,
             listeners.control: self._tables.answer,
             Address(self._environment.ip, METRICS_PORT): self._answer_metrics,
@@ -261,10 +268,10 @@
         """
         gone = self._mate.members.drop_expired(self._loop.time())
         if not self._follower.is_watching:
-            self._meet_listed(await self._entries.list_vms(is_stale=True))
+            self._meet_listed(await self._entries.list_vms(may_be_stale=True))
             return
         for found in gone:
-            await self._entries.forget(found.vm)
+            await self._entries.remove(found.vm)
         self._meet_listed(await self._entries.register(own))
 
     def _meet_listed(self, listed: list[VmContact]) -> None:
@@ -345,7 +352,7 @@
             ),
             'targets_revision': lambda: fleet_tables.revisions.targets,
             'evacuations_revision': lambda: fleet_tables.revisions.evacuations,
-            'bytes_held': lambda: self._held.total,
+            'bytes_held': lambda: self._held.total_bytes,
             'watches_store': lambda: self._follower.is_watching,
             'log_lines_dropped': lambda: sum(self._journal.dropped.values()),
         }
@@ -354,7 +361,7 @@
 
     def _answer_error(self, error: Exception) -> Answer:
         self._journal.write(events.UNEXPECTED, why=repr(error))
-        return make_failed(error)
+        return make_error_answer(error)
 
     def _note_error(
         self,
@@ -380,8 +387,8 @@
     def _reload(self) -> None:
         self._settings_seen = _read_stamp(self._settings)
         try:
-            environment = boot.load(self._settings)
-        except boot.BadSettings as error:
+            environment = boot.load_settings(self._settings)
+        except boot.SettingsError as error:
             self._journal.write(events.RELOAD_FAILED, why=str(error))
             return
         self._environment = self._environment._replace(
@@ -393,7 +400,7 @@
 
 def run(settings: FilePath) -> None:
     """Run a VM until it is told to stop; raises BadSettings."""
-    asyncio.run(_run(settings, boot.load(settings)))
+    asyncio.run(_run(settings, boot.load_settings(settings)))
 
 
 async def _run(settings: FilePath, environment: Environment) -> None:
--- a/toucanhall/edge/reporting.py
+++ b/toucanhall/edge/reporting.py
@@ -8,7 +8,7 @@
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.platform.headers import CallerMarks
+from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Answer
 
 __all__ = ('Reporter',)
@@ -35,7 +35,7 @@
 
     def refuse(
         self,
-        marks: CallerMarks,
+        marks: CallerHeaders,
         refusal: Refusal,
         **fields: object,
     ) -> Answer:
@@ -57,14 +57,14 @@
         )
         return make_refusal(refusal)
 
-    def pass_on(self, marks: CallerMarks, reason: str, target: str) -> None:
+    def pass_on(self, marks: CallerHeaders, reason: str, target: str) -> None:
         """Count and write a failure of a target that its caller gets."""
         self._metrics.count('failures_passed_on', reason=reason)
         self.write(events.REQUEST_FAILED, marks, why=reason, target=target)
 
     def fail_attempt(
         self,
-        marks: CallerMarks,
+        marks: CallerHeaders,
         reason: str,
         **fields: object,
     ) -> None:
@@ -72,19 +72,19 @@
         self._metrics.count('attempts_failed', reason=reason)
         self.write(events.ATTEMPT_FAILED, marks, why=reason, **fields)
 
-    def refuse_repeat(self, marks: CallerMarks, service: str) -> None:
+    def refuse_repeat(self, marks: CallerHeaders, service: str) -> None:
         """Count and write a repeat that the budget has no room for."""
         self._metrics.count('repeats_refused', service=service)
         self.write(events.RETRY_REFUSED, marks, service=service)
 
-    def leave(self, marks: CallerMarks, route: str) -> None:
+    def leave(self, marks: CallerHeaders, route: str) -> None:
         """Count and write a request whose caller has left."""
         self._metrics.count('callers_left', route=route)
         self.write(events.CALLER_DISCONNECTED, marks)
 
     def serve(
         self,
-        marks: CallerMarks,
+        marks: CallerHeaders,
         route: str,
         seconds: float,
         **fields: object,
@@ -100,7 +100,9 @@
                 **fields,
             )
 
-    def write(self, event: Event, marks: CallerMarks, **fields: object) -> None:
+    def write(
+        self, event: Event, marks: CallerHeaders, **fields: object
+    ) -> None:
         """Write a line with the id of a request and what the VM knows."""
         configuration = self._fleet_tables.configuration
         self._journal.write(
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -12,12 +12,17 @@
 from toucanhall.placement.choice import Candidate
 from toucanhall.placement.field import Field
 from toucanhall.platform.headers import (
-    TargetMarks,
-    make_forwarded,
-    read_target_marks,
+    TargetHeaders,
+    make_target_request,
+    read_target_headers,
 )
-from toucanhall.web.client import Broken, Exhausted, Reply, Unreachable
-from toucanhall.web.messages import write_request
+from toucanhall.web.client import (
+    IncompleteAnswerError,
+    OutOfDescriptorsError,
+    ReceivedAnswer,
+    UnreachableError,
+)
+from toucanhall.web.messages import encode_request
 
 __all__ = ('Failure', 'Sender', 'Success')
 
@@ -35,7 +40,7 @@
     many requests as it has slots.
     """
 
-    reply: Reply
+    reply: ReceivedAnswer
     seconds: float
     fill: float
 
@@ -51,7 +56,7 @@
     target: str
     was_sent: bool = True
     may_have_run: bool = True
-    reply: Reply | None = None
+    reply: ReceivedAnswer | None = None
     detail: str = ''
 
 
@@ -77,8 +82,8 @@
         load.in_flight += 1
         try:
             reply = await self._exchange(admitted, target)
-        except Unreachable as error:
-            if not isinstance(error, Exhausted):
+        except UnreachableError as error:
+            if not isinstance(error, OutOfDescriptorsError):
                 self._fail(target, is_lost=True, why=str(error))
             return Failure(
                 'unreachable',
@@ -87,7 +92,7 @@
                 may_have_run=False,
                 detail=str(error),
             )
-        except Broken as error:
+        except IncompleteAnswerError as error:
             self._fail(target, is_lost=False, why=str(error))
             return Failure('broken', target.id, detail=str(error))
         finally:
@@ -103,20 +108,22 @@
                 target=candidate.target.id,
             )
 
-    async def _exchange(self, admitted: Admitted, target: Target) -> Reply:
+    async def _exchange(
+        self, admitted: Admitted, target: Target
+    ) -> ReceivedAnswer:
         connection = await self._pool.take(
             target.address,
             may_repeat=admitted.route.is_idempotent,
             seconds=_CONNECT_SECONDS[self._field.is_near(target)],
         )
-        forwarded = make_forwarded(
+        forwarded = make_target_request(
             admitted.request,
             target=target.id,
             team=admitted.team.name if admitted.team else None,
-            seconds_left=admitted.deadline - self._loop.time(),
+            remaining_seconds=admitted.deadline - self._loop.time(),
         )
         reply = await connection.exchange(
-            write_request(forwarded),
+            encode_request(forwarded),
             admitted.marks.request_id,
         )
         self._pool.give_back(target.address, connection)
@@ -129,13 +136,13 @@
     ) -> Success | Failure:
         target, load = candidate
         reply = success.reply
-        marks = read_target_marks(reply)
+        marks = read_target_headers(reply)
         now = self._loop.time()
-        if marks.busy is not None:
-            load.report(marks.busy, now)
+        if marks.pending_requests is not None:
+            load.report(marks.pending_requests, now)
         if marks.is_not_run:
             return self._take_not_run(candidate, marks, now)
-        if marks.is_unproven:
+        if marks.is_unproven_refusal:
             # Passed on, the status would promise that the request never ran.
             why = f'status {reply.status} without a proof'
             self._fail(target, is_lost=False, why=why)
@@ -143,7 +150,7 @@
         if reply.status >= _FAILED_STATUS:
             self._fail(target, is_lost=False, why=f'status {reply.status}')
             return Failure(f'status-{reply.status}', target.id, reply=reply)
-        if reply.status < _REDIRECTED_STATUS and not marks.is_stamped:
+        if reply.status < _REDIRECTED_STATUS and not marks.has_stamp:
             self._fail(target, is_lost=False, why='answer without a stamp')
             return Failure('unstamped', target.id)
         return success
@@ -151,7 +158,7 @@
     def _take_not_run(
         self,
         candidate: Candidate,
-        marks: TargetMarks,
+        marks: TargetHeaders,
         now: float,
     ) -> Failure:
         target, load = candidate
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -17,8 +17,8 @@
 from toucanhall.fleet.packing import pack, unpack
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.web.client import Opening, open_connection
-from toucanhall.web.messages import Answer, Request, make_answer, write_request
+from toucanhall.web.client import ConnectionSettings, open_connection
+from toucanhall.web.messages import Answer, Request, make_answer, encode_request
 
 __all__ = ('TableExchange',)
 
@@ -53,7 +53,7 @@
         zone: str,
         regions: Mapping[str, str],
         port: int,
-        opening: Opening,
+        settings: ConnectionSettings,
         on_taken: Callable[[Source], None],
     ) -> None:
         """Ask VMs at the port at which each answers such questions.
@@ -62,7 +62,7 @@
         taken.
         """
         self._on_taken = on_taken
-        self._opening = opening
+        self._opening = settings
         self._fleet_tables = fleet_tables
         self._journal = journal
         self._zone = zone
@@ -160,10 +160,10 @@
             connection = await open_connection(
                 address,
                 seconds=_PULL_SECONDS,
-                opening=self._opening,
+                settings=self._opening,
             )
             try:
-                reply = await connection.exchange(write_request(request))
+                reply = await connection.exchange(encode_request(request))
             finally:
                 connection.close()
         return msgspec.msgpack.decode(
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -9,7 +9,7 @@
 from toucanhall.fleet.model import Address, Bounds, Environment, Listeners
 from toucanhall.platform.units import read_seconds
 
-__all__ = ('BadSettings', 'load')
+__all__ = ('SettingsError', 'load_settings')
 
 # Clients may keep a directory answer for three times its life: with this one
 # they have left a VM that stops before the usual grace of six seconds ends.
@@ -25,18 +25,18 @@
 _DEFAULT_MEGABYTES: Final = 152  # of the smallest VM of today's deployments
 
 
-class BadSettings(ValueError):
+class SettingsError(ValueError):
     """The settings file lacks something or holds what cannot be read."""
 
 
-def load(path: Path) -> Environment:
+def load_settings(path: Path) -> Environment:
     """Read the settings at a path; raise BadSettings when they are wrong."""
     try:
         return _decode(yaml.load(path.read_bytes(), Loader=_Loader))
     except KeyError as error:
-        raise BadSettings(f'{path}: no field {error}') from error
+        raise SettingsError(f'{path}: no field {error}') from error
     except _WRONG as error:
-        raise BadSettings(f'{path}: {error}') from error
+        raise SettingsError(f'{path}: {error}') from error
 
 
 _WRONG: Final = (
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -20,7 +20,7 @@
 from toucanhall.platform.units import read_seconds, read_version
 
 __all__ = (
-    'BadDocument',
+    'InvalidDocumentError',
     'decode_configuration',
     'decode_target',
     'decode_vm',
@@ -44,7 +44,7 @@
 )
 
 
-class BadDocument(ValueError):
+class InvalidDocumentError(ValueError):
     """An object of the store that cannot be used."""
 
 
@@ -53,7 +53,7 @@
     try:
         return _decode_configuration(spec)
     except _WRONG as error:
-        raise BadDocument(f'configuration: {error!r}') from error
+        raise InvalidDocumentError(f'configuration: {error!r}') from error
 
 
 def decode_target(name: str, spec: Document, revision: int) -> Target:
@@ -71,7 +71,7 @@
             revision=revision,
         )
     except _WRONG as error:
-        raise BadDocument(f'target {name}: {error!r}') from error
+        raise InvalidDocumentError(f'target {name}: {error!r}') from error
 
 
 def decode_vm(name: str, spec: Document) -> VmContact:
@@ -83,7 +83,7 @@
             ip=_read_ip(spec['ip']),
         )
     except _WRONG as error:
-        raise BadDocument(f'VM {name}: {error!r}') from error
+        raise InvalidDocumentError(f'VM {name}: {error!r}') from error
 
 
 def encode_vm(introduction: VmContact) -> Document:
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -8,10 +8,10 @@
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
-from toucanhall.platform.store import HistoryLost, Store, StoreError
-from toucanhall.platform.tables import KINDS, Tables
+from toucanhall.platform.store import HistoryLostError, Store, StoreError
+from toucanhall.platform.tables import WATCHED_KINDS, TableLoader
 
-__all__ = ('Follower',)
+__all__ = ('StoreWatch',)
 
 # A watch is renewed well before half of the store's 20 s of history is over.
 _WATCH_SECONDS: Final = 8.0
@@ -25,13 +25,13 @@
 
 # Changes that follow one another within this time are read by one call.
 _GATHER_SECONDS: Final = {
-    names.CONFIGURATIONS: 0.05,
-    names.TARGETS: 0.2,
-    names.EVACUATIONS: 0.05,
+    names.CONFIGURATION_KIND: 0.05,
+    names.TARGET_KIND: 0.2,
+    names.EVACUATION_KIND: 0.05,
 }
 
 
-class Follower:
+class StoreWatch:
     """Keeps the tables of a VM up to date from the store."""
 
     def __init__(
@@ -56,7 +56,7 @@
         self._is_away = False
         self._answered_at = self._loop.time()
         self._revisions: dict[str, int] = {}
-        self._tables = Tables(
+        self._tables = TableLoader(
             fleet_tables=fleet_tables,
             journal=journal,
             clock=self._loop.time,
@@ -69,14 +69,15 @@
 
     async def read_all(self) -> None:
         """Read each table once; raise StoreError when one cannot be read."""
-        await asyncio.gather(*(self._read(kind) for kind in KINDS))
+        await asyncio.gather(*(self._read(kind) for kind in WATCHED_KINDS))
 
     def start(self) -> None:
         """Watch the store from now on."""
         if not self._tasks:
             self._journal.write(events.WATCH_STARTED)
             self._tasks = [
-                self._loop.create_task(self._follow(kind)) for kind in KINDS
+                self._loop.create_task(self._follow(kind))
+                for kind in WATCHED_KINDS
             ]
             self._tasks.append(self._loop.create_task(self._probe()))
 
@@ -118,7 +119,7 @@
         while True:
             await asyncio.sleep(_PROBE_SECONDS)
             try:
-                await self._store.read(names.EVACUATIONS, is_stale=True)
+                await self._store.read(names.EVACUATION_KIND, may_be_stale=True)
             except StoreError as error:
                 self._fail(_PROBE, error)
             else:
@@ -131,7 +132,7 @@
             return
         try:
             table = await self._store.watch(kind, revision, _WATCH_SECONDS)
-        except HistoryLost:
+        except HistoryLostError:
             self._journal.write(events.HISTORY_LOST, table=kind)
             await self._read(kind)
             return
--- a/toucanhall/platform/tables.py
+++ b/toucanhall/platform/tables.py
@@ -9,18 +9,22 @@
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
 from toucanhall.platform.documents import (
-    BadDocument,
+    InvalidDocumentError,
     decode_configuration,
     decode_target,
 )
 from toucanhall.platform.store import Change, Table
 
-__all__ = ('KINDS', 'Tables')
+__all__ = ('WATCHED_KINDS', 'TableLoader')
 
-KINDS: Final = (names.CONFIGURATIONS, names.TARGETS, names.EVACUATIONS)
+WATCHED_KINDS: Final = (
+    names.CONFIGURATION_KIND,
+    names.TARGET_KIND,
+    names.EVACUATION_KIND,
+)
 
 
-class Tables:
+class TableLoader:
     """Decodes objects by their kind; what cannot be read is passed over."""
 
     def __init__(
@@ -35,9 +39,9 @@
         self._journal = journal
         self._clock = clock
         self._takers: dict[str, Callable[[Table, bool], None]] = {
-            names.CONFIGURATIONS: self._take_configurations,
-            names.TARGETS: self._take_targets,
-            names.EVACUATIONS: self._take_evacuations,
+            names.CONFIGURATION_KIND: self._take_configurations,
+            names.TARGET_KIND: self._take_targets,
+            names.EVACUATION_KIND: self._take_evacuations,
         }
 
     def take(self, kind: str, table: Table, *, is_whole: bool) -> None:
@@ -50,7 +54,7 @@
                 continue
             try:
                 configuration = decode_configuration(change.spec)
-            except BadDocument as error:
+            except InvalidDocumentError as error:
                 self._journal.write(events.ENTRY_IGNORED, why=str(error))
             else:
                 self._fleet_tables.replace_configuration(
@@ -83,7 +87,7 @@
             return change.revision
         try:
             return decode_target(change.name, change.spec, change.revision)
-        except BadDocument as error:
+        except InvalidDocumentError as error:
             self._journal.write(events.ENTRY_IGNORED, why=str(error))
             return change.revision
 
