--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -32,7 +32,7 @@
 class StoreStandin:
     """Objects by kind and name with one counter of revisions.
 
-    `fault` is called with each request: it returns a status to answer with,
+    `decide_fault` is called with each request: it returns a status to answer with,
     'silent' to answer never, 'lost' to act and answer never, or None.
     """
 
@@ -40,7 +40,7 @@
         """Start empty, without faults."""
         self.revision = 1
         self.objects: dict[str, dict[str, Document]] = {}
-        self.fault: Fault = lambda _call: None
+        self.decide_fault: Fault = lambda _call: None
         self.calls: list[str] = []
         self._events: list[_Event] = []
         self._oldest = 1
@@ -102,7 +102,7 @@
 
     def set_fault(self, fault: Fault) -> None:
         """Let calls fail, and watches that are waiting."""
-        self.fault = fault
+        self.decide_fault = fault
         self._wake()
 
     def compact(self) -> None:
@@ -129,7 +129,7 @@
     async def _serve(self, request: Request) -> Answer:
         path, _, query = request.path.decode().partition('?')
         self.calls.append(f'{request.method.decode()} {path}')
-        fault = self.fault(request)
+        fault = self.decide_fault(request)
         if isinstance(fault, int):
             return _answer(fault, {})
         if fault == 'silent':
@@ -159,7 +159,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + int(arguments['wait_ms']) / 1000
         while True:
-            fault = self.fault(request)
+            fault = self.decide_fault(request)
             if isinstance(fault, int):
                 return _answer(fault, {})
             if since + 1 < self._oldest:
--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from standins.site.endless import ENDLESS, EndlessServer
+from standins.site.endless import ENDLESS_ANSWERS, EndlessServer
 from tests.fleetdata import make_opening
 from toucanhall.fleet.model import Address
 from toucanhall.web.client import IncompleteAnswerError, open_connection
@@ -50,7 +50,7 @@
     return asyncio.run(start())
 
 
-@pytest.mark.parametrize('name', ENDLESS)
+@pytest.mark.parametrize('name', ENDLESS_ANSWERS)
 def test_bytes_without_end_are_cut_at_a_bound(name):
     opening = make_opening(id_header=b'x-id')
 
@@ -68,7 +68,12 @@
                 await connection.exchange(REQUEST, b'own')
         seconds = time.perf_counter() - began
         server.stop()
-        return str(caught.value), server.sent, seconds, connection.is_usable
+        return (
+            str(caught.value),
+            server.sent_bytes,
+            seconds,
+            connection.is_usable,
+        )
 
     why, sent, seconds, is_usable = asyncio.run(act())
     assert 'over' in why or 'malformed' in why
--- a/tests/unit/test_following.py
+++ b/tests/unit/test_following.py
@@ -47,7 +47,7 @@
     async def act(standin, fleet_tables):
         loop = asyncio.get_running_loop()
         assert set(fleet_tables.targets) == {'t1'}
-        standin.fault = _fail_all_but_watches
+        standin.decide_fault = _fail_all_but_watches
         await asyncio.sleep(LAPSE_AFTER + 0.1)
         standin.remove('servers', 't1')
         await asyncio.sleep(0.5)
