--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -13,9 +13,9 @@
 from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.selection import pick_serving
-from toucanhall.limits.quota import RESERVE_VMS, Quotas, Told
+from toucanhall.limits.quota import RESERVE_VM_WEIGHT, Quotas, UsageReport
 
-__all__ = ('Exchange', 'find_bound', 'find_most')
+__all__ = ('SimulatedFleet', 'compute_window_bound', 'compute_max_admitted')
 
 STEP = 0.01
 WINDOW = 5.0
@@ -23,12 +23,12 @@
 SLACK = 20
 
 
-def find_bound(team):
+def compute_window_bound(team):
     """Return the requests of a window that the platform's pages allow."""
     return (team.rate * WINDOW + team.burst) * (1 + OVERAGE) + SLACK
 
 
-def find_most(admitted):
+def compute_max_admitted(admitted):
     """Return the most admissions in any window, of their times in order."""
     most = start = 0
     for end, at in enumerate(admitted):
@@ -38,7 +38,7 @@
     return most
 
 
-class Vm:
+class SimulatedVm:
     """One VM: what it knows of the others, and its part of the limits."""
 
     def __init__(self, *, member, zones, now, send):
@@ -75,19 +75,21 @@
     def beat(self, team, now):
         self.now = now
         self.beat_at = now + find_beat_seconds(now - self.began_at)
-        self.usage = self.quotas.measure(now)
+        self.usage = self.quotas.collect_usage(now)
         heartbeat = self.make_heartbeat()
         self.send(Message(heartbeat), self.list_near_ips())
         self.speaker.beat(heartbeat)
-        self.divide(team, now)
+        self.refill(team, now)
 
-    def divide(self, team, now):
+    def refill(self, team, now):
         zone = (self.member, *self.members.list_local(now))
         near = {found.vm for found in pick_serving(zone)}
         is_serving = self.member.vm in near
-        self.quotas.divide(
+        self.quotas.refill(
             [team],
-            Told(self.usage, vms=1.0 if is_serving else RESERVE_VMS),
+            UsageReport(
+                self.usage, vms=1.0 if is_serving else RESERVE_VM_WEIGHT
+            ),
             [
                 *self.members.list_local_usage_reports(now, near),
                 *self.members.list_remote_usage_reports(now),
@@ -139,7 +141,7 @@
     is_relayed: bool = False
 
 
-class Exchange:
+class SimulatedFleet:
     """VMs of several zones, a team's callers, and VMs that are killed."""
 
     def __init__(self, *, zones, vms, team, find_rate, seed):
@@ -175,7 +177,7 @@
             vm.beat_at = self.draw.uniform(0, HEARTBEAT_SECONDS)
 
     def start(self, member, now):
-        vm = Vm(
+        vm = SimulatedVm(
             member=member,
             zones=self.zones,
             now=now,
@@ -210,9 +212,9 @@
             if member.ip not in ips:
                 continue
             vm = self.start(member, self.now)
-            vm.quotas.divide(
+            vm.quotas.refill(
                 [self.team],
-                Told({}),
+                UsageReport({}),
                 [
                     *vm.members.list_local_usage_reports(self.now, set()),
                     *vm.members.list_remote_usage_reports(self.now),
@@ -261,11 +263,11 @@
         running = [vm for vm in named if vm.member.ip not in self.paused]
         return running or named
 
-    def find_most(self):
+    def compute_max_admitted(self):
         """Return the most admissions in any window."""
-        return find_most(self.admitted)
+        return compute_max_admitted(self.admitted)
 
-    def find_refused(self, since):
+    def compute_refused_fraction(self, since):
         """Return the share of requests that were refused since a time."""
         asked = sum(at >= since for at in self.asked)
         return 1 - sum(at >= since for at in self.admitted) / asked
--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -22,7 +22,7 @@
     pick_serving,
     pick_delegates,
 )
-from toucanhall.limits.quota import Told, Usage, make_unheard
+from toucanhall.limits.quota import UsageReport, Usage, make_missing_report
 
 
 def test_silent_vm_is_not_alive_but_remembered():
@@ -32,7 +32,7 @@
     late = 1.5 + HEARTBEAT_TIMEOUT_SECONDS + 0.1
     assert members.list_alive(late) == []
     told = members.list_local_usage_reports(late, {'vm-1'})
-    assert [found.is_late for found in told] == [True]
+    assert [found.is_stale for found in told] == [True]
     assert members.receive(make_heartbeat('vm-1'), late)
 
 
@@ -86,39 +86,41 @@
 
 def test_zone_that_told_nothing_lately_counts_as_late():
     members = make_members()
-    told = (Told({'guides': Usage(3, 1.0)}, vms=4.0),)
+    told = (UsageReport({'guides': Usage(3, 1.0)}, vms=4.0),)
     members.receive_report(make_report(usage_reports=told), 1.0)
     assert members.list_remote_usage_reports(
         1.0 + REPORT_STALE_SECONDS
     ) == list(told)
     (late,) = members.list_remote_usage_reports(1.1 + REPORT_STALE_SECONDS)
-    assert late.is_late
+    assert late.is_stale
     assert late.usage == told[0].usage
 
 
 def test_speaker_that_has_just_started_does_not_hide_its_zone():
     members = make_members()
     many = tuple(make_member(f'vm-{index}') for index in range(4))
-    told = Told({'guides': Usage(8, 4.0)}, vms=4.0)
+    told = UsageReport({'guides': Usage(8, 4.0)}, vms=4.0)
     members.receive_report(
         make_report('vm-0', members=many, usage_reports=(told,)), 1.0
     )
-    members.receive_report(make_report('vm-9', usage_reports=(Told({}),)), 1.2)
+    members.receive_report(
+        make_report('vm-9', usage_reports=(UsageReport({}),)), 1.2
+    )
     assert members.list_remote_usage_reports(1.3) == [told]
 
 
 def test_told_requests_are_added_up_apart_for_late_vms():
     total = sum_usage_reports(
         (
-            Told({'a': Usage(1, 0.5), 'b': Usage(2, 1.0)}),
-            Told({'a': Usage(4, 2.0)}, vms=0.1),
-            Told({'a': Usage(7, 3.0)}, is_late=True),
+            UsageReport({'a': Usage(1, 0.5), 'b': Usage(2, 1.0)}),
+            UsageReport({'a': Usage(4, 2.0)}, vms=0.1),
+            UsageReport({'a': Usage(7, 3.0)}, is_stale=True),
         ),
     )
     present, late = total
     assert present.usage == {'a': Usage(5, 2.5), 'b': Usage(2, 1.0)}
     assert present.vms == pytest.approx(1.1)
-    assert late == Told({'a': Usage(7, 3.0)}, is_late=True)
+    assert late == UsageReport({'a': Usage(7, 3.0)}, is_stale=True)
 
 
 def test_vms_that_are_not_listed_are_forgotten_elsewhere():
@@ -188,15 +190,15 @@
     members.add_known_vm(VmContact('vm-2', 'east-a', '127.0.0.2'))
     assert (
         members.list_remote_usage_reports(1.0)
-        == [make_unheard(MIN_SERVING_VMS)] * 2
+        == [make_missing_report(MIN_SERVING_VMS)] * 2
     )
     assert members.list_local_usage_reports(1.0, {'vm-own'}) == [
-        make_unheard(1)
+        make_missing_report(1)
     ]
     members.receive_report(make_report(), 1.0)
     members.receive(make_heartbeat('vm-2'), 1.0)
     assert members.list_remote_usage_reports(1.5) == [
-        make_unheard(MIN_SERVING_VMS)
+        make_missing_report(MIN_SERVING_VMS)
     ]
     assert not any(
         told.usage is None
@@ -210,7 +212,7 @@
     assert len(members.list_remote_usage_reports(1.0)) == 2
     members.apply_listing([VmContact('vm-9', 'west-a', '127.0.0.9')])
     assert members.list_remote_usage_reports(2.5) == [
-        make_unheard(MIN_SERVING_VMS)
+        make_missing_report(MIN_SERVING_VMS)
     ]
 
 
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from standins.site.documents import make_configuration, make_target_entry
-from tests.exchange import Vm
+from tests.exchange import SimulatedVm
 from tests.fleetdata import (
     make_bounds,
     make_heartbeat,
@@ -19,9 +19,9 @@
 from toucanhall.edge.admission import admit
 from toucanhall.fleet.gossip import Gossip, Message
 from toucanhall.fleet.model import VmContact
-from toucanhall.limits.quota import Quotas, Told, Usage
-from toucanhall.placement.field import Field, Need
-from toucanhall.placement.order import Place
+from toucanhall.limits.quota import Quotas, UsageReport, Usage
+from toucanhall.placement.field import TargetRegistry, TargetQuery
+from toucanhall.placement.order import Location
 from toucanhall.platform.documents import (
     InvalidDocumentError,
     decode_configuration,
@@ -51,7 +51,10 @@
 REPORT = Message(
     report=make_report(
         members=(make_member('vm-7', zone='west-a'),),
-        usage_reports=(Told(USAGE, vms=2.0), Told(None, is_late=True)),
+        usage_reports=(
+            UsageReport(USAGE, vms=2.0),
+            UsageReport(None, is_stale=True),
+        ),
     ),
 )
 MESSAGES = [
@@ -69,9 +72,9 @@
     quotas = Quotas(bounds=make_bounds(), beat=0.8, now=0.0)
     marks = read_caller_headers(request)
     for now in (0.0, 1.0):
-        quotas.divide(configuration.teams.values(), Told({}), (), now)
+        quotas.refill(configuration.teams.values(), UsageReport({}), (), now)
         admit(request, marks, configuration, quotas, now)
-        quotas.measure(now + 0.5)
+        quotas.collect_usage(now + 0.5)
 
 
 @given(mutate(CONFIGURATION))
@@ -93,9 +96,11 @@
     except InvalidDocumentError:
         return
     assert 0 < target.address.port < 65536
-    field = Field(place=Place('east-a', 'east'), regions={'east-a': 'east'})
-    field.take_targets({'t1': target}, 0.0)
-    need = Need(target.service, 'a', frozenset(), frozenset())
+    field = TargetRegistry(
+        location=Location('east-a', 'east'), regions={'east-a': 'east'}
+    )
+    field.replace_targets({'t1': target}, 0.0)
+    need = TargetQuery(target.service, 'a', frozenset(), frozenset())
     assert len(field.list_candidates(need, 10.0, 2)) <= 1
 
 
@@ -115,7 +120,7 @@
     gossip = Gossip(receive=heard.append, on_error=dropped.append)
     gossip.datagram_received(b'\x00' + encode(document), None)
     assert len(heard) + len(dropped) == 1
-    vm = Vm(
+    vm = SimulatedVm(
         member=make_member('vm-1', zone='east-a'),
         zones=('east-a', 'west-a'),
         now=0.0,
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -14,8 +14,8 @@
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe.metrics import Metrics
-from toucanhall.placement.field import Field
-from toucanhall.placement.order import Place
+from toucanhall.placement.field import TargetRegistry
+from toucanhall.placement.order import Location
 from toucanhall.platform.documents import decode_configuration
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Request, get_header
@@ -30,7 +30,9 @@
     fleet_tables = FleetTables(on_change=lambda _table: None)
     document = make_configuration(rules=RULES)
     fleet_tables.replace_configuration(1, decode_configuration(document))
-    field = Field(place=Place('east-a', 'east'), regions={'east-a': 'east'})
+    field = TargetRegistry(
+        location=Location('east-a', 'east'), regions={'east-a': 'east'}
+    )
     clock = asyncio.get_running_loop().time
     lag = LoopLag()
     for _tick in range(30):
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -68,7 +68,7 @@
         return refusals.make_over_limit(
             team.name,
             wait,
-            quotas.describe(team.name, now),
+            quotas.describe_refusal(team.name, now),
         )
     return _bind(request, marks, configuration, route, team, now)
 
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -8,12 +8,17 @@
 from toucanhall.fleet.model import Environment
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import pick_serving
-from toucanhall.limits.quota import RESERVE_VMS, Quotas, Told, Usage
+from toucanhall.limits.quota import (
+    RESERVE_VM_WEIGHT,
+    Quotas,
+    UsageReport,
+    Usage,
+)
 from toucanhall.limits.retries import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.placement.cold import Group
-from toucanhall.placement.field import Field
+from toucanhall.placement.cold import VmGroup
+from toucanhall.placement.field import TargetRegistry
 
 __all__ = ('Duties',)
 
@@ -26,7 +31,7 @@
         *,
         environment: Environment,
         fleet_tables: FleetTables,
-        field: Field,
+        field: TargetRegistry,
         quotas: Quotas,
         retries: RetryBudget,
         journal: Journal,
@@ -77,13 +82,13 @@
         serving = {name: _pick_names(vms) for name, vms in alive.items()}
         self._take_serving(serving)
         known = members.count_vms_by_zone()
-        self._field.take_vms(
+        self._field.set_vm_groups(
             self._environment.vm,
             {
-                name: Group(
+                name: VmGroup(
                     serving=tuple(sorted(serving[name])),
-                    heard=len(vms),
-                    known=known.get(name, 0),
+                    alive_count=len(vms),
+                    registered_count=known.get(name, 0),
                 )
                 for name, vms in alive.items()
             },
@@ -113,13 +118,13 @@
     ) -> None:
         near = set(serving[self._environment.zone])
         is_serving = self.is_serving
-        self._retries.resize(
+        self._retries.set_vm_count(
             sum(map(len, serving.values())) if is_serving else math.inf,
         )
         configuration = self._fleet_tables.configuration
-        self._quotas.divide(
+        self._quotas.refill(
             configuration.teams.values() if configuration else (),
-            Told(own, vms=1.0 if is_serving else RESERVE_VMS),
+            UsageReport(own, vms=1.0 if is_serving else RESERVE_VM_WEIGHT),
             [
                 *members.list_local_usage_reports(now, near),
                 *members.list_remote_usage_reports(now),
@@ -137,7 +142,7 @@
             )
 
     def _take_targets(self) -> None:
-        self._field.take_targets(self._fleet_tables.targets, self._clock())
+        self._field.replace_targets(self._fleet_tables.targets, self._clock())
         self._journal.write(
             events.TARGETS_CHANGED,
             revision=self._fleet_tables.revisions.targets,
@@ -145,7 +150,7 @@
         )
 
     def _take_evacuations(self) -> None:
-        self._field.take_evacuations(
+        self._field.set_evacuated_zones(
             self._fleet_tables.evacuated_zones,
             self._fleet_tables.configuration,
             self._clock(),
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -185,7 +185,7 @@
         if late > _PAUSE_SECONDS:
             self._journal.write(events.RESUMED, seconds=round(late, 2))
             self.members.discount_pause(late)
-        self.usage = self._quotas.measure(now)
+        self.usage = self._quotas.collect_usage(now)
         heartbeat = self._make_heartbeat()
         self._send(Message(heartbeat=heartbeat), self._list_near_ips())
         self._speaker.beat(heartbeat)
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -16,13 +16,13 @@
 from toucanhall.observe import events
 from toucanhall.placement.choice import (
     URGENT_PRIORITY,
-    WARM_TARGETS,
-    Ask,
+    TARGETS_PER_OBJECT,
+    RequestUrgency,
     Candidate,
-    choose,
+    choose_target,
 )
-from toucanhall.placement.field import Field, Need
-from toucanhall.placement.times import UsualTimes
+from toucanhall.placement.field import TargetRegistry, TargetQuery
+from toucanhall.placement.times import ResponseTimes
 from toucanhall.platform.headers import make_caller_answer, read_caller_headers
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
@@ -49,7 +49,7 @@
         self.unsent = 0
         self.failure: Failure | None = None
 
-    def take(self, failure: Failure) -> None:
+    def record(self, failure: Failure) -> None:
         if failure.was_sent:
             self.sent += 1
         else:
@@ -66,7 +66,7 @@
         self,
         *,
         fleet_tables: FleetTables,
-        field: Field,
+        field: TargetRegistry,
         sender: Sender,
         quotas: Quotas,
         retries: RetryBudget,
@@ -82,7 +82,7 @@
         self._reporter = reporter
         self._lag = lag
         self._loop = asyncio.get_running_loop()
-        self._times = UsualTimes()
+        self._times = ResponseTimes()
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
         self.arrivals = Arrivals(now=self._loop.time())
@@ -147,7 +147,9 @@
             self.in_flight -= 1
 
     async def _run(self, admitted: Admitted) -> Answer:
-        self._retries.earn(admitted.service.name, admitted.received_at)
+        self._retries.record_request(
+            admitted.service.name, admitted.received_at
+        )
         attempts = _Attempts()
         try:
             return await self._attempt_until(
@@ -195,7 +197,7 @@
             outcome = await self._sender.attempt(admitted, candidate)
             if isinstance(outcome, Success):
                 return self._succeed(admitted, candidate, outcome)
-            attempts.take(outcome)
+            attempts.record(outcome)
             self._reporter.fail_attempt(
                 admitted.marks,
                 outcome.reason,
@@ -212,15 +214,15 @@
         attempts: _Attempts,
     ) -> Candidate | None:
         now = self._loop.time()
-        need = Need(
+        need = TargetQuery(
             service=admitted.service.name,
             key=admitted.object_key,
             homes=admitted.homes,
             tried=frozenset(attempts.tried),
         )
-        ask = Ask(
+        ask = RequestUrgency(
             seconds_to_objective=admitted.objective_at - now,
-            usual_seconds=self._times.get(
+            expected_seconds=self._times.get(
                 admitted.route.name,
                 admitted.objective,
             ),
@@ -228,9 +230,9 @@
         )
         rate = admitted.service.cold_per_second
         while True:
-            found = self._field.list_candidates(need, now, WARM_TARGETS)
-            chosen = choose(found, ask, now)
-            if not chosen or self._field.spend(chosen.target, rate, now):
+            found = self._field.list_candidates(need, now, TARGETS_PER_OBJECT)
+            chosen = choose_target(found, ask, now)
+            if not chosen or self._field.try_acquire(chosen.target, rate, now):
                 return chosen
             need = need._replace(tried=need.tried | {chosen.target.id})
 
@@ -251,7 +253,9 @@
             or now + usual / 2 > admitted.deadline
         ):
             return False
-        if not attempts.sent or self._retries.spend(admitted.service.name, now):
+        if not attempts.sent or self._retries.try_acquire(
+            admitted.service.name, now
+        ):
             return True
         self._reporter.refuse_repeat(admitted.marks, admitted.service.name)
         return False
@@ -262,13 +266,13 @@
         candidate: Candidate,
         success: Success,
     ) -> Answer:
-        ratio = self._times.take(
+        ratio = self._times.record(
             admitted.route.name,
             admitted.objective,
             success.seconds,
             success.fill,
         )
-        self._sender.succeed(candidate, ratio)
+        self._sender.record_success(candidate, ratio)
         self._reporter.serve(
             admitted.marks,
             admitted.route.name,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -29,8 +29,8 @@
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.placement.field import Field
-from toucanhall.placement.order import Place
+from toucanhall.placement.field import TargetRegistry
+from toucanhall.placement.order import Location
 from toucanhall.platform import boot
 from toucanhall.platform.entrance import make_readiness_handler
 from toucanhall.platform.entries import VmRegistry
@@ -85,8 +85,10 @@
         self._journal = Journal(vm=environment.vm)
         self._metrics = Metrics()
         self._stopping = asyncio.Event()
-        place = Place(environment.zone, environment.region)
-        self._field = Field(place=place, regions=environment.regions)
+        place = Location(environment.zone, environment.region)
+        self._field = TargetRegistry(
+            location=place, regions=environment.regions
+        )
         self._fleet_tables = FleetTables(on_change=self._take_change)
         self._quotas = Quotas(
             bounds=environment.bounds,
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -10,7 +10,7 @@
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.placement.choice import Candidate
-from toucanhall.placement.field import Field
+from toucanhall.placement.field import TargetRegistry
 from toucanhall.platform.headers import (
     TargetHeaders,
     make_target_request,
@@ -63,7 +63,9 @@
 class Sender:
     """Attempts on pooled connections; notes the health of targets."""
 
-    def __init__(self, *, field: Field, pool: Pool, journal: Journal) -> None:
+    def __init__(
+        self, *, field: TargetRegistry, pool: Pool, journal: Journal
+    ) -> None:
         """Keep loads and health in `field`."""
         self._field = field
         self._pool = pool
@@ -78,7 +80,7 @@
         """Send a request to a target once."""
         target, load = candidate
         started_at = self._loop.time()
-        fill = load.estimate(started_at) / load.slots
+        fill = load.estimate_requests(started_at) / load.slots
         load.in_flight += 1
         try:
             reply = await self._exchange(admitted, target)
@@ -100,9 +102,9 @@
         seconds = self._loop.time() - started_at
         return self._judge(candidate, Success(reply, seconds, fill))
 
-    def succeed(self, candidate: Candidate, ratio: float | None) -> None:
+    def record_success(self, candidate: Candidate, ratio: float | None) -> None:
         """Note an answer; `ratio` is its time over the usual time."""
-        if candidate.load.succeed(ratio):
+        if candidate.load.record_success(ratio):
             self._journal.write(
                 events.TARGET_RESUMED,
                 target=candidate.target.id,
@@ -114,7 +116,7 @@
         connection = await self._pool.take(
             target.address,
             may_repeat=admitted.route.is_idempotent,
-            seconds=_CONNECT_SECONDS[self._field.is_near(target)],
+            seconds=_CONNECT_SECONDS[self._field.is_in_own_region(target)],
         )
         forwarded = make_target_request(
             admitted.request,
@@ -139,7 +141,7 @@
         marks = read_target_headers(reply)
         now = self._loop.time()
         if marks.pending_requests is not None:
-            load.report(marks.pending_requests, now)
+            load.record_reported_load(marks.pending_requests, now)
         if marks.is_not_run:
             return self._take_not_run(candidate, marks, now)
         if marks.is_unproven_refusal:
@@ -163,7 +165,7 @@
     ) -> Failure:
         target, load = candidate
         if marks.is_misdirected:
-            self._field.lose(target.id, now)
+            self._field.suspend(target.id, now)
             return Failure('misdirected', target.id, may_have_run=False)
         load.fill(now)
         return Failure('not-run', target.id, may_have_run=False)
@@ -171,7 +173,7 @@
     def _fail(self, target: Target, *, is_lost: bool, why: str) -> None:
         load = self._field.loads.get(target.id)
         now = self._loop.time()
-        if load is not None and load.fail(now, is_lost=is_lost):
+        if load is not None and load.record_failure(now, is_lost=is_lost):
             self._journal.write(
                 events.TARGET_SUSPENDED,
                 target=target.id,
--- a/toucanhall/edge/speaker.py
+++ b/toucanhall/edge/speaker.py
@@ -8,7 +8,7 @@
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.reports import Member, ZoneReport, sum_usage_reports
 from toucanhall.fleet.selection import pick_serving, pick_delegates
-from toucanhall.limits.quota import Told
+from toucanhall.limits.quota import UsageReport
 
 __all__ = ('Speaker',)
 
@@ -73,7 +73,7 @@
             stamp=(own.started_at, self._beats),
             revisions=own.revisions,
             members=zone,
-            usage_reports=sum_usage_reports([Told(own.usage), *told]),
+            usage_reports=sum_usage_reports([UsageReport(own.usage), *told]),
         )
 
     def _list_listeners(self) -> list[list[str]]:
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -9,7 +9,12 @@
 from toucanhall.fleet.model import VmContact
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.fleet.selection import MIN_SERVING_VMS
-from toucanhall.limits.quota import RESERVE_VMS, Told, Usage, make_unheard
+from toucanhall.limits.quota import (
+    RESERVE_VM_WEIGHT,
+    UsageReport,
+    Usage,
+    make_missing_report,
+)
 
 __all__ = (
     'HEARTBEAT_TIMEOUT_SECONDS',
@@ -218,16 +223,16 @@
 
     def list_local_usage_reports(
         self, now: float, serving: set[str]
-    ) -> list[Told]:
+    ) -> list[UsageReport]:
         """Return what VMs of the own zone told, also those now silent.
 
         After a start, VMs that should take requests and told nothing count.
         """
         told = [
-            Told(
+            UsageReport(
                 peer.heartbeat.usage,
-                is_late=now - peer.received_at > USAGE_STALE_SECONDS,
-                vms=1.0 if vm in serving else RESERVE_VMS,
+                is_stale=now - peer.received_at > USAGE_STALE_SECONDS,
+                vms=1.0 if vm in serving else RESERVE_VM_WEIGHT,
             )
             for vm, peer in self.peers.items()
             if now - peer.received_at <= USAGE_EXPIRY_SECONDS
@@ -239,10 +244,10 @@
         )
         missing = min(unheard, MIN_SERVING_VMS - len(serving))
         if missing > 0 and self._is_new(now):
-            told.append(make_unheard(missing))
+            told.append(make_missing_report(missing))
         return told
 
-    def list_remote_usage_reports(self, now: float) -> list[Told]:
+    def list_remote_usage_reports(self, now: float) -> list[UsageReport]:
         """Return what the other zones told; after a start, also what is due."""
         told = [
             found
@@ -253,7 +258,7 @@
         if self._is_new(now):
             known = self.count_vms_by_zone()
             told += [
-                make_unheard(
+                make_missing_report(
                     min(MIN_SERVING_VMS, known[zone] or MIN_SERVING_VMS)
                 )
                 for zone in unheard
@@ -263,7 +268,7 @@
     def _is_new(self, now: float) -> bool:
         return now - self._started_at < USAGE_EXPIRY_SECONDS
 
-    def _find_zone_told(self, zone: str, now: float) -> Sequence[Told]:
+    def _find_zone_told(self, zone: str, now: float) -> Sequence[UsageReport]:
         recent = self._list_heard(zone, now, REPORT_STALE_SECONDS)
         if recent:
             # A speaker that has just started knows few VMs of its zone.
@@ -272,7 +277,7 @@
         if not last:
             return ()
         found = max(last, key=_get_heard_at).report.usage_reports
-        return [told._replace(is_late=True) for told in found]
+        return [told._replace(is_stale=True) for told in found]
 
     def _list_heard(
         self,
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -5,7 +5,7 @@
 
 from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.model import VmContact
-from toucanhall.limits.quota import Told, add_group
+from toucanhall.limits.quota import UsageReport, add_usage_reports
 
 __all__ = ('Member', 'ZoneReport', 'sum_usage_reports')
 
@@ -46,18 +46,20 @@
     stamp: tuple[int, int]
     revisions: Revisions
     members: tuple[Member, ...]
-    usage_reports: tuple[Told, ...]
+    usage_reports: tuple[UsageReport, ...]
 
 
-def sum_usage_reports(told: Iterable[Told]) -> tuple[Told, ...]:
+def sum_usage_reports(told: Iterable[UsageReport]) -> tuple[UsageReport, ...]:
     """Add up what VMs told: those heard lately, then those that are late."""
-    groups: dict[bool, list[Told]] = {False: [], True: []}
+    groups: dict[bool, list[UsageReport]] = {False: [], True: []}
     for found in told:
-        groups[found.is_late].append(found)
-    return tuple(_round(add_group(group)) for group in groups.values() if group)
+        groups[found.is_stale].append(found)
+    return tuple(
+        _round(add_usage_reports(group)) for group in groups.values() if group
+    )
 
 
-def _round(told: Told) -> Told:
+def _round(told: UsageReport) -> UsageReport:
     usage = {
         team: found._replace(demand=round(found.demand, 2))
         for team, found in (told.usage or {}).items()
