Rename what edge defines, in the whole tree

Fleetmate is PeerExchange, Speaker is ZoneReporter, Duties is StateUpdater, Path is RequestDispatcher, Pool is ConnectionPool.

No change of behaviour.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -5,11 +5,11 @@
 
 from tests.fleetdata import make_bounds, make_member
 from toucanhall.edge.fleetmate import (
-    FIRST_BEAT_SECONDS,
-    HEARTBEAT_SECONDS,
-    find_beat_seconds,
+    FIRST_HEARTBEAT_DELAY_SECONDS,
+    HEARTBEAT_INTERVAL_SECONDS,
+    get_heartbeat_interval_seconds,
 )
-from toucanhall.edge.speaker import Speaker
+from toucanhall.edge.speaker import ZoneReporter
 from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.selection import pick_serving
@@ -46,14 +46,14 @@
         self.started_at = int(now * 1000)
         self.now = now
         self.began_at = now
-        self.beat_at = now + FIRST_BEAT_SECONDS
+        self.beat_at = now + FIRST_HEARTBEAT_DELAY_SECONDS
         self.usage = {}
         self.quotas = Quotas(
-            bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=now
+            bounds=make_bounds(), beat=HEARTBEAT_INTERVAL_SECONDS, now=now
         )
         self.members = Members(own=member.contact, zones=zones, now=now)
         self.send = send
-        self.speaker = Speaker(
+        self.speaker = ZoneReporter(
             members=self.members, send=send, clock=lambda: self.now
         )
 
@@ -74,7 +74,7 @@
 
     def beat(self, team, now):
         self.now = now
-        self.beat_at = now + find_beat_seconds(now - self.began_at)
+        self.beat_at = now + get_heartbeat_interval_seconds(now - self.began_at)
         self.usage = self.quotas.collect_usage(now)
         heartbeat = self.make_heartbeat()
         self.send(Message(heartbeat), self.list_near_ips())
@@ -174,7 +174,7 @@
             for other in self.entries:
                 vm.members.add_known_vm(other.contact)
             vm.members.known_vms.pop(found.vm)
-            vm.beat_at = self.draw.uniform(0, HEARTBEAT_SECONDS)
+            vm.beat_at = self.draw.uniform(0, HEARTBEAT_INTERVAL_SECONDS)
 
     def start(self, member, now):
         vm = SimulatedVm(
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -13,7 +13,7 @@
     make_target_entry,
 )
 from tests.fleetdata import make_member
-from toucanhall.edge.directory import pick_vms
+from toucanhall.edge.directory import pick_nearest_vms
 from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Address
 from toucanhall.platform import boot
@@ -282,16 +282,16 @@
     ),
 )
 def test_directory_names_the_nearest(zone, around, homes, expected):
-    found = pick_vms(VMS, zone, around, frozenset(homes))
+    found = pick_nearest_vms(VMS, zone, around, frozenset(homes))
     assert sorted(member.vm for member in found) == expected
 
 
 def test_zone_that_does_not_keep_up_shares_its_clients():
     late = [VMS[0]._replace(lag=0.3), *VMS[1:]]
-    found = pick_vms(late, 'east-a', EAST, frozenset())
+    found = pick_nearest_vms(late, 'east-a', EAST, frozenset())
     assert [member.vm for member in found] == ['vm-2']
     late[1] = late[1]._replace(lag=0.4)
-    found = pick_vms(late, 'east-a', EAST, frozenset())
+    found = pick_nearest_vms(late, 'east-a', EAST, frozenset())
     assert sorted(member.vm for member in found) == ['vm-1', 'vm-2']
 
 
--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -7,7 +7,7 @@
 from standins.site.documents import make_target_entry
 from standins.site.store import StoreStandin
 from tests.fleetdata import make_environment, make_member, make_store
-from toucanhall.edge.fleetmate import Fleetmate
+from toucanhall.edge.fleetmate import PeerExchange
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Address
 from toucanhall.limits.quota import Quotas
@@ -102,7 +102,7 @@
         errors = []
         loop.set_exception_handler(lambda _loop, found: errors.append(found))
         environment = make_environment()
-        mate = Fleetmate(
+        mate = PeerExchange(
             environment=environment,
             fleet_tables=FleetTables(on_change=lambda _table: None),
             quotas=Quotas(bounds=environment.bounds, beat=0.8, now=loop.time()),
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -6,9 +6,9 @@
 
 from standins.site.documents import HOST, KEY, make_configuration, make_rule
 from tests.fleetdata import make_bounds, make_opening
-from toucanhall.edge.path import Path
-from toucanhall.edge.pool import Pool
-from toucanhall.edge.reporting import Reporter
+from toucanhall.edge.path import RequestDispatcher
+from toucanhall.edge.pool import ConnectionPool
+from toucanhall.edge.reporting import RequestRecorder
 from toucanhall.edge.sending import Sender
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import Quotas
@@ -37,17 +37,19 @@
     lag = LoopLag()
     for _tick in range(30):
         lag.record(late)
-    return Path(
+    return RequestDispatcher(
         fleet_tables=fleet_tables,
         field=field,
         sender=Sender(
             field=field,
-            pool=Pool(clock=clock, settings=make_opening(), most_idle=10),
+            pool=ConnectionPool(
+                clock=clock, settings=make_opening(), max_idle_connections=10
+            ),
             journal=journal,
         ),
         quotas=Quotas(bounds=make_bounds(), beat=0.8, now=0.0),
         retries=RetryBudget(bounds=make_bounds()),
-        reporter=Reporter(
+        recorder=RequestRecorder(
             fleet_tables=fleet_tables,
             journal=journal,
             metrics=Metrics(),
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -7,7 +7,10 @@
 
 from tests.exchange import WINDOW, compute_window_bound, compute_max_admitted
 from tests.fleetdata import make_bounds, make_team
-from toucanhall.edge.fleetmate import FIRST_BEAT_SECONDS, find_beat_seconds
+from toucanhall.edge.fleetmate import (
+    FIRST_HEARTBEAT_DELAY_SECONDS,
+    get_heartbeat_interval_seconds,
+)
 from toucanhall.fleet.membership import USAGE_STALE_SECONDS
 from toucanhall.fleet.membership import REPORT_STALE_SECONDS as REPORT_LATE
 from toucanhall.fleet.reports import sum_usage_reports
@@ -67,7 +70,7 @@
         now = self.now
         beats = [now + draw.uniform(0, BEAT) for _vm in self.vms]
         if self.started_at is not None:
-            beats = [now + FIRST_BEAT_SECONDS for _vm in self.vms]
+            beats = [now + FIRST_HEARTBEAT_DELAY_SECONDS for _vm in self.vms]
             for index, vm in enumerate(self.vms):
                 self.refill(index, vm, {}, now)
         while now < seconds:
@@ -92,7 +95,7 @@
     def find_beat(self, now):
         if self.started_at is None:
             return BEAT
-        return find_beat_seconds(now - self.started_at)
+        return get_heartbeat_interval_seconds(now - self.started_at)
 
     def refill(self, index, vm, told, now):
         zone = index // self.per_zone
--- a/tests/unit/test_speaker.py
+++ b/tests/unit/test_speaker.py
@@ -8,7 +8,7 @@
     make_members,
     make_report,
 )
-from toucanhall.edge.speaker import Speaker
+from toucanhall.edge.speaker import ZoneReporter
 from toucanhall.fleet.membership import REPORT_EXPIRY_SECONDS
 from toucanhall.fleet.model import VmContact
 from toucanhall.limits.quota import Usage
@@ -27,7 +27,7 @@
         self.sent = []
         self.members = make_members()
         self.members.receive_report(make_report(members=FAR), 0.0)
-        self.speaker = Speaker(
+        self.speaker = ZoneReporter(
             members=self.members,
             send=lambda message, ips: self.sent.append((message, tuple(ips))),
             clock=lambda: self.now,
@@ -71,7 +71,7 @@
 def test_zone_of_which_nothing_is_heard_is_tried_at_any_of_its_vms(exchange):
     exchange.members.add_known_vm(VmContact('far-9', 'kzn-a', '127.0.2.9'))
     exchange.now = REPORT_EXPIRY_SECONDS + 1
-    exchange.speaker.tell(make_heartbeat('vm-1'))
+    exchange.speaker.broadcast_revisions(make_heartbeat('vm-1'))
     reached = {ip for _message, ips in exchange.sent for ip in ips}
     assert '127.0.2.9' in reached
     assert len(reached & {found.ip for found in FAR}) == 2
@@ -79,7 +79,7 @@
 
 def test_news_carries_no_usage(exchange):
     usage = {'guides': Usage(3, 1.5)}
-    exchange.speaker.tell(make_heartbeat('vm-1', usage=usage))
+    exchange.speaker.broadcast_revisions(make_heartbeat('vm-1', usage=usage))
     ((message, ips),) = exchange.sent
     assert not message.heartbeat.usage
     assert ips == ('127.0.1.0', '127.0.1.1')
--- a/tests/unit/test_tables.py
+++ b/tests/unit/test_tables.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.fleetdata import make_opening, make_target
-from toucanhall.edge.fleetmate import Source
+from toucanhall.edge.fleetmate import RevisionSource
 from toucanhall.edge.tables import TableExchange
 from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.observe.journal import Journal
@@ -28,7 +28,7 @@
     """A VM that has the tables; it answers, breaks off or stays silent."""
 
     def __init__(self, *, number: int, zone: str, how: str = 'answers'):
-        self.source = Source(
+        self.source = RevisionSource(
             f'vm-{number}', zone, f'127.64.204.{number}', is_relayed=False
         )
         self.how = how
@@ -71,7 +71,7 @@
         regions=REGIONS,
         port=PORT,
         settings=make_opening(),
-        on_taken=lambda _source: None,
+        on_applied=lambda _source: None,
     )
 
 
@@ -83,7 +83,7 @@
         fleet_tables = FleetTables(on_change=lambda _table: None)
         tables = make_tables('east-a', fleet_tables)
         for peer in peers:
-            tables.compare(peer.source, NEWER)
+            tables.fetch_if_newer(peer.source, NEWER)
         await asyncio.sleep(seconds)
         for server in servers:
             server.close()
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -12,13 +12,13 @@
 from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Request
 
-__all__ = ('Admitted', 'admit')
+__all__ = ('AdmittedRequest', 'admit')
 
 _DEFAULT_OBJECTIVE: Final = 1.0  # seconds, of routes that name none
 _DEFAULT_PATIENCE: Final = 10.0  # seconds, of callers that name none
 
 
-class Admitted(NamedTuple):
+class AdmittedRequest(NamedTuple):
     """A request that may be sent to a target; times of the loop's clock.
 
     `homes` are the regions that may serve it, none of them for all.
@@ -52,7 +52,7 @@
     configuration: Configuration | None,
     quotas: Quotas,
     now: float,
-) -> Admitted | Refusal:
+) -> AdmittedRequest | Refusal:
     """Admit a request, or tell why not."""
     if configuration is None:
         return refusals.NO_CONFIGURATION
@@ -65,7 +65,7 @@
         return refusals.UNKNOWN_KEY
     wait = quotas.admit(team, now) if team else 0.0
     if team and wait:
-        return refusals.make_over_limit(
+        return refusals.make_over_quota(
             team.name,
             wait,
             quotas.describe_refusal(team.name, now),
@@ -80,13 +80,13 @@
     route: Route,
     team: Team | None,
     now: float,
-) -> Admitted | Refusal:
+) -> AdmittedRequest | Refusal:
     homes = _join_homes(route, team)
     service = configuration.services.get(_pick_part(route))
     if homes is None or service is None:
         return refusals.NO_TARGET
     patience = marks.remaining_seconds or _DEFAULT_PATIENCE
-    return Admitted(
+    return AdmittedRequest(
         request=request,
         marks=marks,
         route=route,
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -15,12 +15,12 @@
 )
 from toucanhall.web.messages import Answer, Request, make_answer
 
-__all__ = ('Directory', 'pick_vms')
+__all__ = ('Directory', 'pick_nearest_vms')
 
 _MOST_VMS: Final = 64
 
 
-def pick_vms(
+def pick_nearest_vms(
     vms: Sequence[Member],
     zone: str,
     around: frozenset[str],
@@ -83,7 +83,7 @@
         vms += self._list_far()
         if own.is_ready or not vms:
             vms.append(own._replace(is_ready=True))
-        picked = pick_vms(
+        picked = pick_nearest_vms(
             vms,
             question.zone,
             self._list_zones({question.region}),
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -20,10 +20,10 @@
 from toucanhall.placement.cold import VmGroup
 from toucanhall.placement.field import TargetRegistry
 
-__all__ = ('Duties',)
+__all__ = ('StateUpdater',)
 
 
-class Duties:
+class StateUpdater:
     """Brings targets, limits and the watch of the store up to date."""
 
     def __init__(
@@ -58,11 +58,11 @@
         near = self._serving.get(self._environment.zone, [])
         return self._environment.vm in near
 
-    def take_change(self, table: str) -> None:
+    def apply_table_change(self, table: str) -> None:
         """Act on a changed table."""
         self._changes[table]()
 
-    def take_beat(
+    def update_from_reports(
         self,
         members: Members,
         zone: Sequence[Member],
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from toucanhall.edge.speaker import Speaker
+from toucanhall.edge.speaker import ZoneReporter
 from toucanhall.fleet.gossip import Gossip, Message, open_gossip
 from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
@@ -16,17 +16,17 @@
 from toucanhall.observe.journal import Journal
 
 __all__ = (
-    'FIRST_BEAT_SECONDS',
-    'HEARTBEAT_SECONDS',
-    'Fleetmate',
-    'Source',
-    'find_beat_seconds',
+    'FIRST_HEARTBEAT_DELAY_SECONDS',
+    'HEARTBEAT_INTERVAL_SECONDS',
+    'PeerExchange',
+    'RevisionSource',
+    'get_heartbeat_interval_seconds',
 )
 
 # Two of three heartbeats may be lost before others look for a new watcher.
-HEARTBEAT_SECONDS: Final = 0.8
+HEARTBEAT_INTERVAL_SECONDS: Final = 0.8
 # By then the seeds have introduced all VMs, over two times between regions.
-FIRST_BEAT_SECONDS: Final = 0.2
+FIRST_HEARTBEAT_DELAY_SECONDS: Final = 0.2
 # A VM that has just started knows little of what others spent: it tells and
 # hears more often until the first window's reports have gone round twice.
 _EARLY_BEAT_SECONDS: Final = 0.2
@@ -34,12 +34,16 @@
 _PAUSE_SECONDS: Final = 1.0  # a timer that is this late: the VM stood still
 
 
-def find_beat_seconds(age: float) -> float:
+def get_heartbeat_interval_seconds(age: float) -> float:
     """Return the time to the next beat of a VM that started so long ago."""
-    return _EARLY_BEAT_SECONDS if age < _EARLY_SECONDS else HEARTBEAT_SECONDS
+    return (
+        _EARLY_BEAT_SECONDS
+        if age < _EARLY_SECONDS
+        else HEARTBEAT_INTERVAL_SECONDS
+    )
 
 
-class Source(NamedTuple):
+class RevisionSource(NamedTuple):
     """A VM that told which tables it has, maybe through one of the zone."""
 
     vm: str
@@ -48,7 +52,7 @@
     is_relayed: bool
 
 
-class Fleetmate:
+class PeerExchange:
     """This VM among the others."""
 
     def __init__(
@@ -59,7 +63,7 @@
         quotas: Quotas,
         journal: Journal,
         find_self: Callable[[], Member],
-        on_heard: Callable[[Source, Revisions], None],
+        on_heard: Callable[[RevisionSource, Revisions], None],
         on_beat: Callable[[], None],
     ) -> None:
         """Tell others what this VM knows; call `on_beat` with each beat."""
@@ -76,14 +80,14 @@
         self._lost: set[str] = set()
         self._began_at = self._loop.time()
         self._beat_at = self._began_at
-        self._beat_seconds = FIRST_BEAT_SECONDS
+        self._beat_seconds = FIRST_HEARTBEAT_DELAY_SECONDS
         self.usage: dict[str, Usage] = {}
         self.members = Members(
             own=VmContact(environment.vm, environment.zone, environment.ip),
             zones=environment.regions,
             now=self._loop.time(),
         )
-        self._speaker = Speaker(
+        self._speaker = ZoneReporter(
             members=self.members,
             send=self._send,
             clock=self._loop.time,
@@ -105,9 +109,9 @@
         asking = self._make_heartbeat()._replace(is_requesting_vms=True)
         self._send(Message(heartbeat=asking), seeds)
         self._beat_at = self._loop.time()
-        self._loop.call_later(FIRST_BEAT_SECONDS, self._beat)
+        self._loop.call_later(FIRST_HEARTBEAT_DELAY_SECONDS, self._beat)
 
-    def meet(self, introductions: Iterable[VmContact]) -> None:
+    def add_vms(self, introductions: Iterable[VmContact]) -> None:
         """Greet VMs of the own zone that were not known."""
         own = self._environment.vm
         new = [
@@ -119,15 +123,15 @@
             found.ip for found in new if found.zone == self._environment.zone
         )
 
-    def tell(self, *, is_first: bool) -> None:
+    def broadcast_revisions(self, *, is_for_all_zones: bool) -> None:
         """Tell the own zone which tables this VM has.
 
         The first one of a zone to know of them tells the other zones too:
         the VM that watches the store for one may be cut off.
         """
         self._greet(self._list_near_ips())
-        if is_first:
-            self._speaker.tell(self._make_heartbeat())
+        if is_for_all_zones:
+            self._speaker.broadcast_revisions(self._make_heartbeat())
 
     def list_zone(self) -> list[Member]:
         """Return the VMs of the own zone that are alive, this one first."""
@@ -144,8 +148,8 @@
             self._hear_near(heartbeat)
         if heartbeat.is_requesting_vms:
             self._introduce_all(heartbeat)
-        self.meet(heartbeat.known_vms)
-        source = Source(*heartbeat.member.contact, is_relayed=False)
+        self.add_vms(heartbeat.known_vms)
+        source = RevisionSource(*heartbeat.member.contact, is_relayed=False)
         self._on_heard(source, heartbeat.revisions)
 
     def _hear_near(self, heartbeat: Heartbeat) -> None:
@@ -166,21 +170,25 @@
                 Message(report=report, is_relayed=True),
                 self._list_near_ips(),
             )
-        source = Source(report.delegate, report.zone, report.ip, is_relayed)
+        source = RevisionSource(
+            report.delegate, report.zone, report.ip, is_relayed
+        )
         self._on_heard(source, report.revisions)
 
     def _introduce_all(self, asking: Heartbeat) -> None:
         known = tuple(self.members.known_vms.values())
         answer = self._make_heartbeat()._replace(known_vms=known)
         self._send(Message(heartbeat=answer), (asking.member.ip,))
-        self.meet((asking.member.contact,))
+        self.add_vms((asking.member.contact,))
 
     def _beat(self) -> None:
         now = self._loop.time()
         late = now - self._beat_at - self._beat_seconds
         self._beat_at = now
         # An error in what follows must not end the heartbeats.
-        self._beat_seconds = find_beat_seconds(now - self._began_at)
+        self._beat_seconds = get_heartbeat_interval_seconds(
+            now - self._began_at
+        )
         self._loop.call_later(self._beat_seconds, self._beat)
         if late > _PAUSE_SECONDS:
             self._journal.write(events.RESUMED, seconds=round(late, 2))
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -5,10 +5,10 @@
 from typing import Final
 
 from toucanhall.edge import refusals
-from toucanhall.edge.admission import Admitted, admit
-from toucanhall.edge.arrivals import Arrivals
+from toucanhall.edge.admission import AdmittedRequest, admit
+from toucanhall.edge.arrivals import RequestRate
 from toucanhall.edge.refusals import Refusal
-from toucanhall.edge.reporting import Reporter
+from toucanhall.edge.reporting import RequestRecorder
 from toucanhall.edge.sending import Failure, Sender, Success
 from toucanhall.fleet.tables import FleetTables, find_route
 from toucanhall.limits.quota import Quotas
@@ -27,7 +27,7 @@
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
 
-__all__ = ('Path',)
+__all__ = ('RequestDispatcher',)
 
 # Requests that waited for longer in this VM are refused, the less urgent ones
 # sooner: a caller gives up on a VM that reads nothing for a second.
@@ -59,7 +59,7 @@
             self.failure = failure
 
 
-class Path:
+class RequestDispatcher:
     """Serves requests of callers by targets."""
 
     def __init__(
@@ -70,7 +70,7 @@
         sender: Sender,
         quotas: Quotas,
         retries: RetryBudget,
-        reporter: Reporter,
+        recorder: RequestRecorder,
         lag: LoopLag,
     ) -> None:
         """Decide by what the VM knows; send on pooled connections."""
@@ -79,13 +79,13 @@
         self._sender = sender
         self._quotas = quotas
         self._retries = retries
-        self._reporter = reporter
+        self._reporter = recorder
         self._lag = lag
         self._loop = asyncio.get_running_loop()
         self._times = ResponseTimes()
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
-        self.arrivals = Arrivals(now=self._loop.time())
+        self.request_rate = RequestRate(now=self._loop.time())
         self.in_flight = 0
 
     def stop(self, ends_at: float) -> None:
@@ -107,7 +107,7 @@
 
     async def serve(self, request: Request) -> Answer:
         """Return the final answer to a request."""
-        self.arrivals.add()
+        self.request_rate.add()
         marks = read_caller_headers(request)
         admitted = admit(
             request,
@@ -117,24 +117,24 @@
             self._loop.time(),
         )
         if isinstance(admitted, Refusal):
-            return self._reporter.refuse(marks, admitted)
+            return self._reporter.record_refusal(marks, admitted)
         if self._lag.seconds > _find_most_lag(admitted.priority):
-            return self._reporter.refuse(
+            return self._reporter.record_refusal(
                 marks,
-                refusals.OVERLOADED,
+                refusals.VM_OVERLOADED,
                 lag=round(self._lag.seconds, 3),
             )
         if not self._may_end(admitted):
-            return self._reporter.refuse(
+            return self._reporter.record_refusal(
                 marks,
-                refusals.STOPPING,
+                refusals.VM_STOPPING,
                 seconds_left=round(self._ends_at - self._loop.time(), 3),
             )
         self.in_flight += 1
         try:
             return await self._run(admitted)
         except asyncio.CancelledError:
-            self._reporter.leave(marks, admitted.route.name)
+            self._reporter.record_caller_left(marks, admitted.route.name)
             raise
         except Exception as error:  # noqa: BLE001
             self._reporter.write(
@@ -142,11 +142,11 @@
                 marks,
                 why=repr(error),
             )
-            return self._reporter.refuse(marks, refusals.CRASHED)
+            return self._reporter.record_refusal(marks, refusals.INTERNAL_ERROR)
         finally:
             self.in_flight -= 1
 
-    async def _run(self, admitted: Admitted) -> Answer:
+    async def _run(self, admitted: AdmittedRequest) -> Answer:
         self._retries.record_request(
             admitted.service.name, admitted.received_at
         )
@@ -158,7 +158,7 @@
                 attempts,
             )
         except TimeoutError:
-            return self._reporter.refuse(
+            return self._reporter.record_refusal(
                 admitted.marks,
                 refusals.TIMED_OUT,
                 route=admitted.route.name,
@@ -168,7 +168,7 @@
     async def _attempt_until(
         self,
         until: float,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Answer:
         async with asyncio.timeout_at(until) as timeout:
@@ -178,7 +178,7 @@
             finally:
                 self._timeouts.discard(timeout)
 
-    def _may_end(self, admitted: Admitted) -> bool:
+    def _may_end(self, admitted: AdmittedRequest) -> bool:
         """Whether a request may be answered before this VM ends."""
         usual = self._times.get(admitted.route.name, admitted.objective)
         needed = min(admitted.deadline, admitted.received_at + usual * _SPREAD)
@@ -186,7 +186,7 @@
 
     async def _attempt_all(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Answer:
         while True:
@@ -198,7 +198,7 @@
             if isinstance(outcome, Success):
                 return self._succeed(admitted, candidate, outcome)
             attempts.record(outcome)
-            self._reporter.fail_attempt(
+            self._reporter.record_failed_attempt(
                 admitted.marks,
                 outcome.reason,
                 target=outcome.target,
@@ -210,7 +210,7 @@
 
     def _choose(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Candidate | None:
         now = self._loop.time()
@@ -238,7 +238,7 @@
 
     def _may_repeat(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
         failure: Failure,
     ) -> bool:
@@ -257,12 +257,14 @@
             admitted.service.name, now
         ):
             return True
-        self._reporter.refuse_repeat(admitted.marks, admitted.service.name)
+        self._reporter.record_refused_retry(
+            admitted.marks, admitted.service.name
+        )
         return False
 
     def _succeed(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         candidate: Candidate,
         success: Success,
     ) -> Answer:
@@ -282,12 +284,16 @@
         )
         return make_caller_answer(success.reply)
 
-    def _give_up(self, admitted: Admitted, attempts: _Attempts) -> Answer:
+    def _give_up(
+        self, admitted: AdmittedRequest, attempts: _Attempts
+    ) -> Answer:
         failure = attempts.failure
         if failure is None:
-            return self._reporter.refuse(admitted.marks, refusals.FULL)
+            return self._reporter.record_refusal(
+                admitted.marks, refusals.TARGETS_FULL
+            )
         if failure.reply is not None:
-            self._reporter.pass_on(
+            self._reporter.record_passed_failure(
                 admitted.marks,
                 failure.reason,
                 failure.target,
@@ -295,8 +301,8 @@
             return make_caller_answer(failure.reply)
         refusal = refusals.NOT_RUN
         if failure.may_have_run:
-            refusal = refusals.MAY_HAVE_RUN
-        return self._reporter.refuse(
+            refusal = refusals.ANSWER_LOST
+        return self._reporter.record_refusal(
             admitted.marks,
             refusal,
             why=failure.reason,
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -10,7 +10,7 @@
     open_connection,
 )
 
-__all__ = ('Pool',)
+__all__ = ('ConnectionPool',)
 
 # Targets close idle connections after ten seconds, at times without a word.
 _IDLE_SECONDS: Final = 7.0
@@ -21,7 +21,7 @@
 _KEEP_ALIVE_MARGIN: Final = 1.0  # seconds before the time that a target told
 
 
-class Pool:
+class ConnectionPool:
     """Idle connections by address; the last one used is taken first."""
 
     def __init__(
@@ -29,25 +29,25 @@
         *,
         clock: Callable[[], float],
         settings: ConnectionSettings,
-        most_idle: int,
+        max_idle_connections: int,
     ) -> None:
-        """Read answers within the bounds of `settings`; keep `most_idle`."""
+        """Read answers within the bounds of `settings`; keep `max_idle_connections`."""
         self._clock = clock
-        self._most_idle = most_idle
+        self._most_idle = max_idle_connections
         self._idle_count = 0
         self._opening = settings
         self._idle: dict[Address, list[ServerConnection]] = {}
-        self.opened = 0
+        self.opened_count = 0
 
-    async def take(
+    async def acquire(
         self,
         address: Address,
         *,
-        may_repeat: bool,
+        may_retry: bool,
         seconds: float,
     ) -> ServerConnection:
         """Return a connection that was idle, or one made in some seconds."""
-        longest = _IDLE_SECONDS if may_repeat else _FRESH_SECONDS
+        longest = _IDLE_SECONDS if may_retry else _FRESH_SECONDS
         now = self._clock()
         idle = self._idle.get(address)
         while idle:
@@ -55,19 +55,19 @@
             self._idle_count -= 1
             if self._may_use(connection, now, longest):
                 return connection
-            if connection.is_usable and not may_repeat:
+            if connection.is_usable and not may_retry:
                 idle.append(connection)
                 self._idle_count += 1
                 break
             connection.close()
-        self.opened += 1
+        self.opened_count += 1
         return await open_connection(
             address,
             seconds=seconds,
             settings=self._opening,
         )
 
-    def give_back(self, address: Address, connection: ServerConnection) -> None:
+    def release(self, address: Address, connection: ServerConnection) -> None:
         """Keep a connection whose answer was read whole."""
         idle = self._idle.setdefault(address, [])
         is_full = (
@@ -80,7 +80,7 @@
         idle.append(connection)
         self._idle_count += 1
 
-    def sweep(self) -> None:
+    def close_expired(self) -> None:
         """Close connections that were idle for too long."""
         now = self._clock()
         for address, idle in tuple(self._idle.items()):
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -7,17 +7,17 @@
 from pathlib import Path as FilePath
 from typing import Any, Final
 
-from toucanhall.edge.callers import Callers
+from toucanhall.edge.callers import CallerConnections
 from toucanhall.edge.directory import Directory
-from toucanhall.edge.duties import Duties
+from toucanhall.edge.duties import StateUpdater
 from toucanhall.edge.fleetmate import (
-    HEARTBEAT_SECONDS,
-    Fleetmate,
-    Source,
+    HEARTBEAT_INTERVAL_SECONDS,
+    PeerExchange,
+    RevisionSource,
 )
-from toucanhall.edge.path import Path
-from toucanhall.edge.pool import Pool
-from toucanhall.edge.reporting import Reporter
+from toucanhall.edge.path import RequestDispatcher
+from toucanhall.edge.pool import ConnectionPool
+from toucanhall.edge.reporting import RequestRecorder
 from toucanhall.edge.sending import Sender
 from toucanhall.edge.tables import TableExchange
 from toucanhall.fleet.tables import FleetTables
@@ -92,7 +92,7 @@
         self._fleet_tables = FleetTables(on_change=self._take_change)
         self._quotas = Quotas(
             bounds=environment.bounds,
-            beat=HEARTBEAT_SECONDS,
+            beat=HEARTBEAT_INTERVAL_SECONDS,
             now=self._loop.time(),
         )
         sockets = environment.max_descriptors - _FILES
@@ -100,9 +100,9 @@
         opening = ConnectionSettings(
             compute_answer_bounds(environment.memory), self._held
         )
-        self._pool = Pool(
+        self._pool = ConnectionPool(
             clock=self._loop.time,
-            most_idle=round(sockets * _IDLE_TARGETS_SHARE),
+            max_idle_connections=round(sockets * _IDLE_TARGETS_SHARE),
             settings=opening._replace(id_header=REQUEST_ID_HEADER),
         )
         self._store = Store(
@@ -120,7 +120,7 @@
         self._has_divided = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
-        self._path = Path(
+        self._path = RequestDispatcher(
             lag=self._lag,
             fleet_tables=self._fleet_tables,
             field=self._field,
@@ -131,7 +131,7 @@
             ),
             quotas=self._quotas,
             retries=self._retries,
-            reporter=Reporter(
+            recorder=RequestRecorder(
                 fleet_tables=self._fleet_tables,
                 journal=self._journal,
                 metrics=self._metrics,
@@ -148,8 +148,8 @@
             buffer_budget=self._held,
             max_connections=round(sockets * _CALLERS_SHARE),
         )
-        self._callers = Callers(handler=handler)
-        self._duties = Duties(
+        self._callers = CallerConnections(handler=handler)
+        self._duties = StateUpdater(
             environment=environment,
             fleet_tables=self._fleet_tables,
             field=self._field,
@@ -166,15 +166,15 @@
             regions=environment.regions,
             port=control.port if control else 0,
             settings=opening,
-            on_taken=self._take_snapshot,
+            on_applied=self._take_snapshot,
         )
-        self._mate = Fleetmate(
+        self._mate = PeerExchange(
             environment=environment,
             fleet_tables=self._fleet_tables,
             quotas=self._quotas,
             journal=self._journal,
             find_self=self._find_self,
-            on_heard=self._tables.compare,
+            on_heard=self._tables.fetch_if_newer,
             on_beat=self._take_beat,
         )
         self._directory = Directory(
@@ -212,7 +212,7 @@
         grace = self._environment.bounds.shutdown_grace_seconds
         self._journal.write(events.STOPPING, in_flight=self._path.in_flight)
         self._path.stop(began + grace * _ANSWER_SHARE)
-        self._mate.tell(is_first=False)
+        self._mate.broadcast_revisions(is_for_all_zones=False)
         await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
         await self._callers.close(began + grace * _END_SHARE)
         self._journal.write(events.STOPPED, in_flight=self._path.in_flight)
@@ -227,7 +227,7 @@
         }
         for address, answer in plain.items():
             if address is not None:
-                await self._callers.open_plain(address, answer)
+                await self._callers.open_endpoint(address, answer)
         if listeners.requests is not None:
             await self._callers.open(listeners.requests)
 
@@ -259,7 +259,7 @@
 
     async def _meet_all(self, own: VmContact) -> None:
         await self._follower.read_all()
-        self._mate.meet(await self._entries.register(own))
+        self._mate.add_vms(await self._entries.register(own))
         self._mate.members.mark_listing_complete()
 
     async def _tend_entries(self, own: VmContact) -> None:
@@ -278,7 +278,7 @@
 
     def _meet_listed(self, listed: list[VmContact]) -> None:
         self._mate.members.apply_listing(listed)
-        self._mate.meet(listed)
+        self._mate.add_vms(listed)
 
     def _is_ready(self) -> bool:
         return (
@@ -302,23 +302,23 @@
             is_leaving=self._stopping.is_set(),
             lag=round(self._lag.seconds, 3),
             capacity=environment.capacity,
-            load=round(self._path.arrivals.per_second, 1),
+            load=round(self._path.request_rate.per_second, 1),
         )
 
     def _take_change(self, table: str) -> None:
-        self._duties.take_change(table)
+        self._duties.apply_table_change(table)
         if table == 'configuration' and not self._has_divided:
             # Until then no team has a limit to take from.
             self._divide()
         if self._follower.is_watching:
-            self._mate.tell(is_first=True)
+            self._mate.broadcast_revisions(is_for_all_zones=True)
 
-    def _take_snapshot(self, source: Source) -> None:
+    def _take_snapshot(self, source: RevisionSource) -> None:
         if source.zone != self._environment.zone:
-            self._mate.tell(is_first=False)
+            self._mate.broadcast_revisions(is_for_all_zones=False)
 
     def _take_beat(self) -> None:
-        self._path.arrivals.measure(self._loop.time())
+        self._path.request_rate.measure(self._loop.time())
         zone = self._divide()
         watcher = pick_delegates(zone)[0]
         is_watcher = watcher.vm == self._environment.vm
@@ -330,7 +330,9 @@
     def _divide(self) -> list[Member]:
         self._has_divided = self._fleet_tables.configuration is not None
         zone = self._mate.list_zone()
-        self._duties.take_beat(self._mate.members, zone, self._mate.usage)
+        self._duties.update_from_reports(
+            self._mate.members, zone, self._mate.usage
+        )
         return zone
 
     def _count_call(self, outcome: str, seconds: float) -> None:
@@ -341,9 +343,9 @@
         gauges: dict[str, Callable[[], float]] = {
             'loop_lag_seconds': lambda: self._lag.seconds,
             'requests_in_flight': lambda: self._path.in_flight,
-            'requests_per_second': lambda: self._path.arrivals.per_second,
+            'requests_per_second': lambda: self._path.request_rate.per_second,
             'connections_of_callers': self._callers.count,
-            'connections_to_targets_opened': lambda: self._pool.opened,
+            'connections_to_targets_opened': lambda: self._pool.opened_count,
             'vms_alive': lambda: len(
                 self._mate.members.list_alive(self._loop.time()),
             ),
@@ -381,7 +383,7 @@
 
     def _sweep(self) -> None:
         self._loop.call_later(_SWEEP_SECONDS, self._sweep)
-        self._pool.sweep()
+        self._pool.close_expired()
         self._journal.log_dropped_counts()
         if _read_stamp(self._settings) != self._settings_seen:
             self._reload()
--- a/toucanhall/edge/reporting.py
+++ b/toucanhall/edge/reporting.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from toucanhall.edge.refusals import Refusal, make_refusal
+from toucanhall.edge.refusals import Refusal, make_refusal_answer
 from toucanhall.events import Event
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
@@ -11,13 +11,13 @@
 from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Answer
 
-__all__ = ('Reporter',)
+__all__ = ('RequestRecorder',)
 
 # One line for so many requests that were served; all are in the histogram.
 _SERVED_SAMPLE: Final = 64
 
 
-class Reporter:
+class RequestRecorder:
     """Writes one line for each decision that touches a request."""
 
     def __init__(
@@ -33,7 +33,7 @@
         self._metrics = metrics
         self._served = 0
 
-    def refuse(
+    def record_refusal(
         self,
         marks: CallerHeaders,
         refusal: Refusal,
@@ -55,14 +55,16 @@
             **refusal.inputs,
             **fields,
         )
-        return make_refusal(refusal)
+        return make_refusal_answer(refusal)
 
-    def pass_on(self, marks: CallerHeaders, reason: str, target: str) -> None:
+    def record_passed_failure(
+        self, marks: CallerHeaders, reason: str, target: str
+    ) -> None:
         """Count and write a failure of a target that its caller gets."""
         self._metrics.count('failures_passed_on', reason=reason)
         self.write(events.REQUEST_FAILED, marks, why=reason, target=target)
 
-    def fail_attempt(
+    def record_failed_attempt(
         self,
         marks: CallerHeaders,
         reason: str,
@@ -72,12 +74,12 @@
         self._metrics.count('attempts_failed', reason=reason)
         self.write(events.ATTEMPT_FAILED, marks, why=reason, **fields)
 
-    def refuse_repeat(self, marks: CallerHeaders, service: str) -> None:
+    def record_refused_retry(self, marks: CallerHeaders, service: str) -> None:
         """Count and write a repeat that the budget has no room for."""
         self._metrics.count('repeats_refused', service=service)
         self.write(events.RETRY_REFUSED, marks, service=service)
 
-    def leave(self, marks: CallerHeaders, route: str) -> None:
+    def record_caller_left(self, marks: CallerHeaders, route: str) -> None:
         """Count and write a request whose caller has left."""
         self._metrics.count('callers_left', route=route)
         self.write(events.CALLER_DISCONNECTED, marks)
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -4,8 +4,8 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
-from toucanhall.edge.admission import Admitted
-from toucanhall.edge.pool import Pool
+from toucanhall.edge.admission import AdmittedRequest
+from toucanhall.edge.pool import ConnectionPool
 from toucanhall.fleet.model import Target
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
@@ -64,7 +64,7 @@
     """Attempts on pooled connections; notes the health of targets."""
 
     def __init__(
-        self, *, field: TargetRegistry, pool: Pool, journal: Journal
+        self, *, field: TargetRegistry, pool: ConnectionPool, journal: Journal
     ) -> None:
         """Keep loads and health in `field`."""
         self._field = field
@@ -74,7 +74,7 @@
 
     async def attempt(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         candidate: Candidate,
     ) -> Success | Failure:
         """Send a request to a target once."""
@@ -111,11 +111,11 @@
             )
 
     async def _exchange(
-        self, admitted: Admitted, target: Target
+        self, admitted: AdmittedRequest, target: Target
     ) -> ReceivedAnswer:
-        connection = await self._pool.take(
+        connection = await self._pool.acquire(
             target.address,
-            may_repeat=admitted.route.is_idempotent,
+            may_retry=admitted.route.is_idempotent,
             seconds=_CONNECT_SECONDS[self._field.is_in_own_region(target)],
         )
         forwarded = make_target_request(
@@ -128,7 +128,7 @@
             encode_request(forwarded),
             admitted.marks.request_id,
         )
-        self._pool.give_back(target.address, connection)
+        self._pool.release(target.address, connection)
         return reply
 
     def _judge(
--- a/toucanhall/edge/speaker.py
+++ b/toucanhall/edge/speaker.py
@@ -10,7 +10,7 @@
 from toucanhall.fleet.selection import pick_serving, pick_delegates
 from toucanhall.limits.quota import UsageReport
 
-__all__ = ('Speaker',)
+__all__ = ('ZoneReporter',)
 
 # A speaker reports with each second heartbeat; there are two of them.
 _BEATS_PER_REPORT: Final = 2
@@ -18,7 +18,7 @@
 Send = Callable[[Message, Iterable[str]], None]
 
 
-class Speaker:
+class ZoneReporter:
     """This VM's part in the exchange between zones."""
 
     def __init__(
@@ -52,7 +52,7 @@
             ],
         )
 
-    def tell(self, own: Heartbeat) -> None:
+    def broadcast_revisions(self, own: Heartbeat) -> None:
         """Tell all listeners at once which tables this VM has."""
         news = Message(heartbeat=own._replace(usage={}))
         for listeners in self._list_listeners():
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from toucanhall.edge.fleetmate import Source
+from toucanhall.edge.fleetmate import RevisionSource
 from toucanhall.fleet.tables import FleetTables, Revisions, is_ahead
 from toucanhall.fleet.model import Address, Snapshot
 from toucanhall.fleet.packing import pack, unpack
@@ -54,14 +54,14 @@
         regions: Mapping[str, str],
         port: int,
         settings: ConnectionSettings,
-        on_taken: Callable[[Source], None],
+        on_applied: Callable[[RevisionSource], None],
     ) -> None:
         """Ask VMs at the port at which each answers such questions.
 
-        `regions` maps zones to theirs, `on_taken` gets the VM whose tables were
+        `regions` maps zones to theirs, `on_applied` gets the VM whose tables were
         taken.
         """
-        self._on_taken = on_taken
+        self._on_taken = on_applied
         self._opening = settings
         self._fleet_tables = fleet_tables
         self._journal = journal
@@ -85,7 +85,9 @@
         snapshot = self._fleet_tables.make_snapshot(known, self._loop.time())
         return Answer(200, (), pack(msgspec.msgpack.encode(snapshot)))
 
-    def compare(self, source: Source, revisions: Revisions) -> None:
+    def fetch_if_newer(
+        self, source: RevisionSource, revisions: Revisions
+    ) -> None:
         """Ask a VM for its tables if they are newer."""
         own = self._fleet_tables.revisions
         self._fleet_tables.record_peer_revisions(revisions)
@@ -97,7 +99,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _find_wait(self, source: Source, revisions: Revisions) -> float:
+    def _find_wait(self, source: RevisionSource, revisions: Revisions) -> float:
         own = self._fleet_tables.revisions
         if source.zone == self._zone:
             return 0.0
@@ -114,7 +116,7 @@
 
     async def _pull(
         self,
-        source: Source,
+        source: RevisionSource,
         revisions: Revisions,
         wait: float,
     ) -> None:
@@ -127,13 +129,13 @@
         finally:
             self._asked.discard(source.vm)
 
-    def _start_read(self, source: Source) -> asyncio.Task[None]:
+    def _start_read(self, source: RevisionSource) -> asyncio.Task[None]:
         read = self._loop.create_task(self._take(source))
         self._reads.add(read)
         read.add_done_callback(self._reads.discard)
         return read
 
-    async def _take(self, source: Source) -> None:
+    async def _take(self, source: RevisionSource) -> None:
         try:
             snapshot = await self._read(Address(source.ip, self._port))
         except (OSError, msgspec.MsgspecError, zlib.error) as error:
