--- a/benches/placement.py
+++ b/benches/placement.py
@@ -12,8 +12,8 @@
     RequestUrgency,
     choose_target,
 )
-from toucanhall.placement.field import TargetRegistry, TargetQuery
-from toucanhall.placement.order import Location
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.hash_ring import Location
 
 _SIZES: Final = (36, 468, 3100)
 _REGIONS: Final = 29
--- a/tests/exchange.py
+++ b/tests/simulated_fleet.py
@@ -4,12 +4,12 @@
 from typing import NamedTuple
 
 from tests.fleetdata import make_bounds, make_member
-from toucanhall.edge.fleetmate import (
+from toucanhall.edge.peer_exchange import (
     FIRST_HEARTBEAT_DELAY_SECONDS,
     HEARTBEAT_INTERVAL_SECONDS,
     get_heartbeat_interval_seconds,
 )
-from toucanhall.edge.speaker import ZoneReporter
+from toucanhall.edge.zone_reporter import ZoneReporter
 from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.selection import pick_serving
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -16,13 +16,13 @@
 from toucanhall.edge.directory import pick_nearest_vms
 from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Address
-from toucanhall.platform import boot
+from toucanhall.platform import settings_file
 from toucanhall.platform.documents import (
     InvalidDocumentError,
     decode_configuration,
     decode_target,
 )
-from toucanhall.platform.entrance import (
+from toucanhall.platform.endpoints import (
     read_directory_query,
     make_directory_answer,
 )
@@ -143,7 +143,9 @@
 
 
 def test_settings_are_read(tmp_path):
-    found = boot.load_settings(write_settings(tmp_path, unknown_field=1))
+    found = settings_file.load_settings(
+        write_settings(tmp_path, unknown_field=1)
+    )
     assert found.vm == 'vm-1'
     assert found.region == 'east'
     assert found.listeners.requests == Address('127.0.0.1', 8388)
@@ -161,13 +163,13 @@
 )
 def test_wrong_settings_are_told(tmp_path, fields, told):
     path = write_settings(tmp_path, **fields)
-    with pytest.raises(boot.SettingsError, match=told):
-        boot.load_settings(path)
+    with pytest.raises(settings_file.SettingsError, match=told):
+        settings_file.load_settings(path)
 
 
 def test_missing_settings_are_told(tmp_path):
-    with pytest.raises(boot.SettingsError, match='No such file'):
-        boot.load_settings(tmp_path / 'none.yaml')
+    with pytest.raises(settings_file.SettingsError, match='No such file'):
+        settings_file.load_settings(tmp_path / 'none.yaml')
 
 
 def make_request(*headers):
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -5,7 +5,7 @@
 from standins.site.store import StoreStandin
 from tests.fleetdata import make_store
 from toucanhall.fleet.model import Address, VmContact
-from toucanhall.platform.entries import VmRegistry
+from toucanhall.platform.vm_registry import VmRegistry
 
 ADDRESS = Address('127.64.200.1', 8382)
 OWN = VmContact('vm-1', 'east-a', '127.64.1.1')
--- a/tests/unit/test_following.py
+++ b/tests/unit/test_following.py
@@ -7,7 +7,7 @@
 from toucanhall.fleet.tables import REREGISTRATION_SECONDS, FleetTables
 from tests.fleetdata import make_store
 from toucanhall.fleet.model import Address
-from toucanhall.platform.following import StoreWatch
+from toucanhall.platform.store_watch import StoreWatch
 
 ADDRESS = Address('127.64.202.1', 8384)
 LAPSE_AFTER = 3.0  # seconds, two heartbeats of a target
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from standins.site.documents import make_configuration, make_target_entry
-from tests.exchange import SimulatedVm
+from tests.simulated_fleet import SimulatedVm
 from tests.fleetdata import (
     make_bounds,
     make_heartbeat,
@@ -20,8 +20,8 @@
 from toucanhall.fleet.gossip import Gossip, Message
 from toucanhall.fleet.model import VmContact
 from toucanhall.limits.quota import Quotas, UsageReport, Usage
-from toucanhall.placement.field import TargetRegistry, TargetQuery
-from toucanhall.placement.order import Location
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.hash_ring import Location
 from toucanhall.platform.documents import (
     InvalidDocumentError,
     decode_configuration,
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -3,14 +3,14 @@
 import pytest
 
 from tests.fleetdata import make_target
-from tests.replays import Pattern, replay
+from tests.placement_replay import Pattern, replay
 from toucanhall.fleet.model import Configuration, Service
 from toucanhall.placement import choice
 from toucanhall.placement.choice import RequestUrgency, Candidate, choose_target
-from toucanhall.placement.field import TargetRegistry, TargetQuery
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.cold import VmGroup
-from toucanhall.placement.order import (
+from toucanhall.placement.cold_targets import VmGroup
+from toucanhall.placement.hash_ring import (
     MAX_EXAMINED_TARGETS,
     Location,
     HashRing,
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -5,9 +5,13 @@
 
 import pytest
 
-from tests.exchange import WINDOW, compute_window_bound, compute_max_admitted
+from tests.simulated_fleet import (
+    WINDOW,
+    compute_window_bound,
+    compute_max_admitted,
+)
 from tests.fleetdata import make_bounds, make_team
-from toucanhall.edge.fleetmate import (
+from toucanhall.edge.peer_exchange import (
     FIRST_HEARTBEAT_DELAY_SECONDS,
     get_heartbeat_interval_seconds,
 )
@@ -24,7 +28,7 @@
 )
 from toucanhall.limits.quota import _divide as divide_limit
 from toucanhall.limits.quota import _Report as Report
-from toucanhall.limits.retries import ServiceRetryBudget
+from toucanhall.limits.retry_budget import ServiceRetryBudget
 
 BEAT = 0.8
 
--- a/tests/unit/test_quota_starts.py
+++ b/tests/unit/test_quota_starts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.exchange import SimulatedFleet, compute_window_bound
+from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 from tests.fleetdata import make_team
 
 HOT_AT = 8.0
--- a/tests/unit/test_quota_storms.py
+++ b/tests/unit/test_quota_storms.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-from tests.exchange import SimulatedFleet, compute_window_bound
+from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 from tests.fleetdata import make_team
 
 SEEDS = range(30)
--- a/tests/unit/test_speaker.py
+++ b/tests/unit/test_speaker.py
@@ -8,7 +8,7 @@
     make_members,
     make_report,
 )
-from toucanhall.edge.speaker import ZoneReporter
+from toucanhall.edge.zone_reporter import ZoneReporter
 from toucanhall.fleet.membership import REPORT_EXPIRY_SECONDS
 from toucanhall.fleet.model import VmContact
 from toucanhall.limits.quota import Usage
--- a/tests/unit/test_tables.py
+++ b/tests/unit/test_tables.py
@@ -7,8 +7,8 @@
 import pytest
 
 from tests.fleetdata import make_opening, make_target
-from toucanhall.edge.fleetmate import RevisionSource
-from toucanhall.edge.tables import TableExchange
+from toucanhall.edge.peer_exchange import RevisionSource
+from toucanhall.edge.table_exchange import TableExchange
 from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.observe.journal import Journal
 from toucanhall.web.messages import Request
--- a/toucanhall/edge/__main__.py
+++ b/toucanhall/edge/__main__.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from toucanhall.edge import process
-from toucanhall.platform.boot import SettingsError
+from toucanhall.platform.settings_file import SettingsError
 from toucanhall.platform.names import SETTINGS_VARIABLE
 
 
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -9,7 +9,7 @@
 from toucanhall.fleet.model import Address, Environment
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_serving
-from toucanhall.platform.entrance import (
+from toucanhall.platform.endpoints import (
     read_directory_query,
     make_directory_answer,
 )
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/dispatcher.py
@@ -6,13 +6,13 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest, admit
-from toucanhall.edge.arrivals import RequestRate
+from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.refusals import Refusal
-from toucanhall.edge.reporting import RequestRecorder
-from toucanhall.edge.sending import Failure, Sender, Success
+from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.edge.sender import Failure, Sender, Success
 from toucanhall.fleet.tables import FleetTables, find_route
 from toucanhall.limits.quota import Quotas
-from toucanhall.limits.retries import RetryBudget
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.placement.choice import (
     URGENT_PRIORITY,
@@ -21,8 +21,8 @@
     Candidate,
     choose_target,
 )
-from toucanhall.placement.field import TargetRegistry, TargetQuery
-from toucanhall.placement.times import ResponseTimes
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.response_times import ResponseTimes
 from toucanhall.platform.headers import make_caller_answer, read_caller_headers
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/peer_exchange.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from toucanhall.edge.speaker import ZoneReporter
+from toucanhall.edge.zone_reporter import ZoneReporter
 from toucanhall.fleet.gossip import Gossip, Message, open_gossip
 from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -7,34 +7,34 @@
 from pathlib import Path as FilePath
 from typing import Any, Final
 
-from toucanhall.edge.callers import CallerConnections
+from toucanhall.edge.caller_connections import CallerConnections
 from toucanhall.edge.directory import Directory
-from toucanhall.edge.duties import StateUpdater
-from toucanhall.edge.fleetmate import (
+from toucanhall.edge.state_updater import StateUpdater
+from toucanhall.edge.peer_exchange import (
     HEARTBEAT_INTERVAL_SECONDS,
     PeerExchange,
     RevisionSource,
 )
-from toucanhall.edge.path import RequestDispatcher
-from toucanhall.edge.pool import ConnectionPool
-from toucanhall.edge.reporting import RequestRecorder
-from toucanhall.edge.sending import Sender
-from toucanhall.edge.tables import TableExchange
+from toucanhall.edge.dispatcher import RequestDispatcher
+from toucanhall.edge.connection_pool import ConnectionPool
+from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.edge.sender import Sender
+from toucanhall.edge.table_exchange import TableExchange
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_delegates
 from toucanhall.limits.quota import Quotas
-from toucanhall.limits.retries import RetryBudget
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.placement.field import TargetRegistry
-from toucanhall.placement.order import Location
-from toucanhall.platform import boot
-from toucanhall.platform.entrance import make_readiness_handler
-from toucanhall.platform.entries import VmRegistry
-from toucanhall.platform.following import StoreWatch
+from toucanhall.placement.registry import TargetRegistry
+from toucanhall.placement.hash_ring import Location
+from toucanhall.platform import settings_file
+from toucanhall.platform.endpoints import make_readiness_handler
+from toucanhall.platform.vm_registry import VmRegistry
+from toucanhall.platform.store_watch import StoreWatch
 from toucanhall.platform.headers import REQUEST_ID_HEADER
 from toucanhall.platform.store import Store, StoreError
 from toucanhall.web.client import ConnectionSettings
@@ -391,8 +391,8 @@
     def _reload(self) -> None:
         self._settings_seen = _read_stamp(self._settings)
         try:
-            environment = boot.load_settings(self._settings)
-        except boot.SettingsError as error:
+            environment = settings_file.load_settings(self._settings)
+        except settings_file.SettingsError as error:
             self._journal.write(events.RELOAD_FAILED, why=str(error))
             return
         self._environment = self._environment._replace(
@@ -404,7 +404,7 @@
 
 def run(settings: FilePath) -> None:
     """Run a VM until it is told to stop; raises BadSettings."""
-    asyncio.run(_run(settings, boot.load_settings(settings)))
+    asyncio.run(_run(settings, settings_file.load_settings(settings)))
 
 
 async def _run(settings: FilePath, environment: Environment) -> None:
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sender.py
@@ -5,12 +5,12 @@
 from typing import Final, NamedTuple
 
 from toucanhall.edge.admission import AdmittedRequest
-from toucanhall.edge.pool import ConnectionPool
+from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.fleet.model import Target
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.placement.choice import Candidate
-from toucanhall.placement.field import TargetRegistry
+from toucanhall.placement.registry import TargetRegistry
 from toucanhall.platform.headers import (
     TargetHeaders,
     make_target_request,
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/state_updater.py
@@ -14,11 +14,11 @@
     UsageReport,
     Usage,
 )
-from toucanhall.limits.retries import RetryBudget
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.placement.cold import VmGroup
-from toucanhall.placement.field import TargetRegistry
+from toucanhall.placement.cold_targets import VmGroup
+from toucanhall.placement.registry import TargetRegistry
 
 __all__ = ('StateUpdater',)
 
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/table_exchange.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from toucanhall.edge.fleetmate import RevisionSource
+from toucanhall.edge.peer_exchange import RevisionSource
 from toucanhall.fleet.tables import FleetTables, Revisions, is_ahead
 from toucanhall.fleet.model import Address, Snapshot
 from toucanhall.fleet.packing import pack, unpack
--- a/toucanhall/placement/field.py
+++ b/toucanhall/placement/registry.py
@@ -6,14 +6,14 @@
 
 from toucanhall.fleet.model import Configuration, Target
 from toucanhall.placement.choice import Candidate
-from toucanhall.placement.cold import (
+from toucanhall.placement.cold_targets import (
     ColdTargetBucket,
     VmGroup,
     compute_rate_fraction,
     find_owner_groups,
 )
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.order import Location, HashRing, count_points
+from toucanhall.placement.hash_ring import Location, HashRing, count_points
 
 __all__ = ('TargetRegistry', 'TargetQuery')
 
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -16,7 +16,7 @@
     Target,
     Team,
 )
-from toucanhall.platform.boot import read_address
+from toucanhall.platform.settings_file import read_address
 from toucanhall.platform.units import read_seconds, read_version
 
 __all__ = (
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/store_watch.py
@@ -9,7 +9,7 @@
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
 from toucanhall.platform.store import HistoryLostError, Store, StoreError
-from toucanhall.platform.tables import WATCHED_KINDS, TableLoader
+from toucanhall.platform.table_loader import WATCHED_KINDS, TableLoader
 
 __all__ = ('StoreWatch',)
 
