--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -96,12 +96,12 @@
     except InvalidDocumentError:
         return
     assert 0 < target.address.port < 65536
-    field = TargetRegistry(
+    registry = TargetRegistry(
         location=Location('east-a', 'east'), regions={'east-a': 'east'}
     )
-    field.replace_targets({'t1': target}, 0.0)
+    registry.replace_targets({'t1': target}, 0.0)
     need = TargetQuery(target.service, 'a', frozenset(), frozenset())
-    assert len(field.list_candidates(need, 10.0, 2)) <= 1
+    assert len(registry.list_candidates(need, 10.0, 2)) <= 1
 
 
 @given(mutate(ENTRY))
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -30,7 +30,7 @@
     fleet_tables = FleetTables(on_change=lambda _table: None)
     document = make_configuration(rules=RULES)
     fleet_tables.replace_configuration(1, decode_configuration(document))
-    field = TargetRegistry(
+    registry = TargetRegistry(
         location=Location('east-a', 'east'), regions={'east-a': 'east'}
     )
     clock = asyncio.get_running_loop().time
@@ -39,9 +39,9 @@
         lag.record(late)
     return RequestDispatcher(
         fleet_tables=fleet_tables,
-        field=field,
+        registry=registry,
         sender=Sender(
-            field=field,
+            registry=registry,
             pool=ConnectionPool(
                 clock=clock, settings=make_opening(), max_idle_connections=10
             ),
--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -66,7 +66,7 @@
         self,
         *,
         fleet_tables: FleetTables,
-        field: TargetRegistry,
+        registry: TargetRegistry,
         sender: Sender,
         quotas: Quotas,
         retries: RetryBudget,
@@ -75,7 +75,7 @@
     ) -> None:
         """Decide by what the VM knows; send on pooled connections."""
         self._fleet_tables = fleet_tables
-        self._field = field
+        self._registry = registry
         self._sender = sender
         self._quotas = quotas
         self._retries = retries
@@ -230,9 +230,13 @@
         )
         rate = admitted.service.cold_per_second
         while True:
-            found = self._field.list_candidates(need, now, TARGETS_PER_OBJECT)
+            found = self._registry.list_candidates(
+                need, now, TARGETS_PER_OBJECT
+            )
             chosen = choose_target(found, ask, now)
-            if not chosen or self._field.try_acquire(chosen.target, rate, now):
+            if not chosen or self._registry.try_acquire(
+                chosen.target, rate, now
+            ):
                 return chosen
             need = need._replace(tried=need.tried | {chosen.target.id})
 
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -86,7 +86,7 @@
         self._metrics = Metrics()
         self._stopping = asyncio.Event()
         place = Location(environment.zone, environment.region)
-        self._field = TargetRegistry(
+        self._registry = TargetRegistry(
             location=place, regions=environment.regions
         )
         self._fleet_tables = FleetTables(on_change=self._take_change)
@@ -96,9 +96,9 @@
             now=self._loop.time(),
         )
         sockets = environment.max_descriptors - _FILES
-        self._held = make_buffer_budget(environment.memory)
+        self._buffer_budget = make_buffer_budget(environment.memory)
         opening = ConnectionSettings(
-            compute_answer_bounds(environment.memory), self._held
+            compute_answer_bounds(environment.memory), self._buffer_budget
         )
         self._pool = ConnectionPool(
             clock=self._loop.time,
@@ -110,8 +110,8 @@
             settings=opening,
             on_call=self._count_call,
         )
-        self._entries = VmRegistry(store=self._store, journal=self._journal)
-        self._follower = StoreWatch(
+        self._vm_registry = VmRegistry(store=self._store, journal=self._journal)
+        self._store_watch = StoreWatch(
             store=self._store,
             fleet_tables=self._fleet_tables,
             journal=self._journal,
@@ -120,12 +120,12 @@
         self._has_divided = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
-        self._path = RequestDispatcher(
+        self._dispatcher = RequestDispatcher(
             lag=self._lag,
             fleet_tables=self._fleet_tables,
-            field=self._field,
+            registry=self._registry,
             sender=Sender(
-                field=self._field,
+                registry=self._registry,
                 pool=self._pool,
                 journal=self._journal,
             ),
@@ -138,21 +138,21 @@
             ),
         )
         handler = Handler(
-            serve=self._path.serve,
+            serve=self._dispatcher.serve,
             answer_error=self._answer_error,
-            is_cancellable=self._path.is_cancellable,
+            is_cancellable=self._dispatcher.is_cancellable,
             get_limits=self._get_limits,
             is_stopping=self._stopping.is_set,
             is_lagging=lambda: self._lag.seconds > MAX_LOOP_LAG_SECONDS,
             connections=set(),
-            buffer_budget=self._held,
+            buffer_budget=self._buffer_budget,
             max_connections=round(sockets * _CALLERS_SHARE),
         )
-        self._callers = CallerConnections(handler=handler)
-        self._duties = StateUpdater(
+        self._caller_connections = CallerConnections(handler=handler)
+        self._state_updater = StateUpdater(
             environment=environment,
             fleet_tables=self._fleet_tables,
-            field=self._field,
+            registry=self._registry,
             quotas=self._quotas,
             retries=self._retries,
             journal=self._journal,
@@ -168,7 +168,7 @@
             settings=opening,
             on_applied=self._take_snapshot,
         )
-        self._mate = PeerExchange(
+        self._peer_exchange = PeerExchange(
             environment=environment,
             fleet_tables=self._fleet_tables,
             quotas=self._quotas,
@@ -180,8 +180,8 @@
         self._directory = Directory(
             environment=environment,
             fleet_tables=self._fleet_tables,
-            members=self._mate.members,
-            list_zone=self._mate.list_zone,
+            members=self._peer_exchange.members,
+            list_zone=self._peer_exchange.list_zone,
             clock=self._loop.time,
         )
 
@@ -195,7 +195,7 @@
             self._loop.add_signal_handler(name, act)
         self._loop.set_exception_handler(self._note_error)
         await self._listen()
-        await self._mate.start()
+        await self._peer_exchange.start()
         reading = self._loop.create_task(self._read_tables())
         self._watch_gauges()
         self._lag.start()
@@ -210,12 +210,16 @@
     async def _stop(self) -> None:
         began = self._loop.time()
         grace = self._environment.bounds.shutdown_grace_seconds
-        self._journal.write(events.STOPPING, in_flight=self._path.in_flight)
-        self._path.stop(began + grace * _ANSWER_SHARE)
-        self._mate.broadcast_revisions(is_for_all_zones=False)
+        self._journal.write(
+            events.STOPPING, in_flight=self._dispatcher.in_flight
+        )
+        self._dispatcher.stop(began + grace * _ANSWER_SHARE)
+        self._peer_exchange.broadcast_revisions(is_for_all_zones=False)
         await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
-        await self._callers.close(began + grace * _END_SHARE)
-        self._journal.write(events.STOPPED, in_flight=self._path.in_flight)
+        await self._caller_connections.close(began + grace * _END_SHARE)
+        self._journal.write(
+            events.STOPPED, in_flight=self._dispatcher.in_flight
+        )
 
     async def _listen(self) -> None:
         listeners = self._environment.listeners
@@ -227,9 +231,9 @@
         }
         for address, answer in plain.items():
             if address is not None:
-                await self._callers.open_endpoint(address, answer)
+                await self._caller_connections.open_endpoint(address, answer)
         if listeners.requests is not None:
-            await self._callers.open(listeners.requests)
+            await self._caller_connections.open(listeners.requests)
 
     async def _read_tables(self) -> None:
         own = VmContact(
@@ -258,9 +262,9 @@
         return True
 
     async def _meet_all(self, own: VmContact) -> None:
-        await self._follower.read_all()
-        self._mate.add_vms(await self._entries.register(own))
-        self._mate.members.mark_listing_complete()
+        await self._store_watch.read_all()
+        self._peer_exchange.add_vms(await self._vm_registry.register(own))
+        self._peer_exchange.members.mark_listing_complete()
 
     async def _tend_entries(self, own: VmContact) -> None:
         """Find VMs by their entries; delete those of the own zone's dead.
@@ -268,17 +272,19 @@
         The VM that watches for a zone does it. One that is cut off from its
         zone watches too: it writes its entry again if that was deleted.
         """
-        gone = self._mate.members.drop_expired(self._loop.time())
-        if not self._follower.is_watching:
-            self._meet_listed(await self._entries.list_vms(may_be_stale=True))
+        gone = self._peer_exchange.members.drop_expired(self._loop.time())
+        if not self._store_watch.is_watching:
+            self._meet_listed(
+                await self._vm_registry.list_vms(may_be_stale=True)
+            )
             return
         for found in gone:
-            await self._entries.remove(found.vm)
-        self._meet_listed(await self._entries.register(own))
+            await self._vm_registry.remove(found.vm)
+        self._meet_listed(await self._vm_registry.register(own))
 
     def _meet_listed(self, listed: list[VmContact]) -> None:
-        self._mate.members.apply_listing(listed)
-        self._mate.add_vms(listed)
+        self._peer_exchange.members.apply_listing(listed)
+        self._peer_exchange.add_vms(listed)
 
     def _is_ready(self) -> bool:
         return (
@@ -302,36 +308,36 @@
             is_leaving=self._stopping.is_set(),
             lag=round(self._lag.seconds, 3),
             capacity=environment.capacity,
-            load=round(self._path.request_rate.per_second, 1),
+            load=round(self._dispatcher.request_rate.per_second, 1),
         )
 
     def _take_change(self, table: str) -> None:
-        self._duties.apply_table_change(table)
+        self._state_updater.apply_table_change(table)
         if table == 'configuration' and not self._has_divided:
             # Until then no team has a limit to take from.
             self._divide()
-        if self._follower.is_watching:
-            self._mate.broadcast_revisions(is_for_all_zones=True)
+        if self._store_watch.is_watching:
+            self._peer_exchange.broadcast_revisions(is_for_all_zones=True)
 
     def _take_snapshot(self, source: RevisionSource) -> None:
         if source.zone != self._environment.zone:
-            self._mate.broadcast_revisions(is_for_all_zones=False)
+            self._peer_exchange.broadcast_revisions(is_for_all_zones=False)
 
     def _take_beat(self) -> None:
-        self._path.request_rate.measure(self._loop.time())
+        self._dispatcher.request_rate.measure(self._loop.time())
         zone = self._divide()
         watcher = pick_delegates(zone)[0]
         is_watcher = watcher.vm == self._environment.vm
         if is_watcher and not self._stopping.is_set():
-            self._follower.start()
+            self._store_watch.start()
         else:
-            self._follower.stop()
+            self._store_watch.stop()
 
     def _divide(self) -> list[Member]:
         self._has_divided = self._fleet_tables.configuration is not None
-        zone = self._mate.list_zone()
-        self._duties.update_from_reports(
-            self._mate.members, zone, self._mate.usage
+        zone = self._peer_exchange.list_zone()
+        self._state_updater.update_from_reports(
+            self._peer_exchange.members, zone, self._peer_exchange.usage
         )
         return zone
 
@@ -342,22 +348,24 @@
         fleet_tables = self._fleet_tables
         gauges: dict[str, Callable[[], float]] = {
             'loop_lag_seconds': lambda: self._lag.seconds,
-            'requests_in_flight': lambda: self._path.in_flight,
-            'requests_per_second': lambda: self._path.request_rate.per_second,
-            'connections_of_callers': self._callers.count,
+            'requests_in_flight': lambda: self._dispatcher.in_flight,
+            'requests_per_second': lambda: (
+                self._dispatcher.request_rate.per_second
+            ),
+            'connections_of_callers': self._caller_connections.count,
             'connections_to_targets_opened': lambda: self._pool.opened_count,
             'vms_alive': lambda: len(
-                self._mate.members.list_alive(self._loop.time()),
+                self._peer_exchange.members.list_alive(self._loop.time()),
             ),
-            'takes_requests': lambda: self._duties.is_serving,
+            'takes_requests': lambda: self._state_updater.is_serving,
             'targets_known': lambda: len(fleet_tables.targets),
             'configuration_revision': lambda: (
                 fleet_tables.revisions.configuration
             ),
             'targets_revision': lambda: fleet_tables.revisions.targets,
             'evacuations_revision': lambda: fleet_tables.revisions.evacuations,
-            'bytes_held': lambda: self._held.total_bytes,
-            'watches_store': lambda: self._follower.is_watching,
+            'bytes_held': lambda: self._buffer_budget.total_bytes,
+            'watches_store': lambda: self._store_watch.is_watching,
             'log_lines_dropped': lambda: sum(self._journal.dropped.values()),
         }
         for name, read in gauges.items():
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -64,10 +64,14 @@
     """Attempts on pooled connections; notes the health of targets."""
 
     def __init__(
-        self, *, field: TargetRegistry, pool: ConnectionPool, journal: Journal
+        self,
+        *,
+        registry: TargetRegistry,
+        pool: ConnectionPool,
+        journal: Journal,
     ) -> None:
-        """Keep loads and health in `field`."""
-        self._field = field
+        """Keep loads and health in `registry`."""
+        self._registry = registry
         self._pool = pool
         self._journal = journal
         self._loop = asyncio.get_running_loop()
@@ -116,7 +120,7 @@
         connection = await self._pool.acquire(
             target.address,
             may_retry=admitted.route.is_idempotent,
-            seconds=_CONNECT_SECONDS[self._field.is_in_own_region(target)],
+            seconds=_CONNECT_SECONDS[self._registry.is_in_own_region(target)],
         )
         forwarded = make_target_request(
             admitted.request,
@@ -165,13 +169,13 @@
     ) -> Failure:
         target, load = candidate
         if marks.is_misdirected:
-            self._field.suspend(target.id, now)
+            self._registry.suspend(target.id, now)
             return Failure('misdirected', target.id, may_have_run=False)
         load.fill(now)
         return Failure('not-run', target.id, may_have_run=False)
 
     def _fail(self, target: Target, *, is_lost: bool, why: str) -> None:
-        load = self._field.loads.get(target.id)
+        load = self._registry.loads.get(target.id)
         now = self._loop.time()
         if load is not None and load.record_failure(now, is_lost=is_lost):
             self._journal.write(
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -31,7 +31,7 @@
         *,
         environment: Environment,
         fleet_tables: FleetTables,
-        field: TargetRegistry,
+        registry: TargetRegistry,
         quotas: Quotas,
         retries: RetryBudget,
         journal: Journal,
@@ -40,7 +40,7 @@
         """Work on what the path of requests decides by."""
         self._environment = environment
         self._fleet_tables = fleet_tables
-        self._field = field
+        self._registry = registry
         self._quotas = quotas
         self._retries = retries
         self._journal = journal
@@ -82,7 +82,7 @@
         serving = {name: _pick_names(vms) for name, vms in alive.items()}
         self._take_serving(serving)
         known = members.count_vms_by_zone()
-        self._field.set_vm_groups(
+        self._registry.set_vm_groups(
             self._environment.vm,
             {
                 name: VmGroup(
@@ -142,7 +142,9 @@
             )
 
     def _take_targets(self) -> None:
-        self._field.replace_targets(self._fleet_tables.targets, self._clock())
+        self._registry.replace_targets(
+            self._fleet_tables.targets, self._clock()
+        )
         self._journal.write(
             events.TARGETS_CHANGED,
             revision=self._fleet_tables.revisions.targets,
@@ -150,7 +152,7 @@
         )
 
     def _take_evacuations(self) -> None:
-        self._field.set_evacuated_zones(
+        self._registry.set_evacuated_zones(
             self._fleet_tables.evacuated_zones,
             self._fleet_tables.configuration,
             self._clock(),
