--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -34,7 +34,7 @@
 
 
 def test_more_targets_per_object_would_leave_them_cold(monkeypatch):
-    monkeypatch.setattr(choice, 'WARM_TARGETS', 20)
+    monkeypatch.setattr(choice, 'TARGETS_PER_OBJECT', 20)
     pattern = Pattern(rate=burst, seconds=14.0, objects=400)
     assert replay(pattern, seed=1, since=9.0).fraction_in_time < 0.5
 
