--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -34,11 +34,11 @@
 _ROOT: Final = Path(__file__).parents[2]
 _STORE_PORT: Final = 8382
 _TARGET_PORT: Final = 9000
-_READY_SECONDS: Final = 15.0
-_STEP_SECONDS: Final = 0.02
+_READY_TIMEOUT_SECONDS: Final = 15.0
+_POLL_INTERVAL_SECONDS: Final = 0.02
 _BYTES_PER_KIB: Final = 1024
 
-Found = TypeVar('Found')
+Result = TypeVar('Result')
 
 
 class Outcome(NamedTuple):
@@ -54,17 +54,18 @@
 class Deployment:
     """A store, some targets, and VMs by name, on a network of their own.
 
-    Addresses are 127.`net`.Z.N. Store and targets run on a thread here.
+    Addresses are 127.`network_octet`.Z.N. The store and the targets run on a
+    thread of this process.
     """
 
     def __init__(
-        self, *, net: int, zones: tuple[str, ...] = ('east-a',)
+        self, *, network_octet: int, zones: tuple[str, ...] = ('east-a',)
     ) -> None:
         """Use loopback addresses of one network, VMs in some zones."""
-        self.net = net
+        self.network_octet = network_octet
         self.zones = zones
         self.targets: dict[str, TargetStandin] = {}
-        self.endless: dict[str, EndlessServer] = {}
+        self.endless_servers: dict[str, EndlessServer] = {}
         self.vms: dict[str, subprocess.Popen[bytes]] = {}
         self.folder = Path(tempfile.mkdtemp(prefix='toucanhall-site-'))
         self._loop = asyncio.new_event_loop()
@@ -92,21 +93,23 @@
         self.do(self.store.stop)
         for target in self.targets.values():
             self.do(target.stop)
-        for server in self.endless.values():
+        for server in self.endless_servers.values():
             self.do(server.stop)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
 
-    def call(self, work: Coroutine[Any, Any, Found]) -> Found:
+    def call(self, coroutine: Coroutine[Any, Any, Result]) -> Result:
         """Run something on the thread of the stand-ins."""
-        return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(
+            10
+        )
 
-    def do(self, act: Callable[..., object], *arguments: object) -> None:
+    def do(self, function: Callable[..., object], *arguments: object) -> None:
         """Call a function on the thread of the stand-ins."""
 
         async def run() -> None:  # noqa: RUF029
-            act(*arguments)
+            function(*arguments)
 
         self.call(run())
 
@@ -122,14 +125,14 @@
         """Start a target and register it."""
         target = self.call(_make_target(name))
         self.targets[name] = target
-        self._serve_as(name, zone, target)
+        self._start_server(name, zone, target)
         return target
 
     def add_endless(self, name: str, kind: str) -> EndlessServer:
         """Start and register a target that answers without end."""
         server = EndlessServer(name=kind)
-        self.endless[name] = server
-        self._serve_as(name, 'east-a', server)
+        self.endless_servers[name] = server
+        self._start_server(name, 'east-a', server)
         return server
 
     def read_peak_memory(self, vm: str) -> int:
@@ -156,7 +159,7 @@
         number = len(self._ips) + 1
         ip = self._ips.setdefault(
             name,
-            self._make_ip(ZONES_ORDER[zone] + 1, number),
+            self._make_ip(_ZONE_NUMBERS[zone] + 1, number),
         )
         seeds = [f'{self._ips[vm]}:8381' for vm in list(self.vms)[:3]]
         settings = make_settings(
@@ -200,10 +203,10 @@
             f'?name={HOST}&region={ZONES[zone]}&zone={zone}'
         )
         try:
-            found = self._http.request('GET', url, timeout=1.0)
+            response = self._http.request('GET', url, timeout=1.0)
         except urllib3.exceptions.HTTPError:
             return []
-        addresses: list[str] = found.json()['addresses']
+        addresses: list[str] = response.json()['addresses']
         return addresses
 
     def read_metrics(self, vm: str) -> str:
@@ -222,40 +225,40 @@
         *,
         method: str = 'GET',
         key: str | None = KEY,
-        wait_ms: int = 3000,
-        item: str = '1',
+        timeout_ms: int = 3000,
+        affinity_key: str = '1',
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> Outcome:
         """Make one request to a VM."""
         request_id = uuid.uuid4().hex[:16]
-        sent = {
+        sent_headers = {
             'Host': HOST,
             'X-Toucanhall-Request-Id': request_id,
-            'X-Toucanhall-Request-Deadline': str(wait_ms),
-            'Cookie': f'X-Toucanhall-Affinity-Key={item}',
+            'X-Toucanhall-Request-Deadline': str(timeout_ms),
+            'Cookie': f'X-Toucanhall-Affinity-Key={affinity_key}',
             **(headers or {}),
         }
         if key is not None:
-            sent['Authorization'] = f'Bearer {key}'
-        began = time.monotonic()
+            sent_headers['Authorization'] = f'Bearer {key}'
+        started_at = time.monotonic()
         try:
-            found = self._http.request(
+            response = self._http.request(
                 method,
                 f'http://{self._ips[vm]}:8388{path}',
-                headers=sent,
+                headers=sent_headers,
                 body=body,
-                timeout=wait_ms / 1000,
+                timeout=timeout_ms / 1000,
             )
         except urllib3.exceptions.HTTPError as error:
-            elapsed = time.monotonic() - began
+            elapsed = time.monotonic() - started_at
             return Outcome(0, {}, type(error).__name__, request_id, elapsed)
         return Outcome(
-            found.status,
-            found.headers,
-            found.data.decode(),
+            response.status,
+            response.headers,
+            response.data.decode(),
             request_id,
-            time.monotonic() - began,
+            time.monotonic() - started_at,
         )
 
     def signal_vm(self, name: str, number: signal.Signals) -> None:
@@ -271,33 +274,33 @@
         """Return the log lines of a VM with an event number."""
         return [line for line in self.read_log(name) if line['event'] == number]
 
-    def _serve_as(
+    def _start_server(
         self,
         name: str,
         zone: str,
         server: TargetStandin | EndlessServer,
     ) -> None:
-        number = len(self.targets) + len(self.endless)
-        ip = self._make_ip(100 + ZONES_ORDER[zone], number)
+        number = len(self.targets) + len(self.endless_servers)
+        ip = self._make_ip(100 + _ZONE_NUMBERS[zone], number)
         self._ips[name] = ip
         self.call(server.start(ip, _TARGET_PORT))
         self.register(name, zone)
 
-    def _make_ip(self, third: int, fourth: int) -> str:
-        return f'127.{self.net}.{third}.{fourth}'
+    def _make_ip(self, third_octet: int, fourth_octet: int) -> str:
+        return f'127.{self.network_octet}.{third_octet}.{fourth_octet}'
 
 
 def wait_until(
-    holds: Callable[[], object],
-    what: str,
-    seconds: float = _READY_SECONDS,
+    condition: Callable[[], object],
+    description: str,
+    timeout_seconds: float = _READY_TIMEOUT_SECONDS,
 ) -> None:
     """Wait until something holds; raise TimeoutError otherwise."""
-    until = time.monotonic() + seconds
-    while not holds():
-        if time.monotonic() > until:
-            raise TimeoutError(f'not within {seconds} s: {what}')
-        time.sleep(_STEP_SECONDS)
+    deadline = time.monotonic() + timeout_seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f'not within {timeout_seconds} s: {description}')
+        time.sleep(_POLL_INTERVAL_SECONDS)
 
 
 async def _make_store() -> StoreStandin:  # noqa: RUF029
@@ -308,4 +311,4 @@
     return TargetStandin(name=name)
 
 
-ZONES_ORDER: Final = {zone: index for index, zone in enumerate(ZONES)}
+_ZONE_NUMBERS: Final = {zone: index for index, zone in enumerate(ZONES)}
--- a/standins/site/endless.py
+++ b/standins/site/endless.py
@@ -8,15 +8,15 @@
 __all__ = ('ENDLESS', 'EndlessServer')
 
 _HEAD: Final = b'HTTP/1.1 200 OK\r\n'
-_PIECE: Final = b'x' * 8192
-_CHUNKED: Final = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
+_FILLER: Final = b'x' * 8192
+_CHUNKED_HEAD: Final = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
 
 
-def _repeat(first: bytes, part: bytes) -> Iterator[bytes]:
-    return chain((first,), repeat(part))
+def _send_once_then_repeat(first: bytes, repeated: bytes) -> Iterator[bytes]:
+    return chain((first,), repeat(repeated))
 
 
-def _number_headers() -> Iterator[bytes]:
+def _generate_headers() -> Iterator[bytes]:
     yield _HEAD
     number = 0
     while True:
@@ -26,26 +26,36 @@
 
 # What is sent until the caller closes, by name.
 ENDLESS: Final[Mapping[str, Callable[[], Iterable[bytes]]]] = {
-    'status line': lambda: _repeat(b'HTTP/1.1 200 ', _PIECE),
-    'header lines': _number_headers,
-    'one header': lambda: _repeat(_HEAD + b'h: ', _PIECE),
-    'one header name': lambda: _repeat(_HEAD, _PIECE),
-    'body with a length': lambda: _repeat(
+    'status line': lambda: _send_once_then_repeat(b'HTTP/1.1 200 ', _FILLER),
+    'header lines': _generate_headers,
+    'one header': lambda: _send_once_then_repeat(_HEAD + b'h: ', _FILLER),
+    'one header name': lambda: _send_once_then_repeat(_HEAD, _FILLER),
+    'body with a length': lambda: _send_once_then_repeat(
         _HEAD + b'content-length: 99999999999\r\n\r\n',
-        _PIECE,
+        _FILLER,
     ),
-    'body without a length': lambda: _repeat(_HEAD + b'\r\n', _PIECE),
-    'chunks': lambda: _repeat(_CHUNKED, b'2000\r\n%s\r\n' % _PIECE),
-    'chunks of one byte': lambda: _repeat(_CHUNKED, b'1\r\nx\r\n' * 2048),
-    'chunk extension': lambda: _repeat(_CHUNKED + b'1;a=', _PIECE),
-    'chunk extensions': lambda: _repeat(
-        _CHUNKED,
+    'body without a length': lambda: _send_once_then_repeat(
+        _HEAD + b'\r\n', _FILLER
+    ),
+    'chunks': lambda: _send_once_then_repeat(
+        _CHUNKED_HEAD, b'2000\r\n%s\r\n' % _FILLER
+    ),
+    'chunks of one byte': lambda: _send_once_then_repeat(
+        _CHUNKED_HEAD, b'1\r\nx\r\n' * 2048
+    ),
+    'chunk extension': lambda: _send_once_then_repeat(
+        _CHUNKED_HEAD + b'1;a=', _FILLER
+    ),
+    'chunk extensions': lambda: _send_once_then_repeat(
+        _CHUNKED_HEAD,
         b'1;a=%s\r\nx\r\n' % (b'y' * 4096),
     ),
-    'trailers': lambda: _repeat(_CHUNKED + b'0\r\n', b'h: v\r\n' * 1024),
+    'trailers': lambda: _send_once_then_repeat(
+        _CHUNKED_HEAD + b'0\r\n', b'h: v\r\n' * 1024
+    ),
     'interim answers': lambda: repeat(b'HTTP/1.1 102 Processing\r\n\r\n' * 256),
     'lines before the answer': lambda: repeat(b'\r\n' * 4096),
-    'bytes before the answer': lambda: repeat(_PIECE),
+    'bytes before the answer': lambda: repeat(_FILLER),
     'answers to others': lambda: repeat(
         (_HEAD + b'x-id: other\r\ncontent-length: 1\r\n\r\nx') * 64,
     ),
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -13,14 +13,14 @@
 __all__ = ('StoreStandin',)
 
 _PREFIX: Final = '/toucanhall/objects/'
-_PAGE: Final = 500
-_LIMITS: Final = ServerLimits(65536, 1 << 21, 10.0, 60.0)
-_HELD_BYTES: Final = 1 << 26
-_MOST_CONNECTIONS: Final = 1000
+_MAX_PAGE_ITEMS: Final = 500
+_SERVER_LIMITS: Final = ServerLimits(65536, 1 << 21, 10.0, 60.0)
+_MAX_HELD_BYTES: Final = 1 << 26
+_MAX_CONNECTIONS: Final = 1000
 _JSON: Final = ((b'content-type', b'application/json'),)
 
 Document = dict[str, Any]
-Fault = Callable[[Request], str | int | None]
+DecideFault = Callable[[Request], str | int | None]
 
 
 class _Event(NamedTuple):
@@ -40,12 +40,12 @@
         """Start empty, without faults."""
         self.revision = 1
         self.objects: dict[str, dict[str, Document]] = {}
-        self.fault: Fault = lambda _call: None
+        self.fault: DecideFault = lambda _request: None
         self.calls: list[str] = []
         self._events: list[_Event] = []
-        self._oldest = 1
+        self._oldest_revision = 1
         self._changed = asyncio.Event()
-        self._stale: dict[str, list[Document]] = {}
+        self._stale_objects: dict[str, list[Document]] = {}
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -54,12 +54,12 @@
             serve=self._serve,
             fail=make_failed,
             is_cancellable=lambda _request: True,
-            get_limits=lambda: _LIMITS,
+            get_limits=lambda: _SERVER_LIMITS,
             is_stopping=lambda: False,
             is_lagging=lambda: False,
             connections=set(),
-            held=HeldBytes(most=_HELD_BYTES),
-            most_connections=_MOST_CONNECTIONS,
+            held=HeldBytes(most=_MAX_HELD_BYTES),
+            most_connections=_MAX_CONNECTIONS,
         )
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(handler=handler),
@@ -74,55 +74,60 @@
 
     def put(self, kind: str, name: str, spec: object) -> int:
         """Write an object as operators and targets do."""
-        found = self.objects.setdefault(kind, {}).get(name)
-        if found is not None and found['spec'] == spec:
+        stored = self.objects.setdefault(kind, {}).get(name)
+        if stored is not None and stored['spec'] == spec:
             return self.revision
         self.revision += 1
-        created = found['metadata']['create_revision'] if found else None
+        create_revision = (
+            stored['metadata']['create_revision'] if stored else None
+        )
         self.objects[kind][name] = {
             'metadata': {
                 'name': name,
                 'revision': self.revision,
-                'create_revision': created or self.revision,
+                'create_revision': create_revision or self.revision,
                 'finalizers': [],
                 'deleting': False,
             },
             'spec': spec,
             'status': None,
         }
-        self._tell(kind, self.objects[kind][name], is_deleted=False)
+        self._append_event(kind, self.objects[kind][name], is_deleted=False)
         return self.revision
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object, if there is one."""
-        found = self.objects.get(kind, {}).pop(name, None)
-        if found is not None:
+        stored = self.objects.get(kind, {}).pop(name, None)
+        if stored is not None:
             self.revision += 1
-            self._tell(kind, found, is_deleted=True)
+            self._append_event(kind, stored, is_deleted=True)
 
-    def set_fault(self, fault: Fault) -> None:
+    def set_fault(self, fault: DecideFault) -> None:
         """Let calls fail, and watches that are waiting."""
         self.fault = fault
-        self._wake()
+        self._wake_watches()
 
     def compact(self) -> None:
         """Forget the history; watches from before it are answered with 410."""
         self._events = []
-        self._oldest = self.revision + 1
-        self._wake()
+        self._oldest_revision = self.revision + 1
+        self._wake_watches()
 
     def freeze_stale_reads(self) -> None:
         """Answer stale reads by what the store holds now."""
-        self._stale = {
-            kind: list(found.values()) for kind, found in self.objects.items()
+        self._stale_objects = {
+            kind: list(by_name.values())
+            for kind, by_name in self.objects.items()
         }
 
-    def _tell(self, kind: str, found: Document, *, is_deleted: bool) -> None:
-        content = {'deleted': is_deleted, 'object': found}
+    def _append_event(
+        self, kind: str, stored: Document, *, is_deleted: bool
+    ) -> None:
+        content = {'deleted': is_deleted, 'object': stored}
         self._events.append(_Event(self.revision, kind, content))
-        self._wake()
+        self._wake_watches()
 
-    def _wake(self) -> None:
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -131,14 +136,14 @@
         self.calls.append(f'{request.method.decode()} {path}')
         fault = self.fault(request)
         if isinstance(fault, int):
-            return _answer(fault, {})
+            return _make_answer(fault, {})
         if fault == 'silent':
             await asyncio.Event().wait()
         kind, _, name = path.removeprefix(_PREFIX).partition('/')
-        arguments = {key: found[0] for key, found in parse_qs(query).items()}
+        arguments = {key: values[0] for key, values in parse_qs(query).items()}
         if request.method == b'GET' and 'watch' in arguments:
             return await self._watch(kind, arguments, request)
-        answer = _CALLS[request.method](
+        answer = _HANDLERS[request.method](
             self,
             kind,
             unquote(name),
@@ -155,26 +160,26 @@
         arguments: dict[str, str],
         request: Request,
     ) -> Answer:
-        since = int(arguments['watch'])
+        since_revision = int(arguments['watch'])
         loop = asyncio.get_running_loop()
-        end = loop.time() + int(arguments['wait_ms']) / 1000
+        deadline = loop.time() + int(arguments['wait_ms']) / 1000
         while True:
             fault = self.fault(request)
             if isinstance(fault, int):
-                return _answer(fault, {})
-            if since + 1 < self._oldest:
-                return _answer(410, {})
+                return _make_answer(fault, {})
+            if since_revision + 1 < self._oldest_revision:
+                return _make_answer(410, {})
             events = [
                 event.content
                 for event in self._events
-                if event.kind == kind and event.revision > since
+                if event.kind == kind and event.revision > since_revision
             ]
-            left = end - loop.time()
-            if events or left <= 0:
+            remaining = deadline - loop.time()
+            if events or remaining <= 0:
                 body = {'events': events, 'as_of': self.revision}
-                return _answer(200, body)
+                return _make_answer(200, body)
             try:
-                async with asyncio.timeout(left):
+                async with asyncio.timeout(remaining):
                     await self._changed.wait()
             except TimeoutError:
                 continue
@@ -187,20 +192,22 @@
         _request: Request,
     ) -> Answer:
         if name:
-            found = self.objects.get(kind, {}).get(name)
-            return _answer(200, found) if found else _answer(404, {})
+            stored = self.objects.get(kind, {}).get(name)
+            return (
+                _make_answer(200, stored) if stored else _make_answer(404, {})
+            )
         after = arguments.get('after', '')
         items = list(self.objects.get(kind, {}).values())
-        if 'allow_stale' in arguments and self._stale:
-            items = self._stale.get(kind, [])
+        if 'allow_stale' in arguments and self._stale_objects:
+            items = self._stale_objects.get(kind, [])
         items = sorted(items, key=_get_name)
-        items = [found for found in items if _get_name(found) > after]
+        items = [stored for stored in items if _get_name(stored) > after]
         body = {
-            'items': items[:_PAGE],
-            'more': len(items) > _PAGE,
+            'items': items[:_MAX_PAGE_ITEMS],
+            'more': len(items) > _MAX_PAGE_ITEMS,
             'as_of': self.revision,
         }
-        return _answer(200, body)
+        return _make_answer(200, body)
 
     def _post(
         self,
@@ -211,11 +218,11 @@
     ) -> Answer:
         body = json.loads(request.body)
         name = body['metadata']['name']
-        found = self.objects.get(kind, {}).get(name)
-        if found is not None:
-            return _answer(409, found)
+        stored = self.objects.get(kind, {}).get(name)
+        if stored is not None:
+            return _make_answer(409, stored)
         self.put(kind, name, body['spec'])
-        return _answer(200, self.objects[kind][name])
+        return _make_answer(200, self.objects[kind][name])
 
     def _replace(
         self,
@@ -225,14 +232,14 @@
         request: Request,
     ) -> Answer:
         body = json.loads(request.body)
-        found = self.objects.get(kind, {}).get(name)
-        if found is None:
-            return _answer(404, {})
+        stored = self.objects.get(kind, {}).get(name)
+        if stored is None:
+            return _make_answer(404, {})
         expected = body['metadata'].get('revision')
-        if expected not in {None, found['metadata']['revision']}:
-            return _answer(409, found)
+        if expected not in {None, stored['metadata']['revision']}:
+            return _make_answer(409, stored)
         self.put(kind, name, body['spec'])
-        return _answer(200, self.objects[kind][name])
+        return _make_answer(200, self.objects[kind][name])
 
     def _delete(
         self,
@@ -242,19 +249,19 @@
         _request: Request,
     ) -> Answer:
         self.remove(kind, name)
-        return _answer(200, {})
+        return _make_answer(200, {})
 
 
-def _get_name(found: Document) -> str:
-    name: str = found['metadata']['name']
+def _get_name(stored: Document) -> str:
+    name: str = stored['metadata']['name']
     return name
 
 
-def _answer(status: int, body: Document) -> Answer:
+def _make_answer(status: int, body: Document) -> Answer:
     return Answer(status, _JSON, json.dumps(body).encode())
 
 
-_CALLS: Final = {
+_HANDLERS: Final = {
     b'GET': StoreStandin._get,
     b'POST': StoreStandin._post,
     b'PUT': StoreStandin._replace,
--- a/standins/site/target.py
+++ b/standins/site/target.py
@@ -8,7 +8,7 @@
 
 __all__ = ('Run', 'TargetStandin')
 
-_QUEUE: Final = 27
+_MAX_QUEUED_REQUESTS: Final = 27
 
 
 class Run(NamedTuple):
@@ -18,7 +18,7 @@
     request_id: str
     path: str
     team: str
-    deadline: int
+    deadline_ms: int
     key: str
 
 
@@ -37,13 +37,13 @@
         """Start well and idle."""
         self.name = name
         self.slots = slots
-        self.seconds = 0.01
+        self.work_seconds = 0.01
         self.mode = 'well'
         self.runs: list[Run] = []
         self.ended: list[str] = []
         self.running = 0
         self.waiting = 0
-        self._free = asyncio.Semaphore(slots)
+        self._free_slots = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
 
@@ -62,58 +62,60 @@
         for connection in tuple(self._connections):
             connection.abort()
 
-    async def run(self, found: '_Found') -> list[bytes] | None:
+    async def serve(self, request: '_ReceivedRequest') -> list[bytes] | None:
         """Return the parts of the answer; None ends the connection."""
-        if found.expected != self.name:
-            return [_write(found.request_id, 421, b'', not_run=True)]
+        if request.expected != self.name:
+            return [_encode_answer(request.request_id, 421, b'', not_run=True)]
         if self.mode == 'shed' or self.running + self.waiting >= (
-            self.slots + _QUEUE
+            self.slots + _MAX_QUEUED_REQUESTS
         ):
-            return [_write(found.request_id, 503, b'', not_run=True)]
+            return [_encode_answer(request.request_id, 503, b'', not_run=True)]
         self.waiting += 1
         try:
-            async with self._free:
+            async with self._free_slots:
                 self.waiting -= 1
                 self.running += 1
                 try:
-                    return await self._work(found)
+                    return await self._execute(request)
                 finally:
                     self.running -= 1
         except asyncio.CancelledError:
-            self.ended.append(found.request_id)
+            self.ended.append(request.request_id)
             raise
 
-    async def _work(self, found: '_Found') -> list[bytes] | None:
+    async def _execute(self, request: '_ReceivedRequest') -> list[bytes] | None:
         self.runs.append(
             Run(
                 target=self.name,
-                request_id=found.request_id,
-                path=found.path,
-                team=found.team,
-                deadline=found.deadline,
-                key=found.key,
+                request_id=request.request_id,
+                path=request.path,
+                team=request.team,
+                deadline_ms=request.deadline_ms,
+                key=request.key,
             ),
         )
         mode = self.mode
-        await asyncio.sleep(self.seconds)
+        await asyncio.sleep(self.work_seconds)
         if mode == 'lost':
             return None
         if mode == 'silent':
             await asyncio.Event().wait()
         load = f'{self.running},{self.waiting},{self.slots}'
-        body = f'{self.name} {found.path} {found.body.decode()}'.encode()
+        body = f'{self.name} {request.path} {request.body.decode()}'.encode()
         if mode == 'odd':
             load = f'{"9" * 5000},0,9'
-        status = _STATUSES.get(mode, 200)
-        answer = _write(found.request_id, status, body, load=load)
-        return _MODES.get(mode, _send_well)(answer, found.request_id)
+        status = _STATUS_BY_MODE.get(mode, 200)
+        answer = _encode_answer(request.request_id, status, body, load=load)
+        return _SEND_BY_MODE.get(mode, _send_unchanged)(
+            answer, request.request_id
+        )
 
 
-class _Found(NamedTuple):
+class _ReceivedRequest(NamedTuple):
     request_id: str
     path: str
     team: str
-    deadline: int
+    deadline_ms: int
     key: str
     expected: str
     body: bytes
@@ -170,21 +172,21 @@
 
     def on_message_complete(self) -> None:
         get = self._headers.get
-        found = _Found(
+        request = _ReceivedRequest(
             request_id=get('x-toucanhall-request-id', ''),
             path=self._path.decode(),
             team=get('x-toucanhall-tenant-id', ''),
-            deadline=int(get('x-toucanhall-request-deadline', '0')),
+            deadline_ms=int(get('x-toucanhall-request-deadline', '0')),
             key=get('authorization', ''),
             expected=get('x-toucanhall-expect-instance', ''),
             body=self._body,
         )
         self._task = asyncio.get_running_loop().create_task(
-            self._answer(found),
+            self._answer(request),
         )
 
-    async def _answer(self, found: _Found) -> None:
-        parts = await self._target.run(found)
+    async def _answer(self, request: _ReceivedRequest) -> None:
+        parts = await self._target.serve(request)
         transport = self._transport
         if transport is None:
             return
@@ -194,7 +196,7 @@
             transport.close()
 
 
-def _write(
+def _encode_answer(
     request_id: str,
     status: int,
     body: bytes,
@@ -219,12 +221,12 @@
     return '\r\n'.join((*lines, '', '')).encode() + body
 
 
-def _send_well(answer: bytes, _request_id: str) -> list[bytes]:
+def _send_unchanged(answer: bytes, _request_id: str) -> list[bytes]:
     return [answer]
 
 
 def _send_stray(answer: bytes, _request_id: str) -> list[bytes]:
-    return [_write('another', 200, b'answer of another'), answer]
+    return [_encode_answer('another', 200, b'answer of another'), answer]
 
 
 def _send_twice(answer: bytes, _request_id: str) -> list[bytes]:
@@ -249,13 +251,13 @@
     return [answer.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n', 1)]
 
 
-_STATUSES: Final = {
+_STATUS_BY_MODE: Final = {
     'fail': 500,
     'busy': 503,
     'limit': 429,
     'slow': 408,
 }
-_MODES: Final = {
+_SEND_BY_MODE: Final = {
     'stray': _send_stray,
     'twice': _send_twice,
     'cut': _send_cut,
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -7,7 +7,7 @@
 from standins.soak.play import play
 from standins.soak.regressions import REGRESSIONS
 
-_LINES_SHOWN = 20
+_MAX_LINES_SHOWN = 20
 
 
 def main(arguments: Sequence[str]) -> int:
@@ -25,17 +25,19 @@
     seeds = range(options.seed, options.seed + options.seeds)
     runs = [(seed, options.seconds) for seed in seeds]
     if options.regressions:
-        runs += [(found.seed, found.seconds) for found in REGRESSIONS]
-    failed = [seed for seed, seconds in runs if not _is_kept(seed, seconds)]
+        runs += [
+            (regression.seed, regression.seconds) for regression in REGRESSIONS
+        ]
+    failed = [seed for seed, seconds in runs if not _has_passed(seed, seconds)]
     print(f'seeds that failed: {failed}' if failed else 'no promise was broken')
     return 1 if failed else 0
 
 
-def _is_kept(seed: int, seconds: float) -> bool:
-    wrong = play(seed, seconds)
-    for line in wrong[:_LINES_SHOWN]:
+def _has_passed(seed: int, seconds: float) -> bool:
+    violations = play(seed, seconds)
+    for line in violations[:_MAX_LINES_SHOWN]:
         print(f'  {line}', flush=True)
-    return not wrong
+    return not violations
 
 
 if __name__ == '__main__':
--- a/standins/soak/field.py
+++ b/standins/soak/field.py
@@ -29,36 +29,40 @@
 _TARGETS_PER_ZONE: Final = 2
 _STORE_PORT: Final = 8382
 _TARGET_PORT: Final = 9000
-_DOWN_SECONDS: Final = 0.5  # the platform starts a process again after that
-_SETTLE_SECONDS: Final = 1.0  # a VM that is back has not read its tables yet
+_RESTART_DELAY_SECONDS: Final = (
+    0.5  # the platform starts a process again after that
+)
+_TABLE_READ_SECONDS: Final = (
+    1.0  # a VM that is back has not read its tables yet
+)
 
 
 class Field:
     """The deployment of one run, and what is wrong with it at the moment."""
 
-    def __init__(self, *, net: int) -> None:
+    def __init__(self, *, network_octet: int) -> None:
         """Use the loopback addresses of one network."""
-        self.site = Deployment(net=net)
-        self._net = net
-        self._modes: dict[tuple[str, str], list[str]] = defaultdict(list)
+        self.deployment = Deployment(network_octet=network_octet)
+        self._network_octet = network_octet
+        self._active_modes: dict[tuple[str, str], list[str]] = defaultdict(list)
         self._links: dict[tuple[str, str], Link] = {}
         self._addresses: dict[str, str] = {}
         self._zones: dict[str, str] = {}
-        self._busy: set[str] = set()
-        self._unrest: dict[str, list[list[float]]] = defaultdict(list)
+        self._vms_with_fault: set[str] = set()
+        self._disturbances: dict[str, list[list[float]]] = defaultdict(list)
         self._lock = threading.Lock()
         self._has_other_key = True
         self._extra_routes = 0
         self.checks: list[Call] = []
         self._actions: dict[str, Callable[[Fault], None]] = {
-            'vm': self._strike_vm,
-            'target': self._strike_target,
-            'store': self._strike_store,
-            'target link': self._strike_link,
-            'store link': self._strike_link,
-            'change': self._change,
+            'vm': self._inject_vm_fault,
+            'target': self._inject_target_fault,
+            'store': self._inject_store_fault,
+            'target link': self._inject_link_fault,
+            'store link': self._inject_link_fault,
+            'change': self._inject_change,
         }
-        self._stops: dict[str, Callable[[str, float], None]] = {
+        self._vm_actions: dict[str, Callable[[str, float], None]] = {
             'kill': self._kill,
             'pause': self._pause,
             'terminate': self._terminate,
@@ -66,7 +70,7 @@
         }
         self._changes: dict[str, Callable[[Fault], None]] = {
             'routes': self._add_route,
-            'withdraw': self._withdraw,
+            'withdraw': self._withdraw_key,
             'evacuate': self._evacuate,
             'drain': self._drain,
             'compact': self._compact,
@@ -74,7 +78,7 @@
 
     def start(self) -> Subjects:
         """Start everything; return what may be struck."""
-        self.site.__enter__()
+        self.deployment.__enter__()
         self._configure()
         for zone in ZONES:
             for number in range(_TARGETS_PER_ZONE):
@@ -82,18 +86,18 @@
         for zone in ZONES:
             for number in range(_VMS_PER_ZONE):
                 self._add_vm(f'{zone}-vm-{number}', zone)
-        self.site.wait_ready()
+        self.deployment.wait_ready()
         return Subjects(
-            vms=tuple(self.site.vms),
-            targets=tuple(self.site.targets),
+            vms=tuple(self.deployment.vms),
+            targets=tuple(self.deployment.targets),
             zones=tuple(ZONES),
         )
 
     def stop(self) -> None:
         """End what was started."""
         for link in self._links.values():
-            self.site.call(link.stop())
-        self.site.__exit__()
+            self.deployment.call(link.stop())
+        self.deployment.__exit__()
 
     def strike(self, fault: Fault) -> None:
         """Let a fault happen, and end it when it is over."""
@@ -102,7 +106,7 @@
     def was_calm(self, vm: str, since: float) -> bool:
         """Whether a VM ran undisturbed from some time until now."""
         with self._lock:
-            return all(end < since for _start, end in self._unrest[vm])
+            return all(end < since for _start, end in self._disturbances[vm])
 
     def withdraw_for_good(self) -> None:
         """Withdraw the key of the other team."""
@@ -110,10 +114,12 @@
         self._configure()
 
     def _add_target(self, name: str, zone: str) -> None:
-        self.site.add_target(name, zone)
+        self.deployment.add_target(name, zone)
         self._zones[name] = zone
-        host = f'127.{self._net}.150.{len(self.site.targets)}'
-        self._open('target link', name, self.site.get_ip(name), host)
+        host = f'127.{self._network_octet}.150.{len(self.deployment.targets)}'
+        self._start_link(
+            'target link', name, self.deployment.get_ip(name), host
+        )
         self._register(name)
 
     def _register(self, name: str, state: str = 'ready') -> None:
@@ -122,115 +128,119 @@
             self._zones[name],
             state=state,
         )
-        self.site.write('servers', name, entry)
+        self.deployment.write('servers', name, entry)
 
     def _add_vm(self, name: str, zone: str) -> None:
         self._zones[name] = zone
-        host = f'127.{self._net}.160.{len(self.site.vms) + 1}'
-        self._open('store link', name, f'127.{self._net}.200.1', host)
+        host = f'127.{self._network_octet}.160.{len(self.deployment.vms) + 1}'
+        self._start_link(
+            'store link', name, f'127.{self._network_octet}.200.1', host
+        )
         self._start_vm(name)
 
     def _start_vm(self, name: str) -> None:
-        self.site.start_vm(
+        self.deployment.start_vm(
             name,
             self._zones[name],
             store=self._addresses[name],
         )
 
-    def _open(self, kind: str, name: str, far: str, host: str) -> None:
+    def _start_link(
+        self, kind: str, name: str, upstream_host: str, host: str
+    ) -> None:
         port = _STORE_PORT if kind == 'store link' else _TARGET_PORT
-        link = Link(host=far, port=port)
-        self.site.call(link.start(host, port))
+        link = Link(host=upstream_host, port=port)
+        self.deployment.call(link.start(host, port))
         self._links[kind, name] = link
         self._addresses[name] = f'{host}:{port}'
 
-    def _hold(
+    def _apply_for_duration(
         self,
         fault: Fault,
         apply: Callable[[str], None],
     ) -> None:
         """Apply the mode of a fault; then what others that last have set."""
-        modes = self._modes[fault.kind, fault.subject]
-        modes.append(fault.how)
+        active_modes = self._active_modes[fault.kind, fault.subject]
+        active_modes.append(fault.how)
         apply(fault.how)
         time.sleep(fault.seconds)
-        modes.remove(fault.how)
-        apply(modes[-1] if modes else 'well')
+        active_modes.remove(fault.how)
+        apply(active_modes[-1] if active_modes else 'well')
 
-    def _strike_link(self, fault: Fault) -> None:
+    def _inject_link_fault(self, fault: Fault) -> None:
         link = self._links[fault.kind, fault.subject]
 
         def apply(mode: str) -> None:
-            found: Mode = mode  # type: ignore[assignment]
-            self.site.do(link.set_mode, found)
+            link_mode: Mode = mode  # type: ignore[assignment]
+            self.deployment.do(link.set_mode, link_mode)
 
-        self._hold(fault, apply)
+        self._apply_for_duration(fault, apply)
 
-    def _strike_target(self, fault: Fault) -> None:
-        target = self.site.targets[fault.subject]
+    def _inject_target_fault(self, fault: Fault) -> None:
+        target = self.deployment.targets[fault.subject]
 
         def apply(mode: str) -> None:
             target.mode = mode
 
-        self._hold(fault, apply)
+        self._apply_for_duration(fault, apply)
 
-    def _strike_store(self, fault: Fault) -> None:
+    def _inject_store_fault(self, fault: Fault) -> None:
         def apply(mode: str) -> None:
-            outcome = int(mode) if mode.isdigit() else mode
+            status_or_mode = int(mode) if mode.isdigit() else mode
 
             def decide(_request: Request) -> int | str | None:
-                return None if outcome == 'well' else outcome
+                return None if status_or_mode == 'well' else status_or_mode
 
-            self.site.do(self.site.store.set_fault, decide)
+            self.deployment.do(self.deployment.store.set_fault, decide)
 
-        self._hold(fault, apply)
+        self._apply_for_duration(fault, apply)
 
-    def _strike_vm(self, fault: Fault) -> None:
+    def _inject_vm_fault(self, fault: Fault) -> None:
         vm = fault.subject
         with self._lock:
-            if vm in self._busy:
+            if vm in self._vms_with_fault:
                 return
-            self._busy.add(vm)
-            unrest = [time.monotonic(), float('inf')]
-            self._unrest[vm].append(unrest)
+            self._vms_with_fault.add(vm)
+            disturbance = [time.monotonic(), float('inf')]
+            self._disturbances[vm].append(disturbance)
         try:
-            self._stops[fault.how](vm, fault.seconds)
+            self._vm_actions[fault.how](vm, fault.seconds)
         finally:
             with self._lock:
-                unrest[1] = time.monotonic() + _SETTLE_SECONDS
-                self._busy.discard(vm)
+                disturbance[1] = time.monotonic() + _TABLE_READ_SECONDS
+                self._vms_with_fault.discard(vm)
 
     def _kill(self, vm: str, _seconds: float) -> None:
-        self.site.signal_vm(vm, signal.SIGKILL)
-        self._start_again(vm)
+        self.deployment.signal_vm(vm, signal.SIGKILL)
+        self._restart(vm)
 
     def _terminate(self, vm: str, _seconds: float) -> None:
-        self.site.signal_vm(vm, signal.SIGTERM)
-        self._start_again(vm)
+        self.deployment.signal_vm(vm, signal.SIGTERM)
+        self._restart(vm)
 
-    def _start_again(self, vm: str) -> None:
-        self.site.vms[vm].wait()
-        time.sleep(_DOWN_SECONDS)
+    def _restart(self, vm: str) -> None:
+        self.deployment.vms[vm].wait()
+        time.sleep(_RESTART_DELAY_SECONDS)
         self._start_vm(vm)
-        self.site.wait_ready(vm)
+        self.deployment.wait_ready(vm)
 
     def _pause(self, vm: str, seconds: float) -> None:
-        self.site.signal_vm(vm, signal.SIGSTOP)
+        self.deployment.signal_vm(vm, signal.SIGSTOP)
         time.sleep(seconds)
-        self.site.signal_vm(vm, signal.SIGCONT)
+        self.deployment.signal_vm(vm, signal.SIGCONT)
 
     def _reload(self, vm: str, _seconds: float) -> None:
-        (self.site.folder / f'{vm}.yaml').touch()
-        self.site.signal_vm(vm, signal.SIGHUP)
+        (self.deployment.folder / f'{vm}.yaml').touch()
+        self.deployment.signal_vm(vm, signal.SIGHUP)
 
-    def _change(self, fault: Fault) -> None:
+    def _inject_change(self, fault: Fault) -> None:
         self._changes[fault.how](fault)
 
     def _add_route(self, _fault: Fault) -> None:
         self._extra_routes += 1
         self._configure()
 
-    def _withdraw(self, fault: Fault) -> None:
+    def _withdraw_key(self, fault: Fault) -> None:
         self._has_other_key = False
         self._configure()
         time.sleep(fault.seconds)
@@ -238,16 +248,16 @@
         self._configure()
 
     def _evacuate(self, fault: Fault) -> None:
-        self.site.write('evacuations', fault.subject, {})
+        self.deployment.write('evacuations', fault.subject, {})
         time.sleep(fault.seconds)
-        if fault.subject in self.site.store.objects['evacuations']:
-            self.site.remove('evacuations', fault.subject)
+        if fault.subject in self.deployment.store.objects['evacuations']:
+            self.deployment.remove('evacuations', fault.subject)
 
     def _drain(self, fault: Fault) -> None:
         name = random.choice(
             [
                 target
-                for target in self.site.targets
+                for target in self.deployment.targets
                 if self._zones[target] == fault.subject
             ],
         )
@@ -256,16 +266,16 @@
         self._register(name)
 
     def _compact(self, _fault: Fault) -> None:
-        self.site.do(self.site.store.compact)
+        self.deployment.do(self.deployment.store.compact)
 
     def _configure(self) -> None:
         team = {'rate_per_s': 0, 'burst': 0, 'home_regions': []}
         keys = [OTHER_KEY] if self._has_other_key else []
-        self.site.write(
+        self.deployment.write(
             'config',
             'main',
             make_configuration(
-                self.site.store.revision,
+                self.deployment.store.revision,
                 rules=[
                     make_rule('/view/'),
                     make_rule('/book/', route_type='non_idempotent'),
--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -9,7 +9,9 @@
 MODES: Final[tuple[Mode, ...]] = ('slow', 'reset', 'silent', 'no_answers')
 _CHUNK_BYTES: Final = 65536
 _DELAY_SECONDS: Final = 0.2
-_END_SECONDS: Final = 1.0  # in which the ends of reset connections are read
+_CLOSE_TIMEOUT_SECONDS: Final = (
+    1.0  # in which the ends of reset connections are read
+)
 
 
 class Link:
@@ -31,7 +33,9 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen for connections."""
-        self._server = await asyncio.start_server(self._carry, host, port)
+        self._server = await asyncio.start_server(
+            self._serve_connection, host, port
+        )
 
     def set_mode(self, mode: Mode) -> None:
         """Change what happens to the connections, open ones too."""
@@ -45,13 +49,15 @@
             self._server.close()
         self._reset_all()
         if self._tasks:
-            await asyncio.wait(tuple(self._tasks), timeout=_END_SECONDS)
+            await asyncio.wait(
+                tuple(self._tasks), timeout=_CLOSE_TIMEOUT_SECONDS
+            )
 
     def _reset_all(self) -> None:
         for writer in tuple(self._writers):
             writer.transport.abort()
 
-    async def _carry(
+    async def _serve_connection(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -64,7 +70,7 @@
             writer.transport.abort()
             return
         try:
-            far_reader, far = await asyncio.open_connection(
+            upstream_reader, upstream = await asyncio.open_connection(
                 self._host,
                 self._port,
             )
@@ -72,21 +78,21 @@
             # The far end is down: so it seems to the near one.
             writer.transport.abort()
             return
-        self._writers |= {writer, far}
+        self._writers |= {writer, upstream}
         try:
             await asyncio.gather(
-                self._pass_on(reader, far, is_answer=False),
-                self._pass_on(far_reader, writer, is_answer=True),
+                self._copy_bytes(reader, upstream, is_answer=False),
+                self._copy_bytes(upstream_reader, writer, is_answer=True),
             )
         finally:
-            self._end(writer, far)
+            self._abort(writer, upstream)
 
-    def _end(self, *writers: asyncio.StreamWriter) -> None:
+    def _abort(self, *writers: asyncio.StreamWriter) -> None:
         for writer in writers:
             self._writers.discard(writer)
             writer.transport.abort()
 
-    async def _pass_on(
+    async def _copy_bytes(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -94,14 +100,14 @@
         is_answer: bool,
     ) -> None:
         try:
-            while part := await reader.read(_CHUNK_BYTES):
+            while chunk := await reader.read(_CHUNK_BYTES):
                 if self.mode == 'silent':
                     continue
                 if self.mode == 'no_answers' and is_answer:
                     continue
                 if self.mode == 'slow':
                     await asyncio.sleep(_DELAY_SECONDS)
-                writer.write(part)
+                writer.write(chunk)
                 await writer.drain()
             if writer.can_write_eof():
                 writer.write_eof()
--- a/standins/soak/play.py
+++ b/standins/soak/play.py
@@ -17,31 +17,33 @@
 
 __all__ = ('play',)
 
-_CALLERS: Final = 6
-_PAUSE_SECONDS: Final = 0.03  # of a caller between two requests
-_PATIENCE_MS: Final = 3000
-_BOOKINGS: Final = 0.3  # share of the requests
-_ITEMS: Final = 40
-_RECOVERY_SECONDS: Final = 15.0
+_CALLER_COUNT: Final = 6
+_REQUEST_INTERVAL_SECONDS: Final = 0.03  # of a caller between two requests
+_REQUEST_TIMEOUT_MS: Final = 3000
+_BOOKING_FRACTION: Final = 0.3  # share of the requests
+_AFFINITY_KEY_COUNT: Final = 40
+_RECOVERY_TIMEOUT_SECONDS: Final = 15.0
 # In force everywhere, for VMs that hear of it from others (the bounds of the
 # deployments, from the acknowledgement).
-_WITHDRAWN_SECONDS: Final = 7.5
-_FIRST_NET: Final = 100
-_NETS: Final = 100  # seeds that may be played at the same time
+_WITHDRAWAL_TIMEOUT_SECONDS: Final = 7.5
+_FIRST_NETWORK_OCTET: Final = 100
+_NETWORK_COUNT: Final = 100  # seeds that may be played at the same time
 
 
 class _Callers:
     """Callers that make requests until they are told to stop."""
 
-    def __init__(self, *, field: Field, subjects: Subjects, seed: int) -> None:
-        self._field = field
+    def __init__(
+        self, *, injector: Field, subjects: Subjects, seed: int
+    ) -> None:
+        self._injector = injector
         self._vms = subjects.vms
         self._seed = seed
         self._stopping = threading.Event()
         self.calls: list[Call] = []
         self._threads = [
-            threading.Thread(target=self._call_on, args=(number,))
-            for number in range(_CALLERS)
+            threading.Thread(target=self._send_requests, args=(number,))
+            for number in range(_CALLER_COUNT)
         ]
 
     def start(self) -> None:
@@ -53,139 +55,149 @@
         for thread in self._threads:
             thread.join()
 
-    def _call_on(self, caller: int) -> None:
-        chance = random.Random(f'{self._seed} {caller}')
+    def _send_requests(self, caller: int) -> None:
+        rng = random.Random(f'{self._seed} {caller}')
         number = 0
-        while not self._stopping.wait(_PAUSE_SECONDS):
+        while not self._stopping.wait(_REQUEST_INTERVAL_SECONDS):
             number += 1
-            is_booking = chance.random() < _BOOKINGS
+            is_booking = rng.random() < _BOOKING_FRACTION
             route = 'book' if is_booking else 'view'
             self.calls.append(
-                call(
-                    self._field,
-                    chance.choice(self._vms),
+                send_request(
+                    self._injector,
+                    rng.choice(self._vms),
                     f'/{route}/{caller}-{number}',
-                    item=str(chance.randrange(_ITEMS)),
+                    affinity_key=str(rng.randrange(_AFFINITY_KEY_COUNT)),
                 ),
             )
 
 
-def call(
-    field: Field,
+def send_request(
+    injector: Field,
     vm: str,
     path: str,
     *,
-    item: str = '1',
-    is_other: bool = False,
+    affinity_key: str = '1',
+    uses_other_key: bool = False,
 ) -> Call:
     """Make a request of a caller, or of one whose key may be withdrawn."""
     is_booking = path.startswith('/book/')
-    began = time.monotonic()
-    outcome = field.site.request(
+    started_at = time.monotonic()
+    outcome = injector.deployment.request(
         vm,
         path,
         method='POST' if is_booking else 'GET',
         body=b'deposit' if is_booking else None,
-        item=item,
-        key=OTHER_KEY if is_other else KEY,
-        wait_ms=_PATIENCE_MS,
+        affinity_key=affinity_key,
+        key=OTHER_KEY if uses_other_key else KEY,
+        timeout_ms=_REQUEST_TIMEOUT_MS,
     )
     return Call(
         request_id=outcome.request_id,
         vm=vm,
         path=path,
-        team=OTHER_TEAM if is_other else TEAM,
+        team=OTHER_TEAM if uses_other_key else TEAM,
         is_booking=is_booking,
         status=outcome.status,
         body=outcome.body,
         seconds=outcome.seconds,
-        is_calm=field.was_calm(vm, began),
-        may_be_denied=is_other,
+        is_calm=injector.was_calm(vm, started_at),
+        may_be_denied=uses_other_key,
     )
 
 
 def play(seed: int, seconds: float) -> list[str]:
     """Play one run; return what was wrong."""
-    field = Field(net=_FIRST_NET + seed % _NETS)
+    injector = Field(network_octet=_FIRST_NETWORK_OCTET + seed % _NETWORK_COUNT)
     try:
-        subjects = field.start()
-        callers = _Callers(field=field, subjects=subjects, seed=seed)
+        subjects = injector.start()
+        callers = _Callers(injector=injector, subjects=subjects, seed=seed)
         faults = draw(seed, seconds, subjects)
-        began = time.monotonic()
+        started_at = time.monotonic()
         callers.start()
         with ThreadPoolExecutor(len(faults) + 1) as pool:
-            struck = []
+            injections = []
             for fault in faults:
-                time.sleep(max(0.0, began + fault.at - time.monotonic()))
-                struck.append(pool.submit(field.strike, fault))
+                time.sleep(max(0.0, started_at + fault.at - time.monotonic()))
+                injections.append(pool.submit(injector.strike, fault))
         callers.stop()
-        wrong = [
-            repr(found.exception()) for found in struck if found.exception()
+        violations = [
+            repr(injection.exception())
+            for injection in injections
+            if injection.exception()
         ]
-        wrong += _check_recovery(field, subjects)
+        violations += _check_recovery(injector, subjects)
         runs = [
-            run for found in field.site.targets.values() for run in found.runs
+            run
+            for target in injector.deployment.targets.values()
+            for run in target.runs
         ]
-        asked = [*callers.calls, *field.checks]
-        wrong += check_calls(asked, runs)
-        wrong += check_runs(asked, runs)
-        wrong += _check_programs(field, subjects)
-        statuses = dict(
-            sorted(Counter(found.status for found in asked).items())
-        )
-        kinds = dict(sorted(Counter(found.kind for found in faults).items()))
+        calls = [*callers.calls, *injector.checks]
+        violations += check_calls(calls, runs)
+        violations += check_runs(calls, runs)
+        violations += _check_vm_processes(injector, subjects)
+        statuses = dict(sorted(Counter(call.status for call in calls).items()))
+        kinds = dict(sorted(Counter(fault.kind for fault in faults).items()))
         print(
-            f'seed {seed}: {len(wrong)} wrong, {len(asked)} requests '
-            f'{statuses}, faults {kinds}, logs {field.site.folder}',
+            f'seed {seed}: {len(violations)} wrong, {len(calls)} requests '
+            f'{statuses}, faults {kinds}, logs {injector.deployment.folder}',
             flush=True,
         )
-        return wrong
+        return violations
     finally:
-        field.stop()
+        injector.stop()
 
 
-def _check_recovery(field: Field, subjects: Subjects) -> list[str]:
+def _check_recovery(injector: Field, subjects: Subjects) -> list[str]:
     """Check that all VMs serve again, and deny a key that is withdrawn."""
 
     def is_served(vm: str) -> bool:
-        return ask(vm, is_other=False).status == HTTPStatus.OK
+        return (
+            send_recovery_request(vm, uses_other_key=False).status
+            == HTTPStatus.OK
+        )
 
     def is_denied(vm: str) -> bool:
-        return ask(vm, is_other=True).status == HTTPStatus.UNAUTHORIZED
+        return (
+            send_recovery_request(vm, uses_other_key=True).status
+            == HTTPStatus.UNAUTHORIZED
+        )
 
-    def ask(vm: str, *, is_other: bool) -> Call:
+    def send_recovery_request(vm: str, *, uses_other_key: bool) -> Call:
         path = f'/view/last-{time.monotonic_ns()}'
-        found = call(field, vm, path, is_other=is_other)
-        field.checks.append(found)
-        return found
+        call = send_request(injector, vm, path, uses_other_key=uses_other_key)
+        injector.checks.append(call)
+        return call
 
-    wrong = []
+    violations = []
     try:
         wait_until(
             lambda: all(is_served(vm) for vm in subjects.vms),
             'all VMs serve',
-            _RECOVERY_SECONDS,
+            _RECOVERY_TIMEOUT_SECONDS,
         )
-        field.withdraw_for_good()
+        injector.withdraw_for_good()
         wait_until(
             lambda: all(is_denied(vm) for vm in subjects.vms),
             'the withdrawn key is denied',
-            _WITHDRAWN_SECONDS,
+            _WITHDRAWAL_TIMEOUT_SECONDS,
         )
     except TimeoutError as error:
-        wrong.append(str(error))
-    return wrong
+        violations.append(str(error))
+    return violations
 
 
-def _check_programs(field: Field, subjects: Subjects) -> list[str]:
-    wrong = [
+def _check_vm_processes(injector: Field, subjects: Subjects) -> list[str]:
+    violations = [
         f'{vm} ended by itself'
         for vm in subjects.vms
-        if field.site.vms[vm].poll() is not None
+        if injector.deployment.vms[vm].poll() is not None
     ]
-    wrong += [
+    violations += [
         f'{vm}: {line}'
         for vm in subjects.vms
-        for line in field.site.find_events(vm, events.REQUEST_CRASHED.number)
+        for line in injector.deployment.find_events(
+            vm, events.REQUEST_CRASHED.number
+        )
     ]
-    return wrong
+    return violations
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -8,12 +8,12 @@
 
 __all__ = ('Call', 'check_calls', 'check_runs')
 
-_NOT_RUN: Final = frozenset((408, 421, 429, 503))
-_DENIALS: Final = frozenset((400, 401, 403, 404, 413, 431))
-_SUCCESS: Final = 200
+_NOT_EXECUTED_STATUSES: Final = frozenset((408, 421, 429, 503))
+_DENIAL_STATUSES: Final = frozenset((400, 401, 403, 404, 413, 431))
+_OK_STATUS: Final = 200
 # The route's timeout of the deployment, and the half second after it in which
 # the final answer is due.
-_LONGEST_SECONDS: Final = 2.5
+_MAX_ANSWER_SECONDS: Final = 2.5
 
 
 class Call(NamedTuple):
@@ -37,42 +37,47 @@
 
 def check_calls(calls: Iterable[Call], runs: Sequence[Run]) -> list[str]:
     """Return what is wrong with the answers that callers got."""
-    ran = Counter(run.request_id for run in runs)
-    found = []
+    run_counts = Counter(run.request_id for run in runs)
+    violations = []
     for call in calls:
-        wrong = _judge(call, ran[call.request_id])
-        if wrong:
-            found.append(f'{call.request_id} at {call.vm}: {wrong}')
-    return found
+        violation = _find_violation(call, run_counts[call.request_id])
+        if violation:
+            violations.append(f'{call.request_id} at {call.vm}: {violation}')
+    return violations
 
 
 def check_runs(calls: Iterable[Call], runs: Iterable[Run]) -> list[str]:
     """Return what is wrong with the requests that targets ran."""
-    sent = {call.request_id: call for call in calls}
-    found = []
+    calls_by_id = {call.request_id: call for call in calls}
+    violations = []
     for run in runs:
-        call = sent.get(run.request_id)
+        call = calls_by_id.get(run.request_id)
         if call is None or call.path != run.path:
-            found.append(f'{run.request_id}: nobody asked for {run.path}')
+            violations.append(f'{run.request_id}: nobody asked for {run.path}')
         elif run.team != call.team:
-            found.append(f'{run.request_id}: ran for team {run.team!r}')
+            violations.append(f'{run.request_id}: ran for team {run.team!r}')
         if run.key:
-            found.append(f'{run.request_id}: {run.target} saw a key')
-    return found
+            violations.append(f'{run.request_id}: {run.target} saw a key')
+    return violations
 
 
-def _judge(call: Call, runs: int) -> str:
+def _find_violation(call: Call, runs: int) -> str:
     """Return the first promise that a call shows broken, or nothing."""
     checks = (
-        (call.status == _SUCCESS and not _is_own(call), 'answer of another'),
-        (call.status == _SUCCESS and not runs, 'an answer of no target'),
         (
-            call.status in _DENIALS and not call.may_be_denied,
+            call.status == _OK_STATUS and not _has_own_answer(call),
+            'answer of another',
+        ),
+        (call.status == _OK_STATUS and not runs, 'an answer of no target'),
+        (
+            call.status in _DENIAL_STATUSES and not call.may_be_denied,
             'denied, though it is allowed',
         ),
         (call.is_booking and runs > 1, 'ran more than once'),
         (
-            call.is_booking and runs > 0 and call.status in _NOT_RUN,
+            call.is_booking
+            and runs > 0
+            and call.status in _NOT_EXECUTED_STATUSES,
             'refused as not run, and ran',
         ),
         (
@@ -80,15 +85,17 @@
             'connection broken by a VM in service',
         ),
         (
-            call.is_calm and call.seconds > _LONGEST_SECONDS,
+            call.is_calm and call.seconds > _MAX_ANSWER_SECONDS,
             'no final answer by the timeout of its route',
         ),
     )
-    wrong = next((what for is_wrong, what in checks if is_wrong), '')
-    if not wrong:
+    violation = next(
+        (description for is_violated, description in checks if is_violated), ''
+    )
+    if not violation:
         return ''
-    return f'{wrong}: {call.status} in {call.seconds:.2f} s, {call.body!r}'
+    return f'{violation}: {call.status} in {call.seconds:.2f} s, {call.body!r}'
 
 
-def _is_own(call: Call) -> bool:
+def _has_own_answer(call: Call) -> bool:
     return call.body.split(' ')[1:2] == [call.path]
--- a/standins/soak/regressions.py
+++ b/standins/soak/regressions.py
@@ -13,11 +13,11 @@
     cause: str
 
 
-_STARVED: Final = (
+_CPU_STARVATION: Final = (
     'no VM ran for up to 3.4 s (event 105 of each) beside 750 other processes; '
     'four runs beside 450 passed'
 )
 REGRESSIONS: Final[tuple[Regression, ...]] = (
-    Regression(75, 12.0, _STARVED),
-    Regression(76, 12.0, _STARVED),
+    Regression(75, 12.0, _CPU_STARVATION),
+    Regression(76, 12.0, _CPU_STARVATION),
 )
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -8,11 +8,13 @@
 
 __all__ = ('Fault', 'Subjects', 'draw')
 
-_MOST_SECONDS: Final = 5.0  # longer than any time after which a VM gives up
-_LEAST_SECONDS: Final = 0.3
-_GAP_SECONDS: Final = 0.8  # mean time between the starts of two faults
-_SERIES: Final = 0.25  # share of faults that strike again at once
-_TARGET_MODES: Final = (
+_MAX_FAULT_SECONDS: Final = (
+    5.0  # longer than any time after which a VM gives up
+)
+_MIN_FAULT_SECONDS: Final = 0.3
+_MEAN_GAP_SECONDS: Final = 0.8  # mean time between the starts of two faults
+_SERIES_FRACTION: Final = 0.25  # share of faults that strike again at once
+_TARGET_FAULT_MODES: Final = (
     'shed',
     'fail',
     'stray',
@@ -26,9 +28,9 @@
     'limit',
     'odd',
 )
-_STORE_MODES: Final = ('503', '429', 'silent', 'lost')
-_CHANGES: Final = ('routes', 'withdraw', 'evacuate', 'drain', 'compact')
-_STOPS: Final = ('kill', 'pause', 'terminate', 'reload')
+_STORE_FAULT_MODES: Final = ('503', '429', 'silent', 'lost')
+_CHANGE_FAULTS: Final = ('routes', 'withdraw', 'evacuate', 'drain', 'compact')
+_VM_FAULTS: Final = ('kill', 'pause', 'terminate', 'reload')
 
 
 class Fault(NamedTuple):
@@ -51,23 +53,27 @@
 
 def draw(seed: int, seconds: float, subjects: Subjects) -> list[Fault]:
     """Return the faults of a run, by time; they overlap and repeat."""
-    chance = random.Random(seed)
+    rng = random.Random(seed)
     kinds: dict[str, tuple[Sequence[str], Sequence[str]]] = {
-        'vm': (subjects.vms, _STOPS),
-        'target': (subjects.targets, _TARGET_MODES),
-        'store': (('store',), _STORE_MODES),
+        'vm': (subjects.vms, _VM_FAULTS),
+        'target': (subjects.targets, _TARGET_FAULT_MODES),
+        'store': (('store',), _STORE_FAULT_MODES),
         'target link': (subjects.targets, MODES),
         'store link': (subjects.vms, MODES),
-        'change': (subjects.zones, _CHANGES),
+        'change': (subjects.zones, _CHANGE_FAULTS),
     }
     faults = []
-    at = 1.0
-    while at < seconds:
-        kind = chance.choice(sorted(kinds))
-        names, hows = kinds[kind]
-        subject, how = chance.choice(names), chance.choice(hows)
-        for _again in range(1 + 2 * (chance.random() < _SERIES)):
-            lasting = chance.uniform(_LEAST_SECONDS, _MOST_SECONDS)
-            faults.append(Fault(round(at, 3), kind, subject, how, lasting))
-            at += chance.expovariate(1 / _GAP_SECONDS)
+    start_seconds = 1.0
+    while start_seconds < seconds:
+        kind = rng.choice(sorted(kinds))
+        names, modes = kinds[kind]
+        subject, mode = rng.choice(names), rng.choice(modes)
+        for _repetition in range(1 + 2 * (rng.random() < _SERIES_FRACTION)):
+            fault_seconds = rng.uniform(_MIN_FAULT_SECONDS, _MAX_FAULT_SECONDS)
+            faults.append(
+                Fault(
+                    round(start_seconds, 3), kind, subject, mode, fault_seconds
+                )
+            )
+            start_seconds += rng.expovariate(1 / _MEAN_GAP_SECONDS)
     return [fault for fault in faults if fault.at < seconds]
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -11,18 +11,18 @@
 
 _ROOT: Final = Path(__file__).parent.parent
 _SOURCES: Final = ('toucanhall', 'standins', 'benches', 'release', 'tests')
-_WORKERS: Final = 4  # fleets that run side by side
-_FAILED: Final = re.compile(r'^(?:FAILED|ERROR) (\S+)', re.MULTILINE)
-_REASONS: Final = re.compile(r'^(?:FAILED|ERROR) .*|^E  .*', re.MULTILINE)
-_MOST_REASONS: Final = 40  # lines that the end of a run repeats, a check
+_PROCESS_TEST_WORKERS: Final = 4  # fleets that run side by side
+_FAILED_TEST: Final = re.compile(r'^(?:FAILED|ERROR) (\S+)', re.MULTILINE)
+_FAILURE_LINE: Final = re.compile(r'^(?:FAILED|ERROR) .*|^E  .*', re.MULTILINE)
+_MAX_FAILURE_LINES: Final = 40  # lines that the end of a run repeats, a check
 
 
 def run_tool(*arguments: str) -> Callable[[], bool]:
     """Return a check that runs a tool and passes when it exits with 0."""
 
     def check() -> bool:
-        done = subprocess.run((sys.executable, '-m', *arguments), cwd=_ROOT)
-        return done.returncode == 0
+        finished = subprocess.run((sys.executable, '-m', *arguments), cwd=_ROOT)
+        return finished.returncode == 0
 
     return check
 
@@ -41,8 +41,8 @@
         modules = sorted(str(path) for path in Path(folder).glob('test_*.py'))
         runs = [(folder,)] if workers == 1 else [(name,) for name in modules]
         with ThreadPoolExecutor(workers) as pool:
-            done = list(pool.map(partial(run_pytest, report), runs))
-        return judge(folder, done)
+            finished = list(pool.map(partial(run_pytest, report), runs))
+        return judge(folder, finished)
 
     return check
 
@@ -68,19 +68,23 @@
     )
 
 
-def judge(folder: str, done: list[subprocess.CompletedProcess[str]]) -> bool:
+def judge(
+    folder: str, finished: list[subprocess.CompletedProcess[str]]
+) -> bool:
     """Print what ran; return whether all passed but known red tests."""
-    output = '\n'.join(run.stdout for run in done)
+    output = '\n'.join(run.stdout for run in finished)
     print(output, flush=True)
-    failed = set(_FAILED.findall(output))
+    failed = set(_FAILED_TEST.findall(output))
     if failed:
-        reasons.append((folder, _REASONS.findall(output)[-_MOST_REASONS:]))
+        failure_lines.append(
+            (folder, _FAILURE_LINE.findall(output)[-_MAX_FAILURE_LINES:])
+        )
     known = {test for test in read_known_red() if test.startswith(folder)}
     for test in sorted(known & failed):
         print(f'known red: {test}')
     for test in sorted(known - failed):
         print(f'known red, but green now: {test}')
-    codes = {run.returncode for run in done}
+    codes = {run.returncode for run in finished}
     return (
         codes <= {0, 1} and (codes == {0} or bool(failed)) and failed <= known
     )
@@ -97,7 +101,7 @@
 
 
 # The end of a run repeats these: a log may be kept without its middle.
-reasons: Final[list[tuple[str, list[str]]]] = []
+failure_lines: Final[list[tuple[str, list[str]]]] = []
 
 CHECKS: Final = {
     'format': run_tool('ruff', 'format', '--check', *_SOURCES),
@@ -106,7 +110,7 @@
     'tests': run_tests('tests/unit'),
     # P shows what passed tests printed: states, times, counterexamples.
     'models': run_tests('tests/models', report='-rfEP'),
-    'processes': run_tests('tests/processes', workers=_WORKERS),
+    'processes': run_tests('tests/processes', workers=_PROCESS_TEST_WORKERS),
     'soak': run_tool(
         'standins.soak', '--seed', '1', '--seconds', '12', '--regressions'
     ),
@@ -126,7 +130,7 @@
         if not CHECKS[name]():
             failed.append(name)
     passed = len(names or CHECKS) - len(failed)
-    for folder, lines in reasons:
+    for folder, lines in failure_lines:
         print(f'== failed in {folder}', *lines, sep='\n')
     print(f'failed checks: {failed}' if failed else 'all checks passed')
     print(f'checks: {passed} passed, {len(failed)} failed')
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -3,7 +3,7 @@
 import json5
 from hypothesis import strategies as st
 
-VALUES = st.one_of(
+REPLACEMENTS = st.one_of(
     st.none(),
     st.booleans(),
     st.integers(),
@@ -15,13 +15,17 @@
 )
 
 
-def list_places(found):
+def list_entries(container):
     """Yield each entry of a document, as its container and key."""
-    pairs = found.items() if isinstance(found, dict) else enumerate(found)
-    for key, entry in pairs:
-        yield found, key
+    items = (
+        container.items()
+        if isinstance(container, dict)
+        else enumerate(container)
+    )
+    for key, entry in items:
+        yield container, key
         if isinstance(entry, (dict, list)):
-            yield from list_places(entry)
+            yield from list_entries(entry)
 
 
 @st.composite
@@ -29,8 +33,8 @@
     """Return a document with a few entries changed, added or removed."""
     document = json5.loads(text)
     for _ in range(draw(st.integers(1, 3))):
-        container, key = draw(st.sampled_from(list(list_places(document))))
-        container[key] = draw(VALUES)
+        container, key = draw(st.sampled_from(list(list_entries(document))))
+        container[key] = draw(REPLACEMENTS)
         if isinstance(container, dict) and draw(st.booleans()):
             container[f'{key}x'] = container.pop(key)
     return document
--- a/tests/pausedloop.py
+++ b/tests/pausedloop.py
@@ -5,10 +5,10 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-Found = TypeVar('Found')
+Result = TypeVar('Result')
 
 
-class _Selector(selectors.DefaultSelector):
+class _VirtualTimeSelector(selectors.DefaultSelector):
     """Moves a clock on instead of waiting."""
 
     def __init__(self):
@@ -17,18 +17,18 @@
 
     def select(self, timeout=None):
         """Return what is ready; else let the time pass."""
-        found = super().select(0)
-        if not found:
+        ready_events = super().select(0)
+        if not ready_events:
             self.now += timeout or 0.0
-        return found
+        return ready_events
 
 
-def run_paused(act: Coroutine[Any, Any, Found]) -> Found:
+def run_paused(coroutine: Coroutine[Any, Any, Result]) -> Result:
     """Run a coroutine on a clock that starts at 0.0 seconds."""
-    selector = _Selector()
+    selector = _VirtualTimeSelector()
     loop = asyncio.SelectorEventLoop(selector)
     loop.time = lambda: selector.now
     try:
-        return loop.run_until_complete(act)
+        return loop.run_until_complete(coroutine)
     finally:
         loop.close()
--- a/tests/processes/test_endless.py
+++ b/tests/processes/test_endless.py
@@ -8,13 +8,15 @@
 from standins.site.deployment import Deployment
 from toucanhall.observe import events
 
-NET = 65
-PEAK_BYTES = 64_000_000  # for a VM that may use 152 MB
-ANSWERS = 100
-QUICK_SECONDS = 1.0  # of a request of 10 ms beside them, on a busy machine
+NETWORK_OCTET = 65
+MAX_PEAK_BYTES = 64_000_000  # for a VM that may use 152 MB
+ANSWER_COUNT = 100
+MAX_REQUEST_SECONDS = (
+    1.0  # of a request of 10 ms beside them, on a busy machine
+)
 
 
-def drop_unaccepted(site, outcomes):
+def drop_unaccepted(deployment, outcomes):
     """Return the outcomes without those whose target took no connection.
 
     A target that is busy with sending may accept too late on a busy machine;
@@ -22,14 +24,14 @@
     """
     unaccepted = {
         line['request']
-        for line in site.find_events('vm-1', events.ATTEMPT_FAILED.number)
+        for line in deployment.find_events('vm-1', events.ATTEMPT_FAILED.number)
         if line['detail'].endswith('did not accept in time')
         and not line['may_have_run']
     }
     return [
-        found
-        for found in outcomes
-        if found.body != 'not-run' or found.request_id not in unaccepted
+        outcome
+        for outcome in outcomes
+        if outcome.body != 'not-run' or outcome.request_id not in unaccepted
     ]
 
 
@@ -38,53 +40,65 @@
     ('one header', 'header lines', 'body without a length', 'trailers'),
 )
 def test_memory_stays_bounded_with_a_hundred_answers_without_end(kind):
-    with Deployment(net=NET) as site:
-        site.add_endless('t1', kind)
-        site.start_vm('vm-1')
-        site.wait_ready()
-        with ThreadPoolExecutor(ANSWERS) as pool:
+    with Deployment(network_octet=NETWORK_OCTET) as deployment:
+        deployment.add_endless('t1', kind)
+        deployment.start_vm('vm-1')
+        deployment.wait_ready()
+        with ThreadPoolExecutor(ANSWER_COUNT) as pool:
             outcomes = list(
                 pool.map(
-                    lambda item: site.request('vm-1', item=str(item)),
-                    range(ANSWERS),
+                    lambda number: deployment.request(
+                        'vm-1', affinity_key=str(number)
+                    ),
+                    range(ANSWER_COUNT),
                 ),
             )
-        outcomes = drop_unaccepted(site, outcomes)
-        assert {found.status for found in outcomes} <= {502, 503}
-        assert {found.body for found in outcomes} <= {
+        outcomes = drop_unaccepted(deployment, outcomes)
+        assert {outcome.status for outcome in outcomes} <= {502, 503}
+        assert {outcome.body for outcome in outcomes} <= {
             'answer-lost',
             'targets-full',
         }
-        assert 502 in {found.status for found in outcomes}
-        assert site.read_peak_memory('vm-1') < PEAK_BYTES
-        lines = site.find_events('vm-1', events.ATTEMPT_FAILED.number)
+        assert 502 in {outcome.status for outcome in outcomes}
+        assert deployment.read_peak_memory('vm-1') < MAX_PEAK_BYTES
+        lines = deployment.find_events('vm-1', events.ATTEMPT_FAILED.number)
         assert any(' over ' in line['detail'] for line in lines)
 
 
 @pytest.mark.parametrize('kind', ('one header', 'body with a length'))
 def test_requests_to_other_targets_go_on(kind):
-    with Deployment(net=NET) as site:
-        site.add_endless('t1', kind)
-        site.add_target('t2')
-        site.add_target('t3')
-        site.add_target('t4')
-        site.start_vm('vm-1')
-        site.wait_ready()
+    with Deployment(network_octet=NETWORK_OCTET) as deployment:
+        deployment.add_endless('t1', kind)
+        deployment.add_target('t2')
+        deployment.add_target('t3')
+        deployment.add_target('t4')
+        deployment.start_vm('vm-1')
+        deployment.wait_ready()
         # Repeats are limited: a VM that has just started has one.
-        first = [site.request('vm-1', item=str(item)) for item in range(20)]
-        first = drop_unaccepted(site, first)
-        refused = {
-            (found.status, found.body) for found in first if found.status != 200
+        first = [
+            deployment.request('vm-1', affinity_key=str(number))
+            for number in range(20)
+        ]
+        first = drop_unaccepted(deployment, first)
+        failures = {
+            (outcome.status, outcome.body)
+            for outcome in first
+            if outcome.status != 200
         }
-        assert refused <= {(502, 'answer-lost')}
+        assert failures <= {(502, 'answer-lost')}
         time.sleep(1.0)
-        outcomes = [site.request('vm-1', item=str(item)) for item in range(60)]
-        assert {found.status for found in outcomes} == {200}
-        booked = [
-            site.request('vm-1', '/book/1', method='POST', item=str(item))
-            for item in range(40)
+        outcomes = [
+            deployment.request('vm-1', affinity_key=str(number))
+            for number in range(60)
+        ]
+        assert {outcome.status for outcome in outcomes} == {200}
+        bookings = [
+            deployment.request(
+                'vm-1', '/book/1', method='POST', affinity_key=str(number)
+            )
+            for number in range(40)
         ]
-        assert {found.status for found in booked} <= {200, 502, 503}
-        began = time.monotonic()
-        assert site.request('vm-1', item='0').status == 200
-        assert time.monotonic() - began < QUICK_SECONDS
+        assert {outcome.status for outcome in bookings} <= {200, 502, 503}
+        started_at = time.monotonic()
+        assert deployment.request('vm-1', affinity_key='0').status == 200
+        assert time.monotonic() - started_at < MAX_REQUEST_SECONDS
--- a/tests/unit/test_checks.py
+++ b/tests/unit/test_checks.py
@@ -26,7 +26,7 @@
     known_red = f'{RED}\nE       assert 1 == 2\n'
     failing = {'slow': lambda: checks.judge('x', [make_run(1, known_red)])}
     monkeypatch.setattr(checks, 'CHECKS', failing)
-    monkeypatch.setattr(checks, 'reasons', [])
+    monkeypatch.setattr(checks, 'failure_lines', [])
     assert checks.main(['slow']) == 1
     end = capsys.readouterr().out.rpartition('== failed in x')[2]
     assert RED in end
