Describe the stand-ins and the soak in plain terms

Comments, docstrings and messages now use the terms of the field: faults are injected, invariants are violated, processes are restarted. Modes of targets and links are listed one a line, as each is looked up by name.

--- a/standins/site/__init__.py
+++ b/standins/site/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the users' platform: store, targets, callers, a deployment."""
+"""Stand-ins for the platform: store, targets, and a deployment with VMs."""
--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -1,4 +1,4 @@
-"""A deployment on loopback: a store, targets, and VMs as real processes."""
+"""A deployment on loopback: store, targets, and VMs as real processes."""
 
 import asyncio
 import json
@@ -42,7 +42,11 @@
 
 
 class Outcome(NamedTuple):
-    """What a caller got; status 0 is a connection that broke."""
+    """What a caller received.
+
+    Status 0 means that the connection failed or timed out; `body` is then the
+    name of the exception.
+    """
 
     status: int
     headers: Mapping[str, str]
@@ -52,7 +56,7 @@
 
 
 class Deployment:
-    """A store, some targets, and VMs by name, on a network of their own.
+    """A store, targets and VMs by name, on a loopback network of their own.
 
     Addresses are 127.`network_octet`.Z.N. The store and the targets run on a
     thread of this process.
@@ -61,7 +65,7 @@
     def __init__(
         self, *, network_octet: int, zones: tuple[str, ...] = ('east-a',)
     ) -> None:
-        """Use loopback addresses of one network, VMs in some zones."""
+        """Choose the loopback network; `network_octet` is its second octet."""
         self.network_octet = network_octet
         self.zones = zones
         self.targets: dict[str, TargetStandin] = {}
@@ -79,13 +83,13 @@
         self._ips: dict[str, str] = {}
 
     def __enter__(self) -> 'Deployment':
-        """Start the store with a first configuration."""
+        """Start the store and write a first configuration."""
         self.call(self.store.start(self._make_ip(200, 1), _STORE_PORT))
         self.write('config', 'main', make_configuration())
         return self
 
     def __exit__(self, *_error: object) -> None:
-        """End every process that was started."""
+        """Kill every VM process and stop the store and all targets."""
         for process in self.vms.values():
             if process.poll() is None:
                 process.kill()
@@ -100,13 +104,13 @@
         self._loop.close()
 
     def call(self, coroutine: Coroutine[Any, Any, Result]) -> Result:
-        """Run something on the thread of the stand-ins."""
+        """Run a coroutine on the thread of the stand-ins; return its result."""
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(
             10
         )
 
     def do(self, function: Callable[..., object], *arguments: object) -> None:
-        """Call a function on the thread of the stand-ins."""
+        """Call a function on the thread of the stand-ins and wait for it."""
 
         async def run() -> None:  # noqa: RUF029
             function(*arguments)
@@ -114,29 +118,29 @@
         self.call(run())
 
     def write(self, kind: str, name: str, spec: object) -> None:
-        """Write an object of the store as operators and targets do."""
+        """Write an object to the store, as operators and targets do."""
         self.do(self.store.put, kind, name, spec)
 
     def remove(self, kind: str, name: str) -> None:
-        """Remove an object of the store."""
+        """Remove an object from the store."""
         self.do(self.store.remove, kind, name)
 
     def add_target(self, name: str, zone: str = 'east-a') -> TargetStandin:
-        """Start a target and register it."""
+        """Start a target and register it in the store."""
         target = self.call(_make_target(name))
         self.targets[name] = target
         self._start_server(name, zone, target)
         return target
 
     def add_endless(self, name: str, kind: str) -> EndlessServer:
-        """Start and register a target that answers without end."""
+        """Start and register a target whose answers never end."""
         server = EndlessServer(name=kind)
         self.endless_servers[name] = server
         self._start_server(name, 'east-a', server)
         return server
 
     def read_peak_memory(self, vm: str) -> int:
-        """Return the most memory that a VM has had resident, in bytes."""
+        """Return the peak resident memory of a VM."""
         status = Path(f'/proc/{self.vms[vm].pid}/status').read_text()
         fields = dict(line.split(':', 1) for line in status.splitlines())
         return int(fields['VmHWM'].split()[0]) * _BYTES_PER_KIB
@@ -144,7 +148,7 @@
     def register(
         self, name: str, zone: str = 'east-a', **fields: object
     ) -> None:
-        """Write the entry of a target."""
+        """Write the store entry of a target, with some fields changed."""
         address = f'{self._ips[name]}:{_TARGET_PORT}'
         self.write('servers', name, make_target_entry(address, zone, **fields))
 
@@ -155,7 +159,7 @@
         *,
         store: str = '',
     ) -> None:
-        """Start a VM as a process of its own."""
+        """Start a VM as a process; `store` overrides the address it uses."""
         number = len(self._ips) + 1
         ip = self._ips.setdefault(
             name,
@@ -182,14 +186,14 @@
             )
 
     def wait_ready(self, *names: str) -> None:
-        """Wait until VMs say that they take requests."""
+        """Wait until the named VMs, or all, report that they are ready."""
         wait_until(
             lambda: all(self.is_ready(name) for name in names or self.vms),
-            f'ready: {names or tuple(self.vms)}',
+            f'VMs ready: {names or tuple(self.vms)}',
         )
 
     def is_ready(self, name: str) -> bool:
-        """Whether a VM says that it takes requests."""
+        """Return whether a VM reports that it is ready for requests."""
         url = f'http://{self._ips[name]}:8384/toucanhall/ready'
         try:
             return self._http.request('GET', url, timeout=1.0).status == 200
@@ -197,7 +201,10 @@
             return False
 
     def ask_directory(self, vm: str, zone: str) -> list[str]:
-        """Return the addresses of VMs that a client of a zone is given."""
+        """Return the addresses of VMs that a client in a zone would use.
+
+        The directory of `vm` is asked; the list is empty if it does not answer.
+        """
         url = (
             f'http://{self._ips[vm]}:8383/toucanhall/resolve'
             f'?name={HOST}&region={ZONES[zone]}&zone={zone}'
@@ -210,12 +217,12 @@
         return addresses
 
     def read_metrics(self, vm: str) -> str:
-        """Return the metrics of a VM as text."""
+        """Return the metrics of a VM in their text format."""
         url = f'http://{self._ips[vm]}:9464/metrics'
         return self._http.request('GET', url, timeout=1.0).data.decode()
 
     def get_ip(self, name: str) -> str:
-        """Return the address of a VM or a target."""
+        """Return the IP address of a VM or a target."""
         return self._ips[name]
 
     def request(
@@ -230,7 +237,7 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> Outcome:
-        """Make one request to a VM."""
+        """Send one request to a VM; return its outcome, also if it failed."""
         request_id = uuid.uuid4().hex[:16]
         sent_headers = {
             'Host': HOST,
@@ -266,7 +273,7 @@
         self.vms[name].send_signal(number)
 
     def read_log(self, name: str) -> list[dict[str, Any]]:
-        """Return the log lines of a VM."""
+        """Return the log lines of a VM, decoded."""
         lines = (self.folder / f'{name}.log').read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith('{')]
 
@@ -295,11 +302,13 @@
     description: str,
     timeout_seconds: float = _READY_TIMEOUT_SECONDS,
 ) -> None:
-    """Wait until something holds; raise TimeoutError otherwise."""
+    """Poll a condition; raise TimeoutError if it is not met in time."""
     deadline = time.monotonic() + timeout_seconds
     while not condition():
         if time.monotonic() > deadline:
-            raise TimeoutError(f'not within {timeout_seconds} s: {description}')
+            raise TimeoutError(
+                f'condition not met within {timeout_seconds} s: {description}',
+            )
         time.sleep(_POLL_INTERVAL_SECONDS)
 
 
--- a/standins/site/documents.py
+++ b/standins/site/documents.py
@@ -1,4 +1,4 @@
-"""Documents that operators, targets and machines of a platform write."""
+"""Builders of the documents that operators, targets and VMs write."""
 
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
@@ -15,7 +15,7 @@
 
 
 def make_rule(prefix: str, **fields: object) -> dict[str, Any]:
-    """Return a route of idempotent requests to the service `guide`."""
+    """Return a path rule for idempotent requests to the service `guide`."""
     return {
         'name': prefix.strip('/'),
         'path_prefix': prefix,
@@ -38,7 +38,7 @@
     rules: Sequence[Mapping[str, Any]] = (),
     teams: Sequence[Mapping[str, Any]] = (),
 ) -> dict[str, Any]:
-    """Return a configuration with a read and a booking route."""
+    """Return a configuration, by default with a read and a booking route."""
     default_rules = (
         make_rule('/view/'),
         make_rule('/book/', route_type='non_idempotent'),
@@ -82,7 +82,7 @@
     zone: str,
     **fields: object,
 ) -> dict[str, Any]:
-    """Return the entry of a ready target of the service `guide`."""
+    """Return the store entry of a ready target of the service `guide`."""
     return {
         'service': 'guide',
         'address': address,
@@ -107,7 +107,7 @@
     seeds: Sequence[str] = (),
     grace: str = '2s',
 ) -> dict[str, Any]:
-    """Return the settings of a VM."""
+    """Return the settings file of a VM as a document."""
     return {
         'node_name': vm,
         'ip': ip,
--- a/standins/site/endless.py
+++ b/standins/site/endless.py
@@ -1,4 +1,4 @@
-"""Servers in trouble: bytes that are no answer, without end."""
+"""A server whose answers never end, in a chosen part of the message."""
 
 import asyncio
 from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -24,7 +24,7 @@
         number += 512
 
 
-# What is sent until the caller closes, by name.
+# Bytes to send until the caller closes the connection, by what never ends.
 ENDLESS: Final[Mapping[str, Callable[[], Iterable[bytes]]]] = {
     'status line': lambda: _send_once_then_repeat(b'HTTP/1.1 200 ', _FILLER),
     'header lines': _generate_headers,
@@ -63,20 +63,20 @@
 
 
 class EndlessServer:
-    """Answers each connection with the same bytes until it is closed."""
+    """Sends an endless answer to the first request of each connection."""
 
     def __init__(self, *, name: str) -> None:
-        """Send what `ENDLESS` has under a name."""
+        """Send the answer that `ENDLESS` holds under a name."""
         self._name = name
         self.sent = 0
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
-        """Listen for connections."""
+        """Start to listen for connections."""
         self._server = await asyncio.start_server(self._answer, host, port)
 
     def stop(self) -> None:
-        """Listen no longer."""
+        """Stop listening; open connections stay open."""
         if self._server is not None:
             self._server.close()
 
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -1,4 +1,4 @@
-"""A stand-in for the platform's store: objects, watches, and its faults."""
+"""A stand-in for the platform's store: objects, watches and faults."""
 
 import asyncio
 import json
@@ -30,14 +30,15 @@
 
 
 class StoreStandin:
-    """Objects by kind and name with one counter of revisions.
+    """Holds objects by kind and name, with one revision counter for all.
 
-    `fault` is called with each request: it returns a status to answer with,
-    'silent' to answer never, 'lost' to act and answer never, or None.
+    `fault` is called with each request. It returns a status to answer
+    with, 'silent' to ignore the request, 'lost' to execute it without an
+    answer, or None for no fault.
     """
 
     def __init__(self) -> None:
-        """Start empty, without faults."""
+        """Hold no objects and inject no faults at first."""
         self.revision = 1
         self.objects: dict[str, dict[str, Document]] = {}
         self.fault: DecideFault = lambda _request: None
@@ -49,7 +50,7 @@
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
-        """Listen for calls."""
+        """Start to listen for requests."""
         handler = Handler(
             serve=self._serve,
             fail=make_failed,
@@ -68,12 +69,15 @@
         )
 
     def stop(self) -> None:
-        """Listen no longer."""
+        """Stop listening; open connections stay open."""
         if self._server is not None:
             self._server.close()
 
     def put(self, kind: str, name: str, spec: object) -> int:
-        """Write an object as operators and targets do."""
+        """Write an object, as operators and targets do; return the revision.
+
+        An object whose spec is unchanged keeps its revision.
+        """
         stored = self.objects.setdefault(kind, {}).get(name)
         if stored is not None and stored['spec'] == spec:
             return self.revision
@@ -96,25 +100,25 @@
         return self.revision
 
     def remove(self, kind: str, name: str) -> None:
-        """Remove an object, if there is one."""
+        """Remove an object, if it exists."""
         stored = self.objects.get(kind, {}).pop(name, None)
         if stored is not None:
             self.revision += 1
             self._append_event(kind, stored, is_deleted=True)
 
     def set_fault(self, fault: DecideFault) -> None:
-        """Let calls fail, and watches that are waiting."""
+        """Inject faults into new requests and into watches that wait."""
         self.fault = fault
         self._wake_watches()
 
     def compact(self) -> None:
-        """Forget the history; watches from before it are answered with 410."""
+        """Discard the history; watches from before it are answered 410."""
         self._events = []
         self._oldest_revision = self.revision + 1
         self._wake_watches()
 
     def freeze_stale_reads(self) -> None:
-        """Answer stale reads by what the store holds now."""
+        """Answer reads that allow stale data by what the store holds now."""
         self._stale_objects = {
             kind: list(by_name.values())
             for kind, by_name in self.objects.items()
--- a/standins/site/target.py
+++ b/standins/site/target.py
@@ -1,4 +1,4 @@
-"""A stand-in for a target: slots, a queue, and answers that misbehave."""
+"""A stand-in for a target: slots, a queue and faulty answers."""
 
 import asyncio
 import contextlib
@@ -12,7 +12,7 @@
 
 
 class Run(NamedTuple):
-    """A request that ran, as the target saw it."""
+    """A request that a target executed; `key` is its Authorization header."""
 
     target: str
     request_id: str
@@ -23,18 +23,25 @@
 
 
 class TargetStandin:
-    """A target that answers after some time, in one of the modes.
-
-    Modes: well, shed (not run), fail (status 500), busy, limit and slow
-    (runs, then a status that promises the opposite), odd (a load of thousands
-    of digits), stray (an answer of
-    another request first), twice (the answer again), cut (half an answer),
-    lost (runs and closes), silent (runs and answers never), unframed (an
-    answer that ends with its connection), leaving (says close).
+    """A target that answers after `work_seconds`, in one of these modes.
+
+    well: answers without a fault
+    shed: refuses the request as not executed
+    fail: executes the request and answers 500
+    busy, limit, slow: executes the request, then answers 503, 429 or 408,
+        which say that it was not executed
+    odd: reports its load as a number of 5000 digits
+    stray: sends the answer to another request first
+    twice: sends the answer twice
+    cut: sends the answer without its last bytes, then closes
+    lost: executes the request and closes without an answer
+    silent: executes the request and never answers
+    unframed: sends no Content-Length; the answer ends with the connection
+    leaving: answers with Connection: close and closes
     """
 
     def __init__(self, *, name: str, slots: int = 9) -> None:
-        """Start well and idle."""
+        """Begin idle and without a fault."""
         self.name = name
         self.slots = slots
         self.work_seconds = 0.01
@@ -48,7 +55,7 @@
         self._connections: set[_Connection] = set()
 
     async def start(self, host: str, port: int) -> None:
-        """Listen for requests."""
+        """Start to listen for requests."""
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _Connection(target=self, connections=self._connections),
             host,
@@ -56,14 +63,14 @@
         )
 
     def stop(self) -> None:
-        """Reset every connection and listen no longer, like a crash."""
+        """Reset every connection and stop listening, as a crash would."""
         if self._server is not None:
             self._server.close()
         for connection in tuple(self._connections):
             connection.abort()
 
     async def serve(self, request: '_ReceivedRequest') -> list[bytes] | None:
-        """Return the parts of the answer; None ends the connection."""
+        """Return the messages to send; None closes the connection."""
         if request.expected != self.name:
             return [_encode_answer(request.request_id, 421, b'', not_run=True)]
         if self.mode == 'shed' or self.running + self.waiting >= (
--- a/standins/soak/__init__.py
+++ b/standins/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Random faults against real programs, and the promises that must hold."""
+"""A soak test: random faults against real processes, checked invariants."""
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Plays random faults by seed and tells which promises were broken."""
+"""Runs the soak for some seeds and prints the violated invariants."""
 
 import argparse
 import sys
@@ -11,15 +11,17 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Play the seeds that are asked for; return 1 if one was wrong."""
+    """Run the soak for the given seeds; return 1 if one of them failed."""
     parser = argparse.ArgumentParser(prog='soak', description=__doc__)
     parser.add_argument('--seed', type=int, default=1, help='the first seed')
-    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument(
+        '--seeds', type=int, default=1, help='the number of seeds'
+    )
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument(
         '--regressions',
         action='store_true',
-        help='play the seeds that failed before as well',
+        help='also run the seeds that failed in the past',
     )
     options = parser.parse_args(arguments)
     seeds = range(options.seed, options.seed + options.seeds)
@@ -29,7 +31,11 @@
             (regression.seed, regression.seconds) for regression in REGRESSIONS
         ]
     failed = [seed for seed, seconds in runs if not _has_passed(seed, seconds)]
-    print(f'seeds that failed: {failed}' if failed else 'no promise was broken')
+    print(
+        f'seeds that failed: {failed}'
+        if failed
+        else 'no invariant was violated'
+    )
     return 1 if failed else 0
 
 
--- a/standins/soak/field.py
+++ b/standins/soak/field.py
@@ -1,4 +1,4 @@
-"""A deployment whose links, programs and store can be struck by faults."""
+"""Injects faults into the links, VMs, targets and store of a deployment."""
 
 import random
 import signal
@@ -29,19 +29,17 @@
 _TARGETS_PER_ZONE: Final = 2
 _STORE_PORT: Final = 8382
 _TARGET_PORT: Final = 9000
-_RESTART_DELAY_SECONDS: Final = (
-    0.5  # the platform starts a process again after that
-)
-_TABLE_READ_SECONDS: Final = (
-    1.0  # a VM that is back has not read its tables yet
-)
+# After this time the platform restarts a process that has ended.
+_RESTART_DELAY_SECONDS: Final = 0.5
+# For this time after a fault a VM may lack its tables: still disturbed.
+_TABLE_READ_SECONDS: Final = 1.0
 
 
 class Field:
-    """The deployment of one run, and what is wrong with it at the moment."""
+    """Starts the deployment of one run and injects faults into its parts."""
 
     def __init__(self, *, network_octet: int) -> None:
-        """Use the loopback addresses of one network."""
+        """Choose the loopback network; `network_octet` is its second octet."""
         self.deployment = Deployment(network_octet=network_octet)
         self._network_octet = network_octet
         self._active_modes: dict[tuple[str, str], list[str]] = defaultdict(list)
@@ -77,7 +75,7 @@
         }
 
     def start(self) -> Subjects:
-        """Start everything; return what may be struck."""
+        """Start all processes; return what faults may be injected into."""
         self.deployment.__enter__()
         self._configure()
         for zone in ZONES:
@@ -94,22 +92,25 @@
         )
 
     def stop(self) -> None:
-        """End what was started."""
+        """Stop the links, VMs, targets and the store."""
         for link in self._links.values():
             self.deployment.call(link.stop())
         self.deployment.__exit__()
 
     def strike(self, fault: Fault) -> None:
-        """Let a fault happen, and end it when it is over."""
+        """Inject a fault; return when it has ended."""
         self._actions[fault.kind](fault)
 
     def was_calm(self, vm: str, since: float) -> bool:
-        """Whether a VM ran undisturbed from some time until now."""
+        """Return whether a VM has had no fault of its own since a time.
+
+        Such a fault stops, pauses or reloads its process.
+        """
         with self._lock:
             return all(end < since for _start, end in self._disturbances[vm])
 
     def withdraw_for_good(self) -> None:
-        """Withdraw the key of the other team."""
+        """Withdraw the key of the other team for the rest of the run."""
         self._has_other_key = False
         self._configure()
 
@@ -159,7 +160,11 @@
         fault: Fault,
         apply: Callable[[str], None],
     ) -> None:
-        """Apply the mode of a fault; then what others that last have set."""
+        """Apply the mode of a fault for its duration.
+
+        Faults of one part may overlap: when one ends, the mode of the latest
+        that still lasts is applied.
+        """
         active_modes = self._active_modes[fault.kind, fault.subject]
         active_modes.append(fault.how)
         apply(fault.how)
--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -1,4 +1,4 @@
-"""A proxy on loopback whose connections are delayed, reset or silenced."""
+"""A TCP proxy on loopback that can delay, reset or silence connections."""
 
 import asyncio
 from typing import Final, Literal
@@ -9,21 +9,24 @@
 MODES: Final[tuple[Mode, ...]] = ('slow', 'reset', 'silent', 'no_answers')
 _CHUNK_BYTES: Final = 65536
 _DELAY_SECONDS: Final = 0.2
-_CLOSE_TIMEOUT_SECONDS: Final = (
-    1.0  # in which the ends of reset connections are read
-)
+# In this time the tasks of reset connections must notice their end.
+_CLOSE_TIMEOUT_SECONDS: Final = 1.0
 
 
 class Link:
-    """Connections from one address to another, in one of the modes.
+    """Forwards connections to one address, in one of these modes.
 
-    Modes: slow (each part is late), reset (all end, new ones too), silent
-    (nothing passes either way), no_answers (nothing passes backwards). What a
-    connection lost while it was silent is never passed on.
+    well: forwards all bytes
+    slow: delays each chunk
+    reset: resets all connections, new ones too
+    silent: forwards nothing in either direction
+    no_answers: forwards nothing from the server to the client
+
+    Bytes that are dropped in a mode are not forwarded later.
     """
 
     def __init__(self, *, host: str, port: int) -> None:
-        """Lead to an address."""
+        """Choose the address to which connections are forwarded."""
         self._host = host
         self._port = port
         self.mode: Mode = 'well'
@@ -32,19 +35,19 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, port: int) -> None:
-        """Listen for connections."""
+        """Start to listen for connections."""
         self._server = await asyncio.start_server(
             self._serve_connection, host, port
         )
 
     def set_mode(self, mode: Mode) -> None:
-        """Change what happens to the connections, open ones too."""
+        """Change the mode of all connections, open ones too."""
         self.mode = mode
         if mode == 'reset':
             self._reset_all()
 
     async def stop(self) -> None:
-        """Reset all connections and listen no longer."""
+        """Reset all connections and stop listening."""
         if self._server is not None:
             self._server.close()
         self._reset_all()
@@ -75,7 +78,7 @@
                 self._port,
             )
         except OSError:
-            # The far end is down: so it seems to the near one.
+            # The server is down; the client sees a connection that is reset.
             writer.transport.abort()
             return
         self._writers |= {writer, upstream}
@@ -112,5 +115,5 @@
             if writer.can_write_eof():
                 writer.write_eof()
         except OSError:
-            # The other end has gone, or the link was reset.
+            # The other end has closed, or the link was reset.
             writer.transport.abort()
--- a/standins/soak/play.py
+++ b/standins/soak/play.py
@@ -1,4 +1,4 @@
-"""Plays the faults of one seed and checks every promise."""
+"""Runs the soak for one seed and checks all invariants."""
 
 import random
 import threading
@@ -18,20 +18,20 @@
 __all__ = ('play',)
 
 _CALLER_COUNT: Final = 6
-_REQUEST_INTERVAL_SECONDS: Final = 0.03  # of a caller between two requests
+_REQUEST_INTERVAL_SECONDS: Final = 0.03  # between the requests of a caller
 _REQUEST_TIMEOUT_MS: Final = 3000
-_BOOKING_FRACTION: Final = 0.3  # share of the requests
+_BOOKING_FRACTION: Final = 0.3
 _AFFINITY_KEY_COUNT: Final = 40
 _RECOVERY_TIMEOUT_SECONDS: Final = 15.0
-# In force everywhere, for VMs that hear of it from others (the bounds of the
-# deployments, from the acknowledgement).
+# From the acknowledgement of a withdrawal until all VMs deny the key, also
+# those that receive it from other VMs only: a bound of the deployments.
 _WITHDRAWAL_TIMEOUT_SECONDS: Final = 7.5
 _FIRST_NETWORK_OCTET: Final = 100
-_NETWORK_COUNT: Final = 100  # seeds that may be played at the same time
+_NETWORK_COUNT: Final = 100  # so many seeds can run at the same time
 
 
 class _Callers:
-    """Callers that make requests until they are told to stop."""
+    """Threads that send requests until they are stopped."""
 
     def __init__(
         self, *, injector: Field, subjects: Subjects, seed: int
@@ -80,7 +80,7 @@
     affinity_key: str = '1',
     uses_other_key: bool = False,
 ) -> Call:
-    """Make a request of a caller, or of one whose key may be withdrawn."""
+    """Send a request with the usual key, or with the one of the other team."""
     is_booking = path.startswith('/book/')
     started_at = time.monotonic()
     outcome = injector.deployment.request(
@@ -107,7 +107,7 @@
 
 
 def play(seed: int, seconds: float) -> list[str]:
-    """Play one run; return what was wrong."""
+    """Run the soak for one seed; return the violated invariants."""
     injector = Field(network_octet=_FIRST_NETWORK_OCTET + seed % _NETWORK_COUNT)
     try:
         subjects = injector.start()
@@ -139,7 +139,7 @@
         statuses = dict(sorted(Counter(call.status for call in calls).items()))
         kinds = dict(sorted(Counter(fault.kind for fault in faults).items()))
         print(
-            f'seed {seed}: {len(violations)} wrong, {len(calls)} requests '
+            f'seed {seed}: {len(violations)} violations, {len(calls)} requests '
             f'{statuses}, faults {kinds}, logs {injector.deployment.folder}',
             flush=True,
         )
@@ -149,7 +149,7 @@
 
 
 def _check_recovery(injector: Field, subjects: Subjects) -> list[str]:
-    """Check that all VMs serve again, and deny a key that is withdrawn."""
+    """Check that all VMs serve again, and deny a withdrawn key."""
 
     def is_served(vm: str) -> bool:
         return (
@@ -173,13 +173,13 @@
     try:
         wait_until(
             lambda: all(is_served(vm) for vm in subjects.vms),
-            'all VMs serve',
+            'all VMs serve requests after the last fault',
             _RECOVERY_TIMEOUT_SECONDS,
         )
         injector.withdraw_for_good()
         wait_until(
             lambda: all(is_denied(vm) for vm in subjects.vms),
-            'the withdrawn key is denied',
+            'all VMs deny the withdrawn key',
             _WITHDRAWAL_TIMEOUT_SECONDS,
         )
     except TimeoutError as error:
@@ -189,7 +189,7 @@
 
 def _check_vm_processes(injector: Field, subjects: Subjects) -> list[str]:
     violations = [
-        f'{vm} ended by itself'
+        f'{vm}: its process ended without a fault'
         for vm in subjects.vms
         if injector.deployment.vms[vm].poll() is not None
     ]
--- a/standins/soak/promises.py
+++ b/standins/soak/promises.py
@@ -1,4 +1,4 @@
-"""What callers and targets must never see, whatever fails."""
+"""Invariants of requests that hold under every fault."""
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
@@ -11,16 +11,16 @@
 _NOT_EXECUTED_STATUSES: Final = frozenset((408, 421, 429, 503))
 _DENIAL_STATUSES: Final = frozenset((400, 401, 403, 404, 413, 431))
 _OK_STATUS: Final = 200
-# The route's timeout of the deployment, and the half second after it in which
-# the final answer is due.
+# The timeout of the deployment's routes (2 s), and 0.5 s in which the final
+# answer must follow it.
 _MAX_ANSWER_SECONDS: Final = 2.5
 
 
 class Call(NamedTuple):
-    """A request and what its caller got; status 0 is a broken connection.
+    """A request and its answer; status 0 means that the connection failed.
 
-    `is_calm` tells that its VM was not stopped or paused meanwhile,
-    `may_be_denied` that its key may have been withdrawn.
+    `is_calm`: its VM was not stopped, paused or reloaded meanwhile.
+    `may_be_denied`: its key may have been withdrawn.
     """
 
     request_id: str
@@ -36,7 +36,7 @@
 
 
 def check_calls(calls: Iterable[Call], runs: Sequence[Run]) -> list[str]:
-    """Return what is wrong with the answers that callers got."""
+    """Return the invariants that the answers to callers violate."""
     run_counts = Counter(run.request_id for run in runs)
     violations = []
     for call in calls:
@@ -47,46 +47,55 @@
 
 
 def check_runs(calls: Iterable[Call], runs: Iterable[Run]) -> list[str]:
-    """Return what is wrong with the requests that targets ran."""
+    """Return the invariants that the executed requests violate."""
     calls_by_id = {call.request_id: call for call in calls}
     violations = []
     for run in runs:
         call = calls_by_id.get(run.request_id)
         if call is None or call.path != run.path:
-            violations.append(f'{run.request_id}: nobody asked for {run.path}')
+            violations.append(
+                f'{run.request_id}: no caller sent this id with {run.path}'
+            )
         elif run.team != call.team:
-            violations.append(f'{run.request_id}: ran for team {run.team!r}')
+            violations.append(
+                f'{run.request_id}: executed for wrong team {run.team!r}'
+            )
         if run.key:
-            violations.append(f'{run.request_id}: {run.target} saw a key')
+            violations.append(
+                f"{run.request_id}: {run.target} received the caller's key"
+            )
     return violations
 
 
 def _find_violation(call: Call, runs: int) -> str:
-    """Return the first promise that a call shows broken, or nothing."""
+    """Return a description of the first violated invariant, or ''."""
     checks = (
         (
             call.status == _OK_STATUS and not _has_own_answer(call),
-            'answer of another',
+            'answer to another request',
+        ),
+        (
+            call.status == _OK_STATUS and not runs,
+            'answer 200, but no target executed it',
         ),
-        (call.status == _OK_STATUS and not runs, 'an answer of no target'),
         (
             call.status in _DENIAL_STATUSES and not call.may_be_denied,
-            'denied, though it is allowed',
+            'denied, though the request is allowed',
         ),
-        (call.is_booking and runs > 1, 'ran more than once'),
+        (call.is_booking and runs > 1, 'booking executed more than once'),
         (
             call.is_booking
             and runs > 0
             and call.status in _NOT_EXECUTED_STATUSES,
-            'refused as not run, and ran',
+            'booking refused as not executed, but executed',
         ),
         (
             call.is_calm and call.status == 0,
-            'connection broken by a VM in service',
+            'connection failed without a fault of its VM',
         ),
         (
             call.is_calm and call.seconds > _MAX_ANSWER_SECONDS,
-            'no final answer by the timeout of its route',
+            'final answer later than 0.5 s after the timeout of its route',
         ),
     )
     violation = next(
--- a/standins/soak/regressions.py
+++ b/standins/soak/regressions.py
@@ -1,4 +1,4 @@
-"""Seeds of the soak that failed once, and why."""
+"""Seeds for which the soak failed in the past, and why."""
 
 from typing import Final, NamedTuple
 
@@ -6,7 +6,7 @@
 
 
 class Regression(NamedTuple):
-    """A run that broke a promise before its cause was mended."""
+    """A run that violated an invariant, and the cause."""
 
     seed: int
     seconds: float
@@ -14,8 +14,8 @@
 
 
 _CPU_STARVATION: Final = (
-    'no VM ran for up to 3.4 s (event 105 of each) beside 750 other processes; '
-    'four runs beside 450 passed'
+    'no VM process got CPU time for up to 3.4 s (event 105 of each) beside '
+    '750 other processes; four runs beside 450 passed'
 )
 REGRESSIONS: Final[tuple[Regression, ...]] = (
     Regression(75, 12.0, _CPU_STARVATION),
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -8,12 +8,10 @@
 
 __all__ = ('Fault', 'Subjects', 'draw')
 
-_MAX_FAULT_SECONDS: Final = (
-    5.0  # longer than any time after which a VM gives up
-)
+_MAX_FAULT_SECONDS: Final = 5.0  # longer than every timeout of a VM
 _MIN_FAULT_SECONDS: Final = 0.3
-_MEAN_GAP_SECONDS: Final = 0.8  # mean time between the starts of two faults
-_SERIES_FRACTION: Final = 0.25  # share of faults that strike again at once
+_MEAN_GAP_SECONDS: Final = 0.8  # between the starts of two faults
+_SERIES_FRACTION: Final = 0.25  # of draws inject their fault three times
 _TARGET_FAULT_MODES: Final = (
     'shed',
     'fail',
@@ -34,7 +32,7 @@
 
 
 class Fault(NamedTuple):
-    """What happens to whom, and for how long; seconds from the start."""
+    """A fault: `at` seconds after the start of the run, for some seconds."""
 
     at: float
     kind: str
@@ -44,7 +42,7 @@
 
 
 class Subjects(NamedTuple):
-    """The names of what may be struck."""
+    """The names of the parts that faults may be injected into."""
 
     vms: Sequence[str]
     targets: Sequence[str]
@@ -52,7 +50,7 @@
 
 
 def draw(seed: int, seconds: float, subjects: Subjects) -> list[Fault]:
-    """Return the faults of a run, by time; they overlap and repeat."""
+    """Return the faults of a run, ordered by start; they may overlap."""
     rng = random.Random(seed)
     kinds: dict[str, tuple[Sequence[str], Sequence[str]]] = {
         'vm': (subjects.vms, _VM_FAULTS),
