--- a/tests/builders.py
+++ b/tests/builders.py
@@ -61,7 +61,7 @@
 
 
 def make_catalogue(**changes) -> Catalogue:
-    """Return the small catalogue."""
+    """Return the small catalogue with some fields changed."""
     return make_revision(**changes).catalogue
 
 
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -1,4 +1,4 @@
-"""Runs the checks in order and ends with the tests that failed."""
+"""Runs the checks in order and repeats the failures at the end."""
 
 import re
 import subprocess
@@ -11,10 +11,10 @@
 
 _ROOT: Final = Path(__file__).parent.parent
 _SOURCES: Final = ('toucanhall', 'standins', 'benches', 'release', 'tests')
-_PROCESS_TEST_WORKERS: Final = 4  # fleets that run side by side
+_PROCESS_TEST_WORKERS: Final = 4  # so many fleets run in parallel
 _FAILED_TEST: Final = re.compile(r'^(?:FAILED|ERROR) (\S+)', re.MULTILINE)
 _FAILURE_LINE: Final = re.compile(r'^(?:FAILED|ERROR) .*|^E  .*', re.MULTILINE)
-_MAX_FAILURE_LINES: Final = 40  # lines that the end of a run repeats, a check
+_MAX_FAILURE_LINES: Final = 40  # of one check, repeated at the end
 
 
 def run_tool(*arguments: str) -> Callable[[], bool]:
@@ -32,9 +32,9 @@
     report: str = '-rfE',
     workers: int = 1,
 ) -> Callable[[], bool]:
-    """Return a check that runs pytest and passes over known red tests.
+    """Return a check that runs pytest and lets only known red tests fail.
 
-    With several workers the modules of the folder run side by side.
+    With several workers the modules of the folder run in parallel.
     """
 
     def check() -> bool:
@@ -51,7 +51,7 @@
     report: str,
     targets: tuple[str, ...],
 ) -> subprocess.CompletedProcess[str]:
-    """Run some tests and keep what they print."""
+    """Run pytest and capture its output."""
     return subprocess.run(
         (
             sys.executable,
@@ -71,7 +71,7 @@
 def judge(
     folder: str, finished: list[subprocess.CompletedProcess[str]]
 ) -> bool:
-    """Print what ran; return whether all passed but known red tests."""
+    """Print the output; return whether only known red tests failed."""
     output = '\n'.join(run.stdout for run in finished)
     print(output, flush=True)
     failed = set(_FAILED_TEST.findall(output))
@@ -100,7 +100,7 @@
     }
 
 
-# The end of a run repeats these: a log may be kept without its middle.
+# Repeated at the end of a run, as the middle of a long log may be cut out.
 failure_lines: Final[list[tuple[str, list[str]]]] = []
 
 CHECKS: Final = {
@@ -108,7 +108,7 @@
     'lint': run_tool('flake8', *_SOURCES),
     'types': run_tool('mypy', 'toucanhall', 'standins', 'benches', 'release'),
     'tests': run_tests('tests/unit'),
-    # P shows what passed tests printed: states, times, counterexamples.
+    # P prints the output of passed tests: states, times, counterexamples.
     'models': run_tests('tests/models', report='-rfEP'),
     'processes': run_tests('tests/processes', workers=_PROCESS_TEST_WORKERS),
     'soak': run_tool(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,8 @@
-"""Settings that all tests share."""
+"""Settings of Hypothesis for all tests."""
 
 import hypothesis
 
-# Random histories are the same ones on every run, and no verdict hangs on time.
+# Examples are the same on every run, and none fails for being slow.
 hypothesis.settings.register_profile(
     'checks',
     derandomize=True,
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -4,7 +4,7 @@
 
 
 def knows_peers(fleet, vm):
-    """Return whether an entry VM takes every other one for alive."""
+    """Return whether an entry VM reports all other ones as alive."""
     done = fleet.run_command('status', '--json', f'--at={vm.url}')
     if done.returncode:
         return False
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -1,4 +1,4 @@
-"""Documents with a few wrong entries, for property tests."""
+"""Documents with a few invalid entries, for property tests."""
 
 import json5
 from hypothesis import strategies as st
@@ -16,7 +16,7 @@
 
 
 def list_entries(container):
-    """Yield each entry of a document, as its container and key."""
+    """Yield the container and key of each entry of a document."""
     items = (
         container.items()
         if isinstance(container, dict)
@@ -30,7 +30,7 @@
 
 @st.composite
 def mutate(draw, text):
-    """Return a document with a few entries changed, added or removed."""
+    """Draw a document in which up to three entries are replaced or renamed."""
     document = json5.loads(text)
     for _ in range(draw(st.integers(1, 3))):
         container, key = draw(st.sampled_from(list(list_entries(document))))
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -1,4 +1,4 @@
-"""The operators' API of one VM over a store in memory."""
+"""The admin API of one VM with a store in memory."""
 
 import json
 
@@ -20,7 +20,7 @@
 
 
 class Api:
-    """The API of one VM, its store, and who calls it."""
+    """The admin API of one VM, with its store and one operator per role."""
 
     def __init__(self, store=None):
         self.store = store or MemoryStore()
@@ -44,7 +44,7 @@
         )
 
     def call(self, method, name, body=None, token='administer', **headers):
-        """Return the status and the body of an answer."""
+        """Send a request; return the status and the decoded body."""
         path, _, query = name.partition('?')
         answer = self.admin.serve(
             make_request(
@@ -61,7 +61,7 @@
         return answer.status, json.loads(b''.join(answer.body))
 
     def apply(self, revision=0, token='administer', **changes):
-        """Replace the catalogue."""
+        """Replace the catalogue at a revision by one with some changes."""
         return self.call(
             'PUT',
             'catalogue',
--- a/tests/pausedloop.py
+++ b/tests/pausedloop.py
@@ -1,4 +1,4 @@
-"""An event loop whose clock stands still but when it would wait."""
+"""An event loop in virtual time: waits take no real time."""
 
 import asyncio
 import selectors
@@ -9,14 +9,14 @@
 
 
 class _VirtualTimeSelector(selectors.DefaultSelector):
-    """Moves a clock on instead of waiting."""
+    """Advances the virtual time instead of waiting."""
 
     def __init__(self):
         super().__init__()
         self.now = 0.0
 
     def select(self, timeout=None):
-        """Return what is ready; else let the time pass."""
+        """Return the ready events; without one, skip the timeout."""
         ready_events = super().select(0)
         if not ready_events:
             self.now += timeout or 0.0
@@ -24,7 +24,7 @@
 
 
 def run_paused(coroutine: Coroutine[Any, Any, Result]) -> Result:
-    """Run a coroutine on a clock that starts at 0.0 seconds."""
+    """Run a coroutine in virtual time that starts at 0.0 seconds."""
     selector = _VirtualTimeSelector()
     loop = asyncio.SelectorEventLoop(selector)
     loop.time = lambda: selector.now
--- a/tests/processes/test_endless.py
+++ b/tests/processes/test_endless.py
@@ -1,4 +1,4 @@
-"""A VM as a real process whose targets send bytes without end."""
+"""A VM as a real process whose targets send answers without an end."""
 
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -11,16 +11,15 @@
 NETWORK_OCTET = 65
 MAX_PEAK_BYTES = 64_000_000  # for a VM that may use 152 MB
 ANSWER_COUNT = 100
-MAX_REQUEST_SECONDS = (
-    1.0  # of a request of 10 ms beside them, on a busy machine
-)
+# For a request that takes its target 10 ms, on a busy machine.
+MAX_REQUEST_SECONDS = 1.0
 
 
 def drop_unaccepted(deployment, outcomes):
-    """Return the outcomes without those whose target took no connection.
+    """Return the outcomes without those whose target accepted no connection.
 
-    A target that is busy with sending may accept too late on a busy machine;
-    nothing was sent to it then, which is what its caller must be told.
+    On a busy machine a target that is sending may accept too late. Then
+    nothing was sent to it, and the caller must be told so: `not-run`.
     """
     unaccepted = {
         line['request']
@@ -39,7 +38,7 @@
     'kind',
     ('one header', 'header lines', 'body without a length', 'trailers'),
 )
-def test_memory_stays_bounded_with_a_hundred_answers_without_end(kind):
+def test_memory_stays_bounded_with_a_hundred_endless_answers(kind):
     with Deployment(network_octet=NETWORK_OCTET) as deployment:
         deployment.add_endless('t1', kind)
         deployment.start_vm('vm-1')
@@ -66,7 +65,7 @@
 
 
 @pytest.mark.parametrize('kind', ('one header', 'body with a length'))
-def test_requests_to_other_targets_go_on(kind):
+def test_other_targets_serve_requests_beside_an_endless_one(kind):
     with Deployment(network_octet=NETWORK_OCTET) as deployment:
         deployment.add_endless('t1', kind)
         deployment.add_target('t2')
@@ -74,7 +73,7 @@
         deployment.add_target('t4')
         deployment.start_vm('vm-1')
         deployment.wait_ready()
-        # Repeats are limited: a VM that has just started has one.
+        # Retries are limited: a VM that has just started may make one.
         first = [
             deployment.request('vm-1', affinity_key=str(number))
             for number in range(20)
--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -1,4 +1,4 @@
-"""VMs as real processes on a stand-in of the platform: the path of requests."""
+"""Requests through VMs that run as real processes, with stand-ins around."""
 
 import signal
 import socket
@@ -34,7 +34,8 @@
         target.runs.clear()
         target.ended.clear()
     wait_until(
-        lambda: serves_all_requests(deployment), 'all targets in use again'
+        lambda: serves_all_requests(deployment),
+        'all targets serve requests again',
     )
 
 
@@ -56,7 +57,7 @@
     ]
 
 
-def test_request_reaches_one_target_with_its_team_and_without_its_key(
+def test_one_target_receives_the_request_with_its_team_and_without_its_key(
     deployment,
 ):
     outcome = deployment.request(
@@ -71,7 +72,7 @@
     assert 0 < run.deadline_ms <= 2000
 
 
-def test_same_object_goes_to_the_same_target_from_each_vm(deployment):
+def test_affinity_key_selects_the_same_target_on_each_vm(deployment):
     for number in range(6):
         bodies = {
             deployment.request(vm, affinity_key=str(number)).body
@@ -89,12 +90,14 @@
         ('/view/1', None, 401),
     ),
 )
-def test_what_no_configuration_allows_is_denied(deployment, path, key, status):
+def test_request_without_route_or_known_key_is_denied(
+    deployment, path, key, status
+):
     assert deployment.request('vm-1', path, key=key).status == status
 
 
 @pytest.mark.parametrize('mode', ('shed', 'fail', 'cut', 'lost'))
-def test_idempotent_request_is_sent_once_more(deployment, mode):
+def test_idempotent_request_is_retried_at_another_target(deployment, mode):
     deployment.targets['t1'].mode = mode
     outcomes = [
         deployment.request('vm-1', affinity_key=str(number))
@@ -105,7 +108,7 @@
 
 
 @pytest.mark.parametrize('mode', ('stray', 'twice', 'unframed', 'leaving'))
-def test_answer_is_the_one_of_its_request(deployment, mode):
+def test_answer_belongs_to_its_request(deployment, mode):
     for target in deployment.targets.values():
         target.mode = mode
     with ThreadPoolExecutor(4) as pool:
@@ -133,7 +136,7 @@
         ('slow', 502, 1),
     ),
 )
-def test_booking_runs_once_at_most_and_a_refusal_is_true(
+def test_booking_is_executed_at_most_once_and_never_if_refused(
     deployment,
     mode,
     status,
@@ -147,7 +150,7 @@
     assert ('Retry-After' in outcome.headers) == (status == 503)
 
 
-def test_figures_that_cannot_be_read_are_passed_over(deployment):
+def test_load_and_deadline_of_thousands_of_digits_are_ignored(deployment):
     for target in deployment.targets.values():
         target.mode = 'odd'
     assert deployment.request('vm-1').status == 200
@@ -155,7 +158,7 @@
     assert deployment.request('vm-1', headers=headers).status == 200
 
 
-def test_bytes_that_are_no_message_end_no_process(deployment):
+def test_malformed_bytes_on_any_port_do_not_end_the_process(deployment):
     ip = deployment.get_ip('vm-1')
     datagrams_sent = (
         b'',
@@ -177,14 +180,14 @@
     assert deployment.find_events('vm-1', events.MESSAGE_DROPPED.number)
 
 
-def test_body_is_passed_on_unchanged(deployment):
+def test_query_and_body_are_forwarded_unchanged(deployment):
     outcome = deployment.request(
         'vm-1', '/book/2?a=b', method='POST', body=b'seat 4'
     )
     assert outcome.body.endswith(' /book/2?a=b seat 4')
 
 
-def test_final_answer_comes_at_the_timeout_of_the_route(deployment):
+def test_final_answer_comes_at_the_timeout_of_its_route(deployment):
     deployment.write(
         'config',
         'main',
@@ -207,7 +210,9 @@
     assert 0.25 < outcome.seconds < 0.5
 
 
-def test_work_ends_when_the_caller_of_an_idempotent_request_leaves(deployment):
+def test_target_work_is_cancelled_when_the_caller_of_a_read_disconnects(
+    deployment,
+):
     for target in deployment.targets.values():
         target.work_seconds = 2.0
     outcome = deployment.request(
@@ -221,12 +226,14 @@
             outcome.request_id in target.ended
             for target in deployment.targets.values()
         ),
-        'work ended',
+        'the targets ended the work of the request',
         timeout_seconds=0.5,
     )
 
 
-def test_pipelined_requests_run_side_by_side_and_keep_their_order(deployment):
+def test_pipelined_requests_run_in_parallel_and_are_answered_in_order(
+    deployment,
+):
     for target in deployment.targets.values():
         target.work_seconds = 0.3
     with socket.create_connection((deployment.get_ip('vm-1'), 8388)) as caller:
@@ -266,7 +273,9 @@
         ),
     ),
 )
-def test_request_beyond_the_limits_is_rejected(deployment, message, status):
+def test_malformed_or_too_large_request_is_rejected(
+    deployment, message, status
+):
     with socket.create_connection((deployment.get_ip('vm-1'), 8388)) as caller:
         caller.settimeout(3)
         try:
@@ -276,7 +285,7 @@
         assert caller.recv(65536).split()[1] == status
 
 
-def test_split_keeps_to_its_weights(deployment):
+def test_traffic_split_follows_its_weights(deployment):
     deployment.write(
         'config',
         'main',
@@ -298,7 +307,7 @@
     )
     wait_until(
         lambda: deployment.request('vm-1', '/split/1').status in {200, 503},
-        'route',
+        'the route is in force',
     )
     statuses = [
         deployment.request('vm-1', '/split/1').status for _time in range(200)
@@ -307,7 +316,7 @@
     assert set(statuses) == {200, 503}
 
 
-def test_crashed_target_is_left_alone_and_used_again(deployment):
+def test_crashed_target_is_suspended_and_requests_go_elsewhere(deployment):
     third = deployment.add_target('t3')
     wait_until(
         lambda: any(
@@ -316,7 +325,7 @@
             ).body.startswith('t3')
             for number in range(30)
         ),
-        'the third target serves',
+        'the third target serves requests',
     )
     deployment.do(third.stop)
     statuses = {
@@ -338,7 +347,7 @@
     )
 
 
-def test_stop_finishes_what_was_read_and_tells_callers_to_leave(deployment):
+def test_stopping_vm_finishes_requests_and_asks_callers_to_close(deployment):
     deployment.start_vm('vm-3')
     deployment.wait_ready('vm-3')
     for target in deployment.targets.values():
@@ -360,13 +369,13 @@
             deployment.get_ip('vm-3') + ':8388'
             not in deployment.ask_directory('vm-1', 'east-a')
         ),
-        'not named by the directory',
+        'the directory no longer lists the VM',
         timeout_seconds=1.0,
     )
     assert deployment.vms['vm-3'].wait(5) == 0
 
 
-def test_stop_refuses_at_once_what_it_has_no_time_for(deployment):
+def test_stopping_vm_refuses_requests_that_would_outlast_it(deployment):
     deployment.start_vm('vm-4')
     deployment.wait_ready('vm-4')
     for target in deployment.targets.values():
@@ -384,7 +393,10 @@
 
 
 def call_until_refused(address, cut_off):
-    """Call on new connections until none is accepted; note calls cut off."""
+    """Send requests on new connections until one is refused.
+
+    Records when a connection was accepted but closed without an answer.
+    """
     head = (
         f'GET /view/1 HTTP/1.1\r\nHost: {HOST}\r\n'
         f'Authorization: Bearer {KEY}\r\n'
@@ -406,13 +418,14 @@
                 cut_off.append(time.monotonic())
 
 
-# The VM does not run from the first time after the signal to the second: its
-# listener closes at 1.5 s, what is unanswered gets its answer at 1.82 s.
+# The VM is paused from the first to the second time, in seconds after the
+# signal. Its listener closes at 1.5 s; requests that are still unanswered are
+# answered at 1.82 s. A pause over one of these times must lose no request.
 @pytest.mark.parametrize(
     'pause',
     ((0.0, 0.0), (1.3, 1.55), (1.45, 1.7), (1.3, 1.9), (1.75, 1.95)),
 )
-def test_stop_under_load_cuts_off_no_request_without_an_answer(
+def test_stopping_vm_under_load_answers_every_accepted_request(
     deployment, pause
 ):
     deployment.start_vm('vm-5')
@@ -436,7 +449,7 @@
 
 
 def pause_vm(deployment, vm, pause):
-    """Let a VM not run from one time to another, in seconds from now."""
+    """Pause a VM from one time to another, in seconds from now."""
     start, end = pause
     if end:
         time.sleep(start)
@@ -445,13 +458,13 @@
         deployment.signal_vm(vm, signal.SIGCONT)
 
 
-def test_requests_that_waited_unread_are_not_sent_on_after_their_callers(
+def test_requests_whose_callers_left_during_a_pause_are_not_forwarded(
     deployment,
 ):
     for target in deployment.targets.values():
         target.work_seconds = 0.2
     with ThreadPoolExecutor(16) as pool:
-        # Leaves idle connections to the targets, on which a request is sent
+        # Opens connections to the targets: a request on an idle one is sent
         # without a wait.
         list(
             pool.map(
@@ -472,7 +485,10 @@
         )
     time.sleep(0.7)
     deployment.signal_vm('vm-2', signal.SIGCONT)
-    wait_until(lambda: deployment.request('vm-2').status == 200, 'serves again')
+    wait_until(
+        lambda: deployment.request('vm-2').status == 200,
+        'the resumed VM serves requests',
+    )
     assert {outcome.status for outcome in outcomes} == {0}
     assert not any(
         list_executed(deployment, outcome.request_id) for outcome in outcomes
--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -1,4 +1,4 @@
-"""VMs as real processes while the store, targets and other VMs fail."""
+"""VMs as real processes while the store, targets or other VMs fail."""
 
 import signal
 import time
@@ -12,14 +12,12 @@
 
 NETWORK_OCTET = 62
 VMS = ('vm-1', 'vm-2', 'vm-3')
-CONFIGURATION_TIMEOUT_SECONDS = (
-    2.5  # bound of the deployments, from the acknowledgement
-)
+# From the acknowledgement of the store; a bound of the deployments.
+CONFIGURATION_TIMEOUT_SECONDS = 2.5
 EVACUATION_TIMEOUT_SECONDS = 5.0
-HELD_SECONDS = 1.8  # less than the two seconds by the time of a round
-WITHOUT_STORE_TIMEOUT_SECONDS = (
-    CONFIGURATION_TIMEOUT_SECONDS + 5.0
-)  # for a VM that the store turns away
+HELD_SECONDS = 1.8  # 2 s less the time that a round of requests takes
+# For a VM that receives changes from other VMs only.
+WITHOUT_STORE_TIMEOUT_SECONDS = CONFIGURATION_TIMEOUT_SECONDS + 5.0
 
 
 @pytest.fixture
@@ -34,14 +32,14 @@
             lambda: all(
                 len(deployment.ask_directory(vm, 'east-a')) == 2 for vm in VMS
             ),
-            'VMs know each other',
+            'each VM lists both VMs of the zone',
         )
         yield deployment
 
 
 def get_statuses(deployment, vms=VMS, **fields):
     outcomes = {vm: deployment.request(vm, **fields) for vm in vms}
-    # Shown when a test fails: the reason of each answer.
+    # pytest shows this for a failed test: the reason of each answer.
     print(
         {vm: (outcome.status, outcome.body) for vm, outcome in outcomes.items()}
     )
@@ -64,30 +62,32 @@
     deployment.do(deployment.store.set_fault, decide)
 
 
-def test_withdrawn_key_is_denied_everywhere_in_time(deployment):
+def test_withdrawn_key_is_denied_by_all_vms_within_the_bound(deployment):
     assert set(get_statuses(deployment).values()) == {200}
     withdraw_key(deployment)
     wait_until(
         lambda: set(get_statuses(deployment).values()) == {401},
-        'denied',
+        'the withdrawn key is denied',
         timeout_seconds=CONFIGURATION_TIMEOUT_SECONDS,
     )
 
 
-def test_vm_that_the_store_turns_away_hears_of_changes_from_others(deployment):
+def test_vm_without_the_store_receives_changes_from_other_vms(deployment):
     deployment.start_vm('vm-4', store=deployment.get_ip('vm-1') + ':1')
     deployment.wait_ready('vm-4')
     assert deployment.request('vm-4').status == 200
     withdraw_key(deployment)
     wait_until(
         lambda: deployment.request('vm-4').status == 401,
-        'denied',
+        'the withdrawn key is denied',
         timeout_seconds=WITHOUT_STORE_TIMEOUT_SECONDS,
     )
 
 
 @pytest.mark.parametrize('fault', (503, 429, 'silent'))
-def test_fleet_serves_and_grows_while_the_store_is_away(deployment, fault):
+def test_fleet_serves_and_a_new_vm_joins_during_a_store_outage(
+    deployment, fault
+):
     set_fault(deployment, fault)
     deployment.start_vm('vm-5')
     deployment.wait_ready('vm-5')
@@ -97,28 +97,28 @@
     withdraw_key(deployment)
     wait_until(
         lambda: set(get_statuses(deployment, (*VMS, 'vm-5')).values()) == {401},
-        'denied after the return',
+        'all VMs deny the key once the store answers again',
         timeout_seconds=12,
     )
 
 
-def test_changes_in_a_lost_history_are_found(deployment):
+def test_change_is_applied_when_its_history_was_compacted(deployment):
     wait_until(
         lambda: any(
             'watch' in str(line) for line in deployment.read_log('vm-1')
         ),
-        'watched',
+        'the VM watches the store',
     )
     deployment.register('t1', state='draining')
     deployment.do(deployment.store.compact)
     wait_until(
         lambda: deployment.request('vm-1').body.startswith('t2'),
-        'draining target is left',
+        'no request goes to the draining target',
         timeout_seconds=CONFIGURATION_TIMEOUT_SECONDS,
     )
 
 
-def test_lost_reply_of_the_store_is_settled(deployment):
+def test_vm_registers_although_the_answer_of_the_store_was_lost(deployment):
     lost = []
 
     def lose_one(request):
@@ -132,24 +132,27 @@
     wait_until(
         lambda: len(deployment.ask_directory('vm-6', 'east-a')) == 3, 'found'
     )
-    wait_until(lambda: 'vm-6' in deployment.store.objects['vms'], 'registered')
+    wait_until(
+        lambda: 'vm-6' in deployment.store.objects['vms'],
+        'the VM is registered in the store',
+    )
     assert lost
 
 
-def test_targets_that_lapse_with_the_store_are_kept(deployment):
+def test_targets_whose_entries_expire_in_a_store_outage_are_kept(deployment):
     set_fault(deployment, 503)
     wait_until(
         lambda: deployment.find_events('vm-1', events.STORE_LOST.number),
-        'store lost',
+        'the VM reports the store as unreachable',
         timeout_seconds=12,
     )
-    # Entries lapse after three heartbeats of 1.5 s, the last of which may have
-    # been 1.5 s before.
+    # Entries expire three heartbeats of 1.5 s after the last one, which may
+    # have been sent 1.5 s before the outage.
     time.sleep(3.1)
     deployment.remove('servers', 't1')
     deployment.remove('servers', 't2')
     set_fault(deployment, None)
-    # The platform promises entries back two seconds after its return.
+    # Targets have 2 s to register again after an outage of the store.
     returned_at = time.monotonic()
     while time.monotonic() < returned_at + HELD_SECONDS:
         assert set(get_statuses(deployment).values()) == {200}
@@ -159,12 +162,12 @@
             set(get_statuses(deployment).values()) == {200}
             and deployment.request('vm-3').body.startswith('t1')
         ),
-        'the target that did not return is left',
+        'no request goes to the target that did not register again',
         timeout_seconds=5,
     )
 
 
-def test_evacuated_zone_gets_nothing_until_it_is_taken_back(deployment):
+def test_evacuated_zone_receives_no_requests_until_it_is_restored(deployment):
     deployment.write('evacuations', 'east-a', {})
     wait_until(
         lambda: all(
@@ -174,17 +177,17 @@
             for vm in VMS
             for number in range(4)
         ),
-        'evacuated',
+        'no request goes to the evacuated zone',
         timeout_seconds=EVACUATION_TIMEOUT_SECONDS,
     )
     deployment.remove('evacuations', 'east-a')
     wait_until(
         lambda: deployment.request('vm-1').body.startswith('t1'),
-        'taken back',
+        'requests go to the zone again',
     )
 
 
-def test_homes_bind_route_and_team(deployment):
+def test_requests_stay_in_home_regions_of_their_route_and_team(deployment):
     rules = [
         make_rule('/view/', home_regions=['west']),
         make_rule('/book/', home_regions=['east', 'west']),
@@ -205,7 +208,7 @@
         assert all(body.startswith('t2') for body in bodies)
 
 
-def test_entries_that_cannot_be_read_name_no_target(deployment):
+def test_malformed_target_entries_are_ignored(deployment):
     for name, spec in (
         ('bad-1', {'service': 'guide'}),
         ('bad-2', 'text'),
@@ -220,12 +223,12 @@
             len(deployment.find_events('vm-1', events.ENTRY_IGNORED.number))
             >= 4
         ),
-        'entries ignored',
+        'the VM logs the ignored entries',
     )
     assert set(get_statuses(deployment).values()) == {200}
 
 
-def test_target_at_the_address_of_another_does_not_run_its_requests(deployment):
+def test_target_executes_no_request_meant_for_another(deployment):
     target = deployment.targets['t1']
     target.name = 'another'
     bodies = [
@@ -236,18 +239,18 @@
     assert not target.runs
 
 
-def test_killed_vm_leaves_the_directory_and_returns(deployment):
+def test_killed_vm_leaves_the_directory_until_its_restart(deployment):
     deployment.signal_vm('vm-2', signal.SIGKILL)
     address = deployment.get_ip('vm-2') + ':8388'
     wait_until(
         lambda: address not in deployment.ask_directory('vm-1', 'east-a'),
-        'left the directory',
+        'the directory no longer lists the killed VM',
         timeout_seconds=6.0,
     )
     deployment.start_vm('vm-2')
     wait_until(
         lambda: address in deployment.ask_directory('vm-1', 'east-a'),
-        'named again',
+        'the directory lists the restarted VM',
         timeout_seconds=3.0,
     )
 
@@ -263,46 +266,48 @@
     assert set(get_statuses(deployment, key='other').values()) == {200}
 
 
-def test_vm_that_stood_still_takes_what_it_missed(deployment):
+def test_vm_applies_a_change_that_it_missed_while_paused(deployment):
     deployment.signal_vm('vm-2', signal.SIGSTOP)
     time.sleep(4)
     withdraw_key(deployment)
     deployment.signal_vm('vm-2', signal.SIGCONT)
     wait_until(
         lambda: deployment.request('vm-2').status == 401,
-        'denied',
+        'the withdrawn key is denied',
         timeout_seconds=CONFIGURATION_TIMEOUT_SECONDS,
     )
     assert deployment.find_events('vm-2', events.RESUMED.number)
 
 
 @pytest.mark.parametrize('has_signal', (True, False))
-def test_changed_settings_are_read(deployment, has_signal):
+def test_changed_settings_are_reloaded_and_invalid_ones_ignored(
+    deployment, has_signal
+):
     path = deployment.folder / 'vm-2.yaml'
     path.write_text(path.read_text() + '\n')
     if has_signal:
         deployment.signal_vm('vm-2', signal.SIGHUP)
     wait_until(
         lambda: deployment.find_events('vm-2', events.RELOADED.number),
-        'reloaded',
+        'the VM reloads its settings',
         timeout_seconds=3,
     )
     path.write_text('node_name: [')
     wait_until(
         lambda: deployment.find_events('vm-2', events.RELOAD_FAILED.number),
-        'told that the settings are wrong',
+        'the VM logs that the settings are invalid',
         timeout_seconds=3,
     )
     assert deployment.request('vm-2').status == 200
 
 
-def test_vm_without_a_configuration_refuses_and_denies_nothing():
+def test_vm_without_a_configuration_refuses_but_never_denies():
     with Deployment(network_octet=NETWORK_OCTET + 1) as deployment:
         set_fault(deployment, 503)
         deployment.start_vm('vm-1')
         wait_until(
             lambda: deployment.request('vm-1').status == 503,
-            'refused',
+            'the VM refuses requests',
         )
         assert not deployment.is_ready('vm-1')
         assert deployment.request('vm-1', '/nowhere/', key='odd').status == 503
@@ -310,7 +315,7 @@
         deployment.wait_ready('vm-1')
 
 
-def test_team_is_held_to_its_limit_by_all_vms_together(deployment):
+def test_all_vms_together_enforce_the_limit_of_a_team(deployment):
     team = {
         'name': 'guides',
         'api_keys': [KEY],
@@ -343,7 +348,7 @@
     assert {'spent', 'part', 'age', 'retry_after'} <= line.keys()
 
 
-def test_failed_request_is_explained_by_its_log_line(deployment):
+def test_log_line_of_a_refused_request_names_the_reason(deployment):
     outcome = deployment.request('vm-1', key='unknown')
     lines = deployment.find_events('vm-1', events.REQUEST_REFUSED.number)
     (line,) = [line for line in lines if line['request'] == outcome.request_id]
@@ -352,7 +357,9 @@
     assert line['status'] == 401
 
 
-def test_refusal_of_a_team_over_its_limit_is_explained(deployment, capsys):
+def test_explain_names_the_figures_of_a_refusal_over_the_limit(
+    deployment, capsys
+):
     team = {'name': 'guides', 'api_keys': [KEY], 'rate_per_s': 2, 'burst': 2}
     deployment.write(
         'config',
@@ -362,13 +369,13 @@
     refused = []
 
     def is_refused():
-        # The first ones come before a heartbeat has divided the limit.
+        # The first refusals precede the heartbeat that divides the limit.
         deployment.request('vm-1')
         lines = deployment.find_events('vm-1', events.REQUEST_REFUSED.number)
         refused.extend(line['request'] for line in lines if line.get('limit'))
         return refused
 
-    wait_until(is_refused, 'over the limit')
+    wait_until(is_refused, 'a refusal names the limit of the team')
     logs = [str(path) for path in deployment.folder.glob('*.log')]
     assert cmdline.run(['explain', refused[-1], *logs]) == 0
     explanation = capsys.readouterr().out
--- a/tests/unit/conftest.py
+++ b/tests/unit/conftest.py
@@ -9,7 +9,7 @@
 
 @pytest.fixture
 def journal():
-    """Return a journal whose lines nobody reads."""
+    """Return a journal whose lines are discarded."""
     reader, writer = os.pipe()
     yield Journal(vm='vm-1', descriptor=writer)
     os.close(reader)
--- a/tests/unit/test_checks.py
+++ b/tests/unit/test_checks.py
@@ -1,4 +1,4 @@
-"""Tests of what passes over known red tests."""
+"""Tests of the verdict on test runs, known red tests included."""
 
 from subprocess import CompletedProcess
 
@@ -8,11 +8,11 @@
 
 
 def make_run(code, output=''):
-    """Return a test run that ended with a code."""
+    """Return a finished test run with an exit code and its output."""
     return CompletedProcess((), code, stdout=output)
 
 
-def test_only_known_red_tests_are_passed_over(monkeypatch):
+def test_only_known_red_tests_may_fail(monkeypatch):
     runs = [make_run(0), make_run(1, RED)]
     assert not checks.judge('tests/unit', runs)
     known = {'tests/unit/test_x.py::test_a'}
@@ -22,7 +22,7 @@
     assert not checks.judge('tests/unit', [*runs, other])
 
 
-def test_end_of_a_run_repeats_what_failed(monkeypatch, capsys):
+def test_summary_repeats_the_failure_lines(monkeypatch, capsys):
     known_red = f'{RED}\nE       assert 1 == 2\n'
     failing = {'slow': lambda: checks.judge('x', [make_run(1, known_red)])}
     monkeypatch.setattr(checks, 'CHECKS', failing)
@@ -33,7 +33,7 @@
     assert 'assert 1 == 2' in end
 
 
-def test_run_that_broke_off_does_not_pass():
+def test_interrupted_or_empty_run_does_not_pass():
     assert not checks.judge('tests/unit', [make_run(2)])
     assert not checks.judge('tests/unit', [make_run(5)])
     assert not checks.judge('tests/unit', [make_run(1)])
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -1,4 +1,4 @@
-"""Tests of the soak itself: its draws, and that it sees broken promises."""
+"""Tests of the soak itself: drawn faults and detected violations."""
 
 import pytest
 
@@ -30,7 +30,7 @@
     return run._replace(**fields)
 
 
-def test_seed_draws_the_same_faults_again():
+def test_same_seed_draws_the_same_faults():
     assert draw(7, 20.0, SUBJECTS) == draw(7, 20.0, SUBJECTS)
     assert draw(7, 20.0, SUBJECTS) != draw(8, 20.0, SUBJECTS)
 
@@ -56,7 +56,7 @@
         (make_call(status=504, seconds=2.6), 1),
     ),
 )
-def test_broken_promise_is_seen(call, runs):
+def test_violation_in_an_answer_is_detected(call, runs):
     assert check_calls([call], [make_run()] * runs)
 
 
@@ -71,7 +71,7 @@
         (make_call(is_booking=False), 2),
     ),
 )
-def test_kept_promise_is_passed_over(call, runs):
+def test_answer_that_violates_nothing_is_accepted(call, runs):
     assert not check_calls([call], [make_run()] * runs)
 
 
@@ -84,6 +84,6 @@
         make_run(key='Bearer guide-key'),
     ),
 )
-def test_run_that_nobody_asked_for_is_seen(run):
+def test_violation_in_an_executed_request_is_detected(run):
     assert check_runs([make_call()], [run])
     assert not check_runs([make_call()], [make_run()])
