--- a/standins/site/endless.py
+++ b/standins/site/endless.py
@@ -5,7 +5,7 @@
 from itertools import chain, repeat
 from typing import Final
 
-__all__ = ('ENDLESS', 'EndlessServer')
+__all__ = ('ENDLESS_ANSWERS', 'EndlessServer')
 
 _HEAD: Final = b'HTTP/1.1 200 OK\r\n'
 _FILLER: Final = b'x' * 8192
@@ -25,7 +25,7 @@
 
 
 # Bytes to send until the caller closes the connection, by what never ends.
-ENDLESS: Final[Mapping[str, Callable[[], Iterable[bytes]]]] = {
+ENDLESS_ANSWERS: Final[Mapping[str, Callable[[], Iterable[bytes]]]] = {
     'status line': lambda: _send_once_then_repeat(b'HTTP/1.1 200 ', _FILLER),
     'header lines': _generate_headers,
     'one header': lambda: _send_once_then_repeat(_HEAD + b'h: ', _FILLER),
@@ -66,9 +66,9 @@
     """Sends an endless answer to the first request of each connection."""
 
     def __init__(self, *, name: str) -> None:
-        """Send the answer that `ENDLESS` holds under a name."""
+        """Send the answer that `ENDLESS_ANSWERS` holds under a name."""
         self._name = name
-        self.sent = 0
+        self.sent_bytes = 0
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -87,9 +87,9 @@
     ) -> None:
         try:
             await reader.readuntil(b'\r\n\r\n')
-            for part in ENDLESS[self._name]():
+            for part in ENDLESS_ANSWERS[self._name]():
                 writer.write(part)
                 await writer.drain()
-                self.sent += len(part)
+                self.sent_bytes += len(part)
         except ConnectionError:
             writer.close()
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -6,8 +6,8 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import parse_qs, unquote
 
-from toucanhall.web.memory import HeldBytes
-from toucanhall.web.messages import Answer, Request, make_failed
+from toucanhall.web.memory import BufferBudget
+from toucanhall.web.messages import Answer, Request, make_error_answer
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
 __all__ = ('StoreStandin',)
@@ -32,7 +32,7 @@
 class StoreStandin:
     """Holds objects by kind and name, with one revision counter for all.
 
-    `fault` is called with each request. It returns a status to answer
+    `decide_fault` is called with each request. It returns a status to answer
     with, 'silent' to ignore the request, 'lost' to execute it without an
     answer, or None for no fault.
     """
@@ -41,7 +41,7 @@
         """Hold no objects and inject no faults at first."""
         self.revision = 1
         self.objects: dict[str, dict[str, Document]] = {}
-        self.fault: DecideFault = lambda _request: None
+        self.decide_fault: DecideFault = lambda _request: None
         self.calls: list[str] = []
         self._events: list[_Event] = []
         self._oldest_revision = 1
@@ -53,14 +53,14 @@
         """Start to listen for requests."""
         handler = Handler(
             serve=self._serve,
-            fail=make_failed,
+            answer_error=make_error_answer,
             is_cancellable=lambda _request: True,
             get_limits=lambda: _SERVER_LIMITS,
             is_stopping=lambda: False,
             is_lagging=lambda: False,
             connections=set(),
-            held=HeldBytes(most=_MAX_HELD_BYTES),
-            most_connections=_MAX_CONNECTIONS,
+            buffer_budget=BufferBudget(max_bytes=_MAX_HELD_BYTES),
+            max_connections=_MAX_CONNECTIONS,
         )
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(handler=handler),
@@ -108,7 +108,7 @@
 
     def set_fault(self, fault: DecideFault) -> None:
         """Inject faults into new requests and into watches that wait."""
-        self.fault = fault
+        self.decide_fault = fault
         self._wake_watches()
 
     def compact(self) -> None:
@@ -138,7 +138,7 @@
     async def _serve(self, request: Request) -> Answer:
         path, _, query = request.path.decode().partition('?')
         self.calls.append(f'{request.method.decode()} {path}')
-        fault = self.fault(request)
+        fault = self.decide_fault(request)
         if isinstance(fault, int):
             return _make_answer(fault, {})
         if fault == 'silent':
@@ -168,7 +168,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(arguments['wait_ms']) / 1000
         while True:
-            fault = self.fault(request)
+            fault = self.decide_fault(request)
             if isinstance(fault, int):
                 return _make_answer(fault, {})
             if since_revision + 1 < self._oldest_revision:
--- a/standins/site/target.py
+++ b/standins/site/target.py
@@ -6,12 +6,12 @@
 
 import httptools
 
-__all__ = ('Run', 'TargetStandin')
+__all__ = ('ExecutedRequest', 'TargetStandin')
 
 _MAX_QUEUED_REQUESTS: Final = 27
 
 
-class Run(NamedTuple):
+class ExecutedRequest(NamedTuple):
     """A request that a target executed; `key` is its Authorization header."""
 
     target: str
@@ -46,8 +46,8 @@
         self.slots = slots
         self.work_seconds = 0.01
         self.mode = 'well'
-        self.runs: list[Run] = []
-        self.ended: list[str] = []
+        self.executed: list[ExecutedRequest] = []
+        self.cancelled_ids: list[str] = []
         self.running = 0
         self.waiting = 0
         self._free_slots = asyncio.Semaphore(slots)
@@ -87,12 +87,12 @@
                 finally:
                     self.running -= 1
         except asyncio.CancelledError:
-            self.ended.append(request.request_id)
+            self.cancelled_ids.append(request.request_id)
             raise
 
     async def _execute(self, request: '_ReceivedRequest') -> list[bytes] | None:
-        self.runs.append(
-            Run(
+        self.executed.append(
+            ExecutedRequest(
                 target=self.name,
                 request_id=request.request_id,
                 path=request.path,
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Sequence
 
-from standins.soak.play import play
+from standins.soak.runner import run_soak
 from standins.soak.regressions import REGRESSIONS
 
 _MAX_LINES_SHOWN = 20
@@ -40,7 +40,7 @@
 
 
 def _has_passed(seed: int, seconds: float) -> bool:
-    violations = play(seed, seconds)
+    violations = run_soak(seed, seconds)
     for line in violations[:_MAX_LINES_SHOWN]:
         print(f'  {line}', flush=True)
     return not violations
--- a/standins/soak/field.py
+++ b/standins/soak/injector.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from typing import Final
 
-from standins.soak.links import Link, Mode
-from standins.soak.promises import Call
-from standins.soak.schedule import Fault, Subjects
-from standins.site.deployment import ZONES, Deployment
+from standins.soak.links import LinkProxy, LinkMode
+from standins.soak.invariants import Call
+from standins.soak.schedule import Fault, FaultSubjects
+from standins.site.deployment import REGIONS_BY_ZONE, Deployment
 from standins.site.documents import (
     KEY,
     make_configuration,
@@ -20,7 +20,7 @@
 )
 from toucanhall.web.messages import Request
 
-__all__ = ('OTHER_KEY', 'OTHER_TEAM', 'TEAM', 'Field')
+__all__ = ('OTHER_KEY', 'OTHER_TEAM', 'TEAM', 'FaultInjector')
 
 TEAM: Final = 'guides'
 OTHER_TEAM: Final = 'partners'
@@ -35,7 +35,7 @@
 _TABLE_READ_SECONDS: Final = 1.0
 
 
-class Field:
+class FaultInjector:
     """Starts the deployment of one run and injects faults into its parts."""
 
     def __init__(self, *, network_octet: int) -> None:
@@ -43,7 +43,7 @@
         self.deployment = Deployment(network_octet=network_octet)
         self._network_octet = network_octet
         self._active_modes: dict[tuple[str, str], list[str]] = defaultdict(list)
-        self._links: dict[tuple[str, str], Link] = {}
+        self._links: dict[tuple[str, str], LinkProxy] = {}
         self._addresses: dict[str, str] = {}
         self._zones: dict[str, str] = {}
         self._vms_with_fault: set[str] = set()
@@ -51,7 +51,7 @@
         self._lock = threading.Lock()
         self._has_other_key = True
         self._extra_routes = 0
-        self.checks: list[Call] = []
+        self.recovery_calls: list[Call] = []
         self._actions: dict[str, Callable[[Fault], None]] = {
             'vm': self._inject_vm_fault,
             'target': self._inject_target_fault,
@@ -74,34 +74,34 @@
             'compact': self._compact,
         }
 
-    def start(self) -> Subjects:
+    def start(self) -> FaultSubjects:
         """Start all processes; return what faults may be injected into."""
         self.deployment.__enter__()
         self._configure()
-        for zone in ZONES:
+        for zone in REGIONS_BY_ZONE:
             for number in range(_TARGETS_PER_ZONE):
                 self._add_target(f'{zone}-target-{number}', zone)
-        for zone in ZONES:
+        for zone in REGIONS_BY_ZONE:
             for number in range(_VMS_PER_ZONE):
                 self._add_vm(f'{zone}-vm-{number}', zone)
         self.deployment.wait_ready()
-        return Subjects(
+        return FaultSubjects(
             vms=tuple(self.deployment.vms),
             targets=tuple(self.deployment.targets),
-            zones=tuple(ZONES),
+            zones=tuple(REGIONS_BY_ZONE),
         )
 
     def stop(self) -> None:
         """Stop the links, VMs, targets and the store."""
         for link in self._links.values():
-            self.deployment.call(link.stop())
+            self.deployment.run_coroutine(link.stop())
         self.deployment.__exit__()
 
-    def strike(self, fault: Fault) -> None:
+    def inject(self, fault: Fault) -> None:
         """Inject a fault; return when it has ended."""
         self._actions[fault.kind](fault)
 
-    def was_calm(self, vm: str, since: float) -> bool:
+    def was_undisturbed(self, vm: str, since: float) -> bool:
         """Return whether a VM has had no fault of its own since a time.
 
         Such a fault stops, pauses or reloads its process.
@@ -109,7 +109,7 @@
         with self._lock:
             return all(end < since for _start, end in self._disturbances[vm])
 
-    def withdraw_for_good(self) -> None:
+    def withdraw_other_key(self) -> None:
         """Withdraw the key of the other team for the rest of the run."""
         self._has_other_key = False
         self._configure()
@@ -150,8 +150,8 @@
         self, kind: str, name: str, upstream_host: str, host: str
     ) -> None:
         port = _STORE_PORT if kind == 'store link' else _TARGET_PORT
-        link = Link(host=upstream_host, port=port)
-        self.deployment.call(link.start(host, port))
+        link = LinkProxy(host=upstream_host, port=port)
+        self.deployment.run_coroutine(link.start(host, port))
         self._links[kind, name] = link
         self._addresses[name] = f'{host}:{port}'
 
@@ -166,18 +166,18 @@
         that still lasts is applied.
         """
         active_modes = self._active_modes[fault.kind, fault.subject]
-        active_modes.append(fault.how)
-        apply(fault.how)
+        active_modes.append(fault.mode)
+        apply(fault.mode)
         time.sleep(fault.seconds)
-        active_modes.remove(fault.how)
+        active_modes.remove(fault.mode)
         apply(active_modes[-1] if active_modes else 'well')
 
     def _inject_link_fault(self, fault: Fault) -> None:
         link = self._links[fault.kind, fault.subject]
 
         def apply(mode: str) -> None:
-            link_mode: Mode = mode  # type: ignore[assignment]
-            self.deployment.do(link.set_mode, link_mode)
+            link_mode: LinkMode = mode  # type: ignore[assignment]
+            self.deployment.call_in_loop(link.set_mode, link_mode)
 
         self._apply_for_duration(fault, apply)
 
@@ -196,7 +196,9 @@
             def decide(_request: Request) -> int | str | None:
                 return None if status_or_mode == 'well' else status_or_mode
 
-            self.deployment.do(self.deployment.store.set_fault, decide)
+            self.deployment.call_in_loop(
+                self.deployment.store.set_fault, decide
+            )
 
         self._apply_for_duration(fault, apply)
 
@@ -209,7 +211,7 @@
             disturbance = [time.monotonic(), float('inf')]
             self._disturbances[vm].append(disturbance)
         try:
-            self._vm_actions[fault.how](vm, fault.seconds)
+            self._vm_actions[fault.mode](vm, fault.seconds)
         finally:
             with self._lock:
                 disturbance[1] = time.monotonic() + _TABLE_READ_SECONDS
@@ -239,7 +241,7 @@
         self.deployment.signal_vm(vm, signal.SIGHUP)
 
     def _inject_change(self, fault: Fault) -> None:
-        self._changes[fault.how](fault)
+        self._changes[fault.mode](fault)
 
     def _add_route(self, _fault: Fault) -> None:
         self._extra_routes += 1
@@ -271,7 +273,7 @@
         self._register(name)
 
     def _compact(self, _fault: Fault) -> None:
-        self.deployment.do(self.deployment.store.compact)
+        self.deployment.call_in_loop(self.deployment.store.compact)
 
     def _configure(self) -> None:
         team = {'rate_per_s': 0, 'burst': 0, 'home_regions': []}
--- a/standins/soak/promises.py
+++ b/standins/soak/invariants.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
-from standins.site.target import Run
+from standins.site.target import ExecutedRequest
 
 __all__ = ('Call', 'check_calls', 'check_runs')
 
@@ -19,7 +19,7 @@
 class Call(NamedTuple):
     """A request and its answer; status 0 means that the connection failed.
 
-    `is_calm`: its VM was not stopped, paused or reloaded meanwhile.
+    `is_vm_undisturbed`: its VM was not stopped, paused or reloaded meanwhile.
     `may_be_denied`: its key may have been withdrawn.
     """
 
@@ -31,11 +31,13 @@
     status: int
     body: str
     seconds: float
-    is_calm: bool
+    is_vm_undisturbed: bool
     may_be_denied: bool
 
 
-def check_calls(calls: Iterable[Call], runs: Sequence[Run]) -> list[str]:
+def check_calls(
+    calls: Iterable[Call], runs: Sequence[ExecutedRequest]
+) -> list[str]:
     """Return the invariants that the answers to callers violate."""
     run_counts = Counter(run.request_id for run in runs)
     violations = []
@@ -46,7 +48,9 @@
     return violations
 
 
-def check_runs(calls: Iterable[Call], runs: Iterable[Run]) -> list[str]:
+def check_runs(
+    calls: Iterable[Call], runs: Iterable[ExecutedRequest]
+) -> list[str]:
     """Return the invariants that the executed requests violate."""
     calls_by_id = {call.request_id: call for call in calls}
     violations = []
@@ -90,11 +94,11 @@
             'booking refused as not executed, but executed',
         ),
         (
-            call.is_calm and call.status == 0,
+            call.is_vm_undisturbed and call.status == 0,
             'connection failed without a fault of its VM',
         ),
         (
-            call.is_calm and call.seconds > _MAX_ANSWER_SECONDS,
+            call.is_vm_undisturbed and call.seconds > _MAX_ANSWER_SECONDS,
             'final answer later than 0.5 s after the timeout of its route',
         ),
     )
--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -3,17 +3,22 @@
 import asyncio
 from typing import Final, Literal
 
-__all__ = ('MODES', 'Link', 'Mode')
+__all__ = ('LINK_FAULT_MODES', 'LinkProxy', 'LinkMode')
 
-Mode = Literal['well', 'slow', 'reset', 'silent', 'no_answers']
-MODES: Final[tuple[Mode, ...]] = ('slow', 'reset', 'silent', 'no_answers')
+LinkMode = Literal['well', 'slow', 'reset', 'silent', 'no_answers']
+LINK_FAULT_MODES: Final[tuple[LinkMode, ...]] = (
+    'slow',
+    'reset',
+    'silent',
+    'no_answers',
+)
 _CHUNK_BYTES: Final = 65536
 _DELAY_SECONDS: Final = 0.2
 # In this time the tasks of reset connections must notice their end.
 _CLOSE_TIMEOUT_SECONDS: Final = 1.0
 
 
-class Link:
+class LinkProxy:
     """Forwards connections to one address, in one of these modes.
 
     well: forwards all bytes
@@ -29,7 +34,7 @@
         """Choose the address to which connections are forwarded."""
         self._host = host
         self._port = port
-        self.mode: Mode = 'well'
+        self.mode: LinkMode = 'well'
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -40,7 +45,7 @@
             self._serve_connection, host, port
         )
 
-    def set_mode(self, mode: Mode) -> None:
+    def set_mode(self, mode: LinkMode) -> None:
         """Change the mode of all connections, open ones too."""
         self.mode = mode
         if mode == 'reset':
--- a/standins/soak/play.py
+++ b/standins/soak/runner.py
@@ -10,12 +10,12 @@
 
 from standins.site.deployment import wait_until
 from standins.site.documents import KEY
-from standins.soak.field import OTHER_KEY, OTHER_TEAM, TEAM, Field
-from standins.soak.promises import Call, check_calls, check_runs
-from standins.soak.schedule import Subjects, draw
+from standins.soak.injector import OTHER_KEY, OTHER_TEAM, TEAM, FaultInjector
+from standins.soak.invariants import Call, check_calls, check_runs
+from standins.soak.schedule import FaultSubjects, draw_faults
 from toucanhall.observe import events
 
-__all__ = ('play',)
+__all__ = ('run_soak',)
 
 _CALLER_COUNT: Final = 6
 _REQUEST_INTERVAL_SECONDS: Final = 0.03  # between the requests of a caller
@@ -34,7 +34,7 @@
     """Threads that send requests until they are stopped."""
 
     def __init__(
-        self, *, injector: Field, subjects: Subjects, seed: int
+        self, *, injector: FaultInjector, subjects: FaultSubjects, seed: int
     ) -> None:
         self._injector = injector
         self._vms = subjects.vms
@@ -73,7 +73,7 @@
 
 
 def send_request(
-    injector: Field,
+    injector: FaultInjector,
     vm: str,
     path: str,
     *,
@@ -101,25 +101,31 @@
         status=outcome.status,
         body=outcome.body,
         seconds=outcome.seconds,
-        is_calm=injector.was_calm(vm, started_at),
+        is_vm_undisturbed=injector.was_undisturbed(vm, started_at),
         may_be_denied=uses_other_key,
     )
 
 
-def play(seed: int, seconds: float) -> list[str]:
+def run_soak(seed: int, seconds: float) -> list[str]:
     """Run the soak for one seed; return the violated invariants."""
-    injector = Field(network_octet=_FIRST_NETWORK_OCTET + seed % _NETWORK_COUNT)
+    injector = FaultInjector(
+        network_octet=_FIRST_NETWORK_OCTET + seed % _NETWORK_COUNT
+    )
     try:
         subjects = injector.start()
         callers = _Callers(injector=injector, subjects=subjects, seed=seed)
-        faults = draw(seed, seconds, subjects)
+        faults = draw_faults(seed, seconds, subjects)
         started_at = time.monotonic()
         callers.start()
         with ThreadPoolExecutor(len(faults) + 1) as pool:
             injections = []
             for fault in faults:
-                time.sleep(max(0.0, started_at + fault.at - time.monotonic()))
-                injections.append(pool.submit(injector.strike, fault))
+                time.sleep(
+                    max(
+                        0.0, started_at + fault.start_seconds - time.monotonic()
+                    )
+                )
+                injections.append(pool.submit(injector.inject, fault))
         callers.stop()
         violations = [
             repr(injection.exception())
@@ -130,9 +136,9 @@
         runs = [
             run
             for target in injector.deployment.targets.values()
-            for run in target.runs
+            for run in target.executed
         ]
-        calls = [*callers.calls, *injector.checks]
+        calls = [*callers.calls, *injector.recovery_calls]
         violations += check_calls(calls, runs)
         violations += check_runs(calls, runs)
         violations += _check_vm_processes(injector, subjects)
@@ -148,7 +154,9 @@
         injector.stop()
 
 
-def _check_recovery(injector: Field, subjects: Subjects) -> list[str]:
+def _check_recovery(
+    injector: FaultInjector, subjects: FaultSubjects
+) -> list[str]:
     """Check that all VMs serve again, and deny a withdrawn key."""
 
     def is_served(vm: str) -> bool:
@@ -166,7 +174,7 @@
     def send_recovery_request(vm: str, *, uses_other_key: bool) -> Call:
         path = f'/view/last-{time.monotonic_ns()}'
         call = send_request(injector, vm, path, uses_other_key=uses_other_key)
-        injector.checks.append(call)
+        injector.recovery_calls.append(call)
         return call
 
     violations = []
@@ -176,7 +184,7 @@
             'all VMs serve requests after the last fault',
             _RECOVERY_TIMEOUT_SECONDS,
         )
-        injector.withdraw_for_good()
+        injector.withdraw_other_key()
         wait_until(
             lambda: all(is_denied(vm) for vm in subjects.vms),
             'all VMs deny the withdrawn key',
@@ -187,7 +195,9 @@
     return violations
 
 
-def _check_vm_processes(injector: Field, subjects: Subjects) -> list[str]:
+def _check_vm_processes(
+    injector: FaultInjector, subjects: FaultSubjects
+) -> list[str]:
     violations = [
         f'{vm}: its process ended without a fault'
         for vm in subjects.vms
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from standins.soak.links import MODES
+from standins.soak.links import LINK_FAULT_MODES
 
-__all__ = ('Fault', 'Subjects', 'draw')
+__all__ = ('Fault', 'FaultSubjects', 'draw_faults')
 
 _MAX_FAULT_SECONDS: Final = 5.0  # longer than every timeout of a VM
 _MIN_FAULT_SECONDS: Final = 0.3
@@ -32,16 +32,16 @@
 
 
 class Fault(NamedTuple):
-    """A fault: `at` seconds after the start of the run, for some seconds."""
+    """A fault: `start_seconds` seconds after the start of the run, for some seconds."""
 
-    at: float
+    start_seconds: float
     kind: str
     subject: str
-    how: str
+    mode: str
     seconds: float
 
 
-class Subjects(NamedTuple):
+class FaultSubjects(NamedTuple):
     """The names of the parts that faults may be injected into."""
 
     vms: Sequence[str]
@@ -49,15 +49,17 @@
     zones: Sequence[str]
 
 
-def draw(seed: int, seconds: float, subjects: Subjects) -> list[Fault]:
+def draw_faults(
+    seed: int, seconds: float, subjects: FaultSubjects
+) -> list[Fault]:
     """Return the faults of a run, ordered by start; they may overlap."""
     rng = random.Random(seed)
     kinds: dict[str, tuple[Sequence[str], Sequence[str]]] = {
         'vm': (subjects.vms, _VM_FAULTS),
         'target': (subjects.targets, _TARGET_FAULT_MODES),
         'store': (('store',), _STORE_FAULT_MODES),
-        'target link': (subjects.targets, MODES),
-        'store link': (subjects.vms, MODES),
+        'target link': (subjects.targets, LINK_FAULT_MODES),
+        'store link': (subjects.vms, LINK_FAULT_MODES),
         'change': (subjects.zones, _CHANGE_FAULTS),
     }
     faults = []
@@ -74,4 +76,4 @@
                 )
             )
             start_seconds += rng.expovariate(1 / _MEAN_GAP_SECONDS)
-    return [fault for fault in faults if fault.at < seconds]
+    return [fault for fault in faults if fault.start_seconds < seconds]
--- a/tests/operators.py
+++ b/tests/admin_api.py
@@ -19,7 +19,7 @@
 OWNED = {'teams': frozenset(('hostels',)), 'routes': frozenset(('/bookings',))}
 
 
-class Api:
+class AdminApi:
     """The admin API of one VM, with its store and one operator per role."""
 
     def __init__(self, store=None):
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -42,7 +42,7 @@
         runs = [(folder,)] if workers == 1 else [(name,) for name in modules]
         with ThreadPoolExecutor(workers) as pool:
             finished = list(pool.map(partial(run_pytest, report), runs))
-        return judge(folder, finished)
+        return report_runs(folder, finished)
 
     return check
 
@@ -68,7 +68,7 @@
     )
 
 
-def judge(
+def report_runs(
     folder: str, finished: list[subprocess.CompletedProcess[str]]
 ) -> bool:
     """Print the output; return whether only known red tests failed."""
--- a/tests/processes/test_endless.py
+++ b/tests/processes/test_endless.py
@@ -40,7 +40,7 @@
 )
 def test_memory_stays_bounded_with_a_hundred_endless_answers(kind):
     with Deployment(network_octet=NETWORK_OCTET) as deployment:
-        deployment.add_endless('t1', kind)
+        deployment.add_endless_target('t1', kind)
         deployment.start_vm('vm-1')
         deployment.wait_ready()
         with ThreadPoolExecutor(ANSWER_COUNT) as pool:
@@ -59,7 +59,7 @@
             'targets-full',
         }
         assert 502 in {outcome.status for outcome in outcomes}
-        assert deployment.read_peak_memory('vm-1') < MAX_PEAK_BYTES
+        assert deployment.read_peak_memory_bytes('vm-1') < MAX_PEAK_BYTES
         lines = deployment.find_events('vm-1', events.ATTEMPT_FAILED.number)
         assert any(' over ' in line['detail'] for line in lines)
 
@@ -67,7 +67,7 @@
 @pytest.mark.parametrize('kind', ('one header', 'body with a length'))
 def test_other_targets_serve_requests_beside_an_endless_one(kind):
     with Deployment(network_octet=NETWORK_OCTET) as deployment:
-        deployment.add_endless('t1', kind)
+        deployment.add_endless_target('t1', kind)
         deployment.add_target('t2')
         deployment.add_target('t3')
         deployment.add_target('t4')
--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -31,8 +31,8 @@
     for target in deployment.targets.values():
         target.mode = 'well'
         target.work_seconds = 0.01
-        target.runs.clear()
-        target.ended.clear()
+        target.executed.clear()
+        target.cancelled_ids.clear()
     wait_until(
         lambda: serves_all_requests(deployment),
         'all targets serve requests again',
@@ -52,7 +52,7 @@
     return [
         run
         for target in deployment.targets.values()
-        for run in target.runs
+        for run in target.executed
         if run.request_id == request_id
     ]
 
@@ -176,7 +176,7 @@
     time.sleep(1.0)
     assert deployment.vms['vm-1'].poll() is None
     assert deployment.request('vm-1').status == 200
-    assert len(deployment.ask_directory('vm-2', 'east-a')) == 2
+    assert len(deployment.resolve_addresses('vm-2', 'east-a')) == 2
     assert deployment.find_events('vm-1', events.MESSAGE_DROPPED.number)
 
 
@@ -223,7 +223,7 @@
     assert outcome.status == 0
     wait_until(
         lambda: any(
-            outcome.request_id in target.ended
+            outcome.request_id in target.cancelled_ids
             for target in deployment.targets.values()
         ),
         'the targets ended the work of the request',
@@ -327,7 +327,7 @@
         ),
         'the third target serves requests',
     )
-    deployment.do(third.stop)
+    deployment.call_in_loop(third.stop)
     statuses = {
         deployment.request('vm-1', affinity_key=str(number)).status
         for number in range(30)
@@ -367,7 +367,7 @@
     wait_until(
         lambda: (
             deployment.get_ip('vm-3') + ':8388'
-            not in deployment.ask_directory('vm-1', 'east-a')
+            not in deployment.resolve_addresses('vm-1', 'east-a')
         ),
         'the directory no longer lists the VM',
         timeout_seconds=1.0,
--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -30,7 +30,8 @@
         deployment.wait_ready()
         wait_until(
             lambda: all(
-                len(deployment.ask_directory(vm, 'east-a')) == 2 for vm in VMS
+                len(deployment.resolve_addresses(vm, 'east-a')) == 2
+                for vm in VMS
             ),
             'each VM lists both VMs of the zone',
         )
@@ -59,7 +60,7 @@
     def decide(_request):
         return fault
 
-    deployment.do(deployment.store.set_fault, decide)
+    deployment.call_in_loop(deployment.store.set_fault, decide)
 
 
 def test_withdrawn_key_is_denied_by_all_vms_within_the_bound(deployment):
@@ -110,7 +111,7 @@
         'the VM watches the store',
     )
     deployment.register('t1', state='draining')
-    deployment.do(deployment.store.compact)
+    deployment.call_in_loop(deployment.store.compact)
     wait_until(
         lambda: deployment.request('vm-1').body.startswith('t2'),
         'no request goes to the draining target',
@@ -127,10 +128,11 @@
             return 'lost'
         return None
 
-    deployment.store.fault = lose_one
+    deployment.store.decide_fault = lose_one
     deployment.start_vm('vm-6')
     wait_until(
-        lambda: len(deployment.ask_directory('vm-6', 'east-a')) == 3, 'found'
+        lambda: len(deployment.resolve_addresses('vm-6', 'east-a')) == 3,
+        'found',
     )
     wait_until(
         lambda: 'vm-6' in deployment.store.objects['vms'],
@@ -236,20 +238,20 @@
         for number in range(8)
     ]
     assert all(body.startswith('t2') for body in bodies)
-    assert not target.runs
+    assert not target.executed
 
 
 def test_killed_vm_leaves_the_directory_until_its_restart(deployment):
     deployment.signal_vm('vm-2', signal.SIGKILL)
     address = deployment.get_ip('vm-2') + ':8388'
     wait_until(
-        lambda: address not in deployment.ask_directory('vm-1', 'east-a'),
+        lambda: address not in deployment.resolve_addresses('vm-1', 'east-a'),
         'the directory no longer lists the killed VM',
         timeout_seconds=6.0,
     )
     deployment.start_vm('vm-2')
     wait_until(
-        lambda: address in deployment.ask_directory('vm-1', 'east-a'),
+        lambda: address in deployment.resolve_addresses('vm-1', 'east-a'),
         'the directory lists the restarted VM',
         timeout_seconds=3.0,
     )
--- a/tests/pausedloop.py
+++ b/tests/virtual_time.py
@@ -23,7 +23,7 @@
         return ready_events
 
 
-def run_paused(coroutine: Coroutine[Any, Any, Result]) -> Result:
+def run_in_virtual_time(coroutine: Coroutine[Any, Any, Result]) -> Result:
     """Run a coroutine in virtual time that starts at 0.0 seconds."""
     selector = _VirtualTimeSelector()
     loop = asyncio.SelectorEventLoop(selector)
