--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -15,7 +15,7 @@
 _PREFIX: Final = '/toucanhall/objects/'
 _MAX_PAGE_ITEMS: Final = 500
 _SERVER_LIMITS: Final = ServerLimits(65536, 1 << 21, 10.0, 60.0)
-_MAX_HELD_BYTES: Final = 1 << 26
+_MAX_BUFFERED_BYTES: Final = 1 << 26
 _MAX_CONNECTIONS: Final = 1000
 _JSON: Final = ((b'content-type', b'application/json'),)
 
@@ -59,7 +59,7 @@
             is_stopping=lambda: False,
             is_lagging=lambda: False,
             connections=set(),
-            buffer_budget=BufferBudget(max_bytes=_MAX_HELD_BYTES),
+            buffer_budget=BufferBudget(max_bytes=_MAX_BUFFERED_BYTES),
             max_connections=_MAX_CONNECTIONS,
         )
         self._server = await asyncio.get_running_loop().create_server(
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -4,8 +4,8 @@
 import sys
 from collections.abc import Sequence
 
-from standins.soak.runner import run_soak
 from standins.soak.regressions import REGRESSIONS
+from standins.soak.runner import run_soak
 
 _MAX_LINES_SHOWN = 20
 
--- a/standins/soak/injector.py
+++ b/standins/soak/injector.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from standins.soak.links import LinkProxy, LinkMode
 from standins.soak.invariants import Call
+from standins.soak.links import LinkMode, LinkProxy
 from standins.soak.schedule import Fault, FaultSubjects
 from standins.site.deployment import REGIONS_BY_ZONE, Deployment
 from standins.site.documents import (
--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Final, Literal
 
-__all__ = ('LINK_FAULT_MODES', 'LinkProxy', 'LinkMode')
+__all__ = ('LINK_FAULT_MODES', 'LinkMode', 'LinkProxy')
 
 LinkMode = Literal['well', 'slow', 'reset', 'silent', 'no_answers']
 LINK_FAULT_MODES: Final[tuple[LinkMode, ...]] = (
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -32,7 +32,7 @@
 
 
 class Fault(NamedTuple):
-    """A fault: `start_seconds` seconds after the start of the run, for some seconds."""
+    """A fault; `start_seconds` counts from the start of the run."""
 
     start_seconds: float
     kind: str
