--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -1,4 +1,4 @@
-"""A deployment on loopback: a store, targets, and VMs as real processes."""
+"""A deployment on loopback: store, targets, and VMs as real processes."""
 
 import asyncio
 import json
@@ -34,15 +34,19 @@
 _ROOT: Final = Path(__file__).parents[2]
 _STORE_PORT: Final = 8382
 _TARGET_PORT: Final = 9000
-_READY_SECONDS: Final = 15.0
-_STEP_SECONDS: Final = 0.02
+_READY_TIMEOUT_SECONDS: Final = 15.0
+_POLL_INTERVAL_SECONDS: Final = 0.02
 _BYTES_PER_KIB: Final = 1024
 
-Found = TypeVar('Found')
+Result = TypeVar('Result')
 
 
 class Outcome(NamedTuple):
-    """What a caller got; status 0 is a connection that broke."""
+    """What a caller received.
+
+    Status 0 means that the connection failed or timed out; `body` is then the
+    name of the exception.
+    """
 
     status: int
     headers: Mapping[str, str]
@@ -52,19 +56,20 @@
 
 
 class Deployment:
-    """A store, some targets, and VMs by name, on a network of their own.
+    """A store, targets and VMs by name, on a loopback network of their own.
 
-    Addresses are 127.`net`.Z.N. Store and targets run on a thread here.
+    Addresses are 127.`network_octet`.Z.N. The store and the targets run on a
+    thread of this process.
     """
 
     def __init__(
-        self, *, net: int, zones: tuple[str, ...] = ('east-a',)
+        self, *, network_octet: int, zones: tuple[str, ...] = ('east-a',)
     ) -> None:
-        """Use loopback addresses of one network, VMs in some zones."""
-        self.net = net
+        """Choose the loopback network; `network_octet` is its second octet."""
+        self.network_octet = network_octet
         self.zones = zones
         self.targets: dict[str, TargetStandin] = {}
-        self.endless: dict[str, EndlessServer] = {}
+        self.endless_servers: dict[str, EndlessServer] = {}
         self.vms: dict[str, subprocess.Popen[bytes]] = {}
         self.folder = Path(tempfile.mkdtemp(prefix='toucanhall-site-'))
         self._loop = asyncio.new_event_loop()
@@ -78,13 +83,13 @@
         self._ips: dict[str, str] = {}
 
     def __enter__(self) -> 'Deployment':
-        """Start the store with a first configuration."""
+        """Start the store and write a first configuration."""
         self.run_coroutine(self.store.start(self._make_ip(200, 1), _STORE_PORT))
         self.write('config', 'main', make_configuration())
         return self
 
     def __exit__(self, *_error: object) -> None:
-        """End every process that was started."""
+        """Kill every VM process and stop the store and all targets."""
         for process in self.vms.values():
             if process.poll() is None:
                 process.kill()
@@ -92,50 +97,52 @@
         self.call_in_loop(self.store.stop)
         for target in self.targets.values():
             self.call_in_loop(target.stop)
-        for server in self.endless.values():
+        for server in self.endless_servers.values():
             self.call_in_loop(server.stop)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
 
-    def run_coroutine(self, work: Coroutine[Any, Any, Found]) -> Found:
-        """Run something on the thread of the stand-ins."""
-        return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
+    def run_coroutine(self, coroutine: Coroutine[Any, Any, Result]) -> Result:
+        """Run a coroutine on the thread of the stand-ins; return its result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(
+            10
+        )
 
     def call_in_loop(
-        self, act: Callable[..., object], *arguments: object
+        self, function: Callable[..., object], *arguments: object
     ) -> None:
-        """Call a function on the thread of the stand-ins."""
+        """Call a function on the thread of the stand-ins and wait for it."""
 
         async def run() -> None:  # noqa: RUF029
-            act(*arguments)
+            function(*arguments)
 
         self.run_coroutine(run())
 
     def write(self, kind: str, name: str, spec: object) -> None:
-        """Write an object of the store as operators and targets do."""
+        """Write an object to the store, as operators and targets do."""
         self.call_in_loop(self.store.put, kind, name, spec)
 
     def remove(self, kind: str, name: str) -> None:
-        """Remove an object of the store."""
+        """Remove an object from the store."""
         self.call_in_loop(self.store.remove, kind, name)
 
     def add_target(self, name: str, zone: str = 'east-a') -> TargetStandin:
-        """Start a target and register it."""
+        """Start a target and register it in the store."""
         target = self.run_coroutine(_make_target(name))
         self.targets[name] = target
-        self._serve_as(name, zone, target)
+        self._start_server(name, zone, target)
         return target
 
     def add_endless_target(self, name: str, kind: str) -> EndlessServer:
-        """Start and register a target that answers without end."""
+        """Start and register a target whose answers never end."""
         server = EndlessServer(name=kind)
-        self.endless[name] = server
-        self._serve_as(name, 'east-a', server)
+        self.endless_servers[name] = server
+        self._start_server(name, 'east-a', server)
         return server
 
     def read_peak_memory_bytes(self, vm: str) -> int:
-        """Return the most memory that a VM has had resident, in bytes."""
+        """Return the peak resident memory of a VM."""
         status = Path(f'/proc/{self.vms[vm].pid}/status').read_text()
         fields = dict(line.split(':', 1) for line in status.splitlines())
         return int(fields['VmHWM'].split()[0]) * _BYTES_PER_KIB
@@ -143,7 +150,7 @@
     def register(
         self, name: str, zone: str = 'east-a', **fields: object
     ) -> None:
-        """Write the entry of a target."""
+        """Write the store entry of a target, with some fields changed."""
         address = f'{self._ips[name]}:{_TARGET_PORT}'
         self.write('servers', name, make_target_entry(address, zone, **fields))
 
@@ -154,11 +161,11 @@
         *,
         store: str = '',
     ) -> None:
-        """Start a VM as a process of its own."""
+        """Start a VM as a process; `store` overrides the address it uses."""
         number = len(self._ips) + 1
         ip = self._ips.setdefault(
             name,
-            self._make_ip(ZONES_ORDER[zone] + 1, number),
+            self._make_ip(_ZONE_NUMBERS[zone] + 1, number),
         )
         seeds = [f'{self._ips[vm]}:8381' for vm in list(self.vms)[:3]]
         settings = make_settings(
@@ -181,14 +188,14 @@
             )
 
     def wait_ready(self, *names: str) -> None:
-        """Wait until VMs say that they take requests."""
+        """Wait until the named VMs, or all, report that they are ready."""
         wait_until(
             lambda: all(self.is_ready(name) for name in names or self.vms),
-            f'ready: {names or tuple(self.vms)}',
+            f'VMs ready: {names or tuple(self.vms)}',
         )
 
     def is_ready(self, name: str) -> bool:
-        """Whether a VM says that it takes requests."""
+        """Return whether a VM reports that it is ready for requests."""
         url = f'http://{self._ips[name]}:8384/toucanhall/ready'
         try:
             return self._http.request('GET', url, timeout=1.0).status == 200
@@ -196,25 +203,28 @@
             return False
 
     def resolve_addresses(self, vm: str, zone: str) -> list[str]:
-        """Return the addresses of VMs that a client of a zone is given."""
+        """Return the addresses of VMs that a client in a zone would use.
+
+        The directory of `vm` is asked; the list is empty if it does not answer.
+        """
         url = (
             f'http://{self._ips[vm]}:8383/toucanhall/resolve'
             f'?name={HOST}&region={REGIONS_BY_ZONE[zone]}&zone={zone}'
         )
         try:
-            found = self._http.request('GET', url, timeout=1.0)
+            response = self._http.request('GET', url, timeout=1.0)
         except urllib3.exceptions.HTTPError:
             return []
-        addresses: list[str] = found.json()['addresses']
+        addresses: list[str] = response.json()['addresses']
         return addresses
 
     def read_metrics(self, vm: str) -> str:
-        """Return the metrics of a VM as text."""
+        """Return the metrics of a VM in their text format."""
         url = f'http://{self._ips[vm]}:9464/metrics'
         return self._http.request('GET', url, timeout=1.0).data.decode()
 
     def get_ip(self, name: str) -> str:
-        """Return the address of a VM or a target."""
+        """Return the IP address of a VM or a target."""
         return self._ips[name]
 
     def request(
@@ -224,40 +234,40 @@
         *,
         method: str = 'GET',
         key: str | None = KEY,
-        wait_ms: int = 3000,
-        item: str = '1',
+        timeout_ms: int = 3000,
+        affinity_key: str = '1',
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> Outcome:
-        """Make one request to a VM."""
+        """Send one request to a VM; return its outcome, also if it failed."""
         request_id = uuid.uuid4().hex[:16]
-        sent = {
+        sent_headers = {
             'Host': HOST,
             'X-Toucanhall-Request-Id': request_id,
-            'X-Toucanhall-Request-Deadline': str(wait_ms),
-            'Cookie': f'X-Toucanhall-Affinity-Key={item}',
+            'X-Toucanhall-Request-Deadline': str(timeout_ms),
+            'Cookie': f'X-Toucanhall-Affinity-Key={affinity_key}',
             **(headers or {}),
         }
         if key is not None:
-            sent['Authorization'] = f'Bearer {key}'
-        began = time.monotonic()
+            sent_headers['Authorization'] = f'Bearer {key}'
+        started_at = time.monotonic()
         try:
-            found = self._http.request(
+            response = self._http.request(
                 method,
                 f'http://{self._ips[vm]}:8388{path}',
-                headers=sent,
+                headers=sent_headers,
                 body=body,
-                timeout=wait_ms / 1000,
+                timeout=timeout_ms / 1000,
             )
         except urllib3.exceptions.HTTPError as error:
-            elapsed = time.monotonic() - began
+            elapsed = time.monotonic() - started_at
             return Outcome(0, {}, type(error).__name__, request_id, elapsed)
         return Outcome(
-            found.status,
-            found.headers,
-            found.data.decode(),
+            response.status,
+            response.headers,
+            response.data.decode(),
             request_id,
-            time.monotonic() - began,
+            time.monotonic() - started_at,
         )
 
     def signal_vm(self, name: str, number: signal.Signals) -> None:
@@ -265,7 +275,7 @@
         self.vms[name].send_signal(number)
 
     def read_log(self, name: str) -> list[dict[str, Any]]:
-        """Return the log lines of a VM."""
+        """Return the log lines of a VM, decoded."""
         lines = (self.folder / f'{name}.log').read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith('{')]
 
@@ -273,33 +283,35 @@
         """Return the log lines of a VM with an event number."""
         return [line for line in self.read_log(name) if line['event'] == number]
 
-    def _serve_as(
+    def _start_server(
         self,
         name: str,
         zone: str,
         server: TargetStandin | EndlessServer,
     ) -> None:
-        number = len(self.targets) + len(self.endless)
-        ip = self._make_ip(100 + ZONES_ORDER[zone], number)
+        number = len(self.targets) + len(self.endless_servers)
+        ip = self._make_ip(100 + _ZONE_NUMBERS[zone], number)
         self._ips[name] = ip
         self.run_coroutine(server.start(ip, _TARGET_PORT))
         self.register(name, zone)
 
-    def _make_ip(self, third: int, fourth: int) -> str:
-        return f'127.{self.net}.{third}.{fourth}'
+    def _make_ip(self, third_octet: int, fourth_octet: int) -> str:
+        return f'127.{self.network_octet}.{third_octet}.{fourth_octet}'
 
 
 def wait_until(
-    holds: Callable[[], object],
-    what: str,
-    seconds: float = _READY_SECONDS,
+    condition: Callable[[], object],
+    description: str,
+    timeout_seconds: float = _READY_TIMEOUT_SECONDS,
 ) -> None:
-    """Wait until something holds; raise TimeoutError otherwise."""
-    until = time.monotonic() + seconds
-    while not holds():
-        if time.monotonic() > until:
-            raise TimeoutError(f'not within {seconds} s: {what}')
-        time.sleep(_STEP_SECONDS)
+    """Poll a condition; raise TimeoutError if it is not met in time."""
+    deadline = time.monotonic() + timeout_seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(
+                f'condition not met within {timeout_seconds} s: {description}',
+            )
+        time.sleep(_POLL_INTERVAL_SECONDS)
 
 
 async def _make_store() -> StoreStandin:  # noqa: RUF029
@@ -310,4 +322,6 @@
     return TargetStandin(name=name)
 
 
-ZONES_ORDER: Final = {zone: index for index, zone in enumerate(REGIONS_BY_ZONE)}
+_ZONE_NUMBERS: Final = {
+    zone: index for index, zone in enumerate(REGIONS_BY_ZONE)
+}
--- a/standins/site/target.py
+++ b/standins/site/target.py
@@ -1,4 +1,4 @@
-"""A stand-in for a target: slots, a queue, and answers that misbehave."""
+"""A stand-in for a target: slots, a queue and faulty answers."""
 
 import asyncio
 import contextlib
@@ -8,47 +8,54 @@
 
 __all__ = ('ExecutedRequest', 'TargetStandin')
 
-_QUEUE: Final = 27
+_MAX_QUEUED_REQUESTS: Final = 27
 
 
 class ExecutedRequest(NamedTuple):
-    """A request that ran, as the target saw it."""
+    """A request that a target executed; `key` is its Authorization header."""
 
     target: str
     request_id: str
     path: str
     team: str
-    deadline: int
+    deadline_ms: int
     key: str
 
 
 class TargetStandin:
-    """A target that answers after some time, in one of the modes.
-
-    Modes: well, shed (not run), fail (status 500), busy, limit and slow
-    (runs, then a status that promises the opposite), odd (a load of thousands
-    of digits), stray (an answer of
-    another request first), twice (the answer again), cut (half an answer),
-    lost (runs and closes), silent (runs and answers never), unframed (an
-    answer that ends with its connection), leaving (says close).
+    """A target that answers after `work_seconds`, in one of these modes.
+
+    well: answers without a fault
+    shed: refuses the request as not executed
+    fail: executes the request and answers 500
+    busy, limit, slow: executes the request, then answers 503, 429 or 408,
+        which say that it was not executed
+    odd: reports its load as a number of 5000 digits
+    stray: sends the answer to another request first
+    twice: sends the answer twice
+    cut: sends the answer without its last bytes, then closes
+    lost: executes the request and closes without an answer
+    silent: executes the request and never answers
+    unframed: sends no Content-Length; the answer ends with the connection
+    leaving: answers with Connection: close and closes
     """
 
     def __init__(self, *, name: str, slots: int = 9) -> None:
-        """Start well and idle."""
+        """Begin idle and without a fault."""
         self.name = name
         self.slots = slots
-        self.seconds = 0.01
+        self.work_seconds = 0.01
         self.mode = 'well'
         self.executed: list[ExecutedRequest] = []
         self.cancelled_ids: list[str] = []
         self.running = 0
         self.waiting = 0
-        self._free = asyncio.Semaphore(slots)
+        self._free_slots = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
 
     async def start(self, host: str, port: int) -> None:
-        """Listen for requests."""
+        """Start to listen for requests."""
         self._server = await asyncio.get_running_loop().create_server(
             lambda: _Connection(target=self, connections=self._connections),
             host,
@@ -56,64 +63,66 @@
         )
 
     def stop(self) -> None:
-        """Reset every connection and listen no longer, like a crash."""
+        """Reset every connection and stop listening, as a crash would."""
         if self._server is not None:
             self._server.close()
         for connection in tuple(self._connections):
             connection.abort()
 
-    async def run(self, found: '_Found') -> list[bytes] | None:
-        """Return the parts of the answer; None ends the connection."""
-        if found.expected != self.name:
-            return [_write(found.request_id, 421, b'', not_run=True)]
+    async def serve(self, request: '_ReceivedRequest') -> list[bytes] | None:
+        """Return the messages to send; None closes the connection."""
+        if request.expected != self.name:
+            return [_encode_answer(request.request_id, 421, b'', not_run=True)]
         if self.mode == 'shed' or self.running + self.waiting >= (
-            self.slots + _QUEUE
+            self.slots + _MAX_QUEUED_REQUESTS
         ):
-            return [_write(found.request_id, 503, b'', not_run=True)]
+            return [_encode_answer(request.request_id, 503, b'', not_run=True)]
         self.waiting += 1
         try:
-            async with self._free:
+            async with self._free_slots:
                 self.waiting -= 1
                 self.running += 1
                 try:
-                    return await self._work(found)
+                    return await self._execute(request)
                 finally:
                     self.running -= 1
         except asyncio.CancelledError:
-            self.cancelled_ids.append(found.request_id)
+            self.cancelled_ids.append(request.request_id)
             raise
 
-    async def _work(self, found: '_Found') -> list[bytes] | None:
+    async def _execute(self, request: '_ReceivedRequest') -> list[bytes] | None:
         self.executed.append(
             ExecutedRequest(
                 target=self.name,
-                request_id=found.request_id,
-                path=found.path,
-                team=found.team,
-                deadline=found.deadline,
-                key=found.key,
+                request_id=request.request_id,
+                path=request.path,
+                team=request.team,
+                deadline_ms=request.deadline_ms,
+                key=request.key,
             ),
         )
         mode = self.mode
-        await asyncio.sleep(self.seconds)
+        await asyncio.sleep(self.work_seconds)
         if mode == 'lost':
             return None
         if mode == 'silent':
             await asyncio.Event().wait()
         load = f'{self.running},{self.waiting},{self.slots}'
-        body = f'{self.name} {found.path} {found.body.decode()}'.encode()
+        body = f'{self.name} {request.path} {request.body.decode()}'.encode()
         if mode == 'odd':
             load = f'{"9" * 5000},0,9'
-        status = _STATUSES.get(mode, 200)
-        answer = _write(found.request_id, status, body, load=load)
-        return _MODES.get(mode, _send_well)(answer, found.request_id)
+        status = _STATUS_BY_MODE.get(mode, 200)
+        answer = _encode_answer(request.request_id, status, body, load=load)
+        return _SEND_BY_MODE.get(mode, _send_unchanged)(
+            answer, request.request_id
+        )
 
 
-class _Found(NamedTuple):
+class _ReceivedRequest(NamedTuple):
     request_id: str
     path: str
     team: str
-    deadline: int
+    deadline_ms: int
     key: str
     expected: str
     body: bytes
@@ -170,21 +179,21 @@
 
     def on_message_complete(self) -> None:
         get = self._headers.get
-        found = _Found(
+        request = _ReceivedRequest(
             request_id=get('x-toucanhall-request-id', ''),
             path=self._path.decode(),
             team=get('x-toucanhall-tenant-id', ''),
-            deadline=int(get('x-toucanhall-request-deadline', '0')),
+            deadline_ms=int(get('x-toucanhall-request-deadline', '0')),
             key=get('authorization', ''),
             expected=get('x-toucanhall-expect-instance', ''),
             body=self._body,
         )
         self._task = asyncio.get_running_loop().create_task(
-            self._answer(found),
+            self._answer(request),
         )
 
-    async def _answer(self, found: _Found) -> None:
-        parts = await self._target.run(found)
+    async def _answer(self, request: _ReceivedRequest) -> None:
+        parts = await self._target.serve(request)
         transport = self._transport
         if transport is None:
             return
@@ -194,7 +203,7 @@
             transport.close()
 
 
-def _write(
+def _encode_answer(
     request_id: str,
     status: int,
     body: bytes,
@@ -219,12 +228,12 @@
     return '\r\n'.join((*lines, '', '')).encode() + body
 
 
-def _send_well(answer: bytes, _request_id: str) -> list[bytes]:
+def _send_unchanged(answer: bytes, _request_id: str) -> list[bytes]:
     return [answer]
 
 
 def _send_stray(answer: bytes, _request_id: str) -> list[bytes]:
-    return [_write('another', 200, b'answer of another'), answer]
+    return [_encode_answer('another', 200, b'answer of another'), answer]
 
 
 def _send_twice(answer: bytes, _request_id: str) -> list[bytes]:
@@ -249,13 +258,13 @@
     return [answer.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n', 1)]
 
 
-_STATUSES: Final = {
+_STATUS_BY_MODE: Final = {
     'fail': 500,
     'busy': 503,
     'limit': 429,
     'slow': 408,
 }
-_MODES: Final = {
+_SEND_BY_MODE: Final = {
     'stray': _send_stray,
     'twice': _send_twice,
     'cut': _send_cut,
--- a/standins/soak/injector.py
+++ b/standins/soak/injector.py
@@ -1,4 +1,4 @@
-"""A deployment whose links, programs and store can be struck by faults."""
+"""Injects faults into the links, VMs, targets and store of a deployment."""
 
 import random
 import signal
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from standins.soak.links import LinkProxy, LinkMode
 from standins.soak.invariants import Call
+from standins.soak.links import LinkMode, LinkProxy
 from standins.soak.schedule import Fault, FaultSubjects
 from standins.site.deployment import REGIONS_BY_ZONE, Deployment
 from standins.site.documents import (
@@ -29,36 +29,38 @@
 _TARGETS_PER_ZONE: Final = 2
 _STORE_PORT: Final = 8382
 _TARGET_PORT: Final = 9000
-_DOWN_SECONDS: Final = 0.5  # the platform starts a process again after that
-_SETTLE_SECONDS: Final = 1.0  # a VM that is back has not read its tables yet
+# After this time the platform restarts a process that has ended.
+_RESTART_DELAY_SECONDS: Final = 0.5
+# For this time after a fault a VM may lack its tables: still disturbed.
+_TABLE_READ_SECONDS: Final = 1.0
 
 
 class FaultInjector:
-    """The deployment of one run, and what is wrong with it at the moment."""
+    """Starts the deployment of one run and injects faults into its parts."""
 
-    def __init__(self, *, net: int) -> None:
-        """Use the loopback addresses of one network."""
-        self.site = Deployment(net=net)
-        self._net = net
-        self._modes: dict[tuple[str, str], list[str]] = defaultdict(list)
+    def __init__(self, *, network_octet: int) -> None:
+        """Choose the loopback network; `network_octet` is its second octet."""
+        self.deployment = Deployment(network_octet=network_octet)
+        self._network_octet = network_octet
+        self._active_modes: dict[tuple[str, str], list[str]] = defaultdict(list)
         self._links: dict[tuple[str, str], LinkProxy] = {}
         self._addresses: dict[str, str] = {}
         self._zones: dict[str, str] = {}
-        self._busy: set[str] = set()
-        self._unrest: dict[str, list[list[float]]] = defaultdict(list)
+        self._vms_with_fault: set[str] = set()
+        self._disturbances: dict[str, list[list[float]]] = defaultdict(list)
         self._lock = threading.Lock()
         self._has_other_key = True
         self._extra_routes = 0
         self.recovery_calls: list[Call] = []
         self._actions: dict[str, Callable[[Fault], None]] = {
-            'vm': self._strike_vm,
-            'target': self._strike_target,
-            'store': self._strike_store,
-            'target link': self._strike_link,
-            'store link': self._strike_link,
-            'change': self._change,
+            'vm': self._inject_vm_fault,
+            'target': self._inject_target_fault,
+            'store': self._inject_store_fault,
+            'target link': self._inject_link_fault,
+            'store link': self._inject_link_fault,
+            'change': self._inject_change,
         }
-        self._stops: dict[str, Callable[[str, float], None]] = {
+        self._vm_actions: dict[str, Callable[[str, float], None]] = {
             'kill': self._kill,
             'pause': self._pause,
             'terminate': self._terminate,
@@ -66,15 +68,15 @@
         }
         self._changes: dict[str, Callable[[Fault], None]] = {
             'routes': self._add_route,
-            'withdraw': self._withdraw,
+            'withdraw': self._withdraw_key,
             'evacuate': self._evacuate,
             'drain': self._drain,
             'compact': self._compact,
         }
 
     def start(self) -> FaultSubjects:
-        """Start everything; return what may be struck."""
-        self.site.__enter__()
+        """Start all processes; return what faults may be injected into."""
+        self.deployment.__enter__()
         self._configure()
         for zone in REGIONS_BY_ZONE:
             for number in range(_TARGETS_PER_ZONE):
@@ -82,38 +84,43 @@
         for zone in REGIONS_BY_ZONE:
             for number in range(_VMS_PER_ZONE):
                 self._add_vm(f'{zone}-vm-{number}', zone)
-        self.site.wait_ready()
+        self.deployment.wait_ready()
         return FaultSubjects(
-            vms=tuple(self.site.vms),
-            targets=tuple(self.site.targets),
+            vms=tuple(self.deployment.vms),
+            targets=tuple(self.deployment.targets),
             zones=tuple(REGIONS_BY_ZONE),
         )
 
     def stop(self) -> None:
-        """End what was started."""
+        """Stop the links, VMs, targets and the store."""
         for link in self._links.values():
-            self.site.run_coroutine(link.stop())
-        self.site.__exit__()
+            self.deployment.run_coroutine(link.stop())
+        self.deployment.__exit__()
 
     def inject(self, fault: Fault) -> None:
-        """Let a fault happen, and end it when it is over."""
+        """Inject a fault; return when it has ended."""
         self._actions[fault.kind](fault)
 
     def was_undisturbed(self, vm: str, since: float) -> bool:
-        """Whether a VM ran undisturbed from some time until now."""
+        """Return whether a VM has had no fault of its own since a time.
+
+        Such a fault stops, pauses or reloads its process.
+        """
         with self._lock:
-            return all(end < since for _start, end in self._unrest[vm])
+            return all(end < since for _start, end in self._disturbances[vm])
 
     def withdraw_other_key(self) -> None:
-        """Withdraw the key of the other team."""
+        """Withdraw the key of the other team for the rest of the run."""
         self._has_other_key = False
         self._configure()
 
     def _add_target(self, name: str, zone: str) -> None:
-        self.site.add_target(name, zone)
+        self.deployment.add_target(name, zone)
         self._zones[name] = zone
-        host = f'127.{self._net}.150.{len(self.site.targets)}'
-        self._open('target link', name, self.site.get_ip(name), host)
+        host = f'127.{self._network_octet}.150.{len(self.deployment.targets)}'
+        self._start_link(
+            'target link', name, self.deployment.get_ip(name), host
+        )
         self._register(name)
 
     def _register(self, name: str, state: str = 'ready') -> None:
@@ -122,115 +129,125 @@
             self._zones[name],
             state=state,
         )
-        self.site.write('servers', name, entry)
+        self.deployment.write('servers', name, entry)
 
     def _add_vm(self, name: str, zone: str) -> None:
         self._zones[name] = zone
-        host = f'127.{self._net}.160.{len(self.site.vms) + 1}'
-        self._open('store link', name, f'127.{self._net}.200.1', host)
+        host = f'127.{self._network_octet}.160.{len(self.deployment.vms) + 1}'
+        self._start_link(
+            'store link', name, f'127.{self._network_octet}.200.1', host
+        )
         self._start_vm(name)
 
     def _start_vm(self, name: str) -> None:
-        self.site.start_vm(
+        self.deployment.start_vm(
             name,
             self._zones[name],
             store=self._addresses[name],
         )
 
-    def _open(self, kind: str, name: str, far: str, host: str) -> None:
+    def _start_link(
+        self, kind: str, name: str, upstream_host: str, host: str
+    ) -> None:
         port = _STORE_PORT if kind == 'store link' else _TARGET_PORT
-        link = LinkProxy(host=far, port=port)
-        self.site.run_coroutine(link.start(host, port))
+        link = LinkProxy(host=upstream_host, port=port)
+        self.deployment.run_coroutine(link.start(host, port))
         self._links[kind, name] = link
         self._addresses[name] = f'{host}:{port}'
 
-    def _hold(
+    def _apply_for_duration(
         self,
         fault: Fault,
         apply: Callable[[str], None],
     ) -> None:
-        """Apply the mode of a fault; then what others that last have set."""
-        modes = self._modes[fault.kind, fault.subject]
-        modes.append(fault.mode)
+        """Apply the mode of a fault for its duration.
+
+        Faults of one part may overlap: when one ends, the mode of the latest
+        that still lasts is applied.
+        """
+        active_modes = self._active_modes[fault.kind, fault.subject]
+        active_modes.append(fault.mode)
         apply(fault.mode)
         time.sleep(fault.seconds)
-        modes.remove(fault.mode)
-        apply(modes[-1] if modes else 'well')
+        active_modes.remove(fault.mode)
+        apply(active_modes[-1] if active_modes else 'well')
 
-    def _strike_link(self, fault: Fault) -> None:
+    def _inject_link_fault(self, fault: Fault) -> None:
         link = self._links[fault.kind, fault.subject]
 
         def apply(mode: str) -> None:
-            found: LinkMode = mode  # type: ignore[assignment]
-            self.site.call_in_loop(link.set_mode, found)
+            link_mode: LinkMode = mode  # type: ignore[assignment]
+            self.deployment.call_in_loop(link.set_mode, link_mode)
 
-        self._hold(fault, apply)
+        self._apply_for_duration(fault, apply)
 
-    def _strike_target(self, fault: Fault) -> None:
-        target = self.site.targets[fault.subject]
+    def _inject_target_fault(self, fault: Fault) -> None:
+        target = self.deployment.targets[fault.subject]
 
         def apply(mode: str) -> None:
             target.mode = mode
 
-        self._hold(fault, apply)
+        self._apply_for_duration(fault, apply)
 
-    def _strike_store(self, fault: Fault) -> None:
+    def _inject_store_fault(self, fault: Fault) -> None:
         def apply(mode: str) -> None:
-            outcome = int(mode) if mode.isdigit() else mode
+            status_or_mode = int(mode) if mode.isdigit() else mode
 
             def decide(_request: Request) -> int | str | None:
-                return None if outcome == 'well' else outcome
+                return None if status_or_mode == 'well' else status_or_mode
 
-            self.site.call_in_loop(self.site.store.set_fault, decide)
+            self.deployment.call_in_loop(
+                self.deployment.store.set_fault, decide
+            )
 
-        self._hold(fault, apply)
+        self._apply_for_duration(fault, apply)
 
-    def _strike_vm(self, fault: Fault) -> None:
+    def _inject_vm_fault(self, fault: Fault) -> None:
         vm = fault.subject
         with self._lock:
-            if vm in self._busy:
+            if vm in self._vms_with_fault:
                 return
-            self._busy.add(vm)
-            unrest = [time.monotonic(), float('inf')]
-            self._unrest[vm].append(unrest)
+            self._vms_with_fault.add(vm)
+            disturbance = [time.monotonic(), float('inf')]
+            self._disturbances[vm].append(disturbance)
         try:
-            self._stops[fault.mode](vm, fault.seconds)
+            self._vm_actions[fault.mode](vm, fault.seconds)
         finally:
             with self._lock:
-                unrest[1] = time.monotonic() + _SETTLE_SECONDS
-                self._busy.discard(vm)
+                disturbance[1] = time.monotonic() + _TABLE_READ_SECONDS
+                self._vms_with_fault.discard(vm)
 
     def _kill(self, vm: str, _seconds: float) -> None:
-        self.site.signal_vm(vm, signal.SIGKILL)
-        self._start_again(vm)
+        self.deployment.signal_vm(vm, signal.SIGKILL)
+        self._restart(vm)
 
     def _terminate(self, vm: str, _seconds: float) -> None:
-        self.site.signal_vm(vm, signal.SIGTERM)
-        self._start_again(vm)
+        self.deployment.signal_vm(vm, signal.SIGTERM)
+        self._restart(vm)
 
-    def _start_again(self, vm: str) -> None:
-        self.site.vms[vm].wait()
-        time.sleep(_DOWN_SECONDS)
+    def _restart(self, vm: str) -> None:
+        self.deployment.vms[vm].wait()
+        time.sleep(_RESTART_DELAY_SECONDS)
         self._start_vm(vm)
-        self.site.wait_ready(vm)
+        self.deployment.wait_ready(vm)
 
     def _pause(self, vm: str, seconds: float) -> None:
-        self.site.signal_vm(vm, signal.SIGSTOP)
+        self.deployment.signal_vm(vm, signal.SIGSTOP)
         time.sleep(seconds)
-        self.site.signal_vm(vm, signal.SIGCONT)
+        self.deployment.signal_vm(vm, signal.SIGCONT)
 
     def _reload(self, vm: str, _seconds: float) -> None:
-        (self.site.folder / f'{vm}.yaml').touch()
-        self.site.signal_vm(vm, signal.SIGHUP)
+        (self.deployment.folder / f'{vm}.yaml').touch()
+        self.deployment.signal_vm(vm, signal.SIGHUP)
 
-    def _change(self, fault: Fault) -> None:
+    def _inject_change(self, fault: Fault) -> None:
         self._changes[fault.mode](fault)
 
     def _add_route(self, _fault: Fault) -> None:
         self._extra_routes += 1
         self._configure()
 
-    def _withdraw(self, fault: Fault) -> None:
+    def _withdraw_key(self, fault: Fault) -> None:
         self._has_other_key = False
         self._configure()
         time.sleep(fault.seconds)
@@ -238,16 +255,16 @@
         self._configure()
 
     def _evacuate(self, fault: Fault) -> None:
-        self.site.write('evacuations', fault.subject, {})
+        self.deployment.write('evacuations', fault.subject, {})
         time.sleep(fault.seconds)
-        if fault.subject in self.site.store.objects['evacuations']:
-            self.site.remove('evacuations', fault.subject)
+        if fault.subject in self.deployment.store.objects['evacuations']:
+            self.deployment.remove('evacuations', fault.subject)
 
     def _drain(self, fault: Fault) -> None:
         name = random.choice(
             [
                 target
-                for target in self.site.targets
+                for target in self.deployment.targets
                 if self._zones[target] == fault.subject
             ],
         )
@@ -256,16 +273,16 @@
         self._register(name)
 
     def _compact(self, _fault: Fault) -> None:
-        self.site.call_in_loop(self.site.store.compact)
+        self.deployment.call_in_loop(self.deployment.store.compact)
 
     def _configure(self) -> None:
         team = {'rate_per_s': 0, 'burst': 0, 'home_regions': []}
         keys = [OTHER_KEY] if self._has_other_key else []
-        self.site.write(
+        self.deployment.write(
             'config',
             'main',
             make_configuration(
-                self.site.store.revision,
+                self.deployment.store.revision,
                 rules=[
                     make_rule('/view/'),
                     make_rule('/book/', route_type='non_idempotent'),
--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -1,9 +1,9 @@
-"""A proxy on loopback whose connections are delayed, reset or silenced."""
+"""A TCP proxy on loopback that can delay, reset or silence connections."""
 
 import asyncio
 from typing import Final, Literal
 
-__all__ = ('LINK_FAULT_MODES', 'LinkProxy', 'LinkMode')
+__all__ = ('LINK_FAULT_MODES', 'LinkMode', 'LinkProxy')
 
 LinkMode = Literal['well', 'slow', 'reset', 'silent', 'no_answers']
 LINK_FAULT_MODES: Final[tuple[LinkMode, ...]] = (
@@ -14,19 +14,24 @@
 )
 _CHUNK_BYTES: Final = 65536
 _DELAY_SECONDS: Final = 0.2
-_END_SECONDS: Final = 1.0  # in which the ends of reset connections are read
+# In this time the tasks of reset connections must notice their end.
+_CLOSE_TIMEOUT_SECONDS: Final = 1.0
 
 
 class LinkProxy:
-    """Connections from one address to another, in one of the modes.
+    """Forwards connections to one address, in one of these modes.
 
-    Modes: slow (each part is late), reset (all end, new ones too), silent
-    (nothing passes either way), no_answers (nothing passes backwards). What a
-    connection lost while it was silent is never passed on.
+    well: forwards all bytes
+    slow: delays each chunk
+    reset: resets all connections, new ones too
+    silent: forwards nothing in either direction
+    no_answers: forwards nothing from the server to the client
+
+    Bytes that are dropped in a mode are not forwarded later.
     """
 
     def __init__(self, *, host: str, port: int) -> None:
-        """Lead to an address."""
+        """Choose the address to which connections are forwarded."""
         self._host = host
         self._port = port
         self.mode: LinkMode = 'well'
@@ -35,28 +40,32 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, port: int) -> None:
-        """Listen for connections."""
-        self._server = await asyncio.start_server(self._carry, host, port)
+        """Start to listen for connections."""
+        self._server = await asyncio.start_server(
+            self._serve_connection, host, port
+        )
 
     def set_mode(self, mode: LinkMode) -> None:
-        """Change what happens to the connections, open ones too."""
+        """Change the mode of all connections, open ones too."""
         self.mode = mode
         if mode == 'reset':
             self._reset_all()
 
     async def stop(self) -> None:
-        """Reset all connections and listen no longer."""
+        """Reset all connections and stop listening."""
         if self._server is not None:
             self._server.close()
         self._reset_all()
         if self._tasks:
-            await asyncio.wait(tuple(self._tasks), timeout=_END_SECONDS)
+            await asyncio.wait(
+                tuple(self._tasks), timeout=_CLOSE_TIMEOUT_SECONDS
+            )
 
     def _reset_all(self) -> None:
         for writer in tuple(self._writers):
             writer.transport.abort()
 
-    async def _carry(
+    async def _serve_connection(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -69,29 +78,29 @@
             writer.transport.abort()
             return
         try:
-            far_reader, far = await asyncio.open_connection(
+            upstream_reader, upstream = await asyncio.open_connection(
                 self._host,
                 self._port,
             )
         except OSError:
-            # The far end is down: so it seems to the near one.
+            # The server is down; the client sees a connection that is reset.
             writer.transport.abort()
             return
-        self._writers |= {writer, far}
+        self._writers |= {writer, upstream}
         try:
             await asyncio.gather(
-                self._pass_on(reader, far, is_answer=False),
-                self._pass_on(far_reader, writer, is_answer=True),
+                self._copy_bytes(reader, upstream, is_answer=False),
+                self._copy_bytes(upstream_reader, writer, is_answer=True),
             )
         finally:
-            self._end(writer, far)
+            self._abort(writer, upstream)
 
-    def _end(self, *writers: asyncio.StreamWriter) -> None:
+    def _abort(self, *writers: asyncio.StreamWriter) -> None:
         for writer in writers:
             self._writers.discard(writer)
             writer.transport.abort()
 
-    async def _pass_on(
+    async def _copy_bytes(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -99,17 +108,17 @@
         is_answer: bool,
     ) -> None:
         try:
-            while part := await reader.read(_CHUNK_BYTES):
+            while chunk := await reader.read(_CHUNK_BYTES):
                 if self.mode == 'silent':
                     continue
                 if self.mode == 'no_answers' and is_answer:
                     continue
                 if self.mode == 'slow':
                     await asyncio.sleep(_DELAY_SECONDS)
-                writer.write(part)
+                writer.write(chunk)
                 await writer.drain()
             if writer.can_write_eof():
                 writer.write_eof()
         except OSError:
-            # The other end has gone, or the link was reset.
+            # The other end has closed, or the link was reset.
             writer.transport.abort()
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -1,9 +1,9 @@
-"""Documents with a few wrong entries, for property tests."""
+"""Documents with a few invalid entries, for property tests."""
 
 import json5
 from hypothesis import strategies as st
 
-VALUES = st.one_of(
+REPLACEMENTS = st.one_of(
     st.none(),
     st.booleans(),
     st.integers(),
@@ -15,22 +15,26 @@
 )
 
 
-def list_places(found):
-    """Yield each entry of a document, as its container and key."""
-    pairs = found.items() if isinstance(found, dict) else enumerate(found)
-    for key, entry in pairs:
-        yield found, key
+def list_entries(container):
+    """Yield the container and key of each entry of a document."""
+    items = (
+        container.items()
+        if isinstance(container, dict)
+        else enumerate(container)
+    )
+    for key, entry in items:
+        yield container, key
         if isinstance(entry, (dict, list)):
-            yield from list_places(entry)
+            yield from list_entries(entry)
 
 
 @st.composite
 def mutate(draw, text):
-    """Return a document with a few entries changed, added or removed."""
+    """Draw a document in which up to three entries are replaced or renamed."""
     document = json5.loads(text)
     for _ in range(draw(st.integers(1, 3))):
-        container, key = draw(st.sampled_from(list(list_places(document))))
-        container[key] = draw(VALUES)
+        container, key = draw(st.sampled_from(list(list_entries(document))))
+        container[key] = draw(REPLACEMENTS)
         if isinstance(container, dict) and draw(st.booleans()):
             container[f'{key}x'] = container.pop(key)
     return document
