Reword the HTTP connections in the terms of the field

Comments, log texts and private names of toucanhall/web say in usual terms what a buffer, a limit and a connection's state are; names of limits bear their bound and unit.

--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -72,7 +72,7 @@
 
     why, sent, seconds, is_usable = asyncio.run(act())
     assert 'over' in why or 'malformed' in why
-    assert sent < opening.bounds.body_bytes + ON_THE_WAY
+    assert sent < opening.bounds.max_body_bytes + ON_THE_WAY
     assert opening.held.total == 0
     assert not is_usable
     assert seconds < 3.0
@@ -92,7 +92,7 @@
         return [len(first.body), len(second.body)]
 
     opening = make_opening(id_header=b'x-id')
-    large = opening.bounds.body_bytes
+    large = opening.bounds.max_body_bytes
     assert run(answer_with(make_body(large), make_body(3)), act) == [large, 3]
 
 
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -21,29 +21,31 @@
     'open_connection',
 )
 
-# A peer that acknowledges no byte for this long is taken as gone (ms). Four
-# retransmissions over the longest link between regions fit in.
-_SILENCE_MILLISECONDS: Final = 1500
-_PROBE_AFTER_SECONDS: Final = 1
-_PROBES: Final = 2
-_FINAL_STATUS: Final = 200
-_REDIRECTED_STATUS: Final = 300
+# Leaves room for four retransmissions over the longest link between regions.
+_MAX_UNACKNOWLEDGED_MS: Final = 1500
+_KEEPALIVE_INTERVAL_SECONDS: Final = 1
+_KEEPALIVE_PROBE_COUNT: Final = 2
+_MIN_FINAL_STATUS: Final = 200
+_MIN_REDIRECT_STATUS: Final = 300
 
 
 class Unreachable(ConnectionError):
-    """No connection was made: nothing was sent."""
+    """No connection could be opened or used; nothing was sent."""
 
 
 class Exhausted(Unreachable):
-    """This process has no descriptor left: the server is not to blame."""
+    """This process has no free file descriptor; the server is not at fault."""
 
 
 class Broken(ConnectionError):
-    """The connection ended before the whole answer was read."""
+    """No complete and valid answer was read.
+
+    The request may have been received.
+    """
 
 
 class Reply(NamedTuple):
-    """A whole answer of a server."""
+    """A complete answer received from a server."""
 
     status: int
     headers: Headers
@@ -52,9 +54,10 @@
 
 
 class Opening(NamedTuple):
-    """How connections to servers are made, and what is read of them.
+    """Limits that connections to servers share.
 
-    Answers are matched by `id_header`, which repeats the id of a request.
+    If `id_header` is set, servers copy the id of a request from this header
+    into their answer, and answers are matched to requests by it.
     """
 
     bounds: Bounds
@@ -63,168 +66,179 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection on which one request at a time is answered.
+    """A client connection with at most one request at a time.
 
-    An answer that bears the id of another request is read past; after one the
-    connection is not used again.
+    An answer with the id of another request is skipped, and the connection is
+    not reused afterwards.
     """
 
     def __init__(self, *, opening: Opening) -> None:
-        """Read answers within the bounds of `opening`."""
-        self._opening = opening
-        self._framing = Framing(most=opening.bounds.head_bytes)
-        self._interim = 0
-        self._stray = 0
+        """Read answers within the bounds of the settings."""
+        self._settings = opening
+        self._framing = Framing(most=opening.bounds.max_head_bytes)
+        self._interim_count = 0
+        self._stray_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._waiter: asyncio.Future[Reply] | None = None
-        self._expected = b''
-        self._excess = ''
-        self._is_tainted = False
+        self._answer_future: asyncio.Future[Reply] | None = None
+        self._expected_id = b''
+        self._limit_error = ''
+        self._is_unusable = False
         self.idle_since = 0.0
         self.idle_seconds: float | None = None
-        self._start()
+        self._reset_answer()
 
     @property
     def is_usable(self) -> bool:
-        """Whether another request may be sent."""
+        """Whether the connection is open and may carry another request."""
         return (
             self._transport is not None
-            and not self._is_tainted
+            and not self._is_unusable
             and not self._transport.is_closing()
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport; let silence of the peer end the connection."""
+        """Keep the transport and enable the detection of dead peers."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        limit_silence(transport.get_extra_info('socket'))
+        _enable_dead_peer_detection(transport.get_extra_info('socket'))
 
-    def connection_lost(self, _error: Exception | None) -> None:
-        """Fail the request under way unless its answer ends just here."""
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the request in flight unless the close completes its answer.
+
+        A close completes only an answer with neither length nor chunks.
+        """
         self._transport = None
-        waiter = self._waiter
-        if waiter is None or waiter.done():
+        answer_future = self._answer_future
+        if answer_future is None or answer_future.done():
             return
-        if self._ends_by_close and _error is None and not self._excess:
+        if self._ends_by_close and error is None and not self._limit_error:
             self.on_message_complete()
-        if not waiter.done():
-            waiter.set_exception(Broken('connection ended without an answer'))
+        if not answer_future.done():
+            answer_future.set_exception(
+                Broken('connection closed before the answer was complete')
+            )
 
     def data_received(self, received: bytes) -> None:
-        """Parse what came; bytes that nobody waits for end the connection."""
-        if self._waiter is None or self._waiter.done():
+        """Parse received bytes; close the connection if none are expected."""
+        if self._answer_future is None or self._answer_future.done():
             self.close()
             return
         for start in range(0, len(received), PIECE_BYTES):
-            why = self._feed(received[start : start + PIECE_BYTES])
-            if why:
-                self.cut(why)
+            reason = self._parse(received[start : start + PIECE_BYTES])
+            if reason:
+                self.cut(reason)
                 return
 
-    def cut(self, why: str) -> None:
-        """Fail the request under way and reset the connection."""
-        if self._waiter and not self._waiter.done():
-            self._waiter.set_exception(Broken(why))
+    def cut(self, reason: str) -> None:
+        """Fail the request in flight and reset the connection."""
+        if self._answer_future and not self._answer_future.done():
+            self._answer_future.set_exception(Broken(reason))
         self.abort()
 
     async def exchange(self, sent: bytes, request_id: bytes = b'') -> Reply:
         """Send a request and return its answer.
 
-        Raises Unreachable when nothing was sent and Broken when the request
-        may have been received. A cancelled exchange closes the connection.
+        Raises Unreachable if nothing was sent and Broken if the request may
+        have been received. Cancelling the call resets the connection.
         """
         if not self.is_usable or self._transport is None:
-            raise Unreachable('connection is closed')
-        self._expected = request_id
-        self._interim = 0
-        self._stray = 0
+            raise Unreachable(
+                'connection was closed before the request was sent'
+            )
+        self._expected_id = request_id
+        self._interim_count = 0
+        self._stray_count = 0
         self._framing.start()
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiter = waiter
+        answer_future = asyncio.get_running_loop().create_future()
+        self._answer_future = answer_future
         self._transport.write(sent)
         try:
-            reply: Reply = await waiter
+            reply: Reply = await answer_future
         except asyncio.CancelledError:
             self.abort()
             raise
         finally:
-            self._drop_body()
+            self._release_body()
         if not reply.keep:
             self.close()
         return reply
 
     def close(self) -> None:
         """Close the connection."""
-        self._is_tainted = True
+        self._is_unusable = True
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Reset the connection."""
-        self._is_tainted = True
+        self._is_unusable = True
         if self._transport is not None:
             self._transport.abort()
 
     def on_message_begin(self) -> None:
-        """Start an answer (called by the parser)."""
-        if self._waiter is None or self._waiter.done():
-            self._is_tainted = True
-        self._start()
+        """Start an answer (parser callback)."""
+        if self._answer_future is None or self._answer_future.done():
+            self._is_unusable = True
+        self._reset_answer()
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Take a header (called by the parser)."""
+        """Store a header (parser callback)."""
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
-        """Tell whether the answer has an end of its own (by the parser)."""
+        """Determine whether only a close ends the answer (parser callback)."""
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
-        coded = get_header(headers, b'transfer-encoding')
-        length = get_header(headers, b'content-length')
+        transfer_encoding = get_header(headers, b'transfer-encoding')
+        content_length = get_header(headers, b'content-length')
         self._ends_by_close = (
-            coded is None and length is None and status not in {204, 304}
+            transfer_encoding is None
+            and content_length is None
+            and status not in {204, 304}
         )
 
     def on_body(self, body: bytes) -> None:
-        """Take a part of the body (called by the parser)."""
-        self._size += len(body)
-        self._fed_body += len(body)
-        if self._size > self._opening.bounds.body_bytes:
-            self._excess = (
-                f'body is over {self._opening.bounds.body_bytes} bytes'
+        """Store a part of the body within the limits (parser callback)."""
+        self._body_bytes += len(body)
+        self._piece_body_bytes += len(body)
+        if self._body_bytes > self._settings.bounds.max_body_bytes:
+            self._limit_error = (
+                f'body is over {self._settings.bounds.max_body_bytes} bytes'
             )
-        elif not self._excess and not self._is_answered():
+        elif not self._limit_error and not self._is_answered():
             self._body += body
-            self._opening.held.put(self, self._size)
+            self._settings.held.put(self, self._body_bytes)
 
     def on_message_complete(self) -> None:
-        """Hand over a whole answer (called by the parser)."""
+        """Deliver, skip or reject a complete answer (parser callback)."""
         status = self._parser.get_status_code()
-        waiter = self._waiter
-        if waiter is None or waiter.done():
+        answer_future = self._answer_future
+        if answer_future is None or answer_future.done():
             return
         headers = tuple(self._headers)
-        if status < _FINAL_STATUS:
-            self._interim += 1
-        elif self._is_stray(headers):
-            self._stray += 1
-            self._is_tainted = True
-        elif self._lacks_id(status, headers):
-            waiter.set_exception(Broken('answer without the id of a request'))
+        if status < _MIN_FINAL_STATUS:
+            self._interim_count += 1
+        elif self._has_other_id(headers):
+            self._stray_count += 1
+            self._is_unusable = True
+        elif self._is_id_missing(status, headers):
+            answer_future.set_exception(
+                Broken('answer without the id of its request')
+            )
             self.abort()
         else:
-            self._hand_over(status, headers, waiter)
+            self._deliver(status, headers, answer_future)
 
-    def _hand_over(
+    def _deliver(
         self,
         status: int,
         headers: Headers,
-        waiter: 'asyncio.Future[Reply]',
+        answer_future: asyncio.Future[Reply],
     ) -> None:
         keep = not self._ends_by_close and self._parser.should_keep_alive()
-        self.idle_seconds = _read_keep_alive(headers)
-        waiter.set_result(
+        self.idle_seconds = _read_keep_alive_seconds(headers)
+        answer_future.set_result(
             Reply(
                 status=status,
                 headers=headers,
@@ -233,50 +247,50 @@
             ),
         )
 
-    def _feed(self, piece: bytes) -> str:
-        """Parse bytes; return why the answer is not read on, if so."""
-        self._fed_body = 0
+    def _parse(self, piece: bytes) -> str:
+        """Parse bytes; return why reading stops, empty if it does not."""
+        self._piece_body_bytes = 0
         try:
             self._parser.feed_data(piece)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return 'malformed answer'
         if self._is_answered():
             return ''
-        bounds = self._opening.bounds
-        if not self._framing.take(len(piece), self._fed_body):
-            return f'head or framing is over {bounds.head_bytes} bytes'
-        if self._interim > bounds.most_interim:
-            return f'over {bounds.most_interim} interim answers'
-        if self._stray > bounds.most_stray:
-            return f'over {bounds.most_stray} answers to other requests'
-        return self._excess
+        bounds = self._settings.bounds
+        if not self._framing.take(len(piece), self._piece_body_bytes):
+            return f'head and framing are over {bounds.max_head_bytes} bytes'
+        if self._interim_count > bounds.max_interim_answers:
+            return f'over {bounds.max_interim_answers} interim (1xx) answers'
+        if self._stray_count > bounds.max_stray_answers:
+            return f'over {bounds.max_stray_answers} answers to other requests'
+        return self._limit_error
 
     def _is_answered(self) -> bool:
-        return self._waiter is None or self._waiter.done()
+        return self._answer_future is None or self._answer_future.done()
 
-    def _is_stray(self, headers: Headers) -> bool:
-        if not self._expected:
+    def _has_other_id(self, headers: Headers) -> bool:
+        if not self._expected_id:
             return False
-        found = get_header(headers, self._opening.id_header)
-        return found is not None and found != self._expected
+        answer_id = get_header(headers, self._settings.id_header)
+        return answer_id is not None and answer_id != self._expected_id
 
-    def _lacks_id(self, status: int, headers: Headers) -> bool:
-        is_success = status < _REDIRECTED_STATUS
-        expected = self._expected and self._opening.id_header
+    def _is_id_missing(self, status: int, headers: Headers) -> bool:
+        is_success = status < _MIN_REDIRECT_STATUS
+        expected = self._expected_id and self._settings.id_header
         return bool(
             is_success and expected and get_header(headers, expected) is None,
         )
 
-    def _drop_body(self) -> None:
+    def _release_body(self) -> None:
         self._body = bytearray()
-        self._opening.held.put(self, 0)
+        self._settings.held.put(self, 0)
 
-    def _start(self) -> None:
+    def _reset_answer(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
-        self._size = 0
-        self._fed_body = 0
-        self._excess = ''
+        self._body_bytes = 0
+        self._piece_body_bytes = 0
+        self._limit_error = ''
         self._ends_by_close = False
 
 
@@ -286,7 +300,7 @@
     seconds: float,
     opening: Opening,
 ) -> ServerConnection:
-    """Connect within some seconds; raise Unreachable otherwise."""
+    """Open a connection within `seconds`, or raise Unreachable."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(seconds):
@@ -296,32 +310,36 @@
                 address.port,
             )
     except TimeoutError as error:
-        raise Unreachable(f'{address.host} did not accept in time') from error
+        raise Unreachable(
+            f'{address.host}:{address.port} did not accept in time'
+        ) from error
     except OSError as error:
         is_own = error.errno in {errno.EMFILE, errno.ENFILE}
         kind = Exhausted if is_own else Unreachable
-        raise kind(f'{address.host}: {error.strerror}') from error
+        raise kind(
+            f'{address.host}:{address.port}: {error.strerror}'
+        ) from error
     return connection
 
 
-def limit_silence(sock: socket.socket) -> None:
-    """Let the kernel end a connection whose peer fell silent."""
+def _enable_dead_peer_detection(sock: socket.socket) -> None:
+    """Let the kernel close a connection whose peer stops acknowledging."""
     options = (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_AFTER_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBE_COUNT),
         (
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
-            _SILENCE_MILLISECONDS,
+            _MAX_UNACKNOWLEDGED_MS,
         ),
     )
     for level, name, setting in options:
         sock.setsockopt(level, name, setting)
 
 
-def _read_keep_alive(headers: Headers) -> float | None:
+def _read_keep_alive_seconds(headers: Headers) -> float | None:
     content = get_header(headers, b'keep-alive')
     for part in (content or b'').split(b','):
         name, _, seconds = part.strip().partition(b'=')
--- a/toucanhall/web/lag.py
+++ b/toucanhall/web/lag.py
@@ -1,31 +1,31 @@
-"""How late the event loop is: the time that work waits to be looked at."""
+"""Measures the event loop lag: how long ready work waits to be run."""
 
 import asyncio
 from typing import Final
 
 __all__ = ('LoopLag',)
 
-_TICK_SECONDS: Final = 0.1
-_WEIGHT: Final = 0.3  # of one tick: some three of them count
+_TICK_INTERVAL_SECONDS: Final = 0.1
+_SMOOTHING_WEIGHT: Final = 0.3  # of the latest tick; about three ticks count
 
 
 class LoopLag:
-    """The smoothed lateness of a timer, in seconds."""
+    """Exponential moving average of the delay of a timer, in seconds."""
 
     def __init__(self) -> None:
-        """Start with a loop that is in time."""
+        """Start without lag."""
         self._loop = asyncio.get_running_loop()
         self._due_at = 0.0
         self.seconds = 0.0
 
     def start(self) -> None:
-        """Measure from now on."""
-        self._due_at = self._loop.time() + _TICK_SECONDS
+        """Start to measure."""
+        self._due_at = self._loop.time() + _TICK_INTERVAL_SECONDS
         self._loop.call_at(self._due_at, self._tick)
 
-    def take(self, late: float) -> None:
-        """Take how late one tick was."""
-        self.seconds += (late - self.seconds) * _WEIGHT
+    def take(self, delay: float) -> None:
+        """Record the delay of one tick, in seconds."""
+        self.seconds += (delay - self.seconds) * _SMOOTHING_WEIGHT
 
     def _tick(self) -> None:
         self.take(max(0.0, self._loop.time() - self._due_at))
--- a/toucanhall/web/listener.py
+++ b/toucanhall/web/listener.py
@@ -1,4 +1,4 @@
-"""Listens for connections, and stops without cutting one off."""
+"""Listening sockets that close without resetting opened connections."""
 
 import asyncio
 import socket
@@ -9,13 +9,14 @@
 
 __all__ = ('Listener', 'open_listener')
 
-_BACKLOG: Final = 1024  # as many connections as a busy second brings
-# Some rounds of the loop, in which accepted connections get their protocol.
-_SETTLE_SECONDS: Final = 0.01
+# As many as are opened within a busy second.
+_MAX_BACKLOG_CONNECTIONS: Final = 1024
+# Some iterations of the loop, in which accepted connections get a protocol.
+_PROTOCOL_DELAY_SECONDS: Final = 0.01
 
 
 class Listener:
-    """A listening socket and what makes the protocols of its connections."""
+    """A listening socket and the factory of its protocols."""
 
     def __init__(
         self,
@@ -23,23 +24,23 @@
         server: asyncio.Server,
         make_protocol: Callable[[], asyncio.Protocol],
     ) -> None:
-        """Keep a server that is listening on one socket."""
+        """Wrap a server that listens on one socket."""
         self._server = server
         self._make_protocol = make_protocol
 
     async def close(self) -> None:
-        """Accept what has been opened already, then refuse connections.
+        """Accept connections that are already open, then refuse new ones.
 
-        asyncio resets a connection that it accepted but had not yet given its
-        protocol when its server closes, and the system those not accepted.
+        When a server closes, asyncio resets accepted connections that have no
+        protocol yet, and the kernel resets those that were not accepted.
         """
         loop = asyncio.get_running_loop()
         own = self._server.sockets[0]
         with own.dup() as listening:
             loop.remove_reader(own.fileno())
-            await asyncio.sleep(_SETTLE_SECONDS)
+            await asyncio.sleep(_PROTOCOL_DELAY_SECONDS)
             self._server.close()
-            accepted = list(_accept_all(listening))
+            accepted = list(_accept_waiting(listening))
         await asyncio.gather(
             *(
                 loop.connect_accepted_socket(self._make_protocol, connection)
@@ -52,21 +53,21 @@
     address: Address,
     make_protocol: Callable[[], asyncio.Protocol],
 ) -> Listener:
-    """Listen at an address; raise `OSError` if it is taken."""
+    """Listen at an address; raise `OSError` if it is in use."""
     server = await asyncio.get_running_loop().create_server(
         make_protocol,
         address.host,
         address.port,
-        backlog=_BACKLOG,
+        backlog=_MAX_BACKLOG_CONNECTIONS,
     )
     return Listener(server=server, make_protocol=make_protocol)
 
 
-def _accept_all(listening: socket.socket) -> Iterator[socket.socket]:
+def _accept_waiting(listening: socket.socket) -> Iterator[socket.socket]:
     while True:
         try:
             connection, _ = listening.accept()
-        except OSError:  # none is left, or no descriptor is
+        except OSError:  # no connection waits, or no descriptor is free
             return
         connection.setblocking(False)
         yield connection
--- a/toucanhall/web/memory.py
+++ b/toucanhall/web/memory.py
@@ -1,8 +1,9 @@
-"""Bounds of the bytes that a process holds and reads for others.
+"""Limits of the memory that requests and answers of others may use.
 
-Load pattern: servers in trouble send bytes that are no answer, without end and
-a hundred at once. Each answer has bounds of its own; all together have one, and
-what holds most is cut, so that small answers go on.
+Load pattern: a hundred failing servers at once send endless bytes that are no
+valid answers. Each answer has its own limits, and all bodies share one budget:
+when it is exceeded, the connection with the largest buffer is terminated, so
+that small answers still get through.
 """
 
 from typing import Final, NamedTuple, Protocol
@@ -17,100 +18,115 @@
     'make_held_bytes',
 )
 
-# Bytes that are parsed between two looks at the bounds.
+# Parsed between two checks of the limits.
 PIECE_BYTES: Final = 1 << 14
-# Deployments allow a caller 16 KiB of headers; a target may add some.
-_HEAD_BYTES: Final = 1 << 16
-# Informational answers before the final one: 100 and 103, and a few repeats.
-_MOST_INTERIM: Final = 8
-# Late copies of earlier answers before the one that is waited for.
-_MOST_STRAY: Final = 4
-# Parts of a process's memory: all bodies held, and one of them. The smallest
-# VM has 152 MB, of which the interpreter and the tables take up to 40.
-_HELD_SHARE: Final = 1 / 12
-_BODY_SHARE: Final = 1 / 24
+# Deployments allow a caller 16 KiB of headers; targets may send more.
+_MAX_HEAD_BYTES: Final = 1 << 16
+# Statuses 100 and 103 before the final answer, with a few repetitions.
+_MAX_INTERIM_ANSWERS: Final = 8
+# Late copies of earlier answers before the expected one.
+_MAX_STRAY_ANSWERS: Final = 4
+# Of the memory of a process, for all buffered bodies and for a single one. The
+# smallest VM has 152 MB, of which the interpreter and the tables use up to 40.
+_BUFFER_BUDGET_FRACTION: Final = 1 / 12
+_MAX_BODY_FRACTION: Final = 1 / 24
 
 
 class Holder(Protocol):
-    """What holds bytes and can be cut."""
+    """A connection that buffers bytes and can be terminated."""
 
-    def cut(self, why: str) -> None:
-        """End the connection and drop what it holds."""
+    def cut(self, reason: str) -> None:
+        """End the connection and free its buffer."""
 
 
 class HeldBytes:
-    """Bytes of all bodies that a process holds."""
+    """Limit of the body bytes that a process buffers at the same time."""
 
     def __init__(self, *, most: int) -> None:
-        """Hold at most so many bytes."""
+        """Allow `most` bytes for all owners together."""
         self.most = most
         self.total = 0
-        self._held: dict[Holder, int] = {}
+        self._buffered_bytes: dict[Holder, int] = {}
 
-    def put(self, holder: Holder, count: int) -> None:
-        """Note how many bytes a holder has; cut the largest beyond the bound.
+    def put(self, owner: Holder, count: int) -> None:
+        """Set how many bytes an owner buffers.
 
-        The holder itself may be the one that is cut.
+        While the budget is exceeded, terminates the owner of the largest
+        buffer, which may be the calling one.
         """
-        self.total += count - self._held.pop(holder, 0)
+        self.total += count - self._buffered_bytes.pop(owner, 0)
         if count:
-            self._held[holder] = count
+            self._buffered_bytes[owner] = count
         while self.total > self.most:
-            largest = max(self._held, key=self._held.__getitem__)
-            self.total -= self._held.pop(largest)
+            largest = max(
+                self._buffered_bytes, key=self._buffered_bytes.__getitem__
+            )
+            self.total -= self._buffered_bytes.pop(largest)
             largest.cut(f'all bodies held are over {self.most} bytes')
 
 
 class Bounds(NamedTuple):
-    """What is read of one answer: bytes, and answers before the final one."""
+    """Limits of reading one answer.
 
-    head_bytes: int
-    body_bytes: int
-    most_interim: int
-    most_stray: int
+    Interim answers have a 1xx status, stray ones the id of another request.
+    """
+
+    max_head_bytes: int
+    max_body_bytes: int
+    max_interim_answers: int
+    max_stray_answers: int
 
 
 def make_bounds(memory: int) -> Bounds:
-    """Return the bounds of a process that has some bytes of memory."""
+    """Return the limits for a process with `memory` bytes."""
     return Bounds(
-        head_bytes=_HEAD_BYTES,
-        body_bytes=int(memory * _BODY_SHARE),
-        most_interim=_MOST_INTERIM,
-        most_stray=_MOST_STRAY,
+        max_head_bytes=_MAX_HEAD_BYTES,
+        max_body_bytes=int(memory * _MAX_BODY_FRACTION),
+        max_interim_answers=_MAX_INTERIM_ANSWERS,
+        max_stray_answers=_MAX_STRAY_ANSWERS,
     )
 
 
 def make_held_bytes(memory: int) -> HeldBytes:
-    """Return what counts the bodies of a process with bytes of memory."""
-    return HeldBytes(most=int(memory * _HELD_SHARE))
+    """Return the budget for the bodies of a process with `memory` bytes."""
+    return HeldBytes(most=int(memory * _BUFFER_BUDGET_FRACTION))
 
 
 class Framing:
-    """Counts what is read beside bodies: heads, chunk sizes, trailers.
+    """Counts bytes outside bodies: heads, chunk sizes and trailers.
 
-    The parser keeps a header until it ends and skips what it does not need, so
-    these bytes are counted as they come.
+    The parser buffers a header until its end and skips what it does not use,
+    so these bytes are counted as they are received.
     """
 
     def __init__(self, *, most: int) -> None:
-        """Allow so many bytes in a row, and so many more than the body has."""
-        self._most = most
-        self._total = 0
-        self._run = 0
-        self._body = 0
+        """Allow `most` bytes in a row, and in total `most` more than the body.
+
+        A row is interrupted by bytes of the body.
+        """
+        self._max_bytes = most
+        self._framing_bytes = 0
+        self._consecutive_bytes = 0
+        self._body_bytes = 0
 
     def start(self) -> None:
-        """Begin a message."""
-        self._total = 0
-        self._run = 0
-        self._body = 0
+        """Reset the counts for a new message."""
+        self._framing_bytes = 0
+        self._consecutive_bytes = 0
+        self._body_bytes = 0
 
     def take(self, count: int, body: int) -> bool:
-        """Count bytes read, some of them of the body; tell if it is allowed."""
+        """Count read bytes; return whether they are within the limit.
+
+        `body` of the `count` bytes belong to the body.
+        """
         framing = max(0, count - body)
-        self._run = framing if body else self._run + framing
-        self._total += framing
-        self._body += body
+        self._consecutive_bytes = (
+            framing if body else self._consecutive_bytes + framing
+        )
+        self._framing_bytes += framing
+        self._body_bytes += body
         return (
-            self._run <= self._most and self._total <= self._most + self._body
+            self._consecutive_bytes <= self._max_bytes
+            and self._framing_bytes <= self._max_bytes + self._body_bytes
         )
--- a/toucanhall/web/messages.py
+++ b/toucanhall/web/messages.py
@@ -1,4 +1,4 @@
-"""Requests, answers, and their bytes."""
+"""HTTP/1.1 requests and answers, and their encoding."""
 
 from http import HTTPStatus
 from typing import Final, NamedTuple, TypeAlias
@@ -32,13 +32,13 @@
         b'expect',
     )
 )
-_REASONS: Final = {
+_REASON_PHRASES: Final = {
     status.value: status.phrase.encode() for status in HTTPStatus
 }
 
 
 class Request(NamedTuple):
-    """A whole request; header names are in lower case."""
+    """A complete request; header names are in lower case."""
 
     method: bytes
     path: bytes
@@ -47,7 +47,7 @@
 
 
 class Answer(NamedTuple):
-    """A whole answer; header names are in lower case."""
+    """A complete answer to send; header names are in lower case."""
 
     status: int
     headers: Headers = ()
@@ -55,9 +55,9 @@
 
 
 def get_header(headers: Headers, name: bytes) -> bytes | None:
-    """Return the first value of a header, given in lower case."""
-    for found, content in headers:
-        if found == name:
+    """Return the first value of a header; `name` is in lower case."""
+    for found_name, content in headers:
+        if found_name == name:
             return content
     return None
 
@@ -65,7 +65,7 @@
 def make_answer(
     status: int, text: str, *headers: tuple[bytes, bytes]
 ) -> Answer:
-    """Return a short plain answer of the VM itself."""
+    """Return a plain text answer of the VM itself."""
     return Answer(
         status,
         ((b'content-type', b'text/plain'), *headers),
@@ -74,28 +74,33 @@
 
 
 def make_failed(_error: Exception) -> Answer:
-    """Return the answer where an error left the outcome open."""
+    """Return the answer after an error that leaves the outcome unknown."""
     return make_answer(HTTPStatus.BAD_GATEWAY, 'internal-error')
 
 
 def drop_hop_by_hop(headers: Headers) -> Headers:
-    """Return the headers that concern more than one connection."""
-    listed: set[bytes] = set()
+    """Return the end-to-end headers."""
+    connection_options: set[bytes] = set()
     for name, content in headers:
         if name == b'connection':
-            listed.update(part.strip() for part in content.lower().split(b','))
+            connection_options.update(
+                part.strip() for part in content.lower().split(b',')
+            )
     return tuple(
         header
         for header in headers
-        if header[0] not in _HOP_BY_HOP and header[0] not in listed
+        if header[0] not in _HOP_BY_HOP and header[0] not in connection_options
     )
 
 
 def write_answer(answer: Answer, *, is_last: bool, has_body: bool) -> bytes:
-    """Return the bytes of an answer; the last one closes the connection."""
+    """Encode an answer; the last one closes its connection.
+
+    The content length is that of the body, also where only the head is sent.
+    """
     lines = [
         b'HTTP/1.1 %d %s'
-        % (answer.status, _REASONS.get(answer.status, b'Unknown')),
+        % (answer.status, _REASON_PHRASES.get(answer.status, b'Unknown')),
     ]
     lines.extend(b'%s: %s' % header for header in answer.headers)
     lines.append(b'content-length: %d' % len(answer.body))
@@ -106,7 +111,7 @@
 
 
 def write_request(request: Request) -> bytes:
-    """Return the bytes of a request with the length of its body."""
+    """Encode a request with the length of its body."""
     lines = [b'%s %s HTTP/1.1' % (request.method, request.path)]
     lines.extend(b'%s: %s' % header for header in request.headers)
     if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -1,4 +1,7 @@
-"""Connections of callers: requests run side by side, answers keep order."""
+"""Server connections with pipelining.
+
+Requests of one connection run concurrently; answers keep their order.
+"""
 
 import asyncio
 from collections import deque
@@ -18,31 +21,31 @@
 
 __all__ = ('Connection', 'Handler', 'ServerLimits')
 
-# Requests of one connection that run side by side; the rest stays unread.
-PIPELINE_DEPTH: Final = 16
-# Part of the connections that may be open from which each answer closes its
-# own, and the part of quiet ones that are closed at once for a new one.
-_CROWDED_SHARE: Final = 0.5
-_ROOM_SHARE: Final = 0.1
-_CHECK_SECONDS: Final = 0.5  # between checks of the idle and header times
+# Of one connection at the same time; further requests stay unread.
+_MAX_PIPELINED_REQUESTS: Final = 16
+# Of the allowed connections: with more open, each answer closes its own.
+_CROWDED_FRACTION: Final = 0.5
+# Of the open connections: closed at once, if idle, to admit a new one.
+_EVICTED_FRACTION: Final = 0.1
+_CHECK_INTERVAL_SECONDS: Final = 0.5  # of the idle and header timeouts
 
 
 class ServerLimits(NamedTuple):
-    """What a caller may send (bytes) and how long it may take (seconds)."""
+    """Limits of the requests and connections of callers."""
 
-    head_bytes: int
-    body_bytes: int
-    head_seconds: float
-    idle_seconds: float
+    max_head_bytes: int
+    max_body_bytes: int
+    max_head_seconds: float
+    max_idle_seconds: float
 
 
 class Handler(NamedTuple):
-    """What a connection asks its server for.
+    """Callbacks, limits and state that the connections of a server share.
 
-    `fail` answers a request whose handling raised an error, `is_cancellable`
-    tells whether a request is ended once its caller left, `is_lagging` whether
-    requests wait before they are looked at. Of `most_connections` that may be
-    open, those that are quiet make room for new ones.
+    `fail` makes the answer after `serve` raised an error, `is_cancellable`
+    returns whether a request is cancelled when its caller disconnects, and
+    `is_lagging` whether the event loop is late. Beyond `most_connections`, the
+    connections that are idle longest are closed in favour of new ones.
     """
 
     serve: Callable[[Request], Awaitable[Answer]]
@@ -57,13 +60,13 @@
 
 
 class _Exchange:
-    """A request under way and its answer once there is one."""
+    """A request in flight and its answer, once available."""
 
-    __slots__ = ('answer', 'keep', 'request', 'task')
+    __slots__ = ('answer', 'is_keep_alive', 'request', 'task')
 
-    def __init__(self, *, request: Request | None, keep: bool) -> None:
+    def __init__(self, *, request: Request | None, is_keep_alive: bool) -> None:
         self.request = request
-        self.keep = keep
+        self.is_keep_alive = is_keep_alive
         self.answer: Answer | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -72,35 +75,37 @@
     """One connection of a caller."""
 
     def __init__(self, *, handler: Handler) -> None:
-        """Serve the requests of a connection by a handler."""
+        """Serve the requests of one connection with `handler`."""
         self._handler = handler
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._exchanges: deque[_Exchange] = deque()
         self._is_closing = False
-        self._is_paused = False
-        self._is_unread = False
+        self._is_reading_paused = False
+        self._has_unread_answers = False
         self._limits = handler.get_limits()
-        self._framing = Framing(most=self._limits.head_bytes + PIECE_BYTES)
-        self._fed_body = 0
-        self._since = self._loop.time()
-        self._reads = False
-        self._reset()
+        self._framing = Framing(most=self._limits.max_head_bytes + PIECE_BYTES)
+        self._piece_body_bytes = 0
+        self._last_used_at = self._loop.time()
+        self._is_receiving = False
+        self._reset_request()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport and start the check of the idle time."""
+        """Keep the transport and start to check the timeouts."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         connections = self._handler.connections
         connections.add(self)
         if len(connections) > self._handler.most_connections:
-            _make_room(connections)
-        self._check = self._loop.call_later(_CHECK_SECONDS, self._check_times)
+            _evict_idle(connections)
+        self._timeout_timer = self._loop.call_later(
+            _CHECK_INTERVAL_SECONDS, self._check_timeouts
+        )
 
     def connection_lost(self, _error: Exception | None) -> None:
-        """End the requests whose caller has left."""
-        self._check.cancel()
+        """Cancel the cancellable requests of the disconnected caller."""
+        self._timeout_timer.cancel()
         self._handler.connections.discard(self)
         self._handler.held.put(self, 0)
         self._is_closing = True
@@ -112,90 +117,90 @@
         self._transport = None
 
     def data_received(self, received: bytes) -> None:
-        """Parse what came; start each request that is whole."""
+        """Parse received bytes; start each complete request."""
         for start in range(0, len(received), PIECE_BYTES):
             if self._is_closing:
                 return
-            self._feed(received[start : start + PIECE_BYTES])
+            self._parse(received[start : start + PIECE_BYTES])
 
     def pause_writing(self) -> None:
-        """Count answers that the caller does not read."""
-        self._is_unread = True
-        self._count_held()
+        """Count unread answers against the budget of buffers."""
+        self._has_unread_answers = True
+        self._update_buffer_usage()
 
     def resume_writing(self) -> None:
-        """Count the answers as read."""
-        self._is_unread = False
-        self._count_held()
+        """Stop counting answers: the caller has read them."""
+        self._has_unread_answers = False
+        self._update_buffer_usage()
 
-    def cut(self, why: str) -> None:
-        """Refuse a body for which there is no memory, or reset the connection.
+    def cut(self, reason: str) -> None:
+        """Answer 503 while a request is received, else reset the connection.
 
-        The latter ends a caller that does not read its answers.
+        The reset ends a connection whose caller does not read its answers.
         """
-        if self._reads:
-            self._reject(503, why)
+        if self._is_receiving:
+            self._reject(503, reason)
         elif self._transport is not None:
             self._transport.abort()
 
     @property
-    def quiet_since(self) -> float:
-        """When the connection was opened or used last."""
-        return self._since
+    def last_used_at(self) -> float:
+        """Loop time at which the connection was opened or used last."""
+        return self._last_used_at
 
     def close_idle(self, *, quiet: float = 0.0) -> bool:
-        """Close the connection if nothing is under way; tell whether.
+        """Close the connection if it is idle; return whether it was closed.
 
-        One that was opened or used less than `quiet` seconds ago stays: a
-        request may be on its way.
+        A connection opened or used less than `quiet` seconds ago stays open: a
+        request may be in transit.
         """
-        if self._exchanges or self._reads or self._transport is None:
+        if self._exchanges or self._is_receiving or self._transport is None:
             return False
-        if self._loop.time() - self._since < quiet:
+        if self._loop.time() - self._last_used_at < quiet:
             return False
         self._is_closing = True
         self._transport.close()
         return True
 
     def on_message_begin(self) -> None:
-        """Start a request (called by the parser)."""
-        self._reset()
-        self._reads = True
-        self._since = self._loop.time()
+        """Start a request (parser callback)."""
+        self._reset_request()
+        self._is_receiving = True
+        self._last_used_at = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
-        """Take a part of the request target (called by the parser)."""
+        """Store a part of the request path (parser callback)."""
         self._path += url
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Take a header (called by the parser)."""
-        self._head_size += len(name) + len(content)
-        if self._head_size + len(self._path) > self._limits.head_bytes:
+        """Store a header within the limits (parser callback)."""
+        self._header_bytes += len(name) + len(content)
+        if self._header_bytes + len(self._path) > self._limits.max_head_bytes:
             self._reject(431, 'header fields too large')
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
-        """Answer an expectation before the body (called by the parser)."""
+        """Answer `expect: 100-continue` (parser callback)."""
         expected = get_header(tuple(self._headers), b'expect')
         if expected and expected.lower() == b'100-continue' and self._transport:
             if not self._exchanges:
                 self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_body(self, body: bytes) -> None:
-        """Take a part of the body (called by the parser)."""
-        self._body_size += len(body)
-        self._fed_body += len(body)
-        if self._body_size > self._limits.body_bytes:
+        """Store a part of the body within the limits (parser callback)."""
+        self._body_bytes += len(body)
+        self._piece_body_bytes += len(body)
+        if self._body_bytes > self._limits.max_body_bytes:
             self._reject(413, 'body too large')
         else:
             self._body.append(body)
-            self._count_held()
+            self._update_buffer_usage()
 
     def on_message_complete(self) -> None:
-        """Start to serve a whole request (called by the parser)."""
+        """Start to serve a complete request (parser callback)."""
         if self._is_closing:
             return
-        self._reads = False
+        self._is_receiving = False
         self._framing.start()
         request = Request(
             method=self._parser.get_method(),
@@ -203,57 +208,57 @@
             headers=tuple(self._headers),
             body=b''.join(self._body),
         )
-        keep = bool(self._parser.should_keep_alive())
-        exchange = _Exchange(request=request, keep=keep)
+        is_keep_alive = bool(self._parser.should_keep_alive())
+        exchange = _Exchange(request=request, is_keep_alive=is_keep_alive)
         self._exchanges.append(exchange)
         exchange.task = self._loop.create_task(self._serve(exchange, request))
         self._limits = self._handler.get_limits()
-        if len(self._exchanges) >= PIPELINE_DEPTH and self._transport:
-            self._is_paused = True
+        if len(self._exchanges) >= _MAX_PIPELINED_REQUESTS and self._transport:
+            self._is_reading_paused = True
             self._transport.pause_reading()
 
-    def _feed(self, piece: bytes) -> None:
-        self._fed_body = 0
+    def _parse(self, piece: bytes) -> None:
+        self._piece_body_bytes = 0
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade as upgrade:
             self._parser = httptools.HttpRequestParser(self)
             rest = piece[upgrade.args[0] :]
             if rest:
-                self._feed(rest)
+                self._parse(rest)
         except httptools.HttpParserError:
             self._reject(400, 'malformed request')
         else:
-            if not self._framing.take(len(piece), self._fed_body):
+            if not self._framing.take(len(piece), self._piece_body_bytes):
                 self._reject(431, 'header fields too large')
 
     async def _serve(self, exchange: _Exchange, request: Request) -> None:
         if self._handler.is_lagging():
-            # Behind a request that waited there may be the end of its
-            # connection: two rounds of the loop read it, and end this task.
+            # The caller may have disconnected while the request waited: two
+            # iterations of the loop read that, which cancels this task.
             await asyncio.sleep(0)
             await asyncio.sleep(0)
         try:
             exchange.answer = await self._handler.serve(request)
         except Exception as error:  # noqa: BLE001
             exchange.answer = self._handler.fail(error)
-        self._flush()
+        self._send_ready_answers()
 
-    def _flush(self) -> None:
+    def _send_ready_answers(self) -> None:
         while self._exchanges and self._exchanges[0].answer is not None:
             exchange = self._exchanges.popleft()
             if self._transport is None or self._transport.is_closing():
                 return
             self._write(exchange)
-        self._since = self._loop.time()
-        if self._is_paused and self._transport and not self._is_closing:
-            self._is_paused = False
+        self._last_used_at = self._loop.time()
+        if self._is_reading_paused and self._transport and not self._is_closing:
+            self._is_reading_paused = False
             self._transport.resume_reading()
 
     def _write(self, exchange: _Exchange) -> None:
         answer, transport = exchange.answer, self._transport
         assert answer is not None and transport is not None
-        is_last = not exchange.keep or (
+        is_last = not exchange.is_keep_alive or (
             not self._exchanges
             and (self._handler.is_stopping() or self._is_crowded())
         )
@@ -262,68 +267,71 @@
         transport.write(
             write_answer(answer, is_last=is_last, has_body=has_body),
         )
-        self._count_held()
+        self._update_buffer_usage()
         if is_last:
             self._is_closing = True
             transport.close()
 
     def _is_crowded(self) -> bool:
-        """Whether callers should open a connection for their next request."""
-        most = self._handler.most_connections * _CROWDED_SHARE
-        return len(self._handler.connections) > most
-
-    def _count_held(self) -> None:
-        held = self._body_size if self._reads else 0
-        if self._is_unread and self._transport is not None:
-            held += self._transport.get_write_buffer_size()
-        held += sum(
+        """Whether callers are to open a new connection for the next request."""
+        max_uncrowded = self._handler.most_connections * _CROWDED_FRACTION
+        return len(self._handler.connections) > max_uncrowded
+
+    def _update_buffer_usage(self) -> None:
+        byte_count = self._body_bytes if self._is_receiving else 0
+        if self._has_unread_answers and self._transport is not None:
+            byte_count += self._transport.get_write_buffer_size()
+        byte_count += sum(
             len(exchange.request.body)
             for exchange in self._exchanges
             if exchange.request
         )
-        self._handler.held.put(self, held)
+        self._handler.held.put(self, byte_count)
 
     def _reject(self, status: int, text: str) -> None:
         if self._is_closing:
             return
         self._is_closing = True
-        exchange = _Exchange(request=None, keep=False)
+        exchange = _Exchange(request=None, is_keep_alive=False)
         exchange.answer = make_answer(status, text)
         self._exchanges.append(exchange)
-        self._flush()
+        self._send_ready_answers()
 
-    def _check_times(self) -> None:
+    def _check_timeouts(self) -> None:
         if self._transport is None:
             return
-        waited = self._loop.time() - self._since
-        if self._reads and waited > self._limits.head_seconds * 2:
+        elapsed_seconds = self._loop.time() - self._last_used_at
+        if (
+            self._is_receiving
+            and elapsed_seconds > self._limits.max_head_seconds * 2
+        ):
             self._reject(408, 'request took too long')
-        elif not self._exchanges and not self._reads:
-            if waited > self._limits.idle_seconds:
+        elif not self._exchanges and not self._is_receiving:
+            if elapsed_seconds > self._limits.max_idle_seconds:
                 self.close_idle()
         if self._transport is not None:
-            self._check = self._loop.call_later(
-                _CHECK_SECONDS,
-                self._check_times,
+            self._timeout_timer = self._loop.call_later(
+                _CHECK_INTERVAL_SECONDS,
+                self._check_timeouts,
             )
 
-    def _reset(self) -> None:
+    def _reset_request(self) -> None:
         self._path = bytearray()
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._head_size = 0
-        self._body_size = 0
+        self._header_bytes = 0
+        self._body_bytes = 0
 
 
-def _make_room(connections: set[Connection]) -> None:
-    """Close the quietest connections, a part of all at a time."""
-    oldest = sorted(connections, key=_get_quiet_since)
-    left = max(1, round(len(oldest) * _ROOM_SHARE))
+def _evict_idle(connections: set[Connection]) -> None:
+    """Close the connections that are idle longest, a fraction of all."""
+    oldest = sorted(connections, key=_get_last_used_at)
+    remaining = max(1, round(len(oldest) * _EVICTED_FRACTION))
     for connection in oldest:
-        left -= connection.close_idle()
-        if not left:
+        remaining -= connection.close_idle()
+        if not remaining:
             return
 
 
-def _get_quiet_since(connection: Connection) -> float:
-    return connection.quiet_since
+def _get_last_used_at(connection: Connection) -> float:
+    return connection.last_used_at
