--- a/toucanhall/platform/__init__.py
+++ b/toucanhall/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapter to the users' platform: its names, formats and calls."""
+"""Adapter to the users' platform: its names, formats and protocols."""
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -1,4 +1,4 @@
-"""Reads the settings file of a process."""
+"""Decodes the settings file of a VM."""
 
 from collections.abc import Mapping
 from pathlib import Path
@@ -11,26 +11,27 @@
 
 __all__ = ('BadSettings', 'load')
 
-# Clients may keep a directory answer for three times its life: with this one
-# they have left a VM that stops before the usual grace of six seconds ends.
-_DIRECTORY_TTL: Final = 2.0  # seconds
+# Clients may use a directory answer for three times its TTL: with this one, they
+# have left a stopping VM before the usual shutdown grace of 6 s ends.
+_DIRECTORY_TTL: Final = 2.0
 _DEFAULT_GRACE: Final = '6s'
-# What a request takes of a VM: processor seconds (docs/OPERATIONS.md) and the
-# bytes of the larger direction of its link.
+# What a request costs a VM: processor time (docs/OPERATIONS.md) and bytes in
+# that direction of its link that carries more.
 _REQUEST_CORE_SECONDS: Final = 0.001
 _REQUEST_BYTES: Final = 4000
 _BYTES_PER_MEGABIT: Final = 125_000
 _BYTES_PER_MEGABYTE: Final = 1_000_000
-_DEFAULT_DESCRIPTORS: Final = 1535  # of the smallest VM, as the next line
-_DEFAULT_MEGABYTES: Final = 152  # of the smallest VM of today's deployments
+# Of the smallest VM of today's deployments.
+_DEFAULT_DESCRIPTORS: Final = 1535
+_DEFAULT_MEGABYTES: Final = 152
 
 
 class BadSettings(ValueError):
-    """The settings file lacks something or holds what cannot be read."""
+    """The settings file is unreadable, incomplete or invalid."""
 
 
 def load(path: Path) -> Environment:
-    """Read the settings at a path; raise BadSettings when they are wrong."""
+    """Load the settings file at a path; raise BadSettings if it is invalid."""
     try:
         return _decode(yaml.load(path.read_bytes(), Loader=_Loader))
     except KeyError as error:
@@ -119,7 +120,7 @@
 
 
 def read_address(text: str) -> Address:
-    """Read `host:port`; raise ValueError when it is something else."""
+    """Parse `host:port`; raise ValueError if `text` has another form."""
     host, _, port = text.rpartition(':')
     if not host:
         raise ValueError(f'{text!r} is not host:port')
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -1,4 +1,4 @@
-"""Decodes what operators and targets wrote to the store."""
+"""Decodes and encodes the objects of the store."""
 
 import math
 from collections.abc import Iterable, Mapping
@@ -34,7 +34,7 @@
 
 Document = Mapping[str, Any]
 
-# What decoding raises when a field is missing or of another type.
+# Raised by decoding if a field is missing, mistyped or out of range.
 _WRONG: Final = (
     KeyError,
     TypeError,
@@ -45,19 +45,21 @@
 
 
 class BadDocument(ValueError):
-    """An object of the store that cannot be used."""
+    """An object of the store cannot be decoded."""
 
 
 def decode_configuration(spec: Document) -> Configuration:
-    """Decode a configuration; raise BadDocument when it cannot be read."""
+    """Decode a configuration; raise BadDocument if it is invalid."""
     try:
         return _decode_configuration(spec)
     except _WRONG as error:
-        raise BadDocument(f'configuration: {error!r}') from error
+        raise BadDocument(
+            f'configuration cannot be decoded: {error!r}'
+        ) from error
 
 
 def decode_target(name: str, spec: Document, revision: int) -> Target:
-    """Decode the entry of a target; raise BadDocument if it names none."""
+    """Decode the entry of a target; raise BadDocument if it is invalid."""
     try:
         return Target(
             id=name,
@@ -71,11 +73,13 @@
             revision=revision,
         )
     except _WRONG as error:
-        raise BadDocument(f'target {name}: {error!r}') from error
+        raise BadDocument(
+            f'target {name} cannot be decoded: {error!r}'
+        ) from error
 
 
 def decode_vm(name: str, spec: Document) -> Introduction:
-    """Decode the entry of a VM; raise BadDocument if it names none."""
+    """Decode the entry of a VM; raise BadDocument if it is invalid."""
     try:
         return Introduction(
             vm=name,
@@ -83,11 +87,11 @@
             ip=_read_ip(spec['ip']),
         )
     except _WRONG as error:
-        raise BadDocument(f'VM {name}: {error!r}') from error
+        raise BadDocument(f'VM {name} cannot be decoded: {error!r}') from error
 
 
 def encode_vm(introduction: Introduction) -> Document:
-    """Encode the entry by which other VMs find this one."""
+    """Encode the entry of a VM by which other VMs find it."""
     return {'zone': introduction.zone, 'ip': introduction.ip}
 
 
@@ -186,45 +190,47 @@
 
 def _read_text(found: object) -> str:
     if not found:
-        raise ValueError('a text is empty')
+        raise ValueError(f'{found!r} is not a non-empty string')
     return _read_any_text(found)
 
 
 def _read_any_text(found: object) -> str:
-    """Read a text that may be empty, as the prefix of all paths is."""
+    """Read a string that may be empty, such as the prefix of all paths."""
     if not isinstance(found, str):
-        raise TypeError(f'{found!r} is not a text')
+        raise TypeError(f'{found!r} is not a string')
     return found
 
 
 def _read_names(found: object) -> frozenset[str]:
     if found is not None and not isinstance(found, list | tuple):
-        raise TypeError(f'{found!r} is not a list of names')
+        raise TypeError(f'{found!r} is not a list of strings')
     return frozenset(map(_read_text, found or ()))
 
 
 def _read_ip_address(found: Any) -> Address:
     address = read_address(found)
     if not is_ip(address.host) or not 0 < address.port <= _MOST_PORT:
-        raise ValueError(f'{found!r} is not an address and port')
+        raise ValueError(
+            f'{found!r} is not an IP address with a port of 1 to 65535'
+        )
     return address
 
 
 def _read_ip(found: object) -> str:
     text = _read_text(found)
     if not is_ip(text):
-        raise ValueError(f'{text!r} is not an address')
+        raise ValueError(f'{text!r} is not an IP address')
     return text
 
 
 def _read_amount(found: Any) -> float:
     amount = float(found)
     if not 0 <= amount < math.inf:
-        raise ValueError(f'{found!r} is not an amount')
+        raise ValueError(f'{found!r} is not a finite number of at least 0')
     return amount
 
 
 def _read_positive(found: object) -> int:
     if not isinstance(found, int) or isinstance(found, bool) or found < 1:
-        raise TypeError(f'{found!r} is not a positive number')
+        raise TypeError(f'{found!r} is not a positive integer')
     return found
--- a/toucanhall/platform/entrance.py
+++ b/toucanhall/platform/entrance.py
@@ -1,4 +1,4 @@
-"""Calls that the platform and its clients make to a VM."""
+"""Endpoints of a VM for the platform and its clients."""
 
 from collections.abc import Callable
 from typing import Final, NamedTuple
@@ -17,7 +17,7 @@
 
 
 class Question(NamedTuple):
-    """A client asks which VMs to use for a host."""
+    """Query of a client for the VMs to use for a host."""
 
     host: str
     zone: str
@@ -25,7 +25,7 @@
 
 
 def read_question(request: Request) -> Question | None:
-    """Read a question to the directory, or return None for another path."""
+    """Read a query to the directory; return None for any other path."""
     path, _, query = request.path.decode('latin-1').partition('?')
     if path != names.DIRECTORY_PATH:
         return None
@@ -38,7 +38,7 @@
 
 
 def write_directory(addresses: list[Address], seconds: float) -> Answer:
-    """Return the answer of the directory."""
+    """Return the answer of the directory, valid for `seconds`."""
     body = {
         'addresses': [f'{found.host}:{found.port}' for found in addresses],
         'ttl': write_seconds(seconds),
@@ -47,7 +47,7 @@
 
 
 def make_readiness(is_ready: Callable[[], bool]) -> Callable[[Request], Answer]:
-    """Return what answers the question whether the VM takes requests."""
+    """Return a handler of the readiness endpoint."""
 
     def answer(request: Request) -> Answer:
         if request.path.partition(b'?')[0] != names.READINESS_PATH.encode():
--- a/toucanhall/platform/entries.py
+++ b/toucanhall/platform/entries.py
@@ -1,4 +1,4 @@
-"""Entries in the store by which VMs find each other."""
+"""Registry of VMs in the store, by which VMs find each other."""
 
 from toucanhall.fleet.model import Introduction
 from toucanhall.observe import events
@@ -11,15 +11,15 @@
 
 
 class Entries:
-    """The entries of all VMs."""
+    """Entries of all VMs in the store."""
 
     def __init__(self, *, store: Store, journal: Journal) -> None:
-        """Read and write entries in a store."""
+        """Read and write the entries in `store`."""
         self._store = store
         self._journal = journal
 
     async def register(self, own: Introduction) -> list[Introduction]:
-        """Write the entry of this VM and return those of all VMs."""
+        """Ensure the entry of this VM; return the entries found before."""
         found = await self.list_vms(is_stale=False)
         if own not in found:
             spec = encode_vm(own)
@@ -30,7 +30,7 @@
         return found
 
     async def list_vms(self, *, is_stale: bool) -> list[Introduction]:
-        """Return the entries of all VMs; stale ones are some seconds old."""
+        """Return the entries of all VMs; stale ones lag by some seconds."""
         table = await self._store.read(names.VMS, is_stale=is_stale)
         found = []
         for change in table.changes:
@@ -41,6 +41,6 @@
         return found
 
     async def forget(self, vm: str) -> None:
-        """Delete the entry of a VM that has gone."""
+        """Delete the entry of a VM that has expired."""
         await self._store.delete(names.VMS, vm)
         self._journal.write(events.ENTRY_DELETED, peer=vm)
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -1,4 +1,4 @@
-"""Reads the platform's tables into what the VM knows, and follows them."""
+"""Reads and watches the tables of the platform's store."""
 
 import asyncio
 import random
@@ -13,17 +13,17 @@
 
 __all__ = ('Follower',)
 
-# A watch is renewed well before half of the store's 20 s of history is over.
+# Well below half of the 20 s of history that the store keeps.
 _WATCH_SECONDS: Final = 8.0
 _FIRST_WAIT_SECONDS: Final = 0.1
 _LONGEST_WAIT_SECONDS: Final = 1.0
-# A watch may outlast an absence of the store without a word. Targets lapse
-# after 3 s of it at the soonest: two heartbeats of 1.5 s and the rest of one.
-# A cheap read each second, given a second, notices it before.
+# A watch may miss that the store was unavailable. Targets expire after 3 s of
+# that at the earliest: two heartbeats of 1.5 s and the rest of the current
+# one. A cheap read every second, with a timeout of 1 s, notices it before.
 _PROBE_SECONDS: Final = 1.0
 _PROBE: Final = 'probe'
 
-# Changes that follow one another within this time are read by one call.
+# After a change: further changes in this time are read by the same call.
 _GATHER_SECONDS: Final = {
     names.CONFIGURATIONS: 0.05,
     names.TARGETS: 0.2,
@@ -32,7 +32,7 @@
 
 
 class Follower:
-    """Keeps the tables of a VM up to date from the store."""
+    """Keeps the tables of a VM up to date with the store."""
 
     def __init__(
         self,
@@ -42,9 +42,10 @@
         journal: Journal,
         lapse_seconds: float,
     ) -> None:
-        """Write what the store holds into `knowledge`.
+        """Load tables into `knowledge`.
 
-        No target lapses in an absence of less than `lapse_seconds`.
+        No target expires while the store is unavailable for less than
+        `lapse_seconds`.
         """
         self._lapse_seconds = lapse_seconds
         self._store = store
@@ -64,15 +65,15 @@
 
     @property
     def is_watching(self) -> bool:
-        """Whether the store is being watched."""
+        """Whether this VM watches the store."""
         return bool(self._tasks)
 
     async def read_all(self) -> None:
-        """Read each table once; raise StoreError when one cannot be read."""
+        """Read each table once; raise StoreError if a call fails."""
         await asyncio.gather(*(self._read(kind) for kind in KINDS))
 
     def start(self) -> None:
-        """Watch the store from now on."""
+        """Start to watch the store."""
         if not self._tasks:
             self._journal.write(events.WATCH_STARTED)
             self._tasks = [
@@ -81,7 +82,7 @@
             self._tasks.append(self._loop.create_task(self._probe()))
 
     def stop(self) -> None:
-        """Watch the store no longer."""
+        """Stop watching the store."""
         if self._tasks:
             self._journal.write(events.WATCH_ENDED)
         for task in self._tasks:
@@ -98,12 +99,12 @@
                 await self._step(kind)
             except StoreError as error:
                 self._fail(kind, error)
-                # A list is answered at once, a watch only with a change.
+                # Reading is answered at once, watching only on a change.
                 self._revisions.pop(kind, None)
                 await asyncio.sleep(wait * random.uniform(0.5, 1.5))
                 wait = min(_LONGEST_WAIT_SECONDS, wait * 2)
             except Exception as error:  # noqa: BLE001
-                # What one object holds must not end the watch of the others.
+                # One malformed object must not end the watch of the others.
                 self._journal.write(
                     events.UNEXPECTED,
                     why=repr(error),
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -1,4 +1,4 @@
-"""Headers of requests and answers, in the platform's spelling."""
+"""Reads and writes the platform's headers of requests and answers."""
 
 from typing import Final, NamedTuple
 
@@ -35,16 +35,16 @@
 _NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
 _MISDIRECTED: Final = 421
 _LOAD_FIELDS: Final = 3
-_MOST_DIGITS: Final = 12  # of a count or of milliseconds: thirty years
-# Each says that the request did not run, and a target proves it by a header.
+_MOST_DIGITS: Final = 12  # of a count or of milliseconds, thirty years
+# They state that the request was not executed; a target confirms it by a header.
 _PROMISING_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
 class CallerMarks(NamedTuple):
-    """What the headers of a caller's request say.
+    """Values from the head of a caller's request.
 
-    `seconds_left` is None when the caller does not tell how long it waits;
-    `key` is None without a key; `object_key` names the object concerned.
+    `seconds_left` is the time until the deadline and `key` the API key, None
+    if absent; `object_key` is the affinity key from the cookie.
     """
 
     request_id: bytes
@@ -56,12 +56,12 @@
 
 
 class TargetMarks(NamedTuple):
-    """What the headers of a target's answer say.
+    """Values from the head of a target's answer.
 
-    `is_not_run` is true when the target says that it did not run the request,
-    `is_misdirected` when another target has the address; `is_unproven` when its
-    status alone says that the request did not run. `busy` counts the requests
-    that it runs and holds, if it tells.
+    `is_not_run` is true if the target confirms that it did not execute the
+    request, `is_unproven` if only the status states that, and `is_misdirected`
+    if the address belongs to another target. `busy` is the number of running
+    and waiting requests, None if not reported.
     """
 
     is_not_run: bool
@@ -72,7 +72,7 @@
 
 
 def read_caller_marks(request: Request) -> CallerMarks:
-    """Read the headers of a caller."""
+    """Read the head of a caller's request."""
     found = dict(reversed(request.headers))
     host = found.get(b'host', b'').decode('latin-1').lower()
     return CallerMarks(
@@ -92,7 +92,7 @@
     team: str | None,
     seconds_left: float,
 ) -> Request:
-    """Return the request as a target gets it."""
+    """Return the request to send to a target."""
     kept = tuple(
         header
         for header in drop_hop_by_hop(request.headers)
@@ -108,7 +108,7 @@
 
 
 def read_target_marks(reply: Reply) -> TargetMarks:
-    """Read the headers of a target."""
+    """Read the head of a target's answer."""
     is_misdirected = reply.status == _MISDIRECTED
     is_marked = get_header(reply.headers, names.NOT_EXECUTED) is not None
     is_not_run = is_misdirected or (
@@ -124,7 +124,7 @@
 
 
 def make_passed_on(reply: Reply) -> Answer:
-    """Return the answer of a target as its caller gets it."""
+    """Return the answer to send to the caller."""
     headers: Headers = tuple(
         header
         for header in drop_hop_by_hop(reply.headers)
--- a/toucanhall/platform/names.py
+++ b/toucanhall/platform/names.py
@@ -1,4 +1,4 @@
-"""Paths, headers and kinds of objects as the platform spells them."""
+"""Names of paths, headers and kinds of objects on the platform."""
 
 from typing import Final
 
@@ -15,10 +15,12 @@
 VMS: Final = 'vms'
 
 REQUEST_ID: Final = b'x-toucanhall-request-id'
-DEADLINE: Final = b'x-toucanhall-request-deadline'  # milliseconds left
+DEADLINE: Final = b'x-toucanhall-request-deadline'  # remaining milliseconds
 EXPECTED_TARGET: Final = b'x-toucanhall-expect-instance'
 TEAM: Final = b'x-toucanhall-tenant-id'
 NOT_EXECUTED: Final = b'x-toucanhall-not-executed'
-LOAD: Final = b'x-toucanhall-backend-load'  # running, waiting, slots
+LOAD: Final = (
+    b'x-toucanhall-backend-load'  # running and waiting requests, slots
+)
 STAMP: Final = b'x-toucanhall-response-stamp'
 OBJECT_COOKIE: Final = 'X-Toucanhall-Affinity-Key'
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's store."""
+"""Client of the platform's object store."""
 
 import asyncio
 import time
@@ -20,7 +20,7 @@
 
 __all__ = ('Change', 'Conflict', 'HistoryLost', 'Store', 'StoreError', 'Table')
 
-# A slow store takes up to a hundred times its usual 4 ms.
+# A slow store takes up to a hundred times its usual 4 ms to answer.
 _CALL_SECONDS: Final = 1.0
 _CONNECT_SECONDS: Final = 0.5
 _WATCH_SLACK_SECONDS: Final = 1.0
@@ -31,19 +31,19 @@
 
 
 class StoreError(Exception):
-    """A call that the store did not answer with success."""
+    """A call to the store failed or timed out."""
 
 
 class HistoryLost(StoreError):
-    """The changes since a revision are not kept any more."""
+    """The store no longer keeps the changes since a revision."""
 
 
 class Conflict(StoreError):
-    """The object exists, or is not at the revision that the call names."""
+    """The object exists already, or has another revision."""
 
 
 class Change(NamedTuple):
-    """An object of the store; `spec` is None once it was deleted."""
+    """An object of the store; `spec` is None if it was deleted."""
 
     name: str
     revision: int
@@ -51,18 +51,18 @@
 
 
 class Table(NamedTuple):
-    """Objects or changes, as of a revision of the store."""
+    """Objects, or changes of objects, as of a revision of the store."""
 
     revision: int
     changes: tuple[Change, ...]
 
 
 class Store:
-    """Calls of one process to the store, on connections that are kept.
+    """Calls of one process to the store, on reused connections.
 
-    An answer bears no mark of its question. So a connection is used for reads
-    of one kind only, where a late copy of an earlier answer is older than what
-    is known, and for one write.
+    Answers have no id of their request. So a connection serves only reads of
+    one kind, where a late copy of an earlier answer is older than what is
+    known already, or a single write.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         opening: Opening,
         on_call: Callable[[str, float], None],
     ) -> None:
-        """Tell `on_call` the outcome and the seconds of each call."""
+        """Report the outcome and the seconds of each call to `on_call`."""
         self._opening = opening
         self._on_call = on_call
         self._address = address
@@ -80,7 +80,7 @@
         self._idle: dict[str, list[ServerConnection]] = {}
 
     async def read(self, kind: str, *, is_stale: bool = False) -> Table:
-        """Return all objects of a kind."""
+        """Return all objects of a kind, page by page."""
         changes: list[Change] = []
         after = ''
         while True:
@@ -96,7 +96,7 @@
             after = changes[-1].name
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Table:
-        """Wait for changes after a revision; may return none of them."""
+        """Wait up to `seconds` for changes after a revision; maybe none."""
         wait = round(seconds * 1000)
         found = await self._call(
             'GET',
@@ -106,13 +106,13 @@
         return _read_table(found, 'events', _read_event)
 
     async def create(self, kind: str, name: str, spec: object) -> None:
-        """Create an object; raise Conflict when it exists."""
+        """Create an object; raise Conflict if it exists."""
         await self._call(
             'POST', kind, {'metadata': {'name': name}, 'spec': spec}
         )
 
     async def replace(self, kind: str, name: str, spec: object) -> None:
-        """Replace the contents of an object."""
+        """Replace an object."""
         await self._call(
             'PUT',
             f'{kind}/{quote(name)}',
@@ -149,7 +149,9 @@
             outcome = str(reply.status)
         except TimeoutError as error:
             outcome = 'timeout'
-            raise StoreError(f'no answer in {seconds} s') from error
+            raise StoreError(
+                f'store did not answer within {seconds} s'
+            ) from error
         except ConnectionError as error:
             raise StoreError(str(error)) from error
         finally:
@@ -182,7 +184,7 @@
 
 
 def _find_use(method: str, path: str) -> str:
-    """Return the kind that a call reads; none for a write."""
+    """Return the kind that a call reads, empty for a write."""
     return path.partition('?')[0] if method == 'GET' else ''
 
 
@@ -191,11 +193,13 @@
     field: str,
     read: Callable[[Mapping[str, Any]], Change],
 ) -> Table:
-    """Return what a field of an answer lists; raise StoreError if it lacks."""
+    """Return the objects in a field; raise StoreError if it is invalid."""
     try:
         return Table(int(found['as_of']), tuple(map(read, found[field])))
     except _WRONG as error:
-        raise StoreError(f'{field} cannot be read: {error!r}') from error
+        raise StoreError(
+            f'store answer without valid {field}: {error!r}'
+        ) from error
 
 
 def _read_event(event: Mapping[str, Any]) -> Change:
@@ -216,11 +220,13 @@
 def _read_reply(reply: Reply) -> Mapping[str, Any]:
     if reply.status not in _SUCCESS:
         error = _ERRORS.get(reply.status, StoreError)
-        raise error(f'status {reply.status}')
+        raise error(f'store answered with status {reply.status}')
     try:
         return msgspec.json.decode(reply.body or b'{}', type=dict[str, Any])
     except msgspec.MsgspecError as found:
-        raise StoreError(f'answer cannot be read: {found}') from found
+        raise StoreError(
+            f'store answer is not a JSON object: {found}'
+        ) from found
 
 
 _WRONG: Final = (KeyError, TypeError, ValueError, AttributeError)
--- a/toucanhall/platform/tables.py
+++ b/toucanhall/platform/tables.py
@@ -1,4 +1,4 @@
-"""Takes tables of the store into what the VM knows."""
+"""Decodes the tables of the store and loads them into the VM's tables."""
 
 from collections.abc import Callable
 from typing import Final
@@ -21,7 +21,7 @@
 
 
 class Tables:
-    """Decodes objects by their kind; what cannot be read is passed over."""
+    """Loads objects by their kind; invalid ones are logged and skipped."""
 
     def __init__(
         self,
@@ -30,7 +30,7 @@
         journal: Journal,
         clock: Callable[[], float],
     ) -> None:
-        """Write what is decoded into `knowledge`."""
+        """Load decoded objects into `knowledge`."""
         self._knowledge = knowledge
         self._journal = journal
         self._clock = clock
@@ -41,7 +41,7 @@
         }
 
     def take(self, kind: str, table: Table, *, is_whole: bool) -> None:
-        """Take a whole table, or what has changed in it."""
+        """Replace a whole table, or apply changes to it."""
         self._takers[kind](table, is_whole)
 
     def _take_configurations(self, table: Table, _is_whole: bool) -> None:
--- a/toucanhall/platform/units.py
+++ b/toucanhall/platform/units.py
@@ -1,4 +1,4 @@
-"""Durations and versions in the platform's text forms."""
+"""Durations and versions in the platform's text formats."""
 
 import re
 from typing import Final
@@ -11,7 +11,7 @@
 
 
 def read_seconds(text: object) -> float:
-    """Read a duration like `1500ms` or `2.5s`, in seconds."""
+    """Return the seconds of a duration such as `1500ms` or `2.5s`."""
     found = _DURATION.fullmatch(text) if isinstance(text, str) else None
     if found is None:
         raise ValueError(f'{text!r} is not a duration such as 1500ms or 2.5s')
@@ -19,12 +19,12 @@
 
 
 def write_seconds(seconds: float) -> str:
-    """Write a duration in whole milliseconds."""
+    """Return a duration in whole milliseconds, such as `1500ms`."""
     return f'{round(seconds * 1000)}ms'
 
 
 def read_version(text: object) -> int:
-    """Read the version of a configuration, hexadecimal digits."""
+    """Return the version of a configuration from hexadecimal digits."""
     if not isinstance(text, str):
-        raise TypeError(f'{text!r} is not a version')
+        raise TypeError(f'{text!r} is not a version in hexadecimal digits')
     return int(text, _HEXADECIMAL)
