--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -11,19 +11,19 @@
 
 __all__ = ('BadSettings', 'load')
 
-# Clients may use a directory answer for three times its TTL: with this one, they
+# Clients may use a directory answer for three times its TTL: with this one they
 # have left a stopping VM before the usual shutdown grace of 6 s ends.
-_DIRECTORY_TTL: Final = 2.0
+_MAX_DIRECTORY_TTL_SECONDS: Final = 2.0
 _DEFAULT_GRACE: Final = '6s'
 # What a request costs a VM: processor time (docs/OPERATIONS.md) and bytes in
 # that direction of its link that carries more.
-_REQUEST_CORE_SECONDS: Final = 0.001
-_REQUEST_BYTES: Final = 4000
+_CORE_SECONDS_PER_REQUEST: Final = 0.001
+_LINK_BYTES_PER_REQUEST: Final = 4000
 _BYTES_PER_MEGABIT: Final = 125_000
 _BYTES_PER_MEGABYTE: Final = 1_000_000
 # Of the smallest VM of today's deployments.
-_DEFAULT_DESCRIPTORS: Final = 1535
-_DEFAULT_MEGABYTES: Final = 152
+_DEFAULT_MAX_DESCRIPTORS: Final = 1535
+_DEFAULT_MEMORY_MEGABYTES: Final = 152
 
 
 class BadSettings(ValueError):
@@ -33,14 +33,14 @@
 def load(path: Path) -> Environment:
     """Load the settings file at a path; raise BadSettings if it is invalid."""
     try:
-        return _decode(yaml.load(path.read_bytes(), Loader=_Loader))
+        return _decode_settings(yaml.load(path.read_bytes(), Loader=_Loader))
     except KeyError as error:
         raise BadSettings(f'{path}: no field {error}') from error
-    except _WRONG as error:
+    except _LOAD_ERRORS as error:
         raise BadSettings(f'{path}: {error}') from error
 
 
-_WRONG: Final = (
+_LOAD_ERRORS: Final = (
     OSError,
     yaml.YAMLError,
     TypeError,
@@ -51,7 +51,7 @@
 _Loader: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
-def _decode(document: Mapping[str, Any]) -> Environment:
+def _decode_settings(document: Mapping[str, Any]) -> Environment:
     listen = document['listen']
     limits = document.get('limits') or {}
     return Environment(
@@ -73,25 +73,28 @@
             document['bounds'],
             read_seconds(document.get('heartbeat', '1500ms')),
         ),
-        capacity=_read_capacity(limits),
-        memory=_read_memory(limits),
-        descriptors=int(limits.get('max_fds') or _DEFAULT_DESCRIPTORS),
+        capacity=_compute_requests_per_second(limits),
+        memory=_read_memory_bytes(limits),
+        descriptors=int(limits.get('max_fds') or _DEFAULT_MAX_DESCRIPTORS),
     )
 
 
-def _read_capacity(limits: Mapping[str, Any]) -> float:
+def _compute_requests_per_second(limits: Mapping[str, Any]) -> float:
     cores = float(limits.get('cpu_share', 1)) * float(
         limits.get('cpu_cores', 1),
     )
-    link = float(limits.get('link_mbps', 1000)) * _BYTES_PER_MEGABIT
+    link_bytes = float(limits.get('link_mbps', 1000)) * _BYTES_PER_MEGABIT
     return round(
-        min(cores / _REQUEST_CORE_SECONDS, link / _REQUEST_BYTES),
+        min(
+            cores / _CORE_SECONDS_PER_REQUEST,
+            link_bytes / _LINK_BYTES_PER_REQUEST,
+        ),
         1,
     )
 
 
-def _read_memory(limits: Mapping[str, Any]) -> int:
-    megabytes = float(limits.get('memory_mb') or _DEFAULT_MEGABYTES)
+def _read_memory_bytes(limits: Mapping[str, Any]) -> int:
+    megabytes = float(limits.get('memory_mb') or _DEFAULT_MEMORY_MEGABYTES)
     return int(megabytes * _BYTES_PER_MEGABYTE)
 
 
@@ -102,7 +105,7 @@
     return Bounds(
         grace=read_seconds(bounds.get('grace', _DEFAULT_GRACE)),
         directory_ttl=min(
-            _DIRECTORY_TTL,
+            _MAX_DIRECTORY_TTL_SECONDS,
             read_seconds(bounds.get('ttl_max', '5s')),
         ),
         retry_ratio=float(bounds.get('retry_budget_ratio', 0.2)),
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -27,15 +27,15 @@
     'encode_vm',
 )
 
-_IDEMPOTENT: Final = 'idempotent'
-_STATES: Final = {'ready': False, 'draining': True}
+_IDEMPOTENT_TYPE: Final = 'idempotent'
+_IS_DRAINING_BY_STATE: Final = {'ready': False, 'draining': True}
 _DEFAULT_ATTEMPTS: Final = 1
-_MOST_PORT: Final = 65535
+_MAX_PORT: Final = 65535
 
 Document = Mapping[str, Any]
 
 # Raised by decoding if a field is missing, mistyped or out of range.
-_WRONG: Final = (
+_DECODE_ERRORS: Final = (
     KeyError,
     TypeError,
     ValueError,
@@ -52,7 +52,7 @@
     """Decode a configuration; raise BadDocument if it is invalid."""
     try:
         return _decode_configuration(spec)
-    except _WRONG as error:
+    except _DECODE_ERRORS as error:
         raise BadDocument(
             f'configuration cannot be decoded: {error!r}'
         ) from error
@@ -63,16 +63,16 @@
     try:
         return Target(
             id=name,
-            service=_read_text(spec['service']),
+            service=_read_non_empty_string(spec['service']),
             address=_read_ip_address(spec['address']),
-            zone=_read_text(spec['zone']),
-            slots=_read_positive(spec['slots']),
-            is_draining=_STATES[spec['state']],
+            zone=_read_non_empty_string(spec['zone']),
+            slots=_read_positive_integer(spec['slots']),
+            is_draining=_IS_DRAINING_BY_STATE[spec['state']],
             cold_seconds=read_seconds(spec.get('cold_left', '0ms')),
             started_at=int(spec.get('born') or 0),
             revision=revision,
         )
-    except _WRONG as error:
+    except _DECODE_ERRORS as error:
         raise BadDocument(
             f'target {name} cannot be decoded: {error!r}'
         ) from error
@@ -83,10 +83,10 @@
     try:
         return Introduction(
             vm=name,
-            zone=_read_text(spec['zone']),
+            zone=_read_non_empty_string(spec['zone']),
             ip=_read_ip(spec['ip']),
         )
-    except _WRONG as error:
+    except _DECODE_ERRORS as error:
         raise BadDocument(f'VM {name} cannot be decoded: {error!r}') from error
 
 
@@ -101,18 +101,19 @@
     return Configuration(
         version=read_version(spec['version']),
         hosts={
-            _read_text(entry['host']).lower(): _decode_routes(entry)
+            _read_non_empty_string(entry['host']).lower(): _decode_routes(entry)
             for entry in spec['virtual_hosts']
         },
         services={
-            _read_text(entry['name']): _decode_service(entry)
+            _read_non_empty_string(entry['name']): _decode_service(entry)
             for entry in spec['services']
         },
         teams={
-            _read_text(entry['name']): _decode_team(entry) for entry in teams
+            _read_non_empty_string(entry['name']): _decode_team(entry)
+            for entry in teams
         },
         keys={
-            _read_text(key): entry['name']
+            _read_non_empty_string(key): entry['name']
             for entry in teams
             for key in entry.get('api_keys') or ()
         },
@@ -139,10 +140,10 @@
 
 def _decode_route(host: str, rule: Document) -> Route:
     return Route(
-        name=_read_any_text(rule['name']),
+        name=_read_string(rule['name']),
         host=host,
-        prefix=_read_any_text(rule['path_prefix']),
-        is_idempotent=rule['route_type'] == _IDEMPOTENT,
+        prefix=_read_string(rule['path_prefix']),
+        is_idempotent=rule['route_type'] == _IDEMPOTENT_TYPE,
         timeout=_read_optional_seconds(rule.get('timeout')),
         objective=_read_optional_seconds(rule.get('target_latency')),
         priority=int(rule.get('priority') or 0),
@@ -156,11 +157,14 @@
 def _decode_parts(rule: Document) -> tuple[Part, ...]:
     split: Iterable[Document] = rule.get('traffic_split') or ()
     parts = tuple(
-        Part(_read_text(part['service']), _read_amount(part['weight']))
+        Part(
+            _read_non_empty_string(part['service']),
+            _read_finite_number(part['weight']),
+        )
         for part in split
         if part['weight'] > 0
     )
-    return parts or (Part(_read_text(rule['service']), 1.0),)
+    return parts or (Part(_read_non_empty_string(rule['service']), 1.0),)
 
 
 def _decode_service(entry: Document) -> Service:
@@ -168,18 +172,18 @@
         name=entry['name'],
         health_path=entry.get('health_path') or '/health',
         cold_seconds=_read_optional_seconds(entry.get('cold_start')) or 0.0,
-        cold_per_second=_read_amount(entry.get('cold_per_s') or 0),
+        cold_per_second=_read_finite_number(entry.get('cold_per_s') or 0),
     )
 
 
 def _decode_team(entry: Document) -> Team:
-    rate = _read_amount(entry.get('rate_per_s') or 0)
+    rate = _read_finite_number(entry.get('rate_per_s') or 0)
     priority = entry.get('priority')
     return Team(
         name=entry['name'],
         priority=None if priority is None else int(priority),
         rate=rate or None,
-        burst=_read_amount(entry.get('burst') or 0),
+        burst=_read_finite_number(entry.get('burst') or 0),
         homes=_read_names(entry.get('home_regions')),
     )
 
@@ -188,13 +192,13 @@
     return read_seconds(text) if text else None
 
 
-def _read_text(found: object) -> str:
+def _read_non_empty_string(found: object) -> str:
     if not found:
         raise ValueError(f'{found!r} is not a non-empty string')
-    return _read_any_text(found)
+    return _read_string(found)
 
 
-def _read_any_text(found: object) -> str:
+def _read_string(found: object) -> str:
     """Read a string that may be empty, such as the prefix of all paths."""
     if not isinstance(found, str):
         raise TypeError(f'{found!r} is not a string')
@@ -204,12 +208,12 @@
 def _read_names(found: object) -> frozenset[str]:
     if found is not None and not isinstance(found, list | tuple):
         raise TypeError(f'{found!r} is not a list of strings')
-    return frozenset(map(_read_text, found or ()))
+    return frozenset(map(_read_non_empty_string, found or ()))
 
 
 def _read_ip_address(found: Any) -> Address:
     address = read_address(found)
-    if not is_ip(address.host) or not 0 < address.port <= _MOST_PORT:
+    if not is_ip(address.host) or not 0 < address.port <= _MAX_PORT:
         raise ValueError(
             f'{found!r} is not an IP address with a port of 1 to 65535'
         )
@@ -217,20 +221,20 @@
 
 
 def _read_ip(found: object) -> str:
-    text = _read_text(found)
+    text = _read_non_empty_string(found)
     if not is_ip(text):
         raise ValueError(f'{text!r} is not an IP address')
     return text
 
 
-def _read_amount(found: Any) -> float:
+def _read_finite_number(found: Any) -> float:
     amount = float(found)
     if not 0 <= amount < math.inf:
         raise ValueError(f'{found!r} is not a finite number of at least 0')
     return amount
 
 
-def _read_positive(found: object) -> int:
+def _read_positive_integer(found: object) -> int:
     if not isinstance(found, int) or isinstance(found, bool) or found < 1:
         raise TypeError(f'{found!r} is not a positive integer')
     return found
--- a/toucanhall/platform/entrance.py
+++ b/toucanhall/platform/entrance.py
@@ -13,7 +13,7 @@
 
 __all__ = ('Question', 'make_readiness', 'read_question', 'write_directory')
 
-_JSON: Final = ((b'content-type', b'application/json'),)
+_JSON_HEADERS: Final = ((b'content-type', b'application/json'),)
 
 
 class Question(NamedTuple):
@@ -29,21 +29,23 @@
     path, _, query = request.path.decode('latin-1').partition('?')
     if path != names.DIRECTORY_PATH:
         return None
-    found = parse_qs(query)
+    query_fields = parse_qs(query)
     return Question(
-        host=found.get('name', [''])[0].lower(),
-        zone=found.get('zone', [''])[0],
-        region=found.get('region', [''])[0],
+        host=query_fields.get('name', [''])[0].lower(),
+        zone=query_fields.get('zone', [''])[0],
+        region=query_fields.get('region', [''])[0],
     )
 
 
 def write_directory(addresses: list[Address], seconds: float) -> Answer:
     """Return the answer of the directory, valid for `seconds`."""
     body = {
-        'addresses': [f'{found.host}:{found.port}' for found in addresses],
+        'addresses': [
+            f'{address.host}:{address.port}' for address in addresses
+        ],
         'ttl': write_seconds(seconds),
     }
-    return Answer(200, _JSON, msgspec.json.encode(body))
+    return Answer(200, _JSON_HEADERS, msgspec.json.encode(body))
 
 
 def make_readiness(is_ready: Callable[[], bool]) -> Callable[[Request], Answer]:
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/following.py
@@ -15,16 +15,16 @@
 
 # Well below half of the 20 s of history that the store keeps.
 _WATCH_SECONDS: Final = 8.0
-_FIRST_WAIT_SECONDS: Final = 0.1
-_LONGEST_WAIT_SECONDS: Final = 1.0
+_MIN_RETRY_DELAY_SECONDS: Final = 0.1
+_MAX_RETRY_DELAY_SECONDS: Final = 1.0
 # A watch may miss that the store was unavailable. Targets expire after 3 s of
 # that at the earliest: two heartbeats of 1.5 s and the rest of the current
 # one. A cheap read every second, with a timeout of 1 s, notices it before.
-_PROBE_SECONDS: Final = 1.0
+_PROBE_INTERVAL_SECONDS: Final = 1.0
 _PROBE: Final = 'probe'
 
 # After a change: further changes in this time are read by the same call.
-_GATHER_SECONDS: Final = {
+_BATCH_DELAY_SECONDS: Final = {
     names.CONFIGURATIONS: 0.05,
     names.TARGETS: 0.2,
     names.EVACUATIONS: 0.05,
@@ -53,9 +53,9 @@
         self._journal = journal
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
-        self._failing: set[str] = set()
-        self._is_away = False
-        self._answered_at = self._loop.time()
+        self._failing_kinds: set[str] = set()
+        self._is_store_unavailable = False
+        self._last_answer_at = self._loop.time()
         self._revisions: dict[str, int] = {}
         self._tables = Tables(
             knowledge=knowledge,
@@ -77,7 +77,7 @@
         if not self._tasks:
             self._journal.write(events.WATCH_STARTED)
             self._tasks = [
-                self._loop.create_task(self._follow(kind)) for kind in KINDS
+                self._loop.create_task(self._watch_kind(kind)) for kind in KINDS
             ]
             self._tasks.append(self._loop.create_task(self._probe()))
 
@@ -89,20 +89,20 @@
             task.cancel()
         self._tasks = []
         self._revisions = {}
-        self._failing = set()
-        self._is_away = False
+        self._failing_kinds = set()
+        self._is_store_unavailable = False
 
-    async def _follow(self, kind: str) -> None:
-        wait = _FIRST_WAIT_SECONDS
+    async def _watch_kind(self, kind: str) -> None:
+        delay = _MIN_RETRY_DELAY_SECONDS
         while True:
             try:
-                await self._step(kind)
+                await self._read_or_watch(kind)
             except StoreError as error:
-                self._fail(kind, error)
+                self._record_failure(kind, error)
                 # Reading is answered at once, watching only on a change.
                 self._revisions.pop(kind, None)
-                await asyncio.sleep(wait * random.uniform(0.5, 1.5))
-                wait = min(_LONGEST_WAIT_SECONDS, wait * 2)
+                await asyncio.sleep(delay * random.uniform(0.5, 1.5))
+                delay = min(_MAX_RETRY_DELAY_SECONDS, delay * 2)
             except Exception as error:  # noqa: BLE001
                 # One malformed object must not end the watch of the others.
                 self._journal.write(
@@ -111,21 +111,21 @@
                     where=kind,
                 )
                 self._revisions.pop(kind, None)
-                await asyncio.sleep(_LONGEST_WAIT_SECONDS)
+                await asyncio.sleep(_MAX_RETRY_DELAY_SECONDS)
             else:
-                wait = _FIRST_WAIT_SECONDS
+                delay = _MIN_RETRY_DELAY_SECONDS
 
     async def _probe(self) -> None:
         while True:
-            await asyncio.sleep(_PROBE_SECONDS)
+            await asyncio.sleep(_PROBE_INTERVAL_SECONDS)
             try:
                 await self._store.read(names.EVACUATIONS, is_stale=True)
             except StoreError as error:
-                self._fail(_PROBE, error)
+                self._record_failure(_PROBE, error)
             else:
-                self._recover(_PROBE)
+                self._record_answer(_PROBE)
 
-    async def _step(self, kind: str) -> None:
+    async def _read_or_watch(self, kind: str) -> None:
         revision = self._revisions.get(kind)
         if revision is None:
             await self._read(kind)
@@ -136,38 +136,38 @@
             self._journal.write(events.HISTORY_LOST, table=kind)
             await self._read(kind)
             return
-        self._recover(kind)
+        self._record_answer(kind)
         if table.changes:
             self._tables.take(kind, table, is_whole=False)
         self._revisions[kind] = max(revision, table.revision)
         if table.changes:
-            await asyncio.sleep(_GATHER_SECONDS[kind])
+            await asyncio.sleep(_BATCH_DELAY_SECONDS[kind])
 
     async def _read(self, kind: str) -> None:
         table = await self._store.read(kind)
-        self._recover(kind)
+        self._record_answer(kind)
         self._tables.take(kind, table, is_whole=True)
         self._revisions[kind] = table.revision
 
-    def _fail(self, kind: str, error: StoreError) -> None:
-        if not self._failing:
+    def _record_failure(self, kind: str, error: StoreError) -> None:
+        if not self._failing_kinds:
             self._journal.write(events.STORE_LOST, table=kind, why=str(error))
-        self._failing.add(kind)
-        if not self._is_away:
-            self._is_away = True
+        self._failing_kinds.add(kind)
+        if not self._is_store_unavailable:
+            self._is_store_unavailable = True
             self._knowledge.start_lapse()
 
-    def _recover(self, kind: str) -> None:
+    def _record_answer(self, kind: str) -> None:
         now = self._loop.time()
-        if kind in self._failing:
-            self._failing.discard(kind)
-            if not self._failing:
+        if kind in self._failing_kinds:
+            self._failing_kinds.discard(kind)
+            if not self._failing_kinds:
                 self._journal.write(events.STORE_REGAINED)
-        if self._is_away:
-            self._is_away = False
-            away = now - self._answered_at
+        if self._is_store_unavailable:
+            self._is_store_unavailable = False
+            outage_seconds = now - self._last_answer_at
             self._knowledge.end_lapse(
                 now,
-                may_have_lapsed=away > self._lapse_seconds,
+                may_have_lapsed=outage_seconds > self._lapse_seconds,
             )
-        self._answered_at = now
+        self._last_answer_at = now
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -23,8 +23,8 @@
 )
 
 REQUEST_ID: Final = names.REQUEST_ID
-_BEARER: Final = b'bearer '
-_OWN: Final = frozenset(
+_BEARER_PREFIX: Final = b'bearer '
+_REMOVED_HEADERS: Final = frozenset(
     (
         b'authorization',
         names.DEADLINE,
@@ -33,11 +33,11 @@
     )
 )
 _NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
-_MISDIRECTED: Final = 421
-_LOAD_FIELDS: Final = 3
-_MOST_DIGITS: Final = 12  # of a count or of milliseconds, thirty years
-# They state that the request was not executed; a target confirms it by a header.
-_PROMISING_STATUSES: Final = frozenset((408, 421, 429, 503))
+_MISDIRECTED_STATUS: Final = 421
+_LOAD_FIELD_COUNT: Final = 3
+_MAX_DIGITS: Final = 12  # of a count or of milliseconds, thirty years
+# They state that the request was not executed; targets confirm it by a header.
+_REFUSAL_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
 class CallerMarks(NamedTuple):
@@ -79,9 +79,9 @@
         request_id=found.get(names.REQUEST_ID, b''),
         host=host.partition(':')[0],
         path=request.path.decode('latin-1'),
-        seconds_left=_read_milliseconds(found.get(names.DEADLINE)),
-        key=_read_key(found.get(b'authorization')),
-        object_key=_read_object(request.headers),
+        seconds_left=_read_seconds(found.get(names.DEADLINE)),
+        key=_read_api_key(found.get(b'authorization')),
+        object_key=_read_object_key(request.headers),
     )
 
 
@@ -96,7 +96,7 @@
     kept = tuple(
         header
         for header in drop_hop_by_hop(request.headers)
-        if header[0] not in _OWN
+        if header[0] not in _REMOVED_HEADERS
     )
     added: list[tuple[bytes, bytes]] = [
         (names.DEADLINE, b'%d' % max(1, int(seconds_left * 1000))),
@@ -109,17 +109,17 @@
 
 def read_target_marks(reply: Reply) -> TargetMarks:
     """Read the head of a target's answer."""
-    is_misdirected = reply.status == _MISDIRECTED
+    is_misdirected = reply.status == _MISDIRECTED_STATUS
     is_marked = get_header(reply.headers, names.NOT_EXECUTED) is not None
     is_not_run = is_misdirected or (
         is_marked and reply.status in _NOT_RUN_STATUSES
     )
     return TargetMarks(
         is_not_run=is_not_run,
-        is_unproven=not is_not_run and reply.status in _PROMISING_STATUSES,
+        is_unproven=not is_not_run and reply.status in _REFUSAL_STATUSES,
         is_misdirected=is_misdirected,
         is_stamped=get_header(reply.headers, names.STAMP) is not None,
-        busy=_read_busy(get_header(reply.headers, names.LOAD)),
+        busy=_read_pending_requests(get_header(reply.headers, names.LOAD)),
     )
 
 
@@ -133,37 +133,40 @@
     return Answer(reply.status, headers, reply.body)
 
 
-def _read_milliseconds(content: bytes | None) -> float | None:
+def _read_seconds(content: bytes | None) -> float | None:
     found = _read_count(content)
     return None if found is None else found / 1000
 
 
 def _read_count(content: bytes | None) -> int | None:
-    if content is None or not content.isdigit() or len(content) > _MOST_DIGITS:
+    if content is None or not content.isdigit() or len(content) > _MAX_DIGITS:
         return None
     return int(content)
 
 
-def _read_key(content: bytes | None) -> str | None:
-    if content is None or content[: len(_BEARER)].lower() != _BEARER:
+def _read_api_key(content: bytes | None) -> str | None:
+    if (
+        content is None
+        or content[: len(_BEARER_PREFIX)].lower() != _BEARER_PREFIX
+    ):
         return None
-    return content[len(_BEARER) :].strip().decode('latin-1')
+    return content[len(_BEARER_PREFIX) :].strip().decode('latin-1')
 
 
-def _read_object(headers: Headers) -> str | None:
+def _read_object_key(headers: Headers) -> str | None:
     for name, content in headers:
         if name != b'cookie':
             continue
         for part in content.decode('latin-1').split(';'):
-            found, _, named = part.strip().partition('=')
+            found, _, object_key = part.strip().partition('=')
             if found == names.OBJECT_COOKIE:
-                return named
+                return object_key
     return None
 
 
-def _read_busy(content: bytes | None) -> int | None:
+def _read_pending_requests(content: bytes | None) -> int | None:
     parts = (content or b'').split(b',')
-    if len(parts) != _LOAD_FIELDS:
+    if len(parts) != _LOAD_FIELD_COUNT:
         return None
     running = _read_count(parts[0].strip())
     waiting = _read_count(parts[1].strip())
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -21,13 +21,13 @@
 __all__ = ('Change', 'Conflict', 'HistoryLost', 'Store', 'StoreError', 'Table')
 
 # A slow store takes up to a hundred times its usual 4 ms to answer.
-_CALL_SECONDS: Final = 1.0
-_CONNECT_SECONDS: Final = 0.5
-_WATCH_SLACK_SECONDS: Final = 1.0
-_IDLE_SECONDS: Final = 5.0
-_CONFLICT: Final = 409
-_GONE: Final = 410
-_SUCCESS: Final = range(200, 300)
+_CALL_TIMEOUT_SECONDS: Final = 1.0
+_CONNECT_TIMEOUT_SECONDS: Final = 0.5
+_WATCH_TIMEOUT_MARGIN_SECONDS: Final = 1.0
+_MAX_IDLE_SECONDS: Final = 5.0
+_CONFLICT_STATUS: Final = 409
+_GONE_STATUS: Final = 410
+_SUCCESS_STATUSES: Final = range(200, 300)
 
 
 class StoreError(Exception):
@@ -73,11 +73,11 @@
         on_call: Callable[[str, float], None],
     ) -> None:
         """Report the outcome and the seconds of each call to `on_call`."""
-        self._opening = opening
+        self._settings = opening
         self._on_call = on_call
         self._address = address
-        self._host = f'{address.host}:{address.port}'.encode()
-        self._idle: dict[str, list[ServerConnection]] = {}
+        self._host_header = f'{address.host}:{address.port}'.encode()
+        self._idle_connections: dict[str, list[ServerConnection]] = {}
 
     async def read(self, kind: str, *, is_stale: bool = False) -> Table:
         """Return all objects of a kind, page by page."""
@@ -97,11 +97,11 @@
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Table:
         """Wait up to `seconds` for changes after a revision; maybe none."""
-        wait = round(seconds * 1000)
+        wait_ms = round(seconds * 1000)
         found = await self._call(
             'GET',
-            f'{kind}?watch={revision}&wait_ms={wait}',
-            seconds=seconds + _WATCH_SLACK_SECONDS,
+            f'{kind}?watch={revision}&wait_ms={wait_ms}',
+            seconds=seconds + _WATCH_TIMEOUT_MARGIN_SECONDS,
         )
         return _read_table(found, 'events', _read_event)
 
@@ -128,24 +128,26 @@
         method: str,
         path: str,
         body: object = None,
-        seconds: float = _CALL_SECONDS,
+        seconds: float = _CALL_TIMEOUT_SECONDS,
     ) -> Mapping[str, Any]:
-        sent = write_request(
+        encoded_request = write_request(
             Request(
                 method=method.encode(),
                 path=f'{names.OBJECTS_PATH}{path}'.encode(),
                 headers=(
-                    (b'host', self._host),
+                    (b'host', self._host_header),
                     (b'content-type', b'application/json'),
                 ),
                 body=b'' if body is None else msgspec.json.encode(body),
             ),
         )
-        began = time.monotonic()
+        started_at = time.monotonic()
         outcome = 'broken'
         try:
             async with asyncio.timeout(seconds):
-                reply = await self._exchange(sent, _find_use(method, path))
+                reply = await self._exchange(
+                    encoded_request, _get_read_kind(method, path)
+                )
             outcome = str(reply.status)
         except TimeoutError as error:
             outcome = 'timeout'
@@ -155,35 +157,35 @@
         except ConnectionError as error:
             raise StoreError(str(error)) from error
         finally:
-            self._on_call(outcome, time.monotonic() - began)
+            self._on_call(outcome, time.monotonic() - started_at)
         return _read_reply(reply)
 
-    async def _exchange(self, sent: bytes, use: str) -> Reply:
-        connection = await self._take_connection(use)
-        reply = await connection.exchange(sent)
-        if not use:
+    async def _exchange(self, encoded_request: bytes, read_kind: str) -> Reply:
+        connection = await self._acquire_connection(read_kind)
+        reply = await connection.exchange(encoded_request)
+        if not read_kind:
             connection.close()
         elif connection.is_usable:
             connection.idle_since = time.monotonic()
-            self._idle.setdefault(use, []).append(connection)
+            self._idle_connections.setdefault(read_kind, []).append(connection)
         return reply
 
-    async def _take_connection(self, use: str) -> ServerConnection:
-        oldest = time.monotonic() - _IDLE_SECONDS
-        idle = self._idle.get(use)
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable and connection.idle_since > oldest:
+    async def _acquire_connection(self, read_kind: str) -> ServerConnection:
+        min_idle_since = time.monotonic() - _MAX_IDLE_SECONDS
+        idle_connections = self._idle_connections.get(read_kind)
+        while idle_connections:
+            connection = idle_connections.pop()
+            if connection.is_usable and connection.idle_since > min_idle_since:
                 return connection
             connection.close()
         return await open_connection(
             self._address,
-            seconds=_CONNECT_SECONDS,
-            opening=self._opening,
+            seconds=_CONNECT_TIMEOUT_SECONDS,
+            opening=self._settings,
         )
 
 
-def _find_use(method: str, path: str) -> str:
+def _get_read_kind(method: str, path: str) -> str:
     """Return the kind that a call reads, empty for a write."""
     return path.partition('?')[0] if method == 'GET' else ''
 
@@ -196,7 +198,7 @@
     """Return the objects in a field; raise StoreError if it is invalid."""
     try:
         return Table(int(found['as_of']), tuple(map(read, found[field])))
-    except _WRONG as error:
+    except _DECODE_ERRORS as error:
         raise StoreError(
             f'store answer without valid {field}: {error!r}'
         ) from error
@@ -218,8 +220,8 @@
 
 
 def _read_reply(reply: Reply) -> Mapping[str, Any]:
-    if reply.status not in _SUCCESS:
-        error = _ERRORS.get(reply.status, StoreError)
+    if reply.status not in _SUCCESS_STATUSES:
+        error = _ERRORS_BY_STATUS.get(reply.status, StoreError)
         raise error(f'store answered with status {reply.status}')
     try:
         return msgspec.json.decode(reply.body or b'{}', type=dict[str, Any])
@@ -229,8 +231,8 @@
         ) from found
 
 
-_WRONG: Final = (KeyError, TypeError, ValueError, AttributeError)
-_ERRORS: Final[Mapping[int, type[StoreError]]] = {
-    _CONFLICT: Conflict,
-    _GONE: HistoryLost,
+_DECODE_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
+_ERRORS_BY_STATUS: Final[Mapping[int, type[StoreError]]] = {
+    _CONFLICT_STATUS: Conflict,
+    _GONE_STATUS: HistoryLost,
 }
--- a/toucanhall/platform/tables.py
+++ b/toucanhall/platform/tables.py
@@ -34,17 +34,17 @@
         self._knowledge = knowledge
         self._journal = journal
         self._clock = clock
-        self._takers: dict[str, Callable[[Table, bool], None]] = {
-            names.CONFIGURATIONS: self._take_configurations,
-            names.TARGETS: self._take_targets,
-            names.EVACUATIONS: self._take_evacuations,
+        self._loaders: dict[str, Callable[[Table, bool], None]] = {
+            names.CONFIGURATIONS: self._load_configurations,
+            names.TARGETS: self._load_targets,
+            names.EVACUATIONS: self._load_evacuations,
         }
 
     def take(self, kind: str, table: Table, *, is_whole: bool) -> None:
         """Replace a whole table, or apply changes to it."""
-        self._takers[kind](table, is_whole)
+        self._loaders[kind](table, is_whole)
 
-    def _take_configurations(self, table: Table, _is_whole: bool) -> None:
+    def _load_configurations(self, table: Table, _is_whole: bool) -> None:
         for change in table.changes:
             if change.name != names.CONFIGURATION_NAME or change.spec is None:
                 continue
@@ -58,7 +58,7 @@
                     configuration,
                 )
 
-    def _take_targets(self, table: Table, is_whole: bool) -> None:
+    def _load_targets(self, table: Table, is_whole: bool) -> None:
         decoded = {
             change.name: self._decode_target(change) for change in table.changes
         }
@@ -85,7 +85,7 @@
             self._journal.write(events.ENTRY_IGNORED, why=str(error))
             return change.revision
 
-    def _take_evacuations(self, table: Table, is_whole: bool) -> None:
+    def _load_evacuations(self, table: Table, is_whole: bool) -> None:
         zones = {
             change.name: change.spec is not None for change in table.changes
         }
--- a/toucanhall/platform/units.py
+++ b/toucanhall/platform/units.py
@@ -5,17 +5,17 @@
 
 __all__ = ('read_seconds', 'read_version', 'write_seconds')
 
-_DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
-_SECONDS: Final = {'ms': 0.001, 's': 1.0}
-_HEXADECIMAL: Final = 16
+_DURATION_PATTERN: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+_SECONDS_BY_UNIT: Final = {'ms': 0.001, 's': 1.0}
+_VERSION_BASE: Final = 16
 
 
 def read_seconds(text: object) -> float:
     """Return the seconds of a duration such as `1500ms` or `2.5s`."""
-    found = _DURATION.fullmatch(text) if isinstance(text, str) else None
+    found = _DURATION_PATTERN.fullmatch(text) if isinstance(text, str) else None
     if found is None:
         raise ValueError(f'{text!r} is not a duration such as 1500ms or 2.5s')
-    return float(found[1]) * _SECONDS[found[2]]
+    return float(found[1]) * _SECONDS_BY_UNIT[found[2]]
 
 
 def write_seconds(seconds: float) -> str:
@@ -27,4 +27,4 @@
     """Return the version of a configuration from hexadecimal digits."""
     if not isinstance(text, str):
         raise TypeError(f'{text!r} is not a version in hexadecimal digits')
-    return int(text, _HEXADECIMAL)
+    return int(text, _VERSION_BASE)
