--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,14 +1,14 @@
-"""A target that sends scripted bytes, for answers that no server sends."""
+"""A target that sends scripted bytes, such as no real server sends."""
 
 import socket
 import threading
 from contextlib import contextmanager, suppress
 
-SILENCE = b''  # a scripted answer that never comes
+SILENCE = b''  # no answer at all
 
 
 class ScriptedTarget:
-    """Answers the requests of all its connections from one script."""
+    """Answers the requests of all connections with scripted bytes in turn."""
 
     def __init__(self, *, answers, closes):
         """Listen on a loopback port."""
@@ -23,7 +23,7 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self):
-        """Stop listening and let go of silent connections."""
+        """Stop listening and end the connections without an answer."""
         self.ended.set()
         self._listener.close()
 
@@ -70,7 +70,7 @@
 
 @contextmanager
 def start_target(*answers, closes=False):
-    """Run a target that gives some answers in turn."""
+    """Run a target that sends `answers` in turn."""
     target = ScriptedTarget(answers=answers, closes=closes)
     try:
         yield target
@@ -79,12 +79,12 @@
 
 
 def make_answer(*headers, body=b'whole'):
-    """Return the bytes of an answer with its right length."""
+    """Return the bytes of an answer with the correct length."""
     lines = ['HTTP/1.1 200 OK', f'Content-Length: {len(body)}', *headers]
     return b''.join(('\r\n'.join((*lines, '', '')).encode(), body))
 
 
 def make_chunked(chunks):
-    """Return the bytes of an answer with some chunks as they are sent."""
+    """Return the bytes of an answer whose body is encoded `chunks`."""
     head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
     return b''.join((head, chunks))
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -1,4 +1,4 @@
-"""A store in memory, with the failures that the platform may have."""
+"""An object store in memory, with the failures of the platform's."""
 
 from returns.result import Failure, Success
 
@@ -6,28 +6,28 @@
 
 
 class MemoryStore:
-    """Objects by name with a version; `modes` breaks names by prefix.
+    """Objects with versions; `modes` maps prefixes of names to failures.
 
-    A mode is `down` (nothing is read or written), `lost` (a write takes effect,
-    but its reply is lost), `gone` (the same, and the store is down after it) or
-    `full` (reads work, nothing is written).
+    The modes are `down` (reads and writes fail), `lost` (a write takes effect,
+    but its answer is lost), `gone` (as `lost`, then the store is down) and
+    `full` (only writes fail).
     """
 
     def __init__(self):
-        """Start empty and whole."""
+        """Start empty and without failures."""
         self.stored = {}
         self.modes = {}
         self.before_write = str
 
     def read(self, name):
-        """Return an object, or that the store is down."""
+        """Return an object, or a failure if the store is down."""
         if self._find_mode(name) == 'down':
             return Failure(Unavailable(name))
         version, content = self.stored.get(name, (0, b''))
         return Success(Stored(name, version, content))
 
     def write(self, name, content, expected):
-        """Write an object if its version is the expected one."""
+        """Write an object if it has the expected version."""
         self.before_write(name)
         mode = self._find_mode(name)
         if mode in {'down', 'full'}:
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -1,4 +1,4 @@
-"""Tests of the adapter: what it decodes, what it passes on, its words."""
+"""Tests of the platform adapter: decoding, headers, directory, names."""
 
 import re
 from pathlib import Path
@@ -33,9 +33,9 @@
 from toucanhall.web.client import Reply
 from toucanhall.web.messages import Request
 
-PACKAGE = Path(__file__).parents[2] / 'toucanhall'
-# Slices of the program on the platform; the others do not run there.
-SLICES = ('edge', 'fleet', 'limits', 'observe', 'placement', 'web')
+PACKAGE_PATH = Path(__file__).parents[2] / 'toucanhall'
+# Packages that run on the platform; the others do not.
+PLATFORM_PACKAGES = ('edge', 'fleet', 'limits', 'observe', 'placement', 'web')
 PLATFORM_WORDS = re.compile(
     r'x-toucanhall|/toucanhall/|tenant|backend|virtual_hosts|path_rules'
     r'|home_regions|traffic_split|cold_left|api_keys|allow_stale|wait_ms'
@@ -54,7 +54,7 @@
 
 
 @pytest.mark.parametrize('text', ('5', '5 s', 's', '', None, 5, '-1s'))
-def test_other_text_is_no_duration(text):
+def test_invalid_duration_is_rejected(text):
     with pytest.raises(ValueError, match='not a duration'):
         read_seconds(text)
 
@@ -65,7 +65,7 @@
         read_version(28)
 
 
-def test_longest_prefix_of_the_host_is_the_route():
+def test_route_with_the_longest_prefix_is_found():
     rules = [make_rule('/a/'), make_rule('/a/b/'), make_rule('/')]
     configuration = decode_configuration(make_configuration(rules=rules))
     found = [
@@ -86,7 +86,7 @@
         {'limits': {'header_timeout': 'soon'}},
     ),
 )
-def test_configuration_that_cannot_be_read_is_told(fields):
+def test_invalid_configuration_is_rejected(fields):
     with pytest.raises(BadDocument):
         decode_configuration({**make_configuration(), **fields})
 
@@ -120,7 +120,7 @@
         {'cold_left': 7},
     ),
 )
-def test_target_that_cannot_be_read_is_told(fields):
+def test_invalid_target_is_rejected(fields):
     entry = {**make_target_entry('127.0.0.1:9000', 'east-a'), **fields}
     with pytest.raises(BadDocument, match='target t1'):
         decode_target('t1', entry, 4)
@@ -148,7 +148,7 @@
 
 
 @pytest.mark.parametrize(
-    ('fields', 'told'),
+    ('fields', 'reason'),
     (
         ({'zone': None, 'listen': {'front': 'x'}}, 'not host:port'),
         ({'bounds': {'grace': 5}}, 'not a duration'),
@@ -156,13 +156,13 @@
         ({'internal_port_range': []}, 'index'),
     ),
 )
-def test_wrong_settings_are_told(tmp_path, fields, told):
+def test_invalid_settings_are_rejected(tmp_path, fields, reason):
     path = write_settings(tmp_path, **fields)
-    with pytest.raises(boot.BadSettings, match=told):
+    with pytest.raises(boot.BadSettings, match=reason):
         boot.load(path)
 
 
-def test_missing_settings_are_told(tmp_path):
+def test_missing_settings_file_is_rejected(tmp_path):
     with pytest.raises(boot.BadSettings, match='No such file'):
         boot.load(tmp_path / 'none.yaml')
 
@@ -171,7 +171,7 @@
     return Request(b'GET', b'/view/1', headers, b'')
 
 
-def test_marks_of_a_caller_are_read():
+def test_head_of_a_caller_request_is_read():
     marks = read_caller_marks(
         make_request(
             (b'host', b'Tours.Example:80'),
@@ -184,7 +184,7 @@
     assert marks == (b'r1', 'tours.example', '/view/1', 1.5, 'k1', '17')
 
 
-def test_forwarded_request_hides_the_key_and_names_team_and_target():
+def test_target_gets_team_and_target_id_but_no_api_key():
     forwarded = make_forwarded(
         make_request(
             (b'authorization', b'Bearer k1'),
@@ -220,7 +220,7 @@
         (200, True, False),
     ),
 )
-def test_only_the_target_proves_that_a_request_did_not_run(
+def test_only_the_target_confirms_that_a_request_did_not_run(
     status,
     has_mark,
     is_not_run,
@@ -234,12 +234,12 @@
     ('content', 'busy'),
     ((b'3,2,8', 5), (b'3, 0, 8', 3), (b'odd', None), (b'1,x,8', None)),
 )
-def test_load_of_a_target_is_read(content, busy):
+def test_pending_requests_of_a_target_are_read(content, busy):
     reply = make_reply(200, (b'x-toucanhall-backend-load', content))
     assert read_target_marks(reply).busy == busy
 
 
-def test_answer_is_passed_on_with_its_stamp():
+def test_caller_gets_the_stamp_but_not_the_load():
     reply = make_reply(
         200,
         (b'x-toucanhall-response-stamp', b's1'),
@@ -250,7 +250,7 @@
     assert answer.headers == ((b'x-toucanhall-response-stamp', b's1'),)
 
 
-def test_question_to_the_directory_is_read():
+def test_directory_query_is_read_and_answered():
     path = b'/toucanhall/resolve?name=Tours.Example&region=east&zone=east-a'
     found = read_question(Request(b'GET', path, (), b''))
     assert found == ('tours.example', 'east-a', 'east')
@@ -278,22 +278,28 @@
         ('north-a', NORTH, (), ['vm-1', 'vm-2', 'vm-3', 'vm-4']),
     ),
 )
-def test_directory_names_the_nearest(zone, around, homes, expected):
-    found = pick_vms(VMS, zone, around, frozenset(homes))
+def test_directory_returns_the_nearest_vms(
+    zone, zones_of_region, homes, expected
+):
+    found = pick_vms(VMS, zone, zones_of_region, frozenset(homes))
     assert sorted(member.vm for member in found) == expected
 
 
-def test_zone_that_does_not_keep_up_shares_its_clients():
-    late = [VMS[0]._replace(lag=0.3), *VMS[1:]]
-    found = pick_vms(late, 'east-a', EAST, frozenset())
+def test_zone_with_loop_lag_shares_its_clients():
+    lagging = [VMS[0]._replace(lag=0.3), *VMS[1:]]
+    found = pick_vms(lagging, 'east-a', EAST, frozenset())
     assert [member.vm for member in found] == ['vm-2']
-    late[1] = late[1]._replace(lag=0.4)
-    found = pick_vms(late, 'east-a', EAST, frozenset())
+    lagging[1] = lagging[1]._replace(lag=0.4)
+    found = pick_vms(lagging, 'east-a', EAST, frozenset())
     assert sorted(member.vm for member in found) == ['vm-1', 'vm-2']
 
 
-def test_words_of_the_platform_stand_in_the_adapter_only():
-    paths = [path for name in SLICES for path in (PACKAGE / name).glob('*.py')]
+def test_only_the_adapter_uses_words_of_the_platform():
+    paths = [
+        path
+        for name in PLATFORM_PACKAGES
+        for path in (PACKAGE_PATH / name).glob('*.py')
+    ]
     found = {
         path.name: match.group()
         for path in paths
--- a/tests/unit/test_answers_bytes.py
+++ b/tests/unit/test_answers_bytes.py
@@ -1,4 +1,4 @@
-"""Answers that are cut or repeated at each byte of theirs."""
+"""Tests of answers that are truncated or duplicated at any byte."""
 
 import asyncio
 
@@ -22,60 +22,60 @@
 EARLIER = {name: answer % b'earlier' for name, answer in ANSWERS.items()}
 
 
-class Wire(asyncio.Transport):
-    """A connection whose other end is the test."""
+class FakeTransport(asyncio.Transport):
+    """A transport without a socket; the test plays the peer."""
 
     def __init__(self, connection):
         super().__init__()
         self.connection = connection
-        self.closing = False
+        self.is_closed = False
 
     def get_extra_info(self, _name, default=None):
-        return Options()
+        return FakeSocket()
 
     def write(self, _sent):
-        """Take a request."""
+        """Discard a request."""
 
     def is_closing(self):
-        return self.closing
+        return self.is_closed
 
     def close(self):
-        self.closing = True
+        self.is_closed = True
 
     abort = close
 
 
-class Options:
-    """The options of a socket that there is none of."""
+class FakeSocket:
+    """Socket without effect."""
 
     def setsockopt(self, *_option):
-        """Take an option."""
+        """Discard an option."""
 
 
 def connect():
     connection = ServerConnection(opening=make_opening(id_header=b'x-id'))
-    connection.connection_made(Wire(connection))
+    connection.connection_made(FakeTransport(connection))
     return connection
 
 
-def ask(connection):
+def start_exchange(connection):
     return asyncio.ensure_future(connection.exchange(REQUEST, b'own'))
 
 
-async def end(connection, error=None):
-    """End the connection as its peer did."""
+async def close_by_peer(connection, error=None):
+    """End the connection as its peer would."""
     await asyncio.sleep(0)
     connection.connection_lost(error)
 
 
-def play_cut(answer, cut, error):
+def exchange_truncated(answer, cut, error):
     async def act():
         connection = connect()
-        asked = ask(connection)
+        first_exchange = start_exchange(connection)
         await asyncio.sleep(0)
         connection.data_received(answer[:cut])
-        await end(connection, error)
-        return await asyncio.gather(asked, return_exceptions=True)
+        await close_by_peer(connection, error)
+        return await asyncio.gather(first_exchange, return_exceptions=True)
 
     (found,) = asyncio.run(act())
     return found
@@ -83,47 +83,51 @@
 
 @pytest.mark.parametrize('name', OWN)
 @pytest.mark.parametrize('error', (None, ConnectionResetError()))
-def test_answer_that_is_cut_at_any_byte_is_not_whole(name, error):
+def test_answer_truncated_at_any_byte_is_incomplete(name, error):
     answer = OWN[name]
-    outcomes = [play_cut(answer, cut, error) for cut in range(len(answer))]
+    outcomes = [
+        exchange_truncated(answer, cut, error) for cut in range(len(answer))
+    ]
     assert all(isinstance(found, Broken) for found in outcomes)
-    assert play_cut(answer, len(answer), error).body == b'halfwhole'
+    assert exchange_truncated(answer, len(answer), error).body == b'halfwhole'
 
 
 @pytest.mark.parametrize('cut', range(1, 9))
-def test_answer_without_a_length_is_whole_at_an_end_but_not_at_a_reset(cut):
+def test_answer_without_length_ends_by_close_but_not_by_reset(cut):
     answer = HEAD % b'own' + b'\r\nhalfwhole'
-    ended = play_cut(answer, len(answer), None)
-    reset = play_cut(answer, len(answer) - cut, ConnectionResetError())
+    ended = exchange_truncated(answer, len(answer), None)
+    reset = exchange_truncated(
+        answer, len(answer) - cut, ConnectionResetError()
+    )
     assert ended.body == b'halfwhole'
     assert isinstance(reset, Broken)
 
 
-def play_copy(first, copy, split, second):
-    """Play two requests; the copy's bytes from `split` on come late."""
+def exchange_duplicated(first, copy, split, second):
+    """Run two exchanges; the copy from `split` on arrives in the second."""
 
     async def act():
         connection = connect()
-        asked = ask(connection)
+        first_exchange = start_exchange(connection)
         await asyncio.sleep(0)
         connection.data_received(first + copy[:split])
-        await asked
-        again = ask(connection)
+        await first_exchange
+        second_exchange = start_exchange(connection)
         await asyncio.sleep(0)
         connection.data_received(copy[split:] + second)
-        await end(connection)
-        return await asyncio.gather(again, return_exceptions=True)
+        await close_by_peer(connection)
+        return await asyncio.gather(second_exchange, return_exceptions=True)
 
     (found,) = asyncio.run(act())
     return found
 
 
 @pytest.mark.parametrize('name', EARLIER)
-def test_late_copy_is_never_the_next_answer_wherever_it_is_split(name):
+def test_late_copy_split_anywhere_is_not_the_next_answer(name):
     copy = EARLIER[name]
     second = HEAD % b'own' + b'content-length: 4\r\n\r\nnext'
     first = HEAD % b'own' + b'content-length: 5\r\n\r\nfirst'
     for split in range(len(copy) + 1):
-        found = play_copy(first, copy, split, second)
+        found = exchange_duplicated(first, copy, split, second)
         is_refused = isinstance(found, Broken | Unreachable)
         assert is_refused or found.body == b'next'
--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -1,4 +1,4 @@
-"""Tests of connections to servers whose answers are no answers."""
+"""Tests of connections to servers that send invalid or endless answers."""
 
 import asyncio
 import time
@@ -13,18 +13,18 @@
 
 ADDRESS = Address('127.64.201.1', 9001)
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\nx-id: own\r\n\r\n'
-# Of the sockets between both ends, and of pieces read at once.
-ON_THE_WAY = 12_000_000
+# Bytes in the buffers of both sockets, and read at once.
+MAX_IN_TRANSIT_BYTES = 12_000_000
 
 
 def answer_with(*answers, keep=True):
-    """Return a server that answers each request with the next bytes."""
-    left = list(answers)
+    """Return a server that answers requests with scripted bytes in turn."""
+    remaining_answers = list(answers)
 
     async def serve(reader, writer):
-        while left:
+        while remaining_answers:
             await reader.readuntil(b'\r\n\r\n')
-            writer.write(left.pop(0))
+            writer.write(remaining_answers.pop(0))
             await writer.drain()
         if not keep:
             writer.close()
@@ -51,7 +51,7 @@
 
 
 @pytest.mark.parametrize('name', ENDLESS)
-def test_bytes_without_end_are_cut_at_a_bound(name):
+def test_endless_answer_ends_at_a_limit(name):
     opening = make_opening(id_header=b'x-id')
 
     async def act():
@@ -72,7 +72,7 @@
 
     why, sent, seconds, is_usable = asyncio.run(act())
     assert 'over' in why or 'malformed' in why
-    assert sent < opening.bounds.max_body_bytes + ON_THE_WAY
+    assert sent < opening.bounds.max_body_bytes + MAX_IN_TRANSIT_BYTES
     assert opening.held.total == 0
     assert not is_usable
     assert seconds < 3.0
@@ -85,7 +85,7 @@
     ) + b'b' * size
 
 
-def test_answers_within_the_bounds_are_whole():
+def test_answers_within_the_limits_are_complete():
     async def act(connection):
         first = await connection.exchange(REQUEST, b'own')
         second = await connection.exchange(REQUEST, b'own')
@@ -96,7 +96,7 @@
     assert run(answer_with(make_body(large), make_body(3)), act) == [large, 3]
 
 
-def test_late_copy_of_an_answer_is_never_the_next_one():
+def test_late_copy_of_an_answer_makes_the_connection_unusable():
     async def act(connection):
         first = await connection.exchange(REQUEST, b'own')
         await asyncio.sleep(0.05)
@@ -106,7 +106,7 @@
     assert run(answer_with(twice), act) == (b'bbb', False)
 
 
-def test_late_copy_before_an_answer_is_read_past():
+def test_late_copy_before_an_answer_is_skipped():
     async def act(connection):
         reply = await connection.exchange(REQUEST, b'own')
         return len(reply.body), connection.is_usable
@@ -115,7 +115,7 @@
     assert run(answer_with(both), act) == (5, False)
 
 
-def test_success_without_the_id_of_its_request_is_not_taken():
+def test_success_without_the_id_of_its_request_is_rejected():
     async def act(connection):
         with pytest.raises(Broken, match='without the id'):
             await connection.exchange(REQUEST, b'own')
@@ -134,7 +134,7 @@
         b'',
     ),
 )
-def test_answer_that_breaks_off_is_no_answer(cut):
+def test_truncated_answer_is_incomplete(cut):
     async def act(connection):
         with pytest.raises(Broken):
             await connection.exchange(REQUEST, b'own')
@@ -142,7 +142,7 @@
     run(answer_with(cut, keep=False), act)
 
 
-class Cuttable:
+class FakeOwner:
     def __init__(self, held):
         self.held = held
         self.why = ''
@@ -151,9 +151,9 @@
         self.why = why
 
 
-def test_holder_of_most_is_cut_where_all_are_over_the_bound():
+def test_owner_of_the_largest_buffer_is_cut_over_budget():
     held = HeldBytes(most=100)
-    small, large, last = (Cuttable(held) for _holder in range(3))
+    small, large, last = (FakeOwner(held) for _holder in range(3))
     held.put(small, 10)
     held.put(large, 80)
     held.put(last, 20)
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -1,4 +1,4 @@
-"""Tests of the entries of VMs, against the stand-in of the store."""
+"""Tests of the registry of VMs, with the stand-in of the store."""
 
 import asyncio
 
@@ -24,7 +24,7 @@
     return asyncio.run(start())
 
 
-def test_entry_is_written_once_and_again_after_it_was_deleted(journal):
+def test_entry_is_written_once_and_again_after_its_deletion(journal):
     async def act(standin, entries):
         standin.put('vms', 'vm-2', {'zone': 'east-a', 'ip': '127.64.1.2'})
         standin.put('vms', 'bad', {'zone': 4})
@@ -43,7 +43,7 @@
     assert {found.vm for found in second} == {'vm-1', 'vm-2'}
 
 
-def test_entry_with_an_old_address_is_replaced(journal):
+def test_entry_with_an_outdated_address_is_replaced(journal):
     async def act(standin, entries):
         standin.put('vms', 'vm-1', {'zone': 'east-a', 'ip': '127.64.9.9'})
         await entries.register(OWN)
@@ -52,7 +52,7 @@
     assert run(act, journal) == {'zone': 'east-a', 'ip': '127.64.1.1'}
 
 
-def test_list_of_more_than_a_page_is_read_whole(journal):
+def test_list_of_several_pages_is_read_completely(journal):
     async def act(standin, entries):
         for index in range(1200):
             entry = {'zone': 'east-a', 'ip': '127.64.1.2'}
--- a/tests/unit/test_following.py
+++ b/tests/unit/test_following.py
@@ -1,4 +1,4 @@
-"""Tests of how the tables of the store are followed, against its stand-in."""
+"""Tests of watching the tables of the store, with its stand-in."""
 
 import asyncio
 
@@ -10,11 +10,12 @@
 from toucanhall.platform.following import Follower
 
 ADDRESS = Address('127.64.202.1', 8384)
-LAPSE_AFTER = 3.0  # seconds, two heartbeats of a target
-NOTICE = 2.2  # seconds in which an absence is noticed: a probe and its time
+MIN_OUTAGE_SECONDS = 3.0  # two heartbeats of a target
+# Within which an outage is noticed: the interval of probes and their timeout.
+DETECTION_SECONDS = 2.2
 
 
-def _fail_all_but_watches(request):
+def fail_all_but_watches(request):
     return None if b'watch=' in request.path else 503
 
 
@@ -30,7 +31,7 @@
             store=make_store(ADDRESS),
             knowledge=knowledge,
             journal=journal,
-            lapse_seconds=LAPSE_AFTER,
+            lapse_seconds=MIN_OUTAGE_SECONDS,
         )
         follower.start()
         await asyncio.sleep(0.3)
@@ -43,24 +44,25 @@
     return asyncio.run(start())
 
 
-def test_targets_dropped_by_a_watch_that_outlasts_the_store_are_kept(journal):
+def test_targets_dropped_during_an_outage_are_kept(journal):
+    # The watch stays open and reports the removal, while all other calls fail.
     async def act(standin, knowledge):
         loop = asyncio.get_running_loop()
         assert set(knowledge.targets) == {'t1'}
-        standin.fault = _fail_all_but_watches
-        await asyncio.sleep(LAPSE_AFTER + 0.1)
+        standin.fault = fail_all_but_watches
+        await asyncio.sleep(MIN_OUTAGE_SECONDS + 0.1)
         standin.remove('servers', 't1')
         await asyncio.sleep(0.5)
         assert set(knowledge.targets) == {'t1'}
         standin.set_fault(lambda _request: None)
-        await asyncio.sleep(NOTICE)
+        await asyncio.sleep(DETECTION_SECONDS)
         knowledge.drop_lapsed(loop.time() + LAPSE_SECONDS)
         assert not knowledge.targets
 
     run(act, journal)
 
 
-def test_target_that_leaves_while_the_store_answers_is_dropped(journal):
+def test_target_removed_while_the_store_answers_is_dropped(journal):
     async def act(standin, knowledge):
         await asyncio.sleep(1.5)
         standin.remove('servers', 't1')
--- a/tests/unit/test_server.py
+++ b/tests/unit/test_server.py
@@ -1,4 +1,4 @@
-"""Tests of connections of callers that send what no request is."""
+"""Tests of server connections: endless requests, memory, many connections."""
 
 import asyncio
 import contextlib
@@ -12,9 +12,9 @@
 
 ADDRESS = Address('127.64.202.1', 9002)
 LIMITS = ServerLimits(16384, 1 << 20, 5.0, 30.0)
-PIECE = b'x' * 8192
-# Of the sockets between both ends, and of pieces read at once.
-ON_THE_WAY = 12_000_000
+BLOCK_8_KIB = b'x' * 8192
+# Bytes in the buffers of both sockets, and read at once.
+MAX_IN_TRANSIT_BYTES = 12_000_000
 
 
 def make_handler(answer, held, most=100):
@@ -58,15 +58,15 @@
 
 
 @pytest.mark.parametrize(
-    ('first', 'part', 'statuses'),
+    ('first', 'repeated', 'statuses'),
     (
-        (b'GET / HTTP/1.1\r\nh: ', PIECE, (b'431',)),
-        (b'GET / HTTP/1.1\r\n', PIECE, (b'431', b'400')),
-        (b'GET /', PIECE, (b'431', b'400')),
+        (b'GET / HTTP/1.1\r\nh: ', BLOCK_8_KIB, (b'431',)),
+        (b'GET / HTTP/1.1\r\n', BLOCK_8_KIB, (b'431', b'400')),
+        (b'GET /', BLOCK_8_KIB, (b'431', b'400')),
         (b'GET / HTTP/1.1\r\n', b'h: v\r\n' * 1024, (b'431',)),
         (
             b'POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1;a=',
-            PIECE,
+            BLOCK_8_KIB,
             (b'431', b'400'),
         ),
         (
@@ -76,26 +76,26 @@
         ),
     ),
 )
-def test_request_without_end_is_refused_at_a_bound(first, part, statuses):
+def test_endless_request_is_refused_at_a_limit(first, repeated, statuses):
     async def act(reader, writer):
         sent = 0
         writer.write(first)
         reading = asyncio.ensure_future(reader.read(64))
         with contextlib.suppress(ConnectionError):
             while not reading.done():
-                writer.write(part)
+                writer.write(repeated)
                 await writer.drain()
-                sent += len(part)
+                sent += len(repeated)
         found = await asyncio.gather(reading, return_exceptions=True)
         return found[0], sent
 
     answer, sent = run(act)
-    assert sent < ON_THE_WAY
+    assert sent < MAX_IN_TRANSIT_BYTES
     if isinstance(answer, bytes) and answer:
         assert answer.split()[1] in statuses
 
 
-def test_many_small_requests_are_no_request_without_end():
+def test_many_small_requests_are_all_served():
     async def act(reader, writer):
         request = b'GET / HTTP/1.1\r\nh: %s\r\n\r\n' % (b'v' * 900)
         writer.write(request * 320)
@@ -107,7 +107,7 @@
     assert run(act)
 
 
-def test_caller_that_reads_nothing_is_cut_where_memory_is_short():
+def test_caller_that_reads_no_answers_is_reset_over_budget():
     held = HeldBytes(most=3_000_000)
 
     async def act(reader, writer):
@@ -123,8 +123,8 @@
     assert run(act, large, held) <= held.most
 
 
-def make_crowd(most, quiet):
-    """Open one connection more than may be open; return which ones are left."""
+def open_too_many(most, is_idle):
+    """Open one connection more than allowed; return which stay open."""
     handler = make_handler(Answer(200), HeldBytes(most=1000), most)
 
     async def start():
@@ -136,27 +136,27 @@
         for _index in range(most + 1):
             ends.append(await asyncio.open_connection(*ADDRESS))  # noqa: WPS476
             await asyncio.sleep(0.01)  # noqa: WPS476
-            if not quiet:
+            if not is_idle:
                 ends[-1][1].write(b'POST / HTTP/1.1\r\nx')
         await asyncio.sleep(0.1)
-        left = [not reader.at_eof() for reader, _writer in ends]
+        are_open = [not reader.at_eof() for reader, _writer in ends]
         for _reader, writer in ends:
             writer.close()
         server.close()
-        return left
+        return are_open
 
     return asyncio.run(start())
 
 
-def test_quietest_connection_makes_room_for_a_new_one():
-    assert make_crowd(10, quiet=True) == [False] + [True] * 10
+def test_longest_idle_connection_is_closed_for_a_new_one():
+    assert open_too_many(10, is_idle=True) == [False] + [True] * 10
 
 
-def test_new_connection_is_closed_where_all_others_are_in_use():
-    assert make_crowd(10, quiet=False) == [True] * 10 + [False]
+def test_new_connection_is_closed_if_all_others_are_in_use():
+    assert open_too_many(10, is_idle=False) == [True] * 10 + [False]
 
 
-def test_answers_close_their_connections_where_many_are_open():
+def test_answers_close_their_connections_if_many_are_open():
     async def act(reader, writer):
         writer.write(b'GET / HTTP/1.1\r\n\r\n')
         return await reader.read()
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -1,4 +1,4 @@
-"""Tests of calls to a store that answers something else, late or twice."""
+"""Tests of calls to a store whose answers are duplicated and late."""
 
 import asyncio
 import json
@@ -20,10 +20,10 @@
     )
 
 
-class RepeatingStore:
-    """Answers by kind; a copy of the first answer comes late.
+class DuplicatingStore:
+    """Answers by kind, and sends each answer a second time.
 
-    The copy is sent when the next request has arrived on its connection.
+    The copy is sent when the next request arrives on the same connection.
     """
 
     def __init__(self):
@@ -37,13 +37,13 @@
         self.connections += 1
         copy = b''
         while head := await read_head(reader):
-            own = self.find(head)
+            own = self.find_answer(head)
             writer.write(copy)
             await asyncio.sleep(0.02)
             writer.write(own)
             copy = own
 
-    def find(self, head):
+    def find_answer(self, head):
         for kind, answer in self.answers.items():
             if kind in head:
                 return answer
@@ -51,7 +51,7 @@
 
 
 async def read_head(reader):
-    """Return a request's head, empty at the end of the connection."""
+    """Return the head of a request, empty at the end of the connection."""
     try:
         head = await reader.readuntil(b'\r\n\r\n')
     except asyncio.IncompleteReadError:
@@ -61,17 +61,17 @@
     return head.decode()
 
 
-async def read_each(store, kinds):
-    """Read kinds one after the other; return their revisions."""
+async def read_kinds(store, kinds):
+    """Read kinds one after the other and return their revisions."""
     if not kinds:
         return []
     table = await store.read(kinds[0])
-    return [table.revision, *await read_each(store, kinds[1:])]
+    return [table.revision, *await read_kinds(store, kinds[1:])]
 
 
 def run(act):
     async def start():
-        standin = RepeatingStore()
+        standin = DuplicatingStore()
         server = await asyncio.start_server(standin.serve, *ADDRESS)
         store = make_store(ADDRESS)
         try:
@@ -90,12 +90,12 @@
         (('servers', 'evacuations', 'servers'), [5, 9, 5]),
     ),
 )
-def test_late_copy_of_an_answer_is_not_that_of_another_kind(kinds, revisions):
-    found, _connections = run(lambda store: read_each(store, kinds))
+def test_late_copy_is_not_the_answer_to_another_kind(kinds, revisions):
+    found, _connections = run(lambda store: read_kinds(store, kinds))
     assert found == revisions
 
 
-def test_write_is_not_acknowledged_by_the_copy_of_another_answer():
+def test_late_copy_does_not_acknowledge_a_write():
     async def act(store):
         await store.create('vms', 'vm-1', {})
         await store.read('servers')
@@ -105,7 +105,7 @@
     assert connections == 3
 
 
-def test_connection_is_kept_for_questions_of_one_kind():
+def test_connection_is_reused_for_reads_of_one_kind():
     async def act(store):
         await store.read('servers')
         await store.read('servers')
