--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -270,7 +270,7 @@
 
 
 @pytest.mark.parametrize(
-    ('zone', 'around', 'homes', 'expected'),
+    ('zone', 'zones_of_region', 'homes', 'expected'),
     (
         ('east-a', EAST, (), ['vm-1']),
         ('east-c', EAST, (), ['vm-1', 'vm-2']),
--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -151,7 +151,7 @@
         self.why = why
 
 
-def test_owner_of_the_largest_buffer_is_cut_over_budget():
+def test_owner_of_the_largest_buffer_is_terminated():
     held = HeldBytes(most=100)
     small, large, last = (FakeOwner(held) for _holder in range(3))
     held.put(small, 10)
--- a/tests/unit/test_server.py
+++ b/tests/unit/test_server.py
@@ -12,7 +12,7 @@
 
 ADDRESS = Address('127.64.202.1', 9002)
 LIMITS = ServerLimits(16384, 1 << 20, 5.0, 30.0)
-BLOCK_8_KIB = b'x' * 8192
+FILLER = b'x' * 8192
 # Bytes in the buffers of both sockets, and read at once.
 MAX_IN_TRANSIT_BYTES = 12_000_000
 
@@ -60,13 +60,13 @@
 @pytest.mark.parametrize(
     ('first', 'repeated', 'statuses'),
     (
-        (b'GET / HTTP/1.1\r\nh: ', BLOCK_8_KIB, (b'431',)),
-        (b'GET / HTTP/1.1\r\n', BLOCK_8_KIB, (b'431', b'400')),
-        (b'GET /', BLOCK_8_KIB, (b'431', b'400')),
+        (b'GET / HTTP/1.1\r\nh: ', FILLER, (b'431',)),
+        (b'GET / HTTP/1.1\r\n', FILLER, (b'431', b'400')),
+        (b'GET /', FILLER, (b'431', b'400')),
         (b'GET / HTTP/1.1\r\n', b'h: v\r\n' * 1024, (b'431',)),
         (
             b'POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1;a=',
-            BLOCK_8_KIB,
+            FILLER,
             (b'431', b'400'),
         ),
         (
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/boot.py
@@ -83,11 +83,13 @@
     cores = float(limits.get('cpu_share', 1)) * float(
         limits.get('cpu_cores', 1),
     )
-    link_bytes = float(limits.get('link_mbps', 1000)) * _BYTES_PER_MEGABIT
+    link_bytes_per_second = (
+        float(limits.get('link_mbps', 1000)) * _BYTES_PER_MEGABIT
+    )
     return round(
         min(
             cores / _CORE_SECONDS_PER_REQUEST,
-            link_bytes / _LINK_BYTES_PER_REQUEST,
+            link_bytes_per_second / _LINK_BYTES_PER_REQUEST,
         ),
         1,
     )
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -134,6 +134,7 @@
 
 
 def _read_seconds(content: bytes | None) -> float | None:
+    """Return the seconds of a header in milliseconds."""
     found = _read_count(content)
     return None if found is None else found / 1000
 
