--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -192,49 +192,49 @@
     return read_seconds(text) if text else None
 
 
-def _read_non_empty_string(found: object) -> str:
-    if not found:
-        raise ValueError(f'{found!r} is not a non-empty string')
-    return _read_string(found)
+def _read_non_empty_string(value: object) -> str:
+    if not value:
+        raise ValueError(f'{value!r} is not a non-empty string')
+    return _read_string(value)
 
 
-def _read_string(found: object) -> str:
+def _read_string(value: object) -> str:
     """Read a string that may be empty, such as the prefix of all paths."""
-    if not isinstance(found, str):
-        raise TypeError(f'{found!r} is not a string')
-    return found
+    if not isinstance(value, str):
+        raise TypeError(f'{value!r} is not a string')
+    return value
 
 
-def _read_names(found: object) -> frozenset[str]:
-    if found is not None and not isinstance(found, list | tuple):
-        raise TypeError(f'{found!r} is not a list of strings')
-    return frozenset(map(_read_non_empty_string, found or ()))
+def _read_names(value: object) -> frozenset[str]:
+    if value is not None and not isinstance(value, list | tuple):
+        raise TypeError(f'{value!r} is not a list of strings')
+    return frozenset(map(_read_non_empty_string, value or ()))
 
 
-def _read_ip_address(found: Any) -> Address:
-    address = read_address(found)
+def _read_ip_address(value: Any) -> Address:
+    address = read_address(value)
     if not is_ip(address.host) or not 0 < address.port <= _MAX_PORT:
         raise ValueError(
-            f'{found!r} is not an IP address with a port of 1 to 65535'
+            f'{value!r} is not an IP address with a port of 1 to 65535'
         )
     return address
 
 
-def _read_ip(found: object) -> str:
-    text = _read_non_empty_string(found)
+def _read_ip(value: object) -> str:
+    text = _read_non_empty_string(value)
     if not is_ip(text):
         raise ValueError(f'{text!r} is not an IP address')
     return text
 
 
-def _read_finite_number(found: Any) -> float:
-    amount = float(found)
+def _read_finite_number(value: Any) -> float:
+    amount = float(value)
     if not 0 <= amount < math.inf:
-        raise ValueError(f'{found!r} is not a finite number of at least 0')
+        raise ValueError(f'{value!r} is not a finite number of at least 0')
     return amount
 
 
-def _read_positive_integer(found: object) -> int:
-    if not isinstance(found, int) or isinstance(found, bool) or found < 1:
-        raise TypeError(f'{found!r} is not a positive integer')
-    return found
+def _read_positive_integer(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise TypeError(f'{value!r} is not a positive integer')
+    return value
--- a/toucanhall/platform/entries.py
+++ b/toucanhall/platform/entries.py
@@ -20,25 +20,25 @@
 
     async def register(self, own: Introduction) -> list[Introduction]:
         """Ensure the entry of this VM; return the entries found before."""
-        found = await self.list_vms(is_stale=False)
-        if own not in found:
+        registered = await self.list_vms(is_stale=False)
+        if own not in registered:
             spec = encode_vm(own)
             try:
                 await self._store.create(names.VMS, own.vm, spec)
             except Conflict:
                 await self._store.replace(names.VMS, own.vm, spec)
-        return found
+        return registered
 
     async def list_vms(self, *, is_stale: bool) -> list[Introduction]:
         """Return the entries of all VMs; stale ones lag by some seconds."""
         table = await self._store.read(names.VMS, is_stale=is_stale)
-        found = []
+        registered = []
         for change in table.changes:
             try:
-                found.append(decode_vm(change.name, change.spec))
+                registered.append(decode_vm(change.name, change.spec))
             except BadDocument as error:
                 self._journal.write(events.ENTRY_IGNORED, why=str(error))
-        return found
+        return registered
 
     async def forget(self, vm: str) -> None:
         """Delete the entry of a VM that has expired."""
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -73,14 +73,14 @@
 
 def read_caller_marks(request: Request) -> CallerMarks:
     """Read the head of a caller's request."""
-    found = dict(reversed(request.headers))
-    host = found.get(b'host', b'').decode('latin-1').lower()
+    values_by_name = dict(reversed(request.headers))
+    host = values_by_name.get(b'host', b'').decode('latin-1').lower()
     return CallerMarks(
-        request_id=found.get(names.REQUEST_ID, b''),
+        request_id=values_by_name.get(names.REQUEST_ID, b''),
         host=host.partition(':')[0],
         path=request.path.decode('latin-1'),
-        seconds_left=_read_seconds(found.get(names.DEADLINE)),
-        key=_read_api_key(found.get(b'authorization')),
+        seconds_left=_read_seconds(values_by_name.get(names.DEADLINE)),
+        key=_read_api_key(values_by_name.get(b'authorization')),
         object_key=_read_object_key(request.headers),
     )
 
@@ -110,9 +110,9 @@
 def read_target_marks(reply: Reply) -> TargetMarks:
     """Read the head of a target's answer."""
     is_misdirected = reply.status == _MISDIRECTED_STATUS
-    is_marked = get_header(reply.headers, names.NOT_EXECUTED) is not None
+    has_proof_header = get_header(reply.headers, names.NOT_EXECUTED) is not None
     is_not_run = is_misdirected or (
-        is_marked and reply.status in _NOT_RUN_STATUSES
+        has_proof_header and reply.status in _NOT_RUN_STATUSES
     )
     return TargetMarks(
         is_not_run=is_not_run,
@@ -135,8 +135,8 @@
 
 def _read_seconds(content: bytes | None) -> float | None:
     """Return the seconds of a header in milliseconds."""
-    found = _read_count(content)
-    return None if found is None else found / 1000
+    milliseconds = _read_count(content)
+    return None if milliseconds is None else milliseconds / 1000
 
 
 def _read_count(content: bytes | None) -> int | None:
@@ -159,8 +159,8 @@
         if name != b'cookie':
             continue
         for part in content.decode('latin-1').split(';'):
-            found, _, object_key = part.strip().partition('=')
-            if found == names.OBJECT_COOKIE:
+            cookie, _, object_key = part.strip().partition('=')
+            if cookie == names.OBJECT_COOKIE:
                 return object_key
     return None
 
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -88,22 +88,22 @@
             if is_stale:
                 query['allow_stale'] = '1'
             path = f'{kind}?{urlencode(query)}' if query else kind
-            found = await self._call('GET', path)
-            page = _read_table(found, 'items', _read_change)
+            answer = await self._call('GET', path)
+            page = _read_table(answer, 'items', _read_change)
             changes.extend(page.changes)
-            if not found.get('more') or not page.changes:
+            if not answer.get('more') or not page.changes:
                 return Table(page.revision, tuple(changes))
             after = changes[-1].name
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Table:
         """Wait up to `seconds` for changes after a revision; maybe none."""
         wait_ms = round(seconds * 1000)
-        found = await self._call(
+        answer = await self._call(
             'GET',
             f'{kind}?watch={revision}&wait_ms={wait_ms}',
             seconds=seconds + _WATCH_TIMEOUT_MARGIN_SECONDS,
         )
-        return _read_table(found, 'events', _read_event)
+        return _read_table(answer, 'events', _read_event)
 
     async def create(self, kind: str, name: str, spec: object) -> None:
         """Create an object; raise Conflict if it exists."""
@@ -191,13 +191,13 @@
 
 
 def _read_table(
-    found: Mapping[str, Any],
+    answer: Mapping[str, Any],
     field: str,
     read: Callable[[Mapping[str, Any]], Change],
 ) -> Table:
     """Return the objects in a field; raise StoreError if it is invalid."""
     try:
-        return Table(int(found['as_of']), tuple(map(read, found[field])))
+        return Table(int(answer['as_of']), tuple(map(read, answer[field])))
     except _DECODE_ERRORS as error:
         raise StoreError(
             f'store answer without valid {field}: {error!r}'
@@ -225,10 +225,10 @@
         raise error(f'store answered with status {reply.status}')
     try:
         return msgspec.json.decode(reply.body or b'{}', type=dict[str, Any])
-    except msgspec.MsgspecError as found:
+    except msgspec.MsgspecError as decode_error:
         raise StoreError(
-            f'store answer is not a JSON object: {found}'
-        ) from found
+            f'store answer is not a JSON object: {decode_error}'
+        ) from decode_error
 
 
 _DECODE_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
--- a/toucanhall/platform/tables.py
+++ b/toucanhall/platform/tables.py
@@ -70,9 +70,9 @@
             )
             return
         targets = {
-            name: found
-            for name, found in decoded.items()
-            if isinstance(found, Target)
+            name: target
+            for name, target in decoded.items()
+            if isinstance(target, Target)
         }
         self._knowledge.take_targets(table.revision, targets, self._clock())
 
--- a/toucanhall/platform/units.py
+++ b/toucanhall/platform/units.py
@@ -12,10 +12,12 @@
 
 def read_seconds(text: object) -> float:
     """Return the seconds of a duration such as `1500ms` or `2.5s`."""
-    found = _DURATION_PATTERN.fullmatch(text) if isinstance(text, str) else None
-    if found is None:
+    matched = (
+        _DURATION_PATTERN.fullmatch(text) if isinstance(text, str) else None
+    )
+    if matched is None:
         raise ValueError(f'{text!r} is not a duration such as 1500ms or 2.5s')
-    return float(found[1]) * _SECONDS_BY_UNIT[found[2]]
+    return float(matched[1]) * _SECONDS_BY_UNIT[matched[2]]
 
 
 def write_seconds(seconds: float) -> str:
