--- a/tests/unit/test_answers_bytes.py
+++ b/tests/unit/test_answers_bytes.py
@@ -5,7 +5,11 @@
 import pytest
 
 from tests.fleetdata import make_opening
-from toucanhall.web.client import Broken, ServerConnection, Unreachable
+from toucanhall.web.client import (
+    IncompleteAnswerError,
+    ServerConnection,
+    UnreachableError,
+)
 
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\nx-id: own\r\n\r\n'
 HEAD = b'HTTP/1.1 200 OK\r\nx-id: %s\r\n'
@@ -53,7 +57,7 @@
 
 
 def connect():
-    connection = ServerConnection(opening=make_opening(id_header=b'x-id'))
+    connection = ServerConnection(settings=make_opening(id_header=b'x-id'))
     connection.connection_made(FakeTransport(connection))
     return connection
 
@@ -88,7 +92,7 @@
     outcomes = [
         exchange_truncated(answer, cut, error) for cut in range(len(answer))
     ]
-    assert all(isinstance(found, Broken) for found in outcomes)
+    assert all(isinstance(found, IncompleteAnswerError) for found in outcomes)
     assert exchange_truncated(answer, len(answer), error).body == b'halfwhole'
 
 
@@ -100,7 +104,7 @@
         answer, len(answer) - cut, ConnectionResetError()
     )
     assert ended.body == b'halfwhole'
-    assert isinstance(reset, Broken)
+    assert isinstance(reset, IncompleteAnswerError)
 
 
 def exchange_duplicated(first, copy, split, second):
@@ -129,5 +133,5 @@
     first = HEAD % b'own' + b'content-length: 5\r\n\r\nfirst'
     for split in range(len(copy) + 1):
         found = exchange_duplicated(first, copy, split, second)
-        is_refused = isinstance(found, Broken | Unreachable)
+        is_refused = isinstance(found, IncompleteAnswerError | UnreachableError)
         assert is_refused or found.body == b'next'
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -9,18 +9,18 @@
     Address,
     ClientLimits,
     Configuration,
-    Introduction,
-    Part,
+    VmContact,
+    WeightedService,
     Route,
     Service,
     Target,
     Team,
 )
-from toucanhall.platform.boot import read_address
+from toucanhall.platform.settings_file import read_address
 from toucanhall.platform.units import read_seconds, read_version
 
 __all__ = (
-    'BadDocument',
+    'InvalidDocumentError',
     'decode_configuration',
     'decode_target',
     'decode_vm',
@@ -44,7 +44,7 @@
 )
 
 
-class BadDocument(ValueError):
+class InvalidDocumentError(ValueError):
     """An object of the store cannot be decoded."""
 
 
@@ -53,7 +53,7 @@
     try:
         return _decode_configuration(spec)
     except _DECODE_ERRORS as error:
-        raise BadDocument(
+        raise InvalidDocumentError(
             f'configuration cannot be decoded: {error!r}'
         ) from error
 
@@ -73,24 +73,26 @@
             revision=revision,
         )
     except _DECODE_ERRORS as error:
-        raise BadDocument(
+        raise InvalidDocumentError(
             f'target {name} cannot be decoded: {error!r}'
         ) from error
 
 
-def decode_vm(name: str, spec: Document) -> Introduction:
+def decode_vm(name: str, spec: Document) -> VmContact:
     """Decode the entry of a VM; raise BadDocument if it is invalid."""
     try:
-        return Introduction(
+        return VmContact(
             vm=name,
             zone=_read_non_empty_string(spec['zone']),
             ip=_read_ip(spec['ip']),
         )
     except _DECODE_ERRORS as error:
-        raise BadDocument(f'VM {name} cannot be decoded: {error!r}') from error
+        raise InvalidDocumentError(
+            f'VM {name} cannot be decoded: {error!r}'
+        ) from error
 
 
-def encode_vm(introduction: Introduction) -> Document:
+def encode_vm(introduction: VmContact) -> Document:
     """Encode the entry of a VM by which other VMs find it."""
     return {'zone': introduction.zone, 'ip': introduction.ip}
 
@@ -147,24 +149,26 @@
         timeout=_read_optional_seconds(rule.get('timeout')),
         objective=_read_optional_seconds(rule.get('target_latency')),
         priority=int(rule.get('priority') or 0),
-        parts=_decode_parts(rule),
+        weighted_services=_decode_parts(rule),
         attempts=max(1, int(rule.get('attempts') or _DEFAULT_ATTEMPTS)),
         is_public=bool(rule.get('public')),
         homes=_read_names(rule.get('home_regions')),
     )
 
 
-def _decode_parts(rule: Document) -> tuple[Part, ...]:
+def _decode_parts(rule: Document) -> tuple[WeightedService, ...]:
     split: Iterable[Document] = rule.get('traffic_split') or ()
     parts = tuple(
-        Part(
+        WeightedService(
             _read_non_empty_string(part['service']),
             _read_finite_number(part['weight']),
         )
         for part in split
         if part['weight'] > 0
     )
-    return parts or (Part(_read_non_empty_string(rule['service']), 1.0),)
+    return parts or (
+        WeightedService(_read_non_empty_string(rule['service']), 1.0),
+    )
 
 
 def _decode_service(entry: Document) -> Service:
--- a/toucanhall/platform/entrance.py
+++ b/toucanhall/platform/endpoints.py
@@ -8,15 +8,20 @@
 
 from toucanhall.fleet.model import Address
 from toucanhall.platform import names
-from toucanhall.platform.units import write_seconds
+from toucanhall.platform.units import format_seconds
 from toucanhall.web.messages import Answer, Request, make_answer
 
-__all__ = ('Question', 'make_readiness', 'read_question', 'write_directory')
+__all__ = (
+    'DirectoryQuery',
+    'make_readiness_handler',
+    'read_directory_query',
+    'make_directory_answer',
+)
 
 _JSON_HEADERS: Final = ((b'content-type', b'application/json'),)
 
 
-class Question(NamedTuple):
+class DirectoryQuery(NamedTuple):
     """Query of a client for the VMs to use for a host."""
 
     host: str
@@ -24,31 +29,33 @@
     region: str
 
 
-def read_question(request: Request) -> Question | None:
+def read_directory_query(request: Request) -> DirectoryQuery | None:
     """Read a query to the directory; return None for any other path."""
     path, _, query = request.path.decode('latin-1').partition('?')
     if path != names.DIRECTORY_PATH:
         return None
     query_fields = parse_qs(query)
-    return Question(
+    return DirectoryQuery(
         host=query_fields.get('name', [''])[0].lower(),
         zone=query_fields.get('zone', [''])[0],
         region=query_fields.get('region', [''])[0],
     )
 
 
-def write_directory(addresses: list[Address], seconds: float) -> Answer:
+def make_directory_answer(addresses: list[Address], seconds: float) -> Answer:
     """Return the answer of the directory, valid for `seconds`."""
     body = {
         'addresses': [
             f'{address.host}:{address.port}' for address in addresses
         ],
-        'ttl': write_seconds(seconds),
+        'ttl': format_seconds(seconds),
     }
     return Answer(200, _JSON_HEADERS, msgspec.json.encode(body))
 
 
-def make_readiness(is_ready: Callable[[], bool]) -> Callable[[Request], Answer]:
+def make_readiness_handler(
+    is_ready: Callable[[], bool],
+) -> Callable[[Request], Answer]:
     """Return a handler of the readiness endpoint."""
 
     def answer(request: Request) -> Answer:
--- a/toucanhall/platform/names.py
+++ b/toucanhall/platform/names.py
@@ -8,19 +8,21 @@
 DIRECTORY_PATH: Final = '/toucanhall/resolve'
 OBJECTS_PATH: Final = '/toucanhall/objects/'
 
-CONFIGURATIONS: Final = 'config'
+CONFIGURATION_KIND: Final = 'config'
 CONFIGURATION_NAME: Final = 'main'
-TARGETS: Final = 'servers'
-EVACUATIONS: Final = 'evacuations'
-VMS: Final = 'vms'
+TARGET_KIND: Final = 'servers'
+EVACUATION_KIND: Final = 'evacuations'
+VM_KIND: Final = 'vms'
 
-REQUEST_ID: Final = b'x-toucanhall-request-id'
-DEADLINE: Final = b'x-toucanhall-request-deadline'  # remaining milliseconds
-EXPECTED_TARGET: Final = b'x-toucanhall-expect-instance'
-TEAM: Final = b'x-toucanhall-tenant-id'
-NOT_EXECUTED: Final = b'x-toucanhall-not-executed'
-LOAD: Final = (
+REQUEST_ID_HEADER: Final = b'x-toucanhall-request-id'
+DEADLINE_HEADER: Final = (
+    b'x-toucanhall-request-deadline'  # remaining milliseconds
+)
+EXPECTED_TARGET_HEADER: Final = b'x-toucanhall-expect-instance'
+TEAM_HEADER: Final = b'x-toucanhall-tenant-id'
+NOT_EXECUTED_HEADER: Final = b'x-toucanhall-not-executed'
+LOAD_HEADER: Final = (
     b'x-toucanhall-backend-load'  # running and waiting requests, slots
 )
-STAMP: Final = b'x-toucanhall-response-stamp'
+STAMP_HEADER: Final = b'x-toucanhall-response-stamp'
 OBJECT_COOKIE: Final = 'X-Toucanhall-Affinity-Key'
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/settings_file.py
@@ -9,7 +9,7 @@
 from toucanhall.fleet.model import Address, Bounds, Environment, Listeners
 from toucanhall.platform.units import read_seconds
 
-__all__ = ('BadSettings', 'load')
+__all__ = ('SettingsError', 'load_settings')
 
 # Clients may use a directory answer for three times its TTL: with this one they
 # have left a stopping VM before the usual shutdown grace of 6 s ends.
@@ -26,18 +26,18 @@
 _DEFAULT_MEMORY_MEGABYTES: Final = 152
 
 
-class BadSettings(ValueError):
+class SettingsError(ValueError):
     """The settings file is unreadable, incomplete or invalid."""
 
 
-def load(path: Path) -> Environment:
+def load_settings(path: Path) -> Environment:
     """Load the settings file at a path; raise BadSettings if it is invalid."""
     try:
         return _decode_settings(yaml.load(path.read_bytes(), Loader=_Loader))
     except KeyError as error:
-        raise BadSettings(f'{path}: no field {error}') from error
+        raise SettingsError(f'{path}: no field {error}') from error
     except _LOAD_ERRORS as error:
-        raise BadSettings(f'{path}: {error}') from error
+        raise SettingsError(f'{path}: {error}') from error
 
 
 _LOAD_ERRORS: Final = (
@@ -75,7 +75,7 @@
         ),
         capacity=_compute_requests_per_second(limits),
         memory=_read_memory_bytes(limits),
-        descriptors=int(limits.get('max_fds') or _DEFAULT_MAX_DESCRIPTORS),
+        max_descriptors=int(limits.get('max_fds') or _DEFAULT_MAX_DESCRIPTORS),
     )
 
 
@@ -105,18 +105,20 @@
     target_heartbeat: float,
 ) -> Bounds:
     return Bounds(
-        grace=read_seconds(bounds.get('grace', _DEFAULT_GRACE)),
-        directory_ttl=min(
+        shutdown_grace_seconds=read_seconds(
+            bounds.get('grace', _DEFAULT_GRACE)
+        ),
+        directory_ttl_seconds=min(
             _MAX_DIRECTORY_TTL_SECONDS,
             read_seconds(bounds.get('ttl_max', '5s')),
         ),
         retry_ratio=float(bounds.get('retry_budget_ratio', 0.2)),
-        retry_window=read_seconds(bounds.get('budget_window', '10s')),
+        retry_window_seconds=read_seconds(bounds.get('budget_window', '10s')),
         retry_slack=float(bounds.get('budget_slack', 0)),
-        quota_window=read_seconds(bounds.get('quota_window', '5s')),
+        quota_window_seconds=read_seconds(bounds.get('quota_window', '5s')),
         quota_overage=float(bounds.get('quota_overage', 0)),
         quota_slack=float(bounds.get('quota_slack', 0)),
-        target_heartbeat=target_heartbeat,
+        target_heartbeat_seconds=target_heartbeat,
     )
 
 
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -11,14 +11,21 @@
 from toucanhall.fleet.model import Address
 from toucanhall.platform import names
 from toucanhall.web.client import (
-    Opening,
-    Reply,
+    ConnectionSettings,
+    ReceivedAnswer,
     ServerConnection,
     open_connection,
 )
-from toucanhall.web.messages import Request, write_request
-
-__all__ = ('Change', 'Conflict', 'HistoryLost', 'Store', 'StoreError', 'Table')
+from toucanhall.web.messages import Request, encode_request
+
+__all__ = (
+    'Change',
+    'ConflictError',
+    'HistoryLostError',
+    'Store',
+    'StoreError',
+    'Table',
+)
 
 # A slow store takes up to a hundred times its usual 4 ms to answer.
 _CALL_TIMEOUT_SECONDS: Final = 1.0
@@ -34,11 +41,11 @@
     """A call to the store failed or timed out."""
 
 
-class HistoryLost(StoreError):
+class HistoryLostError(StoreError):
     """The store no longer keeps the changes since a revision."""
 
 
-class Conflict(StoreError):
+class ConflictError(StoreError):
     """The object exists already, or has another revision."""
 
 
@@ -69,23 +76,23 @@
         self,
         *,
         address: Address,
-        opening: Opening,
+        settings: ConnectionSettings,
         on_call: Callable[[str, float], None],
     ) -> None:
         """Report the outcome and the seconds of each call to `on_call`."""
-        self._settings = opening
+        self._settings = settings
         self._on_call = on_call
         self._address = address
         self._host_header = f'{address.host}:{address.port}'.encode()
         self._idle_connections: dict[str, list[ServerConnection]] = {}
 
-    async def read(self, kind: str, *, is_stale: bool = False) -> Table:
+    async def read(self, kind: str, *, may_be_stale: bool = False) -> Table:
         """Return all objects of a kind, page by page."""
         changes: list[Change] = []
         after = ''
         while True:
             query = {'after': after} if after else {}
-            if is_stale:
+            if may_be_stale:
                 query['allow_stale'] = '1'
             path = f'{kind}?{urlencode(query)}' if query else kind
             answer = await self._call('GET', path)
@@ -130,7 +137,7 @@
         body: object = None,
         seconds: float = _CALL_TIMEOUT_SECONDS,
     ) -> Mapping[str, Any]:
-        encoded_request = write_request(
+        encoded_request = encode_request(
             Request(
                 method=method.encode(),
                 path=f'{names.OBJECTS_PATH}{path}'.encode(),
@@ -160,7 +167,9 @@
             self._on_call(outcome, time.monotonic() - started_at)
         return _read_reply(reply)
 
-    async def _exchange(self, encoded_request: bytes, read_kind: str) -> Reply:
+    async def _exchange(
+        self, encoded_request: bytes, read_kind: str
+    ) -> ReceivedAnswer:
         connection = await self._acquire_connection(read_kind)
         reply = await connection.exchange(encoded_request)
         if not read_kind:
@@ -181,7 +190,7 @@
         return await open_connection(
             self._address,
             seconds=_CONNECT_TIMEOUT_SECONDS,
-            opening=self._settings,
+            settings=self._settings,
         )
 
 
@@ -219,7 +228,7 @@
     )
 
 
-def _read_reply(reply: Reply) -> Mapping[str, Any]:
+def _read_reply(reply: ReceivedAnswer) -> Mapping[str, Any]:
     if reply.status not in _SUCCESS_STATUSES:
         error = _ERRORS_BY_STATUS.get(reply.status, StoreError)
         raise error(f'store answered with status {reply.status}')
@@ -233,6 +242,6 @@
 
 _DECODE_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
 _ERRORS_BY_STATUS: Final[Mapping[int, type[StoreError]]] = {
-    _CONFLICT_STATUS: Conflict,
-    _GONE_STATUS: HistoryLost,
+    _CONFLICT_STATUS: ConflictError,
+    _GONE_STATUS: HistoryLostError,
 }
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/store_watch.py
@@ -4,14 +4,14 @@
 import random
 from typing import Final
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
-from toucanhall.platform.store import HistoryLost, Store, StoreError
-from toucanhall.platform.tables import KINDS, Tables
+from toucanhall.platform.store import HistoryLostError, Store, StoreError
+from toucanhall.platform.table_loader import WATCHED_KINDS, TableLoader
 
-__all__ = ('Follower',)
+__all__ = ('StoreWatch',)
 
 # Well below half of the 20 s of history that the store keeps.
 _WATCH_SECONDS: Final = 8.0
@@ -25,31 +25,31 @@
 
 # After a change: further changes in this time are read by the same call.
 _BATCH_DELAY_SECONDS: Final = {
-    names.CONFIGURATIONS: 0.05,
-    names.TARGETS: 0.2,
-    names.EVACUATIONS: 0.05,
+    names.CONFIGURATION_KIND: 0.05,
+    names.TARGET_KIND: 0.2,
+    names.EVACUATION_KIND: 0.05,
 }
 
 
-class Follower:
+class StoreWatch:
     """Keeps the tables of a VM up to date with the store."""
 
     def __init__(
         self,
         *,
         store: Store,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         lapse_seconds: float,
     ) -> None:
-        """Load tables into `knowledge`.
+        """Load tables into `fleet_tables`.
 
         No target expires while the store is unavailable for less than
         `lapse_seconds`.
         """
         self._lapse_seconds = lapse_seconds
         self._store = store
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
@@ -57,8 +57,8 @@
         self._is_store_unavailable = False
         self._last_answer_at = self._loop.time()
         self._revisions: dict[str, int] = {}
-        self._tables = Tables(
-            knowledge=knowledge,
+        self._tables = TableLoader(
+            fleet_tables=fleet_tables,
             journal=journal,
             clock=self._loop.time,
         )
@@ -70,14 +70,15 @@
 
     async def read_all(self) -> None:
         """Read each table once; raise StoreError if a call fails."""
-        await asyncio.gather(*(self._read(kind) for kind in KINDS))
+        await asyncio.gather(*(self._read(kind) for kind in WATCHED_KINDS))
 
     def start(self) -> None:
         """Start to watch the store."""
         if not self._tasks:
             self._journal.write(events.WATCH_STARTED)
             self._tasks = [
-                self._loop.create_task(self._watch_kind(kind)) for kind in KINDS
+                self._loop.create_task(self._watch_kind(kind))
+                for kind in WATCHED_KINDS
             ]
             self._tasks.append(self._loop.create_task(self._probe()))
 
@@ -119,7 +120,7 @@
         while True:
             await asyncio.sleep(_PROBE_INTERVAL_SECONDS)
             try:
-                await self._store.read(names.EVACUATIONS, is_stale=True)
+                await self._store.read(names.EVACUATION_KIND, may_be_stale=True)
             except StoreError as error:
                 self._record_failure(_PROBE, error)
             else:
@@ -132,7 +133,7 @@
             return
         try:
             table = await self._store.watch(kind, revision, _WATCH_SECONDS)
-        except HistoryLost:
+        except HistoryLostError:
             self._journal.write(events.HISTORY_LOST, table=kind)
             await self._read(kind)
             return
@@ -155,19 +156,19 @@
         self._failing_kinds.add(kind)
         if not self._is_store_unavailable:
             self._is_store_unavailable = True
-            self._knowledge.start_lapse()
+            self._fleet_tables.start_store_outage()
 
     def _record_answer(self, kind: str) -> None:
         now = self._loop.time()
         if kind in self._failing_kinds:
             self._failing_kinds.discard(kind)
             if not self._failing_kinds:
-                self._journal.write(events.STORE_REGAINED)
+                self._journal.write(events.STORE_RECOVERED)
         if self._is_store_unavailable:
             self._is_store_unavailable = False
             outage_seconds = now - self._last_answer_at
-            self._knowledge.end_lapse(
+            self._fleet_tables.end_store_outage(
                 now,
-                may_have_lapsed=outage_seconds > self._lapse_seconds,
+                may_have_expired=outage_seconds > self._lapse_seconds,
             )
         self._last_answer_at = now
--- a/toucanhall/platform/units.py
+++ b/toucanhall/platform/units.py
@@ -3,7 +3,7 @@
 import re
 from typing import Final
 
-__all__ = ('read_seconds', 'read_version', 'write_seconds')
+__all__ = ('read_seconds', 'read_version', 'format_seconds')
 
 _DURATION_PATTERN: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 _SECONDS_BY_UNIT: Final = {'ms': 0.001, 's': 1.0}
@@ -20,7 +20,7 @@
     return float(matched[1]) * _SECONDS_BY_UNIT[matched[2]]
 
 
-def write_seconds(seconds: float) -> str:
+def format_seconds(seconds: float) -> str:
     """Return a duration in whole milliseconds, such as `1500ms`."""
     return f'{round(seconds * 1000)}ms'
 
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -8,16 +8,21 @@
 import httptools
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.memory import PIECE_BYTES, Bounds, Framing, HeldBytes
+from toucanhall.web.memory import (
+    PARSE_CHUNK_BYTES,
+    AnswerBounds,
+    FramingCounter,
+    BufferBudget,
+)
 from toucanhall.web.messages import Headers, get_header
 
 __all__ = (
-    'Broken',
-    'Exhausted',
-    'Opening',
-    'Reply',
+    'IncompleteAnswerError',
+    'OutOfDescriptorsError',
+    'ConnectionSettings',
+    'ReceivedAnswer',
     'ServerConnection',
-    'Unreachable',
+    'UnreachableError',
     'open_connection',
 )
 
@@ -29,39 +34,39 @@
 _MIN_REDIRECT_STATUS: Final = 300
 
 
-class Unreachable(ConnectionError):
+class UnreachableError(ConnectionError):
     """No connection could be opened or used; nothing was sent."""
 
 
-class Exhausted(Unreachable):
+class OutOfDescriptorsError(UnreachableError):
     """This process has no free file descriptor; the server is not at fault."""
 
 
-class Broken(ConnectionError):
+class IncompleteAnswerError(ConnectionError):
     """No complete and valid answer was read.
 
     The request may have been received.
     """
 
 
-class Reply(NamedTuple):
+class ReceivedAnswer(NamedTuple):
     """A complete answer received from a server."""
 
     status: int
     headers: Headers
     body: bytes
-    keep: bool
+    is_keep_alive: bool
 
 
-class Opening(NamedTuple):
+class ConnectionSettings(NamedTuple):
     """Limits that connections to servers share.
 
     If `id_header` is set, servers copy the id of a request from this header
     into their answer, and answers are matched to requests by it.
     """
 
-    bounds: Bounds
-    held: HeldBytes
+    bounds: AnswerBounds
+    buffer_budget: BufferBudget
     id_header: bytes = b''
 
 
@@ -72,20 +77,20 @@
     not reused afterwards.
     """
 
-    def __init__(self, *, opening: Opening) -> None:
+    def __init__(self, *, settings: ConnectionSettings) -> None:
         """Read answers within the bounds of the settings."""
-        self._settings = opening
-        self._framing = Framing(most=opening.bounds.max_head_bytes)
+        self._settings = settings
+        self._framing = FramingCounter(max_bytes=settings.bounds.max_head_bytes)
         self._interim_count = 0
         self._stray_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._answer_future: asyncio.Future[Reply] | None = None
+        self._answer_future: asyncio.Future[ReceivedAnswer] | None = None
         self._expected_id = b''
         self._limit_error = ''
         self._is_unusable = False
         self.idle_since = 0.0
-        self.idle_seconds: float | None = None
+        self.keep_alive_seconds: float | None = None
         self._reset_answer()
 
     @property
@@ -116,7 +121,9 @@
             self.on_message_complete()
         if not answer_future.done():
             answer_future.set_exception(
-                Broken('connection closed before the answer was complete')
+                IncompleteAnswerError(
+                    'connection closed before the answer was complete'
+                )
             )
 
     def data_received(self, received: bytes) -> None:
@@ -124,43 +131,45 @@
         if self._answer_future is None or self._answer_future.done():
             self.close()
             return
-        for start in range(0, len(received), PIECE_BYTES):
-            reason = self._parse(received[start : start + PIECE_BYTES])
+        for start in range(0, len(received), PARSE_CHUNK_BYTES):
+            reason = self._parse(received[start : start + PARSE_CHUNK_BYTES])
             if reason:
-                self.cut(reason)
+                self.terminate(reason)
                 return
 
-    def cut(self, reason: str) -> None:
+    def terminate(self, reason: str) -> None:
         """Fail the request in flight and reset the connection."""
         if self._answer_future and not self._answer_future.done():
-            self._answer_future.set_exception(Broken(reason))
+            self._answer_future.set_exception(IncompleteAnswerError(reason))
         self.abort()
 
-    async def exchange(self, sent: bytes, request_id: bytes = b'') -> Reply:
+    async def exchange(
+        self, sent: bytes, request_id: bytes = b''
+    ) -> ReceivedAnswer:
         """Send a request and return its answer.
 
         Raises Unreachable if nothing was sent and Broken if the request may
         have been received. Cancelling the call resets the connection.
         """
         if not self.is_usable or self._transport is None:
-            raise Unreachable(
+            raise UnreachableError(
                 'connection was closed before the request was sent'
             )
         self._expected_id = request_id
         self._interim_count = 0
         self._stray_count = 0
-        self._framing.start()
+        self._framing.reset()
         answer_future = asyncio.get_running_loop().create_future()
         self._answer_future = answer_future
         self._transport.write(sent)
         try:
-            reply: Reply = await answer_future
+            reply: ReceivedAnswer = await answer_future
         except asyncio.CancelledError:
             self.abort()
             raise
         finally:
             self._release_body()
-        if not reply.keep:
+        if not reply.is_keep_alive:
             self.close()
         return reply
 
@@ -208,7 +217,7 @@
             )
         elif not self._limit_error and not self._is_answered():
             self._body += body
-            self._settings.held.put(self, self._body_bytes)
+            self._settings.buffer_budget.set_usage(self, self._body_bytes)
 
     def on_message_complete(self) -> None:
         """Deliver, skip or reject a complete answer (parser callback)."""
@@ -224,7 +233,7 @@
             self._is_unusable = True
         elif self._is_id_missing(status, headers):
             answer_future.set_exception(
-                Broken('answer without the id of its request')
+                IncompleteAnswerError('answer without the id of its request')
             )
             self.abort()
         else:
@@ -234,16 +243,16 @@
         self,
         status: int,
         headers: Headers,
-        answer_future: asyncio.Future[Reply],
+        answer_future: asyncio.Future[ReceivedAnswer],
     ) -> None:
         keep = not self._ends_by_close and self._parser.should_keep_alive()
-        self.idle_seconds = _read_keep_alive_seconds(headers)
+        self.keep_alive_seconds = _read_keep_alive_seconds(headers)
         answer_future.set_result(
-            Reply(
+            ReceivedAnswer(
                 status=status,
                 headers=headers,
                 body=bytes(self._body),
-                keep=bool(keep),
+                is_keep_alive=bool(keep),
             ),
         )
 
@@ -257,7 +266,7 @@
         if self._is_answered():
             return ''
         bounds = self._settings.bounds
-        if not self._framing.take(len(piece), self._piece_body_bytes):
+        if not self._framing.add(len(piece), self._piece_body_bytes):
             return f'head and framing are over {bounds.max_head_bytes} bytes'
         if self._interim_count > bounds.max_interim_answers:
             return f'over {bounds.max_interim_answers} interim (1xx) answers'
@@ -283,7 +292,7 @@
 
     def _release_body(self) -> None:
         self._body = bytearray()
-        self._settings.held.put(self, 0)
+        self._settings.buffer_budget.set_usage(self, 0)
 
     def _reset_answer(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
@@ -298,24 +307,24 @@
     address: Address,
     *,
     seconds: float,
-    opening: Opening,
+    settings: ConnectionSettings,
 ) -> ServerConnection:
     """Open a connection within `seconds`, or raise Unreachable."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(seconds):
             _transport, connection = await loop.create_connection(
-                lambda: ServerConnection(opening=opening),
+                lambda: ServerConnection(settings=settings),
                 address.host,
                 address.port,
             )
     except TimeoutError as error:
-        raise Unreachable(
+        raise UnreachableError(
             f'{address.host}:{address.port} did not accept in time'
         ) from error
     except OSError as error:
         is_own = error.errno in {errno.EMFILE, errno.ENFILE}
-        kind = Exhausted if is_own else Unreachable
+        kind = OutOfDescriptorsError if is_own else UnreachableError
         raise kind(
             f'{address.host}:{address.port}: {error.strerror}'
         ) from error
--- a/toucanhall/web/lag.py
+++ b/toucanhall/web/lag.py
@@ -23,10 +23,10 @@
         self._due_at = self._loop.time() + _TICK_INTERVAL_SECONDS
         self._loop.call_at(self._due_at, self._tick)
 
-    def take(self, delay: float) -> None:
+    def record(self, delay: float) -> None:
         """Record the delay of one tick, in seconds."""
         self.seconds += (delay - self.seconds) * _SMOOTHING_WEIGHT
 
     def _tick(self) -> None:
-        self.take(max(0.0, self._loop.time() - self._due_at))
+        self.record(max(0.0, self._loop.time() - self._due_at))
         self.start()
--- a/toucanhall/web/memory.py
+++ b/toucanhall/web/memory.py
@@ -9,17 +9,17 @@
 from typing import Final, NamedTuple, Protocol
 
 __all__ = (
-    'PIECE_BYTES',
-    'Bounds',
-    'Framing',
-    'HeldBytes',
-    'Holder',
-    'make_bounds',
-    'make_held_bytes',
+    'PARSE_CHUNK_BYTES',
+    'AnswerBounds',
+    'FramingCounter',
+    'BufferBudget',
+    'BufferOwner',
+    'compute_answer_bounds',
+    'make_buffer_budget',
 )
 
 # Parsed between two checks of the limits.
-PIECE_BYTES: Final = 1 << 14
+PARSE_CHUNK_BYTES: Final = 1 << 14
 # Deployments allow a caller 16 KiB of headers; targets may send more.
 _MAX_HEAD_BYTES: Final = 1 << 16
 # Statuses 100 and 103 before the final answer, with a few repetitions.
@@ -32,40 +32,42 @@
 _MAX_BODY_FRACTION: Final = 1 / 24
 
 
-class Holder(Protocol):
+class BufferOwner(Protocol):
     """A connection that buffers bytes and can be terminated."""
 
-    def cut(self, reason: str) -> None:
+    def terminate(self, reason: str) -> None:
         """End the connection and free its buffer."""
 
 
-class HeldBytes:
+class BufferBudget:
     """Limit of the body bytes that a process buffers at the same time."""
 
-    def __init__(self, *, most: int) -> None:
-        """Allow `most` bytes for all owners together."""
-        self.most = most
-        self.total = 0
-        self._buffered_bytes: dict[Holder, int] = {}
+    def __init__(self, *, max_bytes: int) -> None:
+        """Allow `max_bytes` bytes for all owners together."""
+        self.max_bytes = max_bytes
+        self.total_bytes = 0
+        self._buffered_bytes: dict[BufferOwner, int] = {}
 
-    def put(self, owner: Holder, count: int) -> None:
+    def set_usage(self, owner: BufferOwner, count: int) -> None:
         """Set how many bytes an owner buffers.
 
         While the budget is exceeded, terminates the owner of the largest
         buffer, which may be the calling one.
         """
-        self.total += count - self._buffered_bytes.pop(owner, 0)
+        self.total_bytes += count - self._buffered_bytes.pop(owner, 0)
         if count:
             self._buffered_bytes[owner] = count
-        while self.total > self.most:
+        while self.total_bytes > self.max_bytes:
             largest = max(
                 self._buffered_bytes, key=self._buffered_bytes.__getitem__
             )
-            self.total -= self._buffered_bytes.pop(largest)
-            largest.cut(f'all bodies held are over {self.most} bytes')
+            self.total_bytes -= self._buffered_bytes.pop(largest)
+            largest.terminate(
+                f'all bodies held are over {self.max_bytes} bytes'
+            )
 
 
-class Bounds(NamedTuple):
+class AnswerBounds(NamedTuple):
     """Limits of reading one answer.
 
     Interim answers have a 1xx status, stray ones the id of another request.
@@ -77,9 +79,9 @@
     max_stray_answers: int
 
 
-def make_bounds(memory: int) -> Bounds:
+def compute_answer_bounds(memory: int) -> AnswerBounds:
     """Return the limits for a process with `memory` bytes."""
-    return Bounds(
+    return AnswerBounds(
         max_head_bytes=_MAX_HEAD_BYTES,
         max_body_bytes=int(memory * _MAX_BODY_FRACTION),
         max_interim_answers=_MAX_INTERIM_ANSWERS,
@@ -87,35 +89,35 @@
     )
 
 
-def make_held_bytes(memory: int) -> HeldBytes:
+def make_buffer_budget(memory: int) -> BufferBudget:
     """Return the budget for the bodies of a process with `memory` bytes."""
-    return HeldBytes(most=int(memory * _BUFFER_BUDGET_FRACTION))
+    return BufferBudget(max_bytes=int(memory * _BUFFER_BUDGET_FRACTION))
 
 
-class Framing:
+class FramingCounter:
     """Counts bytes outside bodies: heads, chunk sizes and trailers.
 
     The parser buffers a header until its end and skips what it does not use,
     so these bytes are counted as they are received.
     """
 
-    def __init__(self, *, most: int) -> None:
-        """Allow `most` bytes in a row, and in total `most` more than the body.
+    def __init__(self, *, max_bytes: int) -> None:
+        """Allow `max_bytes` bytes in a row, and in total `max_bytes` more than the body.
 
         A row is interrupted by bytes of the body.
         """
-        self._max_bytes = most
+        self._max_bytes = max_bytes
         self._framing_bytes = 0
         self._consecutive_bytes = 0
         self._body_bytes = 0
 
-    def start(self) -> None:
+    def reset(self) -> None:
         """Reset the counts for a new message."""
         self._framing_bytes = 0
         self._consecutive_bytes = 0
         self._body_bytes = 0
 
-    def take(self, count: int, body: int) -> bool:
+    def add(self, count: int, body: int) -> bool:
         """Count read bytes; return whether they are within the limit.
 
         `body` of the `count` bytes belong to the body.
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -10,13 +10,17 @@
 
 import httptools
 
-from toucanhall.web.memory import PIECE_BYTES, Framing, HeldBytes
+from toucanhall.web.memory import (
+    PARSE_CHUNK_BYTES,
+    FramingCounter,
+    BufferBudget,
+)
 from toucanhall.web.messages import (
     Answer,
     Request,
     get_header,
     make_answer,
-    write_answer,
+    encode_answer,
 )
 
 __all__ = ('Connection', 'Handler', 'ServerLimits')
@@ -42,21 +46,21 @@
 class Handler(NamedTuple):
     """Callbacks, limits and state that the connections of a server share.
 
-    `fail` makes the answer after `serve` raised an error, `is_cancellable`
+    `answer_error` makes the answer after `serve` raised an error, `is_cancellable`
     returns whether a request is cancelled when its caller disconnects, and
-    `is_lagging` whether the event loop is late. Beyond `most_connections`, the
+    `is_lagging` whether the event loop is late. Beyond `max_connections`, the
     connections that are idle longest are closed in favour of new ones.
     """
 
     serve: Callable[[Request], Awaitable[Answer]]
-    fail: Callable[[Exception], Answer]
+    answer_error: Callable[[Exception], Answer]
     is_cancellable: Callable[[Request], bool]
     get_limits: Callable[[], ServerLimits]
     is_stopping: Callable[[], bool]
     is_lagging: Callable[[], bool]
     connections: set['Connection']
-    held: HeldBytes
-    most_connections: int
+    buffer_budget: BufferBudget
+    max_connections: int
 
 
 class _Exchange:
@@ -85,7 +89,9 @@
         self._is_reading_paused = False
         self._has_unread_answers = False
         self._limits = handler.get_limits()
-        self._framing = Framing(most=self._limits.max_head_bytes + PIECE_BYTES)
+        self._framing = FramingCounter(
+            max_bytes=self._limits.max_head_bytes + PARSE_CHUNK_BYTES
+        )
         self._piece_body_bytes = 0
         self._last_used_at = self._loop.time()
         self._is_receiving = False
@@ -97,7 +103,7 @@
         self._transport = transport
         connections = self._handler.connections
         connections.add(self)
-        if len(connections) > self._handler.most_connections:
+        if len(connections) > self._handler.max_connections:
             _evict_idle(connections)
         self._timeout_timer = self._loop.call_later(
             _CHECK_INTERVAL_SECONDS, self._check_timeouts
@@ -107,7 +113,7 @@
         """Cancel the cancellable requests of the disconnected caller."""
         self._timeout_timer.cancel()
         self._handler.connections.discard(self)
-        self._handler.held.put(self, 0)
+        self._handler.buffer_budget.set_usage(self, 0)
         self._is_closing = True
         for exchange in self._exchanges:
             task, request = exchange.task, exchange.request
@@ -118,10 +124,10 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; start each complete request."""
-        for start in range(0, len(received), PIECE_BYTES):
+        for start in range(0, len(received), PARSE_CHUNK_BYTES):
             if self._is_closing:
                 return
-            self._parse(received[start : start + PIECE_BYTES])
+            self._parse(received[start : start + PARSE_CHUNK_BYTES])
 
     def pause_writing(self) -> None:
         """Count unread answers against the budget of buffers."""
@@ -133,7 +139,7 @@
         self._has_unread_answers = False
         self._update_buffer_usage()
 
-    def cut(self, reason: str) -> None:
+    def terminate(self, reason: str) -> None:
         """Answer 503 while a request is received, else reset the connection.
 
         The reset ends a connection whose caller does not read its answers.
@@ -148,15 +154,15 @@
         """Loop time at which the connection was opened or used last."""
         return self._last_used_at
 
-    def close_idle(self, *, quiet: float = 0.0) -> bool:
+    def close_idle(self, *, min_idle_seconds: float = 0.0) -> bool:
         """Close the connection if it is idle; return whether it was closed.
 
-        A connection opened or used less than `quiet` seconds ago stays open: a
+        A connection opened or used less than `min_idle_seconds` seconds ago stays open: a
         request may be in transit.
         """
         if self._exchanges or self._is_receiving or self._transport is None:
             return False
-        if self._loop.time() - self._last_used_at < quiet:
+        if self._loop.time() - self._last_used_at < min_idle_seconds:
             return False
         self._is_closing = True
         self._transport.close()
@@ -201,7 +207,7 @@
         if self._is_closing:
             return
         self._is_receiving = False
-        self._framing.start()
+        self._framing.reset()
         request = Request(
             method=self._parser.get_method(),
             path=bytes(self._path),
@@ -229,7 +235,7 @@
         except httptools.HttpParserError:
             self._reject(400, 'malformed request')
         else:
-            if not self._framing.take(len(piece), self._piece_body_bytes):
+            if not self._framing.add(len(piece), self._piece_body_bytes):
                 self._reject(431, 'header fields too large')
 
     async def _serve(self, exchange: _Exchange, request: Request) -> None:
@@ -241,7 +247,7 @@
         try:
             exchange.answer = await self._handler.serve(request)
         except Exception as error:  # noqa: BLE001
-            exchange.answer = self._handler.fail(error)
+            exchange.answer = self._handler.answer_error(error)
         self._send_ready_answers()
 
     def _send_ready_answers(self) -> None:
@@ -265,7 +271,7 @@
         request = exchange.request
         has_body = request is None or request.method != b'HEAD'
         transport.write(
-            write_answer(answer, is_last=is_last, has_body=has_body),
+            encode_answer(answer, is_last=is_last, has_body=has_body),
         )
         self._update_buffer_usage()
         if is_last:
@@ -274,7 +280,7 @@
 
     def _is_crowded(self) -> bool:
         """Whether callers are to open a new connection for the next request."""
-        max_uncrowded = self._handler.most_connections * _CROWDED_FRACTION
+        max_uncrowded = self._handler.max_connections * _CROWDED_FRACTION
         return len(self._handler.connections) > max_uncrowded
 
     def _update_buffer_usage(self) -> None:
@@ -286,7 +292,7 @@
             for exchange in self._exchanges
             if exchange.request
         )
-        self._handler.held.put(self, byte_count)
+        self._handler.buffer_budget.set_usage(self, byte_count)
 
     def _reject(self, status: int, text: str) -> None:
         if self._is_closing:
