--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -14,8 +14,8 @@
 )
 from tests.fleetdata import make_member
 from toucanhall.edge.directory import pick_nearest_vms
-from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Address
+from toucanhall.fleet.tables import find_route
 from toucanhall.platform import settings_file
 from toucanhall.platform.documents import (
     InvalidDocumentError,
@@ -23,16 +23,16 @@
     decode_target,
 )
 from toucanhall.platform.endpoints import (
-    read_directory_query,
     make_directory_answer,
+    read_directory_query,
 )
 from toucanhall.platform.headers import (
-    make_target_request,
     make_caller_answer,
+    make_target_request,
     read_caller_headers,
     read_target_headers,
 )
-from toucanhall.platform.units import read_seconds, read_version, format_seconds
+from toucanhall.platform.units import format_seconds, read_seconds, read_version
 from toucanhall.web.client import ReceivedAnswer
 from toucanhall.web.messages import Request
 
@@ -177,7 +177,7 @@
 
 
 def test_head_of_a_caller_request_is_read():
-    marks = read_caller_headers(
+    head = read_caller_headers(
         make_request(
             (b'host', b'Tours.Example:80'),
             (b'x-toucanhall-request-id', b'r1'),
@@ -186,11 +186,11 @@
             (b'authorization', b'Bearer k1'),
         ),
     )
-    assert marks == (b'r1', 'tours.example', '/view/1', 1.5, 'k1', '17')
+    assert head == (b'r1', 'tours.example', '/view/1', 1.5, 'k1', '17')
 
 
 def test_target_gets_team_and_target_id_but_no_api_key():
-    forwarded = make_target_request(
+    target_request = make_target_request(
         make_request(
             (b'authorization', b'Bearer k1'),
             (b'x-toucanhall-tenant-id', b'forged'),
@@ -202,7 +202,7 @@
         team='guides',
         remaining_seconds=1.2345,
     )
-    assert dict(forwarded.headers) == {
+    assert dict(target_request.headers) == {
         b'accept': b'*/*',
         b'x-toucanhall-request-deadline': b'1234',
         b'x-toucanhall-expect-instance': b't1',
@@ -210,12 +210,12 @@
     }
 
 
-def make_reply(status, *headers):
+def make_received_answer(status, *headers):
     return ReceivedAnswer(status, headers, b'', is_keep_alive=True)
 
 
 @pytest.mark.parametrize(
-    ('status', 'has_mark', 'is_not_run'),
+    ('status', 'has_proof_header', 'is_not_run'),
     (
         (503, True, True),
         (429, True, True),
@@ -227,25 +227,27 @@
 )
 def test_only_the_target_confirms_that_a_request_did_not_run(
     status,
-    has_mark,
+    has_proof_header,
     is_not_run,
 ):
-    headers = ((b'x-toucanhall-not-executed', b'1'),) if has_mark else ()
-    marks = read_target_headers(make_reply(status, *headers))
-    assert marks.is_not_run is is_not_run
+    headers = (
+        ((b'x-toucanhall-not-executed', b'1'),) if has_proof_header else ()
+    )
+    head = read_target_headers(make_received_answer(status, *headers))
+    assert head.is_not_run is is_not_run
 
 
 @pytest.mark.parametrize(
-    ('content', 'busy'),
+    ('content', 'pending_requests'),
     ((b'3,2,8', 5), (b'3, 0, 8', 3), (b'odd', None), (b'1,x,8', None)),
 )
-def test_pending_requests_of_a_target_are_read(content, busy):
-    reply = make_reply(200, (b'x-toucanhall-backend-load', content))
-    assert read_target_headers(reply).pending_requests == busy
+def test_pending_requests_of_a_target_are_read(content, pending_requests):
+    reply = make_received_answer(200, (b'x-toucanhall-backend-load', content))
+    assert read_target_headers(reply).pending_requests == pending_requests
 
 
 def test_caller_gets_the_stamp_but_not_the_load():
-    reply = make_reply(
+    reply = make_received_answer(
         200,
         (b'x-toucanhall-response-stamp', b's1'),
         (b'x-toucanhall-backend-load', b'1,0,9'),
--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -32,8 +32,8 @@
     return serve
 
 
-def run(serve, act, opening=None):
-    opening = opening or make_opening(id_header=b'x-id')
+def run(serve, act, settings=None):
+    settings = settings or make_opening(id_header=b'x-id')
 
     async def start():
         server = await asyncio.start_server(serve, *ADDRESS)
@@ -41,7 +41,7 @@
             connection = await open_connection(
                 ADDRESS,
                 seconds=1.0,
-                settings=opening,
+                settings=settings,
             )
             return await act(connection)
         finally:
@@ -52,7 +52,7 @@
 
 @pytest.mark.parametrize('name', ENDLESS_ANSWERS)
 def test_endless_answer_ends_at_a_limit(name):
-    opening = make_opening(id_header=b'x-id')
+    settings = make_opening(id_header=b'x-id')
 
     async def act():
         server = EndlessServer(name=name)
@@ -61,7 +61,7 @@
         connection = await open_connection(
             ADDRESS,
             seconds=1.0,
-            settings=opening,
+            settings=settings,
         )
         with pytest.raises(IncompleteAnswerError) as caught:
             async with asyncio.timeout(4.0):
@@ -77,8 +77,8 @@
 
     why, sent, seconds, is_usable = asyncio.run(act())
     assert 'over' in why or 'malformed' in why
-    assert sent < opening.bounds.max_body_bytes + MAX_IN_TRANSIT_BYTES
-    assert opening.buffer_budget.total_bytes == 0
+    assert sent < settings.bounds.max_body_bytes + MAX_IN_TRANSIT_BYTES
+    assert settings.buffer_budget.total_bytes == 0
     assert not is_usable
     assert seconds < 3.0
 
@@ -96,8 +96,8 @@
         second = await connection.exchange(REQUEST, b'own')
         return [len(first.body), len(second.body)]
 
-    opening = make_opening(id_header=b'x-id')
-    large = opening.bounds.max_body_bytes
+    settings = make_opening(id_header=b'x-id')
+    large = settings.bounds.max_body_bytes
     assert run(answer_with(make_body(large), make_body(3)), act) == [large, 3]
 
 
@@ -148,8 +148,8 @@
 
 
 class FakeOwner:
-    def __init__(self, held):
-        self.buffer_budget = held
+    def __init__(self, budget):
+        self.buffer_budget = budget
         self.why = ''
 
     def terminate(self, why):
@@ -157,13 +157,13 @@
 
 
 def test_owner_of_the_largest_buffer_is_terminated():
-    held = BufferBudget(max_bytes=100)
-    small, large, last = (FakeOwner(held) for _holder in range(3))
-    held.set_usage(small, 10)
-    held.set_usage(large, 80)
-    held.set_usage(last, 20)
+    budget = BufferBudget(max_bytes=100)
+    small, large, last = (FakeOwner(budget) for _holder in range(3))
+    budget.set_usage(small, 10)
+    budget.set_usage(large, 80)
+    budget.set_usage(last, 20)
     assert (bool(small.why), bool(large.why), bool(last.why)) == (0, 1, 0)
-    assert held.total_bytes == 30
-    held.set_usage(small, 0)
-    held.set_usage(last, 0)
-    assert held.total_bytes == 0
+    assert budget.total_bytes == 30
+    budget.set_usage(small, 0)
+    budget.set_usage(last, 0)
+    assert budget.total_bytes == 0
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -25,16 +25,16 @@
 
 
 def test_entry_is_written_once_and_again_after_its_deletion(journal):
-    async def act(standin, entries):
+    async def act(standin, registry):
         standin.put('vms', 'vm-2', {'zone': 'east-a', 'ip': '127.64.1.2'})
         standin.put('vms', 'bad', {'zone': 4})
-        first = await entries.register(OWN)
+        first = await registry.register(OWN)
         revision = standin.revision
-        second = await entries.register(OWN)
+        second = await registry.register(OWN)
         assert standin.revision == revision
-        await entries.remove('vm-1')
+        await registry.remove('vm-1')
         assert 'vm-1' not in standin.objects['vms']
-        await entries.register(OWN)
+        await registry.register(OWN)
         assert 'vm-1' in standin.objects['vms']
         return first, second
 
@@ -44,19 +44,19 @@
 
 
 def test_entry_with_an_outdated_address_is_replaced(journal):
-    async def act(standin, entries):
+    async def act(standin, registry):
         standin.put('vms', 'vm-1', {'zone': 'east-a', 'ip': '127.64.9.9'})
-        await entries.register(OWN)
+        await registry.register(OWN)
         return standin.objects['vms']['vm-1']['spec']
 
     assert run(act, journal) == {'zone': 'east-a', 'ip': '127.64.1.1'}
 
 
 def test_list_of_several_pages_is_read_completely(journal):
-    async def act(standin, entries):
+    async def act(standin, registry):
         for index in range(1200):
             entry = {'zone': 'east-a', 'ip': '127.64.1.2'}
             standin.put('vms', f'vm-{index:04d}', entry)
-        return await entries.list_vms(may_be_stale=False)
+        return await registry.list_vms(may_be_stale=False)
 
     assert len(run(act, journal)) == 1200
--- a/tests/unit/test_following.py
+++ b/tests/unit/test_following.py
@@ -4,9 +4,9 @@
 
 from standins.site.documents import make_target_entry
 from standins.site.store import StoreStandin
-from toucanhall.fleet.tables import REREGISTRATION_SECONDS, FleetTables
 from tests.fleetdata import make_store
 from toucanhall.fleet.model import Address
+from toucanhall.fleet.tables import REREGISTRATION_SECONDS, FleetTables
 from toucanhall.platform.store_watch import StoreWatch
 
 ADDRESS = Address('127.64.202.1', 8384)
@@ -27,18 +27,18 @@
             'servers', 't1', make_target_entry('127.0.0.1:9000', 'east-a')
         )
         fleet_tables = FleetTables(on_change=lambda _table: None)
-        follower = StoreWatch(
+        store_watch = StoreWatch(
             store=make_store(ADDRESS),
             fleet_tables=fleet_tables,
             journal=journal,
             lapse_seconds=MIN_OUTAGE_SECONDS,
         )
-        follower.start()
+        store_watch.start()
         await asyncio.sleep(0.3)
         try:
             return await act(standin, fleet_tables)
         finally:
-            follower.stop()
+            store_watch.stop()
             standin.stop()
 
     return asyncio.run(start())
--- a/tests/unit/test_server.py
+++ b/tests/unit/test_server.py
@@ -17,7 +17,7 @@
 MAX_IN_TRANSIT_BYTES = 12_000_000
 
 
-def make_handler(answer, held, max_bytes=100):
+def make_handler(answer, budget, max_connections=100):
     async def serve(_request):
         return answer
 
@@ -29,16 +29,16 @@
         is_stopping=bool,
         is_lagging=bool,
         connections=set(),
-        buffer_budget=held,
-        max_connections=max_bytes,
+        buffer_budget=budget,
+        max_connections=max_connections,
     )
 
 
-def run(act, answer=None, held=None, max_bytes=100):
+def run(act, answer=None, budget=None, max_connections=100):
     handler = make_handler(
         answer or Answer(200),
-        held or BufferBudget(max_bytes=1000),
-        max_bytes,
+        budget or BufferBudget(max_bytes=1000),
+        max_connections,
     )
 
     async def start():
@@ -108,7 +108,7 @@
 
 
 def test_caller_that_reads_no_answers_is_reset_over_budget():
-    held = BufferBudget(max_bytes=3_000_000)
+    budget = BufferBudget(max_bytes=3_000_000)
 
     async def act(reader, writer):
         writer.write(b'GET / HTTP/1.1\r\n\r\n' * 8)
@@ -117,15 +117,17 @@
             while await reader.read(1 << 20):
                 await asyncio.sleep(0)
             raise ConnectionError('cut')
-        return held.total_bytes
+        return budget.total_bytes
 
     large = Answer(200, (), b'b' * 4_000_000)
-    assert run(act, large, held) <= held.max_bytes
+    assert run(act, large, budget) <= budget.max_bytes
 
 
-def open_too_many(max_bytes, is_idle):
+def open_too_many(max_connections, is_idle):
     """Open one connection more than allowed; return which stay open."""
-    handler = make_handler(Answer(200), BufferBudget(max_bytes=1000), max_bytes)
+    handler = make_handler(
+        Answer(200), BufferBudget(max_bytes=1000), max_connections
+    )
 
     async def start():
         server = await asyncio.get_running_loop().create_server(
@@ -133,7 +135,7 @@
             *ADDRESS,
         )
         ends = []
-        for _index in range(max_bytes + 1):
+        for _index in range(max_connections + 1):
             ends.append(await asyncio.open_connection(*ADDRESS))  # noqa: WPS476
             await asyncio.sleep(0.01)  # noqa: WPS476
             if not is_idle:
@@ -161,4 +163,4 @@
         writer.write(b'GET / HTTP/1.1\r\n\r\n')
         return await reader.read()
 
-    assert b'connection: close' in run(act, max_bytes=1)
+    assert b'connection: close' in run(act, max_connections=1)
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -9,12 +9,12 @@
     Address,
     ClientLimits,
     Configuration,
-    VmContact,
-    WeightedService,
     Route,
     Service,
     Target,
     Team,
+    VmContact,
+    WeightedService,
 )
 from toucanhall.platform.settings_file import read_address
 from toucanhall.platform.units import read_seconds, read_version
@@ -49,7 +49,7 @@
 
 
 def decode_configuration(spec: Document) -> Configuration:
-    """Decode a configuration; raise BadDocument if it is invalid."""
+    """Decode a configuration; raise InvalidDocumentError on failure."""
     try:
         return _decode_configuration(spec)
     except _DECODE_ERRORS as error:
@@ -59,7 +59,7 @@
 
 
 def decode_target(name: str, spec: Document, revision: int) -> Target:
-    """Decode the entry of a target; raise BadDocument if it is invalid."""
+    """Decode the entry of a target; raise InvalidDocumentError on failure."""
     try:
         return Target(
             id=name,
@@ -79,7 +79,7 @@
 
 
 def decode_vm(name: str, spec: Document) -> VmContact:
-    """Decode the entry of a VM; raise BadDocument if it is invalid."""
+    """Decode the entry of a VM; raise InvalidDocumentError on failure."""
     try:
         return VmContact(
             vm=name,
@@ -92,9 +92,9 @@
         ) from error
 
 
-def encode_vm(introduction: VmContact) -> Document:
+def encode_vm(contact: VmContact) -> Document:
     """Encode the entry of a VM by which other VMs find it."""
-    return {'zone': introduction.zone, 'ip': introduction.ip}
+    return {'zone': contact.zone, 'ip': contact.ip}
 
 
 def _decode_configuration(spec: Document) -> Configuration:
--- a/toucanhall/platform/endpoints.py
+++ b/toucanhall/platform/endpoints.py
@@ -13,9 +13,9 @@
 
 __all__ = (
     'DirectoryQuery',
+    'make_directory_answer',
     'make_readiness_handler',
     'read_directory_query',
-    'make_directory_answer',
 )
 
 _JSON_HEADERS: Final = ((b'content-type', b'application/json'),)
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -16,8 +16,8 @@
     'REQUEST_ID_HEADER',
     'CallerHeaders',
     'TargetHeaders',
-    'make_target_request',
     'make_caller_answer',
+    'make_target_request',
     'read_caller_headers',
     'read_target_headers',
 )
@@ -43,8 +43,8 @@
 class CallerHeaders(NamedTuple):
     """Values from the head of a caller's request.
 
-    `remaining_seconds` is the time until the deadline and `key` the API key, None
-    if absent; `object_key` is the affinity key from the cookie.
+    `remaining_seconds` is the time until the deadline and `key` the API key,
+    None if absent; `object_key` is the affinity key from the cookie.
     """
 
     request_id: bytes
@@ -59,9 +59,10 @@
     """Values from the head of a target's answer.
 
     `is_not_run` is true if the target confirms that it did not execute the
-    request, `is_unproven_refusal` if only the status states that, and `is_misdirected`
-    if the address belongs to another target. `pending_requests` is the number of running
-    and waiting requests, None if not reported.
+    request, `is_unproven_refusal` if only the status states that, and
+    `is_misdirected` if the address belongs to another target.
+    `pending_requests` is the number of running and waiting requests, None if
+    not reported.
     """
 
     is_not_run: bool
--- a/toucanhall/platform/settings_file.py
+++ b/toucanhall/platform/settings_file.py
@@ -31,7 +31,7 @@
 
 
 def load_settings(path: Path) -> Environment:
-    """Load the settings file at a path; raise BadSettings if it is invalid."""
+    """Load the settings file at a path; raise SettingsError on failure."""
     try:
         return _decode_settings(yaml.load(path.read_bytes(), Loader=_Loader))
     except KeyError as error:
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -113,7 +113,7 @@
         return _read_table(answer, 'events', _read_event)
 
     async def create(self, kind: str, name: str, spec: object) -> None:
-        """Create an object; raise Conflict if it exists."""
+        """Create an object; raise ConflictError if it exists."""
         await self._call(
             'POST', kind, {'metadata': {'name': name}, 'spec': spec}
         )
--- a/toucanhall/platform/table_loader.py
+++ b/toucanhall/platform/table_loader.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Target
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
--- a/toucanhall/platform/units.py
+++ b/toucanhall/platform/units.py
@@ -3,7 +3,7 @@
 import re
 from typing import Final
 
-__all__ = ('read_seconds', 'read_version', 'format_seconds')
+__all__ = ('format_seconds', 'read_seconds', 'read_version')
 
 _DURATION_PATTERN: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 _SECONDS_BY_UNIT: Final = {'ms': 0.001, 's': 1.0}
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -11,15 +11,15 @@
 from toucanhall.web.memory import (
     PARSE_CHUNK_BYTES,
     AnswerBounds,
-    FramingCounter,
     BufferBudget,
+    FramingCounter,
 )
 from toucanhall.web.messages import Headers, get_header
 
 __all__ = (
+    'ConnectionSettings',
     'IncompleteAnswerError',
     'OutOfDescriptorsError',
-    'ConnectionSettings',
     'ReceivedAnswer',
     'ServerConnection',
     'UnreachableError',
@@ -148,8 +148,9 @@
     ) -> ReceivedAnswer:
         """Send a request and return its answer.
 
-        Raises Unreachable if nothing was sent and Broken if the request may
-        have been received. Cancelling the call resets the connection.
+        Raises UnreachableError if nothing was sent, and IncompleteAnswerError
+        if the request may have been received. Cancelling the call resets the
+        connection.
         """
         if not self.is_usable or self._transport is None:
             raise UnreachableError(
@@ -309,7 +310,7 @@
     seconds: float,
     settings: ConnectionSettings,
 ) -> ServerConnection:
-    """Open a connection within `seconds`, or raise Unreachable."""
+    """Open a connection within `seconds`, or raise UnreachableError."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(seconds):
--- a/toucanhall/web/memory.py
+++ b/toucanhall/web/memory.py
@@ -11,9 +11,9 @@
 __all__ = (
     'PARSE_CHUNK_BYTES',
     'AnswerBounds',
-    'FramingCounter',
     'BufferBudget',
     'BufferOwner',
+    'FramingCounter',
     'compute_answer_bounds',
     'make_buffer_budget',
 )
@@ -102,7 +102,7 @@
     """
 
     def __init__(self, *, max_bytes: int) -> None:
-        """Allow `max_bytes` bytes in a row, and in total `max_bytes` more than the body.
+        """Allow `max_bytes` in a row, and in total that more than the body.
 
         A row is interrupted by bytes of the body.
         """
--- a/toucanhall/web/messages.py
+++ b/toucanhall/web/messages.py
@@ -8,11 +8,11 @@
     'Headers',
     'Request',
     'drop_hop_by_hop',
+    'encode_answer',
+    'encode_request',
     'get_header',
     'make_answer',
     'make_error_answer',
-    'encode_answer',
-    'encode_request',
 )
 
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -12,15 +12,15 @@
 
 from toucanhall.web.memory import (
     PARSE_CHUNK_BYTES,
-    FramingCounter,
     BufferBudget,
+    FramingCounter,
 )
 from toucanhall.web.messages import (
     Answer,
     Request,
+    encode_answer,
     get_header,
     make_answer,
-    encode_answer,
 )
 
 __all__ = ('Connection', 'Handler', 'ServerLimits')
@@ -46,10 +46,11 @@
 class Handler(NamedTuple):
     """Callbacks, limits and state that the connections of a server share.
 
-    `answer_error` makes the answer after `serve` raised an error, `is_cancellable`
-    returns whether a request is cancelled when its caller disconnects, and
-    `is_lagging` whether the event loop is late. Beyond `max_connections`, the
-    connections that are idle longest are closed in favour of new ones.
+    `answer_error` makes the answer after `serve` raised an error,
+    `is_cancellable` returns whether a request is cancelled when its caller
+    disconnects, and `is_lagging` whether the event loop is late. Beyond
+    `max_connections`, the connections that are idle longest are closed in
+    favour of new ones.
     """
 
     serve: Callable[[Request], Awaitable[Answer]]
@@ -157,8 +158,8 @@
     def close_idle(self, *, min_idle_seconds: float = 0.0) -> bool:
         """Close the connection if it is idle; return whether it was closed.
 
-        A connection opened or used less than `min_idle_seconds` seconds ago stays open: a
-        request may be in transit.
+        A connection opened or used less than `min_idle_seconds` ago stays
+        open: a request may be in transit.
         """
         if self._exchanges or self._is_receiving or self._transport is None:
             return False
