--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -1,4 +1,4 @@
-"""Tests of the adapter: what it decodes, what it passes on, its words."""
+"""Tests of the platform adapter: decoding, headers, directory, names."""
 
 import re
 from pathlib import Path
@@ -14,8 +14,8 @@
 )
 from tests.fleetdata import make_member
 from toucanhall.edge.directory import pick_nearest_vms
-from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Address
+from toucanhall.fleet.tables import find_route
 from toucanhall.platform import settings_file
 from toucanhall.platform.documents import (
     InvalidDocumentError,
@@ -23,22 +23,22 @@
     decode_target,
 )
 from toucanhall.platform.endpoints import (
-    read_directory_query,
     make_directory_answer,
+    read_directory_query,
 )
 from toucanhall.platform.headers import (
-    make_target_request,
     make_caller_answer,
+    make_target_request,
     read_caller_headers,
     read_target_headers,
 )
-from toucanhall.platform.units import read_seconds, read_version, format_seconds
+from toucanhall.platform.units import format_seconds, read_seconds, read_version
 from toucanhall.web.client import ReceivedAnswer
 from toucanhall.web.messages import Request
 
-PACKAGE = Path(__file__).parents[2] / 'toucanhall'
-# Slices of the program on the platform; the others do not run there.
-SLICES = ('edge', 'fleet', 'limits', 'observe', 'placement', 'web')
+PACKAGE_PATH = Path(__file__).parents[2] / 'toucanhall'
+# Packages that run on the platform; the others do not.
+PLATFORM_PACKAGES = ('edge', 'fleet', 'limits', 'observe', 'placement', 'web')
 PLATFORM_WORDS = re.compile(
     r'x-toucanhall|/toucanhall/|tenant|backend|virtual_hosts|path_rules'
     r'|home_regions|traffic_split|cold_left|api_keys|allow_stale|wait_ms'
@@ -57,7 +57,7 @@
 
 
 @pytest.mark.parametrize('text', ('5', '5 s', 's', '', None, 5, '-1s'))
-def test_other_text_is_no_duration(text):
+def test_invalid_duration_is_rejected(text):
     with pytest.raises(ValueError, match='not a duration'):
         read_seconds(text)
 
@@ -68,7 +68,7 @@
         read_version(28)
 
 
-def test_longest_prefix_of_the_host_is_the_route():
+def test_route_with_the_longest_prefix_is_found():
     rules = [make_rule('/a/'), make_rule('/a/b/'), make_rule('/')]
     configuration = decode_configuration(make_configuration(rules=rules))
     found = [
@@ -89,7 +89,7 @@
         {'limits': {'header_timeout': 'soon'}},
     ),
 )
-def test_configuration_that_cannot_be_read_is_told(fields):
+def test_invalid_configuration_is_rejected(fields):
     with pytest.raises(InvalidDocumentError):
         decode_configuration({**make_configuration(), **fields})
 
@@ -123,7 +123,7 @@
         {'cold_left': 7},
     ),
 )
-def test_target_that_cannot_be_read_is_told(fields):
+def test_invalid_target_is_rejected(fields):
     entry = {**make_target_entry('127.0.0.1:9000', 'east-a'), **fields}
     with pytest.raises(InvalidDocumentError, match='target t1'):
         decode_target('t1', entry, 4)
@@ -153,7 +153,7 @@
 
 
 @pytest.mark.parametrize(
-    ('fields', 'told'),
+    ('fields', 'reason'),
     (
         ({'zone': None, 'listen': {'front': 'x'}}, 'not host:port'),
         ({'bounds': {'grace': 5}}, 'not a duration'),
@@ -161,13 +161,13 @@
         ({'internal_port_range': []}, 'index'),
     ),
 )
-def test_wrong_settings_are_told(tmp_path, fields, told):
+def test_invalid_settings_are_rejected(tmp_path, fields, reason):
     path = write_settings(tmp_path, **fields)
-    with pytest.raises(settings_file.SettingsError, match=told):
+    with pytest.raises(settings_file.SettingsError, match=reason):
         settings_file.load_settings(path)
 
 
-def test_missing_settings_are_told(tmp_path):
+def test_missing_settings_file_is_rejected(tmp_path):
     with pytest.raises(settings_file.SettingsError, match='No such file'):
         settings_file.load_settings(tmp_path / 'none.yaml')
 
@@ -176,8 +176,8 @@
     return Request(b'GET', b'/view/1', headers, b'')
 
 
-def test_marks_of_a_caller_are_read():
-    marks = read_caller_headers(
+def test_head_of_a_caller_request_is_read():
+    head = read_caller_headers(
         make_request(
             (b'host', b'Tours.Example:80'),
             (b'x-toucanhall-request-id', b'r1'),
@@ -186,11 +186,11 @@
             (b'authorization', b'Bearer k1'),
         ),
     )
-    assert marks == (b'r1', 'tours.example', '/view/1', 1.5, 'k1', '17')
+    assert head == (b'r1', 'tours.example', '/view/1', 1.5, 'k1', '17')
 
 
-def test_forwarded_request_hides_the_key_and_names_team_and_target():
-    forwarded = make_target_request(
+def test_target_gets_team_and_target_id_but_no_api_key():
+    target_request = make_target_request(
         make_request(
             (b'authorization', b'Bearer k1'),
             (b'x-toucanhall-tenant-id', b'forged'),
@@ -202,7 +202,7 @@
         team='guides',
         remaining_seconds=1.2345,
     )
-    assert dict(forwarded.headers) == {
+    assert dict(target_request.headers) == {
         b'accept': b'*/*',
         b'x-toucanhall-request-deadline': b'1234',
         b'x-toucanhall-expect-instance': b't1',
@@ -210,12 +210,12 @@
     }
 
 
-def make_reply(status, *headers):
+def make_received_answer(status, *headers):
     return ReceivedAnswer(status, headers, b'', is_keep_alive=True)
 
 
 @pytest.mark.parametrize(
-    ('status', 'has_mark', 'is_not_run'),
+    ('status', 'has_proof_header', 'is_not_run'),
     (
         (503, True, True),
         (429, True, True),
@@ -225,27 +225,29 @@
         (200, True, False),
     ),
 )
-def test_only_the_target_proves_that_a_request_did_not_run(
+def test_only_the_target_confirms_that_a_request_did_not_run(
     status,
-    has_mark,
+    has_proof_header,
     is_not_run,
 ):
-    headers = ((b'x-toucanhall-not-executed', b'1'),) if has_mark else ()
-    marks = read_target_headers(make_reply(status, *headers))
-    assert marks.is_not_run is is_not_run
+    headers = (
+        ((b'x-toucanhall-not-executed', b'1'),) if has_proof_header else ()
+    )
+    head = read_target_headers(make_received_answer(status, *headers))
+    assert head.is_not_run is is_not_run
 
 
 @pytest.mark.parametrize(
-    ('content', 'busy'),
+    ('content', 'pending_requests'),
     ((b'3,2,8', 5), (b'3, 0, 8', 3), (b'odd', None), (b'1,x,8', None)),
 )
-def test_load_of_a_target_is_read(content, busy):
-    reply = make_reply(200, (b'x-toucanhall-backend-load', content))
-    assert read_target_headers(reply).pending_requests == busy
+def test_pending_requests_of_a_target_are_read(content, pending_requests):
+    reply = make_received_answer(200, (b'x-toucanhall-backend-load', content))
+    assert read_target_headers(reply).pending_requests == pending_requests
 
 
-def test_answer_is_passed_on_with_its_stamp():
-    reply = make_reply(
+def test_caller_gets_the_stamp_but_not_the_load():
+    reply = make_received_answer(
         200,
         (b'x-toucanhall-response-stamp', b's1'),
         (b'x-toucanhall-backend-load', b'1,0,9'),
@@ -255,7 +257,7 @@
     assert answer.headers == ((b'x-toucanhall-response-stamp', b's1'),)
 
 
-def test_question_to_the_directory_is_read():
+def test_directory_query_is_read_and_answered():
     path = b'/toucanhall/resolve?name=Tours.Example&region=east&zone=east-a'
     found = read_directory_query(Request(b'GET', path, (), b''))
     assert found == ('tours.example', 'east-a', 'east')
@@ -275,7 +277,7 @@
 
 
 @pytest.mark.parametrize(
-    ('zone', 'around', 'homes', 'expected'),
+    ('zone', 'zones_of_region', 'homes', 'expected'),
     (
         ('east-a', EAST, (), ['vm-1']),
         ('east-c', EAST, (), ['vm-1', 'vm-2']),
@@ -283,22 +285,28 @@
         ('north-a', NORTH, (), ['vm-1', 'vm-2', 'vm-3', 'vm-4']),
     ),
 )
-def test_directory_names_the_nearest(zone, around, homes, expected):
-    found = pick_nearest_vms(VMS, zone, around, frozenset(homes))
+def test_directory_returns_the_nearest_vms(
+    zone, zones_of_region, homes, expected
+):
+    found = pick_nearest_vms(VMS, zone, zones_of_region, frozenset(homes))
     assert sorted(member.vm for member in found) == expected
 
 
-def test_zone_that_does_not_keep_up_shares_its_clients():
-    late = [VMS[0]._replace(lag=0.3), *VMS[1:]]
-    found = pick_nearest_vms(late, 'east-a', EAST, frozenset())
+def test_zone_with_loop_lag_shares_its_clients():
+    lagging = [VMS[0]._replace(lag=0.3), *VMS[1:]]
+    found = pick_nearest_vms(lagging, 'east-a', EAST, frozenset())
     assert [member.vm for member in found] == ['vm-2']
-    late[1] = late[1]._replace(lag=0.4)
-    found = pick_nearest_vms(late, 'east-a', EAST, frozenset())
+    lagging[1] = lagging[1]._replace(lag=0.4)
+    found = pick_nearest_vms(lagging, 'east-a', EAST, frozenset())
     assert sorted(member.vm for member in found) == ['vm-1', 'vm-2']
 
 
-def test_words_of_the_platform_stand_in_the_adapter_only():
-    paths = [path for name in SLICES for path in (PACKAGE / name).glob('*.py')]
+def test_only_the_adapter_uses_words_of_the_platform():
+    paths = [
+        path
+        for name in PLATFORM_PACKAGES
+        for path in (PACKAGE_PATH / name).glob('*.py')
+    ]
     found = {
         path.name: match.group()
         for path in paths
--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -1,4 +1,4 @@
-"""Tests of connections to servers whose answers are no answers."""
+"""Tests of connections to servers that send invalid or endless answers."""
 
 import asyncio
 import time
@@ -13,18 +13,18 @@
 
 ADDRESS = Address('127.64.201.1', 9001)
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\nx-id: own\r\n\r\n'
-# Of the sockets between both ends, and of pieces read at once.
-ON_THE_WAY = 12_000_000
+# Bytes in the buffers of both sockets, and read at once.
+MAX_IN_TRANSIT_BYTES = 12_000_000
 
 
 def answer_with(*answers, keep=True):
-    """Return a server that answers each request with the next bytes."""
-    left = list(answers)
+    """Return a server that answers requests with scripted bytes in turn."""
+    remaining_answers = list(answers)
 
     async def serve(reader, writer):
-        while left:
+        while remaining_answers:
             await reader.readuntil(b'\r\n\r\n')
-            writer.write(left.pop(0))
+            writer.write(remaining_answers.pop(0))
             await writer.drain()
         if not keep:
             writer.close()
@@ -32,8 +32,8 @@
     return serve
 
 
-def run(serve, act, opening=None):
-    opening = opening or make_opening(id_header=b'x-id')
+def run(serve, act, settings=None):
+    settings = settings or make_opening(id_header=b'x-id')
 
     async def start():
         server = await asyncio.start_server(serve, *ADDRESS)
@@ -41,7 +41,7 @@
             connection = await open_connection(
                 ADDRESS,
                 seconds=1.0,
-                settings=opening,
+                settings=settings,
             )
             return await act(connection)
         finally:
@@ -51,8 +51,8 @@
 
 
 @pytest.mark.parametrize('name', ENDLESS_ANSWERS)
-def test_bytes_without_end_are_cut_at_a_bound(name):
-    opening = make_opening(id_header=b'x-id')
+def test_endless_answer_ends_at_a_limit(name):
+    settings = make_opening(id_header=b'x-id')
 
     async def act():
         server = EndlessServer(name=name)
@@ -61,7 +61,7 @@
         connection = await open_connection(
             ADDRESS,
             seconds=1.0,
-            settings=opening,
+            settings=settings,
         )
         with pytest.raises(IncompleteAnswerError) as caught:
             async with asyncio.timeout(4.0):
@@ -77,8 +77,8 @@
 
     why, sent, seconds, is_usable = asyncio.run(act())
     assert 'over' in why or 'malformed' in why
-    assert sent < opening.bounds.body_bytes + ON_THE_WAY
-    assert opening.buffer_budget.total_bytes == 0
+    assert sent < settings.bounds.max_body_bytes + MAX_IN_TRANSIT_BYTES
+    assert settings.buffer_budget.total_bytes == 0
     assert not is_usable
     assert seconds < 3.0
 
@@ -90,18 +90,18 @@
     ) + b'b' * size
 
 
-def test_answers_within_the_bounds_are_whole():
+def test_answers_within_the_limits_are_complete():
     async def act(connection):
         first = await connection.exchange(REQUEST, b'own')
         second = await connection.exchange(REQUEST, b'own')
         return [len(first.body), len(second.body)]
 
-    opening = make_opening(id_header=b'x-id')
-    large = opening.bounds.body_bytes
+    settings = make_opening(id_header=b'x-id')
+    large = settings.bounds.max_body_bytes
     assert run(answer_with(make_body(large), make_body(3)), act) == [large, 3]
 
 
-def test_late_copy_of_an_answer_is_never_the_next_one():
+def test_late_copy_of_an_answer_makes_the_connection_unusable():
     async def act(connection):
         first = await connection.exchange(REQUEST, b'own')
         await asyncio.sleep(0.05)
@@ -111,7 +111,7 @@
     assert run(answer_with(twice), act) == (b'bbb', False)
 
 
-def test_late_copy_before_an_answer_is_read_past():
+def test_late_copy_before_an_answer_is_skipped():
     async def act(connection):
         reply = await connection.exchange(REQUEST, b'own')
         return len(reply.body), connection.is_usable
@@ -120,7 +120,7 @@
     assert run(answer_with(both), act) == (5, False)
 
 
-def test_success_without_the_id_of_its_request_is_not_taken():
+def test_success_without_the_id_of_its_request_is_rejected():
     async def act(connection):
         with pytest.raises(IncompleteAnswerError, match='without the id'):
             await connection.exchange(REQUEST, b'own')
@@ -139,7 +139,7 @@
         b'',
     ),
 )
-def test_answer_that_breaks_off_is_no_answer(cut):
+def test_truncated_answer_is_incomplete(cut):
     async def act(connection):
         with pytest.raises(IncompleteAnswerError):
             await connection.exchange(REQUEST, b'own')
@@ -147,23 +147,23 @@
     run(answer_with(cut, keep=False), act)
 
 
-class Cuttable:
-    def __init__(self, held):
-        self.buffer_budget = held
+class FakeOwner:
+    def __init__(self, budget):
+        self.buffer_budget = budget
         self.why = ''
 
     def terminate(self, why):
         self.why = why
 
 
-def test_holder_of_most_is_cut_where_all_are_over_the_bound():
-    held = BufferBudget(max_bytes=100)
-    small, large, last = (Cuttable(held) for _holder in range(3))
-    held.set_usage(small, 10)
-    held.set_usage(large, 80)
-    held.set_usage(last, 20)
+def test_owner_of_the_largest_buffer_is_terminated():
+    budget = BufferBudget(max_bytes=100)
+    small, large, last = (FakeOwner(budget) for _holder in range(3))
+    budget.set_usage(small, 10)
+    budget.set_usage(large, 80)
+    budget.set_usage(last, 20)
     assert (bool(small.why), bool(large.why), bool(last.why)) == (0, 1, 0)
-    assert held.total_bytes == 30
-    held.set_usage(small, 0)
-    held.set_usage(last, 0)
-    assert held.total_bytes == 0
+    assert budget.total_bytes == 30
+    budget.set_usage(small, 0)
+    budget.set_usage(last, 0)
+    assert budget.total_bytes == 0
--- a/toucanhall/platform/endpoints.py
+++ b/toucanhall/platform/endpoints.py
@@ -1,4 +1,4 @@
-"""Calls that the platform and its clients make to a VM."""
+"""Endpoints of a VM for the platform and its clients."""
 
 from collections.abc import Callable
 from typing import Final, NamedTuple
@@ -13,16 +13,16 @@
 
 __all__ = (
     'DirectoryQuery',
+    'make_directory_answer',
     'make_readiness_handler',
     'read_directory_query',
-    'make_directory_answer',
 )
 
-_JSON: Final = ((b'content-type', b'application/json'),)
+_JSON_HEADERS: Final = ((b'content-type', b'application/json'),)
 
 
 class DirectoryQuery(NamedTuple):
-    """A client asks which VMs to use for a host."""
+    """Query of a client for the VMs to use for a host."""
 
     host: str
     zone: str
@@ -30,31 +30,33 @@
 
 
 def read_directory_query(request: Request) -> DirectoryQuery | None:
-    """Read a question to the directory, or return None for another path."""
+    """Read a query to the directory; return None for any other path."""
     path, _, query = request.path.decode('latin-1').partition('?')
     if path != names.DIRECTORY_PATH:
         return None
-    found = parse_qs(query)
+    query_fields = parse_qs(query)
     return DirectoryQuery(
-        host=found.get('name', [''])[0].lower(),
-        zone=found.get('zone', [''])[0],
-        region=found.get('region', [''])[0],
+        host=query_fields.get('name', [''])[0].lower(),
+        zone=query_fields.get('zone', [''])[0],
+        region=query_fields.get('region', [''])[0],
     )
 
 
 def make_directory_answer(addresses: list[Address], seconds: float) -> Answer:
-    """Return the answer of the directory."""
+    """Return the answer of the directory, valid for `seconds`."""
     body = {
-        'addresses': [f'{found.host}:{found.port}' for found in addresses],
+        'addresses': [
+            f'{address.host}:{address.port}' for address in addresses
+        ],
         'ttl': format_seconds(seconds),
     }
-    return Answer(200, _JSON, msgspec.json.encode(body))
+    return Answer(200, _JSON_HEADERS, msgspec.json.encode(body))
 
 
 def make_readiness_handler(
     is_ready: Callable[[], bool],
 ) -> Callable[[Request], Answer]:
-    """Return what answers the question whether the VM takes requests."""
+    """Return a handler of the readiness endpoint."""
 
     def answer(request: Request) -> Answer:
         if request.path.partition(b'?')[0] != names.READINESS_PATH.encode():
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -1,4 +1,4 @@
-"""Headers of requests and answers, in the platform's spelling."""
+"""Reads and writes the platform's headers of requests and answers."""
 
 from typing import Final, NamedTuple
 
@@ -16,15 +16,15 @@
     'REQUEST_ID_HEADER',
     'CallerHeaders',
     'TargetHeaders',
-    'make_target_request',
     'make_caller_answer',
+    'make_target_request',
     'read_caller_headers',
     'read_target_headers',
 )
 
 REQUEST_ID_HEADER: Final = names.REQUEST_ID_HEADER
-_BEARER: Final = b'bearer '
-_OWN: Final = frozenset(
+_BEARER_PREFIX: Final = b'bearer '
+_REMOVED_HEADERS: Final = frozenset(
     (
         b'authorization',
         names.DEADLINE_HEADER,
@@ -33,18 +33,18 @@
     )
 )
 _NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
-_MISDIRECTED: Final = 421
-_LOAD_FIELDS: Final = 3
-_MOST_DIGITS: Final = 12  # of a count or of milliseconds: thirty years
-# Each says that the request did not run, and a target proves it by a header.
-_PROMISING_STATUSES: Final = frozenset((408, 421, 429, 503))
+_MISDIRECTED_STATUS: Final = 421
+_LOAD_FIELD_COUNT: Final = 3
+_MAX_DIGITS: Final = 12  # of a count or of milliseconds, thirty years
+# They state that the request was not executed; targets confirm it by a header.
+_REFUSAL_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
 class CallerHeaders(NamedTuple):
-    """What the headers of a caller's request say.
+    """Values from the head of a caller's request.
 
-    `remaining_seconds` is None when the caller does not tell how long it waits;
-    `key` is None without a key; `object_key` names the object concerned.
+    `remaining_seconds` is the time until the deadline and `key` the API key,
+    None if absent; `object_key` is the affinity key from the cookie.
     """
 
     request_id: bytes
@@ -56,12 +56,13 @@
 
 
 class TargetHeaders(NamedTuple):
-    """What the headers of a target's answer say.
+    """Values from the head of a target's answer.
 
-    `is_not_run` is true when the target says that it did not run the request,
-    `is_misdirected` when another target has the address; `is_unproven_refusal` when its
-    status alone says that the request did not run. `pending_requests` counts the requests
-    that it runs and holds, if it tells.
+    `is_not_run` is true if the target confirms that it did not execute the
+    request, `is_unproven_refusal` if only the status states that, and
+    `is_misdirected` if the address belongs to another target.
+    `pending_requests` is the number of running and waiting requests, None if
+    not reported.
     """
 
     is_not_run: bool
@@ -72,16 +73,18 @@
 
 
 def read_caller_headers(request: Request) -> CallerHeaders:
-    """Read the headers of a caller."""
-    found = dict(reversed(request.headers))
-    host = found.get(b'host', b'').decode('latin-1').lower()
+    """Read the head of a caller's request."""
+    values_by_name = dict(reversed(request.headers))
+    host = values_by_name.get(b'host', b'').decode('latin-1').lower()
     return CallerHeaders(
-        request_id=found.get(names.REQUEST_ID_HEADER, b''),
+        request_id=values_by_name.get(names.REQUEST_ID_HEADER, b''),
         host=host.partition(':')[0],
         path=request.path.decode('latin-1'),
-        remaining_seconds=_read_milliseconds(found.get(names.DEADLINE_HEADER)),
-        key=_read_key(found.get(b'authorization')),
-        object_key=_read_object(request.headers),
+        remaining_seconds=_read_seconds(
+            values_by_name.get(names.DEADLINE_HEADER)
+        ),
+        key=_read_api_key(values_by_name.get(b'authorization')),
+        object_key=_read_object_key(request.headers),
     )
 
 
@@ -92,11 +95,11 @@
     team: str | None,
     remaining_seconds: float,
 ) -> Request:
-    """Return the request as a target gets it."""
+    """Return the request to send to a target."""
     kept = tuple(
         header
         for header in drop_hop_by_hop(request.headers)
-        if header[0] not in _OWN
+        if header[0] not in _REMOVED_HEADERS
     )
     added: list[tuple[bytes, bytes]] = [
         (names.DEADLINE_HEADER, b'%d' % max(1, int(remaining_seconds * 1000))),
@@ -108,26 +111,28 @@
 
 
 def read_target_headers(reply: ReceivedAnswer) -> TargetHeaders:
-    """Read the headers of a target."""
-    is_misdirected = reply.status == _MISDIRECTED
-    is_marked = get_header(reply.headers, names.NOT_EXECUTED_HEADER) is not None
+    """Read the head of a target's answer."""
+    is_misdirected = reply.status == _MISDIRECTED_STATUS
+    has_proof_header = (
+        get_header(reply.headers, names.NOT_EXECUTED_HEADER) is not None
+    )
     is_not_run = is_misdirected or (
-        is_marked and reply.status in _NOT_RUN_STATUSES
+        has_proof_header and reply.status in _NOT_RUN_STATUSES
     )
     return TargetHeaders(
         is_not_run=is_not_run,
         is_unproven_refusal=not is_not_run
-        and reply.status in _PROMISING_STATUSES,
+        and reply.status in _REFUSAL_STATUSES,
         is_misdirected=is_misdirected,
         has_stamp=get_header(reply.headers, names.STAMP_HEADER) is not None,
-        pending_requests=_read_busy(
+        pending_requests=_read_pending_requests(
             get_header(reply.headers, names.LOAD_HEADER)
         ),
     )
 
 
 def make_caller_answer(reply: ReceivedAnswer) -> Answer:
-    """Return the answer of a target as its caller gets it."""
+    """Return the answer to send to the caller."""
     headers: Headers = tuple(
         header
         for header in drop_hop_by_hop(reply.headers)
@@ -136,37 +141,41 @@
     return Answer(reply.status, headers, reply.body)
 
 
-def _read_milliseconds(content: bytes | None) -> float | None:
-    found = _read_count(content)
-    return None if found is None else found / 1000
+def _read_seconds(content: bytes | None) -> float | None:
+    """Return the seconds of a header in milliseconds."""
+    milliseconds = _read_count(content)
+    return None if milliseconds is None else milliseconds / 1000
 
 
 def _read_count(content: bytes | None) -> int | None:
-    if content is None or not content.isdigit() or len(content) > _MOST_DIGITS:
+    if content is None or not content.isdigit() or len(content) > _MAX_DIGITS:
         return None
     return int(content)
 
 
-def _read_key(content: bytes | None) -> str | None:
-    if content is None or content[: len(_BEARER)].lower() != _BEARER:
+def _read_api_key(content: bytes | None) -> str | None:
+    if (
+        content is None
+        or content[: len(_BEARER_PREFIX)].lower() != _BEARER_PREFIX
+    ):
         return None
-    return content[len(_BEARER) :].strip().decode('latin-1')
+    return content[len(_BEARER_PREFIX) :].strip().decode('latin-1')
 
 
-def _read_object(headers: Headers) -> str | None:
+def _read_object_key(headers: Headers) -> str | None:
     for name, content in headers:
         if name != b'cookie':
             continue
         for part in content.decode('latin-1').split(';'):
-            found, _, named = part.strip().partition('=')
-            if found == names.OBJECT_COOKIE:
-                return named
+            cookie, _, object_key = part.strip().partition('=')
+            if cookie == names.OBJECT_COOKIE:
+                return object_key
     return None
 
 
-def _read_busy(content: bytes | None) -> int | None:
+def _read_pending_requests(content: bytes | None) -> int | None:
     parts = (content or b'').split(b',')
-    if len(parts) != _LOAD_FIELDS:
+    if len(parts) != _LOAD_FIELD_COUNT:
         return None
     running = _read_count(parts[0].strip())
     waiting = _read_count(parts[1].strip())
--- a/toucanhall/platform/names.py
+++ b/toucanhall/platform/names.py
@@ -1,4 +1,4 @@
-"""Paths, headers and kinds of objects as the platform spells them."""
+"""Names of paths, headers and kinds of objects on the platform."""
 
 from typing import Final
 
@@ -15,10 +15,14 @@
 VM_KIND: Final = 'vms'
 
 REQUEST_ID_HEADER: Final = b'x-toucanhall-request-id'
-DEADLINE_HEADER: Final = b'x-toucanhall-request-deadline'  # milliseconds left
+DEADLINE_HEADER: Final = (
+    b'x-toucanhall-request-deadline'  # remaining milliseconds
+)
 EXPECTED_TARGET_HEADER: Final = b'x-toucanhall-expect-instance'
 TEAM_HEADER: Final = b'x-toucanhall-tenant-id'
 NOT_EXECUTED_HEADER: Final = b'x-toucanhall-not-executed'
-LOAD_HEADER: Final = b'x-toucanhall-backend-load'  # running, waiting, slots
+LOAD_HEADER: Final = (
+    b'x-toucanhall-backend-load'  # running and waiting requests, slots
+)
 STAMP_HEADER: Final = b'x-toucanhall-response-stamp'
 OBJECT_COOKIE: Final = 'X-Toucanhall-Affinity-Key'
--- a/toucanhall/platform/settings_file.py
+++ b/toucanhall/platform/settings_file.py
@@ -1,4 +1,4 @@
-"""Reads the settings file of a process."""
+"""Decodes the settings file of a VM."""
 
 from collections.abc import Mapping
 from pathlib import Path
@@ -11,35 +11,36 @@
 
 __all__ = ('SettingsError', 'load_settings')
 
-# Clients may keep a directory answer for three times its life: with this one
-# they have left a VM that stops before the usual grace of six seconds ends.
-_DIRECTORY_TTL: Final = 2.0  # seconds
+# Clients may use a directory answer for three times its TTL: with this one they
+# have left a stopping VM before the usual shutdown grace of 6 s ends.
+_MAX_DIRECTORY_TTL_SECONDS: Final = 2.0
 _DEFAULT_GRACE: Final = '6s'
-# What a request takes of a VM: processor seconds (docs/OPERATIONS.md) and the
-# bytes of the larger direction of its link.
-_REQUEST_CORE_SECONDS: Final = 0.001
-_REQUEST_BYTES: Final = 4000
+# What a request costs a VM: processor time (docs/OPERATIONS.md) and bytes in
+# that direction of its link that carries more.
+_CORE_SECONDS_PER_REQUEST: Final = 0.001
+_LINK_BYTES_PER_REQUEST: Final = 4000
 _BYTES_PER_MEGABIT: Final = 125_000
 _BYTES_PER_MEGABYTE: Final = 1_000_000
-_DEFAULT_DESCRIPTORS: Final = 1535  # of the smallest VM, as the next line
-_DEFAULT_MEGABYTES: Final = 152  # of the smallest VM of today's deployments
+# Of the smallest VM of today's deployments.
+_DEFAULT_MAX_DESCRIPTORS: Final = 1535
+_DEFAULT_MEMORY_MEGABYTES: Final = 152
 
 
 class SettingsError(ValueError):
-    """The settings file lacks something or holds what cannot be read."""
+    """The settings file is unreadable, incomplete or invalid."""
 
 
 def load_settings(path: Path) -> Environment:
-    """Read the settings at a path; raise BadSettings when they are wrong."""
+    """Load the settings file at a path; raise SettingsError on failure."""
     try:
-        return _decode(yaml.load(path.read_bytes(), Loader=_Loader))
+        return _decode_settings(yaml.load(path.read_bytes(), Loader=_Loader))
     except KeyError as error:
         raise SettingsError(f'{path}: no field {error}') from error
-    except _WRONG as error:
+    except _LOAD_ERRORS as error:
         raise SettingsError(f'{path}: {error}') from error
 
 
-_WRONG: Final = (
+_LOAD_ERRORS: Final = (
     OSError,
     yaml.YAMLError,
     TypeError,
@@ -50,7 +51,7 @@
 _Loader: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 
-def _decode(document: Mapping[str, Any]) -> Environment:
+def _decode_settings(document: Mapping[str, Any]) -> Environment:
     listen = document['listen']
     limits = document.get('limits') or {}
     return Environment(
@@ -72,25 +73,30 @@
             document['bounds'],
             read_seconds(document.get('heartbeat', '1500ms')),
         ),
-        capacity=_read_capacity(limits),
-        memory=_read_memory(limits),
-        max_descriptors=int(limits.get('max_fds') or _DEFAULT_DESCRIPTORS),
+        capacity=_compute_requests_per_second(limits),
+        memory=_read_memory_bytes(limits),
+        max_descriptors=int(limits.get('max_fds') or _DEFAULT_MAX_DESCRIPTORS),
     )
 
 
-def _read_capacity(limits: Mapping[str, Any]) -> float:
+def _compute_requests_per_second(limits: Mapping[str, Any]) -> float:
     cores = float(limits.get('cpu_share', 1)) * float(
         limits.get('cpu_cores', 1),
     )
-    link = float(limits.get('link_mbps', 1000)) * _BYTES_PER_MEGABIT
+    link_bytes_per_second = (
+        float(limits.get('link_mbps', 1000)) * _BYTES_PER_MEGABIT
+    )
     return round(
-        min(cores / _REQUEST_CORE_SECONDS, link / _REQUEST_BYTES),
+        min(
+            cores / _CORE_SECONDS_PER_REQUEST,
+            link_bytes_per_second / _LINK_BYTES_PER_REQUEST,
+        ),
         1,
     )
 
 
-def _read_memory(limits: Mapping[str, Any]) -> int:
-    megabytes = float(limits.get('memory_mb') or _DEFAULT_MEGABYTES)
+def _read_memory_bytes(limits: Mapping[str, Any]) -> int:
+    megabytes = float(limits.get('memory_mb') or _DEFAULT_MEMORY_MEGABYTES)
     return int(megabytes * _BYTES_PER_MEGABYTE)
 
 
@@ -103,7 +109,7 @@
             bounds.get('grace', _DEFAULT_GRACE)
         ),
         directory_ttl_seconds=min(
-            _DIRECTORY_TTL,
+            _MAX_DIRECTORY_TTL_SECONDS,
             read_seconds(bounds.get('ttl_max', '5s')),
         ),
         retry_ratio=float(bounds.get('retry_budget_ratio', 0.2)),
@@ -121,7 +127,7 @@
 
 
 def read_address(text: str) -> Address:
-    """Read `host:port`; raise ValueError when it is something else."""
+    """Parse `host:port`; raise ValueError if `text` has another form."""
     host, _, port = text.rpartition(':')
     if not host:
         raise ValueError(f'{text!r} is not host:port')
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's store."""
+"""Client of the platform's object store."""
 
 import asyncio
 import time
@@ -27,30 +27,30 @@
     'Table',
 )
 
-# A slow store takes up to a hundred times its usual 4 ms.
-_CALL_SECONDS: Final = 1.0
-_CONNECT_SECONDS: Final = 0.5
-_WATCH_SLACK_SECONDS: Final = 1.0
-_IDLE_SECONDS: Final = 5.0
-_CONFLICT: Final = 409
-_GONE: Final = 410
-_SUCCESS: Final = range(200, 300)
+# A slow store takes up to a hundred times its usual 4 ms to answer.
+_CALL_TIMEOUT_SECONDS: Final = 1.0
+_CONNECT_TIMEOUT_SECONDS: Final = 0.5
+_WATCH_TIMEOUT_MARGIN_SECONDS: Final = 1.0
+_MAX_IDLE_SECONDS: Final = 5.0
+_CONFLICT_STATUS: Final = 409
+_GONE_STATUS: Final = 410
+_SUCCESS_STATUSES: Final = range(200, 300)
 
 
 class StoreError(Exception):
-    """A call that the store did not answer with success."""
+    """A call to the store failed or timed out."""
 
 
 class HistoryLostError(StoreError):
-    """The changes since a revision are not kept any more."""
+    """The store no longer keeps the changes since a revision."""
 
 
 class ConflictError(StoreError):
-    """The object exists, or is not at the revision that the call names."""
+    """The object exists already, or has another revision."""
 
 
 class Change(NamedTuple):
-    """An object of the store; `spec` is None once it was deleted."""
+    """An object of the store; `spec` is None if it was deleted."""
 
     name: str
     revision: int
@@ -58,18 +58,18 @@
 
 
 class Table(NamedTuple):
-    """Objects or changes, as of a revision of the store."""
+    """Objects, or changes of objects, as of a revision of the store."""
 
     revision: int
     changes: tuple[Change, ...]
 
 
 class Store:
-    """Calls of one process to the store, on connections that are kept.
+    """Calls of one process to the store, on reused connections.
 
-    An answer bears no mark of its question. So a connection is used for reads
-    of one kind only, where a late copy of an earlier answer is older than what
-    is known, and for one write.
+    Answers have no id of their request. So a connection serves only reads of
+    one kind, where a late copy of an earlier answer is older than what is
+    known already, or a single write.
     """
 
     def __init__(
@@ -79,15 +79,15 @@
         settings: ConnectionSettings,
         on_call: Callable[[str, float], None],
     ) -> None:
-        """Tell `on_call` the outcome and the seconds of each call."""
-        self._opening = settings
+        """Report the outcome and the seconds of each call to `on_call`."""
+        self._settings = settings
         self._on_call = on_call
         self._address = address
-        self._host = f'{address.host}:{address.port}'.encode()
-        self._idle: dict[str, list[ServerConnection]] = {}
+        self._host_header = f'{address.host}:{address.port}'.encode()
+        self._idle_connections: dict[str, list[ServerConnection]] = {}
 
     async def read(self, kind: str, *, may_be_stale: bool = False) -> Table:
-        """Return all objects of a kind."""
+        """Return all objects of a kind, page by page."""
         changes: list[Change] = []
         after = ''
         while True:
@@ -95,31 +95,31 @@
             if may_be_stale:
                 query['allow_stale'] = '1'
             path = f'{kind}?{urlencode(query)}' if query else kind
-            found = await self._call('GET', path)
-            page = _read_table(found, 'items', _read_change)
+            answer = await self._call('GET', path)
+            page = _read_table(answer, 'items', _read_change)
             changes.extend(page.changes)
-            if not found.get('more') or not page.changes:
+            if not answer.get('more') or not page.changes:
                 return Table(page.revision, tuple(changes))
             after = changes[-1].name
 
     async def watch(self, kind: str, revision: int, seconds: float) -> Table:
-        """Wait for changes after a revision; may return none of them."""
-        wait = round(seconds * 1000)
-        found = await self._call(
+        """Wait up to `seconds` for changes after a revision; maybe none."""
+        wait_ms = round(seconds * 1000)
+        answer = await self._call(
             'GET',
-            f'{kind}?watch={revision}&wait_ms={wait}',
-            seconds=seconds + _WATCH_SLACK_SECONDS,
+            f'{kind}?watch={revision}&wait_ms={wait_ms}',
+            seconds=seconds + _WATCH_TIMEOUT_MARGIN_SECONDS,
         )
-        return _read_table(found, 'events', _read_event)
+        return _read_table(answer, 'events', _read_event)
 
     async def create(self, kind: str, name: str, spec: object) -> None:
-        """Create an object; raise Conflict when it exists."""
+        """Create an object; raise ConflictError if it exists."""
         await self._call(
             'POST', kind, {'metadata': {'name': name}, 'spec': spec}
         )
 
     async def replace(self, kind: str, name: str, spec: object) -> None:
-        """Replace the contents of an object."""
+        """Replace an object."""
         await self._call(
             'PUT',
             f'{kind}/{quote(name)}',
@@ -135,74 +135,82 @@
         method: str,
         path: str,
         body: object = None,
-        seconds: float = _CALL_SECONDS,
+        seconds: float = _CALL_TIMEOUT_SECONDS,
     ) -> Mapping[str, Any]:
-        sent = encode_request(
+        encoded_request = encode_request(
             Request(
                 method=method.encode(),
                 path=f'{names.OBJECTS_PATH}{path}'.encode(),
                 headers=(
-                    (b'host', self._host),
+                    (b'host', self._host_header),
                     (b'content-type', b'application/json'),
                 ),
                 body=b'' if body is None else msgspec.json.encode(body),
             ),
         )
-        began = time.monotonic()
+        started_at = time.monotonic()
         outcome = 'broken'
         try:
             async with asyncio.timeout(seconds):
-                reply = await self._exchange(sent, _find_use(method, path))
+                reply = await self._exchange(
+                    encoded_request, _get_read_kind(method, path)
+                )
             outcome = str(reply.status)
         except TimeoutError as error:
             outcome = 'timeout'
-            raise StoreError(f'no answer in {seconds} s') from error
+            raise StoreError(
+                f'store did not answer within {seconds} s'
+            ) from error
         except ConnectionError as error:
             raise StoreError(str(error)) from error
         finally:
-            self._on_call(outcome, time.monotonic() - began)
+            self._on_call(outcome, time.monotonic() - started_at)
         return _read_reply(reply)
 
-    async def _exchange(self, sent: bytes, use: str) -> ReceivedAnswer:
-        connection = await self._take_connection(use)
-        reply = await connection.exchange(sent)
-        if not use:
+    async def _exchange(
+        self, encoded_request: bytes, read_kind: str
+    ) -> ReceivedAnswer:
+        connection = await self._acquire_connection(read_kind)
+        reply = await connection.exchange(encoded_request)
+        if not read_kind:
             connection.close()
         elif connection.is_usable:
             connection.idle_since = time.monotonic()
-            self._idle.setdefault(use, []).append(connection)
+            self._idle_connections.setdefault(read_kind, []).append(connection)
         return reply
 
-    async def _take_connection(self, use: str) -> ServerConnection:
-        oldest = time.monotonic() - _IDLE_SECONDS
-        idle = self._idle.get(use)
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable and connection.idle_since > oldest:
+    async def _acquire_connection(self, read_kind: str) -> ServerConnection:
+        min_idle_since = time.monotonic() - _MAX_IDLE_SECONDS
+        idle_connections = self._idle_connections.get(read_kind)
+        while idle_connections:
+            connection = idle_connections.pop()
+            if connection.is_usable and connection.idle_since > min_idle_since:
                 return connection
             connection.close()
         return await open_connection(
             self._address,
-            seconds=_CONNECT_SECONDS,
-            settings=self._opening,
+            seconds=_CONNECT_TIMEOUT_SECONDS,
+            settings=self._settings,
         )
 
 
-def _find_use(method: str, path: str) -> str:
-    """Return the kind that a call reads; none for a write."""
+def _get_read_kind(method: str, path: str) -> str:
+    """Return the kind that a call reads, empty for a write."""
     return path.partition('?')[0] if method == 'GET' else ''
 
 
 def _read_table(
-    found: Mapping[str, Any],
+    answer: Mapping[str, Any],
     field: str,
     read: Callable[[Mapping[str, Any]], Change],
 ) -> Table:
-    """Return what a field of an answer lists; raise StoreError if it lacks."""
+    """Return the objects in a field; raise StoreError if it is invalid."""
     try:
-        return Table(int(found['as_of']), tuple(map(read, found[field])))
-    except _WRONG as error:
-        raise StoreError(f'{field} cannot be read: {error!r}') from error
+        return Table(int(answer['as_of']), tuple(map(read, answer[field])))
+    except _DECODE_ERRORS as error:
+        raise StoreError(
+            f'store answer without valid {field}: {error!r}'
+        ) from error
 
 
 def _read_event(event: Mapping[str, Any]) -> Change:
@@ -221,17 +229,19 @@
 
 
 def _read_reply(reply: ReceivedAnswer) -> Mapping[str, Any]:
-    if reply.status not in _SUCCESS:
-        error = _ERRORS.get(reply.status, StoreError)
-        raise error(f'status {reply.status}')
+    if reply.status not in _SUCCESS_STATUSES:
+        error = _ERRORS_BY_STATUS.get(reply.status, StoreError)
+        raise error(f'store answered with status {reply.status}')
     try:
         return msgspec.json.decode(reply.body or b'{}', type=dict[str, Any])
-    except msgspec.MsgspecError as found:
-        raise StoreError(f'answer cannot be read: {found}') from found
+    except msgspec.MsgspecError as decode_error:
+        raise StoreError(
+            f'store answer is not a JSON object: {decode_error}'
+        ) from decode_error
 
 
-_WRONG: Final = (KeyError, TypeError, ValueError, AttributeError)
-_ERRORS: Final[Mapping[int, type[StoreError]]] = {
-    _CONFLICT: ConflictError,
-    _GONE: HistoryLostError,
+_DECODE_ERRORS: Final = (KeyError, TypeError, ValueError, AttributeError)
+_ERRORS_BY_STATUS: Final[Mapping[int, type[StoreError]]] = {
+    _CONFLICT_STATUS: ConflictError,
+    _GONE_STATUS: HistoryLostError,
 }
--- a/toucanhall/platform/store_watch.py
+++ b/toucanhall/platform/store_watch.py
@@ -1,4 +1,4 @@
-"""Reads the platform's tables into what the VM knows, and follows them."""
+"""Reads and watches the tables of the platform's store."""
 
 import asyncio
 import random
@@ -13,18 +13,18 @@
 
 __all__ = ('StoreWatch',)
 
-# A watch is renewed well before half of the store's 20 s of history is over.
+# Well below half of the 20 s of history that the store keeps.
 _WATCH_SECONDS: Final = 8.0
-_FIRST_WAIT_SECONDS: Final = 0.1
-_LONGEST_WAIT_SECONDS: Final = 1.0
-# A watch may outlast an absence of the store without a word. Targets lapse
-# after 3 s of it at the soonest: two heartbeats of 1.5 s and the rest of one.
-# A cheap read each second, given a second, notices it before.
-_PROBE_SECONDS: Final = 1.0
+_MIN_RETRY_DELAY_SECONDS: Final = 0.1
+_MAX_RETRY_DELAY_SECONDS: Final = 1.0
+# A watch may miss that the store was unavailable. Targets expire after 3 s of
+# that at the earliest: two heartbeats of 1.5 s and the rest of the current
+# one. A cheap read every second, with a timeout of 1 s, notices it before.
+_PROBE_INTERVAL_SECONDS: Final = 1.0
 _PROBE: Final = 'probe'
 
-# Changes that follow one another within this time are read by one call.
-_GATHER_SECONDS: Final = {
+# After a change: further changes in this time are read by the same call.
+_BATCH_DELAY_SECONDS: Final = {
     names.CONFIGURATION_KIND: 0.05,
     names.TARGET_KIND: 0.2,
     names.EVACUATION_KIND: 0.05,
@@ -32,7 +32,7 @@
 
 
 class StoreWatch:
-    """Keeps the tables of a VM up to date from the store."""
+    """Keeps the tables of a VM up to date with the store."""
 
     def __init__(
         self,
@@ -42,9 +42,10 @@
         journal: Journal,
         lapse_seconds: float,
     ) -> None:
-        """Write what the store holds into `fleet_tables`.
+        """Load tables into `fleet_tables`.
 
-        No target lapses in an absence of less than `lapse_seconds`.
+        No target expires while the store is unavailable for less than
+        `lapse_seconds`.
         """
         self._lapse_seconds = lapse_seconds
         self._store = store
@@ -52,9 +53,9 @@
         self._journal = journal
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
-        self._failing: set[str] = set()
-        self._is_away = False
-        self._answered_at = self._loop.time()
+        self._failing_kinds: set[str] = set()
+        self._is_store_unavailable = False
+        self._last_answer_at = self._loop.time()
         self._revisions: dict[str, int] = {}
         self._tables = TableLoader(
             fleet_tables=fleet_tables,
@@ -64,68 +65,68 @@
 
     @property
     def is_watching(self) -> bool:
-        """Whether the store is being watched."""
+        """Whether this VM watches the store."""
         return bool(self._tasks)
 
     async def read_all(self) -> None:
-        """Read each table once; raise StoreError when one cannot be read."""
+        """Read each table once; raise StoreError if a call fails."""
         await asyncio.gather(*(self._read(kind) for kind in WATCHED_KINDS))
 
     def start(self) -> None:
-        """Watch the store from now on."""
+        """Start to watch the store."""
         if not self._tasks:
             self._journal.write(events.WATCH_STARTED)
             self._tasks = [
-                self._loop.create_task(self._follow(kind))
+                self._loop.create_task(self._watch_kind(kind))
                 for kind in WATCHED_KINDS
             ]
             self._tasks.append(self._loop.create_task(self._probe()))
 
     def stop(self) -> None:
-        """Watch the store no longer."""
+        """Stop watching the store."""
         if self._tasks:
             self._journal.write(events.WATCH_ENDED)
         for task in self._tasks:
             task.cancel()
         self._tasks = []
         self._revisions = {}
-        self._failing = set()
-        self._is_away = False
+        self._failing_kinds = set()
+        self._is_store_unavailable = False
 
-    async def _follow(self, kind: str) -> None:
-        wait = _FIRST_WAIT_SECONDS
+    async def _watch_kind(self, kind: str) -> None:
+        delay = _MIN_RETRY_DELAY_SECONDS
         while True:
             try:
-                await self._step(kind)
+                await self._read_or_watch(kind)
             except StoreError as error:
-                self._fail(kind, error)
-                # A list is answered at once, a watch only with a change.
+                self._record_failure(kind, error)
+                # Reading is answered at once, watching only on a change.
                 self._revisions.pop(kind, None)
-                await asyncio.sleep(wait * random.uniform(0.5, 1.5))
-                wait = min(_LONGEST_WAIT_SECONDS, wait * 2)
+                await asyncio.sleep(delay * random.uniform(0.5, 1.5))
+                delay = min(_MAX_RETRY_DELAY_SECONDS, delay * 2)
             except Exception as error:  # noqa: BLE001
-                # What one object holds must not end the watch of the others.
+                # One malformed object must not end the watch of the others.
                 self._journal.write(
                     events.UNEXPECTED,
                     why=repr(error),
                     where=kind,
                 )
                 self._revisions.pop(kind, None)
-                await asyncio.sleep(_LONGEST_WAIT_SECONDS)
+                await asyncio.sleep(_MAX_RETRY_DELAY_SECONDS)
             else:
-                wait = _FIRST_WAIT_SECONDS
+                delay = _MIN_RETRY_DELAY_SECONDS
 
     async def _probe(self) -> None:
         while True:
-            await asyncio.sleep(_PROBE_SECONDS)
+            await asyncio.sleep(_PROBE_INTERVAL_SECONDS)
             try:
                 await self._store.read(names.EVACUATION_KIND, may_be_stale=True)
             except StoreError as error:
-                self._fail(_PROBE, error)
+                self._record_failure(_PROBE, error)
             else:
-                self._recover(_PROBE)
+                self._record_answer(_PROBE)
 
-    async def _step(self, kind: str) -> None:
+    async def _read_or_watch(self, kind: str) -> None:
         revision = self._revisions.get(kind)
         if revision is None:
             await self._read(kind)
@@ -136,38 +137,38 @@
             self._journal.write(events.HISTORY_LOST, table=kind)
             await self._read(kind)
             return
-        self._recover(kind)
+        self._record_answer(kind)
         if table.changes:
             self._tables.take(kind, table, is_whole=False)
         self._revisions[kind] = max(revision, table.revision)
         if table.changes:
-            await asyncio.sleep(_GATHER_SECONDS[kind])
+            await asyncio.sleep(_BATCH_DELAY_SECONDS[kind])
 
     async def _read(self, kind: str) -> None:
         table = await self._store.read(kind)
-        self._recover(kind)
+        self._record_answer(kind)
         self._tables.take(kind, table, is_whole=True)
         self._revisions[kind] = table.revision
 
-    def _fail(self, kind: str, error: StoreError) -> None:
-        if not self._failing:
+    def _record_failure(self, kind: str, error: StoreError) -> None:
+        if not self._failing_kinds:
             self._journal.write(events.STORE_LOST, table=kind, why=str(error))
-        self._failing.add(kind)
-        if not self._is_away:
-            self._is_away = True
+        self._failing_kinds.add(kind)
+        if not self._is_store_unavailable:
+            self._is_store_unavailable = True
             self._fleet_tables.start_store_outage()
 
-    def _recover(self, kind: str) -> None:
+    def _record_answer(self, kind: str) -> None:
         now = self._loop.time()
-        if kind in self._failing:
-            self._failing.discard(kind)
-            if not self._failing:
+        if kind in self._failing_kinds:
+            self._failing_kinds.discard(kind)
+            if not self._failing_kinds:
                 self._journal.write(events.STORE_RECOVERED)
-        if self._is_away:
-            self._is_away = False
-            away = now - self._answered_at
+        if self._is_store_unavailable:
+            self._is_store_unavailable = False
+            outage_seconds = now - self._last_answer_at
             self._fleet_tables.end_store_outage(
                 now,
-                may_have_expired=away > self._lapse_seconds,
+                may_have_expired=outage_seconds > self._lapse_seconds,
             )
-        self._answered_at = now
+        self._last_answer_at = now
--- a/toucanhall/platform/table_loader.py
+++ b/toucanhall/platform/table_loader.py
@@ -1,10 +1,10 @@
-"""Takes tables of the store into what the VM knows."""
+"""Decodes the tables of the store and loads them into the VM's tables."""
 
 from collections.abc import Callable
 from typing import Final
 
-from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Target
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
@@ -25,7 +25,7 @@
 
 
 class TableLoader:
-    """Decodes objects by their kind; what cannot be read is passed over."""
+    """Loads objects by their kind; invalid ones are logged and skipped."""
 
     def __init__(
         self,
@@ -34,21 +34,21 @@
         journal: Journal,
         clock: Callable[[], float],
     ) -> None:
-        """Write what is decoded into `fleet_tables`."""
+        """Load decoded objects into `fleet_tables`."""
         self._fleet_tables = fleet_tables
         self._journal = journal
         self._clock = clock
-        self._takers: dict[str, Callable[[Table, bool], None]] = {
-            names.CONFIGURATION_KIND: self._take_configurations,
-            names.TARGET_KIND: self._take_targets,
-            names.EVACUATION_KIND: self._take_evacuations,
+        self._loaders: dict[str, Callable[[Table, bool], None]] = {
+            names.CONFIGURATION_KIND: self._load_configurations,
+            names.TARGET_KIND: self._load_targets,
+            names.EVACUATION_KIND: self._load_evacuations,
         }
 
     def take(self, kind: str, table: Table, *, is_whole: bool) -> None:
-        """Take a whole table, or what has changed in it."""
-        self._takers[kind](table, is_whole)
+        """Replace a whole table, or apply changes to it."""
+        self._loaders[kind](table, is_whole)
 
-    def _take_configurations(self, table: Table, _is_whole: bool) -> None:
+    def _load_configurations(self, table: Table, _is_whole: bool) -> None:
         for change in table.changes:
             if change.name != names.CONFIGURATION_NAME or change.spec is None:
                 continue
@@ -62,7 +62,7 @@
                     configuration,
                 )
 
-    def _take_targets(self, table: Table, is_whole: bool) -> None:
+    def _load_targets(self, table: Table, is_whole: bool) -> None:
         decoded = {
             change.name: self._decode_target(change) for change in table.changes
         }
@@ -74,9 +74,9 @@
             )
             return
         targets = {
-            name: found
-            for name, found in decoded.items()
-            if isinstance(found, Target)
+            name: target
+            for name, target in decoded.items()
+            if isinstance(target, Target)
         }
         self._fleet_tables.replace_targets(
             table.revision, targets, self._clock()
@@ -91,7 +91,7 @@
             self._journal.write(events.ENTRY_IGNORED, why=str(error))
             return change.revision
 
-    def _take_evacuations(self, table: Table, is_whole: bool) -> None:
+    def _load_evacuations(self, table: Table, is_whole: bool) -> None:
         zones = {
             change.name: change.spec is not None for change in table.changes
         }
--- a/toucanhall/platform/units.py
+++ b/toucanhall/platform/units.py
@@ -1,30 +1,32 @@
-"""Durations and versions in the platform's text forms."""
+"""Durations and versions in the platform's text formats."""
 
 import re
 from typing import Final
 
-__all__ = ('read_seconds', 'read_version', 'format_seconds')
+__all__ = ('format_seconds', 'read_seconds', 'read_version')
 
-_DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
-_SECONDS: Final = {'ms': 0.001, 's': 1.0}
-_HEXADECIMAL: Final = 16
+_DURATION_PATTERN: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+_SECONDS_BY_UNIT: Final = {'ms': 0.001, 's': 1.0}
+_VERSION_BASE: Final = 16
 
 
 def read_seconds(text: object) -> float:
-    """Read a duration like `1500ms` or `2.5s`, in seconds."""
-    found = _DURATION.fullmatch(text) if isinstance(text, str) else None
-    if found is None:
+    """Return the seconds of a duration such as `1500ms` or `2.5s`."""
+    matched = (
+        _DURATION_PATTERN.fullmatch(text) if isinstance(text, str) else None
+    )
+    if matched is None:
         raise ValueError(f'{text!r} is not a duration such as 1500ms or 2.5s')
-    return float(found[1]) * _SECONDS[found[2]]
+    return float(matched[1]) * _SECONDS_BY_UNIT[matched[2]]
 
 
 def format_seconds(seconds: float) -> str:
-    """Write a duration in whole milliseconds."""
+    """Return a duration in whole milliseconds, such as `1500ms`."""
     return f'{round(seconds * 1000)}ms'
 
 
 def read_version(text: object) -> int:
-    """Read the version of a configuration, hexadecimal digits."""
+    """Return the version of a configuration from hexadecimal digits."""
     if not isinstance(text, str):
-        raise TypeError(f'{text!r} is not a version')
-    return int(text, _HEXADECIMAL)
+        raise TypeError(f'{text!r} is not a version in hexadecimal digits')
+    return int(text, _VERSION_BASE)
