Reword the comments and messages of the VM's process

The modules of toucanhall/edge and their tests used words of their own (speak, hear, greet, way, room). They now use the usual terms: send, receive, delegate, watcher, retry, delay. Two log texts name the status that they judge, and the error of a missing settings variable says what it must hold. Reasons and figures of constants are kept.

--- a/tests/unit/test_closing.py
+++ b/tests/unit/test_closing.py
@@ -1,4 +1,4 @@
-"""Tests of the end of connections at a planned stop, on a paused clock."""
+"""Tests of closing connections at a planned stop, on a simulated clock."""
 
 import asyncio
 
@@ -9,7 +9,7 @@
 
 
 class Caller:
-    """A connection that is used last at a time, and then closed when quiet."""
+    """A connection that was last used at a given time."""
 
     def __init__(self, connections, *, used_at):
         self._connections = connections
@@ -18,7 +18,7 @@
         self.closed_at = None
 
     def close_idle(self, *, quiet):
-        """Close if nothing was sent for some seconds."""
+        """Close if the last use was at least `quiet` seconds ago."""
         now = asyncio.get_running_loop().time()
         if now - self._used_at >= quiet:
             self.closed_at = now
@@ -26,7 +26,7 @@
 
 
 def close(used_at, until):
-    """Close connections; return when each closed, and when it was over."""
+    """Close connections; return when each one closed and when all was done."""
 
     async def act():
         connections = set()
--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -1,4 +1,4 @@
-"""Tests of errors that must end neither heartbeats nor the watch."""
+"""Tests of errors that must stop neither heartbeats nor the watch."""
 
 import asyncio
 
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -1,4 +1,4 @@
-"""Documents and messages with wrong entries end nothing but themselves."""
+"""Invalid documents and messages are rejected and do no further harm."""
 
 import json
 
@@ -60,7 +60,7 @@
 
 
 def ask(configuration):
-    """Admit a request by a configuration and divide its limits."""
+    """Admit a request under a configuration and divide the limits of teams."""
     headers = (
         (b'host', b'guide.example'),
         (b'authorization', b'Bearer key-1'),
@@ -129,7 +129,7 @@
 
 
 def encode(document):
-    """Encode a message; integers that do not fit become the largest."""
+    """Encode a message; an integer out of range gives the largest instead."""
     try:
         return msgspec.msgpack.encode(document)
     except OverflowError:
@@ -137,6 +137,6 @@
 
 
 def is_reachable(ip):
-    """Whether a socket takes an address as it stands, without a look-up."""
+    """Whether an address is dotted IPv4, which needs no look-up."""
     parts = ip.split('.')
     return len(parts) == 4 and all(part.isdigit() for part in parts)
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -1,4 +1,4 @@
-"""Tests of the path of a request where no target is reached."""
+"""Tests of the dispatch of requests when no target can be reached."""
 
 import asyncio
 
--- a/tests/unit/test_speaker.py
+++ b/tests/unit/test_speaker.py
@@ -1,4 +1,4 @@
-"""Tests of who speaks between zones, to whom and how often."""
+"""Tests of reports between zones: which VM sends them, to whom, how often."""
 
 import pytest
 
@@ -20,7 +20,7 @@
 
 
 class Exchange:
-    """A speaker, the time, and what it sent to whom."""
+    """A VM that may be a delegate, the time, and what it sent to whom."""
 
     def __init__(self):
         self.now = 0.0
--- a/toucanhall/edge/__init__.py
+++ b/toucanhall/edge/__init__.py
@@ -1,1 +1,1 @@
-"""The process of a VM: listeners, the path of a request, the directory."""
+"""The process of a VM: listeners, dispatch of requests, the directory."""
--- a/toucanhall/edge/__main__.py
+++ b/toucanhall/edge/__main__.py
@@ -1,4 +1,4 @@
-"""Runs a VM by the settings file that the platform names."""
+"""Runs a VM with the settings file named by the environment."""
 
 import os
 import sys
@@ -10,10 +10,13 @@
 
 
 def main() -> int:
-    """Run the VM; return 2 when its settings cannot be used."""
+    """Run the VM; return 2 if its settings are missing or invalid."""
     named = os.environ.get(SETTINGS_VARIABLE)
     if not named:
-        sys.stderr.write(f'{SETTINGS_VARIABLE} names no settings file\n')
+        sys.stderr.write(
+            f'{SETTINGS_VARIABLE} is unset or empty; '
+            'it must name the settings file\n',
+        )
         return 2
     try:
         process.run(Path(named))
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -1,4 +1,4 @@
-"""Decides whether a request may be sent to a target, and what binds it."""
+"""Admits or refuses a request; resolves its route, team and deadline."""
 
 import random
 from collections.abc import Callable
@@ -19,9 +19,9 @@
 
 
 class Admitted(NamedTuple):
-    """A request that may be sent to a target; times of the loop's clock.
+    """A request that may be sent to a target; times are of the loop's clock.
 
-    `homes` are the regions that may serve it, none of them for all.
+    `homes` are the regions that may serve it; an empty set allows all.
     """
 
     request: Request
@@ -37,12 +37,12 @@
 
     @property
     def object_key(self) -> str:
-        """The object that the request concerns, or its own id."""
+        """The key of the requested object, or else the request id."""
         return self.marks.object_key or self.marks.request_id.decode('latin-1')
 
     @property
     def objective(self) -> float:
-        """Seconds within which an answer is wanted."""
+        """Time after receipt within which an answer is wanted."""
         return self.objective_at - self.received_at
 
 
@@ -53,7 +53,7 @@
     quotas: Quotas,
     now: float,
 ) -> Admitted | Refusal:
-    """Admit a request, or tell why not."""
+    """Return the admitted request, or the refusal that answers it."""
     if configuration is None:
         return refusals.NO_CONFIGURATION
     route = find_route(configuration, marks.host, marks.path)
@@ -112,7 +112,10 @@
 
 
 def _join_homes(route: Route, team: Team | None) -> frozenset[str] | None:
-    """Return the regions allowed, empty for all, None for none of them."""
+    """Return the regions that route and team both allow.
+
+    An empty set allows all regions; None means that none is allowed.
+    """
     if team is None or not team.homes:
         return route.homes
     if not route.homes:
--- a/toucanhall/edge/callers.py
+++ b/toucanhall/edge/callers.py
@@ -1,4 +1,4 @@
-"""Takes the connections of callers and those of other questions to a VM."""
+"""Serves the connections of callers and the other endpoints of a VM."""
 
 from collections.abc import Awaitable, Callable
 
@@ -12,19 +12,19 @@
 
 
 class Callers:
-    """The connections of callers and the listener that takes them."""
+    """The open connections of callers and the listener that accepts them."""
 
     def __init__(self, *, handler: Handler) -> None:
-        """Serve requests by a handler; nothing is opened yet."""
+        """Serve requests with a handler; nothing is opened yet."""
         self._handler = handler
         self._listener: Listener | None = None
 
     def count(self) -> int:
-        """Return how many connections are open."""
+        """Return the number of open connections."""
         return len(self._handler.connections)
 
     async def open(self, address: Address) -> None:
-        """Take connections at an address."""
+        """Accept connections of callers at an address."""
         self._listener = await _open(address, self._handler)
 
     async def open_plain(
@@ -32,7 +32,7 @@
         address: Address,
         answer: Callable[[Request], Answer],
     ) -> None:
-        """Answer other questions than those of callers at an address."""
+        """Answer the requests of another endpoint at an address."""
         await _open(
             address,
             self._handler._replace(
@@ -42,7 +42,7 @@
         )
 
     async def close(self, until: float) -> None:
-        """Take no new connection; close the others until a time of the loop."""
+        """Stop accepting; close open connections by a time of the loop."""
         if self._listener is not None:
             await self._listener.close()
         await close_connections(self._handler.connections, until=until)
--- a/toucanhall/edge/closing.py
+++ b/toucanhall/edge/closing.py
@@ -1,4 +1,4 @@
-"""Closes the connections of callers at a planned stop."""
+"""Closes the connections of callers when the VM stops as planned."""
 
 import asyncio
 from collections.abc import Collection
@@ -6,18 +6,18 @@
 
 __all__ = ('close_connections',)
 
-# A request may be on its way on a connection that was used so lately: twice
-# the longest way of today's deployments, and the opening of a connection.
+# A request may be in transit on a connection that was used this recently: twice
+# the longest one-way delay of today's deployments plus a connection set-up.
 _QUIET_SECONDS: Final = 0.3
 _STEP_SECONDS: Final = 0.05
-# Steps rather than seconds: a process that did not run for a while has not yet
-# read what callers sent meanwhile, nor accepted their connections.
+# Counted in polls, not seconds: a process that was paused has neither read what
+# callers sent meanwhile nor accepted their connections.
 _LEAST_STEPS: Final = round(_QUIET_SECONDS / _STEP_SECONDS)
 
 
 class _Closable(Protocol):
     def close_idle(self, *, quiet: float) -> bool:
-        """Close a connection without requests that was not used lately."""
+        """Close if no request is under way or came in `quiet` seconds."""
 
 
 async def close_connections(
@@ -25,10 +25,10 @@
     *,
     until: float,
 ) -> None:
-    """Close connections as they become idle, until a time of the loop.
+    """Close connections as they become idle, until a time of the loop's clock.
 
-    What came while the process did not run is still read and answered, so this
-    may end some steps later.
+    Requests that arrived while the process was paused are still read and
+    answered, so this may end some polls later.
     """
     loop = asyncio.get_running_loop()
     steps = 0
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -1,4 +1,4 @@
-"""Which VMs a client should use."""
+"""Tells clients which VMs to send their requests to."""
 
 from collections.abc import Callable, Iterable, Sequence
 from itertools import chain
@@ -23,10 +23,10 @@
     around: frozenset[str],
     homes: frozenset[str],
 ) -> list[Member]:
-    """Return the nearest VMs: of the zone, else of zones around it, else any.
+    """Return the nearest VMs: of the zone, else of its region, else any.
 
-    `around` are the zones of its region, `homes` those of the home regions of
-    the host, which go before other far ones. A zone whose VMs do not keep up
+    `region_zones` are the zones of the region, `home_zones` those of the home
+    regions of the host, which precede other remote zones. A zone whose VMs lag
     shares its clients with the rest of the region.
     """
     zones: dict[str, list[Member]] = {}
@@ -46,13 +46,13 @@
         near = [
             found for found in region if found.lag <= LAGGING_SECONDS
         ] or region
-    # Most questions are answered by the first ring: the others are not built.
+    # Built lazily: the first group answers most queries.
     rings = chain((near,), map(list_serving, (around, homes, zones)))
     return next((ring[:_MOST_VMS] for ring in rings if ring), [])
 
 
 class Directory:
-    """Answers clients by the VMs that are alive."""
+    """Answers the queries of clients with VMs that are alive."""
 
     def __init__(
         self,
@@ -63,7 +63,7 @@
         list_zone: Callable[[], list[Member]],
         clock: Callable[[], float],
     ) -> None:
-        """Name VMs of the own zone by `list_zone`, the others by report."""
+        """List local VMs by `list_local_vms`, remote ones from `members`."""
         self._environment = environment
         self._knowledge = knowledge
         self._members = members
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -1,4 +1,4 @@
-"""What a VM does when its knowledge changes and with each heartbeat."""
+"""Applies changed tables and reports of other VMs to the state of a VM."""
 
 import math
 from collections.abc import Callable, Mapping, Sequence
@@ -19,7 +19,7 @@
 
 
 class Duties:
-    """Brings targets, limits and the watch of the store up to date."""
+    """Keeps targets, limits and retry budgets up to date."""
 
     def __init__(
         self,
@@ -32,7 +32,7 @@
         journal: Journal,
         clock: Callable[[], float],
     ) -> None:
-        """Work on what the path of requests decides by."""
+        """Update the state by which requests are admitted and dispatched."""
         self._environment = environment
         self._knowledge = knowledge
         self._field = field
@@ -54,7 +54,7 @@
         return self._environment.vm in near
 
     def take_change(self, table: str) -> None:
-        """Act on a changed table."""
+        """Apply a changed table of the knowledge."""
         self._changes[table]()
 
     def take_beat(
@@ -63,9 +63,9 @@
         zone: Sequence[Member],
         own: Mapping[str, Usage],
     ) -> None:
-        """Act on what the other VMs told since the last heartbeat.
+        """Apply what other VMs reported since the last heartbeat.
 
-        `zone` holds the VMs of the own zone, `own` the requests of this VM.
+        `zone` holds the VMs of the own zone, `own` the usage of this VM.
         """
         now = self._clock()
         dropped = self._knowledge.drop_lapsed(now)
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -1,4 +1,4 @@
-"""Exchanges heartbeats with the VMs of the zone, and reports with others."""
+"""Exchanges heartbeats with local VMs and zone reports with other zones."""
 
 import asyncio
 import time
@@ -23,24 +23,28 @@
     'find_beat_seconds',
 )
 
-# Two of three heartbeats may be lost before others look for a new watcher.
+# Two of three heartbeats may be lost before others choose a new watcher.
 HEARTBEAT_SECONDS: Final = 0.8
-# By then the seeds have introduced all VMs, over two times between regions.
+# By then the seeds have introduced all VMs, over twice the one-way delay
+# between regions.
 FIRST_BEAT_SECONDS: Final = 0.2
-# A VM that has just started knows little of what others spent: it tells and
-# hears more often until the first window's reports have gone round twice.
+# A VM that has just started knows little of the usage of others: it sends and
+# receives more often until the first window's reports have gone round twice.
 _EARLY_BEAT_SECONDS: Final = 0.2
 _EARLY_SECONDS: Final = 2.0
 _PAUSE_SECONDS: Final = 1.0  # a timer that is this late: the VM stood still
 
 
 def find_beat_seconds(age: float) -> float:
-    """Return the time to the next beat of a VM that started so long ago."""
+    """Return the time to the next heartbeat of a VM of some age."""
     return _EARLY_BEAT_SECONDS if age < _EARLY_SECONDS else HEARTBEAT_SECONDS
 
 
 class Source(NamedTuple):
-    """A VM that told which tables it has, maybe through one of the zone."""
+    """A VM whose table revisions were received.
+
+    `is_relayed` tells that another VM of the own zone passed them on.
+    """
 
     vm: str
     zone: str
@@ -49,7 +53,7 @@
 
 
 class Fleetmate:
-    """This VM among the others."""
+    """Sends this VM's state to the other VMs and receives theirs."""
 
     def __init__(
         self,
@@ -62,7 +66,7 @@
         on_heard: Callable[[Source, Revisions], None],
         on_beat: Callable[[], None],
     ) -> None:
-        """Tell others what this VM knows; call `on_beat` with each beat."""
+        """Call `on_heartbeat` after each heartbeat that is sent."""
         self._environment = environment
         self._knowledge = knowledge
         self._quotas = quotas
@@ -90,7 +94,7 @@
         )
 
     async def start(self) -> None:
-        """Listen to the other VMs and ask the seeds for them."""
+        """Open the gossip socket and ask the seeds for the other VMs."""
         environment = self._environment
         self._gossip = await open_gossip(
             Address(environment.ip, environment.gossip_port),
@@ -108,7 +112,7 @@
         self._loop.call_later(FIRST_BEAT_SECONDS, self._beat)
 
     def meet(self, introductions: Iterable[Introduction]) -> None:
-        """Greet VMs of the own zone that were not known."""
+        """Add VMs; send a heartbeat to those of the own zone that are new."""
         own = self._environment.vm
         new = [
             found
@@ -120,10 +124,10 @@
         )
 
     def tell(self, *, is_first: bool) -> None:
-        """Tell the own zone which tables this VM has.
+        """Send the own zone the revisions of this VM's tables.
 
-        The first one of a zone to know of them tells the other zones too:
-        the VM that watches the store for one may be cut off.
+        The first VM of a zone that has them sends them to the other zones
+        too, whose watchers may be cut off from the store.
         """
         self._greet(self._list_near_ips())
         if is_first:
@@ -179,7 +183,7 @@
         now = self._loop.time()
         late = now - self._beat_at - self._beat_seconds
         self._beat_at = now
-        # An error in what follows must not end the heartbeats.
+        # Scheduled first: an error in what follows must not end the heartbeats.
         self._beat_seconds = find_beat_seconds(now - self._began_at)
         self._loop.call_later(self._beat_seconds, self._beat)
         if late > _PAUSE_SECONDS:
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -1,4 +1,4 @@
-"""The path of a request: admit, choose a target, send, answer."""
+"""Dispatches a request: admit it, choose a target, send it, answer it."""
 
 import asyncio
 import math
@@ -29,7 +29,7 @@
 
 __all__ = ('Path',)
 
-# Requests that waited for longer in this VM are refused, the less urgent ones
+# Requests that waited longer in this VM are refused, the less urgent ones
 # sooner: a caller gives up on a VM that reads nothing for a second.
 _MOST_LAG_SECONDS: Final = 0.6
 _LESS_URGENT_LAG_SECONDS: Final = 0.3
@@ -41,7 +41,7 @@
 
 
 class _Attempts:
-    """Targets that were tried for a request, and the worst failure."""
+    """The targets tried for a request, and the worst failure."""
 
     def __init__(self) -> None:
         self.tried: set[str] = set()
@@ -60,7 +60,7 @@
 
 
 class Path:
-    """Serves requests of callers by targets."""
+    """Answers the requests of callers by sending them to targets."""
 
     def __init__(
         self,
@@ -73,7 +73,7 @@
         reporter: Reporter,
         lag: LoopLag,
     ) -> None:
-        """Decide by what the VM knows; send on pooled connections."""
+        """Decide by the VM's knowledge; send on pooled connections."""
         self._knowledge = knowledge
         self._field = field
         self._sender = sender
@@ -89,7 +89,7 @@
         self.in_flight = 0
 
     def stop(self, ends_at: float) -> None:
-        """Give each request its final answer by a time of the loop's clock."""
+        """Answer each request by a time of the loop's clock."""
         self._ends_at = ends_at
         for timeout in self._timeouts:
             when = timeout.when()
@@ -97,7 +97,7 @@
                 timeout.reschedule(ends_at)
 
     def is_cancellable(self, request: Request) -> bool:
-        """Whether a request is ended when its caller has left."""
+        """Whether a request is cancelled when its caller has left."""
         configuration = self._knowledge.configuration
         if configuration is None:
             return True
@@ -177,7 +177,7 @@
                 self._timeouts.discard(timeout)
 
     def _may_end(self, admitted: Admitted) -> bool:
-        """Whether a request may be answered before this VM ends."""
+        """Whether a request can be answered before this VM stops."""
         usual = self._times.get(admitted.route.name, admitted.objective)
         needed = min(admitted.deadline, admitted.received_at + usual * _SPREAD)
         return needed <= self._ends_at
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -1,4 +1,4 @@
-"""Connections to targets that are kept between requests."""
+"""Connections to targets that are kept open between requests."""
 
 from collections.abc import Callable
 from typing import Final
@@ -18,7 +18,7 @@
 
 
 class Pool:
-    """Idle connections by address; the last one used is taken first."""
+    """Idle connections by address; the last one used is reused first."""
 
     def __init__(
         self,
@@ -27,7 +27,7 @@
         opening: Opening,
         most_idle: int,
     ) -> None:
-        """Read answers within the bounds of `opening`; keep `most_idle`."""
+        """Open connections by `opening`; keep at most `most_idle`."""
         self._clock = clock
         self._most_idle = most_idle
         self._idle_count = 0
@@ -42,7 +42,7 @@
         may_repeat: bool,
         seconds: float,
     ) -> ServerConnection:
-        """Return a connection that was idle, or one made in some seconds."""
+        """Return an idle connection, or else open one."""
         longest = _IDLE_SECONDS if may_repeat else _FRESH_SECONDS
         now = self._clock()
         idle = self._idle.get(address)
@@ -64,7 +64,7 @@
         )
 
     def give_back(self, address: Address, connection: ServerConnection) -> None:
-        """Keep a connection whose answer was read whole."""
+        """Keep a connection whose answer was read completely."""
         idle = self._idle.setdefault(address, [])
         is_full = (
             len(idle) >= _KEPT_PER_TARGET or self._idle_count >= self._most_idle
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -1,4 +1,4 @@
-"""The process of a VM: puts its parts together, starts and stops them."""
+"""The process of a VM: creates its parts, starts and stops them."""
 
 import asyncio
 import gc
@@ -177,7 +177,7 @@
         )
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then end what is under way."""
+        """Serve until SIGTERM, then finish the requests under way."""
         for name, act in (
             (signal.SIGTERM, self._stopping.set),
             (signal.SIGINT, self._stopping.set),
@@ -254,10 +254,11 @@
         self._mate.members.note_listing()
 
     async def _tend_entries(self, own: Introduction) -> None:
-        """Find VMs by their entries; delete those of the own zone's dead.
+        """Read the entries of VMs; delete those of dead VMs of the own zone.
 
-        The VM that watches for a zone does it. One that is cut off from its
-        zone watches too: it writes its entry again if that was deleted.
+        Only the watcher of a zone deletes entries. A VM that is cut off from
+        its zone is a watcher too: it writes its entry again if that was
+        deleted.
         """
         gone = self._mate.members.drop_gone(self._loop.time())
         if not self._follower.is_watching:
@@ -390,7 +391,7 @@
 
 
 def run(settings: FilePath) -> None:
-    """Run a VM until it is told to stop; raises BadSettings."""
+    """Run a VM until a signal stops it; raise BadSettings."""
     asyncio.run(_run(settings, boot.load(settings)))
 
 
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -1,6 +1,6 @@
-"""Answers of the VM itself, and what they promise.
+"""Answers that the VM itself gives to requests, and what they promise.
 
-A status of 429 or 503 says that the request has not run and never will.
+A status of 429 or 503 promises that the request has not run and never will.
 """
 
 from collections.abc import Mapping
@@ -15,7 +15,7 @@
 class Refusal(NamedTuple):
     """A final answer; `retry_after` is in seconds, None where it is useless.
 
-    `inputs` are the figures that decided it, for the log.
+    `log_fields` are the figures that led to the refusal.
     """
 
     status: int
@@ -25,14 +25,14 @@
     inputs: Mapping[str, float] = MappingProxyType({})
 
 
-# A quarter of a second is the usual time of a request: slots are free again.
+# A request usually takes a quarter of a second: slots are free again by then.
 FULL: Final = Refusal(503, 'targets-full', 0.25)
 NOT_RUN: Final = Refusal(503, 'not-run', 0.25)
-# The directory names other VMs by the next time that clients ask.
+# The directory returns other VMs when clients ask it the next time.
 OVERLOADED: Final = Refusal(503, 'vm-overloaded', 0.5)
-# Other VMs take requests at once; a client leaves the address that refused.
+# Other VMs accept requests at once; a client leaves the address that refused.
 STOPPING: Final = Refusal(503, 'vm-stopping', 0.05)
-# Configurations and targets are read within half a second of a start.
+# A VM reads configuration and targets within half a second of its start.
 NO_CONFIGURATION: Final = Refusal(503, 'no-configuration', 0.5)
 NO_TARGET: Final = Refusal(503, 'no-target', 0.5)
 NO_ROUTE: Final = Refusal(404, 'no-route')
@@ -47,12 +47,12 @@
     retry_after: float,
     inputs: Mapping[str, float],
 ) -> Refusal:
-    """Return the refusal of a team that is over its limit."""
+    """Return the refusal of a request whose team is over its quota."""
     return Refusal(429, 'over-quota', retry_after, team, inputs)
 
 
 def make_refusal(refusal: Refusal) -> Answer:
-    """Return the answer of a refusal."""
+    """Return the HTTP answer of a refusal."""
     headers: tuple[tuple[bytes, bytes], ...] = ()
     if refusal.retry_after is not None:
         headers = ((b'retry-after', b'%.3f' % refusal.retry_after),)
--- a/toucanhall/edge/reporting.py
+++ b/toucanhall/edge/reporting.py
@@ -1,4 +1,4 @@
-"""Tells what became of requests, in log lines and metrics."""
+"""Records what became of requests, in log lines and metrics."""
 
 from typing import Final
 
@@ -13,12 +13,12 @@
 
 __all__ = ('Reporter',)
 
-# One line for so many requests that were served; all are in the histogram.
+# Served requests are sampled in the log; all of them are in the histogram.
 _SERVED_SAMPLE: Final = 64
 
 
 class Reporter:
-    """Writes one line for each decision that touches a request."""
+    """Logs and counts each decision on a request."""
 
     def __init__(
         self,
@@ -27,7 +27,7 @@
         journal: Journal,
         metrics: Metrics,
     ) -> None:
-        """Add to each line the versions of what the VM knows."""
+        """Add the versions of the VM's tables to each line."""
         self._knowledge = knowledge
         self._journal = journal
         self._metrics = metrics
@@ -39,7 +39,7 @@
         refusal: Refusal,
         **fields: object,
     ) -> Answer:
-        """Count and write a refusal; return its answer."""
+        """Count and log a refusal; return its answer."""
         self._metrics.count(
             'refusals',
             reason=refusal.reason,
@@ -58,7 +58,7 @@
         return make_refusal(refusal)
 
     def pass_on(self, marks: CallerMarks, reason: str, target: str) -> None:
-        """Count and write a failure of a target that its caller gets."""
+        """Count and log a failed answer of a target that its caller gets."""
         self._metrics.count('failures_passed_on', reason=reason)
         self.write(events.REQUEST_FAILED, marks, why=reason, target=target)
 
@@ -68,17 +68,17 @@
         reason: str,
         **fields: object,
     ) -> None:
-        """Count and write an attempt without success."""
+        """Count and log a failed attempt."""
         self._metrics.count('attempts_failed', reason=reason)
         self.write(events.ATTEMPT_FAILED, marks, why=reason, **fields)
 
     def refuse_repeat(self, marks: CallerMarks, service: str) -> None:
-        """Count and write a repeat that the budget has no room for."""
+        """Count and log a retry for which the retry budget is spent."""
         self._metrics.count('repeats_refused', service=service)
         self.write(events.REPEAT_REFUSED, marks, service=service)
 
     def leave(self, marks: CallerMarks, route: str) -> None:
-        """Count and write a request whose caller has left."""
+        """Count and log a request whose caller has left."""
         self._metrics.count('callers_left', route=route)
         self.write(events.CALLER_LEFT, marks)
 
@@ -89,7 +89,7 @@
         seconds: float,
         **fields: object,
     ) -> None:
-        """Observe the time of a request that was served; write some."""
+        """Observe the time of a served request; log one of some."""
         self._metrics.observe('request', seconds, route=route)
         self._served += 1
         if self._served % _SERVED_SAMPLE == 0:
@@ -101,7 +101,7 @@
             )
 
     def write(self, event: Event, marks: CallerMarks, **fields: object) -> None:
-        """Write a line with the id of a request and what the VM knows."""
+        """Write a line with the id of a request and the VM's table versions."""
         configuration = self._knowledge.configuration
         self._journal.write(
             event,
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -1,4 +1,4 @@
-"""Sends a request to a target and judges its answer."""
+"""Sends a request to a target and classifies its answer."""
 
 import asyncio
 from http import HTTPStatus
@@ -22,8 +22,8 @@
 __all__ = ('Failure', 'Sender', 'Success')
 
 _FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
-# Three times the way there and back: 2 ms in a region, 110 ms between them,
-# where a VM may also be slow to accept.
+# By whether the target is in the own region. Three round trips, which take 2 ms
+# in a region and 110 ms between regions; a VM may also be slow to accept.
 _CONNECT_SECONDS: Final = {True: 0.15, False: 0.35}
 _REDIRECTED_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
 
@@ -31,8 +31,8 @@
 class Success(NamedTuple):
     """An answer to pass on; `seconds` from the start of the attempt.
 
-    `fill` is how full the target seemed when the request was sent, 1 for as
-    many requests as it has slots.
+    `load_ratio` is the estimated number of requests at the target when the
+    request was sent, over the number of its slots.
     """
 
     reply: Reply
@@ -41,10 +41,10 @@
 
 
 class Failure(NamedTuple):
-    """An attempt that brought no success.
+    """An attempt without success.
 
-    `was_sent` tells that bytes left for the target, `may_have_run` that it may
-    have worked on them; `reply` is its own answer, if there was one.
+    `was_sent` tells whether bytes were sent to the target, `may_have_run`
+    whether it may have processed them; `reply` is its answer, if it gave one.
     """
 
     reason: str
@@ -56,10 +56,10 @@
 
 
 class Sender:
-    """Attempts on pooled connections; notes the health of targets."""
+    """Sends requests on pooled connections; records the health of targets."""
 
     def __init__(self, *, field: Field, pool: Pool, journal: Journal) -> None:
-        """Keep loads and health in `field`."""
+        """Record loads and health of targets in `field`."""
         self._field = field
         self._pool = pool
         self._journal = journal
@@ -96,7 +96,7 @@
         return self._judge(candidate, Success(reply, seconds, fill))
 
     def succeed(self, candidate: Candidate, ratio: float | None) -> None:
-        """Note an answer; `ratio` is its time over the usual time."""
+        """Record an answer; `ratio` is its time over the usual time."""
         if candidate.load.succeed(ratio):
             self._journal.write(
                 events.TARGET_RESUMED,
@@ -137,14 +137,18 @@
             return self._take_not_run(candidate, marks, now)
         if marks.is_unproven:
             # Passed on, the status would promise that the request never ran.
-            why = f'status {reply.status} without a proof'
+            why = f'status {reply.status} without proof that nothing ran'
             self._fail(target, is_lost=False, why=why)
             return Failure('unproven', target.id, detail=why)
         if reply.status >= _FAILED_STATUS:
             self._fail(target, is_lost=False, why=f'status {reply.status}')
             return Failure(f'status-{reply.status}', target.id, reply=reply)
         if reply.status < _REDIRECTED_STATUS and not marks.is_stamped:
-            self._fail(target, is_lost=False, why='answer without a stamp')
+            self._fail(
+                target,
+                is_lost=False,
+                why=f'status {reply.status} without response stamp',
+            )
             return Failure('unstamped', target.id)
         return success
 
--- a/toucanhall/edge/speaker.py
+++ b/toucanhall/edge/speaker.py
@@ -1,4 +1,4 @@
-"""Speaks for the own zone to the VMs that listen for other zones."""
+"""Sends the state of the own zone to the delegates of other zones."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -12,14 +12,14 @@
 
 __all__ = ('Speaker',)
 
-# A speaker reports with each second heartbeat; there are two of them.
+# A zone has two delegates; each reports with every second heartbeat.
 _BEATS_PER_REPORT: Final = 2
 
 Send = Callable[[Message, Iterable[str]], None]
 
 
 class Speaker:
-    """This VM's part in the exchange between zones."""
+    """Reports the own zone to others while this VM is one of its delegates."""
 
     def __init__(
         self,
@@ -28,14 +28,14 @@
         send: Send,
         clock: Callable[[], float],
     ) -> None:
-        """Send messages to IP addresses by `send`."""
+        """Send messages to IP addresses with `send`."""
         self._members = members
         self._send = send
         self._clock = clock
         self._beats = 0
 
     def beat(self, own: Heartbeat) -> None:
-        """Report to the other zones if this VM speaks and it is time."""
+        """Report to the other zones if this VM is a delegate and it is time."""
         self._beats += 1
         if self._beats % _BEATS_PER_REPORT:
             return
@@ -53,7 +53,7 @@
         )
 
     def tell(self, own: Heartbeat) -> None:
-        """Tell all listeners at once which tables this VM has."""
+        """Send the revisions of this VM's tables to all remote delegates."""
         news = Message(heartbeat=own._replace(usage={}))
         for listeners in self._list_listeners():
             self._send(news, listeners)
@@ -77,7 +77,7 @@
         )
 
     def _list_listeners(self) -> list[list[str]]:
-        """Return the IP addresses to speak to, for each other zone."""
+        """Return the IP addresses of the delegates of each other zone."""
         now = self._clock()
         found: list[list[str]] = []
         for other in self._members.list_zones():
@@ -87,7 +87,7 @@
         return [ips for ips in found if ips]
 
     def _guess(self, zone: str) -> list[str]:
-        """Return two VMs of a zone of which nothing is heard."""
+        """Return the addresses of two VMs of a zone without recent reports."""
         ips = [
             found.ip
             for found in self._members.introduced.values()
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -1,7 +1,8 @@
-"""Passes tables on between VMs: who is behind asks one that is ahead.
+"""Passes tables between VMs: one with older tables asks one with newer ones.
 
-Load pattern: a VM that starts hears of a dozen others within some milliseconds,
-all of which have the tables that it lacks; hundreds start within seconds.
+Load pattern: a VM that starts receives the revisions of a dozen others within
+some milliseconds, all of which have the tables that it lacks; hundreds of VMs
+start within seconds.
 """
 
 import asyncio
@@ -23,27 +24,27 @@
 __all__ = ('TableExchange',)
 
 _PATH: Final = b'/fleet/tables'
-# The VM of the own zone that watches the store tells its zone within some
-# milliseconds of a configuration or an evacuation, and within the time in
-# which it gathers changes of targets: others are asked only if it does not.
+# The watcher of the own zone broadcasts a configuration or an evacuation within
+# some milliseconds, and changes of targets within the time over which it
+# collects them: VMs of other zones are asked only if it does not.
 _URGENT_WAIT_SECONDS: Final = 0.15
 _TARGETS_WAIT_SECONDS: Final = 0.5
-# What came through a VM of the zone is fetched by that VM, which tells its
-# zone: the others ask far away only if it fails.
+# The VM of the own zone that relayed revisions fetches the tables itself and
+# broadcasts to its zone: the others ask the remote VM only if that fails.
 _RELAYED_WAIT_SECONDS: Final = 0.4
 _PULL_SECONDS: Final = 1.0  # a snapshot of some 30 kB between regions
-# A VM without tables leaves the others of its zone and of its region so much
-# time to be heard of: bytes between regions cost more.
+# A VM without tables waits this long for revisions from its own zone, and from
+# its own region, before it asks further away: bytes between regions cost more.
 _ZONE_WAIT_SECONDS: Final = 0.02
 _REGION_WAIT_SECONDS: Final = 0.06
 # One answer brings all that is missing: others are asked if it takes longer.
 _TURN_SECONDS: Final = 0.3
-# Of a table once unpacked: over ten times the one of 3,100 targets.
+# Of an unpacked snapshot: over ten times the one of 3,100 targets.
 _MOST_BYTES: Final = 4_000_000
 
 
 class TableExchange:
-    """Gives tables to other VMs and takes theirs."""
+    """Answers other VMs with tables and fetches newer ones from them."""
 
     def __init__(
         self,
@@ -56,10 +57,10 @@
         opening: Opening,
         on_taken: Callable[[Source], None],
     ) -> None:
-        """Ask VMs at the port at which each answers such questions.
+        """Ask each VM for its tables at `port`.
 
-        `regions` maps zones to theirs, `on_taken` gets the VM whose tables were
-        taken.
+        `regions` maps zones to their regions; `on_taken` gets the VM whose
+        snapshot was applied.
         """
         self._on_taken = on_taken
         self._opening = opening
@@ -74,7 +75,7 @@
         self._reads: set[asyncio.Task[None]] = set()
 
     def answer(self, request: Request) -> Answer:
-        """Answer a VM that asks for the tables."""
+        """Answer a VM that asks for newer tables."""
         path, _, query = request.path.partition(b'?')
         if path != _PATH:
             return make_answer(404, 'no such path')
@@ -86,7 +87,7 @@
         return Answer(200, (), pack(msgspec.msgpack.encode(snapshot)))
 
     def compare(self, source: Source, revisions: Revisions) -> None:
-        """Ask a VM for its tables if they are newer."""
+        """Fetch the tables of a VM if its revisions are newer."""
         own = self._knowledge.revisions
         self._knowledge.hear(revisions)
         if source.vm in self._asked or not is_ahead(revisions, own):
