--- a/tests/unit/test_closing.py
+++ b/tests/unit/test_closing.py
@@ -8,7 +8,7 @@
 from toucanhall.edge.closing import close_connections
 
 
-class Caller:
+class StubConnection:
     """A connection that was last used at a given time."""
 
     def __init__(self, connections, *, used_at):
@@ -30,36 +30,36 @@
 
     async def act():
         connections = set()
-        callers = [Caller(connections, used_at=time) for time in used_at]
+        stubs = [StubConnection(connections, used_at=time) for time in used_at]
         await close_connections(connections, until=until)
-        closed = [caller.closed_at for caller in callers]
+        closed = [stub.closed_at for stub in stubs]
         return closed, asyncio.get_running_loop().time()
 
     return run_paused(act())
 
 
-def test_connection_stays_while_a_request_may_be_on_its_way():
+def test_connection_stays_open_while_a_request_may_be_in_transit():
     (idle, used), _ = close((-1.0, 0.0), 2.0)
     assert idle == 0.0
     assert 0.3 <= used <= 0.36
 
 
-def test_connection_that_is_used_on_and_on_ends_with_the_time():
+def test_connection_in_constant_use_is_left_open_at_the_deadline():
     (closed,), ended = close((10.0,), 1.0)
     assert closed is None
     assert 1.0 <= ended <= 1.11
 
 
 @pytest.mark.parametrize('until', (-1.0, 0.0))
-def test_time_that_passed_unused_leaves_some_for_what_was_sent(until):
+def test_connection_accepted_after_the_deadline_may_still_be_used(until):
     async def act():
         connections = set()
         closing = asyncio.create_task(
             close_connections(connections, until=until),
         )
         await asyncio.sleep(0.01)
-        late = Caller(connections, used_at=0.0)
+        accepted = StubConnection(connections, used_at=0.0)
         await closing
-        return late.closed_at
+        return accepted.closed_at
 
     assert run_paused(act()) >= 0.3
--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -31,7 +31,7 @@
     ),
 )
 @pytest.mark.parametrize('is_watch', (False, True))
-def test_answer_of_the_store_that_lacks_something_is_an_error_of_the_store(
+def test_malformed_answer_of_the_store_raises_a_store_error(
     body,
     is_watch,
 ):
@@ -57,14 +57,14 @@
     asyncio.run(start())
 
 
-def test_watch_goes_on_after_an_unexpected_error(journal, monkeypatch):
+def test_watch_continues_after_an_unexpected_error(journal, monkeypatch):
     take = Tables.take
     failures = []
 
     def fail_once(tables, kind, table, *, is_whole):
         if kind == 'servers' and not failures:
             failures.append(kind)
-            raise ValueError('an object of an unexpected form')
+            raise ValueError('object of an unexpected form')
         take(tables, kind, table, is_whole=is_whole)
 
     monkeypatch.setattr(Tables, 'take', fail_once)
@@ -90,11 +90,11 @@
     assert failures
 
 
-def test_heartbeats_go_on_after_an_unexpected_error(journal):
-    beats = []
+def test_heartbeats_continue_after_an_unexpected_error(journal):
+    heartbeats = []
 
     def fail():
-        beats.append(1)
+        heartbeats.append(1)
         raise ValueError('figures of an unexpected form')
 
     async def start():
@@ -102,19 +102,19 @@
         errors = []
         loop.set_exception_handler(lambda _loop, found: errors.append(found))
         environment = make_environment()
-        mate = Fleetmate(
+        peers = Fleetmate(
             environment=environment,
             knowledge=Knowledge(on_change=lambda _table: None),
             quotas=Quotas(bounds=environment.bounds, beat=0.8, now=loop.time()),
             journal=journal,
-            find_self=make_member,
-            on_heard=lambda _source, _revisions: None,
-            on_beat=fail,
+            get_own_member=make_member,
+            on_revisions=lambda _source, _revisions: None,
+            on_heartbeat=fail,
         )
-        await mate.start()
+        await peers.start()
         await asyncio.sleep(1.0)
         return errors
 
     errors = asyncio.run(start())
-    assert len(beats) >= 3
-    assert len(errors) == len(beats)
+    assert len(heartbeats) >= 3
+    assert len(errors) == len(heartbeats)
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -26,7 +26,7 @@
 )
 
 
-def make_path(journal, late):
+def make_dispatcher(journal, lag_seconds):
     knowledge = Knowledge(on_change=lambda _table: None)
     document = make_configuration(rules=RULES)
     knowledge.take_configuration(1, decode_configuration(document))
@@ -34,7 +34,7 @@
     clock = asyncio.get_running_loop().time
     lag = LoopLag()
     for _tick in range(30):
-        lag.take(late)
+        lag.take(lag_seconds)
     return Path(
         knowledge=knowledge,
         field=field,
@@ -54,20 +54,20 @@
     )
 
 
-def serve(journal, path, late):
+def serve(journal, path, lag_seconds):
     async def run():
         headers = (
             (b'host', HOST.encode()),
             (b'authorization', f'Bearer {KEY}'.encode()),
         )
         request = Request(b'GET', path.encode(), headers, b'')
-        return await make_path(journal, late).serve(request)
+        return await make_dispatcher(journal, lag_seconds).serve(request)
 
     return asyncio.run(run())
 
 
 @pytest.mark.parametrize(
-    ('path', 'late', 'reason'),
+    ('path', 'lag_seconds', 'reason'),
     (
         ('/urgent/1', 0.0, b'targets-full'),
         ('/other/1', 0.0, b'targets-full'),
@@ -77,16 +77,16 @@
         ('/nowhere/1', 0.7, b'no-route'),
     ),
 )
-def test_vm_that_does_not_keep_up_refuses_less_urgent_requests_first(
+def test_lagging_vm_refuses_less_urgent_requests_first(
     journal,
     path,
-    late,
+    lag_seconds,
     reason,
 ):
-    assert serve(journal, path, late).body == reason
+    assert serve(journal, path, lag_seconds).body == reason
 
 
-def test_refusal_that_has_not_run_says_when_to_come_back(journal):
+def test_refusal_of_a_request_that_has_not_run_has_a_retry_after(journal):
     answer = serve(journal, '/other/1', 0.7)
     assert answer.status == 503
     assert get_header(answer.headers, b'retry-after') == b'0.500'
--- a/tests/unit/test_speaker.py
+++ b/tests/unit/test_speaker.py
@@ -13,7 +13,7 @@
 from toucanhall.fleet.model import Introduction
 from toucanhall.limits.quota import Usage
 
-FAR = tuple(
+REMOTE_VMS = tuple(
     make_member(f'far-{index}', zone='west-a', ip=f'127.0.1.{index}')
     for index in range(4)
 )
@@ -26,7 +26,7 @@
         self.now = 0.0
         self.sent = []
         self.members = make_members()
-        self.members.hear_report(make_report(members=FAR), 0.0)
+        self.members.hear_report(make_report(members=REMOTE_VMS), 0.0)
         self.speaker = Speaker(
             members=self.members,
             send=lambda message, ips: self.sent.append((message, tuple(ips))),
@@ -39,8 +39,8 @@
     return Exchange()
 
 
-def test_reports_go_to_both_listeners_in_turn(exchange):
-    for _beat in range(4):
+def test_reports_alternate_between_both_delegates_of_a_zone(exchange):
+    for _heartbeat in range(4):
         exchange.speaker.beat(make_heartbeat('vm-1'))
     assert [ips for _message, ips in exchange.sent] == [
         ('127.0.1.1',),
@@ -48,36 +48,36 @@
     ]
 
 
-def test_vm_that_two_others_bear_more_than_does_not_report(exchange):
+def test_vm_with_two_larger_ones_in_its_zone_sends_no_report(exchange):
     for vm in ('vm-1', 'vm-2'):
         exchange.members.hear(make_heartbeat(vm, capacity=900.0), 0.0)
-    for _beat in range(4):
+    for _heartbeat in range(4):
         exchange.speaker.beat(make_heartbeat('vm-0'))
     assert not exchange.sent
 
 
-def test_report_adds_up_the_requests_of_the_zone(exchange):
+def test_report_sums_the_usage_of_the_zone(exchange):
     usage = {'guides': Usage(3, 1.5)}
     exchange.members.hear(make_heartbeat('vm-2', usage=usage), 0.0)
-    for _beat in range(2):
+    for _heartbeat in range(2):
         exchange.speaker.beat(make_heartbeat('vm-1', usage=usage))
     ((message, _ips),) = exchange.sent
-    (told,) = message.report.told
-    assert told.usage == {'guides': Usage(6, 3.0)}
-    assert told.vms == 2
-    assert {found.vm for found in message.report.members} == {'vm-1', 'vm-2'}
+    (usage_report,) = message.report.told
+    assert usage_report.usage == {'guides': Usage(6, 3.0)}
+    assert usage_report.vms == 2
+    assert {member.vm for member in message.report.members} == {'vm-1', 'vm-2'}
 
 
-def test_zone_of_which_nothing_is_heard_is_tried_at_any_of_its_vms(exchange):
+def test_revisions_go_to_any_vm_of_a_zone_without_recent_reports(exchange):
     exchange.members.introduce(Introduction('far-9', 'kzn-a', '127.0.2.9'))
     exchange.now = REPORT_SECONDS + 1
     exchange.speaker.tell(make_heartbeat('vm-1'))
     reached = {ip for _message, ips in exchange.sent for ip in ips}
     assert '127.0.2.9' in reached
-    assert len(reached & {found.ip for found in FAR}) == 2
+    assert len(reached & {member.ip for member in REMOTE_VMS}) == 2
 
 
-def test_news_carries_no_usage(exchange):
+def test_broadcast_of_revisions_carries_no_usage(exchange):
     usage = {'guides': Usage(3, 1.5)}
     exchange.speaker.tell(make_heartbeat('vm-1', usage=usage))
     ((message, ips),) = exchange.sent
--- a/toucanhall/edge/__main__.py
+++ b/toucanhall/edge/__main__.py
@@ -11,15 +11,15 @@
 
 def main() -> int:
     """Run the VM; return 2 if its settings are missing or invalid."""
-    named = os.environ.get(SETTINGS_VARIABLE)
-    if not named:
+    settings_path = os.environ.get(SETTINGS_VARIABLE)
+    if not settings_path:
         sys.stderr.write(
             f'{SETTINGS_VARIABLE} is unset or empty; '
             'it must name the settings file\n',
         )
         return 2
     try:
-        process.run(Path(named))
+        process.run(Path(settings_path))
     except BadSettings as error:
         sys.stderr.write(f'{error}\n')
         return 2
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -14,8 +14,8 @@
 
 __all__ = ('Admitted', 'admit')
 
-_DEFAULT_OBJECTIVE: Final = 1.0  # seconds, of routes that name none
-_DEFAULT_PATIENCE: Final = 10.0  # seconds, of callers that name none
+_DEFAULT_OBJECTIVE_SECONDS: Final = 1.0  # of routes without an objective
+_DEFAULT_DEADLINE_SECONDS: Final = 10.0  # of callers that send no deadline
 
 
 class Admitted(NamedTuple):
@@ -41,7 +41,7 @@
         return self.marks.object_key or self.marks.request_id.decode('latin-1')
 
     @property
-    def objective(self) -> float:
+    def objective_seconds(self) -> float:
         """Time after receipt within which an answer is wanted."""
         return self.objective_at - self.received_at
 
@@ -63,17 +63,17 @@
     needs_key = bool(configuration.teams) and not route.is_public
     if needs_key and team is None:
         return refusals.UNKNOWN_KEY
-    wait = quotas.admit(team, now) if team else 0.0
-    if team and wait:
+    retry_after = quotas.admit(team, now) if team else 0.0
+    if team and retry_after:
         return refusals.make_over_limit(
             team.name,
-            wait,
+            retry_after,
             quotas.describe(team.name, now),
         )
-    return _bind(request, marks, configuration, route, team, now)
+    return _resolve(request, marks, configuration, route, team, now)
 
 
-def _bind(
+def _resolve(
     request: Request,
     marks: CallerMarks,
     configuration: Configuration,
@@ -81,11 +81,11 @@
     team: Team | None,
     now: float,
 ) -> Admitted | Refusal:
-    homes = _join_homes(route, team)
-    service = configuration.services.get(_pick_part(route))
+    homes = _intersect_regions(route, team)
+    service = configuration.services.get(_pick_service_name(route))
     if homes is None or service is None:
         return refusals.NO_TARGET
-    patience = marks.seconds_left or _DEFAULT_PATIENCE
+    remaining = marks.seconds_left or _DEFAULT_DEADLINE_SECONDS
     return Admitted(
         request=request,
         marks=marks,
@@ -93,14 +93,14 @@
         team=team,
         service=service,
         homes=homes,
-        priority=_pick_priority(route, team),
+        priority=_get_priority(route, team),
         received_at=now,
-        deadline=now + min(patience, route.timeout or patience),
-        objective_at=now + (route.objective or _DEFAULT_OBJECTIVE),
+        deadline=now + min(remaining, route.timeout or remaining),
+        objective_at=now + (route.objective or _DEFAULT_OBJECTIVE_SECONDS),
     )
 
 
-def _pick_priority(route: Route, team: Team | None) -> int:
+def _get_priority(route: Route, team: Team | None) -> int:
     if team is None or team.priority is None:
         return route.priority
     return team.priority
@@ -111,7 +111,9 @@
     return configuration.teams.get(name or '')
 
 
-def _join_homes(route: Route, team: Team | None) -> frozenset[str] | None:
+def _intersect_regions(
+    route: Route, team: Team | None
+) -> frozenset[str] | None:
     """Return the regions that route and team both allow.
 
     An empty set allows all regions; None means that none is allowed.
@@ -123,15 +125,15 @@
     return (route.homes & team.homes) or None
 
 
-def _pick_part(
+def _pick_service_name(
     route: Route,
     draw: Callable[[], float] = random.random,
 ) -> str:
     if len(route.parts) == 1:
         return route.parts[0].service
-    point = draw() * sum(part.weight for part in route.parts)
+    remaining_weight = draw() * sum(part.weight for part in route.parts)
     for part in route.parts:
-        point -= part.weight
-        if point < 0:
+        remaining_weight -= part.weight
+        if remaining_weight < 0:
             return part.service
     return route.parts[-1].service
--- a/toucanhall/edge/arrivals.py
+++ b/toucanhall/edge/arrivals.py
@@ -4,7 +4,7 @@
 
 __all__ = ('Arrivals',)
 
-_WEIGHT: Final = 0.25  # of one beat: some four of them count
+_NEW_SAMPLE_FRACTION: Final = 0.25  # averages some four heartbeats
 
 
 class Arrivals:
@@ -22,8 +22,8 @@
 
     def measure(self, now: float) -> None:
         """Update the rate with the requests since the last measurement."""
-        elapsed = max(0.001, now - self._measured_at)
-        rate = self._count / elapsed
-        self.per_second += (rate - self.per_second) * _WEIGHT
+        elapsed_seconds = max(0.001, now - self._measured_at)
+        sample = self._count / elapsed_seconds
+        self.per_second += (sample - self.per_second) * _NEW_SAMPLE_FRACTION
         self._count = 0
         self._measured_at = now
--- a/toucanhall/edge/callers.py
+++ b/toucanhall/edge/callers.py
@@ -25,7 +25,7 @@
 
     async def open(self, address: Address) -> None:
         """Accept connections of callers at an address."""
-        self._listener = await _open(address, self._handler)
+        self._listener = await _listen(address, self._handler)
 
     async def open_plain(
         self,
@@ -33,10 +33,10 @@
         answer: Callable[[Request], Answer],
     ) -> None:
         """Answer the requests of another endpoint at an address."""
-        await _open(
+        await _listen(
             address,
             self._handler._replace(
-                serve=_make_plain(answer),
+                serve=_make_async(answer),
                 connections=set(),
             ),
         )
@@ -48,11 +48,11 @@
         await close_connections(self._handler.connections, until=until)
 
 
-async def _open(address: Address, handler: Handler) -> Listener:
+async def _listen(address: Address, handler: Handler) -> Listener:
     return await open_listener(address, lambda: Connection(handler=handler))
 
 
-def _make_plain(
+def _make_async(
     answer: Callable[[Request], Answer],
 ) -> Callable[[Request], Awaitable[Answer]]:
     async def serve(request: Request) -> Answer:  # noqa: RUF029
--- a/toucanhall/edge/closing.py
+++ b/toucanhall/edge/closing.py
@@ -8,11 +8,11 @@
 
 # A request may be in transit on a connection that was used this recently: twice
 # the longest one-way delay of today's deployments plus a connection set-up.
-_QUIET_SECONDS: Final = 0.3
-_STEP_SECONDS: Final = 0.05
+_MIN_IDLE_SECONDS: Final = 0.3
+_POLL_INTERVAL_SECONDS: Final = 0.05
 # Counted in polls, not seconds: a process that was paused has neither read what
 # callers sent meanwhile nor accepted their connections.
-_LEAST_STEPS: Final = round(_QUIET_SECONDS / _STEP_SECONDS)
+_MIN_POLL_COUNT: Final = round(_MIN_IDLE_SECONDS / _POLL_INTERVAL_SECONDS)
 
 
 class _Closable(Protocol):
@@ -31,12 +31,12 @@
     answered, so this may end some polls later.
     """
     loop = asyncio.get_running_loop()
-    steps = 0
+    poll_count = 0
     is_last = False
     while not is_last:
-        is_over = not connections or loop.time() >= until
-        is_last = is_over and steps >= _LEAST_STEPS
+        is_due = not connections or loop.time() >= until
+        is_last = is_due and poll_count >= _MIN_POLL_COUNT
         for connection in tuple(connections):
-            connection.close_idle(quiet=_QUIET_SECONDS)
-        await asyncio.sleep(_STEP_SECONDS)
-        steps += 1
+            connection.close_idle(quiet=_MIN_IDLE_SECONDS)
+        await asyncio.sleep(_POLL_INTERVAL_SECONDS)
+        poll_count += 1
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -14,14 +14,14 @@
 
 __all__ = ('Directory', 'pick_vms')
 
-_MOST_VMS: Final = 64
+_MAX_VM_COUNT: Final = 64
 
 
 def pick_vms(
     vms: Sequence[Member],
     zone: str,
-    around: frozenset[str],
-    homes: frozenset[str],
+    region_zones: frozenset[str],
+    home_zones: frozenset[str],
 ) -> list[Member]:
     """Return the nearest VMs: of the zone, else of its region, else any.
 
@@ -30,25 +30,28 @@
     shares its clients with the rest of the region.
     """
     zones: dict[str, list[Member]] = {}
-    for found in vms:
-        zones.setdefault(found.zone, []).append(found)
+    for member in vms:
+        zones.setdefault(member.zone, []).append(member)
 
     def list_serving(names: Iterable[str]) -> list[Member]:
         return [
-            found
+            member
             for name in names
-            for found in pick_serving(zones.get(name, ()))
+            for member in pick_serving(zones.get(name, ()))
         ]
 
-    near = list_serving((zone,))
-    if any(found.lag > LAGGING_SECONDS for found in near):
-        region = list_serving(around)
-        near = [
-            found for found in region if found.lag <= LAGGING_SECONDS
+    nearest = list_serving((zone,))
+    if any(member.lag > LAGGING_SECONDS for member in nearest):
+        region = list_serving(region_zones)
+        nearest = [
+            member for member in region if member.lag <= LAGGING_SECONDS
         ] or region
     # Built lazily: the first group answers most queries.
-    rings = chain((near,), map(list_serving, (around, homes, zones)))
-    return next((ring[:_MOST_VMS] for ring in rings if ring), [])
+    groups = chain(
+        (nearest,),
+        map(list_serving, (region_zones, home_zones, zones)),
+    )
+    return next((group[:_MAX_VM_COUNT] for group in groups if group), [])
 
 
 class Directory:
@@ -60,49 +63,49 @@
         environment: Environment,
         knowledge: Knowledge,
         members: Members,
-        list_zone: Callable[[], list[Member]],
+        list_local_vms: Callable[[], list[Member]],
         clock: Callable[[], float],
     ) -> None:
         """List local VMs by `list_local_vms`, remote ones from `members`."""
         self._environment = environment
         self._knowledge = knowledge
         self._members = members
-        self._list_zone = list_zone
+        self._list_local_vms = list_local_vms
         self._clock = clock
 
     def answer(self, request: Request) -> Answer:
         """Return the addresses of VMs for the client that asks."""
-        question = read_question(request)
-        if question is None:
+        query = read_question(request)
+        if query is None:
             return make_answer(404, 'no such path')
-        own, *near = self._list_zone()
-        vms = [found for found in near if found.is_ready]
-        vms += self._list_far()
+        own, *local = self._list_local_vms()
+        vms = [member for member in local if member.is_ready]
+        vms += self._list_remote_vms()
         if own.is_ready or not vms:
             vms.append(own._replace(is_ready=True))
         picked = pick_vms(
             vms,
-            question.zone,
-            self._list_zones({question.region}),
-            self._list_zones(self._find_homes(question.host)),
+            query.zone,
+            self._list_region_zones({query.region}),
+            self._list_region_zones(self._find_home_regions(query.host)),
         )
         listener = self._environment.listeners.requests
         port = listener.port if listener else 0
         return write_directory(
-            [Address(found.ip, port) for found in picked],
+            [Address(member.ip, port) for member in picked],
             self._environment.bounds.directory_ttl,
         )
 
-    def _list_far(self) -> list[Member]:
+    def _list_remote_vms(self) -> list[Member]:
         now = self._clock()
         return [
-            found
+            member
             for zone in self._members.list_zones()
-            for found in self._members.list_zone(zone, now)
-            if found.is_ready
+            for member in self._members.list_zone(zone, now)
+            if member.is_ready
         ]
 
-    def _list_zones(self, regions: Iterable[str]) -> frozenset[str]:
+    def _list_region_zones(self, regions: Iterable[str]) -> frozenset[str]:
         wanted = frozenset(regions)
         return frozenset(
             zone
@@ -110,9 +113,9 @@
             if region in wanted
         )
 
-    def _find_homes(self, host: str) -> frozenset[str]:
+    def _find_home_regions(self, host: str) -> frozenset[str]:
         configuration = self._knowledge.configuration
         if configuration is None:
             return frozenset()
-        homes = [route.homes for route in configuration.hosts.get(host, ())]
-        return frozenset().union(*homes)
+        regions = [route.homes for route in configuration.hosts.get(host, ())]
+        return frozenset().union(*regions)
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/duties.py
@@ -41,21 +41,21 @@
         self._journal = journal
         self._clock = clock
         self._serving: dict[str, list[str]] = {}
-        self._changes = {
-            'configuration': self._take_configuration,
-            'targets': self._take_targets,
-            'evacuations': self._take_evacuations,
+        self._handlers = {
+            'configuration': self._log_configuration,
+            'targets': self._apply_targets,
+            'evacuations': self._apply_evacuations,
         }
 
     @property
     def is_serving(self) -> bool:
         """Whether the directory names this VM."""
-        near = self._serving.get(self._environment.zone, [])
-        return self._environment.vm in near
+        local = self._serving.get(self._environment.zone, [])
+        return self._environment.vm in local
 
     def take_change(self, table: str) -> None:
         """Apply a changed table of the knowledge."""
-        self._changes[table]()
+        self._handlers[table]()
 
     def take_beat(
         self,
@@ -74,8 +74,10 @@
         alive = {self._environment.zone: zone}
         for other in members.list_zones():
             alive[other] = members.list_zone(other, now)
-        serving = {name: _pick_names(vms) for name, vms in alive.items()}
-        self._take_serving(serving)
+        serving = {
+            name: _list_serving_names(vms) for name, vms in alive.items()
+        }
+        self._update_serving(serving)
         known = members.count_known()
         self._field.take_vms(
             self._environment.vm,
@@ -88,9 +90,9 @@
                 for name, vms in alive.items()
             },
         )
-        self._divide(members, serving, own, now)
+        self._update_limits(members, serving, own, now)
 
-    def _take_serving(self, serving: dict[str, list[str]]) -> None:
+    def _update_serving(self, serving: dict[str, list[str]]) -> None:
         changed = [
             zone
             for zone, vms in serving.items()
@@ -104,14 +106,14 @@
             )
         self._serving = serving
 
-    def _divide(
+    def _update_limits(
         self,
         members: Members,
         serving: Mapping[str, list[str]],
         own: Mapping[str, Usage],
         now: float,
     ) -> None:
-        near = set(serving[self._environment.zone])
+        local = set(serving[self._environment.zone])
         is_serving = self.is_serving
         self._retries.resize(
             sum(map(len, serving.values())) if is_serving else math.inf,
@@ -121,13 +123,13 @@
             configuration.teams.values() if configuration else (),
             Told(own, vms=1.0 if is_serving else RESERVE_VMS),
             [
-                *members.list_near_told(now, near),
+                *members.list_near_told(now, local),
                 *members.list_far_told(now),
             ],
             now,
         )
 
-    def _take_configuration(self) -> None:
+    def _log_configuration(self) -> None:
         configuration = self._knowledge.configuration
         if configuration is not None:
             self._journal.write(
@@ -136,7 +138,7 @@
                 version=configuration.version,
             )
 
-    def _take_targets(self) -> None:
+    def _apply_targets(self) -> None:
         self._field.take_targets(self._knowledge.targets, self._clock())
         self._journal.write(
             events.TARGETS_CHANGED,
@@ -144,7 +146,7 @@
             targets=len(self._knowledge.targets),
         )
 
-    def _take_evacuations(self) -> None:
+    def _apply_evacuations(self) -> None:
         self._field.take_evacuations(
             self._knowledge.evacuated,
             self._knowledge.configuration,
@@ -157,5 +159,5 @@
         )
 
 
-def _pick_names(members: Sequence[Member]) -> list[str]:
-    return [found.vm for found in pick_serving(members)]
+def _list_serving_names(members: Sequence[Member]) -> list[str]:
+    return [member.vm for member in pick_serving(members)]
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -30,14 +30,16 @@
 FIRST_BEAT_SECONDS: Final = 0.2
 # A VM that has just started knows little of the usage of others: it sends and
 # receives more often until the first window's reports have gone round twice.
-_EARLY_BEAT_SECONDS: Final = 0.2
-_EARLY_SECONDS: Final = 2.0
-_PAUSE_SECONDS: Final = 1.0  # a timer that is this late: the VM stood still
+_EARLY_HEARTBEAT_INTERVAL_SECONDS: Final = 0.2
+_EARLY_PERIOD_SECONDS: Final = 2.0
+_MIN_PAUSE_SECONDS: Final = 1.0  # a timer this late: the process was paused
 
 
-def find_beat_seconds(age: float) -> float:
+def find_beat_seconds(age_seconds: float) -> float:
     """Return the time to the next heartbeat of a VM of some age."""
-    return _EARLY_BEAT_SECONDS if age < _EARLY_SECONDS else HEARTBEAT_SECONDS
+    if age_seconds < _EARLY_PERIOD_SECONDS:
+        return _EARLY_HEARTBEAT_INTERVAL_SECONDS
+    return HEARTBEAT_SECONDS
 
 
 class Source(NamedTuple):
@@ -62,32 +64,32 @@
         knowledge: Knowledge,
         quotas: Quotas,
         journal: Journal,
-        find_self: Callable[[], Member],
-        on_heard: Callable[[Source, Revisions], None],
-        on_beat: Callable[[], None],
+        get_own_member: Callable[[], Member],
+        on_revisions: Callable[[Source, Revisions], None],
+        on_heartbeat: Callable[[], None],
     ) -> None:
         """Call `on_heartbeat` after each heartbeat that is sent."""
         self._environment = environment
         self._knowledge = knowledge
         self._quotas = quotas
         self._journal = journal
-        self._find_self = find_self
-        self._on_heard = on_heard
-        self._on_beat = on_beat
+        self._get_own_member = get_own_member
+        self._on_revisions = on_revisions
+        self._on_heartbeat = on_heartbeat
         self._loop = asyncio.get_running_loop()
         self._gossip: Gossip | None = None
-        self._started_at = time.time_ns() // 1_000_000
-        self._lost: set[str] = set()
-        self._began_at = self._loop.time()
-        self._beat_at = self._began_at
-        self._beat_seconds = FIRST_BEAT_SECONDS
+        self._started_at_ms = time.time_ns() // 1_000_000
+        self._silent_vms: set[str] = set()
+        self._started_loop_time = self._loop.time()
+        self._last_heartbeat_at = self._started_loop_time
+        self._interval_seconds = FIRST_BEAT_SECONDS
         self.usage: dict[str, Usage] = {}
         self.members = Members(
             own=Introduction(environment.vm, environment.zone, environment.ip),
             zones=environment.regions,
             now=self._loop.time(),
         )
-        self._speaker = Speaker(
+        self._zone_reporter = Speaker(
             members=self.members,
             send=self._send,
             clock=self._loop.time,
@@ -98,29 +100,31 @@
         environment = self._environment
         self._gossip = await open_gossip(
             Address(environment.ip, environment.gossip_port),
-            hear=self._hear,
-            on_bad=self._drop,
+            hear=self._receive,
+            on_bad=self._log_dropped,
         )
         seeds = {
             seed.host
             for seed in environment.seeds
             if seed.host != environment.ip
         }
-        asking = self._make_heartbeat()._replace(is_asking=True)
-        self._send(Message(heartbeat=asking), seeds)
-        self._beat_at = self._loop.time()
-        self._loop.call_later(FIRST_BEAT_SECONDS, self._beat)
+        heartbeat = self._make_heartbeat()._replace(is_asking=True)
+        self._send(Message(heartbeat=heartbeat), seeds)
+        self._last_heartbeat_at = self._loop.time()
+        self._loop.call_later(FIRST_BEAT_SECONDS, self._send_heartbeats)
 
     def meet(self, introductions: Iterable[Introduction]) -> None:
         """Add VMs; send a heartbeat to those of the own zone that are new."""
         own = self._environment.vm
         new = [
-            found
-            for found in introductions
-            if found.vm != own and self.members.introduce(found)
+            introduction
+            for introduction in introductions
+            if introduction.vm != own and self.members.introduce(introduction)
         ]
-        self._greet(
-            found.ip for found in new if found.zone == self._environment.zone
+        self._send_heartbeat(
+            introduction.ip
+            for introduction in new
+            if introduction.zone == self._environment.zone
         )
 
     def tell(self, *, is_first: bool) -> None:
@@ -129,38 +133,38 @@
         The first VM of a zone that has them sends them to the other zones
         too, whose watchers may be cut off from the store.
         """
-        self._greet(self._list_near_ips())
+        self._send_heartbeat(self._list_local_ips())
         if is_first:
-            self._speaker.tell(self._make_heartbeat())
+            self._zone_reporter.tell(self._make_heartbeat())
 
-    def list_zone(self) -> list[Member]:
+    def list_local_vms(self) -> list[Member]:
         """Return the VMs of the own zone that are alive, this one first."""
         now = self._loop.time()
-        return [self._find_self(), *self.members.list_near(now)]
+        return [self._get_own_member(), *self.members.list_near(now)]
 
-    def _hear(self, message: Message) -> None:
+    def _receive(self, message: Message) -> None:
         if message.report is not None:
-            self._hear_report(message.report, is_relayed=message.is_relayed)
+            self._receive_report(message.report, is_relayed=message.is_relayed)
         heartbeat = message.heartbeat
         if heartbeat is None or heartbeat.member.vm == self._environment.vm:
             return
         if heartbeat.member.zone == self._environment.zone:
-            self._hear_near(heartbeat)
+            self._receive_local_heartbeat(heartbeat)
         if heartbeat.is_asking:
-            self._introduce_all(heartbeat)
+            self._send_introductions(heartbeat)
         self.meet(heartbeat.introduced)
         source = Source(*heartbeat.member.introduction, is_relayed=False)
-        self._on_heard(source, heartbeat.revisions)
+        self._on_revisions(source, heartbeat.revisions)
 
-    def _hear_near(self, heartbeat: Heartbeat) -> None:
+    def _receive_local_heartbeat(self, heartbeat: Heartbeat) -> None:
         if not self.members.hear(heartbeat, self._loop.time()):
             return
         vm = heartbeat.member.vm
-        self._lost.discard(vm)
+        self._silent_vms.discard(vm)
         self._journal.write(events.PEER_JOINED, peer=vm)
-        self._greet((heartbeat.member.ip,))
+        self._send_heartbeat((heartbeat.member.ip,))
 
-    def _hear_report(self, report: ZoneReport, *, is_relayed: bool) -> None:
+    def _receive_report(self, report: ZoneReport, *, is_relayed: bool) -> None:
         if report.zone == self._environment.zone:
             return
         if not self.members.hear_report(report, self._loop.time()):
@@ -168,59 +172,64 @@
         if not is_relayed:
             self._send(
                 Message(report=report, is_relayed=True),
-                self._list_near_ips(),
+                self._list_local_ips(),
             )
         source = Source(report.speaker, report.zone, report.ip, is_relayed)
-        self._on_heard(source, report.revisions)
+        self._on_revisions(source, report.revisions)
 
-    def _introduce_all(self, asking: Heartbeat) -> None:
+    def _send_introductions(self, request: Heartbeat) -> None:
         known = tuple(self.members.introduced.values())
         answer = self._make_heartbeat()._replace(introduced=known)
-        self._send(Message(heartbeat=answer), (asking.member.ip,))
-        self.meet((asking.member.introduction,))
+        self._send(Message(heartbeat=answer), (request.member.ip,))
+        self.meet((request.member.introduction,))
 
-    def _beat(self) -> None:
+    def _send_heartbeats(self) -> None:
         now = self._loop.time()
-        late = now - self._beat_at - self._beat_seconds
-        self._beat_at = now
+        delay_seconds = now - self._last_heartbeat_at - self._interval_seconds
+        self._last_heartbeat_at = now
         # Scheduled first: an error in what follows must not end the heartbeats.
-        self._beat_seconds = find_beat_seconds(now - self._began_at)
-        self._loop.call_later(self._beat_seconds, self._beat)
-        if late > _PAUSE_SECONDS:
-            self._journal.write(events.RESUMED, seconds=round(late, 2))
-            self.members.excuse(late)
+        self._interval_seconds = find_beat_seconds(
+            now - self._started_loop_time
+        )
+        self._loop.call_later(self._interval_seconds, self._send_heartbeats)
+        if delay_seconds > _MIN_PAUSE_SECONDS:
+            self._journal.write(
+                events.RESUMED,
+                seconds=round(delay_seconds, 2),
+            )
+            self.members.excuse(delay_seconds)
         self.usage = self._quotas.measure(now)
         heartbeat = self._make_heartbeat()
-        self._send(Message(heartbeat=heartbeat), self._list_near_ips())
-        self._speaker.beat(heartbeat)
-        self._find_lost(now)
-        self._on_beat()
-
-    def _find_lost(self, now: float) -> None:
-        alive = {found.vm for found in self.members.list_near(now)}
-        for vm in self.members.peers.keys() - alive - self._lost:
-            self._lost.add(vm)
+        self._send(Message(heartbeat=heartbeat), self._list_local_ips())
+        self._zone_reporter.beat(heartbeat)
+        self._log_silent_vms(now)
+        self._on_heartbeat()
+
+    def _log_silent_vms(self, now: float) -> None:
+        alive = {member.vm for member in self.members.list_near(now)}
+        for vm in self.members.peers.keys() - alive - self._silent_vms:
+            self._silent_vms.add(vm)
             self._journal.write(
                 events.PEER_LOST,
                 peer=vm,
                 silent=round(now - self.members.peers[vm].heard_at, 2),
             )
 
-    def _list_near_ips(self) -> list[str]:
+    def _list_local_ips(self) -> list[str]:
         environment = self._environment
         return [
-            found.ip
-            for found in self.members.introduced.values()
-            if found.zone == environment.zone and found.vm != environment.vm
+            other.ip
+            for other in self.members.introduced.values()
+            if other.zone == environment.zone and other.vm != environment.vm
         ]
 
-    def _greet(self, ips: Iterable[str]) -> None:
+    def _send_heartbeat(self, ips: Iterable[str]) -> None:
         self._send(Message(heartbeat=self._make_heartbeat()), ips)
 
     def _make_heartbeat(self) -> Heartbeat:
         return Heartbeat(
-            member=self._find_self(),
-            started_at=self._started_at,
+            member=self._get_own_member(),
+            started_at=self._started_at_ms,
             revisions=self._knowledge.revisions,
             usage=self.usage,
         )
@@ -230,5 +239,5 @@
         if self._gossip is not None:
             self._gossip.send(message, [Address(ip, port) for ip in ips])
 
-    def _drop(self, why: str) -> None:
+    def _log_dropped(self, why: str) -> None:
         self._journal.write(events.MESSAGE_DROPPED, why=why)
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -31,13 +31,13 @@
 
 # Requests that waited longer in this VM are refused, the less urgent ones
 # sooner: a caller gives up on a VM that reads nothing for a second.
-_MOST_LAG_SECONDS: Final = 0.6
-_LESS_URGENT_LAG_SECONDS: Final = 0.3
+_MAX_LAG_SECONDS: Final = 0.6
+_MAX_LESS_URGENT_LAG_SECONDS: Final = 0.3
 # Times of a route differ: a target that lacks the object takes three times as
 # long as one that has it, and the usual time lies between.
-_SPREAD: Final = 2.0
+_SLOW_TO_USUAL_TIME_RATIO: Final = 2.0
 # Connections that failed without a byte sent do not count as attempts.
-_MOST_UNSENT: Final = 3
+_MAX_UNSENT_COUNT: Final = 3
 
 
 class _Attempts:
@@ -45,18 +45,18 @@
 
     def __init__(self) -> None:
         self.tried: set[str] = set()
-        self.sent = 0
-        self.unsent = 0
-        self.failure: Failure | None = None
+        self.sent_count = 0
+        self.unsent_count = 0
+        self.worst_failure: Failure | None = None
 
-    def take(self, failure: Failure) -> None:
+    def record(self, failure: Failure) -> None:
         if failure.was_sent:
-            self.sent += 1
+            self.sent_count += 1
         else:
-            self.unsent += 1
-        known = self.failure
-        if known is None or failure.may_have_run or not known.may_have_run:
-            self.failure = failure
+            self.unsent_count += 1
+        worst = self.worst_failure
+        if worst is None or failure.may_have_run or not worst.may_have_run:
+            self.worst_failure = failure
 
 
 class Path:
@@ -79,10 +79,10 @@
         self._sender = sender
         self._quotas = quotas
         self._retries = retries
-        self._reporter = reporter
+        self._recorder = reporter
         self._lag = lag
         self._loop = asyncio.get_running_loop()
-        self._times = UsualTimes()
+        self._usual_times = UsualTimes()
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
         self.arrivals = Arrivals(now=self._loop.time())
@@ -117,53 +117,53 @@
             self._loop.time(),
         )
         if isinstance(admitted, Refusal):
-            return self._reporter.refuse(marks, admitted)
-        if self._lag.seconds > _find_most_lag(admitted.priority):
-            return self._reporter.refuse(
+            return self._recorder.refuse(marks, admitted)
+        if self._lag.seconds > _get_max_lag_seconds(admitted.priority):
+            return self._recorder.refuse(
                 marks,
                 refusals.OVERLOADED,
                 lag=round(self._lag.seconds, 3),
             )
-        if not self._may_end(admitted):
-            return self._reporter.refuse(
+        if not self._can_finish(admitted):
+            return self._recorder.refuse(
                 marks,
                 refusals.STOPPING,
                 seconds_left=round(self._ends_at - self._loop.time(), 3),
             )
         self.in_flight += 1
         try:
-            return await self._run(admitted)
+            return await self._attempt_until_deadline(admitted)
         except asyncio.CancelledError:
-            self._reporter.leave(marks, admitted.route.name)
+            self._recorder.leave(marks, admitted.route.name)
             raise
         except Exception as error:  # noqa: BLE001
-            self._reporter.write(
+            self._recorder.write(
                 events.REQUEST_CRASHED,
                 marks,
                 why=repr(error),
             )
-            return self._reporter.refuse(marks, refusals.CRASHED)
+            return self._recorder.refuse(marks, refusals.CRASHED)
         finally:
             self.in_flight -= 1
 
-    async def _run(self, admitted: Admitted) -> Answer:
+    async def _attempt_until_deadline(self, admitted: Admitted) -> Answer:
         self._retries.earn(admitted.service.name, admitted.received_at)
         attempts = _Attempts()
         try:
-            return await self._attempt_until(
+            return await self._attempt_with_timeout(
                 min(admitted.deadline, self._ends_at),
                 admitted,
                 attempts,
             )
         except TimeoutError:
-            return self._reporter.refuse(
+            return self._recorder.refuse(
                 admitted.marks,
                 refusals.TIMED_OUT,
                 route=admitted.route.name,
                 tried=sorted(attempts.tried),
             )
 
-    async def _attempt_until(
+    async def _attempt_with_timeout(
         self,
         until: float,
         admitted: Admitted,
@@ -176,11 +176,16 @@
             finally:
                 self._timeouts.discard(timeout)
 
-    def _may_end(self, admitted: Admitted) -> bool:
+    def _can_finish(self, admitted: Admitted) -> bool:
         """Whether a request can be answered before this VM stops."""
-        usual = self._times.get(admitted.route.name, admitted.objective)
-        needed = min(admitted.deadline, admitted.received_at + usual * _SPREAD)
-        return needed <= self._ends_at
+        usual_seconds = self._usual_times.get(
+            admitted.route.name,
+            admitted.objective_seconds,
+        )
+        latest_end = admitted.received_at + (
+            usual_seconds * _SLOW_TO_USUAL_TIME_RATIO
+        )
+        return min(admitted.deadline, latest_end) <= self._ends_at
 
     async def _attempt_all(
         self,
@@ -190,21 +195,21 @@
         while True:
             candidate = self._choose(admitted, attempts)
             if candidate is None:
-                return self._give_up(admitted, attempts)
+                return self._answer_failure(admitted, attempts)
             attempts.tried.add(candidate.target.id)
             outcome = await self._sender.attempt(admitted, candidate)
             if isinstance(outcome, Success):
-                return self._succeed(admitted, candidate, outcome)
-            attempts.take(outcome)
-            self._reporter.fail_attempt(
+                return self._answer_success(admitted, candidate, outcome)
+            attempts.record(outcome)
+            self._recorder.fail_attempt(
                 admitted.marks,
                 outcome.reason,
                 target=outcome.target,
                 may_have_run=outcome.may_have_run,
                 detail=outcome.detail,
             )
-            if not self._may_repeat(admitted, attempts, outcome):
-                return self._give_up(admitted, attempts)
+            if not self._may_retry(admitted, attempts, outcome):
+                return self._answer_failure(admitted, attempts)
 
     def _choose(
         self,
@@ -220,21 +225,21 @@
         )
         ask = Ask(
             seconds_to_objective=admitted.objective_at - now,
-            usual_seconds=self._times.get(
+            usual_seconds=self._usual_times.get(
                 admitted.route.name,
-                admitted.objective,
+                admitted.objective_seconds,
             ),
             priority=admitted.priority,
         )
         rate = admitted.service.cold_per_second
         while True:
-            found = self._field.list_candidates(need, now, WARM_TARGETS)
-            chosen = choose(found, ask, now)
+            candidates = self._field.list_candidates(need, now, WARM_TARGETS)
+            chosen = choose(candidates, ask, now)
             if not chosen or self._field.spend(chosen.target, rate, now):
                 return chosen
             need = need._replace(tried=need.tried | {chosen.target.id})
 
-    def _may_repeat(
+    def _may_retry(
         self,
         admitted: Admitted,
         attempts: _Attempts,
@@ -242,48 +247,55 @@
     ) -> bool:
         if failure.may_have_run and not admitted.route.is_idempotent:
             return False
-        if attempts.sent >= admitted.route.attempts:
+        if attempts.sent_count >= admitted.route.attempts:
             return False
         now = self._loop.time()
-        usual = self._times.get(admitted.route.name, admitted.objective)
+        usual_seconds = self._usual_times.get(
+            admitted.route.name,
+            admitted.objective_seconds,
+        )
         if (
-            attempts.unsent > _MOST_UNSENT
-            or now + usual / 2 > admitted.deadline
+            attempts.unsent_count > _MAX_UNSENT_COUNT
+            or now + usual_seconds / 2 > admitted.deadline
         ):
             return False
-        if not attempts.sent or self._retries.spend(admitted.service.name, now):
+        if not attempts.sent_count or self._retries.spend(
+            admitted.service.name, now
+        ):
             return True
-        self._reporter.refuse_repeat(admitted.marks, admitted.service.name)
+        self._recorder.refuse_repeat(admitted.marks, admitted.service.name)
         return False
 
-    def _succeed(
+    def _answer_success(
         self,
         admitted: Admitted,
         candidate: Candidate,
         success: Success,
     ) -> Answer:
-        ratio = self._times.take(
+        ratio = self._usual_times.take(
             admitted.route.name,
-            admitted.objective,
+            admitted.objective_seconds,
             success.seconds,
-            success.fill,
+            success.load_ratio,
         )
-        self._sender.succeed(candidate, ratio)
-        self._reporter.serve(
+        self._sender.record_success(candidate, ratio)
+        self._recorder.record_served(
             admitted.marks,
             admitted.route.name,
             self._loop.time() - admitted.received_at,
             target=candidate.target.id,
-            fill=round(success.fill, 2),
+            fill=round(success.load_ratio, 2),
         )
         return make_passed_on(success.reply)
 
-    def _give_up(self, admitted: Admitted, attempts: _Attempts) -> Answer:
-        failure = attempts.failure
+    def _answer_failure(
+        self, admitted: Admitted, attempts: _Attempts
+    ) -> Answer:
+        failure = attempts.worst_failure
         if failure is None:
-            return self._reporter.refuse(admitted.marks, refusals.FULL)
+            return self._recorder.refuse(admitted.marks, refusals.FULL)
         if failure.reply is not None:
-            self._reporter.pass_on(
+            self._recorder.pass_on(
                 admitted.marks,
                 failure.reason,
                 failure.target,
@@ -292,7 +304,7 @@
         refusal = refusals.NOT_RUN
         if failure.may_have_run:
             refusal = refusals.MAY_HAVE_RUN
-        return self._reporter.refuse(
+        return self._recorder.refuse(
             admitted.marks,
             refusal,
             why=failure.reason,
@@ -300,7 +312,7 @@
         )
 
 
-def _find_most_lag(priority: int) -> float:
+def _get_max_lag_seconds(priority: int) -> float:
     if priority > URGENT_PRIORITY:
-        return _LESS_URGENT_LAG_SECONDS
-    return _MOST_LAG_SECONDS
+        return _MAX_LESS_URGENT_LAG_SECONDS
+    return _MAX_LAG_SECONDS
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -8,13 +8,14 @@
 
 __all__ = ('Pool',)
 
-# Targets close idle connections after ten seconds, at times without a word.
-_IDLE_SECONDS: Final = 7.0
+# Targets close idle connections after ten seconds, sometimes without notice.
+_MAX_IDLE_SECONDS: Final = 7.0
 # A request that must not be sent twice uses a connection that was in use just
-# now: a target that closes it meanwhile leaves open whether the request ran.
-_FRESH_SECONDS: Final = 2.0
-_KEPT_PER_TARGET: Final = 24
-_KEEP_ALIVE_MARGIN: Final = 1.0  # seconds before the time that a target told
+# now: if the target closes it meanwhile, nobody knows whether the request ran.
+_MAX_IDLE_WITHOUT_RETRY_SECONDS: Final = 2.0
+_MAX_IDLE_PER_TARGET_COUNT: Final = 24
+# Before the end of the keep-alive time that a target announced.
+_KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 
 
 class Pool:
@@ -40,16 +41,18 @@
         address: Address,
         *,
         may_repeat: bool,
-        seconds: float,
+        connect_timeout_seconds: float,
     ) -> ServerConnection:
         """Return an idle connection, or else open one."""
-        longest = _IDLE_SECONDS if may_repeat else _FRESH_SECONDS
+        max_idle_seconds = (
+            _MAX_IDLE_SECONDS if may_repeat else _MAX_IDLE_WITHOUT_RETRY_SECONDS
+        )
         now = self._clock()
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
             self._idle_count -= 1
-            if self._may_use(connection, now, longest):
+            if self._may_use(connection, now, max_idle_seconds):
                 return connection
             if connection.is_usable and not may_repeat:
                 idle.append(connection)
@@ -59,7 +62,7 @@
         self.opened += 1
         return await open_connection(
             address,
-            seconds=seconds,
+            seconds=connect_timeout_seconds,
             opening=self._opening,
         )
 
@@ -67,7 +70,8 @@
         """Keep a connection whose answer was read completely."""
         idle = self._idle.setdefault(address, [])
         is_full = (
-            len(idle) >= _KEPT_PER_TARGET or self._idle_count >= self._most_idle
+            len(idle) >= _MAX_IDLE_PER_TARGET_COUNT
+            or self._idle_count >= self._most_idle
         )
         if is_full or not connection.is_usable:
             connection.close()
@@ -82,7 +86,7 @@
         for address, idle in tuple(self._idle.items()):
             kept = []
             for connection in idle:
-                if self._may_use(connection, now, _IDLE_SECONDS):
+                if self._may_use(connection, now, _MAX_IDLE_SECONDS):
                     kept.append(connection)
                 else:
                     connection.close()
@@ -96,9 +100,13 @@
         self,
         connection: ServerConnection,
         now: float,
-        longest: float,
+        max_idle_seconds: float,
     ) -> bool:
-        told = connection.idle_seconds
-        if told is not None:
-            longest = min(longest, told - _KEEP_ALIVE_MARGIN)
-        return connection.is_usable and now - connection.idle_since < longest
+        announced_seconds = connection.idle_seconds
+        if announced_seconds is not None:
+            max_idle_seconds = min(
+                max_idle_seconds,
+                announced_seconds - _KEEP_ALIVE_MARGIN_SECONDS,
+            )
+        idle_seconds = now - connection.idle_since
+        return connection.is_usable and idle_seconds < max_idle_seconds
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -46,26 +46,27 @@
 __all__ = ('run',)
 
 METRICS_PORT: Final = 9464
-_SWEEP_SECONDS: Final = 1.0  # between looks at idle connections and settings
-_FIRST_READ_SECONDS: Final = 0.1
-_LONGEST_READ_SECONDS: Final = 1.0
+# Between checks of the idle connections and of the settings file.
+_MAINTENANCE_INTERVAL_SECONDS: Final = 1.0
+_MIN_READ_RETRY_DELAY_SECONDS: Final = 0.1
+_MAX_READ_RETRY_DELAY_SECONDS: Final = 1.0
 # VMs that started together with this one have written their entries by then.
-_SECOND_LOOK_SECONDS: Final = 2.0
-# Between looks at the entries of VMs: a fleet replaces a VM each minute.
-_TEND_SECONDS: Final = 60.0
+_FIRST_ENTRIES_REFRESH_DELAY_SECONDS: Final = 2.0
+# Between reads of the entries of VMs: a fleet replaces a VM each minute.
+_ENTRIES_REFRESH_INTERVAL_SECONDS: Final = 60.0
 # Before a configuration is known; of the order of what operators allow.
-_FIRST_LIMITS: Final = ServerLimits(65536, 1 << 20, 5.0, 30.0)
-# Parts of the grace after which idle connections are closed, requests that are
-# still under way get their final answer, and the process ends.
-_CLOSE_IDLE_SHARE: Final = 0.75
-_ANSWER_SHARE: Final = 0.91
-_END_SHARE: Final = 0.93
-# Descriptors that the platform keeps for files, and parts of the others: of the
-# connections of callers, and of idle ones to targets. Requests under way have
-# as many to targets as callers have.
-_FILES: Final = 200
-_CALLERS_SHARE: Final = 0.4
-_IDLE_TARGETS_SHARE: Final = 0.15
+_INITIAL_LIMITS: Final = ServerLimits(65536, 1 << 20, 5.0, 30.0)
+# Fractions of the grace period after which idle connections are closed,
+# requests under way get their final answer, and the process ends.
+_CLOSE_IDLE_GRACE_FRACTION: Final = 0.75
+_ANSWER_GRACE_FRACTION: Final = 0.91
+_END_GRACE_FRACTION: Final = 0.93
+# Descriptors that the platform reserves for files, and fractions of the others:
+# for connections of callers and for idle ones to targets. Requests under way
+# have as many connections to targets as callers have to this VM.
+_RESERVED_FILES_COUNT: Final = 200
+_CALLERS_SOCKETS_FRACTION: Final = 0.4
+_IDLE_TARGETS_SOCKETS_FRACTION: Final = 0.15
 
 
 class Process:
@@ -74,7 +75,7 @@
     def __init__(self, *, settings: FilePath, environment: Environment) -> None:
         """Prepare a VM; nothing is opened yet."""
         self._settings = settings
-        self._settings_seen = _read_stamp(settings)
+        self._settings_mtime_ns = _read_mtime_ns(settings)
         self._environment = environment
         self._loop = asyncio.get_running_loop()
         self._journal = Journal(vm=environment.vm)
@@ -82,24 +83,24 @@
         self._stopping = asyncio.Event()
         place = Place(environment.zone, environment.region)
         self._field = Field(place=place, regions=environment.regions)
-        self._knowledge = Knowledge(on_change=self._take_change)
+        self._knowledge = Knowledge(on_change=self._on_table_changed)
         self._quotas = Quotas(
             bounds=environment.bounds,
             beat=HEARTBEAT_SECONDS,
             now=self._loop.time(),
         )
-        sockets = environment.descriptors - _FILES
-        self._held = make_held_bytes(environment.memory)
-        opening = Opening(make_bounds(environment.memory), self._held)
+        sockets = environment.descriptors - _RESERVED_FILES_COUNT
+        self._held_bytes = make_held_bytes(environment.memory)
+        opening = Opening(make_bounds(environment.memory), self._held_bytes)
         self._pool = Pool(
             clock=self._loop.time,
-            most_idle=round(sockets * _IDLE_TARGETS_SHARE),
+            most_idle=round(sockets * _IDLE_TARGETS_SOCKETS_FRACTION),
             opening=opening._replace(id_header=REQUEST_ID),
         )
         self._store = Store(
             address=environment.store,
             opening=opening,
-            on_call=self._count_call,
+            on_call=self._record_store_call,
         )
         self._entries = Entries(store=self._store, journal=self._journal)
         self._follower = Follower(
@@ -108,10 +109,10 @@
             journal=self._journal,
             lapse_seconds=2 * environment.bounds.target_heartbeat,
         )
-        self._has_divided = False
+        self._has_divided_limits = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
-        self._path = Path(
+        self._dispatcher = Path(
             lag=self._lag,
             knowledge=self._knowledge,
             field=self._field,
@@ -129,18 +130,18 @@
             ),
         )
         handler = Handler(
-            serve=self._path.serve,
+            serve=self._dispatcher.serve,
             fail=self._answer_error,
-            is_cancellable=self._path.is_cancellable,
+            is_cancellable=self._dispatcher.is_cancellable,
             get_limits=self._get_limits,
             is_stopping=self._stopping.is_set,
             is_lagging=lambda: self._lag.seconds > LAGGING_SECONDS,
             connections=set(),
-            held=self._held,
-            most_connections=round(sockets * _CALLERS_SHARE),
+            held=self._held_bytes,
+            most_connections=round(sockets * _CALLERS_SOCKETS_FRACTION),
         )
         self._callers = Callers(handler=handler)
-        self._duties = Duties(
+        self._state_updater = Duties(
             environment=environment,
             knowledge=self._knowledge,
             field=self._field,
@@ -150,92 +151,96 @@
             clock=self._loop.time,
         )
         control = environment.listeners.control
-        self._tables = TableExchange(
+        self._table_exchange = TableExchange(
             knowledge=self._knowledge,
             journal=self._journal,
             zone=environment.zone,
             regions=environment.regions,
             port=control.port if control else 0,
             opening=opening,
-            on_taken=self._take_snapshot,
+            on_taken=self._on_snapshot_applied,
         )
-        self._mate = Fleetmate(
+        self._peers = Fleetmate(
             environment=environment,
             knowledge=self._knowledge,
             quotas=self._quotas,
             journal=self._journal,
-            find_self=self._find_self,
-            on_heard=self._tables.compare,
-            on_beat=self._take_beat,
+            get_own_member=self._get_own_member,
+            on_revisions=self._table_exchange.compare,
+            on_heartbeat=self._on_heartbeat,
         )
         self._directory = Directory(
             environment=environment,
             knowledge=self._knowledge,
-            members=self._mate.members,
-            list_zone=self._mate.list_zone,
+            members=self._peers.members,
+            list_local_vms=self._peers.list_local_vms,
             clock=self._loop.time,
         )
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish the requests under way."""
-        for name, act in (
+        for number, callback in (
             (signal.SIGTERM, self._stopping.set),
             (signal.SIGINT, self._stopping.set),
             (signal.SIGHUP, self._reload),
         ):
-            self._loop.add_signal_handler(name, act)
-        self._loop.set_exception_handler(self._note_error)
+            self._loop.add_signal_handler(number, callback)
+        self._loop.set_exception_handler(self._log_loop_error)
         await self._listen()
-        await self._mate.start()
-        reading = self._loop.create_task(self._read_tables())
-        self._watch_gauges()
+        await self._peers.start()
+        store_task = self._loop.create_task(self._join_fleet())
+        self._register_gauges()
         self._lag.start()
-        self._loop.call_later(_SWEEP_SECONDS, self._sweep)
+        self._loop.call_later(_MAINTENANCE_INTERVAL_SECONDS, self._maintain)
         self._journal.write(events.STARTED, zone=self._environment.zone)
         gc.collect()
         gc.freeze()
         await self._stopping.wait()
-        reading.cancel()
+        store_task.cancel()
         await self._stop()
 
     async def _stop(self) -> None:
         began = self._loop.time()
         grace = self._environment.bounds.grace
-        self._journal.write(events.STOPPING, in_flight=self._path.in_flight)
-        self._path.stop(began + grace * _ANSWER_SHARE)
-        self._mate.tell(is_first=False)
-        await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
-        await self._callers.close(began + grace * _END_SHARE)
-        self._journal.write(events.STOPPED, in_flight=self._path.in_flight)
+        self._journal.write(
+            events.STOPPING, in_flight=self._dispatcher.in_flight
+        )
+        self._dispatcher.stop(began + grace * _ANSWER_GRACE_FRACTION)
+        self._peers.tell(is_first=False)
+        await asyncio.sleep(grace * _CLOSE_IDLE_GRACE_FRACTION)
+        await self._callers.close(began + grace * _END_GRACE_FRACTION)
+        self._journal.write(
+            events.STOPPED, in_flight=self._dispatcher.in_flight
+        )
 
     async def _listen(self) -> None:
         listeners = self._environment.listeners
-        plain = {
+        endpoints = {
             listeners.readiness: make_readiness(self._is_ready),
             listeners.directory: self._directory.answer,
-            listeners.control: self._tables.answer,
+            listeners.control: self._table_exchange.answer,
             Address(self._environment.ip, METRICS_PORT): self._answer_metrics,
         }
-        for address, answer in plain.items():
+        for address, answer in endpoints.items():
             if address is not None:
                 await self._callers.open_plain(address, answer)
         if listeners.requests is not None:
             await self._callers.open(listeners.requests)
 
-    async def _read_tables(self) -> None:
+    async def _join_fleet(self) -> None:
         own = Introduction(
             self._environment.vm,
             self._environment.zone,
             self._environment.ip,
         )
-        wait = _FIRST_READ_SECONDS
-        while not await self._try(self._meet_all(own)):
-            await asyncio.sleep(wait)
-            wait = min(_LONGEST_READ_SECONDS, wait * 2)
-        await asyncio.sleep(_SECOND_LOOK_SECONDS)
+        delay = _MIN_READ_RETRY_DELAY_SECONDS
+        while not await self._try(self._read_store(own)):
+            await asyncio.sleep(delay)
+            delay = min(_MAX_READ_RETRY_DELAY_SECONDS, delay * 2)
+        await asyncio.sleep(_FIRST_ENTRIES_REFRESH_DELAY_SECONDS)
         while True:
-            await self._try(self._tend_entries(own))
-            await asyncio.sleep(_TEND_SECONDS)
+            await self._try(self._refresh_entries(own))
+            await asyncio.sleep(_ENTRIES_REFRESH_INTERVAL_SECONDS)
 
     async def _try(self, work: Awaitable[None]) -> bool:
         try:
@@ -248,29 +253,29 @@
             return False
         return True
 
-    async def _meet_all(self, own: Introduction) -> None:
+    async def _read_store(self, own: Introduction) -> None:
         await self._follower.read_all()
-        self._mate.meet(await self._entries.register(own))
-        self._mate.members.note_listing()
+        self._peers.meet(await self._entries.register(own))
+        self._peers.members.note_listing()
 
-    async def _tend_entries(self, own: Introduction) -> None:
+    async def _refresh_entries(self, own: Introduction) -> None:
         """Read the entries of VMs; delete those of dead VMs of the own zone.
 
         Only the watcher of a zone deletes entries. A VM that is cut off from
         its zone is a watcher too: it writes its entry again if that was
         deleted.
         """
-        gone = self._mate.members.drop_gone(self._loop.time())
+        expired = self._peers.members.drop_gone(self._loop.time())
         if not self._follower.is_watching:
-            self._meet_listed(await self._entries.list_vms(is_stale=True))
+            self._add_listed(await self._entries.list_vms(is_stale=True))
             return
-        for found in gone:
-            await self._entries.forget(found.vm)
-        self._meet_listed(await self._entries.register(own))
+        for introduction in expired:
+            await self._entries.forget(introduction.vm)
+        self._add_listed(await self._entries.register(own))
 
-    def _meet_listed(self, listed: list[Introduction]) -> None:
-        self._mate.members.take_listing(listed)
-        self._mate.meet(listed)
+    def _add_listed(self, listed: list[Introduction]) -> None:
+        self._peers.members.take_listing(listed)
+        self._peers.meet(listed)
 
     def _is_ready(self) -> bool:
         return (
@@ -281,10 +286,10 @@
     def _get_limits(self) -> ServerLimits:
         configuration = self._knowledge.configuration
         if configuration is None:
-            return _FIRST_LIMITS
+            return _INITIAL_LIMITS
         return ServerLimits(*configuration.limits)
 
-    def _find_self(self) -> Member:
+    def _get_own_member(self) -> Member:
         environment = self._environment
         return Member(
             vm=environment.vm,
@@ -294,24 +299,24 @@
             is_leaving=self._stopping.is_set(),
             lag=round(self._lag.seconds, 3),
             capacity=environment.capacity,
-            load=round(self._path.arrivals.per_second, 1),
+            load=round(self._dispatcher.arrivals.per_second, 1),
         )
 
-    def _take_change(self, table: str) -> None:
-        self._duties.take_change(table)
-        if table == 'configuration' and not self._has_divided:
-            # Until then no team has a limit to take from.
-            self._divide()
+    def _on_table_changed(self, table: str) -> None:
+        self._state_updater.take_change(table)
+        if table == 'configuration' and not self._has_divided_limits:
+            # Until then no team has a limit to divide.
+            self._update_state()
         if self._follower.is_watching:
-            self._mate.tell(is_first=True)
+            self._peers.tell(is_first=True)
 
-    def _take_snapshot(self, source: Source) -> None:
+    def _on_snapshot_applied(self, source: Source) -> None:
         if source.zone != self._environment.zone:
-            self._mate.tell(is_first=False)
+            self._peers.tell(is_first=False)
 
-    def _take_beat(self) -> None:
-        self._path.arrivals.measure(self._loop.time())
-        zone = self._divide()
+    def _on_heartbeat(self) -> None:
+        self._dispatcher.arrivals.measure(self._loop.time())
+        zone = self._update_state()
         watcher = pick_speakers(zone)[0]
         is_watcher = watcher.vm == self._environment.vm
         if is_watcher and not self._stopping.is_set():
@@ -319,32 +324,34 @@
         else:
             self._follower.stop()
 
-    def _divide(self) -> list[Member]:
-        self._has_divided = self._knowledge.configuration is not None
-        zone = self._mate.list_zone()
-        self._duties.take_beat(self._mate.members, zone, self._mate.usage)
+    def _update_state(self) -> list[Member]:
+        self._has_divided_limits = self._knowledge.configuration is not None
+        zone = self._peers.list_local_vms()
+        self._state_updater.take_beat(
+            self._peers.members, zone, self._peers.usage
+        )
         return zone
 
-    def _count_call(self, outcome: str, seconds: float) -> None:
+    def _record_store_call(self, outcome: str, seconds: float) -> None:
         self._metrics.observe('store_call', seconds, outcome=outcome)
 
-    def _watch_gauges(self) -> None:
+    def _register_gauges(self) -> None:
         knowledge = self._knowledge
         gauges: dict[str, Callable[[], float]] = {
             'loop_lag_seconds': lambda: self._lag.seconds,
-            'requests_in_flight': lambda: self._path.in_flight,
-            'requests_per_second': lambda: self._path.arrivals.per_second,
+            'requests_in_flight': lambda: self._dispatcher.in_flight,
+            'requests_per_second': lambda: self._dispatcher.arrivals.per_second,
             'connections_of_callers': self._callers.count,
             'connections_to_targets_opened': lambda: self._pool.opened,
             'vms_alive': lambda: len(
-                self._mate.members.list_alive(self._loop.time()),
+                self._peers.members.list_alive(self._loop.time()),
             ),
-            'takes_requests': lambda: self._duties.is_serving,
+            'takes_requests': lambda: self._state_updater.is_serving,
             'targets_known': lambda: len(knowledge.targets),
             'configuration_revision': lambda: knowledge.revisions.configuration,
             'targets_revision': lambda: knowledge.revisions.targets,
             'evacuations_revision': lambda: knowledge.revisions.evacuations,
-            'bytes_held': lambda: self._held.total,
+            'bytes_held': lambda: self._held_bytes.total,
             'watches_store': lambda: self._follower.is_watching,
             'log_lines_dropped': lambda: sum(self._journal.dropped.values()),
         }
@@ -355,7 +362,7 @@
         self._journal.write(events.UNEXPECTED, why=repr(error))
         return make_failed(error)
 
-    def _note_error(
+    def _log_loop_error(
         self,
         _loop: asyncio.AbstractEventLoop,
         context: dict[str, Any],
@@ -369,15 +376,15 @@
     def _answer_metrics(self, _request: Request) -> Answer:
         return make_answer(200, self._metrics.render())
 
-    def _sweep(self) -> None:
-        self._loop.call_later(_SWEEP_SECONDS, self._sweep)
+    def _maintain(self) -> None:
+        self._loop.call_later(_MAINTENANCE_INTERVAL_SECONDS, self._maintain)
         self._pool.sweep()
         self._journal.tell_dropped()
-        if _read_stamp(self._settings) != self._settings_seen:
+        if _read_mtime_ns(self._settings) != self._settings_mtime_ns:
             self._reload()
 
     def _reload(self) -> None:
-        self._settings_seen = _read_stamp(self._settings)
+        self._settings_mtime_ns = _read_mtime_ns(self._settings)
         try:
             environment = boot.load(self._settings)
         except boot.BadSettings as error:
@@ -399,7 +406,7 @@
     await Process(settings=settings, environment=environment).run()
 
 
-def _read_stamp(path: FilePath) -> int:
+def _read_mtime_ns(path: FilePath) -> int:
     try:
         return path.stat().st_mtime_ns
     except OSError:
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -22,7 +22,7 @@
     reason: str
     retry_after: float | None = None
     team: str | None = None
-    inputs: Mapping[str, float] = MappingProxyType({})
+    log_fields: Mapping[str, float] = MappingProxyType({})
 
 
 # A request usually takes a quarter of a second: slots are free again by then.
@@ -45,10 +45,10 @@
 def make_over_limit(
     team: str,
     retry_after: float,
-    inputs: Mapping[str, float],
+    log_fields: Mapping[str, float],
 ) -> Refusal:
     """Return the refusal of a request whose team is over its quota."""
-    return Refusal(429, 'over-quota', retry_after, team, inputs)
+    return Refusal(429, 'over-quota', retry_after, team, log_fields)
 
 
 def make_refusal(refusal: Refusal) -> Answer:
--- a/toucanhall/edge/reporting.py
+++ b/toucanhall/edge/reporting.py
@@ -14,7 +14,7 @@
 __all__ = ('Reporter',)
 
 # Served requests are sampled in the log; all of them are in the histogram.
-_SERVED_SAMPLE: Final = 64
+_SERVED_REQUESTS_PER_LINE: Final = 64
 
 
 class Reporter:
@@ -31,7 +31,7 @@
         self._knowledge = knowledge
         self._journal = journal
         self._metrics = metrics
-        self._served = 0
+        self._served_count = 0
 
     def refuse(
         self,
@@ -52,7 +52,7 @@
             reason=refusal.reason,
             retry_after=refusal.retry_after,
             team=refusal.team,
-            **refusal.inputs,
+            **refusal.log_fields,
             **fields,
         )
         return make_refusal(refusal)
@@ -82,7 +82,7 @@
         self._metrics.count('callers_left', route=route)
         self.write(events.CALLER_LEFT, marks)
 
-    def serve(
+    def record_served(
         self,
         marks: CallerMarks,
         route: str,
@@ -91,8 +91,8 @@
     ) -> None:
         """Observe the time of a served request; log one of some."""
         self._metrics.observe('request', seconds, route=route)
-        self._served += 1
-        if self._served % _SERVED_SAMPLE == 0:
+        self._served_count += 1
+        if self._served_count % _SERVED_REQUESTS_PER_LINE == 0:
             self.write(
                 events.REQUEST_SERVED,
                 marks,
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sending.py
@@ -21,11 +21,11 @@
 
 __all__ = ('Failure', 'Sender', 'Success')
 
-_FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
+_MIN_FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
 # By whether the target is in the own region. Three round trips, which take 2 ms
 # in a region and 110 ms between regions; a VM may also be slow to accept.
-_CONNECT_SECONDS: Final = {True: 0.15, False: 0.35}
-_REDIRECTED_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
+_CONNECT_TIMEOUT_SECONDS: Final = {True: 0.15, False: 0.35}
+_MIN_REDIRECTION_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
 
 
 class Success(NamedTuple):
@@ -37,7 +37,7 @@
 
     reply: Reply
     seconds: float
-    fill: float
+    load_ratio: float
 
 
 class Failure(NamedTuple):
@@ -73,13 +73,13 @@
         """Send a request to a target once."""
         target, load = candidate
         started_at = self._loop.time()
-        fill = load.estimate(started_at) / load.slots
+        load_ratio = load.estimate(started_at) / load.slots
         load.in_flight += 1
         try:
             reply = await self._exchange(admitted, target)
         except Unreachable as error:
             if not isinstance(error, Exhausted):
-                self._fail(target, is_lost=True, why=str(error))
+                self._record_failure(target, is_lost=True, why=str(error))
             return Failure(
                 'unreachable',
                 target.id,
@@ -88,14 +88,14 @@
                 detail=str(error),
             )
         except Broken as error:
-            self._fail(target, is_lost=False, why=str(error))
+            self._record_failure(target, is_lost=False, why=str(error))
             return Failure('broken', target.id, detail=str(error))
         finally:
             load.in_flight -= 1
         seconds = self._loop.time() - started_at
-        return self._judge(candidate, Success(reply, seconds, fill))
+        return self._classify(candidate, Success(reply, seconds, load_ratio))
 
-    def succeed(self, candidate: Candidate, ratio: float | None) -> None:
+    def record_success(self, candidate: Candidate, ratio: float | None) -> None:
         """Record an answer; `ratio` is its time over the usual time."""
         if candidate.load.succeed(ratio):
             self._journal.write(
@@ -107,7 +107,9 @@
         connection = await self._pool.take(
             target.address,
             may_repeat=admitted.route.is_idempotent,
-            seconds=_CONNECT_SECONDS[self._field.is_near(target)],
+            connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS[
+                self._field.is_near(target)
+            ],
         )
         forwarded = make_forwarded(
             admitted.request,
@@ -122,7 +124,7 @@
         self._pool.give_back(target.address, connection)
         return reply
 
-    def _judge(
+    def _classify(
         self,
         candidate: Candidate,
         success: Success,
@@ -134,17 +136,19 @@
         if marks.busy is not None:
             load.report(marks.busy, now)
         if marks.is_not_run:
-            return self._take_not_run(candidate, marks, now)
+            return self._classify_not_run(candidate, marks, now)
         if marks.is_unproven:
             # Passed on, the status would promise that the request never ran.
             why = f'status {reply.status} without proof that nothing ran'
-            self._fail(target, is_lost=False, why=why)
+            self._record_failure(target, is_lost=False, why=why)
             return Failure('unproven', target.id, detail=why)
-        if reply.status >= _FAILED_STATUS:
-            self._fail(target, is_lost=False, why=f'status {reply.status}')
+        if reply.status >= _MIN_FAILED_STATUS:
+            self._record_failure(
+                target, is_lost=False, why=f'status {reply.status}'
+            )
             return Failure(f'status-{reply.status}', target.id, reply=reply)
-        if reply.status < _REDIRECTED_STATUS and not marks.is_stamped:
-            self._fail(
+        if reply.status < _MIN_REDIRECTION_STATUS and not marks.is_stamped:
+            self._record_failure(
                 target,
                 is_lost=False,
                 why=f'status {reply.status} without response stamp',
@@ -152,7 +156,7 @@
             return Failure('unstamped', target.id)
         return success
 
-    def _take_not_run(
+    def _classify_not_run(
         self,
         candidate: Candidate,
         marks: TargetMarks,
@@ -165,7 +169,9 @@
         load.fill(now)
         return Failure('not-run', target.id, may_have_run=False)
 
-    def _fail(self, target: Target, *, is_lost: bool, why: str) -> None:
+    def _record_failure(
+        self, target: Target, *, is_lost: bool, why: str
+    ) -> None:
         load = self._field.loads.get(target.id)
         now = self._loop.time()
         if load is not None and load.fail(now, is_lost=is_lost):
--- a/toucanhall/edge/speaker.py
+++ b/toucanhall/edge/speaker.py
@@ -13,9 +13,9 @@
 __all__ = ('Speaker',)
 
 # A zone has two delegates; each reports with every second heartbeat.
-_BEATS_PER_REPORT: Final = 2
+_HEARTBEATS_PER_REPORT: Final = 2
 
-Send = Callable[[Message, Iterable[str]], None]
+_Send = Callable[[Message, Iterable[str]], None]
 
 
 class Speaker:
@@ -25,72 +25,67 @@
         self,
         *,
         members: Members,
-        send: Send,
+        send: _Send,
         clock: Callable[[], float],
     ) -> None:
         """Send messages to IP addresses with `send`."""
         self._members = members
         self._send = send
         self._clock = clock
-        self._beats = 0
+        self._heartbeat_count = 0
 
     def beat(self, own: Heartbeat) -> None:
         """Report to the other zones if this VM is a delegate and it is time."""
-        self._beats += 1
-        if self._beats % _BEATS_PER_REPORT:
+        self._heartbeat_count += 1
+        if self._heartbeat_count % _HEARTBEATS_PER_REPORT:
             return
         now = self._clock()
         zone = (own.member, *self._members.list_near(now))
         if own.member not in pick_speakers(zone):
             return
-        turn = self._beats // _BEATS_PER_REPORT
+        report_count = self._heartbeat_count // _HEARTBEATS_PER_REPORT
         self._send(
-            Message(report=self._compose(own, zone, now)),
-            [
-                listeners[turn % len(listeners)]
-                for listeners in self._list_listeners()
-            ],
+            Message(report=self._make_report(own, zone, now)),
+            [ips[report_count % len(ips)] for ips in self._list_delegate_ips()],
         )
 
     def tell(self, own: Heartbeat) -> None:
         """Send the revisions of this VM's tables to all remote delegates."""
-        news = Message(heartbeat=own._replace(usage={}))
-        for listeners in self._list_listeners():
-            self._send(news, listeners)
+        message = Message(heartbeat=own._replace(usage={}))
+        for ips in self._list_delegate_ips():
+            self._send(message, ips)
 
-    def _compose(
+    def _make_report(
         self,
         own: Heartbeat,
         zone: tuple[Member, ...],
         now: float,
     ) -> ZoneReport:
-        serving = {found.vm for found in pick_serving(zone)}
-        told = self._members.list_near_told(now, serving)
+        serving = {member.vm for member in pick_serving(zone)}
+        local = self._members.list_near_told(now, serving)
         return ZoneReport(
             zone=own.member.zone,
             speaker=own.member.vm,
             ip=own.member.ip,
-            stamp=(own.started_at, self._beats),
+            stamp=(own.started_at, self._heartbeat_count),
             revisions=own.revisions,
             members=zone,
-            told=sum_told([Told(own.usage), *told]),
+            told=sum_told([Told(own.usage), *local]),
         )
 
-    def _list_listeners(self) -> list[list[str]]:
+    def _list_delegate_ips(self) -> list[list[str]]:
         """Return the IP addresses of the delegates of each other zone."""
         now = self._clock()
-        found: list[list[str]] = []
+        zones: list[list[str]] = []
         for other in self._members.list_zones():
             alive = self._members.list_zone(other, now)
             ips = [member.ip for member in pick_speakers(alive)]
-            found.append(ips or self._guess(other))
-        return [ips for ips in found if ips]
+            zones.append(ips or self._pick_any_ips(other))
+        return [ips for ips in zones if ips]
 
-    def _guess(self, zone: str) -> list[str]:
+    def _pick_any_ips(self, zone: str) -> list[str]:
         """Return the addresses of two VMs of a zone without recent reports."""
         ips = [
-            found.ip
-            for found in self._members.introduced.values()
-            if found.zone == zone
+            vm.ip for vm in self._members.introduced.values() if vm.zone == zone
         ]
         return random.sample(ips, min(2, len(ips)))
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -27,20 +27,20 @@
 # The watcher of the own zone broadcasts a configuration or an evacuation within
 # some milliseconds, and changes of targets within the time over which it
 # collects them: VMs of other zones are asked only if it does not.
-_URGENT_WAIT_SECONDS: Final = 0.15
-_TARGETS_WAIT_SECONDS: Final = 0.5
+_URGENT_DELAY_SECONDS: Final = 0.15
+_TARGETS_DELAY_SECONDS: Final = 0.5
 # The VM of the own zone that relayed revisions fetches the tables itself and
 # broadcasts to its zone: the others ask the remote VM only if that fails.
-_RELAYED_WAIT_SECONDS: Final = 0.4
-_PULL_SECONDS: Final = 1.0  # a snapshot of some 30 kB between regions
+_RELAYED_DELAY_SECONDS: Final = 0.4
+_FETCH_TIMEOUT_SECONDS: Final = 1.0  # a snapshot of some 30 kB between regions
 # A VM without tables waits this long for revisions from its own zone, and from
 # its own region, before it asks further away: bytes between regions cost more.
-_ZONE_WAIT_SECONDS: Final = 0.02
-_REGION_WAIT_SECONDS: Final = 0.06
+_ZONE_HEAD_START_SECONDS: Final = 0.02
+_REGION_HEAD_START_SECONDS: Final = 0.06
 # One answer brings all that is missing: others are asked if it takes longer.
-_TURN_SECONDS: Final = 0.3
+_MAX_WAIT_FOR_OTHER_FETCH_SECONDS: Final = 0.3
 # Of an unpacked snapshot: over ten times the one of 3,100 targets.
-_MOST_BYTES: Final = 4_000_000
+_MAX_SNAPSHOT_BYTES: Final = 4_000_000
 
 
 class TableExchange:
@@ -70,9 +70,9 @@
         self._regions = regions
         self._port = port
         self._loop = asyncio.get_running_loop()
-        self._asked: set[str] = set()
+        self._pending_vms: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._reads: set[asyncio.Task[None]] = set()
+        self._running_fetches: set[asyncio.Task[None]] = set()
 
     def answer(self, request: Request) -> Answer:
         """Answer a VM that asks for newer tables."""
@@ -90,53 +90,61 @@
         """Fetch the tables of a VM if its revisions are newer."""
         own = self._knowledge.revisions
         self._knowledge.hear(revisions)
-        if source.vm in self._asked or not is_ahead(revisions, own):
+        if source.vm in self._pending_vms or not is_ahead(revisions, own):
             return
-        self._asked.add(source.vm)
-        wait = self._find_wait(source, revisions)
-        task = self._loop.create_task(self._pull(source, revisions, wait))
+        self._pending_vms.add(source.vm)
+        delay = self._get_delay(source, revisions)
+        task = self._loop.create_task(
+            self._fetch_later(source, revisions, delay),
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _find_wait(self, source: Source, revisions: Revisions) -> float:
+    def _get_delay(self, source: Source, revisions: Revisions) -> float:
         own = self._knowledge.revisions
         if source.zone == self._zone:
             return 0.0
         if not own.configuration:
-            return self._find_first_wait(source.zone)
-        relayed = _RELAYED_WAIT_SECONDS if source.is_relayed else 0.0
+            return self._get_first_delay(source.zone)
+        extra = _RELAYED_DELAY_SECONDS if source.is_relayed else 0.0
         if is_ahead(revisions._replace(targets=0), own):
-            return _URGENT_WAIT_SECONDS + relayed
-        return _TARGETS_WAIT_SECONDS + relayed
+            return _URGENT_DELAY_SECONDS + extra
+        return _TARGETS_DELAY_SECONDS + extra
 
-    def _find_first_wait(self, zone: str) -> float:
-        is_near = self._regions.get(zone) == self._regions.get(self._zone)
-        return _ZONE_WAIT_SECONDS if is_near else _REGION_WAIT_SECONDS
+    def _get_first_delay(self, zone: str) -> float:
+        if self._regions.get(zone) == self._regions.get(self._zone):
+            return _ZONE_HEAD_START_SECONDS
+        return _REGION_HEAD_START_SECONDS
 
-    async def _pull(
+    async def _fetch_later(
         self,
         source: Source,
         revisions: Revisions,
-        wait: float,
+        delay: float,
     ) -> None:
         try:
-            await asyncio.sleep(wait)
-            if self._reads:
-                await asyncio.wait(self._reads, timeout=_TURN_SECONDS)
+            await asyncio.sleep(delay)
+            if self._running_fetches:
+                await asyncio.wait(
+                    self._running_fetches,
+                    timeout=_MAX_WAIT_FOR_OTHER_FETCH_SECONDS,
+                )
             if is_ahead(revisions, self._knowledge.revisions):
-                await self._start_read(source)
+                await self._start_fetch(source)
         finally:
-            self._asked.discard(source.vm)
+            self._pending_vms.discard(source.vm)
 
-    def _start_read(self, source: Source) -> asyncio.Task[None]:
-        read = self._loop.create_task(self._take(source))
-        self._reads.add(read)
-        read.add_done_callback(self._reads.discard)
-        return read
+    def _start_fetch(self, source: Source) -> asyncio.Task[None]:
+        task = self._loop.create_task(self._fetch(source))
+        self._running_fetches.add(task)
+        task.add_done_callback(self._running_fetches.discard)
+        return task
 
-    async def _take(self, source: Source) -> None:
+    async def _fetch(self, source: Source) -> None:
         try:
-            snapshot = await self._read(Address(source.ip, self._port))
+            snapshot = await self._request_snapshot(
+                Address(source.ip, self._port)
+            )
         except (OSError, msgspec.MsgspecError, zlib.error) as error:
             self._journal.write(
                 events.SNAPSHOT_FAILED,
@@ -152,15 +160,15 @@
         )
         self._on_taken(source)
 
-    async def _read(self, address: Address) -> Snapshot:
+    async def _request_snapshot(self, address: Address) -> Snapshot:
         host = f'{address.host}:{address.port}'.encode()
         known = ','.join(map(str, self._knowledge.revisions))
         path = b'%s?%s' % (_PATH, known.encode())
         request = Request(b'GET', path, ((b'host', host),), b'')
-        async with asyncio.timeout(_PULL_SECONDS):
+        async with asyncio.timeout(_FETCH_TIMEOUT_SECONDS):
             connection = await open_connection(
                 address,
-                seconds=_PULL_SECONDS,
+                seconds=_FETCH_TIMEOUT_SECONDS,
                 opening=self._opening,
             )
             try:
@@ -168,6 +176,6 @@
             finally:
                 connection.close()
         return msgspec.msgpack.decode(
-            unpack(reply.body, _MOST_BYTES),
+            unpack(reply.body, _MAX_SNAPSHOT_BYTES),
             type=Snapshot,
         )
