--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -87,7 +87,7 @@
             vms,
             query.zone,
             self._list_region_zones({query.region}),
-            self._list_region_zones(self._find_home_regions(query.host)),
+            self._list_region_zones(self._find_regions_of_host(query.host)),
         )
         listener = self._environment.listeners.requests
         port = listener.port if listener else 0
@@ -113,7 +113,7 @@
             if region in wanted
         )
 
-    def _find_home_regions(self, host: str) -> frozenset[str]:
+    def _find_regions_of_host(self, host: str) -> frozenset[str]:
         configuration = self._knowledge.configuration
         if configuration is None:
             return frozenset()
