--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -28,7 +28,7 @@
         opening: Opening,
         most_idle: int,
     ) -> None:
-        """Open connections by `opening`; keep at most `most_idle`."""
+        """Open connections by `opening`; bound the number of idle ones."""
         self._clock = clock
         self._most_idle = most_idle
         self._idle_count = 0
