--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/fleetmate.py
@@ -37,9 +37,11 @@
 
 def find_beat_seconds(age_seconds: float) -> float:
     """Return the time to the next heartbeat of a VM of some age."""
-    if age_seconds < _EARLY_PERIOD_SECONDS:
-        return _EARLY_HEARTBEAT_INTERVAL_SECONDS
-    return HEARTBEAT_SECONDS
+    return (
+        _EARLY_HEARTBEAT_INTERVAL_SECONDS
+        if age_seconds < _EARLY_PERIOD_SECONDS
+        else HEARTBEAT_SECONDS
+    )
 
 
 class Source(NamedTuple):
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/path.py
@@ -182,10 +182,11 @@
             admitted.route.name,
             admitted.objective_seconds,
         )
-        latest_end = admitted.received_at + (
-            usual_seconds * _SLOW_TO_USUAL_TIME_RATIO
+        latest_end = min(
+            admitted.deadline,
+            admitted.received_at + usual_seconds * _SLOW_TO_USUAL_TIME_RATIO,
         )
-        return min(admitted.deadline, latest_end) <= self._ends_at
+        return latest_end <= self._ends_at
 
     async def _attempt_all(
         self,
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/pool.py
@@ -108,5 +108,7 @@
                 max_idle_seconds,
                 announced_seconds - _KEEP_ALIVE_MARGIN_SECONDS,
             )
-        idle_seconds = now - connection.idle_since
-        return connection.is_usable and idle_seconds < max_idle_seconds
+        return (
+            connection.is_usable
+            and now - connection.idle_since < max_idle_seconds
+        )
--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/tables.py
@@ -112,9 +112,12 @@
         return _TARGETS_DELAY_SECONDS + extra
 
     def _get_first_delay(self, zone: str) -> float:
-        if self._regions.get(zone) == self._regions.get(self._zone):
-            return _ZONE_HEAD_START_SECONDS
-        return _REGION_HEAD_START_SECONDS
+        is_in_region = self._regions.get(zone) == self._regions.get(self._zone)
+        return (
+            _ZONE_HEAD_START_SECONDS
+            if is_in_region
+            else _REGION_HEAD_START_SECONDS
+        )
 
     async def _fetch_later(
         self,
