--- a/tests/unit/test_closing.py
+++ b/tests/unit/test_closing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.pausedloop import run_paused
+from tests.virtual_time import run_in_virtual_time
 from toucanhall.edge.closing import close_connections
 
 
@@ -17,10 +17,10 @@
         connections.add(self)
         self.closed_at = None
 
-    def close_idle(self, *, quiet):
-        """Close if the last use was at least `quiet` seconds ago."""
+    def close_idle(self, *, min_idle_seconds):
+        """Close if the last use was at least `min_idle_seconds` seconds ago."""
         now = asyncio.get_running_loop().time()
-        if now - self._used_at >= quiet:
+        if now - self._used_at >= min_idle_seconds:
             self.closed_at = now
             self._connections.discard(self)
 
@@ -35,7 +35,7 @@
         closed = [stub.closed_at for stub in stubs]
         return closed, asyncio.get_running_loop().time()
 
-    return run_paused(act())
+    return run_in_virtual_time(act())
 
 
 def test_connection_stays_open_while_a_request_may_be_in_transit():
@@ -62,4 +62,4 @@
         await closing
         return accepted.closed_at
 
-    assert run_paused(act()) >= 0.3
+    assert run_in_virtual_time(act()) >= 0.3
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -6,26 +6,26 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.refusals import Refusal
-from toucanhall.fleet.knowledge import find_route
+from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Configuration, Route, Service, Team
 from toucanhall.limits.quota import Quotas
-from toucanhall.platform.headers import CallerMarks
+from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Request
 
-__all__ = ('Admitted', 'admit')
+__all__ = ('AdmittedRequest', 'admit')
 
 _DEFAULT_OBJECTIVE_SECONDS: Final = 1.0  # of routes without an objective
 _DEFAULT_DEADLINE_SECONDS: Final = 10.0  # of callers that send no deadline
 
 
-class Admitted(NamedTuple):
+class AdmittedRequest(NamedTuple):
     """A request that may be sent to a target; times are of the loop's clock.
 
     `homes` are the regions that may serve it; an empty set allows all.
     """
 
     request: Request
-    marks: CallerMarks
+    marks: CallerHeaders
     route: Route
     team: Team | None
     service: Service
@@ -48,11 +48,11 @@
 
 def admit(
     request: Request,
-    marks: CallerMarks,
+    marks: CallerHeaders,
     configuration: Configuration | None,
     quotas: Quotas,
     now: float,
-) -> Admitted | Refusal:
+) -> AdmittedRequest | Refusal:
     """Return the admitted request, or the refusal that answers it."""
     if configuration is None:
         return refusals.NO_CONFIGURATION
@@ -65,28 +65,28 @@
         return refusals.UNKNOWN_KEY
     retry_after = quotas.admit(team, now) if team else 0.0
     if team and retry_after:
-        return refusals.make_over_limit(
+        return refusals.make_over_quota(
             team.name,
             retry_after,
-            quotas.describe(team.name, now),
+            quotas.describe_refusal(team.name, now),
         )
     return _resolve(request, marks, configuration, route, team, now)
 
 
 def _resolve(
     request: Request,
-    marks: CallerMarks,
+    marks: CallerHeaders,
     configuration: Configuration,
     route: Route,
     team: Team | None,
     now: float,
-) -> Admitted | Refusal:
+) -> AdmittedRequest | Refusal:
     homes = _intersect_regions(route, team)
     service = configuration.services.get(_pick_service_name(route))
     if homes is None or service is None:
         return refusals.NO_TARGET
-    remaining = marks.seconds_left or _DEFAULT_DEADLINE_SECONDS
-    return Admitted(
+    remaining = marks.remaining_seconds or _DEFAULT_DEADLINE_SECONDS
+    return AdmittedRequest(
         request=request,
         marks=marks,
         route=route,
@@ -129,11 +129,13 @@
     route: Route,
     draw: Callable[[], float] = random.random,
 ) -> str:
-    if len(route.parts) == 1:
-        return route.parts[0].service
-    remaining_weight = draw() * sum(part.weight for part in route.parts)
-    for part in route.parts:
+    if len(route.weighted_services) == 1:
+        return route.weighted_services[0].service
+    remaining_weight = draw() * sum(
+        part.weight for part in route.weighted_services
+    )
+    for part in route.weighted_services:
         remaining_weight -= part.weight
         if remaining_weight < 0:
             return part.service
-    return route.parts[-1].service
+    return route.weighted_services[-1].service
--- a/toucanhall/edge/closing.py
+++ b/toucanhall/edge/closing.py
@@ -16,8 +16,8 @@
 
 
 class _Closable(Protocol):
-    def close_idle(self, *, quiet: float) -> bool:
-        """Close if no request is under way or came in `quiet` seconds."""
+    def close_idle(self, *, min_idle_seconds: float) -> bool:
+        """Close if no request is under way or came in `min_idle_seconds` seconds."""
 
 
 async def close_connections(
@@ -37,6 +37,6 @@
         is_due = not connections or loop.time() >= until
         is_last = is_due and poll_count >= _MIN_POLL_COUNT
         for connection in tuple(connections):
-            connection.close_idle(quiet=_MIN_IDLE_SECONDS)
+            connection.close_idle(min_idle_seconds=_MIN_IDLE_SECONDS)
         await asyncio.sleep(_POLL_INTERVAL_SECONDS)
         poll_count += 1
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -4,9 +4,13 @@
 from typing import Final
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.client import Opening, ServerConnection, open_connection
+from toucanhall.web.client import (
+    ConnectionSettings,
+    ServerConnection,
+    open_connection,
+)
 
-__all__ = ('Pool',)
+__all__ = ('ConnectionPool',)
 
 # Targets close idle connections after ten seconds, sometimes without notice.
 _MAX_IDLE_SECONDS: Final = 7.0
@@ -18,34 +22,34 @@
 _KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 
 
-class Pool:
+class ConnectionPool:
     """Idle connections by address; the last one used is reused first."""
 
     def __init__(
         self,
         *,
         clock: Callable[[], float],
-        opening: Opening,
-        most_idle: int,
+        settings: ConnectionSettings,
+        max_idle_connections: int,
     ) -> None:
-        """Open connections by `opening`; bound the number of idle ones."""
+        """Open connections by `settings`; bound the number of idle ones."""
         self._clock = clock
-        self._most_idle = most_idle
+        self._most_idle = max_idle_connections
         self._idle_count = 0
-        self._opening = opening
+        self._opening = settings
         self._idle: dict[Address, list[ServerConnection]] = {}
-        self.opened = 0
+        self.opened_count = 0
 
-    async def take(
+    async def acquire(
         self,
         address: Address,
         *,
-        may_repeat: bool,
+        may_retry: bool,
         connect_timeout_seconds: float,
     ) -> ServerConnection:
         """Return an idle connection, or else open one."""
         max_idle_seconds = (
-            _MAX_IDLE_SECONDS if may_repeat else _MAX_IDLE_WITHOUT_RETRY_SECONDS
+            _MAX_IDLE_SECONDS if may_retry else _MAX_IDLE_WITHOUT_RETRY_SECONDS
         )
         now = self._clock()
         idle = self._idle.get(address)
@@ -54,19 +58,19 @@
             self._idle_count -= 1
             if self._may_use(connection, now, max_idle_seconds):
                 return connection
-            if connection.is_usable and not may_repeat:
+            if connection.is_usable and not may_retry:
                 idle.append(connection)
                 self._idle_count += 1
                 break
             connection.close()
-        self.opened += 1
+        self.opened_count += 1
         return await open_connection(
             address,
             seconds=connect_timeout_seconds,
-            opening=self._opening,
+            settings=self._opening,
         )
 
-    def give_back(self, address: Address, connection: ServerConnection) -> None:
+    def release(self, address: Address, connection: ServerConnection) -> None:
         """Keep a connection whose answer was read completely."""
         idle = self._idle.setdefault(address, [])
         is_full = (
@@ -80,7 +84,7 @@
         idle.append(connection)
         self._idle_count += 1
 
-    def sweep(self) -> None:
+    def close_expired(self) -> None:
         """Close connections that were idle for too long."""
         now = self._clock()
         for address, idle in tuple(self._idle.items()):
@@ -102,7 +106,7 @@
         now: float,
         max_idle_seconds: float,
     ) -> bool:
-        announced_seconds = connection.idle_seconds
+        announced_seconds = connection.keep_alive_seconds
         if announced_seconds is not None:
             max_idle_seconds = min(
                 max_idle_seconds,
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -4,20 +4,23 @@
 from itertools import chain
 from typing import Final
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Address, Environment
 from toucanhall.fleet.reports import Member
-from toucanhall.fleet.selection import LAGGING_SECONDS, pick_serving
-from toucanhall.platform.entrance import read_question, write_directory
+from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_serving
+from toucanhall.platform.endpoints import (
+    read_directory_query,
+    make_directory_answer,
+)
 from toucanhall.web.messages import Answer, Request, make_answer
 
-__all__ = ('Directory', 'pick_vms')
+__all__ = ('Directory', 'pick_nearest_vms')
 
 _MAX_VM_COUNT: Final = 64
 
 
-def pick_vms(
+def pick_nearest_vms(
     vms: Sequence[Member],
     zone: str,
     region_zones: frozenset[str],
@@ -41,10 +44,10 @@
         ]
 
     nearest = list_serving((zone,))
-    if any(member.lag > LAGGING_SECONDS for member in nearest):
+    if any(member.lag > MAX_LOOP_LAG_SECONDS for member in nearest):
         region = list_serving(region_zones)
         nearest = [
-            member for member in region if member.lag <= LAGGING_SECONDS
+            member for member in region if member.lag <= MAX_LOOP_LAG_SECONDS
         ] or region
     # Built lazily: the first group answers most queries.
     groups = chain(
@@ -61,21 +64,21 @@
         self,
         *,
         environment: Environment,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         members: Members,
         list_local_vms: Callable[[], list[Member]],
         clock: Callable[[], float],
     ) -> None:
         """List local VMs by `list_local_vms`, remote ones from `members`."""
         self._environment = environment
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._members = members
         self._list_local_vms = list_local_vms
         self._clock = clock
 
     def answer(self, request: Request) -> Answer:
         """Return the addresses of VMs for the client that asks."""
-        query = read_question(request)
+        query = read_directory_query(request)
         if query is None:
             return make_answer(404, 'no such path')
         own, *local = self._list_local_vms()
@@ -83,7 +86,7 @@
         vms += self._list_remote_vms()
         if own.is_ready or not vms:
             vms.append(own._replace(is_ready=True))
-        picked = pick_vms(
+        picked = pick_nearest_vms(
             vms,
             query.zone,
             self._list_region_zones({query.region}),
@@ -91,9 +94,9 @@
         )
         listener = self._environment.listeners.requests
         port = listener.port if listener else 0
-        return write_directory(
+        return make_directory_answer(
             [Address(member.ip, port) for member in picked],
-            self._environment.bounds.directory_ttl,
+            self._environment.bounds.directory_ttl_seconds,
         )
 
     def _list_remote_vms(self) -> list[Member]:
@@ -114,7 +117,7 @@
         )
 
     def _find_regions_of_host(self, host: str) -> frozenset[str]:
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is None:
             return frozenset()
         regions = [route.homes for route in configuration.hosts.get(host, ())]
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/dispatcher.py
@@ -5,29 +5,29 @@
 from typing import Final
 
 from toucanhall.edge import refusals
-from toucanhall.edge.admission import Admitted, admit
-from toucanhall.edge.arrivals import Arrivals
+from toucanhall.edge.admission import AdmittedRequest, admit
+from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.refusals import Refusal
-from toucanhall.edge.reporting import Reporter
-from toucanhall.edge.sending import Failure, Sender, Success
-from toucanhall.fleet.knowledge import Knowledge, find_route
+from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.edge.sender import Failure, Sender, Success
+from toucanhall.fleet.tables import FleetTables, find_route
 from toucanhall.limits.quota import Quotas
-from toucanhall.limits.retries import RetryBudget
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.placement.choice import (
     URGENT_PRIORITY,
-    WARM_TARGETS,
-    Ask,
+    TARGETS_PER_OBJECT,
+    RequestUrgency,
     Candidate,
-    choose,
+    choose_target,
 )
-from toucanhall.placement.field import Field, Need
-from toucanhall.placement.times import UsualTimes
-from toucanhall.platform.headers import make_passed_on, read_caller_marks
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.response_times import ResponseTimes
+from toucanhall.platform.headers import make_caller_answer, read_caller_headers
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
 
-__all__ = ('Path',)
+__all__ = ('RequestDispatcher',)
 
 # Requests that waited longer in this VM are refused, the less urgent ones
 # sooner: a caller gives up on a VM that reads nothing for a second.
@@ -59,33 +59,33 @@
             self.worst_failure = failure
 
 
-class Path:
+class RequestDispatcher:
     """Answers the requests of callers by sending them to targets."""
 
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
-        field: Field,
+        fleet_tables: FleetTables,
+        registry: TargetRegistry,
         sender: Sender,
         quotas: Quotas,
         retries: RetryBudget,
-        reporter: Reporter,
+        recorder: RequestRecorder,
         lag: LoopLag,
     ) -> None:
         """Decide by the VM's knowledge; send on pooled connections."""
-        self._knowledge = knowledge
-        self._field = field
+        self._fleet_tables = fleet_tables
+        self._registry = registry
         self._sender = sender
         self._quotas = quotas
         self._retries = retries
-        self._recorder = reporter
+        self._recorder = recorder
         self._lag = lag
         self._loop = asyncio.get_running_loop()
-        self._usual_times = UsualTimes()
+        self._usual_times = ResponseTimes()
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
-        self.arrivals = Arrivals(now=self._loop.time())
+        self.request_rate = RequestRate(now=self._loop.time())
         self.in_flight = 0
 
     def stop(self, ends_at: float) -> None:
@@ -98,43 +98,43 @@
 
     def is_cancellable(self, request: Request) -> bool:
         """Whether a request is cancelled when its caller has left."""
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is None:
             return True
-        marks = read_caller_marks(request)
+        marks = read_caller_headers(request)
         route = find_route(configuration, marks.host, marks.path)
         return route is None or route.is_idempotent
 
     async def serve(self, request: Request) -> Answer:
         """Return the final answer to a request."""
-        self.arrivals.add()
-        marks = read_caller_marks(request)
+        self.request_rate.add()
+        marks = read_caller_headers(request)
         admitted = admit(
             request,
             marks,
-            self._knowledge.configuration,
+            self._fleet_tables.configuration,
             self._quotas,
             self._loop.time(),
         )
         if isinstance(admitted, Refusal):
-            return self._recorder.refuse(marks, admitted)
+            return self._recorder.record_refusal(marks, admitted)
         if self._lag.seconds > _get_max_lag_seconds(admitted.priority):
-            return self._recorder.refuse(
+            return self._recorder.record_refusal(
                 marks,
-                refusals.OVERLOADED,
+                refusals.VM_OVERLOADED,
                 lag=round(self._lag.seconds, 3),
             )
         if not self._can_finish(admitted):
-            return self._recorder.refuse(
+            return self._recorder.record_refusal(
                 marks,
-                refusals.STOPPING,
+                refusals.VM_STOPPING,
                 seconds_left=round(self._ends_at - self._loop.time(), 3),
             )
         self.in_flight += 1
         try:
             return await self._attempt_until_deadline(admitted)
         except asyncio.CancelledError:
-            self._recorder.leave(marks, admitted.route.name)
+            self._recorder.record_caller_left(marks, admitted.route.name)
             raise
         except Exception as error:  # noqa: BLE001
             self._recorder.write(
@@ -142,12 +142,16 @@
                 marks,
                 why=repr(error),
             )
-            return self._recorder.refuse(marks, refusals.CRASHED)
+            return self._recorder.record_refusal(marks, refusals.INTERNAL_ERROR)
         finally:
             self.in_flight -= 1
 
-    async def _attempt_until_deadline(self, admitted: Admitted) -> Answer:
-        self._retries.earn(admitted.service.name, admitted.received_at)
+    async def _attempt_until_deadline(
+        self, admitted: AdmittedRequest
+    ) -> Answer:
+        self._retries.record_request(
+            admitted.service.name, admitted.received_at
+        )
         attempts = _Attempts()
         try:
             return await self._attempt_with_timeout(
@@ -156,7 +160,7 @@
                 attempts,
             )
         except TimeoutError:
-            return self._recorder.refuse(
+            return self._recorder.record_refusal(
                 admitted.marks,
                 refusals.TIMED_OUT,
                 route=admitted.route.name,
@@ -166,7 +170,7 @@
     async def _attempt_with_timeout(
         self,
         until: float,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Answer:
         async with asyncio.timeout_at(until) as timeout:
@@ -176,7 +180,7 @@
             finally:
                 self._timeouts.discard(timeout)
 
-    def _can_finish(self, admitted: Admitted) -> bool:
+    def _can_finish(self, admitted: AdmittedRequest) -> bool:
         """Whether a request can be answered before this VM stops."""
         usual_seconds = self._usual_times.get(
             admitted.route.name,
@@ -190,7 +194,7 @@
 
     async def _attempt_all(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Answer:
         while True:
@@ -202,7 +206,7 @@
             if isinstance(outcome, Success):
                 return self._answer_success(admitted, candidate, outcome)
             attempts.record(outcome)
-            self._recorder.fail_attempt(
+            self._recorder.record_failed_attempt(
                 admitted.marks,
                 outcome.reason,
                 target=outcome.target,
@@ -214,19 +218,19 @@
 
     def _choose(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Candidate | None:
         now = self._loop.time()
-        need = Need(
+        need = TargetQuery(
             service=admitted.service.name,
             key=admitted.object_key,
             homes=admitted.homes,
             tried=frozenset(attempts.tried),
         )
-        ask = Ask(
+        ask = RequestUrgency(
             seconds_to_objective=admitted.objective_at - now,
-            usual_seconds=self._usual_times.get(
+            expected_seconds=self._usual_times.get(
                 admitted.route.name,
                 admitted.objective_seconds,
             ),
@@ -234,15 +238,19 @@
         )
         rate = admitted.service.cold_per_second
         while True:
-            candidates = self._field.list_candidates(need, now, WARM_TARGETS)
-            chosen = choose(candidates, ask, now)
-            if not chosen or self._field.spend(chosen.target, rate, now):
+            candidates = self._registry.list_candidates(
+                need, now, TARGETS_PER_OBJECT
+            )
+            chosen = choose_target(candidates, ask, now)
+            if not chosen or self._registry.try_acquire(
+                chosen.target, rate, now
+            ):
                 return chosen
             need = need._replace(tried=need.tried | {chosen.target.id})
 
     def _may_retry(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
         failure: Failure,
     ) -> bool:
@@ -260,20 +268,22 @@
             or now + usual_seconds / 2 > admitted.deadline
         ):
             return False
-        if not attempts.sent_count or self._retries.spend(
+        if not attempts.sent_count or self._retries.try_acquire(
             admitted.service.name, now
         ):
             return True
-        self._recorder.refuse_repeat(admitted.marks, admitted.service.name)
+        self._recorder.record_refused_retry(
+            admitted.marks, admitted.service.name
+        )
         return False
 
     def _answer_success(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         candidate: Candidate,
         success: Success,
     ) -> Answer:
-        ratio = self._usual_times.take(
+        ratio = self._usual_times.record(
             admitted.route.name,
             admitted.objective_seconds,
             success.seconds,
@@ -287,25 +297,27 @@
             target=candidate.target.id,
             fill=round(success.load_ratio, 2),
         )
-        return make_passed_on(success.reply)
+        return make_caller_answer(success.reply)
 
     def _answer_failure(
-        self, admitted: Admitted, attempts: _Attempts
+        self, admitted: AdmittedRequest, attempts: _Attempts
     ) -> Answer:
         failure = attempts.worst_failure
         if failure is None:
-            return self._recorder.refuse(admitted.marks, refusals.FULL)
+            return self._recorder.record_refusal(
+                admitted.marks, refusals.TARGETS_FULL
+            )
         if failure.reply is not None:
-            self._recorder.pass_on(
+            self._recorder.record_passed_failure(
                 admitted.marks,
                 failure.reason,
                 failure.target,
             )
-            return make_passed_on(failure.reply)
+            return make_caller_answer(failure.reply)
         refusal = refusals.NOT_RUN
         if failure.may_have_run:
-            refusal = refusals.MAY_HAVE_RUN
-        return self._recorder.refuse(
+            refusal = refusals.ANSWER_LOST
+        return self._recorder.record_refusal(
             admitted.marks,
             refusal,
             why=failure.reason,
--- a/toucanhall/edge/fleetmate.py
+++ b/toucanhall/edge/peer_exchange.py
@@ -5,29 +5,29 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from toucanhall.edge.speaker import Speaker
+from toucanhall.edge.zone_reporter import ZoneReporter
 from toucanhall.fleet.gossip import Gossip, Message, open_gossip
-from toucanhall.fleet.knowledge import Knowledge, Revisions
+from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
-from toucanhall.fleet.model import Address, Environment, Introduction
+from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.limits.quota import Quotas, Usage
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 
 __all__ = (
-    'FIRST_BEAT_SECONDS',
-    'HEARTBEAT_SECONDS',
-    'Fleetmate',
-    'Source',
-    'find_beat_seconds',
+    'FIRST_HEARTBEAT_DELAY_SECONDS',
+    'HEARTBEAT_INTERVAL_SECONDS',
+    'PeerExchange',
+    'RevisionSource',
+    'get_heartbeat_interval_seconds',
 )
 
 # Two of three heartbeats may be lost before others choose a new watcher.
-HEARTBEAT_SECONDS: Final = 0.8
+HEARTBEAT_INTERVAL_SECONDS: Final = 0.8
 # By then the seeds have introduced all VMs, over twice the one-way delay
 # between regions.
-FIRST_BEAT_SECONDS: Final = 0.2
+FIRST_HEARTBEAT_DELAY_SECONDS: Final = 0.2
 # A VM that has just started knows little of the usage of others: it sends and
 # receives more often until the first window's reports have gone round twice.
 _EARLY_HEARTBEAT_INTERVAL_SECONDS: Final = 0.2
@@ -35,16 +35,16 @@
 _MIN_PAUSE_SECONDS: Final = 1.0  # a timer this late: the process was paused
 
 
-def find_beat_seconds(age_seconds: float) -> float:
+def get_heartbeat_interval_seconds(age_seconds: float) -> float:
     """Return the time to the next heartbeat of a VM of some age."""
     return (
         _EARLY_HEARTBEAT_INTERVAL_SECONDS
         if age_seconds < _EARLY_PERIOD_SECONDS
-        else HEARTBEAT_SECONDS
+        else HEARTBEAT_INTERVAL_SECONDS
     )
 
 
-class Source(NamedTuple):
+class RevisionSource(NamedTuple):
     """A VM whose table revisions were received.
 
     `is_relayed` tells that another VM of the own zone passed them on.
@@ -56,23 +56,23 @@
     is_relayed: bool
 
 
-class Fleetmate:
+class PeerExchange:
     """Sends this VM's state to the other VMs and receives theirs."""
 
     def __init__(
         self,
         *,
         environment: Environment,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         quotas: Quotas,
         journal: Journal,
         get_own_member: Callable[[], Member],
-        on_revisions: Callable[[Source, Revisions], None],
+        on_revisions: Callable[[RevisionSource, Revisions], None],
         on_heartbeat: Callable[[], None],
     ) -> None:
         """Call `on_heartbeat` after each heartbeat that is sent."""
         self._environment = environment
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._quotas = quotas
         self._journal = journal
         self._get_own_member = get_own_member
@@ -84,14 +84,14 @@
         self._silent_vms: set[str] = set()
         self._started_loop_time = self._loop.time()
         self._last_heartbeat_at = self._started_loop_time
-        self._interval_seconds = FIRST_BEAT_SECONDS
+        self._interval_seconds = FIRST_HEARTBEAT_DELAY_SECONDS
         self.usage: dict[str, Usage] = {}
         self.members = Members(
-            own=Introduction(environment.vm, environment.zone, environment.ip),
+            own=VmContact(environment.vm, environment.zone, environment.ip),
             zones=environment.regions,
             now=self._loop.time(),
         )
-        self._zone_reporter = Speaker(
+        self._zone_reporter = ZoneReporter(
             members=self.members,
             send=self._send,
             clock=self._loop.time,
@@ -102,26 +102,29 @@
         environment = self._environment
         self._gossip = await open_gossip(
             Address(environment.ip, environment.gossip_port),
-            hear=self._receive,
-            on_bad=self._log_dropped,
+            receive=self._receive,
+            on_error=self._log_dropped,
         )
         seeds = {
             seed.host
             for seed in environment.seeds
             if seed.host != environment.ip
         }
-        heartbeat = self._make_heartbeat()._replace(is_asking=True)
+        heartbeat = self._make_heartbeat()._replace(is_requesting_vms=True)
         self._send(Message(heartbeat=heartbeat), seeds)
         self._last_heartbeat_at = self._loop.time()
-        self._loop.call_later(FIRST_BEAT_SECONDS, self._send_heartbeats)
+        self._loop.call_later(
+            FIRST_HEARTBEAT_DELAY_SECONDS, self._send_heartbeats
+        )
 
-    def meet(self, introductions: Iterable[Introduction]) -> None:
+    def add_vms(self, introductions: Iterable[VmContact]) -> None:
         """Add VMs; send a heartbeat to those of the own zone that are new."""
         own = self._environment.vm
         new = [
             introduction
             for introduction in introductions
-            if introduction.vm != own and self.members.introduce(introduction)
+            if introduction.vm != own
+            and self.members.add_known_vm(introduction)
         ]
         self._send_heartbeat(
             introduction.ip
@@ -129,20 +132,20 @@
             if introduction.zone == self._environment.zone
         )
 
-    def tell(self, *, is_first: bool) -> None:
+    def broadcast_revisions(self, *, is_for_all_zones: bool) -> None:
         """Send the own zone the revisions of this VM's tables.
 
         The first VM of a zone that has them sends them to the other zones
         too, whose watchers may be cut off from the store.
         """
         self._send_heartbeat(self._list_local_ips())
-        if is_first:
-            self._zone_reporter.tell(self._make_heartbeat())
+        if is_for_all_zones:
+            self._zone_reporter.broadcast_revisions(self._make_heartbeat())
 
     def list_local_vms(self) -> list[Member]:
         """Return the VMs of the own zone that are alive, this one first."""
         now = self._loop.time()
-        return [self._get_own_member(), *self.members.list_near(now)]
+        return [self._get_own_member(), *self.members.list_local(now)]
 
     def _receive(self, message: Message) -> None:
         if message.report is not None:
@@ -152,14 +155,14 @@
             return
         if heartbeat.member.zone == self._environment.zone:
             self._receive_local_heartbeat(heartbeat)
-        if heartbeat.is_asking:
+        if heartbeat.is_requesting_vms:
             self._send_introductions(heartbeat)
-        self.meet(heartbeat.introduced)
-        source = Source(*heartbeat.member.introduction, is_relayed=False)
+        self.add_vms(heartbeat.known_vms)
+        source = RevisionSource(*heartbeat.member.contact, is_relayed=False)
         self._on_revisions(source, heartbeat.revisions)
 
     def _receive_local_heartbeat(self, heartbeat: Heartbeat) -> None:
-        if not self.members.hear(heartbeat, self._loop.time()):
+        if not self.members.receive(heartbeat, self._loop.time()):
             return
         vm = heartbeat.member.vm
         self._silent_vms.discard(vm)
@@ -169,28 +172,30 @@
     def _receive_report(self, report: ZoneReport, *, is_relayed: bool) -> None:
         if report.zone == self._environment.zone:
             return
-        if not self.members.hear_report(report, self._loop.time()):
+        if not self.members.receive_report(report, self._loop.time()):
             return
         if not is_relayed:
             self._send(
                 Message(report=report, is_relayed=True),
                 self._list_local_ips(),
             )
-        source = Source(report.speaker, report.zone, report.ip, is_relayed)
+        source = RevisionSource(
+            report.delegate, report.zone, report.ip, is_relayed
+        )
         self._on_revisions(source, report.revisions)
 
     def _send_introductions(self, request: Heartbeat) -> None:
-        known = tuple(self.members.introduced.values())
-        answer = self._make_heartbeat()._replace(introduced=known)
+        known = tuple(self.members.known_vms.values())
+        answer = self._make_heartbeat()._replace(known_vms=known)
         self._send(Message(heartbeat=answer), (request.member.ip,))
-        self.meet((request.member.introduction,))
+        self.add_vms((request.member.contact,))
 
     def _send_heartbeats(self) -> None:
         now = self._loop.time()
         delay_seconds = now - self._last_heartbeat_at - self._interval_seconds
         self._last_heartbeat_at = now
         # Scheduled first: an error in what follows must not end the heartbeats.
-        self._interval_seconds = find_beat_seconds(
+        self._interval_seconds = get_heartbeat_interval_seconds(
             now - self._started_loop_time
         )
         self._loop.call_later(self._interval_seconds, self._send_heartbeats)
@@ -199,8 +204,8 @@
                 events.RESUMED,
                 seconds=round(delay_seconds, 2),
             )
-            self.members.excuse(delay_seconds)
-        self.usage = self._quotas.measure(now)
+            self.members.discount_pause(delay_seconds)
+        self.usage = self._quotas.collect_usage(now)
         heartbeat = self._make_heartbeat()
         self._send(Message(heartbeat=heartbeat), self._list_local_ips())
         self._zone_reporter.beat(heartbeat)
@@ -208,20 +213,20 @@
         self._on_heartbeat()
 
     def _log_silent_vms(self, now: float) -> None:
-        alive = {member.vm for member in self.members.list_near(now)}
+        alive = {member.vm for member in self.members.list_local(now)}
         for vm in self.members.peers.keys() - alive - self._silent_vms:
             self._silent_vms.add(vm)
             self._journal.write(
                 events.PEER_LOST,
                 peer=vm,
-                silent=round(now - self.members.peers[vm].heard_at, 2),
+                silent=round(now - self.members.peers[vm].received_at, 2),
             )
 
     def _list_local_ips(self) -> list[str]:
         environment = self._environment
         return [
             other.ip
-            for other in self.members.introduced.values()
+            for other in self.members.known_vms.values()
             if other.zone == environment.zone and other.vm != environment.vm
         ]
 
@@ -232,7 +237,7 @@
         return Heartbeat(
             member=self._get_own_member(),
             started_at=self._started_at_ms,
-            revisions=self._knowledge.revisions,
+            revisions=self._fleet_tables.revisions,
             usage=self.usage,
         )
 
--- a/toucanhall/edge/arrivals.py
+++ b/toucanhall/edge/request_rate.py
@@ -2,12 +2,12 @@
 
 from typing import Final
 
-__all__ = ('Arrivals',)
+__all__ = ('RequestRate',)
 
 _NEW_SAMPLE_FRACTION: Final = 0.25  # averages some four heartbeats
 
 
-class Arrivals:
+class RequestRate:
     """The smoothed rate of requests, updated with each heartbeat."""
 
     def __init__(self, *, now: float) -> None:
--- a/toucanhall/edge/speaker.py
+++ b/toucanhall/edge/zone_reporter.py
@@ -6,11 +6,11 @@
 
 from toucanhall.fleet.gossip import Message
 from toucanhall.fleet.membership import Heartbeat, Members
-from toucanhall.fleet.reports import Member, ZoneReport, sum_told
-from toucanhall.fleet.selection import pick_serving, pick_speakers
-from toucanhall.limits.quota import Told
+from toucanhall.fleet.reports import Member, ZoneReport, sum_usage_reports
+from toucanhall.fleet.selection import pick_serving, pick_delegates
+from toucanhall.limits.quota import UsageReport
 
-__all__ = ('Speaker',)
+__all__ = ('ZoneReporter',)
 
 # A zone has two delegates; each reports with every second heartbeat.
 _HEARTBEATS_PER_REPORT: Final = 2
@@ -18,7 +18,7 @@
 _Send = Callable[[Message, Iterable[str]], None]
 
 
-class Speaker:
+class ZoneReporter:
     """Reports the own zone to others while this VM is one of its delegates."""
 
     def __init__(
@@ -40,8 +40,8 @@
         if self._heartbeat_count % _HEARTBEATS_PER_REPORT:
             return
         now = self._clock()
-        zone = (own.member, *self._members.list_near(now))
-        if own.member not in pick_speakers(zone):
+        zone = (own.member, *self._members.list_local(now))
+        if own.member not in pick_delegates(zone):
             return
         report_count = self._heartbeat_count // _HEARTBEATS_PER_REPORT
         self._send(
@@ -49,7 +49,7 @@
             [ips[report_count % len(ips)] for ips in self._list_delegate_ips()],
         )
 
-    def tell(self, own: Heartbeat) -> None:
+    def broadcast_revisions(self, own: Heartbeat) -> None:
         """Send the revisions of this VM's tables to all remote delegates."""
         message = Message(heartbeat=own._replace(usage={}))
         for ips in self._list_delegate_ips():
@@ -62,15 +62,15 @@
         now: float,
     ) -> ZoneReport:
         serving = {member.vm for member in pick_serving(zone)}
-        local = self._members.list_near_told(now, serving)
+        local = self._members.list_local_usage_reports(now, serving)
         return ZoneReport(
             zone=own.member.zone,
-            speaker=own.member.vm,
+            delegate=own.member.vm,
             ip=own.member.ip,
             stamp=(own.started_at, self._heartbeat_count),
             revisions=own.revisions,
             members=zone,
-            told=sum_told([Told(own.usage), *local]),
+            usage_reports=sum_usage_reports([UsageReport(own.usage), *local]),
         )
 
     def _list_delegate_ips(self) -> list[list[str]]:
@@ -79,13 +79,13 @@
         zones: list[list[str]] = []
         for other in self._members.list_zones():
             alive = self._members.list_zone(other, now)
-            ips = [member.ip for member in pick_speakers(alive)]
+            ips = [member.ip for member in pick_delegates(alive)]
             zones.append(ips or self._pick_any_ips(other))
         return [ips for ips in zones if ips]
 
     def _pick_any_ips(self, zone: str) -> list[str]:
         """Return the addresses of two VMs of a zone without recent reports."""
         ips = [
-            vm.ip for vm in self._members.introduced.values() if vm.zone == zone
+            vm.ip for vm in self._members.known_vms.values() if vm.zone == zone
         ]
         return random.sample(ips, min(2, len(ips)))
