Follow the renames of the whole tree in the VM's process

Local names and comments of toucanhall/edge use the new words: headers, contact, connection settings, fleet tables. The modules' imports are sorted again.

--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -8,11 +8,11 @@
 from standins.site.store import StoreStandin
 from tests.fleetdata import make_environment, make_member, make_store
 from toucanhall.edge.peer_exchange import PeerExchange
-from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Address
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import Quotas
-from toucanhall.platform.store_watch import StoreWatch
 from toucanhall.platform.store import StoreError
+from toucanhall.platform.store_watch import StoreWatch
 from toucanhall.platform.table_loader import TableLoader
 
 ADDRESS = Address('127.64.203.1', 8382)
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -7,7 +7,6 @@
 from hypothesis import strategies as st
 
 from standins.site.documents import make_configuration, make_target_entry
-from tests.simulated_fleet import SimulatedVm
 from tests.fleetdata import (
     make_bounds,
     make_heartbeat,
@@ -16,12 +15,13 @@
     make_team,
 )
 from tests.mutations import mutate
+from tests.simulated_fleet import SimulatedVm
 from toucanhall.edge.admission import admit
 from toucanhall.fleet.gossip import Gossip, Message
 from toucanhall.fleet.model import VmContact
-from toucanhall.limits.quota import Quotas, UsageReport, Usage
-from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.limits.quota import Quotas, Usage, UsageReport
 from toucanhall.placement.hash_ring import Location
+from toucanhall.placement.registry import TargetQuery, TargetRegistry
 from toucanhall.platform.documents import (
     InvalidDocumentError,
     decode_configuration,
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -6,16 +6,16 @@
 
 from standins.site.documents import HOST, KEY, make_configuration, make_rule
 from tests.fleetdata import make_bounds, make_opening
-from toucanhall.edge.dispatcher import RequestDispatcher
 from toucanhall.edge.connection_pool import ConnectionPool
+from toucanhall.edge.dispatcher import RequestDispatcher
 from toucanhall.edge.request_recorder import RequestRecorder
 from toucanhall.edge.sender import Sender
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe.metrics import Metrics
-from toucanhall.placement.registry import TargetRegistry
 from toucanhall.placement.hash_ring import Location
+from toucanhall.placement.registry import TargetRegistry
 from toucanhall.platform.documents import decode_configuration
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Request, get_header
--- a/tests/unit/test_speaker.py
+++ b/tests/unit/test_speaker.py
@@ -27,7 +27,7 @@
         self.sent = []
         self.members = make_members()
         self.members.receive_report(make_report(members=REMOTE_VMS), 0.0)
-        self.speaker = ZoneReporter(
+        self.reporter = ZoneReporter(
             members=self.members,
             send=lambda message, ips: self.sent.append((message, tuple(ips))),
             clock=lambda: self.now,
@@ -41,7 +41,7 @@
 
 def test_reports_alternate_between_both_delegates_of_a_zone(exchange):
     for _heartbeat in range(4):
-        exchange.speaker.beat(make_heartbeat('vm-1'))
+        exchange.reporter.beat(make_heartbeat('vm-1'))
     assert [ips for _message, ips in exchange.sent] == [
         ('127.0.1.1',),
         ('127.0.1.0',),
@@ -52,7 +52,7 @@
     for vm in ('vm-1', 'vm-2'):
         exchange.members.receive(make_heartbeat(vm, capacity=900.0), 0.0)
     for _heartbeat in range(4):
-        exchange.speaker.beat(make_heartbeat('vm-0'))
+        exchange.reporter.beat(make_heartbeat('vm-0'))
     assert not exchange.sent
 
 
@@ -60,7 +60,7 @@
     usage = {'guides': Usage(3, 1.5)}
     exchange.members.receive(make_heartbeat('vm-2', usage=usage), 0.0)
     for _heartbeat in range(2):
-        exchange.speaker.beat(make_heartbeat('vm-1', usage=usage))
+        exchange.reporter.beat(make_heartbeat('vm-1', usage=usage))
     ((message, _ips),) = exchange.sent
     (usage_report,) = message.report.usage_reports
     assert usage_report.usage == {'guides': Usage(6, 3.0)}
@@ -71,7 +71,7 @@
 def test_revisions_go_to_any_vm_of_a_zone_without_recent_reports(exchange):
     exchange.members.add_known_vm(VmContact('far-9', 'kzn-a', '127.0.2.9'))
     exchange.now = REPORT_EXPIRY_SECONDS + 1
-    exchange.speaker.broadcast_revisions(make_heartbeat('vm-1'))
+    exchange.reporter.broadcast_revisions(make_heartbeat('vm-1'))
     reached = {ip for _message, ips in exchange.sent for ip in ips}
     assert '127.0.2.9' in reached
     assert len(reached & {member.ip for member in REMOTE_VMS}) == 2
@@ -79,7 +79,7 @@
 
 def test_broadcast_of_revisions_carries_no_usage(exchange):
     usage = {'guides': Usage(3, 1.5)}
-    exchange.speaker.broadcast_revisions(make_heartbeat('vm-1', usage=usage))
+    exchange.reporter.broadcast_revisions(make_heartbeat('vm-1', usage=usage))
     ((message, ips),) = exchange.sent
     assert not message.heartbeat.usage
     assert ips == ('127.0.1.0', '127.0.1.1')
--- a/toucanhall/edge/__main__.py
+++ b/toucanhall/edge/__main__.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from toucanhall.edge import process
-from toucanhall.platform.settings_file import SettingsError
 from toucanhall.platform.names import SETTINGS_VARIABLE
+from toucanhall.platform.settings_file import SettingsError
 
 
 def main() -> int:
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -6,8 +6,8 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.refusals import Refusal
-from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Configuration, Route, Service, Team
+from toucanhall.fleet.tables import find_route
 from toucanhall.limits.quota import Quotas
 from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Request
@@ -25,7 +25,7 @@
     """
 
     request: Request
-    marks: CallerHeaders
+    headers: CallerHeaders
     route: Route
     team: Team | None
     service: Service
@@ -38,7 +38,9 @@
     @property
     def object_key(self) -> str:
         """The key of the requested object, or else the request id."""
-        return self.marks.object_key or self.marks.request_id.decode('latin-1')
+        return self.headers.object_key or self.headers.request_id.decode(
+            'latin-1'
+        )
 
     @property
     def objective_seconds(self) -> float:
@@ -48,7 +50,7 @@
 
 def admit(
     request: Request,
-    marks: CallerHeaders,
+    headers: CallerHeaders,
     configuration: Configuration | None,
     quotas: Quotas,
     now: float,
@@ -56,10 +58,10 @@
     """Return the admitted request, or the refusal that answers it."""
     if configuration is None:
         return refusals.NO_CONFIGURATION
-    route = find_route(configuration, marks.host, marks.path)
+    route = find_route(configuration, headers.host, headers.path)
     if route is None:
         return refusals.NO_ROUTE
-    team = _find_team(configuration, marks.key)
+    team = _find_team(configuration, headers.key)
     needs_key = bool(configuration.teams) and not route.is_public
     if needs_key and team is None:
         return refusals.UNKNOWN_KEY
@@ -70,12 +72,12 @@
             retry_after,
             quotas.describe_refusal(team.name, now),
         )
-    return _resolve(request, marks, configuration, route, team, now)
+    return _resolve(request, headers, configuration, route, team, now)
 
 
 def _resolve(
     request: Request,
-    marks: CallerHeaders,
+    headers: CallerHeaders,
     configuration: Configuration,
     route: Route,
     team: Team | None,
@@ -85,10 +87,10 @@
     service = configuration.services.get(_pick_service_name(route))
     if homes is None or service is None:
         return refusals.NO_TARGET
-    remaining = marks.remaining_seconds or _DEFAULT_DEADLINE_SECONDS
+    remaining = headers.remaining_seconds or _DEFAULT_DEADLINE_SECONDS
     return AdmittedRequest(
         request=request,
-        marks=marks,
+        headers=headers,
         route=route,
         team=team,
         service=service,
--- a/toucanhall/edge/closing.py
+++ b/toucanhall/edge/closing.py
@@ -17,7 +17,7 @@
 
 class _Closable(Protocol):
     def close_idle(self, *, min_idle_seconds: float) -> bool:
-        """Close if no request is under way or came in `min_idle_seconds` seconds."""
+        """Close if no request came for `min_idle_seconds` or is under way."""
 
 
 async def close_connections(
--- a/toucanhall/edge/connection_pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -36,7 +36,7 @@
         self._clock = clock
         self._most_idle = max_idle_connections
         self._idle_count = 0
-        self._opening = settings
+        self._settings = settings
         self._idle: dict[Address, list[ServerConnection]] = {}
         self.opened_count = 0
 
@@ -67,7 +67,7 @@
         return await open_connection(
             address,
             seconds=connect_timeout_seconds,
-            settings=self._opening,
+            settings=self._settings,
         )
 
     def release(self, address: Address, connection: ServerConnection) -> None:
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -4,14 +4,14 @@
 from itertools import chain
 from typing import Final
 
-from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Address, Environment
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_serving
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.platform.endpoints import (
-    read_directory_query,
     make_directory_answer,
+    read_directory_query,
 )
 from toucanhall.web.messages import Answer, Request, make_answer
 
--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -6,8 +6,8 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest, admit
-from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.refusals import Refusal
+from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.request_recorder import RequestRecorder
 from toucanhall.edge.sender import Failure, Sender, Success
 from toucanhall.fleet.tables import FleetTables, find_route
@@ -15,13 +15,13 @@
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.placement.choice import (
-    URGENT_PRIORITY,
     TARGETS_PER_OBJECT,
-    RequestUrgency,
+    URGENT_PRIORITY,
     Candidate,
+    RequestUrgency,
     choose_target,
 )
-from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.registry import TargetQuery, TargetRegistry
 from toucanhall.placement.response_times import ResponseTimes
 from toucanhall.platform.headers import make_caller_answer, read_caller_headers
 from toucanhall.web.lag import LoopLag
@@ -73,7 +73,7 @@
         recorder: RequestRecorder,
         lag: LoopLag,
     ) -> None:
-        """Decide by the VM's knowledge; send on pooled connections."""
+        """Decide by the VM's fleet tables; send on pooled connections."""
         self._fleet_tables = fleet_tables
         self._registry = registry
         self._sender = sender
@@ -101,32 +101,32 @@
         configuration = self._fleet_tables.configuration
         if configuration is None:
             return True
-        marks = read_caller_headers(request)
-        route = find_route(configuration, marks.host, marks.path)
+        headers = read_caller_headers(request)
+        route = find_route(configuration, headers.host, headers.path)
         return route is None or route.is_idempotent
 
     async def serve(self, request: Request) -> Answer:
         """Return the final answer to a request."""
         self.request_rate.add()
-        marks = read_caller_headers(request)
+        headers = read_caller_headers(request)
         admitted = admit(
             request,
-            marks,
+            headers,
             self._fleet_tables.configuration,
             self._quotas,
             self._loop.time(),
         )
         if isinstance(admitted, Refusal):
-            return self._recorder.record_refusal(marks, admitted)
+            return self._recorder.record_refusal(headers, admitted)
         if self._lag.seconds > _get_max_lag_seconds(admitted.priority):
             return self._recorder.record_refusal(
-                marks,
+                headers,
                 refusals.VM_OVERLOADED,
                 lag=round(self._lag.seconds, 3),
             )
         if not self._can_finish(admitted):
             return self._recorder.record_refusal(
-                marks,
+                headers,
                 refusals.VM_STOPPING,
                 seconds_left=round(self._ends_at - self._loop.time(), 3),
             )
@@ -134,15 +134,17 @@
         try:
             return await self._attempt_until_deadline(admitted)
         except asyncio.CancelledError:
-            self._recorder.record_caller_left(marks, admitted.route.name)
+            self._recorder.record_caller_left(headers, admitted.route.name)
             raise
         except Exception as error:  # noqa: BLE001
             self._recorder.write(
                 events.REQUEST_CRASHED,
-                marks,
+                headers,
                 why=repr(error),
             )
-            return self._recorder.record_refusal(marks, refusals.INTERNAL_ERROR)
+            return self._recorder.record_refusal(
+                headers, refusals.INTERNAL_ERROR
+            )
         finally:
             self.in_flight -= 1
 
@@ -161,7 +163,7 @@
             )
         except TimeoutError:
             return self._recorder.record_refusal(
-                admitted.marks,
+                admitted.headers,
                 refusals.TIMED_OUT,
                 route=admitted.route.name,
                 tried=sorted(attempts.tried),
@@ -207,7 +209,7 @@
                 return self._answer_success(admitted, candidate, outcome)
             attempts.record(outcome)
             self._recorder.record_failed_attempt(
-                admitted.marks,
+                admitted.headers,
                 outcome.reason,
                 target=outcome.target,
                 may_have_run=outcome.may_have_run,
@@ -273,7 +275,7 @@
         ):
             return True
         self._recorder.record_refused_retry(
-            admitted.marks, admitted.service.name
+            admitted.headers, admitted.service.name
         )
         return False
 
@@ -291,7 +293,7 @@
         )
         self._sender.record_success(candidate, ratio)
         self._recorder.record_served(
-            admitted.marks,
+            admitted.headers,
             admitted.route.name,
             self._loop.time() - admitted.received_at,
             target=candidate.target.id,
@@ -305,11 +307,11 @@
         failure = attempts.worst_failure
         if failure is None:
             return self._recorder.record_refusal(
-                admitted.marks, refusals.TARGETS_FULL
+                admitted.headers, refusals.TARGETS_FULL
             )
         if failure.reply is not None:
             self._recorder.record_passed_failure(
-                admitted.marks,
+                admitted.headers,
                 failure.reason,
                 failure.target,
             )
@@ -318,7 +320,7 @@
         if failure.may_have_run:
             refusal = refusals.ANSWER_LOST
         return self._recorder.record_refusal(
-            admitted.marks,
+            admitted.headers,
             refusal,
             why=failure.reason,
             tried=sorted(attempts.tried),
--- a/toucanhall/edge/peer_exchange.py
+++ b/toucanhall/edge/peer_exchange.py
@@ -7,10 +7,10 @@
 
 from toucanhall.edge.zone_reporter import ZoneReporter
 from toucanhall.fleet.gossip import Gossip, Message, open_gossip
-from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member, ZoneReport
+from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.limits.quota import Quotas, Usage
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
@@ -25,8 +25,8 @@
 
 # Two of three heartbeats may be lost before others choose a new watcher.
 HEARTBEAT_INTERVAL_SECONDS: Final = 0.8
-# By then the seeds have introduced all VMs, over twice the one-way delay
-# between regions.
+# By then the seeds have sent the VMs that they know, over twice the one-way
+# delay between regions.
 FIRST_HEARTBEAT_DELAY_SECONDS: Final = 0.2
 # A VM that has just started knows little of the usage of others: it sends and
 # receives more often until the first window's reports have gone round twice.
@@ -117,19 +117,18 @@
             FIRST_HEARTBEAT_DELAY_SECONDS, self._send_heartbeats
         )
 
-    def add_vms(self, introductions: Iterable[VmContact]) -> None:
+    def add_vms(self, contacts: Iterable[VmContact]) -> None:
         """Add VMs; send a heartbeat to those of the own zone that are new."""
         own = self._environment.vm
         new = [
-            introduction
-            for introduction in introductions
-            if introduction.vm != own
-            and self.members.add_known_vm(introduction)
+            contact
+            for contact in contacts
+            if contact.vm != own and self.members.add_known_vm(contact)
         ]
         self._send_heartbeat(
-            introduction.ip
-            for introduction in new
-            if introduction.zone == self._environment.zone
+            contact.ip
+            for contact in new
+            if contact.zone == self._environment.zone
         )
 
     def broadcast_revisions(self, *, is_for_all_zones: bool) -> None:
@@ -156,7 +155,7 @@
         if heartbeat.member.zone == self._environment.zone:
             self._receive_local_heartbeat(heartbeat)
         if heartbeat.is_requesting_vms:
-            self._send_introductions(heartbeat)
+            self._send_known_vms(heartbeat)
         self.add_vms(heartbeat.known_vms)
         source = RevisionSource(*heartbeat.member.contact, is_relayed=False)
         self._on_revisions(source, heartbeat.revisions)
@@ -184,7 +183,7 @@
         )
         self._on_revisions(source, report.revisions)
 
-    def _send_introductions(self, request: Heartbeat) -> None:
+    def _send_known_vms(self, request: Heartbeat) -> None:
         known = tuple(self.members.known_vms.values())
         answer = self._make_heartbeat()._replace(known_vms=known)
         self._send(Message(heartbeat=answer), (request.member.ip,))
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -4,39 +4,39 @@
 import gc
 import signal
 from collections.abc import Awaitable, Callable
-from pathlib import Path as FilePath
+from pathlib import Path
 from typing import Any, Final
 
 from toucanhall.edge.caller_connections import CallerConnections
+from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.directory import Directory
-from toucanhall.edge.state_updater import StateUpdater
+from toucanhall.edge.dispatcher import RequestDispatcher
 from toucanhall.edge.peer_exchange import (
     HEARTBEAT_INTERVAL_SECONDS,
     PeerExchange,
     RevisionSource,
 )
-from toucanhall.edge.dispatcher import RequestDispatcher
-from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.request_recorder import RequestRecorder
 from toucanhall.edge.sender import Sender
+from toucanhall.edge.state_updater import StateUpdater
 from toucanhall.edge.table_exchange import TableExchange
-from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_delegates
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.placement.registry import TargetRegistry
 from toucanhall.placement.hash_ring import Location
+from toucanhall.placement.registry import TargetRegistry
 from toucanhall.platform import settings_file
 from toucanhall.platform.endpoints import make_readiness_handler
-from toucanhall.platform.vm_registry import VmRegistry
-from toucanhall.platform.store_watch import StoreWatch
 from toucanhall.platform.headers import REQUEST_ID_HEADER
 from toucanhall.platform.store import Store, StoreError
+from toucanhall.platform.store_watch import StoreWatch
+from toucanhall.platform.vm_registry import VmRegistry
 from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
@@ -77,7 +77,7 @@
 class Process:
     """One VM of the fleet."""
 
-    def __init__(self, *, settings: FilePath, environment: Environment) -> None:
+    def __init__(self, *, settings: Path, environment: Environment) -> None:
         """Prepare a VM; nothing is opened yet."""
         self._settings = settings
         self._settings_mtime_ns = _read_mtime_ns(settings)
@@ -98,7 +98,7 @@
         )
         sockets = environment.max_descriptors - _RESERVED_FILES_COUNT
         self._buffer_budget = make_buffer_budget(environment.memory)
-        opening = ConnectionSettings(
+        connection_settings = ConnectionSettings(
             compute_answer_bounds(environment.memory), self._buffer_budget
         )
         self._pool = ConnectionPool(
@@ -106,11 +106,11 @@
             max_idle_connections=round(
                 sockets * _IDLE_TARGETS_SOCKETS_FRACTION
             ),
-            settings=opening._replace(id_header=REQUEST_ID_HEADER),
+            settings=connection_settings._replace(id_header=REQUEST_ID_HEADER),
         )
         self._store = Store(
             address=environment.store,
-            settings=opening,
+            settings=connection_settings,
             on_call=self._record_store_call,
         )
         self._vm_registry = VmRegistry(store=self._store, journal=self._journal)
@@ -168,7 +168,7 @@
             zone=environment.zone,
             regions=environment.regions,
             port=control.port if control else 0,
-            settings=opening,
+            settings=connection_settings,
             on_applied=self._on_snapshot_applied,
         )
         self._peer_exchange = PeerExchange(
@@ -284,8 +284,8 @@
                 await self._vm_registry.list_vms(may_be_stale=True)
             )
             return
-        for introduction in expired:
-            await self._vm_registry.remove(introduction.vm)
+        for contact in expired:
+            await self._vm_registry.remove(contact.vm)
         self._add_listed(await self._vm_registry.register(own))
 
     def _add_listed(self, listed: list[VmContact]) -> None:
@@ -416,16 +416,16 @@
         self._journal.write(events.RELOADED)
 
 
-def run(settings: FilePath) -> None:
-    """Run a VM until a signal stops it; raise BadSettings."""
+def run(settings: Path) -> None:
+    """Run a VM until a signal stops it; raise SettingsError."""
     asyncio.run(_run(settings, settings_file.load_settings(settings)))
 
 
-async def _run(settings: FilePath, environment: Environment) -> None:
+async def _run(settings: Path, environment: Environment) -> None:
     await Process(settings=settings, environment=environment).run()
 
 
-def _read_mtime_ns(path: FilePath) -> int:
+def _read_mtime_ns(path: Path) -> int:
     try:
         return path.stat().st_mtime_ns
     except OSError:
--- a/toucanhall/edge/request_recorder.py
+++ b/toucanhall/edge/request_recorder.py
@@ -35,7 +35,7 @@
 
     def record_refusal(
         self,
-        marks: CallerHeaders,
+        headers: CallerHeaders,
         refusal: Refusal,
         **fields: object,
     ) -> Answer:
@@ -47,7 +47,7 @@
         )
         self.write(
             events.REQUEST_REFUSED,
-            marks,
+            headers,
             status=refusal.status,
             reason=refusal.reason,
             retry_after=refusal.retry_after,
@@ -58,35 +58,37 @@
         return make_refusal_answer(refusal)
 
     def record_passed_failure(
-        self, marks: CallerHeaders, reason: str, target: str
+        self, headers: CallerHeaders, reason: str, target: str
     ) -> None:
         """Count and log a failed answer of a target that its caller gets."""
         self._metrics.count('failures_passed_on', reason=reason)
-        self.write(events.REQUEST_FAILED, marks, why=reason, target=target)
+        self.write(events.REQUEST_FAILED, headers, why=reason, target=target)
 
     def record_failed_attempt(
         self,
-        marks: CallerHeaders,
+        headers: CallerHeaders,
         reason: str,
         **fields: object,
     ) -> None:
         """Count and log a failed attempt."""
         self._metrics.count('attempts_failed', reason=reason)
-        self.write(events.ATTEMPT_FAILED, marks, why=reason, **fields)
+        self.write(events.ATTEMPT_FAILED, headers, why=reason, **fields)
 
-    def record_refused_retry(self, marks: CallerHeaders, service: str) -> None:
+    def record_refused_retry(
+        self, headers: CallerHeaders, service: str
+    ) -> None:
         """Count and log a retry for which the retry budget is spent."""
         self._metrics.count('repeats_refused', service=service)
-        self.write(events.RETRY_REFUSED, marks, service=service)
+        self.write(events.RETRY_REFUSED, headers, service=service)
 
-    def record_caller_left(self, marks: CallerHeaders, route: str) -> None:
+    def record_caller_left(self, headers: CallerHeaders, route: str) -> None:
         """Count and log a request whose caller has left."""
         self._metrics.count('callers_left', route=route)
-        self.write(events.CALLER_DISCONNECTED, marks)
+        self.write(events.CALLER_DISCONNECTED, headers)
 
     def record_served(
         self,
-        marks: CallerHeaders,
+        headers: CallerHeaders,
         route: str,
         seconds: float,
         **fields: object,
@@ -97,20 +99,20 @@
         if self._served_count % _SERVED_REQUESTS_PER_LINE == 0:
             self.write(
                 events.REQUEST_SERVED,
-                marks,
+                headers,
                 seconds=round(seconds, 4),
                 **fields,
             )
 
     def write(
-        self, event: Event, marks: CallerHeaders, **fields: object
+        self, event: Event, headers: CallerHeaders, **fields: object
     ) -> None:
         """Write a line with the id of a request and the VM's table versions."""
         configuration = self._fleet_tables.configuration
         self._journal.write(
             event,
-            request=marks.request_id.decode('latin-1'),
-            path=marks.path,
+            request=headers.request_id.decode('latin-1'),
+            path=headers.path,
             configuration=configuration.version if configuration else None,
             targets=self._fleet_tables.revisions.targets,
             **fields,
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -132,7 +132,7 @@
         )
         reply = await connection.exchange(
             encode_request(forwarded),
-            admitted.marks.request_id,
+            admitted.headers.request_id,
         )
         self._pool.release(target.address, connection)
         return reply
@@ -144,13 +144,13 @@
     ) -> Success | Failure:
         target, load = candidate
         reply = success.reply
-        marks = read_target_headers(reply)
+        headers = read_target_headers(reply)
         now = self._loop.time()
-        if marks.pending_requests is not None:
-            load.record_reported_load(marks.pending_requests, now)
-        if marks.is_not_run:
-            return self._classify_not_run(candidate, marks, now)
-        if marks.is_unproven_refusal:
+        if headers.pending_requests is not None:
+            load.record_reported_load(headers.pending_requests, now)
+        if headers.is_not_run:
+            return self._classify_not_run(candidate, headers, now)
+        if headers.is_unproven_refusal:
             # Passed on, the status would promise that the request never ran.
             why = f'status {reply.status} without proof that nothing ran'
             self._record_failure(target, is_lost=False, why=why)
@@ -160,7 +160,7 @@
                 target, is_lost=False, why=f'status {reply.status}'
             )
             return Failure(f'status-{reply.status}', target.id, reply=reply)
-        if reply.status < _MIN_REDIRECTION_STATUS and not marks.has_stamp:
+        if reply.status < _MIN_REDIRECTION_STATUS and not headers.has_stamp:
             self._record_failure(
                 target,
                 is_lost=False,
@@ -172,11 +172,11 @@
     def _classify_not_run(
         self,
         candidate: Candidate,
-        marks: TargetHeaders,
+        headers: TargetHeaders,
         now: float,
     ) -> Failure:
         target, load = candidate
-        if marks.is_misdirected:
+        if headers.is_misdirected:
             self._registry.suspend(target.id, now)
             return Failure('misdirected', target.id, may_have_run=False)
         load.fill(now)
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -3,16 +3,16 @@
 import math
 from collections.abc import Callable, Mapping, Sequence
 
-from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Environment
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import pick_serving
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import (
     RESERVE_VM_WEIGHT,
     Quotas,
-    UsageReport,
     Usage,
+    UsageReport,
 )
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
@@ -59,7 +59,7 @@
         return self._environment.vm in local
 
     def apply_table_change(self, table: str) -> None:
-        """Apply a changed table of the knowledge."""
+        """Apply a changed table."""
         self._handlers[table]()
 
     def update_from_reports(
--- a/toucanhall/edge/table_exchange.py
+++ b/toucanhall/edge/table_exchange.py
@@ -13,13 +13,13 @@
 import msgspec
 
 from toucanhall.edge.peer_exchange import RevisionSource
-from toucanhall.fleet.tables import FleetTables, Revisions, is_ahead
 from toucanhall.fleet.model import Address, Snapshot
 from toucanhall.fleet.packing import pack, unpack
+from toucanhall.fleet.tables import FleetTables, Revisions, is_ahead
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.web.client import ConnectionSettings, open_connection
-from toucanhall.web.messages import Answer, Request, make_answer, encode_request
+from toucanhall.web.messages import Answer, Request, encode_request, make_answer
 
 __all__ = ('TableExchange',)
 
@@ -63,7 +63,7 @@
         snapshot was applied.
         """
         self._on_taken = on_applied
-        self._opening = settings
+        self._settings = settings
         self._fleet_tables = fleet_tables
         self._journal = journal
         self._zone = zone
@@ -174,7 +174,7 @@
             connection = await open_connection(
                 address,
                 seconds=_FETCH_TIMEOUT_SECONDS,
-                settings=self._opening,
+                settings=self._settings,
             )
             try:
                 reply = await connection.exchange(encode_request(request))
--- a/toucanhall/edge/zone_reporter.py
+++ b/toucanhall/edge/zone_reporter.py
@@ -7,7 +7,7 @@
 from toucanhall.fleet.gossip import Message
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.reports import Member, ZoneReport, sum_usage_reports
-from toucanhall.fleet.selection import pick_serving, pick_delegates
+from toucanhall.fleet.selection import pick_delegates, pick_serving
 from toucanhall.limits.quota import UsageReport
 
 __all__ = ('ZoneReporter',)
