--- a/toucanhall/edge/connection_pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -34,7 +34,7 @@
     ) -> None:
         """Open connections by `settings`; bound the number of idle ones."""
         self._clock = clock
-        self._most_idle = max_idle_connections
+        self._max_idle_connections = max_idle_connections
         self._idle_count = 0
         self._settings = settings
         self._idle: dict[Address, list[ServerConnection]] = {}
@@ -75,7 +75,7 @@
         idle = self._idle.setdefault(address, [])
         is_full = (
             len(idle) >= _MAX_IDLE_PER_TARGET_COUNT
-            or self._idle_count >= self._most_idle
+            or self._idle_count >= self._max_idle_connections
         )
         if is_full or not connection.is_usable:
             connection.close()
--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -34,8 +34,8 @@
 _MAX_LAG_SECONDS: Final = 0.6
 _MAX_LESS_URGENT_LAG_SECONDS: Final = 0.3
 # Times of a route differ: a target that lacks the object takes three times as
-# long as one that has it, and the usual time lies between.
-_SLOW_TO_USUAL_TIME_RATIO: Final = 2.0
+# long as one that has it, and the expected time lies between.
+_SLOW_TO_EXPECTED_TIME_RATIO: Final = 2.0
 # Connections that failed without a byte sent do not count as attempts.
 _MAX_UNSENT_COUNT: Final = 3
 
@@ -82,7 +82,7 @@
         self._recorder = recorder
         self._lag = lag
         self._loop = asyncio.get_running_loop()
-        self._usual_times = ResponseTimes()
+        self._response_times = ResponseTimes()
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
         self.request_rate = RequestRate(now=self._loop.time())
@@ -184,13 +184,14 @@
 
     def _can_finish(self, admitted: AdmittedRequest) -> bool:
         """Whether a request can be answered before this VM stops."""
-        usual_seconds = self._usual_times.get(
+        expected_seconds = self._response_times.get(
             admitted.route.name,
             admitted.objective_seconds,
         )
         latest_end = min(
             admitted.deadline,
-            admitted.received_at + usual_seconds * _SLOW_TO_USUAL_TIME_RATIO,
+            admitted.received_at
+            + expected_seconds * _SLOW_TO_EXPECTED_TIME_RATIO,
         )
         return latest_end <= self._ends_at
 
@@ -224,15 +225,15 @@
         attempts: _Attempts,
     ) -> Candidate | None:
         now = self._loop.time()
-        need = TargetQuery(
+        query = TargetQuery(
             service=admitted.service.name,
             key=admitted.object_key,
             homes=admitted.homes,
             tried=frozenset(attempts.tried),
         )
-        ask = RequestUrgency(
+        urgency = RequestUrgency(
             seconds_to_objective=admitted.objective_at - now,
-            expected_seconds=self._usual_times.get(
+            expected_seconds=self._response_times.get(
                 admitted.route.name,
                 admitted.objective_seconds,
             ),
@@ -241,14 +242,14 @@
         rate = admitted.service.cold_per_second
         while True:
             candidates = self._registry.list_candidates(
-                need, now, TARGETS_PER_OBJECT
+                query, now, TARGETS_PER_OBJECT
             )
-            chosen = choose_target(candidates, ask, now)
+            chosen = choose_target(candidates, urgency, now)
             if not chosen or self._registry.try_acquire(
                 chosen.target, rate, now
             ):
                 return chosen
-            need = need._replace(tried=need.tried | {chosen.target.id})
+            query = query._replace(tried=query.tried | {chosen.target.id})
 
     def _may_retry(
         self,
@@ -261,13 +262,13 @@
         if attempts.sent_count >= admitted.route.attempts:
             return False
         now = self._loop.time()
-        usual_seconds = self._usual_times.get(
+        expected_seconds = self._response_times.get(
             admitted.route.name,
             admitted.objective_seconds,
         )
         if (
             attempts.unsent_count > _MAX_UNSENT_COUNT
-            or now + usual_seconds / 2 > admitted.deadline
+            or now + expected_seconds / 2 > admitted.deadline
         ):
             return False
         if not attempts.sent_count or self._retries.try_acquire(
@@ -285,7 +286,7 @@
         candidate: Candidate,
         success: Success,
     ) -> Answer:
-        ratio = self._usual_times.record(
+        ratio = self._response_times.record(
             admitted.route.name,
             admitted.objective_seconds,
             success.seconds,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -86,9 +86,9 @@
         self._journal = Journal(vm=environment.vm)
         self._metrics = Metrics()
         self._stopping = asyncio.Event()
-        place = Location(environment.zone, environment.region)
+        location = Location(environment.zone, environment.region)
         self._registry = TargetRegistry(
-            location=place, regions=environment.regions
+            location=location, regions=environment.regions
         )
         self._fleet_tables = FleetTables(on_change=self._on_table_changed)
         self._quotas = Quotas(
--- a/toucanhall/edge/request_recorder.py
+++ b/toucanhall/edge/request_recorder.py
@@ -93,7 +93,7 @@
         seconds: float,
         **fields: object,
     ) -> None:
-        """Observe the time of a served request; log one of some."""
+        """Observe the time of a served request; log a sample of them."""
         self._metrics.observe('request', seconds, route=route)
         self._served_count += 1
         if self._served_count % _SERVED_REQUESTS_PER_LINE == 0:
