--- a/tests/unit/test_closing.py
+++ b/tests/unit/test_closing.py
@@ -18,7 +18,7 @@
         self.closed_at = None
 
     def close_idle(self, *, min_idle_seconds):
-        """Close if the last use was at least `min_idle_seconds` seconds ago."""
+        """Close if the last use was at least `min_idle_seconds` ago."""
         now = asyncio.get_running_loop().time()
         if now - self._used_at >= min_idle_seconds:
             self.closed_at = now
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -107,7 +107,7 @@
         return self._classify(candidate, Success(reply, seconds, load_ratio))
 
     def record_success(self, candidate: Candidate, ratio: float | None) -> None:
-        """Record an answer; `ratio` is its time over the usual time."""
+        """Record an answer; `ratio` is its time over the expected time."""
         if candidate.load.record_success(ratio):
             self._journal.write(
                 events.TARGET_RESUMED,
