--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -1,4 +1,4 @@
-"""Documents and messages with wrong entries end nothing but themselves."""
+"""Invalid documents and messages are rejected and do no further harm."""
 
 import json
 
@@ -7,7 +7,6 @@
 from hypothesis import strategies as st
 
 from standins.site.documents import make_configuration, make_target_entry
-from tests.simulated_fleet import SimulatedVm
 from tests.fleetdata import (
     make_bounds,
     make_heartbeat,
@@ -16,12 +15,13 @@
     make_team,
 )
 from tests.mutations import mutate
+from tests.simulated_fleet import SimulatedVm
 from toucanhall.edge.admission import admit
 from toucanhall.fleet.gossip import Gossip, Message
 from toucanhall.fleet.model import VmContact
-from toucanhall.limits.quota import Quotas, UsageReport, Usage
-from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.limits.quota import Quotas, Usage, UsageReport
 from toucanhall.placement.hash_ring import Location
+from toucanhall.placement.registry import TargetQuery, TargetRegistry
 from toucanhall.platform.documents import (
     InvalidDocumentError,
     decode_configuration,
@@ -63,7 +63,7 @@
 
 
 def ask(configuration):
-    """Admit a request by a configuration and divide its limits."""
+    """Admit a request under a configuration and divide the limits of teams."""
     headers = (
         (b'host', b'guide.example'),
         (b'authorization', b'Bearer key-1'),
@@ -134,7 +134,7 @@
 
 
 def encode(document):
-    """Encode a message; integers that do not fit become the largest."""
+    """Encode a message; an integer out of range gives the largest instead."""
     try:
         return msgspec.msgpack.encode(document)
     except OverflowError:
@@ -142,6 +142,6 @@
 
 
 def is_reachable(ip):
-    """Whether a socket takes an address as it stands, without a look-up."""
+    """Whether an address is dotted IPv4, which needs no look-up."""
     parts = ip.split('.')
     return len(parts) == 4 and all(part.isdigit() for part in parts)
--- a/tests/unit/test_speaker.py
+++ b/tests/unit/test_speaker.py
@@ -1,4 +1,4 @@
-"""Tests of who speaks between zones, to whom and how often."""
+"""Tests of reports between zones: which VM sends them, to whom, how often."""
 
 import pytest
 
@@ -13,21 +13,21 @@
 from toucanhall.fleet.model import VmContact
 from toucanhall.limits.quota import Usage
 
-FAR = tuple(
+REMOTE_VMS = tuple(
     make_member(f'far-{index}', zone='west-a', ip=f'127.0.1.{index}')
     for index in range(4)
 )
 
 
 class Exchange:
-    """A speaker, the time, and what it sent to whom."""
+    """A VM that may be a delegate, the time, and what it sent to whom."""
 
     def __init__(self):
         self.now = 0.0
         self.sent = []
         self.members = make_members()
-        self.members.receive_report(make_report(members=FAR), 0.0)
-        self.speaker = ZoneReporter(
+        self.members.receive_report(make_report(members=REMOTE_VMS), 0.0)
+        self.reporter = ZoneReporter(
             members=self.members,
             send=lambda message, ips: self.sent.append((message, tuple(ips))),
             clock=lambda: self.now,
@@ -39,47 +39,47 @@
     return Exchange()
 
 
-def test_reports_go_to_both_listeners_in_turn(exchange):
-    for _beat in range(4):
-        exchange.speaker.beat(make_heartbeat('vm-1'))
+def test_reports_alternate_between_both_delegates_of_a_zone(exchange):
+    for _heartbeat in range(4):
+        exchange.reporter.beat(make_heartbeat('vm-1'))
     assert [ips for _message, ips in exchange.sent] == [
         ('127.0.1.1',),
         ('127.0.1.0',),
     ]
 
 
-def test_vm_that_two_others_bear_more_than_does_not_report(exchange):
+def test_vm_with_two_larger_ones_in_its_zone_sends_no_report(exchange):
     for vm in ('vm-1', 'vm-2'):
         exchange.members.receive(make_heartbeat(vm, capacity=900.0), 0.0)
-    for _beat in range(4):
-        exchange.speaker.beat(make_heartbeat('vm-0'))
+    for _heartbeat in range(4):
+        exchange.reporter.beat(make_heartbeat('vm-0'))
     assert not exchange.sent
 
 
-def test_report_adds_up_the_requests_of_the_zone(exchange):
+def test_report_sums_the_usage_of_the_zone(exchange):
     usage = {'guides': Usage(3, 1.5)}
     exchange.members.receive(make_heartbeat('vm-2', usage=usage), 0.0)
-    for _beat in range(2):
-        exchange.speaker.beat(make_heartbeat('vm-1', usage=usage))
+    for _heartbeat in range(2):
+        exchange.reporter.beat(make_heartbeat('vm-1', usage=usage))
     ((message, _ips),) = exchange.sent
-    (told,) = message.report.usage_reports
-    assert told.usage == {'guides': Usage(6, 3.0)}
-    assert told.vms == 2
-    assert {found.vm for found in message.report.members} == {'vm-1', 'vm-2'}
+    (usage_report,) = message.report.usage_reports
+    assert usage_report.usage == {'guides': Usage(6, 3.0)}
+    assert usage_report.vms == 2
+    assert {member.vm for member in message.report.members} == {'vm-1', 'vm-2'}
 
 
-def test_zone_of_which_nothing_is_heard_is_tried_at_any_of_its_vms(exchange):
+def test_revisions_go_to_any_vm_of_a_zone_without_recent_reports(exchange):
     exchange.members.add_known_vm(VmContact('far-9', 'kzn-a', '127.0.2.9'))
     exchange.now = REPORT_EXPIRY_SECONDS + 1
-    exchange.speaker.broadcast_revisions(make_heartbeat('vm-1'))
+    exchange.reporter.broadcast_revisions(make_heartbeat('vm-1'))
     reached = {ip for _message, ips in exchange.sent for ip in ips}
     assert '127.0.2.9' in reached
-    assert len(reached & {found.ip for found in FAR}) == 2
+    assert len(reached & {member.ip for member in REMOTE_VMS}) == 2
 
 
-def test_news_carries_no_usage(exchange):
+def test_broadcast_of_revisions_carries_no_usage(exchange):
     usage = {'guides': Usage(3, 1.5)}
-    exchange.speaker.broadcast_revisions(make_heartbeat('vm-1', usage=usage))
+    exchange.reporter.broadcast_revisions(make_heartbeat('vm-1', usage=usage))
     ((message, ips),) = exchange.sent
     assert not message.heartbeat.usage
     assert ips == ('127.0.1.0', '127.0.1.1')
--- a/toucanhall/edge/__main__.py
+++ b/toucanhall/edge/__main__.py
@@ -1,22 +1,25 @@
-"""Runs a VM by the settings file that the platform names."""
+"""Runs a VM with the settings file named by the environment."""
 
 import os
 import sys
 from pathlib import Path
 
 from toucanhall.edge import process
-from toucanhall.platform.settings_file import SettingsError
 from toucanhall.platform.names import SETTINGS_VARIABLE
+from toucanhall.platform.settings_file import SettingsError
 
 
 def main() -> int:
-    """Run the VM; return 2 when its settings cannot be used."""
-    named = os.environ.get(SETTINGS_VARIABLE)
-    if not named:
-        sys.stderr.write(f'{SETTINGS_VARIABLE} names no settings file\n')
+    """Run the VM; return 2 if its settings are missing or invalid."""
+    settings_path = os.environ.get(SETTINGS_VARIABLE)
+    if not settings_path:
+        sys.stderr.write(
+            f'{SETTINGS_VARIABLE} is unset or empty; '
+            'it must name the settings file\n',
+        )
         return 2
     try:
-        process.run(Path(named))
+        process.run(Path(settings_path))
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return 2
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -1,4 +1,4 @@
-"""Decides whether a request may be sent to a target, and what binds it."""
+"""Admits or refuses a request; resolves its route, team and deadline."""
 
 import random
 from collections.abc import Callable
@@ -6,26 +6,26 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.refusals import Refusal
-from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Configuration, Route, Service, Team
+from toucanhall.fleet.tables import find_route
 from toucanhall.limits.quota import Quotas
 from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Request
 
 __all__ = ('AdmittedRequest', 'admit')
 
-_DEFAULT_OBJECTIVE: Final = 1.0  # seconds, of routes that name none
-_DEFAULT_PATIENCE: Final = 10.0  # seconds, of callers that name none
+_DEFAULT_OBJECTIVE_SECONDS: Final = 1.0  # of routes without an objective
+_DEFAULT_DEADLINE_SECONDS: Final = 10.0  # of callers that send no deadline
 
 
 class AdmittedRequest(NamedTuple):
-    """A request that may be sent to a target; times of the loop's clock.
+    """A request that may be sent to a target; times are of the loop's clock.
 
-    `homes` are the regions that may serve it, none of them for all.
+    `homes` are the regions that may serve it; an empty set allows all.
     """
 
     request: Request
-    marks: CallerHeaders
+    headers: CallerHeaders
     route: Route
     team: Team | None
     service: Service
@@ -37,70 +37,72 @@
 
     @property
     def object_key(self) -> str:
-        """The object that the request concerns, or its own id."""
-        return self.marks.object_key or self.marks.request_id.decode('latin-1')
+        """The key of the requested object, or else the request id."""
+        return self.headers.object_key or self.headers.request_id.decode(
+            'latin-1'
+        )
 
     @property
-    def objective(self) -> float:
-        """Seconds within which an answer is wanted."""
+    def objective_seconds(self) -> float:
+        """Time after receipt within which an answer is wanted."""
         return self.objective_at - self.received_at
 
 
 def admit(
     request: Request,
-    marks: CallerHeaders,
+    headers: CallerHeaders,
     configuration: Configuration | None,
     quotas: Quotas,
     now: float,
 ) -> AdmittedRequest | Refusal:
-    """Admit a request, or tell why not."""
+    """Return the admitted request, or the refusal that answers it."""
     if configuration is None:
         return refusals.NO_CONFIGURATION
-    route = find_route(configuration, marks.host, marks.path)
+    route = find_route(configuration, headers.host, headers.path)
     if route is None:
         return refusals.NO_ROUTE
-    team = _find_team(configuration, marks.key)
+    team = _find_team(configuration, headers.key)
     needs_key = bool(configuration.teams) and not route.is_public
     if needs_key and team is None:
         return refusals.UNKNOWN_KEY
-    wait = quotas.admit(team, now) if team else 0.0
-    if team and wait:
+    retry_after = quotas.admit(team, now) if team else 0.0
+    if team and retry_after:
         return refusals.make_over_quota(
             team.name,
-            wait,
+            retry_after,
             quotas.describe_refusal(team.name, now),
         )
-    return _bind(request, marks, configuration, route, team, now)
+    return _resolve(request, headers, configuration, route, team, now)
 
 
-def _bind(
+def _resolve(
     request: Request,
-    marks: CallerHeaders,
+    headers: CallerHeaders,
     configuration: Configuration,
     route: Route,
     team: Team | None,
     now: float,
 ) -> AdmittedRequest | Refusal:
-    homes = _join_homes(route, team)
-    service = configuration.services.get(_pick_part(route))
+    homes = _intersect_regions(route, team)
+    service = configuration.services.get(_pick_service_name(route))
     if homes is None or service is None:
         return refusals.NO_TARGET
-    patience = marks.remaining_seconds or _DEFAULT_PATIENCE
+    remaining = headers.remaining_seconds or _DEFAULT_DEADLINE_SECONDS
     return AdmittedRequest(
         request=request,
-        marks=marks,
+        headers=headers,
         route=route,
         team=team,
         service=service,
         homes=homes,
-        priority=_pick_priority(route, team),
+        priority=_get_priority(route, team),
         received_at=now,
-        deadline=now + min(patience, route.timeout or patience),
-        objective_at=now + (route.objective or _DEFAULT_OBJECTIVE),
+        deadline=now + min(remaining, route.timeout or remaining),
+        objective_at=now + (route.objective or _DEFAULT_OBJECTIVE_SECONDS),
     )
 
 
-def _pick_priority(route: Route, team: Team | None) -> int:
+def _get_priority(route: Route, team: Team | None) -> int:
     if team is None or team.priority is None:
         return route.priority
     return team.priority
@@ -111,8 +113,13 @@
     return configuration.teams.get(name or '')
 
 
-def _join_homes(route: Route, team: Team | None) -> frozenset[str] | None:
-    """Return the regions allowed, empty for all, None for none of them."""
+def _intersect_regions(
+    route: Route, team: Team | None
+) -> frozenset[str] | None:
+    """Return the regions that route and team both allow.
+
+    An empty set allows all regions; None means that none is allowed.
+    """
     if team is None or not team.homes:
         return route.homes
     if not route.homes:
@@ -120,15 +127,17 @@
     return (route.homes & team.homes) or None
 
 
-def _pick_part(
+def _pick_service_name(
     route: Route,
     draw: Callable[[], float] = random.random,
 ) -> str:
     if len(route.weighted_services) == 1:
         return route.weighted_services[0].service
-    point = draw() * sum(part.weight for part in route.weighted_services)
+    remaining_weight = draw() * sum(
+        part.weight for part in route.weighted_services
+    )
     for part in route.weighted_services:
-        point -= part.weight
-        if point < 0:
+        remaining_weight -= part.weight
+        if remaining_weight < 0:
             return part.service
     return route.weighted_services[-1].service
--- a/toucanhall/edge/connection_pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -1,4 +1,4 @@
-"""Connections to targets that are kept between requests."""
+"""Connections to targets that are kept open between requests."""
 
 from collections.abc import Callable
 from typing import Final
@@ -12,17 +12,18 @@
 
 __all__ = ('ConnectionPool',)
 
-# Targets close idle connections after ten seconds, at times without a word.
-_IDLE_SECONDS: Final = 7.0
+# Targets close idle connections after ten seconds, sometimes without notice.
+_MAX_IDLE_SECONDS: Final = 7.0
 # A request that must not be sent twice uses a connection that was in use just
-# now: a target that closes it meanwhile leaves open whether the request ran.
-_FRESH_SECONDS: Final = 2.0
-_KEPT_PER_TARGET: Final = 24
-_KEEP_ALIVE_MARGIN: Final = 1.0  # seconds before the time that a target told
+# now: if the target closes it meanwhile, nobody knows whether the request ran.
+_MAX_IDLE_WITHOUT_RETRY_SECONDS: Final = 2.0
+_MAX_IDLE_PER_TARGET_COUNT: Final = 24
+# Before the end of the keep-alive time that a target announced.
+_KEEP_ALIVE_MARGIN_SECONDS: Final = 1.0
 
 
 class ConnectionPool:
-    """Idle connections by address; the last one used is taken first."""
+    """Idle connections by address; the last one used is reused first."""
 
     def __init__(
         self,
@@ -31,11 +32,11 @@
         settings: ConnectionSettings,
         max_idle_connections: int,
     ) -> None:
-        """Read answers within the bounds of `settings`; keep `max_idle_connections`."""
+        """Open connections by `settings`; bound the number of idle ones."""
         self._clock = clock
-        self._most_idle = max_idle_connections
+        self._max_idle_connections = max_idle_connections
         self._idle_count = 0
-        self._opening = settings
+        self._settings = settings
         self._idle: dict[Address, list[ServerConnection]] = {}
         self.opened_count = 0
 
@@ -44,16 +45,18 @@
         address: Address,
         *,
         may_retry: bool,
-        seconds: float,
+        connect_timeout_seconds: float,
     ) -> ServerConnection:
-        """Return a connection that was idle, or one made in some seconds."""
-        longest = _IDLE_SECONDS if may_retry else _FRESH_SECONDS
+        """Return an idle connection, or else open one."""
+        max_idle_seconds = (
+            _MAX_IDLE_SECONDS if may_retry else _MAX_IDLE_WITHOUT_RETRY_SECONDS
+        )
         now = self._clock()
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
             self._idle_count -= 1
-            if self._may_use(connection, now, longest):
+            if self._may_use(connection, now, max_idle_seconds):
                 return connection
             if connection.is_usable and not may_retry:
                 idle.append(connection)
@@ -63,15 +66,16 @@
         self.opened_count += 1
         return await open_connection(
             address,
-            seconds=seconds,
-            settings=self._opening,
+            seconds=connect_timeout_seconds,
+            settings=self._settings,
         )
 
     def release(self, address: Address, connection: ServerConnection) -> None:
-        """Keep a connection whose answer was read whole."""
+        """Keep a connection whose answer was read completely."""
         idle = self._idle.setdefault(address, [])
         is_full = (
-            len(idle) >= _KEPT_PER_TARGET or self._idle_count >= self._most_idle
+            len(idle) >= _MAX_IDLE_PER_TARGET_COUNT
+            or self._idle_count >= self._max_idle_connections
         )
         if is_full or not connection.is_usable:
             connection.close()
@@ -86,7 +90,7 @@
         for address, idle in tuple(self._idle.items()):
             kept = []
             for connection in idle:
-                if self._may_use(connection, now, _IDLE_SECONDS):
+                if self._may_use(connection, now, _MAX_IDLE_SECONDS):
                     kept.append(connection)
                 else:
                     connection.close()
@@ -100,9 +104,15 @@
         self,
         connection: ServerConnection,
         now: float,
-        longest: float,
+        max_idle_seconds: float,
     ) -> bool:
-        told = connection.keep_alive_seconds
-        if told is not None:
-            longest = min(longest, told - _KEEP_ALIVE_MARGIN)
-        return connection.is_usable and now - connection.idle_since < longest
+        announced_seconds = connection.keep_alive_seconds
+        if announced_seconds is not None:
+            max_idle_seconds = min(
+                max_idle_seconds,
+                announced_seconds - _KEEP_ALIVE_MARGIN_SECONDS,
+            )
+        return (
+            connection.is_usable
+            and now - connection.idle_since < max_idle_seconds
+        )
--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -1,4 +1,4 @@
-"""The path of a request: admit, choose a target, send, answer."""
+"""Dispatches a request: admit it, choose a target, send it, answer it."""
 
 import asyncio
 import math
@@ -6,8 +6,8 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest, admit
-from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.refusals import Refusal
+from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.request_recorder import RequestRecorder
 from toucanhall.edge.sender import Failure, Sender, Success
 from toucanhall.fleet.tables import FleetTables, find_route
@@ -15,13 +15,13 @@
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.placement.choice import (
-    URGENT_PRIORITY,
     TARGETS_PER_OBJECT,
-    RequestUrgency,
+    URGENT_PRIORITY,
     Candidate,
+    RequestUrgency,
     choose_target,
 )
-from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.registry import TargetQuery, TargetRegistry
 from toucanhall.placement.response_times import ResponseTimes
 from toucanhall.platform.headers import make_caller_answer, read_caller_headers
 from toucanhall.web.lag import LoopLag
@@ -29,38 +29,38 @@
 
 __all__ = ('RequestDispatcher',)
 
-# Requests that waited for longer in this VM are refused, the less urgent ones
+# Requests that waited longer in this VM are refused, the less urgent ones
 # sooner: a caller gives up on a VM that reads nothing for a second.
-_MOST_LAG_SECONDS: Final = 0.6
-_LESS_URGENT_LAG_SECONDS: Final = 0.3
+_MAX_LAG_SECONDS: Final = 0.6
+_MAX_LESS_URGENT_LAG_SECONDS: Final = 0.3
 # Times of a route differ: a target that lacks the object takes three times as
-# long as one that has it, and the usual time lies between.
-_SPREAD: Final = 2.0
+# long as one that has it, and the expected time lies between.
+_SLOW_TO_EXPECTED_TIME_RATIO: Final = 2.0
 # Connections that failed without a byte sent do not count as attempts.
-_MOST_UNSENT: Final = 3
+_MAX_UNSENT_COUNT: Final = 3
 
 
 class _Attempts:
-    """Targets that were tried for a request, and the worst failure."""
+    """The targets tried for a request, and the worst failure."""
 
     def __init__(self) -> None:
         self.tried: set[str] = set()
-        self.sent = 0
-        self.unsent = 0
-        self.failure: Failure | None = None
+        self.sent_count = 0
+        self.unsent_count = 0
+        self.worst_failure: Failure | None = None
 
     def record(self, failure: Failure) -> None:
         if failure.was_sent:
-            self.sent += 1
+            self.sent_count += 1
         else:
-            self.unsent += 1
-        known = self.failure
-        if known is None or failure.may_have_run or not known.may_have_run:
-            self.failure = failure
+            self.unsent_count += 1
+        worst = self.worst_failure
+        if worst is None or failure.may_have_run or not worst.may_have_run:
+            self.worst_failure = failure
 
 
 class RequestDispatcher:
-    """Serves requests of callers by targets."""
+    """Answers the requests of callers by sending them to targets."""
 
     def __init__(
         self,
@@ -73,23 +73,23 @@
         recorder: RequestRecorder,
         lag: LoopLag,
     ) -> None:
-        """Decide by what the VM knows; send on pooled connections."""
+        """Decide by the VM's fleet tables; send on pooled connections."""
         self._fleet_tables = fleet_tables
         self._registry = registry
         self._sender = sender
         self._quotas = quotas
         self._retries = retries
-        self._reporter = recorder
+        self._recorder = recorder
         self._lag = lag
         self._loop = asyncio.get_running_loop()
-        self._times = ResponseTimes()
+        self._response_times = ResponseTimes()
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
         self.request_rate = RequestRate(now=self._loop.time())
         self.in_flight = 0
 
     def stop(self, ends_at: float) -> None:
-        """Give each request its final answer by a time of the loop's clock."""
+        """Answer each request by a time of the loop's clock."""
         self._ends_at = ends_at
         for timeout in self._timeouts:
             when = timeout.when()
@@ -97,75 +97,79 @@
                 timeout.reschedule(ends_at)
 
     def is_cancellable(self, request: Request) -> bool:
-        """Whether a request is ended when its caller has left."""
+        """Whether a request is cancelled when its caller has left."""
         configuration = self._fleet_tables.configuration
         if configuration is None:
             return True
-        marks = read_caller_headers(request)
-        route = find_route(configuration, marks.host, marks.path)
+        headers = read_caller_headers(request)
+        route = find_route(configuration, headers.host, headers.path)
         return route is None or route.is_idempotent
 
     async def serve(self, request: Request) -> Answer:
         """Return the final answer to a request."""
         self.request_rate.add()
-        marks = read_caller_headers(request)
+        headers = read_caller_headers(request)
         admitted = admit(
             request,
-            marks,
+            headers,
             self._fleet_tables.configuration,
             self._quotas,
             self._loop.time(),
         )
         if isinstance(admitted, Refusal):
-            return self._reporter.record_refusal(marks, admitted)
-        if self._lag.seconds > _find_most_lag(admitted.priority):
-            return self._reporter.record_refusal(
-                marks,
+            return self._recorder.record_refusal(headers, admitted)
+        if self._lag.seconds > _get_max_lag_seconds(admitted.priority):
+            return self._recorder.record_refusal(
+                headers,
                 refusals.VM_OVERLOADED,
                 lag=round(self._lag.seconds, 3),
             )
-        if not self._may_end(admitted):
-            return self._reporter.record_refusal(
-                marks,
+        if not self._can_finish(admitted):
+            return self._recorder.record_refusal(
+                headers,
                 refusals.VM_STOPPING,
                 seconds_left=round(self._ends_at - self._loop.time(), 3),
             )
         self.in_flight += 1
         try:
-            return await self._run(admitted)
+            return await self._attempt_until_deadline(admitted)
         except asyncio.CancelledError:
-            self._reporter.record_caller_left(marks, admitted.route.name)
+            self._recorder.record_caller_left(headers, admitted.route.name)
             raise
         except Exception as error:  # noqa: BLE001
-            self._reporter.write(
+            self._recorder.write(
                 events.REQUEST_CRASHED,
-                marks,
+                headers,
                 why=repr(error),
             )
-            return self._reporter.record_refusal(marks, refusals.INTERNAL_ERROR)
+            return self._recorder.record_refusal(
+                headers, refusals.INTERNAL_ERROR
+            )
         finally:
             self.in_flight -= 1
 
-    async def _run(self, admitted: AdmittedRequest) -> Answer:
+    async def _attempt_until_deadline(
+        self, admitted: AdmittedRequest
+    ) -> Answer:
         self._retries.record_request(
             admitted.service.name, admitted.received_at
         )
         attempts = _Attempts()
         try:
-            return await self._attempt_until(
+            return await self._attempt_with_timeout(
                 min(admitted.deadline, self._ends_at),
                 admitted,
                 attempts,
             )
         except TimeoutError:
-            return self._reporter.record_refusal(
-                admitted.marks,
+            return self._recorder.record_refusal(
+                admitted.headers,
                 refusals.TIMED_OUT,
                 route=admitted.route.name,
                 tried=sorted(attempts.tried),
             )
 
-    async def _attempt_until(
+    async def _attempt_with_timeout(
         self,
         until: float,
         admitted: AdmittedRequest,
@@ -178,11 +182,18 @@
             finally:
                 self._timeouts.discard(timeout)
 
-    def _may_end(self, admitted: AdmittedRequest) -> bool:
-        """Whether a request may be answered before this VM ends."""
-        usual = self._times.get(admitted.route.name, admitted.objective)
-        needed = min(admitted.deadline, admitted.received_at + usual * _SPREAD)
-        return needed <= self._ends_at
+    def _can_finish(self, admitted: AdmittedRequest) -> bool:
+        """Whether a request can be answered before this VM stops."""
+        expected_seconds = self._response_times.get(
+            admitted.route.name,
+            admitted.objective_seconds,
+        )
+        latest_end = min(
+            admitted.deadline,
+            admitted.received_at
+            + expected_seconds * _SLOW_TO_EXPECTED_TIME_RATIO,
+        )
+        return latest_end <= self._ends_at
 
     async def _attempt_all(
         self,
@@ -192,21 +203,21 @@
         while True:
             candidate = self._choose(admitted, attempts)
             if candidate is None:
-                return self._give_up(admitted, attempts)
+                return self._answer_failure(admitted, attempts)
             attempts.tried.add(candidate.target.id)
             outcome = await self._sender.attempt(admitted, candidate)
             if isinstance(outcome, Success):
-                return self._succeed(admitted, candidate, outcome)
+                return self._answer_success(admitted, candidate, outcome)
             attempts.record(outcome)
-            self._reporter.record_failed_attempt(
-                admitted.marks,
+            self._recorder.record_failed_attempt(
+                admitted.headers,
                 outcome.reason,
                 target=outcome.target,
                 may_have_run=outcome.may_have_run,
                 detail=outcome.detail,
             )
-            if not self._may_repeat(admitted, attempts, outcome):
-                return self._give_up(admitted, attempts)
+            if not self._may_retry(admitted, attempts, outcome):
+                return self._answer_failure(admitted, attempts)
 
     def _choose(
         self,
@@ -214,33 +225,33 @@
         attempts: _Attempts,
     ) -> Candidate | None:
         now = self._loop.time()
-        need = TargetQuery(
+        query = TargetQuery(
             service=admitted.service.name,
             key=admitted.object_key,
             homes=admitted.homes,
             tried=frozenset(attempts.tried),
         )
-        ask = RequestUrgency(
+        urgency = RequestUrgency(
             seconds_to_objective=admitted.objective_at - now,
-            expected_seconds=self._times.get(
+            expected_seconds=self._response_times.get(
                 admitted.route.name,
-                admitted.objective,
+                admitted.objective_seconds,
             ),
             priority=admitted.priority,
         )
         rate = admitted.service.cold_per_second
         while True:
-            found = self._registry.list_candidates(
-                need, now, TARGETS_PER_OBJECT
+            candidates = self._registry.list_candidates(
+                query, now, TARGETS_PER_OBJECT
             )
-            chosen = choose_target(found, ask, now)
+            chosen = choose_target(candidates, urgency, now)
             if not chosen or self._registry.try_acquire(
                 chosen.target, rate, now
             ):
                 return chosen
-            need = need._replace(tried=need.tried | {chosen.target.id})
+            query = query._replace(tried=query.tried | {chosen.target.id})
 
-    def _may_repeat(
+    def _may_retry(
         self,
         admitted: AdmittedRequest,
         attempts: _Attempts,
@@ -248,57 +259,60 @@
     ) -> bool:
         if failure.may_have_run and not admitted.route.is_idempotent:
             return False
-        if attempts.sent >= admitted.route.attempts:
+        if attempts.sent_count >= admitted.route.attempts:
             return False
         now = self._loop.time()
-        usual = self._times.get(admitted.route.name, admitted.objective)
+        expected_seconds = self._response_times.get(
+            admitted.route.name,
+            admitted.objective_seconds,
+        )
         if (
-            attempts.unsent > _MOST_UNSENT
-            or now + usual / 2 > admitted.deadline
+            attempts.unsent_count > _MAX_UNSENT_COUNT
+            or now + expected_seconds / 2 > admitted.deadline
         ):
             return False
-        if not attempts.sent or self._retries.try_acquire(
+        if not attempts.sent_count or self._retries.try_acquire(
             admitted.service.name, now
         ):
             return True
-        self._reporter.record_refused_retry(
-            admitted.marks, admitted.service.name
+        self._recorder.record_refused_retry(
+            admitted.headers, admitted.service.name
         )
         return False
 
-    def _succeed(
+    def _answer_success(
         self,
         admitted: AdmittedRequest,
         candidate: Candidate,
         success: Success,
     ) -> Answer:
-        ratio = self._times.record(
+        ratio = self._response_times.record(
             admitted.route.name,
-            admitted.objective,
+            admitted.objective_seconds,
             success.seconds,
-            success.fill,
+            success.load_ratio,
         )
         self._sender.record_success(candidate, ratio)
-        self._reporter.serve(
-            admitted.marks,
+        self._recorder.record_served(
+            admitted.headers,
             admitted.route.name,
             self._loop.time() - admitted.received_at,
             target=candidate.target.id,
-            fill=round(success.fill, 2),
+            fill=round(success.load_ratio, 2),
         )
         return make_caller_answer(success.reply)
 
-    def _give_up(
+    def _answer_failure(
         self, admitted: AdmittedRequest, attempts: _Attempts
     ) -> Answer:
-        failure = attempts.failure
+        failure = attempts.worst_failure
         if failure is None:
-            return self._reporter.record_refusal(
-                admitted.marks, refusals.TARGETS_FULL
+            return self._recorder.record_refusal(
+                admitted.headers, refusals.TARGETS_FULL
             )
         if failure.reply is not None:
-            self._reporter.record_passed_failure(
-                admitted.marks,
+            self._recorder.record_passed_failure(
+                admitted.headers,
                 failure.reason,
                 failure.target,
             )
@@ -306,15 +320,15 @@
         refusal = refusals.NOT_RUN
         if failure.may_have_run:
             refusal = refusals.ANSWER_LOST
-        return self._reporter.record_refusal(
-            admitted.marks,
+        return self._recorder.record_refusal(
+            admitted.headers,
             refusal,
             why=failure.reason,
             tried=sorted(attempts.tried),
         )
 
 
-def _find_most_lag(priority: int) -> float:
+def _get_max_lag_seconds(priority: int) -> float:
     if priority > URGENT_PRIORITY:
-        return _LESS_URGENT_LAG_SECONDS
-    return _MOST_LAG_SECONDS
+        return _MAX_LESS_URGENT_LAG_SECONDS
+    return _MAX_LAG_SECONDS
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -1,42 +1,42 @@
-"""The process of a VM: puts its parts together, starts and stops them."""
+"""The process of a VM: creates its parts, starts and stops them."""
 
 import asyncio
 import gc
 import signal
 from collections.abc import Awaitable, Callable
-from pathlib import Path as FilePath
+from pathlib import Path
 from typing import Any, Final
 
 from toucanhall.edge.caller_connections import CallerConnections
+from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.directory import Directory
-from toucanhall.edge.state_updater import StateUpdater
+from toucanhall.edge.dispatcher import RequestDispatcher
 from toucanhall.edge.peer_exchange import (
     HEARTBEAT_INTERVAL_SECONDS,
     PeerExchange,
     RevisionSource,
 )
-from toucanhall.edge.dispatcher import RequestDispatcher
-from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.request_recorder import RequestRecorder
 from toucanhall.edge.sender import Sender
+from toucanhall.edge.state_updater import StateUpdater
 from toucanhall.edge.table_exchange import TableExchange
-from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_delegates
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.placement.registry import TargetRegistry
 from toucanhall.placement.hash_ring import Location
+from toucanhall.placement.registry import TargetRegistry
 from toucanhall.platform import settings_file
 from toucanhall.platform.endpoints import make_readiness_handler
-from toucanhall.platform.vm_registry import VmRegistry
-from toucanhall.platform.store_watch import StoreWatch
 from toucanhall.platform.headers import REQUEST_ID_HEADER
 from toucanhall.platform.store import Store, StoreError
+from toucanhall.platform.store_watch import StoreWatch
+from toucanhall.platform.vm_registry import VmRegistry
 from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
@@ -51,64 +51,67 @@
 __all__ = ('run',)
 
 METRICS_PORT: Final = 9464
-_SWEEP_SECONDS: Final = 1.0  # between looks at idle connections and settings
-_FIRST_READ_SECONDS: Final = 0.1
-_LONGEST_READ_SECONDS: Final = 1.0
+# Between checks of the idle connections and of the settings file.
+_MAINTENANCE_INTERVAL_SECONDS: Final = 1.0
+_MIN_READ_RETRY_DELAY_SECONDS: Final = 0.1
+_MAX_READ_RETRY_DELAY_SECONDS: Final = 1.0
 # VMs that started together with this one have written their entries by then.
-_SECOND_LOOK_SECONDS: Final = 2.0
-# Between looks at the entries of VMs: a fleet replaces a VM each minute.
-_TEND_SECONDS: Final = 60.0
+_FIRST_ENTRIES_REFRESH_DELAY_SECONDS: Final = 2.0
+# Between reads of the entries of VMs: a fleet replaces a VM each minute.
+_ENTRIES_REFRESH_INTERVAL_SECONDS: Final = 60.0
 # Before a configuration is known; of the order of what operators allow.
-_FIRST_LIMITS: Final = ServerLimits(65536, 1 << 20, 5.0, 30.0)
-# Parts of the grace after which idle connections are closed, requests that are
-# still under way get their final answer, and the process ends.
-_CLOSE_IDLE_SHARE: Final = 0.75
-_ANSWER_SHARE: Final = 0.91
-_END_SHARE: Final = 0.93
-# Descriptors that the platform keeps for files, and parts of the others: of the
-# connections of callers, and of idle ones to targets. Requests under way have
-# as many to targets as callers have.
-_FILES: Final = 200
-_CALLERS_SHARE: Final = 0.4
-_IDLE_TARGETS_SHARE: Final = 0.15
+_INITIAL_LIMITS: Final = ServerLimits(65536, 1 << 20, 5.0, 30.0)
+# Fractions of the grace period after which idle connections are closed,
+# requests under way get their final answer, and the process ends.
+_CLOSE_IDLE_GRACE_FRACTION: Final = 0.75
+_ANSWER_GRACE_FRACTION: Final = 0.91
+_END_GRACE_FRACTION: Final = 0.93
+# Descriptors that the platform reserves for files, and fractions of the others:
+# for connections of callers and for idle ones to targets. Requests under way
+# have as many connections to targets as callers have to this VM.
+_RESERVED_FILES_COUNT: Final = 200
+_CALLERS_SOCKETS_FRACTION: Final = 0.4
+_IDLE_TARGETS_SOCKETS_FRACTION: Final = 0.15
 
 
 class Process:
     """One VM of the fleet."""
 
-    def __init__(self, *, settings: FilePath, environment: Environment) -> None:
+    def __init__(self, *, settings: Path, environment: Environment) -> None:
         """Prepare a VM; nothing is opened yet."""
         self._settings = settings
-        self._settings_seen = _read_stamp(settings)
+        self._settings_mtime_ns = _read_mtime_ns(settings)
         self._environment = environment
         self._loop = asyncio.get_running_loop()
         self._journal = Journal(vm=environment.vm)
         self._metrics = Metrics()
         self._stopping = asyncio.Event()
-        place = Location(environment.zone, environment.region)
+        location = Location(environment.zone, environment.region)
         self._registry = TargetRegistry(
-            location=place, regions=environment.regions
+            location=location, regions=environment.regions
         )
-        self._fleet_tables = FleetTables(on_change=self._take_change)
+        self._fleet_tables = FleetTables(on_change=self._on_table_changed)
         self._quotas = Quotas(
             bounds=environment.bounds,
             beat=HEARTBEAT_INTERVAL_SECONDS,
             now=self._loop.time(),
         )
-        sockets = environment.max_descriptors - _FILES
+        sockets = environment.max_descriptors - _RESERVED_FILES_COUNT
         self._buffer_budget = make_buffer_budget(environment.memory)
-        opening = ConnectionSettings(
+        connection_settings = ConnectionSettings(
             compute_answer_bounds(environment.memory), self._buffer_budget
         )
         self._pool = ConnectionPool(
             clock=self._loop.time,
-            max_idle_connections=round(sockets * _IDLE_TARGETS_SHARE),
-            settings=opening._replace(id_header=REQUEST_ID_HEADER),
+            max_idle_connections=round(
+                sockets * _IDLE_TARGETS_SOCKETS_FRACTION
+            ),
+            settings=connection_settings._replace(id_header=REQUEST_ID_HEADER),
         )
         self._store = Store(
             address=environment.store,
-            settings=opening,
-            on_call=self._count_call,
+            settings=connection_settings,
+            on_call=self._record_store_call,
         )
         self._vm_registry = VmRegistry(store=self._store, journal=self._journal)
         self._store_watch = StoreWatch(
@@ -117,7 +120,7 @@
             journal=self._journal,
             lapse_seconds=2 * environment.bounds.target_heartbeat_seconds,
         )
-        self._has_divided = False
+        self._has_divided_limits = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
         self._dispatcher = RequestDispatcher(
@@ -146,7 +149,7 @@
             is_lagging=lambda: self._lag.seconds > MAX_LOOP_LAG_SECONDS,
             connections=set(),
             buffer_budget=self._buffer_budget,
-            max_connections=round(sockets * _CALLERS_SHARE),
+            max_connections=round(sockets * _CALLERS_SOCKETS_FRACTION),
         )
         self._caller_connections = CallerConnections(handler=handler)
         self._state_updater = StateUpdater(
@@ -159,52 +162,52 @@
             clock=self._loop.time,
         )
         control = environment.listeners.control
-        self._tables = TableExchange(
+        self._table_exchange = TableExchange(
             fleet_tables=self._fleet_tables,
             journal=self._journal,
             zone=environment.zone,
             regions=environment.regions,
             port=control.port if control else 0,
-            settings=opening,
-            on_applied=self._take_snapshot,
+            settings=connection_settings,
+            on_applied=self._on_snapshot_applied,
         )
         self._peer_exchange = PeerExchange(
             environment=environment,
             fleet_tables=self._fleet_tables,
             quotas=self._quotas,
             journal=self._journal,
-            find_self=self._find_self,
-            on_heard=self._tables.fetch_if_newer,
-            on_beat=self._take_beat,
+            get_own_member=self._get_own_member,
+            on_revisions=self._table_exchange.fetch_if_newer,
+            on_heartbeat=self._on_heartbeat,
         )
         self._directory = Directory(
             environment=environment,
             fleet_tables=self._fleet_tables,
             members=self._peer_exchange.members,
-            list_zone=self._peer_exchange.list_zone,
+            list_local_vms=self._peer_exchange.list_local_vms,
             clock=self._loop.time,
         )
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then end what is under way."""
-        for name, act in (
+        """Serve until SIGTERM, then finish the requests under way."""
+        for number, callback in (
             (signal.SIGTERM, self._stopping.set),
             (signal.SIGINT, self._stopping.set),
             (signal.SIGHUP, self._reload),
         ):
-            self._loop.add_signal_handler(name, act)
-        self._loop.set_exception_handler(self._note_error)
+            self._loop.add_signal_handler(number, callback)
+        self._loop.set_exception_handler(self._log_loop_error)
         await self._listen()
         await self._peer_exchange.start()
-        reading = self._loop.create_task(self._read_tables())
-        self._watch_gauges()
+        store_task = self._loop.create_task(self._join_fleet())
+        self._register_gauges()
         self._lag.start()
-        self._loop.call_later(_SWEEP_SECONDS, self._sweep)
+        self._loop.call_later(_MAINTENANCE_INTERVAL_SECONDS, self._maintain)
         self._journal.write(events.STARTED, zone=self._environment.zone)
         gc.collect()
         gc.freeze()
         await self._stopping.wait()
-        reading.cancel()
+        store_task.cancel()
         await self._stop()
 
     async def _stop(self) -> None:
@@ -213,42 +216,44 @@
         self._journal.write(
             events.STOPPING, in_flight=self._dispatcher.in_flight
         )
-        self._dispatcher.stop(began + grace * _ANSWER_SHARE)
+        self._dispatcher.stop(began + grace * _ANSWER_GRACE_FRACTION)
         self._peer_exchange.broadcast_revisions(is_for_all_zones=False)
-        await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
-        await self._caller_connections.close(began + grace * _END_SHARE)
+        await asyncio.sleep(grace * _CLOSE_IDLE_GRACE_FRACTION)
+        await self._caller_connections.close(
+            began + grace * _END_GRACE_FRACTION
+        )
         self._journal.write(
             events.STOPPED, in_flight=self._dispatcher.in_flight
         )
 
     async def _listen(self) -> None:
         listeners = self._environment.listeners
-        plain = {
+        endpoints = {
             listeners.readiness: make_readiness_handler(self._is_ready),
             listeners.directory: self._directory.answer,
-            listeners.control: self._tables.answer,
+            listeners.control: self._table_exchange.answer,
             Address(self._environment.ip, METRICS_PORT): self._answer_metrics,
         }
-        for address, answer in plain.items():
+        for address, answer in endpoints.items():
             if address is not None:
                 await self._caller_connections.open_endpoint(address, answer)
         if listeners.requests is not None:
             await self._caller_connections.open(listeners.requests)
 
-    async def _read_tables(self) -> None:
+    async def _join_fleet(self) -> None:
         own = VmContact(
             self._environment.vm,
             self._environment.zone,
             self._environment.ip,
         )
-        wait = _FIRST_READ_SECONDS
-        while not await self._try(self._meet_all(own)):
-            await asyncio.sleep(wait)
-            wait = min(_LONGEST_READ_SECONDS, wait * 2)
-        await asyncio.sleep(_SECOND_LOOK_SECONDS)
+        delay = _MIN_READ_RETRY_DELAY_SECONDS
+        while not await self._try(self._read_store(own)):
+            await asyncio.sleep(delay)
+            delay = min(_MAX_READ_RETRY_DELAY_SECONDS, delay * 2)
+        await asyncio.sleep(_FIRST_ENTRIES_REFRESH_DELAY_SECONDS)
         while True:
-            await self._try(self._tend_entries(own))
-            await asyncio.sleep(_TEND_SECONDS)
+            await self._try(self._refresh_entries(own))
+            await asyncio.sleep(_ENTRIES_REFRESH_INTERVAL_SECONDS)
 
     async def _try(self, work: Awaitable[None]) -> bool:
         try:
@@ -261,28 +266,29 @@
             return False
         return True
 
-    async def _meet_all(self, own: VmContact) -> None:
+    async def _read_store(self, own: VmContact) -> None:
         await self._store_watch.read_all()
         self._peer_exchange.add_vms(await self._vm_registry.register(own))
         self._peer_exchange.members.mark_listing_complete()
 
-    async def _tend_entries(self, own: VmContact) -> None:
-        """Find VMs by their entries; delete those of the own zone's dead.
+    async def _refresh_entries(self, own: VmContact) -> None:
+        """Read the entries of VMs; delete those of dead VMs of the own zone.
 
-        The VM that watches for a zone does it. One that is cut off from its
-        zone watches too: it writes its entry again if that was deleted.
+        Only the watcher of a zone deletes entries. A VM that is cut off from
+        its zone is a watcher too: it writes its entry again if that was
+        deleted.
         """
-        gone = self._peer_exchange.members.drop_expired(self._loop.time())
+        expired = self._peer_exchange.members.drop_expired(self._loop.time())
         if not self._store_watch.is_watching:
-            self._meet_listed(
+            self._add_listed(
                 await self._vm_registry.list_vms(may_be_stale=True)
             )
             return
-        for found in gone:
-            await self._vm_registry.remove(found.vm)
-        self._meet_listed(await self._vm_registry.register(own))
+        for contact in expired:
+            await self._vm_registry.remove(contact.vm)
+        self._add_listed(await self._vm_registry.register(own))
 
-    def _meet_listed(self, listed: list[VmContact]) -> None:
+    def _add_listed(self, listed: list[VmContact]) -> None:
         self._peer_exchange.members.apply_listing(listed)
         self._peer_exchange.add_vms(listed)
 
@@ -295,10 +301,10 @@
     def _get_limits(self) -> ServerLimits:
         configuration = self._fleet_tables.configuration
         if configuration is None:
-            return _FIRST_LIMITS
+            return _INITIAL_LIMITS
         return ServerLimits(*configuration.limits)
 
-    def _find_self(self) -> Member:
+    def _get_own_member(self) -> Member:
         environment = self._environment
         return Member(
             vm=environment.vm,
@@ -311,21 +317,21 @@
             load=round(self._dispatcher.request_rate.per_second, 1),
         )
 
-    def _take_change(self, table: str) -> None:
+    def _on_table_changed(self, table: str) -> None:
         self._state_updater.apply_table_change(table)
-        if table == 'configuration' and not self._has_divided:
-            # Until then no team has a limit to take from.
-            self._divide()
+        if table == 'configuration' and not self._has_divided_limits:
+            # Until then no team has a limit to divide.
+            self._update_state()
         if self._store_watch.is_watching:
             self._peer_exchange.broadcast_revisions(is_for_all_zones=True)
 
-    def _take_snapshot(self, source: RevisionSource) -> None:
+    def _on_snapshot_applied(self, source: RevisionSource) -> None:
         if source.zone != self._environment.zone:
             self._peer_exchange.broadcast_revisions(is_for_all_zones=False)
 
-    def _take_beat(self) -> None:
+    def _on_heartbeat(self) -> None:
         self._dispatcher.request_rate.measure(self._loop.time())
-        zone = self._divide()
+        zone = self._update_state()
         watcher = pick_delegates(zone)[0]
         is_watcher = watcher.vm == self._environment.vm
         if is_watcher and not self._stopping.is_set():
@@ -333,18 +339,18 @@
         else:
             self._store_watch.stop()
 
-    def _divide(self) -> list[Member]:
-        self._has_divided = self._fleet_tables.configuration is not None
-        zone = self._peer_exchange.list_zone()
+    def _update_state(self) -> list[Member]:
+        self._has_divided_limits = self._fleet_tables.configuration is not None
+        zone = self._peer_exchange.list_local_vms()
         self._state_updater.update_from_reports(
             self._peer_exchange.members, zone, self._peer_exchange.usage
         )
         return zone
 
-    def _count_call(self, outcome: str, seconds: float) -> None:
+    def _record_store_call(self, outcome: str, seconds: float) -> None:
         self._metrics.observe('store_call', seconds, outcome=outcome)
 
-    def _watch_gauges(self) -> None:
+    def _register_gauges(self) -> None:
         fleet_tables = self._fleet_tables
         gauges: dict[str, Callable[[], float]] = {
             'loop_lag_seconds': lambda: self._lag.seconds,
@@ -375,7 +381,7 @@
         self._journal.write(events.UNEXPECTED, why=repr(error))
         return make_error_answer(error)
 
-    def _note_error(
+    def _log_loop_error(
         self,
         _loop: asyncio.AbstractEventLoop,
         context: dict[str, Any],
@@ -389,15 +395,15 @@
     def _answer_metrics(self, _request: Request) -> Answer:
         return make_answer(200, self._metrics.render())
 
-    def _sweep(self) -> None:
-        self._loop.call_later(_SWEEP_SECONDS, self._sweep)
+    def _maintain(self) -> None:
+        self._loop.call_later(_MAINTENANCE_INTERVAL_SECONDS, self._maintain)
         self._pool.close_expired()
         self._journal.log_dropped_counts()
-        if _read_stamp(self._settings) != self._settings_seen:
+        if _read_mtime_ns(self._settings) != self._settings_mtime_ns:
             self._reload()
 
     def _reload(self) -> None:
-        self._settings_seen = _read_stamp(self._settings)
+        self._settings_mtime_ns = _read_mtime_ns(self._settings)
         try:
             environment = settings_file.load_settings(self._settings)
         except settings_file.SettingsError as error:
@@ -410,16 +416,16 @@
         self._journal.write(events.RELOADED)
 
 
-def run(settings: FilePath) -> None:
-    """Run a VM until it is told to stop; raises BadSettings."""
+def run(settings: Path) -> None:
+    """Run a VM until a signal stops it; raise SettingsError."""
     asyncio.run(_run(settings, settings_file.load_settings(settings)))
 
 
-async def _run(settings: FilePath, environment: Environment) -> None:
+async def _run(settings: Path, environment: Environment) -> None:
     await Process(settings=settings, environment=environment).run()
 
 
-def _read_stamp(path: FilePath) -> int:
+def _read_mtime_ns(path: Path) -> int:
     try:
         return path.stat().st_mtime_ns
     except OSError:
--- a/toucanhall/edge/request_recorder.py
+++ b/toucanhall/edge/request_recorder.py
@@ -1,4 +1,4 @@
-"""Tells what became of requests, in log lines and metrics."""
+"""Records what became of requests, in log lines and metrics."""
 
 from typing import Final
 
@@ -13,12 +13,12 @@
 
 __all__ = ('RequestRecorder',)
 
-# One line for so many requests that were served; all are in the histogram.
-_SERVED_SAMPLE: Final = 64
+# Served requests are sampled in the log; all of them are in the histogram.
+_SERVED_REQUESTS_PER_LINE: Final = 64
 
 
 class RequestRecorder:
-    """Writes one line for each decision that touches a request."""
+    """Logs and counts each decision on a request."""
 
     def __init__(
         self,
@@ -27,19 +27,19 @@
         journal: Journal,
         metrics: Metrics,
     ) -> None:
-        """Add to each line the versions of what the VM knows."""
+        """Add the versions of the VM's tables to each line."""
         self._fleet_tables = fleet_tables
         self._journal = journal
         self._metrics = metrics
-        self._served = 0
+        self._served_count = 0
 
     def record_refusal(
         self,
-        marks: CallerHeaders,
+        headers: CallerHeaders,
         refusal: Refusal,
         **fields: object,
     ) -> Answer:
-        """Count and write a refusal; return its answer."""
+        """Count and log a refusal; return its answer."""
         self._metrics.count(
             'refusals',
             reason=refusal.reason,
@@ -47,70 +47,72 @@
         )
         self.write(
             events.REQUEST_REFUSED,
-            marks,
+            headers,
             status=refusal.status,
             reason=refusal.reason,
             retry_after=refusal.retry_after,
             team=refusal.team,
-            **refusal.inputs,
+            **refusal.log_fields,
             **fields,
         )
         return make_refusal_answer(refusal)
 
     def record_passed_failure(
-        self, marks: CallerHeaders, reason: str, target: str
+        self, headers: CallerHeaders, reason: str, target: str
     ) -> None:
-        """Count and write a failure of a target that its caller gets."""
+        """Count and log a failed answer of a target that its caller gets."""
         self._metrics.count('failures_passed_on', reason=reason)
-        self.write(events.REQUEST_FAILED, marks, why=reason, target=target)
+        self.write(events.REQUEST_FAILED, headers, why=reason, target=target)
 
     def record_failed_attempt(
         self,
-        marks: CallerHeaders,
+        headers: CallerHeaders,
         reason: str,
         **fields: object,
     ) -> None:
-        """Count and write an attempt without success."""
+        """Count and log a failed attempt."""
         self._metrics.count('attempts_failed', reason=reason)
-        self.write(events.ATTEMPT_FAILED, marks, why=reason, **fields)
+        self.write(events.ATTEMPT_FAILED, headers, why=reason, **fields)
 
-    def record_refused_retry(self, marks: CallerHeaders, service: str) -> None:
-        """Count and write a repeat that the budget has no room for."""
+    def record_refused_retry(
+        self, headers: CallerHeaders, service: str
+    ) -> None:
+        """Count and log a retry for which the retry budget is spent."""
         self._metrics.count('repeats_refused', service=service)
-        self.write(events.RETRY_REFUSED, marks, service=service)
+        self.write(events.RETRY_REFUSED, headers, service=service)
 
-    def record_caller_left(self, marks: CallerHeaders, route: str) -> None:
-        """Count and write a request whose caller has left."""
+    def record_caller_left(self, headers: CallerHeaders, route: str) -> None:
+        """Count and log a request whose caller has left."""
         self._metrics.count('callers_left', route=route)
-        self.write(events.CALLER_DISCONNECTED, marks)
+        self.write(events.CALLER_DISCONNECTED, headers)
 
-    def serve(
+    def record_served(
         self,
-        marks: CallerHeaders,
+        headers: CallerHeaders,
         route: str,
         seconds: float,
         **fields: object,
     ) -> None:
-        """Observe the time of a request that was served; write some."""
+        """Observe the time of a served request; log a sample of them."""
         self._metrics.observe('request', seconds, route=route)
-        self._served += 1
-        if self._served % _SERVED_SAMPLE == 0:
+        self._served_count += 1
+        if self._served_count % _SERVED_REQUESTS_PER_LINE == 0:
             self.write(
                 events.REQUEST_SERVED,
-                marks,
+                headers,
                 seconds=round(seconds, 4),
                 **fields,
             )
 
     def write(
-        self, event: Event, marks: CallerHeaders, **fields: object
+        self, event: Event, headers: CallerHeaders, **fields: object
     ) -> None:
-        """Write a line with the id of a request and what the VM knows."""
+        """Write a line with the id of a request and the VM's table versions."""
         configuration = self._fleet_tables.configuration
         self._journal.write(
             event,
-            request=marks.request_id.decode('latin-1'),
-            path=marks.path,
+            request=headers.request_id.decode('latin-1'),
+            path=headers.path,
             configuration=configuration.version if configuration else None,
             targets=self._fleet_tables.revisions.targets,
             **fields,
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -1,4 +1,4 @@
-"""Sends a request to a target and judges its answer."""
+"""Sends a request to a target and classifies its answer."""
 
 import asyncio
 from http import HTTPStatus
@@ -26,30 +26,30 @@
 
 __all__ = ('Failure', 'Sender', 'Success')
 
-_FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
-# Three times the way there and back: 2 ms in a region, 110 ms between them,
-# where a VM may also be slow to accept.
-_CONNECT_SECONDS: Final = {True: 0.15, False: 0.35}
-_REDIRECTED_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
+_MIN_FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
+# By whether the target is in the own region. Three round trips, which take 2 ms
+# in a region and 110 ms between regions; a VM may also be slow to accept.
+_CONNECT_TIMEOUT_SECONDS: Final = {True: 0.15, False: 0.35}
+_MIN_REDIRECTION_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
 
 
 class Success(NamedTuple):
     """An answer to pass on; `seconds` from the start of the attempt.
 
-    `fill` is how full the target seemed when the request was sent, 1 for as
-    many requests as it has slots.
+    `load_ratio` is the estimated number of requests at the target when the
+    request was sent, over the number of its slots.
     """
 
     reply: ReceivedAnswer
     seconds: float
-    fill: float
+    load_ratio: float
 
 
 class Failure(NamedTuple):
-    """An attempt that brought no success.
+    """An attempt without success.
 
-    `was_sent` tells that bytes left for the target, `may_have_run` that it may
-    have worked on them; `reply` is its own answer, if there was one.
+    `was_sent` tells whether bytes were sent to the target, `may_have_run`
+    whether it may have processed them; `reply` is its answer, if it gave one.
     """
 
     reason: str
@@ -61,7 +61,7 @@
 
 
 class Sender:
-    """Attempts on pooled connections; notes the health of targets."""
+    """Sends requests on pooled connections; records the health of targets."""
 
     def __init__(
         self,
@@ -70,7 +70,7 @@
         pool: ConnectionPool,
         journal: Journal,
     ) -> None:
-        """Keep loads and health in `registry`."""
+        """Record loads and health of targets in `registry`."""
         self._registry = registry
         self._pool = pool
         self._journal = journal
@@ -84,13 +84,13 @@
         """Send a request to a target once."""
         target, load = candidate
         started_at = self._loop.time()
-        fill = load.estimate_requests(started_at) / load.slots
+        load_ratio = load.estimate_requests(started_at) / load.slots
         load.in_flight += 1
         try:
             reply = await self._exchange(admitted, target)
         except UnreachableError as error:
             if not isinstance(error, OutOfDescriptorsError):
-                self._fail(target, is_lost=True, why=str(error))
+                self._record_failure(target, is_lost=True, why=str(error))
             return Failure(
                 'unreachable',
                 target.id,
@@ -99,15 +99,15 @@
                 detail=str(error),
             )
         except IncompleteAnswerError as error:
-            self._fail(target, is_lost=False, why=str(error))
+            self._record_failure(target, is_lost=False, why=str(error))
             return Failure('broken', target.id, detail=str(error))
         finally:
             load.in_flight -= 1
         seconds = self._loop.time() - started_at
-        return self._judge(candidate, Success(reply, seconds, fill))
+        return self._classify(candidate, Success(reply, seconds, load_ratio))
 
     def record_success(self, candidate: Candidate, ratio: float | None) -> None:
-        """Note an answer; `ratio` is its time over the usual time."""
+        """Record an answer; `ratio` is its time over the expected time."""
         if candidate.load.record_success(ratio):
             self._journal.write(
                 events.TARGET_RESUMED,
@@ -120,7 +120,9 @@
         connection = await self._pool.acquire(
             target.address,
             may_retry=admitted.route.is_idempotent,
-            seconds=_CONNECT_SECONDS[self._registry.is_in_own_region(target)],
+            connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS[
+                self._registry.is_in_own_region(target)
+            ],
         )
         forwarded = make_target_request(
             admitted.request,
@@ -130,51 +132,59 @@
         )
         reply = await connection.exchange(
             encode_request(forwarded),
-            admitted.marks.request_id,
+            admitted.headers.request_id,
         )
         self._pool.release(target.address, connection)
         return reply
 
-    def _judge(
+    def _classify(
         self,
         candidate: Candidate,
         success: Success,
     ) -> Success | Failure:
         target, load = candidate
         reply = success.reply
-        marks = read_target_headers(reply)
+        headers = read_target_headers(reply)
         now = self._loop.time()
-        if marks.pending_requests is not None:
-            load.record_reported_load(marks.pending_requests, now)
-        if marks.is_not_run:
-            return self._take_not_run(candidate, marks, now)
-        if marks.is_unproven_refusal:
+        if headers.pending_requests is not None:
+            load.record_reported_load(headers.pending_requests, now)
+        if headers.is_not_run:
+            return self._classify_not_run(candidate, headers, now)
+        if headers.is_unproven_refusal:
             # Passed on, the status would promise that the request never ran.
-            why = f'status {reply.status} without a proof'
-            self._fail(target, is_lost=False, why=why)
+            why = f'status {reply.status} without proof that nothing ran'
+            self._record_failure(target, is_lost=False, why=why)
             return Failure('unproven', target.id, detail=why)
-        if reply.status >= _FAILED_STATUS:
-            self._fail(target, is_lost=False, why=f'status {reply.status}')
+        if reply.status >= _MIN_FAILED_STATUS:
+            self._record_failure(
+                target, is_lost=False, why=f'status {reply.status}'
+            )
             return Failure(f'status-{reply.status}', target.id, reply=reply)
-        if reply.status < _REDIRECTED_STATUS and not marks.has_stamp:
-            self._fail(target, is_lost=False, why='answer without a stamp')
+        if reply.status < _MIN_REDIRECTION_STATUS and not headers.has_stamp:
+            self._record_failure(
+                target,
+                is_lost=False,
+                why=f'status {reply.status} without response stamp',
+            )
             return Failure('unstamped', target.id)
         return success
 
-    def _take_not_run(
+    def _classify_not_run(
         self,
         candidate: Candidate,
-        marks: TargetHeaders,
+        headers: TargetHeaders,
         now: float,
     ) -> Failure:
         target, load = candidate
-        if marks.is_misdirected:
+        if headers.is_misdirected:
             self._registry.suspend(target.id, now)
             return Failure('misdirected', target.id, may_have_run=False)
         load.fill(now)
         return Failure('not-run', target.id, may_have_run=False)
 
-    def _fail(self, target: Target, *, is_lost: bool, why: str) -> None:
+    def _record_failure(
+        self, target: Target, *, is_lost: bool, why: str
+    ) -> None:
         load = self._registry.loads.get(target.id)
         now = self._loop.time()
         if load is not None and load.record_failure(now, is_lost=is_lost):
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -1,18 +1,18 @@
-"""What a VM does when its knowledge changes and with each heartbeat."""
+"""Applies changed tables and reports of other VMs to the state of a VM."""
 
 import math
 from collections.abc import Callable, Mapping, Sequence
 
-from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Environment
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import pick_serving
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import (
     RESERVE_VM_WEIGHT,
     Quotas,
-    UsageReport,
     Usage,
+    UsageReport,
 )
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
@@ -24,7 +24,7 @@
 
 
 class StateUpdater:
-    """Brings targets, limits and the watch of the store up to date."""
+    """Keeps targets, limits and retry budgets up to date."""
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         journal: Journal,
         clock: Callable[[], float],
     ) -> None:
-        """Work on what the path of requests decides by."""
+        """Update the state by which requests are admitted and dispatched."""
         self._environment = environment
         self._fleet_tables = fleet_tables
         self._registry = registry
@@ -46,21 +46,21 @@
         self._journal = journal
         self._clock = clock
         self._serving: dict[str, list[str]] = {}
-        self._changes = {
-            'configuration': self._take_configuration,
-            'targets': self._take_targets,
-            'evacuations': self._take_evacuations,
+        self._handlers = {
+            'configuration': self._log_configuration,
+            'targets': self._apply_targets,
+            'evacuations': self._apply_evacuations,
         }
 
     @property
     def is_serving(self) -> bool:
         """Whether the directory names this VM."""
-        near = self._serving.get(self._environment.zone, [])
-        return self._environment.vm in near
+        local = self._serving.get(self._environment.zone, [])
+        return self._environment.vm in local
 
     def apply_table_change(self, table: str) -> None:
-        """Act on a changed table."""
-        self._changes[table]()
+        """Apply a changed table."""
+        self._handlers[table]()
 
     def update_from_reports(
         self,
@@ -68,9 +68,9 @@
         zone: Sequence[Member],
         own: Mapping[str, Usage],
     ) -> None:
-        """Act on what the other VMs told since the last heartbeat.
+        """Apply what other VMs reported since the last heartbeat.
 
-        `zone` holds the VMs of the own zone, `own` the requests of this VM.
+        `zone` holds the VMs of the own zone, `own` the usage of this VM.
         """
         now = self._clock()
         dropped = self._fleet_tables.drop_expired_targets(now)
@@ -79,8 +79,10 @@
         alive = {self._environment.zone: zone}
         for other in members.list_zones():
             alive[other] = members.list_zone(other, now)
-        serving = {name: _pick_names(vms) for name, vms in alive.items()}
-        self._take_serving(serving)
+        serving = {
+            name: _list_serving_names(vms) for name, vms in alive.items()
+        }
+        self._update_serving(serving)
         known = members.count_vms_by_zone()
         self._registry.set_vm_groups(
             self._environment.vm,
@@ -93,9 +95,9 @@
                 for name, vms in alive.items()
             },
         )
-        self._divide(members, serving, own, now)
+        self._update_limits(members, serving, own, now)
 
-    def _take_serving(self, serving: dict[str, list[str]]) -> None:
+    def _update_serving(self, serving: dict[str, list[str]]) -> None:
         changed = [
             zone
             for zone, vms in serving.items()
@@ -109,14 +111,14 @@
             )
         self._serving = serving
 
-    def _divide(
+    def _update_limits(
         self,
         members: Members,
         serving: Mapping[str, list[str]],
         own: Mapping[str, Usage],
         now: float,
     ) -> None:
-        near = set(serving[self._environment.zone])
+        local = set(serving[self._environment.zone])
         is_serving = self.is_serving
         self._retries.set_vm_count(
             sum(map(len, serving.values())) if is_serving else math.inf,
@@ -126,13 +128,13 @@
             configuration.teams.values() if configuration else (),
             UsageReport(own, vms=1.0 if is_serving else RESERVE_VM_WEIGHT),
             [
-                *members.list_local_usage_reports(now, near),
+                *members.list_local_usage_reports(now, local),
                 *members.list_remote_usage_reports(now),
             ],
             now,
         )
 
-    def _take_configuration(self) -> None:
+    def _log_configuration(self) -> None:
         configuration = self._fleet_tables.configuration
         if configuration is not None:
             self._journal.write(
@@ -141,7 +143,7 @@
                 version=configuration.version,
             )
 
-    def _take_targets(self) -> None:
+    def _apply_targets(self) -> None:
         self._registry.replace_targets(
             self._fleet_tables.targets, self._clock()
         )
@@ -151,7 +153,7 @@
             targets=len(self._fleet_tables.targets),
         )
 
-    def _take_evacuations(self) -> None:
+    def _apply_evacuations(self) -> None:
         self._registry.set_evacuated_zones(
             self._fleet_tables.evacuated_zones,
             self._fleet_tables.configuration,
@@ -164,5 +166,5 @@
         )
 
 
-def _pick_names(members: Sequence[Member]) -> list[str]:
-    return [found.vm for found in pick_serving(members)]
+def _list_serving_names(members: Sequence[Member]) -> list[str]:
+    return [member.vm for member in pick_serving(members)]
