Reword the comments of limits, placement and their tests

Comments and docstrings named ideas by words of this project alone (told, part, room, late), several of them for more than one idea. They now say share, remaining, usage report and stale, and the heads of tests say which failure a test guards against. Code is unchanged but for line breaks.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -1,4 +1,4 @@
-"""A fleet whose VMs exchange heartbeats and reports without a network."""
+"""A simulated fleet whose VMs exchange heartbeats and reports directly."""
 
 import random
 from typing import NamedTuple
@@ -24,12 +24,12 @@
 
 
 def find_bound(team):
-    """Return the requests of a window that the platform's pages allow."""
+    """Return the requests per window that the platform's pages allow."""
     return (team.rate * WINDOW + team.burst) * (1 + OVERAGE) + SLACK
 
 
 def find_most(admitted):
-    """Return the most admissions in any window, of their times in order."""
+    """Return the most admissions in any window, from their times in order."""
     most = start = 0
     for end, at in enumerate(admitted):
         while at - admitted[start] >= WINDOW:
@@ -39,7 +39,7 @@
 
 
 class Vm:
-    """One VM: what it knows of the others, and its part of the limits."""
+    """One VM: what it knows of the others, and its share of the limits."""
 
     def __init__(self, *, member, zones, now, send):
         self.member = member
@@ -73,6 +73,7 @@
         ]
 
     def beat(self, team, now):
+        """Send a heartbeat, and a report if it is due."""
         self.now = now
         self.beat_at = now + find_beat_seconds(now - self.began_at)
         self.usage = self.quotas.measure(now)
@@ -96,6 +97,7 @@
         )
 
     def hear(self, message, now):
+        """Receive a message."""
         self.now = now
         heartbeat = message.heartbeat
         if heartbeat is not None:
@@ -132,7 +134,7 @@
 
 
 class Message(NamedTuple):
-    """As on the network."""
+    """A message between VMs, with the fields of the one on the network."""
 
     heartbeat: Heartbeat | None = None
     report: object = None
@@ -140,10 +142,13 @@
 
 
 class Exchange:
-    """VMs of several zones, a team's callers, and VMs that are killed."""
+    """VMs of several zones and the callers of one team.
+
+    VMs may be killed, paused or, zone by zone, cut off.
+    """
 
     def __init__(self, *, zones, vms, team, find_rate, seed):
-        """Let `find_rate` tell the team's requests a second at a time."""
+        """Start long ago; `get_rate` returns the requests per second."""
         self.draw = random.Random(seed)
         self.team = team
         self.find_rate = find_rate
@@ -193,7 +198,7 @@
         )
 
     def is_cut(self, zone, ip):
-        """Whether zones that are cut off lie between a zone and a VM."""
+        """Whether a VM of another zone can't receive messages from a zone."""
         other = self.zone_by_ip[ip]
         return other != zone and bool(self.cut & {zone, other})
 
@@ -266,6 +271,6 @@
         return find_most(self.admitted)
 
     def find_refused(self, since):
-        """Return the share of requests that were refused since a time."""
+        """Return the fraction of requests that were refused since a time."""
         asked = sum(at >= since for at in self.asked)
         return 1 - sum(at >= since for at in self.admitted) / asked
--- a/tests/replays.py
+++ b/tests/replays.py
@@ -16,11 +16,17 @@
 __all__ = ('Outcomes', 'Pattern', 'replay')
 
 REGIONS: Final = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
-_QUEUE: Final = 27  # requests that a target holds beyond its slots
+# Requests that a target holds beyond its slots.
+_QUEUE: Final = 27
 
 
 class Pattern(NamedTuple):
-    """A load: `rate` gives requests a second at a time; times in seconds."""
+    """A load: `rate` returns the requests per second at a time.
+
+    A target caches `cached_objects`; a request takes `cold_seconds`, or
+    `warm_fraction` of them for a cached object. `slow` names the targets that
+    take `slow_factor` times as long.
+    """
 
     rate: Callable[[float], float]
     seconds: float
@@ -37,7 +43,7 @@
 
 
 class Outcomes(NamedTuple):
-    """What became of the requests that arrived after a time."""
+    """Counts of the requests that arrived after a time, by their outcome."""
 
     in_time: int
     late: int
@@ -46,7 +52,7 @@
 
     @property
     def share_in_time(self) -> float:
-        """Return the share of all requests that were answered in time."""
+        """Return the fraction of all requests that was answered in time."""
         return self.in_time / max(1, self.in_time + self.late + self.refused)
 
 
@@ -63,6 +69,7 @@
         return self.running + len(self.waiting)
 
     def time(self, key: str) -> float:
+        """Return the seconds that a request for an object takes."""
         pattern = self.pattern
         seconds = pattern.cold
         if key in self.known:
@@ -113,7 +120,8 @@
         server.running += 1
         ends = now + server.time(job.key)
         heapq.heappush(
-            events, (ends, len(events) + draw.randrange(1 << 30), server, job)
+            events,
+            (ends, len(events) + draw.randrange(1 << 30), server, job),
         )
 
     def finish(server: _Server, job: _Job, now: float) -> None:
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -1,4 +1,4 @@
-"""Replays of load patterns against the choice of a target."""
+"""The choice of a target, by itself and under replayed load patterns."""
 
 import pytest
 
@@ -184,7 +184,7 @@
 
 
 def make_views(sizes, known):
-    """Return how each VM sees its zone when it is cut into parts."""
+    """Return how each VM sees its zone when it is partitioned."""
     views = []
     first = 0
     for size in sizes:
@@ -236,7 +236,9 @@
     alone = [(f'vm-{index}', Group((f'vm-{index}',), 1, vms))
              for index in range(vms)]  # fmt: skip
     before = count_sent(
-        make_cold_fields(make_views((vms,), known=vms)), 0.0, 0.95
+        make_cold_fields(make_views((vms,), known=vms)),
+        0.0,
+        0.95,
     )
     after = count_sent(make_cold_fields(alone, now=0.95), 0.95, 2.95)
     assert find_most_in_a_second(before + after) <= COLD_BOUND
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -1,4 +1,4 @@
-"""Replays of load patterns against the limits of teams and of repeats."""
+"""Load patterns against the limits of teams and the retry budget."""
 
 import random
 from typing import NamedTuple
@@ -27,7 +27,7 @@
 
 
 class Load(NamedTuple):
-    """Requests a second of one VM as (from second, rate)."""
+    """Requests per second of one VM as (from second, rate)."""
 
     steps: tuple[tuple[float, float], ...]
 
@@ -36,13 +36,21 @@
 
 
 class Fleet:
-    """VMs that exchange what they admitted at each beat, at times of theirs.
+    """VMs that exchange usage reports, each with its own heartbeat times.
 
-    Each zone has as many VMs as `per_zone`; those of others are heard of by
-    reports of two speakers, each with every second of its beats.
+    Each zone has `vms_per_zone` VMs. The other zones receive their usage in the
+    reports of two delegates, each sent with every second heartbeat.
     """
 
-    def __init__(self, *, loads, team, cut=(), per_zone=None, reserve=()):
+    def __init__(
+        self,
+        *,
+        loads,
+        team,
+        cut=(),
+        per_zone=None,
+        reserve=(),
+    ):
         self.team = team
         self.loads = loads
         self.cut = cut
@@ -51,7 +59,11 @@
         self.reports = {}
         self.beats = [0] * len(loads)
         self.vms = [
-            Quotas(bounds=make_bounds(), beat=BEAT, now=-WINDOW)
+            Quotas(
+                bounds=make_bounds(),
+                beat=BEAT,
+                now=-WINDOW,
+            )
             for _load in loads
         ]
         self.told = [{} for _load in loads]
@@ -62,6 +74,7 @@
         self.started_at = None
 
     def play(self, seconds, *, seed, since=0.0):
+        """Run; count the requests that arrive after `since`."""
         draw = random.Random(seed)
         step = 0.01
         now = self.now
@@ -125,7 +138,7 @@
         vm.divide([self.team], own, [*near, *far], now)
 
     def restart(self, now):
-        """Start all VMs anew."""
+        """Restart all VMs."""
         self.now = now
         self.started_at = now
         self.beats = [0] * len(self.loads)
@@ -175,7 +188,7 @@
 def test_callers_of_a_small_team_that_move_are_seldom_refused(seed):
     team = make_team(rate=32.0, burst=32.0)
     left, found = (Load(((0, first), (8, then)))
-                   for first, then in ((1.8, 0.2), (0.2, 1.8)))  # fmt: skip
+                     for first, then in ((1.8, 0.2), (0.2, 1.8)))  # fmt: skip
     fleet = Fleet(loads=[left] * 10 + [found] * 10, team=team, per_zone=4)
     fleet.play(12, seed=seed, since=8)
     assert 1 - fleet.count_admitted(8) / fleet.asked < 0.1
@@ -212,6 +225,7 @@
 
 
 def test_fleet_that_starts_again_does_not_spend_a_window_twice():
+    # The rest may have been spent in the same window before the start.
     team = make_team(rate=100.0, burst=100.0)
     quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=0.0)
     quotas.divide([team], Told({}), [], 0.1)
@@ -219,7 +233,7 @@
     assert admitted <= (1 - 0.8) * 600
 
 
-# Six zones of sixteen VMs, of which four take requests, and a small team.
+# Six zones of sixteen VMs, of which four take requests.
 LARGE = {'per_zone': 16, 'reserve': range(4, 16)}
 
 
@@ -247,7 +261,12 @@
     ('rate', 'burst', 'hot'),
     ((64.0, 64.0, 320.0), (160.0, 16.0, 600.0)),
 )
-def test_large_fleet_keeps_to_the_limit_of_a_hot_team(rate, burst, hot, seed):
+def test_large_fleet_keeps_to_the_limit_of_a_hot_team(
+    rate,
+    burst,
+    hot,
+    seed,
+):
     team = make_team(rate=rate, burst=burst)
     fleet = Fleet(loads=make_large(40.0, hot), team=team, **LARGE)
     fleet.play(20, seed=seed)
@@ -305,7 +324,7 @@
     team = make_team(rate=64.0, burst=64.0)
     fleet = Fleet(loads=make_large(40.0), team=team, **LARGE)
     fleet.play(8, seed=seed)
-    # The first speaker of each zone and the second ones of two.
+    # The first delegate of each zone and the second ones of two zones.
     fleet.cut = (*range(0, 96, 16), 1, 17)
     fleet.loads = make_large(320.0)
     fleet.play(20, seed=seed)
@@ -373,7 +392,10 @@
     ]
     each = list_reports([own, *others])
     together = list_reports([own, *add_up(others)])
-    parts, added = divide_limit(1.5, each), divide_limit(1.5, together)
+    parts, added = (
+        divide_limit(1.5, each),
+        divide_limit(1.5, together),
+    )
     assert added[0] == pytest.approx(parts[0])
     assert sum(added) == pytest.approx(1.0)
     assert find_late_spent(together, added) == pytest.approx(
@@ -382,15 +404,19 @@
 
 
 def list_reports(told):
-    """Return what VMs told of a team."""
+    """Return what VMs reported of one team."""
     return [
-        Report(found.usage.get('team', Usage()), found.is_late, found.vms)
+        Report(
+            found.usage.get('team', Usage()),
+            found.is_late,
+            found.vms,
+        )
         for found in told
     ]
 
 
 def find_late_spent(reports, parts, limit=100.0):
-    """Return what counts for VMs that are late."""
+    """Return the requests that count as spent by VMs with stale reports."""
     return sum(
         max(report.usage.admitted, part * limit)
         for report, part in zip(reports, parts, strict=True)
--- a/tests/unit/test_quota_starts.py
+++ b/tests/unit/test_quota_starts.py
@@ -1,4 +1,7 @@
-"""Replays of VMs that start together while others go on."""
+"""The limit of a team while some VMs restart and others keep running.
+
+A restarted VM does not know what it spent before, nor what others have spent.
+"""
 
 import pytest
 
@@ -10,10 +13,15 @@
 TEAM = make_team(rate=690.0, burst=690.0)
 
 
-def play_starts(killed: int, down: float, seed: int, hot: float) -> Exchange:
-    """Kill VMs of five zones, start them and play on for some seconds.
+def play_starts(
+    killed: int,
+    down: float,
+    seed: int,
+    hot: float,
+) -> Exchange:
+    """Kill VMs of five zones, restart them and run for four more seconds.
 
-    The callers of a team send `hot` times what they sent before.
+    From `HOT_AT` on, callers of the team send `hot_factor` times as much.
     """
 
     def find_rate(now: float) -> float:
@@ -39,13 +47,20 @@
 @pytest.mark.parametrize('seed', range(3))
 @pytest.mark.parametrize('down', (0.4, 1.0))
 @pytest.mark.parametrize('killed', (12, 15, 20, 23))
-def test_hot_team_keeps_to_its_limit_while_vms_start(killed, down, seed):
+def test_hot_team_keeps_to_its_limit_while_vms_start(
+    killed,
+    down,
+    seed,
+):
     exchange = play_starts(killed, down, seed, hot=8.0)
     assert exchange.find_most() <= find_bound(TEAM)
 
 
 @pytest.mark.parametrize('seed', range(2))
 @pytest.mark.parametrize('killed', (8, 15))
-def test_team_within_its_rate_is_seldom_refused_while_vms_start(killed, seed):
+def test_team_within_its_rate_is_seldom_refused_while_vms_start(
+    killed,
+    seed,
+):
     exchange = play_starts(killed, 1.0, seed, hot=1.0)
     assert exchange.find_refused(since=KILLED_AT + 1.0) < 0.05
--- a/tests/unit/test_quota_storms.py
+++ b/tests/unit/test_quota_storms.py
@@ -1,4 +1,8 @@
-"""A team's limit over random kills, cuts and pauses that follow one another."""
+"""The limit of a team over random kills, network cuts and pauses of VMs.
+
+Faults overlap. VMs that restart, resume or are cut off know too little of what
+others have spent, and may spend the same part of the limit again.
+"""
 
 import random
 from typing import NamedTuple
@@ -12,7 +16,7 @@
 
 
 class Trouble(NamedTuple):
-    """What strikes some VMs or zones from a time on, for some seconds."""
+    """A fault of some VMs or zones from a time on, for some seconds."""
 
     at: float
     kind: str
@@ -21,19 +25,27 @@
 
 
 class Storm:
-    """Plays troubles on a fleet beside a team that sends too much."""
+    """Injects faults into a fleet while a team sends more than its limit."""
 
     def __init__(self, *, exchange):
         self.exchange = exchange
         self.down = set()
         self.starts = {'kill': self.kill, 'cut': self.cut, 'pause': self.pause}
-        self.ends = {'kill': self.start, 'cut': self.heal, 'pause': self.resume}
+        self.ends = {
+            'kill': self.start,
+            'cut': self.heal,
+            'pause': self.resume,
+        }
 
     def play(self, troubles):
         steps = [(found.at, self.starts[found.kind], found.struck)
                  for found in troubles]  # fmt: skip
         steps += [
-            (found.at + found.seconds, self.ends[found.kind], found.struck)
+            (
+                found.at + found.seconds,
+                self.ends[found.kind],
+                found.struck,
+            )
             for found in troubles
         ]
         for at, act, struck in sorted(steps, key=lambda step: step[0]):
@@ -42,7 +54,7 @@
         self.exchange.play(self.exchange.now + 3.0)
 
     def kill(self, ips):
-        """Kill VMs; the fleet starts again at once where none is left."""
+        """Kill VMs; all restart 0.5 s later if no VM is left."""
         self.down |= ips
         self.exchange.kill(ips)
         if not self.exchange.vms:
@@ -68,7 +80,7 @@
 
 
 def draw_troubles(draw, exchange):
-    """Yield troubles of random kinds, one to three seconds apart."""
+    """Yield faults of random kinds at random times."""
     ips = [found.ip for found in exchange.entries]
     most = {'kill': len(ips) * 3 // 5, 'pause': len(ips) // 3}
     at = FIRST_AT
--- a/toucanhall/limits/__init__.py
+++ b/toucanhall/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Limits of the whole fleet, kept by each VM in its part."""
+"""Limits of the whole fleet, of which each VM enforces its share."""
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -1,13 +1,13 @@
-"""The limit of a team over all VMs, kept from what each VM told of itself.
+"""Divides each team's rate limit among all VMs by their usage reports.
 
-Load patterns: callers of a team move between zones; a team of a low rate sends
-to many VMs, a few requests each; one team sends many times its rate; VMs are
-cut off and go on; all VMs start again at once.
+Load patterns: callers of a team move between zones; a team with a low rate
+sends a few requests to each of many VMs; one team sends many times its rate;
+VMs are cut off and keep running; all VMs restart at once.
 
-Each VM tells with its heartbeat how many requests it admitted for each team
-in the last window, and how many a second arrived. What the window still has
-room for is divided by demand, and a VM spends at most a half of its part of it
-between two heartbeats, since it hears of the others one or two beats late.
+With each heartbeat, a VM reports how many requests it admitted for each team
+in the last window, and how many arrived per second. What remains of the limit
+in the window is divided by demand. A VM spends at most half of its share of it
+between two heartbeats, since reports arrive one or two heartbeats late.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -25,54 +25,61 @@
     'make_unheard',
 )
 
-_DEMAND_WEIGHT: Final = 0.25  # of the last beat in the smoothed demand
-# Part of the average demand that a VM without any keeps, to admit the first.
+# Weight of the last heartbeat interval in the smoothed demand.
+_DEMAND_WEIGHT: Final = 0.25
+# A VM without demand counts as having this fraction of the average demand, so
+# that it can admit the first requests.
 _IDLE_SHARE: Final = 0.8
-# A VM that the directory does not name counts as this part of one: some
-# clients come with an old answer.
+# Weight of a VM that the directory does not name: some clients use an outdated
+# answer of the directory.
 RESERVE_VMS: Final = 0.02
-# Demand that each VM counts as having at least, in requests a second: a team of
-# a few requests a second is divided evenly, since what each VM saw is chance.
+# Least that is added to the demand of each VM: the limit of a team with a few
+# requests per second is divided evenly, since what each VM saw is chance.
 _LEAST_DEMAND: Final = 0.4
-# Tokens that a VM may keep at most while its part of the room is smaller.
+# Tokens that a VM may hold at most while its share of what remains is smaller.
 _MOST_KEPT: Final = 3.0
-# Part of what the fleet may still admit, the slack beyond the limit included,
-# that all VMs together keep as tokens.
+# Fraction of what the fleet may still admit, including the slack beyond the
+# limit, that all VMs together may hold as tokens.
 _KEPT_SHARE: Final = 0.8
-_SPEND_SHARE: Final = 0.5  # of the own part of the room, between two beats
-# Part of the window that a VM which has just started takes as spent before.
+# Fraction of a VM's share of what remains that a heartbeat adds as tokens.
+_SPEND_SHARE: Final = 0.5
+# Fraction of the limit that counts as spent before a VM that has just started.
 _START_SHARE: Final = 0.8
 _FIRST_TOKENS: Final = 1.0
-# Part of the tokens that may be kept which a start brings: the process before
-# may have spent its own just now.
+# Fraction of the tokens a VM may hold that its start adds: the process before
+# it may have spent its own just now.
 _FIRST_KEPT_SHARE: Final = 0.5
-# A VM whose demand jumps spends so much more than its part of the limit until
-# the others know: if they do not hear of it, the overrun stays in the overage.
+# A VM whose demand jumps spends up to this many times its share of the limit
+# until the others receive its report. If they never do, the excess stays within
+# the overage that the limit allows.
 _MOST_PART: Final = 1.2
-# Part of the limit up to which a VM may spend as much as the average: callers
-# that moved to it ask for more before the division knows of them.
+# While less than this fraction of the limit is spent, a VM may spend at least
+# an even share: callers that moved to it send more before the others know.
 _ROOMY_SHARE: Final = 0.6
-# The own demand counts as of some beats ago, as old as what others told: or
-# the parts of all VMs would add up to more than the whole when demand jumps.
+# The VM's own demand is taken from some heartbeats ago, as old as the demand
+# that others reported: the shares of all VMs would otherwise add up to more
+# than the limit when demand jumps.
 _OWN_BEATS: Final = 3
-# Part of the burst that is handed out; the rest covers VMs that are cut off.
+# Fraction of the burst that is divided; the rest covers VMs that are cut off.
 _BURST_SHARE: Final = 0.5
-_LEAST_WINDOW: Final = 5.0  # requests of a window, where parts are small
+# What a VM may admit in a window where its share of the limit is smaller.
+_LEAST_WINDOW: Final = 5.0
 _LONGEST_RETRY_SECONDS: Final = 1.5
 
 
 class Usage(NamedTuple):
-    """Requests of a team: admitted in the last window, and per second."""
+    """Requests of a team: admitted in the last window, arrived per second."""
 
     admitted: int = 0
     demand: float = 0.0
 
 
 class Told(NamedTuple):
-    """What a VM told last, or the sum of several.
+    """The usage that a VM reported last, or the sum of several reports.
 
-    `is_late` when more should have been told since; `vms` is how many VMs take
-    requests; `usage` is None when nothing was told since this VM started.
+    `is_late` tells that a newer report was due; `vms` is the sum of the weights
+    of the VMs, 1 for each that takes requests; `usage` is None when no report
+    was received since this VM started.
     """
 
     usage: Mapping[str, Usage] | None
@@ -81,16 +88,16 @@
 
 
 def make_unheard(vms: float) -> Told:
-    """Return what counts for VMs that have told nothing yet."""
+    """Return the report that stands for VMs that have sent none yet."""
     return Told(None, is_late=True, vms=vms)
 
 
 def add_up(told: Iterable[Told]) -> list[Told]:
-    """Return what VMs told with those that are not late added up.
+    """Sum all reports that are not stale into one.
 
-    Their parts add up too, so a team is divided among a few instead of among
-    all VMs. One that is late counts for its part at least: it stays alone,
-    but for those that told of no team at all.
+    Their shares add up too, so a limit is divided among a few reports instead
+    of among all VMs. A stale report counts for at least its own share: it stays
+    separate, except that stale reports without any team are summed.
     """
     alone: list[Told] = []
     present: list[Told] = []
@@ -107,7 +114,7 @@
 
 
 def add_group(group: Sequence[Told]) -> Told:
-    """Add up what some VMs told, all of them late or none."""
+    """Sum some reports, all of which are stale or none."""
     return Told(
         _sum_usage(found.usage for found in group if found.usage),
         is_late=group[0].is_late,
@@ -128,14 +135,19 @@
 
 
 class _Admitted(NamedTuple):
-    """Requests that were admitted in a beat, and when it ended."""
+    """Requests admitted between two heartbeats, and when the interval ended."""
 
     ended_at: float
     requests: int
 
 
 class _Meter:
-    """Requests of one team at this VM."""
+    """Requests and tokens of one team at this VM.
+
+    `admitted` and `arrived` count since the last heartbeat; `share_fraction` is
+    this VM's fraction of what remains, `remaining` its share in requests;
+    `limit` and `spent` are requests of all VMs in a window.
+    """
 
     __slots__ = (
         'admitted',
@@ -168,10 +180,10 @@
 
 
 class Quotas:
-    """The part of each team's limit that this VM may spend."""
+    """The share of each team's limit that this VM may spend."""
 
     def __init__(self, *, bounds: Bounds, beat: float, now: float) -> None:
-        """Take the bounds of the limits and the time between beats (s)."""
+        """Start without usage; `beat` is the heartbeat interval in seconds."""
         self._bounds = bounds
         window = bounds.quota_window
         self._window = window
@@ -183,7 +195,7 @@
         self._meters: dict[str, _Meter] = {}
 
     def admit(self, team: Team, now: float) -> float:
-        """Return 0 if a request is admitted, else seconds to come back in."""
+        """Return 0 if a request is admitted, else the retry-after seconds."""
         if team.rate is None:
             return 0.0
         meter = self._meters.get(team.name)
@@ -199,10 +211,10 @@
         return self._find_wait(meter, now)
 
     def describe(self, team: str, now: float) -> dict[str, float]:
-        """Return what a refusal of a team was decided by.
+        """Return the figures by which a request of a team was refused.
 
         `limit` and `spent` are requests of all VMs in a window, `part` is the
-        share of this VM, `age` the seconds since the last heartbeat.
+        fraction of this VM, `age` the seconds since the last heartbeat.
         """
         meter = self._meters[team]
         return {
@@ -213,14 +225,17 @@
         }
 
     def measure(self, now: float) -> dict[str, Usage]:
-        """End a beat; return what is to be told to the other VMs."""
+        """End a heartbeat interval; return the usage to report to other VMs."""
         elapsed = max(0.001, now - self._beat_at)
         self._beat_at = now
         told = {}
         for name, meter in self._meters.items():
             rate = meter.arrived / elapsed
             meter.demand += (rate - meter.demand) * _DEMAND_WEIGHT
-            meter.demands = [meter.demand, *meter.demands][:_OWN_BEATS]
+            meter.demands = [
+                meter.demand,
+                *meter.demands,
+            ][:_OWN_BEATS]
             meter.past = [
                 _Admitted(now, meter.admitted),
                 *(
@@ -244,10 +259,10 @@
         others: Iterable[Told],
         now: float,
     ) -> None:
-        """Fill the tokens of each team from what all VMs told.
+        """Add tokens for each team by the reports of all VMs.
 
-        A VM that is late may be cut off and go on: it counts as if it had
-        spent its whole part of the limit.
+        A VM whose report is stale may be cut off and keep admitting requests:
+        it counts as if it had spent its whole share of the limit.
         """
         self._elapsed = now - self._divided_at
         self._divided_at = now
@@ -281,9 +296,15 @@
         part = self._find_part(meter, reports, parts)
         if spent < _ROOMY_SHARE * limit and not self._assume_spent(now):
             part = max(part, _find_even_part(reports))
-        most = max(_LEAST_WINDOW, _MOST_PART * part * limit)
+        most = max(
+            _LEAST_WINDOW,
+            _MOST_PART * part * limit,
+        )
         most -= _get_admitted(reports[0])
-        meter.room = max(0.0, min((limit - spent) * part, most))
+        meter.room = max(
+            0.0,
+            min((limit - spent) * part, most),
+        )
         vms = sum(report.vms for report in reports)
         kept = self._find_kept(team, limit - spent, vms)
         if not meter.is_divided:
@@ -294,21 +315,30 @@
         )
 
     def _find_inflow(self, meter: _Meter, owned: float) -> float:
-        """Return the tokens that a beat adds; `owned` is the part of the limit.
+        """Return the tokens that a heartbeat adds.
 
-        Short beats bring no newer reports from other zones: what they add is
-        what the limit allows in their time.
+        `share` is this VM's share of the limit in requests. Short intervals
+        bring no newer reports from other zones: their heartbeats add only what
+        the limit allows in that time.
         """
         inflow = meter.room * _SPEND_SHARE
         if meter.is_divided and self._elapsed < self._beat / 2:
-            inflow = min(inflow, owned * self._elapsed / self._window)
+            inflow = min(
+                inflow,
+                owned * self._elapsed / self._window,
+            )
         meter.is_divided = True
         return inflow
 
-    def _find_kept(self, team: Team, left: float, vms: float) -> float:
-        """Return the tokens that a VM may keep while its part is small.
+    def _find_kept(
+        self,
+        team: Team,
+        left: float,
+        vms: float,
+    ) -> float:
+        """Return the tokens that a VM may hold while its share is small.
 
-        `left` is what the window has room for.
+        `remaining` is what all VMs may still admit within the limit.
         """
         bounds = self._bounds
         beyond = bounds.quota_slack + (1 - _BURST_SHARE) * team.burst
@@ -323,10 +353,10 @@
         limit: float,
         now: float,
     ) -> float:
-        """Return the requests of the window that count as spent.
+        """Return the requests that count as spent in the window.
 
-        A VM that is late counts as if it had spent its part; what was spent
-        before this VM started is assumed of the rest.
+        A VM whose report is stale counts as if it had spent its share. What was
+        spent before this VM started is assumed of the rest of the limit.
         """
         present = 0.0
         late = 0.0
@@ -336,11 +366,14 @@
                 late += max(admitted, part * limit)
             else:
                 present += admitted
-        before = self._assume_spent(now) * max(0.0, limit - late)
+        before = self._assume_spent(now) * max(
+            0.0,
+            limit - late,
+        )
         return late + max(present, before)
 
     def _assume_spent(self, now: float) -> float:
-        """Return the part of the window that counts as spent before."""
+        """Return the fraction that counts as spent before this VM started."""
         elapsed = (now - self._started_at) / self._window
         return _START_SHARE * max(0.0, 1 - elapsed)
 
@@ -350,11 +383,11 @@
         reports: 'list[_Report]',
         parts: list[float],
     ) -> float:
-        """Return the own part of the room.
+        """Return this VM's fraction of what remains.
 
-        A VM that hears from few others keeps the part that it had: what they
-        ask for now is not known. One that never heard from most of them has
-        none to keep.
+        Without current reports of most VMs, it keeps the fraction that it had,
+        since the demand of the others is not known. A VM that never had them
+        has none to keep.
         """
         vms = sum(report.vms for report in reports)
         late = sum(report.vms for report in reports if report.is_late)
@@ -372,6 +405,8 @@
 
 
 class _Report(NamedTuple):
+    """A usage report of which only one team is kept."""
+
     usage: Usage | None
     is_late: bool
     vms: float
@@ -385,10 +420,13 @@
     return report.usage.admitted if report.usage else 0
 
 
-def _divide(own_demand: float, reports: list[_Report]) -> list[float]:
-    """Return the part of each report, the own one first.
+def _divide(
+    own_demand: float,
+    reports: list[_Report],
+) -> list[float]:
+    """Return the fraction of the limit for each report, the own one first.
 
-    VMs that told nothing yet count as asked for as much as the others.
+    VMs that have not reported yet count as having the average demand.
     """
     demands = _list_demands(own_demand, reports)
     total = sum(demands)
@@ -401,7 +439,10 @@
     ]
 
 
-def _list_demands(own_demand: float, reports: list[_Report]) -> list[float]:
+def _list_demands(
+    own_demand: float,
+    reports: list[_Report],
+) -> list[float]:
     others = [report for report in reports[1:] if report.usage]
     known = own_demand + sum(_get_demand(report) for report in others)
     heard = reports[0].vms + sum(report.vms for report in others)
@@ -420,7 +461,10 @@
     return report.usage.demand if report.usage else 0.0
 
 
-def _sum_present(reports: list[_Report], parts: list[float]) -> float:
+def _sum_present(
+    reports: list[_Report],
+    parts: list[float],
+) -> float:
     return sum(
         part
         for report, part in zip(reports, parts, strict=True)
--- a/toucanhall/limits/retries.py
+++ b/toucanhall/limits/retries.py
@@ -1,7 +1,7 @@
-"""This VM's part of the repeats that a service may get.
+"""This VM's share of the retry budget of each service.
 
-Load pattern: many targets of a service fail at once and every request would
-be repeated. The parts of all VMs add up to the ratio of the requests and the
+Load pattern: many targets of a service fail at once, and every request would
+be retried. The shares of all VMs add up to the ratio of the requests and the
 slack that the fleet is allowed in each window.
 """
 
@@ -11,32 +11,34 @@
 
 __all__ = ('Retries', 'RetryBudget')
 
-# Requests of a window are counted by their arrival here, those that are
-# repeated arrive a little later: a part of the ratio is kept for that.
+# Fraction of the ratio and of the slack that is used. The rest is held back:
+# the requests of a window are counted when they arrive at this VM, and their
+# retries arrive a little later.
 _SAFE_SHARE: Final = 0.8
-_BURST_SHARE: Final = 0.25  # of the slack, spent at once
+# Fraction of the slack that may be spent at once.
+_BURST_SHARE: Final = 0.25
 
 
 class Retries:
-    """Tokens of one service."""
+    """Token bucket of the retries of one service."""
 
     def __init__(self, *, bounds: Bounds, vms: float, now: float) -> None:
-        """Start with one repeat: what was spent before is not known."""
+        """Start with one retry: what was spent before is not known."""
         self._bounds = bounds
         self._vms = vms
         self._updated_at = now
         self._tokens = 1.0
 
     def resize(self, vms: float) -> None:
-        """Take how many VMs share the slack; inf for one without a part."""
+        """Set how many VMs share the slack; inf for a VM without a share."""
         self._vms = max(1.0, vms)
 
     def earn(self) -> None:
-        """Count a request for the service."""
+        """Add the retries that a request for the service allows."""
         self._tokens += self._bounds.retry_ratio * _SAFE_SHARE
 
     def spend(self, now: float) -> bool:
-        """Take one repeat if there is one."""
+        """Take one retry; return whether there was one."""
         bounds = self._bounds
         per_second = (
             bounds.retry_slack
@@ -46,7 +48,7 @@
         )
         self._tokens += (now - self._updated_at) * per_second
         self._updated_at = now
-        # Tokens earned by requests are kept for two bursts at most.
+        # Tokens earned by requests are held for two bursts at most.
         self._tokens = min(self._tokens, self._find_most() * 2)
         if self._tokens < 1:
             return False
@@ -54,35 +56,42 @@
         return True
 
     def _find_most(self) -> float:
-        return max(1.0, self._bounds.retry_slack * _BURST_SHARE / self._vms)
+        return max(
+            1.0,
+            self._bounds.retry_slack * _BURST_SHARE / self._vms,
+        )
 
 
 class RetryBudget:
-    """The tokens of each service."""
+    """The retry budgets of all services."""
 
     def __init__(self, *, bounds: Bounds) -> None:
-        """Start without having heard of any service or other VM."""
+        """Start with no service and with this VM alone."""
         self._bounds = bounds
         self._vms = 1.0
         self._services: dict[str, Retries] = {}
 
     def resize(self, vms: float) -> None:
-        """Take how many VMs share the slack; inf for one without a part."""
+        """Set how many VMs share the slack; inf for a VM without a share."""
         self._vms = vms
         for retries in self._services.values():
             retries.resize(vms)
 
     def earn(self, service: str, now: float) -> None:
-        """Count a request for a service."""
+        """Add the retries that a request for a service allows."""
         self._get(service, now).earn()
 
     def spend(self, service: str, now: float) -> bool:
-        """Take one repeat for a service if there is one."""
+        """Take one retry of a service; return whether there was one."""
         return self._get(service, now).spend(now)
 
     def _get(self, service: str, now: float) -> Retries:
         found = self._services.get(service)
         if found is None:
-            found = Retries(bounds=self._bounds, vms=self._vms, now=now)
+            found = Retries(
+                bounds=self._bounds,
+                vms=self._vms,
+                now=now,
+            )
             self._services[service] = found
         return found
--- a/toucanhall/placement/__init__.py
+++ b/toucanhall/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Decides which target serves a request; knows no sockets and no clock."""
+"""Decides which target serves a request, without sockets or a clock."""
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -1,12 +1,13 @@
-"""Chooses a target by its place in the order and its load.
-
-Load patterns: one object much wanted (its first target fills: the next in the
-order takes the rest, the same one at every VM); one target slow (it counts as
-fuller than it is); more requests than cold targets bear. A target remembers a
-few dozen objects. Were each object sent to whichever target has room, all
-targets would meet all objects, forget them again and run each request cold:
-the overload would feed itself. So an object has two targets, and what finds no
-room there is refused at once.
+"""Chooses a target for a request by the order for its object and by load.
+
+Load patterns: one object is in high demand (its first target fills up, and the
+next one in the order, the same at every VM, takes the rest); one target is slow
+(it counts as fuller than it is); more requests arrive than cold targets bear.
+
+A target caches a few dozen objects. If each object were sent to whichever
+target has a free slot, all targets would load all objects, evict them again and
+run each request cold, so that the overload would sustain itself. So an object
+has two targets, and a request that neither can take is refused at once.
 """
 
 from collections.abc import Sequence
@@ -17,23 +18,24 @@
 
 __all__ = ('URGENT_PRIORITY', 'WARM_TARGETS', 'Ask', 'Candidate', 'choose')
 
-# Targets that serve an object, as long as they are there.
+# Targets that serve an object while they are available.
 WARM_TARGETS: Final = 2
-# Share of the slots up to which a target is not full.
+# Requests per slot below which a target is chosen without comparing it.
 _ROOMY: Final = 0.85
-# Part of the time to the objective that may be spent waiting for a slot.
+# Fraction of the time to the objective that may be spent waiting for a slot.
 _WAIT_SHARE: Final = 0.8
-# Less urgent requests leave room in the queue for urgent ones.
+# Requests of a higher number than this one are less urgent.
 URGENT_PRIORITY: Final = 1
+# Less urgent requests wait in a shorter queue, so that urgent ones find space.
 _LESS_URGENT_SHARE: Final = 0.5
-# Requests of a longer objective may not wait for more than this many slots'
-# worth of other requests, since those in front may be cold.
+# Requests with a long objective wait behind at most this many requests per
+# slot, since those in front may be cold.
 _MOST_WAITING: Final = 1.5
 _FULL: Final = float('inf')
 
 
 class Ask(NamedTuple):
-    """What a request needs; times in seconds."""
+    """How long a request may wait; times in seconds."""
 
     seconds_to_objective: float
     usual_seconds: float
--- a/toucanhall/placement/cold.py
+++ b/toucanhall/placement/cold.py
@@ -1,15 +1,16 @@
-"""Which VMs may send to a cold target, and how fast.
-
-Load patterns: a target starts, or its zone comes back, and every VM prefers it
-for some objects at the same moment; all VMs start again at once, and each one
-knows only itself; a zone is cut into parts, and VMs disagree on who is there.
-A few VMs own each cold target, and each sends its part of what it bears.
-
-The parts add up to less than the target bears, whatever VMs know of each other:
-an owner that hears a part of its group spends that part of its rate, so that
-the owners of all parts spend as much as those of the whole. Twice as many VMs
-as are picked may take themselves for owners while news of a change is on its
-way, and the bound still holds. docs/PLACEMENT.md has the sum.
+"""Decides which VMs may send to a cold target, and how fast.
+
+Load patterns: a target starts, or its zone returns, and every VM prefers it for
+some objects at the same moment; all VMs restart at once, and each one knows
+only itself; a zone is partitioned, and its VMs disagree on which are alive. A
+few VMs own each cold target, and each sends its share of the rate it bears.
+
+The shares add up to less than the target bears, whatever VMs know of each
+other. An owner that sees only a fraction of its group spends that fraction of
+its rate, so that the owners of all partitions together spend as much as those
+of the whole group. Up to twice as many VMs as are picked may consider
+themselves owners while a change spreads, and the bound still holds.
+docs/PLACEMENT.md has the sum.
 """
 
 from collections.abc import Iterable, Mapping
@@ -19,6 +20,7 @@
 
 __all__ = ('COLD_OWNERS', 'ColdPart', 'Group', 'find_part', 'pick_groups')
 
+# VMs that may send to a cold target.
 COLD_OWNERS: Final = 2
 # Four owners and their bursts stay below 1.5 times what the target bears and a
 # slack of five requests, the least that deployments allow.
@@ -27,9 +29,9 @@
 
 
 class Group(NamedTuple):
-    """VMs of one or more zones, as this VM sees them.
+    """VMs of a zone, as this VM sees them.
 
-    `serving` are those that take requests, `heard` counts the VMs that are
+    `serving` names those that take requests. `heard` counts those that are
     alive, `known` those that have an entry in the store.
     """
 
@@ -39,10 +41,9 @@
 
 
 def find_part(own: str, target: str, groups: Iterable[Group]) -> float:
-    """Return this VM's part of what a cold target bears; 0 for no owner.
+    """Return this VM's fraction of what a cold target bears; 0 for no owner.
 
-    `groups` are those of the target's zone, or where none is known there, of
-    the zones of its region or of all.
+    `groups` are those that own the cold targets of the target's zone.
     """
     serving: list[str] = []
     heard = 0
@@ -61,7 +62,11 @@
     groups: Mapping[str, Group],
     regions: Mapping[str, str],
 ) -> Iterable[Group]:
-    """Return the groups that own the cold targets of a zone."""
+    """Return the groups of VMs that own the cold targets of a zone.
+
+    This is the group of the zone. If no VM is registered there, it is those of
+    the zones of its region, or else those of all zones.
+    """
     own = groups.get(zone)
     if own and own.known:
         return (own,)
@@ -75,6 +80,7 @@
 
 
 def _pick_owners(target: str, vms: Iterable[str]) -> set[str]:
+    """Pick VMs by rendezvous hashing, so that all VMs pick the same ones."""
     ranked = sorted(
         vms,
         key=lambda vm: xxhash.xxh64_intdigest(f'{target}\0{vm}'.encode()),
@@ -83,7 +89,7 @@
 
 
 class ColdPart:
-    """Tokens of one VM for one cold target."""
+    """Token bucket of this VM for one cold target."""
 
     def __init__(self, *, now: float) -> None:
         """Start without a token: what was sent before a start is not known."""
@@ -91,9 +97,9 @@
         self._updated_at = now
 
     def spend(self, rate: float, now: float) -> bool:
-        """Take the token of a request; tell whether there was one.
+        """Take the token of a request; return whether there was one.
 
-        `rate` is how many requests a second this VM may send.
+        `rate` is how many requests per second this VM may send.
         """
         elapsed = now - self._updated_at
         self._tokens = min(_BURST, self._tokens + elapsed * rate)
--- a/toucanhall/placement/field.py
+++ b/toucanhall/placement/field.py
@@ -12,14 +12,19 @@
 
 __all__ = ('Field', 'Need')
 
-# Time for which a target that was named by its address alone is left alone.
+# For this time, a target gets no requests after another target answered at its
+# address.
 _GONE_SECONDS: Final = 3.0
-# Rings that are kept: twenty services with a few sets of home regions each.
+# Rings that are cached: twenty services with a few sets of home regions each.
 _MOST_RINGS: Final = 100
 
 
 class Need(NamedTuple):
-    """What limits the targets of a request."""
+    """Selects and orders the targets that may serve a request.
+
+    `key` names the object, `homes` the regions that may serve it (empty for
+    all), `tried` the targets that have been tried.
+    """
 
     service: str
     key: str
@@ -28,10 +33,10 @@
 
 
 class Field:
-    """Load, health and coldness of each target, and the order for objects."""
+    """Load and health of each target, which are cold, and their order."""
 
     def __init__(self, *, place: Place, regions: Mapping[str, str]) -> None:
-        """Start without targets."""
+        """Start without targets; `regions` names the region of each zone."""
         self._place = place
         self._regions = dict(regions)
         self._targets: dict[str, Target] = {}
@@ -45,7 +50,11 @@
         self.loads: dict[str, TargetLoad] = {}
 
     def take_targets(self, targets: Mapping[str, Target], now: float) -> None:
-        """Take the list of targets; new incarnations start anew."""
+        """Replace the list of targets.
+
+        A target that has restarted begins without load and failures. One with
+        a new time for warming up, or new in the list, is cold from now on.
+        """
         gone = self._targets.keys() - targets.keys()
         written = {
             name: target
@@ -79,7 +88,7 @@
         configuration: Configuration | None,
         now: float,
     ) -> None:
-        """Take the evacuated zones; those taken back count as cold."""
+        """Replace the evacuated zones; targets of returned zones are cold."""
         returned = self._evacuated - zones
         self._evacuated = zones
         for name, target in self._targets.items():
@@ -91,7 +100,7 @@
                 self._cold_parts.pop(name, None)
 
     def take_vms(self, own: str, groups: Mapping[str, Group]) -> None:
-        """Take the VMs of each zone as this VM sees them."""
+        """Replace the VMs of each zone as this VM, `own`, sees them."""
         if (own, groups) != (self._vm, self._groups):
             self._vm = own
             self._groups = groups
@@ -111,11 +120,14 @@
         return self._regions.get(target.zone) == self._place.region
 
     def is_cold(self, target: str, now: float) -> bool:
-        """Whether a target is still cold."""
+        """Whether a target is still cold and bears only a low rate."""
         return now < self._cold_until.get(target, 0.0)
 
     def spend(self, target: Target, per_second: float, now: float) -> bool:
-        """Take a token of a cold target; tell whether there was one."""
+        """Return whether a request may be sent to a target, cold or not.
+
+        `per_second` is what a cold target bears from all VMs; 0 for any rate.
+        """
         if not per_second or not self.is_cold(target.id, now):
             return True
         part = self._cold_parts.get(target.id)
@@ -125,7 +137,7 @@
         return part.spend(per_second * self._find_part(target), now)
 
     def lose(self, target: str, now: float) -> None:
-        """Leave a target alone whose address another target has."""
+        """Suspend a target since another one answered at its address."""
         load = self.loads.get(target)
         if load is not None:
             load.suspended_until = now + _GONE_SECONDS
@@ -140,7 +152,11 @@
             return False
         return not self.is_cold(target.id, now) or self._find_part(target) > 0
 
-    def _list_able(self, need: Need, now: float) -> Iterator[Candidate]:
+    def _list_able(
+        self,
+        need: Need,
+        now: float,
+    ) -> Iterator[Candidate]:
         ring = self._find_ring(need.service, need.homes)
         for name in ring.walk(need.key):
             target = self._targets[name]
@@ -175,7 +191,11 @@
     ) -> None:
         found = [self._targets[name] for name in added]
         points = {
-            target.id: count_points(target.zone, self._place, self._regions)
+            target.id: count_points(
+                target.zone,
+                self._place,
+                self._regions,
+            )
             for target in found
             if target.service == service
             and (not homes or self._regions.get(target.zone) in homes)
@@ -185,6 +205,7 @@
 
 
 def _is_same(known: Target | None, target: Target) -> bool:
+    """Whether a target has not been restarted or moved."""
     return (
         known is not None
         and known.started_at == target.started_at
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -5,19 +5,20 @@
 
 __all__ = ('TargetLoad',)
 
-# A report tells how busy a target was; what others sent since is not known,
-# so it counts less with age: requests take about a quarter of a second.
+# Half-life of a target's reported load: what other VMs have sent since is not
+# known, and requests take about a quarter of a second.
 _REPORT_HALF_LIFE: Final = 0.25
-# Failures in a row after which a target is left alone for a while.
+# Consecutive failures after which a target is suspended.
 _MOST_FAILURES: Final = 3
 _FIRST_SUSPENSION_SECONDS: Final = 0.5
 _LONGEST_SUSPENSION_SECONDS: Final = 4.0
 _SLOW_WEIGHT: Final = 0.2
+# For this time, a target that refused a request as full counts as full.
 _FULL_SECONDS: Final = 0.15
 
 
 class TargetLoad:
-    """Counts of one target, from own requests and what it reported."""
+    """Load and health of one target, by own requests and its answers."""
 
     def __init__(self, *, slots: int) -> None:
         """Start with an idle, healthy target."""
@@ -32,33 +33,35 @@
         self._full_until = 0.0
 
     def estimate(self, now: float) -> float:
-        """Return how many requests the target runs and holds."""
+        """Return how many requests the target runs and holds in its queue."""
         age = max(0.0, now - self._reported_at)
-        others = self._others * math.exp2(-age / _REPORT_HALF_LIFE)
+        others = self._others * math.exp2(
+            -age / _REPORT_HALF_LIFE,
+        )
         estimate = self.in_flight + others
         if now < self._full_until:
             return max(estimate, float(self.slots * 2))
         return estimate
 
     def is_suspended(self, now: float) -> bool:
-        """Whether the target is left alone after failures."""
+        """Whether the target gets no requests after failures."""
         return now < self.suspended_until
 
     def is_on_trial(self) -> bool:
-        """Whether the target failed lately and may get one request."""
+        """Whether the target may get one request at a time after failures."""
         return self.failures >= _MOST_FAILURES
 
     def report(self, busy: int, now: float) -> None:
-        """Take how many requests the target runs and holds by its answer."""
+        """Record how many requests the target runs and holds, by its answer."""
         self._others = float(max(0, busy - self.in_flight))
         self._reported_at = now
 
     def fill(self, now: float) -> None:
-        """Note that the target turned a request away as full."""
+        """Record that the target refused a request as full."""
         self._full_until = now + _FULL_SECONDS
 
     def succeed(self, ratio: float | None) -> bool:
-        """Note an answer; `ratio` is its time over the usual time.
+        """Record an answer; `ratio` is its time over the expected time.
 
         Returns whether the target had been suspended.
         """
@@ -71,9 +74,9 @@
         return was_on_trial
 
     def fail(self, now: float, *, is_lost: bool) -> bool:
-        """Note a failure; a lost connection suspends the target at once.
+        """Record a failure; a lost connection suspends the target at once.
 
-        Returns whether the target is suspended from now on.
+        Returns whether this failure suspends the target.
         """
         self.failures += _MOST_FAILURES if is_lost else 1
         if self.failures < _MOST_FAILURES or self.is_suspended(now):
--- a/toucanhall/placement/order.py
+++ b/toucanhall/placement/order.py
@@ -1,10 +1,11 @@
 """The order in which targets are preferred for an object.
 
-Load pattern: requests for the same object repeat, and a target that handled
-the object lately needs a third of the time. Every VM of a region computes
-the same order, targets that come or go move only their own objects, and what
-a request costs does not grow with the targets: they stand on a ring at points
-of their hash, and an object belongs to those that follow its own hash.
+Load pattern: requests for the same object repeat, and a target that served the
+object lately needs a third of the time. So the order is by consistent hashing:
+each target has points on a ring, and an object belongs to the targets whose
+points follow its own hash. Every VM of a region computes the same order,
+targets that come or go move only their own objects, and the cost of a request
+does not grow with the number of targets.
 """
 
 from array import array
@@ -18,15 +19,15 @@
 
 __all__ = ('MOST_EXAMINED', 'Place', 'Ring', 'count_points')
 
-# Targets of the own region stand on the ring at six times as many points as
-# those of another region. VMs of both zones of a region agree on the order,
-# so that an object is warm at few targets; docs/STEERING.md has the table.
+# A target of the own region has this many times as many points as one of
+# another region. VMs of all zones of a region agree on the order, so that an
+# object is cached at few targets; docs/STEERING.md has the table.
 _REGION_WEIGHT: Final = 6
-# Shares of the targets of the own region differ by a tenth with 96 points.
+# The objects per target of the own region differ by a tenth with 96 points.
 _POINTS: Final = 16
 _HASH_BYTES: Final = 8
-# Targets of the order that are looked at for a request: more than a zone has
-# that was just lost, of the deployments' sizes in other regions.
+# Targets of the order that are examined for a request: more than a zone that
+# has just failed holds, at the sizes of zones of other regions in deployments.
 MOST_EXAMINED: Final = 64
 
 
@@ -38,14 +39,14 @@
 
 
 def count_points(zone: str, place: Place, regions: Mapping[str, str]) -> int:
-    """Return at how many points of the ring a target of a zone stands."""
+    """Return how many points a target of a zone has on the ring."""
     if regions.get(zone) == place.region:
         return _POINTS * _REGION_WEIGHT
     return _POINTS
 
 
 class Ring:
-    """Targets at the points of their hashes, by their ids."""
+    """Ids of targets at the points of their hashes."""
 
     def __init__(self) -> None:
         """Start without targets."""
@@ -56,7 +57,7 @@
         self._next_number = 0
 
     def change(self, gone: Iterable[str], added: Mapping[str, int]) -> None:
-        """Drop some targets and add others with their numbers of points."""
+        """Remove some targets and add others with their numbers of points."""
         for name in gone:
             self._drop(name)
         is_new = not self._placed
@@ -89,13 +90,17 @@
                 yield self._names[owner]
 
     def _fill(self) -> None:
+        """Build the ring from all targets."""
         found = sorted(
             (point, placed.number)
             for name, placed in self._placed.items()
             for point in _hash(name, placed.points)
         )
         self._points = array('Q', (point for point, _number in found))
-        self._owners = array('I', (number for _point, number in found))
+        self._owners = array(
+            'I',
+            (number for _point, number in found),
+        )
 
     def _insert(self, name: str, placed: '_Placed') -> None:
         for point in _hash(name, placed.points):
@@ -117,6 +122,8 @@
 
 
 class _Placed(NamedTuple):
+    """A target on the ring: its number in `_owners`, and its points."""
+
     number: int
     points: int
 
