--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -17,22 +17,24 @@
 
 __all__ = ('Exchange', 'find_bound', 'find_most')
 
-STEP = 0.01
-WINDOW = 5.0
-OVERAGE = 0.1
-SLACK = 20
+STEP_SECONDS = 0.01
+WINDOW_SECONDS = 5.0
+OVERAGE_FRACTION = 0.1
+SLACK_REQUESTS = 20
 
 
 def find_bound(team):
     """Return the requests per window that the platform's pages allow."""
-    return (team.rate * WINDOW + team.burst) * (1 + OVERAGE) + SLACK
+    return (team.rate * WINDOW_SECONDS + team.burst) * (
+        1 + OVERAGE_FRACTION
+    ) + SLACK_REQUESTS
 
 
-def find_most(admitted):
+def find_most(admitted_at):
     """Return the most admissions in any window, from their times in order."""
     most = start = 0
-    for end, at in enumerate(admitted):
-        while at - admitted[start] >= WINDOW:
+    for end, at in enumerate(admitted_at):
+        while at - admitted_at[start] >= WINDOW_SECONDS:
             start += 1
         most = max(most, end - start + 1)
     return most
@@ -46,7 +48,7 @@
         self.started_at = int(now * 1000)
         self.now = now
         self.began_at = now
-        self.beat_at = now + FIRST_BEAT_SECONDS
+        self.next_heartbeat_at = now + FIRST_BEAT_SECONDS
         self.usage = {}
         self.quotas = Quotas(
             bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=now
@@ -65,7 +67,7 @@
             usage=self.usage,
         )
 
-    def list_near_ips(self):
+    def list_local_ips(self):
         return [
             found.ip
             for found in self.members.introduced.values()
@@ -75,22 +77,22 @@
     def beat(self, team, now):
         """Send a heartbeat, and a report if it is due."""
         self.now = now
-        self.beat_at = now + find_beat_seconds(now - self.began_at)
+        self.next_heartbeat_at = now + find_beat_seconds(now - self.began_at)
         self.usage = self.quotas.measure(now)
         heartbeat = self.make_heartbeat()
-        self.send(Message(heartbeat), self.list_near_ips())
+        self.send(Message(heartbeat), self.list_local_ips())
         self.speaker.beat(heartbeat)
         self.divide(team, now)
 
     def divide(self, team, now):
         zone = (self.member, *self.members.list_near(now))
-        near = {found.vm for found in pick_serving(zone)}
-        is_serving = self.member.vm in near
+        serving = {found.vm for found in pick_serving(zone)}
+        is_serving = self.member.vm in serving
         self.quotas.divide(
             [team],
             Told(self.usage, vms=1.0 if is_serving else RESERVE_VMS),
             [
-                *self.members.list_near_told(now, near),
+                *self.members.list_near_told(now, serving),
                 *self.members.list_far_told(now),
             ],
             now,
@@ -101,15 +103,15 @@
         self.now = now
         heartbeat = message.heartbeat
         if heartbeat is not None:
-            self.hear_heartbeat(heartbeat, now)
+            self.receive_heartbeat(heartbeat, now)
         report = message.report
         if report is None or report.zone == self.member.zone:
             return
         if self.members.hear_report(report, now) and not message.is_relayed:
             relayed = Message(report=report, is_relayed=True)
-            self.send(relayed, self.list_near_ips())
+            self.send(relayed, self.list_local_ips())
 
-    def hear_heartbeat(self, heartbeat, now):
+    def receive_heartbeat(self, heartbeat, now):
         if heartbeat.member.zone == self.member.zone:
             if self.members.hear(heartbeat, now):
                 self.send(
@@ -119,10 +121,10 @@
             known = tuple(self.members.introduced.values())
             answer = self.make_heartbeat()._replace(introduced=known)
             self.send(Message(answer), (heartbeat.member.ip,))
-            self.meet((heartbeat.member.introduction,))
-        self.meet(heartbeat.introduced)
+            self.add_introductions((heartbeat.member.introduction,))
+        self.add_introductions(heartbeat.introduced)
 
-    def meet(self, introductions):
+    def add_introductions(self, introductions):
         new = [
             found
             for found in introductions
@@ -147,18 +149,18 @@
     VMs may be killed, paused or, zone by zone, cut off.
     """
 
-    def __init__(self, *, zones, vms, team, find_rate, seed):
+    def __init__(self, *, zones, vms, team, get_rate, seed):
         """Start long ago; `get_rate` returns the requests per second."""
-        self.draw = random.Random(seed)
+        self.rng = random.Random(seed)
         self.team = team
-        self.find_rate = find_rate
+        self.get_rate = get_rate
         self.zones = tuple(f'zone-{index}' for index in range(zones))
         self.now = 0.0
-        self.cut = frozenset()
-        self.paused = frozenset()
-        self.admitted = []
-        self.asked = []
-        self.posted = []
+        self.isolated_zones = frozenset()
+        self.paused_ips = frozenset()
+        self.admitted_at = []
+        self.requested_at = []
+        self.in_transit = []
         self.vms = {}
         self.entries = [
             make_member(
@@ -177,34 +179,36 @@
             for other in self.entries:
                 vm.members.introduce(other.introduction)
             vm.members.introduced.pop(found.vm)
-            vm.beat_at = self.draw.uniform(0, HEARTBEAT_SECONDS)
+            vm.next_heartbeat_at = self.rng.uniform(0, HEARTBEAT_SECONDS)
 
     def start(self, member, now):
         vm = Vm(
             member=member,
             zones=self.zones,
             now=now,
-            send=lambda message, ips: self.post(message, ips),
+            send=lambda message, ips: self.send(message, ips),
         )
         self.vms[member.ip] = vm
         return vm
 
-    def post(self, message, ips):
-        told = message.heartbeat.member if message.heartbeat else message.report
-        self.posted.extend(
+    def send(self, message, ips):
+        sender = (
+            message.heartbeat.member if message.heartbeat else message.report
+        )
+        self.in_transit.extend(
             (self.now + 0.02, ip, message)
             for ip in ips
-            if not self.is_cut(told.zone, ip)
+            if not self.is_cut_off(sender.zone, ip)
         )
 
-    def is_cut(self, zone, ip):
+    def is_cut_off(self, zone, ip):
         """Whether a VM of another zone can't receive messages from a zone."""
         other = self.zone_by_ip[ip]
-        return other != zone and bool(self.cut & {zone, other})
+        return other != zone and bool(self.isolated_zones & {zone, other})
 
-    def choose(self, count):
+    def pick_ips(self, count):
         """Return the addresses of some VMs."""
-        return self.draw.sample([found.ip for found in self.entries], count)
+        return self.rng.sample([found.ip for found in self.entries], count)
 
     def kill(self, ips):
         for ip in ips:
@@ -225,52 +229,54 @@
                 self.now,
             )
             asking = vm.make_heartbeat()._replace(is_asking=True)
-            self.post(
+            self.send(
                 Message(asking), [ip for ip in self.seeds if ip != member.ip]
             )
 
-    def play(self, until):
-        while self.now < until:
+    def run_until(self, end):
+        while self.now < end:
             self.deliver()
             for vm in list(self.vms.values()):
-                is_running = vm.member.ip not in self.paused
-                if is_running and self.now >= vm.beat_at:
+                is_running = vm.member.ip not in self.paused_ips
+                if is_running and self.now >= vm.next_heartbeat_at:
                     vm.beat(self.team, self.now)
-            self.call()
-            self.now += STEP
+            self.send_requests()
+            self.now += STEP_SECONDS
 
     def deliver(self):
-        due = [found for found in self.posted if found[0] <= self.now]
-        self.posted = [found for found in self.posted if found[0] > self.now]
+        due = [found for found in self.in_transit if found[0] <= self.now]
+        self.in_transit = [
+            found for found in self.in_transit if found[0] > self.now
+        ]
         for _at, ip, message in due:
             vm = self.vms.get(ip)
             if vm:
                 vm.hear(message, self.now)
 
-    def call(self):
-        expected = self.find_rate(self.now) * STEP
-        calls = int(expected + self.draw.random())
+    def send_requests(self):
+        expected = self.get_rate(self.now) * STEP_SECONDS
+        count = int(expected + self.rng.random())
         vms = self.list_serving()
-        for _call in range(calls):
-            vm = self.draw.choice(vms)
-            self.asked.append(self.now)
+        for _request in range(count):
+            vm = self.rng.choice(vms)
+            self.requested_at.append(self.now)
             if not vm.quotas.admit(self.team, self.now):
-                self.admitted.append(self.now)
+                self.admitted_at.append(self.now)
 
     def list_serving(self):
         """Return the VMs that the directory names: the first four of a zone."""
-        found = {}
+        by_zone = {}
         for ip, vm in sorted(self.vms.items()):
-            found.setdefault(vm.member.zone, []).append(vm)
-        named = [vm for vms in found.values() for vm in vms[:4]]
-        running = [vm for vm in named if vm.member.ip not in self.paused]
+            by_zone.setdefault(vm.member.zone, []).append(vm)
+        named = [vm for vms in by_zone.values() for vm in vms[:4]]
+        running = [vm for vm in named if vm.member.ip not in self.paused_ips]
         return running or named
 
     def find_most(self):
         """Return the most admissions in any window."""
-        return find_most(self.admitted)
+        return find_most(self.admitted_at)
 
     def find_refused(self, since):
         """Return the fraction of requests that were refused since a time."""
-        asked = sum(at >= since for at in self.asked)
-        return 1 - sum(at >= since for at in self.admitted) / asked
+        requests = sum(at >= since for at in self.requested_at)
+        return 1 - sum(at >= since for at in self.admitted_at) / requests
--- a/tests/replays.py
+++ b/tests/replays.py
@@ -17,7 +17,7 @@
 
 REGIONS: Final = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
 # Requests that a target holds beyond its slots.
-_QUEUE: Final = 27
+_MAX_QUEUE_REQUESTS: Final = 27
 
 
 class Pattern(NamedTuple):
@@ -33,10 +33,10 @@
     objects: int = 180
     targets: int = 20
     slots: int = 9
-    remembered: int = 88
-    cold: float = 0.36
-    warm_share: float = 0.3
-    objective: float = 0.25
+    cached_objects: int = 88
+    cold_seconds: float = 0.36
+    warm_fraction: float = 0.3
+    objective_seconds: float = 0.25
     slow: frozenset[str] = frozenset()
     slow_factor: float = 1.0
     vms_per_zone: int = 4
@@ -56,42 +56,42 @@
         return self.in_time / max(1, self.in_time + self.late + self.refused)
 
 
-class _Server:
+class _SimulatedTarget:
     def __init__(self, *, target: Target, pattern: Pattern) -> None:
         self.target = target
         self.pattern = pattern
         self.running = 0
-        self.waiting: deque[_Job] = deque()
-        self.known: OrderedDict[str, None] = OrderedDict()
+        self.queue: deque[_Request] = deque()
+        self.cache: OrderedDict[str, None] = OrderedDict()
 
     @property
     def busy(self) -> int:
-        return self.running + len(self.waiting)
+        return self.running + len(self.queue)
 
-    def time(self, key: str) -> float:
+    def run(self, key: str) -> float:
         """Return the seconds that a request for an object takes."""
         pattern = self.pattern
-        seconds = pattern.cold
-        if key in self.known:
-            seconds *= pattern.warm_share
-        self.known[key] = None
-        self.known.move_to_end(key)
-        if len(self.known) > pattern.remembered:
-            self.known.popitem(last=False)
+        seconds = pattern.cold_seconds
+        if key in self.cache:
+            seconds *= pattern.warm_fraction
+        self.cache[key] = None
+        self.cache.move_to_end(key)
+        if len(self.cache) > pattern.cached_objects:
+            self.cache.popitem(last=False)
         if self.target.id in pattern.slow:
             seconds *= pattern.slow_factor
         return seconds
 
 
-class _Job(NamedTuple):
+class _Request(NamedTuple):
     key: str
-    arrived: float
-    field: Field
+    arrived_at: float
+    registry: Field
 
 
 def replay(pattern: Pattern, *, seed: int, since: float = 0.0) -> Outcomes:
     """Replay a pattern and count the requests that arrived after `since`."""
-    draw = random.Random(seed)
+    rng = random.Random(seed)
     zones = tuple(REGIONS)
     targets = {
         f't{index}': make_target(
@@ -101,65 +101,67 @@
         )
         for index in range(pattern.targets)
     }
-    servers = {
-        name: _Server(target=target, pattern=pattern)
+    simulated = {
+        name: _SimulatedTarget(target=target, pattern=pattern)
         for name, target in targets.items()
     }
-    fields = []
+    registries = []
     for zone in zones:
         for _vm in range(pattern.vms_per_zone):
-            field = Field(place=Place(zone, REGIONS[zone]), regions=REGIONS)
-            field.take_targets(targets, -100.0)
-            fields.append(field)
-    events: list[tuple[float, int, _Server, _Job]] = []
+            registry = Field(place=Place(zone, REGIONS[zone]), regions=REGIONS)
+            registry.take_targets(targets, -100.0)
+            registries.append(registry)
+    events: list[tuple[float, int, _SimulatedTarget, _Request]] = []
     counts = {'in time': 0, 'late': 0, 'refused': 0}
     by_target = dict.fromkeys(targets, 0)
-    usual = [pattern.cold * pattern.warm_share]
+    expected_seconds = [pattern.cold_seconds * pattern.warm_fraction]
 
-    def start(server: _Server, job: _Job, now: float) -> None:
+    def start(server: _SimulatedTarget, request: _Request, now: float) -> None:
         server.running += 1
-        ends = now + server.time(job.key)
+        ends_at = now + server.run(request.key)
         heapq.heappush(
             events,
-            (ends, len(events) + draw.randrange(1 << 30), server, job),
+            (ends_at, len(events) + rng.randrange(1 << 30), server, request),
         )
 
-    def finish(server: _Server, job: _Job, now: float) -> None:
+    def finish(server: _SimulatedTarget, request: _Request, now: float) -> None:
         server.running -= 1
-        if server.waiting:
-            start(server, server.waiting.popleft(), now)
-        load = job.field.loads[server.target.id]
+        if server.queue:
+            start(server, server.queue.popleft(), now)
+        load = request.registry.loads[server.target.id]
         load.in_flight -= 1
         load.report(server.busy, now)
-        load.succeed(min(4.0, (now - job.arrived) / usual[0]))
-        if job.arrived >= since:
+        load.succeed(min(4.0, (now - request.arrived_at) / expected_seconds[0]))
+        if request.arrived_at >= since:
             by_target[server.target.id] += 1
             name = (
-                'in time' if now - job.arrived <= pattern.objective else 'late'
+                'in time'
+                if now - request.arrived_at <= pattern.objective_seconds
+                else 'late'
             )
             counts[name] += 1
 
-    for now, key in _arrive(pattern, draw):
+    for now, key in _generate_arrivals(pattern, rng):
         while events and events[0][0] <= now:
-            ended, _order, server, job = heapq.heappop(events)
-            finish(server, job, ended)
-        field = draw.choice(fields)
-        need = Need('guide', key, frozenset(), frozenset())
+            ended_at, _order, server, request = heapq.heappop(events)
+            finish(server, request, ended_at)
+        registry = rng.choice(registries)
+        query = Need('guide', key, frozenset(), frozenset())
         chosen = choose(
-            field.list_candidates(need, now, choice.WARM_TARGETS),
-            Ask(pattern.objective, usual[0], 1),
+            registry.list_candidates(query, now, choice.WARM_TARGETS),
+            Ask(pattern.objective_seconds, expected_seconds[0], 1),
             now,
         )
-        server = servers[chosen.target.id] if chosen else None
-        if server is None or server.busy >= pattern.slots + _QUEUE:
+        server = simulated[chosen.target.id] if chosen else None
+        if server is None or server.busy >= pattern.slots + _MAX_QUEUE_REQUESTS:
             counts['refused'] += now >= since
             continue
-        field.loads[server.target.id].in_flight += 1
-        job = _Job(key, now, field)
+        registry.loads[server.target.id].in_flight += 1
+        request = _Request(key, now, registry)
         if server.running < pattern.slots:
-            start(server, job, now)
+            start(server, request, now)
         else:
-            server.waiting.append(job)
+            server.queue.append(request)
     return Outcomes(
         counts['in time'],
         counts['late'],
@@ -168,11 +170,11 @@
     )
 
 
-def _arrive(
+def _generate_arrivals(
     pattern: Pattern,
-    draw: random.Random,
+    rng: random.Random,
 ) -> Iterator[tuple[float, str]]:
     now = 0.0
     while now < pattern.seconds:
-        now += draw.expovariate(pattern.rate(now))
-        yield now, f'object-{draw.randrange(pattern.objects)}'
+        now += rng.expovariate(pattern.rate(now))
+        yield now, f'object-{rng.randrange(pattern.objects)}'
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -13,9 +13,9 @@
 from toucanhall.placement.order import MOST_EXAMINED, Place, Ring, count_points
 
 REGIONS = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
-PLACE = Place('east-a', 'east')
-NEED = Need('guide', 'object-1', frozenset(), frozenset())
-ASK = Ask(0.25, 0.1, 1)
+LOCATION = Place('east-a', 'east')
+QUERY = Need('guide', 'object-1', frozenset(), frozenset())
+URGENCY = Ask(0.25, 0.1, 1)
 
 
 def burst(now):
@@ -35,32 +35,32 @@
 
 
 @pytest.mark.parametrize('seed', (1, 2))
-def test_start_with_cold_targets_ends_soon(seed):
+def test_cold_targets_serve_in_time_after_four_seconds(seed):
     pattern = Pattern(rate=lambda _now: 900.0, seconds=8.0)
     assert replay(pattern, seed=seed, since=4.0).share_in_time > 0.95
 
 
 @pytest.mark.parametrize('seed', (1, 2))
-def test_slow_target_gets_less(seed):
+def test_slow_target_gets_fewer_requests(seed):
     slow = Pattern(
         rate=lambda _now: 700.0,
         seconds=10.0,
         slow=frozenset(('t3',)),
         slow_factor=5.0,
     )
-    even = slow._replace(slow=frozenset())
-    before = replay(even, seed=seed, since=3.0)
+    without_slow = slow._replace(slow=frozenset())
+    before = replay(without_slow, seed=seed, since=3.0)
     after = replay(slow, seed=seed, since=3.0)
     assert after.by_target['t3'] < before.by_target['t3'] / 2
     assert after.share_in_time > 0.9
 
 
-def make_ring(targets, place=PLACE):
+def make_ring(targets, location=LOCATION):
     ring = Ring()
     ring.change(
         (),
         {
-            target.id: count_points(target.zone, place, REGIONS)
+            target.id: count_points(target.zone, location, REGIONS)
             for target in targets
         },
     )
@@ -80,7 +80,7 @@
     assert {len(order) for order in orders} == {12}
 
 
-def test_target_that_leaves_moves_only_its_objects():
+def test_removed_target_moves_only_its_objects():
     targets = [make_target(f't{index}') for index in range(12)]
     rings = make_ring(targets), make_ring(targets[1:])
     moved = 0
@@ -91,78 +91,78 @@
     assert 0 < moved < 40
 
 
-def test_changed_ring_is_the_one_made_anew():
+def test_updated_ring_equals_a_rebuilt_one():
     targets = [make_target(f't{index}') for index in range(12)]
     ring = make_ring(targets[:6])
     ring.change(('t0', 't3', 'unknown'), {f't{index}': 96 for index in (9, 11)})
-    kept = [targets[index] for index in (1, 2, 4, 5, 9, 11)]
+    remaining = [targets[index] for index in (1, 2, 4, 5, 9, 11)]
     for index in range(50):
         key = f'object-{index}'
-        assert list(ring.walk(key)) == list(make_ring(kept).walk(key))
+        assert list(ring.walk(key)) == list(make_ring(remaining).walk(key))
 
 
-def test_near_targets_get_six_times_the_objects_of_far_ones():
+def test_targets_of_the_own_region_get_six_times_the_objects_of_others():
     targets = [
         make_target(f't{index}', zone='east-a' if index < 10 else 'west-a')
         for index in range(20)
     ]
     ring = make_ring(targets)
     firsts = [next(ring.walk(f'object-{index}')) for index in range(4000)]
-    near = sum(int(name[1:]) < 10 for name in firsts)
-    assert 0.8 < near / len(firsts) < 0.91
-    shares = [firsts.count(f't{index}') / near for index in range(10)]
-    assert 0.06 < min(shares) and max(shares) < 0.15
+    of_region = sum(int(name[1:]) < 10 for name in firsts)
+    assert 0.8 < of_region / len(firsts) < 0.91
+    fractions = [firsts.count(f't{index}') / of_region for index in range(10)]
+    assert 0.06 < min(fractions) and max(fractions) < 0.15
 
 
-def test_order_ends_where_most_targets_may_not_serve():
+def test_order_of_an_object_names_a_limited_number_of_targets():
     ring = make_ring([make_target(f't{index}') for index in range(400)])
     assert len(list(ring.walk('object-1'))) == MOST_EXAMINED
     assert not list(make_ring([]).walk('object-1'))
 
 
-def test_full_targets_are_refused_at_once():
+def test_request_is_refused_at_once_when_its_targets_are_full():
     full = TargetLoad(slots=9)
     full.in_flight = 40
-    assert choose([Candidate(make_target(), full)], ASK, 1.0) is None
-    assert choose([], ASK, 1.0) is None
+    assert choose([Candidate(make_target(), full)], URGENCY, 1.0) is None
+    assert choose([], URGENCY, 1.0) is None
 
 
-def test_less_urgent_requests_leave_room():
+def test_less_urgent_requests_wait_in_a_shorter_queue():
     load = TargetLoad(slots=9)
     load.in_flight = 14
     candidates = [Candidate(make_target(), load)]
-    assert choose(candidates, ASK, 1.0) is not None
-    assert choose(candidates, ASK._replace(priority=2), 1.0) is None
+    assert choose(candidates, URGENCY, 1.0) is not None
+    assert choose(candidates, URGENCY._replace(priority=2), 1.0) is None
 
 
-def make_field(*targets, now=0.0):
-    field = Field(place=PLACE, regions=REGIONS)
-    field.take_targets({target.id: target for target in targets}, now)
-    field.take_vms('vm-1', {'east-a': Group(('vm-1',), 1, 1)})
-    return field
+def make_registry(*targets, now=0.0):
+    registry = Field(place=LOCATION, regions=REGIONS)
+    registry.take_targets({target.id: target for target in targets}, now)
+    registry.take_vms('vm-1', {'east-a': Group(('vm-1',), 1, 1)})
+    return registry
 
 
-def list_ids(field, need=NEED, now=10.0):
-    found = field.list_candidates(need, now, 2)
+def list_ids(registry, query=QUERY, now=10.0):
+    found = registry.list_candidates(query, now, 2)
     return {candidate.target.id for candidate in found}
 
 
 @pytest.mark.parametrize(
-    ('fields', 'need'),
+    ('fields', 'query'),
     (
-        ({'is_draining': True}, NEED),
-        ({'service': 'feed'}, NEED),
-        ({'zone': 'west-a'}, NEED._replace(homes=frozenset(('east',)))),
-        ({}, NEED._replace(tried=frozenset(('t1',)))),
+        ({'is_draining': True}, QUERY),
+        ({'service': 'feed'}, QUERY),
+        ({'zone': 'west-a'}, QUERY._replace(homes=frozenset(('east',)))),
+        ({}, QUERY._replace(tried=frozenset(('t1',)))),
     ),
 )
-def test_target_that_may_not_serve_is_left_out(fields, need):
-    field = make_field(make_target('t1', **fields))
-    assert list_ids(field, need) == set()
+def test_target_that_may_not_serve_is_left_out(fields, query):
+    registry = make_registry(make_target('t1', **fields))
+    assert list_ids(registry, query) == set()
 
 
-def test_evacuated_zone_gets_nothing_and_comes_back_cold():
-    field = make_field(make_target('t1'))
+def test_evacuated_zone_gets_nothing_and_returns_cold():
+    registry = make_registry(make_target('t1'))
     configuration = Configuration(
         version=1,
         hosts={},
@@ -171,116 +171,118 @@
         keys={},
         limits=None,
     )
-    field.take_evacuations(frozenset(('east-a',)), configuration, 10.0)
-    assert list_ids(field) == set()
-    field.take_evacuations(frozenset(), configuration, 20.0)
-    assert list_ids(field) == {'t1'}
-    assert field.is_cold('t1', 22.0)
-    assert not field.is_cold('t1', 23.5)
+    registry.take_evacuations(frozenset(('east-a',)), configuration, 10.0)
+    assert list_ids(registry) == set()
+    registry.take_evacuations(frozenset(), configuration, 20.0)
+    assert list_ids(registry) == {'t1'}
+    assert registry.is_cold('t1', 22.0)
+    assert not registry.is_cold('t1', 23.5)
 
 
-COLD_RATE = 13.0
-COLD_BOUND = 1.5 * COLD_RATE + 5
+COLD_RATE_PER_SECOND = 13.0
+MAX_COLD_REQUESTS = 1.5 * COLD_RATE_PER_SECOND + 5
 
 
-def make_views(sizes, known):
+def make_views(sizes, registered_count):
     """Return how each VM sees its zone when it is partitioned."""
     views = []
     first = 0
     for size in sizes:
         vms = tuple(f'vm-{first + index}' for index in range(size))
         first += size
-        views.extend((vm, Group(vms, size, known)) for vm in vms)
+        views.extend((vm, Group(vms, size, registered_count)) for vm in vms)
     return views
 
 
-def make_cold_fields(views, now=0.0):
-    fields = []
+def make_cold_registries(views, now=0.0):
+    registries = []
     for vm, group in views:
-        field = make_field(make_target('t1', cold_seconds=8.0), now=now)
-        field.take_vms(vm, {'east-a': group, 'east-b': Group((), 0, 4)})
-        fields.append(field)
-    return fields
+        registry = make_registry(make_target('t1', cold_seconds=8.0), now=now)
+        registry.take_vms(vm, {'east-a': group, 'east-b': Group((), 0, 4)})
+        registries.append(registry)
+    return registries
 
 
-def count_sent(fields, since, until):
+def list_sent_at(registries, since, until):
     steps = range(round(since * 100), round(until * 100))
     return [
         step / 100
         for step in steps
-        for field in fields
-        if list_ids(field, now=step / 100)
-        and field.spend(make_target('t1'), COLD_RATE, step / 100)
+        for registry in registries
+        if list_ids(registry, now=step / 100)
+        and registry.spend(make_target('t1'), COLD_RATE_PER_SECOND, step / 100)
     ]
 
 
-def find_most_in_a_second(sent):
-    return max(sum(at <= other < at + 1 for other in sent) for at in sent)
+def compute_max_per_second(sent_at):
+    return max(sum(at <= other < at + 1 for other in sent_at) for at in sent_at)
 
 
 def test_cold_target_gets_its_rate_from_all_vms_together():
-    fields = make_cold_fields(make_views((8,), known=8))
-    sent = count_sent(fields, 0.0, 6.0)
-    assert find_most_in_a_second(sent) <= COLD_RATE
-    assert len(sent) > 0.6 * COLD_RATE * 6
+    registries = make_cold_registries(make_views((8,), registered_count=8))
+    sent_at = list_sent_at(registries, 0.0, 6.0)
+    assert compute_max_per_second(sent_at) <= COLD_RATE_PER_SECOND
+    assert len(sent_at) > 0.6 * COLD_RATE_PER_SECOND * 6
 
 
 def test_cold_target_is_served_by_owners_only():
-    fields = make_cold_fields(make_views((8,), known=8))
-    assert sum(bool(list_ids(field, now=1.0)) for field in fields) == 2
-    assert all(list_ids(field, now=9.0) == {'t1'} for field in fields)
+    registries = make_cold_registries(make_views((8,), registered_count=8))
+    assert (
+        sum(bool(list_ids(registry, now=1.0)) for registry in registries) == 2
+    )
+    assert all(list_ids(registry, now=9.0) == {'t1'} for registry in registries)
 
 
 @pytest.mark.parametrize('vms', (2, 4, 16, 48))
-def test_vms_that_start_at_once_keep_the_bound_of_a_cold_target(vms):
+def test_vms_that_restart_at_once_keep_the_bound_of_a_cold_target(vms):
     alone = [(f'vm-{index}', Group((f'vm-{index}',), 1, vms))
              for index in range(vms)]  # fmt: skip
-    before = count_sent(
-        make_cold_fields(make_views((vms,), known=vms)),
+    before = list_sent_at(
+        make_cold_registries(make_views((vms,), registered_count=vms)),
         0.0,
         0.95,
     )
-    after = count_sent(make_cold_fields(alone, now=0.95), 0.95, 2.95)
-    assert find_most_in_a_second(before + after) <= COLD_BOUND
+    after = list_sent_at(make_cold_registries(alone, now=0.95), 0.95, 2.95)
+    assert compute_max_per_second(before + after) <= MAX_COLD_REQUESTS
 
 
-def test_vm_that_knows_no_entries_sends_nothing_to_a_cold_target():
-    fields = make_cold_fields((('vm-1', Group(('vm-1',), 1, 0)),))
-    assert not count_sent(fields, 0.0, 2.0)
+def test_vm_without_entries_from_the_store_sends_nothing_to_a_cold_target():
+    registries = make_cold_registries((('vm-1', Group(('vm-1',), 1, 0)),))
+    assert not list_sent_at(registries, 0.0, 2.0)
 
 
 @pytest.mark.parametrize(
     'sizes',
     ((2, 6), (4, 4), (3, 3, 2), (1, 1, 6), (1, 1, 1, 1, 4), (1,) * 8),
 )
-def test_parts_of_a_zone_keep_the_bound_of_a_cold_target(sizes):
-    fields = make_cold_fields(make_views(sizes, known=8))
-    sent = count_sent(fields, 0.0, 8.0)
-    assert find_most_in_a_second(sent) <= COLD_BOUND
+def test_partitions_of_a_zone_keep_the_bound_of_a_cold_target(sizes):
+    registries = make_cold_registries(make_views(sizes, registered_count=8))
+    sent_at = list_sent_at(registries, 0.0, 8.0)
+    assert compute_max_per_second(sent_at) <= MAX_COLD_REQUESTS
 
 
 @pytest.mark.parametrize('rate', (1.0, 4.0, 13.0, 40.0, 100.0))
-def test_twice_as_many_owners_as_picked_keep_the_bound(rate):
+def test_twice_as_many_owners_keep_the_bound_of_a_cold_target(rate):
     target = make_target('t1', cold_seconds=8.0)
-    fields = make_cold_fields(
+    registries = make_cold_registries(
         (f'vm-{index}', Group((f'vm-{index}',), 8, 8)) for index in range(4)
     )
-    sent = [
+    sent_at = [
         step / 500
         for step in range(4000)
-        for field in fields
-        if field.spend(target, rate, step / 500)
+        for registry in registries
+        if registry.spend(target, rate, step / 500)
     ]
-    assert find_most_in_a_second(sent) <= 1.5 * rate + 5
+    assert compute_max_per_second(sent_at) <= 1.5 * rate + 5
 
 
-def test_zone_without_vms_is_left_to_its_region():
-    field = make_field(make_target('t1', zone='east-b', cold_seconds=8.0))
+def test_region_owns_cold_targets_of_a_zone_without_vms():
+    registry = make_registry(make_target('t1', zone='east-b', cold_seconds=8.0))
     group = Group(('vm-1',), 1, 1)
-    field.take_vms('vm-1', {'east-a': group, 'east-b': Group()})
-    assert list_ids(field, now=1.0) == {'t1'}
-    field.take_vms('vm-1', {'east-a': group, 'east-b': Group((), 0, 2)})
-    assert list_ids(field, now=1.0) == set()
+    registry.take_vms('vm-1', {'east-a': group, 'east-b': Group()})
+    assert list_ids(registry, now=1.0) == {'t1'}
+    registry.take_vms('vm-1', {'east-a': group, 'east-b': Group((), 0, 2)})
+    assert list_ids(registry, now=1.0) == set()
 
 
 def test_failures_suspend_a_target_and_one_success_ends_it():
@@ -303,16 +305,16 @@
     assert load.suspended_until == 3.0
 
 
-def test_new_incarnation_starts_anew():
-    field = make_field(make_target('t1'))
-    field.loads['t1'].fail(9.0, is_lost=True)
-    field.take_targets({'t1': make_target('t1', slots=5)}, 9.1)
-    assert field.loads['t1'].is_on_trial()
-    field.take_targets({'t1': make_target('t1', started_at=2)}, 9.2)
-    assert not field.loads['t1'].is_on_trial()
+def test_restarted_target_starts_without_failures():
+    registry = make_registry(make_target('t1'))
+    registry.loads['t1'].fail(9.0, is_lost=True)
+    registry.take_targets({'t1': make_target('t1', slots=5)}, 9.1)
+    assert registry.loads['t1'].is_on_trial()
+    registry.take_targets({'t1': make_target('t1', started_at=2)}, 9.2)
+    assert not registry.loads['t1'].is_on_trial()
 
 
-def test_report_counts_less_with_age():
+def test_reported_load_halves_every_quarter_second():
     load = TargetLoad(slots=9)
     load.report(8, 1.0)
     assert load.estimate(1.0) == 8
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.exchange import WINDOW, find_bound, find_most
+from tests.exchange import WINDOW_SECONDS, find_bound, find_most
 from tests.fleetdata import make_bounds, make_team
 from toucanhall.edge.fleetmate import FIRST_BEAT_SECONDS, find_beat_seconds
 from toucanhall.fleet.membership import LATE_SECONDS
@@ -19,11 +19,11 @@
     add_up,
     make_unheard,
 )
-from toucanhall.limits.quota import _divide as divide_limit
-from toucanhall.limits.quota import _Report as Report
+from toucanhall.limits.quota import _compute_fractions as compute_fractions
+from toucanhall.limits.quota import _TeamReport as TeamReport
 from toucanhall.limits.retries import Retries
 
-BEAT = 0.8
+HEARTBEAT_SECONDS = 0.8
 
 
 class Load(NamedTuple):
@@ -31,7 +31,7 @@
 
     steps: tuple[tuple[float, float], ...]
 
-    def find_rate(self, now):
+    def get_rate(self, now):
         return [rate for since, rate in self.steps if since <= now][-1]
 
 
@@ -47,194 +47,204 @@
         *,
         loads,
         team,
-        cut=(),
-        per_zone=None,
+        cut_off=(),
+        vms_per_zone=None,
         reserve=(),
     ):
         self.team = team
         self.loads = loads
-        self.cut = cut
-        self.per_zone = per_zone or len(loads)
+        self.cut_off = cut_off
+        self.vms_per_zone = vms_per_zone or len(loads)
         self.reserve = reserve
-        self.reports = {}
-        self.beats = [0] * len(loads)
+        self.reports_by_zone = {}
+        self.heartbeat_counts = [0] * len(loads)
         self.vms = [
             Quotas(
                 bounds=make_bounds(),
-                beat=BEAT,
-                now=-WINDOW,
+                beat=HEARTBEAT_SECONDS,
+                now=-WINDOW_SECONDS,
             )
             for _load in loads
         ]
-        self.told = [{} for _load in loads]
-        self.heard = [[({}, 0.0)] * len(loads) for _load in loads]
-        self.admitted = []
-        self.asked = 0
+        self.usages = [{} for _load in loads]
+        self.received = [[({}, 0.0)] * len(loads) for _load in loads]
+        self.admitted_at = []
+        self.request_count = 0
         self.now = 0.0
         self.started_at = None
 
-    def play(self, seconds, *, seed, since=0.0):
+    def run_until(self, end, *, seed, since=0.0):
         """Run; count the requests that arrive after `since`."""
-        draw = random.Random(seed)
+        rng = random.Random(seed)
         step = 0.01
         now = self.now
-        beats = [now + draw.uniform(0, BEAT) for _vm in self.vms]
+        heartbeat_at = [
+            now + rng.uniform(0, HEARTBEAT_SECONDS) for _vm in self.vms
+        ]
         if self.started_at is not None:
-            beats = [now + FIRST_BEAT_SECONDS for _vm in self.vms]
+            heartbeat_at = [now + FIRST_BEAT_SECONDS for _vm in self.vms]
             for index, vm in enumerate(self.vms):
                 self.divide(index, vm, {}, now)
-        while now < seconds:
+        while now < end:
             for index, vm in enumerate(self.vms):
-                if now >= beats[index]:
-                    beats[index] += self.find_beat(now)
-                    self.beat(index, vm, now)
-                rate = self.loads[index].find_rate(now)
-                if draw.random() < rate * step:
-                    self.asked += now >= since
+                if now >= heartbeat_at[index]:
+                    heartbeat_at[index] += self.get_heartbeat_seconds(now)
+                    self.send_heartbeat(index, vm, now)
+                rate = self.loads[index].get_rate(now)
+                if rng.random() < rate * step:
+                    self.request_count += now >= since
                     if not vm.admit(self.team, now):
-                        self.admitted.append(now)
+                        self.admitted_at.append(now)
             now += step
         self.now = now
 
-    def beat(self, index, vm, now):
-        told = vm.measure(now)
-        self.told[index] = told
-        self.beats[index] += 1
-        self.divide(index, vm, told, now)
+    def send_heartbeat(self, index, vm, now):
+        usage = vm.measure(now)
+        self.usages[index] = usage
+        self.heartbeat_counts[index] += 1
+        self.divide(index, vm, usage, now)
 
-    def find_beat(self, now):
+    def get_heartbeat_seconds(self, now):
         if self.started_at is None:
-            return BEAT
+            return HEARTBEAT_SECONDS
         return find_beat_seconds(now - self.started_at)
 
-    def divide(self, index, vm, told, now):
-        zone = index // self.per_zone
-        mates = range(zone * self.per_zone, (zone + 1) * self.per_zone)
-        for other in mates:
-            if other in self.cut or index in self.cut:
+    def divide(self, index, vm, usage, now):
+        zone = index // self.vms_per_zone
+        local_vms = range(
+            zone * self.vms_per_zone, (zone + 1) * self.vms_per_zone
+        )
+        for other in local_vms:
+            if other in self.cut_off or index in self.cut_off:
                 continue
-            self.heard[other][index] = (told, now)
-        own = Told(told, vms=self.weigh(index))
-        near = [
+            self.received[other][index] = (usage, now)
+        own = Told(usage, vms=self.get_weight(index))
+        local = [
             Told(
-                self.heard[index][mate][0],
-                is_late=now - self.heard[index][mate][1] > LATE_SECONDS,
-                vms=self.weigh(mate),
+                self.received[index][other][0],
+                is_late=now - self.received[index][other][1] > LATE_SECONDS,
+                vms=self.get_weight(other),
             )
-            for mate in mates
-            if mate != index
+            for other in local_vms
+            if other != index
+        ]
+        delegates = [other for other in local_vms if other not in self.cut_off][
+            :2
+        ]
+        if index in delegates and self.heartbeat_counts[index] % 2 == 0:
+            self.reports_by_zone[zone] = (sum_told([own, *local]), now)
+        zones = range(len(self.loads) // self.vms_per_zone)
+        remote = [
+            make_unheard(4)
+            for other_zone in zones
+            if other_zone not in self.reports_by_zone
         ]
-        speakers = [mate for mate in mates if mate not in self.cut][:2]
-        if index in speakers and self.beats[index] % 2 == 0:
-            self.reports[zone] = (sum_told([own, *near]), now)
-        zones = range(len(self.loads) // self.per_zone)
-        far = [make_unheard(4) for found in zones if found not in self.reports]
-        far += [
-            told._replace(is_late=told.is_late or now - at > REPORT_LATE)
-            for found, (report, at) in self.reports.items()
-            if found != zone
-            for told in report
+        remote += [
+            report._replace(is_late=report.is_late or now - at > REPORT_LATE)
+            for other_zone, (reports, at) in self.reports_by_zone.items()
+            if other_zone != zone
+            for report in reports
         ]
-        vm.divide([self.team], own, [*near, *far], now)
+        vm.divide([self.team], own, [*local, *remote], now)
 
     def restart(self, now):
         """Restart all VMs."""
         self.now = now
         self.started_at = now
-        self.beats = [0] * len(self.loads)
-        self.reports = {}
-        self.heard = [[({}, now)] * len(self.loads) for _load in self.loads]
+        self.heartbeat_counts = [0] * len(self.loads)
+        self.reports_by_zone = {}
+        self.received = [[({}, now)] * len(self.loads) for _load in self.loads]
         self.vms = [
-            Quotas(bounds=make_bounds(), beat=BEAT, now=now)
+            Quotas(bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=now)
             for _load in self.loads
         ]
 
-    def weigh(self, index):
-        is_reserve = index % self.per_zone in self.reserve
+    def get_weight(self, index):
+        is_reserve = index % self.vms_per_zone in self.reserve
         return RESERVE_VMS if is_reserve else 1.0
 
     def find_most(self):
         """Return the most admissions in any window."""
-        return find_most(self.admitted)
+        return find_most(self.admitted_at)
 
     def count_admitted(self, since):
-        return sum(at >= since for at in self.admitted)
+        return sum(at >= since for at in self.admitted_at)
 
 
 @pytest.mark.parametrize('seed', range(3))
 @pytest.mark.parametrize('rate', (20.0, 60.0))
-def test_team_within_its_rate_is_not_refused(rate, seed):
+def test_team_within_its_rate_is_seldom_refused(rate, seed):
     team = make_team(rate=rate * 1.6, burst=rate * 1.6)
     loads = [Load(((0, rate / 12),)) for _vm in range(12)]
     fleet = Fleet(loads=loads, team=team)
-    fleet.play(20, seed=seed, since=6)
-    refused = 1 - fleet.count_admitted(6) / fleet.asked
+    fleet.run_until(20, seed=seed, since=6)
+    refused = 1 - fleet.count_admitted(6) / fleet.request_count
     assert refused < 0.01
 
 
 @pytest.mark.parametrize('seed', range(3))
-def test_callers_that_move_to_another_zone_are_not_refused(seed):
+def test_callers_that_move_to_other_vms_are_seldom_refused(seed):
     team = make_team(rate=160.0, burst=160.0)
     loads = [
         *(Load(((0, 10.0), (8, 2.0))) for _vm in range(5)),
         *(Load(((0, 10.0), (8, 18.0))) for _vm in range(5)),
     ]
     fleet = Fleet(loads=loads, team=team)
-    fleet.play(16, seed=seed, since=6)
-    assert 1 - fleet.count_admitted(6) / fleet.asked < 0.01
+    fleet.run_until(16, seed=seed, since=6)
+    assert 1 - fleet.count_admitted(6) / fleet.request_count < 0.01
 
 
 @pytest.mark.parametrize('seed', range(2))
 def test_callers_of_a_small_team_that_move_are_seldom_refused(seed):
     team = make_team(rate=32.0, burst=32.0)
-    left, found = (Load(((0, first), (8, then)))
+    before, after = (Load(((0, first), (8, then)))
                      for first, then in ((1.8, 0.2), (0.2, 1.8)))  # fmt: skip
-    fleet = Fleet(loads=[left] * 10 + [found] * 10, team=team, per_zone=4)
-    fleet.play(12, seed=seed, since=8)
-    assert 1 - fleet.count_admitted(8) / fleet.asked < 0.1
+    fleet = Fleet(loads=[before] * 10 + [after] * 10, team=team, vms_per_zone=4)
+    fleet.run_until(12, seed=seed, since=8)
+    assert 1 - fleet.count_admitted(8) / fleet.request_count < 0.1
 
 
 @pytest.mark.parametrize('seed', range(3))
-def test_idle_team_that_turns_hot_stays_within_its_limit(seed):
+def test_idle_team_that_turns_hot_keeps_to_its_limit(seed):
     team = make_team(rate=64.0, burst=64.0)
     fleet = Fleet(loads=make_large(0.2, 320.0), team=team, **LARGE)
-    fleet.play(16, seed=seed)
+    fleet.run_until(16, seed=seed)
     assert fleet.find_most() <= find_bound(team)
 
 
 @pytest.mark.parametrize('seed', range(3))
-def test_team_of_eight_times_its_rate_stays_within_its_limit(seed):
+def test_team_that_sends_eight_times_as_much_keeps_to_its_limit(seed):
     team = make_team(rate=100.0, burst=100.0)
     loads = [Load(((0, 6.0), (8, 48.0))) for _vm in range(10)]
     fleet = Fleet(loads=loads, team=team)
-    fleet.play(20, seed=seed)
+    fleet.run_until(20, seed=seed)
     assert fleet.find_most() <= find_bound(team)
     assert fleet.count_admitted(13) > 0.75 * team.rate * 7
 
 
 @pytest.mark.parametrize('seed', range(3))
-def test_vms_that_were_cut_off_keep_to_the_limit(seed):
+def test_fleet_with_vms_cut_off_keeps_to_the_limit(seed):
     team = make_team(rate=100.0, burst=100.0)
     loads = [Load(((0, 6.0), (8, 30.0))) for _vm in range(10)]
     fleet = Fleet(loads=loads, team=team)
-    fleet.play(8, seed=seed)
-    fleet.cut = (0, 1, 2)
+    fleet.run_until(8, seed=seed)
+    fleet.cut_off = (0, 1, 2)
     fleet.loads = [Load(((0, 30.0),))] * 10
-    fleet.play(20, seed=seed)
+    fleet.run_until(20, seed=seed)
     assert fleet.find_most() <= find_bound(team)
 
 
-def test_fleet_that_starts_again_does_not_spend_a_window_twice():
+def test_started_vm_spends_a_fifth_of_the_limit_at_most():
     # The rest may have been spent in the same window before the start.
     team = make_team(rate=100.0, burst=100.0)
-    quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=0.0)
+    quotas = Quotas(bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=0.0)
     quotas.divide([team], Told({}), [], 0.1)
     admitted = sum(not quotas.admit(team, 0.2) for _try in range(500))
     assert admitted <= (1 - 0.8) * 600
 
 
 # Six zones of sixteen VMs, of which four take requests.
-LARGE = {'per_zone': 16, 'reserve': range(4, 16)}
+LARGE = {'vms_per_zone': 16, 'reserve': range(4, 16)}
 
 
 def make_large(rate, later=None):
@@ -246,52 +256,52 @@
 
 @pytest.mark.parametrize('seed', range(3))
 def test_teams_of_a_large_fleet_are_seldom_refused(seed):
-    asked = refused = 0
+    requests = refused = 0
     for rate in (8.0, 40.0, 40.0, 40.0):
         team = make_team(rate=rate * 1.6, burst=rate * 1.6)
         fleet = Fleet(loads=make_large(rate), team=team, **LARGE)
-        fleet.play(20, seed=seed, since=6)
-        asked += fleet.asked
-        refused += fleet.asked - fleet.count_admitted(6)
-    assert refused < 0.01 * asked
+        fleet.run_until(20, seed=seed, since=6)
+        requests += fleet.request_count
+        refused += fleet.request_count - fleet.count_admitted(6)
+    assert refused < 0.01 * requests
 
 
 @pytest.mark.parametrize('seed', range(3))
 @pytest.mark.parametrize(
-    ('rate', 'burst', 'hot'),
+    ('rate', 'burst', 'hot_rate'),
     ((64.0, 64.0, 320.0), (160.0, 16.0, 600.0)),
 )
 def test_large_fleet_keeps_to_the_limit_of_a_hot_team(
     rate,
     burst,
-    hot,
+    hot_rate,
     seed,
 ):
     team = make_team(rate=rate, burst=burst)
-    fleet = Fleet(loads=make_large(40.0, hot), team=team, **LARGE)
-    fleet.play(20, seed=seed)
+    fleet = Fleet(loads=make_large(40.0, hot_rate), team=team, **LARGE)
+    fleet.run_until(20, seed=seed)
     assert fleet.find_most() <= find_bound(team)
     assert fleet.count_admitted(13) > 0.75 * team.rate * 7
 
 
 @pytest.mark.parametrize('seed', range(3))
-@pytest.mark.parametrize('down', (0.2, 1.0, 2.5))
-def test_large_fleet_that_starts_again_keeps_to_the_limit(down, seed):
+@pytest.mark.parametrize('down_seconds', (0.2, 1.0, 2.5))
+def test_restarted_large_fleet_keeps_to_the_limit(down_seconds, seed):
     team = make_team(rate=230.0, burst=230.0)
     fleet = Fleet(loads=make_large(144.0, 620.0), team=team, **LARGE)
-    fleet.play(13, seed=seed)
-    fleet.restart(13 + down)
-    fleet.play(13 + down + 2 * WINDOW, seed=seed)
+    fleet.run_until(13, seed=seed)
+    fleet.restart(13 + down_seconds)
+    fleet.run_until(13 + down_seconds + 2 * WINDOW_SECONDS, seed=seed)
     assert fleet.find_most() <= find_bound(team)
-    again = fleet.count_admitted(13 + down + WINDOW)
-    assert again > 0.75 * team.rate * WINDOW
+    admitted_later = fleet.count_admitted(13 + down_seconds + WINDOW_SECONDS)
+    assert admitted_later > 0.75 * team.rate * WINDOW_SECONDS
 
 
 @pytest.mark.parametrize('seed', range(2))
 @pytest.mark.parametrize(
     ('rate', 'zones'), ((400.0, 6), (100.0, 6), (100.0, 9))
 )
-def test_team_within_its_rate_is_seldom_refused_after_a_start(
+def test_team_within_its_rate_is_seldom_refused_after_a_restart(
     rate,
     zones,
     seed,
@@ -299,126 +309,126 @@
     team = make_team(rate=rate, burst=rate)
     vms = zones * 4
     loads = [Load(((0, rate / 1.6 / vms),)) for _vm in range(vms)]
-    fleet = Fleet(loads=loads, team=team, per_zone=4)
-    fleet.play(8, seed=seed)
+    fleet = Fleet(loads=loads, team=team, vms_per_zone=4)
+    fleet.run_until(8, seed=seed)
     fleet.restart(8.9)
-    fleet.asked = 0
-    fleet.play(10.9, seed=seed)
-    assert 1 - fleet.count_admitted(8.9) / fleet.asked < 0.1
+    fleet.request_count = 0
+    fleet.run_until(10.9, seed=seed)
+    assert 1 - fleet.count_admitted(8.9) / fleet.request_count < 0.1
 
 
 @pytest.mark.parametrize('seed', range(2))
 @pytest.mark.parametrize('rate', (10.0, 30.0, 100.0, 400.0))
-def test_hot_team_keeps_to_its_limit_over_a_start(rate, seed):
+def test_hot_team_keeps_to_its_limit_over_a_restart(rate, seed):
     team = make_team(rate=rate, burst=rate)
     loads = [Load(((0, rate * 3 / 24),)) for _vm in range(24)]
-    fleet = Fleet(loads=loads, team=team, per_zone=4)
-    fleet.play(8, seed=seed)
+    fleet = Fleet(loads=loads, team=team, vms_per_zone=4)
+    fleet.run_until(8, seed=seed)
     fleet.restart(8.9)
-    fleet.play(14, seed=seed)
+    fleet.run_until(14, seed=seed)
     assert fleet.find_most() <= find_bound(team)
 
 
 @pytest.mark.parametrize('seed', range(3))
-def test_cut_third_of_a_large_fleet_keep_to_the_limit(seed):
+def test_large_fleet_with_a_third_cut_off_keeps_to_the_limit(seed):
     team = make_team(rate=64.0, burst=64.0)
     fleet = Fleet(loads=make_large(40.0), team=team, **LARGE)
-    fleet.play(8, seed=seed)
+    fleet.run_until(8, seed=seed)
     # The first delegate of each zone and the second ones of two zones.
-    fleet.cut = (*range(0, 96, 16), 1, 17)
+    fleet.cut_off = (*range(0, 96, 16), 1, 17)
     fleet.loads = make_large(320.0)
-    fleet.play(20, seed=seed)
+    fleet.run_until(20, seed=seed)
     assert fleet.find_most() <= find_bound(team)
 
 
 def test_team_without_a_rate_has_no_limit():
-    quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=0.0)
+    quotas = Quotas(bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=0.0)
     team = make_team(rate=None)
     assert not any(quotas.admit(team, 0.0) for _try in range(1000))
 
 
-def test_refusal_says_when_to_come_back():
-    quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=-10.0)
+def test_refusal_has_a_retry_after_time():
+    quotas = Quotas(bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=-10.0)
     team = make_team(rate=1.0, burst=0.0)
     quotas.divide([team], Told({}), [Told({'guides': Usage(5, 9.0)})], 0.0)
-    waits = [quotas.admit(team, 0.1) for _try in range(5)]
-    assert waits[-1] == 1.5
+    retry_after = [quotas.admit(team, 0.1) for _try in range(5)]
+    assert retry_after[-1] == 1.5
 
 
 @pytest.mark.parametrize('vms', (1, 18, 100))
-def test_repeats_of_all_vms_stay_within_the_budget(vms):
+def test_retries_of_all_vms_stay_within_the_budget(vms):
     bounds = make_bounds()
-    fleet = [Retries(bounds=bounds, vms=vms, now=0.0) for _vm in range(vms)]
-    repeats = requests = 0
+    budgets = [Retries(bounds=bounds, vms=vms, now=0.0) for _vm in range(vms)]
+    retries = requests = 0
     for step in range(1000):
         now = step / 100
-        retries = fleet[step % vms]
+        budget = budgets[step % vms]
         requests += 1
-        retries.earn()
-        repeats += retries.spend(now)
-        repeats += retries.spend(now)
+        budget.earn()
+        retries += budget.spend(now)
+        retries += budget.spend(now)
     bound = bounds.retry_ratio * requests + bounds.retry_slack
-    assert repeats <= max(bound, vms)
-    assert repeats > 0.5 * min(bound, 2 * requests)
+    assert retries <= max(bound, vms)
+    assert retries > 0.5 * min(bound, 2 * requests)
 
 
-def test_vms_that_are_heard_count_together_and_late_ones_alone():
-    present = [Told({'a': Usage(number, 0.5)}, vms=2.0) for number in range(40)]
+def test_current_reports_are_summed_and_stale_ones_stay_separate():
+    current = [Told({'a': Usage(number, 0.5)}, vms=2.0) for number in range(40)]
     reserve = [Told({}, vms=RESERVE_VMS) for _vm in range(50)]
-    silent = [Told({}, is_late=True, vms=1.0) for _vm in range(3)]
-    late = Told({'a': Usage(7, 1.0)}, is_late=True)
-    unheard = make_unheard(4)
-    found = add_up([*present, *reserve, late, unheard, *silent])
-    assert found[:2] == [late, unheard]
-    together, without = found[2:]
-    assert together.usage == {'a': Usage(780, 20.0)}
-    assert together.vms == pytest.approx(81.0)
-    assert without == Told({}, is_late=True, vms=3.0)
+    stale_unused = [Told({}, is_late=True, vms=1.0) for _vm in range(3)]
+    stale = Told({'a': Usage(7, 1.0)}, is_late=True)
+    missing = make_unheard(4)
+    found = add_up([*current, *reserve, stale, missing, *stale_unused])
+    assert found[:2] == [stale, missing]
+    current_sum, stale_unused_sum = found[2:]
+    assert current_sum.usage == {'a': Usage(780, 20.0)}
+    assert current_sum.vms == pytest.approx(81.0)
+    assert stale_unused_sum == Told({}, is_late=True, vms=3.0)
 
 
 @pytest.mark.parametrize('seed', range(5))
-def test_parts_of_vms_added_up_are_those_of_each(seed):
-    chance = random.Random(seed)
+def test_summed_reports_get_the_shares_of_their_vms(seed):
+    rng = random.Random(seed)
     own = Told({'team': Usage(3, 1.5)})
     others = [
         Told(
-            {'team': Usage(chance.randrange(9), chance.random())}
-            if chance.random() < 0.6
+            {'team': Usage(rng.randrange(9), rng.random())}
+            if rng.random() < 0.6
             else {},
-            is_late=chance.random() < 0.3,
-            vms=chance.choice((RESERVE_VMS, 1.0, 4.0)),
+            is_late=rng.random() < 0.3,
+            vms=rng.choice((RESERVE_VMS, 1.0, 4.0)),
         )
         for _vm in range(40)
     ]
-    each = list_reports([own, *others])
-    together = list_reports([own, *add_up(others)])
-    parts, added = (
-        divide_limit(1.5, each),
-        divide_limit(1.5, together),
+    each = list_team_reports([own, *others])
+    summed = list_team_reports([own, *add_up(others)])
+    fractions, summed_fractions = (
+        compute_fractions(1.5, each),
+        compute_fractions(1.5, summed),
     )
-    assert added[0] == pytest.approx(parts[0])
-    assert sum(added) == pytest.approx(1.0)
-    assert find_late_spent(together, added) == pytest.approx(
-        find_late_spent(each, parts),
+    assert summed_fractions[0] == pytest.approx(fractions[0])
+    assert sum(summed_fractions) == pytest.approx(1.0)
+    assert compute_stale_spent(summed, summed_fractions) == pytest.approx(
+        compute_stale_spent(each, fractions),
     )
 
 
-def list_reports(told):
+def list_team_reports(reports):
     """Return what VMs reported of one team."""
     return [
-        Report(
-            found.usage.get('team', Usage()),
-            found.is_late,
-            found.vms,
+        TeamReport(
+            report.usage.get('team', Usage()),
+            report.is_late,
+            report.vms,
         )
-        for found in told
+        for report in reports
     ]
 
 
-def find_late_spent(reports, parts, limit=100.0):
+def compute_stale_spent(reports, fractions, limit=100.0):
     """Return the requests that count as spent by VMs with stale reports."""
     return sum(
-        max(report.usage.admitted, part * limit)
-        for report, part in zip(reports, parts, strict=True)
+        max(report.usage.admitted, fraction * limit)
+        for report, fraction in zip(reports, fractions, strict=True)
         if report.is_late
     )
--- a/tests/unit/test_quota_starts.py
+++ b/tests/unit/test_quota_starts.py
@@ -13,54 +13,54 @@
 TEAM = make_team(rate=690.0, burst=690.0)
 
 
-def play_starts(
-    killed: int,
-    down: float,
+def run_restart(
+    killed_count: int,
+    down_seconds: float,
     seed: int,
-    hot: float,
+    hot_factor: float,
 ) -> Exchange:
     """Kill VMs of five zones, restart them and run for four more seconds.
 
     From `HOT_AT` on, callers of the team send `hot_factor` times as much.
     """
 
-    def find_rate(now: float) -> float:
-        factor = hot if now >= HOT_AT else 1.0
+    def get_rate(now: float) -> float:
+        factor = hot_factor if now >= HOT_AT else 1.0
         return factor * TEAM.rate / 1.6
 
-    exchange = Exchange(
+    fleet = Exchange(
         zones=5,
         vms=5,
         team=TEAM,
-        find_rate=find_rate,
+        get_rate=get_rate,
         seed=seed,
     )
-    exchange.play(KILLED_AT)
-    chosen = exchange.choose(killed)
-    exchange.kill(chosen)
-    exchange.play(KILLED_AT + down)
-    exchange.restart(chosen)
-    exchange.play(KILLED_AT + down + 4.0)
-    return exchange
+    fleet.run_until(KILLED_AT)
+    killed = fleet.pick_ips(killed_count)
+    fleet.kill(killed)
+    fleet.run_until(KILLED_AT + down_seconds)
+    fleet.restart(killed)
+    fleet.run_until(KILLED_AT + down_seconds + 4.0)
+    return fleet
 
 
 @pytest.mark.parametrize('seed', range(3))
-@pytest.mark.parametrize('down', (0.4, 1.0))
-@pytest.mark.parametrize('killed', (12, 15, 20, 23))
-def test_hot_team_keeps_to_its_limit_while_vms_start(
-    killed,
-    down,
+@pytest.mark.parametrize('down_seconds', (0.4, 1.0))
+@pytest.mark.parametrize('killed_count', (12, 15, 20, 23))
+def test_hot_team_keeps_to_its_limit_while_vms_restart(
+    killed_count,
+    down_seconds,
     seed,
 ):
-    exchange = play_starts(killed, down, seed, hot=8.0)
-    assert exchange.find_most() <= find_bound(TEAM)
+    fleet = run_restart(killed_count, down_seconds, seed, hot_factor=8.0)
+    assert fleet.find_most() <= find_bound(TEAM)
 
 
 @pytest.mark.parametrize('seed', range(2))
-@pytest.mark.parametrize('killed', (8, 15))
-def test_team_within_its_rate_is_seldom_refused_while_vms_start(
-    killed,
+@pytest.mark.parametrize('killed_count', (8, 15))
+def test_team_within_its_rate_is_seldom_refused_while_vms_restart(
+    killed_count,
     seed,
 ):
-    exchange = play_starts(killed, 1.0, seed, hot=1.0)
-    assert exchange.find_refused(since=KILLED_AT + 1.0) < 0.05
+    fleet = run_restart(killed_count, 1.0, seed, hot_factor=1.0)
+    assert fleet.find_refused(since=KILLED_AT + 1.0) < 0.05
--- a/tests/unit/test_quota_storms.py
+++ b/tests/unit/test_quota_storms.py
@@ -15,107 +15,107 @@
 LAST_AT = 20.0
 
 
-class Trouble(NamedTuple):
+class Fault(NamedTuple):
     """A fault of some VMs or zones from a time on, for some seconds."""
 
-    at: float
+    starts_at: float
     kind: str
-    struck: frozenset[str]
+    affected: frozenset[str]
     seconds: float
 
 
-class Storm:
+class FaultInjector:
     """Injects faults into a fleet while a team sends more than its limit."""
 
-    def __init__(self, *, exchange):
-        self.exchange = exchange
-        self.down = set()
+    def __init__(self, *, fleet):
+        self.fleet = fleet
+        self.down_ips = set()
         self.starts = {'kill': self.kill, 'cut': self.cut, 'pause': self.pause}
         self.ends = {
-            'kill': self.start,
-            'cut': self.heal,
+            'kill': self.restart,
+            'cut': self.reconnect,
             'pause': self.resume,
         }
 
-    def play(self, troubles):
-        steps = [(found.at, self.starts[found.kind], found.struck)
-                 for found in troubles]  # fmt: skip
+    def run(self, faults):
+        steps = [(fault.starts_at, self.starts[fault.kind], fault.affected)
+                 for fault in faults]  # fmt: skip
         steps += [
             (
-                found.at + found.seconds,
-                self.ends[found.kind],
-                found.struck,
+                fault.starts_at + fault.seconds,
+                self.ends[fault.kind],
+                fault.affected,
             )
-            for found in troubles
+            for fault in faults
         ]
-        for at, act, struck in sorted(steps, key=lambda step: step[0]):
-            self.exchange.play(at)
-            act(struck)
-        self.exchange.play(self.exchange.now + 3.0)
+        for at, act, affected in sorted(steps, key=lambda step: step[0]):
+            self.fleet.run_until(at)
+            act(affected)
+        self.fleet.run_until(self.fleet.now + 3.0)
 
     def kill(self, ips):
         """Kill VMs; all restart 0.5 s later if no VM is left."""
-        self.down |= ips
-        self.exchange.kill(ips)
-        if not self.exchange.vms:
-            self.exchange.now += 0.5
-            self.start(self.down)
+        self.down_ips |= ips
+        self.fleet.kill(ips)
+        if not self.fleet.vms:
+            self.fleet.now += 0.5
+            self.restart(self.down_ips)
 
-    def start(self, ips):
-        started = ips & self.down
-        self.down -= started
-        self.exchange.restart(started)
+    def restart(self, ips):
+        restarted = ips & self.down_ips
+        self.down_ips -= restarted
+        self.fleet.restart(restarted)
 
     def cut(self, zones):
-        self.exchange.cut |= zones
+        self.fleet.isolated_zones |= zones
 
-    def heal(self, zones):
-        self.exchange.cut -= zones
+    def reconnect(self, zones):
+        self.fleet.isolated_zones -= zones
 
     def pause(self, ips):
-        self.exchange.paused |= ips
+        self.fleet.paused_ips |= ips
 
     def resume(self, ips):
-        self.exchange.paused -= ips
+        self.fleet.paused_ips -= ips
 
 
-def draw_troubles(draw, exchange):
+def draw_faults(rng, fleet):
     """Yield faults of random kinds at random times."""
-    ips = [found.ip for found in exchange.entries]
-    most = {'kill': len(ips) * 3 // 5, 'pause': len(ips) // 3}
+    ips = [found.ip for found in fleet.entries]
+    max_counts = {'kill': len(ips) * 3 // 5, 'pause': len(ips) // 3}
     at = FIRST_AT
     while at < LAST_AT:
-        at += draw.uniform(0.3, 2.5)
-        kind = draw.choice(('kill', 'kill all', 'cut', 'pause'))
-        seconds = draw.uniform(0.5, 4.0)
+        at += rng.uniform(0.3, 2.5)
+        kind = rng.choice(('kill', 'kill all', 'cut', 'pause'))
+        seconds = rng.uniform(0.5, 4.0)
         if kind == 'kill all':
-            yield Trouble(at, 'kill', frozenset(ips), 1.0)
+            yield Fault(at, 'kill', frozenset(ips), 1.0)
         elif kind == 'cut':
-            zones = draw.sample(exchange.zones, 1)
-            yield Trouble(at, kind, frozenset(zones), seconds)
+            zones = rng.sample(fleet.zones, 1)
+            yield Fault(at, kind, frozenset(zones), seconds)
         else:
-            struck = draw.sample(ips, draw.randint(1, most[kind]))
-            yield Trouble(at, kind, frozenset(struck), seconds)
+            affected = rng.sample(ips, rng.randint(1, max_counts[kind]))
+            yield Fault(at, kind, frozenset(affected), seconds)
 
 
-def play_storm(seed):
+def run_faults(seed):
     """Return the most admissions in a window over what is allowed."""
-    draw = random.Random(seed)
-    rate = draw.choice((40.0, 160.0, 690.0))
+    rng = random.Random(seed)
+    rate = rng.choice((40.0, 160.0, 690.0))
     team = make_team(rate=rate, burst=rate)
-    hot = draw.choice((3, 8))
-    exchange = Exchange(
-        zones=draw.choice((2, 3, 5)),
-        vms=draw.choice((3, 5)),
+    hot_factor = rng.choice((3, 8))
+    fleet = Exchange(
+        zones=rng.choice((2, 3, 5)),
+        vms=rng.choice((3, 5)),
         team=team,
-        find_rate=lambda now: rate / 1.6 * (1, hot)[now >= FIRST_AT],
+        get_rate=lambda now: rate / 1.6 * (1, hot_factor)[now >= FIRST_AT],
         seed=seed,
     )
-    Storm(exchange=exchange).play(list(draw_troubles(draw, exchange)))
-    return exchange.find_most() / find_bound(team)
+    FaultInjector(fleet=fleet).run(list(draw_faults(rng, fleet)))
+    return fleet.find_most() / find_bound(team)
 
 
 def test_hot_team_keeps_to_its_limit_over_kills_cuts_and_pauses():
-    found = {seed: round(play_storm(seed), 2) for seed in SEEDS}
-    over = {seed: most for seed, most in found.items() if most > 1}
-    assert not over
+    ratios = {seed: round(run_faults(seed), 2) for seed in SEEDS}
+    exceeded = {seed: ratio for seed, ratio in ratios.items() if ratio > 1}
+    assert not exceeded
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -26,45 +26,45 @@
 )
 
 # Weight of the last heartbeat interval in the smoothed demand.
-_DEMAND_WEIGHT: Final = 0.25
+_DEMAND_SMOOTHING_FACTOR: Final = 0.25
 # A VM without demand counts as having this fraction of the average demand, so
 # that it can admit the first requests.
-_IDLE_SHARE: Final = 0.8
+_IDLE_DEMAND_FRACTION: Final = 0.8
 # Weight of a VM that the directory does not name: some clients use an outdated
 # answer of the directory.
 RESERVE_VMS: Final = 0.02
 # Least that is added to the demand of each VM: the limit of a team with a few
 # requests per second is divided evenly, since what each VM saw is chance.
-_LEAST_DEMAND: Final = 0.4
+_MIN_DEMAND_PER_SECOND: Final = 0.4
 # Tokens that a VM may hold at most while its share of what remains is smaller.
-_MOST_KEPT: Final = 3.0
+_MAX_HELD_TOKENS: Final = 3.0
 # Fraction of what the fleet may still admit, including the slack beyond the
 # limit, that all VMs together may hold as tokens.
-_KEPT_SHARE: Final = 0.8
+_HELD_TOKENS_FRACTION: Final = 0.8
 # Fraction of a VM's share of what remains that a heartbeat adds as tokens.
-_SPEND_SHARE: Final = 0.5
+_REFILL_FRACTION: Final = 0.5
 # Fraction of the limit that counts as spent before a VM that has just started.
-_START_SHARE: Final = 0.8
-_FIRST_TOKENS: Final = 1.0
+_ASSUMED_SPENT_FRACTION: Final = 0.8
+_INITIAL_TOKENS: Final = 1.0
 # Fraction of the tokens a VM may hold that its start adds: the process before
 # it may have spent its own just now.
-_FIRST_KEPT_SHARE: Final = 0.5
+_INITIAL_HELD_FRACTION: Final = 0.5
 # A VM whose demand jumps spends up to this many times its share of the limit
 # until the others receive its report. If they never do, the excess stays within
 # the overage that the limit allows.
-_MOST_PART: Final = 1.2
+_MAX_SHARE_RATIO: Final = 1.2
 # While less than this fraction of the limit is spent, a VM may spend at least
 # an even share: callers that moved to it send more before the others know.
-_ROOMY_SHARE: Final = 0.6
+_EVEN_SHARE_SPENT_FRACTION: Final = 0.6
 # The VM's own demand is taken from some heartbeats ago, as old as the demand
 # that others reported: the shares of all VMs would otherwise add up to more
 # than the limit when demand jumps.
-_OWN_BEATS: Final = 3
+_OWN_DEMAND_DELAY_HEARTBEATS: Final = 3
 # Fraction of the burst that is divided; the rest covers VMs that are cut off.
-_BURST_SHARE: Final = 0.5
+_BURST_FRACTION: Final = 0.5
 # What a VM may admit in a window where its share of the limit is smaller.
-_LEAST_WINDOW: Final = 5.0
-_LONGEST_RETRY_SECONDS: Final = 1.5
+_MIN_WINDOW_REQUESTS: Final = 5.0
+_MAX_RETRY_AFTER_SECONDS: Final = 1.5
 
 
 class Usage(NamedTuple):
@@ -92,49 +92,49 @@
     return Told(None, is_late=True, vms=vms)
 
 
-def add_up(told: Iterable[Told]) -> list[Told]:
+def add_up(reports: Iterable[Told]) -> list[Told]:
     """Sum all reports that are not stale into one.
 
     Their shares add up too, so a limit is divided among a few reports instead
     of among all VMs. A stale report counts for at least its own share: it stays
     separate, except that stale reports without any team are summed.
     """
-    alone: list[Told] = []
-    present: list[Told] = []
-    silent: list[Told] = []
-    for one in told:
-        if one.usage is None or (one.is_late and one.usage):
-            alone.append(one)
-        elif one.is_late:
-            silent.append(one)
+    separate: list[Told] = []
+    current: list[Told] = []
+    stale_unused: list[Told] = []
+    for report in reports:
+        if report.usage is None or (report.is_late and report.usage):
+            separate.append(report)
+        elif report.is_late:
+            stale_unused.append(report)
         else:
-            present.append(one)
-    groups = (group for group in (present, silent) if group)
-    return [*alone, *map(add_group, groups)]
+            current.append(report)
+    groups = (group for group in (current, stale_unused) if group)
+    return [*separate, *map(add_group, groups)]
 
 
 def add_group(group: Sequence[Told]) -> Told:
     """Sum some reports, all of which are stale or none."""
     return Told(
-        _sum_usage(found.usage for found in group if found.usage),
+        _sum_usage(report.usage for report in group if report.usage),
         is_late=group[0].is_late,
-        vms=sum(found.vms for found in group),
+        vms=sum(report.vms for report in group),
     )
 
 
 def _sum_usage(usages: Iterable[Mapping[str, Usage]]) -> dict[str, Usage]:
     total: dict[str, Usage] = {}
     for usage in usages:
-        for team, found in usage.items():
-            known = total.get(team, _NOTHING)
+        for team, added in usage.items():
+            known = total.get(team, _NO_USAGE)
             total[team] = Usage(
-                known.admitted + found.admitted,
-                known.demand + found.demand,
+                known.admitted + added.admitted,
+                known.demand + added.demand,
             )
     return total
 
 
-class _Admitted(NamedTuple):
+class _Interval(NamedTuple):
     """Requests admitted between two heartbeats, and when the interval ended."""
 
     ended_at: float
@@ -153,13 +153,13 @@
         'admitted',
         'arrived',
         'demand',
-        'demands',
-        'has_part',
-        'is_divided',
+        'has_share_fraction',
+        'intervals',
+        'is_refilled',
         'limit',
-        'part',
-        'past',
-        'room',
+        'recent_demands',
+        'remaining',
+        'share_fraction',
         'spent',
         'tokens',
     )
@@ -168,14 +168,14 @@
         self.admitted = 0
         self.arrived = 0
         self.demand = 0.0
-        self.demands: list[float] = []
-        self.has_part = False
-        self.is_divided = False
+        self.recent_demands: list[float] = []
+        self.has_share_fraction = False
+        self.is_refilled = False
         self.limit = 0.0
         self.spent = 0.0
-        self.part = 0.0
-        self.past: list[_Admitted] = []
-        self.room = 0.0
+        self.share_fraction = 0.0
+        self.intervals: list[_Interval] = []
+        self.remaining = 0.0
         self.tokens = 0.0
 
 
@@ -185,13 +185,13 @@
     def __init__(self, *, bounds: Bounds, beat: float, now: float) -> None:
         """Start without usage; `beat` is the heartbeat interval in seconds."""
         self._bounds = bounds
-        window = bounds.quota_window
-        self._window = window
-        self._beat = beat
+        window_seconds = bounds.quota_window
+        self._window_seconds = window_seconds
+        self._heartbeat_seconds = beat
         self._started_at = now
-        self._beat_at = now
-        self._divided_at = now
-        self._elapsed = beat
+        self._heartbeat_at = now
+        self._refilled_at = now
+        self._elapsed_seconds = beat
         self._meters: dict[str, _Meter] = {}
 
     def admit(self, team: Team, now: float) -> float:
@@ -201,14 +201,14 @@
         meter = self._meters.get(team.name)
         if meter is None:
             meter = _Meter()
-            meter.tokens = _FIRST_TOKENS
+            meter.tokens = _INITIAL_TOKENS
             self._meters[team.name] = meter
         meter.arrived += 1
         if meter.tokens >= 1:
             meter.tokens -= 1
             meter.admitted += 1
             return 0.0
-        return self._find_wait(meter, now)
+        return self._compute_retry_after(meter, now)
 
     def describe(self, team: str, now: float) -> dict[str, float]:
         """Return the figures by which a request of a team was refused.
@@ -220,37 +220,37 @@
         return {
             'limit': round(meter.limit),
             'spent': round(meter.spent),
-            'part': round(meter.part, 4),
-            'age': round(now - self._beat_at, 3),
+            'part': round(meter.share_fraction, 4),
+            'age': round(now - self._heartbeat_at, 3),
         }
 
     def measure(self, now: float) -> dict[str, Usage]:
         """End a heartbeat interval; return the usage to report to other VMs."""
-        elapsed = max(0.001, now - self._beat_at)
-        self._beat_at = now
-        told = {}
+        elapsed = max(0.001, now - self._heartbeat_at)
+        self._heartbeat_at = now
+        usage_by_team = {}
         for name, meter in self._meters.items():
             rate = meter.arrived / elapsed
-            meter.demand += (rate - meter.demand) * _DEMAND_WEIGHT
-            meter.demands = [
+            meter.demand += (rate - meter.demand) * _DEMAND_SMOOTHING_FACTOR
+            meter.recent_demands = [
                 meter.demand,
-                *meter.demands,
-            ][:_OWN_BEATS]
-            meter.past = [
-                _Admitted(now, meter.admitted),
+                *meter.recent_demands,
+            ][:_OWN_DEMAND_DELAY_HEARTBEATS]
+            meter.intervals = [
+                _Interval(now, meter.admitted),
                 *(
-                    found
-                    for found in meter.past
-                    if now - found.ended_at < self._window - elapsed
+                    interval
+                    for interval in meter.intervals
+                    if now - interval.ended_at < self._window_seconds - elapsed
                 ),
             ]
             meter.arrived = 0
             meter.admitted = 0
-            admitted = sum(found.requests for found in meter.past)
+            admitted = sum(interval.requests for interval in meter.intervals)
             usage = Usage(admitted, round(meter.demand, 2))
             if usage.admitted or usage.demand:
-                told[name] = usage
-        return told
+                usage_by_team[name] = usage
+        return usage_by_team
 
     def divide(
         self,
@@ -264,76 +264,84 @@
         A VM whose report is stale may be cut off and keep admitting requests:
         it counts as if it had spent its whole share of the limit.
         """
-        self._elapsed = now - self._divided_at
-        self._divided_at = now
-        all_vms = (own, *add_up(others))
+        self._elapsed_seconds = now - self._refilled_at
+        self._refilled_at = now
+        reports = (own, *add_up(others))
         for team in teams:
             if team.rate is not None:
-                reports = [
-                    _Report(
-                        _find_usage(told, team.name),
-                        told.is_late,
-                        told.vms,
+                team_reports = [
+                    _TeamReport(
+                        _get_usage(report, team.name),
+                        report.is_late,
+                        report.vms,
                     )
-                    for told in all_vms
+                    for report in reports
                 ]
-                self._fill(team, team.rate, reports, now)
+                self._refill_team(team, team.rate, team_reports, now)
 
-    def _fill(
+    def _refill_team(
         self,
         team: Team,
         rate: float,
-        reports: 'list[_Report]',
+        reports: 'list[_TeamReport]',
         now: float,
     ) -> None:
         meter = self._meters.setdefault(team.name, _Meter())
-        limit = rate * self._window + team.burst * _BURST_SHARE
-        own_demand = meter.demands[-1] if meter.demands else 0.0
-        parts = _divide(own_demand, reports)
-        spent = self._find_spent(reports, parts, limit, now)
+        limit = rate * self._window_seconds + team.burst * _BURST_FRACTION
+        own_demand = meter.recent_demands[-1] if meter.recent_demands else 0.0
+        fractions = _compute_fractions(own_demand, reports)
+        spent = self._compute_spent(reports, fractions, limit, now)
         meter.limit = limit
         meter.spent = spent
-        part = self._find_part(meter, reports, parts)
-        if spent < _ROOMY_SHARE * limit and not self._assume_spent(now):
-            part = max(part, _find_even_part(reports))
-        most = max(
-            _LEAST_WINDOW,
-            _MOST_PART * part * limit,
+        fraction = self._update_fraction(meter, reports, fractions)
+        if (
+            spent < _EVEN_SHARE_SPENT_FRACTION * limit
+            and not self._get_assumed_spent_fraction(now)
+        ):
+            fraction = max(fraction, _compute_even_fraction(reports))
+        max_remaining = max(
+            _MIN_WINDOW_REQUESTS,
+            _MAX_SHARE_RATIO * fraction * limit,
         )
-        most -= _get_admitted(reports[0])
-        meter.room = max(
+        max_remaining -= _get_admitted(reports[0])
+        meter.remaining = max(
             0.0,
-            min((limit - spent) * part, most),
+            min((limit - spent) * fraction, max_remaining),
         )
         vms = sum(report.vms for report in reports)
-        kept = self._find_kept(team, limit - spent, vms)
-        if not meter.is_divided:
-            meter.tokens += _FIRST_KEPT_SHARE * (kept - _FIRST_TOKENS)
+        max_held = self._compute_max_held(team, limit - spent, vms)
+        if not meter.is_refilled:
+            meter.tokens += _INITIAL_HELD_FRACTION * (
+                max_held - _INITIAL_TOKENS
+            )
         meter.tokens = min(
-            max(kept, meter.room),
-            meter.tokens + self._find_inflow(meter, part * limit),
+            max(max_held, meter.remaining),
+            meter.tokens + self._compute_refill(meter, fraction * limit),
         )
 
-    def _find_inflow(self, meter: _Meter, owned: float) -> float:
+    def _compute_refill(self, meter: _Meter, share: float) -> float:
         """Return the tokens that a heartbeat adds.
 
         `share` is this VM's share of the limit in requests. Short intervals
         bring no newer reports from other zones: their heartbeats add only what
         the limit allows in that time.
         """
-        inflow = meter.room * _SPEND_SHARE
-        if meter.is_divided and self._elapsed < self._beat / 2:
-            inflow = min(
-                inflow,
-                owned * self._elapsed / self._window,
+        refill = meter.remaining * _REFILL_FRACTION
+        if (
+            meter.is_refilled
+            and self._elapsed_seconds < self._heartbeat_seconds / 2
+        ):
+            refill = min(
+                refill,
+                share * self._elapsed_seconds / self._window_seconds,
             )
-        meter.is_divided = True
-        return inflow
+        meter.is_refilled = True
+        return refill
 
-    def _find_kept(
+    def _compute_max_held(
         self,
         team: Team,
-        left: float,
+        remaining: float,
         vms: float,
     ) -> float:
         """Return the tokens that a VM may hold while its share is small.
@@ -341,15 +349,19 @@
         `remaining` is what all VMs may still admit within the limit.
         """
         bounds = self._bounds
-        beyond = bounds.quota_slack + (1 - _BURST_SHARE) * team.burst
-        beyond += bounds.quota_overage * (team.rate or 0) * self._window
-        kept = _KEPT_SHARE * (max(0.0, left) + beyond) / max(1.0, vms)
-        return min(_MOST_KEPT, _FIRST_TOKENS + kept)
+        beyond = bounds.quota_slack + (1 - _BURST_FRACTION) * team.burst
+        beyond += bounds.quota_overage * (team.rate or 0) * self._window_seconds
+        held = (
+            _HELD_TOKENS_FRACTION
+            * (max(0.0, remaining) + beyond)
+            / max(1.0, vms)
+        )
+        return min(_MAX_HELD_TOKENS, _INITIAL_TOKENS + held)
 
-    def _find_spent(
+    def _compute_spent(
         self,
-        reports: 'list[_Report]',
-        parts: list[float],
+        reports: 'list[_TeamReport]',
+        fractions: list[float],
         limit: float,
         now: float,
     ) -> float:
@@ -358,30 +370,30 @@
         A VM whose report is stale counts as if it had spent its share. What was
         spent before this VM started is assumed of the rest of the limit.
         """
-        present = 0.0
-        late = 0.0
-        for report, part in zip(reports, parts, strict=True):
+        current = 0.0
+        stale = 0.0
+        for report, fraction in zip(reports, fractions, strict=True):
             admitted = _get_admitted(report)
             if report.is_late:
-                late += max(admitted, part * limit)
+                stale += max(admitted, fraction * limit)
             else:
-                present += admitted
-        before = self._assume_spent(now) * max(
+                current += admitted
+        assumed = self._get_assumed_spent_fraction(now) * max(
             0.0,
-            limit - late,
+            limit - stale,
         )
-        return late + max(present, before)
+        return stale + max(current, assumed)
 
-    def _assume_spent(self, now: float) -> float:
+    def _get_assumed_spent_fraction(self, now: float) -> float:
         """Return the fraction that counts as spent before this VM started."""
-        elapsed = (now - self._started_at) / self._window
-        return _START_SHARE * max(0.0, 1 - elapsed)
+        elapsed_windows = (now - self._started_at) / self._window_seconds
+        return _ASSUMED_SPENT_FRACTION * max(0.0, 1 - elapsed_windows)
 
-    def _find_part(
+    def _update_fraction(
         self,
         meter: _Meter,
-        reports: 'list[_Report]',
-        parts: list[float],
+        reports: 'list[_TeamReport]',
+        fractions: list[float],
     ) -> float:
         """Return this VM's fraction of what remains.
 
@@ -390,21 +402,23 @@
         has none to keep.
         """
         vms = sum(report.vms for report in reports)
-        late = sum(report.vms for report in reports if report.is_late)
-        hears_most = late * 2 < vms
-        if hears_most or not meter.has_part:
-            meter.part = parts[0] / _sum_present(reports, parts)
-            meter.has_part = hears_most
-        return meter.part
+        stale_vms = sum(report.vms for report in reports if report.is_late)
+        has_most_reports = stale_vms * 2 < vms
+        if has_most_reports or not meter.has_share_fraction:
+            meter.share_fraction = fractions[0] / _sum_current(
+                reports, fractions
+            )
+            meter.has_share_fraction = has_most_reports
+        return meter.share_fraction
 
-    def _find_wait(self, meter: _Meter, now: float) -> float:
-        if meter.room * _SPEND_SHARE >= 1:
-            next_beat = self._beat_at + self._beat
-            return max(0.05, next_beat - now)
-        return _LONGEST_RETRY_SECONDS
+    def _compute_retry_after(self, meter: _Meter, now: float) -> float:
+        if meter.remaining * _REFILL_FRACTION >= 1:
+            next_heartbeat_at = self._heartbeat_at + self._heartbeat_seconds
+            return max(0.05, next_heartbeat_at - now)
+        return _MAX_RETRY_AFTER_SECONDS
 
 
-class _Report(NamedTuple):
+class _TeamReport(NamedTuple):
     """A usage report of which only one team is kept."""
 
     usage: Usage | None
@@ -412,26 +426,26 @@
     vms: float
 
 
-def _find_usage(told: Told, team: str) -> Usage | None:
-    return None if told.usage is None else told.usage.get(team, _NOTHING)
+def _get_usage(report: Told, team: str) -> Usage | None:
+    return None if report.usage is None else report.usage.get(team, _NO_USAGE)
 
 
-def _get_admitted(report: _Report) -> int:
+def _get_admitted(report: _TeamReport) -> int:
     return report.usage.admitted if report.usage else 0
 
 
-def _divide(
+def _compute_fractions(
     own_demand: float,
-    reports: list[_Report],
+    reports: list[_TeamReport],
 ) -> list[float]:
     """Return the fraction of the limit for each report, the own one first.
 
     VMs that have not reported yet count as having the average demand.
     """
-    demands = _list_demands(own_demand, reports)
+    demands = _estimate_demands(own_demand, reports)
     total = sum(demands)
     vms = sum(report.vms for report in reports)
-    floor = max(_LEAST_DEMAND, _IDLE_SHARE * total / vms)
+    floor = max(_MIN_DEMAND_PER_SECOND, _IDLE_DEMAND_FRACTION * total / vms)
     whole = total + floor * vms
     return [
         (demand + floor * report.vms) / whole
@@ -439,37 +453,39 @@
     ]
 
 
-def _list_demands(
+def _estimate_demands(
     own_demand: float,
-    reports: list[_Report],
+    reports: list[_TeamReport],
 ) -> list[float]:
-    others = [report for report in reports[1:] if report.usage]
-    known = own_demand + sum(_get_demand(report) for report in others)
-    heard = reports[0].vms + sum(report.vms for report in others)
-    rest = [
-        _get_demand(report) if report.usage else report.vms * known / heard
+    received = [report for report in reports[1:] if report.usage]
+    known_demand = own_demand + sum(_get_demand(report) for report in received)
+    known_vms = reports[0].vms + sum(report.vms for report in received)
+    others = [
+        _get_demand(report)
+        if report.usage
+        else report.vms * known_demand / known_vms
         for report in reports[1:]
     ]
-    return [own_demand, *rest]
+    return [own_demand, *others]
 
 
-def _find_even_part(reports: list[_Report]) -> float:
+def _compute_even_fraction(reports: list[_TeamReport]) -> float:
     return reports[0].vms / sum(report.vms for report in reports)
 
 
-def _get_demand(report: _Report) -> float:
+def _get_demand(report: _TeamReport) -> float:
     return report.usage.demand if report.usage else 0.0
 
 
-def _sum_present(
-    reports: list[_Report],
-    parts: list[float],
+def _sum_current(
+    reports: list[_TeamReport],
+    fractions: list[float],
 ) -> float:
     return sum(
-        part
-        for report, part in zip(reports, parts, strict=True)
+        fraction
+        for report, fraction in zip(reports, fractions, strict=True)
         if not report.is_late
     )
 
 
-_NOTHING: Final = Usage()
+_NO_USAGE: Final = Usage()
--- a/toucanhall/limits/retries.py
+++ b/toucanhall/limits/retries.py
@@ -14,9 +14,9 @@
 # Fraction of the ratio and of the slack that is used. The rest is held back:
 # the requests of a window are counted when they arrive at this VM, and their
 # retries arrive a little later.
-_SAFE_SHARE: Final = 0.8
+_BUDGET_FRACTION: Final = 0.8
 # Fraction of the slack that may be spent at once.
-_BURST_SHARE: Final = 0.25
+_BURST_FRACTION: Final = 0.25
 
 
 class Retries:
@@ -25,40 +25,40 @@
     def __init__(self, *, bounds: Bounds, vms: float, now: float) -> None:
         """Start with one retry: what was spent before is not known."""
         self._bounds = bounds
-        self._vms = vms
+        self._vm_count = vms
         self._updated_at = now
         self._tokens = 1.0
 
     def resize(self, vms: float) -> None:
         """Set how many VMs share the slack; inf for a VM without a share."""
-        self._vms = max(1.0, vms)
+        self._vm_count = max(1.0, vms)
 
     def earn(self) -> None:
         """Add the retries that a request for the service allows."""
-        self._tokens += self._bounds.retry_ratio * _SAFE_SHARE
+        self._tokens += self._bounds.retry_ratio * _BUDGET_FRACTION
 
     def spend(self, now: float) -> bool:
         """Take one retry; return whether there was one."""
         bounds = self._bounds
         per_second = (
             bounds.retry_slack
-            * (_SAFE_SHARE - _BURST_SHARE)
-            / self._vms
+            * (_BUDGET_FRACTION - _BURST_FRACTION)
+            / self._vm_count
             / bounds.retry_window
         )
         self._tokens += (now - self._updated_at) * per_second
         self._updated_at = now
         # Tokens earned by requests are held for two bursts at most.
-        self._tokens = min(self._tokens, self._find_most() * 2)
+        self._tokens = min(self._tokens, self._compute_max_burst() * 2)
         if self._tokens < 1:
             return False
         self._tokens -= 1
         return True
 
-    def _find_most(self) -> float:
+    def _compute_max_burst(self) -> float:
         return max(
             1.0,
-            self._bounds.retry_slack * _BURST_SHARE / self._vms,
+            self._bounds.retry_slack * _BURST_FRACTION / self._vm_count,
         )
 
 
@@ -68,14 +68,14 @@
     def __init__(self, *, bounds: Bounds) -> None:
         """Start with no service and with this VM alone."""
         self._bounds = bounds
-        self._vms = 1.0
+        self._vm_count = 1.0
         self._services: dict[str, Retries] = {}
 
     def resize(self, vms: float) -> None:
         """Set how many VMs share the slack; inf for a VM without a share."""
-        self._vms = vms
-        for retries in self._services.values():
-            retries.resize(vms)
+        self._vm_count = vms
+        for budget in self._services.values():
+            budget.resize(vms)
 
     def earn(self, service: str, now: float) -> None:
         """Add the retries that a request for a service allows."""
@@ -86,12 +86,12 @@
         return self._get(service, now).spend(now)
 
     def _get(self, service: str, now: float) -> Retries:
-        found = self._services.get(service)
-        if found is None:
-            found = Retries(
+        budget = self._services.get(service)
+        if budget is None:
+            budget = Retries(
                 bounds=self._bounds,
-                vms=self._vms,
+                vms=self._vm_count,
                 now=now,
             )
-            self._services[service] = found
-        return found
+            self._services[service] = budget
+        return budget
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -21,17 +21,17 @@
 # Targets that serve an object while they are available.
 WARM_TARGETS: Final = 2
 # Requests per slot below which a target is chosen without comparing it.
-_ROOMY: Final = 0.85
+_FREE_FILL_RATIO: Final = 0.85
 # Fraction of the time to the objective that may be spent waiting for a slot.
-_WAIT_SHARE: Final = 0.8
+_MAX_WAIT_FRACTION: Final = 0.8
 # Requests of a higher number than this one are less urgent.
 URGENT_PRIORITY: Final = 1
 # Less urgent requests wait in a shorter queue, so that urgent ones find space.
-_LESS_URGENT_SHARE: Final = 0.5
+_LESS_URGENT_WAIT_FRACTION: Final = 0.5
 # Requests with a long objective wait behind at most this many requests per
 # slot, since those in front may be cold.
-_MOST_WAITING: Final = 1.5
-_FULL: Final = float('inf')
+_MAX_QUEUE_RATIO: Final = 1.5
+_NO_TARGET_FILL_RATIO: Final = float('inf')
 
 
 class Ask(NamedTuple):
@@ -51,28 +51,32 @@
 
 def choose(
     candidates: Sequence[Candidate],
-    ask: Ask,
+    urgency: Ask,
     now: float,
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
-    near = candidates[:WARM_TARGETS]
-    fills = [_fill(candidate.load, now) for candidate in near]
-    for candidate, fill in zip(near, fills, strict=True):
-        if fill < _ROOMY:
+    preferred = candidates[:WARM_TARGETS]
+    fill_ratios = [
+        _compute_fill_ratio(candidate.load, now) for candidate in preferred
+    ]
+    for candidate, fill_ratio in zip(preferred, fill_ratios, strict=True):
+        if fill_ratio < _FREE_FILL_RATIO:
             return candidate
-    least = min(fills, default=_FULL)
-    if least >= _limit_fill(ask):
+    least = min(fill_ratios, default=_NO_TARGET_FILL_RATIO)
+    if least >= _compute_max_fill_ratio(urgency):
         return None
-    return near[fills.index(least)]
+    return preferred[fill_ratios.index(least)]
 
 
-def _fill(load: TargetLoad, now: float) -> float:
+def _compute_fill_ratio(load: TargetLoad, now: float) -> float:
     return (load.estimate(now) + 1) * max(1.0, load.slowness) / load.slots
 
 
-def _limit_fill(ask: Ask) -> float:
-    spare = ask.seconds_to_objective - ask.usual_seconds
-    waiting = _WAIT_SHARE * spare / max(ask.usual_seconds, 0.001)
-    if ask.priority > URGENT_PRIORITY:
-        waiting *= _LESS_URGENT_SHARE
-    return 1 + max(0.0, min(_MOST_WAITING, waiting))
+def _compute_max_fill_ratio(urgency: Ask) -> float:
+    spare_seconds = urgency.seconds_to_objective - urgency.usual_seconds
+    queue_ratio = (
+        _MAX_WAIT_FRACTION * spare_seconds / max(urgency.usual_seconds, 0.001)
+    )
+    if urgency.priority > URGENT_PRIORITY:
+        queue_ratio *= _LESS_URGENT_WAIT_FRACTION
+    return 1 + max(0.0, min(_MAX_QUEUE_RATIO, queue_ratio))
--- a/toucanhall/placement/cold.py
+++ b/toucanhall/placement/cold.py
@@ -24,8 +24,8 @@
 COLD_OWNERS: Final = 2
 # Four owners and their bursts stay below 1.5 times what the target bears and a
 # slack of five requests, the least that deployments allow.
-_SAFE_SHARE: Final = 0.7
-_BURST: Final = 1.0
+_OWNERS_RATE_FRACTION: Final = 0.7
+_MAX_TOKENS: Final = 1.0
 
 
 class Group(NamedTuple):
@@ -46,15 +46,19 @@
     `groups` are those that own the cold targets of the target's zone.
     """
     serving: list[str] = []
-    heard = 0
-    known = 0
+    alive_count = 0
+    registered_count = 0
     for group in groups:
         serving.extend(group.serving)
-        heard += group.heard
-        known += group.known
-    if not known or own not in _pick_owners(target, serving):
+        alive_count += group.heard
+        registered_count += group.known
+    if not registered_count or own not in _pick_owners(target, serving):
         return 0.0
-    return _SAFE_SHARE / COLD_OWNERS * min(1.0, heard / known)
+    return (
+        _OWNERS_RATE_FRACTION
+        / COLD_OWNERS
+        * min(1.0, alive_count / registered_count)
+    )
 
 
 def pick_groups(
@@ -71,12 +75,12 @@
     if own and own.known:
         return (own,)
     region = regions.get(zone)
-    near = [
+    groups_of_region = [
         group
-        for found, group in groups.items()
-        if regions.get(found) == region and group.known
+        for other_zone, group in groups.items()
+        if regions.get(other_zone) == region and group.known
     ]
-    return near or groups.values()
+    return groups_of_region or groups.values()
 
 
 def _pick_owners(target: str, vms: Iterable[str]) -> set[str]:
@@ -101,8 +105,8 @@
 
         `rate` is how many requests per second this VM may send.
         """
-        elapsed = now - self._updated_at
-        self._tokens = min(_BURST, self._tokens + elapsed * rate)
+        elapsed_seconds = now - self._updated_at
+        self._tokens = min(_MAX_TOKENS, self._tokens + elapsed_seconds * rate)
         self._updated_at = now
         if self._tokens < 1:
             return False
--- a/toucanhall/placement/field.py
+++ b/toucanhall/placement/field.py
@@ -14,9 +14,9 @@
 
 # For this time, a target gets no requests after another target answered at its
 # address.
-_GONE_SECONDS: Final = 3.0
+_MISDIRECTED_SECONDS: Final = 3.0
 # Rings that are cached: twenty services with a few sets of home regions each.
-_MOST_RINGS: Final = 100
+_MAX_RINGS_COUNT: Final = 100
 
 
 class Need(NamedTuple):
@@ -37,14 +37,14 @@
 
     def __init__(self, *, place: Place, regions: Mapping[str, str]) -> None:
         """Start without targets; `regions` names the region of each zone."""
-        self._place = place
+        self._location = place
         self._regions = dict(regions)
         self._targets: dict[str, Target] = {}
         self._rings: dict[tuple[str, frozenset[str]], Ring] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._cold_until: dict[str, float] = {}
-        self._cold_parts: dict[str, ColdPart] = {}
-        self._parts: dict[str, float] = {}
+        self._cold_buckets: dict[str, ColdPart] = {}
+        self._rate_fractions: dict[str, float] = {}
         self._vm = ''
         self._groups: Mapping[str, Group] = {}
         self.loads: dict[str, TargetLoad] = {}
@@ -55,7 +55,7 @@
         A target that has restarted begins without load and failures. One with
         a new time for warming up, or new in the list, is cold from now on.
         """
-        gone = self._targets.keys() - targets.keys()
+        removed = self._targets.keys() - targets.keys()
         written = {
             name: target
             for name, target in targets.items()
@@ -66,10 +66,10 @@
             for name, target in written.items()
             if not _is_same(self._targets.get(name), target)
         }
-        for name in gone | started:
-            self._cold_parts.pop(name, None)
-            self._parts.pop(name, None)
-        for name in gone:
+        for name in removed | started:
+            self._cold_buckets.pop(name, None)
+            self._rate_fractions.pop(name, None)
+        for name in removed:
             self.loads.pop(name, None)
             self._cold_until.pop(name, None)
         for name in started:
@@ -80,7 +80,7 @@
                 self._cold_until[name] = now + target.cold_seconds
         self._targets = dict(targets)
         for (service, homes), ring in self._rings.items():
-            self._change_ring(ring, gone | started, started, service, homes)
+            self._update_ring(ring, removed | started, started, service, homes)
 
     def take_evacuations(
         self,
@@ -97,27 +97,27 @@
             )
             if target.zone in returned and service:
                 self._cold_until[name] = now + service.cold_seconds
-                self._cold_parts.pop(name, None)
+                self._cold_buckets.pop(name, None)
 
     def take_vms(self, own: str, groups: Mapping[str, Group]) -> None:
         """Replace the VMs of each zone as this VM, `own`, sees them."""
         if (own, groups) != (self._vm, self._groups):
             self._vm = own
             self._groups = groups
-            self._parts = {}
+            self._rate_fractions = {}
 
     def list_candidates(
         self,
-        need: Need,
+        query: Need,
         now: float,
-        most: int,
+        max_count: int,
     ) -> list[Candidate]:
         """Return the first targets that may serve a request, best first."""
-        return list(islice(self._list_able(need, now), most))
+        return list(islice(self._iterate_candidates(query, now), max_count))
 
     def is_near(self, target: Target) -> bool:
         """Whether a target is in the region of this VM."""
-        return self._regions.get(target.zone) == self._place.region
+        return self._regions.get(target.zone) == self._location.region
 
     def is_cold(self, target: str, now: float) -> bool:
         """Whether a target is still cold and bears only a low rate."""
@@ -130,78 +130,81 @@
         """
         if not per_second or not self.is_cold(target.id, now):
             return True
-        part = self._cold_parts.get(target.id)
-        if part is None:
-            part = ColdPart(now=now)
-            self._cold_parts[target.id] = part
-        return part.spend(per_second * self._find_part(target), now)
+        bucket = self._cold_buckets.get(target.id)
+        if bucket is None:
+            bucket = ColdPart(now=now)
+            self._cold_buckets[target.id] = bucket
+        return bucket.spend(per_second * self._get_rate_fraction(target), now)
 
     def lose(self, target: str, now: float) -> None:
         """Suspend a target since another one answered at its address."""
         load = self.loads.get(target)
         if load is not None:
-            load.suspended_until = now + _GONE_SECONDS
+            load.suspended_until = now + _MISDIRECTED_SECONDS
 
-    def _may_serve(self, target: Target, need: Need, now: float) -> bool:
+    def _may_serve(self, target: Target, query: Need, now: float) -> bool:
         if target.is_draining or target.zone in self._evacuated:
             return False
-        if target.id in need.tried:
+        if target.id in query.tried:
             return False
         load = self.loads[target.id]
         if load.is_suspended(now) or (load.is_on_trial() and load.in_flight):
             return False
-        return not self.is_cold(target.id, now) or self._find_part(target) > 0
+        return (
+            not self.is_cold(target.id, now)
+            or self._get_rate_fraction(target) > 0
+        )
 
-    def _list_able(
+    def _iterate_candidates(
         self,
-        need: Need,
+        query: Need,
         now: float,
     ) -> Iterator[Candidate]:
-        ring = self._find_ring(need.service, need.homes)
-        for name in ring.walk(need.key):
+        ring = self._get_ring(query.service, query.homes)
+        for name in ring.walk(query.key):
             target = self._targets[name]
-            if self._may_serve(target, need, now):
+            if self._may_serve(target, query, now):
                 yield Candidate(target, self.loads[name])
 
-    def _find_part(self, target: Target) -> float:
-        found = self._parts.get(target.id)
-        if found is None:
+    def _get_rate_fraction(self, target: Target) -> float:
+        fraction = self._rate_fractions.get(target.id)
+        if fraction is None:
             groups = pick_groups(target.zone, self._groups, self._regions)
-            found = find_part(self._vm, target.id, groups)
-            self._parts[target.id] = found
-        return found
+            fraction = find_part(self._vm, target.id, groups)
+            self._rate_fractions[target.id] = fraction
+        return fraction
 
-    def _find_ring(self, service: str, homes: frozenset[str]) -> Ring:
+    def _get_ring(self, service: str, homes: frozenset[str]) -> Ring:
         ring = self._rings.get((service, homes))
         if ring is None:
-            if len(self._rings) >= _MOST_RINGS:
+            if len(self._rings) >= _MAX_RINGS_COUNT:
                 self._rings.clear()
             ring = Ring()
-            self._change_ring(ring, set(), self._targets, service, homes)
+            self._update_ring(ring, set(), self._targets, service, homes)
             self._rings[service, homes] = ring
         return ring
 
-    def _change_ring(
+    def _update_ring(
         self,
         ring: Ring,
-        gone: Set[str],
+        removed: Set[str],
         added: Iterable[str],
         service: str,
         homes: frozenset[str],
     ) -> None:
-        found = [self._targets[name] for name in added]
+        targets = [self._targets[name] for name in added]
         points = {
             target.id: count_points(
                 target.zone,
-                self._place,
+                self._location,
                 self._regions,
             )
-            for target in found
+            for target in targets
             if target.service == service
             and (not homes or self._regions.get(target.zone) in homes)
         }
-        if points or not gone.isdisjoint(ring):
-            ring.change(gone, points)
+        if points or not removed.isdisjoint(ring):
+            ring.change(removed, points)
 
 
 def _is_same(known: Target | None, target: Target) -> bool:
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -7,12 +7,12 @@
 
 # Half-life of a target's reported load: what other VMs have sent since is not
 # known, and requests take about a quarter of a second.
-_REPORT_HALF_LIFE: Final = 0.25
+_REPORT_HALF_LIFE_SECONDS: Final = 0.25
 # Consecutive failures after which a target is suspended.
-_MOST_FAILURES: Final = 3
-_FIRST_SUSPENSION_SECONDS: Final = 0.5
-_LONGEST_SUSPENSION_SECONDS: Final = 4.0
-_SLOW_WEIGHT: Final = 0.2
+_MAX_FAILURES_COUNT: Final = 3
+_MIN_SUSPENSION_SECONDS: Final = 0.5
+_MAX_SUSPENSION_SECONDS: Final = 4.0
+_LATENCY_SMOOTHING_FACTOR: Final = 0.2
 # For this time, a target that refused a request as full counts as full.
 _FULL_SECONDS: Final = 0.15
 
@@ -24,24 +24,24 @@
         """Start with an idle, healthy target."""
         self.slots = slots
         self.in_flight = 0
-        self.failures = 0
+        self.consecutive_failures = 0
         self.slowness = 1.0
         self.suspended_until = 0.0
-        self._suspension = _FIRST_SUSPENSION_SECONDS
-        self._others = 0.0
+        self._suspension_seconds = _MIN_SUSPENSION_SECONDS
+        self._requests_of_others = 0.0
         self._reported_at = 0.0
         self._full_until = 0.0
 
     def estimate(self, now: float) -> float:
         """Return how many requests the target runs and holds in its queue."""
-        age = max(0.0, now - self._reported_at)
-        others = self._others * math.exp2(
-            -age / _REPORT_HALF_LIFE,
+        age_seconds = max(0.0, now - self._reported_at)
+        others = self._requests_of_others * math.exp2(
+            -age_seconds / _REPORT_HALF_LIFE_SECONDS,
         )
-        estimate = self.in_flight + others
+        requests = self.in_flight + others
         if now < self._full_until:
-            return max(estimate, float(self.slots * 2))
-        return estimate
+            return max(requests, float(self.slots * 2))
+        return requests
 
     def is_suspended(self, now: float) -> bool:
         """Whether the target gets no requests after failures."""
@@ -49,11 +49,11 @@
 
     def is_on_trial(self) -> bool:
         """Whether the target may get one request at a time after failures."""
-        return self.failures >= _MOST_FAILURES
+        return self.consecutive_failures >= _MAX_FAILURES_COUNT
 
     def report(self, busy: int, now: float) -> None:
         """Record how many requests the target runs and holds, by its answer."""
-        self._others = float(max(0, busy - self.in_flight))
+        self._requests_of_others = float(max(0, busy - self.in_flight))
         self._reported_at = now
 
     def fill(self, now: float) -> None:
@@ -66,11 +66,11 @@
         Returns whether the target had been suspended.
         """
         was_on_trial = self.is_on_trial()
-        self.failures = 0
-        self._suspension = _FIRST_SUSPENSION_SECONDS
+        self.consecutive_failures = 0
+        self._suspension_seconds = _MIN_SUSPENSION_SECONDS
         self.suspended_until = 0.0
         if ratio is not None:
-            self.slowness += (ratio - self.slowness) * _SLOW_WEIGHT
+            self.slowness += (ratio - self.slowness) * _LATENCY_SMOOTHING_FACTOR
         return was_on_trial
 
     def fail(self, now: float, *, is_lost: bool) -> bool:
@@ -78,12 +78,14 @@
 
         Returns whether this failure suspends the target.
         """
-        self.failures += _MOST_FAILURES if is_lost else 1
-        if self.failures < _MOST_FAILURES or self.is_suspended(now):
+        self.consecutive_failures += _MAX_FAILURES_COUNT if is_lost else 1
+        if self.consecutive_failures < _MAX_FAILURES_COUNT or self.is_suspended(
+            now
+        ):
             return False
-        self.suspended_until = now + self._suspension
-        self._suspension = min(
-            _LONGEST_SUSPENSION_SECONDS,
-            self._suspension * 2,
+        self.suspended_until = now + self._suspension_seconds
+        self._suspension_seconds = min(
+            _MAX_SUSPENSION_SECONDS,
+            self._suspension_seconds * 2,
         )
         return True
--- a/toucanhall/placement/order.py
+++ b/toucanhall/placement/order.py
@@ -22,9 +22,9 @@
 # A target of the own region has this many times as many points as one of
 # another region. VMs of all zones of a region agree on the order, so that an
 # object is cached at few targets; docs/STEERING.md has the table.
-_REGION_WEIGHT: Final = 6
+_REGION_POINTS_RATIO: Final = 6
 # The objects per target of the own region differ by a tenth with 96 points.
-_POINTS: Final = 16
+_POINTS_COUNT: Final = 16
 _HASH_BYTES: Final = 8
 # Targets of the order that are examined for a request: more than a zone that
 # has just failed holds, at the sizes of zones of other regions in deployments.
@@ -41,8 +41,8 @@
 def count_points(zone: str, place: Place, regions: Mapping[str, str]) -> int:
     """Return how many points a target of a zone has on the ring."""
     if regions.get(zone) == place.region:
-        return _POINTS * _REGION_WEIGHT
-    return _POINTS
+        return _POINTS_COUNT * _REGION_POINTS_RATIO
+    return _POINTS_COUNT
 
 
 class Ring:
@@ -53,79 +53,79 @@
         self._points = array('Q')
         self._owners = array('I')
         self._names: dict[int, str] = {}
-        self._placed: dict[str, _Placed] = {}
+        self._nodes: dict[str, _Node] = {}
         self._next_number = 0
 
-    def change(self, gone: Iterable[str], added: Mapping[str, int]) -> None:
+    def change(self, removed: Iterable[str], added: Mapping[str, int]) -> None:
         """Remove some targets and add others with their numbers of points."""
-        for name in gone:
-            self._drop(name)
-        is_new = not self._placed
-        for added_name, count in added.items():
-            placed = _Placed(self._next_number, count)
+        for name in removed:
+            self._remove(name)
+        is_empty = not self._nodes
+        for added_name, point_count in added.items():
+            node = _Node(self._next_number, point_count)
             self._next_number += 1
-            self._names[placed.number] = added_name
-            self._placed[added_name] = placed
-            if not is_new:
-                self._insert(added_name, placed)
-        if is_new:
-            self._fill()
+            self._names[node.number] = added_name
+            self._nodes[added_name] = node
+            if not is_empty:
+                self._insert(added_name, node)
+        if is_empty:
+            self._build()
 
     def __iter__(self) -> Iterator[str]:
         """Return the ids of all targets."""
-        return iter(self._placed)
+        return iter(self._nodes)
 
     def walk(self, key: str) -> Iterator[str]:
         """Yield the ids of the first targets of an object, best first."""
         owners = self._owners
         start = bisect_left(self._points, xxhash.xxh64_intdigest(key.encode()))
         seen: set[int] = set()
-        most = min(MOST_EXAMINED, len(self._names))
+        max_count = min(MOST_EXAMINED, len(self._names))
         for index in chain(range(start, len(owners)), range(start)):
-            if len(seen) == most:
+            if len(seen) == max_count:
                 return
             owner = owners[index]
             if owner not in seen:
                 seen.add(owner)
                 yield self._names[owner]
 
-    def _fill(self) -> None:
+    def _build(self) -> None:
         """Build the ring from all targets."""
-        found = sorted(
-            (point, placed.number)
-            for name, placed in self._placed.items()
-            for point in _hash(name, placed.points)
+        numbered_points = sorted(
+            (point, node.number)
+            for name, node in self._nodes.items()
+            for point in _hash(name, node.point_count)
         )
-        self._points = array('Q', (point for point, _number in found))
+        self._points = array('Q', (point for point, _number in numbered_points))
         self._owners = array(
             'I',
-            (number for _point, number in found),
+            (number for _point, number in numbered_points),
         )
 
-    def _insert(self, name: str, placed: '_Placed') -> None:
-        for point in _hash(name, placed.points):
+    def _insert(self, name: str, node: '_Node') -> None:
+        for point in _hash(name, node.point_count):
             index = bisect_left(self._points, point)
             self._points.insert(index, point)
-            self._owners.insert(index, placed.number)
+            self._owners.insert(index, node.number)
 
-    def _drop(self, name: str) -> None:
-        placed = self._placed.pop(name, None)
-        if placed is None:
+    def _remove(self, name: str) -> None:
+        node = self._nodes.pop(name, None)
+        if node is None:
             return
-        self._names.pop(placed.number)
-        for point in _hash(name, placed.points):
+        self._names.pop(node.number)
+        for point in _hash(name, node.point_count):
             index = bisect_left(self._points, point)
-            while self._owners[index] != placed.number:
+            while self._owners[index] != node.number:
                 index += 1
             self._points.pop(index)
             self._owners.pop(index)
 
 
-class _Placed(NamedTuple):
+class _Node(NamedTuple):
     """A target on the ring: its number in `_owners`, and its points."""
 
     number: int
-    points: int
+    point_count: int
 
 
 def _hash(name: str, count: int) -> 'array[int]':
--- a/toucanhall/placement/times.py
+++ b/toucanhall/placement/times.py
@@ -4,9 +4,9 @@
 
 __all__ = ('UsualTimes',)
 
-_WEIGHT: Final = 0.05  # averages over some twenty answers
-_FIRST_SHARE: Final = 0.5
-_MOST_RATIO: Final = 4.0
+_SMOOTHING_FACTOR: Final = 0.05  # averages over some twenty answers
+_INITIAL_OBJECTIVE_FRACTION: Final = 0.5
+_MAX_LATENCY_RATIO: Final = 4.0
 
 
 class UsualTimes:
@@ -14,13 +14,13 @@
 
     def __init__(self) -> None:
         """Start without any answer."""
-        self._times: dict[str, float] = {}
+        self._seconds_by_route: dict[str, float] = {}
 
     def get(self, route: str, objective: float) -> float:
         """Return the expected time; half of the objective before any answer."""
-        return self._times.get(
+        return self._seconds_by_route.get(
             route,
-            objective * _FIRST_SHARE,
+            objective * _INITIAL_OBJECTIVE_FRACTION,
         )
 
     def take(
@@ -37,6 +37,8 @@
         """
         if fill >= 1:
             return None
-        usual = self.get(route, objective)
-        self._times[route] = usual + (seconds - usual) * _WEIGHT
-        return min(_MOST_RATIO, seconds / max(usual, 0.001))
+        expected = self.get(route, objective)
+        self._seconds_by_route[route] = (
+            expected + (seconds - expected) * _SMOOTHING_FACTOR
+        )
+        return min(_MAX_LATENCY_RATIO, seconds / max(expected, 0.001))
