--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -56,10 +56,10 @@
 # While less than this fraction of the limit is spent, a VM may spend at least
 # an even share: callers that moved to it send more before the others know.
 _EVEN_SHARE_SPENT_FRACTION: Final = 0.6
-# The VM's own demand is taken from some heartbeats ago, as old as the demand
-# that others reported: the shares of all VMs would otherwise add up to more
-# than the limit when demand jumps.
-_OWN_DEMAND_DELAY_HEARTBEATS: Final = 3
+# Own demands that are kept, of the last heartbeats. The limit is divided by the
+# oldest one, which is as old as the demand that others reported: the shares of
+# all VMs would otherwise add up to more than the limit when demand jumps.
+_RECENT_DEMANDS_COUNT: Final = 3
 # Fraction of the burst that is divided; the rest covers VMs that are cut off.
 _BURST_FRACTION: Final = 0.5
 # What a VM may admit in a window where its share of the limit is smaller.
@@ -235,7 +235,7 @@
             meter.recent_demands = [
                 meter.demand,
                 *meter.recent_demands,
-            ][:_OWN_DEMAND_DELAY_HEARTBEATS]
+            ][:_RECENT_DEMANDS_COUNT]
             meter.intervals = [
                 _Interval(now, meter.admitted),
                 *(
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -9,7 +9,7 @@
 # known, and requests take about a quarter of a second.
 _REPORT_HALF_LIFE_SECONDS: Final = 0.25
 # Consecutive failures after which a target is suspended.
-_MAX_FAILURES_COUNT: Final = 3
+_SUSPENSION_FAILURES_COUNT: Final = 3
 _MIN_SUSPENSION_SECONDS: Final = 0.5
 _MAX_SUSPENSION_SECONDS: Final = 4.0
 _LATENCY_SMOOTHING_FACTOR: Final = 0.2
@@ -49,7 +49,7 @@
 
     def is_on_trial(self) -> bool:
         """Whether the target may get one request at a time after failures."""
-        return self.consecutive_failures >= _MAX_FAILURES_COUNT
+        return self.consecutive_failures >= _SUSPENSION_FAILURES_COUNT
 
     def report(self, busy: int, now: float) -> None:
         """Record how many requests the target runs and holds, by its answer."""
@@ -78,9 +78,12 @@
 
         Returns whether this failure suspends the target.
         """
-        self.consecutive_failures += _MAX_FAILURES_COUNT if is_lost else 1
-        if self.consecutive_failures < _MAX_FAILURES_COUNT or self.is_suspended(
-            now
+        self.consecutive_failures += (
+            _SUSPENSION_FAILURES_COUNT if is_lost else 1
+        )
+        if (
+            self.consecutive_failures < _SUSPENSION_FAILURES_COUNT
+            or self.is_suspended(now)
         ):
             return False
         self.suspended_until = now + self._suspension_seconds
