--- a/tests/models/test_tables_model.py
+++ b/tests/models/test_tables_model.py
@@ -7,7 +7,7 @@
 since. It stays under way for good, so it can come late, twice, out of order
 and to any VM. A VM may start again and then knows nothing.
 
-The model runs `Knowledge` itself, built anew from each state.
+The model runs `FleetTables` itself, built anew from each state.
 """
 
 from typing import NamedTuple
@@ -22,7 +22,7 @@
     report_model,
     report_variants,
 )
-from toucanhall.fleet.knowledge import Knowledge, Revisions
+from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.model import ClientLimits, Configuration, Snapshot
 
 VMS = 3
@@ -79,16 +79,16 @@
 
 def restore(known, make):
     """Return the knowledge of a VM in a state."""
-    knowledge = make(on_change=lambda _table: None)
+    fleet_tables = make(on_change=lambda _table: None)
     if known.configuration:
-        knowledge.configuration = make_configuration(known.configuration)
+        fleet_tables.configuration = make_configuration(known.configuration)
     if known.target:
-        knowledge.targets = name_target(known.target)
-    knowledge.removals.restart(known.since)
+        fleet_tables.targets = name_target(known.target)
+    fleet_tables.removals.restart(known.since)
     if known.removed:
-        knowledge.removals.note(TARGET, known.removed)
-    knowledge.revisions = Revisions(known.configuration, known.targets, 0)
-    return knowledge
+        fleet_tables.removals.record(TARGET, known.removed)
+    fleet_tables.revisions = Revisions(known.configuration, known.targets, 0)
+    return fleet_tables
 
 
 def name_target(revision):
@@ -98,17 +98,17 @@
     return {TARGET: make_target(TARGET, revision=revision)}
 
 
-def read(knowledge, before):
+def read(fleet_tables, before):
     """Return what a VM knows after a step."""
-    found = knowledge.configuration
+    found = fleet_tables.configuration
     version = found.version if found else 0
-    targets = knowledge.revisions.targets
+    targets = fleet_tables.revisions.targets
     return Known(
         version,
         targets,
-        find_revision(knowledge.targets),
-        find_floor(knowledge.removals),
-        knowledge.removals.list_since(0).get(TARGET, 0),
+        find_revision(fleet_tables.targets),
+        find_floor(fleet_tables.removals),
+        fleet_tables.removals.list_since(0).get(TARGET, 0),
         (max(before.peak[0], version), max(before.peak[1], targets)),
     )
 
@@ -182,34 +182,36 @@
 def watch(state, make):
     """Let the watching VM read whole tables of the store."""
     known = state.vms[WATCHER]
-    knowledge = restore(known, make)
-    knowledge.take_configuration(
+    fleet_tables = restore(known, make)
+    fleet_tables.replace_configuration(
         state.configuration,
         make_configuration(state.configuration),
     )
     changed_at, is_there = state.target
     targets = name_target(changed_at if is_there else 0)
-    knowledge.take_targets(state.revision, targets, 0.0)
-    return put(state, WATCHER, read(knowledge, known))
+    fleet_tables.replace_targets(state.revision, targets, 0.0)
+    return put(state, WATCHER, read(fleet_tables, known))
 
 
 def hear(state, make):
     """Let the watching VM hear of what has changed."""
     known = state.vms[WATCHER]
-    knowledge = restore(known, make)
+    fleet_tables = restore(known, make)
     changed_at, is_there = state.target
     changes = name_target(changed_at) if is_there else {TARGET: changed_at}
     is_new = changed_at > known.targets
-    knowledge.change_targets(state.revision, changes if is_new else {}, 0.0)
-    return put(state, WATCHER, read(knowledge, known))
+    fleet_tables.apply_target_changes(
+        state.revision, changes if is_new else {}, 0.0
+    )
+    return put(state, WATCHER, read(fleet_tables, known))
 
 
 def take(state, index, found, make):
     """Let a VM take a snapshot that another one sent."""
     known = state.vms[index]
-    knowledge = restore(known, make)
+    fleet_tables = restore(known, make)
     configuration = found.configuration
-    knowledge.take_snapshot(
+    fleet_tables.apply_snapshot(
         Snapshot(
             configuration_revision=configuration,
             configuration=make_configuration(configuration)
@@ -219,13 +221,13 @@
             targets_since=found.since,
             targets=name_target(found.target),
             removed={TARGET: found.removed} if found.removed else {},
-            lapsed={},
+            held_targets={},
             evacuations_revision=0,
-            evacuated=frozenset(),
+            evacuated_zones=frozenset(),
         ),
         0.0,
     )
-    return put(state, index, read(knowledge, known))
+    return put(state, index, read(fleet_tables, known))
 
 
 def never_regresses(state):
@@ -270,26 +272,26 @@
     return explore(protocol, max_states=2_000_000)
 
 
-class TakesAnySnapshot(Knowledge):
+class TakesAnySnapshot(FleetTables):
     """A variant in which the snapshot of a peer replaces what is known."""
 
-    def take_snapshot(self, snapshot, now):
+    def apply_snapshot(self, snapshot, now):
         """Forget the revisions that are known, then take the snapshot."""
         self.revisions = Revisions()
         self.configuration = None
-        super().take_snapshot(snapshot, now)
+        super().apply_snapshot(snapshot, now)
 
 
-class TrustsTheChange(Knowledge):
+class TrustsTheChange(FleetTables):
     """A variant that takes the revision of a snapshot without its targets."""
 
-    def take_snapshot(self, snapshot, now):
+    def apply_snapshot(self, snapshot, now):
         """Keep the targets that are known."""
         kept = snapshot._replace(targets=self.targets, removed={})
-        super().take_snapshot(kept, now)
+        super().apply_snapshot(kept, now)
 
 
-class ForgetsRemovals(Knowledge):
+class ForgetsRemovals(FleetTables):
     """A variant that passes changes on without what was removed."""
 
     def make_snapshot(self, known, now):
@@ -297,27 +299,27 @@
         return super().make_snapshot(known, now)._replace(removed={})
 
 
-class TakesAnyChanges(Knowledge):
+class TakesAnyChanges(FleetTables):
     """A variant that takes changes although it lacks earlier ones."""
 
-    def take_snapshot(self, snapshot, now):
+    def apply_snapshot(self, snapshot, now):
         """Pass over what the changes build on."""
         since = min(snapshot.targets_since, self.revisions.targets)
-        super().take_snapshot(snapshot._replace(targets_since=since), now)
+        super().apply_snapshot(snapshot._replace(targets_since=since), now)
 
 
-class KnowsTooMuch(Knowledge):
+class KnowsTooMuch(FleetTables):
     """A variant that takes a whole table for all that went before it."""
 
-    def take_targets(self, revision, targets, now):
+    def replace_targets(self, revision, targets, now):
         """Keep the removals that are known, and how far back."""
         since = self.removals._since or revision
-        super().take_targets(revision, targets, now)
+        super().replace_targets(revision, targets, now)
         self.removals.restart(since)
 
 
 def test_no_table_regresses_and_what_left_does_not_return():
-    checked = check(Knowledge)
+    checked = check(FleetTables)
     report_model('tables', checked)
     assert not list_broken(checked)
 
--- a/tests/replays.py
+++ b/tests/placement_replay.py
@@ -9,9 +9,9 @@
 from tests.fleetdata import make_target
 from toucanhall.fleet.model import Target
 from toucanhall.placement import choice
-from toucanhall.placement.choice import Ask, choose
-from toucanhall.placement.field import Field, Need
-from toucanhall.placement.order import Place
+from toucanhall.placement.choice import RequestUrgency, choose_target
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.hash_ring import Location
 
 __all__ = ('Outcomes', 'Pattern', 'replay')
 
@@ -51,7 +51,7 @@
     by_target: dict[str, int]
 
     @property
-    def share_in_time(self) -> float:
+    def fraction_in_time(self) -> float:
         """Return the fraction of all requests that was answered in time."""
         return self.in_time / max(1, self.in_time + self.late + self.refused)
 
@@ -86,7 +86,7 @@
 class _Request(NamedTuple):
     key: str
     arrived_at: float
-    registry: Field
+    registry: TargetRegistry
 
 
 def replay(pattern: Pattern, *, seed: int, since: float = 0.0) -> Outcomes:
@@ -108,8 +108,10 @@
     registries = []
     for zone in zones:
         for _vm in range(pattern.vms_per_zone):
-            registry = Field(place=Place(zone, REGIONS[zone]), regions=REGIONS)
-            registry.take_targets(targets, -100.0)
+            registry = TargetRegistry(
+                location=Location(zone, REGIONS[zone]), regions=REGIONS
+            )
+            registry.replace_targets(targets, -100.0)
             registries.append(registry)
     events: list[tuple[float, int, _SimulatedTarget, _Request]] = []
     counts = {'in time': 0, 'late': 0, 'refused': 0}
@@ -130,8 +132,10 @@
             start(server, server.queue.popleft(), now)
         load = request.registry.loads[server.target.id]
         load.in_flight -= 1
-        load.report(server.busy, now)
-        load.succeed(min(4.0, (now - request.arrived_at) / expected_seconds[0]))
+        load.record_reported_load(server.busy, now)
+        load.record_success(
+            min(4.0, (now - request.arrived_at) / expected_seconds[0])
+        )
         if request.arrived_at >= since:
             by_target[server.target.id] += 1
             name = (
@@ -146,10 +150,10 @@
             ended_at, _order, server, request = heapq.heappop(events)
             finish(server, request, ended_at)
         registry = rng.choice(registries)
-        query = Need('guide', key, frozenset(), frozenset())
-        chosen = choose(
-            registry.list_candidates(query, now, choice.WARM_TARGETS),
-            Ask(pattern.objective_seconds, expected_seconds[0], 1),
+        query = TargetQuery('guide', key, frozenset(), frozenset())
+        chosen = choose_target(
+            registry.list_candidates(query, now, choice.TARGETS_PER_OBJECT),
+            RequestUrgency(pattern.objective_seconds, expected_seconds[0], 1),
             now,
         )
         server = simulated[chosen.target.id] if chosen else None
--- a/tests/exchange.py
+++ b/tests/simulated_fleet.py
@@ -4,18 +4,18 @@
 from typing import NamedTuple
 
 from tests.fleetdata import make_bounds, make_member
-from toucanhall.edge.fleetmate import (
-    FIRST_BEAT_SECONDS,
-    HEARTBEAT_SECONDS,
-    find_beat_seconds,
+from toucanhall.edge.peer_exchange import (
+    FIRST_HEARTBEAT_DELAY_SECONDS,
+    HEARTBEAT_INTERVAL_SECONDS,
+    get_heartbeat_interval_seconds,
 )
-from toucanhall.edge.speaker import Speaker
-from toucanhall.fleet.knowledge import Revisions
+from toucanhall.edge.zone_reporter import ZoneReporter
+from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.selection import pick_serving
-from toucanhall.limits.quota import RESERVE_VMS, Quotas, Told
+from toucanhall.limits.quota import RESERVE_VM_WEIGHT, Quotas, UsageReport
 
-__all__ = ('Exchange', 'find_bound', 'find_most')
+__all__ = ('SimulatedFleet', 'compute_window_bound', 'compute_max_admitted')
 
 STEP_SECONDS = 0.01
 WINDOW_SECONDS = 5.0
@@ -23,14 +23,14 @@
 SLACK_REQUESTS = 20
 
 
-def find_bound(team):
+def compute_window_bound(team):
     """Return the requests per window that the platform's pages allow."""
     return (team.rate * WINDOW_SECONDS + team.burst) * (
         1 + OVERAGE_FRACTION
     ) + SLACK_REQUESTS
 
 
-def find_most(admitted_at):
+def compute_max_admitted(admitted_at):
     """Return the most admissions in any window, from their times in order."""
     most = start = 0
     for end, at in enumerate(admitted_at):
@@ -40,7 +40,7 @@
     return most
 
 
-class Vm:
+class SimulatedVm:
     """One VM: what it knows of the others, and its share of the limits."""
 
     def __init__(self, *, member, zones, now, send):
@@ -48,14 +48,14 @@
         self.started_at = int(now * 1000)
         self.now = now
         self.began_at = now
-        self.next_heartbeat_at = now + FIRST_BEAT_SECONDS
+        self.next_heartbeat_at = now + FIRST_HEARTBEAT_DELAY_SECONDS
         self.usage = {}
         self.quotas = Quotas(
-            bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=now
+            bounds=make_bounds(), beat=HEARTBEAT_INTERVAL_SECONDS, now=now
         )
-        self.members = Members(own=member.introduction, zones=zones, now=now)
+        self.members = Members(own=member.contact, zones=zones, now=now)
         self.send = send
-        self.speaker = Speaker(
+        self.speaker = ZoneReporter(
             members=self.members, send=send, clock=lambda: self.now
         )
 
@@ -70,35 +70,39 @@
     def list_local_ips(self):
         return [
             found.ip
-            for found in self.members.introduced.values()
+            for found in self.members.known_vms.values()
             if found.zone == self.member.zone and found.vm != self.member.vm
         ]
 
     def beat(self, team, now):
         """Send a heartbeat, and a report if it is due."""
         self.now = now
-        self.next_heartbeat_at = now + find_beat_seconds(now - self.began_at)
-        self.usage = self.quotas.measure(now)
+        self.next_heartbeat_at = now + get_heartbeat_interval_seconds(
+            now - self.began_at
+        )
+        self.usage = self.quotas.collect_usage(now)
         heartbeat = self.make_heartbeat()
         self.send(Message(heartbeat), self.list_local_ips())
         self.speaker.beat(heartbeat)
-        self.divide(team, now)
+        self.refill(team, now)
 
-    def divide(self, team, now):
-        zone = (self.member, *self.members.list_near(now))
+    def refill(self, team, now):
+        zone = (self.member, *self.members.list_local(now))
         serving = {found.vm for found in pick_serving(zone)}
         is_serving = self.member.vm in serving
-        self.quotas.divide(
+        self.quotas.refill(
             [team],
-            Told(self.usage, vms=1.0 if is_serving else RESERVE_VMS),
+            UsageReport(
+                self.usage, vms=1.0 if is_serving else RESERVE_VM_WEIGHT
+            ),
             [
-                *self.members.list_near_told(now, serving),
-                *self.members.list_far_told(now),
+                *self.members.list_local_usage_reports(now, serving),
+                *self.members.list_remote_usage_reports(now),
             ],
             now,
         )
 
-    def hear(self, message, now):
+    def receive(self, message, now):
         """Receive a message."""
         self.now = now
         heartbeat = message.heartbeat
@@ -107,28 +111,28 @@
         report = message.report
         if report is None or report.zone == self.member.zone:
             return
-        if self.members.hear_report(report, now) and not message.is_relayed:
+        if self.members.receive_report(report, now) and not message.is_relayed:
             relayed = Message(report=report, is_relayed=True)
             self.send(relayed, self.list_local_ips())
 
     def receive_heartbeat(self, heartbeat, now):
         if heartbeat.member.zone == self.member.zone:
-            if self.members.hear(heartbeat, now):
+            if self.members.receive(heartbeat, now):
                 self.send(
                     Message(self.make_heartbeat()), (heartbeat.member.ip,)
                 )
-        if heartbeat.is_asking:
-            known = tuple(self.members.introduced.values())
-            answer = self.make_heartbeat()._replace(introduced=known)
+        if heartbeat.is_requesting_vms:
+            known = tuple(self.members.known_vms.values())
+            answer = self.make_heartbeat()._replace(known_vms=known)
             self.send(Message(answer), (heartbeat.member.ip,))
-            self.add_introductions((heartbeat.member.introduction,))
-        self.add_introductions(heartbeat.introduced)
+            self.add_introductions((heartbeat.member.contact,))
+        self.add_introductions(heartbeat.known_vms)
 
     def add_introductions(self, introductions):
         new = [
             found
             for found in introductions
-            if found.vm != self.member.vm and self.members.introduce(found)
+            if found.vm != self.member.vm and self.members.add_known_vm(found)
         ]
         for found in new:
             if found.zone == self.member.zone:
@@ -143,7 +147,7 @@
     is_relayed: bool = False
 
 
-class Exchange:
+class SimulatedFleet:
     """VMs of several zones and the callers of one team.
 
     VMs may be killed, paused or, zone by zone, cut off.
@@ -177,12 +181,14 @@
         for found in self.entries:
             vm = self.start(found, -100.0)
             for other in self.entries:
-                vm.members.introduce(other.introduction)
-            vm.members.introduced.pop(found.vm)
-            vm.next_heartbeat_at = self.rng.uniform(0, HEARTBEAT_SECONDS)
+                vm.members.add_known_vm(other.contact)
+            vm.members.known_vms.pop(found.vm)
+            vm.next_heartbeat_at = self.rng.uniform(
+                0, HEARTBEAT_INTERVAL_SECONDS
+            )
 
     def start(self, member, now):
-        vm = Vm(
+        vm = SimulatedVm(
             member=member,
             zones=self.zones,
             now=now,
@@ -219,16 +225,16 @@
             if member.ip not in ips:
                 continue
             vm = self.start(member, self.now)
-            vm.quotas.divide(
+            vm.quotas.refill(
                 [self.team],
-                Told({}),
+                UsageReport({}),
                 [
-                    *vm.members.list_near_told(self.now, set()),
-                    *vm.members.list_far_told(self.now),
+                    *vm.members.list_local_usage_reports(self.now, set()),
+                    *vm.members.list_remote_usage_reports(self.now),
                 ],
                 self.now,
             )
-            asking = vm.make_heartbeat()._replace(is_asking=True)
+            asking = vm.make_heartbeat()._replace(is_requesting_vms=True)
             self.send(
                 Message(asking), [ip for ip in self.seeds if ip != member.ip]
             )
@@ -251,7 +257,7 @@
         for _at, ip, message in due:
             vm = self.vms.get(ip)
             if vm:
-                vm.hear(message, self.now)
+                vm.receive(message, self.now)
 
     def send_requests(self):
         expected = self.get_rate(self.now) * STEP_SECONDS
@@ -272,11 +278,11 @@
         running = [vm for vm in named if vm.member.ip not in self.paused_ips]
         return running or named
 
-    def find_most(self):
+    def compute_max_admitted(self):
         """Return the most admissions in any window."""
-        return find_most(self.admitted_at)
+        return compute_max_admitted(self.admitted_at)
 
-    def find_refused(self, since):
+    def compute_refused_fraction(self, since):
         """Return the fraction of requests that were refused since a time."""
         requests = sum(at >= since for at in self.requested_at)
         return 1 - sum(at >= since for at in self.admitted_at) / requests
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -3,19 +3,24 @@
 import pytest
 
 from tests.fleetdata import make_target
-from tests.replays import Pattern, replay
+from tests.placement_replay import Pattern, replay
 from toucanhall.fleet.model import Configuration, Service
 from toucanhall.placement import choice
-from toucanhall.placement.choice import Ask, Candidate, choose
-from toucanhall.placement.field import Field, Need
+from toucanhall.placement.choice import RequestUrgency, Candidate, choose_target
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.cold import Group
-from toucanhall.placement.order import MOST_EXAMINED, Place, Ring, count_points
+from toucanhall.placement.cold_targets import VmGroup
+from toucanhall.placement.hash_ring import (
+    MAX_EXAMINED_TARGETS,
+    Location,
+    HashRing,
+    count_points,
+)
 
 REGIONS = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
-LOCATION = Place('east-a', 'east')
-QUERY = Need('guide', 'object-1', frozenset(), frozenset())
-URGENCY = Ask(0.25, 0.1, 1)
+LOCATION = Location('east-a', 'east')
+QUERY = TargetQuery('guide', 'object-1', frozenset(), frozenset())
+URGENCY = RequestUrgency(0.25, 0.1, 1)
 
 
 def burst(now):
@@ -25,19 +30,19 @@
 @pytest.mark.parametrize('seed', (1, 2, 3))
 def test_burst_does_not_leave_targets_cold(seed):
     pattern = Pattern(rate=burst, seconds=14.0)
-    assert replay(pattern, seed=seed, since=9.0).share_in_time > 0.9
+    assert replay(pattern, seed=seed, since=9.0).fraction_in_time > 0.9
 
 
 def test_more_targets_per_object_would_leave_them_cold(monkeypatch):
-    monkeypatch.setattr(choice, 'WARM_TARGETS', 20)
+    monkeypatch.setattr(choice, 'TARGETS_PER_OBJECT', 20)
     pattern = Pattern(rate=burst, seconds=14.0, objects=400)
-    assert replay(pattern, seed=1, since=9.0).share_in_time < 0.5
+    assert replay(pattern, seed=1, since=9.0).fraction_in_time < 0.5
 
 
 @pytest.mark.parametrize('seed', (1, 2))
 def test_cold_targets_serve_in_time_after_four_seconds(seed):
     pattern = Pattern(rate=lambda _now: 900.0, seconds=8.0)
-    assert replay(pattern, seed=seed, since=4.0).share_in_time > 0.95
+    assert replay(pattern, seed=seed, since=4.0).fraction_in_time > 0.95
 
 
 @pytest.mark.parametrize('seed', (1, 2))
@@ -52,12 +57,12 @@
     before = replay(without_slow, seed=seed, since=3.0)
     after = replay(slow, seed=seed, since=3.0)
     assert after.by_target['t3'] < before.by_target['t3'] / 2
-    assert after.share_in_time > 0.9
+    assert after.fraction_in_time > 0.9
 
 
 def make_ring(targets, location=LOCATION):
-    ring = Ring()
-    ring.change(
+    ring = HashRing()
+    ring.update(
         (),
         {
             target.id: count_points(target.zone, location, REGIONS)
@@ -73,7 +78,7 @@
         for index, zone in enumerate(('east-a', 'east-b', 'west-a') * 4)
     ]
     orders = {
-        tuple(make_ring(targets, Place(zone, 'east')).walk('object-7'))
+        tuple(make_ring(targets, Location(zone, 'east')).walk('object-7'))
         for zone in ('east-a', 'east-b')
     }
     assert len(orders) == 1
@@ -94,7 +99,7 @@
 def test_updated_ring_equals_a_rebuilt_one():
     targets = [make_target(f't{index}') for index in range(12)]
     ring = make_ring(targets[:6])
-    ring.change(('t0', 't3', 'unknown'), {f't{index}': 96 for index in (9, 11)})
+    ring.update(('t0', 't3', 'unknown'), {f't{index}': 96 for index in (9, 11)})
     remaining = [targets[index] for index in (1, 2, 4, 5, 9, 11)]
     for index in range(50):
         key = f'object-{index}'
@@ -116,29 +121,29 @@
 
 def test_order_of_an_object_names_a_limited_number_of_targets():
     ring = make_ring([make_target(f't{index}') for index in range(400)])
-    assert len(list(ring.walk('object-1'))) == MOST_EXAMINED
+    assert len(list(ring.walk('object-1'))) == MAX_EXAMINED_TARGETS
     assert not list(make_ring([]).walk('object-1'))
 
 
 def test_request_is_refused_at_once_when_its_targets_are_full():
     full = TargetLoad(slots=9)
     full.in_flight = 40
-    assert choose([Candidate(make_target(), full)], URGENCY, 1.0) is None
-    assert choose([], URGENCY, 1.0) is None
+    assert choose_target([Candidate(make_target(), full)], URGENCY, 1.0) is None
+    assert choose_target([], URGENCY, 1.0) is None
 
 
 def test_less_urgent_requests_wait_in_a_shorter_queue():
     load = TargetLoad(slots=9)
     load.in_flight = 14
     candidates = [Candidate(make_target(), load)]
-    assert choose(candidates, URGENCY, 1.0) is not None
-    assert choose(candidates, URGENCY._replace(priority=2), 1.0) is None
+    assert choose_target(candidates, URGENCY, 1.0) is not None
+    assert choose_target(candidates, URGENCY._replace(priority=2), 1.0) is None
 
 
 def make_registry(*targets, now=0.0):
-    registry = Field(place=LOCATION, regions=REGIONS)
-    registry.take_targets({target.id: target for target in targets}, now)
-    registry.take_vms('vm-1', {'east-a': Group(('vm-1',), 1, 1)})
+    registry = TargetRegistry(location=LOCATION, regions=REGIONS)
+    registry.replace_targets({target.id: target for target in targets}, now)
+    registry.set_vm_groups('vm-1', {'east-a': VmGroup(('vm-1',), 1, 1)})
     return registry
 
 
@@ -171,9 +176,9 @@
         keys={},
         limits=None,
     )
-    registry.take_evacuations(frozenset(('east-a',)), configuration, 10.0)
+    registry.set_evacuated_zones(frozenset(('east-a',)), configuration, 10.0)
     assert list_ids(registry) == set()
-    registry.take_evacuations(frozenset(), configuration, 20.0)
+    registry.set_evacuated_zones(frozenset(), configuration, 20.0)
     assert list_ids(registry) == {'t1'}
     assert registry.is_cold('t1', 22.0)
     assert not registry.is_cold('t1', 23.5)
@@ -190,7 +195,7 @@
     for size in sizes:
         vms = tuple(f'vm-{first + index}' for index in range(size))
         first += size
-        views.extend((vm, Group(vms, size, registered_count)) for vm in vms)
+        views.extend((vm, VmGroup(vms, size, registered_count)) for vm in vms)
     return views
 
 
@@ -198,7 +203,9 @@
     registries = []
     for vm, group in views:
         registry = make_registry(make_target('t1', cold_seconds=8.0), now=now)
-        registry.take_vms(vm, {'east-a': group, 'east-b': Group((), 0, 4)})
+        registry.set_vm_groups(
+            vm, {'east-a': group, 'east-b': VmGroup((), 0, 4)}
+        )
         registries.append(registry)
     return registries
 
@@ -210,7 +217,9 @@
         for step in steps
         for registry in registries
         if list_ids(registry, now=step / 100)
-        and registry.spend(make_target('t1'), COLD_RATE_PER_SECOND, step / 100)
+        and registry.try_acquire(
+            make_target('t1'), COLD_RATE_PER_SECOND, step / 100
+        )
     ]
 
 
@@ -235,7 +244,7 @@
 
 @pytest.mark.parametrize('vms', (2, 4, 16, 48))
 def test_vms_that_restart_at_once_keep_the_bound_of_a_cold_target(vms):
-    alone = [(f'vm-{index}', Group((f'vm-{index}',), 1, vms))
+    alone = [(f'vm-{index}', VmGroup((f'vm-{index}',), 1, vms))
              for index in range(vms)]  # fmt: skip
     before = list_sent_at(
         make_cold_registries(make_views((vms,), registered_count=vms)),
@@ -247,7 +256,7 @@
 
 
 def test_vm_without_entries_from_the_store_sends_nothing_to_a_cold_target():
-    registries = make_cold_registries((('vm-1', Group(('vm-1',), 1, 0)),))
+    registries = make_cold_registries((('vm-1', VmGroup(('vm-1',), 1, 0)),))
     assert not list_sent_at(registries, 0.0, 2.0)
 
 
@@ -265,57 +274,59 @@
 def test_twice_as_many_owners_keep_the_bound_of_a_cold_target(rate):
     target = make_target('t1', cold_seconds=8.0)
     registries = make_cold_registries(
-        (f'vm-{index}', Group((f'vm-{index}',), 8, 8)) for index in range(4)
+        (f'vm-{index}', VmGroup((f'vm-{index}',), 8, 8)) for index in range(4)
     )
     sent_at = [
         step / 500
         for step in range(4000)
         for registry in registries
-        if registry.spend(target, rate, step / 500)
+        if registry.try_acquire(target, rate, step / 500)
     ]
     assert compute_max_per_second(sent_at) <= 1.5 * rate + 5
 
 
 def test_region_owns_cold_targets_of_a_zone_without_vms():
     registry = make_registry(make_target('t1', zone='east-b', cold_seconds=8.0))
-    group = Group(('vm-1',), 1, 1)
-    registry.take_vms('vm-1', {'east-a': group, 'east-b': Group()})
+    group = VmGroup(('vm-1',), 1, 1)
+    registry.set_vm_groups('vm-1', {'east-a': group, 'east-b': VmGroup()})
     assert list_ids(registry, now=1.0) == {'t1'}
-    registry.take_vms('vm-1', {'east-a': group, 'east-b': Group((), 0, 2)})
+    registry.set_vm_groups(
+        'vm-1', {'east-a': group, 'east-b': VmGroup((), 0, 2)}
+    )
     assert list_ids(registry, now=1.0) == set()
 
 
 def test_failures_suspend_a_target_and_one_success_ends_it():
     load = TargetLoad(slots=9)
-    assert not load.fail(1.0, is_lost=False)
-    assert not load.fail(1.0, is_lost=False)
-    assert load.fail(1.0, is_lost=False)
+    assert not load.record_failure(1.0, is_lost=False)
+    assert not load.record_failure(1.0, is_lost=False)
+    assert load.record_failure(1.0, is_lost=False)
     assert load.is_suspended(1.2)
     assert not load.is_suspended(1.6)
     assert load.is_on_trial()
-    assert load.succeed(None)
+    assert load.record_success(None)
     assert not load.is_on_trial()
 
 
 def test_lost_connection_suspends_at_once_and_longer_each_time():
     load = TargetLoad(slots=9)
-    assert load.fail(1.0, is_lost=True)
+    assert load.record_failure(1.0, is_lost=True)
     assert load.suspended_until == 1.5
-    assert load.fail(2.0, is_lost=True)
+    assert load.record_failure(2.0, is_lost=True)
     assert load.suspended_until == 3.0
 
 
 def test_restarted_target_starts_without_failures():
     registry = make_registry(make_target('t1'))
-    registry.loads['t1'].fail(9.0, is_lost=True)
-    registry.take_targets({'t1': make_target('t1', slots=5)}, 9.1)
+    registry.loads['t1'].record_failure(9.0, is_lost=True)
+    registry.replace_targets({'t1': make_target('t1', slots=5)}, 9.1)
     assert registry.loads['t1'].is_on_trial()
-    registry.take_targets({'t1': make_target('t1', started_at=2)}, 9.2)
+    registry.replace_targets({'t1': make_target('t1', started_at=2)}, 9.2)
     assert not registry.loads['t1'].is_on_trial()
 
 
 def test_reported_load_halves_every_quarter_second():
     load = TargetLoad(slots=9)
-    load.report(8, 1.0)
-    assert load.estimate(1.0) == 8
-    assert load.estimate(1.25) == 4
+    load.record_reported_load(8, 1.0)
+    assert load.estimate_requests(1.0) == 8
+    assert load.estimate_requests(1.25) == 4
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -5,23 +5,30 @@
 
 import pytest
 
-from tests.exchange import WINDOW_SECONDS, find_bound, find_most
+from tests.simulated_fleet import (
+    WINDOW_SECONDS,
+    compute_window_bound,
+    compute_max_admitted,
+)
 from tests.fleetdata import make_bounds, make_team
-from toucanhall.edge.fleetmate import FIRST_BEAT_SECONDS, find_beat_seconds
-from toucanhall.fleet.membership import LATE_SECONDS
-from toucanhall.fleet.membership import REPORT_LATE_SECONDS as REPORT_LATE
-from toucanhall.fleet.reports import sum_told
+from toucanhall.edge.peer_exchange import (
+    FIRST_HEARTBEAT_DELAY_SECONDS,
+    get_heartbeat_interval_seconds,
+)
+from toucanhall.fleet.membership import USAGE_STALE_SECONDS
+from toucanhall.fleet.membership import REPORT_STALE_SECONDS as REPORT_LATE
+from toucanhall.fleet.reports import sum_usage_reports
 from toucanhall.limits.quota import (
-    RESERVE_VMS,
+    RESERVE_VM_WEIGHT,
     Quotas,
-    Told,
+    UsageReport,
     Usage,
-    add_up,
-    make_unheard,
+    combine_reports,
+    make_missing_report,
 )
 from toucanhall.limits.quota import _compute_fractions as compute_fractions
 from toucanhall.limits.quota import _TeamReport as TeamReport
-from toucanhall.limits.retries import Retries
+from toucanhall.limits.retry_budget import ServiceRetryBudget
 
 HEARTBEAT_SECONDS = 0.8
 
@@ -82,9 +89,11 @@
             now + rng.uniform(0, HEARTBEAT_SECONDS) for _vm in self.vms
         ]
         if self.started_at is not None:
-            heartbeat_at = [now + FIRST_BEAT_SECONDS for _vm in self.vms]
+            heartbeat_at = [
+                now + FIRST_HEARTBEAT_DELAY_SECONDS for _vm in self.vms
+            ]
             for index, vm in enumerate(self.vms):
-                self.divide(index, vm, {}, now)
+                self.refill(index, vm, {}, now)
         while now < end:
             for index, vm in enumerate(self.vms):
                 if now >= heartbeat_at[index]:
@@ -99,17 +108,17 @@
         self.now = now
 
     def send_heartbeat(self, index, vm, now):
-        usage = vm.measure(now)
+        usage = vm.collect_usage(now)
         self.usages[index] = usage
         self.heartbeat_counts[index] += 1
-        self.divide(index, vm, usage, now)
+        self.refill(index, vm, usage, now)
 
     def get_heartbeat_seconds(self, now):
         if self.started_at is None:
             return HEARTBEAT_SECONDS
-        return find_beat_seconds(now - self.started_at)
+        return get_heartbeat_interval_seconds(now - self.started_at)
 
-    def divide(self, index, vm, usage, now):
+    def refill(self, index, vm, usage, now):
         zone = index // self.vms_per_zone
         local_vms = range(
             zone * self.vms_per_zone, (zone + 1) * self.vms_per_zone
@@ -118,11 +127,12 @@
             if other in self.cut_off or index in self.cut_off:
                 continue
             self.received[other][index] = (usage, now)
-        own = Told(usage, vms=self.get_weight(index))
+        own = UsageReport(usage, vms=self.get_weight(index))
         local = [
-            Told(
+            UsageReport(
                 self.received[index][other][0],
-                is_late=now - self.received[index][other][1] > LATE_SECONDS,
+                is_stale=now - self.received[index][other][1]
+                > USAGE_STALE_SECONDS,
                 vms=self.get_weight(other),
             )
             for other in local_vms
@@ -132,20 +142,20 @@
             :2
         ]
         if index in delegates and self.heartbeat_counts[index] % 2 == 0:
-            self.reports_by_zone[zone] = (sum_told([own, *local]), now)
+            self.reports_by_zone[zone] = (sum_usage_reports([own, *local]), now)
         zones = range(len(self.loads) // self.vms_per_zone)
         remote = [
-            make_unheard(4)
+            make_missing_report(4)
             for other_zone in zones
             if other_zone not in self.reports_by_zone
         ]
         remote += [
-            report._replace(is_late=report.is_late or now - at > REPORT_LATE)
+            report._replace(is_stale=report.is_stale or now - at > REPORT_LATE)
             for other_zone, (reports, at) in self.reports_by_zone.items()
             if other_zone != zone
             for report in reports
         ]
-        vm.divide([self.team], own, [*local, *remote], now)
+        vm.refill([self.team], own, [*local, *remote], now)
 
     def restart(self, now):
         """Restart all VMs."""
@@ -161,11 +171,11 @@
 
     def get_weight(self, index):
         is_reserve = index % self.vms_per_zone in self.reserve
-        return RESERVE_VMS if is_reserve else 1.0
+        return RESERVE_VM_WEIGHT if is_reserve else 1.0
 
-    def find_most(self):
+    def compute_max_admitted(self):
         """Return the most admissions in any window."""
-        return find_most(self.admitted_at)
+        return compute_max_admitted(self.admitted_at)
 
     def count_admitted(self, since):
         return sum(at >= since for at in self.admitted_at)
@@ -209,7 +219,7 @@
     team = make_team(rate=64.0, burst=64.0)
     fleet = Fleet(loads=make_large(0.2, 320.0), team=team, **LARGE)
     fleet.run_until(16, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
 
 
 @pytest.mark.parametrize('seed', range(3))
@@ -218,7 +228,7 @@
     loads = [Load(((0, 6.0), (8, 48.0))) for _vm in range(10)]
     fleet = Fleet(loads=loads, team=team)
     fleet.run_until(20, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
     assert fleet.count_admitted(13) > 0.75 * team.rate * 7
 
 
@@ -231,14 +241,14 @@
     fleet.cut_off = (0, 1, 2)
     fleet.loads = [Load(((0, 30.0),))] * 10
     fleet.run_until(20, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
 
 
 def test_started_vm_spends_a_fifth_of_the_limit_at_most():
     # The rest may have been spent in the same window before the start.
     team = make_team(rate=100.0, burst=100.0)
     quotas = Quotas(bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=0.0)
-    quotas.divide([team], Told({}), [], 0.1)
+    quotas.refill([team], UsageReport({}), [], 0.1)
     admitted = sum(not quotas.admit(team, 0.2) for _try in range(500))
     assert admitted <= (1 - 0.8) * 600
 
@@ -280,7 +290,7 @@
     team = make_team(rate=rate, burst=burst)
     fleet = Fleet(loads=make_large(40.0, hot_rate), team=team, **LARGE)
     fleet.run_until(20, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
     assert fleet.count_admitted(13) > 0.75 * team.rate * 7
 
 
@@ -292,7 +302,7 @@
     fleet.run_until(13, seed=seed)
     fleet.restart(13 + down_seconds)
     fleet.run_until(13 + down_seconds + 2 * WINDOW_SECONDS, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
     admitted_later = fleet.count_admitted(13 + down_seconds + WINDOW_SECONDS)
     assert admitted_later > 0.75 * team.rate * WINDOW_SECONDS
 
@@ -326,7 +336,7 @@
     fleet.run_until(8, seed=seed)
     fleet.restart(8.9)
     fleet.run_until(14, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
 
 
 @pytest.mark.parametrize('seed', range(3))
@@ -338,7 +348,7 @@
     fleet.cut_off = (*range(0, 96, 16), 1, 17)
     fleet.loads = make_large(320.0)
     fleet.run_until(20, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
 
 
 def test_team_without_a_rate_has_no_limit():
@@ -350,7 +360,9 @@
 def test_refusal_has_a_retry_after_time():
     quotas = Quotas(bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=-10.0)
     team = make_team(rate=1.0, burst=0.0)
-    quotas.divide([team], Told({}), [Told({'guides': Usage(5, 9.0)})], 0.0)
+    quotas.refill(
+        [team], UsageReport({}), [UsageReport({'guides': Usage(5, 9.0)})], 0.0
+    )
     retry_after = [quotas.admit(team, 0.1) for _try in range(5)]
     assert retry_after[-1] == 1.5
 
@@ -358,50 +370,55 @@
 @pytest.mark.parametrize('vms', (1, 18, 100))
 def test_retries_of_all_vms_stay_within_the_budget(vms):
     bounds = make_bounds()
-    budgets = [Retries(bounds=bounds, vms=vms, now=0.0) for _vm in range(vms)]
+    budgets = [
+        ServiceRetryBudget(bounds=bounds, vms=vms, now=0.0)
+        for _vm in range(vms)
+    ]
     retries = requests = 0
     for step in range(1000):
         now = step / 100
         budget = budgets[step % vms]
         requests += 1
-        budget.earn()
-        retries += budget.spend(now)
-        retries += budget.spend(now)
+        budget.record_request()
+        retries += budget.try_acquire(now)
+        retries += budget.try_acquire(now)
     bound = bounds.retry_ratio * requests + bounds.retry_slack
     assert retries <= max(bound, vms)
     assert retries > 0.5 * min(bound, 2 * requests)
 
 
 def test_current_reports_are_summed_and_stale_ones_stay_separate():
-    current = [Told({'a': Usage(number, 0.5)}, vms=2.0) for number in range(40)]
-    reserve = [Told({}, vms=RESERVE_VMS) for _vm in range(50)]
-    stale_unused = [Told({}, is_late=True, vms=1.0) for _vm in range(3)]
-    stale = Told({'a': Usage(7, 1.0)}, is_late=True)
-    missing = make_unheard(4)
-    found = add_up([*current, *reserve, stale, missing, *stale_unused])
+    current = [
+        UsageReport({'a': Usage(number, 0.5)}, vms=2.0) for number in range(40)
+    ]
+    reserve = [UsageReport({}, vms=RESERVE_VM_WEIGHT) for _vm in range(50)]
+    stale_unused = [UsageReport({}, is_stale=True, vms=1.0) for _vm in range(3)]
+    stale = UsageReport({'a': Usage(7, 1.0)}, is_stale=True)
+    missing = make_missing_report(4)
+    found = combine_reports([*current, *reserve, stale, missing, *stale_unused])
     assert found[:2] == [stale, missing]
     current_sum, stale_unused_sum = found[2:]
     assert current_sum.usage == {'a': Usage(780, 20.0)}
     assert current_sum.vms == pytest.approx(81.0)
-    assert stale_unused_sum == Told({}, is_late=True, vms=3.0)
+    assert stale_unused_sum == UsageReport({}, is_stale=True, vms=3.0)
 
 
 @pytest.mark.parametrize('seed', range(5))
 def test_summed_reports_get_the_shares_of_their_vms(seed):
     rng = random.Random(seed)
-    own = Told({'team': Usage(3, 1.5)})
+    own = UsageReport({'team': Usage(3, 1.5)})
     others = [
-        Told(
+        UsageReport(
             {'team': Usage(rng.randrange(9), rng.random())}
             if rng.random() < 0.6
             else {},
-            is_late=rng.random() < 0.3,
-            vms=rng.choice((RESERVE_VMS, 1.0, 4.0)),
+            is_stale=rng.random() < 0.3,
+            vms=rng.choice((RESERVE_VM_WEIGHT, 1.0, 4.0)),
         )
         for _vm in range(40)
     ]
     each = list_team_reports([own, *others])
-    summed = list_team_reports([own, *add_up(others)])
+    summed = list_team_reports([own, *combine_reports(others)])
     fractions, summed_fractions = (
         compute_fractions(1.5, each),
         compute_fractions(1.5, summed),
@@ -418,7 +435,7 @@
     return [
         TeamReport(
             report.usage.get('team', Usage()),
-            report.is_late,
+            report.is_stale,
             report.vms,
         )
         for report in reports
@@ -430,5 +447,5 @@
     return sum(
         max(report.usage.admitted, fraction * limit)
         for report, fraction in zip(reports, fractions, strict=True)
-        if report.is_late
+        if report.is_stale
     )
--- a/tests/unit/test_quota_starts.py
+++ b/tests/unit/test_quota_starts.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.exchange import Exchange, find_bound
+from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 from tests.fleetdata import make_team
 
 HOT_AT = 8.0
@@ -18,7 +18,7 @@
     down_seconds: float,
     seed: int,
     hot_factor: float,
-) -> Exchange:
+) -> SimulatedFleet:
     """Kill VMs of five zones, restart them and run for four more seconds.
 
     From `HOT_AT` on, callers of the team send `hot_factor` times as much.
@@ -28,7 +28,7 @@
         factor = hot_factor if now >= HOT_AT else 1.0
         return factor * TEAM.rate / 1.6
 
-    fleet = Exchange(
+    fleet = SimulatedFleet(
         zones=5,
         vms=5,
         team=TEAM,
@@ -53,7 +53,7 @@
     seed,
 ):
     fleet = run_restart(killed_count, down_seconds, seed, hot_factor=8.0)
-    assert fleet.find_most() <= find_bound(TEAM)
+    assert fleet.compute_max_admitted() <= compute_window_bound(TEAM)
 
 
 @pytest.mark.parametrize('seed', range(2))
@@ -63,4 +63,4 @@
     seed,
 ):
     fleet = run_restart(killed_count, 1.0, seed, hot_factor=1.0)
-    assert fleet.find_refused(since=KILLED_AT + 1.0) < 0.05
+    assert fleet.compute_refused_fraction(since=KILLED_AT + 1.0) < 0.05
--- a/tests/unit/test_quota_storms.py
+++ b/tests/unit/test_quota_storms.py
@@ -7,7 +7,7 @@
 import random
 from typing import NamedTuple
 
-from tests.exchange import Exchange, find_bound
+from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 from tests.fleetdata import make_team
 
 SEEDS = range(30)
@@ -104,7 +104,7 @@
     rate = rng.choice((40.0, 160.0, 690.0))
     team = make_team(rate=rate, burst=rate)
     hot_factor = rng.choice((3, 8))
-    fleet = Exchange(
+    fleet = SimulatedFleet(
         zones=rng.choice((2, 3, 5)),
         vms=rng.choice((3, 5)),
         team=team,
@@ -112,7 +112,7 @@
         seed=seed,
     )
     FaultInjector(fleet=fleet).run(list(draw_faults(rng, fleet)))
-    return fleet.find_most() / find_bound(team)
+    return fleet.compute_max_admitted() / compute_window_bound(team)
 
 
 def test_hot_team_keeps_to_its_limit_over_kills_cuts_and_pauses():
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -39,10 +39,12 @@
 class Gossip(asyncio.DatagramProtocol):
     """The socket on which messages come and go."""
 
-    def __init__(self, *, hear: Hear, on_bad: Callable[[str], None]) -> None:
-        """Pass each message to `hear`; tell `on_bad` why one was dropped."""
-        self._hear = hear
-        self._on_bad = on_bad
+    def __init__(
+        self, *, receive: Hear, on_error: Callable[[str], None]
+    ) -> None:
+        """Pass each message to `receive`; tell `on_error` why one was dropped."""
+        self._hear = receive
+        self._on_bad = on_error
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -88,15 +90,15 @@
 async def open_gossip(
     address: Address,
     *,
-    hear: Hear,
-    on_bad: Callable[[str], None],
+    receive: Hear,
+    on_error: Callable[[str], None],
 ) -> Gossip:
     """Listen for messages at an address."""
     (
         _transport,
         gossip,
     ) = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: Gossip(hear=hear, on_bad=on_bad),
+        lambda: Gossip(receive=receive, on_error=on_error),
         local_addr=address,
     )
     return gossip
@@ -125,7 +127,7 @@
         found.extend(member.ip for member in report.members)
     if heartbeat is not None:
         found.append(heartbeat.member.ip)
-        found.extend(member.ip for member in heartbeat.introduced)
+        found.extend(member.ip for member in heartbeat.known_vms)
     return found
 
 
@@ -133,8 +135,8 @@
     """Whether all figures can be worked with: none is negative or no number."""
     heartbeat, report = message.heartbeat, message.report
     members = list(report.members) if report else []
-    usages = [told.usage for told in report.told] if report else []
-    figures = [told.vms for told in report.told] if report else []
+    usages = [told.usage for told in report.usage_reports] if report else []
+    figures = [told.vms for told in report.usage_reports] if report else []
     if heartbeat is not None:
         members.append(heartbeat.member)
         usages.append(heartbeat.usage)
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -9,9 +9,9 @@
     'ClientLimits',
     'Configuration',
     'Environment',
-    'Introduction',
+    'VmContact',
     'Listeners',
-    'Part',
+    'WeightedService',
     'Route',
     'Service',
     'Snapshot',
@@ -43,15 +43,15 @@
     requests are borne in a window.
     """
 
-    grace: float
-    directory_ttl: float
+    shutdown_grace_seconds: float
+    directory_ttl_seconds: float
     retry_ratio: float
-    retry_window: float
+    retry_window_seconds: float
     retry_slack: float
-    quota_window: float
+    quota_window_seconds: float
     quota_overage: float
     quota_slack: float
-    target_heartbeat: float
+    target_heartbeat_seconds: float
 
 
 class Environment(NamedTuple):
@@ -59,7 +59,7 @@
 
     `regions` maps each availability zone to its region, `seeds` are control
     addresses of VMs that may be down, `capacity` is what the VM bears in
-    requests a second, `memory` the bytes and `descriptors` the open files that
+    requests a second, `memory` the bytes and `max_descriptors` the open files that
     its process may use.
     """
 
@@ -75,10 +75,10 @@
     bounds: Bounds
     capacity: float
     memory: int
-    descriptors: int
+    max_descriptors: int
 
 
-class Part(NamedTuple):
+class WeightedService(NamedTuple):
     """A service of a route and the weight of its part of the requests."""
 
     service: str
@@ -95,7 +95,7 @@
     timeout: float | None
     objective: float | None
     priority: int
-    parts: tuple[Part, ...]
+    weighted_services: tuple[WeightedService, ...]
     attempts: int
     is_public: bool
     homes: frozenset[str]
@@ -166,7 +166,7 @@
     revision: int
 
 
-class Introduction(NamedTuple):
+class VmContact(NamedTuple):
     """The place of a VM, enough to send messages to it."""
 
     vm: str
@@ -179,7 +179,7 @@
 
     `targets` and `removed` (with the revision of each removal) are what has
     changed after `targets_since`; where it is 0, `targets` is the whole table.
-    `lapsed` maps targets that were dropped while the store was away to the
+    `held_targets` maps targets that were dropped while the store was away to the
     seconds in which they may register again.
     """
 
@@ -189,6 +189,6 @@
     targets_since: int
     targets: Mapping[str, Target]
     removed: Mapping[str, int]
-    lapsed: Mapping[str, float]
+    held_targets: Mapping[str, float]
     evacuations_revision: int
-    evacuated: frozenset[str]
+    evacuated_zones: frozenset[str]
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from toucanhall.fleet.knowledge import Revisions
-from toucanhall.fleet.model import Introduction
-from toucanhall.limits.quota import Told, add_group
+from toucanhall.fleet.tables import Revisions
+from toucanhall.fleet.model import VmContact
+from toucanhall.limits.quota import UsageReport, add_usage_reports
 
-__all__ = ('Member', 'ZoneReport', 'sum_told')
+__all__ = ('Member', 'ZoneReport', 'sum_usage_reports')
 
 
 class Member(NamedTuple):
@@ -27,37 +27,39 @@
     load: float
 
     @property
-    def introduction(self) -> Introduction:
+    def contact(self) -> VmContact:
         """Where the VM may be found."""
-        return Introduction(self.vm, self.zone, self.ip)
+        return VmContact(self.vm, self.zone, self.ip)
 
 
 class ZoneReport(NamedTuple):
     """The state of a zone as one of its speakers sees it.
 
     `stamp` grows with each report of the speaker (Unix milliseconds of its
-    start, number of the report); `told` holds the requests of the VMs that
+    start, number of the report); `usage_reports` holds the requests of the VMs that
     were heard lately, then of those that fell silent, each summed.
     """
 
     zone: str
-    speaker: str
+    delegate: str
     ip: str
     stamp: tuple[int, int]
     revisions: Revisions
     members: tuple[Member, ...]
-    told: tuple[Told, ...]
+    usage_reports: tuple[UsageReport, ...]
 
 
-def sum_told(told: Iterable[Told]) -> tuple[Told, ...]:
+def sum_usage_reports(told: Iterable[UsageReport]) -> tuple[UsageReport, ...]:
     """Add up what VMs told: those heard lately, then those that are late."""
-    groups: dict[bool, list[Told]] = {False: [], True: []}
+    groups: dict[bool, list[UsageReport]] = {False: [], True: []}
     for found in told:
-        groups[found.is_late].append(found)
-    return tuple(_round(add_group(group)) for group in groups.values() if group)
+        groups[found.is_stale].append(found)
+    return tuple(
+        _round(add_usage_reports(group)) for group in groups.values() if group
+    )
 
 
-def _round(told: Told) -> Told:
+def _round(told: UsageReport) -> UsageReport:
     usage = {
         team: found._replace(demand=round(found.demand, 2))
         for team, found in (told.usage or {}).items()
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -14,22 +14,22 @@
 from toucanhall.fleet.reports import Member
 
 __all__ = (
-    'LAGGING_SECONDS',
-    'LEAST_SERVING',
+    'MAX_LOOP_LAG_SECONDS',
+    'MIN_SERVING_VMS',
     'pick_serving',
-    'pick_speakers',
+    'pick_delegates',
 )
 
 # A client leaves out addresses that failed it and needs others to turn to: one
 # of three VMs may be cut off (share of the deployments' cuts) together with
 # another one that is being stopped.
-LEAST_SERVING: Final = 4
+MIN_SERVING_VMS: Final = 4
 # What the VMs that take requests bear, over what their zone takes: bursts of
 # 1.7 times the load, one VM of three lost, and room so that none queue.
 _HEADROOM: Final = 4.0
 # One speaks while the death of the other is not noticed.
 _SPEAKERS: Final = 2
-LAGGING_SECONDS: Final = 0.05  # a fifth of the shortest objective
+MAX_LOOP_LAG_SECONDS: Final = 0.05  # a fifth of the shortest objective
 
 
 def pick_serving(members: Iterable[Member]) -> list[Member]:
@@ -42,13 +42,13 @@
     wanted = _HEADROOM * sum(found.load for found in ranked)
     borne = accumulate(found.capacity for found in ready)
     count = 1 + sum(capacity < wanted for capacity in borne)
-    picked = ready[: max(LEAST_SERVING, count)]
-    if any(found.lag > LAGGING_SECONDS for found in picked):
+    picked = ready[: max(MIN_SERVING_VMS, count)]
+    if any(found.lag > MAX_LOOP_LAG_SECONDS for found in picked):
         return ready
     return picked
 
 
-def pick_speakers(members: Iterable[Member]) -> Sequence[Member]:
+def pick_delegates(members: Iterable[Member]) -> Sequence[Member]:
     """Return the VMs that watch the store and speak for their zone.
 
     The first one watches; both report to other zones.
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/tables.py
@@ -6,12 +6,12 @@
 from toucanhall.fleet.model import Configuration, Route, Snapshot, Target
 from toucanhall.fleet.removals import Removals
 
-__all__ = ('Knowledge', 'Revisions', 'find_route', 'is_ahead')
+__all__ = ('FleetTables', 'Revisions', 'find_route', 'is_ahead')
 
 # Targets that were dropped while the store was away get this long to register
 # again: the platform promises about two seconds after its return. It is less
 # than the 2.5 s in which a target that has left must get nothing more.
-LAPSE_SECONDS: Final = 2.1
+REREGISTRATION_SECONDS: Final = 2.1
 
 
 class Revisions(NamedTuple):
@@ -39,23 +39,23 @@
     return None
 
 
-class Knowledge:
+class FleetTables:
     """The newest tables that this VM has heard of; none ever goes back."""
 
     def __init__(self, *, on_change: Callable[[str], None]) -> None:
         """Start without any table; `on_change` gets the name of a table."""
         self.configuration: Configuration | None = None
         self.targets: dict[str, Target] = {}
-        self.evacuated: frozenset[str] = frozenset()
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.revisions = Revisions()
-        self.lapsed: dict[str, float] = {}
+        self.held_targets: dict[str, float] = {}
         self._lapse_until = 0.0
         self._heard_targets = 0
         self._heard_at_loss = 0
         self.removals = Removals()
         self._on_change = on_change
 
-    def take_configuration(
+    def replace_configuration(
         self,
         revision: int,
         configuration: Configuration | None,
@@ -69,17 +69,17 @@
             self.configuration = configuration
             self._on_change('configuration')
 
-    def take_evacuations(self, revision: int, zones: Iterable[str]) -> None:
+    def replace_evacuations(self, revision: int, zones: Iterable[str]) -> None:
         """Take the set of zones that are to get no requests."""
         if revision <= self.revisions.evacuations:
             return
         self.revisions = self.revisions._replace(evacuations=revision)
         taken = frozenset(zones)
-        if taken != self.evacuated:
-            self.evacuated = taken
+        if taken != self.evacuated_zones:
+            self.evacuated_zones = taken
             self._on_change('evacuations')
 
-    def change_evacuations(
+    def apply_evacuation_changes(
         self,
         revision: int,
         changes: Mapping[str, bool],
@@ -87,11 +87,13 @@
         """Add the zones that map to True and drop the others."""
         if revision <= self.revisions.evacuations:
             return
-        kept = {zone for zone in self.evacuated if changes.get(zone, True)}
+        kept = {
+            zone for zone in self.evacuated_zones if changes.get(zone, True)
+        }
         added = {zone for zone, is_set in changes.items() if is_set}
-        self.take_evacuations(revision, kept | added)
+        self.replace_evacuations(revision, kept | added)
 
-    def take_targets(
+    def replace_targets(
         self,
         revision: int,
         targets: Mapping[str, Target],
@@ -105,7 +107,7 @@
         self.removals.restart(revision)
         self._put_targets(revision, {**held, **targets})
 
-    def change_targets(
+    def apply_target_changes(
         self,
         revision: int,
         changes: Mapping[str, Target | int],
@@ -126,26 +128,26 @@
             if isinstance(change, int) and self._get_revision(name) <= change
         }
         for name in written:
-            self.lapsed.pop(name, None)
-            self.removals.forget(name)
+            self.held_targets.pop(name, None)
+            self.removals.discard(name)
         for name, removed_at in removed.items():
-            self.removals.note(name, removed_at)
+            self.removals.record(name, removed_at)
         gone = self.targets.keys() & removed.keys()
         targets = {**self.targets, **written}
         for name in gone - self._hold(gone, now):
             targets.pop(name)
         self._put_targets(revision, targets)
 
-    def start_lapse(self) -> None:
+    def start_store_outage(self) -> None:
         """Note that the store is away: targets that it drops are kept."""
         self._lapse_until = float('inf')
         self._heard_at_loss = max(self._heard_targets, self.revisions.targets)
 
-    def hear(self, revisions: Revisions) -> None:
+    def record_peer_revisions(self, revisions: Revisions) -> None:
         """Note how far another VM is."""
         self._heard_targets = max(self._heard_targets, revisions.targets)
 
-    def end_lapse(self, now: float, *, may_have_lapsed: bool) -> None:
+    def end_store_outage(self, now: float, *, may_have_expired: bool) -> None:
         """Start the wait for targets that were dropped meanwhile.
 
         There is none after an absence in which no target can lapse, or if
@@ -153,17 +155,19 @@
         the store, and what is dropped has gone.
         """
         if self._lapse_until == float('inf'):
-            wait = LAPSE_SECONDS if may_have_lapsed else 0.0
+            wait = REREGISTRATION_SECONDS if may_have_expired else 0.0
             self._lapse_until = now + wait
             # A watch that outlasts the absence may have told of some already.
-            self.lapsed = {
+            self.held_targets = {
                 name: min(end, self._lapse_until)
-                for name, end in self.lapsed.items()
+                for name, end in self.held_targets.items()
             }
 
-    def drop_lapsed(self, now: float) -> tuple[str, ...]:
+    def drop_expired_targets(self, now: float) -> tuple[str, ...]:
         """Drop targets that did not register again in time."""
-        over = tuple(name for name, end in self.lapsed.items() if end <= now)
+        over = tuple(
+            name for name, end in self.held_targets.items() if end <= now
+        )
         if over:
             kept = self.targets.keys() - set(over)
             self._put_targets(
@@ -183,9 +187,11 @@
             targets_since=0,
             targets={},
             removed={},
-            lapsed={name: end - now for name, end in self.lapsed.items()},
+            held_targets={
+                name: end - now for name, end in self.held_targets.items()
+            },
             evacuations_revision=own.evacuations,
-            evacuated=self.evacuated,
+            evacuated_zones=self.evacuated_zones,
         )
         if own.targets <= known.targets:
             return snapshot
@@ -205,18 +211,18 @@
             removed=self.removals.list_since(known.targets),
         )
 
-    def take_snapshot(self, snapshot: Snapshot, now: float) -> None:
+    def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Take each table of a peer that is newer than the own one."""
-        self.take_configuration(
+        self.replace_configuration(
             snapshot.configuration_revision,
             snapshot.configuration,
         )
         own = self.revisions.targets
         if snapshot.targets_since <= own < snapshot.targets_revision:
             self._take_targets_of(snapshot, now)
-        self.take_evacuations(
+        self.replace_evacuations(
             snapshot.evacuations_revision,
-            snapshot.evacuated,
+            snapshot.evacuated_zones,
         )
 
     def _take_targets_of(self, snapshot: Snapshot, now: float) -> None:
@@ -229,8 +235,8 @@
         is_newer = snapshot.targets_revision > self._heard_at_loss
         if is_newer and targets != self.targets:
             self._lapse_until = 0.0
-        self.lapsed = {
-            name: now + left for name, left in snapshot.lapsed.items()
+        self.held_targets = {
+            name: now + left for name, left in snapshot.held_targets.items()
         }
         self._put_targets(snapshot.targets_revision, targets)
 
@@ -241,11 +247,11 @@
         of the peer.
         """
         for name, revision in snapshot.removed.items():
-            self.removals.note(name, revision)
+            self.removals.record(name, revision)
         for name in snapshot.targets:
-            self.removals.forget(name)
-        gone = (snapshot.removed.keys() | self.lapsed.keys()) - (
-            snapshot.lapsed.keys()
+            self.removals.discard(name)
+        gone = (snapshot.removed.keys() | self.held_targets.keys()) - (
+            snapshot.held_targets.keys()
         )
         return {
             **{
@@ -263,8 +269,8 @@
     def _hold(self, names: Iterable[str], now: float) -> set[str]:
         if now < self._lapse_until:
             for name in names:
-                self.lapsed.setdefault(name, self._lapse_until)
-        return {name for name in names if self.lapsed.get(name, 0) > now}
+                self.held_targets.setdefault(name, self._lapse_until)
+        return {name for name in names if self.held_targets.get(name, 0) > now}
 
     def _put_targets(
         self,
@@ -273,7 +279,9 @@
     ) -> None:
         self.revisions = self.revisions._replace(targets=revision)
         self.targets = dict(targets)
-        self.lapsed = {
-            name: end for name, end in self.lapsed.items() if name in targets
+        self.held_targets = {
+            name: end
+            for name, end in self.held_targets.items()
+            if name in targets
         }
         self._on_change('targets')
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -16,13 +16,13 @@
 from toucanhall.fleet.model import Bounds, Team
 
 __all__ = (
-    'RESERVE_VMS',
+    'RESERVE_VM_WEIGHT',
     'Quotas',
-    'Told',
+    'UsageReport',
     'Usage',
-    'add_group',
-    'add_up',
-    'make_unheard',
+    'add_usage_reports',
+    'combine_reports',
+    'make_missing_report',
 )
 
 # Weight of the last heartbeat interval in the smoothed demand.
@@ -32,7 +32,7 @@
 _IDLE_DEMAND_FRACTION: Final = 0.8
 # Weight of a VM that the directory does not name: some clients use an outdated
 # answer of the directory.
-RESERVE_VMS: Final = 0.02
+RESERVE_VM_WEIGHT: Final = 0.02
 # Least that is added to the demand of each VM: the limit of a team with a few
 # requests per second is divided evenly, since what each VM saw is chance.
 _MIN_DEMAND_PER_SECOND: Final = 0.4
@@ -74,50 +74,50 @@
     demand: float = 0.0
 
 
-class Told(NamedTuple):
+class UsageReport(NamedTuple):
     """The usage that a VM reported last, or the sum of several reports.
 
-    `is_late` tells that a newer report was due; `vms` is the sum of the weights
+    `is_stale` tells that a newer report was due; `vms` is the sum of the weights
     of the VMs, 1 for each that takes requests; `usage` is None when no report
     was received since this VM started.
     """
 
     usage: Mapping[str, Usage] | None
-    is_late: bool = False
+    is_stale: bool = False
     vms: float = 1.0
 
 
-def make_unheard(vms: float) -> Told:
+def make_missing_report(vms: float) -> UsageReport:
     """Return the report that stands for VMs that have sent none yet."""
-    return Told(None, is_late=True, vms=vms)
+    return UsageReport(None, is_stale=True, vms=vms)
 
 
-def add_up(reports: Iterable[Told]) -> list[Told]:
+def combine_reports(reports: Iterable[UsageReport]) -> list[UsageReport]:
     """Sum all reports that are not stale into one.
 
     Their shares add up too, so a limit is divided among a few reports instead
     of among all VMs. A stale report counts for at least its own share: it stays
     separate, except that stale reports without any team are summed.
     """
-    separate: list[Told] = []
-    current: list[Told] = []
-    stale_unused: list[Told] = []
+    separate: list[UsageReport] = []
+    current: list[UsageReport] = []
+    stale_unused: list[UsageReport] = []
     for report in reports:
-        if report.usage is None or (report.is_late and report.usage):
+        if report.usage is None or (report.is_stale and report.usage):
             separate.append(report)
-        elif report.is_late:
+        elif report.is_stale:
             stale_unused.append(report)
         else:
             current.append(report)
     groups = (group for group in (current, stale_unused) if group)
-    return [*separate, *map(add_group, groups)]
+    return [*separate, *map(add_usage_reports, groups)]
 
 
-def add_group(group: Sequence[Told]) -> Told:
+def add_usage_reports(group: Sequence[UsageReport]) -> UsageReport:
     """Sum some reports, all of which are stale or none."""
-    return Told(
+    return UsageReport(
         _sum_usage(report.usage for report in group if report.usage),
-        is_late=group[0].is_late,
+        is_stale=group[0].is_stale,
         vms=sum(report.vms for report in group),
     )
 
@@ -185,7 +185,7 @@
     def __init__(self, *, bounds: Bounds, beat: float, now: float) -> None:
         """Start without usage; `beat` is the heartbeat interval in seconds."""
         self._bounds = bounds
-        window_seconds = bounds.quota_window
+        window_seconds = bounds.quota_window_seconds
         self._window_seconds = window_seconds
         self._heartbeat_seconds = beat
         self._started_at = now
@@ -210,7 +210,7 @@
             return 0.0
         return self._compute_retry_after(meter, now)
 
-    def describe(self, team: str, now: float) -> dict[str, float]:
+    def describe_refusal(self, team: str, now: float) -> dict[str, float]:
         """Return the figures by which a request of a team was refused.
 
         `limit` and `spent` are requests of all VMs in a window, `part` is the
@@ -224,7 +224,7 @@
             'age': round(now - self._heartbeat_at, 3),
         }
 
-    def measure(self, now: float) -> dict[str, Usage]:
+    def collect_usage(self, now: float) -> dict[str, Usage]:
         """End a heartbeat interval; return the usage to report to other VMs."""
         elapsed = max(0.001, now - self._heartbeat_at)
         self._heartbeat_at = now
@@ -252,11 +252,11 @@
                 usage_by_team[name] = usage
         return usage_by_team
 
-    def divide(
+    def refill(
         self,
         teams: Iterable[Team],
-        own: Told,
-        others: Iterable[Told],
+        own: UsageReport,
+        others: Iterable[UsageReport],
         now: float,
     ) -> None:
         """Add tokens for each team by the reports of all VMs.
@@ -266,13 +266,13 @@
         """
         self._elapsed_seconds = now - self._refilled_at
         self._refilled_at = now
-        reports = (own, *add_up(others))
+        reports = (own, *combine_reports(others))
         for team in teams:
             if team.rate is not None:
                 team_reports = [
                     _TeamReport(
                         _get_usage(report, team.name),
-                        report.is_late,
+                        report.is_stale,
                         report.vms,
                     )
                     for report in reports
@@ -374,7 +374,7 @@
         stale = 0.0
         for report, fraction in zip(reports, fractions, strict=True):
             admitted = _get_admitted(report)
-            if report.is_late:
+            if report.is_stale:
                 stale += max(admitted, fraction * limit)
             else:
                 current += admitted
@@ -402,7 +402,7 @@
         has none to keep.
         """
         vms = sum(report.vms for report in reports)
-        stale_vms = sum(report.vms for report in reports if report.is_late)
+        stale_vms = sum(report.vms for report in reports if report.is_stale)
         has_most_reports = stale_vms * 2 < vms
         if has_most_reports or not meter.has_share_fraction:
             meter.share_fraction = fractions[0] / _sum_current(
@@ -422,11 +422,11 @@
     """A usage report of which only one team is kept."""
 
     usage: Usage | None
-    is_late: bool
+    is_stale: bool
     vms: float
 
 
-def _get_usage(report: Told, team: str) -> Usage | None:
+def _get_usage(report: UsageReport, team: str) -> Usage | None:
     return None if report.usage is None else report.usage.get(team, _NO_USAGE)
 
 
@@ -484,7 +484,7 @@
     return sum(
         fraction
         for report, fraction in zip(reports, fractions, strict=True)
-        if not report.is_late
+        if not report.is_stale
     )
 
 
--- a/toucanhall/limits/retries.py
+++ b/toucanhall/limits/retry_budget.py
@@ -9,7 +9,7 @@
 
 from toucanhall.fleet.model import Bounds
 
-__all__ = ('Retries', 'RetryBudget')
+__all__ = ('ServiceRetryBudget', 'RetryBudget')
 
 # Fraction of the ratio and of the slack that is used. The rest is held back:
 # the requests of a window are counted when they arrive at this VM, and their
@@ -19,7 +19,7 @@
 _BURST_FRACTION: Final = 0.25
 
 
-class Retries:
+class ServiceRetryBudget:
     """Token bucket of the retries of one service."""
 
     def __init__(self, *, bounds: Bounds, vms: float, now: float) -> None:
@@ -29,22 +29,22 @@
         self._updated_at = now
         self._tokens = 1.0
 
-    def resize(self, vms: float) -> None:
+    def set_vm_count(self, vms: float) -> None:
         """Set how many VMs share the slack; inf for a VM without a share."""
         self._vm_count = max(1.0, vms)
 
-    def earn(self) -> None:
+    def record_request(self) -> None:
         """Add the retries that a request for the service allows."""
         self._tokens += self._bounds.retry_ratio * _BUDGET_FRACTION
 
-    def spend(self, now: float) -> bool:
+    def try_acquire(self, now: float) -> bool:
         """Take one retry; return whether there was one."""
         bounds = self._bounds
         per_second = (
             bounds.retry_slack
             * (_BUDGET_FRACTION - _BURST_FRACTION)
             / self._vm_count
-            / bounds.retry_window
+            / bounds.retry_window_seconds
         )
         self._tokens += (now - self._updated_at) * per_second
         self._updated_at = now
@@ -69,26 +69,26 @@
         """Start with no service and with this VM alone."""
         self._bounds = bounds
         self._vm_count = 1.0
-        self._services: dict[str, Retries] = {}
+        self._services: dict[str, ServiceRetryBudget] = {}
 
-    def resize(self, vms: float) -> None:
+    def set_vm_count(self, vms: float) -> None:
         """Set how many VMs share the slack; inf for a VM without a share."""
         self._vm_count = vms
         for budget in self._services.values():
-            budget.resize(vms)
+            budget.set_vm_count(vms)
 
-    def earn(self, service: str, now: float) -> None:
+    def record_request(self, service: str, now: float) -> None:
         """Add the retries that a request for a service allows."""
-        self._get(service, now).earn()
+        self._get(service, now).record_request()
 
-    def spend(self, service: str, now: float) -> bool:
+    def try_acquire(self, service: str, now: float) -> bool:
         """Take one retry of a service; return whether there was one."""
-        return self._get(service, now).spend(now)
+        return self._get(service, now).try_acquire(now)
 
-    def _get(self, service: str, now: float) -> Retries:
+    def _get(self, service: str, now: float) -> ServiceRetryBudget:
         budget = self._services.get(service)
         if budget is None:
-            budget = Retries(
+            budget = ServiceRetryBudget(
                 bounds=self._bounds,
                 vms=self._vm_count,
                 now=now,
--- a/toucanhall/observe/journal.py
+++ b/toucanhall/observe/journal.py
@@ -52,7 +52,7 @@
         }
         self._put(event.number, line)
 
-    def tell_dropped(self) -> None:
+    def log_dropped_counts(self) -> None:
         """Write how many lines of each event were dropped since the start."""
         total = sum(self.dropped.values())
         if total != self._told:
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -16,10 +16,16 @@
 from toucanhall.fleet.model import Target
 from toucanhall.placement.load import TargetLoad
 
-__all__ = ('URGENT_PRIORITY', 'WARM_TARGETS', 'Ask', 'Candidate', 'choose')
+__all__ = (
+    'URGENT_PRIORITY',
+    'TARGETS_PER_OBJECT',
+    'RequestUrgency',
+    'Candidate',
+    'choose_target',
+)
 
 # Targets that serve an object while they are available.
-WARM_TARGETS: Final = 2
+TARGETS_PER_OBJECT: Final = 2
 # Requests per slot below which a target is chosen without comparing it.
 _FREE_FILL_RATIO: Final = 0.85
 # Fraction of the time to the objective that may be spent waiting for a slot.
@@ -34,11 +40,11 @@
 _NO_TARGET_FILL_RATIO: Final = float('inf')
 
 
-class Ask(NamedTuple):
+class RequestUrgency(NamedTuple):
     """How long a request may wait; times in seconds."""
 
     seconds_to_objective: float
-    usual_seconds: float
+    expected_seconds: float
     priority: int
 
 
@@ -49,13 +55,13 @@
     load: TargetLoad
 
 
-def choose(
+def choose_target(
     candidates: Sequence[Candidate],
-    urgency: Ask,
+    urgency: RequestUrgency,
     now: float,
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
-    preferred = candidates[:WARM_TARGETS]
+    preferred = candidates[:TARGETS_PER_OBJECT]
     fill_ratios = [
         _compute_fill_ratio(candidate.load, now) for candidate in preferred
     ]
@@ -69,13 +75,19 @@
 
 
 def _compute_fill_ratio(load: TargetLoad, now: float) -> float:
-    return (load.estimate(now) + 1) * max(1.0, load.slowness) / load.slots
+    return (
+        (load.estimate_requests(now) + 1)
+        * max(1.0, load.latency_ratio)
+        / load.slots
+    )
 
 
-def _compute_max_fill_ratio(urgency: Ask) -> float:
-    spare_seconds = urgency.seconds_to_objective - urgency.usual_seconds
+def _compute_max_fill_ratio(urgency: RequestUrgency) -> float:
+    spare_seconds = urgency.seconds_to_objective - urgency.expected_seconds
     queue_ratio = (
-        _MAX_WAIT_FRACTION * spare_seconds / max(urgency.usual_seconds, 0.001)
+        _MAX_WAIT_FRACTION
+        * spare_seconds
+        / max(urgency.expected_seconds, 0.001)
     )
     if urgency.priority > URGENT_PRIORITY:
         queue_ratio *= _LESS_URGENT_WAIT_FRACTION
--- a/toucanhall/placement/cold.py
+++ b/toucanhall/placement/cold_targets.py
@@ -18,29 +18,37 @@
 
 import xxhash
 
-__all__ = ('COLD_OWNERS', 'ColdPart', 'Group', 'find_part', 'pick_groups')
+__all__ = (
+    'COLD_OWNER_COUNT',
+    'ColdTargetBucket',
+    'VmGroup',
+    'compute_rate_fraction',
+    'find_owner_groups',
+)
 
 # VMs that may send to a cold target.
-COLD_OWNERS: Final = 2
+COLD_OWNER_COUNT: Final = 2
 # Four owners and their bursts stay below 1.5 times what the target bears and a
 # slack of five requests, the least that deployments allow.
 _OWNERS_RATE_FRACTION: Final = 0.7
 _MAX_TOKENS: Final = 1.0
 
 
-class Group(NamedTuple):
+class VmGroup(NamedTuple):
     """VMs of a zone, as this VM sees them.
 
-    `serving` names those that take requests. `heard` counts those that are
-    alive, `known` those that have an entry in the store.
+    `serving` names those that take requests. `alive_count` counts those that are
+    alive, `registered_count` those that have an entry in the store.
     """
 
     serving: tuple[str, ...] = ()
-    heard: int = 0
-    known: int = 0
+    alive_count: int = 0
+    registered_count: int = 0
 
 
-def find_part(own: str, target: str, groups: Iterable[Group]) -> float:
+def compute_rate_fraction(
+    own: str, target: str, groups: Iterable[VmGroup]
+) -> float:
     """Return this VM's fraction of what a cold target bears; 0 for no owner.
 
     `groups` are those that own the cold targets of the target's zone.
@@ -50,35 +58,35 @@
     registered_count = 0
     for group in groups:
         serving.extend(group.serving)
-        alive_count += group.heard
-        registered_count += group.known
+        alive_count += group.alive_count
+        registered_count += group.registered_count
     if not registered_count or own not in _pick_owners(target, serving):
         return 0.0
     return (
         _OWNERS_RATE_FRACTION
-        / COLD_OWNERS
+        / COLD_OWNER_COUNT
         * min(1.0, alive_count / registered_count)
     )
 
 
-def pick_groups(
+def find_owner_groups(
     zone: str,
-    groups: Mapping[str, Group],
+    groups: Mapping[str, VmGroup],
     regions: Mapping[str, str],
-) -> Iterable[Group]:
+) -> Iterable[VmGroup]:
     """Return the groups of VMs that own the cold targets of a zone.
 
     This is the group of the zone. If no VM is registered there, it is those of
     the zones of its region, or else those of all zones.
     """
     own = groups.get(zone)
-    if own and own.known:
+    if own and own.registered_count:
         return (own,)
     region = regions.get(zone)
     groups_of_region = [
         group
         for other_zone, group in groups.items()
-        if regions.get(other_zone) == region and group.known
+        if regions.get(other_zone) == region and group.registered_count
     ]
     return groups_of_region or groups.values()
 
@@ -89,10 +97,10 @@
         vms,
         key=lambda vm: xxhash.xxh64_intdigest(f'{target}\0{vm}'.encode()),
     )
-    return set(ranked[:COLD_OWNERS])
+    return set(ranked[:COLD_OWNER_COUNT])
 
 
-class ColdPart:
+class ColdTargetBucket:
     """Token bucket of this VM for one cold target."""
 
     def __init__(self, *, now: float) -> None:
@@ -100,7 +108,7 @@
         self._tokens = 0.0
         self._updated_at = now
 
-    def spend(self, rate: float, now: float) -> bool:
+    def try_acquire(self, rate: float, now: float) -> bool:
         """Take the token of a request; return whether there was one.
 
         `rate` is how many requests per second this VM may send.
--- a/toucanhall/placement/order.py
+++ b/toucanhall/placement/hash_ring.py
@@ -17,7 +17,7 @@
 
 import xxhash
 
-__all__ = ('MOST_EXAMINED', 'Place', 'Ring', 'count_points')
+__all__ = ('MAX_EXAMINED_TARGETS', 'Location', 'HashRing', 'count_points')
 
 # A target of the own region has this many times as many points as one of
 # another region. VMs of all zones of a region agree on the order, so that an
@@ -28,24 +28,24 @@
 _HASH_BYTES: Final = 8
 # Targets of the order that are examined for a request: more than a zone that
 # has just failed holds, at the sizes of zones of other regions in deployments.
-MOST_EXAMINED: Final = 64
+MAX_EXAMINED_TARGETS: Final = 64
 
 
-class Place(NamedTuple):
+class Location(NamedTuple):
     """The availability zone and region from which requests are sent."""
 
     zone: str
     region: str
 
 
-def count_points(zone: str, place: Place, regions: Mapping[str, str]) -> int:
+def count_points(zone: str, place: Location, regions: Mapping[str, str]) -> int:
     """Return how many points a target of a zone has on the ring."""
     if regions.get(zone) == place.region:
         return _POINTS_COUNT * _REGION_POINTS_RATIO
     return _POINTS_COUNT
 
 
-class Ring:
+class HashRing:
     """Ids of targets at the points of their hashes."""
 
     def __init__(self) -> None:
@@ -56,7 +56,7 @@
         self._nodes: dict[str, _Node] = {}
         self._next_number = 0
 
-    def change(self, removed: Iterable[str], added: Mapping[str, int]) -> None:
+    def update(self, removed: Iterable[str], added: Mapping[str, int]) -> None:
         """Remove some targets and add others with their numbers of points."""
         for name in removed:
             self._remove(name)
@@ -80,7 +80,7 @@
         owners = self._owners
         start = bisect_left(self._points, xxhash.xxh64_intdigest(key.encode()))
         seen: set[int] = set()
-        max_count = min(MOST_EXAMINED, len(self._names))
+        max_count = min(MAX_EXAMINED_TARGETS, len(self._names))
         for index in chain(range(start, len(owners)), range(start)):
             if len(seen) == max_count:
                 return
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -25,14 +25,14 @@
         self.slots = slots
         self.in_flight = 0
         self.consecutive_failures = 0
-        self.slowness = 1.0
+        self.latency_ratio = 1.0
         self.suspended_until = 0.0
         self._suspension_seconds = _MIN_SUSPENSION_SECONDS
         self._requests_of_others = 0.0
         self._reported_at = 0.0
         self._full_until = 0.0
 
-    def estimate(self, now: float) -> float:
+    def estimate_requests(self, now: float) -> float:
         """Return how many requests the target runs and holds in its queue."""
         age_seconds = max(0.0, now - self._reported_at)
         others = self._requests_of_others * math.exp2(
@@ -51,7 +51,7 @@
         """Whether the target may get one request at a time after failures."""
         return self.consecutive_failures >= _SUSPENSION_FAILURES_COUNT
 
-    def report(self, busy: int, now: float) -> None:
+    def record_reported_load(self, busy: int, now: float) -> None:
         """Record how many requests the target runs and holds, by its answer."""
         self._requests_of_others = float(max(0, busy - self.in_flight))
         self._reported_at = now
@@ -60,7 +60,7 @@
         """Record that the target refused a request as full."""
         self._full_until = now + _FULL_SECONDS
 
-    def succeed(self, ratio: float | None) -> bool:
+    def record_success(self, ratio: float | None) -> bool:
         """Record an answer; `ratio` is its time over the expected time.
 
         Returns whether the target had been suspended.
@@ -70,10 +70,12 @@
         self._suspension_seconds = _MIN_SUSPENSION_SECONDS
         self.suspended_until = 0.0
         if ratio is not None:
-            self.slowness += (ratio - self.slowness) * _LATENCY_SMOOTHING_FACTOR
+            self.latency_ratio += (
+                ratio - self.latency_ratio
+            ) * _LATENCY_SMOOTHING_FACTOR
         return was_on_trial
 
-    def fail(self, now: float, *, is_lost: bool) -> bool:
+    def record_failure(self, now: float, *, is_lost: bool) -> bool:
         """Record a failure; a lost connection suspends the target at once.
 
         Returns whether this failure suspends the target.
--- a/toucanhall/placement/field.py
+++ b/toucanhall/placement/registry.py
@@ -6,11 +6,16 @@
 
 from toucanhall.fleet.model import Configuration, Target
 from toucanhall.placement.choice import Candidate
-from toucanhall.placement.cold import ColdPart, Group, find_part, pick_groups
+from toucanhall.placement.cold_targets import (
+    ColdTargetBucket,
+    VmGroup,
+    compute_rate_fraction,
+    find_owner_groups,
+)
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.order import Place, Ring, count_points
+from toucanhall.placement.hash_ring import Location, HashRing, count_points
 
-__all__ = ('Field', 'Need')
+__all__ = ('TargetRegistry', 'TargetQuery')
 
 # For this time, a target gets no requests after another target answered at its
 # address.
@@ -19,7 +24,7 @@
 _MAX_RINGS_COUNT: Final = 100
 
 
-class Need(NamedTuple):
+class TargetQuery(NamedTuple):
     """Selects and orders the targets that may serve a request.
 
     `key` names the object, `homes` the regions that may serve it (empty for
@@ -32,24 +37,28 @@
     tried: frozenset[str]
 
 
-class Field:
+class TargetRegistry:
     """Load and health of each target, which are cold, and their order."""
 
-    def __init__(self, *, place: Place, regions: Mapping[str, str]) -> None:
+    def __init__(
+        self, *, location: Location, regions: Mapping[str, str]
+    ) -> None:
         """Start without targets; `regions` names the region of each zone."""
-        self._location = place
+        self._location = location
         self._regions = dict(regions)
         self._targets: dict[str, Target] = {}
-        self._rings: dict[tuple[str, frozenset[str]], Ring] = {}
+        self._rings: dict[tuple[str, frozenset[str]], HashRing] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._cold_until: dict[str, float] = {}
-        self._cold_buckets: dict[str, ColdPart] = {}
+        self._cold_buckets: dict[str, ColdTargetBucket] = {}
         self._rate_fractions: dict[str, float] = {}
         self._vm = ''
-        self._groups: Mapping[str, Group] = {}
+        self._groups: Mapping[str, VmGroup] = {}
         self.loads: dict[str, TargetLoad] = {}
 
-    def take_targets(self, targets: Mapping[str, Target], now: float) -> None:
+    def replace_targets(
+        self, targets: Mapping[str, Target], now: float
+    ) -> None:
         """Replace the list of targets.
 
         A target that has restarted begins without load and failures. One with
@@ -82,7 +91,7 @@
         for (service, homes), ring in self._rings.items():
             self._update_ring(ring, removed | started, started, service, homes)
 
-    def take_evacuations(
+    def set_evacuated_zones(
         self,
         zones: frozenset[str],
         configuration: Configuration | None,
@@ -99,7 +108,7 @@
                 self._cold_until[name] = now + service.cold_seconds
                 self._cold_buckets.pop(name, None)
 
-    def take_vms(self, own: str, groups: Mapping[str, Group]) -> None:
+    def set_vm_groups(self, own: str, groups: Mapping[str, VmGroup]) -> None:
         """Replace the VMs of each zone as this VM, `own`, sees them."""
         if (own, groups) != (self._vm, self._groups):
             self._vm = own
@@ -108,14 +117,14 @@
 
     def list_candidates(
         self,
-        query: Need,
+        query: TargetQuery,
         now: float,
         max_count: int,
     ) -> list[Candidate]:
         """Return the first targets that may serve a request, best first."""
         return list(islice(self._iterate_candidates(query, now), max_count))
 
-    def is_near(self, target: Target) -> bool:
+    def is_in_own_region(self, target: Target) -> bool:
         """Whether a target is in the region of this VM."""
         return self._regions.get(target.zone) == self._location.region
 
@@ -123,7 +132,9 @@
         """Whether a target is still cold and bears only a low rate."""
         return now < self._cold_until.get(target, 0.0)
 
-    def spend(self, target: Target, per_second: float, now: float) -> bool:
+    def try_acquire(
+        self, target: Target, per_second: float, now: float
+    ) -> bool:
         """Return whether a request may be sent to a target, cold or not.
 
         `per_second` is what a cold target bears from all VMs; 0 for any rate.
@@ -132,17 +143,21 @@
             return True
         bucket = self._cold_buckets.get(target.id)
         if bucket is None:
-            bucket = ColdPart(now=now)
+            bucket = ColdTargetBucket(now=now)
             self._cold_buckets[target.id] = bucket
-        return bucket.spend(per_second * self._get_rate_fraction(target), now)
+        return bucket.try_acquire(
+            per_second * self._get_rate_fraction(target), now
+        )
 
-    def lose(self, target: str, now: float) -> None:
+    def suspend(self, target: str, now: float) -> None:
         """Suspend a target since another one answered at its address."""
         load = self.loads.get(target)
         if load is not None:
             load.suspended_until = now + _MISDIRECTED_SECONDS
 
-    def _may_serve(self, target: Target, query: Need, now: float) -> bool:
+    def _may_serve(
+        self, target: Target, query: TargetQuery, now: float
+    ) -> bool:
         if target.is_draining or target.zone in self._evacuated:
             return False
         if target.id in query.tried:
@@ -157,7 +172,7 @@
 
     def _iterate_candidates(
         self,
-        query: Need,
+        query: TargetQuery,
         now: float,
     ) -> Iterator[Candidate]:
         ring = self._get_ring(query.service, query.homes)
@@ -169,24 +184,24 @@
     def _get_rate_fraction(self, target: Target) -> float:
         fraction = self._rate_fractions.get(target.id)
         if fraction is None:
-            groups = pick_groups(target.zone, self._groups, self._regions)
-            fraction = find_part(self._vm, target.id, groups)
+            groups = find_owner_groups(target.zone, self._groups, self._regions)
+            fraction = compute_rate_fraction(self._vm, target.id, groups)
             self._rate_fractions[target.id] = fraction
         return fraction
 
-    def _get_ring(self, service: str, homes: frozenset[str]) -> Ring:
+    def _get_ring(self, service: str, homes: frozenset[str]) -> HashRing:
         ring = self._rings.get((service, homes))
         if ring is None:
             if len(self._rings) >= _MAX_RINGS_COUNT:
                 self._rings.clear()
-            ring = Ring()
+            ring = HashRing()
             self._update_ring(ring, set(), self._targets, service, homes)
             self._rings[service, homes] = ring
         return ring
 
     def _update_ring(
         self,
-        ring: Ring,
+        ring: HashRing,
         removed: Set[str],
         added: Iterable[str],
         service: str,
@@ -204,7 +219,7 @@
             and (not homes or self._regions.get(target.zone) in homes)
         }
         if points or not removed.isdisjoint(ring):
-            ring.change(removed, points)
+            ring.update(removed, points)
 
 
 def _is_same(known: Target | None, target: Target) -> bool:
--- a/toucanhall/placement/times.py
+++ b/toucanhall/placement/response_times.py
@@ -2,14 +2,14 @@
 
 from typing import Final
 
-__all__ = ('UsualTimes',)
+__all__ = ('ResponseTimes',)
 
 _SMOOTHING_FACTOR: Final = 0.05  # averages over some twenty answers
 _INITIAL_OBJECTIVE_FRACTION: Final = 0.5
 _MAX_LATENCY_RATIO: Final = 4.0
 
 
-class UsualTimes:
+class ResponseTimes:
     """Smoothed response times by route, in seconds."""
 
     def __init__(self) -> None:
@@ -23,7 +23,7 @@
             objective * _INITIAL_OBJECTIVE_FRACTION,
         )
 
-    def take(
+    def record(
         self,
         route: str,
         objective: float,
