Mend what still named old names in limits, placement and their tests

Docstrings and imports that the renames made too long or left out of order, and local names after the new names of other parts. The count of VMs that share a slack has a name that no setter shadows (WPS615).

--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -10,8 +10,8 @@
 from toucanhall.fleet.model import Target
 from toucanhall.placement import choice
 from toucanhall.placement.choice import RequestUrgency, choose_target
-from toucanhall.placement.registry import TargetRegistry, TargetQuery
 from toucanhall.placement.hash_ring import Location
+from toucanhall.placement.registry import TargetQuery, TargetRegistry
 
 __all__ = ('Outcomes', 'Pattern', 'replay')
 
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -10,12 +10,12 @@
     get_heartbeat_interval_seconds,
 )
 from toucanhall.edge.zone_reporter import ZoneReporter
-from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.selection import pick_serving
+from toucanhall.fleet.tables import Revisions
 from toucanhall.limits.quota import RESERVE_VM_WEIGHT, Quotas, UsageReport
 
-__all__ = ('SimulatedFleet', 'compute_window_bound', 'compute_max_admitted')
+__all__ = ('SimulatedFleet', 'compute_max_admitted', 'compute_window_bound')
 
 STEP_SECONDS = 0.01
 WINDOW_SECONDS = 5.0
@@ -55,7 +55,7 @@
         )
         self.members = Members(own=member.contact, zones=zones, now=now)
         self.send = send
-        self.speaker = ZoneReporter(
+        self.zone_reporter = ZoneReporter(
             members=self.members, send=send, clock=lambda: self.now
         )
 
@@ -83,7 +83,7 @@
         self.usage = self.quotas.collect_usage(now)
         heartbeat = self.make_heartbeat()
         self.send(Message(heartbeat), self.list_local_ips())
-        self.speaker.beat(heartbeat)
+        self.zone_reporter.beat(heartbeat)
         self.refill(team, now)
 
     def refill(self, team, now):
@@ -125,13 +125,13 @@
             known = tuple(self.members.known_vms.values())
             answer = self.make_heartbeat()._replace(known_vms=known)
             self.send(Message(answer), (heartbeat.member.ip,))
-            self.add_introductions((heartbeat.member.contact,))
-        self.add_introductions(heartbeat.known_vms)
+            self.add_contacts((heartbeat.member.contact,))
+        self.add_contacts(heartbeat.known_vms)
 
-    def add_introductions(self, introductions):
+    def add_contacts(self, contacts):
         new = [
             found
-            for found in introductions
+            for found in contacts
             if found.vm != self.member.vm and self.members.add_known_vm(found)
         ]
         for found in new:
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -6,16 +6,16 @@
 from tests.placement_replay import Pattern, replay
 from toucanhall.fleet.model import Configuration, Service
 from toucanhall.placement import choice
-from toucanhall.placement.choice import RequestUrgency, Candidate, choose_target
-from toucanhall.placement.registry import TargetRegistry, TargetQuery
-from toucanhall.placement.load import TargetLoad
+from toucanhall.placement.choice import Candidate, RequestUrgency, choose_target
 from toucanhall.placement.cold_targets import VmGroup
 from toucanhall.placement.hash_ring import (
     MAX_EXAMINED_TARGETS,
-    Location,
     HashRing,
+    Location,
     count_points,
 )
+from toucanhall.placement.load import TargetLoad
+from toucanhall.placement.registry import TargetQuery, TargetRegistry
 
 REGIONS = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
 LOCATION = Location('east-a', 'east')
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -5,24 +5,26 @@
 
 import pytest
 
+from tests.fleetdata import make_bounds, make_team
 from tests.simulated_fleet import (
     WINDOW_SECONDS,
-    compute_window_bound,
     compute_max_admitted,
+    compute_window_bound,
 )
-from tests.fleetdata import make_bounds, make_team
 from toucanhall.edge.peer_exchange import (
     FIRST_HEARTBEAT_DELAY_SECONDS,
     get_heartbeat_interval_seconds,
 )
-from toucanhall.fleet.membership import USAGE_STALE_SECONDS
-from toucanhall.fleet.membership import REPORT_STALE_SECONDS as REPORT_LATE
+from toucanhall.fleet.membership import (
+    REPORT_STALE_SECONDS,
+    USAGE_STALE_SECONDS,
+)
 from toucanhall.fleet.reports import sum_usage_reports
 from toucanhall.limits.quota import (
     RESERVE_VM_WEIGHT,
     Quotas,
-    UsageReport,
     Usage,
+    UsageReport,
     combine_reports,
     make_missing_report,
 )
@@ -150,7 +152,9 @@
             if other_zone not in self.reports_by_zone
         ]
         remote += [
-            report._replace(is_stale=report.is_stale or now - at > REPORT_LATE)
+            report._replace(
+                is_stale=report.is_stale or now - at > REPORT_STALE_SECONDS
+            )
             for other_zone, (reports, at) in self.reports_by_zone.items()
             if other_zone != zone
             for report in reports
--- a/tests/unit/test_quota_starts.py
+++ b/tests/unit/test_quota_starts.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 from tests.fleetdata import make_team
+from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 
 HOT_AT = 8.0
 KILLED_AT = 14.0
--- a/tests/unit/test_quota_storms.py
+++ b/tests/unit/test_quota_storms.py
@@ -1,14 +1,14 @@
 """The limit of a team over random kills, network cuts and pauses of VMs.
 
 Faults overlap. VMs that restart, resume or are cut off know too little of what
-others have spent, and may spend the same part of the limit again.
+others have spent, and may spend the same share of the limit again.
 """
 
 import random
 from typing import NamedTuple
 
-from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 from tests.fleetdata import make_team
+from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 
 SEEDS = range(30)
 FIRST_AT = 8.0
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -18,8 +18,8 @@
 __all__ = (
     'RESERVE_VM_WEIGHT',
     'Quotas',
-    'UsageReport',
     'Usage',
+    'UsageReport',
     'add_usage_reports',
     'combine_reports',
     'make_missing_report',
@@ -77,9 +77,9 @@
 class UsageReport(NamedTuple):
     """The usage that a VM reported last, or the sum of several reports.
 
-    `is_stale` tells that a newer report was due; `vms` is the sum of the weights
-    of the VMs, 1 for each that takes requests; `usage` is None when no report
-    was received since this VM started.
+    `is_stale` tells that a newer report was due; `vms` is the sum of the VMs'
+    weights, 1 for each that takes requests; `usage` is None when no report was
+    received since this VM started.
     """
 
     usage: Mapping[str, Usage] | None
--- a/toucanhall/limits/retry_budget.py
+++ b/toucanhall/limits/retry_budget.py
@@ -9,7 +9,7 @@
 
 from toucanhall.fleet.model import Bounds
 
-__all__ = ('ServiceRetryBudget', 'RetryBudget')
+__all__ = ('RetryBudget', 'ServiceRetryBudget')
 
 # Fraction of the ratio and of the slack that is used. The rest is held back:
 # the requests of a window are counted when they arrive at this VM, and their
@@ -25,13 +25,13 @@
     def __init__(self, *, bounds: Bounds, vms: float, now: float) -> None:
         """Start with one retry: what was spent before is not known."""
         self._bounds = bounds
-        self._vm_count = vms
+        self._sharing_vms = vms
         self._updated_at = now
         self._tokens = 1.0
 
     def set_vm_count(self, vms: float) -> None:
         """Set how many VMs share the slack; inf for a VM without a share."""
-        self._vm_count = max(1.0, vms)
+        self._sharing_vms = max(1.0, vms)
 
     def record_request(self) -> None:
         """Add the retries that a request for the service allows."""
@@ -43,7 +43,7 @@
         per_second = (
             bounds.retry_slack
             * (_BUDGET_FRACTION - _BURST_FRACTION)
-            / self._vm_count
+            / self._sharing_vms
             / bounds.retry_window_seconds
         )
         self._tokens += (now - self._updated_at) * per_second
@@ -58,7 +58,7 @@
     def _compute_max_burst(self) -> float:
         return max(
             1.0,
-            self._bounds.retry_slack * _BURST_FRACTION / self._vm_count,
+            self._bounds.retry_slack * _BURST_FRACTION / self._sharing_vms,
         )
 
 
@@ -68,12 +68,12 @@
     def __init__(self, *, bounds: Bounds) -> None:
         """Start with no service and with this VM alone."""
         self._bounds = bounds
-        self._vm_count = 1.0
+        self._sharing_vms = 1.0
         self._services: dict[str, ServiceRetryBudget] = {}
 
     def set_vm_count(self, vms: float) -> None:
         """Set how many VMs share the slack; inf for a VM without a share."""
-        self._vm_count = vms
+        self._sharing_vms = vms
         for budget in self._services.values():
             budget.set_vm_count(vms)
 
@@ -90,7 +90,7 @@
         if budget is None:
             budget = ServiceRetryBudget(
                 bounds=self._bounds,
-                vms=self._vm_count,
+                vms=self._sharing_vms,
                 now=now,
             )
             self._services[service] = budget
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -17,10 +17,10 @@
 from toucanhall.placement.load import TargetLoad
 
 __all__ = (
-    'URGENT_PRIORITY',
     'TARGETS_PER_OBJECT',
-    'RequestUrgency',
+    'URGENT_PRIORITY',
     'Candidate',
+    'RequestUrgency',
     'choose_target',
 )
 
--- a/toucanhall/placement/cold_targets.py
+++ b/toucanhall/placement/cold_targets.py
@@ -37,8 +37,8 @@
 class VmGroup(NamedTuple):
     """VMs of a zone, as this VM sees them.
 
-    `serving` names those that take requests. `alive_count` counts those that are
-    alive, `registered_count` those that have an entry in the store.
+    `serving` names those that take requests, `alive_count` is how many are
+    alive, `registered_count` how many have an entry in the store.
     """
 
     serving: tuple[str, ...] = ()
--- a/toucanhall/placement/hash_ring.py
+++ b/toucanhall/placement/hash_ring.py
@@ -17,7 +17,7 @@
 
 import xxhash
 
-__all__ = ('MAX_EXAMINED_TARGETS', 'Location', 'HashRing', 'count_points')
+__all__ = ('MAX_EXAMINED_TARGETS', 'HashRing', 'Location', 'count_points')
 
 # A target of the own region has this many times as many points as one of
 # another region. VMs of all zones of a region agree on the order, so that an
--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -12,10 +12,10 @@
     compute_rate_fraction,
     find_owner_groups,
 )
+from toucanhall.placement.hash_ring import HashRing, Location, count_points
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.hash_ring import Location, HashRing, count_points
 
-__all__ = ('TargetRegistry', 'TargetQuery')
+__all__ = ('TargetQuery', 'TargetRegistry')
 
 # For this time, a target gets no requests after another target answered at its
 # address.
