--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -1,12 +1,13 @@
-"""Chooses a target by its place in the order and its load.
-
-Load patterns: one object much wanted (its first target fills: the next in the
-order takes the rest, the same one at every VM); one target slow (it counts as
-fuller than it is); more requests than cold targets bear. A target remembers a
-few dozen objects. Were each object sent to whichever target has room, all
-targets would meet all objects, forget them again and run each request cold:
-the overload would feed itself. So an object has two targets, and what finds no
-room there is refused at once.
+"""Chooses a target for a request by the order for its object and by load.
+
+Load patterns: one object is in high demand (its first target fills up, and the
+next one in the order, the same at every VM, takes the rest); one target is slow
+(it counts as fuller than it is); more requests arrive than cold targets bear.
+
+A target caches a few dozen objects. If each object were sent to whichever
+target has a free slot, all targets would load all objects, evict them again and
+run each request cold, so that the overload would sustain itself. So an object
+has two targets, and a request that neither can take is refused at once.
 """
 
 from collections.abc import Sequence
@@ -16,30 +17,31 @@
 from toucanhall.placement.load import TargetLoad
 
 __all__ = (
-    'URGENT_PRIORITY',
     'TARGETS_PER_OBJECT',
-    'RequestUrgency',
+    'URGENT_PRIORITY',
     'Candidate',
+    'RequestUrgency',
     'choose_target',
 )
 
-# Targets that serve an object, as long as they are there.
+# Targets that serve an object while they are available.
 TARGETS_PER_OBJECT: Final = 2
-# Share of the slots up to which a target is not full.
-_ROOMY: Final = 0.85
-# Part of the time to the objective that may be spent waiting for a slot.
-_WAIT_SHARE: Final = 0.8
-# Less urgent requests leave room in the queue for urgent ones.
+# Requests per slot below which a target is chosen without comparing it.
+_FREE_FILL_RATIO: Final = 0.85
+# Fraction of the time to the objective that may be spent waiting for a slot.
+_MAX_WAIT_FRACTION: Final = 0.8
+# Requests of a higher number than this one are less urgent.
 URGENT_PRIORITY: Final = 1
-_LESS_URGENT_SHARE: Final = 0.5
-# Requests of a longer objective may not wait for more than this many slots'
-# worth of other requests, since those in front may be cold.
-_MOST_WAITING: Final = 1.5
-_FULL: Final = float('inf')
+# Less urgent requests wait in a shorter queue, so that urgent ones find space.
+_LESS_URGENT_WAIT_FRACTION: Final = 0.5
+# Requests with a long objective wait behind at most this many requests per
+# slot, since those in front may be cold.
+_MAX_QUEUE_RATIO: Final = 1.5
+_NO_TARGET_FILL_RATIO: Final = float('inf')
 
 
 class RequestUrgency(NamedTuple):
-    """What a request needs; times in seconds."""
+    """How long a request may wait; times in seconds."""
 
     seconds_to_objective: float
     expected_seconds: float
@@ -55,22 +57,24 @@
 
 def choose_target(
     candidates: Sequence[Candidate],
-    ask: RequestUrgency,
+    urgency: RequestUrgency,
     now: float,
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
-    near = candidates[:TARGETS_PER_OBJECT]
-    fills = [_fill(candidate.load, now) for candidate in near]
-    for candidate, fill in zip(near, fills, strict=True):
-        if fill < _ROOMY:
+    preferred = candidates[:TARGETS_PER_OBJECT]
+    fill_ratios = [
+        _compute_fill_ratio(candidate.load, now) for candidate in preferred
+    ]
+    for candidate, fill_ratio in zip(preferred, fill_ratios, strict=True):
+        if fill_ratio < _FREE_FILL_RATIO:
             return candidate
-    least = min(fills, default=_FULL)
-    if least >= _limit_fill(ask):
+    least = min(fill_ratios, default=_NO_TARGET_FILL_RATIO)
+    if least >= _compute_max_fill_ratio(urgency):
         return None
-    return near[fills.index(least)]
+    return preferred[fill_ratios.index(least)]
 
 
-def _fill(load: TargetLoad, now: float) -> float:
+def _compute_fill_ratio(load: TargetLoad, now: float) -> float:
     return (
         (load.estimate_requests(now) + 1)
         * max(1.0, load.latency_ratio)
@@ -78,9 +82,13 @@
     )
 
 
-def _limit_fill(ask: RequestUrgency) -> float:
-    spare = ask.seconds_to_objective - ask.expected_seconds
-    waiting = _WAIT_SHARE * spare / max(ask.expected_seconds, 0.001)
-    if ask.priority > URGENT_PRIORITY:
-        waiting *= _LESS_URGENT_SHARE
-    return 1 + max(0.0, min(_MOST_WAITING, waiting))
+def _compute_max_fill_ratio(urgency: RequestUrgency) -> float:
+    spare_seconds = urgency.seconds_to_objective - urgency.expected_seconds
+    queue_ratio = (
+        _MAX_WAIT_FRACTION
+        * spare_seconds
+        / max(urgency.expected_seconds, 0.001)
+    )
+    if urgency.priority > URGENT_PRIORITY:
+        queue_ratio *= _LESS_URGENT_WAIT_FRACTION
+    return 1 + max(0.0, min(_MAX_QUEUE_RATIO, queue_ratio))
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -5,82 +5,92 @@
 
 __all__ = ('TargetLoad',)
 
-# A report tells how busy a target was; what others sent since is not known,
-# so it counts less with age: requests take about a quarter of a second.
-_REPORT_HALF_LIFE: Final = 0.25
-# Failures in a row after which a target is left alone for a while.
-_MOST_FAILURES: Final = 3
-_FIRST_SUSPENSION_SECONDS: Final = 0.5
-_LONGEST_SUSPENSION_SECONDS: Final = 4.0
-_SLOW_WEIGHT: Final = 0.2
+# Half-life of a target's reported load: what other VMs have sent since is not
+# known, and requests take about a quarter of a second.
+_REPORT_HALF_LIFE_SECONDS: Final = 0.25
+# Consecutive failures after which a target is suspended.
+_SUSPENSION_FAILURES_COUNT: Final = 3
+_MIN_SUSPENSION_SECONDS: Final = 0.5
+_MAX_SUSPENSION_SECONDS: Final = 4.0
+_LATENCY_SMOOTHING_FACTOR: Final = 0.2
+# For this time, a target that refused a request as full counts as full.
 _FULL_SECONDS: Final = 0.15
 
 
 class TargetLoad:
-    """Counts of one target, from own requests and what it reported."""
+    """Load and health of one target, by own requests and its answers."""
 
     def __init__(self, *, slots: int) -> None:
         """Start with an idle, healthy target."""
         self.slots = slots
         self.in_flight = 0
-        self.failures = 0
+        self.consecutive_failures = 0
         self.latency_ratio = 1.0
         self.suspended_until = 0.0
-        self._suspension = _FIRST_SUSPENSION_SECONDS
-        self._others = 0.0
+        self._suspension_seconds = _MIN_SUSPENSION_SECONDS
+        self._requests_of_others = 0.0
         self._reported_at = 0.0
         self._full_until = 0.0
 
     def estimate_requests(self, now: float) -> float:
-        """Return how many requests the target runs and holds."""
-        age = max(0.0, now - self._reported_at)
-        others = self._others * math.exp2(-age / _REPORT_HALF_LIFE)
-        estimate = self.in_flight + others
+        """Return how many requests the target runs and holds in its queue."""
+        age_seconds = max(0.0, now - self._reported_at)
+        others = self._requests_of_others * math.exp2(
+            -age_seconds / _REPORT_HALF_LIFE_SECONDS,
+        )
+        requests = self.in_flight + others
         if now < self._full_until:
-            return max(estimate, float(self.slots * 2))
-        return estimate
+            return max(requests, float(self.slots * 2))
+        return requests
 
     def is_suspended(self, now: float) -> bool:
-        """Whether the target is left alone after failures."""
+        """Whether the target gets no requests after failures."""
         return now < self.suspended_until
 
     def is_on_trial(self) -> bool:
-        """Whether the target failed lately and may get one request."""
-        return self.failures >= _MOST_FAILURES
+        """Whether the target may get one request at a time after failures."""
+        return self.consecutive_failures >= _SUSPENSION_FAILURES_COUNT
 
     def record_reported_load(self, busy: int, now: float) -> None:
-        """Take how many requests the target runs and holds by its answer."""
-        self._others = float(max(0, busy - self.in_flight))
+        """Record how many requests the target runs and holds, by its answer."""
+        self._requests_of_others = float(max(0, busy - self.in_flight))
         self._reported_at = now
 
     def fill(self, now: float) -> None:
-        """Note that the target turned a request away as full."""
+        """Record that the target refused a request as full."""
         self._full_until = now + _FULL_SECONDS
 
     def record_success(self, ratio: float | None) -> bool:
-        """Note an answer; `ratio` is its time over the usual time.
+        """Record an answer; `ratio` is its time over the expected time.
 
         Returns whether the target had been suspended.
         """
         was_on_trial = self.is_on_trial()
-        self.failures = 0
-        self._suspension = _FIRST_SUSPENSION_SECONDS
+        self.consecutive_failures = 0
+        self._suspension_seconds = _MIN_SUSPENSION_SECONDS
         self.suspended_until = 0.0
         if ratio is not None:
-            self.latency_ratio += (ratio - self.latency_ratio) * _SLOW_WEIGHT
+            self.latency_ratio += (
+                ratio - self.latency_ratio
+            ) * _LATENCY_SMOOTHING_FACTOR
         return was_on_trial
 
     def record_failure(self, now: float, *, is_lost: bool) -> bool:
-        """Note a failure; a lost connection suspends the target at once.
+        """Record a failure; a lost connection suspends the target at once.
 
-        Returns whether the target is suspended from now on.
+        Returns whether this failure suspends the target.
         """
-        self.failures += _MOST_FAILURES if is_lost else 1
-        if self.failures < _MOST_FAILURES or self.is_suspended(now):
+        self.consecutive_failures += (
+            _SUSPENSION_FAILURES_COUNT if is_lost else 1
+        )
+        if (
+            self.consecutive_failures < _SUSPENSION_FAILURES_COUNT
+            or self.is_suspended(now)
+        ):
             return False
-        self.suspended_until = now + self._suspension
-        self._suspension = min(
-            _LONGEST_SUSPENSION_SECONDS,
-            self._suspension * 2,
+        self.suspended_until = now + self._suspension_seconds
+        self._suspension_seconds = min(
+            _MAX_SUSPENSION_SECONDS,
+            self._suspension_seconds * 2,
         )
         return True
--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -12,19 +12,24 @@
     compute_rate_fraction,
     find_owner_groups,
 )
+from toucanhall.placement.hash_ring import HashRing, Location, count_points
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.hash_ring import Location, HashRing, count_points
 
-__all__ = ('TargetRegistry', 'TargetQuery')
+__all__ = ('TargetQuery', 'TargetRegistry')
 
-# Time for which a target that was named by its address alone is left alone.
-_GONE_SECONDS: Final = 3.0
-# Rings that are kept: twenty services with a few sets of home regions each.
-_MOST_RINGS: Final = 100
+# For this time, a target gets no requests after another target answered at its
+# address.
+_MISDIRECTED_SECONDS: Final = 3.0
+# Rings that are cached: twenty services with a few sets of home regions each.
+_MAX_RINGS_COUNT: Final = 100
 
 
 class TargetQuery(NamedTuple):
-    """What limits the targets of a request."""
+    """Selects and orders the targets that may serve a request.
+
+    `key` names the object, `homes` the regions that may serve it (empty for
+    all), `tried` the targets that have been tried.
+    """
 
     service: str
     key: str
@@ -33,20 +38,20 @@
 
 
 class TargetRegistry:
-    """Load, health and coldness of each target, and the order for objects."""
+    """Load and health of each target, which are cold, and their order."""
 
     def __init__(
         self, *, location: Location, regions: Mapping[str, str]
     ) -> None:
-        """Start without targets."""
-        self._place = location
+        """Start without targets; `regions` names the region of each zone."""
+        self._location = location
         self._regions = dict(regions)
         self._targets: dict[str, Target] = {}
         self._rings: dict[tuple[str, frozenset[str]], HashRing] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._cold_until: dict[str, float] = {}
-        self._cold_parts: dict[str, ColdTargetBucket] = {}
-        self._parts: dict[str, float] = {}
+        self._cold_buckets: dict[str, ColdTargetBucket] = {}
+        self._rate_fractions: dict[str, float] = {}
         self._vm = ''
         self._groups: Mapping[str, VmGroup] = {}
         self.loads: dict[str, TargetLoad] = {}
@@ -54,8 +59,12 @@
     def replace_targets(
         self, targets: Mapping[str, Target], now: float
     ) -> None:
-        """Take the list of targets; new incarnations start anew."""
-        gone = self._targets.keys() - targets.keys()
+        """Replace the list of targets.
+
+        A target that has restarted begins without load and failures. One with
+        a new time for warming up, or new in the list, is cold from now on.
+        """
+        removed = self._targets.keys() - targets.keys()
         written = {
             name: target
             for name, target in targets.items()
@@ -66,10 +75,10 @@
             for name, target in written.items()
             if not _is_same(self._targets.get(name), target)
         }
-        for name in gone | started:
-            self._cold_parts.pop(name, None)
-            self._parts.pop(name, None)
-        for name in gone:
+        for name in removed | started:
+            self._cold_buckets.pop(name, None)
+            self._rate_fractions.pop(name, None)
+        for name in removed:
             self.loads.pop(name, None)
             self._cold_until.pop(name, None)
         for name in started:
@@ -80,7 +89,7 @@
                 self._cold_until[name] = now + target.cold_seconds
         self._targets = dict(targets)
         for (service, homes), ring in self._rings.items():
-            self._change_ring(ring, gone | started, started, service, homes)
+            self._update_ring(ring, removed | started, started, service, homes)
 
     def set_evacuated_zones(
         self,
@@ -88,7 +97,7 @@
         configuration: Configuration | None,
         now: float,
     ) -> None:
-        """Take the evacuated zones; those taken back count as cold."""
+        """Replace the evacuated zones; targets of returned zones are cold."""
         returned = self._evacuated - zones
         self._evacuated = zones
         for name, target in self._targets.items():
@@ -97,105 +106,124 @@
             )
             if target.zone in returned and service:
                 self._cold_until[name] = now + service.cold_seconds
-                self._cold_parts.pop(name, None)
+                self._cold_buckets.pop(name, None)
 
     def set_vm_groups(self, own: str, groups: Mapping[str, VmGroup]) -> None:
-        """Take the VMs of each zone as this VM sees them."""
+        """Replace the VMs of each zone as this VM, `own`, sees them."""
         if (own, groups) != (self._vm, self._groups):
             self._vm = own
             self._groups = groups
-            self._parts = {}
+            self._rate_fractions = {}
 
     def list_candidates(
         self,
-        need: TargetQuery,
+        query: TargetQuery,
         now: float,
-        most: int,
+        max_count: int,
     ) -> list[Candidate]:
         """Return the first targets that may serve a request, best first."""
-        return list(islice(self._list_able(need, now), most))
+        return list(islice(self._iterate_candidates(query, now), max_count))
 
     def is_in_own_region(self, target: Target) -> bool:
         """Whether a target is in the region of this VM."""
-        return self._regions.get(target.zone) == self._place.region
+        return self._regions.get(target.zone) == self._location.region
 
     def is_cold(self, target: str, now: float) -> bool:
-        """Whether a target is still cold."""
+        """Whether a target is still cold and bears only a low rate."""
         return now < self._cold_until.get(target, 0.0)
 
     def try_acquire(
         self, target: Target, per_second: float, now: float
     ) -> bool:
-        """Take a token of a cold target; tell whether there was one."""
+        """Return whether a request may be sent to a target, cold or not.
+
+        `per_second` is what a cold target bears from all VMs; 0 for any rate.
+        """
         if not per_second or not self.is_cold(target.id, now):
             return True
-        part = self._cold_parts.get(target.id)
-        if part is None:
-            part = ColdTargetBucket(now=now)
-            self._cold_parts[target.id] = part
-        return part.try_acquire(per_second * self._find_part(target), now)
+        bucket = self._cold_buckets.get(target.id)
+        if bucket is None:
+            bucket = ColdTargetBucket(now=now)
+            self._cold_buckets[target.id] = bucket
+        return bucket.try_acquire(
+            per_second * self._get_rate_fraction(target), now
+        )
 
     def suspend(self, target: str, now: float) -> None:
-        """Leave a target alone whose address another target has."""
+        """Suspend a target since another one answered at its address."""
         load = self.loads.get(target)
         if load is not None:
-            load.suspended_until = now + _GONE_SECONDS
+            load.suspended_until = now + _MISDIRECTED_SECONDS
 
-    def _may_serve(self, target: Target, need: TargetQuery, now: float) -> bool:
+    def _may_serve(
+        self, target: Target, query: TargetQuery, now: float
+    ) -> bool:
         if target.is_draining or target.zone in self._evacuated:
             return False
-        if target.id in need.tried:
+        if target.id in query.tried:
             return False
         load = self.loads[target.id]
         if load.is_suspended(now) or (load.is_on_trial() and load.in_flight):
             return False
-        return not self.is_cold(target.id, now) or self._find_part(target) > 0
+        return (
+            not self.is_cold(target.id, now)
+            or self._get_rate_fraction(target) > 0
+        )
 
-    def _list_able(self, need: TargetQuery, now: float) -> Iterator[Candidate]:
-        ring = self._find_ring(need.service, need.homes)
-        for name in ring.walk(need.key):
+    def _iterate_candidates(
+        self,
+        query: TargetQuery,
+        now: float,
+    ) -> Iterator[Candidate]:
+        ring = self._get_ring(query.service, query.homes)
+        for name in ring.walk(query.key):
             target = self._targets[name]
-            if self._may_serve(target, need, now):
+            if self._may_serve(target, query, now):
                 yield Candidate(target, self.loads[name])
 
-    def _find_part(self, target: Target) -> float:
-        found = self._parts.get(target.id)
-        if found is None:
+    def _get_rate_fraction(self, target: Target) -> float:
+        fraction = self._rate_fractions.get(target.id)
+        if fraction is None:
             groups = find_owner_groups(target.zone, self._groups, self._regions)
-            found = compute_rate_fraction(self._vm, target.id, groups)
-            self._parts[target.id] = found
-        return found
+            fraction = compute_rate_fraction(self._vm, target.id, groups)
+            self._rate_fractions[target.id] = fraction
+        return fraction
 
-    def _find_ring(self, service: str, homes: frozenset[str]) -> HashRing:
+    def _get_ring(self, service: str, homes: frozenset[str]) -> HashRing:
         ring = self._rings.get((service, homes))
         if ring is None:
-            if len(self._rings) >= _MOST_RINGS:
+            if len(self._rings) >= _MAX_RINGS_COUNT:
                 self._rings.clear()
             ring = HashRing()
-            self._change_ring(ring, set(), self._targets, service, homes)
+            self._update_ring(ring, set(), self._targets, service, homes)
             self._rings[service, homes] = ring
         return ring
 
-    def _change_ring(
+    def _update_ring(
         self,
         ring: HashRing,
-        gone: Set[str],
+        removed: Set[str],
         added: Iterable[str],
         service: str,
         homes: frozenset[str],
     ) -> None:
-        found = [self._targets[name] for name in added]
+        targets = [self._targets[name] for name in added]
         points = {
-            target.id: count_points(target.zone, self._place, self._regions)
-            for target in found
+            target.id: count_points(
+                target.zone,
+                self._location,
+                self._regions,
+            )
+            for target in targets
             if target.service == service
             and (not homes or self._regions.get(target.zone) in homes)
         }
-        if points or not gone.isdisjoint(ring):
-            ring.update(gone, points)
+        if points or not removed.isdisjoint(ring):
+            ring.update(removed, points)
 
 
 def _is_same(known: Target | None, target: Target) -> bool:
+    """Whether a target has not been restarted or moved."""
     return (
         known is not None
         and known.started_at == target.started_at
--- a/toucanhall/placement/response_times.py
+++ b/toucanhall/placement/response_times.py
@@ -1,24 +1,27 @@
-"""How long requests of a route usually take at a target with room."""
+"""How long requests of a route usually take at a target that is not full."""
 
 from typing import Final
 
 __all__ = ('ResponseTimes',)
 
-_WEIGHT: Final = 0.05  # of one answer: some twenty answers count
-_FIRST_SHARE: Final = 0.5  # of the objective, before any answer
-_MOST_RATIO: Final = 4.0
+_SMOOTHING_FACTOR: Final = 0.05  # averages over some twenty answers
+_INITIAL_OBJECTIVE_FRACTION: Final = 0.5
+_MAX_LATENCY_RATIO: Final = 4.0
 
 
 class ResponseTimes:
-    """Smoothed times of answers by route, in seconds."""
+    """Smoothed response times by route, in seconds."""
 
     def __init__(self) -> None:
         """Start without any answer."""
-        self._times: dict[str, float] = {}
+        self._seconds_by_route: dict[str, float] = {}
 
     def get(self, route: str, objective: float) -> float:
-        """Return the usual time; half of the objective before any answer."""
-        return self._times.get(route, objective * _FIRST_SHARE)
+        """Return the expected time; half of the objective before any answer."""
+        return self._seconds_by_route.get(
+            route,
+            objective * _INITIAL_OBJECTIVE_FRACTION,
+        )
 
     def record(
         self,
@@ -27,12 +30,15 @@
         seconds: float,
         fill: float,
     ) -> float | None:
-        """Take an answer; return its time over the usual time.
+        """Record an answer; return its time over the expected time.
 
-        Answers of a target that was full tell nothing of its speed.
+        Answers of a target that was full say nothing about its speed: they are
+        ignored, and the result is None.
         """
         if fill >= 1:
             return None
-        usual = self.get(route, objective)
-        self._times[route] = usual + (seconds - usual) * _WEIGHT
-        return min(_MOST_RATIO, seconds / max(usual, 0.001))
+        expected = self.get(route, objective)
+        self._seconds_by_route[route] = (
+            expected + (seconds - expected) * _SMOOTHING_FACTOR
+        )
+        return min(_MAX_LATENCY_RATIO, seconds / max(expected, 0.001))
