--- a/benches/blocks.py
+++ b/benches/blocks.py
@@ -15,10 +15,10 @@
     make_blocks,
 )
 
-_SIZES: Final = (3500, 35000, 350000, 3500000)
-_ZONES: Final = 72
-_LOOKUPS: Final = 300000
-_BITS: Final = 32
+_BLOCK_COUNTS: Final = (3500, 35000, 350000, 3500000)
+_ZONE_COUNT: Final = 72
+_LOOKUP_COUNT: Final = 300000
+_ADDRESS_BITS: Final = 32
 
 
 def main(arguments: Sequence[str]) -> int:
@@ -26,46 +26,50 @@
     parser = argparse.ArgumentParser(prog='bench blocks')
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
-    for size in _SIZES:
-        print(json.dumps(measure(size, random.Random(options.seed))))
+    for block_count in _BLOCK_COUNTS:
+        print(json.dumps(measure(block_count, random.Random(options.seed))))
     return 0
 
 
-def measure(size: int, rng: random.Random) -> dict[str, float]:
+def measure(block_count: int, rng: random.Random) -> dict[str, float]:
     """Build a table of some size and look up random addresses in it."""
-    started = time.perf_counter()
-    blocks = make_blocks(generate(size, rng), ())
-    built = time.perf_counter() - started
-    addresses = [rng.getrandbits(_BITS) for _ in range(_LOOKUPS)]
-    started = time.perf_counter()
+    started_at = time.perf_counter()
+    blocks = make_blocks(generate_blocks(block_count, rng), ())
+    build_seconds = time.perf_counter() - started_at
+    addresses = [rng.getrandbits(_ADDRESS_BITS) for _ in range(_LOOKUP_COUNT)]
+    started_at = time.perf_counter()
     for address in addresses:
         find_version4(blocks, address)
-    seconds = time.perf_counter() - started
+    lookup_seconds = time.perf_counter() - started_at
     texts = [str(ipaddress.ip_address(number)) for number in addresses]
-    started = time.perf_counter()
+    started_at = time.perf_counter()
     for text in texts:
         find_zone(blocks, text)
-    text_seconds = time.perf_counter() - started
+    text_lookup_seconds = time.perf_counter() - started_at
     table = blocks.version4
-    room = sum(column.itemsize * len(column) for column in table)
+    table_bytes = sum(column.itemsize * len(column) for column in table)
     return {
-        'blocks': size,
+        'blocks': block_count,
         'ranges': len(table.starts),
-        'bytes': room,
-        'bytes_per_block': round(room / size, 2),
-        'build_s': round(built, 2),
-        'lookups_per_s': round(_LOOKUPS / seconds),
-        'text_lookups_per_s': round(_LOOKUPS / text_seconds),
+        'bytes': table_bytes,
+        'bytes_per_block': round(table_bytes / block_count, 2),
+        'build_s': round(build_seconds, 2),
+        'lookups_per_s': round(_LOOKUP_COUNT / lookup_seconds),
+        'text_lookups_per_s': round(_LOOKUP_COUNT / text_lookup_seconds),
     }
 
 
-def generate(size: int, rng: random.Random) -> Iterator[Block]:
+def generate_blocks(block_count: int, rng: random.Random) -> Iterator[Block]:
     """Yield blocks that lie side by side, of random zones."""
-    step = (1 << _BITS) // size
-    length = _BITS - (step.bit_length() - 1)
-    width = 1 << (_BITS - length)
-    for number in range(size):
-        yield Block(number * width, length, f'zone-{rng.randrange(_ZONES)}')
+    addresses_per_block = (1 << _ADDRESS_BITS) // block_count
+    prefix_bits = _ADDRESS_BITS - (addresses_per_block.bit_length() - 1)
+    block_addresses = 1 << (_ADDRESS_BITS - prefix_bits)
+    for number in range(block_count):
+        yield Block(
+            number * block_addresses,
+            prefix_bits,
+            f'zone-{rng.randrange(_ZONE_COUNT)}',
+        )
 
 
 if __name__ == '__main__':
--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from benches.catalogue import change_key, make_document
-from benches.membership import make_list
+from benches.membership import make_vm_list
 from toucanhall.admin.audit import AuditEntry
 from toucanhall.catalogue import Catalogue, Revision
 from toucanhall.catalogue.differences import compare
@@ -44,17 +44,17 @@
 
 Row: TypeAlias = dict[str, float]
 
-_TARGETS: Final = (400, 800, 1600, 3100)
-_VMS: Final = (8, 16, 32, 62)
-_ENTRIES: Final = (10, 25, 50, 100)
-_ZONES: Final = 72
-_ROUNDS: Final = 5
-_PENDING: Final = 6  # revisions that some zone may still run
+_TARGET_COUNTS: Final = (400, 800, 1600, 3100)
+_VM_COUNTS: Final = (8, 16, 32, 62)
+_AUDIT_ENTRY_COUNTS: Final = (10, 25, 50, 100)
+_ZONE_COUNT: Final = 72
+_ROUND_COUNT: Final = 5
+_MAX_PENDING_REVISIONS: Final = 6  # revisions that some zone may still run
 _SECRET: Final = b'bench'
-_START: Final = 'start-of-24-hex-digits--'
+_VM_START_ID: Final = 'start-of-24-hex-digits--'
 _ZONE: Final = 'zone-0'
-_CHANGE: Final = 'change-of-24-hex-digits-'
-_MICRO: Final = 1_000_000
+_CHANGE_ID: Final = 'change-of-24-hex-digits-'
+_MICROSECONDS_PER_SECOND: Final = 1_000_000
 
 
 def main(arguments: Sequence[str]) -> int:
@@ -91,13 +91,13 @@
 
 def measure_us(call: Callable[[], object], repeats: int = 1) -> float:
     """Return the processor microseconds of a call."""
-    times = []
-    for _ in range(_ROUNDS):
-        started = time.process_time()
+    seconds = []
+    for _ in range(_ROUND_COUNT):
+        started_at = time.process_time()
         for _ in range(repeats):
             call()
-        times.append((time.process_time() - started) / repeats)
-    return round(statistics.median(times) * _MICRO, 1)
+        seconds.append((time.process_time() - started_at) / repeats)
+    return round(statistics.median(seconds) * _MICROSECONDS_PER_SECOND, 1)
 
 
 def measure_bytes(make: Callable[[], object]) -> int:
@@ -113,28 +113,28 @@
 def measure_spread(targets: int) -> Row:
     """Measure the difference of one key, and the object in the store."""
     base = make_revision(1, make_document(targets))
-    wanted = make_revision(2, change_key(make_document(targets)))
-    delta = find_delta(base, wanted)
+    changed = make_revision(2, change_key(make_document(targets)))
+    delta = find_delta(base, changed)
     if delta is None:
         raise ValueError('a canonical document has no delta')
     return {
-        'delta_bytes': len(seal(_SECRET, 'vm', _START, delta)),
-        'object_bytes': len(encode(2, _CHANGE, wanted.document)),
-        'find_us': measure_us(partial(find_delta, base, wanted)),
+        'delta_bytes': len(seal(_SECRET, 'vm', _VM_START_ID, delta)),
+        'object_bytes': len(encode(2, _CHANGE_ID, changed.document)),
+        'find_us': measure_us(partial(find_delta, base, changed)),
         'apply_us': measure_us(partial(apply_delta, base, delta)),
         'revise_us': measure_us(
-            partial(revise_after, base, 2, _CHANGE, wanted.document),
+            partial(revise_after, base, 2, _CHANGE_ID, changed.document),
         ),
     }
 
 
 def measure_admin(targets: int) -> Row:
     """Measure the check and the comparison of one edit at the API."""
-    known = make_document(targets)
-    changed = change_key(known)
+    current = make_document(targets)
+    changed = change_key(current)
     return {
-        'check_us': measure_us(partial(read, changed, known)),
-        'compare_us': measure_us(partial(compare, known, changed)),
+        'check_us': measure_us(partial(read, changed, current)),
+        'compare_us': measure_us(partial(compare, current, changed)),
     }
 
 
@@ -142,7 +142,7 @@
     """Measure the size of a page of the history."""
     page = [
         AuditEntry(
-            f'{_CHANGE}{number}', 'operator', '2027-01-01T00:00:00Z', number,
+            f'{_CHANGE_ID}{number}', 'operator', '2027-01-01T00:00:00Z', number,
             (f'keys.key-{number}: added',),
         )
         for number in range(entries)
@@ -153,15 +153,15 @@
 def measure_steering(targets: int) -> Row:
     """Measure the steerer of a VM, and one look at its sizes."""
     catalogue = make_catalogue(targets)
-    hops = make_hops(_VMS[-1])
+    entry_vms = make_entry_vms(_VM_COUNTS[-1])
     steerer = Steerer()
-    resize_steerer(steerer, catalogue, hops)
+    resize_steerer(steerer, catalogue, entry_vms)
     return {
         'held_bytes': measure_bytes(
-            partial(resize_steerer, Steerer(), catalogue, hops),
+            partial(resize_steerer, Steerer(), catalogue, entry_vms),
         ),
         'resize_us': measure_us(
-            partial(resize_steerer, steerer, catalogue, hops),
+            partial(resize_steerer, steerer, catalogue, entry_vms),
         ),
     }
 
@@ -169,12 +169,12 @@
 def resize_steerer(
     steerer: Steerer,
     catalogue: Catalogue,
-    hops: tuple[EntryVm, ...],
+    entry_vms: tuple[EntryVm, ...],
 ) -> Steerer:
     """Size a steerer as an entry VM does."""
     owned = OwnedSlots(_ZONE, frozenset((0,)))
     steerer.resize(
-        size_services(catalogue, owned, hops, 0),
+        size_services(catalogue, owned, entry_vms, 0),
         size_links(catalogue, owned),
     )
     return steerer
@@ -183,10 +183,10 @@
 def measure_shares(targets: int) -> Row:
     """Measure one answer to a probe, with a tenth as many teams."""
     catalogue = make_catalogue(targets)
-    envelope = Envelope('Acknowledgement', 'vm-1', _START, msgspec.Raw())
-    answer = Acknowledgement(_START, 0, 0, 0, 1, None)
+    envelope = Envelope('Acknowledgement', 'vm-1', _VM_START_ID, msgspec.Raw())
+    answer = Acknowledgement(_VM_START_ID, 0, 0, 0, 1, None)
     row: Row = {'teams': len(catalogue.teams)}
-    for pending in (1, _PENDING):
+    for pending in (1, _MAX_PENDING_REVISIONS):
         claimer = make_claimer(catalogue, pending)
         row[f'answer_us_at_{pending}'] = measure_us(
             partial(claimer.hear, envelope, answer),
@@ -198,35 +198,35 @@
 def make_claimer(catalogue: Catalogue, pending: int) -> Claimer:
     """Return a claimer that holds the least of some revisions."""
     claimer = Claimer(
-        place=Place(_ZONE, Holding('vm', _START)),
+        place=Place(_ZONE, Holding('vm', _VM_START_ID)),
         platform=cast(Any, None),
         ledger=Ledger(),
         send=lambda _address, _message: None,
     )
     for number in range(1, pending + 1):
-        claimer.take_revision(Revision(number, _CHANGE, b'', catalogue))
+        claimer.take_revision(Revision(number, _CHANGE_ID, b'', catalogue))
     return claimer
 
 
 def measure_zone(vms: int) -> Row:
     """Measure the messages of the fence, the view and advice of a VM."""
-    probe = seal(_SECRET, 'zone-00-00', _START, Probe(1000.5, 9, None))
+    probe = seal(_SECRET, 'zone-00-00', _VM_START_ID, Probe(1000.5, 9, None))
     answer = seal(
-        _SECRET, 'zone-00-00', _START,
-        Acknowledgement(_START, 1000.5, 9, 9, 50000, None),
+        _SECRET, 'zone-00-00', _VM_START_ID,
+        Acknowledgement(_VM_START_ID, 1000.5, 9, 9, 50000, None),
     )  # fmt: skip
-    listed = make_list([f'zone-00-{number:02}' for number in range(vms)])
+    listed = make_vm_list([f'zone-00-{number:02}' for number in range(vms)])
     advised = tuple(
         AdvisedVm(entry.vm, 'zone-0', 'http://127.0.0.1:8000')
         for entry in listed
     )
-    catalogue = make_catalogue(_TARGETS[0])
+    catalogue = make_catalogue(_TARGET_COUNTS[0])
     return {
         'fence_messages_s': 2 * (vms - 1),
         'fence_payload_bytes_s': (vms - 1) * (len(probe) + len(answer)),
         'fence_codec_us_s': 2 * (vms - 1) * measure_us(
             lambda: unseal(_SECRET, seal(
-                _SECRET, 'zone-00-00', _START, Probe(1000.5, 9, None),
+                _SECRET, 'zone-00-00', _VM_START_ID, Probe(1000.5, 9, None),
             )),
             repeats=200,
         ),
@@ -244,7 +244,7 @@
 def make_table(vms: int) -> Table:
     """Return the slot table of a zone with a slot for each VM."""
     holdings = [
-        Holding(f'zone-00-{number:02}', _START) for number in range(vms)
+        Holding(f'zone-00-{number:02}', _VM_START_ID) for number in range(vms)
     ]
     return Table(dict(enumerate(holdings)), 9, tuple(holdings))
 
@@ -254,22 +254,25 @@
     listed = tuple(
         Listed(
             f'vm-{number}',
-            f'zone-{number % _ZONES:02}',
+            f'zone-{number % _ZONE_COUNT:02}',
             f'127.9.{number // 250}.{number % 250}',
             leaving=False,
         )
         for number in range(vms)
     )
     view = merge_list(View({}, {}), listed, '', 0)
-    hops = tuple(
-        EntryVm(entry.vm, f'zone-{number % _ZONES}', f'{entry.address}:8000')
+    entry_vms = tuple(
+        EntryVm(
+            entry.vm, f'zone-{number % _ZONE_COUNT}', f'{entry.address}:8000'
+        )
         for number, entry in enumerate(listed)
     )
     advised = tuple(
-        AdvisedVm(hop.vm, hop.zone, f'http://{hop.address}') for hop in hops
+        AdvisedVm(entry_vm.vm, entry_vm.zone, f'http://{entry_vm.address}')
+        for entry_vm in entry_vms
     )
-    catalogue = make_catalogue(_TARGETS[-1])
-    steerer = resize_steerer(Steerer(), catalogue, hops)
+    catalogue = make_catalogue(_TARGET_COUNTS[-1])
+    steerer = resize_steerer(Steerer(), catalogue, entry_vms)
     return {
         'view_bytes': measure_bytes(
             partial(merge_list, View({}, {}), listed, '', 0),
@@ -280,10 +283,10 @@
             partial(select_contacts, view, 'vm-0', 'zone-00', 1, 0),
         ),
         'steerer_bytes': measure_bytes(
-            partial(resize_steerer, Steerer(), catalogue, hops),
+            partial(resize_steerer, Steerer(), catalogue, entry_vms),
         ),
         'resize_us': measure_us(
-            partial(resize_steerer, steerer, catalogue, hops),
+            partial(resize_steerer, steerer, catalogue, entry_vms),
         ),
         'advise_us': measure_us(
             partial(advise, catalogue, 'team-1', _ZONE, advised),
@@ -293,11 +296,11 @@
 
 def measure_compare(contacts: int) -> Row:
     """Measure the comparisons of revisions with some contacts a second."""
-    question = RevisionQuery(1 << 62, '127.9.0.1', 50000, _CHANGE)
-    answer = RevisionAnswer(1 << 62, 50000, _CHANGE, 1.5)
+    query = RevisionQuery(1 << 62, '127.9.0.1', 50000, _CHANGE_ID)
+    answer = RevisionAnswer(1 << 62, 50000, _CHANGE_ID, 1.5)
     sizes = [
-        len(seal(_SECRET, 'zone-00-00', _START, message))
-        for message in (question, answer)
+        len(seal(_SECRET, 'zone-00-00', _VM_START_ID, message))
+        for message in (query, answer)
     ]
     return {
         'messages_s': 2 * contacts,
@@ -308,7 +311,7 @@
 def make_revision(number: int, document: dict[str, Any]) -> Revision:
     """Return a revision in the canonical form."""
     content = canonicalise(msgspec.json.encode(document))
-    return revise(number, _CHANGE, content).unwrap()
+    return revise(number, _CHANGE_ID, content).unwrap()
 
 
 def make_catalogue(targets: int) -> Catalogue:
@@ -316,26 +319,26 @@
     return make_revision(1, make_document(targets)).catalogue
 
 
-def make_hops(vms: int) -> tuple[EntryVm, ...]:
+def make_entry_vms(vms: int) -> tuple[EntryVm, ...]:
     """Return the VMs of the own zone and two of each other one."""
-    near = [
+    local_vms = [
         EntryVm(f'vm-{number}', _ZONE, '127.0.0.1:8000')
         for number in range(vms)
     ]
-    far = [
+    remote_vms = [
         EntryVm(f'far-{number}', f'zone-{number % 71 + 1}', '127.0.0.1:8000')
         for number in range(142)
     ]
-    return (*near, *far)
+    return (*local_vms, *remote_vms)
 
 
 _PARTS: Final[dict[str, tuple[Sequence[int], Callable[[int], Row]]]] = {
-    'spread': (_TARGETS, measure_spread),
+    'spread': (_TARGET_COUNTS, measure_spread),
     'compare': ((1, 2, 4, 8), measure_compare),
-    'admin': (_TARGETS, measure_admin),
-    'audit': (_ENTRIES, measure_audit),
-    'steering': (_TARGETS, measure_steering),
-    'shares': (_TARGETS, measure_shares),
-    'zone': (_VMS, measure_zone),
+    'admin': (_TARGET_COUNTS, measure_admin),
+    'audit': (_AUDIT_ENTRY_COUNTS, measure_audit),
+    'steering': (_TARGET_COUNTS, measure_steering),
+    'shares': (_TARGET_COUNTS, measure_shares),
+    'zone': (_VM_COUNTS, measure_zone),
     'fleet': ((562, 1125, 2250, 4500), measure_fleet),
 }
--- a/benches/catalogue.py
+++ b/benches/catalogue.py
@@ -11,24 +11,24 @@
 
 from toucanhall.catalogue.reading import revise, revise_after
 
-_SIZES: Final = (200, 400, 800, 1600, 3100)
-_ROUNDS: Final = 5
+_TARGET_COUNTS: Final = (200, 400, 800, 1600, 3100)
+_ROUND_COUNT: Final = 5
 _TEAMS_PER_TARGET: Final = 0.1
 
 
 def main(arguments: Sequence[str]) -> int:
     """Print a line per size, and the slopes as JSON at the end."""
     argparse.ArgumentParser(prog='bench catalogue').parse_args(arguments)
-    rows = [measure(size) for size in _SIZES]
+    rows = [measure(target_count) for target_count in _TARGET_COUNTS]
     for row in rows:
         print(json.dumps(row))
     first, last = rows[0], rows[-1]
-    span = last['targets'] - first['targets']
+    added_targets = last['targets'] - first['targets']
     print(
         json.dumps(
             {
                 f'{name}_per_target': round(
-                    (last[name] - first[name]) / span, 3
+                    (last[name] - first[name]) / added_targets, 3
                 )
                 for name in (
                     'document_bytes',
@@ -42,38 +42,38 @@
     return 0
 
 
-def measure(size: int) -> dict[str, Any]:
+def measure(target_count: int) -> dict[str, Any]:
     """Read a catalogue with some targets as a new revision."""
-    document = msgspec.json.encode(make_document(size))
-    times = []
-    for number in range(_ROUNDS):
-        started = time.perf_counter()
+    document = msgspec.json.encode(make_document(target_count))
+    seconds = []
+    for number in range(_ROUND_COUNT):
+        started_at = time.perf_counter()
         revise(number, 'bench', document).unwrap()
-        times.append(time.perf_counter() - started)
-    next_us = measure_next(size, document)
+        seconds.append(time.perf_counter() - started_at)
+    next_revision_us = measure_next_revision(target_count, document)
     tracemalloc.start()
-    held = revise(1, 'bench', document).unwrap()
+    revision = revise(1, 'bench', document).unwrap()
     held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return {
-        'targets': len(held.catalogue.targets),
+        'targets': len(revision.catalogue.targets),
         'document_bytes': len(document),
         'held_bytes': held_bytes,
-        'read_us': round(sorted(times)[_ROUNDS // 2] * 1_000_000),
-        'next_us': next_us,
+        'read_us': round(sorted(seconds)[_ROUND_COUNT // 2] * 1_000_000),
+        'next_us': next_revision_us,
     }
 
 
-def measure_next(size: int, document: bytes) -> int:
+def measure_next_revision(target_count: int, document: bytes) -> int:
     """Read a revision in which one key differs from the one held."""
-    held = revise(0, 'bench', document).unwrap()
-    changed = msgspec.json.encode(change_key(make_document(size)))
-    times = []
-    for number in range(_ROUNDS):
-        started = time.perf_counter()
-        revise_after(held, number, 'bench', changed).unwrap()
-        times.append(time.perf_counter() - started)
-    return round(sorted(times)[_ROUNDS // 2] * 1_000_000)
+    revision = revise(0, 'bench', document).unwrap()
+    changed = msgspec.json.encode(change_key(make_document(target_count)))
+    seconds = []
+    for number in range(_ROUND_COUNT):
+        started_at = time.perf_counter()
+        revise_after(revision, number, 'bench', changed).unwrap()
+        seconds.append(time.perf_counter() - started_at)
+    return round(sorted(seconds)[_ROUND_COUNT // 2] * 1_000_000)
 
 
 def change_key(document: dict[str, Any]) -> dict[str, Any]:
@@ -82,7 +82,7 @@
     return {**document, 'keys': {**document['keys'], 'key-0': key}}
 
 
-def make_document(size: int) -> dict[str, Any]:
+def make_document(target_count: int) -> dict[str, Any]:
     """Return a catalogue of the target's shape with some targets."""
     zones = {
         f'zone-{number}': {
@@ -99,11 +99,11 @@
             'slots': 9,
             'connections': 800,
         }
-        for number in range(size)
+        for number in range(target_count)
     }
     teams = {
         f'team-{number}': {'rate': 50, 'burst': 100}
-        for number in range(int(size * _TEAMS_PER_TARGET))
+        for number in range(int(target_count * _TEAMS_PER_TARGET))
     }
     keys = {
         f'key-{number}': {
--- a/benches/faults.py
+++ b/benches/faults.py
@@ -14,18 +14,25 @@
 from standins.callers import ATTEMPT_HEADER, Attempt, Caller
 from standins.fleet import Fleet
 
-_EXAMPLE: Final = Path(__file__).parent.parent / 'examples' / 'demo.jsonc'
-_SECONDS: Final = 40.0
-_SETTLE_SECONDS: Final = 4.0
-_WINDOW_SECONDS: Final = 5.0
-_PATIENCE_SECONDS: Final = 8.0
-_TEAMS: Final[dict[str, dict[str, float]]] = {
+_CATALOGUE_PATH: Final = (
+    Path(__file__).parent.parent / 'examples' / 'demo.jsonc'
+)
+_DURATION_SECONDS: Final = 40.0
+_SETTLING_SECONDS: Final = 4.0
+_MIN_WINDOW_SECONDS: Final = 5.0
+_CALL_TIMEOUT_SECONDS: Final = 8.0
+_TEAM_LIMITS: Final[dict[str, dict[str, float]]] = {
     'guides': {'rate': 300, 'burst': 300},
     'hostels': {'rate': 60, 'burst': 60},
 }
-_CALLERS: Final = 12  # of each team; half of one team do not heed refusals
+_CALLERS_PER_TEAM: Final = (
+    12  # of each team; half of one team do not heed refusals
+)
 _PAUSE_SECONDS: Final = 0.1
-_FAULT_GAP: Final = (1.0, 3.0)  # seconds between the starts of two faults
+_FAULT_GAP_RANGE_SECONDS: Final = (
+    1.0,
+    3.0,
+)  # seconds between the starts of two faults
 
 
 class Fault(NamedTuple):
@@ -41,11 +48,14 @@
     """Run the schedule; return 1 when something was broken that must hold."""
     parser = argparse.ArgumentParser(prog='bench faults')
     parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--seconds', type=float, default=_SECONDS)
+    parser.add_argument('--seconds', type=float, default=_DURATION_SECONDS)
     parser.add_argument('--only', nargs='*', help='names of faults to use')
     options = parser.parse_args(arguments)
     fleet = Fleet(
-        catalogue=_EXAMPLE, vms_per_zone=2, relayed=True, teams=_TEAMS
+        catalogue=_CATALOGUE_PATH,
+        vms_per_zone=2,
+        relayed=True,
+        teams=_TEAM_LIMITS,
     )
     try:
         fleet.start()
@@ -54,17 +64,17 @@
             team: fleet.grant(f'{team}-key', team)
             for team in ('guides', 'hostels')
         }
-        time.sleep(_SETTLE_SECONDS)
-        trial = Trial(fleet=fleet, keys=keys, seconds=options.seconds)
-        trial.run(random.Random(options.seed), options.only)
-        report = trial.judge()
+        time.sleep(_SETTLING_SECONDS)
+        fault_run = FaultRun(fleet=fleet, keys=keys, seconds=options.seconds)
+        fault_run.run(random.Random(options.seed), options.only)
+        report = fault_run.summarise()
     finally:
         fleet.stop()
     print(json.dumps(report))
-    return int(any(report[name] for name in _MUST_BE_ZERO))
+    return int(any(report[name] for name in _FORBIDDEN_COUNTS))
 
 
-_MUST_BE_ZERO: Final = (
+_FORBIDDEN_COUNTS: Final = (
     'twice',
     'wrong',
     'untrue_refusals',
@@ -74,7 +84,7 @@
 )
 
 
-class Trial:
+class FaultRun:
     """The callers of one run and all that they recorded."""
 
     def __init__(
@@ -89,10 +99,10 @@
         self._keys = keys
         self._lock = threading.Lock()
         self._attempts: list[Attempt] = []
-        self._ends: Counter[tuple[str, str]] = Counter()
-        self._until = time.monotonic() + seconds
+        self._outcomes: Counter[tuple[str, str]] = Counter()
+        self._stop_at = time.monotonic() + seconds
 
-    def run(self, chance: random.Random, only: list[str] | None) -> None:
+    def run(self, rng: random.Random, only: list[str] | None) -> None:
         """Run callers and faults side by side until the time is over."""
         urls = tuple(vm.url for vm in self._fleet.vms)
         threads = [
@@ -101,94 +111,102 @@
                 args=(urls[number:] + urls[:number], team, number % 2 == 0),
             )
             for team in ('guides', 'hostels')
-            for number in range(_CALLERS)
+            for number in range(_CALLERS_PER_TEAM)
         ]
         for thread in threads:
             thread.start()
-        self._harm(chance, only)
+        self._inject_faults(rng, only)
         for thread in threads:
             thread.join()
 
-    def judge(self) -> dict[str, Any]:
+    def summarise(self) -> dict[str, Any]:
         """Hold what the callers saw against what ran on the targets."""
         journal = self._fleet.read_journals()
-        runs = Counter(
+        run_counts = Counter(
             entry['headers']['Idempotency-Key']
             for entry in journal
             if entry['method'] == 'POST'
         )
         ran_ids = {entry['headers'].get(ATTEMPT_HEADER) for entry in journal}
-        untrue = [
+        untrue_refusals = [
             attempt
             for attempt in self._attempts
             if attempt.ran == 'no' and attempt.attempt_id in ran_ids
         ]
-        for (kind, end), count in sorted(self._ends.items()):
-            print(f'{kind:<10}{end:<36}{count:>7}')
-        for attempt in untrue[:5]:
+        for (kind, outcome), count in sorted(self._outcomes.items()):
+            print(f'{kind:<10}{outcome:<36}{count:>7}')
+        for attempt in untrue_refusals[:5]:
             print(f'untrue refusal: {attempt.result} {attempt.call}')
-        over = max(self._rate_limits(journal), default=0)
+        max_ratio = max(self._compute_limit_ratios(journal), default=0)
         return {
-            'calls': sum(self._ends.values()),
-            'twice': sum(count > 1 for count in runs.values()),
-            'wrong': sum(end == 'wrong' for _, end in self._ends.elements()),
-            'untrue_refusals': len(untrue),
+            'calls': sum(self._outcomes.values()),
+            'twice': sum(count > 1 for count in run_counts.values()),
+            'wrong': sum(
+                outcome == 'wrong' for _, outcome in self._outcomes.elements()
+            ),
+            'untrue_refusals': len(untrue_refusals),
             'keys_at_targets': self._count_keys(journal),
             'foreign_team': 0,
-            'worst_over_bound': round(over, 3),
-            'over_limit': int(over > 1),
+            'worst_over_bound': round(max_ratio, 3),
+            'over_limit': int(max_ratio > 1),
         }
 
     def _call(
         self, urls: tuple[str, ...], team: str, follows_advice: bool
     ) -> None:
-        is_hammer = team == 'hostels' and not follows_advice
+        ignores_refusals = team == 'hostels' and not follows_advice
         caller = Caller(
             urls=urls,
             record=self._record,
-            patience=_PATIENCE_SECONDS,
-            follows_advice=not is_hammer,
+            patience=_CALL_TIMEOUT_SECONDS,
+            follows_advice=not ignores_refusals,
         )
-        pause = 0 if is_hammer else _PAUSE_SECONDS
-        while time.monotonic() < self._until:
+        pause = 0 if ignores_refusals else _PAUSE_SECONDS
+        while time.monotonic() < self._stop_at:
             for method, path in (('GET', '/feed/times'), ('POST', '/bookings')):
-                end = caller.make(team, method, path, self._keys[team])
+                outcome = caller.make(team, method, path, self._keys[team])
                 with self._lock:
-                    self._ends[f'{team}!' if is_hammer else team, end] += 1
+                    self._outcomes[
+                        f'{team}!' if ignores_refusals else team, outcome
+                    ] += 1
                 time.sleep(pause)
 
     def _record(self, attempt: Attempt) -> None:
         with self._lock:
             self._attempts.append(attempt)
 
-    def _harm(self, chance: random.Random, only: list[str] | None) -> None:
+    def _inject_faults(
+        self, rng: random.Random, only: list[str] | None
+    ) -> None:
         faults = {
-            name: make
-            for name, make in FAULTS.items()
+            name: make_fault
+            for name, make_fault in FAULTS.items()
             if not only or name in only
         }
-        undone: list[tuple[float, Fault]] = []
-        next_at = time.monotonic() + chance.uniform(*_FAULT_GAP)
-        while time.monotonic() < self._until:
+        active: list[tuple[float, Fault]] = []
+        next_at = time.monotonic() + rng.uniform(*_FAULT_GAP_RANGE_SECONDS)
+        while time.monotonic() < self._stop_at:
             now = time.monotonic()
-            for due in [entry for entry in undone if entry[0] <= now]:
-                undone.remove(due)
-                due[1].end()
-            if now >= next_at and len(undone) < 3:
-                fault = faults[chance.choice(sorted(faults))](
+            for ended in [entry for entry in active if entry[0] <= now]:
+                active.remove(ended)
+                ended[1].end()
+            if now >= next_at and len(active) < 3:
+                fault = faults[rng.choice(sorted(faults))](
                     self._fleet,
-                    chance,
+                    rng,
                 )
-                if all(fault.name != other.name for _, other in undone):
+                if all(fault.name != other.name for _, other in active):
                     print(f'{fault.name} for {fault.seconds:.1f} s', flush=True)
                     fault.start()
-                    undone.append((now + fault.seconds, fault))
-                next_at = now + chance.uniform(*_FAULT_GAP)
+                    active.append((now + fault.seconds, fault))
+                next_at = now + rng.uniform(*_FAULT_GAP_RANGE_SECONDS)
             time.sleep(0.05)
-        for _, fault in undone:
+        for _, fault in active:
             fault.end()
 
-    def _rate_limits(self, journal: list[dict[str, Any]]) -> Iterator[float]:
+    def _compute_limit_ratios(
+        self, journal: list[dict[str, Any]]
+    ) -> Iterator[float]:
         admitted: dict[str, dict[str, float]] = defaultdict(dict)
         teams = {attempt.attempt_id: attempt.call.kind
                  for attempt in self._attempts}  # fmt: skip
@@ -199,8 +217,8 @@
                 admitted[team].setdefault(request_id, entry['at'])
         for team, requests in admitted.items():
             limit = self._fleet.catalogue['teams'][team]
-            moments = sorted(requests.values())
-            yield find_worst(moments, limit['rate'], limit['burst'])
+            times = sorted(requests.values())
+            yield compute_max_limit_ratio(times, limit['rate'], limit['burst'])
 
     def _count_keys(self, journal: list[dict[str, Any]]) -> int:
         texts = (json.dumps(entry) for entry in journal)
@@ -209,25 +227,27 @@
         )
 
 
-def find_worst(moments: list[float], rate: float, burst: float) -> float:
+def compute_max_limit_ratio(
+    times: list[float], rate: float, burst: float
+) -> float:
     """Return the largest share of `burst + rate * t` in windows of seconds.
 
     A request that was admitted may run a little later, so that windows under
     five seconds are not looked at.
     """
-    worst = 0.0
-    for first, start in enumerate(moments):
-        for last in range(first + 1, len(moments), 7):
-            span = moments[last] - start
-            if span >= _WINDOW_SECONDS:
+    max_ratio = 0.0
+    for first, start in enumerate(times):
+        for last in range(first + 1, len(times), 7):
+            span = times[last] - start
+            if span >= _MIN_WINDOW_SECONDS:
                 count = last - first + 1
-                worst = max(worst, count / (burst + rate * span))
-    return worst
+                max_ratio = max(max_ratio, count / (burst + rate * span))
+    return max_ratio
 
 
-def kill_vm(fleet: Fleet, chance: random.Random) -> Fault:
+def kill_vm(fleet: Fleet, rng: random.Random) -> Fault:
     """Kill an entry VM and start it again."""
-    vm = chance.choice(fleet.vms)
+    vm = rng.choice(fleet.vms)
     return Fault(
         f'kill {vm.name}',
         3,
@@ -236,20 +256,20 @@
     )
 
 
-def freeze_vm(fleet: Fleet, chance: random.Random) -> Fault:
+def freeze_vm(fleet: Fleet, rng: random.Random) -> Fault:
     """Stop an entry VM's process and let it go on."""
-    vm = chance.choice(fleet.vms)
+    vm = rng.choice(fleet.vms)
     return Fault(
         f'freeze {vm.name}',
-        chance.uniform(1, 8),
+        rng.uniform(1, 8),
         lambda: fleet.signal(vm.name, signal.SIGSTOP),
         lambda: fleet.signal(vm.name, signal.SIGCONT),
     )
 
 
-def kill_target(fleet: Fleet, chance: random.Random) -> Fault:
+def kill_target(fleet: Fleet, rng: random.Random) -> Fault:
     """Kill a target and start it again."""
-    name = chance.choice(sorted(fleet.catalogue['targets']))
+    name = rng.choice(sorted(fleet.catalogue['targets']))
     return Fault(
         f'kill {name}',
         4,
@@ -258,9 +278,9 @@
     )
 
 
-def freeze_target(fleet: Fleet, chance: random.Random) -> Fault:
+def freeze_target(fleet: Fleet, rng: random.Random) -> Fault:
     """Stop a target's process and let it go on."""
-    name = chance.choice(sorted(fleet.catalogue['targets']))
+    name = rng.choice(sorted(fleet.catalogue['targets']))
     return Fault(
         f'freeze {name}',
         3,
@@ -272,30 +292,30 @@
 def change_zone(mode: str) -> Callable[[Fleet, random.Random], Fault]:
     """Return a fault that changes all lines of one zone."""
 
-    def make(fleet: Fleet, chance: random.Random) -> Fault:
-        zone = chance.choice(sorted(fleet.catalogue['zones']))
+    def make_fault(fleet: Fleet, rng: random.Random) -> Fault:
+        zone = rng.choice(sorted(fleet.catalogue['zones']))
         return Fault(
             f'{mode} {zone}',
-            chance.uniform(3, 8),
+            rng.uniform(3, 8),
             lambda: fleet.set_zone(zone, mode),
             lambda: fleet.set_zone(zone, 'open'),
         )
 
-    return make
+    return make_fault
 
 
 def change_platform(mode: str) -> Callable[[Fleet, random.Random], Fault]:
     """Return a fault of the platform's store."""
 
-    def make(fleet: Fleet, chance: random.Random) -> Fault:
+    def make_fault(fleet: Fleet, rng: random.Random) -> Fault:
         return Fault(
             f'platform {mode}',
-            chance.uniform(2, 6),
+            rng.uniform(2, 6),
             lambda: fleet.switch('mode', mode),
             lambda: fleet.switch('mode', 'up'),
         )
 
-    return make
+    return make_fault
 
 
 FAULTS: Final = {
--- a/benches/membership.py
+++ b/benches/membership.py
@@ -27,21 +27,21 @@
 from toucanhall.objectstore import Listed
 from toucanhall.transport import seal, unseal
 
-_SIZES: Final = (4, 8, 16, 32, 62)
-_ZONES: Final = 72
-_FAR_LISTED: Final = 2  # VMs of each other zone in the list
-_SECONDS: Final = 40
-_STOPS_AT: Final = 15
+_VM_COUNTS: Final = (4, 8, 16, 32, 62)
+_ZONE_COUNT: Final = 72
+_LISTED_VMS_PER_REMOTE_ZONE: Final = 2  # VMs of each other zone in the list
+_DURATION_SECONDS: Final = 40
+_STOP_AT_SECONDS: Final = 15
 _SECRET: Final = b'bench'
-_OWN: Final = 'zone-00'
-_TCP_BYTES: Final = 66  # headers of a segment that carries a frame
+_LOCAL_ZONE: Final = 'zone-00'
+_TCP_HEADER_BYTES: Final = 66  # headers of a segment that carries a frame
 
 
-class Way(NamedTuple):
+class Topology(NamedTuple):
     """A way of choosing contacts, and whether heartbeats carry rows."""
 
     select: Callable[..., Any]
-    with_rows: bool
+    includes_rows: bool
 
 
 class Totals:
@@ -49,11 +49,11 @@
 
     def __init__(self) -> None:
         """Start with nothing."""
-        self.sent = 0
-        self.size = 0
-        self.seconds = 0.0
-        self.detected: list[int] = []
-        self.wrong = 0
+        self.sent_messages = 0
+        self.sent_bytes = 0
+        self.cpu_seconds = 0.0
+        self.detected_at: list[int] = []
+        self.false_suspicions = 0
 
 
 def select_all(
@@ -63,9 +63,9 @@
     return tuple(view.members.values())
 
 
-WAYS: Final = {
-    'mesh': Way(select_all, with_rows=False),
-    'ring': Way(select_contacts, with_rows=True),
+TOPOLOGIES: Final = {
+    'mesh': Topology(select_all, includes_rows=False),
+    'ring': Topology(select_contacts, includes_rows=True),
 }
 
 
@@ -74,22 +74,30 @@
     parser = argparse.ArgumentParser(prog='bench membership')
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
-    wire = measure_wire()
-    print(f'send and receive on loopback: {wire * 1e6:.0f} us a message')
-    result: dict[str, Any] = {'wire_us': round(wire * 1e6, 1)}
-    for name, way in WAYS.items():
-        found = [
-            measure(way, size, wire, random.Random(options.seed))
-            for size in _SIZES
+    seconds_per_message = measure_message_seconds()
+    print(
+        f'send and receive on loopback: '
+        f'{seconds_per_message * 1e6:.0f} us a message',
+    )
+    result: dict[str, Any] = {'wire_us': round(seconds_per_message * 1e6, 1)}
+    for name, topology in TOPOLOGIES.items():
+        measurements = [
+            measure(
+                topology,
+                vm_count,
+                seconds_per_message,
+                random.Random(options.seed),
+            )
+            for vm_count in _VM_COUNTS
         ]
-        for size, row in zip(_SIZES, found):
-            print(f'{name} {size:>2} VMs: {row}', flush=True)
+        for vm_count, row in zip(_VM_COUNTS, measurements):
+            print(f'{name} {vm_count:>2} VMs: {row}', flush=True)
         result[name] = {
-            'at_62': found[-1],
+            'at_62': measurements[-1],
             'slope_per_vm': {
                 key: round(
-                    (found[-1][key] - found[0][key])
-                    / (_SIZES[-1] - _SIZES[0]), 4,
+                    (measurements[-1][key] - measurements[0][key])
+                    / (_VM_COUNTS[-1] - _VM_COUNTS[0]), 4,
                 )
                 for key in ('messages_s', 'bytes_s', 'core_percent')
             },
@@ -98,127 +106,141 @@
     return 0
 
 
-def measure_wire() -> float:
+def measure_message_seconds() -> float:
     """Return the processor seconds of one message, sent and received."""
     count = 4000
     with pynng.Pull0(listen='tcp://127.0.0.1:0') as pull:
         port = pull.listeners[0].local_address.port
-        address = f'tcp://127.0.0.1:{socket_port(port)}'
+        address = f'tcp://127.0.0.1:{swap_port_bytes(port)}'
         with pynng.Push0(dial=address) as push:
             frame = bytes(1500)
             push.send(frame)
             pull.recv()
-            started = time.process_time()
+            started_at = time.process_time()
             for _ in range(count):
                 push.send(frame)
                 pull.recv()
-            return (time.process_time() - started) / count
+            return (time.process_time() - started_at) / count
 
 
-def socket_port(port: int) -> int:
+def swap_port_bytes(port: int) -> int:
     """Return a port number from network byte order."""
     return int.from_bytes(port.to_bytes(2, 'big'), 'little')
 
 
 def measure(
-    way: Way, size: int, wire: float, chance: random.Random,
-) -> dict[str, Any]:  # fmt: skip
+    topology: Topology,
+    vm_count: int,
+    seconds_per_message: float,
+    rng: random.Random,
+) -> dict[str, Any]:
     """Run one zone for a while, one of its VMs stops halfway."""
-    vms = [f'{_OWN}-{index:02}' for index in range(size)]
-    listed = make_list(vms)
+    vms = [f'{_LOCAL_ZONE}-{index:02}' for index in range(vm_count)]
+    listed = make_vm_list(vms)
     views = {
-        vm: set_patience(merge_list(View({}, {}), listed, vm, 0), _OWN)
+        vm: set_patience(merge_list(View({}, {}), listed, vm, 0), _LOCAL_ZONE)
         for vm in vms
     }
-    offsets = {vm: chance.randrange(100) for vm in vms}
+    offsets = {vm: rng.randrange(100) for vm in vms}
     totals = Totals()
-    detected: dict[str, int] = {}
+    detected_at: dict[str, int] = {}
     stopped = vms[-1]
-    for now in range(_SECONDS):
+    for now in range(_DURATION_SECONDS):
         for vm in vms:
-            if vm != stopped or now < _STOPS_AT:
-                beat(way, views, vm, now, offsets[vm] + now, totals)
+            if vm != stopped or now < _STOP_AT_SECONDS:
+                send_heartbeats(
+                    topology, views, vm, now, offsets[vm] + now, totals
+                )
         for vm in vms[:-1]:
-            note_health(views[vm], vm, stopped, now, detected, totals)
-    beats = (size - 1) * _SECONDS + _STOPS_AT
-    waits = [since - _STOPS_AT for since in detected.values()]
+            record_suspicions(views[vm], vm, stopped, now, detected_at, totals)
+    running_vm_seconds = (vm_count - 1) * _DURATION_SECONDS + _STOP_AT_SECONDS
+    detection_seconds = [
+        suspected_at - _STOP_AT_SECONDS for suspected_at in detected_at.values()
+    ]
     return {
-        'messages_s': round(totals.sent / beats, 2),
-        'bytes_s': round(totals.size / beats),
+        'messages_s': round(totals.sent_messages / running_vm_seconds, 2),
+        'bytes_s': round(totals.sent_bytes / running_vm_seconds),
         'core_percent': round(
-            100 * (totals.seconds + totals.sent * wire) / beats, 3,
+            100
+            * (totals.cpu_seconds + totals.sent_messages * seconds_per_message)
+            / running_vm_seconds,
+            3,
+        ),
+        'detection_s': (
+            round(statistics.median(detection_seconds))
+            if detection_seconds
+            else None
         ),
-        'detection_s': round(statistics.median(waits)) if waits else None,
-        'detection_worst_s': max(waits, default=None),
-        'undetected': size - 1 - len(waits),
-        'wrongly_suspected': totals.wrong,
+        'detection_worst_s': max(detection_seconds, default=None),
+        'undetected': vm_count - 1 - len(detection_seconds),
+        'wrongly_suspected': totals.false_suspicions,
     }  # fmt: skip
 
 
-def make_list(vms: list[str]) -> tuple[Listed, ...]:
+def make_vm_list(vms: list[str]) -> tuple[Listed, ...]:
     """Return the platform's list: the zone, and some VMs of the others."""
-    others = [
+    remote_vms = [
         (f'zone-{zone:02}-{index:02}', f'zone-{zone:02}')
-        for zone in range(1, _ZONES)
-        for index in range(_FAR_LISTED)
+        for zone in range(1, _ZONE_COUNT)
+        for index in range(_LISTED_VMS_PER_REMOTE_ZONE)
     ]
-    entries = [*((vm, _OWN) for vm in vms), *others]
+    entries = [*((vm, _LOCAL_ZONE) for vm in vms), *remote_vms]
     return tuple(
         Listed(vm, zone, f'127.9.{number // 250}.{number % 250}', False)
         for number, (vm, zone) in enumerate(entries)
     )
 
 
-def beat(
-    way: Way, views: dict[str, View], vm: str, now: int, turn: int,
+def send_heartbeats(
+    topology: Topology, views: dict[str, View], vm: str, now: int, turn: int,
     totals: Totals,
 ) -> None:  # fmt: skip
     """Send the heartbeats of one VM and let the VMs of its zone hear them."""
-    started = time.process_time()
+    started_at = time.process_time()
     confirmed = dict.fromkeys((f'zone-{zone:02}' for zone in range(72)), 9)
-    heard: dict[str, bytes] = {}
-    for member in way.select(views[vm], vm, _OWN, turn, now):
-        is_near = member.zone == _OWN
+    frames_by_receiver: dict[str, bytes] = {}
+    for member in topology.select(views[vm], vm, _LOCAL_ZONE, turn, now):
+        is_local = member.zone == _LOCAL_ZONE
         rows = (
-            list_rows(views[vm], _OWN, turn, now, is_near=is_near)
-            if way.with_rows
+            list_rows(views[vm], _LOCAL_ZONE, turn, now, is_near=is_local)
+            if topology.includes_rows
             else ()
         )
-        sample = sample_confirmed(confirmed, _OWN, turn)
+        sample = sample_confirmed(confirmed, _LOCAL_ZONE, turn)
         heartbeat = Heartbeat(
-            _OWN, '127.9.0.1', now + 1, False, 9, sample, rows,
+            _LOCAL_ZONE, '127.9.0.1', now + 1, False, 9, sample, rows,
         )  # fmt: skip
         frame = seal(_SECRET, vm, 'start-of-24-hex-digits--', heartbeat)
-        totals.sent += 1
-        totals.size += len(frame) + _TCP_BYTES
-        if is_near:
-            heard[member.vm] = frame
+        totals.sent_messages += 1
+        totals.sent_bytes += len(frame) + _TCP_HEADER_BYTES
+        if is_local:
+            frames_by_receiver[member.vm] = frame
         else:
             # As many heartbeats come from other zones as go there.
             unseal(_SECRET, frame)
-    for receiver, frame in heard.items():
-        take(views, receiver, vm, frame, now)
-    totals.seconds += time.process_time() - started
+    for receiver, frame in frames_by_receiver.items():
+        receive_heartbeat(views, receiver, vm, frame, now)
+    totals.cpu_seconds += time.process_time() - started_at
 
 
-def take(
+def receive_heartbeat(
     views: dict[str, View], receiver: str, vm: str, frame: bytes, now: int,
 ) -> None:  # fmt: skip
     """Let a VM take a frame."""
     envelope = unseal(_SECRET, frame).unwrap()
-    heartbeat = envelope_body(envelope.body)
+    heartbeat = decode_heartbeat(envelope.body)
     views[receiver] = hear(
         views[receiver], vm, envelope.start, heartbeat, now,
     )  # fmt: skip
 
 
-def envelope_body(body: Any) -> Heartbeat:
+def decode_heartbeat(body: Any) -> Heartbeat:
     """Return the heartbeat of a frame."""
     return msgspec.msgpack.decode(body, type=Heartbeat)
 
 
-def note_health(
-    view: View, vm: str, stopped: str, now: int, detected: dict[str, int],
+def record_suspicions(
+    view: View, vm: str, stopped: str, now: int, detected_at: dict[str, int],
     totals: Totals,
 ) -> None:  # fmt: skip
     """Note when the stopped VM is suspected, and who is wrongly."""
@@ -226,6 +248,6 @@
         if assess(member, now) is not Health.SUSPECTED:
             continue
         if member.vm == stopped:
-            detected.setdefault(vm, now)
-        elif member.zone == _OWN:
-            totals.wrong += 1
+            detected_at.setdefault(vm, now)
+        elif member.zone == _LOCAL_ZONE:
+            totals.false_suspicions += 1
--- a/benches/placement.py
+++ b/benches/placement.py
@@ -15,11 +15,11 @@
 from toucanhall.placement.registry import TargetRegistry, TargetQuery
 from toucanhall.placement.hash_ring import Location
 
-_SIZES: Final = (36, 468, 3100)
-_REGIONS: Final = 29
-_REQUESTS: Final = 20000
-_MICROSECONDS: Final = 1e6
-_TARGET: Final = Target(
+_TARGET_COUNTS: Final = (36, 468, 3100)
+_REGION_COUNT: Final = 29
+_REQUEST_COUNT: Final = 20000
+_US_PER_SECOND: Final = 1e6
+_TEMPLATE_TARGET: Final = Target(
     id='t1',
     service='guide',
     address=Address('127.0.0.1', 9000),
@@ -36,52 +36,55 @@
     """Print microseconds a request and a change, and bytes held."""
     argparse.ArgumentParser(prog='bench placement').parse_args(arguments)
     print('targets  request us  new ring ms  change us  ring bytes')
-    for size in _SIZES:
-        print(_measure(size))
+    for target_count in _TARGET_COUNTS:
+        print(_measure(target_count))
     return 0
 
 
-def _measure(size: int) -> str:
+def _measure(target_count: int) -> str:
     zones = [f'z{index}' for index in range(72)]
-    regions = {zone: f'r{index % _REGIONS}' for index, zone in enumerate(zones)}
+    regions = {
+        zone: f'r{index % _REGION_COUNT}' for index, zone in enumerate(zones)
+    }
     targets = {
-        f't{index}': _TARGET._replace(
+        f't{index}': _TEMPLATE_TARGET._replace(
             id=f't{index}',
             zone=zones[index % len(zones)],
         )
-        for index in range(size)
+        for index in range(target_count)
     }
-    field = TargetRegistry(location=Location('z0', 'r0'), regions=regions)
-    field.replace_targets(targets, -100.0)
-    began = time.perf_counter()
-    _choose(field, 'first')
-    made = time.perf_counter() - began
+    registry = TargetRegistry(location=Location('z0', 'r0'), regions=regions)
+    registry.replace_targets(targets, -100.0)
+    clock_start = time.perf_counter()
+    _choose(registry, 'first')
+    ring_build_seconds = time.perf_counter() - clock_start
     tracemalloc.start()
-    _choose(field, 'first', homes=frozenset(regions.values()))
-    held, _peak = tracemalloc.get_traced_memory()
+    _choose(registry, 'first', home_regions=frozenset(regions.values()))
+    ring_bytes, _peak = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    began = time.perf_counter()
-    for index in range(_REQUESTS):
-        _choose(field, f'object-{index}')
-    chosen = (time.perf_counter() - began) / _REQUESTS
-    changed = 0.0
+    clock_start = time.perf_counter()
+    for index in range(_REQUEST_COUNT):
+        _choose(registry, f'object-{index}')
+    request_seconds = (time.perf_counter() - clock_start) / _REQUEST_COUNT
+    change_seconds = 0.0
     for index in range(100):
         changed_target = targets['t1']._replace(started_at=index + 2)
         targets = {**targets, 't1': changed_target}
-        began = time.perf_counter()
-        field.replace_targets(targets, 1.0)
-        changed += (time.perf_counter() - began) / 100
+        clock_start = time.perf_counter()
+        registry.replace_targets(targets, 1.0)
+        change_seconds += (time.perf_counter() - clock_start) / 100
     return (
-        f'{size:7}  {chosen * _MICROSECONDS:10.1f}  {made * 1000:11.1f}'
-        f'  {changed * _MICROSECONDS:9.0f}  {held:10}'
+        f'{target_count:7}  {request_seconds * _US_PER_SECOND:10.1f}'
+        f'  {ring_build_seconds * 1000:11.1f}'
+        f'  {change_seconds * _US_PER_SECOND:9.0f}  {ring_bytes:10}'
     )
 
 
 def _choose(
-    field: TargetRegistry,
+    registry: TargetRegistry,
     key: str,
-    homes: frozenset[str] = frozenset(),
+    home_regions: frozenset[str] = frozenset(),
 ) -> None:
-    need = TargetQuery('guide', key, homes, frozenset())
-    found = field.list_candidates(need, 1.0, TARGETS_PER_OBJECT)
-    assert choose_target(found, RequestUrgency(0.25, 0.1, 1), 1.0)
+    query = TargetQuery('guide', key, home_regions, frozenset())
+    candidates = registry.list_candidates(query, 1.0, TARGETS_PER_OBJECT)
+    assert choose_target(candidates, RequestUrgency(0.25, 0.1, 1), 1.0)
--- a/benches/relay.py
+++ b/benches/relay.py
@@ -15,30 +15,32 @@
 
 from standins.fleet import Fleet
 
-_EXAMPLE: Final = Path(__file__).parent.parent / 'examples' / 'bench.jsonc'
-_CALLERS: Final = (8, 32)
-_LOADERS: Final = 4
-_ROUNDS: Final = 5
-_SECONDS: Final = 3.0
-_WARM_SECONDS: Final = 1.0
-_LARGEST_US: Final = 60_000_000
-_P99: Final = 99
-
-
-class Measured(NamedTuple):
+_CATALOGUE_PATH: Final = (
+    Path(__file__).parent.parent / 'examples' / 'bench.jsonc'
+)
+_CALLER_COUNTS: Final = (8, 32)
+_LOAD_PROCESS_COUNT: Final = 4
+_DEFAULT_ROUND_COUNT: Final = 5
+_MEASURED_SECONDS: Final = 3.0
+_WARM_UP_SECONDS: Final = 1.0
+_MAX_LATENCY_US: Final = 60_000_000
+_P99_PERCENT: Final = 99
+
+
+class Measurement(NamedTuple):
     """Requests per second and the 99th percentile in microseconds."""
 
-    rps: float
-    p99: float
+    requests_per_second: float
+    p99_us: float
 
 
 def main(arguments: Sequence[str]) -> int:
     """Run the measurement and print a line of JSON at its end."""
     parser = argparse.ArgumentParser(prog='bench relay')
     parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--rounds', type=int, default=_ROUNDS)
+    parser.add_argument('--rounds', type=int, default=_DEFAULT_ROUND_COUNT)
     options = parser.parse_args(arguments)
-    fleet = Fleet(catalogue=_EXAMPLE)
+    fleet = Fleet(catalogue=_CATALOGUE_PATH)
     try:
         fleet.start()
         fleet.apply()
@@ -60,75 +62,84 @@
 def measure_all(
     urls: dict[str, str],
     key: str,
-    chance: random.Random,
+    rng: random.Random,
     rounds: int,
 ) -> dict[str, Any]:
     """Measure both in turns, in an order that the seed decides."""
     result: dict[str, Any] = {'ratio_rps': {}, 'ratio_p99': {}}
-    for callers in _CALLERS:
-        measured: dict[str, list[Measured]] = {name: [] for name in urls}
+    for callers in _CALLER_COUNTS:
+        measurements: dict[str, list[Measurement]] = {name: [] for name in urls}
         for _ in range(rounds):
             names = list(urls)
-            chance.shuffle(names)
+            rng.shuffle(names)
             for name in names:
-                measured[name].append(measure(urls[name], key, callers))
+                measurements[name].append(measure(urls[name], key, callers))
         medians = {
-            name: Measured(
+            name: Measurement(
                 *(sorted(column)[rounds // 2] for column in zip(*found)),
             )
-            for name, found in measured.items()
+            for name, found in measurements.items()
         }
         for name, found in medians.items():
-            print(f'{callers:>3} callers {name}: {found.rps:.0f} requests/s, '
-                  f'p99 {found.p99 / 1000:.2f} ms', flush=True)  # fmt: skip
+            print(
+                f'{callers:>3} callers {name}: '
+                f'{found.requests_per_second:.0f} requests/s, '
+                f'p99 {found.p99_us / 1000:.2f} ms',
+                flush=True,
+            )
         entry, relay = medians['entry'], medians['relay']
-        result['ratio_rps'][callers] = round(entry.rps / relay.rps, 3)
-        result['ratio_p99'][callers] = round(entry.p99 / relay.p99, 3)
+        result['ratio_rps'][callers] = round(
+            entry.requests_per_second / relay.requests_per_second, 3
+        )
+        result['ratio_p99'][callers] = round(entry.p99_us / relay.p99_us, 3)
     return result
 
 
-def measure(url: str, key: str, callers: int) -> Measured:
+def measure(url: str, key: str, callers: int) -> Measurement:
     """Let closed-loop callers ask one URL for a while."""
-    share = callers // _LOADERS
-    with multiprocessing.get_context('spawn').Pool(_LOADERS) as pool:
-        loads = pool.starmap(load, [(url, key, share)] * _LOADERS)
-    histogram = HdrHistogram(1, _LARGEST_US, 3)
-    for encoded, _count in loads:
+    callers_per_process = callers // _LOAD_PROCESS_COUNT
+    with multiprocessing.get_context('spawn').Pool(_LOAD_PROCESS_COUNT) as pool:
+        recordings = pool.starmap(
+            run_callers, [(url, key, callers_per_process)] * _LOAD_PROCESS_COUNT
+        )
+    histogram = HdrHistogram(1, _MAX_LATENCY_US, 3)
+    for encoded, _count in recordings:
         histogram.add(HdrHistogram.decode(encoded))
-    count = sum(count for _, count in loads)
-    return Measured(
-        count / _SECONDS,
-        histogram.get_value_at_percentile(_P99),
+    count = sum(count for _, count in recordings)
+    return Measurement(
+        count / _MEASURED_SECONDS,
+        histogram.get_value_at_percentile(_P99_PERCENT),
     )
 
 
-def load(url: str, key: str, callers: int) -> tuple[bytes, int]:
+def run_callers(url: str, key: str, callers: int) -> tuple[bytes, int]:
     """Run some callers as threads of this process."""
-    histogram = HdrHistogram(1, _LARGEST_US, 3)
+    histogram = HdrHistogram(1, _MAX_LATENCY_US, 3)
     with ThreadPoolExecutor(callers) as executor:
-        times = [
-            found
+        latencies_us = [
+            latency_us
             for future in [
-                executor.submit(_call, url, key) for _ in range(callers)
+                executor.submit(_send_requests, url, key)
+                for _ in range(callers)
             ]
-            for found in future.result()
+            for latency_us in future.result()
         ]
-    for spent in times:
-        histogram.record_value(spent)
-    return histogram.encode(), len(times)
+    for latency_us in latencies_us:
+        histogram.record_value(latency_us)
+    return histogram.encode(), len(latencies_us)
 
 
-def _call(url: str, key: str) -> list[int]:
+def _send_requests(url: str, key: str) -> list[int]:
     pool = urllib3.connection_from_url(url, maxsize=1)
     headers = {'X-Api-Key': key}
-    spent: list[int] = []
-    warm_until = time.monotonic() + _WARM_SECONDS
-    until = warm_until + _SECONDS
-    while (started := time.monotonic()) < until:
+    latencies_us: list[int] = []
+    measure_from = time.monotonic() + _WARM_UP_SECONDS
+    stop_at = measure_from + _MEASURED_SECONDS
+    while (started_at := time.monotonic()) < stop_at:
         response = pool.request('GET', '/feed/x', headers=headers)
         if response.status != 200:
             raise RuntimeError(f'{url}: {response.status} {response.data!r}')
-        ended = time.monotonic()
-        if started > warm_until:
-            spent.append(int((ended - started) * 1_000_000))
-    return spent
+        ended_at = time.monotonic()
+        if started_at > measure_from:
+            latencies_us.append(int((ended_at - started_at) * 1_000_000))
+    return latencies_us
--- a/benches/spread.py
+++ b/benches/spread.py
@@ -15,13 +15,15 @@
 
 from standins.fleet import EntryVm, Fleet, wait_until
 
-_EXAMPLE: Final = Path(__file__).parent.parent / 'examples' / 'demo.jsonc'
+_CATALOGUE_PATH: Final = (
+    Path(__file__).parent.parent / 'examples' / 'demo.jsonc'
+)
 _VMS_PER_ZONE: Final = 4
-_CHANGES: Final = 20
-_WITHDRAWALS: Final = 5
+_CHANGE_COUNT: Final = 20
+_WITHDRAWAL_COUNT: Final = 5
 _POLL_SECONDS: Final = 0.01
-_HEADERS: Final = {'Authorization': 'Bearer demo-operator-token'}
-_ADMIN: Final = '/.toucanhall/admin/v1'
+_ADMIN_HEADERS: Final = {'Authorization': 'Bearer demo-operator-token'}
+_ADMIN_PATH: Final = '/.toucanhall/admin/v1'
 
 
 def main(arguments: Sequence[str]) -> int:
@@ -29,31 +31,31 @@
     parser = argparse.ArgumentParser(prog='bench spread')
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
-    chance = random.Random(options.seed)
-    fleet = Fleet(catalogue=_EXAMPLE, vms_per_zone=_VMS_PER_ZONE)
+    rng = random.Random(options.seed)
+    fleet = Fleet(catalogue=_CATALOGUE_PATH, vms_per_zone=_VMS_PER_ZONE)
     try:
         fleet.start()
         fleet.apply()
         time.sleep(5)
-        before = read_calls(fleet)
-        started = time.monotonic()
-        spread = [
-            measure_change(fleet, chance.choice(fleet.vms), number)
-            for number in range(_CHANGES)
+        calls_before = read_calls(fleet)
+        started_at = time.monotonic()
+        apply_seconds = [
+            measure_change(fleet, rng.choice(fleet.vms), number)
+            for number in range(_CHANGE_COUNT)
         ]
-        spent = time.monotonic() - started
-        calls = sum(read_calls(fleet).values()) - sum(before.values())
-        last = [
-            measure_withdrawal(fleet, chance, number)
-            for number in range(_WITHDRAWALS)
+        elapsed_seconds = time.monotonic() - started_at
+        calls = sum(read_calls(fleet).values()) - sum(calls_before.values())
+        withdrawal_seconds = [
+            measure_withdrawal(fleet, rng, number)
+            for number in range(_WITHDRAWAL_COUNT)
         ]
     finally:
         fleet.stop()
     result = {
         'vms': len(fleet.vms),
-        'in_force_s': summarise(spread),
-        'last_served_s': summarise(last),
-        'store_calls_s': round(calls / spent, 1),
+        'in_force_s': summarise(apply_seconds),
+        'last_served_s': summarise(withdrawal_seconds),
+        'store_calls_s': round(calls / elapsed_seconds, 1),
     }
     print(json.dumps(result))
     return 0
@@ -74,80 +76,83 @@
     return dict(response.json())
 
 
-def show(http: urllib3.PoolManager, vm: EntryVm) -> dict[str, Any]:
+def get_catalogue(http: urllib3.PoolManager, vm: EntryVm) -> dict[str, Any]:
     """Return the catalogue in force on a VM."""
-    url = f'{vm.url}{_ADMIN}/catalogue'
-    return dict(http.request('GET', url, headers=_HEADERS).json())
+    url = f'{vm.url}{_ADMIN_PATH}/catalogue'
+    return dict(http.request('GET', url, headers=_ADMIN_HEADERS).json())
 
 
 def measure_change(fleet: Fleet, vm: EntryVm, number: int) -> float:
     """Change the catalogue at one VM; return seconds until all have it."""
-    shown = show(fleet.http, vm)
-    document = {**shown['catalogue'], 'hold_seconds': 3 + number / 100}
+    current = get_catalogue(fleet.http, vm)
+    document = {**current['catalogue'], 'hold_seconds': 3 + number / 100}
     response = fleet.http.request(
         'PUT',
-        f'{vm.url}{_ADMIN}/catalogue',
+        f'{vm.url}{_ADMIN_PATH}/catalogue',
         body=json.dumps(document),
-        headers={**_HEADERS, 'If-Match': f'"{shown["revision"]}"'},
+        headers={**_ADMIN_HEADERS, 'If-Match': f'"{current["revision"]}"'},
     )
     accepted_at = time.monotonic()
     if response.status != 200:
         raise RuntimeError(f'{vm.name}: {response.data!r}')
-    wanted = response.json()['accepted']
-    taken_at = [0.0] * len(fleet.vms)
-
-    def follow(place: int) -> None:
-        while show(fleet.http, fleet.vms[place])['revision'] < wanted:
+    accepted_revision = response.json()['accepted']
+    applied_at = [0.0] * len(fleet.vms)
+
+    def wait_for_revision(index: int) -> None:
+        while (
+            get_catalogue(fleet.http, fleet.vms[index])['revision']
+            < accepted_revision
+        ):
             time.sleep(_POLL_SECONDS)
-        taken_at[place] = time.monotonic()
+        applied_at[index] = time.monotonic()
 
-    run_all(follow, len(fleet.vms))
-    print(f'{vm.name}: {max(taken_at) - accepted_at:.3f} s', flush=True)
-    return max(0.0, max(taken_at) - accepted_at)
+    run_in_threads(wait_for_revision, len(fleet.vms))
+    print(f'{vm.name}: {max(applied_at) - accepted_at:.3f} s', flush=True)
+    return max(0.0, max(applied_at) - accepted_at)
 
 
 def measure_withdrawal(
     fleet: Fleet,
-    chance: random.Random,
+    rng: random.Random,
     number: int,
 ) -> float:
     """Withdraw a key; return seconds to the last request served with it."""
     name = f'bench-{number}'
-    vm = chance.choice(fleet.vms)
+    vm = rng.choice(fleet.vms)
     granted = fleet.run_command(
         'key-grant', name, '--team=hostels', f'--at={vm.url}',
     )  # fmt: skip
     key = json.loads(granted.stdout)['key']
-    for each in fleet.vms:
+    for other_vm in fleet.vms:
         wait_until(
-            partial(is_granted, fleet, each.url, key),
-            f'key on {each.name}',
+            partial(is_granted, fleet, other_vm.url, key),
+            f'key on {other_vm.name}',
         )
-    stopping = threading.Event()
+    stop_event = threading.Event()
     served_at = [0.0] * len(fleet.vms)
 
-    def use(place: int) -> None:
-        while not stopping.is_set():
-            if call(fleet, fleet.vms[place].url, key) == 200:
-                served_at[place] = time.monotonic()
+    def send_requests(index: int) -> None:
+        while not stop_event.is_set():
+            if get_status(fleet, fleet.vms[index].url, key) == 200:
+                served_at[index] = time.monotonic()
             time.sleep(_POLL_SECONDS)
 
     threads = [
-        threading.Thread(target=use, args=(place,))
-        for place in range(len(fleet.vms))
+        threading.Thread(target=send_requests, args=(index,))
+        for index in range(len(fleet.vms))
     ]
     for thread in threads:
         thread.start()
     fleet.run_command('key-withdraw', name, f'--at={vm.url}')
     withdrawn_at = time.monotonic()
     time.sleep(3)
-    stopping.set()
+    stop_event.set()
     for thread in threads:
         thread.join()
     return max(0.0, max(served_at) - withdrawn_at)
 
 
-def call(fleet: Fleet, url: str, key: str) -> int:
+def get_status(fleet: Fleet, url: str, key: str) -> int:
     """Return the status of a request with a key."""
     headers = {'X-Api-Key': key}
     return fleet.http.request('GET', f'{url}/feed/x', headers=headers).status
@@ -155,13 +160,13 @@
 
 def is_granted(fleet: Fleet, url: str, key: str) -> bool:
     """Return whether a VM knows a key."""
-    return call(fleet, url, key) not in {401, 503}
+    return get_status(fleet, url, key) not in {401, 503}
 
 
-def run_all(run: Any, count: int) -> None:
+def run_in_threads(task: Any, count: int) -> None:
     """Run a function for each place, on threads of their own."""
     threads = [
-        threading.Thread(target=run, args=(place,)) for place in range(count)
+        threading.Thread(target=task, args=(index,)) for index in range(count)
     ]
     for thread in threads:
         thread.start()
--- a/release/binary.py
+++ b/release/binary.py
@@ -16,12 +16,12 @@
 from release.boot import VERSION_ENTRY
 
 _ROOT: Final = Path(__file__).parent.parent
-_TARGET: Final = _ROOT / 'dist' / 'toucanhall'
-_SKIPPED: Final = frozenset(('__pycache__', 'bin', '..'))
+_ARCHIVE_PATH: Final = _ROOT / 'dist' / 'toucanhall'
+_EXCLUDED_PATH_PARTS: Final = frozenset(('__pycache__', 'bin', '..'))
 _BYTES_PER_MB: Final = 1000000
 
 
-class Part(NamedTuple):
+class ArchiveEntry(NamedTuple):
     """A file of the archive: where it is and what it is called there."""
 
     path: Path
@@ -31,66 +31,68 @@
 def build() -> Path:
     """Build the archive from the environment and return its path."""
     version = sysconfig.get_python_version()
-    with TemporaryDirectory() as folder:
-        stage = Path(folder)
-        for part in _list_parts():
-            _place(part, stage)
-        (stage / VERSION_ENTRY).write_text(version)
-        _TARGET.parent.mkdir(exist_ok=True)
+    with TemporaryDirectory() as directory:
+        staging_path = Path(directory)
+        for entry in _list_entries():
+            _stage_entry(entry, staging_path)
+        (staging_path / VERSION_ENTRY).write_text(version)
+        _ARCHIVE_PATH.parent.mkdir(exist_ok=True)
         zipapp.create_archive(
-            stage,
-            _TARGET,
+            staging_path,
+            _ARCHIVE_PATH,
             interpreter=f'/usr/bin/env python{version}',
             compressed=True,
         )
-    _TARGET.chmod(_TARGET.stat().st_mode | stat.S_IXUSR | stat.S_IXGRP)
-    return _TARGET
+    _ARCHIVE_PATH.chmod(
+        _ARCHIVE_PATH.stat().st_mode | stat.S_IXUSR | stat.S_IXGRP
+    )
+    return _ARCHIVE_PATH
 
 
-def _list_parts() -> Iterator[Part]:
-    yield Part(_ROOT / 'release' / 'boot.py', '__main__.py')
+def _list_entries() -> Iterator[ArchiveEntry]:
+    yield ArchiveEntry(_ROOT / 'release' / 'boot.py', '__main__.py')
     for path in sorted((_ROOT / 'toucanhall').rglob('*.py')):
-        yield Part(path, str(path.relative_to(_ROOT)))
+        yield ArchiveEntry(path, str(path.relative_to(_ROOT)))
     for name in _list_packages():
-        yield from _list_files(name)
+        yield from _list_package_entries(name)
 
 
 def _list_packages() -> list[str]:
     project = tomllib.loads((_ROOT / 'pyproject.toml').read_text())
-    waiting = list(project['project']['dependencies'])
-    found: set[str] = set()
-    while waiting:
-        requirement = Requirement(waiting.pop())
+    pending = list(project['project']['dependencies'])
+    package_names: set[str] = set()
+    while pending:
+        requirement = Requirement(pending.pop())
         marker = requirement.marker
         if marker is not None and not marker.evaluate({'extra': ''}):
             continue
-        if requirement.name in found:
+        if requirement.name in package_names:
             continue
-        found.add(requirement.name)
-        needs = metadata.requires(requirement.name)
-        waiting.extend(needs or ())
-    return sorted(found)
+        package_names.add(requirement.name)
+        requirements = metadata.requires(requirement.name)
+        pending.extend(requirements or ())
+    return sorted(package_names)
 
 
-def _list_files(package: str) -> Iterator[Part]:
+def _list_package_entries(package: str) -> Iterator[ArchiveEntry]:
     for file in metadata.files(package) or ():
-        if _SKIPPED.isdisjoint(file.parts):
-            yield Part(Path(str(file.locate())), str(file))
+        if _EXCLUDED_PATH_PARTS.isdisjoint(file.parts):
+            yield ArchiveEntry(Path(str(file.locate())), str(file))
 
 
-def _place(part: Part, stage: Path) -> None:
-    placed = stage / part.name
-    placed.parent.mkdir(parents=True, exist_ok=True)
-    placed.write_bytes(part.path.read_bytes())
-    if placed.suffix == '.py' and part.name != '__main__.py':
-        _compile(placed, part.name)
+def _stage_entry(entry: ArchiveEntry, staging_path: Path) -> None:
+    staged_path = staging_path / entry.name
+    staged_path.parent.mkdir(parents=True, exist_ok=True)
+    staged_path.write_bytes(entry.path.read_bytes())
+    if staged_path.suffix == '.py' and entry.name != '__main__.py':
+        _compile(staged_path, entry.name)
 
 
-def _compile(placed: Path, name: str) -> None:
+def _compile(staged_path: Path, name: str) -> None:
     """Put bytecode beside a module, so that no start compiles it again."""
     py_compile.compile(
-        str(placed),
-        cfile=str(placed.with_suffix('.pyc')),
+        str(staged_path),
+        cfile=str(staged_path.with_suffix('.pyc')),
         dfile=name,
         doraise=True,
         invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
@@ -99,9 +101,9 @@
 
 def main() -> None:
     """Build and print the path and the size."""
-    target = build()
-    size = target.stat().st_size / _BYTES_PER_MB
-    print(f'{target.relative_to(_ROOT)}: {size:.1f} MB')
+    archive_path = build()
+    size_mb = archive_path.stat().st_size / _BYTES_PER_MB
+    print(f'{archive_path.relative_to(_ROOT)}: {size_mb:.1f} MB')
 
 
 if __name__ == '__main__':
--- a/release/boot.py
+++ b/release/boot.py
@@ -15,11 +15,11 @@
 from types import ModuleType
 from zipfile import ZipFile
 
-ARCHIVE = Path(__file__).parent
+ARCHIVE_PATH = Path(__file__).parent
 VERSION_ENTRY = 'python-version'
 
 
-class Unpacking(Loader):
+class ArchiveExtensionLoader(Loader):
     """Loads one extension from the archive."""
 
     def __init__(self, *, name: str, content: bytes) -> None:
@@ -30,11 +30,11 @@
     def create_module(self, spec: ModuleSpec) -> ModuleType:
         """Unpack, load and remove the shared object."""
         suffix = sysconfig.get_config_var('SHLIB_SUFFIX')
-        with tempfile.NamedTemporaryFile(suffix=suffix) as unpacked:
-            unpacked.write(self._content)
-            unpacked.flush()
-            self._loader = FileLoader(self._name, unpacked.name)
-            origin = unpacked.name
+        with tempfile.NamedTemporaryFile(suffix=suffix) as shared_object:
+            shared_object.write(self._content)
+            shared_object.flush()
+            self._loader = FileLoader(self._name, shared_object.name)
+            origin = shared_object.name
             return self._loader.create_module(
                 ModuleSpec(spec.name, self._loader, origin=origin),
             )
@@ -44,7 +44,7 @@
         self._loader.exec_module(module)
 
 
-class Finder(MetaPathFinder):
+class ArchiveExtensionFinder(MetaPathFinder):
     """Finds extensions in the archive."""
 
     def __init__(self, *, archive: ZipFile) -> None:
@@ -63,26 +63,27 @@
         for suffix in EXTENSION_SUFFIXES:
             entry = f'{stem}{suffix}'
             if entry in self._entries:
-                unpacking = Unpacking(
+                loader = ArchiveExtensionLoader(
                     name=fullname,
                     content=self._archive.read(entry),
                 )
-                origin = str(ARCHIVE / entry)
-                return ModuleSpec(fullname, unpacking, origin=origin)
+                origin = str(ARCHIVE_PATH / entry)
+                return ModuleSpec(fullname, loader, origin=origin)
         return None
 
 
 def boot() -> int:
     """Make the archive importable and run the command line."""
-    archive = ZipFile(ARCHIVE)
-    wanted = archive.read(VERSION_ENTRY).decode()
-    found = sysconfig.get_python_version()
-    if found != wanted:
+    archive = ZipFile(ARCHIVE_PATH)
+    built_version = archive.read(VERSION_ENTRY).decode()
+    running_version = sysconfig.get_python_version()
+    if running_version != built_version:
         sys.stderr.write(
-            f'toucanhall: built for Python {wanted}, run by {found}\n',
+            f'toucanhall: built for Python {built_version}, '
+            f'run by {running_version}\n',
         )
         return 2
-    sys.meta_path.insert(0, Finder(archive=archive))
+    sys.meta_path.insert(0, ArchiveExtensionFinder(archive=archive))
     from toucanhall.__main__ import main  # noqa: PLC0415
 
     return main()
--- a/release/pages.py
+++ b/release/pages.py
@@ -22,15 +22,15 @@
 __all__ = ('PAGES', 'render_openapi')
 
 DOCS: Final = Path(__file__).parent.parent / 'docs'
-_OPENAPI: Final = '3.1.0'
-_SETTINGS_HEAD: Final = """# Settings of an entry VM
+_OPENAPI_VERSION: Final = '3.1.0'
+_SETTINGS_INTRODUCTION: Final = """# Settings of an entry VM
 
 A file of JSON with comments, read once at the start; `examples/vm.jsonc` is a
 commented example. `toucanhall check-settings FILE` tells every error at once:
 where it is, what was found and what is allowed. Values after a semicolon are
 the defaults. Secrets stand in the environment, never in the file.
 """
-_CATALOGUE_HEAD: Final = """# Catalogue
+_CATALOGUE_INTRODUCTION: Final = """# Catalogue
 
 A file of JSON with comments; `examples/lumina.jsonc` and
 `examples/qureshi.jsonc` are commented examples. `toucanhall catalogue check
@@ -38,7 +38,7 @@
 change. Values after a semicolon are the defaults. `NAME` stands for the name
 of an entry, `[]` for each entry of a list.
 """
-_COMMANDS_HEAD: Final = """# Commands
+_COMMANDS_INTRODUCTION: Final = """# Commands
 
 Results go to standard output, errors to standard error. `--json` prints what a
 script reads; tables may change between versions.
@@ -47,7 +47,7 @@
 
 def render_commands() -> str:
     """Return the page of the command line."""
-    parts = [_COMMANDS_HEAD, _quote_help(make_parser())]
+    parts = [_COMMANDS_INTRODUCTION, _quote_help(make_parser())]
     for command in COMMANDS:
         name = ' '.join(command.words)
         parts.append(f'\n## toucanhall {name}\n')
@@ -57,12 +57,12 @@
 
 def render_settings() -> str:
     """Return the page of the settings."""
-    return f'{_SETTINGS_HEAD}\n{_render_fields(SETTINGS_SCHEMA)}'
+    return f'{_SETTINGS_INTRODUCTION}\n{_render_fields(SETTINGS_SCHEMA)}'
 
 
 def render_catalogue() -> str:
     """Return the page of the catalogue."""
-    return f'{_CATALOGUE_HEAD}\n{_render_fields(CATALOGUE_SCHEMA)}'
+    return f'{_CATALOGUE_INTRODUCTION}\n{_render_fields(CATALOGUE_SCHEMA)}'
 
 
 def render_openapi() -> str:
@@ -72,7 +72,7 @@
         operations = paths.setdefault(f'{PREFIX}{route.path}', {})
         operations[route.method.lower()] = _describe_route(route)
     page = {
-        'openapi': _OPENAPI,
+        'openapi': _OPENAPI_VERSION,
         'info': {'title': 'toucanhall operators', 'version': __version__},
         'security': [{'token': []}],
         'paths': paths,
@@ -83,14 +83,14 @@
                 'Key': CATALOGUE_SCHEMA['properties']['keys'][
                     'additionalProperties'
                 ],
-                'Problem': _PROBLEM,
+                'Problem': _PROBLEM_SCHEMA,
             },
         },
     }
     return f'{msgspec.json.format(msgspec.json.encode(page)).decode()}\n'
 
 
-_PROBLEM: Final = {
+_PROBLEM_SCHEMA: Final = {
     'type': 'object',
     'required': ['type', 'title', 'status', 'detail'],
     'properties': {
@@ -109,7 +109,7 @@
 
 
 def _describe_route(route: Route) -> dict[str, Any]:
-    described: dict[str, Any] = {
+    operation: dict[str, Any] = {
         'summary': route.summary,
         'description': f'Roles: {", ".join(route.roles)}.',
         'parameters': [
@@ -122,26 +122,26 @@
         },
     }
     if route.method != 'GET':
-        described['parameters'] += [
+        operation['parameters'] += [
             _describe_parameter('If-Match', 'header'),
             _describe_parameter('Toucanhall-Change', 'header'),
         ]
     if route.path == 'history':
-        described['parameters'].append(_describe_parameter('change', 'query'))
+        operation['parameters'].append(_describe_parameter('change', 'query'))
     if route.body:
         schema = {'$ref': f'#/components/schemas/{route.body}'}
-        described['requestBody'] = {
+        operation['requestBody'] = {
             'required': True,
             'content': {'application/json': {'schema': schema}},
         }
-    return described
+    return operation
 
 
-def _describe_parameter(name: str, place: str) -> dict[str, Any]:
+def _describe_parameter(name: str, location: str) -> dict[str, Any]:
     return {
         'name': name,
-        'in': place,
-        'required': place == 'path',
+        'in': location,
+        'required': location == 'path',
         'schema': {'type': 'string'},
     }
 
@@ -172,18 +172,18 @@
 
 
 def _quote_help(parser: ArgumentParser) -> str:
-    written = io.StringIO()
-    with redirect_stdout(written):
+    output = io.StringIO()
+    with redirect_stdout(output):
         parser.print_help()
-    return f'```\n{written.getvalue().rstrip()}\n```\n'
+    return f'```\n{output.getvalue().rstrip()}\n```\n'
 
 
 def _render_fields(schema: Document) -> str:
     rows = ['| field | needed | allowed | meaning |', '|---|---|---|---|']
     rows.extend(
-        f'| `{path}` | {"yes" if needed else "no"} '
-        f'| {_tell_allowed(field)} | {field["description"]} |'
-        for path, needed, field in _list_fields(schema, '')
+        f'| `{path}` | {"yes" if is_required else "no"} '
+        f'| {_describe_allowed(field)} | {field["description"]} |'
+        for path, is_required, field in _list_fields(schema, '')
     )
     return '\n'.join((*rows, ''))
 
@@ -193,38 +193,38 @@
     path: str,
 ) -> Iterator[tuple[str, bool, Document]]:
     for name, field in schema.get('properties', {}).items():
-        place = f'{path}{name}'
-        yield place, name in schema['required'], field
-        yield from _list_fields(field, f'{place}.')
-    for word, joined in _NESTED.items():
+        location = f'{path}{name}'
+        yield location, name in schema['required'], field
+        yield from _list_fields(field, f'{location}.')
+    for word, extend_path in _NESTED_PATHS.items():
         entry = schema.get(word)
         if isinstance(entry, Mapping):
-            yield from _list_fields(entry, joined(path))
+            yield from _list_fields(entry, extend_path(path))
 
 
-def _tell_allowed(field: Document) -> str:
+def _describe_allowed(field: Document) -> str:
     choices = field.get('enum')
     if choices:
         return ', '.join(f'`{choice}`' for choice in choices)
-    form = FORMATS.get(field.get('format', ''))
-    if form:
-        return form.allowed
-    each = FORMATS.get(field.get('items', {}).get('format', ''))
-    if each:
-        return f'list; each {each.allowed}'
+    field_format = FORMATS.get(field.get('format', ''))
+    if field_format:
+        return field_format.allowed
+    item_format = FORMATS.get(field.get('items', {}).get('format', ''))
+    if item_format:
+        return f'list; each {item_format.allowed}'
     limits = [
         f'{sign} {field[name]}'
-        for name, sign in _LIMITS.items()
+        for name, sign in _LIMIT_LABELS.items()
         if name in field
     ]
     return ' '.join([field['type'], *limits])
 
 
-_NESTED: Final[Mapping[str, Callable[[str], str]]] = {
+_NESTED_PATHS: Final[Mapping[str, Callable[[str], str]]] = {
     'additionalProperties': lambda path: f'{path}NAME.',
     'items': lambda path: f'{path[:-1]}[].',
 }
-_LIMITS: Final = {
+_LIMIT_LABELS: Final = {
     'minimum': 'from',
     'exclusiveMinimum': 'above',
     'maximum': 'to',
