Name the simulated fleet of bench steering after what it holds

Durations carry their unit, states and events have the usual names. The names of scenarios and policies, and the order of random draws, stay.

--- a/benches/steering_fleet.py
+++ b/benches/steering_fleet.py
@@ -7,7 +7,7 @@
 from typing import Any, Final, TypeAlias
 
 from benches.steering_places import (
-    TEAM_SHARES,
+    TEAM_LOAD_FRACTIONS,
     Deployment,
     Service,
     make_catalogue,
@@ -17,14 +17,14 @@
 from toucanhall.shares.slots import Holding, Table, claim
 from toucanhall.steering import AdvisedVm, EntryVm, advise
 
-Done: TypeAlias = Callable[[bool], None]
+OnDone: TypeAlias = Callable[[bool], None]
 
-DEADLINE: Final = 10.0
-_SUSPECT: Final = 3.5
+DEADLINE_SECONDS: Final = 10.0
+_SUSPICION_SECONDS: Final = 3.5
 _COLD_REQUESTS: Final = 30
-_COLD_FACTOR: Final = 4
-_ERROR_SECONDS: Final = 0.001
-_LOCAL: Final = 0.0002
+_COLD_SLOWDOWN_FACTOR: Final = 4
+_ERROR_ANSWER_SECONDS: Final = 0.001
+_SAME_ZONE_LATENCY_SECONDS: Final = 0.0002
 
 
 class Clock:
@@ -36,7 +36,9 @@
         self._due: list[Any] = []
         self._count = 0
 
-    def at(self, delay: float, call: Callable[..., None], *args: Any) -> None:
+    def call_later(
+        self, delay: float, call: Callable[..., None], *args: Any
+    ) -> None:
         """Call a function after a delay in seconds."""
         self._count += 1
         heapq.heappush(self._due, (self.now + delay, self._count, call, args))
@@ -58,18 +60,18 @@
         number: int,
         team: str,
         zone: str,
-        born: float,
-        work: float,
+        sent_at: float,
+        work_seconds: float,
         service: Service,
     ) -> None:
         """Remember what the caller sent."""
         self.number = number
         self.team = team
         self.service = service.name
-        self.size = service.size
+        self.answer_bytes = service.answer_bytes
         self.zone = zone
-        self.born = born
-        self.work = work
+        self.sent_at = sent_at
+        self.work_seconds = work_seconds
         self.is_done = False
 
 
@@ -88,43 +90,43 @@
         self.clock = clock
         self.rng = rng
         self.mode = 'well'
-        self.cold = 0
+        self.cold_requests = 0
         self.running = 0
         self.queue: deque[Any] = deque()
-        self.last_end = 0.0
-        self.first_report = 0.0
+        self.last_finished_at = 0.0
+        self.load_before_event = 0.0
 
-    def take(self, request: Request, done: Done) -> None:
+    def accept(self, request: Request, on_done: OnDone) -> None:
         """Run a request, or let it wait for a slot."""
         if self.mode == 'dead':
             return
         if self.mode == 'error':
-            self.clock.at(_ERROR_SECONDS, done, False)
+            self.clock.call_later(_ERROR_ANSWER_SECONDS, on_done, False)
         elif self.mode == 'silent' and not self.rng.randrange(3):
             return
         elif self.running < self.entry.slots:
-            self._start(request, done)
+            self._start(request, on_done)
         elif len(self.queue) < self.entry.connections:
-            self.queue.append((request, done))
+            self.queue.append((request, on_done))
         else:
-            done(False)
+            on_done(False)
 
-    def _start(self, request: Request, done: Done) -> None:
+    def _start(self, request: Request, on_done: OnDone) -> None:
         self.running += 1
-        work = request.work
-        if self.cold or self.mode == 'slow':
-            work *= _COLD_FACTOR
-            self.cold = max(0, self.cold - 1)
-        self.clock.at(work, self._end, done)
+        work_seconds = request.work_seconds
+        if self.cold_requests or self.mode == 'slow':
+            work_seconds *= _COLD_SLOWDOWN_FACTOR
+            self.cold_requests = max(0, self.cold_requests - 1)
+        self.clock.call_later(work_seconds, self._end, on_done)
 
-    def _end(self, done: Done) -> None:
+    def _end(self, on_done: OnDone) -> None:
         self.running -= 1
-        self.last_end = self.clock.now
+        self.last_finished_at = self.clock.now
         if self.mode == 'dead':
             return
         if self.queue:
             self._start(*self.queue.popleft())
-        done(True)
+        on_done(True)
 
 
 class Vm:
@@ -136,23 +138,26 @@
         name: str,
         zone: str,
         catalogue: Catalogue,
-        born: float,
+        started_at: float,
     ) -> None:
         """Start alive."""
         self.name = name
         self.zone = zone
         self.catalogue = catalogue
-        self.born = born
-        self.died: float | None = None
+        self.started_at = started_at
+        self.stopped_at: float | None = None
         self.is_leaving = False
         self.policy: Any = None
         self.carried: dict[int, Callable[..., None]] = {}
 
-    def is_seen(self, now: float) -> bool:
+    def is_considered_alive(self, now: float) -> bool:
         """Return whether others take the VM for alive."""
-        if self.is_leaving or now < self.born + 1:
-            return not self.born and not self.is_leaving
-        return self.died is None or now - self.died < _SUSPECT
+        if self.is_leaving or now < self.started_at + 1:
+            return not self.started_at and not self.is_leaving
+        return (
+            self.stopped_at is None
+            or now - self.stopped_at < _SUSPICION_SECONDS
+        )
 
 
 class Fleet:
@@ -181,60 +186,62 @@
                 name=f'vm-{number}',
                 zone=zones[number % len(zones)],
                 catalogue=self.catalogue,
-                born=0,
+                started_at=0,
             )
-            for number in range(deployment.vms)
+            for number in range(deployment.vm_count)
         }
         self.tables: dict[str, Table] = defaultdict(lambda: Table({}))
-        self.cut: frozenset[str] = frozenset()
-        self.healed = -_SUSPECT
-        self.factors: dict[str, float] = {}
-        self.zone_factors: dict[tuple[str, str], float] = {}
-        self.advice: dict[tuple[str, str], tuple[float, Any]] = {}
+        self.partitioned_zones: frozenset[str] = frozenset()
+        self.healed = -_SUSPICION_SECONDS
+        self.team_load_factors: dict[str, float] = {}
+        self.zone_load_factors: dict[tuple[str, str], float] = {}
+        self.cached_advice: dict[tuple[str, str], tuple[float, Any]] = {}
         self.counts: Counter[str] = Counter()
-        self.offered: Counter[str] = Counter()
+        self.sent_by_team: Counter[str] = Counter()
         self.answered: list[tuple[float, str, float]] = []
         self.refused: list[tuple[float, str, str]] = []
         self.link_bytes: Counter[tuple[int, frozenset[str]]] = Counter()
-        self.headroom: list[float] = []
-        self.shifted: Counter[str] = Counter()
-        self.shift_samples: dict[str, list[int]] = defaultdict(list)
-        self.reports = 'true'
-        self.drained: str | None = None
+        self.min_free_fractions: list[float] = []
+        self.remote_running: Counter[str] = Counter()
+        self.remote_running_samples: dict[str, list[int]] = defaultdict(list)
+        self.report_mode = 'true'
+        self.drained_zone: str | None = None
         self.drained_at = 0.0
         self.make_policy: Callable[[Vm], Any] = lambda _vm: None
 
-    def delay(self, zone: str, other: str) -> float:
+    def get_latency(self, zone: str, other: str) -> float:
         """Return the one-way latency between two zones."""
         zones = self.catalogue.zones
         if zone == other:
-            return _LOCAL
+            return _SAME_ZONE_LATENCY_SECONDS
         if zones[zone].region == zones[other].region:
-            return self.deployment.zone_latency
-        return self.deployment.region_latency
+            return self.deployment.zone_latency_seconds
+        return self.deployment.region_latency_seconds
 
-    def is_cut(self, zone: str, other: str) -> bool:
+    def is_partitioned(self, zone: str, other: str) -> bool:
         """Return whether two zones cannot reach each other."""
-        return (zone in self.cut) != (other in self.cut)
+        return (zone in self.partitioned_zones) != (
+            other in self.partitioned_zones
+        )
 
-    def list_hops(self, vm: Vm) -> tuple[EntryVm, ...]:
+    def list_other_vms(self, vm: Vm) -> tuple[EntryVm, ...]:
         """Return the other VMs as a VM sees them."""
         now = self.clock.now
         return tuple(
             EntryVm(other.name, other.zone, other.name)
             for other in self.vms.values()
-            if other is not vm and other.is_seen(now)
+            if other is not vm and other.is_considered_alive(now)
         )
 
-    def hold_slots(self, vm: Vm) -> frozenset[int]:
+    def claim_slots(self, vm: Vm) -> frozenset[int]:
         """Claim slots of the zone as the process does; return those held."""
         holding = Holding(vm.name, 'start')
-        live = frozenset(
+        alive_names = frozenset(
             other.name
             for other in self.vms.values()
-            if other.zone == vm.zone and other.died is None
+            if other.zone == vm.zone and other.stopped_at is None
         )
-        table = claim(self.tables[vm.zone], holding, live, 12)
+        table = claim(self.tables[vm.zone], holding, alive_names, 12)
         self.tables[vm.zone] = table
         return frozenset(
             slot for slot, held in table.holdings.items() if held == holding
@@ -247,11 +254,11 @@
         for service in self.deployment.services:
             for zone in self.catalogue.zones:
                 self._start_load(service, zone, until)
-        self.clock.at(1, self._sample, until)
+        self.clock.call_later(1, self._sample, until)
 
     def start_vm(self, vm: Vm) -> None:
         """Start the policy of a VM."""
-        self.hold_slots(vm)
+        self.claim_slots(vm)
         vm.policy = self.make_policy(vm)
 
     def count_slots(self, service: str, zone: str) -> int:
@@ -269,12 +276,14 @@
         until: float,
     ) -> None:
         slots = self.count_slots(service.name, zone)
-        for team, share in enumerate(TEAM_SHARES):
-            rate = slots / service.seconds * self.load * share
+        for team, fraction in enumerate(TEAM_LOAD_FRACTIONS):
+            rate = slots / service.mean_seconds * self.load * fraction
             if rate:
-                self._schedule(service, zone, f'team-{team}', rate, until)
+                self._schedule_request(
+                    service, zone, f'team-{team}', rate, until
+                )
 
-    def _schedule(
+    def _schedule_request(
         self,
         service: Service,
         zone: str,
@@ -282,14 +291,16 @@
         rate: float,
         until: float,
     ) -> None:
-        factor = self.factors.get(team, 1) * self.zone_factors.get(
-            (service.name, zone), 1,
-        )  # fmt: skip
+        factor = self.team_load_factors.get(
+            team, 1
+        ) * self.zone_load_factors.get((service.name, zone), 1)
         wait = self.rng.expovariate(rate * max(factor, 1e-6))
         if self.clock.now + wait < until:
-            self.clock.at(wait, self._send, service, zone, team, rate, until)
+            self.clock.call_later(
+                wait, self._send_request, service, zone, team, rate, until
+            )
 
-    def _send(
+    def _send_request(
         self,
         service: Service,
         zone: str,
@@ -298,97 +309,114 @@
         until: float,
     ) -> None:
         self.counts['sent'] += 1
-        self.offered[team] += 1
+        self.sent_by_team[team] += 1
         request = Request(
             number=self.counts['sent'],
             team=team,
             service=service,
             zone=zone,
-            born=self.clock.now,
-            work=self.rng.gammavariate(4, service.seconds / 4),
+            sent_at=self.clock.now,
+            work_seconds=self.rng.gammavariate(4, service.mean_seconds / 4),
         )
-        self._call(request, 0)
-        self._schedule(service, zone, team, rate, until)
+        self._send_to_vm(request, 0)
+        self._schedule_request(service, zone, team, rate, until)
 
-    def _call(self, request: Request, tries: int) -> None:
-        vms = self._ask(request.team, request.zone, tries)
-        if not vms or tries > 4:
-            self.end(request, 'lost')
+    def _send_to_vm(self, request: Request, attempt: int) -> None:
+        vms = self._get_advice(request.team, request.zone, attempt)
+        if not vms or attempt > 4:
+            self.finish_request(request, 'lost')
             return
-        vm = self.vms[vms[tries % len(vms)].vm]
-        latency = self.deployment.client_latency
-        if vm.died is not None and vm.died <= self.clock.now:
-            self.clock.at(2 * latency, self._call, request, tries + 1)
+        vm = self.vms[vms[attempt % len(vms)].vm]
+        latency = self.deployment.client_latency_seconds
+        if vm.stopped_at is not None and vm.stopped_at <= self.clock.now:
+            self.clock.call_later(
+                2 * latency, self._send_to_vm, request, attempt + 1
+            )
             return
-        self.clock.at(latency, vm.policy.arrive, request)
+        self.clock.call_later(latency, vm.policy.arrive, request)
 
-    def _ask(self, team: str, zone: str, tries: int) -> Any:
-        renew_at, advised = self.advice.get((team, zone), (0, ()))
-        if self.clock.now < renew_at and tries < len(advised):
+    def _get_advice(self, team: str, zone: str, attempt: int) -> Any:
+        renew_advice_at, advised = self.cached_advice.get((team, zone), (0, ()))
+        if self.clock.now < renew_advice_at and attempt < len(advised):
             return advised
-        asked = [
+        candidates = [
             vm
             for vm in self.vms.values()
-            if vm.died is None and vm.zone == zone
-        ] or [vm for vm in self.vms.values() if vm.died is None]
-        vm = min(asked, key=lambda one: self.delay(one.zone, zone))
-        seen = tuple(
+            if vm.stopped_at is None and vm.zone == zone
+        ] or [vm for vm in self.vms.values() if vm.stopped_at is None]
+        vm = min(
+            candidates,
+            key=lambda candidate: self.get_latency(candidate.zone, zone),
+        )
+        alive_vms = tuple(
             AdvisedVm(other.name, other.zone, other.name)
             for other in self.vms.values()
-            if other.is_seen(self.clock.now) and not (other.died and tries)
+            if other.is_considered_alive(self.clock.now)
+            and not (other.stopped_at and attempt)
+        )
+        advised = advise(vm.catalogue, team, vm.zone, alive_vms).vms
+        hold_seconds = self.rng.uniform(0.5, 1) * self.catalogue.hold_seconds
+        self.cached_advice[team, zone] = (
+            self.clock.now + hold_seconds,
+            advised,
         )
-        advised = advise(vm.catalogue, team, vm.zone, seen).vms
-        hold = self.rng.uniform(0.5, 1) * self.catalogue.hold_seconds
-        self.advice[team, zone] = (self.clock.now + hold, advised)
         return advised
 
-    def end(self, request: Request, what: str) -> None:
+    def finish_request(self, request: Request, result: str) -> None:
         """Give a request its final answer."""
         if request.is_done:
             return
         request.is_done = True
         now = self.clock.now
-        self.counts[what] += 1
-        if what == 'ok':
-            seconds = now - request.born + self.deployment.client_latency
-            self.answered.append((request.born, request.team, seconds))
+        self.counts[result] += 1
+        if result == 'ok':
+            seconds = (
+                now - request.sent_at + self.deployment.client_latency_seconds
+            )
+            self.answered.append((request.sent_at, request.team, seconds))
         else:
-            self.refused.append((request.born, request.team, what))
+            self.refused.append((request.sent_at, request.team, result))
 
-    def run_at(
+    def run_on_target(
         self,
         request: Request,
         target: Target,
         zone: str,
-        done: Done,
+        on_done: OnDone,
     ) -> None:
         """Send a request to a target and count overloads."""
         self.counts['attempts'] += 1
-        latency = self.delay(zone, target.entry.zone)
-        if target.mode == 'dead' or self.is_cut(zone, target.entry.zone):
-            self.clock.at(1.0, done, False)
+        latency = self.get_latency(zone, target.entry.zone)
+        if target.mode == 'dead' or self.is_partitioned(
+            zone, target.entry.zone
+        ):
+            self.clock.call_later(1.0, on_done, False)
             return
 
         def arrive() -> None:
             if target.running >= target.entry.slots:
                 self.counts['overloads'] += 1
-            target.take(request, answer)
+            target.accept(request, answer)
 
-        def answer(healthy: bool) -> None:
-            self.clock.at(latency, done, healthy)
+        def answer(is_healthy: bool) -> None:
+            self.clock.call_later(latency, on_done, is_healthy)
 
-        self.clock.at(latency, arrive)
+        self.clock.call_later(latency, arrive)
 
-    def carry_bytes(self, request: Request, zone: str, other: str) -> None:
+    def record_link_bytes(
+        self, request: Request, zone: str, other: str
+    ) -> None:
         """Count the bytes that an answer moves over a link."""
         regions = frozenset(
             self.catalogue.zones[name].region for name in (zone, other)
         )
         if len(regions) > 1:
-            self.link_bytes[int(self.clock.now), regions] += request.size
+            self.link_bytes[int(self.clock.now), regions] += (
+                request.answer_bytes
+            )
 
     def _sample(self, until: float) -> None:
-        free = []
+        free_fractions = []
         for service in self.deployment.services:
             for zone in self.catalogue.zones:
                 targets = [
@@ -401,9 +429,9 @@
                 slots = sum(target.entry.slots for target in targets)
                 running = sum(target.running for target in targets)
                 if slots:
-                    free.append(1 - running / slots)
-        self.headroom.append(min(free))
+                    free_fractions.append(1 - running / slots)
+        self.min_free_fractions.append(min(free_fractions))
         for zone in self.catalogue.zones:
-            self.shift_samples[zone].append(self.shifted[zone])
+            self.remote_running_samples[zone].append(self.remote_running[zone])
         if self.clock.now < until:
-            self.clock.at(0.1, self._sample, until)
+            self.clock.call_later(0.1, self._sample, until)
--- a/benches/steering_places.py
+++ b/benches/steering_places.py
@@ -11,19 +11,19 @@
     Zone,
 )
 
-_CONNECTIONS: Final = 800
+_CONNECTIONS_PER_TARGET: Final = 800
 _MBIT_PER_GBIT: Final = 1000
 # Parts of the load: a few teams are large.
-TEAM_SHARES: Final = (0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05)
+TEAM_LOAD_FRACTIONS: Final = (0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05)
 
 
 class Service(NamedTuple):
     """A service: how many targets, its mean seconds and answer bytes."""
 
     name: str
-    targets: int
-    seconds: float
-    size: int
+    target_count: int
+    mean_seconds: float
+    answer_bytes: int
 
 
 class Deployment(NamedTuple):
@@ -31,12 +31,12 @@
 
     regions: tuple[str, ...]
     services: tuple[Service, ...]
-    slots: int
-    vms: int
-    zone_latency: float
-    region_latency: float
-    client_latency: float
-    link_mbit: float
+    slots_per_target: int
+    vm_count: int
+    zone_latency_seconds: float
+    region_latency_seconds: float
+    client_latency_seconds: float
+    link_mbit_per_second: float
 
 
 DEPLOYMENTS: Final = {
@@ -46,12 +46,12 @@
             Service('guide', 20, 0.08, 4000),
             Service('feed', 16, 0.12, 200000),
         ),
-        slots=9,
-        vms=22,
-        zone_latency=0.0015,
-        region_latency=0.02,
-        client_latency=0.001,
-        link_mbit=4 * _MBIT_PER_GBIT,
+        slots_per_target=9,
+        vm_count=22,
+        zone_latency_seconds=0.0015,
+        region_latency_seconds=0.02,
+        client_latency_seconds=0.001,
+        link_mbit_per_second=4 * _MBIT_PER_GBIT,
     ),
     'qureshi': Deployment(
         regions=('islamabad', 'karachi', 'lahore'),
@@ -59,12 +59,12 @@
             Service('desk', 16, 0.06, 8000),
             Service('archive', 12, 0.1, 100000),
         ),
-        slots=3,
-        vms=22,
-        zone_latency=0.0005,
-        region_latency=0.055,
-        client_latency=0.003,
-        link_mbit=300,
+        slots_per_target=3,
+        vm_count=22,
+        zone_latency_seconds=0.0005,
+        region_latency_seconds=0.055,
+        client_latency_seconds=0.003,
+        link_mbit_per_second=300,
     ),
 }
 
@@ -82,11 +82,11 @@
             zones[number % len(zones)].name,
             service.name,
             '',
-            deployment.slots,
-            _CONNECTIONS,
+            deployment.slots_per_target,
+            _CONNECTIONS_PER_TARGET,
         )
         for service in deployment.services
-        for number in range(service.targets)
+        for number in range(service.target_count)
     ]
     regions = deployment.regions
     return Catalogue(
@@ -94,15 +94,17 @@
         targets={target.name: target for target in targets},
         routes=(),
         teams={
-            f'team-{number}': Team(f'team-{number}', share, share, share)
-            for number, share in enumerate(TEAM_SHARES)
+            f'team-{number}': Team(
+                f'team-{number}', fraction, fraction, fraction
+            )
+            for number, fraction in enumerate(TEAM_LOAD_FRACTIONS)
         },
         keys={},
         links=tuple(
-            Link((near, far), deployment.link_mbit)
-            for near in regions
-            for far in regions
-            if near < far
+            Link((first, second), deployment.link_mbit_per_second)
+            for first in regions
+            for second in regions
+            if first < second
         ),
         drains=Drains(),
         slots_per_zone=12,
--- a/benches/steering_policies.py
+++ b/benches/steering_policies.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 from typing import Any, Final, TypeAlias
 
-from benches.steering_fleet import DEADLINE, Fleet, Request, Target, Vm
+from benches.steering_fleet import DEADLINE_SECONDS, Fleet, Request, Target, Vm
 from toucanhall.steering import (
     Arrive,
     Carry,
@@ -24,13 +24,13 @@
 from toucanhall.steering.records import Expire, Report, State, Wait
 
 MakePolicy: TypeAlias = Callable[[Vm], Any]
-Choose: TypeAlias = Callable[[Any, Request], Target | None]
+ChooseTarget: TypeAlias = Callable[[Any, Request], Target | None]
 
-_RESIZE: Final = 0.5
-_CLAIM: Final = 2.0
-_REPORT: Final = 1.0
-_ATTEMPTS: Final = 3
-_CONNECT: Final = 1.0
+_RESIZE_INTERVAL_SECONDS: Final = 0.5
+_CLAIM_INTERVAL_SECONDS: Final = 2.0
+_REPORT_INTERVAL_SECONDS: Final = 1.0
+_MAX_ATTEMPTS: Final = 3
+_CONNECT_TIMEOUT_SECONDS: Final = 1.0
 
 
 class Job:
@@ -41,21 +41,21 @@
         *,
         request: Request,
         origin: Origin,
-        back: Callable[[str, int | None], None],
+        on_answer: Callable[[str, int | None], None],
         is_retry: bool = False,
     ) -> None:
         """Start with nothing tried."""
         self.request = request
         self.origin = origin
-        self.back = back
+        self.on_answer = on_answer
         self.is_retry = is_retry
-        self.passed: frozenset[str] = frozenset()
+        self.tried_names: frozenset[str] = frozenset()
         self.attempts = 0
         self.is_bounced = False
         self.is_done = False
 
 
-class Ours:
+class ProductPolicy:
     """Runs the product's decision functions for one VM."""
 
     def __init__(self, *, fleet: Fleet, vm: Vm) -> None:
@@ -65,10 +65,14 @@
         self.states: dict[str, State] = {}
         self.meters: dict[str, Meter] = {}
         self.jobs: dict[str, Job] = {}
-        self.held = fleet.hold_slots(vm)
+        self.owned_slots = fleet.claim_slots(vm)
         self._resize()
-        fleet.clock.at(_CLAIM * fleet.rng.random(), self._claim)
-        fleet.clock.at(_REPORT * fleet.rng.random(), self._hear_reports)
+        fleet.clock.call_later(
+            _CLAIM_INTERVAL_SECONDS * fleet.rng.random(), self._claim
+        )
+        fleet.clock.call_later(
+            _REPORT_INTERVAL_SECONDS * fleet.rng.random(), self._read_reports
+        )
 
     def arrive(self, request: Request) -> None:
         """Take a request from a caller."""
@@ -76,7 +80,9 @@
             Job(
                 request=request,
                 origin=Origin.CALLER,
-                back=lambda what, _spare: self.fleet.end(request, what),
+                on_answer=lambda result, _spare: self.fleet.finish_request(
+                    request, result
+                ),
             ),
         )
 
@@ -86,38 +92,40 @@
             self._finish(job, 'lost')
 
     def _claim(self) -> None:
-        if self.vm.died is None:
-            self.held = self.fleet.hold_slots(self.vm)
-            self.fleet.clock.at(_CLAIM, self._claim)
+        if self.vm.stopped_at is None:
+            self.owned_slots = self.fleet.claim_slots(self.vm)
+            self.fleet.clock.call_later(_CLAIM_INTERVAL_SECONDS, self._claim)
 
     def _resize(self) -> None:
-        if self.vm.died is not None:
+        if self.vm.stopped_at is not None:
             return
         now = self.fleet.clock.now
-        owned = OwnedSlots(self.vm.zone, self.held)
-        hops = self.fleet.list_hops(self.vm)
-        sizes = size_services(self.vm.catalogue, owned, hops, now)
+        owned = OwnedSlots(self.vm.zone, self.owned_slots)
+        entry_vms = self.fleet.list_other_vms(self.vm)
+        sizes = size_services(self.vm.catalogue, owned, entry_vms, now)
         for service, size in sizes.items():
             self.states.setdefault(service, State({}, {}))
             self._decide(service, size)
-        for region, part in size_links(self.vm.catalogue, owned).items():
+        for region, allowance in size_links(self.vm.catalogue, owned).items():
             meter = self.meters.get(region, Meter(updated_at=now))
-            self.meters[region] = links.resize(meter, part, now)
-        self.fleet.clock.at(_RESIZE, self._resize)
+            self.meters[region] = links.resize(meter, allowance, now)
+        self.fleet.clock.call_later(_RESIZE_INTERVAL_SECONDS, self._resize)
 
-    def _hear_reports(self) -> None:
-        if self.vm.died is not None:
+    def _read_reports(self) -> None:
+        if self.vm.stopped_at is not None:
             return
         for target in self.fleet.targets.values():
             entry = target.entry
-            busy = read_report(self.fleet, target)
-            if entry.zone == self.vm.zone and busy is not None:
-                self._decide(entry.service, Report(entry.name, busy))
-        self.fleet.clock.at(_REPORT, self._hear_reports)
+            busy_fraction = get_reported_load(self.fleet, target)
+            if entry.zone == self.vm.zone and busy_fraction is not None:
+                self._decide(entry.service, Report(entry.name, busy_fraction))
+        self.fleet.clock.call_later(
+            _REPORT_INTERVAL_SECONDS, self._read_reports
+        )
 
     def _submit(self, job: Job) -> None:
-        if self.vm.died is not None:
-            job.back('lost', None)
+        if self.vm.stopped_at is not None:
+            job.on_answer('lost', None)
             return
         now = self.fleet.clock.now
         request = job.request
@@ -130,11 +138,11 @@
                 ticket,
                 request.team,
                 team.weight,
-                request.born + DEADLINE,
+                request.sent_at + DEADLINE_SECONDS,
                 job.origin,
                 attempts=job.attempts,
                 is_bounced=job.is_bounced,
-                passed=job.passed,
+                passed=job.tried_names,
                 closed_regions=frozenset(
                     region
                     for region, meter in self.meters.items()
@@ -153,57 +161,61 @@
         for effect in effects:
             if effect.ticket not in self.jobs:
                 continue
-            follow: Any = _EFFECTS[type(effect)]
-            follow(self, self.jobs[effect.ticket], effect)
+            handler: Any = _EFFECT_HANDLERS[type(effect)]
+            handler(self, self.jobs[effect.ticket], effect)
 
     def _run(self, job: Job, effect: Run) -> None:
         started = self.fleet.clock.now
         target = self.fleet.targets[effect.name]
-        is_over = [False]
+        is_finished = [False]
         if job.origin is Origin.ZONE:
-            self.fleet.shifted[self.vm.zone] += 1
+            self.fleet.remote_running[self.vm.zone] += 1
 
-        def done(healthy: bool) -> None:
-            if is_over[0]:
+        def on_done(is_healthy: bool) -> None:
+            if is_finished[0]:
                 return
-            is_over[0] = True
+            is_finished[0] = True
             if job.origin is Origin.ZONE:
-                self.fleet.shifted[self.vm.zone] -= 1
+                self.fleet.remote_running[self.vm.zone] -= 1
             seconds = self.fleet.clock.now - started
-            self._end(job, effect.name, Outcome(healthy, seconds))
-            if healthy:
+            self._end(job, effect.name, Outcome(is_healthy, seconds))
+            if is_healthy:
                 self._finish(job, 'ok')
             else:
                 job.is_bounced = False
                 self._retry(job, effect.name)
 
-        remaining = job.request.born + DEADLINE - started
-        self.fleet.run_at(job.request, target, self.vm.zone, done)
-        self.fleet.clock.at(
-            limit_attempt(remaining, may_retry=not job.attempts), done, False,
-        )  # fmt: skip
+        remaining = job.request.sent_at + DEADLINE_SECONDS - started
+        self.fleet.run_on_target(job.request, target, self.vm.zone, on_done)
+        self.fleet.clock.call_later(
+            limit_attempt(remaining, may_retry=not job.attempts),
+            on_done,
+            False,
+        )
 
     def _carry(self, job: Job, effect: Carry) -> None:
         peer = self.fleet.vms[effect.name]
-        latency = self.fleet.delay(self.vm.zone, peer.zone)
-        is_over = [False]
+        latency = self.fleet.get_latency(self.vm.zone, peer.zone)
+        is_finished = [False]
 
-        def answer(what: str, spare: int | None) -> None:
+        def answer(result: str, spare: int | None) -> None:
             pause = 0.0
-            if what == 'ok' and effect.is_far:
-                pause = self._spend(effect.region, job.request.size)
-            self.fleet.clock.at(latency + pause, done, what, spare)
+            if result == 'ok' and effect.is_far:
+                pause = self._spend(effect.region, job.request.answer_bytes)
+            self.fleet.clock.call_later(latency + pause, on_done, result, spare)
 
-        def done(what: str, spare: int | None) -> None:
-            if is_over[0]:
+        def on_done(result: str, spare: int | None) -> None:
+            if is_finished[0]:
                 return
-            is_over[0] = True
-            healthy = {'ok': True, 'lost': False}.get(what)
-            if what not in {'ok', 'lost'}:
+            is_finished[0] = True
+            is_healthy = {'ok': True, 'lost': False}.get(result)
+            if result not in {'ok', 'lost'}:
                 spare = min(spare or 0, 0)
-            self._end(job, effect.name, Outcome(healthy), spare)
-            if what == 'ok':
-                self.fleet.carry_bytes(job.request, self.vm.zone, peer.zone)
+            self._end(job, effect.name, Outcome(is_healthy), spare)
+            if result == 'ok':
+                self.fleet.record_link_bytes(
+                    job.request, self.vm.zone, peer.zone
+                )
                 self._finish(job, 'ok')
             else:
                 self.fleet.counts['attempts'] += 1
@@ -211,17 +223,19 @@
                 job.is_bounced = True
                 self._retry(job, effect.name)
 
-        if self.fleet.is_cut(self.vm.zone, peer.zone):
-            self.fleet.clock.at(_CONNECT, done, 'lost', None)
+        if self.fleet.is_partitioned(self.vm.zone, peer.zone):
+            self.fleet.clock.call_later(
+                _CONNECT_TIMEOUT_SECONDS, on_done, 'lost', None
+            )
             return
         is_sibling = peer.zone == self.vm.zone
-        hopped = Job(
+        forwarded = Job(
             request=job.request,
             origin=Origin.SIBLING if is_sibling else Origin.ZONE,
-            back=answer,
+            on_answer=answer,
             is_retry=job.attempts > 0,
         )
-        self.fleet.clock.at(latency, peer.policy._submit, hopped)
+        self.fleet.clock.call_later(latency, peer.policy._submit, forwarded)
 
     def _spend(self, region: str, size: int) -> float:
         now = self.fleet.clock.now
@@ -235,7 +249,7 @@
         outcome: Outcome,
         spare: int | None = None,
     ) -> None:
-        if self.vm.died is None:
+        if self.vm.stopped_at is None:
             self._decide(
                 job.request.service,
                 End(name, outcome, job.origin, spare),
@@ -244,7 +258,7 @@
     def _retry(self, job: Job, name: str) -> None:
         if job.is_done:
             return
-        job.passed |= {name}
+        job.tried_names |= {name}
         job.attempts += 1
         if job.is_retry:
             self._finish(job, 'target-failed')
@@ -256,14 +270,14 @@
 
     def _wait(self, job: Job, effect: Wait) -> None:
         self.fleet.counts['waited'] += 1
-        self.fleet.clock.at(
+        self.fleet.clock.call_later(
             effect.expires_at - self.fleet.clock.now,
             self._decide,
             job.request.service,
             Expire(effect.ticket),
         )
 
-    def _finish(self, job: Job, what: str) -> None:
+    def _finish(self, job: Job, result: str) -> None:
         for attempt in range(job.attempts + 1):
             self.jobs.pop(f'{job.request.number}/{attempt}', None)
         if job.is_done:
@@ -276,21 +290,21 @@
                 self.fleet.clock.now,
                 shifting=job.origin is Origin.ZONE,
             )
-        job.back(what, spare)
+        job.on_answer(result, spare)
 
 
-_EFFECTS: Final = {
-    Run: Ours._run,
-    Carry: Ours._carry,
-    Refuse: Ours._refuse,
-    Wait: Ours._wait,
+_EFFECT_HANDLERS: Final = {
+    Run: ProductPolicy._run,
+    Carry: ProductPolicy._carry,
+    Refuse: ProductPolicy._refuse,
+    Wait: ProductPolicy._wait,
 }
 
 
 class Baseline:
     """Sends each request to the target that a function chooses."""
 
-    def __init__(self, *, fleet: Fleet, vm: Vm, choose: Choose) -> None:
+    def __init__(self, *, fleet: Fleet, vm: Vm, choose: ChooseTarget) -> None:
         """Start with nothing in flight."""
         self.fleet = fleet
         self.vm = vm
@@ -299,33 +313,33 @@
 
     def arrive(self, request: Request, attempts: int = 0) -> None:
         """Take a request from a caller, or try it again."""
-        if self.vm.died is not None:
-            self.fleet.end(request, 'lost')
+        if self.vm.stopped_at is not None:
+            self.fleet.finish_request(request, 'lost')
             return
         target = self.choose(self, request)
-        if target is None or attempts >= _ATTEMPTS:
-            self.fleet.end(request, 'target-failed')
+        if target is None or attempts >= _MAX_ATTEMPTS:
+            self.fleet.finish_request(request, 'target-failed')
             return
         name = target.entry.name
         self.in_flight[name] += 1
-        is_over = [False]
+        is_finished = [False]
 
-        def done(healthy: bool) -> None:
-            if is_over[0]:
+        def on_done(is_healthy: bool) -> None:
+            if is_finished[0]:
                 return
-            is_over[0] = True
+            is_finished[0] = True
             self.in_flight[name] -= 1
-            if healthy:
+            if is_healthy:
                 zone = target.entry.zone
-                self.fleet.carry_bytes(request, self.vm.zone, zone)
-                self.fleet.end(request, 'ok')
+                self.fleet.record_link_bytes(request, self.vm.zone, zone)
+                self.fleet.finish_request(request, 'ok')
             else:
                 self.arrive(request, attempts + 1)
 
-        remaining = request.born + DEADLINE - self.fleet.clock.now
-        self.fleet.run_at(request, target, self.vm.zone, done)
+        remaining = request.sent_at + DEADLINE_SECONDS - self.fleet.clock.now
+        self.fleet.run_on_target(request, target, self.vm.zone, on_done)
         seconds = limit_attempt(remaining, may_retry=not attempts)
-        self.fleet.clock.at(seconds, done, False)
+        self.fleet.clock.call_later(seconds, on_done, False)
 
     def fail_all(self) -> None:
         """Requests under way are lost with the VM when they end."""
@@ -346,14 +360,14 @@
         ]
 
 
-def choose_randomly(policy: Baseline, request: Request) -> Target | None:
+def choose_random(policy: Baseline, request: Request) -> Target | None:
     """Choose any target."""
     zones = policy.fleet.catalogue.zones
     targets = policy.list_targets(request.service, zones)
     return policy.fleet.rng.choice(targets) if targets else None
 
 
-def choose_least(policy: Baseline, request: Request) -> Target | None:
+def choose_least_in_flight(policy: Baseline, request: Request) -> Target | None:
     """Choose the target of the own zone with the least in flight."""
     targets = policy.list_targets(request.service, {policy.vm.zone})
     return min(
@@ -363,44 +377,49 @@
     )
 
 
-def choose_weighted(policy: Baseline, request: Request) -> Target | None:
+def choose_by_reported_load(
+    policy: Baseline, request: Request
+) -> Target | None:
     """Choose a target of the own region, weighted by the reported load."""
     zones = policy.fleet.catalogue.zones
     region = zones[policy.vm.zone].region
-    near = {zone for zone, entry in zones.items() if entry.region == region}
-    targets = policy.list_targets(request.service, near)
+    region_zones = {
+        zone for zone, entry in zones.items() if entry.region == region
+    }
+    targets = policy.list_targets(request.service, region_zones)
     if not targets:
         return None
     weights = [
-        1.01 - (read_report(policy.fleet, target) or 0) for target in targets
+        1.01 - (get_reported_load(policy.fleet, target) or 0)
+        for target in targets
     ]
     return policy.fleet.rng.choices(targets, weights)[0]
 
 
-def read_report(fleet: Fleet, target: Target) -> float | None:
+def get_reported_load(fleet: Fleet, target: Target) -> float | None:
     """Return the busy share that a target reports, as the scenario has it."""
-    if fleet.reports == 'stopped':
+    if fleet.report_mode == 'stopped':
         return None
-    if fleet.reports == 'late':
-        return target.first_report
-    if target.mode == 'slow' and fleet.reports == 'lying':
+    if fleet.report_mode == 'late':
+        return target.load_before_event
+    if target.mode == 'slow' and fleet.report_mode == 'lying':
         return 0.0
     return min(1.0, target.running / target.entry.slots)
 
 
-def make_ours(fleet: Fleet) -> MakePolicy:
+def make_product_policy(fleet: Fleet) -> MakePolicy:
     """Return the maker of the product's policy."""
-    return lambda vm: Ours(fleet=fleet, vm=vm)
+    return lambda vm: ProductPolicy(fleet=fleet, vm=vm)
 
 
-def make_baseline(choose: Choose) -> Callable[[Fleet], MakePolicy]:
+def make_baseline(choose: ChooseTarget) -> Callable[[Fleet], MakePolicy]:
     """Return a maker of a baseline policy."""
     return lambda fleet: lambda vm: Baseline(fleet=fleet, vm=vm, choose=choose)
 
 
 POLICIES: Final = {
-    'ours': make_ours,
-    'random': make_baseline(choose_randomly),
-    'least-own-zone': make_baseline(choose_least),
-    'weighted-reports': make_baseline(choose_weighted),
+    'ours': make_product_policy,
+    'random': make_baseline(choose_random),
+    'least-own-zone': make_baseline(choose_least_in_flight),
+    'weighted-reports': make_baseline(choose_by_reported_load),
 }
--- a/benches/steering_scenarios.py
+++ b/benches/steering_scenarios.py
@@ -6,47 +6,47 @@
 from benches.steering_fleet import Fleet, Vm
 from toucanhall.catalogue.model import Drains
 
-_SHARE_OF_TARGETS: Final = 5
-_VMS_REPLACED: Final = 0.3
-_LINGER: Final = 6.0
-_CUT_SECONDS: Final = 4.0
-_COLD: Final = 30
+_DEGRADED_TARGET_INTERVAL: Final = 5
+_REPLACED_VM_FRACTION: Final = 0.3
+_LINGER_SECONDS: Final = 6.0
+_PARTITION_SECONDS: Final = 4.0
+_COLD_REQUESTS: Final = 30
 
 
 class Scenario(NamedTuple):
     """The load as a share of the slots, and the event."""
 
     load: float
-    strike: Callable[[Fleet], None]
+    apply: Callable[[Fleet], None]
 
 
-def keep_steady(fleet: Fleet) -> None:
+def keep_unchanged(fleet: Fleet) -> None:
     """Change nothing."""
 
 
-def pull(fleet: Fleet) -> None:
+def concentrate_callers(fleet: Fleet) -> None:
     """Move most of one service's callers to one region."""
     service = fleet.deployment.services[-1].name
     region = fleet.deployment.regions[0]
     for zone, entry in fleet.catalogue.zones.items():
         factor = 1.8 if entry.region == region else 0.6
-        fleet.zone_factors[service, zone] = factor
+        fleet.zone_load_factors[service, zone] = factor
 
 
-def surge(fleet: Fleet) -> None:
+def surge_team(fleet: Fleet) -> None:
     """Let the largest team send five times its rate."""
-    fleet.factors['team-0'] = 5
+    fleet.team_load_factors['team-0'] = 5
 
 
-def lose_zone(fleet: Fleet) -> None:
+def fail_zone(fleet: Fleet) -> None:
     """Lose one zone, its VMs and its targets."""
-    _lose(fleet, frozenset((next(iter(fleet.catalogue.zones)),)))
+    _fail_zones(fleet, frozenset((next(iter(fleet.catalogue.zones)),)))
 
 
-def lose_region(fleet: Fleet) -> None:
+def fail_region(fleet: Fleet) -> None:
     """Lose one region."""
     region = fleet.deployment.regions[0]
-    _lose(
+    _fail_zones(
         fleet,
         frozenset(
             name
@@ -56,104 +56,106 @@
     )
 
 
-def _lose(fleet: Fleet, zones: frozenset[str]) -> None:
+def _fail_zones(fleet: Fleet, zones: frozenset[str]) -> None:
     for target in fleet.targets.values():
         if target.entry.zone in zones:
             target.mode = 'dead'
     for vm in fleet.vms.values():
         if vm.zone in zones:
-            _stop(fleet, vm)
+            _stop_vm(fleet, vm)
 
 
-def _stop(fleet: Fleet, vm: Vm) -> None:
-    if vm.died is None:
-        vm.died = fleet.clock.now
+def _stop_vm(fleet: Fleet, vm: Vm) -> None:
+    if vm.stopped_at is None:
+        vm.stopped_at = fleet.clock.now
         vm.policy.fail_all()
 
 
-def cut(fleet: Fleet) -> None:
+def partition_region(fleet: Fleet) -> None:
     """Cut one region off and heal it later."""
     region = fleet.deployment.regions[0]
-    fleet.cut = frozenset(
+    fleet.partitioned_zones = frozenset(
         name
         for name, zone in fleet.catalogue.zones.items()
         if zone.region == region
     )
-    fleet.clock.at(_CUT_SECONDS, setattr, fleet, 'cut', frozenset())
+    fleet.clock.call_later(
+        _PARTITION_SECONDS, setattr, fleet, 'partitioned_zones', frozenset()
+    )
 
 
-def drain(fleet: Fleet) -> None:
+def drain_zone(fleet: Fleet) -> None:
     """Drain one zone; each VM hears of it within a second."""
     zone = next(iter(fleet.catalogue.zones))
-    fleet.drained = zone
+    fleet.drained_zone = zone
     fleet.drained_at = fleet.clock.now
     changed = fleet.catalogue._replace(drains=Drains(zones=frozenset((zone,))))
     for vm in fleet.vms.values():
-        fleet.clock.at(
+        fleet.clock.call_later(
             fleet.rng.uniform(0.1, 1), setattr, vm, 'catalogue', changed,
         )  # fmt: skip
 
 
-def cool(fleet: Fleet) -> None:
+def drain_to_cold_targets(fleet: Fleet) -> None:
     """Drain one zone while the targets that follow are cold."""
-    drain(fleet)
+    drain_zone(fleet)
     region = fleet.deployment.regions[0]
     for target in fleet.targets.values():
         zone = fleet.catalogue.zones[target.entry.zone]
         if zone.region == region:
-            target.cold = _COLD
+            target.cold_requests = _COLD_REQUESTS
 
 
-def change_reports(how: str) -> Callable[[Fleet], None]:
+def change_reports(mode: str) -> Callable[[Fleet], None]:
     """Return what makes reports stop, lag or lie; a fifth turns slow."""
 
-    def strike(fleet: Fleet) -> None:
+    def apply_event(fleet: Fleet) -> None:
         for target in fleet.targets.values():
-            target.first_report = target.running / target.entry.slots
-        fleet.reports = how
-        _misbehave('slow')(fleet)
+            target.load_before_event = target.running / target.entry.slots
+        fleet.report_mode = mode
+        _degrade_targets('slow')(fleet)
 
-    return strike
+    return apply_event
 
 
-def _misbehave(mode: str) -> Callable[[Fleet], None]:
-    def strike(fleet: Fleet) -> None:
+def _degrade_targets(mode: str) -> Callable[[Fleet], None]:
+    def apply_event(fleet: Fleet) -> None:
         for number, target in enumerate(fleet.targets.values()):
-            if number % _SHARE_OF_TARGETS == 0:
+            if number % _DEGRADED_TARGET_INTERVAL == 0:
                 target.mode = mode
 
-    return strike
+    return apply_event
 
 
 def replace_vms(fleet: Fleet) -> None:
     """Replace a part of the VMs; each leaves with its linger time."""
-    count = round(len(fleet.vms) * _VMS_REPLACED)
+    count = round(len(fleet.vms) * _REPLACED_VM_FRACTION)
     for number, vm in enumerate(tuple(fleet.vms.values())[:count]):
         vm.is_leaving = True
-        fleet.clock.at(_LINGER, _stop, fleet, vm)
-        fresh = Vm(
+        fleet.clock.call_later(_LINGER_SECONDS, _stop_vm, fleet, vm)
+        replacement = Vm(
             name=f'fresh-{number}',
             zone=vm.zone,
             catalogue=fleet.catalogue,
-            born=fleet.clock.now,
+            started_at=fleet.clock.now,
         )
-        fleet.vms[fresh.name] = fresh
-        fleet.start_vm(fresh)
+        fleet.vms[replacement.name] = replacement
+        fleet.start_vm(replacement)
 
 
 SCENARIOS: Final = {
-    'steady': Scenario(0.7, keep_steady),
-    'morning-pull': Scenario(0.7, pull),
-    'surge': Scenario(0.7, surge),
-    'zone-lost': Scenario(0.6, lose_zone),
-    'region-lost': Scenario(0.6, lose_region),
-    'cut-and-healed': Scenario(0.7, cut),
-    'drain': Scenario(0.7, drain),
-    'cold': Scenario(0.6, cool),
+    'steady': Scenario(0.7, keep_unchanged),
+    'morning-pull': Scenario(0.7, concentrate_callers),
+    'surge': Scenario(0.7, surge_team),
+    'zone-lost': Scenario(0.6, fail_zone),
+    'region-lost': Scenario(0.6, fail_region),
+    'cut-and-healed': Scenario(0.7, partition_region),
+    'drain': Scenario(0.7, drain_zone),
+    'cold': Scenario(0.6, drain_to_cold_targets),
     'reports-stopped': Scenario(0.6, change_reports('stopped')),
     'reports-late': Scenario(0.6, change_reports('late')),
     'reports-lying': Scenario(0.6, change_reports('lying')),
-    'errors-fast': Scenario(0.6, _misbehave('error')),
-    'silent': Scenario(0.6, _misbehave('silent')),
+    'errors-fast': Scenario(0.6, _degrade_targets('error')),
+    'silent': Scenario(0.6, _degrade_targets('silent')),
     'vms-replaced': Scenario(0.7, replace_vms),
 }
