--- a/benches/__init__.py
+++ b/benches/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements, each a module with a `main` that takes arguments."""
+"""Benchmarks; each module has a `main` that takes command-line arguments."""
--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one measurement by name."""
+"""Runs one benchmark by name."""
 
 import sys
 from collections.abc import Callable, Sequence
@@ -34,7 +34,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run the measurement that the first argument names."""
+    """Run the benchmark that the first argument names."""
     if arguments and arguments[0].startswith('--'):
         return steering.main(arguments)
     if not arguments or arguments[0] not in BENCHES:
--- a/benches/blocks.py
+++ b/benches/blocks.py
@@ -1,4 +1,4 @@
-"""Bytes per block and look-ups per second of the table of client blocks."""
+"""Size and look-up rate of the table of client address blocks."""
 
 import argparse
 import ipaddress
@@ -22,7 +22,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Measure each size; print one line of JSON per size."""
+    """Measure each table size; print a line of JSON for each."""
     parser = argparse.ArgumentParser(prog='bench blocks')
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
@@ -32,7 +32,7 @@
 
 
 def measure(block_count: int, rng: random.Random) -> dict[str, float]:
-    """Build a table of some size and look up random addresses in it."""
+    """Build a table and look up random addresses in it."""
     started_at = time.perf_counter()
     blocks = make_blocks(generate_blocks(block_count, rng), ())
     build_seconds = time.perf_counter() - started_at
@@ -60,7 +60,7 @@
 
 
 def generate_blocks(block_count: int, rng: random.Random) -> Iterator[Block]:
-    """Yield blocks that lie side by side, of random zones."""
+    """Yield adjacent blocks of equal size in random zones."""
     addresses_per_block = (1 << _ADDRESS_BITS) // block_count
     prefix_bits = _ADDRESS_BITS - (addresses_per_block.bit_length() - 1)
     block_addresses = 1 << (_ADDRESS_BITS - prefix_bits)
--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -1,7 +1,7 @@
-"""What control holds and spends on one entry VM, by the size of the fleet.
+"""Memory and processor time of control on one entry VM, by fleet size.
 
-Each part runs the functions of the product at four sizes. Times are of the
-processor, medians of some rounds; memory is what `tracemalloc` counts.
+Each part calls the functions of the product at four sizes. Times are medians
+of the processor time of several rounds; memory is measured by `tracemalloc`.
 """
 
 import argparse
@@ -49,16 +49,16 @@
 _AUDIT_ENTRY_COUNTS: Final = (10, 25, 50, 100)
 _ZONE_COUNT: Final = 72
 _ROUND_COUNT: Final = 5
-_MAX_PENDING_REVISIONS: Final = 6  # revisions that some zone may still run
+_MAX_PENDING_REVISIONS: Final = 6  # that some zone may still apply
 _SECRET: Final = b'bench'
 _VM_START_ID: Final = 'start-of-24-hex-digits--'
 _ZONE: Final = 'zone-0'
 _CHANGE_ID: Final = 'change-of-24-hex-digits-'
-_MICROSECONDS_PER_SECOND: Final = 1_000_000
+_US_PER_SECOND: Final = 1_000_000
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Print a line per part and size, and the slopes of each part."""
+    """Print a line of JSON per part and size, and the slopes of each part."""
     parser = argparse.ArgumentParser(prog='bench capacity')
     parser.add_argument('--part', choices=sorted(_PARTS))
     options = parser.parse_args(arguments)
@@ -73,7 +73,7 @@
     sizes: Sequence[int],
     measure: Callable[[int], Row],
 ) -> None:
-    """Measure one part at its sizes and print what each unit adds."""
+    """Measure one part at its sizes and print the increase per unit."""
     rows = [measure(size) for size in sizes]
     for size, row in zip(sizes, rows):
         print(json.dumps({'part': name, 'size': size, **row}), flush=True)
@@ -90,18 +90,18 @@
 
 
 def measure_us(call: Callable[[], object], repeats: int = 1) -> float:
-    """Return the processor microseconds of a call."""
+    """Return the median processor time of a call, in microseconds."""
     seconds = []
     for _ in range(_ROUND_COUNT):
         started_at = time.process_time()
         for _ in range(repeats):
             call()
         seconds.append((time.process_time() - started_at) / repeats)
-    return round(statistics.median(seconds) * _MICROSECONDS_PER_SECOND, 1)
+    return round(statistics.median(seconds) * _US_PER_SECOND, 1)
 
 
 def measure_bytes(make: Callable[[], object]) -> int:
-    """Return the memory that is held by what a call makes."""
+    """Return the memory held by the result of a call."""
     tracemalloc.start()
     held = make()
     size, _ = tracemalloc.get_traced_memory()
@@ -111,12 +111,12 @@
 
 
 def measure_spread(targets: int) -> Row:
-    """Measure the difference of one key, and the object in the store."""
+    """Measure the delta of one key and the stored object of a revision."""
     base = make_revision(1, make_document(targets))
     changed = make_revision(2, change_key(make_document(targets)))
     delta = find_delta(base, changed)
     if delta is None:
-        raise ValueError('a canonical document has no delta')
+        raise ValueError('no delta found between two canonical catalogues')
     return {
         'delta_bytes': len(seal(_SECRET, 'vm', _VM_START_ID, delta)),
         'object_bytes': len(encode(2, _CHANGE_ID, changed.document)),
@@ -129,7 +129,7 @@
 
 
 def measure_admin(targets: int) -> Row:
-    """Measure the check and the comparison of one edit at the API."""
+    """Measure checking and comparing one edit of the operators' API."""
     current = make_document(targets)
     changed = change_key(current)
     return {
@@ -139,7 +139,7 @@
 
 
 def measure_audit(entries: int) -> Row:
-    """Measure the size of a page of the history."""
+    """Measure the size of a page of the audit history."""
     page = [
         AuditEntry(
             f'{_CHANGE_ID}{number}', 'operator', '2027-01-01T00:00:00Z', number,
@@ -151,7 +151,7 @@
 
 
 def measure_steering(targets: int) -> Row:
-    """Measure the steerer of a VM, and one look at its sizes."""
+    """Measure the memory of the steerer of a VM, and resizing it."""
     catalogue = make_catalogue(targets)
     entry_vms = make_entry_vms(_VM_COUNTS[-1])
     steerer = Steerer()
@@ -171,7 +171,7 @@
     catalogue: Catalogue,
     entry_vms: tuple[EntryVm, ...],
 ) -> Steerer:
-    """Size a steerer as an entry VM does."""
+    """Resize a steerer as an entry VM does."""
     owned = OwnedSlots(_ZONE, frozenset((0,)))
     steerer.resize(
         size_services(catalogue, owned, entry_vms, 0),
@@ -181,7 +181,7 @@
 
 
 def measure_shares(targets: int) -> Row:
-    """Measure one answer to a probe, with a tenth as many teams."""
+    """Measure handling an acknowledgement, with one team per ten targets."""
     catalogue = make_catalogue(targets)
     envelope = Envelope('Acknowledgement', 'vm-1', _VM_START_ID, msgspec.Raw())
     answer = Acknowledgement(_VM_START_ID, 0, 0, 0, 1, None)
@@ -196,7 +196,7 @@
 
 
 def make_claimer(catalogue: Catalogue, pending: int) -> Claimer:
-    """Return a claimer that holds the least of some revisions."""
+    """Return a claimer with a number of pending revisions."""
     claimer = Claimer(
         place=Place(_ZONE, Holding('vm', _VM_START_ID)),
         platform=cast(Any, None),
@@ -209,7 +209,7 @@
 
 
 def measure_zone(vms: int) -> Row:
-    """Measure the messages of the fence, the view and advice of a VM."""
+    """Measure the fence messages, the view and the advice of one zone."""
     probe = seal(_SECRET, 'zone-00-00', _VM_START_ID, Probe(1000.5, 9, None))
     answer = seal(
         _SECRET, 'zone-00-00', _VM_START_ID,
@@ -242,7 +242,7 @@
 
 
 def make_table(vms: int) -> Table:
-    """Return the slot table of a zone with a slot for each VM."""
+    """Return the slot table of a zone with one slot for each VM."""
     holdings = [
         Holding(f'zone-00-{number:02}', _VM_START_ID) for number in range(vms)
     ]
@@ -250,7 +250,7 @@
 
 
 def measure_fleet(vms: int) -> Row:
-    """Measure a view of every VM of a fleet of 72 zones."""
+    """Measure a view of all VMs of a fleet with 72 zones."""
     listed = tuple(
         Listed(
             f'vm-{number}',
@@ -295,7 +295,7 @@
 
 
 def measure_compare(contacts: int) -> Row:
-    """Measure the comparisons of revisions with some contacts a second."""
+    """Measure comparing revisions with some contacts each second."""
     query = RevisionQuery(1 << 62, '127.9.0.1', 50000, _CHANGE_ID)
     answer = RevisionAnswer(1 << 62, 50000, _CHANGE_ID, 1.5)
     sizes = [
@@ -309,18 +309,18 @@
 
 
 def make_revision(number: int, document: dict[str, Any]) -> Revision:
-    """Return a revision in the canonical form."""
+    """Return a revision with a canonical document."""
     content = canonicalise(msgspec.json.encode(document))
     return revise(number, _CHANGE_ID, content).unwrap()
 
 
 def make_catalogue(targets: int) -> Catalogue:
-    """Return a catalogue with some targets."""
+    """Return a catalogue with a number of targets."""
     return make_revision(1, make_document(targets)).catalogue
 
 
 def make_entry_vms(vms: int) -> tuple[EntryVm, ...]:
-    """Return the VMs of the own zone and two of each other one."""
+    """Return the VMs of the local zone and two of each other zone."""
     local_vms = [
         EntryVm(f'vm-{number}', _ZONE, '127.0.0.1:8000')
         for number in range(vms)
--- a/benches/catalogue.py
+++ b/benches/catalogue.py
@@ -1,4 +1,4 @@
-"""What a revision costs an entry VM, by the size of the catalogue."""
+"""Time and memory of reading a revision, by the size of the catalogue."""
 
 import argparse
 import json
@@ -17,7 +17,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Print a line per size, and the slopes as JSON at the end."""
+    """Print a line of JSON per size, then the increase per target."""
     argparse.ArgumentParser(prog='bench catalogue').parse_args(arguments)
     rows = [measure(target_count) for target_count in _TARGET_COUNTS]
     for row in rows:
@@ -43,7 +43,7 @@
 
 
 def measure(target_count: int) -> dict[str, Any]:
-    """Read a catalogue with some targets as a new revision."""
+    """Measure reading a catalogue with the given number of targets."""
     document = msgspec.json.encode(make_document(target_count))
     seconds = []
     for number in range(_ROUND_COUNT):
@@ -65,7 +65,7 @@
 
 
 def measure_next_revision(target_count: int, document: bytes) -> int:
-    """Read a revision in which one key differs from the one held."""
+    """Measure reading a revision in which only one key has changed."""
     revision = revise(0, 'bench', document).unwrap()
     changed = msgspec.json.encode(change_key(make_document(target_count)))
     seconds = []
@@ -77,13 +77,13 @@
 
 
 def change_key(document: dict[str, Any]) -> dict[str, Any]:
-    """Return the document with another digest of its first key."""
+    """Return the document with a different digest for its first key."""
     key = {**document['keys']['key-0'], 'digest': 'f' * 64}
     return {**document, 'keys': {**document['keys'], 'key-0': key}}
 
 
 def make_document(target_count: int) -> dict[str, Any]:
-    """Return a catalogue of the target's shape with some targets."""
+    """Return a catalogue with 72 zones in 29 regions and some targets."""
     zones = {
         f'zone-{number}': {
             'region': f'region-{number % 29}',
--- a/benches/faults.py
+++ b/benches/faults.py
@@ -1,4 +1,4 @@
-"""A fleet under a seeded schedule of faults, and what its callers saw."""
+"""Runs a fleet under a seeded schedule of faults and checks its answers."""
 
 import argparse
 import json
@@ -25,18 +25,15 @@
     'guides': {'rate': 300, 'burst': 300},
     'hostels': {'rate': 60, 'burst': 60},
 }
-_CALLERS_PER_TEAM: Final = (
-    12  # of each team; half of one team do not heed refusals
-)
+# Half of the callers of `hostels` send on at once after refusals.
+_CALLERS_PER_TEAM: Final = 12
 _PAUSE_SECONDS: Final = 0.1
-_FAULT_GAP_RANGE_SECONDS: Final = (
-    1.0,
-    3.0,
-)  # seconds between the starts of two faults
+# Between the starts of two faults.
+_FAULT_GAP_RANGE_SECONDS: Final = (1.0, 3.0)
 
 
 class Fault(NamedTuple):
-    """Something that is done to the fleet, and undone after some seconds."""
+    """A fault to inject into the fleet and to end after some seconds."""
 
     name: str
     seconds: float
@@ -45,11 +42,13 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run the schedule; return 1 when something was broken that must hold."""
+    """Run the schedule; return 1 if any forbidden event was counted."""
     parser = argparse.ArgumentParser(prog='bench faults')
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=_DURATION_SECONDS)
-    parser.add_argument('--only', nargs='*', help='names of faults to use')
+    parser.add_argument(
+        '--only', nargs='*', help='names of the faults to inject; default: all'
+    )
     options = parser.parse_args(arguments)
     fleet = Fleet(
         catalogue=_CATALOGUE_PATH,
@@ -85,7 +84,7 @@
 
 
 class FaultRun:
-    """The callers of one run and all that they recorded."""
+    """The callers and faults of one run, and the recorded answers."""
 
     def __init__(
         self,
@@ -94,7 +93,7 @@
         keys: dict[str, str],
         seconds: float,
     ) -> None:
-        """Call a fleet that is up for some seconds."""
+        """Prepare a run of some seconds against a running fleet."""
         self._fleet = fleet
         self._keys = keys
         self._lock = threading.Lock()
@@ -103,7 +102,7 @@
         self._stop_at = time.monotonic() + seconds
 
     def run(self, rng: random.Random, only: list[str] | None) -> None:
-        """Run callers and faults side by side until the time is over."""
+        """Run the callers and inject faults until the time is over."""
         urls = tuple(vm.url for vm in self._fleet.vms)
         threads = [
             threading.Thread(
@@ -120,7 +119,7 @@
             thread.join()
 
     def summarise(self) -> dict[str, Any]:
-        """Hold what the callers saw against what ran on the targets."""
+        """Compare the answers to callers with what ran on the targets."""
         journal = self._fleet.read_journals()
         run_counts = Counter(
             entry['headers']['Idempotency-Key']
@@ -136,7 +135,9 @@
         for (kind, outcome), count in sorted(self._outcomes.items()):
             print(f'{kind:<10}{outcome:<36}{count:>7}')
         for attempt in untrue_refusals[:5]:
-            print(f'untrue refusal: {attempt.result} {attempt.call}')
+            print(
+                f'refused, but ran on a target: {attempt.result} {attempt.call}'
+            )
         max_ratio = max(self._compute_limit_ratios(journal), default=0)
         return {
             'calls': sum(self._outcomes.values()),
@@ -230,10 +231,10 @@
 def compute_max_limit_ratio(
     times: list[float], rate: float, burst: float
 ) -> float:
-    """Return the largest share of `burst + rate * t` in windows of seconds.
+    """Return the maximum ratio of requests in a window to its limit.
 
-    A request that was admitted may run a little later, so that windows under
-    five seconds are not looked at.
+    The limit of `t` seconds is `burst + rate * t`. An admitted request may run
+    a little later, so windows of less than five seconds are ignored.
     """
     max_ratio = 0.0
     for first, start in enumerate(times):
@@ -246,7 +247,7 @@
 
 
 def kill_vm(fleet: Fleet, rng: random.Random) -> Fault:
-    """Kill an entry VM and start it again."""
+    """Kill an entry VM; start it again at the end."""
     vm = rng.choice(fleet.vms)
     return Fault(
         f'kill {vm.name}',
@@ -257,7 +258,7 @@
 
 
 def freeze_vm(fleet: Fleet, rng: random.Random) -> Fault:
-    """Stop an entry VM's process and let it go on."""
+    """Pause the process of an entry VM; continue it at the end."""
     vm = rng.choice(fleet.vms)
     return Fault(
         f'freeze {vm.name}',
@@ -268,7 +269,7 @@
 
 
 def kill_target(fleet: Fleet, rng: random.Random) -> Fault:
-    """Kill a target and start it again."""
+    """Kill a target; start it again at the end."""
     name = rng.choice(sorted(fleet.catalogue['targets']))
     return Fault(
         f'kill {name}',
@@ -279,7 +280,7 @@
 
 
 def freeze_target(fleet: Fleet, rng: random.Random) -> Fault:
-    """Stop a target's process and let it go on."""
+    """Pause the process of a target; continue it at the end."""
     name = rng.choice(sorted(fleet.catalogue['targets']))
     return Fault(
         f'freeze {name}',
@@ -290,7 +291,7 @@
 
 
 def change_zone(mode: str) -> Callable[[Fleet, random.Random], Fault]:
-    """Return a fault that changes all lines of one zone."""
+    """Return a fault that sets the mode of all links of one zone."""
 
     def make_fault(fleet: Fleet, rng: random.Random) -> Fault:
         zone = rng.choice(sorted(fleet.catalogue['zones']))
@@ -305,7 +306,7 @@
 
 
 def change_platform(mode: str) -> Callable[[Fleet, random.Random], Fault]:
-    """Return a fault of the platform's store."""
+    """Return a fault that sets the mode of the platform."""
 
     def make_fault(fleet: Fleet, rng: random.Random) -> Fault:
         return Fault(
--- a/benches/footprint.py
+++ b/benches/footprint.py
@@ -1,4 +1,4 @@
-"""Memory of a process: the interpreter, the libraries, and control itself."""
+"""Memory of a process: the interpreter, the libraries and toucanhall."""
 
 import argparse
 import json
@@ -25,7 +25,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Print what each group of imports adds, in KiB."""
+    """Print the memory that each group of imports adds, in KiB."""
     argparse.ArgumentParser(prog='bench footprint').parse_args(arguments)
     code = ''
     previous = (0, 0)
--- a/benches/limits.py
+++ b/benches/limits.py
@@ -1,7 +1,7 @@
-"""Ways to hold a limit across the fleet, weighed on a paused clock.
+"""Compares methods of enforcing a fleet-wide limit, in virtual time.
 
-Each way runs its decisions on simulated VMs of one zone: the project's shares
-with gifts, fixed parts, and a lease for each part from the platform.
+Simulates the VMs of one zone with each method: shares of the limit with gifts
+between VMs, fixed shares, and batches of tokens leased from the platform.
 """
 
 import argparse
@@ -25,45 +25,45 @@
     spend,
 )
 
-RATE_PER_SECOND: Final = 400.0  # requests/s of the team
+RATE_PER_SECOND: Final = 400.0  # requests of the team
 BURST_TOKENS: Final = 400.0
 DURATION_SECONDS: Final = 120.0
 WARM_UP_SECONDS: Final = 20.0  # until every bucket has been full once
-LOAD_FACTORS: Final = (0.8, 3.0)  # of the rate
-BUSIEST_VM_LOAD_RATIO: Final = 10.0  # load of the busiest VM by that of another
-MESSAGE_DELAY_SECONDS: Final = 0.002  # of a message between VMs of a zone
+LOAD_FACTORS: Final = (0.8, 3.0)  # multiples of the rate
+BUSIEST_VM_LOAD_RATIO: Final = 10.0  # to the load of any other VM
+MESSAGE_DELAY_SECONDS: Final = 0.002  # between VMs of a zone
 VM_COUNTS: Final = (3, 6, 12, 25)  # VMs per zone
 LOSS_FRACTION: Final = 0.01  # of the messages
 LEASE_SECONDS: Final = 1.0
-CALLS_PER_LEASE: Final = 2  # a read and a write
+CALLS_PER_LEASE: Final = 2  # a read and a write of the store
 _TABLE_READ_SECONDS: Final = 10.0  # between reads of the slot table
 
 
 class Arrival(NamedTuple):
-    """A request: when it comes, and to which VM."""
+    """A request: its time of arrival and its VM."""
 
     at: float
     vm: int
 
 
 class Method(NamedTuple):
-    """How a way admits, and what it costs."""
+    """How a method admits requests, and its platform and peer traffic."""
 
     admit: Callable[[Arrival], bool]
     get_costs: Callable[[], tuple[float, float]]
 
 
 class MessageQueue:
-    """Deliveries in order of time, some lost and some doubled."""
+    """Delivers messages in order of time; loses and duplicates some."""
 
     def __init__(self, *, rng: random.Random) -> None:
-        """Start with none under way."""
+        """Start with an empty queue."""
         self._rng = rng
         self._queue: list[tuple[float, int, Callable[[float], None]]] = []
         self.sent = 0
 
     def send(self, now: float, deliver: Callable[[float], None]) -> None:
-        """Send one message."""
+        """Queue a message, which may be lost or duplicated."""
         self.sent += 1
         copies = self._rng.choices(
             (0, 1, 2), (LOSS_FRACTION, 1 - LOSS_FRACTION * 2, LOSS_FRACTION)
@@ -74,29 +74,31 @@
             heapq.heappush(self._queue, (at, order, deliver))
 
     def run(self, until: float) -> None:
-        """Deliver what is due."""
+        """Deliver all messages that are due by a time."""
         while self._queue and self._queue[0][0] <= until:
             at, _, deliver = heapq.heappop(self._queue)
             deliver(at)
 
 
 def make_shares(vms: int) -> list[Share]:
-    """Return an empty share with an even part for each VM."""
+    """Return a share without tokens for each VM, all of equal size."""
     limit = Limit(RATE_PER_SECOND / vms, BURST_TOKENS / vms)
     return [hold(make_share(0), limit, 0) for _ in range(vms)]
 
 
 def make_share_method(vms: int, rng: random.Random, *, gifts: bool) -> Method:
-    """Return the way of shares, with gifts or with fixed parts."""
+    """Return the method of shares, with gifts or without."""
     shares = make_shares(vms)
     messages = MessageQueue(rng=rng)
 
-    def give(vm: int, asker: int, wanted: float, asked_at: float) -> None:
+    def give(
+        vm: int, requester: int, wanted_tokens: float, asked_at: float
+    ) -> None:
         def deliver(tokens: float, at: float) -> None:
-            shares[asker] = accept(shares[asker], tokens, asked_at, at)
+            shares[requester] = accept(shares[requester], tokens, asked_at, at)
 
         def answer(at: float) -> None:
-            shares[vm], tokens = give_tokens(shares[vm], wanted, at)
+            shares[vm], tokens = give_tokens(shares[vm], wanted_tokens, at)
             if tokens:
                 messages.send(at, partial(deliver, tokens))
 
@@ -107,15 +109,15 @@
         messages.run(at)
         share, wait = spend(shares[vm], at)
         if gifts:
-            share, wanted = ask(share, at)
-            if wanted:
-                others = [peer for peer in range(vms) if peer != vm]
-                peer = others[share.turn % len(others)]
-                give(peer, vm, wanted, at)
+            share, wanted_tokens = ask(share, at)
+            if wanted_tokens:
+                peers = [peer for peer in range(vms) if peer != vm]
+                peer = peers[share.turn % len(peers)]
+                give(peer, vm, wanted_tokens, at)
         shares[vm] = share
         return wait is None
 
-    probes_per_second = vms * (vms - 1) * 2  # each second
+    probes_per_second = vms * (vms - 1) * 2
     return Method(
         admit,
         lambda: (
@@ -127,10 +129,10 @@
 
 
 def make_lease_method(vms: int, _rng: random.Random) -> Method:
-    """Return the way of leases: the platform hands out tokens in batches.
+    """Return the method of leases: VMs fetch tokens from the platform.
 
-    A VM that is short reads the store's bucket and debits a second's worth of
-    its load from it; unused tokens lapse with the lease.
+    A VM without tokens reads the bucket in the store and takes a batch for one
+    lease from it; unused tokens expire with the lease.
     """
     store = hold(make_share(0), Limit(RATE_PER_SECOND, BURST_TOKENS), 0)
     held_tokens = [0.0] * vms
@@ -161,7 +163,7 @@
     load: float,
     rng: random.Random,
 ) -> list[Arrival]:
-    """Return requests at a load, most of them at the first VM."""
+    """Return random requests; the first VM receives the most."""
     weights = [BUSIEST_VM_LOAD_RATIO] + [1.0] * (vms - 1)
     count = int(RATE_PER_SECOND * load * DURATION_SECONDS)
     times = sorted(rng.uniform(0, DURATION_SECONDS) for _ in range(count))
@@ -170,9 +172,10 @@
 
 
 def compute_max_ratio(admitted: Sequence[float]) -> float:
-    """Return the most admitted in any window, by what the limit allows.
+    """Return the maximum ratio of admitted to allowed requests in a window.
 
-    The best window for a guessed ratio gives a better guess, until none does.
+    Searches for the window that exceeds an estimated ratio the most, and takes
+    its ratio as the next estimate, until no window has a higher ratio.
     """
     ratio = 0.0
     while True:
@@ -183,25 +186,25 @@
 
 
 def find_max_window_ratio(admitted: Sequence[float], ratio: float) -> float:
-    """Return the ratio of the window that exceeds a guessed one the most."""
-    best, found = 0.0, ratio
-    lowest = float('inf')
-    since, first = 0.0, 0
+    """Return the ratio of the window that exceeds an estimate the most."""
+    max_excess, found = 0.0, ratio
+    lowest_level = float('inf')
+    window_start, first = 0.0, 0
     for count, at in enumerate(admitted):
         level = count - ratio * RATE_PER_SECOND * at
-        if level < lowest:
-            lowest, since, first = level, at, count
-        excess = level + 1 - lowest - ratio * BURST_TOKENS
-        if excess > best + 1e-9:
-            best = excess
+        if level < lowest_level:
+            lowest_level, window_start, first = level, at, count
+        excess = level + 1 - lowest_level - ratio * BURST_TOKENS
+        if excess > max_excess + 1e-9:
+            max_excess = excess
             found = (count + 1 - first) / (
-                BURST_TOKENS + RATE_PER_SECOND * (at - since)
+                BURST_TOKENS + RATE_PER_SECOND * (at - window_start)
             )
     return found
 
 
 def measure(method: Method, arrivals: Sequence[Arrival]) -> tuple[float, float]:
-    """Return the worst window by the bound, and the share refused."""
+    """Return the maximum window ratio and the fraction of refusals."""
     admitted: list[float] = []
     refused = 0
     counted = 0
@@ -223,14 +226,14 @@
     'platform_leases': make_lease_method,
 }
 CUT_ZONE_EFFECTS: Final = {
-    'shares_with_gifts': 'its whole part, while a majority of holders answers',
-    'fixed_parts': 'its whole part',
+    'shares_with_gifts': 'its whole share while a majority of holders answers',
+    'fixed_parts': 'its whole share',
     'platform_leases': f'nothing after {LEASE_SECONDS:g} s',
 }
 
 
 def measure_method(name: str, vms: int, seed: int) -> dict[str, Any]:
-    """Measure one way at one size."""
+    """Measure one method with a number of VMs."""
     max_ratio = 0.0
     wrongful = 0.0
     costs = (0.0, 0.0)
@@ -252,13 +255,13 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run the measurement and print a line of JSON at its end."""
+    """Run the benchmark and print its result as a line of JSON."""
     parser = argparse.ArgumentParser(prog='bench limits')
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
     print(
-        f'confirmed for {CONFIRM_SECONDS:g} s; '
-        f'zone of {RATE_PER_SECOND:g} requests/s',
+        f'slots are confirmed for {CONFIRM_SECONDS:g} s; '
+        f'limit of the zone: {RATE_PER_SECOND:g} requests/s',
     )
     result: dict[str, Any] = {}
     for name in METHODS:
--- a/benches/membership.py
+++ b/benches/membership.py
@@ -1,8 +1,9 @@
-"""Traffic, processor time and detection of membership, by size of a zone.
+"""Traffic, processor time and failure detection of the membership protocol.
 
-Runs the decisions of every VM of one zone and its frames, in virtual time and
-in one process; the cost of a send and a receive is measured apart, on loopback.
-Two ways are compared: every VM to every other each second, and the ring.
+Simulates every VM of one zone and its frames in virtual time, in one process.
+The cost of sending and receiving a frame is measured separately on loopback.
+Compares the ring with a mesh, in which every VM sends to every other each
+second, by the number of VMs in the zone.
 """
 
 import argparse
@@ -29,26 +30,26 @@
 
 _VM_COUNTS: Final = (4, 8, 16, 32, 62)
 _ZONE_COUNT: Final = 72
-_LISTED_VMS_PER_REMOTE_ZONE: Final = 2  # VMs of each other zone in the list
+_LISTED_VMS_PER_REMOTE_ZONE: Final = 2
 _DURATION_SECONDS: Final = 40
 _STOP_AT_SECONDS: Final = 15
 _SECRET: Final = b'bench'
 _LOCAL_ZONE: Final = 'zone-00'
-_TCP_HEADER_BYTES: Final = 66  # headers of a segment that carries a frame
+_TCP_HEADER_BYTES: Final = 66  # all headers of a segment with a frame
 
 
 class Topology(NamedTuple):
-    """A way of choosing contacts, and whether heartbeats carry rows."""
+    """How contacts are selected, and whether heartbeats include rows."""
 
     select: Callable[..., Any]
     includes_rows: bool
 
 
 class Totals:
-    """What the VMs of the zone sent and spent."""
+    """Counts of the messages, traffic and processor time of the zone."""
 
     def __init__(self) -> None:
-        """Start with nothing."""
+        """Start all counts at zero."""
         self.sent_messages = 0
         self.sent_bytes = 0
         self.cpu_seconds = 0.0
@@ -59,7 +60,7 @@
 def select_all(
     view: View, _vm: str, zone: str, _turn: int, _now: float,
 ) -> tuple[Any, ...]:  # fmt: skip
-    """Return every VM of the zone and two of every other one."""
+    """Return all VMs that the view contains."""
     return tuple(view.members.values())
 
 
@@ -70,7 +71,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run the measurement and print a line of JSON at its end."""
+    """Run the benchmark and print its result as a line of JSON."""
     parser = argparse.ArgumentParser(prog='bench membership')
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
@@ -107,7 +108,7 @@
 
 
 def measure_message_seconds() -> float:
-    """Return the processor seconds of one message, sent and received."""
+    """Return the processor time of sending and receiving one message."""
     count = 4000
     with pynng.Pull0(listen='tcp://127.0.0.1:0') as pull:
         port = pull.listeners[0].local_address.port
@@ -124,7 +125,7 @@
 
 
 def swap_port_bytes(port: int) -> int:
-    """Return a port number from network byte order."""
+    """Convert a port number from network byte order."""
     return int.from_bytes(port.to_bytes(2, 'big'), 'little')
 
 
@@ -134,7 +135,7 @@
     seconds_per_message: float,
     rng: random.Random,
 ) -> dict[str, Any]:
-    """Run one zone for a while, one of its VMs stops halfway."""
+    """Simulate one zone, in which one VM stops after a while."""
     vms = [f'{_LOCAL_ZONE}-{index:02}' for index in range(vm_count)]
     listed = make_vm_list(vms)
     views = {
@@ -144,15 +145,17 @@
     offsets = {vm: rng.randrange(100) for vm in vms}
     totals = Totals()
     detected_at: dict[str, int] = {}
-    stopped = vms[-1]
+    stopped_vm = vms[-1]
     for now in range(_DURATION_SECONDS):
         for vm in vms:
-            if vm != stopped or now < _STOP_AT_SECONDS:
+            if vm != stopped_vm or now < _STOP_AT_SECONDS:
                 send_heartbeats(
                     topology, views, vm, now, offsets[vm] + now, totals
                 )
         for vm in vms[:-1]:
-            record_suspicions(views[vm], vm, stopped, now, detected_at, totals)
+            record_suspicions(
+                views[vm], vm, stopped_vm, now, detected_at, totals
+            )
     running_vm_seconds = (vm_count - 1) * _DURATION_SECONDS + _STOP_AT_SECONDS
     detection_seconds = [
         suspected_at - _STOP_AT_SECONDS for suspected_at in detected_at.values()
@@ -178,7 +181,7 @@
 
 
 def make_vm_list(vms: list[str]) -> tuple[Listed, ...]:
-    """Return the platform's list: the zone, and some VMs of the others."""
+    """Return the platform's list: the zone's VMs and some of other zones."""
     remote_vms = [
         (f'zone-{zone:02}-{index:02}', f'zone-{zone:02}')
         for zone in range(1, _ZONE_COUNT)
@@ -195,7 +198,7 @@
     topology: Topology, views: dict[str, View], vm: str, now: int, turn: int,
     totals: Totals,
 ) -> None:  # fmt: skip
-    """Send the heartbeats of one VM and let the VMs of its zone hear them."""
+    """Send the heartbeats of one VM and deliver them within its zone."""
     started_at = time.process_time()
     confirmed = dict.fromkeys((f'zone-{zone:02}' for zone in range(72)), 9)
     frames_by_receiver: dict[str, bytes] = {}
@@ -216,7 +219,8 @@
         if is_local:
             frames_by_receiver[member.vm] = frame
         else:
-            # As many heartbeats come from other zones as go there.
+            # Counts the cost of a received heartbeat: as many come from
+            # other zones as are sent there.
             unseal(_SECRET, frame)
     for receiver, frame in frames_by_receiver.items():
         receive_heartbeat(views, receiver, vm, frame, now)
@@ -226,7 +230,7 @@
 def receive_heartbeat(
     views: dict[str, View], receiver: str, vm: str, frame: bytes, now: int,
 ) -> None:  # fmt: skip
-    """Let a VM take a frame."""
+    """Decode a heartbeat frame and apply it to the view of its receiver."""
     envelope = unseal(_SECRET, frame).unwrap()
     heartbeat = decode_heartbeat(envelope.body)
     views[receiver] = hear(
@@ -235,19 +239,19 @@
 
 
 def decode_heartbeat(body: Any) -> Heartbeat:
-    """Return the heartbeat of a frame."""
+    """Decode the heartbeat in the body of an envelope."""
     return msgspec.msgpack.decode(body, type=Heartbeat)
 
 
 def record_suspicions(
-    view: View, vm: str, stopped: str, now: int, detected_at: dict[str, int],
+    view: View, vm: str, stopped_vm: str, now: int, detected_at: dict[str, int],
     totals: Totals,
 ) -> None:  # fmt: skip
-    """Note when the stopped VM is suspected, and who is wrongly."""
+    """Record when the stopped VM is first suspected; count false ones."""
     for member in view.members.values():
         if assess(member, now) is not Health.SUSPECTED:
             continue
-        if member.vm == stopped:
+        if member.vm == stopped_vm:
             detected_at.setdefault(vm, now)
         elif member.zone == _LOCAL_ZONE:
             totals.false_suspicions += 1
--- a/benches/placement.py
+++ b/benches/placement.py
@@ -1,4 +1,4 @@
-"""Time and memory of choosing a target, by how many targets there are."""
+"""Time and memory of choosing a target, by the number of targets."""
 
 import argparse
 import time
@@ -33,7 +33,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Print microseconds a request and a change, and bytes held."""
+    """Print the time of a request and of a change, and the ring memory."""
     argparse.ArgumentParser(prog='bench placement').parse_args(arguments)
     print('targets  request us  new ring ms  change us  ring bytes')
     for target_count in _TARGET_COUNTS:
--- a/benches/relay.py
+++ b/benches/relay.py
@@ -1,4 +1,4 @@
-"""One entry VM against a relay with no decisions, in one run."""
+"""Compares one entry VM with a plain relay that makes no decisions."""
 
 import argparse
 import json
@@ -28,14 +28,14 @@
 
 
 class Measurement(NamedTuple):
-    """Requests per second and the 99th percentile in microseconds."""
+    """Requests per second, and the 99th percentile of the latency."""
 
     requests_per_second: float
     p99_us: float
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run the measurement and print a line of JSON at its end."""
+    """Run the benchmark and print its result as a line of JSON."""
     parser = argparse.ArgumentParser(prog='bench relay')
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--rounds', type=int, default=_DEFAULT_ROUND_COUNT)
@@ -65,7 +65,7 @@
     rng: random.Random,
     rounds: int,
 ) -> dict[str, Any]:
-    """Measure both in turns, in an order that the seed decides."""
+    """Measure both URLs in turn, in a random order in each round."""
     result: dict[str, Any] = {'ratio_rps': {}, 'ratio_p99': {}}
     for callers in _CALLER_COUNTS:
         measurements: dict[str, list[Measurement]] = {name: [] for name in urls}
@@ -96,7 +96,7 @@
 
 
 def measure(url: str, key: str, callers: int) -> Measurement:
-    """Let closed-loop callers ask one URL for a while."""
+    """Measure one URL under closed-loop callers in several processes."""
     callers_per_process = callers // _LOAD_PROCESS_COUNT
     with multiprocessing.get_context('spawn').Pool(_LOAD_PROCESS_COUNT) as pool:
         recordings = pool.starmap(
@@ -113,7 +113,7 @@
 
 
 def run_callers(url: str, key: str, callers: int) -> tuple[bytes, int]:
-    """Run some callers as threads of this process."""
+    """Run callers as threads; return the latency histogram and count."""
     histogram = HdrHistogram(1, _MAX_LATENCY_US, 3)
     with ThreadPoolExecutor(callers) as executor:
         latencies_us = [
@@ -138,7 +138,9 @@
     while (started_at := time.monotonic()) < stop_at:
         response = pool.request('GET', '/feed/x', headers=headers)
         if response.status != 200:
-            raise RuntimeError(f'{url}: {response.status} {response.data!r}')
+            raise RuntimeError(
+                f'{url} answered {response.status}: {response.data!r}'
+            )
         ended_at = time.monotonic()
         if started_at > measure_from:
             latencies_us.append(int((ended_at - started_at) * 1_000_000))
--- a/benches/spread.py
+++ b/benches/spread.py
@@ -1,4 +1,4 @@
-"""Time from an accepted change to its being in force on every VM."""
+"""Time from the acceptance of a change until all VMs apply it."""
 
 import argparse
 import json
@@ -27,7 +27,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run the measurement and print a line of JSON at its end."""
+    """Run the benchmark and print its result as a line of JSON."""
     parser = argparse.ArgumentParser(prog='bench spread')
     parser.add_argument('--seed', type=int, default=1)
     options = parser.parse_args(arguments)
@@ -62,7 +62,7 @@
 
 
 def summarise(seconds: list[float]) -> dict[str, Any]:
-    """Return the median and the worst of some times."""
+    """Return the count, median and maximum of some durations."""
     return {
         'count': len(seconds),
         'median': round(statistics.median(seconds), 3),
@@ -71,19 +71,19 @@
 
 
 def read_calls(fleet: Fleet) -> dict[str, int]:
-    """Return how often the platform was called, by kind."""
+    """Return the number of calls to the platform, by kind."""
     response = fleet.http.request('GET', f'{fleet.platform}/standin/calls')
     return dict(response.json())
 
 
 def get_catalogue(http: urllib3.PoolManager, vm: EntryVm) -> dict[str, Any]:
-    """Return the catalogue in force on a VM."""
+    """Return the catalogue in force on a VM, with its revision."""
     url = f'{vm.url}{_ADMIN_PATH}/catalogue'
     return dict(http.request('GET', url, headers=_ADMIN_HEADERS).json())
 
 
 def measure_change(fleet: Fleet, vm: EntryVm, number: int) -> float:
-    """Change the catalogue at one VM; return seconds until all have it."""
+    """Change the catalogue at one VM; return seconds until all apply it."""
     current = get_catalogue(fleet.http, vm)
     document = {**current['catalogue'], 'hold_seconds': 3 + number / 100}
     response = fleet.http.request(
@@ -94,7 +94,9 @@
     )
     accepted_at = time.monotonic()
     if response.status != 200:
-        raise RuntimeError(f'{vm.name}: {response.data!r}')
+        raise RuntimeError(
+            f'{vm.name} refused the catalogue: {response.data!r}'
+        )
     accepted_revision = response.json()['accepted']
     applied_at = [0.0] * len(fleet.vms)
 
@@ -116,7 +118,7 @@
     rng: random.Random,
     number: int,
 ) -> float:
-    """Withdraw a key; return seconds to the last request served with it."""
+    """Withdraw a key; return seconds until the last request served with it."""
     name = f'bench-{number}'
     vm = rng.choice(fleet.vms)
     granted = fleet.run_command(
@@ -126,7 +128,7 @@
     for other_vm in fleet.vms:
         wait_until(
             partial(is_granted, fleet, other_vm.url, key),
-            f'key on {other_vm.name}',
+            f'acceptance of the key by {other_vm.name}',
         )
     stop_event = threading.Event()
     served_at = [0.0] * len(fleet.vms)
@@ -153,18 +155,18 @@
 
 
 def get_status(fleet: Fleet, url: str, key: str) -> int:
-    """Return the status of a request with a key."""
+    """Send a request with a key and return the status."""
     headers = {'X-Api-Key': key}
     return fleet.http.request('GET', f'{url}/feed/x', headers=headers).status
 
 
 def is_granted(fleet: Fleet, url: str, key: str) -> bool:
-    """Return whether a VM knows a key."""
+    """Return whether a VM accepts a key."""
     return get_status(fleet, url, key) not in {401, 503}
 
 
 def run_in_threads(task: Any, count: int) -> None:
-    """Run a function for each place, on threads of their own."""
+    """Run a function for each index, each on its own thread."""
     threads = [
         threading.Thread(target=task, args=(index,)) for index in range(count)
     ]
--- a/benches/steering.py
+++ b/benches/steering.py
@@ -1,4 +1,4 @@
-"""The steering policy against baselines, under load on a paused clock."""
+"""Compares the steering policy with baselines under simulated load."""
 
 import argparse
 import json
@@ -29,7 +29,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Run one scenario under every policy; print lines and a table."""
+    """Run one scenario under each policy; print a table and lines of JSON."""
     parser = argparse.ArgumentParser(prog='bench steering')
     parser.add_argument(
         '--deployment', choices=sorted(DEPLOYMENTS), default='lumina',
@@ -70,7 +70,7 @@
     seconds: float = _DURATION_SECONDS,
     event_at: float = _EVENT_AT_SECONDS,
 ) -> dict[str, Any]:
-    """Run one policy and return its measures."""
+    """Simulate one scenario under one policy and return the measurements."""
     chosen = SCENARIOS[scenario]
     fleet = Fleet(deployment=deployment, seed=seed, load=chosen.load)
     fleet.make_policy = POLICIES[policy](fleet)
@@ -86,7 +86,7 @@
     seconds: float,
     event_at: float,
 ) -> dict[str, Any]:
-    """Return the measures of a run that has ended."""
+    """Return the measurements of a finished run."""
     histogram = HdrHistogram(1, _MAX_LATENCY_US, 3)
     for _, _, latency in fleet.answered:
         histogram.record_value(int(latency * _US_PER_SECOND))
@@ -136,7 +136,7 @@
     seconds: float,
     event_at: float,
 ) -> dict[str, float]:
-    """Return each team's answers over its requests within its rate."""
+    """Return the answered fraction of each team's requests within its rate."""
     served_fractions = {}
     for number, _ in enumerate(TEAM_LOAD_FRACTIONS):
         team = f'team-{number}'
@@ -149,7 +149,7 @@
 
 
 def measure_drain_seconds(fleet: Fleet) -> float | None:
-    """Return the seconds until the drained zone's targets ended their work."""
+    """Return the seconds until all targets of the drained zone were idle."""
     if fleet.drained_zone is None:
         return None
     last = max(
@@ -161,7 +161,7 @@
 
 
 def count_exceeded_link_seconds(fleet: Fleet) -> int:
-    """Return the seconds in which a link moved more than it may."""
+    """Return the number of seconds in which a link exceeded its limit."""
     max_bytes = fleet.deployment.link_mbit_per_second * _BYTES_PER_MBIT
     return sum(
         link_bytes > max_bytes for link_bytes in fleet.link_bytes.values()
@@ -169,10 +169,10 @@
 
 
 def count_exceeded_shift_samples(fleet: Fleet) -> int:
-    """Return the samples at which traffic into a zone grew past its cap.
+    """Return the number of samples at which a zone's shift limit was exceeded.
 
-    What runs is held against the peak that was over for a second, because a
-    level that was reached may be used again.
+    Running requests from other zones are compared with their peak from three to
+    one seconds before, because a level that was reached may be used again.
     """
     exceeded_count = 0
     for zone, samples in fleet.remote_running_samples.items():
--- a/benches/steering_fleet.py
+++ b/benches/steering_fleet.py
@@ -1,4 +1,4 @@
-"""Entry VMs, targets and callers around the policy, on a paused clock."""
+"""Simulates entry VMs, targets and callers of a policy in virtual time."""
 
 import heapq
 import random
@@ -28,10 +28,10 @@
 
 
 class Clock:
-    """The paused clock and what is due on it."""
+    """A virtual clock with its scheduled calls."""
 
     def __init__(self) -> None:
-        """Start at 0 with nothing due."""
+        """Start at 0 without scheduled calls."""
         self.now = 0.0
         self._due: list[Any] = []
         self._count = 0
@@ -44,7 +44,7 @@
         heapq.heappush(self._due, (self.now + delay, self._count, call, args))
 
     def run(self, until: float) -> None:
-        """Call all that is due until a time."""
+        """Advance to a time and make all calls due until then."""
         while self._due and self._due[0][0] <= until:
             self.now, _, call, args = heapq.heappop(self._due)
             call(*args)
@@ -52,7 +52,7 @@
 
 
 class Request:
-    """A caller's request; `work` is in seconds on a warm target."""
+    """A caller's request; `work_seconds` is its duration on a warm target."""
 
     def __init__(
         self,
@@ -64,7 +64,7 @@
         work_seconds: float,
         service: Service,
     ) -> None:
-        """Remember what the caller sent."""
+        """Create an unanswered request."""
         self.number = number
         self.team = team
         self.service = service.name
@@ -76,7 +76,7 @@
 
 
 class Target:
-    """A target with slots and a queue; `mode` is how it misbehaves."""
+    """A target with slots and a queue; `mode` selects its fault."""
 
     def __init__(
         self,
@@ -97,7 +97,7 @@
         self.load_before_event = 0.0
 
     def accept(self, request: Request, on_done: OnDone) -> None:
-        """Run a request, or let it wait for a slot."""
+        """Run a request, queue it, or reject it when the queue is full."""
         if self.mode == 'dead':
             return
         if self.mode == 'error':
@@ -130,7 +130,7 @@
 
 
 class Vm:
-    """An entry VM: whether it lives, and the catalogue that it has."""
+    """An entry VM: its lifetime, its catalogue and its policy."""
 
     def __init__(
         self,
@@ -140,7 +140,7 @@
         catalogue: Catalogue,
         started_at: float,
     ) -> None:
-        """Start alive."""
+        """Create a running VM without a policy."""
         self.name = name
         self.zone = zone
         self.catalogue = catalogue
@@ -151,7 +151,7 @@
         self.carried: dict[int, Callable[..., None]] = {}
 
     def is_considered_alive(self, now: float) -> bool:
-        """Return whether others take the VM for alive."""
+        """Return whether other VMs consider this VM alive."""
         if self.is_leaving or now < self.started_at + 1:
             return not self.started_at and not self.is_leaving
         return (
@@ -161,7 +161,7 @@
 
 
 class Fleet:
-    """One run: a deployment under one policy and one scenario."""
+    """A deployment that is simulated under one policy and one scenario."""
 
     def __init__(
         self,
@@ -170,7 +170,7 @@
         seed: int,
         load: float,
     ) -> None:
-        """Build the places; the policies are set by the caller."""
+        """Create VMs and targets; the caller sets `make_policy`."""
         self.deployment = deployment
         self.clock = Clock()
         self.rng = random.Random(seed)
@@ -219,13 +219,13 @@
         return self.deployment.region_latency_seconds
 
     def is_partitioned(self, zone: str, other: str) -> bool:
-        """Return whether two zones cannot reach each other."""
+        """Return whether a partition separates two zones."""
         return (zone in self.partitioned_zones) != (
             other in self.partitioned_zones
         )
 
     def list_other_vms(self, vm: Vm) -> tuple[EntryVm, ...]:
-        """Return the other VMs as a VM sees them."""
+        """Return the other VMs that a VM considers alive."""
         now = self.clock.now
         return tuple(
             EntryVm(other.name, other.zone, other.name)
@@ -234,7 +234,7 @@
         )
 
     def claim_slots(self, vm: Vm) -> frozenset[int]:
-        """Claim slots of the zone as the process does; return those held."""
+        """Claim slots of the zone as an entry VM does; return the held ones."""
         holding = Holding(vm.name, 'start')
         alive_names = frozenset(
             other.name
@@ -248,7 +248,7 @@
         )
 
     def start(self, until: float) -> None:
-        """Start the load, the tickers and the samples."""
+        """Start the VMs, the load and the sampling."""
         for vm in self.vms.values():
             self.start_vm(vm)
         for service in self.deployment.services:
@@ -257,12 +257,12 @@
         self.clock.call_later(1, self._sample, until)
 
     def start_vm(self, vm: Vm) -> None:
-        """Start the policy of a VM."""
+        """Claim slots for a VM and start its policy."""
         self.claim_slots(vm)
         vm.policy = self.make_policy(vm)
 
     def count_slots(self, service: str, zone: str) -> int:
-        """Return the slots of a service in a zone."""
+        """Return the number of slots of a service in a zone."""
         return sum(
             target.slots
             for target in self.catalogue.targets.values()
@@ -363,7 +363,7 @@
         return advised
 
     def finish_request(self, request: Request, result: str) -> None:
-        """Give a request its final answer."""
+        """Record the final result of a request; later results are ignored."""
         if request.is_done:
             return
         request.is_done = True
@@ -384,7 +384,7 @@
         zone: str,
         on_done: OnDone,
     ) -> None:
-        """Send a request to a target and count overloads."""
+        """Send a request to a target; count attempts and overloads."""
         self.counts['attempts'] += 1
         latency = self.get_latency(zone, target.entry.zone)
         if target.mode == 'dead' or self.is_partitioned(
@@ -406,7 +406,7 @@
     def record_link_bytes(
         self, request: Request, zone: str, other: str
     ) -> None:
-        """Count the bytes that an answer moves over a link."""
+        """Add the bytes of an answer to the link between two regions."""
         regions = frozenset(
             self.catalogue.zones[name].region for name in (zone, other)
         )
--- a/benches/steering_places.py
+++ b/benches/steering_places.py
@@ -1,4 +1,4 @@
-"""The two deployments of today: their places, services and teams."""
+"""The two simulated deployments: their regions, services and teams."""
 
 from typing import Final, NamedTuple
 
@@ -13,12 +13,12 @@
 
 _CONNECTIONS_PER_TARGET: Final = 800
 _MBIT_PER_GBIT: Final = 1000
-# Parts of the load: a few teams are large.
+# Fractions of the load: a few teams are large.
 TEAM_LOAD_FRACTIONS: Final = (0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05)
 
 
 class Service(NamedTuple):
-    """A service: how many targets, its mean seconds and answer bytes."""
+    """A service: its targets, mean request duration and answer size."""
 
     name: str
     target_count: int
@@ -27,7 +27,7 @@
 
 
 class Deployment(NamedTuple):
-    """One user's deployment; latencies are one way, in seconds."""
+    """A deployment of one user; latencies are one-way."""
 
     regions: tuple[str, ...]
     services: tuple[Service, ...]
--- a/benches/steering_policies.py
+++ b/benches/steering_policies.py
@@ -1,4 +1,4 @@
-"""The policy of the product and the baselines, on the fleet of the bench."""
+"""The steering policy of the product and the baselines."""
 
 from collections import Counter
 from collections.abc import Callable, Collection
@@ -34,7 +34,7 @@
 
 
 class Job:
-    """A request at one VM: who gets the answer and what was tried."""
+    """A request at one VM, with the receiver of its answer and its attempts."""
 
     def __init__(
         self,
@@ -44,7 +44,7 @@
         on_answer: Callable[[str, int | None], None],
         is_retry: bool = False,
     ) -> None:
-        """Start with nothing tried."""
+        """Create a job without attempts."""
         self.request = request
         self.origin = origin
         self.on_answer = on_answer
@@ -56,10 +56,10 @@
 
 
 class ProductPolicy:
-    """Runs the product's decision functions for one VM."""
+    """Runs the decision functions of the product for one VM."""
 
     def __init__(self, *, fleet: Fleet, vm: Vm) -> None:
-        """Size the policy and start its tickers."""
+        """Size the policy and start its periodic tasks."""
         self.fleet = fleet
         self.vm = vm
         self.states: dict[str, State] = {}
@@ -75,7 +75,7 @@
         )
 
     def arrive(self, request: Request) -> None:
-        """Take a request from a caller."""
+        """Handle a request from a caller."""
         self._submit(
             Job(
                 request=request,
@@ -87,7 +87,7 @@
         )
 
     def fail_all(self) -> None:
-        """Lose every request that is at this VM."""
+        """Fail every request at this VM as lost."""
         for job in tuple(self.jobs.values()):
             self._finish(job, 'lost')
 
@@ -302,17 +302,17 @@
 
 
 class Baseline:
-    """Sends each request to the target that a function chooses."""
+    """Sends each request to the target chosen by a function."""
 
     def __init__(self, *, fleet: Fleet, vm: Vm, choose: ChooseTarget) -> None:
-        """Start with nothing in flight."""
+        """Create a policy without requests in flight."""
         self.fleet = fleet
         self.vm = vm
         self.choose = choose
         self.in_flight: Counter[str] = Counter()
 
     def arrive(self, request: Request, attempts: int = 0) -> None:
-        """Take a request from a caller, or try it again."""
+        """Handle a request from a caller, or retry it."""
         if self.vm.stopped_at is not None:
             self.fleet.finish_request(request, 'lost')
             return
@@ -342,14 +342,14 @@
         self.fleet.clock.call_later(seconds, on_done, False)
 
     def fail_all(self) -> None:
-        """Requests under way are lost with the VM when they end."""
+        """Do nothing: requests in flight are lost when they end."""
 
     def list_targets(
         self,
         service: str,
         zones: Collection[str],
     ) -> list[Target]:
-        """Return the targets of some zones that are not drained."""
+        """Return the targets of a service in the zones that are not drained."""
         drains = self.vm.catalogue.drains
         return [
             target
@@ -361,14 +361,14 @@
 
 
 def choose_random(policy: Baseline, request: Request) -> Target | None:
-    """Choose any target."""
+    """Choose a random target of any zone."""
     zones = policy.fleet.catalogue.zones
     targets = policy.list_targets(request.service, zones)
     return policy.fleet.rng.choice(targets) if targets else None
 
 
 def choose_least_in_flight(policy: Baseline, request: Request) -> Target | None:
-    """Choose the target of the own zone with the least in flight."""
+    """Choose the target of the local zone with the least in flight."""
     targets = policy.list_targets(request.service, {policy.vm.zone})
     return min(
         targets,
@@ -380,7 +380,7 @@
 def choose_by_reported_load(
     policy: Baseline, request: Request
 ) -> Target | None:
-    """Choose a target of the own region, weighted by the reported load."""
+    """Choose a random target of the region, weighted by reported load."""
     zones = policy.fleet.catalogue.zones
     region = zones[policy.vm.zone].region
     region_zones = {
@@ -397,7 +397,7 @@
 
 
 def get_reported_load(fleet: Fleet, target: Target) -> float | None:
-    """Return the busy share that a target reports, as the scenario has it."""
+    """Return the busy fraction that a target reports in the scenario."""
     if fleet.report_mode == 'stopped':
         return None
     if fleet.report_mode == 'late':
@@ -408,12 +408,12 @@
 
 
 def make_product_policy(fleet: Fleet) -> MakePolicy:
-    """Return the maker of the product's policy."""
+    """Return a function that creates the policy of the product for a VM."""
     return lambda vm: ProductPolicy(fleet=fleet, vm=vm)
 
 
 def make_baseline(choose: ChooseTarget) -> Callable[[Fleet], MakePolicy]:
-    """Return a maker of a baseline policy."""
+    """Return a factory of the functions that create a baseline policy."""
     return lambda fleet: lambda vm: Baseline(fleet=fleet, vm=vm, choose=choose)
 
 
--- a/benches/steering_scenarios.py
+++ b/benches/steering_scenarios.py
@@ -1,4 +1,4 @@
-"""What happens to the fleet: one function per scenario."""
+"""The events that occur in the simulated fleet, one per scenario."""
 
 from collections.abc import Callable
 from typing import Final, NamedTuple
@@ -6,7 +6,7 @@
 from benches.steering_fleet import Fleet, Vm
 from toucanhall.catalogue.model import Drains
 
-_DEGRADED_TARGET_INTERVAL: Final = 5
+_DEGRADED_TARGET_INTERVAL: Final = 5  # one of five targets
 _REPLACED_VM_FRACTION: Final = 0.3
 _LINGER_SECONDS: Final = 6.0
 _PARTITION_SECONDS: Final = 4.0
@@ -14,7 +14,7 @@
 
 
 class Scenario(NamedTuple):
-    """The load as a share of the slots, and the event."""
+    """The load as a fraction of the slots, and the function of the event."""
 
     load: float
     apply: Callable[[Fleet], None]
@@ -25,7 +25,7 @@
 
 
 def concentrate_callers(fleet: Fleet) -> None:
-    """Move most of one service's callers to one region."""
+    """Move most of the load of one service to one region."""
     service = fleet.deployment.services[-1].name
     region = fleet.deployment.regions[0]
     for zone, entry in fleet.catalogue.zones.items():
@@ -34,17 +34,17 @@
 
 
 def surge_team(fleet: Fleet) -> None:
-    """Let the largest team send five times its rate."""
+    """Multiply the rate of the largest team by five."""
     fleet.team_load_factors['team-0'] = 5
 
 
 def fail_zone(fleet: Fleet) -> None:
-    """Lose one zone, its VMs and its targets."""
+    """Stop the VMs and targets of one zone."""
     _fail_zones(fleet, frozenset((next(iter(fleet.catalogue.zones)),)))
 
 
 def fail_region(fleet: Fleet) -> None:
-    """Lose one region."""
+    """Stop the VMs and targets of one region."""
     region = fleet.deployment.regions[0]
     _fail_zones(
         fleet,
@@ -72,7 +72,7 @@
 
 
 def partition_region(fleet: Fleet) -> None:
-    """Cut one region off and heal it later."""
+    """Partition one region from the others for some seconds."""
     region = fleet.deployment.regions[0]
     fleet.partitioned_zones = frozenset(
         name
@@ -85,7 +85,7 @@
 
 
 def drain_zone(fleet: Fleet) -> None:
-    """Drain one zone; each VM hears of it within a second."""
+    """Drain one zone; each VM receives the change within a second."""
     zone = next(iter(fleet.catalogue.zones))
     fleet.drained_zone = zone
     fleet.drained_at = fleet.clock.now
@@ -97,7 +97,7 @@
 
 
 def drain_to_cold_targets(fleet: Fleet) -> None:
-    """Drain one zone while the targets that follow are cold."""
+    """Drain one zone while the targets of the first region are cold."""
     drain_zone(fleet)
     region = fleet.deployment.regions[0]
     for target in fleet.targets.values():
@@ -107,7 +107,7 @@
 
 
 def change_reports(mode: str) -> Callable[[Fleet], None]:
-    """Return what makes reports stop, lag or lie; a fifth turns slow."""
+    """Return an event that sets the report mode and slows some targets."""
 
     def apply_event(fleet: Fleet) -> None:
         for target in fleet.targets.values():
@@ -128,7 +128,7 @@
 
 
 def replace_vms(fleet: Fleet) -> None:
-    """Replace a part of the VMs; each leaves with its linger time."""
+    """Replace some VMs; each old VM leaves and stops after lingering."""
     count = round(len(fleet.vms) * _REPLACED_VM_FRACTION)
     for number, vm in enumerate(tuple(fleet.vms.values())[:count]):
         vm.is_leaving = True
--- a/release/__init__.py
+++ b/release/__init__.py
@@ -1,1 +1,1 @@
-"""Builds what is handed out: the binary and the generated pages."""
+"""Builds the executable archive and the generated documentation pages."""
--- a/release/binary.py
+++ b/release/binary.py
@@ -1,4 +1,4 @@
-"""Builds dist/toucanhall: one archive that Python runs."""
+"""Builds dist/toucanhall, an executable zip archive of Python modules."""
 
 import py_compile
 import stat
@@ -22,14 +22,14 @@
 
 
 class ArchiveEntry(NamedTuple):
-    """A file of the archive: where it is and what it is called there."""
+    """A file to add to the archive: its source path and its archive name."""
 
     path: Path
     name: str
 
 
 def build() -> Path:
-    """Build the archive from the environment and return its path."""
+    """Build the archive from the installed packages; return its path."""
     version = sysconfig.get_python_version()
     with TemporaryDirectory() as directory:
         staging_path = Path(directory)
@@ -89,7 +89,7 @@
 
 
 def _compile(staged_path: Path, name: str) -> None:
-    """Put bytecode beside a module, so that no start compiles it again."""
+    """Write bytecode beside a module, so that it is not compiled at start."""
     py_compile.compile(
         str(staged_path),
         cfile=str(staged_path.with_suffix('.pyc')),
@@ -100,7 +100,7 @@
 
 
 def main() -> None:
-    """Build and print the path and the size."""
+    """Build the archive and print its path and size."""
     archive_path = build()
     size_mb = archive_path.stat().st_size / _BYTES_PER_MB
     print(f'{archive_path.relative_to(_ROOT)}: {size_mb:.1f} MB')
--- a/release/boot.py
+++ b/release/boot.py
@@ -1,8 +1,8 @@
-"""Starts the binary: imports from the archive, extensions through a file.
+"""Entry point of the archive; loads C extensions from temporary files.
 
-The dynamic loader opens files only, so each C extension is unpacked into the
-temporary folder, loaded, and removed at once. Nothing stays behind, also after
-a kill.
+The dynamic loader opens only files, so each C extension is written to the
+temporary directory, loaded and deleted at once. No file remains, even after a
+kill.
 """
 
 import sys
@@ -20,15 +20,15 @@
 
 
 class ArchiveExtensionLoader(Loader):
-    """Loads one extension from the archive."""
+    """Loads one C extension from the archive."""
 
     def __init__(self, *, name: str, content: bytes) -> None:
-        """Load a module from the bytes of its shared object."""
+        """Create a loader for the content of a shared object."""
         self._name = name
         self._content = content
 
     def create_module(self, spec: ModuleSpec) -> ModuleType:
-        """Unpack, load and remove the shared object."""
+        """Write the shared object to a temporary file, load and delete it."""
         suffix = sysconfig.get_config_var('SHLIB_SUFFIX')
         with tempfile.NamedTemporaryFile(suffix=suffix) as shared_object:
             shared_object.write(self._content)
@@ -40,15 +40,15 @@
             )
 
     def exec_module(self, module: ModuleType) -> None:
-        """Run the initialisation of the loaded module."""
+        """Initialise the loaded module."""
         self._loader.exec_module(module)
 
 
 class ArchiveExtensionFinder(MetaPathFinder):
-    """Finds extensions in the archive."""
+    """Finds C extensions in the archive."""
 
     def __init__(self, *, archive: ZipFile) -> None:
-        """Look in an archive that is open."""
+        """Index the entries of an open archive."""
         self._archive = archive
         self._entries = frozenset(archive.namelist())
 
@@ -58,7 +58,7 @@
         path: object,
         target: ModuleType | None = None,
     ) -> ModuleSpec | None:
-        """Return how to load an extension, or `None` for other modules."""
+        """Return the spec of an extension, or `None` for other modules."""
         stem = fullname.replace('.', '/')
         for suffix in EXTENSION_SUFFIXES:
             entry = f'{stem}{suffix}'
@@ -73,7 +73,7 @@
 
 
 def boot() -> int:
-    """Make the archive importable and run the command line."""
+    """Install the import hook and run the command line."""
     archive = ZipFile(ARCHIVE_PATH)
     built_version = archive.read(VERSION_ENTRY).decode()
     running_version = sysconfig.get_python_version()
--- a/release/pages.py
+++ b/release/pages.py
@@ -1,4 +1,4 @@
-"""Writes the pages that are made from the code; tests hold them equal."""
+"""Generates the reference pages from the code; a test compares them."""
 
 import argparse
 import io
@@ -46,7 +46,7 @@
 
 
 def render_commands() -> str:
-    """Return the page of the command line."""
+    """Return the reference page of the command line."""
     parts = [_COMMANDS_INTRODUCTION, _quote_help(make_parser())]
     for command in COMMANDS:
         name = ' '.join(command.words)
@@ -56,17 +56,17 @@
 
 
 def render_settings() -> str:
-    """Return the page of the settings."""
+    """Return the reference page of the settings."""
     return f'{_SETTINGS_INTRODUCTION}\n{_render_fields(SETTINGS_SCHEMA)}'
 
 
 def render_catalogue() -> str:
-    """Return the page of the catalogue."""
+    """Return the reference page of the catalogue."""
     return f'{_CATALOGUE_INTRODUCTION}\n{_render_fields(CATALOGUE_SCHEMA)}'
 
 
 def render_openapi() -> str:
-    """Return the OpenAPI description of the operators' API."""
+    """Return the OpenAPI description of the operators' API as JSON."""
     paths: dict[str, Any] = {}
     for route in ROUTES:
         operations = paths.setdefault(f'{PREFIX}{route.path}', {})
@@ -240,7 +240,7 @@
 
 
 def main() -> None:
-    """Write every page."""
+    """Write all generated pages to the documentation directory."""
     for name, render in PAGES.items():
         (DOCS / name).write_text(render())
 
