--- a/release/boot.py
+++ b/release/boot.py
@@ -1,8 +1,8 @@
-"""Starts the binary: imports from the archive, extensions through a file.
+"""Entry point of the archive; loads C extensions from temporary files.
 
-The dynamic loader opens files only, so each C extension is unpacked into the
-temporary folder, loaded, and removed at once. Nothing stays behind, also after
-a kill.
+The dynamic loader opens only files, so each C extension is written to the
+temporary directory, loaded and deleted at once. No file remains, even after a
+kill.
 """
 
 import sys
@@ -15,40 +15,40 @@
 from types import ModuleType
 from zipfile import ZipFile
 
-ARCHIVE = Path(__file__).parent
+ARCHIVE_PATH = Path(__file__).parent
 VERSION_ENTRY = 'python-version'
 
 
-class Unpacking(Loader):
-    """Loads one extension from the archive."""
+class ArchiveExtensionLoader(Loader):
+    """Loads one C extension from the archive."""
 
     def __init__(self, *, name: str, content: bytes) -> None:
-        """Load a module from the bytes of its shared object."""
+        """Create a loader for the content of a shared object."""
         self._name = name
         self._content = content
 
     def create_module(self, spec: ModuleSpec) -> ModuleType:
-        """Unpack, load and remove the shared object."""
+        """Write the shared object to a temporary file, load and delete it."""
         suffix = sysconfig.get_config_var('SHLIB_SUFFIX')
-        with tempfile.NamedTemporaryFile(suffix=suffix) as unpacked:
-            unpacked.write(self._content)
-            unpacked.flush()
-            self._loader = FileLoader(self._name, unpacked.name)
-            origin = unpacked.name
+        with tempfile.NamedTemporaryFile(suffix=suffix) as shared_object:
+            shared_object.write(self._content)
+            shared_object.flush()
+            self._loader = FileLoader(self._name, shared_object.name)
+            origin = shared_object.name
             return self._loader.create_module(
                 ModuleSpec(spec.name, self._loader, origin=origin),
             )
 
     def exec_module(self, module: ModuleType) -> None:
-        """Run the initialisation of the loaded module."""
+        """Initialise the loaded module."""
         self._loader.exec_module(module)
 
 
-class Finder(MetaPathFinder):
-    """Finds extensions in the archive."""
+class ArchiveExtensionFinder(MetaPathFinder):
+    """Finds C extensions in the archive."""
 
     def __init__(self, *, archive: ZipFile) -> None:
-        """Look in an archive that is open."""
+        """Index the entries of an open archive."""
         self._archive = archive
         self._entries = frozenset(archive.namelist())
 
@@ -58,31 +58,32 @@
         path: object,
         target: ModuleType | None = None,
     ) -> ModuleSpec | None:
-        """Return how to load an extension, or `None` for other modules."""
+        """Return the spec of an extension, or `None` for other modules."""
         stem = fullname.replace('.', '/')
         for suffix in EXTENSION_SUFFIXES:
             entry = f'{stem}{suffix}'
             if entry in self._entries:
-                unpacking = Unpacking(
+                loader = ArchiveExtensionLoader(
                     name=fullname,
                     content=self._archive.read(entry),
                 )
-                origin = str(ARCHIVE / entry)
-                return ModuleSpec(fullname, unpacking, origin=origin)
+                origin = str(ARCHIVE_PATH / entry)
+                return ModuleSpec(fullname, loader, origin=origin)
         return None
 
 
 def boot() -> int:
-    """Make the archive importable and run the command line."""
-    archive = ZipFile(ARCHIVE)
-    wanted = archive.read(VERSION_ENTRY).decode()
-    found = sysconfig.get_python_version()
-    if found != wanted:
+    """Install the import hook and run the command line."""
+    archive = ZipFile(ARCHIVE_PATH)
+    built_version = archive.read(VERSION_ENTRY).decode()
+    running_version = sysconfig.get_python_version()
+    if running_version != built_version:
         sys.stderr.write(
-            f'toucanhall: built for Python {wanted}, run by {found}\n',
+            f'toucanhall: built for Python {built_version}, '
+            f'run by {running_version}\n',
         )
         return 2
-    sys.meta_path.insert(0, Finder(archive=archive))
+    sys.meta_path.insert(0, ArchiveExtensionFinder(archive=archive))
     from toucanhall.__main__ import main  # noqa: PLC0415
 
     return main()
