--- a/tests/models/test_spread_model.py
+++ b/tests/models/test_spread_model.py
@@ -16,7 +16,7 @@
     report_model,
     report_variants,
 )
-from toucanhall.catalogue.holder import Verdict, judge
+from toucanhall.catalogue.holder import Verdict, get_verdict
 from toucanhall.spread import comparison, freshness
 from toucanhall.spread.acceptance import (
     Attempt,
@@ -70,7 +70,7 @@
 class Rules(NamedTuple):
     """The decisions that the model runs; a variant replaces one."""
 
-    judge: object = judge
+    get_verdict: object = get_verdict
     check_base: object = check_base
     proceed: object = proceed
     needed: int = freshness.SOURCES_NEEDED
@@ -195,7 +195,7 @@
     """Offer a record to a VM, and note whether what it serves went back."""
     held = getattr(state, vm)
     known = held if held.number else None
-    verdict = rules.judge(known, record.number, record.change)
+    verdict = rules.get_verdict(known, record.number, record.change)
     if record.number and verdict in {Verdict.TAKE, Verdict.REPLACE}:
         went_back = rank(record) < rank(held)
         state = state._replace(
@@ -312,7 +312,7 @@
     def take_any(_held, _number, _change):
         return Verdict.TAKE
 
-    checked = check(judge=take_any)
+    checked = check(get_verdict=take_any)
     report_variants('spread take_any', checked)
     assert 'never_back' in list_broken(checked)
 
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -43,7 +43,7 @@
     assert {name: found.count(name) for name in set(found)} == services
     assert {target.slots for target in targets} == {slots}
     assert {target.connections for target in targets} == {connections}
-    assert [link.capacity for link in read.links] == [
+    assert [link.capacity_mbit_per_second for link in read.links] == [
         capacity,
         capacity,
         capacity,
--- a/tests/unit/test_events.py
+++ b/tests/unit/test_events.py
@@ -29,7 +29,7 @@
 def test_line_carries_number_level_time_vm_and_fields(capsys):
     events.configure('info', 'north-a-1')
     try:
-        events.log(events.CATALOGUE_TAKEN, revision=7)
+        events.log(events.CATALOGUE_APPLIED, revision=7)
     finally:
         logging.getLogger('toucanhall').handlers.clear()
         logging.getLogger('toucanhall').propagate = True
--- a/tests/unit/test_frontdoor.py
+++ b/tests/unit/test_frontdoor.py
@@ -4,7 +4,7 @@
 
 from tests.builders import make_request, make_revision
 from toucanhall.catalogue import Holder
-from toucanhall.frontdoor import Frontdoor
+from toucanhall.frontdoor import RequestRouter
 from toucanhall.steering import AdvisedVm, BlockIndex
 
 VMS = (
@@ -19,7 +19,7 @@
     holder.offer(make_revision(blocks={'10.1.0.0/16': 'south-a'}))
     blocks = BlockIndex()
     blocks.size(holder.current.catalogue.blocks)
-    door = Frontdoor(
+    router = RequestRouter(
         zone='north-a',
         holder=holder,
         parts=None,
@@ -29,7 +29,7 @@
         list_holders=lambda _team: frozenset(),
     )
     path = '/.toucanhall/entry-vms'
-    answer = door.serve(make_request(path=path, query=query))
+    answer = router.serve(make_request(path=path, query=query))
     return answer.status, json.loads(b''.join(answer.body))
 
 
--- a/tests/unit/test_runtime.py
+++ b/tests/unit/test_runtime.py
@@ -24,7 +24,7 @@
     def read_missing():
         return {}['missing']
 
-    runtime.go_on(read_missing)
+    runtime.call_and_log_errors(read_missing)
     (record,) = caplog.records
     assert record.event == 110
     assert 'read_missing' in record.fields['work']
--- a/toucanhall/admin/answers.py
+++ b/toucanhall/admin/answers.py
@@ -7,13 +7,13 @@
 
 from toucanhall.forwarding.records import Answer, Headers
 
-__all__ = ('STORE_DOWN', 'Reply', 'explain', 'render')
+__all__ = ('STORE_UNREACHABLE', 'Reply', 'make_error_body', 'render')
 
 Reply: TypeAlias = tuple[int, Mapping[str, Any]]
 
-STORE_DOWN: Final = 'the store cannot be reached'
+STORE_UNREACHABLE: Final = 'the store cannot be reached'
 
-_FIRST_ERROR: Final = 400
+_MIN_ERROR_STATUS: Final = 400
 _PHRASES: Final = {
     200: 'OK',
     400: 'Bad Request',
@@ -27,7 +27,7 @@
 }
 
 
-def explain(detail: str) -> Mapping[str, Any]:
+def make_error_body(detail: str) -> Mapping[str, Any]:
     """Return the body of an error."""
     return {'detail': detail}
 
@@ -35,7 +35,7 @@
 def render(reply: Reply, extra: Headers = ()) -> Answer:
     """Return the answer for a reply; a revision in it becomes the ETag."""
     status, body = reply
-    is_error = status >= _FIRST_ERROR
+    is_error = status >= _MIN_ERROR_STATUS
     kind = 'application/problem+json' if is_error else 'application/json'
     phrase = _PHRASES[status]
     described = (
--- a/toucanhall/admin/audit.py
+++ b/toucanhall/admin/audit.py
@@ -16,14 +16,14 @@
 from toucanhall.documents import Document
 from toucanhall.objectstore import Client, Conflict
 
-__all__ = ('NOTES', 'Audit', 'AuditEntry', 'add_entry', 'list_entries')
+__all__ = ('CHANGES_FIELD', 'Audit', 'AuditEntry', 'add_entry', 'list_entries')
 
-CARRIED: Final = 8  # entries inside the document
-NOTES: Final = 'changes'
-_DIFFERENCES: Final = 16  # per entry, at most
-_PAGE_REVISIONS: Final = 100
-_PAGES: Final = 100
-_COPY_TRIES: Final = 4
+_MAX_DOCUMENT_ENTRIES: Final = 8  # entries inside the document
+CHANGES_FIELD: Final = 'changes'
+_MAX_ENTRY_DIFFERENCES: Final = 16  # per entry, at most
+_REVISIONS_PER_PAGE: Final = 100
+_PAGE_COUNT: Final = 100
+_MAX_COPY_ATTEMPTS: Final = 4
 
 
 class AuditEntry(NamedTuple):
@@ -38,16 +38,16 @@
 
 def add_entry(
     document: Document,
-    carried: Iterable[AuditEntry],
+    earlier: Iterable[AuditEntry],
     entry: AuditEntry,
 ) -> dict[str, Any]:
     """Return the document with its own entry after the newest earlier ones."""
-    hidden = len(entry.what) - _DIFFERENCES
-    what = entry.what[:_DIFFERENCES]
+    hidden = len(entry.what) - _MAX_ENTRY_DIFFERENCES
+    what = entry.what[:_MAX_ENTRY_DIFFERENCES]
     if hidden > 0:
         what = (*what, f'and {hidden} more')
-    entries = (*carried, entry._replace(what=what))[-CARRIED:]
-    return {**document, NOTES: [found._asdict() for found in entries]}
+    entries = (*earlier, entry._replace(what=what))[-_MAX_DOCUMENT_ENTRIES:]
+    return {**document, CHANGES_FIELD: [found._asdict() for found in entries]}
 
 
 def list_entries(document: Document) -> tuple[AuditEntry, ...]:
@@ -57,7 +57,7 @@
             tuple(found[name] for name in AuditEntry._fields),
             AuditEntry,
         )
-        for found in document.get(NOTES, ())
+        for found in document.get(CHANGES_FIELD, ())
     )
 
 
@@ -84,7 +84,7 @@
         The answer is `None` when the store cannot be reached.
         """
         found: list[AuditEntry] = []
-        for number in (max(0, revision - _PAGE_REVISIONS), revision):
+        for number in (max(0, revision - _REVISIONS_PER_PAGE), revision):
             page = self._platform.read(_name_page(number))
             if not isinstance(page, Success):
                 return None
@@ -92,7 +92,7 @@
         return tuple({entry.id: entry for entry in found}.values())
 
     def _copy_page(self, name: str, entries: list[AuditEntry]) -> bool:
-        for _ in range(_COPY_TRIES):
+        for _ in range(_MAX_COPY_ATTEMPTS):
             page = self._platform.read(name)
             if not isinstance(page, Success):
                 return False
@@ -110,7 +110,7 @@
 
 
 def _name_page(revision: int) -> str:
-    return f'audit/{revision // _PAGE_REVISIONS % _PAGES}'
+    return f'audit/{revision // _REVISIONS_PER_PAGE % _PAGE_COUNT}'
 
 
 def _decode(content: bytes) -> tuple[AuditEntry, ...]:
@@ -129,13 +129,13 @@
     if all(entry.id in by_id for entry in added):
         return None
     entries = {**by_id, **{entry.id: entry for entry in added}}.values()
-    lap = max(entry.revision for entry in entries) // _PAGE_REVISIONS
+    cycle = max(entry.revision for entry in entries) // _REVISIONS_PER_PAGE
     return tuple(
         sorted(
             (
                 entry
                 for entry in entries
-                if entry.revision // _PAGE_REVISIONS == lap
+                if entry.revision // _REVISIONS_PER_PAGE == cycle
             ),
             key=lambda entry: entry.revision,
         ),
--- a/toucanhall/admin/calls.py
+++ b/toucanhall/admin/calls.py
@@ -6,25 +6,25 @@
 from returns.result import Failure, Result, Success
 
 from toucanhall import runtime
-from toucanhall.admin.answers import Reply, explain
-from toucanhall.admin.audit import NOTES, AuditEntry, list_entries
+from toucanhall.admin.answers import Reply, make_error_body
+from toucanhall.admin.audit import CHANGES_FIELD, AuditEntry, list_entries
 from toucanhall.catalogue import Revision
 from toucanhall.forwarding.records import Request, find_header
 from toucanhall.settings import Operator
 
 __all__ = (
     'CHANGE_HEADER',
-    'Base',
+    'BaseRevision',
     'Call',
     'is_conditional',
-    'parse',
-    'read_base',
-    'read_change',
-    'read_expected',
+    'parse_body',
+    'get_base_revision',
+    'get_change_id',
+    'get_expected_revision',
 )
 
 CHANGE_HEADER: Final = 'Toucanhall-Change'
-_ID_LENGTH: Final = 64
+_MAX_CHANGE_ID_CHARACTERS: Final = 64
 
 
 class Call(NamedTuple):
@@ -35,38 +35,40 @@
     names: tuple[str, ...]
 
 
-class Base(NamedTuple):
+class BaseRevision(NamedTuple):
     """The revision that a change starts from; 0 when there is none.
 
-    `carried` holds the audit entries that stood in its document.
+    `entries` holds the audit entries that stood in its document.
     """
 
     number: int
     document: dict[str, Any]
-    carried: tuple[AuditEntry, ...]
+    entries: tuple[AuditEntry, ...]
 
 
-def read_base(held: Revision | None) -> Base:
+def get_base_revision(held: Revision | None) -> BaseRevision:
     """Return the revision held, its document without the audit entries."""
     if held is None:
-        return Base(0, {}, ())
+        return BaseRevision(0, {}, ())
     document: dict[str, Any] = msgspec.json.decode(held.document)
-    carried = list_entries(document)
-    document.pop(NOTES, None)
-    return Base(held.number, document, carried)
+    entries = list_entries(document)
+    document.pop(CHANGES_FIELD, None)
+    return BaseRevision(held.number, document, entries)
 
 
-def parse(body: bytes) -> Result[dict[str, Any], Reply]:
+def parse_body(body: bytes) -> Result[dict[str, Any], Reply]:
     """Return the object in a request's body, without audit entries."""
     try:
         parsed: dict[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
     except (msgspec.MsgspecError, RecursionError) as error:
-        return Failure((400, explain(f'body is no JSON object: {error}')))
-    parsed.pop(NOTES, None)
+        return Failure(
+            (400, make_error_body(f'body is no JSON object: {error}'))
+        )
+    parsed.pop(CHANGES_FIELD, None)
     return Success(parsed)
 
 
-def read_expected(request: Request) -> int | None:
+def get_expected_revision(request: Request) -> int | None:
     """Return the revision in If-Match, or `None` when there is none."""
     tag = find_header(request.headers, 'if-match').strip('"')
     return int(tag) if tag.isascii() and tag.isdecimal() else None
@@ -77,7 +79,7 @@
     return find_header(request.headers, 'if-match') != ''
 
 
-def read_change(request: Request) -> str:
+def get_change_id(request: Request) -> str:
     """Return the change id that the operator chose, or a new one."""
     shown = find_header(request.headers, CHANGE_HEADER.lower())
-    return shown[:_ID_LENGTH] or runtime.make_id()
+    return shown[:_MAX_CHANGE_ID_CHARACTERS] or runtime.make_id()
--- a/toucanhall/admin/changes.py
+++ b/toucanhall/admin/changes.py
@@ -6,21 +6,21 @@
 from returns.result import Success
 
 from toucanhall.admin import edits
-from toucanhall.admin.answers import Reply, explain
+from toucanhall.admin.answers import Reply, make_error_body
 from toucanhall.admin.calls import (
     Call,
-    parse,
-    read_base,
-    read_change,
-    read_expected,
+    parse_body,
+    get_base_revision,
+    get_change_id,
+    get_expected_revision,
 )
 from toucanhall.admin.writer import CONFLICT, Writer
 from toucanhall.catalogue import Holder
 
 __all__ = ('Changes',)
 
-_EDIT_TRIES: Final = 5
-_EDIT_PAUSE_SECONDS: Final = 0.2
+_MAX_EDIT_ATTEMPTS: Final = 5
+_EDIT_INTERVAL_SECONDS: Final = 0.2
 
 
 class Changes:
@@ -33,21 +33,23 @@
 
     def replace(self, call: Call) -> Reply:
         """Replace the catalogue if its revision is the one in If-Match."""
-        expected = read_expected(call.request)
+        expected = get_expected_revision(call.request)
         if expected is None:
-            return 428, explain('If-Match needs the revision to replace')
-        parsed = parse(call.request.body)
+            return 428, make_error_body(
+                'If-Match needs the revision to replace'
+            )
+        parsed = parse_body(call.request.body)
         if not isinstance(parsed, Success):
             return parsed.failure()
-        self._writer.catch_up(expected)
-        base = read_base(self._holder.current)
+        self._writer.wait_for_revision(expected)
+        base = get_base_revision(self._holder.current)
         document = parsed.unwrap()
-        change = read_change(call.request)
+        change = get_change_id(call.request)
         return self._writer.submit(call, base, document, change)
 
     def grant(self, call: Call) -> Reply:
         """Grant a key."""
-        parsed = parse(call.request.body)
+        parsed = parse_body(call.request.body)
         if not isinstance(parsed, Success):
             return parsed.failure()
         key = parsed.unwrap()
@@ -67,12 +69,16 @@
 
     def _edit(self, call: Call, edit: edits.Edit) -> Reply:
         """Change single entries, again on the newer revision on a conflict."""
-        tries = _EDIT_TRIES if read_expected(call.request) is None else 1
+        max_attempts = (
+            _MAX_EDIT_ATTEMPTS
+            if get_expected_revision(call.request) is None
+            else 1
+        )
         # A chosen id finds the change again when an earlier try was accepted.
-        change = read_change(call.request)
+        change = get_change_id(call.request)
         reply: Reply = (CONFLICT, {})
-        for _ in range(tries):
-            base = read_base(self._holder.current)
+        for _ in range(max_attempts):
+            base = get_base_revision(self._holder.current)
             reply = self._writer.submit(
                 call,
                 base,
@@ -81,5 +87,5 @@
             )
             if reply[0] != CONFLICT:
                 return reply
-            time.sleep(_EDIT_PAUSE_SECONDS)
+            time.sleep(_EDIT_INTERVAL_SECONDS)
         return reply
--- a/toucanhall/admin/rights.py
+++ b/toucanhall/admin/rights.py
@@ -8,9 +8,9 @@
 
 __all__ = ('find_violations',)
 
-_OPERATED: Final = frozenset(('keys', 'drains'))
+_OPERATOR_SECTIONS: Final = frozenset(('keys', 'drains'))
 _LIMITS: Final = ('rate', 'burst', 'weight')
-_DEFAULT_LIMIT: Final = 1  # the weight of a team that names none
+_DEFAULT_WEIGHT: Final = 1  # the weight of a team that names none
 
 
 def find_violations(
@@ -18,11 +18,11 @@
     differences: tuple[Difference, ...],
 ) -> tuple[str, ...]:
     """Return the differences that the operator's role does not allow."""
-    allows = _ROLES[operator.role]
+    is_allowed = _ROLE_RULES[operator.role]
     return tuple(
         describe(difference)
         for difference in differences
-        if not allows(operator, difference)
+        if not is_allowed(operator, difference)
     )
 
 
@@ -35,12 +35,12 @@
 
 
 def _allow_operated(_operator: Operator, difference: Difference) -> bool:
-    return difference.section in _OPERATED
+    return difference.section in _OPERATOR_SECTIONS
 
 
 def _allow_owned(operator: Operator, difference: Difference) -> bool:
-    owns = _OWNED.get(difference.section)
-    return owns is not None and owns(operator, difference)
+    is_allowed = _OWNER_RULES.get(difference.section)
+    return is_allowed is not None and is_allowed(operator, difference)
 
 
 def _owns_key(operator: Operator, difference: Difference) -> bool:
@@ -52,7 +52,7 @@
     return difference.name in operator.routes and len(owners) == 1
 
 
-def _lowers_team(operator: Operator, difference: Difference) -> bool:
+def _lowers_team_limits(operator: Operator, difference: Difference) -> bool:
     before, after = difference.before, difference.after
     if before is None or after is None:
         return False
@@ -71,7 +71,7 @@
 
 
 def _read_limit(team: Mapping[str, Any], name: str) -> float:
-    limit: float = team.get(name, _DEFAULT_LIMIT)
+    limit: float = team.get(name, _DEFAULT_WEIGHT)
     return limit
 
 
@@ -80,14 +80,14 @@
     return tuple(side for side in sides if side is not None)
 
 
-_ROLES: Final[Mapping[str, Callable[[Operator, Difference], bool]]] = {
+_ROLE_RULES: Final[Mapping[str, Callable[[Operator, Difference], bool]]] = {
     'read': _allow_none,
     'owner': _allow_owned,
     'operate': _allow_operated,
     'administer': _allow_all,
 }
-_OWNED: Final[Mapping[str, Callable[[Operator, Difference], bool]]] = {
+_OWNER_RULES: Final[Mapping[str, Callable[[Operator, Difference], bool]]] = {
     'keys': _owns_key,
     'routes': _owns_route,
-    'teams': _lowers_team,
+    'teams': _lowers_team_limits,
 }
--- a/toucanhall/admin/routes.py
+++ b/toucanhall/admin/routes.py
@@ -9,9 +9,9 @@
 
 PREFIX: Final = '/.toucanhall/admin/v1/'
 
-_ALL: Final = ('read', 'owner', 'operate', 'administer')
-_KEYS: Final = ('owner', 'operate', 'administer')
-_DRAINS: Final = ('operate', 'administer')
+_ALL_ROLES: Final = ('read', 'owner', 'operate', 'administer')
+_KEY_ROLES: Final = ('owner', 'operate', 'administer')
+_DRAIN_ROLES: Final = ('operate', 'administer')
 _WRITE_STATUSES: Final = (200, 400, 401, 403, 412, 503)
 
 
@@ -21,7 +21,7 @@
     method: str
     path: str
     summary: str
-    roles: tuple[str, ...] = _ALL
+    roles: tuple[str, ...] = _ALL_ROLES
     statuses: tuple[int, ...] = (200, 401)
     body: str = ''
 
@@ -43,7 +43,7 @@
     Route('GET', 'catalogue', 'Show the catalogue in force'),
     Route(
         'PUT', 'catalogue', 'Replace the revision that If-Match names',
-        _KEYS, (*_WRITE_STATUSES, 428), 'Catalogue',
+        _KEY_ROLES, (*_WRITE_STATUSES, 428), 'Catalogue',
     ),
     Route(
         'GET', 'history', 'List accepted changes; ?change=ID finds one',
@@ -53,17 +53,21 @@
     Route('GET', 'keys', 'List granted keys by name, team and digest'),
     Route(
         'PUT', 'keys/{name}', 'Grant a key, given its team and digest',
-        _KEYS, _WRITE_STATUSES, 'Key',
+        _KEY_ROLES, _WRITE_STATUSES, 'Key',
+    ),
+    Route(
+        'DELETE', 'keys/{name}', 'Withdraw a key',
+        _KEY_ROLES, _WRITE_STATUSES,
     ),
-    Route('DELETE', 'keys/{name}', 'Withdraw a key', _KEYS, _WRITE_STATUSES),
     Route('GET', 'drains', 'List drained targets, VMs and zones'),
     Route(
-        'PUT', 'drains/{kind}/{name}', 'Start a drain of targets, vms or zones',
-        _DRAINS, _WRITE_STATUSES,
+        'PUT', 'drains/{kind}/{name}',
+        'Start a drain of targets, vms or zones',
+        _DRAIN_ROLES, _WRITE_STATUSES,
     ),
     Route(
         'DELETE', 'drains/{kind}/{name}', 'End a drain',
-        _DRAINS, _WRITE_STATUSES,
+        _DRAIN_ROLES, _WRITE_STATUSES,
     ),
 )  # fmt: skip
 
@@ -78,18 +82,20 @@
 
 
 def _list_matches(path: str) -> Iterator[Match]:
-    parts = path.split('/')
+    segments = path.split('/')
     for route in ROUTES:
         pattern = route.path.split('/')
-        if len(pattern) != len(parts):
+        if len(pattern) != len(segments):
             continue
-        pairs = tuple(zip(pattern, parts, strict=True))
-        if all(_fits(*pair) for pair in pairs):
+        pairs = tuple(zip(pattern, segments, strict=True))
+        if all(_matches_segment(*pair) for pair in pairs):
             names = tuple(
-                part for wanted, part in pairs if wanted.startswith('{')
+                segment
+                for expected, segment in pairs
+                if expected.startswith('{')
             )
             yield Match(route, names)
 
 
-def _fits(wanted: str, part: str) -> bool:
-    return wanted.startswith('{') or wanted == part
+def _matches_segment(expected: str, segment: str) -> bool:
+    return expected.startswith('{') or expected == segment
--- a/toucanhall/admin/service.py
+++ b/toucanhall/admin/service.py
@@ -8,9 +8,9 @@
 from returns.result import Success
 
 from toucanhall import events
-from toucanhall.admin.answers import Reply, explain, render
+from toucanhall.admin.answers import Reply, make_error_body, render
 from toucanhall.admin.audit import Audit
-from toucanhall.admin.calls import Call, is_conditional, read_expected
+from toucanhall.admin.calls import Call, is_conditional, get_expected_revision
 from toucanhall.admin.changes import Changes
 from toucanhall.admin.routes import PREFIX, Mismatch, Route, match
 from toucanhall.admin.views import Views
@@ -24,7 +24,7 @@
 
 __all__ = ('Admin', 'PREFIX')
 
-_FIRST_ERROR: Final = 400
+_MIN_ERROR_STATUS: Final = 400
 
 
 class Admin:
@@ -62,7 +62,7 @@
         operator = self._identify(request)
         if operator is None:
             self._counters.add('admin.token-unknown')
-            reply = (401, explain('operator token is not known'))
+            reply = (401, make_error_body('operator token is not known'))
             return render(reply, (('WWW-Authenticate', 'Bearer'),))
         matched = match(request.method, request.path.removeprefix(PREFIX))
         if not isinstance(matched, Success):
@@ -71,9 +71,9 @@
         if operator.role not in route.roles:
             needed = ', '.join(route.roles)
             detail = f'role {operator.role!r}, needed one of {needed}'
-            return render((403, explain(detail)))
-        if is_conditional(request) and read_expected(request) is None:
-            return render((400, explain('If-Match is no revision')))
+            return render((403, make_error_body(detail)))
+        if is_conditional(request) and get_expected_revision(request) is None:
+            return render((400, make_error_body('If-Match is no revision')))
         answer = self.handlers[route.method, route.path]
         reply = answer(Call(request, operator, names))
         _log_refusal(route, operator, reply)
@@ -97,7 +97,7 @@
         ('GET', 'catalogue'): views.show_catalogue,
         ('PUT', 'catalogue'): changes.replace,
         ('GET', 'history'): views.show_history,
-        ('GET', 'status'): views.tell_status,
+        ('GET', 'status'): views.show_status,
         ('GET', 'keys'): views.list_keys,
         ('PUT', 'keys/{name}'): changes.grant,
         ('DELETE', 'keys/{name}'): changes.withdraw,
@@ -109,7 +109,7 @@
 
 def _log_refusal(route: Route, operator: Operator, reply: Reply) -> None:
     status, body = reply
-    if route.method != 'GET' and status >= _FIRST_ERROR:
+    if route.method != 'GET' and status >= _MIN_ERROR_STATUS:
         events.log(
             events.CHANGE_REFUSED,
             operator=operator.name,
@@ -122,6 +122,6 @@
 def _answer_mismatch(request: Request, mismatch: Mismatch) -> Answer:
     detail = f'{request.method} {request.path!r}'
     if not mismatch.allowed:
-        return render((404, explain(detail)))
+        return render((404, make_error_body(detail)))
     allow = ('Allow', ', '.join(mismatch.allowed))
-    return render((405, explain(detail)), (allow,))
+    return render((405, make_error_body(detail)), (allow,))
--- a/toucanhall/admin/views.py
+++ b/toucanhall/admin/views.py
@@ -4,9 +4,9 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from toucanhall.admin.answers import STORE_DOWN, Reply, explain
+from toucanhall.admin.answers import STORE_UNREACHABLE, Reply, make_error_body
 from toucanhall.admin.audit import Audit
-from toucanhall.admin.calls import Call, read_base
+from toucanhall.admin.calls import Call, get_base_revision
 from toucanhall.catalogue import Holder
 
 __all__ = ('Views',)
@@ -30,8 +30,8 @@
     def show_catalogue(self, _call: Call) -> Reply:
         """Show the catalogue in force and its revision."""
         held = self._holder.current
-        base = read_base(held)
-        change = base.carried[-1].id if base.carried else ''
+        base = get_base_revision(held)
+        change = base.entries[-1].id if base.entries else ''
         return 200, {
             'revision': base.number,
             'change': change,
@@ -40,12 +40,12 @@
 
     def show_history(self, call: Call) -> Reply:
         """List accepted changes, or the one that the query names."""
-        base = read_base(self._holder.current)
+        base = get_base_revision(self._holder.current)
         copied = self._audit.read(base.number)
-        known = {entry.id: entry for entry in (*(copied or ()), *base.carried)}
+        known = {entry.id: entry for entry in (*(copied or ()), *base.entries)}
         wanted = parse_qs(call.request.query).get('change', [''])[0]
         if copied is None and wanted not in known:
-            return 503, explain(STORE_DOWN)
+            return 503, make_error_body(STORE_UNREACHABLE)
         entries = sorted(known.values(), key=lambda entry: entry.revision)
         return 200, {
             'revision': base.number,
@@ -54,7 +54,7 @@
             ],
         }
 
-    def tell_status(self, _call: Call) -> Reply:
+    def show_status(self, _call: Call) -> Reply:
         """Tell the status of this VM, and what each zone has confirmed."""
         status = self._read_status()
         held = self._holder.current
@@ -82,7 +82,7 @@
         return self._show_section('drains')
 
     def _show_section(self, section: str) -> Reply:
-        base = read_base(self._holder.current)
+        base = get_base_revision(self._holder.current)
         return 200, {
             'revision': base.number,
             section: base.document.get(section, {}),
--- a/toucanhall/admin/writer.py
+++ b/toucanhall/admin/writer.py
@@ -8,9 +8,14 @@
 from returns.result import Success
 
 from toucanhall import catalogue, documents, runtime
-from toucanhall.admin.answers import Reply, explain
+from toucanhall.admin.answers import Reply, make_error_body
 from toucanhall.admin.audit import Audit, AuditEntry, add_entry, list_entries
-from toucanhall.admin.calls import Base, Call, read_base, read_expected
+from toucanhall.admin.calls import (
+    BaseRevision,
+    Call,
+    get_base_revision,
+    get_expected_revision,
+)
 from toucanhall.admin.rights import find_violations
 from toucanhall.catalogue import Holder
 from toucanhall.catalogue.differences import Difference, compare, describe
@@ -28,8 +33,8 @@
 
 CONFLICT: Final = 412
 
-_CATCH_UP_TRIES: Final = 20
-_CATCH_UP_SECONDS: Final = 0.1
+_MAX_REVISION_POLLS: Final = 20
+_REVISION_POLL_SECONDS: Final = 0.1
 _OK: Final = 200
 _INVALID: Final = 400
 _UNAVAILABLE: Final = 503
@@ -55,22 +60,22 @@
     def submit(
         self,
         call: Call,
-        base: Base,
+        base: BaseRevision,
         document: Mapping[str, Any],
         change: str,
     ) -> Reply:
         """Check a new document and the right to make it, then write it."""
-        expected = read_expected(call.request)
-        for earlier in base.carried:
+        expected = get_expected_revision(call.request)
+        for earlier in base.entries:
             if earlier.id == change:
                 return _OK, {'accepted': earlier.revision, 'change': change}
         if expected not in {None, base.number}:
-            return self._explain_conflict(expected, base.number)
-        refused = _check(document, base.document)
+            return self._make_conflict_reply(expected, base.number)
+        refused = _check_document(document, base.document)
         if refused is not None:
             return refused
         differences = compare(base.document, document)
-        refused = _judge(call.operator, base, differences)
+        refused = _check_rights(call.operator, base, differences)
         if refused is not None:
             return refused
         entry = AuditEntry(
@@ -80,19 +85,19 @@
             revision=base.number + 1,
             what=tuple(describe(difference) for difference in differences),
         )
-        return self._write(call, base, add_entry(document, base.carried, entry))
+        return self._write(call, base, add_entry(document, base.entries, entry))
 
-    def catch_up(self, expected: int) -> None:
+    def wait_for_revision(self, expected: int) -> None:
         """Wait a little until this VM has the revision that a caller saw."""
-        for _ in range(_CATCH_UP_TRIES):
+        for _ in range(_MAX_REVISION_POLLS):
             if expected <= self._read_number():
                 return
-            time.sleep(_CATCH_UP_SECONDS)
+            time.sleep(_REVISION_POLL_SECONDS)
 
     def _write(
         self,
         call: Call,
-        base: Base,
+        base: BaseRevision,
         document: Mapping[str, Any],
     ) -> Reply:
         entries = list_entries(document)
@@ -115,22 +120,22 @@
             }
         error = accepted.failure()
         if isinstance(error, ChangeConflict):
-            return self._tell_conflict(error)
+            return self._reply_conflict(error)
         return _REPLIES[type(error)](error, change)
 
-    def _tell_conflict(self, error: ChangeConflict) -> Reply:
-        self.catch_up(error.found)
-        return self._explain_conflict(error.expected, error.found)
+    def _reply_conflict(self, error: ChangeConflict) -> Reply:
+        self.wait_for_revision(error.found)
+        return self._make_conflict_reply(error.expected, error.found)
 
-    def _explain_conflict(self, expected: int | None, current: int) -> Reply:
+    def _make_conflict_reply(self, expected: int | None, current: int) -> Reply:
         newest = max(current, self._read_number())
-        carried = read_base(self._holder.current).carried
+        entries = get_base_revision(self._holder.current).entries
         detail = f'revision {expected} was expected, {newest} is in force'
         return CONFLICT, {
             'expected': expected,
             'current': newest,
-            'newest_change': carried[-1]._asdict() if carried else None,
-            **explain(detail),
+            'newest_change': entries[-1]._asdict() if entries else None,
+            **make_error_body(detail),
         }
 
     def _read_number(self) -> int:
@@ -138,7 +143,7 @@
         return held.number if held else 0
 
 
-def _check(
+def _check_document(
     document: Mapping[str, Any],
     known: Mapping[str, Any],
 ) -> Reply | None:
@@ -146,18 +151,18 @@
     if isinstance(checked, Success):
         return None
     errors = [documents.render(found) for found in checked.failure()]
-    return 400, {'errors': errors, **explain('catalogue is invalid')}
+    return 400, {'errors': errors, **make_error_body('catalogue is invalid')}
 
 
-def _judge(
+def _check_rights(
     operator: Operator,
-    base: Base,
+    base: BaseRevision,
     differences: tuple[Difference, ...],
 ) -> Reply | None:
     violations = find_violations(operator, differences)
     if violations:
         detail = f'role {operator.role!r} may not change this'
-        return 403, {'violations': violations, **explain(detail)}
+        return 403, {'violations': violations, **make_error_body(detail)}
     if differences:
         return None
     return _OK, {'accepted': base.number, 'change': '', 'changed': False}
@@ -165,14 +170,17 @@
 
 def _reply_invalid(error: Invalid, _change: str) -> Reply:
     errors = [documents.render(found) for found in error.findings]
-    return _INVALID, {'errors': errors, **explain('catalogue is invalid')}
+    return _INVALID, {
+        'errors': errors,
+        **make_error_body('catalogue is invalid'),
+    }
 
 
 def _reply_unaccepted(error: Unaccepted, change: str) -> Reply:
     return _UNAVAILABLE, {
         'outcome': _UNCHANGED,
         'change': change,
-        **explain(error.what),
+        **make_error_body(error.what),
     }
 
 
@@ -181,7 +189,7 @@
     return _UNAVAILABLE, {
         'outcome': _UNKNOWN,
         'change': change,
-        **explain(detail),
+        **make_error_body(detail),
     }
 
 
--- a/toucanhall/catalogue/differences.py
+++ b/toucanhall/catalogue/differences.py
@@ -9,7 +9,9 @@
 
 Entries: TypeAlias = Iterator[tuple[str, Any]]
 
-_NOTES: Final = 'changes'  # notes about changes are no part of a comparison
+_CHANGES_SECTION: Final = (
+    'changes'  # notes about changes are no part of a comparison
+)
 
 
 class Difference(NamedTuple):
@@ -46,9 +48,9 @@
 
 def _flatten(document: Document) -> Iterator[tuple[tuple[str, str], Any]]:
     for section, content in document.items():
-        if section == _NOTES:
+        if section == _CHANGES_SECTION:
             continue
-        list_entries = _LISTERS.get(section, _list_table)
+        list_entries = _ENTRY_LISTERS.get(section, _list_table)
         for name, entry in list_entries(content):
             yield (section, name), entry
 
@@ -76,7 +78,7 @@
             yield f'{kind}/{name}', True
 
 
-_LISTERS: Final[Mapping[str, Callable[[Any], Entries]]] = {
+_ENTRY_LISTERS: Final[Mapping[str, Callable[[Any], Entries]]] = {
     'routes': _list_routes,
     'links': _list_links,
     'drains': _list_drains,
--- a/toucanhall/catalogue/holder.py
+++ b/toucanhall/catalogue/holder.py
@@ -8,7 +8,7 @@
 from toucanhall import events
 from toucanhall.catalogue.model import Revision
 
-__all__ = ('Holder', 'Verdict', 'judge')
+__all__ = ('Holder', 'Verdict', 'get_verdict')
 
 
 class Verdict(enum.Enum):
@@ -21,11 +21,11 @@
     CONFLICT = 'conflict'
 
 
-_TAKEN: Final = frozenset((Verdict.TAKE, Verdict.REPLACE))
+_ACCEPTED: Final = frozenset((Verdict.TAKE, Verdict.REPLACE))
 _COLLISIONS: Final = frozenset((Verdict.REPLACE, Verdict.CONFLICT))
 
 
-def judge(
+def get_verdict(
     held: Revision | None,
     number: int,
     change: str,
@@ -66,7 +66,7 @@
         self._listeners: list[Callable[[Revision], None]] = []
         self.current: Revision | None = None
 
-    def listen(self, listener: Callable[[Revision], None]) -> None:
+    def add_listener(self, listener: Callable[[Revision], None]) -> None:
         """Call a function after each revision that comes into force."""
         self._listeners.append(listener)
 
@@ -87,8 +87,8 @@
         """Take a revision into force when it is newer than the one held."""
         with self._lock:
             held = self.current
-            verdict = judge(held, revision.number, revision.change)
-            if verdict in _TAKEN:
+            verdict = get_verdict(held, revision.number, revision.change)
+            if verdict in _ACCEPTED:
                 self.current = revision
         if held and verdict in _COLLISIONS:
             events.log(
@@ -97,8 +97,8 @@
                 change=revision.change,
                 held_change=held.change,
             )
-        if verdict in _TAKEN:
-            self._announce(revision)
+        if verdict in _ACCEPTED:
+            self._notify_listeners(revision)
         elif verdict is Verdict.STALE:
             events.log(
                 events.CATALOGUE_STALE,
@@ -107,7 +107,7 @@
             )
         return verdict
 
-    def _announce(self, revision: Revision) -> None:
-        events.log(events.CATALOGUE_TAKEN, revision=revision.number)
+    def _notify_listeners(self, revision: Revision) -> None:
+        events.log(events.CATALOGUE_APPLIED, revision=revision.number)
         for listener in self._listeners:
             listener(revision)
--- a/toucanhall/catalogue/model.py
+++ b/toucanhall/catalogue/model.py
@@ -44,7 +44,7 @@
     service: str
     kind: str
     public: bool
-    deadline: float
+    deadline_seconds: float
 
 
 class Team(NamedTuple):
@@ -68,7 +68,7 @@
     """Capacity shared by two regions, in Mbit/s each way."""
 
     regions: tuple[str, str]
-    capacity: float
+    capacity_mbit_per_second: float
 
 
 class Drains(NamedTuple):
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -29,9 +29,9 @@
 _HOLD_SECONDS: Final = 5.0
 _KEY_HOLD_SECONDS: Final = 14400.0
 _DEADLINE_SECONDS: Final = 10.0
-_SHIFT_SHARE: Final = 0.2
-_FRACTION_SLACK: Final = 1e-9
-_NOTHING: Final[Document] = MappingProxyType({})
+_SHIFT_FRACTION_PER_SECOND: Final = 0.2
+_FRACTION_TOLERANCE: Final = 1e-9
+_EMPTY: Final[Document] = MappingProxyType({})
 _TABLES: Final = ('zones', 'targets', 'teams', 'keys')
 
 
@@ -42,14 +42,14 @@
 
 def read(
     document: Document,
-    known: Document = _NOTHING,
+    known: Document = _EMPTY,
 ) -> Result[Catalogue, tuple[Finding, ...]]:
     """Check a parsed document whole and return the catalogue.
 
     The shape of entries that stand alike in `known`, a document that was found
     valid before, is not checked again.
     """
-    return documents.check(_drop_known(document, known), SCHEMA).bind(
+    return documents.check(_drop_known_entries(document, known), SCHEMA).bind(
         lambda _: _check_references(document),
     )
 
@@ -58,7 +58,7 @@
     number: int,
     change: str,
     document: bytes,
-    known: Document = _NOTHING,
+    known: Document = _EMPTY,
 ) -> Result[Revision, tuple[Finding, ...]]:
     """Read a plain JSON document that was accepted as a numbered revision.
 
@@ -80,11 +80,11 @@
     document: bytes,
 ) -> Result[Revision, tuple[Finding, ...]]:
     """Read a revision; entries that the held one has are not checked again."""
-    known = msgspec.json.decode(held.document) if held else _NOTHING
+    known = msgspec.json.decode(held.document) if held else _EMPTY
     return revise(number, change, document, known)
 
 
-def _drop_known(document: Document, known: Document) -> Document:
+def _drop_known_entries(document: Document, known: Document) -> Document:
     changed = dict(document)
     for section in _TABLES:
         entries, before = document.get(section), known.get(section)
@@ -92,12 +92,12 @@
             changed[section] = {
                 name: entry
                 for name, entry in entries.items()
-                if name not in before or not _is_same(before[name], entry)
+                if name not in before or not _is_identical(before[name], entry)
             }
     return changed
 
 
-def _is_same(before: object, entry: object) -> bool:
+def _is_identical(before: object, entry: object) -> bool:
     # 1, 1.0 and True are equal; their representations differ.
     return before == entry and repr(before) == repr(entry)
 
@@ -105,13 +105,15 @@
 def _check_references(
     document: Document,
 ) -> Result[Catalogue, tuple[Finding, ...]]:
-    findings = tuple(finding for find in _FINDERS for finding in find(document))
+    findings = tuple(
+        finding for check in _REFERENCE_CHECKS for finding in check(document)
+    )
     if findings:
         return Failure(findings)
     return Success(_build(document))
 
 
-def _find_targets(document: Document) -> Iterator[Finding]:
+def _check_targets(document: Document) -> Iterator[Finding]:
     for name, target in document['targets'].items():
         if target['zone'] not in document['zones']:
             yield Finding(
@@ -121,7 +123,7 @@
             )
 
 
-def _find_routes(document: Document) -> Iterator[Finding]:
+def _check_routes(document: Document) -> Iterator[Finding]:
     services = {entry['service'] for entry in document['targets'].values()}
     paths: set[str] = set()
     for index, route in enumerate(document['routes']):
@@ -137,7 +139,7 @@
         paths.add(route['path'])
 
 
-def _find_keys(document: Document) -> Iterator[Finding]:
+def _check_keys(document: Document) -> Iterator[Finding]:
     digests: dict[str, str] = {}
     for name, key in document.get('keys', {}).items():
         if key['team'] not in document['teams']:
@@ -146,18 +148,18 @@
                 repr(key['team']),
                 'a name in $.teams',
             )
-        twin = digests.setdefault(key['digest'], name)
-        if twin != name:
+        other = digests.setdefault(key['digest'], name)
+        if other != name:
             yield Finding(
                 f'$.keys.{name}.digest',
-                f'the digest of key {twin!r}',
+                f'the digest of key {other!r}',
                 'a digest of its own',
             )
 
 
-def _find_fractions(document: Document) -> Iterator[Finding]:
+def _check_fractions(document: Document) -> Iterator[Finding]:
     total = sum(zone['fraction'] for zone in document['zones'].values())
-    if total > 1 + _FRACTION_SLACK:
+    if total > 1 + _FRACTION_TOLERANCE:
         yield Finding(
             '$.zones.*.fraction',
             f'a sum of {total:g}',
@@ -165,7 +167,7 @@
         )
 
 
-def _find_links(document: Document) -> Iterator[Finding]:
+def _check_links(document: Document) -> Iterator[Finding]:
     regions = {zone['region'] for zone in document['zones'].values()}
     for index, link in enumerate(document.get('links', ())):
         for region in sorted(set(link['regions']) - regions):
@@ -176,7 +178,7 @@
             )
 
 
-def _find_drains(document: Document) -> Iterator[Finding]:
+def _check_drains(document: Document) -> Iterator[Finding]:
     drains = document.get('drains', {})
     for kind in ('targets', 'zones'):
         drained = set(drains.get(kind, ()))
@@ -188,7 +190,7 @@
             )
 
 
-def _find_blocks(document: Document) -> Iterator[Finding]:
+def _check_blocks(document: Document) -> Iterator[Finding]:
     for prefix, zone in document.get('blocks', {}).items():
         where = f'$.blocks.{prefix}'
         if zone not in document['zones']:
@@ -199,14 +201,14 @@
             yield Finding(where, str(error), 'a prefix such as 10.0.0.0/8')
 
 
-_FINDERS: Final = (
-    _find_targets,
-    _find_routes,
-    _find_keys,
-    _find_fractions,
-    _find_links,
-    _find_drains,
-    _find_blocks,
+_REFERENCE_CHECKS: Final = (
+    _check_targets,
+    _check_routes,
+    _check_keys,
+    _check_fractions,
+    _check_links,
+    _check_drains,
+    _check_blocks,
 )
 
 
@@ -243,7 +245,9 @@
         hold_seconds=document.get('hold_seconds', _HOLD_SECONDS),
         key_hold_seconds=document.get('key_hold_seconds', _KEY_HOLD_SECONDS),
         blocks=document.get('blocks', {}),
-        shift_share=document.get('shift_share_per_second', _SHIFT_SHARE),
+        shift_share=document.get(
+            'shift_share_per_second', _SHIFT_FRACTION_PER_SECOND,
+        ),
     )  # fmt: skip
 
 
@@ -255,7 +259,7 @@
             service=entry['service'],
             kind=entry['kind'],
             public=entry.get('public', False),
-            deadline=entry.get('deadline_seconds', _DEADLINE_SECONDS),
+            deadline_seconds=entry.get('deadline_seconds', _DEADLINE_SECONDS),
         )
         for entry in document['routes']
     )
--- a/toucanhall/cmdline.py
+++ b/toucanhall/cmdline.py
@@ -12,7 +12,7 @@
 
 __all__ = ('make_parser', 'run')
 
-EXIT_CODES: Final = """exit codes:
+_EPILOG: Final = """exit codes:
   0  done
   1  refused by the system; nothing was changed
   2  the command, the settings or the document is wrong
@@ -24,8 +24,8 @@
   TOUCANHALL_AT     URLs of entry VMs, comma-separated, when --at is not given
 """
 
-_HELP_WIDTH: Final = 80
-_HELP_POSITION: Final = 24
+_HELP_WIDTH_CHARACTERS: Final = 80
+_HELP_TEXT_COLUMN: Final = 24
 
 Subparsers: TypeAlias = Any
 
@@ -42,7 +42,7 @@
     parser = ArgumentParser(
         prog='toucanhall',
         description='Global traffic steering for small fleets of entry VMs.',
-        epilog=EXIT_CODES,
+        epilog=_EPILOG,
         formatter_class=_make_formatter,
     )
     parser.add_argument('--version', action='version', version=__version__)
@@ -52,8 +52,8 @@
         for name, summary in GROUPS.items()
     }
     for command in COMMANDS:
-        holder = groups[command.words[0]] if command.words[1:] else subparsers
-        _add_command(holder, command.words[-1], command, help=command.summary)
+        parent = groups[command.words[0]] if command.words[1:] else subparsers
+        _add_command(parent, command.words[-1], command, help=command.summary)
         if command.alias:
             alias = _add_command(subparsers, command.alias, command)
             alias.set_defaults(json=True)
@@ -78,14 +78,14 @@
     subparsers: Subparsers,
     name: str,
     command: Command,
-    **shown: str,
+    **help_options: str,
 ) -> ArgumentParser:
     parser: ArgumentParser = subparsers.add_parser(
         name,
         description=command.summary,
         epilog=f'example:\n  toucanhall {command.example}',
         formatter_class=_make_formatter,
-        **shown,
+        **help_options,
     )
     for flag, keywords in command.arguments:
         parser.add_argument(flag, **keywords)
@@ -95,6 +95,6 @@
 
 _make_formatter: Final = partial(
     argparse.RawDescriptionHelpFormatter,
-    width=_HELP_WIDTH,
-    max_help_position=_HELP_POSITION,
+    width=_HELP_WIDTH_CHARACTERS,
+    max_help_position=_HELP_TEXT_COLUMN,
 )
--- a/toucanhall/commands/__init__.py
+++ b/toucanhall/commands/__init__.py
@@ -10,9 +10,9 @@
     logs,
     status,
 )
-from toucanhall.commands.model import Code, Command, Console
+from toucanhall.commands.model import Command, Console, ExitCode
 
-__all__ = ('COMMANDS', 'GROUPS', 'Code', 'Command', 'Console')
+__all__ = ('COMMANDS', 'GROUPS', 'Command', 'Console', 'ExitCode')
 
 COMMANDS: Final[tuple[Command, ...]] = (
     *local.COMMANDS,
--- a/toucanhall/commands/api.py
+++ b/toucanhall/commands/api.py
@@ -21,49 +21,49 @@
 from toucanhall.commands.model import (
     AT_VARIABLE,
     TOKEN_VARIABLE,
-    Code,
     Console,
-    find_bases,
+    ExitCode,
+    get_base_urls,
 )
 
-__all__ = ('Api', 'ApiError', 'Body', 'connect', 'fail')
+__all__ = ('Api', 'ApiError', 'Body', 'connect', 'print_failure')
 
 Body: TypeAlias = Mapping[str, Any]
 
-_CONNECT_SECONDS: Final = 2.0
-_CALL_SECONDS: Final = 15.0
-_SETTLE_TRIES: Final = 3
-_SETTLE_PAUSE_SECONDS: Final = 0.5
+_CONNECT_TIMEOUT_SECONDS: Final = 2.0
+_READ_TIMEOUT_SECONDS: Final = 15.0
+_MAX_HISTORY_READS: Final = 3
+_HISTORY_READ_INTERVAL_SECONDS: Final = 0.5
 _OK: Final = 200
-_NEVER_SENT: Final = (NewConnectionError, ConnectTimeoutError)
+_UNSENT_ERRORS: Final = (NewConnectionError, ConnectTimeoutError)
 
 
 class ApiError(NamedTuple):
     """The operators' API did not do what was asked; `code` is to exit with."""
 
-    code: Code
-    what: str
+    code: ExitCode
+    message: str
     body: Body
 
 
 class Api:
     """The operators' API at one or more entry VMs."""
 
-    def __init__(self, *, bases: list[str], token: str) -> None:
+    def __init__(self, *, base_urls: list[str], token: str) -> None:
         """Call the VMs at the URLs, in order, with an operator's token."""
-        self._bases = bases
+        self._base_urls = base_urls
         self._token = token
         self._pool = urllib3.PoolManager(retries=False)
 
     def read(self, name: str) -> Result[Body, ApiError]:
         """Return what the first VM that answers shows."""
         failures = []
-        for base in self._bases:
+        for base_url in self._base_urls:
             try:
-                return _read_response(self._send(base, 'GET', name))
+                return _read_response(self._send(base_url, 'GET', name))
             except HTTPError as error:
-                failures.append(f'{base}: {error}')
-        return Failure(_make_unreached(failures))
+                failures.append(f'{base_url}: {error}')
+        return Failure(_make_unreachable_error(failures))
 
     def write(
         self,
@@ -77,30 +77,34 @@
         if revision is not None:
             headers['If-Match'] = f'"{revision}"'
         failures = []
-        for base in self._bases:
+        for base_url in self._base_urls:
             try:
-                response = self._send(base, method, name, content, headers)
-            except _NEVER_SENT as error:
-                failures.append(f'{base}: {error}')
+                response = self._send(base_url, method, name, content, headers)
+            except _UNSENT_ERRORS as error:
+                failures.append(f'{base_url}: {error}')
                 continue
             except HTTPError as error:
-                return self._settle(headers[CHANGE_HEADER], f'{base}: {error}')
+                return self._find_outcome(
+                    headers[CHANGE_HEADER], f'{base_url}: {error}'
+                )
             written = _read_response(response)
             if _is_unknown(written):
-                return self._settle(headers[CHANGE_HEADER], base)
+                return self._find_outcome(headers[CHANGE_HEADER], base_url)
             return written
-        return Failure(_make_unreached(failures))
+        return Failure(_make_unreachable_error(failures))
 
-    def _settle(self, change: str, what: str) -> Result[Body, ApiError]:
-        for _ in range(_SETTLE_TRIES):
+    def _find_outcome(
+        self, change: str, message: str
+    ) -> Result[Body, ApiError]:
+        for _ in range(_MAX_HISTORY_READS):
             for entry in self._list_changes(change):
                 accepted = {'accepted': entry['revision'], 'change': change}
                 return Success(accepted)
-            time.sleep(_SETTLE_PAUSE_SECONDS)
+            time.sleep(_HISTORY_READ_INTERVAL_SECONDS)
         return Failure(
             ApiError(
-                Code.UNKNOWN,
-                f'the outcome of change {change} is not known ({what}); to '
+                ExitCode.UNKNOWN,
+                f'the outcome of change {change} is not known ({message}); to '
                 f'find out: toucanhall catalogue history --change {change}',
                 {'change': change, 'outcome': 'unknown'},
             ),
@@ -113,7 +117,7 @@
 
     def _send(
         self,
-        base: str,
+        base_url: str,
         method: str,
         name: str,
         content: Body | None = None,
@@ -121,35 +125,35 @@
     ) -> urllib3.BaseHTTPResponse:
         return self._pool.request(
             method,
-            f'{base}{PREFIX}{name}',
+            f'{base_url}{PREFIX}{name}',
             body=None if content is None else msgspec.json.encode(content),
             headers={
                 'Authorization': f'Bearer {self._token}',
                 **(headers or {}),
             },
             timeout=urllib3.Timeout(
-                connect=_CONNECT_SECONDS,
-                read=_CALL_SECONDS,
+                connect=_CONNECT_TIMEOUT_SECONDS,
+                read=_READ_TIMEOUT_SECONDS,
             ),
         )
 
 
 def connect(options: Namespace) -> Result[Api, ApiError]:
     """Return the API at the URLs of the options or of the environment."""
-    bases = find_bases(options)
-    if not bases:
-        what = f'no entry VM: give --at URL or set {AT_VARIABLE}'
-        return Failure(ApiError(Code.WRONG, what, {}))
+    base_urls = get_base_urls(options)
+    if not base_urls:
+        message = f'no entry VM: give --at URL or set {AT_VARIABLE}'
+        return Failure(ApiError(ExitCode.INVALID_INPUT, message, {}))
     token = os.environ.get(TOKEN_VARIABLE, '')
-    return Success(Api(bases=bases, token=token))
+    return Success(Api(base_urls=base_urls, token=token))
 
 
-def fail(console: Console, error: ApiError) -> int:
+def print_failure(console: Console, error: ApiError) -> int:
     """Print an error with its details and return the exit code."""
-    console.complain(error.what)
+    console.print_error(error.message)
     for name in ('errors', 'violations'):
         for line in error.body.get(name, ()):
-            console.complain(f'  {line}')
+            console.print_error(f'  {line}')
     return error.code
 
 
@@ -159,12 +163,14 @@
     try:
         body = msgspec.json.decode(response.data, type=dict[str, Any])
     except msgspec.MsgspecError:
-        what = f'status {response.status} with a body that is no JSON object'
-        return Failure(ApiError(Code.UNKNOWN, what, {'outcome': 'unknown'}))
+        message = f'status {response.status} with a body that is no JSON object'
+        return Failure(
+            ApiError(ExitCode.UNKNOWN, message, {'outcome': 'unknown'})
+        )
     if response.status == _OK:
         return Success(body)
-    what = f'{body.get("detail", body.get("title", ""))} ({response.status})'
-    return Failure(ApiError(Code.REFUSED, what, body))
+    message = f'{body.get("detail", body.get("title", ""))} ({response.status})'
+    return Failure(ApiError(ExitCode.REFUSED, message, body))
 
 
 def _is_unknown(written: Result[Body, ApiError]) -> bool:
@@ -173,6 +179,8 @@
     return written.failure().body.get('outcome') == 'unknown'
 
 
-def _make_unreached(failures: list[str]) -> ApiError:
-    what = f'no entry VM was reached, nothing was sent: {"; ".join(failures)}'
-    return ApiError(Code.UNKNOWN, what, {})
+def _make_unreachable_error(failures: list[str]) -> ApiError:
+    message = (
+        f'no entry VM was reached, nothing was sent: {"; ".join(failures)}'
+    )
+    return ApiError(ExitCode.UNKNOWN, message, {})
--- a/toucanhall/commands/catalogues.py
+++ b/toucanhall/commands/catalogues.py
@@ -9,7 +9,7 @@
 
 from toucanhall import catalogue, documents
 from toucanhall.catalogue.differences import compare, describe
-from toucanhall.commands.api import ApiError, connect, fail
+from toucanhall.commands.api import ApiError, connect, print_failure
 from toucanhall.commands.model import (
     AT,
     AT_EXAMPLE,
@@ -17,24 +17,24 @@
     JSON,
     WAIT,
     Argument,
-    Code,
     Command,
     Console,
+    ExitCode,
 )
 from toucanhall.commands.printing import (
     print_findings,
     print_json,
     print_table,
-    print_taken,
+    print_accepted,
 )
 from toucanhall.commands.waiting import wait_in_force
 from toucanhall.documents import Document, Finding
 
 __all__ = ('COMMANDS',)
 
-_CONFLICT: Final = 412
-_KEPT: Final = ('keys', 'drains')
-_UNREADABLE: Final = 'a readable file'
+_CONFLICT_STATUS: Final = 412
+_KEPT_SECTIONS: Final = ('keys', 'drains')
+_ALLOWED_FILE: Final = 'a readable file'
 
 
 def check_catalogue(options: Namespace, console: Console) -> int:
@@ -42,8 +42,8 @@
     read = _read_catalogue(options.file)
     if not isinstance(read, Success):
         return print_findings(console, options.file, read.failure())
-    console.say(f'{options.file}: catalogue is valid')
-    return Code.DONE
+    console.print_line(f'{options.file}: catalogue is valid')
+    return ExitCode.DONE
 
 
 def apply_catalogue(options: Namespace, console: Console) -> int:
@@ -54,16 +54,16 @@
     opened = connect(options)
     shown = opened.bind(lambda api: api.read('catalogue'))
     if not isinstance(shown, Success):
-        return fail(console, shown.failure())
+        return print_failure(console, shown.failure())
     api, held = opened.unwrap(), shown.unwrap()
-    document = _keep(held['catalogue'] or {}, read.unwrap())
+    document = _keep_sections(held['catalogue'] or {}, read.unwrap())
     revision = held['revision']
     if options.replace is not None:
         revision = options.replace
     applied = api.write('PUT', 'catalogue', document, revision)
     if not isinstance(applied, Success):
-        return _fail_apply(options, console, applied.failure())
-    print_taken(console, options, applied.unwrap())
+        return _print_apply_failure(options, console, applied.failure())
+    print_accepted(console, options, applied.unwrap())
     return wait_in_force(api, options, console, applied.unwrap()['accepted'])
 
 
@@ -71,7 +71,7 @@
     """Print the catalogue in force at an entry VM."""
     shown = connect(options).bind(lambda api: api.read('catalogue'))
     if not isinstance(shown, Success):
-        return fail(console, shown.failure())
+        return print_failure(console, shown.failure())
     return print_json(console, shown.unwrap())
 
 
@@ -82,21 +82,21 @@
         return print_findings(console, options.file, read.failure())
     shown = connect(options).bind(lambda api: api.read('catalogue'))
     if not isinstance(shown, Success):
-        return fail(console, shown.failure())
+        return print_failure(console, shown.failure())
     held = shown.unwrap()['catalogue'] or {}
-    differences = compare(held, _keep(held, read.unwrap()))
+    differences = compare(held, _keep_sections(held, read.unwrap()))
     if options.json:
         found = [entry._asdict() for entry in differences]
         revision = shown.unwrap()['revision']
         return print_json(
             console, {'revision': revision, 'differences': found},
         )  # fmt: skip
-    console.say(f'against revision {shown.unwrap()["revision"]}:')
+    console.print_line(f'against revision {shown.unwrap()["revision"]}:')
     for entry in differences:
-        console.say(f'  {describe(entry)}')
+        console.print_line(f'  {describe(entry)}')
     if not differences:
-        console.say('  no difference')
-    return Code.DONE
+        console.print_line('  no difference')
+    return ExitCode.DONE
 
 
 def show_history(options: Namespace, console: Console) -> int:
@@ -104,19 +104,19 @@
     query = f'?change={options.change}' if options.change else ''
     shown = connect(options).bind(lambda api: api.read(f'history{query}'))
     if not isinstance(shown, Success):
-        return fail(console, shown.failure())
+        return print_failure(console, shown.failure())
     if options.json:
         return print_json(console, shown.unwrap())
     changes = shown.unwrap()['changes']
     if options.change and not changes:
-        console.complain(f'change {options.change} was not accepted')
-        return Code.REFUSED
+        console.print_error(f'change {options.change} was not accepted')
+        return ExitCode.REFUSED
     print_table(
         console,
         ('revision', 'when (UTC)', 'operator', 'change', 'what'),
         (_make_row(change) for change in changes),
     )
-    return Code.DONE
+    return ExitCode.DONE
 
 
 def _make_row(change: Mapping[str, Any]) -> tuple[object, ...]:
@@ -129,21 +129,23 @@
     )
 
 
-def _keep(held: Document, document: Document) -> dict[str, Any]:
-    kept = {name: held[name] for name in _KEPT if name in held}
+def _keep_sections(held: Document, document: Document) -> dict[str, Any]:
+    kept = {name: held[name] for name in _KEPT_SECTIONS if name in held}
     return {**kept, **document}
 
 
-def _fail_apply(options: Namespace, console: Console, error: ApiError) -> int:
-    fail(console, error)
-    if error.body.get('status') == _CONFLICT and 'current' in error.body:
+def _print_apply_failure(
+    options: Namespace, console: Console, error: ApiError
+) -> int:
+    print_failure(console, error)
+    if error.body.get('status') == _CONFLICT_STATUS and 'current' in error.body:
         current = error.body['current']
         newest = error.body['newest_change'] or {}
-        console.complain(
+        console.print_error(
             f'revision {current} was made by {newest.get("operator", "?")} '
             f'at {newest.get("at", "?")}: {", ".join(newest.get("what", ()))}',
         )
-        console.complain(
+        console.print_error(
             f'see `catalogue diff {options.file}`, then go on with '
             f'`catalogue apply {options.file} --replace {current}`',
         )
@@ -154,7 +156,7 @@
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
-        return Failure((Finding(str(path), str(error), _UNREADABLE),))
+        return Failure((Finding(str(path), str(error), _ALLOWED_FILE),))
     return documents.parse(text).bind(
         lambda document: catalogue.read(document).map(lambda _: document),
     )
--- a/toucanhall/commands/drains.py
+++ b/toucanhall/commands/drains.py
@@ -6,16 +6,16 @@
 
 from returns.result import Success
 
-from toucanhall.commands.api import connect, fail
+from toucanhall.commands.api import connect, print_failure
 from toucanhall.commands.model import (
     AT,
     AT_EXAMPLE,
     JSON,
     WAIT,
     Argument,
-    Code,
     Command,
     Console,
+    ExitCode,
 )
 from toucanhall.commands.printing import print_json, print_table
 from toucanhall.commands.waiting import make_change
@@ -25,7 +25,7 @@
 _KINDS: Final = {'target': 'targets', 'vm': 'vms', 'zone': 'zones'}
 
 
-def _make_change(method: str) -> Callable[[Namespace, Console], int]:
+def _make_drain_command(method: str) -> Callable[[Namespace, Console], int]:
     def change(options: Namespace, console: Console) -> int:
         path = f'drains/{_KINDS[options.kind]}/{options.name}'
         return make_change(
@@ -39,7 +39,7 @@
     """Print what is drained."""
     shown = connect(options).bind(lambda api: api.read('drains'))
     if not isinstance(shown, Success):
-        return fail(console, shown.failure())
+        return print_failure(console, shown.failure())
     if options.json:
         return print_json(console, shown.unwrap())
     drains = shown.unwrap()['drains']
@@ -49,7 +49,7 @@
         for name in sorted(drains.get(section, ()))
     ]
     print_table(console, ('kind', 'drained'), rows)
-    return Code.DONE
+    return ExitCode.DONE
 
 
 _KIND: Final = Argument(
@@ -64,14 +64,14 @@
         'give a target, VM or zone no new work',
         f'drain start target guide-1 --wait 10 {AT_EXAMPLE}',
         (_KIND, _NAME, AT, WAIT, JSON),
-        _make_change('PUT'),
+        _make_drain_command('PUT'),
     ),
     Command(
         ('drain', 'stop'),
         'end a drain',
         f'drain stop target guide-1 {AT_EXAMPLE}',
         (_KIND, _NAME, AT, WAIT, JSON),
-        _make_change('DELETE'),
+        _make_drain_command('DELETE'),
     ),
     Command(
         ('drain', 'status'),
--- a/toucanhall/commands/keys.py
+++ b/toucanhall/commands/keys.py
@@ -6,18 +6,18 @@
 
 from returns.result import Success
 
-from toucanhall.commands.api import Body, connect, fail
+from toucanhall.commands.api import Body, connect, print_failure
 from toucanhall.commands.model import (
     AT,
     AT_EXAMPLE,
     JSON,
     WAIT,
     Argument,
-    Code,
     Command,
     Console,
+    ExitCode,
 )
-from toucanhall.commands.printing import print_json, print_table, print_taken
+from toucanhall.commands.printing import print_accepted, print_json, print_table
 from toucanhall.commands.waiting import make_change
 from toucanhall.forwarding.credentials import digest_key
 
@@ -35,9 +35,9 @@
         if options.json:
             print_json(console, {**body, 'key': key})
             return
-        print_taken(console, options, body)
-        console.say(f'key {key}')
-        console.say('it is not kept and cannot be shown again')
+        print_accepted(console, options, body)
+        console.print_line(f'key {key}')
+        console.print_line('it is not kept and cannot be shown again')
 
     return make_change(
         options,
@@ -60,7 +60,7 @@
     """Print the granted keys by name, never the keys themselves."""
     shown = connect(options).bind(lambda api: api.read('keys'))
     if not isinstance(shown, Success):
-        return fail(console, shown.failure())
+        return print_failure(console, shown.failure())
     if options.json:
         return print_json(console, shown.unwrap())
     keys = shown.unwrap()['keys']
@@ -68,7 +68,7 @@
         (name, key['team'], key['digest']) for name, key in sorted(keys.items())
     )
     print_table(console, ('key', 'team', 'digest'), rows)
-    return Code.DONE
+    return ExitCode.DONE
 
 
 _NAME: Final = Argument('name', {'help': 'the name of the key'})
--- a/toucanhall/commands/local.py
+++ b/toucanhall/commands/local.py
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from toucanhall import events, settings
-from toucanhall.commands.model import FILE, Argument, Code, Command, Console
+from toucanhall.commands.model import FILE, Argument, Command, Console, ExitCode
 from toucanhall.commands.printing import print_findings
 from toucanhall.entry import Entry
 
@@ -22,7 +22,7 @@
     found = loaded.unwrap()
     events.configure(found.log_level, found.vm)
     Entry(settings=found).run()
-    return Code.DONE
+    return ExitCode.DONE
 
 
 def check_settings(options: Namespace, console: Console) -> int:
@@ -30,8 +30,8 @@
     loaded = settings.load(options.file)
     if not isinstance(loaded, Success):
         return print_findings(console, options.file, loaded.failure())
-    console.say(f'{options.file}: settings are valid')
-    return Code.DONE
+    console.print_line(f'{options.file}: settings are valid')
+    return ExitCode.DONE
 
 
 COMMANDS: Final = (
--- a/toucanhall/commands/logs.py
+++ b/toucanhall/commands/logs.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Final
 
-from toucanhall.commands.model import Argument, Code, Command, Console
+from toucanhall.commands.model import Argument, Command, Console, ExitCode
 from toucanhall.observe.refusal_causes import count_refusal_causes
 from toucanhall.observe.log_lines import (
     Line,
@@ -21,27 +21,27 @@
     """Print the lines of a request and what its VMs believed then."""
     lines = _read(options.files, console)
     if lines is None:
-        return Code.WRONG
+        return ExitCode.INVALID_INPUT
     for text in explain(lines, options.request):
-        console.say(text)
-    return Code.DONE
+        console.print_line(text)
+    return ExitCode.DONE
 
 
 def report_reasons(options: Namespace, console: Console) -> int:
     """Print how often each event and reason stands in log files."""
     lines = _read(options.files, console)
     if lines is None:
-        return Code.WRONG
+        return ExitCode.INVALID_INPUT
     for text in chain(count_reasons(lines), count_refusal_causes(lines)):
-        console.say(text)
-    return Code.DONE
+        console.print_line(text)
+    return ExitCode.DONE
 
 
 def _read(files: list[Path], console: Console) -> list[Line] | None:
     try:
         texts = [file.read_text(errors='replace') for file in files]
     except OSError as error:
-        console.complain(f'{error.filename}: {error.strerror}')
+        console.print_error(f'{error.filename}: {error.strerror}')
         return None
     return read_lines(line for text in texts for line in text.splitlines())
 
--- a/toucanhall/commands/model.py
+++ b/toucanhall/commands/model.py
@@ -11,7 +11,7 @@
     'AT_EXAMPLE',
     'AT_VARIABLE',
     'Argument',
-    'Code',
+    'ExitCode',
     'Command',
     'Console',
     'TOKEN_VARIABLE',
@@ -22,12 +22,12 @@
 AT_EXAMPLE: Final = '--at http://127.0.1.1:8080'
 
 
-class Code(enum.IntEnum):
+class ExitCode(enum.IntEnum):
     """Exit codes of the program."""
 
     DONE = 0
     REFUSED = 1
-    WRONG = 2
+    INVALID_INPUT = 2
     UNKNOWN = 3
 
 
@@ -37,11 +37,11 @@
     out: TextIO
     err: TextIO
 
-    def say(self, text: str) -> None:
+    def print_line(self, text: str) -> None:
         """Write a line of the result."""
         print(text, file=self.out)
 
-    def complain(self, text: str) -> None:
+    def print_error(self, text: str) -> None:
         """Write a line about an error."""
         print(f'toucanhall: {text}', file=self.err)
 
@@ -67,8 +67,8 @@
     alias: str = ''
 
 
-def _list_bases() -> list[str]:
-    return [base for base in os.environ.get(AT_VARIABLE, '').split(',') if base]
+def _list_environment_urls() -> list[str]:
+    return [url for url in os.environ.get(AT_VARIABLE, '').split(',') if url]
 
 
 FILE: Final = Argument('file', {'type': Path, 'help': 'the file to read'})
@@ -96,7 +96,7 @@
 )
 
 
-def find_bases(options: Namespace) -> list[str]:
+def get_base_urls(options: Namespace) -> list[str]:
     """Return the URLs of entry VMs to call, in order."""
-    given: list[str] = options.at or _list_bases()
-    return [base.rstrip('/') for base in given]
+    urls: list[str] = options.at or _list_environment_urls()
+    return [url.rstrip('/') for url in urls]
--- a/toucanhall/commands/printing.py
+++ b/toucanhall/commands/printing.py
@@ -8,16 +8,16 @@
 import msgspec
 
 from toucanhall import documents
-from toucanhall.commands.model import Code, Console
+from toucanhall.commands.model import Console, ExitCode
 from toucanhall.documents import Finding
 
-__all__ = ('print_findings', 'print_json', 'print_table', 'print_taken')
+__all__ = ('print_findings', 'print_json', 'print_table', 'print_accepted')
 
 
 def print_json(console: Console, body: Mapping[str, Any]) -> int:
     """Print an object as JSON."""
-    console.say(msgspec.json.format(msgspec.json.encode(body)).decode())
-    return Code.DONE
+    console.print_line(msgspec.json.format(msgspec.json.encode(body)).decode())
+    return ExitCode.DONE
 
 
 def print_table(
@@ -32,10 +32,10 @@
         padded = (
             cell.ljust(width) for cell, width in zip(line, widths, strict=True)
         )
-        console.say('  '.join(padded).rstrip())
+        console.print_line('  '.join(padded).rstrip())
 
 
-def print_taken(
+def print_accepted(
     console: Console,
     options: Namespace,
     body: Mapping[str, Any],
@@ -44,13 +44,15 @@
     if options.json:
         return print_json(console, body)
     if body.get('changed', True):
-        console.say(f'accepted as revision {body["accepted"]}')
-        console.say(f'change {body["change"]}')
+        console.print_line(f'accepted as revision {body["accepted"]}')
+        console.print_line(f'change {body["change"]}')
     else:
-        console.say(f'no change to revision {body["accepted"]}')
+        console.print_line(f'no change to revision {body["accepted"]}')
     if not body.get('audited', True):
-        console.say('the copy to the audit pages follows with the next change')
-    return Code.DONE
+        console.print_line(
+            'the copy to the audit pages follows with the next change'
+        )
+    return ExitCode.DONE
 
 
 def print_findings(
@@ -60,5 +62,5 @@
 ) -> int:
     """Print every error of a file."""
     for finding in findings:
-        console.complain(f'{path}: {documents.render(finding)}')
-    return Code.WRONG
+        console.print_error(f'{path}: {documents.render(finding)}')
+    return ExitCode.INVALID_INPUT
--- a/toucanhall/commands/status.py
+++ b/toucanhall/commands/status.py
@@ -6,34 +6,36 @@
 
 from returns.result import Success
 
-from toucanhall.commands.api import connect, fail
-from toucanhall.commands.model import AT, JSON, Code, Command, Console
+from toucanhall.commands.api import connect, print_failure
+from toucanhall.commands.model import AT, JSON, Command, Console, ExitCode
 from toucanhall.commands.printing import print_json, print_table
 
 __all__ = ('COMMANDS',)
 
-_REFUSED: Final = 'refused.'
-_TOP: Final = 8  # refusal reasons
+_REFUSED_PREFIX: Final = 'refused.'
+_MAX_REFUSAL_REASONS: Final = 8  # refusal reasons
 
 
 def show_status(options: Namespace, console: Console) -> int:
     """Print what an entry VM knows of the fleet."""
     shown = connect(options).bind(lambda api: api.read('status'))
     if not isinstance(shown, Success):
-        return fail(console, shown.failure())
+        return print_failure(console, shown.failure())
     status = shown.unwrap()
     if options.json:
         return print_json(console, status)
-    console.say(f'as seen by {status["vm"]}, revision {status["revision"]}')
+    console.print_line(
+        f'as seen by {status["vm"]}, revision {status["revision"]}'
+    )
     _print_zones(console, status)
     _print_members(console, status)
     _print_shares(console, status)
     _print_refusals(console, status)
-    return Code.DONE
+    return ExitCode.DONE
 
 
 def _print_zones(console: Console, status: Mapping[str, Any]) -> None:
-    console.say('')
+    console.print_line('')
     rows = (
         (
             zone,
@@ -47,7 +49,7 @@
 
 
 def _print_members(console: Console, status: Mapping[str, Any]) -> None:
-    console.say('')
+    console.print_line('')
     rows = sorted(
         (member['zone'], member['vm'], member['health'])
         for member in status['members']
@@ -56,29 +58,34 @@
 
 
 def _print_shares(console: Console, status: Mapping[str, Any]) -> None:
-    console.say('')
+    console.print_line('')
     rows = (
-        (team, f'{share["rate"]:.4g}', f'{share["cap"]:.4g}', _tell_used(share))
+        (
+            team,
+            f'{share["rate"]:.4g}',
+            f'{share["cap"]:.4g}',
+            _format_used_burst(share),
+        )
         for team, share in sorted(status['shares'].items())
     )
     header = ('team', 'rate/s here', 'burst here', 'burst used')
     print_table(console, header, rows)
 
 
-def _tell_used(share: Mapping[str, Any]) -> str:
+def _format_used_burst(share: Mapping[str, Any]) -> str:
     if not share['cap']:
         return '-'
     return f'{1 - share["tokens"] / share["cap"]:.0%}'
 
 
 def _print_refusals(console: Console, status: Mapping[str, Any]) -> None:
-    console.say('')
+    console.print_line('')
     counted = sorted(
-        (-count, name.removeprefix(_REFUSED))
+        (-count, name.removeprefix(_REFUSED_PREFIX))
         for name, count in status['counters'].items()
-        if name.startswith(_REFUSED)
+        if name.startswith(_REFUSED_PREFIX)
     )
-    rows = [(name, -count) for count, name in counted[:_TOP]]
+    rows = [(name, -count) for count, name in counted[:_MAX_REFUSAL_REASONS]]
     print_table(console, ('refused for', 'requests'), rows)
 
 
--- a/toucanhall/commands/waiting.py
+++ b/toucanhall/commands/waiting.py
@@ -8,26 +8,26 @@
 from returns.result import Result, Success
 
 from toucanhall import runtime
-from toucanhall.commands.api import Api, ApiError, Body, connect, fail
-from toucanhall.commands.model import Code, Console
-from toucanhall.commands.printing import print_taken
+from toucanhall.commands.api import Api, ApiError, Body, connect, print_failure
+from toucanhall.commands.model import Console, ExitCode
+from toucanhall.commands.printing import print_accepted
 
 __all__ = ('make_change', 'wait_in_force')
 
-_PAUSE_SECONDS: Final = 0.25
+_POLL_INTERVAL_SECONDS: Final = 0.25
 
 
 def make_change(
     options: Namespace,
     console: Console,
     write: Callable[[Api], Result[Body, ApiError]],
-    report: Callable[[Console, Namespace, Body], object] = print_taken,
+    report: Callable[[Console, Namespace, Body], object] = print_accepted,
 ) -> int:
     """Write a change, print what became of it, and wait if asked to."""
     opened = connect(options)
     written = opened.bind(write)
     if not isinstance(written, Success):
-        return fail(console, written.failure())
+        return print_failure(console, written.failure())
     body = written.unwrap()
     report(console, options, body)
     return wait_in_force(opened.unwrap(), options, console, body['accepted'])
@@ -41,29 +41,29 @@
 ) -> int:
     """Return once a revision is in force everywhere, or name the rest."""
     if options.wait is None:
-        return Code.DONE
+        return ExitCode.DONE
     deadline = runtime.read_clock() + options.wait
-    lacking = _find_lacking(api, revision)
-    while lacking and runtime.read_clock() < deadline:
-        time.sleep(_PAUSE_SECONDS)
-        lacking = _find_lacking(api, revision)
-    if not lacking:
+    unconfirmed = _list_unconfirmed_zones(api, revision)
+    while unconfirmed and runtime.read_clock() < deadline:
+        time.sleep(_POLL_INTERVAL_SECONDS)
+        unconfirmed = _list_unconfirmed_zones(api, revision)
+    if not unconfirmed:
         if not options.json:
-            console.say('in force in every zone')
-        return Code.DONE
-    console.complain(
+            console.print_line('in force in every zone')
+        return ExitCode.DONE
+    console.print_error(
         f'revision {revision} is accepted, but not confirmed after '
-        f'{options.wait:g} s by: {", ".join(lacking)}',
+        f'{options.wait:g} s by: {", ".join(unconfirmed)}',
     )
-    return Code.UNKNOWN
+    return ExitCode.UNKNOWN
 
 
-def _find_lacking(api: Api, revision: int) -> list[str]:
+def _list_unconfirmed_zones(api: Api, revision: int) -> list[str]:
     shown = api.read('status')
     if not isinstance(shown, Success):
         return ['(status cannot be read)']
     zones: Mapping[str, Any] = shown.unwrap()['zones']
-    lacking = [
+    unconfirmed = [
         zone for zone, found in zones.items() if found['in_force'] < revision
     ]
-    return lacking if zones else ['(no catalogue is in force yet)']
+    return unconfirmed if zones else ['(no catalogue is in force yet)']
--- a/toucanhall/documents.py
+++ b/toucanhall/documents.py
@@ -11,13 +11,13 @@
 from jsonschema.validators import extend
 from returns.result import Failure, Result, Success
 
-from toucanhall.formats import FORMATS, CHECKER
+from toucanhall.formats import CHECKER, FORMATS
 
 __all__ = ('Document', 'Finding', 'check', 'check_object', 'parse', 'render')
 
 Document: TypeAlias = Mapping[str, Any]
 
-_FOUND_LENGTH: Final = (
+_MAX_QUOTED_CHARACTERS: Final = (
     60  # characters of an offending value that an error repeats
 )
 
@@ -48,8 +48,8 @@
     """Check that a parsed document is an object with finite numbers."""
     if not isinstance(parsed, dict):
         return Failure((Finding('$', _quote(parsed), 'an object'),))
-    endless = tuple(_find_endless(parsed, '$'))
-    return Failure(endless) if endless else Success(parsed)
+    findings = tuple(_find_non_finite_numbers(parsed, '$'))
+    return Failure(findings) if findings else Success(parsed)
 
 
 def check(
@@ -58,18 +58,18 @@
 ) -> Result[Document, tuple[Finding, ...]]:
     """Check a whole document and return every error in document order."""
     validator = _Validator(schema, format_checker=CHECKER)
-    errors = sorted(validator.iter_errors(document), key=_order)
+    errors = sorted(validator.iter_errors(document), key=_get_path)
     findings = tuple(finding for error in errors for finding in _explain(error))
     if findings:
         return Failure(findings)
     return Success(document)
 
 
-def _find_endless(found: object, path: str) -> Iterator[Finding]:
+def _find_non_finite_numbers(found: object, path: str) -> Iterator[Finding]:
     if isinstance(found, float) and not math.isfinite(found):
         yield Finding(path, str(found), 'a finite number')
     for step, entry in _list_entries(found):
-        yield from _find_endless(entry, f'{path}{step}')
+        yield from _find_non_finite_numbers(entry, f'{path}{step}')
 
 
 def _list_entries(found: object) -> Iterator[tuple[str, object]]:
@@ -83,7 +83,7 @@
     return isinstance(found, int) and not isinstance(found, bool)
 
 
-def _order(error: ValidationError) -> str:
+def _get_path(error: ValidationError) -> str:
     return error.json_path
 
 
@@ -102,27 +102,27 @@
     yield Finding(error.json_path, _quote(error.instance), allowed)
 
 
-def _explain_unknown(error: ValidationError) -> Iterator[Finding]:
+def _explain_unknown_field(error: ValidationError) -> Iterator[Finding]:
     schema: Document = error.schema  # type: ignore[assignment]
     instance: Document = error.instance  # type: ignore[assignment]
     known = sorted(schema.get('properties', ()))
     for name in sorted(set(instance) - set(known)):
-        nearest = difflib.get_close_matches(name, known, n=1)
+        similar = difflib.get_close_matches(name, known, n=1)
         allowed = (
-            f'did you mean {nearest[0]!r}?' if nearest else ', '.join(known)
+            f'did you mean {similar[0]!r}?' if similar else ', '.join(known)
         )
         yield Finding(error.json_path, f'unknown field {name!r}', allowed)
 
 
-def _explain_missing(error: ValidationError) -> Iterator[Finding]:
+def _explain_missing_field(error: ValidationError) -> Iterator[Finding]:
     missing = error.message.split(' is a required')[0]
     yield Finding(error.json_path, f'no field {missing}', 'the field is needed')
 
 
 def _quote(found: object) -> str:
     text = repr(found)
-    if len(text) > _FOUND_LENGTH:
-        return f'{text[:_FOUND_LENGTH]}...'
+    if len(text) > _MAX_QUOTED_CHARACTERS:
+        return f'{text[:_MAX_QUOTED_CHARACTERS]}...'
     return text
 
 
@@ -134,7 +134,7 @@
     ),
 )
 _EXPLANATIONS: Final = {
-    'additionalProperties': _explain_unknown,
+    'additionalProperties': _explain_unknown_field,
     'format': _explain_format,
-    'required': _explain_missing,
+    'required': _explain_missing_field,
 }
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -17,7 +17,7 @@
 from toucanhall.forwarding.sharing import Sharing
 from toucanhall.forwarding.stop import stop_after
 from toucanhall.forwarding.web import make_application
-from toucanhall.frontdoor import Frontdoor
+from toucanhall.frontdoor import RequestRouter
 from toucanhall.idempotency import Keeper
 from toucanhall.membership import Health, Heartbeat, Membership, View
 from toucanhall.membership.actor import Beat, Heard, Leave, ReadList
@@ -63,14 +63,16 @@
 
 __all__ = ('Entry',)
 
-_LIST_SECONDS: Final = 2.0
-_CLAIM_SECONDS: Final = 1.0
-_SETTLE_SECONDS: Final = 1.0
-_TICK_SECONDS: Final = 0.5
-_LATE_WATCH_CHANCE: Final = 0.1  # a second, where the readers bring nothing
-_COMPARE_SECONDS: Final = 1.0
-_RESIZE_SECONDS: Final = 0.5
-_JOIN_SECONDS: Final = 1.0  # for a duty in hand when the VM stops
+_MEMBER_LIST_INTERVAL_SECONDS: Final = 2.0
+_CLAIM_INTERVAL_SECONDS: Final = 1.0
+_SETTLE_INTERVAL_SECONDS: Final = 1.0
+_FRESHNESS_INTERVAL_SECONDS: Final = 0.5
+_STALE_WATCH_PROBABILITY: Final = (
+    0.1  # a second, where the readers bring nothing
+)
+_COMPARE_INTERVAL_SECONDS: Final = 1.0
+_RESIZE_INTERVAL_SECONDS: Final = 0.5
+_JOIN_TIMEOUT_SECONDS: Final = 1.0  # for a duty in hand when the VM stops
 
 
 class Entry:
@@ -80,9 +82,9 @@
         """Build the slices; nothing runs before `run`."""
         self._settings = settings
         self._stopping = threading.Event()
-        self._turn = 0
-        self._seat_lock = threading.Lock()
-        self._gained: Mapping[int, float] = {}
+        self._contact_round = 0
+        self._resize_lock = threading.Lock()
+        self._slots_held_since: Mapping[int, float] = {}
         self._view = View({}, {})
         self._counters = Counters(
             host=settings.statsd_host,
@@ -135,7 +137,7 @@
             dispatcher=Dispatcher(),
             counters=self._counters,
         )
-        self._door = Frontdoor(
+        self._router = RequestRouter(
             zone=settings.zone,
             holder=self._holder,
             parts=self._parts,
@@ -159,13 +161,19 @@
 
     def run(self) -> None:
         """Serve until SIGTERM, then leave, finish what runs and return."""
-        server = make_server(self._settings, make_application(self._door.serve))
+        server = make_server(
+            self._settings, make_application(self._router.serve)
+        )
         self._start_actors()
-        signal.signal(signal.SIGTERM, lambda *_args: self._leave(server))
-        signal.signal(signal.SIGINT, lambda *_args: self._leave(server))
+        signal.signal(
+            signal.SIGTERM, lambda *_args: self._begin_shutdown(server)
+        )
+        signal.signal(
+            signal.SIGINT, lambda *_args: self._begin_shutdown(server)
+        )
         events.log(events.ENTRY_STARTED, zone=self._settings.zone)
         server.run()
-        self._finish(server)
+        self._complete_shutdown(server)
         events.log(events.ENTRY_STOPPED)
 
     def _start_actors(self) -> None:
@@ -183,9 +191,9 @@
             send=self._exchange.send,
             redial=self._exchange.redial,
             read_revision=self._read_revision,
-            publish=self._publish,
+            publish=self._replace_view,
         )
-        self._holder.listen(self._take_revision)
+        self._holder.add_listener(self._apply_revision)
         self._exchange.start(self._list_handlers())
         Watcher(
             platform=self._platform,
@@ -208,29 +216,34 @@
             Handler(Gift, self._gifts.accept),
         )
         return (
-            Handler(Heartbeat, self._hear),
-            Handler(RevisionQuery, self._take_spread),
-            Handler(Delta, self._take_spread),
-            Handler(Offer, self._take_spread),
-            Handler(RevisionAnswer, self._take_spread),
+            Handler(Heartbeat, self._receive_heartbeat),
+            Handler(RevisionQuery, self._receive_revision_message),
+            Handler(Delta, self._receive_revision_message),
+            Handler(Offer, self._receive_revision_message),
+            Handler(RevisionAnswer, self._receive_revision_message),
             *limits,
         )
 
     def _list_tickers(self) -> tuple[tuple[float, Callable[[], None]], ...]:
         return (
             (HEARTBEAT_SECONDS, partial(self._membership.tell, Beat())),
-            (_LIST_SECONDS, partial(self._membership.tell, ReadList())),
-            (_CLAIM_SECONDS, self._claim),
-            (_SETTLE_SECONDS, self._parts.keeper.settle),
-            (_TICK_SECONDS, self._tick),
-            (_COMPARE_SECONDS, partial(self._spread.tell, Compare())),
-            (_RESIZE_SECONDS, self._resize_steerer),
+            (
+                _MEMBER_LIST_INTERVAL_SECONDS,
+                partial(self._membership.tell, ReadList()),
+            ),
+            (_CLAIM_INTERVAL_SECONDS, self._claim_slots),
+            (_SETTLE_INTERVAL_SECONDS, self._parts.keeper.settle),
+            (_FRESHNESS_INTERVAL_SECONDS, self._update_freshness),
+            (_COMPARE_INTERVAL_SECONDS, partial(self._spread.tell, Compare())),
+            (_RESIZE_INTERVAL_SECONDS, self._resize_steerer),
         )
 
-    def _hear(self, envelope: Envelope, heartbeat: Heartbeat) -> None:
+    def _receive_heartbeat(
+        self, envelope: Envelope, heartbeat: Heartbeat
+    ) -> None:
         self._membership.tell(Heard(envelope.vm, envelope.start, heartbeat))
 
-    def _take_spread(
+    def _receive_revision_message(
         self,
         envelope: Envelope,
         message: Message,
@@ -241,7 +254,7 @@
         elif isinstance(message, RevisionQuery):
             self._spread.tell(Arrived(envelope.vm, message.address, message))
 
-    def _tick(self) -> None:
+    def _update_freshness(self) -> None:
         view = self._view
         self._monitor.tick(len(view.members) if view.is_listed else None)
 
@@ -250,20 +263,20 @@
         age = self._monitor.read_age()
         if age is None:
             return True
-        if age > FRESH_SECONDS and random.random() < _LATE_WATCH_CHANCE:
+        if age > FRESH_SECONDS and random.random() < _STALE_WATCH_PROBABILITY:
             return True
         return is_reader(self._view, own.vm, own.zone, runtime.read_clock())
 
     def _read_known(self) -> Known:
         return max(self._monitor.read_heard(), read_held(self._holder))
 
-    def _take_revision(self, revision: Revision) -> None:
+    def _apply_revision(self, revision: Revision) -> None:
         self._spread.tell(Push(revision))
         self._claimer.take_revision(revision)
         self._resize_steerer()
         self._blocks.size(revision.catalogue.blocks)
 
-    def _publish(self, view: View) -> None:
+    def _replace_view(self, view: View) -> None:
         is_first = view.is_listed and not self._view.is_listed
         self._view = view
         if is_first:
@@ -275,17 +288,17 @@
 
     def _list_contacts(self) -> tuple[str, ...]:
         own = self._settings
-        self._turn += 1
+        self._contact_round += 1
         contacts = select_contacts(
             self._view,
             own.vm,
             own.zone,
-            self._turn,
+            self._contact_round,
             runtime.read_clock(),
         )
         return tuple(member.address for member in contacts)
 
-    def _list_hops(self) -> tuple[EntryVm, ...]:
+    def _list_alive_vms(self) -> tuple[EntryVm, ...]:
         now = runtime.read_clock()
         return tuple(
             EntryVm(
@@ -301,15 +314,19 @@
         own = self._claimer.list_own()
         if held is None or own is None:
             return
-        with self._seat_lock:
+        with self._resize_lock:
             now = runtime.read_clock()
-            self._gained = note_gains(self._gained, own, now)
-            settled = select_settled(self._gained, now)
+            self._slots_held_since = note_gains(
+                self._slots_held_since, own, now
+            )
+            settled = select_settled(self._slots_held_since, now)
             if own and not settled and not self._steerer.is_sized:
                 return
             owned = OwnedSlots(self._settings.zone, settled)
             self._steerer.resize(
-                size_services(held.catalogue, owned, self._list_hops(), now),
+                size_services(
+                    held.catalogue, owned, self._list_alive_vms(), now
+                ),
                 size_links(held.catalogue, owned),
             )
 
@@ -326,7 +343,7 @@
         if member is not None:
             self._claimer.answer(envelope, probe, member.address)
 
-    def _claim(self) -> None:
+    def _claim_slots(self) -> None:
         if self._stopping.is_set():
             return
         view, own = self._view, self._settings
@@ -384,7 +401,7 @@
         )
         return {zone: report._asdict() for zone, report in reports.items()}
 
-    def _leave(self, server: Any) -> None:
+    def _begin_shutdown(self, server: Any) -> None:
         if self._stopping.is_set():
             return
         events.log(events.ENTRY_LEAVING)
@@ -393,10 +410,10 @@
         bounds = self._settings.bounds
         stop_after(server, bounds.linger_seconds, bounds.idle_seconds)
 
-    def _finish(self, server: Any) -> None:
+    def _complete_shutdown(self, server: Any) -> None:
         server.task_dispatcher.shutdown(cancel_pending=False)
         for ticker in self._tickers:
-            ticker.join(_JOIN_SECONDS)
+            ticker.join(_JOIN_TIMEOUT_SECONDS)
         self._parts.keeper.settle()
         self._membership.stop()
         self._spread.stop()
--- a/toucanhall/events.py
+++ b/toucanhall/events.py
@@ -21,10 +21,10 @@
 ENTRY_STARTED: Final = Event(100, logging.INFO, 'entry VM started')
 ENTRY_LEAVING: Final = Event(101, logging.INFO, 'entry VM is leaving')
 ENTRY_STOPPED: Final = Event(102, logging.INFO, 'entry VM stopped')
-WORK_FAILED: Final = Event(
+UNEXPECTED_ERROR: Final = Event(
     110, logging.ERROR, 'unexpected error, the thread goes on',
 )  # fmt: skip
-CATALOGUE_TAKEN: Final = Event(200, logging.INFO, 'revision taken into force')
+CATALOGUE_APPLIED: Final = Event(200, logging.INFO, 'revision taken into force')
 CATALOGUE_STALE: Final = Event(201, logging.WARNING, 'older revision refused')
 CATALOGUE_INVALID: Final = Event(202, logging.ERROR, 'revision is invalid')
 CATALOGUE_RESTORED: Final = Event(
@@ -33,15 +33,15 @@
 CATALOGUE_COLLISION: Final = Event(
     210, logging.ERROR, 'two changes under one revision number',
 )  # fmt: skip
-CHANGE_UNKNOWN: Final = Event(
+CHANGE_OUTCOME_UNKNOWN: Final = Event(
     211, logging.WARNING, 'change may have been accepted',
 )  # fmt: skip
 FRESHNESS_LOST: Final = Event(
     212, logging.WARNING, 'keys are not relied on until revisions are compared',
 )  # fmt: skip
 FRESHNESS_GAINED: Final = Event(213, logging.INFO, 'keys are relied on')
-PLATFORM_UNAVAILABLE: Final = Event(300, logging.WARNING, 'store unavailable')
-PLATFORM_AVAILABLE: Final = Event(301, logging.INFO, 'store available')
+STORE_UNAVAILABLE: Final = Event(300, logging.WARNING, 'store unavailable')
+STORE_AVAILABLE: Final = Event(301, logging.INFO, 'store available')
 PEER_JOINED: Final = Event(400, logging.INFO, 'peer is alive')
 PEER_SUSPECTED: Final = Event(401, logging.WARNING, 'peer is suspected')
 PEER_LEAVING: Final = Event(402, logging.INFO, 'peer is leaving')
@@ -51,10 +51,10 @@
 SHARE_CONFIRMED: Final = Event(511, logging.INFO, 'share confirmed')
 REQUEST_REFUSED: Final = Event(600, logging.INFO, 'request refused')
 TARGET_FAILED: Final = Event(601, logging.WARNING, 'target failed')
-ANSWER_BROKEN: Final = Event(602, logging.WARNING, 'answer was not whole')
+RESPONSE_INCOMPLETE: Final = Event(602, logging.WARNING, 'answer was not whole')
 REQUEST_CRASHED: Final = Event(610, logging.ERROR, 'request path failed')
 CLAIM_UNSETTLED: Final = Event(700, logging.WARNING, 'claim not settled')
-CLAIM_DAMAGED: Final = Event(710, logging.ERROR, 'claim cannot be read')
+CLAIM_INVALID: Final = Event(710, logging.ERROR, 'claim cannot be read')
 CHANGE_ACCEPTED: Final = Event(800, logging.INFO, 'operator change accepted')
 CHANGE_REFUSED: Final = Event(801, logging.INFO, 'operator change refused')
 AUDIT_DELAYED: Final = Event(810, logging.WARNING, 'audit copy is delayed')
--- a/toucanhall/formats.py
+++ b/toucanhall/formats.py
@@ -9,14 +9,14 @@
 
 __all__ = ('CHECKER', 'FORMATS', 'Format')
 
-_LARGEST_PORT: Final = 65535
-_BASE_SCHEME: Final = 'http://'
+_MAX_PORT: Final = 65535
+_URL_PREFIX: Final = 'http://'
 
 
 class Format(NamedTuple):
     """A format: the check of a text, and what an error says is allowed."""
 
-    holds: Callable[[str], bool]
+    is_valid: Callable[[str], bool]
     allowed: str
 
 
@@ -37,12 +37,12 @@
     address, colon, port = text.rpartition(':')
     if not (colon and port.isascii() and port.isdecimal()):
         return False
-    return _is_ipv4(address) and 0 < int(port[:6]) <= _LARGEST_PORT
+    return _is_ipv4(address) and 0 < int(port[:6]) <= _MAX_PORT
 
 
-def _is_base(text: str) -> bool:
-    is_http = text.startswith(_BASE_SCHEME)
-    return is_http and _is_endpoint(text.removeprefix(_BASE_SCHEME))
+def _is_base_url(text: str) -> bool:
+    is_http = text.startswith(_URL_PREFIX)
+    return is_http and _is_endpoint(text.removeprefix(_URL_PREFIX))
 
 
 FORMATS: Final[Mapping[str, Format]] = {
@@ -63,16 +63,16 @@
         _is_endpoint,
         'an IPv4 address and port such as 127.0.0.1:9000',
     ),
-    'base': Format(_is_base, 'a URL such as http://127.0.0.1:7400'),
+    'base': Format(_is_base_url, 'a URL such as http://127.0.0.1:7400'),
 }
 
 CHECKER: Final = FormatChecker(formats=())
 
 
-def _check_text(holds: Callable[[str], bool]) -> Callable[[object], bool]:
-    return lambda found: not isinstance(found, str) or holds(found)
+def _check_text(is_valid: Callable[[str], bool]) -> Callable[[object], bool]:
+    return lambda found: not isinstance(found, str) or is_valid(found)
 
 
 CHECKER.checkers = {
-    name: (_check_text(entry.holds), ()) for name, entry in FORMATS.items()
+    name: (_check_text(entry.is_valid), ()) for name, entry in FORMATS.items()
 }
--- a/toucanhall/forwarding/admission.py
+++ b/toucanhall/forwarding/admission.py
@@ -68,7 +68,7 @@
             route=route,
             catalogue=catalogue,
             request_id=runtime.make_id(),
-            give_up_at=runtime.read_clock() + route.deadline,
+            give_up_at=runtime.read_clock() + route.deadline_seconds,
             is_hopped=False,
         ),
     )
@@ -103,7 +103,8 @@
             route=route,
             catalogue=catalogue,
             request_id=hop.request_id,
-            give_up_at=runtime.read_clock() + min(route.deadline, hop.seconds),
+            give_up_at=runtime.read_clock()
+            + min(route.deadline_seconds, hop.seconds),
             is_hopped=True,
             origin=Origin.SIBLING if hop.zone == parts.zone else Origin.ZONE,
             is_retry=hop.is_retry,
--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -181,7 +181,7 @@
         while not response.isclosed():
             yield _read_part(response)
     except _BROKEN as error:
-        events.log(events.ANSWER_BROKEN, address=address, what=str(error))
+        events.log(events.RESPONSE_INCOMPLETE, address=address, what=str(error))
         raise BrokenAnswer(str(error)) from error
 
 
--- a/toucanhall/frontdoor.py
+++ b/toucanhall/frontdoor.py
@@ -23,14 +23,14 @@
 from toucanhall.forwarding.problems import refuse
 from toucanhall.steering import AdvisedVm, advise
 
-__all__ = ('Frontdoor', 'answer_json')
+__all__ = ('RequestRouter', 'answer_json')
 
 _ADVICE_PATH: Final = '/.toucanhall/entry-vms'
-_CLIENT_FIELD: Final = 'client'
+_CLIENT_PARAMETER: Final = 'client'
 _HEALTH_PATH: Final = '/.toucanhall/health'
 
 
-class Frontdoor(NamedTuple):
+class RequestRouter(NamedTuple):
     """What answers callers and operators of one entry VM."""
 
     zone: str
@@ -45,9 +45,9 @@
         """Answer a caller, an operator or a question which VM to use."""
         if request.path.startswith(ADMIN_PREFIX):
             return self.admin.serve(request)
-        answer = _ANSWERS.get(request.path)
-        if answer is not None:
-            return answer(self, request)
+        handler = _HANDLERS.get(request.path)
+        if handler is not None:
+            return handler(self, request)
         return serve(self.parts, request)
 
 
@@ -61,46 +61,46 @@
     return Answer(200, 'OK', headers, (body,))
 
 
-def _tell_health(door: Frontdoor, _request: Request) -> Answer:
-    is_ready = door.holder.is_ready() and door.parts.steerer.is_sized
+def _report_health(router: RequestRouter, _request: Request) -> Answer:
+    is_ready = router.holder.is_ready() and router.parts.steerer.is_sized
     return answer_json({'ready': is_ready})
 
 
-def _advise(door: Frontdoor, request: Request) -> Answer:
-    held = door.holder.current
-    if held is None:
+def _advise(router: RequestRouter, request: Request) -> Answer:
+    revision = router.holder.current
+    if revision is None:
         return render(make_refusal('not-ready', 'no catalogue yet', 1))
-    granted = held.catalogue.keys.get(digest_key(find_key(request)))
-    team = granted.team if granted else ''
-    zone = _find_client_zone(door, request)
+    key = revision.catalogue.keys.get(digest_key(find_key(request)))
+    team = key.team if key else ''
+    zone = _find_client_zone(router, request)
     if not isinstance(zone, Success):
         return render(zone.failure())
     advice = advise(
-        held.catalogue,
+        revision.catalogue,
         team,
-        zone.unwrap() or door.zone,
-        door.list_usable_vms(),
-        door.list_holders(team),
+        zone.unwrap() or router.zone,
+        router.list_usable_vms(),
+        router.list_holders(team),
     )
     return answer_json(advice._asdict())
 
 
 def _find_client_zone(
-    door: Frontdoor,
+    router: RequestRouter,
     request: Request,
 ) -> Result[str, Refusal]:
     """Return the zone nearest to the client that a caller asks for, or ''."""
-    fields = dict(parse_qsl(request.query))
-    client = fields.get(_CLIENT_FIELD, '')
+    query = dict(parse_qsl(request.query))
+    client = query.get(_CLIENT_PARAMETER, '')
     if not client:
         return Success('')
     try:
-        return Success(door.find_zone(client))
+        return Success(router.find_zone(client))
     except ValueError:
-        return refuse('bad-request', f'{_CLIENT_FIELD} is no IP address')
+        return refuse('bad-request', f'{_CLIENT_PARAMETER} is no IP address')
 
 
-_ANSWERS: Final[Mapping[str, Callable[[Frontdoor, Request], Answer]]] = {
+_HANDLERS: Final[Mapping[str, Callable[[RequestRouter, Request], Answer]]] = {
     _ADVICE_PATH: _advise,
-    _HEALTH_PATH: _tell_health,
+    _HEALTH_PATH: _report_health,
 }
--- a/toucanhall/idempotency/keeper.py
+++ b/toucanhall/idempotency/keeper.py
@@ -130,7 +130,7 @@
     try:
         claim = msgspec.json.decode(stored.content, type=Claim)
     except msgspec.MsgspecError as error:
-        events.log(events.CLAIM_DAMAGED, claim=stored.name, what=str(error))
+        events.log(events.CLAIM_INVALID, claim=stored.name, what=str(error))
         return messages.Down()
     return messages.Seen(Found(claim, stored.version))
 
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -12,7 +12,7 @@
 
 __all__ = (
     'dispatch',
-    'go_on',
+    'call_and_log_errors',
     'make_id',
     'pause',
     'read_clock',
@@ -22,7 +22,7 @@
 )
 
 _ID_BYTES: Final = 12
-_NANOSECONDS: Final = 1_000_000  # per millisecond
+_NANOSECONDS_PER_MILLISECOND: Final = 1_000_000  # per millisecond
 
 
 def read_clock() -> float:
@@ -37,7 +37,7 @@
 
 def read_wall_milliseconds() -> int:
     """Return milliseconds on the wall clock, which may be set back."""
-    return time.time_ns() // _NANOSECONDS
+    return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
 
 
 def make_id() -> str:
@@ -54,18 +54,18 @@
     handlers: Mapping[type, Callable[[Any], None]],
     message: object,
 ) -> None:
-    """Hand a message to the handler of its type, as `go_on` does."""
-    go_on(_hand, handlers, message)
+    """Call the handler of a message's type; log an unexpected error."""
+    call_and_log_errors(_call_handler, handlers, message)
 
 
-def _hand(
+def _call_handler(
     handlers: Mapping[type, Callable[[Any], None]],
     message: object,
 ) -> None:
     handlers[type(message)](message)
 
 
-def go_on(call: Callable[..., Any], *arguments: Any) -> None:
+def call_and_log_errors(call: Callable[..., Any], *arguments: Any) -> None:
     """Call a function; write an unexpected error to the log.
 
     For threads that serve many: one message must not end them.
@@ -73,27 +73,27 @@
     try:
         call(*arguments)
     except Exception as error:  # noqa: BLE001
-        where = traceback.extract_tb(error.__traceback__)[-1]
+        frame = traceback.extract_tb(error.__traceback__)[-1]
         events.log(
-            events.WORK_FAILED,
-            work=f'{where.name}:{where.lineno}',
+            events.UNEXPECTED_ERROR,
+            work=f'{frame.name}:{frame.lineno}',
             why=repr(error),
         )
 
 
 def start_ticker(
-    period: float,
+    period_seconds: float,
     call: Callable[[], None],
     stopping: threading.Event,
 ) -> threading.Thread:
-    """Call a function every `period` seconds until the event is set.
+    """Call a function every `period_seconds` seconds until the event is set.
 
     An unexpected error is logged and does not end the calls.
     """
 
     def tick() -> None:
-        while not stopping.wait(period):
-            go_on(call)
+        while not stopping.wait(period_seconds):
+            call_and_log_errors(call)
 
     thread = threading.Thread(target=tick, name='ticker', daemon=True)
     thread.start()
--- a/toucanhall/schemas.py
+++ b/toucanhall/schemas.py
@@ -18,12 +18,12 @@
     'make_text',
 )
 
-_LARGEST: Final = 1000000000  # of any quantity; larger ones are mistakes
+_MAX_QUANTITY: Final = 1000000000  # of any quantity; larger ones are mistakes
 
 
-def make_text(form: str) -> Document:
+def make_text(format_name: str) -> Document:
     """Return the schema of a text in one of the known formats."""
-    return {'type': 'string', 'format': form}
+    return {'type': 'string', 'format': format_name}
 
 
 def make_record(
@@ -64,10 +64,10 @@
 POSITIVE: Final[Document] = {
     'type': 'number',
     'exclusiveMinimum': 0,
-    'maximum': _LARGEST,
+    'maximum': _MAX_QUANTITY,
 }
 COUNT: Final[Document] = {
     'type': 'integer',
     'minimum': 1,
-    'maximum': _LARGEST,
+    'maximum': _MAX_QUANTITY,
 }
--- a/toucanhall/settings.py
+++ b/toucanhall/settings.py
@@ -74,11 +74,11 @@
     return (
         documents.parse(text)
         .bind(lambda document: documents.check(document, SCHEMA))
-        .bind(lambda document: _with_secret(document, environment))
+        .bind(lambda document: _add_secret(document, environment))
     )
 
 
-def _with_secret(
+def _add_secret(
     document: Document,
     environment: Mapping[str, str],
 ) -> Result[Settings, tuple[Finding, ...]]:
@@ -91,10 +91,10 @@
             'the name of a variable that holds the secret of the fleet',
         )
         return Failure((finding,))
-    return Success(_build(document, secret.encode()))
+    return Success(_build_settings(document, secret.encode()))
 
 
-def _build(document: Document, secret: bytes) -> Settings:
+def _build_settings(document: Document, secret: bytes) -> Settings:
     statsd: Mapping[str, Any] = document.get('statsd', {})
     return Settings(
         vm=document['vm'],
--- a/toucanhall/settingsschema.py
+++ b/toucanhall/settingsschema.py
@@ -24,9 +24,9 @@
 }
 
 
-def _make_bound(least: int, most: int, text: str) -> Document:
-    bound = {'type': 'integer', 'minimum': least, 'maximum': most}
-    return describe(bound, text)
+def _make_limit(minimum: int, maximum: int, text: str) -> Document:
+    limit = {'type': 'integer', 'minimum': minimum, 'maximum': maximum}
+    return describe(limit, text)
 
 
 _OPERATOR: Final = make_record(
@@ -53,19 +53,19 @@
 _BOUNDS: Final = make_record(
     {},
     {
-        'header_bytes': _make_bound(
+        'header_bytes': _make_limit(
             1024, 1048576, 'Most bytes of the header of a request; 16384.',
         ),
-        'body_bytes': _make_bound(
+        'body_bytes': _make_limit(
             0, 1073741824, 'Most bytes of the body of a request; 1048576.',
         ),
-        'idle_seconds': _make_bound(
+        'idle_seconds': _make_limit(
             1, 86400, 'Seconds after which an idle connection closes; 20.',
         ),
-        'threads': _make_bound(
+        'threads': _make_limit(
             2, 512, 'Requests that are handled at the same time; 48.',
         ),
-        'linger_seconds': _make_bound(
+        'linger_seconds': _make_limit(
             0, 3600, 'Seconds that a leaving VM still accepts requests; 6.',
         ),
     },
--- a/toucanhall/spread/accepting.py
+++ b/toucanhall/spread/accepting.py
@@ -181,7 +181,7 @@
             )
             return Success(Accepted(revision.number, change.change))
         if step is Step.UNKNOWN:
-            events.log(events.CHANGE_UNKNOWN, change=change.change)
+            events.log(events.CHANGE_OUTCOME_UNKNOWN, change=change.change)
             return Failure(ChangeUnknown(change.change))
         if step is Step.REFUSED:
             return _refuse('nothing was written: the store cannot be reached')
--- a/toucanhall/spread/watcher.py
+++ b/toucanhall/spread/watcher.py
@@ -104,7 +104,5 @@
             return
         self._available = available
         events.log(
-            events.PLATFORM_AVAILABLE
-            if available
-            else events.PLATFORM_UNAVAILABLE,
+            events.STORE_AVAILABLE if available else events.STORE_UNAVAILABLE,
         )
--- a/toucanhall/steering/links.py
+++ b/toucanhall/steering/links.py
@@ -35,7 +35,7 @@
         entry.region == own_region for entry in catalogue.zones.values()
     )
     capacity = sum(
-        link.capacity
+        link.capacity_mbit_per_second
         for link in catalogue.links
         if {own_region, region} == set(link.regions)
     )
--- a/toucanhall/transport/exchange.py
+++ b/toucanhall/transport/exchange.py
@@ -129,7 +129,7 @@
                 frame = self._socket.recv()
             except pynng.Closed:
                 return
-            runtime.go_on(self._open, frame)
+            runtime.call_and_log_errors(self._open, frame)
 
     def _open(self, frame: bytes) -> None:
         opened = unseal(self._identity.secret, frame).bind(self._take)
