--- a/tests/features/catalogue.feature
+++ b/tests/features/catalogue.feature
@@ -3,18 +3,18 @@
   Background:
     Given a fleet whose catalogue has revision 1
 
-  Scenario: two operators race
+  Scenario: two operators replace the same revision
     When "administer" replaces revision 1
     And "administer" replaces revision 1
     Then the status is 412
     And the answer names revision 2 as the current one
 
-  Scenario: a key is withdrawn during a race
+  Scenario: a key is withdrawn while the catalogue is replaced
     When "administer" replaces revision 1
     And "operate" withdraws the key "hostels-key"
     Then the status is 200
-    And no key is left
+    And no key remains
 
-  Scenario: an owner reaches for what is not its own
+  Scenario: an owner may not drain a target
     When "owner" drains the target "guide-1"
     Then the status is 403
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -1,4 +1,4 @@
-Feature: Checking settings without starting
+Feature: Checking settings without starting a VM
 
   Scenario: a valid file
     Given a settings file that is valid
--- a/tests/features/steps/catalogue.py
+++ b/tests/features/steps/catalogue.py
@@ -8,15 +8,15 @@
 @given('a fleet whose catalogue has revision 1')
 def make_fleet(context):
     context.api = AdminApi()
-    context.holds = 0
+    context.hold_seconds = 0
     assert context.api.apply()[0] == 200
 
 
 @when('"{role}" replaces revision {revision:d}')
 def replace(context, role, revision):
-    context.holds += 1
+    context.hold_seconds += 1
     context.reply = context.api.apply(
-        revision, role, hold_seconds=context.holds,
+        revision, role, hold_seconds=context.hold_seconds,
     )  # fmt: skip
 
 
@@ -44,6 +44,6 @@
     assert context.reply[1]['current'] == revision
 
 
-@then('no key is left')
+@then('no key remains')
 def assert_no_key(context):
     assert context.api.call('GET', 'keys')[1]['keys'] == {}
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -18,14 +18,14 @@
 
 @pytest.fixture(name='api')
 def make_api(monkeypatch):
-    """Return an API with a catalogue in force; pauses take no time."""
+    """Return an API with a catalogue in force; sleeping takes no time."""
     monkeypatch.setattr('time.sleep', lambda _seconds: None)
     api = AdminApi()
     assert api.apply()[0] == 200
     return api
 
 
-def test_unknown_token_is_refused_and_counted(api):
+def test_unknown_token_is_rejected_and_counted(api):
     assert api.call('GET', 'status', token='guess')[0] == 401
     assert api.counters.read() == {'admin.token-unknown': 1}
 
@@ -36,7 +36,7 @@
     )
 
 
-def test_unknown_path_and_method_are_told_apart(api):
+def test_unknown_path_and_method_have_their_own_statuses(api):
     assert api.call('GET', 'nothing')[0] == 404
     assert api.call('POST', 'catalogue')[0] == 405
 
@@ -45,7 +45,7 @@
     ('role', 'expected'),
     [('read', 403), ('owner', 200), ('operate', 200), ('administer', 200)],
 )
-def test_role_grants_a_key_of_its_team(api, role, expected):
+def test_only_some_roles_may_grant_a_key(api, role, expected):
     assert api.call('PUT', 'keys/new', KEY, role)[0] == expected
 
 
@@ -61,7 +61,9 @@
         ({'routes': make_document()['routes'][1:]}, 403, 403),
     ],
 )
-def test_role_replaces_only_what_it_may(api, changes, owner, operate):
+def test_role_limits_what_a_replacement_may_change(
+    api, changes, owner, operate
+):
     assert api.apply(1, 'owner', **changes)[0] == owner
     held = api.admin.handlers['GET', 'catalogue'](None)[1]['revision']
     other = AdminApi()
@@ -79,18 +81,18 @@
     assert api.call('DELETE', 'keys/theirs', token='owner')[0] == 403
 
 
-def test_loser_of_a_race_sees_both_revisions(api):
+def test_conflict_names_expected_and_current_revision(api):
     api.apply(1, hold_seconds=2)
     status, body = api.apply(1, hold_seconds=3)
     assert (status, body['expected'], body['current']) == (412, 1, 2)
     assert body['newest_change']['what'] == ['hold_seconds added']
 
 
-def test_replacing_needs_the_revision(api):
+def test_replacing_needs_if_match(api):
     assert api.call('PUT', 'catalogue', make_document())[0] == 428
 
 
-def test_key_edit_is_made_again_after_a_conflict(api):
+def test_key_edit_is_retried_after_a_conflict(api):
     rival = AdminApi(api.store)
     rival.admin._holder.offer(api.admin._holder.current)
 
@@ -113,17 +115,17 @@
     assert api.call('GET', 'drains')[1]['drains'] == {'targets': []}
 
 
-def test_drain_of_nothing_known_is_refused(api):
+def test_drain_of_unknown_target_or_kind_is_rejected(api):
     assert api.call('PUT', 'drains/targets/guide-9')[0] == 400
     assert api.call('PUT', 'drains/racks/guide-1')[0] == 400
 
 
-def test_broken_bodies_are_refused(api):
+def test_invalid_keys_are_rejected(api):
     for body in ([], {'team': 1}, {'team': 'hostels', 'digest': 'short'}):
         assert api.call('PUT', 'keys/new', body)[0] == 400
 
 
-def test_history_tells_who_what_and_when(api):
+def test_history_has_operator_revision_entries_and_time(api):
     api.call('PUT', 'keys/new', KEY, 'operate', Toucanhall_Change='my-id')
     found = api.call('GET', 'history?change=my-id')[1]['changes']
     assert [(entry['operator'], entry['revision']) for entry in found] == [
@@ -133,20 +135,20 @@
     assert found[0]['at'].endswith('+00:00')
 
 
-def test_lost_reply_is_found_by_the_change_id(api):
+def test_change_with_lost_store_reply_is_found_by_its_id(api):
     api.store.modes = {'catalogue': 'lost'}
     for _ in range(2):
         status, body = api.call('PUT', 'keys/a', KEY, Toucanhall_Change='id-1')
         assert (status, body['accepted'], body['change']) == (200, 2, 'id-1')
 
 
-def test_store_that_is_down_changes_nothing_and_says_so(api):
+def test_unavailable_store_means_not_changed(api):
     api.store.modes = {'': 'down'}
     status, body = api.call('PUT', 'keys/a', KEY)
     assert (status, body['outcome']) == (503, 'not changed')
 
 
-def test_outcome_is_unknown_when_the_store_went_away(api):
+def test_outcome_is_unknown_when_the_store_goes_away(api):
     api.store.modes = {'catalogue': 'gone'}
     status, body = api.call('PUT', 'keys/a', KEY, Toucanhall_Change='id-2')
     assert (status, body['outcome'], body['change']) == (503, 'unknown', 'id-2')
@@ -157,23 +159,23 @@
     assert other.call('GET', 'history?change=id-2')[1]['changes']
 
 
-def test_write_that_the_store_does_not_take_is_no_race(api):
+def test_rejected_write_is_no_conflict(api):
     api.store.modes = {'catalogue': 'full'}
     status, body = api.call('PUT', 'keys/a', KEY)
     assert (status, body['outcome']) == (503, 'not changed')
 
 
-def test_unreadable_condition_is_refused(api):
+def test_invalid_if_match_is_rejected(api):
     assert api.call('DELETE', 'keys/hostels-key', If_Match='"x"')[0] == 400
     assert 'hostels-key' in api.call('GET', 'keys')[1]['keys']
 
 
-def test_condition_on_a_single_entry_holds(api):
+def test_if_match_applies_to_a_single_entry(api):
     assert api.call('DELETE', 'keys/hostels-key', If_Match='"0"')[0] == 412
     assert api.call('DELETE', 'keys/hostels-key', If_Match='"1"')[0] == 200
 
 
-def test_audit_that_cannot_be_copied_follows_later(api):
+def test_audit_entry_that_was_not_copied_is_copied_later(api):
     api.store.modes = {'audit/': 'down'}
     status, body = api.call('PUT', 'keys/a', KEY)
     assert (status, body['audited']) == (200, False)
@@ -200,7 +202,7 @@
 
 @given(mutate(json.dumps(make_document(drains={'vms': ['v']}))))
 @settings(max_examples=100, deadline=None, derandomize=True)
-def test_broken_catalogue_changes_nothing_at_all(document):
+def test_invalid_catalogue_changes_nothing(document):
     api = AdminApi()
     api.apply()
     before = api.call('GET', 'catalogue')[1], dict(api.store.stored)
@@ -211,7 +213,7 @@
         assert body['detail']
 
 
-def test_pages_of_the_audit_are_used_again_after_a_lap():
+def test_reused_audit_page_drops_its_earlier_entries():
     store = MemoryStore()
     audit = Audit(platform=store)
     first = AuditEntry('old', 'lead', 'noon', 1, ())
@@ -221,7 +223,7 @@
     assert [entry.id for entry in audit.read(10001)] == ['new']
 
 
-def test_page_that_another_vm_wrote_meanwhile_is_merged():
+def test_audit_page_written_by_another_vm_is_merged():
     store = MemoryStore()
     entry = AuditEntry('mine', 'lead', 'noon', 2, ())
 
--- a/tests/unit/test_catalogue.py
+++ b/tests/unit/test_catalogue.py
@@ -5,7 +5,7 @@
 from toucanhall.catalogue import Holder, Verdict
 
 
-def test_references_are_checked_whole():
+def test_all_invalid_references_are_reported():
     document = make_document(
         targets={'guide-1': make_target('nowhere', 1)},
         routes=[
@@ -30,14 +30,14 @@
     assert findings[0].path == '$.zones.*.fraction'
 
 
-def test_older_revision_is_never_taken():
+def test_older_revision_is_not_applied():
     holder = Holder()
     holder.offer(make_revision(number=5))
     assert holder.offer(make_revision(number=4)) is Verdict.STALE
     assert holder.current.number == 5
 
 
-def test_collision_under_one_number_ends_alike_in_either_order():
+def test_revisions_of_one_number_converge_in_either_order():
     one = make_revision(number=5, change='one')
     two = make_revision(number=5, change='two')
     first, second = Holder(), Holder()
--- a/tests/unit/test_cmdline.py
+++ b/tests/unit/test_cmdline.py
@@ -1,4 +1,4 @@
-"""Tests of the parser: words, older names, help and exit codes."""
+"""Tests of the parser: subcommands, aliases, help and exit codes."""
 
 import pytest
 
@@ -22,7 +22,7 @@
     assert f'toucanhall {command.example}' in capsys.readouterr().out
 
 
-def test_older_names_print_json_and_are_not_listed(capsys):
+def test_aliases_print_json_and_are_not_listed(capsys):
     parser = cmdline.make_parser()
     options = parser.parse_args(['key-grant', 'a', '--team=b', *AT])
     assert options.json is True
@@ -30,7 +30,7 @@
     assert 'key-grant' not in parser.format_help()
 
 
-def test_wrong_usage_exits_two(capsys):
+def test_invalid_usage_exits_two(capsys):
     with pytest.raises(SystemExit) as ended:
         cmdline.run(['drain', 'start', 'rack', 'r1', *AT])
     assert ended.value.code == 2
--- a/tests/unit/test_commands.py
+++ b/tests/unit/test_commands.py
@@ -22,7 +22,7 @@
 
 
 class Vms:
-    """Answers by method and name; an exception is raised as it is."""
+    """Stand-in that answers by method and path; exceptions are raised."""
 
     def __init__(self, monkeypatch):
         self.answers = {
@@ -58,11 +58,11 @@
 
 @pytest.fixture(name='vms')
 def make_vms(monkeypatch):
-    """Return VMs that answer without a network."""
+    """Return a stand-in for entry VMs that needs no network."""
     return Vms(monkeypatch)
 
 
-def test_next_vm_is_tried_when_one_is_not_reached(vms):
+def test_next_vm_is_called_when_one_is_unreachable(vms):
     vms.unreached = {FIRST}
     vms.answers['PUT', 'keys/k'] = (200, {'accepted': 4, 'change': 'c'})
     code, out, _ = vms.run('key', 'grant', 'k', '--team=t', *AT)
@@ -71,7 +71,7 @@
     assert 'key ' in out
 
 
-def test_vms_are_taken_from_the_environment(vms, monkeypatch):
+def test_urls_and_token_are_read_from_the_environment(vms, monkeypatch):
     monkeypatch.setenv('TOUCANHALL_AT', f'{FIRST},{SECOND}')
     monkeypatch.setenv('TOUCANHALL_TOKEN', 'token')
     vms.answers['GET', 'drains'] = (200, {'drains': {'vms': ['v']}})
@@ -81,12 +81,12 @@
     assert out.splitlines() == ['kind  drained', 'vm    v']
 
 
-def test_no_vm_given_is_wrong_usage(vms, monkeypatch):
+def test_missing_url_exits_two(vms, monkeypatch):
     monkeypatch.delenv('TOUCANHALL_AT', raising=False)
     assert vms.run('drain', 'status')[0] == 2
 
 
-def test_nothing_reached_is_told_and_exits_three(vms):
+def test_unreachable_vms_exit_three(vms):
     vms.unreached = {FIRST, SECOND}
     code, out, err = vms.run('key', 'withdraw', 'k', *AT)
     assert (code, out) == (3, '')
@@ -109,7 +109,7 @@
         (503, {'detail': 'lost', 'outcome': 'unknown'}),
     ],
 )
-def test_unknown_outcome_exits_three_and_tells_how_to_find_out(vms, answer):
+def test_unknown_outcome_exits_three_and_names_the_history(vms, answer):
     vms.answers['PUT', 'drains/vms/v'] = answer
     code, _, err = vms.run('drain', 'start', 'vm', 'v', *AT)
     change = vms.calls[0][3]['Toucanhall-Change']
@@ -118,7 +118,7 @@
     assert [call[0] for call in vms.calls].count('PUT') == 1
 
 
-def test_loser_of_a_race_is_told_how_to_go_on(vms):
+def test_conflict_names_the_newest_change_and_how_to_replace_it(vms):
     vms.answers['PUT', 'catalogue'] = (
         412,
         {
@@ -135,7 +135,7 @@
     assert '--replace 7' in err
 
 
-def test_replace_names_the_revision(vms):
+def test_replace_sends_the_revision_in_if_match(vms):
     vms.answers['PUT', 'catalogue'] = (200, {'accepted': 8, 'change': 'c'})
     code, out, _ = vms.run(
         'catalogue', 'apply', str(EXAMPLE), '--replace=7', '--json', *AT,
@@ -170,13 +170,13 @@
     assert 'drains' not in out
 
 
-def test_change_that_was_not_accepted_is_told(vms):
+def test_unknown_change_in_history_exits_one(vms):
     code, _, err = vms.run('catalogue', 'history', '--change=x', *AT)
     assert code == 1
     assert 'change x was not accepted' in err
 
 
-def test_invalid_file_is_told_whole_on_standard_error(vms, tmp_path):
+def test_all_errors_of_a_file_go_to_standard_error(vms, tmp_path):
     path = tmp_path / 'catalogue.jsonc'
     path.write_text('{"zone": {}, "routes": 7}')
     code, out, err = vms.run('catalogue', 'check', str(path))
@@ -185,7 +185,7 @@
     assert '$.routes' in err
 
 
-def test_status_is_a_table_for_people(vms):
+def test_status_prints_tables(vms):
     vms.answers['GET', 'status'] = (
         200,
         {
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -1,4 +1,4 @@
-"""Tests of documents: parsing, errors, and what no input may cause."""
+"""Tests of documents: parsing, errors, and random input."""
 
 from pathlib import Path
 
@@ -33,7 +33,7 @@
         ('qureshi', {'desk': 16, 'archive': 12}, 3, 650, 300),
     ],
 )
-def test_examples_have_the_sizes_of_their_users(
+def test_examples_have_the_sizes_of_their_deployments(
     name, services, slots, connections, capacity,
 ):  # fmt: skip
     text = (EXAMPLES / f'{name}.jsonc').read_text()
@@ -66,7 +66,7 @@
     'address',
     ['300.1.1.1', '1.2.3', '01.2.3.4', 'localhost', '1.2.3.4\n', '::1', ''],
 )
-def test_address_is_a_real_one(address):
+def test_invalid_address_is_rejected(address):
     text = make_settings_text(address=address)
     findings = settings_slice.read(text, {'SECRET': 's'}).failure()
     assert [(entry.path, entry.allowed) for entry in findings] == [
@@ -77,7 +77,7 @@
 @pytest.mark.parametrize(
     'address', ['1.2.3.4', '1.2.3.4:0', '1.2.3.4:65536', '1.2.3.4:x', '1.2:80'],
 )  # fmt: skip
-def test_target_address_has_a_real_port(address):
+def test_target_address_without_valid_port_is_rejected(address):
     target = make_target('north-a', 1) | {'address': address}
     document = make_document(targets={'guide-1': target})
     paths = [entry.path for entry in catalogue.read(document).failure()]
@@ -85,19 +85,19 @@
 
 
 @pytest.mark.parametrize('number', ['Infinity', '-Infinity', 'NaN', '1e999'])
-def test_endless_numbers_are_refused(number):
+def test_non_finite_numbers_are_rejected(number):
     found = documents.parse(f'{{"a": [{number}]}}').failure()
     assert found[0].path == '$.a[0]'
 
 
-def test_whole_numbers_are_no_fractions_or_booleans():
+def test_floats_and_booleans_are_no_integers():
     for slots in (9.0, True, 0):
         target = make_target('north-a', 1, slots)
         document = make_document(targets={'guide-1': target})
         assert catalogue.read(document).failure()
 
 
-def test_drains_and_links_name_what_exists():
+def test_drains_and_links_must_name_existing_entries():
     document = make_document(
         drains={'targets': ['guide-9'], 'zones': ['west-a'], 'vms': ['any']},
         links=[{'regions': ['north', 'west'], 'mbit_per_second': 1}],
@@ -111,7 +111,7 @@
 
 @given(mutate((EXAMPLES / 'lumina.jsonc').read_text()))
 @hypothesis_settings(max_examples=60, deadline=None, derandomize=True)
-def test_no_catalogue_crashes_or_is_half_read(document):
+def test_catalogue_is_read_whole_or_rejected(document):
     checked = documents.check_object(document).bind(catalogue.read)
     if not isinstance(checked, Success):
         assert all(entry.path.startswith('$') for entry in checked.failure())
@@ -122,7 +122,7 @@
 
 @given(mutate((EXAMPLES / 'vm.jsonc').read_text()))
 @hypothesis_settings(max_examples=120, deadline=None, derandomize=True)
-def test_no_settings_crash(document):
+def test_any_settings_are_read_or_rejected(document):
     text = json5.dumps(document)
     read = settings_slice.read(text, {'FLEET_SECRET': 'secret'})
     if not isinstance(read, Success):
@@ -131,7 +131,7 @@
 
 @given(st.text(max_size=40))
 @hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
-def test_no_text_crashes(text):
+def test_parsing_any_text_raises_nothing(text):
     documents.parse(text)
     documents.parse(f'{{"vm": {text}}}')
 
@@ -142,7 +142,7 @@
 
 @given(mutate(json5.dumps(make_document())))
 @hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
-def test_skipping_known_entries_finds_the_same_errors(document):
+def test_skipping_known_entries_reports_the_same_errors(document):
     whole = documents.check_object(document).bind(catalogue.read)
     known = make_document()
     partly = documents.check_object(document).bind(
@@ -152,7 +152,7 @@
 
 
 @pytest.mark.parametrize('slots', [9.0, True])
-def test_equal_value_of_another_type_is_not_taken_as_known(slots):
+def test_equal_value_of_another_type_is_checked_again(slots):
     known = make_document(
         targets={'guide-1': make_target('north-a', 1, int(slots))},
     )
--- a/tests/unit/test_events.py
+++ b/tests/unit/test_events.py
@@ -1,4 +1,4 @@
-"""Tests of the event catalogue and its page."""
+"""Tests of the log events and their page."""
 
 import json
 import logging
@@ -16,7 +16,7 @@
     assert len(set(numbers)) == len(numbers)
 
 
-def test_page_lists_each_event():
+def test_events_page_lists_each_event():
     rows = [
         f'| {event.number} | {logging.getLevelName(event.level).lower()} '
         f'| {event.text} |'
@@ -39,7 +39,7 @@
     assert line == {
         'event': 200,
         'levelname': 'INFO',
-        'message': 'revision taken into force',
+        'message': 'revision applied',
         'vm': 'north-a-1',
         'fields': {'revision': 7},
     }
--- a/tests/unit/test_frontdoor.py
+++ b/tests/unit/test_frontdoor.py
@@ -1,4 +1,4 @@
-"""Tests of what an entry VM answers about itself."""
+"""Tests of the advice which entry VMs a client should use."""
 
 import json
 
@@ -14,7 +14,7 @@
 
 
 def ask(query):
-    """Ask a VM of zone north-a which entry VMs to use."""
+    """Ask a VM of zone north-a for advice; return status and body."""
     holder = Holder()
     holder.offer(make_revision(blocks={'10.1.0.0/16': 'south-a'}))
     blocks = BlockIndex()
@@ -33,17 +33,17 @@
     return answer.status, json.loads(b''.join(answer.body))
 
 
-def test_client_is_sent_to_the_zone_of_its_block():
+def test_advice_lists_the_zone_of_the_clients_block_first():
     status, advice = ask('client=10.1.2.3')
     assert status == 200
     assert [vm[1] for vm in advice['vms']] == ['south-a', 'north-a']
 
 
-def test_unknown_client_is_sent_to_the_own_zone():
+def test_advice_lists_the_own_zone_first_for_unknown_clients():
     for query in ('', 'client=10.9.0.1', 'client='):
         assert ask(query)[1]['vms'][0][1] == 'north-a'
 
 
-def test_malformed_client_is_refused():
+def test_invalid_client_address_is_rejected():
     status, problem = ask('client=10.1')
     assert (status, problem['reason']) == (400, 'bad-request')
--- a/tests/unit/test_runtime.py
+++ b/tests/unit/test_runtime.py
@@ -1,18 +1,18 @@
-"""Tests of timers and of threads that must go on."""
+"""Tests of timers and of errors in threads."""
 
 import threading
 
 from toucanhall import runtime
 
 
-def test_ticker_goes_on_after_an_error():
+def test_ticker_continues_after_an_error():
     calls = []
     stopping = threading.Event()
 
     def call():
         calls.append(len(calls))
         if len(calls) == 1:
-            raise ValueError('nobody expected this')
+            raise ValueError('unexpected')
         stopping.set()
 
     ticker = runtime.start_ticker(0.01, call, stopping)
@@ -20,7 +20,7 @@
     assert calls == [0, 1]
 
 
-def test_unexpected_error_is_logged_with_its_work(caplog):
+def test_unexpected_error_is_logged_with_its_function(caplog):
     def read_missing():
         return {}['missing']
 
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -11,7 +11,7 @@
     assert settings.read(text, ENVIRONMENT).unwrap().vm == 'north-a-1'
 
 
-def test_every_error_is_told_in_one_go():
+def test_all_errors_are_reported():
     text = make_settings_text(caller_port=0, zone=7, adress='127.0.0.1')
     findings = settings.read(text, ENVIRONMENT).failure()
     assert {finding.path for finding in findings} == {
@@ -21,7 +21,7 @@
     }
 
 
-def test_unknown_field_names_the_nearest_known_one():
+def test_unknown_field_is_reported_with_a_similar_one():
     text = make_settings_text(bounds={'body_byte': 5})
     findings = settings.read(text, ENVIRONMENT).failure()
     assert findings == (
@@ -33,7 +33,7 @@
     )
 
 
-def test_missing_secret_is_told_by_its_variable():
+def test_missing_secret_is_reported_with_its_variable():
     findings = settings.read(make_settings_text(), {}).failure()
     assert findings[0].path == '$.secret_variable'
     assert "'SECRET'" in findings[0].found
--- a/toucanhall/__init__.py
+++ b/toucanhall/__init__.py
@@ -1,4 +1,4 @@
-"""Steers traffic from callers to targets across availability zones."""
+"""Routes requests from callers to targets across availability zones."""
 
 __all__ = ('__version__',)
 
--- a/toucanhall/admin/answers.py
+++ b/toucanhall/admin/answers.py
@@ -1,4 +1,4 @@
-"""Answers of the operators' API: JSON, or problem+json for errors."""
+"""Responses of the operators' API: JSON, or problem+json for errors."""
 
 from collections.abc import Mapping
 from typing import Any, Final, TypeAlias
@@ -33,7 +33,7 @@
 
 
 def render(reply: Reply, extra: Headers = ()) -> Answer:
-    """Return the answer for a reply; a revision in it becomes the ETag."""
+    """Return the response for a reply; the ETag is the revision in it."""
     status, body = reply
     is_error = status >= _MIN_ERROR_STATUS
     kind = 'application/problem+json' if is_error else 'application/json'
--- a/toucanhall/admin/audit.py
+++ b/toucanhall/admin/audit.py
@@ -1,8 +1,8 @@
-"""The history of accepted changes, in the catalogue and beside it.
+"""The history of accepted changes, in the catalogue and in audit pages.
 
-The newest entries travel inside the document that they changed, so that an
-accepted change always has its entry. After the write the entries are copied to
-pages `audit/<n>` of the store; what could not be copied is copied with the
+The newest entries are part of the document that they changed, so that an
+accepted change always has its entry. After the write they are copied to pages
+`audit/<n>` of the store; entries that could not be copied are copied with the
 next change.
 """
 
@@ -18,16 +18,16 @@
 
 __all__ = ('CHANGES_FIELD', 'Audit', 'AuditEntry', 'add_entry', 'list_entries')
 
-_MAX_DOCUMENT_ENTRIES: Final = 8  # entries inside the document
+_MAX_DOCUMENT_ENTRIES: Final = 8
 CHANGES_FIELD: Final = 'changes'
-_MAX_ENTRY_DIFFERENCES: Final = 16  # per entry, at most
+_MAX_ENTRY_DIFFERENCES: Final = 16
 _REVISIONS_PER_PAGE: Final = 100
 _PAGE_COUNT: Final = 100
 _MAX_COPY_ATTEMPTS: Final = 4
 
 
 class AuditEntry(NamedTuple):
-    """Who changed what in which revision, and when by the VM's clock (UTC)."""
+    """An accepted change; `at` is the UTC time by the VM's clock."""
 
     id: str
     operator: str
@@ -41,7 +41,7 @@
     earlier: Iterable[AuditEntry],
     entry: AuditEntry,
 ) -> dict[str, Any]:
-    """Return the document with its own entry after the newest earlier ones."""
+    """Return the document with the newest earlier entries and a new one."""
     hidden = len(entry.what) - _MAX_ENTRY_DIFFERENCES
     what = entry.what[:_MAX_ENTRY_DIFFERENCES]
     if hidden > 0:
@@ -51,7 +51,7 @@
 
 
 def list_entries(document: Document) -> tuple[AuditEntry, ...]:
-    """Return the entries that a document carries, oldest first."""
+    """Return the entries in a document, oldest first."""
     return tuple(
         msgspec.convert(
             tuple(found[name] for name in AuditEntry._fields),
@@ -62,14 +62,14 @@
 
 
 class Audit:
-    """Copies entries to the pages of the store and reads them back."""
+    """Copies entries to audit pages in the store, and reads these."""
 
     def __init__(self, *, platform: Client) -> None:
-        """Use the store of the platform."""
+        """Copy to and read from a store."""
         self._platform = platform
 
     def copy(self, entries: tuple[AuditEntry, ...]) -> bool:
-        """Copy entries to their pages; return whether all are there."""
+        """Copy entries to their pages; return whether all are stored."""
         pages: dict[str, list[AuditEntry]] = {}
         for entry in entries:
             pages.setdefault(_name_page(entry.revision), []).append(entry)
@@ -79,9 +79,9 @@
         return all(copied)
 
     def read(self, revision: int) -> tuple[AuditEntry, ...] | None:
-        """Return the entries of a revision's page and the one before it.
+        """Return the entries of a revision's page and of the previous one.
 
-        The answer is `None` when the store cannot be reached.
+        Returns `None` if the store cannot be reached.
         """
         found: list[AuditEntry] = []
         for number in (max(0, revision - _REVISIONS_PER_PAGE), revision):
@@ -124,7 +124,10 @@
     known: tuple[AuditEntry, ...],
     added: list[AuditEntry],
 ) -> tuple[AuditEntry, ...] | None:
-    """Return the page with the entries added, or `None` if all are there."""
+    """Return the page with the entries added, `None` if it has them all.
+
+    Page names repeat; entries from an earlier use of the name are dropped.
+    """
     by_id: Mapping[str, AuditEntry] = {entry.id: entry for entry in known}
     if all(entry.id in by_id for entry in added):
         return None
--- a/toucanhall/admin/calls.py
+++ b/toucanhall/admin/calls.py
@@ -1,4 +1,4 @@
-"""What an operator's call says, and the revision that it starts from."""
+"""An operator's call: its headers, body and base revision."""
 
 from typing import Any, Final, NamedTuple
 
@@ -28,7 +28,7 @@
 
 
 class Call(NamedTuple):
-    """An operator's call: who calls, and the names in the path."""
+    """A request, its operator, and the names in its path."""
 
     request: Request
     operator: Operator
@@ -36,9 +36,9 @@
 
 
 class BaseRevision(NamedTuple):
-    """The revision that a change starts from; 0 when there is none.
+    """The revision that a change is based on; number 0 if there is none.
 
-    `entries` holds the audit entries that stood in its document.
+    `entries` are the audit entries that were in its document.
     """
 
     number: int
@@ -47,7 +47,7 @@
 
 
 def get_base_revision(held: Revision | None) -> BaseRevision:
-    """Return the revision held, its document without the audit entries."""
+    """Return the revision in force, with audit entries taken out."""
     if held is None:
         return BaseRevision(0, {}, ())
     document: dict[str, Any] = msgspec.json.decode(held.document)
@@ -57,7 +57,7 @@
 
 
 def parse_body(body: bytes) -> Result[dict[str, Any], Reply]:
-    """Return the object in a request's body, without audit entries."""
+    """Decode the object in a request's body and remove audit entries."""
     try:
         parsed: dict[str, Any] = msgspec.json.decode(body, type=dict[str, Any])
     except (msgspec.MsgspecError, RecursionError) as error:
@@ -69,17 +69,17 @@
 
 
 def get_expected_revision(request: Request) -> int | None:
-    """Return the revision in If-Match, or `None` when there is none."""
+    """Return the revision in If-Match, `None` if absent or invalid."""
     tag = find_header(request.headers, 'if-match').strip('"')
     return int(tag) if tag.isascii() and tag.isdecimal() else None
 
 
 def is_conditional(request: Request) -> bool:
-    """Return whether a request has an If-Match, readable or not."""
+    """Return whether a request has an If-Match, valid or not."""
     return find_header(request.headers, 'if-match') != ''
 
 
 def get_change_id(request: Request) -> str:
-    """Return the change id that the operator chose, or a new one."""
+    """Return the change id in the request, or a new one."""
     shown = find_header(request.headers, CHANGE_HEADER.lower())
     return shown[:_MAX_CHANGE_ID_CHARACTERS] or runtime.make_id()
--- a/toucanhall/admin/changes.py
+++ b/toucanhall/admin/changes.py
@@ -1,4 +1,4 @@
-"""The changes that operators make: the whole catalogue, or single entries."""
+"""Handlers of changes to the whole catalogue or to single entries."""
 
 import time
 from typing import Final
@@ -24,15 +24,15 @@
 
 
 class Changes:
-    """Changes the catalogue whole, or single entries of it."""
+    """Handles changes to the whole catalogue or to single entries."""
 
     def __init__(self, *, holder: Holder, writer: Writer) -> None:
-        """Start from the revision held, and write with the writer."""
+        """Base changes on the holder's revision; submit them to the writer."""
         self._holder = holder
         self._writer = writer
 
     def replace(self, call: Call) -> Reply:
-        """Replace the catalogue if its revision is the one in If-Match."""
+        """Replace the catalogue if If-Match names its revision."""
         expected = get_expected_revision(call.request)
         if expected is None:
             return 428, make_error_body(
@@ -68,13 +68,13 @@
         return self._edit(call, edits.make_undrain(*call.names))
 
     def _edit(self, call: Call, edit: edits.Edit) -> Reply:
-        """Change single entries, again on the newer revision on a conflict."""
+        """Edit the document; on a conflict retry on the newer revision."""
         max_attempts = (
             _MAX_EDIT_ATTEMPTS
             if get_expected_revision(call.request) is None
             else 1
         )
-        # A chosen id finds the change again when an earlier try was accepted.
+        # The same id in all attempts: one that was accepted is found by it.
         change = get_change_id(call.request)
         reply: Reply = (CONFLICT, {})
         for _ in range(max_attempts):
--- a/toucanhall/admin/edits.py
+++ b/toucanhall/admin/edits.py
@@ -1,4 +1,4 @@
-"""Edits of a catalogue document that commute with edits of other entries."""
+"""Edits of single catalogue entries; edits of different entries commute."""
 
 from collections.abc import Callable
 from typing import Any, TypeAlias
@@ -11,7 +11,7 @@
 
 
 def make_grant(name: str, key: Document) -> Edit:
-    """Return the edit that grants a key by its team and digest."""
+    """Return the edit that grants a key, given its team and digest."""
 
     def edit(document: Document) -> dict[str, Any]:
         return {**document, 'keys': {**document.get('keys', {}), name: key}}
--- a/toucanhall/admin/rights.py
+++ b/toucanhall/admin/rights.py
@@ -1,4 +1,4 @@
-"""Decides whether an operator may make a change."""
+"""Checks whether an operator's role allows a change."""
 
 from collections.abc import Callable, Mapping
 from typing import Any, Final
@@ -10,14 +10,14 @@
 
 _OPERATOR_SECTIONS: Final = frozenset(('keys', 'drains'))
 _LIMITS: Final = ('rate', 'burst', 'weight')
-_DEFAULT_WEIGHT: Final = 1  # the weight of a team that names none
+_DEFAULT_WEIGHT: Final = 1  # of a team without a weight
 
 
 def find_violations(
     operator: Operator,
     differences: tuple[Difference, ...],
 ) -> tuple[str, ...]:
-    """Return the differences that the operator's role does not allow."""
+    """Describe the differences that the operator's role does not allow."""
     is_allowed = _ROLE_RULES[operator.role]
     return tuple(
         describe(difference)
--- a/toucanhall/admin/routes.py
+++ b/toucanhall/admin/routes.py
@@ -1,4 +1,4 @@
-"""The routes of the operators' API: one table for the server and its page."""
+"""Routes of the operators' API, for the server and its generated page."""
 
 from collections.abc import Iterator
 from typing import Final, NamedTuple
@@ -16,7 +16,7 @@
 
 
 class Route(NamedTuple):
-    """A method and a path, the roles that may use it, and its statuses."""
+    """A method and path, the roles allowed to use it, and its statuses."""
 
     method: str
     path: str
@@ -27,14 +27,14 @@
 
 
 class Match(NamedTuple):
-    """A route and the names that stood in its path."""
+    """A matching route and the names in the path."""
 
     route: Route
     names: tuple[str, ...]
 
 
 class Mismatch(NamedTuple):
-    """No route matches; `allowed` has the methods that the path knows."""
+    """No route matches; `allowed` are the methods of the path, if any."""
 
     allowed: tuple[str, ...]
 
--- a/toucanhall/admin/service.py
+++ b/toucanhall/admin/service.py
@@ -1,4 +1,4 @@
-"""Answers operators: finds who calls, and what serves the call."""
+"""Serves the operators' API: authentication, routing and responses."""
 
 import hashlib
 import hmac
@@ -40,7 +40,7 @@
         accepting: Accepting,
         read_status: Callable[[], Mapping[str, Any]],
     ) -> None:
-        """Serve the operators that the settings name."""
+        """Create the handlers for the operators of the settings."""
         audit = Audit(platform=platform)
         self._operators = operators
         self._holder = holder
@@ -58,7 +58,7 @@
         )
 
     def serve(self, request: Request) -> Answer:
-        """Answer one operator's request."""
+        """Answer an operator's request."""
         operator = self._identify(request)
         if operator is None:
             self._counters.add('admin.token-unknown')
--- a/toucanhall/admin/views.py
+++ b/toucanhall/admin/views.py
@@ -1,4 +1,4 @@
-"""What the operators' API shows of the revision in force and the fleet."""
+"""Read-only handlers of the operators' API."""
 
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -22,7 +22,7 @@
         audit: Audit,
         read_status: Callable[[], Mapping[str, Any]],
     ) -> None:
-        """Show the revision held and the status that a function reads."""
+        """Read the revision in force, the audit pages and the status."""
         self._holder = holder
         self._audit = audit
         self._read_status = read_status
@@ -39,7 +39,7 @@
         }
 
     def show_history(self, call: Call) -> Reply:
-        """List accepted changes, or the one that the query names."""
+        """List accepted changes, or the one whose id is in the query."""
         base = get_base_revision(self._holder.current)
         copied = self._audit.read(base.number)
         known = {entry.id: entry for entry in (*(copied or ()), *base.entries)}
@@ -55,7 +55,7 @@
         }
 
     def show_status(self, _call: Call) -> Reply:
-        """Tell the status of this VM, and what each zone has confirmed."""
+        """Show the status of this VM, and what each zone has confirmed."""
         status = self._read_status()
         held = self._holder.current
         confirmed = status.get('in_force', {})
@@ -78,7 +78,7 @@
         return self._show_section('keys')
 
     def list_drains(self, _call: Call) -> Reply:
-        """List what is drained."""
+        """List drained targets, VMs and zones."""
         return self._show_section('drains')
 
     def _show_section(self, section: str) -> Reply:
--- a/toucanhall/admin/writer.py
+++ b/toucanhall/admin/writer.py
@@ -1,4 +1,4 @@
-"""Checks an operator's new document, notes who made it, and writes it."""
+"""Checks an operator's document, adds an audit entry and writes it."""
 
 import time
 from collections.abc import Callable, Mapping
@@ -43,7 +43,7 @@
 
 
 class Writer:
-    """Writes documents on top of the revision in force."""
+    """Writes documents that are based on the revision in force."""
 
     def __init__(
         self,
@@ -52,7 +52,7 @@
         audit: Audit,
         accept: Callable[[Change], Outcome],
     ) -> None:
-        """Write whole documents with `accept`, which checks the revision."""
+        """Write documents by `accept`, which checks the base revision."""
         self._holder = holder
         self._audit = audit
         self._accept = accept
@@ -64,7 +64,7 @@
         document: Mapping[str, Any],
         change: str,
     ) -> Reply:
-        """Check a new document and the right to make it, then write it."""
+        """Check a document and the operator's rights, then write it."""
         expected = get_expected_revision(call.request)
         for earlier in base.entries:
             if earlier.id == change:
@@ -88,7 +88,7 @@
         return self._write(call, base, add_entry(document, base.entries, entry))
 
     def wait_for_revision(self, expected: int) -> None:
-        """Wait a little until this VM has the revision that a caller saw."""
+        """Wait briefly until this VM has a revision that the caller saw."""
         for _ in range(_MAX_REVISION_POLLS):
             if expected <= self._read_number():
                 return
--- a/toucanhall/catalogue/__init__.py
+++ b/toucanhall/catalogue/__init__.py
@@ -1,4 +1,4 @@
-"""The catalogue: routes, teams, keys, limits and drains, by revision."""
+"""The catalogue of routes, teams, keys, limits and drains, and revisions."""
 
 from toucanhall.catalogue.holder import Holder, Verdict
 from toucanhall.catalogue.model import (
--- a/toucanhall/catalogue/differences.py
+++ b/toucanhall/catalogue/differences.py
@@ -9,9 +9,7 @@
 
 Entries: TypeAlias = Iterator[tuple[str, Any]]
 
-_CHANGES_SECTION: Final = (
-    'changes'  # notes about changes are no part of a comparison
-)
+_CHANGES_SECTION: Final = 'changes'  # audit entries, not compared
 
 
 class Difference(NamedTuple):
@@ -24,7 +22,7 @@
 
 
 def compare(before: Document, after: Document) -> tuple[Difference, ...]:
-    """Return what differs between two documents, ordered by section."""
+    """Return the differences of two documents by section and name."""
     old = dict(_flatten(before))
     new = dict(_flatten(after))
     return tuple(
@@ -35,7 +33,7 @@
 
 
 def describe(difference: Difference) -> str:
-    """Return a difference as a few words, without the contents."""
+    """Describe a difference by section, name and verb, without contents."""
     verb = 'changed'
     if difference.before is None:
         verb = 'added'
--- a/toucanhall/catalogue/holder.py
+++ b/toucanhall/catalogue/holder.py
@@ -1,4 +1,4 @@
-"""Holds the revision in force; an older one is never taken."""
+"""Holds the revision in force; never replaces it by an older one."""
 
 import enum
 import threading
@@ -12,7 +12,7 @@
 
 
 class Verdict(enum.Enum):
-    """What becomes of a revision that arrived."""
+    """Result of comparing a received revision with the one in force."""
 
     TAKE = 'take'
     KNOWN = 'known'
@@ -30,11 +30,11 @@
     number: int,
     change: str,
 ) -> Verdict:
-    """Decide whether an arriving revision replaces the one held.
+    """Decide whether a received revision replaces the one in force.
 
-    Revisions are ordered by number, then by change id. Two contents under one
-    number can arise only when the store lost a revision that no VM within
-    reach had; the order lets every VM end with the same one.
+    Revisions are ordered by number, then by change id. Two revisions with the
+    same number exist only if the store lost a revision that no reachable VM
+    had; because of the order all VMs converge on the same one.
     """
     if held is None or number > held.number:
         return Verdict.TAKE
@@ -46,7 +46,7 @@
 
 
 class Holder:
-    """The revision in force in this process, read without a lock."""
+    """The revision in force in this process; reads take no lock."""
 
     def __init__(
         self,
@@ -56,9 +56,10 @@
     ) -> None:
         """Start with no revision.
 
-        `is_settled` tells whether revisions were compared since the start or
-        the latest pause; `may_serve` whether keys hold for some seconds. A
-        holder without them relies on what it holds.
+        `is_settled` returns whether revisions were compared with other VMs
+        since the start or the latest pause; `may_serve` whether keys may be
+        relied on, given the maximum age of the revision in seconds. Without
+        them the revision in force is always relied on.
         """
         self._is_settled = is_settled
         self._may_serve = may_serve
@@ -67,24 +68,24 @@
         self.current: Revision | None = None
 
     def add_listener(self, listener: Callable[[Revision], None]) -> None:
-        """Call a function after each revision that comes into force."""
+        """Register a function to call with each revision that is applied."""
         self._listeners.append(listener)
 
     def is_ready(self) -> bool:
-        """Return whether the revision in force may decide on requests."""
+        """Return whether requests may be decided by the revision in force."""
         if self.current is None:
             return False
         return self._is_settled is None or self._is_settled()
 
     def may_rely_on_keys(self) -> bool:
-        """Return whether a key of the revision in force may be relied on."""
+        """Return whether keys of the revision in force may be relied on."""
         held = self.current
         if held is None or self._may_serve is None:
             return held is not None
         return self._may_serve(held.catalogue.key_hold_seconds)
 
     def offer(self, revision: Revision) -> Verdict:
-        """Take a revision into force when it is newer than the one held."""
+        """Apply a revision if it is newer than the one in force."""
         with self._lock:
             held = self.current
             verdict = get_verdict(held, revision.number, revision.change)
--- a/toucanhall/catalogue/model.py
+++ b/toucanhall/catalogue/model.py
@@ -1,4 +1,4 @@
-"""Records of the catalogue, as the other slices read them."""
+"""Immutable records of the catalogue."""
 
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -18,7 +18,7 @@
 
 
 class Zone(NamedTuple):
-    """An availability zone: its region and its part of every limit."""
+    """An availability zone: its region and its share of every limit."""
 
     name: str
     region: str
@@ -26,7 +26,7 @@
 
 
 class Target(NamedTuple):
-    """A target: its `host:port`, the service it runs and its room."""
+    """A target: its zone, service, `host:port` and capacity."""
 
     name: str
     zone: str
@@ -37,7 +37,7 @@
 
 
 class Route(NamedTuple):
-    """A path prefix, who owns it, and how its requests are handled."""
+    """A path prefix, its owner, and how its requests are handled."""
 
     path: str
     owner: str
@@ -57,7 +57,7 @@
 
 
 class Key(NamedTuple):
-    """A granted key, known only by the SHA-256 digest of its text."""
+    """A granted key; only its SHA-256 digest is stored."""
 
     name: str
     team: str
@@ -65,14 +65,14 @@
 
 
 class Link(NamedTuple):
-    """Capacity shared by two regions, in Mbit/s each way."""
+    """A link between two regions, and its capacity in each direction."""
 
     regions: tuple[str, str]
     capacity_mbit_per_second: float
 
 
 class Drains(NamedTuple):
-    """Names of targets, VMs and zones that take no new work."""
+    """Names of targets, VMs and zones that get no new work."""
 
     targets: frozenset[str] = frozenset()
     vms: frozenset[str] = frozenset()
@@ -80,11 +80,11 @@
 
 
 class Catalogue(NamedTuple):
-    """One whole catalogue; mappings are by name, keys by digest.
+    """A catalogue; mappings are by name, but `keys` by digest.
 
-    `shift_share` is the share of a zone's slots by which the traffic that
-    comes from other zones may grow in a second. `blocks` maps a prefix of
-    client addresses to the nearest zone.
+    `shift_share` is the fraction of a zone's slots by which the traffic from
+    other zones may grow per second. `blocks` maps prefixes of client addresses
+    to the nearest zone.
     """
 
     zones: Mapping[str, Zone]
@@ -102,7 +102,7 @@
 
 
 class Revision(NamedTuple):
-    """A numbered catalogue, the change that made it, and its document."""
+    """A numbered catalogue, the change id that made it, and its document."""
 
     number: int
     change: str
--- a/toucanhall/catalogue/reading.py
+++ b/toucanhall/catalogue/reading.py
@@ -1,4 +1,4 @@
-"""Reads catalogue documents: shape first, then references between entries."""
+"""Reads catalogue documents; checks schema, then references of entries."""
 
 import ipaddress
 from collections.abc import Iterator
@@ -36,7 +36,7 @@
 
 
 def read_text(text: str) -> Result[Catalogue, tuple[Finding, ...]]:
-    """Read a catalogue with comments, as operators write it."""
+    """Parse and check the text of a catalogue, which may have comments."""
     return documents.parse(text).bind(read)
 
 
@@ -44,10 +44,10 @@
     document: Document,
     known: Document = _EMPTY,
 ) -> Result[Catalogue, tuple[Finding, ...]]:
-    """Check a parsed document whole and return the catalogue.
+    """Check a parsed document and return the catalogue.
 
-    The shape of entries that stand alike in `known`, a document that was found
-    valid before, is not checked again.
+    Entries that are identical in `known`, a document that is known to be
+    valid, are not checked against the schema again.
     """
     return documents.check(_drop_known_entries(document, known), SCHEMA).bind(
         lambda _: _check_references(document),
@@ -60,7 +60,7 @@
     document: bytes,
     known: Document = _EMPTY,
 ) -> Result[Revision, tuple[Finding, ...]]:
-    """Read a plain JSON document that was accepted as a numbered revision.
+    """Read the JSON document of an accepted revision.
 
     `known` is as in `read`.
     """
@@ -79,7 +79,7 @@
     change: str,
     document: bytes,
 ) -> Result[Revision, tuple[Finding, ...]]:
-    """Read a revision; entries that the held one has are not checked again."""
+    """Read a revision; do not check again the entries of the one held."""
     known = msgspec.json.decode(held.document) if held else _EMPTY
     return revise(number, change, document, known)
 
@@ -98,7 +98,7 @@
 
 
 def _is_identical(before: object, entry: object) -> bool:
-    # 1, 1.0 and True are equal; their representations differ.
+    # 1, 1.0 and True are equal, but the schema tells them apart.
     return before == entry and repr(before) == repr(entry)
 
 
--- a/toucanhall/catalogue/schema.py
+++ b/toucanhall/catalogue/schema.py
@@ -27,7 +27,7 @@
         'region': describe(NAME, 'Region of the availability zone.'),
         'fraction': describe(
             {'type': 'number', 'minimum': 0, 'maximum': 1},
-            'Part of every limit that the zone holds; all sum to at most 1.',
+            'Share of the zone in every limit; all sum to at most 1.',
         ),
     },
 )
@@ -36,14 +36,18 @@
         'zone': describe(NAME, 'Availability zone of the target.'),
         'service': describe(NAME, 'Service that the target runs.'),
         'address': describe(make_text('endpoint'), 'IPv4 address and port.'),
-        'slots': describe(COUNT, 'Requests that it runs at the same time.'),
-        'connections': describe(COUNT, 'Connections that it accepts.'),
+        'slots': describe(
+            COUNT, 'Maximum requests in progress at the same time.'
+        ),
+        'connections': describe(COUNT, 'Maximum open connections.'),
     },
 )
 _ROUTE: Final = make_record(
     {
-        'path': describe(make_text('path'), 'Path prefix; the longest wins.'),
-        'owner': describe(NAME, 'Who answers for the route.'),
+        'path': describe(
+            make_text('path'), 'Path prefix; the longest match is used.'
+        ),
+        'owner': describe(NAME, 'Owner of the route.'),
         'service': describe(NAME, 'Service whose targets serve the route.'),
         'kind': describe(
             {'enum': list(ROUTE_KINDS)},
@@ -51,19 +55,23 @@
         ),
     },
     {
-        'public': describe({'type': 'boolean'}, 'Open without a key; false.'),
+        'public': describe(
+            {'type': 'boolean'}, 'Whether no key is needed; false.'
+        ),
         'deadline_seconds': describe(
             POSITIVE,
-            'Seconds until a request is given up; 10.',
+            'Seconds until a request times out; 10.',
         ),
     },
 )
 _TEAM: Final = make_record(
     {
-        'rate': describe(POSITIVE, 'Requests per second over the whole fleet.'),
-        'burst': describe(POSITIVE, 'Requests at once over the whole fleet.'),
+        'rate': describe(POSITIVE, 'Requests per second in the whole fleet.'),
+        'burst': describe(
+            POSITIVE, 'Maximum burst of requests in the whole fleet.'
+        ),
     },
-    {'weight': describe(POSITIVE, 'Part of scarce slots; 1.')},
+    {'weight': describe(POSITIVE, 'Weight when slots are scarce; 1.')},
 )
 _KEY: Final = make_record(
     {
@@ -77,24 +85,24 @@
             {**NAMES, 'minItems': 2, 'maxItems': 2},
             'The two regions that the link joins.',
         ),
-        'mbit_per_second': describe(POSITIVE, 'Capacity each way.'),
+        'mbit_per_second': describe(POSITIVE, 'Capacity in each direction.'),
     },
 )
 _DRAINS: Final = make_record(
     {},
     {
-        'targets': describe(NAMES, 'Targets that take no new work.'),
+        'targets': describe(NAMES, 'Targets that get no new work.'),
         'vms': describe(NAMES, 'Entry VMs that callers are not sent to.'),
-        'zones': describe(NAMES, 'Availability zones that take no new work.'),
+        'zones': describe(NAMES, 'Availability zones that get no new work.'),
     },
 )
 _CHANGE: Final = make_record(
     {
         'id': describe(_TEXT, 'Identifier of the change.'),
-        'operator': describe(NAME, 'Who made the change.'),
-        'at': describe(_TEXT, 'When, in UTC by the clock of the VM.'),
+        'operator': describe(NAME, 'Operator who made the change.'),
+        'at': describe(_TEXT, 'Time in UTC, by the clock of the VM.'),
         'revision': describe(COUNT, 'Revision that the change made.'),
-        'what': describe(make_array(_TEXT), 'Entries that it changed.'),
+        'what': describe(make_array(_TEXT), 'Changed entries.'),
     },
 )
 
@@ -113,15 +121,15 @@
         'links': describe(make_array(_LINK), 'Capacities between regions.'),
         'drains': describe(
             _DRAINS,
-            'What is drained; kept by `catalogue apply` when absent.',
+            'Drains; kept by `catalogue apply` when absent.',
         ),
         'slots_per_zone': describe(
             {'type': 'integer', 'minimum': 1, 'maximum': 256},
-            'Parts into which a zone divides its limits; 12.',
+            'Slots into which a zone divides its limits; 12.',
         ),
         'hold_seconds': describe(
             POSITIVE,
-            'Seconds that callers rely on an answer about entry VMs; 5.',
+            'Seconds that callers may use a list of entry VMs; 5.',
         ),
         'changes': describe(
             make_array(_CHANGE),
@@ -133,7 +141,7 @@
         ),
         'shift_share_per_second': describe(
             POSITIVE,
-            'Part of its slots by which a zone takes more work of others; 0.2.',
+            'Part of its slots by which work from other zones may grow; 0.2.',
         ),
         'blocks': describe(
             {'type': 'object', 'additionalProperties': NAME},
--- a/toucanhall/cmdline.py
+++ b/toucanhall/cmdline.py
@@ -1,4 +1,4 @@
-"""The command line: a parser made from the table of subcommands."""
+"""The command line: a parser built from the table of subcommands."""
 
 import argparse
 import sys
@@ -13,11 +13,11 @@
 __all__ = ('make_parser', 'run')
 
 _EPILOG: Final = """exit codes:
-  0  done
-  1  refused by the system; nothing was changed
-  2  the command, the settings or the document is wrong
-  3  no entry VM could be reached, the outcome is not known, or a change was
-     accepted but is not in force everywhere yet
+  0  success
+  1  rejected by the entry VM; nothing was changed
+  2  invalid command, settings or document
+  3  no entry VM could be reached, the outcome is unknown, or a change was
+     accepted but is not in force in every zone yet
 
 environment:
   TOUCANHALL_TOKEN  the operator's token
@@ -38,7 +38,7 @@
 
 
 def make_parser() -> ArgumentParser:
-    """Return the parser of every subcommand and its older names."""
+    """Return the parser of all subcommands and their aliases."""
     parser = ArgumentParser(
         prog='toucanhall',
         description='Global traffic steering for small fleets of entry VMs.',
--- a/toucanhall/commands/__init__.py
+++ b/toucanhall/commands/__init__.py
@@ -1,4 +1,4 @@
-"""The subcommands: their arguments, examples and what they run."""
+"""The subcommands, with their arguments, examples and functions."""
 
 from typing import Final
 
@@ -26,5 +26,5 @@
 GROUPS: Final = {
     'catalogue': 'check, apply, show and compare catalogues',
     'key': 'grant, withdraw and list keys',
-    'drain': 'take targets, VMs and zones out of use and back',
+    'drain': 'stop and resume new work for targets, VMs and zones',
 }
--- a/toucanhall/commands/api.py
+++ b/toucanhall/commands/api.py
@@ -1,4 +1,4 @@
-"""Calls the operators' API of entry VMs, the next when one is not reached."""
+"""Client of the operators' API; tries entry VMs in order until one answers."""
 
 import os
 import time
@@ -39,7 +39,7 @@
 
 
 class ApiError(NamedTuple):
-    """The operators' API did not do what was asked; `code` is to exit with."""
+    """A failed call of the operators' API, with the exit code to return."""
 
     code: ExitCode
     message: str
@@ -47,7 +47,7 @@
 
 
 class Api:
-    """The operators' API at one or more entry VMs."""
+    """Client of the operators' API of one or more entry VMs."""
 
     def __init__(self, *, base_urls: list[str], token: str) -> None:
         """Call the VMs at the URLs, in order, with an operator's token."""
@@ -56,7 +56,7 @@
         self._pool = urllib3.PoolManager(retries=False)
 
     def read(self, name: str) -> Result[Body, ApiError]:
-        """Return what the first VM that answers shows."""
+        """Return the body that the first VM within reach answers with."""
         failures = []
         for base_url in self._base_urls:
             try:
@@ -72,7 +72,7 @@
         content: Body | None = None,
         revision: int | None = None,
     ) -> Result[Body, ApiError]:
-        """Make a change once; a lost reply is looked up in the history."""
+        """Send a change once; look up a lost response in the history."""
         headers = {CHANGE_HEADER: runtime.make_id()}
         if revision is not None:
             headers['If-Match'] = f'"{revision}"'
@@ -104,7 +104,7 @@
         return Failure(
             ApiError(
                 ExitCode.UNKNOWN,
-                f'the outcome of change {change} is not known ({message}); to '
+                f'the outcome of change {change} is unknown ({message}); to '
                 f'find out: toucanhall catalogue history --change {change}',
                 {'change': change, 'outcome': 'unknown'},
             ),
@@ -139,17 +139,17 @@
 
 
 def connect(options: Namespace) -> Result[Api, ApiError]:
-    """Return the API at the URLs of the options or of the environment."""
+    """Return the client for the URLs of the options or the environment."""
     base_urls = get_base_urls(options)
     if not base_urls:
-        message = f'no entry VM: give --at URL or set {AT_VARIABLE}'
+        message = f'no URL of an entry VM: give --at URL or set {AT_VARIABLE}'
         return Failure(ApiError(ExitCode.INVALID_INPUT, message, {}))
     token = os.environ.get(TOKEN_VARIABLE, '')
     return Success(Api(base_urls=base_urls, token=token))
 
 
 def print_failure(console: Console, error: ApiError) -> int:
-    """Print an error with its details and return the exit code."""
+    """Print an error with its details and return its exit code."""
     console.print_error(error.message)
     for name in ('errors', 'violations'):
         for line in error.body.get(name, ()):
@@ -163,7 +163,7 @@
     try:
         body = msgspec.json.decode(response.data, type=dict[str, Any])
     except msgspec.MsgspecError:
-        message = f'status {response.status} with a body that is no JSON object'
+        message = f'response with status {response.status} has no JSON object'
         return Failure(
             ApiError(ExitCode.UNKNOWN, message, {'outcome': 'unknown'})
         )
@@ -180,7 +180,5 @@
 
 
 def _make_unreachable_error(failures: list[str]) -> ApiError:
-    message = (
-        f'no entry VM was reached, nothing was sent: {"; ".join(failures)}'
-    )
+    message = f'no entry VM reached, nothing was sent: {"; ".join(failures)}'
     return ApiError(ExitCode.UNKNOWN, message, {})
--- a/toucanhall/commands/catalogues.py
+++ b/toucanhall/commands/catalogues.py
@@ -1,4 +1,4 @@
-"""Subcommands about the catalogue: check, apply, show, diff and history."""
+"""Subcommands of `catalogue`: check, apply, show, diff and history."""
 
 from argparse import Namespace
 from collections.abc import Mapping
@@ -47,7 +47,7 @@
 
 
 def apply_catalogue(options: Namespace, console: Console) -> int:
-    """Apply a catalogue file; keys and drains it does not name are kept."""
+    """Apply a catalogue file; keep keys and drains that it does not contain."""
     read = _read_catalogue(options.file)
     if not isinstance(read, Success):
         return print_findings(console, options.file, read.failure())
@@ -100,7 +100,7 @@
 
 
 def show_history(options: Namespace, console: Console) -> int:
-    """Print the accepted changes that are kept."""
+    """Print the accepted changes, or the one with a given id."""
     query = f'?change={options.change}' if options.change else ''
     shown = connect(options).bind(lambda api: api.read(f'history{query}'))
     if not isinstance(shown, Success):
@@ -146,7 +146,7 @@
             f'at {newest.get("at", "?")}: {", ".join(newest.get("what", ()))}',
         )
         console.print_error(
-            f'see `catalogue diff {options.file}`, then go on with '
+            f'check `catalogue diff {options.file}`, then run '
             f'`catalogue apply {options.file} --replace {current}`',
         )
     return error.code
@@ -165,7 +165,7 @@
 COMMANDS: Final = (
     Command(
         ('catalogue', 'check'),
-        'check a catalogue file whole, without applying it',
+        'check a catalogue file without applying it',
         'catalogue check lumina.jsonc',
         (FILE,),
         check_catalogue,
@@ -173,7 +173,7 @@
     ),
     Command(
         ('catalogue', 'apply'),
-        'put a catalogue file into force',
+        'apply a catalogue file',
         f'catalogue apply lumina.jsonc --wait 10 {AT_EXAMPLE}',
         (
             FILE,
@@ -183,7 +183,7 @@
                 {
                     'type': int,
                     'metavar': 'REV',
-                    'help': 'replace this revision and no other',
+                    'help': 'replace only this revision',
                 },
             ),
             WAIT,
@@ -209,7 +209,7 @@
     ),
     Command(
         ('catalogue', 'history'),
-        'print accepted changes: who, what, revision and when',
+        'print accepted changes: revision, time, operator and entries',
         f'catalogue history {AT_EXAMPLE}',
         (
             AT,
--- a/toucanhall/commands/drains.py
+++ b/toucanhall/commands/drains.py
@@ -1,4 +1,4 @@
-"""Subcommands about drains: start, stop and status."""
+"""Subcommands of `drain`: start, stop and status."""
 
 from argparse import Namespace
 from collections.abc import Callable
@@ -36,7 +36,7 @@
 
 
 def show_drains(options: Namespace, console: Console) -> int:
-    """Print what is drained."""
+    """Print drained targets, VMs and zones."""
     shown = connect(options).bind(lambda api: api.read('drains'))
     if not isinstance(shown, Success):
         return print_failure(console, shown.failure())
@@ -54,14 +54,14 @@
 
 _KIND: Final = Argument(
     'kind',
-    {'choices': tuple(_KINDS), 'help': 'what is drained'},
+    {'choices': tuple(_KINDS), 'help': 'the kind to drain'},
 )
-_NAME: Final = Argument('name', {'help': 'its name'})
+_NAME: Final = Argument('name', {'help': 'the name of the target, VM or zone'})
 
 COMMANDS: Final = (
     Command(
         ('drain', 'start'),
-        'give a target, VM or zone no new work',
+        'send no new work to a target, VM or zone',
         f'drain start target guide-1 --wait 10 {AT_EXAMPLE}',
         (_KIND, _NAME, AT, WAIT, JSON),
         _make_drain_command('PUT'),
@@ -75,7 +75,7 @@
     ),
     Command(
         ('drain', 'status'),
-        'list what is drained',
+        'list drained targets, VMs and zones',
         f'drain status {AT_EXAMPLE}',
         (AT, JSON),
         show_drains,
--- a/toucanhall/commands/keys.py
+++ b/toucanhall/commands/keys.py
@@ -1,4 +1,4 @@
-"""Subcommands about keys: grant, withdraw and list."""
+"""Subcommands of `key`: grant, withdraw and list."""
 
 import secrets
 from argparse import Namespace
@@ -27,7 +27,7 @@
 
 
 def grant_key(options: Namespace, console: Console) -> int:
-    """Grant a key to a team and print it, the only time it is shown."""
+    """Grant a new key to a team and print it; only its digest is stored."""
     key = secrets.token_urlsafe(_KEY_BYTES)
     entry = {'team': options.team, 'digest': digest_key(key)}
 
@@ -37,7 +37,9 @@
             return
         print_accepted(console, options, body)
         console.print_line(f'key {key}')
-        console.print_line('it is not kept and cannot be shown again')
+        console.print_line(
+            'only its digest is stored; it cannot be shown again'
+        )
 
     return make_change(
         options,
@@ -57,7 +59,7 @@
 
 
 def list_keys(options: Namespace, console: Console) -> int:
-    """Print the granted keys by name, never the keys themselves."""
+    """Print name, team and digest of the granted keys."""
     shown = connect(options).bind(lambda api: api.read('keys'))
     if not isinstance(shown, Success):
         return print_failure(console, shown.failure())
@@ -80,7 +82,7 @@
 COMMANDS: Final = (
     Command(
         ('key', 'grant'),
-        'grant a key to a team; it is shown once and kept only as digest',
+        'grant a key to a team; it is shown once, only its digest is stored',
         f'key grant hostel-1 --team hostels {AT_EXAMPLE}',
         (_NAME, _TEAM, AT, WAIT, JSON),
         grant_key,
--- a/toucanhall/commands/local.py
+++ b/toucanhall/commands/local.py
@@ -1,4 +1,4 @@
-"""Subcommands that run here: the entry VM and the check of its settings."""
+"""Subcommands that call no entry VM: run one, and check its settings."""
 
 from argparse import Namespace
 from pathlib import Path
@@ -15,7 +15,7 @@
 
 
 def run_entry(options: Namespace, console: Console) -> int:
-    """Run an entry VM until it is told to stop."""
+    """Run an entry VM until SIGTERM or SIGINT."""
     loaded = settings.load(options.settings)
     if not isinstance(loaded, Success):
         return print_findings(console, options.settings, loaded.failure())
@@ -26,7 +26,7 @@
 
 
 def check_settings(options: Namespace, console: Console) -> int:
-    """Check a settings file without starting anything."""
+    """Check a settings file without starting the entry VM."""
     loaded = settings.load(options.file)
     if not isinstance(loaded, Success):
         return print_findings(console, options.file, loaded.failure())
@@ -46,7 +46,7 @@
                     'type': Path,
                     'required': True,
                     'metavar': 'FILE',
-                    'help': 'the settings of this VM',
+                    'help': 'the settings file of this VM',
                 },
             ),
         ),
@@ -54,7 +54,7 @@
     ),
     Command(
         ('check-settings',),
-        'check a settings file whole, without starting anything',
+        'check a settings file without starting the entry VM',
         'check-settings vm.jsonc',
         (FILE,),
         check_settings,
--- a/toucanhall/commands/logs.py
+++ b/toucanhall/commands/logs.py
@@ -18,7 +18,7 @@
 
 
 def explain_request(options: Namespace, console: Console) -> int:
-    """Print the lines of a request and what its VMs believed then."""
+    """Print the log lines of a request, and the state its VMs logged."""
     lines = _read(options.files, console)
     if lines is None:
         return ExitCode.INVALID_INPUT
@@ -28,7 +28,7 @@
 
 
 def report_reasons(options: Namespace, console: Console) -> int:
-    """Print how often each event and reason stands in log files."""
+    """Print how often each event and reason occurs in log files."""
     lines = _read(options.files, console)
     if lines is None:
         return ExitCode.INVALID_INPUT
@@ -59,7 +59,7 @@
 COMMANDS: Final = (
     Command(
         ('explain',),
-        'tell the story of a request from log files',
+        'explain what happened to a request, from log files',
         'explain 9c41d07be2a35f68 vm-1.log vm-2.log',
         (
             Argument('request', {'help': 'the id of the request'}),
--- a/toucanhall/commands/model.py
+++ b/toucanhall/commands/model.py
@@ -1,4 +1,4 @@
-"""What a subcommand is, its exit codes and its common arguments."""
+"""Subcommands, exit codes, output and shared arguments."""
 
 import enum
 import os
@@ -32,22 +32,22 @@
 
 
 class Console(NamedTuple):
-    """Where results and errors are written."""
+    """Streams for results and errors."""
 
     out: TextIO
     err: TextIO
 
     def print_line(self, text: str) -> None:
-        """Write a line of the result."""
+        """Print a line of the result to standard output."""
         print(text, file=self.out)
 
     def print_error(self, text: str) -> None:
-        """Write a line about an error."""
+        """Print an error to standard error."""
         print(f'toucanhall: {text}', file=self.err)
 
 
 class Argument(NamedTuple):
-    """An argument of a subcommand, as argparse takes it."""
+    """Arguments of an `add_argument` call of argparse."""
 
     flag: str
     keywords: dict[str, Any]
@@ -56,7 +56,7 @@
 class Command(NamedTuple):
     """A subcommand: its words, arguments, and the function that runs it.
 
-    `alias` is an older name that still works and always prints JSON.
+    `alias` is an older name; it is not listed and always prints JSON.
     """
 
     words: tuple[str, ...]
@@ -78,7 +78,8 @@
         'action': 'append',
         'metavar': 'URL',
         'help': 'URL of an entry VM; may be repeated, the next one is tried '
-        f'when one cannot be reached (else {AT_VARIABLE}, comma-separated)',
+        'when one cannot be reached; the default is the comma-separated '
+        f'list in {AT_VARIABLE}',
     },
 )
 JSON: Final = Argument(
@@ -90,13 +91,13 @@
     {
         'type': float,
         'metavar': 'SECONDS',
-        'help': 'return when the change is in force in every zone, or name '
-        'the zones that have not confirmed it after so long',
+        'help': 'wait until the change is in force in every zone; after so '
+        'many seconds, name the zones that have not confirmed it',
     },
 )
 
 
 def get_base_urls(options: Namespace) -> list[str]:
-    """Return the URLs of entry VMs to call, in order."""
+    """Return the URLs of the entry VMs to call, in order."""
     urls: list[str] = options.at or _list_environment_urls()
     return [url.rstrip('/') for url in urls]
--- a/toucanhall/commands/printing.py
+++ b/toucanhall/commands/printing.py
@@ -1,4 +1,4 @@
-"""Prints results: tables for people, JSON for scripts."""
+"""Prints results as tables or as JSON."""
 
 from argparse import Namespace
 from collections.abc import Iterable, Mapping, Sequence
@@ -25,7 +25,7 @@
     header: Sequence[str],
     rows: Iterable[Sequence[object]],
 ) -> None:
-    """Print rows in columns that are as wide as their widest cell."""
+    """Print rows in aligned columns below a header."""
     cells = [header, *([str(cell) for cell in row] for row in rows)]
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
     for line in cells:
@@ -40,7 +40,7 @@
     options: Namespace,
     body: Mapping[str, Any],
 ) -> int:
-    """Print what became of a change."""
+    """Print the result of an accepted change."""
     if options.json:
         return print_json(console, body)
     if body.get('changed', True):
@@ -50,7 +50,7 @@
         console.print_line(f'no change to revision {body["accepted"]}')
     if not body.get('audited', True):
         console.print_line(
-            'the copy to the audit pages follows with the next change'
+            'audit entry not copied to the store yet; retried with next change'
         )
     return ExitCode.DONE
 
@@ -60,7 +60,7 @@
     path: Path,
     findings: tuple[Finding, ...],
 ) -> int:
-    """Print every error of a file."""
+    """Print all errors of a file and return the exit code."""
     for finding in findings:
         console.print_error(f'{path}: {documents.render(finding)}')
     return ExitCode.INVALID_INPUT
--- a/toucanhall/commands/status.py
+++ b/toucanhall/commands/status.py
@@ -1,4 +1,4 @@
-"""The subcommand that tells the state of the fleet."""
+"""The subcommand `status`: the fleet as one entry VM sees it."""
 
 from argparse import Namespace
 from collections.abc import Mapping
@@ -13,11 +13,11 @@
 __all__ = ('COMMANDS',)
 
 _REFUSED_PREFIX: Final = 'refused.'
-_MAX_REFUSAL_REASONS: Final = 8  # refusal reasons
+_MAX_REFUSAL_REASONS: Final = 8
 
 
 def show_status(options: Namespace, console: Console) -> int:
-    """Print what an entry VM knows of the fleet."""
+    """Print the state of the fleet as one entry VM sees it."""
     shown = connect(options).bind(lambda api: api.read('status'))
     if not isinstance(shown, Success):
         return print_failure(console, shown.failure())
@@ -92,7 +92,7 @@
 COMMANDS: Final = (
     Command(
         ('status',),
-        'tell what is in force where, members, limits used and refusals',
+        'show revisions by zone, members, limits in use and refusals',
         'status --at http://127.0.1.1:8080',
         (AT, JSON),
         show_status,
--- a/toucanhall/commands/waiting.py
+++ b/toucanhall/commands/waiting.py
@@ -1,4 +1,4 @@
-"""Makes a change, and waits until it is in force in every availability zone."""
+"""Sends a change and waits until it is in force in every zone."""
 
 import time
 from argparse import Namespace
@@ -23,7 +23,7 @@
     write: Callable[[Api], Result[Body, ApiError]],
     report: Callable[[Console, Namespace, Body], object] = print_accepted,
 ) -> int:
-    """Write a change, print what became of it, and wait if asked to."""
+    """Send a change, print its result, and wait if `--wait` is given."""
     opened = connect(options)
     written = opened.bind(write)
     if not isinstance(written, Success):
@@ -39,7 +39,10 @@
     console: Console,
     revision: int,
 ) -> int:
-    """Return once a revision is in force everywhere, or name the rest."""
+    """Wait until a revision is in force in every zone.
+
+    Prints the zones that have not confirmed it within the time of `--wait`.
+    """
     if options.wait is None:
         return ExitCode.DONE
     deadline = runtime.read_clock() + options.wait
--- a/toucanhall/counters.py
+++ b/toucanhall/counters.py
@@ -1,4 +1,4 @@
-"""Counters of refusals, retries and dropped messages, sent by statsd."""
+"""Counters of refusals, retries and dropped messages, sent to statsd."""
 
 import threading
 from collections import Counter
@@ -12,10 +12,10 @@
 
 
 class Counters:
-    """Counts by name in memory and, when an address is set, to statsd."""
+    """Counts by name in memory and, if configured, sends to statsd."""
 
     def __init__(self, *, host: str, port: int) -> None:
-        """Prepare a UDP client for statsd when a host is given."""
+        """Create a UDP client for statsd unless the host is empty."""
         self._lock = threading.Lock()
         self._totals: Counter[str] = Counter()
         self._client = (
--- a/toucanhall/documents.py
+++ b/toucanhall/documents.py
@@ -17,13 +17,11 @@
 
 Document: TypeAlias = Mapping[str, Any]
 
-_MAX_QUOTED_CHARACTERS: Final = (
-    60  # characters of an offending value that an error repeats
-)
+_MAX_QUOTED_CHARACTERS: Final = 60  # of an invalid value that an error quotes
 
 
 class Finding(NamedTuple):
-    """One error of a document: where it is, what was found, what is allowed."""
+    """An error in a document: its path, what was found and what is allowed."""
 
     path: str
     found: str
@@ -36,7 +34,7 @@
 
 
 def parse(text: str) -> Result[Document, tuple[Finding, ...]]:
-    """Parse a JSON document with comments; duplicate names are an error."""
+    """Parse a JSON document with comments; reject duplicate names."""
     try:
         parsed = json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
@@ -56,7 +54,7 @@
     document: Document,
     schema: Document,
 ) -> Result[Document, tuple[Finding, ...]]:
-    """Check a whole document and return every error in document order."""
+    """Check a document against a schema; return all errors, sorted by path."""
     validator = _Validator(schema, format_checker=CHECKER)
     errors = sorted(validator.iter_errors(document), key=_get_path)
     findings = tuple(finding for error in errors for finding in _explain(error))
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -1,4 +1,4 @@
-"""An entry VM: builds the slices, joins them and runs until told to stop."""
+"""An entry VM: creates its components, connects them and runs them."""
 
 import random
 import signal
@@ -67,19 +67,19 @@
 _CLAIM_INTERVAL_SECONDS: Final = 1.0
 _SETTLE_INTERVAL_SECONDS: Final = 1.0
 _FRESHNESS_INTERVAL_SECONDS: Final = 0.5
-_STALE_WATCH_PROBABILITY: Final = (
-    0.1  # a second, where the readers bring nothing
-)
+# Per check, about one a second: a VM whose revision is stale also watches the
+# store, as the watchers of its zone may not reach it.
+_STALE_WATCH_PROBABILITY: Final = 0.1
 _COMPARE_INTERVAL_SECONDS: Final = 1.0
 _RESIZE_INTERVAL_SECONDS: Final = 0.5
-_JOIN_TIMEOUT_SECONDS: Final = 1.0  # for a duty in hand when the VM stops
+_JOIN_TIMEOUT_SECONDS: Final = 1.0  # for each periodic call in progress
 
 
 class Entry:
-    """One entry VM with all its duties."""
+    """All components of one entry VM."""
 
     def __init__(self, *, settings: Settings) -> None:
-        """Build the slices; nothing runs before `run`."""
+        """Create the components; nothing runs before `run`."""
         self._settings = settings
         self._stopping = threading.Event()
         self._contact_round = 0
@@ -160,7 +160,7 @@
         )
 
     def run(self) -> None:
-        """Serve until SIGTERM, then leave, finish what runs and return."""
+        """Serve until SIGTERM or SIGINT, then finish requests and return."""
         server = make_server(
             self._settings, make_application(self._router.serve)
         )
--- a/toucanhall/formats.py
+++ b/toucanhall/formats.py
@@ -1,4 +1,4 @@
-"""Formats of text fields: names, addresses and paths."""
+"""Formats of string fields: names, digests, addresses, paths and URLs."""
 
 import ipaddress
 import re
@@ -14,7 +14,7 @@
 
 
 class Format(NamedTuple):
-    """A format: the check of a text, and what an error says is allowed."""
+    """A format: its check, and the text that describes it in errors."""
 
     is_valid: Callable[[str], bool]
     allowed: str
--- a/toucanhall/frontdoor.py
+++ b/toucanhall/frontdoor.py
@@ -1,4 +1,4 @@
-"""Answers what is asked of the entry VM itself, and passes on the rest."""
+"""Routes requests to the operators' API, health, advice or forwarding."""
 
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
@@ -31,7 +31,7 @@
 
 
 class RequestRouter(NamedTuple):
-    """What answers callers and operators of one entry VM."""
+    """Routes the requests that callers and operators send to one entry VM."""
 
     zone: str
     holder: Holder
@@ -42,7 +42,7 @@
     list_holders: Callable[[str], frozenset[str]]
 
     def serve(self, request: Request) -> Answer:
-        """Answer a caller, an operator or a question which VM to use."""
+        """Answer a request by the handler of its path, or forward it."""
         if request.path.startswith(ADMIN_PREFIX):
             return self.admin.serve(request)
         handler = _HANDLERS.get(request.path)
@@ -89,7 +89,7 @@
     router: RequestRouter,
     request: Request,
 ) -> Result[str, Refusal]:
-    """Return the zone nearest to the client that a caller asks for, or ''."""
+    """Return the zone nearest to the `client` of the query, '' if unknown."""
     query = dict(parse_qsl(request.query))
     client = query.get(_CLIENT_PARAMETER, '')
     if not client:
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -1,4 +1,4 @@
-"""The clock, identifiers and timers of the process."""
+"""Clocks, random identifiers, timers and error handling of threads."""
 
 import secrets
 import threading
@@ -22,31 +22,31 @@
 )
 
 _ID_BYTES: Final = 12
-_NANOSECONDS_PER_MILLISECOND: Final = 1_000_000  # per millisecond
+_NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
 
 def read_clock() -> float:
-    """Return seconds on the monotonic clock of the runtime."""
+    """Return the seconds of the monotonic clock."""
     return time.monotonic()
 
 
 def read_utc() -> str:
-    """Return the time of day in UTC, to the second, as ISO 8601."""
+    """Return the current UTC time as ISO 8601, to the second."""
     return datetime.now(UTC).isoformat(timespec='seconds')
 
 
 def read_wall_milliseconds() -> int:
-    """Return milliseconds on the wall clock, which may be set back."""
+    """Return the milliseconds of the wall clock, which may be set back."""
     return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
 
 
 def make_id() -> str:
-    """Return a random identifier that no other process makes."""
+    """Return a random identifier, unique across processes."""
     return secrets.token_hex(_ID_BYTES)
 
 
 def pause(seconds: float) -> None:
-    """Hold the calling thread for some seconds."""
+    """Block the calling thread for some seconds."""
     time.sleep(seconds)
 
 
@@ -66,9 +66,10 @@
 
 
 def call_and_log_errors(call: Callable[..., Any], *arguments: Any) -> None:
-    """Call a function; write an unexpected error to the log.
+    """Call a function; log an unexpected error instead of raising it.
 
-    For threads that serve many: one message must not end them.
+    For threads that handle many messages: an error with one message must not
+    end the thread.
     """
     try:
         call(*arguments)
@@ -86,9 +87,9 @@
     call: Callable[[], None],
     stopping: threading.Event,
 ) -> threading.Thread:
-    """Call a function every `period_seconds` seconds until the event is set.
+    """Call a function every `period_seconds` until the event is set.
 
-    An unexpected error is logged and does not end the calls.
+    An unexpected error is logged and the next call follows as usual.
     """
 
     def tick() -> None:
--- a/toucanhall/schemas.py
+++ b/toucanhall/schemas.py
@@ -1,4 +1,4 @@
-"""Building blocks of the schemas of settings and catalogue."""
+"""Helpers that build the JSON schemas of settings and catalogue."""
 
 from collections.abc import Mapping
 from typing import Any, Final
@@ -18,11 +18,11 @@
     'make_text',
 )
 
-_MAX_QUANTITY: Final = 1000000000  # of any quantity; larger ones are mistakes
+_MAX_QUANTITY: Final = 1000000000  # a larger value is taken for a mistake
 
 
 def make_text(format_name: str) -> Document:
-    """Return the schema of a text in one of the known formats."""
+    """Return the schema of a string in a format of `FORMATS`."""
     return {'type': 'string', 'format': format_name}
 
 
@@ -40,7 +40,7 @@
 
 
 def make_table(record: Document) -> Document:
-    """Return the schema of an object whose entries have names of their own."""
+    """Return the schema of an object that maps names to records."""
     return {
         'type': 'object',
         'propertyNames': NAME,
@@ -54,7 +54,7 @@
 
 
 def describe(schema: Document, text: str) -> Document:
-    """Return the schema with the text that its page shows."""
+    """Return the schema with a description, shown in the generated pages."""
     return {**schema, 'description': text}
 
 
--- a/toucanhall/settings.py
+++ b/toucanhall/settings.py
@@ -1,4 +1,4 @@
-"""Settings of one entry VM: the file's schema and its checked reading."""
+"""Settings of an entry VM, read from a file and checked."""
 
 import os
 from collections.abc import Mapping
@@ -15,9 +15,9 @@
 
 
 class Operator(NamedTuple):
-    """An operator's credential: SHA-256 digest of the token, and the role.
+    """An operator: SHA-256 digest of the token, and the role.
 
-    `teams` and `routes` are what a role of `owner` owns.
+    `teams` and `routes` are those that an operator of role `owner` may change.
     """
 
     name: str
@@ -28,7 +28,7 @@
 
 
 class Bounds(NamedTuple):
-    """Limits on what one caller's connection may use."""
+    """Limits on requests, connections and threads that serve callers."""
 
     header_bytes: int = 16384
     body_bytes: int = 1048576
@@ -38,7 +38,7 @@
 
 
 class Settings(NamedTuple):
-    """What one entry VM learns from its settings file and environment."""
+    """Settings of an entry VM from its file and its environment."""
 
     vm: str
     zone: str
@@ -58,7 +58,7 @@
     path: Path,
     environment: Mapping[str, str] = os.environ,
 ) -> Result[Settings, tuple[Finding, ...]]:
-    """Read and check a settings file; a failure holds every error found."""
+    """Read and check a settings file; a failure contains all errors."""
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
--- a/toucanhall/settingsschema.py
+++ b/toucanhall/settingsschema.py
@@ -54,19 +54,19 @@
     {},
     {
         'header_bytes': _make_limit(
-            1024, 1048576, 'Most bytes of the header of a request; 16384.',
+            1024, 1048576, 'Maximum bytes of a request header; 16384.',
         ),
         'body_bytes': _make_limit(
-            0, 1073741824, 'Most bytes of the body of a request; 1048576.',
+            0, 1073741824, 'Maximum bytes of a request body; 1048576.',
         ),
         'idle_seconds': _make_limit(
-            1, 86400, 'Seconds after which an idle connection closes; 20.',
+            1, 86400, 'Seconds after which an idle connection is closed; 20.',
         ),
         'threads': _make_limit(
             2, 512, 'Requests that are handled at the same time; 48.',
         ),
         'linger_seconds': _make_limit(
-            0, 3600, 'Seconds that a leaving VM still accepts requests; 6.',
+            0, 3600, 'Seconds that a stopping VM still accepts requests; 6.',
         ),
     },
 )  # fmt: skip
@@ -89,11 +89,15 @@
         ),
     },
     {
-        'statsd': describe(_STATSD, 'Where counters are sent; none if absent.'),
-        'bounds': describe(_BOUNDS, 'Limits on a connection of a caller.'),
+        'statsd': describe(
+            _STATSD, 'Server that counters are sent to; none if absent.'
+        ),
+        'bounds': describe(
+            _BOUNDS, 'Limits on requests and connections of callers.'
+        ),
         'log_level': describe(
             {'enum': ['debug', 'info', 'warning', 'error']},
-            'Least level of events that are logged; info.',
+            'Minimum level of logged events; info.',
         ),
     },
 )
