--- a/tests/unit/test_runtime.py
+++ b/tests/unit/test_runtime.py
@@ -12,7 +12,7 @@
     def call():
         calls.append(len(calls))
         if len(calls) == 1:
-            raise ValueError('unexpected')
+            raise ValueError('unexpected error')
         stopping.set()
 
     ticker = runtime.start_ticker(0.01, call, stopping)
