--- a/tests/unit/test_frontdoor.py
+++ b/tests/unit/test_frontdoor.py
@@ -1,10 +1,10 @@
-"""Tests of what an entry VM answers about itself."""
+"""Tests of the advice which entry VMs a client should use."""
 
 import json
 
 from tests.builders import make_request, make_revision
 from toucanhall.catalogue import Holder
-from toucanhall.frontdoor import Frontdoor
+from toucanhall.frontdoor import RequestRouter
 from toucanhall.steering import AdvisedVm, BlockIndex
 
 VMS = (
@@ -14,12 +14,12 @@
 
 
 def ask(query):
-    """Ask a VM of zone north-a which entry VMs to use."""
+    """Ask a VM of zone north-a for advice; return status and body."""
     holder = Holder()
     holder.offer(make_revision(blocks={'10.1.0.0/16': 'south-a'}))
     blocks = BlockIndex()
     blocks.size(holder.current.catalogue.blocks)
-    door = Frontdoor(
+    router = RequestRouter(
         zone='north-a',
         holder=holder,
         parts=None,
@@ -29,21 +29,21 @@
         list_holders=lambda _team: frozenset(),
     )
     path = '/.toucanhall/entry-vms'
-    answer = door.serve(make_request(path=path, query=query))
+    answer = router.serve(make_request(path=path, query=query))
     return answer.status, json.loads(b''.join(answer.body))
 
 
-def test_client_is_sent_to_the_zone_of_its_block():
+def test_advice_lists_the_zone_of_the_clients_block_first():
     status, advice = ask('client=10.1.2.3')
     assert status == 200
     assert [vm[1] for vm in advice['vms']] == ['south-a', 'north-a']
 
 
-def test_unknown_client_is_sent_to_the_own_zone():
+def test_advice_lists_the_own_zone_first_for_unknown_clients():
     for query in ('', 'client=10.9.0.1', 'client='):
         assert ask(query)[1]['vms'][0][1] == 'north-a'
 
 
-def test_malformed_client_is_refused():
+def test_invalid_client_address_is_rejected():
     status, problem = ask('client=10.1')
     assert (status, problem['reason']) == (400, 'bad-request')
--- a/toucanhall/admin/audit.py
+++ b/toucanhall/admin/audit.py
@@ -1,8 +1,8 @@
-"""The history of accepted changes, in the catalogue and beside it.
+"""The history of accepted changes, in the catalogue and in audit pages.
 
-The newest entries travel inside the document that they changed, so that an
-accepted change always has its entry. After the write the entries are copied to
-pages `audit/<n>` of the store; what could not be copied is copied with the
+The newest entries are part of the document that they changed, so that an
+accepted change always has its entry. After the write they are copied to pages
+`audit/<n>` of the store; entries that could not be copied are copied with the
 next change.
 """
 
@@ -16,18 +16,18 @@
 from toucanhall.documents import Document
 from toucanhall.objectstore import Client, Conflict
 
-__all__ = ('NOTES', 'Audit', 'AuditEntry', 'add_entry', 'list_entries')
+__all__ = ('CHANGES_FIELD', 'Audit', 'AuditEntry', 'add_entry', 'list_entries')
 
-CARRIED: Final = 8  # entries inside the document
-NOTES: Final = 'changes'
-_DIFFERENCES: Final = 16  # per entry, at most
-_PAGE_REVISIONS: Final = 100
-_PAGES: Final = 100
-_COPY_TRIES: Final = 4
+_MAX_DOCUMENT_ENTRIES: Final = 8
+CHANGES_FIELD: Final = 'changes'
+_MAX_ENTRY_DIFFERENCES: Final = 16
+_REVISIONS_PER_PAGE: Final = 100
+_PAGE_COUNT: Final = 100
+_MAX_COPY_ATTEMPTS: Final = 4
 
 
 class AuditEntry(NamedTuple):
-    """Who changed what in which revision, and when by the VM's clock (UTC)."""
+    """An accepted change; `at` is the UTC time by the VM's clock."""
 
     id: str
     operator: str
@@ -38,38 +38,38 @@
 
 def add_entry(
     document: Document,
-    carried: Iterable[AuditEntry],
+    earlier: Iterable[AuditEntry],
     entry: AuditEntry,
 ) -> dict[str, Any]:
-    """Return the document with its own entry after the newest earlier ones."""
-    hidden = len(entry.what) - _DIFFERENCES
-    what = entry.what[:_DIFFERENCES]
+    """Return the document with the newest earlier entries and a new one."""
+    hidden = len(entry.what) - _MAX_ENTRY_DIFFERENCES
+    what = entry.what[:_MAX_ENTRY_DIFFERENCES]
     if hidden > 0:
         what = (*what, f'and {hidden} more')
-    entries = (*carried, entry._replace(what=what))[-CARRIED:]
-    return {**document, NOTES: [found._asdict() for found in entries]}
+    entries = (*earlier, entry._replace(what=what))[-_MAX_DOCUMENT_ENTRIES:]
+    return {**document, CHANGES_FIELD: [found._asdict() for found in entries]}
 
 
 def list_entries(document: Document) -> tuple[AuditEntry, ...]:
-    """Return the entries that a document carries, oldest first."""
+    """Return the entries in a document, oldest first."""
     return tuple(
         msgspec.convert(
             tuple(found[name] for name in AuditEntry._fields),
             AuditEntry,
         )
-        for found in document.get(NOTES, ())
+        for found in document.get(CHANGES_FIELD, ())
     )
 
 
 class Audit:
-    """Copies entries to the pages of the store and reads them back."""
+    """Copies entries to audit pages in the store, and reads these."""
 
     def __init__(self, *, platform: Client) -> None:
-        """Use the store of the platform."""
+        """Copy to and read from a store."""
         self._platform = platform
 
     def copy(self, entries: tuple[AuditEntry, ...]) -> bool:
-        """Copy entries to their pages; return whether all are there."""
+        """Copy entries to their pages; return whether all are stored."""
         pages: dict[str, list[AuditEntry]] = {}
         for entry in entries:
             pages.setdefault(_name_page(entry.revision), []).append(entry)
@@ -79,12 +79,12 @@
         return all(copied)
 
     def read(self, revision: int) -> tuple[AuditEntry, ...] | None:
-        """Return the entries of a revision's page and the one before it.
+        """Return the entries of a revision's page and of the previous one.
 
-        The answer is `None` when the store cannot be reached.
+        Returns `None` if the store cannot be reached.
         """
         found: list[AuditEntry] = []
-        for number in (max(0, revision - _PAGE_REVISIONS), revision):
+        for number in (max(0, revision - _REVISIONS_PER_PAGE), revision):
             page = self._platform.read(_name_page(number))
             if not isinstance(page, Success):
                 return None
@@ -92,7 +92,7 @@
         return tuple({entry.id: entry for entry in found}.values())
 
     def _copy_page(self, name: str, entries: list[AuditEntry]) -> bool:
-        for _ in range(_COPY_TRIES):
+        for _ in range(_MAX_COPY_ATTEMPTS):
             page = self._platform.read(name)
             if not isinstance(page, Success):
                 return False
@@ -110,7 +110,7 @@
 
 
 def _name_page(revision: int) -> str:
-    return f'audit/{revision // _PAGE_REVISIONS % _PAGES}'
+    return f'audit/{revision // _REVISIONS_PER_PAGE % _PAGE_COUNT}'
 
 
 def _decode(content: bytes) -> tuple[AuditEntry, ...]:
@@ -124,18 +124,21 @@
     known: tuple[AuditEntry, ...],
     added: list[AuditEntry],
 ) -> tuple[AuditEntry, ...] | None:
-    """Return the page with the entries added, or `None` if all are there."""
+    """Return the page with the entries added, `None` if it has them all.
+
+    Page names repeat; entries from an earlier use of the name are dropped.
+    """
     by_id: Mapping[str, AuditEntry] = {entry.id: entry for entry in known}
     if all(entry.id in by_id for entry in added):
         return None
     entries = {**by_id, **{entry.id: entry for entry in added}}.values()
-    lap = max(entry.revision for entry in entries) // _PAGE_REVISIONS
+    cycle = max(entry.revision for entry in entries) // _REVISIONS_PER_PAGE
     return tuple(
         sorted(
             (
                 entry
                 for entry in entries
-                if entry.revision // _PAGE_REVISIONS == lap
+                if entry.revision // _REVISIONS_PER_PAGE == cycle
             ),
             key=lambda entry: entry.revision,
         ),
--- a/toucanhall/admin/views.py
+++ b/toucanhall/admin/views.py
@@ -1,12 +1,12 @@
-"""What the operators' API shows of the revision in force and the fleet."""
+"""Read-only handlers of the operators' API."""
 
 from collections.abc import Callable, Mapping
 from typing import Any
 from urllib.parse import parse_qs
 
-from toucanhall.admin.answers import STORE_DOWN, Reply, explain
+from toucanhall.admin.answers import STORE_UNREACHABLE, Reply, make_error_body
 from toucanhall.admin.audit import Audit
-from toucanhall.admin.calls import Call, read_base
+from toucanhall.admin.calls import Call, get_base_revision
 from toucanhall.catalogue import Holder
 
 __all__ = ('Views',)
@@ -22,7 +22,7 @@
         audit: Audit,
         read_status: Callable[[], Mapping[str, Any]],
     ) -> None:
-        """Show the revision held and the status that a function reads."""
+        """Read the revision in force, the audit pages and the status."""
         self._holder = holder
         self._audit = audit
         self._read_status = read_status
@@ -30,8 +30,8 @@
     def show_catalogue(self, _call: Call) -> Reply:
         """Show the catalogue in force and its revision."""
         held = self._holder.current
-        base = read_base(held)
-        change = base.carried[-1].id if base.carried else ''
+        base = get_base_revision(held)
+        change = base.entries[-1].id if base.entries else ''
         return 200, {
             'revision': base.number,
             'change': change,
@@ -39,13 +39,13 @@
         }
 
     def show_history(self, call: Call) -> Reply:
-        """List accepted changes, or the one that the query names."""
-        base = read_base(self._holder.current)
+        """List accepted changes, or the one whose id is in the query."""
+        base = get_base_revision(self._holder.current)
         copied = self._audit.read(base.number)
-        known = {entry.id: entry for entry in (*(copied or ()), *base.carried)}
+        known = {entry.id: entry for entry in (*(copied or ()), *base.entries)}
         wanted = parse_qs(call.request.query).get('change', [''])[0]
         if copied is None and wanted not in known:
-            return 503, explain(STORE_DOWN)
+            return 503, make_error_body(STORE_UNREACHABLE)
         entries = sorted(known.values(), key=lambda entry: entry.revision)
         return 200, {
             'revision': base.number,
@@ -54,8 +54,8 @@
             ],
         }
 
-    def tell_status(self, _call: Call) -> Reply:
-        """Tell the status of this VM, and what each zone has confirmed."""
+    def show_status(self, _call: Call) -> Reply:
+        """Show the status of this VM, and what each zone has confirmed."""
         status = self._read_status()
         held = self._holder.current
         confirmed = status.get('in_force', {})
@@ -78,11 +78,11 @@
         return self._show_section('keys')
 
     def list_drains(self, _call: Call) -> Reply:
-        """List what is drained."""
+        """List drained targets, VMs and zones."""
         return self._show_section('drains')
 
     def _show_section(self, section: str) -> Reply:
-        base = read_base(self._holder.current)
+        base = get_base_revision(self._holder.current)
         return 200, {
             'revision': base.number,
             section: base.document.get(section, {}),
--- a/toucanhall/catalogue/differences.py
+++ b/toucanhall/catalogue/differences.py
@@ -9,7 +9,7 @@
 
 Entries: TypeAlias = Iterator[tuple[str, Any]]
 
-_NOTES: Final = 'changes'  # notes about changes are no part of a comparison
+_CHANGES_SECTION: Final = 'changes'  # audit entries, not compared
 
 
 class Difference(NamedTuple):
@@ -22,7 +22,7 @@
 
 
 def compare(before: Document, after: Document) -> tuple[Difference, ...]:
-    """Return what differs between two documents, ordered by section."""
+    """Return the differences of two documents by section and name."""
     old = dict(_flatten(before))
     new = dict(_flatten(after))
     return tuple(
@@ -33,7 +33,7 @@
 
 
 def describe(difference: Difference) -> str:
-    """Return a difference as a few words, without the contents."""
+    """Describe a difference by section, name and verb, without contents."""
     verb = 'changed'
     if difference.before is None:
         verb = 'added'
@@ -46,9 +46,9 @@
 
 def _flatten(document: Document) -> Iterator[tuple[tuple[str, str], Any]]:
     for section, content in document.items():
-        if section == _NOTES:
+        if section == _CHANGES_SECTION:
             continue
-        list_entries = _LISTERS.get(section, _list_table)
+        list_entries = _ENTRY_LISTERS.get(section, _list_table)
         for name, entry in list_entries(content):
             yield (section, name), entry
 
@@ -76,7 +76,7 @@
             yield f'{kind}/{name}', True
 
 
-_LISTERS: Final[Mapping[str, Callable[[Any], Entries]]] = {
+_ENTRY_LISTERS: Final[Mapping[str, Callable[[Any], Entries]]] = {
     'routes': _list_routes,
     'links': _list_links,
     'drains': _list_drains,
--- a/toucanhall/commands/__init__.py
+++ b/toucanhall/commands/__init__.py
@@ -1,4 +1,4 @@
-"""The subcommands: their arguments, examples and what they run."""
+"""The subcommands, with their arguments, examples and functions."""
 
 from typing import Final
 
@@ -10,9 +10,9 @@
     logs,
     status,
 )
-from toucanhall.commands.model import Code, Command, Console
+from toucanhall.commands.model import Command, Console, ExitCode
 
-__all__ = ('COMMANDS', 'GROUPS', 'Code', 'Command', 'Console')
+__all__ = ('COMMANDS', 'GROUPS', 'Command', 'Console', 'ExitCode')
 
 COMMANDS: Final[tuple[Command, ...]] = (
     *local.COMMANDS,
@@ -26,5 +26,5 @@
 GROUPS: Final = {
     'catalogue': 'check, apply, show and compare catalogues',
     'key': 'grant, withdraw and list keys',
-    'drain': 'take targets, VMs and zones out of use and back',
+    'drain': 'stop and resume new work for targets, VMs and zones',
 }
--- a/toucanhall/commands/keys.py
+++ b/toucanhall/commands/keys.py
@@ -1,4 +1,4 @@
-"""Subcommands about keys: grant, withdraw and list."""
+"""Subcommands of `key`: grant, withdraw and list."""
 
 import secrets
 from argparse import Namespace
@@ -6,18 +6,18 @@
 
 from returns.result import Success
 
-from toucanhall.commands.api import Body, connect, fail
+from toucanhall.commands.api import Body, connect, print_failure
 from toucanhall.commands.model import (
     AT,
     AT_EXAMPLE,
     JSON,
     WAIT,
     Argument,
-    Code,
     Command,
     Console,
+    ExitCode,
 )
-from toucanhall.commands.printing import print_json, print_table, print_taken
+from toucanhall.commands.printing import print_accepted, print_json, print_table
 from toucanhall.commands.waiting import make_change
 from toucanhall.forwarding.credentials import digest_key
 
@@ -27,7 +27,7 @@
 
 
 def grant_key(options: Namespace, console: Console) -> int:
-    """Grant a key to a team and print it, the only time it is shown."""
+    """Grant a new key to a team and print it; only its digest is stored."""
     key = secrets.token_urlsafe(_KEY_BYTES)
     entry = {'team': options.team, 'digest': digest_key(key)}
 
@@ -35,9 +35,11 @@
         if options.json:
             print_json(console, {**body, 'key': key})
             return
-        print_taken(console, options, body)
-        console.say(f'key {key}')
-        console.say('it is not kept and cannot be shown again')
+        print_accepted(console, options, body)
+        console.print_line(f'key {key}')
+        console.print_line(
+            'only its digest is stored; it cannot be shown again'
+        )
 
     return make_change(
         options,
@@ -57,10 +59,10 @@
 
 
 def list_keys(options: Namespace, console: Console) -> int:
-    """Print the granted keys by name, never the keys themselves."""
+    """Print name, team and digest of the granted keys."""
     shown = connect(options).bind(lambda api: api.read('keys'))
     if not isinstance(shown, Success):
-        return fail(console, shown.failure())
+        return print_failure(console, shown.failure())
     if options.json:
         return print_json(console, shown.unwrap())
     keys = shown.unwrap()['keys']
@@ -68,7 +70,7 @@
         (name, key['team'], key['digest']) for name, key in sorted(keys.items())
     )
     print_table(console, ('key', 'team', 'digest'), rows)
-    return Code.DONE
+    return ExitCode.DONE
 
 
 _NAME: Final = Argument('name', {'help': 'the name of the key'})
@@ -80,7 +82,7 @@
 COMMANDS: Final = (
     Command(
         ('key', 'grant'),
-        'grant a key to a team; it is shown once and kept only as digest',
+        'grant a key to a team; it is shown once, only its digest is stored',
         f'key grant hostel-1 --team hostels {AT_EXAMPLE}',
         (_NAME, _TEAM, AT, WAIT, JSON),
         grant_key,
--- a/toucanhall/commands/model.py
+++ b/toucanhall/commands/model.py
@@ -1,4 +1,4 @@
-"""What a subcommand is, its exit codes and its common arguments."""
+"""Subcommands, exit codes, output and shared arguments."""
 
 import enum
 import os
@@ -11,7 +11,7 @@
     'AT_EXAMPLE',
     'AT_VARIABLE',
     'Argument',
-    'Code',
+    'ExitCode',
     'Command',
     'Console',
     'TOKEN_VARIABLE',
@@ -22,32 +22,32 @@
 AT_EXAMPLE: Final = '--at http://127.0.1.1:8080'
 
 
-class Code(enum.IntEnum):
+class ExitCode(enum.IntEnum):
     """Exit codes of the program."""
 
     DONE = 0
     REFUSED = 1
-    WRONG = 2
+    INVALID_INPUT = 2
     UNKNOWN = 3
 
 
 class Console(NamedTuple):
-    """Where results and errors are written."""
+    """Streams for results and errors."""
 
     out: TextIO
     err: TextIO
 
-    def say(self, text: str) -> None:
-        """Write a line of the result."""
+    def print_line(self, text: str) -> None:
+        """Print a line of the result to standard output."""
         print(text, file=self.out)
 
-    def complain(self, text: str) -> None:
-        """Write a line about an error."""
+    def print_error(self, text: str) -> None:
+        """Print an error to standard error."""
         print(f'toucanhall: {text}', file=self.err)
 
 
 class Argument(NamedTuple):
-    """An argument of a subcommand, as argparse takes it."""
+    """Arguments of an `add_argument` call of argparse."""
 
     flag: str
     keywords: dict[str, Any]
@@ -56,7 +56,7 @@
 class Command(NamedTuple):
     """A subcommand: its words, arguments, and the function that runs it.
 
-    `alias` is an older name that still works and always prints JSON.
+    `alias` is an older name; it is not listed and always prints JSON.
     """
 
     words: tuple[str, ...]
@@ -67,8 +67,8 @@
     alias: str = ''
 
 
-def _list_bases() -> list[str]:
-    return [base for base in os.environ.get(AT_VARIABLE, '').split(',') if base]
+def _list_environment_urls() -> list[str]:
+    return [url for url in os.environ.get(AT_VARIABLE, '').split(',') if url]
 
 
 FILE: Final = Argument('file', {'type': Path, 'help': 'the file to read'})
@@ -78,7 +78,8 @@
         'action': 'append',
         'metavar': 'URL',
         'help': 'URL of an entry VM; may be repeated, the next one is tried '
-        f'when one cannot be reached (else {AT_VARIABLE}, comma-separated)',
+        'when one cannot be reached; the default is the comma-separated '
+        f'list in {AT_VARIABLE}',
     },
 )
 JSON: Final = Argument(
@@ -90,13 +91,13 @@
     {
         'type': float,
         'metavar': 'SECONDS',
-        'help': 'return when the change is in force in every zone, or name '
-        'the zones that have not confirmed it after so long',
+        'help': 'wait until the change is in force in every zone; after so '
+        'many seconds, name the zones that have not confirmed it',
     },
 )
 
 
-def find_bases(options: Namespace) -> list[str]:
-    """Return the URLs of entry VMs to call, in order."""
-    given: list[str] = options.at or _list_bases()
-    return [base.rstrip('/') for base in given]
+def get_base_urls(options: Namespace) -> list[str]:
+    """Return the URLs of the entry VMs to call, in order."""
+    urls: list[str] = options.at or _list_environment_urls()
+    return [url.rstrip('/') for url in urls]
--- a/toucanhall/commands/printing.py
+++ b/toucanhall/commands/printing.py
@@ -1,4 +1,4 @@
-"""Prints results: tables for people, JSON for scripts."""
+"""Prints results as tables or as JSON."""
 
 from argparse import Namespace
 from collections.abc import Iterable, Mapping, Sequence
@@ -8,16 +8,16 @@
 import msgspec
 
 from toucanhall import documents
-from toucanhall.commands.model import Code, Console
+from toucanhall.commands.model import Console, ExitCode
 from toucanhall.documents import Finding
 
-__all__ = ('print_findings', 'print_json', 'print_table', 'print_taken')
+__all__ = ('print_findings', 'print_json', 'print_table', 'print_accepted')
 
 
 def print_json(console: Console, body: Mapping[str, Any]) -> int:
     """Print an object as JSON."""
-    console.say(msgspec.json.format(msgspec.json.encode(body)).decode())
-    return Code.DONE
+    console.print_line(msgspec.json.format(msgspec.json.encode(body)).decode())
+    return ExitCode.DONE
 
 
 def print_table(
@@ -25,32 +25,34 @@
     header: Sequence[str],
     rows: Iterable[Sequence[object]],
 ) -> None:
-    """Print rows in columns that are as wide as their widest cell."""
+    """Print rows in aligned columns below a header."""
     cells = [header, *([str(cell) for cell in row] for row in rows)]
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
     for line in cells:
         padded = (
             cell.ljust(width) for cell, width in zip(line, widths, strict=True)
         )
-        console.say('  '.join(padded).rstrip())
+        console.print_line('  '.join(padded).rstrip())
 
 
-def print_taken(
+def print_accepted(
     console: Console,
     options: Namespace,
     body: Mapping[str, Any],
 ) -> int:
-    """Print what became of a change."""
+    """Print the result of an accepted change."""
     if options.json:
         return print_json(console, body)
     if body.get('changed', True):
-        console.say(f'accepted as revision {body["accepted"]}')
-        console.say(f'change {body["change"]}')
+        console.print_line(f'accepted as revision {body["accepted"]}')
+        console.print_line(f'change {body["change"]}')
     else:
-        console.say(f'no change to revision {body["accepted"]}')
+        console.print_line(f'no change to revision {body["accepted"]}')
     if not body.get('audited', True):
-        console.say('the copy to the audit pages follows with the next change')
-    return Code.DONE
+        console.print_line(
+            'audit entry not copied to the store yet; retried with next change'
+        )
+    return ExitCode.DONE
 
 
 def print_findings(
@@ -58,7 +60,7 @@
     path: Path,
     findings: tuple[Finding, ...],
 ) -> int:
-    """Print every error of a file."""
+    """Print all errors of a file and return the exit code."""
     for finding in findings:
-        console.complain(f'{path}: {documents.render(finding)}')
-    return Code.WRONG
+        console.print_error(f'{path}: {documents.render(finding)}')
+    return ExitCode.INVALID_INPUT
--- a/toucanhall/runtime.py
+++ b/toucanhall/runtime.py
@@ -1,4 +1,4 @@
-"""The clock, identifiers and timers of the process."""
+"""Clocks, random identifiers, timers and error handling of threads."""
 
 import secrets
 import threading
@@ -12,7 +12,7 @@
 
 __all__ = (
     'dispatch',
-    'go_on',
+    'call_and_log_errors',
     'make_id',
     'pause',
     'read_clock',
@@ -22,31 +22,31 @@
 )
 
 _ID_BYTES: Final = 12
-_NANOSECONDS: Final = 1_000_000  # per millisecond
+_NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
 
 def read_clock() -> float:
-    """Return seconds on the monotonic clock of the runtime."""
+    """Return the seconds of the monotonic clock."""
     return time.monotonic()
 
 
 def read_utc() -> str:
-    """Return the time of day in UTC, to the second, as ISO 8601."""
+    """Return the current UTC time as ISO 8601, to the second."""
     return datetime.now(UTC).isoformat(timespec='seconds')
 
 
 def read_wall_milliseconds() -> int:
-    """Return milliseconds on the wall clock, which may be set back."""
-    return time.time_ns() // _NANOSECONDS
+    """Return the milliseconds of the wall clock, which may be set back."""
+    return time.time_ns() // _NANOSECONDS_PER_MILLISECOND
 
 
 def make_id() -> str:
-    """Return a random identifier that no other process makes."""
+    """Return a random identifier, unique across processes."""
     return secrets.token_hex(_ID_BYTES)
 
 
 def pause(seconds: float) -> None:
-    """Hold the calling thread for some seconds."""
+    """Block the calling thread for some seconds."""
     time.sleep(seconds)
 
 
@@ -54,46 +54,47 @@
     handlers: Mapping[type, Callable[[Any], None]],
     message: object,
 ) -> None:
-    """Hand a message to the handler of its type, as `go_on` does."""
-    go_on(_hand, handlers, message)
+    """Call the handler of a message's type; log an unexpected error."""
+    call_and_log_errors(_call_handler, handlers, message)
 
 
-def _hand(
+def _call_handler(
     handlers: Mapping[type, Callable[[Any], None]],
     message: object,
 ) -> None:
     handlers[type(message)](message)
 
 
-def go_on(call: Callable[..., Any], *arguments: Any) -> None:
-    """Call a function; write an unexpected error to the log.
+def call_and_log_errors(call: Callable[..., Any], *arguments: Any) -> None:
+    """Call a function; log an unexpected error instead of raising it.
 
-    For threads that serve many: one message must not end them.
+    For threads that handle many messages: an error with one message must not
+    end the thread.
     """
     try:
         call(*arguments)
     except Exception as error:  # noqa: BLE001
-        where = traceback.extract_tb(error.__traceback__)[-1]
+        frame = traceback.extract_tb(error.__traceback__)[-1]
         events.log(
-            events.WORK_FAILED,
-            work=f'{where.name}:{where.lineno}',
+            events.UNEXPECTED_ERROR,
+            work=f'{frame.name}:{frame.lineno}',
             why=repr(error),
         )
 
 
 def start_ticker(
-    period: float,
+    period_seconds: float,
     call: Callable[[], None],
     stopping: threading.Event,
 ) -> threading.Thread:
-    """Call a function every `period` seconds until the event is set.
+    """Call a function every `period_seconds` until the event is set.
 
-    An unexpected error is logged and does not end the calls.
+    An unexpected error is logged and the next call follows as usual.
     """
 
     def tick() -> None:
-        while not stopping.wait(period):
-            go_on(call)
+        while not stopping.wait(period_seconds):
+            call_and_log_errors(call)
 
     thread = threading.Thread(target=tick, name='ticker', daemon=True)
     thread.start()
--- a/toucanhall/settingsschema.py
+++ b/toucanhall/settingsschema.py
@@ -24,9 +24,9 @@
 }
 
 
-def _make_bound(least: int, most: int, text: str) -> Document:
-    bound = {'type': 'integer', 'minimum': least, 'maximum': most}
-    return describe(bound, text)
+def _make_limit(minimum: int, maximum: int, text: str) -> Document:
+    limit = {'type': 'integer', 'minimum': minimum, 'maximum': maximum}
+    return describe(limit, text)
 
 
 _OPERATOR: Final = make_record(
@@ -53,20 +53,20 @@
 _BOUNDS: Final = make_record(
     {},
     {
-        'header_bytes': _make_bound(
-            1024, 1048576, 'Most bytes of the header of a request; 16384.',
+        'header_bytes': _make_limit(
+            1024, 1048576, 'Maximum bytes of a request header; 16384.',
         ),
-        'body_bytes': _make_bound(
-            0, 1073741824, 'Most bytes of the body of a request; 1048576.',
+        'body_bytes': _make_limit(
+            0, 1073741824, 'Maximum bytes of a request body; 1048576.',
         ),
-        'idle_seconds': _make_bound(
-            1, 86400, 'Seconds after which an idle connection closes; 20.',
+        'idle_seconds': _make_limit(
+            1, 86400, 'Seconds after which an idle connection is closed; 20.',
         ),
-        'threads': _make_bound(
+        'threads': _make_limit(
             2, 512, 'Requests that are handled at the same time; 48.',
         ),
-        'linger_seconds': _make_bound(
-            0, 3600, 'Seconds that a leaving VM still accepts requests; 6.',
+        'linger_seconds': _make_limit(
+            0, 3600, 'Seconds that a stopping VM still accepts requests; 6.',
         ),
     },
 )  # fmt: skip
@@ -89,11 +89,15 @@
         ),
     },
     {
-        'statsd': describe(_STATSD, 'Where counters are sent; none if absent.'),
-        'bounds': describe(_BOUNDS, 'Limits on a connection of a caller.'),
+        'statsd': describe(
+            _STATSD, 'Server that counters are sent to; none if absent.'
+        ),
+        'bounds': describe(
+            _BOUNDS, 'Limits on requests and connections of callers.'
+        ),
         'log_level': describe(
             {'enum': ['debug', 'info', 'warning', 'error']},
-            'Least level of events that are logged; info.',
+            'Minimum level of logged events; info.',
         ),
     },
 )
