Plain words in the comments of fleet and observe

Comments and docstrings used words private to this project (told, heard, speaker, lapse, story). They now say what the code does in the usual terms; reasons and figures behind constants stay. Only comments and docstrings change: the syntax trees without docstrings are equal.

--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -35,7 +35,7 @@
 
 
 def make_target(name: str = 't1', **fields: object) -> Target:
-    """Return a warm target that is ready."""
+    """Return a target that is warm and takes requests."""
     target = Target(
         id=name,
         service='guide',
@@ -51,7 +51,7 @@
 
 
 def make_team(name: str = 'guides', **fields: object) -> Team:
-    """Return a team without homes."""
+    """Return a team without home regions."""
     team = Team(
         name=name,
         priority=None,
@@ -63,7 +63,7 @@
 
 
 def make_bounds(**fields: object) -> Bounds:
-    """Return the bounds of today's deployments."""
+    """Return the bounds of the deployments."""
     bounds = Bounds(
         grace=6.0,
         directory_ttl=2.0,
@@ -79,7 +79,7 @@
 
 
 def make_environment(**fields: object) -> Environment:
-    """Return what a VM of a zone of its own is told at its start."""
+    """Return the settings of a VM that is alone in its zone."""
     environment = Environment(
         vm='vm-1',
         zone='east-a',
@@ -105,7 +105,7 @@
     usage: Mapping[str, Usage] | None = None,
     **fields: object,
 ) -> Heartbeat:
-    """Return the heartbeat of a VM that is ready; fields are its member's."""
+    """Return the heartbeat of a ready VM; `fields` are those of its member."""
     return Heartbeat(
         member=make_member(vm, **fields),
         started_at=started_at,
@@ -115,7 +115,7 @@
 
 
 def make_member(vm: str = 'vm-1', **fields: object) -> Member:
-    """Return a VM that is alive and ready."""
+    """Return the state of a VM that is ready."""
     member = Member(
         vm=vm,
         zone='east-a',
@@ -144,13 +144,13 @@
 
 
 def make_members(*zones: str, now: float = -100.0) -> Members:
-    """Return what a VM of `east-a` knows that started long ago."""
+    """Return the members known to a VM of `east-a` that started long ago."""
     own = Introduction('vm-own', 'east-a', '127.0.0.99')
     return Members(own=own, zones=('east-a', *zones), now=now)
 
 
 def make_opening(memory: int = 152_000_000, id_header: bytes = b'') -> Opening:
-    """Return how a VM with so many bytes of memory opens connections."""
+    """Return how a VM with this memory (bytes) opens connections."""
     return Opening(
         bounds=make_answer_bounds(memory),
         held=make_held_bytes(memory),
@@ -159,7 +159,7 @@
 
 
 def make_store(address: Address) -> Store:
-    """Return a client of a store whose calls nobody counts."""
+    """Return a client of a store; its calls are not counted."""
     return Store(
         address=address,
         opening=make_opening(),
--- a/tests/models/reports.py
+++ b/tests/models/reports.py
@@ -1,4 +1,4 @@
-"""Explores models and prints their size, time and counterexamples."""
+"""Checks models and prints their size, time and counterexamples."""
 
 import time
 
--- a/tests/models/test_tables_model.py
+++ b/tests/models/test_tables_model.py
@@ -1,11 +1,14 @@
-"""Model of the tables that VMs read from the store and pass on to each other.
+"""Model of the tables that VMs read from the store and send to each other.
 
-Three VMs: one watches the store, the others take snapshots from any VM. The
-operator writes configurations, a target registers and leaves; calls to the
-store are answered whole or lost, and it hears of changes by its watch. A
-snapshot is made for a VM that knows some revision: whole, or what has changed
-since. It stays under way for good, so it can come late, twice, out of order
-and to any VM. A VM may start again and then knows nothing.
+It guards against a VM that goes back to an older table, or that keeps a
+deleted target, when snapshots come late, twice or out of order.
+
+Three VMs: one watches the store, the others apply snapshots from any VM. The
+operator writes configurations, a target registers and leaves; the watcher
+reads whole tables or receives changes, or its call is lost. A snapshot is made
+for a VM that knows some revision: whole tables, or what has changed since. It
+is never consumed, so it can arrive at any time, more than once and at any VM.
+A VM may start again and then knows nothing.
 
 The model runs `Knowledge` itself, built anew from each state.
 """
@@ -36,10 +39,11 @@
 
 
 class Known(NamedTuple):
-    """What a VM knows; `peak` is the most it knew since its start.
+    """What a VM knows; `peak` has its newest revisions since its start.
 
-    `target` and `removed` are revisions, 0 where the target is not known and
-    where no removal is.
+    `target` is the revision of the target, 0 if it is not in the table;
+    `removed` that of its removal, 0 without one. All removals after the
+    revision `since` are known.
     """
 
     configuration: int = 0
@@ -51,7 +55,10 @@
 
 
 class Sent(NamedTuple):
-    """A snapshot under way; its last three fields as in `Known`."""
+    """A snapshot in transit; `target` and `removed` are as in `Known`.
+
+    It has the changes after `since`, or the whole table if that is 0.
+    """
 
     configuration: int
     targets: int
@@ -61,11 +68,11 @@
 
 
 class State(NamedTuple):
-    """The store, the VMs, snapshots under way, and starts so far."""
+    """The store, the VMs, snapshots in transit, and starts so far."""
 
     revision: int = 1
     configuration: int = 1
-    # Store revision of the last change of the target, and whether it is there.
+    # Store revision of the target's last change, and whether it is registered.
     target: tuple[int, bool] = (1, True)
     vms: tuple[Known, ...] = (Known(),) * VMS
     sent: frozenset[Sent] = frozenset()
@@ -78,7 +85,7 @@
 
 
 def restore(known, make):
-    """Return the knowledge of a VM in a state."""
+    """Return the tables of a VM, built from what it knows in a state."""
     knowledge = make(on_change=lambda _table: None)
     if known.configuration:
         knowledge.configuration = make_configuration(known.configuration)
@@ -170,7 +177,7 @@
 
 
 def list_answers(state, make):
-    """Yield what each VM may answer those that ask it."""
+    """Yield the answers of each VM to VMs that know an older table."""
     for asked in sorted({known.targets for known in state.vms}):
         for index, known in enumerate(state.vms):
             if known.targets > asked:
@@ -229,7 +236,7 @@
 
 
 def never_regresses(state):
-    """Whether no VM knows less than it did since its start."""
+    """Whether no VM has an older table than before, since its start."""
     return all(
         (known.configuration, known.targets) == known.peak
         for known in state.vms
@@ -237,7 +244,7 @@
 
 
 def agrees_with_the_store(state):
-    """Whether each VM that heard of the last change took it rightly."""
+    """Whether each VM that knows the last change has the store's target."""
     changed_at, is_there = state.target
     expected = changed_at if is_there else 0
     return all(
@@ -274,7 +281,7 @@
     """A variant in which the snapshot of a peer replaces what is known."""
 
     def take_snapshot(self, snapshot, now):
-        """Forget the revisions that are known, then take the snapshot."""
+        """Forget the known revisions, then apply the snapshot."""
         self.revisions = Revisions()
         self.configuration = None
         super().take_snapshot(snapshot, now)
@@ -284,7 +291,7 @@
     """A variant that takes the revision of a snapshot without its targets."""
 
     def take_snapshot(self, snapshot, now):
-        """Keep the targets that are known."""
+        """Replace the targets of the snapshot by the known ones."""
         kept = snapshot._replace(targets=self.targets, removed={})
         super().take_snapshot(kept, now)
 
@@ -301,7 +308,7 @@
     """A variant that takes changes although it lacks earlier ones."""
 
     def take_snapshot(self, snapshot, now):
-        """Pass over what the changes build on."""
+        """Ignore the revision that the changes build on."""
         since = min(snapshot.targets_since, self.revisions.targets)
         super().take_snapshot(snapshot._replace(targets_since=since), now)
 
@@ -310,7 +317,7 @@
     """A variant that takes a whole table for all that went before it."""
 
     def take_targets(self, revision, targets, now):
-        """Keep the removals that are known, and how far back."""
+        """Keep the revision since which all removals are known."""
         since = self.removals._since or revision
         super().take_targets(revision, targets, now)
         self.removals.restart(since)
--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -1,4 +1,4 @@
-"""Tests of what a VM knows of the others: heartbeats, reports, duties."""
+"""Tests of the other VMs as a VM knows them, and of the picks among them."""
 
 import pytest
 
@@ -164,7 +164,7 @@
         make_member(f'vm-{index:02}', capacity=150.0, load=30.0)
         for index in range(50)
     ]
-    # 1,500 requests a second of 7,500 that all of them bear.
+    # A load of 1,500 requests a second, of the 7,500 that all could serve.
     picked = pick_serving(zone)
     assert 4 * 1500 <= sum(found.capacity for found in picked) <= 4 * 1500 + 150
 
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -1,4 +1,4 @@
-"""Tests of messages between VMs as datagrams."""
+"""Tests of messages between VMs that are sent as datagrams."""
 
 import math
 import random
--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -1,4 +1,4 @@
-"""Tests of log lines and metrics of a VM on the platform."""
+"""Tests of log lines and metrics of a VM, and of commands that read logs."""
 
 import json
 import logging
--- a/tests/unit/test_tables.py
+++ b/tests/unit/test_tables.py
@@ -1,4 +1,9 @@
-"""Tests of tables that VMs pass on: who is asked, how often, for what."""
+"""Tests of tables that VMs read from each other.
+
+Failures they guard against: a VM that starts reads the same tables from many
+others, or from a remote region without need; or one that does not answer keeps
+it from its tables.
+"""
 
 import asyncio
 import os
@@ -25,7 +30,7 @@
 
 
 class Peer:
-    """A VM that has the tables; it answers, breaks off or stays silent."""
+    """A VM that has the tables; `behaviour` is how it answers."""
 
     def __init__(self, *, number: int, zone: str, how: str = 'answers'):
         self.source = Source(
--- a/toucanhall/fleet/__init__.py
+++ b/toucanhall/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""What a VM knows of the fleet: configuration, targets and other VMs."""
+"""State of the fleet at a VM: configuration, targets and the other VMs."""
--- a/toucanhall/fleet/addresses.py
+++ b/toucanhall/fleet/addresses.py
@@ -1,7 +1,7 @@
-"""Addresses that others told: they are used as they stand, or refused.
+"""Checks IP addresses that other VMs sent before a socket uses them.
 
-A socket looks anything else up as a name, which stops the event loop, or fails
-in a way that closes the socket for good.
+A socket resolves any other text as a host name, which blocks the event loop or
+fails in a way that closes the socket for good.
 """
 
 import socket
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -1,4 +1,4 @@
-"""Carries messages between VMs as datagrams."""
+"""Sends and receives messages between VMs as UDP datagrams."""
 
 import asyncio
 import math
@@ -26,7 +26,7 @@
 
 
 class Message(NamedTuple):
-    """A heartbeat or a report; `is_relayed` when a VM of the zone passed it."""
+    """A heartbeat or a report; `is_relayed` if a VM of the zone relayed it."""
 
     heartbeat: Heartbeat | None = None
     report: ZoneReport | None = None
@@ -37,7 +37,7 @@
 
 
 class Gossip(asyncio.DatagramProtocol):
-    """The socket on which messages come and go."""
+    """The UDP socket that sends and receives messages."""
 
     def __init__(self, *, hear: Hear, on_bad: Callable[[str], None]) -> None:
         """Pass each message to `hear`; tell `on_bad` why one was dropped."""
@@ -50,12 +50,12 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Tell that the socket was lost, unless it was closed on purpose."""
+        """Pass on the loss of the socket, unless it was closed on purpose."""
         if error is not None:
             self._on_bad(f'socket lost: {error}')
 
     def datagram_received(self, received: bytes, _address: object) -> None:
-        """Decode a message."""
+        """Decode a message, check it and pass it on."""
         try:
             message = _DECODER.decode(_unpack(received))
         except (msgspec.MsgspecError, zlib.error) as error:
@@ -117,7 +117,7 @@
 
 
 def _list_ips(message: Message) -> list[str]:
-    """Return every address that a message names."""
+    """Return all addresses in a message."""
     heartbeat, report = message.heartbeat, message.report
     found: list[str] = []
     if report is not None:
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/knowledge.py
@@ -1,4 +1,4 @@
-"""Tables read from the store or a peer, each with its revision."""
+"""Tables read from the store or another VM, each with its revision."""
 
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
@@ -8,14 +8,14 @@
 
 __all__ = ('Knowledge', 'Revisions', 'find_route', 'is_ahead')
 
-# Targets that were dropped while the store was away get this long to register
-# again: the platform promises about two seconds after its return. It is less
-# than the 2.5 s in which a target that has left must get nothing more.
+# Targets whose entries expired during an outage of the store get this long to
+# register again: the platform promises about two seconds after the outage. It
+# is less than the 2.5 s after which a target that left must get no request.
 LAPSE_SECONDS: Final = 2.1
 
 
 class Revisions(NamedTuple):
-    """Store revision of each table, 0 while nothing is known."""
+    """Store revision of each table, 0 while it is not known."""
 
     configuration: int = 0
     targets: int = 0
@@ -40,7 +40,12 @@
 
 
 class Knowledge:
-    """The newest tables that this VM has heard of; none ever goes back."""
+    """The newest known tables; an older table never replaces a newer one.
+
+    While the store can't be reached, entries of targets expire that are in
+    use. So targets that are deleted during an outage are held: they stay in
+    `targets` until they had time to register again after it.
+    """
 
     def __init__(self, *, on_change: Callable[[str], None]) -> None:
         """Start without any table; `on_change` gets the name of a table."""
@@ -48,6 +53,7 @@
         self.targets: dict[str, Target] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.revisions = Revisions()
+        # Until when each target is held; without end during an outage.
         self.lapsed: dict[str, float] = {}
         self._lapse_until = 0.0
         self._heard_targets = 0
@@ -60,7 +66,7 @@
         revision: int,
         configuration: Configuration | None,
     ) -> None:
-        """Take a configuration unless a newer one is known."""
+        """Replace the configuration unless a newer one is known."""
         if configuration is None or revision <= self.revisions.configuration:
             return
         known = self.configuration
@@ -70,7 +76,7 @@
             self._on_change('configuration')
 
     def take_evacuations(self, revision: int, zones: Iterable[str]) -> None:
-        """Take the set of zones that are to get no requests."""
+        """Replace the set of evacuated zones, which get no requests."""
         if revision <= self.revisions.evacuations:
             return
         self.revisions = self.revisions._replace(evacuations=revision)
@@ -84,7 +90,7 @@
         revision: int,
         changes: Mapping[str, bool],
     ) -> None:
-        """Add the zones that map to True and drop the others."""
+        """Add the zones that map to True and remove the others."""
         if revision <= self.revisions.evacuations:
             return
         kept = {zone for zone in self.evacuated if changes.get(zone, True)}
@@ -97,7 +103,7 @@
         targets: Mapping[str, Target],
         now: float,
     ) -> None:
-        """Replace the list of targets unless a newer one is known."""
+        """Replace the table of targets unless a newer one is known."""
         if revision <= self.revisions.targets:
             return
         missing = self.targets.keys() - targets.keys()
@@ -111,7 +117,7 @@
         changes: Mapping[str, Target | int],
         now: float,
     ) -> None:
-        """Take changed targets; an integer is the revision of a removal."""
+        """Apply changed targets; an integer is the revision of a removal."""
         if revision <= self.revisions.targets:
             return
         written = {
@@ -146,11 +152,11 @@
         self._heard_targets = max(self._heard_targets, revisions.targets)
 
     def end_lapse(self, now: float, *, may_have_lapsed: bool) -> None:
-        """Start the wait for targets that were dropped meanwhile.
+        """Give the held targets time to register again: the store is back.
 
-        There is none after an absence in which no target can lapse, or if
-        another VM told of changes all the while: then only this VM had lost
-        the store, and what is dropped has gone.
+        There is no such time after an outage too short for any entry to
+        expire, nor if another VM reported newer targets meanwhile: then only
+        this VM had lost the store, and what was deleted had left.
         """
         if self._lapse_until == float('inf'):
             wait = LAPSE_SECONDS if may_have_lapsed else 0.0
@@ -173,7 +179,7 @@
         return over
 
     def make_snapshot(self, known: Revisions, now: float) -> Snapshot:
-        """Return what a peer lacks that knows these revisions."""
+        """Return what is newer than the revisions that a peer knows."""
         own = self.revisions
         has_configuration = own.configuration > known.configuration
         snapshot = Snapshot(
@@ -206,7 +212,11 @@
         )
 
     def take_snapshot(self, snapshot: Snapshot, now: float) -> None:
-        """Take each table of a peer that is newer than the own one."""
+        """Apply each table of a peer that is newer than the own one.
+
+        Changes of the targets are passed over unless this VM knows the
+        revision that they build on.
+        """
         self.take_configuration(
             snapshot.configuration_revision,
             snapshot.configuration,
@@ -237,8 +247,8 @@
     def _merge(self, snapshot: Snapshot) -> dict[str, Target]:
         """Return the own targets with the changes of a snapshot.
 
-        What only this VM still holds for a lapse goes: it is not in the table
-        of the peer.
+        Targets that this VM holds and the peer does not are removed: they are
+        not in the peer's table.
         """
         for name, revision in snapshot.removed.items():
             self.removals.note(name, revision)
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -1,4 +1,4 @@
-"""Which VMs are alive, and what they last told."""
+"""The other VMs: which are alive, and what they last reported."""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
@@ -24,30 +24,30 @@
 
 # Two heartbeats may be lost before a VM counts as dead.
 ALIVE_SECONDS: Final = 2.6
-# A VM that fell silent may still admit requests of teams: its part of their
-# limits is given to others only after this time.
+# A silent VM may still admit requests of teams: its share of their limits is
+# given to others only after this time.
 FORGET_SECONDS: Final = 20.0
-# A VM that is silent for so long is greeted no more, until the store or another
-# VM tells of it again: replacements take some seconds.
+# A VM that is silent for longer gets no more messages until the store or
+# another VM names it again: its replacement takes some seconds.
 GONE_SECONDS: Final = 60.0
-# Heartbeats come each 0.8 s: a VM that missed one and told nothing for longer
-# may be cut off and admit requests that nobody hears of.
+# Heartbeats come each 0.8 s: a VM that missed one and is silent for longer may
+# be cut off and admit requests of which the others get no report.
 LATE_SECONDS: Final = 1.8
-# Two speakers of a zone report each 1.6 s, each to one of two listeners in
-# turn: after this time more than one report was lost.
+# Each of the two delegates of a zone reports each 1.6 s, to the two delegates
+# of another zone in turn: after this time more than one report was lost.
 REPORT_LATE_SECONDS: Final = 2.6
-# The VMs of a zone are named for so long after its last report: with the
-# heartbeats before it a dead VM is named for less than six seconds, the least
-# that deployments allow.
+# The VMs of a report count as alive for so long after it. Together with the
+# time from its last heartbeat to the report, a dead VM is named to clients for
+# less than six seconds, the strictest bound of the deployments.
 REPORT_SECONDS: Final = 4.0
 
 
 class Heartbeat(NamedTuple):
-    """What a VM tells the others of its zone, and its seeds at a start.
+    """What a VM sends to the others of its zone, and at a start to its seeds.
 
-    `started_at` tells its starts apart (Unix milliseconds), `usage` holds the
-    requests of each team. `is_asking` asks for `introduced`, the VMs that the
-    other one knows.
+    `started_at` is the time of its start (Unix milliseconds), `usage` holds
+    the requests of each team. `is_asking` asks for an answer with
+    `introduced`, the VMs that the other one knows.
     """
 
     member: Member
@@ -59,7 +59,7 @@
 
 
 class Peer(NamedTuple):
-    """The last heartbeat of a VM and when it was heard."""
+    """The last heartbeat of a VM and when it was received."""
 
     heartbeat: Heartbeat
     heard_at: float
@@ -80,10 +80,10 @@
         zones: Iterable[str],
         now: float,
     ) -> None:
-        """Start without knowing any VM but the own one."""
+        """Start with only the own VM known."""
         self._own = own
-        # Zones in which there should be VMs: those of the settings, until the
-        # entries of all VMs were read some time after a start.
+        # Zones that should have VMs: those of the settings, until the entries
+        # of all VMs were read some time after the start.
         self._zones = frozenset(zones)
         self._started_at = now
         self.peers: dict[str, Peer] = {}
@@ -93,9 +93,9 @@
         self._reports: dict[str, dict[str, _Heard]] = {}
 
     def hear(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Take a heartbeat of the own zone.
+        """Update the state of a VM of the own zone from its heartbeat.
 
-        Returns whether its VM is new, started again or was taken as dead.
+        Returns whether the VM is new, started again or counted as dead.
         """
         vm = heartbeat.member.vm
         known = self.peers.get(vm)
@@ -121,7 +121,7 @@
         return True
 
     def introduce(self, introduction: Introduction) -> bool:
-        """Note where a VM may be found; tell whether it was unknown."""
+        """Record the address of a VM; return whether it is new."""
         is_new = self.introduced.get(introduction.vm) != introduction
         self.introduced[introduction.vm] = introduction
         return is_new
@@ -133,8 +133,8 @@
     def count_known(self) -> Counter[str]:
         """Return how many VMs each zone has, this one included.
 
-        There are none until the entries of all VMs were read: who has just
-        started knows only a few of them.
+        It is empty until the entries of all VMs were read: a VM that has just
+        started knows only a few others.
         """
         if not self._is_listed:
             return Counter()
@@ -143,7 +143,7 @@
         return zones
 
     def take_listing(self, listed: Sequence[Introduction]) -> None:
-        """Drop VMs of other zones that have no entry and are not heard of."""
+        """Drop VMs that are in no entry of the store, heartbeat or report."""
         self._zones = frozenset(found.zone for found in listed)
         names = {found.vm for found in listed}
         names.update(self.peers)
@@ -155,7 +155,7 @@
         }
 
     def excuse(self, seconds: float) -> None:
-        """Forgive silence for the time in which this VM did not run."""
+        """Don't count a pause of this process as silence of the others."""
         self.peers = {
             vm: peer._replace(heard_at=peer.heard_at + seconds)
             for vm, peer in self.peers.items()
@@ -169,7 +169,10 @@
         }
 
     def drop_gone(self, now: float) -> list[Introduction]:
-        """Drop what was silent for a minute; return VMs of the own zone."""
+        """Drop VMs and delegates that were silent for `GONE_SECONDS`.
+
+        Returns those of the own zone.
+        """
         self._reports = {
             zone: {
                 speaker: heard
@@ -197,7 +200,7 @@
         ]
 
     def list_zone(self, zone: str, now: float) -> list[Member]:
-        """Return the VMs of another zone that its reports name."""
+        """Return the VMs of another zone that are in its recent reports."""
         found = {
             member.vm: member
             for heard in self._list_heard(zone, now, REPORT_SECONDS)
@@ -211,14 +214,15 @@
         return [*self.list_near(now), *chain.from_iterable(far)]
 
     def list_zones(self) -> list[str]:
-        """Return the names of the other zones in which VMs are known."""
+        """Return the names of the other zones with known VMs."""
         zones = {found.zone for found in self.introduced.values()}
         return sorted(zones - {self._own.zone})
 
     def list_near_told(self, now: float, serving: set[str]) -> list[Told]:
-        """Return what VMs of the own zone told, also those now silent.
+        """Return the usage reports of the own zone, stale ones included.
 
-        After a start, VMs that should take requests and told nothing count.
+        `serving` are the VMs that take requests. For some time after the
+        start, VMs that should take requests and sent no heartbeat count too.
         """
         told = [
             Told(
@@ -261,7 +265,7 @@
     def _find_zone_told(self, zone: str, now: float) -> Sequence[Told]:
         recent = self._list_heard(zone, now, REPORT_LATE_SECONDS)
         if recent:
-            # A speaker that has just started knows few VMs of its zone.
+            # A delegate that has just started knows few VMs of its zone.
             return max(recent, key=_get_size).report.told
         last = self._list_heard(zone, now, FORGET_SECONDS)
         if not last:
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -1,4 +1,4 @@
-"""Types of the configuration, the targets and the VMs."""
+"""Types of the configuration, the targets, the VMs and their settings."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -28,7 +28,7 @@
 
 
 class Listeners(NamedTuple):
-    """Where a VM listens; None for what it does not serve."""
+    """Addresses on which a VM listens; None for what it does not serve."""
 
     requests: Address | None
     readiness: Address | None
@@ -39,8 +39,9 @@
 class Bounds(NamedTuple):
     """Bounds that the whole fleet keeps; times in seconds.
 
-    Beyond the limit of a team, `quota_overage` of it and `quota_slack`
-    requests are borne in a window.
+    In a window, the fleet may admit more than the limit of a team by the
+    fraction `quota_overage` of it and by `quota_slack` requests. Retries are
+    bound by `retry_ratio` of the requests and `retry_slack` more in a window.
     """
 
     grace: float
@@ -55,12 +56,12 @@
 
 
 class Environment(NamedTuple):
-    """What a VM is told at its start.
+    """Settings of a VM, read at its start.
 
     `regions` maps each availability zone to its region, `seeds` are control
-    addresses of VMs that may be down, `capacity` is what the VM bears in
-    requests a second, `memory` the bytes and `descriptors` the open files that
-    its process may use.
+    addresses of VMs, some of which may be down, `capacity` is the load that
+    the VM can serve in requests a second. Its process may use `memory` bytes
+    and `descriptors` open files.
     """
 
     vm: str
@@ -79,14 +80,17 @@
 
 
 class Part(NamedTuple):
-    """A service of a route and the weight of its part of the requests."""
+    """A service of a route and its weight in the split of the requests."""
 
     service: str
     weight: float
 
 
 class Route(NamedTuple):
-    """Where requests of a host and a path prefix go; times in seconds."""
+    """The route of a host and a path prefix; times in seconds.
+
+    Its requests are split over `parts` by weight.
+    """
 
     name: str
     host: str
@@ -102,7 +106,7 @@
 
 
 class Team(NamedTuple):
-    """A team: `rate` and `burst` are None where it has no limit."""
+    """A team: `rate` is in requests a second, None without a limit."""
 
     name: str
     priority: int | None
@@ -112,9 +116,9 @@
 
 
 class Service(NamedTuple):
-    """A kind of target and what its targets bear.
+    """A service: how its targets are checked, and their load after a start.
 
-    A target that started less than `cold_seconds` ago bears
+    A target that started less than `cold_seconds` ago gets at most
     `cold_per_second` requests a second from the whole fleet.
     """
 
@@ -125,7 +129,7 @@
 
 
 class ClientLimits(NamedTuple):
-    """What callers may send (bytes) and how long they may take (seconds)."""
+    """Limits of what callers send, in bytes, and of the time they take."""
 
     head_bytes: int
     body_bytes: int
@@ -134,9 +138,9 @@
 
 
 class Configuration(NamedTuple):
-    """One version of the routes, services, teams and limits.
+    """One version of the routes, services, teams, API keys and limits.
 
-    The routes of each host are ordered from the longest prefix.
+    The routes of each host are ordered from the longest prefix on.
     """
 
     version: int
@@ -150,9 +154,9 @@
 class Target(NamedTuple):
     """A target as it registered itself.
 
-    `started_at` tells its incarnations apart (Unix milliseconds, 0 if not
-    told); `cold_seconds` is how long it stays cold from the time at which the
-    entry was written; `revision` is the store's, of its last change.
+    `started_at` is the time of its start (Unix milliseconds, 0 if unknown);
+    `cold_seconds` is how long it stays cold after its entry was written;
+    `revision` is the revision of the store at its last change.
     """
 
     id: str
@@ -167,7 +171,7 @@
 
 
 class Introduction(NamedTuple):
-    """The place of a VM, enough to send messages to it."""
+    """Name, zone and address of a VM, enough to send it messages."""
 
     vm: str
     zone: str
@@ -177,10 +181,10 @@
 class Snapshot(NamedTuple):
     """Tables of a VM with their revisions; 0 for one that is not newer.
 
-    `targets` and `removed` (with the revision of each removal) are what has
-    changed after `targets_since`; where it is 0, `targets` is the whole table.
-    `lapsed` maps targets that were dropped while the store was away to the
-    seconds in which they may register again.
+    `targets` and `removed` (with the revision of each removal) have changed
+    after `targets_since`; where that is 0, `targets` is the whole table.
+    `lapsed` maps targets that were deleted during an outage of the store to
+    the seconds that remain for them to register again.
     """
 
     configuration_revision: int
--- a/toucanhall/fleet/packing.py
+++ b/toucanhall/fleet/packing.py
@@ -1,4 +1,4 @@
-"""Compresses what VMs tell each other, and reads it within a bound."""
+"""Compresses data that VMs send each other, and decompresses it in bounds."""
 
 import zlib
 from typing import Final
@@ -17,7 +17,8 @@
 def unpack(packed: bytes, most_bytes: int) -> bytes:
     """Return the bytes that were packed.
 
-    Raises `zlib.error` when they are damaged, cut or more than `most_bytes`.
+    Raises `zlib.error` when the packed bytes are invalid or truncated, or hold
+    more than `max_bytes`.
     """
     unpacking = zlib.decompressobj()
     found = unpacking.decompress(packed, most_bytes)
--- a/toucanhall/fleet/removals.py
+++ b/toucanhall/fleet/removals.py
@@ -1,4 +1,4 @@
-"""Names that left a table, so that a peer can be told changes alone."""
+"""Names that were removed from a table, to send a peer only the changes."""
 
 from collections.abc import Mapping
 from typing import Final
@@ -10,7 +10,7 @@
 
 
 class Removals:
-    """The removals that followed a revision, each with its own revision."""
+    """The removals after a revision, each with its own revision."""
 
     def __init__(self, *, most_names: int = _MOST_NAMES) -> None:
         """Know nothing; the oldest names go when there are too many."""
@@ -19,12 +19,12 @@
         self._since = 0
 
     def restart(self, revision: int) -> None:
-        """Start at a whole table: what came before it is not known."""
+        """Start from a whole table: earlier removals are not known."""
         self._removed.clear()
         self._since = revision
 
     def note(self, name: str, revision: int) -> None:
-        """Note that a name was removed at a revision."""
+        """Record that a name was removed at a revision."""
         self._removed.pop(name, None)
         self._removed[name] = revision
         if len(self._removed) > self._most_names:
@@ -32,11 +32,11 @@
             self._since = max(self._since, self._removed.pop(oldest))
 
     def forget(self, name: str) -> None:
-        """Note that a name is in the table again."""
+        """Drop the removal of a name that is in the table again."""
         self._removed.pop(name, None)
 
     def knows_all_since(self, revision: int) -> bool:
-        """Whether each removal after a revision is known."""
+        """Whether all removals after a revision are known."""
         return 0 < self._since <= revision
 
     def list_since(self, revision: int) -> Mapping[str, int]:
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -1,4 +1,4 @@
-"""What a zone tells the other zones: its VMs and what they admitted."""
+"""The report of a zone to the other zones: its VMs and the usage of teams."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -11,10 +11,10 @@
 
 
 class Member(NamedTuple):
-    """What a VM tells of itself.
+    """The state of a VM as it sends it to others.
 
-    `lag` is how late its loop is (seconds), `capacity` what it bears and `load`
-    what it takes (requests a second).
+    `lag` is the delay of its event loop in seconds, `capacity` the requests a
+    second that it can serve and `load` those that arrive.
     """
 
     vm: str
@@ -28,16 +28,17 @@
 
     @property
     def introduction(self) -> Introduction:
-        """Where the VM may be found."""
+        """Zone and address of the VM."""
         return Introduction(self.vm, self.zone, self.ip)
 
 
 class ZoneReport(NamedTuple):
-    """The state of a zone as one of its speakers sees it.
+    """The state of a zone as one of its delegates sees it.
 
-    `stamp` grows with each report of the speaker (Unix milliseconds of its
-    start, number of the report); `told` holds the requests of the VMs that
-    were heard lately, then of those that fell silent, each summed.
+    `speaker` is the name of the delegate and `ip` its address. `stamp` grows
+    with each report of it (Unix milliseconds of its start, number of the
+    report). `told` sums the usage of the VMs whose usage reports are recent,
+    then of those whose reports are stale.
     """
 
     zone: str
@@ -50,7 +51,7 @@
 
 
 def sum_told(told: Iterable[Told]) -> tuple[Told, ...]:
-    """Add up what VMs told: those heard lately, then those that are late."""
+    """Add up usage reports: the recent ones, then the stale ones."""
     groups: dict[bool, list[Told]] = {False: [], True: []}
     for found in told:
         groups[found.is_late].append(found)
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -1,10 +1,11 @@
-"""Picks the VMs of a zone that take requests, speak for it and hear for it.
+"""Picks the VMs of a zone that take requests, and its delegates.
 
-Load pattern: a zone has a few large VMs and a dozen small ones. Were its
-clients spread over all of them, each VM would see a few requests a second:
-too few to know how full targets are, to keep connections open, and to divide
-the limit of a team into parts of a request or more. So the directory names the
-VMs that bear most, as many as the load asks for; the rest stands by.
+Load pattern: a zone has a few large VMs and a dozen small ones. If its clients
+were spread over all of them, each VM would see a few requests a second: too
+few to measure how full targets are, to keep connections open, and to divide
+the limit of a team into shares of a request or more. So the directory names
+the VMs of the largest capacity, as many as the load needs; the others are
+spare.
 """
 
 from collections.abc import Iterable, Sequence
@@ -20,9 +21,9 @@
     'pick_speakers',
 )
 
-# A client leaves out addresses that failed it and needs others to turn to: one
-# of three VMs may be cut off (share of the deployments' cuts) together with
-# another one that is being stopped.
+# A client leaves out addresses that failed it and needs others: one of three
+# VMs may be cut off (as in the network cuts of the deployments) while another
+# one is being stopped.
 LEAST_SERVING: Final = 4
 # What the VMs that take requests bear, over what their zone takes: bursts of
 # 1.7 times the load, one VM of three lost, and room so that none queue.
@@ -35,7 +36,7 @@
 def pick_serving(members: Iterable[Member]) -> list[Member]:
     """Return the VMs of a zone that its clients should use.
 
-    All that are ready take part once one of those picked does not keep up.
+    All that are ready are picked if the loop of one picked by capacity lags.
     """
     ranked = _rank(members)
     ready = [found for found in ranked if found.is_ready]
@@ -49,9 +50,9 @@
 
 
 def pick_speakers(members: Iterable[Member]) -> Sequence[Member]:
-    """Return the VMs that watch the store and speak for their zone.
+    """Return the delegates of a zone, which report to the other zones.
 
-    The first one watches; both report to other zones.
+    The first one also watches the store.
     """
     ranked = _rank(members)
     staying = [found for found in ranked if not found.is_leaving]
--- a/toucanhall/observe/__init__.py
+++ b/toucanhall/observe/__init__.py
@@ -1,1 +1,1 @@
-"""What a VM tells about itself: log lines and metrics."""
+"""Log lines and metrics of a VM, and the commands that read log files."""
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -1,4 +1,4 @@
-"""Catalogue of numbered log events of a VM on the platform."""
+"""Numbered log events of a VM on the platform."""
 
 import logging
 from typing import Final
--- a/toucanhall/observe/journal.py
+++ b/toucanhall/observe/journal.py
@@ -1,4 +1,4 @@
-"""Writes log lines to standard output, bounded and without ever waiting."""
+"""Writes log lines to standard output at a bounded rate, without blocking."""
 
 import os
 import time
@@ -19,7 +19,11 @@
 
 
 class Journal:
-    """The log of a process: JSON lines on a descriptor that may be full."""
+    """The log of a process: JSON lines on a descriptor, some of them dropped.
+
+    A line is dropped when its event is too frequent, or when the reader of
+    the descriptor does not keep up.
+    """
 
     def __init__(
         self,
@@ -28,7 +32,7 @@
         descriptor: int = 1,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Write to a descriptor, set not to block."""
+        """Write to a descriptor, which is made non-blocking."""
         self._vm = vm
         self._descriptor = descriptor
         os.set_blocking(descriptor, False)
@@ -38,7 +42,7 @@
         self._told = 0
 
     def write(self, event: Event, **fields: object) -> None:
-        """Write one event, or count it as dropped."""
+        """Write a line of an event, or count it as dropped."""
         if not self._admit(event.number):
             self._drop(event.number)
             return
@@ -53,7 +57,7 @@
         self._put(event.number, line)
 
     def tell_dropped(self) -> None:
-        """Write how many lines of each event were dropped since the start."""
+        """Log how many lines of each event were dropped since the start."""
         total = sum(self.dropped.values())
         if total != self._told:
             self._told = total
--- a/toucanhall/observe/limits.py
+++ b/toucanhall/observe/limits.py
@@ -1,4 +1,4 @@
-"""Sorts refusals of teams by why their limit did not allow the request."""
+"""Counts refusals of teams by why their limit did not allow the request."""
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
@@ -17,8 +17,9 @@
 def sort_refusals(lines: Iterable[Line]) -> Iterator[str]:
     """Yield how many refusals over a limit had each cause, the rarest last.
 
-    Lines come in the order of their times. Only the last cause says that the
-    team had spent its limit; a bounded log holds a part of all refusals.
+    Lines are in the order of their times. Only with the cause `limit spent`
+    had the team spent its limit. The log drops lines of frequent events, so
+    it may hold only some of the refusals.
     """
     stopping: set[str] = set()
     causes: Counter[str] = Counter()
--- a/toucanhall/observe/metrics.py
+++ b/toucanhall/observe/metrics.py
@@ -14,7 +14,7 @@
 
 
 class Metrics:
-    """Values of a process by name and labels."""
+    """The metrics of a process, by name and labels."""
 
     def __init__(self) -> None:
         """Start with every counter at zero."""
@@ -38,11 +38,11 @@
         found[-1] += seconds
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
-        """Read a value each time the metrics are asked for."""
+        """Call `read` for the value each time the metrics are rendered."""
         self._gauges[name] = read
 
     def render(self) -> str:
-        """Return all values as text."""
+        """Return all metrics in the text format."""
         return '\n'.join((*self._render_lines(), ''))
 
     def _render_lines(self) -> Iterable[str]:
--- a/toucanhall/observe/stories.py
+++ b/toucanhall/observe/stories.py
@@ -1,4 +1,4 @@
-"""Tells the story of a request from the log lines of several VMs."""
+"""Reads log files of VMs: explains one request, counts the reasons of all."""
 
 import json
 from collections import Counter
@@ -33,7 +33,7 @@
 
 
 class Line(NamedTuple):
-    """A log line: Unix milliseconds, the VM, the event and its fields."""
+    """A log line: time in Unix milliseconds, VM, event number and fields."""
 
     at: int
     vm: str
@@ -43,7 +43,7 @@
 
 
 def read_lines(texts: Iterable[str]) -> list[Line]:
-    """Read log lines in any order; text before an object is passed over."""
+    """Return log lines by time; skip other lines and text before an object."""
     found = []
     for text in texts:
         start = text.find('{"at"')
@@ -88,7 +88,7 @@
 
 
 def summarise(lines: list[Line]) -> Iterator[str]:
-    """Yield how often each reason stands in the lines, by event."""
+    """Yield how often each event and reason occurs, the most frequent first."""
     counts = Counter(
         (line.event, line.message, _get_reason(line)) for line in lines
     )
@@ -101,7 +101,10 @@
     line: Line,
     targets: set[str],
 ) -> list[Line]:
-    """Return the last line of each belief of a VM before one of its lines."""
+    """Return the last line of each state event of a VM up to one of its lines.
+
+    Lines of targets count only for `targets`.
+    """
     latest = {
         (found.event, found.fields.get('target', '')): found
         for found in lines
