--- a/tests/models/reports.py
+++ b/tests/models/reports.py
@@ -4,11 +4,11 @@
 
 from minicheck import Protocol, check_safety
 
-DEFAULT_STATES = 200_000
+DEFAULT_MAX_STATES = 200_000
 
 
-def explore(protocol: Protocol, max_states: int = DEFAULT_STATES) -> dict:
-    """Check the invariants of a model and note how long it took."""
+def explore(protocol: Protocol, max_states: int = DEFAULT_MAX_STATES) -> dict:
+    """Check the invariants of a model; add the time that it took."""
     started = time.perf_counter()
     checked = check_safety(protocol, max_states=max_states)
     return {**checked, 'seconds': time.perf_counter() - started}
--- a/tests/models/test_tables_model.py
+++ b/tests/models/test_tables_model.py
@@ -28,12 +28,12 @@
 from toucanhall.fleet.knowledge import Knowledge, Revisions
 from toucanhall.fleet.model import ClientLimits, Configuration, Snapshot
 
-VMS = 3
+VM_COUNT = 3
 WATCHER = 0
-MOST_REVISION = 4
-MOST_REVISION_OF_VARIANTS = 3
-MOST_STARTS = 1
-MOST_SENT = 2
+MAX_REVISION = 4
+MAX_REVISION_OF_VARIANTS = 3
+MAX_STARTS = 1
+MAX_SNAPSHOTS = 2
 TARGET = 't1'
 LIMITS = ClientLimits(1, 1, 1.0, 1.0)
 
@@ -74,7 +74,7 @@
     configuration: int = 1
     # Store revision of the target's last change, and whether it is registered.
     target: tuple[int, bool] = (1, True)
-    vms: tuple[Known, ...] = (Known(),) * VMS
+    vms: tuple[Known, ...] = (Known(),) * VM_COUNT
     sent: frozenset[Sent] = frozenset()
     starts: int = 0
 
@@ -90,7 +90,7 @@
     if known.configuration:
         knowledge.configuration = make_configuration(known.configuration)
     if known.target:
-        knowledge.targets = name_target(known.target)
+        knowledge.targets = make_table(known.target)
     knowledge.removals.restart(known.since)
     if known.removed:
         knowledge.removals.note(TARGET, known.removed)
@@ -98,7 +98,7 @@
     return knowledge
 
 
-def name_target(revision):
+def make_table(revision):
     """Return the table with the target as written at a revision, if any."""
     if not revision:
         return {}
@@ -114,7 +114,7 @@
         version,
         targets,
         find_revision(knowledge.targets),
-        find_floor(knowledge.removals),
+        find_earliest_revision(knowledge.removals),
         knowledge.removals.list_since(0).get(TARGET, 0),
         (max(before.peak[0], version), max(before.peak[1], targets)),
     )
@@ -125,9 +125,9 @@
     return targets[TARGET].revision if TARGET in targets else 0
 
 
-def find_floor(removals):
-    """Return the revision since which all removals are known, or 0."""
-    revisions = range(1, MOST_REVISION + 1)
+def find_earliest_revision(removals):
+    """Return the first revision since which all removals are known, or 0."""
+    revisions = range(1, MAX_REVISION + 1)
     return next(filter(removals.knows_all_since, revisions), 0)
 
 
@@ -150,9 +150,9 @@
     return state._replace(vms=tuple(vms))
 
 
-def list_steps(state, make, most_revision):
-    """Yield what can happen next."""
-    if state.revision < most_revision:
+def list_steps(state, make, max_revision):
+    """Yield the possible next steps, each with the state after it."""
+    if state.revision < max_revision:
         after = state.revision + 1
         yield (
             'operator writes a configuration',
@@ -163,16 +163,16 @@
             'target leaves' if is_there else 'target registers',
             state._replace(revision=after, target=(after, not is_there)),
         )
-    yield 'watcher reads', watch(state, make)
+    yield 'watcher reads', read_store(state, make)
     if state.vms[WATCHER].targets:
-        yield 'watcher hears of changes', hear(state, make)
+        yield 'watcher receives changes', receive_changes(state, make)
     for index, known in enumerate(state.vms):
-        if known.peak != (0, 0) and state.starts < MOST_STARTS:
+        if known.peak != (0, 0) and state.starts < MAX_STARTS:
             again = put(state, index, Known())
             yield f'VM {index} starts', again._replace(starts=state.starts + 1)
         for found in state.sent:
-            yield f'VM {index} takes', take(state, index, found, make)
-    if len(state.sent) < MOST_SENT:
+            yield f'VM {index} applies', apply(state, index, found, make)
+    if len(state.sent) < MAX_SNAPSHOTS:
         yield from list_answers(state, make)
 
 
@@ -186,8 +186,8 @@
                 yield label, state._replace(sent=sent)
 
 
-def watch(state, make):
-    """Let the watching VM read whole tables of the store."""
+def read_store(state, make):
+    """Let the watcher read whole tables from the store."""
     known = state.vms[WATCHER]
     knowledge = restore(known, make)
     knowledge.take_configuration(
@@ -195,24 +195,24 @@
         make_configuration(state.configuration),
     )
     changed_at, is_there = state.target
-    targets = name_target(changed_at if is_there else 0)
+    targets = make_table(changed_at if is_there else 0)
     knowledge.take_targets(state.revision, targets, 0.0)
     return put(state, WATCHER, read(knowledge, known))
 
 
-def hear(state, make):
-    """Let the watching VM hear of what has changed."""
+def receive_changes(state, make):
+    """Let the watcher receive what has changed in the store."""
     known = state.vms[WATCHER]
     knowledge = restore(known, make)
     changed_at, is_there = state.target
-    changes = name_target(changed_at) if is_there else {TARGET: changed_at}
+    changes = make_table(changed_at) if is_there else {TARGET: changed_at}
     is_new = changed_at > known.targets
     knowledge.change_targets(state.revision, changes if is_new else {}, 0.0)
     return put(state, WATCHER, read(knowledge, known))
 
 
-def take(state, index, found, make):
-    """Let a VM take a snapshot that another one sent."""
+def apply(state, index, found, make):
+    """Let a VM apply a snapshot that another one sent."""
     known = state.vms[index]
     knowledge = restore(known, make)
     configuration = found.configuration
@@ -224,7 +224,7 @@
             else None,
             targets_revision=found.targets,
             targets_since=found.since,
-            targets=name_target(found.target),
+            targets=make_table(found.target),
             removed={TARGET: found.removed} if found.removed else {},
             lapsed={},
             evacuations_revision=0,
@@ -254,8 +254,8 @@
     )
 
 
-def check(make, most_revision=MOST_REVISION):
-    """Check the complete state space with one kind of knowledge."""
+def check(make, max_revision=MAX_REVISION):
+    """Check the complete state space with one class of tables."""
     protocol = Protocol(
         name='tables',
         candidate=False,
@@ -266,7 +266,7 @@
             for label, after in list_steps(
                 State(*fields),
                 make,
-                most_revision,
+                max_revision,
             )
         ],
         invariants={
@@ -277,8 +277,8 @@
     return explore(protocol, max_states=2_000_000)
 
 
-class TakesAnySnapshot(Knowledge):
-    """A variant in which the snapshot of a peer replaces what is known."""
+class AppliesOlderSnapshots(Knowledge):
+    """A variant in which a snapshot replaces newer tables."""
 
     def take_snapshot(self, snapshot, now):
         """Forget the known revisions, then apply the snapshot."""
@@ -287,8 +287,8 @@
         super().take_snapshot(snapshot, now)
 
 
-class TrustsTheChange(Knowledge):
-    """A variant that takes the revision of a snapshot without its targets."""
+class IgnoresTargetsOfSnapshots(Knowledge):
+    """A variant that adopts the revision of a snapshot, not its targets."""
 
     def take_snapshot(self, snapshot, now):
         """Replace the targets of the snapshot by the known ones."""
@@ -296,16 +296,16 @@
         super().take_snapshot(kept, now)
 
 
-class ForgetsRemovals(Knowledge):
-    """A variant that passes changes on without what was removed."""
+class OmitsRemovals(Knowledge):
+    """A variant that sends changes without the removals."""
 
     def make_snapshot(self, known, now):
         """Leave out the removals."""
         return super().make_snapshot(known, now)._replace(removed={})
 
 
-class TakesAnyChanges(Knowledge):
-    """A variant that takes changes although it lacks earlier ones."""
+class AppliesChangesWithGaps(Knowledge):
+    """A variant that applies changes although it lacks earlier ones."""
 
     def take_snapshot(self, snapshot, now):
         """Ignore the revision that the changes build on."""
@@ -313,8 +313,8 @@
         super().take_snapshot(snapshot._replace(targets_since=since), now)
 
 
-class KnowsTooMuch(Knowledge):
-    """A variant that takes a whole table for all that went before it."""
+class KeepsRemovalsAcrossTables(Knowledge):
+    """A variant that keeps removals although a whole table may hide some."""
 
     def take_targets(self, revision, targets, now):
         """Keep the revision since which all removals are known."""
@@ -323,7 +323,7 @@
         self.removals.restart(since)
 
 
-def test_no_table_regresses_and_what_left_does_not_return():
+def test_no_table_gets_older_and_no_deleted_target_returns():
     checked = check(Knowledge)
     report_model('tables', checked)
     assert not list_broken(checked)
@@ -332,14 +332,14 @@
 @pytest.mark.parametrize(
     ('variant', 'broken'),
     (
-        (TakesAnySnapshot, 'never regresses'),
-        (TrustsTheChange, 'agrees'),
-        (ForgetsRemovals, 'agrees'),
-        (TakesAnyChanges, 'agrees'),
-        (KnowsTooMuch, 'agrees'),
+        (AppliesOlderSnapshots, 'never regresses'),
+        (IgnoresTargetsOfSnapshots, 'agrees'),
+        (OmitsRemovals, 'agrees'),
+        (AppliesChangesWithGaps, 'agrees'),
+        (KeepsRemovalsAcrossTables, 'agrees'),
     ),
 )
-def test_variant_is_found_broken(variant, broken):
-    checked = check(variant, MOST_REVISION_OF_VARIANTS)
+def test_model_finds_the_fault_of_a_variant(variant, broken):
+    checked = check(variant, MAX_REVISION_OF_VARIANTS)
     report_variants(f'tables {variant.__name__}', checked)
     assert broken in list_broken(checked)
--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -25,39 +25,39 @@
 from toucanhall.limits.quota import Told, Usage, make_unheard
 
 
-def test_silent_vm_is_not_alive_but_remembered():
+def test_silent_vm_is_not_alive_but_its_usage_counts_as_stale():
     members = make_members()
     assert members.hear(make_heartbeat('vm-1'), 1.0)
     assert not members.hear(make_heartbeat('vm-1'), 1.5)
-    late = 1.5 + ALIVE_SECONDS + 0.1
-    assert members.list_alive(late) == []
-    told = members.list_near_told(late, {'vm-1'})
-    assert [found.is_late for found in told] == [True]
-    assert members.hear(make_heartbeat('vm-1'), late)
+    now = 1.5 + ALIVE_SECONDS + 0.1
+    assert members.list_alive(now) == []
+    usage_reports = members.list_near_told(now, {'vm-1'})
+    assert [found.is_late for found in usage_reports] == [True]
+    assert members.hear(make_heartbeat('vm-1'), now)
 
 
-def test_heartbeat_of_an_earlier_start_is_passed_over():
+def test_heartbeat_of_an_earlier_start_is_ignored():
     members = make_members()
     members.hear(make_heartbeat('vm-1', started_at=5), 1.0)
     assert not members.hear(make_heartbeat('vm-1', started_at=4), 2.0)
     assert members.peers['vm-1'].heartbeat.started_at == 5
 
 
-def test_vm_that_stood_still_does_not_take_the_others_for_dead():
+def test_pause_of_the_own_process_does_not_count_as_silence_of_others():
     members = make_members()
     members.hear(make_heartbeat('vm-1'), 1.0)
     members.excuse(6.0)
     assert members.list_alive(8.0)
 
 
-def test_introduction_is_new_once():
+def test_location_of_a_vm_is_new_once():
     members = make_members()
     found = Introduction('vm-9', 'east-a', '127.0.0.9')
     assert members.introduce(found)
     assert not members.introduce(found)
 
 
-def test_vm_that_has_gone_is_dropped_and_can_be_introduced_again():
+def test_expired_vm_is_dropped_and_its_location_is_new_again():
     members = make_members()
     members.hear(make_heartbeat('vm-1'), 1.0)
     assert members.drop_gone(GONE_SECONDS) == []
@@ -67,7 +67,7 @@
     assert members.introduce(found)
 
 
-def test_vms_of_a_zone_are_alive_as_long_as_it_reports():
+def test_vms_of_a_remote_zone_are_alive_as_long_as_it_reports():
     members = make_members()
     report = make_report(members=(make_member('vm-7', zone='west-a'),))
     assert members.hear_report(report, 1.0)
@@ -76,7 +76,7 @@
     assert not members.list_zone('west-a', 1.1 + REPORT_SECONDS)
 
 
-def test_report_that_came_two_ways_is_new_once():
+def test_report_that_is_received_twice_is_new_once():
     members = make_members()
     assert members.hear_report(make_report(stamp=(5, 2)), 1.0)
     assert not members.hear_report(make_report(stamp=(5, 2)), 1.1)
@@ -84,26 +84,28 @@
     assert members.hear_report(make_report(stamp=(6, 1)), 1.3)
 
 
-def test_zone_that_told_nothing_lately_counts_as_late():
+def test_usage_of_a_zone_without_recent_report_counts_as_stale():
     members = make_members()
-    told = (Told({'guides': Usage(3, 1.0)}, vms=4.0),)
-    members.hear_report(make_report(told=told), 1.0)
-    assert members.list_far_told(1.0 + REPORT_LATE_SECONDS) == list(told)
-    (late,) = members.list_far_told(1.1 + REPORT_LATE_SECONDS)
-    assert late.is_late
-    assert late.usage == told[0].usage
+    usage_reports = (Told({'guides': Usage(3, 1.0)}, vms=4.0),)
+    members.hear_report(make_report(told=usage_reports), 1.0)
+    recent = members.list_far_told(1.0 + REPORT_LATE_SECONDS)
+    assert recent == list(usage_reports)
+    (stale,) = members.list_far_told(1.1 + REPORT_LATE_SECONDS)
+    assert stale.is_late
+    assert stale.usage == usage_reports[0].usage
 
 
-def test_speaker_that_has_just_started_does_not_hide_its_zone():
+def test_report_of_the_delegate_that_knows_most_vms_counts():
+    # A delegate that has just started knows few VMs of its zone.
     members = make_members()
     many = tuple(make_member(f'vm-{index}') for index in range(4))
-    told = Told({'guides': Usage(8, 4.0)}, vms=4.0)
-    members.hear_report(make_report('vm-0', members=many, told=(told,)), 1.0)
+    usage = Told({'guides': Usage(8, 4.0)}, vms=4.0)
+    members.hear_report(make_report('vm-0', members=many, told=(usage,)), 1.0)
     members.hear_report(make_report('vm-9', told=(Told({}),)), 1.2)
-    assert members.list_far_told(1.3) == [told]
+    assert members.list_far_told(1.3) == [usage]
 
 
-def test_told_requests_are_added_up_apart_for_late_vms():
+def test_stale_usage_reports_are_added_up_apart_from_recent_ones():
     total = sum_told(
         (
             Told({'a': Usage(1, 0.5), 'b': Usage(2, 1.0)}),
@@ -111,13 +113,13 @@
             Told({'a': Usage(7, 3.0)}, is_late=True),
         ),
     )
-    present, late = total
-    assert present.usage == {'a': Usage(5, 2.5), 'b': Usage(2, 1.0)}
-    assert present.vms == pytest.approx(1.1)
-    assert late == Told({'a': Usage(7, 3.0)}, is_late=True)
+    recent, stale = total
+    assert recent.usage == {'a': Usage(5, 2.5), 'b': Usage(2, 1.0)}
+    assert recent.vms == pytest.approx(1.1)
+    assert stale == Told({'a': Usage(7, 3.0)}, is_late=True)
 
 
-def test_vms_that_are_not_listed_are_forgotten_elsewhere():
+def test_vms_without_entry_heartbeat_and_report_are_dropped():
     members = make_members()
     members.hear(make_heartbeat('vm-1'), 1.0)
     members.hear_report(
@@ -144,7 +146,7 @@
     return [found.vm for found in members]
 
 
-def test_vms_that_bear_most_take_requests():
+def test_vms_of_the_largest_capacity_take_requests():
     assert get_names(pick_serving(ZONE)) == ['vm-2', 'vm-1', 'vm-3', 'vm-4']
     assert pick_serving(reversed(ZONE)) == pick_serving(ZONE)
 
@@ -153,13 +155,13 @@
     ('load', 'count'),
     ((0.0, 4), (600.0, 4), (700.0, 6), (100000.0, 6)),
 )
-def test_as_many_vms_take_requests_as_the_load_asks_for(load, count):
+def test_number_of_vms_that_take_requests_grows_with_the_load(load, count):
     zone = [ZONE[0]._replace(load=load / 2), *ZONE[1:]]
     zone[1] = zone[1]._replace(load=load / 2)
     assert len(pick_serving(zone)) == count
 
 
-def test_zone_of_small_vms_shares_a_large_load():
+def test_large_load_is_spread_over_small_vms():
     zone = [
         make_member(f'vm-{index:02}', capacity=150.0, load=30.0)
         for index in range(50)
@@ -169,17 +171,17 @@
     assert 4 * 1500 <= sum(found.capacity for found in picked) <= 4 * 1500 + 150
 
 
-def test_all_vms_take_part_when_one_does_not_keep_up():
+def test_all_vms_take_requests_when_the_loop_of_one_lags():
     zone = [ZONE[0], ZONE[1]._replace(lag=0.2), *ZONE[2:]]
     assert len(pick_serving(zone)) == 6
 
 
-def test_leaving_vms_do_not_speak_for_their_zone():
+def test_leaving_vm_is_a_delegate_only_if_it_is_alone():
     assert get_names(pick_speakers(ZONE)) == ['vm-2', 'vm-1']
     assert get_names(pick_speakers([ZONE[4]])) == ['vm-5']
 
 
-def test_zones_and_vms_that_told_nothing_count_after_a_start():
+def test_zones_and_vms_without_usage_report_count_after_a_start():
     members = make_members('west-a', 'west-b', now=0.0)
     members.introduce(Introduction('vm-2', 'east-a', '127.0.0.2'))
     assert members.list_far_told(1.0) == [make_unheard(LEAST_SERVING)] * 2
@@ -188,7 +190,7 @@
     members.hear(make_heartbeat('vm-2'), 1.0)
     assert members.list_far_told(1.5) == [make_unheard(LEAST_SERVING)]
     assert not any(
-        told.usage is None for told in members.list_near_told(1.5, {'vm-own'})
+        found.usage is None for found in members.list_near_told(1.5, {'vm-own'})
     )
     assert not members.list_far_told(FORGET_SECONDS)
 
@@ -200,7 +202,7 @@
     assert members.list_far_told(2.5) == [make_unheard(LEAST_SERVING)]
 
 
-def test_reports_of_speakers_that_have_gone_are_dropped():
+def test_reports_of_expired_delegates_are_dropped():
     members = make_members()
     member = make_member('vm-7', zone='west-a')
     members.hear_report(make_report('vm-7', members=(member,)), 1.0)
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -14,8 +14,8 @@
 TO = Address('127.64.1.9', 7560)
 
 
-class Wire:
-    """Keeps what is sent to an address."""
+class Transport:
+    """Records the datagrams that are sent."""
 
     def __init__(self):
         self.sent = []
@@ -25,11 +25,11 @@
 
 
 def make_gossip():
-    heard, dropped = [], []
-    gossip = Gossip(hear=heard.append, on_bad=dropped.append)
-    wire = Wire()
-    gossip.connection_made(wire)
-    return gossip, wire, heard, dropped
+    received, errors = [], []
+    gossip = Gossip(hear=received.append, on_bad=errors.append)
+    transport = Transport()
+    gossip.connection_made(transport)
+    return gossip, transport, received, errors
 
 
 def make_large_report(teams=140, vms=22):
@@ -51,23 +51,23 @@
         Message(report=make_large_report(), is_relayed=True),
     ),
 )
-def test_message_comes_as_it_was_sent(message):
-    gossip, wire, heard, dropped = make_gossip()
+def test_message_is_received_as_it_was_sent(message):
+    gossip, transport, received, errors = make_gossip()
     gossip.send(message, (TO,))
-    gossip.datagram_received(wire.sent[0], TO)
-    assert heard == [message]
-    assert not dropped
+    gossip.datagram_received(transport.sent[0], TO)
+    assert received == [message]
+    assert not errors
 
 
-def test_report_of_a_large_zone_shrinks_to_three_fifths():
-    gossip, wire, heard, _dropped = make_gossip()
+def test_report_of_a_large_zone_is_compressed_below_three_fifths():
+    gossip, transport, _received, _errors = make_gossip()
     gossip.send(Message(report=make_large_report()), (TO,))
-    gossip.datagram_received(wire.sent[0], TO)
-    size = len(zlib.decompress(wire.sent[0][1:]))
-    assert len(wire.sent[0]) < 0.6 * size
+    gossip.datagram_received(transport.sent[0], TO)
+    size = len(zlib.decompress(transport.sent[0][1:]))
+    assert len(transport.sent[0]) < 0.6 * size
 
 
-BAD_USAGE = {'guides': Usage(-1, 0.0)}
+NEGATIVE_USAGE = {'guides': Usage(-1, 0.0)}
 
 
 @pytest.mark.parametrize(
@@ -75,33 +75,33 @@
     (
         Message(heartbeat=make_heartbeat(lag=math.nan)),
         Message(heartbeat=make_heartbeat(load=-1.0)),
-        Message(heartbeat=make_heartbeat(usage=BAD_USAGE)),
+        Message(heartbeat=make_heartbeat(usage=NEGATIVE_USAGE)),
         Message(report=make_report(told=(Told({}, vms=math.inf),))),
-        Message(report=make_report(told=(Told(BAD_USAGE),))),
+        Message(report=make_report(told=(Told(NEGATIVE_USAGE),))),
     ),
 )
-def test_figures_that_are_none_are_dropped_with_their_message(message):
-    gossip, wire, heard, dropped = make_gossip()
+def test_message_with_an_invalid_number_is_dropped(message):
+    gossip, transport, received, errors = make_gossip()
     gossip.send(message, (TO,))
-    gossip.datagram_received(wire.sent[0], TO)
-    assert not heard
-    assert dropped == ['figures out of range']
+    gossip.datagram_received(transport.sent[0], TO)
+    assert not received
+    assert errors == ['a number is negative, infinite or not a number']
 
 
 @pytest.mark.parametrize(
-    'received',
+    'datagram',
     (b'', b'\x00', b'\x01junk', b'\x02', b'\x00\x93\x91\x01\xc0\xc3',
      b'\x01' + zlib.compress(b'\x93\xc0\xc0')),
 )  # fmt: skip
-def test_bytes_that_are_no_message_are_dropped(received):
-    gossip, _wire, heard, dropped = make_gossip()
-    gossip.datagram_received(received, TO)
-    assert not heard
-    assert len(dropped) == 1
+def test_malformed_datagram_is_dropped(datagram):
+    gossip, _transport, received, errors = make_gossip()
+    gossip.datagram_received(datagram, TO)
+    assert not received
+    assert len(errors) == 1
 
 
-def test_compressed_zeros_stay_bounded():
-    gossip, _wire, heard, dropped = make_gossip()
+def test_datagram_that_decompresses_to_too_many_bytes_is_dropped():
+    gossip, _transport, received, errors = make_gossip()
     gossip.datagram_received(b'\x01' + zlib.compress(bytes(1 << 26)), TO)
-    assert not heard
-    assert len(dropped) == 1
+    assert not received
+    assert len(errors) == 1
--- a/tests/unit/test_knowledge.py
+++ b/tests/unit/test_knowledge.py
@@ -22,7 +22,7 @@
     return knowledge
 
 
-def test_older_tables_are_not_taken():
+def test_older_tables_are_ignored():
     knowledge = make_knowledge('t1')
     knowledge.take_targets(9, {}, 1.0)
     knowledge.change_targets(10, {'t1': 10}, 1.0)
@@ -32,20 +32,20 @@
     assert knowledge.evacuated == {'east-a'}
 
 
-def test_removed_target_is_dropped_at_once_while_the_store_answers():
+def test_deleted_target_is_dropped_at_once_without_an_outage():
     knowledge = make_knowledge('t1', 't2')
     knowledge.change_targets(11, {'t1': 11}, 1.0)
     assert set(knowledge.targets) == {'t2'}
 
 
-def test_removal_that_is_older_than_the_entry_is_passed_over():
+def test_removal_that_is_older_than_the_entry_is_ignored():
     knowledge = make_knowledge('t1')
     knowledge.change_targets(12, {'t1': make_target('t1', revision=12)}, 1.0)
     knowledge.change_targets(13, {'t1': 11}, 1.0)
     assert set(knowledge.targets) == {'t1'}
 
 
-def test_targets_that_lapsed_with_the_store_get_time_to_return():
+def test_targets_that_expired_in_an_outage_may_register_again():
     knowledge = make_knowledge('t1', 't2')
     knowledge.start_lapse()
     knowledge.end_lapse(10.0, may_have_lapsed=True)
@@ -56,7 +56,7 @@
     assert set(knowledge.targets) == {'t1'}
 
 
-def test_removal_after_the_wait_is_taken_at_once():
+def test_removal_after_the_hold_is_applied_at_once():
     knowledge = make_knowledge('t1')
     knowledge.start_lapse()
     knowledge.end_lapse(10.0, may_have_lapsed=True)
@@ -64,7 +64,7 @@
     assert not knowledge.targets
 
 
-def test_table_of_a_peer_ends_the_wait_of_a_vm_that_lost_the_store_alone():
+def test_newer_table_of_a_peer_ends_the_hold():
     peer = make_knowledge('t2', revision=15)
     knowledge = make_knowledge('t1', 't2')
     knowledge.start_lapse()
@@ -75,7 +75,7 @@
     assert not knowledge.targets
 
 
-def test_vm_that_takes_a_table_drops_lapsed_targets_by_itself():
+def test_vm_drops_the_held_targets_of_a_snapshot_by_itself():
     peer = make_knowledge('t1')
     peer.start_lapse()
     peer.end_lapse(10.0, may_have_lapsed=True)
@@ -86,7 +86,7 @@
     assert knowledge.drop_lapsed(102.0) == ('t1',)
 
 
-def test_evacuations_are_added_and_dropped():
+def test_evacuated_zones_are_added_and_removed():
     knowledge = make_knowledge()
     knowledge.take_evacuations(5, ['east-a'])
     knowledge.change_evacuations(6, {'west-a': True})
@@ -95,7 +95,7 @@
     assert knowledge.evacuated == {'west-a'}
 
 
-def test_snapshot_holds_newer_tables_only():
+def test_snapshot_contains_newer_tables_only():
     peer = make_knowledge('t1', revision=10)
     snapshot = peer.make_snapshot(Revisions(0, 10, 0), 1.0)
     assert not snapshot.targets
@@ -104,7 +104,7 @@
     assert set(knowledge.targets) == {'t2'}
 
 
-def test_table_that_was_heard_of_before_the_loss_does_not_end_the_wait():
+def test_table_that_is_not_newer_than_the_outage_does_not_end_the_hold():
     peer = make_knowledge('t1', 't2', revision=11)
     knowledge = make_knowledge('t1', revision=10)
     knowledge.hear(peer.revisions)
@@ -115,7 +115,7 @@
     assert set(knowledge.targets) == {'t1', 't2'}
 
 
-def test_same_table_at_a_later_revision_does_not_end_the_wait():
+def test_same_table_at_a_later_revision_does_not_end_the_hold():
     peer = make_knowledge('t1', revision=11)
     knowledge = make_knowledge('t1', revision=10)
     knowledge.start_lapse()
@@ -125,7 +125,7 @@
     assert set(knowledge.targets) == {'t1'}
 
 
-def test_short_absence_of_the_store_lets_no_target_lapse():
+def test_no_target_is_held_after_a_short_outage():
     knowledge = make_knowledge('t1')
     knowledge.start_lapse()
     knowledge.end_lapse(2.0, may_have_lapsed=False)
@@ -133,11 +133,11 @@
     assert not knowledge.targets
 
 
-def test_wait_ends_before_a_target_that_left_must_get_nothing():
+def test_hold_ends_before_a_target_that_left_must_get_no_request():
     assert LAPSE_SECONDS < 2.5 - 0.2
 
 
-def test_target_that_a_watch_dropped_during_the_absence_waits_for_its_end():
+def test_target_that_is_deleted_during_an_outage_is_held_beyond_its_end():
     knowledge = make_knowledge('t1')
     knowledge.start_lapse()
     knowledge.change_targets(11, {'t1': 11}, 1.0)
@@ -147,7 +147,7 @@
     assert knowledge.drop_lapsed(10.0 + LAPSE_SECONDS) == ('t1',)
 
 
-def test_target_dropped_during_a_short_absence_waits_no_longer():
+def test_target_that_is_deleted_in_a_short_outage_is_held_until_its_end():
     knowledge = make_knowledge('t1')
     knowledge.start_lapse()
     knowledge.change_targets(11, {'t1': 11}, 1.0)
@@ -155,8 +155,8 @@
     assert knowledge.drop_lapsed(1.5) == ('t1',)
 
 
-def pass_on(peer, knowledge, now=1.0):
-    """Let a VM take what a peer has; return what was sent."""
+def send_snapshot(peer, knowledge, now=1.0):
+    """Apply a snapshot of a peer's tables to those of a VM; return it."""
     snapshot = peer.make_snapshot(knowledge.revisions, now)
     knowledge.take_snapshot(snapshot, now)
     assert knowledge.targets == peer.targets
@@ -164,50 +164,50 @@
     return snapshot
 
 
-def test_peer_that_knows_an_earlier_table_is_told_what_has_changed():
+def test_vm_that_knows_an_earlier_table_gets_only_the_changes():
     peer = make_knowledge(*(f't{number}' for number in range(800)))
     knowledge = make_knowledge(revision=1)
-    assert len(pass_on(peer, knowledge).targets) == 800
+    assert len(send_snapshot(peer, knowledge).targets) == 800
     written = make_target('t1', revision=11)
     peer.change_targets(12, {'t1': written, 't2': 12}, 1.0)
-    snapshot = pass_on(peer, knowledge)
+    snapshot = send_snapshot(peer, knowledge)
     assert snapshot.targets == {'t1': written}
     assert snapshot.removed == {'t2': 12}
     third = make_knowledge(revision=1)
-    pass_on(knowledge, third)
+    send_snapshot(knowledge, third)
     knowledge.change_targets(13, {'t3': 13}, 1.0)
-    assert pass_on(knowledge, third).removed == {'t3': 13}
+    assert send_snapshot(knowledge, third).removed == {'t3': 13}
 
 
-def test_target_that_came_and_went_between_two_tables_is_told_as_gone():
+def test_snapshot_has_the_removal_of_a_target_that_only_the_receiver_knew():
     peer = make_knowledge('t1')
     knowledge = make_knowledge('t1')
     knowledge.change_targets(11, {'t2': make_target('t2', revision=11)}, 1.0)
     peer.change_targets(12, {'t2': 12}, 1.0)
-    assert pass_on(peer, knowledge).removed == {'t2': 12}
+    assert send_snapshot(peer, knowledge).removed == {'t2': 12}
 
 
-def test_whole_table_is_told_after_a_list_of_the_store():
+def test_snapshot_has_the_whole_table_after_it_was_read_from_the_store():
     peer = make_knowledge('t1', 't2')
     knowledge = make_knowledge('t1', 't2')
     peer.take_targets(12, {'t2': make_target('t2')}, 1.0)
-    assert pass_on(peer, knowledge).targets_since == 0
+    assert send_snapshot(peer, knowledge).targets_since == 0
 
 
-def test_target_held_for_a_lapse_is_told_with_its_time():
+def test_snapshot_has_held_targets_with_their_time():
     peer = make_knowledge('t1', 't2')
     knowledge = make_knowledge('t1', 't2')
     peer.start_lapse()
     peer.end_lapse(10.0, may_have_lapsed=True)
     peer.change_targets(11, {'t1': 11}, 10.5)
-    assert pass_on(peer, knowledge, 11.0).removed == {'t1': 11}
+    assert send_snapshot(peer, knowledge, 11.0).removed == {'t1': 11}
     assert set(knowledge.targets) == {'t1', 't2'}
     third = make_knowledge('t1', 't2')
     assert knowledge.drop_lapsed(13.0) == ('t1',)
-    assert pass_on(knowledge, third, 13.0).removed == {'t1': 11}
+    assert send_snapshot(knowledge, third, 13.0).removed == {'t1': 11}
 
 
-def test_changes_end_the_hold_of_a_vm_that_lost_the_store_alone():
+def test_newer_changes_of_a_peer_end_the_hold():
     peer = make_knowledge('t1', 't2')
     knowledge = make_knowledge('t1', 't2')
     peer.change_targets(11, {'t1': 11}, 1.0)
@@ -215,11 +215,11 @@
     knowledge.change_targets(11, {'t1': 11}, 1.0)
     assert knowledge.lapsed
     peer.change_targets(12, {'t2': make_target('t2', revision=12)}, 1.0)
-    pass_on(peer, knowledge)
+    send_snapshot(peer, knowledge)
     assert set(knowledge.targets) == {'t2'}
 
 
-def test_changes_that_build_on_a_later_table_are_passed_over():
+def test_changes_that_build_on_an_unknown_table_are_ignored():
     peer = make_knowledge('t1', revision=10)
     peer.change_targets(12, {'t1': 12}, 1.0)
     knowledge = make_knowledge('t1', revision=9)
@@ -228,7 +228,7 @@
     assert set(knowledge.targets) == {'t1'}
 
 
-def test_removals_are_bounded():
+def test_oldest_removals_are_dropped_beyond_the_maximum():
     removals = Removals(most_names=2)
     removals.restart(10)
     for revision in (11, 12, 13):
--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -47,7 +47,7 @@
     }
 
 
-def test_lines_of_one_event_are_bounded_and_the_rest_is_told(pipe):
+def test_lines_of_one_event_are_bounded_and_dropped_ones_are_counted(pipe):
     reader, writer = pipe
     journal = Journal(vm='vm-1', descriptor=writer, clock=lambda: 1.0)
     for _line in range(200):
@@ -61,7 +61,7 @@
     assert lines[-1]['counts'] == {'600': 150}
 
 
-def test_reader_that_stopped_does_not_hold_up_the_writer(pipe):
+def test_lines_are_dropped_when_nobody_reads_them(pipe):
     _reader, writer = pipe
     times = iter(range(100000))
     journal = Journal(vm='vm-1', descriptor=writer, clock=lambda: next(times))
@@ -70,7 +70,7 @@
     assert journal.dropped[events.REQUEST_REFUSED.number] > 0
 
 
-def test_journal_sets_its_descriptor_not_to_block():
+def test_journal_makes_its_descriptor_non_blocking():
     reader, writer = os.pipe()
     Journal(vm='vm-1', descriptor=writer)
     assert not os.get_blocking(writer)
@@ -83,7 +83,7 @@
     assert len(set(numbers)) == len(numbers)
 
 
-def test_page_lists_each_event():
+def test_page_lists_all_events_with_their_texts():
     rows = [
         f'| {event.number} | {logging.getLevelName(event.level).lower()} '
         f'| {event.text} |'
@@ -112,7 +112,7 @@
     assert 'toucanhall_request_seconds_count{route="view"} 2\n' in text
 
 
-STORY = (
+LOG = (
     '{"at":1000,"vm":"vm-1","level":"info","event":310,'
     '"message":"configuration in force","revision":4,"version":7}',
     '  1.2 vm-1 {"at":2000,"vm":"vm-1","level":"warning","event":620,'
@@ -128,9 +128,9 @@
 )
 
 
-def test_story_of_a_request_tells_what_its_vm_believed():
-    story = list(explain(read_lines(reversed(STORY)), 'r1'))
-    assert story == [
+def test_lines_of_a_request_come_with_the_state_of_its_vm():
+    texts = list(explain(read_lines(reversed(LOG)), 'r1'))
+    assert texts == [
         '  1.500 s before: [310] configuration in force revision=4 version=7',
         '  0.500 s before: [620] target suspended '
         'target="t1" why="unreachable"',
@@ -139,20 +139,20 @@
     ]
 
 
-def test_request_without_lines_is_told():
-    (text,) = explain(read_lines(STORY), 'r2')
+def test_missing_lines_of_a_request_are_reported():
+    (text,) = explain(read_lines(LOG), 'r2')
     assert 'no line has the request r2' in text
 
 
 def test_reasons_are_counted():
-    counts = list(summarise(read_lines(STORY)))
+    counts = list(summarise(read_lines(LOG)))
     assert counts[0] == '      2  310 configuration in force'
     assert '      1  602 attempt failed: broken' in counts
 
 
 def test_commands_read_log_files(tmp_path, capsys):
     path = tmp_path / 'vm-1.log'
-    path.write_text('\n'.join(STORY))
+    path.write_text('\n'.join(LOG))
     assert cmdline.run(['explain', 'r1', str(path)]) == 0
     assert cmdline.run(['report', str(path)]) == 0
     assert 'answer-lost' in capsys.readouterr().out
@@ -160,7 +160,7 @@
     assert 'No such file' in capsys.readouterr().err
 
 
-def make_refused(at, vm, limit, spent):
+def make_refusal(at, vm, limit, spent):
     return Line(
         at=at,
         vm=vm,
@@ -170,23 +170,23 @@
     )
 
 
-def make_belief(at, vm, event):
+def make_line(at, vm, event):
     return Line(at=at, vm=vm, event=event.number, message='', fields={})
 
 
-def test_refusals_are_sorted_by_why_the_limit_did_not_allow_them():
+def test_refusals_are_counted_by_cause():
     lines = [
-        make_refused(1, 'vm-1', 0, 0),
-        make_refused(2, 'vm-1', 100, 10),
-        make_refused(3, 'vm-1', 100, 10),
-        make_refused(4, 'vm-1', 100, 10),
-        make_belief(5, 'vm-1', events.STOPPING),
-        make_refused(6, 'vm-1', 100, 10),
-        make_refused(7, 'vm-1', 100, 80),
-        make_refused(8, 'vm-2', 100, 79),
-        make_belief(9, 'vm-1', events.STARTED),
-        make_refused(10, 'vm-1', 100, 10),
-        make_refused(11, 'vm-2', 100, 81),
+        make_refusal(1, 'vm-1', 0, 0),
+        make_refusal(2, 'vm-1', 100, 10),
+        make_refusal(3, 'vm-1', 100, 10),
+        make_refusal(4, 'vm-1', 100, 10),
+        make_line(5, 'vm-1', events.STOPPING),
+        make_refusal(6, 'vm-1', 100, 10),
+        make_refusal(7, 'vm-1', 100, 80),
+        make_refusal(8, 'vm-2', 100, 79),
+        make_line(9, 'vm-1', events.STARTED),
+        make_refusal(10, 'vm-1', 100, 10),
+        make_refusal(11, 'vm-2', 100, 81),
     ]
     found = {
         text.partition(': ')[2]: int(text.split()[0])
--- a/tests/unit/test_tables.py
+++ b/tests/unit/test_tables.py
@@ -32,11 +32,11 @@
 class Peer:
     """A VM that has the tables; `behaviour` is how it answers."""
 
-    def __init__(self, *, number: int, zone: str, how: str = 'answers'):
+    def __init__(self, *, number: int, zone: str, behaviour: str = 'answers'):
         self.source = Source(
             f'vm-{number}', zone, f'127.64.204.{number}', is_relayed=False
         )
-        self.how = how
+        self.behaviour = behaviour
         self.reads = 0
         self.bytes = 0
         self.tables: TableExchange | None = None
@@ -49,16 +49,17 @@
         line = await reader.readline()
         await reader.readuntil(b'\r\n\r\n')
         self.reads += 1
-        if self.how == 'silent':
+        if self.behaviour == 'silent':
             return
         path = line.split()[1]
         body = self.tables.answer(Request(b'GET', path, (), b'')).body
         self.bytes = len(body)
-        if self.how == 'not packed':
+        if self.behaviour == 'not packed':
             body = zlib.decompress(body)
         head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
-        cut = len(body) // 2 if self.how == 'breaks off' else len(body)
-        writer.write(head + body[:cut])
+        if self.behaviour == 'truncates':
+            body = body[: len(body) // 2]
+        writer.write(head + body)
         await writer.drain()
         writer.close()
 
@@ -80,10 +81,10 @@
     )
 
 
-def ask(peers, seconds):
-    """Let a VM that starts hear of all peers at once; return its targets."""
+def read_targets(peers, seconds):
+    """Start a VM that learns of all peers at once; return its targets."""
 
-    async def act():
+    async def run():
         servers = await asyncio.gather(*(peer.start() for peer in peers))
         knowledge = Knowledge(on_change=lambda _table: None)
         tables = make_tables('east-a', knowledge)
@@ -94,46 +95,50 @@
             server.close()
         return knowledge.targets
 
-    return asyncio.run(act())
+    return asyncio.run(run())
 
 
-def make_peers(*zones, **how):
+def make_peers(*zones, **behaviours):
     return [
-        Peer(number=number, zone=zone, how=how.get(f'vm_{number}', 'answers'))
+        Peer(
+            number=number,
+            zone=zone,
+            behaviour=behaviours.get(f'vm_{number}', 'answers'),
+        )
         for number, zone in enumerate(zones, 1)
     ]
 
 
-def test_vm_that_starts_reads_whole_tables_once():
+def test_vm_that_starts_reads_the_tables_once():
     peers = make_peers('west-a', 'west-b', 'west-a', 'east-b', 'east-b')
-    assert ask(peers, 0.5) == TARGETS
+    assert read_targets(peers, 0.5) == TARGETS
     assert sum(peer.reads for peer in peers) == 1
 
 
 @pytest.mark.parametrize(
-    ('zones', 'asked'),
+    ('zones', 'nearest'),
     [
         (('west-a', 'east-b', 'east-a'), 3),
         (('west-a', 'east-b', 'west-b'), 2),
         (('west-a',), 1),
     ],
 )
-def test_nearest_vm_is_asked(zones, asked):
+def test_tables_are_read_from_the_nearest_vm(zones, nearest):
     peers = make_peers(*zones)
-    assert ask(peers, 0.5) == TARGETS
+    assert read_targets(peers, 0.5) == TARGETS
     assert [peer.reads for peer in peers] == [
-        int(peer.source.vm == f'vm-{asked}') for peer in peers
+        int(peer.source.vm == f'vm-{nearest}') for peer in peers
     ]
 
 
-@pytest.mark.parametrize('how', ('silent', 'breaks off', 'not packed'))
-def test_others_are_asked_when_the_nearest_does_not_answer(how):
-    peers = make_peers('east-a', 'east-b', vm_1=how)
-    assert ask(peers, 0.8) == TARGETS
+@pytest.mark.parametrize('behaviour', ('silent', 'truncates', 'not packed'))
+def test_tables_are_read_elsewhere_when_the_nearest_vm_fails(behaviour):
+    peers = make_peers('east-a', 'east-b', vm_1=behaviour)
+    assert read_targets(peers, 0.8) == TARGETS
     assert [peer.reads for peer in peers] == [1, 1]
 
 
-def test_tables_travel_packed():
+def test_tables_are_sent_compressed():
     peers = make_peers('east-b')
-    ask(peers, 0.3)
+    read_targets(peers, 0.3)
     assert 0 < peers[0].bytes < 20_000
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -16,13 +16,13 @@
 
 __all__ = ('Gossip', 'Message', 'open_gossip')
 
-_MOST_BYTES: Final = 60000  # a UDP datagram holds a little more
-_MOST_DECODED: Final = 1 << 20  # bytes: ten times the largest report
-# Reports name VMs and teams over and over: they shrink below three fifths.
-# What fits in one packet of a link gains too little for the time.
-_COMPRESS_FROM: Final = 1200
-_PLAIN: Final = b'\x00'
-_COMPRESSED: Final = b'\x01'
+_MAX_DATAGRAM_BYTES: Final = 60000  # UDP allows a little more
+_MAX_DECODED_BYTES: Final = 1 << 20  # ten times the largest report
+# Reports repeat the names of VMs and teams: they shrink below three fifths.
+# Compressing what fits in one packet of a link gains too little for its time.
+_MIN_COMPRESSED_BYTES: Final = 1200
+_PLAIN_MARK: Final = b'\x00'
+_COMPRESSED_MARK: Final = b'\x01'
 
 
 class Message(NamedTuple):
@@ -33,16 +33,20 @@
     is_relayed: bool = False
 
 
-Hear = Callable[[Message], None]
+Receive = Callable[[Message], None]
 
 
 class Gossip(asyncio.DatagramProtocol):
     """The UDP socket that sends and receives messages."""
 
-    def __init__(self, *, hear: Hear, on_bad: Callable[[str], None]) -> None:
-        """Pass each message to `hear`; tell `on_bad` why one was dropped."""
-        self._hear = hear
-        self._on_bad = on_bad
+    def __init__(self, *, hear: Receive, on_bad: Callable[[str], None]) -> None:
+        """Pass on received messages, and a text for each error.
+
+        Errors are messages that were dropped or could not be delivered, and
+        the loss of the socket.
+        """
+        self._receive = hear
+        self._on_error = on_bad
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -52,43 +56,46 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Pass on the loss of the socket, unless it was closed on purpose."""
         if error is not None:
-            self._on_bad(f'socket lost: {error}')
+            self._on_error(f'socket lost: {error}')
 
     def datagram_received(self, received: bytes, _address: object) -> None:
         """Decode a message, check it and pass it on."""
         try:
             message = _DECODER.decode(_unpack(received))
         except (msgspec.MsgspecError, zlib.error) as error:
-            self._on_bad(str(error))
+            self._on_error(str(error))
             return
-        if not _is_sane(message):
-            self._on_bad('figures out of range')
+        if not _has_valid_numbers(message):
+            self._on_error('a number is negative, infinite or not a number')
             return
         if not all(map(is_ip, _list_ips(message))):
-            self._on_bad('no IP address')
+            self._on_error('an address is not an IPv4 address')
             return
-        self._hear(message)
+        self._receive(message)
 
     def error_received(self, error: Exception) -> None:
-        """Note that a datagram could not be delivered."""
-        self._on_bad(str(error))
+        """Pass on that a datagram could not be delivered."""
+        self._on_error(str(error))
 
     def send(self, message: Message, addresses: Iterable[Address]) -> None:
         """Send a message to each address."""
         if self._transport is None:
             return
-        sent = _pack(_ENCODER.encode(message))
-        if len(sent) > _MOST_BYTES:
-            self._on_bad(f'{len(sent)} bytes do not fit in a datagram')
+        datagram = _pack(_ENCODER.encode(message))
+        if len(datagram) > _MAX_DATAGRAM_BYTES:
+            self._on_error(
+                f'message not sent: {len(datagram)} bytes, '
+                f'at most {_MAX_DATAGRAM_BYTES} fit in a datagram',
+            )
             return
         for address in addresses:
-            self._transport.sendto(sent, address)
+            self._transport.sendto(datagram, address)
 
 
 async def open_gossip(
     address: Address,
     *,
-    hear: Hear,
+    hear: Receive,
     on_bad: Callable[[str], None],
 ) -> Gossip:
     """Listen for messages at an address."""
@@ -103,17 +110,17 @@
 
 
 def _pack(encoded: bytes) -> bytes:
-    """Compress a message that is worth it; a mark tells which ones are."""
-    if len(encoded) < _COMPRESS_FROM:
-        return _PLAIN + encoded
-    return _COMPRESSED + pack(encoded)
+    """Compress a message that is long enough; the first byte says whether."""
+    if len(encoded) < _MIN_COMPRESSED_BYTES:
+        return _PLAIN_MARK + encoded
+    return _COMPRESSED_MARK + pack(encoded)
 
 
 def _unpack(received: bytes) -> bytes:
     mark, rest = received[:1], received[1:]
-    if mark != _COMPRESSED:
+    if mark != _COMPRESSED_MARK:
         return rest
-    return unpack(rest, _MOST_DECODED)
+    return unpack(rest, _MAX_DECODED_BYTES)
 
 
 def _list_ips(message: Message) -> list[str]:
@@ -129,21 +136,21 @@
     return found
 
 
-def _is_sane(message: Message) -> bool:
-    """Whether all figures can be worked with: none is negative or no number."""
+def _has_valid_numbers(message: Message) -> bool:
+    """Whether all numbers are finite and none is negative."""
     heartbeat, report = message.heartbeat, message.report
     members = list(report.members) if report else []
-    usages = [told.usage for told in report.told] if report else []
-    figures = [told.vms for told in report.told] if report else []
+    usages = [found.usage for found in report.told] if report else []
+    numbers = [found.vms for found in report.told] if report else []
     if heartbeat is not None:
         members.append(heartbeat.member)
         usages.append(heartbeat.usage)
     for member in members:
-        figures.extend((member.lag, member.capacity, member.load))
+        numbers.extend((member.lag, member.capacity, member.load))
     for usage in usages:
-        for found in (usage or {}).values():
-            figures.extend(found)
-    return all(0 <= figure < math.inf for figure in figures)
+        for team_usage in (usage or {}).values():
+            numbers.extend(team_usage)
+    return all(0 <= number < math.inf for number in numbers)
 
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/knowledge.py
@@ -55,9 +55,12 @@
         self.revisions = Revisions()
         # Until when each target is held; without end during an outage.
         self.lapsed: dict[str, float] = {}
-        self._lapse_until = 0.0
-        self._heard_targets = 0
-        self._heard_at_loss = 0
+        # Targets that are deleted before this time are held until it.
+        self._hold_until = 0.0
+        # Newest revision of the targets that other VMs have; and that any VM,
+        # this one included, had when the last outage began.
+        self._peer_targets_revision = 0
+        self._targets_revision_at_outage = 0
         self.removals = Removals()
         self._on_change = on_change
 
@@ -80,9 +83,9 @@
         if revision <= self.revisions.evacuations:
             return
         self.revisions = self.revisions._replace(evacuations=revision)
-        taken = frozenset(zones)
-        if taken != self.evacuated:
-            self.evacuated = taken
+        evacuated = frozenset(zones)
+        if evacuated != self.evacuated:
+            self.evacuated = evacuated
             self._on_change('evacuations')
 
     def change_evacuations(
@@ -109,7 +112,7 @@
         missing = self.targets.keys() - targets.keys()
         held = {name: self.targets[name] for name in self._hold(missing, now)}
         self.removals.restart(revision)
-        self._put_targets(revision, {**held, **targets})
+        self._set_targets(revision, {**held, **targets})
 
     def change_targets(
         self,
@@ -124,32 +127,39 @@
             name: change
             for name, change in changes.items()
             if isinstance(change, Target)
-            and change.revision > self._get_revision(name)
+            and change.revision > self._get_target_revision(name)
         }
         removed = {
             name: change
             for name, change in changes.items()
-            if isinstance(change, int) and self._get_revision(name) <= change
+            if isinstance(change, int)
+            and self._get_target_revision(name) <= change
         }
         for name in written:
             self.lapsed.pop(name, None)
             self.removals.forget(name)
         for name, removed_at in removed.items():
             self.removals.note(name, removed_at)
-        gone = self.targets.keys() & removed.keys()
+        deleted = self.targets.keys() & removed.keys()
         targets = {**self.targets, **written}
-        for name in gone - self._hold(gone, now):
+        for name in deleted - self._hold(deleted, now):
             targets.pop(name)
-        self._put_targets(revision, targets)
+        self._set_targets(revision, targets)
 
     def start_lapse(self) -> None:
-        """Note that the store is away: targets that it drops are kept."""
-        self._lapse_until = float('inf')
-        self._heard_at_loss = max(self._heard_targets, self.revisions.targets)
+        """Hold targets that are deleted from now on: the store is lost."""
+        self._hold_until = float('inf')
+        self._targets_revision_at_outage = max(
+            self._peer_targets_revision,
+            self.revisions.targets,
+        )
 
     def hear(self, revisions: Revisions) -> None:
-        """Note how far another VM is."""
-        self._heard_targets = max(self._heard_targets, revisions.targets)
+        """Record the revisions of another VM."""
+        self._peer_targets_revision = max(
+            self._peer_targets_revision,
+            revisions.targets,
+        )
 
     def end_lapse(self, now: float, *, may_have_lapsed: bool) -> None:
         """Give the held targets time to register again: the store is back.
@@ -158,25 +168,25 @@
         expire, nor if another VM reported newer targets meanwhile: then only
         this VM had lost the store, and what was deleted had left.
         """
-        if self._lapse_until == float('inf'):
+        if self._hold_until == float('inf'):
             wait = LAPSE_SECONDS if may_have_lapsed else 0.0
-            self._lapse_until = now + wait
-            # A watch that outlasts the absence may have told of some already.
+            self._hold_until = now + wait
+            # A watch that works during the outage may have deleted some.
             self.lapsed = {
-                name: min(end, self._lapse_until)
+                name: min(end, self._hold_until)
                 for name, end in self.lapsed.items()
             }
 
     def drop_lapsed(self, now: float) -> tuple[str, ...]:
-        """Drop targets that did not register again in time."""
-        over = tuple(name for name, end in self.lapsed.items() if end <= now)
-        if over:
-            kept = self.targets.keys() - set(over)
-            self._put_targets(
+        """Remove held targets that did not register again in time."""
+        expired = tuple(name for name, end in self.lapsed.items() if end <= now)
+        if expired:
+            kept = self.targets.keys() - set(expired)
+            self._set_targets(
                 self.revisions.targets,
                 {name: self.targets[name] for name in kept},
             )
-        return over
+        return expired
 
     def make_snapshot(self, known: Revisions, now: float) -> Snapshot:
         """Return what is newer than the revisions that a peer knows."""
@@ -223,26 +233,26 @@
         )
         own = self.revisions.targets
         if snapshot.targets_since <= own < snapshot.targets_revision:
-            self._take_targets_of(snapshot, now)
+            self._apply_targets(snapshot, now)
         self.take_evacuations(
             snapshot.evacuations_revision,
             snapshot.evacuated,
         )
 
-    def _take_targets_of(self, snapshot: Snapshot, now: float) -> None:
+    def _apply_targets(self, snapshot: Snapshot, now: float) -> None:
         if snapshot.targets_since:
             targets = self._merge(snapshot)
         else:
             targets = dict(snapshot.targets)
             self.removals.restart(snapshot.targets_revision)
-        # Only this VM lost the store if another heard of changes since.
-        is_newer = snapshot.targets_revision > self._heard_at_loss
+        # If another VM learned of changes since, only this VM lost the store.
+        is_newer = snapshot.targets_revision > self._targets_revision_at_outage
         if is_newer and targets != self.targets:
-            self._lapse_until = 0.0
+            self._hold_until = 0.0
         self.lapsed = {
-            name: now + left for name, left in snapshot.lapsed.items()
+            name: now + remaining for name, remaining in snapshot.lapsed.items()
         }
-        self._put_targets(snapshot.targets_revision, targets)
+        self._set_targets(snapshot.targets_revision, targets)
 
     def _merge(self, snapshot: Snapshot) -> dict[str, Target]:
         """Return the own targets with the changes of a snapshot.
@@ -254,29 +264,30 @@
             self.removals.note(name, revision)
         for name in snapshot.targets:
             self.removals.forget(name)
-        gone = (snapshot.removed.keys() | self.lapsed.keys()) - (
+        deleted = (snapshot.removed.keys() | self.lapsed.keys()) - (
             snapshot.lapsed.keys()
         )
         return {
             **{
                 name: target
                 for name, target in self.targets.items()
-                if name not in gone
+                if name not in deleted
             },
             **snapshot.targets,
         }
 
-    def _get_revision(self, name: str) -> int:
+    def _get_target_revision(self, name: str) -> int:
         known = self.targets.get(name)
         return known.revision if known else 0
 
     def _hold(self, names: Iterable[str], now: float) -> set[str]:
-        if now < self._lapse_until:
+        """Hold deleted targets if it is time to; return those held now."""
+        if now < self._hold_until:
             for name in names:
-                self.lapsed.setdefault(name, self._lapse_until)
+                self.lapsed.setdefault(name, self._hold_until)
         return {name for name in names if self.lapsed.get(name, 0) > now}
 
-    def _put_targets(
+    def _set_targets(
         self,
         revision: int,
         targets: Mapping[str, Target],
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -65,7 +65,7 @@
     heard_at: float
 
 
-class _Heard(NamedTuple):
+class _ReceivedReport(NamedTuple):
     report: ZoneReport
     heard_at: float
 
@@ -88,9 +88,9 @@
         self._started_at = now
         self.peers: dict[str, Peer] = {}
         self.introduced: dict[str, Introduction] = {}
-        self._is_listed = False
-        # The last report of each speaker, by zone.
-        self._reports: dict[str, dict[str, _Heard]] = {}
+        self._is_listing_complete = False
+        # The last report of each delegate, by zone.
+        self._reports: dict[str, dict[str, _ReceivedReport]] = {}
 
     def hear(self, heartbeat: Heartbeat, now: float) -> bool:
         """Update the state of a VM of the own zone from its heartbeat.
@@ -110,12 +110,12 @@
         )
 
     def hear_report(self, report: ZoneReport, now: float) -> bool:
-        """Take a report of another zone; tell whether it was not heard yet."""
-        speakers = self._reports.setdefault(report.zone, {})
-        known = speakers.get(report.speaker)
+        """Keep a report of another zone; return whether it is new."""
+        reports = self._reports.setdefault(report.zone, {})
+        known = reports.get(report.speaker)
         if known and known.report.stamp >= report.stamp:
             return False
-        speakers[report.speaker] = _Heard(report, now)
+        reports[report.speaker] = _ReceivedReport(report, now)
         for found in report.members:
             self.introduce(found.introduction)
         return True
@@ -127,8 +127,8 @@
         return is_new
 
     def note_listing(self) -> None:
-        """Note that the entries of all VMs were read since the start."""
-        self._is_listed = True
+        """Record that the entries of all VMs were read since the start."""
+        self._is_listing_complete = True
 
     def count_known(self) -> Counter[str]:
         """Return how many VMs each zone has, this one included.
@@ -136,7 +136,7 @@
         It is empty until the entries of all VMs were read: a VM that has just
         started knows only a few others.
         """
-        if not self._is_listed:
+        if not self._is_listing_complete:
             return Counter()
         zones = Counter(found.zone for found in self.introduced.values())
         zones[self._own.zone] += 1
@@ -147,9 +147,9 @@
         self._zones = frozenset(found.zone for found in listed)
         names = {found.vm for found in listed}
         names.update(self.peers)
-        for speakers in self._reports.values():
-            for heard in speakers.values():
-                names.update(found.vm for found in heard.report.members)
+        for reports in self._reports.values():
+            for received in reports.values():
+                names.update(found.vm for found in received.report.members)
         self.introduced = {
             vm: found for vm, found in self.introduced.items() if vm in names
         }
@@ -162,10 +162,10 @@
         }
         self._reports = {
             zone: {
-                speaker: heard._replace(heard_at=heard.heard_at + seconds)
-                for speaker, heard in speakers.items()
+                vm: received._replace(heard_at=received.heard_at + seconds)
+                for vm, received in reports.items()
             }
-            for zone, speakers in self._reports.items()
+            for zone, reports in self._reports.items()
         }
 
     def drop_gone(self, now: float) -> list[Introduction]:
@@ -175,21 +175,21 @@
         """
         self._reports = {
             zone: {
-                speaker: heard
-                for speaker, heard in speakers.items()
-                if now - heard.heard_at <= GONE_SECONDS
+                vm: received
+                for vm, received in reports.items()
+                if now - received.heard_at <= GONE_SECONDS
             }
-            for zone, speakers in self._reports.items()
+            for zone, reports in self._reports.items()
         }
-        gone = [
+        expired = [
             self.introduced[vm]
             for vm, peer in self.peers.items()
             if now - peer.heard_at > GONE_SECONDS and vm in self.introduced
         ]
-        for found in gone:
+        for found in expired:
             self.introduced.pop(found.vm)
             self.peers.pop(found.vm)
-        return gone
+        return expired
 
     def list_near(self, now: float) -> list[Member]:
         """Return the VMs of the own zone that are alive."""
@@ -203,15 +203,15 @@
         """Return the VMs of another zone that are in its recent reports."""
         found = {
             member.vm: member
-            for heard in self._list_heard(zone, now, REPORT_SECONDS)
-            for member in heard.report.members
+            for received in self._list_recent(zone, now, REPORT_SECONDS)
+            for member in received.report.members
         }
         return list(found.values())
 
     def list_alive(self, now: float) -> list[Member]:
         """Return the VMs of all zones that are alive."""
-        far = (self.list_zone(zone, now) for zone in self._reports)
-        return [*self.list_near(now), *chain.from_iterable(far)]
+        remote = (self.list_zone(zone, now) for zone in self._reports)
+        return [*self.list_near(now), *chain.from_iterable(remote)]
 
     def list_zones(self) -> list[str]:
         """Return the names of the other zones with known VMs."""
@@ -224,7 +224,7 @@
         `serving` are the VMs that take requests. For some time after the
         start, VMs that should take requests and sent no heartbeat count too.
         """
-        told = [
+        usage_reports = [
             Told(
                 peer.heartbeat.usage,
                 is_late=now - peer.heard_at > LATE_SECONDS,
@@ -233,62 +233,65 @@
             for vm, peer in self.peers.items()
             if now - peer.heard_at <= FORGET_SECONDS
         ]
-        unheard = sum(
+        without_report = sum(
             found.zone == self._own.zone
             for vm, found in self.introduced.items()
             if vm != self._own.vm and vm not in self.peers
         )
-        missing = min(unheard, LEAST_SERVING - len(serving))
-        if missing > 0 and self._is_new(now):
-            told.append(make_unheard(missing))
-        return told
+        missing = min(without_report, LEAST_SERVING - len(serving))
+        if missing > 0 and self._has_just_started(now):
+            usage_reports.append(make_unheard(missing))
+        return usage_reports
 
     def list_far_told(self, now: float) -> list[Told]:
-        """Return what the other zones told; after a start, also what is due."""
-        told = [
+        """Return the usage reports of the other zones.
+
+        For some time after the start, zones that sent none yet count too.
+        """
+        usage_reports = [
             found
             for zone in self._reports
-            for found in self._find_zone_told(zone, now)
+            for found in self._get_zone_usage(zone, now)
         ]
-        unheard = self._zones - self._reports.keys() - {self._own.zone}
-        if self._is_new(now):
+        missing = self._zones - self._reports.keys() - {self._own.zone}
+        if self._has_just_started(now):
             known = self.count_known()
-            told += [
+            usage_reports += [
                 make_unheard(min(LEAST_SERVING, known[zone] or LEAST_SERVING))
-                for zone in unheard
+                for zone in missing
             ]
-        return told
+        return usage_reports
 
-    def _is_new(self, now: float) -> bool:
+    def _has_just_started(self, now: float) -> bool:
         return now - self._started_at < FORGET_SECONDS
 
-    def _find_zone_told(self, zone: str, now: float) -> Sequence[Told]:
-        recent = self._list_heard(zone, now, REPORT_LATE_SECONDS)
+    def _get_zone_usage(self, zone: str, now: float) -> Sequence[Told]:
+        recent = self._list_recent(zone, now, REPORT_LATE_SECONDS)
         if recent:
             # A delegate that has just started knows few VMs of its zone.
             return max(recent, key=_get_size).report.told
-        last = self._list_heard(zone, now, FORGET_SECONDS)
-        if not last:
+        stale = self._list_recent(zone, now, FORGET_SECONDS)
+        if not stale:
             return ()
-        found = max(last, key=_get_heard_at).report.told
-        return [told._replace(is_late=True) for told in found]
+        newest = max(stale, key=_get_receipt_time).report.told
+        return [found._replace(is_late=True) for found in newest]
 
-    def _list_heard(
+    def _list_recent(
         self,
         zone: str,
         now: float,
         seconds: float,
-    ) -> list[_Heard]:
+    ) -> list[_ReceivedReport]:
         return [
-            heard
-            for heard in self._reports.get(zone, {}).values()
-            if now - heard.heard_at <= seconds
+            received
+            for received in self._reports.get(zone, {}).values()
+            if now - received.heard_at <= seconds
         ]
 
 
-def _get_size(heard: _Heard) -> tuple[int, float]:
-    return len(heard.report.members), heard.heard_at
+def _get_size(received: _ReceivedReport) -> tuple[int, float]:
+    return len(received.report.members), received.heard_at
 
 
-def _get_heard_at(heard: _Heard) -> float:
-    return heard.heard_at
+def _get_receipt_time(received: _ReceivedReport) -> float:
+    return received.heard_at
--- a/toucanhall/fleet/removals.py
+++ b/toucanhall/fleet/removals.py
@@ -5,16 +5,16 @@
 
 __all__ = ('Removals',)
 
-# Some 150 kB; a peer that lacks more than these gets the whole table.
-_MOST_NAMES: Final = 1024
+# Some 150 kB; a peer that lacks more removals gets the whole table.
+_MAX_NAMES: Final = 1024
 
 
 class Removals:
     """The removals after a revision, each with its own revision."""
 
-    def __init__(self, *, most_names: int = _MOST_NAMES) -> None:
-        """Know nothing; the oldest names go when there are too many."""
-        self._most_names = most_names
+    def __init__(self, *, most_names: int = _MAX_NAMES) -> None:
+        """Start empty; beyond the maximum, the oldest names are dropped."""
+        self._max_names = most_names
         self._removed: dict[str, int] = {}
         self._since = 0
 
@@ -27,7 +27,7 @@
         """Record that a name was removed at a revision."""
         self._removed.pop(name, None)
         self._removed[name] = revision
-        if len(self._removed) > self._most_names:
+        if len(self._removed) > self._max_names:
             oldest = next(iter(self._removed))
             self._since = max(self._since, self._removed.pop(oldest))
 
@@ -42,7 +42,7 @@
     def list_since(self, revision: int) -> Mapping[str, int]:
         """Return the names that were removed after a revision."""
         return {
-            name: removed
-            for name, removed in self._removed.items()
-            if removed > revision
+            name: removed_at
+            for name, removed_at in self._removed.items()
+            if removed_at > revision
         }
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -53,14 +53,14 @@
 def sum_told(told: Iterable[Told]) -> tuple[Told, ...]:
     """Add up usage reports: the recent ones, then the stale ones."""
     groups: dict[bool, list[Told]] = {False: [], True: []}
-    for found in told:
-        groups[found.is_late].append(found)
+    for report in told:
+        groups[report.is_late].append(report)
     return tuple(_round(add_group(group)) for group in groups.values() if group)
 
 
-def _round(told: Told) -> Told:
+def _round(report: Told) -> Told:
     usage = {
         team: found._replace(demand=round(found.demand, 2))
-        for team, found in (told.usage or {}).items()
+        for team, found in (report.usage or {}).items()
     }
-    return told._replace(usage=usage)
+    return report._replace(usage=usage)
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -25,11 +25,11 @@
 # VMs may be cut off (as in the network cuts of the deployments) while another
 # one is being stopped.
 LEAST_SERVING: Final = 4
-# What the VMs that take requests bear, over what their zone takes: bursts of
-# 1.7 times the load, one VM of three lost, and room so that none queue.
-_HEADROOM: Final = 4.0
-# One speaks while the death of the other is not noticed.
-_SPEAKERS: Final = 2
+# Capacity of the VMs that take requests, over the load of their zone: bursts
+# of 1.7 times the load, one VM of three lost, and a reserve against queues.
+_CAPACITY_PER_LOAD_RATIO: Final = 4.0
+# One reports while the death of the other is not detected yet.
+_DELEGATE_COUNT: Final = 2
 LAGGING_SECONDS: Final = 0.05  # a fifth of the shortest objective
 
 
@@ -40,9 +40,9 @@
     """
     ranked = _rank(members)
     ready = [found for found in ranked if found.is_ready]
-    wanted = _HEADROOM * sum(found.load for found in ranked)
-    borne = accumulate(found.capacity for found in ready)
-    count = 1 + sum(capacity < wanted for capacity in borne)
+    wanted = _CAPACITY_PER_LOAD_RATIO * sum(found.load for found in ranked)
+    capacities = accumulate(found.capacity for found in ready)
+    count = 1 + sum(capacity < wanted for capacity in capacities)
     picked = ready[: max(LEAST_SERVING, count)]
     if any(found.lag > LAGGING_SECONDS for found in picked):
         return ready
@@ -56,10 +56,11 @@
     """
     ranked = _rank(members)
     staying = [found for found in ranked if not found.is_leaving]
-    return (staying or ranked)[:_SPEAKERS]
+    return (staying or ranked)[:_DELEGATE_COUNT]
 
 
 def _rank(members: Iterable[Member]) -> list[Member]:
+    """Return the VMs from the largest capacity."""
     return sorted(members, key=_get_rank)
 
 
--- a/toucanhall/observe/journal.py
+++ b/toucanhall/observe/journal.py
@@ -12,8 +12,8 @@
 
 __all__ = ('Journal',)
 
-# Lines of one event: a burst, then so many a second.
-_BURST: Final = 50.0
+# A token bucket for each event.
+_BURST_LINES: Final = 50.0
 _LINES_PER_SECOND: Final = 5.0
 _LEVELS: Final = {10: 'debug', 20: 'info', 30: 'warning', 40: 'error'}
 
@@ -37,9 +37,10 @@
         self._descriptor = descriptor
         os.set_blocking(descriptor, False)
         self._clock = clock
-        self._room: dict[int, tuple[float, float]] = {}
+        # Tokens of each event and the time at which they were counted.
+        self._tokens: dict[int, tuple[float, float]] = {}
         self.dropped: dict[int, int] = {}
-        self._told = 0
+        self._logged_total = 0
 
     def write(self, event: Event, **fields: object) -> None:
         """Write a line of an event, or count it as dropped."""
@@ -54,16 +55,16 @@
             'message': event.text,
             **fields,
         }
-        self._put(event.number, line)
+        self._write_line(event.number, line)
 
     def tell_dropped(self) -> None:
         """Log how many lines of each event were dropped since the start."""
         total = sum(self.dropped.values())
-        if total != self._told:
-            self._told = total
+        if total != self._logged_total:
+            self._logged_total = total
             self.write(LINES_DROPPED, counts=dict(self.dropped))
 
-    def _put(self, number: int, line: dict[str, object]) -> None:
+    def _write_line(self, number: int, line: dict[str, object]) -> None:
         encoded = b'%s\n' % msgspec.json.encode(line, enc_hook=str)
         try:
             written = os.write(self._descriptor, encoded)
@@ -75,11 +76,11 @@
 
     def _admit(self, number: int) -> bool:
         now = self._clock()
-        room, since = self._room.get(number, (_BURST, now))
-        room = min(_BURST, room + (now - since) * _LINES_PER_SECOND)
-        admitted = room >= 1
-        self._room[number] = (room - 1 if admitted else room, now)
-        return admitted
+        tokens, since = self._tokens.get(number, (_BURST_LINES, now))
+        tokens = min(_BURST_LINES, tokens + (now - since) * _LINES_PER_SECOND)
+        is_admitted = tokens >= 1
+        self._tokens[number] = (tokens - 1 if is_admitted else tokens, now)
+        return is_admitted
 
     def _drop(self, number: int) -> None:
         self.dropped[number] = self.dropped.get(number, 0) + 1
--- a/toucanhall/observe/limits.py
+++ b/toucanhall/observe/limits.py
@@ -10,8 +10,8 @@
 __all__ = ('sort_refusals',)
 
 _REASON: Final = 'over-quota'
-# Part of the limit of a window from which a team counts as near it.
-_NEAR_SHARE: Final = 0.8
+# From this fraction of the limit of a window on, the limit counts as spent.
+_SPENT_FRACTION: Final = 0.8
 
 
 def sort_refusals(lines: Iterable[Line]) -> Iterator[str]:
@@ -38,7 +38,7 @@
     limit = line.fields.get('limit', 0)
     if not limit:
         return 'no limit known yet'
-    if line.fields.get('spent', 0) >= _NEAR_SHARE * limit:
+    if line.fields.get('spent', 0) >= _SPENT_FRACTION * limit:
         return 'limit spent'
     if is_stopping:
         return 'VM stopping, within the limit'
--- a/toucanhall/observe/metrics.py
+++ b/toucanhall/observe/metrics.py
@@ -6,9 +6,19 @@
 
 __all__ = ('Metrics',)
 
-# Upper bounds in seconds: from a fifth of the shortest objective to the
-# longest timeout of a route.
-_BUCKETS: Final = (0.03, 0.06, 0.12, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+# Upper bounds of the buckets: from a fifth of the shortest objective of a route
+# to the longest timeout of one.
+_BOUNDS_SECONDS: Final = (
+    0.03,
+    0.06,
+    0.12,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -32,9 +42,9 @@
         key = (name, tuple(sorted(labels.items())))
         found = self._histograms.get(key)
         if found is None:
-            found = [0.0 for _bound in (*_BUCKETS, 'more', 'sum')]
+            found = [0.0 for _bound in (*_BOUNDS_SECONDS, 'more', 'sum')]
             self._histograms[key] = found
-        found[bisect_left(_BUCKETS, seconds)] += 1
+        found[bisect_left(_BOUNDS_SECONDS, seconds)] += 1
         found[-1] += seconds
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
@@ -53,7 +63,12 @@
         for (name, labels), found in sorted(self._histograms.items()):
             full = f'toucanhall_{name}_seconds'
             total = 0.0
-            for bound, count in zip((*_BUCKETS, '+Inf'), found, strict=False):
+            # The sum, last in `found`, is left over: it has no bucket.
+            for bound, count in zip(
+                (*_BOUNDS_SECONDS, '+Inf'),
+                found,
+                strict=False,
+            ):
                 total += count
                 le = (*labels, ('le', str(bound)))
                 yield f'{full}_bucket{_render(le)} {total:g}'
--- a/toucanhall/observe/stories.py
+++ b/toucanhall/observe/stories.py
@@ -9,7 +9,8 @@
 
 __all__ = ('Line', 'explain', 'read_lines', 'summarise')
 
-_BELIEFS: Final = frozenset(
+# Events that say what a VM knows, or that its own state changed.
+_STATE_EVENTS: Final = frozenset(
     (
         events.CONFIGURATION_TAKEN.number,
         events.TARGETS_CHANGED.number,
@@ -22,14 +23,15 @@
         events.STOPPING.number,
     )
 )
-_TARGET_BELIEFS: Final = frozenset(
+# Likewise, of one target.
+_TARGET_STATE_EVENTS: Final = frozenset(
     (
         events.TARGET_SUSPENDED.number,
         events.TARGET_RESUMED.number,
     )
 )
-_COMMON: Final = frozenset(('at', 'vm', 'level', 'event', 'message'))
-_MILLISECONDS: Final = 1000
+_COMMON_FIELDS: Final = frozenset(('at', 'vm', 'level', 'event', 'message'))
+_MS_PER_SECOND: Final = 1000
 
 
 class Line(NamedTuple):
@@ -56,7 +58,7 @@
         fields = {
             name: content
             for name, content in document.items()
-            if name not in _COMMON
+            if name not in _COMMON_FIELDS
         }
         found.append(
             Line(
@@ -71,19 +73,21 @@
 
 
 def explain(lines: list[Line], request: str) -> Iterator[str]:
-    """Yield the lines of a request, each after what its VM believed then."""
-    told: set[int] = set()
-    story = [line for line in lines if line.fields.get('request') == request]
-    if not story:
+    """Yield the lines of a request, each after the state of its VM then."""
+    printed: set[int] = set()
+    request_lines = [
+        line for line in lines if line.fields.get('request') == request
+    ]
+    if not request_lines:
         yield f'no line has the request {request}; it may have been dropped'
         return
-    for line in story:
+    for line in request_lines:
         targets = _list_targets(line)
-        for belief in _find_beliefs(lines, line, targets):
-            if id(belief) not in told:
-                told.add(id(belief))
-                age = (line.at - belief.at) / _MILLISECONDS
-                yield f'  {age:.3f} s before: {_render(belief)}'
+        for state in _find_states(lines, line, targets):
+            if id(state) not in printed:
+                printed.add(id(state))
+                age = (line.at - state.at) / _MS_PER_SECOND
+                yield f'  {age:.3f} s before: {_render(state)}'
         yield f'{line.at} {line.vm}: {_render(line)}'
 
 
@@ -96,7 +100,7 @@
         yield f'{count:7d}  {event} {message}{reason}'
 
 
-def _find_beliefs(
+def _find_states(
     lines: list[Line],
     line: Line,
     targets: set[str],
@@ -110,18 +114,19 @@
         for found in lines
         if found.vm == line.vm
         and found.at <= line.at
-        and _is_belief(found, targets)
+        and _is_state(found, targets)
     }
     return sorted(latest.values(), key=_get_time)
 
 
-def _is_belief(line: Line, targets: set[str]) -> bool:
-    if line.event in _TARGET_BELIEFS:
+def _is_state(line: Line, targets: set[str]) -> bool:
+    if line.event in _TARGET_STATE_EVENTS:
         return line.fields.get('target', '') in targets
-    return line.event in _BELIEFS
+    return line.event in _STATE_EVENTS
 
 
 def _list_targets(line: Line) -> set[str]:
+    """Return the targets of a line; empty is that of lines without one."""
     targets = set(line.fields.get('tried') or ())
     targets.add(line.fields.get('target', ''))
     return targets
