--- a/tests/unit/test_knowledge.py
+++ b/tests/unit/test_knowledge.py
@@ -1,9 +1,9 @@
 """Tests of the tables that a VM knows.
 
 While the store can't be reached, entries of targets in use expire. A VM that
-took them for gone after the outage would have no targets; so it holds them for
-some time. A target that left while only this VM had lost the store must not be
-held.
+removed these targets after the outage would have none left, so it holds them
+until they had time to register again. A target that left while only this VM
+had lost the store must not be held.
 """
 
 from tests.fleetdata import make_target
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -120,10 +120,10 @@
             self.introduce(found.introduction)
         return True
 
-    def introduce(self, introduction: Introduction) -> bool:
-        """Record the address of a VM; return whether it is new."""
-        is_new = self.introduced.get(introduction.vm) != introduction
-        self.introduced[introduction.vm] = introduction
+    def introduce(self, location: Introduction) -> bool:
+        """Record the zone and address of a VM; return whether they are new."""
+        is_new = self.introduced.get(location.vm) != location
+        self.introduced[location.vm] = location
         return is_new
 
     def note_listing(self) -> None:
