--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -183,8 +183,8 @@
 
     `targets` and `removed` (with the revision of each removal) have changed
     after `targets_since`; where that is 0, `targets` is the whole table.
-    `lapsed` maps targets that were deleted during an outage of the store to
-    the seconds that remain for them to register again.
+    `lapsed` maps targets that were deleted during an outage of the
+    store to the seconds that remain for them to register again.
     """
 
     configuration_revision: int
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -37,8 +37,8 @@
 
     `speaker` is the name of the delegate and `ip` its address. `stamp` grows
     with each report of it (Unix milliseconds of its start, number of the
-    report). `told` sums the usage of the VMs whose usage reports are recent,
-    then of those whose reports are stale.
+    report). `told` has the sum of the recent usage reports of the
+    zone's VMs, then that of the stale ones.
     """
 
     zone: str
@@ -50,10 +50,10 @@
     told: tuple[Told, ...]
 
 
-def sum_told(told: Iterable[Told]) -> tuple[Told, ...]:
+def sum_told(usage_reports: Iterable[Told]) -> tuple[Told, ...]:
     """Add up usage reports: the recent ones, then the stale ones."""
     groups: dict[bool, list[Told]] = {False: [], True: []}
-    for report in told:
+    for report in usage_reports:
         groups[report.is_late].append(report)
     return tuple(_round(add_group(group)) for group in groups.values() if group)
 
