--- a/benches/placement.py
+++ b/benches/placement.py
@@ -7,9 +7,13 @@
 from typing import Final
 
 from toucanhall.fleet.model import Address, Target
-from toucanhall.placement.choice import WARM_TARGETS, Ask, choose
-from toucanhall.placement.field import Field, Need
-from toucanhall.placement.order import Place
+from toucanhall.placement.choice import (
+    TARGETS_PER_OBJECT,
+    RequestUrgency,
+    choose_target,
+)
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.hash_ring import Location
 
 _SIZES: Final = (36, 468, 3100)
 _REGIONS: Final = 29
@@ -47,8 +51,8 @@
         )
         for index in range(size)
     }
-    field = Field(place=Place('z0', 'r0'), regions=regions)
-    field.take_targets(targets, -100.0)
+    field = TargetRegistry(location=Location('z0', 'r0'), regions=regions)
+    field.replace_targets(targets, -100.0)
     began = time.perf_counter()
     _choose(field, 'first')
     made = time.perf_counter() - began
@@ -65,7 +69,7 @@
         changed_target = targets['t1']._replace(started_at=index + 2)
         targets = {**targets, 't1': changed_target}
         began = time.perf_counter()
-        field.take_targets(targets, 1.0)
+        field.replace_targets(targets, 1.0)
         changed += (time.perf_counter() - began) / 100
     return (
         f'{size:7}  {chosen * _MICROSECONDS:10.1f}  {made * 1000:11.1f}'
@@ -74,10 +78,10 @@
 
 
 def _choose(
-    field: Field,
+    field: TargetRegistry,
     key: str,
     homes: frozenset[str] = frozenset(),
 ) -> None:
-    need = Need('guide', key, homes, frozenset())
-    found = field.list_candidates(need, 1.0, WARM_TARGETS)
-    assert choose(found, Ask(0.25, 0.1, 1), 1.0)
+    need = TargetQuery('guide', key, homes, frozenset())
+    found = field.list_candidates(need, 1.0, TARGETS_PER_OBJECT)
+    assert choose_target(found, RequestUrgency(0.25, 0.1, 1), 1.0)
--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -30,7 +30,7 @@
 
 __all__ = ('Deployment', 'Outcome')
 
-ZONES: Final = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
+REGIONS_BY_ZONE: Final = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
 _ROOT: Final = Path(__file__).parents[2]
 _STORE_PORT: Final = 8382
 _TARGET_PORT: Final = 9000
@@ -73,13 +73,13 @@
             daemon=True,
         )
         self._thread.start()
-        self.store = self.call(_make_store())
+        self.store = self.run_coroutine(_make_store())
         self._http = urllib3.PoolManager(retries=False, maxsize=32)
         self._ips: dict[str, str] = {}
 
     def __enter__(self) -> 'Deployment':
         """Start the store with a first configuration."""
-        self.call(self.store.start(self._make_ip(200, 1), _STORE_PORT))
+        self.run_coroutine(self.store.start(self._make_ip(200, 1), _STORE_PORT))
         self.write('config', 'main', make_configuration())
         return self
 
@@ -89,50 +89,52 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
-        self.do(self.store.stop)
+        self.call_in_loop(self.store.stop)
         for target in self.targets.values():
-            self.do(target.stop)
+            self.call_in_loop(target.stop)
         for server in self.endless.values():
-            self.do(server.stop)
+            self.call_in_loop(server.stop)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._loop.close()
 
-    def call(self, work: Coroutine[Any, Any, Found]) -> Found:
+    def run_coroutine(self, work: Coroutine[Any, Any, Found]) -> Found:
         """Run something on the thread of the stand-ins."""
         return asyncio.run_coroutine_threadsafe(work, self._loop).result(10)
 
-    def do(self, act: Callable[..., object], *arguments: object) -> None:
+    def call_in_loop(
+        self, act: Callable[..., object], *arguments: object
+    ) -> None:
         """Call a function on the thread of the stand-ins."""
 
         async def run() -> None:  # noqa: RUF029
             act(*arguments)
 
-        self.call(run())
+        self.run_coroutine(run())
 
     def write(self, kind: str, name: str, spec: object) -> None:
         """Write an object of the store as operators and targets do."""
-        self.do(self.store.put, kind, name, spec)
+        self.call_in_loop(self.store.put, kind, name, spec)
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object of the store."""
-        self.do(self.store.remove, kind, name)
+        self.call_in_loop(self.store.remove, kind, name)
 
     def add_target(self, name: str, zone: str = 'east-a') -> TargetStandin:
         """Start a target and register it."""
-        target = self.call(_make_target(name))
+        target = self.run_coroutine(_make_target(name))
         self.targets[name] = target
         self._serve_as(name, zone, target)
         return target
 
-    def add_endless(self, name: str, kind: str) -> EndlessServer:
+    def add_endless_target(self, name: str, kind: str) -> EndlessServer:
         """Start and register a target that answers without end."""
         server = EndlessServer(name=kind)
         self.endless[name] = server
         self._serve_as(name, 'east-a', server)
         return server
 
-    def read_peak_memory(self, vm: str) -> int:
+    def read_peak_memory_bytes(self, vm: str) -> int:
         """Return the most memory that a VM has had resident, in bytes."""
         status = Path(f'/proc/{self.vms[vm].pid}/status').read_text()
         fields = dict(line.split(':', 1) for line in status.splitlines())
@@ -163,7 +165,7 @@
             name,
             ip,
             zone,
-            zones=ZONES,
+            zones=REGIONS_BY_ZONE,
             store=store or f'{self._make_ip(200, 1)}:{_STORE_PORT}',
             seeds=seeds,
         )
@@ -193,11 +195,11 @@
         except urllib3.exceptions.HTTPError:
             return False
 
-    def ask_directory(self, vm: str, zone: str) -> list[str]:
+    def resolve_addresses(self, vm: str, zone: str) -> list[str]:
         """Return the addresses of VMs that a client of a zone is given."""
         url = (
             f'http://{self._ips[vm]}:8383/toucanhall/resolve'
-            f'?name={HOST}&region={ZONES[zone]}&zone={zone}'
+            f'?name={HOST}&region={REGIONS_BY_ZONE[zone]}&zone={zone}'
         )
         try:
             found = self._http.request('GET', url, timeout=1.0)
@@ -280,7 +282,7 @@
         number = len(self.targets) + len(self.endless)
         ip = self._make_ip(100 + ZONES_ORDER[zone], number)
         self._ips[name] = ip
-        self.call(server.start(ip, _TARGET_PORT))
+        self.run_coroutine(server.start(ip, _TARGET_PORT))
         self.register(name, zone)
 
     def _make_ip(self, third: int, fourth: int) -> str:
@@ -308,4 +310,4 @@
     return TargetStandin(name=name)
 
 
-ZONES_ORDER: Final = {zone: index for index, zone in enumerate(ZONES)}
+ZONES_ORDER: Final = {zone: index for index, zone in enumerate(REGIONS_BY_ZONE)}
--- a/standins/site/endless.py
+++ b/standins/site/endless.py
@@ -5,7 +5,7 @@
 from itertools import chain, repeat
 from typing import Final
 
-__all__ = ('ENDLESS', 'EndlessServer')
+__all__ = ('ENDLESS_ANSWERS', 'EndlessServer')
 
 _HEAD: Final = b'HTTP/1.1 200 OK\r\n'
 _PIECE: Final = b'x' * 8192
@@ -25,7 +25,7 @@
 
 
 # What is sent until the caller closes, by name.
-ENDLESS: Final[Mapping[str, Callable[[], Iterable[bytes]]]] = {
+ENDLESS_ANSWERS: Final[Mapping[str, Callable[[], Iterable[bytes]]]] = {
     'status line': lambda: _repeat(b'HTTP/1.1 200 ', _PIECE),
     'header lines': _number_headers,
     'one header': lambda: _repeat(_HEAD + b'h: ', _PIECE),
@@ -56,9 +56,9 @@
     """Answers each connection with the same bytes until it is closed."""
 
     def __init__(self, *, name: str) -> None:
-        """Send what `ENDLESS` has under a name."""
+        """Send what `ENDLESS_ANSWERS` has under a name."""
         self._name = name
-        self.sent = 0
+        self.sent_bytes = 0
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -77,9 +77,9 @@
     ) -> None:
         try:
             await reader.readuntil(b'\r\n\r\n')
-            for part in ENDLESS[self._name]():
+            for part in ENDLESS_ANSWERS[self._name]():
                 writer.write(part)
                 await writer.drain()
-                self.sent += len(part)
+                self.sent_bytes += len(part)
         except ConnectionError:
             writer.close()
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -6,8 +6,8 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import parse_qs, unquote
 
-from toucanhall.web.memory import HeldBytes
-from toucanhall.web.messages import Answer, Request, make_failed
+from toucanhall.web.memory import BufferBudget
+from toucanhall.web.messages import Answer, Request, make_error_answer
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
 __all__ = ('StoreStandin',)
@@ -32,7 +32,7 @@
 class StoreStandin:
     """Objects by kind and name with one counter of revisions.
 
-    `fault` is called with each request: it returns a status to answer with,
+    `decide_fault` is called with each request: it returns a status to answer with,
     'silent' to answer never, 'lost' to act and answer never, or None.
     """
 
@@ -40,7 +40,7 @@
         """Start empty, without faults."""
         self.revision = 1
         self.objects: dict[str, dict[str, Document]] = {}
-        self.fault: Fault = lambda _call: None
+        self.decide_fault: Fault = lambda _call: None
         self.calls: list[str] = []
         self._events: list[_Event] = []
         self._oldest = 1
@@ -52,14 +52,14 @@
         """Listen for calls."""
         handler = Handler(
             serve=self._serve,
-            fail=make_failed,
+            answer_error=make_error_answer,
             is_cancellable=lambda _request: True,
             get_limits=lambda: _LIMITS,
             is_stopping=lambda: False,
             is_lagging=lambda: False,
             connections=set(),
-            held=HeldBytes(most=_HELD_BYTES),
-            most_connections=_MOST_CONNECTIONS,
+            buffer_budget=BufferBudget(max_bytes=_HELD_BYTES),
+            max_connections=_MOST_CONNECTIONS,
         )
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(handler=handler),
@@ -102,7 +102,7 @@
 
     def set_fault(self, fault: Fault) -> None:
         """Let calls fail, and watches that are waiting."""
-        self.fault = fault
+        self.decide_fault = fault
         self._wake()
 
     def compact(self) -> None:
@@ -129,7 +129,7 @@
     async def _serve(self, request: Request) -> Answer:
         path, _, query = request.path.decode().partition('?')
         self.calls.append(f'{request.method.decode()} {path}')
-        fault = self.fault(request)
+        fault = self.decide_fault(request)
         if isinstance(fault, int):
             return _answer(fault, {})
         if fault == 'silent':
@@ -159,7 +159,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + int(arguments['wait_ms']) / 1000
         while True:
-            fault = self.fault(request)
+            fault = self.decide_fault(request)
             if isinstance(fault, int):
                 return _answer(fault, {})
             if since + 1 < self._oldest:
--- a/standins/site/target.py
+++ b/standins/site/target.py
@@ -6,12 +6,12 @@
 
 import httptools
 
-__all__ = ('Run', 'TargetStandin')
+__all__ = ('ExecutedRequest', 'TargetStandin')
 
 _QUEUE: Final = 27
 
 
-class Run(NamedTuple):
+class ExecutedRequest(NamedTuple):
     """A request that ran, as the target saw it."""
 
     target: str
@@ -39,8 +39,8 @@
         self.slots = slots
         self.seconds = 0.01
         self.mode = 'well'
-        self.runs: list[Run] = []
-        self.ended: list[str] = []
+        self.executed: list[ExecutedRequest] = []
+        self.cancelled_ids: list[str] = []
         self.running = 0
         self.waiting = 0
         self._free = asyncio.Semaphore(slots)
@@ -80,12 +80,12 @@
                 finally:
                     self.running -= 1
         except asyncio.CancelledError:
-            self.ended.append(found.request_id)
+            self.cancelled_ids.append(found.request_id)
             raise
 
     async def _work(self, found: '_Found') -> list[bytes] | None:
-        self.runs.append(
-            Run(
+        self.executed.append(
+            ExecutedRequest(
                 target=self.name,
                 request_id=found.request_id,
                 path=found.path,
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Sequence
 
-from standins.soak.play import play
+from standins.soak.runner import run_soak
 from standins.soak.regressions import REGRESSIONS
 
 _LINES_SHOWN = 20
@@ -32,7 +32,7 @@
 
 
 def _is_kept(seed: int, seconds: float) -> bool:
-    wrong = play(seed, seconds)
+    wrong = run_soak(seed, seconds)
     for line in wrong[:_LINES_SHOWN]:
         print(f'  {line}', flush=True)
     return not wrong
--- a/standins/soak/field.py
+++ b/standins/soak/injector.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from typing import Final
 
-from standins.soak.links import Link, Mode
-from standins.soak.promises import Call
-from standins.soak.schedule import Fault, Subjects
-from standins.site.deployment import ZONES, Deployment
+from standins.soak.links import LinkProxy, LinkMode
+from standins.soak.invariants import Call
+from standins.soak.schedule import Fault, FaultSubjects
+from standins.site.deployment import REGIONS_BY_ZONE, Deployment
 from standins.site.documents import (
     KEY,
     make_configuration,
@@ -20,7 +20,7 @@
 )
 from toucanhall.web.messages import Request
 
-__all__ = ('OTHER_KEY', 'OTHER_TEAM', 'TEAM', 'Field')
+__all__ = ('OTHER_KEY', 'OTHER_TEAM', 'TEAM', 'FaultInjector')
 
 TEAM: Final = 'guides'
 OTHER_TEAM: Final = 'partners'
@@ -33,7 +33,7 @@
 _SETTLE_SECONDS: Final = 1.0  # a VM that is back has not read its tables yet
 
 
-class Field:
+class FaultInjector:
     """The deployment of one run, and what is wrong with it at the moment."""
 
     def __init__(self, *, net: int) -> None:
@@ -41,7 +41,7 @@
         self.site = Deployment(net=net)
         self._net = net
         self._modes: dict[tuple[str, str], list[str]] = defaultdict(list)
-        self._links: dict[tuple[str, str], Link] = {}
+        self._links: dict[tuple[str, str], LinkProxy] = {}
         self._addresses: dict[str, str] = {}
         self._zones: dict[str, str] = {}
         self._busy: set[str] = set()
@@ -49,7 +49,7 @@
         self._lock = threading.Lock()
         self._has_other_key = True
         self._extra_routes = 0
-        self.checks: list[Call] = []
+        self.recovery_calls: list[Call] = []
         self._actions: dict[str, Callable[[Fault], None]] = {
             'vm': self._strike_vm,
             'target': self._strike_target,
@@ -72,39 +72,39 @@
             'compact': self._compact,
         }
 
-    def start(self) -> Subjects:
+    def start(self) -> FaultSubjects:
         """Start everything; return what may be struck."""
         self.site.__enter__()
         self._configure()
-        for zone in ZONES:
+        for zone in REGIONS_BY_ZONE:
             for number in range(_TARGETS_PER_ZONE):
                 self._add_target(f'{zone}-target-{number}', zone)
-        for zone in ZONES:
+        for zone in REGIONS_BY_ZONE:
             for number in range(_VMS_PER_ZONE):
                 self._add_vm(f'{zone}-vm-{number}', zone)
         self.site.wait_ready()
-        return Subjects(
+        return FaultSubjects(
             vms=tuple(self.site.vms),
             targets=tuple(self.site.targets),
-            zones=tuple(ZONES),
+            zones=tuple(REGIONS_BY_ZONE),
         )
 
     def stop(self) -> None:
         """End what was started."""
         for link in self._links.values():
-            self.site.call(link.stop())
+            self.site.run_coroutine(link.stop())
         self.site.__exit__()
 
-    def strike(self, fault: Fault) -> None:
+    def inject(self, fault: Fault) -> None:
         """Let a fault happen, and end it when it is over."""
         self._actions[fault.kind](fault)
 
-    def was_calm(self, vm: str, since: float) -> bool:
+    def was_undisturbed(self, vm: str, since: float) -> bool:
         """Whether a VM ran undisturbed from some time until now."""
         with self._lock:
             return all(end < since for _start, end in self._unrest[vm])
 
-    def withdraw_for_good(self) -> None:
+    def withdraw_other_key(self) -> None:
         """Withdraw the key of the other team."""
         self._has_other_key = False
         self._configure()
@@ -139,8 +139,8 @@
 
     def _open(self, kind: str, name: str, far: str, host: str) -> None:
         port = _STORE_PORT if kind == 'store link' else _TARGET_PORT
-        link = Link(host=far, port=port)
-        self.site.call(link.start(host, port))
+        link = LinkProxy(host=far, port=port)
+        self.site.run_coroutine(link.start(host, port))
         self._links[kind, name] = link
         self._addresses[name] = f'{host}:{port}'
 
@@ -151,18 +151,18 @@
     ) -> None:
         """Apply the mode of a fault; then what others that last have set."""
         modes = self._modes[fault.kind, fault.subject]
-        modes.append(fault.how)
-        apply(fault.how)
+        modes.append(fault.mode)
+        apply(fault.mode)
         time.sleep(fault.seconds)
-        modes.remove(fault.how)
+        modes.remove(fault.mode)
         apply(modes[-1] if modes else 'well')
 
     def _strike_link(self, fault: Fault) -> None:
         link = self._links[fault.kind, fault.subject]
 
         def apply(mode: str) -> None:
-            found: Mode = mode  # type: ignore[assignment]
-            self.site.do(link.set_mode, found)
+            found: LinkMode = mode  # type: ignore[assignment]
+            self.site.call_in_loop(link.set_mode, found)
 
         self._hold(fault, apply)
 
@@ -181,7 +181,7 @@
             def decide(_request: Request) -> int | str | None:
                 return None if outcome == 'well' else outcome
 
-            self.site.do(self.site.store.set_fault, decide)
+            self.site.call_in_loop(self.site.store.set_fault, decide)
 
         self._hold(fault, apply)
 
@@ -194,7 +194,7 @@
             unrest = [time.monotonic(), float('inf')]
             self._unrest[vm].append(unrest)
         try:
-            self._stops[fault.how](vm, fault.seconds)
+            self._stops[fault.mode](vm, fault.seconds)
         finally:
             with self._lock:
                 unrest[1] = time.monotonic() + _SETTLE_SECONDS
@@ -224,7 +224,7 @@
         self.site.signal_vm(vm, signal.SIGHUP)
 
     def _change(self, fault: Fault) -> None:
-        self._changes[fault.how](fault)
+        self._changes[fault.mode](fault)
 
     def _add_route(self, _fault: Fault) -> None:
         self._extra_routes += 1
@@ -256,7 +256,7 @@
         self._register(name)
 
     def _compact(self, _fault: Fault) -> None:
-        self.site.do(self.site.store.compact)
+        self.site.call_in_loop(self.site.store.compact)
 
     def _configure(self) -> None:
         team = {'rate_per_s': 0, 'burst': 0, 'home_regions': []}
--- a/standins/soak/promises.py
+++ b/standins/soak/invariants.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
-from standins.site.target import Run
+from standins.site.target import ExecutedRequest
 
 __all__ = ('Call', 'check_calls', 'check_runs')
 
@@ -19,7 +19,7 @@
 class Call(NamedTuple):
     """A request and what its caller got; status 0 is a broken connection.
 
-    `is_calm` tells that its VM was not stopped or paused meanwhile,
+    `is_vm_undisturbed` tells that its VM was not stopped or paused meanwhile,
     `may_be_denied` that its key may have been withdrawn.
     """
 
@@ -31,11 +31,13 @@
     status: int
     body: str
     seconds: float
-    is_calm: bool
+    is_vm_undisturbed: bool
     may_be_denied: bool
 
 
-def check_calls(calls: Iterable[Call], runs: Sequence[Run]) -> list[str]:
+def check_calls(
+    calls: Iterable[Call], runs: Sequence[ExecutedRequest]
+) -> list[str]:
     """Return what is wrong with the answers that callers got."""
     ran = Counter(run.request_id for run in runs)
     found = []
@@ -46,7 +48,9 @@
     return found
 
 
-def check_runs(calls: Iterable[Call], runs: Iterable[Run]) -> list[str]:
+def check_runs(
+    calls: Iterable[Call], runs: Iterable[ExecutedRequest]
+) -> list[str]:
     """Return what is wrong with the requests that targets ran."""
     sent = {call.request_id: call for call in calls}
     found = []
@@ -76,11 +80,11 @@
             'refused as not run, and ran',
         ),
         (
-            call.is_calm and call.status == 0,
+            call.is_vm_undisturbed and call.status == 0,
             'connection broken by a VM in service',
         ),
         (
-            call.is_calm and call.seconds > _LONGEST_SECONDS,
+            call.is_vm_undisturbed and call.seconds > _LONGEST_SECONDS,
             'no final answer by the timeout of its route',
         ),
     )
--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -3,16 +3,21 @@
 import asyncio
 from typing import Final, Literal
 
-__all__ = ('MODES', 'Link', 'Mode')
+__all__ = ('LINK_FAULT_MODES', 'LinkProxy', 'LinkMode')
 
-Mode = Literal['well', 'slow', 'reset', 'silent', 'no_answers']
-MODES: Final[tuple[Mode, ...]] = ('slow', 'reset', 'silent', 'no_answers')
+LinkMode = Literal['well', 'slow', 'reset', 'silent', 'no_answers']
+LINK_FAULT_MODES: Final[tuple[LinkMode, ...]] = (
+    'slow',
+    'reset',
+    'silent',
+    'no_answers',
+)
 _CHUNK_BYTES: Final = 65536
 _DELAY_SECONDS: Final = 0.2
 _END_SECONDS: Final = 1.0  # in which the ends of reset connections are read
 
 
-class Link:
+class LinkProxy:
     """Connections from one address to another, in one of the modes.
 
     Modes: slow (each part is late), reset (all end, new ones too), silent
@@ -24,7 +29,7 @@
         """Lead to an address."""
         self._host = host
         self._port = port
-        self.mode: Mode = 'well'
+        self.mode: LinkMode = 'well'
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -33,7 +38,7 @@
         """Listen for connections."""
         self._server = await asyncio.start_server(self._carry, host, port)
 
-    def set_mode(self, mode: Mode) -> None:
+    def set_mode(self, mode: LinkMode) -> None:
         """Change what happens to the connections, open ones too."""
         self.mode = mode
         if mode == 'reset':
--- a/standins/soak/play.py
+++ b/standins/soak/runner.py
@@ -10,12 +10,12 @@
 
 from standins.site.deployment import wait_until
 from standins.site.documents import KEY
-from standins.soak.field import OTHER_KEY, OTHER_TEAM, TEAM, Field
-from standins.soak.promises import Call, check_calls, check_runs
-from standins.soak.schedule import Subjects, draw
+from standins.soak.injector import OTHER_KEY, OTHER_TEAM, TEAM, FaultInjector
+from standins.soak.invariants import Call, check_calls, check_runs
+from standins.soak.schedule import FaultSubjects, draw_faults
 from toucanhall.observe import events
 
-__all__ = ('play',)
+__all__ = ('run_soak',)
 
 _CALLERS: Final = 6
 _PAUSE_SECONDS: Final = 0.03  # of a caller between two requests
@@ -33,7 +33,9 @@
 class _Callers:
     """Callers that make requests until they are told to stop."""
 
-    def __init__(self, *, field: Field, subjects: Subjects, seed: int) -> None:
+    def __init__(
+        self, *, field: FaultInjector, subjects: FaultSubjects, seed: int
+    ) -> None:
         self._field = field
         self._vms = subjects.vms
         self._seed = seed
@@ -71,7 +73,7 @@
 
 
 def call(
-    field: Field,
+    field: FaultInjector,
     vm: str,
     path: str,
     *,
@@ -99,34 +101,38 @@
         status=outcome.status,
         body=outcome.body,
         seconds=outcome.seconds,
-        is_calm=field.was_calm(vm, began),
+        is_vm_undisturbed=field.was_undisturbed(vm, began),
         may_be_denied=is_other,
     )
 
 
-def play(seed: int, seconds: float) -> list[str]:
+def run_soak(seed: int, seconds: float) -> list[str]:
     """Play one run; return what was wrong."""
-    field = Field(net=_FIRST_NET + seed % _NETS)
+    field = FaultInjector(net=_FIRST_NET + seed % _NETS)
     try:
         subjects = field.start()
         callers = _Callers(field=field, subjects=subjects, seed=seed)
-        faults = draw(seed, seconds, subjects)
+        faults = draw_faults(seed, seconds, subjects)
         began = time.monotonic()
         callers.start()
         with ThreadPoolExecutor(len(faults) + 1) as pool:
             struck = []
             for fault in faults:
-                time.sleep(max(0.0, began + fault.at - time.monotonic()))
-                struck.append(pool.submit(field.strike, fault))
+                time.sleep(
+                    max(0.0, began + fault.start_seconds - time.monotonic())
+                )
+                struck.append(pool.submit(field.inject, fault))
         callers.stop()
         wrong = [
             repr(found.exception()) for found in struck if found.exception()
         ]
         wrong += _check_recovery(field, subjects)
         runs = [
-            run for found in field.site.targets.values() for run in found.runs
+            run
+            for found in field.site.targets.values()
+            for run in found.executed
         ]
-        asked = [*callers.calls, *field.checks]
+        asked = [*callers.calls, *field.recovery_calls]
         wrong += check_calls(asked, runs)
         wrong += check_runs(asked, runs)
         wrong += _check_programs(field, subjects)
@@ -144,7 +150,7 @@
         field.stop()
 
 
-def _check_recovery(field: Field, subjects: Subjects) -> list[str]:
+def _check_recovery(field: FaultInjector, subjects: FaultSubjects) -> list[str]:
     """Check that all VMs serve again, and deny a key that is withdrawn."""
 
     def is_served(vm: str) -> bool:
@@ -156,7 +162,7 @@
     def ask(vm: str, *, is_other: bool) -> Call:
         path = f'/view/last-{time.monotonic_ns()}'
         found = call(field, vm, path, is_other=is_other)
-        field.checks.append(found)
+        field.recovery_calls.append(found)
         return found
 
     wrong = []
@@ -166,7 +172,7 @@
             'all VMs serve',
             _RECOVERY_SECONDS,
         )
-        field.withdraw_for_good()
+        field.withdraw_other_key()
         wait_until(
             lambda: all(is_denied(vm) for vm in subjects.vms),
             'the withdrawn key is denied',
@@ -177,7 +183,7 @@
     return wrong
 
 
-def _check_programs(field: Field, subjects: Subjects) -> list[str]:
+def _check_programs(field: FaultInjector, subjects: FaultSubjects) -> list[str]:
     wrong = [
         f'{vm} ended by itself'
         for vm in subjects.vms
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from standins.soak.links import MODES
+from standins.soak.links import LINK_FAULT_MODES
 
-__all__ = ('Fault', 'Subjects', 'draw')
+__all__ = ('Fault', 'FaultSubjects', 'draw_faults')
 
 _MOST_SECONDS: Final = 5.0  # longer than any time after which a VM gives up
 _LEAST_SECONDS: Final = 0.3
@@ -34,14 +34,14 @@
 class Fault(NamedTuple):
     """What happens to whom, and for how long; seconds from the start."""
 
-    at: float
+    start_seconds: float
     kind: str
     subject: str
-    how: str
+    mode: str
     seconds: float
 
 
-class Subjects(NamedTuple):
+class FaultSubjects(NamedTuple):
     """The names of what may be struck."""
 
     vms: Sequence[str]
@@ -49,15 +49,17 @@
     zones: Sequence[str]
 
 
-def draw(seed: int, seconds: float, subjects: Subjects) -> list[Fault]:
+def draw_faults(
+    seed: int, seconds: float, subjects: FaultSubjects
+) -> list[Fault]:
     """Return the faults of a run, by time; they overlap and repeat."""
     chance = random.Random(seed)
     kinds: dict[str, tuple[Sequence[str], Sequence[str]]] = {
         'vm': (subjects.vms, _STOPS),
         'target': (subjects.targets, _TARGET_MODES),
         'store': (('store',), _STORE_MODES),
-        'target link': (subjects.targets, MODES),
-        'store link': (subjects.vms, MODES),
+        'target link': (subjects.targets, LINK_FAULT_MODES),
+        'store link': (subjects.vms, LINK_FAULT_MODES),
         'change': (subjects.zones, _CHANGES),
     }
     faults = []
@@ -70,4 +72,4 @@
             lasting = chance.uniform(_LEAST_SECONDS, _MOST_SECONDS)
             faults.append(Fault(round(at, 3), kind, subject, how, lasting))
             at += chance.expovariate(1 / _GAP_SECONDS)
-    return [fault for fault in faults if fault.at < seconds]
+    return [fault for fault in faults if fault.start_seconds < seconds]
--- a/tests/operators.py
+++ b/tests/admin_api.py
@@ -19,7 +19,7 @@
 OWNED = {'teams': frozenset(('hostels',)), 'routes': frozenset(('/bookings',))}
 
 
-class Api:
+class AdminApi:
     """The API of one VM, its store, and who calls it."""
 
     def __init__(self, store=None):
--- a/tests/checks.py
+++ b/tests/checks.py
@@ -42,7 +42,7 @@
         runs = [(folder,)] if workers == 1 else [(name,) for name in modules]
         with ThreadPoolExecutor(workers) as pool:
             done = list(pool.map(partial(run_pytest, report), runs))
-        return judge(folder, done)
+        return report_runs(folder, done)
 
     return check
 
@@ -68,7 +68,9 @@
     )
 
 
-def judge(folder: str, done: list[subprocess.CompletedProcess[str]]) -> bool:
+def report_runs(
+    folder: str, done: list[subprocess.CompletedProcess[str]]
+) -> bool:
     """Print what ran; return whether all passed but known red tests."""
     output = '\n'.join(run.stdout for run in done)
     print(output, flush=True)
--- a/tests/features/steps/catalogue.py
+++ b/tests/features/steps/catalogue.py
@@ -2,12 +2,12 @@
 
 from behave import given, then, when
 
-from tests.operators import Api
+from tests.admin_api import AdminApi
 
 
 @given('a fleet whose catalogue has revision 1')
 def make_fleet(context):
-    context.api = Api()
+    context.api = AdminApi()
     context.holds = 0
     assert context.api.apply()[0] == 200
 
--- a/tests/fleets.py
+++ b/tests/fleet_conditions.py
@@ -3,7 +3,7 @@
 import json
 
 
-def knows_peers(fleet, vm):
+def has_all_peers_alive(fleet, vm):
     """Return whether an entry VM takes every other one for alive."""
     done = fleet.run_command('status', '--json', f'--at={vm.url}')
     if done.returncode:
@@ -15,7 +15,7 @@
     return alive >= {other.name for other in fleet.vms} - {vm.name}
 
 
-def holds_slots(fleet, vm):
+def has_usable_slots(fleet, vm):
     """Return whether an entry VM may use slots of its zone."""
     done = fleet.run_command('status', '--json', f'--at={vm.url}')
     if done.returncode:
--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Mapping
 
-from toucanhall.fleet.knowledge import Revisions
+from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import (
     Address,
     Bounds,
     Environment,
-    Introduction,
+    VmContact,
     Listeners,
     Target,
     Team,
@@ -16,9 +16,9 @@
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.limits.quota import Usage
 from toucanhall.platform.store import Store
-from toucanhall.web.client import Opening
-from toucanhall.web.memory import make_bounds as make_answer_bounds
-from toucanhall.web.memory import make_held_bytes
+from toucanhall.web.client import ConnectionSettings
+from toucanhall.web.memory import compute_answer_bounds as make_answer_bounds
+from toucanhall.web.memory import make_buffer_budget
 
 __all__ = (
     'make_bounds',
@@ -65,15 +65,15 @@
 def make_bounds(**fields: object) -> Bounds:
     """Return the bounds of the deployments."""
     bounds = Bounds(
-        grace=6.0,
-        directory_ttl=2.0,
+        shutdown_grace_seconds=6.0,
+        directory_ttl_seconds=2.0,
         retry_ratio=0.2,
-        retry_window=10.0,
+        retry_window_seconds=10.0,
         retry_slack=133.0,
-        quota_window=5.0,
+        quota_window_seconds=5.0,
         quota_overage=0.1,
         quota_slack=20.0,
-        target_heartbeat=1.5,
+        target_heartbeat_seconds=1.5,
     )
     return bounds._replace(**fields)
 
@@ -93,7 +93,7 @@
         bounds=make_bounds(),
         capacity=600.0,
         memory=152_000_000,
-        descriptors=1535,
+        max_descriptors=1535,
     )
     return environment._replace(**fields)
 
@@ -129,31 +129,33 @@
     return member._replace(**fields)
 
 
-def make_report(speaker: str = 'vm-7', **fields: object) -> ZoneReport:
+def make_report(delegate: str = 'vm-7', **fields: object) -> ZoneReport:
     """Return the report of a zone without VMs."""
     report = ZoneReport(
         zone='west-a',
-        speaker=speaker,
+        delegate=delegate,
         ip='127.0.0.7',
         stamp=(1, 1),
         revisions=Revisions(),
         members=(),
-        told=(),
+        usage_reports=(),
     )
     return report._replace(**fields)
 
 
 def make_members(*zones: str, now: float = -100.0) -> Members:
     """Return the members known to a VM of `east-a` that started long ago."""
-    own = Introduction('vm-own', 'east-a', '127.0.0.99')
+    own = VmContact('vm-own', 'east-a', '127.0.0.99')
     return Members(own=own, zones=('east-a', *zones), now=now)
 
 
-def make_opening(memory: int = 152_000_000, id_header: bytes = b'') -> Opening:
+def make_opening(
+    memory: int = 152_000_000, id_header: bytes = b''
+) -> ConnectionSettings:
     """Return how a VM with this memory (bytes) opens connections."""
-    return Opening(
+    return ConnectionSettings(
         bounds=make_answer_bounds(memory),
-        held=make_held_bytes(memory),
+        buffer_budget=make_buffer_budget(memory),
         id_header=id_header,
     )
 
@@ -162,6 +164,6 @@
     """Return a client of a store; its calls are not counted."""
     return Store(
         address=address,
-        opening=make_opening(),
+        settings=make_opening(),
         on_call=lambda _call, _seconds: None,
     )
--- a/tests/models/test_tables_model.py
+++ b/tests/models/test_tables_model.py
@@ -10,7 +10,7 @@
 is never consumed, so it can arrive at any time, more than once and at any VM.
 A VM may start again and then knows nothing.
 
-The model runs `Knowledge` itself, built anew from each state.
+The model runs `FleetTables` itself, built anew from each state.
 """
 
 from typing import NamedTuple
@@ -25,7 +25,7 @@
     report_model,
     report_variants,
 )
-from toucanhall.fleet.knowledge import Knowledge, Revisions
+from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.model import ClientLimits, Configuration, Snapshot
 
 VM_COUNT = 3
@@ -86,16 +86,16 @@
 
 def restore(known, make):
     """Return the tables of a VM, built from what it knows in a state."""
-    knowledge = make(on_change=lambda _table: None)
+    fleet_tables = make(on_change=lambda _table: None)
     if known.configuration:
-        knowledge.configuration = make_configuration(known.configuration)
+        fleet_tables.configuration = make_configuration(known.configuration)
     if known.target:
-        knowledge.targets = make_table(known.target)
-    knowledge.removals.restart(known.since)
+        fleet_tables.targets = make_table(known.target)
+    fleet_tables.removals.restart(known.since)
     if known.removed:
-        knowledge.removals.note(TARGET, known.removed)
-    knowledge.revisions = Revisions(known.configuration, known.targets, 0)
-    return knowledge
+        fleet_tables.removals.record(TARGET, known.removed)
+    fleet_tables.revisions = Revisions(known.configuration, known.targets, 0)
+    return fleet_tables
 
 
 def make_table(revision):
@@ -105,17 +105,17 @@
     return {TARGET: make_target(TARGET, revision=revision)}
 
 
-def read(knowledge, before):
+def read(fleet_tables, before):
     """Return what a VM knows after a step."""
-    found = knowledge.configuration
+    found = fleet_tables.configuration
     version = found.version if found else 0
-    targets = knowledge.revisions.targets
+    targets = fleet_tables.revisions.targets
     return Known(
         version,
         targets,
-        find_revision(knowledge.targets),
-        find_earliest_revision(knowledge.removals),
-        knowledge.removals.list_since(0).get(TARGET, 0),
+        find_revision(fleet_tables.targets),
+        find_earliest_revision(fleet_tables.removals),
+        fleet_tables.removals.list_since(0).get(TARGET, 0),
         (max(before.peak[0], version), max(before.peak[1], targets)),
     )
 
@@ -189,34 +189,36 @@
 def read_store(state, make):
     """Let the watcher read whole tables from the store."""
     known = state.vms[WATCHER]
-    knowledge = restore(known, make)
-    knowledge.take_configuration(
+    fleet_tables = restore(known, make)
+    fleet_tables.replace_configuration(
         state.configuration,
         make_configuration(state.configuration),
     )
     changed_at, is_there = state.target
     targets = make_table(changed_at if is_there else 0)
-    knowledge.take_targets(state.revision, targets, 0.0)
-    return put(state, WATCHER, read(knowledge, known))
+    fleet_tables.replace_targets(state.revision, targets, 0.0)
+    return put(state, WATCHER, read(fleet_tables, known))
 
 
 def receive_changes(state, make):
     """Let the watcher receive what has changed in the store."""
     known = state.vms[WATCHER]
-    knowledge = restore(known, make)
+    fleet_tables = restore(known, make)
     changed_at, is_there = state.target
     changes = make_table(changed_at) if is_there else {TARGET: changed_at}
     is_new = changed_at > known.targets
-    knowledge.change_targets(state.revision, changes if is_new else {}, 0.0)
-    return put(state, WATCHER, read(knowledge, known))
+    fleet_tables.apply_target_changes(
+        state.revision, changes if is_new else {}, 0.0
+    )
+    return put(state, WATCHER, read(fleet_tables, known))
 
 
 def apply(state, index, found, make):
     """Let a VM apply a snapshot that another one sent."""
     known = state.vms[index]
-    knowledge = restore(known, make)
+    fleet_tables = restore(known, make)
     configuration = found.configuration
-    knowledge.take_snapshot(
+    fleet_tables.apply_snapshot(
         Snapshot(
             configuration_revision=configuration,
             configuration=make_configuration(configuration)
@@ -226,13 +228,13 @@
             targets_since=found.since,
             targets=make_table(found.target),
             removed={TARGET: found.removed} if found.removed else {},
-            lapsed={},
+            held_targets={},
             evacuations_revision=0,
-            evacuated=frozenset(),
+            evacuated_zones=frozenset(),
         ),
         0.0,
     )
-    return put(state, index, read(knowledge, known))
+    return put(state, index, read(fleet_tables, known))
 
 
 def never_regresses(state):
@@ -277,26 +279,26 @@
     return explore(protocol, max_states=2_000_000)
 
 
-class AppliesOlderSnapshots(Knowledge):
+class AppliesOlderSnapshots(FleetTables):
     """A variant in which a snapshot replaces newer tables."""
 
-    def take_snapshot(self, snapshot, now):
+    def apply_snapshot(self, snapshot, now):
         """Forget the known revisions, then apply the snapshot."""
         self.revisions = Revisions()
         self.configuration = None
-        super().take_snapshot(snapshot, now)
+        super().apply_snapshot(snapshot, now)
 
 
-class IgnoresTargetsOfSnapshots(Knowledge):
+class IgnoresTargetsOfSnapshots(FleetTables):
     """A variant that adopts the revision of a snapshot, not its targets."""
 
-    def take_snapshot(self, snapshot, now):
+    def apply_snapshot(self, snapshot, now):
         """Replace the targets of the snapshot by the known ones."""
         kept = snapshot._replace(targets=self.targets, removed={})
-        super().take_snapshot(kept, now)
+        super().apply_snapshot(kept, now)
 
 
-class OmitsRemovals(Knowledge):
+class OmitsRemovals(FleetTables):
     """A variant that sends changes without the removals."""
 
     def make_snapshot(self, known, now):
@@ -304,27 +306,27 @@
         return super().make_snapshot(known, now)._replace(removed={})
 
 
-class AppliesChangesWithGaps(Knowledge):
+class AppliesChangesWithGaps(FleetTables):
     """A variant that applies changes although it lacks earlier ones."""
 
-    def take_snapshot(self, snapshot, now):
+    def apply_snapshot(self, snapshot, now):
         """Ignore the revision that the changes build on."""
         since = min(snapshot.targets_since, self.revisions.targets)
-        super().take_snapshot(snapshot._replace(targets_since=since), now)
+        super().apply_snapshot(snapshot._replace(targets_since=since), now)
 
 
-class KeepsRemovalsAcrossTables(Knowledge):
+class KeepsRemovalsAcrossTables(FleetTables):
     """A variant that keeps removals although a whole table may hide some."""
 
-    def take_targets(self, revision, targets, now):
+    def replace_targets(self, revision, targets, now):
         """Keep the revision since which all removals are known."""
         since = self.removals._since or revision
-        super().take_targets(revision, targets, now)
+        super().replace_targets(revision, targets, now)
         self.removals.restart(since)
 
 
 def test_no_table_gets_older_and_no_deleted_target_returns():
-    checked = check(Knowledge)
+    checked = check(FleetTables)
     report_model('tables', checked)
     assert not list_broken(checked)
 
--- a/tests/replays.py
+++ b/tests/placement_replay.py
@@ -9,9 +9,9 @@
 from tests.fleetdata import make_target
 from toucanhall.fleet.model import Target
 from toucanhall.placement import choice
-from toucanhall.placement.choice import Ask, choose
-from toucanhall.placement.field import Field, Need
-from toucanhall.placement.order import Place
+from toucanhall.placement.choice import RequestUrgency, choose_target
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.hash_ring import Location
 
 __all__ = ('Outcomes', 'Pattern', 'replay')
 
@@ -45,7 +45,7 @@
     by_target: dict[str, int]
 
     @property
-    def share_in_time(self) -> float:
+    def fraction_in_time(self) -> float:
         """Return the share of all requests that were answered in time."""
         return self.in_time / max(1, self.in_time + self.late + self.refused)
 
@@ -79,7 +79,7 @@
 class _Job(NamedTuple):
     key: str
     arrived: float
-    field: Field
+    field: TargetRegistry
 
 
 def replay(pattern: Pattern, *, seed: int, since: float = 0.0) -> Outcomes:
@@ -101,8 +101,10 @@
     fields = []
     for zone in zones:
         for _vm in range(pattern.vms_per_zone):
-            field = Field(place=Place(zone, REGIONS[zone]), regions=REGIONS)
-            field.take_targets(targets, -100.0)
+            field = TargetRegistry(
+                location=Location(zone, REGIONS[zone]), regions=REGIONS
+            )
+            field.replace_targets(targets, -100.0)
             fields.append(field)
     events: list[tuple[float, int, _Server, _Job]] = []
     counts = {'in time': 0, 'late': 0, 'refused': 0}
@@ -122,8 +124,8 @@
             start(server, server.waiting.popleft(), now)
         load = job.field.loads[server.target.id]
         load.in_flight -= 1
-        load.report(server.busy, now)
-        load.succeed(min(4.0, (now - job.arrived) / usual[0]))
+        load.record_reported_load(server.busy, now)
+        load.record_success(min(4.0, (now - job.arrived) / usual[0]))
         if job.arrived >= since:
             by_target[server.target.id] += 1
             name = (
@@ -136,10 +138,10 @@
             ended, _order, server, job = heapq.heappop(events)
             finish(server, job, ended)
         field = draw.choice(fields)
-        need = Need('guide', key, frozenset(), frozenset())
-        chosen = choose(
-            field.list_candidates(need, now, choice.WARM_TARGETS),
-            Ask(pattern.objective, usual[0], 1),
+        need = TargetQuery('guide', key, frozenset(), frozenset())
+        chosen = choose_target(
+            field.list_candidates(need, now, choice.TARGETS_PER_OBJECT),
+            RequestUrgency(pattern.objective, usual[0], 1),
             now,
         )
         server = servers[chosen.target.id] if chosen else None
--- a/tests/processes/test_answers.py
+++ b/tests/processes/test_answers.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from standins.fleet import Fleet, wait_until
-from tests.fleets import knows_peers
+from tests.fleet_conditions import has_all_peers_alive
 
 EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
 LARGE_BYTES = 20971520
@@ -21,7 +21,9 @@
     try:
         fleet.start()
         fleet.apply()
-        wait_until(lambda: knows_peers(fleet, fleet.vms[0]), 'peers heard')
+        wait_until(
+            lambda: has_all_peers_alive(fleet, fleet.vms[0]), 'peers heard'
+        )
         yield fleet
     finally:
         fleet.stop()
--- a/tests/processes/test_drain.py
+++ b/tests/processes/test_drain.py
@@ -13,7 +13,7 @@
 import urllib3
 
 from standins.fleet import Fleet, wait_until
-from tests.fleets import holds_slots
+from tests.fleet_conditions import has_usable_slots
 
 EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
 LARGE_BYTES = 20971520
@@ -27,7 +27,9 @@
         fleet.start()
         fleet.apply()
         for vm in fleet.vms:
-            wait_until(partial(holds_slots, fleet, vm), f'slots of {vm.name}')
+            wait_until(
+                partial(has_usable_slots, fleet, vm), f'slots of {vm.name}'
+            )
         yield fleet
     finally:
         fleet.stop()
--- a/tests/processes/test_endless.py
+++ b/tests/processes/test_endless.py
@@ -39,7 +39,7 @@
 )
 def test_memory_stays_bounded_with_a_hundred_answers_without_end(kind):
     with Deployment(net=NET) as site:
-        site.add_endless('t1', kind)
+        site.add_endless_target('t1', kind)
         site.start_vm('vm-1')
         site.wait_ready()
         with ThreadPoolExecutor(ANSWERS) as pool:
@@ -56,7 +56,7 @@
             'targets-full',
         }
         assert 502 in {found.status for found in outcomes}
-        assert site.read_peak_memory('vm-1') < PEAK_BYTES
+        assert site.read_peak_memory_bytes('vm-1') < PEAK_BYTES
         lines = site.find_events('vm-1', events.ATTEMPT_FAILED.number)
         assert any(' over ' in line['detail'] for line in lines)
 
@@ -64,7 +64,7 @@
 @pytest.mark.parametrize('kind', ('one header', 'body with a length'))
 def test_requests_to_other_targets_go_on(kind):
     with Deployment(net=NET) as site:
-        site.add_endless('t1', kind)
+        site.add_endless_target('t1', kind)
         site.add_target('t2')
         site.add_target('t3')
         site.add_target('t4')
--- a/tests/processes/test_once.py
+++ b/tests/processes/test_once.py
@@ -10,7 +10,7 @@
 import urllib3
 
 from standins.fleet import Fleet, name_line, wait_until
-from tests.fleets import knows_peers
+from tests.fleet_conditions import has_all_peers_alive
 from toucanhall.idempotency import name_claim
 
 EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
@@ -28,7 +28,9 @@
     try:
         fleet.start()
         fleet.apply()
-        wait_until(lambda: knows_peers(fleet, fleet.vms[0]), 'peers heard')
+        wait_until(
+            lambda: has_all_peers_alive(fleet, fleet.vms[0]), 'peers heard'
+        )
         yield fleet
     finally:
         fleet.stop()
--- a/tests/processes/test_site.py
+++ b/tests/processes/test_site.py
@@ -31,8 +31,8 @@
     for target in site.targets.values():
         target.mode = 'well'
         target.seconds = 0.01
-        target.runs.clear()
-        target.ended.clear()
+        target.executed.clear()
+        target.cancelled_ids.clear()
     wait_until(lambda: serves(site), 'all targets in use again')
 
 
@@ -46,7 +46,7 @@
     return [
         run
         for target in site.targets.values()
-        for run in target.runs
+        for run in target.executed
         if run.request_id == request_id
     ]
 
@@ -156,7 +156,7 @@
     time.sleep(1.0)
     assert site.vms['vm-1'].poll() is None
     assert site.request('vm-1').status == 200
-    assert len(site.ask_directory('vm-2', 'east-a')) == 2
+    assert len(site.resolve_addresses('vm-2', 'east-a')) == 2
     assert site.find_events('vm-1', events.MESSAGE_DROPPED.number)
 
 
@@ -197,7 +197,8 @@
     assert found.status == 0
     wait_until(
         lambda: any(
-            found.request_id in target.ended for target in site.targets.values()
+            found.request_id in target.cancelled_ids
+            for target in site.targets.values()
         ),
         'work ended',
         seconds=0.5,
@@ -292,7 +293,7 @@
         ),
         'the third target serves',
     )
-    site.do(third.stop)
+    site.call_in_loop(third.stop)
     statuses = {
         site.request('vm-1', item=str(item)).status for item in range(30)
     }
@@ -329,7 +330,7 @@
     wait_until(
         lambda: (
             site.get_ip('vm-3') + ':8388'
-            not in site.ask_directory('vm-1', 'east-a')
+            not in site.resolve_addresses('vm-1', 'east-a')
         ),
         'not named by the directory',
         seconds=1.0,
--- a/tests/processes/test_site_failures.py
+++ b/tests/processes/test_site_failures.py
@@ -28,7 +28,8 @@
         deployment.wait_ready()
         wait_until(
             lambda: all(
-                len(deployment.ask_directory(vm, 'east-a')) == 2 for vm in VMS
+                len(deployment.resolve_addresses(vm, 'east-a')) == 2
+                for vm in VMS
             ),
             'VMs know each other',
         )
@@ -55,7 +56,7 @@
     def decide(_request):
         return fault
 
-    site.do(site.store.set_fault, decide)
+    site.call_in_loop(site.store.set_fault, decide)
 
 
 def test_withdrawn_key_is_denied_everywhere_in_time(site):
@@ -102,7 +103,7 @@
         'watched',
     )
     site.register('t1', state='draining')
-    site.do(site.store.compact)
+    site.call_in_loop(site.store.compact)
     wait_until(
         lambda: site.request('vm-1').body.startswith('t2'),
         'draining target is left',
@@ -119,9 +120,11 @@
             return 'lost'
         return None
 
-    site.store.fault = lose_one
+    site.store.decide_fault = lose_one
     site.start_vm('vm-6')
-    wait_until(lambda: len(site.ask_directory('vm-6', 'east-a')) == 3, 'found')
+    wait_until(
+        lambda: len(site.resolve_addresses('vm-6', 'east-a')) == 3, 'found'
+    )
     wait_until(lambda: 'vm-6' in site.store.objects['vms'], 'registered')
     assert lost
 
@@ -215,20 +218,20 @@
     target.name = 'another'
     bodies = [site.request('vm-1', item=str(item)).body for item in range(8)]
     assert all(body.startswith('t2') for body in bodies)
-    assert not target.runs
+    assert not target.executed
 
 
 def test_killed_vm_leaves_the_directory_and_returns(site):
     site.signal_vm('vm-2', signal.SIGKILL)
     address = site.get_ip('vm-2') + ':8388'
     wait_until(
-        lambda: address not in site.ask_directory('vm-1', 'east-a'),
+        lambda: address not in site.resolve_addresses('vm-1', 'east-a'),
         'left the directory',
         seconds=6.0,
     )
     site.start_vm('vm-2')
     wait_until(
-        lambda: address in site.ask_directory('vm-1', 'east-a'),
+        lambda: address in site.resolve_addresses('vm-1', 'east-a'),
         'named again',
         seconds=3.0,
     )
--- a/tests/exchange.py
+++ b/tests/simulated_fleet.py
@@ -4,18 +4,18 @@
 from typing import NamedTuple
 
 from tests.fleetdata import make_bounds, make_member
-from toucanhall.edge.fleetmate import (
-    FIRST_BEAT_SECONDS,
-    HEARTBEAT_SECONDS,
-    find_beat_seconds,
+from toucanhall.edge.peer_exchange import (
+    FIRST_HEARTBEAT_DELAY_SECONDS,
+    HEARTBEAT_INTERVAL_SECONDS,
+    get_heartbeat_interval_seconds,
 )
-from toucanhall.edge.speaker import Speaker
-from toucanhall.fleet.knowledge import Revisions
+from toucanhall.edge.zone_reporter import ZoneReporter
+from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.selection import pick_serving
-from toucanhall.limits.quota import RESERVE_VMS, Quotas, Told
+from toucanhall.limits.quota import RESERVE_VM_WEIGHT, Quotas, UsageReport
 
-__all__ = ('Exchange', 'find_bound', 'find_most')
+__all__ = ('SimulatedFleet', 'compute_window_bound', 'compute_max_admitted')
 
 STEP = 0.01
 WINDOW = 5.0
@@ -23,12 +23,12 @@
 SLACK = 20
 
 
-def find_bound(team):
+def compute_window_bound(team):
     """Return the requests of a window that the platform's pages allow."""
     return (team.rate * WINDOW + team.burst) * (1 + OVERAGE) + SLACK
 
 
-def find_most(admitted):
+def compute_max_admitted(admitted):
     """Return the most admissions in any window, of their times in order."""
     most = start = 0
     for end, at in enumerate(admitted):
@@ -38,7 +38,7 @@
     return most
 
 
-class Vm:
+class SimulatedVm:
     """One VM: what it knows of the others, and its part of the limits."""
 
     def __init__(self, *, member, zones, now, send):
@@ -46,14 +46,14 @@
         self.started_at = int(now * 1000)
         self.now = now
         self.began_at = now
-        self.beat_at = now + FIRST_BEAT_SECONDS
+        self.beat_at = now + FIRST_HEARTBEAT_DELAY_SECONDS
         self.usage = {}
         self.quotas = Quotas(
-            bounds=make_bounds(), beat=HEARTBEAT_SECONDS, now=now
+            bounds=make_bounds(), beat=HEARTBEAT_INTERVAL_SECONDS, now=now
         )
-        self.members = Members(own=member.introduction, zones=zones, now=now)
+        self.members = Members(own=member.contact, zones=zones, now=now)
         self.send = send
-        self.speaker = Speaker(
+        self.speaker = ZoneReporter(
             members=self.members, send=send, clock=lambda: self.now
         )
 
@@ -68,34 +68,36 @@
     def list_near_ips(self):
         return [
             found.ip
-            for found in self.members.introduced.values()
+            for found in self.members.known_vms.values()
             if found.zone == self.member.zone and found.vm != self.member.vm
         ]
 
     def beat(self, team, now):
         self.now = now
-        self.beat_at = now + find_beat_seconds(now - self.began_at)
-        self.usage = self.quotas.measure(now)
+        self.beat_at = now + get_heartbeat_interval_seconds(now - self.began_at)
+        self.usage = self.quotas.collect_usage(now)
         heartbeat = self.make_heartbeat()
         self.send(Message(heartbeat), self.list_near_ips())
         self.speaker.beat(heartbeat)
-        self.divide(team, now)
+        self.refill(team, now)
 
-    def divide(self, team, now):
-        zone = (self.member, *self.members.list_near(now))
+    def refill(self, team, now):
+        zone = (self.member, *self.members.list_local(now))
         near = {found.vm for found in pick_serving(zone)}
         is_serving = self.member.vm in near
-        self.quotas.divide(
+        self.quotas.refill(
             [team],
-            Told(self.usage, vms=1.0 if is_serving else RESERVE_VMS),
+            UsageReport(
+                self.usage, vms=1.0 if is_serving else RESERVE_VM_WEIGHT
+            ),
             [
-                *self.members.list_near_told(now, near),
-                *self.members.list_far_told(now),
+                *self.members.list_local_usage_reports(now, near),
+                *self.members.list_remote_usage_reports(now),
             ],
             now,
         )
 
-    def hear(self, message, now):
+    def receive(self, message, now):
         self.now = now
         heartbeat = message.heartbeat
         if heartbeat is not None:
@@ -103,28 +105,28 @@
         report = message.report
         if report is None or report.zone == self.member.zone:
             return
-        if self.members.hear_report(report, now) and not message.is_relayed:
+        if self.members.receive_report(report, now) and not message.is_relayed:
             relayed = Message(report=report, is_relayed=True)
             self.send(relayed, self.list_near_ips())
 
     def hear_heartbeat(self, heartbeat, now):
         if heartbeat.member.zone == self.member.zone:
-            if self.members.hear(heartbeat, now):
+            if self.members.receive(heartbeat, now):
                 self.send(
                     Message(self.make_heartbeat()), (heartbeat.member.ip,)
                 )
-        if heartbeat.is_asking:
-            known = tuple(self.members.introduced.values())
-            answer = self.make_heartbeat()._replace(introduced=known)
+        if heartbeat.is_requesting_vms:
+            known = tuple(self.members.known_vms.values())
+            answer = self.make_heartbeat()._replace(known_vms=known)
             self.send(Message(answer), (heartbeat.member.ip,))
-            self.meet((heartbeat.member.introduction,))
-        self.meet(heartbeat.introduced)
+            self.meet((heartbeat.member.contact,))
+        self.meet(heartbeat.known_vms)
 
     def meet(self, introductions):
         new = [
             found
             for found in introductions
-            if found.vm != self.member.vm and self.members.introduce(found)
+            if found.vm != self.member.vm and self.members.add_known_vm(found)
         ]
         for found in new:
             if found.zone == self.member.zone:
@@ -139,7 +141,7 @@
     is_relayed: bool = False
 
 
-class Exchange:
+class SimulatedFleet:
     """VMs of several zones, a team's callers, and VMs that are killed."""
 
     def __init__(self, *, zones, vms, team, find_rate, seed):
@@ -170,12 +172,12 @@
         for found in self.entries:
             vm = self.start(found, -100.0)
             for other in self.entries:
-                vm.members.introduce(other.introduction)
-            vm.members.introduced.pop(found.vm)
-            vm.beat_at = self.draw.uniform(0, HEARTBEAT_SECONDS)
+                vm.members.add_known_vm(other.contact)
+            vm.members.known_vms.pop(found.vm)
+            vm.beat_at = self.draw.uniform(0, HEARTBEAT_INTERVAL_SECONDS)
 
     def start(self, member, now):
-        vm = Vm(
+        vm = SimulatedVm(
             member=member,
             zones=self.zones,
             now=now,
@@ -210,16 +212,16 @@
             if member.ip not in ips:
                 continue
             vm = self.start(member, self.now)
-            vm.quotas.divide(
+            vm.quotas.refill(
                 [self.team],
-                Told({}),
+                UsageReport({}),
                 [
-                    *vm.members.list_near_told(self.now, set()),
-                    *vm.members.list_far_told(self.now),
+                    *vm.members.list_local_usage_reports(self.now, set()),
+                    *vm.members.list_remote_usage_reports(self.now),
                 ],
                 self.now,
             )
-            asking = vm.make_heartbeat()._replace(is_asking=True)
+            asking = vm.make_heartbeat()._replace(is_requesting_vms=True)
             self.post(
                 Message(asking), [ip for ip in self.seeds if ip != member.ip]
             )
@@ -240,7 +242,7 @@
         for _at, ip, message in due:
             vm = self.vms.get(ip)
             if vm:
-                vm.hear(message, self.now)
+                vm.receive(message, self.now)
 
     def call(self):
         expected = self.find_rate(self.now) * STEP
@@ -261,11 +263,11 @@
         running = [vm for vm in named if vm.member.ip not in self.paused]
         return running or named
 
-    def find_most(self):
+    def compute_max_admitted(self):
         """Return the most admissions in any window."""
-        return find_most(self.admitted)
+        return compute_max_admitted(self.admitted)
 
-    def find_refused(self, since):
+    def compute_refused_fraction(self, since):
         """Return the share of requests that were refused since a time."""
         asked = sum(at >= since for at in self.asked)
         return 1 - sum(at >= since for at in self.admitted) / asked
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -13,24 +13,27 @@
     make_target_entry,
 )
 from tests.fleetdata import make_member
-from toucanhall.edge.directory import pick_vms
-from toucanhall.fleet.knowledge import find_route
+from toucanhall.edge.directory import pick_nearest_vms
+from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Address
-from toucanhall.platform import boot
+from toucanhall.platform import settings_file
 from toucanhall.platform.documents import (
-    BadDocument,
+    InvalidDocumentError,
     decode_configuration,
     decode_target,
 )
-from toucanhall.platform.entrance import read_question, write_directory
+from toucanhall.platform.endpoints import (
+    read_directory_query,
+    make_directory_answer,
+)
 from toucanhall.platform.headers import (
-    make_forwarded,
-    make_passed_on,
-    read_caller_marks,
-    read_target_marks,
+    make_target_request,
+    make_caller_answer,
+    read_caller_headers,
+    read_target_headers,
 )
-from toucanhall.platform.units import read_seconds, read_version, write_seconds
-from toucanhall.web.client import Reply
+from toucanhall.platform.units import read_seconds, read_version, format_seconds
+from toucanhall.web.client import ReceivedAnswer
 from toucanhall.web.messages import Request
 
 PACKAGE = Path(__file__).parents[2] / 'toucanhall'
@@ -50,7 +53,7 @@
 )
 def test_duration_is_read(text, seconds):
     assert read_seconds(text) == seconds
-    assert read_seconds(write_seconds(seconds)) == seconds
+    assert read_seconds(format_seconds(seconds)) == seconds
 
 
 @pytest.mark.parametrize('text', ('5', '5 s', 's', '', None, 5, '-1s'))
@@ -87,7 +90,7 @@
     ),
 )
 def test_configuration_that_cannot_be_read_is_told(fields):
-    with pytest.raises(BadDocument):
+    with pytest.raises(InvalidDocumentError):
         decode_configuration({**make_configuration(), **fields})
 
 
@@ -122,7 +125,7 @@
 )
 def test_target_that_cannot_be_read_is_told(fields):
     entry = {**make_target_entry('127.0.0.1:9000', 'east-a'), **fields}
-    with pytest.raises(BadDocument, match='target t1'):
+    with pytest.raises(InvalidDocumentError, match='target t1'):
         decode_target('t1', entry, 4)
 
 
@@ -140,11 +143,13 @@
 
 
 def test_settings_are_read(tmp_path):
-    found = boot.load(write_settings(tmp_path, unknown_field=1))
+    found = settings_file.load_settings(
+        write_settings(tmp_path, unknown_field=1)
+    )
     assert found.vm == 'vm-1'
     assert found.region == 'east'
     assert found.listeners.requests == Address('127.0.0.1', 8388)
-    assert found.bounds.grace == 2.0
+    assert found.bounds.shutdown_grace_seconds == 2.0
 
 
 @pytest.mark.parametrize(
@@ -158,13 +163,13 @@
 )
 def test_wrong_settings_are_told(tmp_path, fields, told):
     path = write_settings(tmp_path, **fields)
-    with pytest.raises(boot.BadSettings, match=told):
-        boot.load(path)
+    with pytest.raises(settings_file.SettingsError, match=told):
+        settings_file.load_settings(path)
 
 
 def test_missing_settings_are_told(tmp_path):
-    with pytest.raises(boot.BadSettings, match='No such file'):
-        boot.load(tmp_path / 'none.yaml')
+    with pytest.raises(settings_file.SettingsError, match='No such file'):
+        settings_file.load_settings(tmp_path / 'none.yaml')
 
 
 def make_request(*headers):
@@ -172,7 +177,7 @@
 
 
 def test_marks_of_a_caller_are_read():
-    marks = read_caller_marks(
+    marks = read_caller_headers(
         make_request(
             (b'host', b'Tours.Example:80'),
             (b'x-toucanhall-request-id', b'r1'),
@@ -185,7 +190,7 @@
 
 
 def test_forwarded_request_hides_the_key_and_names_team_and_target():
-    forwarded = make_forwarded(
+    forwarded = make_target_request(
         make_request(
             (b'authorization', b'Bearer k1'),
             (b'x-toucanhall-tenant-id', b'forged'),
@@ -195,7 +200,7 @@
         ),
         target='t1',
         team='guides',
-        seconds_left=1.2345,
+        remaining_seconds=1.2345,
     )
     assert dict(forwarded.headers) == {
         b'accept': b'*/*',
@@ -206,7 +211,7 @@
 
 
 def make_reply(status, *headers):
-    return Reply(status, headers, b'', keep=True)
+    return ReceivedAnswer(status, headers, b'', is_keep_alive=True)
 
 
 @pytest.mark.parametrize(
@@ -226,7 +231,7 @@
     is_not_run,
 ):
     headers = ((b'x-toucanhall-not-executed', b'1'),) if has_mark else ()
-    marks = read_target_marks(make_reply(status, *headers))
+    marks = read_target_headers(make_reply(status, *headers))
     assert marks.is_not_run is is_not_run
 
 
@@ -236,7 +241,7 @@
 )
 def test_load_of_a_target_is_read(content, busy):
     reply = make_reply(200, (b'x-toucanhall-backend-load', content))
-    assert read_target_marks(reply).busy == busy
+    assert read_target_headers(reply).pending_requests == busy
 
 
 def test_answer_is_passed_on_with_its_stamp():
@@ -246,16 +251,16 @@
         (b'x-toucanhall-backend-load', b'1,0,9'),
         (b'keep-alive', b'timeout=5'),
     )
-    answer = make_passed_on(reply)
+    answer = make_caller_answer(reply)
     assert answer.headers == ((b'x-toucanhall-response-stamp', b's1'),)
 
 
 def test_question_to_the_directory_is_read():
     path = b'/toucanhall/resolve?name=Tours.Example&region=east&zone=east-a'
-    found = read_question(Request(b'GET', path, (), b''))
+    found = read_directory_query(Request(b'GET', path, (), b''))
     assert found == ('tours.example', 'east-a', 'east')
-    assert read_question(make_request()) is None
-    answer = write_directory([Address('127.0.0.1', 80)], 2.0)
+    assert read_directory_query(make_request()) is None
+    answer = make_directory_answer([Address('127.0.0.1', 80)], 2.0)
     assert answer.body == b'{"addresses":["127.0.0.1:80"],"ttl":"2000ms"}'
 
 
@@ -279,16 +284,16 @@
     ),
 )
 def test_directory_names_the_nearest(zone, around, homes, expected):
-    found = pick_vms(VMS, zone, around, frozenset(homes))
+    found = pick_nearest_vms(VMS, zone, around, frozenset(homes))
     assert sorted(member.vm for member in found) == expected
 
 
 def test_zone_that_does_not_keep_up_shares_its_clients():
     late = [VMS[0]._replace(lag=0.3), *VMS[1:]]
-    found = pick_vms(late, 'east-a', EAST, frozenset())
+    found = pick_nearest_vms(late, 'east-a', EAST, frozenset())
     assert [member.vm for member in found] == ['vm-2']
     late[1] = late[1]._replace(lag=0.4)
-    found = pick_vms(late, 'east-a', EAST, frozenset())
+    found = pick_nearest_vms(late, 'east-a', EAST, frozenset())
     assert sorted(member.vm for member in found) == ['vm-1', 'vm-2']
 
 
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -7,7 +7,7 @@
 
 from tests.builders import make_document
 from tests.mutations import mutate
-from tests.operators import Api
+from tests.admin_api import AdminApi
 from tests.stores import MemoryStore
 from toucanhall.admin.audit import Audit, AuditEntry
 from toucanhall.admin.routes import ROUTES
@@ -20,7 +20,7 @@
 def make_api(monkeypatch):
     """Return an API with a catalogue in force; pauses take no time."""
     monkeypatch.setattr('time.sleep', lambda _seconds: None)
-    api = Api()
+    api = AdminApi()
     assert api.apply()[0] == 200
     return api
 
@@ -64,14 +64,14 @@
 def test_role_replaces_only_what_it_may(api, changes, owner, operate):
     assert api.apply(1, 'owner', **changes)[0] == owner
     held = api.admin.handlers['GET', 'catalogue'](None)[1]['revision']
-    other = Api()
+    other = AdminApi()
     other.apply()
     assert other.apply(1, 'operate', **changes)[0] == operate
     assert held == 1 + (owner == 200)
 
 
 def test_owner_cannot_take_over_a_key_of_another_team():
-    api = Api()
+    api = AdminApi()
     teams = {name: {'rate': 1, 'burst': 1} for name in ('hostels', 'others')}
     key = {'team': 'others', 'digest': 'c' * 64}
     api.apply(teams=teams, keys={'theirs': key})
@@ -91,7 +91,7 @@
 
 
 def test_key_edit_is_made_again_after_a_conflict(api):
-    rival = Api(api.store)
+    rival = AdminApi(api.store)
     rival.admin._holder.offer(api.admin._holder.current)
 
     def race(name):
@@ -151,7 +151,7 @@
     status, body = api.call('PUT', 'keys/a', KEY, Toucanhall_Change='id-2')
     assert (status, body['outcome'], body['change']) == (503, 'unknown', 'id-2')
     api.store.modes = {}
-    other = Api(api.store)
+    other = AdminApi(api.store)
     stored = decode(api.store.stored['catalogue'][1]).unwrap()
     other.admin._holder.offer(stored)
     assert other.call('GET', 'history?change=id-2')[1]['changes']
@@ -201,7 +201,7 @@
 @given(mutate(json.dumps(make_document(drains={'vms': ['v']}))))
 @settings(max_examples=100, deadline=None, derandomize=True)
 def test_broken_catalogue_changes_nothing_at_all(document):
-    api = Api()
+    api = AdminApi()
     api.apply()
     before = api.call('GET', 'catalogue')[1], dict(api.store.stored)
     status, body = api.call('PUT', 'catalogue', document, If_Match='"1"')
--- a/tests/unit/test_answers_bytes.py
+++ b/tests/unit/test_answers_bytes.py
@@ -5,7 +5,11 @@
 import pytest
 
 from tests.fleetdata import make_opening
-from toucanhall.web.client import Broken, ServerConnection, Unreachable
+from toucanhall.web.client import (
+    IncompleteAnswerError,
+    ServerConnection,
+    UnreachableError,
+)
 
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\nx-id: own\r\n\r\n'
 HEAD = b'HTTP/1.1 200 OK\r\nx-id: %s\r\n'
@@ -53,7 +57,7 @@
 
 
 def connect():
-    connection = ServerConnection(opening=make_opening(id_header=b'x-id'))
+    connection = ServerConnection(settings=make_opening(id_header=b'x-id'))
     connection.connection_made(Wire(connection))
     return connection
 
@@ -86,7 +90,7 @@
 def test_answer_that_is_cut_at_any_byte_is_not_whole(name, error):
     answer = OWN[name]
     outcomes = [play_cut(answer, cut, error) for cut in range(len(answer))]
-    assert all(isinstance(found, Broken) for found in outcomes)
+    assert all(isinstance(found, IncompleteAnswerError) for found in outcomes)
     assert play_cut(answer, len(answer), error).body == b'halfwhole'
 
 
@@ -96,7 +100,7 @@
     ended = play_cut(answer, len(answer), None)
     reset = play_cut(answer, len(answer) - cut, ConnectionResetError())
     assert ended.body == b'halfwhole'
-    assert isinstance(reset, Broken)
+    assert isinstance(reset, IncompleteAnswerError)
 
 
 def play_copy(first, copy, split, second):
@@ -125,5 +129,5 @@
     first = HEAD % b'own' + b'content-length: 5\r\n\r\nfirst'
     for split in range(len(copy) + 1):
         found = play_copy(first, copy, split, second)
-        is_refused = isinstance(found, Broken | Unreachable)
+        is_refused = isinstance(found, IncompleteAnswerError | UnreachableError)
         assert is_refused or found.body == b'next'
--- a/tests/unit/test_client.py
+++ b/tests/unit/test_client.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from standins.site.endless import ENDLESS, EndlessServer
+from standins.site.endless import ENDLESS_ANSWERS, EndlessServer
 from tests.fleetdata import make_opening
 from toucanhall.fleet.model import Address
-from toucanhall.web.client import Broken, open_connection
-from toucanhall.web.memory import HeldBytes
+from toucanhall.web.client import IncompleteAnswerError, open_connection
+from toucanhall.web.memory import BufferBudget
 
 ADDRESS = Address('127.64.201.1', 9001)
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\nx-id: own\r\n\r\n'
@@ -41,7 +41,7 @@
             connection = await open_connection(
                 ADDRESS,
                 seconds=1.0,
-                opening=opening,
+                settings=opening,
             )
             return await act(connection)
         finally:
@@ -50,7 +50,7 @@
     return asyncio.run(start())
 
 
-@pytest.mark.parametrize('name', ENDLESS)
+@pytest.mark.parametrize('name', ENDLESS_ANSWERS)
 def test_bytes_without_end_are_cut_at_a_bound(name):
     opening = make_opening(id_header=b'x-id')
 
@@ -61,19 +61,24 @@
         connection = await open_connection(
             ADDRESS,
             seconds=1.0,
-            opening=opening,
+            settings=opening,
         )
-        with pytest.raises(Broken) as caught:
+        with pytest.raises(IncompleteAnswerError) as caught:
             async with asyncio.timeout(4.0):
                 await connection.exchange(REQUEST, b'own')
         seconds = time.perf_counter() - began
         server.stop()
-        return str(caught.value), server.sent, seconds, connection.is_usable
+        return (
+            str(caught.value),
+            server.sent_bytes,
+            seconds,
+            connection.is_usable,
+        )
 
     why, sent, seconds, is_usable = asyncio.run(act())
     assert 'over' in why or 'malformed' in why
     assert sent < opening.bounds.body_bytes + ON_THE_WAY
-    assert opening.held.total == 0
+    assert opening.buffer_budget.total_bytes == 0
     assert not is_usable
     assert seconds < 3.0
 
@@ -117,7 +122,7 @@
 
 def test_success_without_the_id_of_its_request_is_not_taken():
     async def act(connection):
-        with pytest.raises(Broken, match='without the id'):
+        with pytest.raises(IncompleteAnswerError, match='without the id'):
             await connection.exchange(REQUEST, b'own')
 
     run(answer_with(b'HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx'), act)
@@ -136,7 +141,7 @@
 )
 def test_answer_that_breaks_off_is_no_answer(cut):
     async def act(connection):
-        with pytest.raises(Broken):
+        with pytest.raises(IncompleteAnswerError):
             await connection.exchange(REQUEST, b'own')
 
     run(answer_with(cut, keep=False), act)
@@ -144,21 +149,21 @@
 
 class Cuttable:
     def __init__(self, held):
-        self.held = held
+        self.buffer_budget = held
         self.why = ''
 
-    def cut(self, why):
+    def terminate(self, why):
         self.why = why
 
 
 def test_holder_of_most_is_cut_where_all_are_over_the_bound():
-    held = HeldBytes(most=100)
+    held = BufferBudget(max_bytes=100)
     small, large, last = (Cuttable(held) for _holder in range(3))
-    held.put(small, 10)
-    held.put(large, 80)
-    held.put(last, 20)
+    held.set_usage(small, 10)
+    held.set_usage(large, 80)
+    held.set_usage(last, 20)
     assert (bool(small.why), bool(large.why), bool(last.why)) == (0, 1, 0)
-    assert held.total == 30
-    held.put(small, 0)
-    held.put(last, 0)
-    assert held.total == 0
+    assert held.total_bytes == 30
+    held.set_usage(small, 0)
+    held.set_usage(last, 0)
+    assert held.total_bytes == 0
--- a/tests/unit/test_closing.py
+++ b/tests/unit/test_closing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.pausedloop import run_paused
+from tests.virtual_time import run_in_virtual_time
 from toucanhall.edge.closing import close_connections
 
 
@@ -17,10 +17,10 @@
         connections.add(self)
         self.closed_at = None
 
-    def close_idle(self, *, quiet):
+    def close_idle(self, *, min_idle_seconds):
         """Close if nothing was sent for some seconds."""
         now = asyncio.get_running_loop().time()
-        if now - self._used_at >= quiet:
+        if now - self._used_at >= min_idle_seconds:
             self.closed_at = now
             self._connections.discard(self)
 
@@ -35,7 +35,7 @@
         closed = [caller.closed_at for caller in callers]
         return closed, asyncio.get_running_loop().time()
 
-    return run_paused(act())
+    return run_in_virtual_time(act())
 
 
 def test_connection_stays_while_a_request_may_be_on_its_way():
@@ -62,4 +62,4 @@
         await closing
         return late.closed_at
 
-    assert run_paused(act()) >= 0.3
+    assert run_in_virtual_time(act()) >= 0.3
--- a/tests/unit/test_entries.py
+++ b/tests/unit/test_entries.py
@@ -4,11 +4,11 @@
 
 from standins.site.store import StoreStandin
 from tests.fleetdata import make_store
-from toucanhall.fleet.model import Address, Introduction
-from toucanhall.platform.entries import Entries
+from toucanhall.fleet.model import Address, VmContact
+from toucanhall.platform.vm_registry import VmRegistry
 
 ADDRESS = Address('127.64.200.1', 8382)
-OWN = Introduction('vm-1', 'east-a', '127.64.1.1')
+OWN = VmContact('vm-1', 'east-a', '127.64.1.1')
 
 
 def run(act, journal):
@@ -17,7 +17,7 @@
         await standin.start(*ADDRESS)
         store = make_store(ADDRESS)
         try:
-            return await act(standin, Entries(store=store, journal=journal))
+            return await act(standin, VmRegistry(store=store, journal=journal))
         finally:
             standin.stop()
 
@@ -32,7 +32,7 @@
         revision = standin.revision
         second = await entries.register(OWN)
         assert standin.revision == revision
-        await entries.forget('vm-1')
+        await entries.remove('vm-1')
         assert 'vm-1' not in standin.objects['vms']
         await entries.register(OWN)
         assert 'vm-1' in standin.objects['vms']
@@ -57,6 +57,6 @@
         for index in range(1200):
             entry = {'zone': 'east-a', 'ip': '127.64.1.2'}
             standin.put('vms', f'vm-{index:04d}', entry)
-        return await entries.list_vms(is_stale=False)
+        return await entries.list_vms(may_be_stale=False)
 
     assert len(run(act, journal)) == 1200
--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -7,13 +7,13 @@
 from standins.site.documents import make_target_entry
 from standins.site.store import StoreStandin
 from tests.fleetdata import make_environment, make_member, make_store
-from toucanhall.edge.fleetmate import Fleetmate
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.edge.peer_exchange import PeerExchange
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Address
 from toucanhall.limits.quota import Quotas
-from toucanhall.platform.following import Follower
+from toucanhall.platform.store_watch import StoreWatch
 from toucanhall.platform.store import StoreError
-from toucanhall.platform.tables import Tables
+from toucanhall.platform.table_loader import TableLoader
 
 ADDRESS = Address('127.64.203.1', 8382)
 
@@ -58,7 +58,7 @@
 
 
 def test_watch_goes_on_after_an_unexpected_error(journal, monkeypatch):
-    take = Tables.take
+    take = TableLoader.take
     failures = []
 
     def fail_once(tables, kind, table, *, is_whole):
@@ -67,16 +67,16 @@
             raise ValueError('an object of an unexpected form')
         take(tables, kind, table, is_whole=is_whole)
 
-    monkeypatch.setattr(Tables, 'take', fail_once)
+    monkeypatch.setattr(TableLoader, 'take', fail_once)
 
     async def start():
         standin = StoreStandin()
         await standin.start(*ADDRESS)
         standin.put('servers', 't1', make_target_entry('127.0.0.1:9', 'east-a'))
-        knowledge = Knowledge(on_change=lambda _table: None)
-        follower = Follower(
+        fleet_tables = FleetTables(on_change=lambda _table: None)
+        follower = StoreWatch(
             store=make_store(ADDRESS),
-            knowledge=knowledge,
+            fleet_tables=fleet_tables,
             journal=journal,
             lapse_seconds=3.0,
         )
@@ -84,7 +84,7 @@
         await asyncio.sleep(1.5)
         follower.stop()
         standin.stop()
-        return set(knowledge.targets)
+        return set(fleet_tables.targets)
 
     assert asyncio.run(start()) == {'t1'}
     assert failures
@@ -102,9 +102,9 @@
         errors = []
         loop.set_exception_handler(lambda _loop, found: errors.append(found))
         environment = make_environment()
-        mate = Fleetmate(
+        mate = PeerExchange(
             environment=environment,
-            knowledge=Knowledge(on_change=lambda _table: None),
+            fleet_tables=FleetTables(on_change=lambda _table: None),
             quotas=Quotas(bounds=environment.bounds, beat=0.8, now=loop.time()),
             journal=journal,
             find_self=make_member,
--- a/tests/unit/test_following.py
+++ b/tests/unit/test_following.py
@@ -4,10 +4,10 @@
 
 from standins.site.documents import make_target_entry
 from standins.site.store import StoreStandin
-from toucanhall.fleet.knowledge import LAPSE_SECONDS, Knowledge
+from toucanhall.fleet.tables import REREGISTRATION_SECONDS, FleetTables
 from tests.fleetdata import make_store
 from toucanhall.fleet.model import Address
-from toucanhall.platform.following import Follower
+from toucanhall.platform.store_watch import StoreWatch
 
 ADDRESS = Address('127.64.202.1', 8384)
 LAPSE_AFTER = 3.0  # seconds, two heartbeats of a target
@@ -25,17 +25,17 @@
         standin.put(
             'servers', 't1', make_target_entry('127.0.0.1:9000', 'east-a')
         )
-        knowledge = Knowledge(on_change=lambda _table: None)
-        follower = Follower(
+        fleet_tables = FleetTables(on_change=lambda _table: None)
+        follower = StoreWatch(
             store=make_store(ADDRESS),
-            knowledge=knowledge,
+            fleet_tables=fleet_tables,
             journal=journal,
             lapse_seconds=LAPSE_AFTER,
         )
         follower.start()
         await asyncio.sleep(0.3)
         try:
-            return await act(standin, knowledge)
+            return await act(standin, fleet_tables)
         finally:
             follower.stop()
             standin.stop()
@@ -44,27 +44,27 @@
 
 
 def test_targets_dropped_by_a_watch_that_outlasts_the_store_are_kept(journal):
-    async def act(standin, knowledge):
+    async def act(standin, fleet_tables):
         loop = asyncio.get_running_loop()
-        assert set(knowledge.targets) == {'t1'}
-        standin.fault = _fail_all_but_watches
+        assert set(fleet_tables.targets) == {'t1'}
+        standin.decide_fault = _fail_all_but_watches
         await asyncio.sleep(LAPSE_AFTER + 0.1)
         standin.remove('servers', 't1')
         await asyncio.sleep(0.5)
-        assert set(knowledge.targets) == {'t1'}
+        assert set(fleet_tables.targets) == {'t1'}
         standin.set_fault(lambda _request: None)
         await asyncio.sleep(NOTICE)
-        knowledge.drop_lapsed(loop.time() + LAPSE_SECONDS)
-        assert not knowledge.targets
+        fleet_tables.drop_expired_targets(loop.time() + REREGISTRATION_SECONDS)
+        assert not fleet_tables.targets
 
     run(act, journal)
 
 
 def test_target_that_leaves_while_the_store_answers_is_dropped(journal):
-    async def act(standin, knowledge):
+    async def act(standin, fleet_tables):
         await asyncio.sleep(1.5)
         standin.remove('servers', 't1')
         await asyncio.sleep(0.5)
-        assert not knowledge.targets
+        assert not fleet_tables.targets
 
     run(act, journal)
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from standins.site.documents import make_configuration, make_target_entry
-from tests.exchange import Vm
+from tests.simulated_fleet import SimulatedVm
 from tests.fleetdata import (
     make_bounds,
     make_heartbeat,
@@ -18,17 +18,17 @@
 from tests.mutations import mutate
 from toucanhall.edge.admission import admit
 from toucanhall.fleet.gossip import Gossip, Message
-from toucanhall.fleet.model import Introduction
-from toucanhall.limits.quota import Quotas, Told, Usage
-from toucanhall.placement.field import Field, Need
-from toucanhall.placement.order import Place
+from toucanhall.fleet.model import VmContact
+from toucanhall.limits.quota import Quotas, UsageReport, Usage
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.hash_ring import Location
 from toucanhall.platform.documents import (
-    BadDocument,
+    InvalidDocumentError,
     decode_configuration,
     decode_target,
     decode_vm,
 )
-from toucanhall.platform.headers import read_caller_marks
+from toucanhall.platform.headers import read_caller_headers
 from toucanhall.web.messages import Request
 
 TEAM = {
@@ -44,14 +44,17 @@
 USAGE = {'guides': Usage(4, 2.0)}
 HEARTBEAT = Message(
     heartbeat=make_heartbeat('vm-2', usage=USAGE)._replace(
-        is_asking=True,
-        introduced=(Introduction('vm-3', 'east-a', '127.0.0.3'),),
+        is_requesting_vms=True,
+        known_vms=(VmContact('vm-3', 'east-a', '127.0.0.3'),),
     ),
 )
 REPORT = Message(
     report=make_report(
         members=(make_member('vm-7', zone='west-a'),),
-        told=(Told(USAGE, vms=2.0), Told(None, is_late=True)),
+        usage_reports=(
+            UsageReport(USAGE, vms=2.0),
+            UsageReport(None, is_stale=True),
+        ),
     ),
 )
 MESSAGES = [
@@ -67,18 +70,18 @@
     )
     request = Request(b'GET', b'/view/1', headers, b'')
     quotas = Quotas(bounds=make_bounds(), beat=0.8, now=0.0)
-    marks = read_caller_marks(request)
+    marks = read_caller_headers(request)
     for now in (0.0, 1.0):
-        quotas.divide(configuration.teams.values(), Told({}), (), now)
+        quotas.refill(configuration.teams.values(), UsageReport({}), (), now)
         admit(request, marks, configuration, quotas, now)
-        quotas.measure(now + 0.5)
+        quotas.collect_usage(now + 0.5)
 
 
 @given(mutate(CONFIGURATION))
 def test_configuration_is_refused_or_works(document):
     try:
         configuration = decode_configuration(document)
-    except BadDocument:
+    except InvalidDocumentError:
         return
     ask(configuration)
 
@@ -90,13 +93,15 @@
 def test_entry_of_a_target_is_refused_or_works(document):
     try:
         target = decode_target('t1', document, 1)
-    except BadDocument:
+    except InvalidDocumentError:
         return
     assert 0 < target.address.port < 65536
-    field = Field(place=Place('east-a', 'east'), regions={'east-a': 'east'})
-    field.take_targets({'t1': target}, 0.0)
-    need = Need(target.service, 'a', frozenset(), frozenset())
-    assert len(field.list_candidates(need, 10.0, 2)) <= 1
+    registry = TargetRegistry(
+        location=Location('east-a', 'east'), regions={'east-a': 'east'}
+    )
+    registry.replace_targets({'t1': target}, 0.0)
+    need = TargetQuery(target.service, 'a', frozenset(), frozenset())
+    assert len(registry.list_candidates(need, 10.0, 2)) <= 1
 
 
 @given(mutate(ENTRY))
@@ -104,7 +109,7 @@
 def test_entry_of_a_vm_is_refused_or_names_an_address(document):
     try:
         found = decode_vm('vm-1', document)
-    except BadDocument:
+    except InvalidDocumentError:
         return
     assert is_reachable(found.ip)
 
@@ -112,17 +117,17 @@
 @given(st.sampled_from(MESSAGES).flatmap(mutate))
 def test_message_is_dropped_or_taken_whole(document):
     heard, dropped, sent = [], [], []
-    gossip = Gossip(hear=heard.append, on_bad=dropped.append)
+    gossip = Gossip(receive=heard.append, on_error=dropped.append)
     gossip.datagram_received(b'\x00' + encode(document), None)
     assert len(heard) + len(dropped) == 1
-    vm = Vm(
+    vm = SimulatedVm(
         member=make_member('vm-1', zone='east-a'),
         zones=('east-a', 'west-a'),
         now=0.0,
         send=lambda _message, ips: sent.extend(ips),
     )
     for message in heard:
-        vm.hear(message, 1.0)
+        vm.receive(message, 1.0)
     for now in (1.0, 1.2, 2.0):
         vm.beat(make_team(), now)
     assert all(map(is_reachable, sent))
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -9,7 +9,7 @@
 from tests.fleetdata import make_heartbeat, make_member, make_report
 from toucanhall.fleet.gossip import Gossip, Message
 from toucanhall.fleet.model import Address
-from toucanhall.limits.quota import Told, Usage
+from toucanhall.limits.quota import UsageReport, Usage
 
 TO = Address('127.64.1.9', 7560)
 
@@ -26,7 +26,7 @@
 
 def make_gossip():
     received, errors = [], []
-    gossip = Gossip(hear=received.append, on_bad=errors.append)
+    gossip = Gossip(receive=received.append, on_error=errors.append)
     transport = Transport()
     gossip.connection_made(transport)
     return gossip, transport, received, errors
@@ -41,7 +41,9 @@
     members = tuple(
         make_member(f'front-east-a-{index}') for index in range(vms)
     )
-    return make_report(members=members, told=(Told(usage, vms=vms),))
+    return make_report(
+        members=members, usage_reports=(UsageReport(usage, vms=vms),)
+    )
 
 
 @pytest.mark.parametrize(
@@ -76,8 +78,12 @@
         Message(heartbeat=make_heartbeat(lag=math.nan)),
         Message(heartbeat=make_heartbeat(load=-1.0)),
         Message(heartbeat=make_heartbeat(usage=NEGATIVE_USAGE)),
-        Message(report=make_report(told=(Told({}, vms=math.inf),))),
-        Message(report=make_report(told=(Told(NEGATIVE_USAGE),))),
+        Message(
+            report=make_report(usage_reports=(UsageReport({}, vms=math.inf),))
+        ),
+        Message(
+            report=make_report(usage_reports=(UsageReport(NEGATIVE_USAGE),))
+        ),
     ),
 )
 def test_message_with_an_invalid_number_is_dropped(message):
--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -11,12 +11,12 @@
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.observe.limits import sort_refusals
-from toucanhall.observe.stories import (
+from toucanhall.observe.refusal_causes import count_refusal_causes
+from toucanhall.observe.log_lines import (
     Line,
     explain,
     read_lines,
-    summarise,
+    count_reasons,
 )
 
 PAGE = Path(__file__).parents[2] / 'docs' / 'LOGS.md'
@@ -53,7 +53,7 @@
     for _line in range(200):
         journal.write(events.REQUEST_REFUSED)
     journal.write(events.STOPPED)
-    journal.tell_dropped()
+    journal.log_dropped_counts()
     lines = [json.loads(line) for line in os.read(reader, 1 << 16).splitlines()]
     numbers = [line['event'] for line in lines]
     assert numbers.count(600) == 50
@@ -145,7 +145,7 @@
 
 
 def test_reasons_are_counted():
-    counts = list(summarise(read_lines(LOG)))
+    counts = list(count_reasons(read_lines(LOG)))
     assert counts[0] == '      2  310 configuration in force'
     assert '      1  602 attempt failed: broken' in counts
 
@@ -190,7 +190,7 @@
     ]
     found = {
         text.partition(': ')[2]: int(text.split()[0])
-        for text in sort_refusals(lines)
+        for text in count_refusal_causes(lines)
     }
     assert found == {
         'no limit known yet': 1,
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -6,16 +6,16 @@
 
 from standins.site.documents import HOST, KEY, make_configuration, make_rule
 from tests.fleetdata import make_bounds, make_opening
-from toucanhall.edge.path import Path
-from toucanhall.edge.pool import Pool
-from toucanhall.edge.reporting import Reporter
-from toucanhall.edge.sending import Sender
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.edge.dispatcher import RequestDispatcher
+from toucanhall.edge.connection_pool import ConnectionPool
+from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.edge.sender import Sender
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import Quotas
-from toucanhall.limits.retries import RetryBudget
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe.metrics import Metrics
-from toucanhall.placement.field import Field
-from toucanhall.placement.order import Place
+from toucanhall.placement.registry import TargetRegistry
+from toucanhall.placement.hash_ring import Location
 from toucanhall.platform.documents import decode_configuration
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Request, get_header
@@ -27,26 +27,30 @@
 
 
 def make_path(journal, late):
-    knowledge = Knowledge(on_change=lambda _table: None)
+    fleet_tables = FleetTables(on_change=lambda _table: None)
     document = make_configuration(rules=RULES)
-    knowledge.take_configuration(1, decode_configuration(document))
-    field = Field(place=Place('east-a', 'east'), regions={'east-a': 'east'})
+    fleet_tables.replace_configuration(1, decode_configuration(document))
+    registry = TargetRegistry(
+        location=Location('east-a', 'east'), regions={'east-a': 'east'}
+    )
     clock = asyncio.get_running_loop().time
     lag = LoopLag()
     for _tick in range(30):
-        lag.take(late)
-    return Path(
-        knowledge=knowledge,
-        field=field,
+        lag.record(late)
+    return RequestDispatcher(
+        fleet_tables=fleet_tables,
+        registry=registry,
         sender=Sender(
-            field=field,
-            pool=Pool(clock=clock, opening=make_opening(), most_idle=10),
+            registry=registry,
+            pool=ConnectionPool(
+                clock=clock, settings=make_opening(), max_idle_connections=10
+            ),
             journal=journal,
         ),
         quotas=Quotas(bounds=make_bounds(), beat=0.8, now=0.0),
         retries=RetryBudget(bounds=make_bounds()),
-        reporter=Reporter(
-            knowledge=knowledge,
+        recorder=RequestRecorder(
+            fleet_tables=fleet_tables,
             journal=journal,
             metrics=Metrics(),
         ),
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -3,19 +3,24 @@
 import pytest
 
 from tests.fleetdata import make_target
-from tests.replays import Pattern, replay
+from tests.placement_replay import Pattern, replay
 from toucanhall.fleet.model import Configuration, Service
 from toucanhall.placement import choice
-from toucanhall.placement.choice import Ask, Candidate, choose
-from toucanhall.placement.field import Field, Need
+from toucanhall.placement.choice import RequestUrgency, Candidate, choose_target
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.cold import Group
-from toucanhall.placement.order import MOST_EXAMINED, Place, Ring, count_points
+from toucanhall.placement.cold_targets import VmGroup
+from toucanhall.placement.hash_ring import (
+    MAX_EXAMINED_TARGETS,
+    Location,
+    HashRing,
+    count_points,
+)
 
 REGIONS = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
-PLACE = Place('east-a', 'east')
-NEED = Need('guide', 'object-1', frozenset(), frozenset())
-ASK = Ask(0.25, 0.1, 1)
+PLACE = Location('east-a', 'east')
+NEED = TargetQuery('guide', 'object-1', frozenset(), frozenset())
+ASK = RequestUrgency(0.25, 0.1, 1)
 
 
 def burst(now):
@@ -25,19 +30,19 @@
 @pytest.mark.parametrize('seed', (1, 2, 3))
 def test_burst_does_not_leave_targets_cold(seed):
     pattern = Pattern(rate=burst, seconds=14.0)
-    assert replay(pattern, seed=seed, since=9.0).share_in_time > 0.9
+    assert replay(pattern, seed=seed, since=9.0).fraction_in_time > 0.9
 
 
 def test_more_targets_per_object_would_leave_them_cold(monkeypatch):
     monkeypatch.setattr(choice, 'WARM_TARGETS', 20)
     pattern = Pattern(rate=burst, seconds=14.0, objects=400)
-    assert replay(pattern, seed=1, since=9.0).share_in_time < 0.5
+    assert replay(pattern, seed=1, since=9.0).fraction_in_time < 0.5
 
 
 @pytest.mark.parametrize('seed', (1, 2))
 def test_start_with_cold_targets_ends_soon(seed):
     pattern = Pattern(rate=lambda _now: 900.0, seconds=8.0)
-    assert replay(pattern, seed=seed, since=4.0).share_in_time > 0.95
+    assert replay(pattern, seed=seed, since=4.0).fraction_in_time > 0.95
 
 
 @pytest.mark.parametrize('seed', (1, 2))
@@ -52,12 +57,12 @@
     before = replay(even, seed=seed, since=3.0)
     after = replay(slow, seed=seed, since=3.0)
     assert after.by_target['t3'] < before.by_target['t3'] / 2
-    assert after.share_in_time > 0.9
+    assert after.fraction_in_time > 0.9
 
 
 def make_ring(targets, place=PLACE):
-    ring = Ring()
-    ring.change(
+    ring = HashRing()
+    ring.update(
         (),
         {
             target.id: count_points(target.zone, place, REGIONS)
@@ -73,7 +78,7 @@
         for index, zone in enumerate(('east-a', 'east-b', 'west-a') * 4)
     ]
     orders = {
-        tuple(make_ring(targets, Place(zone, 'east')).walk('object-7'))
+        tuple(make_ring(targets, Location(zone, 'east')).walk('object-7'))
         for zone in ('east-a', 'east-b')
     }
     assert len(orders) == 1
@@ -94,7 +99,7 @@
 def test_changed_ring_is_the_one_made_anew():
     targets = [make_target(f't{index}') for index in range(12)]
     ring = make_ring(targets[:6])
-    ring.change(('t0', 't3', 'unknown'), {f't{index}': 96 for index in (9, 11)})
+    ring.update(('t0', 't3', 'unknown'), {f't{index}': 96 for index in (9, 11)})
     kept = [targets[index] for index in (1, 2, 4, 5, 9, 11)]
     for index in range(50):
         key = f'object-{index}'
@@ -116,29 +121,29 @@
 
 def test_order_ends_where_most_targets_may_not_serve():
     ring = make_ring([make_target(f't{index}') for index in range(400)])
-    assert len(list(ring.walk('object-1'))) == MOST_EXAMINED
+    assert len(list(ring.walk('object-1'))) == MAX_EXAMINED_TARGETS
     assert not list(make_ring([]).walk('object-1'))
 
 
 def test_full_targets_are_refused_at_once():
     full = TargetLoad(slots=9)
     full.in_flight = 40
-    assert choose([Candidate(make_target(), full)], ASK, 1.0) is None
-    assert choose([], ASK, 1.0) is None
+    assert choose_target([Candidate(make_target(), full)], ASK, 1.0) is None
+    assert choose_target([], ASK, 1.0) is None
 
 
 def test_less_urgent_requests_leave_room():
     load = TargetLoad(slots=9)
     load.in_flight = 14
     candidates = [Candidate(make_target(), load)]
-    assert choose(candidates, ASK, 1.0) is not None
-    assert choose(candidates, ASK._replace(priority=2), 1.0) is None
+    assert choose_target(candidates, ASK, 1.0) is not None
+    assert choose_target(candidates, ASK._replace(priority=2), 1.0) is None
 
 
 def make_field(*targets, now=0.0):
-    field = Field(place=PLACE, regions=REGIONS)
-    field.take_targets({target.id: target for target in targets}, now)
-    field.take_vms('vm-1', {'east-a': Group(('vm-1',), 1, 1)})
+    field = TargetRegistry(location=PLACE, regions=REGIONS)
+    field.replace_targets({target.id: target for target in targets}, now)
+    field.set_vm_groups('vm-1', {'east-a': VmGroup(('vm-1',), 1, 1)})
     return field
 
 
@@ -171,9 +176,9 @@
         keys={},
         limits=None,
     )
-    field.take_evacuations(frozenset(('east-a',)), configuration, 10.0)
+    field.set_evacuated_zones(frozenset(('east-a',)), configuration, 10.0)
     assert list_ids(field) == set()
-    field.take_evacuations(frozenset(), configuration, 20.0)
+    field.set_evacuated_zones(frozenset(), configuration, 20.0)
     assert list_ids(field) == {'t1'}
     assert field.is_cold('t1', 22.0)
     assert not field.is_cold('t1', 23.5)
@@ -190,7 +195,7 @@
     for size in sizes:
         vms = tuple(f'vm-{first + index}' for index in range(size))
         first += size
-        views.extend((vm, Group(vms, size, known)) for vm in vms)
+        views.extend((vm, VmGroup(vms, size, known)) for vm in vms)
     return views
 
 
@@ -198,7 +203,7 @@
     fields = []
     for vm, group in views:
         field = make_field(make_target('t1', cold_seconds=8.0), now=now)
-        field.take_vms(vm, {'east-a': group, 'east-b': Group((), 0, 4)})
+        field.set_vm_groups(vm, {'east-a': group, 'east-b': VmGroup((), 0, 4)})
         fields.append(field)
     return fields
 
@@ -210,7 +215,7 @@
         for step in steps
         for field in fields
         if list_ids(field, now=step / 100)
-        and field.spend(make_target('t1'), COLD_RATE, step / 100)
+        and field.try_acquire(make_target('t1'), COLD_RATE, step / 100)
     ]
 
 
@@ -233,7 +238,7 @@
 
 @pytest.mark.parametrize('vms', (2, 4, 16, 48))
 def test_vms_that_start_at_once_keep_the_bound_of_a_cold_target(vms):
-    alone = [(f'vm-{index}', Group((f'vm-{index}',), 1, vms))
+    alone = [(f'vm-{index}', VmGroup((f'vm-{index}',), 1, vms))
              for index in range(vms)]  # fmt: skip
     before = count_sent(
         make_cold_fields(make_views((vms,), known=vms)), 0.0, 0.95
@@ -243,7 +248,7 @@
 
 
 def test_vm_that_knows_no_entries_sends_nothing_to_a_cold_target():
-    fields = make_cold_fields((('vm-1', Group(('vm-1',), 1, 0)),))
+    fields = make_cold_fields((('vm-1', VmGroup(('vm-1',), 1, 0)),))
     assert not count_sent(fields, 0.0, 2.0)
 
 
@@ -261,57 +266,57 @@
 def test_twice_as_many_owners_as_picked_keep_the_bound(rate):
     target = make_target('t1', cold_seconds=8.0)
     fields = make_cold_fields(
-        (f'vm-{index}', Group((f'vm-{index}',), 8, 8)) for index in range(4)
+        (f'vm-{index}', VmGroup((f'vm-{index}',), 8, 8)) for index in range(4)
     )
     sent = [
         step / 500
         for step in range(4000)
         for field in fields
-        if field.spend(target, rate, step / 500)
+        if field.try_acquire(target, rate, step / 500)
     ]
     assert find_most_in_a_second(sent) <= 1.5 * rate + 5
 
 
 def test_zone_without_vms_is_left_to_its_region():
     field = make_field(make_target('t1', zone='east-b', cold_seconds=8.0))
-    group = Group(('vm-1',), 1, 1)
-    field.take_vms('vm-1', {'east-a': group, 'east-b': Group()})
+    group = VmGroup(('vm-1',), 1, 1)
+    field.set_vm_groups('vm-1', {'east-a': group, 'east-b': VmGroup()})
     assert list_ids(field, now=1.0) == {'t1'}
-    field.take_vms('vm-1', {'east-a': group, 'east-b': Group((), 0, 2)})
+    field.set_vm_groups('vm-1', {'east-a': group, 'east-b': VmGroup((), 0, 2)})
     assert list_ids(field, now=1.0) == set()
 
 
 def test_failures_suspend_a_target_and_one_success_ends_it():
     load = TargetLoad(slots=9)
-    assert not load.fail(1.0, is_lost=False)
-    assert not load.fail(1.0, is_lost=False)
-    assert load.fail(1.0, is_lost=False)
+    assert not load.record_failure(1.0, is_lost=False)
+    assert not load.record_failure(1.0, is_lost=False)
+    assert load.record_failure(1.0, is_lost=False)
     assert load.is_suspended(1.2)
     assert not load.is_suspended(1.6)
     assert load.is_on_trial()
-    assert load.succeed(None)
+    assert load.record_success(None)
     assert not load.is_on_trial()
 
 
 def test_lost_connection_suspends_at_once_and_longer_each_time():
     load = TargetLoad(slots=9)
-    assert load.fail(1.0, is_lost=True)
+    assert load.record_failure(1.0, is_lost=True)
     assert load.suspended_until == 1.5
-    assert load.fail(2.0, is_lost=True)
+    assert load.record_failure(2.0, is_lost=True)
     assert load.suspended_until == 3.0
 
 
 def test_new_incarnation_starts_anew():
     field = make_field(make_target('t1'))
-    field.loads['t1'].fail(9.0, is_lost=True)
-    field.take_targets({'t1': make_target('t1', slots=5)}, 9.1)
+    field.loads['t1'].record_failure(9.0, is_lost=True)
+    field.replace_targets({'t1': make_target('t1', slots=5)}, 9.1)
     assert field.loads['t1'].is_on_trial()
-    field.take_targets({'t1': make_target('t1', started_at=2)}, 9.2)
+    field.replace_targets({'t1': make_target('t1', started_at=2)}, 9.2)
     assert not field.loads['t1'].is_on_trial()
 
 
 def test_report_counts_less_with_age():
     load = TargetLoad(slots=9)
-    load.report(8, 1.0)
-    assert load.estimate(1.0) == 8
-    assert load.estimate(1.25) == 4
+    load.record_reported_load(8, 1.0)
+    assert load.estimate_requests(1.0) == 8
+    assert load.estimate_requests(1.25) == 4
--- a/tests/unit/test_quota.py
+++ b/tests/unit/test_quota.py
@@ -5,23 +5,30 @@
 
 import pytest
 
-from tests.exchange import WINDOW, find_bound, find_most
+from tests.simulated_fleet import (
+    WINDOW,
+    compute_window_bound,
+    compute_max_admitted,
+)
 from tests.fleetdata import make_bounds, make_team
-from toucanhall.edge.fleetmate import FIRST_BEAT_SECONDS, find_beat_seconds
-from toucanhall.fleet.membership import LATE_SECONDS
-from toucanhall.fleet.membership import REPORT_LATE_SECONDS as REPORT_LATE
-from toucanhall.fleet.reports import sum_told
+from toucanhall.edge.peer_exchange import (
+    FIRST_HEARTBEAT_DELAY_SECONDS,
+    get_heartbeat_interval_seconds,
+)
+from toucanhall.fleet.membership import USAGE_STALE_SECONDS
+from toucanhall.fleet.membership import REPORT_STALE_SECONDS as REPORT_LATE
+from toucanhall.fleet.reports import sum_usage_reports
 from toucanhall.limits.quota import (
-    RESERVE_VMS,
+    RESERVE_VM_WEIGHT,
     Quotas,
-    Told,
+    UsageReport,
     Usage,
-    add_up,
-    make_unheard,
+    combine_reports,
+    make_missing_report,
 )
 from toucanhall.limits.quota import _divide as divide_limit
 from toucanhall.limits.quota import _Report as Report
-from toucanhall.limits.retries import Retries
+from toucanhall.limits.retry_budget import ServiceRetryBudget
 
 BEAT = 0.8
 
@@ -67,9 +74,9 @@
         now = self.now
         beats = [now + draw.uniform(0, BEAT) for _vm in self.vms]
         if self.started_at is not None:
-            beats = [now + FIRST_BEAT_SECONDS for _vm in self.vms]
+            beats = [now + FIRST_HEARTBEAT_DELAY_SECONDS for _vm in self.vms]
             for index, vm in enumerate(self.vms):
-                self.divide(index, vm, {}, now)
+                self.refill(index, vm, {}, now)
         while now < seconds:
             for index, vm in enumerate(self.vms):
                 if now >= beats[index]:
@@ -84,28 +91,28 @@
         self.now = now
 
     def beat(self, index, vm, now):
-        told = vm.measure(now)
+        told = vm.collect_usage(now)
         self.told[index] = told
         self.beats[index] += 1
-        self.divide(index, vm, told, now)
+        self.refill(index, vm, told, now)
 
     def find_beat(self, now):
         if self.started_at is None:
             return BEAT
-        return find_beat_seconds(now - self.started_at)
+        return get_heartbeat_interval_seconds(now - self.started_at)
 
-    def divide(self, index, vm, told, now):
+    def refill(self, index, vm, told, now):
         zone = index // self.per_zone
         mates = range(zone * self.per_zone, (zone + 1) * self.per_zone)
         for other in mates:
             if other in self.cut or index in self.cut:
                 continue
             self.heard[other][index] = (told, now)
-        own = Told(told, vms=self.weigh(index))
+        own = UsageReport(told, vms=self.weigh(index))
         near = [
-            Told(
+            UsageReport(
                 self.heard[index][mate][0],
-                is_late=now - self.heard[index][mate][1] > LATE_SECONDS,
+                is_stale=now - self.heard[index][mate][1] > USAGE_STALE_SECONDS,
                 vms=self.weigh(mate),
             )
             for mate in mates
@@ -113,16 +120,20 @@
         ]
         speakers = [mate for mate in mates if mate not in self.cut][:2]
         if index in speakers and self.beats[index] % 2 == 0:
-            self.reports[zone] = (sum_told([own, *near]), now)
+            self.reports[zone] = (sum_usage_reports([own, *near]), now)
         zones = range(len(self.loads) // self.per_zone)
-        far = [make_unheard(4) for found in zones if found not in self.reports]
+        far = [
+            make_missing_report(4)
+            for found in zones
+            if found not in self.reports
+        ]
         far += [
-            told._replace(is_late=told.is_late or now - at > REPORT_LATE)
+            told._replace(is_stale=told.is_stale or now - at > REPORT_LATE)
             for found, (report, at) in self.reports.items()
             if found != zone
             for told in report
         ]
-        vm.divide([self.team], own, [*near, *far], now)
+        vm.refill([self.team], own, [*near, *far], now)
 
     def restart(self, now):
         """Start all VMs anew."""
@@ -138,11 +149,11 @@
 
     def weigh(self, index):
         is_reserve = index % self.per_zone in self.reserve
-        return RESERVE_VMS if is_reserve else 1.0
+        return RESERVE_VM_WEIGHT if is_reserve else 1.0
 
-    def find_most(self):
+    def compute_max_admitted(self):
         """Return the most admissions in any window."""
-        return find_most(self.admitted)
+        return compute_max_admitted(self.admitted)
 
     def count_admitted(self, since):
         return sum(at >= since for at in self.admitted)
@@ -186,7 +197,7 @@
     team = make_team(rate=64.0, burst=64.0)
     fleet = Fleet(loads=make_large(0.2, 320.0), team=team, **LARGE)
     fleet.play(16, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
 
 
 @pytest.mark.parametrize('seed', range(3))
@@ -195,7 +206,7 @@
     loads = [Load(((0, 6.0), (8, 48.0))) for _vm in range(10)]
     fleet = Fleet(loads=loads, team=team)
     fleet.play(20, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
     assert fleet.count_admitted(13) > 0.75 * team.rate * 7
 
 
@@ -208,13 +219,13 @@
     fleet.cut = (0, 1, 2)
     fleet.loads = [Load(((0, 30.0),))] * 10
     fleet.play(20, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
 
 
 def test_fleet_that_starts_again_does_not_spend_a_window_twice():
     team = make_team(rate=100.0, burst=100.0)
     quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=0.0)
-    quotas.divide([team], Told({}), [], 0.1)
+    quotas.refill([team], UsageReport({}), [], 0.1)
     admitted = sum(not quotas.admit(team, 0.2) for _try in range(500))
     assert admitted <= (1 - 0.8) * 600
 
@@ -251,7 +262,7 @@
     team = make_team(rate=rate, burst=burst)
     fleet = Fleet(loads=make_large(40.0, hot), team=team, **LARGE)
     fleet.play(20, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
     assert fleet.count_admitted(13) > 0.75 * team.rate * 7
 
 
@@ -263,7 +274,7 @@
     fleet.play(13, seed=seed)
     fleet.restart(13 + down)
     fleet.play(13 + down + 2 * WINDOW, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
     again = fleet.count_admitted(13 + down + WINDOW)
     assert again > 0.75 * team.rate * WINDOW
 
@@ -297,7 +308,7 @@
     fleet.play(8, seed=seed)
     fleet.restart(8.9)
     fleet.play(14, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
 
 
 @pytest.mark.parametrize('seed', range(3))
@@ -309,7 +320,7 @@
     fleet.cut = (*range(0, 96, 16), 1, 17)
     fleet.loads = make_large(320.0)
     fleet.play(20, seed=seed)
-    assert fleet.find_most() <= find_bound(team)
+    assert fleet.compute_max_admitted() <= compute_window_bound(team)
 
 
 def test_team_without_a_rate_has_no_limit():
@@ -321,7 +332,9 @@
 def test_refusal_says_when_to_come_back():
     quotas = Quotas(bounds=make_bounds(), beat=BEAT, now=-10.0)
     team = make_team(rate=1.0, burst=0.0)
-    quotas.divide([team], Told({}), [Told({'guides': Usage(5, 9.0)})], 0.0)
+    quotas.refill(
+        [team], UsageReport({}), [UsageReport({'guides': Usage(5, 9.0)})], 0.0
+    )
     waits = [quotas.admit(team, 0.1) for _try in range(5)]
     assert waits[-1] == 1.5
 
@@ -329,50 +342,55 @@
 @pytest.mark.parametrize('vms', (1, 18, 100))
 def test_repeats_of_all_vms_stay_within_the_budget(vms):
     bounds = make_bounds()
-    fleet = [Retries(bounds=bounds, vms=vms, now=0.0) for _vm in range(vms)]
+    fleet = [
+        ServiceRetryBudget(bounds=bounds, vms=vms, now=0.0)
+        for _vm in range(vms)
+    ]
     repeats = requests = 0
     for step in range(1000):
         now = step / 100
         retries = fleet[step % vms]
         requests += 1
-        retries.earn()
-        repeats += retries.spend(now)
-        repeats += retries.spend(now)
+        retries.record_request()
+        repeats += retries.try_acquire(now)
+        repeats += retries.try_acquire(now)
     bound = bounds.retry_ratio * requests + bounds.retry_slack
     assert repeats <= max(bound, vms)
     assert repeats > 0.5 * min(bound, 2 * requests)
 
 
 def test_vms_that_are_heard_count_together_and_late_ones_alone():
-    present = [Told({'a': Usage(number, 0.5)}, vms=2.0) for number in range(40)]
-    reserve = [Told({}, vms=RESERVE_VMS) for _vm in range(50)]
-    silent = [Told({}, is_late=True, vms=1.0) for _vm in range(3)]
-    late = Told({'a': Usage(7, 1.0)}, is_late=True)
-    unheard = make_unheard(4)
-    found = add_up([*present, *reserve, late, unheard, *silent])
+    present = [
+        UsageReport({'a': Usage(number, 0.5)}, vms=2.0) for number in range(40)
+    ]
+    reserve = [UsageReport({}, vms=RESERVE_VM_WEIGHT) for _vm in range(50)]
+    silent = [UsageReport({}, is_stale=True, vms=1.0) for _vm in range(3)]
+    late = UsageReport({'a': Usage(7, 1.0)}, is_stale=True)
+    unheard = make_missing_report(4)
+    found = combine_reports([*present, *reserve, late, unheard, *silent])
     assert found[:2] == [late, unheard]
     together, without = found[2:]
     assert together.usage == {'a': Usage(780, 20.0)}
     assert together.vms == pytest.approx(81.0)
-    assert without == Told({}, is_late=True, vms=3.0)
+    assert without == UsageReport({}, is_stale=True, vms=3.0)
 
 
 @pytest.mark.parametrize('seed', range(5))
 def test_parts_of_vms_added_up_are_those_of_each(seed):
     chance = random.Random(seed)
-    own = Told({'team': Usage(3, 1.5)})
+    own = UsageReport({'team': Usage(3, 1.5)})
     others = [
-        Told(
+        UsageReport(
             {'team': Usage(chance.randrange(9), chance.random())}
             if chance.random() < 0.6
             else {},
-            is_late=chance.random() < 0.3,
-            vms=chance.choice((RESERVE_VMS, 1.0, 4.0)),
+            is_stale=chance.random() < 0.3,
+            vms=chance.choice((RESERVE_VM_WEIGHT, 1.0, 4.0)),
         )
         for _vm in range(40)
     ]
     each = list_reports([own, *others])
-    together = list_reports([own, *add_up(others)])
+    together = list_reports([own, *combine_reports(others)])
     parts, added = divide_limit(1.5, each), divide_limit(1.5, together)
     assert added[0] == pytest.approx(parts[0])
     assert sum(added) == pytest.approx(1.0)
@@ -384,7 +402,7 @@
 def list_reports(told):
     """Return what VMs told of a team."""
     return [
-        Report(found.usage.get('team', Usage()), found.is_late, found.vms)
+        Report(found.usage.get('team', Usage()), found.is_stale, found.vms)
         for found in told
     ]
 
@@ -394,5 +412,5 @@
     return sum(
         max(report.usage.admitted, part * limit)
         for report, part in zip(reports, parts, strict=True)
-        if report.is_late
+        if report.is_stale
     )
--- a/tests/unit/test_quota_starts.py
+++ b/tests/unit/test_quota_starts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.exchange import Exchange, find_bound
+from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 from tests.fleetdata import make_team
 
 HOT_AT = 8.0
@@ -10,7 +10,9 @@
 TEAM = make_team(rate=690.0, burst=690.0)
 
 
-def play_starts(killed: int, down: float, seed: int, hot: float) -> Exchange:
+def play_starts(
+    killed: int, down: float, seed: int, hot: float
+) -> SimulatedFleet:
     """Kill VMs of five zones, start them and play on for some seconds.
 
     The callers of a team send `hot` times what they sent before.
@@ -20,7 +22,7 @@
         factor = hot if now >= HOT_AT else 1.0
         return factor * TEAM.rate / 1.6
 
-    exchange = Exchange(
+    exchange = SimulatedFleet(
         zones=5,
         vms=5,
         team=TEAM,
@@ -41,11 +43,11 @@
 @pytest.mark.parametrize('killed', (12, 15, 20, 23))
 def test_hot_team_keeps_to_its_limit_while_vms_start(killed, down, seed):
     exchange = play_starts(killed, down, seed, hot=8.0)
-    assert exchange.find_most() <= find_bound(TEAM)
+    assert exchange.compute_max_admitted() <= compute_window_bound(TEAM)
 
 
 @pytest.mark.parametrize('seed', range(2))
 @pytest.mark.parametrize('killed', (8, 15))
 def test_team_within_its_rate_is_seldom_refused_while_vms_start(killed, seed):
     exchange = play_starts(killed, 1.0, seed, hot=1.0)
-    assert exchange.find_refused(since=KILLED_AT + 1.0) < 0.05
+    assert exchange.compute_refused_fraction(since=KILLED_AT + 1.0) < 0.05
--- a/tests/unit/test_quota_storms.py
+++ b/tests/unit/test_quota_storms.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-from tests.exchange import Exchange, find_bound
+from tests.simulated_fleet import SimulatedFleet, compute_window_bound
 from tests.fleetdata import make_team
 
 SEEDS = range(30)
@@ -92,7 +92,7 @@
     rate = draw.choice((40.0, 160.0, 690.0))
     team = make_team(rate=rate, burst=rate)
     hot = draw.choice((3, 8))
-    exchange = Exchange(
+    exchange = SimulatedFleet(
         zones=draw.choice((2, 3, 5)),
         vms=draw.choice((3, 5)),
         team=team,
@@ -100,7 +100,7 @@
         seed=seed,
     )
     Storm(exchange=exchange).play(list(draw_troubles(draw, exchange)))
-    return exchange.find_most() / find_bound(team)
+    return exchange.compute_max_admitted() / compute_window_bound(team)
 
 
 def test_hot_team_keeps_to_its_limit_over_kills_cuts_and_pauses():
--- a/tests/unit/test_server.py
+++ b/tests/unit/test_server.py
@@ -6,8 +6,8 @@
 import pytest
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.memory import HeldBytes
-from toucanhall.web.messages import Answer, make_failed
+from toucanhall.web.memory import BufferBudget
+from toucanhall.web.messages import Answer, make_error_answer
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
 ADDRESS = Address('127.64.202.1', 9002)
@@ -17,28 +17,28 @@
 ON_THE_WAY = 12_000_000
 
 
-def make_handler(answer, held, most=100):
+def make_handler(answer, held, max_bytes=100):
     async def serve(_request):
         return answer
 
     return Handler(
         serve=serve,
-        fail=make_failed,
+        answer_error=make_error_answer,
         is_cancellable=lambda _request: True,
         get_limits=lambda: LIMITS,
         is_stopping=bool,
         is_lagging=bool,
         connections=set(),
-        held=held,
-        most_connections=most,
+        buffer_budget=held,
+        max_connections=max_bytes,
     )
 
 
-def run(act, answer=None, held=None, most=100):
+def run(act, answer=None, held=None, max_bytes=100):
     handler = make_handler(
         answer or Answer(200),
-        held or HeldBytes(most=1000),
-        most,
+        held or BufferBudget(max_bytes=1000),
+        max_bytes,
     )
 
     async def start():
@@ -108,7 +108,7 @@
 
 
 def test_caller_that_reads_nothing_is_cut_where_memory_is_short():
-    held = HeldBytes(most=3_000_000)
+    held = BufferBudget(max_bytes=3_000_000)
 
     async def act(reader, writer):
         writer.write(b'GET / HTTP/1.1\r\n\r\n' * 8)
@@ -117,15 +117,15 @@
             while await reader.read(1 << 20):
                 await asyncio.sleep(0)
             raise ConnectionError('cut')
-        return held.total
+        return held.total_bytes
 
     large = Answer(200, (), b'b' * 4_000_000)
-    assert run(act, large, held) <= held.most
+    assert run(act, large, held) <= held.max_bytes
 
 
-def make_crowd(most, quiet):
+def make_crowd(max_bytes, quiet):
     """Open one connection more than may be open; return which ones are left."""
-    handler = make_handler(Answer(200), HeldBytes(most=1000), most)
+    handler = make_handler(Answer(200), BufferBudget(max_bytes=1000), max_bytes)
 
     async def start():
         server = await asyncio.get_running_loop().create_server(
@@ -133,7 +133,7 @@
             *ADDRESS,
         )
         ends = []
-        for _index in range(most + 1):
+        for _index in range(max_bytes + 1):
             ends.append(await asyncio.open_connection(*ADDRESS))  # noqa: WPS476
             await asyncio.sleep(0.01)  # noqa: WPS476
             if not quiet:
@@ -161,4 +161,4 @@
         writer.write(b'GET / HTTP/1.1\r\n\r\n')
         return await reader.read()
 
-    assert b'connection: close' in run(act, most=1)
+    assert b'connection: close' in run(act, max_bytes=1)
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from standins.site.target import Run
-from standins.soak.promises import Call, check_calls, check_runs
-from standins.soak.schedule import Subjects, draw
+from standins.site.target import ExecutedRequest
+from standins.soak.invariants import Call, check_calls, check_runs
+from standins.soak.schedule import FaultSubjects, draw_faults
 
-SUBJECTS = Subjects(('vm-1', 'vm-2'), ('t1', 't2'), ('east-a',))
+SUBJECTS = FaultSubjects(('vm-1', 'vm-2'), ('t1', 't2'), ('east-a',))
 
 
 def make_call(**fields):
@@ -19,28 +19,35 @@
         status=200,
         body='t1 /book/1 deposit',
         seconds=0.1,
-        is_calm=True,
+        is_vm_undisturbed=True,
         may_be_denied=False,
     )
     return call._replace(**fields)
 
 
 def make_run(**fields):
-    run = Run('t1', 'r1', '/book/1', 'guides', 1000, '')
+    run = ExecutedRequest('t1', 'r1', '/book/1', 'guides', 1000, '')
     return run._replace(**fields)
 
 
 def test_seed_draws_the_same_faults_again():
-    assert draw(7, 20.0, SUBJECTS) == draw(7, 20.0, SUBJECTS)
-    assert draw(7, 20.0, SUBJECTS) != draw(8, 20.0, SUBJECTS)
+    assert draw_faults(7, 20.0, SUBJECTS) == draw_faults(7, 20.0, SUBJECTS)
+    assert draw_faults(7, 20.0, SUBJECTS) != draw_faults(8, 20.0, SUBJECTS)
 
 
 def test_faults_are_of_all_kinds_and_overlap():
-    faults = [fault for seed in range(20) for fault in draw(seed, 20, SUBJECTS)]
+    faults = [
+        fault for seed in range(20) for fault in draw_faults(seed, 20, SUBJECTS)
+    ]
     kinds = {'vm', 'target', 'store', 'target link', 'store link', 'change'}
     assert {fault.kind for fault in faults} == kinds
     ends = zip(faults, faults[1:], strict=False)
-    assert any(one.at < other.at < one.at + one.seconds for one, other in ends)
+    assert any(
+        one.start_seconds
+        < other.start_seconds
+        < one.start_seconds + one.seconds
+        for one, other in ends
+    )
 
 
 @pytest.mark.parametrize(
@@ -67,7 +74,7 @@
         (make_call(status=401, may_be_denied=True), 0),
         (make_call(status=503), 0),
         (make_call(status=504), 1),
-        (make_call(status=0, is_calm=False), 1),
+        (make_call(status=0, is_vm_undisturbed=False), 1),
         (make_call(is_booking=False), 2),
     ),
 )
--- a/tests/unit/test_speaker.py
+++ b/tests/unit/test_speaker.py
@@ -8,9 +8,9 @@
     make_members,
     make_report,
 )
-from toucanhall.edge.speaker import Speaker
-from toucanhall.fleet.membership import REPORT_SECONDS
-from toucanhall.fleet.model import Introduction
+from toucanhall.edge.zone_reporter import ZoneReporter
+from toucanhall.fleet.membership import REPORT_EXPIRY_SECONDS
+from toucanhall.fleet.model import VmContact
 from toucanhall.limits.quota import Usage
 
 FAR = tuple(
@@ -26,8 +26,8 @@
         self.now = 0.0
         self.sent = []
         self.members = make_members()
-        self.members.hear_report(make_report(members=FAR), 0.0)
-        self.speaker = Speaker(
+        self.members.receive_report(make_report(members=FAR), 0.0)
+        self.speaker = ZoneReporter(
             members=self.members,
             send=lambda message, ips: self.sent.append((message, tuple(ips))),
             clock=lambda: self.now,
@@ -50,7 +50,7 @@
 
 def test_vm_that_two_others_bear_more_than_does_not_report(exchange):
     for vm in ('vm-1', 'vm-2'):
-        exchange.members.hear(make_heartbeat(vm, capacity=900.0), 0.0)
+        exchange.members.receive(make_heartbeat(vm, capacity=900.0), 0.0)
     for _beat in range(4):
         exchange.speaker.beat(make_heartbeat('vm-0'))
     assert not exchange.sent
@@ -58,20 +58,20 @@
 
 def test_report_adds_up_the_requests_of_the_zone(exchange):
     usage = {'guides': Usage(3, 1.5)}
-    exchange.members.hear(make_heartbeat('vm-2', usage=usage), 0.0)
+    exchange.members.receive(make_heartbeat('vm-2', usage=usage), 0.0)
     for _beat in range(2):
         exchange.speaker.beat(make_heartbeat('vm-1', usage=usage))
     ((message, _ips),) = exchange.sent
-    (told,) = message.report.told
+    (told,) = message.report.usage_reports
     assert told.usage == {'guides': Usage(6, 3.0)}
     assert told.vms == 2
     assert {found.vm for found in message.report.members} == {'vm-1', 'vm-2'}
 
 
 def test_zone_of_which_nothing_is_heard_is_tried_at_any_of_its_vms(exchange):
-    exchange.members.introduce(Introduction('far-9', 'kzn-a', '127.0.2.9'))
-    exchange.now = REPORT_SECONDS + 1
-    exchange.speaker.tell(make_heartbeat('vm-1'))
+    exchange.members.add_known_vm(VmContact('far-9', 'kzn-a', '127.0.2.9'))
+    exchange.now = REPORT_EXPIRY_SECONDS + 1
+    exchange.speaker.broadcast_revisions(make_heartbeat('vm-1'))
     reached = {ip for _message, ips in exchange.sent for ip in ips}
     assert '127.0.2.9' in reached
     assert len(reached & {found.ip for found in FAR}) == 2
@@ -79,7 +79,7 @@
 
 def test_news_carries_no_usage(exchange):
     usage = {'guides': Usage(3, 1.5)}
-    exchange.speaker.tell(make_heartbeat('vm-1', usage=usage))
+    exchange.speaker.broadcast_revisions(make_heartbeat('vm-1', usage=usage))
     ((message, ips),) = exchange.sent
     assert not message.heartbeat.usage
     assert ips == ('127.0.1.0', '127.0.1.1')
--- a/tests/unit/test_tables.py
+++ b/tests/unit/test_tables.py
@@ -12,9 +12,9 @@
 import pytest
 
 from tests.fleetdata import make_opening, make_target
-from toucanhall.edge.fleetmate import Source
-from toucanhall.edge.tables import TableExchange
-from toucanhall.fleet.knowledge import Knowledge, Revisions
+from toucanhall.edge.peer_exchange import RevisionSource
+from toucanhall.edge.table_exchange import TableExchange
+from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.observe.journal import Journal
 from toucanhall.web.messages import Request
 
@@ -33,7 +33,7 @@
     """A VM that has the tables; `behaviour` is how it answers."""
 
     def __init__(self, *, number: int, zone: str, behaviour: str = 'answers'):
-        self.source = Source(
+        self.source = RevisionSource(
             f'vm-{number}', zone, f'127.64.204.{number}', is_relayed=False
         )
         self.behaviour = behaviour
@@ -64,20 +64,20 @@
         writer.close()
 
 
-def make_tables(zone, knowledge=None):
-    if knowledge is None:
-        knowledge = Knowledge(on_change=lambda _table: None)
-        knowledge.take_targets(NEWER.targets, TARGETS, 0.0)
+def make_tables(zone, fleet_tables=None):
+    if fleet_tables is None:
+        fleet_tables = FleetTables(on_change=lambda _table: None)
+        fleet_tables.replace_targets(NEWER.targets, TARGETS, 0.0)
     return TableExchange(
-        knowledge=knowledge,
+        fleet_tables=fleet_tables,
         journal=Journal(
             vm='vm-own', descriptor=os.open(os.devnull, os.O_WRONLY)
         ),
         zone=zone,
         regions=REGIONS,
         port=PORT,
-        opening=make_opening(),
-        on_taken=lambda _source: None,
+        settings=make_opening(),
+        on_applied=lambda _source: None,
     )
 
 
@@ -86,14 +86,14 @@
 
     async def run():
         servers = await asyncio.gather(*(peer.start() for peer in peers))
-        knowledge = Knowledge(on_change=lambda _table: None)
-        tables = make_tables('east-a', knowledge)
+        fleet_tables = FleetTables(on_change=lambda _table: None)
+        tables = make_tables('east-a', fleet_tables)
         for peer in peers:
-            tables.compare(peer.source, NEWER)
+            tables.fetch_if_newer(peer.source, NEWER)
         await asyncio.sleep(seconds)
         for server in servers:
             server.close()
-        return knowledge.targets
+        return fleet_tables.targets
 
     return asyncio.run(run())
 
--- a/tests/pausedloop.py
+++ b/tests/virtual_time.py
@@ -23,7 +23,7 @@
         return found
 
 
-def run_paused(act: Coroutine[Any, Any, Found]) -> Found:
+def run_in_virtual_time(act: Coroutine[Any, Any, Found]) -> Found:
     """Run a coroutine on a clock that starts at 0.0 seconds."""
     selector = _Selector()
     loop = asyncio.SelectorEventLoop(selector)
--- a/toucanhall/commands/logs.py
+++ b/toucanhall/commands/logs.py
@@ -6,8 +6,13 @@
 from typing import Final
 
 from toucanhall.commands.model import Argument, Code, Command, Console
-from toucanhall.observe.limits import sort_refusals
-from toucanhall.observe.stories import Line, explain, read_lines, summarise
+from toucanhall.observe.refusal_causes import count_refusal_causes
+from toucanhall.observe.log_lines import (
+    Line,
+    explain,
+    read_lines,
+    count_reasons,
+)
 
 __all__ = ('COMMANDS',)
 
@@ -27,7 +32,7 @@
     lines = _read(options.files, console)
     if lines is None:
         return Code.WRONG
-    for text in chain(summarise(lines), sort_refusals(lines)):
+    for text in chain(count_reasons(lines), count_refusal_causes(lines)):
         console.say(text)
     return Code.DONE
 
--- a/toucanhall/edge/__main__.py
+++ b/toucanhall/edge/__main__.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from toucanhall.edge import process
-from toucanhall.platform.boot import BadSettings
+from toucanhall.platform.settings_file import SettingsError
 from toucanhall.platform.names import SETTINGS_VARIABLE
 
 
@@ -17,7 +17,7 @@
         return 2
     try:
         process.run(Path(named))
-    except BadSettings as error:
+    except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return 2
     return 0
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -6,26 +6,26 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.refusals import Refusal
-from toucanhall.fleet.knowledge import find_route
+from toucanhall.fleet.tables import find_route
 from toucanhall.fleet.model import Configuration, Route, Service, Team
 from toucanhall.limits.quota import Quotas
-from toucanhall.platform.headers import CallerMarks
+from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Request
 
-__all__ = ('Admitted', 'admit')
+__all__ = ('AdmittedRequest', 'admit')
 
 _DEFAULT_OBJECTIVE: Final = 1.0  # seconds, of routes that name none
 _DEFAULT_PATIENCE: Final = 10.0  # seconds, of callers that name none
 
 
-class Admitted(NamedTuple):
+class AdmittedRequest(NamedTuple):
     """A request that may be sent to a target; times of the loop's clock.
 
     `homes` are the regions that may serve it, none of them for all.
     """
 
     request: Request
-    marks: CallerMarks
+    marks: CallerHeaders
     route: Route
     team: Team | None
     service: Service
@@ -48,11 +48,11 @@
 
 def admit(
     request: Request,
-    marks: CallerMarks,
+    marks: CallerHeaders,
     configuration: Configuration | None,
     quotas: Quotas,
     now: float,
-) -> Admitted | Refusal:
+) -> AdmittedRequest | Refusal:
     """Admit a request, or tell why not."""
     if configuration is None:
         return refusals.NO_CONFIGURATION
@@ -65,28 +65,28 @@
         return refusals.UNKNOWN_KEY
     wait = quotas.admit(team, now) if team else 0.0
     if team and wait:
-        return refusals.make_over_limit(
+        return refusals.make_over_quota(
             team.name,
             wait,
-            quotas.describe(team.name, now),
+            quotas.describe_refusal(team.name, now),
         )
     return _bind(request, marks, configuration, route, team, now)
 
 
 def _bind(
     request: Request,
-    marks: CallerMarks,
+    marks: CallerHeaders,
     configuration: Configuration,
     route: Route,
     team: Team | None,
     now: float,
-) -> Admitted | Refusal:
+) -> AdmittedRequest | Refusal:
     homes = _join_homes(route, team)
     service = configuration.services.get(_pick_part(route))
     if homes is None or service is None:
         return refusals.NO_TARGET
-    patience = marks.seconds_left or _DEFAULT_PATIENCE
-    return Admitted(
+    patience = marks.remaining_seconds or _DEFAULT_PATIENCE
+    return AdmittedRequest(
         request=request,
         marks=marks,
         route=route,
@@ -124,11 +124,11 @@
     route: Route,
     draw: Callable[[], float] = random.random,
 ) -> str:
-    if len(route.parts) == 1:
-        return route.parts[0].service
-    point = draw() * sum(part.weight for part in route.parts)
-    for part in route.parts:
+    if len(route.weighted_services) == 1:
+        return route.weighted_services[0].service
+    point = draw() * sum(part.weight for part in route.weighted_services)
+    for part in route.weighted_services:
         point -= part.weight
         if point < 0:
             return part.service
-    return route.parts[-1].service
+    return route.weighted_services[-1].service
--- a/toucanhall/edge/callers.py
+++ b/toucanhall/edge/caller_connections.py
@@ -8,10 +8,10 @@
 from toucanhall.web.messages import Answer, Request
 from toucanhall.web.server import Connection, Handler
 
-__all__ = ('Callers',)
+__all__ = ('CallerConnections',)
 
 
-class Callers:
+class CallerConnections:
     """The connections of callers and the listener that takes them."""
 
     def __init__(self, *, handler: Handler) -> None:
@@ -27,7 +27,7 @@
         """Take connections at an address."""
         self._listener = await _open(address, self._handler)
 
-    async def open_plain(
+    async def open_endpoint(
         self,
         address: Address,
         answer: Callable[[Request], Answer],
--- a/toucanhall/edge/closing.py
+++ b/toucanhall/edge/closing.py
@@ -16,7 +16,7 @@
 
 
 class _Closable(Protocol):
-    def close_idle(self, *, quiet: float) -> bool:
+    def close_idle(self, *, min_idle_seconds: float) -> bool:
         """Close a connection without requests that was not used lately."""
 
 
@@ -37,6 +37,6 @@
         is_over = not connections or loop.time() >= until
         is_last = is_over and steps >= _LEAST_STEPS
         for connection in tuple(connections):
-            connection.close_idle(quiet=_QUIET_SECONDS)
+            connection.close_idle(min_idle_seconds=_QUIET_SECONDS)
         await asyncio.sleep(_STEP_SECONDS)
         steps += 1
--- a/toucanhall/edge/pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -4,9 +4,13 @@
 from typing import Final
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.client import Opening, ServerConnection, open_connection
+from toucanhall.web.client import (
+    ConnectionSettings,
+    ServerConnection,
+    open_connection,
+)
 
-__all__ = ('Pool',)
+__all__ = ('ConnectionPool',)
 
 # Targets close idle connections after ten seconds, at times without a word.
 _IDLE_SECONDS: Final = 7.0
@@ -17,33 +21,33 @@
 _KEEP_ALIVE_MARGIN: Final = 1.0  # seconds before the time that a target told
 
 
-class Pool:
+class ConnectionPool:
     """Idle connections by address; the last one used is taken first."""
 
     def __init__(
         self,
         *,
         clock: Callable[[], float],
-        opening: Opening,
-        most_idle: int,
+        settings: ConnectionSettings,
+        max_idle_connections: int,
     ) -> None:
-        """Read answers within the bounds of `opening`; keep `most_idle`."""
+        """Read answers within the bounds of `settings`; keep `max_idle_connections`."""
         self._clock = clock
-        self._most_idle = most_idle
+        self._most_idle = max_idle_connections
         self._idle_count = 0
-        self._opening = opening
+        self._opening = settings
         self._idle: dict[Address, list[ServerConnection]] = {}
-        self.opened = 0
+        self.opened_count = 0
 
-    async def take(
+    async def acquire(
         self,
         address: Address,
         *,
-        may_repeat: bool,
+        may_retry: bool,
         seconds: float,
     ) -> ServerConnection:
         """Return a connection that was idle, or one made in some seconds."""
-        longest = _IDLE_SECONDS if may_repeat else _FRESH_SECONDS
+        longest = _IDLE_SECONDS if may_retry else _FRESH_SECONDS
         now = self._clock()
         idle = self._idle.get(address)
         while idle:
@@ -51,19 +55,19 @@
             self._idle_count -= 1
             if self._may_use(connection, now, longest):
                 return connection
-            if connection.is_usable and not may_repeat:
+            if connection.is_usable and not may_retry:
                 idle.append(connection)
                 self._idle_count += 1
                 break
             connection.close()
-        self.opened += 1
+        self.opened_count += 1
         return await open_connection(
             address,
             seconds=seconds,
-            opening=self._opening,
+            settings=self._opening,
         )
 
-    def give_back(self, address: Address, connection: ServerConnection) -> None:
+    def release(self, address: Address, connection: ServerConnection) -> None:
         """Keep a connection whose answer was read whole."""
         idle = self._idle.setdefault(address, [])
         is_full = (
@@ -76,7 +80,7 @@
         idle.append(connection)
         self._idle_count += 1
 
-    def sweep(self) -> None:
+    def close_expired(self) -> None:
         """Close connections that were idle for too long."""
         now = self._clock()
         for address, idle in tuple(self._idle.items()):
@@ -98,7 +102,7 @@
         now: float,
         longest: float,
     ) -> bool:
-        told = connection.idle_seconds
+        told = connection.keep_alive_seconds
         if told is not None:
             longest = min(longest, told - _KEEP_ALIVE_MARGIN)
         return connection.is_usable and now - connection.idle_since < longest
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -4,20 +4,23 @@
 from itertools import chain
 from typing import Final
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Address, Environment
 from toucanhall.fleet.reports import Member
-from toucanhall.fleet.selection import LAGGING_SECONDS, pick_serving
-from toucanhall.platform.entrance import read_question, write_directory
+from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_serving
+from toucanhall.platform.endpoints import (
+    read_directory_query,
+    make_directory_answer,
+)
 from toucanhall.web.messages import Answer, Request, make_answer
 
-__all__ = ('Directory', 'pick_vms')
+__all__ = ('Directory', 'pick_nearest_vms')
 
 _MOST_VMS: Final = 64
 
 
-def pick_vms(
+def pick_nearest_vms(
     vms: Sequence[Member],
     zone: str,
     around: frozenset[str],
@@ -41,10 +44,10 @@
         ]
 
     near = list_serving((zone,))
-    if any(found.lag > LAGGING_SECONDS for found in near):
+    if any(found.lag > MAX_LOOP_LAG_SECONDS for found in near):
         region = list_serving(around)
         near = [
-            found for found in region if found.lag <= LAGGING_SECONDS
+            found for found in region if found.lag <= MAX_LOOP_LAG_SECONDS
         ] or region
     # Most questions are answered by the first ring: the others are not built.
     rings = chain((near,), map(list_serving, (around, homes, zones)))
@@ -58,21 +61,21 @@
         self,
         *,
         environment: Environment,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         members: Members,
         list_zone: Callable[[], list[Member]],
         clock: Callable[[], float],
     ) -> None:
         """Name VMs of the own zone by `list_zone`, the others by report."""
         self._environment = environment
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._members = members
         self._list_zone = list_zone
         self._clock = clock
 
     def answer(self, request: Request) -> Answer:
         """Return the addresses of VMs for the client that asks."""
-        question = read_question(request)
+        question = read_directory_query(request)
         if question is None:
             return make_answer(404, 'no such path')
         own, *near = self._list_zone()
@@ -80,7 +83,7 @@
         vms += self._list_far()
         if own.is_ready or not vms:
             vms.append(own._replace(is_ready=True))
-        picked = pick_vms(
+        picked = pick_nearest_vms(
             vms,
             question.zone,
             self._list_zones({question.region}),
@@ -88,9 +91,9 @@
         )
         listener = self._environment.listeners.requests
         port = listener.port if listener else 0
-        return write_directory(
+        return make_directory_answer(
             [Address(found.ip, port) for found in picked],
-            self._environment.bounds.directory_ttl,
+            self._environment.bounds.directory_ttl_seconds,
         )
 
     def _list_far(self) -> list[Member]:
@@ -111,7 +114,7 @@
         )
 
     def _find_homes(self, host: str) -> frozenset[str]:
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is None:
             return frozenset()
         homes = [route.homes for route in configuration.hosts.get(host, ())]
--- a/toucanhall/edge/path.py
+++ b/toucanhall/edge/dispatcher.py
@@ -5,29 +5,29 @@
 from typing import Final
 
 from toucanhall.edge import refusals
-from toucanhall.edge.admission import Admitted, admit
-from toucanhall.edge.arrivals import Arrivals
+from toucanhall.edge.admission import AdmittedRequest, admit
+from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.refusals import Refusal
-from toucanhall.edge.reporting import Reporter
-from toucanhall.edge.sending import Failure, Sender, Success
-from toucanhall.fleet.knowledge import Knowledge, find_route
+from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.edge.sender import Failure, Sender, Success
+from toucanhall.fleet.tables import FleetTables, find_route
 from toucanhall.limits.quota import Quotas
-from toucanhall.limits.retries import RetryBudget
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.placement.choice import (
     URGENT_PRIORITY,
-    WARM_TARGETS,
-    Ask,
+    TARGETS_PER_OBJECT,
+    RequestUrgency,
     Candidate,
-    choose,
+    choose_target,
 )
-from toucanhall.placement.field import Field, Need
-from toucanhall.placement.times import UsualTimes
-from toucanhall.platform.headers import make_passed_on, read_caller_marks
+from toucanhall.placement.registry import TargetRegistry, TargetQuery
+from toucanhall.placement.response_times import ResponseTimes
+from toucanhall.platform.headers import make_caller_answer, read_caller_headers
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
 
-__all__ = ('Path',)
+__all__ = ('RequestDispatcher',)
 
 # Requests that waited for longer in this VM are refused, the less urgent ones
 # sooner: a caller gives up on a VM that reads nothing for a second.
@@ -49,7 +49,7 @@
         self.unsent = 0
         self.failure: Failure | None = None
 
-    def take(self, failure: Failure) -> None:
+    def record(self, failure: Failure) -> None:
         if failure.was_sent:
             self.sent += 1
         else:
@@ -59,33 +59,33 @@
             self.failure = failure
 
 
-class Path:
+class RequestDispatcher:
     """Serves requests of callers by targets."""
 
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
-        field: Field,
+        fleet_tables: FleetTables,
+        registry: TargetRegistry,
         sender: Sender,
         quotas: Quotas,
         retries: RetryBudget,
-        reporter: Reporter,
+        recorder: RequestRecorder,
         lag: LoopLag,
     ) -> None:
         """Decide by what the VM knows; send on pooled connections."""
-        self._knowledge = knowledge
-        self._field = field
+        self._fleet_tables = fleet_tables
+        self._registry = registry
         self._sender = sender
         self._quotas = quotas
         self._retries = retries
-        self._reporter = reporter
+        self._reporter = recorder
         self._lag = lag
         self._loop = asyncio.get_running_loop()
-        self._times = UsualTimes()
+        self._times = ResponseTimes()
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
-        self.arrivals = Arrivals(now=self._loop.time())
+        self.request_rate = RequestRate(now=self._loop.time())
         self.in_flight = 0
 
     def stop(self, ends_at: float) -> None:
@@ -98,43 +98,43 @@
 
     def is_cancellable(self, request: Request) -> bool:
         """Whether a request is ended when its caller has left."""
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is None:
             return True
-        marks = read_caller_marks(request)
+        marks = read_caller_headers(request)
         route = find_route(configuration, marks.host, marks.path)
         return route is None or route.is_idempotent
 
     async def serve(self, request: Request) -> Answer:
         """Return the final answer to a request."""
-        self.arrivals.add()
-        marks = read_caller_marks(request)
+        self.request_rate.add()
+        marks = read_caller_headers(request)
         admitted = admit(
             request,
             marks,
-            self._knowledge.configuration,
+            self._fleet_tables.configuration,
             self._quotas,
             self._loop.time(),
         )
         if isinstance(admitted, Refusal):
-            return self._reporter.refuse(marks, admitted)
+            return self._reporter.record_refusal(marks, admitted)
         if self._lag.seconds > _find_most_lag(admitted.priority):
-            return self._reporter.refuse(
+            return self._reporter.record_refusal(
                 marks,
-                refusals.OVERLOADED,
+                refusals.VM_OVERLOADED,
                 lag=round(self._lag.seconds, 3),
             )
         if not self._may_end(admitted):
-            return self._reporter.refuse(
+            return self._reporter.record_refusal(
                 marks,
-                refusals.STOPPING,
+                refusals.VM_STOPPING,
                 seconds_left=round(self._ends_at - self._loop.time(), 3),
             )
         self.in_flight += 1
         try:
             return await self._run(admitted)
         except asyncio.CancelledError:
-            self._reporter.leave(marks, admitted.route.name)
+            self._reporter.record_caller_left(marks, admitted.route.name)
             raise
         except Exception as error:  # noqa: BLE001
             self._reporter.write(
@@ -142,12 +142,14 @@
                 marks,
                 why=repr(error),
             )
-            return self._reporter.refuse(marks, refusals.CRASHED)
+            return self._reporter.record_refusal(marks, refusals.INTERNAL_ERROR)
         finally:
             self.in_flight -= 1
 
-    async def _run(self, admitted: Admitted) -> Answer:
-        self._retries.earn(admitted.service.name, admitted.received_at)
+    async def _run(self, admitted: AdmittedRequest) -> Answer:
+        self._retries.record_request(
+            admitted.service.name, admitted.received_at
+        )
         attempts = _Attempts()
         try:
             return await self._attempt_until(
@@ -156,7 +158,7 @@
                 attempts,
             )
         except TimeoutError:
-            return self._reporter.refuse(
+            return self._reporter.record_refusal(
                 admitted.marks,
                 refusals.TIMED_OUT,
                 route=admitted.route.name,
@@ -166,7 +168,7 @@
     async def _attempt_until(
         self,
         until: float,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Answer:
         async with asyncio.timeout_at(until) as timeout:
@@ -176,7 +178,7 @@
             finally:
                 self._timeouts.discard(timeout)
 
-    def _may_end(self, admitted: Admitted) -> bool:
+    def _may_end(self, admitted: AdmittedRequest) -> bool:
         """Whether a request may be answered before this VM ends."""
         usual = self._times.get(admitted.route.name, admitted.objective)
         needed = min(admitted.deadline, admitted.received_at + usual * _SPREAD)
@@ -184,7 +186,7 @@
 
     async def _attempt_all(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Answer:
         while True:
@@ -195,8 +197,8 @@
             outcome = await self._sender.attempt(admitted, candidate)
             if isinstance(outcome, Success):
                 return self._succeed(admitted, candidate, outcome)
-            attempts.take(outcome)
-            self._reporter.fail_attempt(
+            attempts.record(outcome)
+            self._reporter.record_failed_attempt(
                 admitted.marks,
                 outcome.reason,
                 target=outcome.target,
@@ -208,19 +210,19 @@
 
     def _choose(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
     ) -> Candidate | None:
         now = self._loop.time()
-        need = Need(
+        need = TargetQuery(
             service=admitted.service.name,
             key=admitted.object_key,
             homes=admitted.homes,
             tried=frozenset(attempts.tried),
         )
-        ask = Ask(
+        ask = RequestUrgency(
             seconds_to_objective=admitted.objective_at - now,
-            usual_seconds=self._times.get(
+            expected_seconds=self._times.get(
                 admitted.route.name,
                 admitted.objective,
             ),
@@ -228,15 +230,19 @@
         )
         rate = admitted.service.cold_per_second
         while True:
-            found = self._field.list_candidates(need, now, WARM_TARGETS)
-            chosen = choose(found, ask, now)
-            if not chosen or self._field.spend(chosen.target, rate, now):
+            found = self._registry.list_candidates(
+                need, now, TARGETS_PER_OBJECT
+            )
+            chosen = choose_target(found, ask, now)
+            if not chosen or self._registry.try_acquire(
+                chosen.target, rate, now
+            ):
                 return chosen
             need = need._replace(tried=need.tried | {chosen.target.id})
 
     def _may_repeat(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         attempts: _Attempts,
         failure: Failure,
     ) -> bool:
@@ -251,24 +257,28 @@
             or now + usual / 2 > admitted.deadline
         ):
             return False
-        if not attempts.sent or self._retries.spend(admitted.service.name, now):
+        if not attempts.sent or self._retries.try_acquire(
+            admitted.service.name, now
+        ):
             return True
-        self._reporter.refuse_repeat(admitted.marks, admitted.service.name)
+        self._reporter.record_refused_retry(
+            admitted.marks, admitted.service.name
+        )
         return False
 
     def _succeed(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         candidate: Candidate,
         success: Success,
     ) -> Answer:
-        ratio = self._times.take(
+        ratio = self._times.record(
             admitted.route.name,
             admitted.objective,
             success.seconds,
             success.fill,
         )
-        self._sender.succeed(candidate, ratio)
+        self._sender.record_success(candidate, ratio)
         self._reporter.serve(
             admitted.marks,
             admitted.route.name,
@@ -276,23 +286,27 @@
             target=candidate.target.id,
             fill=round(success.fill, 2),
         )
-        return make_passed_on(success.reply)
+        return make_caller_answer(success.reply)
 
-    def _give_up(self, admitted: Admitted, attempts: _Attempts) -> Answer:
+    def _give_up(
+        self, admitted: AdmittedRequest, attempts: _Attempts
+    ) -> Answer:
         failure = attempts.failure
         if failure is None:
-            return self._reporter.refuse(admitted.marks, refusals.FULL)
+            return self._reporter.record_refusal(
+                admitted.marks, refusals.TARGETS_FULL
+            )
         if failure.reply is not None:
-            self._reporter.pass_on(
+            self._reporter.record_passed_failure(
                 admitted.marks,
                 failure.reason,
                 failure.target,
             )
-            return make_passed_on(failure.reply)
+            return make_caller_answer(failure.reply)
         refusal = refusals.NOT_RUN
         if failure.may_have_run:
-            refusal = refusals.MAY_HAVE_RUN
-        return self._reporter.refuse(
+            refusal = refusals.ANSWER_LOST
+        return self._reporter.record_refusal(
             admitted.marks,
             refusal,
             why=failure.reason,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -7,40 +7,45 @@
 from pathlib import Path as FilePath
 from typing import Any, Final
 
-from toucanhall.edge.callers import Callers
+from toucanhall.edge.caller_connections import CallerConnections
 from toucanhall.edge.directory import Directory
-from toucanhall.edge.duties import Duties
-from toucanhall.edge.fleetmate import (
-    HEARTBEAT_SECONDS,
-    Fleetmate,
-    Source,
+from toucanhall.edge.state_updater import StateUpdater
+from toucanhall.edge.peer_exchange import (
+    HEARTBEAT_INTERVAL_SECONDS,
+    PeerExchange,
+    RevisionSource,
 )
-from toucanhall.edge.path import Path
-from toucanhall.edge.pool import Pool
-from toucanhall.edge.reporting import Reporter
-from toucanhall.edge.sending import Sender
-from toucanhall.edge.tables import TableExchange
-from toucanhall.fleet.knowledge import Knowledge
-from toucanhall.fleet.model import Address, Environment, Introduction
+from toucanhall.edge.dispatcher import RequestDispatcher
+from toucanhall.edge.connection_pool import ConnectionPool
+from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.edge.sender import Sender
+from toucanhall.edge.table_exchange import TableExchange
+from toucanhall.fleet.tables import FleetTables
+from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member
-from toucanhall.fleet.selection import LAGGING_SECONDS, pick_speakers
+from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_delegates
 from toucanhall.limits.quota import Quotas
-from toucanhall.limits.retries import RetryBudget
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.placement.field import Field
-from toucanhall.placement.order import Place
-from toucanhall.platform import boot
-from toucanhall.platform.entrance import make_readiness
-from toucanhall.platform.entries import Entries
-from toucanhall.platform.following import Follower
-from toucanhall.platform.headers import REQUEST_ID
+from toucanhall.placement.registry import TargetRegistry
+from toucanhall.placement.hash_ring import Location
+from toucanhall.platform import settings_file
+from toucanhall.platform.endpoints import make_readiness_handler
+from toucanhall.platform.vm_registry import VmRegistry
+from toucanhall.platform.store_watch import StoreWatch
+from toucanhall.platform.headers import REQUEST_ID_HEADER
 from toucanhall.platform.store import Store, StoreError
-from toucanhall.web.client import Opening
+from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.lag import LoopLag
-from toucanhall.web.memory import make_bounds, make_held_bytes
-from toucanhall.web.messages import Answer, Request, make_answer, make_failed
+from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
+from toucanhall.web.messages import (
+    Answer,
+    Request,
+    make_answer,
+    make_error_answer,
+)
 from toucanhall.web.server import Handler, ServerLimits
 
 __all__ = ('run',)
@@ -80,70 +85,74 @@
         self._journal = Journal(vm=environment.vm)
         self._metrics = Metrics()
         self._stopping = asyncio.Event()
-        place = Place(environment.zone, environment.region)
-        self._field = Field(place=place, regions=environment.regions)
-        self._knowledge = Knowledge(on_change=self._take_change)
+        place = Location(environment.zone, environment.region)
+        self._registry = TargetRegistry(
+            location=place, regions=environment.regions
+        )
+        self._fleet_tables = FleetTables(on_change=self._take_change)
         self._quotas = Quotas(
             bounds=environment.bounds,
-            beat=HEARTBEAT_SECONDS,
+            beat=HEARTBEAT_INTERVAL_SECONDS,
             now=self._loop.time(),
         )
-        sockets = environment.descriptors - _FILES
-        self._held = make_held_bytes(environment.memory)
-        opening = Opening(make_bounds(environment.memory), self._held)
-        self._pool = Pool(
+        sockets = environment.max_descriptors - _FILES
+        self._buffer_budget = make_buffer_budget(environment.memory)
+        opening = ConnectionSettings(
+            compute_answer_bounds(environment.memory), self._buffer_budget
+        )
+        self._pool = ConnectionPool(
             clock=self._loop.time,
-            most_idle=round(sockets * _IDLE_TARGETS_SHARE),
-            opening=opening._replace(id_header=REQUEST_ID),
+            max_idle_connections=round(sockets * _IDLE_TARGETS_SHARE),
+            settings=opening._replace(id_header=REQUEST_ID_HEADER),
         )
         self._store = Store(
             address=environment.store,
-            opening=opening,
+            settings=opening,
             on_call=self._count_call,
         )
-        self._entries = Entries(store=self._store, journal=self._journal)
-        self._follower = Follower(
+        self._vm_registry = VmRegistry(store=self._store, journal=self._journal)
+        self._store_watch = StoreWatch(
             store=self._store,
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             journal=self._journal,
-            lapse_seconds=2 * environment.bounds.target_heartbeat,
+            lapse_seconds=2 * environment.bounds.target_heartbeat_seconds,
         )
         self._has_divided = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
-        self._path = Path(
+        self._dispatcher = RequestDispatcher(
             lag=self._lag,
-            knowledge=self._knowledge,
-            field=self._field,
+            fleet_tables=self._fleet_tables,
+            registry=self._registry,
             sender=Sender(
-                field=self._field,
+                registry=self._registry,
                 pool=self._pool,
                 journal=self._journal,
             ),
             quotas=self._quotas,
             retries=self._retries,
-            reporter=Reporter(
-                knowledge=self._knowledge,
+            recorder=RequestRecorder(
+                fleet_tables=self._fleet_tables,
                 journal=self._journal,
                 metrics=self._metrics,
             ),
         )
         handler = Handler(
-            serve=self._path.serve,
-            fail=self._answer_error,
-            is_cancellable=self._path.is_cancellable,
+            serve=self._dispatcher.serve,
+            answer_error=self._answer_error,
+            is_cancellable=self._dispatcher.is_cancellable,
             get_limits=self._get_limits,
             is_stopping=self._stopping.is_set,
-            is_lagging=lambda: self._lag.seconds > LAGGING_SECONDS,
+            is_lagging=lambda: self._lag.seconds > MAX_LOOP_LAG_SECONDS,
             connections=set(),
-            held=self._held,
-            most_connections=round(sockets * _CALLERS_SHARE),
+            buffer_budget=self._buffer_budget,
+            max_connections=round(sockets * _CALLERS_SHARE),
         )
-        self._callers = Callers(handler=handler)
-        self._duties = Duties(
+        self._caller_connections = CallerConnections(handler=handler)
+        self._state_updater = StateUpdater(
             environment=environment,
-            knowledge=self._knowledge,
-            field=self._field,
+            fleet_tables=self._fleet_tables,
+            registry=self._registry,
             quotas=self._quotas,
             retries=self._retries,
             journal=self._journal,
@@ -151,28 +160,28 @@
         )
         control = environment.listeners.control
         self._tables = TableExchange(
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             journal=self._journal,
             zone=environment.zone,
             regions=environment.regions,
             port=control.port if control else 0,
-            opening=opening,
-            on_taken=self._take_snapshot,
+            settings=opening,
+            on_applied=self._take_snapshot,
         )
-        self._mate = Fleetmate(
+        self._peer_exchange = PeerExchange(
             environment=environment,
-            knowledge=self._knowledge,
+            fleet_tables=self._fleet_tables,
             quotas=self._quotas,
             journal=self._journal,
             find_self=self._find_self,
-            on_heard=self._tables.compare,
+            on_heard=self._tables.fetch_if_newer,
             on_beat=self._take_beat,
         )
         self._directory = Directory(
             environment=environment,
-            knowledge=self._knowledge,
-            members=self._mate.members,
-            list_zone=self._mate.list_zone,
+            fleet_tables=self._fleet_tables,
+            members=self._peer_exchange.members,
+            list_zone=self._peer_exchange.list_zone,
             clock=self._loop.time,
         )
 
@@ -186,7 +195,7 @@
             self._loop.add_signal_handler(name, act)
         self._loop.set_exception_handler(self._note_error)
         await self._listen()
-        await self._mate.start()
+        await self._peer_exchange.start()
         reading = self._loop.create_task(self._read_tables())
         self._watch_gauges()
         self._lag.start()
@@ -200,30 +209,34 @@
 
     async def _stop(self) -> None:
         began = self._loop.time()
-        grace = self._environment.bounds.grace
-        self._journal.write(events.STOPPING, in_flight=self._path.in_flight)
-        self._path.stop(began + grace * _ANSWER_SHARE)
-        self._mate.tell(is_first=False)
+        grace = self._environment.bounds.shutdown_grace_seconds
+        self._journal.write(
+            events.STOPPING, in_flight=self._dispatcher.in_flight
+        )
+        self._dispatcher.stop(began + grace * _ANSWER_SHARE)
+        self._peer_exchange.broadcast_revisions(is_for_all_zones=False)
         await asyncio.sleep(grace * _CLOSE_IDLE_SHARE)
-        await self._callers.close(began + grace * _END_SHARE)
-        self._journal.write(events.STOPPED, in_flight=self._path.in_flight)
+        await self._caller_connections.close(began + grace * _END_SHARE)
+        self._journal.write(
+            events.STOPPED, in_flight=self._dispatcher.in_flight
+        )
 
     async def _listen(self) -> None:
         listeners = self._environment.listeners
         plain = {
-            listeners.readiness: make_readiness(self._is_ready),
+            listeners.readiness: make_readiness_handler(self._is_ready),
             listeners.directory: self._directory.answer,
             listeners.control: self._tables.answer,
             Address(self._environment.ip, METRICS_PORT): self._answer_metrics,
         }
         for address, answer in plain.items():
             if address is not None:
-                await self._callers.open_plain(address, answer)
+                await self._caller_connections.open_endpoint(address, answer)
         if listeners.requests is not None:
-            await self._callers.open(listeners.requests)
+            await self._caller_connections.open(listeners.requests)
 
     async def _read_tables(self) -> None:
-        own = Introduction(
+        own = VmContact(
             self._environment.vm,
             self._environment.zone,
             self._environment.ip,
@@ -248,37 +261,39 @@
             return False
         return True
 
-    async def _meet_all(self, own: Introduction) -> None:
-        await self._follower.read_all()
-        self._mate.meet(await self._entries.register(own))
-        self._mate.members.note_listing()
+    async def _meet_all(self, own: VmContact) -> None:
+        await self._store_watch.read_all()
+        self._peer_exchange.add_vms(await self._vm_registry.register(own))
+        self._peer_exchange.members.mark_listing_complete()
 
-    async def _tend_entries(self, own: Introduction) -> None:
+    async def _tend_entries(self, own: VmContact) -> None:
         """Find VMs by their entries; delete those of the own zone's dead.
 
         The VM that watches for a zone does it. One that is cut off from its
         zone watches too: it writes its entry again if that was deleted.
         """
-        gone = self._mate.members.drop_gone(self._loop.time())
-        if not self._follower.is_watching:
-            self._meet_listed(await self._entries.list_vms(is_stale=True))
+        gone = self._peer_exchange.members.drop_expired(self._loop.time())
+        if not self._store_watch.is_watching:
+            self._meet_listed(
+                await self._vm_registry.list_vms(may_be_stale=True)
+            )
             return
         for found in gone:
-            await self._entries.forget(found.vm)
-        self._meet_listed(await self._entries.register(own))
+            await self._vm_registry.remove(found.vm)
+        self._meet_listed(await self._vm_registry.register(own))
 
-    def _meet_listed(self, listed: list[Introduction]) -> None:
-        self._mate.members.take_listing(listed)
-        self._mate.meet(listed)
+    def _meet_listed(self, listed: list[VmContact]) -> None:
+        self._peer_exchange.members.apply_listing(listed)
+        self._peer_exchange.add_vms(listed)
 
     def _is_ready(self) -> bool:
         return (
             not self._stopping.is_set()
-            and self._knowledge.configuration is not None
+            and self._fleet_tables.configuration is not None
         )
 
     def _get_limits(self) -> ServerLimits:
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is None:
             return _FIRST_LIMITS
         return ServerLimits(*configuration.limits)
@@ -293,58 +308,64 @@
             is_leaving=self._stopping.is_set(),
             lag=round(self._lag.seconds, 3),
             capacity=environment.capacity,
-            load=round(self._path.arrivals.per_second, 1),
+            load=round(self._dispatcher.request_rate.per_second, 1),
         )
 
     def _take_change(self, table: str) -> None:
-        self._duties.take_change(table)
+        self._state_updater.apply_table_change(table)
         if table == 'configuration' and not self._has_divided:
             # Until then no team has a limit to take from.
             self._divide()
-        if self._follower.is_watching:
-            self._mate.tell(is_first=True)
+        if self._store_watch.is_watching:
+            self._peer_exchange.broadcast_revisions(is_for_all_zones=True)
 
-    def _take_snapshot(self, source: Source) -> None:
+    def _take_snapshot(self, source: RevisionSource) -> None:
         if source.zone != self._environment.zone:
-            self._mate.tell(is_first=False)
+            self._peer_exchange.broadcast_revisions(is_for_all_zones=False)
 
     def _take_beat(self) -> None:
-        self._path.arrivals.measure(self._loop.time())
+        self._dispatcher.request_rate.measure(self._loop.time())
         zone = self._divide()
-        watcher = pick_speakers(zone)[0]
+        watcher = pick_delegates(zone)[0]
         is_watcher = watcher.vm == self._environment.vm
         if is_watcher and not self._stopping.is_set():
-            self._follower.start()
+            self._store_watch.start()
         else:
-            self._follower.stop()
+            self._store_watch.stop()
 
     def _divide(self) -> list[Member]:
-        self._has_divided = self._knowledge.configuration is not None
-        zone = self._mate.list_zone()
-        self._duties.take_beat(self._mate.members, zone, self._mate.usage)
+        self._has_divided = self._fleet_tables.configuration is not None
+        zone = self._peer_exchange.list_zone()
+        self._state_updater.update_from_reports(
+            self._peer_exchange.members, zone, self._peer_exchange.usage
+        )
         return zone
 
     def _count_call(self, outcome: str, seconds: float) -> None:
         self._metrics.observe('store_call', seconds, outcome=outcome)
 
     def _watch_gauges(self) -> None:
-        knowledge = self._knowledge
+        fleet_tables = self._fleet_tables
         gauges: dict[str, Callable[[], float]] = {
             'loop_lag_seconds': lambda: self._lag.seconds,
-            'requests_in_flight': lambda: self._path.in_flight,
-            'requests_per_second': lambda: self._path.arrivals.per_second,
-            'connections_of_callers': self._callers.count,
-            'connections_to_targets_opened': lambda: self._pool.opened,
+            'requests_in_flight': lambda: self._dispatcher.in_flight,
+            'requests_per_second': lambda: (
+                self._dispatcher.request_rate.per_second
+            ),
+            'connections_of_callers': self._caller_connections.count,
+            'connections_to_targets_opened': lambda: self._pool.opened_count,
             'vms_alive': lambda: len(
-                self._mate.members.list_alive(self._loop.time()),
+                self._peer_exchange.members.list_alive(self._loop.time()),
+            ),
+            'takes_requests': lambda: self._state_updater.is_serving,
+            'targets_known': lambda: len(fleet_tables.targets),
+            'configuration_revision': lambda: (
+                fleet_tables.revisions.configuration
             ),
-            'takes_requests': lambda: self._duties.is_serving,
-            'targets_known': lambda: len(knowledge.targets),
-            'configuration_revision': lambda: knowledge.revisions.configuration,
-            'targets_revision': lambda: knowledge.revisions.targets,
-            'evacuations_revision': lambda: knowledge.revisions.evacuations,
-            'bytes_held': lambda: self._held.total,
-            'watches_store': lambda: self._follower.is_watching,
+            'targets_revision': lambda: fleet_tables.revisions.targets,
+            'evacuations_revision': lambda: fleet_tables.revisions.evacuations,
+            'bytes_held': lambda: self._buffer_budget.total_bytes,
+            'watches_store': lambda: self._store_watch.is_watching,
             'log_lines_dropped': lambda: sum(self._journal.dropped.values()),
         }
         for name, read in gauges.items():
@@ -352,7 +373,7 @@
 
     def _answer_error(self, error: Exception) -> Answer:
         self._journal.write(events.UNEXPECTED, why=repr(error))
-        return make_failed(error)
+        return make_error_answer(error)
 
     def _note_error(
         self,
@@ -370,16 +391,16 @@
 
     def _sweep(self) -> None:
         self._loop.call_later(_SWEEP_SECONDS, self._sweep)
-        self._pool.sweep()
-        self._journal.tell_dropped()
+        self._pool.close_expired()
+        self._journal.log_dropped_counts()
         if _read_stamp(self._settings) != self._settings_seen:
             self._reload()
 
     def _reload(self) -> None:
         self._settings_seen = _read_stamp(self._settings)
         try:
-            environment = boot.load(self._settings)
-        except boot.BadSettings as error:
+            environment = settings_file.load_settings(self._settings)
+        except settings_file.SettingsError as error:
             self._journal.write(events.RELOAD_FAILED, why=str(error))
             return
         self._environment = self._environment._replace(
@@ -391,7 +412,7 @@
 
 def run(settings: FilePath) -> None:
     """Run a VM until it is told to stop; raises BadSettings."""
-    asyncio.run(_run(settings, boot.load(settings)))
+    asyncio.run(_run(settings, settings_file.load_settings(settings)))
 
 
 async def _run(settings: FilePath, environment: Environment) -> None:
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -9,7 +9,7 @@
 
 from toucanhall.web.messages import Answer, make_answer
 
-__all__ = ('Refusal', 'make_over_limit', 'make_refusal')
+__all__ = ('Refusal', 'make_over_quota', 'make_refusal_answer')
 
 
 class Refusal(NamedTuple):
@@ -26,23 +26,23 @@
 
 
 # A quarter of a second is the usual time of a request: slots are free again.
-FULL: Final = Refusal(503, 'targets-full', 0.25)
+TARGETS_FULL: Final = Refusal(503, 'targets-full', 0.25)
 NOT_RUN: Final = Refusal(503, 'not-run', 0.25)
 # The directory names other VMs by the next time that clients ask.
-OVERLOADED: Final = Refusal(503, 'vm-overloaded', 0.5)
+VM_OVERLOADED: Final = Refusal(503, 'vm-overloaded', 0.5)
 # Other VMs take requests at once; a client leaves the address that refused.
-STOPPING: Final = Refusal(503, 'vm-stopping', 0.05)
+VM_STOPPING: Final = Refusal(503, 'vm-stopping', 0.05)
 # Configurations and targets are read within half a second of a start.
 NO_CONFIGURATION: Final = Refusal(503, 'no-configuration', 0.5)
 NO_TARGET: Final = Refusal(503, 'no-target', 0.5)
 NO_ROUTE: Final = Refusal(404, 'no-route')
 UNKNOWN_KEY: Final = Refusal(401, 'unknown-key')
-MAY_HAVE_RUN: Final = Refusal(502, 'answer-lost')
+ANSWER_LOST: Final = Refusal(502, 'answer-lost')
 TIMED_OUT: Final = Refusal(504, 'timeout')
-CRASHED: Final = Refusal(502, 'internal-error')
+INTERNAL_ERROR: Final = Refusal(502, 'internal-error')
 
 
-def make_over_limit(
+def make_over_quota(
     team: str,
     retry_after: float,
     inputs: Mapping[str, float],
@@ -51,7 +51,7 @@
     return Refusal(429, 'over-quota', retry_after, team, inputs)
 
 
-def make_refusal(refusal: Refusal) -> Answer:
+def make_refusal_answer(refusal: Refusal) -> Answer:
     """Return the answer of a refusal."""
     headers: tuple[tuple[bytes, bytes], ...] = ()
     if refusal.retry_after is not None:
--- a/toucanhall/edge/arrivals.py
+++ b/toucanhall/edge/request_rate.py
@@ -2,12 +2,12 @@
 
 from typing import Final
 
-__all__ = ('Arrivals',)
+__all__ = ('RequestRate',)
 
 _WEIGHT: Final = 0.25  # of one beat: some four of them count
 
 
-class Arrivals:
+class RequestRate:
     """The smoothed rate of requests, measured with each heartbeat."""
 
     def __init__(self, *, now: float) -> None:
--- a/toucanhall/edge/reporting.py
+++ b/toucanhall/edge/request_recorder.py
@@ -2,40 +2,40 @@
 
 from typing import Final
 
-from toucanhall.edge.refusals import Refusal, make_refusal
+from toucanhall.edge.refusals import Refusal, make_refusal_answer
 from toucanhall.events import Event
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.metrics import Metrics
-from toucanhall.platform.headers import CallerMarks
+from toucanhall.platform.headers import CallerHeaders
 from toucanhall.web.messages import Answer
 
-__all__ = ('Reporter',)
+__all__ = ('RequestRecorder',)
 
 # One line for so many requests that were served; all are in the histogram.
 _SERVED_SAMPLE: Final = 64
 
 
-class Reporter:
+class RequestRecorder:
     """Writes one line for each decision that touches a request."""
 
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         metrics: Metrics,
     ) -> None:
         """Add to each line the versions of what the VM knows."""
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._metrics = metrics
         self._served = 0
 
-    def refuse(
+    def record_refusal(
         self,
-        marks: CallerMarks,
+        marks: CallerHeaders,
         refusal: Refusal,
         **fields: object,
     ) -> Answer:
@@ -55,16 +55,18 @@
             **refusal.inputs,
             **fields,
         )
-        return make_refusal(refusal)
+        return make_refusal_answer(refusal)
 
-    def pass_on(self, marks: CallerMarks, reason: str, target: str) -> None:
+    def record_passed_failure(
+        self, marks: CallerHeaders, reason: str, target: str
+    ) -> None:
         """Count and write a failure of a target that its caller gets."""
         self._metrics.count('failures_passed_on', reason=reason)
         self.write(events.REQUEST_FAILED, marks, why=reason, target=target)
 
-    def fail_attempt(
+    def record_failed_attempt(
         self,
-        marks: CallerMarks,
+        marks: CallerHeaders,
         reason: str,
         **fields: object,
     ) -> None:
@@ -72,19 +74,19 @@
         self._metrics.count('attempts_failed', reason=reason)
         self.write(events.ATTEMPT_FAILED, marks, why=reason, **fields)
 
-    def refuse_repeat(self, marks: CallerMarks, service: str) -> None:
+    def record_refused_retry(self, marks: CallerHeaders, service: str) -> None:
         """Count and write a repeat that the budget has no room for."""
         self._metrics.count('repeats_refused', service=service)
-        self.write(events.REPEAT_REFUSED, marks, service=service)
+        self.write(events.RETRY_REFUSED, marks, service=service)
 
-    def leave(self, marks: CallerMarks, route: str) -> None:
+    def record_caller_left(self, marks: CallerHeaders, route: str) -> None:
         """Count and write a request whose caller has left."""
         self._metrics.count('callers_left', route=route)
-        self.write(events.CALLER_LEFT, marks)
+        self.write(events.CALLER_DISCONNECTED, marks)
 
     def serve(
         self,
-        marks: CallerMarks,
+        marks: CallerHeaders,
         route: str,
         seconds: float,
         **fields: object,
@@ -100,14 +102,16 @@
                 **fields,
             )
 
-    def write(self, event: Event, marks: CallerMarks, **fields: object) -> None:
+    def write(
+        self, event: Event, marks: CallerHeaders, **fields: object
+    ) -> None:
         """Write a line with the id of a request and what the VM knows."""
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         self._journal.write(
             event,
             request=marks.request_id.decode('latin-1'),
             path=marks.path,
             configuration=configuration.version if configuration else None,
-            targets=self._knowledge.revisions.targets,
+            targets=self._fleet_tables.revisions.targets,
             **fields,
         )
--- a/toucanhall/edge/sending.py
+++ b/toucanhall/edge/sender.py
@@ -4,20 +4,25 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
-from toucanhall.edge.admission import Admitted
-from toucanhall.edge.pool import Pool
+from toucanhall.edge.admission import AdmittedRequest
+from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.fleet.model import Target
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.placement.choice import Candidate
-from toucanhall.placement.field import Field
+from toucanhall.placement.registry import TargetRegistry
 from toucanhall.platform.headers import (
-    TargetMarks,
-    make_forwarded,
-    read_target_marks,
+    TargetHeaders,
+    make_target_request,
+    read_target_headers,
 )
-from toucanhall.web.client import Broken, Exhausted, Reply, Unreachable
-from toucanhall.web.messages import write_request
+from toucanhall.web.client import (
+    IncompleteAnswerError,
+    OutOfDescriptorsError,
+    ReceivedAnswer,
+    UnreachableError,
+)
+from toucanhall.web.messages import encode_request
 
 __all__ = ('Failure', 'Sender', 'Success')
 
@@ -35,7 +40,7 @@
     many requests as it has slots.
     """
 
-    reply: Reply
+    reply: ReceivedAnswer
     seconds: float
     fill: float
 
@@ -51,34 +56,40 @@
     target: str
     was_sent: bool = True
     may_have_run: bool = True
-    reply: Reply | None = None
+    reply: ReceivedAnswer | None = None
     detail: str = ''
 
 
 class Sender:
     """Attempts on pooled connections; notes the health of targets."""
 
-    def __init__(self, *, field: Field, pool: Pool, journal: Journal) -> None:
-        """Keep loads and health in `field`."""
-        self._field = field
+    def __init__(
+        self,
+        *,
+        registry: TargetRegistry,
+        pool: ConnectionPool,
+        journal: Journal,
+    ) -> None:
+        """Keep loads and health in `registry`."""
+        self._registry = registry
         self._pool = pool
         self._journal = journal
         self._loop = asyncio.get_running_loop()
 
     async def attempt(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         candidate: Candidate,
     ) -> Success | Failure:
         """Send a request to a target once."""
         target, load = candidate
         started_at = self._loop.time()
-        fill = load.estimate(started_at) / load.slots
+        fill = load.estimate_requests(started_at) / load.slots
         load.in_flight += 1
         try:
             reply = await self._exchange(admitted, target)
-        except Unreachable as error:
-            if not isinstance(error, Exhausted):
+        except UnreachableError as error:
+            if not isinstance(error, OutOfDescriptorsError):
                 self._fail(target, is_lost=True, why=str(error))
             return Failure(
                 'unreachable',
@@ -87,7 +98,7 @@
                 may_have_run=False,
                 detail=str(error),
             )
-        except Broken as error:
+        except IncompleteAnswerError as error:
             self._fail(target, is_lost=False, why=str(error))
             return Failure('broken', target.id, detail=str(error))
         finally:
@@ -95,31 +106,33 @@
         seconds = self._loop.time() - started_at
         return self._judge(candidate, Success(reply, seconds, fill))
 
-    def succeed(self, candidate: Candidate, ratio: float | None) -> None:
+    def record_success(self, candidate: Candidate, ratio: float | None) -> None:
         """Note an answer; `ratio` is its time over the usual time."""
-        if candidate.load.succeed(ratio):
+        if candidate.load.record_success(ratio):
             self._journal.write(
                 events.TARGET_RESUMED,
                 target=candidate.target.id,
             )
 
-    async def _exchange(self, admitted: Admitted, target: Target) -> Reply:
-        connection = await self._pool.take(
+    async def _exchange(
+        self, admitted: AdmittedRequest, target: Target
+    ) -> ReceivedAnswer:
+        connection = await self._pool.acquire(
             target.address,
-            may_repeat=admitted.route.is_idempotent,
-            seconds=_CONNECT_SECONDS[self._field.is_near(target)],
+            may_retry=admitted.route.is_idempotent,
+            seconds=_CONNECT_SECONDS[self._registry.is_in_own_region(target)],
         )
-        forwarded = make_forwarded(
+        forwarded = make_target_request(
             admitted.request,
             target=target.id,
             team=admitted.team.name if admitted.team else None,
-            seconds_left=admitted.deadline - self._loop.time(),
+            remaining_seconds=admitted.deadline - self._loop.time(),
         )
         reply = await connection.exchange(
-            write_request(forwarded),
+            encode_request(forwarded),
             admitted.marks.request_id,
         )
-        self._pool.give_back(target.address, connection)
+        self._pool.release(target.address, connection)
         return reply
 
     def _judge(
@@ -129,13 +142,13 @@
     ) -> Success | Failure:
         target, load = candidate
         reply = success.reply
-        marks = read_target_marks(reply)
+        marks = read_target_headers(reply)
         now = self._loop.time()
-        if marks.busy is not None:
-            load.report(marks.busy, now)
+        if marks.pending_requests is not None:
+            load.record_reported_load(marks.pending_requests, now)
         if marks.is_not_run:
             return self._take_not_run(candidate, marks, now)
-        if marks.is_unproven:
+        if marks.is_unproven_refusal:
             # Passed on, the status would promise that the request never ran.
             why = f'status {reply.status} without a proof'
             self._fail(target, is_lost=False, why=why)
@@ -143,7 +156,7 @@
         if reply.status >= _FAILED_STATUS:
             self._fail(target, is_lost=False, why=f'status {reply.status}')
             return Failure(f'status-{reply.status}', target.id, reply=reply)
-        if reply.status < _REDIRECTED_STATUS and not marks.is_stamped:
+        if reply.status < _REDIRECTED_STATUS and not marks.has_stamp:
             self._fail(target, is_lost=False, why='answer without a stamp')
             return Failure('unstamped', target.id)
         return success
@@ -151,20 +164,20 @@
     def _take_not_run(
         self,
         candidate: Candidate,
-        marks: TargetMarks,
+        marks: TargetHeaders,
         now: float,
     ) -> Failure:
         target, load = candidate
         if marks.is_misdirected:
-            self._field.lose(target.id, now)
+            self._registry.suspend(target.id, now)
             return Failure('misdirected', target.id, may_have_run=False)
         load.fill(now)
         return Failure('not-run', target.id, may_have_run=False)
 
     def _fail(self, target: Target, *, is_lost: bool, why: str) -> None:
-        load = self._field.loads.get(target.id)
+        load = self._registry.loads.get(target.id)
         now = self._loop.time()
-        if load is not None and load.fail(now, is_lost=is_lost):
+        if load is not None and load.record_failure(now, is_lost=is_lost):
             self._journal.write(
                 events.TARGET_SUSPENDED,
                 target=target.id,
--- a/toucanhall/edge/duties.py
+++ b/toucanhall/edge/state_updater.py
@@ -3,30 +3,35 @@
 import math
 from collections.abc import Callable, Mapping, Sequence
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Environment
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import pick_serving
-from toucanhall.limits.quota import RESERVE_VMS, Quotas, Told, Usage
-from toucanhall.limits.retries import RetryBudget
+from toucanhall.limits.quota import (
+    RESERVE_VM_WEIGHT,
+    Quotas,
+    UsageReport,
+    Usage,
+)
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.placement.cold import Group
-from toucanhall.placement.field import Field
+from toucanhall.placement.cold_targets import VmGroup
+from toucanhall.placement.registry import TargetRegistry
 
-__all__ = ('Duties',)
+__all__ = ('StateUpdater',)
 
 
-class Duties:
+class StateUpdater:
     """Brings targets, limits and the watch of the store up to date."""
 
     def __init__(
         self,
         *,
         environment: Environment,
-        knowledge: Knowledge,
-        field: Field,
+        fleet_tables: FleetTables,
+        registry: TargetRegistry,
         quotas: Quotas,
         retries: RetryBudget,
         journal: Journal,
@@ -34,8 +39,8 @@
     ) -> None:
         """Work on what the path of requests decides by."""
         self._environment = environment
-        self._knowledge = knowledge
-        self._field = field
+        self._fleet_tables = fleet_tables
+        self._registry = registry
         self._quotas = quotas
         self._retries = retries
         self._journal = journal
@@ -53,11 +58,11 @@
         near = self._serving.get(self._environment.zone, [])
         return self._environment.vm in near
 
-    def take_change(self, table: str) -> None:
+    def apply_table_change(self, table: str) -> None:
         """Act on a changed table."""
         self._changes[table]()
 
-    def take_beat(
+    def update_from_reports(
         self,
         members: Members,
         zone: Sequence[Member],
@@ -68,22 +73,22 @@
         `zone` holds the VMs of the own zone, `own` the requests of this VM.
         """
         now = self._clock()
-        dropped = self._knowledge.drop_lapsed(now)
+        dropped = self._fleet_tables.drop_expired_targets(now)
         if dropped:
-            self._journal.write(events.TARGETS_LAPSED, targets=dropped)
+            self._journal.write(events.TARGETS_EXPIRED, targets=dropped)
         alive = {self._environment.zone: zone}
         for other in members.list_zones():
             alive[other] = members.list_zone(other, now)
         serving = {name: _pick_names(vms) for name, vms in alive.items()}
         self._take_serving(serving)
-        known = members.count_known()
-        self._field.take_vms(
+        known = members.count_vms_by_zone()
+        self._registry.set_vm_groups(
             self._environment.vm,
             {
-                name: Group(
+                name: VmGroup(
                     serving=tuple(sorted(serving[name])),
-                    heard=len(vms),
-                    known=known.get(name, 0),
+                    alive_count=len(vms),
+                    registered_count=known.get(name, 0),
                 )
                 for name, vms in alive.items()
             },
@@ -113,47 +118,49 @@
     ) -> None:
         near = set(serving[self._environment.zone])
         is_serving = self.is_serving
-        self._retries.resize(
+        self._retries.set_vm_count(
             sum(map(len, serving.values())) if is_serving else math.inf,
         )
-        configuration = self._knowledge.configuration
-        self._quotas.divide(
+        configuration = self._fleet_tables.configuration
+        self._quotas.refill(
             configuration.teams.values() if configuration else (),
-            Told(own, vms=1.0 if is_serving else RESERVE_VMS),
+            UsageReport(own, vms=1.0 if is_serving else RESERVE_VM_WEIGHT),
             [
-                *members.list_near_told(now, near),
-                *members.list_far_told(now),
+                *members.list_local_usage_reports(now, near),
+                *members.list_remote_usage_reports(now),
             ],
             now,
         )
 
     def _take_configuration(self) -> None:
-        configuration = self._knowledge.configuration
+        configuration = self._fleet_tables.configuration
         if configuration is not None:
             self._journal.write(
-                events.CONFIGURATION_TAKEN,
-                revision=self._knowledge.revisions.configuration,
+                events.CONFIGURATION_APPLIED,
+                revision=self._fleet_tables.revisions.configuration,
                 version=configuration.version,
             )
 
     def _take_targets(self) -> None:
-        self._field.take_targets(self._knowledge.targets, self._clock())
+        self._registry.replace_targets(
+            self._fleet_tables.targets, self._clock()
+        )
         self._journal.write(
             events.TARGETS_CHANGED,
-            revision=self._knowledge.revisions.targets,
-            targets=len(self._knowledge.targets),
+            revision=self._fleet_tables.revisions.targets,
+            targets=len(self._fleet_tables.targets),
         )
 
     def _take_evacuations(self) -> None:
-        self._field.take_evacuations(
-            self._knowledge.evacuated,
-            self._knowledge.configuration,
+        self._registry.set_evacuated_zones(
+            self._fleet_tables.evacuated_zones,
+            self._fleet_tables.configuration,
             self._clock(),
         )
         self._journal.write(
             events.EVACUATIONS_CHANGED,
-            revision=self._knowledge.revisions.evacuations,
-            zones=sorted(self._knowledge.evacuated),
+            revision=self._fleet_tables.revisions.evacuations,
+            zones=sorted(self._fleet_tables.evacuated_zones),
         )
 
 
