--- a/toucanhall/edge/tables.py
+++ b/toucanhall/edge/table_exchange.py
@@ -11,14 +11,14 @@
 
 import msgspec
 
-from toucanhall.edge.fleetmate import Source
-from toucanhall.fleet.knowledge import Knowledge, Revisions, is_ahead
+from toucanhall.edge.peer_exchange import RevisionSource
+from toucanhall.fleet.tables import FleetTables, Revisions, is_ahead
 from toucanhall.fleet.model import Address, Snapshot
 from toucanhall.fleet.packing import pack, unpack
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.web.client import Opening, open_connection
-from toucanhall.web.messages import Answer, Request, make_answer, write_request
+from toucanhall.web.client import ConnectionSettings, open_connection
+from toucanhall.web.messages import Answer, Request, make_answer, encode_request
 
 __all__ = ('TableExchange',)
 
@@ -48,22 +48,22 @@
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         zone: str,
         regions: Mapping[str, str],
         port: int,
-        opening: Opening,
-        on_taken: Callable[[Source], None],
+        settings: ConnectionSettings,
+        on_applied: Callable[[RevisionSource], None],
     ) -> None:
         """Ask VMs at the port at which each answers such questions.
 
-        `regions` maps zones to theirs, `on_taken` gets the VM whose tables were
+        `regions` maps zones to theirs, `on_applied` gets the VM whose tables were
         taken.
         """
-        self._on_taken = on_taken
-        self._opening = opening
-        self._knowledge = knowledge
+        self._on_taken = on_applied
+        self._opening = settings
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._zone = zone
         self._regions = regions
@@ -82,13 +82,15 @@
             known = Revisions(*map(int, query.split(b',')))
         except (TypeError, ValueError):
             return make_answer(400, 'three revisions are needed')
-        snapshot = self._knowledge.make_snapshot(known, self._loop.time())
+        snapshot = self._fleet_tables.make_snapshot(known, self._loop.time())
         return Answer(200, (), pack(msgspec.msgpack.encode(snapshot)))
 
-    def compare(self, source: Source, revisions: Revisions) -> None:
+    def fetch_if_newer(
+        self, source: RevisionSource, revisions: Revisions
+    ) -> None:
         """Ask a VM for its tables if they are newer."""
-        own = self._knowledge.revisions
-        self._knowledge.hear(revisions)
+        own = self._fleet_tables.revisions
+        self._fleet_tables.record_peer_revisions(revisions)
         if source.vm in self._asked or not is_ahead(revisions, own):
             return
         self._asked.add(source.vm)
@@ -97,8 +99,8 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _find_wait(self, source: Source, revisions: Revisions) -> float:
-        own = self._knowledge.revisions
+    def _find_wait(self, source: RevisionSource, revisions: Revisions) -> float:
+        own = self._fleet_tables.revisions
         if source.zone == self._zone:
             return 0.0
         if not own.configuration:
@@ -114,7 +116,7 @@
 
     async def _pull(
         self,
-        source: Source,
+        source: RevisionSource,
         revisions: Revisions,
         wait: float,
     ) -> None:
@@ -122,18 +124,18 @@
             await asyncio.sleep(wait)
             if self._reads:
                 await asyncio.wait(self._reads, timeout=_TURN_SECONDS)
-            if is_ahead(revisions, self._knowledge.revisions):
+            if is_ahead(revisions, self._fleet_tables.revisions):
                 await self._start_read(source)
         finally:
             self._asked.discard(source.vm)
 
-    def _start_read(self, source: Source) -> asyncio.Task[None]:
+    def _start_read(self, source: RevisionSource) -> asyncio.Task[None]:
         read = self._loop.create_task(self._take(source))
         self._reads.add(read)
         read.add_done_callback(self._reads.discard)
         return read
 
-    async def _take(self, source: Source) -> None:
+    async def _take(self, source: RevisionSource) -> None:
         try:
             snapshot = await self._read(Address(source.ip, self._port))
         except (OSError, msgspec.MsgspecError, zlib.error) as error:
@@ -143,27 +145,27 @@
                 why=str(error) or type(error).__name__,
             )
             return
-        self._knowledge.take_snapshot(snapshot, self._loop.time())
+        self._fleet_tables.apply_snapshot(snapshot, self._loop.time())
         self._journal.write(
-            events.SNAPSHOT_TAKEN,
+            events.SNAPSHOT_APPLIED,
             peer=source.vm,
-            revisions=self._knowledge.revisions,
+            revisions=self._fleet_tables.revisions,
         )
         self._on_taken(source)
 
     async def _read(self, address: Address) -> Snapshot:
         host = f'{address.host}:{address.port}'.encode()
-        known = ','.join(map(str, self._knowledge.revisions))
+        known = ','.join(map(str, self._fleet_tables.revisions))
         path = b'%s?%s' % (_PATH, known.encode())
         request = Request(b'GET', path, ((b'host', host),), b'')
         async with asyncio.timeout(_PULL_SECONDS):
             connection = await open_connection(
                 address,
                 seconds=_PULL_SECONDS,
-                opening=self._opening,
+                settings=self._opening,
             )
             try:
-                reply = await connection.exchange(write_request(request))
+                reply = await connection.exchange(encode_request(request))
             finally:
                 connection.close()
         return msgspec.msgpack.decode(
--- a/toucanhall/edge/speaker.py
+++ b/toucanhall/edge/zone_reporter.py
@@ -6,11 +6,11 @@
 
 from toucanhall.fleet.gossip import Message
 from toucanhall.fleet.membership import Heartbeat, Members
-from toucanhall.fleet.reports import Member, ZoneReport, sum_told
-from toucanhall.fleet.selection import pick_serving, pick_speakers
-from toucanhall.limits.quota import Told
+from toucanhall.fleet.reports import Member, ZoneReport, sum_usage_reports
+from toucanhall.fleet.selection import pick_serving, pick_delegates
+from toucanhall.limits.quota import UsageReport
 
-__all__ = ('Speaker',)
+__all__ = ('ZoneReporter',)
 
 # A speaker reports with each second heartbeat; there are two of them.
 _BEATS_PER_REPORT: Final = 2
@@ -18,7 +18,7 @@
 Send = Callable[[Message, Iterable[str]], None]
 
 
-class Speaker:
+class ZoneReporter:
     """This VM's part in the exchange between zones."""
 
     def __init__(
@@ -40,8 +40,8 @@
         if self._beats % _BEATS_PER_REPORT:
             return
         now = self._clock()
-        zone = (own.member, *self._members.list_near(now))
-        if own.member not in pick_speakers(zone):
+        zone = (own.member, *self._members.list_local(now))
+        if own.member not in pick_delegates(zone):
             return
         turn = self._beats // _BEATS_PER_REPORT
         self._send(
@@ -52,7 +52,7 @@
             ],
         )
 
-    def tell(self, own: Heartbeat) -> None:
+    def broadcast_revisions(self, own: Heartbeat) -> None:
         """Tell all listeners at once which tables this VM has."""
         news = Message(heartbeat=own._replace(usage={}))
         for listeners in self._list_listeners():
@@ -65,15 +65,15 @@
         now: float,
     ) -> ZoneReport:
         serving = {found.vm for found in pick_serving(zone)}
-        told = self._members.list_near_told(now, serving)
+        told = self._members.list_local_usage_reports(now, serving)
         return ZoneReport(
             zone=own.member.zone,
-            speaker=own.member.vm,
+            delegate=own.member.vm,
             ip=own.member.ip,
             stamp=(own.started_at, self._beats),
             revisions=own.revisions,
             members=zone,
-            told=sum_told([Told(own.usage), *told]),
+            usage_reports=sum_usage_reports([UsageReport(own.usage), *told]),
         )
 
     def _list_listeners(self) -> list[list[str]]:
@@ -82,7 +82,7 @@
         found: list[list[str]] = []
         for other in self._members.list_zones():
             alive = self._members.list_zone(other, now)
-            ips = [member.ip for member in pick_speakers(alive)]
+            ips = [member.ip for member in pick_delegates(alive)]
             found.append(ips or self._guess(other))
         return [ips for ips in found if ips]
 
@@ -90,7 +90,7 @@
         """Return two VMs of a zone of which nothing is heard."""
         ips = [
             found.ip
-            for found in self._members.introduced.values()
+            for found in self._members.known_vms.values()
             if found.zone == zone
         ]
         return random.sample(ips, min(2, len(ips)))
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -39,14 +39,16 @@
 class Gossip(asyncio.DatagramProtocol):
     """The UDP socket that sends and receives messages."""
 
-    def __init__(self, *, hear: Receive, on_bad: Callable[[str], None]) -> None:
+    def __init__(
+        self, *, receive: Receive, on_error: Callable[[str], None]
+    ) -> None:
         """Pass on received messages, and a text for each error.
 
         Errors are messages that were dropped or could not be delivered, and
         the loss of the socket.
         """
-        self._receive = hear
-        self._on_error = on_bad
+        self._receive = receive
+        self._on_error = on_error
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -95,15 +97,15 @@
 async def open_gossip(
     address: Address,
     *,
-    hear: Receive,
-    on_bad: Callable[[str], None],
+    receive: Receive,
+    on_error: Callable[[str], None],
 ) -> Gossip:
     """Listen for messages at an address."""
     (
         _transport,
         gossip,
     ) = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: Gossip(hear=hear, on_bad=on_bad),
+        lambda: Gossip(receive=receive, on_error=on_error),
         local_addr=address,
     )
     return gossip
@@ -132,7 +134,7 @@
         found.extend(member.ip for member in report.members)
     if heartbeat is not None:
         found.append(heartbeat.member.ip)
-        found.extend(member.ip for member in heartbeat.introduced)
+        found.extend(member.ip for member in heartbeat.known_vms)
     return found
 
 
@@ -140,8 +142,8 @@
     """Whether all numbers are finite and none is negative."""
     heartbeat, report = message.heartbeat, message.report
     members = list(report.members) if report else []
-    usages = [found.usage for found in report.told] if report else []
-    numbers = [found.vms for found in report.told] if report else []
+    usages = [found.usage for found in report.usage_reports] if report else []
+    numbers = [found.vms for found in report.usage_reports] if report else []
     if heartbeat is not None:
         members.append(heartbeat.member)
         usages.append(heartbeat.usage)
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -9,9 +9,9 @@
     'ClientLimits',
     'Configuration',
     'Environment',
-    'Introduction',
+    'VmContact',
     'Listeners',
-    'Part',
+    'WeightedService',
     'Route',
     'Service',
     'Snapshot',
@@ -44,15 +44,15 @@
     bound by `retry_ratio` of the requests and `retry_slack` more in a window.
     """
 
-    grace: float
-    directory_ttl: float
+    shutdown_grace_seconds: float
+    directory_ttl_seconds: float
     retry_ratio: float
-    retry_window: float
+    retry_window_seconds: float
     retry_slack: float
-    quota_window: float
+    quota_window_seconds: float
     quota_overage: float
     quota_slack: float
-    target_heartbeat: float
+    target_heartbeat_seconds: float
 
 
 class Environment(NamedTuple):
@@ -61,7 +61,7 @@
     `regions` maps each availability zone to its region, `seeds` are control
     addresses of VMs, some of which may be down, `capacity` is the load that
     the VM can serve in requests a second. Its process may use `memory` bytes
-    and `descriptors` open files.
+    and `max_descriptors` open files.
     """
 
     vm: str
@@ -76,10 +76,10 @@
     bounds: Bounds
     capacity: float
     memory: int
-    descriptors: int
+    max_descriptors: int
 
 
-class Part(NamedTuple):
+class WeightedService(NamedTuple):
     """A service of a route and its weight in the split of the requests."""
 
     service: str
@@ -89,7 +89,7 @@
 class Route(NamedTuple):
     """The route of a host and a path prefix; times in seconds.
 
-    Its requests are split over `parts` by weight.
+    Its requests are split over `weighted_services` by weight.
     """
 
     name: str
@@ -99,7 +99,7 @@
     timeout: float | None
     objective: float | None
     priority: int
-    parts: tuple[Part, ...]
+    weighted_services: tuple[WeightedService, ...]
     attempts: int
     is_public: bool
     homes: frozenset[str]
@@ -170,7 +170,7 @@
     revision: int
 
 
-class Introduction(NamedTuple):
+class VmContact(NamedTuple):
     """Name, zone and address of a VM, enough to send it messages."""
 
     vm: str
@@ -183,7 +183,7 @@
 
     `targets` and `removed` (with the revision of each removal) have changed
     after `targets_since`; where that is 0, `targets` is the whole table.
-    `lapsed` maps targets that were deleted during an outage of the
+    `held_targets` maps targets that were deleted during an outage of the
     store to the seconds that remain for them to register again.
     """
 
@@ -193,6 +193,6 @@
     targets_since: int
     targets: Mapping[str, Target]
     removed: Mapping[str, int]
-    lapsed: Mapping[str, float]
+    held_targets: Mapping[str, float]
     evacuations_revision: int
-    evacuated: frozenset[str]
+    evacuated_zones: frozenset[str]
--- a/toucanhall/fleet/removals.py
+++ b/toucanhall/fleet/removals.py
@@ -12,9 +12,9 @@
 class Removals:
     """The removals after a revision, each with its own revision."""
 
-    def __init__(self, *, most_names: int = _MAX_NAMES) -> None:
+    def __init__(self, *, max_names: int = _MAX_NAMES) -> None:
         """Start empty; beyond the maximum, the oldest names are dropped."""
-        self._max_names = most_names
+        self._max_names = max_names
         self._removed: dict[str, int] = {}
         self._since = 0
 
@@ -23,7 +23,7 @@
         self._removed.clear()
         self._since = revision
 
-    def note(self, name: str, revision: int) -> None:
+    def record(self, name: str, revision: int) -> None:
         """Record that a name was removed at a revision."""
         self._removed.pop(name, None)
         self._removed[name] = revision
@@ -31,7 +31,7 @@
             oldest = next(iter(self._removed))
             self._since = max(self._since, self._removed.pop(oldest))
 
-    def forget(self, name: str) -> None:
+    def discard(self, name: str) -> None:
         """Drop the removal of a name that is in the table again."""
         self._removed.pop(name, None)
 
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from toucanhall.fleet.knowledge import Revisions
-from toucanhall.fleet.model import Introduction
-from toucanhall.limits.quota import Told, add_group
+from toucanhall.fleet.tables import Revisions
+from toucanhall.fleet.model import VmContact
+from toucanhall.limits.quota import UsageReport, add_usage_reports
 
-__all__ = ('Member', 'ZoneReport', 'sum_told')
+__all__ = ('Member', 'ZoneReport', 'sum_usage_reports')
 
 
 class Member(NamedTuple):
@@ -27,38 +27,42 @@
     load: float
 
     @property
-    def introduction(self) -> Introduction:
+    def contact(self) -> VmContact:
         """Zone and address of the VM."""
-        return Introduction(self.vm, self.zone, self.ip)
+        return VmContact(self.vm, self.zone, self.ip)
 
 
 class ZoneReport(NamedTuple):
     """The state of a zone as one of its delegates sees it.
 
-    `speaker` is the name of the delegate and `ip` its address. `stamp` grows
+    `delegate` is the name of the delegate and `ip` its address. `stamp` grows
     with each report of it (Unix milliseconds of its start, number of the
-    report). `told` has the sum of the recent usage reports of the
+    report). `usage_reports` has the sum of the recent usage reports of the
     zone's VMs, then that of the stale ones.
     """
 
     zone: str
-    speaker: str
+    delegate: str
     ip: str
     stamp: tuple[int, int]
     revisions: Revisions
     members: tuple[Member, ...]
-    told: tuple[Told, ...]
+    usage_reports: tuple[UsageReport, ...]
 
 
-def sum_told(usage_reports: Iterable[Told]) -> tuple[Told, ...]:
+def sum_usage_reports(
+    usage_reports: Iterable[UsageReport],
+) -> tuple[UsageReport, ...]:
     """Add up usage reports: the recent ones, then the stale ones."""
-    groups: dict[bool, list[Told]] = {False: [], True: []}
+    groups: dict[bool, list[UsageReport]] = {False: [], True: []}
     for report in usage_reports:
-        groups[report.is_late].append(report)
-    return tuple(_round(add_group(group)) for group in groups.values() if group)
+        groups[report.is_stale].append(report)
+    return tuple(
+        _round(add_usage_reports(group)) for group in groups.values() if group
+    )
 
 
-def _round(report: Told) -> Told:
+def _round(report: UsageReport) -> UsageReport:
     usage = {
         team: found._replace(demand=round(found.demand, 2))
         for team, found in (report.usage or {}).items()
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -15,22 +15,22 @@
 from toucanhall.fleet.reports import Member
 
 __all__ = (
-    'LAGGING_SECONDS',
-    'LEAST_SERVING',
+    'MAX_LOOP_LAG_SECONDS',
+    'MIN_SERVING_VMS',
     'pick_serving',
-    'pick_speakers',
+    'pick_delegates',
 )
 
 # A client leaves out addresses that failed it and needs others: one of three
 # VMs may be cut off (as in the network cuts of the deployments) while another
 # one is being stopped.
-LEAST_SERVING: Final = 4
+MIN_SERVING_VMS: Final = 4
 # Capacity of the VMs that take requests, over the load of their zone: bursts
 # of 1.7 times the load, one VM of three lost, and a reserve against queues.
 _CAPACITY_PER_LOAD_RATIO: Final = 4.0
 # One reports while the death of the other is not detected yet.
 _DELEGATE_COUNT: Final = 2
-LAGGING_SECONDS: Final = 0.05  # a fifth of the shortest objective
+MAX_LOOP_LAG_SECONDS: Final = 0.05  # a fifth of the shortest objective
 
 
 def pick_serving(members: Iterable[Member]) -> list[Member]:
@@ -43,13 +43,13 @@
     wanted = _CAPACITY_PER_LOAD_RATIO * sum(found.load for found in ranked)
     capacities = accumulate(found.capacity for found in ready)
     count = 1 + sum(capacity < wanted for capacity in capacities)
-    picked = ready[: max(LEAST_SERVING, count)]
-    if any(found.lag > LAGGING_SECONDS for found in picked):
+    picked = ready[: max(MIN_SERVING_VMS, count)]
+    if any(found.lag > MAX_LOOP_LAG_SECONDS for found in picked):
         return ready
     return picked
 
 
-def pick_speakers(members: Iterable[Member]) -> Sequence[Member]:
+def pick_delegates(members: Iterable[Member]) -> Sequence[Member]:
     """Return the delegates of a zone, which report to the other zones.
 
     The first one also watches the store.
--- a/toucanhall/fleet/knowledge.py
+++ b/toucanhall/fleet/tables.py
@@ -6,12 +6,12 @@
 from toucanhall.fleet.model import Configuration, Route, Snapshot, Target
 from toucanhall.fleet.removals import Removals
 
-__all__ = ('Knowledge', 'Revisions', 'find_route', 'is_ahead')
+__all__ = ('FleetTables', 'Revisions', 'find_route', 'is_ahead')
 
 # Targets whose entries expired during an outage of the store get this long to
 # register again: the platform promises about two seconds after the outage. It
 # is less than the 2.5 s after which a target that left must get no request.
-LAPSE_SECONDS: Final = 2.1
+REREGISTRATION_SECONDS: Final = 2.1
 
 
 class Revisions(NamedTuple):
@@ -39,7 +39,7 @@
     return None
 
 
-class Knowledge:
+class FleetTables:
     """The newest known tables; an older table never replaces a newer one.
 
     While the store can't be reached, entries of targets expire that are in
@@ -51,10 +51,10 @@
         """Start without any table; `on_change` gets the name of a table."""
         self.configuration: Configuration | None = None
         self.targets: dict[str, Target] = {}
-        self.evacuated: frozenset[str] = frozenset()
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.revisions = Revisions()
         # Until when each target is held; without end during an outage.
-        self.lapsed: dict[str, float] = {}
+        self.held_targets: dict[str, float] = {}
         # Targets that are deleted before this time are held until it.
         self._hold_until = 0.0
         # Newest revision of the targets that other VMs have; and that any VM,
@@ -64,7 +64,7 @@
         self.removals = Removals()
         self._on_change = on_change
 
-    def take_configuration(
+    def replace_configuration(
         self,
         revision: int,
         configuration: Configuration | None,
@@ -78,17 +78,17 @@
             self.configuration = configuration
             self._on_change('configuration')
 
-    def take_evacuations(self, revision: int, zones: Iterable[str]) -> None:
+    def replace_evacuations(self, revision: int, zones: Iterable[str]) -> None:
         """Replace the set of evacuated zones, which get no requests."""
         if revision <= self.revisions.evacuations:
             return
         self.revisions = self.revisions._replace(evacuations=revision)
         evacuated = frozenset(zones)
-        if evacuated != self.evacuated:
-            self.evacuated = evacuated
+        if evacuated != self.evacuated_zones:
+            self.evacuated_zones = evacuated
             self._on_change('evacuations')
 
-    def change_evacuations(
+    def apply_evacuation_changes(
         self,
         revision: int,
         changes: Mapping[str, bool],
@@ -96,11 +96,13 @@
         """Add the zones that map to True and remove the others."""
         if revision <= self.revisions.evacuations:
             return
-        kept = {zone for zone in self.evacuated if changes.get(zone, True)}
+        kept = {
+            zone for zone in self.evacuated_zones if changes.get(zone, True)
+        }
         added = {zone for zone, is_set in changes.items() if is_set}
-        self.take_evacuations(revision, kept | added)
+        self.replace_evacuations(revision, kept | added)
 
-    def take_targets(
+    def replace_targets(
         self,
         revision: int,
         targets: Mapping[str, Target],
@@ -114,7 +116,7 @@
         self.removals.restart(revision)
         self._set_targets(revision, {**held, **targets})
 
-    def change_targets(
+    def apply_target_changes(
         self,
         revision: int,
         changes: Mapping[str, Target | int],
@@ -136,17 +138,17 @@
             and self._get_target_revision(name) <= change
         }
         for name in written:
-            self.lapsed.pop(name, None)
-            self.removals.forget(name)
+            self.held_targets.pop(name, None)
+            self.removals.discard(name)
         for name, removed_at in removed.items():
-            self.removals.note(name, removed_at)
+            self.removals.record(name, removed_at)
         deleted = self.targets.keys() & removed.keys()
         targets = {**self.targets, **written}
         for name in deleted - self._hold(deleted, now):
             targets.pop(name)
         self._set_targets(revision, targets)
 
-    def start_lapse(self) -> None:
+    def start_store_outage(self) -> None:
         """Hold targets that are deleted from now on: the store is lost."""
         self._hold_until = float('inf')
         self._targets_revision_at_outage = max(
@@ -154,14 +156,14 @@
             self.revisions.targets,
         )
 
-    def hear(self, revisions: Revisions) -> None:
+    def record_peer_revisions(self, revisions: Revisions) -> None:
         """Record the revisions of another VM."""
         self._peer_targets_revision = max(
             self._peer_targets_revision,
             revisions.targets,
         )
 
-    def end_lapse(self, now: float, *, may_have_lapsed: bool) -> None:
+    def end_store_outage(self, now: float, *, may_have_expired: bool) -> None:
         """Give the held targets time to register again: the store is back.
 
         There is no such time after an outage too short for any entry to
@@ -169,17 +171,19 @@
         this VM had lost the store, and what was deleted had left.
         """
         if self._hold_until == float('inf'):
-            wait = LAPSE_SECONDS if may_have_lapsed else 0.0
+            wait = REREGISTRATION_SECONDS if may_have_expired else 0.0
             self._hold_until = now + wait
             # A watch that works during the outage may have deleted some.
-            self.lapsed = {
+            self.held_targets = {
                 name: min(end, self._hold_until)
-                for name, end in self.lapsed.items()
+                for name, end in self.held_targets.items()
             }
 
-    def drop_lapsed(self, now: float) -> tuple[str, ...]:
+    def drop_expired_targets(self, now: float) -> tuple[str, ...]:
         """Remove held targets that did not register again in time."""
-        expired = tuple(name for name, end in self.lapsed.items() if end <= now)
+        expired = tuple(
+            name for name, end in self.held_targets.items() if end <= now
+        )
         if expired:
             kept = self.targets.keys() - set(expired)
             self._set_targets(
@@ -199,9 +203,11 @@
             targets_since=0,
             targets={},
             removed={},
-            lapsed={name: end - now for name, end in self.lapsed.items()},
+            held_targets={
+                name: end - now for name, end in self.held_targets.items()
+            },
             evacuations_revision=own.evacuations,
-            evacuated=self.evacuated,
+            evacuated_zones=self.evacuated_zones,
         )
         if own.targets <= known.targets:
             return snapshot
@@ -221,22 +227,22 @@
             removed=self.removals.list_since(known.targets),
         )
 
-    def take_snapshot(self, snapshot: Snapshot, now: float) -> None:
+    def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Apply each table of a peer that is newer than the own one.
 
         Changes of the targets are passed over unless this VM knows the
         revision that they build on.
         """
-        self.take_configuration(
+        self.replace_configuration(
             snapshot.configuration_revision,
             snapshot.configuration,
         )
         own = self.revisions.targets
         if snapshot.targets_since <= own < snapshot.targets_revision:
             self._apply_targets(snapshot, now)
-        self.take_evacuations(
+        self.replace_evacuations(
             snapshot.evacuations_revision,
-            snapshot.evacuated,
+            snapshot.evacuated_zones,
         )
 
     def _apply_targets(self, snapshot: Snapshot, now: float) -> None:
@@ -249,8 +255,9 @@
         is_newer = snapshot.targets_revision > self._targets_revision_at_outage
         if is_newer and targets != self.targets:
             self._hold_until = 0.0
-        self.lapsed = {
-            name: now + remaining for name, remaining in snapshot.lapsed.items()
+        self.held_targets = {
+            name: now + remaining
+            for name, remaining in snapshot.held_targets.items()
         }
         self._set_targets(snapshot.targets_revision, targets)
 
@@ -261,11 +268,11 @@
         not in the peer's table.
         """
         for name, revision in snapshot.removed.items():
-            self.removals.note(name, revision)
+            self.removals.record(name, revision)
         for name in snapshot.targets:
-            self.removals.forget(name)
-        deleted = (snapshot.removed.keys() | self.lapsed.keys()) - (
-            snapshot.lapsed.keys()
+            self.removals.discard(name)
+        deleted = (snapshot.removed.keys() | self.held_targets.keys()) - (
+            snapshot.held_targets.keys()
         )
         return {
             **{
@@ -284,8 +291,8 @@
         """Hold deleted targets if it is time to; return those held now."""
         if now < self._hold_until:
             for name in names:
-                self.lapsed.setdefault(name, self._hold_until)
-        return {name for name in names if self.lapsed.get(name, 0) > now}
+                self.held_targets.setdefault(name, self._hold_until)
+        return {name for name in names if self.held_targets.get(name, 0) > now}
 
     def _set_targets(
         self,
@@ -294,7 +301,9 @@
     ) -> None:
         self.revisions = self.revisions._replace(targets=revision)
         self.targets = dict(targets)
-        self.lapsed = {
-            name: end for name, end in self.lapsed.items() if name in targets
+        self.held_targets = {
+            name: end
+            for name, end in self.held_targets.items()
+            if name in targets
         }
         self._on_change('targets')
--- a/toucanhall/limits/quota.py
+++ b/toucanhall/limits/quota.py
@@ -16,13 +16,13 @@
 from toucanhall.fleet.model import Bounds, Team
 
 __all__ = (
-    'RESERVE_VMS',
+    'RESERVE_VM_WEIGHT',
     'Quotas',
-    'Told',
+    'UsageReport',
     'Usage',
-    'add_group',
-    'add_up',
-    'make_unheard',
+    'add_usage_reports',
+    'combine_reports',
+    'make_missing_report',
 )
 
 _DEMAND_WEIGHT: Final = 0.25  # of the last beat in the smoothed demand
@@ -30,7 +30,7 @@
 _IDLE_SHARE: Final = 0.8
 # A VM that the directory does not name counts as this part of one: some
 # clients come with an old answer.
-RESERVE_VMS: Final = 0.02
+RESERVE_VM_WEIGHT: Final = 0.02
 # Demand that each VM counts as having at least, in requests a second: a team of
 # a few requests a second is divided evenly, since what each VM saw is chance.
 _LEAST_DEMAND: Final = 0.4
@@ -68,49 +68,49 @@
     demand: float = 0.0
 
 
-class Told(NamedTuple):
+class UsageReport(NamedTuple):
     """What a VM told last, or the sum of several.
 
-    `is_late` when more should have been told since; `vms` is how many VMs take
+    `is_stale` when more should have been told since; `vms` is how many VMs take
     requests; `usage` is None when nothing was told since this VM started.
     """
 
     usage: Mapping[str, Usage] | None
-    is_late: bool = False
+    is_stale: bool = False
     vms: float = 1.0
 
 
-def make_unheard(vms: float) -> Told:
+def make_missing_report(vms: float) -> UsageReport:
     """Return what counts for VMs that have told nothing yet."""
-    return Told(None, is_late=True, vms=vms)
+    return UsageReport(None, is_stale=True, vms=vms)
 
 
-def add_up(told: Iterable[Told]) -> list[Told]:
+def combine_reports(told: Iterable[UsageReport]) -> list[UsageReport]:
     """Return what VMs told with those that are not late added up.
 
     Their parts add up too, so a team is divided among a few instead of among
     all VMs. One that is late counts for its part at least: it stays alone,
     but for those that told of no team at all.
     """
-    alone: list[Told] = []
-    present: list[Told] = []
-    silent: list[Told] = []
+    alone: list[UsageReport] = []
+    present: list[UsageReport] = []
+    silent: list[UsageReport] = []
     for one in told:
-        if one.usage is None or (one.is_late and one.usage):
+        if one.usage is None or (one.is_stale and one.usage):
             alone.append(one)
-        elif one.is_late:
+        elif one.is_stale:
             silent.append(one)
         else:
             present.append(one)
     groups = (group for group in (present, silent) if group)
-    return [*alone, *map(add_group, groups)]
+    return [*alone, *map(add_usage_reports, groups)]
 
 
-def add_group(group: Sequence[Told]) -> Told:
+def add_usage_reports(group: Sequence[UsageReport]) -> UsageReport:
     """Add up what some VMs told, all of them late or none."""
-    return Told(
+    return UsageReport(
         _sum_usage(found.usage for found in group if found.usage),
-        is_late=group[0].is_late,
+        is_stale=group[0].is_stale,
         vms=sum(found.vms for found in group),
     )
 
@@ -173,7 +173,7 @@
     def __init__(self, *, bounds: Bounds, beat: float, now: float) -> None:
         """Take the bounds of the limits and the time between beats (s)."""
         self._bounds = bounds
-        window = bounds.quota_window
+        window = bounds.quota_window_seconds
         self._window = window
         self._beat = beat
         self._started_at = now
@@ -198,7 +198,7 @@
             return 0.0
         return self._find_wait(meter, now)
 
-    def describe(self, team: str, now: float) -> dict[str, float]:
+    def describe_refusal(self, team: str, now: float) -> dict[str, float]:
         """Return what a refusal of a team was decided by.
 
         `limit` and `spent` are requests of all VMs in a window, `part` is the
@@ -212,7 +212,7 @@
             'age': round(now - self._beat_at, 3),
         }
 
-    def measure(self, now: float) -> dict[str, Usage]:
+    def collect_usage(self, now: float) -> dict[str, Usage]:
         """End a beat; return what is to be told to the other VMs."""
         elapsed = max(0.001, now - self._beat_at)
         self._beat_at = now
@@ -237,11 +237,11 @@
                 told[name] = usage
         return told
 
-    def divide(
+    def refill(
         self,
         teams: Iterable[Team],
-        own: Told,
-        others: Iterable[Told],
+        own: UsageReport,
+        others: Iterable[UsageReport],
         now: float,
     ) -> None:
         """Fill the tokens of each team from what all VMs told.
@@ -251,13 +251,13 @@
         """
         self._elapsed = now - self._divided_at
         self._divided_at = now
-        all_vms = (own, *add_up(others))
+        all_vms = (own, *combine_reports(others))
         for team in teams:
             if team.rate is not None:
                 reports = [
                     _Report(
                         _find_usage(told, team.name),
-                        told.is_late,
+                        told.is_stale,
                         told.vms,
                     )
                     for told in all_vms
@@ -332,7 +332,7 @@
         late = 0.0
         for report, part in zip(reports, parts, strict=True):
             admitted = _get_admitted(report)
-            if report.is_late:
+            if report.is_stale:
                 late += max(admitted, part * limit)
             else:
                 present += admitted
@@ -357,7 +357,7 @@
         none to keep.
         """
         vms = sum(report.vms for report in reports)
-        late = sum(report.vms for report in reports if report.is_late)
+        late = sum(report.vms for report in reports if report.is_stale)
         hears_most = late * 2 < vms
         if hears_most or not meter.has_part:
             meter.part = parts[0] / _sum_present(reports, parts)
@@ -373,11 +373,11 @@
 
 class _Report(NamedTuple):
     usage: Usage | None
-    is_late: bool
+    is_stale: bool
     vms: float
 
 
-def _find_usage(told: Told, team: str) -> Usage | None:
+def _find_usage(told: UsageReport, team: str) -> Usage | None:
     return None if told.usage is None else told.usage.get(team, _NOTHING)
 
 
@@ -424,7 +424,7 @@
     return sum(
         part
         for report, part in zip(reports, parts, strict=True)
-        if not report.is_late
+        if not report.is_stale
     )
 
 
--- a/toucanhall/limits/retries.py
+++ b/toucanhall/limits/retry_budget.py
@@ -9,7 +9,7 @@
 
 from toucanhall.fleet.model import Bounds
 
-__all__ = ('Retries', 'RetryBudget')
+__all__ = ('ServiceRetryBudget', 'RetryBudget')
 
 # Requests of a window are counted by their arrival here, those that are
 # repeated arrive a little later: a part of the ratio is kept for that.
@@ -17,7 +17,7 @@
 _BURST_SHARE: Final = 0.25  # of the slack, spent at once
 
 
-class Retries:
+class ServiceRetryBudget:
     """Tokens of one service."""
 
     def __init__(self, *, bounds: Bounds, vms: float, now: float) -> None:
@@ -27,22 +27,22 @@
         self._updated_at = now
         self._tokens = 1.0
 
-    def resize(self, vms: float) -> None:
+    def set_vm_count(self, vms: float) -> None:
         """Take how many VMs share the slack; inf for one without a part."""
         self._vms = max(1.0, vms)
 
-    def earn(self) -> None:
+    def record_request(self) -> None:
         """Count a request for the service."""
         self._tokens += self._bounds.retry_ratio * _SAFE_SHARE
 
-    def spend(self, now: float) -> bool:
+    def try_acquire(self, now: float) -> bool:
         """Take one repeat if there is one."""
         bounds = self._bounds
         per_second = (
             bounds.retry_slack
             * (_SAFE_SHARE - _BURST_SHARE)
             / self._vms
-            / bounds.retry_window
+            / bounds.retry_window_seconds
         )
         self._tokens += (now - self._updated_at) * per_second
         self._updated_at = now
@@ -64,25 +64,27 @@
         """Start without having heard of any service or other VM."""
         self._bounds = bounds
         self._vms = 1.0
-        self._services: dict[str, Retries] = {}
+        self._services: dict[str, ServiceRetryBudget] = {}
 
-    def resize(self, vms: float) -> None:
+    def set_vm_count(self, vms: float) -> None:
         """Take how many VMs share the slack; inf for one without a part."""
         self._vms = vms
         for retries in self._services.values():
-            retries.resize(vms)
+            retries.set_vm_count(vms)
 
-    def earn(self, service: str, now: float) -> None:
+    def record_request(self, service: str, now: float) -> None:
         """Count a request for a service."""
-        self._get(service, now).earn()
+        self._get(service, now).record_request()
 
-    def spend(self, service: str, now: float) -> bool:
+    def try_acquire(self, service: str, now: float) -> bool:
         """Take one repeat for a service if there is one."""
-        return self._get(service, now).spend(now)
+        return self._get(service, now).try_acquire(now)
 
-    def _get(self, service: str, now: float) -> Retries:
+    def _get(self, service: str, now: float) -> ServiceRetryBudget:
         found = self._services.get(service)
         if found is None:
-            found = Retries(bounds=self._bounds, vms=self._vms, now=now)
+            found = ServiceRetryBudget(
+                bounds=self._bounds, vms=self._vms, now=now
+            )
             self._services[service] = found
         return found
--- a/toucanhall/observe/journal.py
+++ b/toucanhall/observe/journal.py
@@ -57,7 +57,7 @@
         }
         self._write_line(event.number, line)
 
-    def tell_dropped(self) -> None:
+    def log_dropped_counts(self) -> None:
         """Log how many lines of each event were dropped since the start."""
         total = sum(self.dropped.values())
         if total != self._logged_total:
--- a/toucanhall/observe/stories.py
+++ b/toucanhall/observe/log_lines.py
@@ -7,16 +7,16 @@
 
 from toucanhall.observe import events
 
-__all__ = ('Line', 'explain', 'read_lines', 'summarise')
+__all__ = ('Line', 'explain', 'read_lines', 'count_reasons')
 
 # Events that say what a VM knows, or that its own state changed.
 _STATE_EVENTS: Final = frozenset(
     (
-        events.CONFIGURATION_TAKEN.number,
+        events.CONFIGURATION_APPLIED.number,
         events.TARGETS_CHANGED.number,
         events.EVACUATIONS_CHANGED.number,
         events.STORE_LOST.number,
-        events.STORE_REGAINED.number,
+        events.STORE_RECOVERED.number,
         events.SERVING_CHANGED.number,
         events.RESUMED.number,
         events.STARTED.number,
@@ -91,7 +91,7 @@
         yield f'{line.at} {line.vm}: {_render(line)}'
 
 
-def summarise(lines: list[Line]) -> Iterator[str]:
+def count_reasons(lines: list[Line]) -> Iterator[str]:
     """Yield how often each event and reason occurs, the most frequent first."""
     counts = Counter(
         (line.event, line.message, _get_reason(line)) for line in lines
--- a/toucanhall/observe/limits.py
+++ b/toucanhall/observe/refusal_causes.py
@@ -5,16 +5,16 @@
 from typing import Final
 
 from toucanhall.observe import events
-from toucanhall.observe.stories import Line
+from toucanhall.observe.log_lines import Line
 
-__all__ = ('sort_refusals',)
+__all__ = ('count_refusal_causes',)
 
 _REASON: Final = 'over-quota'
 # From this fraction of the limit of a window on, the limit counts as spent.
 _SPENT_FRACTION: Final = 0.8
 
 
-def sort_refusals(lines: Iterable[Line]) -> Iterator[str]:
+def count_refusal_causes(lines: Iterable[Line]) -> Iterator[str]:
     """Yield how many refusals over a limit had each cause, the rarest last.
 
     Lines are in the order of their times. Only with the cause `limit spent`
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -15,10 +15,16 @@
 from toucanhall.fleet.model import Target
 from toucanhall.placement.load import TargetLoad
 
-__all__ = ('URGENT_PRIORITY', 'WARM_TARGETS', 'Ask', 'Candidate', 'choose')
+__all__ = (
+    'URGENT_PRIORITY',
+    'TARGETS_PER_OBJECT',
+    'RequestUrgency',
+    'Candidate',
+    'choose_target',
+)
 
 # Targets that serve an object, as long as they are there.
-WARM_TARGETS: Final = 2
+TARGETS_PER_OBJECT: Final = 2
 # Share of the slots up to which a target is not full.
 _ROOMY: Final = 0.85
 # Part of the time to the objective that may be spent waiting for a slot.
@@ -32,11 +38,11 @@
 _FULL: Final = float('inf')
 
 
-class Ask(NamedTuple):
+class RequestUrgency(NamedTuple):
     """What a request needs; times in seconds."""
 
     seconds_to_objective: float
-    usual_seconds: float
+    expected_seconds: float
     priority: int
 
 
@@ -47,13 +53,13 @@
     load: TargetLoad
 
 
-def choose(
+def choose_target(
     candidates: Sequence[Candidate],
-    ask: Ask,
+    ask: RequestUrgency,
     now: float,
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
-    near = candidates[:WARM_TARGETS]
+    near = candidates[:TARGETS_PER_OBJECT]
     fills = [_fill(candidate.load, now) for candidate in near]
     for candidate, fill in zip(near, fills, strict=True):
         if fill < _ROOMY:
@@ -65,12 +71,16 @@
 
 
 def _fill(load: TargetLoad, now: float) -> float:
-    return (load.estimate(now) + 1) * max(1.0, load.slowness) / load.slots
+    return (
+        (load.estimate_requests(now) + 1)
+        * max(1.0, load.latency_ratio)
+        / load.slots
+    )
 
 
-def _limit_fill(ask: Ask) -> float:
-    spare = ask.seconds_to_objective - ask.usual_seconds
-    waiting = _WAIT_SHARE * spare / max(ask.usual_seconds, 0.001)
+def _limit_fill(ask: RequestUrgency) -> float:
+    spare = ask.seconds_to_objective - ask.expected_seconds
+    waiting = _WAIT_SHARE * spare / max(ask.expected_seconds, 0.001)
     if ask.priority > URGENT_PRIORITY:
         waiting *= _LESS_URGENT_SHARE
     return 1 + max(0.0, min(_MOST_WAITING, waiting))
--- a/toucanhall/placement/cold.py
+++ b/toucanhall/placement/cold_targets.py
@@ -17,28 +17,36 @@
 
 import xxhash
 
-__all__ = ('COLD_OWNERS', 'ColdPart', 'Group', 'find_part', 'pick_groups')
-
-COLD_OWNERS: Final = 2
+__all__ = (
+    'COLD_OWNER_COUNT',
+    'ColdTargetBucket',
+    'VmGroup',
+    'compute_rate_fraction',
+    'find_owner_groups',
+)
+
+COLD_OWNER_COUNT: Final = 2
 # Four owners and their bursts stay below 1.5 times what the target bears and a
 # slack of five requests, the least that deployments allow.
 _SAFE_SHARE: Final = 0.7
 _BURST: Final = 1.0
 
 
-class Group(NamedTuple):
+class VmGroup(NamedTuple):
     """VMs of one or more zones, as this VM sees them.
 
-    `serving` are those that take requests, `heard` counts the VMs that are
-    alive, `known` those that have an entry in the store.
+    `serving` are those that take requests, `alive_count` counts the VMs that are
+    alive, `registered_count` those that have an entry in the store.
     """
 
     serving: tuple[str, ...] = ()
-    heard: int = 0
-    known: int = 0
+    alive_count: int = 0
+    registered_count: int = 0
 
 
-def find_part(own: str, target: str, groups: Iterable[Group]) -> float:
+def compute_rate_fraction(
+    own: str, target: str, groups: Iterable[VmGroup]
+) -> float:
     """Return this VM's part of what a cold target bears; 0 for no owner.
 
     `groups` are those of the target's zone, or where none is known there, of
@@ -49,27 +57,27 @@
     known = 0
     for group in groups:
         serving.extend(group.serving)
-        heard += group.heard
-        known += group.known
+        heard += group.alive_count
+        known += group.registered_count
     if not known or own not in _pick_owners(target, serving):
         return 0.0
-    return _SAFE_SHARE / COLD_OWNERS * min(1.0, heard / known)
+    return _SAFE_SHARE / COLD_OWNER_COUNT * min(1.0, heard / known)
 
 
-def pick_groups(
+def find_owner_groups(
     zone: str,
-    groups: Mapping[str, Group],
+    groups: Mapping[str, VmGroup],
     regions: Mapping[str, str],
-) -> Iterable[Group]:
+) -> Iterable[VmGroup]:
     """Return the groups that own the cold targets of a zone."""
     own = groups.get(zone)
-    if own and own.known:
+    if own and own.registered_count:
         return (own,)
     region = regions.get(zone)
     near = [
         group
         for found, group in groups.items()
-        if regions.get(found) == region and group.known
+        if regions.get(found) == region and group.registered_count
     ]
     return near or groups.values()
 
@@ -79,10 +87,10 @@
         vms,
         key=lambda vm: xxhash.xxh64_intdigest(f'{target}\0{vm}'.encode()),
     )
-    return set(ranked[:COLD_OWNERS])
+    return set(ranked[:COLD_OWNER_COUNT])
 
 
-class ColdPart:
+class ColdTargetBucket:
     """Tokens of one VM for one cold target."""
 
     def __init__(self, *, now: float) -> None:
@@ -90,7 +98,7 @@
         self._tokens = 0.0
         self._updated_at = now
 
-    def spend(self, rate: float, now: float) -> bool:
+    def try_acquire(self, rate: float, now: float) -> bool:
         """Take the token of a request; tell whether there was one.
 
         `rate` is how many requests a second this VM may send.
--- a/toucanhall/placement/order.py
+++ b/toucanhall/placement/hash_ring.py
@@ -16,7 +16,7 @@
 
 import xxhash
 
-__all__ = ('MOST_EXAMINED', 'Place', 'Ring', 'count_points')
+__all__ = ('MAX_EXAMINED_TARGETS', 'Location', 'HashRing', 'count_points')
 
 # Targets of the own region stand on the ring at six times as many points as
 # those of another region. VMs of both zones of a region agree on the order,
@@ -27,24 +27,24 @@
 _HASH_BYTES: Final = 8
 # Targets of the order that are looked at for a request: more than a zone has
 # that was just lost, of the deployments' sizes in other regions.
-MOST_EXAMINED: Final = 64
+MAX_EXAMINED_TARGETS: Final = 64
 
 
-class Place(NamedTuple):
+class Location(NamedTuple):
     """The availability zone and region from which requests are sent."""
 
     zone: str
     region: str
 
 
-def count_points(zone: str, place: Place, regions: Mapping[str, str]) -> int:
+def count_points(zone: str, place: Location, regions: Mapping[str, str]) -> int:
     """Return at how many points of the ring a target of a zone stands."""
     if regions.get(zone) == place.region:
         return _POINTS * _REGION_WEIGHT
     return _POINTS
 
 
-class Ring:
+class HashRing:
     """Targets at the points of their hashes, by their ids."""
 
     def __init__(self) -> None:
@@ -55,7 +55,7 @@
         self._placed: dict[str, _Placed] = {}
         self._next_number = 0
 
-    def change(self, gone: Iterable[str], added: Mapping[str, int]) -> None:
+    def update(self, gone: Iterable[str], added: Mapping[str, int]) -> None:
         """Drop some targets and add others with their numbers of points."""
         for name in gone:
             self._drop(name)
@@ -79,7 +79,7 @@
         owners = self._owners
         start = bisect_left(self._points, xxhash.xxh64_intdigest(key.encode()))
         seen: set[int] = set()
-        most = min(MOST_EXAMINED, len(self._names))
+        most = min(MAX_EXAMINED_TARGETS, len(self._names))
         for index in chain(range(start, len(owners)), range(start)):
             if len(seen) == most:
                 return
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -24,14 +24,14 @@
         self.slots = slots
         self.in_flight = 0
         self.failures = 0
-        self.slowness = 1.0
+        self.latency_ratio = 1.0
         self.suspended_until = 0.0
         self._suspension = _FIRST_SUSPENSION_SECONDS
         self._others = 0.0
         self._reported_at = 0.0
         self._full_until = 0.0
 
-    def estimate(self, now: float) -> float:
+    def estimate_requests(self, now: float) -> float:
         """Return how many requests the target runs and holds."""
         age = max(0.0, now - self._reported_at)
         others = self._others * math.exp2(-age / _REPORT_HALF_LIFE)
@@ -48,7 +48,7 @@
         """Whether the target failed lately and may get one request."""
         return self.failures >= _MOST_FAILURES
 
-    def report(self, busy: int, now: float) -> None:
+    def record_reported_load(self, busy: int, now: float) -> None:
         """Take how many requests the target runs and holds by its answer."""
         self._others = float(max(0, busy - self.in_flight))
         self._reported_at = now
@@ -57,7 +57,7 @@
         """Note that the target turned a request away as full."""
         self._full_until = now + _FULL_SECONDS
 
-    def succeed(self, ratio: float | None) -> bool:
+    def record_success(self, ratio: float | None) -> bool:
         """Note an answer; `ratio` is its time over the usual time.
 
         Returns whether the target had been suspended.
@@ -67,10 +67,10 @@
         self._suspension = _FIRST_SUSPENSION_SECONDS
         self.suspended_until = 0.0
         if ratio is not None:
-            self.slowness += (ratio - self.slowness) * _SLOW_WEIGHT
+            self.latency_ratio += (ratio - self.latency_ratio) * _SLOW_WEIGHT
         return was_on_trial
 
-    def fail(self, now: float, *, is_lost: bool) -> bool:
+    def record_failure(self, now: float, *, is_lost: bool) -> bool:
         """Note a failure; a lost connection suspends the target at once.
 
         Returns whether the target is suspended from now on.
--- a/toucanhall/placement/field.py
+++ b/toucanhall/placement/registry.py
@@ -6,11 +6,16 @@
 
 from toucanhall.fleet.model import Configuration, Target
 from toucanhall.placement.choice import Candidate
-from toucanhall.placement.cold import ColdPart, Group, find_part, pick_groups
+from toucanhall.placement.cold_targets import (
+    ColdTargetBucket,
+    VmGroup,
+    compute_rate_fraction,
+    find_owner_groups,
+)
 from toucanhall.placement.load import TargetLoad
-from toucanhall.placement.order import Place, Ring, count_points
+from toucanhall.placement.hash_ring import Location, HashRing, count_points
 
-__all__ = ('Field', 'Need')
+__all__ = ('TargetRegistry', 'TargetQuery')
 
 # Time for which a target that was named by its address alone is left alone.
 _GONE_SECONDS: Final = 3.0
@@ -18,7 +23,7 @@
 _MOST_RINGS: Final = 100
 
 
-class Need(NamedTuple):
+class TargetQuery(NamedTuple):
     """What limits the targets of a request."""
 
     service: str
@@ -27,24 +32,28 @@
     tried: frozenset[str]
 
 
-class Field:
+class TargetRegistry:
     """Load, health and coldness of each target, and the order for objects."""
 
-    def __init__(self, *, place: Place, regions: Mapping[str, str]) -> None:
+    def __init__(
+        self, *, location: Location, regions: Mapping[str, str]
+    ) -> None:
         """Start without targets."""
-        self._place = place
+        self._place = location
         self._regions = dict(regions)
         self._targets: dict[str, Target] = {}
-        self._rings: dict[tuple[str, frozenset[str]], Ring] = {}
+        self._rings: dict[tuple[str, frozenset[str]], HashRing] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._cold_until: dict[str, float] = {}
-        self._cold_parts: dict[str, ColdPart] = {}
+        self._cold_parts: dict[str, ColdTargetBucket] = {}
         self._parts: dict[str, float] = {}
         self._vm = ''
-        self._groups: Mapping[str, Group] = {}
+        self._groups: Mapping[str, VmGroup] = {}
         self.loads: dict[str, TargetLoad] = {}
 
-    def take_targets(self, targets: Mapping[str, Target], now: float) -> None:
+    def replace_targets(
+        self, targets: Mapping[str, Target], now: float
+    ) -> None:
         """Take the list of targets; new incarnations start anew."""
         gone = self._targets.keys() - targets.keys()
         written = {
@@ -73,7 +82,7 @@
         for (service, homes), ring in self._rings.items():
             self._change_ring(ring, gone | started, started, service, homes)
 
-    def take_evacuations(
+    def set_evacuated_zones(
         self,
         zones: frozenset[str],
         configuration: Configuration | None,
@@ -90,7 +99,7 @@
                 self._cold_until[name] = now + service.cold_seconds
                 self._cold_parts.pop(name, None)
 
-    def take_vms(self, own: str, groups: Mapping[str, Group]) -> None:
+    def set_vm_groups(self, own: str, groups: Mapping[str, VmGroup]) -> None:
         """Take the VMs of each zone as this VM sees them."""
         if (own, groups) != (self._vm, self._groups):
             self._vm = own
@@ -99,14 +108,14 @@
 
     def list_candidates(
         self,
-        need: Need,
+        need: TargetQuery,
         now: float,
         most: int,
     ) -> list[Candidate]:
         """Return the first targets that may serve a request, best first."""
         return list(islice(self._list_able(need, now), most))
 
-    def is_near(self, target: Target) -> bool:
+    def is_in_own_region(self, target: Target) -> bool:
         """Whether a target is in the region of this VM."""
         return self._regions.get(target.zone) == self._place.region
 
@@ -114,23 +123,25 @@
         """Whether a target is still cold."""
         return now < self._cold_until.get(target, 0.0)
 
-    def spend(self, target: Target, per_second: float, now: float) -> bool:
+    def try_acquire(
+        self, target: Target, per_second: float, now: float
+    ) -> bool:
         """Take a token of a cold target; tell whether there was one."""
         if not per_second or not self.is_cold(target.id, now):
             return True
         part = self._cold_parts.get(target.id)
         if part is None:
-            part = ColdPart(now=now)
+            part = ColdTargetBucket(now=now)
             self._cold_parts[target.id] = part
-        return part.spend(per_second * self._find_part(target), now)
+        return part.try_acquire(per_second * self._find_part(target), now)
 
-    def lose(self, target: str, now: float) -> None:
+    def suspend(self, target: str, now: float) -> None:
         """Leave a target alone whose address another target has."""
         load = self.loads.get(target)
         if load is not None:
             load.suspended_until = now + _GONE_SECONDS
 
-    def _may_serve(self, target: Target, need: Need, now: float) -> bool:
+    def _may_serve(self, target: Target, need: TargetQuery, now: float) -> bool:
         if target.is_draining or target.zone in self._evacuated:
             return False
         if target.id in need.tried:
@@ -140,7 +151,7 @@
             return False
         return not self.is_cold(target.id, now) or self._find_part(target) > 0
 
-    def _list_able(self, need: Need, now: float) -> Iterator[Candidate]:
+    def _list_able(self, need: TargetQuery, now: float) -> Iterator[Candidate]:
         ring = self._find_ring(need.service, need.homes)
         for name in ring.walk(need.key):
             target = self._targets[name]
@@ -150,24 +161,24 @@
     def _find_part(self, target: Target) -> float:
         found = self._parts.get(target.id)
         if found is None:
-            groups = pick_groups(target.zone, self._groups, self._regions)
-            found = find_part(self._vm, target.id, groups)
+            groups = find_owner_groups(target.zone, self._groups, self._regions)
+            found = compute_rate_fraction(self._vm, target.id, groups)
             self._parts[target.id] = found
         return found
 
-    def _find_ring(self, service: str, homes: frozenset[str]) -> Ring:
+    def _find_ring(self, service: str, homes: frozenset[str]) -> HashRing:
         ring = self._rings.get((service, homes))
         if ring is None:
             if len(self._rings) >= _MOST_RINGS:
                 self._rings.clear()
-            ring = Ring()
+            ring = HashRing()
             self._change_ring(ring, set(), self._targets, service, homes)
             self._rings[service, homes] = ring
         return ring
 
     def _change_ring(
         self,
-        ring: Ring,
+        ring: HashRing,
         gone: Set[str],
         added: Iterable[str],
         service: str,
@@ -181,7 +192,7 @@
             and (not homes or self._regions.get(target.zone) in homes)
         }
         if points or not gone.isdisjoint(ring):
-            ring.change(gone, points)
+            ring.update(gone, points)
 
 
 def _is_same(known: Target | None, target: Target) -> bool:
--- a/toucanhall/placement/times.py
+++ b/toucanhall/placement/response_times.py
@@ -2,14 +2,14 @@
 
 from typing import Final
 
-__all__ = ('UsualTimes',)
+__all__ = ('ResponseTimes',)
 
 _WEIGHT: Final = 0.05  # of one answer: some twenty answers count
 _FIRST_SHARE: Final = 0.5  # of the objective, before any answer
 _MOST_RATIO: Final = 4.0
 
 
-class UsualTimes:
+class ResponseTimes:
     """Smoothed times of answers by route, in seconds."""
 
     def __init__(self) -> None:
@@ -20,7 +20,7 @@
         """Return the usual time; half of the objective before any answer."""
         return self._times.get(route, objective * _FIRST_SHARE)
 
-    def take(
+    def record(
         self,
         route: str,
         objective: float,
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -9,18 +9,18 @@
     Address,
     ClientLimits,
     Configuration,
-    Introduction,
-    Part,
+    VmContact,
+    WeightedService,
     Route,
     Service,
     Target,
     Team,
 )
-from toucanhall.platform.boot import read_address
+from toucanhall.platform.settings_file import read_address
 from toucanhall.platform.units import read_seconds, read_version
 
 __all__ = (
-    'BadDocument',
+    'InvalidDocumentError',
     'decode_configuration',
     'decode_target',
     'decode_vm',
@@ -44,7 +44,7 @@
 )
 
 
-class BadDocument(ValueError):
+class InvalidDocumentError(ValueError):
     """An object of the store that cannot be used."""
 
 
@@ -53,7 +53,7 @@
     try:
         return _decode_configuration(spec)
     except _WRONG as error:
-        raise BadDocument(f'configuration: {error!r}') from error
+        raise InvalidDocumentError(f'configuration: {error!r}') from error
 
 
 def decode_target(name: str, spec: Document, revision: int) -> Target:
@@ -71,22 +71,22 @@
             revision=revision,
         )
     except _WRONG as error:
-        raise BadDocument(f'target {name}: {error!r}') from error
+        raise InvalidDocumentError(f'target {name}: {error!r}') from error
 
 
-def decode_vm(name: str, spec: Document) -> Introduction:
+def decode_vm(name: str, spec: Document) -> VmContact:
     """Decode the entry of a VM; raise BadDocument if it names none."""
     try:
-        return Introduction(
+        return VmContact(
             vm=name,
             zone=_read_text(spec['zone']),
             ip=_read_ip(spec['ip']),
         )
     except _WRONG as error:
-        raise BadDocument(f'VM {name}: {error!r}') from error
+        raise InvalidDocumentError(f'VM {name}: {error!r}') from error
 
 
-def encode_vm(introduction: Introduction) -> Document:
+def encode_vm(introduction: VmContact) -> Document:
     """Encode the entry by which other VMs find this one."""
     return {'zone': introduction.zone, 'ip': introduction.ip}
 
@@ -142,21 +142,23 @@
         timeout=_read_optional_seconds(rule.get('timeout')),
         objective=_read_optional_seconds(rule.get('target_latency')),
         priority=int(rule.get('priority') or 0),
-        parts=_decode_parts(rule),
+        weighted_services=_decode_parts(rule),
         attempts=max(1, int(rule.get('attempts') or _DEFAULT_ATTEMPTS)),
         is_public=bool(rule.get('public')),
         homes=_read_names(rule.get('home_regions')),
     )
 
 
-def _decode_parts(rule: Document) -> tuple[Part, ...]:
+def _decode_parts(rule: Document) -> tuple[WeightedService, ...]:
     split: Iterable[Document] = rule.get('traffic_split') or ()
     parts = tuple(
-        Part(_read_text(part['service']), _read_amount(part['weight']))
+        WeightedService(
+            _read_text(part['service']), _read_amount(part['weight'])
+        )
         for part in split
         if part['weight'] > 0
     )
-    return parts or (Part(_read_text(rule['service']), 1.0),)
+    return parts or (WeightedService(_read_text(rule['service']), 1.0),)
 
 
 def _decode_service(entry: Document) -> Service:
--- a/toucanhall/platform/entrance.py
+++ b/toucanhall/platform/endpoints.py
@@ -8,15 +8,20 @@
 
 from toucanhall.fleet.model import Address
 from toucanhall.platform import names
-from toucanhall.platform.units import write_seconds
+from toucanhall.platform.units import format_seconds
 from toucanhall.web.messages import Answer, Request, make_answer
 
-__all__ = ('Question', 'make_readiness', 'read_question', 'write_directory')
+__all__ = (
+    'DirectoryQuery',
+    'make_readiness_handler',
+    'read_directory_query',
+    'make_directory_answer',
+)
 
 _JSON: Final = ((b'content-type', b'application/json'),)
 
 
-class Question(NamedTuple):
+class DirectoryQuery(NamedTuple):
     """A client asks which VMs to use for a host."""
 
     host: str
@@ -24,29 +29,31 @@
     region: str
 
 
-def read_question(request: Request) -> Question | None:
+def read_directory_query(request: Request) -> DirectoryQuery | None:
     """Read a question to the directory, or return None for another path."""
     path, _, query = request.path.decode('latin-1').partition('?')
     if path != names.DIRECTORY_PATH:
         return None
     found = parse_qs(query)
-    return Question(
+    return DirectoryQuery(
         host=found.get('name', [''])[0].lower(),
         zone=found.get('zone', [''])[0],
         region=found.get('region', [''])[0],
     )
 
 
-def write_directory(addresses: list[Address], seconds: float) -> Answer:
+def make_directory_answer(addresses: list[Address], seconds: float) -> Answer:
     """Return the answer of the directory."""
     body = {
         'addresses': [f'{found.host}:{found.port}' for found in addresses],
-        'ttl': write_seconds(seconds),
+        'ttl': format_seconds(seconds),
     }
     return Answer(200, _JSON, msgspec.json.encode(body))
 
 
-def make_readiness(is_ready: Callable[[], bool]) -> Callable[[Request], Answer]:
+def make_readiness_handler(
+    is_ready: Callable[[], bool],
+) -> Callable[[Request], Answer]:
     """Return what answers the question whether the VM takes requests."""
 
     def answer(request: Request) -> Answer:
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -3,7 +3,7 @@
 from typing import Final, NamedTuple
 
 from toucanhall.platform import names
-from toucanhall.web.client import Reply
+from toucanhall.web.client import ReceivedAnswer
 from toucanhall.web.messages import (
     Answer,
     Headers,
@@ -13,23 +13,23 @@
 )
 
 __all__ = (
-    'REQUEST_ID',
-    'CallerMarks',
-    'TargetMarks',
-    'make_forwarded',
-    'make_passed_on',
-    'read_caller_marks',
-    'read_target_marks',
+    'REQUEST_ID_HEADER',
+    'CallerHeaders',
+    'TargetHeaders',
+    'make_target_request',
+    'make_caller_answer',
+    'read_caller_headers',
+    'read_target_headers',
 )
 
-REQUEST_ID: Final = names.REQUEST_ID
+REQUEST_ID_HEADER: Final = names.REQUEST_ID_HEADER
 _BEARER: Final = b'bearer '
 _OWN: Final = frozenset(
     (
         b'authorization',
-        names.DEADLINE,
-        names.EXPECTED_TARGET,
-        names.TEAM,
+        names.DEADLINE_HEADER,
+        names.EXPECTED_TARGET_HEADER,
+        names.TEAM_HEADER,
     )
 )
 _NOT_RUN_STATUSES: Final = frozenset((421, 429, 503, 400))
@@ -40,57 +40,57 @@
 _PROMISING_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 
-class CallerMarks(NamedTuple):
+class CallerHeaders(NamedTuple):
     """What the headers of a caller's request say.
 
-    `seconds_left` is None when the caller does not tell how long it waits;
+    `remaining_seconds` is None when the caller does not tell how long it waits;
     `key` is None without a key; `object_key` names the object concerned.
     """
 
     request_id: bytes
     host: str
     path: str
-    seconds_left: float | None
+    remaining_seconds: float | None
     key: str | None
     object_key: str | None
 
 
-class TargetMarks(NamedTuple):
+class TargetHeaders(NamedTuple):
     """What the headers of a target's answer say.
 
     `is_not_run` is true when the target says that it did not run the request,
-    `is_misdirected` when another target has the address; `is_unproven` when its
-    status alone says that the request did not run. `busy` counts the requests
+    `is_misdirected` when another target has the address; `is_unproven_refusal` when its
+    status alone says that the request did not run. `pending_requests` counts the requests
     that it runs and holds, if it tells.
     """
 
     is_not_run: bool
-    is_unproven: bool
+    is_unproven_refusal: bool
     is_misdirected: bool
-    is_stamped: bool
-    busy: int | None
+    has_stamp: bool
+    pending_requests: int | None
 
 
-def read_caller_marks(request: Request) -> CallerMarks:
+def read_caller_headers(request: Request) -> CallerHeaders:
     """Read the headers of a caller."""
     found = dict(reversed(request.headers))
     host = found.get(b'host', b'').decode('latin-1').lower()
-    return CallerMarks(
-        request_id=found.get(names.REQUEST_ID, b''),
+    return CallerHeaders(
+        request_id=found.get(names.REQUEST_ID_HEADER, b''),
         host=host.partition(':')[0],
         path=request.path.decode('latin-1'),
-        seconds_left=_read_milliseconds(found.get(names.DEADLINE)),
+        remaining_seconds=_read_milliseconds(found.get(names.DEADLINE_HEADER)),
         key=_read_key(found.get(b'authorization')),
         object_key=_read_object(request.headers),
     )
 
 
-def make_forwarded(
+def make_target_request(
     request: Request,
     *,
     target: str,
     team: str | None,
-    seconds_left: float,
+    remaining_seconds: float,
 ) -> Request:
     """Return the request as a target gets it."""
     kept = tuple(
@@ -99,36 +99,39 @@
         if header[0] not in _OWN
     )
     added: list[tuple[bytes, bytes]] = [
-        (names.DEADLINE, b'%d' % max(1, int(seconds_left * 1000))),
-        (names.EXPECTED_TARGET, target.encode()),
+        (names.DEADLINE_HEADER, b'%d' % max(1, int(remaining_seconds * 1000))),
+        (names.EXPECTED_TARGET_HEADER, target.encode()),
     ]
     if team is not None:
-        added.append((names.TEAM, team.encode()))
+        added.append((names.TEAM_HEADER, team.encode()))
     return request._replace(headers=(*kept, *added))
 
 
-def read_target_marks(reply: Reply) -> TargetMarks:
+def read_target_headers(reply: ReceivedAnswer) -> TargetHeaders:
     """Read the headers of a target."""
     is_misdirected = reply.status == _MISDIRECTED
-    is_marked = get_header(reply.headers, names.NOT_EXECUTED) is not None
+    is_marked = get_header(reply.headers, names.NOT_EXECUTED_HEADER) is not None
     is_not_run = is_misdirected or (
         is_marked and reply.status in _NOT_RUN_STATUSES
     )
-    return TargetMarks(
+    return TargetHeaders(
         is_not_run=is_not_run,
-        is_unproven=not is_not_run and reply.status in _PROMISING_STATUSES,
+        is_unproven_refusal=not is_not_run
+        and reply.status in _PROMISING_STATUSES,
         is_misdirected=is_misdirected,
-        is_stamped=get_header(reply.headers, names.STAMP) is not None,
-        busy=_read_busy(get_header(reply.headers, names.LOAD)),
+        has_stamp=get_header(reply.headers, names.STAMP_HEADER) is not None,
+        pending_requests=_read_busy(
+            get_header(reply.headers, names.LOAD_HEADER)
+        ),
     )
 
 
-def make_passed_on(reply: Reply) -> Answer:
+def make_caller_answer(reply: ReceivedAnswer) -> Answer:
     """Return the answer of a target as its caller gets it."""
     headers: Headers = tuple(
         header
         for header in drop_hop_by_hop(reply.headers)
-        if header[0] != names.LOAD
+        if header[0] != names.LOAD_HEADER
     )
     return Answer(reply.status, headers, reply.body)
 
--- a/toucanhall/platform/boot.py
+++ b/toucanhall/platform/settings_file.py
@@ -9,7 +9,7 @@
 from toucanhall.fleet.model import Address, Bounds, Environment, Listeners
 from toucanhall.platform.units import read_seconds
 
-__all__ = ('BadSettings', 'load')
+__all__ = ('SettingsError', 'load_settings')
 
 # Clients may keep a directory answer for three times its life: with this one
 # they have left a VM that stops before the usual grace of six seconds ends.
@@ -25,18 +25,18 @@
 _DEFAULT_MEGABYTES: Final = 152  # of the smallest VM of today's deployments
 
 
-class BadSettings(ValueError):
+class SettingsError(ValueError):
     """The settings file lacks something or holds what cannot be read."""
 
 
-def load(path: Path) -> Environment:
+def load_settings(path: Path) -> Environment:
     """Read the settings at a path; raise BadSettings when they are wrong."""
     try:
         return _decode(yaml.load(path.read_bytes(), Loader=_Loader))
     except KeyError as error:
-        raise BadSettings(f'{path}: no field {error}') from error
+        raise SettingsError(f'{path}: no field {error}') from error
     except _WRONG as error:
-        raise BadSettings(f'{path}: {error}') from error
+        raise SettingsError(f'{path}: {error}') from error
 
 
 _WRONG: Final = (
@@ -74,7 +74,7 @@
         ),
         capacity=_read_capacity(limits),
         memory=_read_memory(limits),
-        descriptors=int(limits.get('max_fds') or _DEFAULT_DESCRIPTORS),
+        max_descriptors=int(limits.get('max_fds') or _DEFAULT_DESCRIPTORS),
     )
 
 
@@ -99,18 +99,20 @@
     target_heartbeat: float,
 ) -> Bounds:
     return Bounds(
-        grace=read_seconds(bounds.get('grace', _DEFAULT_GRACE)),
-        directory_ttl=min(
+        shutdown_grace_seconds=read_seconds(
+            bounds.get('grace', _DEFAULT_GRACE)
+        ),
+        directory_ttl_seconds=min(
             _DIRECTORY_TTL,
             read_seconds(bounds.get('ttl_max', '5s')),
         ),
         retry_ratio=float(bounds.get('retry_budget_ratio', 0.2)),
-        retry_window=read_seconds(bounds.get('budget_window', '10s')),
+        retry_window_seconds=read_seconds(bounds.get('budget_window', '10s')),
         retry_slack=float(bounds.get('budget_slack', 0)),
-        quota_window=read_seconds(bounds.get('quota_window', '5s')),
+        quota_window_seconds=read_seconds(bounds.get('quota_window', '5s')),
         quota_overage=float(bounds.get('quota_overage', 0)),
         quota_slack=float(bounds.get('quota_slack', 0)),
-        target_heartbeat=target_heartbeat,
+        target_heartbeat_seconds=target_heartbeat,
     )
 
 
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -11,14 +11,21 @@
 from toucanhall.fleet.model import Address
 from toucanhall.platform import names
 from toucanhall.web.client import (
-    Opening,
-    Reply,
+    ConnectionSettings,
+    ReceivedAnswer,
     ServerConnection,
     open_connection,
 )
-from toucanhall.web.messages import Request, write_request
-
-__all__ = ('Change', 'Conflict', 'HistoryLost', 'Store', 'StoreError', 'Table')
+from toucanhall.web.messages import Request, encode_request
+
+__all__ = (
+    'Change',
+    'ConflictError',
+    'HistoryLostError',
+    'Store',
+    'StoreError',
+    'Table',
+)
 
 # A slow store takes up to a hundred times its usual 4 ms.
 _CALL_SECONDS: Final = 1.0
@@ -34,11 +41,11 @@
     """A call that the store did not answer with success."""
 
 
-class HistoryLost(StoreError):
+class HistoryLostError(StoreError):
     """The changes since a revision are not kept any more."""
 
 
-class Conflict(StoreError):
+class ConflictError(StoreError):
     """The object exists, or is not at the revision that the call names."""
 
 
@@ -69,23 +76,23 @@
         self,
         *,
         address: Address,
-        opening: Opening,
+        settings: ConnectionSettings,
         on_call: Callable[[str, float], None],
     ) -> None:
         """Tell `on_call` the outcome and the seconds of each call."""
-        self._opening = opening
+        self._opening = settings
         self._on_call = on_call
         self._address = address
         self._host = f'{address.host}:{address.port}'.encode()
         self._idle: dict[str, list[ServerConnection]] = {}
 
-    async def read(self, kind: str, *, is_stale: bool = False) -> Table:
+    async def read(self, kind: str, *, may_be_stale: bool = False) -> Table:
         """Return all objects of a kind."""
         changes: list[Change] = []
         after = ''
         while True:
             query = {'after': after} if after else {}
-            if is_stale:
+            if may_be_stale:
                 query['allow_stale'] = '1'
             path = f'{kind}?{urlencode(query)}' if query else kind
             found = await self._call('GET', path)
@@ -130,7 +137,7 @@
         body: object = None,
         seconds: float = _CALL_SECONDS,
     ) -> Mapping[str, Any]:
-        sent = write_request(
+        sent = encode_request(
             Request(
                 method=method.encode(),
                 path=f'{names.OBJECTS_PATH}{path}'.encode(),
@@ -156,7 +163,7 @@
             self._on_call(outcome, time.monotonic() - began)
         return _read_reply(reply)
 
-    async def _exchange(self, sent: bytes, use: str) -> Reply:
+    async def _exchange(self, sent: bytes, use: str) -> ReceivedAnswer:
         connection = await self._take_connection(use)
         reply = await connection.exchange(sent)
         if not use:
@@ -177,7 +184,7 @@
         return await open_connection(
             self._address,
             seconds=_CONNECT_SECONDS,
-            opening=self._opening,
+            settings=self._opening,
         )
 
 
@@ -213,7 +220,7 @@
     )
 
 
-def _read_reply(reply: Reply) -> Mapping[str, Any]:
+def _read_reply(reply: ReceivedAnswer) -> Mapping[str, Any]:
     if reply.status not in _SUCCESS:
         error = _ERRORS.get(reply.status, StoreError)
         raise error(f'status {reply.status}')
@@ -225,6 +232,6 @@
 
 _WRONG: Final = (KeyError, TypeError, ValueError, AttributeError)
 _ERRORS: Final[Mapping[int, type[StoreError]]] = {
-    _CONFLICT: Conflict,
-    _GONE: HistoryLost,
+    _CONFLICT: ConflictError,
+    _GONE: HistoryLostError,
 }
--- a/toucanhall/platform/following.py
+++ b/toucanhall/platform/store_watch.py
@@ -4,14 +4,14 @@
 import random
 from typing import Final
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
-from toucanhall.platform.store import HistoryLost, Store, StoreError
-from toucanhall.platform.tables import KINDS, Tables
+from toucanhall.platform.store import HistoryLostError, Store, StoreError
+from toucanhall.platform.table_loader import WATCHED_KINDS, TableLoader
 
-__all__ = ('Follower',)
+__all__ = ('StoreWatch',)
 
 # A watch is renewed well before half of the store's 20 s of history is over.
 _WATCH_SECONDS: Final = 8.0
@@ -25,30 +25,30 @@
 
 # Changes that follow one another within this time are read by one call.
 _GATHER_SECONDS: Final = {
-    names.CONFIGURATIONS: 0.05,
-    names.TARGETS: 0.2,
-    names.EVACUATIONS: 0.05,
+    names.CONFIGURATION_KIND: 0.05,
+    names.TARGET_KIND: 0.2,
+    names.EVACUATION_KIND: 0.05,
 }
 
 
-class Follower:
+class StoreWatch:
     """Keeps the tables of a VM up to date from the store."""
 
     def __init__(
         self,
         *,
         store: Store,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         lapse_seconds: float,
     ) -> None:
-        """Write what the store holds into `knowledge`.
+        """Write what the store holds into `fleet_tables`.
 
         No target lapses in an absence of less than `lapse_seconds`.
         """
         self._lapse_seconds = lapse_seconds
         self._store = store
-        self._knowledge = knowledge
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._loop = asyncio.get_running_loop()
         self._tasks: list[asyncio.Task[None]] = []
@@ -56,8 +56,8 @@
         self._is_away = False
         self._answered_at = self._loop.time()
         self._revisions: dict[str, int] = {}
-        self._tables = Tables(
-            knowledge=knowledge,
+        self._tables = TableLoader(
+            fleet_tables=fleet_tables,
             journal=journal,
             clock=self._loop.time,
         )
@@ -69,14 +69,15 @@
 
     async def read_all(self) -> None:
         """Read each table once; raise StoreError when one cannot be read."""
-        await asyncio.gather(*(self._read(kind) for kind in KINDS))
+        await asyncio.gather(*(self._read(kind) for kind in WATCHED_KINDS))
 
     def start(self) -> None:
         """Watch the store from now on."""
         if not self._tasks:
             self._journal.write(events.WATCH_STARTED)
             self._tasks = [
-                self._loop.create_task(self._follow(kind)) for kind in KINDS
+                self._loop.create_task(self._follow(kind))
+                for kind in WATCHED_KINDS
             ]
             self._tasks.append(self._loop.create_task(self._probe()))
 
@@ -118,7 +119,7 @@
         while True:
             await asyncio.sleep(_PROBE_SECONDS)
             try:
-                await self._store.read(names.EVACUATIONS, is_stale=True)
+                await self._store.read(names.EVACUATION_KIND, may_be_stale=True)
             except StoreError as error:
                 self._fail(_PROBE, error)
             else:
@@ -131,7 +132,7 @@
             return
         try:
             table = await self._store.watch(kind, revision, _WATCH_SECONDS)
-        except HistoryLost:
+        except HistoryLostError:
             self._journal.write(events.HISTORY_LOST, table=kind)
             await self._read(kind)
             return
@@ -154,19 +155,19 @@
         self._failing.add(kind)
         if not self._is_away:
             self._is_away = True
-            self._knowledge.start_lapse()
+            self._fleet_tables.start_store_outage()
 
     def _recover(self, kind: str) -> None:
         now = self._loop.time()
         if kind in self._failing:
             self._failing.discard(kind)
             if not self._failing:
-                self._journal.write(events.STORE_REGAINED)
+                self._journal.write(events.STORE_RECOVERED)
         if self._is_away:
             self._is_away = False
             away = now - self._answered_at
-            self._knowledge.end_lapse(
+            self._fleet_tables.end_store_outage(
                 now,
-                may_have_lapsed=away > self._lapse_seconds,
+                may_have_expired=away > self._lapse_seconds,
             )
         self._answered_at = now
--- a/toucanhall/platform/tables.py
+++ b/toucanhall/platform/table_loader.py
@@ -3,41 +3,45 @@
 from collections.abc import Callable
 from typing import Final
 
-from toucanhall.fleet.knowledge import Knowledge
+from toucanhall.fleet.tables import FleetTables
 from toucanhall.fleet.model import Target
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
 from toucanhall.platform.documents import (
-    BadDocument,
+    InvalidDocumentError,
     decode_configuration,
     decode_target,
 )
 from toucanhall.platform.store import Change, Table
 
-__all__ = ('KINDS', 'Tables')
+__all__ = ('WATCHED_KINDS', 'TableLoader')
 
-KINDS: Final = (names.CONFIGURATIONS, names.TARGETS, names.EVACUATIONS)
+WATCHED_KINDS: Final = (
+    names.CONFIGURATION_KIND,
+    names.TARGET_KIND,
+    names.EVACUATION_KIND,
+)
 
 
-class Tables:
+class TableLoader:
     """Decodes objects by their kind; what cannot be read is passed over."""
 
     def __init__(
         self,
         *,
-        knowledge: Knowledge,
+        fleet_tables: FleetTables,
         journal: Journal,
         clock: Callable[[], float],
     ) -> None:
-        """Write what is decoded into `knowledge`."""
-        self._knowledge = knowledge
+        """Write what is decoded into `fleet_tables`."""
+        self._fleet_tables = fleet_tables
         self._journal = journal
         self._clock = clock
         self._takers: dict[str, Callable[[Table, bool], None]] = {
-            names.CONFIGURATIONS: self._take_configurations,
-            names.TARGETS: self._take_targets,
-            names.EVACUATIONS: self._take_evacuations,
+            names.CONFIGURATION_KIND: self._take_configurations,
+            names.TARGET_KIND: self._take_targets,
+            names.EVACUATION_KIND: self._take_evacuations,
         }
 
     def take(self, kind: str, table: Table, *, is_whole: bool) -> None:
@@ -50,10 +54,10 @@
                 continue
             try:
                 configuration = decode_configuration(change.spec)
-            except BadDocument as error:
+            except InvalidDocumentError as error:
                 self._journal.write(events.ENTRY_IGNORED, why=str(error))
             else:
-                self._knowledge.take_configuration(
+                self._fleet_tables.replace_configuration(
                     change.revision,
                     configuration,
                 )
@@ -63,7 +67,7 @@
             change.name: self._decode_target(change) for change in table.changes
         }
         if not is_whole:
-            self._knowledge.change_targets(
+            self._fleet_tables.apply_target_changes(
                 table.revision,
                 decoded,
                 self._clock(),
@@ -74,14 +78,16 @@
             for name, found in decoded.items()
             if isinstance(found, Target)
         }
-        self._knowledge.take_targets(table.revision, targets, self._clock())
+        self._fleet_tables.replace_targets(
+            table.revision, targets, self._clock()
+        )
 
     def _decode_target(self, change: Change) -> Target | int:
         if change.spec is None:
             return change.revision
         try:
             return decode_target(change.name, change.spec, change.revision)
-        except BadDocument as error:
+        except InvalidDocumentError as error:
             self._journal.write(events.ENTRY_IGNORED, why=str(error))
             return change.revision
 
@@ -90,6 +96,6 @@
             change.name: change.spec is not None for change in table.changes
         }
         if is_whole:
-            self._knowledge.take_evacuations(table.revision, zones)
+            self._fleet_tables.replace_evacuations(table.revision, zones)
         else:
-            self._knowledge.change_evacuations(table.revision, zones)
+            self._fleet_tables.apply_evacuation_changes(table.revision, zones)
--- a/toucanhall/platform/units.py
+++ b/toucanhall/platform/units.py
@@ -3,7 +3,7 @@
 import re
 from typing import Final
 
-__all__ = ('read_seconds', 'read_version', 'write_seconds')
+__all__ = ('read_seconds', 'read_version', 'format_seconds')
 
 _DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
 _SECONDS: Final = {'ms': 0.001, 's': 1.0}
@@ -18,7 +18,7 @@
     return float(found[1]) * _SECONDS[found[2]]
 
 
-def write_seconds(seconds: float) -> str:
+def format_seconds(seconds: float) -> str:
     """Write a duration in whole milliseconds."""
     return f'{round(seconds * 1000)}ms'
 
--- a/toucanhall/platform/entries.py
+++ b/toucanhall/platform/vm_registry.py
@@ -1,16 +1,20 @@
 """Entries in the store by which VMs find each other."""
 
-from toucanhall.fleet.model import Introduction
+from toucanhall.fleet.model import VmContact
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.platform import names
-from toucanhall.platform.documents import BadDocument, decode_vm, encode_vm
-from toucanhall.platform.store import Conflict, Store
+from toucanhall.platform.documents import (
+    InvalidDocumentError,
+    decode_vm,
+    encode_vm,
+)
+from toucanhall.platform.store import ConflictError, Store
 
-__all__ = ('Entries',)
+__all__ = ('VmRegistry',)
 
 
-class Entries:
+class VmRegistry:
     """The entries of all VMs."""
 
     def __init__(self, *, store: Store, journal: Journal) -> None:
@@ -18,29 +22,29 @@
         self._store = store
         self._journal = journal
 
-    async def register(self, own: Introduction) -> list[Introduction]:
+    async def register(self, own: VmContact) -> list[VmContact]:
         """Write the entry of this VM and return those of all VMs."""
-        found = await self.list_vms(is_stale=False)
+        found = await self.list_vms(may_be_stale=False)
         if own not in found:
             spec = encode_vm(own)
             try:
-                await self._store.create(names.VMS, own.vm, spec)
-            except Conflict:
-                await self._store.replace(names.VMS, own.vm, spec)
+                await self._store.create(names.VM_KIND, own.vm, spec)
+            except ConflictError:
+                await self._store.replace(names.VM_KIND, own.vm, spec)
         return found
 
-    async def list_vms(self, *, is_stale: bool) -> list[Introduction]:
+    async def list_vms(self, *, may_be_stale: bool) -> list[VmContact]:
         """Return the entries of all VMs; stale ones are some seconds old."""
-        table = await self._store.read(names.VMS, is_stale=is_stale)
+        table = await self._store.read(names.VM_KIND, may_be_stale=may_be_stale)
         found = []
         for change in table.changes:
             try:
                 found.append(decode_vm(change.name, change.spec))
-            except BadDocument as error:
+            except InvalidDocumentError as error:
                 self._journal.write(events.ENTRY_IGNORED, why=str(error))
         return found
 
-    async def forget(self, vm: str) -> None:
+    async def remove(self, vm: str) -> None:
         """Delete the entry of a VM that has gone."""
-        await self._store.delete(names.VMS, vm)
+        await self._store.delete(names.VM_KIND, vm)
         self._journal.write(events.ENTRY_DELETED, peer=vm)
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -8,16 +8,21 @@
 import httptools
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.memory import PIECE_BYTES, Bounds, Framing, HeldBytes
+from toucanhall.web.memory import (
+    PARSE_CHUNK_BYTES,
+    AnswerBounds,
+    FramingCounter,
+    BufferBudget,
+)
 from toucanhall.web.messages import Headers, get_header
 
 __all__ = (
-    'Broken',
-    'Exhausted',
-    'Opening',
-    'Reply',
+    'IncompleteAnswerError',
+    'OutOfDescriptorsError',
+    'ConnectionSettings',
+    'ReceivedAnswer',
     'ServerConnection',
-    'Unreachable',
+    'UnreachableError',
     'open_connection',
 )
 
@@ -30,35 +35,35 @@
 _REDIRECTED_STATUS: Final = 300
 
 
-class Unreachable(ConnectionError):
+class UnreachableError(ConnectionError):
     """No connection was made: nothing was sent."""
 
 
-class Exhausted(Unreachable):
+class OutOfDescriptorsError(UnreachableError):
     """This process has no descriptor left: the server is not to blame."""
 
 
-class Broken(ConnectionError):
+class IncompleteAnswerError(ConnectionError):
     """The connection ended before the whole answer was read."""
 
 
-class Reply(NamedTuple):
+class ReceivedAnswer(NamedTuple):
     """A whole answer of a server."""
 
     status: int
     headers: Headers
     body: bytes
-    keep: bool
+    is_keep_alive: bool
 
 
-class Opening(NamedTuple):
+class ConnectionSettings(NamedTuple):
     """How connections to servers are made, and what is read of them.
 
     Answers are matched by `id_header`, which repeats the id of a request.
     """
 
-    bounds: Bounds
-    held: HeldBytes
+    bounds: AnswerBounds
+    buffer_budget: BufferBudget
     id_header: bytes = b''
 
 
@@ -69,20 +74,20 @@
     connection is not used again.
     """
 
-    def __init__(self, *, opening: Opening) -> None:
-        """Read answers within the bounds of `opening`."""
-        self._opening = opening
-        self._framing = Framing(most=opening.bounds.head_bytes)
+    def __init__(self, *, settings: ConnectionSettings) -> None:
+        """Read answers within the bounds of `settings`."""
+        self._opening = settings
+        self._framing = FramingCounter(max_bytes=settings.bounds.head_bytes)
         self._interim = 0
         self._stray = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._waiter: asyncio.Future[Reply] | None = None
+        self._waiter: asyncio.Future[ReceivedAnswer] | None = None
         self._expected = b''
         self._excess = ''
         self._is_tainted = False
         self.idle_since = 0.0
-        self.idle_seconds: float | None = None
+        self.keep_alive_seconds: float | None = None
         self._start()
 
     @property
@@ -109,48 +114,52 @@
         if self._ends_by_close and _error is None and not self._excess:
             self.on_message_complete()
         if not waiter.done():
-            waiter.set_exception(Broken('connection ended without an answer'))
+            waiter.set_exception(
+                IncompleteAnswerError('connection ended without an answer')
+            )
 
     def data_received(self, received: bytes) -> None:
         """Parse what came; bytes that nobody waits for end the connection."""
         if self._waiter is None or self._waiter.done():
             self.close()
             return
-        for start in range(0, len(received), PIECE_BYTES):
-            why = self._feed(received[start : start + PIECE_BYTES])
+        for start in range(0, len(received), PARSE_CHUNK_BYTES):
+            why = self._feed(received[start : start + PARSE_CHUNK_BYTES])
             if why:
-                self.cut(why)
+                self.terminate(why)
                 return
 
-    def cut(self, why: str) -> None:
+    def terminate(self, why: str) -> None:
         """Fail the request under way and reset the connection."""
         if self._waiter and not self._waiter.done():
-            self._waiter.set_exception(Broken(why))
+            self._waiter.set_exception(IncompleteAnswerError(why))
         self.abort()
 
-    async def exchange(self, sent: bytes, request_id: bytes = b'') -> Reply:
+    async def exchange(
+        self, sent: bytes, request_id: bytes = b''
+    ) -> ReceivedAnswer:
         """Send a request and return its answer.
 
         Raises Unreachable when nothing was sent and Broken when the request
         may have been received. A cancelled exchange closes the connection.
         """
         if not self.is_usable or self._transport is None:
-            raise Unreachable('connection is closed')
+            raise UnreachableError('connection is closed')
         self._expected = request_id
         self._interim = 0
         self._stray = 0
-        self._framing.start()
+        self._framing.reset()
         waiter = asyncio.get_running_loop().create_future()
         self._waiter = waiter
         self._transport.write(sent)
         try:
-            reply: Reply = await waiter
+            reply: ReceivedAnswer = await waiter
         except asyncio.CancelledError:
             self.abort()
             raise
         finally:
             self._drop_body()
-        if not reply.keep:
+        if not reply.is_keep_alive:
             self.close()
         return reply
 
@@ -196,7 +205,7 @@
             )
         elif not self._excess and not self._is_answered():
             self._body += body
-            self._opening.held.put(self, self._size)
+            self._opening.buffer_budget.set_usage(self, self._size)
 
     def on_message_complete(self) -> None:
         """Hand over a whole answer (called by the parser)."""
@@ -211,7 +220,9 @@
             self._stray += 1
             self._is_tainted = True
         elif self._lacks_id(status, headers):
-            waiter.set_exception(Broken('answer without the id of a request'))
+            waiter.set_exception(
+                IncompleteAnswerError('answer without the id of a request')
+            )
             self.abort()
         else:
             self._hand_over(status, headers, waiter)
@@ -220,16 +231,16 @@
         self,
         status: int,
         headers: Headers,
-        waiter: 'asyncio.Future[Reply]',
+        waiter: 'asyncio.Future[ReceivedAnswer]',
     ) -> None:
         keep = not self._ends_by_close and self._parser.should_keep_alive()
-        self.idle_seconds = _read_keep_alive(headers)
+        self.keep_alive_seconds = _read_keep_alive(headers)
         waiter.set_result(
-            Reply(
+            ReceivedAnswer(
                 status=status,
                 headers=headers,
                 body=bytes(self._body),
-                keep=bool(keep),
+                is_keep_alive=bool(keep),
             ),
         )
 
@@ -243,7 +254,7 @@
         if self._is_answered():
             return ''
         bounds = self._opening.bounds
-        if not self._framing.take(len(piece), self._fed_body):
+        if not self._framing.add(len(piece), self._fed_body):
             return f'head or framing is over {bounds.head_bytes} bytes'
         if self._interim > bounds.most_interim:
             return f'over {bounds.most_interim} interim answers'
@@ -269,7 +280,7 @@
 
     def _drop_body(self) -> None:
         self._body = bytearray()
-        self._opening.held.put(self, 0)
+        self._opening.buffer_budget.set_usage(self, 0)
 
     def _start(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
@@ -284,22 +295,24 @@
     address: Address,
     *,
     seconds: float,
-    opening: Opening,
+    settings: ConnectionSettings,
 ) -> ServerConnection:
     """Connect within some seconds; raise Unreachable otherwise."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(seconds):
             _transport, connection = await loop.create_connection(
-                lambda: ServerConnection(opening=opening),
+                lambda: ServerConnection(settings=settings),
                 address.host,
                 address.port,
             )
     except TimeoutError as error:
-        raise Unreachable(f'{address.host} did not accept in time') from error
+        raise UnreachableError(
+            f'{address.host} did not accept in time'
+        ) from error
     except OSError as error:
         is_own = error.errno in {errno.EMFILE, errno.ENFILE}
-        kind = Exhausted if is_own else Unreachable
+        kind = OutOfDescriptorsError if is_own else UnreachableError
         raise kind(f'{address.host}: {error.strerror}') from error
     return connection
 
--- a/toucanhall/web/lag.py
+++ b/toucanhall/web/lag.py
@@ -23,10 +23,10 @@
         self._due_at = self._loop.time() + _TICK_SECONDS
         self._loop.call_at(self._due_at, self._tick)
 
-    def take(self, late: float) -> None:
+    def record(self, late: float) -> None:
         """Take how late one tick was."""
         self.seconds += (late - self.seconds) * _WEIGHT
 
     def _tick(self) -> None:
-        self.take(max(0.0, self._loop.time() - self._due_at))
+        self.record(max(0.0, self._loop.time() - self._due_at))
         self.start()
--- a/toucanhall/web/memory.py
+++ b/toucanhall/web/memory.py
@@ -8,17 +8,17 @@
 from typing import Final, NamedTuple, Protocol
 
 __all__ = (
-    'PIECE_BYTES',
-    'Bounds',
-    'Framing',
-    'HeldBytes',
-    'Holder',
-    'make_bounds',
-    'make_held_bytes',
+    'PARSE_CHUNK_BYTES',
+    'AnswerBounds',
+    'FramingCounter',
+    'BufferBudget',
+    'BufferOwner',
+    'compute_answer_bounds',
+    'make_buffer_budget',
 )
 
 # Bytes that are parsed between two looks at the bounds.
-PIECE_BYTES: Final = 1 << 14
+PARSE_CHUNK_BYTES: Final = 1 << 14
 # Deployments allow a caller 16 KiB of headers; a target may add some.
 _HEAD_BYTES: Final = 1 << 16
 # Informational answers before the final one: 100 and 103, and a few repeats.
@@ -31,37 +31,39 @@
 _BODY_SHARE: Final = 1 / 24
 
 
-class Holder(Protocol):
+class BufferOwner(Protocol):
     """What holds bytes and can be cut."""
 
-    def cut(self, why: str) -> None:
+    def terminate(self, why: str) -> None:
         """End the connection and drop what it holds."""
 
 
-class HeldBytes:
+class BufferBudget:
     """Bytes of all bodies that a process holds."""
 
-    def __init__(self, *, most: int) -> None:
+    def __init__(self, *, max_bytes: int) -> None:
         """Hold at most so many bytes."""
-        self.most = most
-        self.total = 0
-        self._held: dict[Holder, int] = {}
+        self.max_bytes = max_bytes
+        self.total_bytes = 0
+        self._held: dict[BufferOwner, int] = {}
 
-    def put(self, holder: Holder, count: int) -> None:
+    def set_usage(self, holder: BufferOwner, count: int) -> None:
         """Note how many bytes a holder has; cut the largest beyond the bound.
 
         The holder itself may be the one that is cut.
         """
-        self.total += count - self._held.pop(holder, 0)
+        self.total_bytes += count - self._held.pop(holder, 0)
         if count:
             self._held[holder] = count
-        while self.total > self.most:
+        while self.total_bytes > self.max_bytes:
             largest = max(self._held, key=self._held.__getitem__)
-            self.total -= self._held.pop(largest)
-            largest.cut(f'all bodies held are over {self.most} bytes')
+            self.total_bytes -= self._held.pop(largest)
+            largest.terminate(
+                f'all bodies held are over {self.max_bytes} bytes'
+            )
 
 
-class Bounds(NamedTuple):
+class AnswerBounds(NamedTuple):
     """What is read of one answer: bytes, and answers before the final one."""
 
     head_bytes: int
@@ -70,9 +72,9 @@
     most_stray: int
 
 
-def make_bounds(memory: int) -> Bounds:
+def compute_answer_bounds(memory: int) -> AnswerBounds:
     """Return the bounds of a process that has some bytes of memory."""
-    return Bounds(
+    return AnswerBounds(
         head_bytes=_HEAD_BYTES,
         body_bytes=int(memory * _BODY_SHARE),
         most_interim=_MOST_INTERIM,
@@ -80,32 +82,32 @@
     )
 
 
-def make_held_bytes(memory: int) -> HeldBytes:
+def make_buffer_budget(memory: int) -> BufferBudget:
     """Return what counts the bodies of a process with bytes of memory."""
-    return HeldBytes(most=int(memory * _HELD_SHARE))
+    return BufferBudget(max_bytes=int(memory * _HELD_SHARE))
 
 
-class Framing:
+class FramingCounter:
     """Counts what is read beside bodies: heads, chunk sizes, trailers.
 
     The parser keeps a header until it ends and skips what it does not need, so
     these bytes are counted as they come.
     """
 
-    def __init__(self, *, most: int) -> None:
+    def __init__(self, *, max_bytes: int) -> None:
         """Allow so many bytes in a row, and so many more than the body has."""
-        self._most = most
+        self._most = max_bytes
         self._total = 0
         self._run = 0
         self._body = 0
 
-    def start(self) -> None:
+    def reset(self) -> None:
         """Begin a message."""
         self._total = 0
         self._run = 0
         self._body = 0
 
-    def take(self, count: int, body: int) -> bool:
+    def add(self, count: int, body: int) -> bool:
         """Count bytes read, some of them of the body; tell if it is allowed."""
         framing = max(0, count - body)
         self._run = framing if body else self._run + framing
--- a/toucanhall/web/messages.py
+++ b/toucanhall/web/messages.py
@@ -10,9 +10,9 @@
     'drop_hop_by_hop',
     'get_header',
     'make_answer',
-    'make_failed',
-    'write_answer',
-    'write_request',
+    'make_error_answer',
+    'encode_answer',
+    'encode_request',
 )
 
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
@@ -73,7 +73,7 @@
     )
 
 
-def make_failed(_error: Exception) -> Answer:
+def make_error_answer(_error: Exception) -> Answer:
     """Return the answer where an error left the outcome open."""
     return make_answer(HTTPStatus.BAD_GATEWAY, 'internal-error')
 
@@ -91,7 +91,7 @@
     )
 
 
-def write_answer(answer: Answer, *, is_last: bool, has_body: bool) -> bytes:
+def encode_answer(answer: Answer, *, is_last: bool, has_body: bool) -> bytes:
     """Return the bytes of an answer; the last one closes the connection."""
     lines = [
         b'HTTP/1.1 %d %s'
@@ -105,7 +105,7 @@
     return b'\r\n'.join((*lines, b'', body))
 
 
-def write_request(request: Request) -> bytes:
+def encode_request(request: Request) -> bytes:
     """Return the bytes of a request with the length of its body."""
     lines = [b'%s %s HTTP/1.1' % (request.method, request.path)]
     lines.extend(b'%s: %s' % header for header in request.headers)
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -7,13 +7,17 @@
 
 import httptools
 
-from toucanhall.web.memory import PIECE_BYTES, Framing, HeldBytes
+from toucanhall.web.memory import (
+    PARSE_CHUNK_BYTES,
+    FramingCounter,
+    BufferBudget,
+)
 from toucanhall.web.messages import (
     Answer,
     Request,
     get_header,
     make_answer,
-    write_answer,
+    encode_answer,
 )
 
 __all__ = ('Connection', 'Handler', 'ServerLimits')
@@ -39,21 +43,21 @@
 class Handler(NamedTuple):
     """What a connection asks its server for.
 
-    `fail` answers a request whose handling raised an error, `is_cancellable`
+    `answer_error` answers a request whose handling raised an error, `is_cancellable`
     tells whether a request is ended once its caller left, `is_lagging` whether
-    requests wait before they are looked at. Of `most_connections` that may be
+    requests wait before they are looked at. Of `max_connections` that may be
     open, those that are quiet make room for new ones.
     """
 
     serve: Callable[[Request], Awaitable[Answer]]
-    fail: Callable[[Exception], Answer]
+    answer_error: Callable[[Exception], Answer]
     is_cancellable: Callable[[Request], bool]
     get_limits: Callable[[], ServerLimits]
     is_stopping: Callable[[], bool]
     is_lagging: Callable[[], bool]
     connections: set['Connection']
-    held: HeldBytes
-    most_connections: int
+    buffer_budget: BufferBudget
+    max_connections: int
 
 
 class _Exchange:
@@ -82,7 +86,9 @@
         self._is_paused = False
         self._is_unread = False
         self._limits = handler.get_limits()
-        self._framing = Framing(most=self._limits.head_bytes + PIECE_BYTES)
+        self._framing = FramingCounter(
+            max_bytes=self._limits.head_bytes + PARSE_CHUNK_BYTES
+        )
         self._fed_body = 0
         self._since = self._loop.time()
         self._reads = False
@@ -94,7 +100,7 @@
         self._transport = transport
         connections = self._handler.connections
         connections.add(self)
-        if len(connections) > self._handler.most_connections:
+        if len(connections) > self._handler.max_connections:
             _make_room(connections)
         self._check = self._loop.call_later(_CHECK_SECONDS, self._check_times)
 
@@ -102,7 +108,7 @@
         """End the requests whose caller has left."""
         self._check.cancel()
         self._handler.connections.discard(self)
-        self._handler.held.put(self, 0)
+        self._handler.buffer_budget.set_usage(self, 0)
         self._is_closing = True
         for exchange in self._exchanges:
             task, request = exchange.task, exchange.request
@@ -113,10 +119,10 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse what came; start each request that is whole."""
-        for start in range(0, len(received), PIECE_BYTES):
+        for start in range(0, len(received), PARSE_CHUNK_BYTES):
             if self._is_closing:
                 return
-            self._feed(received[start : start + PIECE_BYTES])
+            self._feed(received[start : start + PARSE_CHUNK_BYTES])
 
     def pause_writing(self) -> None:
         """Count answers that the caller does not read."""
@@ -128,7 +134,7 @@
         self._is_unread = False
         self._count_held()
 
-    def cut(self, why: str) -> None:
+    def terminate(self, why: str) -> None:
         """Refuse a body for which there is no memory, or reset the connection.
 
         The latter ends a caller that does not read its answers.
@@ -143,15 +149,15 @@
         """When the connection was opened or used last."""
         return self._since
 
-    def close_idle(self, *, quiet: float = 0.0) -> bool:
+    def close_idle(self, *, min_idle_seconds: float = 0.0) -> bool:
         """Close the connection if nothing is under way; tell whether.
 
-        One that was opened or used less than `quiet` seconds ago stays: a
+        One that was opened or used less than `min_idle_seconds` seconds ago stays: a
         request may be on its way.
         """
         if self._exchanges or self._reads or self._transport is None:
             return False
-        if self._loop.time() - self._since < quiet:
+        if self._loop.time() - self._since < min_idle_seconds:
             return False
         self._is_closing = True
         self._transport.close()
@@ -196,7 +202,7 @@
         if self._is_closing:
             return
         self._reads = False
-        self._framing.start()
+        self._framing.reset()
         request = Request(
             method=self._parser.get_method(),
             path=bytes(self._path),
@@ -224,7 +230,7 @@
         except httptools.HttpParserError:
             self._reject(400, 'malformed request')
         else:
-            if not self._framing.take(len(piece), self._fed_body):
+            if not self._framing.add(len(piece), self._fed_body):
                 self._reject(431, 'header fields too large')
 
     async def _serve(self, exchange: _Exchange, request: Request) -> None:
@@ -236,7 +242,7 @@
         try:
             exchange.answer = await self._handler.serve(request)
         except Exception as error:  # noqa: BLE001
-            exchange.answer = self._handler.fail(error)
+            exchange.answer = self._handler.answer_error(error)
         self._flush()
 
     def _flush(self) -> None:
@@ -260,7 +266,7 @@
         request = exchange.request
         has_body = request is None or request.method != b'HEAD'
         transport.write(
-            write_answer(answer, is_last=is_last, has_body=has_body),
+            encode_answer(answer, is_last=is_last, has_body=has_body),
         )
         self._count_held()
         if is_last:
@@ -269,7 +275,7 @@
 
     def _is_crowded(self) -> bool:
         """Whether callers should open a connection for their next request."""
-        most = self._handler.most_connections * _CROWDED_SHARE
+        most = self._handler.max_connections * _CROWDED_SHARE
         return len(self._handler.connections) > most
 
     def _count_held(self) -> None:
@@ -281,7 +287,7 @@
             for exchange in self._exchanges
             if exchange.request
         )
-        self._handler.held.put(self, held)
+        self._handler.buffer_budget.set_usage(self, held)
 
     def _reject(self, status: int, text: str) -> None:
         if self._is_closing:
