Name contacts of VMs in full and import test builders by their names

The parameter and two tests still said location, which now means zone and region; fleetdata imported compute_answer_bounds under its old name.

--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -17,8 +17,7 @@
 from toucanhall.limits.quota import Usage
 from toucanhall.platform.store import Store
 from toucanhall.web.client import ConnectionSettings
-from toucanhall.web.memory import compute_answer_bounds as make_answer_bounds
-from toucanhall.web.memory import make_buffer_budget
+from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
 
 __all__ = (
     'make_bounds',
@@ -154,7 +153,7 @@
 ) -> ConnectionSettings:
     """Return how a VM with this memory (bytes) opens connections."""
     return ConnectionSettings(
-        bounds=make_answer_bounds(memory),
+        bounds=compute_answer_bounds(memory),
         buffer_budget=make_buffer_budget(memory),
         id_header=id_header,
     )
--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -50,14 +50,14 @@
     assert members.list_alive(8.0)
 
 
-def test_location_of_a_vm_is_new_once():
+def test_contact_of_a_vm_is_new_once():
     members = make_members()
     found = VmContact('vm-9', 'east-a', '127.0.0.9')
     assert members.add_known_vm(found)
     assert not members.add_known_vm(found)
 
 
-def test_expired_vm_is_dropped_and_its_location_is_new_again():
+def test_expired_vm_is_dropped_and_its_contact_is_new_again():
     members = make_members()
     members.receive(make_heartbeat('vm-1'), 1.0)
     assert members.drop_expired(VM_EXPIRY_SECONDS) == []
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -125,10 +125,10 @@
             self.add_known_vm(found.contact)
         return True
 
-    def add_known_vm(self, location: VmContact) -> bool:
+    def add_known_vm(self, contact: VmContact) -> bool:
         """Record the zone and address of a VM; return whether they are new."""
-        is_new = self.known_vms.get(location.vm) != location
-        self.known_vms[location.vm] = location
+        is_new = self.known_vms.get(contact.vm) != contact
+        self.known_vms[contact.vm] = contact
         return is_new
 
     def mark_listing_complete(self) -> None:
