--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -17,8 +17,7 @@
 from toucanhall.limits.quota import Usage
 from toucanhall.platform.store import Store
 from toucanhall.web.client import ConnectionSettings
-from toucanhall.web.memory import compute_answer_bounds as make_answer_bounds
-from toucanhall.web.memory import make_buffer_budget
+from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
 
 __all__ = (
     'make_bounds',
@@ -35,7 +34,7 @@
 
 
 def make_target(name: str = 't1', **fields: object) -> Target:
-    """Return a warm target that is ready."""
+    """Return a target that is warm and takes requests."""
     target = Target(
         id=name,
         service='guide',
@@ -51,7 +50,7 @@
 
 
 def make_team(name: str = 'guides', **fields: object) -> Team:
-    """Return a team without homes."""
+    """Return a team without home regions."""
     team = Team(
         name=name,
         priority=None,
@@ -63,7 +62,7 @@
 
 
 def make_bounds(**fields: object) -> Bounds:
-    """Return the bounds of today's deployments."""
+    """Return the bounds of the deployments."""
     bounds = Bounds(
         shutdown_grace_seconds=6.0,
         directory_ttl_seconds=2.0,
@@ -79,7 +78,7 @@
 
 
 def make_environment(**fields: object) -> Environment:
-    """Return what a VM of a zone of its own is told at its start."""
+    """Return the settings of a VM that is alone in its zone."""
     environment = Environment(
         vm='vm-1',
         zone='east-a',
@@ -105,7 +104,7 @@
     usage: Mapping[str, Usage] | None = None,
     **fields: object,
 ) -> Heartbeat:
-    """Return the heartbeat of a VM that is ready; fields are its member's."""
+    """Return the heartbeat of a ready VM; `fields` are those of its member."""
     return Heartbeat(
         member=make_member(vm, **fields),
         started_at=started_at,
@@ -115,7 +114,7 @@
 
 
 def make_member(vm: str = 'vm-1', **fields: object) -> Member:
-    """Return a VM that is alive and ready."""
+    """Return the state of a VM that is ready."""
     member = Member(
         vm=vm,
         zone='east-a',
@@ -144,7 +143,7 @@
 
 
 def make_members(*zones: str, now: float = -100.0) -> Members:
-    """Return what a VM of `east-a` knows that started long ago."""
+    """Return the members known to a VM of `east-a` that started long ago."""
     own = VmContact('vm-own', 'east-a', '127.0.0.99')
     return Members(own=own, zones=('east-a', *zones), now=now)
 
@@ -152,16 +151,16 @@
 def make_opening(
     memory: int = 152_000_000, id_header: bytes = b''
 ) -> ConnectionSettings:
-    """Return how a VM with so many bytes of memory opens connections."""
+    """Return how a VM with this memory (bytes) opens connections."""
     return ConnectionSettings(
-        bounds=make_answer_bounds(memory),
+        bounds=compute_answer_bounds(memory),
         buffer_budget=make_buffer_budget(memory),
         id_header=id_header,
     )
 
 
 def make_store(address: Address) -> Store:
-    """Return a client of a store whose calls nobody counts."""
+    """Return a client of a store; its calls are not counted."""
     return Store(
         address=address,
         settings=make_opening(),
--- a/tests/models/test_tables_model.py
+++ b/tests/models/test_tables_model.py
@@ -1,11 +1,14 @@
-"""Model of the tables that VMs read from the store and pass on to each other.
+"""Model of the tables that VMs read from the store and send to each other.
 
-Three VMs: one watches the store, the others take snapshots from any VM. The
-operator writes configurations, a target registers and leaves; calls to the
-store are answered whole or lost, and it hears of changes by its watch. A
-snapshot is made for a VM that knows some revision: whole, or what has changed
-since. It stays under way for good, so it can come late, twice, out of order
-and to any VM. A VM may start again and then knows nothing.
+It guards against a VM that goes back to an older table, or that keeps a
+deleted target, when snapshots come late, twice or out of order.
+
+Three VMs: one watches the store, the others apply snapshots from any VM. The
+operator writes configurations, a target registers and leaves; the watcher
+reads whole tables or receives changes, or its call is lost. A snapshot is made
+for a VM that knows some revision: whole tables, or what has changed since. It
+is never consumed, so it can arrive at any time, more than once and at any VM.
+A VM may start again and then knows nothing.
 
 The model runs `FleetTables` itself, built anew from each state.
 """
@@ -25,21 +28,22 @@
 from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.model import ClientLimits, Configuration, Snapshot
 
-VMS = 3
+VM_COUNT = 3
 WATCHER = 0
-MOST_REVISION = 4
-MOST_REVISION_OF_VARIANTS = 3
-MOST_STARTS = 1
-MOST_SENT = 2
+MAX_REVISION = 4
+MAX_REVISION_OF_VARIANTS = 3
+MAX_STARTS = 1
+MAX_SNAPSHOTS = 2
 TARGET = 't1'
 LIMITS = ClientLimits(1, 1, 1.0, 1.0)
 
 
 class Known(NamedTuple):
-    """What a VM knows; `peak` is the most it knew since its start.
+    """What a VM knows; `peak` has its newest revisions since its start.
 
-    `target` and `removed` are revisions, 0 where the target is not known and
-    where no removal is.
+    `target` is the revision of the target, 0 if it is not in the table;
+    `removed` that of its removal, 0 without one. All removals after the
+    revision `since` are known.
     """
 
     configuration: int = 0
@@ -51,7 +55,10 @@
 
 
 class Sent(NamedTuple):
-    """A snapshot under way; its last three fields as in `Known`."""
+    """A snapshot in transit; `target` and `removed` are as in `Known`.
+
+    It has the changes after `since`, or the whole table if that is 0.
+    """
 
     configuration: int
     targets: int
@@ -61,13 +68,13 @@
 
 
 class State(NamedTuple):
-    """The store, the VMs, snapshots under way, and starts so far."""
+    """The store, the VMs, snapshots in transit, and starts so far."""
 
     revision: int = 1
     configuration: int = 1
-    # Store revision of the last change of the target, and whether it is there.
+    # Store revision of the target's last change, and whether it is registered.
     target: tuple[int, bool] = (1, True)
-    vms: tuple[Known, ...] = (Known(),) * VMS
+    vms: tuple[Known, ...] = (Known(),) * VM_COUNT
     sent: frozenset[Sent] = frozenset()
     starts: int = 0
 
@@ -78,12 +85,12 @@
 
 
 def restore(known, make):
-    """Return the knowledge of a VM in a state."""
+    """Return the tables of a VM, built from what it knows in a state."""
     fleet_tables = make(on_change=lambda _table: None)
     if known.configuration:
         fleet_tables.configuration = make_configuration(known.configuration)
     if known.target:
-        fleet_tables.targets = name_target(known.target)
+        fleet_tables.targets = make_table(known.target)
     fleet_tables.removals.restart(known.since)
     if known.removed:
         fleet_tables.removals.record(TARGET, known.removed)
@@ -91,7 +98,7 @@
     return fleet_tables
 
 
-def name_target(revision):
+def make_table(revision):
     """Return the table with the target as written at a revision, if any."""
     if not revision:
         return {}
@@ -107,7 +114,7 @@
         version,
         targets,
         find_revision(fleet_tables.targets),
-        find_floor(fleet_tables.removals),
+        find_earliest_revision(fleet_tables.removals),
         fleet_tables.removals.list_since(0).get(TARGET, 0),
         (max(before.peak[0], version), max(before.peak[1], targets)),
     )
@@ -118,9 +125,9 @@
     return targets[TARGET].revision if TARGET in targets else 0
 
 
-def find_floor(removals):
-    """Return the revision since which all removals are known, or 0."""
-    revisions = range(1, MOST_REVISION + 1)
+def find_earliest_revision(removals):
+    """Return the first revision since which all removals are known, or 0."""
+    revisions = range(1, MAX_REVISION + 1)
     return next(filter(removals.knows_all_since, revisions), 0)
 
 
@@ -143,9 +150,9 @@
     return state._replace(vms=tuple(vms))
 
 
-def list_steps(state, make, most_revision):
-    """Yield what can happen next."""
-    if state.revision < most_revision:
+def list_steps(state, make, max_revision):
+    """Yield the possible next steps, each with the state after it."""
+    if state.revision < max_revision:
         after = state.revision + 1
         yield (
             'operator writes a configuration',
@@ -156,21 +163,21 @@
             'target leaves' if is_there else 'target registers',
             state._replace(revision=after, target=(after, not is_there)),
         )
-    yield 'watcher reads', watch(state, make)
+    yield 'watcher reads', read_store(state, make)
     if state.vms[WATCHER].targets:
-        yield 'watcher hears of changes', hear(state, make)
+        yield 'watcher receives changes', receive_changes(state, make)
     for index, known in enumerate(state.vms):
-        if known.peak != (0, 0) and state.starts < MOST_STARTS:
+        if known.peak != (0, 0) and state.starts < MAX_STARTS:
             again = put(state, index, Known())
             yield f'VM {index} starts', again._replace(starts=state.starts + 1)
         for found in state.sent:
-            yield f'VM {index} takes', take(state, index, found, make)
-    if len(state.sent) < MOST_SENT:
+            yield f'VM {index} applies', apply(state, index, found, make)
+    if len(state.sent) < MAX_SNAPSHOTS:
         yield from list_answers(state, make)
 
 
 def list_answers(state, make):
-    """Yield what each VM may answer those that ask it."""
+    """Yield the answers of each VM to VMs that know an older table."""
     for asked in sorted({known.targets for known in state.vms}):
         for index, known in enumerate(state.vms):
             if known.targets > asked:
@@ -179,8 +186,8 @@
                 yield label, state._replace(sent=sent)
 
 
-def watch(state, make):
-    """Let the watching VM read whole tables of the store."""
+def read_store(state, make):
+    """Let the watcher read whole tables from the store."""
     known = state.vms[WATCHER]
     fleet_tables = restore(known, make)
     fleet_tables.replace_configuration(
@@ -188,17 +195,17 @@
         make_configuration(state.configuration),
     )
     changed_at, is_there = state.target
-    targets = name_target(changed_at if is_there else 0)
+    targets = make_table(changed_at if is_there else 0)
     fleet_tables.replace_targets(state.revision, targets, 0.0)
     return put(state, WATCHER, read(fleet_tables, known))
 
 
-def hear(state, make):
-    """Let the watching VM hear of what has changed."""
+def receive_changes(state, make):
+    """Let the watcher receive what has changed in the store."""
     known = state.vms[WATCHER]
     fleet_tables = restore(known, make)
     changed_at, is_there = state.target
-    changes = name_target(changed_at) if is_there else {TARGET: changed_at}
+    changes = make_table(changed_at) if is_there else {TARGET: changed_at}
     is_new = changed_at > known.targets
     fleet_tables.apply_target_changes(
         state.revision, changes if is_new else {}, 0.0
@@ -206,8 +213,8 @@
     return put(state, WATCHER, read(fleet_tables, known))
 
 
-def take(state, index, found, make):
-    """Let a VM take a snapshot that another one sent."""
+def apply(state, index, found, make):
+    """Let a VM apply a snapshot that another one sent."""
     known = state.vms[index]
     fleet_tables = restore(known, make)
     configuration = found.configuration
@@ -219,7 +226,7 @@
             else None,
             targets_revision=found.targets,
             targets_since=found.since,
-            targets=name_target(found.target),
+            targets=make_table(found.target),
             removed={TARGET: found.removed} if found.removed else {},
             held_targets={},
             evacuations_revision=0,
@@ -231,7 +238,7 @@
 
 
 def never_regresses(state):
-    """Whether no VM knows less than it did since its start."""
+    """Whether no VM has an older table than before, since its start."""
     return all(
         (known.configuration, known.targets) == known.peak
         for known in state.vms
@@ -239,7 +246,7 @@
 
 
 def agrees_with_the_store(state):
-    """Whether each VM that heard of the last change took it rightly."""
+    """Whether each VM that knows the last change has the store's target."""
     changed_at, is_there = state.target
     expected = changed_at if is_there else 0
     return all(
@@ -249,8 +256,8 @@
     )
 
 
-def check(make, most_revision=MOST_REVISION):
-    """Check the complete state space with one kind of knowledge."""
+def check(make, max_revision=MAX_REVISION):
+    """Check the complete state space with one class of tables."""
     protocol = Protocol(
         name='tables',
         candidate=False,
@@ -261,7 +268,7 @@
             for label, after in list_steps(
                 State(*fields),
                 make,
-                most_revision,
+                max_revision,
             )
         ],
         invariants={
@@ -272,53 +279,53 @@
     return explore(protocol, max_states=2_000_000)
 
 
-class TakesAnySnapshot(FleetTables):
-    """A variant in which the snapshot of a peer replaces what is known."""
+class AppliesOlderSnapshots(FleetTables):
+    """A variant in which a snapshot replaces newer tables."""
 
     def apply_snapshot(self, snapshot, now):
-        """Forget the revisions that are known, then take the snapshot."""
+        """Forget the known revisions, then apply the snapshot."""
         self.revisions = Revisions()
         self.configuration = None
         super().apply_snapshot(snapshot, now)
 
 
-class TrustsTheChange(FleetTables):
-    """A variant that takes the revision of a snapshot without its targets."""
+class IgnoresTargetsOfSnapshots(FleetTables):
+    """A variant that adopts the revision of a snapshot, not its targets."""
 
     def apply_snapshot(self, snapshot, now):
-        """Keep the targets that are known."""
+        """Replace the targets of the snapshot by the known ones."""
         kept = snapshot._replace(targets=self.targets, removed={})
         super().apply_snapshot(kept, now)
 
 
-class ForgetsRemovals(FleetTables):
-    """A variant that passes changes on without what was removed."""
+class OmitsRemovals(FleetTables):
+    """A variant that sends changes without the removals."""
 
     def make_snapshot(self, known, now):
         """Leave out the removals."""
         return super().make_snapshot(known, now)._replace(removed={})
 
 
-class TakesAnyChanges(FleetTables):
-    """A variant that takes changes although it lacks earlier ones."""
+class AppliesChangesWithGaps(FleetTables):
+    """A variant that applies changes although it lacks earlier ones."""
 
     def apply_snapshot(self, snapshot, now):
-        """Pass over what the changes build on."""
+        """Ignore the revision that the changes build on."""
         since = min(snapshot.targets_since, self.revisions.targets)
         super().apply_snapshot(snapshot._replace(targets_since=since), now)
 
 
-class KnowsTooMuch(FleetTables):
-    """A variant that takes a whole table for all that went before it."""
+class KeepsRemovalsAcrossTables(FleetTables):
+    """A variant that keeps removals although a whole table may hide some."""
 
     def replace_targets(self, revision, targets, now):
-        """Keep the removals that are known, and how far back."""
+        """Keep the revision since which all removals are known."""
         since = self.removals._since or revision
         super().replace_targets(revision, targets, now)
         self.removals.restart(since)
 
 
-def test_no_table_regresses_and_what_left_does_not_return():
+def test_no_table_gets_older_and_no_deleted_target_returns():
     checked = check(FleetTables)
     report_model('tables', checked)
     assert not list_broken(checked)
@@ -327,14 +334,14 @@
 @pytest.mark.parametrize(
     ('variant', 'broken'),
     (
-        (TakesAnySnapshot, 'never regresses'),
-        (TrustsTheChange, 'agrees'),
-        (ForgetsRemovals, 'agrees'),
-        (TakesAnyChanges, 'agrees'),
-        (KnowsTooMuch, 'agrees'),
+        (AppliesOlderSnapshots, 'never regresses'),
+        (IgnoresTargetsOfSnapshots, 'agrees'),
+        (OmitsRemovals, 'agrees'),
+        (AppliesChangesWithGaps, 'agrees'),
+        (KeepsRemovalsAcrossTables, 'agrees'),
     ),
 )
-def test_variant_is_found_broken(variant, broken):
-    checked = check(variant, MOST_REVISION_OF_VARIANTS)
+def test_model_finds_the_fault_of_a_variant(variant, broken):
+    checked = check(variant, MAX_REVISION_OF_VARIANTS)
     report_variants(f'tables {variant.__name__}', checked)
     assert broken in list_broken(checked)
--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -1,4 +1,4 @@
-"""Tests of what a VM knows of the others: heartbeats, reports, duties."""
+"""Tests of the other VMs as a VM knows them, and of the picks among them."""
 
 import pytest
 
@@ -25,39 +25,39 @@
 from toucanhall.limits.quota import UsageReport, Usage, make_missing_report
 
 
-def test_silent_vm_is_not_alive_but_remembered():
+def test_silent_vm_is_not_alive_but_its_usage_counts_as_stale():
     members = make_members()
     assert members.receive(make_heartbeat('vm-1'), 1.0)
     assert not members.receive(make_heartbeat('vm-1'), 1.5)
-    late = 1.5 + HEARTBEAT_TIMEOUT_SECONDS + 0.1
-    assert members.list_alive(late) == []
-    told = members.list_local_usage_reports(late, {'vm-1'})
-    assert [found.is_stale for found in told] == [True]
-    assert members.receive(make_heartbeat('vm-1'), late)
+    now = 1.5 + HEARTBEAT_TIMEOUT_SECONDS + 0.1
+    assert members.list_alive(now) == []
+    usage_reports = members.list_local_usage_reports(now, {'vm-1'})
+    assert [found.is_stale for found in usage_reports] == [True]
+    assert members.receive(make_heartbeat('vm-1'), now)
 
 
-def test_heartbeat_of_an_earlier_start_is_passed_over():
+def test_heartbeat_of_an_earlier_start_is_ignored():
     members = make_members()
     members.receive(make_heartbeat('vm-1', started_at=5), 1.0)
     assert not members.receive(make_heartbeat('vm-1', started_at=4), 2.0)
     assert members.peers['vm-1'].heartbeat.started_at == 5
 
 
-def test_vm_that_stood_still_does_not_take_the_others_for_dead():
+def test_pause_of_the_own_process_does_not_count_as_silence_of_others():
     members = make_members()
     members.receive(make_heartbeat('vm-1'), 1.0)
     members.discount_pause(6.0)
     assert members.list_alive(8.0)
 
 
-def test_introduction_is_new_once():
+def test_contact_of_a_vm_is_new_once():
     members = make_members()
     found = VmContact('vm-9', 'east-a', '127.0.0.9')
     assert members.add_known_vm(found)
     assert not members.add_known_vm(found)
 
 
-def test_vm_that_has_gone_is_dropped_and_can_be_introduced_again():
+def test_expired_vm_is_dropped_and_its_contact_is_new_again():
     members = make_members()
     members.receive(make_heartbeat('vm-1'), 1.0)
     assert members.drop_expired(VM_EXPIRY_SECONDS) == []
@@ -67,7 +67,7 @@
     assert members.add_known_vm(found)
 
 
-def test_vms_of_a_zone_are_alive_as_long_as_it_reports():
+def test_vms_of_a_remote_zone_are_alive_as_long_as_it_reports():
     members = make_members()
     report = make_report(members=(make_member('vm-7', zone='west-a'),))
     assert members.receive_report(report, 1.0)
@@ -76,7 +76,7 @@
     assert not members.list_zone('west-a', 1.1 + REPORT_EXPIRY_SECONDS)
 
 
-def test_report_that_came_two_ways_is_new_once():
+def test_report_that_is_received_twice_is_new_once():
     members = make_members()
     assert members.receive_report(make_report(stamp=(5, 2)), 1.0)
     assert not members.receive_report(make_report(stamp=(5, 2)), 1.1)
@@ -84,32 +84,32 @@
     assert members.receive_report(make_report(stamp=(6, 1)), 1.3)
 
 
-def test_zone_that_told_nothing_lately_counts_as_late():
+def test_usage_of_a_zone_without_recent_report_counts_as_stale():
     members = make_members()
-    told = (UsageReport({'guides': Usage(3, 1.0)}, vms=4.0),)
-    members.receive_report(make_report(usage_reports=told), 1.0)
-    assert members.list_remote_usage_reports(
-        1.0 + REPORT_STALE_SECONDS
-    ) == list(told)
-    (late,) = members.list_remote_usage_reports(1.1 + REPORT_STALE_SECONDS)
-    assert late.is_stale
-    assert late.usage == told[0].usage
+    usage_reports = (UsageReport({'guides': Usage(3, 1.0)}, vms=4.0),)
+    members.receive_report(make_report(usage_reports=usage_reports), 1.0)
+    recent = members.list_remote_usage_reports(1.0 + REPORT_STALE_SECONDS)
+    assert recent == list(usage_reports)
+    (stale,) = members.list_remote_usage_reports(1.1 + REPORT_STALE_SECONDS)
+    assert stale.is_stale
+    assert stale.usage == usage_reports[0].usage
 
 
-def test_speaker_that_has_just_started_does_not_hide_its_zone():
+def test_report_of_the_delegate_that_knows_most_vms_counts():
+    # A delegate that has just started knows few VMs of its zone.
     members = make_members()
     many = tuple(make_member(f'vm-{index}') for index in range(4))
-    told = UsageReport({'guides': Usage(8, 4.0)}, vms=4.0)
+    usage = UsageReport({'guides': Usage(8, 4.0)}, vms=4.0)
     members.receive_report(
-        make_report('vm-0', members=many, usage_reports=(told,)), 1.0
+        make_report('vm-0', members=many, usage_reports=(usage,)), 1.0
     )
     members.receive_report(
         make_report('vm-9', usage_reports=(UsageReport({}),)), 1.2
     )
-    assert members.list_remote_usage_reports(1.3) == [told]
+    assert members.list_remote_usage_reports(1.3) == [usage]
 
 
-def test_told_requests_are_added_up_apart_for_late_vms():
+def test_stale_usage_reports_are_added_up_apart_from_recent_ones():
     total = sum_usage_reports(
         (
             UsageReport({'a': Usage(1, 0.5), 'b': Usage(2, 1.0)}),
@@ -117,13 +117,13 @@
             UsageReport({'a': Usage(7, 3.0)}, is_stale=True),
         ),
     )
-    present, late = total
-    assert present.usage == {'a': Usage(5, 2.5), 'b': Usage(2, 1.0)}
-    assert present.vms == pytest.approx(1.1)
-    assert late == UsageReport({'a': Usage(7, 3.0)}, is_stale=True)
+    recent, stale = total
+    assert recent.usage == {'a': Usage(5, 2.5), 'b': Usage(2, 1.0)}
+    assert recent.vms == pytest.approx(1.1)
+    assert stale == UsageReport({'a': Usage(7, 3.0)}, is_stale=True)
 
 
-def test_vms_that_are_not_listed_are_forgotten_elsewhere():
+def test_vms_without_entry_heartbeat_and_report_are_dropped():
     members = make_members()
     members.receive(make_heartbeat('vm-1'), 1.0)
     members.receive_report(
@@ -150,7 +150,7 @@
     return [found.vm for found in members]
 
 
-def test_vms_that_bear_most_take_requests():
+def test_vms_of_the_largest_capacity_take_requests():
     assert get_names(pick_serving(ZONE)) == ['vm-2', 'vm-1', 'vm-3', 'vm-4']
     assert pick_serving(reversed(ZONE)) == pick_serving(ZONE)
 
@@ -159,33 +159,33 @@
     ('load', 'count'),
     ((0.0, 4), (600.0, 4), (700.0, 6), (100000.0, 6)),
 )
-def test_as_many_vms_take_requests_as_the_load_asks_for(load, count):
+def test_number_of_vms_that_take_requests_grows_with_the_load(load, count):
     zone = [ZONE[0]._replace(load=load / 2), *ZONE[1:]]
     zone[1] = zone[1]._replace(load=load / 2)
     assert len(pick_serving(zone)) == count
 
 
-def test_zone_of_small_vms_shares_a_large_load():
+def test_large_load_is_spread_over_small_vms():
     zone = [
         make_member(f'vm-{index:02}', capacity=150.0, load=30.0)
         for index in range(50)
     ]
-    # 1,500 requests a second of 7,500 that all of them bear.
+    # A load of 1,500 requests a second, of the 7,500 that all could serve.
     picked = pick_serving(zone)
     assert 4 * 1500 <= sum(found.capacity for found in picked) <= 4 * 1500 + 150
 
 
-def test_all_vms_take_part_when_one_does_not_keep_up():
+def test_all_vms_take_requests_when_the_loop_of_one_lags():
     zone = [ZONE[0], ZONE[1]._replace(lag=0.2), *ZONE[2:]]
     assert len(pick_serving(zone)) == 6
 
 
-def test_leaving_vms_do_not_speak_for_their_zone():
+def test_leaving_vm_is_a_delegate_only_if_it_is_alone():
     assert get_names(pick_delegates(ZONE)) == ['vm-2', 'vm-1']
     assert get_names(pick_delegates([ZONE[4]])) == ['vm-5']
 
 
-def test_zones_and_vms_that_told_nothing_count_after_a_start():
+def test_zones_and_vms_without_usage_report_count_after_a_start():
     members = make_members('west-a', 'west-b', now=0.0)
     members.add_known_vm(VmContact('vm-2', 'east-a', '127.0.0.2'))
     assert (
@@ -201,8 +201,8 @@
         make_missing_report(MIN_SERVING_VMS)
     ]
     assert not any(
-        told.usage is None
-        for told in members.list_local_usage_reports(1.5, {'vm-own'})
+        found.usage is None
+        for found in members.list_local_usage_reports(1.5, {'vm-own'})
     )
     assert not members.list_remote_usage_reports(USAGE_EXPIRY_SECONDS)
 
@@ -216,7 +216,7 @@
     ]
 
 
-def test_reports_of_speakers_that_have_gone_are_dropped():
+def test_reports_of_expired_delegates_are_dropped():
     members = make_members()
     member = make_member('vm-7', zone='west-a')
     members.receive_report(make_report('vm-7', members=(member,)), 1.0)
--- a/tests/unit/test_fleet_tables.py
+++ b/tests/unit/test_fleet_tables.py
@@ -1,4 +1,10 @@
-"""Tests of the tables that a VM knows."""
+"""Tests of the tables that a VM knows.
+
+While the store can't be reached, entries of targets in use expire. A VM that
+removed these targets after the outage would have none left, so it holds them
+until they had time to register again. A target that left while only this VM
+had lost the store must not be held.
+"""
 
 from tests.fleetdata import make_target
 from toucanhall.fleet.tables import (
@@ -20,7 +26,7 @@
     return fleet_tables
 
 
-def test_older_tables_are_not_taken():
+def test_older_tables_are_ignored():
     fleet_tables = make_fleet_tables('t1')
     fleet_tables.replace_targets(9, {}, 1.0)
     fleet_tables.apply_target_changes(10, {'t1': 10}, 1.0)
@@ -30,13 +36,13 @@
     assert fleet_tables.evacuated_zones == {'east-a'}
 
 
-def test_removed_target_is_dropped_at_once_while_the_store_answers():
+def test_deleted_target_is_dropped_at_once_without_an_outage():
     fleet_tables = make_fleet_tables('t1', 't2')
     fleet_tables.apply_target_changes(11, {'t1': 11}, 1.0)
     assert set(fleet_tables.targets) == {'t2'}
 
 
-def test_removal_that_is_older_than_the_entry_is_passed_over():
+def test_removal_that_is_older_than_the_entry_is_ignored():
     fleet_tables = make_fleet_tables('t1')
     fleet_tables.apply_target_changes(
         12, {'t1': make_target('t1', revision=12)}, 1.0
@@ -45,7 +51,7 @@
     assert set(fleet_tables.targets) == {'t1'}
 
 
-def test_targets_that_lapsed_with_the_store_get_time_to_return():
+def test_targets_that_expired_in_an_outage_may_register_again():
     fleet_tables = make_fleet_tables('t1', 't2')
     fleet_tables.start_store_outage()
     fleet_tables.end_store_outage(10.0, may_have_expired=True)
@@ -63,7 +69,7 @@
     assert set(fleet_tables.targets) == {'t1'}
 
 
-def test_removal_after_the_wait_is_taken_at_once():
+def test_removal_after_the_hold_is_applied_at_once():
     fleet_tables = make_fleet_tables('t1')
     fleet_tables.start_store_outage()
     fleet_tables.end_store_outage(10.0, may_have_expired=True)
@@ -73,7 +79,7 @@
     assert not fleet_tables.targets
 
 
-def test_table_of_a_peer_ends_the_wait_of_a_vm_that_lost_the_store_alone():
+def test_newer_table_of_a_peer_ends_the_hold():
     peer = make_fleet_tables('t2', revision=15)
     fleet_tables = make_fleet_tables('t1', 't2')
     fleet_tables.start_store_outage()
@@ -84,7 +90,7 @@
     assert not fleet_tables.targets
 
 
-def test_vm_that_takes_a_table_drops_lapsed_targets_by_itself():
+def test_vm_drops_the_held_targets_of_a_snapshot_by_itself():
     peer = make_fleet_tables('t1')
     peer.start_store_outage()
     peer.end_store_outage(10.0, may_have_expired=True)
@@ -95,7 +101,7 @@
     assert fleet_tables.drop_expired_targets(102.0) == ('t1',)
 
 
-def test_evacuations_are_added_and_dropped():
+def test_evacuated_zones_are_added_and_removed():
     fleet_tables = make_fleet_tables()
     fleet_tables.replace_evacuations(5, ['east-a'])
     fleet_tables.apply_evacuation_changes(6, {'west-a': True})
@@ -104,7 +110,7 @@
     assert fleet_tables.evacuated_zones == {'west-a'}
 
 
-def test_snapshot_holds_newer_tables_only():
+def test_snapshot_contains_newer_tables_only():
     peer = make_fleet_tables('t1', revision=10)
     snapshot = peer.make_snapshot(Revisions(0, 10, 0), 1.0)
     assert not snapshot.targets
@@ -113,7 +119,7 @@
     assert set(fleet_tables.targets) == {'t2'}
 
 
-def test_table_that_was_heard_of_before_the_loss_does_not_end_the_wait():
+def test_table_that_is_not_newer_than_the_outage_does_not_end_the_hold():
     peer = make_fleet_tables('t1', 't2', revision=11)
     fleet_tables = make_fleet_tables('t1', revision=10)
     fleet_tables.record_peer_revisions(peer.revisions)
@@ -124,7 +130,7 @@
     assert set(fleet_tables.targets) == {'t1', 't2'}
 
 
-def test_same_table_at_a_later_revision_does_not_end_the_wait():
+def test_same_table_at_a_later_revision_does_not_end_the_hold():
     peer = make_fleet_tables('t1', revision=11)
     fleet_tables = make_fleet_tables('t1', revision=10)
     fleet_tables.start_store_outage()
@@ -134,7 +140,7 @@
     assert set(fleet_tables.targets) == {'t1'}
 
 
-def test_short_absence_of_the_store_lets_no_target_lapse():
+def test_no_target_is_held_after_a_short_outage():
     fleet_tables = make_fleet_tables('t1')
     fleet_tables.start_store_outage()
     fleet_tables.end_store_outage(2.0, may_have_expired=False)
@@ -142,11 +148,11 @@
     assert not fleet_tables.targets
 
 
-def test_wait_ends_before_a_target_that_left_must_get_nothing():
+def test_hold_ends_before_a_target_that_left_must_get_no_request():
     assert REREGISTRATION_SECONDS < 2.5 - 0.2
 
 
-def test_target_that_a_watch_dropped_during_the_absence_waits_for_its_end():
+def test_target_that_is_deleted_during_an_outage_is_held_beyond_its_end():
     fleet_tables = make_fleet_tables('t1')
     fleet_tables.start_store_outage()
     fleet_tables.apply_target_changes(11, {'t1': 11}, 1.0)
@@ -160,7 +166,7 @@
     )
 
 
-def test_target_dropped_during_a_short_absence_waits_no_longer():
+def test_target_that_is_deleted_in_a_short_outage_is_held_until_its_end():
     fleet_tables = make_fleet_tables('t1')
     fleet_tables.start_store_outage()
     fleet_tables.apply_target_changes(11, {'t1': 11}, 1.0)
@@ -168,8 +174,8 @@
     assert fleet_tables.drop_expired_targets(1.5) == ('t1',)
 
 
-def pass_on(peer, fleet_tables, now=1.0):
-    """Let a VM take what a peer has; return what was sent."""
+def send_snapshot(peer, fleet_tables, now=1.0):
+    """Apply a snapshot of a peer's tables to those of a VM; return it."""
     snapshot = peer.make_snapshot(fleet_tables.revisions, now)
     fleet_tables.apply_snapshot(snapshot, now)
     assert fleet_tables.targets == peer.targets
@@ -177,52 +183,52 @@
     return snapshot
 
 
-def test_peer_that_knows_an_earlier_table_is_told_what_has_changed():
+def test_vm_that_knows_an_earlier_table_gets_only_the_changes():
     peer = make_fleet_tables(*(f't{number}' for number in range(800)))
     fleet_tables = make_fleet_tables(revision=1)
-    assert len(pass_on(peer, fleet_tables).targets) == 800
+    assert len(send_snapshot(peer, fleet_tables).targets) == 800
     written = make_target('t1', revision=11)
     peer.apply_target_changes(12, {'t1': written, 't2': 12}, 1.0)
-    snapshot = pass_on(peer, fleet_tables)
+    snapshot = send_snapshot(peer, fleet_tables)
     assert snapshot.targets == {'t1': written}
     assert snapshot.removed == {'t2': 12}
     third = make_fleet_tables(revision=1)
-    pass_on(fleet_tables, third)
+    send_snapshot(fleet_tables, third)
     fleet_tables.apply_target_changes(13, {'t3': 13}, 1.0)
-    assert pass_on(fleet_tables, third).removed == {'t3': 13}
+    assert send_snapshot(fleet_tables, third).removed == {'t3': 13}
 
 
-def test_target_that_came_and_went_between_two_tables_is_told_as_gone():
+def test_snapshot_has_the_removal_of_a_target_that_only_the_receiver_knew():
     peer = make_fleet_tables('t1')
     fleet_tables = make_fleet_tables('t1')
     fleet_tables.apply_target_changes(
         11, {'t2': make_target('t2', revision=11)}, 1.0
     )
     peer.apply_target_changes(12, {'t2': 12}, 1.0)
-    assert pass_on(peer, fleet_tables).removed == {'t2': 12}
+    assert send_snapshot(peer, fleet_tables).removed == {'t2': 12}
 
 
-def test_whole_table_is_told_after_a_list_of_the_store():
+def test_snapshot_has_the_whole_table_after_it_was_read_from_the_store():
     peer = make_fleet_tables('t1', 't2')
     fleet_tables = make_fleet_tables('t1', 't2')
     peer.replace_targets(12, {'t2': make_target('t2')}, 1.0)
-    assert pass_on(peer, fleet_tables).targets_since == 0
+    assert send_snapshot(peer, fleet_tables).targets_since == 0
 
 
-def test_target_held_for_a_lapse_is_told_with_its_time():
+def test_snapshot_has_held_targets_with_their_time():
     peer = make_fleet_tables('t1', 't2')
     fleet_tables = make_fleet_tables('t1', 't2')
     peer.start_store_outage()
     peer.end_store_outage(10.0, may_have_expired=True)
     peer.apply_target_changes(11, {'t1': 11}, 10.5)
-    assert pass_on(peer, fleet_tables, 11.0).removed == {'t1': 11}
+    assert send_snapshot(peer, fleet_tables, 11.0).removed == {'t1': 11}
     assert set(fleet_tables.targets) == {'t1', 't2'}
     third = make_fleet_tables('t1', 't2')
     assert fleet_tables.drop_expired_targets(13.0) == ('t1',)
-    assert pass_on(fleet_tables, third, 13.0).removed == {'t1': 11}
+    assert send_snapshot(fleet_tables, third, 13.0).removed == {'t1': 11}
 
 
-def test_changes_end_the_hold_of_a_vm_that_lost_the_store_alone():
+def test_newer_changes_of_a_peer_end_the_hold():
     peer = make_fleet_tables('t1', 't2')
     fleet_tables = make_fleet_tables('t1', 't2')
     peer.apply_target_changes(11, {'t1': 11}, 1.0)
@@ -230,11 +236,11 @@
     fleet_tables.apply_target_changes(11, {'t1': 11}, 1.0)
     assert fleet_tables.held_targets
     peer.apply_target_changes(12, {'t2': make_target('t2', revision=12)}, 1.0)
-    pass_on(peer, fleet_tables)
+    send_snapshot(peer, fleet_tables)
     assert set(fleet_tables.targets) == {'t2'}
 
 
-def test_changes_that_build_on_a_later_table_are_passed_over():
+def test_changes_that_build_on_an_unknown_table_are_ignored():
     peer = make_fleet_tables('t1', revision=10)
     peer.apply_target_changes(12, {'t1': 12}, 1.0)
     fleet_tables = make_fleet_tables('t1', revision=9)
@@ -245,7 +251,7 @@
     assert set(fleet_tables.targets) == {'t1'}
 
 
-def test_removals_are_bounded():
+def test_oldest_removals_are_dropped_beyond_the_maximum():
     removals = Removals(max_names=2)
     removals.restart(10)
     for revision in (11, 12, 13):
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -1,4 +1,4 @@
-"""Which VMs are alive, and what they last told."""
+"""The other VMs: which are alive, and what they last reported."""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
@@ -29,30 +29,30 @@
 
 # Two heartbeats may be lost before a VM counts as dead.
 HEARTBEAT_TIMEOUT_SECONDS: Final = 2.6
-# A VM that fell silent may still admit requests of teams: its part of their
-# limits is given to others only after this time.
+# A silent VM may still admit requests of teams: its share of their limits is
+# given to others only after this time.
 USAGE_EXPIRY_SECONDS: Final = 20.0
-# A VM that is silent for so long is greeted no more, until the store or another
-# VM tells of it again: replacements take some seconds.
+# A VM that is silent for longer gets no more messages until the store or
+# another VM names it again: its replacement takes some seconds.
 VM_EXPIRY_SECONDS: Final = 60.0
-# Heartbeats come each 0.8 s: a VM that missed one and told nothing for longer
-# may be cut off and admit requests that nobody hears of.
+# Heartbeats come each 0.8 s: a VM that missed one and is silent for longer may
+# be cut off and admit requests of which the others get no report.
 USAGE_STALE_SECONDS: Final = 1.8
-# Two speakers of a zone report each 1.6 s, each to one of two listeners in
-# turn: after this time more than one report was lost.
+# Each of the two delegates of a zone reports each 1.6 s, to the two delegates
+# of another zone in turn: after this time more than one report was lost.
 REPORT_STALE_SECONDS: Final = 2.6
-# The VMs of a zone are named for so long after its last report: with the
-# heartbeats before it a dead VM is named for less than six seconds, the least
-# that deployments allow.
+# The VMs of a report count as alive for so long after it. Together with the
+# time from its last heartbeat to the report, a dead VM is named to clients for
+# less than six seconds, the strictest bound of the deployments.
 REPORT_EXPIRY_SECONDS: Final = 4.0
 
 
 class Heartbeat(NamedTuple):
-    """What a VM tells the others of its zone, and its seeds at a start.
+    """What a VM sends to the others of its zone, and at a start to its seeds.
 
-    `started_at` tells its starts apart (Unix milliseconds), `usage` holds the
-    requests of each team. `is_requesting_vms` asks for `known_vms`, the VMs that the
-    other one knows.
+    `started_at` is the time of its start (Unix milliseconds), `usage` holds
+    the requests of each team. `is_requesting_vms` asks for an answer with
+    `known_vms`, the VMs that the other one knows.
     """
 
     member: Member
@@ -64,13 +64,13 @@
 
 
 class Peer(NamedTuple):
-    """The last heartbeat of a VM and when it was heard."""
+    """The last heartbeat of a VM and when it was received."""
 
     heartbeat: Heartbeat
     received_at: float
 
 
-class _Heard(NamedTuple):
+class _ReceivedReport(NamedTuple):
     report: ZoneReport
     received_at: float
 
@@ -85,22 +85,22 @@
         zones: Iterable[str],
         now: float,
     ) -> None:
-        """Start without knowing any VM but the own one."""
+        """Start with only the own VM known."""
         self._own = own
-        # Zones in which there should be VMs: those of the settings, until the
-        # entries of all VMs were read some time after a start.
+        # Zones that should have VMs: those of the settings, until the entries
+        # of all VMs were read some time after the start.
         self._zones = frozenset(zones)
         self._started_at = now
         self.peers: dict[str, Peer] = {}
         self.known_vms: dict[str, VmContact] = {}
-        self._is_listed = False
-        # The last report of each speaker, by zone.
-        self._reports: dict[str, dict[str, _Heard]] = {}
+        self._is_listing_complete = False
+        # The last report of each delegate, by zone.
+        self._reports: dict[str, dict[str, _ReceivedReport]] = {}
 
     def receive(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Take a heartbeat of the own zone.
+        """Update the state of a VM of the own zone from its heartbeat.
 
-        Returns whether its VM is new, started again or was taken as dead.
+        Returns whether the VM is new, started again or counted as dead.
         """
         vm = heartbeat.member.vm
         known = self.peers.get(vm)
@@ -115,84 +115,89 @@
         )
 
     def receive_report(self, report: ZoneReport, now: float) -> bool:
-        """Take a report of another zone; tell whether it was not heard yet."""
-        speakers = self._reports.setdefault(report.zone, {})
-        known = speakers.get(report.delegate)
+        """Keep a report of another zone; return whether it is new."""
+        reports = self._reports.setdefault(report.zone, {})
+        known = reports.get(report.delegate)
         if known and known.report.stamp >= report.stamp:
             return False
-        speakers[report.delegate] = _Heard(report, now)
+        reports[report.delegate] = _ReceivedReport(report, now)
         for found in report.members:
             self.add_known_vm(found.contact)
         return True
 
-    def add_known_vm(self, introduction: VmContact) -> bool:
-        """Note where a VM may be found; tell whether it was unknown."""
-        is_new = self.known_vms.get(introduction.vm) != introduction
-        self.known_vms[introduction.vm] = introduction
+    def add_known_vm(self, contact: VmContact) -> bool:
+        """Record the zone and address of a VM; return whether they are new."""
+        is_new = self.known_vms.get(contact.vm) != contact
+        self.known_vms[contact.vm] = contact
         return is_new
 
     def mark_listing_complete(self) -> None:
-        """Note that the entries of all VMs were read since the start."""
-        self._is_listed = True
+        """Record that the entries of all VMs were read since the start."""
+        self._is_listing_complete = True
 
     def count_vms_by_zone(self) -> Counter[str]:
         """Return how many VMs each zone has, this one included.
 
-        There are none until the entries of all VMs were read: who has just
-        started knows only a few of them.
+        It is empty until the entries of all VMs were read: a VM that has just
+        started knows only a few others.
         """
-        if not self._is_listed:
+        if not self._is_listing_complete:
             return Counter()
         zones = Counter(found.zone for found in self.known_vms.values())
         zones[self._own.zone] += 1
         return zones
 
     def apply_listing(self, listed: Sequence[VmContact]) -> None:
-        """Drop VMs of other zones that have no entry and are not heard of."""
+        """Drop VMs that are in no entry of the store, heartbeat or report."""
         self._zones = frozenset(found.zone for found in listed)
         names = {found.vm for found in listed}
         names.update(self.peers)
-        for speakers in self._reports.values():
-            for heard in speakers.values():
-                names.update(found.vm for found in heard.report.members)
+        for reports in self._reports.values():
+            for received in reports.values():
+                names.update(found.vm for found in received.report.members)
         self.known_vms = {
             vm: found for vm, found in self.known_vms.items() if vm in names
         }
 
     def discount_pause(self, seconds: float) -> None:
-        """Forgive silence for the time in which this VM did not run."""
+        """Don't count a pause of this process as silence of the others."""
         self.peers = {
             vm: peer._replace(received_at=peer.received_at + seconds)
             for vm, peer in self.peers.items()
         }
         self._reports = {
             zone: {
-                speaker: heard._replace(received_at=heard.received_at + seconds)
-                for speaker, heard in speakers.items()
+                vm: received._replace(
+                    received_at=received.received_at + seconds
+                )
+                for vm, received in reports.items()
             }
-            for zone, speakers in self._reports.items()
+            for zone, reports in self._reports.items()
         }
 
     def drop_expired(self, now: float) -> list[VmContact]:
-        """Drop what was silent for a minute; return VMs of the own zone."""
+        """Drop VMs and delegates that were silent for `VM_EXPIRY_SECONDS`.
+
+        Returns those of the own zone.
+        """
         self._reports = {
             zone: {
-                speaker: heard
-                for speaker, heard in speakers.items()
-                if now - heard.received_at <= VM_EXPIRY_SECONDS
+                vm: received
+                for vm, received in reports.items()
+                if now - received.received_at <= VM_EXPIRY_SECONDS
             }
-            for zone, speakers in self._reports.items()
+            for zone, reports in self._reports.items()
         }
-        gone = [
+        expired = [
             self.known_vms[vm]
             for vm, peer in self.peers.items()
             if now - peer.received_at > VM_EXPIRY_SECONDS
             and vm in self.known_vms
         ]
-        for found in gone:
+        for found in expired:
             self.known_vms.pop(found.vm)
             self.peers.pop(found.vm)
-        return gone
+        return expired
 
     def list_local(self, now: float) -> list[Member]:
         """Return the VMs of the own zone that are alive."""
@@ -203,32 +208,33 @@
         ]
 
     def list_zone(self, zone: str, now: float) -> list[Member]:
-        """Return the VMs of another zone that its reports name."""
+        """Return the VMs of another zone that are in its recent reports."""
         found = {
             member.vm: member
-            for heard in self._list_heard(zone, now, REPORT_EXPIRY_SECONDS)
-            for member in heard.report.members
+            for received in self._list_recent(zone, now, REPORT_EXPIRY_SECONDS)
+            for member in received.report.members
         }
         return list(found.values())
 
     def list_alive(self, now: float) -> list[Member]:
         """Return the VMs of all zones that are alive."""
-        far = (self.list_zone(zone, now) for zone in self._reports)
-        return [*self.list_local(now), *chain.from_iterable(far)]
+        remote = (self.list_zone(zone, now) for zone in self._reports)
+        return [*self.list_local(now), *chain.from_iterable(remote)]
 
     def list_zones(self) -> list[str]:
-        """Return the names of the other zones in which VMs are known."""
+        """Return the names of the other zones with known VMs."""
         zones = {found.zone for found in self.known_vms.values()}
         return sorted(zones - {self._own.zone})
 
     def list_local_usage_reports(
         self, now: float, serving: set[str]
     ) -> list[UsageReport]:
-        """Return what VMs of the own zone told, also those now silent.
+        """Return the usage reports of the own zone, stale ones included.
 
-        After a start, VMs that should take requests and told nothing count.
+        `serving` are the VMs that take requests. For some time after the
+        start, VMs that should take requests and sent no heartbeat count too.
         """
-        told = [
+        usage_reports = [
             UsageReport(
                 peer.heartbeat.usage,
                 is_stale=now - peer.received_at > USAGE_STALE_SECONDS,
@@ -237,64 +243,67 @@
             for vm, peer in self.peers.items()
             if now - peer.received_at <= USAGE_EXPIRY_SECONDS
         ]
-        unheard = sum(
+        without_report = sum(
             found.zone == self._own.zone
             for vm, found in self.known_vms.items()
             if vm != self._own.vm and vm not in self.peers
         )
-        missing = min(unheard, MIN_SERVING_VMS - len(serving))
-        if missing > 0 and self._is_new(now):
-            told.append(make_missing_report(missing))
-        return told
+        missing = min(without_report, MIN_SERVING_VMS - len(serving))
+        if missing > 0 and self._has_just_started(now):
+            usage_reports.append(make_missing_report(missing))
+        return usage_reports
 
     def list_remote_usage_reports(self, now: float) -> list[UsageReport]:
-        """Return what the other zones told; after a start, also what is due."""
-        told = [
+        """Return the usage reports of the other zones.
+
+        For some time after the start, zones that sent none yet count too.
+        """
+        usage_reports = [
             found
             for zone in self._reports
-            for found in self._find_zone_told(zone, now)
+            for found in self._get_zone_usage(zone, now)
         ]
-        unheard = self._zones - self._reports.keys() - {self._own.zone}
-        if self._is_new(now):
+        missing = self._zones - self._reports.keys() - {self._own.zone}
+        if self._has_just_started(now):
             known = self.count_vms_by_zone()
-            told += [
+            usage_reports += [
                 make_missing_report(
                     min(MIN_SERVING_VMS, known[zone] or MIN_SERVING_VMS)
                 )
-                for zone in unheard
+                for zone in missing
             ]
-        return told
+        return usage_reports
 
-    def _is_new(self, now: float) -> bool:
+    def _has_just_started(self, now: float) -> bool:
         return now - self._started_at < USAGE_EXPIRY_SECONDS
 
-    def _find_zone_told(self, zone: str, now: float) -> Sequence[UsageReport]:
-        recent = self._list_heard(zone, now, REPORT_STALE_SECONDS)
+    def _get_zone_usage(self, zone: str, now: float) -> Sequence[UsageReport]:
+        recent = self._list_recent(zone, now, REPORT_STALE_SECONDS)
         if recent:
-            # A speaker that has just started knows few VMs of its zone.
+            # A delegate that has just started knows few VMs of its zone.
             return max(recent, key=_get_size).report.usage_reports
-        last = self._list_heard(zone, now, USAGE_EXPIRY_SECONDS)
-        if not last:
+        stale = self._list_recent(zone, now, USAGE_EXPIRY_SECONDS)
+        if not stale:
             return ()
-        found = max(last, key=_get_heard_at).report.usage_reports
-        return [told._replace(is_stale=True) for told in found]
+        newest = max(stale, key=_get_receipt_time).report.usage_reports
+        return [found._replace(is_stale=True) for found in newest]
 
-    def _list_heard(
+    def _list_recent(
         self,
         zone: str,
         now: float,
         seconds: float,
-    ) -> list[_Heard]:
+    ) -> list[_ReceivedReport]:
         return [
-            heard
-            for heard in self._reports.get(zone, {}).values()
-            if now - heard.received_at <= seconds
+            received
+            for received in self._reports.get(zone, {}).values()
+            if now - received.received_at <= seconds
         ]
 
 
-def _get_size(heard: _Heard) -> tuple[int, float]:
-    return len(heard.report.members), heard.received_at
+def _get_size(received: _ReceivedReport) -> tuple[int, float]:
+    return len(received.report.members), received.received_at
 
 
-def _get_heard_at(heard: _Heard) -> float:
-    return heard.received_at
+def _get_receipt_time(received: _ReceivedReport) -> float:
+    return received.received_at
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -1,4 +1,4 @@
-"""What a zone tells the other zones: its VMs and what they admitted."""
+"""The report of a zone to the other zones: its VMs and the usage of teams."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -11,10 +11,10 @@
 
 
 class Member(NamedTuple):
-    """What a VM tells of itself.
+    """The state of a VM as it sends it to others.
 
-    `lag` is how late its loop is (seconds), `capacity` what it bears and `load`
-    what it takes (requests a second).
+    `lag` is the delay of its event loop in seconds, `capacity` the requests a
+    second that it can serve and `load` those that arrive.
     """
 
     vm: str
@@ -28,16 +28,17 @@
 
     @property
     def contact(self) -> VmContact:
-        """Where the VM may be found."""
+        """Zone and address of the VM."""
         return VmContact(self.vm, self.zone, self.ip)
 
 
 class ZoneReport(NamedTuple):
-    """The state of a zone as one of its speakers sees it.
+    """The state of a zone as one of its delegates sees it.
 
-    `stamp` grows with each report of the speaker (Unix milliseconds of its
-    start, number of the report); `usage_reports` holds the requests of the VMs that
-    were heard lately, then of those that fell silent, each summed.
+    `delegate` is the name of the delegate and `ip` its address. `stamp` grows
+    with each report of it (Unix milliseconds of its start, number of the
+    report). `usage_reports` has the sum of the recent usage reports of the
+    zone's VMs, then that of the stale ones.
     """
 
     zone: str
@@ -49,19 +50,21 @@
     usage_reports: tuple[UsageReport, ...]
 
 
-def sum_usage_reports(told: Iterable[UsageReport]) -> tuple[UsageReport, ...]:
-    """Add up what VMs told: those heard lately, then those that are late."""
+def sum_usage_reports(
+    usage_reports: Iterable[UsageReport],
+) -> tuple[UsageReport, ...]:
+    """Add up usage reports: the recent ones, then the stale ones."""
     groups: dict[bool, list[UsageReport]] = {False: [], True: []}
-    for found in told:
-        groups[found.is_stale].append(found)
+    for report in usage_reports:
+        groups[report.is_stale].append(report)
     return tuple(
         _round(add_usage_reports(group)) for group in groups.values() if group
     )
 
 
-def _round(told: UsageReport) -> UsageReport:
+def _round(report: UsageReport) -> UsageReport:
     usage = {
         team: found._replace(demand=round(found.demand, 2))
-        for team, found in (told.usage or {}).items()
+        for team, found in (report.usage or {}).items()
     }
-    return told._replace(usage=usage)
+    return report._replace(usage=usage)
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -1,10 +1,11 @@
-"""Picks the VMs of a zone that take requests, speak for it and hear for it.
+"""Picks the VMs of a zone that take requests, and its delegates.
 
-Load pattern: a zone has a few large VMs and a dozen small ones. Were its
-clients spread over all of them, each VM would see a few requests a second:
-too few to know how full targets are, to keep connections open, and to divide
-the limit of a team into parts of a request or more. So the directory names the
-VMs that bear most, as many as the load asks for; the rest stands by.
+Load pattern: a zone has a few large VMs and a dozen small ones. If its clients
+were spread over all of them, each VM would see a few requests a second: too
+few to measure how full targets are, to keep connections open, and to divide
+the limit of a team into shares of a request or more. So the directory names
+the VMs of the largest capacity, as many as the load needs; the others are
+spare.
 """
 
 from collections.abc import Iterable, Sequence
@@ -20,28 +21,28 @@
     'pick_delegates',
 )
 
-# A client leaves out addresses that failed it and needs others to turn to: one
-# of three VMs may be cut off (share of the deployments' cuts) together with
-# another one that is being stopped.
+# A client leaves out addresses that failed it and needs others: one of three
+# VMs may be cut off (as in the network cuts of the deployments) while another
+# one is being stopped.
 MIN_SERVING_VMS: Final = 4
-# What the VMs that take requests bear, over what their zone takes: bursts of
-# 1.7 times the load, one VM of three lost, and room so that none queue.
-_HEADROOM: Final = 4.0
-# One speaks while the death of the other is not noticed.
-_SPEAKERS: Final = 2
+# Capacity of the VMs that take requests, over the load of their zone: bursts
+# of 1.7 times the load, one VM of three lost, and a reserve against queues.
+_CAPACITY_PER_LOAD_RATIO: Final = 4.0
+# One reports while the death of the other is not detected yet.
+_DELEGATE_COUNT: Final = 2
 MAX_LOOP_LAG_SECONDS: Final = 0.05  # a fifth of the shortest objective
 
 
 def pick_serving(members: Iterable[Member]) -> list[Member]:
     """Return the VMs of a zone that its clients should use.
 
-    All that are ready take part once one of those picked does not keep up.
+    All that are ready are picked if the loop of one picked by capacity lags.
     """
     ranked = _rank(members)
     ready = [found for found in ranked if found.is_ready]
-    wanted = _HEADROOM * sum(found.load for found in ranked)
-    borne = accumulate(found.capacity for found in ready)
-    count = 1 + sum(capacity < wanted for capacity in borne)
+    wanted = _CAPACITY_PER_LOAD_RATIO * sum(found.load for found in ranked)
+    capacities = accumulate(found.capacity for found in ready)
+    count = 1 + sum(capacity < wanted for capacity in capacities)
     picked = ready[: max(MIN_SERVING_VMS, count)]
     if any(found.lag > MAX_LOOP_LAG_SECONDS for found in picked):
         return ready
@@ -49,16 +50,17 @@
 
 
 def pick_delegates(members: Iterable[Member]) -> Sequence[Member]:
-    """Return the VMs that watch the store and speak for their zone.
+    """Return the delegates of a zone, which report to the other zones.
 
-    The first one watches; both report to other zones.
+    The first one also watches the store.
     """
     ranked = _rank(members)
     staying = [found for found in ranked if not found.is_leaving]
-    return (staying or ranked)[:_SPEAKERS]
+    return (staying or ranked)[:_DELEGATE_COUNT]
 
 
 def _rank(members: Iterable[Member]) -> list[Member]:
+    """Return the VMs from the largest capacity."""
     return sorted(members, key=_get_rank)
 
 
--- a/toucanhall/fleet/tables.py
+++ b/toucanhall/fleet/tables.py
@@ -1,4 +1,4 @@
-"""Tables read from the store or a peer, each with its revision."""
+"""Tables read from the store or another VM, each with its revision."""
 
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
@@ -8,14 +8,14 @@
 
 __all__ = ('FleetTables', 'Revisions', 'find_route', 'is_ahead')
 
-# Targets that were dropped while the store was away get this long to register
-# again: the platform promises about two seconds after its return. It is less
-# than the 2.5 s in which a target that has left must get nothing more.
+# Targets whose entries expired during an outage of the store get this long to
+# register again: the platform promises about two seconds after the outage. It
+# is less than the 2.5 s after which a target that left must get no request.
 REREGISTRATION_SECONDS: Final = 2.1
 
 
 class Revisions(NamedTuple):
-    """Store revision of each table, 0 while nothing is known."""
+    """Store revision of each table, 0 while it is not known."""
 
     configuration: int = 0
     targets: int = 0
@@ -40,7 +40,12 @@
 
 
 class FleetTables:
-    """The newest tables that this VM has heard of; none ever goes back."""
+    """The newest known tables; an older table never replaces a newer one.
+
+    While the store can't be reached, entries of targets expire that are in
+    use. So targets that are deleted during an outage are held: they stay in
+    `targets` until they had time to register again after it.
+    """
 
     def __init__(self, *, on_change: Callable[[str], None]) -> None:
         """Start without any table; `on_change` gets the name of a table."""
@@ -48,10 +53,14 @@
         self.targets: dict[str, Target] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
         self.revisions = Revisions()
+        # Until when each target is held; without end during an outage.
         self.held_targets: dict[str, float] = {}
-        self._lapse_until = 0.0
-        self._heard_targets = 0
-        self._heard_at_loss = 0
+        # Targets that are deleted before this time are held until it.
+        self._hold_until = 0.0
+        # Newest revision of the targets that other VMs have; and that any VM,
+        # this one included, had when the last outage began.
+        self._peer_targets_revision = 0
+        self._targets_revision_at_outage = 0
         self.removals = Removals()
         self._on_change = on_change
 
@@ -60,7 +69,7 @@
         revision: int,
         configuration: Configuration | None,
     ) -> None:
-        """Take a configuration unless a newer one is known."""
+        """Replace the configuration unless a newer one is known."""
         if configuration is None or revision <= self.revisions.configuration:
             return
         known = self.configuration
@@ -70,13 +79,13 @@
             self._on_change('configuration')
 
     def replace_evacuations(self, revision: int, zones: Iterable[str]) -> None:
-        """Take the set of zones that are to get no requests."""
+        """Replace the set of evacuated zones, which get no requests."""
         if revision <= self.revisions.evacuations:
             return
         self.revisions = self.revisions._replace(evacuations=revision)
-        taken = frozenset(zones)
-        if taken != self.evacuated_zones:
-            self.evacuated_zones = taken
+        evacuated = frozenset(zones)
+        if evacuated != self.evacuated_zones:
+            self.evacuated_zones = evacuated
             self._on_change('evacuations')
 
     def apply_evacuation_changes(
@@ -84,7 +93,7 @@
         revision: int,
         changes: Mapping[str, bool],
     ) -> None:
-        """Add the zones that map to True and drop the others."""
+        """Add the zones that map to True and remove the others."""
         if revision <= self.revisions.evacuations:
             return
         kept = {
@@ -99,13 +108,13 @@
         targets: Mapping[str, Target],
         now: float,
     ) -> None:
-        """Replace the list of targets unless a newer one is known."""
+        """Replace the table of targets unless a newer one is known."""
         if revision <= self.revisions.targets:
             return
         missing = self.targets.keys() - targets.keys()
         held = {name: self.targets[name] for name in self._hold(missing, now)}
         self.removals.restart(revision)
-        self._put_targets(revision, {**held, **targets})
+        self._set_targets(revision, {**held, **targets})
 
     def apply_target_changes(
         self,
@@ -113,71 +122,78 @@
         changes: Mapping[str, Target | int],
         now: float,
     ) -> None:
-        """Take changed targets; an integer is the revision of a removal."""
+        """Apply changed targets; an integer is the revision of a removal."""
         if revision <= self.revisions.targets:
             return
         written = {
             name: change
             for name, change in changes.items()
             if isinstance(change, Target)
-            and change.revision > self._get_revision(name)
+            and change.revision > self._get_target_revision(name)
         }
         removed = {
             name: change
             for name, change in changes.items()
-            if isinstance(change, int) and self._get_revision(name) <= change
+            if isinstance(change, int)
+            and self._get_target_revision(name) <= change
         }
         for name in written:
             self.held_targets.pop(name, None)
             self.removals.discard(name)
         for name, removed_at in removed.items():
             self.removals.record(name, removed_at)
-        gone = self.targets.keys() & removed.keys()
+        deleted = self.targets.keys() & removed.keys()
         targets = {**self.targets, **written}
-        for name in gone - self._hold(gone, now):
+        for name in deleted - self._hold(deleted, now):
             targets.pop(name)
-        self._put_targets(revision, targets)
+        self._set_targets(revision, targets)
 
     def start_store_outage(self) -> None:
-        """Note that the store is away: targets that it drops are kept."""
-        self._lapse_until = float('inf')
-        self._heard_at_loss = max(self._heard_targets, self.revisions.targets)
+        """Hold targets that are deleted from now on: the store is lost."""
+        self._hold_until = float('inf')
+        self._targets_revision_at_outage = max(
+            self._peer_targets_revision,
+            self.revisions.targets,
+        )
 
     def record_peer_revisions(self, revisions: Revisions) -> None:
-        """Note how far another VM is."""
-        self._heard_targets = max(self._heard_targets, revisions.targets)
+        """Record the revisions of another VM."""
+        self._peer_targets_revision = max(
+            self._peer_targets_revision,
+            revisions.targets,
+        )
 
     def end_store_outage(self, now: float, *, may_have_expired: bool) -> None:
-        """Start the wait for targets that were dropped meanwhile.
+        """Give the held targets time to register again: the store is back.
 
-        There is none after an absence in which no target can lapse, or if
-        another VM told of changes all the while: then only this VM had lost
-        the store, and what is dropped has gone.
+        There is no such time after an outage too short for any entry to
+        expire, nor if another VM reported newer targets meanwhile: then only
+        this VM had lost the store, and what was deleted had left.
         """
-        if self._lapse_until == float('inf'):
+        if self._hold_until == float('inf'):
             wait = REREGISTRATION_SECONDS if may_have_expired else 0.0
-            self._lapse_until = now + wait
-            # A watch that outlasts the absence may have told of some already.
+            self._hold_until = now + wait
+            # A watch that works during the outage may have deleted some.
             self.held_targets = {
-                name: min(end, self._lapse_until)
+                name: min(end, self._hold_until)
                 for name, end in self.held_targets.items()
             }
 
     def drop_expired_targets(self, now: float) -> tuple[str, ...]:
-        """Drop targets that did not register again in time."""
-        over = tuple(
+        """Remove held targets that did not register again in time."""
+        expired = tuple(
             name for name, end in self.held_targets.items() if end <= now
         )
-        if over:
-            kept = self.targets.keys() - set(over)
-            self._put_targets(
+        if expired:
+            kept = self.targets.keys() - set(expired)
+            self._set_targets(
                 self.revisions.targets,
                 {name: self.targets[name] for name in kept},
             )
-        return over
+        return expired
 
     def make_snapshot(self, known: Revisions, now: float) -> Snapshot:
-        """Return what a peer lacks that knows these revisions."""
+        """Return what is newer than the revisions that a peer knows."""
         own = self.revisions
         has_configuration = own.configuration > known.configuration
         snapshot = Snapshot(
@@ -212,67 +228,73 @@
         )
 
     def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
-        """Take each table of a peer that is newer than the own one."""
+        """Apply each table of a peer that is newer than the own one.
+
+        Changes of the targets are passed over unless this VM knows the
+        revision that they build on.
+        """
         self.replace_configuration(
             snapshot.configuration_revision,
             snapshot.configuration,
         )
         own = self.revisions.targets
         if snapshot.targets_since <= own < snapshot.targets_revision:
-            self._take_targets_of(snapshot, now)
+            self._apply_targets(snapshot, now)
         self.replace_evacuations(
             snapshot.evacuations_revision,
             snapshot.evacuated_zones,
         )
 
-    def _take_targets_of(self, snapshot: Snapshot, now: float) -> None:
+    def _apply_targets(self, snapshot: Snapshot, now: float) -> None:
         if snapshot.targets_since:
             targets = self._merge(snapshot)
         else:
             targets = dict(snapshot.targets)
             self.removals.restart(snapshot.targets_revision)
-        # Only this VM lost the store if another heard of changes since.
-        is_newer = snapshot.targets_revision > self._heard_at_loss
+        # If another VM learned of changes since, only this VM lost the store.
+        is_newer = snapshot.targets_revision > self._targets_revision_at_outage
         if is_newer and targets != self.targets:
-            self._lapse_until = 0.0
+            self._hold_until = 0.0
         self.held_targets = {
-            name: now + left for name, left in snapshot.held_targets.items()
+            name: now + remaining
+            for name, remaining in snapshot.held_targets.items()
         }
-        self._put_targets(snapshot.targets_revision, targets)
+        self._set_targets(snapshot.targets_revision, targets)
 
     def _merge(self, snapshot: Snapshot) -> dict[str, Target]:
         """Return the own targets with the changes of a snapshot.
 
-        What only this VM still holds for a lapse goes: it is not in the table
-        of the peer.
+        Targets that this VM holds and the peer does not are removed: they are
+        not in the peer's table.
         """
         for name, revision in snapshot.removed.items():
             self.removals.record(name, revision)
         for name in snapshot.targets:
             self.removals.discard(name)
-        gone = (snapshot.removed.keys() | self.held_targets.keys()) - (
+        deleted = (snapshot.removed.keys() | self.held_targets.keys()) - (
             snapshot.held_targets.keys()
         )
         return {
             **{
                 name: target
                 for name, target in self.targets.items()
-                if name not in gone
+                if name not in deleted
             },
             **snapshot.targets,
         }
 
-    def _get_revision(self, name: str) -> int:
+    def _get_target_revision(self, name: str) -> int:
         known = self.targets.get(name)
         return known.revision if known else 0
 
     def _hold(self, names: Iterable[str], now: float) -> set[str]:
-        if now < self._lapse_until:
+        """Hold deleted targets if it is time to; return those held now."""
+        if now < self._hold_until:
             for name in names:
-                self.held_targets.setdefault(name, self._lapse_until)
+                self.held_targets.setdefault(name, self._hold_until)
         return {name for name in names if self.held_targets.get(name, 0) > now}
 
-    def _put_targets(
+    def _set_targets(
         self,
         revision: int,
         targets: Mapping[str, Target],
--- a/toucanhall/observe/refusal_causes.py
+++ b/toucanhall/observe/refusal_causes.py
@@ -1,4 +1,4 @@
-"""Sorts refusals of teams by why their limit did not allow the request."""
+"""Counts refusals of teams by why their limit did not allow the request."""
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
@@ -10,15 +10,16 @@
 __all__ = ('count_refusal_causes',)
 
 _REASON: Final = 'over-quota'
-# Part of the limit of a window from which a team counts as near it.
-_NEAR_SHARE: Final = 0.8
+# From this fraction of the limit of a window on, the limit counts as spent.
+_SPENT_FRACTION: Final = 0.8
 
 
 def count_refusal_causes(lines: Iterable[Line]) -> Iterator[str]:
     """Yield how many refusals over a limit had each cause, the rarest last.
 
-    Lines come in the order of their times. Only the last cause says that the
-    team had spent its limit; a bounded log holds a part of all refusals.
+    Lines are in the order of their times. Only with the cause `limit spent`
+    had the team spent its limit. The log drops lines of frequent events, so
+    it may hold only some of the refusals.
     """
     stopping: set[str] = set()
     causes: Counter[str] = Counter()
@@ -37,7 +38,7 @@
     limit = line.fields.get('limit', 0)
     if not limit:
         return 'no limit known yet'
-    if line.fields.get('spent', 0) >= _NEAR_SHARE * limit:
+    if line.fields.get('spent', 0) >= _SPENT_FRACTION * limit:
         return 'limit spent'
     if is_stopping:
         return 'VM stopping, within the limit'
