Say in 15 event texts what was found and what follows

Numbers, levels and fields stay. report groups lines by number and text, so logs of two builds side by side give two rows for such an event; explain shows each line's own text.

--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -9,17 +9,27 @@
 STOPPING: Final = Event(101, logging.INFO, 'VM is stopping')
 STOPPED: Final = Event(102, logging.INFO, 'VM stopped')
 RELOADED: Final = Event(103, logging.INFO, 'settings reloaded')
-RELOAD_FAILED: Final = Event(104, logging.ERROR, 'settings cannot be read')
-RESUMED: Final = Event(105, logging.WARNING, 'VM did not run for a while')
+RELOAD_FAILED: Final = Event(
+    104, logging.ERROR, 'settings not reloaded; the previous ones stay in force'
+)
+RESUMED: Final = Event(105, logging.WARNING, 'process resumed after a pause')
 LINES_DROPPED: Final = Event(106, logging.WARNING, 'log lines were dropped')
 UNEXPECTED: Final = Event(107, logging.ERROR, 'unexpected error')
-STORE_LOST: Final = Event(300, logging.WARNING, 'store is out of reach')
+STORE_LOST: Final = Event(300, logging.WARNING, 'store unreachable')
 STORE_RECOVERED: Final = Event(301, logging.INFO, 'store answers again')
-HISTORY_LOST: Final = Event(302, logging.WARNING, 'store dropped its history')
-WATCH_STARTED: Final = Event(303, logging.INFO, 'store is watched')
-WATCH_ENDED: Final = Event(304, logging.INFO, 'store is not watched any more')
-ENTRY_IGNORED: Final = Event(305, logging.WARNING, 'object cannot be read')
-TARGETS_EXPIRED: Final = Event(306, logging.INFO, 'targets did not come back')
+HISTORY_LOST: Final = Event(
+    302, logging.WARNING, 'store dropped the watched revision; table read anew'
+)
+WATCH_STARTED: Final = Event(303, logging.INFO, 'watch of the store started')
+WATCH_ENDED: Final = Event(304, logging.INFO, 'watch of the store ended')
+ENTRY_IGNORED: Final = Event(
+    305, logging.WARNING, 'malformed object of the store ignored'
+)
+TARGETS_EXPIRED: Final = Event(
+    306,
+    logging.INFO,
+    'targets dropped: not registered again after a store outage',
+)
 ENTRY_DELETED: Final = Event(307, logging.INFO, 'entry of a VM deleted')
 CONFIGURATION_APPLIED: Final = Event(
     310, logging.INFO, 'configuration in force'
@@ -27,22 +37,32 @@
 TARGETS_CHANGED: Final = Event(311, logging.INFO, 'list of targets changed')
 EVACUATIONS_CHANGED: Final = Event(312, logging.INFO, 'evacuated zones changed')
 PEER_JOINED: Final = Event(400, logging.INFO, 'VM is alive')
-PEER_LOST: Final = Event(401, logging.WARNING, 'VM fell silent')
+PEER_LOST: Final = Event(
+    401, logging.WARNING, 'VM is silent and no longer counts as alive'
+)
 SERVING_CHANGED: Final = Event(
     402, logging.INFO, 'VMs that take requests changed',
 )  # fmt: skip
-MESSAGE_DROPPED: Final = Event(403, logging.WARNING, 'message of a VM dropped')
-SNAPSHOT_APPLIED: Final = Event(404, logging.INFO, 'tables taken from a VM')
-SNAPSHOT_FAILED: Final = Event(405, logging.WARNING, 'VM sent no tables')
+MESSAGE_DROPPED: Final = Event(
+    403, logging.WARNING, 'message between VMs lost or dropped'
+)
+SNAPSHOT_APPLIED: Final = Event(
+    404, logging.INFO, 'tables read from another VM'
+)
+SNAPSHOT_FAILED: Final = Event(
+    405, logging.WARNING, 'tables not read from another VM'
+)
 REQUEST_REFUSED: Final = Event(600, logging.INFO, 'request refused')
 REQUEST_FAILED: Final = Event(601, logging.WARNING, 'request failed')
 ATTEMPT_FAILED: Final = Event(602, logging.WARNING, 'attempt failed')
 REQUEST_SERVED: Final = Event(603, logging.INFO, 'request served')
 RETRY_REFUSED: Final = Event(
-    605, logging.INFO, 'no repeat left in the budget',
+    605, logging.INFO, 'no retry: the retry budget is spent',
 )  # fmt: skip
-CALLER_DISCONNECTED: Final = Event(604, logging.INFO, 'caller left')
-REQUEST_CRASHED: Final = Event(610, logging.ERROR, 'request path failed')
+CALLER_DISCONNECTED: Final = Event(604, logging.INFO, 'caller disconnected')
+REQUEST_CRASHED: Final = Event(
+    610, logging.ERROR, 'unexpected error while handling a request'
+)
 TARGET_SUSPENDED: Final = Event(620, logging.WARNING, 'target suspended')
 TARGET_RESUMED: Final = Event(621, logging.INFO, 'target in use again')
 
