--- a/standins/bare.py
+++ b/standins/bare.py
@@ -7,13 +7,15 @@
 import urllib3
 import waitress
 
-_THREADS: Final = 48
-_CONNECTIONS: Final = 64
+_THREAD_COUNT: Final = 48
+_MAX_TARGET_CONNECTIONS: Final = 64
 
 
 def make_application(target: str) -> Callable[..., Iterable[bytes]]:
     """Return a WSGI application that asks one target for everything."""
-    pool = urllib3.HTTPConnectionPool(*_split(target), maxsize=_CONNECTIONS)
+    pool = urllib3.HTTPConnectionPool(
+        *_split_address(target), maxsize=_MAX_TARGET_CONNECTIONS
+    )
 
     def application(
         environ: dict[str, Any],
@@ -41,7 +43,7 @@
     return application
 
 
-def _split(address: str) -> tuple[str, int]:
+def _split_address(address: str) -> tuple[str, int]:
     host, port = address.split(':')
     return host, int(port)
 
@@ -55,7 +57,7 @@
     waitress.serve(
         make_application(options.target),
         listen=options.listen,
-        threads=_THREADS,
+        threads=_THREAD_COUNT,
         connection_limit=1000,
         asyncore_use_poll=True,
     )
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -13,10 +13,10 @@
 ATTEMPT_HEADER: Final = 'X-Attempt'
 MAY_HAVE_RUN: Final = 'refused for good, may have run'
 
-_CALL_SECONDS: Final = 5.0
-_ASK_SECONDS: Final = 1.0
-_PAUSE_SECONDS: Final = 0.05
-_OK: Final = 200
+_CALL_TIMEOUT_SECONDS: Final = 5.0
+_ADVICE_TIMEOUT_SECONDS: Final = 1.0
+_UNANSWERED_PAUSE_SECONDS: Final = 0.05
+_OK_STATUS: Final = 200
 
 
 class Call(NamedTuple):
@@ -34,8 +34,8 @@
     call: Call
     attempt_id: str
     url: str
-    started: float
-    ended: float
+    started_at: float
+    ended_at: float
     result: str
     ran: str
     retry_after: float
@@ -58,43 +58,43 @@
         ends a call at its first answer.
         """
         self._follows_advice = follows_advice
-        self._turns = itertools.cycle(urls)
+        self._url_rotation = itertools.cycle(urls)
         self._urls = urls
         self._record = record
-        self._patience = patience
-        self._vms: list[str] = []
-        self._hold_until = 0.0
+        self._max_call_seconds = patience
+        self._advised_urls: list[str] = []
+        self._advice_expires_at = 0.0
         self._http = urllib3.PoolManager(retries=False)
 
     def make(self, kind: str, method: str, path: str, key: str) -> str:
         """Make one call and return how it ended."""
         call = Call(kind, method, f'{path}?n={uuid.uuid4().hex}', key)
-        until = time.monotonic() + self._patience
+        deadline = time.monotonic() + self._max_call_seconds
         while True:
-            attempt = self._try(call)
+            attempt = self._attempt_call(call)
             self._record(attempt)
             pause = _choose_pause(attempt) if self._follows_advice else 0
-            if pause <= 0 or time.monotonic() + pause > until:
-                return _name_end(attempt)
+            if pause <= 0 or time.monotonic() + pause > deadline:
+                return _get_result(attempt)
             time.sleep(pause)
 
-    def _try(self, call: Call) -> Attempt:
-        url = self._choose(call.key)
+    def _attempt_call(self, call: Call) -> Attempt:
+        url = self._choose_url(call.key)
         attempt_id = uuid.uuid4().hex
         headers = {ATTEMPT_HEADER: attempt_id}
         if call.key:
             headers['X-Api-Key'] = call.key
         if call.method == 'POST':
             headers['Idempotency-Key'] = call.path
-        started = time.monotonic()
+        started_at = time.monotonic()
         result, ran, retry_after = self._send(call, url, headers)
         if result == 'unanswered':
-            self._vms = [vm for vm in self._vms if vm != url]
+            self._advised_urls = [vm for vm in self._advised_urls if vm != url]
         return Attempt(
             call,
             attempt_id,
             url,
-            started,
+            started_at,
             time.monotonic(),
             result,
             ran,
@@ -113,45 +113,47 @@
                 f'{url}{call.path}',
                 body=call.path.encode() if call.method == 'POST' else None,
                 headers=headers,
-                timeout=_CALL_SECONDS,
+                timeout=_CALL_TIMEOUT_SECONDS,
             )
         except urllib3.exceptions.HTTPError:
-            return 'unanswered', 'maybe', _PAUSE_SECONDS
-        if response.status == _OK:
+            return 'unanswered', 'maybe', _UNANSWERED_PAUSE_SECONDS
+        if response.status == _OK_STATUS:
             echoed = response.json()
-            is_own = (echoed['method'], echoed['path']) == (
+            is_matching = (echoed['method'], echoed['path']) == (
                 call.method,
                 call.path,
             )
-            return 'answered' if is_own else 'wrong', 'yes', 0
+            return 'answered' if is_matching else 'wrong', 'yes', 0
         return (
             f'refused: {response.json().get("reason", response.status)}',
             response.headers.get('Toucanhall-Ran', 'none'),
             float(response.headers.get('Retry-After', 0)),
         )
 
-    def _choose(self, key: str) -> str:
+    def _choose_url(self, key: str) -> str:
         if not self._follows_advice:
-            return next(self._turns)
-        if not self._vms or time.monotonic() > self._hold_until:
-            self._ask(key)
-        return self._vms[0] if self._vms else self._urls[0]
+            return next(self._url_rotation)
+        if not self._advised_urls or time.monotonic() > self._advice_expires_at:
+            self._fetch_advice(key)
+        return self._advised_urls[0] if self._advised_urls else self._urls[0]
 
-    def _ask(self, key: str) -> None:
+    def _fetch_advice(self, key: str) -> None:
         for url in self._urls:
             try:
                 response = self._http.request(
                     'GET',
                     f'{url}/.toucanhall/entry-vms',
                     headers={'X-Api-Key': key},
-                    timeout=_ASK_SECONDS,
+                    timeout=_ADVICE_TIMEOUT_SECONDS,
                 )
             except urllib3.exceptions.HTTPError:
                 continue
-            if response.status == _OK:
+            if response.status == _OK_STATUS:
                 advice = response.json()
-                self._vms = [vm[2] for vm in advice['vms']]
-                self._hold_until = time.monotonic() + advice['hold_seconds']
+                self._advised_urls = [vm[2] for vm in advice['vms']]
+                self._advice_expires_at = (
+                    time.monotonic() + advice['hold_seconds']
+                )
                 return
 
 
@@ -161,7 +163,7 @@
     return attempt.retry_after
 
 
-def _name_end(attempt: Attempt) -> str:
+def _get_result(attempt: Attempt) -> str:
     is_final = attempt.result.startswith('refused') and not attempt.retry_after
     if is_final and attempt.ran == 'maybe':
         return MAY_HAVE_RUN
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -12,24 +12,26 @@
 from standins.callers import MAY_HAVE_RUN, Caller
 from standins.fleet import Fleet
 
-_EXAMPLE: Final = Path(__file__).parent.parent / 'examples' / 'demo.jsonc'
-_CALLERS: Final = 6
+_CATALOGUE_PATH: Final = (
+    Path(__file__).parent.parent / 'examples' / 'demo.jsonc'
+)
+_CALLER_COUNT: Final = 6
 _RUN_SECONDS: Final = 14.0
-_KILL_VM_AT: Final = 2.0
-_KILL_TARGET_AT: Final = 4.0
-_WITHDRAW_AT: Final = 6.0
-_WITHDRAWN_WITHIN: Final = 8.0
-_PATIENCE_SECONDS: Final = 10.0
+_KILL_VM_AFTER_SECONDS: Final = 2.0
+_KILL_TARGET_AFTER_SECONDS: Final = 4.0
+_WITHDRAW_KEY_AFTER_SECONDS: Final = 6.0
+_MAX_WITHDRAWAL_SECONDS: Final = 8.0
+_MAX_CALL_SECONDS: Final = 10.0
 # A booking whose target was killed while it ran has no better true answer.
-_ENDED_WELL: Final = frozenset(('answered', MAY_HAVE_RUN))
+_ACCEPTED_RESULTS: Final = frozenset(('answered', MAY_HAVE_RUN))
 
 
 class Outcome(NamedTuple):
     """How one request of a caller ended."""
 
     kind: str
-    ended: str
-    asked_at: float
+    result: str
+    started_at: float
 
 
 class Demo:
@@ -41,100 +43,111 @@
         self._outcomes: list[Outcome] = []
         self._lock = threading.Lock()
         self._withdrawn_at = float('inf')
-        self._late: list[Outcome] = []
-        self._until = time.monotonic() + _RUN_SECONDS
+        self._withdrawn_key_outcomes: list[Outcome] = []
+        self._ends_at = time.monotonic() + _RUN_SECONDS
 
     def run(self, keys: dict[str, str]) -> None:
         """Call for a while, and do harm meanwhile."""
         callers = [
             threading.Thread(target=self._call, args=(keys['guides'], number))
-            for number in range(_CALLERS)
+            for number in range(_CALLER_COUNT)
         ]
         callers.append(
             threading.Thread(
-                target=self._call_withdrawn, args=(keys['hostels'],)
+                target=self._call_with_withdrawn_key, args=(keys['hostels'],)
             ),
         )
         for thread in callers:
             thread.start()
-        self._harm()
+        self._inject_faults()
         for thread in callers:
             thread.join()
 
-    def _harm(self) -> None:
+    def _inject_faults(self) -> None:
         started = time.monotonic()
-        _sleep_until(started + _KILL_VM_AT)
+        _sleep_until(started + _KILL_VM_AFTER_SECONDS)
         self._fleet.kill(self._fleet.vms[1].name)
         print(f'killed entry VM {self._fleet.vms[1].name}', flush=True)
-        _sleep_until(started + _KILL_TARGET_AT)
+        _sleep_until(started + _KILL_TARGET_AFTER_SECONDS)
         self._fleet.kill('guide-4')
         print('killed target guide-4', flush=True)
-        _sleep_until(started + _WITHDRAW_AT)
-        done = self._fleet.run_command(
+        _sleep_until(started + _WITHDRAW_KEY_AFTER_SECONDS)
+        completed = self._fleet.run_command(
             'key', 'withdraw', 'hostels-key', f'--at={self._fleet.vms[0].url}',
         )  # fmt: skip
-        if done.returncode:
-            raise RuntimeError(f'withdrawal failed: {done.stderr}')
+        if completed.returncode:
+            raise RuntimeError(f'withdrawal failed: {completed.stderr}')
         self._withdrawn_at = time.monotonic()
         print('withdrew key hostels-key', flush=True)
 
-    def _make_caller(self, known: int) -> Caller:
+    def _make_caller(self, first_vm_number: int) -> Caller:
         urls = [vm.url for vm in self._fleet.vms]
-        first = known % len(urls)
+        first = first_vm_number % len(urls)
         return Caller(
             urls=(*urls[first:], *urls[:first]),
             record=lambda _attempt: None,
-            patience=_PATIENCE_SECONDS,
+            patience=_MAX_CALL_SECONDS,
         )
 
     def _call(self, key: str, number: int) -> None:
         caller = self._make_caller(number)
-        while time.monotonic() < self._until:
-            for kind, method, path, shown in (
+        while time.monotonic() < self._ends_at:
+            for kind, method, path, sent_key in (
                 ('public', 'GET', '/tours/night', ''),
                 ('team', 'GET', '/feed/times', key),
                 ('booking', 'POST', '/bookings', key),
             ):
-                outcome = _fetch(caller, kind, method, path, shown)
+                outcome = _make_call(caller, kind, method, path, sent_key)
                 with self._lock:
                     self._outcomes.append(outcome)
             time.sleep(0.02)
 
-    def _call_withdrawn(self, key: str) -> None:
+    def _call_with_withdrawn_key(self, key: str) -> None:
         caller = self._make_caller(3)
-        while time.monotonic() < self._until + 2:
-            outcome = _fetch(caller, 'withdrawn', 'GET', '/feed/times', key)
+        while time.monotonic() < self._ends_at + 2:
+            outcome = _make_call(caller, 'withdrawn', 'GET', '/feed/times', key)
             with self._lock:
-                self._late.append(outcome)
+                self._withdrawn_key_outcomes.append(outcome)
             time.sleep(0.05)
 
     def report(self) -> int:
         """Print the table and the last line; return the exit code."""
         counts = Counter(
-            (entry.kind, entry.ended) for entry in self._outcomes + self._late
+            (entry.kind, entry.result)
+            for entry in self._outcomes + self._withdrawn_key_outcomes
         )
         print(f'\n{"request":<12}{"ended":<34}{"count":>7}')
-        for (kind, ended), count in sorted(counts.items()):
-            print(f'{kind:<12}{ended:<34}{count:>7}')
-        answered = sum(entry.ended in _ENDED_WELL for entry in self._outcomes)
-        wrong = sum(entry.ended == 'wrong' for entry in self._outcomes)
-        twice = self._count_twice()
-        served = [
-            entry.asked_at - self._withdrawn_at
-            for entry in self._late
-            if entry.ended == 'answered' and entry.asked_at > self._withdrawn_at
+        for (kind, result), count in sorted(counts.items()):
+            print(f'{kind:<12}{result:<34}{count:>7}')
+        accepted_count = sum(
+            entry.result in _ACCEPTED_RESULTS for entry in self._outcomes
+        )
+        wrong_count = sum(entry.result == 'wrong' for entry in self._outcomes)
+        repeated_run_count = self._count_repeated_runs()
+        use_delays = [
+            entry.started_at - self._withdrawn_at
+            for entry in self._withdrawn_key_outcomes
+            if entry.result == 'answered'
+            and entry.started_at > self._withdrawn_at
         ]
-        after = sum(late > _WITHDRAWN_WITHIN for late in served)
-        if served:
-            print(f'last use of the withdrawn key: {max(served):.2f} s after')
+        late_use_count = sum(
+            delay > _MAX_WITHDRAWAL_SECONDS for delay in use_delays
+        )
+        if use_delays:
+            print(
+                f'last use of the withdrawn key: {max(use_delays):.2f} s after'
+            )
         total = len(self._outcomes)
         print(
-            f'demo: answered {answered} of {total}, wrong {wrong}, '
-            f'twice {twice}, after-withdrawal {after}',
+            f'demo: answered {accepted_count} of {total}, wrong {wrong_count}, '
+            f'twice {repeated_run_count}, after-withdrawal {late_use_count}',
+        )
+        return int(
+            accepted_count != total
+            or bool(wrong_count or repeated_run_count or late_use_count)
         )
-        return int(answered != total or bool(wrong or twice or after))
 
-    def _count_twice(self) -> int:
+    def _count_repeated_runs(self) -> int:
         runs = Counter(
             entry['headers'].get('Idempotency-Key')
             for entry in self._fleet.read_journals()
@@ -143,15 +156,15 @@
         return sum(count > 1 for count in runs.values())
 
 
-def _fetch(
+def _make_call(
     caller: Caller,
     kind: str,
     method: str,
     path: str,
     key: str,
 ) -> Outcome:
-    asked_at = time.monotonic()
-    return Outcome(kind, caller.make(kind, method, path, key), asked_at)
+    started_at = time.monotonic()
+    return Outcome(kind, caller.make(kind, method, path, key), started_at)
 
 
 def main() -> int:
@@ -160,7 +173,7 @@
     parser.add_argument('--keep', action='store_true')
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_args: sys.exit(1))
-    fleet = Fleet(catalogue=_EXAMPLE)
+    fleet = Fleet(catalogue=_CATALOGUE_PATH)
     try:
         return _run(fleet, keep=options.keep)
     except KeyboardInterrupt:
@@ -177,14 +190,14 @@
     }
     print(f'{len(fleet.processes)} processes are up', flush=True)
     if keep:
-        _tell_how(fleet, keys['guides'])
+        _print_usage(fleet, keys['guides'])
         signal.pause()
     demo = Demo(fleet=fleet)
     demo.run(keys)
     return demo.report()
 
 
-def _tell_how(fleet: Fleet, key: str) -> None:
+def _print_usage(fleet: Fleet, key: str) -> None:
     for vm in fleet.vms:
         print(f'{vm.name:<18}{vm.url}')
     url = fleet.vms[0].url
@@ -192,8 +205,8 @@
     print(f"curl -H 'X-Api-Key: {key}' {url}/feed/times", flush=True)
 
 
-def _sleep_until(moment: float) -> None:
-    time.sleep(max(0, moment - time.monotonic()))
+def _sleep_until(wake_at: float) -> None:
+    time.sleep(max(0, wake_at - time.monotonic()))
 
 
 if __name__ == '__main__':
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,17 +19,17 @@
 import json5
 import urllib3
 
-__all__ = ('EntryVm', 'Fleet', 'name_line', 'wait_until')
+__all__ = ('EntryVm', 'Fleet', 'name_link', 'wait_until')
 
 CALLER_PORT: Final = 8080
 PEER_PORT: Final = 8081
 PLATFORM_PORT: Final = 7400
 CONTROL_PORT: Final = 7401
-_CLAIM_PORT: Final = 7399
-_EXAMPLE_NET: Final = '127.1.'
-_TOKEN: Final = 'demo-operator-token'
-_START_SECONDS: Final = 20.0
-_STOP_SECONDS: Final = 15.0
+_NET_CLAIM_PORT: Final = 7399
+_EXAMPLE_NET_PREFIX: Final = '127.1.'
+_OPERATOR_TOKEN: Final = 'demo-operator-token'
+_START_TIMEOUT_SECONDS: Final = 20.0
+_STOP_TIMEOUT_SECONDS: Final = 15.0
 
 
 class EntryVm(NamedTuple):
@@ -46,15 +46,17 @@
 
 
 def wait_until(
-    holds: Callable[[], bool],
-    what: str,
-    seconds: float = _START_SECONDS,
+    condition: Callable[[], bool],
+    description: str,
+    timeout_seconds: float = _START_TIMEOUT_SECONDS,
 ) -> None:
     """Return once a condition holds; raise when it does not in time."""
-    deadline = time.monotonic() + seconds
-    while not holds():
+    deadline = time.monotonic() + timeout_seconds
+    while not condition():
         if time.monotonic() > deadline:
-            raise TimeoutError(f'{what} did not happen in {seconds} s')
+            raise TimeoutError(
+                f'{description} did not happen in {timeout_seconds} s'
+            )
         time.sleep(0.05)
 
 
@@ -77,26 +79,26 @@
         other zones, passes a relay, so that `set_line` can cut it.
         """
         self._relayed = relayed
-        self._claim, self.net = _claim_net()
+        self._net_claim, self.net_number = _claim_net()
         self.folder = Path(tempfile.mkdtemp(prefix='toucanhall-'))
-        self.text = catalogue.read_text().replace(
-            _EXAMPLE_NET,
-            f'127.{self.net}.',
+        self.catalogue_text = catalogue.read_text().replace(
+            _EXAMPLE_NET_PREFIX,
+            f'127.{self.net_number}.',
         )
-        self.catalogue: dict[str, Any] = json5.loads(self.text)
+        self.catalogue: dict[str, Any] = json5.loads(self.catalogue_text)
         if teams:
             self.catalogue['teams'] = teams
-            self.text = json.dumps(self.catalogue)
+            self.catalogue_text = json.dumps(self.catalogue)
         self.catalogue_file = self.folder / 'catalogue.jsonc'
-        self.catalogue_file.write_text(self.text)
+        self.catalogue_file.write_text(self.catalogue_text)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.http = urllib3.PoolManager(retries=False, maxsize=16)
-        self.platform = f'http://127.{self.net}.200.1:{PLATFORM_PORT}'
+        self.platform = f'http://127.{self.net_number}.200.1:{PLATFORM_PORT}'
         self.vms = tuple(
             EntryVm(
                 f'{zone}-{index}',
                 zone,
-                f'127.{self.net}.{100 + number}.{index}',
+                f'127.{self.net_number}.{100 + number}.{index}',
             )
             for number, zone in enumerate(sorted(self.catalogue['zones']))
             for index in range(1, vms_per_zone + 1)
@@ -116,36 +118,40 @@
 
     def start_relay(self) -> None:
         """Start the relay between the zones and to the platform."""
-        lines = [
-            (f'{near}:{port}', f'{vm.address}:{port}', name_line(zone, vm.zone))
+        listeners = [
+            (
+                f'{local_address}:{port}',
+                f'{vm.address}:{port}',
+                name_link(zone, vm.zone),
+            )
             for zone in self.catalogue['zones']
             for vm in self.vms
             if vm.zone != zone
-            for near in (self.find_address(zone, vm),)
+            for local_address in (self.get_address(zone, vm),)
             for port in (CALLER_PORT, PEER_PORT)
         ]
         platform = self.platform.removeprefix('http://')
-        lines.extend(
+        listeners.extend(
             (
-                self.find_platform(zone).removeprefix('http://'),
+                self.get_platform_url(zone).removeprefix('http://'),
                 platform,
-                name_line(zone, 'platform'),
+                name_link(zone, 'platform'),
             )
             for zone in self.catalogue['zones']
         )
         path = self.folder / 'lines.json'
-        path.write_text(json.dumps(lines))
+        path.write_text(json.dumps(listeners))
         self._start(
             'relay',
             'standins.relay',
             f'--lines={path}',
-            f'--control=127.{self.net}.200.1:{CONTROL_PORT}',
+            f'--control=127.{self.net_number}.200.1:{CONTROL_PORT}',
         )
-        wait_until(lambda: self.set_lines({}), 'relay up')
+        wait_until(lambda: self.set_link_modes({}), 'relay up')
 
-    def set_lines(self, modes: dict[str, str]) -> bool:
+    def set_link_modes(self, modes: dict[str, str]) -> bool:
         """Change the modes of lines between zones; see the relay."""
-        address = (f'127.{self.net}.200.1', CONTROL_PORT)
+        address = (f'127.{self.net_number}.200.1', CONTROL_PORT)
         try:
             with socket.create_connection(address, timeout=5) as control:
                 control.sendall(json.dumps(modes).encode() + b'\n')
@@ -156,34 +162,34 @@
     def set_zone(self, zone: str, mode: str) -> None:
         """Change the mode of every line of a zone, also to the platform."""
         others = (*self.catalogue['zones'], 'platform')
-        self.set_lines(
-            {name_line(zone, other): mode for other in others if other != zone}
+        self.set_link_modes(
+            {name_link(zone, other): mode for other in others if other != zone}
         )
 
-    def find_address(self, zone: str, vm: EntryVm) -> str:
+    def get_address(self, zone: str, vm: EntryVm) -> str:
         """Return the address at which a zone reaches a VM."""
         if not self._relayed or zone == vm.zone:
             return vm.address
         number = sorted(self.catalogue['zones']).index(zone)
-        return f'127.{self.net}.{150 + number}.{self.vms.index(vm) + 1}'
+        return f'127.{self.net_number}.{150 + number}.{self.vms.index(vm) + 1}'
 
-    def find_platform(self, zone: str) -> str:
+    def get_platform_url(self, zone: str) -> str:
         """Return the URL at which a zone reaches the platform."""
         if not self._relayed:
             return self.platform
         number = sorted(self.catalogue['zones']).index(zone)
-        return f'http://127.{self.net}.201.{number + 1}:{PLATFORM_PORT}'
+        return f'http://127.{self.net_number}.201.{number + 1}:{PLATFORM_PORT}'
 
     def start_platform(self) -> None:
         """Start the stand-in of the platform and list the VMs there."""
         self._start(
             'platform',
             'standins.platform',
-            f'--address=127.{self.net}.200.1',
+            f'--address=127.{self.net_number}.200.1',
             f'--port={PLATFORM_PORT}',
         )
         wait_until(self._is_platform_up, 'platform up')
-        self.list_vms()
+        self.publish_vms()
 
     def start_target(self, name: str) -> None:
         """Start the stand-in of one target."""
@@ -211,12 +217,14 @@
             'address': vm.address,
             'caller_port': CALLER_PORT,
             'peer_port': PEER_PORT,
-            'platform': self.find_platform(vm.zone),
+            'platform': self.get_platform_url(vm.zone),
             'secret_variable': 'TOUCANHALL_SECRET',
             'operators': [
                 {
                     'name': 'demo',
-                    'digest': hashlib.sha256(_TOKEN.encode()).hexdigest(),
+                    'digest': hashlib.sha256(
+                        _OPERATOR_TOKEN.encode()
+                    ).hexdigest(),
                     'role': 'administer',
                 },
             ],
@@ -224,7 +232,7 @@
 
     def start_bare(self, target: str) -> str:
         """Start the relay with no decisions and return its URL."""
-        listen = f'127.{self.net}.202.1:{CALLER_PORT}'
+        listen = f'127.{self.net_number}.202.1:{CALLER_PORT}'
         address = self.catalogue['targets'][target]['address']
         self._start(
             'bare',
@@ -234,21 +242,21 @@
         )
         return f'http://{listen}'
 
-    def list_vms(self, leaving: frozenset[str] = frozenset()) -> None:
+    def publish_vms(self, leaving: frozenset[str] = frozenset()) -> None:
         """Tell the platform which VMs are there."""
-        listed = {
+        vms_by_zone = {
             zone: [
                 (
                     vm.name,
                     vm.zone,
-                    self.find_address(zone, vm),
+                    self.get_address(zone, vm),
                     vm.name in leaving,
                 )
                 for vm in self.vms
             ]
             for zone in self.catalogue['zones']
         }
-        self.switch('vms', listed)
+        self.switch('vms', vms_by_zone)
 
     def switch(self, name: str, content: object) -> None:
         """Throw a switch of the platform stand-in."""
@@ -258,7 +266,7 @@
             body=json.dumps(content),
         )
 
-    def switch_target(self, name: str, **content: object) -> dict[str, Any]:
+    def configure_target(self, name: str, **content: object) -> dict[str, Any]:
         """Change how a target stand-in behaves; return its peak load."""
         address = self.catalogue['targets'][name]['address']
         response = self.http.request(
@@ -281,28 +289,32 @@
 
     def apply(self) -> None:
         """Apply the catalogue and wait until it is in force on every VM."""
-        done = self.run_command(
+        completed = self.run_command(
             'catalogue',
             'apply',
             str(self.catalogue_file),
             f'--at={self.vms[0].url}',
         )
-        if done.returncode:
-            raise RuntimeError(f'apply failed: {done.stdout}{done.stderr}')
+        if completed.returncode:
+            raise RuntimeError(
+                f'apply failed: {completed.stdout}{completed.stderr}'
+            )
         for vm in self.vms:
             wait_until(partial(self.is_ready, vm.url), f'{vm.name} ready')
 
     def grant(self, name: str, team: str) -> str:
         """Grant a key with the real command line and return it."""
-        done = self.run_command(
+        completed = self.run_command(
             'key-grant',
             name,
             f'--team={team}',
             f'--at={self.vms[0].url}',
         )
-        if done.returncode:
-            raise RuntimeError(f'grant failed: {done.stdout}{done.stderr}')
-        granted: dict[str, Any] = json.loads(done.stdout)
+        if completed.returncode:
+            raise RuntimeError(
+                f'grant failed: {completed.stdout}{completed.stderr}'
+            )
+        granted: dict[str, Any] = json.loads(completed.stdout)
         return str(granted['key'])
 
     def signal(self, name: str, number: signal.Signals) -> None:
@@ -341,9 +353,9 @@
             if process.poll() is None:
                 process.kill()
         for process in self.processes.values():
-            process.wait(_STOP_SECONDS)
+            process.wait(_STOP_TIMEOUT_SECONDS)
         shutil.rmtree(self.folder, ignore_errors=True)
-        self._claim.close()
+        self._net_claim.close()
 
     def _start(self, name: str, module: str, *arguments: str) -> None:
         log = (self.folder / f'{name}.log').open('ab')
@@ -359,7 +371,7 @@
         return {
             **os.environ,
             'TOUCANHALL_SECRET': 'demo-secret',
-            'TOUCANHALL_TOKEN': _TOKEN,
+            'TOUCANHALL_TOKEN': _OPERATOR_TOKEN,
         }
 
     def _is_platform_up(self) -> bool:
@@ -381,19 +393,19 @@
         return dict(response.json())
 
 
-def name_line(zone: str, other: str) -> str:
+def name_link(zone: str, other: str) -> str:
     """Return the name of the line between two zones, in either order."""
     return '|'.join(sorted((zone, other)))
 
 
 def _claim_net() -> tuple[socket.socket, int]:
-    nets = random.sample(range(2, 250), 100)
-    for net in nets:
+    candidates = random.sample(range(2, 250), 100)
+    for net_number in candidates:
         claim = socket.socket()
         try:
-            claim.bind((f'127.{net}.255.1', _CLAIM_PORT))
+            claim.bind((f'127.{net_number}.255.1', _NET_CLAIM_PORT))
         except OSError:
             claim.close()
             continue
-        return claim, net
+        return claim, net_number
     raise OSError('no free loopback network')
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,21 +8,21 @@
 from typing import Any, Final
 from urllib.parse import parse_qs, unquote, urlsplit
 
-_LARGEST_OBJECT: Final = 1048576  # bytes
+_MAX_OBJECT_BYTES: Final = 1048576  # bytes
 
 
 class Store:
     """Objects by name with a version; the history allows a roll-back."""
 
-    def __init__(self, *, list_lag: float) -> None:
+    def __init__(self, *, vm_list_lag_seconds: float) -> None:
         """Start empty; the list of VMs lags by some seconds."""
         self.changed = threading.Condition()
         self.objects: dict[str, tuple[int, bytes]] = {}
         self.history: dict[str, list[bytes]] = {}
         self.version = 0
-        self.calls: dict[str, int] = {}
+        self.call_counts: dict[str, int] = {}
         self.mode = 'up'
-        self.list_lag = list_lag
+        self.vm_list_lag_seconds = vm_list_lag_seconds
         self.vm_lists: list[tuple[float, Any]] = [(0, {})]
 
     def write(self, name: str, content: bytes) -> int:
@@ -35,9 +35,9 @@
 
     def roll_back(self, name: str) -> None:
         """Bring back the content before the newest one."""
-        earlier = self.history[name][-2]
+        previous = self.history[name][-2]
         self.version += 1
-        self.objects[name] = (self.version, earlier)
+        self.objects[name] = (self.version, previous)
         self.changed.notify_all()
 
     def list_vms(self, zone: str) -> Any:
@@ -45,11 +45,13 @@
 
         Addresses are those at which the asking zone reaches the VMs.
         """
-        until = time.monotonic() - self.list_lag
-        listed = [
-            vms for since, vms in self.vm_lists if since <= until or since == 0
+        listed_before = time.monotonic() - self.vm_list_lag_seconds
+        vms_by_zone = [
+            vms
+            for published_at, vms in self.vm_lists
+            if published_at <= listed_before or published_at == 0
         ][-1]
-        return listed.get(zone, [])
+        return vms_by_zone.get(zone, [])
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -67,15 +69,15 @@
         """Read an object, wait on one, or list the VMs."""
         url = urlsplit(self.path)
         if url.path == '/standin/calls':
-            self._send(200, json.dumps(self.store.calls).encode())
-        elif self._is_out():
+            self._send(200, json.dumps(self.store.call_counts).encode())
+        elif self._is_down():
             self._send(503, b'')
         elif url.path == '/vms':
-            self._count('list')
+            self._record_call('list')
             zone = parse_qs(url.query).get('zone', [''])[0]
             self._send(200, json.dumps(self.store.list_vms(zone)).encode())
         elif url.path.startswith('/watch/'):
-            self._count('watch')
+            self._record_call('watch')
             query = parse_qs(url.query)
             self._watch(
                 unquote(url.path[len('/watch/') :]),
@@ -83,26 +85,26 @@
                 float(query['wait'][0]),
             )
         else:
-            self._count('read')
+            self._record_call('read')
             with self.store.changed:
-                found = self.store.objects.get(self._name())
+                found = self.store.objects.get(self._get_object_name())
             self._send_object(found)
 
     def do_PUT(self) -> None:
         """Write an object on a condition, or throw a switch."""
         body = self.rfile.read(int(self.headers.get('Content-Length', 0)))
         if self.path.startswith('/standin/'):
-            self._switch(self.path[len('/standin/') :], json.loads(body))
+            self._set_control(self.path[len('/standin/') :], json.loads(body))
             return
-        if self._is_out():
+        if self._is_down():
             self._send(503, b'')
             return
-        self._count('write')
-        if len(body) > _LARGEST_OBJECT:
+        self._record_call('write')
+        if len(body) > _MAX_OBJECT_BYTES:
             self._send(413, b'')
             return
         with self.store.changed:
-            version = self._write(self._name(), body)
+            version = self._write_if_matching(self._get_object_name(), body)
         if self.store.mode == 'lose-replies':
             self.close_connection = True
         elif version:
@@ -110,30 +112,34 @@
         else:
             self._send(412, b'')
 
-    def _write(self, name: str, body: bytes) -> int:
+    def _write_if_matching(self, name: str, body: bytes) -> int:
         current = self.store.objects.get(name)
         expected = self.headers.get('If-Match', '').strip('"')
         if self.headers.get('If-None-Match') == '*':
-            holds = current is None
+            is_matching = current is None
         else:
-            holds = current is not None and str(current[0]) == expected
-        return self.store.write(name, body) if holds else 0
+            is_matching = current is not None and str(current[0]) == expected
+        return self.store.write(name, body) if is_matching else 0
 
-    def _watch(self, name: str, known: int, wait: float) -> None:
-        deadline = time.monotonic() + wait
+    def _watch(
+        self, name: str, known_version: int, wait_seconds: float
+    ) -> None:
+        deadline = time.monotonic() + wait_seconds
         with self.store.changed:
             while self.store.mode != 'down':
                 found = self.store.objects.get(name)
-                left = deadline - time.monotonic()
-                if (found[0] if found else 0) != known or left <= 0:
+                remaining_seconds = deadline - time.monotonic()
+                if (
+                    found[0] if found else 0
+                ) != known_version or remaining_seconds <= 0:
                     break
-                self.store.changed.wait(left)
-        if self._is_out():
+                self.store.changed.wait(remaining_seconds)
+        if self._is_down():
             self._send(503, b'')
         else:
             self._send_object(found)
 
-    def _switch(self, name: str, content: Any) -> None:
+    def _set_control(self, name: str, content: Any) -> None:
         with self.store.changed:
             if name == 'mode':
                 self.store.mode = content
@@ -144,15 +150,17 @@
             self.store.changed.notify_all()
         self._send(200, b'')
 
-    def _is_out(self) -> bool:
+    def _is_down(self) -> bool:
         return self.store.mode == 'down'
 
-    def _name(self) -> str:
+    def _get_object_name(self) -> str:
         return unquote(urlsplit(self.path).path[len('/objects/') :])
 
-    def _count(self, kind: str) -> None:
+    def _record_call(self, kind: str) -> None:
         with self.store.changed:
-            self.store.calls[kind] = self.store.calls.get(kind, 0) + 1
+            self.store.call_counts[kind] = (
+                self.store.call_counts.get(kind, 0) + 1
+            )
 
     def _send_object(self, found: tuple[int, bytes] | None) -> None:
         if found is None:
@@ -184,7 +192,7 @@
     parser.add_argument('--port', type=int, required=True)
     parser.add_argument('--list-lag', type=float, default=1)
     options = parser.parse_args()
-    Handler.store = Store(list_lag=options.list_lag)
+    Handler.store = Store(vm_list_lag_seconds=options.list_lag)
     Server((options.address, options.port), Handler).serve_forever()
 
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -8,16 +8,16 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
-_CHUNK: Final = 65536  # bytes
-_BACKLOG: Final = 256
+_MAX_CHUNK_BYTES: Final = 65536  # bytes
+_MAX_BACKLOG_CONNECTIONS: Final = 256
 
 
-class Line(NamedTuple):
+class Listener(NamedTuple):
     """One listener: where it listens, where it leads, and its group."""
 
-    listen: str
-    connect: str
-    group: str
+    listen_address: str
+    connect_address: str
+    link: str
 
 
 class Relay:
@@ -33,89 +33,97 @@
         self.modes: dict[str, str] = defaultdict(lambda: 'open')
         self.writers: dict[str, set[asyncio.StreamWriter]] = defaultdict(set)
 
-    async def serve(self, line: Line) -> None:
+    async def serve(self, listener: Listener) -> None:
         """Listen for one line."""
-        host, port = line.listen.split(':')
+        host, port = listener.listen_address.split(':')
 
         async def accept(
             reader: asyncio.StreamReader,
             writer: asyncio.StreamWriter,
         ) -> None:
-            await self._connect(line, reader, writer)
+            await self._handle_connection(listener, reader, writer)
 
-        await asyncio.start_server(accept, host, int(port), backlog=_BACKLOG)
+        await asyncio.start_server(
+            accept, host, int(port), backlog=_MAX_BACKLOG_CONNECTIONS
+        )
 
-    def switch(self, modes: dict[str, str]) -> None:
+    def set_modes(self, modes: dict[str, str]) -> None:
         """Change the modes of some groups."""
         self.modes.update(modes)
-        for group, mode in modes.items():
+        for link, mode in modes.items():
             if mode == 'cut':
-                for writer in tuple(self.writers[group]):
+                for writer in tuple(self.writers[link]):
                     writer.transport.abort()
 
-    async def _connect(
+    async def _handle_connection(
         self,
-        line: Line,
+        listener: Listener,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if self.modes[line.group] == 'cut':
+        if self.modes[listener.link] == 'cut':
             writer.transport.abort()
             return
-        host, port = line.connect.split(':')
+        host, port = listener.connect_address.split(':')
         try:
-            far_reader, far_writer = await asyncio.open_connection(host, port)
+            upstream_reader, upstream_writer = await asyncio.open_connection(
+                host, port
+            )
         except OSError:
             writer.transport.abort()
             return
-        ends = {writer, far_writer}
-        self.writers[line.group] |= ends
+        both_writers = {writer, upstream_writer}
+        self.writers[listener.link] |= both_writers
         await asyncio.gather(
-            self._pump(line.group, reader, far_writer, is_reply=False),
-            self._pump(line.group, far_reader, writer, is_reply=True),
+            self._forward(
+                listener.link, reader, upstream_writer, is_reply=False
+            ),
+            self._forward(
+                listener.link, upstream_reader, writer, is_reply=True
+            ),
         )
-        self.writers[line.group] -= ends
+        self.writers[listener.link] -= both_writers
 
-    async def _pump(
+    async def _forward(
         self,
-        group: str,
+        link: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         *,
         is_reply: bool,
     ) -> None:
         with suppress(OSError):
-            while part := await reader.read(_CHUNK):
-                mode = self.modes[group]
+            while chunk := await reader.read(_MAX_CHUNK_BYTES):
+                mode = self.modes[link]
                 if mode == 'slow':
                     await asyncio.sleep(0.5)
                 if mode == 'silent' or (is_reply and mode == 'lose-replies'):
                     continue
-                writer.write(part)
+                writer.write(chunk)
                 await writer.drain()
         with suppress(OSError):
             writer.close()
 
 
-async def run(lines: list[Line], control: str) -> None:
+async def run(listeners: list[Listener], control: str) -> None:
     """Serve every line, and take modes as JSON lines on a control port."""
     relay = Relay()
-    for line in lines:
-        await relay.serve(line)
+    for listener in listeners:
+        await relay.serve(listener)
 
-    async def take(
+    async def handle_commands(
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        while text := await reader.readline():
-            modes: dict[str, Any] = json.loads(text)
-            relay.switch(modes)
+        while command := await reader.readline():
+            modes: dict[str, Any] = json.loads(command)
+            relay.set_modes(modes)
             writer.write(b'done\n')
             await writer.drain()
         writer.close()
 
     host, port = control.split(':')
-    server = await asyncio.start_server(take, host, int(port))
+    server = await asyncio.start_server(handle_commands, host, int(port))
     await server.serve_forever()
 
 
@@ -125,8 +133,10 @@
     parser.add_argument('--lines', type=Path, required=True)
     parser.add_argument('--control', required=True)
     options = parser.parse_args()
-    lines = [Line(*entry) for entry in json.loads(options.lines.read_text())]
-    asyncio.run(run(lines, options.control))
+    listeners = [
+        Listener(*entry) for entry in json.loads(options.lines.read_text())
+    ]
+    asyncio.run(run(listeners, options.control))
 
 
 if __name__ == '__main__':
--- a/standins/target.py
+++ b/standins/target.py
@@ -12,25 +12,25 @@
 
 from standins.platform import Server
 
-_LARGE_BYTES: Final = 20971520
+_LARGE_BODY_BYTES: Final = 20971520
 _ETAG: Final = '"v1"'
 
 
-class State:
+class TargetState:
     """The name of the target, its journal and how it misbehaves."""
 
     def __init__(self, *, name: str, journal: str) -> None:
         """Append what runs to the journal file."""
         self.name = name
         self.mode = 'well'
-        self.delay = 0.0
+        self.delay_seconds = 0.0
         self._journal = os.open(
             journal,
             os.O_WRONLY | os.O_APPEND | os.O_CREAT,
         )
         self.lock = threading.Lock()
-        self.running = 0
-        self.peak = 0
+        self.running_count = 0
+        self.max_running_count = 0
 
     def record(self, entry: dict[str, Any]) -> None:
         """Write one line before the answer is sent."""
@@ -43,7 +43,7 @@
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
     wbufsize = -1
-    state: State
+    state: TargetState
 
     def log_message(self, *args: object) -> None:
         """Write no access log."""
@@ -57,23 +57,25 @@
     def _serve(self) -> None:
         body = self.rfile.read(int(self.headers.get('Content-Length') or 0))
         if self.path.startswith('/standin/'):
-            self._switch(json.loads(body))
+            self._set_mode(json.loads(body))
             return
         with self.state.lock:
-            self.state.running += 1
-            self.state.peak = max(self.state.peak, self.state.running)
+            self.state.running_count += 1
+            self.state.max_running_count = max(
+                self.state.max_running_count, self.state.running_count
+            )
         try:
-            self._work(body)
+            self._execute(body)
         finally:
             with self.state.lock:
-                self.state.running -= 1
-        self._answer(body)
+                self.state.running_count -= 1
+        self._respond(body)
 
-    def _work(self, body: bytes) -> None:
+    def _execute(self, body: bytes) -> None:
         if self.state.mode == 'silent':
             time.sleep(60)
         query = parse_qs(urlsplit(self.path).query)
-        time.sleep(float(query.get('delay', [self.state.delay])[0]))
+        time.sleep(float(query.get('delay', [self.state.delay_seconds])[0]))
         self.state.record(
             {
                 'at': time.monotonic(),
@@ -85,17 +87,17 @@
             }
         )
 
-    def _answer(self, body: bytes) -> None:
+    def _respond(self, body: bytes) -> None:
         mode = self.state.mode
         query = parse_qs(urlsplit(self.path).query)
         if mode == 'fail':
             self._send(500, b'{}')
         elif 'large' in query:
-            self._send(200, bytes(_LARGE_BYTES))
+            self._send(200, bytes(_LARGE_BODY_BYTES))
         elif self.headers.get('If-None-Match') == _ETAG:
             self._send(304, b'')
         elif mode == 'cut':
-            self._cut()
+            self._send_truncated()
         else:
             self._send(200, self._describe(body))
 
@@ -106,16 +108,20 @@
                 'method': self.command,
                 'path': self.path,
                 'body': body.decode('latin-1'),
-                'peak': self.state.peak,
+                'peak': self.state.max_running_count,
             }
         ).encode()
 
-    def _switch(self, content: dict[str, Any]) -> None:
+    def _set_mode(self, content: dict[str, Any]) -> None:
         self.state.mode = content.get('mode', self.state.mode)
-        self.state.delay = content.get('delay', self.state.delay)
-        self._send(200, json.dumps({'peak': self.state.peak}).encode())
+        self.state.delay_seconds = content.get(
+            'delay', self.state.delay_seconds
+        )
+        self._send(
+            200, json.dumps({'peak': self.state.max_running_count}).encode()
+        )
 
-    def _cut(self) -> None:
+    def _send_truncated(self) -> None:
         self.send_response(200)
         self.send_header('Content-Length', '1000')
         self.end_headers()
@@ -145,7 +151,7 @@
     parser.add_argument('--address', required=True)
     parser.add_argument('--journal', required=True)
     options = parser.parse_args()
-    Handler.state = State(name=options.name, journal=options.journal)
+    Handler.state = TargetState(name=options.name, journal=options.journal)
     host, port = options.address.split(':')
     Server((host, int(port)), Handler).serve_forever()
 
--- a/tests/processes/test_answers.py
+++ b/tests/processes/test_answers.py
@@ -10,14 +10,14 @@
 from standins.fleet import Fleet, wait_until
 from tests.fleet_conditions import has_all_peers_alive
 
-EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
-LARGE_BYTES = 20971520
+CATALOGUE_PATH = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+LARGE_BODY_BYTES = 20971520
 
 
 @pytest.fixture(scope='module', name='fleet')
 def start_fleet() -> Iterator[Fleet]:
     """Start a relayed fleet with a catalogue in force."""
-    fleet = Fleet(catalogue=EXAMPLE, relayed=True)
+    fleet = Fleet(catalogue=CATALOGUE_PATH, relayed=True)
     try:
         fleet.start()
         fleet.apply()
@@ -35,13 +35,17 @@
     key = fleet.grant('answers', 'hostels')
     for vm in fleet.vms:
         wait_until(
-            lambda vm=vm: ask(fleet, '/feed/x', key, vm=vm).status == 200,
+            lambda vm=vm: (
+                send_request(fleet, '/feed/x', key, vm=vm).status == 200
+            ),
             f'key on {vm.name}',
         )
     return key
 
 
-def ask(fleet, path, key='', method='GET', vm=None, body=None, headers=()):
+def send_request(
+    fleet, path, key='', method='GET', vm=None, body=None, headers=()
+):
     """Send one request to an entry VM, the first if none is named."""
     headers = dict(headers)
     if key:
@@ -52,47 +56,47 @@
     )  # fmt: skip
 
 
-def find_run(fleet, mark):
-    """Return the journal entry of the request with a mark in its path."""
-    return next(run for run in fleet.read_journals() if mark in run['path'])
+def find_run(fleet, marker):
+    """Return the journal entry of the request with a marker in its path."""
+    return next(run for run in fleet.read_journals() if marker in run['path'])
 
 
 @pytest.mark.parametrize('method', ['POST', 'PUT', 'PATCH', 'DELETE'])
 def test_methods_and_bodies_arrive_unchanged(fleet, method):
     body = bytes(range(256)) * 40
     path = f'/tours/{method}?a=%2F+x&b=&&c'
-    answer = ask(fleet, path, method=method, body=body)
+    answer = send_request(fleet, path, method=method, body=body)
     assert answer.json()['method'] == method
     assert answer.json()['path'] == path
     assert answer.json()['body'].encode('latin-1') == body
 
 
-def test_large_answer_comes_whole(fleet):
-    answer = ask(fleet, '/tours/x?large=1')
-    assert answer.headers['Content-Length'] == str(LARGE_BYTES)
-    assert answer.data == bytes(LARGE_BYTES)
+def test_large_answer_is_complete(fleet):
+    answer = send_request(fleet, '/tours/x?large=1')
+    assert answer.headers['Content-Length'] == str(LARGE_BODY_BYTES)
+    assert answer.data == bytes(LARGE_BODY_BYTES)
 
 
-def test_validators_and_head(fleet):
-    tag = ask(fleet, '/tours/x').headers['ETag']
-    same = ask(fleet, '/tours/x', headers={'If-None-Match': tag})
+def test_validators_and_head_are_passed_on(fleet):
+    tag = send_request(fleet, '/tours/x').headers['ETag']
+    same = send_request(fleet, '/tours/x', headers={'If-None-Match': tag})
     assert (same.status, same.data) == (304, b'')
     assert same.headers['ETag'] == tag
-    head = ask(fleet, '/tours/x', method='HEAD')
+    head = send_request(fleet, '/tours/x', method='HEAD')
     assert head.status == 200
     assert int(head.headers['Content-Length']) > 0
 
 
-def test_cut_answer_is_asked_for_elsewhere(fleet):
-    fleet.switch_target('guide-1', mode='cut')
+def test_truncated_answer_is_retried_at_another_target(fleet):
+    fleet.configure_target('guide-1', mode='cut')
     try:
-        answer = ask(fleet, '/tours/cut')
+        answer = send_request(fleet, '/tours/cut')
     finally:
-        fleet.switch_target('guide-1', mode='well')
+        fleet.configure_target('guide-1', mode='well')
     assert answer.json()['target'] != 'guide-1'
 
 
-def test_cut_stream_has_no_clean_end(fleet):
+def test_stream_of_a_killed_target_ends_with_an_error(fleet):
     """The target dies while the caller has not read its large answer."""
     answer = fleet.http.request(
         'GET',
@@ -106,12 +110,12 @@
     fleet.start_target('guide-2')
 
 
-def test_hop_that_was_refused_goes_elsewhere(fleet, key):
+def test_refused_hop_is_retried_in_another_zone(fleet, key):
     """The first two zones have no target, and the second VM says so."""
     fleet.kill('feed-1')
     fleet.kill('feed-2')
     try:
-        answer = ask(fleet, '/feed/x', key, method='POST')
+        answer = send_request(fleet, '/feed/x', key, method='POST')
     finally:
         fleet.start_target('feed-1')
         fleet.start_target('feed-2')
@@ -119,13 +123,13 @@
     assert answer.json()['target'] in {'feed-3', 'feed-4', 'feed-5', 'feed-6'}
 
 
-def test_key_reaches_no_target_by_a_hop(fleet, key):
+def test_key_is_not_forwarded_by_a_hop(fleet, key):
     fleet.kill('feed-1')
-    twice = key.replace(key[0], f'%25{ord(key[0]):x}')
+    double_encoded_key = key.replace(key[0], f'%25{ord(key[0]):x}')
     try:
-        answer = ask(
+        answer = send_request(
             fleet,
-            f'/feed/hopped?key={key}&a={key}&b={twice}&c=1',
+            f'/feed/hopped?key={key}&a={key}&b={double_encoded_key}&c=1',
             key,
             headers={'Cookie': f'session={key}', 'Forwarded': f'for={key}'},
         )
@@ -140,22 +144,26 @@
 
 def test_key_is_in_no_journal_log_or_refusal(fleet, key):
     refusals = [
-        ask(fleet, f'/feed/{key}', key),
-        ask(fleet, f'/feed/%{ord(key[0]):x}{key[1:]}', key),
-        ask(fleet, f'/nowhere/{key}?key={key}', key),
-        ask(fleet, f'/feed/../{key}', key),
-        ask(fleet, '/feed/x', f'{key}-withdrawn'),
+        send_request(fleet, f'/feed/{key}', key),
+        send_request(fleet, f'/feed/%{ord(key[0]):x}{key[1:]}', key),
+        send_request(fleet, f'/nowhere/{key}?key={key}', key),
+        send_request(fleet, f'/feed/../{key}', key),
+        send_request(fleet, '/feed/x', f'{key}-withdrawn'),
     ]
     assert all(answer.status in {400, 401, 404} for answer in refusals)
-    told = [answer.data.decode() for answer in refusals]
+    bodies = [answer.data.decode() for answer in refusals]
     logs = [fleet.read_log(vm.name) for vm in fleet.vms]
     ran = [json.dumps(run) for run in fleet.read_journals()]
-    assert not any(key in text for text in (*told, *logs, *ran))
+    assert not any(key in text for text in (*bodies, *logs, *ran))
 
 
-def test_callers_cannot_speak_as_an_entry_vm(fleet):
-    ask(fleet, '/tours/spoof', headers={'Toucanhall-Request-Id': 'spoofed'})
+def test_callers_cannot_send_headers_of_entry_vms(fleet):
+    send_request(
+        fleet, '/tours/spoof', headers={'Toucanhall-Request-Id': 'spoofed'}
+    )
     run = find_run(fleet, '/tours/spoof')
     assert 'spoofed' not in json.dumps(run)
-    forged = ask(fleet, '/tours/x', headers={'Toucanhall-Hop': 'forged'})
+    forged = send_request(
+        fleet, '/tours/x', headers={'Toucanhall-Hop': 'forged'}
+    )
     assert forged.json()['reason'] == 'bad-request'
--- a/tests/processes/test_binary.py
+++ b/tests/processes/test_binary.py
@@ -12,7 +12,7 @@
 
 ROOT = Path(__file__).parents[2]
 # Runs the file and tells on standard error what it starts and where it writes.
-WATCH = r"""
+AUDIT_SCRIPT = r"""
 import os, runpy, sys
 STARTS = ('subprocess.Popen', 'os.fork', 'os.forkpty', 'os.posix_spawn',
           'os.spawn', 'os.exec', 'os.system', 'pty.spawn')
@@ -48,7 +48,7 @@
         fleet.stop()
 
 
-def is_up(url):
+def is_answering(url):
     """Ask over a connection that is not kept, so that none delays a stop."""
     try:
         with urlopen(f'{url}/.toucanhall/health', timeout=2) as answer:
@@ -73,7 +73,7 @@
     assert not list(folder.iterdir())
 
 
-def test_other_python_is_refused_by_its_version(binary, tmp_path):
+def test_other_python_version_is_refused(binary, tmp_path):
     done = subprocess.run(
         (
             sys.executable,
@@ -109,7 +109,7 @@
                 sys.executable,
                 '-I',
                 '-c',
-                WATCH,
+                AUDIT_SCRIPT,
                 binary,
                 'entry',
                 f'--settings={settings}',
@@ -119,17 +119,21 @@
             stderr=output,
         )
     fleet.processes['binary'] = process
-    wait_until(lambda: is_up(vm.url), 'binary up')
+    wait_until(lambda: is_answering(vm.url), 'binary up')
     children = Path(f'/proc/{process.pid}/task').glob('*/children')
     assert not ''.join(path.read_text() for path in children)
     process.terminate()
     assert process.wait(30) == 0
     lines = log.read_text().splitlines()
     assert 'STARTED' not in log.read_text()
-    wrote = [Path(line[6:]) for line in lines if line.startswith('WROTE')]
-    assert wrote
+    written_paths = [
+        Path(line[6:]) for line in lines if line.startswith('WROTE')
+    ]
+    assert written_paths
     # Files without a name are opened by the name of their folder.
-    outside = [path for path in wrote if temporary not in {path, path.parent}]
-    assert not outside
-    left = [*temporary.iterdir(), *empty.iterdir()]
-    assert not left
+    paths_outside = [
+        path for path in written_paths if temporary not in {path, path.parent}
+    ]
+    assert not paths_outside
+    leftovers = [*temporary.iterdir(), *empty.iterdir()]
+    assert not leftovers
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -9,15 +9,15 @@
 
 from standins.fleet import Fleet, wait_until
 
-EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
-ADMIN = '/.toucanhall/admin/v1'
+CATALOGUE_PATH = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+ADMIN_PATH = '/.toucanhall/admin/v1'
 HEADERS = {'Authorization': 'Bearer demo-operator-token'}
 
 
 @pytest.fixture(name='fleet')
 def start_fleet() -> Iterator[Fleet]:
     """Start a fleet, with relays between its zones, with a key granted."""
-    fleet = Fleet(catalogue=EXAMPLE, relayed=True)
+    fleet = Fleet(catalogue=CATALOGUE_PATH, relayed=True)
     try:
         fleet.start()
         fleet.apply()
@@ -26,15 +26,17 @@
         fleet.stop()
 
 
-def show(fleet, vm, name='catalogue'):
+def get_admin_page(fleet, vm, name='catalogue'):
     """Return a page of the operators' API of a VM."""
     response = fleet.http.request(
-        'GET', f'{vm.url}{ADMIN}/{name}', headers=HEADERS,
+        'GET', f'{vm.url}{ADMIN_PATH}/{name}', headers=HEADERS,
     )  # fmt: skip
     return response.json()
 
 
-def put(fleet, vm, shown, key_digest, change='', expected=None):
+def put_catalogue_with_key(
+    fleet, vm, shown, key_digest, change='', expected=None
+):
     """Ask a VM for the catalogue that was shown, with one more key."""
     keys = {**shown['catalogue'].get('keys', {})}
     keys[f'key-{key_digest}'] = {
@@ -44,7 +46,7 @@
     revision = shown['revision'] if expected is None else expected
     response = fleet.http.request(
         'PUT',
-        f'{vm.url}{ADMIN}/catalogue',
+        f'{vm.url}{ADMIN_PATH}/catalogue',
         body=json.dumps({**shown['catalogue'], 'keys': keys}),
         headers={
             **HEADERS,
@@ -56,21 +58,21 @@
     return response.status, response.json()
 
 
-def holds(fleet, vm, revision):
+def is_in_force(fleet, vm, revision):
     """Return whether a VM has a revision or a later one in force."""
-    return show(fleet, vm)['revision'] >= revision
+    return get_admin_page(fleet, vm)['revision'] >= revision
 
 
-def wait_held(fleet, revision, vms=None):
+def wait_until_in_force(fleet, revision, vms=None):
     """Wait until a revision is in force on some VMs, or on all."""
     for vm in vms or fleet.vms:
         wait_until(
-            lambda vm=vm: holds(fleet, vm, revision),
+            lambda vm=vm: is_in_force(fleet, vm, revision),
             f'revision {revision} on {vm.name}',
         )
 
 
-def grant(fleet, vm):
+def grant_key(fleet, vm):
     """Grant a key and wait until it works on every VM; return it."""
     done = fleet.run_command(
         'key-grant', 'brief', '--team=hostels', f'--at={vm.url}',
@@ -78,17 +80,17 @@
     key = json.loads(done.stdout)['key']
     for each in fleet.vms:
         wait_until(
-            lambda each=each: call(fleet, each, key) == 200,
+            lambda each=each: get_status(fleet, each, key) == 200,
             f'key on {each.name}',
         )
     return key
 
 
-def wait_health(fleet, vm, health):
+def wait_for_health(fleet, vm, health):
     """Wait until the first VM knows another one in a state of health."""
 
     def is_known() -> bool:
-        members = show(fleet, fleet.vms[0], 'status')['members']
+        members = get_admin_page(fleet, fleet.vms[0], 'status')['members']
         return any(
             (member['vm'], member['health']) == (vm.name, health)
             for member in members
@@ -97,7 +99,7 @@
     wait_until(is_known, f'{vm.name} {health}')
 
 
-def call(fleet, vm, key):
+def get_status(fleet, vm, key):
     """Return the status of a keyed request."""
     response = fleet.http.request(
         'GET', f'{vm.url}/feed/x', headers={'X-Api-Key': key}, timeout=15,
@@ -105,127 +107,137 @@
     return response.status
 
 
-def test_store_that_came_back_older_is_repaired_before_a_change(fleet):
-    first = show(fleet, fleet.vms[0])
-    status, body = put(fleet, fleet.vms[0], first, 'a')
+def test_rolled_back_store_is_repaired_before_a_change(fleet):
+    first = get_admin_page(fleet, fleet.vms[0])
+    status, body = put_catalogue_with_key(fleet, fleet.vms[0], first, 'a')
     assert status == 200
     newest = body['accepted']
-    wait_held(fleet, newest)
+    wait_until_in_force(fleet, newest)
     fleet.switch('roll-back', 'catalogue')
-    status, body = put(fleet, fleet.vms[1], first, 'b')
+    status, body = put_catalogue_with_key(fleet, fleet.vms[1], first, 'b')
     assert status in {412, 503}
     for vm in fleet.vms:
-        assert show(fleet, vm)['change'] == 'change-a'
-    shown = show(fleet, fleet.vms[1])
+        assert get_admin_page(fleet, vm)['change'] == 'change-a'
+    shown = get_admin_page(fleet, fleet.vms[1])
 
     def is_accepted():
-        return put(fleet, fleet.vms[1], shown, 'c')[0] == 200
+        return put_catalogue_with_key(fleet, fleet.vms[1], shown, 'c')[0] == 200
 
     wait_until(is_accepted, 'change after the repair')
-    wait_held(fleet, newest + 1)
-    keys = show(fleet, fleet.vms[0])['catalogue']['keys']
+    wait_until_in_force(fleet, newest + 1)
+    keys = get_admin_page(fleet, fleet.vms[0])['catalogue']['keys']
     assert set(keys) == {'key-a', 'key-c'}
 
 
-def test_loser_of_a_race_is_shown_both_revisions(fleet):
-    shown = show(fleet, fleet.vms[0])
-    _, first = put(fleet, fleet.vms[0], shown, 'a')
-    status, body = put(fleet, fleet.vms[5], shown, 'b')
+def test_conflicting_change_is_refused_with_both_revisions(fleet):
+    shown = get_admin_page(fleet, fleet.vms[0])
+    _, first = put_catalogue_with_key(fleet, fleet.vms[0], shown, 'a')
+    status, body = put_catalogue_with_key(fleet, fleet.vms[5], shown, 'b')
     assert status == 412
     assert body['expected'] == shown['revision']
     assert body['current'] == first['accepted']
     assert body['newest_change']['id'] == 'change-a'
 
 
-def test_lost_reply_is_settled_and_a_repeated_change_is_one(fleet):
-    shown = show(fleet, fleet.vms[0])
+def test_lost_reply_is_resolved_and_a_retry_is_no_second_change(fleet):
+    shown = get_admin_page(fleet, fleet.vms[0])
     fleet.switch('mode', 'lose-replies')
-    status, body = put(fleet, fleet.vms[0], shown, 'a')
+    status, body = put_catalogue_with_key(fleet, fleet.vms[0], shown, 'a')
     fleet.switch('mode', 'up')
     assert status == 200
-    again = put(fleet, fleet.vms[3], shown, 'a')
+    again = put_catalogue_with_key(fleet, fleet.vms[3], shown, 'a')
     assert again[0] == 200
-    wait_held(fleet, body['accepted'])
-    assert show(fleet, fleet.vms[3])['revision'] == body['accepted']
+    wait_until_in_force(fleet, body['accepted'])
+    assert get_admin_page(fleet, fleet.vms[3])['revision'] == body['accepted']
 
 
-def test_nothing_is_accepted_while_the_store_is_down(fleet):
-    shown = show(fleet, fleet.vms[0])
+def test_no_change_is_accepted_while_the_store_is_down(fleet):
+    shown = get_admin_page(fleet, fleet.vms[0])
     fleet.switch('mode', 'down')
-    status, body = put(fleet, fleet.vms[0], shown, 'a')
+    status, body = put_catalogue_with_key(fleet, fleet.vms[0], shown, 'a')
     assert status == 503
     assert 'nothing was written' in body['detail']
     fleet.switch('mode', 'up')
-    status, body = put(fleet, fleet.vms[0], shown, 'b')
+    status, body = put_catalogue_with_key(fleet, fleet.vms[0], shown, 'b')
     assert status == 200
-    wait_held(fleet, body['accepted'])
-    keys = show(fleet, fleet.vms[0])['catalogue']['keys']
+    wait_until_in_force(fleet, body['accepted'])
+    keys = get_admin_page(fleet, fleet.vms[0])['catalogue']['keys']
     assert set(keys) == {'key-b'}
 
 
-def test_zone_without_the_platform_hears_a_withdrawal_from_peers(fleet):
-    key = grant(fleet, fleet.vms[0])
+def test_zone_without_the_platform_gets_withdrawals_from_peers(fleet):
+    key = grant_key(fleet, fleet.vms[0])
     last = fleet.vms[-1]
-    fleet.set_lines({f'{last.zone}|platform': 'cut',
-                     f'platform|{last.zone}': 'cut'})  # fmt: skip
+    fleet.set_link_modes(
+        {f'{last.zone}|platform': 'cut', f'platform|{last.zone}': 'cut'},
+    )
     fleet.run_command('key-withdraw', 'brief', f'--at={fleet.vms[0].url}')
-    wait_until(lambda: call(fleet, last, key) == 401, 'withdrawal by peers')
+    wait_until(
+        lambda: get_status(fleet, last, key) == 401, 'withdrawal by peers'
+    )
 
 
 def test_zone_that_was_cut_off_serves_and_catches_up_when_healed(fleet):
-    key = grant(fleet, fleet.vms[0])
-    cut = fleet.vms[-1]
-    fleet.set_zone(cut.zone, 'cut')
+    key = grant_key(fleet, fleet.vms[0])
+    isolated = fleet.vms[-1]
+    fleet.set_zone(isolated.zone, 'cut')
     fleet.run_command('key-withdraw', 'brief', f'--at={fleet.vms[0].url}')
-    wait_until(lambda: call(fleet, fleet.vms[0], key) == 401, 'withdrawal')
-    assert call(fleet, cut, key) == 200
-    status = show(fleet, fleet.vms[0], 'status')
-    assert status['zones'][cut.zone]['waiting'] == [cut.name]
-    fleet.set_zone(cut.zone, 'open')
-    wait_until(lambda: call(fleet, cut, key) == 401, 'withdrawal when healed')
+    wait_until(
+        lambda: get_status(fleet, fleet.vms[0], key) == 401, 'withdrawal'
+    )
+    assert get_status(fleet, isolated, key) == 200
+    status = get_admin_page(fleet, fleet.vms[0], 'status')
+    assert status['zones'][isolated.zone]['waiting'] == [isolated.name]
+    fleet.set_zone(isolated.zone, 'open')
+    wait_until(
+        lambda: get_status(fleet, isolated, key) == 401,
+        'withdrawal when healed',
+    )
 
 
-def test_silent_lines_are_replaced_by_new_connections(fleet):
+def test_silent_links_are_replaced_by_new_connections(fleet):
     silent = fleet.vms[-1]
     fleet.set_zone(silent.zone, 'silent')
-    shown = show(fleet, fleet.vms[0])
-    _, body = put(fleet, fleet.vms[0], shown, 'a')
-    wait_held(fleet, body['accepted'], fleet.vms[:-1])
+    shown = get_admin_page(fleet, fleet.vms[0])
+    _, body = put_catalogue_with_key(fleet, fleet.vms[0], shown, 'a')
+    wait_until_in_force(fleet, body['accepted'], fleet.vms[:-1])
     fleet.set_zone(silent.zone, 'open')
-    wait_held(fleet, body['accepted'])
+    wait_until_in_force(fleet, body['accepted'])
 
 
 def test_resumed_vm_serves_no_key_that_was_withdrawn_meanwhile(fleet):
-    key = grant(fleet, fleet.vms[0])
+    key = grant_key(fleet, fleet.vms[0])
     paused = fleet.vms[-1]
-    wait_health(fleet, paused, 'alive')
+    wait_for_health(fleet, paused, 'alive')
     fleet.signal(paused.name, signal.SIGSTOP)
     fleet.run_command('key-withdraw', 'brief', f'--at={fleet.vms[0].url}')
 
-    wait_health(fleet, paused, 'suspected')
-    waiting = show(fleet, fleet.vms[0], 'status')['zones'][paused.zone]
+    wait_for_health(fleet, paused, 'suspected')
+    waiting = get_admin_page(fleet, fleet.vms[0], 'status')['zones'][
+        paused.zone
+    ]
     assert waiting['waiting'] == [paused.name]
     fleet.signal(paused.name, signal.SIGCONT)
-    seen = set()
+    statuses = set()
 
     def is_refused():
-        seen.add(call(fleet, paused, key))
-        return 401 in seen
+        statuses.add(get_status(fleet, paused, key))
+        return 401 in statuses
 
     wait_until(is_refused, 'withdrawal on the resumed VM')
-    assert 200 not in seen
+    assert 200 not in statuses
 
 
-def test_fresh_vm_hears_the_newest_revision_without_the_store(fleet):
-    shown = show(fleet, fleet.vms[0])
-    _, body = put(fleet, fleet.vms[0], shown, 'a')
-    wait_held(fleet, body['accepted'])
-    fresh = fleet.vms[-1]
-    fleet.kill(fresh.name)
-    fleet.set_lines({f'{fresh.zone}|platform': 'open'})
+def test_new_vm_receives_the_newest_revision_from_peers(fleet):
+    shown = get_admin_page(fleet, fleet.vms[0])
+    _, body = put_catalogue_with_key(fleet, fleet.vms[0], shown, 'a')
+    wait_until_in_force(fleet, body['accepted'])
+    new_vm = fleet.vms[-1]
+    fleet.kill(new_vm.name)
+    fleet.set_link_modes({f'{new_vm.zone}|platform': 'open'})
     fleet.switch('mode', 'down')
     fleet.switch('mode', 'up')
     fleet.switch('roll-back', 'catalogue')
-    fleet.start_vm(fresh)
-    wait_until(lambda: fleet.is_ready(fresh.url), 'fresh VM ready')
-    assert show(fleet, fresh)['change'] == 'change-a'
+    fleet.start_vm(new_vm)
+    wait_until(lambda: fleet.is_ready(new_vm.url), 'fresh VM ready')
+    assert get_admin_page(fleet, new_vm)['change'] == 'change-a'
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -13,18 +13,18 @@
 from standins.fleet import Fleet, wait_until
 from tests.builders import make_catalogue
 
-EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
-RATE = 40
-BURST = 80
+CATALOGUE_PATH = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+RATE_PER_SECOND = 40
+BURST_REQUESTS = 80
 VMS_PER_ZONE = 3
-PATIENCE = 60
+ADMISSION_TIMEOUT_SECONDS = 60
 
 
 @pytest.fixture(name='fleet')
 def start_fleet(request, tmp_path) -> Iterator[Fleet]:
     """Start two zones of three VMs with a small limit in force."""
     fleet = Fleet(
-        catalogue=write_example(tmp_path),
+        catalogue=write_catalogue(tmp_path),
         vms_per_zone=VMS_PER_ZONE,
         relayed=getattr(request, 'param', False),
     )
@@ -36,9 +36,9 @@
         fleet.stop()
 
 
-def write_example(folder):
+def write_catalogue(folder):
     """Write the demo's catalogue with two zones and a small limit."""
-    lines = EXAMPLE.read_text().splitlines()
+    lines = CATALOGUE_PATH.read_text().splitlines()
     text = '\n'.join(line for line in lines if not line.startswith('//'))
     catalogue = json.loads(text)
     zones = ('gauteng-a', 'gauteng-b')
@@ -51,7 +51,9 @@
         if target['zone'] in zones
     }
     catalogue['links'] = []
-    catalogue['teams'] = {'hostels': {'rate': RATE, 'burst': BURST}}
+    catalogue['teams'] = {
+        'hostels': {'rate': RATE_PER_SECOND, 'burst': BURST_REQUESTS}
+    }
     path = folder / 'limits.jsonc'
     path.write_text(json.dumps(catalogue))
     return path
@@ -66,22 +68,24 @@
     return json.loads(done.stdout)['key']
 
 
-class Hammer:
+class LoadGenerator:
     """Callers that ask one VM each, without a pause, until stopped."""
 
     def __init__(self, *, fleet, key):
         """Start a caller for each VM."""
         self.stopping = threading.Event()
-        self.started = time.monotonic()
+        self.started_at = time.monotonic()
         self.admitted = dict.fromkeys((vm.name for vm in fleet.vms), 0)
         self.threads = [
-            threading.Thread(target=self.ask, args=(vm, key), daemon=True)
+            threading.Thread(
+                target=self.send_requests, args=(vm, key), daemon=True
+            )
             for vm in fleet.vms
         ]
         for thread in self.threads:
             thread.start()
 
-    def ask(self, vm, key):
+    def send_requests(self, vm, key):
         """GiftRequest one VM over and over."""
         pool = urllib3.PoolManager(retries=False)
         while not self.stopping.wait(0.002):
@@ -103,7 +107,7 @@
             wait_until(
                 lambda name=name, goal=goal: self.admitted[name] >= goal,
                 f'{name} admits',
-                PATIENCE,
+                ADMISSION_TIMEOUT_SECONDS,
             )
 
     def stop(self):
@@ -111,23 +115,25 @@
         self.stopping.set()
         for thread in self.threads:
             thread.join()
-        return BURST + RATE * (time.monotonic() - self.started)
+        return BURST_REQUESTS + RATE_PER_SECOND * (
+            time.monotonic() - self.started_at
+        )
 
 
-@pytest.fixture(name='hammer')
-def start_hammer(fleet, key):
+@pytest.fixture(name='load')
+def start_load(fleet, key):
     """Start the callers."""
-    hammer = Hammer(fleet=fleet, key=key)
-    yield hammer
-    hammer.stop()
+    load = LoadGenerator(fleet=fleet, key=key)
+    yield load
+    load.stop()
 
 
-def count_run(fleet):
+def count_executed(fleet):
     """Count what ran on the targets."""
     return len(fleet.read_journals())
 
 
-def is_taken(fleet, holder):
+def has_lost_slots(fleet, holder):
     """Return whether a VM lost all of its slots in the table."""
     holdings = read_table(fleet, holder.zone)[0]
     return holder.name not in {held[0] for held in holdings.values()}
@@ -139,57 +145,59 @@
     return json.loads(answer.data or b'[{}]')
 
 
-def list_vms_without(fleet, missing):
+def publish_vms_without(fleet, missing):
     """Tell the platform's list to drop a VM."""
-    kept = [
+    remaining_vms = [
         (vm.name, vm.zone, vm.address, False)
         for vm in fleet.vms
         if vm != missing
     ]
     zones = fleet.catalogue['zones']
-    fleet.switch('vms', dict.fromkeys(zones, kept))
+    fleet.switch('vms', dict.fromkeys(zones, remaining_vms))
 
 
-def test_team_gets_no_more_than_its_limit_of_all_vms(fleet, hammer):
-    hammer.wait_for(fleet.vms)
-    bound = hammer.stop()
-    assert count_run(fleet) <= bound
+def test_team_limit_holds_over_all_vms(fleet, load):
+    load.wait_for(fleet.vms)
+    bound = load.stop()
+    assert count_executed(fleet) <= bound
 
 
-def test_limit_holds_across_a_kill_and_restart(fleet, hammer):
-    victim = fleet.vms[0]
-    hammer.wait_for(fleet.vms)
-    fleet.kill(victim.name)
-    fleet.start_vm(victim)
-    hammer.wait_for(fleet.vms)
-    bound = hammer.stop()
-    assert count_run(fleet) <= bound
+def test_limit_holds_across_a_kill_and_restart(fleet, load):
+    killed = fleet.vms[0]
+    load.wait_for(fleet.vms)
+    fleet.kill(killed.name)
+    fleet.start_vm(killed)
+    load.wait_for(fleet.vms)
+    bound = load.stop()
+    assert count_executed(fleet) <= bound
 
 
-def test_limit_holds_while_a_paused_holder_loses_its_slots(fleet, hammer):
-    victim, *others = fleet.vms[:VMS_PER_ZONE]
-    hammer.wait_for(fleet.vms)
-    fleet.signal(victim.name, signal.SIGSTOP)
-    list_vms_without(fleet, victim)
+def test_limit_holds_while_a_paused_holder_loses_its_slots(fleet, load):
+    paused, *others = fleet.vms[:VMS_PER_ZONE]
+    load.wait_for(fleet.vms)
+    fleet.signal(paused.name, signal.SIGSTOP)
+    publish_vms_without(fleet, paused)
     wait_until(
-        lambda: is_taken(fleet, victim), 'takeover', PATIENCE,
-    )  # fmt: skip
-    hammer.wait_for(others)
-    fleet.signal(victim.name, signal.SIGCONT)
-    fleet.list_vms()
-    hammer.wait_for(fleet.vms)
-    bound = hammer.stop()
-    assert count_run(fleet) <= bound
+        lambda: has_lost_slots(fleet, paused),
+        'takeover',
+        ADMISSION_TIMEOUT_SECONDS,
+    )
+    load.wait_for(others)
+    fleet.signal(paused.name, signal.SIGCONT)
+    fleet.publish_vms()
+    load.wait_for(fleet.vms)
+    bound = load.stop()
+    assert count_executed(fleet) <= bound
 
 
-def test_limit_holds_and_serving_goes_on_without_the_platform(fleet, hammer):
-    hammer.wait_for(fleet.vms)
+def test_limit_holds_and_requests_pass_without_the_platform(fleet, load):
+    load.wait_for(fleet.vms)
     fleet.switch('mode', 'down')
-    hammer.wait_for(fleet.vms, count=40)
+    load.wait_for(fleet.vms, count=40)
     fleet.switch('mode', 'up')
-    hammer.wait_for(fleet.vms)
-    bound = hammer.stop()
-    assert count_run(fleet) <= bound
+    load.wait_for(fleet.vms)
+    bound = load.stop()
+    assert count_executed(fleet) <= bound
 
 
 def test_every_slot_of_a_zone_is_held(fleet):
@@ -202,12 +210,12 @@
 
 
 @pytest.mark.parametrize('fleet', [True], indirect=True)
-def test_zone_that_is_cut_off_serves_its_part(fleet, hammer):
-    cut = [vm for vm in fleet.vms if vm.zone == fleet.vms[0].zone]
-    hammer.wait_for(fleet.vms)
-    fleet.set_zone(cut[0].zone, 'cut')
-    hammer.wait_for(cut, count=60)
-    fleet.set_zone(cut[0].zone, 'open')
-    hammer.wait_for(fleet.vms)
-    bound = hammer.stop()
-    assert count_run(fleet) <= bound
+def test_isolated_zone_serves_its_share(fleet, load):
+    isolated = [vm for vm in fleet.vms if vm.zone == fleet.vms[0].zone]
+    load.wait_for(fleet.vms)
+    fleet.set_zone(isolated[0].zone, 'cut')
+    load.wait_for(isolated, count=60)
+    fleet.set_zone(isolated[0].zone, 'open')
+    load.wait_for(fleet.vms)
+    bound = load.stop()
+    assert count_executed(fleet) <= bound
--- a/tests/processes/test_once.py
+++ b/tests/processes/test_once.py
@@ -9,11 +9,11 @@
 import pytest
 import urllib3
 
-from standins.fleet import Fleet, name_line, wait_until
+from standins.fleet import Fleet, name_link, wait_until
 from tests.fleet_conditions import has_all_peers_alive
 from toucanhall.idempotency import name_claim
 
-EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+CATALOGUE_PATH = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
 DEADLINE_SECONDS = 3
 TEAM = 'hostels'
 
@@ -23,7 +23,9 @@
     """Start a relayed fleet whose bookings have a short deadline."""
     short = f'"kind": "once", "deadline_seconds": {DEADLINE_SECONDS}'
     catalogue = tmp_path_factory.mktemp('catalogue') / 'once.jsonc'
-    catalogue.write_text(EXAMPLE.read_text().replace('"kind": "once"', short))
+    catalogue.write_text(
+        CATALOGUE_PATH.read_text().replace('"kind": "once"', short)
+    )
     fleet = Fleet(catalogue=catalogue, relayed=True)
     try:
         fleet.start()
@@ -69,11 +71,11 @@
 def has_claim(fleet, seat):
     """Return whether the claim of a booking lies in the store."""
     name = name_claim(TEAM, '/bookings', seat)
-    found = fleet.http.request('GET', f'{fleet.platform}/objects/{name}')
-    return found.status == 200
+    response = fleet.http.request('GET', f'{fleet.platform}/objects/{name}')
+    return response.status == 200
 
 
-def is_refused(answer, reason, ran):
+def is_refusal(answer, reason, ran):
     """Return whether an answer is a refusal that says whether it ran."""
     return (
         answer.json()['reason'] == reason
@@ -81,7 +83,7 @@
     )
 
 
-def test_same_key_at_every_vm_at_once(fleet, key):
+def test_concurrent_bookings_with_one_key_run_once(fleet, key):
     with ThreadPoolExecutor(12) as pool:
         answers = list(
             pool.map(
@@ -90,22 +92,22 @@
             )
         )
     assert count_runs(fleet, 'race') == 1
-    whole = {answer.data for answer in answers if answer.status == 200}
-    assert len(whole) == 1
+    bodies = {answer.data for answer in answers if answer.status == 200}
+    assert len(bodies) == 1
     assert all(
-        answer.status == 200 or is_refused(answer, 'claim-open', 'maybe')
+        answer.status == 200 or is_refusal(answer, 'claim-open', 'maybe')
         for answer in answers
     )
 
 
-def test_same_key_with_another_body(fleet, key):
+def test_same_key_with_another_body_is_refused(fleet, key):
     book(fleet, fleet.vms[0], key, 'other-body')
     answer = book(fleet, fleet.vms[1], key, 'other-body', b'two seats')
-    assert is_refused(answer, 'claim-mismatch', 'no')
+    assert is_refusal(answer, 'claim-mismatch', 'no')
     assert count_runs(fleet, 'other-body') == 1
 
 
-def test_store_loses_replies(fleet, key):
+def test_booking_runs_once_when_the_store_loses_replies(fleet, key):
     fleet.switch('mode', 'lose-replies')
     try:
         first = book(fleet, fleet.vms[0], key, 'lossy')
@@ -119,32 +121,32 @@
     assert count_runs(fleet, 'lossy') == 1
 
 
-def test_store_down(fleet, key):
+def test_booking_is_refused_while_the_store_is_down(fleet, key):
     fleet.switch('mode', 'down')
     try:
         refused = book(fleet, fleet.vms[0], key, 'outage')
     finally:
         fleet.switch('mode', 'up')
-    assert is_refused(refused, 'store-unavailable', 'no')
+    assert is_refusal(refused, 'store-unavailable', 'no')
     assert int(refused.headers['Retry-After']) > 0
     assert count_runs(fleet, 'outage') == 0
     assert book(fleet, fleet.vms[0], key, 'outage').status == 200
     assert count_runs(fleet, 'outage') == 1
 
 
-def test_target_cuts_its_answer(fleet, key):
-    fleet.switch_target('guide-2', mode='cut')
+def test_booking_is_not_repeated_after_a_truncated_answer(fleet, key):
+    fleet.configure_target('guide-2', mode='cut')
     try:
         failed = book(fleet, fleet.vms[1], key, 'cut')
     finally:
-        fleet.switch_target('guide-2', mode='well')
-    assert is_refused(failed, 'target-failed', 'maybe')
+        fleet.configure_target('guide-2', mode='well')
+    assert is_refusal(failed, 'target-failed', 'maybe')
     again = book(fleet, fleet.vms[2], key, 'cut')
-    assert is_refused(again, 'claim-open', 'maybe')
+    assert is_refusal(again, 'claim-open', 'maybe')
     assert count_runs(fleet, 'cut') == 1
 
 
-def test_target_killed_in_the_middle(fleet, key):
+def test_booking_fails_when_its_target_is_killed(fleet, key):
     fleet.signal('guide-4', signal.SIGSTOP)
     with ThreadPoolExecutor(1) as pool:
         booking = pool.submit(book, fleet, fleet.vms[3], key, 'killed')
@@ -154,11 +156,11 @@
         fleet.kill('guide-4')
         failed = booking.result()
     fleet.start_target('guide-4')
-    assert is_refused(failed, 'target-failed', 'maybe')
+    assert is_refusal(failed, 'target-failed', 'maybe')
     assert count_runs(fleet, 'killed') == 0
 
 
-def test_vm_killed_after_the_claim(fleet, key):
+def test_claim_of_a_killed_vm_stays_open(fleet, key):
     fleet.signal('guide-5', signal.SIGSTOP)
     vm = fleet.vms[4]
     with ThreadPoolExecutor(1) as pool:
@@ -169,25 +171,25 @@
             booking.result()
     fleet.signal('guide-5', signal.SIGCONT)
     again = book(fleet, fleet.vms[5], key, 'orphan')
-    assert is_refused(again, 'claim-open', 'maybe')
+    assert is_refusal(again, 'claim-open', 'maybe')
     assert count_runs(fleet, 'orphan') <= 1
     fleet.start_vm(vm)
     wait_until(lambda: fleet.is_ready(vm.url), 'VM back')
 
 
-def test_vm_paused_between_claim_and_dispatch(fleet, key):
+def test_booking_is_not_sent_by_a_vm_paused_past_its_deadline(fleet, key):
     vm = fleet.vms[2]
-    line = name_line(vm.zone, 'platform')
-    fleet.set_lines({line: 'slow'})
+    link = name_link(vm.zone, 'platform')
+    fleet.set_link_modes({link: 'slow'})
     with ThreadPoolExecutor(1) as pool:
         booking = pool.submit(book, fleet, vm, key, 'paused')
         wait_until(lambda: has_claim(fleet, 'paused'), 'claim')
         fleet.signal(vm.name, signal.SIGSTOP)
         time.sleep(DEADLINE_SECONDS + 0.5)
-        fleet.set_lines({line: 'open'})
+        fleet.set_link_modes({link: 'open'})
         fleet.signal(vm.name, signal.SIGCONT)
         refused = booking.result()
-    assert is_refused(refused, 'deadline', 'no')
+    assert is_refusal(refused, 'deadline', 'no')
     assert count_runs(fleet, 'paused') == 0
     wait_until(
         lambda: book(fleet, fleet.vms[0], key, 'paused').status == 200,
@@ -196,19 +198,19 @@
     assert count_runs(fleet, 'paused') == 1
 
 
-def test_reply_of_a_hop_is_lost(fleet, key):
+def test_booking_is_not_repeated_after_a_lost_hop_reply(fleet, key):
     vm = fleet.vms[0]
     fleet.kill('guide-1')
-    lines = [
-        name_line(vm.zone, zone)
+    links = [
+        name_link(vm.zone, zone)
         for zone in fleet.catalogue['zones']
         if zone != vm.zone
     ]
-    fleet.set_lines(dict.fromkeys(lines, 'lose-replies'))
+    fleet.set_link_modes(dict.fromkeys(links, 'lose-replies'))
     try:
         failed = book(fleet, vm, key, 'hop')
     finally:
-        fleet.set_lines(dict.fromkeys(lines, 'open'))
+        fleet.set_link_modes(dict.fromkeys(links, 'open'))
         fleet.start_target('guide-1')
-    assert is_refused(failed, 'target-failed', 'maybe')
+    assert is_refusal(failed, 'target-failed', 'maybe')
     assert count_runs(fleet, 'hop') == 1
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -8,13 +8,13 @@
 
 from standins.fleet import Fleet, wait_until
 
-EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+CATALOGUE_PATH = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
 
 
 @pytest.fixture(scope='module', name='fleet')
 def start_fleet() -> Iterator[Fleet]:
     """Start a fleet with a catalogue in force."""
-    fleet = Fleet(catalogue=EXAMPLE)
+    fleet = Fleet(catalogue=CATALOGUE_PATH)
     try:
         fleet.start()
         fleet.apply()
@@ -71,12 +71,12 @@
     assert len(ran) == 1
 
 
-def test_no_target_sees_the_key(fleet, key):
+def test_key_is_not_forwarded_to_targets(fleet, key):
     fetch(fleet, fleet.vms[0].url, key, f'/feed/x?key={key}&other={key}')
     assert all(key not in json.dumps(ran) for ran in fleet.read_journals())
 
 
-def test_withdrawn_key_stops_on_every_vm(fleet):
+def test_withdrawn_key_is_refused_by_every_vm(fleet):
     at = f'--at={fleet.vms[0].url}'
     done = fleet.run_command(
         'key', 'grant', 'brief', '--team=guides', '--json', at
--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -8,24 +8,24 @@
 
 from standins.fleet import Fleet, wait_until
 
-EXAMPLE = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
-SLOTS = 9
+CATALOGUE_PATH = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
+MAX_REQUESTS_PER_TARGET = 9
 
 
 @pytest.fixture(name='fleet')
 def start_fleet():
     """Start a fleet with two VMs in each zone, which know each other."""
-    fleet = Fleet(catalogue=EXAMPLE, vms_per_zone=2)
+    fleet = Fleet(catalogue=CATALOGUE_PATH, vms_per_zone=2)
     try:
         fleet.start()
         fleet.apply()
-        wait_until(lambda: len(list_advised(fleet)) == 4, 'advice')
+        wait_until(lambda: len(list_advised_vms(fleet)) == 4, 'advice')
         yield fleet
     finally:
         fleet.stop()
 
 
-def list_advised(fleet):
+def list_advised_vms(fleet):
     """Return the VMs that the first VM advises."""
     url = f'{fleet.vms[0].url}/.toucanhall/entry-vms'
     return fleet.http.request('GET', url).json()['vms']
@@ -43,17 +43,17 @@
             pool.map(lambda url: fetch(url, '/tours/x?delay=.5'), urls)
         )
     peaks = {
-        name: fleet.switch_target(name)['peak']
+        name: fleet.configure_target(name)['peak']
         for name in fleet.catalogue['targets']
         if name.startswith('guide')
     }
-    assert max(peaks.values()) <= SLOTS
+    assert max(peaks.values()) <= MAX_REQUESTS_PER_TARGET
     assert {answer.status for answer in answers} <= {200, 503}
     refused = [answer for answer in answers if answer.status == 503]
     assert all(answer.headers['Retry-After'] for answer in refused)
 
 
-def test_dead_target_is_passed_over(fleet):
+def test_killed_target_is_skipped(fleet):
     vm = next(vm for vm in fleet.vms if vm.zone == 'gauteng-a')
     fleet.kill('guide-1')
     wait_until(lambda: fetch(vm.url).status == 200, 'another zone answers')
@@ -61,9 +61,9 @@
     assert {answer.status for answer in answers} == {200}
 
 
-def test_target_comes_back_by_a_probe(fleet):
+def test_probe_closes_the_circuit_of_a_recovered_target(fleet):
     vm = next(vm for vm in fleet.vms if vm.zone == 'gauteng-a')
-    fleet.switch_target('guide-1', mode='fail')
+    fleet.configure_target('guide-1', mode='fail')
     wait_until(
         lambda: (
             fetch(vm.url).headers.get('Via')
@@ -71,9 +71,9 @@
         ),
         'circuit open',
     )
-    fleet.switch_target('guide-1', mode='well')
+    fleet.configure_target('guide-1', mode='well')
     wait_until(
         lambda: fetch(vm.url).json().get('target') == 'guide-1',
         'circuit closed',
-        seconds=40,
+        timeout_seconds=40,
     )
