Reword texts of stand-ins and process tests

Docstrings, comments, and messages of timeouts and failed commands were figurative or left out names and figures. One docstring named a method that does not exist.

--- a/standins/bare.py
+++ b/standins/bare.py
@@ -1,4 +1,4 @@
-"""A relay with no decisions: the baseline of the request path."""
+"""A plain HTTP proxy to one target: the baseline for request path costs."""
 
 import argparse
 from collections.abc import Callable, Iterable
@@ -12,7 +12,7 @@
 
 
 def make_application(target: str) -> Callable[..., Iterable[bytes]]:
-    """Return a WSGI application that asks one target for everything."""
+    """Return a WSGI application that forwards every request to a target."""
     pool = urllib3.HTTPConnectionPool(
         *_split_address(target), maxsize=_MAX_TARGET_CONNECTIONS
     )
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -1,4 +1,4 @@
-"""Callers, which ask which entry VM to use and follow refusals."""
+"""Callers that follow the advice of entry VMs and retry refused calls."""
 
 import itertools
 import time
@@ -20,7 +20,7 @@
 
 
 class Call(NamedTuple):
-    """What a caller wants; a path that is unique tells answers apart."""
+    """One call; its unique path shows whether an answer belongs to it."""
 
     kind: str
     method: str
@@ -29,7 +29,7 @@
 
 
 class Attempt(NamedTuple):
-    """One try of a call at one entry VM, in seconds on the caller's clock."""
+    """One request of a call to an entry VM, with monotonic times."""
 
     call: Call
     attempt_id: str
@@ -42,7 +42,7 @@
 
 
 class Caller:
-    """One caller, which holds the last answer to "which entry VM"."""
+    """One caller, which caches the entry VMs that it was advised to use."""
 
     def __init__(
         self,
@@ -52,10 +52,10 @@
         patience: float,
         follows_advice: bool = True,
     ) -> None:
-        """Know some entry VMs to ask, and give up after `patience` seconds.
+        """Use the entry VMs at `urls`, and retry for up to `patience` seconds.
 
-        A caller that does not follow advice uses the known VMs in turn, and
-        ends a call at its first answer.
+        A caller that does not follow advice sends calls to `urls` in turn and
+        never retries.
         """
         self._follows_advice = follows_advice
         self._url_rotation = itertools.cycle(urls)
@@ -67,7 +67,7 @@
         self._http = urllib3.PoolManager(retries=False)
 
     def make(self, kind: str, method: str, path: str, key: str) -> str:
-        """Make one call and return how it ended."""
+        """Make one call, with retries, and return its result."""
         call = Call(kind, method, f'{path}?n={uuid.uuid4().hex}', key)
         deadline = time.monotonic() + self._max_call_seconds
         while True:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,4 +1,4 @@
-"""Runs a fleet, acts as its callers and operators, and tells how it went."""
+"""Runs a fleet under load and faults and prints the results of its calls."""
 
 import argparse
 import signal
@@ -22,12 +22,12 @@
 _WITHDRAW_KEY_AFTER_SECONDS: Final = 6.0
 _MAX_WITHDRAWAL_SECONDS: Final = 8.0
 _MAX_CALL_SECONDS: Final = 10.0
-# A booking whose target was killed while it ran has no better true answer.
+# If its target is killed, nobody can tell whether a booking has run.
 _ACCEPTED_RESULTS: Final = frozenset(('answered', MAY_HAVE_RUN))
 
 
 class Outcome(NamedTuple):
-    """How one request of a caller ended."""
+    """The result of one call, with its start on the monotonic clock."""
 
     kind: str
     result: str
@@ -35,10 +35,10 @@
 
 
 class Demo:
-    """The callers of the demo, its operator, and what they saw."""
+    """The callers and the operator of the demo, with the results of calls."""
 
     def __init__(self, *, fleet: Fleet) -> None:
-        """Act on a fleet that is up."""
+        """Use a fleet that is running."""
         self._fleet = fleet
         self._outcomes: list[Outcome] = []
         self._lock = threading.Lock()
@@ -47,7 +47,7 @@
         self._ends_at = time.monotonic() + _RUN_SECONDS
 
     def run(self, keys: dict[str, str]) -> None:
-        """Call for a while, and do harm meanwhile."""
+        """Run callers against the fleet and inject faults meanwhile."""
         callers = [
             threading.Thread(target=self._call, args=(keys['guides'], number))
             for number in range(_CALLER_COUNT)
@@ -76,7 +76,7 @@
             'key', 'withdraw', 'hostels-key', f'--at={self._fleet.vms[0].url}',
         )  # fmt: skip
         if completed.returncode:
-            raise RuntimeError(f'withdrawal failed: {completed.stderr}')
+            raise RuntimeError(f'key withdraw failed: {completed.stderr}')
         self._withdrawn_at = time.monotonic()
         print('withdrew key hostels-key', flush=True)
 
@@ -104,6 +104,7 @@
 
     def _call_with_withdrawn_key(self, key: str) -> None:
         caller = self._make_caller(3)
+        # Calls go on past the time allowed for the withdrawal.
         while time.monotonic() < self._ends_at + 2:
             outcome = _make_call(caller, 'withdrawn', 'GET', '/feed/times', key)
             with self._lock:
@@ -111,7 +112,7 @@
             time.sleep(0.05)
 
     def report(self) -> int:
-        """Print the table and the last line; return the exit code."""
+        """Print the results by kind and a summary; return the exit code."""
         counts = Counter(
             (entry.kind, entry.result)
             for entry in self._outcomes + self._withdrawn_key_outcomes
@@ -168,7 +169,7 @@
 
 
 def main() -> int:
-    """Run the demo; with `--keep` leave the fleet up until Ctrl-C."""
+    """Run the demo; with `--keep` only start the fleet and wait for Ctrl-C."""
     parser = argparse.ArgumentParser(prog='demo', description=main.__doc__)
     parser.add_argument('--keep', action='store_true')
     options = parser.parse_args()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,4 +1,4 @@
-"""Starts a fleet as processes: platform, targets and entry VMs."""
+"""Starts a fleet of processes: platform, targets and entry VMs."""
 
 import hashlib
 import json
@@ -41,7 +41,7 @@
 
     @property
     def url(self) -> str:
-        """Return the URL at which callers reach the VM."""
+        """Return the URL of the VM for callers."""
         return f'http://{self.address}:{CALLER_PORT}'
 
 
@@ -50,18 +50,18 @@
     description: str,
     timeout_seconds: float = _START_TIMEOUT_SECONDS,
 ) -> None:
-    """Return once a condition holds; raise when it does not in time."""
+    """Wait until a condition is met; raise TimeoutError after a time limit."""
     deadline = time.monotonic() + timeout_seconds
     while not condition():
         if time.monotonic() > deadline:
             raise TimeoutError(
-                f'{description} did not happen in {timeout_seconds} s'
+                f'timed out after {timeout_seconds} s: {description}'
             )
         time.sleep(0.05)
 
 
 class Fleet:
-    """The processes of one fleet, on a loopback network of their own."""
+    """The processes of one fleet, in their own loopback network."""
 
     def __init__(
         self,
@@ -75,8 +75,9 @@
 
         Limits in `teams` replace those of the catalogue.
 
-        In a relayed fleet all that leaves a zone, to the platform or to VMs of
-        other zones, passes a relay, so that `set_line` can cut it.
+        In a relayed fleet, traffic from a zone to the platform or to VMs of
+        other zones goes through a relay, so that `set_link_modes` can disturb
+        it.
         """
         self._relayed = relayed
         self._net_claim, self.net_number = _claim_net()
@@ -105,7 +106,7 @@
         )
 
     def start(self) -> None:
-        """Start every process and wait until each answers."""
+        """Start every process and wait until every entry VM answers."""
         if self._relayed:
             self.start_relay()
         self.start_platform()
@@ -117,7 +118,7 @@
             wait_until(partial(self.is_up, vm.url), f'{vm.name} up')
 
     def start_relay(self) -> None:
-        """Start the relay between the zones and to the platform."""
+        """Start the relay for traffic between zones and to the platform."""
         listeners = [
             (
                 f'{local_address}:{port}',
@@ -150,7 +151,10 @@
         wait_until(lambda: self.set_link_modes({}), 'relay up')
 
     def set_link_modes(self, modes: dict[str, str]) -> bool:
-        """Change the modes of lines between zones; see the relay."""
+        """Set modes of links by name; return whether the relay confirmed it.
+
+        The modes are listed in `standins.relay.Relay`.
+        """
         address = (f'127.{self.net_number}.200.1', CONTROL_PORT)
         try:
             with socket.create_connection(address, timeout=5) as control:
@@ -160,28 +164,28 @@
             return False
 
     def set_zone(self, zone: str, mode: str) -> None:
-        """Change the mode of every line of a zone, also to the platform."""
+        """Set the mode of every link of a zone, also that to the platform."""
         others = (*self.catalogue['zones'], 'platform')
         self.set_link_modes(
             {name_link(zone, other): mode for other in others if other != zone}
         )
 
     def get_address(self, zone: str, vm: EntryVm) -> str:
-        """Return the address at which a zone reaches a VM."""
+        """Return the address of a VM for clients in a zone."""
         if not self._relayed or zone == vm.zone:
             return vm.address
         number = sorted(self.catalogue['zones']).index(zone)
         return f'127.{self.net_number}.{150 + number}.{self.vms.index(vm) + 1}'
 
     def get_platform_url(self, zone: str) -> str:
-        """Return the URL at which a zone reaches the platform."""
+        """Return the URL of the platform for clients in a zone."""
         if not self._relayed:
             return self.platform
         number = sorted(self.catalogue['zones']).index(zone)
         return f'http://127.{self.net_number}.201.{number + 1}:{PLATFORM_PORT}'
 
     def start_platform(self) -> None:
-        """Start the stand-in of the platform and list the VMs there."""
+        """Start the stand-in for the platform and publish the list of VMs."""
         self._start(
             'platform',
             'standins.platform',
@@ -192,7 +196,7 @@
         self.publish_vms()
 
     def start_target(self, name: str) -> None:
-        """Start the stand-in of one target."""
+        """Start the stand-in for one target."""
         self._start(
             name,
             'standins.target',
@@ -231,7 +235,7 @@
         }
 
     def start_bare(self, target: str) -> str:
-        """Start the relay with no decisions and return its URL."""
+        """Start a plain proxy to a target and return its URL."""
         listen = f'127.{self.net_number}.202.1:{CALLER_PORT}'
         address = self.catalogue['targets'][target]['address']
         self._start(
@@ -243,7 +247,7 @@
         return f'http://{listen}'
 
     def publish_vms(self, leaving: frozenset[str] = frozenset()) -> None:
-        """Tell the platform which VMs are there."""
+        """Publish the list of VMs at the platform, with addresses per zone."""
         vms_by_zone = {
             zone: [
                 (
@@ -259,7 +263,7 @@
         self.switch('vms', vms_by_zone)
 
     def switch(self, name: str, content: object) -> None:
-        """Throw a switch of the platform stand-in."""
+        """Send a control command to the stand-in for the platform."""
         self.http.request(
             'PUT',
             f'{self.platform}/standin/{name}',
@@ -267,7 +271,11 @@
         )
 
     def configure_target(self, name: str, **content: object) -> dict[str, Any]:
-        """Change how a target stand-in behaves; return its peak load."""
+        """Set the mode or delay of a target stand-in.
+
+        In the answer, `peak` is the largest number of requests that it has run
+        at one time.
+        """
         address = self.catalogue['targets'][name]['address']
         response = self.http.request(
             'PUT',
@@ -277,7 +285,7 @@
         return dict(response.json())
 
     def run_command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run the real command line as an operator does."""
+        """Run a `toucanhall` command as an operator does."""
         return subprocess.run(
             (sys.executable, '-m', 'toucanhall', *arguments),
             env=self._make_environment(),
@@ -297,13 +305,13 @@
         )
         if completed.returncode:
             raise RuntimeError(
-                f'apply failed: {completed.stdout}{completed.stderr}'
+                f'catalogue apply failed: {completed.stdout}{completed.stderr}'
             )
         for vm in self.vms:
             wait_until(partial(self.is_ready, vm.url), f'{vm.name} ready')
 
     def grant(self, name: str, team: str) -> str:
-        """Grant a key with the real command line and return it."""
+        """Grant a key with an operator's command and return it."""
         completed = self.run_command(
             'key-grant',
             name,
@@ -312,7 +320,7 @@
         )
         if completed.returncode:
             raise RuntimeError(
-                f'grant failed: {completed.stdout}{completed.stderr}'
+                f'key-grant failed: {completed.stdout}{completed.stderr}'
             )
         granted: dict[str, Any] = json.loads(completed.stdout)
         return str(granted['key'])
@@ -322,12 +330,12 @@
         self.processes[name].send_signal(number)
 
     def kill(self, name: str) -> None:
-        """Kill one process of the fleet and wait until it is gone."""
+        """Kill one process of the fleet and wait until it has ended."""
         self.processes[name].kill()
         self.processes[name].wait()
 
     def read_journals(self) -> list[dict[str, Any]]:
-        """Return all that ran on the targets."""
+        """Return a journal entry for each request that the targets ran."""
         return [
             json.loads(line)
             for path in sorted(self.folder.glob('*.journal'))
@@ -335,11 +343,11 @@
         ]
 
     def read_log(self, name: str) -> str:
-        """Return what a process wrote to standard error."""
+        """Return the standard output and standard error of a process."""
         return (self.folder / f'{name}.log').read_text()
 
     def is_up(self, url: str) -> bool:
-        """Return whether an entry VM answers."""
+        """Return whether an entry VM answers health requests."""
         return self._read_health(url) is not None
 
     def is_ready(self, url: str) -> bool:
@@ -348,7 +356,7 @@
         return bool(health and health['ready'])
 
     def stop(self) -> None:
-        """End every process that was started and remove the folder."""
+        """Kill every process, remove the folder and release the network."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
@@ -394,11 +402,12 @@
 
 
 def name_link(zone: str, other: str) -> str:
-    """Return the name of the line between two zones, in either order."""
+    """Return the name of the link of two zones, given in either order."""
     return '|'.join(sorted((zone, other)))
 
 
 def _claim_net() -> tuple[socket.socket, int]:
+    # A bound socket keeps the network from fleets of other processes.
     candidates = random.sample(range(2, 250), 100)
     for net_number in candidates:
         claim = socket.socket()
@@ -408,4 +417,7 @@
             claim.close()
             continue
         return claim, net_number
-    raise OSError('no free loopback network')
+    raise OSError(
+        f'none of {len(candidates)} loopback networks is free: '
+        f'port {_NET_CLAIM_PORT} is in use on each',
+    )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,4 +1,4 @@
-"""A stand-in for the platform: object store, watches and the list of VMs."""
+"""A stand-in for the platform: object store, watches and list of VMs."""
 
 import argparse
 import json
@@ -8,14 +8,14 @@
 from typing import Any, Final
 from urllib.parse import parse_qs, unquote, urlsplit
 
-_MAX_OBJECT_BYTES: Final = 1048576  # bytes
+_MAX_OBJECT_BYTES: Final = 1048576
 
 
 class Store:
-    """Objects by name with a version; the history allows a roll-back."""
+    """Versioned objects by name, with earlier contents for roll-backs."""
 
     def __init__(self, *, vm_list_lag_seconds: float) -> None:
-        """Start empty; the list of VMs lags by some seconds."""
+        """Start empty; changes of the list of VMs are visible after the lag."""
         self.changed = threading.Condition()
         self.objects: dict[str, tuple[int, bytes]] = {}
         self.history: dict[str, list[bytes]] = {}
@@ -26,7 +26,7 @@
         self.vm_lists: list[tuple[float, Any]] = [(0, {})]
 
     def write(self, name: str, content: bytes) -> int:
-        """Write an object and wake its watchers."""
+        """Write an object, notify watchers and return the new version."""
         self.version += 1
         self.objects[name] = (self.version, content)
         self.history.setdefault(name, []).append(content)
@@ -34,16 +34,16 @@
         return self.version
 
     def roll_back(self, name: str) -> None:
-        """Bring back the content before the newest one."""
+        """Restore the content before the newest one under a new version."""
         previous = self.history[name][-2]
         self.version += 1
         self.objects[name] = (self.version, previous)
         self.changed.notify_all()
 
     def list_vms(self, zone: str) -> Any:
-        """Return the newest list that is older than the lag.
+        """Return the newest list of VMs that is older than the lag.
 
-        Addresses are those at which the asking zone reaches the VMs.
+        Addresses are those that clients in the given zone use.
         """
         listed_before = time.monotonic() - self.vm_list_lag_seconds
         vms_by_zone = [
@@ -55,7 +55,7 @@
 
 
 class Handler(BaseHTTPRequestHandler):
-    """Serves one connection."""
+    """Serves requests of one connection."""
 
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
@@ -63,10 +63,10 @@
     store: Store
 
     def log_message(self, *args: object) -> None:
-        """Write no access log."""
+        """Suppress the access log."""
 
     def do_GET(self) -> None:
-        """Read an object, wait on one, or list the VMs."""
+        """Return an object, wait for its next version, or list the VMs."""
         url = urlsplit(self.path)
         if url.path == '/standin/calls':
             self._send(200, json.dumps(self.store.call_counts).encode())
@@ -91,7 +91,7 @@
             self._send_object(found)
 
     def do_PUT(self) -> None:
-        """Write an object on a condition, or throw a switch."""
+        """Write an object conditionally, or run a control command."""
         body = self.rfile.read(int(self.headers.get('Content-Length', 0)))
         if self.path.startswith('/standin/'):
             self._set_control(self.path[len('/standin/') :], json.loads(body))
@@ -179,7 +179,7 @@
 
 
 class Server(ThreadingHTTPServer):
-    """A server with room for the connections of a whole fleet."""
+    """A threading server whose backlog holds connections of a whole fleet."""
 
     request_queue_size = 256
     daemon_threads = True
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay between zones that cuts, silences, delays and loses replies."""
+"""A TCP relay between zones that injects network faults."""
 
 import argparse
 import asyncio
@@ -8,12 +8,12 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
-_MAX_CHUNK_BYTES: Final = 65536  # bytes
+_MAX_CHUNK_BYTES: Final = 65536
 _MAX_BACKLOG_CONNECTIONS: Final = 256
 
 
 class Listener(NamedTuple):
-    """One listener: where it listens, where it leads, and its group."""
+    """One forwarded address and the link whose mode applies to it."""
 
     listen_address: str
     connect_address: str
@@ -21,20 +21,20 @@
 
 
 class Relay:
-    """Connections by group; a group has one mode at a time.
+    """Forwards connections by link; each link has one mode at a time.
 
-    Modes: `open`; `cut` closes connections and refuses new ones; `silent`
-    keeps connections and drops what comes; `lose-replies` passes requests on
-    and drops the answers; `slow` delays each part by half a second.
+    Modes: `open` forwards everything; `cut` aborts connections, also new ones;
+    `silent` keeps connections and drops all data; `lose-replies` forwards
+    requests and drops replies; `slow` delays each chunk by half a second.
     """
 
     def __init__(self) -> None:
-        """Start with every group open."""
+        """Start with every link in mode `open`."""
         self.modes: dict[str, str] = defaultdict(lambda: 'open')
         self.writers: dict[str, set[asyncio.StreamWriter]] = defaultdict(set)
 
     async def serve(self, listener: Listener) -> None:
-        """Listen for one line."""
+        """Accept connections of one listener."""
         host, port = listener.listen_address.split(':')
 
         async def accept(
@@ -48,7 +48,7 @@
         )
 
     def set_modes(self, modes: dict[str, str]) -> None:
-        """Change the modes of some groups."""
+        """Set the modes of some links; `cut` aborts open connections."""
         self.modes.update(modes)
         for link, mode in modes.items():
             if mode == 'cut':
@@ -106,7 +106,7 @@
 
 
 async def run(listeners: list[Listener], control: str) -> None:
-    """Serve every line, and take modes as JSON lines on a control port."""
+    """Serve all listeners, and accept modes as JSON lines on a control port."""
     relay = Relay()
     for listener in listeners:
         await relay.serve(listener)
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,4 +1,4 @@
-"""A stand-in for a target: echoes, counts what runs, and misbehaves."""
+"""A stand-in for a target: echoes requests and injects faults."""
 
 import argparse
 import json
@@ -17,10 +17,10 @@
 
 
 class TargetState:
-    """The name of the target, its journal and how it misbehaves."""
+    """The name of a target, its journal, its load and its injected fault."""
 
     def __init__(self, *, name: str, journal: str) -> None:
-        """Append what runs to the journal file."""
+        """Open the journal file for appending."""
         self.name = name
         self.mode = 'well'
         self.delay_seconds = 0.0
@@ -33,12 +33,12 @@
         self.max_running_count = 0
 
     def record(self, entry: dict[str, Any]) -> None:
-        """Write one line before the answer is sent."""
+        """Append the entry of a request that ran, before its answer is sent."""
         os.write(self._journal, json.dumps(entry).encode() + b'\n')
 
 
 class Handler(BaseHTTPRequestHandler):
-    """Serves one connection."""
+    """Serves requests of one connection."""
 
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
@@ -46,10 +46,10 @@
     state: TargetState
 
     def log_message(self, *args: object) -> None:
-        """Write no access log."""
+        """Suppress the access log."""
 
     def __getattr__(self, name: str) -> Any:
-        """Serve every method alike."""
+        """Serve all HTTP methods in the same way."""
         if name.startswith('do_'):
             return self._serve
         raise AttributeError(name)
--- a/tests/processes/test_answers.py
+++ b/tests/processes/test_answers.py
@@ -1,4 +1,4 @@
-"""Tests of whole answers and hidden keys through real processes."""
+"""Tests of complete answers and of keys kept secret, with real processes."""
 
 import json
 from collections.abc import Iterator
@@ -16,13 +16,13 @@
 
 @pytest.fixture(scope='module', name='fleet')
 def start_fleet() -> Iterator[Fleet]:
-    """Start a relayed fleet with a catalogue in force."""
+    """Start a fleet behind a relay, with a catalogue in force."""
     fleet = Fleet(catalogue=CATALOGUE_PATH, relayed=True)
     try:
         fleet.start()
         fleet.apply()
         wait_until(
-            lambda: has_all_peers_alive(fleet, fleet.vms[0]), 'peers heard'
+            lambda: has_all_peers_alive(fleet, fleet.vms[0]), 'all peers alive'
         )
         yield fleet
     finally:
@@ -31,7 +31,7 @@
 
 @pytest.fixture(scope='module', name='key')
 def grant_key(fleet: Fleet) -> str:
-    """Grant a key that works on the first VM."""
+    """Grant a key and wait until every VM accepts it."""
     key = fleet.grant('answers', 'hostels')
     for vm in fleet.vms:
         wait_until(
@@ -46,7 +46,7 @@
 def send_request(
     fleet, path, key='', method='GET', vm=None, body=None, headers=()
 ):
-    """Send one request to an entry VM, the first if none is named."""
+    """Send one request to an entry VM, by default to the first one."""
     headers = dict(headers)
     if key:
         headers['X-Api-Key'] = key
@@ -57,7 +57,7 @@
 
 
 def find_run(fleet, marker):
-    """Return the journal entry of the request with a marker in its path."""
+    """Return the first journal entry whose path contains a marker."""
     return next(run for run in fleet.read_journals() if marker in run['path'])
 
 
@@ -97,7 +97,7 @@
 
 
 def test_stream_of_a_killed_target_ends_with_an_error(fleet):
-    """The target dies while the caller has not read its large answer."""
+    """A target killed before its answer is read yields no complete answer."""
     answer = fleet.http.request(
         'GET',
         f'{fleet.vms[1].url}/tours/x?large=1',
@@ -111,7 +111,7 @@
 
 
 def test_refused_hop_is_retried_in_another_zone(fleet, key):
-    """The first two zones have no target, and the second VM says so."""
+    """The VM in the second zone refuses the hop, as its only target is down."""
     fleet.kill('feed-1')
     fleet.kill('feed-2')
     try:
--- a/tests/processes/test_binary.py
+++ b/tests/processes/test_binary.py
@@ -1,4 +1,4 @@
-"""Tests of the built file: alone, in one process, writing nowhere else."""
+"""Tests that the built file runs alone, in one process, and where it writes."""
 
 import json
 import subprocess
@@ -11,7 +11,8 @@
 from standins.fleet import Fleet, wait_until
 
 ROOT = Path(__file__).parents[2]
-# Runs the file and tells on standard error what it starts and where it writes.
+# Runs a file and reports to standard error the processes that it starts and
+# the paths that it writes to.
 AUDIT_SCRIPT = r"""
 import os, runpy, sys
 STARTS = ('subprocess.Popen', 'os.fork', 'os.forkpty', 'os.posix_spawn',
@@ -32,14 +33,14 @@
 
 @pytest.fixture(scope='module', name='binary')
 def build_binary() -> Path:
-    """Build the file and return its path."""
+    """Build the executable file and return its path."""
     subprocess.run((ROOT / 'build',), check=True, timeout=120)
     return ROOT / 'dist' / 'toucanhall'
 
 
 @pytest.fixture(name='fleet')
 def start_platform():
-    """Start the platform only."""
+    """Prepare a fleet of which only the platform runs."""
     fleet = Fleet(catalogue=ROOT / 'examples' / 'bench.jsonc')
     try:
         fleet.start_platform()
@@ -49,7 +50,10 @@
 
 
 def is_answering(url):
-    """Ask over a connection that is not kept, so that none delays a stop."""
+    """Return whether a VM answers.
+
+    The connection is closed, since an open one would delay the stop.
+    """
     try:
         with urlopen(f'{url}/.toucanhall/health', timeout=2) as answer:
             return answer.status == 200
@@ -130,7 +134,7 @@
         Path(line[6:]) for line in lines if line.startswith('WROTE')
     ]
     assert written_paths
-    # Files without a name are opened by the name of their folder.
+    # A file without a name (O_TMPFILE) is opened by the path of its folder.
     paths_outside = [
         path for path in written_paths if temporary not in {path, path.parent}
     ]
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -1,4 +1,4 @@
-"""Tests of the configuration in force, under faults, by real processes."""
+"""Tests of the configuration in force under faults, with real processes."""
 
 import json
 import signal
@@ -16,7 +16,7 @@
 
 @pytest.fixture(name='fleet')
 def start_fleet() -> Iterator[Fleet]:
-    """Start a fleet, with relays between its zones, with a key granted."""
+    """Start a fleet behind a relay, with a catalogue in force."""
     fleet = Fleet(catalogue=CATALOGUE_PATH, relayed=True)
     try:
         fleet.start()
@@ -27,7 +27,7 @@
 
 
 def get_admin_page(fleet, vm, name='catalogue'):
-    """Return a page of the operators' API of a VM."""
+    """Return a page of the admin API of a VM."""
     response = fleet.http.request(
         'GET', f'{vm.url}{ADMIN_PATH}/{name}', headers=HEADERS,
     )  # fmt: skip
@@ -37,7 +37,7 @@
 def put_catalogue_with_key(
     fleet, vm, shown, key_digest, change='', expected=None
 ):
-    """Ask a VM for the catalogue that was shown, with one more key."""
+    """Write a catalogue with one more key at a VM; return status and body."""
     keys = {**shown['catalogue'].get('keys', {})}
     keys[f'key-{key_digest}'] = {
         'team': 'hostels',
@@ -59,12 +59,12 @@
 
 
 def is_in_force(fleet, vm, revision):
-    """Return whether a VM has a revision or a later one in force."""
+    """Return whether a revision or a later one is in force on a VM."""
     return get_admin_page(fleet, vm)['revision'] >= revision
 
 
 def wait_until_in_force(fleet, revision, vms=None):
-    """Wait until a revision is in force on some VMs, or on all."""
+    """Wait until a revision is in force on the given VMs, by default all."""
     for vm in vms or fleet.vms:
         wait_until(
             lambda vm=vm: is_in_force(fleet, vm, revision),
@@ -73,7 +73,7 @@
 
 
 def grant_key(fleet, vm):
-    """Grant a key and wait until it works on every VM; return it."""
+    """Grant a key, wait until every VM accepts it, and return it."""
     done = fleet.run_command(
         'key-grant', 'brief', '--team=hostels', f'--at={vm.url}',
     )  # fmt: skip
@@ -87,7 +87,7 @@
 
 
 def wait_for_health(fleet, vm, health):
-    """Wait until the first VM knows another one in a state of health."""
+    """Wait until the first VM reports a state of health for a VM."""
 
     def is_known() -> bool:
         members = get_admin_page(fleet, fleet.vms[0], 'status')['members']
@@ -100,7 +100,7 @@
 
 
 def get_status(fleet, vm, key):
-    """Return the status of a keyed request."""
+    """Return the HTTP status of a request with an API key."""
     response = fleet.http.request(
         'GET', f'{vm.url}/feed/x', headers={'X-Api-Key': key}, timeout=15,
     )  # fmt: skip
@@ -123,7 +123,7 @@
     def is_accepted():
         return put_catalogue_with_key(fleet, fleet.vms[1], shown, 'c')[0] == 200
 
-    wait_until(is_accepted, 'change after the repair')
+    wait_until(is_accepted, 'change accepted after the repair')
     wait_until_in_force(fleet, newest + 1)
     keys = get_admin_page(fleet, fleet.vms[0])['catalogue']['keys']
     assert set(keys) == {'key-a', 'key-c'}
@@ -173,7 +173,8 @@
     )
     fleet.run_command('key-withdraw', 'brief', f'--at={fleet.vms[0].url}')
     wait_until(
-        lambda: get_status(fleet, last, key) == 401, 'withdrawal by peers'
+        lambda: get_status(fleet, last, key) == 401,
+        'withdrawal received from peers',
     )
 
 
@@ -183,7 +184,8 @@
     fleet.set_zone(isolated.zone, 'cut')
     fleet.run_command('key-withdraw', 'brief', f'--at={fleet.vms[0].url}')
     wait_until(
-        lambda: get_status(fleet, fleet.vms[0], key) == 401, 'withdrawal'
+        lambda: get_status(fleet, fleet.vms[0], key) == 401,
+        'withdrawal on the first VM',
     )
     assert get_status(fleet, isolated, key) == 200
     status = get_admin_page(fleet, fleet.vms[0], 'status')
@@ -191,7 +193,7 @@
     fleet.set_zone(isolated.zone, 'open')
     wait_until(
         lambda: get_status(fleet, isolated, key) == 401,
-        'withdrawal when healed',
+        'withdrawal after the link is open again',
     )
 
 
@@ -224,7 +226,7 @@
         statuses.add(get_status(fleet, paused, key))
         return 401 in statuses
 
-    wait_until(is_refused, 'withdrawal on the resumed VM')
+    wait_until(is_refused, 'withdrawal on the VM that was paused')
     assert 200 not in statuses
 
 
@@ -239,5 +241,5 @@
     fleet.switch('mode', 'up')
     fleet.switch('roll-back', 'catalogue')
     fleet.start_vm(new_vm)
-    wait_until(lambda: fleet.is_ready(new_vm.url), 'fresh VM ready')
+    wait_until(lambda: fleet.is_ready(new_vm.url), 'new VM ready')
     assert get_admin_page(fleet, new_vm)['change'] == 'change-a'
--- a/tests/processes/test_drain.py
+++ b/tests/processes/test_drain.py
@@ -1,4 +1,4 @@
-"""Tests of planned stops and drains through real processes."""
+"""Tests of planned stops and drains with real processes."""
 
 import json
 import signal
@@ -21,14 +21,15 @@
 
 @pytest.fixture(name='fleet')
 def start_fleet():
-    """Start a fleet with two VMs in each zone."""
+    """Start two VMs per zone and wait until each may use slots."""
     fleet = Fleet(catalogue=CATALOGUE_PATH, vms_per_zone=2)
     try:
         fleet.start()
         fleet.apply()
         for vm in fleet.vms:
             wait_until(
-                partial(has_usable_slots, fleet, vm), f'slots of {vm.name}'
+                partial(has_usable_slots, fleet, vm),
+                f'usable slots on {vm.name}',
             )
         yield fleet
     finally:
@@ -36,7 +37,7 @@
 
 
 def fetch(url, path='/tours/x'):
-    """Fetch a public route on a connection of its own."""
+    """Fetch a public route over a new connection."""
     return urllib3.request('GET', f'{url}{path}', retries=False, timeout=30)
 
 
@@ -49,12 +50,12 @@
 
 
 def has_exited(process):
-    """Return whether a process is gone."""
+    """Return whether a process has ended."""
     return process.poll() is not None
 
 
 def read_after_pause(vm, started, may_continue):
-    """Read a large answer only later to its end, and return its length."""
+    """Read a large answer, with a pause after its head; return its length."""
     reader = socket.create_connection((vm.address, 8080), timeout=30)
     reader.sendall(b'GET /tours/x?large=1 HTTP/1.1\r\nHost: x\r\n\r\n')
     head = reader.recv(65536)
@@ -79,7 +80,7 @@
         assert kept_alive.request('GET', '/tours/x').status == 200
         waiting = pool.submit(fetch, vm.url, '/tours/x?delay=6')
         reading = pool.submit(read_after_pause, vm, started, may_continue)
-        wait_until(lambda: bool(started), 'transfer')
+        wait_until(lambda: bool(started), 'start of the transfer')
         fleet.signal(vm.name, signal.SIGTERM)
         wait_until(
             lambda: vm.url not in list_advised_urls(fleet, other.url),
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -1,4 +1,4 @@
-"""Tests of the limit across all VMs, through real processes and faults."""
+"""Tests of a team's limit over all VMs under faults, with real processes."""
 
 import json
 import signal
@@ -22,7 +22,7 @@
 
 @pytest.fixture(name='fleet')
 def start_fleet(request, tmp_path) -> Iterator[Fleet]:
-    """Start two zones of three VMs with a small limit in force."""
+    """Start a fleet of two zones with three VMs each and a small limit."""
     fleet = Fleet(
         catalogue=write_catalogue(tmp_path),
         vms_per_zone=VMS_PER_ZONE,
@@ -37,7 +37,7 @@
 
 
 def write_catalogue(folder):
-    """Write the demo's catalogue with two zones and a small limit."""
+    """Write the example catalogue with two zones and a small limit."""
     lines = CATALOGUE_PATH.read_text().splitlines()
     text = '\n'.join(line for line in lines if not line.startswith('//'))
     catalogue = json.loads(text)
@@ -61,7 +61,7 @@
 
 @pytest.fixture(name='key')
 def grant_key(fleet: Fleet) -> str:
-    """Grant a key of the team."""
+    """Grant a key for the team with the small limit."""
     done = fleet.run_command(
         'key-grant', 'tests-key', '--team=hostels', f'--at={fleet.vms[0].url}',
     )  # fmt: skip
@@ -69,10 +69,10 @@
 
 
 class LoadGenerator:
-    """Callers that ask one VM each, without a pause, until stopped."""
+    """One caller per VM, which sends requests without a pause until stopped."""
 
     def __init__(self, *, fleet, key):
-        """Start a caller for each VM."""
+        """Start a thread for each VM."""
         self.stopping = threading.Event()
         self.started_at = time.monotonic()
         self.admitted = dict.fromkeys((vm.name for vm in fleet.vms), 0)
@@ -86,7 +86,7 @@
             thread.start()
 
     def send_requests(self, vm, key):
-        """GiftRequest one VM over and over."""
+        """Send requests to a VM and count those that it admits."""
         pool = urllib3.PoolManager(retries=False)
         while not self.stopping.wait(0.002):
             try:
@@ -101,17 +101,17 @@
             self.admitted[vm.name] += answer.status == 200
 
     def wait_for(self, vms, count=20):
-        """Wait until some VMs have each admitted more requests."""
+        """Wait until each of some VMs has admitted `count` more requests."""
         goals = {vm.name: self.admitted[vm.name] + count for vm in vms}
         for name, goal in goals.items():
             wait_until(
                 lambda name=name, goal=goal: self.admitted[name] >= goal,
-                f'{name} admits',
+                f'{name} admits {count} more requests',
                 ADMISSION_TIMEOUT_SECONDS,
             )
 
     def stop(self):
-        """Stop every caller and return the bound on what was admitted."""
+        """Stop every caller and return the most requests the limit allows."""
         self.stopping.set()
         for thread in self.threads:
             thread.join()
@@ -122,19 +122,19 @@
 
 @pytest.fixture(name='load')
 def start_load(fleet, key):
-    """Start the callers."""
+    """Run the load generator during a test."""
     load = LoadGenerator(fleet=fleet, key=key)
     yield load
     load.stop()
 
 
 def count_executed(fleet):
-    """Count what ran on the targets."""
+    """Count the requests that ran on targets."""
     return len(fleet.read_journals())
 
 
 def has_lost_slots(fleet, holder):
-    """Return whether a VM lost all of its slots in the table."""
+    """Return whether a VM holds no slot in its zone's table."""
     holdings = read_table(fleet, holder.zone)[0]
     return holder.name not in {held[0] for held in holdings.values()}
 
@@ -146,7 +146,7 @@
 
 
 def publish_vms_without(fleet, missing):
-    """Tell the platform's list to drop a VM."""
+    """Publish the list of VMs without one of them."""
     remaining_vms = [
         (vm.name, vm.zone, vm.address, False)
         for vm in fleet.vms
@@ -179,7 +179,7 @@
     publish_vms_without(fleet, paused)
     wait_until(
         lambda: has_lost_slots(fleet, paused),
-        'takeover',
+        f'slots of {paused.name} taken over',
         ADMISSION_TIMEOUT_SECONDS,
     )
     load.wait_for(others)
--- a/tests/processes/test_membership.py
+++ b/tests/processes/test_membership.py
@@ -1,4 +1,4 @@
-"""Tests of membership by real processes."""
+"""Tests of membership with real processes."""
 
 import signal
 from collections.abc import Iterator
@@ -11,13 +11,13 @@
 
 CATALOGUE_PATH = Path(__file__).parents[2] / 'examples' / 'bench.jsonc'
 STATUS_PATH = '/.toucanhall/admin/v1/status'
-MAX_LOG_BYTES = 2000  # of each VM, in the note of a failure
+MAX_LOG_BYTES = 2000  # per VM, in the notes of a failure
 HEADERS = {'Authorization': 'Bearer demo-operator-token'}
 
 
 @pytest.fixture(scope='module', name='fleet')
 def start_fleet() -> Iterator[Fleet]:
-    """Start five VMs of one zone with a catalogue in force."""
+    """Start five VMs in one zone and wait until all see each other alive."""
     fleet = Fleet(catalogue=CATALOGUE_PATH, vms_per_zone=5)
     try:
         fleet.start()
@@ -29,12 +29,15 @@
 
 
 def wait_until_all_alive(fleet):
-    """Return once each VM sees the other four; say who sees whom else."""
+    """Wait until each VM has the other four as alive.
+
+    A failure lists what every VM reports, with the end of its log.
+    """
     for vm in fleet.vms:
         try:
             wait_until(
                 partial(has_health_count, fleet, vm, 'alive', 4),
-                f'{vm.name} full',
+                f'{vm.name} has four VMs as alive',
             )
         except TimeoutError as error:
             for other in fleet.vms:
@@ -44,7 +47,7 @@
 
 
 def read_health(fleet, vm):
-    """Return the health of each other VM, as one VM sees it."""
+    """Return the health of each other VM as one VM reports it."""
     response = fleet.http.request(
         'GET', f'{vm.url}{STATUS_PATH}', headers=HEADERS
     )
@@ -54,7 +57,7 @@
 
 
 def has_health_count(fleet, vm, health, count):
-    """Return whether a VM sees a number of others in a state of health."""
+    """Return whether a VM reports this health for exactly `count` others."""
     return list(read_health(fleet, vm).values()).count(health) == count
 
 
--- a/tests/processes/test_once.py
+++ b/tests/processes/test_once.py
@@ -1,4 +1,4 @@
-"""Tests of at most once through real processes, lost replies and pauses."""
+"""Tests of at-most-once execution under faults, with real processes."""
 
 import signal
 import time
@@ -20,7 +20,7 @@
 
 @pytest.fixture(scope='module', name='fleet')
 def start_fleet(tmp_path_factory) -> Iterator[Fleet]:
-    """Start a relayed fleet whose bookings have a short deadline."""
+    """Start a fleet behind a relay; its bookings have a short deadline."""
     short = f'"kind": "once", "deadline_seconds": {DEADLINE_SECONDS}'
     catalogue = tmp_path_factory.mktemp('catalogue') / 'once.jsonc'
     catalogue.write_text(
@@ -31,7 +31,7 @@
         fleet.start()
         fleet.apply()
         wait_until(
-            lambda: has_all_peers_alive(fleet, fleet.vms[0]), 'peers heard'
+            lambda: has_all_peers_alive(fleet, fleet.vms[0]), 'all peers alive'
         )
         yield fleet
     finally:
@@ -40,7 +40,7 @@
 
 @pytest.fixture(scope='module', name='key')
 def grant_key(fleet: Fleet) -> str:
-    """Grant a key that works on every VM."""
+    """Grant a key and wait until every VM accepts it."""
     key = fleet.grant('once', TEAM)
     for vm in fleet.vms:
         wait_until(
@@ -51,7 +51,7 @@
 
 
 def book(fleet, vm, key, seat, body=b'one seat'):
-    """Book once, with the seat as idempotency key."""
+    """Send a booking with the seat as its idempotency key."""
     return fleet.http.request(
         'POST',
         f'{vm.url}/bookings',
@@ -61,7 +61,7 @@
 
 
 def count_runs(fleet, seat):
-    """Return how often targets ran a booking."""
+    """Return how many times targets ran a booking."""
     return sum(
         ran['headers'].get('Idempotency-Key') == seat
         for ran in fleet.read_journals()
@@ -69,14 +69,14 @@
 
 
 def has_claim(fleet, seat):
-    """Return whether the claim of a booking lies in the store."""
+    """Return whether the store has the claim of a booking."""
     name = name_claim(TEAM, '/bookings', seat)
     response = fleet.http.request('GET', f'{fleet.platform}/objects/{name}')
     return response.status == 200
 
 
 def is_refusal(answer, reason, ran):
-    """Return whether an answer is a refusal that says whether it ran."""
+    """Return whether a refusal has this reason and says this of its run."""
     return (
         answer.json()['reason'] == reason
         and answer.headers['Toucanhall-Ran'] == ran
@@ -116,7 +116,7 @@
     assert first.status == 200
     wait_until(
         lambda: book(fleet, fleet.vms[1], key, 'lossy').data == first.data,
-        'outcome stored',
+        'outcome in the store',
     )
     assert count_runs(fleet, 'lossy') == 1
 
@@ -151,7 +151,7 @@
     with ThreadPoolExecutor(1) as pool:
         booking = pool.submit(book, fleet, fleet.vms[3], key, 'killed')
         wait_until(lambda: has_claim(fleet, 'killed'), 'claim')
-        # The stopped target takes the request into its backlog and dies.
+        # Time for the request to reach the backlog of the stopped target.
         time.sleep(0.5)
         fleet.kill('guide-4')
         failed = booking.result()
@@ -174,7 +174,9 @@
     assert is_refusal(again, 'claim-open', 'maybe')
     assert count_runs(fleet, 'orphan') <= 1
     fleet.start_vm(vm)
-    wait_until(lambda: fleet.is_ready(vm.url), 'VM back')
+    wait_until(
+        lambda: fleet.is_ready(vm.url), f'{vm.name} ready after its restart'
+    )
 
 
 def test_booking_is_not_sent_by_a_vm_paused_past_its_deadline(fleet, key):
--- a/tests/processes/test_operators.py
+++ b/tests/processes/test_operators.py
@@ -1,4 +1,4 @@
-"""Tests of operators' commands against a fleet of real processes."""
+"""Tests of operators' commands with real processes."""
 
 import json
 from pathlib import Path
@@ -8,7 +8,7 @@
 from standins.fleet import Fleet
 
 CATALOGUE_PATH = Path(__file__).parents[2] / 'examples' / 'demo.jsonc'
-_WAIT_FLAG = '--wait=8'  # seconds, the bound that the users ask for
+_WAIT_FLAG = '--wait=8'  # seconds within which users need a change
 
 
 @pytest.fixture(scope='module', name='fleet')
@@ -24,20 +24,20 @@
 
 
 def run_command(fleet, *arguments, vm=0):
-    """Run a command at a VM; return its code, output and errors."""
+    """Run a command at a VM; return its exit code, output and errors."""
     completed = fleet.run_command(*arguments, f'--at={fleet.vms[vm].url}')
     return completed.returncode, completed.stdout, completed.stderr
 
 
 def run_json(fleet, *arguments):
-    """Run a command and return the JSON that it prints."""
+    """Run a command with `--json` and return what it prints."""
     exit_code, stdout, stderr = run_command(fleet, *arguments, '--json')
     assert exit_code == 0, stderr
     return json.loads(stdout)
 
 
 def write_catalogue(fleet, name, **changes):
-    """Write a catalogue that differs from the example."""
+    """Write the example catalogue with changes and return its path."""
     path = fleet.folder / name
     path.write_text(json.dumps(fleet.catalogue | changes))
     return str(path)
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -1,4 +1,4 @@
-"""Tests of the whole path through real processes."""
+"""Tests of the request path with real processes."""
 
 import json
 from collections.abc import Iterator
@@ -25,7 +25,7 @@
 
 @pytest.fixture(scope='module', name='key')
 def grant_key(fleet: Fleet) -> str:
-    """Grant a key that works on every VM."""
+    """Grant a key and wait until every VM accepts it."""
     key = fleet.grant('tests-key', 'hostels')
     for vm in fleet.vms:
         wait_until(
@@ -36,7 +36,7 @@
 
 
 def fetch(fleet, url, key, path='/feed/x'):
-    """Fetch a team's route."""
+    """Fetch a route that needs the key of a team."""
     return fleet.http.request(
         'GET',
         f'{url}{path}',
--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of targets through real processes."""
+"""Tests of the choice of targets with real processes."""
 
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -14,25 +14,27 @@
 
 @pytest.fixture(name='fleet')
 def start_fleet():
-    """Start a fleet with two VMs in each zone, which know each other."""
+    """Start two VMs per zone and wait until the first one advises four."""
     fleet = Fleet(catalogue=CATALOGUE_PATH, vms_per_zone=2)
     try:
         fleet.start()
         fleet.apply()
-        wait_until(lambda: len(list_advised_vms(fleet)) == 4, 'advice')
+        wait_until(
+            lambda: len(list_advised_vms(fleet)) == 4, 'advice of four VMs'
+        )
         yield fleet
     finally:
         fleet.stop()
 
 
 def list_advised_vms(fleet):
-    """Return the VMs that the first VM advises."""
+    """Return the entry VMs that the first VM advises."""
     url = f'{fleet.vms[0].url}/.toucanhall/entry-vms'
     return fleet.http.request('GET', url).json()['vms']
 
 
 def fetch(url, path='/tours/x'):
-    """Fetch a public route on a connection of its own."""
+    """Fetch a public route over a new connection."""
     return urllib3.request('GET', f'{url}{path}', retries=False, timeout=30)
 
 
@@ -56,7 +58,7 @@
 def test_killed_target_is_skipped(fleet):
     vm = next(vm for vm in fleet.vms if vm.zone == 'gauteng-a')
     fleet.kill('guide-1')
-    wait_until(lambda: fetch(vm.url).status == 200, 'another zone answers')
+    wait_until(lambda: fetch(vm.url).status == 200, 'answer of another target')
     answers = [fetch(vm.url) for _ in range(20)]
     assert {answer.status for answer in answers} == {200}
 
