--- a/tests/processes/test_binary.py
+++ b/tests/processes/test_binary.py
@@ -1,4 +1,4 @@
-"""Tests of the built file: alone, in one process, writing nowhere else."""
+"""Tests that the built file runs alone, in one process, and where it writes."""
 
 import json
 import subprocess
@@ -11,8 +11,9 @@
 from standins.fleet import Fleet, wait_until
 
 ROOT = Path(__file__).parents[2]
-# Runs the file and tells on standard error what it starts and where it writes.
-WATCH = r"""
+# Runs a file and reports to standard error the processes that it starts and
+# the paths that it writes to.
+AUDIT_SCRIPT = r"""
 import os, runpy, sys
 STARTS = ('subprocess.Popen', 'os.fork', 'os.forkpty', 'os.posix_spawn',
           'os.spawn', 'os.exec', 'os.system', 'pty.spawn')
@@ -32,14 +33,14 @@
 
 @pytest.fixture(scope='module', name='binary')
 def build_binary() -> Path:
-    """Build the file and return its path."""
+    """Build the executable file and return its path."""
     subprocess.run((ROOT / 'build',), check=True, timeout=120)
     return ROOT / 'dist' / 'toucanhall'
 
 
 @pytest.fixture(name='fleet')
 def start_platform():
-    """Start the platform only."""
+    """Prepare a fleet of which only the platform runs."""
     fleet = Fleet(catalogue=ROOT / 'examples' / 'bench.jsonc')
     try:
         fleet.start_platform()
@@ -48,8 +49,11 @@
         fleet.stop()
 
 
-def is_up(url):
-    """Ask over a connection that is not kept, so that none delays a stop."""
+def is_answering(url):
+    """Return whether a VM answers.
+
+    The connection is closed, since an open one would delay the stop.
+    """
     try:
         with urlopen(f'{url}/.toucanhall/health', timeout=2) as answer:
             return answer.status == 200
@@ -73,7 +77,7 @@
     assert not list(folder.iterdir())
 
 
-def test_other_python_is_refused_by_its_version(binary, tmp_path):
+def test_other_python_version_is_refused(binary, tmp_path):
     done = subprocess.run(
         (
             sys.executable,
@@ -109,7 +113,7 @@
                 sys.executable,
                 '-I',
                 '-c',
-                WATCH,
+                AUDIT_SCRIPT,
                 binary,
                 'entry',
                 f'--settings={settings}',
@@ -119,17 +123,21 @@
             stderr=output,
         )
     fleet.processes['binary'] = process
-    wait_until(lambda: is_up(vm.url), 'binary up')
+    wait_until(lambda: is_answering(vm.url), 'binary up')
     children = Path(f'/proc/{process.pid}/task').glob('*/children')
     assert not ''.join(path.read_text() for path in children)
     process.terminate()
     assert process.wait(30) == 0
     lines = log.read_text().splitlines()
     assert 'STARTED' not in log.read_text()
-    wrote = [Path(line[6:]) for line in lines if line.startswith('WROTE')]
-    assert wrote
-    # Files without a name are opened by the name of their folder.
-    outside = [path for path in wrote if temporary not in {path, path.parent}]
-    assert not outside
-    left = [*temporary.iterdir(), *empty.iterdir()]
-    assert not left
+    written_paths = [
+        Path(line[6:]) for line in lines if line.startswith('WROTE')
+    ]
+    assert written_paths
+    # A file without a name (O_TMPFILE) is opened by the path of its folder.
+    paths_outside = [
+        path for path in written_paths if temporary not in {path, path.parent}
+    ]
+    assert not paths_outside
+    leftovers = [*temporary.iterdir(), *empty.iterdir()]
+    assert not leftovers
