--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -3,9 +3,9 @@
 from tests.builders import make_heartbeat
 from toucanhall.membership import Health, Member, View, hear, merge_list
 from toucanhall.membership.confirming import confirm, report_zones
-from toucanhall.membership.contacts import is_reader, select_near
+from toucanhall.membership.contacts import is_reader, select_local
 from toucanhall.membership.messages import Row
-from toucanhall.membership.view import assess, forgive, select_live
+from toucanhall.membership.view import assess, compensate_pause, select_live
 from toucanhall.objectstore import Listed
 from toucanhall.shares.slots import Holding, Table, claim
 
@@ -22,8 +22,8 @@
 
 def test_overtaken_heartbeat_changes_nothing():
     view = hear(EMPTY, 'b', 's', make_heartbeat(sequence=2, leaving=True), 0)
-    late = hear(view, 'b', 's', make_heartbeat(sequence=1), 1)
-    assert assess(late.members['b'], 1) is Health.LEAVING
+    overtaken = hear(view, 'b', 's', make_heartbeat(sequence=1), 1)
+    assert assess(overtaken.members['b'], 1) is Health.LEAVING
 
 
 def test_member_outlives_its_entry_in_the_list():
@@ -35,15 +35,15 @@
 def test_listed_vm_is_known_before_it_is_heard():
     listed = (Listed('b', 'north-a', '127.2.0.2', False),)
     view = merge_list(EMPTY, listed, 'a', 0)
-    assert assess(view.members['b'], 0) is Health.UNHEARD
+    assert assess(view.members['b'], 0) is Health.NO_HEARTBEAT
 
 
-def make_zone(size, zone='north-a', heard_at=0.0):
+def make_zone(size, zone='north-a', received_at=0.0):
     """Return a view of a zone's VMs, without the first one."""
     members = {
         f'{zone}-{index}': Member(
             f'{zone}-{index}', zone, f'127.2.0.{index}',
-            start='s', sequence=1, revision=7, heard_at=heard_at,
+            start='s', sequence=1, revision=7, received_at=received_at,
         )
         for index in range(1, size)
     }  # fmt: skip
@@ -56,18 +56,18 @@
     every = make_zone(size + 1).members | {
         vms[0]: Member(vms[0], 'north-a', '127.2.0.99'),
     }
-    heard = {vms[0]}
+    reached = {vms[0]}
     for turn in range(rounds):
         sent = {
             member.vm
-            for vm in heard
-            for member in select_near(
+            for vm in reached
+            for member in select_local(
                 View({key: every[key] for key in vms if key != vm}, {}),
                 vm, 'north-a', turn,
             )
         }  # fmt: skip
-        heard |= sent
-    assert heard == set(vms)
+        reached |= sent
+    assert reached == set(vms)
 
 
 def test_row_tells_of_a_known_vm_only_and_never_of_an_older_time():
@@ -79,7 +79,7 @@
     )
     after = hear(view, 'b', 's', make_heartbeat(rows=rows), 4)
     assert after.members['north-a-1'].revision == 9
-    assert after.members['north-a-1'].heard_at == 4
+    assert after.members['north-a-1'].received_at == 4
     assert after.members['north-a-2'] == view.members['north-a-2']
     assert 'stranger' not in after.members
 
@@ -104,7 +104,7 @@
 
 
 def test_own_pause_makes_nobody_suspected():
-    view = forgive(make_zone(3, heard_at=10.0), 30, 41)
+    view = compensate_pause(make_zone(3, received_at=10.0), 30, 41)
     assert all(
         assess(member, 41) is Health.ALIVE for member in view.members.values()
     )
--- a/toucanhall/membership/actor.py
+++ b/toucanhall/membership/actor.py
@@ -20,7 +20,7 @@
     Member,
     View,
     assess,
-    forgive,
+    compensate_pause,
     hear,
     merge_list,
 )
@@ -29,8 +29,10 @@
 
 __all__ = ('Beat', 'Heard', 'Leave', 'Membership', 'Platform', 'ReadList')
 
-PAUSE_SECONDS: Final = 3.0
-_READS_BY_ALL: Final = 15  # every so many times, each VM reads the list
+_MAX_BEAT_GAP_SECONDS: Final = 3.0
+_READ_BY_ALL_INTERVAL_READS: Final = (
+    15  # every so many times, each VM reads the list
+)
 
 
 class Beat(NamedTuple):
@@ -85,38 +87,38 @@
         self._publish = publish
         self._view = View({}, {})
         self._sequence = runtime.read_wall_milliseconds()
-        self._beaten_at = runtime.read_clock()
-        self._reads = 0
+        self._last_beat_at = runtime.read_clock()
+        self._read_count = 0
         self._leaving = False
         self._health: dict[str, Health] = {}
         self._handlers: Mapping[type, Callable[[Any], None]] = {
-            Beat: self._beat,
+            Beat: self._send_heartbeats,
             ReadList: self._read_list,
             Leave: self._leave,
-            Heard: self._hear,
+            Heard: self._receive_heartbeat,
         }
 
     def on_receive(self, message: Any) -> None:
         """Handle one message of this actor."""
         runtime.dispatch(self._handlers, message)
 
-    def _beat(self, _message: Beat) -> None:
+    def _send_heartbeats(self, _message: Beat) -> None:
         now = runtime.read_clock()
-        self._note_pause(now)
+        self._compensate_pause(now)
         self._sequence += 1
         revision = self._read_revision()
         confirmed = confirm(self._view, self._settings.zone, revision, now)
         self._view = self._view._replace(confirmed=confirmed)
-        self._watch_health(now)
+        self._update_health(now)
         for member in self._select_contacts(now):
             self._send(member.address, self._make_heartbeat(member, now))
         self._publish(self._view)
 
-    def _note_pause(self, now: float) -> None:
-        gap = now - self._beaten_at
-        self._beaten_at = now
-        if gap > PAUSE_SECONDS:
-            self._view = forgive(self._view, gap, now)
+    def _compensate_pause(self, now: float) -> None:
+        gap_seconds = now - self._last_beat_at
+        self._last_beat_at = now
+        if gap_seconds > _MAX_BEAT_GAP_SECONDS:
+            self._view = compensate_pause(self._view, gap_seconds, now)
 
     def _make_heartbeat(self, member: Member, now: float) -> Heartbeat:
         zone = self._settings.zone
@@ -134,9 +136,12 @@
 
     def _read_list(self, _message: ReadList) -> None:
         now = runtime.read_clock()
-        self._reads += 1
+        self._read_count += 1
         own = self._settings
-        if self._view.is_listed and self._reads % _READS_BY_ALL:
+        if (
+            self._view.is_listed
+            and self._read_count % _READ_BY_ALL_INTERVAL_READS
+        ):
             if not is_reader(self._view, own.vm, own.zone, now):
                 return
         listed = self._platform.list_vms(self._settings.zone)
@@ -148,12 +153,12 @@
     def _leave(self, _message: Leave) -> None:
         self._leaving = True
         now = runtime.read_clock()
-        self._beat(Beat())
+        self._send_heartbeats(Beat())
         for member in tuple(self._view.members.values()):
             if member.zone == self._settings.zone:
                 self._send(member.address, self._make_heartbeat(member, now))
 
-    def _hear(self, message: Heard) -> None:
+    def _receive_heartbeat(self, message: Heard) -> None:
         self._view = hear(
             self._view,
             message.vm,
@@ -172,7 +177,7 @@
             now,
         )
 
-    def _watch_health(self, now: float) -> None:
+    def _update_health(self, now: float) -> None:
         for vm, member in self._view.members.items():
             health = assess(member, now)
             if self._health.get(vm) is health:
--- a/toucanhall/membership/confirming.py
+++ b/toucanhall/membership/confirming.py
@@ -9,9 +9,9 @@
 
 from toucanhall.membership.view import Health, Member, View, assess
 
-__all__ = ('ZoneReport', 'confirm', 'find_waiting', 'report_zones')
+__all__ = ('ZoneReport', 'confirm', 'find_unconfirmed_vms', 'report_zones')
 
-_LEFT_SECONDS: Final = 15.0
+_LEFT_AFTER_SECONDS: Final = 15.0
 
 
 class ZoneReport(NamedTuple):
@@ -31,17 +31,21 @@
 
     A VM that was not heard of for long is taken to hold what it last told.
     """
-    held = [member.revision for member in _select_counted(view, zone, now)]
-    in_force = min([*held, own_revision])
+    revisions = [
+        member.revision for member in _select_required(view, zone, now)
+    ]
+    in_force = min([*revisions, own_revision])
     known = view.confirmed
     return {**known, zone: max(known.get(zone, 0), in_force)}
 
 
-def find_waiting(view: View, zone: str, number: int, now: float) -> list[str]:
+def find_unconfirmed_vms(
+    view: View, zone: str, number: int, now: float
+) -> list[str]:
     """Return the VMs of a zone that are not known to hold a revision."""
     return sorted(
         member.vm
-        for member in _select_counted(view, zone, now)
+        for member in _select_required(view, zone, now)
         if member.revision < number
     )
 
@@ -60,7 +64,7 @@
         zone: ZoneReport(
             view.confirmed.get(zone, 0),
             tuple(
-                find_waiting(view, zone, number, now)
+                find_unconfirmed_vms(view, zone, number, now)
                 if view.confirmed.get(zone, 0) < number
                 else (),
             ),
@@ -69,7 +73,7 @@
     }
 
 
-def _select_counted(view: View, zone: str, now: float) -> list[Member]:
+def _select_required(view: View, zone: str, now: float) -> list[Member]:
     return [
         member
         for member in view.members.values()
@@ -80,4 +84,7 @@
 def _has_left(member: Member, now: float) -> bool:
     if assess(member, now) is not Health.LEAVING:
         return False
-    return member.heard_at is None or now - member.heard_at > _LEFT_SECONDS
+    return (
+        member.received_at is None
+        or now - member.received_at > _LEFT_AFTER_SECONDS
+    )
--- a/toucanhall/membership/contacts.py
+++ b/toucanhall/membership/contacts.py
@@ -14,12 +14,12 @@
 
 from toucanhall.membership.view import Health, Member, View, assess
 
-__all__ = ('is_reader', 'select_contacts', 'select_near')
+__all__ = ('is_reader', 'select_contacts', 'select_local')
 
-_BRIDGES: Final = 2
-_READERS: Final = 2
-_FULL_MESH_SIZE: Final = 4  # VMs of a zone, with the own one
-_USABLE: Final = frozenset((Health.ALIVE, Health.UNHEARD))
+_DELEGATE_COUNT: Final = 2
+_READER_COUNT: Final = 2
+_MAX_FULL_MESH_VMS: Final = 4  # VMs of a zone, with the own one
+_USABLE_HEALTH: Final = frozenset((Health.ALIVE, Health.NO_HEARTBEAT))
 
 
 def select_contacts(
@@ -30,17 +30,17 @@
     now: float,
 ) -> tuple[Member, ...]:
     """Return the VMs to send to in one round, in the own zone and others."""
-    near = select_near(view, own_vm, zone, turn)
+    local = select_local(view, own_vm, zone, turn)
     others = sorted({member.zone for member in view.members.values()} - {zone})
-    far = [
+    remote = [
         member
         for other in others
-        for member in _select_far(view, own_vm, zone, other, now)
+        for member in _select_remote(view, own_vm, zone, other, now)
     ]
-    return (*near, *far)
+    return (*local, *remote)
 
 
-def select_near(
+def select_local(
     view: View,
     own_vm: str,
     zone: str,
@@ -53,13 +53,13 @@
     members = [
         member for member in view.members.values() if member.zone == zone
     ]
-    if len(members) < _FULL_MESH_SIZE:
+    if len(members) < _MAX_FULL_MESH_VMS:
         return tuple(members)
     ring = sorted([own_vm, *(member.vm for member in members)], key=_hash)
-    place = ring.index(own_vm)
+    position = ring.index(own_vm)
     distances = (len(ring) - 1).bit_length()
     chosen = [
-        ring[(place + 2 ** ((turn + step) % distances)) % len(ring)]
+        ring[(position + 2 ** ((turn + step) % distances)) % len(ring)]
         for step in (0, distances // 2)
     ]
     return tuple(
@@ -70,20 +70,20 @@
 def is_reader(view: View, own_vm: str, zone: str, now: float) -> bool:
     """Return whether this VM reads the platform for its zone."""
     usable = _list_usable(view, zone, now)
-    return own_vm in _rank((own_vm, *usable), zone)[:_READERS]
+    return own_vm in _rank((own_vm, *usable), zone)[:_READER_COUNT]
 
 
-def _select_far(
+def _select_remote(
     view: View,
     own_vm: str,
     zone: str,
     other: str,
     now: float,
 ) -> list[Member]:
-    near = _list_usable(view, zone, now)
+    local = _list_usable(view, zone, now)
     pair = '|'.join(sorted((zone, other)))
-    bridges = _rank((own_vm, *near), pair)[:_BRIDGES]
-    if own_vm not in bridges:
+    delegates = _rank((own_vm, *local), pair)[:_DELEGATE_COUNT]
+    if own_vm not in delegates:
         return []
     usable = _list_usable(view, other, now)
     if not usable:
@@ -93,7 +93,7 @@
             if member.zone == other
         ]
     ranked = _rank(usable, pair)
-    chosen = ranked[bridges.index(own_vm) % len(ranked)]
+    chosen = ranked[delegates.index(own_vm) % len(ranked)]
     return [view.members[chosen]]
 
 
@@ -101,7 +101,7 @@
     return [
         member.vm
         for member in view.members.values()
-        if member.zone == zone and assess(member, now) in _USABLE
+        if member.zone == zone and assess(member, now) in _USABLE_HEALTH
     ]
 
 
--- a/toucanhall/membership/digest.py
+++ b/toucanhall/membership/digest.py
@@ -6,7 +6,7 @@
 
 from toucanhall.membership.messages import Row
 from toucanhall.membership.view import (
-    SUSPECT_SECONDS,
+    SUSPECT_AFTER_SECONDS,
     Health,
     Member,
     View,
@@ -15,13 +15,13 @@
 
 __all__ = ('list_rows', 'sample_confirmed', 'set_patience')
 
-_FAR_ROWS: Final = 16
-_NEAR_ROWS_ABROAD: Final = 8
-_CONFIRMED_ZONES: Final = 8
-_SECONDS_PER_DOUBLING: Final = 1.0
-_FAR_SECONDS: Final = 20.0
-_SMALL_ZONE: Final = 4
-_TOLD: Final = frozenset((Health.ALIVE, Health.LEAVING))
+_MAX_REMOTE_ROWS: Final = 16
+_MAX_LOCAL_ROWS_TO_REMOTE: Final = 8
+_MAX_CONFIRMED_ZONES: Final = 8
+_SUSPECT_SECONDS_PER_DOUBLING: Final = 1.0
+_REMOTE_SUSPECT_AFTER_SECONDS: Final = 20.0
+_MAX_SMALL_ZONE_VMS: Final = 4
+_REPORTED_HEALTH: Final = frozenset((Health.ALIVE, Health.LEAVING))
 
 Item = TypeVar('Item')
 
@@ -39,10 +39,10 @@
     The own zone hears of all its VMs and in turns of those of other zones;
     other zones hear of the VMs of this zone in turns.
     """
-    near, far = _split_told(view, zone, now)
+    local, remote = _split_rows(view, zone, now)
     if not is_near:
-        return _rotate(near, turn, _NEAR_ROWS_ABROAD)
-    return (*near, *_rotate(far, turn, _FAR_ROWS))
+        return _rotate(local, turn, _MAX_LOCAL_ROWS_TO_REMOTE)
+    return (*local, *_rotate(remote, turn, _MAX_REMOTE_ROWS))
 
 
 def sample_confirmed(
@@ -51,7 +51,7 @@
     turn: int,
 ) -> Mapping[str, int]:
     """Return the own zone's confirmation and, in turns, those of others."""
-    names = _rotate(sorted(confirmed), turn, _CONFIRMED_ZONES)
+    names = _rotate(sorted(confirmed), turn, _MAX_CONFIRMED_ZONES)
     return {name: confirmed[name] for name in {zone, *names} & set(confirmed)}
 
 
@@ -61,31 +61,36 @@
     News of a VM takes more rounds in a larger zone, and more across zones.
     """
     size = 1 + sum(member.zone == zone for member in view.members.values())
-    doublings = 0 if size <= _SMALL_ZONE else (size - 1).bit_length()
-    near = SUSPECT_SECONDS + _SECONDS_PER_DOUBLING * doublings
+    doublings = 0 if size <= _MAX_SMALL_ZONE_VMS else (size - 1).bit_length()
+    local = SUSPECT_AFTER_SECONDS + _SUSPECT_SECONDS_PER_DOUBLING * doublings
     return view._replace(
         members={
             vm: member._replace(
-                patience=near if member.zone == zone else _FAR_SECONDS,
+                suspect_after_seconds=local
+                if member.zone == zone
+                else _REMOTE_SUSPECT_AFTER_SECONDS,
             )
             for vm, member in view.members.items()
         },
     )
 
 
-def _split_told(
+def _split_rows(
     view: View,
     zone: str,
     now: float,
 ) -> tuple[list[Row], list[Row]]:
     """Return rows of the own zone and of others, also of VMs that leave."""
-    near: list[Row] = []
-    far: list[Row] = []
+    local: list[Row] = []
+    remote: list[Row] = []
     for member in view.members.values():
-        if assess(member, now) in _TOLD and member.heard_at is not None:
-            rows = near if member.zone == zone else far
+        if (
+            assess(member, now) in _REPORTED_HEALTH
+            and member.received_at is not None
+        ):
+            rows = local if member.zone == zone else remote
             rows.append(_make_row(member))
-    return near, far
+    return local, remote
 
 
 def _make_row(member: Member) -> Row:
@@ -99,13 +104,13 @@
 
 
 def _rotate(
-    found: Sequence[Item],
+    entries: Sequence[Item],
     turn: int,
     count: int,
 ) -> tuple[Item, ...]:
-    if len(found) <= count:
-        return tuple(found)
-    begin = turn * count % len(found)
+    if len(entries) <= count:
+        return tuple(entries)
+    start_index = turn * count % len(entries)
     return tuple(
-        islice(chain(found[begin:], found[:begin]), count),
+        islice(chain(entries[start_index:], entries[:start_index]), count),
     )
--- a/toucanhall/membership/view.py
+++ b/toucanhall/membership/view.py
@@ -9,33 +9,33 @@
 
 __all__ = (
     'HEARTBEAT_SECONDS',
-    'SUSPECT_SECONDS',
+    'SUSPECT_AFTER_SECONDS',
     'Health',
     'Member',
     'View',
     'assess',
-    'forgive',
+    'compensate_pause',
     'hear',
     'merge_list',
     'select_live',
 )
 
 HEARTBEAT_SECONDS: Final = 1.0
-SUSPECT_SECONDS: Final = 3.5
-_FORGET_SECONDS: Final = 60.0
+SUSPECT_AFTER_SECONDS: Final = 3.5
+_FORGET_AFTER_SECONDS: Final = 60.0
 
 
 class Health(enum.Enum):
     """How far a member can be relied on."""
 
-    UNHEARD = 'unheard'
+    NO_HEARTBEAT = 'unheard'
     ALIVE = 'alive'
     SUSPECTED = 'suspected'
     LEAVING = 'leaving'
 
 
 class Member(NamedTuple):
-    """A VM: `heard_at` is in seconds on the clock of this process."""
+    """A VM: `received_at` is in seconds on the clock of this process."""
 
     vm: str
     zone: str
@@ -44,9 +44,9 @@
     sequence: int = 0
     leaving: bool = False
     revision: int = 0
-    heard_at: float | None = None
+    received_at: float | None = None
     listed: bool = False
-    patience: float = SUSPECT_SECONDS
+    suspect_after_seconds: float = SUSPECT_AFTER_SECONDS
 
 
 class View(NamedTuple):
@@ -70,9 +70,9 @@
     """Return the health of a member at a time."""
     if member.leaving:
         return Health.LEAVING
-    if member.heard_at is None:
-        return Health.UNHEARD
-    if now - member.heard_at > member.patience:
+    if member.received_at is None:
+        return Health.NO_HEARTBEAT
+    if now - member.received_at > member.suspect_after_seconds:
         return Health.SUSPECTED
     return Health.ALIVE
 
@@ -116,9 +116,11 @@
         sequence=heartbeat.sequence,
         leaving=heartbeat.leaving,
         revision=heartbeat.revision,
-        heard_at=now,
+        received_at=now,
         listed=known.listed if known else False,
-        patience=known.patience if known else SUSPECT_SECONDS,
+        suspect_after_seconds=known.suspect_after_seconds
+        if known
+        else SUSPECT_AFTER_SECONDS,
     )
     rows = _merge_rows(view.members, heartbeat.rows, now)
     return view._replace(
@@ -149,18 +151,23 @@
     return view._replace(members=members, is_listed=True)
 
 
-def forgive(view: View, pause: float, now: float) -> View:
+def compensate_pause(view: View, pause_seconds: float, now: float) -> View:
     """Return the view after this VM itself was paused for some seconds."""
     members = {
-        vm: _delay(member, pause, now) for vm, member in view.members.items()
+        vm: _shift_received_at(member, pause_seconds, now)
+        for vm, member in view.members.items()
     }
     return view._replace(members=members)
 
 
-def _delay(member: Member, pause: float, now: float) -> Member:
-    if member.heard_at is None:
+def _shift_received_at(
+    member: Member, pause_seconds: float, now: float
+) -> Member:
+    if member.received_at is None:
         return member
-    return member._replace(heard_at=min(member.heard_at + pause, now))
+    return member._replace(
+        received_at=min(member.received_at + pause_seconds, now)
+    )
 
 
 def _merge_rows(
@@ -178,7 +185,7 @@
             sequence=row.sequence,
             revision=row.revision,
             leaving=row.leaving,
-            heard_at=now,
+            received_at=now,
         )
         for row in rows
         if row.vm in members and row.sequence > members[row.vm].sequence
@@ -202,18 +209,20 @@
 
 
 def _is_forgotten(member: Member, now: float) -> bool:
-    if member.heard_at is None:
+    if member.received_at is None:
         return not member.listed
-    return now - member.heard_at > _FORGET_SECONDS and not member.listed
+    return (
+        now - member.received_at > _FORGET_AFTER_SECONDS and not member.listed
+    )
 
 
 def _merge_confirmed(
     known: Mapping[str, int],
-    heard: Mapping[str, int],
+    received: Mapping[str, int],
 ) -> Mapping[str, int]:
     newer = {
         zone: revision
-        for zone, revision in heard.items()
+        for zone, revision in received.items()
         if revision > known.get(zone, 0)
     }
     return {**known, **newer}
