--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -1,4 +1,4 @@
-"""Tests of the view of a VM on its peers."""
+"""Tests of a VM's view of the other VMs."""
 
 from tests.builders import make_heartbeat
 from toucanhall.membership import Health, Member, View, hear, merge_list
@@ -12,7 +12,7 @@
 EMPTY = View({}, {})
 
 
-def test_silent_member_is_suspected_and_comes_back():
+def test_silent_member_is_suspected_until_its_next_heartbeat():
     view = hear(EMPTY, 'b', 's', make_heartbeat(), 0)
     assert assess(view.members['b'], 3) is Health.ALIVE
     assert assess(view.members['b'], 4) is Health.SUSPECTED
@@ -20,26 +20,26 @@
     assert assess(view.members['b'], 5) is Health.ALIVE
 
 
-def test_overtaken_heartbeat_changes_nothing():
+def test_outdated_heartbeat_is_ignored():
     view = hear(EMPTY, 'b', 's', make_heartbeat(sequence=2, leaving=True), 0)
     overtaken = hear(view, 'b', 's', make_heartbeat(sequence=1), 1)
     assert assess(overtaken.members['b'], 1) is Health.LEAVING
 
 
-def test_member_outlives_its_entry_in_the_list():
+def test_alive_member_that_is_not_listed_is_kept():
     view = hear(EMPTY, 'b', 's', make_heartbeat(), 0)
     view = merge_list(view, (), 'a', 1)
     assert assess(view.members['b'], 1) is Health.ALIVE
 
 
-def test_listed_vm_is_known_before_it_is_heard():
+def test_listed_vm_is_known_before_its_first_heartbeat():
     listed = (Listed('b', 'north-a', '127.2.0.2', False),)
     view = merge_list(EMPTY, listed, 'a', 0)
     assert assess(view.members['b'], 0) is Health.NO_HEARTBEAT
 
 
 def make_zone(size, zone='north-a', received_at=0.0):
-    """Return a view of a zone's VMs, without the first one."""
+    """Return a view of a zone's VMs, except the first one."""
     members = {
         f'{zone}-{index}': Member(
             f'{zone}-{index}', zone, f'127.2.0.{index}',
@@ -50,7 +50,7 @@
     return View(members, {})
 
 
-def test_news_of_a_vm_passes_through_the_largest_zone_in_few_rounds():
+def test_update_reaches_all_vms_of_the_largest_zone_in_few_rounds():
     size, rounds = 62, 12
     vms = [f'north-a-{index}' for index in range(size)]
     every = make_zone(size + 1).members | {
@@ -70,7 +70,7 @@
     assert reached == set(vms)
 
 
-def test_row_tells_of_a_known_vm_only_and_never_of_an_older_time():
+def test_row_updates_known_vms_only_and_never_with_older_state():
     view = make_zone(3)
     rows = (
         Row('north-a-1', 's', 5, 9, leaving=False),
@@ -84,7 +84,7 @@
     assert 'stranger' not in after.members
 
 
-def test_reader_of_the_platform_is_replaced_when_it_is_suspected():
+def test_two_vms_read_the_platform_unless_all_others_are_suspected():
     zone = make_zone(9).members
 
     def list_readers(now):
@@ -103,14 +103,14 @@
     assert list_readers(60) == set(zone)
 
 
-def test_own_pause_makes_nobody_suspected():
+def test_own_pause_makes_no_member_suspected():
     view = compensate_pause(make_zone(3, received_at=10.0), 30, 41)
     assert all(
         assess(member, 41) is Health.ALIVE for member in view.members.values()
     )
 
 
-def test_silent_vm_holds_back_the_confirmation_of_its_zone():
+def test_silent_vm_keeps_its_zone_from_confirming_a_revision():
     view = make_zone(3)
     assert confirm(view, 'north-a', 9, 1) == {'north-a': 7}
     assert confirm(view, 'north-a', 9, 500) == {'north-a': 7}
@@ -119,7 +119,7 @@
 
 
 def make_two_zones():
-    """Return the VMs of two zones, three in each, all heard and listed."""
+    """Return a view of two zones, each with three VMs, alive and listed."""
     listed = tuple(
         Listed(f'{zone}-{index}', zone, f'127.2.{index}.1', False)
         for zone in ('north-a', 'south-a')
@@ -137,7 +137,7 @@
     assert live == {'north-a-0', 'north-a-1', 'north-a-2'}
 
 
-def test_vms_of_a_zone_hold_all_of_its_slots():
+def test_vms_of_a_zone_claim_all_of_its_slots():
     size, view, table = 12, make_two_zones(), Table({})
     for vm in ('north-a-0', 'north-a-1', 'north-a-2'):
         live = select_live(view, 'north-a', vm, 1)
@@ -151,7 +151,7 @@
     assert select_live(view, 'north-a', 'a', 1) == {'a', 'b'}
 
 
-def test_vm_off_the_list_keeps_its_slots_while_it_is_alive():
+def test_unlisted_vm_keeps_its_slots_while_it_is_alive():
     view = hear(EMPTY, 'b', 's', make_heartbeat(zone='north-a'), 0)
     assert select_live(view, 'north-a', 'a', 1) == {'a', 'b'}
     assert select_live(view, 'north-a', 'a', 9) == {'a'}
--- a/tests/unit/test_membership_actor.py
+++ b/tests/unit/test_membership_actor.py
@@ -1,4 +1,4 @@
-"""Tests of the actor of membership beside a store that misbehaves."""
+"""Tests of the membership actor when the platform raises an error."""
 
 from types import SimpleNamespace
 
@@ -12,7 +12,7 @@
 
 
 class Platform:
-    """Raises what nobody expects, once, then lists no VM."""
+    """Raises an unexpected error on the first read, then lists no VM."""
 
     def __init__(self):
         self.reads = 0
@@ -25,7 +25,7 @@
 
 
 @pytest.mark.parametrize('failing', (ReadList(), None))
-def test_unexpected_error_does_not_end_membership(failing):
+def test_unexpected_error_does_not_stop_the_actor(failing):
     sent = []
     views = []
     actor = Membership.start(
--- a/toucanhall/membership/__init__.py
+++ b/toucanhall/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Which VMs are alive: heartbeats, leaving, suspicion, the VM list."""
+"""Tracks which VMs are alive, by heartbeats and the platform's VM list."""
 
 from toucanhall.membership.actor import Membership, Platform
 from toucanhall.membership.messages import Heartbeat
--- a/toucanhall/membership/actor.py
+++ b/toucanhall/membership/actor.py
@@ -1,4 +1,4 @@
-"""The actor of membership: beats, listens and reads the list of VMs."""
+"""Actor that sends and receives heartbeats and reads the list of VMs."""
 
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple, Protocol
@@ -30,25 +30,24 @@
 __all__ = ('Beat', 'Heard', 'Leave', 'Membership', 'Platform', 'ReadList')
 
 _MAX_BEAT_GAP_SECONDS: Final = 3.0
-_READ_BY_ALL_INTERVAL_READS: Final = (
-    15  # every so many times, each VM reads the list
-)
+# Each VM reads the list itself once in this number of reads.
+_READ_BY_ALL_INTERVAL_READS: Final = 15
 
 
 class Beat(NamedTuple):
-    """Time to send heartbeats."""
+    """Timer message: send heartbeats."""
 
 
 class ReadList(NamedTuple):
-    """Time to read the platform's list of VMs."""
+    """Timer message: read the platform's list of VMs."""
 
 
 class Leave(NamedTuple):
-    """This VM begins to leave."""
+    """This VM starts to leave the fleet."""
 
 
 class Heard(NamedTuple):
-    """A heartbeat arrived."""
+    """A heartbeat was received from another VM."""
 
     vm: str
     start: str
@@ -59,11 +58,11 @@
     """The part of the platform client that membership needs."""
 
     def list_vms(self, zone: str) -> Result[tuple[Listed, ...], Any]:
-        """Return live and leaving VMs, by the addresses that a zone uses."""
+        """Return running and leaving VMs, with the addresses for a zone."""
 
 
 class Membership(pykka.ThreadingActor):
-    """Keeps the view of this VM and publishes it as `view`."""
+    """Maintains this VM's view of the others and publishes each change."""
 
     use_daemon_thread = True
 
@@ -77,7 +76,7 @@
         read_revision: Callable[[], int],
         publish: Callable[[View], None],
     ) -> None:
-        """Start with an empty view; `publish` gets each new one."""
+        """Start with an empty view; `publish` is called with each new view."""
         super().__init__()
         self._settings = settings
         self._platform = platform
@@ -122,7 +121,7 @@
 
     def _make_heartbeat(self, member: Member, now: float) -> Heartbeat:
         zone = self._settings.zone
-        is_near = member.zone == zone
+        is_local = member.zone == zone
         turn = self._sequence
         return Heartbeat(
             zone=zone,
@@ -131,7 +130,7 @@
             leaving=self._leaving,
             revision=self._read_revision(),
             confirmed=sample_confirmed(self._view.confirmed, zone, turn),
-            rows=list_rows(self._view, zone, turn, now, is_near=is_near),
+            rows=list_rows(self._view, zone, turn, now, is_near=is_local),
         )
 
     def _read_list(self, _message: ReadList) -> None:
--- a/toucanhall/membership/confirming.py
+++ b/toucanhall/membership/confirming.py
@@ -1,7 +1,8 @@
-"""Decides which revision a zone has in force, and who has not confirmed it.
+"""Computes the revision in force in a zone, and the VMs that lack it.
 
-A VM that is silent may still serve callers, so it counts until it has left or
-until the platform's list and its heartbeats have both been gone for long.
+A silent VM may still serve callers, so its confirmation is required until it
+has left, or until it is neither on the platform's list nor has sent a
+heartbeat for a long time.
 """
 
 from collections.abc import Iterable, Mapping
@@ -15,7 +16,7 @@
 
 
 class ZoneReport(NamedTuple):
-    """What a zone has in force, and which known VMs hold it back."""
+    """The revision in force in a zone, and the VMs that lack a newer one."""
 
     in_force: int
     waiting: tuple[str, ...]
@@ -27,9 +28,10 @@
     own_revision: int,
     now: float,
 ) -> Mapping[str, int]:
-    """Return what each zone confirmed, with the own zone brought up to date.
+    """Return the confirmed revision of each zone, updated for the own zone.
 
-    A VM that was not heard of for long is taken to hold what it last told.
+    A VM that has been silent for long counts with the last revision that it
+    reported.
     """
     revisions = [
         member.revision for member in _select_required(view, zone, now)
@@ -42,7 +44,7 @@
 def find_unconfirmed_vms(
     view: View, zone: str, number: int, now: float
 ) -> list[str]:
-    """Return the VMs of a zone that are not known to hold a revision."""
+    """Return the VMs of a zone that have not confirmed a revision."""
     return sorted(
         member.vm
         for member in _select_required(view, zone, now)
@@ -56,9 +58,9 @@
     number: int,
     now: float,
 ) -> Mapping[str, ZoneReport]:
-    """Return for each zone what is in force and who holds a revision back.
+    """Return for each zone the revision in force and the VMs lacking `number`.
 
-    A zone has a revision in force when `in_force` is not below its number.
+    A revision is in force in a zone when `in_force` is at least its number.
     """
     return {
         zone: ZoneReport(
--- a/toucanhall/membership/contacts.py
+++ b/toucanhall/membership/contacts.py
@@ -1,10 +1,10 @@
-"""Chooses, by hash, with whom a VM speaks and which VMs read the platform.
+"""Selects, by hash, the VMs to send to and the VMs that read the platform.
 
-Within a zone a VM sends to the VM that is 1, 2, 4, ... places further on a
-ring, one distance after the other, so that news passes through the zone in a
-number of rounds that grows with the logarithm of its size. Between two zones a
-few VMs of each side speak for their zone; when one is suspected, the next in
-the order of hashes takes over.
+Within a zone a VM sends to the VMs that are 1, 2, 4, ... positions further on
+a hash ring, cycling through the distances, so that an update reaches the whole
+zone in a number of rounds that is logarithmic in its size. Between two zones,
+a few delegates of each side report the state of their zone; when a delegate is
+suspected, the next VM in hash order replaces it.
 """
 
 from collections.abc import Iterable
@@ -18,7 +18,7 @@
 
 _DELEGATE_COUNT: Final = 2
 _READER_COUNT: Final = 2
-_MAX_FULL_MESH_VMS: Final = 4  # VMs of a zone, with the own one
+_MAX_FULL_MESH_VMS: Final = 4  # includes this VM
 _USABLE_HEALTH: Final = frozenset((Health.ALIVE, Health.NO_HEARTBEAT))
 
 
@@ -29,7 +29,7 @@
     turn: int,
     now: float,
 ) -> tuple[Member, ...]:
-    """Return the VMs to send to in one round, in the own zone and others."""
+    """Return the local and remote VMs to send to in one round."""
     local = select_local(view, own_vm, zone, turn)
     others = sorted({member.zone for member in view.members.values()} - {zone})
     remote = [
@@ -46,9 +46,9 @@
     zone: str,
     turn: int,
 ) -> tuple[Member, ...]:
-    """Return the VMs of the own zone to send to in one round.
+    """Return the local VMs to send to in one round.
 
-    Suspected VMs are among them, so that they are found when they come back.
+    Suspected VMs are included, so that their recovery is detected.
     """
     members = [
         member for member in view.members.values() if member.zone == zone
@@ -68,7 +68,7 @@
 
 
 def is_reader(view: View, own_vm: str, zone: str, now: float) -> bool:
-    """Return whether this VM reads the platform for its zone."""
+    """Return whether this VM reads the platform's list for its zone."""
     usable = _list_usable(view, zone, now)
     return own_vm in _rank((own_vm, *usable), zone)[:_READER_COUNT]
 
--- a/toucanhall/membership/digest.py
+++ b/toucanhall/membership/digest.py
@@ -1,4 +1,4 @@
-"""Chooses what a heartbeat tells of others, and how long to wait for news."""
+"""Selects what a heartbeat reports of other VMs, and sets time-outs."""
 
 from collections.abc import Mapping, Sequence
 from itertools import chain, islice
@@ -34,10 +34,10 @@
     *,
     is_near: bool,
 ) -> tuple[Row, ...]:
-    """Return the rows for a VM of the own zone, or for one of another zone.
+    """Return the rows of a heartbeat to a local or a remote VM.
 
-    The own zone hears of all its VMs and in turns of those of other zones;
-    other zones hear of the VMs of this zone in turns.
+    A local VM receives rows of all local VMs and of the remote VMs in
+    rotation; a remote VM receives rows of the local VMs in rotation.
     """
     local, remote = _split_rows(view, zone, now)
     if not is_near:
@@ -50,23 +50,26 @@
     zone: str,
     turn: int,
 ) -> Mapping[str, int]:
-    """Return the own zone's confirmation and, in turns, those of others."""
+    """Return the own zone's confirmed revision and, in rotation, others'."""
     names = _rotate(sorted(confirmed), turn, _MAX_CONFIRMED_ZONES)
     return {name: confirmed[name] for name in {zone, *names} & set(confirmed)}
 
 
 def set_patience(view: View, zone: str) -> View:
-    """Return the view with the seconds after which silence is suspicious.
+    """Return the view with the time-out after which a VM is suspected.
 
-    News of a VM takes more rounds in a larger zone, and more across zones.
+    Heartbeat rows take more rounds to spread through a larger zone, and more
+    again between zones.
     """
     size = 1 + sum(member.zone == zone for member in view.members.values())
     doublings = 0 if size <= _MAX_SMALL_ZONE_VMS else (size - 1).bit_length()
-    local = SUSPECT_AFTER_SECONDS + _SUSPECT_SECONDS_PER_DOUBLING * doublings
+    local_seconds = (
+        SUSPECT_AFTER_SECONDS + _SUSPECT_SECONDS_PER_DOUBLING * doublings
+    )
     return view._replace(
         members={
             vm: member._replace(
-                suspect_after_seconds=local
+                suspect_after_seconds=local_seconds
                 if member.zone == zone
                 else _REMOTE_SUSPECT_AFTER_SECONDS,
             )
@@ -80,7 +83,7 @@
     zone: str,
     now: float,
 ) -> tuple[list[Row], list[Row]]:
-    """Return rows of the own zone and of others, also of VMs that leave."""
+    """Return local and remote rows, those of leaving VMs included."""
     local: list[Row] = []
     remote: list[Row] = []
     for member in view.members.values():
--- a/toucanhall/membership/messages.py
+++ b/toucanhall/membership/messages.py
@@ -1,4 +1,4 @@
-"""Messages of membership."""
+"""Messages that VMs exchange about membership."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -7,7 +7,7 @@
 
 
 class Row(NamedTuple):
-    """What a VM has heard of another one."""
+    """The latest state that a VM knows of another one."""
 
     vm: str
     start: str
@@ -17,11 +17,11 @@
 
 
 class Heartbeat(NamedTuple):
-    """A VM is alive: where it is, what it holds, and what zones confirmed.
+    """Reports that a VM is alive, its address, revision and known peers.
 
-    `sequence` grows with each heartbeat, and from a start to the next one.
+    `sequence` increases with each heartbeat, also across restarts.
     `confirmed` maps a zone to the catalogue revision that all of its VMs have
-    in force. `rows` tell of other VMs.
+    in force. `rows` hold the state of other VMs.
     """
 
     zone: str
--- a/toucanhall/membership/view.py
+++ b/toucanhall/membership/view.py
@@ -1,4 +1,4 @@
-"""What one VM knows of the others, and the decisions that change it."""
+"""A VM's view of the other VMs, and the functions that update it."""
 
 import enum
 from collections.abc import Iterator, Mapping
@@ -26,7 +26,7 @@
 
 
 class Health(enum.Enum):
-    """How far a member can be relied on."""
+    """Liveness of a member, as seen by this VM."""
 
     NO_HEARTBEAT = 'unheard'
     ALIVE = 'alive'
@@ -35,7 +35,10 @@
 
 
 class Member(NamedTuple):
-    """A VM: `received_at` is in seconds on the clock of this process."""
+    """Another VM, and when a heartbeat of it was last received.
+
+    `received_at` is in seconds on the clock of this process.
+    """
 
     vm: str
     zone: str
@@ -50,9 +53,9 @@
 
 
 class View(NamedTuple):
-    """All known members by VM, without the VM that holds the view.
+    """All known members by VM, without the VM that owns the view.
 
-    `is_listed` tells that the platform's list was read at least once.
+    `is_listed` is set once the platform's list has been read.
     """
 
     members: Mapping[str, Member]
@@ -60,14 +63,14 @@
     is_listed: bool = False
 
     def select(self, health: Health, now: float) -> Iterator[Member]:
-        """Yield the members of one health."""
+        """Yield the members with the given health."""
         for member in self.members.values():
             if assess(member, now) is health:
                 yield member
 
 
 def assess(member: Member, now: float) -> Health:
-    """Return the health of a member at a time."""
+    """Return the health of a member at time `now`."""
     if member.leaving:
         return Health.LEAVING
     if member.received_at is None:
@@ -80,10 +83,10 @@
 def select_live(
     view: View, zone: str, own_vm: str, now: float
 ) -> frozenset[str]:
-    """Return the VMs among which the slots of one zone are divided.
+    """Return the VMs that share the slots of one zone.
 
-    These are this VM and the zone's others that are alive or still listed.
-    VMs of other zones have slots of their own.
+    These are this VM and the zone's other VMs that are alive or still listed.
+    Other zones have their own slots.
     """
     others = (
         member.vm
@@ -101,9 +104,9 @@
     heartbeat: Heartbeat,
     now: float,
 ) -> View:
-    """Return the view after a heartbeat; an overtaken one changes nothing.
+    """Return the view after a heartbeat; an outdated one is ignored.
 
-    The address of a VM that the platform listed stays as it was listed.
+    The address of a known VM is kept, since the platform may have listed it.
     """
     known = view.members.get(vm)
     if known and known.start == start and known.sequence >= heartbeat.sequence:
@@ -137,8 +140,8 @@
 ) -> View:
     """Return the view after the platform's list of VMs was read.
 
-    The list brings unknown VMs and marks leaving ones. A VM that is missing
-    from it stays a member while its heartbeats arrive.
+    The list adds unknown VMs and marks leaving ones. A VM that is missing
+    from it stays a member while its heartbeats are received.
     """
     members = {
         vm: member._replace(listed=False)
@@ -152,7 +155,10 @@
 
 
 def compensate_pause(view: View, pause_seconds: float, now: float) -> View:
-    """Return the view after this VM itself was paused for some seconds."""
+    """Return the view after this VM was paused, without false suspicions.
+
+    Heartbeats missed during the own pause don't count as silence.
+    """
     members = {
         vm: _shift_received_at(member, pause_seconds, now)
         for vm, member in view.members.items()
@@ -175,9 +181,9 @@
     rows: tuple[Row, ...],
     now: float,
 ) -> Mapping[str, Member]:
-    """Return the members that rows tell something newer of.
+    """Return the members for which a row is newer than the known state.
 
-    A row brings no unknown VM, since it does not tell where it is.
+    A row adds no unknown VM, since it lacks the zone and the address.
     """
     return {
         row.vm: members[row.vm]._replace(
