--- a/tests/models/test_freshness_model.py
+++ b/tests/models/test_freshness_model.py
@@ -22,9 +22,9 @@
 from toucanhall.spread.freshness import Freshness
 
 HOLD_SECONDS = 9
-OLDEST = -11
+MIN_TIME_SECONDS = -11
 # An accepted configuration is to be in force within this, as the target says.
-BOUND_SECONDS = 8
+MAX_LAG_SECONDS = 8
 SOURCES = (freshness.STORE, 'peer')
 
 
@@ -48,7 +48,7 @@
     """The decisions that the model runs; a variant replaces one."""
 
     tick: object = freshness.tick
-    learn: object = freshness.learn
+    record_evidence: object = freshness.record_evidence
     may_serve: object = freshness.may_serve
 
 
@@ -59,7 +59,7 @@
         yield 'key is withdrawn', withdrawn
     yield 'a second passes', pass_second(state, rules)
     if state.is_paused:
-        if -state.freshness.ticked_at > freshness.STEP_SECONDS:
+        if -state.freshness.ticked_at > freshness.MAX_TICK_GAP_SECONDS:
             yield 'resumes', state._replace(is_paused=False)
     else:
         paused = state._replace(is_paused=True)
@@ -71,8 +71,8 @@
         ticked = rules.tick(state.freshness, 0, 1)
         yield 'ticks', state._replace(freshness=ticked)
     if not state.is_paused and state.buffered_at is not None:
-        heard = learn(state, rules, state.buffered_at)
-        yield 'reads its buffer', heard._replace(buffered_at=None)
+        received = record_evidence(state, rules, state.buffered_at)
+        yield 'reads its buffer', received._replace(buffered_at=None)
     yield 'is cut or healed', state._replace(is_cut=not state.is_cut)
 
 
@@ -80,13 +80,15 @@
     """Let a second pass, with the regular work of a VM that runs."""
     state = shift(state)
     if state.is_paused:
-        is_long = -state.freshness.ticked_at > freshness.PAUSE_SECONDS
+        is_long = -state.freshness.ticked_at > freshness.MIN_PAUSE_SECONDS
         return state._replace(was_cut=state.was_cut and not is_long)
     ticked = rules.tick(state.freshness, 0, 1)
     state = state._replace(freshness=ticked)
     if state.is_cut:
         return state._replace(was_cut=True)
-    return learn(state._replace(has_newest=True, was_cut=False), rules, 0)
+    return record_evidence(
+        state._replace(has_newest=True, was_cut=False), rules, 0
+    )
 
 
 def shift(state):
@@ -104,14 +106,14 @@
 
 def age(time):
     """Return a relative time as it is a second later."""
-    return None if time is None else max(time - 1, OLDEST)
+    return None if time is None else max(time - 1, MIN_TIME_SECONDS)
 
 
-def learn(state, rules, asked_at):
+def record_evidence(state, rules, asked_at):
     """Take the answers to questions that were sent at a time."""
     known = state.freshness
     for source in SOURCES:
-        known = rules.learn(known, asked_at, source, 0)
+        known = rules.record_evidence(known, asked_at, source, 0)
     return state._replace(freshness=known)
 
 
@@ -133,7 +135,7 @@
 
     def is_bounded(fields):
         lag = serves_withdrawn(fields, rules)
-        return lag <= BOUND_SECONDS or fields['was_cut']
+        return lag <= MAX_LAG_SECONDS or fields['was_cut']
 
     protocol = Protocol(
         name='freshness',
@@ -173,7 +175,7 @@
 
 def test_pause_must_be_noticed_by_the_tick():
     def tick_on(state, now, peers):
-        ticked_at = max(state.ticked_at, now - freshness.STEP_SECONDS)
+        ticked_at = max(state.ticked_at, now - freshness.MAX_TICK_GAP_SECONDS)
         return freshness.tick(state._replace(ticked_at=ticked_at), now, peers)
 
     checked = check(tick=tick_on)
@@ -183,16 +185,16 @@
 
 def test_answer_must_count_from_its_question():
     def learn_on_arrival(state, _asked_at, source, now):
-        return freshness.learn(state, now, source, now)
+        return freshness.record_evidence(state, now, source, now)
 
-    checked = check(learn=learn_on_arrival)
+    checked = check(record_evidence=learn_on_arrival)
     report_variants('freshness learn_on_arrival', checked)
     assert 'bounded' in list_broken(checked)
 
 
 def test_bound_on_an_outdated_revision_is_needed():
     def serve_for_ever(state, now, _hold_seconds):
-        return freshness.may_serve(state, now, -OLDEST)
+        return freshness.may_serve(state, now, -MIN_TIME_SECONDS)
 
     checked = check(may_serve=serve_for_ever)
     report_variants('freshness serve_for_ever', checked)
--- a/tests/models/test_spread_model.py
+++ b/tests/models/test_spread_model.py
@@ -20,24 +20,24 @@
 from toucanhall.spread import comparison, freshness
 from toucanhall.spread.acceptance import (
     Attempt,
-    Found,
+    ReadSucceeded,
     Known,
-    Standing,
+    BaseVerdict,
     Step,
-    Unsure,
-    Unwritten,
-    Written,
+    WriteUncertain,
+    WriteFailed,
+    WriteSucceeded,
     check_base,
-    proceed,
+    decide_step,
 )
 from toucanhall.spread.comparison import Comparison
-from toucanhall.spread.record import Record, succeed
+from toucanhall.spread.record import Record, make_successor
 
 BASE = Record(1, 'base')
 SETTLED = freshness.Freshness(0, settled=True, as_of=0)
 VIA = {'left': 'one', 'right': 'two'}
 ENDS = frozenset((Step.ACCEPTED, Step.CONFLICT, Step.REFUSED, Step.UNKNOWN))
-MOST_STATES = 2_000_000
+MAX_STATES = 2_000_000
 
 
 class Operator(NamedTuple):
@@ -72,8 +72,8 @@
 
     get_verdict: object = get_verdict
     check_base: object = check_base
-    proceed: object = proceed
-    needed: int = freshness.SOURCES_NEEDED
+    decide_step: object = decide_step
+    required_sources: int = freshness.REQUIRED_SOURCES_COUNT
     forgets: str = 'known'
 
 
@@ -93,8 +93,8 @@
         yield from run_operator(state, rules, name)
     for vm in ('one', 'two'):
         yield f'{vm} watches', watch(state, rules, vm)
-    yield 'one hears two', take(state, rules, 'one', state.two)
-    yield 'two hears one', hear(state, rules)
+    yield 'one hears two', offer_record(state, rules, 'one', state.two)
+    yield 'two hears one', query_first_vm(state, rules)
     if can_forget(state, rules):
         forgotten = state._replace(
             stored=state.earlier,
@@ -103,7 +103,9 @@
         )
         yield 'store comes back older', forgotten
     if not state.has_restarted and rank(state.one) >= rank(state.two):
-        started = freshness.begin(0)._replace(needed=rules.needed)
+        started = freshness.begin(0)._replace(
+            required_sources=rules.required_sources
+        )
         yield (
             'two restarts',
             state._replace(
@@ -126,12 +128,12 @@
     """Yield the steps of one change."""
     operator = getattr(state, name)
     if operator.step is None:
-        yield f'{name} reads', begin(state, rules, name)
+        yield f'{name} reads', start_change(state, rules, name)
     elif operator.step is Step.WRITE:
         yield from write(state, rules, name)
     elif operator.step is Step.READ:
-        found = Found(state.version, state.stored)
-        yield f'{name} reads back', go_on(state, rules, name, found)
+        found = ReadSucceeded(state.version, state.stored)
+        yield f'{name} reads back', advance(state, rules, name, found)
     if operator.is_late:
         late = state._replace(**{name: operator._replace(is_late=False)})
         yield f'{name} late write is lost', late
@@ -139,18 +141,18 @@
             yield f'{name} late write lands', store(late, operator.content)
 
 
-def begin(state, rules, name):
+def start_change(state, rules, name):
     """Judge the base; VM two takes none before it is settled."""
     vm = VIA[name]
     if vm == 'two' and not freshness.is_settled(state.evidence, 0):
         return state
     held = getattr(state, vm)
-    standing = rules.check_base(1, name, rank(held), state.stored)
-    if standing is Standing.STORE_BEHIND:
+    verdict = rules.check_base(1, name, rank(held), state.stored)
+    if verdict is BaseVerdict.STORE_BEHIND:
         return state
-    if standing is not Standing.OPEN:
+    if verdict is not BaseVerdict.OPEN:
         return state._replace(**{name: Operator(Step.CONFLICT)})
-    content = succeed(state.stored, state.stored.number + 1, name, b'')
+    content = make_successor(state.stored, state.stored.number + 1, name, b'')
     attempt = Attempt(name, state.stored.change, state.version)
     return state._replace(**{name: Operator(Step.WRITE, attempt, content)})
 
@@ -158,27 +160,39 @@
 def write(state, rules, name):
     """Yield the fates of one try of a conditional write."""
     operator = getattr(state, name)
-    on = partial(go_on, rules=rules, name=name)
+    next_state = partial(advance, rules=rules, name=name)
     if state.version == operator.attempt.version:
         done = store(state, operator.content)
-        yield f'{name} writes', on(done, event=Written())
-        yield f'{name} writes, reply lost', on(done, event=Unsure())
+        yield f'{name} writes', next_state(done, event=WriteSucceeded())
+        yield (
+            f'{name} writes, reply lost',
+            next_state(done, event=WriteUncertain()),
+        )
         late = state._replace(**{name: operator._replace(is_late=True)})
-        yield f'{name} write is delayed', on(late, event=Unsure())
+        yield (
+            f'{name} write is delayed',
+            next_state(late, event=WriteUncertain()),
+        )
     else:
-        yield f'{name} conflicts', on(state, event=Unwritten(conflict=True))
-    yield f'{name} is not sent', on(state, event=Unwritten(conflict=False))
+        yield (
+            f'{name} conflicts',
+            next_state(state, event=WriteFailed(conflict=True)),
+        )
+    yield (
+        f'{name} is not sent',
+        next_state(state, event=WriteFailed(conflict=False)),
+    )
 
 
-def go_on(state, rules, name, event):
+def advance(state, rules, name, event):
     """Take the next step of a change; an accepted one is in force at its VM."""
     operator = getattr(state, name)
-    attempt, step = rules.proceed(operator.attempt, event)
+    attempt, step = rules.decide_step(operator.attempt, event)
     state = state._replace(
         **{name: operator._replace(attempt=attempt, step=step)},
     )
     if step is Step.ACCEPTED:
-        return take(state, rules, VIA[name], operator.content)
+        return offer_record(state, rules, VIA[name], operator.content)
     return state
 
 
@@ -191,7 +205,7 @@
     )
 
 
-def take(state, rules, vm, record):
+def offer_record(state, rules, vm, record):
     """Offer a record to a VM, and note whether what it serves went back."""
     held = getattr(state, vm)
     known = held if held.number else None
@@ -202,10 +216,10 @@
             **{vm: record},
             went_back=state.went_back or went_back,
         )
-    return note_served(state)
+    return record_served(state)
 
 
-def note_served(state):
+def record_served(state):
     """Note the newest revision that VM two served, across its restarts."""
     if not freshness.is_settled(state.evidence, 0):
         return state
@@ -220,30 +234,32 @@
     held = getattr(state, vm)
     if rank(state.stored) < rank(held):
         return store(state, held)
-    state = take(state, rules, vm, state.stored)
-    return learn(state, freshness.STORE) if vm == 'two' else state
+    state = offer_record(state, rules, vm, state.stored)
+    return record_evidence(state, freshness.STORE) if vm == 'two' else state
 
 
-def learn(state, source):
+def record_evidence(state, source):
     """Note evidence of VM two; its sources matter only until it is settled."""
     if freshness.is_settled(state.evidence, 0):
         return state
-    learnt = freshness.learn(state.evidence, 0, source, 0)
-    return note_served(state._replace(evidence=learnt))
+    updated = freshness.record_evidence(state.evidence, 0, source, 0)
+    return record_served(state._replace(evidence=updated))
 
 
-def hear(state, rules):
+def query_first_vm(state, rules):
     """Let VM two compare with one, which offers what is missing."""
-    state = take(state, rules, 'two', state.one)
+    state = offer_record(state, rules, 'two', state.one)
     if freshness.is_settled(state.evidence, 0):
         return state
     start = Comparison(state.evidence, {})
-    asking, question = comparison.ask(start, rank(state.two), '', 0)
-    answer = comparison.tell(
-        Comparison(SETTLED, {}), rank(state.one), question, 0
+    asking, query = comparison.make_query(start, rank(state.two), '', 0)
+    answer = comparison.make_answer(
+        Comparison(SETTLED, {}), rank(state.one), query, 0
+    )
+    compared = comparison.receive_answer(
+        asking, rank(state.two), answer, 'one', 0
     )
-    heard = comparison.hear_told(asking, rank(state.two), answer, 'one', 0)
-    return note_served(state._replace(evidence=heard.freshness))
+    return record_served(state._replace(evidence=compared.freshness))
 
 
 def is_kept(fields):
@@ -256,7 +272,7 @@
     )
 
 
-def is_true(fields):
+def is_refusal_true(fields):
     """Return whether no change that was told as not written is anywhere."""
     return not any(
         name in changes(fields[place])
@@ -288,11 +304,11 @@
         invariants={
             'never_back': lambda fields: not fields['went_back'],
             'kept': is_kept,
-            'true': is_true,
+            'true': is_refusal_true,
             'unique': is_unique,
         },
     )
-    return explore(protocol, MOST_STATES)
+    return explore(protocol, MAX_STATES)
 
 
 def test_changes_are_kept_and_told_truly():
@@ -318,7 +334,7 @@
 
 
 def test_second_source_is_needed_after_a_start():
-    checked = check(needed=1)
+    checked = check(required_sources=1)
     report_variants('spread needed_1', checked)
     assert 'never_back' in list_broken(checked)
 
@@ -334,24 +350,24 @@
 
 def test_second_write_against_a_delayed_one_is_needed():
     def give_up(attempt, event):
-        attempt, step = proceed(attempt, event)
-        is_again = isinstance(event, Found) and step is Step.WRITE
+        attempt, step = decide_step(attempt, event)
+        is_again = isinstance(event, ReadSucceeded) and step is Step.WRITE
         return attempt, Step.CONFLICT if is_again else step
 
-    checked = check(proceed=give_up)
+    checked = check(decide_step=give_up)
     report_variants('spread give_up', checked)
     assert 'true' in list_broken(checked)
 
 
 def test_history_of_change_ids_is_needed():
     def forget(attempt, event):
-        if isinstance(event, Found):
+        if isinstance(event, ReadSucceeded):
             record = event.record._replace(history=())
-            attempt, step = proceed(attempt, event._replace(record=record))
+            attempt, step = decide_step(attempt, event._replace(record=record))
             is_foreign = step in {Step.READ, Step.UNKNOWN}
             return attempt, Step.CONFLICT if is_foreign else step
-        return proceed(attempt, event)
+        return decide_step(attempt, event)
 
-    checked = check(proceed=forget)
+    checked = check(decide_step=forget)
     report_variants('spread forget', checked)
     assert 'true' in list_broken(checked)
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -5,23 +5,23 @@
 from toucanhall.spread import comparison, freshness
 from toucanhall.spread.acceptance import (
     Attempt,
-    Found,
+    ReadSucceeded,
     Known,
     ReadFailed,
-    Standing,
+    BaseVerdict,
     Step,
-    Unsure,
-    Unwritten,
+    WriteUncertain,
+    WriteFailed,
     check_base,
-    proceed,
+    decide_step,
 )
 from toucanhall.spread.comparison import Comparison
 from toucanhall.spread.messages import RevisionAnswer
 from toucanhall.spread.record import Record
 from toucanhall.spread.silence import (
-    SILENT_SECONDS,
-    note_answered,
-    note_asked,
+    SILENT_AFTER_SECONDS,
+    record_answer,
+    record_query,
 )
 
 BASE = Record(4, 'base', '{}', ('older',))
@@ -34,52 +34,52 @@
 
 
 @pytest.mark.parametrize(
-    ('stored', 'known', 'standing'),
+    ('stored', 'known', 'verdict'),
     [
-        (BASE, Known(4, 'base'), Standing.OPEN),
-        (THEIRS, Known(5, 'theirs'), Standing.CONFLICT),
-        (BASE, Known(5, 'ours'), Standing.STORE_BEHIND),
-        (LATER, Known(6, 'later'), Standing.DONE),
+        (BASE, Known(4, 'base'), BaseVerdict.OPEN),
+        (THEIRS, Known(5, 'theirs'), BaseVerdict.CONFLICT),
+        (BASE, Known(5, 'ours'), BaseVerdict.STORE_BEHIND),
+        (LATER, Known(6, 'later'), BaseVerdict.DONE),
     ],
 )
-def test_base_of_a_change_is_judged(stored, known, standing):
-    assert check_base(4, 'ours', known, stored) is standing
+def test_base_of_a_change_is_judged(stored, known, verdict):
+    assert check_base(4, 'ours', known, stored) is verdict
 
 
 @pytest.mark.parametrize(
     ('event', 'step'),
     [
-        (Found(8, OURS), Step.ACCEPTED),
-        (Found(9, LATER), Step.ACCEPTED),
-        (Found(8, THEIRS), Step.CONFLICT),
-        (Found(8, FOREIGN), Step.READ),
-        (Found(8, BASE), Step.READ),
-        (Found(7, BASE), Step.WRITE),
+        (ReadSucceeded(8, OURS), Step.ACCEPTED),
+        (ReadSucceeded(9, LATER), Step.ACCEPTED),
+        (ReadSucceeded(8, THEIRS), Step.CONFLICT),
+        (ReadSucceeded(8, FOREIGN), Step.READ),
+        (ReadSucceeded(8, BASE), Step.READ),
+        (ReadSucceeded(7, BASE), Step.WRITE),
         (ReadFailed(), Step.READ),
-        (Unwritten(conflict=True), Step.READ),
+        (WriteFailed(conflict=True), Step.READ),
     ],
 )
 def test_lost_reply_is_settled_by_the_change_id(event, step):
-    assert proceed(SENT, event)[1] is step
+    assert decide_step(SENT, event)[1] is step
 
 
 def test_first_try_that_had_no_effect_is_final():
     fresh = Attempt('ours', 'base', 7)
-    assert proceed(fresh, Unwritten(conflict=True))[1] is Step.CONFLICT
-    assert proceed(fresh, Unwritten(conflict=False))[1] is Step.REFUSED
+    assert decide_step(fresh, WriteFailed(conflict=True))[1] is Step.CONFLICT
+    assert decide_step(fresh, WriteFailed(conflict=False))[1] is Step.REFUSED
 
 
 def test_change_without_any_reply_ends_as_unknown():
-    attempt, step = proceed(Attempt('ours', 'base', 7), Unsure())
+    attempt, step = decide_step(Attempt('ours', 'base', 7), WriteUncertain())
     while step is Step.READ:
-        attempt, step = proceed(attempt, ReadFailed())
+        attempt, step = decide_step(attempt, ReadFailed())
     assert step is Step.UNKNOWN
 
 
 def learn_twice(state, as_of, now):
     """Return the state after evidence of the store and of a peer."""
-    state = freshness.learn(state, as_of, freshness.STORE, now)
-    return freshness.learn(state, as_of, 'peer', now)
+    state = freshness.record_evidence(state, as_of, freshness.STORE, now)
+    return freshness.record_evidence(state, as_of, 'peer', now)
 
 
 def test_pause_takes_the_right_to_serve_until_fresh_evidence():
@@ -93,7 +93,7 @@
 
 
 def test_one_source_is_enough_only_where_there_is_no_peer():
-    state = freshness.learn(freshness.begin(0), 0, freshness.STORE, 0)
+    state = freshness.record_evidence(freshness.begin(0), 0, freshness.STORE, 0)
     assert not freshness.is_settled(freshness.tick(state, 0, None), 0)
     assert not freshness.is_settled(freshness.tick(state, 0, 1), 0)
     assert freshness.is_settled(freshness.tick(state, 0, 0), 0)
@@ -120,7 +120,7 @@
     state = freshness.begin(0)
     for now in range(1, 5):
         state = freshness.tick(state, now, 5)
-        state = freshness.learn(state, now, freshness.STORE, now)
+        state = freshness.record_evidence(state, now, freshness.STORE, now)
     assert freshness.may_serve(state, 4, 60)
 
 
@@ -134,12 +134,14 @@
 def make_comparison(now=0):
     """Return a comparison with one question, asked at a time."""
     start = Comparison(freshness.begin(now), {})
-    return comparison.ask(start, HELD, '127.2.0.1', now)[0]
+    return comparison.make_query(start, HELD, '127.2.0.1', now)[0]
 
 
 def test_answer_counts_from_when_it_was_asked():
     answer = RevisionAnswer(1, 5, 'a', 2)
-    state = comparison.hear_told(make_comparison(10), HELD, answer, 'b', 12)
+    state = comparison.receive_answer(
+        make_comparison(10), HELD, answer, 'b', 12
+    )
     assert state.freshness.as_of == 8
 
 
@@ -153,30 +155,30 @@
     ],
 )
 def test_answer_that_proves_nothing(answer):
-    state = comparison.hear_told(make_comparison(), HELD, answer, 'b', 1)
+    state = comparison.receive_answer(make_comparison(), HELD, answer, 'b', 1)
     assert state.freshness.as_of is None
-    assert state.heard == (answer.number, answer.change)
+    assert state.newest == (answer.number, answer.change)
 
 
 def test_paused_peer_proves_nothing():
     asking = make_comparison()
     peer = Comparison(learn_twice(freshness.begin(0), 0, 0), {})
-    question = comparison.ask(asking, HELD, '127.2.0.1', 20)[1]
-    assert comparison.tell(peer, HELD, question, 1).age == 1
-    assert comparison.tell(peer, HELD, question, 20).age is None
+    query = comparison.make_query(asking, HELD, '127.2.0.1', 20)[1]
+    assert comparison.make_answer(peer, HELD, query, 1).age == 1
+    assert comparison.make_answer(peer, HELD, query, 20).age is None
 
 
 def test_connection_without_answers_is_replaced():
-    state, is_silent = note_asked({}, 'peer', 0)
+    state, is_silent = record_query({}, 'peer', 0)
     assert not is_silent
-    state, is_silent = note_asked(state, 'peer', 1)
+    state, is_silent = record_query(state, 'peer', 1)
     assert not is_silent
-    state, is_silent = note_asked(state, 'peer', SILENT_SECONDS)
+    state, is_silent = record_query(state, 'peer', SILENT_AFTER_SECONDS)
     assert is_silent
-    assert not note_asked(state, 'peer', SILENT_SECONDS + 1)[1]
+    assert not record_query(state, 'peer', SILENT_AFTER_SECONDS + 1)[1]
 
 
 def test_answer_ends_the_wait():
-    state, _ = note_asked({}, 'peer', 0)
-    state = note_answered(state, 'peer')
-    assert not note_asked(state, 'peer', SILENT_SECONDS)[1]
+    state, _ = record_query({}, 'peer', 0)
+    state = record_answer(state, 'peer')
+    assert not record_query(state, 'peer', SILENT_AFTER_SECONDS)[1]
--- a/tests/unit/test_spread_patches.py
+++ b/tests/unit/test_spread_patches.py
@@ -51,8 +51,8 @@
     delta = make_delta(first, second)
     other = first._replace(change='other')
     assert 'base' in apply_delta(other, delta).failure()
-    damaged = delta._replace(patch=b'{"one":3}')
-    assert 'digest' in apply_delta(first, damaged).failure()
+    invalid = delta._replace(patch=b'{"one":3}')
+    assert 'digest' in apply_delta(first, invalid).failure()
 
 
 def test_document_in_another_form_goes_as_a_whole():
--- a/toucanhall/spread/acceptance.py
+++ b/toucanhall/spread/acceptance.py
@@ -7,22 +7,22 @@
 
 __all__ = (
     'Attempt',
-    'Found',
+    'ReadSucceeded',
     'Known',
     'ReadFailed',
-    'Standing',
+    'BaseVerdict',
     'Step',
-    'Unsure',
-    'Unwritten',
-    'Written',
+    'WriteUncertain',
+    'WriteFailed',
+    'WriteSucceeded',
     'check_base',
-    'proceed',
+    'decide_step',
 )
 
-_TRIES: Final = 4
+_MAX_TRIES: Final = 4
 
 
-class Standing(enum.Enum):
+class BaseVerdict(enum.Enum):
     """Whether a change may be written on top of what the store holds."""
 
     OPEN = 'open'
@@ -62,21 +62,21 @@
     tries: int = 0
 
 
-class Written(NamedTuple):
+class WriteSucceeded(NamedTuple):
     """The store told that the write took effect."""
 
 
-class Unwritten(NamedTuple):
+class WriteFailed(NamedTuple):
     """This try had no effect; `conflict` tells that the version moved on."""
 
     conflict: bool
 
 
-class Unsure(NamedTuple):
+class WriteUncertain(NamedTuple):
     """The reply was lost: the write took effect, or may do so later."""
 
 
-class Found(NamedTuple):
+class ReadSucceeded(NamedTuple):
     """The store was read after a try."""
 
     version: int
@@ -87,7 +87,9 @@
     """The store could not be read after a try."""
 
 
-Event: TypeAlias = Written | Unwritten | Unsure | Found | ReadFailed
+Event: TypeAlias = (
+    WriteSucceeded | WriteFailed | WriteUncertain | ReadSucceeded | ReadFailed
+)
 
 
 def check_base(
@@ -95,46 +97,46 @@
     change: str,
     known: Known,
     stored: Record,
-) -> Standing:
+) -> BaseVerdict:
     """Judge a change that replaces revision `expected`.
 
     A store that came back older is repaired before it takes a change, so that
     no number is used twice.
     """
     if change in {stored.change, *stored.history}:
-        return Standing.DONE
+        return BaseVerdict.DONE
     if (stored.number, stored.change) < (known.number, known.change):
-        return Standing.STORE_BEHIND
+        return BaseVerdict.STORE_BEHIND
     if stored.number != expected:
-        return Standing.CONFLICT
-    return Standing.OPEN
+        return BaseVerdict.CONFLICT
+    return BaseVerdict.OPEN
 
 
-def proceed(attempt: Attempt, event: Event) -> tuple[Attempt, Step]:
+def decide_step(attempt: Attempt, event: Event) -> tuple[Attempt, Step]:
     """Return the attempt and its next step after a reply of the store."""
-    if isinstance(event, Written):
+    if isinstance(event, WriteSucceeded):
         return attempt, Step.ACCEPTED
-    if isinstance(event, Found):
-        return _judge_found(attempt, event)
-    if isinstance(event, Unwritten) and not attempt.is_sent:
+    if isinstance(event, ReadSucceeded):
+        return _check_read(attempt, event)
+    if isinstance(event, WriteFailed) and not attempt.is_sent:
         return attempt, Step.CONFLICT if event.conflict else Step.REFUSED
-    is_sent = attempt.is_sent or isinstance(event, Unsure)
-    return _read_again(attempt._replace(is_sent=is_sent))
+    is_sent = attempt.is_sent or isinstance(event, WriteUncertain)
+    return _retry_read(attempt._replace(is_sent=is_sent))
 
 
-def _judge_found(attempt: Attempt, found: Found) -> tuple[Attempt, Step]:
-    record = found.record
+def _check_read(attempt: Attempt, read: ReadSucceeded) -> tuple[Attempt, Step]:
+    record = read.record
     if attempt.change in {*record.history, record.change}:
         return attempt, Step.ACCEPTED
-    if found.version == attempt.version:
+    if read.version == attempt.version:
         # Writing again is what keeps a delayed write from landing later.
         return attempt, Step.WRITE
     if attempt.base_change in record.history:
         return attempt, Step.CONFLICT
     # The store came back older; what it lost may be this change.
-    return _read_again(attempt)
+    return _retry_read(attempt)
 
 
-def _read_again(attempt: Attempt) -> tuple[Attempt, Step]:
+def _retry_read(attempt: Attempt) -> tuple[Attempt, Step]:
     tried = attempt._replace(tries=attempt.tries + 1)
-    return tried, Step.READ if tried.tries < _TRIES else Step.UNKNOWN
+    return tried, Step.READ if tried.tries < _MAX_TRIES else Step.UNKNOWN
--- a/toucanhall/spread/accepting.py
+++ b/toucanhall/spread/accepting.py
@@ -14,16 +14,16 @@
 from toucanhall.spread.acceptance import (
     Attempt,
     Event,
-    Found,
+    ReadSucceeded,
     Known,
     ReadFailed,
-    Standing,
+    BaseVerdict,
     Step,
-    Unsure,
-    Unwritten,
-    Written,
+    WriteUncertain,
+    WriteFailed,
+    WriteSucceeded,
     check_base,
-    proceed,
+    decide_step,
 )
 from toucanhall.spread.patches import canonicalise
 from toucanhall.spread.record import CATALOGUE_NAME, Record, encode, parse
@@ -110,25 +110,25 @@
         read = self._read()
         if not isinstance(read, Success):
             return _refuse(f'nothing was written: {read.failure()}')
-        found: Found = read.unwrap()
-        standing = check_base(
+        found: ReadSucceeded = read.unwrap()
+        verdict = check_base(
             change.expected,
             change.change,
             self._read_known(),
             found.record,
         )
-        if standing is Standing.DONE:
+        if verdict is BaseVerdict.DONE:
             return Success(Accepted(found.record.number, change.change))
-        if standing is Standing.CONFLICT:
+        if verdict is BaseVerdict.CONFLICT:
             return _conflict(change, found.record)
-        if standing is Standing.STORE_BEHIND:
+        if verdict is BaseVerdict.STORE_BEHIND:
             return _refuse(
                 f'the store came back at revision {found.record.number} and '
                 'is being repaired; nothing was written',
             )
         return self._write(change, found)
 
-    def _write(self, change: Change, found: Found) -> Outcome:
+    def _write(self, change: Change, found: ReadSucceeded) -> Outcome:
         number = found.record.number + 1
         document = canonicalise(change.document)
         held = self._holder.current
@@ -143,10 +143,10 @@
             found.record,
         )
         attempt = Attempt(change.change, found.record.change, found.version)
-        step, latest = self._drive(attempt, content)
-        return self._conclude(step, change, revision, latest)
+        step, latest = self._run_steps(attempt, content)
+        return self._make_outcome(step, change, revision, latest)
 
-    def _drive(
+    def _run_steps(
         self,
         attempt: Attempt,
         content: bytes,
@@ -159,12 +159,12 @@
                 if step is Step.WRITE
                 else self._try_read()
             )
-            if isinstance(event, Found):
+            if isinstance(event, ReadSucceeded):
                 latest = event.record
-            attempt, step = proceed(attempt, event)
+            attempt, step = decide_step(attempt, event)
         return step, latest
 
-    def _conclude(
+    def _make_outcome(
         self,
         step: Step,
         change: Change,
@@ -187,21 +187,21 @@
             return _refuse('nothing was written: the store cannot be reached')
         if not latest.number:
             read = self._read()
-            latest = read.unwrap().record if _is_done(read) else latest
+            latest = read.unwrap().record if _is_success(read) else latest
         return _conflict(change, latest)
 
-    def _read(self) -> Result[Found, object]:
+    def _read(self) -> Result[ReadSucceeded, object]:
         read = self._platform.read(CATALOGUE_NAME)
         if not isinstance(read, Success):
             return Failure(read.failure())
         stored = read.unwrap()
         return parse(stored.content).map(
-            lambda record: Found(stored.version, record),
+            lambda record: ReadSucceeded(stored.version, record),
         )
 
     def _try_read(self) -> Event:
         read = self._read()
-        return read.unwrap() if _is_done(read) else ReadFailed()
+        return read.unwrap() if _is_success(read) else ReadFailed()
 
     def _try_write(self, attempt: Attempt, content: bytes) -> Event:
         written = self._platform.write(
@@ -210,18 +210,18 @@
             attempt.version,
         )
         if isinstance(written, Success):
-            return Written()
-        return _read_failure(written.failure())
+            return WriteSucceeded()
+        return _classify_failure(written.failure())
 
 
-def _is_done(read: Result[Found, object]) -> bool:
+def _is_success(read: Result[ReadSucceeded, object]) -> bool:
     return isinstance(read, Success)
 
 
-def _read_failure(error: PlatformError) -> Event:
+def _classify_failure(error: PlatformError) -> Event:
     if isinstance(error, Ambiguous):
-        return Unsure()
-    return Unwritten(isinstance(error, Conflict))
+        return WriteUncertain()
+    return WriteFailed(isinstance(error, Conflict))
 
 
 def _refuse(what: str) -> Outcome:
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -18,7 +18,7 @@
     RevisionAnswer,
 )
 from toucanhall.spread.patches import apply_delta, find_delta
-from toucanhall.spread.silence import note_answered, note_asked
+from toucanhall.spread.silence import record_answer, record_query
 
 __all__ = ('Arrived', 'Compare', 'Push', 'Spread', 'read_held')
 
@@ -70,38 +70,40 @@
         self._delta: Delta | None = None
         self._list_contacts = list_contacts
         self._handlers: Mapping[type, Callable[[Any], None]] = {
-            Arrived: self._take,
-            Compare: self._compare,
-            Push: self._push,
+            Arrived: self._receive,
+            Compare: self._query_contacts,
+            Push: self._push_revision,
         }
 
     def on_receive(self, message: Any) -> None:
         """Handle one message of this actor."""
         runtime.dispatch(self._handlers, message)
 
-    def _take(self, arrived: Arrived) -> None:
-        _TAKERS[type(arrived.message)](self, arrived)
+    def _receive(self, arrived: Arrived) -> None:
+        _RECEIVERS[type(arrived.message)](self, arrived)
 
     def _answer_query(self, arrived: Arrived) -> None:
-        question: RevisionQuery = arrived.message
+        query: RevisionQuery = arrived.message
         held = read_held(self._holder)
-        self._send(arrived.address, self._monitor.answer(held, question))
-        self._help(arrived.address, Known(question.number, question.change))
+        self._send(arrived.address, self._monitor.make_answer(held, query))
+        self._send_newer(arrived.address, Known(query.number, query.change))
 
-    def _take_answer(self, arrived: Arrived) -> None:
+    def _receive_answer(self, arrived: Arrived) -> None:
         answer: RevisionAnswer = arrived.message
-        self._unanswered = note_answered(self._unanswered, arrived.address)
-        self._monitor.hear(read_held(self._holder), answer, arrived.peer)
-        self._help(arrived.address, Known(answer.number, answer.change))
+        self._unanswered = record_answer(self._unanswered, arrived.address)
+        self._monitor.receive_answer(
+            read_held(self._holder), answer, arrived.peer
+        )
+        self._send_newer(arrived.address, Known(answer.number, answer.change))
 
-    def _take_offer(self, arrived: Arrived) -> None:
+    def _receive_offer(self, arrived: Arrived) -> None:
         offer: Offer = arrived.message
         held = read_held(self._holder)
         if (offer.number, offer.change) > held:
             self._revise(offer.number, offer.change, offer.document)
-            self._ask(arrived.address)
+            self._send_query(arrived.address)
 
-    def _take_delta(self, arrived: Arrived) -> None:
+    def _receive_delta(self, arrived: Arrived) -> None:
         delta: Delta = arrived.message
         held = self._holder.current
         if (delta.number, delta.change) <= read_held(self._holder):
@@ -115,7 +117,7 @@
                 ),
             )
         # The answer proves the new revision, or brings it whole.
-        self._ask(arrived.address)
+        self._send_query(arrived.address)
 
     def _revise(self, number: int, change: str, document: bytes) -> None:
         held = self._holder.current
@@ -123,31 +125,31 @@
         revised.map(self._holder.offer)
         revised.alt(log_invalid)
 
-    def _help(self, address: str, theirs: Known) -> None:
+    def _send_newer(self, address: str, peer_known: Known) -> None:
         revision = self._holder.current
-        if revision is None or theirs >= read_held(self._holder):
+        if revision is None or peer_known >= read_held(self._holder):
             return
         delta = self._delta
-        if delta and theirs == (delta.base_number, delta.base_change):
+        if delta and peer_known == (delta.base_number, delta.base_change):
             self._send(address, delta)
         else:
             self._send(address, make_offer(revision))
 
-    def _compare(self, _message: Compare) -> None:
+    def _query_contacts(self, _message: Compare) -> None:
         for address in self._list_contacts():
-            self._ask(address)
+            self._send_query(address)
 
-    def _ask(self, address: str) -> None:
+    def _send_query(self, address: str) -> None:
         now = runtime.read_clock()
-        unanswered, is_silent = note_asked(self._unanswered, address, now)
+        unanswered, is_silent = record_query(self._unanswered, address, now)
         self._unanswered = unanswered
         if is_silent:
             self._redial(address)
         held = read_held(self._holder)
-        question = self._monitor.ask(held, self._own_address)
-        self._send(address, question)
+        query = self._monitor.make_query(held, self._own_address)
+        self._send(address, query)
 
-    def _push(self, message: Push) -> None:
+    def _push_revision(self, message: Push) -> None:
         revision = message.revision
         self._delta = find_delta(self._pushed, revision)
         self._pushed = revision
@@ -156,11 +158,11 @@
             self._send(address, update)
 
 
-_TAKERS: Final[Mapping[type, Callable[[Spread, Arrived], None]]] = {
+_RECEIVERS: Final[Mapping[type, Callable[[Spread, Arrived], None]]] = {
     RevisionQuery: Spread._answer_query,
-    Delta: Spread._take_delta,
-    Offer: Spread._take_offer,
-    RevisionAnswer: Spread._take_answer,
+    Delta: Spread._receive_delta,
+    Offer: Spread._receive_offer,
+    RevisionAnswer: Spread._receive_answer,
 }
 
 
--- a/toucanhall/spread/comparison.py
+++ b/toucanhall/spread/comparison.py
@@ -4,24 +4,30 @@
 from typing import Final, NamedTuple
 
 from toucanhall.spread.acceptance import Known
-from toucanhall.spread.freshness import Freshness, is_settled, learn
+from toucanhall.spread.freshness import Freshness, is_settled, record_evidence
 from toucanhall.spread.messages import RevisionQuery, RevisionAnswer
 
-__all__ = ('Comparison', 'ask', 'hear_ask', 'hear_told', 'tell')
+__all__ = (
+    'Comparison',
+    'make_query',
+    'receive_query',
+    'receive_answer',
+    'make_answer',
+)
 
-_ANSWER_SECONDS: Final = 10.0
+_ANSWER_TIMEOUT_SECONDS: Final = 10.0
 
 
 class Comparison(NamedTuple):
     """Questions without an answer, by nonce, and the newest revision heard."""
 
     freshness: Freshness
-    asked: Mapping[int, float]
+    open_queries: Mapping[int, float]
     nonce: int = 0
-    heard: Known = Known()
+    newest: Known = Known()
 
 
-def ask(
+def make_query(
     state: Comparison,
     held: Known,
     address: str,
@@ -29,34 +35,34 @@
 ) -> tuple[Comparison, RevisionQuery]:
     """Return a new question that was sent at `now`."""
     nonce = state.nonce + 1
-    waiting = {
-        number: asked_at
-        for number, asked_at in state.asked.items()
-        if now - asked_at < _ANSWER_SECONDS
+    recent = {
+        number: sent_at
+        for number, sent_at in state.open_queries.items()
+        if now - sent_at < _ANSWER_TIMEOUT_SECONDS
     }
     return (
-        state._replace(asked={**waiting, nonce: now}, nonce=nonce),
+        state._replace(open_queries={**recent, nonce: now}, nonce=nonce),
         RevisionQuery(nonce, address, held.number, held.change),
     )
 
 
-def hear_ask(state: Comparison, question: RevisionQuery) -> Comparison:
+def receive_query(state: Comparison, query: RevisionQuery) -> Comparison:
     """Note what the asking peer holds."""
-    return _note(state, Known(question.number, question.change))
+    return _record_known(state, Known(query.number, query.change))
 
 
-def tell(
-    state: Comparison, held: Known, question: RevisionQuery, now: float
+def make_answer(
+    state: Comparison, held: Known, query: RevisionQuery, now: float
 ) -> RevisionAnswer:
     """Return the answer to a peer's question."""
     freshness = state.freshness
     age = None
     if freshness.as_of is not None and is_settled(freshness, now):
         age = now - freshness.as_of
-    return RevisionAnswer(question.nonce, held.number, held.change, age)
+    return RevisionAnswer(query.nonce, held.number, held.change, age)
 
 
-def hear_told(
+def receive_answer(
     state: Comparison,
     held: Known,
     answer: RevisionAnswer,
@@ -68,20 +74,22 @@
     It proves something only when it answers an open question, comes from a
     peer that relies on its own revision, and names none newer than the held.
     """
-    asked_at = state.asked.get(answer.nonce)
-    state = _note(state, Known(answer.number, answer.change))
-    if asked_at is None:
+    sent_at = state.open_queries.get(answer.nonce)
+    state = _record_known(state, Known(answer.number, answer.change))
+    if sent_at is None:
         return state
     remaining = {
-        nonce: at for nonce, at in state.asked.items() if nonce != answer.nonce
+        nonce: query_sent_at
+        for nonce, query_sent_at in state.open_queries.items()
+        if nonce != answer.nonce
     }
-    state = state._replace(asked=remaining)
+    state = state._replace(open_queries=remaining)
     if answer.age is None or (answer.number, answer.change) > held:
         return state
-    as_of = asked_at - max(0, answer.age)
-    freshness = learn(state.freshness, as_of, peer, now)
+    as_of = sent_at - max(0, answer.age)
+    freshness = record_evidence(state.freshness, as_of, peer, now)
     return state._replace(freshness=freshness)
 
 
-def _note(state: Comparison, known: Known) -> Comparison:
-    return state._replace(heard=max(state.heard, known))
+def _record_known(state: Comparison, known: Known) -> Comparison:
+    return state._replace(newest=max(state.newest, known))
--- a/toucanhall/spread/freshness.py
+++ b/toucanhall/spread/freshness.py
@@ -11,34 +11,34 @@
 __all__ = (
     'FRESH_SECONDS',
     'Freshness',
-    'PAUSE_SECONDS',
+    'MIN_PAUSE_SECONDS',
     'SETTLE_SECONDS',
-    'SOURCES_NEEDED',
-    'STEP_SECONDS',
+    'REQUIRED_SOURCES_COUNT',
+    'MAX_TICK_GAP_SECONDS',
     'STORE',
     'begin',
     'is_settled',
-    'learn',
+    'record_evidence',
     'may_serve',
     'tick',
 )
 
 STORE: Final = 'store'  # the source that is no VM
-STEP_SECONDS: Final = 1.0
-PAUSE_SECONDS: Final = 3.0
+MAX_TICK_GAP_SECONDS: Final = 1.0
+MIN_PAUSE_SECONDS: Final = 3.0
 FRESH_SECONDS: Final = 5.0
 SETTLE_SECONDS: Final = 4.0
-SOURCES_NEEDED: Final = 2
+REQUIRED_SOURCES_COUNT: Final = 2
 
 
 class Freshness(NamedTuple):
     """What a VM knows of the age of its revision.
 
-    After a start or a pause it is not settled until `needed` sources gave
+    After a start or a pause it is not settled until `required_sources` sources gave
     fresh evidence; one is not enough where there are more, as the store may
-    have come back older. `ran` counts the seconds in which the VM ran without
+    have come back older. `running_seconds` counts the seconds in which the VM ran without
     a gap since the time of its newest evidence: after enough of them the VM or
-    the store is cut off, and it goes on with what it has. `waited` counts the
+    the store is cut off, and it goes on with what it has. `unsettled_seconds` counts the
     seconds that it ran without being settled, whatever it heard: when all VMs
     start at once, none of them can be a source for the others.
     """
@@ -46,10 +46,10 @@
     ticked_at: float
     settled: bool = False
     as_of: float | None = None
-    ran: float = 0.0
+    running_seconds: float = 0.0
     sources: frozenset[str] = frozenset()
-    needed: int = SOURCES_NEEDED
-    waited: float = 0.0
+    required_sources: int = REQUIRED_SOURCES_COUNT
+    unsettled_seconds: float = 0.0
 
 
 def begin(now: float) -> Freshness:
@@ -62,20 +62,30 @@
 
     `peers` is the number of other VMs, none before they are known.
     """
-    gap = now - state.ticked_at
+    gap_seconds = now - state.ticked_at
     state = state._replace(ticked_at=now)
     if peers is not None:
-        state = state._replace(needed=min(SOURCES_NEEDED, 1 + peers))
-    if gap > PAUSE_SECONDS:
-        return begin(now)._replace(as_of=state.as_of, needed=state.needed)
-    if gap <= STEP_SECONDS:
-        waited = 0.0 if state.settled else state.waited + gap
-        ran = min(state.ran + gap, SETTLE_SECONDS)
-        state = state._replace(ran=ran, waited=waited)
+        state = state._replace(
+            required_sources=min(REQUIRED_SOURCES_COUNT, 1 + peers)
+        )
+    if gap_seconds > MIN_PAUSE_SECONDS:
+        return begin(now)._replace(
+            as_of=state.as_of, required_sources=state.required_sources
+        )
+    if gap_seconds <= MAX_TICK_GAP_SECONDS:
+        unsettled_seconds = (
+            0.0 if state.settled else state.unsettled_seconds + gap_seconds
+        )
+        running_seconds = min(
+            state.running_seconds + gap_seconds, SETTLE_SECONDS
+        )
+        state = state._replace(
+            running_seconds=running_seconds, unsettled_seconds=unsettled_seconds
+        )
     return _settle(state)
 
 
-def learn(
+def record_evidence(
     state: Freshness,
     as_of: float,
     source: str,
@@ -83,15 +93,17 @@
 ) -> Freshness:
     """Return the state after evidence of a time from the store or a VM."""
     newest = as_of if state.as_of is None else max(as_of, state.as_of)
-    learnt = state._replace(as_of=newest)
+    updated = state._replace(as_of=newest)
     # Old evidence that peers go on telling does not begin the count anew.
-    ran = min(state.ran, max(0.0, now - as_of))
-    if now - state.ticked_at > PAUSE_SECONDS or now - as_of > FRESH_SECONDS:
-        return learnt
+    running_seconds = min(state.running_seconds, max(0.0, now - as_of))
+    if now - state.ticked_at > MIN_PAUSE_SECONDS or now - as_of > FRESH_SECONDS:
+        return updated
     if state.settled:
-        return learnt._replace(ran=ran)
+        return updated._replace(running_seconds=running_seconds)
     return _settle(
-        learnt._replace(ran=ran, sources=state.sources | {source}),
+        updated._replace(
+            running_seconds=running_seconds, sources=state.sources | {source}
+        ),
     )
 
 
@@ -100,9 +112,9 @@
 
     A VM that keeps being paused for a moment has neither.
     """
-    if not state.settled or now - state.ticked_at > PAUSE_SECONDS:
+    if not state.settled or now - state.ticked_at > MIN_PAUSE_SECONDS:
         return False
-    if state.ran >= SETTLE_SECONDS:
+    if state.running_seconds >= SETTLE_SECONDS:
         return True
     return state.as_of is not None and now - state.as_of <= FRESH_SECONDS
 
@@ -115,7 +127,9 @@
 
 
 def _settle(state: Freshness) -> Freshness:
-    is_enough = len(state.sources) >= state.needed
-    if is_enough or state.waited >= SETTLE_SECONDS:
-        return state._replace(settled=True, waited=0.0, sources=frozenset())
+    is_enough = len(state.sources) >= state.required_sources
+    if is_enough or state.unsettled_seconds >= SETTLE_SECONDS:
+        return state._replace(
+            settled=True, unsettled_seconds=0.0, sources=frozenset()
+        )
     return state
--- a/toucanhall/spread/monitor.py
+++ b/toucanhall/spread/monitor.py
@@ -13,7 +13,7 @@
     STORE,
     begin,
     is_settled,
-    learn,
+    record_evidence,
     may_serve,
     tick,
 )
@@ -21,7 +21,7 @@
 
 __all__ = ('FreshnessMonitor',)
 
-_WAIT_SECONDS: Final = SETTLE_SECONDS + 2
+_SETTLE_TIMEOUT_SECONDS: Final = SETTLE_SECONDS + 2
 
 
 class FreshnessMonitor:
@@ -36,7 +36,7 @@
     def tick(self, peers: int | None) -> None:
         """Note that the process runs; called several times a second."""
         now = runtime.read_clock()
-        self._change(
+        self._update(
             lambda state: state._replace(
                 freshness=tick(state.freshness, now, peers),
             ),
@@ -48,38 +48,44 @@
                 events.FRESHNESS_GAINED if settled else events.FRESHNESS_LOST,
             )
 
-    def learn(self, as_of: float) -> None:
+    def record_evidence(self, as_of: float) -> None:
         """Note that the store itself held no newer revision at a time."""
         now = runtime.read_clock()
-        self._change(
+        self._update(
             lambda state: state._replace(
-                freshness=learn(state.freshness, as_of, STORE, now),
+                freshness=record_evidence(state.freshness, as_of, STORE, now),
             ),
         )
 
-    def ask(self, held: Known, address: str) -> RevisionQuery:
+    def make_query(self, held: Known, address: str) -> RevisionQuery:
         """Return a question for a peer."""
         now = runtime.read_clock()
         with self._lock:
-            asked = comparison.ask(self._state, held, address, now)
-            self._state = asked[0]
-        return asked[1]
+            state_and_query = comparison.make_query(
+                self._state, held, address, now
+            )
+            self._state = state_and_query[0]
+        return state_and_query[1]
 
-    def answer(self, held: Known, question: RevisionQuery) -> RevisionAnswer:
+    def make_answer(self, held: Known, query: RevisionQuery) -> RevisionAnswer:
         """Return the answer to a peer's question."""
-        self._change(lambda state: comparison.hear_ask(state, question))
-        return comparison.tell(
+        self._update(lambda state: comparison.receive_query(state, query))
+        return comparison.make_answer(
             self._state,
             held,
-            question,
+            query,
             runtime.read_clock(),
         )
 
-    def hear(self, held: Known, answer: RevisionAnswer, peer: str) -> None:
+    def receive_answer(
+        self, held: Known, answer: RevisionAnswer, peer: str
+    ) -> None:
         """Take the answer of a peer."""
         now = runtime.read_clock()
-        self._change(
-            lambda state: comparison.hear_told(state, held, answer, peer, now),
+        self._update(
+            lambda state: comparison.receive_answer(
+                state, held, answer, peer, now
+            ),
         )
 
     def is_settled(self) -> bool:
@@ -89,7 +95,7 @@
     def wait_settled(self) -> bool:
         """Wait until revisions were compared; return whether they were."""
         with self._lock:
-            return self._lock.wait_for(self.is_settled, _WAIT_SECONDS)
+            return self._lock.wait_for(self.is_settled, _SETTLE_TIMEOUT_SECONDS)
 
     def may_serve(self, hold_seconds: float) -> bool:
         """Return whether keys may be relied on."""
@@ -106,9 +112,9 @@
 
     def read_heard(self) -> Known:
         """Return the newest revision that any peer named."""
-        return self._state.heard
+        return self._state.newest
 
-    def _change(self, change: Callable[[Comparison], Comparison]) -> None:
+    def _update(self, update: Callable[[Comparison], Comparison]) -> None:
         with self._lock:
-            self._state = change(self._state)
+            self._state = update(self._state)
             self._lock.notify_all()
--- a/toucanhall/spread/patches.py
+++ b/toucanhall/spread/patches.py
@@ -50,8 +50,8 @@
     if base is None:
         return None
     delta = make_delta(base, revision)
-    leads_there = isinstance(apply_delta(base, delta), Success)
-    return delta if leads_there else None
+    is_exact = isinstance(apply_delta(base, delta), Success)
+    return delta if is_exact else None
 
 
 def apply_delta(base: Revision, delta: Delta) -> Result[bytes, str]:
--- a/toucanhall/spread/record.py
+++ b/toucanhall/spread/record.py
@@ -9,10 +9,17 @@
 from toucanhall.catalogue.reading import revise_after
 from toucanhall.documents import Finding
 
-__all__ = ('CATALOGUE_NAME', 'Record', 'decode', 'encode', 'parse', 'succeed')
+__all__ = (
+    'CATALOGUE_NAME',
+    'Record',
+    'decode',
+    'encode',
+    'parse',
+    'make_successor',
+)
 
 CATALOGUE_NAME: Final = 'catalogue'
-_HISTORY_LENGTH: Final = 32  # change ids
+_MAX_HISTORY_CHANGES: Final = 32  # change ids
 
 
 class Record(NamedTuple):
@@ -27,14 +34,14 @@
     history: tuple[str, ...] = ()
 
 
-def succeed(
+def make_successor(
     base: Record,
     number: int,
     change: str,
     document: bytes,
 ) -> Record:
     """Return the record that replaces a base."""
-    history = (*base.history, base.change)[-_HISTORY_LENGTH:]
+    history = (*base.history, base.change)[-_MAX_HISTORY_CHANGES:]
     return Record(number, change, document.decode(), history)
 
 
@@ -45,7 +52,7 @@
     base: Record | None = None,
 ) -> bytes:
     """Return the content of the catalogue object."""
-    record = succeed(base or Record(), number, change, document)
+    record = make_successor(base or Record(), number, change, document)
     return msgspec.json.encode(record)
 
 
--- a/toucanhall/spread/silence.py
+++ b/toucanhall/spread/silence.py
@@ -7,12 +7,12 @@
 from collections.abc import Mapping
 from typing import Final
 
-__all__ = ('SILENT_SECONDS', 'note_answered', 'note_asked')
+__all__ = ('SILENT_AFTER_SECONDS', 'record_answer', 'record_query')
 
-SILENT_SECONDS: Final = 4.0
+SILENT_AFTER_SECONDS: Final = 4.0
 
 
-def note_asked(
+def record_query(
     unanswered: Mapping[str, float],
     address: str,
     now: float,
@@ -21,12 +21,12 @@
     since = unanswered.get(address)
     if since is None:
         return {**unanswered, address: now}, False
-    if now - since < SILENT_SECONDS:
+    if now - since < SILENT_AFTER_SECONDS:
         return unanswered, False
     return {**unanswered, address: now}, True
 
 
-def note_answered(
+def record_answer(
     unanswered: Mapping[str, float],
     address: str,
 ) -> Mapping[str, float]:
--- a/toucanhall/spread/watcher.py
+++ b/toucanhall/spread/watcher.py
@@ -22,8 +22,8 @@
 
 __all__ = ('Watcher',)
 
-_WAIT_SECONDS: Final = 2.0
-_PAUSE_SECONDS: Final = 1.0
+_WATCH_TIMEOUT_SECONDS: Final = 2.0
+_RETRY_DELAY_SECONDS: Final = 1.0
 
 
 class Watcher:
@@ -44,7 +44,7 @@
         self._monitor = monitor
         self._may_watch = may_watch
         self._stopping = stopping
-        self._available = True
+        self._is_available = True
         self._version = -1
 
     def start(self) -> None:
@@ -55,26 +55,26 @@
     def _run(self) -> None:
         while not self._stopping.is_set():
             if not self._may_watch() or not self._watch():
-                self._stopping.wait(_PAUSE_SECONDS)
+                self._stopping.wait(_RETRY_DELAY_SECONDS)
 
     def _watch(self) -> bool:
         started_at = runtime.read_clock()
         watched = self._platform.watch(
             CATALOGUE_NAME,
             self._version,
-            _WAIT_SECONDS,
+            _WATCH_TIMEOUT_SECONDS,
         )
-        self._note_available(available=is_successful(watched))
+        self._record_availability(is_available=is_successful(watched))
         if not isinstance(watched, Success):
             return False
         stored = watched.unwrap()
-        if not self._take(stored):
+        if not self._apply_stored(stored):
             return False
         self._version = stored.version
-        self._monitor.learn(started_at)
+        self._monitor.record_evidence(started_at)
         return True
 
-    def _take(self, stored: Stored) -> bool:
+    def _apply_stored(self, stored: Stored) -> bool:
         parsed = parse(stored.content)
         parsed.alt(log_invalid)
         if not isinstance(parsed, Success):
@@ -99,10 +99,12 @@
             events.log(events.CATALOGUE_RESTORED, revision=held.number)
         return is_successful(written)
 
-    def _note_available(self, *, available: bool) -> None:
-        if available == self._available:
+    def _record_availability(self, *, is_available: bool) -> None:
+        if is_available == self._is_available:
             return
-        self._available = available
+        self._is_available = is_available
         events.log(
-            events.STORE_AVAILABLE if available else events.STORE_UNAVAILABLE,
+            events.STORE_AVAILABLE
+            if is_available
+            else events.STORE_UNAVAILABLE,
         )
