--- a/tests/models/test_freshness_model.py
+++ b/tests/models/test_freshness_model.py
@@ -1,10 +1,11 @@
 """Model of a VM that is paused or cut off while a key is withdrawn.
 
-A second passes at a time. While the VM runs and is connected, it compares its
-revision with two sources each second. An answer that was under way when a pause
-began waits in a buffer until the VM resumes. A pause lasts longer than a step;
-a VM that ticks in time is taken to run and to be answered. Times are relative
-to now, and end at one that is past every bound, so that the state space is
+Guards against a withdrawn key being served for too long. Time advances by one
+second. While the VM runs and is connected, it compares its revision with two
+sources each second. An answer in transit when a pause starts is buffered until
+the VM resumes. A pause is longer than `MAX_TICK_GAP_SECONDS`; a VM that ticks
+in time counts as running and answered. Times are relative to now and limited
+to `MIN_TIME_SECONDS`, which is past every bound, so that the state space is
 finite.
 """
 
@@ -23,7 +24,7 @@
 
 HOLD_SECONDS = 9
 MIN_TIME_SECONDS = -11
-# An accepted configuration is to be in force within this, as the target says.
+# The target: an accepted configuration is in force within this time.
 MAX_LAG_SECONDS = 8
 SOURCES = (freshness.STORE, 'peer')
 
@@ -31,8 +32,8 @@
 class State(NamedTuple):
     """The VM, its buffer, and when the key was withdrawn.
 
-    `was_cut` tells that it ran cut off and has not been connected since, nor
-    been paused for long.
+    `was_cut` is set after the VM ran while cut off, until it is connected
+    again or has been paused for longer than `MIN_PAUSE_SECONDS`.
     """
 
     freshness: Freshness = Freshness(0, settled=True, as_of=0)
@@ -45,7 +46,7 @@
 
 
 class Rules(NamedTuple):
-    """The decisions that the model runs; a variant replaces one."""
+    """The functions under test; a variant replaces one."""
 
     tick: object = freshness.tick
     record_evidence: object = freshness.record_evidence
@@ -53,7 +54,7 @@
 
 
 def list_steps(state, rules):
-    """Yield what can happen next."""
+    """Yield the possible next transitions."""
     if state.withdrawn_at is None:
         withdrawn = state._replace(withdrawn_at=0, has_newest=False)
         yield 'key is withdrawn', withdrawn
@@ -77,7 +78,7 @@
 
 
 def pass_second(state, rules):
-    """Let a second pass, with the regular work of a VM that runs."""
+    """Advance by one second, with the regular work of a running VM."""
     state = shift(state)
     if state.is_paused:
         is_long = -state.freshness.ticked_at > freshness.MIN_PAUSE_SECONDS
@@ -92,7 +93,7 @@
 
 
 def shift(state):
-    """Move every time a second into the past."""
+    """Shift every time one second into the past."""
     known = state.freshness
     return state._replace(
         freshness=known._replace(
@@ -105,12 +106,12 @@
 
 
 def age(time):
-    """Return a relative time as it is a second later."""
+    """Return a relative time as of one second later."""
     return None if time is None else max(time - 1, MIN_TIME_SECONDS)
 
 
 def record_evidence(state, rules, asked_at):
-    """Take the answers to questions that were sent at a time."""
+    """Record the answers to the queries that were sent at `asked_at`."""
     known = state.freshness
     for source in SOURCES:
         known = rules.record_evidence(known, asked_at, source, 0)
@@ -130,7 +131,7 @@
 
 
 def check(**variant):
-    """Check the complete state space under the rules of a variant."""
+    """Explore the complete state space with the rules of a variant."""
     rules = Rules(**variant)
 
     def is_bounded(fields):
--- a/tests/models/test_spread_model.py
+++ b/tests/models/test_spread_model.py
@@ -1,8 +1,10 @@
-"""Model of accepted changes: two operators, two VMs, a store that forgets.
+"""Model of accepted changes: two operators, two VMs and one store.
 
-`left` goes through VM one and `right` through VM two, both for revision 1.
-Writes may be lost, delayed, or lose their replies. The store may come back
-older once. VM two restarts with nothing, as long as one has all that it had.
+Guards against accepted changes that are lost, and outcomes that are reported
+wrongly. `left` goes through VM one and `right` through VM two, both to replace
+revision 1. Writes may be lost, delayed, or lose their replies. The store may
+be restored to its previous content once. VM two may restart empty, as long as
+VM one has all that it had.
 """
 
 from functools import partial
@@ -41,7 +43,7 @@
 
 
 class Operator(NamedTuple):
-    """A change: its next step, attempt, base and content, and late copies."""
+    """A change: its next step, attempt and content; a delayed write of it."""
 
     step: Step | None = None
     attempt: Attempt | None = None
@@ -51,7 +53,7 @@
 
 
 class State(NamedTuple):
-    """The store, what the VMs hold, and what was seen so far."""
+    """The store, the records of the VMs, and what was observed so far."""
 
     stored: Record = BASE
     version: int = 1
@@ -68,7 +70,7 @@
 
 
 class Rules(NamedTuple):
-    """The decisions that the model runs; a variant replaces one."""
+    """The functions under test; a variant replaces one."""
 
     get_verdict: object = get_verdict
     check_base: object = check_base
@@ -78,17 +80,17 @@
 
 
 def rank(record):
-    """Return the place of a record in the order of revisions."""
+    """Return the sort key of a record in the order of revisions."""
     return Known(record.number, record.change)
 
 
 def changes(record):
-    """Return every change that led to a record."""
+    """Return the change ids of a record and of its history."""
     return {*record.history, record.change}
 
 
 def list_steps(state, rules):
-    """Yield what can happen next."""
+    """Yield the possible next transitions."""
     for name in VIA:
         yield from run_operator(state, rules, name)
     for vm in ('one', 'two'):
@@ -117,7 +119,7 @@
 
 
 def can_forget(state, rules):
-    """Return whether the store may come back older here."""
+    """Return whether the store may be restored to older content now."""
     if state.has_forgotten or state.earlier is None:
         return False
     known = state.one == state.two == state.stored
@@ -125,7 +127,7 @@
 
 
 def run_operator(state, rules, name):
-    """Yield the steps of one change."""
+    """Yield the transitions of one change."""
     operator = getattr(state, name)
     if operator.step is None:
         yield f'{name} reads', start_change(state, rules, name)
@@ -142,7 +144,7 @@
 
 
 def start_change(state, rules, name):
-    """Judge the base; VM two takes none before it is settled."""
+    """Check the base; VM two accepts no change before it is settled."""
     vm = VIA[name]
     if vm == 'two' and not freshness.is_settled(state.evidence, 0):
         return state
@@ -158,7 +160,7 @@
 
 
 def write(state, rules, name):
-    """Yield the fates of one try of a conditional write."""
+    """Yield the possible results of one conditional write."""
     operator = getattr(state, name)
     next_state = partial(advance, rules=rules, name=name)
     if state.version == operator.attempt.version:
@@ -185,7 +187,7 @@
 
 
 def advance(state, rules, name, event):
-    """Take the next step of a change; an accepted one is in force at its VM."""
+    """Apply an event to a change; an accepted one is in force at its VM."""
     operator = getattr(state, name)
     attempt, step = rules.decide_step(operator.attempt, event)
     state = state._replace(
@@ -197,7 +199,7 @@
 
 
 def store(state, content):
-    """Put a content into the store."""
+    """Write a record to the store."""
     return state._replace(
         stored=content,
         version=state.version + 1,
@@ -206,7 +208,7 @@
 
 
 def offer_record(state, rules, vm, record):
-    """Offer a record to a VM, and note whether what it serves went back."""
+    """Offer a record to a VM; record whether its revision went back."""
     held = getattr(state, vm)
     known = held if held.number else None
     verdict = rules.get_verdict(known, record.number, record.change)
@@ -220,7 +222,7 @@
 
 
 def record_served(state):
-    """Note the newest revision that VM two served, across its restarts."""
+    """Record the newest revision that VM two served, across its restarts."""
     if not freshness.is_settled(state.evidence, 0):
         return state
     return state._replace(
@@ -230,7 +232,7 @@
 
 
 def watch(state, rules, vm):
-    """Read the store; an older content is replaced by the held one."""
+    """Read the store; older content is replaced by the held record."""
     held = getattr(state, vm)
     if rank(state.stored) < rank(held):
         return store(state, held)
@@ -239,7 +241,7 @@
 
 
 def record_evidence(state, source):
-    """Note evidence of VM two; its sources matter only until it is settled."""
+    """Record evidence of VM two; sources count only until it is settled."""
     if freshness.is_settled(state.evidence, 0):
         return state
     updated = freshness.record_evidence(state.evidence, 0, source, 0)
@@ -247,7 +249,7 @@
 
 
 def query_first_vm(state, rules):
-    """Let VM two compare with one, which offers what is missing."""
+    """Let VM two query VM one, which offers its newer revision."""
     state = offer_record(state, rules, 'two', state.one)
     if freshness.is_settled(state.evidence, 0):
         return state
@@ -273,7 +275,7 @@
 
 
 def is_refusal_true(fields):
-    """Return whether no change that was told as not written is anywhere."""
+    """Return whether no change that was reported as not written exists."""
     return not any(
         name in changes(fields[place])
         for name in VIA
@@ -283,13 +285,13 @@
 
 
 def is_unique(fields):
-    """Return whether one number has one content at the VMs."""
+    """Return whether VMs with the same number hold the same change."""
     first, second = fields['one'], fields['two']
     return first.number != second.number or first.change == second.change
 
 
 def check(**variant):
-    """Check the complete state space under the rules of a variant."""
+    """Explore the complete state space with the rules of a variant."""
     rules = Rules(**variant)
     protocol = Protocol(
         name='spread',
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -42,7 +42,7 @@
         (LATER, Known(6, 'later'), BaseVerdict.DONE),
     ],
 )
-def test_base_of_a_change_is_judged(stored, known, verdict):
+def test_base_of_a_change_is_compared_with_the_store(stored, known, verdict):
     assert check_base(4, 'ours', known, stored) is verdict
 
 
@@ -59,11 +59,11 @@
         (WriteFailed(conflict=True), Step.READ),
     ],
 )
-def test_lost_reply_is_settled_by_the_change_id(event, step):
+def test_lost_reply_is_resolved_by_the_change_id(event, step):
     assert decide_step(SENT, event)[1] is step
 
 
-def test_first_try_that_had_no_effect_is_final():
+def test_first_write_without_effect_is_final():
     fresh = Attempt('ours', 'base', 7)
     assert decide_step(fresh, WriteFailed(conflict=True))[1] is Step.CONFLICT
     assert decide_step(fresh, WriteFailed(conflict=False))[1] is Step.REFUSED
@@ -82,7 +82,7 @@
     return freshness.record_evidence(state, as_of, 'peer', now)
 
 
-def test_pause_takes_the_right_to_serve_until_fresh_evidence():
+def test_paused_vm_may_not_serve_until_fresh_evidence():
     state = learn_twice(freshness.begin(0), 0, 0)
     assert freshness.may_serve(state, 1, 60)
     assert not freshness.may_serve(state, 10, 60)
@@ -99,7 +99,7 @@
     assert freshness.is_settled(freshness.tick(state, 0, 0), 0)
 
 
-def test_cut_off_vm_serves_up_to_the_bound():
+def test_cut_off_vm_serves_up_to_the_hold_time():
     state = learn_twice(freshness.begin(0), 0, 0)
     for now in range(1, 61):
         state = freshness.tick(state, now, 5)
@@ -107,7 +107,7 @@
     assert not freshness.may_serve(freshness.tick(state, 61, 5), 61, 60)
 
 
-def test_fresh_vm_in_a_cut_off_zone_starts_after_a_bound():
+def test_started_vm_in_a_cut_off_zone_serves_after_the_settle_time():
     state = learn_twice(freshness.begin(100), 40, 100)
     for now in (101, 102, 103):
         state = freshness.tick(state, now, 5)
@@ -124,7 +124,7 @@
     assert freshness.may_serve(state, 4, 60)
 
 
-def test_vm_that_stutters_is_not_taken_for_cut_off():
+def test_vm_with_short_pauses_does_not_count_as_cut_off():
     state = learn_twice(freshness.begin(0), 0, 0)
     for now in range(2, 20, 2):
         state = freshness.tick(state, now, 5)
@@ -132,12 +132,12 @@
 
 
 def make_comparison(now=0):
-    """Return a comparison with one question, asked at a time."""
+    """Return a comparison with one query, sent at `now`."""
     start = Comparison(freshness.begin(now), {})
     return comparison.make_query(start, HELD, '127.2.0.1', now)[0]
 
 
-def test_answer_counts_from_when_it_was_asked():
+def test_answer_is_evidence_as_of_the_time_of_its_query():
     answer = RevisionAnswer(1, 5, 'a', 2)
     state = comparison.receive_answer(
         make_comparison(10), HELD, answer, 'b', 12
@@ -154,13 +154,13 @@
         RevisionAnswer(1, 5, 'b', 0),
     ],
 )
-def test_answer_that_proves_nothing(answer):
+def test_answer_that_is_no_evidence_updates_the_newest_revision_only(answer):
     state = comparison.receive_answer(make_comparison(), HELD, answer, 'b', 1)
     assert state.freshness.as_of is None
     assert state.newest == (answer.number, answer.change)
 
 
-def test_paused_peer_proves_nothing():
+def test_paused_peer_reports_no_age():
     asking = make_comparison()
     peer = Comparison(learn_twice(freshness.begin(0), 0, 0), {})
     query = comparison.make_query(asking, HELD, '127.2.0.1', 20)[1]
@@ -178,7 +178,7 @@
     assert not record_query(state, 'peer', SILENT_AFTER_SECONDS + 1)[1]
 
 
-def test_answer_ends_the_wait():
+def test_answer_keeps_a_connection_from_being_replaced():
     state, _ = record_query({}, 'peer', 0)
     state = record_answer(state, 'peer')
     assert not record_query(state, 'peer', SILENT_AFTER_SECONDS)[1]
--- a/tests/unit/test_spread_freshness.py
+++ b/tests/unit/test_spread_freshness.py
@@ -1,4 +1,4 @@
-"""Tests of the age of the revision that a VM holds."""
+"""Tests that VMs stay settled when the store stops answering."""
 
 from toucanhall.spread.freshness import begin, is_settled, record_evidence, tick
 
@@ -8,10 +8,10 @@
 
 
 def run_until(end_seconds):
-    """Return every state while the store falls silent at `LOST_AT_SECONDS`.
+    """Yield each time and state; the store is lost at `LOST_AT_SECONDS`.
 
-    Until then the peers know the store of a moment ago; after it they go on
-    telling of the same last moment, each step of another one.
+    Until then the evidence of the peers is `RELAY_SECONDS` old; afterwards
+    they keep relaying the last evidence.
     """
     state, now = begin(0), 0.0
     while now < end_seconds:
@@ -23,7 +23,7 @@
         yield now, state
 
 
-def test_vms_serve_on_when_the_store_falls_silent():
+def test_vms_stay_settled_when_the_store_is_lost():
     unsettled = [
         now
         for now, state in run_until(40)
@@ -32,7 +32,7 @@
     assert not unsettled
 
 
-def test_peers_that_relay_slowly_leave_no_gap():
+def test_vm_stays_settled_when_peers_relay_slowly():
     state, now = begin(0), 0.0
     unsettled = []
     while now < 30:
--- a/tests/unit/test_spread_patches.py
+++ b/tests/unit/test_spread_patches.py
@@ -1,4 +1,4 @@
-"""Tests of revisions that are carried as differences."""
+"""Tests of revisions that are sent as merge patches."""
 
 import msgspec
 from hypothesis import given
@@ -32,7 +32,7 @@
 
 
 @given(DOCUMENTS, DOCUMENTS)
-def test_delta_leads_from_any_document_to_any_other(base, wanted):
+def test_delta_turns_any_document_into_any_other(base, wanted):
     first, second = make_plain(1, base), make_plain(2, wanted)
     applied = apply_delta(first, make_delta(first, second))
     assert applied.unwrap() == second.document
@@ -45,7 +45,7 @@
     assert delta.patch == b'{"keys":{"hostels-key":null}}'
 
 
-def test_delta_of_another_base_or_a_false_digest_is_not_applied():
+def test_delta_with_another_base_or_digest_is_not_applied():
     first = make_plain(1, {'one': 1})
     second = make_plain(2, {'one': 2})
     delta = make_delta(first, second)
@@ -55,7 +55,7 @@
     assert 'digest' in apply_delta(first, invalid).failure()
 
 
-def test_document_in_another_form_goes_as_a_whole():
+def test_document_not_in_canonical_form_has_no_delta():
     first = make_plain(1, {'one': 1})
     second = make_plain(2, {})._replace(document=b'{"two": 1, "one": 1}')
     assert find_delta(first, second) is None
--- a/toucanhall/spread/__init__.py
+++ b/toucanhall/spread/__init__.py
@@ -1,4 +1,4 @@
-"""Carries catalogue revisions between the store and the VMs."""
+"""Distributes catalogue revisions between the store and the VMs."""
 
 from toucanhall.spread.accepting import Accepting, Change
 from toucanhall.spread.actor import Spread
--- a/toucanhall/spread/acceptance.py
+++ b/toucanhall/spread/acceptance.py
@@ -1,4 +1,4 @@
-"""Decides on an operator's change: when it may be written, when it counts."""
+"""Decides whether a change may be written and whether it was accepted."""
 
 import enum
 from typing import Final, NamedTuple, TypeAlias
@@ -23,7 +23,7 @@
 
 
 class BaseVerdict(enum.Enum):
-    """Whether a change may be written on top of what the store holds."""
+    """Whether a change may replace the revision in the store."""
 
     OPEN = 'open'
     DONE = 'done'
@@ -32,7 +32,7 @@
 
 
 class Step(enum.Enum):
-    """What comes next for a change that is being written."""
+    """The next step, or the final outcome, of a change being written."""
 
     WRITE = 'write'
     READ = 'read'
@@ -43,16 +43,16 @@
 
 
 class Known(NamedTuple):
-    """The newest number that this VM holds or heard of, and its change."""
+    """Number and change id of the newest revision known; newer is greater."""
 
     number: int = 0
     change: str = ''
 
 
 class Attempt(NamedTuple):
-    """A change on its way: its base, the version it replaces, its tries.
+    """A change being written, its base and the store version it replaces.
 
-    `is_sent` tells that an earlier try may still take effect.
+    `is_sent` is set when an earlier write may still take effect.
     """
 
     change: str
@@ -63,28 +63,28 @@
 
 
 class WriteSucceeded(NamedTuple):
-    """The store told that the write took effect."""
+    """The store confirmed the write."""
 
 
 class WriteFailed(NamedTuple):
-    """This try had no effect; `conflict` tells that the version moved on."""
+    """The write had no effect; `conflict`: the stored version differed."""
 
     conflict: bool
 
 
 class WriteUncertain(NamedTuple):
-    """The reply was lost: the write took effect, or may do so later."""
+    """The reply was lost: the write took effect, or may still do so."""
 
 
 class ReadSucceeded(NamedTuple):
-    """The store was read after a try."""
+    """The store was read after a write."""
 
     version: int
     record: Record
 
 
 class ReadFailed(NamedTuple):
-    """The store could not be read after a try."""
+    """The store could not be read after a write."""
 
 
 Event: TypeAlias = (
@@ -98,10 +98,10 @@
     known: Known,
     stored: Record,
 ) -> BaseVerdict:
-    """Judge a change that replaces revision `expected`.
+    """Return whether a change that replaces revision `expected` may be written.
 
-    A store that came back older is repaired before it takes a change, so that
-    no number is used twice.
+    A store that was restored to an older revision is repaired before it
+    accepts a change, so that no number is used twice.
     """
     if change in {stored.change, *stored.history}:
         return BaseVerdict.DONE
@@ -113,7 +113,7 @@
 
 
 def decide_step(attempt: Attempt, event: Event) -> tuple[Attempt, Step]:
-    """Return the attempt and its next step after a reply of the store."""
+    """Return the attempt and its next step after an event of the store."""
     if isinstance(event, WriteSucceeded):
         return attempt, Step.ACCEPTED
     if isinstance(event, ReadSucceeded):
@@ -129,11 +129,11 @@
     if attempt.change in {*record.history, record.change}:
         return attempt, Step.ACCEPTED
     if read.version == attempt.version:
-        # Writing again is what keeps a delayed write from landing later.
+        # Writing again keeps a delayed write from taking effect later.
         return attempt, Step.WRITE
     if attempt.base_change in record.history:
         return attempt, Step.CONFLICT
-    # The store came back older; what it lost may be this change.
+    # The store was restored to older content and may have lost this change.
     return _retry_read(attempt)
 
 
--- a/toucanhall/spread/accepting.py
+++ b/toucanhall/spread/accepting.py
@@ -1,4 +1,4 @@
-"""Writes an operator's change to the store and settles a lost reply."""
+"""Writes an operator's change to the store and resolves lost replies."""
 
 from collections.abc import Callable
 from typing import NamedTuple, TypeAlias
@@ -41,7 +41,7 @@
 
 
 class Change(NamedTuple):
-    """A document that shall replace revision `expected`."""
+    """A document that is to replace revision `expected`."""
 
     expected: int
     change: str
@@ -50,14 +50,14 @@
 
 
 class Accepted(NamedTuple):
-    """The change is kept by the store under this number."""
+    """The store holds the change under this revision number."""
 
     number: int
     change: str
 
 
 class ChangeConflict(NamedTuple):
-    """Another change came first; `found` is its revision."""
+    """Another change was written first; `found` is its revision."""
 
     expected: int
     found: int
@@ -65,19 +65,19 @@
 
 
 class Invalid(NamedTuple):
-    """The document is no valid catalogue."""
+    """The document is not a valid catalogue."""
 
     findings: tuple[Finding, ...]
 
 
 class Unaccepted(NamedTuple):
-    """Nothing was written, and nothing will be."""
+    """Nothing was written, and no write can take effect later."""
 
     what: str
 
 
 class ChangeUnknown(NamedTuple):
-    """The change may have been accepted: ask again by its change id."""
+    """The change may have been accepted: query it by its change id."""
 
     change: str
 
@@ -87,7 +87,7 @@
 
 
 class Accepting:
-    """Takes operators' changes; a change is accepted once the store has it."""
+    """Accepts operators' changes once the store has confirmed them."""
 
     def __init__(
         self,
@@ -97,14 +97,17 @@
         read_known: Callable[[], Known],
         wait_settled: Callable[[], bool],
     ) -> None:
-        """Refuse when this VM may not know what the fleet knows."""
+        """Refuse changes until `wait_settled` returns true.
+
+        Before that, this VM may not know the newest revision of the fleet.
+        """
         self._platform = platform
         self._holder = holder
         self._read_known = read_known
         self._wait_settled = wait_settled
 
     def accept(self, change: Change) -> Outcome:
-        """Write a change, or say why not; the outcome is the true one."""
+        """Write a change; return what is known for sure of its outcome."""
         if not self._wait_settled():
             return _refuse('this VM has not compared its revision yet')
         read = self._read()
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -1,4 +1,4 @@
-"""The actor that compares revisions with peers, offers and takes them."""
+"""Actor that compares revisions with peers and exchanges newer ones."""
 
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
@@ -26,7 +26,7 @@
 
 
 class Arrived(NamedTuple):
-    """A message of a peer, and the address at which it is reached."""
+    """A message received from a peer, and the address to reply to."""
 
     peer: str
     address: str
@@ -34,17 +34,17 @@
 
 
 class Compare(NamedTuple):
-    """Time to compare revisions with the contacts."""
+    """Timer message: compare revisions with the contacts."""
 
 
 class Push(NamedTuple):
-    """A new revision came into force here; tell the contacts."""
+    """A new revision is in force on this VM: send it to the contacts."""
 
     revision: Revision
 
 
 class Spread(pykka.ThreadingActor):
-    """Brings the newest revision to peers and learns it from them."""
+    """Sends the newest revision to peers and receives it from them."""
 
     use_daemon_thread = True
 
@@ -58,7 +58,7 @@
         redial: Callable[[str], None],
         list_contacts: Callable[[], tuple[str, ...]],
     ) -> None:
-        """Send with `send` to the addresses of the contacts."""
+        """`send` and `redial` take the address of a contact."""
         super().__init__()
         self._holder = holder
         self._monitor = monitor
@@ -116,7 +116,7 @@
                     document,
                 ),
             )
-        # The answer proves the new revision, or brings it whole.
+        # The answer confirms the new revision, or a whole offer follows it.
         self._send_query(arrived.address)
 
     def _revise(self, number: int, change: str, document: bytes) -> None:
@@ -173,12 +173,12 @@
 
 
 def make_offer(revision: Revision) -> Offer:
-    """Return the message that carries a revision."""
+    """Return the message that carries a whole revision."""
     return Offer(revision.number, revision.change, revision.document)
 
 
 def log_invalid(findings: tuple[Finding, ...]) -> Verdict:
-    """Log the errors of a revision that cannot be read."""
+    """Log the errors of a revision that cannot be decoded."""
     errors = [render(finding) for finding in findings]
     events.log(events.CATALOGUE_INVALID, errors=errors)
     return Verdict.STALE
--- a/toucanhall/spread/comparison.py
+++ b/toucanhall/spread/comparison.py
@@ -1,4 +1,4 @@
-"""Compares revisions with peers: who is behind, and what an answer proves."""
+"""Compares revisions with peers and derives evidence of freshness."""
 
 from collections.abc import Mapping
 from typing import Final, NamedTuple
@@ -19,7 +19,7 @@
 
 
 class Comparison(NamedTuple):
-    """Questions without an answer, by nonce, and the newest revision heard."""
+    """Unanswered queries by nonce, and the newest revision any peer named."""
 
     freshness: Freshness
     open_queries: Mapping[int, float]
@@ -33,7 +33,7 @@
     address: str,
     now: float,
 ) -> tuple[Comparison, RevisionQuery]:
-    """Return a new question that was sent at `now`."""
+    """Return a new query that is sent at `now`."""
     nonce = state.nonce + 1
     recent = {
         number: sent_at
@@ -47,14 +47,14 @@
 
 
 def receive_query(state: Comparison, query: RevisionQuery) -> Comparison:
-    """Note what the asking peer holds."""
+    """Record the revision that the querying peer holds."""
     return _record_known(state, Known(query.number, query.change))
 
 
 def make_answer(
     state: Comparison, held: Known, query: RevisionQuery, now: float
 ) -> RevisionAnswer:
-    """Return the answer to a peer's question."""
+    """Return the answer to a peer's query."""
     freshness = state.freshness
     age = None
     if freshness.as_of is not None and is_settled(freshness, now):
@@ -71,8 +71,9 @@
 ) -> Comparison:
     """Return the state after an answer of a peer.
 
-    It proves something only when it answers an open question, comes from a
-    peer that relies on its own revision, and names none newer than the held.
+    The answer is evidence only when it belongs to an open query, comes from a
+    peer that relies on its own revision, and names no newer revision than the
+    held one.
     """
     sent_at = state.open_queries.get(answer.nonce)
     state = _record_known(state, Known(answer.number, answer.change))
--- a/toucanhall/spread/freshness.py
+++ b/toucanhall/spread/freshness.py
@@ -1,9 +1,9 @@
 """Decides whether a VM may rely on the revision that it holds.
 
 `as_of` is the latest time, on the clock of this process, at which the store is
-known to have held no newer revision. It comes from a question that this VM
-sent at that time, so an answer that waited in a buffer during a pause proves
-nothing about the time of the pause.
+known to have held no newer revision. It is derived from the time at which this
+VM sent a query, so an answer that was buffered during a pause is no evidence
+for the time of the pause.
 """
 
 from typing import Final, NamedTuple
@@ -23,7 +23,7 @@
     'tick',
 )
 
-STORE: Final = 'store'  # the source that is no VM
+STORE: Final = 'store'  # source name of the store; other sources are VMs
 MAX_TICK_GAP_SECONDS: Final = 1.0
 MIN_PAUSE_SECONDS: Final = 3.0
 FRESH_SECONDS: Final = 5.0
@@ -34,13 +34,14 @@
 class Freshness(NamedTuple):
     """What a VM knows of the age of its revision.
 
-    After a start or a pause it is not settled until `required_sources` sources gave
-    fresh evidence; one is not enough where there are more, as the store may
-    have come back older. `running_seconds` counts the seconds in which the VM ran without
-    a gap since the time of its newest evidence: after enough of them the VM or
-    the store is cut off, and it goes on with what it has. `unsettled_seconds` counts the
-    seconds that it ran without being settled, whatever it heard: when all VMs
-    start at once, none of them can be a source for the others.
+    After a start or a pause it is not settled until `required_sources` sources
+    gave fresh evidence. One is not enough where there are more, as the store
+    may have been restored to an older revision. `running_seconds` is the time
+    that the VM ran without a gap since its newest evidence: at SETTLE_SECONDS
+    the VM or the store counts as cut off, and the VM continues with the
+    revision that it holds. `unsettled_seconds` is the time that it ran without
+    being settled, whatever it received: when all VMs start at once, none of
+    them can be a source for the others.
     """
 
     ticked_at: float
@@ -60,7 +61,7 @@
 def tick(state: Freshness, now: float, peers: int | None) -> Freshness:
     """Return the state after a regular call, which detects a pause.
 
-    `peers` is the number of other VMs, none before they are known.
+    `peers` is the number of other VMs, or None before they are known.
     """
     gap_seconds = now - state.ticked_at
     state = state._replace(ticked_at=now)
@@ -91,10 +92,13 @@
     source: str,
     now: float,
 ) -> Freshness:
-    """Return the state after evidence of a time from the store or a VM."""
+    """Return the state after evidence from the store or a VM.
+
+    `as_of` is the time for which it holds.
+    """
     newest = as_of if state.as_of is None else max(as_of, state.as_of)
     updated = state._replace(as_of=newest)
-    # Old evidence that peers go on telling does not begin the count anew.
+    # Old evidence that peers keep relaying does not restart the count.
     running_seconds = min(state.running_seconds, max(0.0, now - as_of))
     if now - state.ticked_at > MIN_PAUSE_SECONDS or now - as_of > FRESH_SECONDS:
         return updated
@@ -110,7 +114,7 @@
 def is_settled(state: Freshness, now: float) -> bool:
     """Return whether the VM compared its revision, or is known to be cut off.
 
-    A VM that keeps being paused for a moment has neither.
+    Neither holds for a VM that is paused briefly again and again.
     """
     if not state.settled or now - state.ticked_at > MIN_PAUSE_SECONDS:
         return False
--- a/toucanhall/spread/messages.py
+++ b/toucanhall/spread/messages.py
@@ -1,4 +1,4 @@
-"""Messages of the spread of revisions."""
+"""Messages by which VMs exchange revisions."""
 
 from typing import NamedTuple
 
@@ -6,7 +6,7 @@
 
 
 class RevisionQuery(NamedTuple):
-    """A VM asks a peer to compare revisions; `nonce` names the question."""
+    """Asks a peer to compare revisions; `nonce` identifies the query."""
 
     nonce: int
     address: str
@@ -15,10 +15,10 @@
 
 
 class RevisionAnswer(NamedTuple):
-    """The answer to an `RevisionQuery`.
+    """The answer to a `RevisionQuery`.
 
-    `age` is how many seconds ago the peer's revision was known to be the
-    newest of the store; none when the peer may not rely on it itself.
+    `age` is the number of seconds since the peer's revision was known to be
+    the newest of the store, or None when the peer may not rely on it itself.
     """
 
     nonce: int
@@ -28,7 +28,7 @@
 
 
 class Offer(NamedTuple):
-    """A whole revision for a peer that may not have it."""
+    """A whole revision, for a peer that may lack it."""
 
     number: int
     change: str
@@ -36,7 +36,7 @@
 
 
 class Delta(NamedTuple):
-    """A revision as a merge patch of the one before; `digest` checks it."""
+    """A merge patch from a base revision; `digest` verifies the result."""
 
     number: int
     change: str
--- a/toucanhall/spread/monitor.py
+++ b/toucanhall/spread/monitor.py
@@ -1,4 +1,4 @@
-"""Holds what this process knows of the freshness of its revision."""
+"""Holds the freshness state of the revision of this process."""
 
 import threading
 from collections.abc import Callable
@@ -25,7 +25,7 @@
 
 
 class FreshnessMonitor:
-    """The comparison state, read per request and changed under a lock."""
+    """The comparison state, read per request and updated under a lock."""
 
     def __init__(self) -> None:
         """Start without any evidence."""
@@ -34,7 +34,7 @@
         self._was_settled = False
 
     def tick(self, peers: int | None) -> None:
-        """Note that the process runs; called several times a second."""
+        """Record that the process runs; called several times a second."""
         now = runtime.read_clock()
         self._update(
             lambda state: state._replace(
@@ -49,7 +49,7 @@
             )
 
     def record_evidence(self, as_of: float) -> None:
-        """Note that the store itself held no newer revision at a time."""
+        """Record that the store held no newer revision at `as_of`."""
         now = runtime.read_clock()
         self._update(
             lambda state: state._replace(
@@ -58,7 +58,7 @@
         )
 
     def make_query(self, held: Known, address: str) -> RevisionQuery:
-        """Return a question for a peer."""
+        """Return a query for a peer."""
         now = runtime.read_clock()
         with self._lock:
             state_and_query = comparison.make_query(
@@ -68,7 +68,7 @@
         return state_and_query[1]
 
     def make_answer(self, held: Known, query: RevisionQuery) -> RevisionAnswer:
-        """Return the answer to a peer's question."""
+        """Return the answer to a peer's query."""
         self._update(lambda state: comparison.receive_query(state, query))
         return comparison.make_answer(
             self._state,
@@ -80,7 +80,7 @@
     def receive_answer(
         self, held: Known, answer: RevisionAnswer, peer: str
     ) -> None:
-        """Take the answer of a peer."""
+        """Apply the answer of a peer."""
         now = runtime.read_clock()
         self._update(
             lambda state: comparison.receive_answer(
@@ -89,11 +89,11 @@
         )
 
     def is_settled(self) -> bool:
-        """Return whether revisions were compared since start or pause."""
+        """Return whether the state is settled since the last start or pause."""
         return is_settled(self._state.freshness, runtime.read_clock())
 
     def wait_settled(self) -> bool:
-        """Wait until revisions were compared; return whether they were."""
+        """Wait until settled, or for a time-out; return whether settled."""
         with self._lock:
             return self._lock.wait_for(self.is_settled, _SETTLE_TIMEOUT_SECONDS)
 
--- a/toucanhall/spread/patches.py
+++ b/toucanhall/spread/patches.py
@@ -1,4 +1,4 @@
-"""Carries a revision as its difference from the one before (RFC 7386)."""
+"""Encodes a revision as a merge patch of the previous one (RFC 7386)."""
 
 import hashlib
 from collections.abc import Mapping
@@ -18,7 +18,7 @@
 
 
 def canonicalise(document: bytes) -> bytes:
-    """Return a JSON document in the one form that a patch leads back to."""
+    """Return a JSON document in the canonical form that patching produces."""
     try:
         parsed = msgspec.json.decode(document)
     except msgspec.MsgspecError:
@@ -27,7 +27,7 @@
 
 
 def make_delta(base: Revision, revision: Revision) -> Delta:
-    """Return the message that leads from a base to a revision."""
+    """Return the message that turns a base into a revision."""
     patch = _diff(
         msgspec.json.decode(base.document),
         msgspec.json.decode(revision.document),
@@ -43,9 +43,9 @@
 
 
 def find_delta(base: Revision | None, revision: Revision) -> Delta | None:
-    """Return the delta from a base, if one leads to the very same bytes.
+    """Return the delta from a base, if it reproduces the same bytes.
 
-    A document that is not in the canonical form has none.
+    A document that is not in canonical form has no delta.
     """
     if base is None:
         return None
@@ -55,16 +55,16 @@
 
 
 def apply_delta(base: Revision, delta: Delta) -> Result[bytes, str]:
-    """Return the document that a delta leads to, checked by its digest."""
+    """Return the document after a delta, verified by its digest."""
     if (base.number, base.change) != (delta.base_number, delta.base_change):
-        return Failure(f'base is {base.number}, not {delta.base_number}')
+        return Failure(f'base is revision {base.number}, not {delta.base_number}')
     patched = _merge(
         msgspec.json.decode(base.document),
         msgspec.json.decode(delta.patch),
     )
     document = msgspec.json.encode(patched, order='sorted')
     if _digest(document) != delta.digest:
-        return Failure(f'digest of revision {delta.number} differs')
+        return Failure(f'digest of revision {delta.number} does not match')
     return Success(document)
 
 
--- a/toucanhall/spread/record.py
+++ b/toucanhall/spread/record.py
@@ -1,4 +1,4 @@
-"""The catalogue object as it lies in the store."""
+"""The catalogue object as it is stored."""
 
 from typing import Final, NamedTuple
 
@@ -19,13 +19,13 @@
 )
 
 CATALOGUE_NAME: Final = 'catalogue'
-_MAX_HISTORY_CHANGES: Final = 32  # change ids
+_MAX_HISTORY_CHANGES: Final = 32
 
 
 class Record(NamedTuple):
     """The number of a revision, its change id and its JSON document.
 
-    `history` holds the change ids that led to it, the latest one last.
+    `history` holds the change ids of the preceding revisions, latest last.
     """
 
     number: int = 0
@@ -40,7 +40,7 @@
     change: str,
     document: bytes,
 ) -> Record:
-    """Return the record that replaces a base."""
+    """Return the record that replaces `base`."""
     history = (*base.history, base.change)[-_MAX_HISTORY_CHANGES:]
     return Record(number, change, document.decode(), history)
 
@@ -57,7 +57,7 @@
 
 
 def parse(content: bytes) -> Result[Record, tuple[Finding, ...]]:
-    """Read the record without its catalogue; empty content is revision 0."""
+    """Decode the record, not its catalogue; empty content is revision 0."""
     if not content:
         return Success(Record())
     try:
@@ -70,7 +70,7 @@
     content: bytes,
     held: Revision | None = None,
 ) -> Result[Revision, tuple[Finding, ...]]:
-    """Read the content of the catalogue object; see `revise_after`."""
+    """Decode the content of the catalogue object; see `revise_after`."""
     return parse(content).bind(
         lambda record: revise_after(
             held,
--- a/toucanhall/spread/silence.py
+++ b/toucanhall/spread/silence.py
@@ -1,7 +1,7 @@
-"""Decides when a connection is taken for silent and is replaced.
+"""Detects silent connections, which are then replaced.
 
-A connection can go silent one way only: heartbeats of the peer still arrive,
-while nothing sent to it does. Questions without an answer tell.
+A connection can fail in one direction only: heartbeats of the peer are still
+received, while nothing sent to it arrives. Unanswered queries show this.
 """
 
 from collections.abc import Mapping
@@ -17,7 +17,7 @@
     address: str,
     now: float,
 ) -> tuple[Mapping[str, float], bool]:
-    """Return since when each address owes an answer, and whether to redial."""
+    """Return since when each address has not answered; whether to redial."""
     since = unanswered.get(address)
     if since is None:
         return {**unanswered, address: now}, False
--- a/toucanhall/spread/watcher.py
+++ b/toucanhall/spread/watcher.py
@@ -1,4 +1,4 @@
-"""Follows the catalogue object in the store and repairs an older one."""
+"""Watches the catalogue object in the store and repairs an older one."""
 
 import threading
 from collections.abc import Callable
@@ -27,7 +27,7 @@
 
 
 class Watcher:
-    """A thread that waits on the store for changes of the catalogue."""
+    """A thread that watches the store for changes of the catalogue."""
 
     def __init__(
         self,
@@ -38,7 +38,7 @@
         may_watch: Callable[[], bool],
         stopping: threading.Event,
     ) -> None:
-        """Offer what the store holds to the holder until stopping is set."""
+        """Offer stored revisions to the holder until `stopping` is set."""
         self._platform = platform
         self._holder = holder
         self._monitor = monitor
@@ -48,7 +48,7 @@
         self._version = -1
 
     def start(self) -> None:
-        """Begin to follow the store."""
+        """Start to watch the store."""
         thread = threading.Thread(target=self._run, name='watcher', daemon=True)
         thread.start()
 
