--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -157,7 +157,7 @@
 def test_answer_that_is_no_evidence_updates_the_newest_revision_only(answer):
     state = comparison.receive_answer(make_comparison(), HELD, answer, 'b', 1)
     assert state.freshness.as_of is None
-    assert state.newest == (answer.number, answer.change)
+    assert state.newest_known == (answer.number, answer.change)
 
 
 def test_paused_peer_reports_no_age():
--- a/toucanhall/spread/comparison.py
+++ b/toucanhall/spread/comparison.py
@@ -24,7 +24,7 @@
     freshness: Freshness
     open_queries: Mapping[int, float]
     nonce: int = 0
-    newest: Known = Known()
+    newest_known: Known = Known()
 
 
 def make_query(
@@ -93,4 +93,4 @@
 
 
 def _record_known(state: Comparison, known: Known) -> Comparison:
-    return state._replace(newest=max(state.newest, known))
+    return state._replace(newest_known=max(state.newest_known, known))
--- a/toucanhall/spread/monitor.py
+++ b/toucanhall/spread/monitor.py
@@ -112,7 +112,7 @@
 
     def read_heard(self) -> Known:
         """Return the newest revision that any peer named."""
-        return self._state.newest
+        return self._state.newest_known
 
     def _update(self, update: Callable[[Comparison], Comparison]) -> None:
         with self._lock:
--- a/toucanhall/spread/patches.py
+++ b/toucanhall/spread/patches.py
@@ -57,7 +57,9 @@
 def apply_delta(base: Revision, delta: Delta) -> Result[bytes, str]:
     """Return the document after a delta, verified by its digest."""
     if (base.number, base.change) != (delta.base_number, delta.base_change):
-        return Failure(f'base is revision {base.number}, not {delta.base_number}')
+        return Failure(
+            f'base is revision {base.number}, not {delta.base_number}'
+        )
     patched = _merge(
         msgspec.json.decode(base.document),
         msgspec.json.decode(delta.patch),
