--- a/tests/models/test_freshness_model.py
+++ b/tests/models/test_freshness_model.py
@@ -1,10 +1,11 @@
 """Model of a VM that is paused or cut off while a key is withdrawn.
 
-A second passes at a time. While the VM runs and is connected, it compares its
-revision with two sources each second. An answer that was under way when a pause
-began waits in a buffer until the VM resumes. A pause lasts longer than a step;
-a VM that ticks in time is taken to run and to be answered. Times are relative
-to now, and end at one that is past every bound, so that the state space is
+Guards against a withdrawn key being served for too long. Time advances by one
+second. While the VM runs and is connected, it compares its revision with two
+sources each second. An answer in transit when a pause starts is buffered until
+the VM resumes. A pause is longer than `MAX_TICK_GAP_SECONDS`; a VM that ticks
+in time counts as running and answered. Times are relative to now and limited
+to `MIN_TIME_SECONDS`, which is past every bound, so that the state space is
 finite.
 """
 
@@ -22,17 +23,17 @@
 from toucanhall.spread.freshness import Freshness
 
 HOLD_SECONDS = 9
-OLDEST = -11
-# An accepted configuration is to be in force within this, as the target says.
-BOUND_SECONDS = 8
+MIN_TIME_SECONDS = -11
+# The target: an accepted configuration is in force within this time.
+MAX_LAG_SECONDS = 8
 SOURCES = (freshness.STORE, 'peer')
 
 
 class State(NamedTuple):
     """The VM, its buffer, and when the key was withdrawn.
 
-    `was_cut` tells that it ran cut off and has not been connected since, nor
-    been paused for long.
+    `was_cut` is set after the VM ran while cut off, until it is connected
+    again or has been paused for longer than `MIN_PAUSE_SECONDS`.
     """
 
     freshness: Freshness = Freshness(0, settled=True, as_of=0)
@@ -45,21 +46,21 @@
 
 
 class Rules(NamedTuple):
-    """The decisions that the model runs; a variant replaces one."""
+    """The functions under test; a variant replaces one."""
 
     tick: object = freshness.tick
-    learn: object = freshness.learn
+    record_evidence: object = freshness.record_evidence
     may_serve: object = freshness.may_serve
 
 
 def list_steps(state, rules):
-    """Yield what can happen next."""
+    """Yield the possible next transitions."""
     if state.withdrawn_at is None:
         withdrawn = state._replace(withdrawn_at=0, has_newest=False)
         yield 'key is withdrawn', withdrawn
     yield 'a second passes', pass_second(state, rules)
     if state.is_paused:
-        if -state.freshness.ticked_at > freshness.STEP_SECONDS:
+        if -state.freshness.ticked_at > freshness.MAX_TICK_GAP_SECONDS:
             yield 'resumes', state._replace(is_paused=False)
     else:
         paused = state._replace(is_paused=True)
@@ -71,26 +72,28 @@
         ticked = rules.tick(state.freshness, 0, 1)
         yield 'ticks', state._replace(freshness=ticked)
     if not state.is_paused and state.buffered_at is not None:
-        heard = learn(state, rules, state.buffered_at)
-        yield 'reads its buffer', heard._replace(buffered_at=None)
+        received = record_evidence(state, rules, state.buffered_at)
+        yield 'reads its buffer', received._replace(buffered_at=None)
     yield 'is cut or healed', state._replace(is_cut=not state.is_cut)
 
 
 def pass_second(state, rules):
-    """Let a second pass, with the regular work of a VM that runs."""
+    """Advance by one second, with the regular work of a running VM."""
     state = shift(state)
     if state.is_paused:
-        is_long = -state.freshness.ticked_at > freshness.PAUSE_SECONDS
+        is_long = -state.freshness.ticked_at > freshness.MIN_PAUSE_SECONDS
         return state._replace(was_cut=state.was_cut and not is_long)
     ticked = rules.tick(state.freshness, 0, 1)
     state = state._replace(freshness=ticked)
     if state.is_cut:
         return state._replace(was_cut=True)
-    return learn(state._replace(has_newest=True, was_cut=False), rules, 0)
+    return record_evidence(
+        state._replace(has_newest=True, was_cut=False), rules, 0
+    )
 
 
 def shift(state):
-    """Move every time a second into the past."""
+    """Shift every time one second into the past."""
     known = state.freshness
     return state._replace(
         freshness=known._replace(
@@ -103,15 +106,15 @@
 
 
 def age(time):
-    """Return a relative time as it is a second later."""
-    return None if time is None else max(time - 1, OLDEST)
+    """Return a relative time as of one second later."""
+    return None if time is None else max(time - 1, MIN_TIME_SECONDS)
 
 
-def learn(state, rules, asked_at):
-    """Take the answers to questions that were sent at a time."""
+def record_evidence(state, rules, asked_at):
+    """Record the answers to the queries that were sent at `asked_at`."""
     known = state.freshness
     for source in SOURCES:
-        known = rules.learn(known, asked_at, source, 0)
+        known = rules.record_evidence(known, asked_at, source, 0)
     return state._replace(freshness=known)
 
 
@@ -128,12 +131,12 @@
 
 
 def check(**variant):
-    """Check the complete state space under the rules of a variant."""
+    """Explore the complete state space with the rules of a variant."""
     rules = Rules(**variant)
 
     def is_bounded(fields):
         lag = serves_withdrawn(fields, rules)
-        return lag <= BOUND_SECONDS or fields['was_cut']
+        return lag <= MAX_LAG_SECONDS or fields['was_cut']
 
     protocol = Protocol(
         name='freshness',
@@ -173,7 +176,7 @@
 
 def test_pause_must_be_noticed_by_the_tick():
     def tick_on(state, now, peers):
-        ticked_at = max(state.ticked_at, now - freshness.STEP_SECONDS)
+        ticked_at = max(state.ticked_at, now - freshness.MAX_TICK_GAP_SECONDS)
         return freshness.tick(state._replace(ticked_at=ticked_at), now, peers)
 
     checked = check(tick=tick_on)
@@ -183,16 +186,16 @@
 
 def test_answer_must_count_from_its_question():
     def learn_on_arrival(state, _asked_at, source, now):
-        return freshness.learn(state, now, source, now)
+        return freshness.record_evidence(state, now, source, now)
 
-    checked = check(learn=learn_on_arrival)
+    checked = check(record_evidence=learn_on_arrival)
     report_variants('freshness learn_on_arrival', checked)
     assert 'bounded' in list_broken(checked)
 
 
 def test_bound_on_an_outdated_revision_is_needed():
     def serve_for_ever(state, now, _hold_seconds):
-        return freshness.may_serve(state, now, -OLDEST)
+        return freshness.may_serve(state, now, -MIN_TIME_SECONDS)
 
     checked = check(may_serve=serve_for_ever)
     report_variants('freshness serve_for_ever', checked)
--- a/toucanhall/membership/confirming.py
+++ b/toucanhall/membership/confirming.py
@@ -1,7 +1,8 @@
-"""Decides which revision a zone has in force, and who has not confirmed it.
+"""Computes the revision in force in a zone, and the VMs that lack it.
 
-A VM that is silent may still serve callers, so it counts until it has left or
-until the platform's list and its heartbeats have both been gone for long.
+A silent VM may still serve callers, so its confirmation is required until it
+has left, or until it is neither on the platform's list nor has sent a
+heartbeat for a long time.
 """
 
 from collections.abc import Iterable, Mapping
@@ -9,13 +10,13 @@
 
 from toucanhall.membership.view import Health, Member, View, assess
 
-__all__ = ('ZoneReport', 'confirm', 'find_waiting', 'report_zones')
+__all__ = ('ZoneReport', 'confirm', 'find_unconfirmed_vms', 'report_zones')
 
-_LEFT_SECONDS: Final = 15.0
+_LEFT_AFTER_SECONDS: Final = 15.0
 
 
 class ZoneReport(NamedTuple):
-    """What a zone has in force, and which known VMs hold it back."""
+    """The revision in force in a zone, and the VMs that lack a newer one."""
 
     in_force: int
     waiting: tuple[str, ...]
@@ -27,21 +28,26 @@
     own_revision: int,
     now: float,
 ) -> Mapping[str, int]:
-    """Return what each zone confirmed, with the own zone brought up to date.
+    """Return the confirmed revision of each zone, updated for the own zone.
 
-    A VM that was not heard of for long is taken to hold what it last told.
+    A VM that has been silent for long counts with the last revision that it
+    reported.
     """
-    held = [member.revision for member in _select_counted(view, zone, now)]
-    in_force = min([*held, own_revision])
+    revisions = [
+        member.revision for member in _select_required(view, zone, now)
+    ]
+    in_force = min([*revisions, own_revision])
     known = view.confirmed
     return {**known, zone: max(known.get(zone, 0), in_force)}
 
 
-def find_waiting(view: View, zone: str, number: int, now: float) -> list[str]:
-    """Return the VMs of a zone that are not known to hold a revision."""
+def find_unconfirmed_vms(
+    view: View, zone: str, number: int, now: float
+) -> list[str]:
+    """Return the VMs of a zone that have not confirmed a revision."""
     return sorted(
         member.vm
-        for member in _select_counted(view, zone, now)
+        for member in _select_required(view, zone, now)
         if member.revision < number
     )
 
@@ -52,15 +58,15 @@
     number: int,
     now: float,
 ) -> Mapping[str, ZoneReport]:
-    """Return for each zone what is in force and who holds a revision back.
+    """Return for each zone the revision in force and the VMs lacking `number`.
 
-    A zone has a revision in force when `in_force` is not below its number.
+    A revision is in force in a zone when `in_force` is at least its number.
     """
     return {
         zone: ZoneReport(
             view.confirmed.get(zone, 0),
             tuple(
-                find_waiting(view, zone, number, now)
+                find_unconfirmed_vms(view, zone, number, now)
                 if view.confirmed.get(zone, 0) < number
                 else (),
             ),
@@ -69,7 +75,7 @@
     }
 
 
-def _select_counted(view: View, zone: str, now: float) -> list[Member]:
+def _select_required(view: View, zone: str, now: float) -> list[Member]:
     return [
         member
         for member in view.members.values()
@@ -80,4 +86,7 @@
 def _has_left(member: Member, now: float) -> bool:
     if assess(member, now) is not Health.LEAVING:
         return False
-    return member.heard_at is None or now - member.heard_at > _LEFT_SECONDS
+    return (
+        member.received_at is None
+        or now - member.received_at > _LEFT_AFTER_SECONDS
+    )
--- a/toucanhall/membership/view.py
+++ b/toucanhall/membership/view.py
@@ -1,4 +1,4 @@
-"""What one VM knows of the others, and the decisions that change it."""
+"""A VM's view of the other VMs, and the functions that update it."""
 
 import enum
 from collections.abc import Iterator, Mapping
@@ -9,33 +9,36 @@
 
 __all__ = (
     'HEARTBEAT_SECONDS',
-    'SUSPECT_SECONDS',
+    'SUSPECT_AFTER_SECONDS',
     'Health',
     'Member',
     'View',
     'assess',
-    'forgive',
+    'compensate_pause',
     'hear',
     'merge_list',
     'select_live',
 )
 
 HEARTBEAT_SECONDS: Final = 1.0
-SUSPECT_SECONDS: Final = 3.5
-_FORGET_SECONDS: Final = 60.0
+SUSPECT_AFTER_SECONDS: Final = 3.5
+_FORGET_AFTER_SECONDS: Final = 60.0
 
 
 class Health(enum.Enum):
-    """How far a member can be relied on."""
+    """Liveness of a member, as seen by this VM."""
 
-    UNHEARD = 'unheard'
+    NO_HEARTBEAT = 'unheard'
     ALIVE = 'alive'
     SUSPECTED = 'suspected'
     LEAVING = 'leaving'
 
 
 class Member(NamedTuple):
-    """A VM: `heard_at` is in seconds on the clock of this process."""
+    """Another VM, and when a heartbeat of it was last received.
+
+    `received_at` is in seconds on the clock of this process.
+    """
 
     vm: str
     zone: str
@@ -44,15 +47,15 @@
     sequence: int = 0
     leaving: bool = False
     revision: int = 0
-    heard_at: float | None = None
+    received_at: float | None = None
     listed: bool = False
-    patience: float = SUSPECT_SECONDS
+    suspect_after_seconds: float = SUSPECT_AFTER_SECONDS
 
 
 class View(NamedTuple):
-    """All known members by VM, without the VM that holds the view.
+    """All known members by VM, without the VM that owns the view.
 
-    `is_listed` tells that the platform's list was read at least once.
+    `is_listed` is set once the platform's list has been read.
     """
 
     members: Mapping[str, Member]
@@ -60,19 +63,19 @@
     is_listed: bool = False
 
     def select(self, health: Health, now: float) -> Iterator[Member]:
-        """Yield the members of one health."""
+        """Yield the members with the given health."""
         for member in self.members.values():
             if assess(member, now) is health:
                 yield member
 
 
 def assess(member: Member, now: float) -> Health:
-    """Return the health of a member at a time."""
+    """Return the health of a member at time `now`."""
     if member.leaving:
         return Health.LEAVING
-    if member.heard_at is None:
-        return Health.UNHEARD
-    if now - member.heard_at > member.patience:
+    if member.received_at is None:
+        return Health.NO_HEARTBEAT
+    if now - member.received_at > member.suspect_after_seconds:
         return Health.SUSPECTED
     return Health.ALIVE
 
@@ -80,10 +83,10 @@
 def select_live(
     view: View, zone: str, own_vm: str, now: float
 ) -> frozenset[str]:
-    """Return the VMs among which the slots of one zone are divided.
+    """Return the VMs that share the slots of one zone.
 
-    These are this VM and the zone's others that are alive or still listed.
-    VMs of other zones have slots of their own.
+    These are this VM and the zone's other VMs that are alive or still listed.
+    Other zones have their own slots.
     """
     others = (
         member.vm
@@ -101,9 +104,9 @@
     heartbeat: Heartbeat,
     now: float,
 ) -> View:
-    """Return the view after a heartbeat; an overtaken one changes nothing.
+    """Return the view after a heartbeat; an outdated one is ignored.
 
-    The address of a VM that the platform listed stays as it was listed.
+    The address of a known VM is kept, since the platform may have listed it.
     """
     known = view.members.get(vm)
     if known and known.start == start and known.sequence >= heartbeat.sequence:
@@ -116,9 +119,11 @@
         sequence=heartbeat.sequence,
         leaving=heartbeat.leaving,
         revision=heartbeat.revision,
-        heard_at=now,
+        received_at=now,
         listed=known.listed if known else False,
-        patience=known.patience if known else SUSPECT_SECONDS,
+        suspect_after_seconds=known.suspect_after_seconds
+        if known
+        else SUSPECT_AFTER_SECONDS,
     )
     rows = _merge_rows(view.members, heartbeat.rows, now)
     return view._replace(
@@ -135,8 +140,8 @@
 ) -> View:
     """Return the view after the platform's list of VMs was read.
 
-    The list brings unknown VMs and marks leaving ones. A VM that is missing
-    from it stays a member while its heartbeats arrive.
+    The list adds unknown VMs and marks leaving ones. A VM that is missing
+    from it stays a member while its heartbeats are received.
     """
     members = {
         vm: member._replace(listed=False)
@@ -149,18 +154,26 @@
     return view._replace(members=members, is_listed=True)
 
 
-def forgive(view: View, pause: float, now: float) -> View:
-    """Return the view after this VM itself was paused for some seconds."""
+def compensate_pause(view: View, pause_seconds: float, now: float) -> View:
+    """Return the view after this VM was paused, without false suspicions.
+
+    Heartbeats missed during the own pause don't count as silence.
+    """
     members = {
-        vm: _delay(member, pause, now) for vm, member in view.members.items()
+        vm: _shift_received_at(member, pause_seconds, now)
+        for vm, member in view.members.items()
     }
     return view._replace(members=members)
 
 
-def _delay(member: Member, pause: float, now: float) -> Member:
-    if member.heard_at is None:
+def _shift_received_at(
+    member: Member, pause_seconds: float, now: float
+) -> Member:
+    if member.received_at is None:
         return member
-    return member._replace(heard_at=min(member.heard_at + pause, now))
+    return member._replace(
+        received_at=min(member.received_at + pause_seconds, now)
+    )
 
 
 def _merge_rows(
@@ -168,9 +181,9 @@
     rows: tuple[Row, ...],
     now: float,
 ) -> Mapping[str, Member]:
-    """Return the members that rows tell something newer of.
+    """Return the members for which a row is newer than the known state.
 
-    A row brings no unknown VM, since it does not tell where it is.
+    A row adds no unknown VM, since it lacks the zone and the address.
     """
     return {
         row.vm: members[row.vm]._replace(
@@ -178,7 +191,7 @@
             sequence=row.sequence,
             revision=row.revision,
             leaving=row.leaving,
-            heard_at=now,
+            received_at=now,
         )
         for row in rows
         if row.vm in members and row.sequence > members[row.vm].sequence
@@ -202,18 +215,20 @@
 
 
 def _is_forgotten(member: Member, now: float) -> bool:
-    if member.heard_at is None:
+    if member.received_at is None:
         return not member.listed
-    return now - member.heard_at > _FORGET_SECONDS and not member.listed
+    return (
+        now - member.received_at > _FORGET_AFTER_SECONDS and not member.listed
+    )
 
 
 def _merge_confirmed(
     known: Mapping[str, int],
-    heard: Mapping[str, int],
+    received: Mapping[str, int],
 ) -> Mapping[str, int]:
     newer = {
         zone: revision
-        for zone, revision in heard.items()
+        for zone, revision in received.items()
         if revision > known.get(zone, 0)
     }
     return {**known, **newer}
--- a/toucanhall/spread/acceptance.py
+++ b/toucanhall/spread/acceptance.py
@@ -1,4 +1,4 @@
-"""Decides on an operator's change: when it may be written, when it counts."""
+"""Decides whether a change may be written and whether it was accepted."""
 
 import enum
 from typing import Final, NamedTuple, TypeAlias
@@ -7,23 +7,23 @@
 
 __all__ = (
     'Attempt',
-    'Found',
+    'ReadSucceeded',
     'Known',
     'ReadFailed',
-    'Standing',
+    'BaseVerdict',
     'Step',
-    'Unsure',
-    'Unwritten',
-    'Written',
+    'WriteUncertain',
+    'WriteFailed',
+    'WriteSucceeded',
     'check_base',
-    'proceed',
+    'decide_step',
 )
 
-_TRIES: Final = 4
+_MAX_TRIES: Final = 4
 
 
-class Standing(enum.Enum):
-    """Whether a change may be written on top of what the store holds."""
+class BaseVerdict(enum.Enum):
+    """Whether a change may replace the revision in the store."""
 
     OPEN = 'open'
     DONE = 'done'
@@ -32,7 +32,7 @@
 
 
 class Step(enum.Enum):
-    """What comes next for a change that is being written."""
+    """The next step, or the final outcome, of a change being written."""
 
     WRITE = 'write'
     READ = 'read'
@@ -43,16 +43,16 @@
 
 
 class Known(NamedTuple):
-    """The newest number that this VM holds or heard of, and its change."""
+    """Number and change id of the newest revision known; newer is greater."""
 
     number: int = 0
     change: str = ''
 
 
 class Attempt(NamedTuple):
-    """A change on its way: its base, the version it replaces, its tries.
+    """A change being written, its base and the store version it replaces.
 
-    `is_sent` tells that an earlier try may still take effect.
+    `is_sent` is set when an earlier write may still take effect.
     """
 
     change: str
@@ -62,32 +62,34 @@
     tries: int = 0
 
 
-class Written(NamedTuple):
-    """The store told that the write took effect."""
+class WriteSucceeded(NamedTuple):
+    """The store confirmed the write."""
 
 
-class Unwritten(NamedTuple):
-    """This try had no effect; `conflict` tells that the version moved on."""
+class WriteFailed(NamedTuple):
+    """The write had no effect; `conflict`: the stored version differed."""
 
     conflict: bool
 
 
-class Unsure(NamedTuple):
-    """The reply was lost: the write took effect, or may do so later."""
+class WriteUncertain(NamedTuple):
+    """The reply was lost: the write took effect, or may still do so."""
 
 
-class Found(NamedTuple):
-    """The store was read after a try."""
+class ReadSucceeded(NamedTuple):
+    """The store was read after a write."""
 
     version: int
     record: Record
 
 
 class ReadFailed(NamedTuple):
-    """The store could not be read after a try."""
+    """The store could not be read after a write."""
 
 
-Event: TypeAlias = Written | Unwritten | Unsure | Found | ReadFailed
+Event: TypeAlias = (
+    WriteSucceeded | WriteFailed | WriteUncertain | ReadSucceeded | ReadFailed
+)
 
 
 def check_base(
@@ -95,46 +97,46 @@
     change: str,
     known: Known,
     stored: Record,
-) -> Standing:
-    """Judge a change that replaces revision `expected`.
+) -> BaseVerdict:
+    """Return whether a change that replaces revision `expected` may be written.
 
-    A store that came back older is repaired before it takes a change, so that
-    no number is used twice.
+    A store that was restored to an older revision is repaired before it
+    accepts a change, so that no number is used twice.
     """
     if change in {stored.change, *stored.history}:
-        return Standing.DONE
+        return BaseVerdict.DONE
     if (stored.number, stored.change) < (known.number, known.change):
-        return Standing.STORE_BEHIND
+        return BaseVerdict.STORE_BEHIND
     if stored.number != expected:
-        return Standing.CONFLICT
-    return Standing.OPEN
+        return BaseVerdict.CONFLICT
+    return BaseVerdict.OPEN
 
 
-def proceed(attempt: Attempt, event: Event) -> tuple[Attempt, Step]:
-    """Return the attempt and its next step after a reply of the store."""
-    if isinstance(event, Written):
+def decide_step(attempt: Attempt, event: Event) -> tuple[Attempt, Step]:
+    """Return the attempt and its next step after an event of the store."""
+    if isinstance(event, WriteSucceeded):
         return attempt, Step.ACCEPTED
-    if isinstance(event, Found):
-        return _judge_found(attempt, event)
-    if isinstance(event, Unwritten) and not attempt.is_sent:
+    if isinstance(event, ReadSucceeded):
+        return _check_read(attempt, event)
+    if isinstance(event, WriteFailed) and not attempt.is_sent:
         return attempt, Step.CONFLICT if event.conflict else Step.REFUSED
-    is_sent = attempt.is_sent or isinstance(event, Unsure)
-    return _read_again(attempt._replace(is_sent=is_sent))
+    is_sent = attempt.is_sent or isinstance(event, WriteUncertain)
+    return _retry_read(attempt._replace(is_sent=is_sent))
 
 
-def _judge_found(attempt: Attempt, found: Found) -> tuple[Attempt, Step]:
-    record = found.record
+def _check_read(attempt: Attempt, read: ReadSucceeded) -> tuple[Attempt, Step]:
+    record = read.record
     if attempt.change in {*record.history, record.change}:
         return attempt, Step.ACCEPTED
-    if found.version == attempt.version:
-        # Writing again is what keeps a delayed write from landing later.
+    if read.version == attempt.version:
+        # Writing again keeps a delayed write from taking effect later.
         return attempt, Step.WRITE
     if attempt.base_change in record.history:
         return attempt, Step.CONFLICT
-    # The store came back older; what it lost may be this change.
-    return _read_again(attempt)
+    # The store was restored to older content and may have lost this change.
+    return _retry_read(attempt)
 
 
-def _read_again(attempt: Attempt) -> tuple[Attempt, Step]:
+def _retry_read(attempt: Attempt) -> tuple[Attempt, Step]:
     tried = attempt._replace(tries=attempt.tries + 1)
-    return tried, Step.READ if tried.tries < _TRIES else Step.UNKNOWN
+    return tried, Step.READ if tried.tries < _MAX_TRIES else Step.UNKNOWN
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -1,4 +1,4 @@
-"""The actor that compares revisions with peers, offers and takes them."""
+"""Actor that compares revisions with peers and exchanges newer ones."""
 
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
@@ -18,7 +18,7 @@
     RevisionAnswer,
 )
 from toucanhall.spread.patches import apply_delta, find_delta
-from toucanhall.spread.silence import note_answered, note_asked
+from toucanhall.spread.silence import record_answer, record_query
 
 __all__ = ('Arrived', 'Compare', 'Push', 'Spread', 'read_held')
 
@@ -26,7 +26,7 @@
 
 
 class Arrived(NamedTuple):
-    """A message of a peer, and the address at which it is reached."""
+    """A message received from a peer, and the address to reply to."""
 
     peer: str
     address: str
@@ -34,17 +34,17 @@
 
 
 class Compare(NamedTuple):
-    """Time to compare revisions with the contacts."""
+    """Timer message: compare revisions with the contacts."""
 
 
 class Push(NamedTuple):
-    """A new revision came into force here; tell the contacts."""
+    """A new revision is in force on this VM: send it to the contacts."""
 
     revision: Revision
 
 
 class Spread(pykka.ThreadingActor):
-    """Brings the newest revision to peers and learns it from them."""
+    """Sends the newest revision to peers and receives it from them."""
 
     use_daemon_thread = True
 
@@ -58,7 +58,7 @@
         redial: Callable[[str], None],
         list_contacts: Callable[[], tuple[str, ...]],
     ) -> None:
-        """Send with `send` to the addresses of the contacts."""
+        """`send` and `redial` take the address of a contact."""
         super().__init__()
         self._holder = holder
         self._monitor = monitor
@@ -70,38 +70,40 @@
         self._delta: Delta | None = None
         self._list_contacts = list_contacts
         self._handlers: Mapping[type, Callable[[Any], None]] = {
-            Arrived: self._take,
-            Compare: self._compare,
-            Push: self._push,
+            Arrived: self._receive,
+            Compare: self._query_contacts,
+            Push: self._push_revision,
         }
 
     def on_receive(self, message: Any) -> None:
         """Handle one message of this actor."""
         runtime.dispatch(self._handlers, message)
 
-    def _take(self, arrived: Arrived) -> None:
-        _TAKERS[type(arrived.message)](self, arrived)
+    def _receive(self, arrived: Arrived) -> None:
+        _RECEIVERS[type(arrived.message)](self, arrived)
 
     def _answer_query(self, arrived: Arrived) -> None:
-        question: RevisionQuery = arrived.message
+        query: RevisionQuery = arrived.message
         held = read_held(self._holder)
-        self._send(arrived.address, self._monitor.answer(held, question))
-        self._help(arrived.address, Known(question.number, question.change))
+        self._send(arrived.address, self._monitor.make_answer(held, query))
+        self._send_newer(arrived.address, Known(query.number, query.change))
 
-    def _take_answer(self, arrived: Arrived) -> None:
+    def _receive_answer(self, arrived: Arrived) -> None:
         answer: RevisionAnswer = arrived.message
-        self._unanswered = note_answered(self._unanswered, arrived.address)
-        self._monitor.hear(read_held(self._holder), answer, arrived.peer)
-        self._help(arrived.address, Known(answer.number, answer.change))
+        self._unanswered = record_answer(self._unanswered, arrived.address)
+        self._monitor.receive_answer(
+            read_held(self._holder), answer, arrived.peer
+        )
+        self._send_newer(arrived.address, Known(answer.number, answer.change))
 
-    def _take_offer(self, arrived: Arrived) -> None:
+    def _receive_offer(self, arrived: Arrived) -> None:
         offer: Offer = arrived.message
         held = read_held(self._holder)
         if (offer.number, offer.change) > held:
             self._revise(offer.number, offer.change, offer.document)
-            self._ask(arrived.address)
+            self._send_query(arrived.address)
 
-    def _take_delta(self, arrived: Arrived) -> None:
+    def _receive_delta(self, arrived: Arrived) -> None:
         delta: Delta = arrived.message
         held = self._holder.current
         if (delta.number, delta.change) <= read_held(self._holder):
@@ -114,8 +116,8 @@
                     document,
                 ),
             )
-        # The answer proves the new revision, or brings it whole.
-        self._ask(arrived.address)
+        # The answer confirms the new revision, or a whole offer follows it.
+        self._send_query(arrived.address)
 
     def _revise(self, number: int, change: str, document: bytes) -> None:
         held = self._holder.current
@@ -123,31 +125,31 @@
         revised.map(self._holder.offer)
         revised.alt(log_invalid)
 
-    def _help(self, address: str, theirs: Known) -> None:
+    def _send_newer(self, address: str, peer_known: Known) -> None:
         revision = self._holder.current
-        if revision is None or theirs >= read_held(self._holder):
+        if revision is None or peer_known >= read_held(self._holder):
             return
         delta = self._delta
-        if delta and theirs == (delta.base_number, delta.base_change):
+        if delta and peer_known == (delta.base_number, delta.base_change):
             self._send(address, delta)
         else:
             self._send(address, make_offer(revision))
 
-    def _compare(self, _message: Compare) -> None:
+    def _query_contacts(self, _message: Compare) -> None:
         for address in self._list_contacts():
-            self._ask(address)
+            self._send_query(address)
 
-    def _ask(self, address: str) -> None:
+    def _send_query(self, address: str) -> None:
         now = runtime.read_clock()
-        unanswered, is_silent = note_asked(self._unanswered, address, now)
+        unanswered, is_silent = record_query(self._unanswered, address, now)
         self._unanswered = unanswered
         if is_silent:
             self._redial(address)
         held = read_held(self._holder)
-        question = self._monitor.ask(held, self._own_address)
-        self._send(address, question)
+        query = self._monitor.make_query(held, self._own_address)
+        self._send(address, query)
 
-    def _push(self, message: Push) -> None:
+    def _push_revision(self, message: Push) -> None:
         revision = message.revision
         self._delta = find_delta(self._pushed, revision)
         self._pushed = revision
@@ -156,11 +158,11 @@
             self._send(address, update)
 
 
-_TAKERS: Final[Mapping[type, Callable[[Spread, Arrived], None]]] = {
+_RECEIVERS: Final[Mapping[type, Callable[[Spread, Arrived], None]]] = {
     RevisionQuery: Spread._answer_query,
-    Delta: Spread._take_delta,
-    Offer: Spread._take_offer,
-    RevisionAnswer: Spread._take_answer,
+    Delta: Spread._receive_delta,
+    Offer: Spread._receive_offer,
+    RevisionAnswer: Spread._receive_answer,
 }
 
 
@@ -171,12 +173,12 @@
 
 
 def make_offer(revision: Revision) -> Offer:
-    """Return the message that carries a revision."""
+    """Return the message that carries a whole revision."""
     return Offer(revision.number, revision.change, revision.document)
 
 
 def log_invalid(findings: tuple[Finding, ...]) -> Verdict:
-    """Log the errors of a revision that cannot be read."""
+    """Log the errors of a revision that cannot be decoded."""
     errors = [render(finding) for finding in findings]
     events.log(events.CATALOGUE_INVALID, errors=errors)
     return Verdict.STALE
--- a/toucanhall/spread/record.py
+++ b/toucanhall/spread/record.py
@@ -1,4 +1,4 @@
-"""The catalogue object as it lies in the store."""
+"""The catalogue object as it is stored."""
 
 from typing import Final, NamedTuple
 
@@ -9,16 +9,23 @@
 from toucanhall.catalogue.reading import revise_after
 from toucanhall.documents import Finding
 
-__all__ = ('CATALOGUE_NAME', 'Record', 'decode', 'encode', 'parse', 'succeed')
+__all__ = (
+    'CATALOGUE_NAME',
+    'Record',
+    'decode',
+    'encode',
+    'parse',
+    'make_successor',
+)
 
 CATALOGUE_NAME: Final = 'catalogue'
-_HISTORY_LENGTH: Final = 32  # change ids
+_MAX_HISTORY_CHANGES: Final = 32
 
 
 class Record(NamedTuple):
     """The number of a revision, its change id and its JSON document.
 
-    `history` holds the change ids that led to it, the latest one last.
+    `history` holds the change ids of the preceding revisions, latest last.
     """
 
     number: int = 0
@@ -27,14 +34,14 @@
     history: tuple[str, ...] = ()
 
 
-def succeed(
+def make_successor(
     base: Record,
     number: int,
     change: str,
     document: bytes,
 ) -> Record:
-    """Return the record that replaces a base."""
-    history = (*base.history, base.change)[-_HISTORY_LENGTH:]
+    """Return the record that replaces `base`."""
+    history = (*base.history, base.change)[-_MAX_HISTORY_CHANGES:]
     return Record(number, change, document.decode(), history)
 
 
@@ -45,12 +52,12 @@
     base: Record | None = None,
 ) -> bytes:
     """Return the content of the catalogue object."""
-    record = succeed(base or Record(), number, change, document)
+    record = make_successor(base or Record(), number, change, document)
     return msgspec.json.encode(record)
 
 
 def parse(content: bytes) -> Result[Record, tuple[Finding, ...]]:
-    """Read the record without its catalogue; empty content is revision 0."""
+    """Decode the record, not its catalogue; empty content is revision 0."""
     if not content:
         return Success(Record())
     try:
@@ -63,7 +70,7 @@
     content: bytes,
     held: Revision | None = None,
 ) -> Result[Revision, tuple[Finding, ...]]:
-    """Read the content of the catalogue object; see `revise_after`."""
+    """Decode the content of the catalogue object; see `revise_after`."""
     return parse(content).bind(
         lambda record: revise_after(
             held,
--- a/toucanhall/spread/silence.py
+++ b/toucanhall/spread/silence.py
@@ -1,32 +1,32 @@
-"""Decides when a connection is taken for silent and is replaced.
+"""Detects silent connections, which are then replaced.
 
-A connection can go silent one way only: heartbeats of the peer still arrive,
-while nothing sent to it does. Questions without an answer tell.
+A connection can fail in one direction only: heartbeats of the peer are still
+received, while nothing sent to it arrives. Unanswered queries show this.
 """
 
 from collections.abc import Mapping
 from typing import Final
 
-__all__ = ('SILENT_SECONDS', 'note_answered', 'note_asked')
+__all__ = ('SILENT_AFTER_SECONDS', 'record_answer', 'record_query')
 
-SILENT_SECONDS: Final = 4.0
+SILENT_AFTER_SECONDS: Final = 4.0
 
 
-def note_asked(
+def record_query(
     unanswered: Mapping[str, float],
     address: str,
     now: float,
 ) -> tuple[Mapping[str, float], bool]:
-    """Return since when each address owes an answer, and whether to redial."""
+    """Return since when each address has not answered; whether to redial."""
     since = unanswered.get(address)
     if since is None:
         return {**unanswered, address: now}, False
-    if now - since < SILENT_SECONDS:
+    if now - since < SILENT_AFTER_SECONDS:
         return unanswered, False
     return {**unanswered, address: now}, True
 
 
-def note_answered(
+def record_answer(
     unanswered: Mapping[str, float],
     address: str,
 ) -> Mapping[str, float]:
--- a/toucanhall/spread/watcher.py
+++ b/toucanhall/spread/watcher.py
@@ -1,4 +1,4 @@
-"""Follows the catalogue object in the store and repairs an older one."""
+"""Watches the catalogue object in the store and repairs an older one."""
 
 import threading
 from collections.abc import Callable
@@ -22,12 +22,12 @@
 
 __all__ = ('Watcher',)
 
-_WAIT_SECONDS: Final = 2.0
-_PAUSE_SECONDS: Final = 1.0
+_WATCH_TIMEOUT_SECONDS: Final = 2.0
+_RETRY_DELAY_SECONDS: Final = 1.0
 
 
 class Watcher:
-    """A thread that waits on the store for changes of the catalogue."""
+    """A thread that watches the store for changes of the catalogue."""
 
     def __init__(
         self,
@@ -38,43 +38,43 @@
         may_watch: Callable[[], bool],
         stopping: threading.Event,
     ) -> None:
-        """Offer what the store holds to the holder until stopping is set."""
+        """Offer stored revisions to the holder until `stopping` is set."""
         self._platform = platform
         self._holder = holder
         self._monitor = monitor
         self._may_watch = may_watch
         self._stopping = stopping
-        self._available = True
+        self._is_available = True
         self._version = -1
 
     def start(self) -> None:
-        """Begin to follow the store."""
+        """Start to watch the store."""
         thread = threading.Thread(target=self._run, name='watcher', daemon=True)
         thread.start()
 
     def _run(self) -> None:
         while not self._stopping.is_set():
             if not self._may_watch() or not self._watch():
-                self._stopping.wait(_PAUSE_SECONDS)
+                self._stopping.wait(_RETRY_DELAY_SECONDS)
 
     def _watch(self) -> bool:
         started_at = runtime.read_clock()
         watched = self._platform.watch(
             CATALOGUE_NAME,
             self._version,
-            _WAIT_SECONDS,
+            _WATCH_TIMEOUT_SECONDS,
         )
-        self._note_available(available=is_successful(watched))
+        self._record_availability(is_available=is_successful(watched))
         if not isinstance(watched, Success):
             return False
         stored = watched.unwrap()
-        if not self._take(stored):
+        if not self._apply_stored(stored):
             return False
         self._version = stored.version
-        self._monitor.learn(started_at)
+        self._monitor.record_evidence(started_at)
         return True
 
-    def _take(self, stored: Stored) -> bool:
+    def _apply_stored(self, stored: Stored) -> bool:
         parsed = parse(stored.content)
         parsed.alt(log_invalid)
         if not isinstance(parsed, Success):
@@ -99,10 +99,12 @@
             events.log(events.CATALOGUE_RESTORED, revision=held.number)
         return is_successful(written)
 
-    def _note_available(self, *, available: bool) -> None:
-        if available == self._available:
+    def _record_availability(self, *, is_available: bool) -> None:
+        if is_available == self._is_available:
             return
-        self._available = available
+        self._is_available = is_available
         events.log(
-            events.STORE_AVAILABLE if available else events.STORE_UNAVAILABLE,
+            events.STORE_AVAILABLE
+            if is_available
+            else events.STORE_UNAVAILABLE,
         )
