--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -96,12 +96,12 @@
     rival = AdminApi(api.store)
     rival.admin._holder.offer(api.admin._holder.current)
 
-    def race(name):
+    def write_concurrently(name):
         api.store.before_write = lambda _name: None
         rival.call('PUT', 'keys/rival', {**KEY, 'digest': 'd' * 64})
         api.admin._holder.offer(rival.admin._holder.current)
 
-    api.store.before_write = race
+    api.store.before_write = write_concurrently
     status, body = api.call('PUT', 'keys/mine', KEY)
     assert (status, body['accepted']) == (200, 3)
     keys = api.call('GET', 'keys')[1]['keys']
@@ -227,11 +227,11 @@
     store = MemoryStore()
     entry = AuditEntry('mine', 'lead', 'noon', 2, ())
 
-    def race(_name):
+    def write_concurrently(_name):
         store.before_write = str
         Audit(platform=store).copy((entry._replace(id='theirs', revision=1),))
 
-    store.before_write = race
+    store.before_write = write_concurrently
     assert Audit(platform=store).copy((entry,))
     found = Audit(platform=store).read(2)
     assert [copied.id for copied in found] == ['theirs', 'mine']
--- a/toucanhall/admin/calls.py
+++ b/toucanhall/admin/calls.py
@@ -47,7 +47,7 @@
 
 
 def get_base_revision(held: Revision | None) -> BaseRevision:
-    """Return the revision in force, with audit entries taken out."""
+    """Return the revision in force, its audit entries apart."""
     if held is None:
         return BaseRevision(0, {}, ())
     document: dict[str, Any] = msgspec.json.decode(held.document)
--- a/toucanhall/admin/routes.py
+++ b/toucanhall/admin/routes.py
@@ -49,7 +49,7 @@
         'GET', 'history', 'List accepted changes; ?change=ID finds one',
         statuses=(200, 401, 503),
     ),
-    Route('GET', 'status', 'Tell what this VM knows of the fleet'),
+    Route('GET', 'status', 'Show the fleet as this VM sees it'),
     Route('GET', 'keys', 'List granted keys by name, team and digest'),
     Route(
         'PUT', 'keys/{name}', 'Grant a key, given its team and digest',
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -67,8 +67,8 @@
 _CLAIM_INTERVAL_SECONDS: Final = 1.0
 _SETTLE_INTERVAL_SECONDS: Final = 1.0
 _FRESHNESS_INTERVAL_SECONDS: Final = 0.5
-# Per check, about one a second: a VM whose revision is stale also watches the
-# store, as the watchers of its zone may not reach it.
+# Per check, about one a second: a VM whose revision is stale watches the store
+# itself, as it may receive nothing from the watchers of its zone.
 _STALE_WATCH_PROBABILITY: Final = 0.1
 _COMPARE_INTERVAL_SECONDS: Final = 1.0
 _RESIZE_INTERVAL_SECONDS: Final = 0.5
--- a/toucanhall/schemas.py
+++ b/toucanhall/schemas.py
@@ -18,7 +18,7 @@
     'make_text',
 )
 
-_MAX_QUANTITY: Final = 1000000000  # a larger value is taken for a mistake
+_MAX_QUANTITY: Final = 1000000000  # larger values are surely mistakes
 
 
 def make_text(format_name: str) -> Document:
