--- a/tests/models/test_claims_model.py
+++ b/tests/models/test_claims_model.py
@@ -1,7 +1,7 @@
 """Model of at most once: claimants of one key, a lossy store, and time.
 
 The claimants run the protocol's own steps. A write without a reply is under
-way: it may land at any later moment, at once or never. Time may pass between
+way: it may take effect at once, at any later moment or never. Time may pass between
 any two steps, which is a pause. A claimant that dies is one that takes no
 further step, so the states in which the others go on without it are covered.
 When time has passed the retention, the store drops the claim.
@@ -24,32 +24,32 @@
 ENDED = Attempt(Claim('', ''), DEADLINE, Stage.ENDED)
 STAGE_EVENTS = {
     Stage.HELD: {
-        'is ready': messages.Ready(),
-        'gives up': messages.Unsent(),
+        'is ready': messages.Connected(),
+        'gives up': messages.Abandoned(),
     },
     Stage.SENT: {
-        'gets the answer': messages.Answered(OUTCOME),
-        'gets no answer': messages.Failed(),
+        'gets the answer': messages.ResponseReceived(OUTCOME),
+        'gets no answer': messages.ResponseMissing(),
     },
 }
 NOT_RUN = frozenset((Verdict.MISMATCH, Verdict.UNCLAIMED, Verdict.LATE))
 
 
 class Claimant(NamedTuple):
-    """An attempt, what it waits for, what it told, and how often it sent."""
+    """An attempt, the effect it awaits, its verdict, and requests sent."""
 
     attempt: Attempt | None = None
-    waits: object = None
-    told: Verdict | None = None
+    awaited_effect: object = None
+    verdict: Verdict | None = None
     sent: int = 0
 
 
 class State(NamedTuple):
-    """The claim in the store, writes that may still land, and claimants."""
+    """The claim in the store, pending writes, and claimants."""
 
     stored: Found | None = None
     version: int = 0
-    flying: frozenset = frozenset()
+    pending_writes: frozenset = frozenset()
     clock: int = 0
     expired: bool = False
     one: Claimant = Claimant()
@@ -69,8 +69,8 @@
         actor = getattr(state, name)
         for label, after in list_actions(state, name, actor, digest, rules):
             yield f'{name} {label}', after
-    for write in state.flying:
-        landed, done = land(state, write)
+    for write in state.pending_writes:
+        landed, done = try_write(state, write)
         if done:
             yield f'late write lands {write}', landed
     if state.clock < RETENTION:
@@ -84,55 +84,55 @@
     if actor.attempt is None:
         if state.clock < RETENTION:
             give_up_at = state.clock + DEADLINE
-            moved = protocol.start(Claim(name, digest), give_up_at)
-            short = moved.attempt._replace(tries=TRIES)
-            yield 'starts', take(state, name, moved._replace(attempt=short))
+            transition = protocol.start(Claim(name, digest), give_up_at)
+            short = transition.attempt._replace(remaining_tries=TRIES)
+            started = transition._replace(attempt=short)
+            yield 'starts', apply_transition(state, name, started)
         return
     if actor.attempt.stage is Stage.ENDED:
         return
     for label, after, event in list_events(state, actor):
-        moved = rules.step(actor.attempt, event, state.clock)
-        yield label, note(take(after, name, moved), name, event)
+        transition = rules.step(actor.attempt, event, state.clock)
+        applied = apply_transition(after, name, transition)
+        yield label, record_abandonment(applied, name, event)
     if actor.attempt.stage is Stage.SENT:
         unsent = put(state, name, actor._replace(sent=actor.sent - 1))
-        moved = rules.step(actor.attempt, messages.Disclaimed(), state.clock)
+        transition = rules.step(
+            actor.attempt, messages.Disclaimed(), state.clock
+        )
         yield (
             'is told by the other VM that it did not run',
-            take(
-                unsent,
-                name,
-                moved,
-            ),
+            apply_transition(unsent, name, transition),
         )
 
 
 def list_events(state, actor):
-    """Yield label, state and event of what a claimant waits for."""
-    if actor.waits is None:
+    """Yield label, state and event of the effect that a claimant awaits."""
+    if actor.awaited_effect is None:
         for label, event in STAGE_EVENTS[actor.attempt.stage].items():
             yield label, state, event
-    elif isinstance(actor.waits, messages.Write):
-        yield from list_write_events(state, actor.waits)
-    elif isinstance(actor.waits, messages.Look):
-        yield 'reads', state, messages.Seen(state.stored)
-        yield 'cannot read', state, messages.Down()
+    elif isinstance(actor.awaited_effect, messages.Write):
+        yield from list_write_events(state, actor.awaited_effect)
+    elif isinstance(actor.awaited_effect, messages.Read):
+        yield 'reads', state, messages.ReadDone(state.stored)
+        yield 'cannot read', state, messages.StoreUnreachable()
     else:
         yield 'retries', state, messages.Retry()
 
 
 def list_write_events(state, write):
     """Yield the fates of a write: done, refused, under way, or not sent."""
-    landed, done = land(state, write)
+    landed, done = try_write(state, write)
     if done:
         yield 'writes', landed, messages.Written(landed.version)
     else:
         yield 'conflicts', state, messages.Conflicted()
-    late = state._replace(flying=state.flying | {write})
-    yield 'write gets no reply', late, messages.Lost()
-    yield 'store is down', state, messages.Down()
+    late = state._replace(pending_writes=state.pending_writes | {write})
+    yield 'write gets no reply', late, messages.ReplyLost()
+    yield 'store is down', state, messages.StoreUnreachable()
 
 
-def land(state, write):
+def try_write(state, write):
     """Return the state after a conditional write, and if it took effect."""
     current = state.stored.version if state.stored else 0
     if current != write.expected:
@@ -142,36 +142,38 @@
     return state._replace(stored=found, version=version), True
 
 
-def note(state, name, event):
+def record_abandonment(state, name, event):
     """Note that who gave up before sending tells the caller so."""
-    if not isinstance(event, messages.Unsent):
+    if not isinstance(event, messages.Abandoned):
         return state
     actor = getattr(state, name)
-    return put(state, name, actor._replace(told=Verdict.UNCLAIMED))
+    return put(state, name, actor._replace(verdict=Verdict.UNCLAIMED))
 
 
-def forget(state):
-    """Drop writes that can never land."""
+def drop_dead_writes(state):
+    """Drop pending writes that can no longer take effect."""
     current = state.stored.version if state.stored else 0
     live = frozenset(
         write
-        for write in state.flying
+        for write in state.pending_writes
         if write.expected == current
         or (write.expected == 0 and not state.expired)
     )
-    return state._replace(flying=live)
+    return state._replace(pending_writes=live)
 
 
-def take(state, name, moved):
+def apply_transition(state, name, transition):
     """Apply the effects of a claimant's step."""
-    actor = getattr(state, name)._replace(attempt=moved.attempt, waits=None)
-    for effect in moved.effects:
-        if isinstance(effect, messages.Tell):
-            actor = actor._replace(told=effect.verdict)
+    actor = getattr(state, name)._replace(
+        attempt=transition.attempt, awaited_effect=None
+    )
+    for effect in transition.effects:
+        if isinstance(effect, messages.Notify):
+            actor = actor._replace(verdict=effect.verdict)
         elif isinstance(effect, messages.Send):
             actor = actor._replace(sent=actor.sent + 1)
         else:
-            actor = actor._replace(waits=effect)
+            actor = actor._replace(awaited_effect=effect)
     if actor.attempt.stage is Stage.ENDED:
         actor = actor._replace(attempt=ENDED)
     return put(state, name, actor)
@@ -189,7 +191,7 @@
         fields=State._fields,
         initial=tuple(State()),
         transitions=lambda fields: [
-            (label, tuple(forget(after)))
+            (label, tuple(drop_dead_writes(after)))
             for label, after in list_steps(State(*fields), rules)
         ],
         invariants={
@@ -206,14 +208,14 @@
 
 
 def tells_the_truth(fields):
-    """Who was told that the request did not run never sent it."""
+    """A claimant whose verdict says that nothing ran never sent."""
     return not any(
-        actor.sent and actor.told in NOT_RUN
+        actor.sent and actor.verdict in NOT_RUN
         for actor in (fields['one'], fields['two'])
     )
 
 
-def find(checked, name):
+def get_property(checked, name):
     return checked['properties'][name]
 
 
@@ -222,21 +224,21 @@
     checked = check(Rules(digests=digests))
     report_model(f'claims digests {" ".join(digests)}', checked)
     assert checked['exhaustive']
-    assert find(checked, 'at_most_once')['holds']
-    assert find(checked, 'refusals_true')['holds']
+    assert get_property(checked, 'at_most_once')['holds']
+    assert get_property(checked, 'refusals_true')['holds']
 
 
 def trust_any_claim(attempt, event, now):
     """Take a claim for its own whoever wrote it."""
-    if isinstance(event, messages.Seen) and event.found:
+    if isinstance(event, messages.ReadDone) and event.found:
         own = event.found.claim._replace(claim_id=attempt.claim.claim_id)
-        event = messages.Seen(event.found._replace(claim=own))
+        event = messages.ReadDone(event.found._replace(claim=own))
     return protocol.step(attempt, event, now)
 
 
 def trust_lost_write(attempt, event, now):
     """Take a write without a reply for done."""
-    if isinstance(event, messages.Lost) and attempt.stage is Stage.WRITING:
+    if isinstance(event, messages.ReplyLost) and attempt.stage is Stage.WRITING:
         event = messages.Written(1)
     return protocol.step(attempt, event, now)
 
@@ -248,33 +250,41 @@
 
 def release_after_sending(attempt, event, now):
     """Release a claim when no answer came."""
-    if isinstance(event, messages.Failed):
+    if isinstance(event, messages.ResponseMissing):
         attempt = attempt._replace(stage=Stage.HELD)
-        event = messages.Unsent()
+        event = messages.Abandoned()
     return protocol.step(attempt, event, now)
 
 
 def release_a_late_answer(attempt, event, now):
     """Release a claim whose answer came after the deadline."""
-    if isinstance(event, messages.Answered) and now >= attempt.give_up_at:
+    if (
+        isinstance(event, messages.ResponseReceived)
+        and now >= attempt.give_up_at
+    ):
         attempt = attempt._replace(stage=Stage.HELD)
-        event = messages.Unsent()
+        event = messages.Abandoned()
     return protocol.step(attempt, event, now)
 
 
 def send_again(attempt, event, now):
     """Send again when no answer came."""
-    if isinstance(event, messages.Failed):
+    if isinstance(event, messages.ResponseMissing):
         event = messages.Disclaimed()
     return protocol.step(attempt, event, now)
 
 
 def send_while_releasing(attempt, event, now):
     """Send although the claim is being given up."""
-    moved = protocol.step(attempt, event, now)
-    if isinstance(event, messages.Down) and attempt.stage is Stage.WRITING:
-        return moved._replace(effects=(*moved.effects, messages.Send()))
-    return moved
+    transition = protocol.step(attempt, event, now)
+    if (
+        isinstance(event, messages.StoreUnreachable)
+        and attempt.stage is Stage.WRITING
+    ):
+        return transition._replace(
+            effects=(*transition.effects, messages.Send())
+        )
+    return transition
 
 
 def take_open_claim(attempt, event, now):
@@ -282,7 +292,7 @@
     found = getattr(event, 'found', None)
     if found and not found.claim.outcome:
         freed = found.claim._replace(released=True)
-        event = messages.Seen(found._replace(claim=freed))
+        event = messages.ReadDone(found._replace(claim=freed))
     return protocol.step(attempt, event, now)
 
 
@@ -300,7 +310,7 @@
     ],
 )
 def test_each_guard_is_needed(broken, invariant):
-    found = find(check(Rules(step=broken), FIRST_STATES), invariant)
+    found = get_property(check(Rules(step=broken), FIRST_STATES), invariant)
     report_variant(f'claims {broken.__name__}', found)
     assert found['holds'] is False
     assert found['counterexample']
--- a/tests/unit/test_idempotency_keeper.py
+++ b/tests/unit/test_idempotency_keeper.py
@@ -7,10 +7,10 @@
 from toucanhall.idempotency import Keeper, Outcome, Verdict
 from toucanhall.objectstore import Ambiguous, Conflict, Stored, Unavailable
 
-NAME = 'claims/x'
+CLAIM_NAME = 'claims/x'
 OUTCOME = Outcome(201, (('ETag', '"x"'),), b'booked')
-DOWN = Failure(Unavailable('down'))
-LOST = Failure(Ambiguous(NAME, 'no reply'))
+UNREACHABLE = Failure(Unavailable('down'))
+REPLY_LOST = Failure(Ambiguous(CLAIM_NAME, 'no reply'))
 
 
 class LossyStore:
@@ -18,40 +18,40 @@
 
     def __init__(self, *faults):
         self.faults = list(faults)
-        self.object = Stored(NAME, 0, b'')
-        self.late = []
+        self.object = Stored(CLAIM_NAME, 0, b'')
+        self.delayed = []
         self.calls = 0
 
     def read(self, _name):
         """Return the object."""
-        return self._meet(lambda: Success(self.object))
+        return self._call_with_fault(lambda: Success(self.object))
 
     def write(self, _name, content, expected):
         """Write it if the version is the expected one."""
 
-        def put():
+        def write_object():
             if self.object.version != expected:
-                return Failure(Conflict(NAME, expected))
-            self.object = Stored(NAME, expected + 1, content)
+                return Failure(Conflict(CLAIM_NAME, expected))
+            self.object = Stored(CLAIM_NAME, expected + 1, content)
             return Success(expected + 1)
 
-        return self._meet(put)
+        return self._call_with_fault(write_object)
 
-    def _meet(self, call):
+    def _call_with_fault(self, call):
         self.calls += 1
         fault = self.faults.pop(0) if self.faults else None
-        if fault == 'late':
-            self.late.append(call)
-            return LOST
+        if fault == 'delayed':
+            self.delayed.append(call)
+            return REPLY_LOST
         if fault == 'lost':
             call()
-            return LOST
+            return REPLY_LOST
         return fault or call()
 
 
 def begin(keeper, digest='d', seconds=10):
     """Begin a claim that is given up after some seconds."""
-    return keeper.begin(NAME, digest, runtime.read_clock() + seconds)
+    return keeper.begin(CLAIM_NAME, digest, runtime.read_clock() + seconds)
 
 
 def test_claim_is_made_once_and_its_outcome_replayed():
@@ -70,7 +70,7 @@
 
 
 def test_store_down_owes_nothing():
-    store = LossyStore(DOWN)
+    store = LossyStore(UNREACHABLE)
     keeper = Keeper(platform=store)
     assert begin(keeper).verdict is Verdict.UNCLAIMED
     keeper.settle()
@@ -78,19 +78,19 @@
 
 
 def test_late_write_of_a_refused_request_is_fenced():
-    store = LossyStore('late', DOWN)
+    store = LossyStore('delayed', UNREACHABLE)
     keeper = Keeper(platform=store)
     assert begin(keeper).verdict is Verdict.UNCLAIMED
     keeper.settle()
-    assert isinstance(store.late[0](), Failure)
+    assert isinstance(store.delayed[0](), Failure)
     assert begin(keeper).verdict is Verdict.MINE
 
 
 def test_late_write_that_landed_is_released():
-    store = LossyStore('late', DOWN)
+    store = LossyStore('delayed', UNREACHABLE)
     keeper = Keeper(platform=store)
     assert begin(keeper).verdict is Verdict.UNCLAIMED
-    store.late[0]()
+    store.delayed[0]()
     keeper.settle()
     assert begin(keeper).verdict is Verdict.MINE
 
@@ -99,7 +99,7 @@
     store = LossyStore()
     keeper = Keeper(platform=store)
     begun = begin(keeper)
-    store.faults = [DOWN, DOWN]
+    store.faults = [UNREACHABLE, UNREACHABLE]
     keeper.finish(begun, OUTCOME)
     keeper.settle()
     assert begin(keeper).verdict is Verdict.OPEN
--- a/toucanhall/idempotency/attempt.py
+++ b/toucanhall/idempotency/attempt.py
@@ -8,7 +8,7 @@
 
 __all__ = ('Attempt', 'Stage', 'Verdict', 'may_send')
 
-_TRIES: Final = 3
+_MAX_TRIES: Final = 3
 
 
 class Stage(enum.Enum):
@@ -38,15 +38,16 @@
 class Attempt(NamedTuple):
     """One VM's attempt: its claim and the version its next write expects.
 
-    `is_loose` says that a write got no reply and may still take effect.
+    `has_unconfirmed_write` says that a write got no reply and may still take
+    effect.
     """
 
     claim: Claim
     give_up_at: float
     stage: Stage = Stage.WRITING
     expected: int = ABSENT
-    tries: int = _TRIES
-    is_loose: bool = False
+    remaining_tries: int = _MAX_TRIES
+    has_unconfirmed_write: bool = False
 
 
 def may_send(give_up_at: float, now: float) -> bool:
--- a/toucanhall/idempotency/messages.py
+++ b/toucanhall/idempotency/messages.py
@@ -6,23 +6,23 @@
 from toucanhall.idempotency.claims import Claim, Found, Outcome
 
 __all__ = (
-    'Answered',
+    'Abandoned',
     'Conflicted',
+    'Connected',
     'Disclaimed',
-    'Down',
     'Effect',
     'Event',
-    'Failed',
-    'Later',
-    'Look',
-    'Lost',
-    'Moved',
-    'Ready',
+    'Notify',
+    'Read',
+    'ReadDone',
+    'ReplyLost',
+    'ResponseMissing',
+    'ResponseReceived',
     'Retry',
-    'Seen',
+    'ScheduleRetry',
     'Send',
-    'Tell',
-    'Unsent',
+    'StoreUnreachable',
+    'Transition',
     'Write',
     'Written',
 )
@@ -38,25 +38,25 @@
     """A write found another version and had no effect."""
 
 
-class Lost(NamedTuple):
+class ReplyLost(NamedTuple):
     """A write got no reply; it took effect, never will, or will later."""
 
 
-class Down(NamedTuple):
+class StoreUnreachable(NamedTuple):
     """The store was not reached; the call had no effect."""
 
 
-class Seen(NamedTuple):
+class ReadDone(NamedTuple):
     """The store was read."""
 
     found: Found | None
 
 
-class Ready(NamedTuple):
+class Connected(NamedTuple):
     """A connection stands and the first byte can leave."""
 
 
-class Unsent(NamedTuple):
+class Abandoned(NamedTuple):
     """The request was given up before the first byte."""
 
 
@@ -64,13 +64,13 @@
     """The entry VM that got the request truly said it did not run it."""
 
 
-class Answered(NamedTuple):
+class ResponseReceived(NamedTuple):
     """A whole answer came."""
 
     outcome: Outcome
 
 
-class Failed(NamedTuple):
+class ResponseMissing(NamedTuple):
     """No whole answer came after the first byte."""
 
 
@@ -85,7 +85,7 @@
     expected: int
 
 
-class Look(NamedTuple):
+class Read(NamedTuple):
     """Read what lies in the store."""
 
 
@@ -93,24 +93,28 @@
     """Send the first byte."""
 
 
-class Tell(NamedTuple):
-    """Tell the request path how the claim stands."""
+class Notify(NamedTuple):
+    """Notify the request path how the claim stands."""
 
     verdict: Verdict
     claim: Claim
 
 
-class Later(NamedTuple):
+class ScheduleRetry(NamedTuple):
     """Come back with `Retry` after a while."""
 
 
-StoreEvent: TypeAlias = Written | Conflicted | Lost | Down | Seen | Retry
-RequestEvent: TypeAlias = Ready | Unsent | Disclaimed | Answered | Failed
+StoreEvent: TypeAlias = (
+    Written | Conflicted | ReplyLost | StoreUnreachable | ReadDone | Retry
+)
+RequestEvent: TypeAlias = (
+    Connected | Abandoned | Disclaimed | ResponseReceived | ResponseMissing
+)
 Event: TypeAlias = StoreEvent | RequestEvent
-Effect: TypeAlias = Write | Look | Send | Tell | Later
+Effect: TypeAlias = Write | Read | Send | Notify | ScheduleRetry
 
 
-class Moved(NamedTuple):
+class Transition(NamedTuple):
     """The state after an event, and what is to be done now."""
 
     attempt: Attempt
--- a/toucanhall/idempotency/protocol.py
+++ b/toucanhall/idempotency/protocol.py
@@ -6,58 +6,64 @@
 from toucanhall.idempotency import messages
 from toucanhall.idempotency.attempt import Attempt, Stage, Verdict, may_send
 from toucanhall.idempotency.claims import Claim, Standing, judge
-from toucanhall.idempotency.messages import Moved
+from toucanhall.idempotency.messages import Transition
 from toucanhall.objectstore.model import ABSENT
 
 __all__ = ('start', 'step')
 
 
-def start(claim: Claim, give_up_at: float) -> Moved:
+def start(claim: Claim, give_up_at: float) -> Transition:
     """Begin with the conditional creation of the claim."""
-    return Moved(Attempt(claim, give_up_at), (messages.Write(claim, ABSENT),))
+    return Transition(
+        Attempt(claim, give_up_at), (messages.Write(claim, ABSENT),)
+    )
 
 
-def step(attempt: Attempt, event: messages.Event, now: float) -> Moved:
+def step(attempt: Attempt, event: messages.Event, now: float) -> Transition:
     """Return what an event makes of an attempt; unexpected ones change it not.
 
     A claim is never taken from its claimant: only the claimant releases it,
     and only before the first byte was sent.
     """
-    move = _MOVES.get((attempt.stage, type(event)))
-    if move is None:
-        return Moved(attempt)
-    return move(attempt, event, now)
+    handler = _HANDLERS.get((attempt.stage, type(event)))
+    if handler is None:
+        return Transition(attempt)
+    return handler(attempt, event, now)
 
 
-def _hold(attempt: Attempt, version: int, now: float) -> Moved:
+def _hold(attempt: Attempt, version: int, now: float) -> Transition:
     held = attempt._replace(stage=Stage.HELD, expected=version)
     if not may_send(attempt.give_up_at, now):
         return _release(held, Verdict.LATE)
-    return Moved(held, (messages.Tell(Verdict.MINE, attempt.claim),))
+    return Transition(held, (messages.Notify(Verdict.MINE, attempt.claim),))
 
 
-def _take_written(
+def _hold_written(
     attempt: Attempt, event: messages.Written, now: float
-) -> Moved:
+) -> Transition:
     return _hold(attempt, event.version, now)
 
 
-def _look(attempt: Attempt, _event: messages.Event, _now: float) -> Moved:
-    return Moved(attempt._replace(stage=Stage.READING), (messages.Look(),))
+def _read_claim(
+    attempt: Attempt, _event: messages.Event, _now: float
+) -> Transition:
+    return Transition(attempt._replace(stage=Stage.READING), (messages.Read(),))
 
 
-def _settle_lost(
+def _read_after_lost_reply(
     attempt: Attempt,
     event: messages.Event,
     now: float,
-) -> Moved:
-    return _look(attempt._replace(is_loose=True), event, now)
+) -> Transition:
+    return _read_claim(attempt._replace(has_unconfirmed_write=True), event, now)
 
 
-def _settle(attempt: Attempt, event: messages.Seen, now: float) -> Moved:
+def _resolve_read(
+    attempt: Attempt, event: messages.ReadDone, now: float
+) -> Transition:
     found = event.found
     if found is None:
-        return _write_again(attempt, ABSENT, now)
+        return _retry_write(attempt, ABSENT, now)
     standing = judge(
         found.claim,
         attempt.claim.claim_id,
@@ -66,70 +72,84 @@
     if standing is Standing.MINE:
         return _hold(attempt, found.version, now)
     if standing is Standing.FREE:
-        return _write_again(attempt, found.version, now)
+        return _retry_write(attempt, found.version, now)
     ended = attempt._replace(stage=Stage.ENDED)
-    return Moved(ended, (messages.Tell(Verdict(standing.value), found.claim),))
+    return Transition(
+        ended, (messages.Notify(Verdict(standing.value), found.claim),)
+    )
 
 
-def _write_again(attempt: Attempt, expected: int, now: float) -> Moved:
-    seen = attempt._replace(expected=expected)
+def _retry_write(attempt: Attempt, expected: int, now: float) -> Transition:
+    updated = attempt._replace(expected=expected)
     if not may_send(attempt.give_up_at, now):
-        return _forgo(seen, Verdict.LATE)
-    if attempt.tries <= 1:
-        return _forgo(seen, Verdict.UNCLAIMED)
-    again = seen._replace(stage=Stage.WRITING, tries=attempt.tries - 1)
-    return Moved(again, (messages.Write(attempt.claim, expected),))
+        return _end_or_release(updated, Verdict.LATE)
+    if attempt.remaining_tries <= 1:
+        return _end_or_release(updated, Verdict.UNCLAIMED)
+    again = updated._replace(
+        stage=Stage.WRITING, remaining_tries=attempt.remaining_tries - 1
+    )
+    return Transition(again, (messages.Write(attempt.claim, expected),))
 
 
-def _abandon(
+def _end_unclaimed(
     attempt: Attempt,
     _event: messages.Event,
     _now: float,
-) -> Moved:
-    return _forgo(attempt, Verdict.UNCLAIMED)
+) -> Transition:
+    return _end_or_release(attempt, Verdict.UNCLAIMED)
 
 
-def _forgo(attempt: Attempt, verdict: Verdict) -> Moved:
+def _end_or_release(attempt: Attempt, verdict: Verdict) -> Transition:
     """Give up a claim that does not stand, unless a write may make it."""
-    if attempt.is_loose:
+    if attempt.has_unconfirmed_write:
         return _release(attempt, verdict)
     ended = attempt._replace(stage=Stage.ENDED)
-    return Moved(ended, (messages.Tell(verdict, attempt.claim),))
+    return Transition(ended, (messages.Notify(verdict, attempt.claim),))
 
 
-def _make_ready(attempt: Attempt, _event: messages.Event, now: float) -> Moved:
+def _send_if_in_time(
+    attempt: Attempt, _event: messages.Event, now: float
+) -> Transition:
     if not may_send(attempt.give_up_at, now):
         return _release(attempt, Verdict.LATE)
-    return Moved(attempt._replace(stage=Stage.SENT), (messages.Send(),))
+    return Transition(attempt._replace(stage=Stage.SENT), (messages.Send(),))
 
 
-def _hold_again(attempt: Attempt, _event: messages.Event, _now: float) -> Moved:
-    return Moved(attempt._replace(stage=Stage.HELD))
+def _hold_disclaimed(
+    attempt: Attempt, _event: messages.Event, _now: float
+) -> Transition:
+    return Transition(attempt._replace(stage=Stage.HELD))
 
 
-def _release(attempt: Attempt, verdict: Verdict) -> Moved:
+def _release(attempt: Attempt, verdict: Verdict) -> Transition:
     """Answer first; the release is written when the caller is gone."""
-    return Moved(
+    return Transition(
         attempt._replace(stage=Stage.RELEASING),
-        (messages.Tell(verdict, attempt.claim), messages.Later()),
+        (messages.Notify(verdict, attempt.claim), messages.ScheduleRetry()),
     )
 
 
 def _write_release(
     attempt: Attempt, _event: messages.Event, _now: float
-) -> Moved:
+) -> Transition:
     released = attempt.claim._replace(released=True)
-    return Moved(
+    return Transition(
         attempt._replace(stage=Stage.RELEASING),
         (messages.Write(released, attempt.expected),),
     )
 
 
-def _check(attempt: Attempt, _event: messages.Event, _now: float) -> Moved:
-    return Moved(attempt._replace(stage=Stage.CHECKING), (messages.Look(),))
+def _check_release(
+    attempt: Attempt, _event: messages.Event, _now: float
+) -> Transition:
+    return Transition(
+        attempt._replace(stage=Stage.CHECKING), (messages.Read(),)
+    )
 
 
-def _release_seen(attempt: Attempt, event: messages.Seen, now: float) -> Moved:
+def _resolve_release(
+    attempt: Attempt, event: messages.ReadDone, now: float
+) -> Transition:
     found = event.found
     if found is None:
         absent = attempt._replace(expected=ABSENT)
@@ -141,60 +161,64 @@
     return _end(attempt, event, now)
 
 
-def _finish(attempt: Attempt, event: messages.Answered, now: float) -> Moved:
+def _finish(
+    attempt: Attempt, event: messages.ResponseReceived, now: float
+) -> Transition:
     done = attempt.claim._replace(outcome=event.outcome)
     return _write_outcome(attempt._replace(claim=done), event, now)
 
 
 def _write_outcome(
     attempt: Attempt, _event: messages.Event, _now: float
-) -> Moved:
-    return Moved(
+) -> Transition:
+    return Transition(
         attempt._replace(stage=Stage.FINISHING),
         (messages.Write(attempt.claim, attempt.expected),),
     )
 
 
-def _put_off(
+def _schedule_retry(
     attempt: Attempt,
     _event: messages.Event,
     _now: float,
-) -> Moved:
-    stage = _AFTER_PUT_OFF.get(attempt.stage, attempt.stage)
-    return Moved(attempt._replace(stage=stage), (messages.Later(),))
+) -> Transition:
+    stage = _RETRY_STAGES.get(attempt.stage, attempt.stage)
+    return Transition(
+        attempt._replace(stage=stage), (messages.ScheduleRetry(),)
+    )
 
 
-def _end(attempt: Attempt, _event: messages.Event, _now: float) -> Moved:
-    return Moved(attempt._replace(stage=Stage.ENDED))
+def _end(attempt: Attempt, _event: messages.Event, _now: float) -> Transition:
+    return Transition(attempt._replace(stage=Stage.ENDED))
 
 
-_AFTER_PUT_OFF: Final = {Stage.CHECKING: Stage.RELEASING}
+_RETRY_STAGES: Final = {Stage.CHECKING: Stage.RELEASING}
 
-_Move: TypeAlias = Callable[[Attempt, Any, float], Moved]
+_Handler: TypeAlias = Callable[[Attempt, Any, float], Transition]
 
-_MOVES: Final[Mapping[tuple[Stage, type[Any]], _Move]] = {
-    (Stage.WRITING, messages.Written): _take_written,
-    (Stage.WRITING, messages.Conflicted): _look,
-    (Stage.WRITING, messages.Lost): _settle_lost,
-    (Stage.WRITING, messages.Down): _abandon,
-    (Stage.READING, messages.Seen): _settle,
-    (Stage.READING, messages.Down): _abandon,
-    (Stage.HELD, messages.Ready): _make_ready,
-    (Stage.HELD, messages.Unsent): _write_release,
-    (Stage.HELD, messages.Answered): _finish,
-    (Stage.SENT, messages.Disclaimed): _hold_again,
-    (Stage.SENT, messages.Answered): _finish,
-    (Stage.SENT, messages.Failed): _end,
+_HANDLERS: Final[Mapping[tuple[Stage, type[Any]], _Handler]] = {
+    (Stage.WRITING, messages.Written): _hold_written,
+    (Stage.WRITING, messages.Conflicted): _read_claim,
+    (Stage.WRITING, messages.ReplyLost): _read_after_lost_reply,
+    (Stage.WRITING, messages.StoreUnreachable): _end_unclaimed,
+    (Stage.READING, messages.ReadDone): _resolve_read,
+    (Stage.READING, messages.StoreUnreachable): _end_unclaimed,
+    (Stage.HELD, messages.Connected): _send_if_in_time,
+    (Stage.HELD, messages.Abandoned): _write_release,
+    (Stage.HELD, messages.ResponseReceived): _finish,
+    (Stage.SENT, messages.Disclaimed): _hold_disclaimed,
+    (Stage.SENT, messages.ResponseReceived): _finish,
+    (Stage.SENT, messages.ResponseMissing): _end,
     (Stage.FINISHING, messages.Written): _end,
     (Stage.FINISHING, messages.Conflicted): _end,
-    (Stage.FINISHING, messages.Lost): _put_off,
-    (Stage.FINISHING, messages.Down): _put_off,
+    (Stage.FINISHING, messages.ReplyLost): _schedule_retry,
+    (Stage.FINISHING, messages.StoreUnreachable): _schedule_retry,
     (Stage.FINISHING, messages.Retry): _write_outcome,
     (Stage.RELEASING, messages.Written): _end,
-    (Stage.RELEASING, messages.Conflicted): _check,
-    (Stage.RELEASING, messages.Lost): _put_off,
-    (Stage.RELEASING, messages.Down): _put_off,
+    (Stage.RELEASING, messages.Conflicted): _check_release,
+    (Stage.RELEASING, messages.ReplyLost): _schedule_retry,
+    (Stage.RELEASING, messages.StoreUnreachable): _schedule_retry,
     (Stage.RELEASING, messages.Retry): _write_release,
-    (Stage.CHECKING, messages.Seen): _release_seen,
-    (Stage.CHECKING, messages.Down): _put_off,
+    (Stage.CHECKING, messages.ReadDone): _resolve_release,
+    (Stage.CHECKING, messages.StoreUnreachable): _schedule_retry,
 }
