--- a/tests/models/test_claims_model.py
+++ b/tests/models/test_claims_model.py
@@ -1,10 +1,10 @@
 """Model of at most once: claimants of one key, a lossy store, and time.
 
-The claimants run the protocol's own steps. A write without a reply is under
-way: it may take effect at once, at any later moment or never. Time may pass between
-any two steps, which is a pause. A claimant that dies is one that takes no
-further step, so the states in which the others go on without it are covered.
-When time has passed the retention, the store drops the claim.
+The claimants run the steps of the protocol itself. A write without a reply may
+take effect at once, at any later moment or never. Time may pass between any
+two steps, which stands for a pause. A claimant that dies takes no further
+step, so the states in which the others go on without it are covered. After the
+retention period the store drops the claim.
 """
 
 from typing import NamedTuple
@@ -19,7 +19,7 @@
 DEADLINE = 1  # ticks after the start of an attempt
 RETENTION = 2
 TRIES = 2
-FIRST_STATES = 60_000  # enough to meet each counterexample
+FIRST_STATES = 60_000  # contain a counterexample of each variant
 OUTCOME = Outcome(201, (), b'')
 ENDED = Attempt(Claim('', ''), DEADLINE, Stage.ENDED)
 STAGE_EVENTS = {
@@ -64,7 +64,7 @@
 
 
 def list_steps(state, rules):
-    """Yield what can happen next."""
+    """Yield all next steps and the states after them."""
     for name, digest in zip(('one', 'two'), rules.digests, strict=True):
         actor = getattr(state, name)
         for label, after in list_actions(state, name, actor, digest, rules):
@@ -80,7 +80,7 @@
 
 
 def list_actions(state, name, actor, digest, rules):
-    """Yield what one claimant can do or meet."""
+    """Yield the next steps of one claimant."""
     if actor.attempt is None:
         if state.clock < RETENTION:
             give_up_at = state.clock + DEADLINE
@@ -121,7 +121,7 @@
 
 
 def list_write_events(state, write):
-    """Yield the fates of a write: done, refused, under way, or not sent."""
+    """Yield the outcomes of a write: done, refused, pending or not sent."""
     landed, done = try_write(state, write)
     if done:
         yield 'writes', landed, messages.Written(landed.version)
@@ -133,7 +133,7 @@
 
 
 def try_write(state, write):
-    """Return the state after a conditional write, and if it took effect."""
+    """Return the state after a conditional write, and whether it succeeded."""
     current = state.stored.version if state.stored else 0
     if current != write.expected:
         return state, False
@@ -143,7 +143,7 @@
 
 
 def record_abandonment(state, name, event):
-    """Note that who gave up before sending tells the caller so."""
+    """Record the verdict of a claimant that gave up before sending."""
     if not isinstance(event, messages.Abandoned):
         return state
     actor = getattr(state, name)
@@ -203,7 +203,7 @@
 
 
 def runs_at_most_once(fields):
-    """Each sent request may run, so at most one is ever sent."""
+    """At most one request is sent, since each that is sent may run."""
     return fields['one'].sent + fields['two'].sent <= 1
 
 
@@ -229,7 +229,7 @@
 
 
 def trust_any_claim(attempt, event, now):
-    """Take a claim for its own whoever wrote it."""
+    """Treat any found claim as its own."""
     if isinstance(event, messages.ReadDone) and event.found:
         own = event.found.claim._replace(claim_id=attempt.claim.claim_id)
         event = messages.ReadDone(event.found._replace(claim=own))
@@ -237,19 +237,19 @@
 
 
 def trust_lost_write(attempt, event, now):
-    """Take a write without a reply for done."""
+    """Treat a write without a reply as done."""
     if isinstance(event, messages.ReplyLost) and attempt.stage is Stage.WRITING:
         event = messages.Written(1)
     return protocol.step(attempt, event, now)
 
 
 def skip_deadline(attempt, event, now):
-    """Send after any pause."""
+    """Send after any pause, also past the deadline."""
     return protocol.step(attempt, event, 0)
 
 
 def release_after_sending(attempt, event, now):
-    """Release a claim when no answer came."""
+    """Release a claim when no response was received."""
     if isinstance(event, messages.ResponseMissing):
         attempt = attempt._replace(stage=Stage.HELD)
         event = messages.Abandoned()
@@ -257,7 +257,7 @@
 
 
 def release_a_late_answer(attempt, event, now):
-    """Release a claim whose answer came after the deadline."""
+    """Release a claim whose response was received after the deadline."""
     if (
         isinstance(event, messages.ResponseReceived)
         and now >= attempt.give_up_at
@@ -268,14 +268,14 @@
 
 
 def send_again(attempt, event, now):
-    """Send again when no answer came."""
+    """Send again when no response was received."""
     if isinstance(event, messages.ResponseMissing):
         event = messages.Disclaimed()
     return protocol.step(attempt, event, now)
 
 
 def send_while_releasing(attempt, event, now):
-    """Send although the claim is being given up."""
+    """Send while the claim is being released."""
     transition = protocol.step(attempt, event, now)
     if (
         isinstance(event, messages.StoreUnreachable)
@@ -288,7 +288,7 @@
 
 
 def take_open_claim(attempt, event, now):
-    """Take over a claim whose outcome is not known."""
+    """Take over a claim whose outcome is unknown."""
     found = getattr(event, 'found', None)
     if found and not found.claim.outcome:
         freed = found.claim._replace(released=True)
--- a/tests/unit/test_idempotency.py
+++ b/tests/unit/test_idempotency.py
@@ -1,4 +1,4 @@
-"""Tests of the decision on a claim that was found."""
+"""Tests of what a stored claim means for a request, and of claim names."""
 
 import pytest
 
@@ -17,9 +17,9 @@
         (Claim('other', 'x', outcome=OUTCOME), Standing.MISMATCH),
     ],
 )
-def test_standing_of_a_found_claim(claim, standing):
+def test_standing_of_stored_claim(claim, standing):
     assert judge(claim, 'mine', 'd') is standing
 
 
-def test_teams_with_the_same_key_have_claims_of_their_own():
+def test_teams_with_same_key_have_separate_claims():
     assert name_claim('a', '/x', 'k') != name_claim('b', '/x', 'k')
--- a/tests/unit/test_idempotency_keeper.py
+++ b/tests/unit/test_idempotency_keeper.py
@@ -1,4 +1,4 @@
-"""Tests of claims against a store that loses, refuses and delays."""
+"""Tests of claims in a store that loses replies, fails and delays writes."""
 
 from freezegun import freeze_time
 from returns.result import Failure, Success
@@ -14,7 +14,7 @@
 
 
 class LossyStore:
-    """One object; each call meets the next fault, or none when they end."""
+    """One object; each call has the next fault of a list, then none."""
 
     def __init__(self, *faults):
         self.faults = list(faults)
@@ -50,11 +50,11 @@
 
 
 def begin(keeper, digest='d', seconds=10):
-    """Begin a claim that is given up after some seconds."""
+    """Make a claim with a deadline in some seconds."""
     return keeper.begin(CLAIM_NAME, digest, runtime.read_clock() + seconds)
 
 
-def test_claim_is_made_once_and_its_outcome_replayed():
+def test_key_is_claimed_once_and_its_outcome_returned():
     keeper = Keeper(platform=LossyStore())
     begun = begin(keeper)
     assert begun.verdict is Verdict.MINE
@@ -65,11 +65,11 @@
     assert begin(keeper, 'other').verdict is Verdict.MISMATCH
 
 
-def test_lost_reply_is_settled_by_the_claim_id():
+def test_own_claim_is_recognised_after_lost_reply():
     assert begin(Keeper(platform=LossyStore('lost'))).verdict is Verdict.MINE
 
 
-def test_store_down_owes_nothing():
+def test_claim_refused_by_unreachable_store_is_not_retried():
     store = LossyStore(UNREACHABLE)
     keeper = Keeper(platform=store)
     assert begin(keeper).verdict is Verdict.UNCLAIMED
@@ -77,7 +77,7 @@
     assert store.calls == 1
 
 
-def test_late_write_of_a_refused_request_is_fenced():
+def test_delayed_claim_conflicts_after_release():
     store = LossyStore('delayed', UNREACHABLE)
     keeper = Keeper(platform=store)
     assert begin(keeper).verdict is Verdict.UNCLAIMED
@@ -86,7 +86,7 @@
     assert begin(keeper).verdict is Verdict.MINE
 
 
-def test_late_write_that_landed_is_released():
+def test_claim_written_with_delay_is_released():
     store = LossyStore('delayed', UNREACHABLE)
     keeper = Keeper(platform=store)
     assert begin(keeper).verdict is Verdict.UNCLAIMED
@@ -95,7 +95,7 @@
     assert begin(keeper).verdict is Verdict.MINE
 
 
-def test_outcome_that_was_not_stored_is_stored_later():
+def test_outcome_is_stored_once_store_is_reachable():
     store = LossyStore()
     keeper = Keeper(platform=store)
     begun = begin(keeper)
@@ -107,7 +107,7 @@
     assert begin(keeper).claim.outcome == OUTCOME
 
 
-def test_claim_made_after_the_deadline_is_given_back():
+def test_claim_made_after_deadline_is_released():
     store = LossyStore()
     keeper = Keeper(platform=store)
     with freeze_time() as clock:
@@ -124,22 +124,22 @@
         assert begin(keeper).verdict is Verdict.MINE
 
 
-def test_released_claim_is_taken_by_one():
+def test_released_key_is_claimed_once():
     keeper = Keeper(platform=LossyStore())
     keeper.release(begin(keeper))
     assert begin(keeper).verdict is Verdict.MINE
     assert begin(keeper).verdict is Verdict.OPEN
 
 
-def test_large_outcome_is_not_kept():
+def test_body_of_large_outcome_is_not_stored():
     keeper = Keeper(platform=LossyStore())
     keeper.finish(begin(keeper), OUTCOME._replace(body=bytes(300_000)))
     outcome = begin(keeper).claim.outcome
     assert (outcome.is_kept, outcome.body) == (False, b'')
 
 
-def test_answer_that_came_at_the_deadline_is_stored():
-    """A release here would let a repeat run a second time."""
+def test_outcome_received_after_deadline_is_stored():
+    """Releasing the claim instead would let a retry run a second time."""
     keeper = Keeper(platform=LossyStore())
     with freeze_time() as clock:
         begun = begin(keeper)
--- a/toucanhall/idempotency/__init__.py
+++ b/toucanhall/idempotency/__init__.py
@@ -1,4 +1,4 @@
-"""At most once: claims, stored outcomes and true refusals."""
+"""Runs requests with an idempotency key at most once."""
 
 from toucanhall.idempotency.attempt import Verdict, may_send
 from toucanhall.idempotency.claims import (
--- a/toucanhall/idempotency/attempt.py
+++ b/toucanhall/idempotency/attempt.py
@@ -1,4 +1,4 @@
-"""The state of one VM's attempt to run a request once."""
+"""State of one VM's attempt to claim an idempotency key and run a request."""
 
 import enum
 from typing import Final, NamedTuple
@@ -12,7 +12,7 @@
 
 
 class Stage(enum.Enum):
-    """Where an attempt to run a request once stands."""
+    """Stages of an attempt."""
 
     WRITING = 'writing'
     READING = 'reading'
@@ -25,7 +25,7 @@
 
 
 class Verdict(enum.Enum):
-    """What the caller is told, or MINE when the request may be sent."""
+    """Result of an attempt; only MINE allows the request to be sent."""
 
     MINE = 'mine'
     DONE = 'done'
@@ -36,7 +36,9 @@
 
 
 class Attempt(NamedTuple):
-    """One VM's attempt: its claim and the version its next write expects.
+    """One VM's claim and the object version that its next write expects.
+
+    Nothing is sent to a target from `give_up_at` on.
 
     `has_unconfirmed_write` says that a write got no reply and may still take
     effect.
@@ -51,5 +53,5 @@
 
 
 def may_send(give_up_at: float, now: float) -> bool:
-    """Return whether the first byte may leave now."""
+    """Return whether the first byte of a request may still be sent."""
     return now < give_up_at
--- a/toucanhall/idempotency/claims.py
+++ b/toucanhall/idempotency/claims.py
@@ -1,4 +1,4 @@
-"""Claims on idempotency keys, and the decision on one that was found."""
+"""Claims on idempotency keys, and how a stored claim affects a request."""
 
 import enum
 import hashlib
@@ -8,9 +8,9 @@
 
 
 class Outcome(NamedTuple):
-    """The stored answer of a request that ran.
+    """The stored response of a request that ran.
 
-    A body that is too large for the store is not kept.
+    `is_kept` is false, and `body` empty, if the body was too large to store.
     """
 
     status: int
@@ -20,7 +20,7 @@
 
 
 class Claim(NamedTuple):
-    """Who may run a request, the digest of it, and its outcome if known.
+    """The claimant, the digest of the request, and its outcome if known.
 
     `released` says that the claimant gave up before it sent the first byte.
     """
@@ -32,7 +32,7 @@
 
 
 class Standing(enum.Enum):
-    """How a claim that was found stands to this request."""
+    """What a stored claim means for a request."""
 
     MINE = 'mine'
     FREE = 'free'
@@ -42,14 +42,14 @@
 
 
 class Found(NamedTuple):
-    """A claim as it lies in the store, with its version."""
+    """A stored claim and the version of its object."""
 
     claim: Claim
     version: int
 
 
 def judge(claim: Claim, claim_id: str, digest: str) -> Standing:
-    """Decide what a found claim means for a request."""
+    """Return what a stored claim means for a request."""
     if claim.claim_id == claim_id:
         return Standing.MINE
     if claim.digest != digest:
@@ -64,8 +64,8 @@
 def name_claim(team: str, path: str, key: str) -> str:
     """Return the name of the claim object of a team's idempotency key.
 
-    The path is that of the request: that of the route would change with a
-    revision of the catalogue, and a repeat after it would run again.
+    It is made of the request's path, not the route's: a new revision of the
+    catalogue may change the route's path, and a retry would then run again.
     """
     text = '\0'.join((team, path, key))
     return f'claims/{hashlib.sha256(text.encode()).hexdigest()}'
--- a/toucanhall/idempotency/keeper.py
+++ b/toucanhall/idempotency/keeper.py
@@ -1,4 +1,4 @@
-"""Carries out the steps of claims in the platform's store."""
+"""Executes the claim protocol against the platform's object store."""
 
 from collections import deque
 from typing import Final, NamedTuple
@@ -23,13 +23,13 @@
 
 __all__ = ('Begun', 'Keeper')
 
-_MAX_OUTCOME_BYTES: Final = 262144  # bytes of an answer kept for repeats
-_MAX_UNSETTLED_CLAIMS: Final = 4096  # claims whose last write is pending
+_MAX_OUTCOME_BYTES: Final = 262144
+_MAX_UNSETTLED_CLAIMS: Final = 4096
 _MAX_SETTLED_PER_ROUND: Final = 64
 
 
 class Begun(NamedTuple):
-    """How a claim stands, the claim found, and what continues it."""
+    """The verdict, the claim it rests on, and the state to continue from."""
 
     verdict: Verdict
     claim: Claim
@@ -38,17 +38,20 @@
 
 
 class Keeper:
-    """Runs claims; holds only what could not be written to the store yet."""
+    """Makes, finishes and releases claims.
+
+    In memory are only claims whose last write has yet to reach the store.
+    """
 
     def __init__(self, *, platform: Client) -> None:
-        """Keep claims in a platform's store."""
+        """Store claims through a client of the platform."""
         self._platform = platform
         self._unsettled: deque[tuple[str, Attempt]] = deque(
             maxlen=_MAX_UNSETTLED_CLAIMS
         )
 
     def begin(self, name: str, digest: str, give_up_at: float) -> Begun:
-        """Claim a name; the request may be sent only if the verdict is MINE."""
+        """Make a claim; the request may be sent only if the verdict is MINE."""
         claim = Claim(runtime.make_id(), digest)
         attempt, notified = self._run(name, protocol.start(claim, give_up_at))
         verdict = notified.verdict if notified else Verdict.UNCLAIMED
@@ -57,17 +60,17 @@
         )
 
     def finish(self, begun: Begun, outcome: Outcome) -> None:
-        """Store the outcome of a request that ran."""
+        """Store the outcome of a request that ran, without a body too large."""
         if len(outcome.body) > _MAX_OUTCOME_BYTES:
             outcome = outcome._replace(body=b'', is_kept=False)
         self._apply_event(begun, messages.ResponseReceived(outcome))
 
     def release(self, begun: Begun) -> None:
-        """Give up a claim whose request was never sent."""
+        """Release a claim whose request was never sent."""
         self._apply_event(begun, messages.Abandoned())
 
     def settle(self) -> None:
-        """Retry the pending writes to the store."""
+        """Retry pending writes to the store until one fails again."""
         for _ in range(min(_MAX_SETTLED_PER_ROUND, len(self._unsettled))):
             name, attempt = self._unsettled.popleft()
             unsettled_count = len(self._unsettled)
--- a/toucanhall/idempotency/messages.py
+++ b/toucanhall/idempotency/messages.py
@@ -1,4 +1,4 @@
-"""What can happen to a claim, and what is to be done about it."""
+"""Events and effects of the claim protocol."""
 
 from typing import NamedTuple, TypeAlias
 
@@ -29,79 +29,79 @@
 
 
 class Written(NamedTuple):
-    """A write took effect and gave the object a version."""
+    """A write took effect; the object now has this version."""
 
     version: int
 
 
 class Conflicted(NamedTuple):
-    """A write found another version and had no effect."""
+    """A write found another version than expected and had no effect."""
 
 
 class ReplyLost(NamedTuple):
-    """A write got no reply; it took effect, never will, or will later."""
+    """A write got no reply; it may have taken effect, or may do so later."""
 
 
 class StoreUnreachable(NamedTuple):
-    """The store was not reached; the call had no effect."""
+    """The store could not be reached; the call had no effect."""
 
 
 class ReadDone(NamedTuple):
-    """The store was read."""
+    """The store was read; `found` is None if it holds no claim."""
 
     found: Found | None
 
 
 class Connected(NamedTuple):
-    """A connection stands and the first byte can leave."""
+    """A connection is open and the first byte can be sent."""
 
 
 class Abandoned(NamedTuple):
-    """The request was given up before the first byte."""
+    """The request was given up before its first byte was sent."""
 
 
 class Disclaimed(NamedTuple):
-    """The entry VM that got the request truly said it did not run it."""
+    """The entry VM that received the request proved that it did not run it."""
 
 
 class ResponseReceived(NamedTuple):
-    """A whole answer came."""
+    """A complete response was received."""
 
     outcome: Outcome
 
 
 class ResponseMissing(NamedTuple):
-    """No whole answer came after the first byte."""
+    """The request was sent, but no complete response was received."""
 
 
 class Retry(NamedTuple):
-    """It is time to try a write again that was put off."""
+    """A postponed write is due."""
 
 
 class Write(NamedTuple):
-    """Write a claim on the condition that its version is the expected."""
+    """Write a claim if the version of its object is the expected one."""
 
     claim: Claim
     expected: int
 
 
 class Read(NamedTuple):
-    """Read what lies in the store."""
+    """Read the claim from the store."""
 
 
 class Send(NamedTuple):
-    """Send the first byte."""
+    """Send the request."""
 
 
 class Notify(NamedTuple):
-    """Notify the request path how the claim stands."""
+    """Return a verdict, and the claim that it rests on, to the request path."""
 
     verdict: Verdict
     claim: Claim
 
 
 class ScheduleRetry(NamedTuple):
-    """Come back with `Retry` after a while."""
+    """Deliver `Retry` later."""
 
 
 StoreEvent: TypeAlias = (
@@ -115,7 +115,7 @@
 
 
 class Transition(NamedTuple):
-    """The state after an event, and what is to be done now."""
+    """The state after an event, and the effects to execute."""
 
     attempt: Attempt
     effects: tuple[Effect, ...] = ()
--- a/toucanhall/idempotency/protocol.py
+++ b/toucanhall/idempotency/protocol.py
@@ -1,4 +1,4 @@
-"""The life of one claim as pure steps of state, event and time."""
+"""State machine of one claim: pure functions of state, event and time."""
 
 from collections.abc import Callable, Mapping
 from typing import Any, Final, TypeAlias
@@ -13,17 +13,17 @@
 
 
 def start(claim: Claim, give_up_at: float) -> Transition:
-    """Begin with the conditional creation of the claim."""
+    """Start an attempt, which first creates the claim if none exists."""
     return Transition(
         Attempt(claim, give_up_at), (messages.Write(claim, ABSENT),)
     )
 
 
 def step(attempt: Attempt, event: messages.Event, now: float) -> Transition:
-    """Return what an event makes of an attempt; unexpected ones change it not.
+    """Apply an event to an attempt; an unexpected event changes nothing.
 
-    A claim is never taken from its claimant: only the claimant releases it,
-    and only before the first byte was sent.
+    Only its claimant releases a claim, and only before the first byte was
+    sent.
     """
     handler = _HANDLERS.get((attempt.stage, type(event)))
     if handler is None:
@@ -100,7 +100,7 @@
 
 
 def _end_or_release(attempt: Attempt, verdict: Verdict) -> Transition:
-    """Give up a claim that does not stand, unless a write may make it."""
+    """End an attempt; release the claim if a write may still create it."""
     if attempt.has_unconfirmed_write:
         return _release(attempt, verdict)
     ended = attempt._replace(stage=Stage.ENDED)
@@ -122,7 +122,7 @@
 
 
 def _release(attempt: Attempt, verdict: Verdict) -> Transition:
-    """Answer first; the release is written when the caller is gone."""
+    """Give the verdict now; the release is written after the response."""
     return Transition(
         attempt._replace(stage=Stage.RELEASING),
         (messages.Notify(verdict, attempt.claim), messages.ScheduleRetry()),
