--- a/tests/unit/test_transport.py
+++ b/tests/unit/test_transport.py
@@ -14,7 +14,7 @@
 
 SECRET = b'fleet'
 ADDRESS = '127.64.203.1'
-TAKE_SECONDS = 0.3
+HANDLER_SECONDS = 0.3
 
 
 def make_exchange(port):
@@ -32,8 +32,8 @@
 
 
 def test_frame_of_another_secret_is_forged():
-    opened = unseal(SECRET, seal(b'other', 'a', 's', make_heartbeat()))
-    assert opened.failure().reason == 'forged'
+    unsealed = unseal(SECRET, seal(b'other', 'a', 's', make_heartbeat()))
+    assert unsealed.failure().reason == 'forged'
 
 
 @given(st.binary(max_size=200))
@@ -43,33 +43,33 @@
 
 def test_stop_waits_for_the_thread_that_takes_messages():
     exchange = make_exchange(port=9101)
-    taken = threading.Event()
+    handled = threading.Event()
 
-    def take(_envelope, _heartbeat):
-        taken.set()
-        runtime.pause(TAKE_SECONDS)
+    def handle(_envelope, _heartbeat):
+        handled.set()
+        runtime.pause(HANDLER_SECONDS)
 
-    exchange.start((Handler(Heartbeat, take),))
+    exchange.start((Handler(Heartbeat, handle),))
     exchange.send(ADDRESS, make_heartbeat())
-    assert taken.wait(5)
+    assert handled.wait(5)
     exchange.stop()
     assert 'exchange' not in {thread.name for thread in threading.enumerate()}
 
 
 def test_handler_that_fails_once_does_not_end_the_messages():
     exchange = make_exchange(port=9103)
-    taken = []
-    is_taken = threading.Event()
+    handled = []
+    are_handled = threading.Event()
 
-    def take(_envelope, heartbeat):
-        taken.append(heartbeat.sequence)
-        if len(taken) == 1:
+    def handle(_envelope, heartbeat):
+        handled.append(heartbeat.sequence)
+        if len(handled) == 1:
             raise ValueError('nobody expected this')
-        is_taken.set()
+        are_handled.set()
 
-    exchange.start((Handler(Heartbeat, take),))
+    exchange.start((Handler(Heartbeat, handle),))
     for sequence in (1, 2):
         exchange.send(ADDRESS, make_heartbeat(sequence=sequence))
-    assert is_taken.wait(5)
-    assert taken == [1, 2]
+    assert are_handled.wait(5)
+    assert handled == [1, 2]
     exchange.stop()
--- a/toucanhall/transport/exchange.py
+++ b/toucanhall/transport/exchange.py
@@ -14,11 +14,11 @@
 
 __all__ = ('Exchange', 'Handler', 'Identity')
 
-_SEND_BUFFER: Final = 64  # messages
-_JOIN_SECONDS: Final = 1.0  # for the message in hand when a VM stops
-_MOST_PEERS: Final = 64  # connections
-_RECONNECT_MS: Final = 100
-_RECONNECT_MAX_MS: Final = 1000
+_MAX_UNSENT_MESSAGES: Final = 64
+_JOIN_TIMEOUT_SECONDS: Final = 1.0  # for the message in hand when a VM stops
+_MAX_CONNECTIONS: Final = 64
+_MIN_RECONNECT_MS: Final = 100
+_MAX_RECONNECT_MS: Final = 1000
 
 
 class Identity(NamedTuple):
@@ -33,7 +33,7 @@
     """The type of a message and the function that takes it."""
 
     kind: type
-    take: Callable[[Envelope, Any], None]
+    handle: Callable[[Envelope, Any], None]
 
 
 class Exchange:
@@ -57,7 +57,7 @@
         self._handlers: Mapping[str, Handler] = {}
         self._socket = pynng.Pull0()
         self._thread = threading.Thread(
-            target=self._receive,
+            target=self._receive_frames,
             name='exchange',
             daemon=True,
         )
@@ -82,7 +82,7 @@
             message,
         )
         with self._lock:
-            peer = self._peers.pop(address, None) or self._dial(address)
+            peer = self._peers.pop(address, None) or self._connect(address)
             self._peers[address] = peer
             try:
                 peer.send(frame, block=False)
@@ -109,33 +109,33 @@
             peer.close()
         self._socket.close()
         if self._thread.is_alive():
-            self._thread.join(_JOIN_SECONDS)
+            self._thread.join(_JOIN_TIMEOUT_SECONDS)
 
-    def _dial(self, address: str) -> pynng.Push0:
+    def _connect(self, address: str) -> pynng.Push0:
         peer = pynng.Push0(
-            send_buffer_size=_SEND_BUFFER,
-            reconnect_time_min=_RECONNECT_MS,
-            reconnect_time_max=_RECONNECT_MAX_MS,
+            send_buffer_size=_MAX_UNSENT_MESSAGES,
+            reconnect_time_min=_MIN_RECONNECT_MS,
+            reconnect_time_max=_MAX_RECONNECT_MS,
         )
         peer.dial(f'tcp://{address}:{self._port}', block=False)
-        if len(self._peers) >= _MOST_PEERS:
-            idlest = next(iter(self._peers))
-            self._peers.pop(idlest).close()
+        if len(self._peers) >= _MAX_CONNECTIONS:
+            least_recent = next(iter(self._peers))
+            self._peers.pop(least_recent).close()
         return peer
 
-    def _receive(self) -> None:
+    def _receive_frames(self) -> None:
         while True:
             try:
                 frame = self._socket.recv()
             except pynng.Closed:
                 return
-            runtime.call_and_log_errors(self._open, frame)
+            runtime.call_and_log_errors(self._handle_frame, frame)
 
-    def _open(self, frame: bytes) -> None:
-        opened = unseal(self._identity.secret, frame).bind(self._take)
-        opened.alt(self._drop)
+    def _handle_frame(self, frame: bytes) -> None:
+        unsealed = unseal(self._identity.secret, frame).bind(self._dispatch)
+        unsealed.alt(self._record_dropped)
 
-    def _take(self, envelope: Envelope) -> Result[None, FrameError]:
+    def _dispatch(self, envelope: Envelope) -> Result[None, FrameError]:
         handler = self._handlers.get(envelope.kind)
         if handler is None:
             return Result.from_failure(FrameError('unknown', envelope.kind))
@@ -146,9 +146,9 @@
             )
         except msgspec.MsgspecError as error:
             return Result.from_failure(FrameError('damaged', str(error)))
-        handler.take(envelope, message)
+        handler.handle(envelope, message)
         return Success(None)
 
-    def _drop(self, error: FrameError) -> None:
+    def _record_dropped(self, error: FrameError) -> None:
         self._counters.add(f'message.dropped.{error.reason}')
         events.log(events.MESSAGE_DROPPED, reason=error.reason)
