--- a/tests/unit/test_transport.py
+++ b/tests/unit/test_transport.py
@@ -1,4 +1,4 @@
-"""Tests of authenticated frames."""
+"""Tests of authenticated frames and of the exchange of messages."""
 
 import threading
 
@@ -26,22 +26,22 @@
     )
 
 
-def test_frame_comes_through():
+def test_sealed_frame_is_unsealed():
     envelope = unseal(SECRET, seal(SECRET, 'a', 's', make_heartbeat()))
     assert envelope.unwrap().kind == 'Heartbeat'
 
 
-def test_frame_of_another_secret_is_forged():
+def test_frame_sealed_with_another_secret_is_forged():
     unsealed = unseal(SECRET, seal(b'other', 'a', 's', make_heartbeat()))
     assert unsealed.failure().reason == 'forged'
 
 
 @given(st.binary(max_size=200))
-def test_any_bytes_are_refused_and_nothing_is_raised(frame):
+def test_arbitrary_bytes_are_forged_and_raise_nothing(frame):
     assert unseal(SECRET, frame).failure().reason == 'forged'
 
 
-def test_stop_waits_for_the_thread_that_takes_messages():
+def test_stop_waits_for_the_receiving_thread():
     exchange = make_exchange(port=9101)
     handled = threading.Event()
 
@@ -56,7 +56,7 @@
     assert 'exchange' not in {thread.name for thread in threading.enumerate()}
 
 
-def test_handler_that_fails_once_does_not_end_the_messages():
+def test_messages_are_handled_after_a_handler_raised():
     exchange = make_exchange(port=9103)
     handled = []
     are_handled = threading.Event()
--- a/toucanhall/transport/__init__.py
+++ b/toucanhall/transport/__init__.py
@@ -1,4 +1,4 @@
-"""Authenticated messages between the entry VMs."""
+"""Authenticated messages between entry VMs."""
 
 from toucanhall.transport.exchange import Exchange
 from toucanhall.transport.frames import Envelope, FrameError, seal, unseal
--- a/toucanhall/transport/exchange.py
+++ b/toucanhall/transport/exchange.py
@@ -1,4 +1,4 @@
-"""Sends messages to peers and hands arriving ones to their handlers."""
+"""Sends messages to peers and dispatches received ones to handlers."""
 
 import threading
 from collections.abc import Callable, Mapping
@@ -15,14 +15,15 @@
 __all__ = ('Exchange', 'Handler', 'Identity')
 
 _MAX_UNSENT_MESSAGES: Final = 64
-_JOIN_TIMEOUT_SECONDS: Final = 1.0  # for the message in hand when a VM stops
+# The receiving thread may still be in a handler when the VM stops.
+_JOIN_TIMEOUT_SECONDS: Final = 1.0
 _MAX_CONNECTIONS: Final = 64
 _MIN_RECONNECT_MS: Final = 100
 _MAX_RECONNECT_MS: Final = 1000
 
 
 class Identity(NamedTuple):
-    """Who this process is: VM, start id, and the secret of the fleet."""
+    """The VM's name, the id of this start, and the secret of the fleet."""
 
     vm: str
     start: str
@@ -30,10 +31,10 @@
 
 
 class Handler(NamedTuple):
-    """The type of a message and the function that takes it."""
+    """A type of message and the function that handles it."""
 
     kind: type
-    handle: Callable[[Envelope, Any], None]
+    receive: Callable[[Envelope, Any], None]
 
 
 class Exchange:
@@ -63,18 +64,23 @@
         )
 
     def start(self, handlers: tuple[Handler, ...]) -> None:
-        """Begin to take messages; each kind has one handler."""
+        """Start to receive messages; each type of message has one handler."""
         self._handlers = {
             handler.kind.__name__: handler for handler in handlers
         }
         if len(self._handlers) < len(handlers):
             kinds = [handler.kind.__name__ for handler in handlers]
-            raise ValueError(f'a kind has two handlers: {sorted(kinds)}')
+            raise ValueError(
+                f'a message type has two handlers: {sorted(kinds)}'
+            )
         self._socket.listen(f'tcp://{self._address}:{self._port}')
         self._thread.start()
 
     def send(self, address: str, message: tuple[Any, ...]) -> None:
-        """Send a message to the VM at an address; it may be lost."""
+        """Send a message to the VM at an address; delivery is not certain.
+
+        It is dropped and counted if the send buffer is full.
+        """
         frame = seal(
             self._identity.secret,
             self._identity.vm,
@@ -90,17 +96,17 @@
                 self._counters.add('message.unsent')
 
     def redial(self, address: str) -> None:
-        """Replace the connection to a peer that went silent."""
+        """Close the connection to a silent peer; the next send reconnects."""
         with self._lock:
             peer = self._peers.pop(address, None)
         if peer is not None:
             peer.close()
 
     def stop(self) -> None:
-        """Close every socket and wait for the message in hand.
+        """Close all sockets and wait for the handler that is running.
 
-        A thread that comes back from the library while the interpreter ends
-        may abort the process.
+        A thread that returns from pynng while the interpreter shuts down may
+        abort the process.
         """
         with self._lock:
             peers = tuple(self._peers.values())
@@ -146,7 +152,7 @@
             )
         except msgspec.MsgspecError as error:
             return Result.from_failure(FrameError('damaged', str(error)))
-        handler.handle(envelope, message)
+        handler.receive(envelope, message)
         return Success(None)
 
     def _record_dropped(self, error: FrameError) -> None:
--- a/toucanhall/transport/frames.py
+++ b/toucanhall/transport/frames.py
@@ -13,7 +13,7 @@
 
 
 class Envelope(NamedTuple):
-    """A message on its way: its kind, its sender and the encoded body."""
+    """A message with its type, its sender and the encoded body."""
 
     kind: str
     vm: str
@@ -22,7 +22,7 @@
 
 
 class FrameError(NamedTuple):
-    """Why a frame was not accepted; `reason` names the counter."""
+    """Why a frame was rejected; `reason` is part of a counter's name."""
 
     reason: str
     what: str
@@ -34,7 +34,7 @@
     start: str,
     message: tuple[Any, ...],
 ) -> bytes:
-    """Encode a message; its kind is the name of its type."""
+    """Encode and sign a message; `kind` is the name of its class."""
     kind = type(message).__name__
     body = msgspec.Raw(msgspec.msgpack.encode(message))
     payload = msgspec.msgpack.encode(Envelope(kind, vm, start, body))
@@ -42,7 +42,7 @@
 
 
 def unseal(secret: bytes, frame: bytes) -> Result[Envelope, FrameError]:
-    """Check the digest of a frame and return its envelope."""
+    """Verify the digest of a frame and return its envelope."""
     digest = frame[:_DIGEST_BYTES]
     payload = frame[_DIGEST_BYTES:]
     if not hmac.compare_digest(digest, _sign(secret, payload)):
