--- a/toucanhall/objectstore/client.py
+++ b/toucanhall/objectstore/client.py
@@ -22,15 +22,15 @@
 
 __all__ = ('Client', 'connect')
 
-_CONNECT_SECONDS: Final = 0.5
-_CALL_SECONDS: Final = 2.0
-_WATCH_MARGIN_SECONDS: Final = 2.0
-_CONNECTIONS: Final = 16
+_CONNECT_TIMEOUT_SECONDS: Final = 0.5
+_READ_TIMEOUT_SECONDS: Final = 2.0
+_WATCH_READ_MARGIN_SECONDS: Final = 2.0
+_MAX_IDLE_CONNECTIONS: Final = 16
 _OK: Final = 200
 _CREATED: Final = 201
 _NOT_FOUND: Final = 404
 _PRECONDITION_FAILED: Final = 412
-_NEVER_SENT: Final = (NewConnectionError, ConnectTimeoutError)
+_NOT_SENT_ERRORS: Final = (NewConnectionError, ConnectTimeoutError)
 
 
 class Client:
@@ -43,8 +43,8 @@
 
     def read(self, name: str) -> Result[Stored, PlatformError]:
         """Return an object; version 0 with empty content when absent."""
-        return self._get(f'/objects/{quote(name)}', _CALL_SECONDS).bind(
-            lambda response: _read_object(name, response),
+        return self._get(f'/objects/{quote(name)}', _READ_TIMEOUT_SECONDS).bind(
+            lambda response: _parse_object(name, response),
         )
 
     def write(
@@ -70,15 +70,15 @@
                 f'{self._base}/objects/{quote(name)}',
                 body=content,
                 headers=condition,
-                timeout=_make_timeout(_CALL_SECONDS),
+                timeout=_make_timeout(_READ_TIMEOUT_SECONDS),
                 retries=False,
             )
-        except _NEVER_SENT as error:
+        except _NOT_SENT_ERRORS as error:
             return Failure(Unavailable(f'write {name}: {error}'))
         except HTTPError as error:
             self._pool.clear()
             return Failure(Ambiguous(name, str(error)))
-        return _read_written(name, expected, response)
+        return _parse_write_result(name, expected, response)
 
     def watch(
         self,
@@ -91,14 +91,14 @@
         Returns the object as it is after at most `wait_seconds`.
         """
         path = f'/watch/{quote(name)}?known={known}&wait={wait_seconds}'
-        return self._get(path, wait_seconds + _WATCH_MARGIN_SECONDS).bind(
-            lambda response: _read_object(name, response),
+        return self._get(path, wait_seconds + _WATCH_READ_MARGIN_SECONDS).bind(
+            lambda response: _parse_object(name, response),
         )
 
     def list_vms(self, zone: str) -> Result[tuple[Listed, ...], PlatformError]:
         """Return live and leaving VMs, by the addresses that a zone uses."""
         path = f'/vms?zone={quote(zone)}'
-        return self._get(path, _CALL_SECONDS).bind(_read_vms)
+        return self._get(path, _READ_TIMEOUT_SECONDS).bind(_parse_vms)
 
     def _get(
         self,
@@ -121,15 +121,15 @@
 
 def connect(base: str) -> Client:
     """Return a client of the platform at a URL such as `http://ip:port`."""
-    pool = urllib3.PoolManager(maxsize=_CONNECTIONS, retries=False)
+    pool = urllib3.PoolManager(maxsize=_MAX_IDLE_CONNECTIONS, retries=False)
     return Client(base=base, pool=pool)
 
 
 def _make_timeout(seconds: float) -> urllib3.Timeout:
-    return urllib3.Timeout(connect=_CONNECT_SECONDS, read=seconds)
+    return urllib3.Timeout(connect=_CONNECT_TIMEOUT_SECONDS, read=seconds)
 
 
-def _read_object(
+def _parse_object(
     name: str,
     response: urllib3.BaseHTTPResponse,
 ) -> Result[Stored, PlatformError]:
@@ -137,12 +137,12 @@
         return Success(Stored(name, ABSENT, b''))
     if response.status != _OK:
         return Failure(Unavailable(f'read {name}: status {response.status}'))
-    return _read_version(response).map(
+    return _parse_version(response).map(
         lambda version: Stored(name, version, response.data),
     )
 
 
-def _read_written(
+def _parse_write_result(
     name: str,
     expected: int,
     response: urllib3.BaseHTTPResponse,
@@ -151,19 +151,19 @@
         return Failure(Conflict(name, expected))
     if response.status not in {_OK, _CREATED}:
         return Failure(Unavailable(f'write {name}: status {response.status}'))
-    return _read_version(response)
+    return _parse_version(response)
 
 
-def _read_version(
+def _parse_version(
     response: urllib3.BaseHTTPResponse,
 ) -> Result[int, PlatformError]:
-    tag = response.headers.get('ETag', '').strip('"')
-    if not tag.isdigit():
-        return Failure(Unavailable(f'answer has no version: ETag {tag!r}'))
-    return Success(int(tag))
+    etag = response.headers.get('ETag', '').strip('"')
+    if not etag.isdigit():
+        return Failure(Unavailable(f'answer has no version: ETag {etag!r}'))
+    return Success(int(etag))
 
 
-def _read_vms(
+def _parse_vms(
     response: urllib3.BaseHTTPResponse,
 ) -> Result[tuple[Listed, ...], PlatformError]:
     if response.status != _OK:
