--- a/toucanhall/objectstore/__init__.py
+++ b/toucanhall/objectstore/__init__.py
@@ -1,4 +1,4 @@
-"""Client of the platform: object store, watches and the list of VMs."""
+"""Client of the platform: object store, watches and list of VMs."""
 
 from toucanhall.objectstore.client import Client, connect
 from toucanhall.objectstore.errors import Ambiguous, Conflict, Unavailable
--- a/toucanhall/objectstore/client.py
+++ b/toucanhall/objectstore/client.py
@@ -1,4 +1,4 @@
-"""Calls the platform by HTTP: read, conditional write, watch, list VMs."""
+"""HTTP client of the platform: read, conditional write, watch, list VMs."""
 
 from typing import Final
 from urllib.parse import quote
@@ -34,15 +34,15 @@
 
 
 class Client:
-    """The narrow interface to the platform; another platform replaces it."""
+    """The only interface to the platform; another platform needs another."""
 
     def __init__(self, *, base: str, pool: urllib3.PoolManager) -> None:
-        """Use a pool of connections to the platform at a base URL."""
+        """Call the platform at a base URL through a connection pool."""
         self._base = base
         self._pool = pool
 
     def read(self, name: str) -> Result[Stored, PlatformError]:
-        """Return an object; version 0 with empty content when absent."""
+        """Return an object, with version 0 and empty content if absent."""
         return self._get(f'/objects/{quote(name)}', _READ_TIMEOUT_SECONDS).bind(
             lambda response: _parse_object(name, response),
         )
@@ -55,9 +55,9 @@
     ) -> Result[int, PlatformError]:
         """Write an object if its version is the expected one.
 
-        Returns the new version. A version of 0 expects no object. A failure
-        is `Conflict` or `Unavailable` when nothing was written, `Ambiguous`
-        when the write may have taken effect.
+        Returns the new version. An expected version of 0 means that no object
+        exists. A failure is `Conflict` or `Unavailable` if nothing was
+        written, and `Ambiguous` if the write may have taken effect.
         """
         condition = (
             {'If-None-Match': '*'}
@@ -88,7 +88,7 @@
     ) -> Result[Stored, PlatformError]:
         """Wait until an object's version differs from the known one.
 
-        Returns the object as it is after at most `wait_seconds`.
+        Returns the current object after at most `wait_seconds`.
         """
         path = f'/watch/{quote(name)}?known={known}&wait={wait_seconds}'
         return self._get(path, wait_seconds + _WATCH_READ_MARGIN_SECONDS).bind(
@@ -96,7 +96,7 @@
         )
 
     def list_vms(self, zone: str) -> Result[tuple[Listed, ...], PlatformError]:
-        """Return live and leaving VMs, by the addresses that a zone uses."""
+        """Return alive and leaving VMs with the addresses that a zone uses."""
         path = f'/vms?zone={quote(zone)}'
         return self._get(path, _READ_TIMEOUT_SECONDS).bind(_parse_vms)
 
@@ -113,7 +113,7 @@
                 retries=False,
             )
         except HTTPError as error:
-            # A call that timed out may have met a connection gone silent.
+            # After a timeout the pooled connections may be dead: open new ones.
             self._pool.clear()
             return Failure(Unavailable(f'read {path}: {error}'))
         return Success(response)
--- a/toucanhall/objectstore/errors.py
+++ b/toucanhall/objectstore/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the platform client."""
+"""Errors of calls to the platform."""
 
 from typing import NamedTuple, TypeAlias
 
@@ -6,20 +6,20 @@
 
 
 class Unavailable(NamedTuple):
-    """The call had no effect, or it was a read that got no answer."""
+    """The call had no effect, or it was a read without a response."""
 
     what: str
 
 
 class Conflict(NamedTuple):
-    """A conditional write found another version; nothing was written."""
+    """The object has another version than expected; nothing was written."""
 
     name: str
     expected: int
 
 
 class Ambiguous(NamedTuple):
-    """A write got no answer: it may have taken effect."""
+    """A write got no response; it may have taken effect."""
 
     name: str
     what: str
--- a/toucanhall/objectstore/model.py
+++ b/toucanhall/objectstore/model.py
@@ -4,11 +4,11 @@
 
 __all__ = ('ABSENT', 'Listed', 'Stored')
 
-ABSENT: Final = 0  # version to expect of an object that does not exist
+ABSENT: Final = 0  # version of an object that does not exist
 
 
 class Stored(NamedTuple):
-    """An object of the store; `content` is empty when it is absent."""
+    """An object of the store; `content` is empty if it is absent."""
 
     name: str
     version: int
@@ -16,7 +16,7 @@
 
 
 class Listed(NamedTuple):
-    """A VM as the platform lists it; the list lags behind the VMs."""
+    """A VM in the platform's list, which may be out of date."""
 
     vm: str
     zone: str
