--- a/tests/unit/test_attempts_sharing.py
+++ b/tests/unit/test_attempts_sharing.py
@@ -10,40 +10,40 @@
 ANSWER = Answer(200, 'OK', (('Toucanhall-Request-Id', 'leader'),), (b'whole',))
 
 
-def find_key(kind='bulk', **changes):
+def make_route_key(kind='bulk', **changes):
     """Return the key of a request on a route of some kind."""
     route = make_catalogue().routes[0]._replace(kind=kind)
     return make_key(route, make_request(**changes))
 
 
-def join(sharing, key, answers):
+def start_join(sharing, key, answers):
     """Join in a thread; return the thread."""
-    until = runtime.read_clock() + 10
+    give_up_at = runtime.read_clock() + 10
     thread = threading.Thread(
-        target=lambda: answers.append(sharing.join(key, 'own', until)),
+        target=lambda: answers.append(sharing.join(key, 'own', give_up_at)),
     )
     thread.start()
     return thread
 
 
 def test_only_like_bulk_reads_share():
-    key = find_key()
-    assert key == find_key(headers=(('User-Agent', 'other'),))
-    assert key != find_key(headers=(('If-None-Match', '"v1"'),))
-    assert key != find_key(target='/tours/y')
-    assert find_key(kind='read') is None
-    assert find_key(method='POST') is None
+    key = make_route_key()
+    assert key == make_route_key(headers=(('User-Agent', 'other'),))
+    assert key != make_route_key(headers=(('If-None-Match', '"v1"'),))
+    assert key != make_route_key(target='/tours/y')
+    assert make_route_key(kind='read') is None
+    assert make_route_key(method='POST') is None
 
 
 def test_each_caller_gets_the_whole_answer_under_its_own_id():
     sharing = Sharing()
     answers = []
-    assert sharing.lead(find_key())
-    assert not sharing.lead(find_key())
-    thread = join(sharing, find_key(), answers)
-    while not sharing.joined:
+    assert sharing.begin(make_route_key())
+    assert not sharing.begin(make_route_key())
+    thread = start_join(sharing, make_route_key(), answers)
+    while not sharing.joined_count:
         thread.join(0.01)
-    sharing.publish(find_key(), ANSWER)
+    sharing.publish(make_route_key(), ANSWER)
     thread.join()
     assert answers[0].body == (b'whole',)
     assert answers[0].headers == (('Toucanhall-Request-Id', 'own'),)
@@ -51,6 +51,6 @@
 
 def test_transfer_that_broke_is_not_shared():
     sharing = Sharing()
-    sharing.lead(find_key())
-    sharing.publish(find_key(), None)
-    assert sharing.join(find_key(), 'own', 0) is None
+    sharing.begin(make_route_key())
+    sharing.publish(make_route_key(), None)
+    assert sharing.join(make_route_key(), 'own', 0) is None
--- a/tests/unit/test_forwarding_edge.py
+++ b/tests/unit/test_forwarding_edge.py
@@ -169,7 +169,7 @@
         assert reader.read().endswith(b'\r\n\r\n')
 
 
-class QuietServer:
+class FakeServer:
     """What a channel needs of its server."""
 
     def __init__(self):
@@ -180,10 +180,10 @@
 
 
 def test_request_that_trickles_is_refused():
-    server = QuietServer()
-    near, far = socket.socketpair()
-    with far, freeze_time() as clock:
-        channel = Channel(server, near, ('', 0), Adjustments(), map={})
+    server = FakeServer()
+    own_end, peer = socket.socketpair()
+    with peer, freeze_time() as clock:
+        channel = Channel(server, own_end, ('', 0), Adjustments(), map={})
         channel.received(b'GET / HTTP/1.1\r\n')
         clock.tick(20)
         channel.received(b'Host: a\r\n')
--- a/tests/unit/test_forwarding_hops.py
+++ b/tests/unit/test_forwarding_hops.py
@@ -5,29 +5,29 @@
 from toucanhall.forwarding import hops
 from toucanhall.transport.exchange import Identity
 
-HERE = Identity('north-a-1', 'start', b'secret')
+SENDER = Identity('north-a-1', 'start', b'secret')
 HOP = hops.Hop('hostels', 'd', 'id-1', 'POST', '/bookings', 2.5)
 
 
 def test_hop_is_read_back():
-    token = hops.make_token(HERE, HOP)
+    token = hops.make_token(SENDER, HOP)
     assert hops.read_token(b'secret', token) == Success(HOP)
 
 
 def test_hop_of_another_fleet_is_dropped():
-    token = hops.make_token(HERE, HOP)
+    token = hops.make_token(SENDER, HOP)
     assert hops.read_token(b'other', token).failure()
     assert hops.read_token(b'secret', 'not base64 \xe9').failure()
 
 
 def test_disclaimer_holds_for_its_request_only():
-    word = hops.make_disclaimer(HERE, 'id-1')
-    assert hops.is_disclaimed(b'secret', word, 'id-1')
-    assert not hops.is_disclaimed(b'secret', word, 'id-2')
-    assert not hops.is_disclaimed(b'other', word, 'id-1')
+    disclaimer = hops.make_disclaimer(SENDER, 'id-1')
+    assert hops.is_disclaimed(b'secret', disclaimer, 'id-1')
+    assert not hops.is_disclaimed(b'secret', disclaimer, 'id-2')
+    assert not hops.is_disclaimed(b'other', disclaimer, 'id-1')
     assert not hops.is_disclaimed(b'secret', '', 'id-1')
 
 
 def test_hop_token_is_no_disclaimer():
-    token = hops.make_token(HERE, HOP)
+    token = hops.make_token(SENDER, HOP)
     assert not hops.is_disclaimed(b'secret', token, 'id-1')
--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -22,33 +22,33 @@
 KEY = 'open-sesame'
 
 
-class Shelf:
+class MemoryStore:
     """Objects by name with versions."""
 
     def __init__(self):
         """Start empty."""
-        self.shelved = {}
+        self.objects = {}
 
     def read(self, name):
         """Return an object."""
-        return Success(self.shelved.get(name, Stored(name, 0, b'')))
+        return Success(self.objects.get(name, Stored(name, 0, b'')))
 
     def write(self, name, content, expected):
         """Write an object if its version is the expected one."""
         if self.read(name).unwrap().version != expected:
             return Failure(Conflict(name, expected))
-        self.shelved[name] = Stored(name, expected + 1, content)
+        self.objects[name] = Stored(name, expected + 1, content)
         return Success(expected + 1)
 
 
-class Free:
+class UnlimitedLedger:
     """Limits that admit everything."""
 
     def admit(self, _team):
         """Admit a request of any team."""
 
 
-def make_held(target, routes=None):
+def make_holder(target, routes=None):
     """Return a revision in force with one target and one key."""
     document = make_document()
     entry = document['targets']['guide-1'] | {'address': target.address}
@@ -72,26 +72,26 @@
     return steerer
 
 
-def make_parts(held):
+def make_parts(holder):
     """Return the state of the request path of one VM."""
     return Parts(
         identity=Identity('north-a-1', 's', b'x'),
         zone='north-a',
-        holder=held,
-        ledger=Free(),
-        steerer=make_steerer(held.current.catalogue),
+        holder=holder,
+        ledger=UnlimitedLedger(),
+        steerer=make_steerer(holder.current.catalogue),
         sharing=Sharing(),
-        keeper=Keeper(platform=Shelf()),
+        keeper=Keeper(platform=MemoryStore()),
         dispatcher=Dispatcher(),
         counters=Counters(host='', port=0),
     )
 
 
-def book(parts, owned='', path='/bookings/vip'):
+def book(parts, idempotency_key='', path='/bookings/vip'):
     """Book at a path, with an idempotency key if one is named."""
     headers = [('X-Api-Key', KEY)]
-    if owned:
-        headers.append(('Idempotency-Key', owned))
+    if idempotency_key:
+        headers.append(('Idempotency-Key', idempotency_key))
     request = make_request(
         method='POST', target=path, path=path, headers=tuple(headers),
     )  # fmt: skip
@@ -100,11 +100,11 @@
 
 def test_repeat_after_a_revision_of_the_routes_runs_once():
     with start_target(make_answer(), make_answer(body=b'second')) as target:
-        held = make_held(target)
-        parts = make_parts(held)
+        holder = make_holder(target)
+        parts = make_parts(holder)
         first = book(parts, 'owned')
         route = make_document()['routes'][1] | {'path': '/bookings/vip'}
-        held.current = make_held(target, [route]).current
+        holder.current = make_holder(target, [route]).current
         again = book(parts, 'owned')
         assert tuple(again.body) == tuple(first.body)
         assert len(target.requests) == 1
@@ -113,7 +113,7 @@
 def test_request_without_idempotency_key_is_one_of_its_own():
     cut = make_answer('Content-Length: 9')
     with start_target(cut, make_answer(), closes=True) as target:
-        parts = make_parts(make_held(target))
+        parts = make_parts(make_holder(target))
         headers = dict(book(parts).headers)
         assert headers['Toucanhall-Ran'] == 'maybe'
         assert 'Retry-After' not in headers
@@ -123,14 +123,14 @@
 
 def test_target_cannot_speak_as_an_entry_vm():
     with start_target(make_answer('Toucanhall-Ran: no')) as target:
-        answer = book(make_parts(make_held(target)), 'owned')
+        answer = book(make_parts(make_holder(target)), 'owned')
         assert 'Toucanhall-Ran' not in dict(answer.headers)
 
 
 def test_safe_request_that_was_sent_is_not_called_unsent():
     """The target cuts the first answer and then is gone."""
     with start_target(make_answer('Content-Length: 9'), closes=True) as target:
-        parts = make_parts(make_held(target))
+        parts = make_parts(make_holder(target))
         refused = serve(parts, make_request())
         assert dict(refused.headers)['Toucanhall-Ran'] == 'maybe'
 
@@ -140,14 +140,14 @@
 )
 def test_key_in_the_path_is_refused(path):
     with start_target() as target:
-        answer = book(make_parts(make_held(target)), path=path)
+        answer = book(make_parts(make_holder(target)), path=path)
         assert answer.status == 400
         assert not target.requests
 
 
 def test_crash_is_a_refusal_without_the_callers_text(monkeypatch, caplog):
     with start_target() as target:
-        parts = make_parts(make_held(target))
+        parts = make_parts(make_holder(target))
 
         def crash(*_arguments, **_options):
             raise KeyError(KEY)
@@ -159,7 +159,7 @@
         assert KEY not in caplog.text
 
 
-class Timed(Dispatcher):
+class RecordingDispatcher(Dispatcher):
     """Notes the seconds that each attempt may take."""
 
     def __init__(self):
@@ -175,7 +175,9 @@
 
 def test_hop_spends_all_the_time_that_it_was_given():
     with start_target(make_answer(), make_answer()) as target:
-        parts = make_parts(make_held(target))._replace(dispatcher=Timed())
+        parts = make_parts(make_holder(target))._replace(
+            dispatcher=RecordingDispatcher()
+        )
         path = '/tours/x'
         hop = hops.Hop('', '', 'id-1', 'GET', path, 7.0)
         sender = Identity('south-a-1', 's', b'x')
--- a/toucanhall/forwarding/admission.py
+++ b/toucanhall/forwarding/admission.py
@@ -11,7 +11,7 @@
     identify,
     strip_key,
 )
-from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
+from toucanhall.forwarding.jobs import RETRY_AFTER_SECONDS, Job, Parts
 from toucanhall.forwarding.problems import Refusal, refuse
 from toucanhall.forwarding.records import Request, find_header
 from toucanhall.steering import Origin
@@ -32,13 +32,13 @@
     """Return the job of a request that may run, or why it may not."""
     revision = parts.holder.current
     if revision is None or not parts.holder.is_ready():
-        return refuse('not-ready', 'no catalogue yet', BACK_SOON_SECONDS)
+        return refuse('not-ready', 'no catalogue yet', RETRY_AFTER_SECONDS)
     catalogue = revision.catalogue
     route = find_route(catalogue, request.path)
     if route is None:
         return refuse('no-route', 'see the routes of the catalogue')
     if not route.public and not parts.holder.may_rely_on_keys():
-        return refuse('not-ready', 'keys may be outdated', BACK_SOON_SECONDS)
+        return refuse('not-ready', 'keys may be outdated', RETRY_AFTER_SECONDS)
     token = find_header(request.headers, hops.HOP_HEADER)
     if token:
         return _admit_hop(parts, request, catalogue, route)
@@ -57,9 +57,9 @@
     if contains_key(request.target.split('?', 1)[0], caller.key):
         return refuse('bad-request', 'the path holds the key')
     if caller.team:
-        wait = parts.ledger.admit(caller.team)
-        if wait is not None:
-            retry_after = max(wait, BACK_SOON_SECONDS)
+        wait_seconds = parts.ledger.admit(caller.team)
+        if wait_seconds is not None:
+            retry_after = max(wait_seconds, RETRY_AFTER_SECONDS)
             return refuse('rate', f'team {caller.team!r}', retry_after)
     return Success(
         Job(
@@ -69,7 +69,7 @@
             catalogue=catalogue,
             request_id=runtime.make_id(),
             give_up_at=runtime.read_clock() + route.deadline_seconds,
-            is_hopped=False,
+            is_from_entry_vm=False,
         ),
     )
 
@@ -81,11 +81,11 @@
     route: Route,
 ) -> Result[Job, Refusal]:
     token = find_header(request.headers, hops.HOP_HEADER)
-    opened = hops.read_token(parts.identity.secret, token)
-    if not isinstance(opened, Success):
-        parts.counters.add(f'hop.dropped.{opened.failure().reason}')
+    hop_read = hops.read_token(parts.identity.secret, token)
+    if not isinstance(hop_read, Success):
+        parts.counters.add(f'hop.dropped.{hop_read.failure().reason}')
         return refuse('bad-request', 'hop is not authentic')
-    hop = opened.unwrap()
+    hop = hop_read.unwrap()
     if (hop.method, hop.target) != (request.method, request.target):
         return refuse('bad-request', 'hop is for another request')
     granted = catalogue.keys.get(hop.key_digest)
@@ -105,7 +105,7 @@
             request_id=hop.request_id,
             give_up_at=runtime.read_clock()
             + min(route.deadline_seconds, hop.seconds),
-            is_hopped=True,
+            is_from_entry_vm=True,
             origin=Origin.SIBLING if hop.zone == parts.zone else Origin.ZONE,
             is_retry=hop.is_retry,
         ),
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -9,17 +9,17 @@
 from toucanhall.forwarding import hops
 from toucanhall.forwarding.bodies import close_body
 from toucanhall.forwarding.dispatch import SendError
-from toucanhall.forwarding.headers import drop_own
-from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
+from toucanhall.forwarding.headers import drop_internal
+from toucanhall.forwarding.jobs import RETRY_AFTER_SECONDS, Job, Parts
 from toucanhall.forwarding.preparation import prepare
 from toucanhall.forwarding.problems import RAN_HEADER, Refusal, make_refusal
 from toucanhall.forwarding.records import Answer, find_header
-from toucanhall.forwarding.sharing import Key, can_collect, make_key
+from toucanhall.forwarding.sharing import Key, can_share, make_key
 from toucanhall.forwarding.transfers import (
     Transfer,
-    collect,
-    read_spare,
-    settle,
+    parse_spare,
+    read_whole,
+    track_end,
 )
 from toucanhall.idempotency import may_send
 from toucanhall.steering import Arrive, Carry, Refuse, Run
@@ -27,10 +27,10 @@
 
 __all__ = ('forward',)
 
-_RAN: Final = RAN_HEADER.lower()
+_RAN_HEADER_LOWER: Final = RAN_HEADER.lower()
 
 
-class _Tried(NamedTuple):
+class _Progress(NamedTuple):
     """What was tried for a request, and whether it may have run."""
 
     names: frozenset[str] = frozenset()
@@ -42,169 +42,177 @@
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
     """Send an admitted request; a failure is final and truly says if it ran."""
-    key = None if job.is_hopped else make_key(job.route, job.request)
+    key = None if job.is_from_entry_vm else make_key(job.route, job.request)
     joined = None
     if key:
         joined = parts.sharing.join(key, job.request_id, job.give_up_at)
     if joined is not None:
         parts.counters.add('transfer.shared')
         return Success(joined)
-    return _try_ways(parts, job, key)
+    return _try_targets(parts, job, key)
 
 
-def _try_ways(
+def _try_targets(
     parts: Parts,
     job: Job,
     key: Key | None,
 ) -> Result[Answer, Refusal]:
-    tried = _Tried()
+    progress = _Progress()
     while True:
-        way = parts.steerer.choose(job.route.service, _ask(job, tried))
-        if isinstance(way, Refuse):
-            return Failure(_make_refusal(job, way, tried))
-        sent = _lead(parts, job, way, tried, key)
+        choice = parts.steerer.choose(
+            job.route.service, _make_arrival(job, progress)
+        )
+        if isinstance(choice, Refuse):
+            return Failure(_make_refusal(job, choice, progress))
+        sent = _send_shared(parts, job, choice, progress, key)
         if isinstance(sent, Success):
             return sent
         error = sent.failure()
-        _note_failure(parts, job, way, error)
-        tried = _note_tried(tried, way, error)
-        if _is_over(job, tried):
-            return Failure(_make_refusal(job, None, tried))
+        _record_failure(parts, job, choice, error)
+        progress = _update_progress(progress, choice, error)
+        if _is_final(job, progress):
+            return Failure(_make_refusal(job, None, progress))
 
 
-def _is_over(job: Job, tried: _Tried) -> bool:
-    if job.is_retry or (tried.sent and not job.is_safe):
+def _is_final(job: Job, progress: _Progress) -> bool:
+    if job.is_retry or (progress.sent and not job.is_safe):
         return True
     return not may_send(job.give_up_at, runtime.read_clock())
 
 
-def _note_tried(tried: _Tried, way: Run | Carry, error: SendError) -> _Tried:
-    return _Tried(
-        tried.names | {way.name},
-        tried.attempts + 1,
-        tried.sent or error.sent,
-        is_bounced=isinstance(way, Carry) and not error.sent,
-        is_unsent=isinstance(way, Run) and not error.sent,
+def _update_progress(
+    progress: _Progress, choice: Run | Carry, error: SendError
+) -> _Progress:
+    return _Progress(
+        progress.names | {choice.name},
+        progress.attempts + 1,
+        progress.sent or error.sent,
+        is_bounced=isinstance(choice, Carry) and not error.sent,
+        is_unsent=isinstance(choice, Run) and not error.sent,
     )
 
 
-def _ask(job: Job, tried: _Tried) -> Arrive:
+def _make_arrival(job: Job, progress: _Progress) -> Arrive:
     team = job.catalogue.teams.get(job.caller.team)
     return Arrive(
-        ticket=f'{job.request_id}/{tried.attempts}',
+        ticket=f'{job.request_id}/{progress.attempts}',
         team=job.caller.team,
         weight=team.weight if team else 1,
         expires_at=job.give_up_at,
         origin=job.origin,
         is_safe=job.is_safe,
-        attempts=tried.attempts,
-        is_bounced=tried.is_bounced,
-        is_unsent=tried.is_unsent,
-        passed=tried.names,
+        attempts=progress.attempts,
+        is_bounced=progress.is_bounced,
+        is_unsent=progress.is_unsent,
+        passed=progress.names,
     )
 
 
-def _make_refusal(job: Job, refused: Refuse | None, tried: _Tried) -> Refusal:
+def _make_refusal(
+    job: Job, refused: Refuse | None, progress: _Progress
+) -> Refusal:
     is_late = not may_send(job.give_up_at, runtime.read_clock())
-    if tried.sent and not job.is_safe:
+    if progress.sent and not job.is_safe:
         return make_refusal('target-failed', 'it may have run')
-    if tried.sent:
+    if progress.sent:
         reason = 'target-late' if is_late else 'target-failed'
-        return make_refusal(reason, 'no whole answer', BACK_SOON_SECONDS)
+        return make_refusal(reason, 'no whole answer', RETRY_AFTER_SECONDS)
     if is_late:
-        return make_refusal('deadline', 'nothing was sent', BACK_SOON_SECONDS)
+        return make_refusal('deadline', 'nothing was sent', RETRY_AFTER_SECONDS)
     detail = f'service {job.route.service!r}'
     if refused is None:
-        return make_refusal('no-target', detail, BACK_SOON_SECONDS)
+        return make_refusal('no-target', detail, RETRY_AFTER_SECONDS)
     return make_refusal(refused.reason, detail, refused.retry_after)
 
 
 def _send(
     parts: Parts,
     job: Job,
-    way: Run | Carry,
-    tried: _Tried,
+    choice: Run | Carry,
+    progress: _Progress,
 ) -> Result[Answer, SendError]:
     transfer = Transfer(
-        parts.steerer, job.route.service, way, job.origin,
+        parts.steerer, job.route.service, choice, job.origin,
         runtime.read_clock(),
     )  # fmt: skip
     if not may_send(job.give_up_at, transfer.started_at):
         transfer.finish(healthy=None)
-        return Failure(SendError(way.address, sent=False, what='too late'))
+        return Failure(SendError(choice.address, sent=False, what='too late'))
     seconds = job.give_up_at - transfer.started_at
     # The entry VM that the caller asked has kept time for another attempt: a
     # hop that kept some of the rest would cut targets that are only slow.
-    may_retry = job.is_safe and not (tried.attempts or job.is_hopped)
+    may_retry = job.is_safe and not (progress.attempts or job.is_from_entry_vm)
     sent = parts.dispatcher.send(
-        way.address,
-        prepare(parts, job, way, is_retry=tried.attempts > 0),
+        choice.address,
+        prepare(parts, job, choice, is_retry=progress.attempts > 0),
         limit_attempt(seconds, may_retry=may_retry),
         # An idle connection that turns out silent costs an eighth of the time,
         # which a hop may not have.
-        fresh=job.is_hopped or not job.is_safe,
+        fresh=job.is_from_entry_vm or not job.is_safe,
     )
     if not isinstance(sent, Success):
         transfer.finish(healthy=False)
         return sent
     answer = sent.unwrap()
-    if isinstance(way, Carry) and find_header(answer.headers, _RAN):
+    if isinstance(choice, Carry) and find_header(
+        answer.headers, _RAN_HEADER_LOWER
+    ):
         transfer.finish(healthy=None, spare=0)
         close_body(answer.body)
-        return Failure(_read_hop_refusal(parts, job, way, answer))
-    spare = read_spare(way, answer)
-    if isinstance(way, Run):
-        answer = answer._replace(headers=drop_own(answer.headers))
-    return Success(settle(transfer, answer, spare))
+        return Failure(_read_entry_vm_refusal(parts, job, choice, answer))
+    spare = parse_spare(choice, answer)
+    if isinstance(choice, Run):
+        answer = answer._replace(headers=drop_internal(answer.headers))
+    return Success(track_end(transfer, answer, spare))
 
 
-def _read_hop_refusal(
+def _read_entry_vm_refusal(
     parts: Parts,
     job: Job,
-    way: Carry,
+    choice: Carry,
     answer: Answer,
 ) -> SendError:
     token = find_header(answer.headers, hops.HOP_HEADER)
     secret = parts.identity.secret
     is_sent = not hops.is_disclaimed(secret, token, job.request_id)
-    return SendError(way.address, sent=is_sent, what='refused by entry VM')
+    return SendError(choice.address, sent=is_sent, what='refused by entry VM')
 
 
-def _lead(
+def _send_shared(
     parts: Parts,
     job: Job,
-    way: Run | Carry,
-    tried: _Tried,
+    choice: Run | Carry,
+    progress: _Progress,
     key: Key | None,
 ) -> Result[Answer, SendError]:
     """Send a request; over a link, share its answer with all who ask alike."""
-    is_far = isinstance(way, Carry) and way.is_far
-    if key is None or not is_far or not parts.sharing.lead(key):
-        return _send(parts, job, way, tried)
+    is_far = isinstance(choice, Carry) and choice.is_far
+    if key is None or not is_far or not parts.sharing.begin(key):
+        return _send(parts, job, choice, progress)
     whole: Answer | None = None
     try:
-        sent = _send(parts, job, way, tried)
-        if isinstance(sent, Success) and can_collect(sent.unwrap()):
-            whole = collect(sent.unwrap())
+        sent = _send(parts, job, choice, progress)
+        if isinstance(sent, Success) and can_share(sent.unwrap()):
+            whole = read_whole(sent.unwrap())
             return Success(whole)
         return sent
     except (HTTPError, OSError) as error:
-        return Failure(SendError(way.address, sent=True, what=str(error)))
+        return Failure(SendError(choice.address, sent=True, what=str(error)))
     finally:
         parts.sharing.publish(key, whole)
 
 
-def _note_failure(
+def _record_failure(
     parts: Parts,
     job: Job,
-    way: Run | Carry,
+    choice: Run | Carry,
     error: SendError,
 ) -> None:
     reason = 'unanswered' if error.sent else 'unsent'
     parts.counters.add(f'retry.{reason}')
     events.log(
         events.TARGET_FAILED,
-        target=way.name,
+        target=choice.name,
         request_id=job.request_id,
         sent=error.sent,
         what=error.what,
--- a/toucanhall/forwarding/bodies.py
+++ b/toucanhall/forwarding/bodies.py
@@ -2,37 +2,37 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
-__all__ = ('SettledBody', 'close_body')
+__all__ = ('TrackedBody', 'close_body')
 
 
-class SettledBody:
+class TrackedBody:
     """A body that tells once whether it was read to its end."""
 
     def __init__(
         self,
         *,
         body: Iterable[bytes],
-        settle: Callable[[bool], None],
+        on_end: Callable[[bool], None],
     ) -> None:
-        """Call `settle` with whether the whole body was read."""
+        """Call `on_end` with whether the whole body was read."""
         self._body = body
-        self._settle: Callable[[bool], None] | None = settle
+        self._on_end: Callable[[bool], None] | None = on_end
 
     def __iter__(self) -> Iterator[bytes]:
         """Yield the body's parts."""
         yield from self._body
-        self._tell(whole=True)
+        self._report_end(is_whole=True)
 
     def close(self) -> None:
         """Settle a body that was given up."""
         close_body(self._body)
-        self._tell(whole=False)
+        self._report_end(is_whole=False)
 
-    def _tell(self, *, whole: bool) -> None:
-        settle = self._settle
-        self._settle = None
-        if settle is not None:
-            settle(whole)
+    def _report_end(self, *, is_whole: bool) -> None:
+        on_end = self._on_end
+        self._on_end = None
+        if on_end is not None:
+            on_end(is_whole)
 
 
 def close_body(body: object) -> None:
--- a/toucanhall/forwarding/credentials.py
+++ b/toucanhall/forwarding/credentials.py
@@ -13,8 +13,8 @@
 __all__ = ('Caller', 'contains_key', 'digest_key', 'identify', 'strip_key')
 
 _KEY_HEADERS: Final = frozenset(('authorization', 'x-api-key'))
-_KEY_FIELD: Final = 'key'
-_BEARER: Final = 'bearer '
+_KEY_QUERY_FIELD: Final = 'key'
+_BEARER_PREFIX: Final = 'bearer '
 _PUBLIC_TEAM: Final = ''
 
 
@@ -50,12 +50,12 @@
 def find_key(request: Request) -> str:
     """Return the key of a request: bearer token, header or query field."""
     bearer = find_header(request.headers, 'authorization')
-    if bearer.lower().startswith(_BEARER):
-        return bearer[len(_BEARER) :].strip()
+    if bearer.lower().startswith(_BEARER_PREFIX):
+        return bearer[len(_BEARER_PREFIX) :].strip()
     header = find_header(request.headers, 'x-api-key')
     if header:
         return header.strip()
-    return dict(parse_qsl(request.query)).get(_KEY_FIELD, '')
+    return dict(parse_qsl(request.query)).get(_KEY_QUERY_FIELD, '')
 
 
 def strip_key(request: Request, key: str) -> Request:
@@ -70,7 +70,7 @@
     query = '&'.join(
         field
         for field in request.query.split('&')
-        if not _shows_key(field, key)
+        if not _field_contains_key(field, key)
     )
     path = request.target.split('?', 1)[0]
     return request._replace(
@@ -86,15 +86,18 @@
         return False
     if key in text:
         return True
-    return any(key in form for form in _decode(text))
+    return any(key in form for form in _decode_up_to_twice(text))
 
 
-def _shows_key(field: str, key: str) -> bool:
+def _field_contains_key(field: str, key: str) -> bool:
     name = field.split('=', 1)[0]
-    return _KEY_FIELD in {name, *_decode(name)} or contains_key(field, key)
+    return _KEY_QUERY_FIELD in {
+        name,
+        *_decode_up_to_twice(name),
+    } or contains_key(field, key)
 
 
-def _decode(text: str) -> tuple[str, ...]:
+def _decode_up_to_twice(text: str) -> tuple[str, ...]:
     if '%' not in text and '+' not in text:
         return ()
     once = (unquote(text), unquote_plus(text))
--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -9,20 +9,20 @@
 from returns.result import Failure, Result, Success
 
 from toucanhall import events, runtime
-from toucanhall.forwarding.bodies import SettledBody
+from toucanhall.forwarding.bodies import TrackedBody
 from toucanhall.forwarding.headers import (
     BrokenAnswer,
     check_framing,
     drop_hop_by_hop,
-    make_heads,
-    unfold,
+    make_request_headers,
+    unfold_values,
 )
 from toucanhall.forwarding.lines import (
+    Connection,
+    ConnectionPool,
     FinalResponse,
-    Line,
-    Lines,
-    Pace,
-    open_line,
+    WaitLimits,
+    open_connection,
 )
 from toucanhall.forwarding.records import Answer, Request, find_header
 from toucanhall.idempotency import may_send
@@ -30,13 +30,13 @@
 __all__ = ('ID_HEADER', 'Dispatcher', 'SendError')
 
 ID_HEADER: Final = 'Toucanhall-Request-Id'
-_CONNECT_SECONDS: Final = 1.0
+_CONNECT_TIMEOUT_SECONDS: Final = 1.0
 # Answers up to this size are read whole before any byte is returned.
-_PART_BYTES: Final = 65536
-_NO_BODY: Final = frozenset((204, 304))
-# An open connection may be silent for this part of the time that is left.
-_SILENT_PART: Final = 0.125
-_BROKEN: Final = (OSError, HTTPException, ValueError)
+_CHUNK_BYTES: Final = 65536
+_STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
+# An open connection may be silent for this fraction of the time remaining.
+_MAX_SILENCE_FRACTION: Final = 0.125
+_EXCHANGE_ERRORS: Final = (OSError, HTTPException, ValueError)
 
 
 class SendError(NamedTuple):
@@ -52,7 +52,7 @@
 
     def __init__(self) -> None:
         """Start with no connection."""
-        self._lines = Lines()
+        self._pool = ConnectionPool()
 
     def send(
         self,
@@ -69,127 +69,146 @@
         """
         give_up_at = runtime.read_clock() + seconds
         if fresh:
-            return self._send_new(address, request, Pace(give_up_at, seconds))
-        line = self._lines.take(address)
-        if line is not None:
-            pace = Pace(give_up_at, seconds * _SILENT_PART)
-            sent = self._exchange(address, line, request, pace)
+            return self._send_new(
+                address, request, WaitLimits(give_up_at, seconds)
+            )
+        connection = self._pool.acquire(address)
+        if connection is not None:
+            limits = WaitLimits(give_up_at, seconds * _MAX_SILENCE_FRACTION)
+            sent = self._exchange(address, connection, request, limits)
             if isinstance(sent, Success):
                 return sent
-        left = max(0, give_up_at - runtime.read_clock())
-        pace = Pace(give_up_at, left)
-        return self._send_new(address, request, pace).alt(
-            lambda error: error._replace(sent=error.sent or line is not None),
+        remaining = max(0, give_up_at - runtime.read_clock())
+        limits = WaitLimits(give_up_at, remaining)
+        return self._send_new(address, request, limits).alt(
+            lambda error: error._replace(
+                sent=error.sent or connection is not None
+            ),
         )
 
     def _send_new(
         self,
         address: str,
         request: Request,
-        pace: Pace,
+        limits: WaitLimits,
     ) -> Result[Answer, SendError]:
-        left = pace.give_up_at - runtime.read_clock()
-        if left <= 0:
+        remaining = limits.give_up_at - runtime.read_clock()
+        if remaining <= 0:
             return Failure(SendError(address, sent=False, what='deadline'))
         try:
-            line = open_line(address, min(_CONNECT_SECONDS, left))
+            connection = open_connection(
+                address, min(_CONNECT_TIMEOUT_SECONDS, remaining)
+            )
         except OSError as error:
             return Failure(SendError(address, sent=False, what=str(error)))
-        if not may_send(pace.give_up_at, runtime.read_clock()):
-            line.close()
+        if not may_send(limits.give_up_at, runtime.read_clock()):
+            connection.close()
             return Failure(SendError(address, sent=False, what='deadline'))
-        return self._exchange(address, line, request, pace)
+        return self._exchange(address, connection, request, limits)
 
     def _exchange(
         self,
         address: str,
-        line: Line,
+        connection: Connection,
         request: Request,
-        pace: Pace,
+        limits: WaitLimits,
     ) -> Result[Answer, SendError]:
-        line.sock.pace = pace
+        connection.sock.limits = limits
         try:
-            return Success(self._ask(address, line, request))
-        except _BROKEN as error:
-            line.close()
+            return Success(self._send_request(address, connection, request))
+        except _EXCHANGE_ERRORS as error:
+            connection.close()
             what = f'{type(error).__name__}: {error}'
             return Failure(SendError(address, sent=True, what=what))
 
-    def _ask(self, address: str, line: Line, request: Request) -> Answer:
-        line.putrequest(
+    def _send_request(
+        self, address: str, connection: Connection, request: Request
+    ) -> Answer:
+        connection.putrequest(
             request.method,
             request.target,
             skip_host=True,
             skip_accept_encoding=True,
         )
-        for name, content in make_heads(request, address):
-            line.putheader(name, content)
-        line.endheaders(request.body or None)
-        response = line.read_head()
+        for name, content in make_request_headers(request, address):
+            connection.putheader(name, content)
+        connection.endheaders(request.body or None)
+        response = connection.read_head()
         _check_identity(request, response)
-        has_body = request.method != 'HEAD' and response.status not in _NO_BODY
+        has_body = (
+            request.method != 'HEAD'
+            and response.status not in _STATUSES_WITHOUT_BODY
+        )
         check_framing(response, has_body=has_body)
         return Answer(
             response.status,
             response.reason or '',
-            drop_hop_by_hop(unfold(tuple(response.headers.items()))),
-            self._read_body(address, line, response),
+            drop_hop_by_hop(unfold_values(tuple(response.headers.items()))),
+            self._read_body(address, connection, response),
         )
 
     def _read_body(
         self,
         address: str,
-        line: Line,
+        connection: Connection,
         response: FinalResponse,
-    ) -> tuple[bytes, ...] | SettledBody:
-        first = _read_first(response)
+    ) -> tuple[bytes, ...] | TrackedBody:
+        first = _read_first_chunk(response)
         if response.isclosed():
-            self._settle(address, line, response)
+            self._release_connection(address, connection, response)
             return (first,)
         # A slow caller may take longer over a large body than the deadline;
         # the sender still may not fall silent.
-        line.sock.pace = line.sock.pace._replace(give_up_at=math.inf)
-        return SettledBody(
+        connection.sock.limits = connection.sock.limits._replace(
+            give_up_at=math.inf
+        )
+        return TrackedBody(
             body=chain((first,), _stream(address, response)),
-            settle=lambda _whole: self._settle(address, line, response),
+            on_end=lambda _: self._release_connection(
+                address, connection, response
+            ),
         )
 
-    def _settle(
+    def _release_connection(
         self,
         address: str,
-        line: Line,
+        connection: Connection,
         response: FinalResponse,
     ) -> None:
         is_whole = response.isclosed() and not response.length
-        if is_whole and not response.will_close and not response.has_stray:
-            self._lines.give(address, line)
+        if (
+            is_whole
+            and not response.will_close
+            and not response.has_unread_bytes
+        ):
+            self._pool.release(address, connection)
         else:
-            line.close()
+            connection.close()
 
 
-def _read_first(response: FinalResponse) -> bytes:
-    parts = [_read_part(response)]
-    size = len(parts[0])
-    while size < _PART_BYTES and not response.isclosed():
-        parts.append(_read_part(response))
-        size += len(parts[-1])
-    return b''.join(parts)
+def _read_first_chunk(response: FinalResponse) -> bytes:
+    chunks = [_read_chunk(response)]
+    size = len(chunks[0])
+    while size < _CHUNK_BYTES and not response.isclosed():
+        chunks.append(_read_chunk(response))
+        size += len(chunks[-1])
+    return b''.join(chunks)
 
 
 def _stream(address: str, response: FinalResponse) -> Iterator[bytes]:
     try:
         while not response.isclosed():
-            yield _read_part(response)
-    except _BROKEN as error:
+            yield _read_chunk(response)
+    except _EXCHANGE_ERRORS as error:
         events.log(events.RESPONSE_INCOMPLETE, address=address, what=str(error))
         raise BrokenAnswer(str(error)) from error
 
 
-def _read_part(response: FinalResponse) -> bytes:
-    part = response.read(_PART_BYTES)
+def _read_chunk(response: FinalResponse) -> bytes:
+    chunk = response.read(_CHUNK_BYTES)
     if response.isclosed() and response.length:
         raise BrokenAnswer(f'{response.length} bytes are missing')
-    return part
+    return chunk
 
 
 def _check_identity(request: Request, response: FinalResponse) -> None:
--- a/toucanhall/forwarding/edge.py
+++ b/toucanhall/forwarding/edge.py
@@ -14,12 +14,14 @@
 
 __all__ = ('Channel', 'check_head')
 
-_RECEIVE_SECONDS: Final = 30.0
-_SLASHES: Final = ('%2f', '%5c', '\\')
-_DOTS: Final = frozenset(('.', '..'))
-_SINGLE: Final = frozenset((b'content-length', b'host', b'transfer-encoding'))
-_VERSIONS: Final = (b'HTTP/1.0', b'HTTP/1.1')
-_REASONS: Final = {
+_MAX_RECEIVE_SECONDS: Final = 30.0
+_FORBIDDEN_SLASHES: Final = ('%2f', '%5c', '\\')
+_DOT_SEGMENTS: Final = frozenset(('.', '..'))
+_UNREPEATABLE_HEADERS: Final = frozenset(
+    (b'content-length', b'host', b'transfer-encoding')
+)
+_HTTP_VERSIONS: Final = (b'HTTP/1.0', b'HTTP/1.1')
+_REASONS_BY_STATUS: Final = {
     400: 'bad-request',
     408: 'too-slow',
     413: 'body-too-large',
@@ -38,12 +40,12 @@
 def check_head(head: bytes) -> str:
     """Return what is wrong with the head of a request, or ''."""
     first, *lines = head.removesuffix(b'\r\n').split(b'\r\n')
-    return _check_first(first) or _check_lines(first, lines)
+    return _check_request_line(first) or _check_headers(first, lines)
 
 
-def _check_first(first: bytes) -> str:
+def _check_request_line(first: bytes) -> str:
     parts = first.split(b' ')
-    if len(parts) != 3 or parts[2] not in _VERSIONS:
+    if len(parts) != 3 or parts[2] not in _HTTP_VERSIONS:
         return 'start line is not of HTTP/1.0 or HTTP/1.1'
     if not all(33 <= code < 127 for code in parts[1]):
         return 'target has characters that must be encoded'
@@ -57,36 +59,36 @@
         return 'target is not a path'
     if '#' in target:
         return 'target has a fragment'
-    for form in _decode(path):
-        if any(mark in form.lower() for mark in _SLASHES):
+    for form in _decode_up_to_twice(path):
+        if any(mark in form.lower() for mark in _FORBIDDEN_SLASHES):
             return 'path has an encoded slash or a backslash'
-        if _DOTS & set(form.split('/')):
+        if _DOT_SEGMENTS & set(form.split('/')):
             return 'path has a dot segment'
         if not form.isprintable():
             return 'path has a control character'
     return ''
 
 
-def _decode(path: str) -> tuple[str, ...]:
+def _decode_up_to_twice(path: str) -> tuple[str, ...]:
     if '%' not in path:
         return (path,)
     once = unquote(path)
     return path, once, unquote(once)
 
 
-def _check_lines(first: bytes, lines: list[bytes]) -> str:
+def _check_headers(first: bytes, lines: list[bytes]) -> str:
     if any(line[:1] in {b' ', b'\t'} for line in lines):
         return 'a header is folded'
     names = [line.partition(b':')[0].lower() for line in lines]
-    for name in _SINGLE:
+    for name in _UNREPEATABLE_HEADERS:
         if names.count(name) > 1:
             return f'header {name.decode()} is repeated'
     has_coding = b'transfer-encoding' in names
     if has_coding and b'content-length' in names:
         return 'both a length and a transfer coding are given'
-    if has_coding and first.endswith(_VERSIONS[0]):
+    if has_coding and first.endswith(_HTTP_VERSIONS[0]):
         return 'HTTP/1.0 has no transfer coding'
-    if b'host' not in names and first.endswith(_VERSIONS[1]):
+    if b'host' not in names and first.endswith(_HTTP_VERSIONS[1]):
         return 'header host is missing'
     return ''
 
@@ -96,9 +98,9 @@
 
     def parse_header(self, header_plus: bytes) -> None:
         """Check the head before it is parsed."""
-        wrong = check_head(header_plus)
-        if wrong:
-            raise ParsingError(wrong)
+        fault = check_head(header_plus)
+        if fault:
+            raise ParsingError(fault)
         super().parse_header(header_plus)
 
 
@@ -111,7 +113,7 @@
     def execute(self) -> None:
         """Write the refusal as problem+json."""
         error = self.request.error
-        reason = _REASONS.get(error.code, 'internal')
+        reason = _REASONS_BY_STATUS.get(error.code, 'internal')
         # what follows a quotation mark is text of the caller
         detail = str(error.body).split('"', 1)[0].strip()
         answer = render(make_refusal(reason, detail))
@@ -151,18 +153,21 @@
     def __init__(self, *arguments: Any, **options: Any) -> None:
         """Start with no request under way."""
         super().__init__(*arguments, **options)
-        self._began_at = runtime.read_clock()
+        self._request_began_at = runtime.read_clock()
 
     def received(self, data: bytes) -> bool:
         """Take bytes of a caller, or give up a request that is late."""
         now = runtime.read_clock()
         before = self.request
-        if before is not None and now - self._began_at > _RECEIVE_SECONDS:
+        if (
+            before is not None
+            and now - self._request_began_at > _MAX_RECEIVE_SECONDS
+        ):
             self._refuse(TooSlow('the request was not received in time'))
             return True
         taken: bool = super().received(data)
         if self.request is not before:
-            self._began_at = now
+            self._request_began_at = now
         return taken
 
     def _refuse(self, error: Error) -> None:
--- a/toucanhall/forwarding/headers.py
+++ b/toucanhall/forwarding/headers.py
@@ -10,12 +10,12 @@
     'BrokenAnswer',
     'check_framing',
     'drop_hop_by_hop',
-    'drop_own',
-    'make_heads',
-    'unfold',
+    'drop_internal',
+    'make_request_headers',
+    'unfold_values',
 )
 
-_HOP_BY_HOP: Final = frozenset(
+_HOP_BY_HOP_HEADERS: Final = frozenset(
     (
         'connection',
         'keep-alive',
@@ -29,10 +29,10 @@
         'upgrade',
     )
 )
-_FRAMING: Final = _HOP_BY_HOP | {'content-length', 'expect'}
-_OWN_PREFIX: Final = 'toucanhall-'
+_FRAMING_HEADERS: Final = _HOP_BY_HOP_HEADERS | {'content-length', 'expect'}
+_INTERNAL_PREFIX: Final = 'toucanhall-'
 _BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
-_DEFECTS: Final = (
+_PARSE_DEFECTS: Final = (
     errors.MissingHeaderBodySeparatorDefect,
     errors.FirstHeaderLineIsContinuationDefect,
 )
@@ -42,9 +42,9 @@
     """An answer that is not whole, or not to the request."""
 
 
-def make_heads(request: Request, address: str) -> Headers:
+def make_request_headers(request: Request, address: str) -> Headers:
     """Return the headers of a request as they are sent to an address."""
-    kept = _drop(request.headers, _FRAMING)
+    kept = _drop_named(request.headers, _FRAMING_HEADERS)
     if not any(name.lower() == 'host' for name, _ in kept):
         kept = (('Host', address), *kept)
     if request.body or request.method in _BODY_METHODS:
@@ -54,22 +54,26 @@
 
 def drop_hop_by_hop(headers: Headers) -> Headers:
     """Return the headers without those that hold for one connection."""
-    return _drop(headers, _HOP_BY_HOP)
+    return _drop_named(headers, _HOP_BY_HOP_HEADERS)
 
 
-def _drop(headers: Headers, dropped: frozenset[str]) -> Headers:
-    named = {
+def _drop_named(headers: Headers, dropped: frozenset[str]) -> Headers:
+    connection_headers = {
         token.strip().lower()
         for name, content in headers
         if name.lower() == 'connection'
         for token in content.split(',')
-        if not token.strip().lower().startswith(_OWN_PREFIX)
+        if not token.strip().lower().startswith(_INTERNAL_PREFIX)
     }
-    every = dropped | named if named else dropped
-    return tuple(entry for entry in headers if entry[0].lower() not in every)
+    all_dropped = (
+        dropped | connection_headers if connection_headers else dropped
+    )
+    return tuple(
+        entry for entry in headers if entry[0].lower() not in all_dropped
+    )
 
 
-def unfold(headers: Headers) -> Headers:
+def unfold_values(headers: Headers) -> Headers:
     """Return the headers with folded values on one line each."""
     return tuple(
         (name, ' '.join(content.split()) if '\n' in content else content)
@@ -77,12 +81,12 @@
     )
 
 
-def drop_own(headers: Headers) -> Headers:
+def drop_internal(headers: Headers) -> Headers:
     """Return the headers without those that only entry VMs may set."""
     return tuple(
         entry
         for entry in headers
-        if not entry[0].lower().startswith(_OWN_PREFIX)
+        if not entry[0].lower().startswith(_INTERNAL_PREFIX)
     )
 
 
@@ -95,7 +99,9 @@
 
 def _find_fault(response: FinalResponse, *, has_body: bool) -> str:
     lengths = set(response.headers.get_all('Content-Length', []))
-    if any(isinstance(found, _DEFECTS) for found in response.headers.defects):
+    if any(
+        isinstance(found, _PARSE_DEFECTS) for found in response.headers.defects
+    ):
         return 'has a malformed header'
     if len(lengths) > 1 or not all(length.isdigit() for length in lengths):
         return f'has the lengths {sorted(lengths)}'
--- a/toucanhall/forwarding/hops.py
+++ b/toucanhall/forwarding/hops.py
@@ -53,7 +53,7 @@
 
 def is_disclaimed(secret: bytes, token: str, request_id: str) -> bool:
     """Return whether a header value truly disclaims a request."""
-    opened = _open(secret, token).bind(
+    opened = _unseal_token(secret, token).bind(
         lambda envelope: _decode(envelope.kind, envelope.body, Disclaimer),
     )
     return opened == Success(Disclaimer(request_id))
@@ -67,12 +67,12 @@
 
 def read_token(secret: bytes, token: str) -> Result[Hop, FrameError]:
     """Check a header value and return the hop that it carries."""
-    return _open(secret, token).bind(
+    return _unseal_token(secret, token).bind(
         lambda envelope: _decode(envelope.kind, envelope.body, Hop),
     )
 
 
-def _open(secret: bytes, token: str) -> Result[Envelope, FrameError]:
+def _unseal_token(secret: bytes, token: str) -> Result[Envelope, FrameError]:
     try:
         frame = base64.urlsafe_b64decode(token.encode())
     except (binascii.Error, ValueError) as error:
--- a/toucanhall/forwarding/jobs.py
+++ b/toucanhall/forwarding/jobs.py
@@ -13,9 +13,9 @@
 from toucanhall.steering import Origin, Steerer
 from toucanhall.transport.exchange import Identity
 
-__all__ = ('BACK_SOON_SECONDS', 'Job', 'Parts')
+__all__ = ('RETRY_AFTER_SECONDS', 'Job', 'Parts')
 
-BACK_SOON_SECONDS: Final = 1.0
+RETRY_AFTER_SECONDS: Final = 1.0
 
 _SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 
@@ -46,7 +46,7 @@
     catalogue: Catalogue
     request_id: str
     give_up_at: float
-    is_hopped: bool
+    is_from_entry_vm: bool
     origin: Origin = Origin.CALLER
     is_retry: bool = False
 
--- a/toucanhall/forwarding/pipeline.py
+++ b/toucanhall/forwarding/pipeline.py
@@ -10,7 +10,7 @@
 from toucanhall.forwarding import hops
 from toucanhall.forwarding.admission import admit
 from toucanhall.forwarding.attempts import forward
-from toucanhall.forwarding.jobs import BACK_SOON_SECONDS, Job, Parts
+from toucanhall.forwarding.jobs import RETRY_AFTER_SECONDS, Job, Parts
 from toucanhall.forwarding.bodies import close_body
 from toucanhall.forwarding.problems import (
     NOT_RUN,
@@ -24,20 +24,20 @@
 
 __all__ = ('serve',)
 
-_VERDICTS: Final = {
+_VERDICT_REFUSALS: Final = {
     Verdict.DONE: Refusal('claim-done', 'its answer was too large to keep'),
     Verdict.OPEN: Refusal(
         'claim-open',
         'it may have run and its outcome is not known yet',
-        BACK_SOON_SECONDS,
+        RETRY_AFTER_SECONDS,
     ),
     Verdict.MISMATCH: Refusal('claim-mismatch', 'the earlier request differs'),
     Verdict.UNCLAIMED: Refusal(
         'store-unavailable',
         'the claim was not made',
-        BACK_SOON_SECONDS,
+        RETRY_AFTER_SECONDS,
     ),
-    Verdict.LATE: Refusal('deadline', 'nothing was sent', BACK_SOON_SECONDS),
+    Verdict.LATE: Refusal('deadline', 'nothing was sent', RETRY_AFTER_SECONDS),
 }
 
 
@@ -47,7 +47,7 @@
     try:
         served = _serve(parts, request)
     except Exception as error:
-        events.log(events.REQUEST_CRASHED, what=_locate(error))
+        events.log(events.REQUEST_CRASHED, what=_describe_error(error))
         served = refuse('internal', 'see the log of the entry VM')
     if isinstance(served, Success):
         answer: Answer = served.unwrap()
@@ -59,37 +59,39 @@
         reason=refusal.reason,
         detail=refusal.detail,
     )
-    return _disclaim(parts, request, refusal)
+    return _render_refusal(parts, request, refusal)
 
 
-def _disclaim(parts: Parts, request: Request, refusal: Refusal) -> Answer:
+def _render_refusal(parts: Parts, request: Request, refusal: Refusal) -> Answer:
     """Render a refusal; tell the VM that sent a hop if it did not run."""
     answer = render(refusal)
     token = find_header(request.headers, hops.HOP_HEADER)
     if REASONS[refusal.reason].ran != NOT_RUN or not token:
         return answer
-    opened = hops.read_token(parts.identity.secret, token)
-    if not isinstance(opened, Success):
+    hop_read = hops.read_token(parts.identity.secret, token)
+    if not isinstance(hop_read, Success):
         return answer
-    word = hops.make_disclaimer(parts.identity, opened.unwrap().request_id)
-    headers = (*answer.headers, (hops.HOP_HEADER, word))
+    disclaimer = hops.make_disclaimer(
+        parts.identity, hop_read.unwrap().request_id
+    )
+    headers = (*answer.headers, (hops.HOP_HEADER, disclaimer))
     return answer._replace(headers=headers)
 
 
 def _serve(parts: Parts, request: Request) -> Result[Answer, Refusal]:
-    return admit(parts, request).bind(lambda job: _run(parts, job))
+    return admit(parts, request).bind(lambda job: _run_once(parts, job))
 
 
-def _locate(error: Exception) -> str:
+def _describe_error(error: Exception) -> str:
     """Name an error and its line; its text could hold a caller's key."""
     frame = traceback.extract_tb(error.__traceback__)[-1]
     name = type(error).__name__
     return f'{name} at {frame.name}:{frame.lineno}'
 
 
-def _run(parts: Parts, job: Job) -> Result[Answer, Refusal]:
+def _run_once(parts: Parts, job: Job) -> Result[Answer, Refusal]:
     key = find_header(job.request.headers, 'idempotency-key')
-    if job.is_safe or job.is_hopped or not key:
+    if job.is_safe or job.is_from_entry_vm or not key:
         return forward(parts, job)
     name = name_claim(job.caller.team, job.request.path, key)
     digest = _digest_request(job.request)
@@ -99,7 +101,7 @@
     outcome = begun.claim.outcome
     if begun.verdict is Verdict.DONE and outcome and outcome.is_kept:
         return Success(_replay(outcome))
-    return Failure(_VERDICTS[begun.verdict])
+    return Failure(_VERDICT_REFUSALS[begun.verdict])
 
 
 def _run_claimed(
@@ -109,13 +111,13 @@
 ) -> Result[Answer, Refusal]:
     forwarded = forward(parts, job)
     if isinstance(forwarded, Success):
-        return _keep_outcome(parts, begun, forwarded.unwrap())
+        return _store_outcome(parts, begun, forwarded.unwrap())
     if REASONS[forwarded.failure().reason].ran == NOT_RUN:
         parts.keeper.release(begun)
     return forwarded
 
 
-def _keep_outcome(
+def _store_outcome(
     parts: Parts,
     begun: Begun,
     answer: Answer,
--- a/toucanhall/forwarding/preparation.py
+++ b/toucanhall/forwarding/preparation.py
@@ -4,7 +4,7 @@
 from toucanhall.forwarding import hops
 from toucanhall.forwarding.credentials import digest_key
 from toucanhall.forwarding.dispatch import ID_HEADER
-from toucanhall.forwarding.headers import drop_own
+from toucanhall.forwarding.headers import drop_internal
 from toucanhall.forwarding.jobs import Job, Parts
 from toucanhall.forwarding.records import Request
 from toucanhall.steering import Carry, Run
@@ -15,13 +15,13 @@
 def prepare(
     parts: Parts,
     job: Job,
-    way: Run | Carry,
+    choice: Run | Carry,
     *,
     is_retry: bool,
 ) -> Request:
     """Return the request with its id, and with a token when it hops."""
     added = [(ID_HEADER, job.request_id)]
-    if isinstance(way, Carry):
+    if isinstance(choice, Carry):
         hop = hops.Hop(
             team=job.caller.team,
             key_digest=digest_key(job.caller.key) if job.caller.key else '',
@@ -33,5 +33,5 @@
             is_retry=is_retry,
         )
         added.append((hops.HOP_HEADER, hops.make_token(parts.identity, hop)))
-    kept = drop_own(job.request.headers)
+    kept = drop_internal(job.request.headers)
     return job.request._replace(headers=(*kept, *added))
--- a/toucanhall/forwarding/server.py
+++ b/toucanhall/forwarding/server.py
@@ -10,8 +10,11 @@
 
 __all__ = ('make_server',)
 
-_BUFFER_BYTES: Final = 67108864  # beyond it waitress would write to disk
-_HIGH_WATERMARK: Final = 1048576
+_MAX_MEMORY_BUFFER_BYTES: Final = (
+    67108864  # beyond it waitress would write to disk
+)
+_HIGH_WATERMARK_BYTES: Final = 1048576
+_MAX_CONNECTIONS: Final = 1000
 
 
 def make_server(settings: Settings, application: Application) -> Any:
@@ -25,10 +28,10 @@
         max_request_header_size=bounds.header_bytes,
         max_request_body_size=bounds.body_bytes + 1,
         channel_timeout=bounds.idle_seconds,
-        inbuf_overflow=max(_BUFFER_BYTES, bounds.body_bytes + 1),
-        outbuf_overflow=_BUFFER_BYTES,
-        outbuf_high_watermark=_HIGH_WATERMARK,
-        connection_limit=1000,
+        inbuf_overflow=max(_MAX_MEMORY_BUFFER_BYTES, bounds.body_bytes + 1),
+        outbuf_overflow=_MAX_MEMORY_BUFFER_BYTES,
+        outbuf_high_watermark=_HIGH_WATERMARK_BYTES,
+        connection_limit=_MAX_CONNECTIONS,
         clear_untrusted_proxy_headers=False,
         asyncore_use_poll=True,
         log_socket_errors=False,
--- a/toucanhall/forwarding/sharing.py
+++ b/toucanhall/forwarding/sharing.py
@@ -12,14 +12,14 @@
     find_header,
 )
 
-__all__ = ('Key', 'Sharing', 'can_collect', 'make_key')
+__all__ = ('Key', 'Sharing', 'can_share', 'make_key')
 
 Key: TypeAlias = tuple[str, str, Headers]
 
-_LARGEST_BYTES: Final = 16777216
+_MAX_SHARED_BYTES: Final = 16777216
 _ID_HEADER: Final = 'toucanhall-request-id'
 # Headers that do not change what a target answers.
-_NEUTRAL: Final = frozenset(
+_IGNORED_HEADERS: Final = frozenset(
     ('user-agent', 'connection', 'host', 'x-forwarded-for', 'date'),
 )
 
@@ -38,9 +38,9 @@
         """Start with no transfer."""
         self._lock = threading.Lock()
         self._transfers: dict[Key, _Transfer] = {}
-        self.joined = 0
+        self.joined_count = 0
 
-    def lead(self, key: Key) -> bool:
+    def begin(self, key: Key) -> bool:
         """Begin a transfer; return whether none was under way."""
         with self._lock:
             if key in self._transfers:
@@ -67,13 +67,13 @@
         """Return the answer of a transfer under way, under the caller's id."""
         with self._lock:
             transfer = self._transfers.get(key)
-            self.joined += transfer is not None
+            self.joined_count += transfer is not None
         if transfer is None:
             return None
         transfer.done.wait(max(0, give_up_at - runtime.read_clock()))
         if not transfer.answers:
             return None
-        return _readdress(transfer.answers[0], request_id)
+        return _replace_request_id(transfer.answers[0], request_id)
 
 
 def make_key(route: Route, request: Request) -> Key | None:
@@ -83,18 +83,18 @@
     headers = sorted(
         (name.lower(), content)
         for name, content in request.headers
-        if name.lower() not in _NEUTRAL
+        if name.lower() not in _IGNORED_HEADERS
     )
     return route.path, request.target, tuple(headers)
 
 
-def can_collect(answer: Answer) -> bool:
+def can_share(answer: Answer) -> bool:
     """Return whether an answer may be held whole for several callers."""
     length = find_header(answer.headers, 'content-length')
-    return length.isdigit() and int(length) <= _LARGEST_BYTES
+    return length.isdigit() and int(length) <= _MAX_SHARED_BYTES
 
 
-def _readdress(answer: Answer, request_id: str) -> Answer:
+def _replace_request_id(answer: Answer, request_id: str) -> Answer:
     headers = tuple(
         (name, request_id if name.lower() == _ID_HEADER else content)
         for name, content in answer.headers
--- a/toucanhall/forwarding/stop.py
+++ b/toucanhall/forwarding/stop.py
@@ -13,8 +13,8 @@
 
 __all__ = ('stop_after',)
 
-_LOOK_SECONDS: Final = 0.1
-_QUIET_SECONDS: Final = 1.0
+_CHECK_INTERVAL_SECONDS: Final = 0.1
+_MAX_IDLE_SECONDS: Final = 1.0
 
 
 class _ClosingParser(HTTPRequestParser):
@@ -48,28 +48,30 @@
     stopped = Event()
     _close_after_answers(server)
 
-    def look() -> None:
+    def check() -> None:
         if runtime.read_clock() < ends_at:
             return
         if server.accepting:
             _stop_accepting(server)
-        elif _close_quiet(server, idle_seconds):
+        elif _close_idle(server, idle_seconds):
             stopped.set()
             server.trigger.close()
 
-    runtime.start_ticker(_LOOK_SECONDS, _pull(server, look, stopped), stopped)
+    runtime.start_ticker(
+        _CHECK_INTERVAL_SECONDS, _make_tick(server, check, stopped), stopped
+    )
 
 
-def _pull(
+def _make_tick(
     server: Any,
-    look: Callable[[], None],
+    check: Callable[[], None],
     stopped: Event,
 ) -> Callable[[], None]:
-    def pull() -> None:
+    def tick() -> None:
         if not stopped.is_set():
-            server.trigger.pull_trigger(look)
+            server.trigger.pull_trigger(check)
 
-    return pull
+    return tick
 
 
 def _close_after_answers(server: Any) -> None:
@@ -88,7 +90,7 @@
     server.socket.close()
 
 
-def _close_quiet(server: Any, idle_seconds: float) -> bool:
+def _close_idle(server: Any, idle_seconds: float) -> bool:
     """Close connections with nothing under way; return whether none is left.
 
     A connection is left open for a moment, because a request may be on its
@@ -96,13 +98,13 @@
     """
     now = time.time()
     for channel in tuple(server.active_channels.values()):
-        quiet = now - channel.last_activity
-        if quiet > _read_patience(channel, idle_seconds):
+        silence_seconds = now - channel.last_activity
+        if silence_seconds > _get_max_idle_seconds(channel, idle_seconds):
             channel.handle_close()
     return not server.active_channels
 
 
-def _read_patience(channel: Any, idle_seconds: float) -> float:
+def _get_max_idle_seconds(channel: Any, idle_seconds: float) -> float:
     if channel.total_outbufs_len:
         return idle_seconds
-    return math.inf if channel.requests else _QUIET_SECONDS
+    return math.inf if channel.requests else _MAX_IDLE_SECONDS
--- a/toucanhall/forwarding/transfers.py
+++ b/toucanhall/forwarding/transfers.py
@@ -4,14 +4,14 @@
 from typing import Final, NamedTuple
 
 from toucanhall import runtime
-from toucanhall.forwarding.bodies import SettledBody, close_body
+from toucanhall.forwarding.bodies import TrackedBody, close_body
 from toucanhall.forwarding.records import Answer, find_header
 from toucanhall.steering import Carry, End, Origin, Outcome, Run, Steerer
 
-__all__ = ('Transfer', 'collect', 'read_spare', 'settle')
+__all__ = ('Transfer', 'parse_spare', 'read_whole', 'track_end')
 
 _SPARE_HEADER: Final = 'toucanhall-spare'
-_SERVER_ERROR: Final = 500
+_MIN_SERVER_ERROR_STATUS: Final = 500
 
 
 class Transfer(NamedTuple):
@@ -19,7 +19,7 @@
 
     steerer: Steerer
     service: str
-    way: Run | Carry
+    choice: Run | Carry
     origin: Origin
     started_at: float
 
@@ -29,44 +29,46 @@
         outcome = Outcome(healthy, seconds)
         self.steerer.finish(
             self.service,
-            End(self.way.name, outcome, self.origin, spare),
+            End(self.choice.name, outcome, self.origin, spare),
         )
 
-    def meter(self, count: int) -> None:
+    def throttle(self, byte_count: int) -> None:
         """Keep the bytes of another region within this VM's link part."""
-        if isinstance(self.way, Carry) and self.way.is_far:
-            seconds = self.steerer.spend(self.way.region, count)
+        if isinstance(self.choice, Carry) and self.choice.is_far:
+            seconds = self.steerer.spend(self.choice.region, byte_count)
             if seconds > 0:
                 runtime.pause(seconds)
 
 
-def read_spare(way: Run | Carry, answer: Answer) -> int | None:
+def parse_spare(choice: Run | Carry, answer: Answer) -> int | None:
     """Return the room that the answer of an entry VM tells."""
-    told = find_header(answer.headers, _SPARE_HEADER)
-    if isinstance(way, Run) or not told.removeprefix('-').isdigit():
+    text = find_header(answer.headers, _SPARE_HEADER)
+    if isinstance(choice, Run) or not text.removeprefix('-').isdigit():
         return None
-    return int(told)
+    return int(text)
 
 
-def settle(transfer: Transfer, answer: Answer, spare: int | None) -> Answer:
+def track_end(transfer: Transfer, answer: Answer, spare: int | None) -> Answer:
     """Return the answer with a body that tells the policy of its end."""
-    healthy = _judge(transfer, answer)
+    healthy = _get_health(transfer, answer)
     if isinstance(answer.body, tuple):
-        transfer.meter(sum(len(part) for part in answer.body))
+        transfer.throttle(sum(len(chunk) for chunk in answer.body))
         transfer.finish(healthy=healthy, spare=spare)
-        return answer._replace(headers=_tell_spare(transfer, answer))
-    stream = _Stream(transfer=transfer, body=answer.body)
-    body = SettledBody(
-        body=stream.relay(),
-        settle=lambda whole: transfer.finish(
-            healthy=stream.judge(healthy, whole=whole),
+        return answer._replace(headers=_set_spare_header(transfer, answer))
+    relayed = _RelayedBody(transfer=transfer, body=answer.body)
+    body = TrackedBody(
+        body=relayed.relay(),
+        on_end=lambda is_whole: transfer.finish(
+            healthy=relayed.get_health(healthy, is_whole=is_whole),
             spare=spare,
         ),
     )
-    return answer._replace(body=body, headers=_tell_spare(transfer, answer))
+    return answer._replace(
+        body=body, headers=_set_spare_header(transfer, answer)
+    )
 
 
-def collect(answer: Answer) -> Answer:
+def read_whole(answer: Answer) -> Answer:
     """Return the answer with its whole body read."""
     try:
         return answer._replace(body=(b''.join(answer.body),))
@@ -74,14 +76,14 @@
         close_body(answer.body)
 
 
-def _judge(transfer: Transfer, answer: Answer) -> bool | None:
-    if answer.status < _SERVER_ERROR:
+def _get_health(transfer: Transfer, answer: Answer) -> bool | None:
+    if answer.status < _MIN_SERVER_ERROR_STATUS:
         return True
     # What a target of another zone does tells nothing of the VM before it.
-    return None if isinstance(transfer.way, Carry) else False
+    return None if isinstance(transfer.choice, Carry) else False
 
 
-def _tell_spare(
+def _set_spare_header(
     transfer: Transfer,
     answer: Answer,
 ) -> tuple[tuple[str, str], ...]:
@@ -97,7 +99,7 @@
     return (*headers, (_SPARE_HEADER.title(), str(spare)))
 
 
-class _Stream:
+class _RelayedBody:
     """A body that is relayed; `is_broken` once the sender failed."""
 
     def __init__(self, *, transfer: Transfer, body: Iterable[bytes]) -> None:
@@ -107,27 +109,29 @@
         self.is_broken = False
 
     def relay(self) -> Iterator[bytes]:
-        """Yield the parts of the body at the pace of the link."""
+        """Yield the chunks of the body at the pace of the link."""
         try:
-            yield from self._read()
+            yield from self._read_chunks()
         finally:
             close_body(self._body)
 
-    def judge(self, healthy: bool | None, *, whole: bool) -> bool | None:
+    def get_health(
+        self, healthy: bool | None, *, is_whole: bool
+    ) -> bool | None:
         """Return the health that the end shows; a caller may hang up."""
         if self.is_broken:
             return False
-        return healthy if whole else None
+        return healthy if is_whole else None
 
-    def _read(self) -> Iterator[bytes]:
-        parts = iter(self._body)
+    def _read_chunks(self) -> Iterator[bytes]:
+        chunks = iter(self._body)
         while True:
             try:
-                part = next(parts, None)
+                chunk = next(chunks, None)
             except Exception:
                 self.is_broken = True
                 raise
-            if part is None:
+            if chunk is None:
                 return
-            self._transfer.meter(len(part))
-            yield part
+            self._transfer.throttle(len(chunk))
+            yield chunk
--- a/toucanhall/forwarding/web.py
+++ b/toucanhall/forwarding/web.py
@@ -15,7 +15,7 @@
 Serve: TypeAlias = Callable[[Request], Answer]
 
 _HEADER_PREFIX: Final = 'HTTP_'
-_BARE_HEADERS: Final = ('CONTENT_TYPE', 'CONTENT_LENGTH')
+_UNPREFIXED_HEADERS: Final = ('CONTENT_TYPE', 'CONTENT_LENGTH')
 
 
 def make_application(serve: Serve) -> Application:
@@ -52,10 +52,10 @@
 def _list_headers(environ: Environ) -> Iterator[tuple[str, str]]:
     for name, content in environ.items():
         if name.startswith(_HEADER_PREFIX):
-            yield _spell(name[len(_HEADER_PREFIX) :]), content
-        elif name in _BARE_HEADERS and content:
-            yield _spell(name), content
+            yield _format_name(name[len(_HEADER_PREFIX) :]), content
+        elif name in _UNPREFIXED_HEADERS and content:
+            yield _format_name(name), content
 
 
-def _spell(name: str) -> str:
+def _format_name(name: str) -> str:
     return name.replace('_', '-').title()
