--- a/tests/unit/test_attempts_sharing.py
+++ b/tests/unit/test_attempts_sharing.py
@@ -11,13 +11,13 @@
 
 
 def make_route_key(kind='bulk', **changes):
-    """Return the key of a request on a route of some kind."""
+    """Return the sharing key of a request on a route of a kind."""
     route = make_catalogue().routes[0]._replace(kind=kind)
     return make_key(route, make_request(**changes))
 
 
 def start_join(sharing, key, answers):
-    """Join in a thread; return the thread."""
+    """Join a transfer in a thread; return the thread."""
     give_up_at = runtime.read_clock() + 10
     thread = threading.Thread(
         target=lambda: answers.append(sharing.join(key, 'own', give_up_at)),
@@ -26,7 +26,7 @@
     return thread
 
 
-def test_only_like_bulk_reads_share():
+def test_only_identical_bulk_reads_share():
     key = make_route_key()
     assert key == make_route_key(headers=(('User-Agent', 'other'),))
     assert key != make_route_key(headers=(('If-None-Match', '"v1"'),))
@@ -35,7 +35,7 @@
     assert make_route_key(method='POST') is None
 
 
-def test_each_caller_gets_the_whole_answer_under_its_own_id():
+def test_joined_caller_gets_whole_answer_with_its_own_id():
     sharing = Sharing()
     answers = []
     assert sharing.begin(make_route_key())
@@ -49,7 +49,7 @@
     assert answers[0].headers == (('Toucanhall-Request-Id', 'own'),)
 
 
-def test_transfer_that_broke_is_not_shared():
+def test_failed_transfer_is_not_shared():
     sharing = Sharing()
     sharing.begin(make_route_key())
     sharing.publish(make_route_key(), None)
--- a/tests/unit/test_credentials.py
+++ b/tests/unit/test_credentials.py
@@ -1,4 +1,4 @@
-"""Tests of keys: finding them, judging them, and removing them."""
+"""Tests of API keys: how they are found, checked and removed."""
 
 import pytest
 
@@ -19,7 +19,7 @@
     )
 
 
-def test_key_names_its_team():
+def test_key_identifies_its_team():
     catalogue = make_granted()
     request = make_request(headers=(('Authorization', f'Bearer {KEY}'),))
     identified = credentials.identify(
@@ -41,7 +41,7 @@
     assert identified.failure().reason == 'key-unknown'
 
 
-def test_key_is_removed_wherever_it_stood():
+def test_key_is_removed_from_headers_and_query():
     query = 'a=1&k%65y=open+sesame%2B1&copy=open%20sesame%2B1&b=2'
     request = make_request(
         target=f'/tours/x?{query}',
@@ -70,7 +70,7 @@
         'open%20sesame%2B1=a',
     ],
 )
-def test_field_that_holds_a_key_is_removed(field):
+def test_query_field_with_a_key_is_removed(field):
     request = make_request(target=f'/tours/x?{field}&b=', query=f'{field}&b=')
     assert credentials.strip_key(request, KEY).target == '/tours/x?b='
 
@@ -85,7 +85,7 @@
         ('Forwarded', f'for="{KEY}"'),
     ],
 )
-def test_header_that_holds_a_key_is_removed(header):
+def test_header_with_a_key_is_removed(header):
     request = make_request(headers=(header, ('Cookie', 'b=2')))
     stripped = credentials.strip_key(request, KEY)
     assert stripped.headers == (('Cookie', 'b=2'),)
@@ -98,7 +98,7 @@
     assert credentials.strip_key(request, KEY) == request
 
 
-def test_repeated_key_header_names_nobody():
+def test_repeated_key_header_is_refused():
     """The server joins repeated headers by commas."""
     catalogue = make_granted()
     identified = credentials.identify(
--- a/tests/unit/test_forwarding_dispatch.py
+++ b/tests/unit/test_forwarding_dispatch.py
@@ -1,4 +1,4 @@
-"""Tests of answers: whole, one's own, and what is known of a failure."""
+"""Tests of forwarding to a scripted target: answers, errors, connections."""
 
 import socket
 
@@ -42,7 +42,7 @@
         make_answer('Toucanhall-Request-Id: own', body=b'whole'),
     ],
 )
-def test_whole_answer_is_passed_on(answer):
+def test_complete_answer_is_returned(answer):
     with start_target(answer) as target:
         sent = send(Dispatcher(), target)
         assert sent.unwrap().status == 200
@@ -67,13 +67,13 @@
         HINTS * 20,
     ],
 )
-def test_answer_that_is_not_whole_or_not_own_is_an_error(answer):
+def test_incomplete_malformed_or_foreign_answer_is_an_error(answer):
     with start_target(answer, closes=True) as target:
         error = send(Dispatcher(), target, fresh=True).failure()
         assert error.sent
 
 
-def test_repeated_headers_pass_and_hop_by_hop_ones_do_not():
+def test_repeated_headers_are_kept_and_hop_by_hop_headers_dropped():
     answer = make_answer(
         'Set-Cookie: a=1',
         'Set-Cookie: b=2',
@@ -103,7 +103,7 @@
         assert target.connections == 1
 
 
-def test_head_tells_a_length_and_has_no_body():
+def test_answer_to_head_has_a_length_and_no_body():
     head = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n'
     with start_target(head, make_answer()) as target:
         dispatcher = Dispatcher()
@@ -113,7 +113,7 @@
         assert read(send(dispatcher, target)) == b'whole'
 
 
-def test_connection_with_bytes_left_over_is_not_used_again():
+def test_connection_with_unread_bytes_is_not_reused():
     longer = make_answer(body=b'whole') + make_answer(body=b'foreign')
     with start_target(longer, make_answer(body=b'second')) as target:
         dispatcher = Dispatcher()
@@ -122,7 +122,7 @@
         assert target.connections == 2
 
 
-def test_connection_of_an_unread_answer_is_not_used_again():
+def test_connection_of_an_unread_answer_is_not_reused():
     large = make_answer(body=bytes(200_000))
     with start_target(large, make_answer(body=b'second')) as target:
         dispatcher = Dispatcher()
@@ -133,7 +133,7 @@
         assert target.connections == 2
 
 
-def test_large_answer_that_is_cut_raises():
+def test_truncated_large_answer_raises():
     cut = make_answer(body=bytes(200_000))[:-1]
     with start_target(cut, closes=True) as target:
         sent = send(Dispatcher(), target)
@@ -141,7 +141,7 @@
             read(sent)
 
 
-def test_safe_request_leaves_a_silent_connection_for_a_new_one():
+def test_safe_request_is_retried_on_a_new_connection_after_silence():
     answers = (make_answer(body=b'first'), SILENCE, make_answer(body=b'second'))
     with start_target(*answers) as target:
         dispatcher = Dispatcher()
@@ -150,7 +150,7 @@
         assert target.connections == 2
 
 
-def test_unsafe_request_is_sent_once_on_a_connection_of_its_own():
+def test_unsafe_request_is_sent_once_on_a_new_connection():
     answers = (make_answer(body=b'first'), SILENCE)
     with start_target(*answers) as target:
         dispatcher = Dispatcher()
@@ -160,26 +160,26 @@
         assert (target.connections, len(target.requests)) == (2, 2)
 
 
-def test_deadline_ends_an_answer_that_trickles():
+def test_deadline_ends_an_incomplete_answer():
     head = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n12'
     with start_target(head) as target:
         assert send(Dispatcher(), target, seconds=0.3).failure().sent
 
 
-def test_refused_connection_was_not_sent():
+def test_refused_connection_is_reported_as_not_sent():
     with socket.create_server(('127.0.0.1', 0)) as closed:
         address = f'127.0.0.1:{closed.getsockname()[1]}'
     sent = Dispatcher().send(address, make_request(), SECONDS, fresh=True)
     assert not sent.failure().sent
 
 
-def test_folded_header_comes_on_one_line():
+def test_folded_header_is_joined_to_one_line():
     with start_target(make_answer('X-Long: a\r\n b')) as target:
         headers = send(Dispatcher(), target).unwrap().headers
     assert headers[-1] == ('X-Long', 'a b')
 
 
-def test_caller_cannot_drop_the_request_id():
+def test_connection_header_cannot_drop_the_request_id():
     request = make_request(headers=(('Connection', ID[0]), ID))
     with start_target(make_answer()) as target:
         Dispatcher().send(target.address, request, SECONDS, fresh=True)
@@ -207,7 +207,7 @@
         max_size=8,
     )
 )
-def test_no_answer_crashes_the_dispatcher(parts):
+def test_arbitrary_answer_does_not_crash_the_dispatcher(parts):
     with start_target(b''.join(parts), closes=True) as target:
         sent = send(Dispatcher(), target, fresh=True)
         if not isinstance(sent, Success):
--- a/tests/unit/test_forwarding_edge.py
+++ b/tests/unit/test_forwarding_edge.py
@@ -1,4 +1,4 @@
-"""Tests of the callers' side of HTTP, with a server on a loopback port."""
+"""Tests of callers' HTTP with a server on a loopback port."""
 
 import json
 import socket
@@ -28,7 +28,7 @@
 
 
 def serve(request):
-    """Echo the body; a path of `/cut` breaks off, `/crash` fails."""
+    """Echo the body; `/cut` truncates the answer, `/crash` raises."""
     if request.path == '/crash':
         raise KeyError(request.path)
     body = cut() if request.path == '/cut' else (request.body,)
@@ -98,7 +98,9 @@
         (f'{POST}X-A: {"a" * 2000}', 431, 'head-too-large'),
     ],
 )
-def test_request_read_in_two_ways_is_refused(address, text, status, reason):
+def test_malformed_or_ambiguous_request_is_refused(
+    address, text, status, reason
+):
     with send(address, f'{text}\r\n\r\n') as reader:
         head, _, body = reader.read().partition(b'\r\n\r\n')
     problem = json.loads(body)
@@ -127,24 +129,24 @@
         '/tours#x',
     ],
 )
-def test_target_that_could_cross_routes_is_refused(target):
+def test_target_that_could_evade_its_route_is_refused(target):
     assert check_target(target)
 
 
 @pytest.mark.parametrize(
     'target', ['/tours/x', '/tours/a..b/%C3%A9?a=/../b', '/t?next=http://a/b'],
 )  # fmt: skip
-def test_plain_target_passes(target):
+def test_valid_target_has_no_fault(target):
     assert not check_target(target)
 
 
-def test_error_does_not_tell_the_callers_text(address):
+def test_error_does_not_contain_the_callers_text(address):
     secret = f'{POST}Authorization: Bearer open-sesame\rx'
     with send(address, f'{secret}\r\n\r\n') as reader:
         assert b'open-sesame' not in reader.read()
 
 
-def test_crash_is_a_problem_that_may_have_run(address):
+def test_crash_is_answered_as_maybe_run(address):
     crash = f'GET /crash HTTP/1.1\r\n{HOST}\r\n'
     with send(address, crash) as reader:
         text = reader.read()
@@ -152,13 +154,13 @@
     assert b'Toucanhall-Ran: maybe' in text
 
 
-def test_cut_answer_has_no_clean_end(address):
+def test_truncated_answer_has_no_final_chunk(address):
     with send(address, f'GET /cut HTTP/1.1\r\n{HOST}\r\n') as reader:
         text = reader.read()
     assert text.endswith(b'4\r\npart\r\n')
 
 
-def test_chunked_body_arrives_whole_and_the_connection_stays(address):
+def test_chunked_body_is_received_and_head_has_no_body(address):
     chunked = f'{POST}Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n'
     last = f'HEAD /x?a=%2F HTTP/1.1\r\n{HOST}Connection: close\r\n\r\n'
     with send(address, chunked) as reader:
@@ -170,7 +172,7 @@
 
 
 class FakeServer:
-    """What a channel needs of its server."""
+    """The attributes of a server that a channel uses."""
 
     def __init__(self):
         """Start with no task."""
@@ -179,7 +181,7 @@
         self.add_task = self.tasks.append
 
 
-def test_request_that_trickles_is_refused():
+def test_request_received_too_slowly_is_refused():
     server = FakeServer()
     own_end, peer = socket.socketpair()
     with peer, freeze_time() as clock:
@@ -195,7 +197,7 @@
         channel.handle_close()
 
 
-def test_body_of_the_largest_size_passes(address):
+def test_body_of_maximum_size_is_accepted(address):
     text = f'{POST}Content-Length: 1000\r\nConnection: close\r\n\r\n'
     with send(address, text + 'a' * 1000) as reader:
         assert reader.read().endswith(b'a' * 1000)
@@ -225,12 +227,12 @@
 
 
 @given(HEADS)
-def test_no_bytes_crash_the_parser(text):
+def test_arbitrary_bytes_do_not_crash_the_parser(text):
     parser = Parser(Adjustments())
     while text and not parser.completed:
         text = text[parser.received(text) :]
 
 
 @given(st.binary(max_size=100))
-def test_no_head_crashes_the_check(head):
+def test_arbitrary_head_does_not_crash_the_check(head):
     assert isinstance(check_head(head), str)
--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -23,7 +23,7 @@
 
 
 class MemoryStore:
-    """Objects by name with versions."""
+    """An object store in memory, with versions."""
 
     def __init__(self):
         """Start empty."""
@@ -42,14 +42,14 @@
 
 
 class UnlimitedLedger:
-    """Limits that admit everything."""
+    """A ledger that admits every request."""
 
     def admit(self, _team):
-        """Admit a request of any team."""
+        """Admit a request of any team without waiting."""
 
 
 def make_holder(target, routes=None):
-    """Return a revision in force with one target and one key."""
+    """Return a holder of a catalogue with one target and one key."""
     document = make_document()
     entry = document['targets']['guide-1'] | {'address': target.address}
     document['targets'] = {'guide-1': entry}
@@ -98,7 +98,7 @@
     return serve(parts, request)
 
 
-def test_repeat_after_a_revision_of_the_routes_runs_once():
+def test_retry_after_a_change_of_the_routes_does_not_run_again():
     with start_target(make_answer(), make_answer(body=b'second')) as target:
         holder = make_holder(target)
         parts = make_parts(holder)
@@ -110,7 +110,7 @@
         assert len(target.requests) == 1
 
 
-def test_request_without_idempotency_key_is_one_of_its_own():
+def test_request_without_idempotency_key_is_sent_once_each_time():
     cut = make_answer('Content-Length: 9')
     with start_target(cut, make_answer(), closes=True) as target:
         parts = make_parts(make_holder(target))
@@ -121,14 +121,14 @@
         assert book(parts).status == 200
 
 
-def test_target_cannot_speak_as_an_entry_vm():
+def test_internal_header_of_a_target_is_dropped():
     with start_target(make_answer('Toucanhall-Ran: no')) as target:
         answer = book(make_parts(make_holder(target)), 'owned')
         assert 'Toucanhall-Ran' not in dict(answer.headers)
 
 
-def test_safe_request_that_was_sent_is_not_called_unsent():
-    """The target cuts the first answer and then is gone."""
+def test_sent_safe_request_is_refused_as_maybe_run():
+    """The target truncates its first answer, then refuses connections."""
     with start_target(make_answer('Content-Length: 9'), closes=True) as target:
         parts = make_parts(make_holder(target))
         refused = serve(parts, make_request())
@@ -145,7 +145,7 @@
         assert not target.requests
 
 
-def test_crash_is_a_refusal_without_the_callers_text(monkeypatch, caplog):
+def test_crash_is_refused_and_logged_without_the_key(monkeypatch, caplog):
     with start_target() as target:
         parts = make_parts(make_holder(target))
 
@@ -160,7 +160,7 @@
 
 
 class RecordingDispatcher(Dispatcher):
-    """Notes the seconds that each attempt may take."""
+    """Records the time limit of each attempt."""
 
     def __init__(self):
         """Start without any attempt."""
@@ -168,12 +168,12 @@
         self.limits = []
 
     def send(self, address, request, seconds, *, fresh):
-        """Note the limit and send."""
+        """Record the limit and send."""
         self.limits.append(seconds)
         return super().send(address, request, seconds, fresh=fresh)
 
 
-def test_hop_spends_all_the_time_that_it_was_given():
+def test_hop_reserves_no_time_for_another_attempt():
     with start_target(make_answer(), make_answer()) as target:
         parts = make_parts(make_holder(target))._replace(
             dispatcher=RecordingDispatcher()
--- a/tests/unit/test_forwarding_problems.py
+++ b/tests/unit/test_forwarding_problems.py
@@ -1,4 +1,4 @@
-"""Tests of refusals: their page, their rendering, and what they say."""
+"""Tests of refusals: their documentation page and their rendering."""
 
 import json
 from pathlib import Path
@@ -25,7 +25,7 @@
 
 
 @pytest.mark.parametrize('name', REASONS)
-def test_refusal_is_a_problem_that_says_if_it_ran(name):
+def test_refusal_is_problem_json_and_says_if_the_request_ran(name):
     answer = render(make_refusal(name, 'detail', 0.2))
     headers = dict(answer.headers)
     body = b''.join(answer.body)
@@ -36,6 +36,6 @@
     assert headers['Retry-After'] == '1'
 
 
-def test_unknown_reason_is_a_fault():
+def test_unknown_reason_raises_key_error():
     with pytest.raises(KeyError, match='no-such'):
         make_refusal('no-such', '')
--- a/toucanhall/forwarding/__init__.py
+++ b/toucanhall/forwarding/__init__.py
@@ -1,4 +1,4 @@
-"""The request path: admit, choose, dispatch, return the whole answer."""
+"""The request path: admits, forwards and answers callers' requests."""
 
 from toucanhall.forwarding.jobs import Parts
 from toucanhall.forwarding.pipeline import serve
--- a/toucanhall/forwarding/admission.py
+++ b/toucanhall/forwarding/admission.py
@@ -1,4 +1,4 @@
-"""Admits requests: route, key, limit, or the hop of another entry VM."""
+"""Admits requests of callers and of other entry VMs, or refuses them."""
 
 from returns.result import Result, Success
 
@@ -20,7 +20,10 @@
 
 
 def find_route(catalogue: Catalogue, path: str) -> Route | None:
-    """Return the route with the longest path that a request path lies in."""
+    """Return the route with the longest path that contains a request's path.
+
+    The routes of a catalogue are sorted by length, the longest path first.
+    """
     for route in catalogue.routes:
         prefix = route.path.rstrip('/')
         if path == route.path or path.startswith(f'{prefix}/'):
@@ -29,7 +32,7 @@
 
 
 def admit(parts: Parts, request: Request) -> Result[Job, Refusal]:
-    """Return the job of a request that may run, or why it may not."""
+    """Return the job of a request that may run, or why it is refused."""
     revision = parts.holder.current
     if revision is None or not parts.holder.is_ready():
         return refuse('not-ready', 'no catalogue yet', RETRY_AFTER_SECONDS)
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -1,4 +1,4 @@
-"""Tries the ways to a target until one gives a whole answer."""
+"""Tries targets and entry VMs until one returns a response."""
 
 from typing import Final, NamedTuple
 
@@ -31,7 +31,7 @@
 
 
 class _Progress(NamedTuple):
-    """What was tried for a request, and whether it may have run."""
+    """The targets and VMs tried for a request, and if it may have run."""
 
     names: frozenset[str] = frozenset()
     attempts: int = 0
@@ -41,7 +41,7 @@
 
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
-    """Send an admitted request; a failure is final and truly says if it ran."""
+    """Send an admitted request; a failure says truly if it may have run."""
     key = None if job.is_from_entry_vm else make_key(job.route, job.request)
     joined = None
     if key:
@@ -137,17 +137,23 @@
     )  # fmt: skip
     if not may_send(job.give_up_at, transfer.started_at):
         transfer.finish(healthy=None)
-        return Failure(SendError(choice.address, sent=False, what='too late'))
+        return Failure(
+            SendError(
+                choice.address,
+                sent=False,
+                what='deadline passed before the request was sent',
+            )
+        )
     seconds = job.give_up_at - transfer.started_at
-    # The entry VM that the caller asked has kept time for another attempt: a
-    # hop that kept some of the rest would cut targets that are only slow.
+    # The caller's entry VM has reserved time for another attempt. If the VM
+    # behind a hop reserved time too, it would cut off targets that are slow.
     may_retry = job.is_safe and not (progress.attempts or job.is_from_entry_vm)
     sent = parts.dispatcher.send(
         choice.address,
         prepare(parts, job, choice, is_retry=progress.attempts > 0),
         limit_attempt(seconds, may_retry=may_retry),
-        # An idle connection that turns out silent costs an eighth of the time,
-        # which a hop may not have.
+        # A dead idle connection costs an eighth of the time, which a hop may
+        # not have.
         fresh=job.is_from_entry_vm or not job.is_safe,
     )
     if not isinstance(sent, Success):
@@ -175,7 +181,9 @@
     token = find_header(answer.headers, hops.HOP_HEADER)
     secret = parts.identity.secret
     is_sent = not hops.is_disclaimed(secret, token, job.request_id)
-    return SendError(choice.address, sent=is_sent, what='refused by entry VM')
+    return SendError(
+        choice.address, sent=is_sent, what='request refused by the entry VM'
+    )
 
 
 def _send_shared(
@@ -185,7 +193,7 @@
     progress: _Progress,
     key: Key | None,
 ) -> Result[Answer, SendError]:
-    """Send a request; over a link, share its answer with all who ask alike."""
+    """Send a request; share a remote answer with identical requests."""
     is_far = isinstance(choice, Carry) and choice.is_far
     if key is None or not is_far or not parts.sharing.begin(key):
         return _send(parts, job, choice, progress)
--- a/toucanhall/forwarding/bodies.py
+++ b/toucanhall/forwarding/bodies.py
@@ -1,4 +1,4 @@
-"""Bodies of answers that tell when they were read to their end."""
+"""Bodies of answers that report how reading them ended."""
 
 from collections.abc import Callable, Iterable, Iterator
 
@@ -6,7 +6,7 @@
 
 
 class TrackedBody:
-    """A body that tells once whether it was read to its end."""
+    """A body that reports once whether it was read to its end."""
 
     def __init__(
         self,
@@ -14,17 +14,17 @@
         body: Iterable[bytes],
         on_end: Callable[[bool], None],
     ) -> None:
-        """Call `on_end` with whether the whole body was read."""
+        """Call `on_end` at the end with whether the whole body was read."""
         self._body = body
         self._on_end: Callable[[bool], None] | None = on_end
 
     def __iter__(self) -> Iterator[bytes]:
-        """Yield the body's parts."""
+        """Yield the chunks of the body."""
         yield from self._body
         self._report_end(is_whole=True)
 
     def close(self) -> None:
-        """Settle a body that was given up."""
+        """Close the body and report it as incomplete, unless it has ended."""
         close_body(self._body)
         self._report_end(is_whole=False)
 
@@ -36,7 +36,7 @@
 
 
 def close_body(body: object) -> None:
-    """Close a body, if it is of a kind that can be closed."""
+    """Close a body if it has a `close` method."""
     close = getattr(body, 'close', None)
     if close is not None:
         close()
--- a/toucanhall/forwarding/credentials.py
+++ b/toucanhall/forwarding/credentials.py
@@ -1,4 +1,4 @@
-"""Finds a caller's key, names its team, and removes the key."""
+"""Finds the API key of a request, looks up its team and removes the key."""
 
 import hashlib
 from typing import Final, NamedTuple
@@ -19,14 +19,14 @@
 
 
 class Caller(NamedTuple):
-    """Who calls: the team, '' on a public route, and the key as shown."""
+    """The caller's team, '' on a public route, and its key as received."""
 
     team: str
     key: str
 
 
 def digest_key(key: str) -> str:
-    """Return the SHA-256 digest by which a key is known."""
+    """Return the SHA-256 digest that the catalogue stores for a key."""
     return hashlib.sha256(key.encode()).hexdigest()
 
 
@@ -35,7 +35,7 @@
     route: Route,
     request: Request,
 ) -> Result[Caller, Refusal]:
-    """Name the team whose key came with a request."""
+    """Return the caller of a request on a route, or why it is refused."""
     key = find_key(request)
     if route.public:
         return Success(Caller(_PUBLIC_TEAM, key))
@@ -48,7 +48,7 @@
 
 
 def find_key(request: Request) -> str:
-    """Return the key of a request: bearer token, header or query field."""
+    """Return the key in a bearer token, `X-Api-Key` or query field, or ''."""
     bearer = find_header(request.headers, 'authorization')
     if bearer.lower().startswith(_BEARER_PREFIX):
         return bearer[len(_BEARER_PREFIX) :].strip()
@@ -59,7 +59,7 @@
 
 
 def strip_key(request: Request, key: str) -> Request:
-    """Return the request without the key, wherever it stood."""
+    """Return the request without its key in any header or query field."""
     headers = tuple(
         (name, content)
         for name, content in request.headers
@@ -81,7 +81,7 @@
 
 
 def contains_key(text: str, key: str) -> bool:
-    """Return whether a text holds a key, encoded up to twice."""
+    """Return whether a text contains a key, percent-encoded up to twice."""
     if not key:
         return False
     if key in text:
--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -1,4 +1,4 @@
-"""Sends one request to one address and reads back the whole answer."""
+"""Sends a request to one address and reads the answer."""
 
 import math
 from collections.abc import Iterator
@@ -31,16 +31,16 @@
 
 ID_HEADER: Final = 'Toucanhall-Request-Id'
 _CONNECT_TIMEOUT_SECONDS: Final = 1.0
-# Answers up to this size are read whole before any byte is returned.
+# Up to this size, an answer is read whole before it is passed on.
 _CHUNK_BYTES: Final = 65536
 _STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
-# An open connection may be silent for this fraction of the time remaining.
+# Fraction of the remaining time that a reused connection may stay silent.
 _MAX_SILENCE_FRACTION: Final = 0.125
 _EXCHANGE_ERRORS: Final = (OSError, HTTPException, ValueError)
 
 
 class SendError(NamedTuple):
-    """No whole answer came; `sent` says whether the target may have run it."""
+    """No complete answer; `sent` says if the request may have run."""
 
     address: str
     sent: bool
@@ -48,10 +48,10 @@
 
 
 class Dispatcher:
-    """Sends requests to targets and to entry VMs of other zones."""
+    """Sends requests to targets and to other entry VMs."""
 
     def __init__(self) -> None:
-        """Start with no connection."""
+        """Start with an empty connection pool."""
         self._pool = ConnectionPool()
 
     def send(
@@ -62,10 +62,10 @@
         *,
         fresh: bool,
     ) -> Result[Answer, SendError]:
-        """Send a request; `fresh` uses a connection that nobody used before.
+        """Send a request; `fresh` forces a new connection.
 
-        A request that need not be fresh is safe to send again: when an open
-        connection fails it, a new one is tried.
+        Other requests must be safe to send twice: if a pooled connection
+        fails, the request is sent again on a new one.
         """
         give_up_at = runtime.read_clock() + seconds
         if fresh:
@@ -94,7 +94,9 @@
     ) -> Result[Answer, SendError]:
         remaining = limits.give_up_at - runtime.read_clock()
         if remaining <= 0:
-            return Failure(SendError(address, sent=False, what='deadline'))
+            return Failure(
+                SendError(address, sent=False, what='deadline passed')
+            )
         try:
             connection = open_connection(
                 address, min(_CONNECT_TIMEOUT_SECONDS, remaining)
@@ -103,7 +105,9 @@
             return Failure(SendError(address, sent=False, what=str(error)))
         if not may_send(limits.give_up_at, runtime.read_clock()):
             connection.close()
-            return Failure(SendError(address, sent=False, what='deadline'))
+            return Failure(
+                SendError(address, sent=False, what='deadline passed')
+            )
         return self._exchange(address, connection, request, limits)
 
     def _exchange(
@@ -157,8 +161,8 @@
         if response.isclosed():
             self._release_connection(address, connection, response)
             return (first,)
-        # A slow caller may take longer over a large body than the deadline;
-        # the sender still may not fall silent.
+        # A slow caller may read a large body beyond the deadline; only the
+        # silence of the sender is limited from here on.
         connection.sock.limits = connection.sock.limits._replace(
             give_up_at=math.inf
         )
--- a/toucanhall/forwarding/edge.py
+++ b/toucanhall/forwarding/edge.py
@@ -1,4 +1,4 @@
-"""The callers' side of HTTP: what is refused before a request is one."""
+"""Checks callers' HTTP before waitress parses it, and answers errors."""
 
 import threading
 from typing import Any, Final
@@ -38,7 +38,7 @@
 
 
 def check_head(head: bytes) -> str:
-    """Return what is wrong with the head of a request, or ''."""
+    """Return the fault of a request's head, or '' if it has none."""
     first, *lines = head.removesuffix(b'\r\n').split(b'\r\n')
     return _check_request_line(first) or _check_headers(first, lines)
 
@@ -53,7 +53,7 @@
 
 
 def check_target(target: str) -> str:
-    """Return what is wrong with a request target, or ''."""
+    """Return the fault of a request target, or '' if it has none."""
     path = target.split('?', 1)[0]
     if not path.startswith('/') or path.startswith('//'):
         return 'target is not a path'
@@ -94,7 +94,7 @@
 
 
 class Parser(HTTPRequestParser):
-    """A parser that refuses what two readers could read in two ways."""
+    """Refuses requests that another HTTP parser could read differently."""
 
     def parse_header(self, header_plus: bytes) -> None:
         """Check the head before it is parsed."""
@@ -105,7 +105,7 @@
 
 
 class ProblemTask(ErrorTask):
-    """Answers a request that could not be read, and closes."""
+    """Answers a request that could not be parsed, and closes."""
 
     request: Any
     response_headers: list[tuple[str, str]]
@@ -114,7 +114,7 @@
         """Write the refusal as problem+json."""
         error = self.request.error
         reason = _REASONS_BY_STATUS.get(error.code, 'internal')
-        # what follows a quotation mark is text of the caller
+        # Text behind a quotation mark is the caller's and may hold a secret.
         detail = str(error.body).split('"', 1)[0].strip()
         answer = render(make_refusal(reason, detail))
         self.status = f'{answer.status} {answer.reason}'
@@ -126,12 +126,12 @@
 
 
 class Task(WSGITask):
-    """Runs the application; an answer to HEAD has no last chunk."""
+    """Runs the application; a response to HEAD has no final chunk."""
 
     request: Any
 
     def finish(self) -> None:
-        """Write what is left of the answer."""
+        """Write the end of the response."""
         if not self.wrote_header:
             self.write(b'')
         if self.request.command == 'HEAD':
@@ -140,7 +140,7 @@
 
 
 class Channel(HTTPChannel):
-    """A caller's connection on which each request must arrive in time."""
+    """A caller's connection with a time limit to receive each request."""
 
     parser_class = Parser
     error_task_class = ProblemTask
@@ -151,12 +151,12 @@
     server: Any
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
-        """Start with no request under way."""
+        """Start to measure the time of the first request."""
         super().__init__(*arguments, **options)
         self._request_began_at = runtime.read_clock()
 
     def received(self, data: bytes) -> bool:
-        """Take bytes of a caller, or give up a request that is late."""
+        """Parse received bytes, or refuse a request that takes too long."""
         now = runtime.read_clock()
         before = self.request
         if (
--- a/toucanhall/forwarding/headers.py
+++ b/toucanhall/forwarding/headers.py
@@ -1,4 +1,4 @@
-"""Headers that leave for a target, and the framing of its answers."""
+"""Headers of forwarded requests and answers, and framing of answers."""
 
 from email import errors
 from typing import Final
@@ -39,11 +39,11 @@
 
 
 class BrokenAnswer(OSError):
-    """An answer that is not whole, or not to the request."""
+    """An answer is incomplete, malformed or belongs to another request."""
 
 
 def make_request_headers(request: Request, address: str) -> Headers:
-    """Return the headers of a request as they are sent to an address."""
+    """Return the headers of a request to send to an address."""
     kept = _drop_named(request.headers, _FRAMING_HEADERS)
     if not any(name.lower() == 'host' for name, _ in kept):
         kept = (('Host', address), *kept)
@@ -53,7 +53,7 @@
 
 
 def drop_hop_by_hop(headers: Headers) -> Headers:
-    """Return the headers without those that hold for one connection."""
+    """Return the headers without those of a single connection."""
     return _drop_named(headers, _HOP_BY_HOP_HEADERS)
 
 
@@ -74,7 +74,7 @@
 
 
 def unfold_values(headers: Headers) -> Headers:
-    """Return the headers with folded values on one line each."""
+    """Return the headers with each folded value joined to one line."""
     return tuple(
         (name, ' '.join(content.split()) if '\n' in content else content)
         for name, content in headers
@@ -91,7 +91,7 @@
 
 
 def check_framing(response: FinalResponse, *, has_body: bool) -> None:
-    """Raise BrokenAnswer when the end of an answer could not be told."""
+    """Raise BrokenAnswer if the length of an answer would be ambiguous."""
     fault = _find_fault(response, has_body=has_body)
     if fault:
         raise BrokenAnswer(f'the answer {fault}')
--- a/toucanhall/forwarding/hops.py
+++ b/toucanhall/forwarding/hops.py
@@ -1,4 +1,4 @@
-"""The token by which one entry VM carries a request for another."""
+"""Signed tokens in requests and answers between entry VMs."""
 
 import base64
 import binascii
@@ -26,7 +26,7 @@
 
 
 class Hop(NamedTuple):
-    """What the first VM decided, and the seconds left for the request."""
+    """The first VM's decision, with the seconds remaining for the request."""
 
     team: str
     key_digest: str
@@ -39,20 +39,20 @@
 
 
 class Disclaimer(NamedTuple):
-    """An entry VM's word that it did not run a request and will not."""
+    """A statement of an entry VM that it did not and will not run a request."""
 
     request_id: str
 
 
 def make_disclaimer(identity: Identity, request_id: str) -> str:
-    """Return the authenticated header value of a disclaimer."""
+    """Return the signed header value of a disclaimer."""
     disclaimer = Disclaimer(request_id)
     frame = seal(identity.secret, identity.vm, identity.start, disclaimer)
     return base64.urlsafe_b64encode(frame).decode()
 
 
 def is_disclaimed(secret: bytes, token: str, request_id: str) -> bool:
-    """Return whether a header value truly disclaims a request."""
+    """Return whether a header value is a valid disclaimer of a request."""
     opened = _unseal_token(secret, token).bind(
         lambda envelope: _decode(envelope.kind, envelope.body, Disclaimer),
     )
@@ -60,13 +60,13 @@
 
 
 def make_token(identity: Identity, hop: Hop) -> str:
-    """Return the authenticated header value of a hop."""
+    """Return the signed header value of a hop."""
     frame = seal(identity.secret, identity.vm, identity.start, hop)
     return base64.urlsafe_b64encode(frame).decode()
 
 
 def read_token(secret: bytes, token: str) -> Result[Hop, FrameError]:
-    """Check a header value and return the hop that it carries."""
+    """Verify a header value and return the hop in it."""
     return _unseal_token(secret, token).bind(
         lambda envelope: _decode(envelope.kind, envelope.body, Hop),
     )
--- a/toucanhall/forwarding/jobs.py
+++ b/toucanhall/forwarding/jobs.py
@@ -1,4 +1,4 @@
-"""The state of the request path, and requests that were admitted."""
+"""The state of the request path, and admitted requests."""
 
 from typing import Final, NamedTuple
 
@@ -21,7 +21,7 @@
 
 
 class Parts(NamedTuple):
-    """The state that the request path reads and changes."""
+    """The components that the request path uses."""
 
     identity: Identity
     zone: str
@@ -35,9 +35,9 @@
 
 
 class Job(NamedTuple):
-    """An admitted request: what is sent, for whom, and until when.
+    """An admitted request with its caller, route and deadline.
 
-    `is_retry` tells that another entry VM tried it before.
+    `is_retry` is true if another entry VM has tried the request before.
     """
 
     request: Request
@@ -52,5 +52,5 @@
 
     @property
     def is_safe(self) -> bool:
-        """Whether the request may be sent again after it was sent once."""
+        """Whether the request may be sent more than once."""
         return self.request.method in _SAFE_METHODS
--- a/toucanhall/forwarding/lines.py
+++ b/toucanhall/forwarding/lines.py
@@ -1,4 +1,4 @@
-"""Connections to targets and entry VMs, and how long each may be silent."""
+"""Connections to targets and entry VMs, with a pool and time limits."""
 
 import errno
 import socket
@@ -28,24 +28,24 @@
 
 
 class WaitLimits(NamedTuple):
-    """When an exchange ends, and how many seconds it may be silent."""
+    """The deadline of an exchange, and the longest wait for one operation."""
 
     give_up_at: float
     max_silence_seconds: float
 
 
 class LimitedSocket(socket.socket):
-    """A socket on which each wait ends by the limits of its exchange.
+    """A socket whose waits are bounded by the limits of its exchange.
 
-    The kernel keeps the time of a wait: a timeout of Python's own costs two
-    more system calls per wait, each of which gives up the interpreter lock.
+    The kernel enforces the timeouts. Python's own would cost two more system
+    calls per wait, each of which releases the interpreter lock.
     """
 
     limits = WaitLimits(0.0, 0.0)
     is_peeking = False
 
     def recv_into(self, *arguments: Any) -> int:
-        """Receive within the limits; while peeking nothing is waited for."""
+        """Receive within the limits; while peeking, do not wait."""
         if self.is_peeking:
             raise BlockingIOError(errno.EAGAIN, 'peeking')
         self._set_timeout(socket.SO_RCVTIMEO)
@@ -79,12 +79,12 @@
 
 
 class FinalResponse(client.HTTPResponse):
-    """A response that passes over interim answers such as 103."""
+    """A response that skips interim responses such as 103."""
 
     has_unread_bytes: bool
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
-        """Start with nothing read."""
+        """Start without unread bytes."""
         super().__init__(*arguments, **options)
         self.has_unread_bytes = False
 
@@ -128,7 +128,7 @@
     sock: LimitedSocket
 
     def read_head(self) -> Any:
-        """Return the final answer's head; its body is still to be read."""
+        """Return the final response with its body not yet read."""
         return client.HTTPConnection.getresponse(self)
 
     def _new_conn(self) -> socket.socket:
@@ -145,7 +145,7 @@
 
 
 def open_connection(address: str, seconds: float) -> Connection:
-    """Connect to `host:port`; raises OSError when that fails."""
+    """Connect to `host:port`; raises OSError on failure."""
     host, port = address.split(':')
     connection = Connection(host, int(port), timeout=seconds)
     connection.connect()
@@ -158,7 +158,7 @@
 
 
 class ConnectionPool:
-    """Idle connections by address; only whole exchanges come back here."""
+    """Idle connections by address, whose last exchange was complete."""
 
     def __init__(self) -> None:
         """Start with no connection."""
@@ -166,7 +166,7 @@
         self._idle: dict[str, deque[_Idle]] = defaultdict(deque)
 
     def acquire(self, address: str) -> Connection | None:
-        """Return a usable idle connection, the last used first."""
+        """Return the usable idle connection that was last used, or None."""
         now = runtime.read_clock()
         while True:
             with self._lock:
@@ -179,7 +179,7 @@
             found.connection.close()
 
     def release(self, address: str, connection: Connection) -> None:
-        """Keep a connection whose exchange was whole."""
+        """Pool a connection whose exchange was complete."""
         now = runtime.read_clock()
         with self._lock:
             idle = self._idle[address]
--- a/toucanhall/forwarding/pipeline.py
+++ b/toucanhall/forwarding/pipeline.py
@@ -1,4 +1,4 @@
-"""Takes a caller's request through every decision to its answer."""
+"""Serves a request: admission, idempotency claim, forwarding, refusal."""
 
 import hashlib
 import traceback
@@ -42,7 +42,7 @@
 
 
 def serve(parts: Parts, request: Request) -> Answer:
-    """Answer a request: forward it, or refuse it for good at once."""
+    """Return the answer to a request, or a final refusal."""
     served: Result[Answer, Refusal]
     try:
         served = _serve(parts, request)
@@ -63,7 +63,7 @@
 
 
 def _render_refusal(parts: Parts, request: Request, refusal: Refusal) -> Answer:
-    """Render a refusal; tell the VM that sent a hop if it did not run."""
+    """Render a refusal, with a disclaimer for a hop that did not run."""
     answer = render(refusal)
     token = find_header(request.headers, hops.HOP_HEADER)
     if REASONS[refusal.reason].ran != NOT_RUN or not token:
@@ -83,7 +83,7 @@
 
 
 def _describe_error(error: Exception) -> str:
-    """Name an error and its line; its text could hold a caller's key."""
+    """Return an error's type and place; its text could hold a caller's key."""
     frame = traceback.extract_tb(error.__traceback__)[-1]
     name = type(error).__name__
     return f'{name} at {frame.name}:{frame.lineno}'
--- a/toucanhall/forwarding/preparation.py
+++ b/toucanhall/forwarding/preparation.py
@@ -1,4 +1,4 @@
-"""Prepares what goes to a target or to another entry VM."""
+"""Prepares requests to targets and to other entry VMs."""
 
 from toucanhall import runtime
 from toucanhall.forwarding import hops
@@ -19,7 +19,7 @@
     *,
     is_retry: bool,
 ) -> Request:
-    """Return the request with its id, and with a token when it hops."""
+    """Return the request with its id, and with a hop token for an entry VM."""
     added = [(ID_HEADER, job.request_id)]
     if isinstance(choice, Carry):
         hop = hops.Hop(
--- a/toucanhall/forwarding/problems.py
+++ b/toucanhall/forwarding/problems.py
@@ -23,7 +23,7 @@
 
 
 class Reason(NamedTuple):
-    """A reason: HTTP status, its phrase, and whether the request ran."""
+    """HTTP status, phrase and title, and whether the request may have run."""
 
     status: int
     phrase: str
@@ -89,9 +89,9 @@
 
 
 class Refusal(NamedTuple):
-    """A final answer to a request that was given up on.
+    """Why a request is refused.
 
-    `retry_after` is in seconds; 0 means that coming back does not help.
+    `retry_after` is in seconds; 0 means that a retry does not help.
     """
 
     reason: str
@@ -104,7 +104,7 @@
     detail: str,
     retry_after: float = 0.0,
 ) -> Refusal:
-    """Return a refusal with one of the known reasons."""
+    """Return a refusal; raises KeyError for an unknown reason."""
     if reason not in REASONS:
         raise KeyError(f'refusal reason {reason!r} is not in the table')
     return Refusal(reason, detail, retry_after)
@@ -115,7 +115,7 @@
     detail: str,
     retry_after: float = 0.0,
 ) -> Result[Any, Refusal]:
-    """Return the failure that holds a refusal with a known reason."""
+    """Return a failure with a refusal; raises KeyError as `make_refusal`."""
     return Failure(make_refusal(reason, detail, retry_after))
 
 
--- a/toucanhall/forwarding/records.py
+++ b/toucanhall/forwarding/records.py
@@ -20,7 +20,7 @@
 
 
 class Answer(NamedTuple):
-    """An answer; `body` may be read once, and is closed after it."""
+    """An answer; `body` can be read once and is closed afterwards."""
 
     status: int
     reason: str
@@ -29,7 +29,7 @@
 
 
 def find_header(headers: Headers, name: str) -> str:
-    """Return the first value of a header by lower-case name, or ''."""
+    """Return the first value of a header given by lower-case name, or ''."""
     for found, content in headers:
         if found.lower() == name:
             return content
--- a/toucanhall/forwarding/server.py
+++ b/toucanhall/forwarding/server.py
@@ -10,15 +10,14 @@
 
 __all__ = ('make_server',)
 
-_MAX_MEMORY_BUFFER_BYTES: Final = (
-    67108864  # beyond it waitress would write to disk
-)
+# waitress writes larger buffers to disk.
+_MAX_MEMORY_BUFFER_BYTES: Final = 67108864
 _HIGH_WATERMARK_BYTES: Final = 1048576
 _MAX_CONNECTIONS: Final = 1000
 
 
 def make_server(settings: Settings, application: Application) -> Any:
-    """Return a server that listens on the callers' port of this VM."""
+    """Return a server on the callers' port of this VM."""
     bounds = settings.bounds
     server: Any = create_server(
         application,
--- a/toucanhall/forwarding/sharing.py
+++ b/toucanhall/forwarding/sharing.py
@@ -1,4 +1,4 @@
-"""Lets identical bulk requests share one transfer over a link."""
+"""Lets identical bulk requests share one transfer from another region."""
 
 import threading
 from typing import Final, NamedTuple, TypeAlias
@@ -18,21 +18,21 @@
 
 _MAX_SHARED_BYTES: Final = 16777216
 _ID_HEADER: Final = 'toucanhall-request-id'
-# Headers that do not change what a target answers.
+# Request headers that do not change the answer of a target.
 _IGNORED_HEADERS: Final = frozenset(
     ('user-agent', 'connection', 'host', 'x-forwarded-for', 'date'),
 )
 
 
 class _Transfer(NamedTuple):
-    """A transfer under way, and the whole answer once it is there."""
+    """A running transfer, and its whole answer once received."""
 
     done: threading.Event
     answers: list[Answer]
 
 
 class Sharing:
-    """The transfers that run for more than one caller."""
+    """Running transfers that other callers can join."""
 
     def __init__(self) -> None:
         """Start with no transfer."""
@@ -41,7 +41,7 @@
         self.joined_count = 0
 
     def begin(self, key: Key) -> bool:
-        """Begin a transfer; return whether none was under way."""
+        """Begin a transfer; return false if one is already running."""
         with self._lock:
             if key in self._transfers:
                 return False
@@ -49,7 +49,7 @@
             return True
 
     def publish(self, key: Key, answer: Answer | None) -> None:
-        """End a transfer with its whole answer, or with none."""
+        """End a transfer with its whole answer, or None if it failed."""
         with self._lock:
             transfer = self._transfers.pop(key, None)
         if transfer is None:
@@ -64,7 +64,10 @@
         request_id: str,
         give_up_at: float,
     ) -> Answer | None:
-        """Return the answer of a transfer under way, under the caller's id."""
+        """Wait for a running transfer; return its answer with the id given.
+
+        None if no transfer runs, or it failed or missed the deadline.
+        """
         with self._lock:
             transfer = self._transfers.get(key)
             self.joined_count += transfer is not None
@@ -77,7 +80,7 @@
 
 
 def make_key(route: Route, request: Request) -> Key | None:
-    """Return what identical requests have in common, or None if not shared."""
+    """Return the key of identical requests, or None if they do not share."""
     if route.kind != 'bulk' or request.method != 'GET' or request.body:
         return None
     headers = sorted(
@@ -89,7 +92,7 @@
 
 
 def can_share(answer: Answer) -> bool:
-    """Return whether an answer may be held whole for several callers."""
+    """Return whether an answer is small enough to share from memory."""
     length = find_header(answer.headers, 'content-length')
     return length.isdigit() and int(length) <= _MAX_SHARED_BYTES
 
--- a/toucanhall/forwarding/stop.py
+++ b/toucanhall/forwarding/stop.py
@@ -1,4 +1,4 @@
-"""Stops the HTTP server without cutting a request."""
+"""Stops the HTTP server without interrupting requests."""
 
 import math
 import time
@@ -18,12 +18,12 @@
 
 
 class _ClosingParser(HTTPRequestParser):
-    """Reads requests as if each asked to close its connection."""
+    """Parses each request as if it asked to close the connection."""
 
     headers: dict[str, str]
 
     def parse_header(self, header_plus: bytes) -> None:
-        """Parse the header, and close after the answer."""
+        """Parse the header and set `Connection: close`."""
         super().parse_header(header_plus)
         self.headers['CONNECTION'] = 'close'
 
@@ -35,14 +35,14 @@
 
 
 def stop_after(server: Any, linger_seconds: float, idle_seconds: float) -> None:
-    """Stop a server once callers had the time to learn that it leaves.
-
-    It goes on accepting for `linger_seconds`, and closes each connection after
-    an answer, so that callers ask again which VM to use. Then it accepts what
-    has already connected, closes its socket, and ends its loop when no
-    connection has a request under way. A connection whose caller reads nothing
-    for `idle_seconds` is closed. This is called, and
-    every step runs, on the thread of the loop.
+    """Stop a server after callers had time to move to another VM.
+
+    For `linger_seconds` it accepts connections, and closes each of them after
+    an answer, so that callers resolve again which VM to use. Then it accepts
+    the connections in the backlog, closes its listening socket, and ends its
+    loop when no connection is left. A connection whose caller reads nothing
+    for `idle_seconds` is closed. This function and all steps run on the thread
+    of the server's loop.
     """
     ends_at = runtime.read_clock() + linger_seconds
     stopped = Event()
@@ -91,10 +91,10 @@
 
 
 def _close_idle(server: Any, idle_seconds: float) -> bool:
-    """Close connections with nothing under way; return whether none is left.
+    """Close idle connections; return whether no connection is left.
 
-    A connection is left open for a moment, because a request may be on its
-    way to it.
+    A connection stays open for `_MAX_IDLE_SECONDS` after its last activity,
+    because the caller may already have sent a request.
     """
     now = time.time()
     for channel in tuple(server.active_channels.values()):
--- a/toucanhall/forwarding/transfers.py
+++ b/toucanhall/forwarding/transfers.py
@@ -1,4 +1,4 @@
-"""Carries an answer back, and tells the policy how the request ended."""
+"""Relays answers and reports the end of requests to the steering policy."""
 
 from collections.abc import Iterable, Iterator
 from typing import Final, NamedTuple
@@ -15,7 +15,7 @@
 
 
 class Transfer(NamedTuple):
-    """A request under way, as the policy has to be told of it."""
+    """A request in flight, as it is reported to the steering policy."""
 
     steerer: Steerer
     service: str
@@ -24,7 +24,7 @@
     started_at: float
 
     def finish(self, *, healthy: bool | None, spare: int | None = None) -> None:
-        """Tell the policy how the request ended."""
+        """Report to the policy how the request ended."""
         seconds = runtime.read_clock() - self.started_at
         outcome = Outcome(healthy, seconds)
         self.steerer.finish(
@@ -33,7 +33,7 @@
         )
 
     def throttle(self, byte_count: int) -> None:
-        """Keep the bytes of another region within this VM's link part."""
+        """Pause to keep a remote region's bytes within this VM's link share."""
         if isinstance(self.choice, Carry) and self.choice.is_far:
             seconds = self.steerer.spend(self.choice.region, byte_count)
             if seconds > 0:
@@ -41,7 +41,7 @@
 
 
 def parse_spare(choice: Run | Carry, answer: Answer) -> int | None:
-    """Return the room that the answer of an entry VM tells."""
+    """Return the spare capacity that an entry VM states in its answer."""
     text = find_header(answer.headers, _SPARE_HEADER)
     if isinstance(choice, Run) or not text.removeprefix('-').isdigit():
         return None
@@ -49,7 +49,7 @@
 
 
 def track_end(transfer: Transfer, answer: Answer, spare: int | None) -> Answer:
-    """Return the answer with a body that tells the policy of its end."""
+    """Return the answer with a body that reports its end to the policy."""
     healthy = _get_health(transfer, answer)
     if isinstance(answer.body, tuple):
         transfer.throttle(sum(len(chunk) for chunk in answer.body))
@@ -79,7 +79,7 @@
 def _get_health(transfer: Transfer, answer: Answer) -> bool | None:
     if answer.status < _MIN_SERVER_ERROR_STATUS:
         return True
-    # What a target of another zone does tells nothing of the VM before it.
+    # An error of a remote target says nothing about its entry VM.
     return None if isinstance(transfer.choice, Carry) else False
 
 
@@ -100,16 +100,16 @@
 
 
 class _RelayedBody:
-    """A body that is relayed; `is_broken` once the sender failed."""
+    """A relayed body; `is_broken` is true once the sender failed."""
 
     def __init__(self, *, transfer: Transfer, body: Iterable[bytes]) -> None:
-        """Relay nothing before `relay`."""
+        """Read nothing before `relay` is iterated."""
         self._transfer = transfer
         self._body = body
         self.is_broken = False
 
     def relay(self) -> Iterator[bytes]:
-        """Yield the chunks of the body at the pace of the link."""
+        """Yield the chunks of the body within the share of the link."""
         try:
             yield from self._read_chunks()
         finally:
@@ -118,7 +118,7 @@
     def get_health(
         self, healthy: bool | None, *, is_whole: bool
     ) -> bool | None:
-        """Return the health that the end shows; a caller may hang up."""
+        """Return the health shown by the end; None if the caller hung up."""
         if self.is_broken:
             return False
         return healthy if is_whole else None
--- a/toucanhall/forwarding/web.py
+++ b/toucanhall/forwarding/web.py
@@ -1,4 +1,4 @@
-"""Turns WSGI calls into requests, and answers into WSGI responses."""
+"""Converts WSGI calls to requests and answers to WSGI responses."""
 
 from collections.abc import Callable, Iterable, Iterator
 from http.client import responses
@@ -19,7 +19,7 @@
 
 
 def make_application(serve: Serve) -> Application:
-    """Return a WSGI application that answers with a function."""
+    """Return a WSGI application that answers by calling `serve`."""
 
     def application(
         environ: Environ,
