--- a/tests/unit/test_forwarding_edge.py
+++ b/tests/unit/test_forwarding_edge.py
@@ -59,7 +59,7 @@
 
 @contextmanager
 def send(address, text):
-    """Send bytes and yield a reader of what comes back."""
+    """Send bytes and yield a reader of the response."""
     with socket.create_connection(address, timeout=10) as connection:
         connection.sendall(text.encode('latin-1'))
         with connection.makefile('rb') as reader:
--- a/toucanhall/forwarding/attempts.py
+++ b/toucanhall/forwarding/attempts.py
@@ -41,7 +41,10 @@
 
 
 def forward(parts: Parts, job: Job) -> Result[Answer, Refusal]:
-    """Send an admitted request; a failure says truly if it may have run."""
+    """Send an admitted request and return its answer.
+
+    A failure is final and says whether the request may have run.
+    """
     key = None if job.is_from_entry_vm else make_key(job.route, job.request)
     joined = None
     if key:
--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -95,7 +95,7 @@
         remaining = limits.give_up_at - runtime.read_clock()
         if remaining <= 0:
             return Failure(
-                SendError(address, sent=False, what='deadline passed')
+                SendError(address, sent=False, what='deadline')
             )
         try:
             connection = open_connection(
@@ -106,7 +106,7 @@
         if not may_send(limits.give_up_at, runtime.read_clock()):
             connection.close()
             return Failure(
-                SendError(address, sent=False, what='deadline passed')
+                SendError(address, sent=False, what='deadline')
             )
         return self._exchange(address, connection, request, limits)
 
--- a/toucanhall/forwarding/edge.py
+++ b/toucanhall/forwarding/edge.py
@@ -165,10 +165,10 @@
         ):
             self._refuse(TooSlow('the request was not received in time'))
             return True
-        taken: bool = super().received(data)
+        is_accepted: bool = super().received(data)
         if self.request is not before:
             self._request_began_at = now
-        return taken
+        return is_accepted
 
     def _refuse(self, error: Error) -> None:
         with self.requests_lock:
--- a/toucanhall/forwarding/hops.py
+++ b/toucanhall/forwarding/hops.py
@@ -53,10 +53,10 @@
 
 def is_disclaimed(secret: bytes, token: str, request_id: str) -> bool:
     """Return whether a header value is a valid disclaimer of a request."""
-    opened = _unseal_token(secret, token).bind(
+    decoded = _unseal_token(secret, token).bind(
         lambda envelope: _decode(envelope.kind, envelope.body, Disclaimer),
     )
-    return opened == Success(Disclaimer(request_id))
+    return decoded == Success(Disclaimer(request_id))
 
 
 def make_token(identity: Identity, hop: Hop) -> str:
