--- a/toucanhall/forwarding/dispatch.py
+++ b/toucanhall/forwarding/dispatch.py
@@ -94,9 +94,7 @@
     ) -> Result[Answer, SendError]:
         remaining = limits.give_up_at - runtime.read_clock()
         if remaining <= 0:
-            return Failure(
-                SendError(address, sent=False, what='deadline')
-            )
+            return Failure(SendError(address, sent=False, what='deadline'))
         try:
             connection = open_connection(
                 address, min(_CONNECT_TIMEOUT_SECONDS, remaining)
@@ -105,9 +103,7 @@
             return Failure(SendError(address, sent=False, what=str(error)))
         if not may_send(limits.give_up_at, runtime.read_clock()):
             connection.close()
-            return Failure(
-                SendError(address, sent=False, what='deadline')
-            )
+            return Failure(SendError(address, sent=False, what='deadline'))
         return self._exchange(address, connection, request, limits)
 
     def _exchange(
