--- a/tests/unit/test_forwarding_pipeline.py
+++ b/tests/unit/test_forwarding_pipeline.py
@@ -22,34 +22,34 @@
 KEY = 'open-sesame'
 
 
-class Shelf:
-    """Objects by name with versions."""
+class MemoryStore:
+    """An object store in memory, with versions."""
 
     def __init__(self):
         """Start empty."""
-        self.shelved = {}
+        self.objects = {}
 
     def read(self, name):
         """Return an object."""
-        return Success(self.shelved.get(name, Stored(name, 0, b'')))
+        return Success(self.objects.get(name, Stored(name, 0, b'')))
 
     def write(self, name, content, expected):
         """Write an object if its version is the expected one."""
         if self.read(name).unwrap().version != expected:
             return Failure(Conflict(name, expected))
-        self.shelved[name] = Stored(name, expected + 1, content)
+        self.objects[name] = Stored(name, expected + 1, content)
         return Success(expected + 1)
 
 
-class Free:
-    """Limits that admit everything."""
+class UnlimitedLedger:
+    """A ledger that admits every request."""
 
     def admit(self, _team):
-        """Admit a request of any team."""
+        """Admit a request of any team without waiting."""
 
 
-def make_held(target, routes=None):
-    """Return a revision in force with one target and one key."""
+def make_holder(target, routes=None):
+    """Return a holder of a catalogue with one target and one key."""
     document = make_document()
     entry = document['targets']['guide-1'] | {'address': target.address}
     document['targets'] = {'guide-1': entry}
@@ -72,48 +72,48 @@
     return steerer
 
 
-def make_parts(held):
+def make_parts(holder):
     """Return the state of the request path of one VM."""
     return Parts(
         identity=Identity('north-a-1', 's', b'x'),
         zone='north-a',
-        holder=held,
-        ledger=Free(),
-        steerer=make_steerer(held.current.catalogue),
+        holder=holder,
+        ledger=UnlimitedLedger(),
+        steerer=make_steerer(holder.current.catalogue),
         sharing=Sharing(),
-        keeper=Keeper(platform=Shelf()),
+        keeper=Keeper(platform=MemoryStore()),
         dispatcher=Dispatcher(),
         counters=Counters(host='', port=0),
     )
 
 
-def book(parts, owned='', path='/bookings/vip'):
+def book(parts, idempotency_key='', path='/bookings/vip'):
     """Book at a path, with an idempotency key if one is named."""
     headers = [('X-Api-Key', KEY)]
-    if owned:
-        headers.append(('Idempotency-Key', owned))
+    if idempotency_key:
+        headers.append(('Idempotency-Key', idempotency_key))
     request = make_request(
         method='POST', target=path, path=path, headers=tuple(headers),
     )  # fmt: skip
     return serve(parts, request)
 
 
-def test_repeat_after_a_revision_of_the_routes_runs_once():
+def test_retry_after_a_change_of_the_routes_does_not_run_again():
     with start_target(make_answer(), make_answer(body=b'second')) as target:
-        held = make_held(target)
-        parts = make_parts(held)
+        holder = make_holder(target)
+        parts = make_parts(holder)
         first = book(parts, 'owned')
         route = make_document()['routes'][1] | {'path': '/bookings/vip'}
-        held.current = make_held(target, [route]).current
+        holder.current = make_holder(target, [route]).current
         again = book(parts, 'owned')
         assert tuple(again.body) == tuple(first.body)
         assert len(target.requests) == 1
 
 
-def test_request_without_idempotency_key_is_one_of_its_own():
+def test_request_without_idempotency_key_is_sent_once_each_time():
     cut = make_answer('Content-Length: 9')
     with start_target(cut, make_answer(), closes=True) as target:
-        parts = make_parts(make_held(target))
+        parts = make_parts(make_holder(target))
         headers = dict(book(parts).headers)
         assert headers['Toucanhall-Ran'] == 'maybe'
         assert 'Retry-After' not in headers
@@ -121,16 +121,16 @@
         assert book(parts).status == 200
 
 
-def test_target_cannot_speak_as_an_entry_vm():
+def test_internal_header_of_a_target_is_dropped():
     with start_target(make_answer('Toucanhall-Ran: no')) as target:
-        answer = book(make_parts(make_held(target)), 'owned')
+        answer = book(make_parts(make_holder(target)), 'owned')
         assert 'Toucanhall-Ran' not in dict(answer.headers)
 
 
-def test_safe_request_that_was_sent_is_not_called_unsent():
-    """The target cuts the first answer and then is gone."""
+def test_sent_safe_request_is_refused_as_maybe_run():
+    """The target truncates its first answer, then refuses connections."""
     with start_target(make_answer('Content-Length: 9'), closes=True) as target:
-        parts = make_parts(make_held(target))
+        parts = make_parts(make_holder(target))
         refused = serve(parts, make_request())
         assert dict(refused.headers)['Toucanhall-Ran'] == 'maybe'
 
@@ -140,14 +140,14 @@
 )
 def test_key_in_the_path_is_refused(path):
     with start_target() as target:
-        answer = book(make_parts(make_held(target)), path=path)
+        answer = book(make_parts(make_holder(target)), path=path)
         assert answer.status == 400
         assert not target.requests
 
 
-def test_crash_is_a_refusal_without_the_callers_text(monkeypatch, caplog):
+def test_crash_is_refused_and_logged_without_the_key(monkeypatch, caplog):
     with start_target() as target:
-        parts = make_parts(make_held(target))
+        parts = make_parts(make_holder(target))
 
         def crash(*_arguments, **_options):
             raise KeyError(KEY)
@@ -159,8 +159,8 @@
         assert KEY not in caplog.text
 
 
-class Timed(Dispatcher):
-    """Notes the seconds that each attempt may take."""
+class RecordingDispatcher(Dispatcher):
+    """Records the time limit of each attempt."""
 
     def __init__(self):
         """Start without any attempt."""
@@ -168,14 +168,16 @@
         self.limits = []
 
     def send(self, address, request, seconds, *, fresh):
-        """Note the limit and send."""
+        """Record the limit and send."""
         self.limits.append(seconds)
         return super().send(address, request, seconds, fresh=fresh)
 
 
-def test_hop_spends_all_the_time_that_it_was_given():
+def test_hop_reserves_no_time_for_another_attempt():
     with start_target(make_answer(), make_answer()) as target:
-        parts = make_parts(make_held(target))._replace(dispatcher=Timed())
+        parts = make_parts(make_holder(target))._replace(
+            dispatcher=RecordingDispatcher()
+        )
         path = '/tours/x'
         hop = hops.Hop('', '', 'id-1', 'GET', path, 7.0)
         sender = Identity('south-a-1', 's', b'x')
--- a/toucanhall/forwarding/credentials.py
+++ b/toucanhall/forwarding/credentials.py
@@ -1,4 +1,4 @@
-"""Finds a caller's key, names its team, and removes the key."""
+"""Finds the API key of a request, looks up its team and removes the key."""
 
 import hashlib
 from typing import Final, NamedTuple
@@ -13,20 +13,20 @@
 __all__ = ('Caller', 'contains_key', 'digest_key', 'identify', 'strip_key')
 
 _KEY_HEADERS: Final = frozenset(('authorization', 'x-api-key'))
-_KEY_FIELD: Final = 'key'
-_BEARER: Final = 'bearer '
+_KEY_QUERY_FIELD: Final = 'key'
+_BEARER_PREFIX: Final = 'bearer '
 _PUBLIC_TEAM: Final = ''
 
 
 class Caller(NamedTuple):
-    """Who calls: the team, '' on a public route, and the key as shown."""
+    """The caller's team, '' on a public route, and its key as received."""
 
     team: str
     key: str
 
 
 def digest_key(key: str) -> str:
-    """Return the SHA-256 digest by which a key is known."""
+    """Return the SHA-256 digest that the catalogue stores for a key."""
     return hashlib.sha256(key.encode()).hexdigest()
 
 
@@ -35,7 +35,7 @@
     route: Route,
     request: Request,
 ) -> Result[Caller, Refusal]:
-    """Name the team whose key came with a request."""
+    """Return the caller of a request on a route, or why it is refused."""
     key = find_key(request)
     if route.public:
         return Success(Caller(_PUBLIC_TEAM, key))
@@ -48,18 +48,18 @@
 
 
 def find_key(request: Request) -> str:
-    """Return the key of a request: bearer token, header or query field."""
+    """Return the key in a bearer token, `X-Api-Key` or query field, or ''."""
     bearer = find_header(request.headers, 'authorization')
-    if bearer.lower().startswith(_BEARER):
-        return bearer[len(_BEARER) :].strip()
+    if bearer.lower().startswith(_BEARER_PREFIX):
+        return bearer[len(_BEARER_PREFIX) :].strip()
     header = find_header(request.headers, 'x-api-key')
     if header:
         return header.strip()
-    return dict(parse_qsl(request.query)).get(_KEY_FIELD, '')
+    return dict(parse_qsl(request.query)).get(_KEY_QUERY_FIELD, '')
 
 
 def strip_key(request: Request, key: str) -> Request:
-    """Return the request without the key, wherever it stood."""
+    """Return the request without its key in any header or query field."""
     headers = tuple(
         (name, content)
         for name, content in request.headers
@@ -70,7 +70,7 @@
     query = '&'.join(
         field
         for field in request.query.split('&')
-        if not _shows_key(field, key)
+        if not _field_contains_key(field, key)
     )
     path = request.target.split('?', 1)[0]
     return request._replace(
@@ -81,20 +81,23 @@
 
 
 def contains_key(text: str, key: str) -> bool:
-    """Return whether a text holds a key, encoded up to twice."""
+    """Return whether a text contains a key, percent-encoded up to twice."""
     if not key:
         return False
     if key in text:
         return True
-    return any(key in form for form in _decode(text))
+    return any(key in form for form in _decode_up_to_twice(text))
 
 
-def _shows_key(field: str, key: str) -> bool:
+def _field_contains_key(field: str, key: str) -> bool:
     name = field.split('=', 1)[0]
-    return _KEY_FIELD in {name, *_decode(name)} or contains_key(field, key)
+    return _KEY_QUERY_FIELD in {
+        name,
+        *_decode_up_to_twice(name),
+    } or contains_key(field, key)
 
 
-def _decode(text: str) -> tuple[str, ...]:
+def _decode_up_to_twice(text: str) -> tuple[str, ...]:
     if '%' not in text and '+' not in text:
         return ()
     once = (unquote(text), unquote_plus(text))
--- a/toucanhall/forwarding/edge.py
+++ b/toucanhall/forwarding/edge.py
@@ -1,4 +1,4 @@
-"""The callers' side of HTTP: what is refused before a request is one."""
+"""Checks callers' HTTP before waitress parses it, and answers errors."""
 
 import threading
 from typing import Any, Final
@@ -14,12 +14,14 @@
 
 __all__ = ('Channel', 'check_head')
 
-_RECEIVE_SECONDS: Final = 30.0
-_SLASHES: Final = ('%2f', '%5c', '\\')
-_DOTS: Final = frozenset(('.', '..'))
-_SINGLE: Final = frozenset((b'content-length', b'host', b'transfer-encoding'))
-_VERSIONS: Final = (b'HTTP/1.0', b'HTTP/1.1')
-_REASONS: Final = {
+_MAX_RECEIVE_SECONDS: Final = 30.0
+_FORBIDDEN_SLASHES: Final = ('%2f', '%5c', '\\')
+_DOT_SEGMENTS: Final = frozenset(('.', '..'))
+_UNREPEATABLE_HEADERS: Final = frozenset(
+    (b'content-length', b'host', b'transfer-encoding')
+)
+_HTTP_VERSIONS: Final = (b'HTTP/1.0', b'HTTP/1.1')
+_REASONS_BY_STATUS: Final = {
     400: 'bad-request',
     408: 'too-slow',
     413: 'body-too-large',
@@ -36,14 +38,14 @@
 
 
 def check_head(head: bytes) -> str:
-    """Return what is wrong with the head of a request, or ''."""
+    """Return the fault of a request's head, or '' if it has none."""
     first, *lines = head.removesuffix(b'\r\n').split(b'\r\n')
-    return _check_first(first) or _check_lines(first, lines)
+    return _check_request_line(first) or _check_headers(first, lines)
 
 
-def _check_first(first: bytes) -> str:
+def _check_request_line(first: bytes) -> str:
     parts = first.split(b' ')
-    if len(parts) != 3 or parts[2] not in _VERSIONS:
+    if len(parts) != 3 or parts[2] not in _HTTP_VERSIONS:
         return 'start line is not of HTTP/1.0 or HTTP/1.1'
     if not all(33 <= code < 127 for code in parts[1]):
         return 'target has characters that must be encoded'
@@ -51,59 +53,59 @@
 
 
 def check_target(target: str) -> str:
-    """Return what is wrong with a request target, or ''."""
+    """Return the fault of a request target, or '' if it has none."""
     path = target.split('?', 1)[0]
     if not path.startswith('/') or path.startswith('//'):
         return 'target is not a path'
     if '#' in target:
         return 'target has a fragment'
-    for form in _decode(path):
-        if any(mark in form.lower() for mark in _SLASHES):
+    for form in _decode_up_to_twice(path):
+        if any(mark in form.lower() for mark in _FORBIDDEN_SLASHES):
             return 'path has an encoded slash or a backslash'
-        if _DOTS & set(form.split('/')):
+        if _DOT_SEGMENTS & set(form.split('/')):
             return 'path has a dot segment'
         if not form.isprintable():
             return 'path has a control character'
     return ''
 
 
-def _decode(path: str) -> tuple[str, ...]:
+def _decode_up_to_twice(path: str) -> tuple[str, ...]:
     if '%' not in path:
         return (path,)
     once = unquote(path)
     return path, once, unquote(once)
 
 
-def _check_lines(first: bytes, lines: list[bytes]) -> str:
+def _check_headers(first: bytes, lines: list[bytes]) -> str:
     if any(line[:1] in {b' ', b'\t'} for line in lines):
         return 'a header is folded'
     names = [line.partition(b':')[0].lower() for line in lines]
-    for name in _SINGLE:
+    for name in _UNREPEATABLE_HEADERS:
         if names.count(name) > 1:
             return f'header {name.decode()} is repeated'
     has_coding = b'transfer-encoding' in names
     if has_coding and b'content-length' in names:
         return 'both a length and a transfer coding are given'
-    if has_coding and first.endswith(_VERSIONS[0]):
+    if has_coding and first.endswith(_HTTP_VERSIONS[0]):
         return 'HTTP/1.0 has no transfer coding'
-    if b'host' not in names and first.endswith(_VERSIONS[1]):
+    if b'host' not in names and first.endswith(_HTTP_VERSIONS[1]):
         return 'header host is missing'
     return ''
 
 
 class Parser(HTTPRequestParser):
-    """A parser that refuses what two readers could read in two ways."""
+    """Refuses requests that another HTTP parser could read differently."""
 
     def parse_header(self, header_plus: bytes) -> None:
         """Check the head before it is parsed."""
-        wrong = check_head(header_plus)
-        if wrong:
-            raise ParsingError(wrong)
+        fault = check_head(header_plus)
+        if fault:
+            raise ParsingError(fault)
         super().parse_header(header_plus)
 
 
 class ProblemTask(ErrorTask):
-    """Answers a request that could not be read, and closes."""
+    """Answers a request that could not be parsed, and closes."""
 
     request: Any
     response_headers: list[tuple[str, str]]
@@ -111,8 +113,8 @@
     def execute(self) -> None:
         """Write the refusal as problem+json."""
         error = self.request.error
-        reason = _REASONS.get(error.code, 'internal')
-        # what follows a quotation mark is text of the caller
+        reason = _REASONS_BY_STATUS.get(error.code, 'internal')
+        # Text behind a quotation mark is the caller's and may hold a secret.
         detail = str(error.body).split('"', 1)[0].strip()
         answer = render(make_refusal(reason, detail))
         self.status = f'{answer.status} {answer.reason}'
@@ -124,12 +126,12 @@
 
 
 class Task(WSGITask):
-    """Runs the application; an answer to HEAD has no last chunk."""
+    """Runs the application; a response to HEAD has no final chunk."""
 
     request: Any
 
     def finish(self) -> None:
-        """Write what is left of the answer."""
+        """Write the end of the response."""
         if not self.wrote_header:
             self.write(b'')
         if self.request.command == 'HEAD':
@@ -138,7 +140,7 @@
 
 
 class Channel(HTTPChannel):
-    """A caller's connection on which each request must arrive in time."""
+    """A caller's connection with a time limit to receive each request."""
 
     parser_class = Parser
     error_task_class = ProblemTask
@@ -149,21 +151,24 @@
     server: Any
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
-        """Start with no request under way."""
+        """Start to measure the time of the first request."""
         super().__init__(*arguments, **options)
-        self._began_at = runtime.read_clock()
+        self._request_began_at = runtime.read_clock()
 
     def received(self, data: bytes) -> bool:
-        """Take bytes of a caller, or give up a request that is late."""
+        """Parse received bytes, or refuse a request that takes too long."""
         now = runtime.read_clock()
         before = self.request
-        if before is not None and now - self._began_at > _RECEIVE_SECONDS:
+        if (
+            before is not None
+            and now - self._request_began_at > _MAX_RECEIVE_SECONDS
+        ):
             self._refuse(TooSlow('the request was not received in time'))
             return True
-        taken: bool = super().received(data)
+        is_accepted: bool = super().received(data)
         if self.request is not before:
-            self._began_at = now
-        return taken
+            self._request_began_at = now
+        return is_accepted
 
     def _refuse(self, error: Error) -> None:
         with self.requests_lock:
--- a/toucanhall/forwarding/jobs.py
+++ b/toucanhall/forwarding/jobs.py
@@ -1,4 +1,4 @@
-"""The state of the request path, and requests that were admitted."""
+"""The state of the request path, and admitted requests."""
 
 from typing import Final, NamedTuple
 
@@ -13,15 +13,15 @@
 from toucanhall.steering import Origin, Steerer
 from toucanhall.transport.exchange import Identity
 
-__all__ = ('BACK_SOON_SECONDS', 'Job', 'Parts')
+__all__ = ('RETRY_AFTER_SECONDS', 'Job', 'Parts')
 
-BACK_SOON_SECONDS: Final = 1.0
+RETRY_AFTER_SECONDS: Final = 1.0
 
 _SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
 
 
 class Parts(NamedTuple):
-    """The state that the request path reads and changes."""
+    """The components that the request path uses."""
 
     identity: Identity
     zone: str
@@ -35,9 +35,9 @@
 
 
 class Job(NamedTuple):
-    """An admitted request: what is sent, for whom, and until when.
+    """An admitted request with its caller, route and deadline.
 
-    `is_retry` tells that another entry VM tried it before.
+    `is_retry` is true if another entry VM has tried the request before.
     """
 
     request: Request
@@ -46,11 +46,11 @@
     catalogue: Catalogue
     request_id: str
     give_up_at: float
-    is_hopped: bool
+    is_from_entry_vm: bool
     origin: Origin = Origin.CALLER
     is_retry: bool = False
 
     @property
     def is_safe(self) -> bool:
-        """Whether the request may be sent again after it was sent once."""
+        """Whether the request may be sent more than once."""
         return self.request.method in _SAFE_METHODS
--- a/toucanhall/idempotency/messages.py
+++ b/toucanhall/idempotency/messages.py
@@ -1,4 +1,4 @@
-"""What can happen to a claim, and what is to be done about it."""
+"""Events and effects of the claim protocol."""
 
 from typing import NamedTuple, TypeAlias
 
@@ -6,112 +6,116 @@
 from toucanhall.idempotency.claims import Claim, Found, Outcome
 
 __all__ = (
-    'Answered',
+    'Abandoned',
     'Conflicted',
+    'Connected',
     'Disclaimed',
-    'Down',
     'Effect',
     'Event',
-    'Failed',
-    'Later',
-    'Look',
-    'Lost',
-    'Moved',
-    'Ready',
+    'Notify',
+    'Read',
+    'ReadDone',
+    'ReplyLost',
+    'ResponseMissing',
+    'ResponseReceived',
     'Retry',
-    'Seen',
+    'ScheduleRetry',
     'Send',
-    'Tell',
-    'Unsent',
+    'StoreUnreachable',
+    'Transition',
     'Write',
     'Written',
 )
 
 
 class Written(NamedTuple):
-    """A write took effect and gave the object a version."""
+    """A write took effect; the object now has this version."""
 
     version: int
 
 
 class Conflicted(NamedTuple):
-    """A write found another version and had no effect."""
+    """A write found another version than expected and had no effect."""
 
 
-class Lost(NamedTuple):
-    """A write got no reply; it took effect, never will, or will later."""
+class ReplyLost(NamedTuple):
+    """A write got no reply; it may have taken effect, or may do so later."""
 
 
-class Down(NamedTuple):
-    """The store was not reached; the call had no effect."""
+class StoreUnreachable(NamedTuple):
+    """The store could not be reached; the call had no effect."""
 
 
-class Seen(NamedTuple):
-    """The store was read."""
+class ReadDone(NamedTuple):
+    """The store was read; `found` is None if it holds no claim."""
 
     found: Found | None
 
 
-class Ready(NamedTuple):
-    """A connection stands and the first byte can leave."""
+class Connected(NamedTuple):
+    """A connection is open and the first byte can be sent."""
 
 
-class Unsent(NamedTuple):
-    """The request was given up before the first byte."""
+class Abandoned(NamedTuple):
+    """The request was given up before its first byte was sent."""
 
 
 class Disclaimed(NamedTuple):
-    """The entry VM that got the request truly said it did not run it."""
+    """The entry VM that received the request proved that it did not run it."""
 
 
-class Answered(NamedTuple):
-    """A whole answer came."""
+class ResponseReceived(NamedTuple):
+    """A complete response was received."""
 
     outcome: Outcome
 
 
-class Failed(NamedTuple):
-    """No whole answer came after the first byte."""
+class ResponseMissing(NamedTuple):
+    """The request was sent, but no complete response was received."""
 
 
 class Retry(NamedTuple):
-    """It is time to try a write again that was put off."""
+    """A postponed write is due."""
 
 
 class Write(NamedTuple):
-    """Write a claim on the condition that its version is the expected."""
+    """Write a claim if the version of its object is the expected one."""
 
     claim: Claim
     expected: int
 
 
-class Look(NamedTuple):
-    """Read what lies in the store."""
+class Read(NamedTuple):
+    """Read the claim from the store."""
 
 
 class Send(NamedTuple):
-    """Send the first byte."""
+    """Send the request."""
 
 
-class Tell(NamedTuple):
-    """Tell the request path how the claim stands."""
+class Notify(NamedTuple):
+    """Return a verdict, and the claim that it rests on, to the request path."""
 
     verdict: Verdict
     claim: Claim
 
 
-class Later(NamedTuple):
-    """Come back with `Retry` after a while."""
+class ScheduleRetry(NamedTuple):
+    """Deliver `Retry` later."""
 
 
-StoreEvent: TypeAlias = Written | Conflicted | Lost | Down | Seen | Retry
-RequestEvent: TypeAlias = Ready | Unsent | Disclaimed | Answered | Failed
+StoreEvent: TypeAlias = (
+    Written | Conflicted | ReplyLost | StoreUnreachable | ReadDone | Retry
+)
+RequestEvent: TypeAlias = (
+    Connected | Abandoned | Disclaimed | ResponseReceived | ResponseMissing
+)
 Event: TypeAlias = StoreEvent | RequestEvent
-Effect: TypeAlias = Write | Look | Send | Tell | Later
+Effect: TypeAlias = Write | Read | Send | Notify | ScheduleRetry
 
 
-class Moved(NamedTuple):
-    """The state after an event, and what is to be done now."""
+class Transition(NamedTuple):
+    """The state after an event, and the effects to execute."""
 
     attempt: Attempt
     effects: tuple[Effect, ...] = ()
