--- a/tests/models/test_steering_model.py
+++ b/tests/models/test_steering_model.py
@@ -12,7 +12,7 @@
 from toucanhall.steering.policy import decide
 from toucanhall.steering.records import End, Expire, Origin, Run
 
-SLOTS = 3
+SLOTS_PER_TARGET = 3
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(('arrive', 'end', 'expire')),
@@ -39,7 +39,9 @@
 
 def check_history(steps):
     """Check that no target ever runs more than its slots."""
-    state = make_state(Place('a', '', SLOTS), Place('b', '', SLOTS))
+    state = make_state(
+        Place('a', '', SLOTS_PER_TARGET), Place('b', '', SLOTS_PER_TARGET)
+    )
     running = []
     origins = {}
     now = 0
@@ -53,7 +55,7 @@
         for name, place in state.places.items():
             count = sum(entry[0] == name for entry in running)
             assert place.in_flight == count
-            assert count <= SLOTS
+            assert count <= SLOTS_PER_TARGET
 
 
 def test_no_order_of_events_overloads_a_target():
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -18,9 +18,13 @@
     Wait,
 )
 
-SIBLING = Peer('own-2', 'own', 'near', '127.2.0.2:8080', Distance.ZONE)
-NEAR = Peer('near-1', 'near-b', 'near', '127.2.0.3:8080', Distance.REGION)
-FAR = Peer('far-1', 'far-a', 'far', '127.2.0.4:8080', Distance.FAR)
+LOCAL_PEER = Peer('own-2', 'own', 'near', '127.2.0.2:8080', Distance.ZONE)
+REGION_PEER = Peer(
+    'near-1', 'near-b', 'near', '127.2.0.3:8080', Distance.REGION
+)
+REMOTE_PEER = Peer(
+    'far-1', 'far-a', 'far', '127.2.0.4:8080', Distance.OTHER_REGION
+)
 HEALTHY = Outcome(healthy=True, seconds=0.04)
 FAILED = Outcome(healthy=False)
 
@@ -46,14 +50,16 @@
 
 
 def test_full_zone_goes_to_sibling_then_region():
-    state = fill(make_state(Place('a', '', 1), peers=(SIBLING, NEAR)), 1)
+    state = fill(
+        make_state(Place('a', '', 1), peers=(LOCAL_PEER, REGION_PEER)), 1
+    )
     state, first = arrive(state)
     state, second = arrive(state)
     assert [first.name, second.name] == ['own-2', 'near-1']
 
 
 def test_short_wait_goes_before_another_region():
-    state = fill(make_state(Place('a', '', 4), peers=(FAR,)), 4)
+    state = fill(make_state(Place('a', '', 4), peers=(REMOTE_PEER,)), 4)
     state, first = arrive(state, 'one')
     assert isinstance(first, Wait)
     for number in range(8):
@@ -63,7 +69,7 @@
 
 
 def test_region_without_link_bytes_gets_nothing():
-    state = fill(make_state(Place('a', '', 1), peers=(FAR,)), 1)
+    state = fill(make_state(Place('a', '', 1), peers=(REMOTE_PEER,)), 1)
     for number in range(8):
         state, _ = arrive(
             state, str(number), closed_regions=frozenset(('far',))
@@ -198,11 +204,11 @@
 
 
 def test_retry_does_not_wait_for_the_target_that_failed():
-    state = make_state(Place('a', '', 9), peers=(NEAR,))
+    state = make_state(Place('a', '', 9), peers=(REGION_PEER,))
     state, first = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
     state, second = arrive(state, attempts=1, passed=frozenset(('a',)))
-    assert (first.name, second.name) == ('a', NEAR.vm)
+    assert (first.name, second.name) == ('a', REGION_PEER.vm)
 
 
 def test_retry_without_any_other_way_is_refused_at_once():
@@ -214,20 +220,20 @@
 
 
 def test_fresh_vm_may_try_two_more_ways():
-    state = make_state(Place('a', '', 9), peers=(NEAR, FAR))
+    state = make_state(Place('a', '', 9), peers=(REGION_PEER, REMOTE_PEER))
     state, _ = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
     state, _ = arrive(state, attempts=1, passed=frozenset(('a',)))
     bounced = Outcome(healthy=None)
-    state, _ = decide(state, End(NEAR.vm, bounced, spare=0), 0)
-    passed = frozenset(('a', NEAR.vm))
+    state, _ = decide(state, End(REGION_PEER.vm, bounced, spare=0), 0)
+    passed = frozenset(('a', REGION_PEER.vm))
     _, third = arrive(state, attempts=2, passed=passed, is_bounced=True)
-    assert third.name == FAR.vm
+    assert third.name == REMOTE_PEER.vm
 
 
 def test_target_that_refuses_connections_costs_no_retry():
     """Load pattern: the circuit of a dead target lets a probe through."""
-    state = make_state(Place('a', '', 9), peers=(NEAR,))
+    state = make_state(Place('a', '', 9), peers=(REGION_PEER,))
     state = state._replace(budget=state.budget._replace(retries=0))
     for number in range(20):
         state, _ = arrive(state, f'{number}')
@@ -240,11 +246,11 @@
             passed=frozenset(('a',)),
         )
         assert isinstance(second, Carry)
-        state, _ = decide(state, End(NEAR.vm, HEALTHY, spare=9), 0)
+        state, _ = decide(state, End(REGION_PEER.vm, HEALTHY, spare=9), 0)
 
 
 def test_attempts_that_sent_nothing_come_to_an_end():
-    state = make_state(Place('a', '', 9), peers=(NEAR, FAR))
+    state = make_state(Place('a', '', 9), peers=(REGION_PEER, REMOTE_PEER))
     state = state._replace(budget=state.budget._replace(retries=0))
     _, effect = arrive(state, attempts=3, is_unsent=True)
     assert isinstance(effect, Refuse)
--- a/tests/unit/test_steering_load.py
+++ b/tests/unit/test_steering_load.py
@@ -5,16 +5,16 @@
 from benches.steering import run
 from benches.steering_places import DEPLOYMENTS
 
-SECONDS = 7
-STRIKE = 2
-ATTEMPTS_WITH_A_ZONE_DOWN = 1.1
-OTHERS_KEPT_IN_A_SURGE = 0.98
+LOAD_SECONDS = 7
+FAULT_AT_SECOND = 2
+MAX_ATTEMPTS_RATIO = 1.1
+MIN_OTHER_TEAMS_RATIO = 0.98
 
 
 def measure(scenario, deployment='qureshi', seed=1):
     """Run the product's policy on a small load and return the measures."""
     places = DEPLOYMENTS[deployment]
-    return run(places, scenario, seed, 'ours', SECONDS, STRIKE)
+    return run(places, scenario, seed, 'ours', LOAD_SECONDS, FAULT_AT_SECOND)
 
 
 def check_caps(measured):
@@ -39,8 +39,8 @@
     measured = measure('surge', seed=seed)
     check_caps(measured)
     calm = measure('steady', seed=seed)
-    kept = measured['worst_other_team'] / calm['worst_other_team']
-    assert kept >= OTHERS_KEPT_IN_A_SURGE
+    ratio = measured['worst_other_team'] / calm['worst_other_team']
+    assert ratio >= MIN_OTHER_TEAMS_RATIO
 
 
 @pytest.mark.parametrize('seed', (1, 2, 3))
@@ -48,7 +48,7 @@
     measured = measure('zone-lost', seed=seed)
     check_caps(measured)
     assert not measured['wrongful_settled']
-    assert measured['attempts'] <= ATTEMPTS_WITH_A_ZONE_DOWN
+    assert measured['attempts'] <= MAX_ATTEMPTS_RATIO
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_steering_sizes.py
+++ b/tests/unit/test_steering_sizes.py
@@ -7,12 +7,12 @@
     EntryVm('north-a-2', 'north-a', '127.2.0.2:8080'),
     EntryVm('south-a-1', 'south-a', '127.2.0.3:8080'),
 )
-SEAT = OwnedSlots('north-a', frozenset(range(12)))
+OWNED = OwnedSlots('north-a', frozenset(range(12)))
 
 
 def list_peers(**changes):
     """Return the VMs that may be asked for room for a service."""
-    size = size_services(make_catalogue(**changes), SEAT, HOPS, 0)['guide']
+    size = size_services(make_catalogue(**changes), OWNED, HOPS, 0)['guide']
     return [peer.vm for peer in size.peers]
 
 
--- a/toucanhall/steering/advice.py
+++ b/toucanhall/steering/advice.py
@@ -10,7 +10,7 @@
 
 __all__ = ('Advice', 'AdvisedVm', 'advise')
 
-_VMS_PER_ANSWER: Final = 4
+_MAX_ADVISED_VMS: Final = 4
 _NO_VMS: Final[frozenset[str]] = frozenset()
 
 
@@ -43,9 +43,9 @@
     these the team's hash spreads teams over VMs, and keeps one team at the
     same VMs.
     """
-    limited = catalogue.teams.get(team)
-    parts = {
-        zone: find_zone_part(catalogue, zone, limited) if limited else 1.0
+    team_limit = catalogue.teams.get(team)
+    fractions = {
+        zone: find_zone_part(catalogue, zone, team_limit) if team_limit else 1.0
         for zone in catalogue.zones
     }
     usable = [
@@ -57,16 +57,16 @@
     ordered = sorted(
         usable,
         key=lambda entry: (
-            parts.get(entry.zone, 0.0) <= 0,
-            _distance(catalogue.zones, own_zone, entry.zone),
+            fractions.get(entry.zone, 0.0) <= 0,
+            _get_distance(catalogue.zones, own_zone, entry.zone),
             entry.vm not in holders,
             xxhash.xxh64_intdigest(f'{team}/{entry.vm}'.encode()),
         ),
     )
-    return Advice(tuple(ordered[:_VMS_PER_ANSWER]), catalogue.hold_seconds)
+    return Advice(tuple(ordered[:_MAX_ADVISED_VMS]), catalogue.hold_seconds)
 
 
-def _distance(zones: Mapping[str, Zone], own: str, other: str) -> int:
+def _get_distance(zones: Mapping[str, Zone], own: str, other: str) -> int:
     if own == other:
         return 0
     own_zone = zones.get(own)
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
-from toucanhall.steering import fairness, peers, places, room
+from toucanhall.steering import capacity, fairness, peers, places
 from toucanhall.steering.budget import refill, spend
 from toucanhall.steering.fairness import Waiting
 from toucanhall.steering.peers import Distance, Peer
 from toucanhall.steering.places import Place
-from toucanhall.steering.ramps import touch
+from toucanhall.steering.ramps import record_arrival
 from toucanhall.steering.records import (
     Arrive,
     Carry,
@@ -24,33 +24,33 @@
 
 BACK_SOON_SECONDS: Final = 1.0
 
-_LONGEST_BACK_SECONDS: Final = 5.0
-_MOST_ATTEMPTS: Final = 3
-_MOST_WAITING: Final = 48
-_QUEUE_SLACK: Final = 1
-_FAR_SECONDS: Final = 0.05
+_MAX_RETRY_AFTER_SECONDS: Final = 5.0
+_MAX_ATTEMPTS: Final = 3
+_MAX_WAITING_REQUESTS: Final = 48
+_MIN_QUEUE_DIFFERENCE: Final = 1
+_MAX_SHORT_WAIT_SECONDS: Final = 0.05
 
-Decided: TypeAlias = tuple[State, tuple[Effect, ...]]
-Found: TypeAlias = Decided | None
+Transition: TypeAlias = tuple[State, tuple[Effect, ...]]
+MaybeTransition: TypeAlias = Transition | None
 
 
-def arrive(state: State, event: Arrive, now: float) -> Decided:
+def arrive(state: State, event: Arrive, now: float) -> Transition:
     """Decide on a request that arrived, or that comes back for a retry."""
     if event.expires_at <= now:
         return state, (Refuse(event.ticket, 'deadline', BACK_SOON_SECONDS),)
     state = state._replace(budget=refill(state.budget, now))
-    is_free = not event.attempts or (
+    needs_no_budget = not event.attempts or (
         # A target that refuses connections is given no work by a retry.
-        event.is_unsent and event.attempts < _MOST_ATTEMPTS
+        event.is_unsent and event.attempts < _MAX_ATTEMPTS
     )
-    if is_free:
+    if needs_no_budget:
         return _ARRIVALS[event.origin](state, event, now)
     budget, may_retry = spend(state.budget)
     state = state._replace(budget=budget)
-    if may_retry and event.attempts < _MOST_ATTEMPTS:
+    if may_retry and event.attempts < _MAX_ATTEMPTS:
         return _ARRIVALS[event.origin](state, event, now)
     if event.is_bounced:
-        return _try_ways(_OWN_WAYS, state, event, now)
+        return _try_strategies(_LOCAL_STRATEGIES, state, event, now)
     refusal = Refuse(event.ticket, 'retry-budget', BACK_SOON_SECONDS)
     return state, (refusal,)
 
@@ -62,50 +62,56 @@
     )
 
 
-def _arrive_from_caller(state: State, event: Arrive, now: float) -> Decided:
-    return _try_ways(_WAYS, state, event, now)
+def _arrive_from_caller(state: State, event: Arrive, now: float) -> Transition:
+    return _try_strategies(_STRATEGIES, state, event, now)
 
 
-def _try_ways(
-    ways: tuple[Callable[[State, Arrive, float], Found], ...],
+def _try_strategies(
+    strategies: tuple[Callable[[State, Arrive, float], MaybeTransition], ...],
     state: State,
     event: Arrive,
     now: float,
-) -> Decided:
-    for find in ways:
-        found = find(state, event, now)
-        if found is not None:
-            return found
-    seconds = min(room.estimate_wait(state, event, now), _LONGEST_BACK_SECONDS)
+) -> Transition:
+    for strategy in strategies:
+        transition = strategy(state, event, now)
+        if transition is not None:
+            return transition
+    wait_seconds = min(
+        capacity.estimate_wait(state, event, now), _MAX_RETRY_AFTER_SECONDS
+    )
     return state, (
-        Refuse(event.ticket, 'no-target', max(BACK_SOON_SECONDS, seconds)),
+        Refuse(event.ticket, 'no-target', max(BACK_SOON_SECONDS, wait_seconds)),
     )
 
 
-def _arrive_from_sibling(state: State, event: Arrive, now: float) -> Decided:
-    return _try_ways(_OWN_WAYS, state, event, now)
+def _arrive_from_sibling(state: State, event: Arrive, now: float) -> Transition:
+    return _try_strategies(_LOCAL_STRATEGIES, state, event, now)
 
 
-def _arrive_from_zone(state: State, event: Arrive, now: float) -> Decided:
-    ramp = touch(state.ramp, state.shifted, now)
+def _arrive_from_zone(state: State, event: Arrive, now: float) -> Transition:
+    ramp = record_arrival(state.ramp, state.shifted, now)
     state = state._replace(ramp=ramp)
-    has_room = room.count_free(state, now) > room.count_reserve(state, now)
-    found = None
-    if has_room and state.shifted + 1 <= ramp.level:
-        found = _run(state, event, now)
-    if found is None:
+    has_spare_slots = capacity.count_free(state, now) > capacity.count_reserve(
+        state, now
+    )
+    transition = None
+    if has_spare_slots and state.shifted + 1 <= ramp.level:
+        transition = _run(state, event, now)
+    if transition is None:
         return state, (Refuse(event.ticket, 'no-target', BACK_SOON_SECONDS),)
-    ran, effects = found
+    ran, effects = transition
     return ran._replace(shifted=ran.shifted + 1), effects
 
 
-def _run(state: State, event: Arrive, now: float) -> Found:
+def _run(state: State, event: Arrive, now: float) -> MaybeTransition:
     if state.queue.waiting:
         return None
     return _run_at(state, event, now, is_draining=False)
 
 
-def _run_at_draining(state: State, event: Arrive, now: float) -> Found:
+def _run_at_draining(
+    state: State, event: Arrive, now: float
+) -> MaybeTransition:
     return _run_at(state, event, now, is_draining=True)
 
 
@@ -115,7 +121,7 @@
     now: float,
     *,
     is_draining: bool,
-) -> Found:
+) -> MaybeTransition:
     place = places.pick(
         (
             place
@@ -128,13 +134,15 @@
     )
     if place is None:
         return None
-    queue = fairness.charge(state.queue, event.team, event.weight)
+    queue = fairness.record_served(state.queue, event.team, event.weight)
     state = place_request(state._replace(queue=queue), place)
     return state, (Run(event.ticket, place.target, place.address),)
 
 
-def _carry(distance: Distance) -> Callable[[State, Arrive, float], Found]:
-    def find(state: State, event: Arrive, now: float) -> Found:
+def _carry(
+    distance: Distance,
+) -> Callable[[State, Arrive, float], MaybeTransition]:
+    def strategy(state: State, event: Arrive, now: float) -> MaybeTransition:
         peer = peers.pick(
             (
                 peer
@@ -144,39 +152,43 @@
             distance,
             event.closed_regions,
             now,
-            can_ask=_may_ask(state, event, now),
+            can_query=_can_query_peers(state, event, now),
         )
         if peer is None:
             return None
-        return _send_to(state, event, peer)
+        return _send_to_peer(state, event, peer)
 
-    return find
+    return strategy
 
 
-def _wait_at_shorter(state: State, event: Arrive, now: float) -> Found:
-    backlog = len(state.queue.waiting) - _QUEUE_SLACK
-    return _wait_at_sibling(state, event, now, most=backlog)
+def _send_to_shorter_queue(
+    state: State, event: Arrive, now: float
+) -> MaybeTransition:
+    shorter_than_own = len(state.queue.waiting) - _MIN_QUEUE_DIFFERENCE
+    return _send_to_sibling_queue(
+        state, event, now, max_waiting=shorter_than_own
+    )
 
 
-def _wait_at_sibling(
+def _send_to_sibling_queue(
     state: State,
     event: Arrive,
     now: float,
-    most: int = _MOST_WAITING,
-) -> Found:
+    max_waiting: int = _MAX_WAITING_REQUESTS,
+) -> MaybeTransition:
     peer = peers.pick_to_wait(
         (peer for vm, peer in state.peers.items() if vm not in event.passed),
         now,
     )
-    if peer is None or -peer.spare > most:
+    if peer is None or -peer.spare > max_waiting:
         return None
-    return _send_to(state, event, peer)
+    return _send_to_peer(state, event, peer)
 
 
-def _send_to(state: State, event: Arrive, peer: Peer) -> Decided:
+def _send_to_peer(state: State, event: Arrive, peer: Peer) -> Transition:
     sent = state._replace(
         peers={**state.peers, peer.vm: peers.begin(peer)},
-        queue=fairness.reserve(state.queue, event.team, event.weight),
+        queue=fairness.record_sent(state.queue, event.team, event.weight),
     )
     return sent, (_make_carry(event, peer),)
 
@@ -187,28 +199,30 @@
         peer.vm,
         peer.address,
         peer.region,
-        is_far=peer.distance is Distance.FAR,
+        is_far=peer.distance is Distance.OTHER_REGION,
     )
 
 
-def _may_ask(state: State, event: Arrive, now: float) -> bool:
+def _can_query_peers(state: State, event: Arrive, now: float) -> bool:
     # A retry was paid for when it arrived, or need not be.
     if event.is_unsent or state.budget.retries >= 1:
         return True
-    return not room.count_usable(state, now)
+    return not capacity.count_usable(state, now)
 
 
-def _wait_briefly(state: State, event: Arrive, now: float) -> Found:
-    if room.estimate_wait(state, event, now) > _FAR_SECONDS:
+def _wait_briefly(state: State, event: Arrive, now: float) -> MaybeTransition:
+    if capacity.estimate_wait(state, event, now) > _MAX_SHORT_WAIT_SECONDS:
         return None
     return _wait(state, event, now)
 
 
-def _wait(state: State, event: Arrive, now: float) -> Found:
-    if event.attempts and not _has_untried(state, event, now):
+def _wait(state: State, event: Arrive, now: float) -> MaybeTransition:
+    if event.attempts and not _has_untried_target(state, event, now):
         return None
-    estimate = room.estimate_wait(state, event, now) + room.read_latency(state)
-    if estimate > event.expires_at - now:
+    estimated_seconds = capacity.estimate_wait(
+        state, event, now
+    ) + capacity.get_mean_latency(state)
+    if estimated_seconds > event.expires_at - now:
         return None
     waiting = Waiting(
         event.origin is not Origin.CALLER,
@@ -218,7 +232,9 @@
         event.weight,
         event.expires_at,
     )
-    queue, pushed_out = fairness.push(state.queue, waiting, _MOST_WAITING)
+    queue, pushed_out = fairness.push(
+        state.queue, waiting, _MAX_WAITING_REQUESTS
+    )
     state = state._replace(queue=queue)
     wait = Wait(event.ticket, event.expires_at)
     if pushed_out is None:
@@ -229,7 +245,7 @@
     return state, (wait, refusal)
 
 
-def _has_untried(state: State, event: Arrive, now: float) -> bool:
+def _has_untried_target(state: State, event: Arrive, now: float) -> bool:
     return any(
         places.limit(place, now)
         for name, place in state.places.items()
@@ -237,19 +253,19 @@
     )
 
 
-_WAYS: Final = (
+_STRATEGIES: Final = (
     _run,
     _carry(Distance.ZONE),
     _carry(Distance.REGION),
     _wait_briefly,
-    _carry(Distance.FAR),
+    _carry(Distance.OTHER_REGION),
     _run_at_draining,
-    _wait_at_shorter,
+    _send_to_shorter_queue,
     _wait,
-    _wait_at_sibling,
+    _send_to_sibling_queue,
 )
 
-_OWN_WAYS: Final = (_run, _run_at_draining, _wait)
+_LOCAL_STRATEGIES: Final = (_run, _run_at_draining, _wait)
 
 _ARRIVALS: Final = {
     Origin.CALLER: _arrive_from_caller,
--- a/toucanhall/steering/blocks.py
+++ b/toucanhall/steering/blocks.py
@@ -15,13 +15,13 @@
     'parse_blocks',
 )
 
-_NOWHERE: Final = 0
+_NO_ZONE: Final = 0
 _V4_BITS: Final = 32
 _V6_BITS: Final = 128
-_V6_KEPT_BITS: Final = 64
-_V4_CODE: Final = 'I'
-_V6_CODE: Final = 'Q'
-_ZONE_CODE: Final = 'H'
+_V6_INDEXED_BITS: Final = 64
+_V4_TYPECODE: Final = 'I'
+_V6_TYPECODE: Final = 'Q'
+_ZONE_TYPECODE: Final = 'H'
 
 
 class Block(NamedTuple):
@@ -69,8 +69,10 @@
     block of 64 bits that holds it.
     """
     numbers: dict[str, int] = {}
-    table4 = _make_table(version4, _V4_BITS, _V4_BITS, _V4_CODE, numbers)
-    table6 = _make_table(version6, _V6_BITS, _V6_KEPT_BITS, _V6_CODE, numbers)
+    table4 = _make_table(version4, _V4_BITS, _V4_BITS, _V4_TYPECODE, numbers)
+    table6 = _make_table(
+        version6, _V6_BITS, _V6_INDEXED_BITS, _V6_TYPECODE, numbers
+    )
     return Blocks(table4, table6, ('', *numbers))
 
 
@@ -82,30 +84,30 @@
     mapped = getattr(parsed, 'ipv4_mapped', None)
     if mapped is not None:
         return find_version4(blocks, int(mapped))
-    kept = int(parsed) >> (_V6_BITS - _V6_KEPT_BITS)
-    return blocks.zones[_find(blocks.version6, kept)]
+    indexed = int(parsed) >> (_V6_BITS - _V6_INDEXED_BITS)
+    return blocks.zones[_find_zone_number(blocks.version6, indexed)]
 
 
 def find_version4(blocks: Blocks, number: int) -> str:
     """Return the zone of an IPv4 address that is given as a number, or ''."""
-    return blocks.zones[_find(blocks.version4, number)]
+    return blocks.zones[_find_zone_number(blocks.version4, number)]
 
 
-def _find(table: _Table, number: int) -> int:
+def _find_zone_number(table: _Table, number: int) -> int:
     index = bisect_right(table.starts, number) - 1
-    return table.zones[index] if index >= 0 else _NOWHERE
+    return table.zones[index] if index >= 0 else _NO_ZONE
 
 
 def _make_table(
     blocks: Iterable[Block],
     bits: int,
-    kept: int,
-    code: str,
+    indexed: int,
+    typecode: str,
     numbers: dict[str, int],
 ) -> _Table:
-    table = _Table(array(code), array(_ZONE_CODE))
+    table = _Table(array(typecode), array(_ZONE_TYPECODE))
     for start, number in _flatten(sorted(blocks), bits, numbers):
-        _append(table, start >> (bits - kept), number)
+        _append(table, start >> (bits - indexed), number)
     return table
 
 
@@ -123,7 +125,7 @@
     numbers: dict[str, int],
 ) -> Iterator[tuple[int, int]]:
     """Yield where the innermost block changes, and the number of its zone."""
-    outer: list[tuple[int, int]] = [(1 << bits, _NOWHERE)]
+    outer: list[tuple[int, int]] = [(1 << bits, _NO_ZONE)]
     for block in blocks:
         yield from _close(outer, block.first)
         number = numbers.setdefault(block.zone, len(numbers) + 1)
--- a/toucanhall/steering/budget.py
+++ b/toucanhall/steering/budget.py
@@ -4,23 +4,23 @@
 
 __all__ = ('Budget', 'earn', 'limit_attempt', 'refill', 'spend')
 
-_MOST_RETRIES: Final = 10.0
-_SUCCESS_SHARE: Final = 0.07
-_RETRY_TIME_SHARE: Final = 0.2
+_MAX_RETRIES: Final = 10.0
+_RETRIES_PER_SUCCESS: Final = 0.07
+_RETRY_TIME_FRACTION: Final = 0.2
 _RETRIES_PER_SECOND: Final = 0.2
-_LEAST_RETRIES: Final = 3.0  # one target and one entry VM that have gone
+_INITIAL_RETRIES: Final = 3.0  # one target and one entry VM that have gone
 
 
 class Budget(NamedTuple):
     """Retries that may be spent, as of a time in seconds."""
 
-    retries: float = _LEAST_RETRIES
+    retries: float = _INITIAL_RETRIES
     updated_at: float = 0.0
 
 
 def earn(budget: Budget) -> Budget:
     """Return the budget after a success."""
-    return _add(budget, _SUCCESS_SHARE)
+    return _add(budget, _RETRIES_PER_SUCCESS)
 
 
 def refill(budget: Budget, now: float) -> Budget:
@@ -31,7 +31,7 @@
     for one request.
     """
     elapsed = max(0.0, now - budget.updated_at)
-    missing = max(0.0, _LEAST_RETRIES - budget.retries)
+    missing = max(0.0, _INITIAL_RETRIES - budget.retries)
     added = min(missing, elapsed * _RETRIES_PER_SECOND)
     return _add(budget, added)._replace(updated_at=now)
 
@@ -42,7 +42,7 @@
     The first attempt of a request that may be sent again leaves time for one
     more, in case that its connection has gone silent.
     """
-    return remaining * (1 - _RETRY_TIME_SHARE) if may_retry else remaining
+    return remaining * (1 - _RETRY_TIME_FRACTION) if may_retry else remaining
 
 
 def spend(budget: Budget) -> tuple[Budget, bool]:
@@ -54,5 +54,5 @@
 
 def _add(budget: Budget, retries: float) -> Budget:
     return budget._replace(
-        retries=min(_MOST_RETRIES, budget.retries + retries),
+        retries=min(_MAX_RETRIES, budget.retries + retries),
     )
--- a/toucanhall/steering/room.py
+++ b/toucanhall/steering/capacity.py
@@ -11,11 +11,11 @@
     'count_reserve',
     'count_usable',
     'estimate_wait',
-    'read_latency',
+    'get_mean_latency',
 )
 
-_FIRST_LATENCY_SECONDS: Final = 0.05
-_RESERVE_SHARE: Final = 0.1
+_DEFAULT_LATENCY_SECONDS: Final = 0.05
+_RESERVE_FRACTION: Final = 0.1
 
 
 def count_free(state: State, now: float) -> int:
@@ -36,12 +36,12 @@
 
 def count_reserve(state: State, now: float) -> int:
     """Return the slots that are kept free of requests of other zones."""
-    return int(count_usable(state, now) * _RESERVE_SHARE)
+    return int(count_usable(state, now) * _RESERVE_FRACTION)
 
 
-def read_latency(state: State) -> float:
+def get_mean_latency(state: State) -> float:
     """Return the mean seconds of a request, as far as it is known."""
-    return state.latency or _FIRST_LATENCY_SECONDS
+    return state.latency or _DEFAULT_LATENCY_SECONDS
 
 
 def estimate_wait(state: State, event: Arrive, now: float) -> float:
@@ -54,4 +54,4 @@
         event.team,
         is_hopped=event.origin is not Origin.CALLER,
     )
-    return (before + 1) * read_latency(state) / usable
+    return (before + 1) * get_mean_latency(state) / usable
--- a/toucanhall/steering/circuit.py
+++ b/toucanhall/steering/circuit.py
@@ -2,18 +2,18 @@
 
 from typing import Final, NamedTuple
 
-__all__ = ('Circuit', 'admits', 'begin', 'release', 'settle')
+__all__ = ('Circuit', 'admits', 'begin', 'release', 'record_outcome')
 
-_NEW_WEIGHT: Final = 0.25
-_TRIP_SHARE: Final = 0.5
-_FIRST_OPEN_SECONDS: Final = 1.0
-_LONGEST_OPEN_SECONDS: Final = 16.0
+_NEWEST_OUTCOME_WEIGHT: Final = 0.25
+_TRIP_FRACTION: Final = 0.5
+_MIN_OPEN_SECONDS: Final = 1.0
+_MAX_OPEN_SECONDS: Final = 16.0
 
 
 class Circuit(NamedTuple):
     """The recent share of failures; `open_seconds` is 0 while closed."""
 
-    failure_share: float = 0.0
+    failure_fraction: float = 0.0
     open_until: float = 0.0
     open_seconds: float = 0.0
     is_probing: bool = False
@@ -31,15 +31,15 @@
     return circuit._replace(is_probing=circuit.open_seconds > 0)
 
 
-def settle(circuit: Circuit, now: float, *, healthy: bool) -> Circuit:
+def record_outcome(circuit: Circuit, now: float, *, healthy: bool) -> Circuit:
     """Return the circuit after an outcome."""
     if circuit.open_seconds:
-        return _settle_open(circuit, now, healthy=healthy)
-    newest = 0 if healthy else _NEW_WEIGHT
-    share = circuit.failure_share * (1 - _NEW_WEIGHT) + newest
-    if share < _TRIP_SHARE:
-        return Circuit(share)
-    return Circuit(share, now + _FIRST_OPEN_SECONDS, _FIRST_OPEN_SECONDS)
+        return _record_probe_outcome(circuit, now, healthy=healthy)
+    newest = 0 if healthy else _NEWEST_OUTCOME_WEIGHT
+    fraction = circuit.failure_fraction * (1 - _NEWEST_OUTCOME_WEIGHT) + newest
+    if fraction < _TRIP_FRACTION:
+        return Circuit(fraction)
+    return Circuit(fraction, now + _MIN_OPEN_SECONDS, _MIN_OPEN_SECONDS)
 
 
 def release(circuit: Circuit) -> Circuit:
@@ -47,10 +47,12 @@
     return circuit._replace(is_probing=False)
 
 
-def _settle_open(circuit: Circuit, now: float, *, healthy: bool) -> Circuit:
+def _record_probe_outcome(
+    circuit: Circuit, now: float, *, healthy: bool
+) -> Circuit:
     if not circuit.is_probing:
         return circuit
     if healthy:
         return Circuit()
-    seconds = min(_LONGEST_OPEN_SECONDS, circuit.open_seconds * 2)
-    return Circuit(circuit.failure_share, now + seconds, seconds)
+    seconds = min(_MAX_OPEN_SECONDS, circuit.open_seconds * 2)
+    return Circuit(circuit.failure_fraction, now + seconds, seconds)
--- a/toucanhall/steering/fairness.py
+++ b/toucanhall/steering/fairness.py
@@ -3,7 +3,15 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-__all__ = ('Queue', 'Waiting', 'charge', 'drop', 'pop', 'push', 'reserve')
+__all__ = (
+    'Queue',
+    'Waiting',
+    'record_served',
+    'drop',
+    'pop',
+    'push',
+    'record_sent',
+)
 
 _NO_TEAMS: Final[Mapping[str, float]] = {}
 
@@ -27,17 +35,17 @@
     """Waiting requests, the virtual time, and where each team stands in it."""
 
     waiting: tuple[Waiting, ...] = ()
-    virtual: float = 0.0
+    virtual_time: float = 0.0
     finish_tags: Mapping[str, float] = _NO_TEAMS
 
 
-def charge(queue: Queue, team: str, weight: float) -> Queue:
+def record_served(queue: Queue, team: str, weight: float) -> Queue:
     """Return the queue after a team's request was served without waiting."""
     tagged, tag = _tag(queue, team, weight)
-    return tagged._replace(virtual=max(queue.virtual, tag))
+    return tagged._replace(virtual_time=max(queue.virtual_time, tag))
 
 
-def reserve(queue: Queue, team: str, weight: float) -> Queue:
+def record_sent(queue: Queue, team: str, weight: float) -> Queue:
     """Return the queue after a team's request was sent to another VM.
 
     A team that gets much elsewhere waits behind those that get little.
@@ -48,7 +56,7 @@
 def push(
     queue: Queue,
     waiting: Waiting,
-    bound: int,
+    max_waiting: int,
 ) -> tuple[Queue, Waiting | None]:
     """Return the queue with one more, and the one that found no room.
 
@@ -57,7 +65,7 @@
     """
     tagged, tag = _tag(queue, waiting.team, waiting.weight)
     entries = sorted((*queue.waiting, waiting._replace(tag=tag)))
-    if len(entries) <= bound:
+    if len(entries) <= max_waiting:
         return tagged._replace(waiting=tuple(entries)), None
     last = entries.pop()
     return _untag(tagged, last.team, last.weight)._replace(
@@ -70,7 +78,7 @@
     first = queue.waiting[0]
     return queue._replace(
         waiting=queue.waiting[1:],
-        virtual=max(queue.virtual, first.tag),
+        virtual_time=max(queue.virtual_time, first.tag),
     ), first
 
 
@@ -82,12 +90,12 @@
 
 def count_before(queue: Queue, team: str, *, is_hopped: bool) -> int:
     """Return how many waiting requests come before a team's next one."""
-    tag = max(queue.virtual, queue.finish_tags.get(team, 0))
+    tag = max(queue.virtual_time, queue.finish_tags.get(team, 0))
     return sum(entry[:2] <= (is_hopped, tag) for entry in queue.waiting)
 
 
 def _tag(queue: Queue, team: str, weight: float) -> tuple[Queue, float]:
-    tag = max(queue.virtual, queue.finish_tags.get(team, 0))
+    tag = max(queue.virtual_time, queue.finish_tags.get(team, 0))
     finish_tags = {**queue.finish_tags, team: tag + 1 / weight}
     return queue._replace(finish_tags=finish_tags), tag
 
--- a/toucanhall/steering/links.py
+++ b/toucanhall/steering/links.py
@@ -4,22 +4,29 @@
 
 from toucanhall.catalogue import Catalogue
 
-__all__ = ('Meter', 'is_open', 'read_part', 'resize', 'spend', 'wait_for')
+__all__ = (
+    'Meter',
+    'is_open',
+    'compute_link_share',
+    'resize',
+    'spend',
+    'wait_for',
+)
 
 _BITS_PER_BYTE: Final = 8
-_MEGA: Final = 1_000_000
+_BITS_PER_MBIT: Final = 1_000_000
 _BURST_SECONDS: Final = 0.05
 
 
 class Meter(NamedTuple):
     """A token bucket of bytes; it starts empty and may be overdrawn once."""
 
-    stock: float = 0.0
+    available_bytes: float = 0.0
     updated_at: float = 0.0
-    per_second: float = 0.0
+    bytes_per_second: float = 0.0
 
 
-def read_part(
+def compute_link_share(
     catalogue: Catalogue,
     zone: str,
     region: str,
@@ -31,7 +38,7 @@
     zone's part over its VMs by the zone slots that they hold.
     """
     own_region = catalogue.zones[zone].region
-    peers = sum(
+    zone_count = sum(
         entry.region == own_region for entry in catalogue.zones.values()
     )
     capacity = sum(
@@ -39,38 +46,40 @@
         for link in catalogue.links
         if {own_region, region} == set(link.regions)
     )
-    return capacity * _MEGA / _BITS_PER_BYTE / peers * held_share
+    return capacity * _BITS_PER_MBIT / _BITS_PER_BYTE / zone_count * held_share
 
 
-def resize(meter: Meter, per_second: float, now: float) -> Meter:
+def resize(meter: Meter, bytes_per_second: float, now: float) -> Meter:
     """Return the meter with another rate; its stock only shrinks."""
     filled = _refill(meter, now)
-    stock = min(filled.stock, per_second * _BURST_SECONDS)
-    return Meter(stock, now, per_second)
+    available_bytes = min(
+        filled.available_bytes, bytes_per_second * _BURST_SECONDS
+    )
+    return Meter(available_bytes, now, bytes_per_second)
 
 
 def is_open(meter: Meter, now: float) -> bool:
     """Return whether a new transfer may start."""
-    return _refill(meter, now).stock > 0
+    return _refill(meter, now).available_bytes > 0
 
 
-def spend(meter: Meter, count: float, now: float) -> Meter:
+def spend(meter: Meter, byte_count: float, now: float) -> Meter:
     """Return the meter after some bytes were drawn."""
     filled = _refill(meter, now)
-    return filled._replace(stock=filled.stock - count)
+    return filled._replace(available_bytes=filled.available_bytes - byte_count)
 
 
 def wait_for(meter: Meter) -> float:
     """Return the seconds until the next bytes may be drawn."""
-    if meter.stock >= 0 or not meter.per_second:
+    if meter.available_bytes >= 0 or not meter.bytes_per_second:
         return 0.0
-    return -meter.stock / meter.per_second
+    return -meter.available_bytes / meter.bytes_per_second
 
 
 def _refill(meter: Meter, now: float) -> Meter:
     elapsed = max(0.0, now - meter.updated_at)
-    stock = min(
-        meter.per_second * _BURST_SECONDS,
-        meter.stock + elapsed * meter.per_second,
+    available_bytes = min(
+        meter.bytes_per_second * _BURST_SECONDS,
+        meter.available_bytes + elapsed * meter.bytes_per_second,
     )
-    return meter._replace(stock=stock, updated_at=now)
+    return meter._replace(available_bytes=available_bytes, updated_at=now)
--- a/toucanhall/steering/ownership.py
+++ b/toucanhall/steering/ownership.py
@@ -9,7 +9,7 @@
 __all__ = ('divide', 'note_gains', 'select_settled', 'select_targets')
 
 
-_GOLDEN_SHARE: Final = 0.618
+_GOLDEN_FRACTION: Final = 0.618
 _SETTLE_SECONDS: Final = 3.0
 
 
@@ -41,7 +41,7 @@
     """
     owned: dict[str, int] = {}
     first = 0
-    stride = _find_stride(size)
+    stride = _compute_stride(size)
     for target in targets:
         numbers = range(first, first + target.slots)
         owned[target.name] = sum(
@@ -51,8 +51,8 @@
     return owned
 
 
-def _find_stride(size: int) -> int:
-    stride = max(1, round(size * _GOLDEN_SHARE))
+def _compute_stride(size: int) -> int:
+    stride = max(1, round(size * _GOLDEN_FRACTION))
     while math.gcd(stride, size) > 1:
         stride += 1
     return stride
--- a/toucanhall/steering/peers.py
+++ b/toucanhall/steering/peers.py
@@ -11,9 +11,9 @@
 
 __all__ = ('Distance', 'Peer', 'begin', 'end', 'pick', 'pick_to_wait')
 
-_TOLD_SECONDS: Final = 1.0
-_FULL_SECONDS: Final = 0.5
-_ASK_SECONDS: Final = 0.05
+_MAX_REPORT_AGE_SECONDS: Final = 1.0
+_MIN_QUERY_AGE_SECONDS: Final = 0.5
+_REFUSAL_PAUSE_SECONDS: Final = 0.05
 
 
 class Distance(enum.IntEnum):
@@ -21,13 +21,15 @@
 
     ZONE = 0
     REGION = 1
-    FAR = 2
+    OTHER_REGION = 2
 
 
 class Peer(NamedTuple):
-    """An entry VM; `spare` is what it told at `told_at`, less what was sent.
+    """An entry VM and what this VM knows of its free slots.
 
-    Less than none counts the requests that wait there.
+    `spare` is the number of free slots in the usage report received at
+    `received_at`, less the requests sent since. A negative number counts the
+    requests that wait there.
     """
 
     vm: str
@@ -37,18 +39,24 @@
     distance: Distance
     in_flight: int = 0
     spare: int = 0
-    told_at: float | None = None
+    received_at: float | None = None
     circuit: Circuit = Circuit()
 
 
-def has_room(peer: Peer, now: float) -> bool:
+def has_reported_spare(peer: Peer, now: float) -> bool:
     """Return whether the peer lately told room that is not used up."""
-    return peer.spare > 0 and _read_age(peer, now) < _TOLD_SECONDS
+    return (
+        peer.spare > 0
+        and _compute_report_age(peer, now) < _MAX_REPORT_AGE_SECONDS
+    )
 
 
-def may_ask(peer: Peer, now: float) -> bool:
+def is_query_due(peer: Peer, now: float) -> bool:
     """Return whether a hop may find out if the peer has room."""
-    return peer.in_flight == 0 and _read_age(peer, now) >= _FULL_SECONDS
+    return (
+        peer.in_flight == 0
+        and _compute_report_age(peer, now) >= _MIN_QUERY_AGE_SECONDS
+    )
 
 
 def pick(
@@ -57,7 +65,7 @@
     closed_regions: frozenset[str],
     now: float,
     *,
-    can_ask: bool,
+    can_query: bool,
 ) -> Peer | None:
     """Return the peer at a distance that told the most spare room.
 
@@ -71,12 +79,16 @@
         and peer.region not in closed_regions
         and circuits.admits(peer.circuit, now)
     ]
-    with_room = [peer for peer in usable if has_room(peer, now)]
-    if can_ask and not with_room and not _was_refused(usable, now):
-        with_room = [peer for peer in usable if may_ask(peer, now)]
+    candidates = [peer for peer in usable if has_reported_spare(peer, now)]
+    if can_query and not candidates and not _has_recent_refusal(usable, now):
+        candidates = [peer for peer in usable if is_query_due(peer, now)]
     return max(
-        with_room,
-        key=lambda peer: (peer.spare, -peer.in_flight, -(peer.told_at or 0)),
+        candidates,
+        key=lambda peer: (
+            peer.spare,
+            -peer.in_flight,
+            -(peer.received_at or 0),
+        ),
         default=None,
     )
 
@@ -108,20 +120,23 @@
     """Return the peer after a hop ended; `spare` is what its answer told."""
     ended = peer._replace(in_flight=max(0, peer.in_flight - 1))
     if spare is not None:
-        ended = ended._replace(spare=spare, told_at=now)
+        ended = ended._replace(spare=spare, received_at=now)
     if outcome.healthy is None:
         return ended._replace(circuit=circuits.release(peer.circuit))
     return ended._replace(
-        circuit=circuits.settle(peer.circuit, now, healthy=outcome.healthy),
+        circuit=circuits.record_outcome(
+            peer.circuit, now, healthy=outcome.healthy
+        ),
     )
 
 
-def _read_age(peer: Peer, now: float) -> float:
-    return math.inf if peer.told_at is None else now - peer.told_at
+def _compute_report_age(peer: Peer, now: float) -> float:
+    return math.inf if peer.received_at is None else now - peer.received_at
 
 
-def _was_refused(peers: Iterable[Peer], now: float) -> bool:
+def _has_recent_refusal(peers: Iterable[Peer], now: float) -> bool:
     return any(
-        peer.spare <= 0 and _read_age(peer, now) < _ASK_SECONDS
+        peer.spare <= 0
+        and _compute_report_age(peer, now) < _REFUSAL_PAUSE_SECONDS
         for peer in peers
     )
--- a/toucanhall/steering/places.py
+++ b/toucanhall/steering/places.py
@@ -8,12 +8,12 @@
 
 __all__ = ('Outcome', 'Place', 'begin', 'count_free', 'end', 'pick')
 
-DRAIN_SECONDS: Final = 4.0
-_WARM_SECONDS: Final = 10.0
-_COLD_SHARE: Final = 0.2
-_LATENCY_WEIGHT: Final = 0.1
-_REPORT_SECONDS: Final = 3.0
-_FAILURE_COST: Final = 4.0
+_DRAIN_GRACE_SECONDS: Final = 4.0
+_WARM_UP_SECONDS: Final = 10.0
+_COLD_START_FRACTION: Final = 0.2
+_NEWEST_LATENCY_WEIGHT: Final = 0.1
+_MAX_REPORT_AGE_SECONDS: Final = 3.0
+_FAILURE_WEIGHT: Final = 4.0
 
 
 class Place(NamedTuple):
@@ -49,16 +49,18 @@
         return 0
     if place.cold_at is None:
         return place.slots
-    warm = (now - place.cold_at) / _WARM_SECONDS
-    share = min(1.0, _COLD_SHARE + (1 - _COLD_SHARE) * max(0.0, warm))
-    return max(1, int(place.slots * share))
+    warm = (now - place.cold_at) / _WARM_UP_SECONDS
+    fraction = min(
+        1.0, _COLD_START_FRACTION + (1 - _COLD_START_FRACTION) * max(0.0, warm)
+    )
+    return max(1, int(place.slots * fraction))
 
 
 def is_drained(place: Place, now: float) -> bool:
     """Return whether a draining target no longer takes new work."""
     if place.draining_at is None:
         return False
-    return now - place.draining_at >= DRAIN_SECONDS
+    return now - place.draining_at >= _DRAIN_GRACE_SECONDS
 
 
 def count_free(place: Place, now: float) -> int:
@@ -92,7 +94,7 @@
         free,
         key=lambda place: (
             probe_rank if place.circuit.open_seconds else 0,
-            _weigh(place, now),
+            _compute_rank(place, now),
         ),
         default=None,
     )
@@ -111,31 +113,42 @@
     ended = place._replace(in_flight=max(0, place.in_flight - 1))
     if outcome.healthy is None:
         return ended._replace(circuit=circuits.release(place.circuit))
-    circuit = circuits.settle(place.circuit, now, healthy=outcome.healthy)
+    circuit = circuits.record_outcome(
+        place.circuit, now, healthy=outcome.healthy
+    )
     is_closed_again = place.circuit.open_seconds and not circuit.open_seconds
     return ended._replace(
         circuit=circuit,
         cold_at=now if is_closed_again else place.cold_at,
-        latency=blend(place.latency, outcome),
+        latency=update_mean_latency(place.latency, outcome),
     )
 
 
-def blend(latency: float, outcome: Outcome) -> float:
+def update_mean_latency(latency: float, outcome: Outcome) -> float:
     """Return the moving mean of the seconds of healthy requests."""
     if not outcome.healthy:
         return latency
     if not latency:
         return outcome.seconds
-    return latency + (outcome.seconds - latency) * _LATENCY_WEIGHT
+    return latency + (outcome.seconds - latency) * _NEWEST_LATENCY_WEIGHT
 
 
-def _weigh(place: Place, now: float) -> tuple[float, float, float, str]:
+def _compute_rank(place: Place, now: float) -> tuple[float, float, float, str]:
     busy = (place.in_flight + 1) / limit(place, now)
-    failing = 1 + _FAILURE_COST * place.circuit.failure_share
-    return busy * failing, place.latency, _read_report(place, now), place.target
+    failing = 1 + _FAILURE_WEIGHT * place.circuit.failure_fraction
+    return (
+        busy * failing,
+        place.latency,
+        _get_recent_report(place, now),
+        place.target,
+    )
 
 
-def _read_report(place: Place, now: float) -> float:
+def _get_recent_report(place: Place, now: float) -> float:
     if place.reported_at is None:
         return 0.0
-    return place.reported if now - place.reported_at < _REPORT_SECONDS else 0.0
+    return (
+        place.reported
+        if now - place.reported_at < _MAX_REPORT_AGE_SECONDS
+        else 0.0
+    )
--- a/toucanhall/steering/policy.py
+++ b/toucanhall/steering/policy.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, TypeAlias
 
-from toucanhall.steering import arrivals, peers, places, room
+from toucanhall.steering import arrivals, capacity, peers, places
 from toucanhall.steering.fairness import drop
 from toucanhall.steering.budget import earn
 from toucanhall.steering.peers import Peer
@@ -25,10 +25,10 @@
 
 __all__ = ('count_spare', 'decide')
 
-Decided: TypeAlias = tuple[State, tuple[Effect, ...]]
+Transition: TypeAlias = tuple[State, tuple[Effect, ...]]
 
 
-def decide(state: State, event: Event, now: float) -> Decided:
+def decide(state: State, event: Event, now: float) -> Transition:
     """Return the state after an event, and what is to be done."""
     return _DECISIONS[type(event)](state, event, now)
 
@@ -39,21 +39,21 @@
     VMs of the own zone are told the number of waiting requests as less than
     no room, because theirs may wait here.
     """
-    free = room.count_free(state, now) - len(state.queue.waiting)
+    free = capacity.count_free(state, now) - len(state.queue.waiting)
     if not shifting:
         return free
     ramp = advance(state.ramp, now)
-    spare = free - room.count_reserve(state, now)
+    spare = free - capacity.count_reserve(state, now)
     return max(0, min(spare, int(ramp.level) - state.shifted))
 
 
-def _arrive(state: State, event: Arrive, now: float) -> Decided:
+def _arrive(state: State, event: Arrive, now: float) -> Transition:
     served, effects = serve(state, now)
     arrived, last_effects = arrivals.arrive(served, event, now)
     return arrived, (*effects, *last_effects)
 
 
-def _end(state: State, event: End, now: float) -> Decided:
+def _end(state: State, event: End, now: float) -> Transition:
     peer = state.peers.get(event.name)
     place = state.places.get(event.name)
     if peer is not None:
@@ -68,14 +68,14 @@
         place = places.end(place, event.outcome, now)
         ended = state._replace(
             places={**state.places, event.name: place},
-            latency=places.blend(state.latency, event.outcome),
+            latency=places.update_mean_latency(state.latency, event.outcome),
         )
     else:
         ended = state
-    return serve(_count_end(ended, event, now), now)
+    return serve(_record_end(ended, event, now), now)
 
 
-def _count_end(state: State, event: End, now: float) -> State:
+def _record_end(state: State, event: End, now: float) -> State:
     if event.outcome.healthy:
         state = state._replace(budget=earn(state.budget))
     if event.origin is not Origin.ZONE:
@@ -86,7 +86,7 @@
     )
 
 
-def _expire(state: State, event: Expire, _now: float) -> Decided:
+def _expire(state: State, event: Expire, _now: float) -> Transition:
     queue = drop(state.queue, event.ticket)
     if queue == state.queue:
         return state, ()
@@ -94,28 +94,28 @@
     return state._replace(queue=queue), (refusal,)
 
 
-def _report(state: State, event: Report, now: float) -> Decided:
+def _report(state: State, event: Report, now: float) -> Transition:
     place = state.places.get(event.target)
     if place is None:
         return state, ()
-    told = place._replace(reported=event.busy, reported_at=now)
-    return state._replace(places={**state.places, event.target: told}), ()
+    updated = place._replace(reported=event.busy, reported_at=now)
+    return state._replace(places={**state.places, event.target: updated}), ()
 
 
-def _resize(state: State, event: Resize, now: float) -> Decided:
+def _resize(state: State, event: Resize, now: float) -> Transition:
     cold_at = now if state.is_sized else None
     resized = state._replace(
         is_sized=True,
         places={
-            place.target: _keep_place(
+            place.target: _merge_place(
                 state.places.get(place.target),
                 place._replace(cold_at=cold_at),
             )
             for place in event.places
         }
-        | _list_busy(state, event),
+        | _list_removed_busy(state, event),
         peers={
-            peer.vm: _keep_peer(state.peers.get(peer.vm), peer)
+            peer.vm: _merge_peer(state.peers.get(peer.vm), peer)
             for peer in event.peers
         },
         ramp=advance(state.ramp, now)._replace(
@@ -125,7 +125,7 @@
     return serve(resized, now)
 
 
-def _keep_place(known: Place | None, place: Place) -> Place:
+def _merge_place(known: Place | None, place: Place) -> Place:
     if known is None or known.address != place.address:
         return place
     was_drained = known.draining_at is not None and place.draining_at is None
@@ -142,13 +142,13 @@
     return min(known, new)
 
 
-def _keep_peer(known: Peer | None, peer: Peer) -> Peer:
+def _merge_peer(known: Peer | None, peer: Peer) -> Peer:
     if known is None or known.address != peer.address:
         return peer
     return known
 
 
-def _list_busy(state: State, event: Resize) -> dict[str, Place]:
+def _list_removed_busy(state: State, event: Resize) -> dict[str, Place]:
     named = {place.target for place in event.places}
     return {
         name: place._replace(slots=0)
@@ -157,7 +157,7 @@
     }
 
 
-_DECISIONS: Final[Mapping[type, Callable[[State, Any, float], Decided]]] = {
+_DECISIONS: Final[Mapping[type, Callable[[State, Any, float], Transition]]] = {
     Arrive: _arrive,
     End: _end,
     Expire: _expire,
--- a/toucanhall/steering/sizes.py
+++ b/toucanhall/steering/sizes.py
@@ -55,7 +55,7 @@
         return {}
     share = len(owned.held) / catalogue.slots_per_zone
     return {
-        region: links.read_part(catalogue, owned.zone, region, share)
+        region: links.compute_link_share(catalogue, owned.zone, region, share)
         for link in catalogue.links
         if zone.region in link.regions
         for region in link.regions
@@ -84,12 +84,12 @@
     targets: tuple[Target, ...],
     now: float,
 ) -> Iterator[Place]:
-    parts = divide(targets, owned.held, catalogue.slots_per_zone)
+    owned_counts = divide(targets, owned.held, catalogue.slots_per_zone)
     for target in targets:
         yield Place(
             target.name,
             target.address,
-            parts[target.name],
+            owned_counts[target.name],
             draining_at=now if _is_draining(catalogue, target) else None,
         )
 
@@ -106,11 +106,11 @@
             continue
         if hop.vm in catalogue.drains.vms:
             continue
-        distance = _measure(catalogue.zones, own_zone, zone)
+        distance = _get_distance(catalogue.zones, own_zone, zone)
         yield Peer(hop.vm, hop.zone, zone.region, hop.address, distance)
 
 
-def _measure(
+def _get_distance(
     zones: Mapping[str, Zone],
     own_zone: str,
     zone: Zone,
@@ -120,4 +120,4 @@
     own = zones.get(own_zone)
     if own is not None and own.region == zone.region:
         return Distance.REGION
-    return Distance.FAR
+    return Distance.OTHER_REGION
--- a/toucanhall/steering/steerer.py
+++ b/toucanhall/steering/steerer.py
@@ -26,10 +26,10 @@
 
 Decision: TypeAlias = Run | Carry | Refuse
 
-_NO_SERVICE: Final = 'no-target'
+_NO_TARGET_REASON: Final = 'no-target'
 
 
-class _Place(threading.Event):
+class _PendingDecision(threading.Event):
     """Where a waiting thread finds what was decided."""
 
     decision: Decision | None = None
@@ -43,7 +43,7 @@
         self._lock = threading.Lock()
         self._states: dict[str, State] = {}
         self._meters: dict[str, Meter] = {}
-        self._waiting: dict[str, _Place] = {}
+        self._waiting: dict[str, _PendingDecision] = {}
         self.is_sized = False
 
     def resize(
@@ -70,11 +70,11 @@
     def choose(self, service: str, arrival: Arrive) -> Decision:
         """Return where a request goes, after waiting for room if need be."""
         now = runtime.read_clock()
-        place = _Place()
+        pending = _PendingDecision()
         with self._lock:
             if service not in self._states:
-                return Refuse(arrival.ticket, _NO_SERVICE, 0)
-            self._waiting[arrival.ticket] = place
+                return Refuse(arrival.ticket, _NO_TARGET_REASON, 0)
+            self._waiting[arrival.ticket] = pending
             closed = frozenset(
                 region
                 for region, meter in self._meters.items()
@@ -85,7 +85,7 @@
                 arrival._replace(closed_regions=closed),
                 now,
             )
-        return self._await(service, arrival, place)
+        return self._wait_for_decision(service, arrival, pending)
 
     def finish(self, service: str, end: End) -> None:
         """Take the end of a request that ran or was carried."""
@@ -122,29 +122,29 @@
         state, effects = decide(self._states[service], event, now)
         self._states[service] = state
         for effect in effects:
-            self._tell(effect)
+            self._deliver(effect)
 
-    def _tell(self, effect: Effect) -> None:
+    def _deliver(self, effect: Effect) -> None:
         if isinstance(effect, Wait):
             return
-        place = self._waiting.pop(effect.ticket, None)
-        if place is not None:
-            place.decision = effect
-            place.set()
+        pending = self._waiting.pop(effect.ticket, None)
+        if pending is not None:
+            pending.decision = effect
+            pending.set()
 
-    def _await(
+    def _wait_for_decision(
         self,
         service: str,
         arrival: Arrive,
-        place: _Place,
+        pending: _PendingDecision,
     ) -> Decision:
-        if not place.is_set():
-            place.wait(arrival.expires_at - runtime.read_clock())
-        if place.decision is None:
+        if not pending.is_set():
+            pending.wait(arrival.expires_at - runtime.read_clock())
+        if pending.decision is None:
             with self._lock:
                 self._decide(
                     service,
                     Expire(arrival.ticket),
                     runtime.read_clock(),
                 )
-        return place.decision or Refuse(arrival.ticket, 'deadline', 1)
+        return pending.decision or Refuse(arrival.ticket, 'deadline', 1)
--- a/toucanhall/steering/waiting.py
+++ b/toucanhall/steering/waiting.py
@@ -8,10 +8,10 @@
 
 __all__ = ('serve',)
 
-Decided: TypeAlias = tuple[State, tuple[Effect, ...]]
+Transition: TypeAlias = tuple[State, tuple[Effect, ...]]
 
 
-def serve(state: State, now: float) -> Decided:
+def serve(state: State, now: float) -> Transition:
     """Send waiting requests to free places, the smallest tag first."""
     effects: list[Effect] = []
     while state.queue.waiting:
