--- a/tests/models/test_steering_model.py
+++ b/tests/models/test_steering_model.py
@@ -1,4 +1,7 @@
-"""Model of admission: any order of requests, hops, ends and faults."""
+"""Random histories of requests, hops, ends and faults.
+
+They guard against overloaded targets, whatever the order of the events.
+"""
 
 import time
 
--- a/tests/unit/test_advice.py
+++ b/tests/unit/test_advice.py
@@ -1,4 +1,4 @@
-"""Tests of the answer to which entry VM a caller should use."""
+"""Tests of the entry VMs advised to a caller."""
 
 from tests.builders import make_catalogue
 from toucanhall.steering import AdvisedVm, advise
@@ -23,7 +23,7 @@
     )
 
 
-def test_holders_of_a_small_limit_come_first():
+def test_holders_of_a_limit_come_first():
     for number in range(3):
         holders = frozenset((f'north-a-{number}',))
         advised = advise(
@@ -32,7 +32,7 @@
         assert advised.vms[0].vm == f'north-a-{number}'
 
 
-def test_zone_without_a_part_comes_last():
+def test_zone_without_a_share_of_the_limit_comes_last():
     tiny = make_catalogue(teams={'hostels': {'rate': 1, 'burst': 1}})
     zones = [
         advise(tiny, 'hostels', own, make_vms()).vms[0].zone
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -30,7 +30,7 @@
 
 
 def arrive(state, ticket='t', now=0, **changes):
-    """Decide on one arrival; return the state and the last effect."""
+    """Apply one arrival; return the state and its last effect."""
     state, effects = decide(state, make_arrival(ticket, **changes), now)
     return state, effects[-1]
 
@@ -77,7 +77,7 @@
     assert state.peers['far-1'].in_flight == 0
 
 
-def test_request_that_cannot_make_it_is_refused_at_once():
+def test_request_that_would_wait_past_its_deadline_is_refused_at_once():
     state = fill(make_state(Place('a', '', 1)), 1)
     _, effect = arrive(state, expires_at=0.06)
     assert isinstance(effect, Refuse)
@@ -91,7 +91,7 @@
     assert effects == (Run('next', 'a', ''),)
 
 
-def test_expired_request_gets_its_final_answer():
+def test_expired_request_is_refused_and_leaves_the_queue():
     state = fill(make_state(Place('a', '', 1)), 1)
     state, _ = arrive(state, 'next')
     state, effects = decide(state, Expire('next'), 5)
@@ -99,7 +99,7 @@
     assert not state.queue.waiting
 
 
-def test_circuit_opens_and_comes_back_by_one_probe():
+def test_circuit_opens_after_failures_and_closes_after_one_probe():
     state = make_state(Place('a', '', 9))
     for _ in range(3):
         state, effect = arrive(state)
@@ -135,7 +135,7 @@
     assert isinstance(late, Wait)
 
 
-def test_new_target_starts_slowly():
+def test_new_target_starts_with_a_fraction_of_its_slots():
     state = make_state(Place('a', '', 10))
     places = (Place('a', '', 10), Place('b', '', 10))
     state, _ = decide(state, Resize(places, (), 1), 0)
@@ -143,7 +143,7 @@
     assert count_spare(state, 20, shifting=False) == 20
 
 
-def test_hop_of_another_zone_runs_only_in_spare_room():
+def test_hop_of_another_zone_runs_only_in_free_slots():
     state = fill(make_state(Place('a', '', 2)), 1)
     state, hop = arrive(state, origin=Origin.ZONE)
     _, refused = arrive(state, origin=Origin.ZONE)
@@ -174,7 +174,7 @@
     assert retried <= 0.1 * 100
 
 
-def test_flooding_team_pushes_out_its_own_requests():
+def test_flooding_team_evicts_its_own_requests():
     state = fill(make_state(Place('a', '', 1)), 1)
     for number in range(40):
         state, _ = arrive(state, f'flood-{number}', team='big')
@@ -195,7 +195,7 @@
         assert total == target.slots
 
 
-def test_gained_slots_are_used_once_their_holder_knows():
+def test_gained_slots_are_used_only_after_the_settling_time():
     gained = note_gains({}, frozenset((1,)), 0)
     gained = note_gains(gained, frozenset((1, 2)), 2)
     assert select_settled(gained, 3) == {1}
@@ -211,7 +211,7 @@
     assert (first.name, second.name) == ('a', REGION_PEER.vm)
 
 
-def test_retry_without_any_other_way_is_refused_at_once():
+def test_retry_without_an_untried_target_is_refused_at_once():
     state = make_state(Place('a', '', 9))
     state, _ = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
@@ -219,7 +219,7 @@
     assert isinstance(retried, Refuse)
 
 
-def test_fresh_vm_may_try_two_more_ways():
+def test_initial_budget_allows_two_retries():
     state = make_state(Place('a', '', 9), peers=(REGION_PEER, REMOTE_PEER))
     state, _ = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
@@ -232,7 +232,7 @@
 
 
 def test_target_that_refuses_connections_costs_no_retry():
-    """Load pattern: the circuit of a dead target lets a probe through."""
+    """Guards against probes of a dead target using up the retry budget."""
     state = make_state(Place('a', '', 9), peers=(REGION_PEER,))
     state = state._replace(budget=state.budget._replace(retries=0))
     for number in range(20):
@@ -249,7 +249,7 @@
         state, _ = decide(state, End(REGION_PEER.vm, HEALTHY, spare=9), 0)
 
 
-def test_attempts_that_sent_nothing_come_to_an_end():
+def test_attempts_that_sent_nothing_are_limited():
     state = make_state(Place('a', '', 9), peers=(REGION_PEER, REMOTE_PEER))
     state = state._replace(budget=state.budget._replace(retries=0))
     _, effect = arrive(state, attempts=3, is_unsent=True)
--- a/tests/unit/test_steering_blocks.py
+++ b/tests/unit/test_steering_blocks.py
@@ -1,4 +1,4 @@
-"""Tests of the look-up of client addresses."""
+"""Tests of the lookup of client addresses."""
 
 import ipaddress
 
@@ -33,7 +33,7 @@
 
 
 def search(prefixes, address):
-    """Return the zone of the longest prefix, by trying all."""
+    """Return the zone of the longest prefix by a linear search."""
     parsed = ipaddress.ip_address(address)
     holding = [
         (ipaddress.ip_network(prefix).prefixlen, zone)
@@ -62,12 +62,12 @@
     assert index.find('10.9.0.1') == 'north-a'
 
 
-def test_catalogue_tells_which_block_is_wrong():
+def test_catalogue_error_names_the_invalid_block():
     document = make_document(blocks={'10.0.0.0/99': 'north-a'})
     assert read(document).failure()[0].path == '$.blocks.10.0.0.0/99'
 
 
-def test_both_versions_are_told_apart():
+def test_ipv4_and_ipv6_blocks_are_kept_apart():
     blocks = build({'10.0.0.0/8': 'a', '2001:db8::/32': 'b', 'a00::/8': 'c'})
     assert find_zone(blocks, '10.1.2.3') == 'a'
     assert find_zone(blocks, '::ffff:10.1.2.3') == 'a'
--- a/tests/unit/test_steering_load.py
+++ b/tests/unit/test_steering_load.py
@@ -1,4 +1,4 @@
-"""Tests of the policy under load on a paused clock, by the bench's fleet."""
+"""Tests of the policy under simulated load, on the fleet of the benchmark."""
 
 import pytest
 
@@ -12,7 +12,7 @@
 
 
 def measure(scenario, deployment='qureshi', seed=1):
-    """Run the product's policy on a small load and return the measures."""
+    """Run the policy of this package on a small load; return the figures."""
     places = DEPLOYMENTS[deployment]
     return run(places, scenario, seed, 'ours', LOAD_SECONDS, FAULT_AT_SECOND)
 
@@ -35,7 +35,7 @@
 
 
 @pytest.mark.parametrize('seed', (1, 2, 3))
-def test_surge_of_one_team_leaves_the_others_theirs(seed):
+def test_surge_of_one_team_takes_little_from_other_teams(seed):
     measured = measure('surge', seed=seed)
     check_caps(measured)
     calm = measure('steady', seed=seed)
@@ -64,5 +64,5 @@
         'reports-stopped',
     ),
 )
-def test_no_fault_passes_a_cap(scenario):
+def test_no_fault_exceeds_a_cap(scenario):
     check_caps(measure(scenario))
--- a/tests/unit/test_steering_sizes.py
+++ b/tests/unit/test_steering_sizes.py
@@ -1,4 +1,4 @@
-"""Tests of the sizes of services."""
+"""Tests of the targets and peers computed for services."""
 
 from tests.builders import make_catalogue
 from toucanhall.steering import EntryVm, OwnedSlots, size_services
@@ -11,12 +11,12 @@
 
 
 def list_peers(**changes):
-    """Return the VMs that may be asked for room for a service."""
+    """Return the VMs to which requests of a service may be sent."""
     size = size_services(make_catalogue(**changes), OWNED, HOPS, 0)['guide']
     return [peer.vm for peer in size.peers]
 
 
-def test_zone_whose_targets_all_drain_is_not_asked():
+def test_zone_whose_targets_all_drain_gets_no_hops():
     assert list_peers() == ['north-a-2', 'south-a-1']
     drains = {'targets': ['guide-1', 'guide-2']}
     assert list_peers(drains=drains) == ['south-a-1']
--- a/toucanhall/steering/__init__.py
+++ b/toucanhall/steering/__init__.py
@@ -1,4 +1,4 @@
-"""Where a caller goes, and which zone and target serve a request."""
+"""Chooses entry VMs for callers, and zones and targets for requests."""
 
 from toucanhall.steering.advice import Advice, AdvisedVm, advise
 from toucanhall.steering.blocks import BlockIndex
--- a/toucanhall/steering/advice.py
+++ b/toucanhall/steering/advice.py
@@ -1,4 +1,4 @@
-"""Which entry VMs a caller should use, in order."""
+"""Orders the entry VMs that a caller should use."""
 
 from collections.abc import Mapping
 from typing import Final, NamedTuple
@@ -23,7 +23,7 @@
 
 
 class Advice(NamedTuple):
-    """Entry VMs in order of preference, and how long the answer holds."""
+    """Entry VMs in order of preference, and how long the answer is valid."""
 
     vms: tuple[AdvisedVm, ...]
     hold_seconds: float
@@ -36,12 +36,12 @@
     vms: tuple[AdvisedVm, ...],
     holders: frozenset[str] = _NO_VMS,
 ) -> Advice:
-    """Order the usable VMs: own zone, then own region, then the others.
+    """Order the usable VMs: own zone, then own region, then other regions.
 
-    Zones that hold no part of the team's limit come after those that do, and
-    in a zone the VMs that are known to hold it come first. Within each of
-    these the team's hash spreads teams over VMs, and keeps one team at the
-    same VMs.
+    Zones without a share of the team's limit come last, whatever their
+    distance. Within a zone, the VMs known to hold the limit (`holders`) come
+    first. VMs that are still equal are ordered by a hash of team and VM, which
+    spreads the teams over the VMs and always sends a team to the same VMs.
     """
     team_limit = catalogue.teams.get(team)
     fractions = {
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -1,4 +1,4 @@
-"""Decides where an arriving request goes: a target, a peer, the queue."""
+"""Decides where a request goes: to a target, to a peer or to the queue."""
 
 from collections.abc import Callable
 from typing import Final, TypeAlias
@@ -35,12 +35,12 @@
 
 
 def arrive(state: State, event: Arrive, now: float) -> Transition:
-    """Decide on a request that arrived, or that comes back for a retry."""
+    """Decide on a request that arrived or that needs a retry."""
     if event.expires_at <= now:
         return state, (Refuse(event.ticket, 'deadline', BACK_SOON_SECONDS),)
     state = state._replace(budget=refill(state.budget, now))
     needs_no_budget = not event.attempts or (
-        # A target that refuses connections is given no work by a retry.
+        # Nothing was sent, so this retry adds no load to a failing target.
         event.is_unsent and event.attempts < _MAX_ATTEMPTS
     )
     if needs_no_budget:
@@ -56,7 +56,7 @@
 
 
 def place_request(state: State, place: Place) -> State:
-    """Return the state after a request was sent to a place."""
+    """Return the state after a request was sent to a target."""
     return state._replace(
         places={**state.places, place.target: places.begin(place)},
     )
@@ -204,7 +204,7 @@
 
 
 def _can_query_peers(state: State, event: Arrive, now: float) -> bool:
-    # A retry was paid for when it arrived, or need not be.
+    # A retry was charged to the budget on arrival, or is free (`is_unsent`).
     if event.is_unsent or state.budget.retries >= 1:
         return True
     return not capacity.count_usable(state, now)
--- a/toucanhall/steering/blocks.py
+++ b/toucanhall/steering/blocks.py
@@ -1,4 +1,4 @@
-"""Which zone a client address is nearest to, by its longest known block."""
+"""Finds the zone nearest to a client address by longest-prefix match."""
 
 import ipaddress
 from array import array
@@ -25,7 +25,7 @@
 
 
 class Block(NamedTuple):
-    """A block of one version: first address, prefix length, zone."""
+    """A block of one IP version: first address, prefix length, zone."""
 
     first: int
     length: int
@@ -33,14 +33,14 @@
 
 
 class _Table(NamedTuple):
-    """Ranges of addresses: where each starts, and the number of its zone."""
+    """Address ranges in order: first address and zone number of each."""
 
     starts: 'array[int]'
     zones: 'array[int]'
 
 
 class Blocks(NamedTuple):
-    """Two tables of ranges; zone number 0 means that no block holds it."""
+    """A table per IP version; zone number 0 means that no block matches."""
 
     version4: _Table
     version6: _Table
@@ -63,10 +63,10 @@
     version4: Iterable[Block],
     version6: Iterable[Block],
 ) -> Blocks:
-    """Return the tables for blocks, which may lie within each other.
+    """Return the tables for blocks, which may be nested.
 
-    IPv6 blocks count by their first 64 bits; a longer one is taken as the
-    block of 64 bits that holds it.
+    Only the first 64 bits of IPv6 addresses are indexed. A longer prefix
+    counts as the /64 that contains it.
     """
     numbers: dict[str, int] = {}
     table4 = _make_table(version4, _V4_BITS, _V4_BITS, _V4_TYPECODE, numbers)
@@ -77,7 +77,7 @@
 
 
 def find_zone(blocks: Blocks, address: str) -> str:
-    """Return the zone of the longest block that holds an address, or ''."""
+    """Return the zone of the longest block that contains an address, or ''."""
     parsed = ipaddress.ip_address(address)
     if parsed.version == 4:
         return find_version4(blocks, int(parsed))
@@ -89,7 +89,7 @@
 
 
 def find_version4(blocks: Blocks, number: int) -> str:
-    """Return the zone of an IPv4 address that is given as a number, or ''."""
+    """Return the zone of an IPv4 address given as an integer, or ''."""
     return blocks.zones[_find_zone_number(blocks.version4, number)]
 
 
@@ -124,7 +124,7 @@
     bits: int,
     numbers: dict[str, int],
 ) -> Iterator[tuple[int, int]]:
-    """Yield where the innermost block changes, and the number of its zone."""
+    """Yield each address where the innermost block changes, and its zone."""
     outer: list[tuple[int, int]] = [(1 << bits, _NO_ZONE)]
     for block in blocks:
         yield from _close(outer, block.first)
@@ -144,19 +144,22 @@
 
 
 class BlockIndex:
-    """The tables of the revision in force, read without a lock."""
+    """The tables of the revision in force.
+
+    They are replaced as a whole, so that readers need no lock.
+    """
 
     def __init__(self) -> None:
-        """Start with no block."""
+        """Create an index without blocks."""
         self._prefixes: Mapping[str, str] = {}
         self._blocks = make_blocks((), ())
 
     def size(self, prefixes: Mapping[str, str]) -> None:
-        """Build the tables anew when the blocks of the catalogue changed."""
+        """Rebuild the tables if the blocks of the catalogue changed."""
         if prefixes != self._prefixes:
             self._blocks = make_blocks(*parse_blocks(prefixes))
             self._prefixes = prefixes
 
     def find(self, address: str) -> str:
-        """Return the zone that a client address is nearest to, or ''."""
+        """Return the zone nearest to a client address, or '' if unknown."""
         return find_zone(self._blocks, address)
--- a/toucanhall/steering/budget.py
+++ b/toucanhall/steering/budget.py
@@ -1,4 +1,4 @@
-"""The retry budget: a fraction of the requests that succeeded."""
+"""The retry budget: a fraction of the number of successful requests."""
 
 from typing import Final, NamedTuple
 
@@ -8,27 +8,28 @@
 _RETRIES_PER_SUCCESS: Final = 0.07
 _RETRY_TIME_FRACTION: Final = 0.2
 _RETRIES_PER_SECOND: Final = 0.2
-_INITIAL_RETRIES: Final = 3.0  # one target and one entry VM that have gone
+# Enough for a request that meets a failed target and a failed entry VM.
+_INITIAL_RETRIES: Final = 3.0
 
 
 class Budget(NamedTuple):
-    """Retries that may be spent, as of a time in seconds."""
+    """The retries that may be spent, as of `updated_at` in seconds."""
 
     retries: float = _INITIAL_RETRIES
     updated_at: float = 0.0
 
 
 def earn(budget: Budget) -> Budget:
-    """Return the budget after a success."""
+    """Return the budget after a successful request."""
     return _add(budget, _RETRIES_PER_SUCCESS)
 
 
 def refill(budget: Budget, now: float) -> Budget:
     """Return the budget at a later time.
 
-    A few retries come with time, or a VM whose requests all fail would never
-    find out that other ways work again. Time brings no more than is enough
-    for one request.
+    Time alone refills the budget up to its initial value, which is enough for
+    one request. Without it, a VM whose requests all fail would never find out
+    that other targets or VMs work again.
     """
     elapsed = max(0.0, now - budget.updated_at)
     missing = max(0.0, _INITIAL_RETRIES - budget.retries)
@@ -37,16 +38,16 @@
 
 
 def limit_attempt(remaining: float, *, may_retry: bool) -> float:
-    """Return how long an attempt may take, out of the seconds that remain.
+    """Return the timeout of an attempt, given the seconds that remain.
 
-    The first attempt of a request that may be sent again leaves time for one
-    more, in case that its connection has gone silent.
+    An attempt that may be retried leaves time for the retry, in case its
+    connection hangs.
     """
     return remaining * (1 - _RETRY_TIME_FRACTION) if may_retry else remaining
 
 
 def spend(budget: Budget) -> tuple[Budget, bool]:
-    """Return the budget and whether one retry was taken from it."""
+    """Return the budget and whether it allowed one retry."""
     if budget.retries < 1:
         return budget, False
     return budget._replace(retries=budget.retries - 1), True
--- a/toucanhall/steering/capacity.py
+++ b/toucanhall/steering/capacity.py
@@ -1,4 +1,4 @@
-"""How much room a VM has for a service, and how long a request waits."""
+"""Computes the free slots of a service and the wait of a request."""
 
 from typing import Final
 
@@ -28,19 +28,19 @@
 
 
 def count_usable(state: State, now: float) -> int:
-    """Return the owned slots of targets that work and do not drain."""
+    """Return the owned slots of targets that neither fail nor drain."""
     return sum(
         places.count_usable(place, now) for place in state.places.values()
     )
 
 
 def count_reserve(state: State, now: float) -> int:
-    """Return the slots that are kept free of requests of other zones."""
+    """Return the number of slots reserved for requests of the own zone."""
     return int(count_usable(state, now) * _RESERVE_FRACTION)
 
 
 def get_mean_latency(state: State) -> float:
-    """Return the mean seconds of a request, as far as it is known."""
+    """Return the mean latency in seconds, or a default before the first."""
     return state.latency or _DEFAULT_LATENCY_SECONDS
 
 
--- a/toucanhall/steering/circuit.py
+++ b/toucanhall/steering/circuit.py
@@ -1,4 +1,4 @@
-"""The circuit of a target or peer: opened by failures, closed by a probe."""
+"""Circuit breaker of a target or peer: failures open it, a probe closes it."""
 
 from typing import Final, NamedTuple
 
@@ -11,7 +11,7 @@
 
 
 class Circuit(NamedTuple):
-    """The recent share of failures; `open_seconds` is 0 while closed."""
+    """The moving mean of failures; `open_seconds` is 0 while closed."""
 
     failure_fraction: float = 0.0
     open_until: float = 0.0
@@ -20,7 +20,7 @@
 
 
 def admits(circuit: Circuit, now: float) -> bool:
-    """Return whether a request may be sent; half-open admits one probe."""
+    """Return whether a request may be sent; half-open allows one probe."""
     if not circuit.open_seconds:
         return True
     return now >= circuit.open_until and not circuit.is_probing
@@ -32,7 +32,7 @@
 
 
 def record_outcome(circuit: Circuit, now: float, *, healthy: bool) -> Circuit:
-    """Return the circuit after an outcome."""
+    """Return the circuit after a request succeeded or failed."""
     if circuit.open_seconds:
         return _record_probe_outcome(circuit, now, healthy=healthy)
     newest = 0 if healthy else _NEWEST_OUTCOME_WEIGHT
@@ -43,7 +43,7 @@
 
 
 def release(circuit: Circuit) -> Circuit:
-    """Return the circuit after a request that ended without an outcome."""
+    """Return the circuit after a request that proved nothing."""
     return circuit._replace(is_probing=False)
 
 
--- a/toucanhall/steering/fairness.py
+++ b/toucanhall/steering/fairness.py
@@ -17,10 +17,11 @@
 
 
 class Waiting(NamedTuple):
-    """A request that waits; those of own callers and of small tags go first.
+    """A queued request; its fields are in the order of priority.
 
-    Each VM serves its own callers first, because a team is at home on a few
-    VMs: a team that floods those would else take the slots of the others too.
+    Requests of own callers precede those of other VMs; then the smallest tag is
+    served first. A team is assigned to a few VMs: without this priority, a team
+    that floods its VMs would use up the slots of the other VMs too.
     """
 
     is_hopped: bool
@@ -32,7 +33,7 @@
 
 
 class Queue(NamedTuple):
-    """Waiting requests, the virtual time, and where each team stands in it."""
+    """Waiting requests, the virtual time and the finish tag of each team."""
 
     waiting: tuple[Waiting, ...] = ()
     virtual_time: float = 0.0
@@ -48,7 +49,8 @@
 def record_sent(queue: Queue, team: str, weight: float) -> Queue:
     """Return the queue after a team's request was sent to another VM.
 
-    A team that gets much elsewhere waits behind those that get little.
+    What a team gets at other VMs counts too: it waits behind the teams that
+    get less.
     """
     return _tag(queue, team, weight)[0]
 
@@ -58,10 +60,10 @@
     waiting: Waiting,
     max_waiting: int,
 ) -> tuple[Queue, Waiting | None]:
-    """Return the queue with one more, and the one that found no room.
+    """Return the queue with one more request, and the request it evicted.
 
-    The one that would be served last finds no room, so that a team which
-    floods the queue pushes out its own requests.
+    A full queue evicts the request that would be served last, so that a team
+    which floods the queue evicts its own requests.
     """
     tagged, tag = _tag(queue, waiting.team, waiting.weight)
     entries = sorted((*queue.waiting, waiting._replace(tag=tag)))
@@ -74,7 +76,7 @@
 
 
 def pop(queue: Queue) -> tuple[Queue, Waiting]:
-    """Return the queue without its first, and the first."""
+    """Return the queue without its first request, and that request."""
     first = queue.waiting[0]
     return queue._replace(
         waiting=queue.waiting[1:],
@@ -83,13 +85,13 @@
 
 
 def drop(queue: Queue, ticket: str) -> Queue:
-    """Return the queue without a ticket."""
+    """Return the queue without the request of a ticket."""
     kept = tuple(entry for entry in queue.waiting if entry.ticket != ticket)
     return queue._replace(waiting=kept)
 
 
 def count_before(queue: Queue, team: str, *, is_hopped: bool) -> int:
-    """Return how many waiting requests come before a team's next one."""
+    """Return how many waiting requests precede a team's next request."""
     tag = max(queue.virtual_time, queue.finish_tags.get(team, 0))
     return sum(entry[:2] <= (is_hopped, tag) for entry in queue.waiting)
 
--- a/toucanhall/steering/links.py
+++ b/toucanhall/steering/links.py
@@ -1,4 +1,4 @@
-"""The bytes that this VM may draw over the link to another region."""
+"""Limits the bytes that this VM receives over a link between regions."""
 
 from typing import Final, NamedTuple
 
@@ -19,7 +19,7 @@
 
 
 class Meter(NamedTuple):
-    """A token bucket of bytes; it starts empty and may be overdrawn once."""
+    """A token bucket of bytes; it starts empty and may go below zero."""
 
     available_bytes: float = 0.0
     updated_at: float = 0.0
@@ -32,10 +32,10 @@
     region: str,
     held_share: float,
 ) -> float:
-    """Return this VM's part of a link in bytes/s.
+    """Return this VM's share of a link in bytes/s.
 
-    A region's end of the link is divided evenly over the region's zones, and a
-    zone's part over its VMs by the zone slots that they hold.
+    The capacity of a link is divided evenly over the zones of each region, and
+    the share of a zone over its VMs by the zone slots that they hold.
     """
     own_region = catalogue.zones[zone].region
     zone_count = sum(
@@ -50,7 +50,7 @@
 
 
 def resize(meter: Meter, bytes_per_second: float, now: float) -> Meter:
-    """Return the meter with another rate; its stock only shrinks."""
+    """Return the meter with another rate; this never adds bytes."""
     filled = _refill(meter, now)
     available_bytes = min(
         filled.available_bytes, bytes_per_second * _BURST_SECONDS
@@ -64,13 +64,13 @@
 
 
 def spend(meter: Meter, byte_count: float, now: float) -> Meter:
-    """Return the meter after some bytes were drawn."""
+    """Return the meter after some bytes were transferred."""
     filled = _refill(meter, now)
     return filled._replace(available_bytes=filled.available_bytes - byte_count)
 
 
 def wait_for(meter: Meter) -> float:
-    """Return the seconds until the next bytes may be drawn."""
+    """Return the seconds until more bytes may be transferred."""
     if meter.available_bytes >= 0 or not meter.bytes_per_second:
         return 0.0
     return -meter.available_bytes / meter.bytes_per_second
--- a/toucanhall/steering/ownership.py
+++ b/toucanhall/steering/ownership.py
@@ -1,4 +1,4 @@
-"""Which slots of which targets a VM owns, by its part of the zone."""
+"""Divides the slots of targets among the VMs of a zone."""
 
 import math
 from collections.abc import Mapping
@@ -17,7 +17,7 @@
     catalogue: Catalogue,
     zone: str,
 ) -> Mapping[str, tuple[Target, ...]]:
-    """Return the targets of a zone by service, in the order of their names."""
+    """Return the targets of a zone by service, sorted by name."""
     selected: dict[str, tuple[Target, ...]] = {}
     for name in sorted(catalogue.targets):
         target = catalogue.targets[name]
@@ -34,10 +34,11 @@
 ) -> Mapping[str, int]:
     """Return how many slots of each target the holder of zone slots owns.
 
-    The slots of all targets are numbered through, and number k belongs to the
-    holder of zone slot `k * stride % size`. The stride spreads a service with
-    few slots over holders of neighbouring zone slots. Holders
-    with no zone slot in common own no slot of a target in common.
+    The slots of all targets are numbered consecutively, and number k belongs
+    to the holder of zone slot `k * stride % size`. The stride maps
+    consecutive numbers to distant zone slots, so that a service with few slots
+    is spread over several holders. Holders without a common zone slot own no
+    common target slot.
     """
     owned: dict[str, int] = {}
     first = 0
@@ -63,15 +64,15 @@
     held: frozenset[int],
     now: float,
 ) -> Mapping[int, float]:
-    """Return since when each zone slot is held."""
+    """Return the time from which each zone slot has been held."""
     return {slot: gained.get(slot, now) for slot in held}
 
 
 def select_settled(gained: Mapping[int, float], now: float) -> frozenset[int]:
-    """Return the zone slots whose earlier holder no longer uses them.
+    """Return the zone slots that their previous holder no longer uses.
 
-    It learns that it lost a slot at its next look into the table, and needs
-    some time to finish what runs.
+    The previous holder notices the loss of a slot when it next reads the table,
+    and then needs time to finish the requests in flight.
     """
     return frozenset(
         slot for slot, since in gained.items() if now - since >= _SETTLE_SECONDS
--- a/toucanhall/steering/peers.py
+++ b/toucanhall/steering/peers.py
@@ -1,4 +1,4 @@
-"""Other entry VMs that can carry a request to slots which they own."""
+"""Other entry VMs, which can run a request in slots that they own."""
 
 import enum
 import math
@@ -17,7 +17,7 @@
 
 
 class Distance(enum.IntEnum):
-    """How far a peer is: own zone, own region, or another region."""
+    """Where a peer is: in the own zone, own region or another region."""
 
     ZONE = 0
     REGION = 1
@@ -44,7 +44,7 @@
 
 
 def has_reported_spare(peer: Peer, now: float) -> bool:
-    """Return whether the peer lately told room that is not used up."""
+    """Return whether a recent report left free slots at the peer."""
     return (
         peer.spare > 0
         and _compute_report_age(peer, now) < _MAX_REPORT_AGE_SECONDS
@@ -52,7 +52,7 @@
 
 
 def is_query_due(peer: Peer, now: float) -> bool:
-    """Return whether a hop may find out if the peer has room."""
+    """Return whether a hop may be sent to find out if slots are free."""
     return (
         peer.in_flight == 0
         and _compute_report_age(peer, now) >= _MIN_QUERY_AGE_SECONDS
@@ -67,10 +67,11 @@
     *,
     can_query: bool,
 ) -> Peer | None:
-    """Return the peer at a distance that told the most spare room.
+    """Return the peer at a distance that reported the most free slots.
 
-    What a peer told is believed for a short time. When none has room, a hop
-    now and then finds out; a peer admits hops only into room that it owns.
+    Reports expire after a short time. If no peer has reported free slots, a hop
+    is sent now and then without a report; this cannot overload the peer, which
+    accepts hops only into free slots of its own.
     """
     usable = [
         peer
@@ -117,7 +118,7 @@
 
 
 def end(peer: Peer, outcome: Outcome, spare: int | None, now: float) -> Peer:
-    """Return the peer after a hop ended; `spare` is what its answer told."""
+    """Return the peer after a hop, whose answer may report `spare` slots."""
     ended = peer._replace(in_flight=max(0, peer.in_flight - 1))
     if spare is not None:
         ended = ended._replace(spare=spare, received_at=now)
--- a/toucanhall/steering/places.py
+++ b/toucanhall/steering/places.py
@@ -1,4 +1,4 @@
-"""Targets of the own zone, with the part of their slots that this VM owns."""
+"""Targets of the own zone, with the slots of them that this VM owns."""
 
 from collections.abc import Iterable
 from typing import Final, NamedTuple
@@ -17,11 +17,12 @@
 
 
 class Place(NamedTuple):
-    """A target: `slots` are owned by this VM, `cold_at` starts the warm-up.
+    """A target of the own zone, as this VM sees it.
 
-    For a short time after `draining_at` it runs what finds no other room.
-
-    `reported` is the busy share that the target itself told at `reported_at`.
+    `slots` is the number of slots that this VM owns; `cold_at` is when the
+    warm-up began. For a short time after `draining_at` the target still runs
+    requests that find no other free slot. `reported` is the fraction of busy
+    slots that the target itself reported at `reported_at`.
     """
 
     target: str
@@ -37,7 +38,7 @@
 
 
 class Outcome(NamedTuple):
-    """How a request ended; `healthy` is None when it tells nothing."""
+    """How a request ended; `healthy` is None if it proves nothing."""
 
     healthy: bool | None
     seconds: float = 0.0
@@ -57,14 +58,14 @@
 
 
 def is_drained(place: Place, now: float) -> bool:
-    """Return whether a draining target no longer takes new work."""
+    """Return whether a draining target gets no more requests."""
     if place.draining_at is None:
         return False
     return now - place.draining_at >= _DRAIN_GRACE_SECONDS
 
 
 def count_free(place: Place, now: float) -> int:
-    """Return how many more requests the target may take now."""
+    """Return how many more requests may be sent to the target now."""
     if not circuits.admits(place.circuit, now):
         return 0
     free = max(0, limit(place, now) - place.in_flight)
@@ -72,7 +73,7 @@
 
 
 def count_usable(place: Place, now: float) -> int:
-    """Return the limit, or 0 while the circuit is open or it drains."""
+    """Return the limit, or 0 if the circuit is open or the target drains."""
     is_away = place.circuit.open_seconds or place.draining_at is not None
     return 0 if is_away else limit(place, now)
 
@@ -83,10 +84,11 @@
     *,
     may_probe: bool,
 ) -> Place | None:
-    """Return the best place with room: outcomes first, reports last.
+    """Return the best target with a free slot.
 
-    A place that needs a probe comes first for a request that may be sent
-    again, and last for any other.
+    Targets are compared by load and failures, then by latency, and only last by
+    their own reports, which may be false. A target that needs a probe comes
+    first for a request that may be retried, and last for any other.
     """
     free = [place for place in places if count_free(place, now)]
     probe_rank = -1 if may_probe else 1
@@ -101,7 +103,7 @@
 
 
 def begin(place: Place) -> Place:
-    """Return the place after a request was sent to it."""
+    """Return the target after a request was sent to it."""
     return place._replace(
         in_flight=place.in_flight + 1,
         circuit=circuits.begin(place.circuit),
@@ -109,7 +111,7 @@
 
 
 def end(place: Place, outcome: Outcome, now: float) -> Place:
-    """Return the place after a request ended."""
+    """Return the target after a request ended."""
     ended = place._replace(in_flight=max(0, place.in_flight - 1))
     if outcome.healthy is None:
         return ended._replace(circuit=circuits.release(place.circuit))
@@ -125,7 +127,7 @@
 
 
 def update_mean_latency(latency: float, outcome: Outcome) -> float:
-    """Return the moving mean of the seconds of healthy requests."""
+    """Return the moving mean of the latency of healthy requests, in s."""
     if not outcome.healthy:
         return latency
     if not latency:
--- a/toucanhall/steering/policy.py
+++ b/toucanhall/steering/policy.py
@@ -29,15 +29,16 @@
 
 
 def decide(state: State, event: Event, now: float) -> Transition:
-    """Return the state after an event, and what is to be done."""
+    """Return the state after an event, and the effects to carry out."""
     return _DECISIONS[type(event)](state, event, now)
 
 
 def count_spare(state: State, now: float, *, shifting: bool) -> int:
-    """Return the room that is told to other VMs.
+    """Return the free slots to report to other VMs.
 
-    VMs of the own zone are told the number of waiting requests as less than
-    no room, because theirs may wait here.
+    For VMs of the own zone the number is negative if requests wait here,
+    because the requests of these VMs may join the queue. `shifting` stands for
+    the report to other zones, which is capped by the ramp and never negative.
     """
     free = capacity.count_free(state, now) - len(state.queue.waiting)
     if not shifting:
--- a/toucanhall/steering/ramps.py
+++ b/toucanhall/steering/ramps.py
@@ -1,4 +1,4 @@
-"""The cap on how fast traffic may shift into a zone."""
+"""Limits how fast traffic may shift into a zone."""
 
 from typing import Final, NamedTuple
 
@@ -10,10 +10,10 @@
 
 
 class Ramp(NamedTuple):
-    """Requests from other zones that may run here at once.
+    """The number of requests from other zones that may run here at once.
 
-    `per_second` is how much the level may grow in a second. It grows for a
-    short time after it was reached, and falls back at the same rate later.
+    The level grows by `per_second` for a short time after demand reached it
+    (`reached_at`), and otherwise falls at the same rate.
     """
 
     level: float = _MIN_LEVEL_REQUESTS
@@ -23,7 +23,7 @@
 
 
 def advance(ramp: Ramp, now: float) -> Ramp:
-    """Return the ramp at a later time; a long silence counts as one step."""
+    """Return the ramp at a later time; the length of a step is bounded."""
     elapsed = min(max(0.0, now - ramp.updated_at), _MAX_STEP_SECONDS)
     step = elapsed * ramp.per_second
     if _is_growing(ramp, now):
@@ -34,7 +34,7 @@
 
 
 def record_arrival(ramp: Ramp, shifted: int, now: float) -> Ramp:
-    """Return the ramp after one more request asked for room."""
+    """Return the ramp after one more request from another zone arrived."""
     advanced = advance(ramp, now)
     if shifted + 1 > advanced.level - 1:
         return advanced._replace(reached_at=now)
--- a/toucanhall/steering/records.py
+++ b/toucanhall/steering/records.py
@@ -1,4 +1,4 @@
-"""State, events and effects of the steering policy for one service."""
+"""State, events and effects of the steering policy of a service."""
 
 import enum
 from collections.abc import Mapping
@@ -28,7 +28,7 @@
 
 
 class Origin(enum.Enum):
-    """Who sent a request: a caller, or a VM of the own or another zone."""
+    """The sender: a caller, a VM of the own zone or one of another zone."""
 
     CALLER = 'caller'
     SIBLING = 'sibling'
@@ -36,10 +36,10 @@
 
 
 class State(NamedTuple):
-    """What one VM knows for one service.
+    """What this VM knows about a service.
 
-    `shifted` counts requests from other zones in flight here, `latency` is the
-    moving mean of healthy requests in seconds.
+    `shifted` counts the requests from other zones in flight here. `latency` is
+    the moving mean of healthy requests, in seconds.
     """
 
     places: Mapping[str, Place]
@@ -53,13 +53,13 @@
 
 
 class Arrive(NamedTuple):
-    """A request needs a target; `attempts` were made for it before.
+    """A request needs a target, after `attempts` earlier attempts.
 
-    `is_safe` tells that it may be sent again after it was sent once.
-    `is_bounced` tells that the last attempt was a hop that did not run,
-    `is_unsent` that it was a target to which nothing was sent.
-    `passed` names places and peers that were tried. `closed_regions` are those
-    whose link has no bytes left.
+    `is_safe`: the request may be sent more than once.
+    `is_bounced`: the last attempt was a hop that did not run at the peer.
+    `is_unsent`: the last attempt failed before anything was sent to its target.
+    `passed`: the targets and peers that were tried.
+    `closed_regions`: the regions whose link has no bytes remaining.
     """
 
     ticket: str
@@ -76,7 +76,7 @@
 
 
 class End(NamedTuple):
-    """A request that ran at a place, or was carried by a peer, ended."""
+    """A request that ran at a target or was carried by a peer ended."""
 
     name: str
     outcome: Outcome
@@ -85,22 +85,22 @@
 
 
 class Expire(NamedTuple):
-    """A waiting request has reached its deadline or was given up."""
+    """A waiting request reached its deadline or was abandoned."""
 
     ticket: str
 
 
 class Report(NamedTuple):
-    """A target told the share of its slots that are busy."""
+    """A target reported the fraction of its slots that are busy."""
 
     target: str
     busy: float
 
 
 class Resize(NamedTuple):
-    """Targets with the slots owned by this VM, the peers, and the shift cap.
+    """The targets with the slots of this VM, the peers and the shift cap.
 
-    The places and peers carry no counts; those of the state are kept.
+    Counters and circuits of targets and peers already in the state are kept.
     """
 
     places: tuple[Place, ...]
@@ -127,7 +127,7 @@
 
 
 class Wait(NamedTuple):
-    """Hold the request until an effect with its ticket comes."""
+    """Hold the request until another effect with its ticket follows."""
 
     ticket: str
     expires_at: float
--- a/toucanhall/steering/sizes.py
+++ b/toucanhall/steering/sizes.py
@@ -1,4 +1,4 @@
-"""Sizes the policy by the catalogue, the slots held and the live VMs."""
+"""Computes what each service may use, from catalogue, slots and VMs."""
 
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
@@ -14,7 +14,7 @@
 
 
 class EntryVm(NamedTuple):
-    """Another entry VM that can carry a request to its targets."""
+    """Another entry VM, which can forward a request to its targets."""
 
     vm: str
     zone: str
@@ -22,7 +22,7 @@
 
 
 class OwnedSlots(NamedTuple):
-    """The zone of a VM, and the numbers of the zone's slots that it holds."""
+    """The zone of a VM, and the numbers of the zone slots that it holds."""
 
     zone: str
     held: frozenset[int]
@@ -34,7 +34,7 @@
     hops: tuple[EntryVm, ...],
     now: float,
 ) -> Mapping[str, Resize]:
-    """Return the size of each service of the catalogue."""
+    """Return the targets, peers and shift cap of each service."""
     own = select_targets(catalogue, owned.zone)
     sizes: dict[str, Resize] = {}
     for service, zones in _list_serving(catalogue).items():
@@ -49,7 +49,7 @@
 
 
 def size_links(catalogue: Catalogue, owned: OwnedSlots) -> Mapping[str, float]:
-    """Return this VM's part of each link of its region, in bytes/s."""
+    """Return this VM's share of each link of its region, in bytes/s."""
     zone = catalogue.zones.get(owned.zone)
     if zone is None:
         return {}
--- a/toucanhall/steering/steerer.py
+++ b/toucanhall/steering/steerer.py
@@ -1,4 +1,4 @@
-"""Runs the policy for the request threads, under a lock per decision."""
+"""Runs the policy for the request threads; a lock guards each decision."""
 
 import threading
 from collections.abc import Mapping
@@ -30,16 +30,16 @@
 
 
 class _PendingDecision(threading.Event):
-    """Where a waiting thread finds what was decided."""
+    """Hands a decision to the thread that waits for it."""
 
     decision: Decision | None = None
 
 
 class Steerer:
-    """The states of all services on this VM, and the threads that wait."""
+    """The states of all services on this VM and the waiting threads."""
 
     def __init__(self) -> None:
-        """Start with no service."""
+        """Create a steerer without services."""
         self._lock = threading.Lock()
         self._states: dict[str, State] = {}
         self._meters: dict[str, Meter] = {}
@@ -51,7 +51,10 @@
         sizes: Mapping[str, Resize],
         parts: Mapping[str, float],
     ) -> None:
-        """Take services with their places and peers, and link parts."""
+        """Update the targets and peers of services, and the shares of links.
+
+        `parts` maps a region to the bytes/s that this VM may receive from it.
+        """
         now = runtime.read_clock()
         with self._lock:
             for service, size in sizes.items():
@@ -68,7 +71,7 @@
         self.is_sized = True
 
     def choose(self, service: str, arrival: Arrive) -> Decision:
-        """Return where a request goes, after waiting for room if need be."""
+        """Decide on a request, after waiting for a free slot if necessary."""
         now = runtime.read_clock()
         pending = _PendingDecision()
         with self._lock:
@@ -88,13 +91,13 @@
         return self._wait_for_decision(service, arrival, pending)
 
     def finish(self, service: str, end: End) -> None:
-        """Take the end of a request that ran or was carried."""
+        """Record the end of a request that ran here or was carried."""
         with self._lock:
             if service in self._states:
                 self._decide(service, end, runtime.read_clock())
 
     def spend(self, region: str, count: int) -> float:
-        """Count bytes drawn from a region; return the seconds to pause."""
+        """Record bytes received from a region; return the seconds to pause."""
         now = runtime.read_clock()
         with self._lock:
             meter = self._meters.get(region)
@@ -105,7 +108,7 @@
             return links.wait_for(spent)
 
     def count_spare(self, service: str, *, shifting: bool) -> int:
-        """Return the room that is told to other VMs."""
+        """Return the free slots to report to other VMs."""
         with self._lock:
             state = self._states.get(service)
             if state is None:
--- a/toucanhall/steering/waiting.py
+++ b/toucanhall/steering/waiting.py
@@ -1,4 +1,4 @@
-"""Serves waiting requests as soon as a target has room."""
+"""Serves waiting requests as soon as a target has a free slot."""
 
 from typing import TypeAlias
 
@@ -12,7 +12,7 @@
 
 
 def serve(state: State, now: float) -> Transition:
-    """Send waiting requests to free places, the smallest tag first."""
+    """Send waiting requests to free targets, the smallest tag first."""
     effects: list[Effect] = []
     while state.queue.waiting:
         place = places.pick(
