Rename figurative names of the shares of limits

Constants say their quantity, MIN/MAX and unit; functions that compute or record a value say so. Names that models print or messages carry stay.

--- a/tests/models/test_shares_fence_model.py
+++ b/tests/models/test_shares_fence_model.py
@@ -47,12 +47,12 @@
     """Return a hashable form in which lapsed times are alike."""
     is_victim = found.own == HOLDER
     is_confirmed = is_victim and is_recent(found.read_at)
-    heard = sort_heard(found.heard, found.table.number)
+    heard = sort_heard(found.peer_states, found.table.number)
     return found._replace(
         table=freeze_table(found.table),
         read_at=found.read_at if is_confirmed else None,
         votes=sort(found.votes, is_recent) if is_victim else (),
-        heard=() if is_victim else heard,
+        peer_states=() if is_victim else heard,
         waiting=tuple(
             (slot, None if until is None else max(0.0, until))
             for slot, until in sorted(found.waiting.items())
@@ -90,7 +90,7 @@
     return frozen._replace(
         table=thaw_table(frozen.table),
         votes=dict(frozen.votes),
-        heard=dict(frozen.heard),
+        peer_states=dict(frozen.peer_states),
         waiting=dict(frozen.waiting),
     )
 
@@ -205,7 +205,7 @@
     def read(self, number, stored):
         """Return a fence that read the table in the store."""
         table = self.get_table(stored)
-        return self.put(fence.note_read(self.get(number), table, 0, 0))
+        return self.put(fence.record_read(self.get(number), table, 0, 0))
 
     def answer(self, number, holder):
         """Return a peer that answers the holder, and its answer."""
@@ -256,7 +256,7 @@
 
     def may_use(self, number):
         """Return whether the holder is confirmed."""
-        until = fence.read_until(self.get(number))
+        until = fence.get_confirmed_until(self.get(number))
         return until is not None and until > 0
 
     def list_used(self, number):
--- a/tests/models/test_shares_gifts_model.py
+++ b/tests/models/test_shares_gifts_model.py
@@ -183,7 +183,7 @@
 @pytest.fixture(autouse=True)
 def give_whole_tokens():
     """Let a giver part with all it has, which keeps the tokens whole."""
-    with mock.patch.object(bucket, '_SPARE_PART', 1.0):
+    with mock.patch.object(bucket, '_GIFT_FRACTION', 1.0):
         yield
 
 
--- a/tests/models/test_shares_revisions_model.py
+++ b/tests/models/test_shares_revisions_model.py
@@ -61,7 +61,7 @@
     known = {number: CATALOGUES[number] for number in zone.known}
     pending = list_pending(known, confirmed)
     held = [CATALOGUES[number] for number in pending]
-    return parts.find_least(held, name, 'hostels', SLOTS).rate
+    return parts.compute_min_limit(held, name, 'hostels', SLOTS).rate
 
 
 def list_steps(state):
--- a/tests/unit/test_shares_histories.py
+++ b/tests/unit/test_shares_histories.py
@@ -16,7 +16,7 @@
 
 RATES = (2, 120)  # the burst refills in 15 s, or in the life of a gift
 BURST = 30
-SIZE = 6
+SLOT_COUNT = 6
 VMS = ('a', 'b', 'c')
 SPEEDS = {'a': 1, 'b': 1.001, 'c': 1.0019}  # within the margin for clocks
 ROUNDING = 1e-6
@@ -37,7 +37,9 @@
         self.worst = 0.0
         self.starts = 1
         holders = [Holding(name, 's1') for name in VMS]
-        holdings = {slot: holders[slot % len(VMS)] for slot in range(SIZE)}
+        holdings = {
+            slot: holders[slot % len(VMS)] for slot in range(SLOT_COUNT)
+        }
         self.stored = Table(holdings, 1, tuple(holders))
         self.fences = {
             holder.vm: fence.Fence(holder, self.stored) for holder in holders
@@ -63,9 +65,11 @@
         """Size the share of a VM and return whether it is confirmed."""
         now = self.read_clock(vm)
         slots = len(fence.find_usable(self.fences[vm], now))
-        limit = Limit(self.rate * slots / SIZE, BURST * slots / SIZE)
+        limit = Limit(
+            self.rate * slots / SLOT_COUNT, BURST * slots / SLOT_COUNT
+        )
         self.shares[vm] = share.hold(self.shares[vm], limit, now)
-        until = fence.read_until(self.fences[vm])
+        until = fence.get_confirmed_until(self.fences[vm])
         return until is not None and now < until
 
     def spend(self, vm, _peer, amount):
@@ -126,7 +130,7 @@
     def read(self, vm, _peer, _amount):
         """Read the slot table."""
         now = self.read_clock(vm)
-        self.fences[vm] = fence.note_read(
+        self.fences[vm] = fence.record_read(
             self.fences[vm], self.stored, now, now,
         )  # fmt: skip
 
@@ -136,16 +140,16 @@
             return
         now = self.read_clock(vm)
         own = self.fences[vm]
-        told, known = fence.answer_probe(
+        informed, answer = fence.answer_probe(
             self.fences[peer],
             own.own.start,
             fence.make_probe(own, peer, now),
             1,
             self.read_clock(peer),
         )
-        self.fences[peer] = told
+        self.fences[peer] = informed
         self.fences[vm] = fence.hear_known(
-            own, told.own, known, now,
+            own, informed.own, answer, now,
         )  # fmt: skip
 
     def write(self, vm, peer, amount):
@@ -154,7 +158,7 @@
         dropped = {peer} if int(amount * 2) else set()
         live = frozenset(VMS) - dropped | {vm}
         now = self.read_clock(vm)
-        planned = fence.plan(own, live, SIZE, now)
+        planned = fence.plan(own, live, SLOT_COUNT, now)
         slots = fence.find_slots(own.table, own.own)
         gives_back = slots - fence.find_slots(planned, own.own)
         if own.table.number == self.stored.number and not gives_back:
@@ -181,9 +185,9 @@
     (World.pause, 0.5),
     (World.resume, 0.5),
 )
-ALWAYS = (World.pass_time, World.drain, World.resume)
-LENGTH = 3000
-MOST_HISTORIES = 60
+STEPS_DURING_PAUSE = (World.pass_time, World.drain, World.resume)
+STEPS_PER_HISTORY = 3000
+MAX_HISTORIES = 60
 
 
 def run_history(seed):
@@ -191,9 +195,9 @@
     chance = random.Random(seed)
     world = World(rate=chance.choice(RATES))
     steps, weights = zip(*STEPS)
-    for step in chance.choices(steps, weights, k=LENGTH):
+    for step in chance.choices(steps, weights, k=STEPS_PER_HISTORY):
         vm, peer = chance.choice(VMS), chance.choice(VMS)
-        if step in ALWAYS or world.paused not in {vm, peer}:
+        if step in STEPS_DURING_PAUSE or world.paused not in {vm, peer}:
             step(world, vm, peer, chance.random())
     return world.worst
 
@@ -226,6 +230,6 @@
     with mock.patch.object(module, guard, broken):
         found = any(
             run_history(seed) > BURST + ROUNDING
-            for seed in range(MOST_HISTORIES)
+            for seed in range(MAX_HISTORIES)
         )
     assert found
--- a/tests/unit/test_shares_parts.py
+++ b/tests/unit/test_shares_parts.py
@@ -4,11 +4,11 @@
 from hypothesis import strategies as st
 
 from tests.builders import make_catalogue
-from toucanhall.shares.parts import find_limit, find_least
+from toucanhall.shares.parts import compute_min_limit, compute_slot_limits
 from toucanhall.shares.revisions import (
     Confirmed,
     list_pending,
-    note_confirmed,
+    record_confirmed,
 )
 
 EVERY_SLOT = frozenset(range(256))
@@ -30,7 +30,7 @@
 def test_parts_never_sum_to_more_than_the_limit(rate, burst, fraction):
     catalogue = make(rate, burst, fraction)
     held = [
-        find_least([catalogue], zone, 'hostels', EVERY_SLOT)
+        compute_min_limit([catalogue], zone, 'hostels', EVERY_SLOT)
         for zone in catalogue.zones
     ]
     assert sum(limit.rate for limit in held) <= rate * (1 + 1e-9)
@@ -43,7 +43,7 @@
     parts = [
         limit
         for zone in catalogue.zones
-        for limit in find_limit(catalogue, zone, 'hostels').values()
+        for limit in compute_slot_limits(catalogue, zone, 'hostels').values()
         if limit.burst
     ]
     assert parts
@@ -52,7 +52,7 @@
 
 def test_least_of_two_revisions_is_held():
     older, newer = make(10, 1000), make(20, 400, 0.2)
-    held = find_least([older, newer], 'north-a', 'hostels', EVERY_SLOT)
+    held = compute_min_limit([older, newer], 'north-a', 'hostels', EVERY_SLOT)
     assert held.rate <= 4 + 1e-9
     assert held.burst <= 80 + 1e-9
 
@@ -60,9 +60,9 @@
 def test_revision_counts_as_confirmed_only_after_a_wait():
     zones = {'north-a': 2, 'south-a': 2}
     known = {1: make(1, 1), 2: make(2, 2)}
-    confirmed = note_confirmed(Confirmed(), zones, 0)
+    confirmed = record_confirmed(Confirmed(), zones, 0)
     assert list_pending(known, confirmed.settled) == (1, 2)
-    confirmed = note_confirmed(confirmed, zones, 6)
+    confirmed = record_confirmed(confirmed, zones, 6)
     assert list_pending(known, confirmed.settled) == (2,)
 
 
--- a/toucanhall/shares/bucket.py
+++ b/toucanhall/shares/bucket.py
@@ -4,7 +4,7 @@
 
 __all__ = (
     'Bucket',
-    'CLOCK_MARGIN',
+    'MAX_CLOCK_SKEW_RATIO',
     'GIFT_SECONDS',
     'LOAN_SECONDS',
     'Loan',
@@ -17,9 +17,10 @@
 )
 
 GIFT_SECONDS: Final = 0.25  # life of a gift on the clock of its receiver
-CLOCK_MARGIN: Final = 0.002  # bound on the difference in speed of two clocks
-LOAN_SECONDS: Final = GIFT_SECONDS * (1 + CLOCK_MARGIN)
-_SPARE_PART: Final = 0.35  # of its tokens that a giver parts with
+# Bound on the difference in speed of two clocks.
+MAX_CLOCK_SKEW_RATIO: Final = 0.002
+LOAN_SECONDS: Final = GIFT_SECONDS * (1 + MAX_CLOCK_SKEW_RATIO)
+_GIFT_FRACTION: Final = 0.35  # of the giver's tokens
 
 
 class Loan(NamedTuple):
@@ -50,7 +51,7 @@
             break
         bucket = _accrue(bucket, loan.until)
         bucket = bucket._replace(
-            loans=tuple(kept for kept in bucket.loans if kept is not loan),
+            loans=tuple(other for other in bucket.loans if other is not loan),
         )
     return _accrue(bucket, now)
 
@@ -75,7 +76,7 @@
     the gift.
     """
     filled = refill(bucket, now)
-    tokens = max(0.0, min(wanted, filled.tokens * _SPARE_PART))
+    tokens = max(0.0, min(wanted, filled.tokens * _GIFT_FRACTION))
     loan = Loan(tokens, now + LOAN_SECONDS)
     debited = filled._replace(
         tokens=filled.tokens - tokens,
@@ -94,7 +95,9 @@
     filled = refill(bucket, now)
     if now - asked_at >= GIFT_SECONDS:
         return filled
-    return filled._replace(tokens=min(_room(filled), filled.tokens + tokens))
+    return filled._replace(
+        tokens=min(_compute_capacity(filled), filled.tokens + tokens)
+    )
 
 
 def wait_for(bucket: Bucket) -> float:
@@ -106,12 +109,14 @@
 
 def _accrue(bucket: Bucket, now: float) -> Bucket:
     elapsed = max(0.0, now - bucket.updated_at)
-    tokens = min(_room(bucket), bucket.tokens + elapsed * bucket.rate)
+    tokens = min(
+        _compute_capacity(bucket), bucket.tokens + elapsed * bucket.rate
+    )
     return bucket._replace(
         tokens=tokens,
         updated_at=max(now, bucket.updated_at),
     )
 
 
-def _room(bucket: Bucket) -> float:
+def _compute_capacity(bucket: Bucket) -> float:
     return max(0.0, bucket.cap - sum(loan.tokens for loan in bucket.loans))
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -17,26 +17,30 @@
     adopt,
     answer_probe,
     find_usable,
+    get_confirmed_until,
     hear_known,
     list_waiting,
     make_probe,
-    note_read,
     plan,
-    read_until,
+    record_read,
 )
 from toucanhall.shares.ledger import Ledger
 from toucanhall.shares.messages import Acknowledgement, Probe
-from toucanhall.shares.parts import find_least, list_slots
-from toucanhall.shares.revisions import Confirmed, list_pending, note_confirmed
+from toucanhall.shares.parts import compute_min_limit, list_slots
+from toucanhall.shares.revisions import (
+    Confirmed,
+    list_pending,
+    record_confirmed,
+)
 from toucanhall.shares.slots import Holding, Table, find_slots
 from toucanhall.transport import Envelope
 
 __all__ = ('Claimer', 'Place', 'Surroundings')
 
-_TRIES: Final = 4
-_READ_SECONDS: Final = 10.0  # between reads while a majority confirms
-_SIZE_SECONDS: Final = 0.5
-_SOON_SECONDS: Final = CONFIRM_SECONDS / 2  # left when a read is due
+_MAX_CLAIM_ATTEMPTS: Final = 4
+_READ_INTERVAL_SECONDS: Final = 10.0  # between reads while a majority confirms
+_RESIZE_INTERVAL_SECONDS: Final = 0.5
+_READ_AHEAD_SECONDS: Final = CONFIRM_SECONDS / 2  # left when a read is due
 _CONFIRM_EVENTS: Final = {
     True: events.SHARE_CONFIRMED,
     False: events.SHARE_UNCONFIRMED,
@@ -80,19 +84,19 @@
         self._confirmed = Confirmed()
         self._released: Mapping[int, float] = {}
         self._next_read = 0.0
-        self._sized: tuple[float, frozenset[int]] = (0, frozenset())
+        self._last_sized: tuple[float, frozenset[int]] = (0, frozenset())
         self._is_confirmed = False
 
     def take_revision(self, revision: Revision) -> None:
         """Hold the least of this revision and those that may still run."""
         with self._lock:
             self._known[revision.number] = revision.catalogue
-        self._size()
+        self._resize_ledger()
 
     def tick(self, around: Surroundings) -> None:
         """Probe the peers, and read the table when that is due."""
         with self._lock:
-            self._confirmed = note_confirmed(
+            self._confirmed = record_confirmed(
                 self._confirmed, around.confirmed, runtime.read_clock(),
             )  # fmt: skip
             catalogue = self._known.get(max(self._known, default=0))
@@ -103,9 +107,14 @@
             self._send(address, make_probe(self._fence, vm, now))
         size = catalogue.slots_per_zone
         if self._is_read_due(around.live_vms, size):
-            any(self._try_claim(around.live_vms, size) for _ in range(_TRIES))
-        self._size()
-        is_confirmed = runtime.read_clock() < (read_until(self._fence) or 0)
+            any(
+                self._try_claim(around.live_vms, size)
+                for _ in range(_MAX_CLAIM_ATTEMPTS)
+            )
+        self._resize_ledger()
+        is_confirmed = runtime.read_clock() < (
+            get_confirmed_until(self._fence) or 0
+        )
         if is_confirmed is not self._is_confirmed:
             self._is_confirmed = is_confirmed
             events.log(_CONFIRM_EVENTS[is_confirmed])
@@ -113,7 +122,7 @@
     def answer(self, envelope: Envelope, probe: Probe, address: str) -> None:
         """Answer the probe of a peer."""
         with self._lock:
-            fence, known = answer_probe(
+            fence, acknowledgement = answer_probe(
                 self._fence,
                 envelope.start,
                 probe,
@@ -121,23 +130,25 @@
                 runtime.read_clock(),
             )
             self._fence = fence
-        self._send(address, known)
+        self._send(address, acknowledgement)
 
-    def hear(self, envelope: Envelope, known: Acknowledgement) -> None:
+    def hear(
+        self, envelope: Envelope, acknowledgement: Acknowledgement
+    ) -> None:
         """Take a peer's answer to a probe."""
         with self._lock:
             # A peer with a newer revision confirms nothing for an older one.
-            if known.revision > max(self._known, default=0):
+            if acknowledgement.revision > max(self._known, default=0):
                 return
             self._fence = hear_known(
                 self._fence,
                 Holding(envelope.vm, envelope.start),
-                known,
+                acknowledgement,
                 runtime.read_clock(),
             )
-            is_due = _is_size_due(self._fence, self._sized)
+            is_due = _is_resize_due(self._fence, self._last_sized)
         if is_due:
-            self._size()
+            self._resize_ledger()
 
     def list_holders(self, team: str) -> frozenset[str]:
         """Return the VMs of the zone that hold the limit of a team."""
@@ -172,20 +183,20 @@
                 'table': self._fence.table.number,
                 'usable': len(find_usable(self._fence, now)),
                 'waiting': len(list_waiting(self._fence, now)),
-                'confirmed': now < (read_until(self._fence) or 0),
+                'confirmed': now < (get_confirmed_until(self._fence) or 0),
                 'revisions': list_pending(self._known, self._confirmed.settled),
             }
 
     def _is_read_due(self, live_vms: frozenset[str], size: int) -> bool:
         now = runtime.read_clock()
         with self._lock:
-            until = read_until(self._fence) or 0
+            until = get_confirmed_until(self._fence) or 0
             planned = plan(self._fence, live_vms, size, now)
             is_changing = planned != self._fence.table
             return (
                 is_changing
                 or now >= self._next_read
-                or until - now < _SOON_SECONDS
+                or until - now < _READ_AHEAD_SECONDS
             )
 
     def _try_claim(self, live_vms: frozenset[str], size: int) -> bool:
@@ -197,14 +208,14 @@
         stored = read.unwrap()
         with self._lock:
             now = runtime.read_clock()
-            self._next_read = now + _READ_SECONDS
-            self._fence = note_read(self._fence, decode(stored), read_at, now)
+            self._next_read = now + _READ_INTERVAL_SECONDS
+            self._fence = record_read(self._fence, decode(stored), read_at, now)
             before = self._fence.table
             planned = plan(self._fence, live_vms, size, now)
             dropped = _find_dropped(before, planned, self._place.holder)
-            self._released = _note_released(self._released, dropped, now)
-            is_ready = _may_give_back(self._released, now)
-        self._size()
+            self._released = _record_released(self._released, dropped, now)
+            is_ready = _can_release(self._released, now)
+        self._resize_ledger()
         if planned == before or not is_ready:
             return True
         return self._write(stored, before, planned)
@@ -223,11 +234,11 @@
         events.log(events.SLOTS_CLAIMED, slots=slots, number=planned.number)
         return True
 
-    def _size(self) -> None:
+    def _resize_ledger(self) -> None:
         with self._lock:
             now = runtime.read_clock()
             usable = find_usable(self._fence, now)
-            self._sized = (read_until(self._fence) or 0, usable)
+            self._last_sized = (get_confirmed_until(self._fence) or 0, usable)
             numbers = list_pending(self._known, self._confirmed.settled)
             if numbers:
                 self._known = {
@@ -237,18 +248,24 @@
             slots = usable - self._released.keys()
             teams = catalogues[-1].teams if catalogues else {}
             limits = {
-                team: find_least(catalogues, self._place.zone, team, slots)
+                team: compute_min_limit(
+                    catalogues, self._place.zone, team, slots
+                )
                 for team in teams
             }
-            self._ledger.resize(limits, read_until(self._fence) or 0)
+            self._ledger.resize(limits, get_confirmed_until(self._fence) or 0)
 
 
-def _is_size_due(fence: Fence, sized: tuple[float, frozenset[int]]) -> bool:
+def _is_resize_due(
+    fence: Fence, last_sized: tuple[float, frozenset[int]]
+) -> bool:
     # Sizing costs a step per team, and answers come from every peer.
-    until = read_until(fence) or 0
+    until = get_confirmed_until(fence) or 0
     slots = find_usable(fence, runtime.read_clock())
-    until_sized, slots_sized = sized
-    return until - until_sized > _SIZE_SECONDS or slots != slots_sized
+    until_sized, slots_sized = last_sized
+    return (
+        until - until_sized > _RESIZE_INTERVAL_SECONDS or slots != slots_sized
+    )
 
 
 def _find_dropped(
@@ -259,7 +276,7 @@
     return find_slots(before, holder) - find_slots(planned, holder)
 
 
-def _note_released(
+def _record_released(
     released: Mapping[int, float],
     dropped: frozenset[int],
     now: float,
@@ -268,7 +285,7 @@
     return {slot: released.get(slot, now) for slot in dropped}
 
 
-def _may_give_back(released: Mapping[int, float], now: float) -> bool:
+def _can_release(released: Mapping[int, float], now: float) -> bool:
     return all(now - since > LOAN_SECONDS for since in released.values())
 
 
--- a/toucanhall/shares/fence.py
+++ b/toucanhall/shares/fence.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from toucanhall.shares.bucket import CLOCK_MARGIN
+from toucanhall.shares.bucket import MAX_CLOCK_SKEW_RATIO
 from toucanhall.shares.messages import Acknowledgement, Probe
 from toucanhall.shares.slots import Holding, Table, claim, find_slots
 
@@ -20,20 +20,20 @@
     'adopt',
     'answer_probe',
     'find_usable',
+    'get_confirmed_until',
     'hear_known',
     'list_waiting',
     'make_probe',
-    'note_read',
     'plan',
-    'read_until',
+    'record_read',
 )
 
 CONFIRM_SECONDS: Final = 5.0
-WAIT_SECONDS: Final = CONFIRM_SECONDS * (1 + CLOCK_MARGIN)
+WAIT_SECONDS: Final = CONFIRM_SECONDS * (1 + MAX_CLOCK_SKEW_RATIO)
 _NO_SLOTS: Final[frozenset[int]] = frozenset()
 
 
-class Heard(NamedTuple):
+class PeerState(NamedTuple):
     """The start of a peer and the number of the table that it knew."""
 
     start: str
@@ -51,7 +51,7 @@
     table: Table = Table({})
     read_at: float | None = None
     votes: Mapping[Holding, float] = {}
-    heard: Mapping[str, Heard] = {}
+    peer_states: Mapping[str, PeerState] = {}
     waiting: Mapping[int, float | None] = {}
 
 
@@ -59,11 +59,12 @@
     fence: Fence,
     table: Table,
     now: float,
-    instant: frozenset[int] = _NO_SLOTS,
+    usable_at_once: frozenset[int] = _NO_SLOTS,
 ) -> Fence:
     """Return the fence with a newer table; an older one changes nothing.
 
-    Slots that the table gives to this holder wait, except `instant` ones.
+    Slots that the table gives to this holder have to wait before use, except
+    those in `usable_at_once`.
     """
     if table.number <= fence.table.number:
         return fence
@@ -74,14 +75,16 @@
         for slot, until in fence.waiting.items()
         if slot in find_slots(table, fence.own)
     }
-    waiting.update(dict.fromkeys(gained - instant))
-    return _settle(
+    waiting.update(dict.fromkeys(gained - usable_at_once))
+    return _start_waiting(
         fence._replace(table=table, votes={}, read_at=None, waiting=waiting),
         now,
     )
 
 
-def note_read(fence: Fence, table: Table, read_at: float, now: float) -> Fence:
+def record_read(
+    fence: Fence, table: Table, read_at: float, now: float
+) -> Fence:
     """Return the fence after the table was read, begun at `read_at`.
 
     A store that came back with an older table confirms nothing.
@@ -95,8 +98,8 @@
 def make_probe(fence: Fence, vm: str, now: float) -> Probe:
     """Return the question to a VM; the table goes along unless it knows it."""
     number = fence.table.number
-    heard = fence.heard.get(vm)
-    knows = heard is not None and heard.number >= number
+    peer_state = fence.peer_states.get(vm)
+    knows = peer_state is not None and peer_state.number >= number
     return Probe(now, number, None if knows else fence.table)
 
 
@@ -119,32 +122,34 @@
 
 
 def hear_known(
-    fence: Fence, peer: Holding, known: Acknowledgement, now: float
+    fence: Fence, peer: Holding, answer: Acknowledgement, now: float
 ) -> Fence:
     """Return the fence after a peer's answer to a probe of this start."""
-    if known.start != fence.own.start:
+    if answer.start != fence.own.start:
         return fence
-    if known.table is not None:
-        fence = adopt(fence, known.table, now)
-    heard = fence.heard.get(peer.vm)
-    if heard is None or heard.start != peer.start:
-        heard = Heard(peer.start, 0)
-    number = max(heard.number, known.number)
-    heard = heard._replace(number=number)
-    fence = fence._replace(heard={**fence.heard, peer.vm: heard})
-    is_newest = known.number <= fence.table.number
-    if is_newest and known.asked == fence.table.number:
-        at = max(known.asked_at, fence.votes.get(peer, known.asked_at))
+    if answer.table is not None:
+        fence = adopt(fence, answer.table, now)
+    peer_state = fence.peer_states.get(peer.vm)
+    if peer_state is None or peer_state.start != peer.start:
+        peer_state = PeerState(peer.start, 0)
+    number = max(peer_state.number, answer.number)
+    peer_state = peer_state._replace(number=number)
+    fence = fence._replace(
+        peer_states={**fence.peer_states, peer.vm: peer_state}
+    )
+    is_newest = answer.number <= fence.table.number
+    if is_newest and answer.asked == fence.table.number:
+        at = max(answer.asked_at, fence.votes.get(peer, answer.asked_at))
         fence = fence._replace(votes={**fence.votes, peer: at})
-    return _settle(fence, now)
+    return _start_waiting(fence, now)
 
 
-def read_until(fence: Fence) -> float | None:
+def get_confirmed_until(fence: Fence) -> float | None:
     """Return the time up to which the slots are confirmed, if they are."""
     times = [
-        found
-        for found in (fence.read_at, _find_majority(fence))
-        if found is not None
+        confirmed_at
+        for confirmed_at in (fence.read_at, _get_majority_time(fence))
+        if confirmed_at is not None
     ]
     return max(times) + CONFIRM_SECONDS if times else None
 
@@ -181,20 +186,25 @@
     A holder whose VM came back with another start has ended.
     """
     previous = fence.table.previous
-    told = sum(_is_silenced(fence, holder) for holder in previous)
-    return not previous or told > len(previous) // 2
+    informed_count = sum(
+        _knows_or_has_ended(fence, holder) for holder in previous
+    )
+    return not previous or informed_count > len(previous) // 2
 
 
-def _is_silenced(fence: Fence, holder: Holding) -> bool:
+def _knows_or_has_ended(fence: Fence, holder: Holding) -> bool:
     if holder.vm == fence.own.vm:
         return True
-    heard = fence.heard.get(holder.vm)
-    if heard is None:
+    peer_state = fence.peer_states.get(holder.vm)
+    if peer_state is None:
         return False
-    return heard.start != holder.start or heard.number >= fence.table.number
+    return (
+        peer_state.start != holder.start
+        or peer_state.number >= fence.table.number
+    )
 
 
-def _settle(fence: Fence, now: float) -> Fence:
+def _start_waiting(fence: Fence, now: float) -> Fence:
     if None not in fence.waiting.values() or not is_told(fence):
         return fence
     waiting = {
@@ -204,7 +214,7 @@
     return fence._replace(waiting=waiting)
 
 
-def _find_majority(fence: Fence) -> float | None:
+def _get_majority_time(fence: Fence) -> float | None:
     holders = fence.table.list_holders()
     if fence.own not in holders:
         return None
--- a/toucanhall/shares/gifts.py
+++ b/toucanhall/shares/gifts.py
@@ -27,21 +27,25 @@
         self._send = send
         self._list_peers = list_peers
 
-    def request(self, asked: GiftRequest, turn: int) -> None:
+    def request(self, gift_request: GiftRequest, turn: int) -> None:
         """Send an ask to the peer whose turn it is."""
         peers = self._list_peers()
         if peers:
             vm = sorted(peers)[turn % len(peers)]
-            self._send(peers[vm], asked)
+            self._send(peers[vm], gift_request)
 
-    def give(self, envelope: Envelope, asked: GiftRequest) -> None:
+    def give(self, envelope: Envelope, gift_request: GiftRequest) -> None:
         """Answer an ask with what can be spared."""
         address = self._list_peers().get(envelope.vm)
         if address is None:
             return
-        tokens = self._ledger.give_tokens(asked.team, asked.tokens)
+        tokens = self._ledger.give_tokens(
+            gift_request.team, gift_request.tokens
+        )
         if tokens:
-            gift = Gift(envelope.start, asked.team, tokens, asked.asked_at)
+            gift = Gift(
+                envelope.start, gift_request.team, tokens, gift_request.asked_at
+            )
             self._send(address, gift)
 
     def accept(self, _envelope: Envelope, gift: Gift) -> None:
--- a/toucanhall/shares/ledger.py
+++ b/toucanhall/shares/ledger.py
@@ -20,7 +20,8 @@
 
 __all__ = ('Ledger',)
 
-_UNCONFIRMED_SECONDS: Final = 1.0  # to wait while the share is not confirmed
+# Retry-after while the share is not confirmed.
+_UNCONFIRMED_RETRY_AFTER_SECONDS: Final = 1.0
 
 
 class Ledger:
@@ -30,7 +31,7 @@
         """Start with no share of any limit."""
         self._lock = threading.Lock()
         self._shares: dict[str, Share] = {}
-        self._until = 0.0
+        self._valid_until = 0.0
         self._request: Callable[[GiftRequest, int], None] | None = None
 
     def listen(self, request: Callable[[GiftRequest, int], None]) -> None:
@@ -41,9 +42,9 @@
         """Hold a part of each team's limit, to be spent before a time."""
         now = runtime.read_clock()
         with self._lock:
-            self._until = until
+            self._valid_until = until
             self._shares = {
-                team: hold(self._find(team, now), limit, now)
+                team: hold(self._get_share(team, now), limit, now)
                 for team, limit in limits.items()
             }
 
@@ -51,9 +52,9 @@
         """Take one token; return `None`, or the seconds to wait for one."""
         with self._lock:
             now = runtime.read_clock()
-            if now >= self._until or team not in self._shares:
-                return _UNCONFIRMED_SECONDS
-            share, wait = spend(self._find(team, now), now)
+            if now >= self._valid_until or team not in self._shares:
+                return _UNCONFIRMED_RETRY_AFTER_SECONDS
+            share, wait = spend(self._get_share(team, now), now)
             share, wanted = ask(share, now)
             self._shares[team] = share
         if wanted and self._request is not None:
@@ -64,9 +65,9 @@
         """Debit a gift and return its tokens; none while not confirmed."""
         with self._lock:
             now = runtime.read_clock()
-            if now >= self._until or team not in self._shares:
+            if now >= self._valid_until or team not in self._shares:
                 return 0.0
-            share, tokens = give_tokens(self._find(team, now), wanted, now)
+            share, tokens = give_tokens(self._get_share(team, now), wanted, now)
             self._shares[team] = share
         return tokens
 
@@ -74,7 +75,7 @@
         """Add a gift that answers an ask of this process."""
         with self._lock:
             now = runtime.read_clock()
-            share = accept(self._find(team, now), tokens, asked_at, now)
+            share = accept(self._get_share(team, now), tokens, asked_at, now)
             self._shares[team] = share
 
     def read(self) -> Mapping[str, Bucket]:
@@ -82,5 +83,5 @@
         with self._lock:
             return {team: share.bucket for team, share in self._shares.items()}
 
-    def _find(self, team: str, now: float) -> Share:
+    def _get_share(self, team: str, now: float) -> Share:
         return self._shares.get(team, make_share(now))
--- a/toucanhall/shares/parts.py
+++ b/toucanhall/shares/parts.py
@@ -10,11 +10,12 @@
 __all__ = (
     'Limit',
     'find_zone_part',
-    'find_least',
+    'compute_min_limit',
     'list_slots',
 )
 
-_LEAST_TOKENS: Final = 2.0  # burst of one slot below which fewer slots hold it
+# A smaller burst per slot is divided over fewer slots.
+_MIN_SLOT_TOKENS: Final = 2.0
 
 
 class Limit(NamedTuple):
@@ -29,18 +30,20 @@
 
     A burst that is too small for every zone is held by a few of them.
     """
-    chosen = _rank(team.name, catalogue.zones)
-    while len(chosen) > 1:
-        total = sum(catalogue.zones[name].fraction for name in chosen)
-        least = min(catalogue.zones[name].fraction for name in chosen)
-        if total and team.burst * least / total >= 1:
+    holding_zones = _rank(team.name, catalogue.zones)
+    while len(holding_zones) > 1:
+        total = sum(catalogue.zones[name].fraction for name in holding_zones)
+        min_fraction = min(
+            catalogue.zones[name].fraction for name in holding_zones
+        )
+        if total and team.burst * min_fraction / total >= 1:
             break
-        chosen.pop()
-    if zone not in chosen:
+        holding_zones.pop()
+    if zone not in holding_zones:
         return 0.0
-    if len(chosen) == len(catalogue.zones):
+    if len(holding_zones) == len(catalogue.zones):
         return catalogue.zones[zone].fraction
-    total = sum(catalogue.zones[name].fraction for name in chosen)
+    total = sum(catalogue.zones[name].fraction for name in holding_zones)
     return catalogue.zones[zone].fraction / total if total else 0.0
 
 
@@ -48,12 +51,12 @@
     """Return the slots of a zone that hold a team's limit."""
     size = catalogue.slots_per_zone
     tokens = team.burst * find_zone_part(catalogue, zone, team)
-    count = min(size, max(1, int(tokens / _LEAST_TOKENS)))
+    count = min(size, max(1, int(tokens / _MIN_SLOT_TOKENS)))
     ranked = _rank(team.name, (str(slot) for slot in range(size)))
     return tuple(int(slot) for slot in ranked[:count])
 
 
-def find_limit(
+def compute_slot_limits(
     catalogue: Catalogue,
     zone: str,
     team: str,
@@ -63,18 +66,23 @@
     if found is None or zone not in catalogue.zones:
         return {}
     slots = list_slots(catalogue, zone, found)
-    part = find_zone_part(catalogue, zone, found) / len(slots)
-    return dict.fromkeys(slots, Limit(found.rate * part, found.burst * part))
+    fraction_per_slot = find_zone_part(catalogue, zone, found) / len(slots)
+    return dict.fromkeys(
+        slots,
+        Limit(found.rate * fraction_per_slot, found.burst * fraction_per_slot),
+    )
 
 
-def find_least(
+def compute_min_limit(
     catalogues: Iterable[Catalogue],
     zone: str,
     team: str,
     slots: frozenset[int],
 ) -> Limit:
     """Return what slots hold together: the least of some catalogues, each."""
-    found = [find_limit(catalogue, zone, team) for catalogue in catalogues]
+    found = [
+        compute_slot_limits(catalogue, zone, team) for catalogue in catalogues
+    ]
     nothing = Limit(0, 0)
     rate = sum(
         min((limits.get(slot, nothing).rate for limits in found), default=0)
--- a/toucanhall/shares/revisions.py
+++ b/toucanhall/shares/revisions.py
@@ -6,7 +6,7 @@
 from toucanhall.catalogue import Catalogue
 from toucanhall.shares.fence import WAIT_SECONDS
 
-__all__ = ('Confirmed', 'list_pending', 'note_confirmed')
+__all__ = ('Confirmed', 'list_pending', 'record_confirmed')
 
 
 class Confirmed(NamedTuple):
@@ -20,16 +20,16 @@
     waiting: tuple[tuple[float, Mapping[str, int]], ...] = ()
 
 
-def note_confirmed(
+def record_confirmed(
     confirmed: Confirmed,
-    heard: Mapping[str, int],
+    reported: Mapping[str, int],
     now: float,
 ) -> Confirmed:
     """Return what is confirmed after it was heard from the zones."""
     known = confirmed.waiting[-1][1] if confirmed.waiting else confirmed.settled
     waiting = confirmed.waiting
-    if known != heard:
-        waiting = (*waiting, (now + WAIT_SECONDS, heard))
+    if known != reported:
+        waiting = (*waiting, (now + WAIT_SECONDS, reported))
     due = [entry for until, entry in waiting if until <= now]
     return Confirmed(
         due[-1] if due else confirmed.settled,
--- a/toucanhall/shares/share.py
+++ b/toucanhall/shares/share.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from toucanhall.shares.bucket import (
-    CLOCK_MARGIN,
+    MAX_CLOCK_SKEW_RATIO,
     GIFT_SECONDS,
     Bucket,
     give,
@@ -26,9 +26,9 @@
     'spend',
 )
 
-ASK_GAP_SECONDS: Final = 0.01
-_ASK_BELOW: Final = 0.25  # of the cap
-_LEAST_ASKED: Final = 0.01  # tokens
+_MIN_REQUEST_INTERVAL_SECONDS: Final = 0.01
+_REQUEST_BELOW_FRACTION: Final = 0.25  # of the cap
+_MIN_REQUEST_TOKENS: Final = 0.01  # tokens
 
 
 class Share(NamedTuple):
@@ -53,7 +53,7 @@
 
     A clock that is fast within the margin refills no faster than the limit.
     """
-    rate = limit.rate / (1 + CLOCK_MARGIN)
+    rate = limit.rate / (1 + MAX_CLOCK_SKEW_RATIO)
     bucket = resize(share.bucket, rate, limit.burst, now)
     return share._replace(bucket=bucket)
 
@@ -70,9 +70,9 @@
     bucket = refill(share.bucket, now)
     asks = tuple(at for at in share.asks if now - at < GIFT_SECONDS)
     wanted = bucket.cap - bucket.tokens
-    is_recent = now - share.asked_at < ASK_GAP_SECONDS
-    is_short = bucket.tokens < max(1, bucket.cap * _ASK_BELOW)
-    if is_recent or not is_short or wanted < _LEAST_ASKED:
+    is_recent = now - share.asked_at < _MIN_REQUEST_INTERVAL_SECONDS
+    is_short = bucket.tokens < max(1, bucket.cap * _REQUEST_BELOW_FRACTION)
+    if is_recent or not is_short or wanted < _MIN_REQUEST_TOKENS:
         return share._replace(bucket=bucket, asks=asks), 0.0
     return Share(bucket, (*asks, now), now, share.turn + 1), wanted
 
--- a/toucanhall/shares/slots.py
+++ b/toucanhall/shares/slots.py
@@ -49,16 +49,18 @@
     held by a VM that is not live, up to an even part of `size` slots, and
     gives back what it holds beyond that part.
     """
-    even = -(-size // max(1, len(live_vms | {holder.vm})))
+    max_slots = -(-size // max(1, len(live_vms | {holder.vm})))
     holdings = {
         slot: held
         for slot, held in table.holdings.items()
-        if slot < size and held != holder and _keeps(held, holder, live_vms)
+        if slot < size
+        and held != holder
+        and _is_still_held(held, holder, live_vms)
     }
     own = find_slots(table, holder)
     free = [slot for slot in range(size) if slot not in holdings]
     wanted = sorted(free, key=lambda slot: (slot not in own, slot))
-    holdings.update(dict.fromkeys(wanted[:even], holder))
+    holdings.update(dict.fromkeys(wanted[:max_slots], holder))
     others = {
         slot: held
         for slot, held in table.holdings.items()
@@ -74,5 +76,7 @@
     return Table(holdings, table.number + 1, table.list_holders())
 
 
-def _keeps(held: Holding, holder: Holding, live_vms: frozenset[str]) -> bool:
+def _is_still_held(
+    held: Holding, holder: Holding, live_vms: frozenset[str]
+) -> bool:
     return held.vm != holder.vm and held.vm in live_vms
