--- a/tests/models/test_shares_fence_model.py
+++ b/tests/models/test_shares_fence_model.py
@@ -1,11 +1,12 @@
-"""Model of the fence of a slot: holder, takers, voters and a lossy store.
-
-Three holders; one may lose its slot to the others although it still runs, and
-one of these may restart. Time is a clock that stands between steps, so that a
-holder that takes no step is paused, and a store that is not called is out.
-Times are relative to the present, and lapsed ones are alike: the space is
-finite without a horizon. Answers to a taker are lost or come at once, since
-what they tell stays true; the answer to the holder also comes late and often.
+"""Model of the fence of a slot; guards against two users of one slot.
+
+Three holders: one may lose its slot to the others while it still runs, and one
+of the others may restart. The clock stands still between steps: a holder that
+takes no step is paused, and a store that is not called is unavailable. Times
+are relative to the present and expired times are equal, so the state space is
+finite without a time limit. Answers to a taker are lost or arrive at once,
+since their content stays true; the answer to the holder may also be late or
+duplicated.
 """
 
 from functools import cache
@@ -21,7 +22,7 @@
 from toucanhall.shares.messages import Acknowledgement, Probe
 
 TICK = fence.WAIT_SECONDS / 2
-SLOT = 0  # of the holder; others count as usable at once, which allows more
+SLOT = 0  # of the holder; other slots are usable at once, which allows more
 NAMES = ('holder', 'near', 'far')
 HOLDER, NEAR, FAR = (Holding(name, 's1') for name in NAMES)
 RESTARTED = Holding('near', 's2')
@@ -31,9 +32,9 @@
 
 
 class State(NamedTuple):
-    """The store, the holders, and one answer on its way to the holder.
+    """The store, the holders, and one answer in transit to the holder.
 
-    The checker's states have the numbers of these parts in their place.
+    The checker's states contain the numbers of these parts instead.
     """
 
     stored: Table | int
@@ -44,7 +45,7 @@
 
 
 def freeze(found):
-    """Return a hashable form in which lapsed times are alike."""
+    """Return a hashable form in which all expired times are equal."""
     is_victim = found.own == HOLDER
     is_confirmed = is_victim and is_recent(found.read_at)
     heard = sort_heard(found.peer_states, found.table.number)
@@ -62,17 +63,17 @@
 
 
 def is_recent(at):
-    """Return whether a time has not lapsed at the present, which is 0."""
+    """Return whether a time has not expired at the present, which is 0."""
     return at is not None and at > -CONFIRM_SECONDS
 
 
 def sort(times, keeps):
-    """Return times by name that are to be kept."""
+    """Return the sorted times that a predicate keeps."""
     return tuple(sorted((key, at) for key, at in times.items() if keeps(at)))
 
 
 def sort_heard(heard, number):
-    """Return what peers said, without what is as good as unheard."""
+    """Return the states of peers that affect a decision."""
     return tuple(
         (vm, found)
         for vm, found in sorted(heard.items())
@@ -101,7 +102,7 @@
 
 
 def freeze_answer(answer, own):
-    """Return a hashable form of the answer on its way, if it is of use."""
+    """Return a hashable form of the answer in transit, if it has an effect."""
     if answer is None or not is_recent(answer[1].asked_at):
         return None
     peer, known = answer
@@ -120,7 +121,7 @@
 
 
 class Codes:
-    """Small numbers for hashable forms, so that states are quick to compare."""
+    """Small numbers for hashable forms, which makes states fast to compare."""
 
     def __init__(self):
         """Start with none."""
@@ -136,14 +137,15 @@
 
 
 class Steps:
-    """What each part of a state becomes; worked out once for equal parts.
+    """The successors of each part of a state, cached.
 
-    Each decision looks at one or two parts, and far fewer pairs of parts occur
-    than states. One object serves one run, since a run may replace decisions.
+    Each decision depends on one or two parts, and far fewer pairs of parts
+    occur than states. Each run needs its own object, since a run may patch the
+    decisions.
     """
 
     def __init__(self):
-        """Start with nothing worked out."""
+        """Create empty caches."""
         self.fences = Codes()
         self.tables = Codes()
         self.answers = Codes()
@@ -179,7 +181,7 @@
         return thaw_table(self.tables.forms[number])
 
     def put_answer(self, answer, holder):
-        """Return the number of an answer on its way to the holder."""
+        """Return the number of an answer in transit to the holder."""
         return self.answers.encode(freeze_answer(answer, self.get(holder)))
 
     def get_answer(self, number):
@@ -187,7 +189,7 @@
         return thaw_answer(self.answers.forms[number])
 
     def keep_answer(self, answer, holder):
-        """Return the answer as far as it is of use to the holder as it is."""
+        """Return the answer if it still has an effect on the holder."""
         return self.put_answer(self.get_answer(answer), holder)
 
     def age_fence(self, number):
@@ -195,7 +197,7 @@
         return self.put(age(self.get(number)))
 
     def age_answer(self, number, holder):
-        """Return an answer on its way to an aged holder after a tick."""
+        """Return an answer in transit to an aged holder after a tick."""
         answer = self.get_answer(number)
         if answer is not None:
             asked_at = answer[1].asked_at - TICK
@@ -215,7 +217,7 @@
         return self.put(told), self.put_answer((peer.own, known), holder)
 
     def hear(self, holder, answer):
-        """Return the holder that heard an answer, if there is one."""
+        """Return the holder after it received the answer, if there is one."""
         found = self.get_answer(answer)
         if found is None:
             return None
@@ -239,7 +241,7 @@
         return tuple(found)
 
     def tell(self, number, other):
-        """Return a peer that was told a taker's table, and the taker."""
+        """Return a peer that received a taker's table, and the taker."""
         own, peer = self.get(number), self.get(other)
         probe = Probe(0, own.table.number, own.table)
         told, known = fence.answer_probe(peer, own.own.start, probe, 1, 0)
@@ -265,7 +267,7 @@
 
 
 def list_steps(steps, state):
-    """Yield what can happen next, with the answer as it was."""
+    """Yield the possible steps, with the answer unchanged."""
     yield 'time passes', pass_time(steps, state)
     for name in NAMES:
         read = steps.read(getattr(state, name), state.stored)
@@ -279,7 +281,7 @@
 
 
 def pass_time(steps, state):
-    """Let the clock of all advance; the present stays 0."""
+    """Advance all clocks; the present stays 0."""
     holder = steps.age_fence(state.holder)
     return State(
         state.stored,
@@ -330,7 +332,7 @@
 
 
 def list_told(steps, state, name):
-    """Let a taker tell its table to a peer and hear that it did."""
+    """Let a taker send its table to a peer, with or without a reply."""
     for other in NAMES:
         if other == name:
             continue
--- a/tests/models/test_shares_gifts_model.py
+++ b/tests/models/test_shares_gifts_model.py
@@ -1,12 +1,13 @@
-"""Model of gifts: a giver that may die, a receiver, and lossy messages.
-
-A meter stands for the limit itself: full at B, refilling by R, debited by each
-admission. While the tokens of both and the gift under way never exceed it, no
-window admits more than B + R*t. Messages are lost, late and doubled. A tick of
-the clock is half the life of a gift on the slowest clock allowed, so that the
-receiver's clock may differ from the giver's by the whole margin. The giver
-that takes the place of a dead one starts when every gift of that is out of
-use, which the wait of the fence sees to (it is longer than a gift's life).
+"""Model of gifts; guards against admitting more than the limit.
+
+A giver that may die, a receiver, and messages that are lost, late and
+duplicated. A meter represents the limit: full at B, refilled at R, debited by
+each admission. While the tokens of both and of the gift in transit never exceed
+it, no window admits more than B + R*t. A tick is half the lifetime of a gift on
+the slowest clock allowed, so that the clocks of giver and receiver may differ
+by the whole allowed skew. The successor of a dead giver starts when all gifts
+of that giver have expired; the wait of the fence, which is longer than the
+lifetime of a gift, ensures this.
 """
 
 import math
@@ -26,13 +27,13 @@
 BURST = CAP * 2
 RATES = (0.5 / TICK, 2 / TICK)  # of each: slow and fast against gifts
 DIGITS = 6
-MAX_LAG = 6  # ticks after which a bucket is full and no gift is under way
+MAX_LAG = 6  # ticks after which a bucket is full and no gift in transit
 DOWN = 2  # ticks
 START_TOKENS = 0.0
 
 
 class State(NamedTuple):
-    """Both shares, an ask and a gift on their way, and the meter."""
+    """Both shares, a gift request and a gift in transit, and the meter."""
 
     giver: Share
     receiver: Share
@@ -62,7 +63,7 @@
 
 
 def tidy(found):
-    """Return a share in which lags that make no difference are alike."""
+    """Return a share in which lags without an effect are equal."""
     kept = found.bucket
     if kept.updated_at <= -MAX_LAG * TICK:
         kept = bucket.refill(kept, 0)
@@ -85,8 +86,8 @@
 
 
 def list_steps(state):
-    """Yield what can happen next."""
-    if state.meter < 0:  # a fault that was found is not followed further
+    """Yield the possible steps."""
+    if state.meter < 0:  # do not explore beyond a fault
         return
     yield 'time passes', pass_time(state)
     yield from list_spending(state)
@@ -120,7 +121,7 @@
 
 
 def pass_time(state):
-    """Let a tick pass; lost messages are those that grow too old."""
+    """Advance by a tick; a lost message is one that expires."""
     asked, gift = (
         message and (message[0], round(message[1] - TICK, DIGITS))
         for message in (state.asked, state.gift)
@@ -157,7 +158,7 @@
 
 
 def check(rate):
-    """Check that the stock of tokens stays within the limit."""
+    """Check that the sum of tokens stays within the limit."""
     protocol = Protocol(
         name='gifts',
         candidate=False,
@@ -182,7 +183,7 @@
 
 @pytest.fixture(autouse=True)
 def give_whole_tokens():
-    """Let a giver part with all it has, which keeps the tokens whole."""
+    """Let a giver give all its tokens, which keeps them whole numbers."""
     with mock.patch.object(bucket, '_GIFT_FRACTION', 1.0):
         yield
 
@@ -210,18 +211,18 @@
 
 
 def give_without_loan(kept, wanted, now):
-    """Debit a gift but let the room refill."""
+    """Debit a gift without reducing the capacity."""
     given, tokens = GIVE(kept, wanted, now)
     return given._replace(loans=kept.loans), tokens
 
 
 def receive_old(kept, tokens, _asked_at, now):
-    """Take a gift however old it is."""
+    """Accept a gift even if it has expired."""
     return RECEIVE(kept, tokens, now, now)
 
 
 def accept_again(found, tokens, asked_at, now):
-    """Take a gift as often as it arrives."""
+    """Accept a gift each time it arrives."""
     after = ACCEPT(found, tokens, asked_at, now)
     return after._replace(asks=found.asks)
 
--- a/tests/models/test_shares_revisions_model.py
+++ b/tests/models/test_shares_revisions_model.py
@@ -1,8 +1,9 @@
 """Model of a change of limits: zones on older and newer revisions.
 
-Each zone is one VM, which the fence lets spend only what all VMs of its zone
-agree on. It hears of revisions in any order, skips some, hears what the other
-zone confirmed late or never, and may be replaced by one that knows nothing.
+It guards against zones that spend more than the limit together. Each zone is
+modelled as one VM, as the fence allows only what all VMs of a zone agree on. It
+may skip revisions, receive the other zone's confirmations late or never, and be
+replaced by a VM without any state.
 """
 
 from typing import NamedTuple
@@ -39,7 +40,7 @@
 
 
 class Zone(NamedTuple):
-    """The revisions that a zone knows, and what it heard confirmed."""
+    """The revisions that a zone knows, and those known to be confirmed."""
 
     known: tuple[int, ...] = (1,)
     own: int = 1
@@ -65,7 +66,7 @@
 
 
 def list_steps(state):
-    """Yield what can happen next."""
+    """Yield the possible steps."""
     if state.newest < NUMBERS[-1]:
         yield 'change accepted', state._replace(newest=state.newest + 1)
     for name, other in (('north', 'south'), ('south', 'north')):
@@ -83,7 +84,7 @@
 
 
 def is_bounded(state, list_pending):
-    """Return whether the zones hold at most what may be in force."""
+    """Return whether the zones hold no more than a limit in force."""
     north = find_rate('north-a', state.north, list_pending)
     south = find_rate('south-a', state.south, list_pending)
     oldest = min(state.north.own, state.south.own)
@@ -94,7 +95,7 @@
 
 
 def check(list_pending):
-    """Check that the parts in force never sum to more than the limit."""
+    """Check that the shares in force never sum to more than the limit."""
     protocol = Protocol(
         name='revisions',
         candidate=False,
@@ -122,7 +123,7 @@
 
 
 def pass_over_unknown(known, confirmed):
-    """Hold the least of those that are known, whatever was skipped."""
+    """Use the minimum of the known revisions, even if some were skipped."""
     oldest = min(confirmed.values())
     return tuple(number for number in sorted(known) if number >= oldest)
 
--- a/tests/unit/test_shares.py
+++ b/tests/unit/test_shares.py
@@ -52,7 +52,7 @@
     assert len(find_slots(table, SECOND)) == 2
 
 
-def test_restarted_vm_takes_over_its_earlier_slots():
+def test_restarted_vm_claims_its_earlier_slots():
     live = frozenset('a')
     table = claim(Table({}), FIRST, live, 4)
     restarted = Holding('a', 's9')
@@ -61,7 +61,7 @@
     assert not len(find_slots(table, FIRST))
 
 
-def test_no_two_asks_bear_the_same_time():
+def test_no_two_gift_requests_have_the_same_time():
     share = hold(make_share(0), Limit(1, 2), 0)
     share, wanted = ask(share, 0)
     assert wanted == 2
@@ -70,14 +70,14 @@
     assert not wanted
 
 
-def test_room_kept_for_a_gift_is_not_made_up_for():
+def test_capacity_lent_to_a_gift_is_not_refilled_afterwards():
     bucket, tokens = give(Bucket(10, 0, 4, 10), 3, 0)
     assert tokens == 3
     assert refill(bucket, LOAN_SECONDS).tokens == 7
     assert refill(bucket, LOAN_SECONDS + 0.5).tokens == pytest.approx(9)
 
 
-def test_gift_is_dropped_when_it_is_too_old():
+def test_expired_gift_is_dropped():
     short = Bucket(0, 0, 0, 10)
     assert receive(short, 4, 0, GIFT_SECONDS / 2).tokens == 4
     assert receive(short, 4, 0, GIFT_SECONDS).tokens == 0
--- a/tests/unit/test_shares_histories.py
+++ b/tests/unit/test_shares_histories.py
@@ -1,7 +1,8 @@
-"""Long random histories of one zone: no window admits more than the limit.
+"""Long random histories of a zone, in which no window may exceed the limit.
 
-The VMs run the functions of the process. Their clocks differ in speed, their
-messages are lost, late and doubled, and any of them pauses, dies and restarts.
+They guard against slots or gifts that two VMs use at once. The VMs run the
+functions of the process; their clocks differ in speed, messages are lost,
+delayed and duplicated, and VMs pause, die and restart.
 """
 
 import random
@@ -18,19 +19,19 @@
 BURST = 30
 SLOT_COUNT = 6
 VMS = ('a', 'b', 'c')
-SPEEDS = {'a': 1, 'b': 1.001, 'c': 1.0019}  # within the margin for clocks
+SPEEDS = {'a': 1, 'b': 1.001, 'c': 1.0019}  # within the allowed skew
 ROUNDING = 1e-6
 
 
 class World:
-    """The zone: its store, its VMs, what is under way, and what was admitted.
+    """The zone: its store, VMs, gifts in transit and admitted requests.
 
-    `level` is how far admissions may have used up the limit: it falls by the
-    rate, rises by one for each, and above the burst some window has too many.
+    `level` falls at the rate and rises by one per admission. If it exceeds the
+    burst, some window admitted more than the limit.
     """
 
     def __init__(self, *, rate):
-        """Give each VM an even part and a full bucket."""
+        """Divide the slots evenly among the VMs."""
         self.rate = rate
         self.now = 0.0
         self.level = 0.0
@@ -53,7 +54,7 @@
         return self.now * SPEEDS[vm]
 
     def pass_time(self, _vm, _peer, amount):
-        """Let time pass; most spans are short."""
+        """Advance the time; most spans are short."""
         span = 6 * amount**8
         self.now += span
         self.under_way = [
@@ -62,7 +63,7 @@
         self.level = max(0.0, self.level - self.rate * span)
 
     def can_spend(self, vm):
-        """Size the share of a VM and return whether it is confirmed."""
+        """Resize the share of a VM and return whether it is confirmed."""
         now = self.read_clock(vm)
         slots = len(fence.find_usable(self.fences[vm], now))
         limit = Limit(
@@ -84,7 +85,7 @@
         self.worst = max(self.worst, self.level)
 
     def ask(self, vm, peer, _amount):
-        """Ask a peer, which gives at once; the gift is under way."""
+        """Request tokens of a peer, which sends a gift at once."""
         now = self.read_clock(vm)
         if peer == vm or not self.can_spend(peer):
             return
@@ -99,7 +100,7 @@
             self.under_way.append((vm, start, tokens, now))
 
     def accept(self, _vm, _peer, amount):
-        """Deliver a gift that is under way; it may come again."""
+        """Deliver a gift in transit; it may be delivered again."""
         if not self.under_way:
             return
         index = int(amount * (len(self.under_way) - 1))
@@ -120,11 +121,11 @@
                 self.spend(name, peer, 1)
 
     def pause(self, vm, _peer, _amount):
-        """Pause a VM, and resume the one that was."""
+        """Pause a VM, and resume the one that was paused."""
         self.paused = vm
 
     def resume(self, _vm, _peer, _amount):
-        """Let every VM run."""
+        """Resume the paused VM."""
         self.paused = None
 
     def read(self, vm, _peer, _amount):
@@ -153,7 +154,10 @@
         )  # fmt: skip
 
     def write(self, vm, peer, amount):
-        """Take the slots of a peer that the list dropped, or give none."""
+        """Write the plan, with all VMs live or without one peer.
+
+        A plan that releases slots of the writer is not written.
+        """
         own = self.fences[vm]
         dropped = {peer} if int(amount * 2) else set()
         live = frozenset(VMS) - dropped | {vm}
@@ -191,7 +195,7 @@
 
 
 def run_history(seed):
-    """Return the most that any window of a history admitted at once."""
+    """Return the maximum level of a history."""
     chance = random.Random(seed)
     world = World(rate=chance.choice(RATES))
     steps, weights = zip(*STEPS)
@@ -209,7 +213,7 @@
 
 
 def hold_full(held, limit, now):
-    """Return a share of which a greater part is full at once."""
+    """Return a share that is filled at once when its limit grows."""
     bucket = HOLD(held, limit, now).bucket
     if limit.burst > held.bucket.cap:
         bucket = bucket._replace(tokens=limit.burst)
--- a/tests/unit/test_shares_parts.py
+++ b/tests/unit/test_shares_parts.py
@@ -1,4 +1,4 @@
-"""Tests of the parts of a limit that slots hold."""
+"""Tests of the shares of a limit that slots hold."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -27,7 +27,7 @@
 
 
 @given(st.floats(1, 1e4), st.floats(1, 1e4), st.floats(0, 1))
-def test_parts_never_sum_to_more_than_the_limit(rate, burst, fraction):
+def test_shares_never_sum_to_more_than_the_limit(rate, burst, fraction):
     catalogue = make(rate, burst, fraction)
     held = [
         compute_min_limit([catalogue], zone, 'hostels', EVERY_SLOT)
@@ -38,7 +38,7 @@
 
 
 @given(st.floats(1, 100), st.integers(1, 256))
-def test_each_part_of_a_small_limit_holds_a_token(burst, slots):
+def test_each_share_of_a_small_limit_holds_a_token(burst, slots):
     catalogue = make(1, burst, slots=slots)
     parts = [
         limit
@@ -50,7 +50,7 @@
     assert min(limit.burst for limit in parts) >= 1
 
 
-def test_least_of_two_revisions_is_held():
+def test_minimum_of_two_revisions_is_held():
     older, newer = make(10, 1000), make(20, 400, 0.2)
     held = compute_min_limit([older, newer], 'north-a', 'hostels', EVERY_SLOT)
     assert held.rate <= 4 + 1e-9
@@ -66,5 +66,5 @@
     assert list_pending(known, confirmed.settled) == (2,)
 
 
-def test_nothing_is_held_while_a_skipped_revision_may_run():
+def test_nothing_is_held_while_an_unknown_revision_may_be_in_use():
     assert list_pending({3: make(1, 1)}, {'north-a': 2, 'south-a': 3}) == ()
--- a/toucanhall/shares/__init__.py
+++ b/toucanhall/shares/__init__.py
@@ -1,4 +1,4 @@
-"""Fleet-wide limits, divided into shares that never sum to more."""
+"""Divides fleet-wide limits into shares that never exceed them in sum."""
 
 from toucanhall.shares.ledger import Ledger
 from toucanhall.shares.slots import Holding, Table
--- a/toucanhall/shares/bucket.py
+++ b/toucanhall/shares/bucket.py
@@ -16,7 +16,7 @@
     'wait_for',
 )
 
-GIFT_SECONDS: Final = 0.25  # life of a gift on the clock of its receiver
+GIFT_SECONDS: Final = 0.25  # lifetime of a gift on the receiver's clock
 # Bound on the difference in speed of two clocks.
 MAX_CLOCK_SKEW_RATIO: Final = 0.002
 LOAN_SECONDS: Final = GIFT_SECONDS * (1 + MAX_CLOCK_SKEW_RATIO)
@@ -24,14 +24,14 @@
 
 
 class Loan(NamedTuple):
-    """Room that stays empty until a gift of so many tokens is out of use."""
+    """Capacity that stays unused until a gift of `tokens` has expired."""
 
     tokens: float
     until: float
 
 
 class Bucket(NamedTuple):
-    """Tokens at a time, with the rate in tokens/s and the most it holds."""
+    """The tokens at a time, the rate in tokens/s and the capacity `cap`."""
 
     tokens: float
     updated_at: float
@@ -43,8 +43,8 @@
 def refill(bucket: Bucket, now: float) -> Bucket:
     """Return the bucket at a later time.
 
-    It refills up to the end of each loan in turn: what did not fit while a
-    gift was under way is not made up for afterwards.
+    It is refilled up to the end of each loan in turn: tokens that exceeded the
+    reduced capacity during a loan are not added afterwards.
     """
     for loan in sorted(bucket.loans, key=lambda entry: entry.until):
         if loan.until > now:
@@ -57,7 +57,7 @@
 
 
 def resize(bucket: Bucket, rate: float, cap: float, now: float) -> Bucket:
-    """Return the bucket with another rate and cap; tokens only shrink."""
+    """Return the bucket with another rate and cap; this adds no tokens."""
     return _accrue(refill(bucket, now)._replace(rate=rate, cap=cap), now)
 
 
@@ -70,10 +70,10 @@
 
 
 def give(bucket: Bucket, wanted: float, now: float) -> tuple[Bucket, float]:
-    """Return the bucket after a gift was debited, and the tokens of it.
+    """Return the bucket after a gift was debited, and the tokens given.
 
-    The bucket keeps that room empty until the receiver has used or dropped
-    the gift.
+    The capacity of the bucket is reduced by the gift until the receiver has
+    used or dropped it.
     """
     filled = refill(bucket, now)
     tokens = max(0.0, min(wanted, filled.tokens * _GIFT_FRACTION))
@@ -91,7 +91,7 @@
     asked_at: float,
     now: float,
 ) -> Bucket:
-    """Return the bucket after a gift; one that is too old is dropped."""
+    """Return the bucket after a gift; an expired gift is dropped."""
     filled = refill(bucket, now)
     if now - asked_at >= GIFT_SECONDS:
         return filled
@@ -101,7 +101,7 @@
 
 
 def wait_for(bucket: Bucket) -> float:
-    """Return the seconds until one token is there, if ever."""
+    """Return the seconds until one token is available; 0 without a rate."""
     if bucket.rate <= 0:
         return 0.0
     return max(0.0, (1 - bucket.tokens) / bucket.rate)
--- a/toucanhall/shares/claimer.py
+++ b/toucanhall/shares/claimer.py
@@ -1,4 +1,4 @@
-"""Keeps this VM's slots in the table of its zone and sizes the ledger."""
+"""Claims slots for this VM in its zone's table and resizes the ledger."""
 
 import threading
 from collections.abc import Callable, Mapping
@@ -38,9 +38,10 @@
 __all__ = ('Claimer', 'Place', 'Surroundings')
 
 _MAX_CLAIM_ATTEMPTS: Final = 4
-_READ_INTERVAL_SECONDS: Final = 10.0  # between reads while a majority confirms
+_READ_INTERVAL_SECONDS: Final = 10.0  # while a majority confirms
 _RESIZE_INTERVAL_SECONDS: Final = 0.5
-_READ_AHEAD_SECONDS: Final = CONFIRM_SECONDS / 2  # left when a read is due
+# A read is due when less than this remains of a confirmation.
+_READ_AHEAD_SECONDS: Final = CONFIRM_SECONDS / 2
 _CONFIRM_EVENTS: Final = {
     True: events.SHARE_CONFIRMED,
     False: events.SHARE_UNCONFIRMED,
@@ -55,7 +56,7 @@
 
 
 class Surroundings(NamedTuple):
-    """Addresses of the zone's other VMs, those live, and confirmations."""
+    """Addresses of the zone's other VMs, live VMs, confirmed revisions."""
 
     peers: Mapping[str, str]
     live_vms: frozenset[str]
@@ -73,7 +74,7 @@
         ledger: Ledger,
         send: Callable[[str, Any], None],
     ) -> None:
-        """Start with no slot."""
+        """Create a claimer that holds no slot."""
         self._place = place
         self._platform = platform
         self._ledger = ledger
@@ -88,13 +89,13 @@
         self._is_confirmed = False
 
     def take_revision(self, revision: Revision) -> None:
-        """Hold the least of this revision and those that may still run."""
+        """Add a revision to those whose minimum limits apply."""
         with self._lock:
             self._known[revision.number] = revision.catalogue
         self._resize_ledger()
 
     def tick(self, around: Surroundings) -> None:
-        """Probe the peers, and read the table when that is due."""
+        """Probe the peers, and read the table if that is due."""
         with self._lock:
             self._confirmed = record_confirmed(
                 self._confirmed, around.confirmed, runtime.read_clock(),
@@ -120,7 +121,7 @@
             events.log(_CONFIRM_EVENTS[is_confirmed])
 
     def answer(self, envelope: Envelope, probe: Probe, address: str) -> None:
-        """Answer the probe of a peer."""
+        """Answer a peer's probe."""
         with self._lock:
             fence, acknowledgement = answer_probe(
                 self._fence,
@@ -135,7 +136,7 @@
     def hear(
         self, envelope: Envelope, acknowledgement: Acknowledgement
     ) -> None:
-        """Take a peer's answer to a probe."""
+        """Apply a peer's answer to a probe."""
         with self._lock:
             # A peer with a newer revision confirms nothing for an older one.
             if acknowledgement.revision > max(self._known, default=0):
@@ -163,10 +164,10 @@
         )
 
     def list_own(self) -> frozenset[int] | None:
-        """Return the slots that nobody else uses; none without a table.
+        """Return the slots that no other VM uses, or None without a table.
 
-        Limits need a confirmed fence besides. Target slots do not: a VM that
-        is cut off from all others goes on serving.
+        Limits also require a confirmed fence. Target slots do not, so that a VM
+        that is cut off from all others continues to serve.
         """
         with self._lock:
             if not self._fence.table.holdings:
@@ -259,7 +260,7 @@
 def _is_resize_due(
     fence: Fence, last_sized: tuple[float, frozenset[int]]
 ) -> bool:
-    # Sizing costs a step per team, and answers come from every peer.
+    # A resize takes time per team, and every peer sends answers.
     until = get_confirmed_until(fence) or 0
     slots = find_usable(fence, runtime.read_clock())
     until_sized, slots_sized = last_sized
@@ -281,7 +282,7 @@
     dropped: frozenset[int],
     now: float,
 ) -> Mapping[int, float]:
-    """Return since when the slots to give back are no longer used."""
+    """Return the time from which each slot to release is no longer used."""
     return {slot: released.get(slot, now) for slot in dropped}
 
 
@@ -290,7 +291,7 @@
 
 
 def decode(stored: Stored) -> Table:
-    """Return the table of a stored object, or the first empty one."""
+    """Decode the table of a stored object; without content it is empty."""
     if not stored.content:
         return Table({})
     return msgspec.json.decode(stored.content, type=Table)
--- a/toucanhall/shares/fence.py
+++ b/toucanhall/shares/fence.py
@@ -1,9 +1,10 @@
-"""When a holder may use its slots, as pure functions.
+"""Decides when a holder may use its slots, as pure functions.
 
-A holder uses its slots only while, within `CONFIRM_SECONDS`, it read its own
-entry in the table or a majority of the holders in its table knew of none newer.
-Whoever takes a slot from a holder first makes a majority of the earlier holders
-know the new table, then waits until every earlier confirmation has lapsed.
+A holder may use its slots only if, within the last `CONFIRM_SECONDS`, it read
+its own entry in the table or a majority of the holders in its table knew no
+newer table. A VM that takes a slot from a holder first ensures that a majority
+of the earlier holders knows the new table, and then waits until every earlier
+confirmation has expired.
 """
 
 import math
@@ -34,17 +35,17 @@
 
 
 class PeerState(NamedTuple):
-    """The start of a peer and the number of the table that it knew."""
+    """The start of a peer and the number of the newest table it knew."""
 
     start: str
     number: int
 
 
 class Fence(NamedTuple):
-    """What one holder knows: the table, who confirmed it, and since when.
+    """What a holder knows: the table, and which peer confirmed it when.
 
     `waiting` maps slots that were taken from a holder to the time from which
-    they may be used, or to `None` until a majority knows of it.
+    they may be used, or to `None` until a majority knows the table.
     """
 
     own: Holding
@@ -61,7 +62,7 @@
     now: float,
     usable_at_once: frozenset[int] = _NO_SLOTS,
 ) -> Fence:
-    """Return the fence with a newer table; an older one changes nothing.
+    """Return the fence with a newer table; an older one is ignored.
 
     Slots that the table gives to this holder have to wait before use, except
     those in `usable_at_once`.
@@ -70,7 +71,7 @@
         return fence
     gained = find_slots(table, fence.own) - find_slots(fence.table, fence.own)
     waiting: dict[int, float | None] = {
-        # The writer of a later table saw that a majority knew this one.
+        # The newer table was written only after a majority knew this one.
         slot: now + WAIT_SECONDS if until is None else until
         for slot, until in fence.waiting.items()
         if slot in find_slots(table, fence.own)
@@ -85,9 +86,9 @@
 def record_read(
     fence: Fence, table: Table, read_at: float, now: float
 ) -> Fence:
-    """Return the fence after the table was read, begun at `read_at`.
+    """Return the fence after a read of the table that began at `read_at`.
 
-    A store that came back with an older table confirms nothing.
+    An older table, as from a restored store, confirms nothing.
     """
     newest = adopt(fence, table, now)
     if table.number < newest.table.number:
@@ -96,7 +97,7 @@
 
 
 def make_probe(fence: Fence, vm: str, now: float) -> Probe:
-    """Return the question to a VM; the table goes along unless it knows it."""
+    """Return the probe for a VM, with the table unless the VM knows it."""
     number = fence.table.number
     peer_state = fence.peer_states.get(vm)
     knows = peer_state is not None and peer_state.number >= number
@@ -110,7 +111,7 @@
     revision: int,
     now: float,
 ) -> tuple[Fence, Acknowledgement]:
-    """Return the fence after a probe, and the answer to it."""
+    """Return the fence after a probe, and the answer to send."""
     if probe.table is not None:
         fence = adopt(fence, probe.table, now)
     number = fence.table.number
@@ -124,7 +125,10 @@
 def hear_known(
     fence: Fence, peer: Holding, answer: Acknowledgement, now: float
 ) -> Fence:
-    """Return the fence after a peer's answer to a probe of this start."""
+    """Return the fence after a peer's answer.
+
+    Answers to probes of an earlier start of this VM are ignored.
+    """
     if answer.start != fence.own.start:
         return fence
     if answer.table is not None:
@@ -145,7 +149,7 @@
 
 
 def get_confirmed_until(fence: Fence) -> float | None:
-    """Return the time up to which the slots are confirmed, if they are."""
+    """Return the time until which the slots are confirmed, if at all."""
     times = [
         confirmed_at
         for confirmed_at in (fence.read_at, _get_majority_time(fence))
@@ -174,7 +178,7 @@
     size: int,
     now: float,
 ) -> Table:
-    """Return the table to write, or the known one if there is none."""
+    """Return the table to write, or the known one if nothing changes."""
     if list_waiting(fence, now) or not is_told(fence):
         return fence.table
     return claim(fence.table, fence.own, live_vms, size)
@@ -183,7 +187,7 @@
 def is_told(fence: Fence) -> bool:
     """Return whether a majority of the previous holders knows the table.
 
-    A holder whose VM came back with another start has ended.
+    A holder whose VM restarted counts too, as it no longer uses its slots.
     """
     previous = fence.table.previous
     informed_count = sum(
--- a/toucanhall/shares/gifts.py
+++ b/toucanhall/shares/gifts.py
@@ -1,4 +1,4 @@
-"""Carries asks for unused tokens, and the gifts, between VMs of a zone."""
+"""Exchanges requests for unused tokens and gifts among a zone's VMs."""
 
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -11,7 +11,7 @@
 
 
 class Gifts:
-    """Asks the peers in turn, and answers theirs."""
+    """Sends gift requests to the peers in turn, and answers theirs."""
 
     def __init__(
         self,
@@ -21,21 +21,21 @@
         send: Callable[[str, Any], None],
         list_peers: Callable[[], Mapping[str, str]],
     ) -> None:
-        """Move tokens of the ledger between peers, listed with addresses."""
+        """Exchange tokens of the ledger with the peers, listed by address."""
         self._start = start
         self._ledger = ledger
         self._send = send
         self._list_peers = list_peers
 
     def request(self, gift_request: GiftRequest, turn: int) -> None:
-        """Send an ask to the peer whose turn it is."""
+        """Send a gift request to the peer whose turn it is."""
         peers = self._list_peers()
         if peers:
             vm = sorted(peers)[turn % len(peers)]
             self._send(peers[vm], gift_request)
 
     def give(self, envelope: Envelope, gift_request: GiftRequest) -> None:
-        """Answer an ask with what can be spared."""
+        """Answer a gift request with the tokens that can be spared."""
         address = self._list_peers().get(envelope.vm)
         if address is None:
             return
@@ -49,6 +49,6 @@
             self._send(address, gift)
 
     def accept(self, _envelope: Envelope, gift: Gift) -> None:
-        """Add a gift that was meant for this start of the VM."""
+        """Add a gift, unless it is for an earlier start of this VM."""
         if gift.start == self._start:
             self._ledger.accept(gift.team, gift.tokens, gift.asked_at)
--- a/toucanhall/shares/ledger.py
+++ b/toucanhall/shares/ledger.py
@@ -25,21 +25,21 @@
 
 
 class Ledger:
-    """The shares of this VM, one per team, and until when they are valid."""
+    """The shares of this VM, one per team, with their common expiry."""
 
     def __init__(self) -> None:
-        """Start with no share of any limit."""
+        """Create a ledger without shares."""
         self._lock = threading.Lock()
         self._shares: dict[str, Share] = {}
         self._valid_until = 0.0
         self._request: Callable[[GiftRequest, int], None] | None = None
 
     def listen(self, request: Callable[[GiftRequest, int], None]) -> None:
-        """Call a function with each ask for tokens, and its turn."""
+        """Set the function that sends gift requests; it also gets the turn."""
         self._request = request
 
     def resize(self, limits: Mapping[str, Limit], until: float) -> None:
-        """Hold a part of each team's limit, to be spent before a time."""
+        """Set the share of each team's limit, valid until a time."""
         now = runtime.read_clock()
         with self._lock:
             self._valid_until = until
@@ -49,7 +49,7 @@
             }
 
     def admit(self, team: str) -> float | None:
-        """Take one token; return `None`, or the seconds to wait for one."""
+        """Take one token; return `None`, or the retry-after if refused."""
         with self._lock:
             now = runtime.read_clock()
             if now >= self._valid_until or team not in self._shares:
@@ -62,7 +62,7 @@
         return wait
 
     def give_tokens(self, team: str, wanted: float) -> float:
-        """Debit a gift and return its tokens; none while not confirmed."""
+        """Debit a gift and return its tokens; 0 while unconfirmed."""
         with self._lock:
             now = runtime.read_clock()
             if now >= self._valid_until or team not in self._shares:
@@ -72,14 +72,14 @@
         return tokens
 
     def accept(self, team: str, tokens: float, asked_at: float) -> None:
-        """Add a gift that answers an ask of this process."""
+        """Add a gift that answers a gift request of this process."""
         with self._lock:
             now = runtime.read_clock()
             share = accept(self._get_share(team, now), tokens, asked_at, now)
             self._shares[team] = share
 
     def read(self) -> Mapping[str, Bucket]:
-        """Return the buckets as they were last used."""
+        """Return the buckets as of their last use."""
         with self._lock:
             return {team: share.bucket for team, share in self._shares.items()}
 
--- a/toucanhall/shares/messages.py
+++ b/toucanhall/shares/messages.py
@@ -8,10 +8,10 @@
 
 
 class Probe(NamedTuple):
-    """Asks a peer whether it knows of a table newer than `number`.
+    """Asks a peer whether it knows a table newer than `number`.
 
-    `asked_at` is on the clock of the asking process. The table comes along
-    when the peer is not known to have it.
+    `asked_at` is on the clock of the asking process. The table is included
+    unless the peer is known to have it.
     """
 
     asked_at: float
@@ -20,7 +20,11 @@
 
 
 class Acknowledgement(NamedTuple):
-    """Answers a probe, which it repeats; a newer table comes along."""
+    """Answers a probe.
+
+    `start`, `asked_at` and `asked` repeat the start, time and table number of
+    the probe. The table is included if it is newer than that number.
+    """
 
     start: str
     asked_at: float
@@ -39,7 +43,7 @@
 
 
 class Gift(NamedTuple):
-    """Tokens that the giver has debited, with the ask that they answer."""
+    """Tokens that the giver debited, and the request that they answer."""
 
     start: str
     team: str
--- a/toucanhall/shares/parts.py
+++ b/toucanhall/shares/parts.py
@@ -1,4 +1,7 @@
-"""Which part of each team's limit a slot holds, and the revision in between."""
+"""Computes the share of each team's limit that a slot holds.
+
+This includes the time between two revisions of the limits.
+"""
 
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
@@ -19,16 +22,16 @@
 
 
 class Limit(NamedTuple):
-    """A rate in tokens/s and the most tokens at once."""
+    """A rate in tokens/s and a burst in tokens."""
 
     rate: float
     burst: float
 
 
 def find_zone_part(catalogue: Catalogue, zone: str, team: Team) -> float:
-    """Return the part, from 0 to 1, of a team's limit that a zone holds.
+    """Return the fraction (0 to 1) of a team's limit that a zone holds.
 
-    A burst that is too small for every zone is held by a few of them.
+    A burst that is too small to be divided among all zones is held by a few.
     """
     holding_zones = _rank(team.name, catalogue.zones)
     while len(holding_zones) > 1:
@@ -61,7 +64,7 @@
     zone: str,
     team: str,
 ) -> Mapping[int, Limit]:
-    """Return what each slot of a zone holds of a team's limit."""
+    """Return the share of a team's limit for each slot of a zone."""
     found = catalogue.teams.get(team)
     if found is None or zone not in catalogue.zones:
         return {}
@@ -79,7 +82,7 @@
     team: str,
     slots: frozenset[int],
 ) -> Limit:
-    """Return what slots hold together: the least of some catalogues, each."""
+    """Return the sum over slots of the minimum limit in some catalogues."""
     found = [
         compute_slot_limits(catalogue, zone, team) for catalogue in catalogues
     ]
--- a/toucanhall/shares/revisions.py
+++ b/toucanhall/shares/revisions.py
@@ -1,4 +1,4 @@
-"""Which revisions of the limits some zone may still run."""
+"""Tracks which revisions of the limits may still be in use in a zone."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -12,8 +12,8 @@
 class Confirmed(NamedTuple):
     """The revision that each zone confirmed.
 
-    A VM that was paused does not delay what its zone confirms. `settled` holds
-    what was confirmed so long ago that such a VM has to be confirmed anew.
+    A zone confirms a revision without waiting for a paused VM. `settled` holds
+    the revisions confirmed so long ago that such a VM must be confirmed again.
     """
 
     settled: Mapping[str, int] = {}
@@ -25,7 +25,7 @@
     reported: Mapping[str, int],
     now: float,
 ) -> Confirmed:
-    """Return what is confirmed after it was heard from the zones."""
+    """Return the confirmed revisions after the zones reported theirs."""
     known = confirmed.waiting[-1][1] if confirmed.waiting else confirmed.settled
     waiting = confirmed.waiting
     if known != reported:
@@ -41,10 +41,10 @@
     known: Mapping[int, Catalogue],
     confirmed: Mapping[str, int],
 ) -> tuple[int, ...]:
-    """Return the revisions that some zone may still run, the oldest first.
+    """Return the revisions that may still be in use, the oldest first.
 
-    None are returned when an older revision may run that is not known here;
-    nothing may be spent then.
+    The result is empty if one of them is not known here; then nothing may be
+    spent.
     """
     zones = {zone for catalogue in known.values() for zone in catalogue.zones}
     oldest = min((confirmed.get(zone, 0) for zone in zones), default=0)
--- a/toucanhall/shares/share.py
+++ b/toucanhall/shares/share.py
@@ -1,4 +1,4 @@
-"""A team's tokens on one VM and its asks for gifts, as pure functions."""
+"""A team's tokens on one VM and its gift requests, as pure functions."""
 
 import math
 from typing import Final, NamedTuple
@@ -28,13 +28,15 @@
 
 _MIN_REQUEST_INTERVAL_SECONDS: Final = 0.01
 _REQUEST_BELOW_FRACTION: Final = 0.25  # of the cap
-_MIN_REQUEST_TOKENS: Final = 0.01  # tokens
+_MIN_REQUEST_TOKENS: Final = 0.01
 
 
 class Share(NamedTuple):
-    """The bucket, when its open asks were sent, and the latest of all.
+    """A bucket and its gift requests.
 
-    The time of an ask names it, so no two are sent at once. `turn` counts them.
+    `asks` are the times of the open requests and `asked_at` is that of the last
+    one. A request is identified by its time, so no two are sent at the same
+    time. `turn` counts all requests.
     """
 
     bucket: Bucket
@@ -44,14 +46,15 @@
 
 
 def make_share(now: float) -> Share:
-    """Return a share that holds no part of a limit."""
+    """Return an empty share without rate and burst."""
     return Share(Bucket(0, now, 0, 0))
 
 
 def hold(share: Share, limit: Limit, now: float) -> Share:
-    """Return the share with another part of the limit; tokens only shrink.
+    """Return the share with another limit; this adds no tokens.
 
-    A clock that is fast within the margin refills no faster than the limit.
+    The rate is reduced so that a clock that is fast within the allowed skew
+    refills no faster than the limit.
     """
     rate = limit.rate / (1 + MAX_CLOCK_SKEW_RATIO)
     bucket = resize(share.bucket, rate, limit.burst, now)
@@ -59,14 +62,14 @@
 
 
 def spend(share: Share, now: float) -> tuple[Share, float | None]:
-    """Take one token; return the share and the wait for one, if refused."""
+    """Take one token; return the share, and the wait in s if refused."""
     bucket, taken = take(share.bucket, now)
     wait = None if taken else wait_for(bucket)
     return share._replace(bucket=bucket), wait
 
 
 def ask(share: Share, now: float) -> tuple[Share, float]:
-    """Return the share after it may have asked, and the tokens asked for."""
+    """Return the share, and the tokens to request from a peer or 0."""
     bucket = refill(share.bucket, now)
     asks = tuple(at for at in share.asks if now - at < GIFT_SECONDS)
     wanted = bucket.cap - bucket.tokens
@@ -78,13 +81,13 @@
 
 
 def give_tokens(share: Share, wanted: float, now: float) -> tuple[Share, float]:
-    """Return the share after a gift was debited, and the tokens of it."""
+    """Return the share after a gift was debited, and the tokens given."""
     bucket, tokens = give(share.bucket, wanted, now)
     return share._replace(bucket=bucket), tokens
 
 
 def accept(share: Share, tokens: float, asked_at: float, now: float) -> Share:
-    """Return the share after a gift; each ask is answered once."""
+    """Return the share after a gift; only one gift per request counts."""
     if asked_at not in share.asks:
         return share
     bucket = receive(share.bucket, tokens, asked_at, now)
--- a/toucanhall/shares/slots.py
+++ b/toucanhall/shares/slots.py
@@ -1,4 +1,4 @@
-"""The slot table of a zone: which VM holds which part of every limit."""
+"""The slot table of a zone: which VM holds which share of every limit."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -7,7 +7,7 @@
 
 
 class Holding(NamedTuple):
-    """A slot is held by one start of a VM."""
+    """The holder of a slot: one start of a VM."""
 
     vm: str
     start: str
@@ -16,9 +16,9 @@
 class Table(NamedTuple):
     """The holder of each slot; a slot that is missing is free.
 
-    `number` grows by one with each write. `previous` are the holders in the
-    table before this one: a majority of them has to know of this table before
-    it is replaced, or before a slot that it takes from a holder is used.
+    `number` increases by one with each write. `previous` are the holders in the
+    preceding table: a majority of them must know this table before it is
+    replaced, or before a slot that it takes from a holder is used.
     """
 
     holdings: Mapping[int, Holding]
@@ -26,7 +26,7 @@
     previous: tuple[Holding, ...] = ()
 
     def list_holders(self) -> tuple[Holding, ...]:
-        """Return each holder once, in order."""
+        """Return the distinct holders, sorted."""
         return tuple(sorted(set(self.holdings.values())))
 
 
@@ -43,11 +43,11 @@
     live_vms: frozenset[str],
     size: int,
 ) -> Table:
-    """Return the table after a holder took what it may have.
+    """Return the table after a holder claimed its share of the slots.
 
     It takes slots that are free, held by an earlier start of the same VM, or
-    held by a VM that is not live, up to an even part of `size` slots, and
-    gives back what it holds beyond that part.
+    held by a VM that is not live, up to an even share of `size` slots, and
+    releases the slots that it holds beyond that share.
     """
     max_slots = -(-size // max(1, len(live_vms | {holder.vm})))
     holdings = {
@@ -70,7 +70,7 @@
 
 
 def make_next(table: Table, holdings: Mapping[int, Holding]) -> Table:
-    """Return the table that replaces one, or that one if nothing changed."""
+    """Return the next table, or the given one if the holdings are equal."""
     if holdings == table.holdings:
         return table
     return Table(holdings, table.number + 1, table.list_holders())
