--- a/tests/models/test_steering_model.py
+++ b/tests/models/test_steering_model.py
@@ -11,7 +11,7 @@
 from tests.builders import make_arrival, make_state
 from tests.models.reports import report_size
 from toucanhall.steering import Outcome
-from toucanhall.steering.places import Place
+from toucanhall.steering.targets import LocalTarget
 from toucanhall.steering.policy import decide
 from toucanhall.steering.records import End, Expire, Origin, Run
 
@@ -43,7 +43,8 @@
 def check_history(steps):
     """Check that no target ever runs more than its slots."""
     state = make_state(
-        Place('a', '', SLOTS_PER_TARGET), Place('b', '', SLOTS_PER_TARGET)
+        LocalTarget('a', '', SLOTS_PER_TARGET),
+        LocalTarget('b', '', SLOTS_PER_TARGET),
     )
     running = []
     origins = {}
@@ -55,9 +56,9 @@
         for effect in effects:
             if isinstance(effect, Run):
                 running.append((effect.name, origins[effect.ticket]))
-        for name, place in state.places.items():
+        for name, target in state.targets.items():
             count = sum(entry[0] == name for entry in running)
-            assert place.in_flight == count
+            assert target.in_flight == count
             assert count <= SLOTS_PER_TARGET
 
 
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -4,7 +4,7 @@
 from toucanhall.steering import Outcome
 from toucanhall.steering.ownership import divide, note_gains, select_settled
 from toucanhall.steering.peers import Distance, Peer
-from toucanhall.steering.places import Place
+from toucanhall.steering.targets import LocalTarget
 from toucanhall.steering.policy import count_spare, decide
 from toucanhall.steering.records import (
     Carry,
@@ -44,14 +44,16 @@
 
 
 def test_least_loaded_own_target_comes_first():
-    state, first = arrive(make_state(Place('a', '', 3), Place('b', '', 3)))
+    state, first = arrive(
+        make_state(LocalTarget('a', '', 3), LocalTarget('b', '', 3))
+    )
     _, second = arrive(state)
     assert {first.name, second.name} == {'a', 'b'}
 
 
 def test_full_zone_goes_to_sibling_then_region():
     state = fill(
-        make_state(Place('a', '', 1), peers=(LOCAL_PEER, REGION_PEER)), 1
+        make_state(LocalTarget('a', '', 1), peers=(LOCAL_PEER, REGION_PEER)), 1
     )
     state, first = arrive(state)
     state, second = arrive(state)
@@ -59,7 +61,7 @@
 
 
 def test_short_wait_goes_before_another_region():
-    state = fill(make_state(Place('a', '', 4), peers=(REMOTE_PEER,)), 4)
+    state = fill(make_state(LocalTarget('a', '', 4), peers=(REMOTE_PEER,)), 4)
     state, first = arrive(state, 'one')
     assert isinstance(first, Wait)
     for number in range(8):
@@ -69,7 +71,7 @@
 
 
 def test_region_without_link_bytes_gets_nothing():
-    state = fill(make_state(Place('a', '', 1), peers=(REMOTE_PEER,)), 1)
+    state = fill(make_state(LocalTarget('a', '', 1), peers=(REMOTE_PEER,)), 1)
     for number in range(8):
         state, _ = arrive(
             state, str(number), closed_regions=frozenset(('far',))
@@ -78,21 +80,21 @@
 
 
 def test_request_that_would_wait_past_its_deadline_is_refused_at_once():
-    state = fill(make_state(Place('a', '', 1)), 1)
+    state = fill(make_state(LocalTarget('a', '', 1)), 1)
     _, effect = arrive(state, expires_at=0.06)
     assert isinstance(effect, Refuse)
     assert effect.retry_after >= 1
 
 
 def test_waiting_request_runs_when_a_slot_is_free():
-    state = fill(make_state(Place('a', '', 1)), 1)
+    state = fill(make_state(LocalTarget('a', '', 1)), 1)
     state, _ = arrive(state, 'next')
     _, effects = decide(state, End('a', HEALTHY), 0.04)
     assert effects == (Run('next', 'a', ''),)
 
 
 def test_expired_request_is_refused_and_leaves_the_queue():
-    state = fill(make_state(Place('a', '', 1)), 1)
+    state = fill(make_state(LocalTarget('a', '', 1)), 1)
     state, _ = arrive(state, 'next')
     state, effects = decide(state, Expire('next'), 5)
     assert effects[0].reason == 'deadline'
@@ -100,7 +102,7 @@
 
 
 def test_circuit_opens_after_failures_and_closes_after_one_probe():
-    state = make_state(Place('a', '', 9))
+    state = make_state(LocalTarget('a', '', 9))
     for _ in range(3):
         state, effect = arrive(state)
         state, _ = decide(state, End(effect.name, FAILED), 0)
@@ -114,7 +116,7 @@
 
 
 def test_target_that_reports_idle_and_fails_is_judged_by_outcomes():
-    state = make_state(Place('a', '', 9), Place('b', '', 9))
+    state = make_state(LocalTarget('a', '', 9), LocalTarget('b', '', 9))
     state, _ = decide(state, Report('a', 0), 0)
     state, _ = decide(state, Report('b', 1), 0)
     state, first = arrive(state)
@@ -125,9 +127,11 @@
 
 
 def test_draining_target_gets_nothing_new():
-    state = make_state(Place('a', '', 9), Place('b', '', 9))
-    draining = Place('a', '', 9, draining_at=0)
-    state, _ = decide(state, Resize((draining, Place('b', '', 9)), (), 1), 0)
+    state = make_state(LocalTarget('a', '', 9), LocalTarget('b', '', 9))
+    draining = LocalTarget('a', '', 9, draining_at=0)
+    state, _ = decide(
+        state, Resize((draining, LocalTarget('b', '', 9)), (), 1), 0
+    )
     for _ in range(9):
         state, effect = arrive(state)
         assert effect.name == 'b'
@@ -136,15 +140,15 @@
 
 
 def test_new_target_starts_with_a_fraction_of_its_slots():
-    state = make_state(Place('a', '', 10))
-    places = (Place('a', '', 10), Place('b', '', 10))
-    state, _ = decide(state, Resize(places, (), 1), 0)
+    state = make_state(LocalTarget('a', '', 10))
+    targets = (LocalTarget('a', '', 10), LocalTarget('b', '', 10))
+    state, _ = decide(state, Resize(targets, (), 1), 0)
     assert count_spare(state, 0, shifting=False) == 12
     assert count_spare(state, 20, shifting=False) == 20
 
 
 def test_hop_of_another_zone_runs_only_in_free_slots():
-    state = fill(make_state(Place('a', '', 2)), 1)
+    state = fill(make_state(LocalTarget('a', '', 2)), 1)
     state, hop = arrive(state, origin=Origin.ZONE)
     _, refused = arrive(state, origin=Origin.ZONE)
     assert isinstance(hop, Run)
@@ -152,7 +156,7 @@
 
 
 def test_shift_from_other_zones_grows_under_its_cap():
-    state = make_state(Place('a', '', 100), shift_per_second=10)
+    state = make_state(LocalTarget('a', '', 100), shift_per_second=10)
     ran = 0
     for tick in range(21):
         for _ in range(20):
@@ -162,7 +166,7 @@
 
 
 def test_retries_are_a_fraction_of_successes():
-    state = make_state(Place('a', '', 9))
+    state = make_state(LocalTarget('a', '', 9))
     retried = 0
     for _ in range(100):
         state, effect = arrive(state)
@@ -175,7 +179,7 @@
 
 
 def test_flooding_team_evicts_its_own_requests():
-    state = fill(make_state(Place('a', '', 1)), 1)
+    state = fill(make_state(LocalTarget('a', '', 1)), 1)
     for number in range(40):
         state, _ = arrive(state, f'flood-{number}', team='big')
     state, effect = arrive(state, 'small', team='small')
@@ -204,7 +208,7 @@
 
 
 def test_retry_does_not_wait_for_the_target_that_failed():
-    state = make_state(Place('a', '', 9), peers=(REGION_PEER,))
+    state = make_state(LocalTarget('a', '', 9), peers=(REGION_PEER,))
     state, first = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
     state, second = arrive(state, attempts=1, passed=frozenset(('a',)))
@@ -212,7 +216,7 @@
 
 
 def test_retry_without_an_untried_target_is_refused_at_once():
-    state = make_state(Place('a', '', 9))
+    state = make_state(LocalTarget('a', '', 9))
     state, _ = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
     _, retried = arrive(state, attempts=1, passed=frozenset(('a',)))
@@ -220,7 +224,9 @@
 
 
 def test_initial_budget_allows_two_retries():
-    state = make_state(Place('a', '', 9), peers=(REGION_PEER, REMOTE_PEER))
+    state = make_state(
+        LocalTarget('a', '', 9), peers=(REGION_PEER, REMOTE_PEER)
+    )
     state, _ = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
     state, _ = arrive(state, attempts=1, passed=frozenset(('a',)))
@@ -233,7 +239,7 @@
 
 def test_target_that_refuses_connections_costs_no_retry():
     """Guards against probes of a dead target using up the retry budget."""
-    state = make_state(Place('a', '', 9), peers=(REGION_PEER,))
+    state = make_state(LocalTarget('a', '', 9), peers=(REGION_PEER,))
     state = state._replace(budget=state.budget._replace(retries=0))
     for number in range(20):
         state, _ = arrive(state, f'{number}')
@@ -250,7 +256,9 @@
 
 
 def test_attempts_that_sent_nothing_are_limited():
-    state = make_state(Place('a', '', 9), peers=(REGION_PEER, REMOTE_PEER))
+    state = make_state(
+        LocalTarget('a', '', 9), peers=(REGION_PEER, REMOTE_PEER)
+    )
     state = state._replace(budget=state.budget._replace(retries=0))
     _, effect = arrive(state, attempts=3, is_unsent=True)
     assert isinstance(effect, Refuse)
--- a/toucanhall/steering/__init__.py
+++ b/toucanhall/steering/__init__.py
@@ -2,7 +2,6 @@
 
 from toucanhall.steering.advice import Advice, AdvisedVm, advise
 from toucanhall.steering.blocks import BlockIndex
-from toucanhall.steering.places import Outcome
 from toucanhall.steering.records import Arrive, Carry, End, Origin, Refuse, Run
 from toucanhall.steering.sizes import (
     EntryVm,
@@ -11,6 +10,7 @@
     size_services,
 )
 from toucanhall.steering.steerer import Decision, Steerer
+from toucanhall.steering.targets import Outcome
 
 __all__ = (
     'Advice',
--- a/toucanhall/steering/arrivals.py
+++ b/toucanhall/steering/arrivals.py
@@ -3,11 +3,10 @@
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
-from toucanhall.steering import capacity, fairness, peers, places
+from toucanhall.steering import capacity, fairness, peers, targets
 from toucanhall.steering.budget import refill, spend
 from toucanhall.steering.fairness import Waiting
 from toucanhall.steering.peers import Distance, Peer
-from toucanhall.steering.places import Place
 from toucanhall.steering.ramps import record_arrival
 from toucanhall.steering.records import (
     Arrive,
@@ -19,8 +18,9 @@
     State,
     Wait,
 )
+from toucanhall.steering.targets import LocalTarget
 
-__all__ = ('BACK_SOON_SECONDS', 'arrive', 'place_request')
+__all__ = ('BACK_SOON_SECONDS', 'arrive', 'record_request_sent')
 
 BACK_SOON_SECONDS: Final = 1.0
 
@@ -55,10 +55,10 @@
     return state, (refusal,)
 
 
-def place_request(state: State, place: Place) -> State:
+def record_request_sent(state: State, target: LocalTarget) -> State:
     """Return the state after a request was sent to a target."""
     return state._replace(
-        places={**state.places, place.target: places.begin(place)},
+        targets={**state.targets, target.name: targets.begin(target)},
     )
 
 
@@ -122,21 +122,21 @@
     *,
     is_draining: bool,
 ) -> MaybeTransition:
-    place = places.pick(
+    target = targets.pick(
         (
-            place
-            for name, place in state.places.items()
+            target
+            for name, target in state.targets.items()
             if name not in event.passed
-            and is_draining == (place.draining_at is not None)
+            and is_draining == (target.draining_at is not None)
         ),
         now,
         may_probe=event.is_safe,
     )
-    if place is None:
+    if target is None:
         return None
     queue = fairness.record_served(state.queue, event.team, event.weight)
-    state = place_request(state._replace(queue=queue), place)
-    return state, (Run(event.ticket, place.target, place.address),)
+    state = record_request_sent(state._replace(queue=queue), target)
+    return state, (Run(event.ticket, target.name, target.address),)
 
 
 def _carry(
@@ -247,8 +247,8 @@
 
 def _has_untried_target(state: State, event: Arrive, now: float) -> bool:
     return any(
-        places.limit(place, now)
-        for name, place in state.places.items()
+        targets.limit(target, now)
+        for name, target in state.targets.items()
         if name not in event.passed
     )
 
--- a/toucanhall/steering/capacity.py
+++ b/toucanhall/steering/capacity.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from toucanhall.steering import places
+from toucanhall.steering import targets
 from toucanhall.steering.fairness import count_before
 from toucanhall.steering.records import Arrive, Origin, State
 
@@ -21,16 +21,16 @@
 def count_free(state: State, now: float) -> int:
     """Return the free slots that this VM owns."""
     return sum(
-        places.count_free(place, now)
-        for place in state.places.values()
-        if place.draining_at is None
+        targets.count_free(target, now)
+        for target in state.targets.values()
+        if target.draining_at is None
     )
 
 
 def count_usable(state: State, now: float) -> int:
     """Return the owned slots of targets that neither fail nor drain."""
     return sum(
-        places.count_usable(place, now) for place in state.places.values()
+        targets.count_usable(target, now) for target in state.targets.values()
     )
 
 
--- a/toucanhall/steering/peers.py
+++ b/toucanhall/steering/peers.py
@@ -7,7 +7,7 @@
 
 from toucanhall.steering import circuit as circuits
 from toucanhall.steering.circuit import Circuit
-from toucanhall.steering.places import Outcome
+from toucanhall.steering.targets import Outcome
 
 __all__ = ('Distance', 'Peer', 'begin', 'end', 'pick', 'pick_to_wait')
 
--- a/toucanhall/steering/policy.py
+++ b/toucanhall/steering/policy.py
@@ -3,11 +3,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, TypeAlias
 
-from toucanhall.steering import arrivals, capacity, peers, places
-from toucanhall.steering.fairness import drop
+from toucanhall.steering import arrivals, capacity, peers, targets
 from toucanhall.steering.budget import earn
+from toucanhall.steering.fairness import drop
 from toucanhall.steering.peers import Peer
-from toucanhall.steering.places import Place
 from toucanhall.steering.ramps import advance
 from toucanhall.steering.records import (
     Effect,
@@ -21,6 +20,7 @@
     Resize,
     State,
 )
+from toucanhall.steering.targets import LocalTarget
 from toucanhall.steering.waiting import serve
 
 __all__ = ('count_spare', 'decide')
@@ -56,7 +56,7 @@
 
 def _end(state: State, event: End, now: float) -> Transition:
     peer = state.peers.get(event.name)
-    place = state.places.get(event.name)
+    target = state.targets.get(event.name)
     if peer is not None:
         peer = peers.end(
             peer,
@@ -65,11 +65,11 @@
             now,
         )
         ended = state._replace(peers={**state.peers, event.name: peer})
-    elif place is not None:
-        place = places.end(place, event.outcome, now)
+    elif target is not None:
+        target = targets.end(target, event.outcome, now)
         ended = state._replace(
-            places={**state.places, event.name: place},
-            latency=places.update_mean_latency(state.latency, event.outcome),
+            targets={**state.targets, event.name: target},
+            latency=targets.update_mean_latency(state.latency, event.outcome),
         )
     else:
         ended = state
@@ -96,23 +96,23 @@
 
 
 def _report(state: State, event: Report, now: float) -> Transition:
-    place = state.places.get(event.target)
-    if place is None:
+    target = state.targets.get(event.target)
+    if target is None:
         return state, ()
-    updated = place._replace(reported=event.busy, reported_at=now)
-    return state._replace(places={**state.places, event.target: updated}), ()
+    updated = target._replace(reported=event.busy, reported_at=now)
+    return state._replace(targets={**state.targets, event.target: updated}), ()
 
 
 def _resize(state: State, event: Resize, now: float) -> Transition:
     cold_at = now if state.is_sized else None
     resized = state._replace(
         is_sized=True,
-        places={
-            place.target: _merge_place(
-                state.places.get(place.target),
-                place._replace(cold_at=cold_at),
+        targets={
+            target.name: _merge_target(
+                state.targets.get(target.name),
+                target._replace(cold_at=cold_at),
             )
-            for place in event.places
+            for target in event.targets
         }
         | _list_removed_busy(state, event),
         peers={
@@ -126,14 +126,16 @@
     return serve(resized, now)
 
 
-def _merge_place(known: Place | None, place: Place) -> Place:
-    if known is None or known.address != place.address:
-        return place
-    was_drained = known.draining_at is not None and place.draining_at is None
+def _merge_target(
+    known: LocalTarget | None, target: LocalTarget
+) -> LocalTarget:
+    if known is None or known.address != target.address:
+        return target
+    was_drained = known.draining_at is not None and target.draining_at is None
     return known._replace(
-        slots=place.slots,
-        draining_at=_keep_earlier(known.draining_at, place.draining_at),
-        cold_at=place.cold_at if was_drained else known.cold_at,
+        slots=target.slots,
+        draining_at=_keep_earlier(known.draining_at, target.draining_at),
+        cold_at=target.cold_at if was_drained else known.cold_at,
     )
 
 
@@ -149,12 +151,12 @@
     return known
 
 
-def _list_removed_busy(state: State, event: Resize) -> dict[str, Place]:
-    named = {place.target for place in event.places}
+def _list_removed_busy(state: State, event: Resize) -> dict[str, LocalTarget]:
+    named = {target.name for target in event.targets}
     return {
-        name: place._replace(slots=0)
-        for name, place in state.places.items()
-        if name not in named and place.in_flight
+        name: target._replace(slots=0)
+        for name, target in state.targets.items()
+        if name not in named and target.in_flight
     }
 
 
--- a/toucanhall/steering/records.py
+++ b/toucanhall/steering/records.py
@@ -7,8 +7,8 @@
 from toucanhall.steering.budget import Budget
 from toucanhall.steering.fairness import Queue
 from toucanhall.steering.peers import Peer
-from toucanhall.steering.places import Outcome, Place
 from toucanhall.steering.ramps import Ramp
+from toucanhall.steering.targets import LocalTarget, Outcome
 
 __all__ = (
     'Arrive',
@@ -42,7 +42,7 @@
     the moving mean of healthy requests, in seconds.
     """
 
-    places: Mapping[str, Place]
+    targets: Mapping[str, LocalTarget]
     peers: Mapping[str, Peer]
     queue: Queue = Queue()
     budget: Budget = Budget()
@@ -103,7 +103,7 @@
     Counters and circuits of targets and peers already in the state are kept.
     """
 
-    places: tuple[Place, ...]
+    targets: tuple[LocalTarget, ...]
     peers: tuple[Peer, ...]
     shift_per_second: float
 
--- a/toucanhall/steering/sizes.py
+++ b/toucanhall/steering/sizes.py
@@ -7,8 +7,8 @@
 from toucanhall.steering import links
 from toucanhall.steering.ownership import divide, select_targets
 from toucanhall.steering.peers import Distance, Peer
-from toucanhall.steering.places import Place
 from toucanhall.steering.records import Resize
+from toucanhall.steering.targets import LocalTarget
 
 __all__ = ('EntryVm', 'OwnedSlots', 'size_links', 'size_services')
 
@@ -39,11 +39,14 @@
     sizes: dict[str, Resize] = {}
     for service, zones in _list_serving(catalogue).items():
         targets = own.get(service, ())
-        places = tuple(_list_places(catalogue, owned, targets, now))
+        local_targets = tuple(
+            _list_local_targets(catalogue, owned, targets, now)
+        )
         sizes[service] = Resize(
-            places,
+            local_targets,
             tuple(_list_peers(catalogue, owned.zone, hops, zones)),
-            catalogue.shift_share * sum(place.slots for place in places),
+            catalogue.shift_share
+            * sum(local_target.slots for local_target in local_targets),
         )
     return sizes
 
@@ -78,15 +81,15 @@
     return target.name in drains.targets or target.zone in drains.zones
 
 
-def _list_places(
+def _list_local_targets(
     catalogue: Catalogue,
     owned: OwnedSlots,
     targets: tuple[Target, ...],
     now: float,
-) -> Iterator[Place]:
+) -> Iterator[LocalTarget]:
     owned_counts = divide(targets, owned.held, catalogue.slots_per_zone)
     for target in targets:
-        yield Place(
+        yield LocalTarget(
             target.name,
             target.address,
             owned_counts[target.name],
--- a/toucanhall/steering/waiting.py
+++ b/toucanhall/steering/waiting.py
@@ -2,7 +2,7 @@
 
 from typing import TypeAlias
 
-from toucanhall.steering import arrivals, places
+from toucanhall.steering import arrivals, targets
 from toucanhall.steering.fairness import pop
 from toucanhall.steering.records import Effect, Refuse, Run, State
 
@@ -15,16 +15,16 @@
     """Send waiting requests to free targets, the smallest tag first."""
     effects: list[Effect] = []
     while state.queue.waiting:
-        place = places.pick(
+        target = targets.pick(
             (
-                place
-                for place in state.places.values()
-                if place.draining_at is None
+                target
+                for target in state.targets.values()
+                if target.draining_at is None
             ),
             now,
             may_probe=False,
         )
-        if place is None:
+        if target is None:
             break
         queue, first = pop(state.queue)
         state = state._replace(queue=queue)
@@ -33,6 +33,6 @@
                 Refuse(first.ticket, 'deadline', arrivals.BACK_SOON_SECONDS),
             )
             continue
-        state = arrivals.place_request(state, place)
-        effects.append(Run(first.ticket, place.target, place.address))
+        state = arrivals.record_request_sent(state, target)
+        effects.append(Run(first.ticket, target.name, target.address))
     return state, tuple(effects)
