--- a/tests/models/test_steering_model.py
+++ b/tests/models/test_steering_model.py
@@ -1,4 +1,7 @@
-"""Model of admission: any order of requests, hops, ends and faults."""
+"""Random histories of requests, hops, ends and faults.
+
+They guard against overloaded targets, whatever the order of the events.
+"""
 
 import time
 
@@ -8,11 +11,11 @@
 from tests.builders import make_arrival, make_state
 from tests.models.reports import report_size
 from toucanhall.steering import Outcome
-from toucanhall.steering.places import Place
+from toucanhall.steering.targets import LocalTarget
 from toucanhall.steering.policy import decide
 from toucanhall.steering.records import End, Expire, Origin, Run
 
-SLOTS = 3
+SLOTS_PER_TARGET = 3
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(('arrive', 'end', 'expire')),
@@ -39,7 +42,10 @@
 
 def check_history(steps):
     """Check that no target ever runs more than its slots."""
-    state = make_state(Place('a', '', SLOTS), Place('b', '', SLOTS))
+    state = make_state(
+        LocalTarget('a', '', SLOTS_PER_TARGET),
+        LocalTarget('b', '', SLOTS_PER_TARGET),
+    )
     running = []
     origins = {}
     now = 0
@@ -50,10 +56,10 @@
         for effect in effects:
             if isinstance(effect, Run):
                 running.append((effect.name, origins[effect.ticket]))
-        for name, place in state.places.items():
+        for name, target in state.targets.items():
             count = sum(entry[0] == name for entry in running)
-            assert place.in_flight == count
-            assert count <= SLOTS
+            assert target.in_flight == count
+            assert count <= SLOTS_PER_TARGET
 
 
 def test_no_order_of_events_overloads_a_target():
--- a/tests/unit/test_shares_histories.py
+++ b/tests/unit/test_shares_histories.py
@@ -1,7 +1,8 @@
-"""Long random histories of one zone: no window admits more than the limit.
+"""Long random histories of a zone, in which no window may exceed the limit.
 
-The VMs run the functions of the process. Their clocks differ in speed, their
-messages are lost, late and doubled, and any of them pauses, dies and restarts.
+They guard against slots or gifts that two VMs use at once. The VMs run the
+functions of the process; their clocks differ in speed, messages are lost,
+delayed and duplicated, and VMs pause, die and restart.
 """
 
 import random
@@ -16,28 +17,30 @@
 
 RATES = (2, 120)  # the burst refills in 15 s, or in the life of a gift
 BURST = 30
-SIZE = 6
+SLOT_COUNT = 6
 VMS = ('a', 'b', 'c')
-SPEEDS = {'a': 1, 'b': 1.001, 'c': 1.0019}  # within the margin for clocks
+SPEEDS = {'a': 1, 'b': 1.001, 'c': 1.0019}  # within the allowed skew
 ROUNDING = 1e-6
 
 
 class World:
-    """The zone: its store, its VMs, what is under way, and what was admitted.
+    """The zone: its store, VMs, gifts in transit and admitted requests.
 
-    `level` is how far admissions may have used up the limit: it falls by the
-    rate, rises by one for each, and above the burst some window has too many.
+    `level` falls at the rate and rises by one per admission. If it exceeds the
+    burst, some window admitted more than the limit.
     """
 
     def __init__(self, *, rate):
-        """Give each VM an even part and a full bucket."""
+        """Divide the slots evenly among the VMs."""
         self.rate = rate
         self.now = 0.0
         self.level = 0.0
         self.worst = 0.0
         self.starts = 1
         holders = [Holding(name, 's1') for name in VMS]
-        holdings = {slot: holders[slot % len(VMS)] for slot in range(SIZE)}
+        holdings = {
+            slot: holders[slot % len(VMS)] for slot in range(SLOT_COUNT)
+        }
         self.stored = Table(holdings, 1, tuple(holders))
         self.fences = {
             holder.vm: fence.Fence(holder, self.stored) for holder in holders
@@ -51,7 +54,7 @@
         return self.now * SPEEDS[vm]
 
     def pass_time(self, _vm, _peer, amount):
-        """Let time pass; most spans are short."""
+        """Advance the time; most spans are short."""
         span = 6 * amount**8
         self.now += span
         self.under_way = [
@@ -60,12 +63,14 @@
         self.level = max(0.0, self.level - self.rate * span)
 
     def can_spend(self, vm):
-        """Size the share of a VM and return whether it is confirmed."""
+        """Resize the share of a VM and return whether it is confirmed."""
         now = self.read_clock(vm)
         slots = len(fence.find_usable(self.fences[vm], now))
-        limit = Limit(self.rate * slots / SIZE, BURST * slots / SIZE)
+        limit = Limit(
+            self.rate * slots / SLOT_COUNT, BURST * slots / SLOT_COUNT
+        )
         self.shares[vm] = share.hold(self.shares[vm], limit, now)
-        until = fence.read_until(self.fences[vm])
+        until = fence.get_confirmed_until(self.fences[vm])
         return until is not None and now < until
 
     def spend(self, vm, _peer, amount):
@@ -80,7 +85,7 @@
         self.worst = max(self.worst, self.level)
 
     def ask(self, vm, peer, _amount):
-        """Ask a peer, which gives at once; the gift is under way."""
+        """Request tokens of a peer, which sends a gift at once."""
         now = self.read_clock(vm)
         if peer == vm or not self.can_spend(peer):
             return
@@ -95,7 +100,7 @@
             self.under_way.append((vm, start, tokens, now))
 
     def accept(self, _vm, _peer, amount):
-        """Deliver a gift that is under way; it may come again."""
+        """Deliver a gift in transit; it may be delivered again."""
         if not self.under_way:
             return
         index = int(amount * (len(self.under_way) - 1))
@@ -116,17 +121,17 @@
                 self.spend(name, peer, 1)
 
     def pause(self, vm, _peer, _amount):
-        """Pause a VM, and resume the one that was."""
+        """Pause a VM, and resume the one that was paused."""
         self.paused = vm
 
     def resume(self, _vm, _peer, _amount):
-        """Let every VM run."""
+        """Resume the paused VM."""
         self.paused = None
 
     def read(self, vm, _peer, _amount):
         """Read the slot table."""
         now = self.read_clock(vm)
-        self.fences[vm] = fence.note_read(
+        self.fences[vm] = fence.record_read(
             self.fences[vm], self.stored, now, now,
         )  # fmt: skip
 
@@ -136,25 +141,28 @@
             return
         now = self.read_clock(vm)
         own = self.fences[vm]
-        told, known = fence.answer_probe(
+        informed, answer = fence.answer_probe(
             self.fences[peer],
             own.own.start,
             fence.make_probe(own, peer, now),
             1,
             self.read_clock(peer),
         )
-        self.fences[peer] = told
+        self.fences[peer] = informed
         self.fences[vm] = fence.hear_known(
-            own, told.own, known, now,
+            own, informed.own, answer, now,
         )  # fmt: skip
 
     def write(self, vm, peer, amount):
-        """Take the slots of a peer that the list dropped, or give none."""
+        """Write the plan, with all VMs live or without one peer.
+
+        A plan that releases slots of the writer is not written.
+        """
         own = self.fences[vm]
         dropped = {peer} if int(amount * 2) else set()
         live = frozenset(VMS) - dropped | {vm}
         now = self.read_clock(vm)
-        planned = fence.plan(own, live, SIZE, now)
+        planned = fence.plan(own, live, SLOT_COUNT, now)
         slots = fence.find_slots(own.table, own.own)
         gives_back = slots - fence.find_slots(planned, own.own)
         if own.table.number == self.stored.number and not gives_back:
@@ -181,19 +189,19 @@
     (World.pause, 0.5),
     (World.resume, 0.5),
 )
-ALWAYS = (World.pass_time, World.drain, World.resume)
-LENGTH = 3000
-MOST_HISTORIES = 60
+STEPS_DURING_PAUSE = (World.pass_time, World.drain, World.resume)
+STEPS_PER_HISTORY = 3000
+MAX_HISTORIES = 60
 
 
 def run_history(seed):
-    """Return the most that any window of a history admitted at once."""
+    """Return the maximum level of a history."""
     chance = random.Random(seed)
     world = World(rate=chance.choice(RATES))
     steps, weights = zip(*STEPS)
-    for step in chance.choices(steps, weights, k=LENGTH):
+    for step in chance.choices(steps, weights, k=STEPS_PER_HISTORY):
         vm, peer = chance.choice(VMS), chance.choice(VMS)
-        if step in ALWAYS or world.paused not in {vm, peer}:
+        if step in STEPS_DURING_PAUSE or world.paused not in {vm, peer}:
             step(world, vm, peer, chance.random())
     return world.worst
 
@@ -205,7 +213,7 @@
 
 
 def hold_full(held, limit, now):
-    """Return a share of which a greater part is full at once."""
+    """Return a share that is filled at once when its limit grows."""
     bucket = HOLD(held, limit, now).bucket
     if limit.burst > held.bucket.cap:
         bucket = bucket._replace(tokens=limit.burst)
@@ -226,6 +234,6 @@
     with mock.patch.object(module, guard, broken):
         found = any(
             run_history(seed) > BURST + ROUNDING
-            for seed in range(MOST_HISTORIES)
+            for seed in range(MAX_HISTORIES)
         )
     assert found
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -4,7 +4,7 @@
 from toucanhall.steering import Outcome
 from toucanhall.steering.ownership import divide, note_gains, select_settled
 from toucanhall.steering.peers import Distance, Peer
-from toucanhall.steering.places import Place
+from toucanhall.steering.targets import LocalTarget
 from toucanhall.steering.policy import count_spare, decide
 from toucanhall.steering.records import (
     Carry,
@@ -18,15 +18,19 @@
     Wait,
 )
 
-SIBLING = Peer('own-2', 'own', 'near', '127.2.0.2:8080', Distance.ZONE)
-NEAR = Peer('near-1', 'near-b', 'near', '127.2.0.3:8080', Distance.REGION)
-FAR = Peer('far-1', 'far-a', 'far', '127.2.0.4:8080', Distance.FAR)
+LOCAL_PEER = Peer('own-2', 'own', 'near', '127.2.0.2:8080', Distance.ZONE)
+REGION_PEER = Peer(
+    'near-1', 'near-b', 'near', '127.2.0.3:8080', Distance.REGION
+)
+REMOTE_PEER = Peer(
+    'far-1', 'far-a', 'far', '127.2.0.4:8080', Distance.OTHER_REGION
+)
 HEALTHY = Outcome(healthy=True, seconds=0.04)
 FAILED = Outcome(healthy=False)
 
 
 def arrive(state, ticket='t', now=0, **changes):
-    """Decide on one arrival; return the state and the last effect."""
+    """Apply one arrival; return the state and its last effect."""
     state, effects = decide(state, make_arrival(ticket, **changes), now)
     return state, effects[-1]
 
@@ -40,20 +44,24 @@
 
 
 def test_least_loaded_own_target_comes_first():
-    state, first = arrive(make_state(Place('a', '', 3), Place('b', '', 3)))
+    state, first = arrive(
+        make_state(LocalTarget('a', '', 3), LocalTarget('b', '', 3))
+    )
     _, second = arrive(state)
     assert {first.name, second.name} == {'a', 'b'}
 
 
 def test_full_zone_goes_to_sibling_then_region():
-    state = fill(make_state(Place('a', '', 1), peers=(SIBLING, NEAR)), 1)
+    state = fill(
+        make_state(LocalTarget('a', '', 1), peers=(LOCAL_PEER, REGION_PEER)), 1
+    )
     state, first = arrive(state)
     state, second = arrive(state)
     assert [first.name, second.name] == ['own-2', 'near-1']
 
 
 def test_short_wait_goes_before_another_region():
-    state = fill(make_state(Place('a', '', 4), peers=(FAR,)), 4)
+    state = fill(make_state(LocalTarget('a', '', 4), peers=(REMOTE_PEER,)), 4)
     state, first = arrive(state, 'one')
     assert isinstance(first, Wait)
     for number in range(8):
@@ -63,7 +71,7 @@
 
 
 def test_region_without_link_bytes_gets_nothing():
-    state = fill(make_state(Place('a', '', 1), peers=(FAR,)), 1)
+    state = fill(make_state(LocalTarget('a', '', 1), peers=(REMOTE_PEER,)), 1)
     for number in range(8):
         state, _ = arrive(
             state, str(number), closed_regions=frozenset(('far',))
@@ -71,30 +79,30 @@
     assert state.peers['far-1'].in_flight == 0
 
 
-def test_request_that_cannot_make_it_is_refused_at_once():
-    state = fill(make_state(Place('a', '', 1)), 1)
+def test_request_that_would_wait_past_its_deadline_is_refused_at_once():
+    state = fill(make_state(LocalTarget('a', '', 1)), 1)
     _, effect = arrive(state, expires_at=0.06)
     assert isinstance(effect, Refuse)
     assert effect.retry_after >= 1
 
 
 def test_waiting_request_runs_when_a_slot_is_free():
-    state = fill(make_state(Place('a', '', 1)), 1)
+    state = fill(make_state(LocalTarget('a', '', 1)), 1)
     state, _ = arrive(state, 'next')
     _, effects = decide(state, End('a', HEALTHY), 0.04)
     assert effects == (Run('next', 'a', ''),)
 
 
-def test_expired_request_gets_its_final_answer():
-    state = fill(make_state(Place('a', '', 1)), 1)
+def test_expired_request_is_refused_and_leaves_the_queue():
+    state = fill(make_state(LocalTarget('a', '', 1)), 1)
     state, _ = arrive(state, 'next')
     state, effects = decide(state, Expire('next'), 5)
     assert effects[0].reason == 'deadline'
     assert not state.queue.waiting
 
 
-def test_circuit_opens_and_comes_back_by_one_probe():
-    state = make_state(Place('a', '', 9))
+def test_circuit_opens_after_failures_and_closes_after_one_probe():
+    state = make_state(LocalTarget('a', '', 9))
     for _ in range(3):
         state, effect = arrive(state)
         state, _ = decide(state, End(effect.name, FAILED), 0)
@@ -108,7 +116,7 @@
 
 
 def test_target_that_reports_idle_and_fails_is_judged_by_outcomes():
-    state = make_state(Place('a', '', 9), Place('b', '', 9))
+    state = make_state(LocalTarget('a', '', 9), LocalTarget('b', '', 9))
     state, _ = decide(state, Report('a', 0), 0)
     state, _ = decide(state, Report('b', 1), 0)
     state, first = arrive(state)
@@ -119,9 +127,11 @@
 
 
 def test_draining_target_gets_nothing_new():
-    state = make_state(Place('a', '', 9), Place('b', '', 9))
-    draining = Place('a', '', 9, draining_at=0)
-    state, _ = decide(state, Resize((draining, Place('b', '', 9)), (), 1), 0)
+    state = make_state(LocalTarget('a', '', 9), LocalTarget('b', '', 9))
+    draining = LocalTarget('a', '', 9, draining_at=0)
+    state, _ = decide(
+        state, Resize((draining, LocalTarget('b', '', 9)), (), 1), 0
+    )
     for _ in range(9):
         state, effect = arrive(state)
         assert effect.name == 'b'
@@ -129,16 +139,16 @@
     assert isinstance(late, Wait)
 
 
-def test_new_target_starts_slowly():
-    state = make_state(Place('a', '', 10))
-    places = (Place('a', '', 10), Place('b', '', 10))
-    state, _ = decide(state, Resize(places, (), 1), 0)
+def test_new_target_starts_with_a_fraction_of_its_slots():
+    state = make_state(LocalTarget('a', '', 10))
+    targets = (LocalTarget('a', '', 10), LocalTarget('b', '', 10))
+    state, _ = decide(state, Resize(targets, (), 1), 0)
     assert count_spare(state, 0, shifting=False) == 12
     assert count_spare(state, 20, shifting=False) == 20
 
 
-def test_hop_of_another_zone_runs_only_in_spare_room():
-    state = fill(make_state(Place('a', '', 2)), 1)
+def test_hop_of_another_zone_runs_only_in_free_slots():
+    state = fill(make_state(LocalTarget('a', '', 2)), 1)
     state, hop = arrive(state, origin=Origin.ZONE)
     _, refused = arrive(state, origin=Origin.ZONE)
     assert isinstance(hop, Run)
@@ -146,7 +156,7 @@
 
 
 def test_shift_from_other_zones_grows_under_its_cap():
-    state = make_state(Place('a', '', 100), shift_per_second=10)
+    state = make_state(LocalTarget('a', '', 100), shift_per_second=10)
     ran = 0
     for tick in range(21):
         for _ in range(20):
@@ -156,7 +166,7 @@
 
 
 def test_retries_are_a_fraction_of_successes():
-    state = make_state(Place('a', '', 9))
+    state = make_state(LocalTarget('a', '', 9))
     retried = 0
     for _ in range(100):
         state, effect = arrive(state)
@@ -168,8 +178,8 @@
     assert retried <= 0.1 * 100
 
 
-def test_flooding_team_pushes_out_its_own_requests():
-    state = fill(make_state(Place('a', '', 1)), 1)
+def test_flooding_team_evicts_its_own_requests():
+    state = fill(make_state(LocalTarget('a', '', 1)), 1)
     for number in range(40):
         state, _ = arrive(state, f'flood-{number}', team='big')
     state, effect = arrive(state, 'small', team='small')
@@ -189,7 +199,7 @@
         assert total == target.slots
 
 
-def test_gained_slots_are_used_once_their_holder_knows():
+def test_gained_slots_are_used_only_after_the_settling_time():
     gained = note_gains({}, frozenset((1,)), 0)
     gained = note_gains(gained, frozenset((1, 2)), 2)
     assert select_settled(gained, 3) == {1}
@@ -198,36 +208,38 @@
 
 
 def test_retry_does_not_wait_for_the_target_that_failed():
-    state = make_state(Place('a', '', 9), peers=(NEAR,))
+    state = make_state(LocalTarget('a', '', 9), peers=(REGION_PEER,))
     state, first = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
     state, second = arrive(state, attempts=1, passed=frozenset(('a',)))
-    assert (first.name, second.name) == ('a', NEAR.vm)
+    assert (first.name, second.name) == ('a', REGION_PEER.vm)
 
 
-def test_retry_without_any_other_way_is_refused_at_once():
-    state = make_state(Place('a', '', 9))
+def test_retry_without_an_untried_target_is_refused_at_once():
+    state = make_state(LocalTarget('a', '', 9))
     state, _ = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
     _, retried = arrive(state, attempts=1, passed=frozenset(('a',)))
     assert isinstance(retried, Refuse)
 
 
-def test_fresh_vm_may_try_two_more_ways():
-    state = make_state(Place('a', '', 9), peers=(NEAR, FAR))
+def test_initial_budget_allows_two_retries():
+    state = make_state(
+        LocalTarget('a', '', 9), peers=(REGION_PEER, REMOTE_PEER)
+    )
     state, _ = arrive(state)
     state, _ = decide(state, End('a', FAILED), 0)
     state, _ = arrive(state, attempts=1, passed=frozenset(('a',)))
     bounced = Outcome(healthy=None)
-    state, _ = decide(state, End(NEAR.vm, bounced, spare=0), 0)
-    passed = frozenset(('a', NEAR.vm))
+    state, _ = decide(state, End(REGION_PEER.vm, bounced, spare=0), 0)
+    passed = frozenset(('a', REGION_PEER.vm))
     _, third = arrive(state, attempts=2, passed=passed, is_bounced=True)
-    assert third.name == FAR.vm
+    assert third.name == REMOTE_PEER.vm
 
 
 def test_target_that_refuses_connections_costs_no_retry():
-    """Load pattern: the circuit of a dead target lets a probe through."""
-    state = make_state(Place('a', '', 9), peers=(NEAR,))
+    """Guards against probes of a dead target using up the retry budget."""
+    state = make_state(LocalTarget('a', '', 9), peers=(REGION_PEER,))
     state = state._replace(budget=state.budget._replace(retries=0))
     for number in range(20):
         state, _ = arrive(state, f'{number}')
@@ -240,11 +252,13 @@
             passed=frozenset(('a',)),
         )
         assert isinstance(second, Carry)
-        state, _ = decide(state, End(NEAR.vm, HEALTHY, spare=9), 0)
+        state, _ = decide(state, End(REGION_PEER.vm, HEALTHY, spare=9), 0)
 
 
-def test_attempts_that_sent_nothing_come_to_an_end():
-    state = make_state(Place('a', '', 9), peers=(NEAR, FAR))
+def test_attempts_that_sent_nothing_are_limited():
+    state = make_state(
+        LocalTarget('a', '', 9), peers=(REGION_PEER, REMOTE_PEER)
+    )
     state = state._replace(budget=state.budget._replace(retries=0))
     _, effect = arrive(state, attempts=3, is_unsent=True)
     assert isinstance(effect, Refuse)
--- a/toucanhall/shares/bucket.py
+++ b/toucanhall/shares/bucket.py
@@ -4,7 +4,7 @@
 
 __all__ = (
     'Bucket',
-    'CLOCK_MARGIN',
+    'MAX_CLOCK_SKEW_RATIO',
     'GIFT_SECONDS',
     'LOAN_SECONDS',
     'Loan',
@@ -16,21 +16,22 @@
     'wait_for',
 )
 
-GIFT_SECONDS: Final = 0.25  # life of a gift on the clock of its receiver
-CLOCK_MARGIN: Final = 0.002  # bound on the difference in speed of two clocks
-LOAN_SECONDS: Final = GIFT_SECONDS * (1 + CLOCK_MARGIN)
-_SPARE_PART: Final = 0.35  # of its tokens that a giver parts with
+GIFT_SECONDS: Final = 0.25  # lifetime of a gift on the receiver's clock
+# Bound on the difference in speed of two clocks.
+MAX_CLOCK_SKEW_RATIO: Final = 0.002
+LOAN_SECONDS: Final = GIFT_SECONDS * (1 + MAX_CLOCK_SKEW_RATIO)
+_GIFT_FRACTION: Final = 0.35  # of the giver's tokens
 
 
 class Loan(NamedTuple):
-    """Room that stays empty until a gift of so many tokens is out of use."""
+    """Capacity that stays unused until a gift of `tokens` has expired."""
 
     tokens: float
     until: float
 
 
 class Bucket(NamedTuple):
-    """Tokens at a time, with the rate in tokens/s and the most it holds."""
+    """The tokens at a time, the rate in tokens/s and the capacity `cap`."""
 
     tokens: float
     updated_at: float
@@ -42,21 +43,21 @@
 def refill(bucket: Bucket, now: float) -> Bucket:
     """Return the bucket at a later time.
 
-    It refills up to the end of each loan in turn: what did not fit while a
-    gift was under way is not made up for afterwards.
+    It is refilled up to the end of each loan in turn: tokens that exceeded the
+    reduced capacity during a loan are not added afterwards.
     """
     for loan in sorted(bucket.loans, key=lambda entry: entry.until):
         if loan.until > now:
             break
         bucket = _accrue(bucket, loan.until)
         bucket = bucket._replace(
-            loans=tuple(kept for kept in bucket.loans if kept is not loan),
+            loans=tuple(other for other in bucket.loans if other is not loan),
         )
     return _accrue(bucket, now)
 
 
 def resize(bucket: Bucket, rate: float, cap: float, now: float) -> Bucket:
-    """Return the bucket with another rate and cap; tokens only shrink."""
+    """Return the bucket with another rate and cap; this adds no tokens."""
     return _accrue(refill(bucket, now)._replace(rate=rate, cap=cap), now)
 
 
@@ -69,13 +70,13 @@
 
 
 def give(bucket: Bucket, wanted: float, now: float) -> tuple[Bucket, float]:
-    """Return the bucket after a gift was debited, and the tokens of it.
+    """Return the bucket after a gift was debited, and the tokens given.
 
-    The bucket keeps that room empty until the receiver has used or dropped
-    the gift.
+    The capacity of the bucket is reduced by the gift until the receiver has
+    used or dropped it.
     """
     filled = refill(bucket, now)
-    tokens = max(0.0, min(wanted, filled.tokens * _SPARE_PART))
+    tokens = max(0.0, min(wanted, filled.tokens * _GIFT_FRACTION))
     loan = Loan(tokens, now + LOAN_SECONDS)
     debited = filled._replace(
         tokens=filled.tokens - tokens,
@@ -90,15 +91,17 @@
     asked_at: float,
     now: float,
 ) -> Bucket:
-    """Return the bucket after a gift; one that is too old is dropped."""
+    """Return the bucket after a gift; an expired gift is dropped."""
     filled = refill(bucket, now)
     if now - asked_at >= GIFT_SECONDS:
         return filled
-    return filled._replace(tokens=min(_room(filled), filled.tokens + tokens))
+    return filled._replace(
+        tokens=min(_compute_capacity(filled), filled.tokens + tokens)
+    )
 
 
 def wait_for(bucket: Bucket) -> float:
-    """Return the seconds until one token is there, if ever."""
+    """Return the seconds until one token is available; 0 without a rate."""
     if bucket.rate <= 0:
         return 0.0
     return max(0.0, (1 - bucket.tokens) / bucket.rate)
@@ -106,12 +109,14 @@
 
 def _accrue(bucket: Bucket, now: float) -> Bucket:
     elapsed = max(0.0, now - bucket.updated_at)
-    tokens = min(_room(bucket), bucket.tokens + elapsed * bucket.rate)
+    tokens = min(
+        _compute_capacity(bucket), bucket.tokens + elapsed * bucket.rate
+    )
     return bucket._replace(
         tokens=tokens,
         updated_at=max(now, bucket.updated_at),
     )
 
 
-def _room(bucket: Bucket) -> float:
+def _compute_capacity(bucket: Bucket) -> float:
     return max(0.0, bucket.cap - sum(loan.tokens for loan in bucket.loans))
--- a/toucanhall/shares/ledger.py
+++ b/toucanhall/shares/ledger.py
@@ -20,40 +20,41 @@
 
 __all__ = ('Ledger',)
 
-_UNCONFIRMED_SECONDS: Final = 1.0  # to wait while the share is not confirmed
+# Retry-after while the share is not confirmed.
+_UNCONFIRMED_RETRY_AFTER_SECONDS: Final = 1.0
 
 
 class Ledger:
-    """The shares of this VM, one per team, and until when they are valid."""
+    """The shares of this VM, one per team, with their common expiry."""
 
     def __init__(self) -> None:
-        """Start with no share of any limit."""
+        """Create a ledger without shares."""
         self._lock = threading.Lock()
         self._shares: dict[str, Share] = {}
-        self._until = 0.0
+        self._valid_until = 0.0
         self._request: Callable[[GiftRequest, int], None] | None = None
 
     def listen(self, request: Callable[[GiftRequest, int], None]) -> None:
-        """Call a function with each ask for tokens, and its turn."""
+        """Set the function that sends gift requests; it also gets the turn."""
         self._request = request
 
     def resize(self, limits: Mapping[str, Limit], until: float) -> None:
-        """Hold a part of each team's limit, to be spent before a time."""
+        """Set the share of each team's limit, valid until a time."""
         now = runtime.read_clock()
         with self._lock:
-            self._until = until
+            self._valid_until = until
             self._shares = {
-                team: hold(self._find(team, now), limit, now)
+                team: hold(self._get_share(team, now), limit, now)
                 for team, limit in limits.items()
             }
 
     def admit(self, team: str) -> float | None:
-        """Take one token; return `None`, or the seconds to wait for one."""
+        """Take one token; return `None`, or the retry-after if refused."""
         with self._lock:
             now = runtime.read_clock()
-            if now >= self._until or team not in self._shares:
-                return _UNCONFIRMED_SECONDS
-            share, wait = spend(self._find(team, now), now)
+            if now >= self._valid_until or team not in self._shares:
+                return _UNCONFIRMED_RETRY_AFTER_SECONDS
+            share, wait = spend(self._get_share(team, now), now)
             share, wanted = ask(share, now)
             self._shares[team] = share
         if wanted and self._request is not None:
@@ -61,26 +62,26 @@
         return wait
 
     def give_tokens(self, team: str, wanted: float) -> float:
-        """Debit a gift and return its tokens; none while not confirmed."""
+        """Debit a gift and return its tokens; 0 while unconfirmed."""
         with self._lock:
             now = runtime.read_clock()
-            if now >= self._until or team not in self._shares:
+            if now >= self._valid_until or team not in self._shares:
                 return 0.0
-            share, tokens = give_tokens(self._find(team, now), wanted, now)
+            share, tokens = give_tokens(self._get_share(team, now), wanted, now)
             self._shares[team] = share
         return tokens
 
     def accept(self, team: str, tokens: float, asked_at: float) -> None:
-        """Add a gift that answers an ask of this process."""
+        """Add a gift that answers a gift request of this process."""
         with self._lock:
             now = runtime.read_clock()
-            share = accept(self._find(team, now), tokens, asked_at, now)
+            share = accept(self._get_share(team, now), tokens, asked_at, now)
             self._shares[team] = share
 
     def read(self) -> Mapping[str, Bucket]:
-        """Return the buckets as they were last used."""
+        """Return the buckets as of their last use."""
         with self._lock:
             return {team: share.bucket for team, share in self._shares.items()}
 
-    def _find(self, team: str, now: float) -> Share:
+    def _get_share(self, team: str, now: float) -> Share:
         return self._shares.get(team, make_share(now))
--- a/toucanhall/steering/room.py
+++ b/toucanhall/steering/capacity.py
@@ -1,8 +1,8 @@
-"""How much room a VM has for a service, and how long a request waits."""
+"""Computes the free slots of a service and the wait of a request."""
 
 from typing import Final
 
-from toucanhall.steering import places
+from toucanhall.steering import targets
 from toucanhall.steering.fairness import count_before
 from toucanhall.steering.records import Arrive, Origin, State
 
@@ -11,37 +11,37 @@
     'count_reserve',
     'count_usable',
     'estimate_wait',
-    'read_latency',
+    'get_mean_latency',
 )
 
-_FIRST_LATENCY_SECONDS: Final = 0.05
-_RESERVE_SHARE: Final = 0.1
+_DEFAULT_LATENCY_SECONDS: Final = 0.05
+_RESERVE_FRACTION: Final = 0.1
 
 
 def count_free(state: State, now: float) -> int:
     """Return the free slots that this VM owns."""
     return sum(
-        places.count_free(place, now)
-        for place in state.places.values()
-        if place.draining_at is None
+        targets.count_free(target, now)
+        for target in state.targets.values()
+        if target.draining_at is None
     )
 
 
 def count_usable(state: State, now: float) -> int:
-    """Return the owned slots of targets that work and do not drain."""
+    """Return the owned slots of targets that neither fail nor drain."""
     return sum(
-        places.count_usable(place, now) for place in state.places.values()
+        targets.count_usable(target, now) for target in state.targets.values()
     )
 
 
 def count_reserve(state: State, now: float) -> int:
-    """Return the slots that are kept free of requests of other zones."""
-    return int(count_usable(state, now) * _RESERVE_SHARE)
+    """Return the number of slots reserved for requests of the own zone."""
+    return int(count_usable(state, now) * _RESERVE_FRACTION)
 
 
-def read_latency(state: State) -> float:
-    """Return the mean seconds of a request, as far as it is known."""
-    return state.latency or _FIRST_LATENCY_SECONDS
+def get_mean_latency(state: State) -> float:
+    """Return the mean latency in seconds, or a default before the first."""
+    return state.latency or _DEFAULT_LATENCY_SECONDS
 
 
 def estimate_wait(state: State, event: Arrive, now: float) -> float:
@@ -54,4 +54,4 @@
         event.team,
         is_hopped=event.origin is not Origin.CALLER,
     )
-    return (before + 1) * read_latency(state) / usable
+    return (before + 1) * get_mean_latency(state) / usable
--- a/toucanhall/steering/peers.py
+++ b/toucanhall/steering/peers.py
@@ -1,4 +1,4 @@
-"""Other entry VMs that can carry a request to slots which they own."""
+"""Other entry VMs, which can run a request in slots that they own."""
 
 import enum
 import math
@@ -7,27 +7,29 @@
 
 from toucanhall.steering import circuit as circuits
 from toucanhall.steering.circuit import Circuit
-from toucanhall.steering.places import Outcome
+from toucanhall.steering.targets import Outcome
 
 __all__ = ('Distance', 'Peer', 'begin', 'end', 'pick', 'pick_to_wait')
 
-_TOLD_SECONDS: Final = 1.0
-_FULL_SECONDS: Final = 0.5
-_ASK_SECONDS: Final = 0.05
+_MAX_REPORT_AGE_SECONDS: Final = 1.0
+_MIN_QUERY_AGE_SECONDS: Final = 0.5
+_REFUSAL_PAUSE_SECONDS: Final = 0.05
 
 
 class Distance(enum.IntEnum):
-    """How far a peer is: own zone, own region, or another region."""
+    """Where a peer is: in the own zone, own region or another region."""
 
     ZONE = 0
     REGION = 1
-    FAR = 2
+    OTHER_REGION = 2
 
 
 class Peer(NamedTuple):
-    """An entry VM; `spare` is what it told at `told_at`, less what was sent.
+    """An entry VM and what this VM knows of its free slots.
 
-    Less than none counts the requests that wait there.
+    `spare` is the number of free slots in the usage report received at
+    `received_at`, less the requests sent since. A negative number counts the
+    requests that wait there.
     """
 
     vm: str
@@ -37,18 +39,24 @@
     distance: Distance
     in_flight: int = 0
     spare: int = 0
-    told_at: float | None = None
+    received_at: float | None = None
     circuit: Circuit = Circuit()
 
 
-def has_room(peer: Peer, now: float) -> bool:
-    """Return whether the peer lately told room that is not used up."""
-    return peer.spare > 0 and _read_age(peer, now) < _TOLD_SECONDS
+def has_reported_spare(peer: Peer, now: float) -> bool:
+    """Return whether a recent report left free slots at the peer."""
+    return (
+        peer.spare > 0
+        and _compute_report_age(peer, now) < _MAX_REPORT_AGE_SECONDS
+    )
 
 
-def may_ask(peer: Peer, now: float) -> bool:
-    """Return whether a hop may find out if the peer has room."""
-    return peer.in_flight == 0 and _read_age(peer, now) >= _FULL_SECONDS
+def is_query_due(peer: Peer, now: float) -> bool:
+    """Return whether a hop may be sent to find out if slots are free."""
+    return (
+        peer.in_flight == 0
+        and _compute_report_age(peer, now) >= _MIN_QUERY_AGE_SECONDS
+    )
 
 
 def pick(
@@ -57,12 +65,13 @@
     closed_regions: frozenset[str],
     now: float,
     *,
-    can_ask: bool,
+    can_query: bool,
 ) -> Peer | None:
-    """Return the peer at a distance that told the most spare room.
+    """Return the peer at a distance that reported the most free slots.
 
-    What a peer told is believed for a short time. When none has room, a hop
-    now and then finds out; a peer admits hops only into room that it owns.
+    Reports expire after a short time. If no peer has reported free slots, a hop
+    is sent now and then without a report; this cannot overload the peer, which
+    accepts hops only into free slots of its own.
     """
     usable = [
         peer
@@ -71,12 +80,16 @@
         and peer.region not in closed_regions
         and circuits.admits(peer.circuit, now)
     ]
-    with_room = [peer for peer in usable if has_room(peer, now)]
-    if can_ask and not with_room and not _was_refused(usable, now):
-        with_room = [peer for peer in usable if may_ask(peer, now)]
+    candidates = [peer for peer in usable if has_reported_spare(peer, now)]
+    if can_query and not candidates and not _has_recent_refusal(usable, now):
+        candidates = [peer for peer in usable if is_query_due(peer, now)]
     return max(
-        with_room,
-        key=lambda peer: (peer.spare, -peer.in_flight, -(peer.told_at or 0)),
+        candidates,
+        key=lambda peer: (
+            peer.spare,
+            -peer.in_flight,
+            -(peer.received_at or 0),
+        ),
         default=None,
     )
 
@@ -105,23 +118,26 @@
 
 
 def end(peer: Peer, outcome: Outcome, spare: int | None, now: float) -> Peer:
-    """Return the peer after a hop ended; `spare` is what its answer told."""
+    """Return the peer after a hop, whose answer may report `spare` slots."""
     ended = peer._replace(in_flight=max(0, peer.in_flight - 1))
     if spare is not None:
-        ended = ended._replace(spare=spare, told_at=now)
+        ended = ended._replace(spare=spare, received_at=now)
     if outcome.healthy is None:
         return ended._replace(circuit=circuits.release(peer.circuit))
     return ended._replace(
-        circuit=circuits.settle(peer.circuit, now, healthy=outcome.healthy),
+        circuit=circuits.record_outcome(
+            peer.circuit, now, healthy=outcome.healthy
+        ),
     )
 
 
-def _read_age(peer: Peer, now: float) -> float:
-    return math.inf if peer.told_at is None else now - peer.told_at
+def _compute_report_age(peer: Peer, now: float) -> float:
+    return math.inf if peer.received_at is None else now - peer.received_at
 
 
-def _was_refused(peers: Iterable[Peer], now: float) -> bool:
+def _has_recent_refusal(peers: Iterable[Peer], now: float) -> bool:
     return any(
-        peer.spare <= 0 and _read_age(peer, now) < _ASK_SECONDS
+        peer.spare <= 0
+        and _compute_report_age(peer, now) < _REFUSAL_PAUSE_SECONDS
         for peer in peers
     )
--- a/toucanhall/steering/sizes.py
+++ b/toucanhall/steering/sizes.py
@@ -1,4 +1,4 @@
-"""Sizes the policy by the catalogue, the slots held and the live VMs."""
+"""Computes what each service may use, from catalogue, slots and VMs."""
 
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
@@ -7,14 +7,14 @@
 from toucanhall.steering import links
 from toucanhall.steering.ownership import divide, select_targets
 from toucanhall.steering.peers import Distance, Peer
-from toucanhall.steering.places import Place
 from toucanhall.steering.records import Resize
+from toucanhall.steering.targets import LocalTarget
 
 __all__ = ('EntryVm', 'OwnedSlots', 'size_links', 'size_services')
 
 
 class EntryVm(NamedTuple):
-    """Another entry VM that can carry a request to its targets."""
+    """Another entry VM, which can forward a request to its targets."""
 
     vm: str
     zone: str
@@ -22,7 +22,7 @@
 
 
 class OwnedSlots(NamedTuple):
-    """The zone of a VM, and the numbers of the zone's slots that it holds."""
+    """The zone of a VM, and the numbers of the zone slots that it holds."""
 
     zone: str
     held: frozenset[int]
@@ -34,28 +34,31 @@
     hops: tuple[EntryVm, ...],
     now: float,
 ) -> Mapping[str, Resize]:
-    """Return the size of each service of the catalogue."""
+    """Return the targets, peers and shift cap of each service."""
     own = select_targets(catalogue, owned.zone)
     sizes: dict[str, Resize] = {}
     for service, zones in _list_serving(catalogue).items():
         targets = own.get(service, ())
-        places = tuple(_list_places(catalogue, owned, targets, now))
+        local_targets = tuple(
+            _list_local_targets(catalogue, owned, targets, now)
+        )
         sizes[service] = Resize(
-            places,
+            local_targets,
             tuple(_list_peers(catalogue, owned.zone, hops, zones)),
-            catalogue.shift_share * sum(place.slots for place in places),
+            catalogue.shift_share
+            * sum(local_target.slots for local_target in local_targets),
         )
     return sizes
 
 
 def size_links(catalogue: Catalogue, owned: OwnedSlots) -> Mapping[str, float]:
-    """Return this VM's part of each link of its region, in bytes/s."""
+    """Return this VM's share of each link of its region, in bytes/s."""
     zone = catalogue.zones.get(owned.zone)
     if zone is None:
         return {}
     share = len(owned.held) / catalogue.slots_per_zone
     return {
-        region: links.read_part(catalogue, owned.zone, region, share)
+        region: links.compute_link_share(catalogue, owned.zone, region, share)
         for link in catalogue.links
         if zone.region in link.regions
         for region in link.regions
@@ -78,18 +81,18 @@
     return target.name in drains.targets or target.zone in drains.zones
 
 
-def _list_places(
+def _list_local_targets(
     catalogue: Catalogue,
     owned: OwnedSlots,
     targets: tuple[Target, ...],
     now: float,
-) -> Iterator[Place]:
-    parts = divide(targets, owned.held, catalogue.slots_per_zone)
+) -> Iterator[LocalTarget]:
+    owned_counts = divide(targets, owned.held, catalogue.slots_per_zone)
     for target in targets:
-        yield Place(
+        yield LocalTarget(
             target.name,
             target.address,
-            parts[target.name],
+            owned_counts[target.name],
             draining_at=now if _is_draining(catalogue, target) else None,
         )
 
@@ -106,11 +109,11 @@
             continue
         if hop.vm in catalogue.drains.vms:
             continue
-        distance = _measure(catalogue.zones, own_zone, zone)
+        distance = _get_distance(catalogue.zones, own_zone, zone)
         yield Peer(hop.vm, hop.zone, zone.region, hop.address, distance)
 
 
-def _measure(
+def _get_distance(
     zones: Mapping[str, Zone],
     own_zone: str,
     zone: Zone,
@@ -120,4 +123,4 @@
     own = zones.get(own_zone)
     if own is not None and own.region == zone.region:
         return Distance.REGION
-    return Distance.FAR
+    return Distance.OTHER_REGION
--- a/toucanhall/steering/steerer.py
+++ b/toucanhall/steering/steerer.py
@@ -1,4 +1,4 @@
-"""Runs the policy for the request threads, under a lock per decision."""
+"""Runs the policy for the request threads; a lock guards each decision."""
 
 import threading
 from collections.abc import Mapping
@@ -26,24 +26,24 @@
 
 Decision: TypeAlias = Run | Carry | Refuse
 
-_NO_SERVICE: Final = 'no-target'
+_NO_TARGET_REASON: Final = 'no-target'
 
 
-class _Place(threading.Event):
-    """Where a waiting thread finds what was decided."""
+class _PendingDecision(threading.Event):
+    """Hands a decision to the thread that waits for it."""
 
     decision: Decision | None = None
 
 
 class Steerer:
-    """The states of all services on this VM, and the threads that wait."""
+    """The states of all services on this VM and the waiting threads."""
 
     def __init__(self) -> None:
-        """Start with no service."""
+        """Create a steerer without services."""
         self._lock = threading.Lock()
         self._states: dict[str, State] = {}
         self._meters: dict[str, Meter] = {}
-        self._waiting: dict[str, _Place] = {}
+        self._waiting: dict[str, _PendingDecision] = {}
         self.is_sized = False
 
     def resize(
@@ -51,7 +51,10 @@
         sizes: Mapping[str, Resize],
         parts: Mapping[str, float],
     ) -> None:
-        """Take services with their places and peers, and link parts."""
+        """Update the targets and peers of services, and the shares of links.
+
+        `parts` maps a region to the bytes/s that this VM may receive from it.
+        """
         now = runtime.read_clock()
         with self._lock:
             for service, size in sizes.items():
@@ -68,13 +71,13 @@
         self.is_sized = True
 
     def choose(self, service: str, arrival: Arrive) -> Decision:
-        """Return where a request goes, after waiting for room if need be."""
+        """Decide on a request, after waiting for a free slot if necessary."""
         now = runtime.read_clock()
-        place = _Place()
+        pending = _PendingDecision()
         with self._lock:
             if service not in self._states:
-                return Refuse(arrival.ticket, _NO_SERVICE, 0)
-            self._waiting[arrival.ticket] = place
+                return Refuse(arrival.ticket, _NO_TARGET_REASON, 0)
+            self._waiting[arrival.ticket] = pending
             closed = frozenset(
                 region
                 for region, meter in self._meters.items()
@@ -85,16 +88,16 @@
                 arrival._replace(closed_regions=closed),
                 now,
             )
-        return self._await(service, arrival, place)
+        return self._wait_for_decision(service, arrival, pending)
 
     def finish(self, service: str, end: End) -> None:
-        """Take the end of a request that ran or was carried."""
+        """Record the end of a request that ran here or was carried."""
         with self._lock:
             if service in self._states:
                 self._decide(service, end, runtime.read_clock())
 
     def spend(self, region: str, count: int) -> float:
-        """Count bytes drawn from a region; return the seconds to pause."""
+        """Record bytes received from a region; return the seconds to pause."""
         now = runtime.read_clock()
         with self._lock:
             meter = self._meters.get(region)
@@ -105,7 +108,7 @@
             return links.wait_for(spent)
 
     def count_spare(self, service: str, *, shifting: bool) -> int:
-        """Return the room that is told to other VMs."""
+        """Return the free slots to report to other VMs."""
         with self._lock:
             state = self._states.get(service)
             if state is None:
@@ -122,29 +125,29 @@
         state, effects = decide(self._states[service], event, now)
         self._states[service] = state
         for effect in effects:
-            self._tell(effect)
+            self._deliver(effect)
 
-    def _tell(self, effect: Effect) -> None:
+    def _deliver(self, effect: Effect) -> None:
         if isinstance(effect, Wait):
             return
-        place = self._waiting.pop(effect.ticket, None)
-        if place is not None:
-            place.decision = effect
-            place.set()
+        pending = self._waiting.pop(effect.ticket, None)
+        if pending is not None:
+            pending.decision = effect
+            pending.set()
 
-    def _await(
+    def _wait_for_decision(
         self,
         service: str,
         arrival: Arrive,
-        place: _Place,
+        pending: _PendingDecision,
     ) -> Decision:
-        if not place.is_set():
-            place.wait(arrival.expires_at - runtime.read_clock())
-        if place.decision is None:
+        if not pending.is_set():
+            pending.wait(arrival.expires_at - runtime.read_clock())
+        if pending.decision is None:
             with self._lock:
                 self._decide(
                     service,
                     Expire(arrival.ticket),
                     runtime.read_clock(),
                 )
-        return place.decision or Refuse(arrival.ticket, 'deadline', 1)
+        return pending.decision or Refuse(arrival.ticket, 'deadline', 1)
