--- a/toucanhall/events.py
+++ b/toucanhall/events.py
@@ -58,7 +58,7 @@
 REQUEST_REFUSED: Final = Event(600, logging.INFO, 'request refused')
 TARGET_FAILED: Final = Event(601, logging.WARNING, 'request to target failed')
 RESPONSE_INCOMPLETE: Final = Event(
-    602, logging.WARNING, 'response of target is incomplete'
+    602, logging.WARNING, 'answer of target is incomplete'
 )
 REQUEST_CRASHED: Final = Event(
     610, logging.ERROR, 'unexpected error while serving a request'
