--- a/benches/limits.py
+++ b/benches/limits.py
@@ -19,9 +19,9 @@
     Share,
     accept,
     ask,
+    give_tokens,
     hold,
     make_share,
-    give_tokens,
     spend,
 )
 
--- a/benches/placement.py
+++ b/benches/placement.py
@@ -12,8 +12,8 @@
     RequestUrgency,
     choose_target,
 )
-from toucanhall.placement.registry import TargetRegistry, TargetQuery
 from toucanhall.placement.hash_ring import Location
+from toucanhall.placement.registry import TargetQuery, TargetRegistry
 
 _TARGET_COUNTS: Final = (36, 468, 3100)
 _REGION_COUNT: Final = 29
--- a/standins/soak/injector.py
+++ b/standins/soak/injector.py
@@ -8,9 +8,6 @@
 from collections.abc import Callable
 from typing import Final
 
-from standins.soak.invariants import Call
-from standins.soak.links import LinkMode, LinkProxy
-from standins.soak.schedule import Fault, FaultSubjects
 from standins.site.deployment import REGIONS_BY_ZONE, Deployment
 from standins.site.documents import (
     KEY,
@@ -18,6 +15,9 @@
     make_rule,
     make_target_entry,
 )
+from standins.soak.invariants import Call
+from standins.soak.links import LinkMode, LinkProxy
+from standins.soak.schedule import Fault, FaultSubjects
 from toucanhall.web.messages import Request
 
 __all__ = ('OTHER_KEY', 'OTHER_TEAM', 'TEAM', 'FaultInjector')
--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -2,18 +2,18 @@
 
 from collections.abc import Mapping
 
-from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import (
     Address,
     Bounds,
     Environment,
-    VmContact,
     Listeners,
     Target,
     Team,
+    VmContact,
 )
 from toucanhall.fleet.reports import Member, ZoneReport
+from toucanhall.fleet.tables import Revisions
 from toucanhall.limits.quota import Usage
 from toucanhall.platform.store import Store
 from toucanhall.web.client import ConnectionSettings
--- a/tests/models/test_spread_model.py
+++ b/tests/models/test_spread_model.py
@@ -22,13 +22,13 @@
 from toucanhall.spread import comparison, freshness
 from toucanhall.spread.acceptance import (
     Attempt,
-    ReadSucceeded,
-    Known,
     BaseVerdict,
+    Known,
+    ReadSucceeded,
     Step,
-    WriteUncertain,
     WriteFailed,
     WriteSucceeded,
+    WriteUncertain,
     check_base,
     decide_step,
 )
--- a/tests/models/test_steering_model.py
+++ b/tests/models/test_steering_model.py
@@ -11,9 +11,9 @@
 from tests.builders import make_arrival, make_state
 from tests.models.reports import report_size
 from toucanhall.steering import Outcome
-from toucanhall.steering.targets import LocalTarget
 from toucanhall.steering.policy import decide
 from toucanhall.steering.records import End, Expire, Origin, Run
+from toucanhall.steering.targets import LocalTarget
 
 SLOTS_PER_TARGET = 3
 STEPS = st.lists(
--- a/tests/models/test_tables_model.py
+++ b/tests/models/test_tables_model.py
@@ -25,8 +25,8 @@
     report_model,
     report_variants,
 )
-from toucanhall.fleet.tables import FleetTables, Revisions
 from toucanhall.fleet.model import ClientLimits, Configuration, Snapshot
+from toucanhall.fleet.tables import FleetTables, Revisions
 
 VM_COUNT = 3
 WATCHER = 0
--- a/tests/unit/test_admin.py
+++ b/tests/unit/test_admin.py
@@ -5,9 +5,9 @@
 import pytest
 from hypothesis import given, settings
 
+from tests.admin_api import AdminApi
 from tests.builders import make_document
 from tests.mutations import mutate
-from tests.admin_api import AdminApi
 from tests.stores import MemoryStore
 from toucanhall.admin.audit import Audit, AuditEntry
 from toucanhall.admin.routes import ROUTES
--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -10,19 +10,19 @@
 )
 from toucanhall.fleet.membership import (
     HEARTBEAT_TIMEOUT_SECONDS,
+    REPORT_EXPIRY_SECONDS,
+    REPORT_STALE_SECONDS,
     USAGE_EXPIRY_SECONDS,
     VM_EXPIRY_SECONDS,
-    REPORT_STALE_SECONDS,
-    REPORT_EXPIRY_SECONDS,
 )
 from toucanhall.fleet.model import VmContact
 from toucanhall.fleet.reports import sum_usage_reports
 from toucanhall.fleet.selection import (
     MIN_SERVING_VMS,
-    pick_serving,
     pick_delegates,
+    pick_serving,
 )
-from toucanhall.limits.quota import UsageReport, Usage, make_missing_report
+from toucanhall.limits.quota import Usage, UsageReport, make_missing_report
 
 
 def test_silent_vm_is_not_alive_but_its_usage_counts_as_stale():
--- a/tests/unit/test_fleet_tables.py
+++ b/tests/unit/test_fleet_tables.py
@@ -7,12 +7,12 @@
 """
 
 from tests.fleetdata import make_target
+from toucanhall.fleet.removals import Removals
 from toucanhall.fleet.tables import (
     REREGISTRATION_SECONDS,
     FleetTables,
     Revisions,
 )
-from toucanhall.fleet.removals import Removals
 
 
 def make_fleet_tables(*names, revision=10):
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -9,7 +9,7 @@
 from tests.fleetdata import make_heartbeat, make_member, make_report
 from toucanhall.fleet.gossip import Gossip, Message
 from toucanhall.fleet.model import Address
-from toucanhall.limits.quota import UsageReport, Usage
+from toucanhall.limits.quota import Usage, UsageReport
 
 TO = Address('127.64.1.9', 7560)
 
--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -10,14 +10,14 @@
 from toucanhall import cmdline
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.observe.metrics import Metrics
-from toucanhall.observe.refusal_causes import count_refusal_causes
 from toucanhall.observe.log_lines import (
     Line,
+    count_reasons,
     explain,
     read_lines,
-    count_reasons,
 )
+from toucanhall.observe.metrics import Metrics
+from toucanhall.observe.refusal_causes import count_refusal_causes
 
 PAGE = Path(__file__).parents[2] / 'docs' / 'LOGS.md'
 
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -5,13 +5,13 @@
 from toucanhall.spread import comparison, freshness
 from toucanhall.spread.acceptance import (
     Attempt,
-    ReadSucceeded,
+    BaseVerdict,
     Known,
     ReadFailed,
-    BaseVerdict,
+    ReadSucceeded,
     Step,
-    WriteUncertain,
     WriteFailed,
+    WriteUncertain,
     check_base,
     decide_step,
 )
--- a/tests/unit/test_steering.py
+++ b/tests/unit/test_steering.py
@@ -4,7 +4,6 @@
 from toucanhall.steering import Outcome
 from toucanhall.steering.ownership import divide, note_gains, select_settled
 from toucanhall.steering.peers import Distance, Peer
-from toucanhall.steering.targets import LocalTarget
 from toucanhall.steering.policy import count_spare, decide
 from toucanhall.steering.records import (
     Carry,
@@ -17,6 +16,7 @@
     Run,
     Wait,
 )
+from toucanhall.steering.targets import LocalTarget
 
 LOCAL_PEER = Peer('own-2', 'own', 'near', '127.2.0.2:8080', Distance.ZONE)
 REGION_PEER = Peer(
--- a/toucanhall/admin/changes.py
+++ b/toucanhall/admin/changes.py
@@ -9,10 +9,10 @@
 from toucanhall.admin.answers import Reply, make_error_body
 from toucanhall.admin.calls import (
     Call,
-    parse_body,
     get_base_revision,
     get_change_id,
     get_expected_revision,
+    parse_body,
 )
 from toucanhall.admin.writer import CONFLICT, Writer
 from toucanhall.catalogue import Holder
--- a/toucanhall/admin/service.py
+++ b/toucanhall/admin/service.py
@@ -10,7 +10,7 @@
 from toucanhall import events
 from toucanhall.admin.answers import Reply, make_error_body, render
 from toucanhall.admin.audit import Audit
-from toucanhall.admin.calls import Call, is_conditional, get_expected_revision
+from toucanhall.admin.calls import Call, get_expected_revision, is_conditional
 from toucanhall.admin.changes import Changes
 from toucanhall.admin.routes import PREFIX, Mismatch, Route, match
 from toucanhall.admin.views import Views
--- a/toucanhall/commands/catalogues.py
+++ b/toucanhall/commands/catalogues.py
@@ -22,10 +22,10 @@
     ExitCode,
 )
 from toucanhall.commands.printing import (
+    print_accepted,
     print_findings,
     print_json,
     print_table,
-    print_accepted,
 )
 from toucanhall.commands.waiting import wait_in_force
 from toucanhall.documents import Document, Finding
--- a/toucanhall/commands/logs.py
+++ b/toucanhall/commands/logs.py
@@ -6,13 +6,13 @@
 from typing import Final
 
 from toucanhall.commands.model import Argument, Command, Console, ExitCode
-from toucanhall.observe.refusal_causes import count_refusal_causes
 from toucanhall.observe.log_lines import (
     Line,
+    count_reasons,
     explain,
     read_lines,
-    count_reasons,
 )
+from toucanhall.observe.refusal_causes import count_refusal_causes
 
 __all__ = ('COMMANDS',)
 
--- a/toucanhall/entry.py
+++ b/toucanhall/entry.py
@@ -37,8 +37,8 @@
 )
 from toucanhall.spread import (
     Accepting,
-    FreshnessMonitor,
     Delta,
+    FreshnessMonitor,
     Offer,
     RevisionAnswer,
     RevisionQuery,
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -5,14 +5,14 @@
 from itertools import chain
 from typing import Final, NamedTuple
 
-from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.model import VmContact
 from toucanhall.fleet.reports import Member, ZoneReport
 from toucanhall.fleet.selection import MIN_SERVING_VMS
+from toucanhall.fleet.tables import Revisions
 from toucanhall.limits.quota import (
     RESERVE_VM_WEIGHT,
-    UsageReport,
     Usage,
+    UsageReport,
     make_missing_report,
 )
 
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from toucanhall.fleet.tables import Revisions
 from toucanhall.fleet.model import VmContact
+from toucanhall.fleet.tables import Revisions
 from toucanhall.limits.quota import UsageReport, add_usage_reports
 
 __all__ = ('Member', 'ZoneReport', 'sum_usage_reports')
--- a/toucanhall/forwarding/pipeline.py
+++ b/toucanhall/forwarding/pipeline.py
@@ -10,8 +10,8 @@
 from toucanhall.forwarding import hops
 from toucanhall.forwarding.admission import admit
 from toucanhall.forwarding.attempts import forward
-from toucanhall.forwarding.jobs import RETRY_AFTER_SECONDS, Job, Parts
 from toucanhall.forwarding.bodies import close_body
+from toucanhall.forwarding.jobs import RETRY_AFTER_SECONDS, Job, Parts
 from toucanhall.forwarding.problems import (
     NOT_RUN,
     REASONS,
--- a/toucanhall/shares/gifts.py
+++ b/toucanhall/shares/gifts.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from toucanhall.shares.ledger import Ledger
-from toucanhall.shares.messages import GiftRequest, Gift
+from toucanhall.shares.messages import Gift, GiftRequest
 from toucanhall.transport import Envelope
 
 __all__ = ('Gifts',)
--- a/toucanhall/shares/share.py
+++ b/toucanhall/shares/share.py
@@ -4,8 +4,8 @@
 from typing import Final, NamedTuple
 
 from toucanhall.shares.bucket import (
-    MAX_CLOCK_SKEW_RATIO,
     GIFT_SECONDS,
+    MAX_CLOCK_SKEW_RATIO,
     Bucket,
     give,
     receive,
--- a/toucanhall/spread/__init__.py
+++ b/toucanhall/spread/__init__.py
@@ -2,13 +2,13 @@
 
 from toucanhall.spread.accepting import Accepting, Change
 from toucanhall.spread.actor import Spread
-from toucanhall.spread.monitor import FreshnessMonitor
 from toucanhall.spread.messages import (
-    RevisionQuery,
     Delta,
     Offer,
     RevisionAnswer,
+    RevisionQuery,
 )
+from toucanhall.spread.monitor import FreshnessMonitor
 from toucanhall.spread.watcher import Watcher
 
 __all__ = (
--- a/toucanhall/spread/accepting.py
+++ b/toucanhall/spread/accepting.py
@@ -13,15 +13,15 @@
 from toucanhall.objectstore.errors import PlatformError
 from toucanhall.spread.acceptance import (
     Attempt,
+    BaseVerdict,
     Event,
-    ReadSucceeded,
     Known,
     ReadFailed,
-    BaseVerdict,
+    ReadSucceeded,
     Step,
-    WriteUncertain,
     WriteFailed,
     WriteSucceeded,
+    WriteUncertain,
     check_base,
     decide_step,
 )
--- a/toucanhall/spread/actor.py
+++ b/toucanhall/spread/actor.py
@@ -10,13 +10,13 @@
 from toucanhall.catalogue.reading import revise_after
 from toucanhall.documents import Finding, render
 from toucanhall.spread.acceptance import Known
-from toucanhall.spread.monitor import FreshnessMonitor
 from toucanhall.spread.messages import (
-    RevisionQuery,
     Delta,
     Offer,
     RevisionAnswer,
+    RevisionQuery,
 )
+from toucanhall.spread.monitor import FreshnessMonitor
 from toucanhall.spread.patches import apply_delta, find_delta
 from toucanhall.spread.silence import record_answer, record_query
 
--- a/toucanhall/spread/comparison.py
+++ b/toucanhall/spread/comparison.py
@@ -5,7 +5,7 @@
 
 from toucanhall.spread.acceptance import Known
 from toucanhall.spread.freshness import Freshness, is_settled, record_evidence
-from toucanhall.spread.messages import RevisionQuery, RevisionAnswer
+from toucanhall.spread.messages import RevisionAnswer, RevisionQuery
 
 __all__ = (
     'Comparison',
--- a/toucanhall/spread/monitor.py
+++ b/toucanhall/spread/monitor.py
@@ -13,11 +13,11 @@
     STORE,
     begin,
     is_settled,
-    record_evidence,
     may_serve,
+    record_evidence,
     tick,
 )
-from toucanhall.spread.messages import RevisionQuery, RevisionAnswer
+from toucanhall.spread.messages import RevisionAnswer, RevisionQuery
 
 __all__ = ('FreshnessMonitor',)
 
--- a/toucanhall/steering/policy.py
+++ b/toucanhall/steering/policy.py
@@ -9,11 +9,11 @@
 from toucanhall.steering.peers import Peer
 from toucanhall.steering.ramps import advance
 from toucanhall.steering.records import (
+    Arrive,
     Effect,
     End,
     Event,
     Expire,
-    Arrive,
     Origin,
     Refuse,
     Report,
