Log headers of targets that the program has no name for

Nothing in the logs told whether a target's limit reaches a VM, how its header is spelled and what it says. Event 622 writes each unknown name once a start, with the start of its content and the target, 32 names at most.

--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -27,6 +27,7 @@
     read_directory_query,
 )
 from toucanhall.platform.headers import (
+    find_unknown_headers,
     make_caller_answer,
     make_target_request,
     read_caller_headers,
@@ -257,6 +258,16 @@
     assert answer.headers == ((b'x-toucanhall-response-stamp', b's1'),)
 
 
+def test_unknown_headers_of_a_target_are_found():
+    reply = make_received_answer(
+        200,
+        (b'x-toucanhall-response-stamp', b's1'),
+        (b'content-type', b'text/plain'),
+        (b'x-new', b'8.5'),
+    )
+    assert find_unknown_headers(reply) == ((b'x-new', b'8.5'),)
+
+
 def test_directory_query_is_read_and_answered():
     path = b'/toucanhall/resolve?name=Tours.Example&region=east&zone=east-a'
     found = read_directory_query(Request(b'GET', path, (), b''))
--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -8,6 +8,7 @@
 import pytest
 
 from toucanhall import cmdline
+from toucanhall.edge.unknown_headers import UnknownHeaders
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.observe.log_lines import (
@@ -47,6 +48,20 @@
     }
 
 
+def test_each_unknown_header_is_logged_once(pipe):
+    reader, writer = pipe
+    unknown = UnknownHeaders(journal=Journal(vm='vm-1', descriptor=writer))
+    for number in range(3):
+        unknown.record(f't{number}', ((b'x-new', b'8' * 100),))
+    for number in range(40):
+        unknown.record('t9', ((b'x-%d' % number, b''),))
+    lines = [json.loads(line) for line in os.read(reader, 1 << 16).splitlines()]
+    assert len(lines) == 32
+    assert lines[0]['header'] == 'x-new'
+    assert lines[0]['content'] == '8' * 80
+    assert lines[0]['target'] == 't0'
+
+
 def test_lines_of_one_event_are_bounded_and_dropped_ones_are_counted(pipe):
     reader, writer = pipe
     journal = Journal(vm='vm-1', descriptor=writer, clock=lambda: 1.0)
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -6,6 +6,7 @@
 
 from toucanhall.edge.admission import AdmittedRequest
 from toucanhall.edge.connection_pool import ConnectionPool
+from toucanhall.edge.unknown_headers import UnknownHeaders
 from toucanhall.fleet.model import Target
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
@@ -13,6 +14,7 @@
 from toucanhall.placement.registry import TargetRegistry
 from toucanhall.platform.headers import (
     TargetHeaders,
+    find_unknown_headers,
     make_target_request,
     read_target_headers,
 )
@@ -74,6 +76,7 @@
         self._registry = registry
         self._pool = pool
         self._journal = journal
+        self._unknown_headers = UnknownHeaders(journal=journal)
         self._loop = asyncio.get_running_loop()
 
     async def attempt(
@@ -145,6 +148,7 @@
         target, load = candidate
         reply = success.reply
         headers = read_target_headers(reply)
+        self._unknown_headers.record(target.id, find_unknown_headers(reply))
         now = self._loop.time()
         if headers.pending_requests is not None:
             load.record_reported_load(headers.pending_requests, now)
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -65,6 +65,9 @@
 )
 TARGET_SUSPENDED: Final = Event(620, logging.WARNING, 'target suspended')
 TARGET_RESUMED: Final = Event(621, logging.INFO, 'target in use again')
+UNKNOWN_HEADER: Final = Event(
+    622, logging.WARNING, 'target sent a header that is not known'
+)
 
 CATALOGUE: Final[tuple[Event, ...]] = tuple(
     found for found in tuple(globals().values()) if isinstance(found, Event)
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -16,6 +16,7 @@
     'REQUEST_ID_HEADER',
     'CallerHeaders',
     'TargetHeaders',
+    'find_unknown_headers',
     'make_caller_answer',
     'make_target_request',
     'read_caller_headers',
@@ -36,6 +37,30 @@
 _MISDIRECTED_STATUS: Final = 421
 _LOAD_FIELD_COUNT: Final = 3
 _MAX_DIGITS: Final = 12  # of a count or of milliseconds, thirty years
+# Headers of answers that this program reads or that are usual in HTTP.
+_KNOWN_ANSWER_HEADERS: Final = frozenset(
+    (
+        b'cache-control',
+        b'connection',
+        b'content-encoding',
+        b'content-length',
+        b'content-type',
+        b'date',
+        b'etag',
+        b'keep-alive',
+        b'last-modified',
+        b'retry-after',
+        b'server',
+        b'trailer',
+        b'transfer-encoding',
+        b'vary',
+        names.INSTANCE_HEADER,
+        names.LOAD_HEADER,
+        names.NOT_EXECUTED_HEADER,
+        names.REQUEST_ID_HEADER,
+        names.STAMP_HEADER,
+    )
+)
 # They state that the request was not executed; targets confirm it by a header.
 _REFUSAL_STATUSES: Final = frozenset((408, 421, 429, 503))
 
@@ -131,6 +156,15 @@
     )
 
 
+def find_unknown_headers(reply: ReceivedAnswer) -> Headers:
+    """Return the headers of an answer that this program has no name for."""
+    return tuple(
+        header
+        for header in reply.headers
+        if header[0] not in _KNOWN_ANSWER_HEADERS
+    )
+
+
 def make_caller_answer(reply: ReceivedAnswer) -> Answer:
     """Return the answer to send to the caller."""
     headers: Headers = tuple(
--- a/toucanhall/platform/names.py
+++ b/toucanhall/platform/names.py
@@ -24,5 +24,7 @@
 LOAD_HEADER: Final = (
     b'x-toucanhall-backend-load'  # running and waiting requests, slots
 )
+# The id of the target that answers.
+INSTANCE_HEADER: Final = b'x-toucanhall-instance-id'
 STAMP_HEADER: Final = b'x-toucanhall-response-stamp'
 OBJECT_COOKIE: Final = 'X-Toucanhall-Affinity-Key'
