--- a/standins/site/target.py
+++ b/standins/site/target.py
@@ -2,13 +2,29 @@
 
 import asyncio
 import contextlib
+import time
 from typing import Final, NamedTuple
 
 import httptools
 
-__all__ = ('ExecutedRequest', 'TargetStandin')
+__all__ = ('Arrival', 'ExecutedRequest', 'NamedLimit', 'TargetStandin')
 
 _MAX_QUEUED_REQUESTS: Final = 27
+_LIMIT_HEADER: Final = 'X-Toucanhall-Server-Limit'
+
+
+class Arrival(NamedTuple):
+    """A request that reached a target, and when (monotonic seconds)."""
+
+    at: float
+    request_id: str
+
+
+class NamedLimit(NamedTuple):
+    """The content of the limit header from a time on; empty for no header."""
+
+    since: float
+    content: str
 
 
 class ExecutedRequest(NamedTuple):
@@ -48,6 +64,9 @@
         self.mode = 'well'
         self.executed: list[ExecutedRequest] = []
         self.cancelled_ids: list[str] = []
+        self.arrivals: list[Arrival] = []
+        self.limits: list[NamedLimit] = []
+        self.answers_with_limit: list[Arrival] = []
         self.running = 0
         self.waiting = 0
         self._free_slots = asyncio.Semaphore(slots)
@@ -69,8 +88,25 @@
         for connection in tuple(self._connections):
             connection.abort()
 
+    def name_limit(self, content: str) -> None:
+        """Name a limit in answers from now on; an empty text ends it."""
+        self.limits.append(NamedLimit(time.monotonic(), content))
+
     async def serve(self, request: '_ReceivedRequest') -> list[bytes] | None:
         """Return the messages to send; None closes the connection."""
+        self.arrivals.append(Arrival(time.monotonic(), request.request_id))
+        messages = await self._answer(request)
+        if not messages or not self.limits or not self.limits[-1].content:
+            return messages
+        self.answers_with_limit.append(
+            Arrival(time.monotonic(), request.request_id)
+        )
+        return [
+            _add_header(message, _LIMIT_HEADER, self.limits[-1].content)
+            for message in messages
+        ]
+
+    async def _answer(self, request: '_ReceivedRequest') -> list[bytes] | None:
         if request.expected != self.name:
             return [_encode_answer(request.request_id, 421, b'', not_run=True)]
         if self.mode == 'shed' or self.running + self.waiting >= (
@@ -255,7 +291,12 @@
 
 
 def _send_leaving(answer: bytes, _request_id: str) -> list[bytes]:
-    return [answer.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n', 1)]
+    return [_add_header(answer, 'Connection', 'close')]
+
+
+def _add_header(answer: bytes, name: str, content: str) -> bytes:
+    line = f'\r\n{name}: {content}\r\n\r\n'.encode()
+    return answer.replace(b'\r\n\r\n', line, 1)
 
 
 _STATUS_BY_MODE: Final = {
