--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -7,7 +7,7 @@
 from toucanhall.fleet.model import Configuration, Service
 from toucanhall.placement import choice
 from toucanhall.placement.choice import Candidate, RequestUrgency, choose_target
-from toucanhall.placement.cold_targets import VmGroup
+from toucanhall.placement.owners import VmGroup
 from toucanhall.placement.hash_ring import (
     MAX_EXAMINED_TARGETS,
     HashRing,
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -17,7 +17,7 @@
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.placement.cold_targets import VmGroup
+from toucanhall.placement.owners import VmGroup
 from toucanhall.placement.registry import TargetRegistry
 
 __all__ = ('StateUpdater',)
--- /dev/null
+++ b/toucanhall/placement/owners.py
@@ -0,0 +1,62 @@
+"""Picks the VMs that share a rate of one target, the same ones at every VM.
+
+A rate that holds for all VMs together is divided among a few owners: were it
+divided among all VMs, the requests that each may send at once would add up to
+more than the rate allows.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+__all__ = ('VmGroup', 'combine_groups', 'pick_owners')
+
+
+class VmGroup(NamedTuple):
+    """VMs of a zone, as this VM sees them.
+
+    `serving` names those that take requests, `alive_count` is how many are
+    alive, `registered_count` how many have an entry in the store; `load` is
+    the requests per second that arrive at them.
+    """
+
+    serving: tuple[str, ...] = ()
+    alive_count: int = 0
+    registered_count: int = 0
+    load: float = 0.0
+
+    @property
+    def alive_fraction(self) -> float:
+        """The fraction of the registered VMs that this VM sees.
+
+        The fractions that the VMs of separate partitions see add up to one.
+        """
+        if not self.registered_count:
+            return 0.0
+        return min(1.0, self.alive_count / self.registered_count)
+
+
+def combine_groups(groups: Iterable[VmGroup]) -> VmGroup:
+    """Return the VMs of several zones as one group."""
+    combined = VmGroup()
+    for group in groups:
+        combined = VmGroup(
+            serving=combined.serving + group.serving,
+            alive_count=combined.alive_count + group.alive_count,
+            registered_count=combined.registered_count + group.registered_count,
+            load=combined.load + group.load,
+        )
+    return combined
+
+
+def pick_owners(target: str, vms: Iterable[str], count: int) -> set[str]:
+    """Pick the VMs that own a target, by rendezvous hashing.
+
+    The owners for a lower count are among those for a higher one.
+    """
+    ranked = sorted(
+        vms,
+        key=lambda vm: xxhash.xxh64_intdigest(f'{target}\0{vm}'.encode()),
+    )
+    return set(ranked[:count])
--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -7,13 +7,13 @@
 from toucanhall.fleet.model import Configuration, Target
 from toucanhall.placement.choice import Candidate
 from toucanhall.placement.cold_targets import (
-    ColdTargetBucket,
-    VmGroup,
     compute_rate_fraction,
     find_owner_groups,
 )
 from toucanhall.placement.hash_ring import HashRing, Location, count_points
 from toucanhall.placement.load import TargetLoad
+from toucanhall.placement.owners import VmGroup
+from toucanhall.placement.token_bucket import TokenBucket
 
 __all__ = ('TargetQuery', 'TargetRegistry')
 
@@ -50,7 +50,7 @@
         self._rings: dict[tuple[str, frozenset[str]], HashRing] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._cold_until: dict[str, float] = {}
-        self._cold_buckets: dict[str, ColdTargetBucket] = {}
+        self._cold_buckets: dict[str, TokenBucket] = {}
         self._rate_fractions: dict[str, float] = {}
         self._vm = ''
         self._groups: Mapping[str, VmGroup] = {}
@@ -143,7 +143,7 @@
             return True
         bucket = self._cold_buckets.get(target.id)
         if bucket is None:
-            bucket = ColdTargetBucket(now=now)
+            bucket = TokenBucket(now=now)
             self._cold_buckets[target.id] = bucket
         return bucket.try_acquire(
             per_second * self._get_rate_fraction(target), now
--- /dev/null
+++ b/toucanhall/placement/token_bucket.py
@@ -0,0 +1,36 @@
+"""A token bucket for one target, which holds one request at most."""
+
+from typing import Final
+
+__all__ = ('TokenBucket',)
+
+_MAX_TOKENS: Final = 1.0
+
+
+class TokenBucket:
+    """The requests that this VM may send to one target."""
+
+    def __init__(self, *, now: float, tokens: float = 0.0) -> None:
+        """Start without a token: what was sent before a start is not known.
+
+        With negative `tokens` it takes longer until the first request.
+        """
+        self._tokens = tokens
+        self._updated_at = now
+
+    def has_token(self, rate: float, now: float) -> bool:
+        """Add the tokens since the last call; whether there is one.
+
+        `rate` is how many requests per second this VM may send.
+        """
+        elapsed_seconds = now - self._updated_at
+        self._tokens = min(_MAX_TOKENS, self._tokens + elapsed_seconds * rate)
+        self._updated_at = now
+        return self._tokens >= 1
+
+    def try_acquire(self, rate: float, now: float) -> bool:
+        """Take the token of a request; return whether there was one."""
+        if not self.has_token(rate, now):
+            return False
+        self._tokens -= 1
+        return True
