Test the limits of targets: observations, headers, messages, soak

The soak lets targets name limits of 0 to 6 requests a second, drawn apart from the other faults of a seed, and checks each window of four seconds from the targets' side (arrivals) and the callers' (which VM passed on an answer with the limit, and when).

--- a/standins/soak/injector.py
+++ b/standins/soak/injector.py
@@ -16,6 +16,7 @@
     make_target_entry,
 )
 from standins.soak.invariants import Call
+from standins.soak.limits import Disturbance
 from standins.soak.links import LinkMode, LinkProxy
 from standins.soak.schedule import Fault, FaultSubjects
 from toucanhall.web.messages import Request
@@ -55,6 +56,7 @@
         self._actions: dict[str, Callable[[Fault], None]] = {
             'vm': self._inject_vm_fault,
             'target': self._inject_target_fault,
+            'target limit': self._inject_limit,
             'store': self._inject_store_fault,
             'target link': self._inject_link_fault,
             'store link': self._inject_link_fault,
@@ -109,6 +111,14 @@
         with self._lock:
             return all(end < since for _start, end in self._disturbances[vm])
 
+    def list_disturbances(self) -> dict[str, list[Disturbance]]:
+        """Return the times in which each VM had a fault of its own."""
+        with self._lock:
+            return {
+                vm: [Disturbance(start, end) for start, end in found]
+                for vm, found in self._disturbances.items()
+            }
+
     def withdraw_other_key(self) -> None:
         """Withdraw the key of the other team for the rest of the run."""
         self._has_other_key = False
@@ -189,6 +199,15 @@
 
         self._apply_for_duration(fault, apply)
 
+    def _inject_limit(self, fault: Fault) -> None:
+        target = self.deployment.targets[fault.subject]
+
+        def apply(mode: str) -> None:
+            content = '' if mode == 'well' else mode
+            self.deployment.call_in_loop(target.name_limit, content)
+
+        self._apply_for_duration(fault, apply)
+
     def _inject_store_fault(self, fault: Fault) -> None:
         def apply(mode: str) -> None:
             status_or_mode = int(mode) if mode.isdigit() else mode
--- a/standins/soak/invariants.py
+++ b/standins/soak/invariants.py
@@ -19,6 +19,7 @@
 class Call(NamedTuple):
     """A request and its answer; status 0 means that the connection failed.
 
+    `ended_at` is when the answer came (monotonic seconds).
     `is_vm_undisturbed`: its VM was not stopped, paused or reloaded meanwhile.
     `may_be_denied`: its key may have been withdrawn.
     """
@@ -31,6 +32,7 @@
     status: int
     body: str
     seconds: float
+    ended_at: float
     is_vm_undisturbed: bool
     may_be_denied: bool
 
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -12,6 +12,7 @@
 from standins.site.documents import KEY
 from standins.soak.injector import OTHER_KEY, OTHER_TEAM, TEAM, FaultInjector
 from standins.soak.invariants import Call, check_calls, check_runs
+from standins.soak.limits import check_limits
 from standins.soak.schedule import FaultSubjects, draw_faults
 from toucanhall.observe import events
 
@@ -101,6 +102,7 @@
         status=outcome.status,
         body=outcome.body,
         seconds=outcome.seconds,
+        ended_at=time.monotonic(),
         is_vm_undisturbed=injector.was_undisturbed(vm, started_at),
         may_be_denied=uses_other_key,
     )
@@ -141,6 +143,11 @@
         calls = [*callers.calls, *injector.recovery_calls]
         violations += check_calls(calls, runs)
         violations += check_runs(calls, runs)
+        violations += check_limits(
+            calls,
+            injector.deployment.targets.values(),
+            injector.list_disturbances(),
+        )
         violations += _check_vm_processes(injector, subjects)
         statuses = dict(sorted(Counter(call.status for call in calls).items()))
         kinds = dict(sorted(Counter(fault.kind for fault in faults).items()))
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -26,6 +26,12 @@
     'limit',
     'odd',
 )
+# Limits that targets name, in requests a second.
+_LIMITS: Final = ('0', '0.5', '1', '2.5', '6')
+_MEAN_LIMIT_GAP_SECONDS: Final = 4.0  # between the starts of two limits
+# A limit binds some seconds after it was first named only.
+_MIN_LIMIT_SECONDS: Final = 4.0
+_MAX_LIMIT_SECONDS: Final = 12.0
 _STORE_FAULT_MODES: Final = ('503', '429', 'silent', 'lost')
 _CHANGE_FAULTS: Final = ('routes', 'withdraw', 'evacuate', 'drain', 'compact')
 _VM_FAULTS: Final = ('kill', 'pause', 'terminate', 'reload')
@@ -76,4 +82,28 @@
                 )
             )
             start_seconds += rng.expovariate(1 / _MEAN_GAP_SECONDS)
-    return [fault for fault in faults if fault.start_seconds < seconds]
+    faults += _draw_limits(random.Random(f'{seed} limits'), seconds, subjects)
+    return sorted(fault for fault in faults if fault.start_seconds < seconds)
+
+
+def _draw_limits(
+    rng: random.Random, seconds: float, subjects: FaultSubjects
+) -> list[Fault]:
+    """Return the limits that targets name.
+
+    They are drawn apart, so that the other faults of a seed stay the same.
+    """
+    faults = []
+    start_seconds = rng.uniform(0, _MEAN_LIMIT_GAP_SECONDS)
+    while start_seconds < seconds:
+        faults.append(
+            Fault(
+                round(start_seconds, 3),
+                'target limit',
+                rng.choice(subjects.targets),
+                rng.choice(_LIMITS),
+                rng.uniform(_MIN_LIMIT_SECONDS, _MAX_LIMIT_SECONDS),
+            )
+        )
+        start_seconds += rng.expovariate(1 / _MEAN_LIMIT_GAP_SECONDS)
+    return faults
--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -12,7 +12,7 @@
     Team,
     VmContact,
 )
-from toucanhall.fleet.reports import Member, ZoneReport
+from toucanhall.fleet.reports import LimitReport, Member, ZoneReport
 from toucanhall.fleet.tables import Revisions
 from toucanhall.limits.quota import Usage
 from toucanhall.placement.target_limits import TargetLimits
@@ -21,6 +21,7 @@
 from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
 
 __all__ = (
+    'make_limit_report',
     'make_limits',
     'make_bounds',
     'make_environment',
@@ -168,6 +169,18 @@
     return TargetLimits(regions=regions, clock=clock)
 
 
+def make_limit_report(target: str = 't1', **fields: object) -> LimitReport:
+    """Return what a VM observed just now: a limit of two a second."""
+    report = LimitReport(
+        target=target,
+        started_at=1,
+        per_second=2.0,
+        sent_age=0.2,
+        received_age=0.1,
+    )
+    return report._replace(**fields)
+
+
 def make_store(address: Address) -> Store:
     """Return a client of a store; its calls are not counted."""
     return Store(
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -247,17 +247,74 @@
     assert read_target_headers(reply).pending_requests == pending_requests
 
 
-def test_caller_gets_the_stamp_but_not_the_load():
+def test_caller_gets_the_stamp_but_neither_load_nor_limit():
     reply = make_received_answer(
         200,
         (b'x-toucanhall-response-stamp', b's1'),
         (b'x-toucanhall-backend-load', b'1,0,9'),
+        (b'server-limit', b'8.5'),
         (b'keep-alive', b'timeout=5'),
     )
     answer = make_caller_answer(reply)
     assert answer.headers == ((b'x-toucanhall-response-stamp', b's1'),)
 
 
+@pytest.mark.parametrize(
+    ('contents', 'limit', 'malformed'),
+    (
+        ((b'8.5',), 8.5, b''),
+        ((b'0',), 0.0, b''),
+        ((b'12',), 12.0, b''),
+        ((b'8', b'2.5'), 2.5, b''),
+        ((b'8, 2.5',), 2.5, b''),
+        ((b'x', b'2.5'), 2.5, b''),
+        ((b'nan',), None, b'nan'),
+        ((b'inf',), None, b'inf'),
+        ((b'-1',), None, b'-1'),
+        ((b'+1',), None, b'+1'),
+        ((b'1e2',), None, b'1e2'),
+        ((b'.5',), None, b'.5'),
+        ((b'1_0',), None, b'1_0'),
+        ((b'two',), None, b'two'),
+        ((b'9' * 5000,), None, b'9' * 5000),
+        ((b'\xd9\xa1',), None, b'\xd9\xa1'),
+        ((), None, b''),
+    ),
+)
+@pytest.mark.parametrize(
+    'name', (b'server-limit', b'x-toucanhall-server-limit')
+)
+def test_limit_of_a_target_is_read(name, contents, limit, malformed):
+    stamp = (b'x-toucanhall-response-stamp', b's1')
+    headers = [(name, content) for content in contents]
+    found = read_target_headers(make_received_answer(200, stamp, *headers))
+    assert found.limit_per_second == limit
+    assert found.malformed_limit == malformed
+    assert found.tells_limit is (not malformed)
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'tells_limit'),
+    (
+        (200, {b'x-toucanhall-response-stamp': b's1'}, True),
+        (500, {b'x-toucanhall-response-stamp': b's1'}, True),
+        (200, {}, False),
+        (503, {b'x-toucanhall-not-executed': b'1'}, False),
+        (
+            503,
+            {b'x-toucanhall-not-executed': b'1', b'server-limit': b'2'},
+            True,
+        ),
+        (421, {b'server-limit': b'2'}, False),
+    ),
+)
+def test_only_some_answers_tell_whether_there_is_a_limit(
+    status, headers, tells_limit
+):
+    reply = make_received_answer(status, *headers.items())
+    assert read_target_headers(reply).tells_limit is tells_limit
+
+
 def test_unknown_headers_of_a_target_are_found():
     reply = make_received_answer(
         200,
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -4,11 +4,18 @@
 import random
 import zlib
 
+import msgspec
 import pytest
 
-from tests.fleetdata import make_heartbeat, make_member, make_report
+from tests.fleetdata import (
+    make_heartbeat,
+    make_limit_report,
+    make_member,
+    make_report,
+)
 from toucanhall.fleet.gossip import Gossip, Message
 from toucanhall.fleet.model import Address
+from toucanhall.fleet.reports import LimitReports
 from toucanhall.limits.quota import Usage, UsageReport
 
 TO = Address('127.64.1.9', 7560)
@@ -51,6 +58,7 @@
     (
         Message(heartbeat=make_heartbeat()),
         Message(report=make_large_report(), is_relayed=True),
+        Message(limits=LimitReports('east-a', (make_limit_report(),))),
     ),
 )
 def test_message_is_received_as_it_was_sent(message):
@@ -69,6 +77,18 @@
     assert len(transport.sent[0]) < 0.6 * size
 
 
+def test_vms_without_limits_of_targets_can_read_other_messages():
+    """A VM of the version before decodes messages of three fields."""
+    gossip, transport, _received, _errors = make_gossip()
+    gossip.send(Message(heartbeat=make_heartbeat()), (TO,))
+    assert len(msgspec.msgpack.decode(transport.sent[0][1:])) == 3
+
+
+def make_invalid_limits(**fields):
+    report = make_limit_report(**fields)
+    return Message(limits=LimitReports('east-a', (report,)))
+
+
 NEGATIVE_USAGE = {'guides': Usage(-1, 0.0)}
 
 
@@ -78,6 +98,10 @@
         Message(heartbeat=make_heartbeat(lag=math.nan)),
         Message(heartbeat=make_heartbeat(load=-1.0)),
         Message(heartbeat=make_heartbeat(usage=NEGATIVE_USAGE)),
+        make_invalid_limits(per_second=math.nan),
+        make_invalid_limits(per_second=-1.0),
+        make_invalid_limits(sent_age=-1.0),
+        make_invalid_limits(received_age=math.inf),
         Message(
             report=make_report(usage_reports=(UsageReport({}, vms=math.inf),))
         ),
