--- a/toucanhall/placement/limit_shares.py
+++ b/toucanhall/placement/limit_shares.py
@@ -12,7 +12,7 @@
 __all__ = ('LimitShares', 'compute_fleet_rate')
 
 # Fraction of a limit that its owners send; the rest covers single requests.
-_USED_FRACTION: Final = 0.9
+_USED_FRACTION: Final = 0.95
 # The same for owners of all regions, while this VM sees none in the target's
 # region that gets requests. Those that do send their shares at the same time.
 _REMOTE_USED_FRACTION: Final = 0.3
--- a/toucanhall/placement/target_limits.py
+++ b/toucanhall/placement/target_limits.py
@@ -23,6 +23,8 @@
 # A new bucket owes the requests of this time: what was sent to the target
 # before still counts there, and a former owner may go on for so long.
 _INITIAL_DEBT_SECONDS: Final = 2.0
+# The next token grows while one waits for a request.
+_MIN_BURST: Final = 1.5
 # High shares are spent in bursts, as requests arrive.
 _BURST_SECONDS: Final = 0.1
 
@@ -74,6 +76,7 @@
             self._buckets[target.id] = TokenBucket(
                 now=self._clock(),
                 tokens=-share * _INITIAL_DEBT_SECONDS,
+                min_burst=_MIN_BURST,
                 burst_seconds=_BURST_SECONDS,
             )
         return share
--- a/toucanhall/placement/token_bucket.py
+++ b/toucanhall/placement/token_bucket.py
@@ -1,24 +1,26 @@
 """A token bucket for one target, which holds hardly more than a request."""
 
-from typing import Final
-
 __all__ = ('TokenBucket',)
 
-_MIN_BURST: Final = 1.0
-
 
 class TokenBucket:
     """The requests that this VM may send to one target."""
 
     def __init__(
-        self, *, now: float, tokens: float = 0.0, burst_seconds: float = 0.0
+        self,
+        *,
+        now: float,
+        tokens: float = 0.0,
+        min_burst: float = 1.0,
+        burst_seconds: float = 0.0,
     ) -> None:
         """Start without a token: what was sent before a start is not known.
 
         With negative `tokens` it takes longer until the first request. The
-        bucket holds the requests of `burst_seconds`, one at least.
+        bucket holds the requests of `burst_seconds`, `min_burst` at least.
         """
         self._tokens = tokens
+        self._min_burst = min_burst
         self._burst_seconds = burst_seconds
         self._updated_at = now
 
@@ -28,7 +30,7 @@
         `rate` is how many requests per second this VM may send.
         """
         elapsed_seconds = now - self._updated_at
-        most = max(_MIN_BURST, rate * self._burst_seconds)
+        most = max(self._min_burst, rate * self._burst_seconds)
         self._tokens = min(most, self._tokens + elapsed_seconds * rate)
         self._updated_at = now
         return self._tokens >= 1
