--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -27,7 +27,7 @@
 from toucanhall.placement.registry import TargetQuery, TargetRegistry
 from toucanhall.platform.headers import TargetHeaders
 
-__all__ = ('LimitedFleet', 'compute_allowed')
+__all__ = ('LimitedFleet', 'SilentJournal', 'compute_allowed')
 
 STEP_SECONDS = 0.01
 ANSWER_SECONDS = 0.15
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -9,17 +9,23 @@
 from standins.site.documents import make_configuration, make_target_entry
 from tests.fleetdata import (
     make_bounds,
+    make_environment,
     make_heartbeat,
+    make_limit_report,
     make_limits,
     make_member,
     make_report,
+    make_target,
     make_team,
 )
 from tests.mutations import mutate
+from tests.limited_fleet import SilentJournal
 from tests.simulated_fleet import SimulatedVm
 from toucanhall.edge.admission import admit
+from toucanhall.edge.target_state import make_target_state
 from toucanhall.fleet.gossip import Gossip, Message
 from toucanhall.fleet.model import VmContact
+from toucanhall.fleet.reports import LimitReports
 from toucanhall.limits.quota import Quotas, Usage, UsageReport
 from toucanhall.placement.hash_ring import Location
 from toucanhall.placement.registry import TargetQuery, TargetRegistry
@@ -58,8 +64,10 @@
         ),
     ),
 )
+LIMITS = Message(limits=LimitReports('west-a', (make_limit_report(),)))
 MESSAGES = [
-    json.dumps(msgspec.to_builtins(message)) for message in (HEARTBEAT, REPORT)
+    json.dumps(msgspec.to_builtins(message))
+    for message in (HEARTBEAT, REPORT, LIMITS)
 ]
 
 
@@ -124,6 +132,14 @@
     gossip = Gossip(receive=heard.append, on_error=dropped.append)
     gossip.datagram_received(b'\x00' + encode(document), None)
     assert len(heard) + len(dropped) == 1
+    environment = make_environment()
+    targets = make_target_state(environment, SilentJournal())
+    targets.registry.replace_targets({'t1': make_target('t1')}, 0.0)
+    for message in heard:
+        if message.limits is not None:
+            targets.limits.receive(message.limits)
+            targets.registry.limits.may_send('t1')
+            gossip.send(Message(limits=targets.limits.report_local()), ())
     vm = SimulatedVm(
         member=make_member('vm-1', zone='east-a'),
         zones=('east-a', 'west-a'),
--- a/toucanhall/edge/limit_exchange.py
+++ b/toucanhall/edge/limit_exchange.py
@@ -12,6 +12,7 @@
 __all__ = ('LimitExchange',)
 
 _MAX_LOGGED_BYTES: Final = 80
+_MAX_MALFORMED_COUNT: Final = 100  # targets whose malformed limit is logged
 
 
 class LimitExchange:
@@ -24,7 +25,7 @@
         self._limits = limits
         self._zone = zone
         self._journal = journal
-        self._targets_with_malformed: set[str] = set()
+        self._malformed_targets: set[str] = set()
 
     def read_clock(self) -> float:
         """Return the time to pass to `record_answer`."""
@@ -84,10 +85,12 @@
             )
 
     def _log_malformed(self, target: str, content: bytes) -> None:
-        if target not in self._targets_with_malformed:
-            self._targets_with_malformed.add(target)
-            self._journal.write(
-                events.MALFORMED_LIMIT,
-                target=target,
-                content=content[:_MAX_LOGGED_BYTES].decode('latin-1'),
-            )
+        logged = self._malformed_targets
+        if target in logged or len(logged) >= _MAX_MALFORMED_COUNT:
+            return
+        logged.add(target)
+        self._journal.write(
+            events.MALFORMED_LIMIT,
+            target=target,
+            content=content[:_MAX_LOGGED_BYTES].decode('latin-1'),
+        )
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -24,7 +24,7 @@
 __all__ = ('StateUpdater',)
 
 # Requests per second at a zone's VMs from which on they have load.
-_MIN_LOAD: Final = 1.0
+_MIN_LOAD_PER_SECOND: Final = 1.0
 
 
 class StateUpdater:
@@ -95,7 +95,8 @@
                     serving=tuple(sorted(serving[name])),
                     alive_count=len(vms),
                     registered_count=known.get(name, 0),
-                    has_load=sum(found.load for found in vms) >= _MIN_LOAD,
+                    has_load=sum(found.load for found in vms)
+                    >= _MIN_LOAD_PER_SECOND,
                 )
                 for name, vms in alive.items()
             },
