--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -10,6 +10,7 @@
 from toucanhall.fleet.tables import find_route
 from toucanhall.limits.quota import Quotas
 from toucanhall.platform.headers import CallerHeaders
+from toucanhall.quarantine.fingerprints import compute_fingerprint
 from toucanhall.web.messages import Request
 
 __all__ = ('AdmittedRequest', 'admit')
@@ -21,7 +22,8 @@
 class AdmittedRequest(NamedTuple):
     """A request that may be sent to a target; times are of the loop's clock.
 
-    `homes` are the regions that may serve it; an empty set allows all.
+    `homes` are the regions that may serve it; an empty set allows all. The
+    `fingerprint` is that of all its repetitions.
     """
 
     request: Request
@@ -34,6 +36,7 @@
     received_at: float
     deadline: float
     objective_at: float
+    fingerprint: str
 
     @property
     def object_key(self) -> str:
@@ -99,6 +102,13 @@
         received_at=now,
         deadline=now + min(remaining, route.timeout or remaining),
         objective_at=now + (route.objective or _DEFAULT_OBJECTIVE_SECONDS),
+        fingerprint=compute_fingerprint(
+            request.method,
+            headers.host,
+            headers.path,
+            team.name if team else '',
+            request.body,
+        ),
     )
 
 
--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -216,6 +216,8 @@
                 outcome.reason,
                 target=outcome.target,
                 may_have_run=outcome.may_have_run,
+                closed_by_target=outcome.is_closed_by_target,
+                fingerprint=admitted.fingerprint,
                 detail=outcome.detail,
             )
             if not self._may_retry(admitted, attempts, outcome):
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -20,6 +20,7 @@
     read_target_headers,
 )
 from toucanhall.web.client import (
+    ClosedByPeerError,
     IncompleteAnswerError,
     OutOfDescriptorsError,
     ReceivedAnswer,
@@ -52,7 +53,8 @@
     """An attempt without success.
 
     `was_sent` tells whether bytes were sent to the target, `may_have_run`
-    whether it may have processed them; `reply` is its answer, if it gave one.
+    whether it may have processed them, `is_closed_by_target` whether it closed
+    the connection before its answer; `reply` is its answer, if it gave one.
     """
 
     reason: str
@@ -61,6 +63,7 @@
     may_have_run: bool = True
     reply: ReceivedAnswer | None = None
     detail: str = ''
+    is_closed_by_target: bool = False
 
 
 class Sender:
@@ -109,7 +112,12 @@
             )
         except IncompleteAnswerError as error:
             self._record_failure(target, is_lost=False, why=str(error))
-            return Failure('broken', target.id, detail=str(error))
+            return Failure(
+                'broken',
+                target.id,
+                detail=str(error),
+                is_closed_by_target=isinstance(error, ClosedByPeerError),
+            )
         finally:
             load.in_flight -= 1
         seconds = self._loop.time() - started_at
--- /dev/null
+++ b/toucanhall/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Holds back requests that crash the targets that run them."""
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 import httptools
@@ -18,9 +19,11 @@
 
 __all__ = (
     'ConnectionSettings',
+    'ClosedByPeerError',
     'IncompleteAnswerError',
     'OutOfDescriptorsError',
     'ReceivedAnswer',
+    'RefusedError',
     'ServerConnection',
     'UnreachableError',
     'open_connection',
@@ -42,6 +45,10 @@
     """This process has no free file descriptor; the server is not at fault."""
 
 
+class RefusedError(UnreachableError):
+    """Nothing listens at the address."""
+
+
 class IncompleteAnswerError(ConnectionError):
     """No complete and valid answer was read.
 
@@ -49,6 +56,10 @@
     """
 
 
+class ClosedByPeerError(IncompleteAnswerError):
+    """The peer closed or reset the connection before the answer's end."""
+
+
 class ReceivedAnswer(NamedTuple):
     """A complete answer received from a server."""
 
@@ -123,10 +134,11 @@
         if self._ends_by_close and error is None and not self._limit_error:
             self.on_message_complete()
         if not answer_future.done():
+            kind = IncompleteAnswerError
+            if not isinstance(error, TimeoutError) and not self._is_unusable:
+                kind = ClosedByPeerError
             answer_future.set_exception(
-                IncompleteAnswerError(
-                    'connection closed before the answer was complete'
-                )
+                kind('connection closed before the answer was complete')
             )
 
     def data_received(self, received: bytes) -> None:
@@ -327,14 +339,20 @@
             f'{address.host}:{address.port} did not accept in time'
         ) from error
     except OSError as error:
-        is_own = error.errno in {errno.EMFILE, errno.ENFILE}
-        kind = OutOfDescriptorsError if is_own else UnreachableError
+        kind = _UNREACHABLE_ERRORS.get(error.errno or 0, UnreachableError)
         raise kind(
             f'{address.host}:{address.port}: {error.strerror}'
         ) from error
     return connection
 
 
+_UNREACHABLE_ERRORS: Final[Mapping[int, type[UnreachableError]]] = {
+    errno.EMFILE: OutOfDescriptorsError,
+    errno.ENFILE: OutOfDescriptorsError,
+    errno.ECONNREFUSED: RefusedError,
+}
+
+
 def _enable_dead_peer_detection(sock: socket.socket) -> None:
     """Let the kernel close a connection whose peer stops acknowledging."""
     options = (
