--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -82,6 +82,9 @@
         self.store = self.run_coroutine(_make_store())
         self._http = urllib3.PoolManager(retries=False, maxsize=32)
         self._ips: dict[str, str] = {}
+        self._zones_by_target: dict[str, str] = {}
+        self._starts: dict[str, int] = {}
+        self._restarts: set[asyncio.Task[None]] = set()
 
     def __enter__(self) -> 'Deployment':
         """Start the store and write a first configuration."""
@@ -95,6 +98,8 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
+        for restart in tuple(self._restarts):
+            self.call_in_loop(restart.cancel)
         self.call_in_loop(self.store.stop)
         for target in self.targets.values():
             self.call_in_loop(target.stop)
@@ -143,6 +148,32 @@
         self._start_server(name, zone, target)
         return target
 
+    def restart_after_crashes(
+        self, name: str, *, seconds: float, **fields: object
+    ) -> None:
+        """Let a target start again some seconds after each of its crashes.
+
+        `fields` of its entry are changed from its next start on.
+        """
+
+        async def restart() -> None:
+            await asyncio.sleep(seconds)
+            await self.targets[name].start(self._ips[name], _TARGET_PORT)
+            self._starts[name] = self._starts.get(name, 1) + 1
+            entry = make_target_entry(
+                f'{self._ips[name]}:{_TARGET_PORT}',
+                self._zones_by_target[name],
+                **{'born': self._starts[name], **fields},
+            )
+            self.store.put('servers', name, entry)
+
+        def begin() -> None:
+            task = self._loop.create_task(restart())
+            self._restarts.add(task)
+            task.add_done_callback(self._restarts.discard)
+
+        self.targets[name].on_crash = begin
+
     def add_endless_target(self, name: str, kind: str) -> EndlessServer:
         """Start and register a target whose answers never end."""
         server = EndlessServer(name=kind)
@@ -169,8 +200,12 @@
         zone: str = 'east-a',
         *,
         store: str = '',
+        internal_ports: tuple[int, int] = (7560, 7575),
     ) -> None:
-        """Start a VM as a process; `store` overrides the address it uses."""
+        """Start a VM as a process; `store` overrides the address it uses.
+
+        VMs with other internal ports do not hear each other.
+        """
         number = len(self._ips) + 1
         ip = self._ips.setdefault(
             name,
@@ -185,6 +220,7 @@
             store=store or f'{self._make_ip(200, 1)}:{_STORE_PORT}',
             seeds=seeds,
         )
+        settings['internal_port_range'] = list(internal_ports)
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings))
         with (self.folder / f'{name}.log').open('ab') as log:
@@ -311,6 +347,7 @@
         number = len(self.targets) + len(self.endless_servers)
         ip = self._make_ip(100 + _ZONE_NUMBERS[zone], number)
         self._ips[name] = ip
+        self._zones_by_target[name] = zone
         self.run_coroutine(server.start(ip, _TARGET_PORT))
         self.register(name, zone)
 
--- a/standins/site/target.py
+++ b/standins/site/target.py
@@ -3,11 +3,19 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import httptools
 
-__all__ = ('Arrival', 'ExecutedRequest', 'NamedLimit', 'TargetStandin')
+__all__ = (
+    'Arrival',
+    'Crash',
+    'ExecutedRequest',
+    'NamedLimit',
+    'ReceivedRequest',
+    'TargetStandin',
+)
 
 _MAX_QUEUED_REQUESTS: Final = 27
 _COPY_DELAY_SECONDS: Final = 0.02
@@ -21,6 +29,13 @@
     request_id: str
 
 
+class Crash(NamedTuple):
+    """A request that crashed a target, and when (monotonic seconds)."""
+
+    at: float
+    request_id: str
+
+
 class NamedLimit(NamedTuple):
     """The content of the limit header from a time on; empty for no header."""
 
@@ -39,6 +54,18 @@
     key: str
 
 
+class ReceivedRequest(NamedTuple):
+    """A request as a target received it; `key` is its Authorization header."""
+
+    request_id: str
+    path: str
+    team: str
+    deadline_ms: int
+    key: str
+    expected: str
+    body: bytes
+
+
 class TargetStandin:
     """A target that answers after `work_seconds`, in one of these modes.
 
@@ -70,6 +97,10 @@
         self.executed: list[ExecutedRequest] = []
         self.cancelled_ids: list[str] = []
         self.arrivals: list[Arrival] = []
+        self.crashes: list[Crash] = []
+        # Whether a request crashes this target when it begins to run it.
+        self.is_deadly: Callable[[ReceivedRequest], bool] = _spare
+        self.on_crash: Callable[[], object] = _ignore
         self.limits: list[NamedLimit] = []
         self.answers_with_limit: list[Arrival] = []
         # Headers of all answers, and of refusals only.
@@ -96,11 +127,17 @@
         for connection in tuple(self._connections):
             connection.abort()
 
+    def crash(self, request_id: str = '') -> None:
+        """Stop as a crash would; a request may be the cause."""
+        self.crashes.append(Crash(time.monotonic(), request_id))
+        self.stop()
+        self.on_crash()
+
     def name_limit(self, content: str) -> None:
         """Name a limit in answers from now on; an empty text ends it."""
         self.limits.append(NamedLimit(time.monotonic(), content))
 
-    async def serve(self, request: '_ReceivedRequest') -> list[bytes] | None:
+    async def serve(self, request: ReceivedRequest) -> list[bytes] | None:
         """Return the messages to send; None closes the connection."""
         self.arrivals.append(Arrival(time.monotonic(), request.request_id))
         messages = await self._answer(request)
@@ -124,7 +161,7 @@
             for message in messages
         ]
 
-    async def _answer(self, request: '_ReceivedRequest') -> list[bytes] | None:
+    async def _answer(self, request: ReceivedRequest) -> list[bytes] | None:
         if request.expected != self.name:
             return [_encode_answer(request.request_id, 421, b'', not_run=True)]
         is_refused = self.mode == 'shed' or self.mode.startswith('refusal')
@@ -145,7 +182,7 @@
             self.cancelled_ids.append(request.request_id)
             raise
 
-    async def _execute(self, request: '_ReceivedRequest') -> list[bytes] | None:
+    async def _execute(self, request: ReceivedRequest) -> list[bytes] | None:
         self.executed.append(
             ExecutedRequest(
                 target=self.name,
@@ -158,6 +195,8 @@
         )
         mode = self.mode
         await asyncio.sleep(self.work_seconds)
+        if self.is_deadly(request):
+            self.crash(request.request_id)
         if mode == 'lost':
             return None
         if mode == 'silent':
@@ -173,16 +212,6 @@
         )
 
 
-class _ReceivedRequest(NamedTuple):
-    request_id: str
-    path: str
-    team: str
-    deadline_ms: int
-    key: str
-    expected: str
-    body: bytes
-
-
 class _Connection(asyncio.Protocol):
     def __init__(
         self,
@@ -236,7 +265,7 @@
 
     def on_message_complete(self) -> None:
         get = self._headers.get
-        request = _ReceivedRequest(
+        request = ReceivedRequest(
             request_id=get('x-toucanhall-request-id', ''),
             path=self._path.decode(),
             team=get('x-toucanhall-tenant-id', ''),
@@ -252,7 +281,7 @@
             self._answer(request),
         )
 
-    async def _answer(self, request: _ReceivedRequest) -> None:
+    async def _answer(self, request: ReceivedRequest) -> None:
         parts = await self._target.serve(request)
         transport = self._transport
         if transport is None:
@@ -267,7 +296,7 @@
     async def _write_again(
         self,
         transport: asyncio.Transport,
-        request: _ReceivedRequest,
+        request: ReceivedRequest,
         refusal: bytes,
     ) -> None:
         mode = self._target.mode
@@ -280,6 +309,14 @@
             self._refusal_copy = refusal
 
 
+def _spare(_request: ReceivedRequest) -> bool:
+    return False
+
+
+def _ignore() -> None:
+    """Take no notice of a crash."""
+
+
 def _encode_answer(
     request_id: str,
     status: int,
