Hold back requests that crash the targets that run them

Callers saw: a service lost target after target, and answered a tenth to a half of its requests with 502 and 503 meanwhile. Cause: what a VM learned when a target ended under a request stayed with that one try; each repetition, and the retry within a try, went to the next target that was well. The class: what one VM learns of a request is known to no other.

A connection that a target closed before its answer, where nothing listens any more while other targets accept, is evidence against the requests in flight there. Two crashes without a success hold a request back; a single trial, acquired by a conditional write, decides, then ever rarer ones, and one for each new release. The store has the entries, watched as the other tables; what it lost in a new era is written again. Ruled out: counting closed connections alone (resets, lost answers and cut links look the same), messages between VMs (zones that are cut off from each other share the store only).

The dispatcher is split by its steps for that.

--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Mapping
 
+from toucanhall.edge.quarantine import Quarantine
+from toucanhall.edge.target_probe import TargetProbe
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import (
     Address,
@@ -14,9 +16,11 @@
 )
 from toucanhall.fleet.reports import LimitReport, Member, ZoneReport
 from toucanhall.fleet.revisions import Revisions
+from toucanhall.fleet.suspects import SuspectTable
 from toucanhall.limits.quota import Usage
 from toucanhall.placement.target_limits import TargetLimits
 from toucanhall.platform.store import Store
+from toucanhall.platform.suspect_registry import SuspectRegistry
 from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
 
@@ -29,6 +33,7 @@
     'make_member',
     'make_members',
     'make_opening',
+    'make_quarantine',
     'make_report',
     'make_store',
     'make_target',
@@ -56,6 +61,17 @@
     return target._replace(**fields)
 
 
+def make_quarantine(registry, pool, journal) -> Quarantine:
+    """Return a quarantine without suspects; its store does not answer."""
+    return Quarantine(
+        table=SuspectTable(),
+        targets=registry,
+        registry=SuspectRegistry(store=make_store(make_environment().store)),
+        probe=TargetProbe(pool=pool, list_targets=registry.list_targets),
+        journal=journal,
+    )
+
+
 def make_team(name: str = 'guides', **fields: object) -> Team:
     """Return a team without home regions."""
     team = Team(
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -5,7 +5,12 @@
 import pytest
 
 from standins.site.documents import HOST, KEY, make_configuration, make_rule
-from tests.fleetdata import make_bounds, make_environment, make_opening
+from tests.fleetdata import (
+    make_bounds,
+    make_environment,
+    make_opening,
+    make_quarantine,
+)
 from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.dispatcher import RequestDispatcher
 from toucanhall.edge.request_recorder import RequestRecorder
@@ -35,14 +40,16 @@
     lag = LoopLag()
     for _tick in range(30):
         lag.record(lag_seconds)
+    pool = ConnectionPool(
+        clock=clock, settings=make_opening(), max_idle_connections=10
+    )
     return RequestDispatcher(
         fleet_tables=fleet_tables,
         registry=registry,
+        quarantine=make_quarantine(registry, pool, journal),
         sender=Sender(
             registry=registry,
-            pool=ConnectionPool(
-                clock=clock, settings=make_opening(), max_idle_connections=10
-            ),
+            pool=pool,
             journal=journal,
             limits=targets.limits,
         ),
--- /dev/null
+++ b/toucanhall/edge/attempts.py
@@ -0,0 +1,44 @@
+"""The attempts to serve one request."""
+
+from toucanhall.edge.admission import AdmittedRequest
+from toucanhall.edge.sender import Failure
+from toucanhall.placement.registry import TargetQuery
+from toucanhall.quarantine.verdicts import Verdict
+
+__all__ = ('Attempts', 'make_query')
+
+
+class Attempts:
+    """The targets tried for a request, and the worst failure.
+
+    `verdict` tells which targets may run it.
+    """
+
+    def __init__(self, *, verdict: Verdict) -> None:
+        """Start without any attempt."""
+        self.verdict = verdict
+        self.tried: set[str] = set()
+        self.sent_count = 0
+        self.unsent_count = 0
+        self.worst_failure: Failure | None = None
+
+    def record(self, failure: Failure) -> None:
+        """Record an attempt that failed."""
+        if failure.was_sent:
+            self.sent_count += 1
+        else:
+            self.unsent_count += 1
+        worst = self.worst_failure
+        if worst is None or failure.may_have_run or not worst.may_have_run:
+            self.worst_failure = failure
+
+
+def make_query(admitted: AdmittedRequest, attempts: Attempts) -> TargetQuery:
+    """Return the query of the targets that may serve a request next."""
+    return TargetQuery(
+        service=admitted.service.name,
+        key=admitted.object_key,
+        homes=admitted.homes,
+        tried=frozenset(attempts.tried),
+        releases=attempts.verdict.releases,
+    )
--- a/toucanhall/edge/connection_pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -63,6 +63,14 @@
                 self._idle_count += 1
                 break
             connection.close()
+        return await self.open(
+            address, connect_timeout_seconds=connect_timeout_seconds
+        )
+
+    async def open(
+        self, address: Address, *, connect_timeout_seconds: float
+    ) -> ServerConnection:
+        """Open a connection, or raise UnreachableError."""
         self.opened_count += 1
         return await open_connection(
             address,
--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -6,25 +6,24 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest, admit
+from toucanhall.edge.attempts import Attempts
+from toucanhall.edge.failure_answers import FailureAnswers
+from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.refusals import Refusal
 from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.request_recorder import RequestRecorder
-from toucanhall.edge.sender import Failure, Sender, Success
+from toucanhall.edge.retry_policy import RetryPolicy
+from toucanhall.edge.sender import Sender, Success
+from toucanhall.edge.target_chooser import TargetChooser
 from toucanhall.fleet.tables import FleetTables, find_route
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
-from toucanhall.placement.choice import (
-    TARGETS_PER_OBJECT,
-    URGENT_PRIORITY,
-    Candidate,
-    RequestUrgency,
-    choose_target,
-)
-from toucanhall.placement.registry import TargetQuery, TargetRegistry
+from toucanhall.placement.choice import URGENT_PRIORITY, Candidate
+from toucanhall.placement.registry import TargetRegistry
 from toucanhall.placement.response_times import ResponseTimes
-from toucanhall.placement.return_times import ReturnTimes
 from toucanhall.platform.headers import make_caller_answer, read_caller_headers
+from toucanhall.quarantine.verdicts import Verdict
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
 
@@ -37,27 +36,8 @@
 # Times of a route differ: a target that lacks the object takes three times as
 # long as one that has it, and the expected time lies between.
 _SLOW_TO_EXPECTED_TIME_RATIO: Final = 2.0
-# Connections that failed without a byte sent do not count as attempts.
-_MAX_UNSENT_COUNT: Final = 3
-
-
-class _Attempts:
-    """The targets tried for a request, and the worst failure."""
-
-    def __init__(self) -> None:
-        self.tried: set[str] = set()
-        self.sent_count = 0
-        self.unsent_count = 0
-        self.worst_failure: Failure | None = None
-
-    def record(self, failure: Failure) -> None:
-        if failure.was_sent:
-            self.sent_count += 1
-        else:
-            self.unsent_count += 1
-        worst = self.worst_failure
-        if worst is None or failure.may_have_run or not worst.may_have_run:
-            self.worst_failure = failure
+# Least time after which a caller may try a held request again.
+_MIN_HOLD_SECONDS: Final = 0.5
 
 
 class RequestDispatcher:
@@ -71,6 +51,7 @@
         sender: Sender,
         quotas: Quotas,
         retries: RetryBudget,
+        quarantine: Quarantine,
         recorder: RequestRecorder,
         lag: LoopLag,
     ) -> None:
@@ -80,11 +61,23 @@
         self._sender = sender
         self._quotas = quotas
         self._retries = retries
+        self._quarantine = quarantine
         self._recorder = recorder
         self._lag = lag
         self._loop = asyncio.get_running_loop()
         self._response_times = ResponseTimes()
-        self._return_times = ReturnTimes()
+        self._chooser = TargetChooser(
+            registry=registry, response_times=self._response_times
+        )
+        self._retry_policy = RetryPolicy(
+            retries=retries,
+            quarantine=quarantine,
+            response_times=self._response_times,
+            recorder=recorder,
+        )
+        self._failure_answers = FailureAnswers(
+            registry=registry, recorder=recorder
+        )
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
         self.request_rate = RequestRate(now=self._loop.time())
@@ -156,7 +149,12 @@
         self._retries.record_request(
             admitted.service.name, admitted.received_at
         )
-        attempts = _Attempts()
+        verdict = self._quarantine.judge(
+            admitted.fingerprint, admitted.service.name
+        )
+        if verdict.retry_after:
+            return self._hold_back(admitted, verdict)
+        attempts = Attempts(verdict=verdict)
         try:
             return await self._attempt_with_timeout(
                 min(admitted.deadline, self._ends_at),
@@ -171,11 +169,19 @@
                 tried=sorted(attempts.tried),
             )
 
+    def _hold_back(self, admitted: AdmittedRequest, verdict: Verdict) -> Answer:
+        retry_after = max(_MIN_HOLD_SECONDS, verdict.retry_after)
+        return self._recorder.record_refusal(
+            admitted.headers,
+            refusals.make_held_back(retry_after),
+            fingerprint=admitted.fingerprint,
+        )
+
     async def _attempt_with_timeout(
         self,
         until: float,
         admitted: AdmittedRequest,
-        attempts: _Attempts,
+        attempts: Attempts,
     ) -> Answer:
         async with asyncio.timeout_at(until) as timeout:
             self._timeouts.add(timeout)
@@ -200,17 +206,23 @@
     async def _attempt_all(
         self,
         admitted: AdmittedRequest,
-        attempts: _Attempts,
+        attempts: Attempts,
     ) -> Answer:
         while True:
-            candidate = self._choose(admitted, attempts)
+            candidate = self._chooser.choose(admitted, attempts)
             if candidate is None:
-                return self._answer_failure(admitted, attempts)
+                return self._failure_answers.answer(admitted, attempts)
+            if not await self._may_send(admitted, attempts):
+                return self._hold_back(admitted, attempts.verdict)
             attempts.tried.add(candidate.target.id)
             outcome = await self._sender.attempt(admitted, candidate)
             if isinstance(outcome, Success):
                 return self._answer_success(admitted, candidate, outcome)
             attempts.record(outcome)
+            if outcome.is_closed_by_target:
+                self._quarantine.record_lost(
+                    admitted.fingerprint, candidate.target
+                )
             self._recorder.record_failed_attempt(
                 admitted.headers,
                 outcome.reason,
@@ -220,64 +232,19 @@
                 fingerprint=admitted.fingerprint,
                 detail=outcome.detail,
             )
-            if not self._may_retry(admitted, attempts, outcome):
-                return self._answer_failure(admitted, attempts)
+            if not self._retry_policy.allows(admitted, attempts, outcome):
+                return self._failure_answers.answer(admitted, attempts)
 
-    def _choose(
-        self,
-        admitted: AdmittedRequest,
-        attempts: _Attempts,
-    ) -> Candidate | None:
-        now = self._loop.time()
-        query = _make_query(admitted, attempts)
-        urgency = RequestUrgency(
-            seconds_to_objective=admitted.objective_at - now,
-            expected_seconds=self._response_times.get(
-                admitted.route.name,
-                admitted.objective_seconds,
-            ),
-            priority=admitted.priority,
-        )
-        rate = admitted.service.cold_per_second
-        while True:
-            candidates = self._registry.list_candidates(
-                query, now, TARGETS_PER_OBJECT
-            )
-            chosen = choose_target(candidates, urgency, now)
-            if not chosen or self._registry.try_acquire(
-                chosen.target, rate, now
-            ):
-                return chosen
-            query = query._replace(tried=query.tried | {chosen.target.id})
-
-    def _may_retry(
-        self,
-        admitted: AdmittedRequest,
-        attempts: _Attempts,
-        failure: Failure,
+    async def _may_send(
+        self, admitted: AdmittedRequest, attempts: Attempts
     ) -> bool:
-        if failure.may_have_run and not admitted.route.is_idempotent:
-            return False
-        if attempts.sent_count >= admitted.route.attempts:
-            return False
-        now = self._loop.time()
-        expected_seconds = self._response_times.get(
-            admitted.route.name,
-            admitted.objective_seconds,
-        )
-        if (
-            attempts.unsent_count > _MAX_UNSENT_COUNT
-            or now + expected_seconds / 2 > admitted.deadline
-        ):
-            return False
-        if not attempts.sent_count or self._retries.try_acquire(
-            admitted.service.name, now
-        ):
+        """Whether a request is free, or acquires the trial that it needs."""
+        verdict = attempts.verdict
+        if attempts.tried or not verdict.is_trial:
             return True
-        self._recorder.record_refused_retry(
-            admitted.headers, admitted.service.name
+        return await self._quarantine.acquire_trial(
+            admitted.fingerprint, verdict
         )
-        return False
 
     def _answer_success(
         self,
@@ -292,6 +259,7 @@
             success.load_ratio,
         )
         self._sender.record_success(candidate, ratio)
+        self._quarantine.record_served(admitted.fingerprint, candidate.target)
         self._recorder.record_served(
             admitted.headers,
             admitted.route.name,
@@ -301,94 +269,6 @@
         )
         return make_caller_answer(success.reply)
 
-    def _answer_failure(
-        self, admitted: AdmittedRequest, attempts: _Attempts
-    ) -> Answer:
-        failure = attempts.worst_failure
-        if failure is None or not failure.may_have_run:
-            refusal = _explain_pauses(
-                self._registry.compute_pause_seconds(
-                    _make_query(admitted, _Attempts()), self._loop.time()
-                )
-            )
-            if refusal is not None:
-                return self._recorder.record_refusal(
-                    admitted.headers, refusal, tried=sorted(attempts.tried)
-                )
-        if failure is None:
-            now = self._loop.time()
-            refusal = _explain_no_target(
-                admitted,
-                self._registry.compute_limited_rate(
-                    _make_query(admitted, attempts), now
-                ),
-                self._registry.limits.count_serving_vms(),
-                self._return_times,
-                now,
-            )
-            return self._recorder.record_refusal(admitted.headers, refusal)
-        if failure.reply is not None:
-            self._recorder.record_passed_failure(
-                admitted.headers,
-                failure.reason,
-                failure.target,
-            )
-            return make_caller_answer(failure.reply)
-        refusal = refusals.NOT_RUN
-        if failure.may_have_run:
-            refusal = refusals.ANSWER_LOST
-        return self._recorder.record_refusal(
-            admitted.headers,
-            refusal,
-            why=failure.reason,
-            tried=sorted(attempts.tried),
-        )
-
-
-def _explain_pauses(seconds: float | None) -> Refusal | None:
-    """Return why no target takes a request if all pause or leave.
-
-    `seconds` are those until the first pause ends, None if a target wants
-    none.
-    """
-    if seconds is None:
-        return None
-    if math.isinf(seconds):
-        return refusals.NO_TARGET
-    return refusals.make_targets_paused(seconds)
-
-
-def _explain_no_target(
-    admitted: AdmittedRequest,
-    rate: float | None,
-    vms: int,
-    return_times: ReturnTimes,
-    now: float,
-) -> Refusal:
-    """Return why no target takes a request.
-
-    `rate` is what all VMs, `vms` of them, may send to its targets per second,
-    None if it is not for their limits.
-    """
-    if rate is None:
-        return refusals.TARGETS_FULL
-    retry_after = return_times.schedule(
-        admitted.service.name,
-        rate / vms,
-        admitted.deadline - now,
-        now,
-    )
-    return refusals.make_targets_limited(retry_after, rate)
-
-
-def _make_query(admitted: AdmittedRequest, attempts: _Attempts) -> TargetQuery:
-    return TargetQuery(
-        service=admitted.service.name,
-        key=admitted.object_key,
-        homes=admitted.homes,
-        tried=frozenset(attempts.tried),
-    )
-
 
 def _get_max_lag_seconds(priority: int) -> float:
     if priority > URGENT_PRIORITY:
--- /dev/null
+++ b/toucanhall/edge/failure_answers.py
@@ -0,0 +1,108 @@
+"""Answers requests that no target has served."""
+
+import asyncio
+import math
+
+from toucanhall.edge import refusals
+from toucanhall.edge.admission import AdmittedRequest
+from toucanhall.edge.attempts import Attempts, make_query
+from toucanhall.edge.refusals import Refusal
+from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.placement.registry import TargetRegistry
+from toucanhall.placement.return_times import ReturnTimes
+from toucanhall.platform.headers import make_caller_answer
+from toucanhall.web.messages import Answer
+
+__all__ = ('FailureAnswers',)
+
+
+class FailureAnswers:
+    """Picks and records the final answers to such requests."""
+
+    def __init__(
+        self, *, registry: TargetRegistry, recorder: RequestRecorder
+    ) -> None:
+        """Explain refusals by what `registry` knows of the targets."""
+        self._registry = registry
+        self._recorder = recorder
+        self._loop = asyncio.get_running_loop()
+        self._return_times = ReturnTimes()
+
+    def answer(self, admitted: AdmittedRequest, attempts: Attempts) -> Answer:
+        """Return the final answer to a request that no target has served."""
+        failure = attempts.worst_failure
+        if failure is None or not failure.may_have_run:
+            refusal = _explain_pauses(
+                self._registry.compute_pause_seconds(
+                    make_query(admitted, Attempts(verdict=attempts.verdict)),
+                    self._loop.time(),
+                )
+            )
+            if refusal is not None:
+                return self._recorder.record_refusal(
+                    admitted.headers, refusal, tried=sorted(attempts.tried)
+                )
+        if failure is None:
+            now = self._loop.time()
+            refusal = _explain_no_target(
+                admitted,
+                self._registry.compute_limited_rate(
+                    make_query(admitted, attempts), now
+                ),
+                self._registry.limits.count_serving_vms(),
+                self._return_times,
+                now,
+            )
+            return self._recorder.record_refusal(admitted.headers, refusal)
+        if failure.reply is not None:
+            self._recorder.record_passed_failure(
+                admitted.headers,
+                failure.reason,
+                failure.target,
+            )
+            return make_caller_answer(failure.reply)
+        refusal = refusals.NOT_RUN
+        if failure.may_have_run:
+            refusal = refusals.ANSWER_LOST
+        return self._recorder.record_refusal(
+            admitted.headers,
+            refusal,
+            why=failure.reason,
+            tried=sorted(attempts.tried),
+        )
+
+
+def _explain_pauses(seconds: float | None) -> Refusal | None:
+    """Return why no target takes a request if all pause or leave.
+
+    `seconds` are those until the first pause ends, None if a target wants
+    none.
+    """
+    if seconds is None:
+        return None
+    if math.isinf(seconds):
+        return refusals.NO_TARGET
+    return refusals.make_targets_paused(seconds)
+
+
+def _explain_no_target(
+    admitted: AdmittedRequest,
+    rate: float | None,
+    vms: int,
+    return_times: ReturnTimes,
+    now: float,
+) -> Refusal:
+    """Return why no target takes a request.
+
+    `rate` is what all VMs, `vms` of them, may send to its targets per second,
+    None if it is not for their limits.
+    """
+    if rate is None:
+        return refusals.TARGETS_FULL
+    retry_after = return_times.schedule(
+        admitted.service.name,
+        rate / vms,
+        admitted.deadline - now,
+        now,
+    )
+    return refusals.make_targets_limited(retry_after, rate)
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -16,10 +16,12 @@
     PeerExchange,
     RevisionSource,
 )
+from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.request_recorder import RequestRecorder
 from toucanhall.edge.sender import Sender
 from toucanhall.edge.state_updater import StateUpdater
 from toucanhall.edge.table_exchange import TableExchange
+from toucanhall.edge.target_probe import TargetProbe
 from toucanhall.edge.target_state import make_target_state
 from toucanhall.edge.unknown_headers import UnknownHeaders
 from toucanhall.edge.vm_entries import VmEntries
@@ -38,6 +40,7 @@
 from toucanhall.platform.headers import REQUEST_ID_HEADER
 from toucanhall.platform.store import Store
 from toucanhall.platform.store_watch import StoreWatch
+from toucanhall.platform.suspect_registry import SuspectRegistry
 from toucanhall.platform.vm_registry import VmRegistry
 from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.lag import LoopLag
@@ -117,6 +120,15 @@
             journal=self._journal,
             lapse_seconds=2 * environment.bounds.target_heartbeat_seconds,
         )
+        self._quarantine = Quarantine(
+            table=self._fleet_tables.suspects,
+            targets=self._registry,
+            registry=SuspectRegistry(store=self._store),
+            probe=TargetProbe(
+                pool=self._pool, list_targets=self._registry.list_targets
+            ),
+            journal=self._journal,
+        )
         self._has_divided_limits = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
@@ -132,6 +144,7 @@
             ),
             quotas=self._quotas,
             retries=self._retries,
+            quarantine=self._quarantine,
             recorder=RequestRecorder(
                 fleet_tables=self._fleet_tables,
                 journal=self._journal,
@@ -288,7 +301,10 @@
         )
 
     def _on_table_changed(self, table: str) -> None:
-        self._state_updater.apply_table_change(table)
+        if table == 'suspects':
+            self._quarantine.apply_table_change()
+        else:
+            self._state_updater.apply_table_change(table)
         if table == 'configuration' and not self._has_divided_limits:
             # Until then no team has a limit to divide.
             self._update_state()
@@ -310,6 +326,7 @@
         self._dispatcher.request_rate.measure(self._loop.time())
         self._update_state()
         self._watch_duty.update()
+        self._quarantine.drop_expired(is_watching=self._store_watch.is_watching)
 
     def _update_state(self) -> None:
         self._has_divided_limits = self._fleet_tables.configuration is not None
@@ -345,6 +362,7 @@
             'evacuations_revision': lambda: (
                 fleet_tables.revisions.evacuations.number
             ),
+            'requests_held_back': self._quarantine.count_held_back,
             'bytes_held': lambda: self._buffer_budget.total_bytes,
             'targets_limited': lambda: len(limits.observations.list_limited()),
             'limited_targets_owned': limits.count_owned,
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -11,6 +11,7 @@
 
 __all__ = (
     'Refusal',
+    'make_held_back',
     'make_over_quota',
     'make_refusal_answer',
     'make_targets_limited',
@@ -72,6 +73,14 @@
     return Refusal(503, 'targets-paused', retry_after)
 
 
+def make_held_back(retry_after: float) -> Refusal:
+    """Return the refusal of a request that crashes targets.
+
+    `retry_after` is the time until it may run as a trial, in seconds.
+    """
+    return Refusal(503, 'request-held-back', retry_after)
+
+
 def make_refusal_answer(refusal: Refusal) -> Answer:
     """Return the HTTP answer of a refusal."""
     headers: tuple[tuple[bytes, bytes], ...] = ()
--- a/toucanhall/edge/table_exchange.py
+++ b/toucanhall/edge/table_exchange.py
@@ -33,6 +33,7 @@
 # The VM of the own zone that relayed revisions fetches the tables itself and
 # broadcasts to its zone: the others ask the remote VM only if that fails.
 _RELAYED_DELAY_SECONDS: Final = 0.4
+_REVISIONS_COUNT: Final = 3
 _FETCH_TIMEOUT_SECONDS: Final = 1.0  # a snapshot of some 30 kB between regions
 # A VM without tables waits this long for revisions from its own zone, and from
 # its own region, before it asks further away: bytes between regions cost more.
@@ -83,7 +84,7 @@
         try:
             known = _decode_revisions(query)
         except (TypeError, ValueError):
-            return make_answer(400, 'a version and two revisions are needed')
+            return make_answer(400, 'a version and three revisions are needed')
         snapshot = self._fleet_tables.make_snapshot(known, self._loop.time())
         return Answer(200, (), pack(msgspec.msgpack.encode(snapshot)))
 
@@ -193,6 +194,7 @@
         revisions.configuration,
         *revisions.targets,
         *revisions.evacuations,
+        *revisions.suspects,
     )
     return b','.join(b'%d' % number for number in numbers)
 
@@ -200,14 +202,7 @@
 def _decode_revisions(query: bytes) -> Revisions:
     """Decode revisions; raise TypeError or ValueError if they are invalid."""
     version, *numbers = map(int, query.split(b','))
-    targets, evacuations = numbers[:2], numbers[2:]
-    return Revisions(
-        version,
-        Revision(*_check_pair(targets)),
-        Revision(*_check_pair(evacuations)),
-    )
-
-
-def _check_pair(numbers: list[int]) -> tuple[int, int]:
-    era, number = numbers
-    return era, number
+    if len(numbers) != 2 * _REVISIONS_COUNT:
+        raise ValueError(f'{_REVISIONS_COUNT} revisions are needed')
+    pairs = zip(numbers[::2], numbers[1::2], strict=True)
+    return Revisions(version, *(Revision(*pair) for pair in pairs))
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -5,6 +5,7 @@
 
 from toucanhall.fleet.evacuations import EvacuationSnapshot
 from toucanhall.fleet.revisions import Revision
+from toucanhall.fleet.suspects import SuspectSnapshot
 
 __all__ = (
     'Address',
@@ -160,7 +161,8 @@
     `started_at` is the time of its start (Unix milliseconds, 0 if unknown);
     `cold_seconds` is how long it stays cold after its entry was written;
     `revision` is the revision of the store at its last change, in the era of
-    the table; `sequence` counts the writes of the target since its start.
+    the table; `sequence` counts the writes of the target since its start;
+    `version` is that of its software.
     """
 
     id: str
@@ -173,6 +175,12 @@
     started_at: int
     revision: int
     sequence: int = 0
+    version: str = ''
+
+    @property
+    def release(self) -> str:
+        """The software of the target: its service and version."""
+        return f'{self.service} {self.version}'
 
 
 class VmContact(NamedTuple):
@@ -199,3 +207,4 @@
     removed: Mapping[str, int]
     held_targets: Mapping[str, float]
     evacuations: EvacuationSnapshot
+    suspects: SuspectSnapshot
--- a/toucanhall/fleet/revisions.py
+++ b/toucanhall/fleet/revisions.py
@@ -25,6 +25,7 @@
     configuration: int = 0
     targets: Revision = Revision()
     evacuations: Revision = Revision()
+    suspects: Revision = Revision()
 
 
 def is_ahead(found: Revisions, own: Revisions) -> bool:
@@ -33,4 +34,5 @@
         found.configuration > own.configuration
         or found.targets > own.targets
         or found.evacuations > own.evacuations
+        or found.suspects > own.suspects
     )
--- a/toucanhall/fleet/tables.py
+++ b/toucanhall/fleet/tables.py
@@ -8,6 +8,7 @@
 from toucanhall.fleet.model import Configuration, Route, Snapshot, Target
 from toucanhall.fleet.removals import Removals
 from toucanhall.fleet.revisions import Revision, Revisions
+from toucanhall.fleet.suspects import Suspect, SuspectTable
 
 __all__ = ('FleetTables', 'find_route')
 
@@ -48,6 +49,7 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.revisions = Revisions()
         self._evacuations = EvacuationTable()
+        self.suspects = SuspectTable()
         # Until when each target is held; without end during an outage.
         self.held_targets: dict[str, float] = {}
         # Targets that are deleted before this time are held until it.
@@ -96,6 +98,23 @@
         self._note_evacuations()
         return expired
 
+    def replace_suspects(
+        self, revision: Revision, suspects: Mapping[str, Suspect], now: float
+    ) -> None:
+        """Replace the requests that are suspected to crash targets."""
+        self.suspects.replace(revision, suspects, now)
+        self._note_suspects()
+
+    def apply_suspect_changes(
+        self,
+        revision: Revision,
+        changes: Mapping[str, Suspect | None],
+        now: float,
+    ) -> None:
+        """Apply written entries of suspects, None for a removed one."""
+        self.suspects.apply_changes(revision, changes, now)
+        self._note_suspects()
+
     def replace_targets(
         self,
         revision: Revision,
@@ -222,6 +241,7 @@
                 name: end - now for name, end in self.held_targets.items()
             },
             evacuations=self._evacuations.make_snapshot(now),
+            suspects=self.suspects.make_snapshot(),
         )
         if own.targets <= known.targets:
             return snapshot
@@ -257,6 +277,8 @@
             self._apply_targets(snapshot, now)
         self._evacuations.apply_snapshot(snapshot.evacuations, now)
         self._note_evacuations()
+        self.suspects.apply_snapshot(snapshot.suspects, now)
+        self._note_suspects()
 
     def _apply_targets(self, snapshot: Snapshot, now: float) -> None:
         revision = snapshot.targets_revision
@@ -332,6 +354,13 @@
             self.evacuated_zones = zones
             self._on_change('evacuations')
 
+    def _note_suspects(self) -> None:
+        if self.suspects.revision != self.revisions.suspects:
+            self.revisions = self.revisions._replace(
+                suspects=self.suspects.revision
+            )
+            self._on_change('suspects')
+
     def _get_target_revision(self, name: str) -> int:
         known = self.targets.get(name)
         return known.revision if known else 0
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -95,6 +95,21 @@
 TARGET_PAUSES: Final = Event(
     626, logging.INFO, 'target wants no requests for a time'
 )
+TARGET_ENDED: Final = Event(
+    627, logging.WARNING, 'target crashed while requests were in flight'
+)
+REQUEST_SUSPECTED: Final = Event(
+    628, logging.WARNING, 'request was in flight at a target that crashed'
+)
+TRIAL_STARTED: Final = Event(
+    629, logging.WARNING, 'request that was held back is sent as a trial'
+)
+REQUEST_CLEARED: Final = Event(
+    630, logging.INFO, 'request is not suspected any more: it was served'
+)
+SUSPECT_NOT_SAVED: Final = Event(
+    631, logging.WARNING, 'entry of a suspected request not written'
+)
 
 CATALOGUE: Final[tuple[Event, ...]] = tuple(
     found for found in tuple(globals().values()) if isinstance(found, Event)
--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -1,7 +1,7 @@
 """The targets of all services as this VM sees them."""
 
 import math
-from collections.abc import Iterable, Iterator, Mapping, Set
+from collections.abc import Collection, Iterable, Iterator, Mapping, Set
 from itertools import islice
 from typing import Final, NamedTuple
 
@@ -31,13 +31,15 @@
     """Selects and orders the targets that may serve a request.
 
     `key` names the object, `homes` the regions that may serve it (empty for
-    all), `tried` the targets that have been tried.
+    all), `tried` the targets that have been tried, `releases` those of the
+    targets that may serve it (None for all).
     """
 
     service: str
     key: str
     homes: frozenset[str]
     tried: frozenset[str]
+    releases: frozenset[str] | None = None
 
 
 class TargetRegistry:
@@ -135,6 +137,23 @@
         """Return the first targets that may serve a request, best first."""
         return list(islice(self._iterate_candidates(query, now), max_count))
 
+    def list_releases(self, service: str) -> frozenset[str]:
+        """Return the releases of the targets of a service."""
+        return frozenset(
+            target.release
+            for target in self._targets.values()
+            if target.service == service and not target.is_draining
+        )
+
+    def is_leaving(self, target: Target) -> bool:
+        """Whether a target is draining or says that it leaves."""
+        known = self._targets.get(target.id, target)
+        return known.is_draining or self.notices.is_leaving(target)
+
+    def list_targets(self) -> Collection[Target]:
+        """Return the targets of all services."""
+        return self._targets.values()
+
     def is_in_own_region(self, target: Target) -> bool:
         """Whether a target is in the region of this VM."""
         return self._regions.get(target.zone) == self._location.region
@@ -238,6 +257,10 @@
             target.is_draining
             or target.zone in self._evacuated
             or target.id in query.tried
+            or (
+                query.releases is not None
+                and target.release not in query.releases
+            )
         )
 
     def _iterate_candidates(
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -79,6 +79,7 @@
             started_at=read_integer(spec.get('born', 0), minimum=0),
             revision=revision,
             sequence=read_integer(spec.get('sequence', 0), minimum=0),
+            version=_read_version_name(spec.get('version')),
         )
     except _DECODE_ERRORS as error:
         raise InvalidDocumentError(
@@ -105,6 +106,11 @@
     return {'zone': contact.zone, 'ip': contact.ip}
 
 
+def _read_version_name(content: object) -> str:
+    """Return the name of a software version, empty if it is malformed."""
+    return content if isinstance(content, str) else ''
+
+
 def _explain(spec: object, error: Exception) -> str:
     if isinstance(spec, UndecodableSpec):
         return spec.why[:_MAX_ERROR_CHARACTERS]
--- a/toucanhall/platform/names.py
+++ b/toucanhall/platform/names.py
@@ -13,6 +13,8 @@
 TARGET_KIND: Final = 'servers'
 EVACUATION_KIND: Final = 'evacuations'
 VM_KIND: Final = 'vms'
+# Requests that are suspected to crash targets, by their fingerprints.
+SUSPECT_KIND: Final = 'suspects'
 
 # Rises when the store comes back from a copy.
 ERA_HEADER: Final = b'store-era'
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -18,20 +18,18 @@
 from toucanhall.platform.store_answers import (
     Change,
     InvalidAnswerError,
+    decode_object,
     decode_page,
 )
-from toucanhall.web.client import (
-    ConnectionSettings,
-    ReceivedAnswer,
-    ServerConnection,
-    open_connection,
-)
+from toucanhall.platform.store_connections import StoreConnections
+from toucanhall.web.client import ConnectionSettings, ReceivedAnswer
 from toucanhall.web.messages import Headers, Request, encode_request
 
 __all__ = (
     'ConflictError',
     'EraChangedError',
     'HistoryLostError',
+    'NotFoundError',
     'Store',
     'StoreError',
     'Table',
@@ -39,11 +37,10 @@
 
 # A slow store takes up to a hundred times its usual 4 ms to answer.
 _CALL_TIMEOUT_SECONDS: Final = 1.0
-_CONNECT_TIMEOUT_SECONDS: Final = 0.5
 _WATCH_TIMEOUT_MARGIN_SECONDS: Final = 1.0
-_MAX_IDLE_SECONDS: Final = 5.0
 _CONFLICT_STATUS: Final = 409
 _GONE_STATUS: Final = 410
+_NOT_FOUND_STATUS: Final = 404
 _SUCCESS_STATUSES: Final = range(200, 300)
 
 
@@ -59,6 +56,10 @@
     """The store came back from a copy since a revision."""
 
 
+class NotFoundError(StoreError):
+    """The object does not exist."""
+
+
 class ConflictError(StoreError):
     """The object exists already, or has another revision."""
 
@@ -80,10 +81,7 @@
 class Store:
     """Calls of one process to the store, on reused connections.
 
-    Answers have no id of their request. So a connection serves only reads of
-    one kind, where a late copy of an earlier answer is older than what is
-    known already, or a single write. An answer of an earlier era than the
-    newest one is an error.
+    An answer of an earlier era than the newest one is an error.
     """
 
     def __init__(
@@ -104,11 +102,9 @@
         self.era = 0
         self._on_era = on_era
         self._on_unknown_headers = on_unknown_headers
-        self._settings = settings
+        self._connections = StoreConnections(address=address, settings=settings)
         self._on_call = on_call
-        self._address = address
         self._host_header = f'{address.host}:{address.port}'.encode()
-        self._idle_connections: dict[str, list[ServerConnection]] = {}
 
     async def read(self, kind: str, *, may_be_stale: bool = False) -> Table:
         """Return all objects of a kind, page by page.
@@ -153,12 +149,30 @@
             'POST', kind, {'metadata': {'name': name}, 'spec': spec}
         )
 
-    async def replace(self, kind: str, name: str, spec: object) -> None:
-        """Replace an object."""
+    async def read_object(self, kind: str, name: str) -> Change:
+        """Return an object; raise NotFoundError if there is none."""
+        answer = await self._call('GET', f'{kind}/{quote(name)}')
+        try:
+            return decode_object(answer.body)
+        except InvalidAnswerError as error:
+            raise StoreError(
+                f'store answer cannot be decoded: {error}'
+            ) from error
+
+    async def replace(
+        self, kind: str, name: str, spec: object, *, revision: int = 0
+    ) -> None:
+        """Replace an object, or only one with a revision.
+
+        Raises ConflictError if it has another one.
+        """
+        metadata: dict[str, object] = {'name': name}
+        if revision:
+            metadata['revision'] = revision
         await self._call(
             'PUT',
             f'{kind}/{quote(name)}',
-            {'metadata': {'name': name}, 'spec': spec},
+            {'metadata': metadata, 'spec': spec},
         )
 
     async def delete(self, kind: str, name: str) -> None:
@@ -205,7 +219,7 @@
         outcome = 'broken'
         try:
             async with asyncio.timeout(seconds):
-                reply = await self._exchange(
+                reply = await self._connections.exchange(
                     encoded_request, _get_read_kind(method, path)
                 )
             outcome = str(reply.status)
@@ -235,36 +249,11 @@
             )
         return era
 
-    async def _exchange(
-        self, encoded_request: bytes, read_kind: str
-    ) -> ReceivedAnswer:
-        connection = await self._acquire_connection(read_kind)
-        reply = await connection.exchange(encoded_request)
-        if not read_kind:
-            connection.close()
-        elif connection.is_usable:
-            connection.idle_since = time.monotonic()
-            self._idle_connections.setdefault(read_kind, []).append(connection)
-        return reply
-
-    async def _acquire_connection(self, read_kind: str) -> ServerConnection:
-        min_idle_since = time.monotonic() - _MAX_IDLE_SECONDS
-        idle_connections = self._idle_connections.get(read_kind)
-        while idle_connections:
-            connection = idle_connections.pop()
-            if connection.is_usable and connection.idle_since > min_idle_since:
-                return connection
-            connection.close()
-        return await open_connection(
-            self._address,
-            seconds=_CONNECT_TIMEOUT_SECONDS,
-            settings=self._settings,
-        )
-
 
 def _get_read_kind(method: str, path: str) -> str:
-    """Return the kind that a call reads, empty for a write."""
-    return path.partition('?')[0] if method == 'GET' else ''
+    """Return the kind that a call lists, empty for any other call."""
+    kind = path.partition('?')[0]
+    return kind if method == 'GET' and '/' not in kind else ''
 
 
 def _read_table(answer: _StoreAnswer) -> tuple[Table, bool]:
@@ -287,4 +276,5 @@
 _ERRORS_BY_STATUS: Final[Mapping[int, type[StoreError]]] = {
     _CONFLICT_STATUS: ConflictError,
     _GONE_STATUS: HistoryLostError,
+    _NOT_FOUND_STATUS: NotFoundError,
 }
--- a/toucanhall/platform/store_answers.py
+++ b/toucanhall/platform/store_answers.py
@@ -15,6 +15,7 @@
     'InvalidAnswerError',
     'Page',
     'UndecodableSpec',
+    'decode_object',
     'decode_page',
 )
 
@@ -88,6 +89,14 @@
     return Page(answer.as_of, changes, bool(answer.more and changes))
 
 
+def decode_object(body: bytes) -> Change:
+    """Decode a single object; raises InvalidAnswerError."""
+    try:
+        return _decode_object(msgspec.json.decode(body, type=_Object))
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise InvalidAnswerError(str(error)) from error
+
+
 def _decode_answer(body: bytes) -> _Answer:
     try:
         return _ANSWER_DECODER.decode(body)
--- a/toucanhall/platform/store_watch.py
+++ b/toucanhall/platform/store_watch.py
@@ -30,6 +30,7 @@
     names.CONFIGURATION_KIND: 0.05,
     names.TARGET_KIND: 0.2,
     names.EVACUATION_KIND: 0.05,
+    names.SUSPECT_KIND: 0.05,
 }
 
 
--- a/toucanhall/platform/table_loader.py
+++ b/toucanhall/platform/table_loader.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from toucanhall.fleet.model import Target
+from toucanhall.fleet.suspects import Suspect
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
@@ -15,6 +16,7 @@
 )
 from toucanhall.platform.store import Table
 from toucanhall.platform.store_answers import Change
+from toucanhall.platform.suspect_documents import decode_suspect
 
 __all__ = ('WATCHED_KINDS', 'TableLoader')
 
@@ -22,6 +24,7 @@
     names.CONFIGURATION_KIND,
     names.TARGET_KIND,
     names.EVACUATION_KIND,
+    names.SUSPECT_KIND,
 )
 
 
@@ -43,6 +46,7 @@
             names.CONFIGURATION_KIND: self._load_configurations,
             names.TARGET_KIND: self._load_targets,
             names.EVACUATION_KIND: self._load_evacuations,
+            names.SUSPECT_KIND: self._load_suspects,
         }
 
     def take(self, kind: str, table: Table, *, is_whole: bool) -> None:
@@ -105,3 +109,31 @@
         self._fleet_tables.replace_evacuations(
             table.revision, entries, self._clock()
         )
+
+    def _load_suspects(self, table: Table, is_whole: bool) -> None:
+        changes = {
+            change.name: self._decode_suspect(change)
+            for change in table.changes
+        }
+        if not is_whole:
+            self._fleet_tables.apply_suspect_changes(
+                table.revision, changes, self._clock()
+            )
+            return
+        suspects = {
+            name: suspect
+            for name, suspect in changes.items()
+            if suspect is not None
+        }
+        self._fleet_tables.replace_suspects(
+            table.revision, suspects, self._clock()
+        )
+
+    def _decode_suspect(self, change: Change) -> Suspect | None:
+        if change.spec is None:
+            return None
+        try:
+            return decode_suspect(change.name, change.spec, change.revision)
+        except InvalidDocumentError as error:
+            self._journal.write(events.ENTRY_IGNORED, why=str(error))
+            return None
