--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -26,6 +26,7 @@
 )
 from standins.site.endless import EndlessServer
 from standins.site.store import StoreStandin
+from standins.site.stranded_vm import MODE_VARIABLE
 from standins.site.target import TargetStandin
 from toucanhall.observe import events
 
@@ -201,10 +202,12 @@
         *,
         store: str = '',
         internal_ports: tuple[int, int] = (7560, 7575),
+        can_cut: bool = False,
     ) -> None:
         """Start a VM as a process; `store` overrides the address it uses.
 
-        VMs with other internal ports do not hear each other.
+        VMs with other internal ports do not hear each other. If `can_cut`, the
+        links of the VM to its targets can be cut.
         """
         number = len(self._ips) + 1
         ip = self._ips.setdefault(
@@ -223,15 +226,24 @@
         settings['internal_port_range'] = list(internal_ports)
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings))
+        program = 'standins.site.stranded_vm' if can_cut else 'toucanhall.edge'
         with (self.folder / f'{name}.log').open('ab') as log:
             self.vms[name] = subprocess.Popen(
-                (sys.executable, '-m', 'toucanhall.edge'),
+                (sys.executable, '-m', program),
                 cwd=_ROOT,
-                env={'PATH': os.environ['PATH'], 'TOUCANHALL_BOOT': str(path)},
+                env={
+                    'PATH': os.environ['PATH'],
+                    'TOUCANHALL_BOOT': str(path),
+                    MODE_VARIABLE: str(self._get_mode_path(name)),
+                },
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    def cut_targets(self, vm: str, mode: str) -> None:
+        """Cut a VM from all targets, in a mode of `stranded_vm`."""
+        self._get_mode_path(vm).write_text(mode)
+
     def wait_ready(self, *names: str) -> None:
         """Wait until the named VMs, or all, report that they are ready."""
         wait_until(
@@ -338,6 +350,9 @@
         """Return the log lines of a VM with an event number."""
         return [line for line in self.read_log(name) if line['event'] == number]
 
+    def _get_mode_path(self, vm: str) -> Path:
+        return self.folder / f'{vm}.mode'
+
     def _start_server(
         self,
         name: str,
