Let other VMs serve the callers of a VM that reaches no target

Callers saw 503 within 5 ms, or 504 after 2 s, at VMs that were cut off from all targets: 0 to 3 of some 4,000 first tries served. Cause: a VM took its own lost links for lost targets, each by itself. The class: the trouble of one VM passes for that of the targets.

A VM that gets no answer, or is refused at three addresses, asks four targets in different zones. If none accepts, it passes requests to VMs that reach targets, near and idle ones first, says so in heartbeats, is not named by the directory and owns no shares of cold or limited targets. It asks again each quarter of a second, and forgets the failures of its links at the end. A request is passed on once, with its remaining time and attempts; the VM that took it from the caller counts it for its team, the other one for the retry budget. Ruled out: relaying after each refusal (two VMs would work on each request while targets are full), readiness (the platform's answer of a VM that serves its callers).

--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Callable, Mapping
 
+from toucanhall.edge.attempt_loop import AttemptLoop
 from toucanhall.edge.quarantine import Quarantine
+from toucanhall.edge.request_relay import RequestRelay
+from toucanhall.edge.sender import Sender
+from toucanhall.edge.target_links import TargetLinks
 from toucanhall.edge.target_probe import TargetProbe
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import (
@@ -18,6 +22,7 @@
 from toucanhall.fleet.revisions import Revisions
 from toucanhall.fleet.suspects import SuspectTable
 from toucanhall.limits.quota import Usage
+from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.placement.target_limits import TargetLimits
 from toucanhall.platform.store import Store
 from toucanhall.platform.suspect_registry import SuspectRegistry
@@ -25,6 +30,7 @@
 from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
 
 __all__ = (
+    'make_attempt_loop',
     'make_limit_report',
     'make_limits',
     'make_bounds',
@@ -33,7 +39,6 @@
     'make_member',
     'make_members',
     'make_opening',
-    'make_quarantine',
     'make_report',
     'make_store',
     'make_target',
@@ -61,15 +66,41 @@
     return target._replace(**fields)
 
 
-def make_quarantine(registry, pool, journal) -> Quarantine:
-    """Return a quarantine without suspects; its store does not answer."""
-    return Quarantine(
-        table=SuspectTable(),
-        targets=registry,
-        registry=SuspectRegistry(store=make_store(make_environment().store)),
-        probe=TargetProbe(pool=pool, list_targets=registry.list_targets),
+def make_attempt_loop(targets, pool, journal, recorder) -> AttemptLoop:
+    """Return a loop of attempts for a VM whose store does not answer."""
+    registry = targets.registry
+    probe = TargetProbe(pool=pool, list_targets=registry.list_targets)
+    links = TargetLinks(
+        registry=registry,
+        pool=pool,
+        probe=probe,
+        on_change=lambda: None,
         journal=journal,
     )
+    environment = make_environment()
+    return AttemptLoop(
+        registry=registry,
+        sender=Sender(
+            registry=registry,
+            pool=pool,
+            journal=journal,
+            limits=targets.limits,
+            links=links,
+        ),
+        retries=RetryBudget(bounds=make_bounds()),
+        quarantine=Quarantine(
+            table=SuspectTable(),
+            targets=registry,
+            registry=SuspectRegistry(store=make_store(environment.store)),
+            probe=probe,
+            journal=journal,
+        ),
+        links=links,
+        relay=RequestRelay(
+            environment=environment, pool=pool, list_members=tuple
+        ),
+        recorder=recorder,
+    )
 
 
 def make_team(name: str = 'guides', **fields: object) -> Team:
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -6,19 +6,17 @@
 
 from standins.site.documents import HOST, KEY, make_configuration, make_rule
 from tests.fleetdata import (
+    make_attempt_loop,
     make_bounds,
     make_environment,
     make_opening,
-    make_quarantine,
 )
 from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.dispatcher import RequestDispatcher
 from toucanhall.edge.request_recorder import RequestRecorder
-from toucanhall.edge.sender import Sender
 from toucanhall.edge.target_state import make_target_state
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import Quotas
-from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe.metrics import Metrics
 from toucanhall.platform.documents import decode_configuration
 from toucanhall.web.lag import LoopLag
@@ -35,31 +33,21 @@
     document = make_configuration(rules=RULES)
     fleet_tables.replace_configuration(decode_configuration(document))
     targets = make_target_state(make_environment(), journal)
-    registry = targets.registry
     clock = asyncio.get_running_loop().time
     lag = LoopLag()
     for _tick in range(30):
         lag.record(lag_seconds)
+    recorder = RequestRecorder(
+        fleet_tables=fleet_tables, journal=journal, metrics=Metrics()
+    )
     pool = ConnectionPool(
         clock=clock, settings=make_opening(), max_idle_connections=10
     )
     return RequestDispatcher(
         fleet_tables=fleet_tables,
-        registry=registry,
-        quarantine=make_quarantine(registry, pool, journal),
-        sender=Sender(
-            registry=registry,
-            pool=pool,
-            journal=journal,
-            limits=targets.limits,
-        ),
+        attempt_loop=make_attempt_loop(targets, pool, journal, recorder),
         quotas=Quotas(bounds=make_bounds(), beat=0.8, now=0.0),
-        retries=RetryBudget(bounds=make_bounds()),
-        recorder=RequestRecorder(
-            fleet_tables=fleet_tables,
-            journal=journal,
-            metrics=Metrics(),
-        ),
+        recorder=recorder,
         lag=lag,
     )
 
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -55,10 +55,13 @@
     request: Request,
     headers: CallerHeaders,
     configuration: Configuration | None,
-    quotas: Quotas,
+    quotas: Quotas | None,
     now: float,
 ) -> AdmittedRequest | Refusal:
-    """Return the admitted request, or the refusal that answers it."""
+    """Return the admitted request, or the refusal that answers it.
+
+    Without `quotas`, another VM has counted it against the team's limit.
+    """
     if configuration is None:
         return refusals.NO_CONFIGURATION
     route = find_route(configuration, headers.host, headers.path)
@@ -68,8 +71,8 @@
     needs_key = bool(configuration.teams) and not route.is_public
     if needs_key and team is None:
         return refusals.UNKNOWN_KEY
-    retry_after = quotas.admit(team, now) if team else 0.0
-    if team and retry_after:
+    retry_after = quotas.admit(team, now) if team and quotas else 0.0
+    if team and quotas and retry_after:
         return refusals.make_over_quota(
             team.name,
             retry_after,
--- a/toucanhall/edge/attempts.py
+++ b/toucanhall/edge/attempts.py
@@ -11,17 +11,26 @@
 class Attempts:
     """The targets tried for a request, and the worst failure.
 
-    `verdict` tells which targets may run it.
+    `verdict` tells which targets may run it, `may_relay` whether other VMs may
+    serve it: none that came from another VM goes on to a third.
     """
 
-    def __init__(self, *, verdict: Verdict) -> None:
+    def __init__(self, *, verdict: Verdict, may_relay: bool = True) -> None:
         """Start without any attempt."""
         self.verdict = verdict
+        self.may_relay = may_relay
         self.tried: set[str] = set()
         self.sent_count = 0
         self.unsent_count = 0
         self.worst_failure: Failure | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request."""
+        return self.worst_failure is not None and (
+            self.worst_failure.may_have_run
+        )
+
     def record(self, failure: Failure) -> None:
         """Record an attempt that failed."""
         if failure.was_sent:
--- a/toucanhall/edge/caller_connections.py
+++ b/toucanhall/edge/caller_connections.py
@@ -33,12 +33,17 @@
         answer: Callable[[Request], Answer],
     ) -> None:
         """Answer the requests of another endpoint at an address."""
+        await self.open_service(address, _make_async(answer))
+
+    async def open_service(
+        self,
+        address: Address,
+        serve: Callable[[Request], Awaitable[Answer]],
+    ) -> None:
+        """The same, with an answer that takes time."""
         await _listen(
             address,
-            self._handler._replace(
-                serve=_make_async(answer),
-                connections=set(),
-            ),
+            self._handler._replace(serve=serve, connections=set()),
         )
 
     async def close(self, until: float) -> None:
--- a/toucanhall/edge/connection_pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -6,7 +6,10 @@
 from toucanhall.fleet.model import Address
 from toucanhall.web.client import (
     ConnectionSettings,
+    OutOfDescriptorsError,
+    ReceivedAnswer,
     ServerConnection,
+    UnreachableError,
     open_connection,
 )
 
@@ -39,6 +42,10 @@
         self._settings = settings
         self._idle: dict[Address, list[ServerConnection]] = {}
         self.opened_count = 0
+        # Addresses at which none could be opened since the last one that was.
+        self.failed_addresses: set[Address] = set()
+        # Those in use for requests that may be sent again.
+        self._abandonable: set[ServerConnection] = set()
 
     async def acquire(
         self,
@@ -72,11 +79,51 @@
     ) -> ServerConnection:
         """Open a connection, or raise UnreachableError."""
         self.opened_count += 1
-        return await open_connection(
-            address,
-            seconds=connect_timeout_seconds,
-            settings=self._settings,
-        )
+        try:
+            connection = await open_connection(
+                address,
+                seconds=connect_timeout_seconds,
+                settings=self._settings,
+            )
+        except OutOfDescriptorsError:
+            raise
+        except UnreachableError:
+            self.failed_addresses.add(address)
+            raise
+        self.failed_addresses.clear()
+        return connection
+
+    async def exchange(
+        self,
+        connection: ServerConnection,
+        sent: bytes,
+        request_id: bytes,
+        *,
+        may_retry: bool,
+    ) -> ReceivedAnswer:
+        """Send a request on a connection that was acquired.
+
+        Raises the errors of `ServerConnection.exchange`.
+        """
+        if may_retry:
+            self._abandonable.add(connection)
+        try:
+            return await connection.exchange(sent, request_id)
+        finally:
+            self._abandonable.discard(connection)
+
+    def abandon(self) -> None:
+        """End the exchanges of requests that may be sent again."""
+        for connection in tuple(self._abandonable):
+            connection.terminate('cut off from all targets')
+
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.close()
+        self._idle.clear()
+        self._idle_count = 0
 
     def release(self, address: Address, connection: ServerConnection) -> None:
         """Keep a connection whose answer was read completely."""
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -86,6 +86,7 @@
         vms += self._list_remote_vms()
         if own.is_ready or not vms:
             vms.append(own._replace(is_ready=True))
+        vms = [member for member in vms if member.reaches_targets] or vms
         picked = pick_nearest_vms(
             vms,
             query.zone,
--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -1,4 +1,4 @@
-"""Dispatches a request: admit it, choose a target, send it, answer it."""
+"""Dispatches a request: admit it, let it be attempted in time, answer it."""
 
 import asyncio
 import math
@@ -6,24 +6,20 @@
 
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest, admit
+from toucanhall.edge.attempt_loop import AttemptLoop
 from toucanhall.edge.attempts import Attempts
-from toucanhall.edge.failure_answers import FailureAnswers
-from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.refusals import Refusal
 from toucanhall.edge.request_rate import RequestRate
 from toucanhall.edge.request_recorder import RequestRecorder
-from toucanhall.edge.retry_policy import RetryPolicy
-from toucanhall.edge.sender import Sender, Success
-from toucanhall.edge.target_chooser import TargetChooser
 from toucanhall.fleet.tables import FleetTables, find_route
 from toucanhall.limits.quota import Quotas
-from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
-from toucanhall.placement.choice import URGENT_PRIORITY, Candidate
-from toucanhall.placement.registry import TargetRegistry
-from toucanhall.placement.response_times import ResponseTimes
-from toucanhall.platform.headers import make_caller_answer, read_caller_headers
-from toucanhall.quarantine.verdicts import Verdict
+from toucanhall.placement.choice import URGENT_PRIORITY
+from toucanhall.platform.headers import (
+    CallerHeaders,
+    read_caller_headers,
+)
+from toucanhall.platform.relay_headers import add_request_id
 from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Answer, Request
 
@@ -36,8 +32,6 @@
 # Times of a route differ: a target that lacks the object takes three times as
 # long as one that has it, and the expected time lies between.
 _SLOW_TO_EXPECTED_TIME_RATIO: Final = 2.0
-# Least time after which a caller may try a held request again.
-_MIN_HOLD_SECONDS: Final = 0.5
 
 
 class RequestDispatcher:
@@ -47,37 +41,18 @@
         self,
         *,
         fleet_tables: FleetTables,
-        registry: TargetRegistry,
-        sender: Sender,
+        attempt_loop: AttemptLoop,
         quotas: Quotas,
-        retries: RetryBudget,
-        quarantine: Quarantine,
         recorder: RequestRecorder,
         lag: LoopLag,
     ) -> None:
-        """Decide by the VM's fleet tables; send on pooled connections."""
+        """Admit by the VM's fleet tables; let `attempt_loop` do the rest."""
         self._fleet_tables = fleet_tables
-        self._registry = registry
-        self._sender = sender
+        self._attempt_loop = attempt_loop
         self._quotas = quotas
-        self._retries = retries
-        self._quarantine = quarantine
         self._recorder = recorder
         self._lag = lag
         self._loop = asyncio.get_running_loop()
-        self._response_times = ResponseTimes()
-        self._chooser = TargetChooser(
-            registry=registry, response_times=self._response_times
-        )
-        self._retry_policy = RetryPolicy(
-            retries=retries,
-            quarantine=quarantine,
-            response_times=self._response_times,
-            recorder=recorder,
-        )
-        self._failure_answers = FailureAnswers(
-            registry=registry, recorder=recorder
-        )
         self._ends_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
         self.request_rate = RequestRate(now=self._loop.time())
@@ -101,8 +76,7 @@
         return route is None or route.is_idempotent
 
     async def serve(self, request: Request) -> Answer:
-        """Return the final answer to a request."""
-        self.request_rate.add()
+        """Return the final answer to a request of a caller."""
         headers = read_caller_headers(request)
         admitted = admit(
             request,
@@ -111,6 +85,37 @@
             self._quotas,
             self._loop.time(),
         )
+        return await self._serve(headers, admitted, may_relay=True)
+
+    async def serve_relayed(self, request: Request, attempts: int) -> Answer:
+        """Return the answer to a request of a VM without targets.
+
+        It has admitted the request, and leaves so many attempts for it.
+        """
+        headers = read_caller_headers(request)
+        admitted = admit(
+            request,
+            headers,
+            self._fleet_tables.configuration,
+            None,
+            self._loop.time(),
+        )
+        if isinstance(admitted, AdmittedRequest):
+            route = admitted.route
+            admitted = admitted._replace(
+                route=route._replace(attempts=min(attempts, route.attempts))
+            )
+        answer = await self._serve(headers, admitted, may_relay=False)
+        return add_request_id(answer, headers.request_id)
+
+    async def _serve(
+        self,
+        headers: CallerHeaders,
+        admitted: AdmittedRequest | Refusal,
+        *,
+        may_relay: bool,
+    ) -> Answer:
+        self.request_rate.add()
         if isinstance(admitted, Refusal):
             return self._recorder.record_refusal(headers, admitted)
         if self._lag.seconds > _get_max_lag_seconds(admitted.priority):
@@ -127,7 +132,7 @@
             )
         self.in_flight += 1
         try:
-            return await self._attempt_until_deadline(admitted)
+            return await self._attempt_until_deadline(admitted, may_relay)
         except asyncio.CancelledError:
             self._recorder.record_caller_left(headers, admitted.route.name)
             raise
@@ -144,17 +149,9 @@
             self.in_flight -= 1
 
     async def _attempt_until_deadline(
-        self, admitted: AdmittedRequest
+        self, admitted: AdmittedRequest, may_relay: bool
     ) -> Answer:
-        self._retries.record_request(
-            admitted.service.name, admitted.received_at
-        )
-        verdict = self._quarantine.judge(
-            admitted.fingerprint, admitted.service.name
-        )
-        if verdict.retry_after:
-            return self._hold_back(admitted, verdict)
-        attempts = Attempts(verdict=verdict)
+        attempts = self._attempt_loop.begin(admitted, may_relay=may_relay)
         try:
             return await self._attempt_with_timeout(
                 min(admitted.deadline, self._ends_at),
@@ -169,14 +166,6 @@
                 tried=sorted(attempts.tried),
             )
 
-    def _hold_back(self, admitted: AdmittedRequest, verdict: Verdict) -> Answer:
-        retry_after = max(_MIN_HOLD_SECONDS, verdict.retry_after)
-        return self._recorder.record_refusal(
-            admitted.headers,
-            refusals.make_held_back(retry_after),
-            fingerprint=admitted.fingerprint,
-        )
-
     async def _attempt_with_timeout(
         self,
         until: float,
@@ -186,13 +175,13 @@
         async with asyncio.timeout_at(until) as timeout:
             self._timeouts.add(timeout)
             try:
-                return await self._attempt_all(admitted, attempts)
+                return await self._attempt_loop.run(admitted, attempts)
             finally:
                 self._timeouts.discard(timeout)
 
     def _can_finish(self, admitted: AdmittedRequest) -> bool:
         """Whether a request can be answered before this VM stops."""
-        expected_seconds = self._response_times.get(
+        expected_seconds = self._attempt_loop.response_times.get(
             admitted.route.name,
             admitted.objective_seconds,
         )
@@ -203,72 +192,6 @@
         )
         return latest_end <= self._ends_at
 
-    async def _attempt_all(
-        self,
-        admitted: AdmittedRequest,
-        attempts: Attempts,
-    ) -> Answer:
-        while True:
-            candidate = self._chooser.choose(admitted, attempts)
-            if candidate is None:
-                return self._failure_answers.answer(admitted, attempts)
-            if not await self._may_send(admitted, attempts):
-                return self._hold_back(admitted, attempts.verdict)
-            attempts.tried.add(candidate.target.id)
-            outcome = await self._sender.attempt(admitted, candidate)
-            if isinstance(outcome, Success):
-                return self._answer_success(admitted, candidate, outcome)
-            attempts.record(outcome)
-            if outcome.is_closed_by_target:
-                self._quarantine.record_lost(
-                    admitted.fingerprint, candidate.target
-                )
-            self._recorder.record_failed_attempt(
-                admitted.headers,
-                outcome.reason,
-                target=outcome.target,
-                may_have_run=outcome.may_have_run,
-                closed_by_target=outcome.is_closed_by_target,
-                fingerprint=admitted.fingerprint,
-                detail=outcome.detail,
-            )
-            if not self._retry_policy.allows(admitted, attempts, outcome):
-                return self._failure_answers.answer(admitted, attempts)
-
-    async def _may_send(
-        self, admitted: AdmittedRequest, attempts: Attempts
-    ) -> bool:
-        """Whether a request is free, or acquires the trial that it needs."""
-        verdict = attempts.verdict
-        if attempts.tried or not verdict.is_trial:
-            return True
-        return await self._quarantine.acquire_trial(
-            admitted.fingerprint, verdict
-        )
-
-    def _answer_success(
-        self,
-        admitted: AdmittedRequest,
-        candidate: Candidate,
-        success: Success,
-    ) -> Answer:
-        ratio = self._response_times.record(
-            admitted.route.name,
-            admitted.objective_seconds,
-            success.seconds,
-            success.load_ratio,
-        )
-        self._sender.record_success(candidate, ratio)
-        self._quarantine.record_served(admitted.fingerprint, candidate.target)
-        self._recorder.record_served(
-            admitted.headers,
-            admitted.route.name,
-            self._loop.time() - admitted.received_at,
-            target=candidate.target.id,
-            fill=round(success.load_ratio, 2),
-        )
-        return make_caller_answer(success.reply)
-
 
 def _get_max_lag_seconds(priority: int) -> float:
     if priority > URGENT_PRIORITY:
--- a/toucanhall/edge/failure_answers.py
+++ b/toucanhall/edge/failure_answers.py
@@ -8,9 +8,10 @@
 from toucanhall.edge.attempts import Attempts, make_query
 from toucanhall.edge.refusals import Refusal
 from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.edge.request_relay import RelayOutcome
 from toucanhall.placement.registry import TargetRegistry
 from toucanhall.placement.return_times import ReturnTimes
-from toucanhall.platform.headers import make_caller_answer
+from toucanhall.platform.headers import is_promise, make_caller_answer
 from toucanhall.web.messages import Answer
 
 __all__ = ('FailureAnswers',)
@@ -71,6 +72,31 @@
             tried=sorted(attempts.tried),
         )
 
+    def answer_relayed(
+        self,
+        admitted: AdmittedRequest,
+        attempts: Attempts,
+        outcome: RelayOutcome,
+    ) -> Answer:
+        """Return the answer to a request that was left to other VMs."""
+        reply = outcome.reply
+        if reply is None:
+            refusal = outcome.refusal
+            if attempts.may_have_run:
+                refusal = refusals.ANSWER_LOST
+            return self._recorder.record_refusal(
+                admitted.headers, refusal, helper=outcome.vm, why=outcome.why
+            )
+        if attempts.may_have_run and is_promise(reply):
+            # True for the other VM only.
+            return self._recorder.record_refusal(
+                admitted.headers, refusals.ANSWER_LOST, helper=outcome.vm
+            )
+        self._recorder.record_relayed(
+            admitted.headers, reply.status, helper=outcome.vm
+        )
+        return make_caller_answer(reply)
+
 
 def _explain_pauses(seconds: float | None) -> Refusal | None:
     """Return why no target takes a request if all pause or leave.
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+from toucanhall.edge.attempt_loop import AttemptLoop
 from toucanhall.edge.caller_connections import CallerConnections
 from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.directory import Directory
@@ -18,9 +19,11 @@
 )
 from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.request_recorder import RequestRecorder
+from toucanhall.edge.request_relay import RequestRelay
 from toucanhall.edge.sender import Sender
 from toucanhall.edge.state_updater import StateUpdater
 from toucanhall.edge.table_exchange import TableExchange
+from toucanhall.edge.target_links import TargetLinks
 from toucanhall.edge.target_probe import TargetProbe
 from toucanhall.edge.target_state import make_target_state
 from toucanhall.edge.unknown_headers import UnknownHeaders
@@ -38,6 +41,7 @@
 from toucanhall.platform import settings_file
 from toucanhall.platform.endpoints import make_readiness_handler
 from toucanhall.platform.headers import REQUEST_ID_HEADER
+from toucanhall.platform.relay_headers import read_relay_attempts
 from toucanhall.platform.store import Store
 from toucanhall.platform.store_watch import StoreWatch
 from toucanhall.platform.suspect_registry import SuspectRegistry
@@ -71,6 +75,7 @@
 _RESERVED_FILES_COUNT: Final = 200
 _CALLERS_SOCKETS_FRACTION: Final = 0.4
 _IDLE_TARGETS_SOCKETS_FRACTION: Final = 0.15
+_MAX_IDLE_RELAY_CONNECTIONS: Final = 64
 
 
 class Process:
@@ -120,36 +125,60 @@
             journal=self._journal,
             lapse_seconds=2 * environment.bounds.target_heartbeat_seconds,
         )
+        probe = TargetProbe(
+            pool=self._pool, list_targets=self._registry.list_targets
+        )
+        self._links = TargetLinks(
+            registry=self._registry,
+            pool=self._pool,
+            probe=probe,
+            on_change=self._on_links_changed,
+            journal=self._journal,
+        )
+        self._relay_pool = ConnectionPool(
+            clock=self._loop.time,
+            max_idle_connections=_MAX_IDLE_RELAY_CONNECTIONS,
+            settings=connection_settings._replace(id_header=REQUEST_ID_HEADER),
+        )
         self._quarantine = Quarantine(
             table=self._fleet_tables.suspects,
             targets=self._registry,
             registry=SuspectRegistry(store=self._store),
-            probe=TargetProbe(
-                pool=self._pool, list_targets=self._registry.list_targets
-            ),
+            probe=probe,
             journal=self._journal,
         )
         self._has_divided_limits = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
+        recorder = RequestRecorder(
+            fleet_tables=self._fleet_tables,
+            journal=self._journal,
+            metrics=self._metrics,
+        )
         self._dispatcher = RequestDispatcher(
-            lag=self._lag,
             fleet_tables=self._fleet_tables,
-            registry=self._registry,
-            sender=Sender(
+            attempt_loop=AttemptLoop(
                 registry=self._registry,
-                pool=self._pool,
-                journal=self._journal,
-                limits=targets.limits,
+                sender=Sender(
+                    registry=self._registry,
+                    pool=self._pool,
+                    journal=self._journal,
+                    limits=targets.limits,
+                    links=self._links,
+                ),
+                retries=self._retries,
+                quarantine=self._quarantine,
+                links=self._links,
+                relay=RequestRelay(
+                    environment=environment,
+                    pool=self._relay_pool,
+                    list_members=self._list_other_vms,
+                ),
+                recorder=recorder,
             ),
             quotas=self._quotas,
-            retries=self._retries,
-            quarantine=self._quarantine,
-            recorder=RequestRecorder(
-                fleet_tables=self._fleet_tables,
-                journal=self._journal,
-                metrics=self._metrics,
-            ),
+            recorder=recorder,
+            lag=self._lag,
         )
         handler = Handler(
             serve=self._dispatcher.serve,
@@ -236,6 +265,7 @@
         )
         self._register_gauges()
         self._lag.start()
+        self._links.start()
         self._loop.call_later(_MAINTENANCE_INTERVAL_SECONDS, self._maintain)
         self._journal.write(events.STARTED, zone=self._environment.zone)
         gc.collect()
@@ -266,12 +296,15 @@
         endpoints = {
             listeners.readiness: make_readiness_handler(self._is_ready),
             listeners.directory: self._directory.answer,
-            listeners.control: self._table_exchange.answer,
             Address(self._environment.ip, METRICS_PORT): self._answer_metrics,
         }
         for address, answer in endpoints.items():
             if address is not None:
                 await self._caller_connections.open_endpoint(address, answer)
+        if listeners.control is not None:
+            await self._caller_connections.open_service(
+                listeners.control, self._answer_peer
+            )
         if listeners.requests is not None:
             await self._caller_connections.open(listeners.requests)
 
@@ -298,6 +331,7 @@
             lag=round(self._lag.seconds, 3),
             capacity=environment.capacity,
             load=round(self._dispatcher.request_rate.per_second, 1),
+            reaches_targets=not self._links.is_cut_off,
         )
 
     def _on_table_changed(self, table: str) -> None:
@@ -328,6 +362,13 @@
         self._watch_duty.update()
         self._quarantine.drop_expired(is_watching=self._store_watch.is_watching)
 
+    def _on_links_changed(self) -> None:
+        self._peer_exchange.broadcast_revisions(is_for_all_zones=False)
+        self._update_state()
+
+    def _list_other_vms(self) -> list[Member]:
+        return self._peer_exchange.members.list_alive(self._loop.time())
+
     def _update_state(self) -> None:
         self._has_divided_limits = self._fleet_tables.configuration is not None
         zone = self._peer_exchange.list_local_vms()
@@ -363,6 +404,7 @@
                 fleet_tables.revisions.evacuations.number
             ),
             'requests_held_back': self._quarantine.count_held_back,
+            'reaches_targets': lambda: not self._links.is_cut_off,
             'bytes_held': lambda: self._buffer_budget.total_bytes,
             'targets_limited': lambda: len(limits.observations.list_limited()),
             'limited_targets_owned': limits.count_owned,
@@ -388,12 +430,20 @@
             where=str(context.get('handle') or context.get('task') or ''),
         )
 
+    async def _answer_peer(self, request: Request) -> Answer:
+        """Answer another VM: with tables, or to a request of a caller."""
+        attempts = read_relay_attempts(request)
+        if attempts is None:
+            return self._table_exchange.answer(request)
+        return await self._dispatcher.serve_relayed(request, attempts)
+
     def _answer_metrics(self, _request: Request) -> Answer:
         return make_answer(200, self._metrics.render())
 
     def _maintain(self) -> None:
         self._loop.call_later(_MAINTENANCE_INTERVAL_SECONDS, self._maintain)
         self._pool.close_expired()
+        self._relay_pool.close_expired()
         self._journal.log_dropped_counts()
         if _read_mtime_ns(self._settings) != self._settings_mtime_ns:
             self._reload()
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -42,6 +42,8 @@
 # A VM reads configuration and targets within half a second of its start.
 NO_CONFIGURATION: Final = Refusal(503, 'no-configuration', 0.5)
 NO_TARGET: Final = Refusal(503, 'no-target', 0.5)
+# Other VMs may be cut off as well; links are often back within a second.
+TARGETS_UNREACHABLE: Final = Refusal(503, 'targets-unreachable', 0.5)
 NO_ROUTE: Final = Refusal(404, 'no-route')
 UNKNOWN_KEY: Final = Refusal(401, 'unknown-key')
 ANSWER_LOST: Final = Refusal(502, 'answer-lost')
--- a/toucanhall/edge/request_recorder.py
+++ b/toucanhall/edge/request_recorder.py
@@ -81,6 +81,15 @@
         self._metrics.count('repeats_refused', service=service)
         self.write(events.RETRY_REFUSED, headers, service=service)
 
+    def record_relayed(
+        self, headers: CallerHeaders, status: int, helper: str
+    ) -> None:
+        """Count and log a request that another VM has answered."""
+        self._metrics.count('requests_relayed', status=str(status))
+        self.write(
+            events.REQUEST_RELAYED, headers, status=status, helper=helper
+        )
+
     def record_caller_left(self, headers: CallerHeaders, route: str) -> None:
         """Count and log a request whose caller has left."""
         self._metrics.count('callers_left', route=route)
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -7,6 +7,7 @@
 from toucanhall.edge.admission import AdmittedRequest
 from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.limit_exchange import LimitExchange
+from toucanhall.edge.target_links import TargetLinks
 from toucanhall.edge.unknown_headers import UnknownHeaders
 from toucanhall.fleet.model import Target
 from toucanhall.observe import events
@@ -65,6 +66,11 @@
     detail: str = ''
     is_closed_by_target: bool = False
 
+    @property
+    def is_link_failure(self) -> bool:
+        """Whether no answer came, which the links may have caused."""
+        return self.reason in {'unreachable', 'broken'}
+
 
 class Sender:
     """Sends requests on pooled connections; records the health of targets."""
@@ -76,12 +82,14 @@
         pool: ConnectionPool,
         journal: Journal,
         limits: LimitExchange,
+        links: TargetLinks,
     ) -> None:
         """Record loads and health of targets in `registry`."""
         self._registry = registry
         self._pool = pool
         self._journal = journal
         self._limits = limits
+        self._links = links
         self._unknown_headers = UnknownHeaders(
             journal=journal, event=events.UNKNOWN_HEADER
         )
@@ -98,8 +106,11 @@
         sent_at = self._limits.read_clock()
         load_ratio = load.estimate_requests(started_at) / load.slots
         load.in_flight += 1
+        is_answered = False
+        self._links.record_sent()
         try:
             reply = await self._exchange(admitted, target)
+            is_answered = True
         except UnreachableError as error:
             if not isinstance(error, OutOfDescriptorsError):
                 self._record_failure(target, is_lost=True, why=str(error))
@@ -120,6 +131,7 @@
             )
         finally:
             load.in_flight -= 1
+            self._links.record_end(is_answered=is_answered)
         seconds = self._loop.time() - started_at
         headers = read_target_headers(reply)
         self._limits.record_answer(target, headers, sent_at)
@@ -155,9 +167,11 @@
             team=admitted.team.name if admitted.team else None,
             remaining_seconds=admitted.deadline - self._loop.time(),
         )
-        reply = await connection.exchange(
+        reply = await self._pool.exchange(
+            connection,
             encode_request(forwarded),
             admitted.headers.request_id,
+            may_retry=admitted.route.is_idempotent,
         )
         self._pool.release(target.address, connection)
         return reply
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -91,6 +91,11 @@
         }
         self._update_serving(serving)
         known = members.count_vms_by_zone()
+        cut_off = {
+            name
+            for name, vms in alive.items()
+            if _are_all_cut_off(vms, known[name])
+        }
         self._registry.set_vm_groups(
             self._environment.vm,
             {
@@ -98,6 +103,7 @@
                     serving=tuple(sorted(serving[name])),
                     alive_count=len(vms),
                     registered_count=known.get(name, 0),
+                    is_cut_off=name in cut_off,
                     has_load=sum(found.load for found in vms)
                     >= _MIN_LOAD_PER_SECOND,
                 )
@@ -177,4 +183,15 @@
 
 
 def _list_serving_names(members: Sequence[Member]) -> list[str]:
-    return [member.vm for member in pick_serving(members)]
+    return [
+        member.vm for member in pick_serving(members) if member.reaches_targets
+    ]
+
+
+def _are_all_cut_off(members: Sequence[Member], registered: int) -> bool:
+    """Whether all registered VMs of a zone say that they reach no target."""
+    return (
+        bool(members)
+        and len(members) >= registered
+        and not any(found.reaches_targets for found in members)
+    )
--- a/toucanhall/edge/target_probe.py
+++ b/toucanhall/edge/target_probe.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from toucanhall.edge.connection_pool import ConnectionPool
@@ -46,10 +46,27 @@
         if not others:
             return True
         witnesses = random.sample(others, min(len(others), _WITNESSES_COUNT))
-        return any(await asyncio.gather(*map(self.is_accepted, witnesses)))
+        return await self.is_any_accepted(witnesses)
 
-    async def is_accepted(self, target: Target) -> bool:
-        """Whether a target accepts a connection."""
+    async def is_any_accepted(self, targets: Iterable[Target]) -> bool:
+        """Whether one of some targets accepts a connection."""
+        pending = {
+            asyncio.ensure_future(self._is_accepted(target))
+            for target in targets
+        }
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                if any(task.result() for task in done):
+                    return True
+        finally:
+            for task in pending:
+                task.cancel()
+        return False
+
+    async def _is_accepted(self, target: Target) -> bool:
         try:
             await self._open(target)
         except UnreachableError:
--- a/toucanhall/fleet/reports.py
+++ b/toucanhall/fleet/reports.py
@@ -20,7 +20,8 @@
     """The state of a VM as it sends it to others.
 
     `lag` is the delay of its event loop in seconds, `capacity` the requests a
-    second that it can serve and `load` those that arrive.
+    second that it can serve and `load` those that arrive. `reaches_targets` is
+    false while it is cut off from all of them.
     """
 
     vm: str
@@ -31,6 +32,7 @@
     lag: float
     capacity: float
     load: float
+    reaches_targets: bool = True
 
     @property
     def contact(self) -> VmContact:
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -8,7 +8,7 @@
 spare.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from itertools import accumulate
 from typing import Final
 
@@ -29,6 +29,10 @@
 # Capacity of the VMs that take requests, over the load of their zone: bursts
 # of 1.7 times the load, one VM of three lost, and a reserve against queues.
 _CAPACITY_PER_LOAD_RATIO: Final = 4.0
+# Capacity over load from which on VMs bear the requests of others.
+_MIN_HELPER_RATIO: Final = 1.5
+# Of a VM whose load is over its capacity, as far as others know.
+_MIN_SPARE_FRACTION: Final = 0.05
 # One reports while the death of the other is not detected yet.
 _DELEGATE_COUNT: Final = 2
 MAX_LOOP_LAG_SECONDS: Final = 0.05  # a fifth of the shortest objective
@@ -38,9 +42,11 @@
     """Return the VMs of a zone that its clients should use.
 
     All that are ready are picked if the loop of one picked by capacity lags.
+    VMs that reach no target are picked only if all of them are cut off.
     """
     ranked = _rank(members)
     ready = [found for found in ranked if found.is_ready]
+    ready = [found for found in ready if found.reaches_targets] or ready
     wanted = _CAPACITY_PER_LOAD_RATIO * sum(found.load for found in ranked)
     capacities = accumulate(found.capacity for found in ready)
     count = 1 + sum(capacity < wanted for capacity in capacities)
@@ -50,6 +56,34 @@
     return picked
 
 
+def pick_helpers(
+    members: Iterable[Member], zones: Container[str]
+) -> list[Member]:
+    """Return the VMs that may serve requests of a VM without targets.
+
+    They are those of `zones` if these can bear it, or else all.
+    """
+    fit = [
+        found
+        for found in members
+        if found.is_ready
+        and found.reaches_targets
+        and not found.is_leaving
+        and found.lag <= MAX_LOOP_LAG_SECONDS
+    ]
+    near = [found for found in fit if found.zone in zones]
+    capacity = sum(found.capacity for found in near)
+    load = sum(found.load for found in near)
+    return near if near and capacity > _MIN_HELPER_RATIO * load else fit
+
+
+def compute_spare_capacity(member: Member) -> float:
+    """Return the requests a second that a VM can serve besides its load."""
+    return max(
+        member.capacity - member.load, _MIN_SPARE_FRACTION * member.capacity
+    )
+
+
 def pick_delegates(members: Iterable[Member]) -> Sequence[Member]:
     """Return the delegates of a zone, which report to the other zones."""
     return rank_staying(members)[:_DELEGATE_COUNT]
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -110,6 +110,13 @@
 SUSPECT_NOT_SAVED: Final = Event(
     631, logging.WARNING, 'entry of a suspected request not written'
 )
+CUT_OFF: Final = Event(
+    632, logging.WARNING, 'VM reaches no target: other VMs serve its callers'
+)
+REACHABLE: Final = Event(633, logging.INFO, 'VM reaches targets again')
+REQUEST_RELAYED: Final = Event(
+    634, logging.INFO, 'request of a VM without targets served for it'
+)
 
 CATALOGUE: Final[tuple[Event, ...]] = tuple(
     found for found in tuple(globals().values()) if isinstance(found, Event)
--- a/toucanhall/placement/cold_targets.py
+++ b/toucanhall/placement/cold_targets.py
@@ -48,16 +48,18 @@
 ) -> Iterable[VmGroup]:
     """Return the groups of VMs that own the cold targets of a zone.
 
-    This is the group of the zone. If no VM is registered there, it is those of
-    the zones of its region, or else those of all zones.
+    This is the group of the zone. If no VM is registered there, or none reaches
+    targets, it is those of the zones of its region, or else those of all zones.
     """
     own = groups.get(zone)
-    if own and own.registered_count:
+    if own and own.registered_count and not own.is_cut_off:
         return (own,)
     region = regions.get(zone)
     groups_of_region = [
         group
         for other_zone, group in groups.items()
-        if regions.get(other_zone) == region and group.registered_count
+        if regions.get(other_zone) == region
+        and group.registered_count
+        and not group.is_cut_off
     ]
     return groups_of_region or groups.values()
--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -75,6 +75,12 @@
             ) * _LATENCY_SMOOTHING_FACTOR
         return was_on_trial
 
+    def resume(self) -> None:
+        """Forget failures and end a suspension."""
+        self.consecutive_failures = 0
+        self.suspended_until = 0.0
+        self._suspension_seconds = _MIN_SUSPENSION_SECONDS
+
     def record_failure(self, now: float, *, is_lost: bool) -> bool:
         """Record a failure; a lost connection suspends the target at once.
 
--- a/toucanhall/placement/owners.py
+++ b/toucanhall/placement/owners.py
@@ -19,13 +19,15 @@
 
     `serving` names those that take requests, `alive_count` is how many are
     alive, `registered_count` how many have an entry in the store; `has_load`
-    tells that requests arrive at them.
+    tells that requests arrive at them, `is_cut_off` that none of them reaches
+    a target.
     """
 
     serving: tuple[str, ...] = ()
     alive_count: int = 0
     registered_count: int = 0
     has_load: bool = False
+    is_cut_off: bool = False
 
     @property
     def alive_fraction(self) -> float:
--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -208,6 +208,11 @@
         ]
         return min(pauses, default=math.inf) or None
 
+    def resume_all(self) -> None:
+        """Forget failures: the targets may be well, the links were not."""
+        for load in self.loads.values():
+            load.resume()
+
     def suspend(self, target: str, now: float) -> None:
         """Suspend a target since another one answered at its address."""
         load = self.loads.get(target)
--- a/toucanhall/platform/headers.py
+++ b/toucanhall/platform/headers.py
@@ -18,9 +18,11 @@
     'CallerHeaders',
     'TargetHeaders',
     'find_unknown_headers',
+    'is_promise',
     'make_caller_answer',
     'make_target_request',
     'read_caller_headers',
+    'read_count',
     'read_store_era',
     'read_target_headers',
 )
@@ -32,6 +34,7 @@
         b'authorization',
         names.DEADLINE_HEADER,
         names.EXPECTED_TARGET_HEADER,
+        names.RELAY_HEADER,
         names.TEAM_HEADER,
     )
 )
@@ -187,6 +190,11 @@
     )
 
 
+def is_promise(reply: ReceivedAnswer) -> bool:
+    """Whether an answer states that the request was not executed."""
+    return reply.status in _REFUSAL_STATUSES
+
+
 def read_store_era(headers: Headers) -> int:
     """Return the era of the store, 0 if it names none.
 
@@ -195,7 +203,7 @@
     contents = {
         content.strip() for name, content in headers if name == names.ERA_HEADER
     }
-    eras = {_read_count(content) for content in contents}
+    eras = {read_count(content) for content in contents}
     if None in eras or len(eras) > 1:
         raise ValueError(f'{sorted(contents)!r} is not the era of the store')
     return next(iter(eras), 0) or 0
@@ -270,11 +278,12 @@
 
 def _read_seconds(content: bytes | None) -> float | None:
     """Return the seconds of a header in milliseconds."""
-    milliseconds = _read_count(content)
+    milliseconds = read_count(content)
     return None if milliseconds is None else milliseconds / 1000
 
 
-def _read_count(content: bytes | None) -> int | None:
+def read_count(content: bytes | None) -> int | None:
+    """Return the number in a header, None if it is not one."""
     if content is None or not content.isdigit() or len(content) > _MAX_DIGITS:
         return None
     return int(content)
@@ -304,8 +313,8 @@
     parts = (content or b'').split(b',')
     if len(parts) != _LOAD_FIELD_COUNT:
         return None
-    running = _read_count(parts[0].strip())
-    waiting = _read_count(parts[1].strip())
+    running = read_count(parts[0].strip())
+    waiting = read_count(parts[1].strip())
     if running is None or waiting is None:
         return None
     return running + waiting
--- a/toucanhall/platform/names.py
+++ b/toucanhall/platform/names.py
@@ -25,6 +25,8 @@
 )
 EXPECTED_TARGET_HEADER: Final = b'x-toucanhall-expect-instance'
 TEAM_HEADER: Final = b'x-toucanhall-tenant-id'
+# Of requests that one VM passes to another: the attempts that are left.
+RELAY_HEADER: Final = b'x-toucanhall-relay-attempts'
 NOT_EXECUTED_HEADER: Final = b'x-toucanhall-not-executed'
 LOAD_HEADER: Final = (
     b'x-toucanhall-backend-load'  # running and waiting requests, slots
