Take late in a planned stop only what its deadline lets finish

Callers saw 504 at the end of the grace period for requests that had been passed on, bookings among them. Cause: a VM that stops took what usually takes less than half of the time left, also when targets had become slow. From the middle of the grace on, and for requests that must not be sent twice at any time, the deadline has to come before the end; others are refused unsent at once, and their callers go to other VMs.

--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -54,6 +54,8 @@
         self._lag = lag
         self._loop = asyncio.get_running_loop()
         self._ends_at = math.inf
+        # From then on, a request is taken only if its deadline comes before.
+        self._late_at = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
         self.request_rate = RequestRate(now=self._loop.time())
         self.in_flight = 0
@@ -61,6 +63,7 @@
     def stop(self, ends_at: float) -> None:
         """Answer each request by a time of the loop's clock."""
         self._ends_at = ends_at
+        self._late_at = (self._loop.time() + ends_at) / 2
         for timeout in self._timeouts:
             when = timeout.when()
             if when is not None and when > ends_at:
@@ -180,7 +183,15 @@
                 self._timeouts.discard(timeout)
 
     def _can_finish(self, admitted: AdmittedRequest) -> bool:
-        """Whether a request can be answered before this VM stops."""
+        """Whether a request can be answered before this VM stops.
+
+        One that must not be sent twice, or comes late, gets no benefit of the
+        doubt: others serve it, while this VM would cut it off.
+        """
+        if not admitted.route.is_idempotent or (
+            admitted.received_at >= self._late_at
+        ):
+            return admitted.deadline <= self._ends_at
         expected_seconds = self._attempt_loop.response_times.get(
             admitted.route.name,
             admitted.objective_seconds,
