Ask one target before four; a VM that does not know a route yet serves for nobody

A VM of few requests opened four connections each quarter of a second while a slow one was in flight. A 401 or 404 of a VM that is behind with the configuration was passed on to callers: another VM is asked instead. Both found by reading.

--- a/toucanhall/edge/request_relay.py
+++ b/toucanhall/edge/request_relay.py
@@ -34,7 +34,9 @@
     refusal.reason.encode()
     for refusal in (
         refusals.NO_CONFIGURATION,
+        refusals.NO_ROUTE,
         refusals.TARGETS_UNREACHABLE,
+        refusals.UNKNOWN_KEY,
         refusals.VM_OVERLOADED,
         refusals.VM_STOPPING,
     )
@@ -161,9 +163,8 @@
 
 
 def _is_unfit(reply: ReceivedAnswer) -> bool:
-    """Whether a VM could not take a request at all."""
+    """Whether a VM could not take a request, or has an older configuration."""
     return (
-        reply.status == refusals.TARGETS_UNREACHABLE.status
-        and not read_target_headers(reply).has_stamp
+        not read_target_headers(reply).has_stamp
         and reply.body in _UNFIT_REASONS
     )
--- a/toucanhall/edge/target_links.py
+++ b/toucanhall/edge/target_links.py
@@ -19,7 +19,7 @@
 __all__ = ('TargetLinks',)
 
 _CHECK_INTERVAL_SECONDS: Final = 0.25
-# Targets in turn, so that requests in flight for so long are no sign of a cut.
+# While requests are in flight; most are answered sooner.
 _MAX_SILENCE_SECONDS: Final = 0.7
 # An answer this recent shows that targets are reached.
 _RECENT_ANSWER_SECONDS: Final = 0.25
@@ -96,7 +96,7 @@
         """Ask some targets; return whether none of them accepts."""
         try:
             targets = self._pick_targets()
-            is_accepted = await self._probe.is_any_accepted(targets)
+            is_accepted = await self._ask(targets)
         finally:
             self._check_task = None
             self._checked_at = self._loop.time()
@@ -105,6 +105,14 @@
             self._set(is_cut_off=not is_accepted, asked=targets)
         return self.is_cut_off
 
+    async def _ask(self, targets: list[Target]) -> bool:
+        """Whether a target accepts; most often, one connection tells."""
+        if not self.is_cut_off and await self._probe.is_any_accepted(
+            targets[:1]
+        ):
+            return True
+        return await self._probe.is_any_accepted(targets)
+
     def _pick_targets(self) -> list[Target]:
         usable = [
             target
@@ -136,10 +144,14 @@
 
     def _watch(self) -> None:
         self._loop.call_later(_CHECK_INTERVAL_SECONDS, self._watch)
+        now = self._loop.time()
         is_silent = self._in_flight > 0 and (
-            self._loop.time() - self._heard_at > _MAX_SILENCE_SECONDS
+            now - self._heard_at > _MAX_SILENCE_SECONDS
         )
         if self.is_cut_off and is_silent:
             self._pool.abandon()
-        if (self.is_cut_off or is_silent) and self._check_task is None:
+        is_in_doubt = is_silent and (
+            now - self._checked_at > _MAX_SILENCE_SECONDS
+        )
+        if (self.is_cut_off or is_in_doubt) and self._check_task is None:
             self._check_task = self._loop.create_task(self._check())
