--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Mapping
 
+from standins.site.documents import HOST, make_configuration, make_rule
+from toucanhall.edge.admission import AdmittedRequest, admit
 from toucanhall.edge.attempt_loop import AttemptLoop
 from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.request_relay import RequestRelay
@@ -24,12 +26,16 @@
 from toucanhall.limits.quota import Usage
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.placement.target_limits import TargetLimits
+from toucanhall.platform.documents import decode_configuration
+from toucanhall.platform.headers import read_caller_headers
 from toucanhall.platform.store import Store
 from toucanhall.platform.suspect_registry import SuspectRegistry
 from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
+from toucanhall.web.messages import Request
 
 __all__ = (
+    'make_admitted',
     'make_attempt_loop',
     'make_limit_report',
     'make_limits',
@@ -103,6 +109,25 @@
     )
 
 
+def make_admitted(is_idempotent: bool = True) -> AdmittedRequest:
+    """Return a request that was admitted without team, for three seconds."""
+    rule = make_rule(
+        '/view/',
+        public=True,
+        route_type='idempotent' if is_idempotent else 'non_idempotent',
+    )
+    request = Request(b'GET', b'/view/1', ((b'host', HOST.encode()),), b'')
+    admitted = admit(
+        request,
+        read_caller_headers(request),
+        decode_configuration(make_configuration(rules=(rule,))),
+        None,
+        0.0,
+    )
+    assert isinstance(admitted, AdmittedRequest)
+    return admitted
+
+
 def make_team(name: str = 'guides', **fields: object) -> Team:
     """Return a team without home regions."""
     team = Team(
--- a/tests/models/test_tables_model.py
+++ b/tests/models/test_tables_model.py
@@ -25,8 +25,8 @@
     report_model,
     report_variants,
 )
-from toucanhall.fleet.model import ClientLimits, Configuration, Snapshot
 from toucanhall.fleet.evacuations import EvacuationSnapshot
+from toucanhall.fleet.model import ClientLimits, Configuration, Snapshot
 from toucanhall.fleet.revisions import Revision, Revisions
 from toucanhall.fleet.tables import FleetTables
 
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -11,8 +11,8 @@
 )
 from toucanhall.edge.zone_reporter import ZoneReporter
 from toucanhall.fleet.membership import Heartbeat, Members
-from toucanhall.fleet.selection import pick_serving
 from toucanhall.fleet.revisions import Revisions
+from toucanhall.fleet.selection import pick_serving
 from toucanhall.limits.quota import RESERVE_VM_WEIGHT, Quotas, UsageReport
 
 __all__ = ('SimulatedFleet', 'compute_max_admitted', 'compute_window_bound')
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -18,8 +18,8 @@
     make_target,
     make_team,
 )
-from tests.mutations import mutate
 from tests.limited_fleet import SilentJournal
+from tests.mutations import mutate
 from tests.simulated_fleet import SimulatedVm
 from toucanhall.edge.admission import admit
 from toucanhall.edge.target_state import make_target_state
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -7,7 +7,6 @@
 from toucanhall.fleet.model import Configuration, Service
 from toucanhall.placement import choice
 from toucanhall.placement.choice import Candidate, RequestUrgency, choose_target
-from toucanhall.placement.owners import VmGroup
 from toucanhall.placement.hash_ring import (
     MAX_EXAMINED_TARGETS,
     HashRing,
@@ -15,6 +14,7 @@
     count_points,
 )
 from toucanhall.placement.load import TargetLoad
+from toucanhall.placement.owners import VmGroup
 from toucanhall.placement.registry import TargetQuery, TargetRegistry
 
 REGIONS = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
--- a/tests/unit/test_stranded_vms.py
+++ b/tests/unit/test_stranded_vms.py
@@ -10,11 +10,15 @@
 import pytest
 
 from tests.fleetdata import (
+    make_admitted,
+    make_environment,
     make_limits,
     make_member,
     make_target,
 )
 from tests.virtual_time import run_in_virtual_time
+from toucanhall.edge import refusals
+from toucanhall.edge.request_relay import RequestRelay
 from toucanhall.edge.target_links import TargetLinks
 from toucanhall.fleet.selection import pick_helpers, pick_serving
 from toucanhall.placement.cold_targets import find_owner_groups
@@ -27,6 +31,11 @@
     make_relayed_request,
     read_relay_attempts,
 )
+from toucanhall.web.client import (
+    IncompleteAnswerError,
+    ReceivedAnswer,
+    UnreachableError,
+)
 from toucanhall.web.messages import Answer, Request
 
 REGIONS = {'east-a': 'east', 'east-b': 'east', 'west-a': 'west'}
@@ -270,3 +279,93 @@
     answer = add_request_id(Answer(503), b'1')
     assert answer.headers == ((names.REQUEST_ID_HEADER, b'1'),)
     assert add_request_id(answer, b'1') == answer
+
+
+class RelayPool(FakePool):
+    """Connections to other VMs; each answers with what is given."""
+
+    def __init__(self, replies):
+        super().__init__()
+        self._replies = replies
+        self.asked = []
+
+    async def acquire(self, address, **_options):
+        self.asked.append(address.host)
+        return address.host
+
+    async def exchange(self, host, _sent, _request_id, **_options):
+        reply = self._replies[host]
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+    def release(self, _address, _connection):
+        """Keep nothing."""
+
+
+def make_reply(status, body=b'', *headers):
+    return ReceivedAnswer(status, headers, body, is_keep_alive=True)
+
+
+SERVED = make_reply(200, b'tours', (names.STAMP_HEADER, b'1'))
+
+
+def relay(first, is_idempotent=True):
+    """Let the VM `first`, then another, serve a request; return the outcome."""
+
+    async def run_relay():
+        pool = RelayPool({'127.0.0.1': first, '127.0.0.2': SERVED})
+        members = [
+            make_member('near', zone='east-a', ip='127.0.0.1'),
+            make_member('far', zone='west-a', ip='127.0.0.2'),
+        ]
+        found = RequestRelay(
+            environment=make_environment(regions=REGIONS),
+            pool=pool,
+            list_members=lambda: members,
+        )
+        outcome = await found.send(make_admitted(is_idempotent), 2)
+        return outcome, pool.asked
+
+    return run_in_virtual_time(run_relay())
+
+
+@pytest.mark.parametrize(
+    'first',
+    (
+        make_reply(503, b'targets-unreachable'),
+        make_reply(503, b'vm-stopping'),
+        make_reply(503, b'vm-overloaded'),
+        make_reply(503, b'no-configuration'),
+        make_reply(404, b'no-route'),
+        make_reply(401, b'unknown-key'),
+        UnreachableError('refused'),
+    ),
+)
+def test_next_vm_is_asked_if_the_first_one_could_not_take_a_request(first):
+    outcome, asked = relay(first)
+    assert outcome.reply == SERVED
+    assert asked == ['127.0.0.1', '127.0.0.2']
+
+
+@pytest.mark.parametrize(
+    'first',
+    (
+        SERVED,
+        make_reply(503, b'targets-full'),
+        make_reply(404, b'no-route', (names.STAMP_HEADER, b'1')),
+        make_reply(500, b'vm-stopping', (names.STAMP_HEADER, b'1')),
+    ),
+)
+def test_answer_of_the_first_vm_is_final(first):
+    outcome, asked = relay(first)
+    assert outcome.reply == first
+    assert asked == ['127.0.0.1']
+
+
+@pytest.mark.parametrize('is_idempotent', (True, False))
+def test_request_that_another_vm_may_have_sent_goes_to_no_third(is_idempotent):
+    outcome, asked = relay(IncompleteAnswerError('closed'), is_idempotent)
+    assert outcome.reply is None
+    assert outcome.refusal is refusals.ANSWER_LOST
+    assert asked == ['127.0.0.1']
