Drop targets that the store lost when their time ends, and read it at its return

Cause: three waits in a row, a read that tries again after up to 1.5 s, the hold of 2.1 s from it, and the heartbeat that drops.

--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import math
 import signal
 from collections.abc import Callable
 from pathlib import Path
@@ -343,6 +344,7 @@
             # Until then no team has a limit to divide.
             self._update_state()
         self._store.note_era(self._fleet_tables.revisions.targets.era)
+        self._schedule_drop()
         if self._store_watch.is_watching:
             self._peer_exchange.broadcast_revisions(is_for_all_zones=True)
 
@@ -359,9 +361,16 @@
     def _on_heartbeat(self) -> None:
         self._dispatcher.request_rate.measure(self._loop.time())
         self._update_state()
+        self._schedule_drop()
         self._watch_duty.update()
         self._quarantine.drop_expired(is_watching=self._store_watch.is_watching)
 
+    def _schedule_drop(self) -> None:
+        """Drop held targets when they end, not with the next heartbeat."""
+        end = min(self._fleet_tables.held_targets.values(), default=math.inf)
+        if end < self._loop.time() + HEARTBEAT_INTERVAL_SECONDS:
+            self._loop.call_at(end, self._state_updater.drop_expired_targets)
+
     def _on_links_changed(self) -> None:
         self._peer_exchange.broadcast_revisions(is_for_all_zones=False)
         self._update_state()
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -66,6 +66,12 @@
         """Apply a changed table."""
         self._handlers[table]()
 
+    def drop_expired_targets(self) -> None:
+        """Drop targets that the store lost and that did not come back."""
+        dropped = self._fleet_tables.drop_expired_targets(self._clock())
+        if dropped:
+            self._journal.write(events.TARGETS_EXPIRED, targets=dropped)
+
     def update_from_reports(
         self,
         members: Members,
@@ -77,9 +83,7 @@
         `zone` holds the VMs of the own zone, `own` the usage of this VM.
         """
         now = self._clock()
-        dropped = self._fleet_tables.drop_expired_targets(now)
-        if dropped:
-            self._journal.write(events.TARGETS_EXPIRED, targets=dropped)
+        self.drop_expired_targets()
         ended = self._fleet_tables.drop_expired_evacuations(now)
         if ended:
             self._journal.write(events.EVACUATIONS_EXPIRED, zones=ended)
--- a/toucanhall/platform/store_probe.py
+++ b/toucanhall/platform/store_probe.py
@@ -15,6 +15,8 @@
 # one. A cheap read, with a timeout of 1 s, notices it before, and tells the
 # zone that the store answers this VM.
 _INTERVAL_SECONDS: Final = 0.5
+# While it does not answer: what it lost is written again from its return on.
+_RETRY_INTERVAL_SECONDS: Final = 0.2
 
 
 class StoreProbe:
@@ -26,11 +28,16 @@
         store: Store,
         outcomes: CallOutcomes,
         on_lost: Callable[[], None],
+        on_recovered: Callable[[], None],
     ) -> None:
-        """Call `on_lost` when a probe fails after one that did not."""
+        """Call `on_lost` when a probe fails after one that did not.
+
+        `on_recovered` is called when it is the other way round.
+        """
         self._store = store
         self._outcomes = outcomes
         self._on_lost = on_lost
+        self._on_recovered = on_recovered
         self._loop = asyncio.get_running_loop()
         self._answered_at: float | None = None
 
@@ -64,8 +71,13 @@
         while True:
             started_at = self._loop.time()
             await self._probe()
+            interval = (
+                _RETRY_INTERVAL_SECONDS
+                if self._outcomes.is_failing(PROBE)
+                else _INTERVAL_SECONDS
+            )
             elapsed = self._loop.time() - started_at
-            await asyncio.sleep(max(0.0, _INTERVAL_SECONDS - elapsed))
+            await asyncio.sleep(max(0.0, interval - elapsed))
 
     async def _probe(self) -> None:
         was_failing = self._outcomes.is_failing(PROBE)
@@ -77,6 +89,8 @@
                 self._on_lost()
             return
         self._outcomes.record_answer(PROBE, PROBE)
+        if was_failing:
+            self._on_recovered()
         if not self._outcomes.has_failing_tables:
             self.record_answer()
 
--- a/toucanhall/platform/store_watch.py
+++ b/toucanhall/platform/store_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 from typing import Final
 
 from toucanhall.fleet.revisions import Revision
@@ -64,6 +65,9 @@
             store=store,
             outcomes=self._outcomes,
             on_lost=self.watch_anew,
+            on_recovered=lambda: self._restart(
+                filter(self._outcomes.is_failing, WATCHED_KINDS)
+            ),
         )
         self._tables = TableLoader(
             fleet_tables=fleet_tables,
@@ -112,10 +116,14 @@
         A watch that waits may never be answered once another call has failed,
         or tell only a part of the changes once the store came back from a copy.
         """
+        self._revisions = {}
+        self._restart(WATCHED_KINDS)
+
+    def _restart(self, kinds: Iterable[str]) -> None:
+        """Read some tables now and watch them from there, if it watches."""
         if not self._tasks:
             return
-        self._revisions = {}
-        for kind in WATCHED_KINDS:
+        for kind in kinds:
             current = self._tasks.pop(kind, None)
             if current is not None:
                 current.cancel()
