--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -2,14 +2,6 @@
 
 from collections.abc import Callable, Mapping
 
-from standins.site.documents import HOST, make_configuration, make_rule
-from toucanhall.edge.admission import AdmittedRequest, admit
-from toucanhall.edge.attempt_loop import AttemptLoop
-from toucanhall.edge.quarantine import Quarantine
-from toucanhall.edge.request_relay import RequestRelay
-from toucanhall.edge.sender import Sender
-from toucanhall.edge.target_links import TargetLinks
-from toucanhall.edge.target_probe import TargetProbe
 from toucanhall.fleet.membership import Heartbeat, Members
 from toucanhall.fleet.model import (
     Address,
@@ -22,21 +14,13 @@
 )
 from toucanhall.fleet.reports import LimitReport, Member, ZoneReport
 from toucanhall.fleet.revisions import Revisions
-from toucanhall.fleet.suspects import SuspectTable
 from toucanhall.limits.quota import Usage
-from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.placement.target_limits import TargetLimits
-from toucanhall.platform.documents import decode_configuration
-from toucanhall.platform.headers import read_caller_headers
 from toucanhall.platform.store import Store
-from toucanhall.platform.suspect_registry import SuspectRegistry
 from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
-from toucanhall.web.messages import Request
 
 __all__ = (
-    'make_admitted',
-    'make_attempt_loop',
     'make_limit_report',
     'make_limits',
     'make_bounds',
@@ -72,62 +56,6 @@
     return target._replace(**fields)
 
 
-def make_attempt_loop(targets, pool, journal, recorder) -> AttemptLoop:
-    """Return a loop of attempts for a VM whose store does not answer."""
-    registry = targets.registry
-    probe = TargetProbe(pool=pool, list_targets=registry.list_targets)
-    links = TargetLinks(
-        registry=registry,
-        pool=pool,
-        probe=probe,
-        on_change=lambda: None,
-        journal=journal,
-    )
-    environment = make_environment()
-    return AttemptLoop(
-        registry=registry,
-        sender=Sender(
-            registry=registry,
-            pool=pool,
-            journal=journal,
-            limits=targets.limits,
-            links=links,
-        ),
-        retries=RetryBudget(bounds=make_bounds()),
-        quarantine=Quarantine(
-            table=SuspectTable(),
-            targets=registry,
-            registry=SuspectRegistry(store=make_store(environment.store)),
-            probe=probe,
-            journal=journal,
-        ),
-        links=links,
-        relay=RequestRelay(
-            environment=environment, pool=pool, list_members=tuple
-        ),
-        recorder=recorder,
-    )
-
-
-def make_admitted(is_idempotent: bool = True) -> AdmittedRequest:
-    """Return a request that was admitted without team, for three seconds."""
-    rule = make_rule(
-        '/view/',
-        public=True,
-        route_type='idempotent' if is_idempotent else 'non_idempotent',
-    )
-    request = Request(b'GET', b'/view/1', ((b'host', HOST.encode()),), b'')
-    admitted = admit(
-        request,
-        read_caller_headers(request),
-        decode_configuration(make_configuration(rules=(rule,))),
-        None,
-        0.0,
-    )
-    assert isinstance(admitted, AdmittedRequest)
-    return admitted
-
-
 def make_team(name: str = 'guides', **fields: object) -> Team:
     """Return a team without home regions."""
     team = Team(
--- a/tests/processes/test_crashing_requests.py
+++ b/tests/processes/test_crashing_requests.py
@@ -132,6 +132,41 @@
     assert deployment.count_later_arrivals() <= MAX_LATER_ARRIVALS
 
 
+def test_several_crashing_requests_are_held_back(deployment):
+    paths = [f'{DEADLY_PATH}/{number}' for number in range(3)]
+    for target in deployment.targets.values():
+        target.is_deadly = lambda request: request.path in paths
+    end = time.monotonic() + LONG_SECONDS
+    while time.monotonic() < end:
+        for vm in VMS:
+            for path in paths:
+                deployment.send_deadly(vm, path=path)
+            time.sleep(PAUSE_SECONDS)
+    ids_by_path = {
+        path: {
+            executed.request_id
+            for target in deployment.targets.values()
+            for executed in target.executed
+            if executed.path == path
+        }
+        for path in paths
+    }
+    for ids in ids_by_path.values():
+        crashes = [
+            crash
+            for crash in deployment.list_crashes()
+            if crash.request_id in ids
+        ]
+        if len(crashes) < CRASH_COUNT:
+            continue
+        third_at = crashes[CRASH_COUNT - 1].at
+        later = deployment.list_deadly_arrivals(third_at + LEARNING_SECONDS)
+        arrived = [found for found in later if found.request_id in ids]
+        assert len(arrived) <= MAX_LATER_ARRIVALS
+    lately = deployment.sent[-len(paths) * len(VMS) :]
+    assert {found.body for found in lately} == {'request-held-back'}
+
+
 def test_zones_that_are_cut_from_each_other_hold_a_request_back(
     bare_deployment,
 ):
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -5,8 +5,8 @@
 import pytest
 
 from standins.site.documents import HOST, KEY, make_configuration, make_rule
+from tests.attemptdata import make_attempt_loop
 from tests.fleetdata import (
-    make_attempt_loop,
     make_bounds,
     make_environment,
     make_opening,
--- a/tests/unit/test_stranded_vms.py
+++ b/tests/unit/test_stranded_vms.py
@@ -9,8 +9,8 @@
 
 import pytest
 
+from tests.attemptdata import make_admitted
 from tests.fleetdata import (
-    make_admitted,
     make_environment,
     make_limits,
     make_member,
@@ -303,7 +303,7 @@
         """Keep nothing."""
 
 
-def make_reply(status, body=b'', *headers):
+def make_reply(status, body, *headers):
     return ReceivedAnswer(status, headers, body, is_keep_alive=True)
 
 
