Let VMs without targets keep their part of the limits of teams

Cause: who takes requests of callers and who sends to targets was one question. VMs that the directory would name if they reached targets keep their weight.

--- a/tests/models/test_tables_model.py
+++ b/tests/models/test_tables_model.py
@@ -28,6 +28,7 @@
 from toucanhall.fleet.evacuations import EvacuationSnapshot
 from toucanhall.fleet.model import ClientLimits, Configuration, Snapshot
 from toucanhall.fleet.revisions import Revision, Revisions
+from toucanhall.fleet.suspects import SuspectSnapshot
 from toucanhall.fleet.tables import FleetTables
 
 VM_COUNT = 3
@@ -237,6 +238,7 @@
             removed={TARGET: found.removed} if found.removed else {},
             held_targets={},
             evacuations=EvacuationSnapshot(Revision(), {}, {}),
+            suspects=SuspectSnapshot(Revision(), {}),
         ),
         0.0,
     )
--- a/tests/unit/test_stranded_vms.py
+++ b/tests/unit/test_stranded_vms.py
@@ -20,7 +20,11 @@
 from toucanhall.edge import refusals
 from toucanhall.edge.request_relay import RequestRelay
 from toucanhall.edge.target_links import TargetLinks
-from toucanhall.fleet.selection import pick_helpers, pick_serving
+from toucanhall.fleet.selection import (
+    pick_admitting,
+    pick_helpers,
+    pick_serving,
+)
 from toucanhall.placement.cold_targets import find_owner_groups
 from toucanhall.placement.hash_ring import Location
 from toucanhall.placement.owners import VmGroup
@@ -229,6 +233,21 @@
     assert 'e' in serving
 
 
+def test_vms_without_targets_go_on_to_admit_requests_of_teams():
+    cut_off = [
+        make_member(f'cut-{number}', reaches_targets=False, capacity=900.0)
+        for number in range(3)
+    ]
+    others = [make_member(f'whole-{number}') for number in range(5)]
+    admitting = {found.vm for found in pick_admitting([*cut_off, *others])}
+    # The four that bear most and, while some are cut off, the next ones.
+    assert {found.vm for found in cut_off} < admitting
+    assert admitting - {found.vm for found in cut_off} == {
+        found.vm for found in pick_serving([*cut_off, *others])
+    }
+    assert pick_admitting(others) == pick_serving(others)
+
+
 def test_all_vms_are_named_if_none_reaches_targets():
     members = [make_member(name, reaches_targets=False) for name in 'ab']
     assert len(pick_serving(members)) == 2
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -7,7 +7,7 @@
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Environment
 from toucanhall.fleet.reports import Member
-from toucanhall.fleet.selection import pick_serving
+from toucanhall.fleet.selection import pick_admitting, pick_serving
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.limits.quota import (
     RESERVE_VM_WEIGHT,
@@ -114,7 +114,8 @@
                 for name, vms in alive.items()
             },
         )
-        self._update_limits(members, serving, own, now)
+        self._update_retries(serving)
+        self._update_quotas(members, zone, own, now)
 
     def _update_serving(self, serving: dict[str, list[str]]) -> None:
         changed = [
@@ -130,24 +131,26 @@
             )
         self._serving = serving
 
-    def _update_limits(
+    def _update_retries(self, serving: Mapping[str, list[str]]) -> None:
+        self._retries.set_vm_count(
+            sum(map(len, serving.values())) if self.is_serving else math.inf,
+        )
+
+    def _update_quotas(
         self,
         members: Members,
-        serving: Mapping[str, list[str]],
+        zone: Sequence[Member],
         own: Mapping[str, Usage],
         now: float,
     ) -> None:
-        local = set(serving[self._environment.zone])
-        is_serving = self.is_serving
-        self._retries.set_vm_count(
-            sum(map(len, serving.values())) if is_serving else math.inf,
-        )
+        admitting = {member.vm for member in pick_admitting(zone)}
+        is_admitting = self._environment.vm in admitting
         configuration = self._fleet_tables.configuration
         self._quotas.refill(
             configuration.teams.values() if configuration else (),
-            UsageReport(own, vms=1.0 if is_serving else RESERVE_VM_WEIGHT),
+            UsageReport(own, vms=1.0 if is_admitting else RESERVE_VM_WEIGHT),
             [
-                *members.list_local_usage_reports(now, local),
+                *members.list_local_usage_reports(now, admitting),
                 *members.list_remote_usage_reports(now),
             ],
             now,
--- a/toucanhall/edge/zone_reporter.py
+++ b/toucanhall/edge/zone_reporter.py
@@ -12,7 +12,7 @@
     ZoneReport,
     sum_usage_reports,
 )
-from toucanhall.fleet.selection import pick_delegates, pick_serving
+from toucanhall.fleet.selection import pick_admitting, pick_delegates
 from toucanhall.limits.quota import UsageReport
 
 __all__ = ('ZoneReporter',)
@@ -71,8 +71,8 @@
         zone: tuple[Member, ...],
         now: float,
     ) -> ZoneReport:
-        serving = {member.vm for member in pick_serving(zone)}
-        local = self._members.list_local_usage_reports(now, serving)
+        admitting = {member.vm for member in pick_admitting(zone)}
+        local = self._members.list_local_usage_reports(now, admitting)
         return ZoneReport(
             zone=own.member.zone,
             delegate=own.member.vm,
--- a/toucanhall/fleet/membership.py
+++ b/toucanhall/fleet/membership.py
@@ -241,7 +241,7 @@
     ) -> list[UsageReport]:
         """Return the usage reports of the own zone, stale ones included.
 
-        `serving` are the VMs that take requests. For some time after the
+        `serving` are the VMs that admit requests. For some time after the
         start, VMs that should take requests and sent no heartbeat count too.
         """
         usage_reports = [
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -17,8 +17,11 @@
 __all__ = (
     'MAX_LOOP_LAG_SECONDS',
     'MIN_SERVING_VMS',
-    'pick_serving',
+    'compute_spare_capacity',
+    'pick_admitting',
     'pick_delegates',
+    'pick_helpers',
+    'pick_serving',
     'rank_staying',
 )
 
@@ -56,6 +59,18 @@
     return picked
 
 
+def pick_admitting(members: Iterable[Member]) -> list[Member]:
+    """Return the VMs of a zone that admit requests of teams.
+
+    Those that reach no target do, too: callers use answers of the directory
+    for some seconds, and other VMs serve what these admit.
+    """
+    zone = list(members)
+    usual = pick_serving(found._replace(reaches_targets=True) for found in zone)
+    names = {found.vm for found in (*usual, *pick_serving(zone))}
+    return [found for found in zone if found.vm in names]
+
+
 def pick_helpers(
     members: Iterable[Member], zones: Container[str]
 ) -> list[Member]:
