Review: a planned stop resets clients that pipeline

Cause: a VM closes a connection right after it has written the last answer; a request that the client sends before it reads that answer makes the kernel reset the connection and drop the rest of the answers.

--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -47,6 +47,7 @@
         self.server = None
         # Called instead of an answer, if set: (writer, request).
         self.misbehave = None
+        self.answer_bytes = 0  # the least length of an answer
 
     async def start(self, host, port):
         self.address = f'{host}:{port}'
@@ -115,7 +116,7 @@
                 ended_at,
             )
         )
-        body = f'{self.name} {path}'.encode()
+        body = f'{self.name} {path}'.encode().ljust(self.answer_bytes, b'.')
         load = f'{self.running},{self.waiting},{self.slots}'
         await write_message(
             writer,
