--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -45,6 +45,8 @@
         self.waiting = 0
         self.free = asyncio.Semaphore(slots)
         self.server = None
+        self.writers = set()
+        self.has_exited = False
         # Called instead of an answer, if set: (writer, request).
         self.misbehave = None
         self.answer_bytes = 0  # the least length of an answer
@@ -70,7 +72,15 @@
             'born': self.born,
         }
 
+    def exit(self):
+        """End as a process does: the kernel closes what is open."""
+        self.server.close()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+        self.has_exited = True
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -79,6 +89,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, request, writer):
@@ -104,6 +115,8 @@
             began_at = time.monotonic()
             await asyncio.sleep(self.work_s)
             self.running -= 1
+            if self.has_exited:
+                return False
         ended_at = time.monotonic()
         self.runs.append(
             Run(
