--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -241,6 +241,7 @@
         self.sequence = 0
         self.arrivals = []  # (seconds, request id, vm), 421 left out
         self.runs = []  # (seconds, request id, team)
+        self.received = {}  # method, path and body by request id
         self.running = self.waiting = 0
         self._free = asyncio.Semaphore(self.slots)
         self._server = self._beat = None
@@ -320,6 +321,8 @@
             try:
                 team = headers.get('x-toucanhall-tenant-id', '')
                 self.runs.append((self.record.now(), request_id, team))
+                method, path, _ = first.split(' ')
+                self.received[request_id] = (method, path, body)
                 self.record.write('runs', request_id, 'at', self.name, team)
                 await asyncio.sleep(self.work_s)
             finally:
@@ -346,7 +349,7 @@
 
     async def request(self, path, *, method='GET', body=b'', **fields):
         """Send a request; return its id and status, 0 if it was cut."""
-        request_id = uuid.uuid4().hex[:16]
+        request_id = fields.get('request_id') or uuid.uuid4().hex[:16]
         deadline_ms = fields.get('deadline_ms', 2000)
         headers = {
             'Host': HOST,
@@ -356,6 +359,7 @@
         }
         if fields.get('key'):
             headers['Authorization'] = f'Bearer {fields["key"]}'
+        headers |= fields.get('headers', {})
         kept = self._writer is not None
         how = f'{method} {path} of {len(body)} bytes to {self._ip}'
         self._record.write('sent', request_id, how, 'kept' if kept else 'new')
