Log which connection carried a failed attempt, and skipped answers

Cause: event 602 names the target of an attempt, neither its address nor its connection; answers to other requests are skipped without a line. So logs cannot tell whether a refusal was read on a connection that had carried the same request.

Change: event 602 has address, connection, connection_requests and skipped_answers; event 635 tells of skipped answers. Sender is split: answer_reader reads answers, outcomes holds what they mean. No logic changes.

--- a/toucanhall/edge/attempt_loop.py
+++ b/toucanhall/edge/attempt_loop.py
@@ -1,6 +1,7 @@
 """Sends a request to targets, or to another VM, until it has an answer."""
 
 import asyncio
+from collections.abc import Mapping
 from typing import Final
 
 from toucanhall.edge import refusals
@@ -8,10 +9,11 @@
 from toucanhall.edge.attempts import Attempts
 from toucanhall.edge.failure_answers import FailureAnswers
 from toucanhall.edge.quarantine import Quarantine
+from toucanhall.edge.outcomes import Failure, Success
 from toucanhall.edge.request_recorder import RequestRecorder
 from toucanhall.edge.request_relay import RelayOutcome, RequestRelay
 from toucanhall.edge.retry_policy import RetryPolicy
-from toucanhall.edge.sender import Failure, Sender, Success
+from toucanhall.edge.sender import Sender
 from toucanhall.edge.target_chooser import TargetChooser
 from toucanhall.edge.target_links import TargetLinks
 from toucanhall.limits.retry_budget import RetryBudget
@@ -141,6 +143,8 @@
             closed_by_target=failure.is_closed_by_target,
             fingerprint=admitted.fingerprint,
             detail=failure.detail,
+            address='{0}:{1}'.format(*candidate.target.address),
+            **_describe_connection(failure),
         )
 
     async def _may_send(
@@ -184,3 +188,15 @@
             fill=round(success.load_ratio, 2),
         )
         return make_caller_answer(success.reply)
+
+
+def _describe_connection(failure: Failure) -> Mapping[str, int]:
+    """Return log fields: the connection of an attempt, and its use so far."""
+    use = failure.connection
+    if use is None:
+        return {}
+    return {
+        'connection': use.number,
+        'connection_requests': use.requests,
+        'skipped_answers': use.skipped_answers,
+    }
--- a/toucanhall/edge/attempts.py
+++ b/toucanhall/edge/attempts.py
@@ -1,7 +1,7 @@
 """The attempts to serve one request."""
 
 from toucanhall.edge.admission import AdmittedRequest
-from toucanhall.edge.sender import Failure
+from toucanhall.edge.outcomes import Failure
 from toucanhall.placement.registry import TargetQuery
 from toucanhall.quarantine.verdicts import Verdict
 
--- a/toucanhall/edge/connection_pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -79,6 +79,7 @@
     ) -> ServerConnection:
         """Open a connection, or raise UnreachableError."""
         self.opened_count += 1
+        number = self.opened_count
         try:
             connection = await open_connection(
                 address,
@@ -91,6 +92,7 @@
             self.failed_addresses.add(address)
             raise
         self.failed_addresses.clear()
+        connection.number = number
         return connection
 
     async def exchange(
--- a/toucanhall/edge/retry_policy.py
+++ b/toucanhall/edge/retry_policy.py
@@ -7,7 +7,7 @@
 from toucanhall.edge.attempts import Attempts
 from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.request_recorder import RequestRecorder
-from toucanhall.edge.sender import Failure
+from toucanhall.edge.outcomes import Failure
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.placement.response_times import ResponseTimes
 
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -1,75 +1,35 @@
-"""Sends a request to a target and classifies its answer."""
+"""Sends a request to a target once."""
 
 import asyncio
-from http import HTTPStatus
-from typing import Final, NamedTuple
+from typing import Final
 
 from toucanhall.edge.admission import AdmittedRequest
+from toucanhall.edge.answer_reader import AnswerReader, Start
 from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.limit_exchange import LimitExchange
+from toucanhall.edge.outcomes import Failure, Success
 from toucanhall.edge.target_links import TargetLinks
-from toucanhall.edge.unknown_headers import UnknownHeaders
 from toucanhall.fleet.model import Target
-from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
 from toucanhall.placement.choice import Candidate
+from toucanhall.placement.load import TargetLoad
 from toucanhall.placement.registry import TargetRegistry
-from toucanhall.platform.headers import (
-    TargetHeaders,
-    find_unknown_headers,
-    make_target_request,
-    read_target_headers,
-)
+from toucanhall.platform.headers import make_target_request
 from toucanhall.web.client import (
     ClosedByPeerError,
     IncompleteAnswerError,
     OutOfDescriptorsError,
     ReceivedAnswer,
+    ServerConnection,
     UnreachableError,
 )
 from toucanhall.web.messages import encode_request
 
-__all__ = ('Failure', 'Sender', 'Success')
+__all__ = ('Sender',)
 
-_MIN_FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
 # By whether the target is in the own region. Three round trips, which take 2 ms
 # in a region and 110 ms between regions; a VM may also be slow to accept.
 _CONNECT_TIMEOUT_SECONDS: Final = {True: 0.15, False: 0.35}
-_MIN_REDIRECTION_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
-
-
-class Success(NamedTuple):
-    """An answer to pass on; `seconds` from the start of the attempt.
-
-    `load_ratio` is the estimated number of requests at the target when the
-    request was sent, over the number of its slots.
-    """
-
-    reply: ReceivedAnswer
-    seconds: float
-    load_ratio: float
-
-
-class Failure(NamedTuple):
-    """An attempt without success.
-
-    `was_sent` tells whether bytes were sent to the target, `may_have_run`
-    whether it may have processed them, `is_closed_by_target` whether it closed
-    the connection before its answer; `reply` is its answer, if it gave one.
-    """
-
-    reason: str
-    target: str
-    was_sent: bool = True
-    may_have_run: bool = True
-    reply: ReceivedAnswer | None = None
-    detail: str = ''
-    is_closed_by_target: bool = False
-
-    @property
-    def is_link_failure(self) -> bool:
-        """Whether no answer came, which the links may have caused."""
-        return self.reason in {'unreachable', 'broken'}
 
 
 class Sender:
@@ -87,11 +47,10 @@
         """Record loads and health of targets in `registry`."""
         self._registry = registry
         self._pool = pool
-        self._journal = journal
         self._limits = limits
         self._links = links
-        self._unknown_headers = UnknownHeaders(
-            journal=journal, event=events.UNKNOWN_HEADER
+        self._reader = AnswerReader(
+            registry=registry, journal=journal, limits=limits
         )
         self._loop = asyncio.get_running_loop()
 
@@ -102,65 +61,53 @@
     ) -> Success | Failure:
         """Send a request to a target once."""
         target, load = candidate
-        started_at = self._loop.time()
-        sent_at = self._limits.read_clock()
-        load_ratio = load.estimate_requests(started_at) / load.slots
-        load.in_flight += 1
-        is_answered = False
-        self._links.record_sent()
+        start = self._begin(load)
+        connection: ServerConnection | None = None
+        reply: ReceivedAnswer | None = None
         try:
-            reply = await self._exchange(admitted, target)
-            is_answered = True
+            connection = await self._acquire(admitted, target)
+            reply = await self._exchange(connection, admitted, target)
         except UnreachableError as error:
-            if not isinstance(error, OutOfDescriptorsError):
-                self._record_failure(target, is_lost=True, why=str(error))
-            return Failure(
-                'unreachable',
-                target.id,
-                was_sent=False,
-                may_have_run=False,
-                detail=str(error),
-            )
+            return self._fail_unsent(target, error)
         except IncompleteAnswerError as error:
-            self._record_failure(target, is_lost=False, why=str(error))
-            return Failure(
-                'broken',
-                target.id,
-                detail=str(error),
-                is_closed_by_target=isinstance(error, ClosedByPeerError),
-            )
+            return self._fail_unanswered(target, error, connection)
         finally:
             load.in_flight -= 1
-            self._links.record_end(is_answered=is_answered)
-        seconds = self._loop.time() - started_at
-        headers = read_target_headers(reply)
-        self._limits.record_answer(target, headers, sent_at)
-        self._record_notices(target, headers)
-        self._unknown_headers.record(
-            find_unknown_headers(reply), target=target.id
-        )
-        return self._classify(
-            candidate, Success(reply, seconds, load_ratio), headers
-        )
+            self._links.record_end(is_answered=reply is not None)
+        return self._reader.read(candidate, reply, start, connection.use)
 
     def record_success(self, candidate: Candidate, ratio: float | None) -> None:
         """Record an answer; `ratio` is its time over the expected time."""
-        if candidate.load.record_success(ratio):
-            self._journal.write(
-                events.TARGET_RESUMED,
-                target=candidate.target.id,
-            )
+        self._reader.record_success(candidate, ratio)
 
-    async def _exchange(
+    def _begin(self, load: TargetLoad) -> Start:
+        now = self._loop.time()
+        start = Start(
+            at=now,
+            sent_at=self._limits.read_clock(),
+            load_ratio=load.estimate_requests(now) / load.slots,
+        )
+        load.in_flight += 1
+        self._links.record_sent()
+        return start
+
+    async def _acquire(
         self, admitted: AdmittedRequest, target: Target
-    ) -> ReceivedAnswer:
-        connection = await self._pool.acquire(
+    ) -> ServerConnection:
+        return await self._pool.acquire(
             target.address,
             may_retry=admitted.route.is_idempotent,
             connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS[
                 self._registry.is_in_own_region(target)
             ],
         )
+
+    async def _exchange(
+        self,
+        connection: ServerConnection,
+        admitted: AdmittedRequest,
+        target: Target,
+    ) -> ReceivedAnswer:
         forwarded = make_target_request(
             admitted.request,
             target=target.id,
@@ -176,75 +123,28 @@
         self._pool.release(target.address, connection)
         return reply
 
-    def _classify(
-        self,
-        candidate: Candidate,
-        success: Success,
-        headers: TargetHeaders,
-    ) -> Success | Failure:
-        target, load = candidate
-        reply = success.reply
-        now = self._loop.time()
-        if headers.pending_requests is not None:
-            load.record_reported_load(headers.pending_requests, now)
-        if headers.is_not_run:
-            return self._classify_not_run(candidate, headers, now)
-        if headers.is_unproven_refusal:
-            # Passed on, the status would promise that the request never ran.
-            why = f'status {reply.status} without proof that nothing ran'
-            if not headers.pause_seconds:
-                self._record_failure(target, is_lost=False, why=why)
-            return Failure('unproven', target.id, detail=why)
-        if reply.status >= _MIN_FAILED_STATUS:
-            self._record_failure(
-                target, is_lost=False, why=f'status {reply.status}'
-            )
-            return Failure(f'status-{reply.status}', target.id, reply=reply)
-        if reply.status < _MIN_REDIRECTION_STATUS and not headers.has_stamp:
-            self._record_failure(
-                target,
-                is_lost=False,
-                why=f'status {reply.status} without response stamp',
-            )
-            return Failure('unstamped', target.id)
-        return success
-
-    def _record_notices(self, target: Target, headers: TargetHeaders) -> None:
-        notices = self._registry.notices
-        if headers.is_leaving and notices.record_leaving(target):
-            self._journal.write(events.TARGET_LEAVES, target=target.id)
-        if headers.pause_seconds:
-            notices.record_pause(
-                target, headers.pause_seconds, self._loop.time()
-            )
-            self._journal.write(
-                events.TARGET_PAUSES,
-                target=target.id,
-                seconds=headers.pause_seconds,
-            )
+    def _fail_unsent(self, target: Target, error: UnreachableError) -> Failure:
+        if not isinstance(error, OutOfDescriptorsError):
+            self._reader.record_failure(target, is_lost=True, why=str(error))
+        return Failure(
+            'unreachable',
+            target.id,
+            was_sent=False,
+            may_have_run=False,
+            detail=str(error),
+        )
 
-    def _classify_not_run(
+    def _fail_unanswered(
         self,
-        candidate: Candidate,
-        headers: TargetHeaders,
-        now: float,
+        target: Target,
+        error: IncompleteAnswerError,
+        connection: ServerConnection | None,
     ) -> Failure:
-        target, load = candidate
-        if headers.is_misdirected:
-            self._registry.suspend(target.id, now)
-            return Failure('misdirected', target.id, may_have_run=False)
-        load.fill(now)
-        return Failure('not-run', target.id, may_have_run=False)
-
-    def _record_failure(
-        self, target: Target, *, is_lost: bool, why: str
-    ) -> None:
-        load = self._registry.loads.get(target.id)
-        now = self._loop.time()
-        if load is not None and load.record_failure(now, is_lost=is_lost):
-            self._journal.write(
-                events.TARGET_SUSPENDED,
-                target=target.id,
-                why=why,
-                seconds=round(load.suspended_until - now, 2),
-            )
+        self._reader.record_failure(target, is_lost=False, why=str(error))
+        return Failure(
+            'broken',
+            target.id,
+            detail=str(error),
+            is_closed_by_target=isinstance(error, ClosedByPeerError),
+            connection=connection.use if connection else None,
+        )
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -117,6 +117,9 @@
 REQUEST_RELAYED: Final = Event(
     634, logging.INFO, 'request of a VM without targets served for it'
 )
+ANSWERS_SKIPPED: Final = Event(
+    635, logging.WARNING, 'target sent answers to other requests: skipped'
+)
 
 CATALOGUE: Final[tuple[Event, ...]] = tuple(
     found for found in tuple(globals().values()) if isinstance(found, Event)
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -20,6 +20,7 @@
 __all__ = (
     'ConnectionSettings',
     'ClosedByPeerError',
+    'ConnectionUse',
     'IncompleteAnswerError',
     'OutOfDescriptorsError',
     'ReceivedAnswer',
@@ -69,6 +70,18 @@
     is_keep_alive: bool
 
 
+class ConnectionUse(NamedTuple):
+    """What a connection has carried so far.
+
+    `number` is unique in its pool, `requests` the number of requests sent, and
+    `skipped_answers` that of answers to others before the last answer.
+    """
+
+    number: int
+    requests: int
+    skipped_answers: int
+
+
 class ConnectionSettings(NamedTuple):
     """Limits that connections to servers share.
 
@@ -103,6 +116,7 @@
         self._request_count = 0
         self._limit_error = ''
         self._is_unusable = False
+        self.number = 0
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
         self._reset_answer()
@@ -116,6 +130,13 @@
             and not self._transport.is_closing()
         )
 
+    @property
+    def use(self) -> ConnectionUse:
+        """What the connection has carried so far."""
+        return ConnectionUse(
+            self.number, self._request_count, self._stray_count
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport and enable the detection of dead peers."""
         assert isinstance(transport, asyncio.Transport)
