Never send a refused request on the same connection again

Callers saw: a booking answered 503 ("not run") that a target ran (REFUSED), or one that two targets ran (TWICE).

Cause: answers are matched to requests by the request's id. A target may write an answer once more, late; if it is a refusal and the same request is on its way on the same connection again, the id matches and the copy passes for the new answer. That happens when a target starts again at its address: for some seconds it is listed under two ids, attempts exclude targets by id, and the pool hands out the connection that was used last. A caller that sends its id again after a refusal does the same.

Change: a connection keeps the ids of the requests that were answered on it without success and carries none of them again; the pool passes over it for such a request, for others it stays in use. With 64 such ids it is closed after the answer. Relays to other VMs use the same pool.

An answer with a request's id is now the first one to it on its connection, so the id tells again.

--- a/toucanhall/edge/connection_pool.py
+++ b/toucanhall/edge/connection_pool.py
@@ -50,27 +50,14 @@
     async def acquire(
         self,
         address: Address,
+        request_id: bytes,
         *,
         may_retry: bool,
         connect_timeout_seconds: float,
     ) -> ServerConnection:
-        """Return an idle connection, or else open one."""
-        max_idle_seconds = (
-            _MAX_IDLE_SECONDS if may_retry else _MAX_IDLE_WITHOUT_RETRY_SECONDS
-        )
-        now = self._clock()
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            self._idle_count -= 1
-            if self._may_use(connection, now, max_idle_seconds):
-                return connection
-            if connection.is_usable and not may_retry:
-                idle.append(connection)
-                self._idle_count += 1
-                break
-            connection.close()
-        return await self.open(
+        """Return an idle connection that may carry a request, or open one."""
+        connection = self._take_idle(address, request_id, may_retry=may_retry)
+        return connection or await self.open(
             address, connect_timeout_seconds=connect_timeout_seconds
         )
 
@@ -157,6 +144,29 @@
                 self._idle.pop(address)
         self._idle_count = sum(map(len, self._idle.values()))
 
+    def _take_idle(
+        self, address: Address, request_id: bytes, *, may_retry: bool
+    ) -> ServerConnection | None:
+        """Return the last used of the fitting connections; close stale ones."""
+        max_idle_seconds = (
+            _MAX_IDLE_SECONDS if may_retry else _MAX_IDLE_WITHOUT_RETRY_SECONDS
+        )
+        now = self._clock()
+        for connection in tuple(reversed(self._idle.get(address, ()))):
+            if not self._may_use(connection, now, _MAX_IDLE_SECONDS):
+                self._remove(address, connection)
+                connection.close()
+            elif connection.may_carry(request_id) and self._may_use(
+                connection, now, max_idle_seconds
+            ):
+                self._remove(address, connection)
+                return connection
+        return None
+
+    def _remove(self, address: Address, connection: ServerConnection) -> None:
+        self._idle[address].remove(connection)
+        self._idle_count -= 1
+
     def _may_use(
         self,
         connection: ServerConnection,
--- a/toucanhall/edge/request_relay.py
+++ b/toucanhall/edge/request_relay.py
@@ -138,6 +138,7 @@
         may_retry = admitted.route.is_idempotent
         connection = await self._pool.acquire(
             address,
+            admitted.headers.request_id,
             may_retry=may_retry,
             connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS,
         )
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -96,6 +96,7 @@
     ) -> ServerConnection:
         return await self._pool.acquire(
             target.address,
+            admitted.headers.request_id,
             may_retry=admitted.route.is_idempotent,
             connect_timeout_seconds=_CONNECT_TIMEOUT_SECONDS[
                 self._registry.is_in_own_region(target)
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -36,6 +36,9 @@
 _KEEPALIVE_PROBE_COUNT: Final = 2
 _MIN_FINAL_STATUS: Final = 200
 _MIN_REDIRECT_STATUS: Final = 300
+# Requests of one connection that were answered without success; with more, it
+# is closed, so that their ids take a few KiB at most.
+_MAX_FAILED_REQUESTS: Final = 64
 
 
 class UnreachableError(ConnectionError):
@@ -100,7 +103,9 @@
     """A client connection with at most one request at a time.
 
     An answer with the id of another request is skipped, and the connection is
-    not reused afterwards.
+    not reused afterwards. A request that was answered without success is not
+    sent on the connection again: its answer may come twice, and the id would
+    not tell the copy from the new answer.
     """
 
     def __init__(self, *, settings: ConnectionSettings) -> None:
@@ -114,6 +119,7 @@
         self._answer_future: asyncio.Future[ReceivedAnswer] | None = None
         self._expected_id = b''
         self._request_count = 0
+        self._failed_ids: set[bytes] = set()
         self._limit_error = ''
         self._is_unusable = False
         self.number = 0
@@ -130,6 +136,10 @@
             and not self._transport.is_closing()
         )
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Whether an answer on the connection would be the request's own."""
+        return self.is_usable and request_id not in self._failed_ids
+
     @property
     def use(self) -> ConnectionUse:
         """What the connection has carried so far."""
@@ -188,9 +198,9 @@
         if the request may have been received. Cancelling the call resets the
         connection.
         """
-        if not self.is_usable or self._transport is None:
+        if not self.may_carry(request_id) or self._transport is None:
             raise UnreachableError(
-                'connection was closed before the request was sent'
+                'connection may not carry the request; nothing was sent'
             )
         self._expected_id = request_id
         self._request_count += 1
@@ -283,7 +293,13 @@
         headers: Headers,
         answer_future: asyncio.Future[ReceivedAnswer],
     ) -> None:
-        keep = not self._ends_by_close and self._parser.should_keep_alive()
+        if self._settings.id_header and status >= _MIN_REDIRECT_STATUS:
+            self._failed_ids.add(self._expected_id)
+        keep = (
+            not self._ends_by_close
+            and self._parser.should_keep_alive()
+            and len(self._failed_ids) < _MAX_FAILED_REQUESTS
+        )
         self.keep_alive_seconds = _read_keep_alive_seconds(headers)
         answer_future.set_result(
             ReceivedAnswer(
