--- a/tests/unit/test_stranded_vms.py
+++ b/tests/unit/test_stranded_vms.py
@@ -308,7 +308,7 @@
         self._replies = replies
         self.asked = []
 
-    async def acquire(self, address, **_options):
+    async def acquire(self, address, _request_id, **_options):
         self.asked.append(address.host)
         return address.host
 
