Keep hashes of refused requests, not their ids

Cause: callers choose the length of an id (a head may have 16 KiB), and a connection kept up to 64 of them: 60 ids of 15 KB on one connection took 951 KB.

Change: hashes are kept. Two ids with one hash cost a connection.

--- a/tests/unit/test_connection_pool.py
+++ b/tests/unit/test_connection_pool.py
@@ -1,6 +1,7 @@
 """Tests of which connections a request may use."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -13,6 +14,10 @@
 CONNECT_SECONDS = 1.0
 MAX_FAILED_REQUESTS = 64
 IDLE_SECONDS = 3.0
+LONG_ID_BYTES = 15_000
+LONG_IDS_COUNT = 60
+# Of the last request and answer; all ids together are over 900,000 bytes.
+MAX_KEPT_BYTES = 200_000
 
 
 class Clock:
@@ -128,6 +133,21 @@
     assert run(act).status == 503
 
 
+def test_connection_keeps_no_long_ids_of_refused_requests():
+    async def act(pool, _clock):
+        await send(pool, b'first')
+        tracemalloc.start()
+        try:
+            for number in range(LONG_IDS_COUNT):
+                request_id = b'%d' % number + b'x' * LONG_ID_BYTES
+                await send(pool, request_id)  # noqa: WPS476
+            return tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+
+    assert run(act) < MAX_KEPT_BYTES
+
+
 @pytest.mark.parametrize(('may_retry', 'number'), ((True, 1), (False, 2)))
 def test_booking_uses_only_a_connection_that_was_in_use_just_now(
     may_retry, number
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -36,8 +36,8 @@
 _KEEPALIVE_PROBE_COUNT: Final = 2
 _MIN_FINAL_STATUS: Final = 200
 _MIN_REDIRECT_STATUS: Final = 300
-# Requests of one connection that were answered without success; with more, it
-# is closed, so that their ids take a few KiB at most.
+# Requests of one connection that were answered without success; with so many,
+# it is closed.
 _MAX_FAILED_REQUESTS: Final = 64
 
 
@@ -119,7 +119,9 @@
         self._answer_future: asyncio.Future[ReceivedAnswer] | None = None
         self._expected_id = b''
         self._request_count = 0
-        self._failed_ids: set[bytes] = set()
+        # Hashes: callers choose the length of an id. Two ids with one hash cost
+        # a connection, no more.
+        self._failed_id_hashes: set[int] = set()
         self._limit_error = ''
         self._is_unusable = False
         self.number = 0
@@ -138,7 +140,7 @@
 
     def may_carry(self, request_id: bytes) -> bool:
         """Whether an answer on the connection would be the request's own."""
-        return self.is_usable and request_id not in self._failed_ids
+        return self.is_usable and hash(request_id) not in self._failed_id_hashes
 
     @property
     def use(self) -> ConnectionUse:
@@ -294,11 +296,11 @@
         answer_future: asyncio.Future[ReceivedAnswer],
     ) -> None:
         if self._settings.id_header and status >= _MIN_REDIRECT_STATUS:
-            self._failed_ids.add(self._expected_id)
+            self._failed_id_hashes.add(hash(self._expected_id))
         keep = (
             not self._ends_by_close
             and self._parser.should_keep_alive()
-            and len(self._failed_ids) < _MAX_FAILED_REQUESTS
+            and len(self._failed_id_hashes) < _MAX_FAILED_REQUESTS
         )
         self.keep_alive_seconds = _read_keep_alive_seconds(headers)
         answer_future.set_result(
