Keep a request off the connection that answered it last

Callers could see: the body of an earlier success, if they use its id again at once and a target writes answers twice. Services that answer 304 or 404 reconnected after 64 answers.

Cause: a connection remembered the requests with a status of 300 or more. A copy of a success was not covered, and redirects and 404 do not come again.

Change: a connection remembers the last request, whatever its answer, and those that may be sent again (400, 408, 421, 429, 500 and more).

--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -36,8 +36,10 @@
 _KEEPALIVE_PROBE_COUNT: Final = 2
 _MIN_FINAL_STATUS: Final = 200
 _MIN_REDIRECT_STATUS: Final = 300
-# Requests of one connection that were answered without success; with so many,
-# it is closed.
+# Statuses below 500 after which a request may be sent again.
+_REFUSAL_STATUSES: Final = frozenset((400, 408, 421, 429))
+_MIN_FAILED_STATUS: Final = 500
+# Requests of one connection that may be sent again; with so many, it is closed.
 _MAX_FAILED_REQUESTS: Final = 64
 
 
@@ -103,9 +105,9 @@
     """A client connection with at most one request at a time.
 
     An answer with the id of another request is skipped, and the connection is
-    not reused afterwards. A request that was answered without success is not
-    sent on the connection again: its answer may come twice, and the id would
-    not tell the copy from the new answer.
+    not reused afterwards. A request that failed, and the one that was answered
+    last, are not sent on the connection again: their answers may come twice,
+    and the id would not tell the copy from the new answer.
     """
 
     def __init__(self, *, settings: ConnectionSettings) -> None:
@@ -122,6 +124,7 @@
         # Hashes: callers choose the length of an id. Two ids with one hash cost
         # a connection, no more.
         self._failed_id_hashes: set[int] = set()
+        self._last_id_hash: int | None = None
         self._limit_error = ''
         self._is_unusable = False
         self.number = 0
@@ -140,7 +143,12 @@
 
     def may_carry(self, request_id: bytes) -> bool:
         """Whether an answer on the connection would be the request's own."""
-        return self.is_usable and hash(request_id) not in self._failed_id_hashes
+        id_hash = hash(request_id)
+        return (
+            self.is_usable
+            and id_hash != self._last_id_hash
+            and id_hash not in self._failed_id_hashes
+        )
 
     @property
     def use(self) -> ConnectionUse:
@@ -295,8 +303,7 @@
         headers: Headers,
         answer_future: asyncio.Future[ReceivedAnswer],
     ) -> None:
-        if self._settings.id_header and status >= _MIN_REDIRECT_STATUS:
-            self._failed_id_hashes.add(hash(self._expected_id))
+        self._remember(status)
         keep = (
             not self._ends_by_close
             and self._parser.should_keep_alive()
@@ -312,6 +319,14 @@
             ),
         )
 
+    def _remember(self, status: int) -> None:
+        """Remember a request whose answer may come once more."""
+        if not self._settings.id_header:
+            return
+        self._last_id_hash = hash(self._expected_id)
+        if status >= _MIN_FAILED_STATUS or status in _REFUSAL_STATUSES:
+            self._failed_id_hashes.add(self._last_id_hash)
+
     def _parse(self, piece: bytes) -> str:
         """Parse bytes; return why reading stops, empty if it does not."""
         self._piece_body_bytes = 0
