A target that closes after an answer to another request counts as closing

Callers could see: a request that crashes targets is sent on, as the close of the connection is no evidence against it.

Cause: an answer to another request makes the connection unusable, and by that flag the close that follows was taken for one of this VM.

Change: a flag of its own tells which side closed.

--- a/tests/unit/test_answers_bytes.py
+++ b/tests/unit/test_answers_bytes.py
@@ -6,6 +6,7 @@
 
 from tests.fleetdata import make_opening
 from toucanhall.web.client import (
+    ClosedByPeerError,
     IncompleteAnswerError,
     ServerConnection,
     UnreachableError,
@@ -171,6 +172,11 @@
     assert found.status == 503
 
 
+def test_close_after_a_skipped_answer_is_one_by_the_peer():
+    found = exchange_truncated(EARLIER['length'], None, None)
+    assert isinstance(found, ClosedByPeerError)
+
+
 def test_answer_with_an_id_is_not_for_a_request_without_one():
     async def act():
         connection = connect()
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -127,6 +127,7 @@
         self._last_id_hash: int | None = None
         self._limit_error = ''
         self._is_unusable = False
+        self._is_closed_here = False
         self.number = 0
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
@@ -176,7 +177,7 @@
             self.on_message_complete()
         if not answer_future.done():
             kind = IncompleteAnswerError
-            if not isinstance(error, TimeoutError) and not self._is_unusable:
+            if not isinstance(error, TimeoutError) and not self._is_closed_here:
                 kind = ClosedByPeerError
             answer_future.set_exception(
                 kind('connection closed before the answer was complete')
@@ -234,12 +235,14 @@
     def close(self) -> None:
         """Close the connection."""
         self._is_unusable = True
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Reset the connection."""
         self._is_unusable = True
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
