Close a connection after an answer without an id

Callers saw: 502 for a request after which nothing was wrong, if the target had refused an earlier one on the connection without an id and wrote that refusal twice.

Cause: the first answer on a connection may lack the id; its copy then ended the next request as one that may have run.

Change: such an answer closes its connection.

Result: the new test failed before; test_client.py, test_answers_bytes.py and test_connection_pool.py pass.

--- a/tests/unit/test_connection_pool.py
+++ b/tests/unit/test_connection_pool.py
@@ -30,8 +30,11 @@
         return self.now
 
 
-def run(act, status=503):
-    """Let `act` use a pool and its clock; the server answers with a status."""
+def run(act, status=503, id_name=b'x-id'):
+    """Let `act` use a pool and its clock; the server answers with a status.
+
+    `id_name` is the header in which answers have the id of their request.
+    """
 
     async def serve(reader, writer):
         while True:
@@ -42,8 +45,8 @@
                 return
             request_id = head.split(b'x-id: ')[1].split(b'\r\n')[0]
             writer.write(
-                b'HTTP/1.1 %d Status\r\nx-id: %s\r\ncontent-length: 0\r\n\r\n'
-                % (status, request_id)
+                b'HTTP/1.1 %d Status\r\n%s: %s\r\ncontent-length: 0\r\n\r\n'
+                % (status, id_name, request_id)
             )
 
     async def start():
@@ -119,6 +122,13 @@
     assert list_connections((b'a', b'b', b'a'), status) == [1, 1, 1]
 
 
+def test_connection_is_closed_after_an_answer_without_an_id():
+    async def act(pool, _clock):
+        return [await send(pool, b'a'), await send(pool, b'b')]
+
+    assert run(act, id_name=b'x-other') == [1, 2]
+
+
 def test_request_does_not_follow_itself_on_a_connection():
     assert list_connections((b'a', b'a', b'b', b'a'), 200) == [1, 2, 2, 2]
 
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -307,8 +307,11 @@
         answer_future: asyncio.Future[ReceivedAnswer],
     ) -> None:
         self._remember(status)
+        id_header = self._settings.id_header
         keep = (
             not self._ends_by_close
+            # A copy of an answer without an id would end the next request.
+            and (not id_header or get_header(headers, id_header) is not None)
             and self._parser.should_keep_alive()
             and len(self._failed_id_hashes) < _MAX_FAILED_REQUESTS
         )
