Only refusals for want of room make a target count as full

Cause: each answer that says "not run" filled its target; 400 says nothing of load.

Change: only 429 and 503 do.

--- a/toucanhall/edge/answer_reader.py
+++ b/toucanhall/edge/answer_reader.py
@@ -22,6 +22,10 @@
 __all__ = ('AnswerReader', 'Start')
 
 _MIN_FAILED_STATUS: Final = HTTPStatus.INTERNAL_SERVER_ERROR
+# Of refusals for want of room; others say nothing about the load.
+_FULL_STATUSES: Final = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
 _MIN_REDIRECTION_STATUS: Final = HTTPStatus.MULTIPLE_CHOICES
 
 
@@ -119,7 +123,7 @@
         if headers.pending_requests is not None:
             load.record_reported_load(headers.pending_requests, now)
         if headers.is_not_run:
-            return self._classify_not_run(candidate, headers, now)
+            return self._classify_not_run(candidate, success.reply, now)
         if headers.is_unproven_refusal:
             # Passed on, the status would promise that the request never ran.
             why = f'status {reply.status} without proof that nothing ran'
@@ -166,12 +170,13 @@
     def _classify_not_run(
         self,
         candidate: Candidate,
-        headers: TargetHeaders,
+        reply: ReceivedAnswer,
         now: float,
     ) -> Failure:
         target, load = candidate
-        if headers.is_misdirected:
+        if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._registry.suspend(target.id, now)
             return Failure('misdirected', target.id, may_have_run=False)
-        load.fill(now)
+        if reply.status in _FULL_STATUSES:
+            load.fill(now)
         return Failure('not-run', target.id, may_have_run=False)
