Refuse requests without an id at once

Callers saw: a request without an id waits, is sent to several targets, each of which refuses it (400), and ends with 503.

Cause: nothing checks the id, though targets run no request without one.

Change: 400 no-request-id, after route and key. Builders of requests in tests have an id now.

--- a/tests/attemptdata.py
+++ b/tests/attemptdata.py
@@ -63,7 +63,11 @@
         public=True,
         route_type='idempotent' if is_idempotent else 'non_idempotent',
     )
-    request = Request(b'GET', b'/view/1', ((b'host', HOST.encode()),), b'')
+    headers = (
+        (b'host', HOST.encode()),
+        (b'x-toucanhall-request-id', b'r1'),
+    )
+    request = Request(b'GET', b'/view/1', headers, b'')
     admitted = admit(
         request,
         read_caller_headers(request),
--- a/tests/unit/test_path.py
+++ b/tests/unit/test_path.py
@@ -52,10 +52,11 @@
     )
 
 
-def serve(journal, path, lag_seconds):
+def serve(journal, path, lag_seconds, request_id=b'r1'):
     async def run():
         headers = (
             (b'host', HOST.encode()),
+            (b'x-toucanhall-request-id', request_id),
             (b'authorization', f'Bearer {KEY}'.encode()),
         )
         request = Request(b'GET', path.encode(), headers, b'')
@@ -84,6 +85,11 @@
     assert serve(journal, path, lag_seconds).body == reason
 
 
+def test_request_without_an_id_is_refused_at_once(journal):
+    answer = serve(journal, '/urgent/1', 0.0, request_id=b'')
+    assert (answer.status, answer.body) == (400, b'no-request-id')
+
+
 def test_refusal_of_a_request_that_has_not_run_has_a_retry_after(journal):
     answer = serve(journal, '/other/1', 0.7)
     assert answer.status == 503
--- a/toucanhall/edge/admission.py
+++ b/toucanhall/edge/admission.py
@@ -71,6 +71,8 @@
     needs_key = bool(configuration.teams) and not route.is_public
     if needs_key and team is None:
         return refusals.UNKNOWN_KEY
+    if not headers.request_id:
+        return refusals.NO_REQUEST_ID
     retry_after = quotas.admit(team, now) if team and quotas else 0.0
     if team and quotas and retry_after:
         return refusals.make_over_quota(
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -46,6 +46,8 @@
 TARGETS_UNREACHABLE: Final = Refusal(503, 'targets-unreachable', 0.5)
 NO_ROUTE: Final = Refusal(404, 'no-route')
 UNKNOWN_KEY: Final = Refusal(401, 'unknown-key')
+# Targets run no request without an id.
+NO_REQUEST_ID: Final = Refusal(400, 'no-request-id')
 ANSWER_LOST: Final = Refusal(502, 'answer-lost')
 TIMED_OUT: Final = Refusal(504, 'timeout')
 INTERNAL_ERROR: Final = Refusal(502, 'internal-error')
