Send VMs of earlier builds what they read, and pass over what later builds add

Cause: a positional record with a field more is refused, and the message with it.

Change: the forms of records stand in one module with the rule by which they grow. A VM gets the form that its last message shows; one of which nothing is known, or that leaves, gets the first form, which all builds read, and behind the compressed data, where earlier builds pass over it, the whole message. Unknown fields are passed over, counted, and logged once (event 406). Queries of tables are sent again as an earlier build knows them when it refuses them, and answered in the form of who asks.

--- a/tests/unit/test_builds.py
+++ b/tests/unit/test_builds.py
@@ -12,7 +12,8 @@
 
 TESTS = Path(__file__).parents[1]
 PROGRAM = TESTS / 'wire_samples.py'
-EARLIER = ('ff8121e', '2836123', 'dfdfe8e')
+FORMS = {'ff8121e': 1, '2836123': 1, 'f75a866': 2, 'dfdfe8e': 3}
+EARLIER = tuple(FORMS)
 # Messages of builds that VMs of this one may stand beside.
 KEPT = (*EARLIER, 'c888059', 'current')
 
@@ -93,13 +94,35 @@
     'kind', ('heartbeat', 'report', 'limits', 'entry of a VM')
 )
 def test_earlier_builds_read_messages_of_this_one(build, kind):
-    samples = {kind: read_kept('current')[kind]}
+    kept = read_kept('current')
+    samples = {kind: kept.get(f'{kind} to form {FORMS[build]}', kept[kind])}
     assert_agree(read_by(build, samples)[kind], read_by_this(samples)[kind])
 
 
+@pytest.mark.parametrize('build', EARLIER)
+@pytest.mark.parametrize('kind', ('heartbeat', 'report', 'limits'))
+def test_all_builds_read_messages_to_unknown_vms(build, kind):
+    samples = {kind: read_kept('current')[kind]}
+    first = read_by('ff8121e', samples)[kind]
+    assert_agree(read_by(build, samples)[kind], first)
+
+
+@pytest.mark.parametrize('kind', ('heartbeat', 'report', 'limits'))
+def test_nothing_is_lost_between_vms_of_this_build(kind):
+    kept = read_kept('current')
+    whole = read_by_this({kind: kept[f'{kind} to form 4']})
+    for form in (1, 2, 3):
+        assert read_by_this({kind: kept[f'{kind} to form {form}']}) == whole
+
+
 @pytest.mark.parametrize(
     ('build', 'revisions'),
-    (('ff8121e', 'two'), ('2836123', 'two'), ('dfdfe8e', 'three')),
+    (
+        ('ff8121e', 'two'),
+        ('2836123', 'two'),
+        ('f75a866', 'three'),
+        ('dfdfe8e', 'three'),
+    ),
 )
 def test_earlier_builds_read_tables_of_this_one(build, revisions):
     kind = f'answer to table query of {revisions} revisions'
--- a/tests/unit/test_fleet_tables.py
+++ b/tests/unit/test_fleet_tables.py
@@ -178,6 +178,23 @@
     assert fleet_tables.drop_expired_targets(1.5) == ('t1',)
 
 
+def test_versions_of_targets_stay_when_a_vm_sends_them_without():
+    versions = {'t1': make_target('t1', version='v2'), 't2': make_target('t2')}
+    fleet_tables = make_fleet_tables()
+    fleet_tables.replace_targets(at(11), versions, 0.0)
+    peer = make_fleet_tables()
+    written = {
+        't1': make_target('t1', revision=12, is_draining=True),
+        't2': make_target('t2', revision=12, started_at=2),
+    }
+    peer.replace_targets(at(12), written, 0.0)
+    fleet_tables.apply_snapshot(peer.make_snapshot(Revisions(), 1.0), 1.0)
+    assert fleet_tables.targets == {
+        't1': written['t1']._replace(version='v2'),
+        't2': written['t2'],
+    }
+
+
 def send_snapshot(peer, fleet_tables, now=1.0):
     """Apply a snapshot of a peer's tables to those of a VM; return it."""
     snapshot = peer.make_snapshot(fleet_tables.revisions, now)
--- a/tests/unit/test_fuzz_edge.py
+++ b/tests/unit/test_fuzz_edge.py
@@ -130,7 +130,7 @@
 def test_message_is_dropped_or_taken_whole(document):
     heard, dropped, sent = [], [], []
     gossip = Gossip(receive=heard.append, on_error=dropped.append)
-    gossip.datagram_received(b'\x00' + encode(document), None)
+    gossip.datagram_received(b'\x00' + encode(document), ('127.64.1.9', 1))
     assert len(heard) + len(dropped) == 1
     environment = make_environment()
     targets = make_target_state(environment, SilentJournal())
--- a/tests/unit/test_gossip.py
+++ b/tests/unit/test_gossip.py
@@ -81,7 +81,8 @@
     """A VM of the version before decodes messages of three fields."""
     gossip, transport, _received, _errors = make_gossip()
     gossip.send(Message(heartbeat=make_heartbeat()), (TO,))
-    assert len(msgspec.msgpack.decode(transport.sent[0][1:])) == 3
+    encoded = zlib.decompress(transport.sent[0][1:])
+    assert len(msgspec.msgpack.decode(encoded)) == 3
 
 
 def make_invalid_limits(**fields):
--- a/tests/unit/test_stranded_vms.py
+++ b/tests/unit/test_stranded_vms.py
@@ -308,7 +308,7 @@
         self._replies = replies
         self.asked = []
 
-    async def acquire(self, address, **_options):
+    async def acquire(self, address, _request_id, **_options):
         self.asked.append(address.host)
         return address.host
 
@@ -358,6 +358,7 @@
         make_reply(503, b'no-configuration'),
         make_reply(404, b'no-route'),
         make_reply(401, b'unknown-key'),
+        make_reply(404, b'no such path'),
         UnreachableError('refused'),
     ),
 )
--- a/tests/wire_samples.py
+++ b/tests/wire_samples.py
@@ -44,6 +44,7 @@
     suspects = suspect_documents = None
 
 TO = Address('127.64.1.9', 7560)
+FORMS = (1, 2, 3, 4) if hasattr(gossip, 'PeerForms') else ()
 MAX_BYTES = 4_000_000
 QUERIES = {
     'table query of two revisions': b'1,0,0,0,0',
@@ -192,9 +193,11 @@
     return answer.status, answer.body
 
 
-def send(message):
-    """Return the datagram of a message to a VM of which nothing is known."""
+def send(message, form=None):
+    """Return the datagram of a message to a VM that reads a form, if known."""
     sender = gossip.Gossip(receive=print, on_error=print)
+    if form:
+        sender.forms.record(TO.host, form)
     transport = Transport()
     sender.connection_made(transport)
     sender.send(message, (TO,))
@@ -208,7 +211,11 @@
 
 def encode():
     """Return each kind of sample as hexadecimal digits."""
-    samples = {kind: send(found) for kind, found in make_messages().items()}
+    messages = make_messages()
+    samples = {kind: send(found) for kind, found in messages.items()}
+    for form in FORMS:
+        for kind, found in messages.items():
+            samples[f'{kind} to form {form}'] = send(found, form)
     for kind, query in QUERIES.items():
         status, body = ask(query)
         if status == 200:
--- a/toucanhall/edge/peer_exchange.py
+++ b/toucanhall/edge/peer_exchange.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from toucanhall.edge.limit_exchange import LimitExchange
+from toucanhall.edge.unknown_parts import UnknownParts
 from toucanhall.edge.zone_reporter import ZoneReporter
 from toucanhall.fleet.gossip import Gossip, Message, open_gossip
 from toucanhall.fleet.membership import Heartbeat, Members
@@ -86,6 +87,7 @@
         self._on_heartbeat = on_heartbeat
         self._loop = asyncio.get_running_loop()
         self._gossip: Gossip | None = None
+        self.unknown_parts = UnknownParts(journal=journal)
         self._started_at_ms = time.time_ns() // 1_000_000
         self._silent_vms: set[str] = set()
         self._started_loop_time = self._loop.time()
@@ -110,6 +112,7 @@
             Address(environment.ip, environment.gossip_port),
             receive=self._receive,
             on_error=self._log_dropped,
+            on_unknown=self.unknown_parts.record,
         )
         seeds = {
             seed.host
@@ -160,6 +163,24 @@
         now = self._loop.time()
         return [self._get_own_member(), *self.members.list_local(now)]
 
+    def list_watch_candidates(self) -> list[Member]:
+        """Return the VMs of the own zone that may watch the store for it.
+
+        VMs of builds that don't watch for suspects watch for themselves only.
+        """
+        own, *others = self.list_local_vms()
+        gossip = self._gossip
+        if gossip is None:
+            return [own, *others]
+        kept = (
+            found for found in others if not gossip.forms.is_first(found.ip)
+        )
+        return [own, *kept]
+
+    def count_earlier_vms(self) -> int:
+        """Return how many VMs of earlier forms of records were heard lately."""
+        return self._gossip.forms.count_earlier() if self._gossip else 0
+
     def _receive(self, message: Message) -> None:
         if message.report is not None:
             self._receive_report(message.report, is_relayed=message.is_relayed)
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -233,7 +233,7 @@
         self._watch_duty = WatchDuty(
             own=environment.vm,
             store_watch=self._store_watch,
-            list_zone=self._peer_exchange.list_local_vms,
+            list_zone=self._peer_exchange.list_watch_candidates,
             list_answer_ages=self._peer_exchange.list_store_ages,
             is_stopping=self._stopping.is_set,
             on_answer=lambda: self._peer_exchange.broadcast_revisions(
@@ -419,6 +419,11 @@
             'limited_targets_owned': limits.count_owned,
             'limited_requests_sent': lambda: limits.sent_count,
             'watches_store': lambda: self._store_watch.is_watching,
+            'vms_of_earlier_forms': self._peer_exchange.count_earlier_vms,
+            'unknown_parts': lambda: (
+                self._peer_exchange.unknown_parts.total
+                + self._table_exchange.unknown_parts.total
+            ),
             'log_lines_dropped': lambda: sum(self._journal.dropped.values()),
         }
         for name, read in gauges.items():
--- a/toucanhall/edge/request_relay.py
+++ b/toucanhall/edge/request_relay.py
@@ -29,6 +29,8 @@
 _CONNECT_TIMEOUT_SECONDS: Final = 0.35
 # A VM that could not take a request is not asked again for so long.
 _UNFIT_SECONDS: Final = 1.0
+# Builds of the first form of records answer all other requests of VMs so.
+_NO_RELAY_REASON: Final = b'no such path'
 # A VM that answers with one of them has not sent the request to any target.
 _UNFIT_REASONS: Final = frozenset(
     refusal.reason.encode()
@@ -40,7 +42,7 @@
         refusals.VM_OVERLOADED,
         refusals.VM_STOPPING,
     )
-)
+) | {_NO_RELAY_REASON}
 
 
 class RelayOutcome(NamedTuple):
--- a/toucanhall/edge/table_exchange.py
+++ b/toucanhall/edge/table_exchange.py
@@ -6,21 +6,42 @@
 """
 
 import asyncio
-import zlib
 from collections.abc import Callable, Mapping
 from typing import Final
 
-import msgspec
-
 from toucanhall.edge.peer_exchange import RevisionSource
+from toucanhall.edge.unknown_parts import UnknownParts
 from toucanhall.fleet.model import Address, Snapshot
-from toucanhall.fleet.packing import pack, unpack
+from toucanhall.fleet.record_forms import (
+    CURRENT_FORM,
+    FIRST_FORM,
+    THIRD_FORM,
+)
 from toucanhall.fleet.revisions import Revision, Revisions, is_ahead
+from toucanhall.fleet.table_messages import (
+    SNAPSHOT_ERRORS,
+    SnapshotReader,
+    decode_revisions,
+    encode_revisions,
+    find_query_form,
+    pack_snapshot,
+)
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.observe import events
 from toucanhall.observe.journal import Journal
-from toucanhall.web.client import ConnectionSettings, open_connection
-from toucanhall.web.messages import Answer, Request, encode_request, make_answer
+from toucanhall.platform import names
+from toucanhall.web.client import (
+    ConnectionSettings,
+    ReceivedAnswer,
+    open_connection,
+)
+from toucanhall.web.messages import (
+    Answer,
+    Request,
+    encode_request,
+    get_header,
+    make_answer,
+)
 
 __all__ = ('TableExchange',)
 
@@ -33,7 +54,6 @@
 # The VM of the own zone that relayed revisions fetches the tables itself and
 # broadcasts to its zone: the others ask the remote VM only if that fails.
 _RELAYED_DELAY_SECONDS: Final = 0.4
-_REVISIONS_COUNT: Final = 3
 _FETCH_TIMEOUT_SECONDS: Final = 1.0  # a snapshot of some 30 kB between regions
 # A VM without tables waits this long for revisions from its own zone, and from
 # its own region, before it asks further away: bytes between regions cost more.
@@ -41,8 +61,10 @@
 _REGION_HEAD_START_SECONDS: Final = 0.06
 # One answer brings all that is missing: others are asked if it takes longer.
 _MAX_WAIT_FOR_OTHER_FETCH_SECONDS: Final = 0.3
-# Of an unpacked snapshot: over ten times the one of 3,100 targets.
-_MAX_SNAPSHOT_BYTES: Final = 4_000_000
+_FETCH_ERRORS: Final = (OSError, *SNAPSHOT_ERRORS)
+_REFUSED_QUERY_STATUS: Final = 400
+# A query that a VM of an earlier build refuses is sent as that build knows it.
+_QUERY_FORMS: Final = (CURRENT_FORM, THIRD_FORM, FIRST_FORM)
 
 
 class TableExchange:
@@ -75,6 +97,8 @@
         self._pending_vms: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._running_fetches: set[asyncio.Task[None]] = set()
+        self.unknown_parts = UnknownParts(journal=journal)
+        self._reader = SnapshotReader(on_unknown=self.unknown_parts.record)
 
     def answer(self, request: Request) -> Answer:
         """Answer a VM that asks for newer tables."""
@@ -82,11 +106,16 @@
         if path != _PATH:
             return make_answer(404, 'no such path')
         try:
-            known = _decode_revisions(query)
+            known = decode_revisions(query)
         except (TypeError, ValueError):
-            return make_answer(400, 'a version and three revisions are needed')
+            return make_answer(
+                _REFUSED_QUERY_STATUS, 'a version and revisions are needed'
+            )
+        form = find_query_form(
+            query, get_header(request.headers, names.RECORD_FORM_HEADER)
+        )
         snapshot = self._fleet_tables.make_snapshot(known, self._loop.time())
-        return Answer(200, (), pack(msgspec.msgpack.encode(snapshot)))
+        return Answer(200, (), pack_snapshot(snapshot, form))
 
     def fetch_if_newer(
         self, source: RevisionSource, revisions: Revisions
@@ -152,7 +181,7 @@
             snapshot = await self._request_snapshot(
                 Address(source.ip, self._port)
             )
-        except (OSError, msgspec.MsgspecError, zlib.error) as error:
+        except _FETCH_ERRORS as error:
             self._journal.write(
                 events.SNAPSHOT_FAILED,
                 peer=source.vm,
@@ -168,41 +197,38 @@
         self._on_taken(source)
 
     async def _request_snapshot(self, address: Address) -> Snapshot:
-        host = f'{address.host}:{address.port}'.encode()
-        known = _encode_revisions(self._fleet_tables.revisions)
-        path = b'%s?%s' % (_PATH, known)
-        request = Request(b'GET', path, ((b'host', host),), b'')
+        own = self._fleet_tables.revisions
+        queries = [encode_revisions(own, form) for form in _QUERY_FORMS]
         async with asyncio.timeout(_FETCH_TIMEOUT_SECONDS):
-            connection = await open_connection(
-                address,
-                seconds=_FETCH_TIMEOUT_SECONDS,
-                settings=self._settings,
+            reply = await self._ask_in_turn(
+                address, list(dict.fromkeys(queries))
             )
-            try:
-                reply = await connection.exchange(encode_request(request))
-            finally:
-                connection.close()
-        return msgspec.msgpack.decode(
-            unpack(reply.body, _MAX_SNAPSHOT_BYTES),
-            type=Snapshot,
+        return self._reader.read(reply.body)
+
+    async def _ask_in_turn(
+        self, address: Address, queries: list[bytes]
+    ) -> ReceivedAnswer:
+        """Send the next query if a VM of an earlier build refuses the first."""
+        query, *others = queries
+        reply = await self._ask(address, query)
+        if reply.status != _REFUSED_QUERY_STATUS or not others:
+            return reply
+        return await self._ask_in_turn(address, others)
+
+    async def _ask(self, address: Address, query: bytes) -> ReceivedAnswer:
+        host = f'{address.host}:{address.port}'.encode()
+        headers = (
+            (b'host', host),
+            (names.RECORD_FORM_HEADER, b'%d' % CURRENT_FORM),
         )
-
-
-def _encode_revisions(revisions: Revisions) -> bytes:
-    """Encode the version, then era and number of each revision."""
-    numbers = (
-        revisions.configuration,
-        *revisions.targets,
-        *revisions.evacuations,
-        *revisions.suspects,
-    )
-    return b','.join(b'%d' % number for number in numbers)
-
-
-def _decode_revisions(query: bytes) -> Revisions:
-    """Decode revisions; raise TypeError or ValueError if they are invalid."""
-    version, *numbers = map(int, query.split(b','))
-    if len(numbers) != 2 * _REVISIONS_COUNT:
-        raise ValueError(f'{_REVISIONS_COUNT} revisions are needed')
-    pairs = zip(numbers[::2], numbers[1::2], strict=True)
-    return Revisions(version, *(Revision(*pair) for pair in pairs))
+        path = b'%s?%s' % (_PATH, query)
+        request = Request(b'GET', path, headers, b'')
+        connection = await open_connection(
+            address,
+            seconds=_FETCH_TIMEOUT_SECONDS,
+            settings=self._settings,
+        )
+        try:
+            return await connection.exchange(encode_request(request))
+        finally:
+            connection.close()
--- a/toucanhall/fleet/gossip.py
+++ b/toucanhall/fleet/gossip.py
@@ -2,27 +2,29 @@
 
 import asyncio
 import math
+import time
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple, cast
 
 import msgspec
 
 from toucanhall.fleet.addresses import is_ip
+from toucanhall.fleet.datagrams import (
+    UnknownMarkError,
+    pack_datagram,
+    unpack_datagram,
+)
 from toucanhall.fleet.membership import Heartbeat
 from toucanhall.fleet.model import Address
-from toucanhall.fleet.packing import pack, unpack
-from toucanhall.fleet.reports import LimitReports, ZoneReport
+from toucanhall.fleet.peer_forms import PeerForms
+from toucanhall.fleet.record_reading import RecordReader
+from toucanhall.fleet.reports import LimitReports, Member, ZoneReport
 
 __all__ = ('Gossip', 'Message', 'open_gossip')
 
 _MAX_DATAGRAM_BYTES: Final = 60000  # UDP allows a little more
-_MAX_DECODED_BYTES: Final = 1 << 20  # ten times the largest report
-# Reports repeat the names of VMs and teams: they shrink below three fifths.
-# Compressing what fits in one packet of a link gains too little for its time.
-_MIN_COMPRESSED_BYTES: Final = 1200
-_PLAIN_MARK: Final = b'\x00'
-_COMPRESSED_MARK: Final = b'\x01'
+_DECODE_ERRORS: Final = (msgspec.MsgspecError, zlib.error, UnknownMarkError)
 
 
 class Message(NamedTuple):
@@ -35,21 +37,34 @@
 
 
 Receive = Callable[[Message], None]
+OnUnknown = Callable[[Mapping[str, int]], None]
+
+
+def _ignore(_counts: Mapping[str, int]) -> None:
+    """Take no notice of unknown fields."""
 
 
 class Gossip(asyncio.DatagramProtocol):
     """The UDP socket that sends and receives messages."""
 
     def __init__(
-        self, *, receive: Receive, on_error: Callable[[str], None]
+        self,
+        *,
+        receive: Receive,
+        on_error: Callable[[str], None],
+        on_unknown: OnUnknown = _ignore,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Pass on received messages, and a text for each error.
 
         Errors are messages that were dropped or could not be delivered, and
-        the loss of the socket.
+        the loss of the socket. `on_unknown` gets how many unknown fields each
+        record of a message has, by their names.
         """
         self._receive = receive
         self._on_error = on_error
+        self._reader = RecordReader(Message, on_unknown=on_unknown)
+        self.forms = PeerForms(clock=clock)
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -61,11 +76,14 @@
         if error is not None:
             self._on_error(f'socket lost: {error}')
 
-    def datagram_received(self, received: bytes, _address: object) -> None:
+    def datagram_received(
+        self, received: bytes, address: tuple[str, int]
+    ) -> None:
         """Decode a message, check it and pass it on."""
         try:
-            message = _DECODER.decode(_unpack(received))
-        except (msgspec.MsgspecError, zlib.error) as error:
+            datagram = unpack_datagram(received)
+            message = self._reader.read(datagram.encoded)
+        except _DECODE_ERRORS as error:
             self._on_error(str(error))
             return
         if not _has_valid_numbers(message):
@@ -74,6 +92,7 @@
         if not all(map(is_ip, _list_ips(message))):
             self._on_error('an address is not an IPv4 address')
             return
+        self._note_form(message, address[0], datagram.form)
         self._receive(message)
 
     def error_received(self, error: Exception) -> None:
@@ -84,15 +103,37 @@
         """Send a message to each address."""
         if self._transport is None:
             return
-        datagram = _pack(_encode(message))
-        if len(datagram) > _MAX_DATAGRAM_BYTES:
-            self._on_error(
-                f'message not sent: {len(datagram)} bytes, '
-                f'at most {_MAX_DATAGRAM_BYTES} fit in a datagram',
-            )
-            return
+        datagrams: dict[int, bytes] = {}
         for address in addresses:
-            self._transport.sendto(datagram, address)
+            form = self.forms.get(address.host)
+            if form not in datagrams:
+                datagrams[form] = self._pack(message, form)
+            if datagrams[form]:
+                self._transport.sendto(datagrams[form], address)
+
+    def _pack(self, message: Message, form: int) -> bytes:
+        """Return a message as a datagram, empty if it is too long for one."""
+        datagram = pack_datagram(message, form)
+        if len(datagram) <= _MAX_DATAGRAM_BYTES:
+            return datagram
+        self._on_error(
+            f'message not sent: {len(datagram)} bytes, '
+            f'at most {_MAX_DATAGRAM_BYTES} fit in a datagram',
+        )
+        return b''
+
+    def _note_form(self, message: Message, ip: str, form: int | None) -> None:
+        """Note the form that the sender reads, unless it leaves.
+
+        A message that was passed on does not tell whether its sender leaves.
+        """
+        members = _list_members(message)
+        leaving = {found.ip for found in members if found.is_leaving}
+        for leaving_ip in leaving:
+            self.forms.forget(leaving_ip)
+        tells_state = bool(members) and not message.is_relayed
+        if form is not None and tells_state and ip not in leaving:
+            self.forms.record(ip, form)
 
 
 async def open_gossip(
@@ -100,37 +141,28 @@
     *,
     receive: Receive,
     on_error: Callable[[str], None],
+    on_unknown: OnUnknown = _ignore,
 ) -> Gossip:
     """Listen for messages at an address."""
     (
         _transport,
         gossip,
     ) = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: Gossip(receive=receive, on_error=on_error),
+        lambda: Gossip(
+            receive=receive, on_error=on_error, on_unknown=on_unknown
+        ),
         local_addr=address,
     )
     return gossip
 
 
-def _encode(message: Message) -> bytes:
-    """Encode a message; without limits, VMs that know none can read it."""
-    if message.limits is None:
-        return _ENCODER.encode(message[:3])
-    return _ENCODER.encode(message)
-
-
-def _pack(encoded: bytes) -> bytes:
-    """Compress a message that is long enough; the first byte says whether."""
-    if len(encoded) < _MIN_COMPRESSED_BYTES:
-        return _PLAIN_MARK + encoded
-    return _COMPRESSED_MARK + pack(encoded)
-
-
-def _unpack(received: bytes) -> bytes:
-    mark, rest = received[:1], received[1:]
-    if mark != _COMPRESSED_MARK:
-        return rest
-    return unpack(rest, _MAX_DECODED_BYTES)
+def _list_members(message: Message) -> list[Member]:
+    """Return the states of VMs in a message."""
+    heartbeat, report = message.heartbeat, message.report
+    members = list(report.members) if report else []
+    if heartbeat is not None:
+        members.append(heartbeat.member)
+    return members
 
 
 def _list_ips(message: Message) -> list[str]:
@@ -161,11 +193,10 @@
 
 def _list_numbers(message: Message) -> Iterable[float]:
     heartbeat, report = message.heartbeat, message.report
-    members = list(report.members) if report else []
+    members = _list_members(message)
     usages = [found.usage for found in report.usage_reports] if report else []
     numbers = [found.vms for found in report.usage_reports] if report else []
     if heartbeat is not None:
-        members.append(heartbeat.member)
         numbers.append(heartbeat.store_age or 0.0)
         usages.append(heartbeat.usage)
     for member in members:
@@ -174,7 +205,3 @@
         for team_usage in (usage or {}).values():
             numbers.extend(team_usage)
     return numbers
-
-
-_ENCODER: Final = msgspec.msgpack.Encoder()
-_DECODER: Final = msgspec.msgpack.Decoder(Message)
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -207,4 +207,4 @@
     removed: Mapping[str, int]
     held_targets: Mapping[str, float]
     evacuations: EvacuationSnapshot
-    suspects: SuspectSnapshot
+    suspects: SuspectSnapshot = SuspectSnapshot(Revision(), {})
--- a/toucanhall/fleet/tables.py
+++ b/toucanhall/fleet/tables.py
@@ -282,6 +282,12 @@
 
     def _apply_targets(self, snapshot: Snapshot, now: float) -> None:
         revision = snapshot.targets_revision
+        snapshot = snapshot._replace(
+            targets={
+                name: _keep_version(self.targets.get(name, found), found)
+                for name, found in snapshot.targets.items()
+            }
+        )
         if snapshot.targets_since.number:
             targets = self._merge(snapshot)
         else:
@@ -388,3 +394,14 @@
             if name in targets
         }
         self._on_change('targets')
+
+
+def _keep_version(known: Target, found: Target) -> Target:
+    """Return a target with its known version if a VM sent it without one.
+
+    VMs of the first form of records don't know versions.
+    """
+    is_same_start = known.started_at == found.started_at
+    if found.version or not is_same_start:
+        return found
+    return found._replace(version=known.version)
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -67,6 +67,9 @@
 SNAPSHOT_FAILED: Final = Event(
     405, logging.WARNING, 'tables not read from another VM'
 )
+UNKNOWN_FIELDS: Final = Event(
+    406, logging.WARNING, 'VM of a later build sent fields that are not known'
+)
 REQUEST_REFUSED: Final = Event(600, logging.INFO, 'request refused')
 REQUEST_FAILED: Final = Event(601, logging.WARNING, 'request failed')
 ATTEMPT_FAILED: Final = Event(602, logging.WARNING, 'attempt failed')
--- a/toucanhall/platform/names.py
+++ b/toucanhall/platform/names.py
@@ -27,6 +27,8 @@
 TEAM_HEADER: Final = b'x-toucanhall-tenant-id'
 # Of requests that one VM passes to another: the attempts that are left.
 RELAY_HEADER: Final = b'x-toucanhall-relay-attempts'
+# Of a VM that asks for tables: the form of records that it reads.
+RECORD_FORM_HEADER: Final = b'x-toucanhall-record-form'
 NOT_EXECUTED_HEADER: Final = b'x-toucanhall-not-executed'
 LOAD_HEADER: Final = (
     b'x-toucanhall-backend-load'  # running and waiting requests, slots
