Test with processes: an earlier build beside this one, in an upgrade and back

Cause: no test ran VMs of two builds side by side.

Change: four VMs in two zones are replaced one after the other by this build under load, and back.

--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -219,11 +219,13 @@
         store: str = '',
         internal_ports: tuple[int, int] = (7560, 7575),
         can_cut: bool = False,
+        build: Path = _ROOT,
     ) -> None:
         """Start a VM as a process; `store` overrides the address it uses.
 
         VMs with other internal ports do not hear each other. If `can_cut`, the
-        links of the VM to its targets can be cut.
+        links of the VM to its targets can be cut. `build` is the folder of the
+        program, if it is not this one.
         """
         number = len(self._ips) + 1
         ip = self._ips.setdefault(
@@ -246,7 +248,7 @@
         with (self.folder / f'{name}.log').open('ab') as log:
             self.vms[name] = subprocess.Popen(
                 (sys.executable, '-m', program),
-                cwd=_ROOT,
+                cwd=build,
                 env={
                     'PATH': os.environ['PATH'],
                     'TOUCANHALL_BOOT': str(path),
@@ -256,6 +258,13 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def replace_vm(self, name: str, zone: str, build: Path) -> None:
+        """Stop a VM as planned, then start it by another build."""
+        self.signal_vm(name, signal.SIGTERM)
+        self.vms[name].wait(_READY_TIMEOUT_SECONDS)
+        self.start_vm(name, zone, build=build)
+        self.wait_ready(name)
+
     def cut_targets(self, vm: str, mode: str) -> None:
         """Cut a VM from all targets, in a mode of `stranded_vm`."""
         self._get_mode_path(vm).write_text(mode)
