--- a/tests/unit/test_stranded_vms.py
+++ b/tests/unit/test_stranded_vms.py
@@ -358,6 +358,7 @@
         make_reply(503, b'no-configuration'),
         make_reply(404, b'no-route'),
         make_reply(401, b'unknown-key'),
+        make_reply(404, b'no such path'),
         UnreachableError('refused'),
     ),
 )
