--- a/standins/site/deployment.py
+++ b/standins/site/deployment.py
@@ -191,9 +191,11 @@
             if executed.request_id == request_id
         ]
 
-    def add_endless_target(self, name: str, kind: str) -> EndlessServer:
+    def add_endless_target(
+        self, name: str, kind: str, *, pause_seconds: float = 0.0
+    ) -> EndlessServer:
         """Start and register a target whose answers never end."""
-        server = EndlessServer(name=kind)
+        server = EndlessServer(name=kind, pause_seconds=pause_seconds)
         self.endless_servers[name] = server
         self._start_server(name, 'east-a', server)
         return server
--- a/standins/site/endless.py
+++ b/standins/site/endless.py
@@ -1,6 +1,7 @@
 """A server whose answers never end, in a chosen part of the message."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from itertools import chain, repeat
 from typing import Final
@@ -24,10 +25,21 @@
         number += 512
 
 
+# Their bytes are few for what they cost as header fields in memory; the first
+# part stays below 64 KiB.
+_SHORT_LINE: Final = b'x: y\r\n'
+
+
 # Bytes to send until the caller closes the connection, by what never ends.
 ENDLESS_ANSWERS: Final[Mapping[str, Callable[[], Iterable[bytes]]]] = {
     'status line': lambda: _send_once_then_repeat(b'HTTP/1.1 200 ', _FILLER),
     'header lines': _generate_headers,
+    'short header lines': lambda: _send_once_then_repeat(
+        _HEAD + _SHORT_LINE * 10_700, _SHORT_LINE * 5
+    ),
+    'few header lines': lambda: _send_once_then_repeat(
+        _HEAD + _SHORT_LINE * 5, _SHORT_LINE
+    ),
     'one header': lambda: _send_once_then_repeat(_HEAD + b'h: ', _FILLER),
     'one header name': lambda: _send_once_then_repeat(_HEAD, _FILLER),
     'body with a length': lambda: _send_once_then_repeat(
@@ -63,33 +75,45 @@
 
 
 class EndlessServer:
-    """Sends an endless answer to the first request of each connection."""
+    """Sends an endless answer to the first request of each connection.
+
+    Its first part is sent at once, each further one after a pause.
+    """
 
-    def __init__(self, *, name: str) -> None:
+    def __init__(self, *, name: str, pause_seconds: float = 0.0) -> None:
         """Send the answer that `ENDLESS_ANSWERS` holds under a name."""
         self._name = name
+        self._pause_seconds = pause_seconds
         self.sent_bytes = 0
         self._server: asyncio.Server | None = None
+        self._writers: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
 
     async def start(self, host: str, port: int) -> None:
         """Start to listen for connections."""
         self._server = await asyncio.start_server(self._answer, host, port)
 
     def stop(self) -> None:
-        """Stop listening; open connections stay open."""
+        """Stop listening, and sending on open connections."""
         if self._server is not None:
             self._server.close()
+        for task, writer in tuple(self._writers.items()):
+            task.cancel()
+            writer.transport.abort()
 
     async def _answer(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        try:
+        task = asyncio.current_task()
+        assert task is not None
+        self._writers[task] = writer
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             await reader.readuntil(b'\r\n\r\n')
             for part in ENDLESS_ANSWERS[self._name]():
                 writer.write(part)
                 await writer.drain()
                 self.sent_bytes += len(part)
-        except ConnectionError:
-            writer.close()
+                if self._pause_seconds:
+                    await asyncio.sleep(self._pause_seconds)
+        self._writers.pop(task).transport.abort()
