Charge heads to the budget of messages; bound their fields and time

Reported: a faulty target sent bytes that were no answer, without end; the machine kept them all and ran out of memory, and requests of other clients ended with it.

Cause: a head was bounded by its bytes on the wire. A field of six bytes takes some 200 in memory, no budget counted heads, and a slow head lasted until the timeout of its route, which is no failure of the target. The same holds for heads of callers, incomplete or of requests being served, and for bodies in chunks of a few bytes. Parsers refer to their connections, so that what a closed one had buffered stayed until the next collection.

Change: a message has at most 256 fields, the head of an answer ends within 1.5 s of its first byte. Heads are charged at what they take in memory to one budget with bodies (buffer_budget.py, from memory.py); when it is exceeded, the largest incomplete head is closed, then the largest message being received, then what holds most. A wait that its deadline or its caller ends within a head is a failure of the target. A bound that a message has passed stays so until its request ends, also when the message is complete. Bodies of callers are one buffer. Events 108, 606, 636; gauges and counters of the budget.

Other tests import BufferBudget from its new module.

--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -7,7 +7,7 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import parse_qs, unquote
 
-from toucanhall.web.memory import BufferBudget
+from toucanhall.web.buffer_budget import BufferBudget
 from toucanhall.web.messages import Answer, Request, make_error_answer
 from toucanhall.web.server import Connection, Handler, ServerLimits
 
--- a/tests/fleetdata.py
+++ b/tests/fleetdata.py
@@ -17,8 +17,9 @@
 from toucanhall.limits.quota import Usage
 from toucanhall.placement.target_limits import TargetLimits
 from toucanhall.platform.store import Store
+from toucanhall.web.buffer_budget import make_buffer_budget
 from toucanhall.web.client import ConnectionSettings
-from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
+from toucanhall.web.memory import compute_answer_bounds
 
 __all__ = (
     'make_limit_report',
--- a/tests/unit/test_endless_heads.py
+++ b/tests/unit/test_endless_heads.py
@@ -7,8 +7,8 @@
 
 from tests.fleetdata import make_opening
 from toucanhall.fleet.model import Address
+from toucanhall.web.buffer_budget import BufferBudget
 from toucanhall.web.client import IncompleteAnswerError, open_connection
-from toucanhall.web.memory import BufferBudget
 
 ADDRESS = Address('127.92.201.1', 9001)
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\nx-id: own\r\n\r\n'
--- a/toucanhall/edge/answer_reader.py
+++ b/toucanhall/edge/answer_reader.py
@@ -107,6 +107,20 @@
                 seconds=round(load.suspended_until - now, 2),
             )
 
+    def record_unfinished_head(
+        self, target: Target, use: ConnectionUse
+    ) -> None:
+        """Record a wait that ended before the head of the answer did."""
+        self._journal.write(
+            events.HEAD_UNFINISHED,
+            target=target.id,
+            connection=use.number,
+            connection_requests=use.requests,
+        )
+        self.record_failure(
+            target, is_lost=False, why='wait ended before the head of an answer'
+        )
+
     def _classify(
         self,
         candidate: Candidate,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 from toucanhall.edge.attempt_loop import AttemptLoop
+from toucanhall.edge.buffer_watch import BufferWatch
 from toucanhall.edge.caller_connections import CallerConnections
 from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.directory import Directory
@@ -49,7 +50,7 @@
 from toucanhall.platform.vm_registry import VmRegistry
 from toucanhall.web.client import ConnectionSettings
 from toucanhall.web.lag import LoopLag
-from toucanhall.web.memory import compute_answer_bounds, make_buffer_budget
+from toucanhall.web.memory import compute_answer_bounds
 from toucanhall.web.messages import (
     Answer,
     Request,
@@ -100,9 +101,13 @@
             now=self._loop.time(),
         )
         sockets = environment.max_descriptors - _RESERVED_FILES_COUNT
-        self._buffer_budget = make_buffer_budget(environment.memory)
+        self._buffers = BufferWatch(
+            memory=environment.memory,
+            journal=self._journal,
+            metrics=self._metrics,
+        )
         connection_settings = ConnectionSettings(
-            compute_answer_bounds(environment.memory), self._buffer_budget
+            compute_answer_bounds(environment.memory), self._buffers.budget
         )
         self._pool = ConnectionPool(
             clock=self._loop.time,
@@ -189,8 +194,9 @@
             is_stopping=self._stopping.is_set,
             is_lagging=lambda: self._lag.seconds > MAX_LOOP_LAG_SECONDS,
             connections=set(),
-            buffer_budget=self._buffer_budget,
+            buffer_budget=self._buffers.budget,
             max_connections=round(sockets * _CALLERS_SOCKETS_FRACTION),
+            on_rejected=self._buffers.record_rejected,
         )
         self._caller_connections = CallerConnections(handler=handler)
         self._state_updater = StateUpdater(
@@ -414,7 +420,7 @@
             ),
             'requests_held_back': self._quarantine.count_held_back,
             'reaches_targets': lambda: not self._links.is_cut_off,
-            'bytes_held': lambda: self._buffer_budget.total_bytes,
+            **self._buffers.list_gauges(),
             'targets_limited': lambda: len(limits.observations.list_limited()),
             'limited_targets_owned': limits.count_owned,
             'limited_requests_sent': lambda: limits.sent_count,
--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -16,6 +16,7 @@
 from toucanhall.placement.registry import TargetRegistry
 from toucanhall.platform.headers import make_target_request
 from toucanhall.web.client import (
+    AnswerPart,
     ClosedByPeerError,
     IncompleteAnswerError,
     OutOfDescriptorsError,
@@ -71,6 +72,9 @@
             return self._fail_unsent(target, error)
         except IncompleteAnswerError as error:
             return self._fail_unanswered(target, error, connection)
+        except asyncio.CancelledError:
+            self._record_unfinished(target, connection)
+            raise
         finally:
             load.in_flight -= 1
             self._links.record_end(is_answered=reply is not None)
@@ -124,6 +128,16 @@
         self._pool.release(target.address, connection)
         return reply
 
+    def _record_unfinished(
+        self, target: Target, connection: ServerConnection | None
+    ) -> None:
+        """Record a wait that its deadline or its caller ended in a head.
+
+        A target sends a head at once, so the target is at fault.
+        """
+        if connection is not None and connection.part is AnswerPart.HEAD:
+            self._reader.record_unfinished_head(target, connection.use)
+
     def _fail_unsent(self, target: Target, error: UnreachableError) -> Failure:
         if not isinstance(error, OutOfDescriptorsError):
             self._reader.record_failure(target, is_lost=True, why=str(error))
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -15,6 +15,9 @@
 RESUMED: Final = Event(105, logging.WARNING, 'process resumed after a pause')
 LINES_DROPPED: Final = Event(106, logging.WARNING, 'log lines were dropped')
 UNEXPECTED: Final = Event(107, logging.ERROR, 'unexpected error')
+BUDGET_EXCEEDED: Final = Event(
+    108, logging.WARNING, 'connection closed: the memory for messages is spent'
+)
 STORE_LOST: Final = Event(300, logging.WARNING, 'store unreachable')
 STORE_RECOVERED: Final = Event(301, logging.INFO, 'store answers again')
 HISTORY_LOST: Final = Event(
@@ -75,6 +78,9 @@
     605, logging.INFO, 'no retry: the retry budget is spent',
 )  # fmt: skip
 CALLER_DISCONNECTED: Final = Event(604, logging.INFO, 'caller disconnected')
+REQUEST_REJECTED: Final = Event(
+    606, logging.WARNING, 'connection closed before its request was complete'
+)
 REQUEST_CRASHED: Final = Event(
     610, logging.ERROR, 'unexpected error while handling a request'
 )
@@ -120,6 +126,9 @@
 ANSWERS_SKIPPED: Final = Event(
     635, logging.WARNING, 'target sent answers to other requests: skipped'
 )
+HEAD_UNFINISHED: Final = Event(
+    636, logging.WARNING, 'wait ended before the head of an answer did'
+)
 
 CATALOGUE: Final[tuple[Event, ...]] = tuple(
     found for found in tuple(globals().values()) if isinstance(found, Event)
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -4,20 +4,23 @@
 import errno
 import socket
 from collections.abc import Mapping
+from enum import Enum
 from typing import Final, NamedTuple
 
 import httptools
 
 from toucanhall.fleet.model import Address
+from toucanhall.web.buffer_budget import BufferBudget, BufferKind
 from toucanhall.web.memory import (
     PARSE_CHUNK_BYTES,
     AnswerBounds,
-    BufferBudget,
     FramingCounter,
+    compute_header_bytes,
 )
-from toucanhall.web.messages import Headers, get_header
+from toucanhall.web.messages import HeaderList, Headers, get_header
 
 __all__ = (
+    'AnswerPart',
     'ConnectionSettings',
     'ClosedByPeerError',
     'ConnectionUse',
@@ -64,6 +67,14 @@
     """The peer closed or reset the connection before the answer's end."""
 
 
+class AnswerPart(Enum):
+    """The part of an answer that is being received."""
+
+    NONE = ''
+    HEAD = 'head'
+    BODY = 'body'
+
+
 class ReceivedAnswer(NamedTuple):
     """A complete answer received from a server."""
 
@@ -122,6 +133,9 @@
         self._failed_ids: set[bytes] = set()
         self._limit_error = ''
         self._is_unusable = False
+        self._headers: HeaderList = []
+        self._head_timer: asyncio.TimerHandle | None = None
+        self.part = AnswerPart.NONE
         self.number = 0
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
@@ -159,18 +173,10 @@
         A close completes only an answer with neither length nor chunks.
         """
         self._transport = None
-        answer_future = self._answer_future
-        if answer_future is None or answer_future.done():
-            return
-        if self._ends_by_close and error is None and not self._limit_error:
-            self.on_message_complete()
-        if not answer_future.done():
-            kind = IncompleteAnswerError
-            if not isinstance(error, TimeoutError) and not self._is_unusable:
-                kind = ClosedByPeerError
-            answer_future.set_exception(
-                kind('connection closed before the answer was complete')
-            )
+        if not self._is_answered():
+            self._end_by_close(error)
+        # The parser refers to the connection, and may buffer a long header.
+        self._parser = httptools.HttpResponseParser(None)
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; close the connection if none are expected."""
@@ -181,7 +187,9 @@
             reason = self._parse(received[start : start + PARSE_CHUNK_BYTES])
             if reason:
                 self.terminate(reason)
+            if self._is_answered() and self._is_unusable:
                 return
+        self._time_head()
 
     def terminate(self, reason: str) -> None:
         """Fail the request in flight and reset the connection."""
@@ -207,6 +215,8 @@
         self._interim_count = 0
         self._stray_count = 0
         self._framing.reset()
+        self._limit_error = ''
+        self.part = AnswerPart.NONE
         answer_future = asyncio.get_running_loop().create_future()
         self._answer_future = answer_future
         self._transport.write(sent)
@@ -216,7 +226,7 @@
             self.abort()
             raise
         finally:
-            self._release_body()
+            self._release()
         if not reply.is_keep_alive:
             self.close()
         return reply
@@ -237,14 +247,21 @@
         """Start an answer (parser callback)."""
         if self._answer_future is None or self._answer_future.done():
             self._is_unusable = True
+        self.part = AnswerPart.HEAD
         self._reset_answer()
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Store a header (parser callback)."""
-        self._headers.append((name.lower(), content))
+        """Store a header within the limits (parser callback)."""
+        max_fields = self._settings.bounds.max_header_fields
+        if len(self._headers) < max_fields:
+            self._headers.append((name.lower(), content))
+        else:
+            self._limit_error = f'head is over {max_fields} fields'
 
     def on_headers_complete(self) -> None:
         """Determine whether only a close ends the answer (parser callback)."""
+        self.part = AnswerPart.BODY
+        self._stop_head_timer()
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
         transfer_encoding = get_header(headers, b'transfer-encoding')
@@ -265,13 +282,13 @@
             )
         elif not self._limit_error and not self._is_answered():
             self._body += body
-            self._settings.buffer_budget.set_usage(self, self._body_bytes)
 
     def on_message_complete(self) -> None:
         """Deliver, skip or reject a complete answer (parser callback)."""
+        self.part = AnswerPart.NONE
         status = self._parser.get_status_code()
         answer_future = self._answer_future
-        if answer_future is None or answer_future.done():
+        if answer_future is None or answer_future.done() or self._limit_error:
             return
         headers = tuple(self._headers)
         if status < _MIN_FINAL_STATUS:
@@ -287,6 +304,19 @@
         else:
             self._deliver(status, headers, answer_future)
 
+    def _end_by_close(self, error: Exception | None) -> None:
+        answer_future = self._answer_future
+        assert answer_future is not None
+        if self._ends_by_close and error is None and not self._limit_error:
+            self.on_message_complete()
+        if not answer_future.done():
+            kind = IncompleteAnswerError
+            if not isinstance(error, TimeoutError) and not self._is_unusable:
+                kind = ClosedByPeerError
+            answer_future.set_exception(
+                kind('connection closed before the answer was complete')
+            )
+
     def _deliver(
         self,
         status: int,
@@ -326,8 +356,37 @@
             return f'over {bounds.max_interim_answers} interim (1xx) answers'
         if self._stray_count > bounds.max_stray_answers:
             return f'over {bounds.max_stray_answers} answers to other requests'
+        if not self._limit_error:
+            self._charge()
         return self._limit_error
 
+    def _charge(self) -> None:
+        kind = BufferKind.RECEIVED
+        if self.part is AnswerPart.HEAD:
+            kind = BufferKind.HEAD
+        self._settings.buffer_budget.set_usage(
+            self,
+            compute_header_bytes(self._headers)
+            + self._framing.consecutive_bytes
+            + len(self._body),
+            kind,
+        )
+
+    def _time_head(self) -> None:
+        """Bound the time of a head of which only a part has come."""
+        if self.part is not AnswerPart.HEAD or self._is_answered():
+            return
+        if self._head_timer is None:
+            seconds = self._settings.bounds.max_head_seconds
+            self._head_timer = asyncio.get_running_loop().call_later(
+                seconds, self.terminate, f'head took over {seconds} seconds'
+            )
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     def _is_answered(self) -> bool:
         return self._answer_future is None or self._answer_future.done()
 
@@ -343,16 +402,17 @@
         is_success = status < _MIN_REDIRECT_STATUS
         return self._request_count > 1 or bool(is_success and self._expected_id)
 
-    def _release_body(self) -> None:
+    def _release(self) -> None:
+        self._stop_head_timer()
+        self._headers = []
         self._body = bytearray()
         self._settings.buffer_budget.set_usage(self, 0)
 
     def _reset_answer(self) -> None:
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._headers = []
         self._body = bytearray()
         self._body_bytes = 0
         self._piece_body_bytes = 0
-        self._limit_error = ''
         self._ends_by_close = False
 
 
--- a/toucanhall/web/memory.py
+++ b/toucanhall/web/memory.py
@@ -1,72 +1,43 @@
-"""Limits of the memory that requests and answers of others may use.
+"""Limits of a single message, and what its parts take in memory.
 
 Load pattern: a hundred failing servers at once send endless bytes that are no
-valid answers. Each answer has its own limits, and all bodies share one budget:
-when it is exceeded, the connection with the largest buffer is terminated, so
-that small answers still get through.
+valid answers. Each message has its own limits; all share a `BufferBudget`.
 """
 
-from typing import Final, NamedTuple, Protocol
+from typing import Final, NamedTuple
+
+from toucanhall.web.messages import HeaderList
 
 __all__ = (
+    'MAX_HEADER_FIELDS',
     'PARSE_CHUNK_BYTES',
     'AnswerBounds',
-    'BufferBudget',
-    'BufferOwner',
     'FramingCounter',
     'compute_answer_bounds',
-    'make_buffer_budget',
+    'compute_header_bytes',
 )
 
 # Parsed between two checks of the limits.
 PARSE_CHUNK_BYTES: Final = 1 << 14
 # Deployments allow a caller 16 KiB of headers; targets may send more.
 _MAX_HEAD_BYTES: Final = 1 << 16
+# Of one message, trailers included: twice and a half what Apache httpd, Tomcat
+# and Python's http.client allow.
+MAX_HEADER_FIELDS: Final = 256
+# In CPython, beside the characters: a pair, two bytes objects with their
+# alignment, and their places in a list and a tuple.
+_HEADER_FIELD_BYTES: Final = 192
+# From the first byte of a head to its end: as long as a link may leave bytes
+# unacknowledged, four retransmissions between the farthest regions.
+_MAX_HEAD_SECONDS: Final = 1.5
 # Statuses 100 and 103 before the final answer, with a few repetitions.
 _MAX_INTERIM_ANSWERS: Final = 8
 # Late copies of earlier answers before the expected one.
 _MAX_STRAY_ANSWERS: Final = 4
-# Of the memory of a process, for all buffered bodies and for a single one. The
-# smallest VM has 152 MB, of which the interpreter and the tables use up to 40.
-_BUFFER_BUDGET_FRACTION: Final = 1 / 12
+# Of the memory of a process: half of what all messages share.
 _MAX_BODY_FRACTION: Final = 1 / 24
 
 
-class BufferOwner(Protocol):
-    """A connection that buffers bytes and can be terminated."""
-
-    def terminate(self, reason: str) -> None:
-        """End the connection and free its buffer."""
-
-
-class BufferBudget:
-    """Limit of the body bytes that a process buffers at the same time."""
-
-    def __init__(self, *, max_bytes: int) -> None:
-        """Allow `max_bytes` bytes for all owners together."""
-        self.max_bytes = max_bytes
-        self.total_bytes = 0
-        self._buffered_bytes: dict[BufferOwner, int] = {}
-
-    def set_usage(self, owner: BufferOwner, count: int) -> None:
-        """Set how many bytes an owner buffers.
-
-        While the budget is exceeded, terminates the owner of the largest
-        buffer, which may be the calling one.
-        """
-        self.total_bytes += count - self._buffered_bytes.pop(owner, 0)
-        if count:
-            self._buffered_bytes[owner] = count
-        while self.total_bytes > self.max_bytes:
-            largest = max(
-                self._buffered_bytes, key=self._buffered_bytes.__getitem__
-            )
-            self.total_bytes -= self._buffered_bytes.pop(largest)
-            largest.terminate(
-                f'all bodies held are over {self.max_bytes} bytes'
-            )
-
-
 class AnswerBounds(NamedTuple):
     """Limits of reading one answer.
 
@@ -74,6 +45,8 @@
     """
 
     max_head_bytes: int
+    max_head_seconds: float
+    max_header_fields: int
     max_body_bytes: int
     max_interim_answers: int
     max_stray_answers: int
@@ -83,15 +56,18 @@
     """Return the limits for a process with `memory` bytes."""
     return AnswerBounds(
         max_head_bytes=_MAX_HEAD_BYTES,
+        max_head_seconds=_MAX_HEAD_SECONDS,
+        max_header_fields=MAX_HEADER_FIELDS,
         max_body_bytes=int(memory * _MAX_BODY_FRACTION),
         max_interim_answers=_MAX_INTERIM_ANSWERS,
         max_stray_answers=_MAX_STRAY_ANSWERS,
     )
 
 
-def make_buffer_budget(memory: int) -> BufferBudget:
-    """Return the budget for the bodies of a process with `memory` bytes."""
-    return BufferBudget(max_bytes=int(memory * _BUFFER_BUDGET_FRACTION))
+def compute_header_bytes(headers: HeaderList) -> int:
+    """Return the memory that header fields take."""
+    characters = sum(len(name) + len(content) for name, content in headers)
+    return characters + len(headers) * _HEADER_FIELD_BYTES
 
 
 class FramingCounter:
@@ -111,6 +87,11 @@
         self._consecutive_bytes = 0
         self._body_bytes = 0
 
+    @property
+    def consecutive_bytes(self) -> int:
+        """The bytes since the last of a body; the parser may buffer them."""
+        return self._consecutive_bytes
+
     def reset(self) -> None:
         """Reset the counts for a new message."""
         self._framing_bytes = 0
--- a/toucanhall/web/messages.py
+++ b/toucanhall/web/messages.py
@@ -5,6 +5,7 @@
 
 __all__ = (
     'Answer',
+    'HeaderList',
     'Headers',
     'Request',
     'drop_hop_by_hop',
@@ -16,6 +17,7 @@
 )
 
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
+HeaderList: TypeAlias = list[tuple[bytes, bytes]]  # of a message being read
 
 _HOP_BY_HOP: Final = frozenset(
     (
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -10,13 +10,16 @@
 
 import httptools
 
+from toucanhall.web.buffer_budget import BufferBudget, BufferKind
 from toucanhall.web.memory import (
+    MAX_HEADER_FIELDS,
     PARSE_CHUNK_BYTES,
-    BufferBudget,
     FramingCounter,
+    compute_header_bytes,
 )
 from toucanhall.web.messages import (
     Answer,
+    HeaderList,
     Request,
     encode_answer,
     get_header,
@@ -43,13 +46,19 @@
     max_idle_seconds: float
 
 
+def _ignore(_status: int, _reason: str) -> None:
+    """Take no notice."""
+
+
 class Handler(NamedTuple):
     """Callbacks, limits and state that the connections of a server share.
 
     `answer_error` makes the answer after `serve` raised an error,
     `is_cancellable` returns whether a request is cancelled when its caller
-    disconnects, and `is_lagging` whether the event loop is late. Beyond
-    `max_connections`, the connections that are idle longest are closed in
+    disconnects, and `is_lagging` whether the event loop is late. `on_rejected`
+    is called with the status and the reason when a request is answered before
+    it is complete, which closes its connection. Beyond `max_connections`, the
+    connections that are idle longest are closed in
     favour of new ones.
     """
 
@@ -62,16 +71,24 @@
     connections: set['Connection']
     buffer_budget: BufferBudget
     max_connections: int
+    on_rejected: Callable[[int, str], object] = _ignore
 
 
 class _Exchange:
     """A request in flight and its answer, once available."""
 
-    __slots__ = ('answer', 'is_keep_alive', 'request', 'task')
+    __slots__ = ('answer', 'held_bytes', 'is_keep_alive', 'request', 'task')
 
-    def __init__(self, *, request: Request | None, is_keep_alive: bool) -> None:
+    def __init__(
+        self,
+        *,
+        request: Request | None,
+        is_keep_alive: bool,
+        held_bytes: int = 0,
+    ) -> None:
         self.request = request
         self.is_keep_alive = is_keep_alive
+        self.held_bytes = held_bytes
         self.answer: Answer | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -96,6 +113,7 @@
         self._piece_body_bytes = 0
         self._last_used_at = self._loop.time()
         self._is_receiving = False
+        self._is_in_head = False
         self._reset_request()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -122,6 +140,9 @@
                 task.cancel()
         self._exchanges.clear()
         self._transport = None
+        self._reset_request()
+        # The parser refers to the connection, and may buffer a long header.
+        self._parser = httptools.HttpRequestParser(None)
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; start each complete request."""
@@ -145,7 +166,7 @@
 
         The reset ends a connection whose caller does not read its answers.
         """
-        if self._is_receiving:
+        if self._is_receiving and not self._is_closing:
             self._reject(503, reason)
         elif self._transport is not None:
             self._transport.abort()
@@ -173,6 +194,7 @@
         """Start a request (parser callback)."""
         self._reset_request()
         self._is_receiving = True
+        self._is_in_head = True
         self._last_used_at = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
@@ -181,13 +203,19 @@
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header within the limits (parser callback)."""
+        if self._is_closing:
+            return
         self._header_bytes += len(name) + len(content)
         if self._header_bytes + len(self._path) > self._limits.max_head_bytes:
             self._reject(431, 'header fields too large')
-        self._headers.append((name.lower(), content))
+        elif len(self._headers) >= MAX_HEADER_FIELDS:
+            self._reject(431, 'too many header fields')
+        else:
+            self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
         """Answer `expect: 100-continue` (parser callback)."""
+        self._is_in_head = False
         expected = get_header(tuple(self._headers), b'expect')
         if expected and expected.lower() == b'100-continue' and self._transport:
             if not self._exchanges:
@@ -195,13 +223,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body within the limits (parser callback)."""
+        if self._is_closing:
+            return
         self._body_bytes += len(body)
         self._piece_body_bytes += len(body)
         if self._body_bytes > self._limits.max_body_bytes:
             self._reject(413, 'body too large')
         else:
-            self._body.append(body)
-            self._update_buffer_usage()
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Start to serve a complete request (parser callback)."""
@@ -213,10 +242,14 @@
             method=self._parser.get_method(),
             path=bytes(self._path),
             headers=tuple(self._headers),
-            body=b''.join(self._body),
+            body=bytes(self._body),
         )
         is_keep_alive = bool(self._parser.should_keep_alive())
-        exchange = _Exchange(request=request, is_keep_alive=is_keep_alive)
+        exchange = _Exchange(
+            request=request,
+            is_keep_alive=is_keep_alive,
+            held_bytes=compute_header_bytes(self._headers) + self._body_bytes,
+        )
         self._exchanges.append(exchange)
         exchange.task = self._loop.create_task(self._serve(exchange, request))
         self._limits = self._handler.get_limits()
@@ -238,6 +271,7 @@
         else:
             if not self._framing.add(len(piece), self._piece_body_bytes):
                 self._reject(431, 'header fields too large')
+            self._update_buffer_usage()
 
     async def _serve(self, exchange: _Exchange, request: Request) -> None:
         if self._handler.is_lagging():
@@ -285,20 +319,25 @@
         return len(self._handler.connections) > max_uncrowded
 
     def _update_buffer_usage(self) -> None:
-        byte_count = self._body_bytes if self._is_receiving else 0
+        byte_count = sum(exchange.held_bytes for exchange in self._exchanges)
+        kind = BufferKind.COMPLETE
+        if self._is_receiving and not self._is_closing:
+            kind = BufferKind.HEAD if self._is_in_head else BufferKind.RECEIVED
+            byte_count += (
+                compute_header_bytes(self._headers)
+                + self._framing.consecutive_bytes
+                + self._body_bytes
+            )
         if self._has_unread_answers and self._transport is not None:
             byte_count += self._transport.get_write_buffer_size()
-        byte_count += sum(
-            len(exchange.request.body)
-            for exchange in self._exchanges
-            if exchange.request
-        )
-        self._handler.buffer_budget.set_usage(self, byte_count)
+        self._handler.buffer_budget.set_usage(self, byte_count, kind)
 
     def _reject(self, status: int, text: str) -> None:
         if self._is_closing:
             return
         self._is_closing = True
+        self._reset_request()
+        self._handler.on_rejected(status, text)
         exchange = _Exchange(request=None, is_keep_alive=False)
         exchange.answer = make_answer(status, text)
         self._exchanges.append(exchange)
@@ -324,8 +363,8 @@
 
     def _reset_request(self) -> None:
         self._path = bytearray()
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._headers: HeaderList = []
+        self._body = bytearray()
         self._header_bytes = 0
         self._body_bytes = 0
 
