Read odd objects of the store one by one, down to their strings

VMs at a site followed no change of their targets for as long as one entry of another writer stayed: its zone was half of a character.

Cause: the decoder checks each string of an answer, also in parts that it keeps raw; one that is no text made the whole list or watch undecodable, and the table was read again and again with the same result. The list of VMs, the suspects and single objects go through the same decoder. A number beyond 64 bits in a configuration or a suspect, and a name that is no string, could not be passed to other VMs, which then got no table at all. A log line with half of a character raised an error where it was written.

Change: an answer that cannot be decoded at once is split at its brackets and commas, and its objects are decoded one by one; of one that is odd, the name and the revision are still read. A configuration that VMs could not pass on is refused as malformed, as is such a suspect. Fields of log lines that are no text are written escaped.

Values nested too deeply are cut before, as they were.

--- a/tests/unit/test_observe.py
+++ b/tests/unit/test_observe.py
@@ -5,6 +5,7 @@
 import os
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from toucanhall import cmdline
@@ -48,6 +49,20 @@
     }
 
 
+def test_line_with_odd_fields_is_written(pipe):
+    reader, writer = pipe
+    journal = Journal(vm='vm-1', descriptor=writer)
+    odd = ('half \ud800', ['\udc00'], {'\ud800': 1}, 10**30, {(1, 2): 3})
+    for value in odd:
+        journal.write(events.ENTRY_IGNORED, why=value, where='servers')
+    lines = list(map(msgspec.json.decode, os.read(reader, 65536).splitlines()))
+    assert len(lines) == len(odd)
+    assert {(line['event'], line['where']) for line in lines} == {
+        (events.ENTRY_IGNORED.number, 'servers')
+    }
+    assert lines[0]['why'] == ascii(odd[0])
+
+
 def test_each_unknown_header_is_logged_once(pipe):
     reader, writer = pipe
     unknown = UnknownHeaders(
--- a/tests/unit/test_odd_entries.py
+++ b/tests/unit/test_odd_entries.py
@@ -14,6 +14,7 @@
 from toucanhall.fleet.revisions import Revision
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.platform.documents import InvalidDocumentError, decode_target
+from toucanhall.platform.json_parts import split_list, split_object
 from toucanhall.platform.nesting import cut_nested_values
 from toucanhall.platform.table_loader import TableLoader
 
@@ -142,3 +143,57 @@
 )
 def test_values_nested_too_deeply_become_null(document, expected):
     assert cut_nested_values(document, max_depth=2) == expected
+
+
+@pytest.mark.parametrize(
+    ('document', 'expected'),
+    (
+        (b'[1,2]', [b'1', b'2']),
+        (b'[1,[2,[3]],"b"]', [b'1', b'[2,[3]]', b'"b"']),
+        (b' [ ["]",[{}],[]] , 1 ] ', [b'["]",[{}],[]]', b'1']),
+        (rb'["\"[,",{"a":"},"}]', [rb'"\"[,"', b'{"a":"},"}']),
+        (b'[]', []),
+        (b'[\xff,"\x01\n"]', [b'\xff', b'"\x01\n"']),
+        (b'[%s]' % ODD_SPECS['nested lists'], [ODD_SPECS['nested lists']]),
+    ),
+)
+def test_list_is_split_into_its_items(document, expected):
+    assert list(split_list(document)) == expected
+
+
+@pytest.mark.parametrize(
+    ('document', 'expected'),
+    (
+        (b'{"a":[1,2],"b":3}', {'a': b'[1,2]', 'b': b'3'}),
+        (b' { "a" : {"a":1} , "b,":"}"} ', {'a': b'{"a":1}', 'b,': b'"}"'}),
+        (r'{"\u0061":1,"\"":2}'.encode(), {'a': b'1', '"': b'2'}),
+        (b'{"a":1,"a":2}', {'a': b'2'}),
+        (rb'{"\q":1,"a":\q,"b" 1}', {'a': rb'\q'}),
+        (b'{"\xff":1,"a":\xff}', {'a': b'\xff'}),
+        (b'{}', {}),
+    ),
+)
+def test_object_is_split_into_its_members(document, expected):
+    assert split_object(document) == expected
+
+
+@pytest.mark.parametrize(
+    'document',
+    (
+        b'',
+        b'"',
+        b'1',
+        b'"[]"',
+        b'[[[',
+        b'[[[]',
+        b']]]',
+        b'{}[',
+        b'[],',
+        b'{"a":',
+    ),
+)
+def test_what_is_no_list_or_object_is_not_split(document):
+    with pytest.raises(ValueError, match='value that begins|brackets'):
+        list(split_list(document))
+    with pytest.raises(ValueError, match='value that begins|brackets'):
+        split_object(document)
--- a/tests/unit/test_odd_strings.py
+++ b/tests/unit/test_odd_strings.py
@@ -7,8 +7,6 @@
 import asyncio
 import json
 import os
-from functools import reduce
-from operator import getitem
 
 import msgspec
 import pytest
@@ -27,10 +25,10 @@
 from toucanhall.platform.store import Table
 from toucanhall.platform.store_answers import (
     InvalidAnswerError,
-    UndecodableSpec,
     decode_object,
     decode_page,
 )
+from toucanhall.platform.store_objects import UndecodableSpec
 from toucanhall.platform.suspect_documents import decode_suspect
 from toucanhall.platform.table_loader import TableLoader
 from toucanhall.platform.vm_registry import VmRegistry
@@ -345,7 +343,10 @@
     for path, value in UNFIT_VALUES:
         document = {**json.loads(CONFIGURATION), 'limits': {}}
         *outer, last = path
-        reduce(getitem, outer, document)[last] = value
+        found = document
+        for key in outer:
+            found = found[key]
+        found[last] = value
         with pytest.raises(InvalidDocumentError):
             decode_configuration(document)
 
@@ -365,17 +366,3 @@
     snapshot = fleet_tables.make_snapshot(Revisions(), 1.0)
     packed = msgspec.msgpack.encode(snapshot)
     assert msgspec.msgpack.decode(packed, type=Snapshot) == snapshot
-
-
-def test_line_with_odd_fields_is_written(pipe):
-    reader, writer = pipe
-    journal = Journal(vm='vm-1', descriptor=writer)
-    odd = ('half \ud800', ['\udc00'], {'\ud800': 1}, 10**30, {(1, 2): 3})
-    for value in odd:
-        journal.write(events.ENTRY_IGNORED, why=value, where='servers')
-    lines = list(map(msgspec.json.decode, os.read(reader, 65536).splitlines()))
-    assert len(lines) == len(odd)
-    assert {(line['event'], line['where']) for line in lines} == {
-        (events.ENTRY_IGNORED.number, 'servers')
-    }
-    assert lines[0]['why'] == ascii(odd[0])
--- a/toucanhall/observe/journal.py
+++ b/toucanhall/observe/journal.py
@@ -2,7 +2,7 @@
 
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import msgspec
@@ -65,7 +65,7 @@
             self.write(LINES_DROPPED, counts=dict(self.dropped))
 
     def _write_line(self, number: int, line: dict[str, object]) -> None:
-        encoded = b'%s\n' % msgspec.json.encode(line, enc_hook=str)
+        encoded = b'%s\n' % _encode(line)
         try:
             written = os.write(self._descriptor, encoded)
         except (BlockingIOError, BrokenPipeError):
@@ -84,3 +84,21 @@
 
     def _drop(self, number: int) -> None:
         self.dropped[number] = self.dropped.get(number, 0) + 1
+
+
+def _encode(line: Mapping[str, object]) -> bytes:
+    try:
+        return msgspec.json.encode(line, enc_hook=str)
+    except ValueError:
+        return msgspec.json.encode(
+            {name: _encode_field(content) for name, content in line.items()}
+        )
+
+
+def _encode_field(content: object) -> msgspec.Raw:
+    """Encode a field, or its escaped form if it holds what is no text."""
+    try:
+        encoded = msgspec.json.encode(content, enc_hook=str)
+    except ValueError:
+        encoded = msgspec.json.encode(ascii(content))
+    return msgspec.Raw(encoded)
--- a/toucanhall/platform/documents.py
+++ b/toucanhall/platform/documents.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
+import msgspec
+
 from toucanhall.fleet.model import (
     ClientLimits,
     Configuration,
@@ -13,7 +15,7 @@
     VmContact,
     WeightedService,
 )
-from toucanhall.platform.store_answers import UndecodableSpec
+from toucanhall.platform.store_objects import UndecodableSpec
 from toucanhall.platform.units import read_seconds, read_version
 from toucanhall.platform.values import (
     read_finite_number,
@@ -47,6 +49,7 @@
     ValueError,
     AttributeError,
     OverflowError,
+    msgspec.MsgspecError,
 )
 _MAX_ERROR_CHARACTERS: Final = 200
 
@@ -58,11 +61,13 @@
 def decode_configuration(spec: Document) -> Configuration:
     """Decode a configuration; raise InvalidDocumentError on failure."""
     try:
-        return _decode_configuration(spec)
+        configuration = _decode_configuration(spec)
+        _check_message(configuration)
     except _DECODE_ERRORS as error:
         raise InvalidDocumentError(
             f'configuration cannot be decoded: {_explain(spec, error)}'
         ) from error
+    return configuration
 
 
 def decode_target(name: str, spec: Document, revision: int) -> Target:
@@ -106,6 +111,15 @@
     return {'zone': contact.zone, 'ip': contact.ip}
 
 
+def _check_message(configuration: Configuration) -> None:
+    """Raise an error unless VMs can pass a configuration to each other.
+
+    One that they cannot would keep all their tables from each other.
+    """
+    message = msgspec.msgpack.encode(configuration)
+    msgspec.msgpack.decode(message, type=Configuration)
+
+
 def _read_version_name(content: object) -> str:
     """Return the name of a software version, empty if it is malformed."""
     return content if isinstance(content, str) else ''
--- a/toucanhall/platform/store.py
+++ b/toucanhall/platform/store.py
@@ -16,12 +16,12 @@
     read_store_era,
 )
 from toucanhall.platform.store_answers import (
-    Change,
     InvalidAnswerError,
     decode_object,
     decode_page,
 )
 from toucanhall.platform.store_connections import StoreConnections
+from toucanhall.platform.store_objects import Change
 from toucanhall.web.client import ConnectionSettings, ReceivedAnswer
 from toucanhall.web.messages import Headers, Request, encode_request
 
@@ -65,10 +65,14 @@
 
 
 class Table(NamedTuple):
-    """Objects, or changes of objects, as of a revision of the store."""
+    """Objects, or changes of objects, as of a revision of the store.
+
+    `unnamed` tells of each object whose name cannot be read.
+    """
 
     revision: Revision
     changes: tuple[Change, ...]
+    unnamed: tuple[str, ...] = ()
 
 
 class _StoreAnswer(NamedTuple):
@@ -114,6 +118,7 @@
         """
         first, has_more = await self._read_page(kind, '', may_be_stale)
         changes = list(first.changes)
+        unnamed = list(first.unnamed)
         while has_more:
             table, has_more = await self._read_page(
                 kind, changes[-1].name, may_be_stale
@@ -121,7 +126,8 @@
             if table.revision.era != first.revision.era:
                 raise EraChangedError('store came back between two pages')
             changes.extend(table.changes)
-        return Table(first.revision, tuple(changes))
+            unnamed.extend(table.unnamed)
+        return Table(first.revision, tuple(changes), tuple(unnamed))
 
     async def watch(
         self, kind: str, revision: Revision, seconds: float
@@ -263,7 +269,7 @@
     except InvalidAnswerError as error:
         raise StoreError(f'store answer cannot be decoded: {error}') from error
     revision = Revision(answer.era, page.revision)
-    return Table(revision, page.changes), page.has_more
+    return Table(revision, page.changes, page.unnamed), page.has_more
 
 
 def _read_body(reply: ReceivedAnswer) -> bytes:
--- a/toucanhall/platform/store_answers.py
+++ b/toucanhall/platform/store_answers.py
@@ -1,74 +1,62 @@
 """Decodes the answers of the store, each object on its own.
 
 Other writers may leave entries that no decoder takes: one of them must not
-keep a VM from the rest of a table.
+keep a VM from the rest of a table. An answer with such an entry is split into
+its objects first.
 """
 
-from typing import Any, Final, NamedTuple
+from collections.abc import Callable, Iterator, Mapping
+from typing import Final, NamedTuple
 
 import msgspec
 
+from toucanhall.platform.json_parts import split_list, split_object
 from toucanhall.platform.nesting import cut_nested_values
-
-__all__ = (
-    'Change',
-    'InvalidAnswerError',
-    'Page',
-    'UndecodableSpec',
-    'decode_object',
-    'decode_page',
+from toucanhall.platform.store_objects import (
+    DECODE_ERRORS,
+    Change,
+    StoredEvent,
+    StoredObject,
+    decode_boolean,
+    decode_stored_event,
+    decode_stored_object,
+    make_change,
+    make_event_change,
 )
 
+__all__ = ('InvalidAnswerError', 'Page', 'decode_object', 'decode_page')
 
-class InvalidAnswerError(ValueError):
-    """An answer of the store is no list of objects or events."""
-
-
-class UndecodableSpec(NamedTuple):
-    """The content of an object that cannot be decoded, and why."""
-
-    why: str
+_NO_TABLE: Final = 'neither items nor events'
 
 
-class Change(NamedTuple):
-    """An object of the store; `spec` is None if it was deleted."""
-
-    name: str
-    revision: int
-    spec: Any
+class InvalidAnswerError(ValueError):
+    """An answer of the store is no list of objects or events."""
 
 
 class Page(NamedTuple):
-    """Objects or changes as of a revision, and whether more objects follow."""
+    """Objects or changes as of a revision, and whether more objects follow.
+
+    `unnamed` tells of each object whose name or revision cannot be read.
+    """
 
     revision: int
     changes: tuple[Change, ...]
     has_more: bool
-
-
-class _Metadata(msgspec.Struct):
-    name: str
-    revision: int
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    deleted: bool = False
+    unnamed: tuple[str, ...] = ()
 
 
 class _Answer(msgspec.Struct):
     as_of: int
-    items: list[_Object] | None = None
-    events: list[_Event] | None = None
+    items: list[StoredObject] | None = None
+    events: list[StoredEvent] | None = None
     more: bool = False
 
 
 _ANSWER_DECODER: Final = msgspec.json.Decoder(_Answer)
+_ITEM_DECODERS: Final[Mapping[str, Callable[[bytes], Change | str]]] = {
+    'items': decode_stored_object,
+    'events': decode_stored_event,
+}
 
 
 def decode_page(body: bytes) -> Page:
@@ -77,46 +65,55 @@
     Raises InvalidAnswerError.
     """
     try:
-        answer = _decode_answer(body)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise InvalidAnswerError(str(error)) from error
-    if answer.items is not None:
-        changes = tuple(map(_decode_object, answer.items))
-    elif answer.events is not None:
-        changes = tuple(map(_decode_event, answer.events))
-    else:
-        raise InvalidAnswerError('neither items nor events')
-    return Page(answer.as_of, changes, bool(answer.more and changes))
+        return _decode(body)
+    except RecursionError:
+        return _decode(cut_nested_values(body))
 
 
 def decode_object(body: bytes) -> Change:
     """Decode a single object; raises InvalidAnswerError."""
-    try:
-        return _decode_object(msgspec.json.decode(body, type=_Object))
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise InvalidAnswerError(str(error)) from error
+    found = decode_stored_object(body)
+    if isinstance(found, str):
+        raise InvalidAnswerError(found)
+    return found
 
 
-def _decode_answer(body: bytes) -> _Answer:
+def _decode(body: bytes) -> Page:
     try:
-        return _ANSWER_DECODER.decode(body)
-    except RecursionError:
-        return _ANSWER_DECODER.decode(cut_nested_values(body))
-
-
-def _decode_event(event: _Event) -> Change:
-    change = _decode_object(event.object)
-    return change._replace(spec=None) if event.deleted else change
+        return _decode_at_once(body)
+    except msgspec.MsgspecError:
+        return _decode_apart(body)
 
 
-def _decode_object(entry: _Object) -> Change:
-    return Change(
-        entry.metadata.name, entry.metadata.revision, _decode_spec(entry.spec)
-    )
+def _decode_at_once(body: bytes) -> Page:
+    answer = _ANSWER_DECODER.decode(body)
+    if answer.items is not None:
+        changes = tuple(map(make_change, answer.items))
+    elif answer.events is not None:
+        changes = tuple(map(make_event_change, answer.events))
+    else:
+        raise InvalidAnswerError(_NO_TABLE)
+    return Page(answer.as_of, changes, bool(answer.more and changes))
 
 
-def _decode_spec(spec: msgspec.Raw) -> Any:
+def _decode_apart(body: bytes) -> Page:
     try:
-        return msgspec.json.decode(spec)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        return UndecodableSpec(f'{type(error).__name__}: {error}')
+        parts = split_object(body)
+        found = list(_decode_parts(parts))
+        revision = msgspec.json.decode(parts['as_of'], type=int)
+        has_more = decode_boolean(parts, 'more')
+    except DECODE_ERRORS as error:
+        raise InvalidAnswerError(repr(error)) from error
+    changes = tuple(change for change in found if isinstance(change, Change))
+    unnamed = tuple(why for why in found if isinstance(why, str))
+    if has_more and unnamed and not changes:
+        raise InvalidAnswerError('no object of a page has a readable name')
+    return Page(revision, changes, bool(has_more and changes), unnamed)
+
+
+def _decode_parts(parts: Mapping[str, bytes]) -> Iterator[Change | str]:
+    for name, decode in _ITEM_DECODERS.items():
+        listed = parts.get(name)
+        if listed is not None:
+            return map(decode, split_list(listed))
+    raise ValueError(_NO_TABLE)
--- a/toucanhall/platform/store_watch.py
+++ b/toucanhall/platform/store_watch.py
@@ -165,12 +165,13 @@
             await self._read(kind)
             return
         self._outcomes.record_answer(kind, WATCH)
-        if table.changes:
+        has_news = bool(table.changes or table.unnamed)
+        if has_news:
             self._log_table(kind, WATCH, table)
             self._tables.take(kind, table, is_whole=False)
         # A new era begins all watches anew.
         self._revisions[kind] = max(revision, table.revision)
-        if table.changes:
+        if has_news:
             await asyncio.sleep(_BATCH_DELAY_SECONDS[kind])
 
     async def _read(self, kind: str) -> None:
--- a/toucanhall/platform/suspect_documents.py
+++ b/toucanhall/platform/suspect_documents.py
@@ -1,25 +1,30 @@
 """Decodes and encodes the entries of suspected requests in the store."""
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
 from toucanhall.fleet.suspects import Crash, Suspect
 from toucanhall.platform.documents import InvalidDocumentError
+from toucanhall.platform.store_objects import UndecodableSpec
+from toucanhall.platform.values import MAX_INTEGER
 
 __all__ = ('decode_suspect', 'encode_suspect')
 
+# A larger one can't be passed to other VMs.
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+
 
 class _Crash(msgspec.Struct):
     target: str
-    started_at: int
+    started_at: _Integer
     release: str = ''
 
 
 class _Suspect(msgspec.Struct):
     crashes: list[_Crash]
-    trials: int = 0
+    trials: _Integer = 0
     tried_releases: list[str] = []
     served_releases: list[str] = []
 
@@ -29,8 +34,9 @@
     try:
         entry = msgspec.convert(spec, _Suspect)
     except msgspec.ValidationError as error:
+        why = spec.why if isinstance(spec, UndecodableSpec) else str(error)
         raise InvalidDocumentError(
-            f'suspect {name} cannot be decoded: {error}'
+            f'suspect {name} cannot be decoded: {why}'
         ) from error
     return Suspect(
         crashes=tuple(
--- a/toucanhall/platform/table_loader.py
+++ b/toucanhall/platform/table_loader.py
@@ -15,7 +15,7 @@
     decode_target,
 )
 from toucanhall.platform.store import Table
-from toucanhall.platform.store_answers import Change
+from toucanhall.platform.store_objects import Change
 from toucanhall.platform.suspect_documents import decode_suspect
 
 __all__ = ('WATCHED_KINDS', 'TableLoader')
@@ -51,6 +51,8 @@
 
     def take(self, kind: str, table: Table, *, is_whole: bool) -> None:
         """Replace a whole table, or apply changes to it."""
+        for why in table.unnamed:
+            self._journal.write(events.ENTRY_IGNORED, why=why)
         self._loaders[kind](table, is_whole)
 
     def _load_configurations(self, table: Table, _is_whole: bool) -> None:
--- a/toucanhall/platform/values.py
+++ b/toucanhall/platform/values.py
@@ -9,6 +9,7 @@
 from toucanhall.platform.units import read_seconds
 
 __all__ = (
+    'MAX_INTEGER',
     'read_finite_number',
     'read_integer',
     'read_ip',
@@ -20,7 +21,7 @@
 )
 
 _MAX_PORT: Final = 65535
-_MAX_INTEGER: Final = (1 << 53) - 1  # exact in all JSON decoders
+MAX_INTEGER: Final = (1 << 53) - 1  # exact in all JSON decoders
 
 
 def read_optional_seconds(text: object) -> float | None:
@@ -79,6 +80,6 @@
     """Read an integer from a minimum up to the largest exact one."""
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f'{value!r} is not an integer')
-    if not minimum <= value <= _MAX_INTEGER:
-        raise ValueError(f'not from {minimum} to {_MAX_INTEGER}')
+    if not minimum <= value <= MAX_INTEGER:
+        raise ValueError(f'not from {minimum} to {MAX_INTEGER}')
     return value
--- a/toucanhall/platform/vm_registry.py
+++ b/toucanhall/platform/vm_registry.py
@@ -36,6 +36,8 @@
     async def list_vms(self, *, may_be_stale: bool) -> list[VmContact]:
         """Return the entries of all VMs; stale ones lag by some seconds."""
         table = await self._store.read(names.VM_KIND, may_be_stale=may_be_stale)
+        for why in table.unnamed:
+            self._journal.write(events.ENTRY_IGNORED, why=why)
         registered = []
         for change in table.changes:
             try:
