Know a target's start by its time and place, not by its cold time

A target that crashed while it was cold and was back under its id got its whole share of the load from the end of its first cold time on, and crashed under it.

Cause: a target became cold if it was new in the list or its entry named another cold time. A second start mostly names the same one. And a target whose entry was lost and written again was new in the list: it was cold a second time, without a start.

A zone that is taken back no longer shortens a cold time.

Not fixed here: a target that starts again while the store is down.

--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -11,6 +11,7 @@
     compute_rate_fraction,
     find_owner_groups,
 )
+from toucanhall.placement.cold_times import ColdTimes, is_same_start
 from toucanhall.placement.hash_ring import HashRing, Location, count_points
 from toucanhall.placement.load import TargetLoad
 from toucanhall.placement.owners import VmGroup
@@ -58,7 +59,7 @@
         self._targets: dict[str, Target] = {}
         self._rings: dict[tuple[str, frozenset[str]], HashRing] = {}
         self._evacuated: frozenset[str] = frozenset()
-        self._cold_until: dict[str, float] = {}
+        self._cold_times = ColdTimes()
         self._cold_buckets: dict[str, TokenBucket] = {}
         self._rate_fractions: dict[str, float] = {}
         self._vm = ''
@@ -72,8 +73,8 @@
     ) -> None:
         """Replace the list of targets.
 
-        A target that has restarted begins without load and failures. One with
-        a new time for warming up, or new in the list, is cold from now on.
+        A target that has restarted begins without load and failures, and is
+        cold from now on.
         """
         removed = self._targets.keys() - targets.keys()
         written = {
@@ -84,20 +85,17 @@
         started = {
             name
             for name, target in written.items()
-            if not _is_same(self._targets.get(name), target)
+            if not is_same_start(self._targets.get(name), target)
         }
         for name in removed | started:
             self._cold_buckets.pop(name, None)
             self._rate_fractions.pop(name, None)
         for name in removed:
             self.loads.pop(name, None)
-            self._cold_until.pop(name, None)
         for name in started:
             self.loads[name] = TargetLoad(slots=targets[name].slots)
-        for name, target in written.items():
-            known = self._targets.get(name)
-            if known is None or known.cold_seconds != target.cold_seconds:
-                self._cold_until[name] = now + target.cold_seconds
+        self._cold_times.remove(removed)
+        self._cold_times.record(written.values(), now)
         self._targets = dict(targets)
         self.limits.replace_targets(self._targets, removed | started)
         for (service, homes), ring in self._rings.items():
@@ -117,7 +115,7 @@
                 target.service,
             )
             if target.zone in returned and service:
-                self._cold_until[name] = now + service.cold_seconds
+                self._cold_times.extend(name, now + service.cold_seconds)
                 self._cold_buckets.pop(name, None)
 
     def set_vm_groups(self, own: str, groups: Mapping[str, VmGroup]) -> None:
@@ -160,7 +158,7 @@
 
     def is_cold(self, target: str, now: float) -> bool:
         """Whether a target is still cold and bears only a low rate."""
-        return now < self._cold_until.get(target, 0.0)
+        return self._cold_times.is_cold(target, now)
 
     def try_acquire(
         self, target: Target, per_second: float, now: float
@@ -321,14 +319,3 @@
         }
         if points or not removed.isdisjoint(ring):
             ring.update(removed, points)
-
-
-def _is_same(known: Target | None, target: Target) -> bool:
-    """Whether a target has not been restarted or moved."""
-    return (
-        known is not None
-        and known.started_at == target.started_at
-        and known.address == target.address
-        and known.service == target.service
-        and known.zone == target.zone
-    )
