--- a/tests/unit/test_record_reading.py
+++ b/tests/unit/test_record_reading.py
@@ -1,12 +1,20 @@
 """Tests of records with fields that only a later build knows."""
 
+import asyncio
 import os
 from typing import NamedTuple, get_args, get_type_hints
 
 import msgspec
 import pytest
 
-from tests.fleetdata import make_heartbeat, make_member, make_report
+from tests.fleetdata import (
+    make_environment,
+    make_heartbeat,
+    make_member,
+    make_report,
+)
+from toucanhall.edge.peer_exchange import PeerExchange
+from toucanhall.edge.target_state import make_target_state
 from toucanhall.edge.unknown_parts import UnknownParts
 from toucanhall.fleet import record_forms
 from toucanhall.fleet.datagrams import pack_datagram, unpack_datagram
@@ -15,7 +23,8 @@
 from toucanhall.fleet.peer_forms import PeerForms
 from toucanhall.fleet.record_reading import RecordReader
 from toucanhall.fleet.table_messages import decode_revisions
-from toucanhall.limits.quota import Usage, UsageReport
+from toucanhall.fleet.tables import FleetTables
+from toucanhall.limits.quota import Quotas, Usage, UsageReport
 from toucanhall.observe.journal import Journal
 
 IP = '127.64.1.9'
@@ -210,3 +219,33 @@
         else:
             found.extend(list_records(*get_args(kind)))
     return found
+
+
+def test_vm_without_suspects_does_not_watch_for_its_zone():
+    async def list_candidates():
+        environment = make_environment(ip='127.93.203.1')
+        loop = asyncio.get_running_loop()
+        journal = Journal(
+            vm='vm-1', descriptor=os.open(os.devnull, os.O_WRONLY)
+        )
+        peers = PeerExchange(
+            environment=environment,
+            fleet_tables=FleetTables(on_change=lambda _table: None),
+            quotas=Quotas(bounds=environment.bounds, beat=0.8, now=loop.time()),
+            journal=journal,
+            limits=make_target_state(environment, journal).limits,
+            get_own_member=make_member,
+            get_store_age=lambda: None,
+            on_revisions=lambda _source, _revisions: None,
+            on_heartbeat=lambda: None,
+        )
+        await peers.start()
+        for number, form in enumerate((1, 2, 3, 4), 2):
+            ip = f'127.93.203.{number}'
+            message = Message(heartbeat=make_heartbeat(f'vm-{number}', ip=ip))
+            peers._receive(message)
+            peers._gossip.forms.record(ip, form)
+        assert peers.count_earlier_vms() == 3
+        return [found.vm for found in peers.list_watch_candidates()]
+
+    assert asyncio.run(list_candidates()) == ['vm-1', 'vm-3', 'vm-4', 'vm-5']
