Give the body of a request back when it is served

Cause: a connection of a caller kept the last body until its next request began; the budget of messages counted it only until it was answered.

Change: a connection forgets a request as soon as it is complete; its exchange holds it until the answer is written, and is charged with it.

--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -251,6 +251,7 @@
             held_bytes=compute_header_bytes(self._headers) + self._body_bytes,
         )
         self._exchanges.append(exchange)
+        self._reset_request()
         exchange.task = self._loop.create_task(self._serve(exchange, request))
         self._limits = self._handler.get_limits()
         if len(self._exchanges) >= _MAX_PIPELINED_REQUESTS and self._transport:
