Send the first form to all while an earlier VM is in sight

Change: while a VM of an earlier form was heard in the last minute, VMs of the current form get the first form with the whole message behind it as well.

--- a/tests/unit/test_record_reading.py
+++ b/tests/unit/test_record_reading.py
@@ -174,6 +174,16 @@
     assert not gossip.forms.is_first(IP)
 
 
+def test_all_vms_get_what_all_builds_read_while_an_earlier_one_is_in_sight():
+    now = [0.0]
+    forms = PeerForms(clock=lambda: now[0])
+    forms.record('127.64.1.8', record_forms.THIRD_FORM)
+    for seconds, form in ((59.0, record_forms.FIRST_FORM), (61.0, 4)):
+        now[0] = seconds
+        forms.record(IP, record_forms.CURRENT_FORM)
+        assert forms.get(IP) == form
+
+
 def test_vm_that_leaves_gets_what_all_builds_read():
     gossip = Gossip(receive=id, on_error=pytest.fail)
     hear(gossip, record_forms.CURRENT_FORM)
--- a/toucanhall/fleet/peer_forms.py
+++ b/toucanhall/fleet/peer_forms.py
@@ -23,7 +23,9 @@
     """The forms of the VMs that were heard lately, by their addresses.
 
     Of any other VM nothing is known: it gets the first form, which all builds
-    read, with the whole record behind it.
+    read, with the whole record behind it. So do VMs of the current form while
+    an earlier one is in sight: more may be replaced by it, also by a crash that
+    nobody hears of before their first message.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
@@ -44,6 +46,8 @@
         heard = self._heard.get(ip)
         if heard is None or self._has_expired(heard):
             return FIRST_FORM
+        if heard.form == CURRENT_FORM and self.count_earlier():
+            return FIRST_FORM
         return heard.form
 
     def is_first(self, ip: str) -> bool:
