--- a/toucanhall/web/memory.py
+++ b/toucanhall/web/memory.py
@@ -21,8 +21,7 @@
 PARSE_CHUNK_BYTES: Final = 1 << 14
 # Deployments allow a caller 16 KiB of headers; targets may send more.
 _MAX_HEAD_BYTES: Final = 1 << 16
-# Of one message, trailers included: twice and a half what Apache httpd, Tomcat
-# and Python's http.client allow.
+# Of one message, trailers included.
 MAX_HEADER_FIELDS: Final = 256
 # In CPython, beside the characters: a pair, two bytes objects with their
 # alignment, and their places in a list and a tuple.
