A list whose only objects have no readable name fails its read

Callers could see: a VM that reads a list of one unreadable object takes it for an empty table, and drops its targets.

Cause: since odd objects are decoded one by one, a last page without any readable one was an empty page.

Change: such a list raises, as before; with one readable object it does not. Events of a watch are passed over, so that the watch goes on.

--- a/toucanhall/platform/store_answers.py
+++ b/toucanhall/platform/store_answers.py
@@ -106,7 +106,8 @@
         raise InvalidAnswerError(repr(error)) from error
     changes = tuple(change for change in found if isinstance(change, Change))
     unnamed = tuple(why for why in found if isinstance(why, str))
-    if has_more and unnamed and not changes:
+    if unnamed and not changes and 'items' in parts:
+        # As an empty list it would remove all objects that are known.
         raise InvalidAnswerError('no object of a page has a readable name')
     return Page(revision, changes, bool(has_more and changes), unnamed)
 
