Endless heads: targets that accept too late are not held against the answers

Change: the check compares the targets that are suspended for their answers with the faulty ones, in both directions as before; suspensions for a connection that was not accepted are left out, as test_endless.py does.

--- a/tests/processes/test_endless_heads.py
+++ b/tests/processes/test_endless_heads.py
@@ -62,6 +62,8 @@
             for line in deployment.find_events(
                 'vm-1', events.TARGET_SUSPENDED.number
             )
+            # A stand-in on a busy machine may accept too late.
+            if not line['why'].endswith('did not accept in time')
         }
         print('peak', peak, 'requests', len(outcomes), 'run', len(executed))
         assert peak < VM_MEMORY_BYTES
