Let small VMs stand by while the large ones of their region bear the load

Cause: the directory named at least four VMs of a zone, so that where two are large, half of the callers came to VMs with links of 5 Mbit/s. Ruled out: their processors (the same without charged processor time) and their targets (same targets, same load, other VMs).

Change: two or three VMs that are four times as large as the others take all requests if they bear four times the load; the directory then names those of the region. Zones of like VMs are served as before.

--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -402,6 +402,33 @@
     assert sorted(member.vm for member in found) == expected
 
 
+def make_uneven_zone(zone):
+    """Return the VMs of a zone: two large ones and three small ones."""
+    return [
+        make_member(f'{zone}-{index}', zone=zone, capacity=capacity)
+        for index, capacity in enumerate((2000.0, 2000.0, 150.0, 150.0, 150.0))
+    ]
+
+
+def test_clients_use_the_large_vms_of_their_region():
+    vms = [*make_uneven_zone('east-a'), *make_uneven_zone('east-b')]
+    found = pick_nearest_vms(vms, 'east-a', EAST, frozenset())
+    names = ['east-a-0', 'east-a-1', 'east-b-0', 'east-b-1']
+    assert sorted(member.vm for member in found) == names
+    alone = pick_nearest_vms(vms[:5], 'east-a', EAST, frozenset())
+    assert sorted(member.vm for member in alone) == names[:2]
+
+
+def test_zone_of_three_vms_of_like_size_keeps_its_clients():
+    vms = [
+        make_member(f'{zone}-{index}', zone=zone)
+        for zone in ('east-a', 'east-b')
+        for index in range(3)
+    ]
+    found = pick_nearest_vms(vms, 'east-a', EAST, frozenset())
+    assert {member.zone for member in found} == {'east-a'}
+
+
 def test_zone_with_loop_lag_shares_its_clients():
     lagging = [VMS[0]._replace(lag=0.3), *VMS[1:]]
     found = pick_nearest_vms(lagging, 'east-a', EAST, frozenset())
--- a/tests/unit/test_fleet_members.py
+++ b/tests/unit/test_fleet_members.py
@@ -165,6 +165,40 @@
     assert len(pick_serving(zone)) == count
 
 
+UNEVEN_ZONE = [
+    make_member('large-1', capacity=2000.0, load=70.0),
+    make_member('large-2', capacity=2000.0, load=70.0),
+    *(make_member(f'small-{index}', capacity=156.0) for index in range(11)),
+]
+
+
+def test_small_vms_stand_by_while_large_ones_bear_the_load():
+    # A body of 500 kB takes the link of a small VM for 0.8 s.
+    assert get_names(pick_serving(UNEVEN_ZONE)) == ['large-1', 'large-2']
+
+
+@pytest.mark.parametrize(
+    'fields',
+    (
+        {'is_ready': False},
+        {'reaches_targets': False},
+        {'lag': 0.2},
+        {'load': 1500.0},
+    ),
+)
+def test_small_vms_take_requests_if_a_large_one_is_not_fit(fields):
+    zone = [UNEVEN_ZONE[0]._replace(**fields), *UNEVEN_ZONE[1:]]
+    assert len(pick_serving(zone)) >= MIN_SERVING_VMS
+
+
+def test_vms_of_like_size_do_not_stand_by():
+    zone = [
+        make_member(f'vm-{index}', capacity=capacity)
+        for index, capacity in enumerate((600.0, 600.0, 300.0, 200.0))
+    ]
+    assert len(pick_serving(zone)) == MIN_SERVING_VMS
+
+
 def test_large_load_is_spread_over_small_vms():
     zone = [
         make_member(f'vm-{index:02}', capacity=150.0, load=30.0)
--- a/toucanhall/edge/directory.py
+++ b/toucanhall/edge/directory.py
@@ -7,7 +7,11 @@
 from toucanhall.fleet.membership import Members
 from toucanhall.fleet.model import Address, Environment
 from toucanhall.fleet.reports import Member
-from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS, pick_serving
+from toucanhall.fleet.selection import (
+    MAX_LOOP_LAG_SECONDS,
+    MIN_SERVING_VMS,
+    pick_serving,
+)
 from toucanhall.fleet.tables import FleetTables
 from toucanhall.platform.endpoints import (
     make_directory_answer,
@@ -30,7 +34,8 @@
 
     `region_zones` are the zones of the region, `home_zones` those of the home
     regions of the host, which precede other remote zones. A zone whose VMs lag
-    shares its clients with the rest of the region.
+    shares its clients with the rest of the region, as do zones whose small VMs
+    stand by.
     """
     zones: dict[str, list[Member]] = {}
     for member in vms:
@@ -44,6 +49,8 @@
         ]
 
     nearest = list_serving((zone,))
+    if len(nearest) < min(MIN_SERVING_VMS, len(zones.get(zone, ()))):
+        nearest = list_serving(region_zones) or nearest
     if any(member.lag > MAX_LOOP_LAG_SECONDS for member in nearest):
         region = list_serving(region_zones)
         nearest = [
--- a/toucanhall/fleet/selection.py
+++ b/toucanhall/fleet/selection.py
@@ -6,6 +6,11 @@
 the limit of a team into shares of a request or more. So the directory names
 the VMs of the largest capacity, as many as the load needs; the others are
 spare.
+
+Load pattern: some requests have bodies of half a megabyte, which take the link
+of a small VM for a second while all its other requests wait. So VMs that are
+much smaller than the largest one stand by while the large ones bear the load;
+the large VMs of the whole region then serve the clients of each of its zones.
 """
 
 from collections.abc import Container, Iterable, Sequence
@@ -32,6 +37,11 @@
 # Capacity of the VMs that take requests, over the load of their zone: bursts
 # of 1.7 times the load, one VM of three lost, and a reserve against queues.
 _CAPACITY_PER_LOAD_RATIO: Final = 4.0
+# VMs below this fraction of the largest capacity stand by. Sizes of machines
+# rise in powers of two, and a VM of half the size serves as well.
+_LARGE_CAPACITY_FRACTION: Final = 0.25
+# One large VM of a zone may be stopped while another one takes requests.
+_MIN_LARGE_VMS: Final = 2
 # Capacity over load from which on VMs bear the requests of others.
 _MIN_HELPER_RATIO: Final = 1.5
 # Of a VM whose load is over its capacity, as far as others know.
@@ -42,21 +52,21 @@
 
 
 def pick_serving(members: Iterable[Member]) -> list[Member]:
-    """Return the VMs of a zone that its clients should use.
+    """Return the VMs of a zone that clients should use.
 
-    All that are ready are picked if the loop of one picked by capacity lags.
-    VMs that reach no target are picked only if all of them are cut off.
+    Fewer than `MIN_SERVING_VMS` are picked, although others are ready, where
+    two or three large ones bear the load. All that are ready are picked if the
+    loop of one picked by capacity lags. VMs that reach no target are picked
+    only if all of them are cut off.
     """
     ranked = _rank(members)
     ready = [found for found in ranked if found.is_ready]
     ready = [found for found in ready if found.reaches_targets] or ready
     wanted = _CAPACITY_PER_LOAD_RATIO * sum(found.load for found in ranked)
-    capacities = accumulate(found.capacity for found in ready)
-    count = 1 + sum(capacity < wanted for capacity in capacities)
-    picked = ready[: max(MIN_SERVING_VMS, count)]
+    picked = _pick_large(ready, wanted) or _pick_enough(ready, wanted)
     if any(found.lag > MAX_LOOP_LAG_SECONDS for found in picked):
         return ready
-    return picked
+    return list(picked)
 
 
 def pick_admitting(members: Iterable[Member]) -> list[Member]:
@@ -113,6 +123,29 @@
     return [found for found in ranked if not found.is_leaving] or ranked
 
 
+def _pick_large(ready: Sequence[Member], wanted: float) -> Sequence[Member]:
+    """Return the few large VMs, none if they can't serve `wanted` requests.
+
+    `ready` is ranked by capacity, `wanted` in requests a second.
+    """
+    large = [
+        found
+        for found in ready
+        if found.capacity >= _LARGE_CAPACITY_FRACTION * ready[0].capacity
+    ]
+    is_few = _MIN_LARGE_VMS <= len(large) < MIN_SERVING_VMS
+    if is_few and sum(found.capacity for found in large) >= wanted:
+        return large
+    return ()
+
+
+def _pick_enough(ready: Sequence[Member], wanted: float) -> Sequence[Member]:
+    """Return the largest VMs that serve `wanted` requests a second."""
+    capacities = accumulate(found.capacity for found in ready)
+    count = 1 + sum(capacity < wanted for capacity in capacities)
+    return ready[: max(MIN_SERVING_VMS, count)]
+
+
 def _rank(members: Iterable[Member]) -> list[Member]:
     """Return the VMs from the largest capacity."""
     return sorted(members, key=_get_rank)
