Give regions objects by the room of their targets, and keep objects where they are

In effect where the configuration has routes with large bodies; other deployments keep their order and choice.

--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -25,7 +25,7 @@
 
     A target caches `cached_objects`; a request takes `cold_seconds`, or
     `warm_fraction` of them for a cached object. `slow` names the targets that
-    take `slow_factor` times as long.
+    take `slow_factor` times as long. `spill_penalty` is that of all requests.
     """
 
     rate: Callable[[float], float]
@@ -40,6 +40,7 @@
     slow: frozenset[str] = frozenset()
     slow_factor: float = 1.0
     vms_per_zone: int = 4
+    spill_penalty: float = 0.0
 
 
 class Outcomes(NamedTuple):
@@ -155,7 +156,12 @@
         query = TargetQuery('guide', key, frozenset(), frozenset())
         chosen = choose_target(
             registry.list_candidates(query, now, choice.TARGETS_PER_OBJECT),
-            RequestUrgency(pattern.objective_seconds, expected_seconds[0], 1),
+            RequestUrgency(
+                pattern.objective_seconds,
+                expected_seconds[0],
+                1,
+                pattern.spill_penalty,
+            ),
             now,
         )
         server = simulated[chosen.target.id] if chosen else None
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -39,6 +39,36 @@
     assert replay(pattern, seed=1, since=9.0).fraction_in_time < 0.5
 
 
+@pytest.mark.parametrize('seed', (1, 2))
+def test_objects_keep_their_target_where_targets_hold_no_second_copy(seed):
+    balanced = Pattern(
+        rate=lambda now: 414.0 if 2 <= now < 5 else 230.0,
+        seconds=14.0,
+        objects=330,
+        slots=6,
+        cached_objects=36,
+        cold_seconds=0.54,
+        objective_seconds=0.5,
+    )
+    keeping = balanced._replace(spill_penalty=2.0)
+    before = replay(balanced, seed=seed, since=7.0).fraction_in_time
+    after = replay(keeping, seed=seed, since=7.0).fraction_in_time
+    assert after > 0.9
+    assert before < after - 0.08
+
+
+@pytest.mark.parametrize('spill_penalty', (0, 1))
+def test_spill_penalty_only_matters_between_full_targets(spill_penalty):
+    urgency = RequestUrgency(1.0, 0.1, 1, spill_penalty)
+    free, half, full = (
+        Candidate(make_target(f't{count}'), make_load(count))
+        for count in (2, 5, 13)
+    )
+    assert choose_target([half, free], urgency, 0.0) is half
+    chosen = choose_target([full, half], urgency, 0.0)
+    assert chosen is (half, full)[spill_penalty]
+
+
 @pytest.mark.parametrize('seed', (1, 2))
 def test_cold_targets_serve_in_time_after_four_seconds(seed):
     pattern = Pattern(rate=lambda _now: 900.0, seconds=8.0)
@@ -332,3 +362,10 @@
     load.record_reported_load(8, 1.0)
     assert load.estimate_requests(1.0) == 8
     assert load.estimate_requests(1.25) == 4
+
+
+def make_load(pending):
+    """Return the load of a target of nine slots with some requests."""
+    load = TargetLoad(slots=9)
+    load.in_flight = pending
+    return load
--- a/toucanhall/edge/state_updater.py
+++ b/toucanhall/edge/state_updater.py
@@ -51,7 +51,7 @@
         self._clock = clock
         self._serving: dict[str, list[str]] = {}
         self._handlers = {
-            'configuration': self._log_configuration,
+            'configuration': self._apply_configuration,
             'targets': self._apply_targets,
             'evacuations': self._apply_evacuations,
         }
@@ -156,9 +156,10 @@
             now,
         )
 
-    def _log_configuration(self) -> None:
+    def _apply_configuration(self) -> None:
         configuration = self._fleet_tables.configuration
         if configuration is not None:
+            self._registry.set_configuration(configuration)
             self._journal.write(
                 events.CONFIGURATION_APPLIED,
                 version=configuration.version,
--- a/toucanhall/edge/target_chooser.py
+++ b/toucanhall/edge/target_chooser.py
@@ -45,6 +45,7 @@
                 admitted.objective_seconds,
             ),
             priority=admitted.priority,
+            spill_penalty=self._registry.spill_penalty,
         )
         rate = admitted.service.cold_per_second
         while True:
--- a/toucanhall/fleet/model.py
+++ b/toucanhall/fleet/model.py
@@ -156,6 +156,15 @@
     keys: Mapping[str, str]
     limits: ClientLimits
 
+    @property
+    def has_large_bodies(self) -> bool:
+        """Whether a route is for requests or answers with large bodies."""
+        return any(
+            route.has_large_bodies
+            for routes in self.hosts.values()
+            for route in routes
+        )
+
 
 class Target(NamedTuple):
     """A target as it registered itself.
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -8,6 +8,11 @@
 target has a free slot, all targets would load all objects, evict them again and
 run each request cold, so that the overload would sustain itself. So an object
 has two targets, and a request that neither can take is refused at once.
+
+Load pattern: targets cache about as many objects as there are for one target
+each. The second target then runs a request cold, evicts another object for it,
+and both targets are slower for it. So a request with a spill penalty waits at
+the first target as long as that costs less than a cold run.
 """
 
 from collections.abc import Sequence
@@ -37,15 +42,19 @@
 # Requests with a long objective wait behind at most this many requests per
 # slot, since those in front may be cold.
 _MAX_QUEUE_RATIO: Final = 1.5
-_NO_TARGET_FILL_RATIO: Final = float('inf')
 
 
 class RequestUrgency(NamedTuple):
-    """How long a request may wait; times in seconds."""
+    """How long a request may wait; times in seconds.
+
+    `spill_penalty` is how many requests per slot more than the second target
+    the first one may hold before the second is chosen; 0 to balance both.
+    """
 
     seconds_to_objective: float
     expected_seconds: float
     priority: int
+    spill_penalty: float = 0.0
 
 
 class Candidate(NamedTuple):
@@ -61,17 +70,37 @@
     now: float,
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
-    preferred = candidates[:TARGETS_PER_OBJECT]
-    fill_ratios = [
-        _compute_fill_ratio(candidate.load, now) for candidate in preferred
+    rated = [
+        _RatedCandidate(candidate, _compute_fill_ratio(candidate.load, now))
+        for candidate in candidates[:TARGETS_PER_OBJECT]
     ]
-    for candidate, fill_ratio in zip(preferred, fill_ratios, strict=True):
-        if fill_ratio < _FREE_FILL_RATIO:
+    max_fill_ratio = _compute_max_fill_ratio(urgency)
+    for candidate, fill_ratio in _order(rated, urgency.spill_penalty):
+        if fill_ratio < max_fill_ratio:
             return candidate
-    least = min(fill_ratios, default=_NO_TARGET_FILL_RATIO)
-    if least >= _compute_max_fill_ratio(urgency):
-        return None
-    return preferred[fill_ratios.index(least)]
+    return None
+
+
+class _RatedCandidate(NamedTuple):
+    candidate: Candidate
+    fill_ratio: float
+
+
+def _order(
+    rated: Sequence[_RatedCandidate], spill_penalty: float
+) -> Sequence[_RatedCandidate]:
+    """Return the candidates to choose from, the best one first."""
+    free = [found for found in rated if found.fill_ratio < _FREE_FILL_RATIO]
+    if free and (free[0] is rated[0] or not spill_penalty):
+        return free
+    ranked = sorted(rated, key=_get_fill_ratio)
+    if ranked and rated[0].fill_ratio <= ranked[0].fill_ratio + spill_penalty:
+        return rated[0], ranked[0]
+    return ranked
+
+
+def _get_fill_ratio(rated: _RatedCandidate) -> float:
+    return rated.fill_ratio
 
 
 def _compute_fill_ratio(load: TargetLoad, now: float) -> float:
--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -1,7 +1,7 @@
 """The targets of all services as this VM sees them."""
 
 import math
-from collections.abc import Collection, Iterable, Iterator, Mapping, Set
+from collections.abc import Collection, Iterator, Mapping
 from itertools import islice
 from typing import Final, NamedTuple
 
@@ -12,9 +12,10 @@
     find_owner_groups,
 )
 from toucanhall.placement.cold_times import ColdTimes, is_same_start
-from toucanhall.placement.hash_ring import HashRing, Location, count_points
+from toucanhall.placement.hash_ring import Location
 from toucanhall.placement.load import TargetLoad
 from toucanhall.placement.owners import VmGroup
+from toucanhall.placement.rings import TargetRings
 from toucanhall.placement.target_limits import TargetLimits
 from toucanhall.placement.target_notices import TargetNotices
 from toucanhall.placement.token_bucket import TokenBucket
@@ -24,8 +25,9 @@
 # For this time, a target gets no requests after another target answered at its
 # address.
 _MISDIRECTED_SECONDS: Final = 3.0
-# Rings that are cached: twenty services with a few sets of home regions each.
-_MAX_RINGS_COUNT: Final = 100
+# Requests per slot: a target that lacks an object takes three times as long, as
+# if two more requests were ahead in each slot.
+_SPILL_PENALTY: Final = 2.0
 
 
 class TargetQuery(NamedTuple):
@@ -57,7 +59,7 @@
         self._location = location
         self._regions = dict(regions)
         self._targets: dict[str, Target] = {}
-        self._rings: dict[tuple[str, frozenset[str]], HashRing] = {}
+        self._rings = TargetRings(location=location, regions=regions)
         self._evacuated: frozenset[str] = frozenset()
         self._cold_times = ColdTimes()
         self._cold_buckets: dict[str, TokenBucket] = {}
@@ -65,6 +67,7 @@
         self._vm = ''
         self._groups: Mapping[str, VmGroup] = {}
         self.loads: dict[str, TargetLoad] = {}
+        self.spill_penalty = 0.0
         self.limits = limits
         self.notices = TargetNotices()
 
@@ -98,8 +101,17 @@
         self._cold_times.record(written.values(), now)
         self._targets = dict(targets)
         self.limits.replace_targets(self._targets, removed | started)
-        for (service, homes), ring in self._rings.items():
-            self._update_ring(ring, removed | started, started, service, homes)
+        self._rings.update(self._targets, removed | started, started)
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Place objects as a configuration asks.
+
+        Where bodies are large, links between regions and a second copy of an
+        object cost most.
+        """
+        is_by_capacity = configuration.has_large_bodies
+        self._rings.set_by_capacity(is_by_capacity)
+        self.spill_penalty = _SPILL_PENALTY if is_by_capacity else 0.0
 
     def set_evacuated_zones(
         self,
@@ -276,9 +288,7 @@
                 yield Candidate(target, self.loads[target.id])
 
     def _iterate_targets(self, query: TargetQuery) -> Iterator[Target]:
-        ring = self._get_ring(query.service, query.homes)
-        for name in ring.walk(query.key):
-            yield self._targets[name]
+        return self._rings.walk(query.service, query.homes, query.key)
 
     def _get_rate_fraction(self, target: Target) -> float:
         fraction = self._rate_fractions.get(target.id)
@@ -287,35 +297,3 @@
             fraction = compute_rate_fraction(self._vm, target.id, groups)
             self._rate_fractions[target.id] = fraction
         return fraction
-
-    def _get_ring(self, service: str, homes: frozenset[str]) -> HashRing:
-        ring = self._rings.get((service, homes))
-        if ring is None:
-            if len(self._rings) >= _MAX_RINGS_COUNT:
-                self._rings.clear()
-            ring = HashRing()
-            self._update_ring(ring, set(), self._targets, service, homes)
-            self._rings[service, homes] = ring
-        return ring
-
-    def _update_ring(
-        self,
-        ring: HashRing,
-        removed: Set[str],
-        added: Iterable[str],
-        service: str,
-        homes: frozenset[str],
-    ) -> None:
-        targets = [self._targets[name] for name in added]
-        points = {
-            target.id: count_points(
-                target.zone,
-                self._location,
-                self._regions,
-            )
-            for target in targets
-            if target.service == service
-            and (not homes or self._regions.get(target.zone) in homes)
-        }
-        if points or not removed.isdisjoint(ring):
-            ring.update(removed, points)
--- /dev/null
+++ b/toucanhall/placement/rings.py
@@ -0,0 +1,142 @@
+"""The order of the targets of each service, by service and home regions."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping, Set
+from typing import Final
+
+from toucanhall.fleet.model import Target
+from toucanhall.placement.hash_ring import HashRing, Location, count_points
+from toucanhall.placement.region_weights import compute_region_points
+
+__all__ = ('TargetRings',)
+
+# Rings that are cached: twenty services with a few sets of home regions each.
+_MAX_RINGS_COUNT: Final = 100
+
+RingKey = tuple[str, frozenset[str]]
+
+
+class TargetRings:
+    """Rings of the targets that may serve requests, made when first used."""
+
+    def __init__(
+        self, *, location: Location, regions: Mapping[str, str]
+    ) -> None:
+        """Start without targets; `regions` names the region of each zone."""
+        self._location = location
+        self._regions = dict(regions)
+        self._zones_by_region = Counter(self._regions.values())
+        self._targets: Mapping[str, Target] = {}
+        self._is_by_capacity = False
+        self._rings: dict[RingKey, HashRing] = {}
+        self._points: dict[RingKey, Mapping[str, int]] = {}
+
+    def set_by_capacity(self, is_by_capacity: bool) -> None:
+        """Set whether regions get objects by the capacity of their targets."""
+        if is_by_capacity != self._is_by_capacity:
+            self._is_by_capacity = is_by_capacity
+            self._rings.clear()
+
+    def update(
+        self,
+        targets: Mapping[str, Target],
+        removed: Set[str],
+        added: Iterable[str],
+    ) -> None:
+        """Replace the targets, of which some were removed and some added.
+
+        A target that has started again is among both.
+        """
+        self._targets = targets
+        added = frozenset(added)
+        for key, ring in self._rings.items():
+            self._update_ring(key, ring, removed, added)
+
+    def walk(
+        self, service: str, homes: frozenset[str], object_key: str
+    ) -> Iterator[Target]:
+        """Yield the first targets of an object, best first.
+
+        `homes` are the regions that may serve it, empty for all.
+        """
+        for name in self._get_ring((service, homes)).walk(object_key):
+            yield self._targets[name]
+
+    def _get_ring(self, key: RingKey) -> HashRing:
+        ring = self._rings.get(key)
+        if ring is None:
+            if len(self._rings) >= _MAX_RINGS_COUNT:
+                self._rings.clear()
+            ring = HashRing()
+            self._points.pop(key, None)
+            self._update_ring(key, ring, frozenset(), self._targets)
+            self._rings[key] = ring
+        return ring
+
+    def _update_ring(
+        self,
+        key: RingKey,
+        ring: HashRing,
+        removed: Set[str],
+        added: Iterable[str],
+    ) -> None:
+        before = self._points.get(key, {})
+        points_by_zone = self._count_points(key)
+        self._points[key] = points_by_zone
+        reweighted = {
+            name
+            for name in ring
+            if name not in removed
+            and self._has_other_points(name, before, points_by_zone)
+        }
+        points = {
+            name: points_by_zone[self._targets[name].zone]
+            for name in (*added, *reweighted)
+            if self._may_serve(self._targets[name], key)
+        }
+        outdated = removed | reweighted
+        if points or not outdated.isdisjoint(ring):
+            ring.update(outdated, points)
+
+    def _has_other_points(
+        self, name: str, before: Mapping[str, int], now: Mapping[str, int]
+    ) -> bool:
+        zone = self._targets[name].zone
+        return before.get(zone) != now.get(zone)
+
+    def _count_points(self, key: RingKey) -> Mapping[str, int]:
+        """Return the points of a target on a ring, by its zone."""
+        if not self._is_by_capacity:
+            return {
+                zone: count_points(zone, self._location, self._regions)
+                for zone in self._list_zones(key)
+            }
+        slots: Counter[str] = Counter()
+        counts: Counter[str] = Counter()
+        for target in self._list_targets(key):
+            region = self._regions.get(target.zone, '')
+            slots[region] += target.slots
+            counts[region] += 1
+        points = compute_region_points(
+            self._location.region, self._zones_by_region, slots, counts
+        )
+        return {
+            zone: points[self._regions.get(zone, '')]
+            for zone in self._list_zones(key)
+        }
+
+    def _list_zones(self, key: RingKey) -> Set[str]:
+        return {target.zone for target in self._list_targets(key)}
+
+    def _list_targets(self, key: RingKey) -> list[Target]:
+        return [
+            target
+            for target in self._targets.values()
+            if self._may_serve(target, key)
+        ]
+
+    def _may_serve(self, target: Target, key: RingKey) -> bool:
+        service, homes = key
+        return target.service == service and (
+            not homes or self._regions.get(target.zone) in homes
+        )
