--- a/toucanhall/edge/answer_reader.py
+++ b/toucanhall/edge/answer_reader.py
@@ -139,7 +139,7 @@
                 headers.pending_requests, now, headers.machine_percent
             )
         if headers.is_not_run:
-            return self._classify_not_run(candidate, success.reply, now)
+            return self._classify_not_run(candidate, reply, headers)
         if headers.is_unproven_refusal:
             # Passed on, the status would promise that the request never ran.
             why = f'status {reply.status} without proof that nothing ran'
@@ -187,12 +187,21 @@
         self,
         candidate: Candidate,
         reply: ReceivedAnswer,
-        now: float,
+        headers: TargetHeaders,
     ) -> Failure:
         target, load = candidate
+        now = self._loop.time()
         if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             self._registry.suspend(target.id, now)
             return Failure('misdirected', target.id, may_have_run=False)
-        if reply.status in _FULL_STATUSES:
+        pending = headers.pending_requests
+        has_free_slots = pending is not None and pending < load.slots
+        may_ask_again = has_free_slots and self._registry.spill_penalty > 0
+        if reply.status in _FULL_STATUSES and not may_ask_again:
             load.fill(now)
-        return Failure('not-run', target.id, may_have_run=False)
+        return Failure(
+            'not-run',
+            target.id,
+            may_have_run=False,
+            may_ask_again=may_ask_again,
+        )
--- a/toucanhall/edge/attempt_loop.py
+++ b/toucanhall/edge/attempt_loop.py
@@ -133,6 +133,9 @@
         failure: Failure,
     ) -> None:
         attempts.record(failure)
+        if failure.may_ask_again:
+            # Another target would run the request without its object.
+            attempts.allow_again(candidate.target.id)
         if failure.is_closed_by_target:
             self._quarantine.record_lost(admitted.fingerprint, candidate.target)
         self._recorder.record_failed_attempt(
--- a/toucanhall/edge/attempts.py
+++ b/toucanhall/edge/attempts.py
@@ -20,6 +20,7 @@
         self.verdict = verdict
         self.may_relay = may_relay
         self.tried: set[str] = set()
+        self._repeated: set[str] = set()
         self.sent_count = 0
         self.unsent_count = 0
         self.worst_failure: Failure | None = None
@@ -31,6 +32,12 @@
             self.worst_failure.may_have_run
         )
 
+    def allow_again(self, target: str) -> None:
+        """Let a target be chosen once more for the request, then no more."""
+        if target not in self._repeated:
+            self._repeated.add(target)
+            self.tried.discard(target)
+
     def record(self, failure: Failure) -> None:
         """Record an attempt that failed."""
         if failure.was_sent:
--- a/toucanhall/edge/outcomes.py
+++ b/toucanhall/edge/outcomes.py
@@ -25,7 +25,8 @@
     `was_sent` tells whether bytes were sent to the target, `may_have_run`
     whether it may have processed them, `is_closed_by_target` whether it closed
     the connection before its answer; `reply` is its answer, if it gave one,
-    `connection` what carried the request, if it was sent.
+    `connection` what carried the request, if it was sent. `may_ask_again` if
+    the target refused the request with slots free and holds its object.
     """
 
     reason: str
@@ -36,6 +37,7 @@
     detail: str = ''
     is_closed_by_target: bool = False
     connection: ConnectionUse | None = None
+    may_ask_again: bool = False
 
     @property
     def is_link_failure(self) -> bool:
