Treat an answer with a status that HTTP does not have as malformed

Cause: the parser takes any three digits. A status below 200 passed for an interim answer, so 000, 001 and 099 kept the request until its deadline, or the next answer on the connection became its answer (200 after 000 or 099). 600 to 999 went to the caller, from a target and from another VM, and the connection was kept. The older entry VM passed 600, 700 and 999 on too.

Change: the client judges the status at the end of the head. A status outside 100 to 599, or 101, fails the exchange at once and resets the connection; the request may have run. The older entry VM raises BadStatusLine for it.

--- a/toucanhall/forwarding/lines.py
+++ b/toucanhall/forwarding/lines.py
@@ -20,9 +20,10 @@
 _TIMEVAL: Final = struct.Struct('@ll')
 _MICROSECONDS_PER_SECOND: Final = 1_000_000
 _MIN_WAIT_SECONDS: Final = 0.001  # the kernel takes 0 for no limit
-_CONTINUE: Final = 100
-_SWITCHING_PROTOCOLS: Final = 101
-_MIN_FINAL_STATUS: Final = 200
+# http.client skips 100 itself. Statuses that are in neither set, such as 101 or
+# 600, are malformed.
+_RETURNED_STATUSES: Final = frozenset((100, *range(200, 600)))
+_INTERIM_STATUSES: Final = range(102, 200)
 _MAX_HEADER_LINE_BYTES: Final = 65536
 _MAX_INTERIM_RESPONSES: Final = 16
 
@@ -91,9 +92,9 @@
     def _read_status(self) -> tuple[str, int, str]:
         for _ in range(_MAX_INTERIM_RESPONSES):
             head = super()._read_status()  # type: ignore[misc]
-            if head[1] == _CONTINUE or head[1] >= _MIN_FINAL_STATUS:
+            if head[1] in _RETURNED_STATUSES:
                 return tuple(head)
-            if head[1] == _SWITCHING_PROTOCOLS:
+            if head[1] not in _INTERIM_STATUSES:
                 break
             self._skip_headers()
         raise client.BadStatusLine('no final answer')
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -39,6 +39,9 @@
 _KEEPALIVE_PROBE_COUNT: Final = 2
 _MIN_FINAL_STATUS: Final = 200
 _MIN_REDIRECT_STATUS: Final = 300
+# Interim and final statuses (RFC 9110, section 15); no request offers an
+# upgrade, so that 101 answers none.
+_ANSWER_STATUSES: Final = frozenset(range(100, 600)) - {101}
 # Statuses below 500 after which a request may be sent again.
 _REFUSAL_STATUSES: Final = frozenset((400, 408, 421, 429))
 _MIN_FAILED_STATUS: Final = 500
@@ -272,10 +275,12 @@
             self._limit_error = f'head is over {max_fields} fields'
 
     def on_headers_complete(self) -> None:
-        """Determine whether only a close ends the answer (parser callback)."""
+        """Judge the status and what ends the answer (parser callback)."""
         self.part = AnswerPart.BODY
         self._stop_head_timer()
         status = self._parser.get_status_code()
+        if status not in _ANSWER_STATUSES:
+            self._limit_error = f'status {status} is none of an answer'
         headers = tuple(self._headers)
         transfer_encoding = get_header(headers, b'transfer-encoding')
         content_length = get_header(headers, b'content-length')
