Check a configuration before it is written: toucanhall check

Cause: an operator learnt of a fault in a configuration from the VMs that rejected it, and of a route that nothing matches from callers.

Change: `toucanhall check FILE [--against CURRENT] [--format text|json]` reports errors with field and line, routes that no request matches, limits that contradict each other, and what callers will notice. The package configuration_check has no parser of its own: decode_configuration judges each field within a sample that VMs accept, and find_route tells which rule a prefix leads to. The names of the fields and the sample stand in platform/configuration_fields.py; the test of the platform's words now also covers the new package. Keys are printed as digests only.

Shown: tests/unit/test_configuration_check.py puts 12 odd values in each field of the sample, and leaves each field out; the check reports an error exactly where decode_configuration raises one. The one exception is a string for the list of keys, which VMs take for a list of characters. docs/CHECK.md has the output of the files in examples/, and a test compares it.

--- a/release/pages.py
+++ b/release/pages.py
@@ -41,7 +41,8 @@
 _COMMANDS_INTRODUCTION: Final = """# Commands
 
 Results go to standard output, errors to standard error. `--json` prints what a
-script reads; tables may change between versions.
+script reads; tables may change between versions. [CHECK.md](CHECK.md) is on
+`toucanhall check`, with its output and exit codes.
 """
 
 
--- a/tests/unit/test_adapter.py
+++ b/tests/unit/test_adapter.py
@@ -38,8 +38,16 @@
 from toucanhall.web.messages import Request
 
 PACKAGE_PATH = Path(__file__).parents[2] / 'toucanhall'
-# Packages that run on the platform; the others do not.
-PLATFORM_PACKAGES = ('edge', 'fleet', 'limits', 'observe', 'placement', 'web')
+# Packages that run on the platform, and the check of its configurations.
+PLATFORM_PACKAGES = (
+    'configuration_check',
+    'edge',
+    'fleet',
+    'limits',
+    'observe',
+    'placement',
+    'web',
+)
 PLATFORM_WORDS = re.compile(
     r'x-toucanhall|/toucanhall/|tenant|backend|virtual_hosts|path_rules'
     r'|home_regions|traffic_split|cold_left|api_keys|allow_stale|wait_ms'
--- a/toucanhall/cmdline.py
+++ b/toucanhall/cmdline.py
@@ -18,6 +18,7 @@
   2  invalid command, settings or document
   3  no entry VM could be reached, the outcome is unknown, or a change was
      accepted but is not in force in every zone yet
+  of check: 0 no findings, 1 warnings only, 2 errors, 3 a file is not readable
 
 environment:
   TOUCANHALL_TOKEN  the operator's token
--- a/toucanhall/commands/__init__.py
+++ b/toucanhall/commands/__init__.py
@@ -4,6 +4,7 @@
 
 from toucanhall.commands import (
     catalogues,
+    configuration,
     drains,
     keys,
     local,
@@ -16,6 +17,7 @@
 
 COMMANDS: Final[tuple[Command, ...]] = (
     *local.COMMANDS,
+    *configuration.COMMANDS,
     *catalogues.COMMANDS,
     *keys.COMMANDS,
     *drains.COMMANDS,
