Learn the speed of targets, and the requests at a time that they bear

Cause: the time of each answer counted against its target, whether the object was cold or costly, the machine in a slow span or the VM late; a target that slows down below its slots was not known.

TargetLoad.compute_slowdown and count_well_served read it. Placement does not use them yet; latency_ratio stays.

--- a/toucanhall/placement/load.py
+++ b/toucanhall/placement/load.py
@@ -3,6 +3,8 @@
 import math
 from typing import Final
 
+from toucanhall.placement.learned_capacity import Evidence, LearnedCapacity
+
 __all__ = ('TargetLoad',)
 
 # Half-life of a target's reported load: what other VMs have sent since is not
@@ -28,6 +30,8 @@
         self.latency_ratio = 1.0
         self.suspended_until = 0.0
         self.machine_percent: int | None = None
+        self.capacity = LearnedCapacity(slots=slots)
+        self._latest_time = 0.0
         self._suspension_seconds = _MIN_SUSPENSION_SECONDS
         self._requests_of_others = 0.0
         self._reported_at = 0.0
@@ -35,6 +39,7 @@
 
     def estimate_requests(self, now: float) -> float:
         """Return how many requests the target runs and holds in its queue."""
+        self._latest_time = now
         age_seconds = max(0.0, now - self._reported_at)
         others = self._requests_of_others * math.exp2(
             -age_seconds / _REPORT_HALF_LIFE_SECONDS,
@@ -44,6 +49,27 @@
             return max(requests, float(self.slots * 2))
         return requests
 
+    def compute_slowdown(self, now: float) -> float:
+        """Return how much longer work takes there now than at usual targets.
+
+        At least 1, and 1 without evidence.
+        """
+        self._latest_time = now
+        return self.capacity.compute_slowdown(now)
+
+    def count_well_served(self) -> float:
+        """Return how many requests at a time the target serves unslowed.
+
+        At least 1 and at most the slots, which it is without evidence. It
+        holds for the latest time at which the load was read or recorded.
+        """
+        return self.capacity.count_well_served(self._latest_time)
+
+    def record_evidence(self, evidence: Evidence) -> None:
+        """Record what an answer tells about the speed of the target."""
+        self._latest_time = evidence.at
+        self.capacity.record(evidence)
+
     def is_suspended(self, now: float) -> bool:
         """Whether the target gets no requests after failures."""
         return now < self.suspended_until
@@ -63,6 +89,8 @@
         self._requests_of_others = float(max(0, busy - self.in_flight))
         self._reported_at = now
         self.machine_percent = machine_percent
+        if machine_percent is not None:
+            self.capacity.record_machine(machine_percent, now)
 
     def fill(self, now: float) -> None:
         """Record that the target refused a request as full."""
