Record what served requests tell about the speed of their targets

Cause: the time of an answer has to be weighed with the order of targets for the object and the event loop lag, which the reader of answers does not know.

Change: the loop of attempts hands served requests to a recorder.

--- a/tests/attemptdata.py
+++ b/tests/attemptdata.py
@@ -4,6 +4,7 @@
 from tests.fleetdata import make_bounds, make_environment, make_store
 from toucanhall.edge.admission import AdmittedRequest, admit
 from toucanhall.edge.attempt_loop import AttemptLoop
+from toucanhall.edge.capacity_recorder import CapacityRecorder
 from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.request_relay import RequestRelay
 from toucanhall.edge.sender import Sender
@@ -14,6 +15,7 @@
 from toucanhall.platform.documents import decode_configuration
 from toucanhall.platform.headers import read_caller_headers
 from toucanhall.platform.suspect_registry import SuspectRegistry
+from toucanhall.web.lag import LoopLag
 from toucanhall.web.messages import Request
 
 __all__ = ('make_admitted', 'make_attempt_loop')
@@ -53,6 +55,9 @@
             environment=environment, pool=pool, list_members=tuple
         ),
         recorder=recorder,
+        capacity=CapacityRecorder(
+            registry=registry, journal=journal, lag=LoopLag()
+        ),
     )
 
 
--- a/toucanhall/edge/attempt_loop.py
+++ b/toucanhall/edge/attempt_loop.py
@@ -7,6 +7,7 @@
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest
 from toucanhall.edge.attempts import Attempts
+from toucanhall.edge.capacity_recorder import CapacityRecorder
 from toucanhall.edge.failure_answers import FailureAnswers
 from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.outcomes import Failure, Success
@@ -43,6 +44,7 @@
         links: TargetLinks,
         relay: RequestRelay,
         recorder: RequestRecorder,
+        capacity: CapacityRecorder,
     ) -> None:
         """Choose among the targets of `registry`."""
         self._sender = sender
@@ -51,6 +53,7 @@
         self._links = links
         self._relay = relay
         self._recorder = recorder
+        self._capacity = capacity
         self._loop = asyncio.get_running_loop()
         self.response_times = ResponseTimes()
         self._chooser = TargetChooser(
@@ -105,7 +108,7 @@
         attempts.tried.add(candidate.target.id)
         outcome = await self._sender.attempt(admitted, candidate)
         if isinstance(outcome, Success):
-            return self._answer_success(admitted, candidate, outcome)
+            return self._answer_success(admitted, attempts, candidate, outcome)
         self._record_failure(admitted, candidate, attempts, outcome)
         is_cut_off = outcome.is_link_failure and await self._links.check()
         if (is_cut_off and not outcome.was_sent) or self._retry_policy.allows(
@@ -169,6 +172,7 @@
     def _answer_success(
         self,
         admitted: AdmittedRequest,
+        attempts: Attempts,
         candidate: Candidate,
         success: Success,
     ) -> Answer:
@@ -179,6 +183,7 @@
             success.load_ratio,
         )
         self._sender.record_success(candidate, ratio)
+        self._capacity.record(admitted, attempts, candidate, success)
         self._quarantine.record_served(admitted.fingerprint, candidate.target)
         self._recorder.record_served(
             admitted.headers,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -10,6 +10,7 @@
 
 from toucanhall.edge.attempt_loop import AttemptLoop
 from toucanhall.edge.buffer_watch import BufferWatch
+from toucanhall.edge.capacity_recorder import CapacityRecorder
 from toucanhall.edge.caller_connections import CallerConnections
 from toucanhall.edge.connection_pool import ConnectionPool
 from toucanhall.edge.directory import Directory
@@ -156,6 +157,9 @@
         self._has_divided_limits = False
         self._retries = RetryBudget(bounds=environment.bounds)
         self._lag = LoopLag()
+        self._capacity = CapacityRecorder(
+            registry=self._registry, journal=self._journal, lag=self._lag
+        )
         recorder = RequestRecorder(
             fleet_tables=self._fleet_tables,
             journal=self._journal,
@@ -181,6 +185,7 @@
                     list_members=self._list_other_vms,
                 ),
                 recorder=recorder,
+                capacity=self._capacity,
             ),
             quotas=self._quotas,
             recorder=recorder,
@@ -421,6 +426,7 @@
             'requests_held_back': self._quarantine.count_held_back,
             'reaches_targets': lambda: not self._links.is_cut_off,
             **self._buffers.list_gauges(),
+            **self._capacity.list_gauges(),
             'targets_limited': lambda: len(limits.observations.list_limited()),
             'limited_targets_owned': limits.count_owned,
             'limited_requests_sent': lambda: limits.sent_count,
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -132,6 +132,9 @@
 HEAD_UNFINISHED: Final = Event(
     636, logging.WARNING, 'wait ended before the head of an answer did'
 )
+CAPACITY_LEARNED: Final = Event(
+    645, logging.INFO, 'target is slower or faster than it was'
+)
 
 CATALOGUE: Final[tuple[Event, ...]] = tuple(
     found for found in tuple(globals().values()) if isinstance(found, Event)
