--- a/toucanhall/placement/learned_capacity.py
+++ b/toucanhall/placement/learned_capacity.py
@@ -44,7 +44,7 @@
 _MAX_SLOWDOWN: Final = 8.0
 # Fraction of the slots up to which a target counts as lightly loaded.
 _LIGHT_LOAD_FRACTION: Final = 2 / 3
-# The least ratio above that load, where waiting varies more: 1.25 took 4 to 18
+# The least ratio above that load, where waiting varies more: 1.25 took 5 to 18
 # in 100 equal targets for slow, 1.5 at most 1.
 _MIN_HEAVY_SLOWDOWN: Final = 1.5
 # Requests per slot above which a time tells of the queue only.
