Schedule when callers of full targets return

Cause: a refusal as targets-full or not-run named 0.25 s to all, so that callers refused in a burst returned while it lasted and gave up.

--- a/toucanhall/edge/attempt_loop.py
+++ b/toucanhall/edge/attempt_loop.py
@@ -1,13 +1,15 @@
 """Sends a request to targets, or to another VM, until it has an answer."""
 
 import asyncio
-from collections.abc import Mapping
+import random
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest
-from toucanhall.edge.attempts import Attempts
+from toucanhall.edge.attempts import Attempts, make_query
 from toucanhall.edge.failure_answers import FailureAnswers
+from toucanhall.edge.load_shedding import LoadShedding, make_caller
 from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.outcomes import Failure, Success
 from toucanhall.edge.request_recorder import RequestRecorder
@@ -43,8 +45,13 @@
         links: TargetLinks,
         relay: RequestRelay,
         recorder: RequestRecorder,
+        has_large_bodies: Callable[[], bool] = bool,
     ) -> None:
-        """Choose among the targets of `registry`."""
+        """Choose among the targets of `registry`.
+
+        `has_large_bodies` tells whether the configuration in force has routes
+        with large bodies.
+        """
         self._sender = sender
         self._retries = retries
         self._quarantine = quarantine
@@ -62,8 +69,14 @@
             response_times=self.response_times,
             recorder=recorder,
         )
+        self._shedding = LoadShedding(
+            registry=registry,
+            response_times=self.response_times,
+            has_large_bodies=has_large_bodies,
+            phase=random.random(),
+        )
         self._failure_answers = FailureAnswers(
-            registry=registry, recorder=recorder
+            registry=registry, recorder=recorder, shedding=self._shedding
         )
 
     def begin(self, admitted: AdmittedRequest, *, may_relay: bool) -> Attempts:
@@ -87,6 +100,8 @@
         if attempts.verdict.retry_after:
             return self._hold_back(admitted, attempts.verdict)
         answer: Answer | None = None
+        if not (self._links.is_cut_off or self._may_take(admitted, attempts)):
+            answer = self._failure_answers.answer(admitted, attempts)
         while answer is None and not self._links.is_cut_off:
             answer = await self._attempt(admitted, attempts)
         return answer or await self._let_others_serve(admitted, attempts)
@@ -114,6 +129,17 @@
             return None
         return self._failure_answers.answer(admitted, attempts)
 
+    def _may_take(self, admitted: AdmittedRequest, attempts: Attempts) -> bool:
+        """Whether no other request takes precedence over this one."""
+        now = self._loop.time()
+        judgement = self._shedding.judge(
+            make_caller(admitted, now), make_query(admitted, attempts), now
+        )
+        attempts.is_returned = judgement.is_returned
+        if judgement.is_returned:
+            self._recorder.record_returned(admitted.route.name)
+        return judgement.is_allowed
+
     async def _let_others_serve(
         self, admitted: AdmittedRequest, attempts: Attempts
     ) -> Answer:
--- a/toucanhall/edge/attempts.py
+++ b/toucanhall/edge/attempts.py
@@ -12,7 +12,8 @@
     """The targets tried for a request, and the worst failure.
 
     `verdict` tells which targets may run it, `may_relay` whether other VMs may
-    serve it: none that came from another VM goes on to a third.
+    serve it: none that came from another VM goes on to a third. `is_returned`
+    tells whether its caller seems to have been refused before.
     """
 
     def __init__(self, *, verdict: Verdict, may_relay: bool = True) -> None:
@@ -23,6 +24,7 @@
         self.sent_count = 0
         self.unsent_count = 0
         self.worst_failure: Failure | None = None
+        self.is_returned = False
 
     @property
     def may_have_run(self) -> bool:
--- a/toucanhall/edge/failure_answers.py
+++ b/toucanhall/edge/failure_answers.py
@@ -6,6 +6,7 @@
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest
 from toucanhall.edge.attempts import Attempts, make_query
+from toucanhall.edge.load_shedding import LoadShedding, make_caller
 from toucanhall.edge.refusals import Refusal
 from toucanhall.edge.request_recorder import RequestRecorder
 from toucanhall.edge.request_relay import RelayOutcome
@@ -21,9 +22,14 @@
     """Picks and records the final answers to such requests."""
 
     def __init__(
-        self, *, registry: TargetRegistry, recorder: RequestRecorder
+        self,
+        *,
+        registry: TargetRegistry,
+        recorder: RequestRecorder,
+        shedding: LoadShedding,
     ) -> None:
         """Explain refusals by what `registry` knows of the targets."""
+        self._shedding = shedding
         self._registry = registry
         self._recorder = recorder
         self._loop = asyncio.get_running_loop()
@@ -54,6 +60,8 @@
                 self._return_times,
                 now,
             )
+            if refusal is refusals.TARGETS_FULL:
+                refusal = self._schedule_return(refusal, admitted, attempts)
             return self._recorder.record_refusal(admitted.headers, refusal)
         if failure.reply is not None:
             self._recorder.record_passed_failure(
@@ -62,9 +70,11 @@
                 failure.target,
             )
             return make_caller_answer(failure.reply)
-        refusal = refusals.NOT_RUN
-        if failure.may_have_run:
-            refusal = refusals.ANSWER_LOST
+        refusal = refusals.ANSWER_LOST
+        if not failure.may_have_run:
+            refusal = self._schedule_return(
+                refusals.NOT_RUN, admitted, attempts
+            )
         return self._recorder.record_refusal(
             admitted.headers,
             refusal,
@@ -97,6 +107,35 @@
         )
         return make_caller_answer(reply)
 
+    def _schedule_return(
+        self, refusal: Refusal, admitted: AdmittedRequest, attempts: Attempts
+    ) -> Refusal:
+        """Return a refusal with the time at which its caller finds a slot.
+
+        It stays as it is where load shedding does not apply.
+        """
+        now = self._loop.time()
+        free_time = self._shedding.schedule(
+            make_caller(admitted, now),
+            make_query(admitted, Attempts(verdict=attempts.verdict)),
+            now,
+        )
+        if free_time is None:
+            return refusal
+        self._recorder.record_told_wait(
+            free_time.wait_seconds,
+            refusal.reason,
+            is_returned=attempts.is_returned,
+            is_in_time=free_time.is_in_time,
+        )
+        return refusal._replace(
+            retry_after=free_time.wait_seconds,
+            log_fields={
+                'is_returned': attempts.is_returned,
+                'is_in_time': free_time.is_in_time,
+            },
+        )
+
 
 def _explain_pauses(seconds: float | None) -> Refusal | None:
     """Return why no target takes a request if all pause or leave.
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -34,7 +34,7 @@
 from toucanhall.fleet.model import Address, Environment, VmContact
 from toucanhall.fleet.reports import Member
 from toucanhall.fleet.selection import MAX_LOOP_LAG_SECONDS
-from toucanhall.fleet.tables import FleetTables
+from toucanhall.fleet.tables import FleetTables, has_large_bodies
 from toucanhall.limits.quota import Quotas
 from toucanhall.limits.retry_budget import RetryBudget
 from toucanhall.observe import events
@@ -181,6 +181,9 @@
                     list_members=self._list_other_vms,
                 ),
                 recorder=recorder,
+                has_large_bodies=lambda: has_large_bodies(
+                    self._fleet_tables.configuration
+                ),
             ),
             quotas=self._quotas,
             recorder=recorder,
--- a/toucanhall/edge/request_recorder.py
+++ b/toucanhall/edge/request_recorder.py
@@ -57,6 +57,29 @@
         )
         return make_refusal_answer(refusal)
 
+    def record_told_wait(
+        self,
+        seconds: float,
+        reason: str,
+        *,
+        is_returned: bool,
+        is_in_time: bool,
+    ) -> None:
+        """Observe how long a refused caller was told to wait.
+
+        `is_returned` tells whether it seems to have been refused before,
+        `is_in_time` whether it can be served before its deadline.
+        """
+        self._metrics.observe('told_wait', seconds, reason=reason)
+        if is_returned:
+            self._metrics.count('callers_refused_again', reason=reason)
+        if not is_in_time:
+            self._metrics.count('callers_without_slot', reason=reason)
+
+    def record_returned(self, route: str) -> None:
+        """Count a caller that seems to have been refused before."""
+        self._metrics.count('callers_returned', route=route)
+
     def record_passed_failure(
         self, headers: CallerHeaders, reason: str, target: str
     ) -> None:
--- a/toucanhall/fleet/tables.py
+++ b/toucanhall/fleet/tables.py
@@ -10,7 +10,7 @@
 from toucanhall.fleet.revisions import Revision, Revisions
 from toucanhall.fleet.suspects import Suspect, SuspectTable
 
-__all__ = ('FleetTables', 'find_route')
+__all__ = ('FleetTables', 'find_route', 'has_large_bodies')
 
 # Targets whose entries expired during an outage of the store get this long to
 # register again: the platform promises about two seconds after the outage. It
@@ -30,6 +30,15 @@
     return None
 
 
+def has_large_bodies(configuration: Configuration | None) -> bool:
+    """Whether a configuration has routes with large bodies."""
+    return configuration is not None and any(
+        route.has_large_bodies
+        for routes in configuration.hosts.values()
+        for route in routes
+    )
+
+
 class FleetTables:
     """The newest known tables; an older table never replaces a newer one.
 
