Replay bursts against load shedding; order kinds by urgency

Cause: targets that many VMs fill refuse urgent and less urgent kinds alike, and a kind with a long objective was taken where an urgent one was refused.

Change: a less urgent kind yields where more urgent ones are refused clearly more often (RefusedFractions). Services without a fourth figure are told apart once in 0.5 s.

--- a/tests/shedding_replay.py
+++ b/tests/shedding_replay.py
@@ -47,7 +47,8 @@
 
     Requests take `mean_seconds` on average. VMs of `cut_off` hear of no other
     VM and of no load; those of `gone` leave at 3 s, and the others learn of it
-    two seconds later. A target with `queue` waiting requests refuses more. Reports come with `report_seconds` of delay.
+    two seconds later. A target with `queue` waiting requests refuses
+    more. Its reports reach a VM `report_seconds` after its answers.
     """
 
     factor: float = 2.0
@@ -143,9 +144,6 @@
         )
         self.busy_seconds = 0.0
         self.idle_window = (5.0, 6.3)
-        # Kinds that were refused with a view of a target's load, and those
-        # that were taken with the same or a fuller one.
-        self.judge_log: list[tuple[float, int, bool]] = []
 
     def run(self) -> Tally:
         """Return the outcome."""
--- a/toucanhall/edge/load_shedding.py
+++ b/toucanhall/edge/load_shedding.py
@@ -3,8 +3,8 @@
 Load patterns: a burst brings up to 2.5 times the requests that targets can run;
 kinds of different urgency of one service meet in it.
 
-It applies to requests of which a target reports how fast its machine is, and to
-all requests if the configuration has routes with large bodies.
+It applies to services of which a target reports how fast its machine is, and to
+all of them if the configuration has routes with large bodies.
 """
 
 import copy
@@ -19,6 +19,7 @@
     choose_target,
 )
 from toucanhall.placement.free_times import FreeTime, FreeTimes, Room
+from toucanhall.placement.refused_fractions import RefusedFractions
 from toucanhall.placement.registry import TargetQuery, TargetRegistry
 from toucanhall.placement.response_times import ResponseTimes
 from toucanhall.placement.returning_callers import ReturningCallers
@@ -28,8 +29,8 @@
 # Kinds of requests of which none came for this time have no precedence.
 _KIND_SECONDS: Final = 5.0
 _MAX_KINDS_COUNT: Final = 500
-# For this time, the slots of a service are not counted anew.
-_SLOTS_SECONDS: Final = 0.5
+# For this time, the targets of a service are not looked at anew.
+_SERVICE_SECONDS: Final = 0.5
 
 
 class Caller(NamedTuple):
@@ -56,6 +57,14 @@
     seen_at: float
 
 
+class _ServiceTargets(NamedTuple):
+    """The slots of a service, and if a target reports of its machine."""
+
+    slots: int
+    is_reported: bool
+    counted_at: float
+
+
 class LoadShedding:
     """Prefers urgent requests and returning callers; schedules returns."""
 
@@ -73,33 +82,33 @@
         self._has_large_bodies = has_large_bodies
         self._free_times = FreeTimes(phase=phase)
         self._returning = ReturningCallers()
+        self._fractions = RefusedFractions()
         self._kinds: dict[tuple[str, int, str], _Kind] = {}
-        self._slots: dict[str, tuple[int, float]] = {}
+        self._services: dict[str, _ServiceTargets] = {}
 
     def judge(
         self, caller: Caller, query: TargetQuery, now: float
     ) -> Judgement:
         """Return whether a request may be sent to its targets.
 
-        It may not be if a more urgent one would be refused by the same targets,
-        or if it is new and what is free is kept for callers that return.
+        It may not be if a more urgent one finds no room at the same targets, if
+        more urgent ones are refused more often, or if it is new and what is
+        free is kept for callers that return.
         Whether its targets have room for it is left to `choose_target`.
         """
-        candidates = self._list_candidates(query, now)
-        if not self._applies(candidates):
+        candidates = self._list_candidates(caller, query, now)
+        if not candidates:
             return Judgement(is_allowed=True, is_returned=False)
         is_returned = self._returning.record(
             caller.route, caller.remaining_seconds
         )
         self._record_kind(caller, now)
+        self._fractions.record_arrival(caller.service, caller.priority, now)
         if not self._has_room(candidates, caller, 0.0, now):
             return Judgement(is_allowed=True, is_returned=is_returned)
         is_allowed = self._has_kept_room(
             candidates, caller, now, is_returned=is_returned
-        ) and all(
-            self._has_kept_room(candidates, other, now, is_returned=False)
-            for other in self._list_more_urgent(caller, now)
-        )
+        ) and not self._must_yield(candidates, caller, now)
         if is_allowed:
             self._returning.record_taken(
                 caller.service, now, is_returned=is_returned
@@ -113,9 +122,10 @@
 
         None if load shedding does not apply to its request.
         """
-        candidates = self._list_candidates(query, now)
-        if not self._applies(candidates):
+        candidates = self._list_candidates(caller, query, now)
+        if not candidates:
             return None
+        self._fractions.record_refusal(caller.service, caller.priority, now)
         return self._free_times.schedule(
             self._measure_room(candidates, caller, now),
             caller.remaining_seconds,
@@ -123,18 +133,28 @@
             now,
         )
 
-    def _applies(self, candidates: Sequence[Candidate]) -> bool:
-        """Whether there is a target, and news of machines or large bodies."""
-        return bool(candidates) and (
-            any(found.load.machine_percent is not None for found in candidates)
-            or self._has_large_bodies()
-        )
-
     def _list_candidates(
-        self, query: TargetQuery, now: float
+        self, caller: Caller, query: TargetQuery, now: float
     ) -> list[Candidate]:
+        """Return the targets of a request; none if this does not apply."""
+        if not (
+            self._look_at(caller.service, now).is_reported
+            or self._has_large_bodies()
+        ):
+            return []
         return self._registry.list_candidates(query, now, TARGETS_PER_OBJECT)
 
+    def _must_yield(
+        self, candidates: Sequence[Candidate], caller: Caller, now: float
+    ) -> bool:
+        """Whether more urgent requests need the room more."""
+        return self._fractions.must_yield(
+            caller.service, caller.priority, now
+        ) or not all(
+            self._has_kept_room(candidates, other, now, is_returned=False)
+            for other in self._list_more_urgent(caller, now)
+        )
+
     def _has_kept_room(
         self,
         candidates: Sequence[Candidate],
@@ -176,7 +196,7 @@
             caller.objective_seconds, self._get_expected_seconds(caller)
         )
         vms = self._registry.limits.count_serving_vms()
-        slots = self._count_slots(caller.service, now)
+        slots = max(1, self._look_at(caller.service, now).slots)
         return Room(
             service=caller.service,
             queue_seconds=min(
@@ -190,24 +210,27 @@
     def _get_expected_seconds(self, caller: Caller) -> float:
         return self._response_times.get(caller.route, caller.objective_seconds)
 
-    def _count_slots(self, service: str, now: float) -> int:
-        """Return the slots of the targets that serve, one at least."""
-        slots, counted_at = self._slots.get(service, (0, -_SLOTS_SECONDS))
-        if not slots or now - counted_at >= _SLOTS_SECONDS:
-            loads = self._registry.loads
-            slots = sum(
-                target.slots
-                for target in self._registry.list_targets()
-                if target.service == service
-                and not target.is_draining
-                and not loads[target.id].is_suspended(now)
-            )
-            if service not in self._slots and len(self._slots) >= (
-                _MAX_KINDS_COUNT
-            ):
-                self._slots.clear()
-            self._slots[service] = (max(1, slots), now)
-        return max(1, slots)
+    def _look_at(self, service: str, now: float) -> _ServiceTargets:
+        """Return what the targets of a service that serve have in common."""
+        known = self._services.get(service)
+        if known and now - known.counted_at < _SERVICE_SECONDS:
+            return known
+        if len(self._services) >= _MAX_KINDS_COUNT:
+            self._services.clear()
+        loads = [
+            self._registry.loads[target.id]
+            for target in self._registry.list_targets()
+            if target.service == service and not target.is_draining
+        ]
+        known = _ServiceTargets(
+            slots=sum(
+                load.slots for load in loads if not load.is_suspended(now)
+            ),
+            is_reported=any(load.machine_percent is not None for load in loads),
+            counted_at=now,
+        )
+        self._services[service] = known
+        return known
 
     def _record_kind(self, caller: Caller, now: float) -> None:
         key = (caller.service, caller.priority, caller.route)
--- a/toucanhall/placement/free_times.py
+++ b/toucanhall/placement/free_times.py
@@ -110,7 +110,8 @@
         if not returns:
             return 0.0
         span = math.floor(now / _SPAN_SECONDS)
-        first, last = span - _SPANS_AROUND_COUNT, span + _SPANS_AROUND_COUNT
+        first = span - _SPANS_AROUND_COUNT
+        last = span + _SPANS_AROUND_COUNT
         count = sum(
             found
             for (returns_in, urgency), found in returns.items()
@@ -121,7 +122,7 @@
         )
 
     def _advance_phase(self) -> float:
-        self._phase = (self._phase + _GOLDEN_RATIO) % 1
+        self._phase = math.fmod(self._phase + _GOLDEN_RATIO, 1.0)
         return self._phase
 
     def _remember(
