--- a/tests/unit/test_free_times.py
+++ b/tests/unit/test_free_times.py
@@ -318,3 +318,28 @@
         caller.objective_seconds, caller.objective_seconds / 2, caller.priority
     )
     return choose_target(candidates, urgency, now) is not None
+
+
+# Guards against memory that grows with the names of routes and services.
+def test_state_of_callers_and_kinds_is_bounded():
+    returning = ReturningCallers()
+    fractions = RefusedFractions()
+    shedding, _registry = make_shedding()
+    for index in range(2000):
+        name = f's{index}'
+        returning.record(name, 3.0)
+        returning.record_taken(name, 1.0, is_returned=False)
+        fractions.record_arrival(name, 1, 1.0)
+        shedding.judge(
+            CALLER._replace(route=name, service=name),
+            QUERY._replace(service=name),
+            1.0,
+        )
+        shedding.judge(CALLER._replace(route=name), QUERY, 1.0)
+    for holder in (returning, fractions, shedding):
+        sizes = [
+            len(held)
+            for held in vars(holder).values()
+            if isinstance(held, dict)
+        ]
+        assert sizes and max(sizes) <= 500
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -33,6 +33,7 @@
 
 
 # A request usually takes a quarter of a second: slots are free again by then.
+# Load shedding replaces the time where it applies.
 TARGETS_FULL: Final = Refusal(503, 'targets-full', 0.25)
 NOT_RUN: Final = Refusal(503, 'not-run', 0.25)
 # The directory returns other VMs when clients ask it the next time.
