--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -9,7 +9,11 @@
 from tests.fleetdata import make_limits, make_target
 from toucanhall.fleet.model import Target
 from toucanhall.placement import choice
-from toucanhall.placement.choice import RequestUrgency, choose_target
+from toucanhall.placement.choice import (
+    PlacementPolicy,
+    RequestUrgency,
+    choose_target,
+)
 from toucanhall.placement.hash_ring import Location
 from toucanhall.placement.registry import TargetQuery, TargetRegistry
 
@@ -25,7 +29,7 @@
 
     A target caches `cached_objects`; a request takes `cold_seconds`, or
     `warm_fraction` of them for a cached object. `slow` names the targets that
-    take `slow_factor` times as long. `spill_penalty` is that of all requests.
+    take `slow_factor` times as long. `policy` is how targets are compared.
     """
 
     rate: Callable[[float], float]
@@ -40,7 +44,7 @@
     slow: frozenset[str] = frozenset()
     slow_factor: float = 1.0
     vms_per_zone: int = 4
-    spill_penalty: float = 0.0
+    policy: PlacementPolicy = PlacementPolicy()
 
 
 class Outcomes(NamedTuple):
@@ -160,7 +164,7 @@
                 pattern.objective_seconds,
                 expected_seconds[0],
                 1,
-                pattern.spill_penalty,
+                pattern.policy,
             ),
             now,
         )
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -6,7 +6,13 @@
 from tests.placement_replay import Pattern, replay
 from toucanhall.fleet.model import Configuration, Service
 from toucanhall.placement import choice
-from toucanhall.placement.choice import Candidate, RequestUrgency, choose_target
+from toucanhall.placement.choice import (
+    CAPACITY_POLICY,
+    Candidate,
+    PlacementPolicy,
+    RequestUrgency,
+    choose_target,
+)
 from toucanhall.placement.hash_ring import (
     MAX_EXAMINED_TARGETS,
     HashRing,
@@ -50,7 +56,7 @@
         cold_seconds=0.54,
         objective_seconds=0.5,
     )
-    keeping = balanced._replace(spill_penalty=2.0)
+    keeping = balanced._replace(policy=CAPACITY_POLICY)
     before = replay(balanced, seed=seed, since=7.0).fraction_in_time
     after = replay(keeping, seed=seed, since=7.0).fraction_in_time
     assert after > 0.9
@@ -59,7 +65,7 @@
 
 @pytest.mark.parametrize('spill_penalty', (0, 1))
 def test_spill_penalty_only_matters_between_full_targets(spill_penalty):
-    urgency = RequestUrgency(1.0, 0.1, 1, spill_penalty)
+    urgency = RequestUrgency(1.0, 0.1, 1, PlacementPolicy(spill_penalty))
     free, half, full = (
         Candidate(make_target(f't{count}'), make_load(count))
         for count in (2, 5, 13)
--- a/tests/unit/test_refusals_with_room.py
+++ b/tests/unit/test_refusals_with_room.py
@@ -15,13 +15,13 @@
 TARGET = make_target('t1', slots=9)
 
 
-def read_refusal(journal, load_header, spill_penalty):
+def read_refusal(journal, load_header, has_large_bodies):
     """Return what a refusal means, and the load that it leaves."""
 
     async def read():
         state = make_target_state(make_environment(), journal)
         state.registry.replace_targets({TARGET.id: TARGET}, 0.0)
-        state.registry.spill_penalty = spill_penalty
+        state.registry.has_large_bodies = has_large_bodies
         load = state.registry.loads[TARGET.id]
         reply = ReceivedAnswer(
             status=503,
@@ -48,19 +48,19 @@
 
 
 @pytest.mark.parametrize(
-    ('load_header', 'spill_penalty', 'may_ask_again', 'is_full'),
+    ('load_header', 'has_large_bodies', 'may_ask_again', 'is_full'),
     (
-        (b'1,0,9,100', 2, True, False),
-        (b'1,0,9', 2, True, False),
-        (b'9,4,9', 2, False, True),
-        (b'odd', 2, False, True),
-        (b'1,0,9', 0, False, True),
+        (b'1,0,9,100', True, True, False),
+        (b'1,0,9', True, True, False),
+        (b'9,4,9', True, False, True),
+        (b'odd', True, False, True),
+        (b'1,0,9', False, False, True),
     ),
 )
 def test_object_is_not_moved_when_its_target_refuses_with_free_slots(
-    journal, load_header, spill_penalty, may_ask_again, is_full
+    journal, load_header, has_large_bodies, may_ask_again, is_full
 ):
-    failure, requests = read_refusal(journal, load_header, spill_penalty)
+    failure, requests = read_refusal(journal, load_header, has_large_bodies)
     assert not failure.may_have_run
     assert failure.may_ask_again is may_ask_again
     assert (requests >= TARGET.slots) is is_full
--- a/toucanhall/edge/answer_reader.py
+++ b/toucanhall/edge/answer_reader.py
@@ -196,7 +196,7 @@
             return Failure('misdirected', target.id, may_have_run=False)
         pending = headers.pending_requests
         has_free_slots = pending is not None and pending < load.slots
-        may_ask_again = has_free_slots and self._registry.spill_penalty > 0
+        may_ask_again = has_free_slots and self._registry.has_large_bodies
         if reply.status in _FULL_STATUSES and not may_ask_again:
             load.fill(now)
         return Failure(
--- a/toucanhall/edge/attempt_loop.py
+++ b/toucanhall/edge/attempt_loop.py
@@ -1,14 +1,16 @@
 """Sends a request to targets, or to another VM, until it has an answer."""
 
 import asyncio
+import random
 from collections.abc import Mapping
 from typing import Final
 
 from toucanhall.edge import refusals
 from toucanhall.edge.admission import AdmittedRequest
-from toucanhall.edge.attempts import Attempts
+from toucanhall.edge.attempts import Attempts, make_query
 from toucanhall.edge.capacity_recorder import CapacityRecorder
 from toucanhall.edge.failure_answers import FailureAnswers
+from toucanhall.edge.load_shedding import LoadShedding, make_caller
 from toucanhall.edge.quarantine import Quarantine
 from toucanhall.edge.outcomes import Failure, Success
 from toucanhall.edge.request_recorder import RequestRecorder
@@ -65,8 +67,13 @@
             response_times=self.response_times,
             recorder=recorder,
         )
+        self._shedding = LoadShedding(
+            registry=registry,
+            response_times=self.response_times,
+            phase=random.random(),
+        )
         self._failure_answers = FailureAnswers(
-            registry=registry, recorder=recorder
+            registry=registry, recorder=recorder, shedding=self._shedding
         )
 
     def begin(self, admitted: AdmittedRequest, *, may_relay: bool) -> Attempts:
@@ -90,6 +97,8 @@
         if attempts.verdict.retry_after:
             return self._hold_back(admitted, attempts.verdict)
         answer: Answer | None = None
+        if not (self._links.is_cut_off or self._may_take(admitted, attempts)):
+            answer = self._failure_answers.answer(admitted, attempts)
         while answer is None and not self._links.is_cut_off:
             answer = await self._attempt(admitted, attempts)
         return answer or await self._let_others_serve(admitted, attempts)
@@ -117,6 +126,17 @@
             return None
         return self._failure_answers.answer(admitted, attempts)
 
+    def _may_take(self, admitted: AdmittedRequest, attempts: Attempts) -> bool:
+        """Whether no other request takes precedence over this one."""
+        now = self._loop.time()
+        judgement = self._shedding.judge(
+            make_caller(admitted, now), make_query(admitted, attempts), now
+        )
+        attempts.is_returned = judgement.is_returned
+        if judgement.is_returned:
+            self._recorder.record_returned(admitted.route.name)
+        return judgement.is_allowed
+
     async def _let_others_serve(
         self, admitted: AdmittedRequest, attempts: Attempts
     ) -> Answer:
--- a/toucanhall/edge/target_chooser.py
+++ b/toucanhall/edge/target_chooser.py
@@ -45,7 +45,7 @@
                 admitted.objective_seconds,
             ),
             priority=admitted.priority,
-            spill_penalty=self._registry.spill_penalty,
+            policy=self._registry.policy,
         )
         rate = admitted.service.cold_per_second
         while True:
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -11,8 +11,8 @@
 
 Load pattern: targets cache about as many objects as there are for one target
 each. The second target then runs a request cold, evicts another object for it,
-and both targets are slower for it. So a request with a spill penalty waits at
-the first target as long as that costs less than a cold run.
+and both targets are slower for it. So with a spill penalty, a request waits
+at the first target as long as that costs less than a cold run.
 """
 
 from collections.abc import Sequence
@@ -22,9 +22,11 @@
 from toucanhall.placement.load import TargetLoad
 
 __all__ = (
+    'CAPACITY_POLICY',
     'TARGETS_PER_OBJECT',
     'URGENT_PRIORITY',
     'Candidate',
+    'PlacementPolicy',
     'RequestUrgency',
     'choose_target',
 )
@@ -44,17 +46,31 @@
 _MAX_QUEUE_RATIO: Final = 1.5
 
 
-class RequestUrgency(NamedTuple):
-    """How long a request may wait; times in seconds.
+class PlacementPolicy(NamedTuple):
+    """How targets are compared.
 
     `spill_penalty` is how many requests per slot more than the second target
     the first one may hold before the second is chosen; 0 to balance both.
+    `uses_learned_capacity` compares targets by what is learned of each one, not
+    by the mean of its response times.
     """
 
+    spill_penalty: float = 0.0
+    uses_learned_capacity: bool = False
+
+
+# A target that lacks an object takes three times as long, as if two more
+# requests were ahead in each slot.
+CAPACITY_POLICY: Final = PlacementPolicy(2.0, uses_learned_capacity=True)
+
+
+class RequestUrgency(NamedTuple):
+    """How long a request may wait, in seconds, and how its target is chosen."""
+
     seconds_to_objective: float
     expected_seconds: float
     priority: int
-    spill_penalty: float = 0.0
+    policy: PlacementPolicy = PlacementPolicy()
 
 
 class Candidate(NamedTuple):
@@ -71,11 +87,13 @@
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
     rated = [
-        _RatedCandidate(candidate, _compute_fill_ratio(candidate.load, now))
+        _RatedCandidate(
+            candidate, _compute_fill_ratio(candidate.load, urgency.policy, now)
+        )
         for candidate in candidates[:TARGETS_PER_OBJECT]
     ]
     max_fill_ratio = _compute_max_fill_ratio(urgency)
-    for candidate, fill_ratio in _order(rated, urgency.spill_penalty):
+    for candidate, fill_ratio in _order(rated, urgency.policy.spill_penalty):
         if fill_ratio < max_fill_ratio:
             return candidate
     return None
@@ -103,12 +121,13 @@
     return rated.fill_ratio
 
 
-def _compute_fill_ratio(load: TargetLoad, now: float) -> float:
-    return (
-        (load.estimate_requests(now) + 1)
-        * max(1.0, load.latency_ratio)
-        / load.slots
-    )
+def _compute_fill_ratio(
+    load: TargetLoad, policy: PlacementPolicy, now: float
+) -> float:
+    requests = load.estimate_requests(now) + 1
+    if policy.uses_learned_capacity:
+        return requests * load.compute_slowdown(now) / load.count_well_served()
+    return requests * max(1.0, load.latency_ratio) / load.slots
 
 
 def _compute_max_fill_ratio(urgency: RequestUrgency) -> float:
--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -6,7 +6,11 @@
 from typing import Final, NamedTuple
 
 from toucanhall.fleet.model import Configuration, Target
-from toucanhall.placement.choice import Candidate
+from toucanhall.placement.choice import (
+    CAPACITY_POLICY,
+    Candidate,
+    PlacementPolicy,
+)
 from toucanhall.placement.cold_targets import (
     compute_rate_fraction,
     find_owner_groups,
@@ -25,9 +29,6 @@
 # For this time, a target gets no requests after another target answered at its
 # address.
 _MISDIRECTED_SECONDS: Final = 3.0
-# Requests per slot: a target that lacks an object takes three times as long, as
-# if two more requests were ahead in each slot.
-_SPILL_PENALTY: Final = 2.0
 
 
 class TargetQuery(NamedTuple):
@@ -67,7 +68,7 @@
         self._vm = ''
         self._groups: Mapping[str, VmGroup] = {}
         self.loads: dict[str, TargetLoad] = {}
-        self.spill_penalty = 0.0
+        self.has_large_bodies = False
         self.limits = limits
         self.notices = TargetNotices()
 
@@ -109,9 +110,8 @@
         Where bodies are large, links between regions and a second copy of an
         object cost most.
         """
-        is_by_capacity = configuration.has_large_bodies
-        self._rings.set_by_capacity(is_by_capacity)
-        self.spill_penalty = _SPILL_PENALTY if is_by_capacity else 0.0
+        self.has_large_bodies = configuration.has_large_bodies
+        self._rings.set_by_capacity(self.has_large_bodies)
 
     def set_evacuated_zones(
         self,
@@ -138,6 +138,11 @@
             self._rate_fractions = {}
             self.limits.set_vm_groups(own, groups)
 
+    @property
+    def policy(self) -> PlacementPolicy:
+        """How the targets of a request are compared."""
+        return CAPACITY_POLICY if self.has_large_bodies else PlacementPolicy()
+
     def list_candidates(
         self,
         query: TargetQuery,
