--- a/toucanhall/placement/refused_fractions.py
+++ b/toucanhall/placement/refused_fractions.py
@@ -17,7 +17,7 @@
 _HALF_LIFE_SECONDS: Final = 2.0
 # An urgent kind that is refused less often than this needs no precedence.
 _MIN_FRACTION: Final = 0.05
-# Differences up to this are those of small counts. In the same replay, that kind
+# Differences up to this are those of small counts. In that replay, the kind
 # was served 0.60 with a margin of 0.1, and 0.66 with 0.2.
 _MARGIN: Final = 0.2
 _MAX_PRIORITIES_COUNT: Final = 500
