Ask the account for room before a message is read

A connection of a caller was reset when the budget of buffers was exceeded, also one whose request ran, and answers waiting on pipelined connections were in no account.

--- a/toucanhall/edge/sender.py
+++ b/toucanhall/edge/sender.py
@@ -19,6 +19,7 @@
     AnswerPart,
     ClosedByPeerError,
     IncompleteAnswerError,
+    NoRoomError,
     OutOfDescriptorsError,
     ReceivedAnswer,
     ServerConnection,
@@ -155,7 +156,8 @@
         error: IncompleteAnswerError,
         connection: ServerConnection | None,
     ) -> Failure:
-        self._reader.record_failure(target, is_lost=False, why=str(error))
+        if not isinstance(error, NoRoomError):
+            self._reader.record_failure(target, is_lost=False, why=str(error))
         return Failure(
             'broken',
             target.id,
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -10,7 +10,13 @@
 import httptools
 
 from toucanhall.fleet.model import Address
-from toucanhall.web.buffer_budget import BufferBudget, BufferKind
+from toucanhall.web.buffer_budget import (
+    MAX_ROOM_WAIT_SECONDS,
+    MAX_SMALL_BYTES,
+    BufferBudget,
+    BufferKind,
+    RoomUse,
+)
 from toucanhall.web.memory import (
     PARSE_CHUNK_BYTES,
     AnswerBounds,
@@ -25,6 +31,7 @@
     'ClosedByPeerError',
     'ConnectionUse',
     'IncompleteAnswerError',
+    'NoRoomError',
     'OutOfDescriptorsError',
     'ReceivedAnswer',
     'RefusedError',
@@ -42,6 +49,9 @@
 # Statuses below 500 after which a request may be sent again.
 _REFUSAL_STATUSES: Final = frozenset((400, 408, 421, 429))
 _MIN_FAILED_STATUS: Final = 500
+# Asked for at a time for a body of unknown length.
+_ROOM_STEP_BYTES: Final = 1 << 18
+_MAX_LENGTH_DIGITS: Final = 12
 # Requests of one connection that may be sent again; with so many, it is closed.
 _MAX_FAILED_REQUESTS: Final = 64
 
@@ -65,6 +75,10 @@
     """
 
 
+class NoRoomError(IncompleteAnswerError):
+    """This process had no room for the answer; the server is not at fault."""
+
+
 class ClosedByPeerError(IncompleteAnswerError):
     """The peer closed or reset the connection before the answer's end."""
 
@@ -141,6 +155,8 @@
         self._is_closed_here = False
         self._headers: HeaderList = []
         self._head_timer: asyncio.TimerHandle | None = None
+        self._room_timer: asyncio.TimerHandle | None = None
+        self._granted_bytes = 0
         self.part = AnswerPart.NONE
         self.number = 0
         self.idle_since = 0.0
@@ -208,6 +224,14 @@
             self._answer_future.set_exception(IncompleteAnswerError(reason))
         self.abort()
 
+    def receive_room(self, count: int) -> None:
+        """Continue to read an answer that has room."""
+        self._stop_waiting_for_room()
+        self._granted_bytes = max(self._granted_bytes, len(self._body)) + count
+        self._charge()
+        if self._transport is not None:
+            self._transport.resume_reading()
+
     async def exchange(
         self, sent: bytes, request_id: bytes = b''
     ) -> ReceivedAnswer:
@@ -381,19 +405,69 @@
             return f'over {bounds.max_stray_answers} answers to other requests'
         if not self._limit_error:
             self._charge()
+            self._ask_for_room()
         return self._limit_error
 
     def _charge(self) -> None:
-        kind = BufferKind.RECEIVED
-        if self.part is AnswerPart.HEAD:
-            kind = BufferKind.HEAD
-        self._settings.buffer_budget.set_usage(
-            self,
+        budget = self._settings.buffer_budget
+        head_bytes = (
             compute_header_bytes(self._headers)
             + self._framing.consecutive_bytes
-            + len(self._body),
-            kind,
         )
+        if self.part is AnswerPart.HEAD:
+            budget.set_usage(self, head_bytes, BufferKind.HEAD)
+            return
+        budget.set_usage(self, 0, BufferKind.HEAD)
+        body_bytes = max(self._granted_bytes, len(self._body))
+        budget.set_usage(self, head_bytes + body_bytes, BufferKind.RECEIVED)
+
+    def _ask_for_room(self) -> None:
+        """Stop reading until there is room for the rest of a large body."""
+        if self.part is not AnswerPart.BODY or self._room_timer is not None:
+            return
+        body_bytes = self._find_body_bytes()
+        missing = body_bytes - max(self._granted_bytes, len(self._body))
+        if body_bytes <= MAX_SMALL_BYTES or missing <= 0:
+            return
+        budget = self._settings.buffer_budget
+        if body_bytes > budget.max_bytes:
+            self._fail_without_room(f'body is over {budget.max_bytes} bytes')
+        elif budget.request_room(self, missing, RoomUse.ANSWER):
+            self._granted_bytes = body_bytes
+            self._charge()
+        elif self._transport is not None:
+            self._transport.pause_reading()
+            self._room_timer = asyncio.get_running_loop().call_later(
+                MAX_ROOM_WAIT_SECONDS,
+                self._fail_without_room,
+                f'no room within {MAX_ROOM_WAIT_SECONDS} seconds',
+            )
+
+    def _find_body_bytes(self) -> int:
+        """Return the size of a body: announced, or read and the next step."""
+        max_bytes = self._settings.bounds.max_body_bytes
+        length = get_header(tuple(self._headers), b'content-length')
+        if length is not None and length.isdigit():
+            return min(int(length[:_MAX_LENGTH_DIGITS]), max_bytes)
+        if len(self._body) < self._granted_bytes:
+            return self._granted_bytes
+        return min(len(self._body) + _ROOM_STEP_BYTES, max_bytes)
+
+    def _fail_without_room(self, why: str) -> None:
+        """Give up an answer; its request may have run."""
+        self._stop_waiting_for_room()
+        self._settings.buffer_budget.record_refusal(
+            RoomUse.ANSWER, why, self._find_body_bytes()
+        )
+        if self._answer_future and not self._answer_future.done():
+            self._answer_future.set_exception(NoRoomError(why))
+        self.abort()
+
+    def _stop_waiting_for_room(self) -> None:
+        if self._room_timer is not None:
+            self._room_timer.cancel()
+            self._room_timer = None
+            self._settings.buffer_budget.cancel(self)
 
     def _time_head(self) -> None:
         """Bound the time of a head of which only a part has come."""
@@ -427,9 +501,13 @@
 
     def _release(self) -> None:
         self._stop_head_timer()
+        if self._room_timer is not None and self._transport is not None:
+            self._transport.resume_reading()
+        self._stop_waiting_for_room()
         self._headers = []
         self._body = bytearray()
-        self._settings.buffer_budget.set_usage(self, 0)
+        self._granted_bytes = 0
+        self._settings.buffer_budget.clear(self)
 
     def _reset_answer(self) -> None:
         self._headers = []
