--- a/toucanhall/edge/buffer_watch.py
+++ b/toucanhall/edge/buffer_watch.py
@@ -1,4 +1,8 @@
-"""Logs and counts what was closed for its memory, and how much is in use."""
+"""Logs and counts what memory for messages is used for.
+
+Load pattern: bursts of large messages. Operators see how full the account is,
+who waits for room, and whom it refused or closed, and why.
+"""
 
 from collections.abc import Callable, Mapping
 
@@ -9,6 +13,8 @@
     BufferBudget,
     BufferClosure,
     BufferKind,
+    BufferRefusal,
+    RoomUse,
     make_buffer_budget,
 )
 
@@ -25,7 +31,10 @@
         self._journal = journal
         self._metrics = metrics
         self.budget: BufferBudget = make_buffer_budget(
-            memory, self._record_closure
+            memory,
+            self._record_closure,
+            self._record_refusal,
+            self._record_pause,
         )
 
     def record_rejected(self, status: int, reason: str) -> None:
@@ -43,6 +52,8 @@
             'bytes_held_peak': lambda: budget.peak_bytes,
             'bytes_held_in_heads': lambda: held[BufferKind.HEAD],
             'bytes_held_being_received': lambda: held[BufferKind.RECEIVED],
+            'bytes_held_unread': lambda: held[BufferKind.UNREAD],
+            'reading_paused': lambda: budget.waiting_count,
         }
 
     def _record_closure(self, closure: BufferClosure) -> None:
@@ -54,3 +65,17 @@
             held=closure.total_bytes,
             bound=closure.max_bytes,
         )
+
+    def _record_refusal(self, refusal: BufferRefusal) -> None:
+        self._metrics.count('refused_for_room', use=refusal.use.value)
+        self._journal.write(
+            events.NO_ROOM,
+            use=refusal.use.value,
+            why=refusal.why,
+            bytes=refusal.asked_bytes,
+            held=refusal.total_bytes,
+            bound=refusal.max_bytes,
+        )
+
+    def _record_pause(self, use: RoomUse) -> None:
+        self._metrics.count('reading_pauses', use=use.value)
--- a/toucanhall/edge/dispatcher.py
+++ b/toucanhall/edge/dispatcher.py
@@ -111,6 +111,15 @@
         answer = await self._serve(headers, admitted, may_relay=False)
         return add_request_id(answer, headers.request_id)
 
+    def refuse_for_memory(self, request: Request) -> Answer:
+        """Return the answer to a request that has not run for want of room.
+
+        It carries the request's id, since another VM may have sent it.
+        """
+        headers = read_caller_headers(request)
+        answer = self._recorder.record_refusal(headers, refusals.VM_MEMORY_FULL)
+        return add_request_id(answer, headers.request_id)
+
     async def _serve(
         self,
         headers: CallerHeaders,
--- a/toucanhall/edge/process.py
+++ b/toucanhall/edge/process.py
@@ -197,6 +197,7 @@
             buffer_budget=self._buffers.budget,
             max_connections=round(sockets * _CALLERS_SOCKETS_FRACTION),
             on_rejected=self._buffers.record_rejected,
+            answer_no_room=self._dispatcher.refuse_for_memory,
         )
         self._caller_connections = CallerConnections(handler=handler)
         self._state_updater = StateUpdater(
--- a/toucanhall/edge/refusals.py
+++ b/toucanhall/edge/refusals.py
@@ -37,6 +37,8 @@
 NOT_RUN: Final = Refusal(503, 'not-run', 0.25)
 # The directory returns other VMs when clients ask it the next time.
 VM_OVERLOADED: Final = Refusal(503, 'vm-overloaded', 0.5)
+# Bytes of other requests are given back in about half a second.
+VM_MEMORY_FULL: Final = Refusal(503, 'vm-memory-full', 0.5)
 # Other VMs accept requests at once; a client leaves the address that refused.
 VM_STOPPING: Final = Refusal(503, 'vm-stopping', 0.05)
 # A VM reads configuration and targets within half a second of its start.
--- a/toucanhall/observe/events.py
+++ b/toucanhall/observe/events.py
@@ -18,6 +18,9 @@
 BUDGET_EXCEEDED: Final = Event(
     108, logging.WARNING, 'connection closed: the memory for messages is spent'
 )
+NO_ROOM: Final = Event(
+    109, logging.WARNING, 'message not read: no room in the memory for messages'
+)
 STORE_LOST: Final = Event(300, logging.WARNING, 'store unreachable')
 STORE_RECOVERED: Final = Event(301, logging.INFO, 'store answers again')
 HISTORY_LOST: Final = Event(
--- a/toucanhall/web/buffer_budget.py
+++ b/toucanhall/web/buffer_budget.py
@@ -26,8 +26,9 @@
 )
 
 # Of the memory of a process. The smallest VM has 152 MB, of which the
-# interpreter and the tables use up to 40.
-_BUFFER_BUDGET_FRACTION: Final = 1 / 12
+# interpreter and the tables use up to 40. With copies that are made while a
+# message is passed on, a byte of the account takes up to four (review/7).
+_BUFFER_BUDGET_FRACTION: Final = 1 / 8
 # Messages up to this size need no room granted before they are read.
 MAX_SMALL_BYTES: Final = 1 << 14
 # For room, before a caller is refused or an answer given up: twice the usual
@@ -176,8 +177,8 @@
             count, self.expected_answer_bytes * _PEAK_DECAY
         )
 
-    def can_ever_grant(self, use: RoomUse, count: int) -> bool:
-        """Whether room comes in time: not with a whole budget waiting."""
+    def may_grant_soon(self, use: RoomUse, count: int) -> bool:
+        """Whether room may come in time: not if a whole budget waits."""
         queued = sum(asked for _waiter, asked in self._queues[use])
         return queued + count <= self.max_bytes * _GRANT_FRACTIONS[use]
 
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -370,11 +370,13 @@
             and len(self._failed_id_hashes) < _MAX_FAILED_REQUESTS
         )
         self.keep_alive_seconds = _read_keep_alive_seconds(headers)
+        body = bytes(self._body)
+        self._body = bytearray()
         answer_future.set_result(
             ReceivedAnswer(
                 status=status,
                 headers=headers,
-                body=bytes(self._body),
+                body=body,
                 is_keep_alive=bool(keep),
             ),
         )
--- a/toucanhall/web/memory.py
+++ b/toucanhall/web/memory.py
@@ -33,7 +33,7 @@
 _MAX_INTERIM_ANSWERS: Final = 8
 # Late copies of earlier answers before the expected one.
 _MAX_STRAY_ANSWERS: Final = 4
-# Of the memory of a process: half of what all messages share.
+# Of the memory of a process: a third of what all messages share.
 _MAX_BODY_FRACTION: Final = 1 / 24
 
 
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -49,6 +49,8 @@
 # In which a caller takes no byte of an answer: within the deadlines of most
 # requests, so that its bytes are given back while it may still matter.
 _MAX_UNREAD_SECONDS: Final = 10.0
+# Larger bodies are not copied behind their head.
+_MAX_JOINED_BYTES: Final = 1 << 16
 # Asked for at a time for a body of unknown length.
 _ROOM_STEP_BYTES: Final = 1 << 18
 _MAX_LENGTH_DIGITS: Final = 12
@@ -374,18 +376,19 @@
         if body_bytes <= MAX_SMALL_BYTES or missing <= 0:
             return
         budget = self._handler.buffer_budget
-        if not budget.can_ever_grant(RoomUse.REQUEST, missing):
+        if not budget.may_grant_soon(RoomUse.REQUEST, missing):
             self._refuse('no room for the body')
-        elif budget.request_room(self, missing, RoomUse.REQUEST):
+            return
+        if budget.request_room(self, missing, RoomUse.REQUEST):
             self._granted_bytes = body_bytes
             self._update_buffer_usage()
-        else:
-            self._room_timer = self._loop.call_later(
-                MAX_ROOM_WAIT_SECONDS,
-                self._refuse,
-                f'no room for the body within {MAX_ROOM_WAIT_SECONDS} seconds',
-            )
-            self._update_reading()
+            return
+        self._room_timer = self._loop.call_later(
+            MAX_ROOM_WAIT_SECONDS,
+            self._refuse,
+            f'no room for the body within {MAX_ROOM_WAIT_SECONDS} seconds',
+        )
+        self._update_reading()
 
     def _find_body_bytes(self) -> int:
         """Return the size of a body: announced, or read and the next step."""
@@ -528,9 +531,12 @@
         )
         request = exchange.request
         has_body = request is None or request.method != b'HEAD'
+        is_joined = has_body and len(answer.body) <= _MAX_JOINED_BYTES
         transport.write(
-            encode_answer(answer, is_last=is_last, has_body=has_body),
+            encode_answer(answer, is_last=is_last, has_body=is_joined),
         )
+        if has_body and not is_joined:
+            transport.write(answer.body)
         if is_last:
             self._is_closing = True
             transport.close()
