--- a/tests/unit/test_buffer_budget.py
+++ b/tests/unit/test_buffer_budget.py
@@ -18,6 +18,7 @@
 BODY = b'b' * 1_000_000
 BUDGET_BYTES = 4_000_000
 SMALL = b'GET /small HTTP/1.1\r\n\r\n'
+PATHS = (b'/0', b'/1', b'/2', b'/3', b'/4', b'/5')
 # Of a part of a test that must not take long.
 MAX_SECONDS = 5.0
 
@@ -61,9 +62,15 @@
         await asyncio.sleep(0.05)
         return reader, writer
 
-    def run(self, act, is_cancellable=True):
+    async def post_all(self, *paths):
+        """Send requests with large bodies, each on a connection of its own."""
+        return [await self.post(path) for path in paths]  # noqa: WPS476
+
+    def run(self, act, is_cancellable=True, refuses_small=True):
         handler = make_handler(self.answer, self.budget)._replace(
-            serve=self.serve, is_cancellable=lambda _request: is_cancellable
+            serve=self.serve,
+            is_cancellable=lambda _request: is_cancellable,
+            refuses_small=refuses_small,
         )
 
         async def start():
@@ -96,17 +103,23 @@
     return head[9:12], head, length
 
 
+async def read_answers(*readers):
+    """Return the status and the length of the body of an answer from each."""
+    found = [await read_answer(reader) for reader in readers]  # noqa: WPS476
+    return [answer[0] for answer in found], [answer[2] for answer in found]
+
+
 def test_requests_that_run_stay_while_others_wait_for_room():
     """Guards against resets of connections whose requests run (review/4)."""
     stage = Stage()
-    paths = [b'/%d' % number for number in range(4)]
+    paths = PATHS[:4]
 
     async def act():
-        ends = [await stage.post(path) for path in paths]  # noqa: WPS476
+        ends = await stage.post_all(*paths)
         started = list(stage.started)
         stage.let_go(*paths)
-        answers = [await read_answer(end[0]) for end in ends]  # noqa: WPS476
-        return started, [answer[0] for answer in answers]
+        statuses, _lengths = await read_answers(*[end[0] for end in ends])
+        return started, statuses
 
     started, statuses = stage.run(act)
     assert len(started) < len(paths)
@@ -120,8 +133,7 @@
     stage = Stage()
 
     async def act():
-        for number in range(4):
-            await stage.post(b'/%d' % number)  # noqa: WPS476
+        await stage.post_all(*PATHS[:4])
         for number in range(4):
             stage.let_go(b'/%d' % number)
             await asyncio.sleep(0.1)  # noqa: WPS476
@@ -134,8 +146,7 @@
     stage = Stage()
 
     async def act():
-        for number in range(5):
-            await stage.post(b'/%d' % number)  # noqa: WPS476
+        await stage.post_all(*PATHS[:5])
         assert stage.budget.waiting_count
         reader, writer = await stage.connect()
         writer.write(SMALL)
@@ -149,8 +160,7 @@
     stage = Stage()
 
     async def act():
-        for number in range(3):
-            await stage.post(b'/%d' % number)  # noqa: WPS476
+        await stage.post_all(*PATHS[:3])
         reader, writer = await stage.post(b'/late')
         first = await read_answer(reader)
         writer.write(SMALL)
@@ -168,8 +178,7 @@
     stage = Stage()
 
     async def act():
-        for number in range(6):
-            await stage.post(b'/%d' % number)  # noqa: WPS476
+        await stage.post_all(*PATHS[:6])
         began = asyncio.get_running_loop().time()
         reader, _writer = await stage.post(b'/late')
         status = (await read_answer(reader))[0]
@@ -180,7 +189,7 @@
     assert seconds < 0.5
 
 
-def test_refused_caller_that_waits_for_100_is_closed():
+def test_refused_caller_that_expects_a_confirmation_is_closed():
     """Guards against a next request that is read as the refused body."""
     stage = Stage()
 
@@ -205,8 +214,7 @@
     chunk = b'%x\r\n%s\r\n' % (len(BODY), BODY)
 
     async def act():
-        for number in range(3):
-            await stage.post(b'/%d' % number)  # noqa: WPS476
+        await stage.post_all(*PATHS[:3])
         reader, writer = await stage.connect()
         writer.write(
             b'POST /chunks HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n'
@@ -233,11 +241,7 @@
         await asyncio.sleep(0.2)
         held = stage.budget.bytes_by_kind[BufferKind.COMPLETE]
         stage.let_go(b'/slow')
-        lengths = []
-        for _answer in range(16):
-            lengths.append(  # noqa: WPS476
-                (await read_answer(reader))[2]  # noqa: WPS476
-            )
+        _statuses, lengths = await read_answers(*[reader] * 16)
         return held, lengths
 
     held, lengths = stage.run(act)
@@ -258,17 +262,15 @@
         writer.write(b'GET /slow HTTP/1.1\r\n\r\n' + SMALL * 3)
         await asyncio.sleep(2.0)
         stage.let_go(b'/slow')
-        statuses = []
-        for _answer in range(4):
-            statuses.append(  # noqa: WPS476
-                (await read_answer(reader))[0]  # noqa: WPS476
-            )
+        statuses, _lengths = await read_answers(*[reader] * 4)
         return statuses
 
     statuses = stage.run(act)
     assert statuses[0] == b'200'
-    assert statuses.count(b'503') == 4 - statuses.count(b'200') > 0
-    assert stage.started.count(b'/small') + 1 == statuses.count(b'200')
+    served_count = statuses.count(b'200')
+    assert statuses.count(b'503') == 4 - served_count
+    assert served_count < 4
+    assert stage.started.count(b'/small') + 1 == served_count
 
 
 def test_only_the_caller_that_reads_nothing_is_closed(monkeypatch):
@@ -384,7 +386,7 @@
 
     async def act(settings):
         settings.buffer_budget.set_usage(owner, 1_000_000)
-        with pytest.raises(NoRoomError, match='no room within'):
+        with pytest.raises(NoRoomError, match='no room for a body'):
             await exchange(settings)
         settings.buffer_budget.set_usage(owner, 0)
 
@@ -403,3 +405,23 @@
     lengths, budget = read_large(act)
     assert lengths == [len(BODY)] * 4
     assert budget.peak_bytes < budget.max_bytes * 2
+
+
+@pytest.mark.parametrize(
+    ('refuses_small', 'status'), ((True, b'503'), (False, b'200'))
+)
+def test_full_account_refuses_callers_but_not_other_endpoints(
+    refuses_small, status
+):
+    """Guards against a full VM that is taken for one that is not ready."""
+    stage = Stage(max_bytes=100)
+    stage.is_open = True
+    owner = object()
+
+    async def act():
+        stage.budget.set_usage(owner, 200)
+        reader, writer = await stage.connect()
+        writer.write(SMALL)
+        return (await read_answer(reader))[0]
+
+    assert stage.run(act, refuses_small=refuses_small) == status
--- a/toucanhall/edge/caller_connections.py
+++ b/toucanhall/edge/caller_connections.py
@@ -43,7 +43,10 @@
         """The same, with an answer that takes time."""
         await _listen(
             address,
-            self._handler._replace(serve=serve, connections=set()),
+            # A VM without room for requests stays ready, and known to others.
+            self._handler._replace(
+                serve=serve, connections=set(), refuses_small=False
+            ),
         )
 
     async def close(self, until: float) -> None:
--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -157,6 +157,7 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._room_timer: asyncio.TimerHandle | None = None
         self._granted_bytes = 0
+        self._body = bytearray()
         self.part = AnswerPart.NONE
         self.number = 0
         self.idle_since = 0.0
@@ -442,7 +443,8 @@
             self._room_timer = asyncio.get_running_loop().call_later(
                 MAX_ROOM_WAIT_SECONDS,
                 self._fail_without_room,
-                f'no room within {MAX_ROOM_WAIT_SECONDS} seconds',
+                f'no room for a body of over {len(self._body)} bytes '
+                f'within {MAX_ROOM_WAIT_SECONDS} seconds',
             )
 
     def _find_body_bytes(self) -> int:
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -84,7 +84,7 @@
     is called with the status and the reason when a request is answered before
     it is complete, which closes its connection. `answer_no_room` makes the
     answer to a request, passed without its body, that has not run for want of
-    room. Beyond `max_connections`, the
+    room; small requests are refused only if `refuses_small`. Beyond `max_connections`, the
     connections that are idle longest are closed in
     favour of new ones.
     """
@@ -100,6 +100,7 @@
     max_connections: int
     on_rejected: Callable[[int, str], object] = _ignore
     answer_no_room: Callable[[Request], Answer] = _answer_no_room
+    refuses_small: bool = True
 
 
 class _Exchange:
@@ -364,7 +365,11 @@
             )
 
     def _has_room(self) -> bool:
-        return self._granted_bytes > 0 or self._handler.buffer_budget.has_room()
+        return (
+            self._granted_bytes > 0
+            or not self._handler.refuses_small
+            or self._handler.buffer_budget.has_room()
+        )
 
     def _ask_for_room(self) -> None:
         """Stop reading until there is room for the rest of a large body."""
