--- a/tests/unit/test_buffer_budget.py
+++ b/tests/unit/test_buffer_budget.py
@@ -14,7 +14,7 @@
 from toucanhall.web.messages import Answer
 from toucanhall.web.server import Connection
 
-ADDRESS = Address('127.92.206.1', 9006)
+ADDRESS = Address('127.93.61.1', 9361)
 BODY = b'b' * 1_000_000
 BUDGET_BYTES = 4_000_000
 SMALL = b'GET /small HTTP/1.1\r\n\r\n'
@@ -273,6 +273,12 @@
     assert stage.started.count(b'/small') + 1 == served_count
 
 
+async def read_slowly(reader):
+    for _part in range(15):
+        await asyncio.sleep(0.1)  # noqa: WPS476
+        await reader.read(1 << 20)  # noqa: WPS476
+
+
 def test_only_the_caller_that_reads_nothing_is_closed(monkeypatch):
     """Guards against answers that are kept for good for such a caller."""
     monkeypatch.setattr(server, '_MAX_UNREAD_SECONDS', 0.6)
@@ -286,12 +292,9 @@
         writer.write(SMALL)
         slow_reader, slow_writer = await stage.connect()
         slow_writer.write(SMALL)
-        for _part in range(15):
-            await asyncio.sleep(0.1)  # noqa: WPS476
-            await slow_reader.read(1 << 20)  # noqa: WPS476
+        await read_slowly(slow_reader)
         with contextlib.suppress(ConnectionError):
-            while await reader.read(1 << 20):  # noqa: WPS476
-                await asyncio.sleep(0)  # noqa: WPS476
+            await reader.read()
         return slow_reader.at_eof()
 
     assert stage.run(act) is False
@@ -359,6 +362,7 @@
                 return await act(settings)
         finally:
             listener.close()
+            await asyncio.sleep(0.05)
 
     return asyncio.run(start()), settings.buffer_budget
 
--- a/tests/unit/test_unfinished_heads.py
+++ b/tests/unit/test_unfinished_heads.py
@@ -20,11 +20,11 @@
 FAILURES_COUNT = 3
 
 
-def make_sender(targets, journal):
+def make_sender(targets, journal, settings=None):
     registry = targets.registry
     pool = ConnectionPool(
         clock=asyncio.get_running_loop().time,
-        settings=make_opening(),
+        settings=settings or make_opening(),
         max_idle_connections=10,
     )
     return Sender(
