--- a/toucanhall/web/buffer_budget.py
+++ b/toucanhall/web/buffer_budget.py
@@ -50,6 +50,9 @@
     COMPLETE = 'requests being served and answers that wait for earlier ones'
     UNREAD = 'answers that their caller does not read'
 
+    # The hash of enumerations is not compiled, and kinds are keys.
+    __hash__ = str.__hash__
+
 
 class RoomUse(StrEnum):
     """What room is asked for."""
@@ -148,7 +151,10 @@
         While the budget is exceeded and incomplete heads are over their share,
         terminates the owner of the largest, which may be the calling one.
         """
-        before = self._replace((owner, kind), count)
+        key = (owner, kind)
+        if count == self._buffers.get(key, 0):
+            return
+        before = self._replace(key, count)
         if count < before:
             self._schedule_grants()
         while self.total_bytes > self.max_bytes and self._are_heads_over():
--- a/toucanhall/web/server.py
+++ b/toucanhall/web/server.py
@@ -58,6 +58,14 @@
 _RETRY_AFTER_SECONDS: Final = b'0.500'
 
 
+_KINDS: Final = (
+    BufferKind.RECEIVED,
+    BufferKind.COMPLETE,
+    BufferKind.UNREAD,
+    BufferKind.HEAD,
+)
+
+
 class ServerLimits(NamedTuple):
     """Limits of the requests and connections of callers."""
 
@@ -84,8 +92,8 @@
     is called with the status and the reason when a request is answered before
     it is complete, which closes its connection. `answer_no_room` makes the
     answer to a request, passed without its body, that has not run for want of
-    room; small requests are refused only if `refuses_small`. Beyond `max_connections`, the
-    connections that are idle longest are closed in
+    room; small requests are refused only if `refuses_small`. Beyond
+    `max_connections`, the connections that are idle longest are closed in
     favour of new ones.
     """
 
@@ -169,6 +177,7 @@
         self._has_unread_answers = False
         self._unread_bytes = 0
         self._unread_since = 0.0
+        self._usage = (0, 0, 0, 0)
         self._room_timer: asyncio.TimerHandle | None = None
         self._limits = handler.get_limits()
         self._framing = FramingCounter(
@@ -565,11 +574,13 @@
         held_bytes = sum(exchange.held_bytes for exchange in self._exchanges)
         if self._has_unread_answers:
             unread_bytes = self._get_unread_bytes()
-        budget.set_usage(self, received_bytes, BufferKind.RECEIVED)
-        budget.set_usage(self, held_bytes, BufferKind.COMPLETE)
-        budget.set_usage(self, unread_bytes, BufferKind.UNREAD)
-        # The last: it may end the message that is being received.
-        budget.set_usage(self, head_bytes, BufferKind.HEAD)
+        usage = (received_bytes, held_bytes, unread_bytes, head_bytes)
+        if usage == self._usage:
+            return
+        self._usage = usage
+        # Heads last: that may end the message that is being received.
+        for kind, count in zip(_KINDS, usage, strict=True):
+            budget.set_usage(self, count, kind)
 
     def _get_unread_bytes(self) -> int:
         if self._transport is None:
