--- a/toucanhall/web/buffer_budget.py
+++ b/toucanhall/web/buffer_budget.py
@@ -54,6 +54,9 @@
     __hash__ = str.__hash__
 
 
+_ALL_KINDS: Final = tuple(BufferKind)
+
+
 class RoomUse(StrEnum):
     """What room is asked for."""
 
@@ -163,7 +166,7 @@
 
     def clear(self, owner: BufferOwner) -> None:
         """Give back all bytes of an owner."""
-        for kind in BufferKind:
+        for kind in _ALL_KINDS:
             self.set_usage(owner, 0, kind)
 
     def has_room(self) -> bool:
