--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -52,6 +52,8 @@
 # Asked for at a time for a body of unknown length.
 _ROOM_STEP_BYTES: Final = 1 << 18
 _MAX_LENGTH_DIGITS: Final = 12
+# Such bodies hold a part of the room while they wait, and may have no end.
+_MAX_UNKNOWN_LENGTH_WAIT_SECONDS: Final = 0.25
 # Requests of one connection that may be sent again; with so many, it is closed.
 _MAX_FAILED_REQUESTS: Final = 64
 
@@ -440,11 +442,14 @@
             self._charge()
         elif self._transport is not None:
             self._transport.pause_reading()
+            seconds = MAX_ROOM_WAIT_SECONDS
+            if get_header(tuple(self._headers), b'content-length') is None:
+                seconds = min(seconds, _MAX_UNKNOWN_LENGTH_WAIT_SECONDS)
             self._room_timer = asyncio.get_running_loop().call_later(
-                MAX_ROOM_WAIT_SECONDS,
+                seconds,
                 self._fail_without_room,
                 f'no room for a body of over {len(self._body)} bytes '
-                f'within {MAX_ROOM_WAIT_SECONDS} seconds',
+                f'within {seconds} seconds',
             )
 
     def _find_body_bytes(self) -> int:
