--- a/toucanhall/web/client.py
+++ b/toucanhall/web/client.py
@@ -442,15 +442,19 @@
             self._charge()
         elif self._transport is not None:
             self._transport.pause_reading()
-            seconds = MAX_ROOM_WAIT_SECONDS
-            if get_header(tuple(self._headers), b'content-length') is None:
-                seconds = min(seconds, _MAX_UNKNOWN_LENGTH_WAIT_SECONDS)
-            self._room_timer = asyncio.get_running_loop().call_later(
-                seconds,
-                self._fail_without_room,
-                f'no room for a body of over {len(self._body)} bytes '
-                f'within {seconds} seconds',
-            )
+            self._time_room()
+
+    def _time_room(self) -> None:
+        """Bound the wait for room."""
+        seconds = MAX_ROOM_WAIT_SECONDS
+        if get_header(tuple(self._headers), b'content-length') is None:
+            seconds = min(seconds, _MAX_UNKNOWN_LENGTH_WAIT_SECONDS)
+        self._room_timer = asyncio.get_running_loop().call_later(
+            seconds,
+            self._fail_without_room,
+            f'no room for a body of over {len(self._body)} bytes '
+            f'within {seconds} seconds',
+        )
 
     def _find_body_bytes(self) -> int:
         """Return the size of a body: announced, or read and the next step."""
