--- a/toucanhall/placement/region_weights.py
+++ b/toucanhall/placement/region_weights.py
@@ -22,7 +22,7 @@
 # Part of its requests that a region keeps if its targets can serve them. All of
 # them would leave its peaks to its own targets, none would send two thirds of
 # all bodies over the links between regions.
-_KEPT_FRACTION: Final = 0.8
+_KEPT_FRACTION: Final = 0.5
 # Points of a target on the ring at the full weight, as in `hash_ring`.
 _MAX_POINTS: Final = 96
 # A target without any weight still has a place in the order, after all others.
