--- a/tests/unit/test_buffer_budget.py
+++ b/tests/unit/test_buffer_budget.py
@@ -340,23 +340,27 @@
         connection.abort()
 
 
+LARGE_HEAD = b'HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: %d\r\n\r\n'
+
+
+async def serve_large(reader, writer):
+    """Answer a request with 1 MB."""
+    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(LARGE_HEAD % len(BODY) + BODY)
+        await writer.drain()
+        await reader.read()
+    writer.close()
+
+
 def read_large(act):
     """Let a server send 1 MB to each request while `act` plays."""
     settings = make_opening(id_header=b'x-id')._replace(
         buffer_budget=BufferBudget(max_bytes=1_500_000)
     )
-    head = b'HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: %d\r\n\r\n'
-
-    async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(head % len(BODY) + BODY)
-            await writer.drain()
-            await reader.read()
-        writer.close()
 
     async def start():
-        listener = await asyncio.start_server(serve, *ADDRESS)
+        listener = await asyncio.start_server(serve_large, *ADDRESS)
         try:
             async with asyncio.timeout(MAX_SECONDS):
                 return await act(settings)
