--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -10,6 +10,7 @@
 from toucanhall.fleet.model import Target
 from toucanhall.placement import choice
 from toucanhall.placement.choice import (
+    BALANCED_POLICY,
     PlacementPolicy,
     RequestUrgency,
     choose_target,
@@ -44,7 +45,7 @@
     slow: frozenset[str] = frozenset()
     slow_factor: float = 1.0
     vms_per_zone: int = 4
-    policy: PlacementPolicy = PlacementPolicy()
+    policy: PlacementPolicy = BALANCED_POLICY
 
 
 class Outcomes(NamedTuple):
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -22,6 +22,7 @@
 from toucanhall.placement.load import TargetLoad
 
 __all__ = (
+    'BALANCED_POLICY',
     'CAPACITY_POLICY',
     'TARGETS_PER_OBJECT',
     'URGENT_PRIORITY',
@@ -59,6 +60,7 @@
     uses_learned_capacity: bool = False
 
 
+BALANCED_POLICY: Final = PlacementPolicy()
 # A target that lacks an object takes three times as long, as if two more
 # requests were ahead in each slot.
 CAPACITY_POLICY: Final = PlacementPolicy(2.0, uses_learned_capacity=True)
@@ -70,7 +72,7 @@
     seconds_to_objective: float
     expected_seconds: float
     priority: int
-    policy: PlacementPolicy = PlacementPolicy()
+    policy: PlacementPolicy = BALANCED_POLICY
 
 
 class Candidate(NamedTuple):
--- a/toucanhall/placement/registry.py
+++ b/toucanhall/placement/registry.py
@@ -7,6 +7,7 @@
 
 from toucanhall.fleet.model import Configuration, Target
 from toucanhall.placement.choice import (
+    BALANCED_POLICY,
     CAPACITY_POLICY,
     Candidate,
     PlacementPolicy,
@@ -141,7 +142,7 @@
     @property
     def policy(self) -> PlacementPolicy:
         """How the targets of a request are compared."""
-        return CAPACITY_POLICY if self.has_large_bodies else PlacementPolicy()
+        return CAPACITY_POLICY if self.has_large_bodies else BALANCED_POLICY
 
     def list_candidates(
         self,
--- a/toucanhall/placement/rings.py
+++ b/toucanhall/placement/rings.py
@@ -29,7 +29,7 @@
         self._targets: Mapping[str, Target] = {}
         self._is_by_capacity = False
         self._rings: dict[RingKey, HashRing] = {}
-        self._points: dict[RingKey, Mapping[str, int]] = {}
+        self._weights: dict[RingKey, Mapping[str, int]] = {}
 
     def set_by_capacity(self, is_by_capacity: bool) -> None:
         """Set whether regions get objects by the capacity of their targets."""
@@ -68,7 +68,7 @@
             if len(self._rings) >= _MAX_RINGS_COUNT:
                 self._rings.clear()
             ring = HashRing()
-            self._points.pop(key, None)
+            self._weights.pop(key, None)
             self._update_ring(key, ring, frozenset(), self._targets)
             self._rings[key] = ring
         return ring
@@ -80,60 +80,62 @@
         removed: Set[str],
         added: Iterable[str],
     ) -> None:
-        before = self._points.get(key, {})
-        points_by_zone = self._count_points(key)
-        self._points[key] = points_by_zone
-        reweighted = {
-            name
-            for name in ring
-            if name not in removed
-            and self._has_other_points(name, before, points_by_zone)
-        }
+        if self._is_by_capacity:
+            changed = self._replace_weights(key, ring) - removed
+        else:
+            changed = frozenset()
         points = {
-            name: points_by_zone[self._targets[name].zone]
-            for name in (*added, *reweighted)
+            name: self._count_points(key, self._targets[name].zone)
+            for name in (*added, *changed)
             if self._may_serve(self._targets[name], key)
         }
-        outdated = removed | reweighted
+        outdated = removed | changed
         if points or not outdated.isdisjoint(ring):
             ring.update(outdated, points)
 
-    def _has_other_points(
-        self, name: str, before: Mapping[str, int], now: Mapping[str, int]
-    ) -> bool:
-        zone = self._targets[name].zone
-        return before.get(zone) != now.get(zone)
-
-    def _count_points(self, key: RingKey) -> Mapping[str, int]:
-        """Return the points of a target on a ring, by its zone."""
-        if not self._is_by_capacity:
-            return {
-                zone: count_points(zone, self._location, self._regions)
-                for zone in self._list_zones(key)
-            }
+    def _replace_weights(self, key: RingKey, ring: HashRing) -> Set[str]:
+        """Weigh the regions anew; return the targets of those that changed.
+
+        Targets that were removed may be among them.
+        """
+        before = self._weights.get(key, {})
+        weights = self._weigh_regions(key)
+        self._weights[key] = weights
+        changed = {
+            region
+            for region in weights.keys() | before.keys()
+            if weights.get(region) != before.get(region)
+        }
+        if not changed:
+            return frozenset()
+        return {
+            name
+            for name in ring
+            if name not in self._targets
+            or self._find_region(self._targets[name]) in changed
+        }
+
+    def _count_points(self, key: RingKey, zone: str) -> int:
+        """Return the points of a target of a zone on a ring."""
+        if self._is_by_capacity:
+            return self._weights[key][self._regions.get(zone, '')]
+        return count_points(zone, self._location, self._regions)
+
+    def _weigh_regions(self, key: RingKey) -> Mapping[str, int]:
+        """Return the points of a target on a ring, by its region."""
         slots: Counter[str] = Counter()
         counts: Counter[str] = Counter()
-        for target in self._list_targets(key):
-            region = self._regions.get(target.zone, '')
-            slots[region] += target.slots
-            counts[region] += 1
-        points = compute_region_points(
+        for target in self._targets.values():
+            if self._may_serve(target, key):
+                region = self._find_region(target)
+                slots[region] += target.slots
+                counts[region] += 1
+        return compute_region_points(
             self._location.region, self._zones_by_region, slots, counts
         )
-        return {
-            zone: points[self._regions.get(zone, '')]
-            for zone in self._list_zones(key)
-        }
-
-    def _list_zones(self, key: RingKey) -> Set[str]:
-        return {target.zone for target in self._list_targets(key)}
 
-    def _list_targets(self, key: RingKey) -> list[Target]:
-        return [
-            target
-            for target in self._targets.values()
-            if self._may_serve(target, key)
-        ]
+    def _find_region(self, target: Target) -> str:
+        return self._regions.get(target.zone, '')
 
     def _may_serve(self, target: Target, key: RingKey) -> bool:
         service, homes = key
