Count what a slower run costs when targets are compared

Cause: a slowdown counted only with the requests that wait, so that a target that is six times as slow kept its objects while it was idle.

--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -75,6 +75,21 @@
     assert chosen is (half, full)[spill_penalty]
 
 
+@pytest.mark.parametrize(
+    ('percent', 'keeps_objects'), ((100, True), (250, True), (600, False))
+)
+def test_idle_target_gives_up_objects_only_if_it_is_very_slow(
+    percent, keeps_objects
+):
+    urgency = RequestUrgency(9.0, 0.1, 1, CAPACITY_POLICY)
+    first, second = (
+        Candidate(make_target(name), make_load(1)) for name in ('t1', 't2')
+    )
+    first.load.record_reported_load(1, 5.0, percent)
+    chosen = choose_target([first, second], urgency, 5.0)
+    assert (chosen is first) is keeps_objects
+
+
 @pytest.mark.parametrize('seed', (1, 2))
 def test_cold_targets_serve_in_time_after_four_seconds(seed):
     pattern = Pattern(rate=lambda _now: 900.0, seconds=8.0)
--- a/toucanhall/placement/choice.py
+++ b/toucanhall/placement/choice.py
@@ -89,47 +89,55 @@
 ) -> Candidate | None:
     """Return the target that serves a request, or None when all are full."""
     rated = [
-        _RatedCandidate(
-            candidate, _compute_fill_ratio(candidate.load, urgency.policy, now)
-        )
+        _rate(candidate, urgency.policy, now)
         for candidate in candidates[:TARGETS_PER_OBJECT]
     ]
     max_fill_ratio = _compute_max_fill_ratio(urgency)
-    for candidate, fill_ratio in _order(rated, urgency.policy.spill_penalty):
-        if fill_ratio < max_fill_ratio:
-            return candidate
+    for found in _order(rated, urgency.policy.spill_penalty):
+        if found.fill_ratio < max_fill_ratio:
+            return found.candidate
     return None
 
 
 class _RatedCandidate(NamedTuple):
+    """A candidate, its requests per slot, and what it costs to choose it.
+
+    The cost is that of the wait and of the slower run, in usual runs.
+    """
+
     candidate: Candidate
     fill_ratio: float
+    cost: float
 
 
 def _order(
     rated: Sequence[_RatedCandidate], spill_penalty: float
 ) -> Sequence[_RatedCandidate]:
     """Return the candidates to choose from, the best one first."""
-    free = [found for found in rated if found.fill_ratio < _FREE_FILL_RATIO]
+    free = [found for found in rated if found.cost < _FREE_FILL_RATIO]
     if free and (free[0] is rated[0] or not spill_penalty):
         return free
-    ranked = sorted(rated, key=_get_fill_ratio)
-    if ranked and rated[0].fill_ratio <= ranked[0].fill_ratio + spill_penalty:
+    ranked = sorted(rated, key=_get_cost)
+    if ranked and rated[0].cost <= ranked[0].cost + spill_penalty:
         return rated[0], ranked[0]
     return ranked
 
 
-def _get_fill_ratio(rated: _RatedCandidate) -> float:
-    return rated.fill_ratio
+def _get_cost(rated: _RatedCandidate) -> float:
+    return rated.cost
 
 
-def _compute_fill_ratio(
-    load: TargetLoad, policy: PlacementPolicy, now: float
-) -> float:
+def _rate(
+    candidate: Candidate, policy: PlacementPolicy, now: float
+) -> _RatedCandidate:
+    load = candidate.load
     requests = load.estimate_requests(now) + 1
-    if policy.uses_learned_capacity:
-        return requests * load.compute_slowdown(now) / load.count_well_served()
-    return requests * max(1.0, load.latency_ratio) / load.slots
+    if not policy.uses_learned_capacity:
+        ratio = requests * max(1.0, load.latency_ratio) / load.slots
+        return _RatedCandidate(candidate, ratio, ratio)
+    slowdown = load.compute_slowdown(now)
+    ratio = requests * slowdown / load.count_well_served()
+    return _RatedCandidate(candidate, ratio, ratio + slowdown - 1)
 
 
 def _compute_max_fill_ratio(urgency: RequestUrgency) -> float:
