--- a/toucanhall/placement/rings.py
+++ b/toucanhall/placement/rings.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping, Set
-from typing import Final
+from typing import Final, NamedTuple
 
 from toucanhall.fleet.model import Target
 from toucanhall.placement.hash_ring import HashRing, Location, count_points
@@ -16,6 +16,16 @@
 RingKey = tuple[str, frozenset[str]]
 
 
+class _Room(NamedTuple):
+    """The targets of a service in a region, and their slots."""
+
+    slots: int
+    targets: int
+
+
+_NO_ROOM: Final = _Room(0, 0)
+
+
 class TargetRings:
     """Rings of the targets that may serve requests, made when first used."""
 
@@ -28,6 +38,7 @@
         self._zones_by_region = Counter(self._regions.values())
         self._targets: Mapping[str, Target] = {}
         self._is_by_capacity = False
+        self._rooms: Mapping[tuple[str, str], _Room] = {}
         self._rings: dict[RingKey, HashRing] = {}
         self._weights: dict[RingKey, Mapping[str, int]] = {}
 
@@ -35,6 +46,7 @@
         """Set whether regions get objects by the capacity of their targets."""
         if is_by_capacity != self._is_by_capacity:
             self._is_by_capacity = is_by_capacity
+            self._rooms = self._count_rooms() if is_by_capacity else {}
             self._rings.clear()
 
     def update(
@@ -48,6 +60,7 @@
         A target that has started again is among both.
         """
         self._targets = targets
+        self._rooms = self._count_rooms() if self._is_by_capacity else {}
         added = frozenset(added)
         for key, ring in self._rings.items():
             self._update_ring(key, ring, removed, added)
@@ -123,17 +136,32 @@
 
     def _weigh_regions(self, key: RingKey) -> Mapping[str, int]:
         """Return the points of a target on a ring, by its region."""
-        slots: Counter[str] = Counter()
-        counts: Counter[str] = Counter()
-        for target in self._targets.values():
-            if self._may_serve(target, key):
-                region = self._find_region(target)
-                slots[region] += target.slots
-                counts[region] += 1
+        service, homes = key
+        rooms = {
+            region: room
+            for (name, region), room in self._rooms.items()
+            if name == service and (not homes or region in homes)
+        }
         return compute_region_points(
-            self._location.region, self._zones_by_region, slots, counts
+            self._location.region,
+            self._zones_by_region,
+            {region: room.slots for region, room in rooms.items()},
+            {region: room.targets for region, room in rooms.items()},
         )
 
+    def _count_rooms(self) -> Mapping[tuple[str, str], '_Room']:
+        """Return the room of each service and region.
+
+        All rings share it: with 3,000 targets and twenty rings, a count for
+        each ring took more time than all requests.
+        """
+        rooms: dict[tuple[str, str], _Room] = {}
+        for target in self._targets.values():
+            key = (target.service, self._find_region(target))
+            slots, targets = rooms.get(key, _NO_ROOM)
+            rooms[key] = _Room(slots + target.slots, targets + 1)
+        return rooms
+
     def _find_region(self, target: Target) -> str:
         return self._regions.get(target.zone, '')
 
