Review case 11: read answers as fast as a distant caller gets them

Cause: the first form of the case read 800 kB a second, slower than it has to be. Change: callers read a window of 64 KiB each 16 ms.

--- a/review/11/play.py
+++ b/review/11/play.py
@@ -12,15 +12,17 @@
 
 BODY = bytes(range(256)) * 2048  # 512 KiB, as the largest downloads of the pages
 PAIRS = 4
+# A caller 8 ms away, to whom a window of 64 KiB is on its way at a time.
+WINDOW_BYTES, ROUND_TRIP_SECONDS = 1 << 16, 0.016
 
 
 async def fetch_two(stage, ip, number, head_seen):
     """Send a request, and a second one while the first is being answered."""
     sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
     sock.setblocking(False)
     await asyncio.get_running_loop().sock_connect(sock, (ip, st.FRONT))
-    reader, writer = await asyncio.open_connection(sock=sock, limit=65536)
+    reader, writer = await asyncio.open_connection(sock=sock, limit=WINDOW_BYTES)
     first, second = st.make_id(), st.make_id()
     stage.record.write(f'caller {number}: sends {first}')
     writer.write(
@@ -40,11 +42,11 @@
             body = bytearray()
             try:
                 while len(body) < wanted:
-                    part = await reader.read(16384)
+                    part = await reader.read(WINDOW_BYTES)
                     if not part:
                         break
                     body += part
-                    await asyncio.sleep(0.02)  # some 800 kB a second
+                    await asyncio.sleep(ROUND_TRIP_SECONDS)
             except OSError as error:
                 stage.record.write(f'caller {number}: {first} {error!r}')
     except (OSError, EOFError, TimeoutError) as error:
